--- /dev/null
+++ b/src/net/client.cc
@@ -0,0 +1,332 @@
+#include "lycheeplank/net.h"
+
+#include <pthread.h>
+#include <thread>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+#include <curl/curl.h>
+
+namespace lycheeplank::net {
+
+namespace {
+
+// Size of the library's receive buffer for one call.
+constexpr long kReceiveBufferBytes = 8192;
+constexpr long kIdleConnections = 256;
+constexpr int kPollMilliseconds = 1000;
+constexpr unsigned kWorkerBits = 8;
+
+// A call under way.
+struct Active
+{
+  CallId id_ = 0;
+  CURL* easy_ = nullptr;
+  curl_slist* headers_ = nullptr;
+  Call call_;
+  CallEvents events_;
+  bool statusTold_ = false;
+  std::vector<Field>* answerHeaders_ = nullptr;
+};
+
+void
+TellStatus(Active& aActive)
+{
+  if (aActive.statusTold_) {
+    return;
+  }
+  aActive.statusTold_ = true;
+  long status = 0;
+  curl_easy_getinfo(aActive.easy_, CURLINFO_RESPONSE_CODE, &status);
+  if (aActive.events_.onStatus_) {
+    aActive.events_.onStatus_(static_cast<int>(status));
+  }
+}
+
+std::size_t
+OnData(char* aData, std::size_t aSize, std::size_t aCount, void* aActive)
+{
+  auto& active = *static_cast<Active*>(aActive);
+  TellStatus(active);
+  if (active.events_.onData_) {
+    active.events_.onData_(absl::string_view(aData, aSize * aCount));
+  }
+  return aSize * aCount;
+}
+
+std::size_t
+OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aActive)
+{
+  auto& active = *static_cast<Active*>(aActive);
+  const absl::string_view line(aData, aSize * aCount);
+  if (const auto colon = line.find(':');
+      active.answerHeaders_ != nullptr && colon != absl::string_view::npos) {
+    active.answerHeaders_->push_back(
+      { std::string(line.substr(0, colon)),
+        std::string(absl::StripAsciiWhitespace(line.substr(colon + 1))) });
+  }
+  return aSize * aCount;
+}
+
+void
+SetOptions(Active& aActive)
+{
+  CURL* easy = aActive.easy_;
+  const Call& call = aActive.call_;
+  curl_easy_setopt(easy, CURLOPT_URL, call.url_.c_str());
+  curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_BUFFERSIZE, kReceiveBufferBytes);
+  curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt(
+    easy, CURLOPT_HTTP_VERSION, static_cast<long>(CURL_HTTP_VERSION_1_1));
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnData);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aActive);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aActive);
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &aActive);
+  curl_easy_setopt(
+    easy,
+    CURLOPT_CONNECTTIMEOUT_MS,
+    static_cast<long>(absl::ToInt64Milliseconds(call.connectTimeout_)));
+  if (call.timeout_ != absl::InfiniteDuration()) {
+    curl_easy_setopt(
+      easy,
+      CURLOPT_TIMEOUT_MS,
+      std::max(1L,
+               static_cast<long>(absl::ToInt64Milliseconds(call.timeout_))));
+  }
+  if (call.idleTimeout_ > absl::ZeroDuration()) {
+    curl_easy_setopt(easy, CURLOPT_LOW_SPEED_LIMIT, 1L);
+    curl_easy_setopt(
+      easy,
+      CURLOPT_LOW_SPEED_TIME,
+      std::max(1L, static_cast<long>(absl::ToInt64Seconds(call.idleTimeout_))));
+  }
+  if (call.freshConnection_) {
+    curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(easy, CURLOPT_FORBID_REUSE, 1L);
+  }
+  if (call.method_ != "GET") {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method_.c_str());
+    curl_easy_setopt(
+      easy, CURLOPT_POSTFIELDSIZE, static_cast<long>(call.body_.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body_.c_str());
+  }
+  // Without this the library waits for a "100 Continue" on larger bodies.
+  aActive.headers_ = curl_slist_append(nullptr, "Expect:");
+  for (const auto& header : call.headers_) {
+    aActive.headers_ = curl_slist_append(
+      aActive.headers_,
+      absl::StrCat(header.name_, ": ", header.value_).c_str());
+  }
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aActive.headers_);
+}
+
+} // namespace
+
+struct Client::Worker
+{
+  struct Order
+  {
+    // Set for a new call, empty for a cancellation.
+    std::unique_ptr<Active> start_;
+    CallId cancel_ = 0;
+  };
+
+  explicit Worker()
+    : multi_(curl_multi_init())
+  {
+    curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kIdleConnections);
+    thread_ = std::thread([this] { Run(); });
+  }
+
+  ~Worker()
+  {
+    {
+      const absl::MutexLock lock(&mutex_);
+      stopping_ = true;
+    }
+    curl_multi_wakeup(multi_);
+    thread_.join();
+    while (!active_.empty()) {
+      Finish(active_.begin()->first, CURLE_ABORTED_BY_CALLBACK);
+    }
+    curl_multi_cleanup(multi_);
+  }
+
+  void Push(Order aOrder)
+  {
+    {
+      const absl::MutexLock lock(&mutex_);
+      orders_.push_back(std::move(aOrder));
+    }
+    curl_multi_wakeup(multi_);
+  }
+
+  void Run()
+  {
+    pthread_setname_np(pthread_self(), "http-client");
+    while (TakeOrders()) {
+      int running = 0;
+      curl_multi_perform(multi_, &running);
+      FinishEnded();
+      curl_multi_poll(multi_, nullptr, 0, kPollMilliseconds, nullptr);
+    }
+  }
+
+  bool TakeOrders()
+  {
+    std::vector<Order> orders;
+    {
+      const absl::MutexLock lock(&mutex_);
+      if (stopping_) {
+        return false;
+      }
+      std::swap(orders, orders_);
+    }
+    for (auto& order : orders) {
+      if (order.start_) {
+        Begin(std::move(order.start_));
+      } else {
+        Finish(order.cancel_, CURLE_ABORTED_BY_CALLBACK);
+      }
+    }
+    return true;
+  }
+
+  void Begin(std::unique_ptr<Active> aActive)
+  {
+    aActive->easy_ = curl_easy_init();
+    SetOptions(*aActive);
+    curl_multi_add_handle(multi_, aActive->easy_);
+    const CallId id = aActive->id_;
+    active_.emplace(id, std::move(aActive));
+  }
+
+  void FinishEnded()
+  {
+    int left = 0;
+    while (const CURLMsg* message = curl_multi_info_read(multi_, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      Active* active = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &active);
+      Finish(active->id_, message->data.result);
+    }
+  }
+
+  void Finish(CallId aId, CURLcode aCode)
+  {
+    const auto found = active_.find(aId);
+    if (found == active_.end()) {
+      return;
+    }
+    const std::unique_ptr<Active> active = std::move(found->second);
+    active_.erase(found);
+    CallEnd end;
+    end.whole_ = aCode == CURLE_OK;
+    long status = 0;
+    long sent = 0;
+    curl_easy_getinfo(active->easy_, CURLINFO_RESPONSE_CODE, &status);
+    curl_easy_getinfo(active->easy_, CURLINFO_REQUEST_SIZE, &sent);
+    end.status_ = static_cast<int>(status);
+    end.neverSent_ = sent == 0;
+    end.error_ = end.whole_ ? "" : curl_easy_strerror(aCode);
+    if (end.whole_) {
+      TellStatus(*active);
+    }
+    curl_multi_remove_handle(multi_, active->easy_);
+    curl_easy_cleanup(active->easy_);
+    curl_slist_free_all(active->headers_);
+    active->easy_ = nullptr;
+    if (active->events_.onEnd_) {
+      active->events_.onEnd_(end);
+    }
+  }
+
+  CURLM* multi_;
+  absl::Mutex mutex_;
+  std::vector<Order> orders_ ABSL_GUARDED_BY(mutex_);
+  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  CallId nextId_ ABSL_GUARDED_BY(mutex_) = 1;
+  absl::flat_hash_map<CallId, std::unique_ptr<Active>> active_;
+  std::thread thread_;
+};
+
+Client::Client(unsigned aThreads)
+{
+  static const CURLcode initialised = curl_global_init(CURL_GLOBAL_DEFAULT);
+  static_cast<void>(initialised);
+  for (unsigned i = 0; i < std::max(1U, aThreads); ++i) {
+    workers_.push_back(std::make_unique<Worker>());
+  }
+}
+
+Client::~Client() = default;
+
+CallId
+Client::Start(Call aCall, CallEvents aEvents)
+{
+  static std::atomic<std::uint64_t> counter{ 0 };
+  const std::uint64_t number = ++counter;
+  const std::size_t worker = number % workers_.size();
+  auto active = std::make_unique<Active>();
+  active->id_ = (number << kWorkerBits) | worker;
+  active->call_ = std::move(aCall);
+  active->events_ = std::move(aEvents);
+  const CallId id = active->id_;
+  workers_[worker]->Push({ std::move(active), 0 });
+  return id;
+}
+
+CallId
+Client::Fetch(Call aCall, std::function<void(Answer&&)> aOnAnswer)
+{
+  static std::atomic<std::uint64_t> counter{ 0 };
+  const std::uint64_t number = ++counter;
+  const std::size_t worker = number % workers_.size();
+  auto answer = std::make_shared<Answer>();
+  auto active = std::make_unique<Active>();
+  active->id_ = (number << kWorkerBits) | (1ULL << 63U) | worker;
+  active->call_ = std::move(aCall);
+  active->answerHeaders_ = &answer->headers_;
+  active->events_.onData_ = [answer](absl::string_view aData) {
+    answer->body_.append(aData.data(), aData.size());
+  };
+  active->events_.onEnd_ =
+    [answer, onAnswer = std::move(aOnAnswer)](const CallEnd& aEnd) {
+      answer->end_ = aEnd;
+      onAnswer(std::move(*answer));
+    };
+  const CallId id = active->id_;
+  workers_[worker]->Push({ std::move(active), 0 });
+  return id;
+}
+
+Answer
+Client::FetchAndWait(Call aCall)
+{
+  absl::Notification done;
+  Answer result;
+  Fetch(std::move(aCall), [&](Answer&& aAnswer) {
+    result = std::move(aAnswer);
+    done.Notify();
+  });
+  done.WaitForNotification();
+  return result;
+}
+
+void
+Client::Cancel(CallId aId)
+{
+  const std::size_t worker = aId & ((1U << kWorkerBits) - 1);
+  workers_[worker % workers_.size()]->Push({ nullptr, aId });
+}
+
+} // namespace lycheeplank::net
--- /dev/null
+++ b/src/net/server.cc
@@ -0,0 +1,442 @@
+#include "lycheeplank/net.h"
+
+#include <arpa/inet.h>
+#include <cstring>
+#include <netinet/in.h>
+#include <stdexcept>
+#include <unistd.h>
+
+#include <absl/base/thread_annotations.h>
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/mutex.h>
+#include <microhttpd.h>
+
+namespace lycheeplank::net {
+
+absl::string_view
+Find(const std::vector<Field>& aFields, absl::string_view aName)
+{
+  for (const auto& field : aFields) {
+    if (absl::EqualsIgnoreCase(field.name_, aName)) {
+      return field.value_;
+    }
+  }
+  return {};
+}
+
+bool
+Has(const std::vector<Field>& aFields, absl::string_view aName)
+{
+  for (const auto& field : aFields) {
+    if (absl::EqualsIgnoreCase(field.name_, aName)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+namespace {
+
+// Memory that the library keeps for one connection.
+constexpr std::size_t kConnectionMemoryBytes = 16UL << 10U;
+// Size of the pieces in which a stream is handed to the library.
+constexpr std::size_t kStreamPieceBytes = 4UL << 10U;
+constexpr unsigned kIdleConnectionSeconds = 120;
+
+// Whether the connection waits, and for what.
+enum class Wait
+{
+  None,
+  Suspended,
+};
+
+class MhdExchange final : public Exchange
+{
+public:
+  explicit MhdExchange(MHD_Connection* aConnection)
+    : connection_(aConnection)
+  {
+  }
+
+  void Reply(int aStatus,
+             std::vector<Field> aHeaders,
+             std::string aBody) override
+  {
+    const absl::MutexLock lock(&mutex_);
+    if (answered_ || closed_) {
+      return;
+    }
+    answered_ = true;
+    status_ = aStatus;
+    headers_ = std::move(aHeaders);
+    buffer_ = std::move(aBody);
+    Wake();
+  }
+
+  void BeginStream(int aStatus, std::vector<Field> aHeaders) override
+  {
+    const absl::MutexLock lock(&mutex_);
+    if (answered_ || closed_) {
+      return;
+    }
+    answered_ = true;
+    streaming_ = true;
+    status_ = aStatus;
+    headers_ = std::move(aHeaders);
+    Wake();
+  }
+
+  bool Write(absl::string_view aData) override
+  {
+    const absl::MutexLock lock(&mutex_);
+    if (closed_) {
+      return false;
+    }
+    buffer_.append(aData.data(), aData.size());
+    Wake();
+    return true;
+  }
+
+  void End() override
+  {
+    const absl::MutexLock lock(&mutex_);
+    ended_ = true;
+    Wake();
+  }
+
+  void Abort() override
+  {
+    const absl::MutexLock lock(&mutex_);
+    if (!answered_) {
+      answered_ = true;
+      streaming_ = true;
+      status_ = MHD_HTTP_INTERNAL_SERVER_ERROR;
+    }
+    aborted_ = true;
+    Wake();
+  }
+
+  void OnClosed(std::function<void()> aCallback) override
+  {
+    {
+      const absl::MutexLock lock(&mutex_);
+      if (!closed_) {
+        onClosed_ = std::move(aCallback);
+        return;
+      }
+    }
+    aCallback();
+  }
+
+  std::size_t Backlog() override
+  {
+    const absl::MutexLock lock(&mutex_);
+    return buffer_.size() - taken_;
+  }
+
+  // Queues the answer if there is one, else suspends the connection.
+  MHD_Result Continue(const std::shared_ptr<MhdExchange>& aSelf)
+  {
+    const absl::MutexLock lock(&mutex_);
+    if (!answered_) {
+      wait_ = Wait::Suspended;
+      MHD_suspend_connection(connection_);
+      return MHD_YES;
+    }
+    return streaming_ ? QueueStream(aSelf) : QueueWhole();
+  }
+
+  // Marks the end of the exchange and tells the owner.
+  void Close()
+  {
+    std::function<void()> callback;
+    {
+      const absl::MutexLock lock(&mutex_);
+      closed_ = true;
+      std::swap(callback, onClosed_);
+    }
+    if (callback) {
+      callback();
+    }
+  }
+
+private:
+  void Wake() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+  {
+    if (wait_ == Wait::Suspended) {
+      wait_ = Wait::None;
+      MHD_resume_connection(connection_);
+    }
+  }
+
+  MHD_Result QueueWhole() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+  {
+    MHD_Response* response = MHD_create_response_from_buffer(
+      buffer_.size(), buffer_.data(), MHD_RESPMEM_MUST_COPY);
+    return Queue(response);
+  }
+
+  MHD_Result QueueStream(const std::shared_ptr<MhdExchange>& aSelf)
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+  {
+    auto* holder = new std::shared_ptr<MhdExchange>(aSelf);
+    MHD_Response* response = MHD_create_response_from_callback(
+      MHD_SIZE_UNKNOWN,
+      kStreamPieceBytes,
+      [](void* aHolder, std::uint64_t, char* aOut, std::size_t aMax) {
+        return (*static_cast<std::shared_ptr<MhdExchange>*>(aHolder))
+          ->Read(aOut, aMax);
+      },
+      holder,
+      [](void* aHolder) {
+        delete static_cast<std::shared_ptr<MhdExchange>*>(aHolder);
+      });
+    return Queue(response);
+  }
+
+  MHD_Result Queue(MHD_Response* aResponse)
+    ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_)
+  {
+    for (const auto& header : headers_) {
+      MHD_add_response_header(
+        aResponse, header.name_.c_str(), header.value_.c_str());
+    }
+    const MHD_Result queued = MHD_queue_response(
+      connection_, static_cast<unsigned>(status_), aResponse);
+    MHD_destroy_response(aResponse);
+    return queued;
+  }
+
+  ssize_t Read(char* aOut, std::size_t aMax)
+  {
+    const absl::MutexLock lock(&mutex_);
+    const std::size_t left = buffer_.size() - taken_;
+    if (left > 0) {
+      const std::size_t size = std::min(left, aMax);
+      std::memcpy(aOut, buffer_.data() + taken_, size);
+      taken_ += size;
+      if (taken_ == buffer_.size()) {
+        buffer_.clear();
+        taken_ = 0;
+      }
+      return static_cast<ssize_t>(size);
+    }
+    if (aborted_) {
+      return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    if (ended_) {
+      return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    wait_ = Wait::Suspended;
+    MHD_suspend_connection(connection_);
+    return 0;
+  }
+
+  absl::Mutex mutex_;
+  MHD_Connection* const connection_;
+  std::string buffer_ ABSL_GUARDED_BY(mutex_);
+  std::size_t taken_ ABSL_GUARDED_BY(mutex_) = 0;
+  std::vector<Field> headers_ ABSL_GUARDED_BY(mutex_);
+  std::function<void()> onClosed_ ABSL_GUARDED_BY(mutex_);
+  int status_ ABSL_GUARDED_BY(mutex_) = 0;
+  Wait wait_ ABSL_GUARDED_BY(mutex_) = Wait::None;
+  bool answered_ ABSL_GUARDED_BY(mutex_) = false;
+  bool streaming_ ABSL_GUARDED_BY(mutex_) = false;
+  bool ended_ ABSL_GUARDED_BY(mutex_) = false;
+  bool aborted_ ABSL_GUARDED_BY(mutex_) = false;
+  bool closed_ ABSL_GUARDED_BY(mutex_) = false;
+};
+
+// What the server keeps with one request until its end.
+struct Context
+{
+  std::shared_ptr<MhdExchange> exchange_;
+  bool handled_ = false;
+};
+
+MHD_Result
+CollectField(void* aFields, MHD_ValueKind, const char* aName, const char* aText)
+{
+  static_cast<std::vector<Field>*>(aFields)->push_back(
+    { aName, aText == nullptr ? "" : aText });
+  return MHD_YES;
+}
+
+} // namespace
+
+struct Server::Impl
+{
+  ServerOptions options_;
+  Handler handler_;
+  MHD_Daemon* daemon_ = nullptr;
+  std::uint16_t port_ = 0;
+  std::atomic<std::size_t> open_{ 0 };
+
+  MHD_Result Serve(MHD_Connection* aConnection,
+                   const char* aUrl,
+                   const char* aMethod,
+                   const char* aData,
+                   std::size_t* aSize,
+                   void** aContext)
+  {
+    if (*aContext == nullptr) {
+      *aContext = Begin(aConnection, aUrl, aMethod);
+      return MHD_YES;
+    }
+    auto* context = static_cast<Context*>(*aContext);
+    if (*aSize > 0) {
+      Append(context->exchange_->request_, aData, *aSize);
+      *aSize = 0;
+      return MHD_YES;
+    }
+    if (!context->handled_) {
+      context->handled_ = true;
+      handler_(context->exchange_);
+    }
+    return context->exchange_->Continue(context->exchange_);
+  }
+
+  Context* Begin(MHD_Connection* aConnection,
+                 const char* aUrl,
+                 const char* aMethod)
+  {
+    auto exchange = std::make_shared<MhdExchange>(aConnection);
+    exchange->request_.method_ = aMethod;
+    exchange->request_.path_ = aUrl;
+    MHD_get_connection_values(aConnection,
+                              MHD_HEADER_KIND,
+                              &CollectField,
+                              &exchange->request_.headers_);
+    MHD_get_connection_values(aConnection,
+                              MHD_GET_ARGUMENT_KIND,
+                              &CollectField,
+                              &exchange->request_.query_);
+    ++open_;
+    return new Context{ std::move(exchange) };
+  }
+
+  void Append(Request& aRequest, const char* aData, std::size_t aSize) const
+  {
+    if (aRequest.body_.size() + aSize > options_.maxBodyBytes_) {
+      aRequest.tooLarge_ = true;
+      aRequest.body_.clear();
+    }
+    if (!aRequest.tooLarge_) {
+      aRequest.body_.append(aData, aSize);
+    }
+  }
+
+  void Complete(void** aContext)
+  {
+    auto* context = static_cast<Context*>(*aContext);
+    if (context == nullptr) {
+      return;
+    }
+    context->exchange_->Close();
+    delete context;
+    *aContext = nullptr;
+    --open_;
+  }
+};
+
+Server::Server(const ServerOptions& aOptions, Handler aHandler)
+  : impl_(std::make_unique<Impl>())
+{
+  impl_->options_ = aOptions;
+  impl_->handler_ = std::move(aHandler);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aOptions.port_);
+  if (inet_pton(AF_INET, aOptions.address_.c_str(), &address.sin_addr) != 1) {
+    throw std::runtime_error(
+      absl::StrCat("'",
+                   aOptions.address_,
+                   "' is not an IPv4 address; give one as 10.0.0.1"));
+  }
+  impl_->daemon_ = MHD_start_daemon(
+    MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC,
+    aOptions.port_,
+    nullptr,
+    nullptr,
+    [](void* aImpl,
+       MHD_Connection* aConnection,
+       const char* aUrl,
+       const char* aMethod,
+       const char* /*aVersion*/,
+       const char* aData,
+       std::size_t* aSize,
+       void** aContext) {
+      return static_cast<Impl*>(aImpl)->Serve(
+        aConnection, aUrl, aMethod, aData, aSize, aContext);
+    },
+    impl_.get(),
+    MHD_OPTION_SOCK_ADDR,
+    &address,
+    MHD_OPTION_THREAD_POOL_SIZE,
+    aOptions.threads_,
+    MHD_OPTION_CONNECTION_LIMIT,
+    aOptions.maxConnections_,
+    MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+    kConnectionMemoryBytes,
+    MHD_OPTION_CONNECTION_TIMEOUT,
+    kIdleConnectionSeconds,
+    MHD_OPTION_LISTENING_ADDRESS_REUSE,
+    1U,
+    MHD_OPTION_NOTIFY_COMPLETED,
+    static_cast<MHD_RequestCompletedCallback>([](void* aImpl,
+                                                 MHD_Connection*,
+                                                 void** aContext,
+                                                 MHD_RequestTerminationCode) {
+      static_cast<Impl*>(aImpl)->Complete(aContext);
+    }),
+    impl_.get(),
+    MHD_OPTION_END);
+  if (impl_->daemon_ == nullptr) {
+    throw std::runtime_error(absl::StrCat("can't listen on ",
+                                          aOptions.address_,
+                                          ":",
+                                          aOptions.port_,
+                                          "; choose a free address and port"));
+  }
+  const MHD_DaemonInfo* info =
+    MHD_get_daemon_info(impl_->daemon_, MHD_DAEMON_INFO_BIND_PORT);
+  impl_->port_ = info->port;
+}
+
+Server::~Server()
+{
+  // The library must not be stopped while a connection is suspended, and a
+  // handler may still hold an exchange, so open ones are left to the process
+  // exit.
+  if (impl_->open_ == 0) {
+    MHD_stop_daemon(impl_->daemon_);
+  } else {
+    StopListening();
+    // The library's threads still refer to it.
+    static_cast<void>(impl_.release());
+  }
+}
+
+std::uint16_t
+Server::Port() const
+{
+  return impl_->port_;
+}
+
+void
+Server::StopListening()
+{
+  if (const MHD_socket socket = MHD_quiesce_daemon(impl_->daemon_);
+      socket >= 0) {
+    close(socket);
+  }
+}
+
+std::size_t
+Server::OpenExchanges() const
+{
+  return impl_->open_;
+}
+
+} // namespace lycheeplank::net
--- /dev/null
+++ b/test/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/test/net-test.cc
@@ -0,0 +1,134 @@
+#include "lycheeplank/net.h"
+
+#include <atomic>
+#include <thread>
+
+#include <absl/strings/str_cat.h>
+#include <absl/synchronization/notification.h>
+#include <catch2/catch.hpp>
+
+namespace net = lycheeplank::net;
+
+namespace {
+
+std::string
+UrlOf(const net::Server& aServer, const std::string& aPath)
+{
+  return absl::StrCat("http://127.0.0.1:", aServer.Port(), aPath);
+}
+
+} // namespace
+
+TEST_CASE("a whole answer carries status, headers and body")
+{
+  net::Server server({}, [](const std::shared_ptr<net::Exchange>& aExchange) {
+    const auto& request = aExchange->request_;
+    aExchange->Reply(
+      201,
+      { { "X-Query", std::string(net::Find(request.query_, "q")) } },
+      request.method_ + request.path_ + request.body_);
+  });
+  net::Client client;
+  const auto answer = client.FetchAndWait(
+    { "POST", UrlOf(server, "/p?q=a%20b"), { { "X-A", "1" } }, "body" });
+  CHECK(answer.Ok());
+  CHECK(answer.end_.status_ == 201);
+  CHECK(answer.body_ == "POST/pbody");
+  CHECK(net::Find(answer.headers_, "x-query") == "a b");
+}
+
+TEST_CASE("a body over the limit is dropped and marked")
+{
+  net::ServerOptions options;
+  options.maxBodyBytes_ = 1000;
+  net::Server server(
+    options, [](const std::shared_ptr<net::Exchange>& aExchange) {
+      aExchange->Reply(aExchange->request_.tooLarge_ ? 413 : 200, {}, "");
+    });
+  net::Client client;
+  const auto answer = client.FetchAndWait(
+    { "POST", UrlOf(server, "/"), {}, std::string(100000, 'x') });
+  CHECK(answer.end_.status_ == 413);
+}
+
+TEST_CASE("a stream arrives in order from another thread")
+{
+  std::vector<std::thread> writers;
+  net::Server server({}, [&](const std::shared_ptr<net::Exchange>& aExchange) {
+    writers.emplace_back([aExchange] {
+      aExchange->BeginStream(200, { { "Content-Type", "text/event-stream" } });
+      for (int i = 0; i < 1000; ++i) {
+        aExchange->Write(net::FormatSse(absl::StrCat(i), absl::StrCat("d", i)));
+      }
+      aExchange->End();
+    });
+  });
+  net::Client client;
+  const auto answer = client.FetchAndWait({ "GET", UrlOf(server, "/") });
+  for (auto& writer : writers) {
+    writer.join();
+  }
+  net::SseParser parser;
+  const auto events = parser.Feed(answer.body_);
+  REQUIRE(answer.Ok());
+  REQUIRE(events.size() == 1000);
+  CHECK(events[999].id_ == "999");
+  CHECK(events[999].data_ == "d999");
+}
+
+TEST_CASE("an aborted stream is not taken for a whole one")
+{
+  net::Server server({}, [](const std::shared_ptr<net::Exchange>& aExchange) {
+    aExchange->BeginStream(200, {});
+    aExchange->Write("part");
+    aExchange->Abort();
+  });
+  net::Client client;
+  const auto answer = client.FetchAndWait({ "GET", UrlOf(server, "/") });
+  CHECK_FALSE(answer.end_.whole_);
+}
+
+TEST_CASE("a refused connection says that nothing was sent")
+{
+  std::uint16_t port = 0;
+  {
+    net::Server server({}, [](const std::shared_ptr<net::Exchange>&) {});
+    port = server.Port();
+  }
+  net::Client client;
+  const auto answer = client.FetchAndWait(
+    { "POST", absl::StrCat("http://127.0.0.1:", port, "/"), {}, "x" });
+  CHECK_FALSE(answer.end_.whole_);
+  CHECK(answer.end_.neverSent_);
+}
+
+TEST_CASE("a call that was sent and not answered says so")
+{
+  std::shared_ptr<net::Exchange> held;
+  net::Server server({}, [&](const std::shared_ptr<net::Exchange>& aExchange) {
+    held = aExchange;
+  });
+  net::Client client;
+  net::Call call{ "POST", UrlOf(server, "/"), {}, "x" };
+  call.timeout_ = absl::Milliseconds(200);
+  const auto answer = client.FetchAndWait(call);
+  CHECK_FALSE(answer.end_.whole_);
+  CHECK_FALSE(answer.end_.neverSent_);
+  held->Reply(200, {}, "late");
+}
+
+TEST_CASE("events split at any byte are put together again")
+{
+  const std::string text =
+    net::FormatSse("1", "first") + net::FormatSse("", "second");
+  for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+    net::SseParser parser;
+    auto events = parser.Feed(text.substr(0, cut));
+    for (auto& event : parser.Feed(text.substr(cut))) {
+      events.push_back(std::move(event));
+    }
+    REQUIRE(events.size() == 2);
+    CHECK(events[0].id_ == "1");
+    CHECK(events[1].data_ == "second");
+  }
+}
