--- a/include/lycheeplank/core.h
+++ b/include/lycheeplank/core.h
@@ -223,9 +223,18 @@
 std::size_t
 CountTokens(absl::string_view aText);
 
-// Returns the keys of the full blocks of a prompt, each chained to the one
+// Returns the hash of the tokens of each full block of a prompt, whatever
+// they belong to.
+std::vector<BlockKey>
+BlockContents(absl::string_view aPrompt, std::size_t aBlockTokens);
+
+// Returns the keys of blocks with these contents, each chained to the one
 // before it, so that equal prefixes of one scope have equal keys.
 std::vector<BlockKey>
+ChainBlocks(const CacheScope& aScope, const std::vector<BlockKey>& aContents);
+
+// Returns the keys of the full blocks of a prompt.
+std::vector<BlockKey>
 BlockChain(const CacheScope& aScope,
            absl::string_view aPrompt,
            std::size_t aBlockTokens);
--- /dev/null
+++ b/src/adapters/engine.cc
@@ -0,0 +1,260 @@
+#include "adapters/engine.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace lycheeplank::adapters {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr absl::Duration kQueryTimeout = absl::Seconds(2);
+
+net::Call
+Query(const std::string& aUrl, const std::string& aPath)
+{
+  net::Call call;
+  call.url_ = aUrl + aPath;
+  call.timeout_ = kQueryTimeout;
+  return call;
+}
+
+net::Call
+Post(const std::string& aUrl, const std::string& aPath, std::string aBody)
+{
+  net::Call call = Query(aUrl, aPath);
+  call.method_ = "POST";
+  call.headers_.push_back({ "Content-Type", "application/json" });
+  call.body_ = std::move(aBody);
+  return call;
+}
+
+// Parses a body and reads it; nothing if either fails.
+template<typename T, typename Read>
+absl::optional<T>
+ReadBody(const std::string& aBody, Read aRead)
+{
+  const json body = json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return absl::nullopt;
+  }
+  try {
+    return aRead(body);
+  } catch (const json::exception&) {
+    return absl::nullopt;
+  }
+}
+
+core::BlockKey
+ReadKey(const json& aItem, const char* aName)
+{
+  return core::BlockKeyFromHex(aItem.value(aName, ""))
+    .value_or(core::BlockKey{});
+}
+
+RunStart
+ReadStart(const json& aBody)
+{
+  RunStart start;
+  start.weightVersion_ = aBody.value("weight_version", "");
+  start.promptTokens_ = aBody.value("prompt_tokens", std::uint64_t{ 0 });
+  start.cachedBlocks_ = aBody.value("cached_blocks", 0U);
+  start.importedBlocks_ = aBody.value("imported_blocks", 0U);
+  return start;
+}
+
+RunFinish
+ReadFinish(const json& aBody)
+{
+  RunFinish finish;
+  finish.reason_ = aBody.value("finish_reason", "");
+  finish.tokens_ = aBody.value("tokens", std::uint64_t{ 0 });
+  finish.weightVersion_ = aBody.value("weight_version", "");
+  for (const auto& item : aBody.value("blocks", json::array())) {
+    if (const auto key = core::BlockKeyFromHex(item.get<std::string>()); key) {
+      finish.blocks_.push_back(*key);
+    }
+  }
+  return finish;
+}
+
+} // namespace
+
+net::Call
+StartRun(const std::string& aUrl,
+         const RunOrder& aOrder,
+         const std::string& aPrompt)
+{
+  json body{ { "model", aOrder.model_ },
+             { "prompt", aPrompt },
+             { "max_tokens", aOrder.maxTokens_ },
+             { "stream", true },
+             { "run_id", aOrder.runId_ },
+             { "cache_salt", aOrder.cacheSalt_ },
+             { "adapter", aOrder.adapter_ },
+             { "priority", aOrder.interactive_ ? "interactive" : "batch" },
+             { "weight_version", aOrder.weightVersion_ } };
+  if (!aOrder.importBlocks_.empty()) {
+    json blocks = json::array();
+    for (const auto& block : aOrder.importBlocks_) {
+      blocks.push_back({ { "key", core::ToHex(block.key_) },
+                         { "generation", block.generation_ } });
+    }
+    body["import"] = { { "store_url", aOrder.importUrl_ },
+                       { "blocks", std::move(blocks) } };
+  }
+  return Post(aUrl, "/v1/completions", body.dump());
+}
+
+net::Call
+ResumeRun(const std::string& aUrl,
+          const std::string& aRunId,
+          std::uint64_t aFrom)
+{
+  return Query(
+    aUrl,
+    absl::StrCat("/v1/runs/", net::UrlEscape(aRunId), "/stream?from=", aFrom));
+}
+
+net::Call
+CancelRun(const std::string& aUrl, const std::string& aRunId)
+{
+  return Post(
+    aUrl, absl::StrCat("/v1/runs/", net::UrlEscape(aRunId), "/cancel"), "");
+}
+
+absl::optional<RunEvent>
+ReadRunEvent(const std::string& aData)
+{
+  return ReadBody<RunEvent>(
+    aData, [](const json& aBody) -> absl::optional<RunEvent> {
+      RunEvent event;
+      if (const auto text = aBody.find("text"); text != aBody.end()) {
+        event.token_ = RunToken{ aBody.value("index", std::uint64_t{ 0 }),
+                                 text->get<std::string>() };
+        return event;
+      }
+      const std::string name = aBody.value("event", "");
+      if (name == "start") {
+        event.start_ = ReadStart(aBody);
+      } else if (name == "end") {
+        event.finish_ = ReadFinish(aBody);
+      } else {
+        return absl::nullopt;
+      }
+      return event;
+    });
+}
+
+net::Call
+AskLoad(const std::string& aUrl)
+{
+  return Query(aUrl, "/v1/load");
+}
+
+absl::optional<LoadReport>
+ReadLoad(const std::string& aBody)
+{
+  return ReadBody<LoadReport>(aBody, [](const json& aLoad) {
+    LoadReport report;
+    report.running_ = aLoad.value("running", 0U);
+    report.waiting_ = aLoad.value("waiting", 0U);
+    report.queuedPrefillTokens_ =
+      aLoad.value("queued_prefill_tokens", std::uint64_t{ 0 });
+    report.cacheBlocks_ = aLoad.value("cache_blocks", 0U);
+    report.cacheBlocksUsed_ = aLoad.value("cache_blocks_used", 0U);
+    report.weightVersion_ = aLoad.value("weight_version", "");
+    report.leaving_ = aLoad.value("leaving", false);
+    report.age_ = absl::Milliseconds(aLoad.value("age_ms", 0.0));
+    return report;
+  });
+}
+
+net::Call
+AskEvents(const std::string& aUrl, std::uint64_t aAfter)
+{
+  return Query(aUrl, absl::StrCat("/v1/events?after=", aAfter));
+}
+
+absl::optional<CacheEvents>
+ReadEvents(const std::string& aBody)
+{
+  return ReadBody<CacheEvents>(aBody, [](const json& aList) {
+    CacheEvents events;
+    events.lastSequence_ = aList.value("last_seq", std::uint64_t{ 0 });
+    for (const auto& item : aList.value("events", json::array())) {
+      events.events_.push_back({ item.value("seq", std::uint64_t{ 0 }),
+                                 item.value("kind", "") == "stored",
+                                 ReadKey(item, "block"),
+                                 ReadKey(item, "root") });
+    }
+    return events;
+  });
+}
+
+net::Call
+AskCachedBlocks(const std::string& aUrl)
+{
+  return Query(aUrl, "/v1/blocks");
+}
+
+absl::optional<CacheEvents>
+ReadCachedBlocks(const std::string& aBody)
+{
+  return ReadBody<CacheEvents>(aBody, [](const json& aList) {
+    CacheEvents events;
+    events.lastSequence_ = aList.value("last_seq", std::uint64_t{ 0 });
+    for (const auto& item : aList.value("blocks", json::array())) {
+      events.events_.push_back(
+        { 0, true, ReadKey(item, "block"), ReadKey(item, "root") });
+    }
+    return events;
+  });
+}
+
+net::Call
+StartExport(const std::string& aUrl,
+            const std::string& aStoreUrl,
+            const std::vector<core::BlockKey>& aBlocks)
+{
+  json blocks = json::array();
+  for (const auto& block : aBlocks) {
+    blocks.push_back(core::ToHex(block));
+  }
+  const json body{ { "store_url", aStoreUrl }, { "blocks", blocks } };
+  return Post(aUrl, "/v1/exports", body.dump());
+}
+
+absl::optional<std::string>
+ReadExportId(const std::string& aBody)
+{
+  return ReadBody<std::string>(
+    aBody, [](const json& aExport) { return aExport.value("export", ""); });
+}
+
+net::Call
+AskExport(const std::string& aUrl, const std::string& aExport)
+{
+  return Query(aUrl, absl::StrCat("/v1/exports/", net::UrlEscape(aExport)));
+}
+
+absl::optional<ExportState>
+ReadExport(const std::string& aBody)
+{
+  return ReadBody<ExportState>(aBody, [](const json& aExport) {
+    ExportState state;
+    const std::string name = aExport.value("state", "");
+    state.running_ = name == "running";
+    state.done_ = name == "done";
+    state.weightVersion_ = aExport.value("weight_version", "");
+    for (const auto& item : aExport.value("blocks", json::array())) {
+      state.blocks_.push_back({ ReadKey(item, "key"),
+                                item.value("generation", std::uint64_t{ 0 }),
+                                item.value("bytes", std::uint64_t{ 0 }) });
+    }
+    return state;
+  });
+}
+
+} // namespace lycheeplank::adapters
--- /dev/null
+++ b/src/adapters/platform.cc
@@ -0,0 +1,203 @@
+#include "adapters/platform.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace lycheeplank::adapters {
+
+namespace {
+
+using platform::Command;
+using platform::Operation;
+using platform::Outcome;
+using platform::Reply;
+
+constexpr absl::Duration kCallTimeout = absl::Seconds(2);
+constexpr int kNotModified = 304;
+constexpr int kNotFound = 404;
+constexpr int kConflict = 409;
+
+std::string
+KeyPath(const Command& aCommand)
+{
+  std::string path = absl::StrCat("/v1/kv?key=", net::UrlEscape(aCommand.key_));
+  if (aCommand.expect_) {
+    absl::StrAppend(&path, "&expect=", *aCommand.expect_);
+  }
+  if (!aCommand.lease_.empty()) {
+    absl::StrAppend(&path, "&lease=", net::UrlEscape(aCommand.lease_));
+  }
+  return path;
+}
+
+std::string
+ListPath(const Command& aCommand)
+{
+  return absl::StrCat("/v1/list?prefix=",
+                      net::UrlEscape(aCommand.key_),
+                      "&after=",
+                      net::UrlEscape(aCommand.value_));
+}
+
+// Sets method, path and body of the call that stands for a command.
+void
+Describe(const Command& aCommand, net::Call& aCall, std::string& aPath)
+{
+  const auto milliseconds = absl::ToInt64Milliseconds(aCommand.duration_);
+  switch (aCommand.operation_) {
+    case Operation::Read:
+      aPath = KeyPath(aCommand);
+      return;
+    case Operation::Watch:
+      aPath = absl::StrCat("/v1/watch?key=",
+                           net::UrlEscape(aCommand.key_),
+                           "&version=",
+                           aCommand.expect_.value_or(0),
+                           "&wait=",
+                           milliseconds);
+      aCall.timeout_ = aCommand.duration_ + kCallTimeout;
+      return;
+    case Operation::Write:
+      aCall.method_ = "PUT";
+      aCall.body_ = aCommand.value_;
+      aPath = KeyPath(aCommand);
+      return;
+    case Operation::Delete:
+      aCall.method_ = "DELETE";
+      aPath = KeyPath(aCommand);
+      return;
+    case Operation::List:
+      aPath = ListPath(aCommand);
+      return;
+    case Operation::GrantLease:
+      aCall.method_ = "POST";
+      aPath = absl::StrCat("/v1/leases?ttl=", milliseconds);
+      return;
+    case Operation::KeepLease:
+      aCall.method_ = "POST";
+      aPath = absl::StrCat("/v1/leases/", aCommand.lease_, "/keepalive");
+      return;
+    case Operation::DropLease:
+      aCall.method_ = "DELETE";
+      aPath = absl::StrCat("/v1/leases/", aCommand.lease_);
+      return;
+    case Operation::ListHosts:
+      aPath = "/v1/hosts";
+      return;
+  }
+}
+
+Outcome
+OutcomeOf(const net::Answer& aAnswer)
+{
+  if (!aAnswer.end_.whole_) {
+    return aAnswer.end_.neverSent_ ? Outcome::Refused : Outcome::Lost;
+  }
+  switch (aAnswer.end_.status_) {
+    case kNotFound:
+      return Outcome::Absent;
+    case kConflict:
+    case kNotModified:
+      return Outcome::Conflict;
+    default:
+      return aAnswer.Ok() ? Outcome::Ok : Outcome::Refused;
+  }
+}
+
+platform::Host
+ReadHost(const nlohmann::json& aItem)
+{
+  platform::Host host;
+  host.name_ = aItem.value("name", "");
+  host.role_ = aItem.value("role", "");
+  host.peerAddress_ = aItem.value("peer_address", "");
+  host.httpAddress_ = aItem.value("http_address", "");
+  host.dataCentre_ = aItem.value("data_centre", "");
+  host.leaving_ = aItem.value("leaving", false);
+  return host;
+}
+
+// Reads the JSON body of the operations that have one; false if it is broken.
+bool
+ReadBody(Operation aOperation, const std::string& aBody, Reply& aReply)
+{
+  const auto body = nlohmann::json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return false;
+  }
+  if (aOperation == Operation::GrantLease) {
+    aReply.lease_ = body.value("lease", "");
+    return !aReply.lease_.empty();
+  }
+  if (aOperation == Operation::ListHosts) {
+    aReply.version_ = body.value("revision", std::uint64_t{ 0 });
+    for (const auto& item : body.value("hosts", nlohmann::json::array())) {
+      aReply.hosts_.push_back(ReadHost(item));
+    }
+    return true;
+  }
+  aReply.more_ = body.value("more", false);
+  for (const auto& item : body.value("entries", nlohmann::json::array())) {
+    aReply.entries_.push_back(
+      { item.value("key", ""), item.value("version", std::uint64_t{ 0 }) });
+  }
+  return true;
+}
+
+Reply
+ReadReply(const Command& aCommand, net::Answer&& aAnswer)
+{
+  Reply reply;
+  reply.id_ = aCommand.id_;
+  reply.outcome_ = OutcomeOf(aAnswer);
+  if (!absl::SimpleAtoi(net::Find(aAnswer.headers_, "X-Version"),
+                        &reply.version_)) {
+    reply.version_ = 0;
+  }
+  const bool hasJson = aCommand.operation_ == Operation::List ||
+                       aCommand.operation_ == Operation::GrantLease ||
+                       aCommand.operation_ == Operation::ListHosts;
+  if (!hasJson) {
+    reply.value_ = std::move(aAnswer.body_);
+    return reply;
+  }
+  try {
+    if (reply.outcome_ == Outcome::Ok &&
+        !ReadBody(aCommand.operation_, aAnswer.body_, reply)) {
+      reply.outcome_ = Outcome::Lost;
+    }
+  } catch (const nlohmann::json::exception&) {
+    reply.outcome_ = Outcome::Lost;
+  }
+  return reply;
+}
+
+} // namespace
+
+PlatformClient::PlatformClient(net::Client& aClient,
+                               std::string aUrl,
+                               std::string aCaller)
+  : client_(aClient)
+  , url_(std::move(aUrl))
+  , caller_(std::move(aCaller))
+{
+}
+
+void
+PlatformClient::Execute(const Command& aCommand, OnReply aOnReply)
+{
+  net::Call call;
+  call.timeout_ = kCallTimeout;
+  call.headers_.push_back({ "X-Caller", caller_ });
+  std::string path;
+  Describe(aCommand, call, path);
+  call.url_ = url_ + path;
+  client_.Fetch(
+    std::move(call),
+    [command = aCommand, onReply = std::move(aOnReply)](net::Answer&& aAnswer) {
+      onReply(ReadReply(command, std::move(aAnswer)));
+    });
+}
+
+} // namespace lycheeplank::adapters
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -222,9 +222,20 @@
 }
 
 std::vector<BlockKey>
-BlockChain(const CacheScope& aScope,
-           absl::string_view aPrompt,
-           std::size_t aBlockTokens)
+BlockContents(absl::string_view aPrompt, std::size_t aBlockTokens)
+{
+  std::vector<BlockKey> contents;
+  const std::size_t blockBytes = aBlockTokens * kBytesPerToken;
+  for (std::size_t at = 0; blockBytes > 0 && at + blockBytes <= aPrompt.size();
+       at += blockBytes) {
+    const XXH128_hash_t hash = XXH3_128bits(aPrompt.data() + at, blockBytes);
+    contents.push_back({ hash.high64, hash.low64 });
+  }
+  return contents;
+}
+
+std::vector<BlockKey>
+ChainBlocks(const CacheScope& aScope, const std::vector<BlockKey>& aContents)
 {
   std::string scope;
   for (const auto* part : { &aScope.workspace_,
@@ -236,12 +247,10 @@
   }
   XXH128_hash_t previous = XXH3_128bits(scope.data(), scope.size());
   std::vector<BlockKey> chain;
-  const std::size_t blockBytes = aBlockTokens * kBytesPerToken;
-  for (std::size_t at = 0; blockBytes > 0 && at + blockBytes <= aPrompt.size();
-       at += blockBytes) {
-    const XXH128_hash_t content = XXH3_128bits(aPrompt.data() + at, blockBytes);
+  chain.reserve(aContents.size());
+  for (const auto& content : aContents) {
     const std::array<std::uint64_t, 4> link{
-      previous.high64, previous.low64, content.high64, content.low64
+      previous.high64, previous.low64, content.high_, content.low_
     };
     previous = XXH3_128bits(link.data(), sizeof(link));
     chain.push_back({ previous.high64, previous.low64 });
@@ -249,6 +258,14 @@
   return chain;
 }
 
+std::vector<BlockKey>
+BlockChain(const CacheScope& aScope,
+           absl::string_view aPrompt,
+           std::size_t aBlockTokens)
+{
+  return ChainBlocks(aScope, BlockContents(aPrompt, aBlockTokens));
+}
+
 std::uint64_t
 StableHash(absl::string_view aText, std::uint64_t aSeed)
 {
