Read and check the configuration document

Hosts and operators need one reading of the document with the same complaints. The document is split textually at its top-level keys, so that the comments of each owner survive; every section is then parsed by itself by tables of fields and checked against the others. Emitting YAML from the parsed form was ruled out because yaml-cpp drops comments.

--- a/include/lycheeplank/config.h
+++ b/include/lycheeplank/config.h
@@ -170,10 +170,108 @@
   Limits limits_;
   // Name of the workspace by the digest of each of its keys.
   absl::flat_hash_map<std::string, std::string> workspaceByKeyDigest_;
+  // Names of the rules that apply to each workspace; "*" holds the rules for
+  // all workspaces.
+  absl::flat_hash_map<std::string, std::vector<std::string>> rulesByWorkspace_;
 };
 
 using ConfigPtr = std::shared_ptr<const Config>;
 
+// Sections of the document, in the order in which they are written.
+enum class SectionKind
+{
+  Workspaces,
+  Models,
+  Services,
+  Rules,
+  Targets,
+  Stores,
+  Limits,
+};
+
+inline constexpr std::array<core::Named<SectionKind>, 7> kSections{ {
+  { SectionKind::Workspaces, "workspaces" },
+  { SectionKind::Models, "models" },
+  { SectionKind::Services, "services" },
+  { SectionKind::Rules, "rules" },
+  { SectionKind::Targets, "targets" },
+  { SectionKind::Stores, "stores" },
+  { SectionKind::Limits, "limits" },
+} };
+
+// One section of the document as its owner wrote it.
+struct Section
+{
+  std::string name_;
+  std::string owner_;
+  // The YAML from the section's key to its end, with the comments above it.
+  std::string text_;
+  // Line of the document on which the text starts; 1 when it stands alone.
+  std::uint32_t line_ = 1;
+};
+
+// One reason why a document can't be accepted.
+struct Problem
+{
+  std::string section_;
+  // Line within the document, or within the section where it stands alone.
+  std::uint32_t line_ = 1;
+  // Path of the field, e.g. "entries.nursing.max_running".
+  std::string field_;
+  // What is wrong and which values are allowed.
+  std::string message_;
+};
+
+// A document taken apart.
+struct Document
+{
+  std::vector<Section> sections_;
+  std::vector<Problem> problems_;
+};
+
+// A document that was read; the configuration counts only without problems.
+struct Checked
+{
+  Config config_;
+  std::vector<Problem> problems_;
+};
+
+// Longest document that is read, in bytes.
+inline constexpr std::size_t kMaxDocumentBytes = 32UL << 20U;
+
+// Takes a document apart at its top-level keys, comments included.
+Document
+Split(absl::string_view aText);
+
+// Puts sections together to one document, in the order of kSections.
+std::string
+Join(const std::vector<Section>& aSections);
+
+// Returns the owner that the text of a section names, or an empty string.
+std::string
+OwnerOf(const Section& aSection);
+
+// Reads sections and checks them, each by itself and against the others.
+Checked
+Check(const std::vector<Section>& aSections);
+
+// Returns "section line 3, field: message" for logs and terminals.
+std::string
+Describe(const Problem& aProblem);
+
+// Fills the look-up tables of a configuration from its other members.
+void
+BuildIndexes(Config& aConfig);
+
+// Tells whether a rule lets a workspace use a model (kind Engine) or plain
+// service in a data centre. An empty data centre asks for any of them.
+bool
+Allowed(const Config& aConfig,
+        absl::string_view aWorkspace,
+        TargetKind aKind,
+        absl::string_view aServes,
+        absl::string_view aDataCentre);
+
 } // namespace lycheeplank::config
 
 #endif
