Choose targets and keep the directory of cache blocks

Placement estimates for each candidate the queue, the import and the prefill, and weighs them by the model's objective. The number of blocks to import is found from the three counts at which a piecewise linear cost can have its minimum; a test compares it with all counts.

--- /dev/null
+++ b/src/directory/directory.cc
@@ -0,0 +1,234 @@
+#include "lycheeplank/directory.h"
+
+#include <algorithm>
+#include <type_traits>
+
+#include <absl/container/flat_hash_set.h>
+
+#include "directory/pool.h"
+
+namespace lycheeplank::directory {
+
+namespace {
+
+constexpr std::uint64_t kBytesPerKibibyte = 1024;
+
+Copy
+CopyOf(std::uint16_t aHolder, const Sighting& aSighting)
+{
+  Copy copy;
+  copy.generation_ = aSighting.generation_;
+  copy.kibibytes_ = static_cast<std::uint32_t>(
+    (aSighting.bytes_ + kBytesPerKibibyte - 1) / kBytesPerKibibyte);
+  copy.holder_ = aHolder;
+  copy.tier_ = aSighting.tier_;
+  return copy;
+}
+
+// Removes all copies of a holder but those of the given blocks.
+void
+KeepOnly(State& aState,
+         std::uint16_t aHolder,
+         const absl::flat_hash_set<std::uint64_t>& aKept)
+{
+  std::vector<std::uint64_t> gone;
+  for (const auto& [key, block] : aState.blocks_) {
+    if (!aKept.contains(key) && FindCopy(aState, block, aHolder) != nullptr) {
+      gone.push_back(key);
+    }
+  }
+  for (const auto key : gone) {
+    RemoveCopy(aState, aHolder, key);
+  }
+}
+
+// Adds what one copy of the block at aPosition says of its holder.
+void
+CountCopy(Holder& aHolder, const Copy& aCopy, std::size_t aPosition)
+{
+  if (aHolder.leadingBlocks_ < aPosition) {
+    ++aHolder.blocksAfterGap_;
+    return;
+  }
+  ++aHolder.leadingBlocks_;
+  if (aHolder.id_.kind_ == HolderKind::Store) {
+    aHolder.generations_.push_back(aCopy.generation_);
+    aHolder.onDisk_ = aHolder.onDisk_ || aCopy.tier_ == Tier::Disk;
+  }
+}
+
+// Finds a holder in the list of an answer, or adds it.
+Holder&
+HolderIn(const State& aState,
+         std::vector<Holder>& aHolders,
+         std::vector<std::uint16_t>& aNumbers,
+         std::uint16_t aNumber)
+{
+  const auto found = std::find(aNumbers.begin(), aNumbers.end(), aNumber);
+  if (found != aNumbers.end()) {
+    return aHolders[static_cast<std::size_t>(found - aNumbers.begin())];
+  }
+  aNumbers.push_back(aNumber);
+  aHolders.push_back({ aState.holders_[aNumber].id_ });
+  return aHolders.back();
+}
+
+} // namespace
+
+void
+Apply(State& aState, const HolderId& aHolder, const Sighting& aSighting)
+{
+  if (!aSighting.present_) {
+    if (const auto holder = FindHolder(aState, aHolder.name_);
+        holder != kNoHolder) {
+      RemoveCopy(aState, holder, ShortKey(aSighting.block_));
+    }
+    return;
+  }
+  if (const auto holder = AddHolder(aState, aHolder); holder != kNoHolder) {
+    PutCopy(aState,
+            holder,
+            ShortKey(aSighting.block_),
+            aSighting.root_,
+            CopyOf(holder, aSighting));
+  }
+}
+
+void
+ApplyInventory(State& aState,
+               const HolderId& aHolder,
+               const std::vector<Sighting>& aSightings)
+{
+  if (const auto holder = FindHolder(aState, aHolder.name_);
+      holder != kNoHolder && aState.holders_[holder].copies_ > 0) {
+    absl::flat_hash_set<std::uint64_t> kept;
+    for (const auto& sighting : aSightings) {
+      kept.insert(ShortKey(sighting.block_));
+    }
+    KeepOnly(aState, holder, kept);
+  }
+  for (const auto& sighting : aSightings) {
+    Apply(aState, aHolder, sighting);
+  }
+}
+
+void
+DropHolder(State& aState, absl::string_view aName)
+{
+  const auto holder = FindHolder(aState, aName);
+  if (holder == kNoHolder) {
+    return;
+  }
+  if (aState.holders_[holder].copies_ > 0) {
+    KeepOnly(aState, holder, {});
+  }
+  aState.holderIndex_.erase(aName);
+  aState.holders_[holder] = HolderEntry();
+}
+
+void
+CorrectByRun(State& aState,
+             const HolderId& aEngine,
+             const std::vector<core::BlockKey>& aChain,
+             std::size_t aCached)
+{
+  const std::size_t cached = std::min(aCached, aChain.size());
+  for (std::size_t i = 0; i < aChain.size(); ++i) {
+    Apply(aState, aEngine, { aChain[i], aChain.front(), i < cached });
+  }
+}
+
+void
+CorrectByImport(State& aState,
+                const HolderId& aStore,
+                const std::vector<core::BlockKey>& aChain,
+                std::size_t aFirst,
+                const std::vector<std::uint64_t>& aGenerations,
+                std::size_t aImported)
+{
+  const auto holder = FindHolder(aState, aStore.name_);
+  if (holder == kNoHolder) {
+    return;
+  }
+  for (std::size_t i = aImported; i < aGenerations.size(); ++i) {
+    if (aFirst + i >= aChain.size()) {
+      return;
+    }
+    const auto key = ShortKey(aChain[aFirst + i]);
+    const auto block = aState.blocks_.find(key);
+    if (block == aState.blocks_.end()) {
+      continue;
+    }
+    const Copy* copy = FindCopy(aState, block->second, holder);
+    if (copy != nullptr && copy->generation_ <= aGenerations[i]) {
+      RemoveCopy(aState, holder, key);
+    }
+  }
+}
+
+std::vector<Holder>
+Locate(const State& aState, const std::vector<core::BlockKey>& aChain)
+{
+  std::vector<Holder> holders;
+  std::vector<std::uint16_t> numbers;
+  for (std::size_t i = 0; i < aChain.size(); ++i) {
+    const auto block = aState.blocks_.find(ShortKey(aChain[i]));
+    if (block == aState.blocks_.end()) {
+      continue;
+    }
+    for (std::uint32_t at = block->second.firstCopy_; at != kNoCopy;
+         at = aState.copies_[at].next_) {
+      const Copy& copy = aState.copies_[at];
+      CountCopy(HolderIn(aState, holders, numbers, copy.holder_), copy, i);
+    }
+  }
+  const auto isUseless = [](const Holder& aHolder) {
+    return aHolder.leadingBlocks_ == 0 &&
+           aHolder.id_.kind_ == HolderKind::Engine;
+  };
+  holders.erase(std::remove_if(holders.begin(), holders.end(), isUseless),
+                holders.end());
+  return holders;
+}
+
+std::size_t
+MemoryBytes(const State& aState)
+{
+  const auto slots = [](const auto& aTable) {
+    // One control byte for each slot.
+    using Table = std::decay_t<decltype(aTable)>;
+    return aTable.capacity() * (sizeof(typename Table::value_type) + 1);
+  };
+  return slots(aState.blocks_) + slots(aState.rootIndex_) +
+         slots(aState.holderIndex_) + aState.copies_.capacity() * sizeof(Copy) +
+         aState.roots_.capacity() * sizeof(RootEntry) +
+         aState.holders_.capacity() * sizeof(HolderEntry) +
+         (aState.freeCopies_.capacity() + aState.freeRoots_.capacity()) *
+           sizeof(std::uint32_t);
+}
+
+SequenceResult
+Advance(EventCursor& aCursor,
+        const std::vector<std::uint64_t>& aSeqs,
+        std::uint64_t aLastSeq)
+{
+  bool gap = aLastSeq < aCursor.lastSeq_;
+  for (const auto seq : aSeqs) {
+    gap = gap || seq > aCursor.lastSeq_ + 1;
+    aCursor.lastSeq_ = std::max(aCursor.lastSeq_, seq);
+  }
+  gap = gap || aLastSeq > aCursor.lastSeq_;
+  aCursor.lastSeq_ = aLastSeq;
+  aCursor.needsInventory_ = aCursor.needsInventory_ || gap;
+  return aCursor.needsInventory_ ? SequenceResult::Gap
+                                 : SequenceResult::Complete;
+}
+
+void
+AdvanceToInventory(EventCursor& aCursor, std::uint64_t aLastSeq)
+{
+  aCursor.lastSeq_ = aLastSeq;
+  aCursor.needsInventory_ = false;
+}
+
+} // namespace lycheeplank::directory
--- /dev/null
+++ b/src/placement/estimate.cc
@@ -0,0 +1,225 @@
+#include "placement/estimate.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace lycheeplank::placement {
+
+namespace {
+
+constexpr double kTokensPerThousand = 1e3;
+constexpr double kBytesPerMegabyte = 1e6;
+// Part of the weight of time that counts for work that isn't interactive.
+constexpr double kBatchTtftShare = 0.1;
+// Part of the blocks pushed out of a cache that would have been used again.
+constexpr double kEvictedReuse = 0.1;
+
+// Seconds until the prefill that the report shows has drained.
+double
+PrefillWait(const Candidate& aCandidate)
+{
+  const auto& load = aCandidate.load_;
+  return static_cast<double>(load.queuedPrefillTokens_) /
+         aCandidate.prefillTokensPerSecond_;
+}
+
+// Seconds until a slot is free, as of the report.
+double
+SlotWait(const Candidate& aCandidate)
+{
+  const std::uint64_t runs = std::uint64_t{ aCandidate.load_.running_ } +
+                             aCandidate.load_.waiting_ + aCandidate.own_.runs_;
+  if (runs < aCandidate.maxRuns_) {
+    return 0.0;
+  }
+  const auto ahead = static_cast<double>(runs - aCandidate.maxRuns_ + 1);
+  return ahead * absl::ToDoubleSeconds(aCandidate.meanDecode_) /
+         aCandidate.maxRuns_;
+}
+
+// What imports from one offer do to the cost of a run on one candidate.
+struct ImportTerms
+{
+  std::uint32_t offer_ = 0;
+  std::uint32_t maxBlocks_ = 0;
+  double linkWaitSeconds_ = 0.0;
+  double secondsPerBlock_ = 0.0;
+};
+
+ImportTerms
+TermsOf(const Question& aQuestion,
+        const Candidate& aCandidate,
+        const std::vector<Offer>& aOffers,
+        std::uint32_t aOffer)
+{
+  const Offer& offer = aOffers[aOffer];
+  const std::uint32_t held = std::min(offer.leadingBlocks_, aQuestion.blocks_);
+  ImportTerms terms{ aOffer };
+  if (held <= aCandidate.cachedBlocks_ || offer.linkBytesPerSecond_ <= 0.0) {
+    return terms;
+  }
+  const double rate =
+    offer.onDisk_ && offer.diskBytesPerSecond_ > 0.0
+      ? std::min(offer.linkBytesPerSecond_, offer.diskBytesPerSecond_)
+      : offer.linkBytesPerSecond_;
+  const double blockBytes = static_cast<double>(aQuestion.blockTokens_) *
+                            static_cast<double>(aQuestion.kvBytesPerToken_);
+  terms.maxBlocks_ = held - aCandidate.cachedBlocks_;
+  terms.linkWaitSeconds_ =
+    static_cast<double>(offer.queuedBytes_) / offer.linkBytesPerSecond_;
+  terms.secondsPerBlock_ = blockBytes / rate;
+  return terms;
+}
+
+// Weights of the objective that hold for this question.
+config::Objective
+WeightsFor(const Question& aQuestion)
+{
+  config::Objective weights = aQuestion.objective_;
+  if (!aQuestion.interactive_) {
+    weights.ttftWeight_ *= kBatchTtftShare;
+  }
+  return weights;
+}
+
+// Returns the cost with aBlocks imported over the given terms.
+CandidateCost
+CostWith(const Question& aQuestion,
+         const Candidate& aCandidate,
+         double aQueueSeconds,
+         const ImportTerms& aTerms,
+         std::uint32_t aBlocks)
+{
+  const auto weights = WeightsFor(aQuestion);
+  const std::uint64_t presentTokens =
+    std::uint64_t{ aQuestion.blockTokens_ } *
+    (std::min(aCandidate.cachedBlocks_, aQuestion.blocks_) + aBlocks);
+  CandidateCost cost;
+  cost.computedTokens_ =
+    aQuestion.promptTokens_ - std::min(aQuestion.promptTokens_, presentTokens);
+  cost.importBlocks_ = aBlocks;
+  auto& estimate = cost.estimate_;
+  estimate.distanceSeconds_ = absl::ToDoubleSeconds(aCandidate.distance_);
+  estimate.queueSeconds_ = aQueueSeconds;
+  if (aBlocks > 0) {
+    cost.offer_ = aTerms.offer_;
+    estimate.importSeconds_ =
+      aTerms.linkWaitSeconds_ + aBlocks * aTerms.secondsPerBlock_;
+  }
+  estimate.prefillSeconds_ = static_cast<double>(cost.computedTokens_) /
+                             aCandidate.prefillTokensPerSecond_;
+  estimate.ttftSeconds_ =
+    estimate.distanceSeconds_ +
+    std::max(estimate.queueSeconds_, estimate.importSeconds_) +
+    estimate.prefillSeconds_;
+  const double evictedTokens =
+    kEvictedReuse * aCandidate.expectedEvictions_ * aQuestion.blockTokens_;
+  const double importedBytes =
+    static_cast<double>(aQuestion.kvBytesPerToken_) *
+    (static_cast<double>(aBlocks) * aQuestion.blockTokens_);
+  cost.cost_ = weights.ttftWeight_ * estimate.ttftSeconds_ +
+               weights.recomputeWeight_ *
+                 (static_cast<double>(cost.computedTokens_) + evictedTokens) /
+                 kTokensPerThousand +
+               weights.linkWeight_ * importedBytes / kBytesPerMegabyte;
+  return cost;
+}
+
+// Returns the number of blocks that can be imported within the queue wait.
+std::uint32_t
+BlocksWithinWait(const ImportTerms& aTerms, double aQueueSeconds)
+{
+  const double spare = aQueueSeconds - aTerms.linkWaitSeconds_;
+  if (spare <= 0.0 || aTerms.secondsPerBlock_ <= 0.0) {
+    return 0;
+  }
+  const double blocks = std::floor(spare / aTerms.secondsPerBlock_);
+  return blocks < aTerms.maxBlocks_ ? static_cast<std::uint32_t>(blocks)
+                                    : aTerms.maxBlocks_;
+}
+
+// The cost is linear in the number of blocks on either side of the count that
+// the queue wait hides, so that one of these counts is the best.
+std::array<std::uint32_t, 3>
+CountsToTry(const Question& aQuestion,
+            const ImportTerms& aTerms,
+            double aQueueSeconds)
+{
+  if (aQuestion.policy_ == config::Policy::AlwaysImport) {
+    return { aTerms.maxBlocks_, aTerms.maxBlocks_, aTerms.maxBlocks_ };
+  }
+  const std::uint32_t hidden = BlocksWithinWait(aTerms, aQueueSeconds);
+  return { hidden, std::min(hidden + 1, aTerms.maxBlocks_), aTerms.maxBlocks_ };
+}
+
+} // namespace
+
+QueueWait
+EstimateWait(const Candidate& aCandidate, const Tuning& aTuning)
+{
+  const auto& own = aCandidate.own_;
+  QueueWait wait;
+  const double ownSeconds = static_cast<double>(own.prefillTokens_) /
+                            aCandidate.prefillTokensPerSecond_;
+  if (aCandidate.load_.age_ == absl::InfiniteDuration()) {
+    const double drained = absl::ToDoubleSeconds(own.meanAge_);
+    wait.ownSeconds_ = std::max(0.0, ownSeconds - drained);
+    return wait;
+  }
+  const double age = absl::ToDoubleSeconds(aCandidate.load_.age_);
+  const double reported = PrefillWait(aCandidate);
+  const double slot = std::max(0.0, SlotWait(aCandidate) - age);
+  wait.reportedSeconds_ = std::max(slot, reported - age);
+  const double ownDrain =
+    std::max(0.0, absl::ToDoubleSeconds(own.meanAge_) - reported);
+  wait.ownSeconds_ = std::max(0.0, ownSeconds - ownDrain);
+  wait.trust_ = std::exp(-age / absl::ToDoubleSeconds(aTuning.reportMemory_));
+  return wait;
+}
+
+double
+MeanWait(const std::vector<QueueWait>& aWaits)
+{
+  double sum = 0.0;
+  double trust = 0.0;
+  for (const auto& wait : aWaits) {
+    sum += wait.trust_ * wait.reportedSeconds_;
+    trust += wait.trust_;
+  }
+  return trust > 0.0 ? sum / trust : 0.0;
+}
+
+double
+BlendedWait(const QueueWait& aWait, double aMeanSeconds)
+{
+  return aWait.trust_ * aWait.reportedSeconds_ +
+         (1.0 - aWait.trust_) * aMeanSeconds + aWait.ownSeconds_;
+}
+
+CandidateCost
+CostOf(const Question& aQuestion,
+       const Candidate& aCandidate,
+       double aQueueSeconds,
+       const std::vector<Offer>& aOffers)
+{
+  CandidateCost best =
+    CostWith(aQuestion, aCandidate, aQueueSeconds, ImportTerms(), 0);
+  const bool always = aQuestion.policy_ == config::Policy::AlwaysImport;
+  for (std::uint32_t i = 0; i < aOffers.size(); ++i) {
+    const auto terms = TermsOf(aQuestion, aCandidate, aOffers, i);
+    for (const auto blocks : CountsToTry(aQuestion, terms, aQueueSeconds)) {
+      if (blocks == 0) {
+        continue;
+      }
+      const auto cost =
+        CostWith(aQuestion, aCandidate, aQueueSeconds, terms, blocks);
+      if (cost.cost_ < best.cost_ || (always && !best.offer_)) {
+        best = cost;
+      }
+    }
+  }
+  return best;
+}
+
+} // namespace lycheeplank::placement
--- /dev/null
+++ b/src/placement/placement.cc
@@ -0,0 +1,277 @@
+#include "lycheeplank/placement.h"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include "placement/estimate.h"
+
+namespace lycheeplank::placement {
+
+namespace {
+
+using config::Policy;
+
+// Mixes a seed and a number into a uniform number (the splitmix64 finaliser).
+std::uint64_t
+Mix(std::uint64_t aSeed, std::uint64_t aNumber)
+{
+  std::uint64_t mixed = aSeed + (aNumber + 1) * 0x9e3779b97f4a7c15ULL;
+  mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+  return mixed ^ (mixed >> 31U);
+}
+
+// Returns a uniform number from 0 to 1.
+double
+Uniform(std::uint64_t aSeed, std::uint64_t aNumber)
+{
+  constexpr double kScale = 1.0 / 9007199254740992.0;
+  return static_cast<double>(Mix(aSeed, aNumber) >> 11U) * kScale;
+}
+
+// Returns the noise that keeps hosts with equally old reports apart.
+double
+Noise(const Question& aQuestion,
+      const Candidate& aCandidate,
+      std::uint32_t aIndex,
+      const Tuning& aTuning)
+{
+  if (aTuning.noiseShare_ <= 0.0 ||
+      aCandidate.load_.age_ == absl::InfiniteDuration()) {
+    return 0.0;
+  }
+  return aTuning.noiseShare_ * Uniform(aQuestion.seed_, aIndex) *
+         absl::ToDoubleSeconds(aCandidate.load_.age_);
+}
+
+std::vector<CandidateCost>
+CostAll(const Question& aQuestion,
+        const std::vector<Candidate>& aCandidates,
+        const std::vector<Offer>& aOffers,
+        const Tuning& aTuning)
+{
+  std::vector<QueueWait> waits;
+  waits.reserve(aCandidates.size());
+  for (const auto& candidate : aCandidates) {
+    waits.push_back(EstimateWait(candidate, aTuning));
+  }
+  const double mean = MeanWait(waits);
+  std::vector<CandidateCost> costs;
+  costs.reserve(aCandidates.size());
+  for (std::uint32_t i = 0; i < aCandidates.size(); ++i) {
+    const double wait = BlendedWait(waits[i], mean) +
+                        Noise(aQuestion, aCandidates[i], i, aTuning);
+    costs.push_back(CostOf(aQuestion, aCandidates[i], wait, aOffers));
+    costs.back().candidate_ = i;
+  }
+  return costs;
+}
+
+// Whether a candidate is among those that two random choices leave.
+bool
+IsLookedAt(const Question& aQuestion,
+           const std::vector<Candidate>& aCandidates,
+           std::uint32_t aIndex,
+           const Tuning& aTuning)
+{
+  if (aTuning.choices_ == 0 || aCandidates[aIndex].cachedBlocks_ > 0) {
+    return true;
+  }
+  for (std::uint32_t i = 0; i < aTuning.choices_; ++i) {
+    if (Mix(aQuestion.seed_, i) % aCandidates.size() == aIndex) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+MeetsDeadline(const Question& aQuestion, const CandidateCost& aCost)
+{
+  return absl::Seconds(aCost.estimate_.ttftSeconds_) <= aQuestion.remaining_;
+}
+
+// Returns the position of the cheapest candidate; one that meets the deadline
+// goes before one that doesn't.
+std::uint32_t
+Cheapest(const Question& aQuestion,
+         const std::vector<Candidate>& aCandidates,
+         const std::vector<CandidateCost>& aCosts,
+         const Tuning& aTuning)
+{
+  struct Rank
+  {
+    bool late_ = true;
+    double cost_ = std::numeric_limits<double>::infinity();
+    std::uint64_t tie_ = 0;
+    std::uint32_t index_ = 0;
+  };
+  Rank best;
+  for (std::uint32_t i = 0; i < aCosts.size(); ++i) {
+    if (!IsLookedAt(aQuestion, aCandidates, i, aTuning)) {
+      continue;
+    }
+    const Rank rank{ !MeetsDeadline(aQuestion, aCosts[i]),
+                     aCosts[i].cost_,
+                     Mix(aQuestion.seed_, i),
+                     i };
+    if (std::tie(rank.late_, rank.cost_, rank.tie_) <
+        std::tie(best.late_, best.cost_, best.tie_)) {
+      best = rank;
+    }
+  }
+  return best.index_;
+}
+
+std::uint32_t
+LeastLoaded(const Question& aQuestion,
+            const std::vector<Candidate>& aCandidates)
+{
+  const auto loadOf = [&](std::uint32_t aIndex) {
+    const auto& candidate = aCandidates[aIndex];
+    const auto runs = candidate.load_.running_ + candidate.load_.waiting_ +
+                      candidate.own_.runs_;
+    return std::pair(static_cast<double>(runs) / candidate.maxRuns_,
+                     Mix(aQuestion.seed_, aIndex));
+  };
+  std::uint32_t best = 0;
+  for (std::uint32_t i = 1; i < aCandidates.size(); ++i) {
+    if (loadOf(i) < loadOf(best)) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+std::uint32_t
+Sticky(const Question& aQuestion, const std::vector<Candidate>& aCandidates)
+{
+  const auto scoreOf = [&](std::uint32_t aIndex) {
+    return core::StableHash(aCandidates[aIndex].name_, aQuestion.promptHash_);
+  };
+  std::uint32_t best = 0;
+  for (std::uint32_t i = 1; i < aCandidates.size(); ++i) {
+    if (scoreOf(i) > scoreOf(best)) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+std::uint32_t
+Pick(const Question& aQuestion,
+     const std::vector<Candidate>& aCandidates,
+     const std::vector<CandidateCost>& aCosts,
+     const Tuning& aTuning)
+{
+  switch (aQuestion.policy_) {
+    case Policy::RoundRobin:
+      return static_cast<std::uint32_t>(aQuestion.seed_ % aCandidates.size());
+    case Policy::LeastLoaded:
+      return LeastLoaded(aQuestion, aCandidates);
+    case Policy::Sticky:
+      return Sticky(aQuestion, aCandidates);
+    case Policy::Estimate:
+    case Policy::AlwaysImport:
+    case Policy::NeverImport:
+      break;
+  }
+  return Cheapest(aQuestion, aCandidates, aCosts, aTuning);
+}
+
+bool
+Imports(Policy aPolicy)
+{
+  return aPolicy == Policy::Estimate || aPolicy == Policy::AlwaysImport;
+}
+
+absl::optional<Import>
+ImportOf(const Question& aQuestion,
+         const Candidate& aCandidate,
+         const CandidateCost& aCost,
+         const std::vector<Offer>& aOffers)
+{
+  if (!aCost.offer_ || aCost.importBlocks_ == 0) {
+    return absl::nullopt;
+  }
+  const Offer& offer = aOffers[*aCost.offer_];
+  Import import;
+  import.store_ = std::string(offer.store_);
+  import.firstBlock_ = aCandidate.cachedBlocks_;
+  import.blocks_ = aCost.importBlocks_;
+  import.bytes_ = std::uint64_t{ import.blocks_ } * aQuestion.blockTokens_ *
+                  aQuestion.kvBytesPerToken_;
+  const std::size_t end = import.firstBlock_ + import.blocks_;
+  for (std::size_t i = import.firstBlock_;
+       i < std::min(end, offer.generations_.size());
+       ++i) {
+    import.generations_.push_back(offer.generations_[i]);
+  }
+  return import;
+}
+
+} // namespace
+
+absl::optional<Decision>
+Choose(const Question& aQuestion,
+       const std::vector<Candidate>& aCandidates,
+       const std::vector<Offer>& aOffers,
+       const Tuning& aTuning)
+{
+  if (aCandidates.empty()) {
+    return absl::nullopt;
+  }
+  static const std::vector<Offer> kNoOffers;
+  Decision decision;
+  decision.costs_ = CostAll(aQuestion,
+                            aCandidates,
+                            Imports(aQuestion.policy_) ? aOffers : kNoOffers,
+                            aTuning);
+  const auto picked = Pick(aQuestion, aCandidates, decision.costs_, aTuning);
+  const CandidateCost& cost = decision.costs_[picked];
+  const Candidate& target = aCandidates[picked];
+  decision.target_ = std::string(target.name_);
+  decision.import_ = ImportOf(aQuestion, target, cost, aOffers);
+  decision.estimate_ = cost.estimate_;
+  decision.cachedBlocks_ = std::min(target.cachedBlocks_, aQuestion.blocks_);
+  decision.computedTokens_ = cost.computedTokens_;
+  decision.meetsDeadline_ = MeetsDeadline(aQuestion, cost);
+  return decision;
+}
+
+std::string
+Explain(const Decision& aDecision, const std::vector<Candidate>& aCandidates)
+{
+  const auto& estimate = aDecision.estimate_;
+  std::string text = absl::StrFormat(
+    "target=%s ttft=%.3fs queue=%.3fs import=%.3fs prefill=%.3fs cached=%d "
+    "computed_tokens=%d",
+    aDecision.target_,
+    estimate.ttftSeconds_,
+    estimate.queueSeconds_,
+    estimate.importSeconds_,
+    estimate.prefillSeconds_,
+    aDecision.cachedBlocks_,
+    aDecision.computedTokens_);
+  if (const auto& import = aDecision.import_) {
+    absl::StrAppend(&text,
+                    " import_from=",
+                    import->store_,
+                    " import_blocks=",
+                    import->blocks_,
+                    " import_bytes=",
+                    import->bytes_);
+  }
+  for (const auto& cost : aDecision.costs_) {
+    absl::StrAppendFormat(
+      &text, " cost.%s=%.3f", aCandidates[cost.candidate_].name_, cost.cost_);
+  }
+  return text;
+}
+
+} // namespace lycheeplank::placement
--- /dev/null
+++ b/test/placement-test.cc
@@ -0,0 +1,312 @@
+#include "lycheeplank/placement.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+namespace placement = lycheeplank::placement;
+namespace config = lycheeplank::config;
+
+namespace {
+
+constexpr double kPrefillRate = 20000.0;
+constexpr std::uint32_t kBlockTokens = 2000;
+
+placement::Question
+MakeQuestion()
+{
+  placement::Question question;
+  question.promptTokens_ = 40500;
+  question.blocks_ = 20;
+  question.blockTokens_ = kBlockTokens;
+  question.kvBytesPerToken_ = 1000;
+  return question;
+}
+
+placement::Candidate
+MakeCandidate(absl::string_view aName)
+{
+  placement::Candidate candidate;
+  candidate.name_ = aName;
+  candidate.load_.age_ = absl::ZeroDuration();
+  candidate.maxRuns_ = 16;
+  candidate.prefillTokensPerSecond_ = kPrefillRate;
+  candidate.meanDecode_ = absl::Seconds(1);
+  return candidate;
+}
+
+placement::Offer
+MakeOffer(absl::string_view aStore, std::uint32_t aBlocks)
+{
+  placement::Offer offer;
+  offer.store_ = aStore;
+  offer.leadingBlocks_ = aBlocks;
+  for (std::uint32_t i = 0; i < aBlocks; ++i) {
+    offer.generations_.push_back(100 + i);
+  }
+  offer.linkBytesPerSecond_ = 100e6;
+  offer.diskBytesPerSecond_ = 50e6;
+  return offer;
+}
+
+std::vector<placement::Follower>
+MakeHosts(std::size_t aHosts, std::size_t aDataCentres)
+{
+  std::vector<placement::Follower> hosts(aHosts);
+  for (std::size_t i = 0; i < aHosts; ++i) {
+    hosts[i].name_ = "h" + std::to_string(i);
+    hosts[i].dataCentre_ = "dc" + std::to_string(i % aDataCentres);
+  }
+  return hosts;
+}
+
+} // namespace
+
+TEST_CASE("without a candidate there is no decision")
+{
+  CHECK(!placement::Choose(MakeQuestion(), {}, {}));
+}
+
+TEST_CASE("the target that holds the prompt is chosen when all are idle")
+{
+  auto holder = MakeCandidate("e2");
+  holder.cachedBlocks_ = 20;
+  const auto decision = placement::Choose(
+    MakeQuestion(), { MakeCandidate("e1"), holder, MakeCandidate("e3") }, {});
+  REQUIRE(decision);
+  CHECK(decision->target_ == "e2");
+  CHECK(decision->computedTokens_ == 500);
+  CHECK(!decision->import_);
+}
+
+TEST_CASE("a holder with a long queue loses to an import elsewhere")
+{
+  auto holder = MakeCandidate("e2");
+  holder.cachedBlocks_ = 20;
+  holder.load_.queuedPrefillTokens_ = 100000;
+  const auto decision = placement::Choose(
+    MakeQuestion(), { MakeCandidate("e1"), holder }, { MakeOffer("s1", 20) });
+  REQUIRE(decision);
+  CHECK(decision->target_ == "e1");
+  REQUIRE(decision->import_);
+  CHECK(decision->import_->store_ == "s1");
+  CHECK(decision->import_->blocks_ == 20);
+  CHECK(decision->import_->generations_.back() == 119);
+  CHECK(decision->import_->bytes_ == 40000000);
+}
+
+TEST_CASE("a busy link makes computing cheaper")
+{
+  auto offer = MakeOffer("s1", 20);
+  offer.queuedBytes_ = 1000000000;
+  const auto decision =
+    placement::Choose(MakeQuestion(), { MakeCandidate("e1") }, { offer });
+  REQUIRE(decision);
+  CHECK(!decision->import_);
+  CHECK(decision->computedTokens_ == 40500);
+}
+
+TEST_CASE("blocks that arrive during the queue wait are imported, the tail is "
+          "computed")
+{
+  auto candidate = MakeCandidate("e1");
+  candidate.load_.queuedPrefillTokens_ = 20000;
+  auto offer = MakeOffer("s1", 20);
+  // A block takes 0.2 s to import and 0.1 s to compute; the wait is 1 s.
+  offer.linkBytesPerSecond_ = 10e6;
+  const auto decision =
+    placement::Choose(MakeQuestion(), { candidate }, { offer });
+  REQUIRE(decision);
+  REQUIRE(decision->import_);
+  CHECK(decision->import_->blocks_ == 5);
+  CHECK(decision->estimate_.ttftSeconds_ ==
+        Approx(1.0 + 30500.0 / kPrefillRate));
+}
+
+TEST_CASE("the number of blocks to import is the best of all numbers")
+{
+  for (std::uint64_t queued : { 0, 10000, 30000, 60000 }) {
+    for (double rate : { 5e6, 15e6, 25e6, 100e6 }) {
+      for (std::uint64_t backlog : { 0, 5000000, 20000000 }) {
+        for (double recompute : { 0.0, 0.02, 1.0 }) {
+          auto question = MakeQuestion();
+          question.objective_.recomputeWeight_ = recompute;
+          question.objective_.linkWeight_ = 0.01;
+          auto candidate = MakeCandidate("e1");
+          candidate.load_.queuedPrefillTokens_ = queued;
+          candidate.cachedBlocks_ = 3;
+          double best = 1e9;
+          for (std::uint32_t blocks = 3; blocks <= 18; ++blocks) {
+            auto offer = MakeOffer("s1", blocks);
+            offer.linkBytesPerSecond_ = rate;
+            offer.queuedBytes_ = backlog;
+            auto forced = question;
+            forced.policy_ = config::Policy::AlwaysImport;
+            const auto all =
+              placement::Choose(forced, { candidate }, { offer });
+            best = std::min(best, all->costs_[0].cost_);
+          }
+          auto offer = MakeOffer("s1", 18);
+          offer.linkBytesPerSecond_ = rate;
+          offer.queuedBytes_ = backlog;
+          const auto decision =
+            placement::Choose(question, { candidate }, { offer });
+          CHECK(decision->costs_[0].cost_ == Approx(best));
+        }
+      }
+    }
+  }
+}
+
+TEST_CASE("the objective decides between time and recomputed tokens")
+{
+  auto holder = MakeCandidate("e2");
+  holder.cachedBlocks_ = 20;
+  holder.load_.queuedPrefillTokens_ = 100000;
+  const std::vector<placement::Candidate> candidates{ MakeCandidate("e1"),
+                                                      holder };
+  auto question = MakeQuestion();
+  CHECK(placement::Choose(question, candidates, {})->target_ == "e1");
+  question.objective_ = { 0.1, 1.0, 0.0 };
+  CHECK(placement::Choose(question, candidates, {})->target_ == "e2");
+}
+
+TEST_CASE("a candidate that meets the deadline goes before a cheaper one")
+{
+  auto holder = MakeCandidate("e2");
+  holder.cachedBlocks_ = 20;
+  holder.load_.queuedPrefillTokens_ = 100000;
+  auto question = MakeQuestion();
+  question.objective_ = { 0.1, 1.0, 0.0 };
+  question.remaining_ = absl::Seconds(3);
+  const auto decision =
+    placement::Choose(question, { MakeCandidate("e1"), holder }, {});
+  CHECK(decision->target_ == "e1");
+  CHECK(decision->meetsDeadline_);
+  question.remaining_ = absl::Seconds(1);
+  CHECK(!placement::Choose(question, { MakeCandidate("e1"), holder }, {})
+           ->meetsDeadline_);
+}
+
+TEST_CASE("own work since the report counts and drains")
+{
+  auto busy = MakeCandidate("e1");
+  busy.own_ = { 40000, 1, absl::ZeroDuration() };
+  const std::vector<placement::Candidate> candidates{ busy,
+                                                      MakeCandidate("e2") };
+  CHECK(placement::Choose(MakeQuestion(), candidates, {})->target_ == "e2");
+  busy.own_.meanAge_ = absl::Seconds(2);
+  const auto drained = placement::Choose(MakeQuestion(), { busy }, {});
+  CHECK(drained->estimate_.queueSeconds_ == Approx(0.0));
+}
+
+TEST_CASE("an unknown load is taken to be the mean of the known ones")
+{
+  auto known = MakeCandidate("e1");
+  known.load_.queuedPrefillTokens_ = 20000;
+  auto unknown = MakeCandidate("e2");
+  unknown.load_.age_ = absl::InfiniteDuration();
+  const auto decision =
+    placement::Choose(MakeQuestion(), { known, unknown }, {});
+  CHECK(decision->costs_[1].estimate_.queueSeconds_ == Approx(1.0));
+}
+
+TEST_CASE("a full target's wait for a slot counts")
+{
+  auto full = MakeCandidate("e1");
+  full.load_.running_ = 16;
+  full.load_.waiting_ = 15;
+  const auto decision = placement::Choose(MakeQuestion(), { full }, {});
+  CHECK(decision->estimate_.queueSeconds_ == Approx(1.0));
+}
+
+TEST_CASE("baselines choose as their names say")
+{
+  auto question = MakeQuestion();
+  std::vector<placement::Candidate> candidates{ MakeCandidate("e1"),
+                                                MakeCandidate("e2"),
+                                                MakeCandidate("e3") };
+  candidates[0].load_.running_ = 5;
+  candidates[1].load_.running_ = 3;
+  candidates[2].load_.running_ = 9;
+  question.policy_ = config::Policy::RoundRobin;
+  question.seed_ = 4;
+  CHECK(placement::Choose(question, candidates, {})->target_ == "e2");
+  question.policy_ = config::Policy::LeastLoaded;
+  CHECK(placement::Choose(question, candidates, {})->target_ == "e2");
+  question.policy_ = config::Policy::NeverImport;
+  const std::vector<placement::Offer> offers{ MakeOffer("s1", 20) };
+  CHECK(!placement::Choose(question, candidates, offers)->import_);
+  question.policy_ = config::Policy::AlwaysImport;
+  CHECK(placement::Choose(question, candidates, offers)->import_);
+  question.policy_ = config::Policy::Sticky;
+  const auto first = placement::Choose(question, candidates, {})->target_;
+  question.seed_ = 77;
+  CHECK(placement::Choose(question, candidates, {})->target_ == first);
+}
+
+TEST_CASE("every host follows every target at today's size")
+{
+  const auto hosts = MakeHosts(8, 4);
+  for (int i = 0; i < 24; ++i) {
+    const auto target = "e" + std::to_string(i);
+    for (const auto& host : hosts) {
+      CHECK(placement::Followed(target, "dc1", host.name_, hosts, 24));
+    }
+  }
+}
+
+TEST_CASE("few hosts follow each target at the large size")
+{
+  const auto hosts = MakeHosts(350, 8);
+  std::size_t most = 0;
+  std::vector<std::size_t> followed(hosts.size(), 0);
+  const auto count = placement::FollowerCount(hosts.size(), 1200);
+  CHECK(count == 7);
+  for (int i = 0; i < 1200; ++i) {
+    const auto dataCentre = "dc" + std::to_string(i % 8);
+    for (const auto& name : placement::Followers(
+           "e" + std::to_string(i), dataCentre, hosts, count)) {
+      const auto index = std::stoul(name.substr(1));
+      CHECK(hosts[index].dataCentre_ == dataCentre);
+      most = std::max(most, ++followed[index]);
+    }
+  }
+  CHECK(most <= std::size_t{ 2 } * placement::kFollowedPerHost);
+}
+
+TEST_CASE("a short list starts with the best holders and is bounded")
+{
+  std::vector<std::uint32_t> followed;
+  std::vector<placement::HolderRef> holders;
+  for (std::uint32_t i = 0; i < 100; ++i) {
+    followed.push_back(i);
+    holders.push_back({ 500 + i, i });
+  }
+  holders.push_back({ 7, 1000 });
+  const auto list = placement::Shortlist(followed, holders, 3, 20);
+  REQUIRE(list.size() == 20);
+  CHECK(list[0] == 7);
+  CHECK(list[1] == 599);
+  CHECK(list[10] == 3);
+  for (std::size_t i = 0; i < list.size(); ++i) {
+    CHECK(std::count(list.begin(), list.end(), list[i]) == 1);
+  }
+}
+
+TEST_CASE("a link learns its rate and closes for longer after failures")
+{
+  placement::LinkView link;
+  placement::NoteTransfer(link, 10000000, absl::Milliseconds(100));
+  CHECK(link.bytesPerSecond_ == Approx(100e6));
+  for (int i = 0; i < 20; ++i) {
+    placement::NoteTransfer(link, 1000000, absl::Milliseconds(100));
+  }
+  CHECK(link.bytesPerSecond_ == Approx(10e6).epsilon(0.05));
+  const absl::Time now = absl::FromUnixSeconds(1000);
+  placement::NoteFailure(link, now);
+  CHECK(!placement::Usable(link, now + absl::Milliseconds(900)));
+  CHECK(placement::Usable(link, now + absl::Seconds(1)));
+  placement::NoteFailure(link, now);
+  CHECK(!placement::Usable(link, now + absl::Milliseconds(1900)));
+}
