Queue requests fairly by workspace and bound retries

Waiting requests are kept in one queue a workspace and priority and started by start-time fair queueing over the shares; refusals, retry budgets and targets put aside are decided beside them, all as functions over plain structs.

--- /dev/null
+++ b/src/admission/queue.cc
@@ -0,0 +1,617 @@
+#include "lycheeplank/admission.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <glog/logging.h>
+
+#include "admission/token-bucket.h"
+
+namespace lycheeplank::admission {
+
+namespace {
+
+// Time before its latest start from which a batch request counts as
+// interactive.
+constexpr absl::Duration kPromotionLead = absl::Seconds(30);
+// Part of the time to its latest start that a batch request spends promoted.
+constexpr double kPromotionShare = 0.25;
+// Promotion starts this many estimated waits before the latest start.
+constexpr double kPromotionWaits = 2.0;
+// Weight of one finished run in the moving average of the cost ratio.
+constexpr double kCostRatioWeight = 0.05;
+constexpr double kMinCostRatio = 0.1;
+constexpr double kMaxCostRatio = 10.0;
+constexpr absl::Duration kMinCost = absl::Milliseconds(1);
+constexpr absl::Duration kMinRetryAfter = absl::Seconds(1);
+constexpr absl::Duration kMaxRetryAfter = absl::Minutes(2);
+// Life of the state of a workspace that neither waits nor runs.
+constexpr absl::Duration kIdleLife = absl::Minutes(1);
+constexpr absl::Duration kSweepPeriod = absl::Seconds(10);
+// The rate limit allows bursts of this length.
+constexpr double kBurstSeconds = 1.0;
+
+std::size_t
+Index(Priority aPriority)
+{
+  return static_cast<std::size_t>(aPriority);
+}
+
+Queue&
+QueueOf(WorkspaceState& aWorkspace, Priority aPriority)
+{
+  return aWorkspace.queues_[Index(aPriority)];
+}
+
+bool
+HasWaiting(const WorkspaceState& aWorkspace)
+{
+  return std::any_of(
+    aWorkspace.queues_.begin(),
+    aWorkspace.queues_.end(),
+    [](const Queue& aQueue) { return !aQueue.waiting_.empty(); });
+}
+
+std::size_t
+CountWaiting(const WorkspaceState& aWorkspace)
+{
+  std::size_t count = 0;
+  for (const auto& queue : aWorkspace.queues_) {
+    count += queue.waiting_.size();
+  }
+  return count;
+}
+
+// Takes a workspace out of the ready sets before its virtual start changes.
+void
+RemoveReady(State& aState,
+            const std::string& aName,
+            const WorkspaceState& aWorkspace)
+{
+  for (auto& ready : aState.ready_) {
+    ready.erase({ aWorkspace.virtualStart_, aName });
+  }
+}
+
+// Puts a workspace into the ready sets of its non-empty queues.
+void
+AddReady(State& aState,
+         const std::string& aName,
+         const WorkspaceState& aWorkspace)
+{
+  if (aWorkspace.running_ >= aWorkspace.quota_.maxRunning_) {
+    return;
+  }
+  for (std::size_t i = 0; i < aWorkspace.queues_.size(); ++i) {
+    if (!aWorkspace.queues_[i].waiting_.empty()) {
+      aState.ready_[i].insert({ aWorkspace.virtualStart_, aName });
+    }
+  }
+}
+
+// Keeps the sum of active shares in step with a workspace.
+void
+UpdateActive(State& aState, WorkspaceState& aWorkspace)
+{
+  const bool active = aWorkspace.running_ > 0 || HasWaiting(aWorkspace);
+  if (active == aWorkspace.active_) {
+    return;
+  }
+  aWorkspace.active_ = active;
+  const double share = aWorkspace.quota_.share_;
+  aState.activeShare_ += active ? share : -share;
+}
+
+// Takes a new quota over; only the ready sets and shares depend on it.
+void
+SetQuota(State& aState,
+         const std::string& aName,
+         WorkspaceState& aWorkspace,
+         const Quota& aQuota)
+{
+  RemoveReady(aState, aName, aWorkspace);
+  if (aWorkspace.active_) {
+    aState.activeShare_ += aQuota.share_ - aWorkspace.quota_.share_;
+  }
+  aWorkspace.quota_ = aQuota;
+  AddReady(aState, aName, aWorkspace);
+}
+
+// Returns the state of a workspace, made anew if there is none.
+WorkspaceState&
+Touch(State& aState, const Request& aRequest, const Quota& aQuota)
+{
+  const auto [found, isNew] =
+    aState.workspaces_.try_emplace(aRequest.workspace_);
+  if (isNew) {
+    found->second.rate_.tokens_ =
+      std::max(1.0, aQuota.requestsPerSecond_ * kBurstSeconds);
+    found->second.retries_ = FullRetryFloor(kWorkspaceRetries);
+    found->second.virtualStart_ = aState.virtualTime_;
+  }
+  SetQuota(aState, aRequest.workspace_, found->second, aQuota);
+  return found->second;
+}
+
+absl::Time
+LatestStart(const Request& aRequest)
+{
+  return aRequest.deadline_ - aRequest.cost_;
+}
+
+void
+Insert(State& aState,
+       WorkspaceState& aWorkspace,
+       const Position& aPosition,
+       const Request& aRequest)
+{
+  RemoveReady(aState, aRequest.workspace_, aWorkspace);
+  if (!HasWaiting(aWorkspace)) {
+    aWorkspace.virtualStart_ =
+      std::max(aWorkspace.virtualStart_, aState.virtualTime_);
+  }
+  auto& queue = QueueOf(aWorkspace, aPosition.priority_);
+  queue.waiting_.emplace(aPosition.key_, aRequest);
+  queue.work_ += aRequest.cost_;
+  aState.work_[Index(aPosition.priority_)] += aRequest.cost_;
+  aState.positions_[aRequest.id_] = aPosition;
+  UpdateActive(aState, aWorkspace);
+  AddReady(aState, aRequest.workspace_, aWorkspace);
+}
+
+// Takes a waiting request out of its queue; its timers are left alone.
+Request
+Extract(State& aState, WorkspaceState& aWorkspace, const Position& aPosition)
+{
+  RemoveReady(aState, aPosition.workspace_, aWorkspace);
+  auto& queue = QueueOf(aWorkspace, aPosition.priority_);
+  const auto found = queue.waiting_.find(aPosition.key_);
+  CHECK(found != queue.waiting_.end());
+  Request request = std::move(found->second);
+  queue.waiting_.erase(found);
+  queue.work_ -= request.cost_;
+  aState.work_[Index(aPosition.priority_)] -= request.cost_;
+  AddReady(aState, aPosition.workspace_, aWorkspace);
+  return request;
+}
+
+// Takes a waiting request out for good.
+Request
+Remove(State& aState, std::uint64_t aId)
+{
+  const auto found = aState.positions_.find(aId);
+  CHECK(found != aState.positions_.end());
+  const Position position = found->second;
+  aState.positions_.erase(found);
+  auto& workspace = aState.workspaces_.at(position.workspace_);
+  Request request = Extract(aState, workspace, position);
+  aState.latestStarts_.erase({ position.key_.latestStart_, aId });
+  aState.promotions_.erase({ position.promotion_, aId });
+  UpdateActive(aState, workspace);
+  return request;
+}
+
+absl::Time
+PromotionTime(const State& aState, const Request& aRequest, absl::Time aNow)
+{
+  const absl::Time latestStart = LatestStart(aRequest);
+  if (latestStart == absl::InfiniteFuture()) {
+    return latestStart;
+  }
+  const absl::Duration span = latestStart - aNow;
+  const absl::Duration usual = std::min(kPromotionLead, span * kPromotionShare);
+  const absl::Duration wait = EstimatedWait(aState, aRequest) * kPromotionWaits;
+  return latestStart - std::min(span, std::max(usual, wait));
+}
+
+void
+Enqueue(State& aState,
+        WorkspaceState& aWorkspace,
+        const Request& aRequest,
+        absl::Time aNow)
+{
+  Position position{ aRequest.workspace_,
+                     aRequest.priority_,
+                     { LatestStart(aRequest), aState.nextSequence_++ } };
+  aState.latestStarts_.insert({ position.key_.latestStart_, aRequest.id_ });
+  if (aRequest.priority_ == Priority::Batch) {
+    position.promotion_ = PromotionTime(aState, aRequest, aNow);
+    aState.promotions_.insert({ position.promotion_, aRequest.id_ });
+  }
+  Insert(aState, aWorkspace, position, aRequest);
+  ++aState.counters_.queued_;
+}
+
+// Moves due batch requests to the interactive queues.
+void
+Promote(State& aState, absl::Time aNow)
+{
+  while (!aState.promotions_.empty() &&
+         aState.promotions_.begin()->first <= aNow) {
+    const std::uint64_t id = aState.promotions_.begin()->second;
+    aState.promotions_.erase(aState.promotions_.begin());
+    Position position = aState.positions_.at(id);
+    auto& workspace = aState.workspaces_.at(position.workspace_);
+    const Request request = Extract(aState, workspace, position);
+    position.priority_ = Priority::Interactive;
+    position.promotion_ = absl::InfiniteFuture();
+    Insert(aState, workspace, position, request);
+    ++aState.counters_.promoted_;
+  }
+}
+
+// Returns the estimated work of the own queue ahead of a new request.
+absl::Duration
+OwnWorkAhead(const WorkspaceState& aWorkspace, const Request& aRequest)
+{
+  const auto& interactive = aWorkspace.queues_[Index(Priority::Interactive)];
+  const auto& own = aWorkspace.queues_[Index(aRequest.priority_)];
+  absl::Duration work = aRequest.priority_ == Priority::Batch
+                          ? interactive.work_
+                          : absl::ZeroDuration();
+  const WaitingKey end{ LatestStart(aRequest),
+                        std::numeric_limits<std::uint64_t>::max() };
+  for (auto at = own.waiting_.begin();
+       at != own.waiting_.end() && at->first < end;
+       ++at) {
+    work += at->second.cost_;
+  }
+  return work;
+}
+
+// Returns the estimated work of all queues ahead of a new request.
+absl::Duration
+AllWorkAhead(const State& aState, const Request& aRequest)
+{
+  const absl::Duration interactive = aState.work_[Index(Priority::Interactive)];
+  return aRequest.priority_ == Priority::Interactive
+           ? interactive
+           : interactive + aState.work_[Index(Priority::Batch)];
+}
+
+// Returns the slots that a workspace gets while all active ones want more.
+double
+FairSlots(const State& aState, const WorkspaceState& aWorkspace)
+{
+  const double share = aWorkspace.quota_.share_;
+  const double others =
+    aState.activeShare_ - (aWorkspace.active_ ? share : 0.0);
+  return aState.slots_ * share / std::max(share, share + others);
+}
+
+// Returns the time until a slot is free.
+absl::Duration
+SlotWait(const State& aState)
+{
+  const std::size_t running = aState.running_.size();
+  if (running < aState.slots_) {
+    return absl::ZeroDuration();
+  }
+  const double perSecond = static_cast<double>(running);
+  return aState.runningWork_ / perSecond / perSecond;
+}
+
+absl::Duration
+OwnSlotWait(const WorkspaceState& aWorkspace, const Request& aRequest)
+{
+  if (aWorkspace.running_ < aWorkspace.quota_.maxRunning_) {
+    return absl::ZeroDuration();
+  }
+  return aRequest.cost_ / std::max(1.0, double(aWorkspace.running_));
+}
+
+// Returns the time between two starts of a workspace under contention.
+absl::Duration
+StartPeriod(const State& aState, const Request& aRequest)
+{
+  const auto found = aState.workspaces_.find(aRequest.workspace_);
+  if (found == aState.workspaces_.end() || aState.slots_ == 0) {
+    return aRequest.cost_;
+  }
+  const double slots =
+    std::min(FairSlots(aState, found->second),
+             double(std::max(1U, found->second.quota_.maxRunning_)));
+  return aRequest.cost_ * aState.costRatio_ / std::max(slots, 1e-6);
+}
+
+// Returns how long the reason of a refusal lasts.
+absl::Duration
+ReasonLasts(const State& aState,
+            const Request& aRequest,
+            Refusal aRefusal,
+            absl::Time aNow)
+{
+  const auto& workspace = aState.workspaces_.at(aRequest.workspace_);
+  switch (aRefusal) {
+    case Refusal::RateLimit:
+      return absl::Seconds((1.0 - std::min(1.0, workspace.rate_.tokens_)) /
+                           workspace.quota_.requestsPerSecond_);
+    case Refusal::QueueFull:
+    case Refusal::NoCapacity:
+      return absl::ZeroDuration();
+    case Refusal::DeadlineUnreachable: {
+      const absl::Duration slack = LatestStart(aRequest) - aNow;
+      return EstimatedWait(aState, aRequest) -
+             std::max(slack, absl::ZeroDuration());
+    }
+    case Refusal::WaitedTooLong:
+    case Refusal::DeadlinePassed:
+      return EstimatedWait(aState, aRequest);
+  }
+  return absl::ZeroDuration();
+}
+
+// Returns why a request can't be queued, if so.
+absl::optional<Refusal>
+Refuses(const State& aState,
+        const WorkspaceState& aWorkspace,
+        const Request& aRequest,
+        absl::Time aNow)
+{
+  if (aWorkspace.rate_.tokens_ < 1.0) {
+    return Refusal::RateLimit;
+  }
+  if (aState.slots_ == 0) {
+    return Refusal::NoCapacity;
+  }
+  if (CountWaiting(aWorkspace) >= aWorkspace.quota_.maxWaiting_) {
+    return Refusal::QueueFull;
+  }
+  const absl::Duration needed =
+    EstimatedWait(aState, aRequest) + aRequest.cost_ * aState.costRatio_;
+  if (aNow + needed > aRequest.deadline_) {
+    return Refusal::DeadlineUnreachable;
+  }
+  return absl::nullopt;
+}
+
+// Returns the first request of a queue that can still meet its deadline.
+absl::optional<std::uint64_t>
+FirstInTime(const Queue& aQueue, absl::Time aNow)
+{
+  const auto found = aQueue.waiting_.lower_bound({ aNow, 0 });
+  if (found == aQueue.waiting_.end()) {
+    return absl::nullopt;
+  }
+  return found->second.id_;
+}
+
+// Returns the request whose workspace has received the least for its share.
+absl::optional<std::uint64_t>
+PickNext(const State& aState, absl::Time aNow)
+{
+  for (std::size_t i = 0; i < aState.ready_.size(); ++i) {
+    for (const auto& [virtualStart, name] : aState.ready_[i]) {
+      const auto& workspace = aState.workspaces_.at(name);
+      if (auto id = FirstInTime(workspace.queues_[i], aNow)) {
+        return id;
+      }
+    }
+  }
+  return absl::nullopt;
+}
+
+// Charges a workspace for service at its share.
+void
+Charge(State& aState,
+       const std::string& aName,
+       WorkspaceState& aWorkspace,
+       absl::Duration aService)
+{
+  RemoveReady(aState, aName, aWorkspace);
+  aWorkspace.virtualStart_ +=
+    absl::ToDoubleSeconds(aService) / aWorkspace.quota_.share_;
+  AddReady(aState, aName, aWorkspace);
+}
+
+void
+LearnCost(State& aState, absl::Duration aEstimated, absl::Duration aMeasured)
+{
+  const double ratio = absl::FDivDuration(aMeasured, aEstimated);
+  const double bounded = std::clamp(ratio, kMinCostRatio, kMaxCostRatio);
+  aState.costRatio_ += kCostRatioWeight * (bounded - aState.costRatio_);
+}
+
+} // namespace
+
+Quota
+QuotaOf(const config::Workspace& aWorkspace, std::uint32_t aHosts)
+{
+  const std::uint32_t hosts = std::max(1U, aHosts);
+  const auto part = [hosts](std::uint32_t aLimit) {
+    return (aLimit + hosts - 1) / hosts;
+  };
+  return { aWorkspace.share_,
+           part(aWorkspace.maxRunning_),
+           part(aWorkspace.maxWaiting_),
+           aWorkspace.requestsPerSecond_ / hosts };
+}
+
+core::ErrorKind
+ErrorKindOf(Refusal aRefusal)
+{
+  switch (aRefusal) {
+    case Refusal::DeadlineUnreachable:
+    case Refusal::WaitedTooLong:
+      return core::ErrorKind::DeadlineUnreachable;
+    case Refusal::DeadlinePassed:
+      return core::ErrorKind::DeadlineExceeded;
+    case Refusal::QueueFull:
+      return core::ErrorKind::QueueFull;
+    case Refusal::RateLimit:
+      return core::ErrorKind::WorkspaceLimit;
+    case Refusal::NoCapacity:
+      return core::ErrorKind::NoTarget;
+  }
+  return core::ErrorKind::Internal;
+}
+
+Decision
+Admit(State& aState,
+      const Request& aRequest,
+      const Quota& aQuota,
+      absl::Time aNow)
+{
+  Sweep(aState, aNow);
+  Request request = aRequest;
+  request.cost_ = std::max(request.cost_, kMinCost);
+  auto& workspace = Touch(aState, request, aQuota);
+  workspace.lastUsed_ = aNow;
+  const double rate = aQuota.requestsPerSecond_;
+  Refill(workspace.rate_, rate, std::max(1.0, rate * kBurstSeconds), aNow);
+  if (const auto refusal = Refuses(aState, workspace, request, aNow)) {
+    ++aState.counters_.refusals_[static_cast<std::size_t>(*refusal)];
+    const auto retryAfter = RetryAfter(aState, request, *refusal, aNow);
+    return { Verdict::Refused, *refusal, retryAfter };
+  }
+  workspace.rate_.tokens_ -= 1.0;
+  Enqueue(aState, workspace, request, aNow);
+  return {};
+}
+
+absl::optional<Request>
+Next(State& aState, absl::Time aNow)
+{
+  if (aState.running_.size() >= aState.slots_) {
+    return absl::nullopt;
+  }
+  Promote(aState, aNow);
+  const auto id = PickNext(aState, aNow);
+  if (!id) {
+    return absl::nullopt;
+  }
+  const Request request = Remove(aState, *id);
+  auto& workspace = aState.workspaces_.at(request.workspace_);
+  aState.virtualTime_ = std::max(aState.virtualTime_, workspace.virtualStart_);
+  RemoveReady(aState, request.workspace_, workspace);
+  ++workspace.running_;
+  Charge(aState, request.workspace_, workspace, request.cost_);
+  UpdateActive(aState, workspace);
+  aState.running_[*id] = { request.workspace_, request.cost_, aNow };
+  aState.runningWork_ += request.cost_;
+  ++aState.counters_.started_;
+  return request;
+}
+
+void
+Finished(State& aState, std::uint64_t aId, absl::Time aNow)
+{
+  const auto found = aState.running_.find(aId);
+  if (found == aState.running_.end()) {
+    return;
+  }
+  const Running run = found->second;
+  aState.running_.erase(found);
+  aState.runningWork_ -= run.cost_;
+  const absl::Duration measured = aNow - run.started_;
+  LearnCost(aState, run.cost_, measured);
+  auto& workspace = aState.workspaces_.at(run.workspace_);
+  RemoveReady(aState, run.workspace_, workspace);
+  --workspace.running_;
+  workspace.lastUsed_ = aNow;
+  Charge(aState, run.workspace_, workspace, measured - run.cost_);
+  UpdateActive(aState, workspace);
+}
+
+bool
+Withdraw(State& aState, std::uint64_t aId)
+{
+  if (aState.positions_.count(aId) == 0) {
+    return false;
+  }
+  Remove(aState, aId);
+  return true;
+}
+
+std::vector<Expired>
+Expire(State& aState, absl::Time aNow)
+{
+  std::vector<Expired> expired;
+  Promote(aState, aNow);
+  while (!aState.latestStarts_.empty() &&
+         aState.latestStarts_.begin()->first < aNow) {
+    Request request = Remove(aState, aState.latestStarts_.begin()->second);
+    const auto refusal = request.deadline_ <= aNow ? Refusal::DeadlinePassed
+                                                   : Refusal::WaitedTooLong;
+    ++aState.counters_.refusals_[static_cast<std::size_t>(refusal)];
+    const auto retryAfter = RetryAfter(aState, request, refusal, aNow);
+    expired.push_back({ std::move(request), refusal, retryAfter });
+  }
+  return expired;
+}
+
+absl::Time
+NextExpiry(const State& aState)
+{
+  absl::Time next = absl::InfiniteFuture();
+  for (const auto* timers : { &aState.latestStarts_, &aState.promotions_ }) {
+    if (!timers->empty()) {
+      next = std::min(next, timers->begin()->first);
+    }
+  }
+  return next;
+}
+
+absl::Duration
+EstimatedWait(const State& aState, const Request& aRequest)
+{
+  if (aState.slots_ == 0) {
+    return absl::InfiniteDuration();
+  }
+  const absl::Duration all =
+    AllWorkAhead(aState, aRequest) / double(aState.slots_);
+  const auto found = aState.workspaces_.find(aRequest.workspace_);
+  if (found == aState.workspaces_.end()) {
+    return SlotWait(aState) * aState.costRatio_;
+  }
+  const auto& workspace = found->second;
+  const absl::Duration own = OwnWorkAhead(workspace, aRequest);
+  const absl::Duration fair =
+    own / std::max(FairSlots(aState, workspace), 1e-6);
+  const absl::Duration capped =
+    own / std::max(1.0, double(workspace.quota_.maxRunning_)) +
+    OwnSlotWait(workspace, aRequest);
+  const absl::Duration queued = std::max(std::min(all, fair), capped);
+  return (SlotWait(aState) + queued) * aState.costRatio_;
+}
+
+absl::Duration
+RetryAfter(State& aState,
+           const Request& aRequest,
+           Refusal aRefusal,
+           absl::Time aNow)
+{
+  const absl::Duration lasts = ReasonLasts(aState, aRequest, aRefusal, aNow);
+  const absl::Duration pace =
+    aRefusal == Refusal::RateLimit
+      ? absl::Seconds(
+          1.0 /
+          aState.workspaces_.at(aRequest.workspace_).quota_.requestsPerSecond_)
+      : StartPeriod(aState, aRequest);
+  auto& nextReturn = aState.workspaces_.at(aRequest.workspace_).nextReturn_;
+  nextReturn = std::max(nextReturn, aNow + lasts) + pace;
+  if (nextReturn < aNow + kMaxRetryAfter) {
+    return std::max(nextReturn - aNow, kMinRetryAfter);
+  }
+  nextReturn = aNow + kMaxRetryAfter;
+  constexpr std::uint64_t kSteps = 1024;
+  const std::uint64_t step =
+    core::StableHash(aRequest.workspace_, aRequest.id_) % kSteps;
+  return kMaxRetryAfter / 2 * (1.0 + double(step) / double(kSteps));
+}
+
+void
+Sweep(State& aState, absl::Time aNow)
+{
+  if (aNow < aState.swept_ + kSweepPeriod) {
+    return;
+  }
+  aState.swept_ = aNow;
+  absl::erase_if(aState.workspaces_, [&](const auto& aEntry) {
+    const auto& workspace = aEntry.second;
+    return !workspace.active_ && workspace.lastUsed_ + kIdleLife < aNow &&
+           workspace.nextReturn_ < aNow;
+  });
+}
+
+} // namespace lycheeplank::admission
--- /dev/null
+++ b/src/admission/retry.cc
@@ -0,0 +1,112 @@
+#include "lycheeplank/admission.h"
+
+#include <algorithm>
+
+#include "admission/token-bucket.h"
+
+namespace lycheeplank::admission {
+
+namespace {
+
+void
+RefillFloor(TokenBucket& aBucket, const RetryBudget& aBudget, absl::Time aNow)
+{
+  const double max = std::max(aBucket.tokens_, aBudget.floorTokens_);
+  Refill(aBucket, aBudget.floorPerSecond_, max, aNow);
+}
+
+void
+PayIn(TokenBucket& aBucket, const RetryBudget& aBudget, double aTokens)
+{
+  aBucket.tokens_ = std::min(aBudget.maxTokens_, aBucket.tokens_ + aTokens);
+}
+
+RetryVerdict
+Judge(const State& aState,
+      const TokenBucket& aWorkspaceRetries,
+      const FailedAttempt& aAttempt,
+      const config::Limits& aLimits,
+      absl::Time aNow)
+{
+  if (aNow + aAttempt.cost_ >= aAttempt.deadline_) {
+    return RetryVerdict::DeadlineTooNear;
+  }
+  if (aAttempt.attempts_ >= aLimits.maxAttempts_) {
+    return RetryVerdict::TooManyAttempts;
+  }
+  if (aState.retries_.tokens_ < 1.0) {
+    return RetryVerdict::HostBudgetSpent;
+  }
+  if (aWorkspaceRetries.tokens_ < 1.0) {
+    return RetryVerdict::WorkspaceBudgetSpent;
+  }
+  return RetryVerdict::Allowed;
+}
+
+// Returns the retry budget of a workspace.
+TokenBucket&
+RetriesOf(State& aState, absl::string_view aWorkspace, absl::Time aNow)
+{
+  const auto [found, isNew] = aState.workspaces_.try_emplace(aWorkspace);
+  if (isNew) {
+    found->second.virtualStart_ = aState.virtualTime_;
+    found->second.rate_.tokens_ = 1.0;
+    found->second.retries_ = FullRetryFloor(kWorkspaceRetries);
+  }
+  found->second.lastUsed_ = aNow;
+  return found->second.retries_;
+}
+
+} // namespace
+
+void
+Refill(TokenBucket& aBucket, double aPerSecond, double aMax, absl::Time aNow)
+{
+  if (aBucket.refilled_ == absl::InfinitePast()) {
+    aBucket.refilled_ = aNow;
+  }
+  const double passed = absl::ToDoubleSeconds(aNow - aBucket.refilled_);
+  const double tokens = aBucket.tokens_ + aPerSecond * std::max(passed, 0.0);
+  aBucket.tokens_ = std::min(aMax, tokens);
+  aBucket.refilled_ = std::max(aNow, aBucket.refilled_);
+}
+
+TokenBucket
+FullRetryFloor(const RetryBudget& aBudget)
+{
+  return { aBudget.floorTokens_, absl::InfinitePast() };
+}
+
+void
+CountSuccess(State& aState,
+             absl::string_view aWorkspace,
+             const config::Limits& aLimits,
+             absl::Time aNow)
+{
+  PayIn(aState.retries_, kHostRetries, aLimits.retryShare_);
+  PayIn(RetriesOf(aState, aWorkspace, aNow),
+        kWorkspaceRetries,
+        aLimits.retryShare_);
+}
+
+RetryVerdict
+TakeRetry(State& aState,
+          const FailedAttempt& aAttempt,
+          const config::Limits& aLimits,
+          absl::Time aNow)
+{
+  auto& workspace = RetriesOf(aState, aAttempt.workspace_, aNow);
+  RefillFloor(aState.retries_, kHostRetries, aNow);
+  RefillFloor(workspace, kWorkspaceRetries, aNow);
+  const auto verdict = Judge(aState, workspace, aAttempt, aLimits, aNow);
+  ++aState.counters_.verdicts_[static_cast<std::size_t>(verdict)];
+  if (verdict != RetryVerdict::Allowed) {
+    return verdict;
+  }
+  aState.retries_.tokens_ -= 1.0;
+  workspace.tokens_ -= 1.0;
+  ++aState.counters_.retries_[static_cast<std::size_t>(aAttempt.reason_)];
+  return verdict;
+}
+
+} // namespace lycheeplank::admission
--- /dev/null
+++ b/src/admission/target-health.cc
@@ -0,0 +1,176 @@
+#include "lycheeplank/admission.h"
+
+#include <algorithm>
+
+namespace lycheeplank::admission {
+
+namespace {
+
+constexpr std::uint32_t kMaxConsecutiveFailures = 5;
+constexpr double kMaxErrorRate = 0.5;
+// Answers that the error rate needs before it counts.
+constexpr std::uint32_t kMinSamples = 20;
+// Weight of one answer in the moving average of the error rate.
+constexpr double kErrorRateWeight = 0.05;
+// Largest part of a pool that may be put aside.
+constexpr double kMaxAsideShare = 0.5;
+constexpr absl::Duration kFirstAside = absl::Seconds(2);
+constexpr absl::Duration kMaxAside = absl::Minutes(2);
+constexpr std::uint32_t kMaxDoublings = 8;
+// Longest random addition to the time aside, as a part of it.
+constexpr double kAsideJitter = 0.25;
+// After this time without a failure the next time aside is short again.
+constexpr absl::Duration kForgiveAfter = absl::Minutes(5);
+// A probe without an answer makes room for another one after this time.
+constexpr absl::Duration kProbeTimeout = absl::Seconds(30);
+
+absl::Duration
+TimeAside(const TargetPool& aPool,
+          absl::string_view aTarget,
+          std::uint32_t aTimes)
+{
+  constexpr std::uint64_t kSteps = 1024;
+  const std::uint32_t doublings = std::min(aTimes - 1, kMaxDoublings);
+  const absl::Duration base =
+    std::min(kMaxAside, kFirstAside * double(1U << doublings));
+  const std::uint64_t step =
+    core::StableHash(aTarget, aPool.seed_ + aTimes) % kSteps;
+  return base * (1.0 + kAsideJitter * double(step) / double(kSteps));
+}
+
+bool
+HasOutstandingProbe(const TargetHealth& aHealth)
+{
+  return aHealth.probeStarted_ != absl::InfinitePast();
+}
+
+void
+PutAside(TargetPool& aPool,
+         absl::string_view aTarget,
+         TargetHealth& aHealth,
+         absl::Time aNow)
+{
+  aPool.aside_ += aHealth.aside_ ? 0 : 1;
+  aHealth.aside_ = true;
+  ++aHealth.timesAside_;
+  aHealth.asideUntil_ = aNow + TimeAside(aPool, aTarget, aHealth.timesAside_);
+  aHealth.probeStarted_ = absl::InfinitePast();
+}
+
+void
+TakeBack(TargetPool& aPool, TargetHealth& aHealth, absl::Time aNow)
+{
+  --aPool.aside_;
+  const std::uint32_t times = aHealth.timesAside_;
+  aHealth = {};
+  aHealth.timesAside_ = times;
+  aHealth.asideUntil_ = aNow;
+}
+
+bool
+IsOutlier(const TargetHealth& aHealth)
+{
+  return aHealth.consecutiveFailures_ >= kMaxConsecutiveFailures ||
+         (aHealth.samples_ >= kMinSamples &&
+          aHealth.errorRate_ > kMaxErrorRate);
+}
+
+bool
+HasRoomAside(const TargetPool& aPool)
+{
+  const double most = kMaxAsideShare * double(aPool.targets_.size());
+  return double(aPool.aside_ + 1) <= most;
+}
+
+void
+AddSample(TargetHealth& aHealth, bool aFailed)
+{
+  const double value = aFailed ? 1.0 : 0.0;
+  aHealth.errorRate_ += kErrorRateWeight * (value - aHealth.errorRate_);
+  ++aHealth.samples_;
+  aHealth.consecutiveFailures_ = aFailed ? aHealth.consecutiveFailures_ + 1 : 0;
+}
+
+} // namespace
+
+void
+SetTargets(TargetPool& aPool, const std::vector<std::string>& aNames)
+{
+  absl::btree_map<std::string, TargetHealth> kept;
+  aPool.aside_ = 0;
+  for (const auto& name : aNames) {
+    const auto found = aPool.targets_.find(name);
+    auto& health = kept[name];
+    health = found == aPool.targets_.end() ? TargetHealth{} : found->second;
+    aPool.aside_ += health.aside_ ? 1 : 0;
+  }
+  aPool.targets_ = std::move(kept);
+}
+
+Availability
+AvailabilityOf(const TargetPool& aPool,
+               absl::string_view aTarget,
+               absl::Time aNow)
+{
+  const auto found = aPool.targets_.find(aTarget);
+  if (found == aPool.targets_.end() || !found->second.aside_) {
+    return Availability::Usable;
+  }
+  const auto& health = found->second;
+  const bool probed =
+    HasOutstandingProbe(health) && aNow < health.probeStarted_ + kProbeTimeout;
+  return aNow < health.asideUntil_ || probed ? Availability::Aside
+                                             : Availability::Probe;
+}
+
+void
+CountDispatch(TargetPool& aPool, absl::string_view aTarget, absl::Time aNow)
+{
+  if (AvailabilityOf(aPool, aTarget, aNow) == Availability::Probe) {
+    aPool.targets_.find(aTarget)->second.probeStarted_ = aNow;
+  }
+}
+
+void
+CountAnswer(TargetPool& aPool, absl::string_view aTarget, absl::Time aNow)
+{
+  const auto found = aPool.targets_.find(aTarget);
+  if (found == aPool.targets_.end()) {
+    return;
+  }
+  auto& health = found->second;
+  if (health.aside_) {
+    if (HasOutstandingProbe(health)) {
+      TakeBack(aPool, health, aNow);
+    }
+    return;
+  }
+  AddSample(health, false);
+  if (aNow > health.asideUntil_ + kForgiveAfter) {
+    health.timesAside_ = 0;
+  }
+}
+
+bool
+CountFailure(TargetPool& aPool, absl::string_view aTarget, absl::Time aNow)
+{
+  const auto found = aPool.targets_.find(aTarget);
+  if (found == aPool.targets_.end()) {
+    return false;
+  }
+  auto& health = found->second;
+  if (health.aside_) {
+    if (HasOutstandingProbe(health)) {
+      PutAside(aPool, aTarget, health, aNow);
+    }
+    return false;
+  }
+  AddSample(health, true);
+  if (!IsOutlier(health) || !HasRoomAside(aPool)) {
+    return false;
+  }
+  PutAside(aPool, aTarget, health, aNow);
+  return true;
+}
+
+} // namespace lycheeplank::admission
