--- a/src/adapters/engine.cc
+++ b/src/adapters/engine.cc
@@ -1,12 +1,15 @@
 #include "adapters/engine.h"
 
 #include <absl/strings/str_cat.h>
-#include <nlohmann/json.hpp>
+
+#include "adapters/json.h"
 
 namespace lycheeplank::adapters {
 
 namespace {
 
+using detail::ReadBody;
+using detail::ReadKey;
 using nlohmann::json;
 
 constexpr absl::Duration kQueryTimeout = absl::Seconds(2);
@@ -30,29 +33,6 @@
   return call;
 }
 
-// Parses a body and reads it; nothing if either fails.
-template<typename T, typename Read>
-absl::optional<T>
-ReadBody(const std::string& aBody, Read aRead)
-{
-  const json body = json::parse(aBody, nullptr, false);
-  if (!body.is_object()) {
-    return absl::nullopt;
-  }
-  try {
-    return aRead(body);
-  } catch (const json::exception&) {
-    return absl::nullopt;
-  }
-}
-
-core::BlockKey
-ReadKey(const json& aItem, const char* aName)
-{
-  return core::BlockKeyFromHex(aItem.value(aName, ""))
-    .value_or(core::BlockKey{});
-}
-
 RunStart
 ReadStart(const json& aBody)
 {
--- /dev/null
+++ b/src/adapters/json.h
@@ -0,0 +1,39 @@
+#ifndef LYCHEEPLANK_ADAPTERS_JSON_H
+#define LYCHEEPLANK_ADAPTERS_JSON_H
+
+#include <string>
+
+#include <absl/types/optional.h>
+#include <nlohmann/json.hpp>
+
+#include "lycheeplank/core.h"
+
+namespace lycheeplank::adapters::detail {
+
+// Parses a body and reads it; nothing if either fails.
+template<typename T, typename Read>
+absl::optional<T>
+ReadBody(const std::string& aBody, Read aRead)
+{
+  const auto body = nlohmann::json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return absl::nullopt;
+  }
+  try {
+    return aRead(body);
+  } catch (const nlohmann::json::exception&) {
+    return absl::nullopt;
+  }
+}
+
+// Reads a block key; one of zeros if it is absent or broken.
+inline core::BlockKey
+ReadKey(const nlohmann::json& aItem, const char* aName)
+{
+  return core::BlockKeyFromHex(aItem.value(aName, ""))
+    .value_or(core::BlockKey{});
+}
+
+} // namespace lycheeplank::adapters::detail
+
+#endif
--- /dev/null
+++ b/src/entry/poller.cc
@@ -0,0 +1,320 @@
+#include "entry/poller.h"
+
+#include <algorithm>
+#include <pthread.h>
+
+#include "adapters/engine.h"
+#include "adapters/store.h"
+
+namespace lycheeplank::entry {
+
+namespace {
+
+constexpr absl::Duration kStep = absl::Milliseconds(100);
+// Time between two load reports of a target.
+constexpr absl::Duration kBusyLoadInterval = absl::Milliseconds(250);
+constexpr absl::Duration kIdleLoadInterval = absl::Seconds(1);
+// Time between two questions for cache events.
+constexpr absl::Duration kBusyEventsInterval = absl::Milliseconds(500);
+constexpr absl::Duration kIdleEventsInterval = absl::Seconds(3);
+constexpr absl::Duration kStoreLoadInterval = absl::Seconds(1);
+constexpr absl::Duration kInventoryInterval = absl::Seconds(30);
+// Hosts that read the cache events of one target, so that the loss of one
+// loses no news.
+constexpr std::size_t kFeeders = 2;
+
+directory::Sighting
+ToSighting(const adapters::CacheEvent& aEvent)
+{
+  directory::Sighting sighting;
+  sighting.block_ = aEvent.block_;
+  sighting.root_ = aEvent.root_;
+  sighting.present_ = aEvent.stored_;
+  return sighting;
+}
+
+reducer::CacheReported
+ToReport(const std::string& aTarget,
+         const adapters::CacheEvents& aEvents,
+         bool aInventory)
+{
+  reducer::CacheReported report;
+  report.target_ = aTarget;
+  report.inventory_ = aInventory;
+  report.lastSequence_ = aEvents.lastSequence_;
+  for (const auto& event : aEvents.events_) {
+    if (!aInventory) {
+      report.sequences_.push_back(event.sequence_);
+    }
+    report.sightings_.push_back(ToSighting(event));
+  }
+  return report;
+}
+
+} // namespace
+
+Poller::Poller(net::Client& aClient,
+               SnapshotBox& aSnapshots,
+               placement::Follower aSelf,
+               std::function<void(reducer::Event)> aPost,
+               std::function<bool()> aIsBusy)
+  : client_(aClient)
+  , snapshots_(aSnapshots)
+  , self_(std::move(aSelf))
+  , post_(std::move(aPost))
+  , isBusy_(std::move(aIsBusy))
+{
+}
+
+Poller::~Poller()
+{
+  {
+    const absl::MutexLock lock(&mutex_);
+    stopping_ = true;
+  }
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void
+Poller::Start()
+{
+  thread_ = std::thread([this] { Run(); });
+}
+
+void
+Poller::SetHosts(std::vector<placement::Follower> aHosts)
+{
+  const absl::MutexLock lock(&mutex_);
+  hosts_ = std::move(aHosts);
+}
+
+void
+Poller::Run()
+{
+  pthread_setname_np(pthread_self(), "poller");
+  while (true) {
+    {
+      const absl::MutexLock lock(&mutex_);
+      if (mutex_.AwaitWithTimeout(absl::Condition(&stopping_), kStep)) {
+        return;
+      }
+    }
+    const SnapshotPtr snapshot = snapshots_.Get();
+    if (snapshot->config_) {
+      PollTargets(*snapshot->config_, absl::Now());
+      PollStores(*snapshot->config_, absl::Now());
+    }
+  }
+}
+
+bool
+Poller::Feeds(const std::string& aName, const std::string& aDataCentre)
+{
+  const absl::MutexLock lock(&mutex_);
+  if (hosts_.empty()) {
+    return true;
+  }
+  const auto feeders =
+    placement::Followers(aName, aDataCentre, hosts_, kFeeders);
+  return std::find(feeders.begin(), feeders.end(), self_.name_) !=
+         feeders.end();
+}
+
+void
+Poller::PollTargets(const config::Config& aConfig, absl::Time aNow)
+{
+  const bool busy = isBusy_();
+  for (const auto& [name, target] : aConfig.targets_) {
+    bool load = false;
+    bool events = false;
+    std::uint64_t after = 0;
+    {
+      const absl::MutexLock lock(&mutex_);
+      Due& due = due_[name];
+      load = !due.loadPending_ && due.load_ <= aNow;
+      events = target.kind_ == config::TargetKind::Engine &&
+               !due.eventsPending_ && due.events_ <= aNow;
+      after = due.sequence_;
+      if (load) {
+        due.loadPending_ = true;
+        due.load_ = aNow + (busy ? kBusyLoadInterval : kIdleLoadInterval);
+      }
+      if (events) {
+        due.events_ = aNow + (busy ? kBusyEventsInterval : kIdleEventsInterval);
+      }
+    }
+    if (load) {
+      AskLoad(name, target.url_);
+    }
+    if (events && Feeds(name, target.dataCentre_)) {
+      AskEvents(name, target.url_, after);
+    }
+  }
+}
+
+void
+Poller::AskLoad(const std::string& aName, const std::string& aUrl)
+{
+  client_.Fetch(adapters::AskLoad(aUrl), [this, aName](net::Answer&& aAnswer) {
+    {
+      const absl::MutexLock lock(&mutex_);
+      due_[aName].loadPending_ = false;
+    }
+    reducer::TargetReported report;
+    report.target_ = aName;
+    const auto load = adapters::ReadLoad(aAnswer.body_);
+    report.reached_ = aAnswer.Ok() && load;
+    if (report.reached_) {
+      report.running_ = load->running_;
+      report.waiting_ = load->waiting_;
+      report.queuedPrefillTokens_ = load->queuedPrefillTokens_;
+      report.weightVersion_ = load->weightVersion_;
+      report.leaving_ = load->leaving_;
+      report.age_ = load->age_;
+    }
+    post_(std::move(report));
+  });
+}
+
+void
+Poller::AskEvents(const std::string& aName,
+                  const std::string& aUrl,
+                  std::uint64_t aAfter)
+{
+  {
+    const absl::MutexLock lock(&mutex_);
+    due_[aName].eventsPending_ = true;
+  }
+  client_.Fetch(adapters::AskEvents(aUrl, aAfter),
+                [this, aName](net::Answer&& aAnswer) {
+                  const auto events = adapters::ReadEvents(aAnswer.body_);
+                  {
+                    const absl::MutexLock lock(&mutex_);
+                    Due& due = due_[aName];
+                    due.eventsPending_ = false;
+                    if (!aAnswer.Ok() || !events) {
+                      return;
+                    }
+                    // An engine that was started again counts from the
+                    // beginning.
+                    due.sequence_ = events->lastSequence_;
+                  }
+                  post_(ToReport(aName, *events, false));
+                });
+}
+
+void
+Poller::FetchInventory(const std::string& aTarget)
+{
+  const SnapshotPtr snapshot = snapshots_.Get();
+  const auto found = snapshot->config_->targets_.find(aTarget);
+  if (found == snapshot->config_->targets_.end()) {
+    return;
+  }
+  client_.Fetch(adapters::AskCachedBlocks(found->second.url_),
+                [this, aTarget](net::Answer&& aAnswer) {
+                  const auto blocks = adapters::ReadCachedBlocks(aAnswer.body_);
+                  if (!aAnswer.Ok() || !blocks) {
+                    return;
+                  }
+                  {
+                    const absl::MutexLock lock(&mutex_);
+                    due_[aTarget].sequence_ = blocks->lastSequence_;
+                  }
+                  post_(ToReport(aTarget, *blocks, true));
+                });
+}
+
+void
+Poller::PollStores(const config::Config& aConfig, absl::Time aNow)
+{
+  for (const auto& [name, store] : aConfig.stores_) {
+    bool load = false;
+    bool inventory = false;
+    {
+      const absl::MutexLock lock(&mutex_);
+      Due& due = due_[name];
+      load = !due.loadPending_ && due.load_ <= aNow;
+      inventory = !due.eventsPending_ && due.events_ <= aNow;
+      if (load) {
+        due.loadPending_ = true;
+        due.load_ = aNow + kStoreLoadInterval;
+      }
+      if (inventory) {
+        due.events_ = aNow + kInventoryInterval;
+      }
+    }
+    if (load) {
+      AskStore(name, store.url_);
+    }
+    if (inventory && Feeds(name, store.dataCentre_)) {
+      {
+        const absl::MutexLock lock(&mutex_);
+        due_[name].eventsPending_ = true;
+      }
+      auto list = std::make_shared<reducer::StoreInventory>();
+      list->store_ = name;
+      AskPage(name, store.url_, "", std::move(list));
+    }
+  }
+}
+
+void
+Poller::AskStore(const std::string& aName, const std::string& aUrl)
+{
+  client_.Fetch(adapters::AskStoreLoad(aUrl),
+                [this, aName](net::Answer&& aAnswer) {
+                  {
+                    const absl::MutexLock lock(&mutex_);
+                    due_[aName].loadPending_ = false;
+                  }
+                  reducer::StoreReported report;
+                  report.store_ = aName;
+                  const auto load = adapters::ReadStoreLoad(aAnswer.body_);
+                  report.reached_ = aAnswer.Ok() && load;
+                  if (report.reached_) {
+                    report.memoryUsed_ = load->memoryUsed_;
+                    report.diskUsed_ = load->diskUsed_;
+                    report.linkBacklogBytes_ = load->linkBacklogBytes_;
+                  }
+                  post_(std::move(report));
+                });
+}
+
+void
+Poller::AskPage(const std::string& aName,
+                const std::string& aUrl,
+                const std::string& aAfter,
+                std::shared_ptr<reducer::StoreInventory> aInventory)
+{
+  client_.Fetch(
+    adapters::AskStorePage(aUrl, aAfter),
+    [this, aName, aUrl, inventory = std::move(aInventory)](
+      net::Answer&& aAnswer) {
+      const auto page = adapters::ReadStorePage(aAnswer.body_);
+      const bool ok = aAnswer.Ok() && page;
+      if (ok) {
+        for (const auto& block : page->blocks_) {
+          inventory->sightings_.push_back(
+            { block.key_,
+              block.root_,
+              true,
+              block.onDisk_ ? directory::Tier::Disk : directory::Tier::Memory,
+              block.generation_,
+              block.bytes_ });
+        }
+        if (page->more_ && !page->blocks_.empty()) {
+          AskPage(
+            aName, aUrl, core::ToHex(page->blocks_.back().key_), inventory);
+          return;
+        }
+        post_(std::move(*inventory));
+      }
+      const absl::MutexLock lock(&mutex_);
+      due_[aName].eventsPending_ = false;
+    });
+}
+
+} // namespace lycheeplank::entry
--- /dev/null
+++ b/src/entry/runner.cc
@@ -0,0 +1,437 @@
+#include "entry/runner.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+#include "entry/problem.h"
+
+namespace lycheeplank::entry {
+
+namespace {
+
+using reducer::AttemptResult;
+
+constexpr int kConflict = 409;
+// How often one attempt goes on with the stream of its own run.
+constexpr unsigned kMaxContinuations = 2;
+// Time without any data after which a stream counts as cut.
+constexpr absl::Duration kStreamIdleTimeout = absl::Seconds(30);
+// Unread data of a caller that is too slow, after which it is cut off.
+constexpr std::size_t kMaxBacklogBytes = 1UL << 20U;
+
+// What a target's refusal says of its weight version.
+std::string
+ServingVersion(const std::string& aBody)
+{
+  const auto body = nlohmann::json::parse(aBody, nullptr, false);
+  return body.is_object() && body.value("error", "") == "weight_version"
+           ? body.value("serving", "")
+           : "";
+}
+
+adapters::RunOrder
+MakeOrder(const reducer::Dispatch& aDispatch, const Ticket& aTicket)
+{
+  adapters::RunOrder order;
+  order.runId_ = absl::StrCat(aTicket.name_, "-", aDispatch.attempt_);
+  order.model_ = aTicket.serves_;
+  order.adapter_ = aTicket.adapter_;
+  order.weightVersion_ = aDispatch.weightVersion_;
+  order.cacheSalt_ = aTicket.workspace_;
+  order.maxTokens_ = aTicket.maxTokens_;
+  order.interactive_ = aTicket.interactive_;
+  order.importUrl_ = aDispatch.importUrl_;
+  for (std::size_t i = 0; i < aDispatch.importKeys_.size(); ++i) {
+    order.importBlocks_.push_back(
+      { aDispatch.importKeys_[i], aDispatch.importGenerations_[i] });
+  }
+  return order;
+}
+
+} // namespace
+
+// One attempt under way; used by one thread of the client at a time.
+struct Runner::Attempt
+{
+  reducer::Dispatch dispatch_;
+  TicketPtr ticket_;
+  std::string runId_;
+  Relay relay_;
+  int status_ = 0;
+  std::string errorBody_;
+  unsigned continuations_ = 0;
+  bool started_ = false;
+  bool firstTokenSeen_ = false;
+};
+
+Runner::Runner(net::Client& aClient,
+               Tickets& aTickets,
+               metrics::Registry& aMetrics,
+               std::string aSecret,
+               Post aPost)
+  : client_(aClient)
+  , tickets_(aTickets)
+  , metrics_(aMetrics)
+  , secret_(std::move(aSecret))
+  , post_(std::move(aPost))
+{
+}
+
+void
+Runner::OnOnceAnswer(
+  std::function<void(reducer::RequestId, net::Answer&&)> aCallback)
+{
+  onOnceAnswer_ = std::move(aCallback);
+}
+
+void
+Runner::Perform(const reducer::Dispatch& aDispatch)
+{
+  const TicketPtr ticket = tickets_.Find(aDispatch.id_);
+  if (!ticket) {
+    return;
+  }
+  {
+    const absl::MutexLock lock(&ticket->mutex_);
+    ticket->attempt_ = aDispatch.attempt_;
+    ticket->targetUrl_ = aDispatch.url_;
+    ticket->runId_ = absl::StrCat(ticket->name_, "-", aDispatch.attempt_);
+  }
+  if (ticket->call_.empty()) {
+    StartCompletion(aDispatch, ticket);
+  } else {
+    StartCall(aDispatch, ticket);
+  }
+}
+
+void
+Runner::StartCompletion(const reducer::Dispatch& aDispatch,
+                        const TicketPtr& aTicket)
+{
+  const adapters::RunOrder order = MakeOrder(aDispatch, *aTicket);
+  auto attempt = std::make_shared<Attempt>(
+    Attempt{ aDispatch,
+             aTicket,
+             order.runId_,
+             Relay({ aTicket->name_, aTicket->serves_, aTicket->stream_, 0 },
+                   aTicket->exchange_,
+                   resume::Signer(secret_,
+                                  { aTicket->workspace_,
+                                    aDispatch.target_,
+                                    order.runId_,
+                                    aTicket->name_ })) });
+  net::Call call = adapters::StartRun(aDispatch.url_, order, aTicket->prompt_);
+  call.timeout_ = absl::InfiniteDuration();
+  call.idleTimeout_ = kStreamIdleTimeout;
+  net::CallEvents events;
+  events.onStatus_ = [attempt](int aStatus) { attempt->status_ = aStatus; };
+  events.onData_ = [this, attempt](absl::string_view aData) {
+    OnData(attempt, aData);
+  };
+  events.onEnd_ = [this, attempt](const net::CallEnd& aEnd) {
+    OnEnd(attempt, aEnd);
+  };
+  const net::CallId id = client_.Start(std::move(call), std::move(events));
+  const absl::MutexLock lock(&aTicket->mutex_);
+  aTicket->callId_ = id;
+}
+
+void
+Runner::OnData(const std::shared_ptr<Attempt>& aAttempt,
+               absl::string_view aData)
+{
+  if (aAttempt->status_ != 200) {
+    aAttempt->errorBody_.append(aData.data(), aData.size());
+    return;
+  }
+  Ticket& ticket = *aAttempt->ticket_;
+  const absl::MutexLock lock(&ticket.mutex_);
+  if (ticket.attempt_ != aAttempt->dispatch_.attempt_) {
+    metrics_.Count("stale_attempt_data_total");
+    return;
+  }
+  const std::uint64_t before = aAttempt->relay_.NextIndex();
+  const auto started = aAttempt->relay_.Feed(aData);
+  ticket.answering_ = aAttempt->relay_.HasBegun();
+  if (started && !aAttempt->started_) {
+    aAttempt->started_ = true;
+    post_(reducer::AttemptStarted{ ticket.id_,
+                                   aAttempt->dispatch_.attempt_,
+                                   started->weightVersion_,
+                                   started->cachedBlocks_,
+                                   started->importedBlocks_ });
+  }
+  const std::uint64_t tokens = aAttempt->relay_.NextIndex() - before;
+  if (tokens > 0 && !aAttempt->firstTokenSeen_) {
+    aAttempt->firstTokenSeen_ = true;
+    metrics_.Observe("time_to_first_token_seconds",
+                     absl::Now() - ticket.arrived_);
+  }
+  if (ticket.exchange_->Backlog() > kMaxBacklogBytes) {
+    metrics_.Count("slow_callers_cut_total");
+    ticket.exchange_->Abort();
+  }
+}
+
+bool
+Runner::TryContinue(const std::shared_ptr<Attempt>& aAttempt)
+{
+  if (!aAttempt->started_ || aAttempt->continuations_ >= kMaxContinuations) {
+    return false;
+  }
+  Ticket& ticket = *aAttempt->ticket_;
+  const absl::MutexLock lock(&ticket.mutex_);
+  if (ticket.attempt_ != aAttempt->dispatch_.attempt_) {
+    return false;
+  }
+  ++aAttempt->continuations_;
+  metrics_.Count("stream_continuations_total");
+  aAttempt->relay_.Restart();
+  aAttempt->status_ = 0;
+  net::Call call = adapters::ResumeRun(
+    aAttempt->dispatch_.url_, aAttempt->runId_, aAttempt->relay_.NextIndex());
+  call.timeout_ = absl::InfiniteDuration();
+  call.idleTimeout_ = kStreamIdleTimeout;
+  net::CallEvents events;
+  events.onStatus_ = [aAttempt](int aStatus) { aAttempt->status_ = aStatus; };
+  events.onData_ = [this, aAttempt](absl::string_view aData) {
+    OnData(aAttempt, aData);
+  };
+  events.onEnd_ = [this, aAttempt](const net::CallEnd& aEnd) {
+    OnEnd(aAttempt, aEnd);
+  };
+  ticket.callId_ = client_.Start(std::move(call), std::move(events));
+  return true;
+}
+
+void
+Runner::OnEnd(const std::shared_ptr<Attempt>& aAttempt,
+              const net::CallEnd& aEnd)
+{
+  if (aAttempt->relay_.State() == RelayState::Finished) {
+    Conclude(aAttempt, AttemptResult::Whole, "", "");
+    return;
+  }
+  if (aEnd.status_ == 200 || (aAttempt->started_ && aEnd.status_ == 0)) {
+    if (TryContinue(aAttempt)) {
+      return;
+    }
+  }
+  const std::string detail =
+    aEnd.error_.empty() ? absl::StrCat("status ", aEnd.status_) : aEnd.error_;
+  if (aAttempt->relay_.HasBegun()) {
+    Conclude(aAttempt, AttemptResult::BrokenMidway, detail, "");
+  } else if (aAttempt->started_) {
+    Conclude(aAttempt, AttemptResult::Broken, detail, "");
+  } else if (aEnd.neverSent_) {
+    Conclude(aAttempt, AttemptResult::NeverSent, detail, "");
+  } else if (aEnd.whole_ && aEnd.status_ == kConflict) {
+    std::string version = ServingVersion(aAttempt->errorBody_);
+    const auto result =
+      version.empty() ? AttemptResult::Refused : AttemptResult::WrongVersion;
+    Conclude(aAttempt, result, detail, std::move(version));
+  } else if (aEnd.whole_ && aEnd.status_ != 200) {
+    Conclude(aAttempt, AttemptResult::Refused, detail, "");
+  } else {
+    Conclude(aAttempt, AttemptResult::Broken, detail, "");
+  }
+}
+
+void
+Runner::Conclude(const std::shared_ptr<Attempt>& aAttempt,
+                 AttemptResult aResult,
+                 std::string aDetail,
+                 std::string aVersion)
+{
+  Ticket& ticket = *aAttempt->ticket_;
+  reducer::AttemptEnded ended;
+  ended.id_ = ticket.id_;
+  ended.attempt_ = aAttempt->dispatch_.attempt_;
+  ended.result_ = aResult;
+  ended.detail_ = std::move(aDetail);
+  ended.weightVersion_ = std::move(aVersion);
+  ended.tokens_ = aAttempt->relay_.Tokens();
+  bool current = false;
+  {
+    const absl::MutexLock lock(&ticket.mutex_);
+    current = ticket.attempt_ == aAttempt->dispatch_.attempt_;
+    if (current && aResult == AttemptResult::Whole) {
+      ticket.attempt_ = 0;
+      aAttempt->relay_.SendEnd();
+    }
+  }
+  if (!current) {
+    metrics_.Count("stale_attempt_ends_total");
+    return;
+  }
+  if (aResult == AttemptResult::Whole) {
+    tickets_.Remove(ticket.id_);
+    metrics_.Count("completions_total");
+    metrics_.Count("tokens_relayed_total", static_cast<double>(ended.tokens_));
+  }
+  post_(std::move(ended));
+}
+
+void
+Runner::StartCall(const reducer::Dispatch& aDispatch, const TicketPtr& aTicket)
+{
+  net::Call call;
+  call.method_ = "POST";
+  call.url_ =
+    absl::StrCat(aDispatch.url_, "/v1/calls/", net::UrlEscape(aTicket->call_));
+  call.body_ = aTicket->body_;
+  call.headers_.push_back({ "Content-Type", aTicket->contentType_ });
+  call.headers_.push_back(
+    { "X-Attempt", absl::StrCat(aTicket->name_, "-", aDispatch.attempt_) });
+  if (!aTicket->idempotencyKey_.empty()) {
+    call.headers_.push_back({ "Idempotency-Key", aTicket->idempotencyKey_ });
+  }
+  call.freshConnection_ = aDispatch.once_;
+  call.timeout_ =
+    std::max(aDispatch.deadline_ - absl::Now(), absl::Milliseconds(1));
+  const auto onAnswer = [this, aDispatch, aTicket](net::Answer&& aAnswer) {
+    if (aDispatch.once_) {
+      onOnceAnswer_(aTicket->id_, std::move(aAnswer));
+      return;
+    }
+    reducer::AttemptEnded ended;
+    ended.id_ = aTicket->id_;
+    ended.attempt_ = aDispatch.attempt_;
+    ended.detail_ = aAnswer.end_.error_;
+    constexpr int kServerError = 500;
+    if (aAnswer.end_.whole_ && aAnswer.end_.status_ < kServerError) {
+      ended.result_ = AttemptResult::Whole;
+      AnswerCall(aTicket,
+                 aAnswer.end_.status_,
+                 std::string(net::Find(aAnswer.headers_, "Content-Type")),
+                 std::move(aAnswer.body_));
+    } else {
+      ended.result_ = aAnswer.end_.neverSent_ ? AttemptResult::NeverSent
+                                              : AttemptResult::Broken;
+    }
+    post_(std::move(ended));
+  };
+  const net::CallId id = client_.Fetch(std::move(call), onAnswer);
+  const absl::MutexLock lock(&aTicket->mutex_);
+  aTicket->callId_ = id;
+}
+
+void
+Runner::AnswerCall(const TicketPtr& aTicket,
+                   int aStatus,
+                   const std::string& aContentType,
+                   std::string aBody)
+{
+  if (!tickets_.Remove(aTicket->id_)) {
+    return;
+  }
+  metrics_.Count("service_calls_total");
+  metrics_.Observe("service_call_seconds", absl::Now() - aTicket->arrived_);
+  aTicket->exchange_->Reply(
+    aStatus,
+    { { "Content-Type",
+        aContentType.empty() ? "application/json" : aContentType },
+      { "X-Request-Id", aTicket->name_ } },
+    std::move(aBody));
+}
+
+void
+Runner::Perform(const reducer::Refuse& aRefuse)
+{
+  const TicketPtr ticket = tickets_.Find(aRefuse.id_);
+  if (!ticket || !tickets_.Remove(aRefuse.id_)) {
+    return;
+  }
+  metrics_.Count(
+    "refusals_total", "kind", core::TraitsOf(aRefuse.error_.kind_).name_);
+  const absl::MutexLock lock(&ticket->mutex_);
+  ticket->attempt_ = 0;
+  if (!ticket->answering_) {
+    ReplyProblem(*ticket->exchange_, aRefuse.error_, ticket->name_);
+    return;
+  }
+  ticket->exchange_->Write(net::FormatSse(
+    "",
+    absl::StrCat(
+      R"({"error":)", ProblemBody(aRefuse.error_, ticket->name_), "}")));
+  ticket->exchange_->End();
+}
+
+void
+Runner::Perform(const reducer::CancelAttempt& aCancel)
+{
+  const TicketPtr ticket = tickets_.Find(aCancel.id_);
+  if (!ticket) {
+    return;
+  }
+  std::string url;
+  std::string runId;
+  net::CallId call = 0;
+  {
+    const absl::MutexLock lock(&ticket->mutex_);
+    if (ticket->attempt_ != aCancel.attempt_) {
+      return;
+    }
+    ticket->attempt_ = 0;
+    url = ticket->targetUrl_;
+    runId = ticket->runId_;
+    call = ticket->callId_;
+  }
+  client_.Cancel(call);
+  if (ticket->call_.empty()) {
+    client_.Fetch(adapters::CancelRun(url, runId), [](net::Answer&&) {});
+  }
+}
+
+void
+Runner::Resume(std::shared_ptr<net::Exchange> aExchange,
+               const resume::Position& aPosition,
+               const std::string& aModel,
+               const std::string& aTargetUrl)
+{
+  struct Resumed
+  {
+    Relay relay_;
+    int status_ = 0;
+  };
+  auto resumed = std::make_shared<Resumed>(
+    Resumed{ Relay({ aPosition.requestId_, aModel, true, aPosition.index_ + 1 },
+                   aExchange,
+                   resume::Signer(secret_, aPosition)) });
+  metrics_.Count("stream_resumes_total");
+  net::Call call =
+    adapters::ResumeRun(aTargetUrl, aPosition.runId_, aPosition.index_ + 1);
+  call.timeout_ = absl::InfiniteDuration();
+  call.idleTimeout_ = kStreamIdleTimeout;
+  net::CallEvents events;
+  events.onStatus_ = [resumed](int aStatus) { resumed->status_ = aStatus; };
+  events.onData_ = [resumed](absl::string_view aData) {
+    if (resumed->status_ == 200) {
+      resumed->relay_.Feed(aData);
+    }
+  };
+  events.onEnd_ = [resumed, aExchange, aPosition](const net::CallEnd& aEnd) {
+    if (resumed->relay_.State() == RelayState::Finished) {
+      resumed->relay_.SendEnd();
+      return;
+    }
+    const core::Error error{
+      core::ErrorKind::UnknownRun,
+      absl::StrCat("target ",
+                   aPosition.target_,
+                   " can't go on with the run: ",
+                   aEnd.error_.empty() ? absl::StrCat("status ", aEnd.status_)
+                                       : aEnd.error_),
+      "",
+      core::RunState::Unknown
+    };
+    if (resumed->relay_.HasBegun()) {
+      resumed->relay_.SendError(error);
+    } else {
+      ReplyProblem(*aExchange, error, aPosition.requestId_);
+    }
+  };
+  client_.Start(std::move(call), std::move(events));
+}
+
+} // namespace lycheeplank::entry
--- /dev/null
+++ b/src/peer/convert.cc
@@ -0,0 +1,370 @@
+#include "peer/convert.h"
+
+#include <cstring>
+
+namespace lycheeplank::peer {
+
+namespace {
+
+struct VerdictRow
+{
+  claims::Verdict verdict_;
+  ClaimStatus status_;
+};
+
+constexpr std::array<VerdictRow, 7> kVerdictRows{ {
+  { claims::Verdict::Granted, CLAIM_STATUS_GRANTED },
+  { claims::Verdict::Done, CLAIM_STATUS_DONE },
+  { claims::Verdict::InProgress, CLAIM_STATUS_IN_PROGRESS },
+  { claims::Verdict::Unknown, CLAIM_STATUS_UNKNOWN },
+  { claims::Verdict::Mismatch, CLAIM_STATUS_MISMATCH },
+  { claims::Verdict::Expired, CLAIM_STATUS_EXPIRED },
+  { claims::Verdict::Unavailable, CLAIM_STATUS_UNAVAILABLE },
+} };
+
+struct OutcomeRow
+{
+  claims::AttemptOutcome outcome_;
+  OutcomeKind kind_;
+};
+
+constexpr std::array<OutcomeRow, 3> kOutcomeRows{ {
+  { claims::AttemptOutcome::Done, OUTCOME_KIND_DONE },
+  { claims::AttemptOutcome::Withdrawn, OUTCOME_KIND_WITHDRAWN },
+  { claims::AttemptOutcome::Unknown, OUTCOME_KIND_UNKNOWN },
+} };
+
+struct StatusRow
+{
+  membership::Status status_;
+  HostStatus wire_;
+};
+
+constexpr std::array<StatusRow, 4> kStatusRows{ {
+  { membership::Status::Alive, HOST_STATUS_ALIVE },
+  { membership::Status::Suspect, HOST_STATUS_SUSPECT },
+  { membership::Status::Leaving, HOST_STATUS_LEAVING },
+  { membership::Status::Dead, HOST_STATUS_DEAD },
+} };
+
+void
+HostToWire(const membership::HostState& aHost, HostState& aMessage)
+{
+  aMessage.set_name(aHost.name_);
+  aMessage.set_peer_address(aHost.peerAddress_);
+  aMessage.set_http_address(aHost.httpAddress_);
+  aMessage.set_data_centre(aHost.dataCentre_);
+  for (const auto& row : kStatusRows) {
+    if (row.status_ == aHost.status_) {
+      aMessage.set_status(row.wire_);
+    }
+  }
+  aMessage.set_incarnation(aHost.incarnation_);
+  aMessage.set_config_revision(aHost.configRevision_);
+  aMessage.set_load_permille(aHost.loadPermille_);
+}
+
+membership::HostState
+HostFromWire(const HostState& aMessage)
+{
+  membership::HostState host;
+  host.name_ = aMessage.name();
+  host.peerAddress_ = aMessage.peer_address();
+  host.httpAddress_ = aMessage.http_address();
+  host.dataCentre_ = aMessage.data_centre();
+  for (const auto& row : kStatusRows) {
+    if (row.wire_ == aMessage.status()) {
+      host.status_ = row.status_;
+    }
+  }
+  host.incarnation_ = aMessage.incarnation();
+  host.configRevision_ = aMessage.config_revision();
+  host.loadPermille_ = aMessage.load_permille();
+  return host;
+}
+
+// Request and reply of a probe differ in the name of one field only.
+template<typename Wire>
+void
+FillProbe(const membership::Message& aMessage, Wire& aWire)
+{
+  for (const auto& update : aMessage.updates_) {
+    HostToWire(update, *aWire.add_updates());
+  }
+  aWire.set_host_list_revision(aMessage.listRevision_);
+}
+
+template<typename Wire>
+membership::Message
+ReadProbe(const HostState& aSender, const Wire& aWire)
+{
+  membership::Message message;
+  message.sender_ = HostFromWire(aSender);
+  for (const auto& update : aWire.updates()) {
+    message.updates_.push_back(HostFromWire(update));
+  }
+  message.listRevision_ = aWire.host_list_revision();
+  return message;
+}
+
+} // namespace
+
+std::string
+KeyBytes(const core::BlockKey& aKey)
+{
+  std::string bytes(sizeof(aKey.high_) + sizeof(aKey.low_), '\0');
+  std::memcpy(bytes.data(), &aKey.high_, sizeof(aKey.high_));
+  std::memcpy(bytes.data() + sizeof(aKey.high_), &aKey.low_, sizeof(aKey.low_));
+  return bytes;
+}
+
+core::BlockKey
+KeyFromBytes(const std::string& aBytes)
+{
+  core::BlockKey key;
+  if (aBytes.size() == sizeof(key.high_) + sizeof(key.low_)) {
+    std::memcpy(&key.high_, aBytes.data(), sizeof(key.high_));
+    std::memcpy(&key.low_, aBytes.data() + sizeof(key.high_), sizeof(key.low_));
+  }
+  return key;
+}
+
+ClaimRequest
+ToWire(const claims::Ask& aAsk)
+{
+  ClaimRequest message;
+  message.set_workspace(aAsk.workspace_);
+  message.set_idempotency_key(aAsk.key_);
+  message.set_attempt(aAsk.attempt_);
+  message.set_holder(aAsk.holder_);
+  message.set_request_digest(aAsk.requestDigest_);
+  return message;
+}
+
+claims::Ask
+FromWire(const ClaimRequest& aMessage)
+{
+  claims::Ask ask;
+  ask.workspace_ = aMessage.workspace();
+  ask.key_ = aMessage.idempotency_key();
+  ask.attempt_ = aMessage.attempt();
+  ask.holder_ = aMessage.holder();
+  ask.requestDigest_ = aMessage.request_digest();
+  return ask;
+}
+
+ClaimReply
+ToWire(const claims::Answered& aAnswer)
+{
+  ClaimReply message;
+  for (const auto& row : kVerdictRows) {
+    if (row.verdict_ == aAnswer.verdict_) {
+      message.set_status(row.status_);
+    }
+  }
+  message.set_answer_status(aAnswer.answer_.status_);
+  message.set_answer_content_type(aAnswer.answer_.contentType_);
+  message.set_answer(aAnswer.answer_.body_);
+  message.set_retry_after_ms(absl::ToInt64Milliseconds(aAnswer.retryAfter_));
+  return message;
+}
+
+claims::Answered
+FromWire(const ClaimReply& aMessage)
+{
+  claims::Answered answer;
+  for (const auto& row : kVerdictRows) {
+    if (row.status_ == aMessage.status()) {
+      answer.verdict_ = row.verdict_;
+    }
+  }
+  answer.answer_ = { aMessage.answer_status(),
+                     aMessage.answer_content_type(),
+                     aMessage.answer() };
+  answer.retryAfter_ = absl::Milliseconds(aMessage.retry_after_ms());
+  return answer;
+}
+
+OutcomeRequest
+ToWire(const claims::Report& aReport)
+{
+  OutcomeRequest message;
+  message.set_workspace(aReport.workspace_);
+  message.set_idempotency_key(aReport.key_);
+  message.set_attempt(aReport.attempt_);
+  for (const auto& row : kOutcomeRows) {
+    if (row.outcome_ == aReport.outcome_) {
+      message.set_kind(row.kind_);
+    }
+  }
+  message.set_answer_status(aReport.answer_.status_);
+  message.set_answer_content_type(aReport.answer_.contentType_);
+  message.set_answer(aReport.answer_.body_);
+  return message;
+}
+
+claims::Report
+FromWire(const OutcomeRequest& aMessage)
+{
+  claims::Report report;
+  report.workspace_ = aMessage.workspace();
+  report.key_ = aMessage.idempotency_key();
+  report.attempt_ = aMessage.attempt();
+  for (const auto& row : kOutcomeRows) {
+    if (row.kind_ == aMessage.kind()) {
+      report.outcome_ = row.outcome_;
+    }
+  }
+  report.answer_ = { aMessage.answer_status(),
+                     aMessage.answer_content_type(),
+                     aMessage.answer() };
+  return report;
+}
+
+ClaimRunningRequest
+ToWire(const claims::Running& aRunning)
+{
+  ClaimRunningRequest message;
+  message.set_workspace(aRunning.workspace_);
+  message.set_idempotency_key(aRunning.key_);
+  message.set_attempt(aRunning.attempt_);
+  return message;
+}
+
+claims::Running
+FromWire(const ClaimRunningRequest& aMessage)
+{
+  return { aMessage.workspace(),
+           aMessage.idempotency_key(),
+           aMessage.attempt(),
+           absl::InfinitePast() };
+}
+
+LocateReply
+ToWire(const std::vector<directory::Holder>& aHolders)
+{
+  LocateReply message;
+  for (const auto& holder : aHolders) {
+    Holder& item = *message.add_holders();
+    item.set_name(holder.id_.name_);
+    item.set_is_store(holder.id_.kind_ == directory::HolderKind::Store);
+    item.set_on_disk(holder.onDisk_);
+    item.set_leading_blocks(holder.leadingBlocks_);
+    item.set_blocks_after_gap(holder.blocksAfterGap_);
+    for (const auto generation : holder.generations_) {
+      item.add_generations(generation);
+    }
+  }
+  return message;
+}
+
+std::vector<directory::Holder>
+FromWire(const LocateReply& aMessage)
+{
+  std::vector<directory::Holder> holders;
+  for (const auto& item : aMessage.holders()) {
+    directory::Holder holder;
+    holder.id_ = { item.name(),
+                   item.is_store() ? directory::HolderKind::Store
+                                   : directory::HolderKind::Engine };
+    holder.onDisk_ = item.on_disk();
+    holder.leadingBlocks_ = item.leading_blocks();
+    holder.blocksAfterGap_ = item.blocks_after_gap();
+    holder.generations_.assign(item.generations().begin(),
+                               item.generations().end());
+    holders.push_back(std::move(holder));
+  }
+  return holders;
+}
+
+ReportBlocksRequest
+ToWire(const directory::HolderId& aHolder,
+       const std::vector<directory::Sighting>& aSightings,
+       bool aInventory)
+{
+  ReportBlocksRequest message;
+  message.set_holder(aHolder.name_);
+  message.set_is_store(aHolder.kind_ == directory::HolderKind::Store);
+  message.set_inventory(aInventory);
+  for (const auto& sighting : aSightings) {
+    BlockSighting& item = *message.add_sightings();
+    item.set_block(KeyBytes(sighting.block_));
+    item.set_root(KeyBytes(sighting.root_));
+    item.set_present(sighting.present_);
+    item.set_on_disk(sighting.tier_ == directory::Tier::Disk);
+    item.set_generation(sighting.generation_);
+    item.set_bytes(sighting.bytes_);
+  }
+  return message;
+}
+
+directory::HolderId
+HolderFromWire(const ReportBlocksRequest& aMessage)
+{
+  return { aMessage.holder(),
+           aMessage.is_store() ? directory::HolderKind::Store
+                               : directory::HolderKind::Engine };
+}
+
+std::vector<directory::Sighting>
+SightingsFromWire(const ReportBlocksRequest& aMessage)
+{
+  std::vector<directory::Sighting> sightings;
+  sightings.reserve(static_cast<std::size_t>(aMessage.sightings_size()));
+  for (const auto& item : aMessage.sightings()) {
+    sightings.push_back(
+      { KeyFromBytes(item.block()),
+        KeyFromBytes(item.root()),
+        item.present(),
+        item.on_disk() ? directory::Tier::Disk : directory::Tier::Memory,
+        item.generation(),
+        item.bytes() });
+  }
+  return sightings;
+}
+
+FetchChunksReply
+ToWire(const config::Served& aServed)
+{
+  FetchChunksReply message;
+  message.set_revision(aServed.revision_);
+  message.set_head(aServed.head_);
+  for (const auto& chunk : aServed.chunks_) {
+    Chunk& item = *message.add_chunks();
+    item.set_digest(chunk.digest_);
+    item.set_content(chunk.content_);
+  }
+  return message;
+}
+
+ProbeRequest
+ProbeToWire(const membership::Message& aMessage)
+{
+  ProbeRequest wire;
+  HostToWire(aMessage.sender_, *wire.mutable_sender());
+  FillProbe(aMessage, wire);
+  return wire;
+}
+
+ProbeReply
+ProbeReplyToWire(const membership::Message& aMessage)
+{
+  ProbeReply wire;
+  HostToWire(aMessage.sender_, *wire.mutable_receiver());
+  FillProbe(aMessage, wire);
+  return wire;
+}
+
+membership::Message
+FromWire(const ProbeRequest& aMessage)
+{
+  return ReadProbe(aMessage.sender(), aMessage);
+}
+
+membership::Message
+FromWire(const ProbeReply& aMessage)
+{
+  return ReadProbe(aMessage.receiver(), aMessage);
+}
+
+} // namespace lycheeplank::peer
--- /dev/null
+++ b/src/reducer/hosts.cc
@@ -0,0 +1,168 @@
+#include "reducer/parts.h"
+
+#include <algorithm>
+
+namespace lycheeplank::reducer::detail {
+
+namespace {
+
+// Hosts that read the configuration from the platform; the others hear of it
+// from them.
+constexpr std::size_t kConfigPollers = 3;
+
+std::vector<std::string>
+NamesOf(const std::vector<membership::HostState>& aHosts)
+{
+  std::vector<std::string> names;
+  names.reserve(aHosts.size());
+  for (const auto& host : aHosts) {
+    names.push_back(host.name_);
+  }
+  return names;
+}
+
+// Moves the homes of prompts to the hosts that live now.
+void
+MoveHomes(Context& aContext, std::vector<std::string> aNames)
+{
+  State& state = aContext.state_;
+  const directory::HostSet after = directory::MakeHostSet(std::move(aNames));
+  const directory::HomeChange change = directory::PlanHomeChange(
+    state.directory_, state.self_.name_, state.hosts_, after);
+  state.hosts_ = after;
+  for (const auto& handOver : change.handOvers_) {
+    aContext.effects_.emplace_back(SendSightings{
+      handOver.host_, handOver.holder_, false, handOver.sightings_ });
+  }
+  directory::Forget(state.directory_, change.forget_);
+  if (change.rebuild_) {
+    for (auto& [name, target] : state.targets_) {
+      target.cursor_ = {};
+    }
+  }
+}
+
+// Tells the configuration which hosts poll for it.
+void
+ChoosePollers(Context& aContext,
+              const std::vector<membership::HostState>& aLive)
+{
+  config::PollersChanged change;
+  for (const auto& name :
+       core::RendezvousPick("config-pollers", NamesOf(aLive), kConfigPollers)) {
+    if (name == aContext.state_.self_.name_) {
+      change.self_ = true;
+      continue;
+    }
+    for (const auto& host : aLive) {
+      if (host.name_ == name) {
+        change.others_.push_back({ name, host.peerAddress_ });
+      }
+    }
+  }
+  StepConfig(aContext, std::move(change));
+}
+
+// Acts on a change of the live hosts.
+void
+FollowLiveHosts(Context& aContext)
+{
+  State& state = aContext.state_;
+  const auto live = membership::LiveHosts(state.members_);
+  std::vector<placement::Follower> followers;
+  for (const auto& host : live) {
+    followers.push_back({ host.name_, host.dataCentre_ });
+  }
+  const auto same = [](const placement::Follower& aLeft,
+                       const placement::Follower& aRight) {
+    return aLeft.name_ == aRight.name_;
+  };
+  if (std::equal(followers.begin(),
+                 followers.end(),
+                 state.live_.begin(),
+                 state.live_.end(),
+                 same)) {
+    return;
+  }
+  state.live_ = std::move(followers);
+  MoveHomes(aContext, NamesOf(live));
+  ChoosePollers(aContext, live);
+  for (auto& [key, pool] : state.pools_) {
+    UpdateSlots(aContext, pool);
+  }
+  aContext.effects_.emplace_back(PublishHosts{ live });
+}
+
+// Tells the traffic threads when this host begins or ceases to serve.
+void
+FollowServing(Context& aContext)
+{
+  State& state = aContext.state_;
+  PublishServing now;
+  now.isolated_ = !membership::MayServe(state.members_, aContext.now_);
+  now.drainedAfter_ = membership::DrainedAfter(state.members_);
+  now.draining_ = now.drainedAfter_ != absl::InfiniteFuture();
+  const PublishServing& before = state.serving_;
+  if (now.isolated_ == before.isolated_ && now.draining_ == before.draining_ &&
+      now.drainedAfter_ == before.drainedAfter_) {
+    return;
+  }
+  state.serving_ = now;
+  aContext.effects_.emplace_back(now);
+}
+
+// Carries the effects of the membership module on.
+struct Carrier
+{
+  Context& context_;
+
+  void operator()(const membership::ReadHostList&)
+  {
+    platform::Command command;
+    command.operation_ = platform::Operation::ListHosts;
+    context_.effects_.emplace_back(
+      SendCommand{ Module::Membership, std::move(command) });
+  }
+  void operator()(const membership::ConfigHeard& aEffect)
+  {
+    StepConfig(context_,
+               config::PeerSeen{ { aEffect.peerAddress_, aEffect.peerAddress_ },
+                                 aEffect.revision_ });
+  }
+  void operator()(const membership::DrainAsked&)
+  {
+    StepMembership(context_, membership::DrainStarted{});
+  }
+  void operator()(const membership::TargetChanged& aEffect)
+  {
+    const auto found = context_.state_.targets_.find(aEffect.name_);
+    if (found != context_.state_.targets_.end()) {
+      found->second.leavingListed_ = aEffect.leaving_;
+    }
+  }
+  void operator()(const membership::Log& aEffect)
+  {
+    context_.effects_.emplace_back(LogLine{ aEffect.line_ });
+  }
+  template<typename Other>
+  void operator()(const Other& aEffect)
+  {
+    context_.effects_.emplace_back(aEffect);
+  }
+};
+
+} // namespace
+
+void
+StepMembership(Context& aContext, decltype(membership::Event::body_) aBody)
+{
+  State& state = aContext.state_;
+  const membership::Event event{ aContext.now_, std::move(aBody) };
+  for (const auto& effect : membership::Step(state.members_, event)) {
+    absl::visit(Carrier{ aContext }, effect);
+  }
+  FollowLiveHosts(aContext);
+  FollowServing(aContext);
+}
+
+} // namespace lycheeplank::reducer::detail
--- /dev/null
+++ b/src/reducer/parts.h
@@ -0,0 +1,134 @@
+#ifndef LYCHEEPLANK_REDUCER_PARTS_H
+#define LYCHEEPLANK_REDUCER_PARTS_H
+
+#include "lycheeplank/reducer.h"
+
+// Parts of the reducer, one file each.
+namespace lycheeplank::reducer::detail {
+
+// State, time and effects of one step.
+struct Context
+{
+  State& state_;
+  absl::Time now_;
+  std::uint64_t random_ = 0;
+  std::vector<Effect>& effects_;
+  // Pools with free slots; their requests start at the end of the step.
+  std::vector<Pool*> toPump_;
+};
+
+// requests.cc: the way of a request from arrival to its end.
+void
+OnArrived(Context& aContext, const NewRequest& aRequest);
+void
+OnCallerGone(Context& aContext, RequestId aId);
+void
+OnAttemptStarted(Context& aContext, const AttemptStarted& aEvent);
+void
+OnAttemptEnded(Context& aContext, const AttemptEnded& aEvent);
+void
+OnLocated(Context& aContext, const Located& aEvent);
+// Starts waiting requests of all pools that were marked.
+void
+PumpMarked(Context& aContext);
+// Answers waiting and running requests whose time is over.
+void
+ExpireRequests(Context& aContext);
+// Drops a request that has its final answer; its slot becomes free.
+void
+EndRequest(Context& aContext, RequestId aId);
+// Ends a request with an error.
+void
+Refuse(Context& aContext, RequestId aId, core::Error aError);
+
+// routing.cc: which target an attempt goes to.
+// Picks the weight version of a new attempt; empty if no target serves one.
+std::string
+ChooseVersion(const State& aState, const RequestState& aRequest);
+// Names of a pool's targets that may get an attempt of the request now.
+std::vector<std::string>
+UsableTargets(const Context& aContext,
+              const Pool& aPool,
+              const RequestState& aRequest);
+// Chooses the target and sends the attempt, or refuses the request.
+void
+Place(Context& aContext,
+      RequestState& aRequest,
+      const std::vector<directory::Holder>& aHolders);
+
+// targets.cc: what is known of targets, stores and hosts.
+void
+OnTargetReported(Context& aContext, const TargetReported& aEvent);
+void
+OnCacheReported(Context& aContext, const CacheReported& aEvent);
+void
+OnStoreReported(Context& aContext, const StoreReported& aEvent);
+void
+OnStoreInventory(Context& aContext, const StoreInventory& aEvent);
+void
+OnConfigInForce(Context& aContext, const ConfigInForce& aEvent);
+// Tells the homes of blocks what was seen at a holder.
+void
+SpreadSightings(Context& aContext,
+                const directory::HolderId& aHolder,
+                const std::vector<directory::Sighting>& aSightings,
+                bool aInventory);
+// Sets how many runs a pool may have at once.
+void
+UpdateSlots(Context& aContext, Pool& aPool);
+
+// calls.cc: calls that must not run twice.
+// Asks for the claim of a call that has a slot.
+void
+AskForClaim(Context& aContext, RequestState& aRequest);
+// Gives up a call whose claim was asked for and that was never sent.
+void
+WithdrawCall(Context& aContext, RequestState& aRequest, core::Error aError);
+// Ends a call that was sent and whose answer did not come in time.
+void
+GiveUpSentCall(Context& aContext, RequestState& aRequest, core::Error aError);
+void
+OnOnceAnswered(Context& aContext, const OnceAnswered& aEvent);
+void
+OnClaimAnswered(Context& aContext, const ClaimAnswered& aEvent);
+void
+OnReportAnswered(Context& aContext, const ReportAnswered& aEvent);
+void
+OnPeerAsksClaim(Context& aContext, const PeerAsksClaim& aEvent);
+void
+OnPeerReportsOutcome(Context& aContext, const PeerReportsOutcome& aEvent);
+// Runs the claims module and carries its effects on.
+void
+StepClaims(Context& aContext, const claims::Event& aEvent);
+// Tells the homes of claims which calls still run.
+void
+SayWhatRuns(Context& aContext);
+
+// hosts.cc: the other entry hosts.
+void
+StepMembership(Context& aContext, decltype(membership::Event::body_) aBody);
+
+// sync.cc: the configuration that is in force.
+void
+StepConfig(Context& aContext, config::EventBody aBody);
+
+// Returns the pool of a request; it has to exist.
+Pool&
+PoolOf(State& aState, const NewRequest& aRequest);
+
+// Adds an effect that raises a counter.
+void
+AddCount(Context& aContext,
+         absl::string_view aName,
+         absl::string_view aLabel,
+         absl::string_view aValue);
+// Adds an effect that notes a decision about a request.
+void
+AddNote(Context& aContext,
+        const NewRequest& aRequest,
+        absl::string_view aWhat,
+        std::string aDetail);
+
+} // namespace lycheeplank::reducer::detail
+
+#endif
--- /dev/null
+++ b/src/reducer/requests.cc
@@ -0,0 +1,517 @@
+#include "reducer/parts.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <glog/logging.h>
+
+namespace lycheeplank::reducer::detail {
+
+namespace {
+
+// Weight of the newest value in moving averages.
+constexpr double kSmoothing = 0.1;
+// Suggested wait where nothing better is known.
+constexpr absl::Duration kDefaultRetryAfter = absl::Seconds(1);
+
+double
+Smooth(double aAverage, double aValue)
+{
+  return aAverage + kSmoothing * (aValue - aAverage);
+}
+
+// Returns the estimated time that a request holds a slot.
+absl::Duration
+EstimateCost(const Pool& aPool, const NewRequest& aRequest)
+{
+  if (aRequest.kind_ == RequestKind::ServiceCall) {
+    return absl::Seconds(aPool.secondsPerRun_);
+  }
+  // A run seldom uses all the tokens that it is allowed, so the cost is that
+  // of an average run where that is less.
+  const double longest = aPool.secondsPerToken_ * aRequest.maxTokens_;
+  return absl::Seconds(std::min(longest, aPool.secondsPerRun_));
+}
+
+admission::Request
+ToAdmit(const Pool& aPool, const NewRequest& aRequest)
+{
+  admission::Request request;
+  request.id_ = aRequest.id_;
+  request.workspace_ = aRequest.workspace_;
+  request.priority_ = aRequest.priority_;
+  request.deadline_ = aRequest.deadline_;
+  request.cost_ = EstimateCost(aPool, aRequest);
+  return request;
+}
+
+core::Error
+RefusalError(admission::Refusal aRefusal, absl::Duration aRetryAfter)
+{
+  return { admission::ErrorKindOf(aRefusal),
+           absl::StrCat("the request was not started: ",
+                        core::NameOf(admission::kRefusals, aRefusal)),
+           "",
+           core::RunState::No,
+           std::max(aRetryAfter, absl::Milliseconds(1)) };
+}
+
+// Takes the attempt off the books of its target.
+void
+ForgetAttempt(Context& aContext, RequestState& aRequest)
+{
+  aContext.state_.deadlines_.erase(
+    { aRequest.request_.deadline_, aRequest.request_.id_ });
+  const auto target = aContext.state_.targets_.find(aRequest.target_);
+  if (target == aContext.state_.targets_.end()) {
+    return;
+  }
+  auto& own = target->second.own_;
+  own.erase(std::remove_if(own.begin(),
+                           own.end(),
+                           [&](const SentWork& aWork) {
+                             return aWork.id_ == aRequest.request_.id_;
+                           }),
+            own.end());
+}
+
+// Gives a request that has a slot its next attempt.
+void
+StartAttempt(Context& aContext, RequestState& aRequest)
+{
+  ++aRequest.attempt_;
+  aRequest.import_.reset();
+  aRequest.started_ = absl::InfiniteFuture();
+  if (!aRequest.request_.repeatable_) {
+    AskForClaim(aContext, aRequest);
+    return;
+  }
+  if (aRequest.request_.kind_ == RequestKind::ServiceCall) {
+    Place(aContext, aRequest, {});
+    return;
+  }
+  State& state = aContext.state_;
+  if (state.config_->models_.count(aRequest.request_.serves_) == 0) {
+    Refuse(aContext,
+           aRequest.request_.id_,
+           { core::ErrorKind::UnknownModel,
+             absl::StrCat("model ",
+                          aRequest.request_.serves_,
+                          " was removed while the request waited") });
+    return;
+  }
+  aRequest.weightVersion_ = ChooseVersion(state, aRequest);
+  aRequest.chain_ = core::ChainBlocks({ aRequest.request_.workspace_,
+                                        aRequest.request_.serves_,
+                                        aRequest.weightVersion_,
+                                        aRequest.request_.adapter_ },
+                                      aRequest.request_.contents_);
+  if (aRequest.chain_.empty()) {
+    Place(aContext, aRequest, {});
+    return;
+  }
+  const auto homes = directory::Homes(aRequest.chain_[0], state.hosts_);
+  const bool atHome =
+    homes.empty() ||
+    std::find(homes.begin(), homes.end(), state.self_.name_) != homes.end();
+  if (atHome) {
+    Place(
+      aContext, aRequest, directory::Locate(state.directory_, aRequest.chain_));
+    return;
+  }
+  aRequest.phase_ = Phase::Locating;
+  aContext.effects_.emplace_back(AskHomes{
+    aRequest.request_.id_, aRequest.attempt_, homes, aRequest.chain_ });
+}
+
+// Moves a request from the queue to its first attempt.
+void
+StartRequest(Context& aContext, const admission::Request& aAdmitted)
+{
+  const auto found = aContext.state_.requests_.find(aAdmitted.id_);
+  CHECK(found != aContext.state_.requests_.end())
+    << "request " << aAdmitted.id_ << " waits but is not known";
+  RequestState& request = found->second;
+  request.phase_ = Phase::Running;
+  aContext.state_.deadlines_.insert(
+    { request.request_.deadline_, aAdmitted.id_ });
+  StartAttempt(aContext, request);
+}
+
+admission::RetryReason
+ReasonOf(AttemptResult aResult)
+{
+  switch (aResult) {
+    case AttemptResult::NeverSent:
+      return admission::RetryReason::ConnectFailed;
+    case AttemptResult::Refused:
+      return admission::RetryReason::TargetRefused;
+    case AttemptResult::WrongVersion:
+      return admission::RetryReason::WrongVersion;
+    default:
+      return admission::RetryReason::TargetError;
+  }
+}
+
+// Tells whether the request can't have run in a failed attempt.
+bool
+CannotHaveRun(AttemptResult aResult)
+{
+  return aResult == AttemptResult::NeverSent ||
+         aResult == AttemptResult::Refused ||
+         aResult == AttemptResult::WrongVersion;
+}
+
+core::Error
+FailureError(const RequestState& aRequest, const AttemptEnded& aEvent)
+{
+  const bool notRun = CannotHaveRun(aEvent.result_) && aRequest.attempt_ == 1;
+  return { core::ErrorKind::TargetFailed,
+           absl::StrCat("target ",
+                        aRequest.target_,
+                        ": ",
+                        core::NameOf(kAttemptResults, aEvent.result_),
+                        aEvent.detail_.empty() ? "" : ", ",
+                        aEvent.detail_),
+           "",
+           notRun ? core::RunState::No : core::RunState::Unknown,
+           kDefaultRetryAfter };
+}
+
+// Tries a failed attempt again if that is safe and the budgets allow it.
+bool
+Retry(Context& aContext, RequestState& aRequest, const AttemptEnded& aEvent)
+{
+  const bool safe = aRequest.request_.repeatable_ &&
+                    aEvent.result_ != AttemptResult::BrokenMidway;
+  if (!safe) {
+    return false;
+  }
+  Pool& pool = PoolOf(aContext.state_, aRequest.request_);
+  const admission::RetryReason reason = ReasonOf(aEvent.result_);
+  const admission::RetryVerdict verdict =
+    admission::TakeRetry(pool.admission_,
+                         { aRequest.request_.workspace_,
+                           reason,
+                           aRequest.attempt_,
+                           aRequest.request_.deadline_,
+                           EstimateCost(pool, aRequest.request_) },
+                         aContext.state_.config_->limits_,
+                         aContext.now_);
+  AddCount(aContext,
+           "retry_verdicts_total",
+           "verdict",
+           core::NameOf(admission::kRetryVerdicts, verdict));
+  if (verdict != admission::RetryVerdict::Allowed) {
+    return false;
+  }
+  AddCount(aContext,
+           "retries_total",
+           "reason",
+           core::NameOf(admission::kRetryReasons, reason));
+  ForgetAttempt(aContext, aRequest);
+  aContext.state_.deadlines_.insert(
+    { aRequest.request_.deadline_, aRequest.request_.id_ });
+  aRequest.triedTargets_.push_back(aRequest.target_);
+  StartAttempt(aContext, aRequest);
+  return true;
+}
+
+// Learns from a whole answer.
+void
+CountWhole(Context& aContext,
+           RequestState& aRequest,
+           const AttemptEnded& aEvent)
+{
+  Pool& pool = PoolOf(aContext.state_, aRequest.request_);
+  admission::CountAnswer(pool.health_, aRequest.target_, aContext.now_);
+  admission::CountSuccess(pool.admission_,
+                          aRequest.request_.workspace_,
+                          aContext.state_.config_->limits_,
+                          aContext.now_);
+  const double seconds = absl::ToDoubleSeconds(aContext.now_ - aRequest.sent_);
+  pool.secondsPerRun_ = Smooth(pool.secondsPerRun_, seconds);
+  if (aEvent.tokens_ > 1 && aRequest.started_ < aContext.now_) {
+    const double decode =
+      absl::ToDoubleSeconds(aContext.now_ - aRequest.started_);
+    pool.secondsPerToken_ = Smooth(
+      pool.secondsPerToken_, decode / static_cast<double>(aEvent.tokens_));
+  }
+  if (!aRequest.chain_.empty()) {
+    aContext.effects_.emplace_back(ReportRun{ aRequest.request_.workspace_,
+                                              aRequest.request_.serves_,
+                                              aRequest.weightVersion_,
+                                              aRequest.target_,
+                                              aRequest.chain_,
+                                              aRequest.cachedBlocks_ });
+  }
+}
+
+// Corrects the directory by what a run found.
+void
+CorrectDirectory(Context& aContext,
+                 const RequestState& aRequest,
+                 const AttemptStarted& aEvent)
+{
+  const directory::HolderId engine{ aRequest.target_,
+                                    directory::HolderKind::Engine };
+  directory::CorrectByRun(
+    aContext.state_.directory_, engine, aRequest.chain_, aEvent.cachedBlocks_);
+  if (const auto& import = aRequest.import_; import) {
+    directory::CorrectByImport(aContext.state_.directory_,
+                               { import->store_, directory::HolderKind::Store },
+                               aRequest.chain_,
+                               import->firstBlock_,
+                               import->generations_,
+                               aEvent.importedBlocks_);
+  }
+  // The engine will hold the whole prompt once it is computed.
+  std::vector<directory::Sighting> sightings;
+  for (const auto& block : aRequest.chain_) {
+    sightings.push_back({ block, aRequest.chain_[0] });
+  }
+  SpreadSightings(aContext, engine, sightings, false);
+}
+
+// Ends a request whose deadline has passed after it had got a slot.
+void
+ExpireRunning(Context& aContext, RequestState& aRequest)
+{
+  const bool sent = aRequest.phase_ == Phase::Running;
+  core::Error error{ core::ErrorKind::DeadlineExceeded,
+                     "the deadline passed before the answer was complete",
+                     "",
+                     sent || aRequest.attempt_ > 1 ? core::RunState::Unknown
+                                                   : core::RunState::No,
+                     kDefaultRetryAfter };
+  if (aRequest.phase_ == Phase::Recording) {
+    return;
+  }
+  if (sent) {
+    aContext.effects_.emplace_back(
+      CancelAttempt{ aRequest.request_.id_, aRequest.attempt_ });
+  }
+  if (aRequest.request_.repeatable_) {
+    Refuse(aContext, aRequest.request_.id_, std::move(error));
+  } else if (sent) {
+    GiveUpSentCall(aContext, aRequest, std::move(error));
+  } else {
+    WithdrawCall(aContext, aRequest, std::move(error));
+  }
+}
+
+} // namespace
+
+void
+EndRequest(Context& aContext, RequestId aId)
+{
+  aContext.state_.claimed_.erase(aId);
+  auto node = aContext.state_.requests_.extract(aId);
+  if (node.empty()) {
+    return;
+  }
+  RequestState& request = node.mapped();
+  Pool& pool = PoolOf(aContext.state_, request.request_);
+  if (request.phase_ == Phase::Waiting) {
+    admission::Withdraw(pool.admission_, aId);
+  } else {
+    ForgetAttempt(aContext, request);
+    admission::Finished(pool.admission_, aId, aContext.now_);
+  }
+  UpdateSlots(aContext, pool);
+  aContext.toPump_.push_back(&pool);
+}
+
+void
+OnArrived(Context& aContext, const NewRequest& aRequest)
+{
+  State& state = aContext.state_;
+  const auto found = state.pools_.find({ aRequest.kind_, aRequest.serves_ });
+  RequestState& request = state.requests_[aRequest.id_];
+  request.request_ = aRequest;
+  request.arrived_ = aContext.now_;
+  if (found == state.pools_.end() || found->second.targets_.empty()) {
+    state.requests_.erase(aRequest.id_);
+    aContext.effects_.emplace_back(
+      reducer::Refuse{ aRequest.id_,
+                       { core::ErrorKind::NoTarget,
+                         absl::StrCat("no target serves ", aRequest.serves_),
+                         "",
+                         core::RunState::No,
+                         kDefaultRetryAfter } });
+    return;
+  }
+  Pool& pool = found->second;
+  request.admitted_ = ToAdmit(pool, aRequest);
+  const auto workspace = state.config_->workspaces_.find(aRequest.workspace_);
+  const auto hosts =
+    static_cast<std::uint32_t>(std::max<std::size_t>(1, state.live_.size()));
+  const admission::Quota quota =
+    workspace == state.config_->workspaces_.end()
+      ? admission::Quota{}
+      : admission::QuotaOf(workspace->second, hosts);
+  const admission::Decision decision =
+    admission::Admit(pool.admission_, request.admitted_, quota, aContext.now_);
+  if (decision.verdict_ == admission::Verdict::Refused) {
+    state.requests_.erase(aRequest.id_);
+    AddCount(aContext,
+             "admission_refusals_total",
+             "reason",
+             core::NameOf(admission::kRefusals, decision.refusal_));
+    aContext.effects_.emplace_back(reducer::Refuse{
+      aRequest.id_, RefusalError(decision.refusal_, decision.retryAfter_) });
+    return;
+  }
+  aContext.toPump_.push_back(&pool);
+}
+
+void
+PumpMarked(Context& aContext)
+{
+  while (!aContext.toPump_.empty()) {
+    Pool& pool = *aContext.toPump_.back();
+    aContext.toPump_.pop_back();
+    while (const auto next = admission::Next(pool.admission_, aContext.now_)) {
+      StartRequest(aContext, *next);
+      UpdateSlots(aContext, pool);
+    }
+  }
+}
+
+void
+OnCallerGone(Context& aContext, RequestId aId)
+{
+  const auto found = aContext.state_.requests_.find(aId);
+  if (found == aContext.state_.requests_.end()) {
+    return;
+  }
+  const RequestState& request = found->second;
+  // A call that must not be repeated goes on, so that its outcome is known.
+  if (!request.request_.repeatable_) {
+    return;
+  }
+  AddCount(aContext, "callers_gone_total", "", "");
+  AddNote(aContext, request.request_, "caller_gone", "");
+  if (request.phase_ == Phase::Running) {
+    aContext.effects_.emplace_back(CancelAttempt{ aId, request.attempt_ });
+  }
+  aContext.effects_.emplace_back(Drop{ aId });
+  EndRequest(aContext, aId);
+}
+
+void
+OnAttemptStarted(Context& aContext, const AttemptStarted& aEvent)
+{
+  const auto found = aContext.state_.requests_.find(aEvent.id_);
+  if (found == aContext.state_.requests_.end() ||
+      found->second.attempt_ != aEvent.attempt_) {
+    return;
+  }
+  RequestState& request = found->second;
+  request.started_ = aContext.now_;
+  request.cachedBlocks_ = aEvent.cachedBlocks_;
+  CHECK(request.request_.kind_ != RequestKind::Completion ||
+        aEvent.weightVersion_ == request.weightVersion_)
+    << "request " << request.request_.name_ << " runs under another version";
+  AddNote(aContext,
+          request.request_,
+          "started",
+          absl::StrCat("target=",
+                       request.target_,
+                       " weight_version=",
+                       aEvent.weightVersion_,
+                       " cached_blocks=",
+                       aEvent.cachedBlocks_,
+                       " imported_blocks=",
+                       aEvent.importedBlocks_));
+  if (!request.chain_.empty()) {
+    CorrectDirectory(aContext, request, aEvent);
+  }
+}
+
+void
+OnAttemptEnded(Context& aContext, const AttemptEnded& aEvent)
+{
+  const auto found = aContext.state_.requests_.find(aEvent.id_);
+  if (found == aContext.state_.requests_.end() ||
+      found->second.attempt_ != aEvent.attempt_) {
+    AddCount(aContext, "late_attempt_ends_total", "", "");
+    return;
+  }
+  RequestState& request = found->second;
+  AddNote(aContext,
+          request.request_,
+          "attempt_ended",
+          absl::StrCat("target=",
+                       request.target_,
+                       " result=",
+                       core::NameOf(kAttemptResults, aEvent.result_),
+                       aEvent.detail_.empty() ? "" : " detail=",
+                       aEvent.detail_));
+  if (aEvent.result_ == AttemptResult::Whole) {
+    CountWhole(aContext, request, aEvent);
+    EndRequest(aContext, aEvent.id_);
+    return;
+  }
+  Pool& pool = PoolOf(aContext.state_, request.request_);
+  if (aEvent.result_ == AttemptResult::WrongVersion) {
+    // The target works; only what was known of its version is old.
+    aContext.state_.targets_[request.target_].weightVersion_ =
+      aEvent.weightVersion_;
+  } else if (admission::CountFailure(
+               pool.health_, request.target_, aContext.now_)) {
+    AddCount(aContext, "targets_put_aside_total", "target", request.target_);
+  }
+  if (!Retry(aContext, request, aEvent)) {
+    Refuse(aContext, aEvent.id_, FailureError(request, aEvent));
+  }
+}
+
+void
+OnLocated(Context& aContext, const Located& aEvent)
+{
+  const auto found = aContext.state_.requests_.find(aEvent.id_);
+  if (found == aContext.state_.requests_.end() ||
+      found->second.attempt_ != aEvent.attempt_ ||
+      found->second.phase_ != Phase::Locating) {
+    return;
+  }
+  found->second.phase_ = Phase::Running;
+  Place(aContext, found->second, aEvent.holders_);
+}
+
+void
+ExpireRequests(Context& aContext)
+{
+  State& state = aContext.state_;
+  for (auto& [key, pool] : state.pools_) {
+    for (const auto& expired :
+         admission::Expire(pool.admission_, aContext.now_)) {
+      AddCount(aContext,
+               "admission_refusals_total",
+               "reason",
+               core::NameOf(admission::kRefusals, expired.refusal_));
+      state.requests_.erase(expired.request_.id_);
+      aContext.effects_.emplace_back(
+        reducer::Refuse{ expired.request_.id_,
+                         RefusalError(expired.refusal_, expired.retryAfter_) });
+    }
+    UpdateSlots(aContext, pool);
+    aContext.toPump_.push_back(&pool);
+  }
+  while (!state.deadlines_.empty() &&
+         state.deadlines_.begin()->first <= aContext.now_) {
+    const RequestId id = state.deadlines_.begin()->second;
+    state.deadlines_.erase(state.deadlines_.begin());
+    ExpireRunning(aContext, state.requests_.at(id));
+  }
+}
+
+void
+Refuse(Context& aContext, RequestId aId, core::Error aError)
+{
+  aContext.effects_.emplace_back(reducer::Refuse{ aId, std::move(aError) });
+  EndRequest(aContext, aId);
+}
+
+} // namespace lycheeplank::reducer::detail
--- /dev/null
+++ b/src/reducer/routing.cc
@@ -0,0 +1,298 @@
+#include "reducer/parts.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+namespace lycheeplank::reducer::detail {
+
+namespace {
+
+constexpr absl::Duration kDefaultRetryAfter = absl::Seconds(1);
+// One-way time to a target in another data centre.
+constexpr absl::Duration kRemoteDistance = absl::Milliseconds(1);
+
+const config::Target&
+ConfigOf(const State& aState, const std::string& aTarget)
+{
+  return aState.config_->targets_.at(aTarget);
+}
+
+placement::OwnWork
+OwnWorkOf(const TargetState& aTarget, absl::Time aNow)
+{
+  std::vector<placement::SentRun> sent;
+  sent.reserve(aTarget.own_.size());
+  for (const auto& work : aTarget.own_) {
+    sent.push_back(work.run_);
+  }
+  return placement::OwnWorkSince(sent, aTarget.asOf_, aNow);
+}
+
+placement::Candidate
+MakeCandidate(const Context& aContext,
+              const Pool& aPool,
+              const std::string& aName,
+              const std::vector<directory::Holder>& aHolders)
+{
+  const State& state = aContext.state_;
+  const auto& [name, target] = *state.targets_.find(aName);
+  const config::Target& settings = ConfigOf(state, aName);
+  placement::Candidate candidate;
+  candidate.name_ = name;
+  candidate.dataCentre_ = settings.dataCentre_;
+  candidate.distance_ = settings.dataCentre_ == state.self_.dataCentre_
+                          ? absl::ZeroDuration()
+                          : kRemoteDistance;
+  candidate.load_.running_ = target.running_;
+  candidate.load_.waiting_ = target.waiting_;
+  candidate.load_.queuedPrefillTokens_ = target.queuedPrefillTokens_;
+  candidate.load_.age_ =
+    target.reported_ ? aContext.now_ - target.asOf_ : absl::InfiniteDuration();
+  candidate.own_ = OwnWorkOf(target, aContext.now_);
+  candidate.maxRuns_ = settings.maxRuns_;
+  candidate.prefillTokensPerSecond_ = settings.prefillTokensPerSecond_;
+  candidate.meanDecode_ = absl::Seconds(aPool.secondsPerRun_);
+  for (const auto& holder : aHolders) {
+    if (holder.id_.kind_ == directory::HolderKind::Engine &&
+        holder.id_.name_ == aName) {
+      candidate.cachedBlocks_ = holder.leadingBlocks_;
+    }
+  }
+  return candidate;
+}
+
+std::vector<placement::Offer>
+MakeOffers(const State& aState, const std::vector<directory::Holder>& aHolders)
+{
+  std::vector<placement::Offer> offers;
+  for (const auto& holder : aHolders) {
+    if (holder.id_.kind_ != directory::HolderKind::Store) {
+      continue;
+    }
+    const auto settings = aState.config_->stores_.find(holder.id_.name_);
+    const auto store = aState.stores_.find(holder.id_.name_);
+    if (settings == aState.config_->stores_.end() ||
+        store == aState.stores_.end() || !store->second.reached_) {
+      continue;
+    }
+    placement::Offer offer;
+    offer.store_ = settings->first;
+    offer.leadingBlocks_ = holder.leadingBlocks_;
+    offer.generations_ = holder.generations_;
+    offer.onDisk_ = holder.onDisk_;
+    offer.linkBytesPerSecond_ = settings->second.linkBytesPerSecond_;
+    offer.diskBytesPerSecond_ = settings->second.diskBytesPerSecond_;
+    offer.queuedBytes_ =
+      store->second.linkBacklogBytes_ + store->second.ownBytes_;
+    offers.push_back(std::move(offer));
+  }
+  return offers;
+}
+
+placement::Question
+MakeQuestion(const Context& aContext, Pool& aPool, const RequestState& aRequest)
+{
+  placement::Question question;
+  const NewRequest& request = aRequest.request_;
+  question.promptTokens_ = request.promptTokens_;
+  question.remaining_ = request.deadline_ - aContext.now_;
+  question.interactive_ = request.priority_ == admission::Priority::Interactive;
+  // Round robin counts; hosts start at different places.
+  question.seed_ = aContext.state_.seed_ + aPool.decisions_++;
+  if (request.kind_ == RequestKind::ServiceCall) {
+    question.policy_ = config::Policy::LeastLoaded;
+    return question;
+  }
+  const config::Model& model =
+    aContext.state_.config_->models_.at(request.serves_);
+  question.blocks_ = static_cast<std::uint32_t>(aRequest.chain_.size());
+  question.blockTokens_ = model.blockTokens_;
+  question.kvBytesPerToken_ = model.kvBytesPerToken_;
+  question.objective_ = model.objective_;
+  question.policy_ = model.policy_;
+  question.promptHash_ =
+    request.contents_.empty() ? 0 : request.contents_[0].low_;
+  return question;
+}
+
+// Names the blocks to import and where they are.
+void
+AddImport(const State& aState,
+          const RequestState& aRequest,
+          Dispatch& aDispatch)
+{
+  if (!aRequest.import_) {
+    return;
+  }
+  const placement::Import& import = *aRequest.import_;
+  aDispatch.importUrl_ = aState.config_->stores_.at(import.store_).url_;
+  const auto first = aRequest.chain_.begin() + import.firstBlock_;
+  aDispatch.importKeys_.assign(first, first + import.blocks_);
+  aDispatch.importGenerations_ = import.generations_;
+}
+
+void
+Send(Context& aContext, RequestState& aRequest, std::uint64_t aComputedTokens)
+{
+  State& state = aContext.state_;
+  const NewRequest& request = aRequest.request_;
+  TargetState& target = state.targets_[aRequest.target_];
+  target.own_.push_back({ request.id_, { aContext.now_, aComputedTokens } });
+  Pool& pool = PoolOf(state, request);
+  admission::CountDispatch(pool.health_, aRequest.target_, aContext.now_);
+  aRequest.sent_ = aContext.now_;
+  Dispatch dispatch;
+  dispatch.id_ = request.id_;
+  dispatch.attempt_ = aRequest.attempt_;
+  dispatch.target_ = aRequest.target_;
+  dispatch.url_ = ConfigOf(state, aRequest.target_).url_;
+  dispatch.weightVersion_ = aRequest.weightVersion_;
+  dispatch.deadline_ = request.deadline_;
+  dispatch.once_ = !request.repeatable_;
+  AddImport(state, aRequest, dispatch);
+  AddCount(aContext, "dispatches_total", "target", aRequest.target_);
+  aContext.effects_.emplace_back(std::move(dispatch));
+}
+
+bool
+IsUsable(const Context& aContext,
+         const Pool& aPool,
+         const RequestState& aRequest,
+         const std::string& aName)
+{
+  const State& state = aContext.state_;
+  const auto found = state.targets_.find(aName);
+  if (found == state.targets_.end()) {
+    return false;
+  }
+  const TargetState& target = found->second;
+  const config::Target& settings = ConfigOf(state, aName);
+  const bool completion = aRequest.request_.kind_ == RequestKind::Completion;
+  if (!target.reached_ || target.leaving_ || target.leavingListed_ ||
+      (completion && target.weightVersion_ != aRequest.weightVersion_)) {
+    return false;
+  }
+  return admission::AvailabilityOf(aPool.health_, aName, aContext.now_) !=
+           admission::Availability::Aside &&
+         config::Allowed(*state.config_,
+                         aRequest.request_.workspace_,
+                         settings.kind_,
+                         settings.serves_,
+                         settings.dataCentre_);
+}
+
+// Refuses a request for which no target is left.
+void
+RefuseUnplaced(Context& aContext, RequestState& aRequest)
+{
+  const bool once = !aRequest.request_.repeatable_;
+  core::Error error{ core::ErrorKind::NoTarget,
+                     absl::StrCat("no usable target for ",
+                                  aRequest.request_.serves_),
+                     "",
+                     once || aRequest.attempt_ == 1 ? core::RunState::No
+                                                    : core::RunState::Unknown,
+                     kDefaultRetryAfter };
+  if (once) {
+    // Attempts before this one were never sent, else there would be none.
+    WithdrawCall(aContext, aRequest, std::move(error));
+  } else {
+    Refuse(aContext, aRequest.request_.id_, std::move(error));
+  }
+}
+
+} // namespace
+
+std::string
+ChooseVersion(const State& aState, const RequestState& aRequest)
+{
+  const config::Model& model =
+    aState.config_->models_.at(aRequest.request_.serves_);
+  const auto isServed = [&](const std::string& aVersion) {
+    return std::any_of(
+      aState.targets_.begin(), aState.targets_.end(), [&](const auto& aTarget) {
+        return aTarget.second.reached_ &&
+               aTarget.second.weightVersion_ == aVersion;
+      });
+  };
+  double total = 0.0;
+  for (const auto& version : model.versions_) {
+    total += isServed(version.name_) ? version.share_ : 0.0;
+  }
+  // A prompt keeps its version as long as the shares stay, so that its blocks
+  // can be used again.
+  const auto& contents = aRequest.request_.contents_;
+  const std::string name =
+    contents.empty() ? aRequest.request_.name_ : core::ToHex(contents[0]);
+  constexpr double kHashRange = 18446744073709551616.0;
+  double point =
+    static_cast<double>(core::StableHash(name)) / kHashRange * total;
+  std::string chosen;
+  for (const auto& version : model.versions_) {
+    if (!isServed(version.name_) || version.share_ <= 0.0) {
+      continue;
+    }
+    chosen = version.name_;
+    point -= version.share_;
+    if (point < 0.0) {
+      break;
+    }
+  }
+  return chosen;
+}
+
+std::vector<std::string>
+UsableTargets(const Context& aContext,
+              const Pool& aPool,
+              const RequestState& aRequest)
+{
+  std::vector<std::string> usable;
+  std::vector<std::string> tried;
+  for (const auto& name : aPool.targets_) {
+    if (!IsUsable(aContext, aPool, aRequest, name)) {
+      continue;
+    }
+    const auto& before = aRequest.triedTargets_;
+    const bool failed =
+      std::find(before.begin(), before.end(), name) != before.end();
+    (failed ? tried : usable).push_back(name);
+  }
+  return usable.empty() ? tried : usable;
+}
+
+void
+Place(Context& aContext,
+      RequestState& aRequest,
+      const std::vector<directory::Holder>& aHolders)
+{
+  State& state = aContext.state_;
+  Pool& pool = PoolOf(state, aRequest.request_);
+  const auto usable = UsableTargets(aContext, pool, aRequest);
+  std::vector<placement::Candidate> candidates;
+  candidates.reserve(usable.size());
+  for (const auto& name : usable) {
+    candidates.push_back(MakeCandidate(aContext, pool, name, aHolders));
+  }
+  const auto decision =
+    placement::Choose(MakeQuestion(aContext, pool, aRequest),
+                      candidates,
+                      MakeOffers(state, aHolders));
+  if (!decision) {
+    RefuseUnplaced(aContext, aRequest);
+    return;
+  }
+  aRequest.target_ = decision->target_;
+  aRequest.import_ = decision->import_;
+  if (aRequest.import_) {
+    state.stores_[aRequest.import_->store_].ownBytes_ +=
+      aRequest.import_->bytes_;
+  }
+  AddNote(aContext,
+          aRequest.request_,
+          "placed",
+          placement::Explain(*decision, candidates));
+  Send(aContext, aRequest, decision->computedTokens_);
+}
+
+} // namespace lycheeplank::reducer::detail
--- /dev/null
+++ b/src/reducer/step.cc
@@ -0,0 +1,192 @@
+#include "reducer/parts.h"
+
+#include <glog/logging.h>
+
+namespace lycheeplank::reducer {
+
+namespace detail {
+
+namespace {
+
+membership::HostListRead
+ToHostList(const platform::Reply& aReply)
+{
+  return { aReply.outcome_ == platform::Outcome::Ok,
+           aReply.version_,
+           aReply.hosts_ };
+}
+
+// Hands each kind of event to the part that handles it.
+struct Dispatcher
+{
+  Context& context_;
+
+  void operator()(const RequestArrived& aEvent)
+  {
+    OnArrived(context_, aEvent.request_);
+  }
+  void operator()(const CallerGone& aEvent)
+  {
+    OnCallerGone(context_, aEvent.id_);
+  }
+  void operator()(const AttemptStarted& aEvent)
+  {
+    OnAttemptStarted(context_, aEvent);
+  }
+  void operator()(const AttemptEnded& aEvent)
+  {
+    OnAttemptEnded(context_, aEvent);
+  }
+  void operator()(const Located& aEvent) { OnLocated(context_, aEvent); }
+  void operator()(const TargetReported& aEvent)
+  {
+    OnTargetReported(context_, aEvent);
+  }
+  void operator()(const CacheReported& aEvent)
+  {
+    OnCacheReported(context_, aEvent);
+  }
+  void operator()(const StoreReported& aEvent)
+  {
+    OnStoreReported(context_, aEvent);
+  }
+  void operator()(const StoreInventory& aEvent)
+  {
+    OnStoreInventory(context_, aEvent);
+  }
+  void operator()(const BlocksSighted& aEvent)
+  {
+    if (aEvent.inventory_) {
+      directory::ApplyInventory(
+        context_.state_.directory_, aEvent.holder_, aEvent.sightings_);
+      return;
+    }
+    for (const auto& sighting : aEvent.sightings_) {
+      directory::Apply(context_.state_.directory_, aEvent.holder_, sighting);
+    }
+  }
+  void operator()(const ConfigInForce& aEvent)
+  {
+    OnConfigInForce(context_, aEvent);
+  }
+  void operator()(const PlatformReplied& aEvent)
+  {
+    if (aEvent.module_ != Module::Membership &&
+        aEvent.reply_.outcome_ != platform::Outcome::Lost &&
+        aEvent.reply_.outcome_ != platform::Outcome::Refused) {
+      StepMembership(context_, membership::PlatformReached{});
+    }
+    switch (aEvent.module_) {
+      case Module::Config:
+        StepConfig(context_, aEvent.reply_);
+        return;
+      case Module::Claims:
+        StepClaims(context_,
+                   claims::PlatformReplied{ aEvent.reply_, context_.now_ });
+        return;
+      case Module::Membership:
+        StepMembership(context_, ToHostList(aEvent.reply_));
+        return;
+    }
+  }
+  void operator()(const ConfigNews& aEvent)
+  {
+    StepConfig(context_, aEvent.body_);
+  }
+  void operator()(const MembershipNews& aEvent)
+  {
+    StepMembership(context_, aEvent.body_);
+  }
+  void operator()(const DrainRequested&)
+  {
+    StepMembership(context_, membership::DrainStarted{});
+  }
+  void operator()(const OnceAnswered& aEvent)
+  {
+    OnOnceAnswered(context_, aEvent);
+  }
+  void operator()(const ClaimAnswered& aEvent)
+  {
+    OnClaimAnswered(context_, aEvent);
+  }
+  void operator()(const ReportAnswered& aEvent)
+  {
+    OnReportAnswered(context_, aEvent);
+  }
+  void operator()(const PeerAsksClaim& aEvent)
+  {
+    OnPeerAsksClaim(context_, aEvent);
+  }
+  void operator()(const PeerReportsOutcome& aEvent)
+  {
+    OnPeerReportsOutcome(context_, aEvent);
+  }
+  void operator()(const PeerRunsClaim& aEvent)
+  {
+    StepClaims(context_, aEvent.running_);
+  }
+  void operator()(const PeerLocates& aEvent)
+  {
+    context_.effects_.emplace_back(ReplyLocate{
+      aEvent.call_,
+      directory::Locate(context_.state_.directory_, aEvent.chain_) });
+  }
+  void operator()(const PeerFetchesConfig& aEvent)
+  {
+    context_.effects_.emplace_back(ReplyConfig{
+      aEvent.call_, config::Serve(context_.state_.sync_, aEvent.digests_) });
+  }
+  void operator()(const Tick&)
+  {
+    ExpireRequests(context_);
+    StepMembership(context_, membership::Tick{});
+    StepConfig(context_, config::Tick{});
+    StepClaims(context_, claims::Tick{ context_.now_ });
+    SayWhatRuns(context_);
+  }
+};
+
+} // namespace
+
+Pool&
+PoolOf(State& aState, const NewRequest& aRequest)
+{
+  const auto found = aState.pools_.find({ aRequest.kind_, aRequest.serves_ });
+  CHECK(found != aState.pools_.end())
+    << "no pool for " << aRequest.serves_ << " of a request that was admitted";
+  return found->second;
+}
+
+void
+AddCount(Context& aContext,
+         absl::string_view aName,
+         absl::string_view aLabel,
+         absl::string_view aValue)
+{
+  aContext.effects_.emplace_back(
+    Count{ std::string(aName), std::string(aLabel), std::string(aValue) });
+}
+
+void
+AddNote(Context& aContext,
+        const NewRequest& aRequest,
+        absl::string_view aWhat,
+        std::string aDetail)
+{
+  aContext.effects_.emplace_back(
+    Note{ aRequest.name_, std::string(aWhat), std::move(aDetail) });
+}
+
+} // namespace detail
+
+std::vector<Effect>
+Step(State& aState, const Moment& aMoment, const Event& aEvent)
+{
+  std::vector<Effect> effects;
+  detail::Context context{ aState, aMoment.now_, aMoment.random_, effects, {} };
+  absl::visit(detail::Dispatcher{ context }, aEvent);
+  detail::PumpMarked(context);
+  return effects;
+}
+
+} // namespace lycheeplank::reducer
--- /dev/null
+++ b/src/reducer/sync.cc
@@ -0,0 +1,46 @@
+#include "reducer/parts.h"
+
+namespace lycheeplank::reducer::detail {
+
+namespace {
+
+// Carries the effects of the configuration module on.
+struct Carrier
+{
+  Context& context_;
+
+  void operator()(config::SendCommand& aEffect)
+  {
+    context_.effects_.emplace_back(
+      SendCommand{ Module::Config, std::move(aEffect.command_) });
+  }
+  void operator()(config::Publish& aEffect)
+  {
+    OnConfigInForce(context_, ConfigInForce{ aEffect.accepted_->config_ });
+    StepMembership(
+      context_,
+      membership::OwnStateChanged{ aEffect.accepted_->config_->revision_, 0 });
+    context_.effects_.emplace_back(
+      PublishConfig{ std::move(aEffect.accepted_) });
+  }
+  template<typename Other>
+  void operator()(Other& aEffect)
+  {
+    context_.effects_.emplace_back(std::move(aEffect));
+  }
+};
+
+} // namespace
+
+void
+StepConfig(Context& aContext, config::EventBody aBody)
+{
+  const config::Event event{ aContext.now_,
+                             aContext.random_,
+                             std::move(aBody) };
+  for (auto& effect : config::Step(aContext.state_.sync_, event)) {
+    absl::visit(Carrier{ aContext }, effect);
+  }
+}
+
+} // namespace lycheeplank::reducer::detail
--- /dev/null
+++ b/src/reducer/targets.cc
@@ -0,0 +1,239 @@
+#include "reducer/parts.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <glog/logging.h>
+
+namespace lycheeplank::reducer::detail {
+
+namespace {
+
+// Runs that may wait at a target, as a part of those it runs at once, so that
+// it never idles between two reports.
+constexpr double kWaitingShare = 0.25;
+
+RequestKind
+KindOf(const config::Target& aTarget)
+{
+  return aTarget.kind_ == config::TargetKind::Engine ? RequestKind::Completion
+                                                     : RequestKind::ServiceCall;
+}
+
+// Returns how many more runs a target can take.
+double
+FreeRuns(const TargetState& aTarget,
+         const config::Target& aSettings,
+         absl::Time aNow)
+{
+  std::vector<placement::SentRun> sent;
+  for (const auto& work : aTarget.own_) {
+    sent.push_back(work.run_);
+  }
+  const auto unseen = placement::OwnWorkSince(sent, aTarget.asOf_, aNow);
+  const double limit = aSettings.maxRuns_ * (1.0 + kWaitingShare);
+  const double busy = aTarget.running_ + aTarget.waiting_ + unseen.runs_;
+  return std::max(0.0, limit - busy);
+}
+
+bool
+TakesWork(const TargetState& aTarget)
+{
+  return aTarget.reached_ && !aTarget.leaving_ && !aTarget.leavingListed_;
+}
+
+// Makes one pool for each model and service and lists their targets.
+void
+RebuildPools(Context& aContext)
+{
+  State& state = aContext.state_;
+  const config::Config& config = *state.config_;
+  for (auto& [key, pool] : state.pools_) {
+    pool.targets_.clear();
+  }
+  for (const auto& [name, model] : config.models_) {
+    state.pools_[{ RequestKind::Completion, name }].policy_ = model.policy_;
+  }
+  for (const auto& [name, service] : config.services_) {
+    state.pools_[{ RequestKind::ServiceCall, name }];
+  }
+  for (const auto& [name, target] : config.targets_) {
+    state.pools_[{ KindOf(target), target.serves_ }].targets_.push_back(name);
+    state.targets_[name];
+  }
+  for (auto& [key, pool] : state.pools_) {
+    pool.health_.seed_ = state.seed_;
+    admission::SetTargets(pool.health_, pool.targets_);
+  }
+}
+
+void
+DropUnknown(State& aState)
+{
+  const config::Config& config = *aState.config_;
+  for (auto it = aState.targets_.begin(); it != aState.targets_.end();) {
+    if (config.targets_.count(it->first) > 0) {
+      ++it;
+      continue;
+    }
+    directory::DropHolder(aState.directory_, it->first);
+    it = aState.targets_.erase(it);
+  }
+  for (auto it = aState.stores_.begin(); it != aState.stores_.end();) {
+    if (config.stores_.count(it->first) > 0) {
+      ++it;
+      continue;
+    }
+    directory::DropHolder(aState.directory_, it->first);
+    it = aState.stores_.erase(it);
+  }
+  for (const auto& [name, store] : config.stores_) {
+    aState.stores_[name];
+  }
+}
+
+} // namespace
+
+void
+UpdateSlots(Context& aContext, Pool& aPool)
+{
+  const State& state = aContext.state_;
+  double freeRuns = 0.0;
+  bool any = false;
+  for (const auto& name : aPool.targets_) {
+    const TargetState& target = state.targets_.at(name);
+    if (!TakesWork(target)) {
+      continue;
+    }
+    any = true;
+    freeRuns +=
+      FreeRuns(target, state.config_->targets_.at(name), aContext.now_);
+  }
+  // Other hosts see the same free capacity, so each takes its part of it.
+  const double hosts =
+    static_cast<double>(std::max<std::size_t>(1, state.live_.size()));
+  const auto mine = static_cast<std::uint32_t>(std::ceil(freeRuns / hosts));
+  const auto running =
+    static_cast<std::uint32_t>(aPool.admission_.running_.size());
+  aPool.admission_.slots_ = any ? std::max(1U, running + mine) : running;
+}
+
+void
+OnTargetReported(Context& aContext, const TargetReported& aEvent)
+{
+  State& state = aContext.state_;
+  const auto found = state.targets_.find(aEvent.target_);
+  if (found == state.targets_.end()) {
+    return;
+  }
+  TargetState& target = found->second;
+  target.reached_ = aEvent.reached_;
+  if (aEvent.reached_) {
+    if (target.reported_ && target.weightVersion_ != aEvent.weightVersion_) {
+      // Blocks of the version before can't be used by new requests.
+      directory::DropHolder(state.directory_, aEvent.target_);
+      target.cursor_ = {};
+    }
+    target.reported_ = true;
+    target.leaving_ = aEvent.leaving_;
+    target.running_ = aEvent.running_;
+    target.waiting_ = aEvent.waiting_;
+    target.queuedPrefillTokens_ = aEvent.queuedPrefillTokens_;
+    target.weightVersion_ = aEvent.weightVersion_;
+    target.asOf_ = aContext.now_ - aEvent.age_;
+  }
+  const config::Target& settings = state.config_->targets_.at(aEvent.target_);
+  Pool& pool = state.pools_.at({ KindOf(settings), settings.serves_ });
+  UpdateSlots(aContext, pool);
+  aContext.toPump_.push_back(&pool);
+}
+
+void
+SpreadSightings(Context& aContext,
+                const directory::HolderId& aHolder,
+                const std::vector<directory::Sighting>& aSightings,
+                bool aInventory)
+{
+  State& state = aContext.state_;
+  for (auto& batch :
+       directory::SplitByHome(aSightings, state.hosts_, aInventory)) {
+    if (batch.host_ != state.self_.name_) {
+      aContext.effects_.emplace_back(SendSightings{
+        batch.host_, aHolder, aInventory, std::move(batch.sightings_) });
+      continue;
+    }
+    if (aInventory) {
+      directory::ApplyInventory(state.directory_, aHolder, batch.sightings_);
+      continue;
+    }
+    for (const auto& sighting : batch.sightings_) {
+      directory::Apply(state.directory_, aHolder, sighting);
+    }
+  }
+}
+
+void
+OnCacheReported(Context& aContext, const CacheReported& aEvent)
+{
+  const auto found = aContext.state_.targets_.find(aEvent.target_);
+  if (found == aContext.state_.targets_.end()) {
+    return;
+  }
+  directory::EventCursor& cursor = found->second.cursor_;
+  if (aEvent.inventory_) {
+    directory::AdvanceToInventory(cursor, aEvent.lastSequence_);
+  } else if (directory::Advance(
+               cursor, aEvent.sequences_, aEvent.lastSequence_) ==
+             directory::SequenceResult::Gap) {
+    AddCount(aContext, "cache_event_gaps_total", "", "");
+    aContext.effects_.emplace_back(FetchInventory{ aEvent.target_ });
+  }
+  SpreadSightings(aContext,
+                  { aEvent.target_, directory::HolderKind::Engine },
+                  aEvent.sightings_,
+                  aEvent.inventory_);
+}
+
+void
+OnStoreReported(Context& aContext, const StoreReported& aEvent)
+{
+  const auto found = aContext.state_.stores_.find(aEvent.store_);
+  if (found == aContext.state_.stores_.end()) {
+    return;
+  }
+  StoreState& store = found->second;
+  store.reached_ = aEvent.reached_;
+  if (!aEvent.reached_) {
+    return;
+  }
+  store.linkBacklogBytes_ = aEvent.linkBacklogBytes_;
+  store.memoryUsed_ = aEvent.memoryUsed_;
+  store.diskUsed_ = aEvent.diskUsed_;
+  store.asOf_ = aContext.now_;
+  store.ownBytes_ = 0;
+}
+
+void
+OnStoreInventory(Context& aContext, const StoreInventory& aEvent)
+{
+  SpreadSightings(aContext,
+                  { aEvent.store_, directory::HolderKind::Store },
+                  aEvent.sightings_,
+                  true);
+}
+
+void
+OnConfigInForce(Context& aContext, const ConfigInForce& aEvent)
+{
+  State& state = aContext.state_;
+  CHECK(!state.config_ || aEvent.config_->revision_ >= state.config_->revision_)
+    << "configuration went back from revision " << state.config_->revision_;
+  state.config_ = aEvent.config_;
+  DropUnknown(state);
+  RebuildPools(aContext);
+  for (auto& [key, pool] : state.pools_) {
+    UpdateSlots(aContext, pool);
+  }
+}
+
+} // namespace lycheeplank::reducer::detail
