--- /dev/null
+++ b/src/standin/engine-runs.cc
@@ -0,0 +1,378 @@
+#include "standin/engine.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+#include <nlohmann/json.hpp>
+
+#include "standin/token-text.h"
+
+namespace lycheeplank::standin {
+
+namespace {
+
+using Json = nlohmann::json;
+
+// How long the events of an ended run can be read.
+constexpr absl::Duration kKeepEnded = absl::Seconds(60);
+constexpr absl::string_view kDone = "[DONE]";
+constexpr absl::string_view kFinishedByLength = "length";
+constexpr absl::string_view kCancelled = "cancelled";
+
+std::string
+TokenEvent(const Run& aRun, std::uint64_t aIndex)
+{
+  return net::FormatSse("",
+                        absl::StrCat("{\"index\":",
+                                     aIndex,
+                                     ",\"text\":\"",
+                                     TokenText(aRun.textSeed_, aIndex),
+                                     "\"}"));
+}
+
+void
+BeginStream(Subscriber& aSubscriber)
+{
+  if (!aSubscriber.begun_) {
+    aSubscriber.begun_ = true;
+    aSubscriber.exchange_->BeginStream(
+      200, { { "Content-Type", "text/event-stream" } });
+  }
+}
+
+// Sends an event to all subscribers and drops those who have gone.
+void
+Publish(Run& aRun, const std::string& aEvent)
+{
+  const auto gone = [&](Subscriber& aEach) {
+    BeginStream(aEach);
+    return !aEach.exchange_->Write(aEvent);
+  };
+  auto& subscribers = aRun.subscribers_;
+  subscribers.erase(
+    std::remove_if(subscribers.begin(), subscribers.end(), gone),
+    subscribers.end());
+}
+
+void
+PublishToken(Run& aRun, std::uint64_t aIndex)
+{
+  const std::string event = TokenEvent(aRun, aIndex);
+  const auto gone = [&](const Subscriber& aEach) {
+    return aIndex >= aEach.from_ && !aEach.exchange_->Write(event);
+  };
+  auto& subscribers = aRun.subscribers_;
+  subscribers.erase(
+    std::remove_if(subscribers.begin(), subscribers.end(), gone),
+    subscribers.end());
+}
+
+// Takes the next run: interactive ones first, in order of arrival.
+RunPtr
+TakeNext(std::deque<RunPtr>& aQueue)
+{
+  const auto interactive =
+    std::find_if(aQueue.begin(), aQueue.end(), [](const RunPtr& aEach) {
+      return aEach->request_.priority_ == Priority::Interactive;
+    });
+  const auto next = interactive == aQueue.end() ? aQueue.begin() : interactive;
+  RunPtr run = *next;
+  aQueue.erase(next);
+  return run;
+}
+
+void
+Remove(std::deque<RunPtr>& aQueue, const RunPtr& aRun)
+{
+  aQueue.erase(std::remove(aQueue.begin(), aQueue.end(), aRun), aQueue.end());
+}
+
+void
+AdmitWaiting(Engine& aEngine)
+{
+  while (aEngine.running_ < aEngine.options_.maxRuns_ &&
+         !aEngine.waiting_.empty()) {
+    const RunPtr run = TakeNext(aEngine.waiting_);
+    run->admitted_ = true;
+    ++aEngine.running_;
+    if (!StartImports(aEngine, run)) {
+      QueuePrefill(aEngine, run);
+    }
+  }
+}
+
+// Frees the place of an ended run.
+void
+Leave(Engine& aEngine, const RunPtr& aRun)
+{
+  if (aRun->admitted_) {
+    --aEngine.running_;
+  }
+  Release(aEngine.cache_, aRun->retained_);
+  Release(aEngine.cache_, aRun->importRetained_);
+  aRun->importRetained_.clear();
+  aEngine.context_.loop_.Post([&aEngine] { AdmitWaiting(aEngine); });
+}
+
+void
+EndRun(Engine& aEngine, const RunPtr& aRun, absl::string_view aReason)
+{
+  aRun->ended_ = true;
+  Json blocks = Json::array();
+  for (const core::BlockKey& key : aRun->chain_) {
+    blocks.push_back(core::ToHex(key));
+  }
+  aRun->endEvent_ =
+    net::FormatSse("",
+                   Json({ { "event", "end" },
+                          { "finish_reason", std::string(aReason) },
+                          { "tokens", aRun->tokens_ },
+                          { "weight_version", aRun->weightVersion_ },
+                          { "blocks", std::move(blocks) } })
+                     .dump());
+  Publish(*aRun, aRun->endEvent_ + net::FormatSse("", kDone));
+  for (const Subscriber& subscriber : aRun->subscribers_) {
+    subscriber.exchange_->End();
+  }
+  aRun->subscribers_.clear();
+  Leave(aEngine, aRun);
+  aRun->request_.prompt_.clear();
+  aEngine.context_.loop_.After(
+    kKeepEnded, [&aEngine, aRun] { aEngine.runs_.erase(aRun->request_.id_); });
+}
+
+void
+EmitToken(Engine& aEngine, const RunPtr& aRun)
+{
+  if (aRun->ended_) {
+    return;
+  }
+  if (aRun->tokens_ < aRun->request_.maxTokens_) {
+    PublishToken(*aRun, aRun->tokens_++);
+  }
+  if (aRun->tokens_ >= aRun->request_.maxTokens_) {
+    EndRun(aEngine, aRun, kFinishedByLength);
+    return;
+  }
+  aRun->nextTokenAt_ +=
+    aEngine.options_.tokenTime_ * aEngine.context_.faults_.slowdown_;
+  aEngine.context_.loop_.At(aRun->nextTokenAt_,
+                            [&aEngine, aRun] { EmitToken(aEngine, aRun); });
+}
+
+void
+StartNextPrefill(Engine& aEngine);
+
+// Puts the computed blocks into the cache, unless the version was swapped.
+void
+CacheComputed(Engine& aEngine, Run& aRun)
+{
+  const core::CacheScope scope = ScopeOf(aEngine, aRun.request_);
+  if (scope.weightVersion_ != aRun.weightVersion_) {
+    return;
+  }
+  std::vector<core::BlockKey> added;
+  for (std::size_t at = aRun.uses_.size(); at < aRun.chain_.size(); ++at) {
+    if (Insert(
+          aEngine.cache_, aRun.chain_[at], { aRun.chain_.front(), scope })) {
+      added.push_back(aRun.chain_[at]);
+    }
+  }
+  Retain(aEngine.cache_, added);
+  aRun.retained_.insert(aRun.retained_.end(), added.begin(), added.end());
+}
+
+void
+FinishPrefill(Engine& aEngine, const RunPtr& aRun)
+{
+  aEngine.prefilling_.reset();
+  if (!aRun->ended_) {
+    CacheComputed(aEngine, *aRun);
+    aRun->nextTokenAt_ = absl::Now();
+    EmitToken(aEngine, aRun);
+  }
+  StartNextPrefill(aEngine);
+}
+
+// Notes which cached blocks a run uses.
+void
+UseCache(Engine& aEngine, Run& aRun)
+{
+  const std::size_t cached = CountCachedPrefix(aEngine.cache_, aRun.chain_);
+  for (std::size_t at = 0; at < cached; ++at) {
+    const core::BlockKey& key = aRun.chain_[at];
+    const CachedBlock& block = aEngine.cache_.blocks_.at(key);
+    aRun.uses_.push_back({ key, block.scope_, block.generation_ });
+    aRun.retained_.push_back(key);
+    aRun.importedBlocks_ += aRun.imported_.contains(key) ? 1 : 0;
+  }
+  aRun.cachedBlocks_ = cached - aRun.importedBlocks_;
+  Retain(aEngine.cache_, aRun.retained_);
+  Release(aEngine.cache_, aRun.importRetained_);
+  aRun.importRetained_.clear();
+  aRun.computeTokens_ =
+    aRun.promptTokens_ - cached * aEngine.options_.blockTokens_;
+}
+
+void
+PublishStart(Run& aRun)
+{
+  aRun.startEvent_ =
+    net::FormatSse("",
+                   Json({ { "event", "start" },
+                          { "run_id", aRun.request_.id_ },
+                          { "weight_version", aRun.weightVersion_ },
+                          { "prompt_tokens", aRun.promptTokens_ },
+                          { "cached_blocks", aRun.cachedBlocks_ },
+                          { "imported_blocks", aRun.importedBlocks_ } })
+                     .dump());
+  Publish(aRun, aRun.startEvent_);
+}
+
+// Takes back a run that waited until another version than its own was served.
+void
+RefuseVersion(Engine& aEngine, const RunPtr& aRun)
+{
+  aRun->ended_ = true;
+  for (Subscriber& subscriber : aRun->subscribers_) {
+    if (subscriber.begun_) {
+      subscriber.exchange_->Abort();
+      continue;
+    }
+    ReplyJson(
+      subscriber.exchange_,
+      409,
+      { { "error", "weight_version" }, { "serving", aEngine.weightVersion_ } });
+  }
+  aRun->subscribers_.clear();
+  Leave(aEngine, aRun);
+  aEngine.runs_.erase(aRun->request_.id_);
+}
+
+bool
+ServesVersion(const Engine& aEngine, const RunRequest& aRequest)
+{
+  return aRequest.weightVersion_.empty() ||
+         aRequest.weightVersion_ == aEngine.weightVersion_;
+}
+
+void
+StartPrefill(Engine& aEngine, const RunPtr& aRun)
+{
+  aEngine.prefilling_ = aRun;
+  aRun->weightVersion_ = aEngine.weightVersion_;
+  aRun->chain_ = core::BlockChain(ScopeOf(aEngine, aRun->request_),
+                                  aRun->request_.prompt_,
+                                  aEngine.options_.blockTokens_);
+  aRun->textSeed_ = TextSeed(
+    aRun->request_.prompt_, aEngine.options_.model_, aRun->weightVersion_);
+  UseCache(aEngine, *aRun);
+  aEngine.executions_.push_back(aRun);
+  PublishStart(*aRun);
+  const absl::Duration time =
+    absl::Seconds(static_cast<double>(aRun->computeTokens_) *
+                  aEngine.context_.faults_.slowdown_ /
+                  aEngine.options_.prefillTokensPerSecond_);
+  aEngine.context_.loop_.After(
+    time, [&aEngine, aRun] { FinishPrefill(aEngine, aRun); });
+}
+
+void
+StartNextPrefill(Engine& aEngine)
+{
+  while (!aEngine.prefilling_ && !aEngine.prefills_.empty()) {
+    const RunPtr run = TakeNext(aEngine.prefills_);
+    if (ServesVersion(aEngine, run->request_)) {
+      StartPrefill(aEngine, run);
+    } else {
+      RefuseVersion(aEngine, run);
+    }
+  }
+}
+
+RunPtr
+NewRun(const Engine& aEngine, RunRequest aRequest)
+{
+  auto run = std::make_shared<Run>();
+  run->request_ = std::move(aRequest);
+  const std::string& prompt = run->request_.prompt_;
+  const auto chain = core::BlockChain(
+    ScopeOf(aEngine, run->request_), prompt, aEngine.options_.blockTokens_);
+  run->promptTokens_ = core::CountTokens(prompt);
+  run->computeTokens_ =
+    run->promptTokens_ -
+    CountCachedPrefix(aEngine.cache_, chain) * aEngine.options_.blockTokens_;
+  return run;
+}
+
+} // namespace
+
+core::CacheScope
+ScopeOf(const Engine& aEngine, const RunRequest& aRequest)
+{
+  return { aRequest.cacheSalt_,
+           aEngine.options_.model_,
+           aEngine.weightVersion_,
+           aRequest.adapter_ };
+}
+
+void
+StartRun(Engine& aEngine, RunRequest aRequest, const ExchangePtr& aExchange)
+{
+  if (aEngine.context_.faults_.leaving_) {
+    ReplyError(aExchange, 503, "leaving");
+  } else if (aEngine.runs_.contains(aRequest.id_)) {
+    ReplyError(aExchange, 409, "duplicate_run");
+  } else if (!ServesVersion(aEngine, aRequest)) {
+    ReplyJson(
+      aExchange,
+      409,
+      { { "error", "weight_version" }, { "serving", aEngine.weightVersion_ } });
+  } else {
+    const RunPtr run = NewRun(aEngine, std::move(aRequest));
+    run->subscribers_.push_back({ aExchange });
+    aEngine.runs_[run->request_.id_] = run;
+    aEngine.waiting_.push_back(run);
+    AdmitWaiting(aEngine);
+  }
+}
+
+void
+Subscribe(Run& aRun, Subscriber aSubscriber)
+{
+  BeginStream(aSubscriber);
+  net::Exchange& exchange = *aSubscriber.exchange_;
+  if (aSubscriber.from_ == 0 && !aRun.startEvent_.empty()) {
+    exchange.Write(aRun.startEvent_);
+  }
+  for (std::uint64_t at = aSubscriber.from_; at < aRun.tokens_; ++at) {
+    exchange.Write(TokenEvent(aRun, at));
+  }
+  if (aRun.ended_) {
+    exchange.Write(aRun.endEvent_ + net::FormatSse("", kDone));
+    exchange.End();
+    return;
+  }
+  aRun.subscribers_.push_back(std::move(aSubscriber));
+}
+
+void
+CancelRun(Engine& aEngine, const RunPtr& aRun)
+{
+  if (aRun->ended_) {
+    return;
+  }
+  Remove(aEngine.waiting_, aRun);
+  Remove(aEngine.prefills_, aRun);
+  EndRun(aEngine, aRun, kCancelled);
+}
+
+void
+QueuePrefill(Engine& aEngine, const RunPtr& aRun)
+{
+  aEngine.prefills_.push_back(aRun);
+  StartNextPrefill(aEngine);
+}
+
+} // namespace lycheeplank::standin
