--- /dev/null
+++ b/src/claims/upkeep.cc
@@ -0,0 +1,405 @@
+#include "claims/shard.h"
+
+#include <algorithm>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+#include <glog/logging.h>
+
+namespace lycheeplank::claims {
+
+namespace {
+
+constexpr absl::string_view kSegmentKind = "segment";
+// Segments of one level differ in size by at most this factor.
+constexpr std::uint32_t kLevelFactor = 4;
+
+std::int64_t
+LastTime(const std::vector<Record>& aRecords)
+{
+  std::int64_t last = 0;
+  for (const auto& record : aRecords) {
+    last = std::max(last, record.unixMs_);
+  }
+  return last;
+}
+
+void
+WriteReplacement(const Context& aContext, Shard& aShard)
+{
+  auto& replacement = aShard.replacement_;
+  auto& ref = replacement.ref_;
+  const std::string value = Encode(replacement.segment_);
+  ref.first_ = replacement.segment_.first_;
+  ref.count_ = static_cast<std::uint32_t>(replacement.segment_.records_.size());
+  ref.bytes_ = static_cast<std::uint32_t>(value.size());
+  ref.lastUnixMs_ = LastTime(replacement.segment_.records_);
+  replacement.stage_ = ReplacementStage::Writing;
+  platform::Command command;
+  command.operation_ = platform::Operation::Write;
+  command.key_ = ref.name_;
+  command.value_ = value;
+  command.expect_ = 0;
+  Send(aContext,
+       { Purpose::WriteSegment, aShard.number_, replacement.id_ },
+       std::move(command));
+}
+
+void
+StartReplacement(const Context& aContext, Shard& aShard, std::uint64_t aFirst)
+{
+  aShard.replacement_ = Replacement();
+  aShard.replacement_.ref_.name_ =
+    NewObjectName(aContext, aShard, kSegmentKind);
+  aShard.replacement_.id_ = aContext.state_.lastObject_;
+  aShard.replacement_.segment_.first_ = aFirst;
+}
+
+void
+StartSeal(const Context& aContext, Shard& aShard)
+{
+  StartReplacement(aContext, aShard, aShard.tail_.openFirst_);
+  aShard.replacement_.segment_.records_ = aShard.tail_.open_;
+  WriteReplacement(aContext, aShard);
+}
+
+// Reads the next segment to merge, or writes the result after the last one.
+void
+ContinueMerge(const Context& aContext, Shard& aShard)
+{
+  auto& replacement = aShard.replacement_;
+  const std::uint64_t next =
+    replacement.segment_.first_ + replacement.segment_.records_.size();
+  if (next == replacement.end_) {
+    return WriteReplacement(aContext, aShard);
+  }
+  const auto* const source = FindSegment(aShard.tail_, next);
+  if (source == nullptr) {
+    replacement = Replacement();
+    return;
+  }
+  replacement.stage_ = ReplacementStage::Reading;
+  platform::Command command;
+  command.operation_ = platform::Operation::Read;
+  command.key_ = source->name_;
+  Send(aContext,
+       { Purpose::ReadMergeSource, aShard.number_, replacement.id_ },
+       std::move(command));
+}
+
+// A run of neighbouring segments.
+struct Neighbours
+{
+  std::size_t first_ = 0;
+  std::size_t count_ = 0;
+};
+
+bool
+IsSameLevel(std::uint32_t aLeft, std::uint32_t aRight)
+{
+  return std::max(aLeft, aRight) <= kLevelFactor * std::min(aLeft, aRight);
+}
+
+// Returns how many segments from one on are alike and fit into one.
+std::size_t
+CountAlike(const Settings& aSettings, const Tail& aTail, std::size_t aFirst)
+{
+  const auto& segments = aTail.segments_;
+  std::uint64_t bytes = 0;
+  std::size_t count = 0;
+  while (aFirst + count < segments.size() && count < aSettings.mergeCount_) {
+    const auto& next = segments[aFirst + count];
+    bytes += next.bytes_;
+    if (bytes > aSettings.maxSegmentBytes_ ||
+        !IsSameLevel(segments[aFirst].bytes_, next.bytes_)) {
+      break;
+    }
+    ++count;
+  }
+  return count;
+}
+
+Neighbours
+FindMerge(const Settings& aSettings, const Tail& aTail)
+{
+  for (std::size_t i = 0; i < aTail.segments_.size(); ++i) {
+    if (const auto count = CountAlike(aSettings, aTail, i);
+        count >= aSettings.mergeCount_) {
+      return { i, count };
+    }
+  }
+  return {};
+}
+
+void
+StartMerge(const Context& aContext, Shard& aShard, Neighbours aSources)
+{
+  const auto& segments = aShard.tail_.segments_;
+  StartReplacement(aContext, aShard, segments[aSources.first_].first_);
+  aShard.replacement_.end_ =
+    EndOf(segments[aSources.first_ + aSources.count_ - 1]);
+  ContinueMerge(aContext, aShard);
+}
+
+void
+GiveUpReplacement(const Context& aContext, Shard& aShard)
+{
+  Raise(aContext, Counter::PlatformFailure);
+  aShard.replacement_ = Replacement();
+  aShard.replacement_.retryAt_ =
+    aContext.now_ + aContext.state_.settings_.maxBackoff_;
+}
+
+void
+SendList(const Context& aContext, Shard& aShard, std::string aAfter)
+{
+  aShard.sweep_.listing_ = true;
+  platform::Command command;
+  command.operation_ = platform::Operation::List;
+  command.key_ = ObjectPrefix(aShard);
+  command.value_ = std::move(aAfter);
+  Send(aContext, { Purpose::List, aShard.number_ }, std::move(command));
+}
+
+void
+Delete(const Context& aContext, const Shard& aShard, const std::string& aName)
+{
+  Raise(aContext, Counter::SegmentDeleted);
+  platform::Command command;
+  command.operation_ = platform::Operation::Delete;
+  command.key_ = aName;
+  Send(aContext, { Purpose::Delete, aShard.number_ }, std::move(command));
+}
+
+bool
+IsNamed(const Tail& aTail, absl::string_view aName)
+{
+  return std::any_of(
+    aTail.segments_.begin(), aTail.segments_.end(), [&](const auto& aSegment) {
+      return aSegment.name_ == aName;
+    });
+}
+
+bool
+IsUnnamed(const Shard& aShard, absl::string_view aName)
+{
+  return !IsNamed(aShard.tail_, aName) &&
+         aName != aShard.replacement_.ref_.name_;
+}
+
+// An answer object's name begins with its kind and the time it was made.
+bool
+IsExpiredAnswer(const Context& aContext, absl::string_view aLastPart)
+{
+  const std::vector<absl::string_view> parts = absl::StrSplit(aLastPart, '-');
+  std::int64_t unixMs = 0;
+  const auto& settings = aContext.state_.settings_;
+  return parts.size() > 1 && absl::SimpleAtoi(parts[1], &unixMs) &&
+         absl::FromUnixMillis(unixMs) + 2 * settings.retention_ +
+             settings.clockMargin_ <
+           aContext.now_;
+}
+
+// Sorts the listed objects into those to delete now and after a write.
+void
+FinishList(const Context& aContext, Shard& aShard)
+{
+  auto& sweep = aShard.sweep_;
+  for (const auto& name : sweep.found_) {
+    const auto lastPart =
+      absl::string_view(name).substr(ObjectPrefix(aShard).size());
+    if (absl::StartsWith(lastPart, kSegmentKind)) {
+      if (IsUnnamed(aShard, name)) {
+        sweep.garbage_.push_back(name);
+      }
+    } else if (IsExpiredAnswer(aContext, lastPart)) {
+      Delete(aContext, aShard, name);
+    }
+  }
+  sweep.found_.clear();
+  sweep.listing_ = false;
+}
+
+void
+MaintainSweep(const Context& aContext, Shard& aShard)
+{
+  auto& sweep = aShard.sweep_;
+  const absl::Duration interval = aContext.state_.settings_.sweepInterval_;
+  if (sweep.at_ == absl::InfinitePast()) {
+    sweep.at_ = aContext.now_ + interval;
+  }
+  if (!sweep.listing_ && sweep.garbage_.empty() && aContext.now_ >= sweep.at_) {
+    sweep.at_ = aContext.now_ + interval;
+    SendList(aContext, aShard, "");
+  }
+}
+
+} // namespace
+
+void
+Maintain(const Context& aContext, Shard& aShard)
+{
+  if (!IsLoaded(aShard) || aContext.now_ < aShard.retryAt_) {
+    return;
+  }
+  MaintainSweep(aContext, aShard);
+  const auto& settings = aContext.state_.settings_;
+  if (aShard.replacement_.stage_ != ReplacementStage::None ||
+      aContext.now_ < aShard.replacement_.retryAt_) {
+    return;
+  }
+  if (EncodedSize(aShard.tail_.open_) > settings.openBytes_) {
+    return StartSeal(aContext, aShard);
+  }
+  if (const auto sources = FindMerge(settings, aShard.tail_);
+      sources.count_ > 0) {
+    StartMerge(aContext, aShard, sources);
+  }
+}
+
+bool
+HasExpiredSegment(const Context& aContext, const Shard& aShard)
+{
+  const auto& settings = aContext.state_.settings_;
+  return !aShard.tail_.segments_.empty() &&
+         absl::FromUnixMillis(aShard.tail_.segments_.front().lastUnixMs_) +
+             settings.retention_ + settings.clockMargin_ <
+           aContext.now_;
+}
+
+void
+DropExpired(const Context& aContext, Tail& aTail)
+{
+  const auto& settings = aContext.state_.settings_;
+  const std::int64_t limit = absl::ToUnixMillis(
+    aContext.now_ - settings.retention_ - settings.clockMargin_);
+  auto& segments = aTail.segments_;
+  const auto firstKept =
+    std::find_if(segments.begin(), segments.end(), [&](const auto& aSegment) {
+      return aSegment.lastUnixMs_ >= limit;
+    });
+  segments.erase(segments.begin(), firstKept);
+}
+
+void
+ApplyReplacement(Shard& aShard, Tail& aTail)
+{
+  const auto& ref = aShard.replacement_.ref_;
+  if (aShard.replacement_.stage_ != ReplacementStage::Ready) {
+    return;
+  }
+  if (ref.first_ < FirstOf(aTail)) {
+    // What it replaces was dropped meanwhile.
+    aShard.replacement_ = Replacement();
+    return;
+  }
+  auto& segments = aTail.segments_;
+  const auto first =
+    std::find_if(segments.begin(), segments.end(), [&](const auto& aSegment) {
+      return aSegment.first_ >= ref.first_;
+    });
+  const auto last = std::find_if(first, segments.end(), [&](const auto& aNext) {
+    return aNext.first_ >= EndOf(ref);
+  });
+  const auto at = segments.erase(first, last);
+  segments.insert(at, ref);
+  if (EndOf(ref) > aTail.openFirst_) {
+    const auto sealed =
+      static_cast<std::ptrdiff_t>(EndOf(ref) - aTail.openFirst_);
+    aTail.open_.erase(aTail.open_.begin(), aTail.open_.begin() + sealed);
+    aTail.openFirst_ = EndOf(ref);
+  }
+}
+
+void
+DeleteReplaced(const Context& aContext, Shard& aShard, const Tail& aBefore)
+{
+  auto& replacement = aShard.replacement_;
+  if (replacement.stage_ == ReplacementStage::Ready &&
+      IsNamed(aShard.tail_, replacement.ref_.name_)) {
+    replacement = Replacement();
+  }
+  for (const auto& segment : aBefore.segments_) {
+    if (!IsNamed(aShard.tail_, segment.name_)) {
+      Delete(aContext, aShard, segment.name_);
+    }
+  }
+  auto& sweep = aShard.sweep_;
+  if (!sweep.writeSent_) {
+    return;
+  }
+  // Any host that could still name these has to read this register first, and
+  // gives up its unnamed segments then.
+  for (const auto& name : sweep.garbage_) {
+    if (IsUnnamed(aShard, name)) {
+      Delete(aContext, aShard, name);
+    }
+  }
+  sweep.garbage_.clear();
+  sweep.writeSent_ = false;
+}
+
+void
+OnMergeSource(const Context& aContext,
+              Shard& aShard,
+              const Flight& aFlight,
+              const platform::Reply& aReply)
+{
+  auto& replacement = aShard.replacement_;
+  if (replacement.id_ != aFlight.subject_ ||
+      replacement.stage_ != ReplacementStage::Reading) {
+    return;
+  }
+  auto segment = aReply.outcome_ == platform::Outcome::Ok
+                   ? ValueOrNothing(DecodeSegment, aReply.value_)
+                   : absl::nullopt;
+  auto& records = replacement.segment_.records_;
+  const std::uint64_t next = replacement.segment_.first_ + records.size();
+  if (!segment || segment->first_ != next) {
+    return GiveUpReplacement(aContext, aShard);
+  }
+  std::move(segment->records_.begin(),
+            segment->records_.end(),
+            std::back_inserter(records));
+  ContinueMerge(aContext, aShard);
+}
+
+void
+OnSegmentWritten(const Context& aContext,
+                 Shard& aShard,
+                 const Flight& aFlight,
+                 const platform::Reply& aReply)
+{
+  auto& replacement = aShard.replacement_;
+  if (replacement.id_ != aFlight.subject_ ||
+      replacement.stage_ != ReplacementStage::Writing) {
+    return;
+  }
+  if (aReply.outcome_ != platform::Outcome::Ok) {
+    return GiveUpReplacement(aContext, aShard);
+  }
+  Raise(aContext, Counter::SegmentWritten);
+  replacement.stage_ = ReplacementStage::Ready;
+  Pump(aContext, aShard);
+}
+
+void
+OnListed(const Context& aContext, Shard& aShard, const platform::Reply& aReply)
+{
+  auto& sweep = aShard.sweep_;
+  if (aReply.outcome_ != platform::Outcome::Ok || !IsLoaded(aShard)) {
+    sweep.found_.clear();
+    sweep.listing_ = false;
+    return;
+  }
+  for (const auto& entry : aReply.entries_) {
+    sweep.found_.push_back(entry.key_);
+  }
+  if (aReply.more_ && !aReply.entries_.empty()) {
+    return SendList(aContext, aShard, aReply.entries_.back().key_);
+  }
+  FinishList(aContext, aShard);
+}
+
+} // namespace lycheeplank::claims
