--- /dev/null
+++ b/src/config/sync.cc
@@ -0,0 +1,397 @@
+#include "config/sync_internal.h"
+
+#include <algorithm>
+
+#include <glog/logging.h>
+
+#include "lycheeplank/core.h"
+
+namespace lycheeplank::config {
+
+namespace {
+
+// A peer that was not seen for so long is forgotten.
+constexpr absl::Duration kPeerLife = absl::Minutes(1);
+// Bytes of chunks given to a peer in one answer, below gRPC's limit of 4 MB.
+constexpr std::size_t kMaxServedBytes = 2UL << 20U;
+
+void
+Start(Context& aContext)
+{
+  auto& state = aContext.state_;
+  if (state.startedAt_) {
+    return;
+  }
+  state.startedAt_ = aContext.now_;
+  state.lastNews_ = aContext.now_;
+  state.nextPoll_ = aContext.now_;
+  state.nextAsk_ = aContext.now_;
+}
+
+void
+On(Context& /*aContext*/, const Tick& /*aTick*/)
+{
+}
+
+void
+On(Context& aContext, const PollersChanged& aPollers)
+{
+  aContext.state_.poller_ = aPollers.self_;
+  aContext.state_.pollers_ = aPollers.others_;
+}
+
+bool
+IsPoller(const SyncState& aState, const std::string& aName)
+{
+  for (const auto& poller : aState.pollers_) {
+    if (poller.name_ == aName) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+On(Context& aContext, const PeerSeen& aSeen)
+{
+  auto& state = aContext.state_;
+  if (aSeen.peer_.name_ == state.host_) {
+    return;
+  }
+  auto& peer = state.peers_[aSeen.peer_.name_];
+  peer.address_ = aSeen.peer_.address_;
+  peer.revision_ = aSeen.revision_;
+  peer.seenAt_ = aContext.now_;
+  if (IsPoller(state, aSeen.peer_.name_)) {
+    state.lastNews_ = aContext.now_;
+  }
+}
+
+// Returns the awaited request of a reply and forgets it.
+absl::optional<PendingRequest>
+TakeRequest(Context& aContext, std::uint64_t aId)
+{
+  auto& requests = aContext.state_.requests_;
+  const auto found = requests.find(aId);
+  if (found == requests.end()) {
+    return absl::nullopt;
+  }
+  PendingRequest request = std::move(found->second);
+  requests.erase(found);
+  return request;
+}
+
+void
+On(Context& aContext, const PeerAnswer& aAnswer)
+{
+  if (const auto request = TakeRequest(aContext, aAnswer.id_)) {
+    OnPeerAnswer(aContext, *request, aAnswer);
+  }
+}
+
+void
+OnPolled(Context& aContext, const platform::Reply& aReply)
+{
+  if (aReply.outcome_ != platform::Outcome::Ok &&
+      aReply.outcome_ != platform::Outcome::Absent) {
+    Count(aContext, SyncCount::FailedPolls);
+    return;
+  }
+  aContext.state_.lastNews_ = aContext.now_;
+  if (aReply.outcome_ == platform::Outcome::Ok) {
+    LearnHead(aContext, aReply.value_);
+  }
+}
+
+void
+Dispatch(Context& aContext,
+         const PendingRequest& aRequest,
+         const platform::Reply& aReply)
+{
+  switch (aRequest.kind_) {
+    case RequestKind::PollHead:
+      OnPolled(aContext, aReply);
+      break;
+    case RequestKind::PlatformChunk:
+      OnPlatformChunk(aContext, aRequest, aReply);
+      break;
+    case RequestKind::EditReadHead:
+      OnEditHead(aContext, aReply);
+      break;
+    case RequestKind::EditWriteChunk:
+      OnEditChunkWritten(aContext, aRequest, aReply);
+      break;
+    case RequestKind::EditWriteHead:
+      OnEditHeadWritten(aContext, aReply);
+      break;
+    case RequestKind::CleanupList:
+    case RequestKind::CleanupReadHead:
+    case RequestKind::CleanupAnnounce:
+    case RequestKind::CleanupDelete:
+      OnCleanupReply(aContext, aRequest.kind_, aReply);
+      break;
+    case RequestKind::PeerHead:
+    case RequestKind::PeerChunks:
+    case RequestKind::CheckPending:
+    case RequestKind::EditCheck:
+      break;
+  }
+}
+
+void
+On(Context& aContext, const platform::Reply& aReply)
+{
+  if (const auto request = TakeRequest(aContext, aReply.id_)) {
+    Dispatch(aContext, *request, aReply);
+  }
+}
+
+void
+On(Context& aContext, const EditAsked& aEdit)
+{
+  OnEditAsked(aContext, aEdit);
+}
+
+void
+On(Context& aContext, const DocumentChecked& aChecked)
+{
+  const auto request = TakeRequest(aContext, aChecked.id_);
+  if (!request) {
+    return;
+  }
+  if (request->kind_ == RequestKind::CheckPending) {
+    OnPendingChecked(aContext, aChecked);
+  } else {
+    OnEditChecked(aContext, aChecked);
+  }
+}
+
+void
+On(Context& aContext, const CleanupDue& /*aDue*/)
+{
+  OnCleanupDue(aContext);
+}
+
+// Treats requests without a reply as lost.
+void
+ExpireRequests(Context& aContext)
+{
+  std::vector<std::uint64_t> expired;
+  for (const auto& [id, request] : aContext.state_.requests_) {
+    if (request.deadline_ <= aContext.now_) {
+      expired.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : expired) {
+    const auto request = TakeRequest(aContext, id);
+    if (!request) {
+      continue;
+    }
+    if (request->kind_ == RequestKind::PeerHead ||
+        request->kind_ == RequestKind::PeerChunks) {
+      OnPeerAnswer(aContext, *request, PeerAnswer{ id });
+    } else {
+      Dispatch(aContext, *request, platform::Reply{ id });
+    }
+  }
+}
+
+void
+NoteIfBehind(Context& aContext)
+{
+  auto& state = aContext.state_;
+  std::uint64_t newest = 0;
+  for (const auto& [name, peer] : state.peers_) {
+    newest = std::max(newest, peer.revision_);
+  }
+  if (newest <= RevisionOf(state)) {
+    state.behindSince_ = absl::InfiniteFuture();
+  } else {
+    state.behindSince_ = std::min(state.behindSince_, aContext.now_);
+  }
+}
+
+// Tells whether a host that is no poller has to poll: it hears nothing of the
+// pollers, has no configuration, or can't get a newer one from its peers.
+bool
+NeedsFallback(const Context& aContext)
+{
+  const auto& state = aContext.state_;
+  const absl::Time bound = aContext.now_ - state.options_.pollerSilence_;
+  return state.lastNews_ <= bound || state.behindSince_ <= bound ||
+         (!state.inForce_ && *state.startedAt_ <= bound);
+}
+
+void
+PollIfDue(Context& aContext)
+{
+  auto& state = aContext.state_;
+  const bool wanted = state.poller_ || NeedsFallback(aContext);
+  if (!wanted || aContext.now_ < state.nextPoll_ ||
+      InFlight(state, RequestKind::PollHead) > 0) {
+    return;
+  }
+  Count(aContext, state.poller_ ? SyncCount::Polls : SyncCount::FallbackPolls);
+  const auto interval = state.poller_ ? state.options_.pollInterval_
+                                      : state.options_.fallbackInterval_;
+  state.nextPoll_ = aContext.now_ + Jittered(aContext, interval);
+  SendRead(aContext, RequestKind::PollHead, std::string(kHeadKey));
+}
+
+void
+AskIfDue(Context& aContext)
+{
+  auto& state = aContext.state_;
+  if (aContext.now_ < state.nextAsk_ || state.pollers_.empty()) {
+    return;
+  }
+  state.nextAsk_ =
+    aContext.now_ + Jittered(aContext, state.options_.askInterval_);
+  const std::size_t index = RandomBelow(aContext, state.pollers_.size());
+  aContext.effects_.emplace_back(AskRevision{ state.pollers_[index] });
+}
+
+void
+ForgetPeers(Context& aContext)
+{
+  auto& peers = aContext.state_.peers_;
+  for (auto peer = peers.begin(); peer != peers.end();) {
+    peer = aContext.now_ - peer->second.seenAt_ > kPeerLife ? peers.erase(peer)
+                                                            : std::next(peer);
+  }
+}
+
+} // namespace
+
+void
+Count(Context& aContext, SyncCount aCount)
+{
+  ++aContext.state_.counts_[static_cast<std::size_t>(aCount)];
+}
+
+std::uint64_t
+RandomBelow(Context& aContext, std::uint64_t aBound)
+{
+  const auto* const bytes = reinterpret_cast<const char*>(&aContext.random_);
+  aContext.random_ = core::StableHash(
+    absl::string_view(bytes, sizeof(aContext.random_)), aBound);
+  return aContext.random_ % aBound;
+}
+
+absl::Duration
+Jittered(Context& aContext, absl::Duration aInterval)
+{
+  constexpr std::uint64_t kSteps = 1000;
+  constexpr double kLeast = 0.75;
+  constexpr double kSpread = 0.5;
+  const double part = static_cast<double>(RandomBelow(aContext, kSteps)) /
+                      static_cast<double>(kSteps);
+  return aInterval * (kLeast + kSpread * part);
+}
+
+std::uint64_t
+AddRequest(Context& aContext, PendingRequest aRequest)
+{
+  const std::uint64_t id = ++aContext.state_.lastRequest_;
+  aContext.state_.requests_.emplace(id, std::move(aRequest));
+  return id;
+}
+
+void
+Send(Context& aContext, RequestKind aKind, platform::Command aCommand)
+{
+  PendingRequest request;
+  request.kind_ = aKind;
+  request.deadline_ = aContext.now_ + aContext.state_.options_.requestTimeout_;
+  request.digests_ = { aCommand.key_ };
+  aCommand.id_ = AddRequest(aContext, std::move(request));
+  aContext.effects_.emplace_back(SendCommand{ std::move(aCommand) });
+}
+
+void
+SendRead(Context& aContext, RequestKind aKind, std::string aKey)
+{
+  platform::Command command;
+  command.operation_ = platform::Operation::Read;
+  command.key_ = std::move(aKey);
+  Send(aContext, aKind, std::move(command));
+}
+
+std::size_t
+InFlight(const SyncState& aState, RequestKind aKind)
+{
+  std::size_t count = 0;
+  for (const auto& [id, request] : aState.requests_) {
+    count += request.kind_ == aKind ? 1 : 0;
+  }
+  return count;
+}
+
+absl::btree_set<std::string>
+DigestsOf(const Head& aHead)
+{
+  absl::btree_set<std::string> digests;
+  for (const auto& section : aHead.sections_) {
+    digests.insert(section.chunks_.begin(), section.chunks_.end());
+  }
+  return digests;
+}
+
+std::uint64_t
+RevisionOf(const SyncState& aState)
+{
+  return aState.inForce_ ? aState.inForce_->head_.revision_ : 0;
+}
+
+DocumentChecked
+RunCheck(const CheckDocument& aOrder)
+{
+  return { aOrder.id_,
+           std::make_shared<const Checked>(Check(aOrder.sections_)) };
+}
+
+std::vector<Effect>
+Step(SyncState& aState, const Event& aEvent)
+{
+  std::vector<Effect> effects;
+  Context context{ aState, aEvent.now_, aEvent.random_, effects };
+  const std::uint64_t before = RevisionOf(aState);
+  Start(context);
+  absl::visit([&](const auto& aBody) { On(context, aBody); }, aEvent.body_);
+  ExpireRequests(context);
+  ForgetPeers(context);
+  AskIfDue(context);
+  NoteIfBehind(context);
+  PollIfDue(context);
+  AdvanceFetch(context);
+  AdvanceEdit(context);
+  CHECK_GE(RevisionOf(aState), before) << "the revision in force fell";
+  return effects;
+}
+
+Served
+Serve(const SyncState& aState, const std::vector<std::string>& aDigests)
+{
+  Served served;
+  if (!aState.inForce_) {
+    return served;
+  }
+  served.revision_ = aState.inForce_->head_.revision_;
+  served.head_ = aState.inForce_->headText_;
+  std::size_t bytes = 0;
+  for (const auto& digest : aDigests) {
+    const auto found = aState.chunks_.find(digest);
+    if (found == aState.chunks_.end()) {
+      continue;
+    }
+    bytes += found->second->size();
+    if (bytes > kMaxServedBytes) {
+      break;
+    }
+    CHECK_EQ(core::Sha256Hex(*found->second), digest);
+    served.chunks_.push_back({ digest, *found->second });
+  }
+  return served;
+}
+
+} // namespace lycheeplank::config
--- /dev/null
+++ b/test/config-sync-test.cc
@@ -0,0 +1,894 @@
+#include "lycheeplank/config_sync.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <absl/strings/strip.h>
+#include <catch2/catch.hpp>
+
+namespace config = lycheeplank::config;
+namespace core = lycheeplank::core;
+namespace platform = lycheeplank::platform;
+
+namespace {
+
+// Shares of calls that go wrong while faults are on.
+constexpr double kLostReplies = 0.15;
+constexpr double kRefusals = 0.05;
+constexpr double kLostPeerCalls = 0.1;
+constexpr double kWrongChunks = 0.05;
+
+// The longest time in which a lost write may still take effect.
+constexpr absl::Duration kLateEffect = absl::Seconds(8);
+// An accepted change has to be in force everywhere within this time.
+constexpr absl::Duration kInForceBound = absl::Seconds(14);
+
+struct Settings
+{
+  std::uint64_t seed_ = 1;
+  int hosts_ = 6;
+  int pollers_ = 2;
+  int edits_ = 60;
+  bool faults_ = true;
+};
+
+// What an operator asked for and was told.
+struct EditRecord
+{
+  config::EditAsked edit_;
+  bool answered_ = false;
+  std::uint64_t revision_ = 0;
+  absl::optional<core::Error> error_;
+};
+
+struct Value
+{
+  std::string content_;
+  std::uint64_t version_ = 0;
+};
+
+struct Host
+{
+  config::SyncState state_;
+  // Raised by a restart, so that replies to the former life are dropped.
+  int life_ = 0;
+  absl::Time frozenUntil_ = absl::InfinitePast();
+  std::uint64_t revision_ = 0;
+};
+
+// A head that was the current one, and until when.
+struct PastHead
+{
+  config::Head head_;
+  absl::Time until_ = absl::InfiniteFuture();
+};
+
+// Hosts, operators, and the platform's service under a virtual clock.
+struct World
+{
+  struct Task
+  {
+    absl::Time at_;
+    std::uint64_t order_ = 0;
+    std::function<void()> run_;
+    friend bool operator<(const Task& aLeft, const Task& aRight)
+    {
+      return aLeft.at_ != aRight.at_ ? aLeft.at_ > aRight.at_
+                                     : aLeft.order_ > aRight.order_;
+    }
+  };
+
+  Settings settings_;
+  std::mt19937_64 random_;
+  absl::Time now_ = absl::FromUnixSeconds(1800000000);
+  absl::Time faultsEnd_ = absl::InfiniteFuture();
+  absl::Time platformDownUntil_ = absl::InfinitePast();
+  std::priority_queue<Task> tasks_;
+  std::uint64_t order_ = 0;
+  std::vector<Host> hosts_;
+  std::map<std::string, Value> values_;
+  std::uint64_t lastVersion_ = 0;
+  std::uint64_t reads_ = 0;
+  std::vector<PastHead> heads_;
+  std::map<std::uint64_t, std::string> documents_;
+  std::map<std::string, EditRecord> edits_;
+  std::set<std::string> acceptedEdits_;
+  std::uint64_t deletedChunks_ = 0;
+};
+
+double
+Draw(World& aWorld)
+{
+  return std::uniform_real_distribution<double>(0, 1)(aWorld.random_);
+}
+
+int
+DrawInt(World& aWorld, int aBound)
+{
+  return static_cast<int>(aWorld.random_() %
+                          static_cast<std::uint64_t>(aBound));
+}
+
+absl::Duration
+DrawTime(World& aWorld, absl::Duration aFrom, absl::Duration aTo)
+{
+  return aFrom + (aTo - aFrom) * Draw(aWorld);
+}
+
+bool
+Faulty(World& aWorld, double aShare)
+{
+  return aWorld.settings_.faults_ && aWorld.now_ < aWorld.faultsEnd_ &&
+         Draw(aWorld) < aShare;
+}
+
+void
+After(World& aWorld, absl::Duration aDelay, std::function<void()> aRun)
+{
+  aWorld.tasks_.push(
+    { aWorld.now_ + aDelay, ++aWorld.order_, std::move(aRun) });
+}
+
+std::string
+NameOf(int aHost)
+{
+  return absl::StrCat("host", aHost);
+}
+
+config::PeerAddress
+AddressOf(int aHost)
+{
+  return { NameOf(aHost), absl::StrCat("10.0.0.", aHost, ":7000") };
+}
+
+int
+IndexOf(const config::PeerAddress& aPeer)
+{
+  int index = 0;
+  REQUIRE(absl::SimpleAtoi(absl::StripPrefix(aPeer.name_, "host"), &index));
+  return index;
+}
+
+void
+Carry(World& aWorld, int aHost, const config::Effect& aEffect);
+
+// Gives an event to a host, once it is no longer frozen, unless it has been
+// restarted since.
+void
+Deliver(World& aWorld, int aHost, int aLife, config::EventBody aBody)
+{
+  auto& host = aWorld.hosts_[aHost];
+  if (host.life_ != aLife) {
+    return;
+  }
+  if (host.frozenUntil_ > aWorld.now_) {
+    After(aWorld,
+          host.frozenUntil_ - aWorld.now_,
+          [&aWorld, aHost, aLife, body = std::move(aBody)] {
+            Deliver(aWorld, aHost, aLife, body);
+          });
+    return;
+  }
+  const auto effects = config::Step(
+    host.state_, { aWorld.now_, aWorld.random_(), std::move(aBody) });
+  for (const auto& effect : effects) {
+    Carry(aWorld, aHost, effect);
+  }
+}
+
+void
+DeliverAfter(World& aWorld,
+             absl::Duration aDelay,
+             int aHost,
+             config::EventBody aBody)
+{
+  const int life = aWorld.hosts_[aHost].life_;
+  After(aWorld, aDelay, [&aWorld, aHost, life, body = std::move(aBody)] {
+    Deliver(aWorld, aHost, life, body);
+  });
+}
+
+std::string
+DocumentOf(World& aWorld, const config::Head& aHead)
+{
+  std::vector<config::Section> sections;
+  for (const auto& entry : aHead.sections_) {
+    config::Section section{ entry.name_ };
+    for (const auto& digest : entry.chunks_) {
+      const auto chunk =
+        aWorld.values_.find(absl::StrCat(config::kChunkPrefix, digest));
+      REQUIRE(chunk != aWorld.values_.end());
+      REQUIRE(core::Sha256Hex(chunk->second.content_) == digest);
+      section.text_ += chunk->second.content_;
+    }
+    sections.push_back(std::move(section));
+  }
+  REQUIRE(config::Check(sections).problems_.empty());
+  return config::Join(sections);
+}
+
+std::string
+SectionText(const std::string& aDocument, const std::string& aName)
+{
+  for (const auto& section : config::Split(aDocument).sections_) {
+    if (section.name_ == aName) {
+      return section.text_;
+    }
+  }
+  return "";
+}
+
+// Checks that a new head adds exactly one edit that was not yet accepted.
+void
+CheckChange(World& aWorld,
+            const config::Head& aBefore,
+            const config::Head& aAfter,
+            const std::string& aDocument)
+{
+  REQUIRE(aAfter.revision_ == aBefore.revision_ + 1);
+  const auto& change = aAfter.history_.back();
+  REQUIRE(change.revision_ == aAfter.revision_);
+  REQUIRE(aWorld.acceptedEdits_.insert(change.author_).second);
+  const auto& edit = aWorld.edits_.at(change.author_);
+  for (const auto& section : edit.edit_.sections_) {
+    CHECK(SectionText(aDocument, section.name_) == section.text_);
+    const auto* const before = config::FindSection(aBefore, section.name_);
+    const bool changed = std::count(change.sections_.begin(),
+                                    change.sections_.end(),
+                                    section.name_) > 0;
+    if (before != nullptr && changed) {
+      CHECK(before->revision_ <= section.base_);
+    }
+  }
+  for (const auto& section : aBefore.sections_) {
+    const auto* const after = config::FindSection(aAfter, section.name_);
+    REQUIRE(after != nullptr);
+    if (after->revision_ != aAfter.revision_) {
+      CHECK(after->chunks_ == section.chunks_);
+    }
+  }
+}
+
+void
+CheckNewHead(World& aWorld, const std::string& aText)
+{
+  const auto head = config::ParseHead(aText);
+  REQUIRE(head);
+  const std::string document = DocumentOf(aWorld, *head);
+  const config::Head before =
+    aWorld.heads_.empty() ? config::Head() : aWorld.heads_.back().head_;
+  if (head->revision_ == before.revision_) {
+    REQUIRE(aWorld.documents_.at(head->revision_) == document);
+  } else {
+    CheckChange(aWorld, before, *head, document);
+  }
+  aWorld.documents_[head->revision_] = document;
+  if (!aWorld.heads_.empty()) {
+    aWorld.heads_.back().until_ = aWorld.now_;
+  }
+  aWorld.heads_.push_back({ *head });
+}
+
+// Checks that no current or recent head names a chunk.
+void
+CheckDeleted(World& aWorld, const std::string& aKey)
+{
+  const auto& options = aWorld.hosts_.front().state_.options_;
+  const std::string digest(absl::StripPrefix(aKey, config::kChunkPrefix));
+  // An edit notes when it retires a chunk some time before its head is written.
+  const absl::Time recent =
+    aWorld.now_ - options.chunkRetention_ + options.editDeadline_ + kLateEffect;
+  for (const auto& past : aWorld.heads_) {
+    if (past.until_ <= recent) {
+      continue;
+    }
+    for (const auto& section : past.head_.sections_) {
+      CHECK(std::count(
+              section.chunks_.begin(), section.chunks_.end(), digest) == 0);
+    }
+  }
+  ++aWorld.deletedChunks_;
+}
+
+platform::Reply
+Execute(World& aWorld, const platform::Command& aCommand)
+{
+  using platform::Operation;
+  using platform::Outcome;
+  auto& values = aWorld.values_;
+  platform::Reply reply;
+  reply.id_ = aCommand.id_;
+  const auto found = values.find(aCommand.key_);
+  const std::uint64_t version =
+    found == values.end() ? 0 : found->second.version_;
+  reply.version_ = version;
+  reply.outcome_ = Outcome::Ok;
+  const bool mutates = aCommand.operation_ == Operation::Write ||
+                       aCommand.operation_ == Operation::Delete;
+  if (mutates && aCommand.expect_ && *aCommand.expect_ != version) {
+    reply.outcome_ = Outcome::Conflict;
+    reply.value_ = found == values.end() ? "" : found->second.content_;
+  } else if (aCommand.operation_ == Operation::Write) {
+    REQUIRE(aCommand.value_.size() < 1U << 20U);
+    values[aCommand.key_] = { aCommand.value_, ++aWorld.lastVersion_ };
+    reply.version_ = aWorld.lastVersion_;
+    if (aCommand.key_ == config::kHeadKey) {
+      CheckNewHead(aWorld, aCommand.value_);
+    }
+  } else if (aCommand.operation_ == Operation::Delete) {
+    if (found != values.end()) {
+      values.erase(found);
+      CheckDeleted(aWorld, aCommand.key_);
+    }
+  } else if (aCommand.operation_ == Operation::List) {
+    for (auto entry =
+           values.upper_bound(std::max(aCommand.key_, aCommand.value_));
+         entry != values.end() && absl::StartsWith(entry->first, aCommand.key_);
+         ++entry) {
+      constexpr std::size_t kPage = 8;
+      if (reply.entries_.size() == kPage) {
+        reply.more_ = true;
+        break;
+      }
+      reply.entries_.push_back({ entry->first, entry->second.version_ });
+    }
+  } else {
+    ++aWorld.reads_;
+    reply.outcome_ = found == values.end() ? Outcome::Absent : Outcome::Ok;
+    reply.value_ = found == values.end() ? "" : found->second.content_;
+  }
+  return reply;
+}
+
+// Carries out a platform command; it may be refused, or its reply or the whole
+// command may be lost, or it may take effect late.
+void
+CallPlatform(World& aWorld, int aHost, const platform::Command& aCommand)
+{
+  const auto answer = [&aWorld, aHost](absl::Duration aDelay,
+                                       platform::Reply aReply) {
+    DeliverAfter(aWorld, aDelay, aHost, std::move(aReply));
+  };
+  platform::Reply failed;
+  failed.id_ = aCommand.id_;
+  const absl::Duration way =
+    DrawTime(aWorld, absl::Milliseconds(1), absl::Milliseconds(30));
+  const bool down = aWorld.platformDownUntil_ > aWorld.now_;
+  if (Faulty(aWorld, kRefusals) || (down && Draw(aWorld) < 0.5)) {
+    failed.outcome_ = platform::Outcome::Refused;
+    answer(way, failed);
+    return;
+  }
+  if (down) {
+    answer(absl::Seconds(1), failed);
+    return;
+  }
+  if (!Faulty(aWorld, kLostReplies)) {
+    const int life = aWorld.hosts_[aHost].life_;
+    After(aWorld, way, [&aWorld, aHost, life, aCommand, way] {
+      const auto reply = Execute(aWorld, aCommand);
+      After(aWorld, way, [&aWorld, aHost, life, reply] {
+        Deliver(aWorld, aHost, life, reply);
+      });
+    });
+    return;
+  }
+  answer(absl::Seconds(1), failed);
+  const double kind = Draw(aWorld);
+  if (kind < 0.6) {
+    const absl::Duration late =
+      kind < 0.3 ? way : DrawTime(aWorld, way, kLateEffect);
+    After(aWorld,
+          std::min(late, aWorld.faultsEnd_ - aWorld.now_),
+          [&aWorld, aCommand] { Execute(aWorld, aCommand); });
+  }
+}
+
+void
+CallPeer(World& aWorld, int aHost, const config::FetchFromPeer& aFetch)
+{
+  const int peer = IndexOf(aFetch.peer_);
+  const int life = aWorld.hosts_[aHost].life_;
+  const absl::Duration way =
+    DrawTime(aWorld, absl::Milliseconds(1), absl::Milliseconds(10));
+  if (Faulty(aWorld, kLostPeerCalls)) {
+    return;
+  }
+  After(aWorld, way, [&aWorld, aHost, life, peer, aFetch, way] {
+    auto& host = aWorld.hosts_[peer];
+    if (host.frozenUntil_ > aWorld.now_) {
+      return;
+    }
+    auto served = config::Serve(host.state_, aFetch.digests_);
+    config::PeerAnswer answer{ aFetch.id_, true, served.head_ };
+    answer.chunks_ = std::move(served.chunks_);
+    if (!answer.chunks_.empty() && Faulty(aWorld, kWrongChunks)) {
+      answer.chunks_.front().content_ += "damage";
+    }
+    After(aWorld, way, [&aWorld, aHost, life, answer] {
+      Deliver(aWorld, aHost, life, answer);
+    });
+  });
+}
+
+// Tells a host the revision of a peer, sometimes much later.
+void
+TellRevision(World& aWorld, int aTo, int aAbout)
+{
+  if (aTo == aAbout || aWorld.hosts_[aAbout].frozenUntil_ > aWorld.now_ ||
+      Faulty(aWorld, kLostPeerCalls)) {
+    return;
+  }
+  const auto revision = config::RevisionOf(aWorld.hosts_[aAbout].state_);
+  const absl::Duration way =
+    Faulty(aWorld, 0.1)
+      ? DrawTime(aWorld, absl::Seconds(1), absl::Seconds(10))
+      : DrawTime(aWorld, absl::Milliseconds(1), absl::Milliseconds(10));
+  DeliverAfter(
+    aWorld, way, aTo, config::PeerSeen{ AddressOf(aAbout), revision });
+}
+
+void
+NoteInForce(World& aWorld, int aHost, const config::Publish& aPublish)
+{
+  auto& host = aWorld.hosts_[aHost];
+  const auto& accepted = *aPublish.accepted_;
+  REQUIRE(accepted.head_.revision_ > host.revision_);
+  host.revision_ = accepted.head_.revision_;
+  REQUIRE(accepted.config_->revision_ == host.revision_);
+  REQUIRE(config::Join(accepted.sections_) ==
+          aWorld.documents_.at(host.revision_));
+}
+
+void
+NoteAnswer(World& aWorld, const config::AnswerEdit& aAnswer)
+{
+  auto& edit = aWorld.edits_.at(aAnswer.id_);
+  REQUIRE_FALSE(edit.answered_);
+  edit.answered_ = true;
+  edit.revision_ = aAnswer.revision_;
+  edit.error_ = aAnswer.error_;
+  if (aAnswer.error_) {
+    return;
+  }
+  const auto document = aWorld.documents_.find(aAnswer.revision_);
+  REQUIRE(document != aWorld.documents_.end());
+  for (const auto& section : edit.edit_.sections_) {
+    CHECK(SectionText(document->second, section.name_) == section.text_);
+  }
+}
+
+void
+Carry(World& aWorld, int aHost, const config::Effect& aEffect)
+{
+  if (const auto* send = absl::get_if<config::SendCommand>(&aEffect)) {
+    CallPlatform(aWorld, aHost, send->command_);
+  } else if (const auto* fetch =
+               absl::get_if<config::FetchFromPeer>(&aEffect)) {
+    CallPeer(aWorld, aHost, *fetch);
+  } else if (const auto* ask = absl::get_if<config::AskRevision>(&aEffect)) {
+    TellRevision(aWorld, aHost, IndexOf(ask->peer_));
+  } else if (const auto* check =
+               absl::get_if<config::CheckDocument>(&aEffect)) {
+    DeliverAfter(
+      aWorld,
+      DrawTime(aWorld, absl::Milliseconds(1), absl::Milliseconds(200)),
+      aHost,
+      config::RunCheck(*check));
+  } else if (const auto* publish = absl::get_if<config::Publish>(&aEffect)) {
+    NoteInForce(aWorld, aHost, *publish);
+  } else if (const auto* answer = absl::get_if<config::AnswerEdit>(&aEffect)) {
+    NoteAnswer(aWorld, *answer);
+  }
+}
+
+void
+SetPollers(World& aWorld, int aFirst)
+{
+  const int count = static_cast<int>(aWorld.hosts_.size());
+  for (int host = 0; host < count; ++host) {
+    config::PollersChanged pollers;
+    for (int i = 0; i < aWorld.settings_.pollers_; ++i) {
+      const int poller = (aFirst + i) % count;
+      pollers.self_ = pollers.self_ || poller == host;
+      if (poller != host) {
+        pollers.others_.push_back(AddressOf(poller));
+      }
+    }
+    DeliverAfter(aWorld,
+                 DrawTime(aWorld, absl::ZeroDuration(), absl::Seconds(1)),
+                 host,
+                 pollers);
+  }
+}
+
+void
+StartHost(World& aWorld, int aHost)
+{
+  auto& host = aWorld.hosts_[aHost];
+  ++host.life_;
+  host.state_ = config::SyncState();
+  host.state_.host_ = NameOf(aHost);
+  host.state_.options_.chunkRetention_ = absl::Minutes(1);
+  host.frozenUntil_ = absl::InfinitePast();
+  host.revision_ = 0;
+}
+
+void
+KeepTicking(World& aWorld, int aHost)
+{
+  After(aWorld,
+        DrawTime(aWorld, absl::Milliseconds(80), absl::Milliseconds(120)),
+        [&aWorld, aHost] {
+          Deliver(aWorld, aHost, aWorld.hosts_[aHost].life_, config::Tick());
+          KeepTicking(aWorld, aHost);
+        });
+}
+
+void
+KeepProbing(World& aWorld, int aHost)
+{
+  After(aWorld,
+        DrawTime(aWorld, absl::Milliseconds(800), absl::Milliseconds(1200)),
+        [&aWorld, aHost] {
+          const int peer =
+            DrawInt(aWorld, static_cast<int>(aWorld.hosts_.size()));
+          TellRevision(aWorld, aHost, peer);
+          TellRevision(aWorld, peer, aHost);
+          KeepProbing(aWorld, aHost);
+        });
+}
+
+void
+Inject(World& aWorld)
+{
+  const int host = DrawInt(aWorld, static_cast<int>(aWorld.hosts_.size()));
+  switch (DrawInt(aWorld, 5)) {
+    case 0:
+      StartHost(aWorld, host);
+      SetPollers(aWorld, DrawInt(aWorld, 4));
+      break;
+    case 1:
+      aWorld.hosts_[host].frozenUntil_ = std::min(
+        aWorld.faultsEnd_,
+        aWorld.now_ + DrawTime(aWorld, absl::Seconds(1), absl::Seconds(40)));
+      break;
+    case 2:
+      aWorld.platformDownUntil_ = std::min(
+        aWorld.faultsEnd_,
+        aWorld.now_ + DrawTime(aWorld, absl::Seconds(1), absl::Seconds(15)));
+      break;
+    case 3:
+      SetPollers(aWorld, host);
+      break;
+    default:
+      DeliverAfter(aWorld, absl::ZeroDuration(), host, config::CleanupDue());
+  }
+}
+
+void
+KeepInjecting(World& aWorld)
+{
+  After(
+    aWorld, DrawTime(aWorld, absl::Seconds(1), absl::Seconds(7)), [&aWorld] {
+      if (aWorld.now_ < aWorld.faultsEnd_) {
+        Inject(aWorld);
+        KeepInjecting(aWorld);
+      }
+    });
+}
+
+// A section's text; few different ones, so that old chunks return to use. Two
+// edits that are valid by themselves may contradict each other.
+std::string
+DrawSection(World& aWorld, const std::string& aName)
+{
+  const int number = 1 + DrawInt(aWorld, 5);
+  const int broken = DrawInt(aWorld, 20) == 0 ? 0 : number;
+  if (aName == "limits") {
+    return absl::StrCat(
+      "limits:\n  owner: on-call\n  values: {max_loading: ", broken, "}\n");
+  }
+  if (aName == "workspaces") {
+    return absl::StrCat("workspaces:\n  owner: desk\n  entries:\n    w",
+                        number % 2,
+                        ": {max_running: ",
+                        broken,
+                        "}\n");
+  }
+  if (aName == "rules") {
+    return absl::StrCat("rules:\n  owner: desk\n  entries:\n    r",
+                        number,
+                        ": {workspaces: [w",
+                        number % 2,
+                        "]}\n");
+  }
+  return absl::StrCat(
+    "stores:\n  owner: machines\n  entries:\n    s: {url: 'http://10.0.0.",
+    number,
+    ":8000', data_centre: lagos-west-1}\n");
+}
+
+void
+AskForEdit(World& aWorld)
+{
+  const std::vector<std::string> names{
+    "limits", "workspaces", "rules", "stores"
+  };
+  const int host = DrawInt(aWorld, static_cast<int>(aWorld.hosts_.size()));
+  const auto revision = config::RevisionOf(aWorld.hosts_[host].state_);
+  const auto staleness = static_cast<std::uint64_t>(
+    DrawInt(aWorld, 4) == 0 ? DrawInt(aWorld, 3) : 0);
+  config::EditAsked edit;
+  edit.id_ = absl::StrCat("edit", aWorld.edits_.size());
+  edit.author_ = edit.id_;
+  const std::size_t first = aWorld.random_() % names.size();
+  const std::size_t count = 1 + aWorld.random_() % 2;
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto& name = names[(first + i) % names.size()];
+    edit.sections_.push_back({ name,
+                               DrawSection(aWorld, name),
+                               revision - std::min(revision, staleness) });
+  }
+  aWorld.edits_[edit.id_].edit_ = edit;
+  DeliverAfter(aWorld, absl::Milliseconds(1), host, edit);
+}
+
+void
+KeepEditing(World& aWorld, int aLeft)
+{
+  if (aLeft == 0) {
+    return;
+  }
+  After(aWorld,
+        DrawTime(aWorld, absl::Milliseconds(50), absl::Seconds(4)),
+        [&aWorld, aLeft] {
+          const int racing = 1 + DrawInt(aWorld, 3);
+          for (int i = 0; i < racing; ++i) {
+            AskForEdit(aWorld);
+          }
+          KeepEditing(aWorld, aLeft - std::min(aLeft, racing));
+        });
+}
+
+void
+RunUntil(World& aWorld, absl::Time aEnd)
+{
+  while (!aWorld.tasks_.empty() && aWorld.tasks_.top().at_ <= aEnd) {
+    const auto task = aWorld.tasks_.top();
+    aWorld.tasks_.pop();
+    aWorld.now_ = task.at_;
+    task.run_();
+  }
+  aWorld.now_ = aEnd;
+}
+
+void
+Begin(World& aWorld)
+{
+  aWorld.random_.seed(aWorld.settings_.seed_);
+  aWorld.hosts_.resize(static_cast<std::size_t>(aWorld.settings_.hosts_));
+  for (int host = 0; host < aWorld.settings_.hosts_; ++host) {
+    StartHost(aWorld, host);
+    KeepTicking(aWorld, host);
+    KeepProbing(aWorld, host);
+  }
+  SetPollers(aWorld, 0);
+}
+
+// Checks what must hold once faults are over and all edits are answered.
+void
+CheckEnd(World& aWorld)
+{
+  REQUIRE_FALSE(aWorld.heads_.empty());
+  const auto newest = aWorld.heads_.back().head_.revision_;
+  for (const auto& host : aWorld.hosts_) {
+    CHECK(host.revision_ == newest);
+    CHECK(config::Join(host.state_.inForce_->sections_) ==
+          aWorld.documents_.at(newest));
+  }
+  for (const auto& [id, edit] : aWorld.edits_) {
+    INFO(id);
+    const bool refused = edit.error_ && edit.error_->run_ == core::RunState::No;
+    if (refused) {
+      CHECK(aWorld.acceptedEdits_.count(id) == 0);
+    }
+  }
+}
+
+std::uint64_t
+FromEnvironment(const char* aName, std::uint64_t aDefault)
+{
+  const char* const text = std::getenv(aName);
+  std::uint64_t value = aDefault;
+  if (text != nullptr && !absl::SimpleAtoi(text, &value)) {
+    FAIL(aName << " is not a number");
+  }
+  return value;
+}
+
+struct Totals
+{
+  std::size_t accepted_ = 0;
+  std::size_t conflicting_ = 0;
+  std::size_t invalid_ = 0;
+  std::size_t unavailable_ = 0;
+  std::size_t unknown_ = 0;
+  std::uint64_t deleted_ = 0;
+};
+
+void
+RunWithFaults(std::uint64_t aSeed, int aEdits, Totals& aTotals)
+{
+  INFO("repeat with: LYCHEEPLANK_SEED="
+       << aSeed << " LYCHEEPLANK_STEPS=" << aEdits
+       << " build/config-sync-test 'changes survive faults'");
+  World world;
+  world.settings_.seed_ = aSeed;
+  world.settings_.edits_ = aEdits;
+  Begin(world);
+  // One edit takes a second on average; the last ones need their deadline.
+  world.faultsEnd_ = world.now_ + absl::Seconds(2 * aEdits) + absl::Seconds(40);
+  KeepEditing(world, aEdits);
+  KeepInjecting(world);
+  RunUntil(world, world.faultsEnd_ + kInForceBound);
+  CheckEnd(world);
+  aTotals.accepted_ += world.acceptedEdits_.size();
+  aTotals.deleted_ += world.deletedChunks_;
+  for (const auto& [id, edit] : world.edits_) {
+    if (edit.error_) {
+      using Kind = core::ErrorKind;
+      const Kind kind = edit.error_->kind_;
+      aTotals.conflicting_ += kind == Kind::ConfigConflict ? 1 : 0;
+      aTotals.invalid_ += kind == Kind::ConfigInvalid ? 1 : 0;
+      aTotals.unavailable_ += kind == Kind::PlatformUnavailable ? 1 : 0;
+      aTotals.unknown_ += kind == Kind::OutcomeUnknown ? 1 : 0;
+    }
+  }
+}
+
+} // namespace
+
+TEST_CASE("changes survive faults")
+{
+  constexpr std::uint64_t kSeeds = 40;
+  constexpr std::uint64_t kEdits = 60;
+  const auto first = FromEnvironment("LYCHEEPLANK_SEED", 1);
+  const bool chosen = std::getenv("LYCHEEPLANK_SEED") != nullptr;
+  const auto edits =
+    static_cast<int>(FromEnvironment("LYCHEEPLANK_STEPS", kEdits));
+  Totals totals;
+  for (std::uint64_t seed = first; seed < first + (chosen ? 1 : kSeeds);
+       ++seed) {
+    RunWithFaults(seed, edits, totals);
+  }
+  WARN("accepted " << totals.accepted_ << ", conflicting "
+                   << totals.conflicting_ << ", invalid " << totals.invalid_
+                   << ", unavailable " << totals.unavailable_ << ", unknown "
+                   << totals.unknown_ << ", chunks deleted "
+                   << totals.deleted_);
+  if (!chosen) {
+    CHECK(totals.accepted_ > 10 * kSeeds);
+    CHECK(totals.conflicting_ > 0);
+    CHECK(totals.invalid_ > 0);
+    CHECK(totals.unknown_ > 0);
+    CHECK(totals.deleted_ > 0);
+  }
+}
+
+TEST_CASE("a change is in force on many hosts in time, with few reads")
+{
+  World world;
+  world.settings_.hosts_ = 120;
+  world.settings_.pollers_ = 4;
+  world.settings_.faults_ = false;
+  Begin(world);
+  RunUntil(world, world.now_ + absl::Seconds(10));
+  for (int round = 0; round < 3; ++round) {
+    AskForEdit(world);
+    RunUntil(world, world.now_ + kInForceBound);
+  }
+  CheckEnd(world);
+  world.reads_ = 0;
+  RunUntil(world, world.now_ + absl::Minutes(1));
+  // Four pollers, each every three seconds; the other hosts none.
+  CHECK(world.reads_ >= 60);
+  CHECK(world.reads_ <= 110);
+}
+
+TEST_CASE("a host that starts during an outage takes its peers' configuration")
+{
+  World world;
+  world.settings_.faults_ = false;
+  Begin(world);
+  RunUntil(world, world.now_ + absl::Seconds(1));
+  AskForEdit(world);
+  RunUntil(world, world.now_ + kInForceBound);
+  CheckEnd(world);
+  world.platformDownUntil_ = absl::InfiniteFuture();
+  StartHost(world, 3);
+  RunUntil(world, world.now_ + kInForceBound);
+  CheckEnd(world);
+}
+
+TEST_CASE("a host alone during an outage serves no configuration")
+{
+  World world;
+  world.settings_.faults_ = false;
+  world.settings_.hosts_ = 1;
+  world.settings_.pollers_ = 1;
+  world.platformDownUntil_ = absl::InfiniteFuture();
+  Begin(world);
+  RunUntil(world, world.now_ + absl::Minutes(1));
+  CHECK(config::RevisionOf(world.hosts_[0].state_) == 0);
+}
+
+TEST_CASE("an edit that changes nothing makes no revision")
+{
+  World world;
+  world.settings_.faults_ = false;
+  Begin(world);
+  RunUntil(world, world.now_ + absl::Seconds(1));
+  const std::string text =
+    "limits:\n  owner: on-call\n  values: {max_loading: 3}\n";
+  for (const std::string id : { "first", "again" }) {
+    config::EditAsked edit{ id, id, { { "limits", text, 0 } } };
+    world.edits_[id].edit_ = edit;
+    DeliverAfter(world, absl::ZeroDuration(), 0, edit);
+    RunUntil(world, world.now_ + absl::Seconds(5));
+    REQUIRE(world.edits_[id].answered_);
+    CHECK(world.edits_[id].revision_ == 1);
+  }
+}
+
+TEST_CASE("a small edit of a long text changes few chunks")
+{
+  std::string text = "workspaces:\n  owner: desk\n  entries:\n";
+  for (int i = 0; i < 42000; ++i) {
+    absl::StrAppend(&text, "    w", i, ": {max_running: 32, share: 1.5}\n");
+  }
+  const auto before = config::CutChunks(text);
+  CHECK(absl::StrJoin(before, "") == text);
+  for (const auto& chunk : before) {
+    CHECK(chunk.size() <= config::kMaxChunkBytes);
+  }
+  text.insert(text.size() / 2, "    # a remark\n");
+  const std::set<std::string> old(before.begin(), before.end());
+  const auto after = config::CutChunks(text);
+  const auto changed =
+    std::count_if(after.begin(), after.end(), [&](const auto& aChunk) {
+      return old.count(aChunk) == 0;
+    });
+  CHECK(before.size() > 15);
+  CHECK(changed <= 2);
+}
+
+TEST_CASE("a head survives its written form")
+{
+  config::Head head;
+  head.revision_ = 9;
+  head.cleanups_ = 2;
+  head.sections_ = { { "limits", "on-call", 9, { "ab", "cd" } } };
+  head.history_ = { { 9, "id", "an \xff author", 12, { "limits" } } };
+  head.retired_ = { { "ef", 7 } };
+  const auto read = config::ParseHead(config::FormatHead(head));
+  REQUIRE(read);
+  CHECK(read->revision_ == 9);
+  CHECK(read->cleanups_ == 2);
+  CHECK(read->sections_[0].chunks_ == head.sections_[0].chunks_);
+  CHECK(read->history_[0].sections_ == head.history_[0].sections_);
+  CHECK(read->retired_[0].digest_ == "ef");
+  CHECK_FALSE(config::ParseHead("{}"));
+  CHECK_FALSE(config::ParseHead("[1]"));
+  CHECK_FALSE(config::ParseHead("x"));
+  CHECK_FALSE(config::ParseHead(R"({"revision":-1})"));
+}
