Plan exports, evictions and the order of transfers

Return gaps are counted per workspace in log buckets with a half-life of a week and a prior of four visits. Exports are valued by the chance of a return between the engine's eviction and the store's, times what an import saves; evictions take workspaces over their share first. Batch work gets a latest start and yields until then.

--- /dev/null
+++ b/include/lycheeplank/keeping.h
@@ -0,0 +1,231 @@
+#ifndef LYCHEEPLANK_KEEPING_H
+#define LYCHEEPLANK_KEEPING_H
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/strings/string_view.h>
+#include <absl/time/time.h>
+#include <absl/types/optional.h>
+
+#include "lycheeplank/config.h"
+#include "lycheeplank/core.h"
+
+// Which blocks are exported to stores, which are freed there, and in which
+// order transfers and batch work are started. All functions are pure.
+namespace lycheeplank::keeping {
+
+// Bucket i counts gaps from 2^i to 2^(i+1) seconds; the last one reaches to
+// 194 days.
+inline constexpr std::size_t kGapBuckets = 24;
+
+// What a workspace's prompts did after a run, with old counts decayed.
+struct GapCounts
+{
+  std::array<float, kGapBuckets> returned_{};
+  // Prompts that were given up before they returned.
+  float gone_ = 0.0F;
+  absl::Time decayedAt_ = absl::InfinitePast();
+};
+
+// Counts a prompt that returned aGap after its last run.
+void
+NoteReturn(GapCounts& aCounts, absl::Duration aGap, absl::Time aNow);
+
+// Counts a prompt that was forgotten without a return.
+void
+NoteGone(GapCounts& aCounts, absl::Time aNow);
+
+// Returns the chance that a prompt returns between aFrom and aTo after a run.
+// Workspaces with few counts follow a prior that is even over the buckets.
+double
+ReturnChance(const GapCounts& aCounts,
+             absl::Duration aFrom,
+             absl::Duration aTo);
+
+// Returns the chance of a return within aHorizon from now for a prompt that
+// has been idle for aIdle.
+double
+ReturnChanceNow(const GapCounts& aCounts,
+                absl::Duration aIdle,
+                absl::Duration aHorizon);
+
+// The blocks that a run left in its engine's cache.
+struct ExportQuestion
+{
+  std::uint32_t blocks_ = 0;
+  std::uint32_t blockTokens_ = 1;
+  std::uint64_t kvBytesPerToken_ = 0;
+  config::Objective objective_;
+  double prefillTokensPerSecond_ = 1.0;
+  // Return behaviour of the workspace.
+  GapCounts gaps_;
+  // Expected time until the engine evicts the blocks.
+  absl::Duration engineHold_ = absl::ZeroDuration();
+  // Stable hash of the prompt's first block; spreads prompts over stores.
+  std::uint64_t promptHash_ = 0;
+};
+
+// A store that could take the blocks.
+struct StoreView
+{
+  absl::string_view name_;
+  // Leading blocks of the prompt that it holds already.
+  std::uint32_t heldBlocks_ = 0;
+  std::uint64_t capacityBytes_ = 0;
+  std::uint64_t usedBytes_ = 0;
+  // What the run's workspace uses and may use while the store is nearly full.
+  std::uint64_t workspaceBytes_ = 0;
+  std::uint64_t workspaceShareBytes_ = 0;
+  // Expected time until a block that isn't used is freed.
+  absl::Duration hold_ = absl::InfiniteDuration();
+  double linkBytesPerSecond_ = 1.0;
+  std::uint64_t queuedBytes_ = 0;
+  // Expected saving per byte of the blocks that would be freed for new ones;
+  // zero while there is room.
+  double freedValuePerByte_ = 0.0;
+};
+
+// Blocks to export to a store: [firstBlock_, firstBlock_ + blocks_).
+struct Export
+{
+  std::string store_;
+  std::uint32_t firstBlock_ = 0;
+  std::uint32_t blocks_ = 0;
+  std::uint64_t bytes_ = 0;
+  // Expected saving, in units of the objective, less the cost of the link.
+  double valuePerByte_ = 0.0;
+  // Time left to start before the engine is expected to evict the blocks.
+  absl::Duration startWithin_ = absl::ZeroDuration();
+};
+
+// Returns the saving per byte when a block is imported instead of computed.
+double
+SavingPerByte(const ExportQuestion& aQuestion, double aLinkBytesPerSecond);
+
+// Plans the exports after a run, most valuable first. A prompt goes on where
+// most of its blocks are.
+std::vector<Export>
+PlanExports(const ExportQuestion& aQuestion,
+            const std::vector<StoreView>& aStores);
+
+// A workspace's use of a store.
+struct WorkspaceUse
+{
+  GapCounts gaps_;
+  std::uint64_t usedBytes_ = 0;
+  std::uint64_t shareBytes_ = 0;
+  // Saving per byte when one of its blocks is imported.
+  double savingPerByte_ = 0.0;
+};
+
+// A block in a store that could be freed.
+struct KeptBlock
+{
+  // Position in the list of workspaces.
+  std::uint32_t workspace_ = 0;
+  // Position in its prompt.
+  std::uint32_t position_ = 0;
+  std::uint64_t bytes_ = 0;
+  // Time since the last use.
+  absl::Duration idle_ = absl::ZeroDuration();
+  bool pinned_ = false;
+};
+
+// Part of a store at which blocks are freed, and down to which.
+inline constexpr double kHighWater = 0.95;
+inline constexpr double kLowWater = 0.90;
+
+// Returns the bytes to free; zero below the high-water mark.
+std::uint64_t
+BytesToFree(std::uint64_t aUsedBytes, std::uint64_t aCapacityBytes);
+
+// Returns positions of the blocks to free: first those of workspaces over
+// their share, then those with the lowest expected saving per byte within
+// aHorizon; the end of a prompt before its start.
+std::vector<std::size_t>
+PlanEvictions(const std::vector<KeptBlock>& aBlocks,
+              const std::vector<WorkspaceUse>& aWorkspaces,
+              std::uint64_t aBytesToFree,
+              absl::Duration aHorizon);
+
+// Returns each workspace's part of a store, by configured shares.
+std::vector<std::uint64_t>
+ShareBytes(std::uint64_t aCapacityBytes, const std::vector<double>& aShares);
+
+enum class TransferKind
+{
+  InteractiveImport,
+  BatchImport,
+  Export,
+};
+
+inline constexpr std::array<core::Named<TransferKind>, 3> kTransferKinds{ {
+  { TransferKind::InteractiveImport, "interactive_import" },
+  { TransferKind::BatchImport, "batch_import" },
+  { TransferKind::Export, "export" },
+} };
+
+// A transfer that waits for a store's link.
+struct Transfer
+{
+  TransferKind kind_ = TransferKind::InteractiveImport;
+  std::uint64_t bytes_ = 0;
+  absl::Time queuedAt_;
+  // Batch imports: start after this misses the deadline. Exports: the engine
+  // may evict the blocks after this.
+  absl::Time latestStart_ = absl::InfiniteFuture();
+};
+
+// Bytes that a link moved lately.
+struct LinkUse
+{
+  std::uint64_t importBytes_ = 0;
+  std::uint64_t exportBytes_ = 0;
+};
+
+// Part of a busy link that exports get even if imports wait.
+inline constexpr double kMinExportShare = 0.1;
+
+// Returns the position of the transfer that goes next. Imports for interactive
+// work and batch imports past their latest start go first, then exports, then
+// other batch imports; exports keep a small share.
+absl::optional<std::size_t>
+NextTransfer(const std::vector<Transfer>& aWaiting,
+             const LinkUse& aUse,
+             absl::Time aNow);
+
+// Returns the latest time to start work that takes about aEstimate and has to
+// end by aDeadline.
+absl::Time
+LatestStart(absl::Time aDeadline, absl::Duration aEstimate);
+
+// One of several batch runs on a target.
+struct BatchRun
+{
+  absl::Time deadline_;
+  absl::Duration estimate_ = absl::ZeroDuration();
+};
+
+// Returns when each run has to start at the latest, if they run one after the
+// other in order of their deadlines.
+std::vector<absl::Time>
+LatestStarts(const std::vector<BatchRun>& aRuns);
+
+// Part of a target's slots in use below which batch work may start early.
+inline constexpr double kIdleUse = 0.5;
+
+// Whether batch work starts now: on a target that is mostly idle, and in any
+// case from its latest start on.
+bool
+MayStartBatch(absl::Time aLatestStart,
+              double aInteractiveUse,
+              std::uint32_t aInteractiveWaiting,
+              absl::Time aNow);
+
+} // namespace lycheeplank::keeping
+
+#endif
--- /dev/null
+++ b/src/keeping/gaps.cc
@@ -0,0 +1,110 @@
+#include "lycheeplank/keeping.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lycheeplank::keeping {
+
+namespace {
+
+constexpr absl::Duration kHalfLife = absl::Hours(24 * 7);
+// Weight of the prior, in visits; one half of them returned.
+constexpr double kPriorVisits = 4.0;
+constexpr double kPriorReturned = 0.5;
+
+void
+Decay(GapCounts& aCounts, absl::Time aNow)
+{
+  if (aCounts.decayedAt_ == absl::InfinitePast()) {
+    aCounts.decayedAt_ = aNow;
+    return;
+  }
+  const double halfLives =
+    absl::FDivDuration(aNow - aCounts.decayedAt_, kHalfLife);
+  if (halfLives <= 0.0) {
+    return;
+  }
+  const auto factor = static_cast<float>(std::exp2(-halfLives));
+  for (auto& count : aCounts.returned_) {
+    count *= factor;
+  }
+  aCounts.gone_ *= factor;
+  aCounts.decayedAt_ = aNow;
+}
+
+// Returns the place of a gap on the scale of buckets, with its fraction.
+double
+ScaleOf(absl::Duration aGap)
+{
+  if (aGap == absl::InfiniteDuration()) {
+    return kGapBuckets;
+  }
+  const double seconds = std::max(1.0, absl::ToDoubleSeconds(aGap));
+  return std::min(std::log2(seconds), static_cast<double>(kGapBuckets));
+}
+
+double
+WithPrior(float aCount)
+{
+  return static_cast<double>(aCount) +
+         kPriorVisits * kPriorReturned / kGapBuckets;
+}
+
+// Returns the weight of the returns up to a place on the scale.
+double
+WeightUpTo(const GapCounts& aCounts, double aScale)
+{
+  double weight = 0.0;
+  for (std::size_t i = 0; i < kGapBuckets; ++i) {
+    const double part = std::clamp(aScale - static_cast<double>(i), 0.0, 1.0);
+    weight += part * WithPrior(aCounts.returned_[i]);
+  }
+  return weight;
+}
+
+double
+TotalWeight(const GapCounts& aCounts)
+{
+  return WeightUpTo(aCounts, kGapBuckets) + static_cast<double>(aCounts.gone_) +
+         kPriorVisits * (1.0 - kPriorReturned);
+}
+
+} // namespace
+
+void
+NoteReturn(GapCounts& aCounts, absl::Duration aGap, absl::Time aNow)
+{
+  Decay(aCounts, aNow);
+  const auto bucket = static_cast<std::size_t>(ScaleOf(aGap));
+  aCounts.returned_[std::min(bucket, kGapBuckets - 1)] += 1.0F;
+}
+
+void
+NoteGone(GapCounts& aCounts, absl::Time aNow)
+{
+  Decay(aCounts, aNow);
+  aCounts.gone_ += 1.0F;
+}
+
+double
+ReturnChance(const GapCounts& aCounts, absl::Duration aFrom, absl::Duration aTo)
+{
+  if (aTo <= aFrom) {
+    return 0.0;
+  }
+  const double weight =
+    WeightUpTo(aCounts, ScaleOf(aTo)) - WeightUpTo(aCounts, ScaleOf(aFrom));
+  return weight / TotalWeight(aCounts);
+}
+
+double
+ReturnChanceNow(const GapCounts& aCounts,
+                absl::Duration aIdle,
+                absl::Duration aHorizon)
+{
+  const double before = WeightUpTo(aCounts, ScaleOf(aIdle));
+  const double within = WeightUpTo(aCounts, ScaleOf(aIdle + aHorizon)) - before;
+  return within / (TotalWeight(aCounts) - before);
+}
+
+} // namespace lycheeplank::keeping
--- /dev/null
+++ b/src/keeping/space.cc
@@ -0,0 +1,221 @@
+#include "lycheeplank/keeping.h"
+
+#include <algorithm>
+#include <numeric>
+#include <tuple>
+
+namespace lycheeplank::keeping {
+
+namespace {
+
+constexpr double kTokensPerThousand = 1e3;
+constexpr double kBytesPerMegabyte = 1e6;
+
+std::uint64_t
+BlockBytes(const ExportQuestion& aQuestion)
+{
+  return aQuestion.blockTokens_ * aQuestion.kvBytesPerToken_;
+}
+
+// Bytes that a store may still take for the run's workspace.
+std::uint64_t
+RoomFor(const StoreView& aStore)
+{
+  const auto limit = static_cast<std::uint64_t>(
+    kHighWater * static_cast<double>(aStore.capacityBytes_));
+  if (aStore.usedBytes_ < limit) {
+    return limit - aStore.usedBytes_;
+  }
+  // Nearly full: a workspace below its share may push out others.
+  return aStore.workspaceShareBytes_ -
+         std::min(aStore.workspaceShareBytes_, aStore.workspaceBytes_);
+}
+
+// Net value of exporting a byte of the prompt to a store.
+double
+ValueIn(const ExportQuestion& aQuestion, const StoreView& aStore)
+{
+  const double chance =
+    ReturnChance(aQuestion.gaps_, aQuestion.engineHold_, aStore.hold_);
+  return chance * SavingPerByte(aQuestion, aStore.linkBytesPerSecond_) -
+         aQuestion.objective_.linkWeight_ / kBytesPerMegabyte -
+         aStore.freedValuePerByte_;
+}
+
+absl::optional<Export>
+ExportTo(const ExportQuestion& aQuestion, const StoreView& aStore)
+{
+  const std::uint64_t blockBytes = BlockBytes(aQuestion);
+  const double value = ValueIn(aQuestion, aStore);
+  if (blockBytes == 0 || value <= 0.0 ||
+      aStore.heldBlocks_ >= aQuestion.blocks_) {
+    return absl::nullopt;
+  }
+  const auto blocks = std::min<std::uint64_t>(
+    aQuestion.blocks_ - aStore.heldBlocks_, RoomFor(aStore) / blockBytes);
+  if (blocks == 0) {
+    return absl::nullopt;
+  }
+  Export plan;
+  plan.store_ = std::string(aStore.name_);
+  plan.firstBlock_ = aStore.heldBlocks_;
+  plan.blocks_ = static_cast<std::uint32_t>(blocks);
+  plan.bytes_ = blocks * blockBytes;
+  plan.valuePerByte_ = value;
+  const double transferSeconds =
+    static_cast<double>(aStore.queuedBytes_ + plan.bytes_) /
+    aStore.linkBytesPerSecond_;
+  plan.startWithin_ =
+    std::max(absl::ZeroDuration(),
+             aQuestion.engineHold_ - absl::Seconds(transferSeconds));
+  return plan;
+}
+
+// Whether a prompt is rather exported to the first store: it holds more of it,
+// or saves more, or the prompt's hash says so.
+bool
+IsBetter(const ExportQuestion& aQuestion,
+         const StoreView& aLeft,
+         const StoreView& aRight)
+{
+  const auto rankOf = [&](const StoreView& aStore) {
+    return std::tuple(aStore.heldBlocks_,
+                      RoomFor(aStore) >= BlockBytes(aQuestion),
+                      core::StableHash(aStore.name_, aQuestion.promptHash_));
+  };
+  return rankOf(aLeft) > rankOf(aRight);
+}
+
+// A block's place in the order of freeing.
+struct FreeRank
+{
+  double value_ = 0.0;
+  std::uint32_t position_ = 0;
+  std::size_t index_ = 0;
+};
+
+std::vector<FreeRank>
+RankBlocks(const std::vector<KeptBlock>& aBlocks,
+           const std::vector<WorkspaceUse>& aWorkspaces,
+           absl::Duration aHorizon)
+{
+  std::vector<FreeRank> ranks;
+  ranks.reserve(aBlocks.size());
+  for (std::size_t i = 0; i < aBlocks.size(); ++i) {
+    const auto& block = aBlocks[i];
+    if (block.pinned_) {
+      continue;
+    }
+    const auto& workspace = aWorkspaces[block.workspace_];
+    const double chance =
+      ReturnChanceNow(workspace.gaps_, block.idle_, aHorizon);
+    ranks.push_back({ chance * workspace.savingPerByte_, block.position_, i });
+  }
+  std::sort(ranks.begin(),
+            ranks.end(),
+            [](const FreeRank& aLeft, const FreeRank& aRight) {
+              return std::tuple(aLeft.value_, aRight.position_, aLeft.index_) <
+                     std::tuple(aRight.value_, aLeft.position_, aRight.index_);
+            });
+  return ranks;
+}
+
+} // namespace
+
+double
+SavingPerByte(const ExportQuestion& aQuestion, double aLinkBytesPerSecond)
+{
+  const auto bytesPerToken = static_cast<double>(aQuestion.kvBytesPerToken_);
+  if (bytesPerToken <= 0.0) {
+    return 0.0;
+  }
+  const auto& weights = aQuestion.objective_;
+  const double seconds =
+    1.0 / (aQuestion.prefillTokensPerSecond_ * bytesPerToken) -
+    1.0 / aLinkBytesPerSecond;
+  return weights.ttftWeight_ * std::max(0.0, seconds) +
+         weights.recomputeWeight_ / kTokensPerThousand / bytesPerToken -
+         weights.linkWeight_ / kBytesPerMegabyte;
+}
+
+std::vector<Export>
+PlanExports(const ExportQuestion& aQuestion,
+            const std::vector<StoreView>& aStores)
+{
+  std::vector<StoreView> stores = aStores;
+  std::sort(stores.begin(),
+            stores.end(),
+            [&](const StoreView& aLeft, const StoreView& aRight) {
+              return IsBetter(aQuestion, aLeft, aRight);
+            });
+  for (const auto& store : stores) {
+    if (store.heldBlocks_ >= aQuestion.blocks_) {
+      return {};
+    }
+    if (auto plan = ExportTo(aQuestion, store)) {
+      return { *std::move(plan) };
+    }
+  }
+  return {};
+}
+
+std::uint64_t
+BytesToFree(std::uint64_t aUsedBytes, std::uint64_t aCapacityBytes)
+{
+  const auto capacity = static_cast<double>(aCapacityBytes);
+  if (static_cast<double>(aUsedBytes) < kHighWater * capacity) {
+    return 0;
+  }
+  return aUsedBytes - static_cast<std::uint64_t>(kLowWater * capacity);
+}
+
+std::vector<std::size_t>
+PlanEvictions(const std::vector<KeptBlock>& aBlocks,
+              const std::vector<WorkspaceUse>& aWorkspaces,
+              std::uint64_t aBytesToFree,
+              absl::Duration aHorizon)
+{
+  const auto ranks = RankBlocks(aBlocks, aWorkspaces, aHorizon);
+  std::vector<std::uint64_t> used;
+  used.reserve(aWorkspaces.size());
+  for (const auto& workspace : aWorkspaces) {
+    used.push_back(workspace.usedBytes_);
+  }
+  std::vector<std::size_t> freed;
+  std::vector<bool> isFreed(aBlocks.size(), false);
+  std::uint64_t freedBytes = 0;
+  for (const bool overShareOnly : { true, false }) {
+    for (const auto& rank : ranks) {
+      if (freedBytes >= aBytesToFree) {
+        return freed;
+      }
+      const auto& block = aBlocks[rank.index_];
+      const bool overShare =
+        used[block.workspace_] > aWorkspaces[block.workspace_].shareBytes_;
+      if (isFreed[rank.index_] || (overShareOnly && !overShare)) {
+        continue;
+      }
+      isFreed[rank.index_] = true;
+      freed.push_back(rank.index_);
+      freedBytes += block.bytes_;
+      used[block.workspace_] -= std::min(used[block.workspace_], block.bytes_);
+    }
+  }
+  return freed;
+}
+
+std::vector<std::uint64_t>
+ShareBytes(std::uint64_t aCapacityBytes, const std::vector<double>& aShares)
+{
+  const double total = std::accumulate(aShares.begin(), aShares.end(), 0.0);
+  std::vector<std::uint64_t> bytes;
+  bytes.reserve(aShares.size());
+  for (const double share : aShares) {
+    const double part = total > 0.0 ? share / total : 0.0;
+    bytes.push_back(
+      static_cast<std::uint64_t>(part * static_cast<double>(aCapacityBytes)));
+  }
+  return bytes;
+}
+
+} // namespace lycheeplank::keeping
--- /dev/null
+++ b/test/keeping-test.cc
@@ -0,0 +1,240 @@
+#include "lycheeplank/keeping.h"
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+namespace keeping = lycheeplank::keeping;
+
+namespace {
+
+const absl::Time kNow = absl::FromUnixSeconds(1'700'000'000);
+
+keeping::GapCounts
+Returning(absl::Duration aGap, int aTimes)
+{
+  keeping::GapCounts counts;
+  for (int i = 0; i < aTimes; ++i) {
+    keeping::NoteReturn(counts, aGap, kNow);
+  }
+  return counts;
+}
+
+keeping::ExportQuestion
+MakeQuestion()
+{
+  keeping::ExportQuestion question;
+  question.blocks_ = 20;
+  question.blockTokens_ = 2000;
+  question.kvBytesPerToken_ = 1000;
+  question.prefillTokensPerSecond_ = 20000.0;
+  question.gaps_ = Returning(absl::Hours(24), 20);
+  question.engineHold_ = absl::Minutes(5);
+  return question;
+}
+
+keeping::StoreView
+MakeStore(absl::string_view aName)
+{
+  keeping::StoreView store;
+  store.name_ = aName;
+  store.capacityBytes_ = 1'000'000'000;
+  store.workspaceShareBytes_ = 100'000'000;
+  store.linkBytesPerSecond_ = 100e6;
+  return store;
+}
+
+} // namespace
+
+TEST_CASE("the chance of a return follows the counts and their order")
+{
+  const auto counts = Returning(absl::Hours(24), 50);
+  using keeping::ReturnChance;
+  CHECK(ReturnChance(counts, absl::Hours(1), absl::Hours(48)) > 0.85);
+  CHECK(ReturnChance(counts, absl::ZeroDuration(), absl::Hours(1)) < 0.1);
+  CHECK(ReturnChance(counts, absl::Hours(1), absl::Hours(1)) == 0.0);
+  const double all =
+    ReturnChance(counts, absl::ZeroDuration(), absl::InfiniteDuration());
+  const double parts =
+    ReturnChance(counts, absl::ZeroDuration(), absl::Hours(10)) +
+    ReturnChance(counts, absl::Hours(10), absl::InfiniteDuration());
+  CHECK(all == Approx(parts));
+  CHECK(all <= 1.0);
+}
+
+TEST_CASE("without counts the prior gives a middling chance")
+{
+  const keeping::GapCounts none;
+  const double chance =
+    keeping::ReturnChance(none, absl::ZeroDuration(), absl::InfiniteDuration());
+  CHECK(chance == Approx(0.5));
+}
+
+TEST_CASE("old counts decay")
+{
+  auto counts = Returning(absl::Minutes(1), 64);
+  for (int i = 0; i < 8; ++i) {
+    keeping::NoteGone(counts, kNow + absl::Hours(24 * 60));
+  }
+  const double chance = keeping::ReturnChance(
+    counts, absl::ZeroDuration(), absl::InfiniteDuration());
+  CHECK(chance < 0.3);
+}
+
+TEST_CASE("a prompt idle for longer than all gaps is unlikely to return")
+{
+  const auto counts = Returning(absl::Hours(1), 50);
+  const double fresh =
+    keeping::ReturnChanceNow(counts, absl::Minutes(10), absl::Hours(3));
+  const double stale =
+    keeping::ReturnChanceNow(counts, absl::Hours(50), absl::Hours(3));
+  CHECK(fresh > 0.8);
+  CHECK(stale < 0.1);
+}
+
+TEST_CASE("prompts that return after the engine's memory are exported")
+{
+  const auto plans =
+    keeping::PlanExports(MakeQuestion(), { MakeStore("s1"), MakeStore("s2") });
+  REQUIRE(plans.size() == 1);
+  CHECK(plans[0].blocks_ == 20);
+  CHECK(plans[0].bytes_ == 40'000'000);
+  CHECK(plans[0].valuePerByte_ > 0.0);
+  CHECK(plans[0].startWithin_ < absl::Minutes(5));
+}
+
+TEST_CASE("prompts that return within the engine's memory are not exported")
+{
+  auto question = MakeQuestion();
+  question.objective_ = { 1.0, 0.0, 0.001 };
+  question.gaps_ = Returning(absl::Seconds(20), 200);
+  CHECK(keeping::PlanExports(question, { MakeStore("s1") }).empty());
+}
+
+TEST_CASE("an import slower than the prefill saves nothing but tokens")
+{
+  auto question = MakeQuestion();
+  auto slow = MakeStore("s1");
+  slow.linkBytesPerSecond_ = 10e6;
+  CHECK(keeping::PlanExports(question, { slow }).empty());
+  question.objective_.recomputeWeight_ = 1.0;
+  CHECK(keeping::PlanExports(question, { slow }).size() == 1);
+}
+
+TEST_CASE("a prompt goes on in the store that holds its start")
+{
+  auto first = MakeStore("s1");
+  auto second = MakeStore("s2");
+  second.heldBlocks_ = 5;
+  const auto plans = keeping::PlanExports(MakeQuestion(), { first, second });
+  REQUIRE(plans.size() == 1);
+  CHECK(plans[0].store_ == "s2");
+  CHECK(plans[0].firstBlock_ == 5);
+  CHECK(plans[0].blocks_ == 15);
+  second.heldBlocks_ = 20;
+  CHECK(keeping::PlanExports(MakeQuestion(), { first, second }).empty());
+}
+
+TEST_CASE("a nearly full store takes only what a workspace's share allows")
+{
+  auto store = MakeStore("s1");
+  store.usedBytes_ = 960'000'000;
+  store.workspaceBytes_ = 90'000'000;
+  const auto plans = keeping::PlanExports(MakeQuestion(), { store });
+  REQUIRE(plans.size() == 1);
+  CHECK(plans[0].blocks_ == 5);
+  store.workspaceBytes_ = 120'000'000;
+  CHECK(keeping::PlanExports(MakeQuestion(), { store }).empty());
+}
+
+TEST_CASE("blocks that are worth less than those in the store stay out")
+{
+  auto store = MakeStore("s1");
+  store.freedValuePerByte_ = 1.0;
+  CHECK(keeping::PlanExports(MakeQuestion(), { store }).empty());
+}
+
+TEST_CASE("freeing starts at the high-water mark and ends at the low one")
+{
+  CHECK(keeping::BytesToFree(940, 1000) == 0);
+  CHECK(keeping::BytesToFree(960, 1000) == 60);
+}
+
+TEST_CASE("a workspace over its share loses blocks first, pinned ones stay")
+{
+  std::vector<keeping::WorkspaceUse> workspaces(2);
+  workspaces[0] = { Returning(absl::Hours(1), 50), 300, 100, 1.0 };
+  workspaces[1] = { keeping::GapCounts(), 100, 100, 1.0 };
+  std::vector<keeping::KeptBlock> blocks;
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    blocks.push_back({ 0, i, 100, absl::Minutes(10) });
+  }
+  blocks.push_back({ 1, 0, 100, absl::Hours(100) });
+  blocks[2].pinned_ = true;
+  const auto freed =
+    keeping::PlanEvictions(blocks, workspaces, 200, absl::Hours(2));
+  CHECK(freed == std::vector<std::size_t>{ 1, 0 });
+}
+
+TEST_CASE("the block least likely to return is freed first, ends before "
+          "starts")
+{
+  std::vector<keeping::WorkspaceUse> workspaces(1);
+  workspaces[0] = { Returning(absl::Hours(1), 50), 500, 1000, 1.0 };
+  std::vector<keeping::KeptBlock> blocks{
+    { 0, 0, 100, absl::Minutes(10) }, { 0, 1, 100, absl::Minutes(10) },
+    { 0, 0, 100, absl::Hours(90) },   { 0, 1, 100, absl::Hours(90) },
+    { 0, 2, 100, absl::Hours(90) },
+  };
+  const auto freed =
+    keeping::PlanEvictions(blocks, workspaces, 400, absl::Hours(2));
+  CHECK(freed == std::vector<std::size_t>{ 4, 3, 2, 1 });
+}
+
+TEST_CASE("shares divide a store")
+{
+  CHECK(keeping::ShareBytes(1000, { 1.0, 3.0 }) ==
+        std::vector<std::uint64_t>{ 250, 750 });
+}
+
+TEST_CASE("imports go before exports and batch imports until they are due")
+{
+  using keeping::TransferKind;
+  std::vector<keeping::Transfer> waiting{
+    { TransferKind::BatchImport, 10, kNow, kNow + absl::Minutes(1) },
+    { TransferKind::Export, 10, kNow, kNow + absl::Minutes(2) },
+    { TransferKind::InteractiveImport, 10, kNow },
+  };
+  const keeping::LinkUse use{ 100, 50 };
+  CHECK(keeping::NextTransfer({}, use, kNow) == absl::nullopt);
+  CHECK(keeping::NextTransfer(waiting, use, kNow) == std::size_t{ 2 });
+  CHECK(keeping::NextTransfer(waiting, { 100, 5 }, kNow) == std::size_t{ 1 });
+  waiting.pop_back();
+  CHECK(keeping::NextTransfer(waiting, use, kNow) == std::size_t{ 1 });
+  CHECK(keeping::NextTransfer(waiting, use, kNow + absl::Minutes(1)) ==
+        std::size_t{ 0 });
+}
+
+TEST_CASE("batch work yields until its latest start")
+{
+  const auto latest =
+    keeping::LatestStart(kNow + absl::Hours(1), absl::Minutes(20));
+  CHECK(latest == kNow + absl::Minutes(30) - absl::Seconds(30));
+  CHECK(!keeping::MayStartBatch(latest, 0.9, 0, kNow));
+  CHECK(!keeping::MayStartBatch(latest, 0.1, 3, kNow));
+  CHECK(keeping::MayStartBatch(latest, 0.1, 0, kNow));
+  CHECK(keeping::MayStartBatch(latest, 0.9, 3, latest));
+}
+
+TEST_CASE("batch runs on one target start early enough to all end in time")
+{
+  const auto starts = keeping::LatestStarts({
+    { kNow + absl::Hours(2), absl::Minutes(20) },
+    { kNow + absl::Hours(1), absl::Minutes(20) },
+    { kNow + absl::Hours(2), absl::Minutes(20) },
+  });
+  REQUIRE(starts.size() == 3);
+  CHECK(starts[1] ==
+        keeping::LatestStart(kNow + absl::Hours(1), absl::Minutes(20)));
+  CHECK(starts[0] == starts[2] - absl::Minutes(30));
+}
