--- a/include/lycheeplank/net.h
+++ b/include/lycheeplank/net.h
@@ -111,6 +111,8 @@
   std::string url_;
   std::vector<Field> headers_;
   std::string body_;
+  // Makes the body on a thread of the client, in place of body_.
+  std::function<std::string()> bodySource_;
   absl::Duration connectTimeout_ = absl::Seconds(2);
   // Whole time allowed; infinite for streams.
   absl::Duration timeout_ = absl::Seconds(30);
--- a/src/adapters/engine.cc
+++ b/src/adapters/engine.cc
@@ -59,12 +59,8 @@
   return finish;
 }
 
-} // namespace
-
-net::Call
-StartRun(const std::string& aUrl,
-         const RunOrder& aOrder,
-         const std::string& aPrompt)
+std::string
+RunBody(const RunOrder& aOrder, const std::string& aPrompt)
 {
   json body{ { "model", aOrder.model_ },
              { "prompt", aPrompt },
@@ -84,7 +80,21 @@
     body["import"] = { { "store_url", aOrder.importUrl_ },
                        { "blocks", std::move(blocks) } };
   }
-  return Post(aUrl, "/v1/completions", body.dump());
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+net::Call
+StartRun(const std::string& aUrl,
+         RunOrder aOrder,
+         std::shared_ptr<const std::string> aPrompt)
+{
+  net::Call call = Post(aUrl, "/v1/completions", "");
+  call.bodySource_ = [order = std::move(aOrder), prompt = std::move(aPrompt)] {
+    return RunBody(order, *prompt);
+  };
+  return call;
 }
 
 net::Call
--- a/src/adapters/engine.h
+++ b/src/adapters/engine.h
@@ -2,7 +2,7 @@
 #define LYCHEEPLANK_ADAPTERS_ENGINE_H
 
 #include <cstdint>
-#include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -106,11 +106,11 @@
   std::uint64_t bytes_ = 0;
 };
 
-// Returns the call that starts a run; aPrompt is copied into its body.
+// Returns the call that starts a run; its body is made when it is sent.
 net::Call
 StartRun(const std::string& aUrl,
-         const RunOrder& aOrder,
-         const std::string& aPrompt);
+         RunOrder aOrder,
+         std::shared_ptr<const std::string> aPrompt);
 
 // Returns the call that continues a run's stream from a token on.
 net::Call
--- /dev/null
+++ b/src/entry/admin.cc
@@ -0,0 +1,352 @@
+#include "entry/admin.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
+#include <nlohmann/json.hpp>
+
+#include "entry/problem.h"
+
+namespace lycheeplank::entry {
+
+namespace {
+
+using core::Error;
+using core::ErrorKind;
+using nlohmann::json;
+
+constexpr absl::string_view kPrefix = "/v1/admin/";
+constexpr absl::string_view kRequests = "/v1/admin/requests/";
+constexpr absl::string_view kRollouts = "/v1/admin/rollouts";
+constexpr absl::string_view kBearer = "Bearer ";
+
+std::string
+Text(absl::string_view aText)
+{
+  return std::string(aText);
+}
+
+std::string
+Dump(const json& aBody)
+{
+  return aBody.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+bool
+IsOperator(const net::Request& aRequest, const std::string& aKeyDigest)
+{
+  absl::string_view key = net::Find(aRequest.headers_, "Authorization");
+  return absl::ConsumePrefix(&key, kBearer) &&
+         core::EqualConstantTime(core::Sha256Hex(key), aKeyDigest);
+}
+
+json
+HostRevisions(const reducer::State& aState)
+{
+  json hosts = json::array();
+  for (const auto& host : membership::AllHosts(aState.members_)) {
+    hosts.push_back(
+      { { "name", host.name_ },
+        { "status", Text(core::NameOf(membership::kStatuses, host.status_)) },
+        { "revision", host.configRevision_ } });
+  }
+  return hosts;
+}
+
+// Says in one word whether a target gets work.
+std::string
+TargetStatus(const reducer::TargetState& aTarget)
+{
+  if (!aTarget.reported_) {
+    return "unknown";
+  }
+  if (!aTarget.reached_) {
+    return "unreachable";
+  }
+  return aTarget.leaving_ || aTarget.leavingListed_ ? "leaving" : "serving";
+}
+
+// Reads an edit; an error text in place of it if it is malformed.
+std::string
+ReadEdit(const std::string& aBody, config::EditAsked& aEdit)
+{
+  const json body = json::parse(aBody, nullptr, false);
+  if (!body.is_object() || !body.contains("sections") ||
+      !body["sections"].is_array()) {
+    return "the body needs the fields 'base_revision' and 'sections'";
+  }
+  try {
+    aEdit.author_ = body.value("author", "");
+    const auto base = body.value("base_revision", std::uint64_t{ 0 });
+    for (const auto& item : body["sections"]) {
+      aEdit.sections_.push_back({ item.at("name").get<std::string>(),
+                                  item.at("text").get<std::string>(),
+                                  base });
+    }
+  } catch (const json::exception& error) {
+    return error.what();
+  }
+  return "";
+}
+
+} // namespace
+
+Admin::Admin(Control& aControl,
+             Trace& aTrace,
+             adapters::PlatformClient& aPlatform,
+             std::string aKeyDigest)
+  : control_(aControl)
+  , trace_(aTrace)
+  , platform_(aPlatform)
+  , keyDigest_(std::move(aKeyDigest))
+{
+}
+
+bool
+Admin::Serve(const std::shared_ptr<net::Exchange>& aExchange)
+{
+  const net::Request& http = aExchange->request_;
+  if (!absl::StartsWith(http.path_, kPrefix)) {
+    return false;
+  }
+  if (!IsOperator(http, keyDigest_)) {
+    ReplyProblem(*aExchange,
+                 { ErrorKind::WrongKey,
+                   "the operators' interface needs the operator key" },
+                 "");
+    return true;
+  }
+  const bool get = http.method_ == "GET";
+  if (http.path_ == "/v1/admin/config" && http.method_ == "POST") {
+    PostEdit(aExchange);
+  } else if (absl::StartsWith(http.path_, kRollouts)) {
+    ServeRollouts(aExchange);
+  } else if (get && absl::StartsWith(http.path_, kRequests)) {
+    ServeRequest(*aExchange, http.path_.substr(kRequests.size()));
+  } else if (get && http.path_ == "/v1/admin/config") {
+    ReplyJson(*aExchange, 200, Sections());
+  } else if (get && http.path_ == "/v1/admin/config/status") {
+    ReplyJson(*aExchange, 200, Status());
+  } else if (get && http.path_ == "/v1/admin/config/history") {
+    ReplyJson(*aExchange, 200, History());
+  } else if (get && http.path_ == "/v1/admin/hosts") {
+    ReplyJson(*aExchange, 200, Hosts());
+  } else if (get && http.path_ == "/v1/admin/targets") {
+    ReplyJson(*aExchange, 200, Targets());
+  } else if (get && http.path_ == "/v1/admin/stores") {
+    ReplyJson(*aExchange, 200, Stores());
+  } else {
+    ReplyProblem(*aExchange, { ErrorKind::UnknownPath, http.path_ }, "");
+  }
+  return true;
+}
+
+void
+Admin::PostEdit(const std::shared_ptr<net::Exchange>& aExchange)
+{
+  config::EditAsked edit;
+  edit.id_ = core::RandomId();
+  if (const auto wrong = ReadEdit(aExchange->request_.body_, edit);
+      !wrong.empty()) {
+    ReplyProblem(*aExchange, { ErrorKind::MalformedRequest, wrong }, "");
+    return;
+  }
+  {
+    const absl::MutexLock lock(&mutex_);
+    edits_[edit.id_] = aExchange;
+  }
+  control_.Post(reducer::ConfigNews{ std::move(edit) });
+}
+
+void
+Admin::Perform(const config::AnswerEdit& aAnswer)
+{
+  std::shared_ptr<net::Exchange> exchange;
+  {
+    const absl::MutexLock lock(&mutex_);
+    auto node = edits_.extract(aAnswer.id_);
+    if (node.empty()) {
+      return;
+    }
+    exchange = std::move(node.mapped());
+  }
+  if (!aAnswer.error_) {
+    ReplyJson(*exchange, 200, Dump({ { "revision", aAnswer.revision_ } }));
+    return;
+  }
+  json body = json::parse(ProblemBody(*aAnswer.error_, ""));
+  body["problems"] = json::array();
+  for (const auto& problem : aAnswer.problems_) {
+    body["problems"].push_back({ { "section", problem.section_ },
+                                 { "line", problem.line_ },
+                                 { "field", problem.field_ },
+                                 { "message", problem.message_ } });
+  }
+  exchange->Reply(core::TraitsOf(aAnswer.error_->kind_).httpStatus_,
+                  { { "Content-Type", "application/problem+json" } },
+                  Dump(body));
+}
+
+std::string
+Admin::Sections()
+{
+  json body{ { "revision", 0 }, { "sections", json::array() } };
+  control_.Inspect([&](const reducer::State& aState) {
+    if (!aState.sync_.inForce_) {
+      return;
+    }
+    const config::Accepted& accepted = *aState.sync_.inForce_;
+    body["revision"] = accepted.head_.revision_;
+    for (const auto& section : accepted.sections_) {
+      const auto* head = config::FindSection(accepted.head_, section.name_);
+      body["sections"].push_back(
+        { { "name", section.name_ },
+          { "owner", section.owner_ },
+          { "revision", head == nullptr ? 0 : head->revision_ },
+          { "text", section.text_ } });
+    }
+  });
+  return Dump(body);
+}
+
+std::string
+Admin::Document()
+{
+  json body{ { "revision", 0 }, { "document", "" } };
+  control_.Inspect([&](const reducer::State& aState) {
+    if (const auto& accepted = aState.sync_.inForce_; accepted) {
+      body["revision"] = accepted->head_.revision_;
+      body["document"] = config::Join(accepted->sections_);
+    }
+  });
+  return Dump(body);
+}
+
+std::string
+Admin::Status()
+{
+  json body;
+  control_.Inspect([&](const reducer::State& aState) {
+    body["revision"] = config::RevisionOf(aState.sync_);
+    body["hosts"] = HostRevisions(aState);
+  });
+  return Dump(body);
+}
+
+std::string
+Admin::History()
+{
+  json body{ { "changes", json::array() } };
+  control_.Inspect([&](const reducer::State& aState) {
+    if (!aState.sync_.inForce_) {
+      return;
+    }
+    for (const auto& change : aState.sync_.inForce_->head_.history_) {
+      body["changes"].push_back({ { "revision", change.revision_ },
+                                  { "unix_ms", change.unixMs_ },
+                                  { "author", change.author_ },
+                                  { "sections", change.sections_ } });
+    }
+  });
+  return Dump(body);
+}
+
+std::string
+Admin::Hosts()
+{
+  json body{ { "hosts", json::array() } };
+  control_.Inspect([&](const reducer::State& aState) {
+    for (const auto& host : membership::AllHosts(aState.members_)) {
+      body["hosts"].push_back(
+        { { "name", host.name_ },
+          { "status", Text(core::NameOf(membership::kStatuses, host.status_)) },
+          { "data_centre", host.dataCentre_ },
+          { "http_address", host.httpAddress_ },
+          { "config_revision", host.configRevision_ },
+          { "load_permille", host.loadPermille_ } });
+    }
+  });
+  return Dump(body);
+}
+
+std::string
+Admin::Targets()
+{
+  json body{ { "targets", json::array() } };
+  control_.Inspect([&](const reducer::State& aState) {
+    for (const auto& [name, target] : aState.targets_) {
+      const auto settings = aState.config_->targets_.find(name);
+      if (settings == aState.config_->targets_.end()) {
+        continue;
+      }
+      const auto age = target.reported_
+                         ? absl::ToInt64Milliseconds(absl::Now() - target.asOf_)
+                         : -1;
+      body["targets"].push_back(
+        { { "name", name },
+          { "kind",
+            Text(core::NameOf(config::kTargetKinds, settings->second.kind_)) },
+          { "serves", settings->second.serves_ },
+          { "data_centre", settings->second.dataCentre_ },
+          { "status", TargetStatus(target) },
+          { "weight_version", target.weightVersion_ },
+          { "running", target.running_ },
+          { "waiting", target.waiting_ },
+          { "report_age_ms", age } });
+    }
+  });
+  return Dump(body);
+}
+
+std::string
+Admin::Stores()
+{
+  json body{ { "stores", json::array() } };
+  control_.Inspect([&](const reducer::State& aState) {
+    for (const auto& [name, store] : aState.stores_) {
+      const auto settings = aState.config_->stores_.find(name);
+      if (settings == aState.config_->stores_.end()) {
+        continue;
+      }
+      body["stores"].push_back(
+        { { "name", name },
+          { "data_centre", settings->second.dataCentre_ },
+          { "status", store.reached_ ? "serving" : "unreachable" },
+          { "memory_used", store.memoryUsed_ },
+          { "disk_used", store.diskUsed_ },
+          { "link_backlog_bytes", store.linkBacklogBytes_ } });
+    }
+  });
+  return Dump(body);
+}
+
+void
+Admin::ServeRequest(net::Exchange& aExchange, const std::string& aId)
+{
+  const auto events = trace_.Find(aId);
+  if (events.empty()) {
+    ReplyProblem(aExchange,
+                 { ErrorKind::NotFound,
+                   absl::StrCat("request ", aId, " is not known here"),
+                   "Ask the entry host that answered it, soon after." },
+                 "");
+    return;
+  }
+  json body{ { "id", aId }, { "events", json::array() } };
+  for (const auto& event : events) {
+    body["events"].push_back({ { "unix_ms", absl::ToUnixMillis(event.at_) },
+                               { "what", event.what_ },
+                               { "detail", event.detail_ } });
+  }
+  ReplyJson(aExchange, 200, Dump(body));
+}
+
+void
+Admin::ServeRollouts(const std::shared_ptr<net::Exchange>& aExchange)
+{
+  ReplyProblem(*aExchange,
+               { ErrorKind::UnknownPath, "rollouts are not served here yet" },
+               "");
+}
+
+} // namespace lycheeplank::entry
--- a/src/entry/api.cc
+++ b/src/entry/api.cc
@@ -188,7 +188,7 @@
   BOOST_LEAF_AUTO(body, ParseBody(aHttp));
   BOOST_LEAF_ASSIGN(aTicket.serves_, TextField(body, "model", true));
   BOOST_LEAF_CHECK(CheckModel(aCaller, aTicket.serves_));
-  BOOST_LEAF_ASSIGN(aTicket.prompt_, TextField(body, "prompt", true));
+  BOOST_LEAF_AUTO(prompt, TextField(body, "prompt", true));
   BOOST_LEAF_ASSIGN(aTicket.adapter_, TextField(body, "adapter", false));
   BOOST_LEAF_ASSIGN(aTicket.stream_, FlagField(body, "stream"));
   BOOST_LEAF_ASSIGN(aRequest.priority_, PriorityField(body));
@@ -210,8 +210,9 @@
   aTicket.interactive_ = aRequest.priority_ == admission::Priority::Interactive;
   aRequest.maxTokens_ = aTicket.maxTokens_;
   aRequest.adapter_ = aTicket.adapter_;
-  aRequest.promptTokens_ = core::CountTokens(aTicket.prompt_);
-  aRequest.contents_ = core::BlockContents(aTicket.prompt_, model.blockTokens_);
+  aRequest.promptTokens_ = core::CountTokens(prompt);
+  aRequest.contents_ = core::BlockContents(prompt, model.blockTokens_);
+  aTicket.prompt_ = std::make_shared<const std::string>(std::move(prompt));
   return {};
 }
 
--- /dev/null
+++ b/src/entry/app.cc
@@ -0,0 +1,393 @@
+#include "entry/app.h"
+
+#include <thread>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include "adapters/platform.h"
+#include "entry/admin.h"
+#include "entry/api.h"
+#include "entry/control.h"
+#include "entry/poller.h"
+#include "entry/problem.h"
+#include "entry/runner.h"
+#include "entry/trace.h"
+#include "peer/peer.h"
+
+namespace lycheeplank::entry {
+
+namespace {
+
+// Hosts that one answer of GET /v1/entries names.
+constexpr std::size_t kEntriesListed = 3;
+constexpr absl::Duration kDrainStep = absl::Milliseconds(50);
+// Threads that read from targets go on while control calls wait, so that each
+// has a client of its own.
+constexpr unsigned kControlClientThreads = 1;
+
+reducer::State
+FirstState(const Settings& aSettings,
+           const std::string& aPeerAddress,
+           const std::string& aHttpAddress)
+{
+  reducer::State state;
+  state.self_ = { aSettings.name_, aSettings.dataCentre_ };
+  state.seed_ = core::StableHash(aSettings.name_);
+  state.sync_.host_ = aSettings.name_;
+  state.claims_.settings_.instance_ = core::RandomId();
+  membership::HostState self;
+  self.name_ = aSettings.name_;
+  self.peerAddress_ = aPeerAddress;
+  self.httpAddress_ = aHttpAddress;
+  self.dataCentre_ = aSettings.dataCentre_;
+  state.members_ = membership::Start(self, {}, absl::Now());
+  return state;
+}
+
+} // namespace
+
+struct App::Impl
+{
+  explicit Impl(const Settings& aSettings);
+
+  void Post(reducer::Event aEvent) { control_->Post(std::move(aEvent)); }
+  void Serve(const std::shared_ptr<net::Exchange>& aExchange);
+  void ServeHealth(net::Exchange& aExchange);
+  void ServeInternal(net::Exchange& aExchange);
+  std::string EntriesJson(const std::string& aWorkspace);
+  void AddGauges();
+
+  const Settings settings_;
+  metrics::Registry metrics_;
+  SnapshotBox snapshots_;
+  Tickets tickets_;
+  Trace trace_;
+  net::Client targetClient_;
+  net::Client controlClient_;
+  adapters::PlatformClient platform_;
+  Runner runner_;
+  peer::Client peers_;
+  std::unique_ptr<peer::Server> peerServer_;
+  std::unique_ptr<Control> control_;
+  std::unique_ptr<Admin> admin_;
+  std::unique_ptr<Poller> poller_;
+  std::unique_ptr<ApiContext> api_;
+  std::unique_ptr<net::Server> server_;
+  absl::Mutex mutex_;
+  absl::Time drainedAfter_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteFuture();
+};
+
+namespace {
+
+// Carries out each kind of effect.
+struct Performer
+{
+  App::Impl& app_;
+
+  void operator()(const reducer::Dispatch& aEffect) const
+  {
+    app_.runner_.Perform(aEffect);
+  }
+  void operator()(const reducer::Refuse& aEffect) const
+  {
+    app_.runner_.Perform(aEffect);
+  }
+  void operator()(const reducer::CancelAttempt& aEffect) const
+  {
+    app_.runner_.Perform(aEffect);
+  }
+  void operator()(const reducer::Drop& aEffect) const
+  {
+    app_.tickets_.Remove(aEffect.id_);
+  }
+  void operator()(const reducer::AnswerCall& aEffect) const
+  {
+    if (const TicketPtr ticket = app_.tickets_.Find(aEffect.id_); ticket) {
+      app_.runner_.AnswerCall(ticket,
+                              static_cast<int>(aEffect.answer_.status_),
+                              aEffect.answer_.contentType_,
+                              aEffect.answer_.body_);
+    }
+  }
+  void operator()(const reducer::FetchInventory& aEffect) const
+  {
+    app_.poller_->FetchInventory(aEffect.target_);
+  }
+  void operator()(const reducer::ReportRun&) const {}
+  void operator()(const reducer::SendCommand& aEffect) const
+  {
+    app_.metrics_.Count("platform_commands_total");
+    app_.platform_.Execute(
+      aEffect.command_,
+      [&app = app_, module = aEffect.module_](platform::Reply aReply) {
+        app.Post(reducer::PlatformReplied{ module, std::move(aReply) });
+      });
+  }
+  void operator()(const reducer::PublishConfig& aEffect) const
+  {
+    LOG(INFO) << "event=config_in_force revision="
+              << aEffect.accepted_->config_->revision_;
+    app_.snapshots_.Update([&](Snapshot& aSnapshot) {
+      aSnapshot.config_ = aEffect.accepted_->config_;
+    });
+  }
+  void operator()(const reducer::PublishHosts& aEffect) const
+  {
+    std::vector<placement::Follower> hosts;
+    for (const auto& host : aEffect.live_) {
+      app_.peers_.SetAddress(host.name_, host.peerAddress_);
+      hosts.push_back({ host.name_, host.dataCentre_ });
+    }
+    LOG(INFO) << "event=live_hosts count=" << hosts.size();
+    app_.poller_->SetHosts(std::move(hosts));
+  }
+  void operator()(const reducer::PublishServing& aEffect) const
+  {
+    LOG(INFO) << "event=serving isolated=" << aEffect.isolated_
+              << " draining=" << aEffect.draining_;
+    app_.snapshots_.Update([&](Snapshot& aSnapshot) {
+      aSnapshot.isolated_ = aEffect.isolated_;
+      aSnapshot.draining_ = aEffect.draining_;
+    });
+    const absl::MutexLock lock(&app_.mutex_);
+    app_.drainedAfter_ = aEffect.drainedAfter_;
+  }
+  void operator()(const config::CheckDocument& aEffect) const
+  {
+    // A long document takes a while, so it is read away from the control
+    // thread.
+    std::thread([&app = app_, order = aEffect] {
+      app.Post(reducer::ConfigNews{ config::RunCheck(order) });
+    }).detach();
+  }
+  void operator()(const config::AnswerEdit& aEffect) const
+  {
+    app_.admin_->Perform(aEffect);
+  }
+  void operator()(const reducer::LogLine& aEffect) const
+  {
+    LOG(INFO) << aEffect.line_;
+  }
+  void operator()(const reducer::Count& aEffect) const
+  {
+    app_.metrics_.Count(aEffect.name_, aEffect.label_, aEffect.value_);
+  }
+  void operator()(const reducer::Note& aEffect) const
+  {
+    app_.trace_.Add(aEffect);
+    LOG(INFO) << "event=" << aEffect.what_ << " request=" << aEffect.request_
+              << " " << aEffect.detail_;
+  }
+  void operator()(const reducer::ReplyClaim& aEffect) const
+  {
+    app_.peerServer_->Perform(aEffect);
+  }
+  void operator()(const reducer::ReplyReport& aEffect) const
+  {
+    app_.peerServer_->Perform(aEffect);
+  }
+  void operator()(const reducer::ReplyLocate& aEffect) const
+  {
+    app_.peerServer_->Perform(aEffect);
+  }
+  void operator()(const reducer::ReplyConfig& aEffect) const
+  {
+    app_.peerServer_->Perform(aEffect);
+  }
+  void operator()(const membership::AnswerProbe& aEffect) const
+  {
+    app_.peerServer_->Perform(aEffect);
+  }
+  void operator()(const membership::AnswerIndirect& aEffect) const
+  {
+    app_.peerServer_->Perform(aEffect);
+  }
+  // The others are calls to peers.
+  template<typename Other>
+  void operator()(const Other& aEffect) const
+  {
+    app_.peers_.Perform(aEffect);
+  }
+};
+
+} // namespace
+
+App::Impl::Impl(const Settings& aSettings)
+  : settings_(aSettings)
+  , targetClient_(aSettings.clientThreads_)
+  , controlClient_(kControlClientThreads)
+  , platform_(controlClient_, aSettings.platformUrl_, aSettings.name_)
+  , runner_(targetClient_,
+            tickets_,
+            metrics_,
+            aSettings.tokenSecret_,
+            [this](reducer::Event aEvent) { Post(std::move(aEvent)); })
+  , peers_([this](reducer::Event aEvent) { Post(std::move(aEvent)); })
+{
+  const auto post = [this](reducer::Event aEvent) { Post(std::move(aEvent)); };
+  net::ServerOptions options;
+  options.address_ = aSettings.address_;
+  options.port_ = aSettings.httpPort_;
+  options.threads_ = aSettings.httpThreads_;
+  server_ = std::make_unique<net::Server>(
+    options, [this](const std::shared_ptr<net::Exchange>& aExchange) {
+      Serve(aExchange);
+    });
+  peerServer_ = std::make_unique<peer::Server>(
+    absl::StrCat(aSettings.address_, ":", aSettings.peerPort_), post);
+  control_ = std::make_unique<Control>(
+    FirstState(
+      aSettings,
+      absl::StrCat(aSettings.address_, ":", peerServer_->Port()),
+      absl::StrCat("http://", aSettings.address_, ":", server_->Port())),
+    [this](const reducer::Effect& aEffect) {
+      absl::visit(Performer{ *this }, aEffect);
+    });
+  admin_ = std::make_unique<Admin>(
+    *control_, trace_, platform_, aSettings.operatorKeyDigest_);
+  poller_ = std::make_unique<Poller>(
+    controlClient_,
+    snapshots_,
+    placement::Follower{ aSettings.name_, aSettings.dataCentre_ },
+    post,
+    [this] { return tickets_.Size() > 0; });
+  api_ = std::make_unique<ApiContext>(
+    ApiContext{ snapshots_,
+                tickets_,
+                runner_,
+                metrics_,
+                post,
+                aSettings.tokenSecret_,
+                [this](const std::string& aWorkspace) {
+                  return EntriesJson(aWorkspace);
+                } });
+  control_->Start();
+  poller_->Start();
+}
+
+void
+App::Impl::Serve(const std::shared_ptr<net::Exchange>& aExchange)
+{
+  const std::string& path = aExchange->request_.path_;
+  if (!api_) {
+    ReplyProblem(
+      *aExchange, { core::ErrorKind::NotReady, "the host is starting" }, "");
+  } else if (path == "/healthz" || path == "/readyz" || path == "/metrics") {
+    ServeHealth(*aExchange);
+  } else if (path == "/internal/config") {
+    ServeInternal(*aExchange);
+  } else if (!admin_->Serve(aExchange) && !ServeCaller(*api_, aExchange)) {
+    ReplyProblem(*aExchange, { core::ErrorKind::UnknownPath, path }, "");
+  }
+}
+
+void
+App::Impl::ServeHealth(net::Exchange& aExchange)
+{
+  const std::string& path = aExchange.request_.path_;
+  if (path == "/metrics") {
+    AddGauges();
+    aExchange.Reply(200,
+                    { { "Content-Type", "text/plain; version=0.0.4" } },
+                    metrics_.Text());
+    return;
+  }
+  if (path == "/healthz") {
+    aExchange.Reply(200, { { "Content-Type", "text/plain" } }, "ok\n");
+    return;
+  }
+  const SnapshotPtr snapshot = snapshots_.Get();
+  if (!snapshot->config_ || snapshot->isolated_) {
+    ReplyProblem(aExchange,
+                 { core::ErrorKind::NotReady,
+                   snapshot->isolated_ ? "the host is cut off"
+                                       : "no configuration has arrived yet" },
+                 "");
+  } else if (snapshot->draining_) {
+    ReplyProblem(
+      aExchange,
+      { core::ErrorKind::Draining, "the host finishes its requests" },
+      "");
+  } else {
+    aExchange.Reply(200, { { "Content-Type", "text/plain" } }, "ready\n");
+  }
+}
+
+void
+App::Impl::ServeInternal(net::Exchange& aExchange)
+{
+  absl::string_view secret =
+    net::Find(aExchange.request_.headers_, "Authorization");
+  if (!absl::ConsumePrefix(&secret, "Bearer ") ||
+      !core::EqualConstantTime(secret, settings_.tokenSecret_)) {
+    ReplyProblem(aExchange,
+                 { core::ErrorKind::WrongKey,
+                   "this path is for the steward of the same host" },
+                 "");
+    return;
+  }
+  ReplyJson(aExchange, 200, admin_->Document());
+}
+
+std::string
+App::Impl::EntriesJson(const std::string& aWorkspace)
+{
+  membership::Entries entries;
+  control_->Inspect([&](const reducer::State& aState) {
+    entries =
+      membership::EntriesFor(aState.members_, aWorkspace, kEntriesListed);
+  });
+  nlohmann::json body{ { "ttl_ms", absl::ToInt64Milliseconds(entries.ttl_) },
+                       { "entries", nlohmann::json::array() } };
+  for (const auto& host : entries.hosts_) {
+    body["entries"].push_back(
+      { { "name", host.name_ }, { "http", host.httpAddress_ } });
+  }
+  return body.dump();
+}
+
+void
+App::Impl::AddGauges()
+{
+  metrics_.Set("open_requests", static_cast<double>(tickets_.Size()));
+  metrics_.Set("open_exchanges", static_cast<double>(server_->OpenExchanges()));
+}
+
+App::App(const Settings& aSettings)
+  : impl_(std::make_unique<Impl>(aSettings))
+{
+  LOG(INFO) << "event=started name=" << aSettings.name_
+            << " http_port=" << impl_->server_->Port()
+            << " peer_port=" << impl_->peerServer_->Port();
+  std::printf("listening http_port=%u peer_port=%u\n",
+              static_cast<unsigned>(impl_->server_->Port()),
+              static_cast<unsigned>(impl_->peerServer_->Port()));
+  std::fflush(stdout);
+}
+
+App::~App() = default;
+
+void
+App::Drain()
+{
+  impl_->Post(reducer::DrainRequested{});
+  while (true) {
+    {
+      const absl::MutexLock lock(&impl_->mutex_);
+      if (impl_->drainedAfter_ <= absl::Now()) {
+        break;
+      }
+    }
+    absl::SleepFor(kDrainStep);
+  }
+  impl_->server_->StopListening();
+  while (impl_->server_->OpenExchanges() > 0 || impl_->tickets_.Size() > 0) {
+    absl::SleepFor(kDrainStep);
+  }
+  LOG(INFO) << "event=drained";
+}
+
+} // namespace lycheeplank::entry
--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -48,6 +48,24 @@
   return order;
 }
 
+reducer::OnceAnswered
+ToOnceAnswer(const Ticket& aTicket,
+             std::uint32_t aAttempt,
+             net::Answer&& aAnswer)
+{
+  reducer::OnceAnswered event;
+  event.id_ = aTicket.id_;
+  event.attempt_ = aAttempt;
+  event.whole_ = aAnswer.end_.whole_;
+  event.neverSent_ = !aAnswer.end_.whole_ && aAnswer.end_.neverSent_;
+  event.detail_ = aAnswer.end_.error_;
+  event.answer_.status_ = static_cast<std::uint32_t>(aAnswer.end_.status_);
+  event.answer_.contentType_ =
+    std::string(net::Find(aAnswer.headers_, "Content-Type"));
+  event.answer_.body_ = std::move(aAnswer.body_);
+  return event;
+}
+
 } // namespace
 
 // One attempt under way; used by one thread of the client at a time.
@@ -77,13 +95,6 @@
 {
 }
 
-void
-Runner::OnOnceAnswer(
-  std::function<void(reducer::RequestId, net::Answer&&)> aCallback)
-{
-  onOnceAnswer_ = std::move(aCallback);
-}
-
 void
 Runner::Perform(const reducer::Dispatch& aDispatch)
 {
@@ -287,11 +298,20 @@
     call.headers_.push_back({ "Idempotency-Key", aTicket->idempotencyKey_ });
   }
   call.freshConnection_ = aDispatch.once_;
-  call.timeout_ =
-    std::max(aDispatch.deadline_ - absl::Now(), absl::Milliseconds(1));
+  call.timeout_ = aDispatch.deadline_ - absl::Now();
+  if (aDispatch.once_ && call.timeout_ <= absl::ZeroDuration()) {
+    // Too late to send: this process may have been stopped for a while.
+    reducer::OnceAnswered tooLate;
+    tooLate.id_ = aTicket->id_;
+    tooLate.attempt_ = aDispatch.attempt_;
+    tooLate.neverSent_ = true;
+    tooLate.detail_ = "the deadline passed before the call was sent";
+    post_(std::move(tooLate));
+    return;
+  }
   const auto onAnswer = [this, aDispatch, aTicket](net::Answer&& aAnswer) {
     if (aDispatch.once_) {
-      onOnceAnswer_(aTicket->id_, std::move(aAnswer));
+      post_(ToOnceAnswer(*aTicket, aDispatch.attempt_, std::move(aAnswer)));
       return;
     }
     reducer::AttemptEnded ended;
--- a/src/entry/runner.h
+++ b/src/entry/runner.h
@@ -43,10 +43,6 @@
               const std::string& aModel,
               const std::string& aTargetUrl);
 
-  // Sets what happens with the answer of a call that must not run twice.
-  void OnOnceAnswer(
-    std::function<void(reducer::RequestId, net::Answer&&)> aCallback);
-
 private:
   struct Attempt;
 
@@ -68,7 +64,6 @@
   metrics::Registry& metrics_;
   const std::string secret_;
   const Post post_;
-  std::function<void(reducer::RequestId, net::Answer&&)> onOnceAnswer_;
 };
 
 } // namespace lycheeplank::entry
--- a/src/entry/ticket.h
+++ b/src/entry/ticket.h
@@ -25,7 +25,7 @@
   std::string serves_;
   std::string call_;
   std::string adapter_;
-  std::string prompt_;
+  std::shared_ptr<const std::string> prompt_;
   std::string body_;
   std::string contentType_;
   std::string idempotencyKey_;
--- a/src/net/client.cc
+++ b/src/net/client.cc
@@ -201,6 +201,9 @@
 
   void Begin(std::unique_ptr<Active> aActive)
   {
+    if (aActive->call_.bodySource_) {
+      aActive->call_.body_ = aActive->call_.bodySource_();
+    }
     aActive->easy_ = curl_easy_init();
     SetOptions(*aActive);
     curl_multi_add_handle(multi_, aActive->easy_);
--- a/src/peer/client.cc
+++ b/src/peer/client.cc
@@ -85,7 +85,7 @@
       &flight->request_,
       &flight->reply_,
       [flight, aStub, onReply = std::move(aOnReply)](
-        const grpc::Status& aStatus) {
+        const grpc::Status& aStatus) mutable {
         onReply(aStatus.ok() ? &flight->reply_
                              : static_cast<const Reply*>(nullptr));
         delete flight;
--- a/src/reducer/targets.cc
+++ b/src/reducer/targets.cc
@@ -67,6 +67,17 @@
   }
 }
 
+// Hands the limits that concern claims to their module.
+void
+ConfigureClaims(Context& aContext)
+{
+  claims::Settings settings = aContext.state_.claims_.settings_;
+  const config::Limits& limits = aContext.state_.config_->limits_;
+  settings.shards_ = limits.claimShards_;
+  settings.retention_ = limits.claimRetention_;
+  StepClaims(aContext, claims::SettingsChanged{ std::move(settings) });
+}
+
 void
 DropUnknown(State& aState)
 {
@@ -231,6 +242,7 @@
   state.config_ = aEvent.config_;
   DropUnknown(state);
   RebuildPools(aContext);
+  ConfigureClaims(aContext);
   for (auto& [key, pool] : state.pools_) {
     UpdateSlots(aContext, pool);
   }
