--- a/include/lycheeplank/claims.h
+++ b/include/lycheeplank/claims.h
@@ -23,9 +23,11 @@
 // The contract with the holder, the host that runs an attempt:
 // - an attempt id is new for each try and is asked for once, at one host;
 // - the holder runs an attempt at most once, and only when it was granted;
-// - when the answer is not a grant, or none comes, the holder gives the attempt
-//   up and reports it withdrawn until that is recorded;
+// - when the answer is unavailable, or none comes in time, the holder gives the
+//   attempt up and reports it withdrawn until that is recorded;
 // - once a byte was sent to a target, only done or unknown may be reported.
+//
+// The time of an event is the clock of the host that handles it.
 namespace lycheeplank::claims {
 
 // What an ask for a claim is answered with.
