--- a/test/config-sync-test.cc
+++ b/test/config-sync-test.cc
@@ -39,6 +39,7 @@
   int pollers_ = 2;
   int edits_ = 60;
   bool faults_ = true;
+  absl::Duration chunkRetention_ = absl::Minutes(1);
 };
 
 // What an operator asked for and was told.
@@ -518,7 +519,7 @@
   ++host.life_;
   host.state_ = config::SyncState();
   host.state_.host_ = NameOf(aHost);
-  host.state_.options_.chunkRetention_ = absl::Minutes(1);
+  host.state_.options_.chunkRetention_ = aWorld.settings_.chunkRetention_;
   host.frozenUntil_ = absl::InfinitePast();
   host.revision_ = 0;
 }
@@ -587,6 +588,19 @@
     });
 }
 
+// Runs clean-ups on all hosts as often as they come to an end.
+void
+KeepCleaning(World& aWorld, int aHost)
+{
+  After(aWorld,
+        DrawTime(aWorld, absl::Milliseconds(20), absl::Milliseconds(200)),
+        [&aWorld, aHost] {
+          DeliverAfter(
+            aWorld, absl::ZeroDuration(), aHost, config::CleanupDue());
+          KeepCleaning(aWorld, aHost);
+        });
+}
+
 // A section's text; few different ones, so that old chunks return to use. Two
 // edits that are valid by themselves may contradict each other.
 std::string
@@ -785,6 +799,33 @@
   }
 }
 
+TEST_CASE("chunks that return to use survive clean-ups")
+{
+  constexpr std::uint64_t kSeeds = 20;
+  constexpr int kRounds = 60;
+  const auto first = FromEnvironment("LYCHEEPLANK_SEED", 1);
+  const bool chosen = std::getenv("LYCHEEPLANK_SEED") != nullptr;
+  std::uint64_t deleted = 0;
+  for (std::uint64_t seed = first; seed < first + (chosen ? 1 : kSeeds);
+       ++seed) {
+    INFO("repeat with: LYCHEEPLANK_SEED="
+         << seed << " build/config-sync-test 'chunks that return*'");
+    World world;
+    world.settings_.seed_ = seed;
+    world.settings_.chunkRetention_ = absl::Milliseconds(500);
+    Begin(world);
+    world.faultsEnd_ = world.now_ + absl::Seconds(4 * kRounds);
+    for (int host = 0; host < world.settings_.hosts_; ++host) {
+      KeepCleaning(world, host);
+    }
+    KeepEditing(world, kRounds);
+    RunUntil(world, world.faultsEnd_ + kInForceBound);
+    CheckEnd(world);
+    deleted += world.deletedChunks_;
+  }
+  CHECK(deleted > 0);
+}
+
 TEST_CASE("a change is in force on many hosts in time, with few reads")
 {
   World world;
