--- a/include/lycheeplank/keeping.h
+++ b/include/lycheeplank/keeping.h
@@ -77,15 +77,15 @@
   std::uint32_t heldBlocks_ = 0;
   std::uint64_t capacityBytes_ = 0;
   std::uint64_t usedBytes_ = 0;
-  // What the run's workspace uses and may use while the store is nearly full.
+  // What the run's workspace uses, and its share.
   std::uint64_t workspaceBytes_ = 0;
   std::uint64_t workspaceShareBytes_ = 0;
   // Expected time until a block that isn't used is freed.
   absl::Duration hold_ = absl::InfiniteDuration();
   double linkBytesPerSecond_ = 1.0;
   std::uint64_t queuedBytes_ = 0;
-  // Expected saving per byte of the blocks that would be freed for new ones;
-  // zero while there is room.
+  // Highest value per byte of the blocks that would be freed for new ones, as
+  // in EvictionPlan; zero while there is room.
   double freedValuePerByte_ = 0.0;
 };
 
@@ -143,10 +143,26 @@
 std::uint64_t
 BytesToFree(std::uint64_t aUsedBytes, std::uint64_t aCapacityBytes);
 
-// Returns positions of the blocks to free: first those of workspaces over
-// their share, then those with the lowest expected saving per byte within
-// aHorizon; the end of a prompt before its start.
-std::vector<std::size_t>
+// Blocks to free.
+struct EvictionPlan
+{
+  // Positions in the list of blocks, in the order of freeing.
+  std::vector<std::size_t> blocks_;
+  std::uint64_t bytes_ = 0;
+  // Of the most valuable block among them.
+  double valuePerByte_ = 0.0;
+};
+
+// Returns the part of its value that a block keeps when its workspace uses
+// aUsedBytes and has a right to aShareBytes: all of it up to the share, less
+// in proportion above it.
+double
+ShareFactor(std::uint64_t aUsedBytes, std::uint64_t aShareBytes);
+
+// Plans which blocks to free: those with the lowest expected saving per byte
+// within aHorizon, where workspaces over their share count less; the end of a
+// prompt before its start.
+EvictionPlan
 PlanEvictions(const std::vector<KeptBlock>& aBlocks,
               const std::vector<WorkspaceUse>& aWorkspaces,
               std::uint64_t aBytesToFree,
--- a/src/keeping/space.cc
+++ b/src/keeping/space.cc
@@ -17,27 +17,19 @@
   return aQuestion.blockTokens_ * aQuestion.kvBytesPerToken_;
 }
 
-// Bytes that a store may still take for the run's workspace.
-std::uint64_t
-RoomFor(const StoreView& aStore)
-{
-  const auto limit = static_cast<std::uint64_t>(
-    kHighWater * static_cast<double>(aStore.capacityBytes_));
-  if (aStore.usedBytes_ < limit) {
-    return limit - aStore.usedBytes_;
-  }
-  // Nearly full: a workspace below its share may push out others.
-  return aStore.workspaceShareBytes_ -
-         std::min(aStore.workspaceShareBytes_, aStore.workspaceBytes_);
-}
-
 // Net value of exporting a byte of the prompt to a store.
 double
 ValueIn(const ExportQuestion& aQuestion, const StoreView& aStore)
 {
   const double chance =
     ReturnChance(aQuestion.gaps_, aQuestion.engineHold_, aStore.hold_);
-  return chance * SavingPerByte(aQuestion, aStore.linkBytesPerSecond_) -
+  const double saving =
+    chance * SavingPerByte(aQuestion, aStore.linkBytesPerSecond_);
+  const double factor =
+    aStore.freedValuePerByte_ > 0.0
+      ? ShareFactor(aStore.workspaceBytes_, aStore.workspaceShareBytes_)
+      : 1.0;
+  return factor * saving -
          aQuestion.objective_.linkWeight_ / kBytesPerMegabyte -
          aStore.freedValuePerByte_;
 }
@@ -51,16 +43,11 @@
       aStore.heldBlocks_ >= aQuestion.blocks_) {
     return absl::nullopt;
   }
-  const auto blocks = std::min<std::uint64_t>(
-    aQuestion.blocks_ - aStore.heldBlocks_, RoomFor(aStore) / blockBytes);
-  if (blocks == 0) {
-    return absl::nullopt;
-  }
   Export plan;
   plan.store_ = std::string(aStore.name_);
   plan.firstBlock_ = aStore.heldBlocks_;
-  plan.blocks_ = static_cast<std::uint32_t>(blocks);
-  plan.bytes_ = blocks * blockBytes;
+  plan.blocks_ = aQuestion.blocks_ - aStore.heldBlocks_;
+  plan.bytes_ = plan.blocks_ * blockBytes;
   plan.valuePerByte_ = value;
   const double transferSeconds =
     static_cast<double>(aStore.queuedBytes_ + plan.bytes_) /
@@ -72,7 +59,7 @@
 }
 
 // Whether a prompt is rather exported to the first store: it holds more of it,
-// or saves more, or the prompt's hash says so.
+// or only it has room, or the prompt's hash says so.
 bool
 IsBetter(const ExportQuestion& aQuestion,
          const StoreView& aLeft,
@@ -80,7 +67,7 @@
 {
   const auto rankOf = [&](const StoreView& aStore) {
     return std::tuple(aStore.heldBlocks_,
-                      RoomFor(aStore) >= BlockBytes(aQuestion),
+                      aStore.freedValuePerByte_ <= 0.0,
                       core::StableHash(aStore.name_, aQuestion.promptHash_));
   };
   return rankOf(aLeft) > rankOf(aRight);
@@ -109,7 +96,10 @@
     const auto& workspace = aWorkspaces[block.workspace_];
     const double chance =
       ReturnChanceNow(workspace.gaps_, block.idle_, aHorizon);
-    ranks.push_back({ chance * workspace.savingPerByte_, block.position_, i });
+    const double value =
+      chance * workspace.savingPerByte_ *
+      ShareFactor(workspace.usedBytes_, workspace.shareBytes_);
+    ranks.push_back({ value, block.position_, i });
   }
   std::sort(ranks.begin(),
             ranks.end(),
@@ -169,39 +159,30 @@
   return aUsedBytes - static_cast<std::uint64_t>(kLowWater * capacity);
 }
 
-std::vector<std::size_t>
+double
+ShareFactor(std::uint64_t aUsedBytes, std::uint64_t aShareBytes)
+{
+  return aUsedBytes <= aShareBytes
+           ? 1.0
+           : static_cast<double>(aShareBytes) / static_cast<double>(aUsedBytes);
+}
+
+EvictionPlan
 PlanEvictions(const std::vector<KeptBlock>& aBlocks,
               const std::vector<WorkspaceUse>& aWorkspaces,
               std::uint64_t aBytesToFree,
               absl::Duration aHorizon)
 {
-  const auto ranks = RankBlocks(aBlocks, aWorkspaces, aHorizon);
-  std::vector<std::uint64_t> used;
-  used.reserve(aWorkspaces.size());
-  for (const auto& workspace : aWorkspaces) {
-    used.push_back(workspace.usedBytes_);
-  }
-  std::vector<std::size_t> freed;
-  std::vector<bool> isFreed(aBlocks.size(), false);
-  std::uint64_t freedBytes = 0;
-  for (const bool overShareOnly : { true, false }) {
-    for (const auto& rank : ranks) {
-      if (freedBytes >= aBytesToFree) {
-        return freed;
-      }
-      const auto& block = aBlocks[rank.index_];
-      const bool overShare =
-        used[block.workspace_] > aWorkspaces[block.workspace_].shareBytes_;
-      if (isFreed[rank.index_] || (overShareOnly && !overShare)) {
-        continue;
-      }
-      isFreed[rank.index_] = true;
-      freed.push_back(rank.index_);
-      freedBytes += block.bytes_;
-      used[block.workspace_] -= std::min(used[block.workspace_], block.bytes_);
+  EvictionPlan plan;
+  for (const auto& rank : RankBlocks(aBlocks, aWorkspaces, aHorizon)) {
+    if (plan.bytes_ >= aBytesToFree) {
+      break;
     }
+    plan.blocks_.push_back(rank.index_);
+    plan.bytes_ += aBlocks[rank.index_].bytes_;
+    plan.valuePerByte_ = rank.value_;
   }
-  return freed;
+  return plan;
 }
 
 std::vector<std::uint64_t>
--- /dev/null
+++ b/test/trace/fakes.h
@@ -0,0 +1,144 @@
+#ifndef LYCHEEPLANK_TEST_TRACE_FAKES_H
+#define LYCHEEPLANK_TEST_TRACE_FAKES_H
+
+#include <deque>
+#include <list>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "lycheeplank/keeping.h"
+#include "shapes.h"
+
+// Small fakes of engines' caches and of stores, for the comparison of policies.
+namespace lycheeplank::trace {
+
+// A block of a prompt; prompts share no blocks.
+using BlockId = std::uint64_t;
+
+inline BlockId
+IdOf(std::uint32_t aPrompt, std::uint32_t aPosition)
+{
+  constexpr unsigned kPositionBits = 16;
+  return (BlockId{ aPrompt } << kPositionBits) | aPosition;
+}
+
+inline std::uint32_t
+PromptOf(BlockId aBlock)
+{
+  constexpr unsigned kPositionBits = 16;
+  return static_cast<std::uint32_t>(aBlock >> kPositionBits);
+}
+
+inline std::uint32_t
+PositionOf(BlockId aBlock)
+{
+  return static_cast<std::uint32_t>(aBlock & 0xffffU);
+}
+
+// A run on its way through an engine.
+struct Run
+{
+  std::uint32_t arrival_ = 0;
+  std::uint32_t host_ = 0;
+  std::uint32_t engine_ = 0;
+  double readyAt_ = 0.0;
+  // Blocks asked from a store, and those of them that came.
+  std::uint32_t store_ = 0;
+  std::uint32_t firstImport_ = 0;
+  std::uint32_t wantedImports_ = 0;
+  std::uint32_t imported_ = 0;
+  std::uint64_t expectedTokens_ = 0;
+};
+
+// An engine that prefills one run at a time, interactive ones first.
+struct Engine
+{
+  std::list<BlockId> recent_;
+  absl::flat_hash_map<BlockId, std::list<BlockId>::iterator> cache_;
+  absl::flat_hash_map<BlockId, double> usedAt_;
+  std::deque<std::uint32_t> interactive_;
+  std::deque<std::uint32_t> batch_;
+  bool busy_ = false;
+  double busyUntil_ = 0.0;
+  // Tokens of runs that were sent here and have not begun.
+  std::uint64_t queuedTokens_ = 0;
+  std::uint32_t waiting_ = 0;
+  // Mean idle time of the blocks evicted lately.
+  double holdSeconds_ = 60.0;
+};
+
+struct StoredBlock
+{
+  std::uint64_t generation_ = 0;
+  double usedAt_ = 0.0;
+};
+
+// A transfer on a store's link, for a run or for an export.
+struct Job
+{
+  std::uint32_t run_ = 0;
+  std::uint32_t engine_ = 0;
+  std::vector<BlockId> blocks_;
+};
+
+struct Store
+{
+  absl::flat_hash_map<BlockId, StoredBlock> blocks_;
+  std::vector<std::uint64_t> bytesByWorkspace_;
+  std::uint64_t nextGeneration_ = 1;
+  bool alive_ = true;
+  double rate_ = 0.0;
+  std::vector<keeping::Transfer> waiting_;
+  std::vector<Job> jobs_;
+  keeping::LinkUse use_;
+  bool busy_ = false;
+  keeping::Transfer current_;
+  Job currentJob_;
+  double currentStart_ = 0.0;
+  std::uint64_t queuedBytes_ = 0;
+  // Expected saving per byte of what was freed last.
+  double freedValue_ = 0.0;
+};
+
+// Marks a block as the most recently used one.
+inline void
+Touch(Engine& aEngine, BlockId aBlock, double aNow)
+{
+  if (const auto found = aEngine.cache_.find(aBlock);
+      found != aEngine.cache_.end()) {
+    aEngine.recent_.erase(found->second);
+  }
+  aEngine.recent_.push_front(aBlock);
+  aEngine.cache_[aBlock] = aEngine.recent_.begin();
+  aEngine.usedAt_[aBlock] = aNow;
+}
+
+// Evicts the least recently used block.
+inline BlockId
+EvictOldest(Engine& aEngine, double aNow)
+{
+  constexpr double kNewestShare = 0.02;
+  const BlockId oldest = aEngine.recent_.back();
+  aEngine.recent_.pop_back();
+  aEngine.cache_.erase(oldest);
+  const double idle = aNow - aEngine.usedAt_[oldest];
+  aEngine.usedAt_.erase(oldest);
+  aEngine.holdSeconds_ += kNewestShare * (idle - aEngine.holdSeconds_);
+  return oldest;
+}
+
+// Returns how many leading blocks of a prompt an engine has.
+inline std::uint32_t
+LeadingIn(const Engine& aEngine, std::uint32_t aPrompt, std::uint32_t aBlocks)
+{
+  std::uint32_t leading = 0;
+  while (leading < aBlocks && aEngine.cache_.contains(IdOf(aPrompt, leading))) {
+    ++leading;
+  }
+  return leading;
+}
+
+} // namespace lycheeplank::trace
+
+#endif
