--- /dev/null
+++ b/src/membership/gossip.cc
@@ -0,0 +1,319 @@
+#include "membership/internal.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <absl/strings/str_cat.h>
+
+namespace lycheeplank::membership {
+
+namespace {
+
+// Returns how often a piece of news is passed on.
+std::uint32_t
+RumourLimit(const State& aState)
+{
+  const double hosts = double(aState.members_.size() + 1);
+  const double rounds = std::ceil(std::log2(hosts + 1.0));
+  return aState.settings_.rumourFactor_ * static_cast<std::uint32_t>(rounds);
+}
+
+// Returns what is known of a host, or of a target of the platform's list.
+absl::optional<HostState>
+StateOf(const State& aState, const std::string& aName)
+{
+  if (const auto found = aState.members_.find(aName);
+      found != aState.members_.end()) {
+    return found->second.state_;
+  }
+  const auto found = aState.targets_.find(aName);
+  if (found == aState.targets_.end()) {
+    return absl::nullopt;
+  }
+  HostState state;
+  state.name_ = aName;
+  state.status_ = found->second.leaving_ ? Status::Leaving : Status::Alive;
+  state.incarnation_ = found->second.listRevision_;
+  return state;
+}
+
+void
+StopRumour(State& aState, const std::string& aName)
+{
+  const auto found = aState.timesTold_.find(aName);
+  if (found != aState.timesTold_.end()) {
+    aState.rumours_.erase({ found->second, aName });
+    aState.timesTold_.erase(found);
+  }
+}
+
+// Adds the news that was passed on least.
+void
+AddRumours(State& aState, absl::string_view aTo, Message& aMessage)
+{
+  std::vector<std::string> told;
+  for (const auto& [times, name] : aState.rumours_) {
+    if (told.size() >= aState.settings_.maxRumours_) {
+      break;
+    }
+    if (name != aTo) {
+      told.push_back(name);
+    }
+  }
+  const std::uint32_t limit = RumourLimit(aState);
+  for (const auto& name : told) {
+    const std::uint32_t times = aState.timesTold_.at(name) + 1;
+    StopRumour(aState, name);
+    const auto state = StateOf(aState, name);
+    if (!state) {
+      continue;
+    }
+    aMessage.updates_.push_back(*state);
+    if (times < limit) {
+      aState.timesTold_[name] = times;
+      aState.rumours_.insert({ times, name });
+    }
+  }
+}
+
+// Adds states in turn, so that lost news arrives in the end.
+void
+AddRepeated(State& aState, Message& aMessage)
+{
+  const auto& members = aState.members_;
+  const std::size_t count =
+    std::min<std::size_t>(aState.settings_.repeatedStates_, members.size());
+  auto at = members.upper_bound(aState.repeatAfter_);
+  for (std::size_t i = 0; i < count; ++i) {
+    if (at == members.end()) {
+      at = members.begin();
+    }
+    aMessage.updates_.push_back(at->second.state_);
+    aState.repeatAfter_ = at->first;
+    ++at;
+  }
+}
+
+// Tells whether a state is newer than what is known.
+bool
+IsNewer(const HostState& aNews, const HostState& aKnown)
+{
+  if (aNews.incarnation_ != aKnown.incarnation_) {
+    return aNews.incarnation_ > aKnown.incarnation_;
+  }
+  return aNews.status_ > aKnown.status_;
+}
+
+void
+UpdateOverload(const Settings& aSettings, Member& aMember)
+{
+  const std::uint32_t load = aMember.state_.loadPermille_;
+  if (load >= aSettings.overloadedPermille_) {
+    aMember.overloaded_ = true;
+  } else if (load < aSettings.relievedPermille_) {
+    aMember.overloaded_ = false;
+  }
+}
+
+// Answers what others think of this host.
+void
+TakeOwnState(State& aState,
+             const HostState& aNews,
+             absl::Time aNow,
+             Effects& aEffects)
+{
+  auto& self = aState.self_;
+  if (aNews.incarnation_ < self.incarnation_ ||
+      aNews.status_ == Status::Alive || aNews.status_ == self.status_) {
+    return;
+  }
+  if (aNews.status_ == Status::Leaving) {
+    aEffects.push_back(DrainAsked{});
+    BeginDrain(aState, aNow);
+    return;
+  }
+  self.incarnation_ = aNews.incarnation_ + 1;
+  ++aState.counters_.refutations_;
+  aEffects.push_back(Log{ absl::StrCat("event=refuted status=",
+                                       core::NameOf(kStatuses, aNews.status_),
+                                       " incarnation=",
+                                       self.incarnation_) });
+}
+
+// Adds a host that was not known before.
+void
+AddMember(State& aState,
+          const HostState& aNews,
+          absl::Time aNow,
+          Effects& aEffects)
+{
+  if (aNews.status_ == Status::Dead) {
+    return;
+  }
+  auto& member = aState.members_[aNews.name_];
+  member.state_ = aNews;
+  member.state_.status_ = Status::Alive;
+  member.since_ = aNow;
+  UpdateOverload(aState.settings_, member);
+  aState.fingersStale_ = true;
+  if (aNews.status_ != Status::Alive) {
+    SetStatus(aState, member, aNews.status_, aNow, aEffects);
+  }
+  StartRumour(aState, aNews.name_);
+  aEffects.push_back(
+    Log{ absl::StrCat("event=host_found host=", aNews.name_) });
+}
+
+void
+HearRevision(State& aState, const HostState& aNews, Effects& aEffects)
+{
+  if (aNews.configRevision_ > aState.self_.configRevision_ &&
+      !aNews.peerAddress_.empty()) {
+    aEffects.push_back(
+      ConfigHeard{ aNews.configRevision_, aNews.peerAddress_ });
+  }
+}
+
+// Takes over a newer state of a known host.
+void
+ReplaceState(State& aState,
+             Member& aMember,
+             const HostState& aNews,
+             absl::Time aNow,
+             Effects& aEffects)
+{
+  const Status before = aMember.state_.status_;
+  aMember.state_ = aNews;
+  aMember.state_.status_ = before;
+  aMember.gone_ = false;
+  UpdateOverload(aState.settings_, aMember);
+  if (before != aNews.status_) {
+    SetStatus(aState, aMember, aNews.status_, aNow, aEffects);
+  }
+  StartRumour(aState, aNews.name_);
+}
+
+} // namespace
+
+void
+StartRumour(State& aState, const std::string& aName)
+{
+  StopRumour(aState, aName);
+  aState.timesTold_[aName] = 0;
+  aState.rumours_.insert({ 0, aName });
+}
+
+Message
+MakeMessage(State& aState, absl::string_view aTo)
+{
+  Message message;
+  message.sender_ = aState.self_;
+  message.listRevision_ = aState.listRevision_;
+  const auto found = aState.members_.find(aTo);
+  if (found != aState.members_.end() &&
+      found->second.state_.status_ != Status::Alive) {
+    message.updates_.push_back(found->second.state_);
+  }
+  AddRumours(aState, aTo, message);
+  AddRepeated(aState, message);
+  return message;
+}
+
+void
+TakeMessage(State& aState,
+            const Message& aMessage,
+            absl::Time aNow,
+            Effects& aEffects)
+{
+  aState.lastPeer_ = std::max(aState.lastPeer_, aNow);
+  TakeHostState(aState, aMessage.sender_, Source::Direct, aNow, aEffects);
+  for (const auto& update : aMessage.updates_) {
+    TakeHostState(aState, update, Source::Gossip, aNow, aEffects);
+  }
+}
+
+void
+TakeHostState(State& aState,
+              const HostState& aNews,
+              Source aSource,
+              absl::Time aNow,
+              Effects& aEffects)
+{
+  if (aNews.name_ == aState.self_.name_) {
+    TakeOwnState(aState, aNews, aNow, aEffects);
+    return;
+  }
+  if (aNews.peerAddress_.empty()) {
+    const bool leaving = aNews.status_ == Status::Leaving;
+    TakeTarget(
+      aState, { aNews.name_, leaving, aNews.incarnation_ }, aNow, aEffects);
+    return;
+  }
+  HearRevision(aState, aNews, aEffects);
+  const auto found = aState.members_.find(aNews.name_);
+  if (found == aState.members_.end()) {
+    AddMember(aState, aNews, aNow, aEffects);
+    return;
+  }
+  auto& known = found->second.state_;
+  if (IsNewer(aNews, known)) {
+    ReplaceState(aState, found->second, aNews, aNow, aEffects);
+    return;
+  }
+  known.configRevision_ =
+    std::max(known.configRevision_, aNews.configRevision_);
+  if (aSource == Source::Direct && aNews.incarnation_ == known.incarnation_) {
+    known.loadPermille_ = aNews.loadPermille_;
+    UpdateOverload(aState.settings_, found->second);
+  }
+}
+
+void
+TakeTarget(State& aState,
+           const TargetNews& aNews,
+           absl::Time aNow,
+           Effects& aEffects)
+{
+  const auto found = aState.targets_.find(aNews.name_);
+  const bool known = found != aState.targets_.end();
+  const bool leaving = known && found->second.leaving_;
+  if (aNews.leaving_ == leaving ||
+      (known && aNews.listRevision_ <= found->second.listRevision_)) {
+    return;
+  }
+  aState.targets_[aNews.name_] = { aNews.leaving_, aNews.listRevision_, aNow };
+  aState.pushWanted_ = true;
+  StartRumour(aState, aNews.name_);
+  aEffects.push_back(TargetChanged{ aNews.name_, aNews.leaving_ });
+}
+
+void
+SetStatus(State& aState,
+          Member& aMember,
+          Status aStatus,
+          absl::Time aNow,
+          Effects& aEffects)
+{
+  auto& state = aMember.state_;
+  aEffects.push_back(Log{ absl::StrCat("event=host_status host=",
+                                       state.name_,
+                                       " from=",
+                                       core::NameOf(kStatuses, state.status_),
+                                       " to=",
+                                       core::NameOf(kStatuses, aStatus)) });
+  state.status_ = aStatus;
+  aMember.since_ = aNow;
+  aMember.recheck_ = aNow;
+  aState.suspects_.erase(state.name_);
+  if (aStatus == Status::Suspect) {
+    aMember.suspectUntil_ = aNow + aState.settings_.suspicion_;
+    aState.suspects_.insert(state.name_);
+    ++aState.counters_.suspicions_;
+  }
+  aState.counters_.deaths_ += aStatus == Status::Dead ? 1 : 0;
+  aState.pushWanted_ |= aStatus == Status::Leaving;
+  aState.fingersStale_ = true;
+  StartRumour(aState, state.name_);
+}
+
+} // namespace lycheeplank::membership
--- /dev/null
+++ b/src/membership/host-list.cc
@@ -0,0 +1,145 @@
+#include "membership/internal.h"
+
+#include <algorithm>
+
+namespace lycheeplank::membership {
+
+namespace {
+
+constexpr absl::string_view kEntryRole = "entry";
+
+// Key by which the readers of the list are chosen.
+constexpr absl::string_view kReadersItem = "host-list";
+
+HostState
+StateOf(const platform::Host& aHost)
+{
+  HostState state;
+  state.name_ = aHost.name_;
+  state.peerAddress_ = aHost.peerAddress_;
+  state.httpAddress_ = aHost.httpAddress_;
+  state.dataCentre_ = aHost.dataCentre_;
+  return state;
+}
+
+// Asks this host to drain once the list says that it leaves.
+void
+TakeOwnEntry(State& aState, bool aLeaves, absl::Time aNow, Effects& aEffects)
+{
+  if (aLeaves && aState.self_.status_ != Status::Leaving) {
+    aEffects.push_back(DrainAsked{});
+    BeginDrain(aState, aNow);
+  }
+}
+
+void
+TakeEntryHost(State& aState,
+              const platform::Host& aHost,
+              absl::Time aNow,
+              Effects& aEffects)
+{
+  if (aHost.name_ == aState.self_.name_) {
+    aState.listedSelf_ = true;
+    TakeOwnEntry(aState, aHost.leaving_, aNow, aEffects);
+    return;
+  }
+  if (aState.members_.count(aHost.name_) == 0 && !aHost.leaving_) {
+    TakeHostState(aState, StateOf(aHost), Source::Gossip, aNow, aEffects);
+  }
+  const auto found = aState.members_.find(aHost.name_);
+  if (found == aState.members_.end()) {
+    return;
+  }
+  found->second.listed_ = true;
+  if (aHost.leaving_ && found->second.state_.status_ != Status::Leaving) {
+    SetStatus(aState, found->second, Status::Leaving, aNow, aEffects);
+  }
+}
+
+// Treats hosts that were on an earlier list and are not on this one as
+// leaving.
+void
+TakeUnlisted(State& aState,
+             const absl::btree_set<std::string>& aListed,
+             absl::Time aNow,
+             Effects& aEffects)
+{
+  for (auto& [name, member] : aState.members_) {
+    if (!member.listed_ || aListed.count(name) > 0) {
+      continue;
+    }
+    member.listed_ = false;
+    if (member.state_.status_ != Status::Leaving) {
+      SetStatus(aState, member, Status::Leaving, aNow, aEffects);
+    }
+  }
+  const bool wasListed = aState.listedSelf_;
+  if (wasListed && aListed.count(aState.self_.name_) == 0) {
+    aState.listedSelf_ = false;
+    TakeOwnEntry(aState, true, aNow, aEffects);
+  }
+}
+
+// Tells whether this host reads the list for the others.
+bool
+IsReader(const State& aState)
+{
+  std::vector<std::string> names{ aState.self_.name_ };
+  for (const auto& [name, member] : aState.members_) {
+    if (member.state_.status_ == Status::Alive) {
+      names.push_back(name);
+    }
+  }
+  const auto readers =
+    core::RendezvousPick(kReadersItem, names, aState.settings_.listReaders_);
+  return std::count(readers.begin(), readers.end(), aState.self_.name_) > 0;
+}
+
+} // namespace
+
+void
+TakeHostList(State& aState,
+             const HostListRead& aList,
+             absl::Time aNow,
+             Effects& aEffects)
+{
+  if (!aList.ok_) {
+    return;
+  }
+  aState.lastPlatform_ = std::max(aState.lastPlatform_, aNow);
+  if (aList.revision_ < aState.listRevision_) {
+    return;
+  }
+  aState.listRevision_ = aList.revision_;
+  absl::btree_set<std::string> listed;
+  for (const auto& host : aList.hosts_) {
+    if (host.role_ == kEntryRole) {
+      listed.insert(host.name_);
+      TakeEntryHost(aState, host, aNow, aEffects);
+    } else {
+      TakeTarget(
+        aState, { host.name_, host.leaving_, aList.revision_ }, aNow, aEffects);
+    }
+  }
+  TakeUnlisted(aState, listed, aNow, aEffects);
+}
+
+void
+ReadListIfDue(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  if (aNow < aState.nextListRead_) {
+    return;
+  }
+  const bool isolated = !HasQuorum(aState);
+  aState.nextListRead_ = aNow + aState.settings_.listPeriod_;
+  if (aState.listRevision_ > 0 && !IsReader(aState)) {
+    if (!isolated) {
+      return;
+    }
+    aState.nextListRead_ = aNow + aState.settings_.isolatedListPeriod_;
+  }
+  ++aState.counters_.listReads_;
+  aEffects.push_back(ReadHostList{});
+}
+
+} // namespace lycheeplank::membership
--- /dev/null
+++ b/src/membership/probe.cc
@@ -0,0 +1,388 @@
+#include "membership/internal.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+
+namespace lycheeplank::membership {
+
+namespace {
+
+// Time that a reply may take to get from the network to the reducer.
+constexpr absl::Duration kProbeGrace = absl::Milliseconds(500);
+// Random part of the probe period, so that hosts don't fall into step.
+constexpr double kPeriodJitter = 0.2;
+
+bool
+IsProbed(const Member& aMember)
+{
+  return aMember.state_.status_ != Status::Dead && !aMember.gone_;
+}
+
+struct RingPlace
+{
+  std::uint64_t hash_ = 0;
+  std::string name_;
+};
+
+// Returns this host and all hosts that are probed, in the order of the ring.
+std::vector<RingPlace>
+Ring(const State& aState)
+{
+  std::vector<RingPlace> ring;
+  ring.reserve(aState.members_.size() + 1);
+  const auto& self = aState.self_.name_;
+  ring.push_back({ core::StableHash(self), self });
+  for (const auto& [name, member] : aState.members_) {
+    if (IsProbed(member)) {
+      ring.push_back({ core::StableHash(name), name });
+    }
+  }
+  std::sort(ring.begin(),
+            ring.end(),
+            [](const RingPlace& aLeft, const RingPlace& aRight) {
+              return aLeft.hash_ != aRight.hash_ ? aLeft.hash_ < aRight.hash_
+                                                 : aLeft.name_ < aRight.name_;
+            });
+  return ring;
+}
+
+// Finds the hosts at the distances 1, 2, 4, ... in the ring.
+void
+UpdateFingers(State& aState)
+{
+  if (!aState.fingersStale_) {
+    return;
+  }
+  aState.fingersStale_ = false;
+  aState.fingers_.clear();
+  const auto ring = Ring(aState);
+  const auto own =
+    std::find_if(ring.begin(), ring.end(), [&](const RingPlace& aPlace) {
+      return aPlace.name_ == aState.self_.name_;
+    });
+  const auto position = static_cast<std::size_t>(own - ring.begin());
+  for (std::size_t distance = 1; distance < ring.size(); distance *= 2) {
+    const auto& place = ring[(position + distance) % ring.size()];
+    aState.fingers_.push_back(place.name_);
+  }
+}
+
+bool
+IsUnderWay(const State& aState, const std::string& aName)
+{
+  return std::any_of(
+    aState.pending_.begin(), aState.pending_.end(), [&](const auto& aEntry) {
+      return aEntry.second.name_ == aName &&
+             aEntry.second.kind_ == ProbeKind::Direct;
+    });
+}
+
+std::uint64_t
+SendTo(State& aState,
+       const std::string& aName,
+       const std::string& aAddress,
+       absl::Time aNow,
+       Effects& aEffects)
+{
+  const std::uint64_t id = aState.nextId_++;
+  auto& pending = aState.pending_[id];
+  pending.name_ = aName;
+  pending.deadline_ = aNow + aState.settings_.probeTimeout_ + kProbeGrace;
+  ++aState.counters_.probes_;
+  aEffects.push_back(SendProbe{ id,
+                                aName,
+                                aAddress,
+                                aState.settings_.probeTimeout_,
+                                MakeMessage(aState, aName) });
+  return id;
+}
+
+void
+ProbeIfIdle(State& aState,
+            const std::string& aName,
+            absl::Time aNow,
+            Effects& aEffects)
+{
+  const auto found = aState.members_.find(aName);
+  if (found != aState.members_.end() && !IsUnderWay(aState, aName)) {
+    StartProbe(aState, found->second, aNow, aEffects);
+  }
+}
+
+// Acts on a host that neither this one nor its helpers have reached.
+void
+TakeUnreached(State& aState,
+              const std::string& aName,
+              absl::Time aNow,
+              Effects& aEffects)
+{
+  const auto found = aState.members_.find(aName);
+  if (found == aState.members_.end()) {
+    return;
+  }
+  auto& member = found->second;
+  if (member.state_.status_ == Status::Leaving) {
+    member.gone_ = true;
+    aState.fingersStale_ = true;
+    return;
+  }
+  if (member.state_.status_ == Status::Alive && HasContact(aState, aNow)) {
+    SetStatus(aState, member, Status::Suspect, aNow, aEffects);
+  }
+}
+
+// Returns the live hosts that are asked to probe a suspect.
+std::vector<std::string>
+Helpers(const State& aState, const std::string& aSuspect, std::uint64_t aId)
+{
+  std::vector<std::string> names;
+  for (const auto& [name, member] : aState.members_) {
+    if (name != aSuspect && member.state_.status_ == Status::Alive) {
+      names.push_back(name);
+    }
+  }
+  return core::RendezvousPick(absl::StrCat(aState.self_.name_, "/", aId),
+                              names,
+                              aState.settings_.indirectProbes_);
+}
+
+// Asks other hosts to probe one that didn't answer; false if there are none.
+bool
+AskHelpers(State& aState,
+           std::uint64_t aId,
+           PendingProbe& aPending,
+           absl::Time aNow,
+           Effects& aEffects)
+{
+  const auto suspect = aState.members_.find(aPending.name_);
+  if (suspect == aState.members_.end() ||
+      suspect->second.state_.status_ != Status::Alive) {
+    return false;
+  }
+  const auto helpers = Helpers(aState, aPending.name_, aId);
+  for (const auto& helper : helpers) {
+    aEffects.push_back(
+      AskIndirect{ aId,
+                   aState.members_.at(helper).state_.peerAddress_,
+                   aPending.name_,
+                   suspect->second.state_.peerAddress_,
+                   aState.settings_.indirectTimeout_ });
+  }
+  aState.counters_.indirectProbes_ += helpers.size();
+  aPending.indirectLeft_ = static_cast<std::uint32_t>(helpers.size());
+  aPending.deadline_ = aNow + aState.settings_.indirectTimeout_ + kProbeGrace;
+  return !helpers.empty();
+}
+
+absl::Duration
+JitteredPeriod(const State& aState)
+{
+  constexpr std::uint64_t kSteps = 1024;
+  const std::uint64_t step =
+    core::StableHash(aState.self_.name_, aState.nextId_) % kSteps;
+  const double part = double(step) / double(kSteps) - 0.5;
+  return aState.settings_.probePeriod_ * (1.0 + kPeriodJitter * part);
+}
+
+void
+ProbeNextFinger(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  if (aNow < aState.nextProbe_) {
+    return;
+  }
+  aState.nextProbe_ = aNow + JitteredPeriod(aState);
+  UpdateFingers(aState);
+  if (aState.fingers_.empty()) {
+    return;
+  }
+  aState.nextFinger_ = (aState.nextFinger_ + 1) % aState.fingers_.size();
+  const std::string name = aState.fingers_[aState.nextFinger_];
+  ProbeIfIdle(aState, name, aNow, aEffects);
+}
+
+// Probes one dead host in turn, in case it is back.
+void
+ProbeDead(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  if (aNow < aState.nextReconnect_) {
+    return;
+  }
+  aState.nextReconnect_ = aNow + aState.settings_.reconnectPeriod_;
+  const auto& members = aState.members_;
+  auto at = members.upper_bound(aState.lastReconnect_);
+  for (std::size_t i = 0; i < members.size(); ++i, ++at) {
+    if (at == members.end()) {
+      at = members.begin();
+    }
+    if (at->second.state_.status_ == Status::Dead) {
+      aState.lastReconnect_ = at->first;
+      ProbeIfIdle(aState, at->first, aNow, aEffects);
+      return;
+    }
+  }
+}
+
+// Probes suspects again and declares those dead that did not refute.
+void
+FollowSuspects(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  const std::vector<std::string> names(aState.suspects_.begin(),
+                                       aState.suspects_.end());
+  UpdateFingers(aState);
+  for (const auto& name : names) {
+    auto& member = aState.members_.at(name);
+    if (aNow >= member.suspectUntil_) {
+      SetStatus(aState, member, Status::Dead, aNow, aEffects);
+      continue;
+    }
+    const bool own =
+      std::count(aState.fingers_.begin(), aState.fingers_.end(), name) > 0;
+    if (own && aNow >= member.recheck_) {
+      member.recheck_ = aNow + aState.settings_.recheckPeriod_;
+      ProbeIfIdle(aState, name, aNow, aEffects);
+    }
+  }
+}
+
+// Probes all fingers at once when news must not wait.
+void
+PushIfWanted(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  if (!aState.pushWanted_ || aNow < aState.nextPush_) {
+    return;
+  }
+  aState.pushWanted_ = false;
+  aState.nextPush_ = aNow + aState.settings_.pushPeriod_;
+  UpdateFingers(aState);
+  const auto fingers = aState.fingers_;
+  for (const auto& name : fingers) {
+    StartProbe(aState, aState.members_.at(name), aNow, aEffects);
+  }
+}
+
+void
+FailOverdue(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  std::vector<std::uint64_t> overdue;
+  for (const auto& [id, pending] : aState.pending_) {
+    if (aNow >= pending.deadline_) {
+      overdue.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : overdue) {
+    TakeFailure(aState, id, aNow, aEffects);
+  }
+}
+
+} // namespace
+
+void
+StartProbe(State& aState,
+           const Member& aMember,
+           absl::Time aNow,
+           Effects& aEffects)
+{
+  SendTo(
+    aState, aMember.state_.name_, aMember.state_.peerAddress_, aNow, aEffects);
+}
+
+void
+TakeAnswer(State& aState,
+           const ProbeAnswered& aAnswer,
+           absl::Time aNow,
+           Effects& aEffects)
+{
+  TakeMessage(aState, aAnswer.message_, aNow, aEffects);
+  const auto found = aState.pending_.find(aAnswer.id_);
+  if (found == aState.pending_.end()) {
+    return;
+  }
+  if (found->second.kind_ == ProbeKind::Relayed) {
+    aEffects.push_back(AnswerIndirect{ found->second.relayFor_, true });
+  }
+  aState.pending_.erase(found);
+}
+
+void
+TakeFailure(State& aState,
+            std::uint64_t aId,
+            absl::Time aNow,
+            Effects& aEffects)
+{
+  const auto found = aState.pending_.find(aId);
+  if (found == aState.pending_.end()) {
+    return;
+  }
+  ++aState.counters_.failedProbes_;
+  auto& pending = found->second;
+  if (pending.kind_ == ProbeKind::Relayed) {
+    aEffects.push_back(AnswerIndirect{ pending.relayFor_, false });
+    aState.pending_.erase(found);
+    return;
+  }
+  const bool first = pending.indirectLeft_ == 0;
+  if (first && AskHelpers(aState, aId, pending, aNow, aEffects)) {
+    return;
+  }
+  const std::string name = pending.name_;
+  aState.pending_.erase(found);
+  TakeUnreached(aState, name, aNow, aEffects);
+}
+
+void
+TakeIndirectAnswer(State& aState,
+                   const IndirectAnswered& aAnswer,
+                   absl::Time aNow,
+                   Effects& aEffects)
+{
+  const auto found = aState.pending_.find(aAnswer.id_);
+  if (found == aState.pending_.end() || found->second.indirectLeft_ == 0) {
+    return;
+  }
+  if (aAnswer.reached_) {
+    aState.lastPeer_ = std::max(aState.lastPeer_, aNow);
+    aState.pending_.erase(found);
+    return;
+  }
+  if (--found->second.indirectLeft_ > 0) {
+    return;
+  }
+  const std::string name = found->second.name_;
+  aState.pending_.erase(found);
+  TakeUnreached(aState, name, aNow, aEffects);
+}
+
+void
+RelayProbe(State& aState,
+           const IndirectAsked& aAsked,
+           absl::Time aNow,
+           Effects& aEffects)
+{
+  const std::uint64_t id =
+    SendTo(aState, aAsked.suspect_, aAsked.address_, aNow, aEffects);
+  auto& pending = aState.pending_.at(id);
+  pending.kind_ = ProbeKind::Relayed;
+  pending.relayFor_ = aAsked.id_;
+}
+
+void
+ProbeIfDue(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  FailOverdue(aState, aNow, aEffects);
+  ProbeNextFinger(aState, aNow, aEffects);
+  ProbeDead(aState, aNow, aEffects);
+  FollowSuspects(aState, aNow, aEffects);
+  PushIfWanted(aState, aNow, aEffects);
+}
+
+void
+ForgetProbes(State& aState, absl::Time aNow)
+{
+  aState.pending_.clear();
+  for (const auto& name : aState.suspects_) {
+    aState.members_.at(name).suspectUntil_ = aNow + aState.settings_.suspicion_;
+  }
+}
+
+} // namespace lycheeplank::membership
