--- a/test/placement-trace-test.cc
+++ b/test/placement-trace-test.cc
@@ -66,3 +66,80 @@
   }
   PrintAll(trace::MakeAuthority(1), trace::Fault::None);
 }
+
+TEST_CASE("figures of each part alone", "[.parts]")
+{
+  const std::array<Row, 4> rows{ {
+    { "always+all", config::Policy::AlwaysImport, trace::Keeping::All },
+    { "always+plan", config::Policy::AlwaysImport, trace::Keeping::Planned },
+    { "estim+all", config::Policy::Estimate, trace::Keeping::All },
+    { "estim+plan", config::Policy::Estimate, trace::Keeping::Planned },
+  } };
+  for (const double link : { 100e6, 40e6 }) {
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      auto shape = trace::MakeCooperative(seed, 4.0);
+      shape.linkRate_ = link;
+      std::printf("link %.0f seed %d\n", link, static_cast<int>(seed));
+      for (const auto& row : rows) {
+        trace::Rules rules;
+        rules.policy_ = row.policy_;
+        rules.keeping_ = row.keeping_;
+        Print(shape, row.name_, trace::Play(shape, rules, seed));
+      }
+    }
+  }
+}
+
+TEST_CASE("figures of faults", "[.faults]")
+{
+  for (const auto fault : { trace::Fault::DeadStore, trace::Fault::SlowLink }) {
+    std::printf("fault %d\n", static_cast<int>(fault));
+    PrintAll(trace::MakeCooperative(1, 4.0), fault);
+    PrintAll(trace::MakeAuthority(1), fault);
+  }
+}
+
+TEST_CASE("figures of herding", "[.herding]")
+{
+  struct Way
+  {
+    const char* name_;
+    lycheeplank::placement::Tuning tuning_;
+  };
+  const absl::Duration forever = absl::Hours(1000);
+  const std::array<Way, 10> ways{ {
+    { "plain", { 0, 0.0, forever } },
+    { "choices 2", { 2, 0.0, forever } },
+    { "choices 4", { 4, 0.0, forever } },
+    { "noise 0.2", { 0, 0.2, forever } },
+    { "noise 0.5", { 0, 0.5, forever } },
+    { "noise 1.0", { 0, 1.0, forever } },
+    { "memory 1s", { 0, 0.0, absl::Seconds(1) } },
+    { "memory 5s", { 0, 0.0, absl::Seconds(5) } },
+    { "n0.5 m5", { 0, 0.5, absl::Seconds(5) } },
+    { "n1.0 m1", { 0, 1.0, absl::Seconds(1) } },
+  } };
+  for (const auto policy :
+       { config::Policy::NeverImport, config::Policy::Estimate }) {
+    for (const std::uint32_t hosts : { 8U, 32U }) {
+      for (const double period : { 0.2, 1.0, 4.0 }) {
+        const auto shape = trace::MakeCooperative(1, 5.0);
+        std::printf("policy %d hosts %u period %.1f\n",
+                    static_cast<int>(policy),
+                    hosts,
+                    period);
+        for (const auto& way : ways) {
+          trace::Rules rules;
+          rules.policy_ = policy;
+          rules.keeping_ = policy == config::Policy::Estimate
+                             ? trace::Keeping::Planned
+                             : trace::Keeping::Nothing;
+          rules.hosts_ = hosts;
+          rules.reportPeriod_ = period;
+          rules.tuning_ = way.tuning_;
+          Print(shape, way.name_, trace::Play(shape, rules, 1));
+        }
+      }
+    }
+  }
+}
