--- a/support/cluster.py
+++ b/support/cluster.py
@@ -110,16 +110,16 @@
 
     def start_process(self, name, arguments, environment=None):
         """Starts a program; its output goes to files named after it."""
-        log = open(os.path.join(self.options.directory, name + ".log"), "ab")
-        out = open(os.path.join(self.options.directory, name + ".out"), "wb")
-        process = subprocess.Popen(
-            arguments,
-            stdout=out,
-            stderr=log,
-            stdin=subprocess.DEVNULL,
-            env={**os.environ, **(environment or {})},
-            start_new_session=True,
-        )
+        base = os.path.join(self.options.directory, name)
+        with open(base + ".log", "ab") as log, open(base + ".out", "wb") as out:
+            process = subprocess.Popen(
+                arguments,
+                stdout=out,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                env={**os.environ, **(environment or {})},
+                start_new_session=True,
+            )
         self.processes[name] = process
         return process
 
