Verify suspects before declaring them dead; heal cuts quickly

Cause: at 350 hosts a refutation reached the last hosts after their suspicion had run out, and news was spent on probes that nobody answered. Each host now probes a suspect itself in the last part of the suspicion, probes that may fail carry no news, a failed probe is followed by the next finger sooner, and a dead host that answers speeds up the search for others.

--- a/include/lycheeplank/membership.h
+++ b/include/lycheeplank/membership.h
@@ -74,10 +74,18 @@
   std::uint32_t indirectProbes_ = 3;
   // Time in which a suspect host may refute.
   absl::Duration suspicion_ = absl::Seconds(3);
-  // A suspect host is probed again this often.
+  // A suspect host is probed again this often, by those that probe it anyway,
+  // and by all others in the last part of the suspicion.
   absl::Duration recheckPeriod_ = absl::Milliseconds(500);
+  absl::Duration lastRecheck_ = absl::Milliseconds(1500);
+  // Most suspects that are probed again in one tick.
+  std::uint32_t maxRechecks_ = 2;
   // One dead host is probed this often, to notice that it is back.
   absl::Duration reconnectPeriod_ = absl::Seconds(5);
+  // The same after one that was thought dead has answered.
+  absl::Duration quickReconnectPeriod_ = absl::Milliseconds(100);
+  // Time to the next probe after one that failed.
+  absl::Duration quickProbePeriod_ = absl::Milliseconds(300);
   // Dead and left hosts are forgotten after this time.
   absl::Duration forgetAfter_ = absl::Minutes(10);
   std::uint32_t listReaders_ = 3;
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -241,6 +241,10 @@
   if (overloaded != aMember.overloaded_) {
     StartRumour(aState, aNews.name_);
   }
+  if (before.status_ == Status::Dead && aNews.status_ == Status::Alive) {
+    aState.nextReconnect_ = std::min(
+      aState.nextReconnect_, aNow + aState.settings_.quickReconnectPeriod_);
+  }
   if (before.status_ != aNews.status_) {
     SetStatus(aState, aMember, aNews.status_, aNow, aEffects);
     StartRumour(aState, aNews.name_);
@@ -297,7 +301,7 @@
 }
 
 Message
-MakeMessage(State& aState, absl::string_view aTo, absl::Time aNow)
+MakeShortMessage(const State& aState, absl::string_view aTo)
 {
   Message message;
   message.sender_ = aState.self_;
@@ -307,6 +311,13 @@
       found->second.state_.status_ != Status::Alive) {
     message.updates_.push_back(found->second.state_);
   }
+  return message;
+}
+
+Message
+MakeMessage(State& aState, absl::string_view aTo, absl::Time aNow)
+{
+  Message message = MakeShortMessage(aState, aTo);
   AddRumours(aState, aTo, aNow, message);
   AddRepeated(aState, message);
   return message;
--- a/src/membership/internal.h
+++ b/src/membership/internal.h
@@ -28,6 +28,10 @@
 Message
 MakeMessage(State& aState, absl::string_view aTo, absl::Time aNow);
 
+// Returns a message without news, for a host that may not get it.
+Message
+MakeShortMessage(const State& aState, absl::string_view aTo);
+
 // Takes over what a message says.
 void
 TakeMessage(State& aState,
@@ -82,13 +86,6 @@
 void
 BeginDrain(State& aState, absl::Time aNow);
 
-// Starts a probe of a member.
-void
-StartProbe(State& aState,
-           const Member& aMember,
-           absl::Time aNow,
-           Effects& aEffects);
-
 // Ends a probe that was answered.
 void
 TakeAnswer(State& aState,
--- a/src/membership/probe.cc
+++ b/src/membership/probe.cc
@@ -78,36 +78,55 @@
     });
 }
 
+// Sends a probe and returns its id.
 std::uint64_t
-SendTo(State& aState,
-       const std::string& aName,
-       const std::string& aAddress,
-       absl::Time aNow,
-       Effects& aEffects)
+SendTo(State& aState, SendProbe aProbe, absl::Time aNow, Effects& aEffects)
 {
   const std::uint64_t id = aState.nextId_++;
   auto& pending = aState.pending_[id];
-  pending.name_ = aName;
+  pending.name_ = aProbe.name_;
   pending.deadline_ = aNow + aState.settings_.probeTimeout_ + kProbeGrace;
   ++aState.counters_.probes_;
-  aEffects.push_back(SendProbe{ id,
-                                aName,
-                                aAddress,
-                                aState.settings_.probeTimeout_,
-                                MakeMessage(aState, aName, aNow) });
+  aProbe.id_ = id;
+  aProbe.timeout_ = aState.settings_.probeTimeout_;
+  aEffects.push_back(std::move(aProbe));
   return id;
 }
 
+// Probes a host that is thought to be alive, and tells it the news.
 void
-ProbeIfIdle(State& aState,
-            const std::string& aName,
-            absl::Time aNow,
-            Effects& aEffects)
+ProbeWithNews(State& aState,
+              const std::string& aName,
+              absl::Time aNow,
+              Effects& aEffects)
+{
+  const auto found = aState.members_.find(aName);
+  if (found == aState.members_.end()) {
+    return;
+  }
+  SendProbe probe;
+  probe.name_ = aName;
+  probe.address_ = found->second.state_.peerAddress_;
+  probe.message_ = MakeMessage(aState, aName, aNow);
+  SendTo(aState, std::move(probe), aNow, aEffects);
+}
+
+// Probes a host that may not answer, unless such a probe is under way.
+void
+ProbeAgain(State& aState,
+           const std::string& aName,
+           absl::Time aNow,
+           Effects& aEffects)
 {
   const auto found = aState.members_.find(aName);
-  if (found != aState.members_.end() && !IsUnderWay(aState, aName)) {
-    StartProbe(aState, found->second, aNow, aEffects);
+  if (found == aState.members_.end() || IsUnderWay(aState, aName)) {
+    return;
   }
+  SendProbe probe;
+  probe.name_ = aName;
+  probe.address_ = found->second.state_.peerAddress_;
+  probe.message_ = MakeShortMessage(aState, aName);
+  SendTo(aState, std::move(probe), aNow, aEffects);
 }
 
 // Acts on a host that neither this one nor its helpers have reached.
@@ -199,7 +218,9 @@
   }
   aState.nextFinger_ = (aState.nextFinger_ + 1) % aState.fingers_.size();
   const std::string name = aState.fingers_[aState.nextFinger_];
-  ProbeIfIdle(aState, name, aNow, aEffects);
+  if (!IsUnderWay(aState, name)) {
+    ProbeWithNews(aState, name, aNow, aEffects);
+  }
 }
 
 // Probes one dead host in turn, in case it is back.
@@ -218,30 +239,45 @@
     }
     if (at->second.state_.status_ == Status::Dead) {
       aState.lastReconnect_ = at->first;
-      ProbeIfIdle(aState, at->first, aNow, aEffects);
+      ProbeAgain(aState, at->first, aNow, aEffects);
       return;
     }
   }
 }
 
+bool
+IsRecheckDue(const State& aState,
+             const std::string& aName,
+             const Member& aMember,
+             absl::Time aNow)
+{
+  if (aNow < aMember.recheck_) {
+    return false;
+  }
+  const auto& fingers = aState.fingers_;
+  const bool last =
+    aNow > aMember.suspectUntil_ - aState.settings_.lastRecheck_;
+  return last || std::count(fingers.begin(), fingers.end(), aName) > 0;
+}
+
 // Probes suspects again and declares those dead that did not refute.
 void
 FollowSuspects(State& aState, absl::Time aNow, Effects& aEffects)
 {
   const std::vector<std::string> names(aState.suspects_.begin(),
                                        aState.suspects_.end());
-  UpdateFingers(aState);
+  std::uint32_t rechecks = 0;
   for (const auto& name : names) {
     auto& member = aState.members_.at(name);
     if (aNow >= member.suspectUntil_) {
       SetStatus(aState, member, Status::Dead, aNow, aEffects);
       continue;
     }
-    const bool own =
-      std::count(aState.fingers_.begin(), aState.fingers_.end(), name) > 0;
-    if (own && aNow >= member.recheck_) {
+    if (rechecks < aState.settings_.maxRechecks_ &&
+        IsRecheckDue(aState, name, member, aNow)) {
+      ++rechecks;
       member.recheck_ = aNow + aState.settings_.recheckPeriod_;
-      ProbeIfIdle(aState, name, aNow, aEffects);
+      ProbeAgain(aState, name, aNow, aEffects);
     }
   }
 }
@@ -258,7 +294,7 @@
   UpdateFingers(aState);
   const auto fingers = aState.fingers_;
   for (const auto& name : fingers) {
-    StartProbe(aState, aState.members_.at(name), aNow, aEffects);
+    ProbeWithNews(aState, name, aNow, aEffects);
   }
 }
 
@@ -278,16 +314,6 @@
 
 } // namespace
 
-void
-StartProbe(State& aState,
-           const Member& aMember,
-           absl::Time aNow,
-           Effects& aEffects)
-{
-  SendTo(
-    aState, aMember.state_.name_, aMember.state_.peerAddress_, aNow, aEffects);
-}
-
 void
 TakeAnswer(State& aState,
            const ProbeAnswered& aAnswer,
@@ -322,6 +348,8 @@
     aState.pending_.erase(found);
     return;
   }
+  aState.nextProbe_ =
+    std::min(aState.nextProbe_, aNow + aState.settings_.quickProbePeriod_);
   const bool first = pending.indirectLeft_ == 0;
   if (first && AskHelpers(aState, aId, pending, aNow, aEffects)) {
     return;
@@ -360,8 +388,11 @@
            absl::Time aNow,
            Effects& aEffects)
 {
-  const std::uint64_t id =
-    SendTo(aState, aAsked.suspect_, aAsked.address_, aNow, aEffects);
+  SendProbe probe;
+  probe.name_ = aAsked.suspect_;
+  probe.address_ = aAsked.address_;
+  probe.message_ = MakeShortMessage(aState, aAsked.suspect_);
+  const std::uint64_t id = SendTo(aState, std::move(probe), aNow, aEffects);
   auto& pending = aState.pending_.at(id);
   pending.kind_ = ProbeKind::Relayed;
   pending.relayFor_ = aAsked.id_;
--- a/src/membership/step.cc
+++ b/src/membership/step.cc
@@ -174,7 +174,7 @@
   for (const auto& [name, member] : aState.members_) {
     const Status status = member.state_.status_;
     known += status == Status::Leaving ? 0 : 1;
-    seen += status == Status::Alive || status == Status::Suspect ? 1 : 0;
+    seen += status == Status::Alive ? 1 : 0;
   }
   return double(seen) >= aState.settings_.minPeerShare_ * double(known);
 }
@@ -186,6 +186,7 @@
   state.settings_ = aSettings;
   state.self_ = aSelf;
   state.self_.status_ = Status::Alive;
+  state.lastReconnect_ = aSelf.name_;
   state.self_.incarnation_ =
     static_cast<std::uint64_t>(absl::ToUnixMillis(aNow));
   return state;
