--- a/src/membership/internal.h
+++ b/src/membership/internal.h
@@ -20,9 +20,17 @@
 void
 StartRumour(State& aState, const std::string& aName);
 
+// Passes nothing on any more.
+void
+StopRumours(State& aState);
+
 // Returns what to tell a host now; what it should know of itself goes first.
 Message
-MakeMessage(State& aState, absl::string_view aTo);
+MakeMessage(State& aState, absl::string_view aTo, absl::Time aNow);
+
+// Returns a message without news, for a host that may not get it.
+Message
+MakeShortMessage(const State& aState, absl::string_view aTo);
 
 // Takes over what a message says.
 void
@@ -54,7 +62,8 @@
            absl::Time aNow,
            Effects& aEffects);
 
-// Changes what this host thinks of another one.
+// Changes what this host thinks of another one; the caller decides whether
+// that is news.
 void
 SetStatus(State& aState,
           Member& aMember,
@@ -77,13 +86,6 @@
 void
 BeginDrain(State& aState, absl::Time aNow);
 
-// Starts a probe of a member.
-void
-StartProbe(State& aState,
-           const Member& aMember,
-           absl::Time aNow,
-           Effects& aEffects);
-
 // Ends a probe that was answered.
 void
 TakeAnswer(State& aState,
