--- /dev/null
+++ b/src/load/files.h
@@ -0,0 +1,20 @@
+#ifndef LYCHEEPLANK_LOAD_FILES_H
+#define LYCHEEPLANK_LOAD_FILES_H
+
+#include <string>
+
+#include <absl/strings/string_view.h>
+
+#include "lycheeplank/core.h"
+
+namespace lycheeplank::load {
+
+// Writes a whole file and creates its folder.
+core::Result<void>
+WriteFile(const std::string& aDir,
+          const std::string& aName,
+          absl::string_view aContent);
+
+} // namespace lycheeplank::load
+
+#endif
--- /dev/null
+++ b/src/load/main.cc
@@ -0,0 +1,181 @@
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
+#include <absl/strings/str_split.h>
+#include <glog/logging.h>
+
+#include "load/options.h"
+#include "lycheeplank/version.h"
+
+namespace {
+
+using namespace lycheeplank::load;
+namespace core = lycheeplank::core;
+namespace config = lycheeplank::config;
+
+std::string
+EnvironmentName(const std::string& aFlag)
+{
+  return "LYCHEEPLANK_LOAD_" +
+         absl::AsciiStrToUpper(absl::StrReplaceAll(aFlag, { { "-", "_" } }));
+}
+
+// Adds a flag that can also be set as an environment variable.
+template<typename Value>
+CLI::Option*
+AddFlag(CLI::App& aApp,
+        const std::string& aName,
+        Value& aValue,
+        const std::string& aHelp)
+{
+  return aApp.add_option("--" + aName, aValue, aHelp)
+    ->envname(EnvironmentName(aName))
+    ->capture_default_str();
+}
+
+// Adds a flag that takes one of the names of a table.
+template<typename Enum, std::size_t N>
+CLI::Option*
+AddChoice(CLI::App& aApp,
+          const std::string& aName,
+          const std::array<core::Named<Enum>, N>& aTable,
+          Enum& aValue)
+{
+  return aApp
+    .add_option_function<std::string>(
+      "--" + aName,
+      [&aTable, &aValue](const std::string& aText) {
+        const auto value = core::ValueOf(aTable, aText);
+        if (!value) {
+          throw CLI::ValidationError("use one of " + core::AllNames(aTable));
+        }
+        aValue = *value;
+      },
+      core::AllNames(aTable))
+    ->envname(EnvironmentName(aName))
+    ->default_str(std::string(core::NameOf(aTable, aValue)));
+}
+
+// Adds a flag in seconds.
+void
+AddSeconds(CLI::App& aApp,
+           const std::string& aName,
+           absl::Duration& aTime,
+           const std::string& aHelp)
+{
+  aApp
+    .add_option_function<double>(
+      "--" + aName,
+      [&aTime](double aValue) { aTime = absl::Seconds(aValue); },
+      aHelp)
+    ->envname(EnvironmentName(aName))
+    ->check(CLI::NonNegativeNumber)
+    ->default_str(absl::StrCat(absl::ToDoubleSeconds(aTime)));
+}
+
+void
+AddTrace(CLI::App& aApp, TraceOptions& aOptions)
+{
+  AddChoice(aApp, "profile", kProfiles, aOptions.profile_);
+  AddFlag(aApp, "rate", aOptions.requestsPerSecond_, "requests a second")
+    ->check(CLI::PositiveNumber);
+  AddSeconds(aApp, "seconds", aOptions.duration_, "length of the trace");
+  AddFlag(aApp, "seed", aOptions.seed_, "equal seeds give equal traces");
+  AddSeconds(
+    aApp, "min-gap", aOptions.minGap_, "shortest seconds until a text returns");
+}
+
+void
+AddRun(CLI::App& aApp, RunOptions& aOptions)
+{
+  AddFlag(aApp, "cluster", aOptions.clusterPath_, "cluster.json")->required();
+  AddTrace(aApp, aOptions.trace_);
+  AddFlag(aApp, "report", aOptions.reportDir_, "folder for result files");
+  AddChoice(aApp, "output", kOutputFormats, aOptions.output_);
+}
+
+void
+AddBench(CLI::App& aApp, BenchOptions& aOptions)
+{
+  AddFlag(aApp, "cluster", aOptions.clusterPath_, "cluster.json")->required();
+  AddChoice(aApp, "mode", kBenchModes, aOptions.mode_)->required();
+  AddFlag(aApp, "parallel", aOptions.parallel_, "requests at the same time");
+  AddFlag(aApp, "requests", aOptions.requests_, "requests in all");
+  AddFlag(aApp, "tokens", aOptions.tokens_, "tokens of each stream");
+  AddChoice(aApp, "output", kOutputFormats, aOptions.output_);
+}
+
+// Reads policy names that are separated by commas.
+std::vector<config::Policy>
+ParsePolicies(const std::string& aText)
+{
+  std::vector<config::Policy> policies;
+  for (const absl::string_view name : absl::StrSplit(aText, ',')) {
+    const auto policy = core::ValueOf(config::kPolicies, name);
+    if (!policy) {
+      throw CLI::ValidationError("use some of " +
+                                 core::AllNames(config::kPolicies));
+    }
+    policies.push_back(*policy);
+  }
+  return policies;
+}
+
+void
+AddExperiment(CLI::App& aApp, ExperimentOptions& aOptions)
+{
+  AddTrace(aApp, aOptions.trace_);
+  aApp
+    .add_option_function<std::string>(
+      "--policies",
+      [&aOptions](const std::string& aText) {
+        aOptions.policies_ = ParsePolicies(aText);
+      },
+      "policies to compare, separated by commas")
+    ->envname(EnvironmentName("policies"))
+    ->required();
+  AddFlag(aApp, "report", aOptions.reportDir_, "folder for result files")
+    ->required();
+  AddFlag(aApp, "local-cluster", aOptions.script_, "script for clusters");
+  AddFlag(aApp, "entries", aOptions.entries_, "entry hosts");
+  AddFlag(aApp, "engines", aOptions.engines_, "engines");
+  AddFlag(aApp, "services", aOptions.services_, "plain services");
+  AddFlag(aApp, "stores", aOptions.stores_, "stores");
+}
+
+} // namespace
+
+int
+main(int aCount, char** aTexts)
+{
+  google::InitGoogleLogging(aTexts[0]);
+  FLAGS_logtostderr = true;
+  CLI::App app("Sends load to a cluster and reports how it was answered.");
+  app.set_version_flag("--version", lycheeplank::kVersion);
+  app.require_subcommand(1);
+  RunOptions run;
+  BenchOptions bench;
+  ExperimentOptions experiment;
+  CLI::App* runApp = app.add_subcommand("run", "runs one trace");
+  CLI::App* benchApp = app.add_subcommand("bench", "measures one figure");
+  CLI::App* experimentApp =
+    app.add_subcommand("experiment", "compares policies on one trace");
+  AddRun(*runApp, run);
+  AddBench(*benchApp, bench);
+  AddExperiment(*experimentApp, experiment);
+  try {
+    app.parse(aCount, aTexts);
+  } catch (const CLI::ParseError& error) {
+    return app.exit(error) == 0 ? 0 : lycheeplank::kExitUsage;
+  }
+  if (runApp->parsed()) {
+    return RunCommand(run);
+  }
+  return benchApp->parsed() ? BenchCommand(bench)
+                            : ExperimentCommand(experiment);
+}
--- a/src/standin/engine.cc
+++ b/src/standin/engine.cc
@@ -154,6 +154,18 @@
   return blocks;
 }
 
+Json
+SettingsOf(const Engine& aEngine)
+{
+  const EngineOptions& options = aEngine.options_;
+  return { { "model", options.model_ },
+           { "block_tokens", options.blockTokens_ },
+           { "cache_blocks", options.cacheBlocks_ },
+           { "prefill_rate", options.prefillTokensPerSecond_ },
+           { "kv_bytes_per_token", options.kvBytesPerToken_ },
+           { "token_ms", absl::ToDoubleMilliseconds(options.tokenTime_) } };
+}
+
 void
 ReplyExecutions(const Engine& aEngine, const ExchangePtr& aExchange)
 {
@@ -169,7 +181,10 @@
                      { "imported_blocks", run->importedBlocks_ },
                      { "blocks", UsesOf(*run) } });
   }
-  ReplyJson(aExchange, 200, { { "runs", std::move(runs) } });
+  ReplyJson(
+    aExchange,
+    200,
+    { { "runs", std::move(runs) }, { "settings", SettingsOf(aEngine) } });
 }
 
 void
