--- a/src/adapters/engine.cc
+++ b/src/adapters/engine.cc
@@ -1,12 +1,15 @@
 #include "adapters/engine.h"
 
 #include <absl/strings/str_cat.h>
-#include <nlohmann/json.hpp>
+
+#include "adapters/json.h"
 
 namespace lycheeplank::adapters {
 
 namespace {
 
+using detail::ReadBody;
+using detail::ReadKey;
 using nlohmann::json;
 
 constexpr absl::Duration kQueryTimeout = absl::Seconds(2);
@@ -30,29 +33,6 @@
   return call;
 }
 
-// Parses a body and reads it; nothing if either fails.
-template<typename T, typename Read>
-absl::optional<T>
-ReadBody(const std::string& aBody, Read aRead)
-{
-  const json body = json::parse(aBody, nullptr, false);
-  if (!body.is_object()) {
-    return absl::nullopt;
-  }
-  try {
-    return aRead(body);
-  } catch (const json::exception&) {
-    return absl::nullopt;
-  }
-}
-
-core::BlockKey
-ReadKey(const json& aItem, const char* aName)
-{
-  return core::BlockKeyFromHex(aItem.value(aName, ""))
-    .value_or(core::BlockKey{});
-}
-
 RunStart
 ReadStart(const json& aBody)
 {
@@ -79,12 +59,8 @@
   return finish;
 }
 
-} // namespace
-
-net::Call
-StartRun(const std::string& aUrl,
-         const RunOrder& aOrder,
-         const std::string& aPrompt)
+std::string
+RunBody(const RunOrder& aOrder, const std::string& aPrompt)
 {
   json body{ { "model", aOrder.model_ },
              { "prompt", aPrompt },
@@ -104,7 +80,21 @@
     body["import"] = { { "store_url", aOrder.importUrl_ },
                        { "blocks", std::move(blocks) } };
   }
-  return Post(aUrl, "/v1/completions", body.dump());
+  return body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+} // namespace
+
+net::Call
+StartRun(const std::string& aUrl,
+         RunOrder aOrder,
+         std::shared_ptr<const std::string> aPrompt)
+{
+  net::Call call = Post(aUrl, "/v1/completions", "");
+  call.bodySource_ = [order = std::move(aOrder), prompt = std::move(aPrompt)] {
+    return RunBody(order, *prompt);
+  };
+  return call;
 }
 
 net::Call
