Keep deadlines with a margin; count only what goes before an import

Trials on the two traces showed three faults: - Waiting exports counted as link wait, so that on links of 40 MB/s nothing was imported at all (94.1% recomputed, exports of 644 GB queued). - Batch imports over a link slowed tenfold missed 139 deadlines. - A recomputed run didn't count as a use of the stored blocks.

--- a/include/lycheeplank/keeping.h
+++ b/include/lycheeplank/keeping.h
@@ -83,6 +83,7 @@
   // Expected time until a block that isn't used is freed.
   absl::Duration hold_ = absl::InfiniteDuration();
   double linkBytesPerSecond_ = 1.0;
+  // Exports included.
   std::uint64_t queuedBytes_ = 0;
   // Highest value per byte of the blocks that would be freed for new ones, as
   // in EvictionPlan; zero while there is room.
@@ -106,11 +107,11 @@
 double
 SavingPerByte(const ExportQuestion& aQuestion, double aLinkBytesPerSecond);
 
-// Plans the exports after a run, most valuable first. A prompt goes on where
-// most of its blocks are.
-std::vector<Export>
-PlanExports(const ExportQuestion& aQuestion,
-            const std::vector<StoreView>& aStores);
+// Plans the export after a run, if it can start before the engine evicts the
+// blocks. A prompt goes on where most of its blocks are.
+absl::optional<Export>
+PlanExport(const ExportQuestion& aQuestion,
+           const std::vector<StoreView>& aStores);
 
 // A workspace's use of a store.
 struct WorkspaceUse
@@ -130,7 +131,7 @@
   // Position in its prompt.
   std::uint32_t position_ = 0;
   std::uint64_t bytes_ = 0;
-  // Time since the last use.
+  // Time since the last run of its prompt, also if that run didn't import it.
   absl::Duration idle_ = absl::ZeroDuration();
   bool pinned_ = false;
 };
@@ -194,6 +195,8 @@
   // Batch imports: start after this misses the deadline. Exports: the engine
   // may evict the blocks after this.
   absl::Time latestStart_ = absl::InfiniteFuture();
+  // Exports only; the most valuable one goes first.
+  double valuePerByte_ = 0.0;
 };
 
 // Bytes that a link moved lately.
--- a/include/lycheeplank/placement.h
+++ b/include/lycheeplank/placement.h
@@ -98,7 +98,8 @@
   bool onDisk_ = false;
   double linkBytesPerSecond_ = 0.0;
   double diskBytesPerSecond_ = 0.0;
-  // Bytes that wait on the store's link already, own requests included.
+  // Bytes that go before a new import on the store's link, own requests
+  // included; exports that wait don't.
   std::uint64_t queuedBytes_ = 0;
 };
 
--- a/src/keeping/schedule.cc
+++ b/src/keeping/schedule.cc
@@ -43,8 +43,9 @@
 {
   const bool exportsFirst = AreExportsBehind(aUse);
   const auto rankOf = [&](const Transfer& aTransfer) {
-    const bool byDeadline = aTransfer.kind_ != TransferKind::InteractiveImport;
+    const bool byDeadline = aTransfer.kind_ == TransferKind::BatchImport;
     return std::tuple(RankOf(aTransfer, exportsFirst, aNow),
+                      -aTransfer.valuePerByte_,
                       byDeadline ? aTransfer.latestStart_
                                  : aTransfer.queuedAt_);
   };
--- a/src/keeping/space.cc
+++ b/src/keeping/space.cc
@@ -52,9 +52,10 @@
   const double transferSeconds =
     static_cast<double>(aStore.queuedBytes_ + plan.bytes_) /
     aStore.linkBytesPerSecond_;
-  plan.startWithin_ =
-    std::max(absl::ZeroDuration(),
-             aQuestion.engineHold_ - absl::Seconds(transferSeconds));
+  plan.startWithin_ = aQuestion.engineHold_ - absl::Seconds(transferSeconds);
+  if (plan.startWithin_ < absl::ZeroDuration()) {
+    return absl::nullopt;
+  }
   return plan;
 }
 
@@ -128,9 +129,9 @@
          weights.linkWeight_ / kBytesPerMegabyte;
 }
 
-std::vector<Export>
-PlanExports(const ExportQuestion& aQuestion,
-            const std::vector<StoreView>& aStores)
+absl::optional<Export>
+PlanExport(const ExportQuestion& aQuestion,
+           const std::vector<StoreView>& aStores)
 {
   std::vector<StoreView> stores = aStores;
   std::sort(stores.begin(),
@@ -140,13 +141,13 @@
             });
   for (const auto& store : stores) {
     if (store.heldBlocks_ >= aQuestion.blocks_) {
-      return {};
+      return absl::nullopt;
     }
     if (auto plan = ExportTo(aQuestion, store)) {
-      return { *std::move(plan) };
+      return plan;
     }
   }
-  return {};
+  return absl::nullopt;
 }
 
 std::uint64_t
--- a/src/placement/estimate.cc
+++ b/src/placement/estimate.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 namespace lycheeplank::placement {
 
@@ -12,6 +13,8 @@
 constexpr double kBytesPerMegabyte = 1e6;
 // Part of the weight of time that counts for work that isn't interactive.
 constexpr double kBatchTtftShare = 0.1;
+// Factor by which an estimate may be exceeded without missing the deadline.
+constexpr double kSafetyFactor = 1.5;
 // Part of the blocks pushed out of a cache that would have been used again.
 constexpr double kEvictedReuse = 0.1;
 
@@ -139,18 +142,56 @@
                                     : aTerms.maxBlocks_;
 }
 
+// Returns the largest number of blocks with which the deadline is safe, where
+// an import is slower than computing the same blocks.
+std::uint32_t
+BlocksWithinDeadline(const Question& aQuestion,
+                     const Candidate& aCandidate,
+                     const ImportTerms& aTerms)
+{
+  const auto without = CostWith(aQuestion, aCandidate, 0.0, aTerms, 0);
+  const double slack =
+    absl::ToDoubleSeconds(aQuestion.remaining_) / kSafetyFactor -
+    aTerms.linkWaitSeconds_ - without.estimate_.ttftSeconds_;
+  const double slower =
+    aTerms.secondsPerBlock_ - static_cast<double>(aQuestion.blockTokens_) /
+                                aCandidate.prefillTokensPerSecond_;
+  if (slack <= 0.0) {
+    return 0;
+  }
+  const double blocks = slower > 0.0 ? std::floor(slack / slower) : HUGE_VAL;
+  return blocks < aTerms.maxBlocks_ ? static_cast<std::uint32_t>(blocks)
+                                    : aTerms.maxBlocks_;
+}
+
 // The cost is linear in the number of blocks on either side of the count that
-// the queue wait hides, so that one of these counts is the best.
-std::array<std::uint32_t, 3>
+// the queue wait hides, so that one of these counts is the best; the last one
+// matters if the others miss the deadline.
+std::array<std::uint32_t, 4>
 CountsToTry(const Question& aQuestion,
+            const Candidate& aCandidate,
             const ImportTerms& aTerms,
             double aQueueSeconds)
 {
+  const std::uint32_t all = aTerms.maxBlocks_;
   if (aQuestion.policy_ == config::Policy::AlwaysImport) {
-    return { aTerms.maxBlocks_, aTerms.maxBlocks_, aTerms.maxBlocks_ };
+    return { all, all, all, all };
   }
   const std::uint32_t hidden = BlocksWithinWait(aTerms, aQueueSeconds);
-  return { hidden, std::min(hidden + 1, aTerms.maxBlocks_), aTerms.maxBlocks_ };
+  return { hidden,
+           std::min(hidden + 1, all),
+           all,
+           BlocksWithinDeadline(aQuestion, aCandidate, aTerms) };
+}
+
+// Whether one cost is better than another; the deadline goes first.
+bool
+IsCheaper(const Question& aQuestion,
+          const CandidateCost& aLeft,
+          const CandidateCost& aRight)
+{
+  return std::pair(LatenessOf(aQuestion, aLeft), aLeft.cost_) <
+         std::pair(LatenessOf(aQuestion, aRight), aRight.cost_);
 }
 
 } // namespace
@@ -197,6 +238,17 @@
          (1.0 - aWait.trust_) * aMeanSeconds + aWait.ownSeconds_;
 }
 
+Lateness
+LatenessOf(const Question& aQuestion, const CandidateCost& aCost)
+{
+  const double remaining = absl::ToDoubleSeconds(aQuestion.remaining_);
+  const double ttft = aCost.estimate_.ttftSeconds_;
+  if (ttft * kSafetyFactor <= remaining) {
+    return Lateness::Safe;
+  }
+  return ttft <= remaining ? Lateness::InTime : Lateness::Late;
+}
+
 CandidateCost
 CostOf(const Question& aQuestion,
        const Candidate& aCandidate,
@@ -208,13 +260,17 @@
   const bool always = aQuestion.policy_ == config::Policy::AlwaysImport;
   for (std::uint32_t i = 0; i < aOffers.size(); ++i) {
     const auto terms = TermsOf(aQuestion, aCandidate, aOffers, i);
-    for (const auto blocks : CountsToTry(aQuestion, terms, aQueueSeconds)) {
+    if (terms.maxBlocks_ == 0) {
+      continue;
+    }
+    for (const auto blocks :
+         CountsToTry(aQuestion, aCandidate, terms, aQueueSeconds)) {
       if (blocks == 0) {
         continue;
       }
       const auto cost =
         CostWith(aQuestion, aCandidate, aQueueSeconds, terms, blocks);
-      if (cost.cost_ < best.cost_ || (always && !best.offer_)) {
+      if (IsCheaper(aQuestion, cost, best) || (always && !best.offer_)) {
         best = cost;
       }
     }
--- a/src/placement/estimate.h
+++ b/src/placement/estimate.h
@@ -30,6 +30,19 @@
 double
 BlendedWait(const QueueWait& aWait, double aMeanSeconds);
 
+// How sure it is that the first token comes within the deadline.
+enum class Lateness
+{
+  // Also if the estimate is exceeded by half.
+  Safe,
+  InTime,
+  Late,
+};
+
+// Compares an estimate with the deadline.
+Lateness
+LatenessOf(const Question& aQuestion, const CandidateCost& aCost);
+
 // Returns the cost of a run on a candidate with its best import.
 CandidateCost
 CostOf(const Question& aQuestion,
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -90,14 +90,8 @@
   return false;
 }
 
-bool
-MeetsDeadline(const Question& aQuestion, const CandidateCost& aCost)
-{
-  return absl::Seconds(aCost.estimate_.ttftSeconds_) <= aQuestion.remaining_;
-}
-
-// Returns the position of the cheapest candidate; one that meets the deadline
-// goes before one that doesn't.
+// Returns the position of the cheapest candidate; one that is surer to meet the
+// deadline goes before the others.
 std::uint32_t
 Cheapest(const Question& aQuestion,
          const std::vector<Candidate>& aCandidates,
@@ -106,7 +100,7 @@
 {
   struct Rank
   {
-    bool late_ = true;
+    Lateness lateness_ = Lateness::Late;
     double cost_ = std::numeric_limits<double>::infinity();
     std::uint64_t tie_ = 0;
     std::uint32_t index_ = 0;
@@ -116,12 +110,12 @@
     if (!IsLookedAt(aQuestion, aCandidates, i, aTuning)) {
       continue;
     }
-    const Rank rank{ !MeetsDeadline(aQuestion, aCosts[i]),
+    const Rank rank{ LatenessOf(aQuestion, aCosts[i]),
                      aCosts[i].cost_,
                      Mix(aQuestion.seed_, i),
                      i };
-    if (std::tie(rank.late_, rank.cost_, rank.tie_) <
-        std::tie(best.late_, best.cost_, best.tie_)) {
+    if (std::tie(rank.lateness_, rank.cost_, rank.tie_) <
+        std::tie(best.lateness_, best.cost_, best.tie_)) {
       best = rank;
     }
   }
@@ -240,7 +234,7 @@
   decision.estimate_ = cost.estimate_;
   decision.cachedBlocks_ = std::min(target.cachedBlocks_, aQuestion.blocks_);
   decision.computedTokens_ = cost.computedTokens_;
-  decision.meetsDeadline_ = MeetsDeadline(aQuestion, cost);
+  decision.meetsDeadline_ = LatenessOf(aQuestion, cost) != Lateness::Late;
   return decision;
 }
 
--- a/test/keeping-test.cc
+++ b/test/keeping-test.cc
@@ -94,13 +94,13 @@
 
 TEST_CASE("prompts that return after the engine's memory are exported")
 {
-  const auto plans =
-    keeping::PlanExports(MakeQuestion(), { MakeStore("s1"), MakeStore("s2") });
-  REQUIRE(plans.size() == 1);
-  CHECK(plans[0].blocks_ == 20);
-  CHECK(plans[0].bytes_ == 40'000'000);
-  CHECK(plans[0].valuePerByte_ > 0.0);
-  CHECK(plans[0].startWithin_ < absl::Minutes(5));
+  const auto plan =
+    keeping::PlanExport(MakeQuestion(), { MakeStore("s1"), MakeStore("s2") });
+  REQUIRE(plan);
+  CHECK(plan->blocks_ == 20);
+  CHECK(plan->bytes_ == 40'000'000);
+  CHECK(plan->valuePerByte_ > 0.0);
+  CHECK(plan->startWithin_ < absl::Minutes(5));
 }
 
 TEST_CASE("prompts that return within the engine's memory are not exported")
@@ -108,7 +108,18 @@
   auto question = MakeQuestion();
   question.objective_ = { 1.0, 0.0, 0.001 };
   question.gaps_ = Returning(absl::Seconds(20), 200);
-  CHECK(keeping::PlanExports(question, { MakeStore("s1") }).empty());
+  CHECK(!keeping::PlanExport(question, { MakeStore("s1") }));
+}
+
+TEST_CASE("an export that can't start before the engine evicts is left out")
+{
+  auto question = MakeQuestion();
+  auto store = MakeStore("s1");
+  question.engineHold_ = absl::Seconds(10);
+  store.queuedBytes_ = 900'000'000;
+  CHECK(keeping::PlanExport(question, { store }));
+  store.queuedBytes_ = 1'000'000'000;
+  CHECK(!keeping::PlanExport(question, { store }));
 }
 
 TEST_CASE("an import slower than the prefill saves nothing but tokens")
@@ -116,9 +127,9 @@
   auto question = MakeQuestion();
   auto slow = MakeStore("s1");
   slow.linkBytesPerSecond_ = 10e6;
-  CHECK(keeping::PlanExports(question, { slow }).empty());
+  CHECK(!keeping::PlanExport(question, { slow }));
   question.objective_.recomputeWeight_ = 1.0;
-  CHECK(keeping::PlanExports(question, { slow }).size() == 1);
+  CHECK(keeping::PlanExport(question, { slow }));
 }
 
 TEST_CASE("a prompt goes on in the store that holds its start")
@@ -126,35 +137,35 @@
   auto first = MakeStore("s1");
   auto second = MakeStore("s2");
   second.heldBlocks_ = 5;
-  const auto plans = keeping::PlanExports(MakeQuestion(), { first, second });
-  REQUIRE(plans.size() == 1);
-  CHECK(plans[0].store_ == "s2");
-  CHECK(plans[0].firstBlock_ == 5);
-  CHECK(plans[0].blocks_ == 15);
+  const auto plan = keeping::PlanExport(MakeQuestion(), { first, second });
+  REQUIRE(plan);
+  CHECK(plan->store_ == "s2");
+  CHECK(plan->firstBlock_ == 5);
+  CHECK(plan->blocks_ == 15);
   second.heldBlocks_ = 20;
-  CHECK(keeping::PlanExports(MakeQuestion(), { first, second }).empty());
+  CHECK(!keeping::PlanExport(MakeQuestion(), { first, second }));
 }
 
 TEST_CASE("in a nearly full store a workspace over its share has to offer more")
 {
   auto store = MakeStore("s1");
   const auto question = MakeQuestion();
-  const auto alone = keeping::PlanExports(question, { store });
-  REQUIRE(alone.size() == 1);
-  store.freedValuePerByte_ = alone[0].valuePerByte_ / 2.0;
+  const auto alone = keeping::PlanExport(question, { store });
+  REQUIRE(alone);
+  store.freedValuePerByte_ = alone->valuePerByte_ / 2.0;
   store.workspaceBytes_ = 90'000'000;
-  CHECK(keeping::PlanExports(question, { store }).size() == 1);
+  CHECK(keeping::PlanExport(question, { store }));
   store.workspaceBytes_ = 190'000'000;
-  CHECK(keeping::PlanExports(question, { store }).size() == 1);
+  CHECK(keeping::PlanExport(question, { store }));
   store.workspaceBytes_ = 210'000'000;
-  CHECK(keeping::PlanExports(question, { store }).empty());
+  CHECK(!keeping::PlanExport(question, { store }));
 }
 
 TEST_CASE("blocks that are worth less than those in the store stay out")
 {
   auto store = MakeStore("s1");
   store.freedValuePerByte_ = 1.0;
-  CHECK(keeping::PlanExports(MakeQuestion(), { store }).empty());
+  CHECK(!keeping::PlanExport(MakeQuestion(), { store }));
 }
 
 TEST_CASE("freeing starts at the high-water mark and ends at the low one")
@@ -256,6 +267,18 @@
         std::size_t{ 0 });
 }
 
+TEST_CASE("the most valuable export goes first")
+{
+  using keeping::TransferKind;
+  std::vector<keeping::Transfer> waiting(3);
+  for (auto& transfer : waiting) {
+    transfer = { TransferKind::Export, 10, kNow };
+  }
+  waiting[1].valuePerByte_ = 2.0;
+  waiting[2].valuePerByte_ = 1.0;
+  CHECK(keeping::NextTransfer(waiting, {}, kNow) == std::size_t{ 1 });
+}
+
 TEST_CASE("batch work yields until its latest start")
 {
   const auto latest =
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -188,6 +188,25 @@
            ->meetsDeadline_);
 }
 
+TEST_CASE("an import that would miss the deadline is cut short")
+{
+  auto question = MakeQuestion();
+  question.objective_ = { 0.0, 1.0, 0.0 };
+  auto offer = MakeOffer("s1", 20);
+  // A block takes 0.2 s to import and 0.1 s to compute.
+  offer.linkBytesPerSecond_ = 10e6;
+  const std::vector<placement::Candidate> candidates{ MakeCandidate("e1") };
+  const auto relaxed = placement::Choose(question, candidates, { offer });
+  CHECK(relaxed->import_->blocks_ == 20);
+  // Leaves half of the estimated 3.025 s as a margin.
+  question.remaining_ = absl::Milliseconds(4550);
+  const auto hurried = placement::Choose(question, candidates, { offer });
+  CHECK(hurried->meetsDeadline_);
+  CHECK(hurried->import_->blocks_ == 10);
+  question.remaining_ = absl::Seconds(1);
+  CHECK(!placement::Choose(question, candidates, { offer })->meetsDeadline_);
+}
+
 TEST_CASE("own work since the report counts and drains")
 {
   auto busy = MakeCandidate("e1");
--- a/test/trace/fakes.h
+++ b/test/trace/fakes.h
@@ -96,8 +96,9 @@
   keeping::Transfer current_;
   Job currentJob_;
   double currentStart_ = 0.0;
-  std::uint64_t queuedBytes_ = 0;
-  // Expected saving per byte of what was freed last.
+  std::uint64_t queuedImportBytes_ = 0;
+  std::uint64_t queuedExportBytes_ = 0;
+  // What new blocks have to exceed.
   double freedValue_ = 0.0;
 };
 
--- a/test/trace/runner.h
+++ b/test/trace/runner.h
@@ -19,7 +19,7 @@
   Nothing,
   // Exports all, frees the least recently used.
   All,
-  // keeping::PlanExports and keeping::PlanEvictions.
+  // keeping::PlanExport and keeping::PlanEvictions.
   Planned,
 };
 
@@ -41,6 +41,8 @@
   std::uint32_t hosts_ = 8;
   // Time between two load reports of an engine to a host.
   double reportPeriod_ = 0.5;
+  // Whether hosts count what they sent since a report.
+  bool ownWork_ = true;
 };
 
 struct Outcome
@@ -149,6 +151,13 @@
 inline constexpr double kSweepSeconds = 60.0;
 inline constexpr double kBytesPerGigabyte = 1e9;
 
+// Returns the number in a name such as "e12".
+inline std::uint32_t
+IndexOf(const std::string& aName)
+{
+  return static_cast<std::uint32_t>(std::stoul(aName.substr(1)));
+}
+
 inline absl::Time
 AsTime(double aSeconds)
 {
@@ -369,11 +378,39 @@
                    SightingOf(aBlock, true, generation));
 }
 
+inline std::uint64_t&
+QueuedBytesOf(Store& aStore, keeping::TransferKind aKind)
+{
+  return aKind == keeping::TransferKind::Export ? aStore.queuedExportBytes_
+                                                : aStore.queuedImportBytes_;
+}
+
+// Drops waiting exports whose blocks the engine has evicted.
+inline void
+DropLateExports(Trace& aTrace, Store& aStore)
+{
+  for (std::size_t i = aStore.waiting_.size(); i-- > 0;) {
+    const auto offset = static_cast<std::ptrdiff_t>(i);
+    const Job& job = aStore.jobs_[i];
+    if (aStore.waiting_[i].kind_ != keeping::TransferKind::Export ||
+        aTrace.engines_[job.engine_].cache_.contains(job.blocks_.front())) {
+      continue;
+    }
+    aStore.queuedExportBytes_ -= aStore.waiting_[i].bytes_;
+    aStore.waiting_.erase(aStore.waiting_.begin() + offset);
+    aStore.jobs_.erase(aStore.jobs_.begin() + offset);
+  }
+}
+
 inline void
 StartTransfer(Trace& aTrace, std::uint32_t aStore)
 {
   Store& store = aTrace.stores_[aStore];
-  if (store.busy_ || store.waiting_.empty()) {
+  if (store.busy_) {
+    return;
+  }
+  DropLateExports(aTrace, store);
+  if (store.waiting_.empty()) {
     return;
   }
   const auto next =
@@ -398,7 +435,7 @@
             Job aJob)
 {
   Store& store = aTrace.stores_[aStore];
-  store.queuedBytes_ += aTransfer.bytes_;
+  QueuedBytesOf(store, aTransfer.kind_) += aTransfer.bytes_;
   store.waiting_.push_back(aTransfer);
   store.jobs_.push_back(std::move(aJob));
   StartTransfer(aTrace, aStore);
@@ -519,34 +556,45 @@
       view.capacityBytes_ / aTrace.shape_->workspaces_;
     view.hold_ = absl::Seconds(kHorizonSeconds);
     view.linkBytesPerSecond_ = aTrace.links_[i].bytesPerSecond_;
-    view.queuedBytes_ = store.queuedBytes_;
+    view.queuedBytes_ = store.queuedImportBytes_ + store.queuedExportBytes_;
     view.freedValuePerByte_ = store.freedValue_;
     views.push_back(view);
   }
   return views;
 }
 
-// The baseline that exports all, to the store that the prompt's hash names.
-inline std::vector<keeping::Export>
+// The baseline exports all, to the store that has most of the prompt or that
+// its hash names.
+inline absl::optional<keeping::Export>
 ExportAll(const Trace& aTrace, std::uint32_t aPrompt)
 {
-  auto views = StoreViews(aTrace, aPrompt);
-  for (auto& view : views) {
-    view.freedValuePerByte_ = 0.0;
-    view.hold_ = absl::InfiniteDuration();
+  const auto views = StoreViews(aTrace, aPrompt);
+  const auto hash = core::StableHash(std::to_string(aPrompt));
+  const auto best = std::max_element(
+    views.begin(), views.end(), [&](const auto& aLeft, const auto& aRight) {
+      return std::pair(aLeft.heldBlocks_, core::StableHash(aLeft.name_, hash)) <
+             std::pair(aRight.heldBlocks_,
+                       core::StableHash(aRight.name_, hash));
+    });
+  const auto blocks = aTrace.shape_->prompts_[aPrompt].blocks_;
+  if (best == views.end() || best->heldBlocks_ >= blocks) {
+    return absl::nullopt;
   }
-  auto question = ExportQuestionFor(aTrace, aPrompt);
-  question.objective_ = { 0.0, 1.0, 0.0 };
-  return keeping::PlanExports(question, views);
+  keeping::Export plan;
+  plan.store_ = std::string(best->name_);
+  plan.firstBlock_ = best->heldBlocks_;
+  plan.blocks_ = blocks - best->heldBlocks_;
+  plan.bytes_ = plan.blocks_ * kBlockBytes;
+  return plan;
 }
 
-inline std::vector<keeping::Export>
+inline absl::optional<keeping::Export>
 ExportsAfter(const Trace& aTrace, const Run& aRun)
 {
   const auto prompt = aTrace.shape_->arrivals_[aRun.arrival_].prompt_;
   switch (aTrace.rules_.keeping_) {
     case Keeping::Nothing:
-      return {};
+      return absl::nullopt;
     case Keeping::All:
       return ExportAll(aTrace, prompt);
     case Keeping::Planned:
@@ -555,29 +603,45 @@
   auto question = ExportQuestionFor(aTrace, prompt);
   question.engineHold_ =
     absl::Seconds(aTrace.engines_[aRun.engine_].holdSeconds_);
-  return keeping::PlanExports(question, StoreViews(aTrace, prompt));
+  return keeping::PlanExport(question, StoreViews(aTrace, prompt));
 }
 
 inline void
 ExportBlocks(Trace& aTrace, const Run& aRun)
 {
   const auto prompt = aTrace.shape_->arrivals_[aRun.arrival_].prompt_;
-  for (const auto& plan : ExportsAfter(aTrace, aRun)) {
-    const auto store = static_cast<std::uint32_t>(
-      std::find(
-        aTrace.storeNames_.begin(), aTrace.storeNames_.end(), plan.store_) -
-      aTrace.storeNames_.begin());
-    Job job;
-    job.engine_ = aRun.engine_;
-    for (std::uint32_t i = 0; i < plan.blocks_; ++i) {
-      job.blocks_.push_back(IdOf(prompt, plan.firstBlock_ + i));
+  const auto plan = ExportsAfter(aTrace, aRun);
+  if (!plan) {
+    return;
+  }
+  Job job;
+  job.engine_ = aRun.engine_;
+  for (std::uint32_t i = 0; i < plan->blocks_; ++i) {
+    job.blocks_.push_back(IdOf(prompt, plan->firstBlock_ + i));
+  }
+  keeping::Transfer transfer;
+  transfer.kind_ = keeping::TransferKind::Export;
+  transfer.bytes_ = plan->bytes_;
+  transfer.queuedAt_ = AsTime(aTrace.now_);
+  transfer.latestStart_ = transfer.queuedAt_ + plan->startWithin_;
+  if (aTrace.rules_.keeping_ == Keeping::Planned) {
+    transfer.valuePerByte_ = plan->valuePerByte_;
+  }
+  AddTransfer(aTrace, IndexOf(plan->store_), transfer, std::move(job));
+}
+
+// Notes that a prompt ran, for all its blocks in stores.
+inline void
+NoteUse(Trace& aTrace, std::uint32_t aPrompt)
+{
+  for (auto& store : aTrace.stores_) {
+    for (std::uint32_t i = 0; i < aTrace.shape_->prompts_[aPrompt].blocks_;
+         ++i) {
+      if (const auto found = store.blocks_.find(IdOf(aPrompt, i));
+          found != store.blocks_.end()) {
+        found->second.usedAt_ = aTrace.now_;
+      }
     }
-    keeping::Transfer transfer;
-    transfer.kind_ = keeping::TransferKind::Export;
-    transfer.bytes_ = plan.bytes_;
-    transfer.queuedAt_ = AsTime(aTrace.now_);
-    transfer.latestStart_ = transfer.queuedAt_ + plan.startWithin_;
-    AddTransfer(aTrace, store, transfer, std::move(job));
   }
 }
 
@@ -600,6 +664,7 @@
   history.gone_ = false;
   history.lastRun_ = aTrace.now_;
   CacheBlocks(aTrace, run);
+  NoteUse(aTrace, arrival.prompt_);
   ExportBlocks(aTrace, run);
   StartPrefill(aTrace, aEngine);
 }
@@ -617,7 +682,6 @@
     if (found == store.blocks_.end()) {
       break;
     }
-    found->second.usedAt_ = aTrace.now_;
     ++run.imported_;
   }
   if (Counts(aTrace) && store.alive_) {
@@ -653,7 +717,7 @@
 {
   Store& store = aTrace.stores_[aStore];
   store.busy_ = false;
-  store.queuedBytes_ -= store.current_.bytes_;
+  QueuedBytesOf(store, store.current_.kind_) -= store.current_.bytes_;
   const double took = aTrace.now_ - store.currentStart_;
   if (store.alive_) {
     placement::NoteTransfer(
@@ -686,8 +750,10 @@
     candidate.distance_ = absl::Seconds(kDistanceSeconds);
     candidate.load_ = belief.report_;
     candidate.load_.age_ = absl::Seconds(aTrace.now_ - belief.reportedAt_);
-    candidate.own_ = placement::OwnWorkSince(
-      belief.sent_, AsTime(belief.reportedAt_), AsTime(aTrace.now_));
+    if (aTrace.rules_.ownWork_) {
+      candidate.own_ = placement::OwnWorkSince(
+        belief.sent_, AsTime(belief.reportedAt_), AsTime(aTrace.now_));
+    }
     candidate.maxRuns_ = 1U << 20U;
     candidate.prefillTokensPerSecond_ = aTrace.shape_->prefillRate_;
     for (const auto& holder : aHolders) {
@@ -737,6 +803,9 @@
   question.objective_ = aTrace.shape_->objective_;
   question.policy_ = aTrace.rules_.policy_;
   question.interactive_ = aArrival.interactive_;
+  if (!aArrival.interactive_) {
+    question.remaining_ = absl::Seconds(aArrival.deadline_ - aTrace.now_);
+  }
   question.seed_ = aTrace.rules_.policy_ == config::Policy::RoundRobin
                      ? aTrace.runs_.size()
                      : aTrace.random_.engine_();
@@ -755,8 +824,7 @@
   Run run;
   run.arrival_ = aArrival;
   run.host_ = aHost;
-  run.engine_ =
-    static_cast<std::uint32_t>(std::stoul(aDecision.target_.substr(1)));
+  run.engine_ = IndexOf(aDecision.target_);
   run.expectedTokens_ = aDecision.computedTokens_;
   const auto index = static_cast<std::uint32_t>(aTrace.runs_.size());
   Engine& engine = aTrace.engines_[run.engine_];
@@ -771,7 +839,7 @@
     return;
   }
   const auto& import = *aDecision.import_;
-  run.store_ = static_cast<std::uint32_t>(std::stoul(import.store_.substr(1)));
+  run.store_ = IndexOf(import.store_);
   run.firstImport_ = import.firstBlock_;
   run.wantedImports_ = import.blocks_;
   aTrace.runs_.push_back(run);
@@ -883,7 +951,7 @@
     belief.sent_.clear();
   }
   for (std::uint32_t i = 0; i < aTrace.stores_.size(); ++i) {
-    host.stores_[i].queuedBytes_ = aTrace.stores_[i].queuedBytes_;
+    host.stores_[i].queuedBytes_ = aTrace.stores_[i].queuedImportBytes_;
     host.stores_[i].linkRate_ = aTrace.links_[i].bytesPerSecond_;
   }
   StartHeldBatch(aTrace);
