--- /dev/null
+++ b/test/placement-bench.cc
@@ -0,0 +1,210 @@
+#include "lycheeplank/placement.h"
+
+#include <random>
+#include <string>
+#include <vector>
+
+#include <benchmark/benchmark.h>
+
+#include "lycheeplank/directory.h"
+
+namespace core = lycheeplank::core;
+namespace directory = lycheeplank::directory;
+namespace placement = lycheeplank::placement;
+
+namespace {
+
+constexpr std::uint64_t kPrompts = 260'000;
+constexpr std::uint32_t kBlocks = 30;
+constexpr std::size_t kHosts = 350;
+constexpr std::size_t kTargetsPerDataCentre = 150;
+// Prompts that one of the hosts is a home of.
+constexpr std::uint64_t kHomePrompts = kPrompts * directory::kHomes / kHosts;
+
+// What one host knows: its home prompts and all targets.
+struct World
+{
+  std::vector<std::string> names_;
+  std::vector<placement::Candidate> snapshot_;
+  std::vector<std::uint32_t> followed_;
+  directory::State directory_;
+  std::vector<std::vector<core::BlockKey>> chains_;
+};
+
+std::vector<core::BlockKey>
+ChainOf(std::uint64_t aPrompt)
+{
+  std::mt19937_64 random(aPrompt);
+  std::vector<core::BlockKey> chain(kBlocks);
+  for (auto& key : chain) {
+    key = { random(), random() };
+  }
+  return chain;
+}
+
+void
+AddTargets(World& aWorld, std::size_t aTargets)
+{
+  std::mt19937_64 random(7);
+  for (std::size_t i = 0; i < aTargets; ++i) {
+    aWorld.names_.push_back("engine-" + std::to_string(i));
+  }
+  for (std::size_t i = 0; i < aTargets; ++i) {
+    placement::Candidate candidate;
+    candidate.name_ = aWorld.names_[i];
+    candidate.distance_ = absl::Milliseconds(1);
+    candidate.load_ = { static_cast<std::uint32_t>(random() % 16),
+                        0,
+                        random() % 100000,
+                        absl::Milliseconds(random() % 500) };
+    candidate.maxRuns_ = 16;
+    candidate.prefillTokensPerSecond_ = 20000.0;
+    candidate.meanDecode_ = absl::Seconds(2);
+    aWorld.snapshot_.push_back(candidate);
+  }
+}
+
+void
+AddPrompts(World& aWorld)
+{
+  std::mt19937_64 random(8);
+  const directory::HolderId store{ "store-0", directory::HolderKind::Store };
+  for (std::uint64_t i = 0; i < kHomePrompts; ++i) {
+    auto chain = ChainOf(i);
+    const auto target = random() % aWorld.names_.size();
+    for (const auto& key : chain) {
+      directory::Sighting sighting{ key, chain.front() };
+      directory::Apply(aWorld.directory_,
+                       { aWorld.names_[target], directory::HolderKind::Engine },
+                       sighting);
+      sighting.generation_ = i;
+      directory::Apply(aWorld.directory_, store, sighting);
+    }
+    aWorld.chains_.push_back(std::move(chain));
+  }
+}
+
+World
+MakeWorld(std::size_t aTargets)
+{
+  World world;
+  AddTargets(world, aTargets);
+  AddPrompts(world);
+  const std::size_t hosts = std::max<std::size_t>(8, aTargets * kHosts / 1200);
+  std::vector<placement::Follower> followers(hosts);
+  const std::size_t dataCentres = 1 + aTargets / kTargetsPerDataCentre;
+  const auto dataCentreOf = [&](std::size_t aIndex) {
+    return "dc" + std::to_string(aIndex % dataCentres);
+  };
+  for (std::size_t i = 0; i < hosts; ++i) {
+    followers[i] = { "h" + std::to_string(i), dataCentreOf(i) };
+  }
+  for (std::uint32_t i = 0; i < aTargets; ++i) {
+    if (placement::Followed(
+          world.names_[i], dataCentreOf(i), "h0", followers, aTargets)) {
+      world.followed_.push_back(i);
+    }
+  }
+  return world;
+}
+
+// Turns the directory's answer into holders and offers.
+void
+Split(const std::vector<directory::Holder>& aHolders,
+      const absl::flat_hash_map<absl::string_view, std::uint32_t>& aIndex,
+      std::vector<placement::HolderRef>& aEngines,
+      std::vector<placement::Offer>& aOffers)
+{
+  for (const auto& holder : aHolders) {
+    if (holder.id_.kind_ == directory::HolderKind::Engine) {
+      aEngines.push_back(
+        { aIndex.at(holder.id_.name_), holder.leadingBlocks_ });
+      continue;
+    }
+    placement::Offer offer;
+    offer.store_ = holder.id_.name_;
+    offer.leadingBlocks_ = holder.leadingBlocks_;
+    offer.generations_ = holder.generations_;
+    offer.linkBytesPerSecond_ = 100e6;
+    aOffers.push_back(std::move(offer));
+  }
+}
+
+placement::Question
+MakeQuestion(std::uint64_t aSeed)
+{
+  placement::Question question;
+  question.promptTokens_ = std::uint64_t{ kBlocks } * 2000;
+  question.blocks_ = kBlocks;
+  question.blockTokens_ = 2000;
+  question.kvBytesPerToken_ = 1000;
+  question.seed_ = aSeed;
+  return question;
+}
+
+// A whole decision at the prompt's home: look-up, short list and choice.
+void
+BenchDecision(benchmark::State& aState)
+{
+  const World world = MakeWorld(static_cast<std::size_t>(aState.range(0)));
+  absl::flat_hash_map<absl::string_view, std::uint32_t> index;
+  for (std::uint32_t i = 0; i < world.names_.size(); ++i) {
+    index[world.names_[i]] = i;
+  }
+  std::uint64_t seed = 0;
+  for (auto _ : aState) {
+    const auto& chain = world.chains_[++seed % world.chains_.size()];
+    const auto holders = directory::Locate(world.directory_, chain);
+    std::vector<placement::HolderRef> engines;
+    std::vector<placement::Offer> offers;
+    Split(holders, index, engines, offers);
+    std::vector<placement::Candidate> candidates;
+    for (const auto i : placement::Shortlist(world.followed_, engines, seed)) {
+      candidates.push_back(world.snapshot_[i]);
+      for (const auto& engine : engines) {
+        if (engine.target_ == i) {
+          candidates.back().cachedBlocks_ = engine.leadingBlocks_;
+        }
+      }
+    }
+    benchmark::DoNotOptimize(
+      placement::Choose(MakeQuestion(seed), candidates, offers));
+  }
+  aState.counters["followed"] = static_cast<double>(world.followed_.size());
+}
+BENCHMARK(BenchDecision)->Arg(24)->Arg(240)->Arg(1200);
+
+// The choice alone, with all targets as candidates.
+void
+BenchChooseAmongAll(benchmark::State& aState)
+{
+  World world;
+  AddTargets(world, static_cast<std::size_t>(aState.range(0)));
+  placement::Offer offer;
+  offer.store_ = "store-0";
+  offer.leadingBlocks_ = kBlocks;
+  offer.linkBytesPerSecond_ = 100e6;
+  std::uint64_t seed = 0;
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(
+      placement::Choose(MakeQuestion(++seed), world.snapshot_, { offer }));
+  }
+}
+BENCHMARK(BenchChooseAmongAll)->Arg(24)->Arg(240)->Arg(1200);
+
+void
+BenchFollowers(benchmark::State& aState)
+{
+  const auto hosts = static_cast<std::size_t>(aState.range(0));
+  std::vector<placement::Follower> followers(hosts);
+  for (std::size_t i = 0; i < hosts; ++i) {
+    followers[i] = { "h" + std::to_string(i), "dc" + std::to_string(i % 8) };
+  }
+  for (auto _ : aState) {
+    benchmark::DoNotOptimize(
+      placement::Followers("engine-1", "dc1", followers, 7));
+  }
+}
+BENCHMARK(BenchFollowers)->Arg(8)->Arg(350);
+
+} // namespace
--- a/test/placement-trace-test.cc
+++ b/test/placement-trace-test.cc
@@ -104,41 +104,48 @@
   struct Way
   {
     const char* name_;
+    bool ownWork_;
     lycheeplank::placement::Tuning tuning_;
   };
   const absl::Duration forever = absl::Hours(1000);
   const std::array<Way, 10> ways{ {
-    { "plain", { 0, 0.0, forever } },
-    { "choices 2", { 2, 0.0, forever } },
-    { "choices 4", { 4, 0.0, forever } },
-    { "noise 0.2", { 0, 0.2, forever } },
-    { "noise 0.5", { 0, 0.5, forever } },
-    { "noise 1.0", { 0, 1.0, forever } },
-    { "memory 1s", { 0, 0.0, absl::Seconds(1) } },
-    { "memory 5s", { 0, 0.0, absl::Seconds(5) } },
-    { "n0.5 m5", { 0, 0.5, absl::Seconds(5) } },
-    { "n1.0 m1", { 0, 1.0, absl::Seconds(1) } },
+    { "blind", false, { 0, 0.0, forever } },
+    { "blind c2", false, { 2, 0.0, forever } },
+    { "own", true, { 0, 0.0, forever } },
+    { "own c2", true, { 2, 0.0, forever } },
+    { "own c4", true, { 4, 0.0, forever } },
+    { "own n0.5", true, { 0, 0.5, forever } },
+    { "own n1.0", true, { 0, 1.0, forever } },
+    { "own m1", true, { 0, 0.0, absl::Seconds(1) } },
+    { "own n1.0 m1", true, { 0, 1.0, absl::Seconds(1) } },
+    { "own n1.0 m3", true, { 0, 1.0, absl::Seconds(3) } },
   } };
   for (const auto policy :
        { config::Policy::NeverImport, config::Policy::Estimate }) {
     for (const std::uint32_t hosts : { 8U, 32U }) {
       for (const double period : { 0.2, 1.0, 4.0 }) {
-        const auto shape = trace::MakeCooperative(1, 5.0);
-        std::printf("policy %d hosts %u period %.1f\n",
+        std::printf("policy %d hosts %u period %.1f:",
                     static_cast<int>(policy),
                     hosts,
                     period);
         for (const auto& way : ways) {
-          trace::Rules rules;
-          rules.policy_ = policy;
-          rules.keeping_ = policy == config::Policy::Estimate
-                             ? trace::Keeping::Planned
-                             : trace::Keeping::Nothing;
-          rules.hosts_ = hosts;
-          rules.reportPeriod_ = period;
-          rules.tuning_ = way.tuning_;
-          Print(shape, way.name_, trace::Play(shape, rules, 1));
+          double p95 = 0.0;
+          for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+            trace::Rules rules;
+            rules.policy_ = policy;
+            rules.keeping_ = policy == config::Policy::Estimate
+                               ? trace::Keeping::Planned
+                               : trace::Keeping::Nothing;
+            rules.hosts_ = hosts;
+            rules.reportPeriod_ = period;
+            rules.tuning_ = way.tuning_;
+            rules.ownWork_ = way.ownWork_;
+            const auto shape = trace::MakeCooperative(seed, 5.0);
+            p95 += trace::Play(shape, rules, seed).p95_ / 3.0;
+          }
+          std::printf(" %s=%.2f", way.name_, p95);
         }
+        std::printf("\n");
       }
     }
   }
