--- a/src/config/check.cc
+++ b/src/config/check.cc
@@ -1,11 +1,8 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <yaml-cpp/eventhandler.h>
-
-#include <istream>
-#include <sstream>
 
 #include "config/schema.h"
+#include "config/yaml_events.h"
 
 namespace lycheeplank::config {
 
@@ -18,43 +15,6 @@
   YAML::Node content_;
 };
 
-// Fails at the first alias: aliases let a short text stand for a huge one.
-class AliasRefuser : public YAML::EventHandler
-{
-public:
-  void OnDocumentStart(const YAML::Mark& /*aMark*/) override {}
-  void OnDocumentEnd() override {}
-  void OnNull(const YAML::Mark& /*aMark*/, YAML::anchor_t /*aAnchor*/) override
-  {
-  }
-  void OnAlias(const YAML::Mark& aMark, YAML::anchor_t /*aAnchor*/) override
-  {
-    throw YAML::ParserException(aMark,
-                                "aliases like *name are not allowed; write "
-                                "the value out");
-  }
-  void OnScalar(const YAML::Mark& /*aMark*/,
-                const std::string& /*aTag*/,
-                YAML::anchor_t /*aAnchor*/,
-                const std::string& /*aValue*/) override
-  {
-  }
-  void OnSequenceStart(const YAML::Mark& /*aMark*/,
-                       const std::string& /*aTag*/,
-                       YAML::anchor_t /*aAnchor*/,
-                       YAML::EmitterStyle::value /*aStyle*/) override
-  {
-  }
-  void OnSequenceEnd() override {}
-  void OnMapStart(const YAML::Mark& /*aMark*/,
-                  const std::string& /*aTag*/,
-                  YAML::anchor_t /*aAnchor*/,
-                  YAML::EmitterStyle::value /*aStyle*/) override
-  {
-  }
-  void OnMapEnd() override {}
-};
-
 // Returns the parsed text of a section, or notes why it can't be parsed.
 YAML::Node
 Parse(Reader& aReader, const std::string& aText)
@@ -62,10 +22,7 @@
   try {
     // An alias needs an anchor, so most texts are parsed only once.
     if (absl::StrContains(aText, "&")) {
-      std::istringstream stream(aText);
-      YAML::Parser parser(stream);
-      AliasRefuser refuser;
-      parser.HandleNextDocument(refuser);
+      RefuseAliases(aText);
     }
     return YAML::Load(aText);
   } catch (const YAML::Exception& problem) {
@@ -192,21 +149,4 @@
   return checked;
 }
 
-std::string
-OwnerOf(const Section& aSection)
-{
-  Reader reader;
-  const YAML::Node node = Unwrap(reader, aSection);
-  if (!reader.problems_.empty() || !node.IsMap()) {
-    return "";
-  }
-  for (const auto& pair : node) {
-    if (pair.first.IsScalar() && pair.first.Scalar() == "owner" &&
-        pair.second.IsScalar()) {
-      return pair.second.Scalar();
-    }
-  }
-  return "";
-}
-
 } // namespace lycheeplank::config
