--- a/test/config-test.cc
+++ b/test/config-test.cc
@@ -1,7 +1,9 @@
 #include "lycheeplank/config.h"
 
 #include <algorithm>
+#include <fstream>
 #include <random>
+#include <sstream>
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -117,6 +119,30 @@
   return absl::StrReplaceAll(kDocument, { { aFrom, aTo } });
 }
 
+// Returns an example document, wherever the test is started.
+std::string
+Example(const std::string& aName)
+{
+  for (const std::string folder : { "examples/", "../examples/" }) {
+    if (std::ifstream file(folder + aName); file) {
+      std::ostringstream text;
+      text << file.rdbuf();
+      return text.str();
+    }
+  }
+  FAIL("start the test in the source or the build folder: no " << aName);
+  return "";
+}
+
+std::size_t
+CountTargets(const config::Config& aConfig, config::TargetKind aKind)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aConfig.targets_.begin(), aConfig.targets_.end(), [&](const auto& aEntry) {
+      return aEntry.second.kind_ == aKind;
+    }));
+}
+
 } // namespace
 
 TEST_CASE("a whole document is read")
@@ -266,6 +292,28 @@
   }
 }
 
+TEST_CASE("the example documents are valid and of today's sizes")
+{
+  struct Expected
+  {
+    std::string name_;
+    std::size_t engines_;
+  };
+  for (const auto& [name, engines] : { Expected{ "co-operative.yaml", 20 },
+                                       Expected{ "authority.yaml", 12 } }) {
+    INFO(name);
+    const std::string text = Example(name);
+    INFO(Text(ProblemsOf(text)));
+    CHECK(ProblemsOf(text).empty());
+    const auto checked = config::Check(config::Split(text).sections_);
+    CHECK(checked.config_.workspaces_.size() == 10);
+    CHECK(checked.config_.workspaceByKeyDigest_.size() == 10);
+    CHECK(CountTargets(checked.config_, config::TargetKind::Engine) == engines);
+    CHECK(CountTargets(checked.config_, config::TargetKind::Service) == 4);
+    CHECK(checked.config_.stores_.size() == 2);
+  }
+}
+
 TEST_CASE("an empty document has no sections and the default limits")
 {
   CHECK(ProblemsOf("").empty());
