--- a/include/lycheeplank/resume.h
+++ b/include/lycheeplank/resume.h
@@ -25,7 +25,7 @@
 class Signer
 {
 public:
-  Signer(std::string aSecret, Position aStart);
+  Signer(std::string aSecret, const Position& aStart);
 
   // Returns the token for a position in this stream.
   std::string TokenAt(std::uint64_t aIndex) const;
--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -232,16 +232,15 @@
     aEnd.error_.empty() ? absl::StrCat("status ", aEnd.status_) : aEnd.error_;
   if (aAttempt->relay_.HasBegun()) {
     Conclude(aAttempt, AttemptResult::BrokenMidway, detail, "");
-  } else if (aAttempt->started_) {
-    Conclude(aAttempt, AttemptResult::Broken, detail, "");
-  } else if (aEnd.neverSent_) {
+  } else if (aEnd.neverSent_ && !aAttempt->started_) {
     Conclude(aAttempt, AttemptResult::NeverSent, detail, "");
-  } else if (aEnd.whole_ && aEnd.status_ == kConflict) {
+  } else if (aEnd.whole_ && aEnd.status_ == kConflict &&
+             !aAttempt->started_) {
     std::string version = ServingVersion(aAttempt->errorBody_);
     const auto result =
       version.empty() ? AttemptResult::Refused : AttemptResult::WrongVersion;
     Conclude(aAttempt, result, detail, std::move(version));
-  } else if (aEnd.whole_ && aEnd.status_ != 200) {
+  } else if (aEnd.whole_ && aEnd.status_ != 200 && !aAttempt->started_) {
     Conclude(aAttempt, AttemptResult::Refused, detail, "");
   } else {
     Conclude(aAttempt, AttemptResult::Broken, detail, "");
@@ -404,7 +403,7 @@
 }
 
 void
-Runner::Resume(std::shared_ptr<net::Exchange> aExchange,
+Runner::Resume(const std::shared_ptr<net::Exchange>& aExchange,
                const resume::Position& aPosition,
                const std::string& aModel,
                const std::string& aTargetUrl)
--- a/src/entry/runner.h
+++ b/src/entry/runner.h
@@ -38,7 +38,7 @@
                   const std::string& aContentType,
                   std::string aBody);
   // Goes on with the stream of a run that any host may have started.
-  void Resume(std::shared_ptr<net::Exchange> aExchange,
+  void Resume(const std::shared_ptr<net::Exchange>& aExchange,
               const resume::Position& aPosition,
               const std::string& aModel,
               const std::string& aTargetUrl);
--- a/src/reducer/hosts.cc
+++ b/src/reducer/hosts.cc
@@ -70,6 +70,7 @@
   State& state = aContext.state_;
   const auto live = membership::LiveHosts(state.members_);
   std::vector<placement::Follower> followers;
+  followers.reserve(live.size());
   for (const auto& host : live) {
     followers.push_back({ host.name_, host.dataCentre_ });
   }
--- a/src/resume/resume.cc
+++ b/src/resume/resume.cc
@@ -34,7 +34,7 @@
 
 } // namespace
 
-Signer::Signer(std::string aSecret, Position aStart)
+Signer::Signer(std::string aSecret, const Position& aStart)
   : secret_(std::move(aSecret))
   , prefix_(absl::StrCat(WorkspaceMark(secret_, aStart.workspace_),
                          ".",
