--- /dev/null
+++ b/src/rollout/ownership.cc
@@ -0,0 +1,516 @@
+#include "rollout/internal.h"
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <glog/logging.h>
+
+namespace lycheeplank::rollout {
+
+namespace {
+
+using platform::Outcome;
+
+std::string
+OwnerKey(std::uint32_t aPartition)
+{
+  return absl::StrCat(kOwnerPrefix, aPartition);
+}
+
+// Value of an owner key; names the lease, so that it is never that of another
+// attempt.
+std::string
+OwnerValue(const State& aState)
+{
+  return absl::StrCat(aState.name_, " ", aState.lease_);
+}
+
+// Returns the place of this steward among the candidates of a partition, or
+// nothing if it is none.
+absl::optional<std::size_t>
+RankFor(const State& aState, std::uint32_t aPartition)
+{
+  auto hosts = aState.hosts_;
+  if (std::find(hosts.begin(), hosts.end(), aState.name_) == hosts.end()) {
+    hosts.push_back(aState.name_);
+  }
+  const auto candidates = core::RendezvousPick(
+    OwnerKey(aPartition), hosts, aState.settings_.candidates_);
+  const auto found =
+    std::find(candidates.begin(), candidates.end(), aState.name_);
+  if (found == candidates.end()) {
+    return absl::nullopt;
+  }
+  return static_cast<std::size_t>(found - candidates.begin());
+}
+
+bool
+IsHeld(const Partition& aPartition)
+{
+  return aPartition.phase_ != Phase::Waiting;
+}
+
+bool
+HoldsAny(const State& aState)
+{
+  return std::any_of(
+    aState.partitions_.begin(), aState.partitions_.end(), IsHeld);
+}
+
+bool
+WantsAny(const State& aState)
+{
+  for (std::uint32_t i = 0; i < kPartitions; ++i) {
+    const auto& partition = aState.partitions_[i];
+    if (partition.seenVersion_ == 0U && RankFor(aState, i)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Whether all orders of a partition have surely arrived or been lost.
+bool
+IsQuiet(const State& aState, std::uint32_t aPartition, absl::Time aNow)
+{
+  for (const auto& [id, order] : aState.orders_) {
+    if (PartitionOf(order.model_) == aPartition) {
+      return false;
+    }
+  }
+  for (const auto& [model, work] : aState.models_) {
+    if (PartitionOf(model) != aPartition) {
+      continue;
+    }
+    for (const auto& [name, target] : work.targets_) {
+      if (aNow < target.notBefore_) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+bool
+IsAllQuiet(const State& aState, absl::Time aNow)
+{
+  for (std::uint32_t i = 0; i < kPartitions; ++i) {
+    if (!IsQuiet(aState, i, aNow)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void
+SetPhase(State& aState,
+         std::uint32_t aPartition,
+         Phase aPhase,
+         Effects& aEffects)
+{
+  auto& partition = aState.partitions_[aPartition];
+  if (partition.phase_ == aPhase) {
+    return;
+  }
+  aEffects.push_back(Log{ absl::StrCat("event=rollout_partition partition=",
+                                       aPartition,
+                                       " from=",
+                                       core::NameOf(kPhases, partition.phase_),
+                                       " to=",
+                                       core::NameOf(kPhases, aPhase),
+                                       " fence=",
+                                       partition.fence_) });
+  partition.phase_ = aPhase;
+}
+
+void
+DropLease(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  platform::Command command;
+  command.operation_ = platform::Operation::DropLease;
+  command.lease_ = aState.lease_;
+  SendCommand(aState,
+              std::move(command),
+              { Purpose::DropLease, 0, "", aState.lease_ },
+              aNow,
+              aEffects);
+  aState.lease_.clear();
+  aState.leaseUntil_ = absl::InfinitePast();
+}
+
+// Gives up all partitions and the lease.
+void
+LoseAll(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  for (std::uint32_t i = 0; i < kPartitions; ++i) {
+    auto& partition = aState.partitions_[i];
+    if (!IsHeld(partition)) {
+      continue;
+    }
+    SetPhase(aState, i, Phase::Waiting, aEffects);
+    partition.fence_ = 0;
+    partition.seenVersion_.reset();
+    ForgetPartition(aState, i);
+  }
+  DropLease(aState, aNow, aEffects);
+}
+
+void
+AskLease(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  if (aState.leasePending_ || aNow < aState.nextLease_) {
+    return;
+  }
+  platform::Command command;
+  PendingCommand pending;
+  if (aState.lease_.empty()) {
+    if (!WantsAny(aState)) {
+      return;
+    }
+    command.operation_ = platform::Operation::GrantLease;
+    pending.purpose_ = Purpose::GrantLease;
+  } else {
+    command.operation_ = platform::Operation::KeepLease;
+    command.lease_ = aState.lease_;
+    pending.purpose_ = Purpose::KeepLease;
+    pending.value_ = aState.lease_;
+  }
+  command.duration_ = aState.settings_.leaseLife_;
+  aState.leasePending_ = true;
+  aState.nextLease_ = aNow + aState.settings_.keepPeriod_;
+  SendCommand(aState, std::move(command), std::move(pending), aNow, aEffects);
+}
+
+void
+RunLease(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  if (!aState.lease_.empty()) {
+    const bool lapsed = aNow >= aState.leaseUntil_;
+    const bool idle = !HoldsAny(aState) && !WantsAny(aState);
+    const bool stops = aState.stopping_ && IsAllQuiet(aState, aNow);
+    if (lapsed || idle || stops) {
+      LoseAll(aState, aNow, aEffects);
+    }
+  }
+  if (!aState.stopping_ || !aState.lease_.empty()) {
+    AskLease(aState, aNow, aEffects);
+  }
+}
+
+// Finds out whether a partition is free.
+void
+WatchOwner(State& aState,
+           std::uint32_t aPartition,
+           absl::Time aNow,
+           Effects& aEffects)
+{
+  auto& partition = aState.partitions_[aPartition];
+  platform::Command command;
+  command.key_ = OwnerKey(aPartition);
+  command.operation_ = platform::Operation::Read;
+  if (partition.seenVersion_) {
+    command.operation_ = platform::Operation::Watch;
+    command.expect_ = partition.seenVersion_;
+    command.duration_ = aState.settings_.watchTime_;
+  }
+  partition.commandPending_ = true;
+  SendCommand(aState,
+              std::move(command),
+              { Purpose::WatchOwner, aPartition },
+              aNow,
+              aEffects);
+}
+
+void
+TakeOwner(State& aState,
+          std::uint32_t aPartition,
+          absl::Time aNow,
+          Effects& aEffects)
+{
+  if (aNow + aState.settings_.unfencedMargin_ > aState.leaseUntil_) {
+    return;
+  }
+  platform::Command command;
+  command.operation_ = platform::Operation::Write;
+  command.key_ = OwnerKey(aPartition);
+  command.value_ = OwnerValue(aState);
+  command.expect_ = 0;
+  command.lease_ = aState.lease_;
+  PendingCommand pending{ Purpose::TakeOwner, aPartition };
+  pending.value_ = command.value_;
+  aState.partitions_[aPartition].commandPending_ = true;
+  SetPhase(aState, aPartition, Phase::Taking, aEffects);
+  SendCommand(aState, std::move(command), std::move(pending), aNow, aEffects);
+}
+
+void
+VerifyOwner(State& aState,
+            std::uint32_t aPartition,
+            absl::Time aNow,
+            Effects& aEffects)
+{
+  platform::Command command;
+  command.key_ = OwnerKey(aPartition);
+  PendingCommand pending{ Purpose::VerifyOwner, aPartition };
+  pending.value_ = OwnerValue(aState);
+  aState.partitions_[aPartition].commandPending_ = true;
+  SendCommand(aState, std::move(command), std::move(pending), aNow, aEffects);
+}
+
+void
+DeleteOwner(State& aState,
+            std::uint32_t aPartition,
+            absl::Time aNow,
+            Effects& aEffects)
+{
+  auto& partition = aState.partitions_[aPartition];
+  if (!IsQuiet(aState, aPartition, aNow)) {
+    return;
+  }
+  ForgetPartition(aState, aPartition);
+  platform::Command command;
+  command.operation_ = platform::Operation::Delete;
+  command.key_ = OwnerKey(aPartition);
+  command.expect_ = partition.fence_;
+  partition.commandPending_ = true;
+  SendCommand(aState,
+              std::move(command),
+              { Purpose::ReleaseOwner, aPartition },
+              aNow,
+              aEffects);
+}
+
+void
+RunPartition(State& aState,
+             std::uint32_t aPartition,
+             absl::Time aNow,
+             Effects& aEffects)
+{
+  auto& partition = aState.partitions_[aPartition];
+  if (partition.commandPending_ || aNow < partition.nextTry_) {
+    return;
+  }
+  switch (partition.phase_) {
+    case Phase::Waiting:
+      if (aState.stopping_ || !RankFor(aState, aPartition)) {
+        return;
+      }
+      if (partition.seenVersion_ == 0U) {
+        TakeOwner(aState, aPartition, aNow, aEffects);
+      } else {
+        WatchOwner(aState, aPartition, aNow, aEffects);
+      }
+      return;
+    case Phase::Verifying:
+      VerifyOwner(aState, aPartition, aNow, aEffects);
+      return;
+    case Phase::Leaving:
+      DeleteOwner(aState, aPartition, aNow, aEffects);
+      return;
+    case Phase::Taking:
+    case Phase::Entering:
+    case Phase::Owned:
+      return;
+  }
+}
+
+// Notes that this steward has become the owner.
+void
+Enter(State& aState,
+      std::uint32_t aPartition,
+      std::uint64_t aFence,
+      absl::Time aNow,
+      Effects& aEffects)
+{
+  auto& partition = aState.partitions_[aPartition];
+  CHECK_GT(aFence, 0U);
+  partition.fence_ = aFence;
+  partition.seenVersion_ = aFence;
+  partition.enteredAt_ = aNow;
+  aState.slots_.fresh_ = false;
+  aState.slots_.barrierNeeded_ = true;
+  ++aState.counters_.takeovers_;
+  SetPhase(aState, aPartition, Phase::Entering, aEffects);
+}
+
+// Notes which version of the owner key another steward holds, if any.
+void
+SeeOwner(State& aState,
+         std::uint32_t aPartition,
+         const platform::Reply& aReply,
+         absl::Time aNow)
+{
+  auto& partition = aState.partitions_[aPartition];
+  partition.seenVersion_ =
+    aReply.outcome_ == Outcome::Absent ? 0 : aReply.version_;
+  if (partition.seenVersion_ == 0U) {
+    const std::size_t rank = RankFor(aState, aPartition).value_or(0);
+    partition.nextTry_ = aNow + aState.settings_.rankDelay_ * double(rank);
+  }
+}
+
+// Ends the attempt to become the owner, in whichever way.
+void
+EndTaking(State& aState,
+          const PendingCommand& aCommand,
+          const platform::Reply& aReply,
+          absl::Time aNow,
+          Effects& aEffects)
+{
+  const std::uint32_t index = aCommand.partition_;
+  const bool current = aCommand.value_ == OwnerValue(aState);
+  if (!current) {
+    // The lease has lapsed meanwhile, and the key goes with it.
+    return;
+  }
+  const bool written =
+    aCommand.purpose_ == Purpose::TakeOwner && aReply.outcome_ == Outcome::Ok;
+  if (written || (aReply.version_ > 0 && aReply.value_ == aCommand.value_)) {
+    Enter(aState, index, aReply.version_, aNow, aEffects);
+    return;
+  }
+  auto& partition = aState.partitions_[index];
+  if (aReply.outcome_ == Outcome::Lost) {
+    partition.nextTry_ = aNow + aState.settings_.retryPeriod_;
+    SetPhase(aState, index, Phase::Verifying, aEffects);
+    return;
+  }
+  SetPhase(aState, index, Phase::Waiting, aEffects);
+  if (aReply.outcome_ == Outcome::Refused) {
+    partition.seenVersion_.reset();
+    partition.nextTry_ = aNow + aState.settings_.retryPeriod_;
+    return;
+  }
+  SeeOwner(aState, index, aReply, aNow);
+}
+
+void
+EndWatch(State& aState,
+         std::uint32_t aPartition,
+         const platform::Reply& aReply,
+         absl::Time aNow,
+         Effects& aEffects)
+{
+  if (aReply.version_ > 0 && aReply.value_ == OwnerValue(aState)) {
+    // An earlier deletion of the own key has failed.
+    aState.partitions_[aPartition].fence_ = aReply.version_;
+    SetPhase(aState, aPartition, Phase::Leaving, aEffects);
+    return;
+  }
+  const bool answered = aReply.outcome_ == Outcome::Ok ||
+                        aReply.outcome_ == Outcome::Absent ||
+                        aReply.outcome_ == Outcome::Conflict;
+  if (answered) {
+    SeeOwner(aState, aPartition, aReply, aNow);
+    return;
+  }
+  auto& partition = aState.partitions_[aPartition];
+  partition.seenVersion_.reset();
+  partition.nextTry_ = aNow + aState.settings_.retryPeriod_;
+}
+
+} // namespace
+
+bool
+IsOwned(const State& aState, absl::string_view aModel)
+{
+  return aState.partitions_[PartitionOf(aModel)].phase_ == Phase::Owned;
+}
+
+void
+ForgetPartition(State& aState, std::uint32_t aPartition)
+{
+  const auto isOf = [&](const Slot& aSlot) {
+    return PartitionOf(aSlot.model_) == aPartition;
+  };
+  auto& slots = aState.slots_;
+  for (auto* list : { &slots.wanted_, &slots.unwanted_ }) {
+    list->erase(std::remove_if(list->begin(), list->end(), isOf), list->end());
+  }
+  absl::erase_if(aState.models_, [&](const auto& aEntry) {
+    return PartitionOf(aEntry.first) == aPartition;
+  });
+}
+
+void
+ReleasePartition(State& aState,
+                 std::uint32_t aPartition,
+                 absl::Time aNow,
+                 Effects& aEffects)
+{
+  auto& partition = aState.partitions_[aPartition];
+  if (partition.phase_ == Phase::Owned || partition.phase_ == Phase::Entering) {
+    partition.nextTry_ = aNow;
+    SetPhase(aState, aPartition, Phase::Leaving, aEffects);
+  }
+}
+
+void
+RunOwnership(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  RunLease(aState, aNow, aEffects);
+  for (std::uint32_t i = 0; i < kPartitions; ++i) {
+    RunPartition(aState, i, aNow, aEffects);
+  }
+}
+
+void
+TakeLeaseReply(State& aState,
+               const PendingCommand& aCommand,
+               const platform::Reply& aReply,
+               absl::Time aNow,
+               Effects& aEffects)
+{
+  if (aCommand.purpose_ == Purpose::DropLease) {
+    return;
+  }
+  aState.leasePending_ = false;
+  const absl::Time until = aCommand.sent_ + aState.settings_.leaseLife_;
+  if (aCommand.purpose_ == Purpose::GrantLease) {
+    if (aReply.outcome_ == Outcome::Ok) {
+      aState.lease_ = aReply.lease_;
+      aState.leaseUntil_ = until;
+    }
+    return;
+  }
+  if (aCommand.value_ != aState.lease_) {
+    return;
+  }
+  if (aReply.outcome_ == Outcome::Ok) {
+    aState.leaseUntil_ = std::max(aState.leaseUntil_, until);
+  } else if (aReply.outcome_ == Outcome::Absent) {
+    LoseAll(aState, aNow, aEffects);
+  }
+}
+
+void
+TakeOwnerReply(State& aState,
+               const PendingCommand& aCommand,
+               const platform::Reply& aReply,
+               absl::Time aNow,
+               Effects& aEffects)
+{
+  const std::uint32_t index = aCommand.partition_;
+  auto& partition = aState.partitions_[index];
+  partition.commandPending_ = false;
+  switch (aCommand.purpose_) {
+    case Purpose::TakeOwner:
+    case Purpose::VerifyOwner:
+      EndTaking(aState, aCommand, aReply, aNow, aEffects);
+      return;
+    case Purpose::ReleaseOwner:
+      if (partition.phase_ == Phase::Leaving) {
+        partition.seenVersion_.reset();
+        partition.fence_ = 0;
+        SetPhase(aState, index, Phase::Waiting, aEffects);
+      }
+      return;
+    default:
+      if (partition.phase_ == Phase::Waiting) {
+        EndWatch(aState, index, aReply, aNow, aEffects);
+      }
+      return;
+  }
+}
+
+} // namespace lycheeplank::rollout
--- /dev/null
+++ b/src/rollout/records.cc
@@ -0,0 +1,115 @@
+#include "lycheeplank/rollout.h"
+
+#include <absl/strings/str_cat.h>
+#include <nlohmann/json.hpp>
+
+namespace lycheeplank::rollout {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json
+Parse(absl::string_view aText)
+{
+  return Json::parse(aText.begin(), aText.end(), nullptr, false);
+}
+
+std::string
+Text(const Json& aObject, const char* aField)
+{
+  const auto found = aObject.find(aField);
+  return found != aObject.end() && found->is_string()
+           ? found->get<std::string>()
+           : std::string();
+}
+
+std::uint32_t
+Number(const Json& aObject, const char* aField)
+{
+  const auto found = aObject.find(aField);
+  return found != aObject.end() && found->is_number_unsigned()
+           ? found->get<std::uint32_t>()
+           : 0;
+}
+
+} // namespace
+
+std::string
+RecordKey(absl::string_view aModel)
+{
+  return absl::StrCat(kRecordPrefix, aModel);
+}
+
+std::uint32_t
+PartitionOf(absl::string_view aModel)
+{
+  return static_cast<std::uint32_t>(core::StableHash(aModel) % kPartitions);
+}
+
+std::string
+WriteRecord(const Record& aRecord)
+{
+  const auto state = core::NameOf(kRolloutStates, aRecord.state_);
+  return Json{
+    { "model", aRecord.model_ },
+    { "version", aRecord.version_ },
+    { "state", std::string(state.data(), state.size()) },
+    { "done", aRecord.done_ },
+    { "total", aRecord.total_ },
+    { "detail", aRecord.detail_ }
+  }.dump();
+}
+
+absl::optional<Record>
+ReadRecord(absl::string_view aText)
+{
+  const Json json = Parse(aText);
+  if (!json.is_object()) {
+    return absl::nullopt;
+  }
+  const auto state = core::ValueOf(kRolloutStates, Text(json, "state"));
+  Record record;
+  record.model_ = Text(json, "model");
+  record.version_ = Text(json, "version");
+  if (!state || record.model_.empty() || record.version_.empty()) {
+    return absl::nullopt;
+  }
+  record.state_ = *state;
+  record.done_ = Number(json, "done");
+  record.total_ = Number(json, "total");
+  record.detail_ = Text(json, "detail");
+  return record;
+}
+
+std::string
+WriteSlots(const std::vector<Slot>& aSlots)
+{
+  Json json = Json::array();
+  for (const auto& slot : aSlots) {
+    json.push_back({ { "target", slot.target_ }, { "model", slot.model_ } });
+  }
+  return json.dump();
+}
+
+absl::optional<std::vector<Slot>>
+ReadSlots(absl::string_view aText)
+{
+  std::vector<Slot> slots;
+  if (aText.empty()) {
+    return slots;
+  }
+  const Json json = Parse(aText);
+  if (!json.is_array()) {
+    return absl::nullopt;
+  }
+  for (const auto& item : json) {
+    if (!item.is_object()) {
+      return absl::nullopt;
+    }
+    slots.push_back({ Text(item, "target"), Text(item, "model") });
+  }
+  return slots;
+}
+
+} // namespace lycheeplank::rollout
--- /dev/null
+++ b/src/rollout/step.cc
@@ -0,0 +1,134 @@
+#include "rollout/internal.h"
+
+#include <algorithm>
+
+namespace lycheeplank::rollout {
+
+namespace {
+
+void
+On(State& aState, const Tick&, absl::Time aNow, Effects& aEffects)
+{
+  if (!aState.config_) {
+    return;
+  }
+  RunOwnership(aState, aNow, aEffects);
+  RunSlots(aState, aNow, aEffects);
+  RunRecords(aState, aNow, aEffects);
+  RunTargets(aState, aNow, aEffects);
+}
+
+void
+On(State& aState, const ConfigChanged& aChange, absl::Time, Effects&)
+{
+  aState.config_ = aChange.config_;
+}
+
+void
+On(State& aState, const HostsChanged& aChange, absl::Time, Effects&)
+{
+  aState.hosts_ = aChange.hosts_;
+}
+
+void
+On(State& aState,
+   const PlatformReplied& aReplied,
+   absl::Time aNow,
+   Effects& aEffects)
+{
+  const auto& reply = aReplied.reply_;
+  const auto found = aState.commands_.find(reply.id_);
+  if (found == aState.commands_.end()) {
+    return;
+  }
+  const PendingCommand command = found->second;
+  aState.commands_.erase(found);
+  switch (command.purpose_) {
+    case Purpose::GrantLease:
+    case Purpose::KeepLease:
+    case Purpose::DropLease:
+      TakeLeaseReply(aState, command, reply, aNow, aEffects);
+      return;
+    case Purpose::WatchOwner:
+    case Purpose::TakeOwner:
+    case Purpose::VerifyOwner:
+    case Purpose::ReleaseOwner:
+      TakeOwnerReply(aState, command, reply, aNow, aEffects);
+      return;
+    case Purpose::ReadSlots:
+    case Purpose::WriteSlots:
+      TakeSlotsReply(aState, command, reply, aNow);
+      return;
+    case Purpose::ListRecords:
+    case Purpose::ReadRecord:
+    case Purpose::WriteRecord:
+      TakeRecordReply(aState, command, reply, aNow, aEffects);
+      return;
+  }
+}
+
+void
+On(State& aState, const TargetRead& aRead, absl::Time aNow, Effects&)
+{
+  TakeTargetRead(aState, aRead, aNow);
+}
+
+void
+On(State& aState, const OrderEnded& aEnd, absl::Time aNow, Effects& aEffects)
+{
+  TakeOrderEnd(aState, aEnd, aNow, aEffects);
+}
+
+void
+On(State& aState, const StopAsked&, absl::Time, Effects&)
+{
+  aState.stopping_ = true;
+}
+
+} // namespace
+
+State
+Start(absl::string_view aName, const Settings& aSettings)
+{
+  State state;
+  state.settings_ = aSettings;
+  state.name_ = std::string(aName);
+  return state;
+}
+
+std::vector<Effect>
+Step(State& aState, const Event& aEvent)
+{
+  Effects effects;
+  std::visit([&](const auto& aBody) { On(aState, aBody, aEvent.at_, effects); },
+             aEvent.body_);
+  return effects;
+}
+
+bool
+IsStopped(const State& aState)
+{
+  const bool dropping = std::any_of(
+    aState.commands_.begin(), aState.commands_.end(), [](const auto& aEntry) {
+      return aEntry.second.purpose_ == Purpose::DropLease ||
+             aEntry.second.purpose_ == Purpose::GrantLease;
+    });
+  return aState.stopping_ && aState.lease_.empty() && !dropping;
+}
+
+void
+SendCommand(State& aState,
+            platform::Command aCommand,
+            PendingCommand aPending,
+            absl::Time aNow,
+            Effects& aEffects)
+{
+  const std::uint64_t id = aState.nextId_++;
+  aCommand.id_ = id;
+  aPending.sent_ = aNow;
+  aState.commands_[id] = std::move(aPending);
+  ++aState.counters_.platformCalls_;
+  aEffects.push_back(std::move(aCommand));
+}
+
+} // namespace lycheeplank::rollout
