--- /dev/null
+++ b/src/adapters/orders.cc
@@ -0,0 +1,76 @@
+#include "adapters/orders.h"
+
+#include "adapters/json.h"
+
+namespace lycheeplank::adapters {
+
+namespace {
+
+using nlohmann::json;
+
+// Bounds how late an order can arrive; rollout::Settings::fencedMargin_ has to
+// be longer.
+constexpr absl::Duration kOrderTimeout = absl::Seconds(2);
+constexpr absl::Duration kReadTimeout = absl::Seconds(2);
+constexpr int kConflict = 409;
+
+std::string
+OrderBody(const LoadOrder& aOrder)
+{
+  return json{
+    { "fence", aOrder.fence_ },
+    { "order", "load_weights" },
+    { "version", aOrder.version_ }
+  }.dump();
+}
+
+} // namespace
+
+net::Call
+GiveOrder(const std::string& aUrl,
+          const LoadOrder& aOrder,
+          std::function<bool()> aMaySend)
+{
+  net::Call call;
+  call.method_ = "POST";
+  call.url_ = aUrl + "/v1/orders";
+  call.headers_.push_back({ "Content-Type", "application/json" });
+  call.timeout_ = kOrderTimeout;
+  call.freshConnection_ = true;
+  call.bodySource_ = [aOrder, maySend = std::move(aMaySend)] {
+    return maySend() ? OrderBody(aOrder) : std::string();
+  };
+  return call;
+}
+
+bool
+IsStaleFence(const net::Answer& aAnswer)
+{
+  if (aAnswer.end_.status_ != kConflict) {
+    return false;
+  }
+  const auto body = json::parse(aAnswer.body_, nullptr, false);
+  return body.is_object() && body.value("error", "") == "stale_fence";
+}
+
+net::Call
+AskOrders(const std::string& aUrl)
+{
+  net::Call call;
+  call.url_ = aUrl + "/v1/orders";
+  call.timeout_ = kReadTimeout;
+  return call;
+}
+
+absl::optional<OrderReport>
+ReadOrderReport(const std::string& aBody)
+{
+  return detail::ReadBody<OrderReport>(aBody, [](const json& aJson) {
+    OrderReport report;
+    report.weightVersion_ = aJson.at("weight_version").get<std::string>();
+    report.loading_ = !aJson.at("loading").get<std::string>().empty();
+    return report;
+  });
+}
+
+} // namespace lycheeplank::adapters
--- a/src/rollout/ownership.cc
+++ b/src/rollout/ownership.cc
@@ -382,6 +382,10 @@
     return;
   }
   SeeOwner(aState, index, aReply, aNow);
+  if (aReply.outcome_ == Outcome::Absent) {
+    // The lease is gone, which its next renewal will tell.
+    partition.nextTry_ = aNow + aState.settings_.retryPeriod_;
+  }
 }
 
 void
