--- a/src/rollout/internal.h
+++ b/src/rollout/internal.h
@@ -36,6 +36,13 @@
                absl::Time aNow,
                Effects& aEffects);
 
+// Changes the phase of a partition.
+void
+SetPhase(State& aState,
+         std::uint32_t aPartition,
+         Phase aPhase,
+         Effects& aEffects);
+
 // Gives a partition up, so that it can be taken under a higher fence.
 void
 ReleasePartition(State& aState,
@@ -60,7 +67,8 @@
 TakeSlotsReply(State& aState,
                const PendingCommand& aCommand,
                const platform::Reply& aReply,
-               absl::Time aNow);
+               absl::Time aNow,
+               Effects& aEffects);
 
 // Records.
 
--- a/src/rollout/ownership.cc
+++ b/src/rollout/ownership.cc
@@ -102,27 +102,6 @@
   return true;
 }
 
-void
-SetPhase(State& aState,
-         std::uint32_t aPartition,
-         Phase aPhase,
-         Effects& aEffects)
-{
-  auto& partition = aState.partitions_[aPartition];
-  if (partition.phase_ == aPhase) {
-    return;
-  }
-  aEffects.push_back(Log{ absl::StrCat("event=rollout_partition partition=",
-                                       aPartition,
-                                       " from=",
-                                       core::NameOf(kPhases, partition.phase_),
-                                       " to=",
-                                       core::NameOf(kPhases, aPhase),
-                                       " fence=",
-                                       partition.fence_) });
-  partition.phase_ = aPhase;
-}
-
 void
 DropLease(State& aState, absl::Time aNow, Effects& aEffects)
 {
@@ -415,6 +394,27 @@
 
 } // namespace
 
+void
+SetPhase(State& aState,
+         std::uint32_t aPartition,
+         Phase aPhase,
+         Effects& aEffects)
+{
+  auto& partition = aState.partitions_[aPartition];
+  if (partition.phase_ == aPhase) {
+    return;
+  }
+  aEffects.push_back(Log{ absl::StrCat("event=rollout_partition partition=",
+                                       aPartition,
+                                       " from=",
+                                       core::NameOf(kPhases, partition.phase_),
+                                       " to=",
+                                       core::NameOf(kPhases, aPhase),
+                                       " fence=",
+                                       partition.fence_) });
+  partition.phase_ = aPhase;
+}
+
 bool
 IsOwned(const State& aState, absl::string_view aModel)
 {
--- a/src/rollout/slots.cc
+++ b/src/rollout/slots.cc
@@ -146,14 +146,15 @@
 
 // Partitions whose owner has made earlier writes of the slots void may act.
 void
-OpenPartitions(State& aState, absl::Time aSent)
+OpenPartitions(State& aState, absl::Time aSent, Effects& aEffects)
 {
-  for (auto& partition : aState.partitions_) {
+  for (std::uint32_t i = 0; i < kPartitions; ++i) {
+    auto& partition = aState.partitions_[i];
     if (partition.phase_ != Phase::Entering) {
       continue;
     }
     if (partition.enteredAt_ <= aSent) {
-      partition.phase_ = Phase::Owned;
+      SetPhase(aState, i, Phase::Owned, aEffects);
       aState.nextList_ = aSent;
     } else {
       aState.slots_.barrierNeeded_ = true;
@@ -165,14 +166,15 @@
 TakeWritten(State& aState,
             const PendingCommand& aCommand,
             const platform::Reply& aReply,
-            absl::Time aNow)
+            absl::Time aNow,
+            Effects& aEffects)
 {
   auto& table = aState.slots_;
   table.slots_ = table.next_;
   table.version_ = aReply.version_;
   table.fresh_ = true;
   table.barrierNeeded_ = false;
-  OpenPartitions(aState, aCommand.sent_);
+  OpenPartitions(aState, aCommand.sent_, aEffects);
   DropSettledWishes(table);
   AdoptSlots(aState, aNow);
 }
@@ -210,7 +212,8 @@
 TakeSlotsReply(State& aState,
                const PendingCommand& aCommand,
                const platform::Reply& aReply,
-               absl::Time aNow)
+               absl::Time aNow,
+               Effects& aEffects)
 {
   auto& table = aState.slots_;
   table.commandPending_ = false;
@@ -227,7 +230,7 @@
     return;
   }
   if (isWrite && aReply.outcome_ == Outcome::Ok) {
-    TakeWritten(aState, aCommand, aReply, aNow);
+    TakeWritten(aState, aCommand, aReply, aNow, aEffects);
     return;
   }
   aState.counters_.slotConflicts_ += isWrite ? 1 : 0;
--- a/src/rollout/step.cc
+++ b/src/rollout/step.cc
@@ -57,7 +57,7 @@
       return;
     case Purpose::ReadSlots:
     case Purpose::WriteSlots:
-      TakeSlotsReply(aState, command, reply, aNow);
+      TakeSlotsReply(aState, command, reply, aNow, aEffects);
       return;
     case Purpose::ListRecords:
     case Purpose::ReadRecord:
--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -846,6 +846,29 @@
   }
 }
 
+TEST_CASE("a late write takes no slot away from a target that loads")
+{
+  for (int run = 0; run < 20; ++run) {
+    World world(3, Seed(500) + static_cast<std::uint64_t>(run));
+    world.faults_.lateWrite_ = 0.3;
+    world.slowFactor_ = 6.0;
+    world.Run(absl::Seconds(30));
+    for (int version = 1; version <= 80; ++version) {
+      for (const char* model : kModels) {
+        if (world.Pick(3) == 0) {
+          world.StartRollout(model, "v" + std::to_string(version));
+        }
+      }
+      world.Run(absl::Seconds(6 * world.Uniform()));
+    }
+    world.faults_ = {};
+    world.StartRollout("large", "last");
+    world.RunUntil(absl::Minutes(5),
+                   [&] { return world.IsDone("large", "last"); });
+    REQUIRE(world.IsDone("large", "last"));
+  }
+}
+
 namespace {
 
 // Starts one random fault and schedules its end.
