--- a/src/load/bench-command.cc
+++ b/src/load/bench-command.cc
@@ -143,6 +143,7 @@
     [&](std::uint32_t aIndex) { return EntryCall(aBench, aIndex, 1, false); });
   const double seconds = absl::ToDoubleSeconds(absl::Now() - start);
   std::vector<double> milliseconds;
+  milliseconds.reserve(times.size());
   for (const CallTimes& call : times) {
     milliseconds.push_back(
       absl::ToDoubleMilliseconds(call.endedAt_ - call.startedAt_));
--- a/src/load/entry-book.cc
+++ b/src/load/entry-book.cc
@@ -71,14 +71,14 @@
     const std::size_t place = (at + aWorkspace) % cluster_.entries_.size();
     urls.push_back(cluster_.entries_[place].http_);
   }
-  Ask(aWorkspace, std::move(urls), 0);
+  Ask(aWorkspace, urls, 0);
 }
 
 void
-EntryBook::Ask(std::uint32_t aWorkspace, Urls aHosts, std::size_t aNext)
+EntryBook::Ask(std::uint32_t aWorkspace, const Urls& aHosts, std::size_t aNext)
 {
   if (aNext == aHosts.size()) {
-    Store(aWorkspace, std::move(aHosts), kFallbackTtl);
+    Store(aWorkspace, aHosts, kFallbackTtl);
     return;
   }
   net::Call call;
@@ -88,17 +88,19 @@
                                    cluster_.workspaces_[aWorkspace].key_) } };
   call.timeout_ = kAskLimit;
   client_.Fetch(call, [this, aWorkspace, aHosts, aNext](net::Answer&& aAnswer) {
-    List list = ParseList(aAnswer);
+    const List list = ParseList(aAnswer);
     if (list.urls_.empty()) {
       Ask(aWorkspace, aHosts, aNext + 1);
     } else {
-      Store(aWorkspace, std::move(list.urls_), list.ttl_);
+      Store(aWorkspace, list.urls_, list.ttl_);
     }
   });
 }
 
 void
-EntryBook::Store(std::uint32_t aWorkspace, Urls aUrls, absl::Duration aTtl)
+EntryBook::Store(std::uint32_t aWorkspace,
+                 const Urls& aUrls,
+                 absl::Duration aTtl)
 {
   std::vector<Callback> waiting;
   {
--- a/src/load/entry-book.h
+++ b/src/load/entry-book.h
@@ -37,8 +37,8 @@
     std::vector<Callback> waiting_;
   };
 
-  void Ask(std::uint32_t aWorkspace, Urls aHosts, std::size_t aNext);
-  void Store(std::uint32_t aWorkspace, Urls aUrls, absl::Duration aTtl);
+  void Ask(std::uint32_t aWorkspace, const Urls& aHosts, std::size_t aNext);
+  void Store(std::uint32_t aWorkspace, const Urls& aUrls, absl::Duration aTtl);
 
   net::Client& client_;
   const Cluster& cluster_;
--- a/src/load/report-format.cc
+++ b/src/load/report-format.cc
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
 #include <nlohmann/json.hpp>
 
 namespace lycheeplank::load {
@@ -53,6 +54,9 @@
   text +=
     Line("blocks of other workspaces", absl::StrCat(aReport.foreignBlocks_));
   text += Line("blocks of other versions", absl::StrCat(aReport.staleBlocks_));
+  if (!aReport.silent_.empty()) {
+    text += Line("not checked, no answer", absl::StrJoin(aReport.silent_, " "));
+  }
   return text;
 }
 
@@ -155,6 +159,7 @@
                   { { "ttft_ms", SummaryJson(aReport.bound_.firstToken_) },
                     { "recomputed_share", aReport.bound_.recomputedShare_ },
                     { "link_bytes", aReport.bound_.linkBytes_ } } },
+                { "silent", aReport.silent_ },
                 { "clean", IsClean(aReport) } })
     .dump(2);
 }
--- a/src/load/report.cc
+++ b/src/load/report.cc
@@ -141,6 +141,7 @@
   aReport.linkBytes_ = audit.linkBytes_;
   aReport.foreignBlocks_ = audit.foreignBlocks_;
   aReport.staleBlocks_ = audit.staleBlocks_;
+  aReport.silent_ = audit.silent_;
   const std::uint64_t necessary = NecessaryTokens(aResult);
   const std::uint64_t recomputed =
     audit.computedTokens_ > necessary ? audit.computedTokens_ - necessary : 0;
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -49,6 +49,8 @@
   std::uint64_t linkBytes_ = 0;
   std::uint64_t foreignBlocks_ = 0;
   std::uint64_t staleBlocks_ = 0;
+  // Members that could not be asked what they did.
+  std::vector<std::string> silent_;
   Summary startLag_;
   BoundSummary bound_;
 };
--- a/src/load/subprocess.cc
+++ b/src/load/subprocess.cc
@@ -14,6 +14,7 @@
 {
   std::vector<std::string> texts = aArguments;
   std::vector<char*> arguments;
+  arguments.reserve(texts.size() + 1);
   for (std::string& text : texts) {
     arguments.push_back(text.data());
   }
--- /dev/null
+++ b/test/load-test.cc
@@ -0,0 +1,547 @@
+#include "load/run.h"
+
+#include <atomic>
+#include <set>
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
+#include <absl/synchronization/mutex.h>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "load/completion-reader.h"
+#include "load/experiment-report.h"
+#include "load/report.h"
+#include "load/statistics.h"
+#include "standin/standin.h"
+
+namespace config = lycheeplank::config;
+namespace core = lycheeplank::core;
+namespace net = lycheeplank::net;
+namespace standin = lycheeplank::standin;
+using namespace lycheeplank::load;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::uint32_t kBlockTokens = 8;
+
+TraceOptions
+ShortTrace(Profile aProfile)
+{
+  TraceOptions options;
+  options.profile_ = aProfile;
+  options.requestsPerSecond_ = 40.0;
+  options.duration_ = absl::Seconds(1);
+  options.minGap_ = absl::Milliseconds(100);
+  options.workspaces_ = 3;
+  return options;
+}
+
+// A trace of drafts at the given seconds with the given documents.
+Trace
+DraftTrace(const std::vector<std::pair<double, std::uint32_t>>& aDrafts,
+           std::vector<Document> aDocuments)
+{
+  Trace trace;
+  trace.documents_ = std::move(aDocuments);
+  std::vector<absl::Duration> last(trace.documents_.size(),
+                                   absl::InfiniteDuration());
+  for (const auto& [second, document] : aDrafts) {
+    Arrival arrival;
+    arrival.at_ = absl::Seconds(second);
+    arrival.document_ = document;
+    if (last[document] != absl::InfiniteDuration()) {
+      arrival.gap_ = arrival.at_ - last[document];
+    }
+    last[document] = arrival.at_;
+    trace.arrivals_.push_back(arrival);
+  }
+  return trace;
+}
+
+std::vector<Origin>
+OriginsOf(const std::vector<BoundStep>& aSteps)
+{
+  std::vector<Origin> origins;
+  origins.reserve(aSteps.size());
+  for (const BoundStep& step : aSteps) {
+    origins.push_back(step.origin_);
+  }
+  return origins;
+}
+
+// How the fake entry host misbehaves.
+struct Mischief
+{
+  // Streams are cut after some tokens, once each.
+  bool cutStreams_ = false;
+  // Every stream has the text of another prompt.
+  bool crossAnswers_ = false;
+  // Calls are sent to the service twice.
+  bool repeatCalls_ = false;
+  // Calls are executed and then refused as not run.
+  bool lieAboutCalls_ = false;
+  // Completions are refused.
+  bool refuse_ = false;
+};
+
+std::string
+Url(std::uint16_t aPort)
+{
+  return absl::StrCat("http://127.0.0.1:", aPort);
+}
+
+// An entry host that makes answers up and passes service calls on.
+class FakeEntry
+{
+public:
+  FakeEntry(Mischief aMischief, std::string aServiceUrl)
+    : mischief_(aMischief)
+    , serviceUrl_(std::move(aServiceUrl))
+    , server_({}, [this](const std::shared_ptr<net::Exchange>& aExchange) {
+      Handle(aExchange);
+    })
+  {
+  }
+
+  std::string HttpUrl() const { return Url(server_.Port()); }
+
+private:
+  using ExchangePtr = std::shared_ptr<net::Exchange>;
+
+  void Handle(const ExchangePtr& aExchange)
+  {
+    const std::string& path = aExchange->request_.path_;
+    if (path == "/v1/entries") {
+      const Json list{ { "ttl_ms", 1000 },
+                       { "entries",
+                         { { { "name", "e1" }, { "http", HttpUrl() } } } } };
+      aExchange->Reply(200, {}, list.dump());
+    } else if (path == "/v1/completions") {
+      Complete(aExchange);
+    } else {
+      PassOn(aExchange);
+    }
+  }
+
+  void Complete(const ExchangePtr& aExchange)
+  {
+    if (mischief_.refuse_) {
+      aExchange->Reply(503, {}, R"({"kind":"queue_full","run":"no"})");
+      return;
+    }
+    const Json body = Json::parse(aExchange->request_.body_);
+    const auto prompt = body.at("prompt").get<std::string>();
+    const auto tokens = body.at("max_tokens").get<std::uint32_t>();
+    const std::string text = ExpectedText(
+      mischief_.crossAnswers_ ? prompt + "x" : prompt, "wording", "v1", tokens);
+    std::uint32_t next = 0;
+    const auto resumed =
+      net::Find(aExchange->request_.headers_, "Last-Event-ID");
+    const bool cut = mischief_.cutStreams_ && resumed.empty();
+    if (absl::SimpleAtoi(resumed, &next)) {
+      ++next;
+    }
+    aExchange->BeginStream(200, {});
+    for (; next < (cut ? tokens / 2 : tokens); ++next) {
+      const Json event{
+        { "choices",
+          { { { "index", 0 }, { "text", text.substr(next * 4ULL, 4) } } } }
+      };
+      aExchange->Write(net::FormatSse(absl::StrCat(next), event.dump()));
+    }
+    if (cut) {
+      aExchange->Abort();
+      return;
+    }
+    aExchange->Write(net::FormatSse(
+      "", R"({"choices":[{"text":"","finish_reason":"length"}]})"));
+    aExchange->Write(net::FormatSse("", "[DONE]"));
+    aExchange->End();
+  }
+
+  void PassOn(const ExchangePtr& aExchange)
+  {
+    net::Call call;
+    call.method_ = "POST";
+    const std::string& path = aExchange->request_.path_;
+    call.url_ = serviceUrl_ + "/v1/calls" + path.substr(path.find_last_of('/'));
+    call.headers_ = { { "Idempotency-Key",
+                        std::string(net::Find(aExchange->request_.headers_,
+                                              "Idempotency-Key")) } };
+    call.body_ = aExchange->request_.body_;
+    if (mischief_.repeatCalls_) {
+      client_.Fetch(call, [](net::Answer&&) {});
+    }
+    client_.Fetch(call, [this, aExchange](net::Answer&& aAnswer) {
+      if (mischief_.lieAboutCalls_) {
+        aExchange->Reply(503, {}, R"({"kind":"no_target","run":"no"})");
+      } else {
+        aExchange->Reply(aAnswer.end_.status_, {}, aAnswer.body_);
+      }
+    });
+  }
+
+  Mischief mischief_;
+  std::string serviceUrl_;
+  net::Client client_;
+  net::Server server_;
+};
+
+// Runs a short trace against a fake entry host and real stand-ins.
+Report
+RunAgainst(Mischief aMischief, Profile aProfile = Profile::CoOperative)
+{
+  standin::EngineOptions engineOptions;
+  engineOptions.blockTokens_ = kBlockTokens;
+  const auto engine = standin::StartEngine(engineOptions);
+  const auto service = standin::StartService({});
+  const auto store = standin::StartStore({});
+  FakeEntry entry(aMischief, Url(service->Port()));
+  Cluster cluster;
+  cluster.entries_ = { { "e1", entry.HttpUrl() } };
+  cluster.engines_ = { { "g1", Url(engine->Port()) } };
+  cluster.services_ = { { "s1", Url(service->Port()) } };
+  cluster.stores_ = { { "t1", Url(store->Port()) } };
+  cluster.workspaces_ = { { "w1", "k1" }, { "w2", "k2" } };
+  return MakeReport(RunTrace(cluster, ShortTrace(aProfile)));
+}
+
+} // namespace
+
+TEST_CASE("equal options give equal traces, other seeds other ones")
+{
+  TraceOptions options = ShortTrace(Profile::CoOperative);
+  options.duration_ = absl::Seconds(20);
+  const auto fingerprint = [](const Trace& aTrace) {
+    std::string text;
+    for (const Arrival& arrival : aTrace.arrivals_) {
+      absl::StrAppend(&text,
+                      absl::ToInt64Microseconds(arrival.at_),
+                      core::NameOf(kTasks, arrival.task_),
+                      arrival.workspace_,
+                      arrival.document_,
+                      arrival.nonce_);
+    }
+    return text;
+  };
+  const std::string first = fingerprint(MakeTrace(options));
+  CHECK(first == fingerprint(MakeTrace(options)));
+  options.seed_ = 2;
+  CHECK(first != fingerprint(MakeTrace(options)));
+}
+
+TEST_CASE("arrivals come at the rate, in order and before the end")
+{
+  TraceOptions options = ShortTrace(Profile::Authority);
+  options.duration_ = absl::Seconds(100);
+  const Trace trace = MakeTrace(options);
+  CHECK(trace.arrivals_.size() > 3600);
+  CHECK(trace.arrivals_.size() < 4400);
+  absl::Duration last = absl::ZeroDuration();
+  for (const Arrival& arrival : trace.arrivals_) {
+    CHECK(arrival.at_ >= last);
+    last = arrival.at_;
+  }
+  CHECK(last < options.duration_);
+}
+
+TEST_CASE("the kinds of request have their shares")
+{
+  for (const auto& profile : kProfiles) {
+    TraceOptions options = ShortTrace(profile.value_);
+    options.duration_ = absl::Seconds(200);
+    const Trace trace = MakeTrace(options);
+    double shares = 0.0;
+    for (const TaskTraits& task : TasksOf(profile.value_)) {
+      const auto count = std::count_if(
+        trace.arrivals_.begin(), trace.arrivals_.end(), [&](const auto& aEach) {
+          return aEach.task_ == task.task_;
+        });
+      CHECK(static_cast<double>(count) / trace.arrivals_.size() ==
+            Approx(task.share_).margin(0.03));
+      shares += task.share_;
+    }
+    CHECK(shares == Approx(1.0));
+  }
+}
+
+TEST_CASE("texts return to their own workspace after the shortest gap")
+{
+  TraceOptions options = ShortTrace(Profile::CoOperative);
+  options.duration_ = absl::Seconds(20);
+  options.minGap_ = absl::Seconds(2);
+  const Trace trace = MakeTrace(options);
+  std::set<std::uint32_t> seen;
+  std::size_t returns = 0;
+  for (const Arrival& arrival : trace.arrivals_) {
+    if (arrival.task_ != Task::Draft) {
+      continue;
+    }
+    const bool isNew = seen.insert(arrival.document_).second;
+    CHECK(isNew == (arrival.gap_ == absl::ZeroDuration()));
+    CHECK((isNew || arrival.gap_ >= options.minGap_));
+    CHECK(trace.documents_[arrival.document_].workspace_ == arrival.workspace_);
+    returns += isNew ? 0 : 1;
+  }
+  CHECK(returns > 50);
+}
+
+TEST_CASE("prompts of one text share all its blocks and no others")
+{
+  const Trace trace =
+    DraftTrace({ { 0, 0 }, { 1, 0 }, { 2, 1 } }, { { 0, 3 }, { 0, 3 } });
+  const auto chain = [&](std::size_t aIndex) {
+    Arrival arrival = trace.arrivals_[aIndex];
+    arrival.nonce_ = aIndex;
+    return core::BlockChain(
+      {}, PromptOf(trace, arrival, kBlockTokens), kBlockTokens);
+  };
+  const auto first = chain(0);
+  const auto second = chain(1);
+  REQUIRE(first.size() >= 3);
+  REQUIRE(second.size() >= 3);
+  CHECK(std::equal(first.begin(), first.begin() + 3, second.begin()));
+  CHECK(first[0] != chain(2)[0]);
+}
+
+TEST_CASE("percentiles are samples by nearest rank")
+{
+  std::vector<double> samples;
+  for (int i = 100; i > 0; --i) {
+    samples.push_back(i);
+  }
+  const Summary summary = Summarise(samples);
+  CHECK(summary.count_ == 100);
+  CHECK(summary.mean_ == Approx(50.5));
+  CHECK(summary.p50_ == 50.0);
+  CHECK(summary.p95_ == 95.0);
+  CHECK(summary.p99_ == 99.0);
+  CHECK(summary.max_ == 100.0);
+  CHECK(Summarise({}).p99_ == 0.0);
+  CHECK(Summarise({ 7.0 }).p50_ == 7.0);
+}
+
+TEST_CASE("the bound keeps in memory what returns first")
+{
+  const Trace trace =
+    DraftTrace({ { 0, 0 }, { 1, 1 }, { 2, 2 }, { 3, 1 }, { 4, 2 }, { 5, 0 } },
+               { { 0, 2 }, { 0, 2 }, { 0, 2 } });
+  Hardware hardware;
+  hardware.blockTokens_ = 1000;
+  hardware.prefillTokensPerSecond_ = 1000;
+  hardware.kvBytesPerToken_ = 1;
+  hardware.linkBytesPerSecond_ = 2000;
+  hardware.cacheBlocks_ = 4;
+  const auto steps = ClairvoyantBound(trace, hardware);
+  CHECK(OriginsOf(steps) == std::vector<Origin>{ Origin::New,
+                                                 Origin::New,
+                                                 Origin::New,
+                                                 Origin::Memory,
+                                                 Origin::Memory,
+                                                 Origin::Import });
+  CHECK(steps[5].linkBytes_ == 2000);
+  CHECK(absl::ToDoubleSeconds(steps[5].firstToken_) ==
+        Approx(1.0).margin(0.05));
+  CHECK(absl::ToDoubleSeconds(steps[0].firstToken_) ==
+        Approx(2.0).margin(0.05));
+}
+
+TEST_CASE("the bound recomputes where the link is slower")
+{
+  const Trace trace = DraftTrace({ { 0, 0 }, { 1, 0 } }, { { 0, 2 } });
+  Hardware hardware;
+  hardware.blockTokens_ = 1000;
+  hardware.prefillTokensPerSecond_ = 1000;
+  hardware.kvBytesPerToken_ = 1000;
+  hardware.linkBytesPerSecond_ = 1000;
+  hardware.cacheBlocks_ = 1;
+  const auto steps = ClairvoyantBound(trace, hardware);
+  CHECK(steps[1].origin_ == Origin::Recompute);
+  const BoundSummary summary = SummariseBound(steps);
+  CHECK(summary.recomputedShare_ == Approx(0.5).margin(0.01));
+  CHECK(summary.linkBytes_ == 0);
+}
+
+TEST_CASE("a stream is read across its pieces")
+{
+  Completion completion;
+  net::SseParser parser;
+  const std::string stream =
+    net::FormatSse("a", R"({"choices":[{"text":" abc"}]})") +
+    net::FormatSse("b", R"({"choices":[{"text":" def"}]})") +
+    net::FormatSse("",
+                   R"({"choices":[{"text":"","finish_reason":"length"}]})") +
+    net::FormatSse("", "[DONE]");
+  for (const char byte : stream) {
+    ReadPiece(
+      completion, parser, absl::string_view(&byte, 1), absl::UnixEpoch());
+  }
+  CHECK(completion.text_ == " abc def");
+  CHECK(completion.tokens_ == 2);
+  CHECK(completion.tokenGaps_.size() == 1);
+  CHECK(completion.lastId_ == "b");
+  CHECK(completion.done_);
+}
+
+TEST_CASE("an error within a stream is a refusal")
+{
+  Completion completion;
+  net::SseParser parser;
+  ReadPiece(
+    completion,
+    parser,
+    net::FormatSse("", R"({"error":{"kind":"target_failed","run":"yes"}})"),
+    absl::UnixEpoch());
+  REQUIRE(completion.problem_);
+  CHECK(completion.problem_->kind_ == "target_failed");
+  CHECK(completion.problem_->run_ == "yes");
+}
+
+TEST_CASE("a completion is right under any version that was served")
+{
+  Completion completion;
+  completion.text_ = ExpectedText("p", "wording", "v2", 3);
+  completion.tokens_ = 3;
+  completion.done_ = true;
+  completion.finishReason_ = "length";
+  CHECK(IsRight(completion, "p", "wording", { "v1", "v2" }, 3));
+  CHECK_FALSE(IsRight(completion, "p", "wording", { "v1" }, 3));
+  CHECK_FALSE(IsRight(completion, "q", "wording", { "v1", "v2" }, 3));
+  CHECK_FALSE(IsRight(completion, "p", "wording", { "v1", "v2" }, 4));
+  completion.done_ = false;
+  CHECK_FALSE(IsRight(completion, "p", "wording", { "v1", "v2" }, 3));
+}
+
+TEST_CASE("the audit finds blocks of others and counts calls by key")
+{
+  Audit audit;
+  const Json engine{
+    { "runs",
+      { { { "cache_salt", "w0" },
+          { "weight_version", "v1" },
+          { "prompt_tokens", 5 },
+          { "computed_tokens", 5 },
+          { "cached_blocks", 0 },
+          { "imported_blocks", 0 },
+          { "blocks", Json::array() } },
+        { { "cache_salt", "w1" },
+          { "weight_version", "v2" },
+          { "prompt_tokens", 30 },
+          { "computed_tokens", 10 },
+          { "cached_blocks", 2 },
+          { "imported_blocks", 0 },
+          { "blocks",
+            { { { "cache_salt", "w1" }, { "weight_version", "v1" } },
+              { { "cache_salt", "w2" }, { "weight_version", "v2" } } } } } } }
+  };
+  AddEngine(audit, engine.dump(), 1);
+  CHECK(audit.runs_ == 1);
+  CHECK(audit.promptTokens_ == 30);
+  CHECK(audit.computedTokens_ == 10);
+  CHECK(audit.foreignBlocks_ == 1);
+  CHECK(audit.staleBlocks_ == 1);
+  AddService(audit, R"({"calls":[{"key":"a"},{"key":""},{"key":"a"}]})");
+  CHECK(audit.callsByKey_.at("a") == 2);
+  CHECK(audit.callsByKey_.size() == 1);
+}
+
+TEST_CASE("a cluster file without entry hosts is refused")
+{
+  const auto read = [](const std::string& aText) {
+    return core::HandleError(
+      [&]() -> core::Result<std::string> {
+        BOOST_LEAF_AUTO(cluster, ParseCluster(aText));
+        return cluster.engines_.at(0).http_;
+      },
+      [](const core::Error& aError) {
+        return std::string(core::TraitsOf(aError.kind_).name_);
+      });
+  };
+  CHECK(read("{}") == "config_invalid");
+  CHECK(read(R"({"entries":[],"targets":[],"stores":[],"workspaces":[]})") ==
+        "config_invalid");
+  CHECK(read(R"({"entries":[{"name":"e","http":"h"}],
+                 "targets":[{"name":"g","kind":"engine","http":"x"}],
+                 "stores":[],"workspaces":[{"name":"w","key":"k"}]})") == "x");
+}
+
+TEST_CASE("a run against an honest system is clean")
+{
+  for (const auto& profile : kProfiles) {
+    const Report report = RunAgainst({}, profile.value_);
+    CHECK(report.requests_ > 20);
+    CHECK(report.answered_ == report.requests_);
+    CHECK(report.repeats_ == 0);
+    CHECK(IsClean(report));
+    CHECK(FormatTable(report).find("answered") != std::string::npos);
+    CHECK(Json::parse(FormatJson(report)).at("clean") == true);
+  }
+}
+
+TEST_CASE("cut streams are resumed and come whole")
+{
+  Mischief mischief;
+  mischief.cutStreams_ = true;
+  const Report report = RunAgainst(mischief);
+  CHECK(report.resumes_ > 0);
+  CHECK(IsClean(report));
+}
+
+TEST_CASE("crossed answers are found")
+{
+  Mischief mischief;
+  mischief.crossAnswers_ = true;
+  const Report report = RunAgainst(mischief);
+  CHECK(report.wrong_ > 0);
+  CHECK_FALSE(IsClean(report));
+}
+
+TEST_CASE("calls that were executed twice are found")
+{
+  Mischief mischief;
+  mischief.repeatCalls_ = true;
+  const Report report = RunAgainst(mischief, Profile::Authority);
+  CHECK(report.duplicates_ > 0);
+  CHECK_FALSE(IsClean(report));
+}
+
+TEST_CASE("refusals that were executed in truth are found")
+{
+  Mischief mischief;
+  mischief.lieAboutCalls_ = true;
+  const Report report = RunAgainst(mischief);
+  CHECK(report.falseRefusals_ > 0);
+  CHECK(report.refusals_.at("no_target") > 0);
+  CHECK_FALSE(IsClean(report));
+}
+
+TEST_CASE("refusals are counted by kind")
+{
+  Mischief mischief;
+  mischief.refuse_ = true;
+  const Report report = RunAgainst(mischief);
+  CHECK(report.refusals_.at("queue_full") > 0);
+  CHECK(report.refusals_.size() == 1);
+}
+
+TEST_CASE("an experiment's files have a line for each policy and the bound")
+{
+  Report report;
+  report.firstToken_.p50_ = 12.0;
+  report.recomputedShare_ = 0.25;
+  const std::vector<PolicyResult> results{ { config::Policy::Estimate, report },
+                                           { config::Policy::Sticky, report } };
+  CHECK(FormatPolicyCsv(results) ==
+        "policy,ttft_p50_ms,ttft_p95_ms,ttft_p99_ms,recomputed_share,"
+        "link_bytes\n"
+        "estimate,12.00,0.00,0.00,0.2500,0\n"
+        "sticky,12.00,0.00,0.00,0.2500,0\n"
+        "bound,0.00,0.00,0.00,0.0000,0\n");
+  const std::string text = FormatExperiment({}, results);
+  CHECK(absl::StrContains(text, "| estimate | 12 |"));
+  CHECK(absl::StrContains(text, "| clairvoyant bound |"));
+}
