--- a/src/load/bench-command.cc
+++ b/src/load/bench-command.cc
@@ -222,7 +222,7 @@
 {
   return core::HandleError(
     [&]() -> core::Result<int> {
-      BOOST_LEAF_AUTO(cluster, ReadCluster(aOptions.clusterPath_));
+      BOOST_LEAF_AUTO(cluster, OpenCluster(aOptions.cluster_));
       net::Client client(kClientThreads);
       const Hardware hardware = ReadHardware(client, cluster);
       const Figures figures =
--- a/src/load/cluster.cc
+++ b/src/load/cluster.cc
@@ -1,8 +1,10 @@
 #include "load/cluster.h"
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
 
+#include <absl/algorithm/container.h>
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
@@ -76,4 +78,26 @@
   return ParseCluster({ std::istreambuf_iterator<char>(file), {} });
 }
 
+core::Result<Cluster>
+WithWorkspaces(Cluster aCluster, const std::vector<std::string>& aNames)
+{
+  if (aNames.empty()) {
+    return aCluster;
+  }
+  auto& workspaces = aCluster.workspaces_;
+  workspaces.erase(std::remove_if(workspaces.begin(),
+                                  workspaces.end(),
+                                  [&](const Workspace& aEach) {
+                                    return !absl::c_linear_search(aNames,
+                                                                  aEach.name_);
+                                  }),
+                   workspaces.end());
+  if (workspaces.empty()) {
+    return core::Fail({ core::ErrorKind::NotFound,
+                        "the cluster has none of the named workspaces",
+                        "name others with --workspaces" });
+  }
+  return aCluster;
+}
+
 } // namespace lycheeplank::load
--- a/src/load/cluster.h
+++ b/src/load/cluster.h
@@ -39,6 +39,10 @@
 core::Result<Cluster>
 ReadCluster(const std::string& aPath);
 
+// Leaves only the named workspaces; none named leaves all.
+core::Result<Cluster>
+WithWorkspaces(Cluster aCluster, const std::vector<std::string>& aNames);
+
 } // namespace lycheeplank::load
 
 #endif
--- a/src/load/experiment-command.cc
+++ b/src/load/experiment-command.cc
@@ -50,7 +50,9 @@
              const std::string& aDir,
              config::Policy aPolicy)
 {
-  BOOST_LEAF_AUTO(cluster, ReadCluster(aDir + "/cluster.json"));
+  BOOST_LEAF_AUTO(
+    cluster,
+    OpenCluster({ aDir + "/cluster.json", aOptions.cluster_.workspaces_ }));
   const RunResult result = RunTrace(cluster, aOptions.trace_);
   PolicyResult policy{ aPolicy, MakeReport(result) };
   const std::string name = Text(core::NameOf(config::kPolicies, aPolicy));
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -90,10 +90,25 @@
     aApp, "min-gap", aOptions.minGap_, "shortest seconds until a text returns");
 }
 
+void
+AddWorkspaces(CLI::App& aApp, ClusterOptions& aOptions)
+{
+  AddFlag(aApp, "workspaces", aOptions.workspaces_, "senders; empty: all")
+    ->delimiter(',')
+    ->expected(0, -1);
+}
+
+void
+AddCluster(CLI::App& aApp, ClusterOptions& aOptions)
+{
+  AddFlag(aApp, "cluster", aOptions.path_, "cluster.json")->required();
+  AddWorkspaces(aApp, aOptions);
+}
+
 void
 AddRun(CLI::App& aApp, RunOptions& aOptions)
 {
-  AddFlag(aApp, "cluster", aOptions.clusterPath_, "cluster.json")->required();
+  AddCluster(aApp, aOptions.cluster_);
   AddTrace(aApp, aOptions.trace_);
   AddFlag(aApp, "report", aOptions.reportDir_, "folder for result files");
   AddChoice(aApp, "output", kOutputFormats, aOptions.output_);
@@ -102,7 +117,7 @@
 void
 AddBench(CLI::App& aApp, BenchOptions& aOptions)
 {
-  AddFlag(aApp, "cluster", aOptions.clusterPath_, "cluster.json")->required();
+  AddCluster(aApp, aOptions.cluster_);
   AddChoice(aApp, "mode", kBenchModes, aOptions.mode_)->required();
   AddFlag(aApp, "parallel", aOptions.parallel_, "requests at the same time");
   AddFlag(aApp, "requests", aOptions.requests_, "requests in all");
@@ -129,6 +144,7 @@
 void
 AddExperiment(CLI::App& aApp, ExperimentOptions& aOptions)
 {
+  AddWorkspaces(aApp, aOptions.cluster_);
   AddTrace(aApp, aOptions.trace_);
   aApp
     .add_option_function<std::string>(
--- a/src/load/options.h
+++ b/src/load/options.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "load/cluster.h"
 #include "load/workload.h"
 #include "lycheeplank/config.h"
 #include "lycheeplank/core.h"
@@ -40,9 +41,18 @@
   { BenchMode::Latency, "latency" },
 } };
 
+// Where load goes.
+struct ClusterOptions
+{
+  // Path of cluster.json.
+  std::string path_;
+  // Workspaces that send requests; empty: all.
+  std::vector<std::string> workspaces_{ "co-operative", "authority" };
+};
+
 struct RunOptions
 {
-  std::string clusterPath_;
+  ClusterOptions cluster_;
   TraceOptions trace_;
   // Folder for files; empty for none.
   std::string reportDir_;
@@ -51,7 +61,7 @@
 
 struct BenchOptions
 {
-  std::string clusterPath_;
+  ClusterOptions cluster_;
   BenchMode mode_ = BenchMode::Relay;
   // Requests at the same time.
   std::uint32_t parallel_ = 64;
@@ -62,6 +72,8 @@
 
 struct ExperimentOptions
 {
+  // The path is that of each cluster started.
+  ClusterOptions cluster_;
   TraceOptions trace_;
   std::vector<config::Policy> policies_;
   std::string reportDir_;
@@ -73,6 +85,10 @@
   std::uint32_t stores_ = 1;
 };
 
+// Reads the cluster with the workspaces that send requests.
+core::Result<Cluster>
+OpenCluster(const ClusterOptions& aOptions);
+
 // Each runs one subcommand and returns the exit code of the program.
 int
 RunCommand(const RunOptions& aOptions);
--- a/src/load/run-command.cc
+++ b/src/load/run-command.cc
@@ -11,12 +11,19 @@
 
 namespace lycheeplank::load {
 
+core::Result<Cluster>
+OpenCluster(const ClusterOptions& aOptions)
+{
+  BOOST_LEAF_AUTO(cluster, ReadCluster(aOptions.path_));
+  return WithWorkspaces(std::move(cluster), aOptions.workspaces_);
+}
+
 int
 RunCommand(const RunOptions& aOptions)
 {
   return core::HandleError(
     [&]() -> core::Result<int> {
-      BOOST_LEAF_AUTO(cluster, ReadCluster(aOptions.clusterPath_));
+      BOOST_LEAF_AUTO(cluster, OpenCluster(aOptions.cluster_));
       const RunResult result = RunTrace(cluster, aOptions.trace_);
       const Report report = MakeReport(result);
       const std::string text = aOptions.output_ == OutputFormat::Json
