--- a/src/load/bench-command.cc
+++ b/src/load/bench-command.cc
@@ -143,6 +143,7 @@
     [&](std::uint32_t aIndex) { return EntryCall(aBench, aIndex, 1, false); });
   const double seconds = absl::ToDoubleSeconds(absl::Now() - start);
   std::vector<double> milliseconds;
+  milliseconds.reserve(times.size());
   for (const CallTimes& call : times) {
     milliseconds.push_back(
       absl::ToDoubleMilliseconds(call.endedAt_ - call.startedAt_));
@@ -221,7 +222,7 @@
 {
   return core::HandleError(
     [&]() -> core::Result<int> {
-      BOOST_LEAF_AUTO(cluster, ReadCluster(aOptions.clusterPath_));
+      BOOST_LEAF_AUTO(cluster, OpenCluster(aOptions.cluster_));
       net::Client client(kClientThreads);
       const Hardware hardware = ReadHardware(client, cluster);
       const Figures figures =
