--- a/include/lycheeplank/claims.h
+++ b/include/lycheeplank/claims.h
@@ -97,9 +97,9 @@
   // Longest time until an ask or a report is answered.
   absl::Duration askTimeout_ = absl::Seconds(1);
   // Shortest time between two writes of one shard's register.
-  absl::Duration writeInterval_ = absl::Milliseconds(50);
+  absl::Duration writeInterval_ = absl::Milliseconds(100);
   // Longest time that an outcome waits for a claim to share its write.
-  absl::Duration outcomeDelay_ = absl::Milliseconds(200);
+  absl::Duration outcomeDelay_ = absl::Milliseconds(500);
   // How long a holder's word that it is running an attempt counts.
   absl::Duration runningFresh_ = absl::Seconds(5);
   absl::Duration firstBackoff_ = absl::Milliseconds(50);
--- a/src/claims/shard.cc
+++ b/src/claims/shard.cc
@@ -352,6 +352,8 @@
     AdoptOwn(aContext, aShard, aFlight, aReply);
   } else if (aReply.outcome_ == platform::Outcome::Conflict) {
     Raise(aContext, Counter::Conflict);
+    // The loser of a race goes next; the winner waits for its interval.
+    aShard.nextWriteAt_ = absl::InfinitePast();
     AdoptForeign(aContext, aShard, aFlight, aReply);
   } else {
     NoteFailure(aContext, aShard);
