Keep claims going when a host's clock is set back

Timeouts and write intervals followed the wall clock, so a clock set back by hours would have stopped a shard for as long; they now follow a time that never goes back. Object names in the register lose their prefix, which made up half of each reference.

--- a/include/lycheeplank/claims.h
+++ b/include/lycheeplank/claims.h
@@ -278,6 +278,13 @@
   absl::Time sent_;
 };
 
+// An ask or report that came before the number of shards was known.
+struct Early
+{
+  Event event_;
+  absl::Time since_;
+};
+
 // Everything one host knows of claims; starts empty after a restart.
 struct State
 {
@@ -286,14 +293,18 @@
   std::uint32_t shards_ = 0;
   bool layoutAsked_ = false;
   absl::Time layoutRetryAt_ = absl::InfinitePast();
-  // Asks and reports that came before the number of shards was known.
-  std::vector<Event> early_;
+  std::vector<Early> early_;
   // Ordered, so that equal events have equal effects.
   absl::btree_map<std::uint32_t, std::shared_ptr<Shard>> loaded_;
   absl::flat_hash_map<std::uint64_t, Flight> flights_;
   std::uint64_t lastCommand_ = 0;
   std::uint64_t lastObject_ = 0;
   std::uint64_t lastReport_ = 0;
+  // Time of the latest event, and how far the clock was set back in all.
+  absl::Time wallClock_ = absl::InfinitePast();
+  absl::Duration setBack_ = absl::ZeroDuration();
+  // Never goes back.
+  absl::Time now_ = absl::InfinitePast();
 };
 
 // Handles one event and returns what has to be done.
--- a/src/claims/answers.cc
+++ b/src/claims/answers.cc
@@ -40,7 +40,7 @@
   aAsk.fetching_ = true;
   platform::Command command;
   command.operation_ = platform::Operation::Read;
-  command.key_ = aName;
+  command.key_ = ObjectKey(aShard, aName);
   Send(
     aContext, { aPurpose, aShard.number_, aAsk.ticket_ }, std::move(command));
 }
@@ -162,12 +162,12 @@
     }
     auto& name = report.record_.answerObject_;
     if (name.empty()) {
-      name = NewObjectName(aContext, aShard, kAnswerKind);
+      name = NewObjectName(aContext, kAnswerKind);
     }
     report.writing_ = true;
     platform::Command command;
     command.operation_ = platform::Operation::Write;
-    command.key_ = name;
+    command.key_ = ObjectKey(aShard, name);
     command.value_ = report.record_.answer_.body_;
     Send(aContext,
          { Purpose::WriteAnswer, aShard.number_, report.id_ },
--- a/src/claims/claims.cc
+++ b/src/claims/claims.cc
@@ -15,6 +15,8 @@
 constexpr absl::string_view kLayoutKey = "claims/layout";
 // Below the platform's limit for a value.
 constexpr std::size_t kMaxAnswerBytes = 1000000;
+// Events of several threads may be out of order by less than this.
+constexpr absl::Duration kMaxEventDisorder = absl::Seconds(1);
 // How long a refused attempt is remembered to check that it isn't granted.
 constexpr absl::Duration kRefusedKept = absl::Minutes(10);
 
@@ -64,7 +66,8 @@
 IsExpiredKey(const Context& aContext, const Ask& aAsk)
 {
   const auto time = KeyTime(aAsk.key_);
-  return time && *time + aContext.state_.settings_.retention_ < aContext.now_;
+  return time &&
+         *time + aContext.state_.settings_.retention_ < aContext.wallClock_;
 }
 
 // Answers an ask that no write has been sent for.
@@ -92,7 +95,7 @@
 }
 
 Waiting
-ToWaiting(const Ask& aAsk)
+ToWaiting(const Context& aContext, const Ask& aAsk)
 {
   Waiting waiting;
   waiting.ticket_ = aAsk.ticket_;
@@ -100,7 +103,7 @@
   waiting.attempt_ = FingerprintOf(aAsk.attempt_);
   waiting.request_ = core::StableHash(aAsk.requestDigest_);
   waiting.holder_ = aAsk.holder_;
-  waiting.since_ = aAsk.now_;
+  waiting.since_ = aContext.now_;
   return waiting;
 }
 
@@ -116,11 +119,11 @@
       return AnswerUnsent(
         aContext, aAsk, Verdict::Unavailable, Counter::Unavailable);
     }
-    state.early_.emplace_back(aAsk);
+    state.early_.push_back({ aAsk, aContext.now_ });
     return ReadLayout(aContext);
   }
   auto& shard = ShardFor(aContext, aAsk.workspace_, aAsk.key_);
-  const auto waiting = ToWaiting(aAsk);
+  const auto waiting = ToWaiting(aContext, aAsk);
   if (IsHopeless(aContext, shard)) {
     return Refuse(aContext, shard, waiting);
   }
@@ -148,12 +151,12 @@
   Recording recording;
   recording.id_ = ++aContext.state_.lastReport_;
   recording.ticket_ = aReport.ticket_;
-  recording.since_ = aReport.now_;
+  recording.since_ = aContext.now_;
   auto& record = recording.record_;
   record.kind_ = KindOf(aReport.outcome_);
   record.key_ = KeyFingerprint(aReport.workspace_, aReport.key_);
   record.attempt_ = FingerprintOf(aReport.attempt_);
-  record.unixMs_ = absl::ToUnixMillis(aReport.now_);
+  record.unixMs_ = absl::ToUnixMillis(aContext.wallClock_);
   if (aReport.answer_.body_.size() > kMaxAnswerBytes) {
     Raise(aContext, Counter::AnswerTooLarge);
     record.kind_ = RecordKind::Unknown;
@@ -189,7 +192,7 @@
 {
   auto& state = aContext.state_;
   if (state.shards_ == 0) {
-    state.early_.emplace_back(aReport);
+    state.early_.push_back({ aReport, aContext.now_ });
     return ReadLayout(aContext);
   }
   auto& shard = ShardFor(aContext, aReport.workspace_, aReport.key_);
@@ -230,11 +233,15 @@
 {
   const auto early = std::move(aContext.state_.early_);
   aContext.state_.early_.clear();
-  for (const auto& event : early) {
+  for (const auto& [event, since] : early) {
+    // What came early has waited since then.
+    const Context context{
+      aContext.state_, since, aContext.wallClock_, aContext.effects_
+    };
     if (const auto* const ask = std::get_if<Ask>(&event)) {
-      Handle(aContext, *ask);
+      Handle(context, *ask);
     } else if (const auto* const report = std::get_if<Report>(&event)) {
-      Handle(aContext, *report);
+      Handle(context, *report);
     }
   }
 }
@@ -339,14 +346,17 @@
   auto& early = aContext.state_.early_;
   const absl::Time limit =
     aContext.now_ - aContext.state_.settings_.askTimeout_;
-  const auto isLateAsk = [&](Event& aEvent) {
-    if (auto* const report = std::get_if<Report>(&aEvent);
-        report != nullptr && report->ticket_ != 0 && report->now_ <= limit) {
+  const auto isLateAsk = [&](Early& aEarly) {
+    if (aEarly.since_ > limit) {
+      return false;
+    }
+    if (auto* const report = std::get_if<Report>(&aEarly.event_);
+        report != nullptr && report->ticket_ != 0) {
       aContext.effects_.emplace_back(Recorded{ report->ticket_, false });
       report->ticket_ = 0;
     }
-    const auto* const ask = std::get_if<Ask>(&aEvent);
-    if (ask == nullptr || ask->now_ > limit) {
+    const auto* const ask = std::get_if<Ask>(&aEarly.event_);
+    if (ask == nullptr) {
       return false;
     }
     AnswerUnsent(aContext, *ask, Verdict::Unavailable, Counter::Unavailable);
@@ -399,20 +409,32 @@
   }
 }
 
+// Returns the time that an event carries, or else that of the one before.
 absl::Time
-TimeOf(const Event& aEvent)
+TimeOf(const State& aState, const Event& aEvent)
 {
   return std::visit(
-    [](const auto& aSpecific) {
+    [&](const auto& aSpecific) {
       if constexpr (requires { aSpecific.now_; }) {
         return aSpecific.now_;
       } else {
-        return absl::InfinitePast();
+        return aState.wallClock_;
       }
     },
     aEvent);
 }
 
+// Lets the time for timeouts go on from where it was if the clock was set back.
+void
+AdvanceClock(State& aState, absl::Time aWallClock)
+{
+  if (aWallClock < aState.wallClock_ - kMaxEventDisorder) {
+    aState.setBack_ += aState.wallClock_ - aWallClock;
+  }
+  aState.wallClock_ = aWallClock;
+  aState.now_ = std::max(aState.now_, aWallClock + aState.setBack_);
+}
+
 } // namespace
 
 void
@@ -437,15 +459,12 @@
 }
 
 std::string
-NewObjectName(const Context& aContext,
-              const Shard& aShard,
-              absl::string_view aKind)
+NewObjectName(const Context& aContext, absl::string_view aKind)
 {
   auto& state = aContext.state_;
-  return absl::StrCat(ObjectPrefix(aShard),
-                      aKind,
+  return absl::StrCat(aKind,
                       "-",
-                      absl::ToUnixMillis(aContext.now_),
+                      absl::ToUnixMillis(aContext.wallClock_),
                       "-",
                       state.settings_.instance_,
                       "-",
@@ -456,7 +475,8 @@
 Step(State& aState, const Event& aEvent)
 {
   std::vector<Effect> effects;
-  const Context context{ aState, TimeOf(aEvent), effects };
+  AdvanceClock(aState, TimeOf(aState, aEvent));
+  const Context context{ aState, aState.now_, aState.wallClock_, effects };
   std::visit([&](const auto& aSpecific) { Handle(context, aSpecific); },
              aEvent);
   return effects;
--- a/src/claims/records.h
+++ b/src/claims/records.h
@@ -70,6 +70,7 @@
 // Where an immutable run of records is stored.
 struct SegmentRef
 {
+  // Within the shard's objects.
   std::string name_;
   std::uint64_t first_ = 0;
   std::uint32_t count_ = 0;
--- a/src/claims/resolve.cc
+++ b/src/claims/resolve.cc
@@ -194,7 +194,7 @@
   report.record_.kind_ = RecordKind::Withdrawn;
   report.record_.key_ = aAsk.key_;
   report.record_.attempt_ = aAsk.attempt_;
-  report.record_.unixMs_ = absl::ToUnixMillis(aContext.now_);
+  report.record_.unixMs_ = absl::ToUnixMillis(aContext.wallClock_);
   report.record_.holder_ = aAsk.holder_;
   aShard.reports_.push_back(std::move(report));
 }
--- a/src/claims/shard.cc
+++ b/src/claims/shard.cc
@@ -137,7 +137,7 @@
   aShard.busy_ = true;
   platform::Command command;
   command.operation_ = platform::Operation::Read;
-  command.key_ = segment->name_;
+  command.key_ = ObjectKey(aShard, segment->name_);
   Send(aContext, { Purpose::LoadSegment, aShard.number_ }, std::move(command));
 }
 
@@ -199,7 +199,7 @@
   record.attempt_ = aAsk.attempt_;
   record.request_ = aAsk.request_;
   record.holder_ = aAsk.holder_;
-  record.unixMs_ = absl::ToUnixMillis(aContext.now_);
+  record.unixMs_ = absl::ToUnixMillis(aContext.wallClock_);
   return record;
 }
 
@@ -259,6 +259,15 @@
   DeleteReplaced(aContext, aShard, before);
 }
 
+void
+CountLoad(const Context& aContext, Shard& aShard)
+{
+  if (!aShard.loadCounted_) {
+    aShard.loadCounted_ = true;
+    Raise(aContext, Counter::ShardLoaded);
+  }
+}
+
 // Halves the delay for some hosts, so that not all come back at once.
 absl::Duration
 Jitter(const State& aState, absl::Duration aDelay)
@@ -283,6 +292,12 @@
   return absl::StrCat("claims/", aShard.number_, "/objects/");
 }
 
+std::string
+ObjectKey(const Shard& aShard, absl::string_view aName)
+{
+  return absl::StrCat(ObjectPrefix(aShard), aName);
+}
+
 bool
 IsLoaded(const Shard& aShard)
 {
@@ -308,6 +323,7 @@
 Pump(const Context& aContext, Shard& aShard)
 {
   if (IsLoaded(aShard)) {
+    CountLoad(aContext, aShard);
     Resolve(aContext, aShard);
   }
   if (aShard.busy_ || aContext.now_ < aShard.retryAt_) {
--- a/src/claims/shard.h
+++ b/src/claims/shard.h
@@ -136,7 +136,10 @@
 struct Context
 {
   State& state_;
+  // Never goes back; for timeouts and intervals.
   absl::Time now_;
+  // May be set back; for the retention.
+  absl::Time wallClock_;
   std::vector<Effect>& effects_;
 };
 
@@ -155,11 +158,13 @@
 std::string
 ObjectPrefix(const Shard& aShard);
 
+// Returns the key of an immutable object.
+std::string
+ObjectKey(const Shard& aShard, absl::string_view aName);
+
 // Returns a name that no other object has or had.
 std::string
-NewObjectName(const Context& aContext,
-              const Shard& aShard,
-              absl::string_view aKind);
+NewObjectName(const Context& aContext, absl::string_view aKind);
 
 // Whether the index contains the whole register as last seen.
 bool
@@ -169,7 +174,7 @@
 void
 Pump(const Context& aContext, Shard& aShard);
 
-// Answers an ask with a refusal that is true for ever.
+// Answers that the attempt was not run and sees to it that it never is.
 void
 Refuse(const Context& aContext, Shard& aShard, const Waiting& aAsk);
 
--- a/src/claims/upkeep.cc
+++ b/src/claims/upkeep.cc
@@ -38,7 +38,7 @@
   replacement.stage_ = ReplacementStage::Writing;
   platform::Command command;
   command.operation_ = platform::Operation::Write;
-  command.key_ = ref.name_;
+  command.key_ = ObjectKey(aShard, ref.name_);
   command.value_ = value;
   command.expect_ = 0;
   Send(aContext,
@@ -50,8 +50,7 @@
 StartReplacement(const Context& aContext, Shard& aShard, std::uint64_t aFirst)
 {
   aShard.replacement_ = Replacement();
-  aShard.replacement_.ref_.name_ =
-    NewObjectName(aContext, aShard, kSegmentKind);
+  aShard.replacement_.ref_.name_ = NewObjectName(aContext, kSegmentKind);
   aShard.replacement_.id_ = aContext.state_.lastObject_;
   aShard.replacement_.segment_.first_ = aFirst;
 }
@@ -82,7 +81,7 @@
   replacement.stage_ = ReplacementStage::Reading;
   platform::Command command;
   command.operation_ = platform::Operation::Read;
-  command.key_ = source->name_;
+  command.key_ = ObjectKey(aShard, source->name_);
   Send(aContext,
        { Purpose::ReadMergeSource, aShard.number_, replacement.id_ },
        std::move(command));
@@ -168,7 +167,7 @@
   Raise(aContext, Counter::SegmentDeleted);
   platform::Command command;
   command.operation_ = platform::Operation::Delete;
-  command.key_ = aName;
+  command.key_ = ObjectKey(aShard, aName);
   Send(aContext, { Purpose::Delete, aShard.number_ }, std::move(command));
 }
 
@@ -190,15 +189,15 @@
 
 // An answer object's name begins with its kind and the time it was made.
 bool
-IsExpiredAnswer(const Context& aContext, absl::string_view aLastPart)
+IsExpiredAnswer(const Context& aContext, absl::string_view aName)
 {
-  const std::vector<absl::string_view> parts = absl::StrSplit(aLastPart, '-');
+  const std::vector<absl::string_view> parts = absl::StrSplit(aName, '-');
   std::int64_t unixMs = 0;
   const auto& settings = aContext.state_.settings_;
   return parts.size() > 1 && absl::SimpleAtoi(parts[1], &unixMs) &&
          absl::FromUnixMillis(unixMs) + 2 * settings.retention_ +
              settings.clockMargin_ <
-           aContext.now_;
+           aContext.wallClock_;
 }
 
 // Sorts the listed objects into those to delete now and after a write.
@@ -207,13 +206,11 @@
 {
   auto& sweep = aShard.sweep_;
   for (const auto& name : sweep.found_) {
-    const auto lastPart =
-      absl::string_view(name).substr(ObjectPrefix(aShard).size());
-    if (absl::StartsWith(lastPart, kSegmentKind)) {
+    if (absl::StartsWith(name, kSegmentKind)) {
       if (IsUnnamed(aShard, name)) {
         sweep.garbage_.push_back(name);
       }
-    } else if (IsExpiredAnswer(aContext, lastPart)) {
+    } else if (IsExpiredAnswer(aContext, name)) {
       Delete(aContext, aShard, name);
     }
   }
@@ -265,7 +262,7 @@
   return !aShard.tail_.segments_.empty() &&
          absl::FromUnixMillis(aShard.tail_.segments_.front().lastUnixMs_) +
              settings.retention_ + settings.clockMargin_ <
-           aContext.now_;
+           aContext.wallClock_;
 }
 
 void
@@ -273,7 +270,7 @@
 {
   const auto& settings = aContext.state_.settings_;
   const std::int64_t limit = absl::ToUnixMillis(
-    aContext.now_ - settings.retention_ - settings.clockMargin_);
+    aContext.wallClock_ - settings.retention_ - settings.clockMargin_);
   auto& segments = aTail.segments_;
   const auto firstKept =
     std::find_if(segments.begin(), segments.end(), [&](const auto& aSegment) {
@@ -394,7 +391,7 @@
     return;
   }
   for (const auto& entry : aReply.entries_) {
-    sweep.found_.push_back(entry.key_);
+    sweep.found_.push_back(entry.key_.substr(ObjectPrefix(aShard).size()));
   }
   if (aReply.more_ && !aReply.entries_.empty()) {
     return SendList(aContext, aShard, aReply.entries_.back().key_);
--- a/test/claims-test.cc
+++ b/test/claims-test.cc
@@ -322,6 +322,38 @@
   CHECK(host.AskAndRun("k2", "b2") == Verdict::Granted);
 }
 
+TEST_CASE("a clock that is set back stops nothing")
+{
+  FakePlatform store;
+  Bench host(store);
+  CHECK(host.AskAndRun("k", "a1") == Verdict::Granted);
+  host.now_ -= absl::Hours(3);
+  CHECK(host.AskAndRun("k2", "a2") == Verdict::Granted);
+  CHECK(host.ReportAndRun("k2", "a2", AttemptOutcome::Done, kAnswer));
+  host.now_ += absl::Hours(3);
+  CHECK(host.AskAndRun("k2", "a3") == Verdict::Done);
+}
+
+TEST_CASE("asks that come before the number of shards is known are answered")
+{
+  FakePlatform store;
+  Bench host(store);
+  const auto ticket = host.Ask("k", "a1");
+  const auto report = host.Report("k", "a1", AttemptOutcome::Withdrawn);
+  for (int i = 0; i < 300; ++i) {
+    host.now_ += kTick;
+    host.Give(claims::Tick{ host.now_ });
+    while (!host.commands_.empty()) {
+      host.Lose(false);
+    }
+  }
+  CHECK(host.answers_.at(ticket).verdict_ == Verdict::Unavailable);
+  CHECK_FALSE(host.recorded_.at(report));
+  host.Run(absl::Seconds(3));
+  CHECK(host.AskAndRun("k", "a1") == Verdict::Unavailable);
+  CHECK(host.AskAndRun("k", "a2") == Verdict::Granted);
+}
+
 TEST_CASE("a timed key older than the retention is refused")
 {
   FakePlatform store;
