--- a/src/cli/config.cc
+++ b/src/cli/config.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <ostream>
-#include <thread>
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
@@ -141,6 +140,8 @@
 // Which hosts have a revision.
 struct Spread
 {
+  // Why it could not be found out; empty if it could.
+  std::string failure_;
   std::size_t live_ = 0;
   std::vector<std::string> lagging_;
   Json hosts_;
@@ -165,15 +166,32 @@
   return spread;
 }
 
+// Fetches the spread; a failure is no reason to give up, since the change is
+// accepted already.
+Spread
+TrySpread(const Context& aContext, std::uint64_t aRevision)
+{
+  const auto failed = [](std::string aReason) {
+    Spread spread;
+    spread.failure_ = std::move(aReason);
+    spread.hosts_ = Json::array();
+    return spread;
+  };
+  return boost::leaf::try_handle_all(
+    [&] { return FetchSpread(aContext, aRevision); },
+    [&](const Failure& aFailure) { return failed(aFailure.message_); },
+    [&] { return failed("an unknown error"); });
+}
+
 bool
 InForce(const Spread& aSpread)
 {
-  return aSpread.live_ > 0 && aSpread.lagging_.empty();
+  return aSpread.failure_.empty() && aSpread.live_ > 0 &&
+         aSpread.lagging_.empty();
 }
 
-// Waits until all live hosts have a revision, or the time is over; the latter
-// is no failure but shows in what is returned.
-core::Result<Spread>
+// Waits until all live hosts have a revision, or the time is over.
+Spread
 AwaitSpread(const Context& aContext,
             std::uint64_t aRevision,
             absl::Duration aWait)
@@ -181,7 +199,7 @@
   const absl::Time deadline = absl::Now() + aWait;
   std::size_t shown = 0;
   while (true) {
-    BOOST_LEAF_AUTO(spread, FetchSpread(aContext, aRevision));
+    Spread spread = TrySpread(aContext, aRevision);
     const std::size_t have = spread.live_ - spread.lagging_.size();
     if (have != shown) {
       aContext.console_.err_ << have << " of " << spread.live_
@@ -210,6 +228,17 @@
   aContext.console_.out_ << "revision " << aRevision << " accepted\n";
 }
 
+// Says which hosts lag, or why that is not known.
+std::string
+Laggards(const Spread& aSpread)
+{
+  if (!aSpread.failure_.empty()) {
+    return absl::StrCat("any host (", aSpread.failure_, ")");
+  }
+  return aSpread.live_ == 0 ? "any host (none is known to live)"
+                            : absl::StrJoin(aSpread.lagging_, ", ");
+}
+
 core::Result<ExitCode>
 AwaitInForce(const Context& aContext,
              std::uint64_t aRevision,
@@ -221,7 +250,7 @@
     PrintApplied(aContext, aRevision, none);
     return ExitCode::Ok;
   }
-  BOOST_LEAF_AUTO(spread, AwaitSpread(aContext, aRevision, aWait));
+  const Spread spread = AwaitSpread(aContext, aRevision, aWait);
   PrintApplied(aContext, aRevision, spread);
   if (InForce(spread)) {
     return ExitCode::Ok;
@@ -230,10 +259,8 @@
     { ExitCode::NotInForce,
       absl::StrCat("revision ",
                    aRevision,
-                   " is accepted but not yet in force on: ",
-                   spread.lagging_.empty()
-                     ? "any host, since none is known to live"
-                     : absl::StrJoin(spread.lagging_, ", ")),
+                   " is accepted, but not known to be in force on: ",
+                   Laggards(spread)),
       "See 'lycheeplank config status'; look at these hosts if it stays so." });
 }
 
--- a/src/cli/program.cc
+++ b/src/cli/program.cc
@@ -83,6 +83,7 @@
                 "Addresses of entry hosts, e.g. 10.0.0.1:8080,10.0.0.2:8080; "
                 "the next one is tried when one fails")
     ->delimiter(',')
+    ->allow_extra_args(false)
     ->envname("LYCHEEPLANK_ENTRIES");
   app
     .add_option("--operator-key",
