--- a/test/config-test.cc
+++ b/test/config-test.cc
@@ -8,6 +8,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_replace.h>
+#include <absl/strings/str_split.h>
 #include <catch2/catch.hpp>
 
 namespace config = lycheeplank::config;
@@ -119,11 +120,11 @@
   return absl::StrReplaceAll(kDocument, { { aFrom, aTo } });
 }
 
-// Returns an example document, wherever the test is started.
+// Returns a file of the source folder, wherever the test is started.
 std::string
-Example(const std::string& aName)
+SourceFile(const std::string& aName)
 {
-  for (const std::string folder : { "examples/", "../examples/" }) {
+  for (const std::string folder : { "", "../" }) {
     if (std::ifstream file(folder + aName); file) {
       std::ostringstream text;
       text << file.rdbuf();
@@ -134,6 +135,22 @@
   return "";
 }
 
+// Returns the fields that a complaint about an unknown field lists.
+std::vector<std::string>
+AllowedFields(absl::string_view aText)
+{
+  constexpr absl::string_view kMark = "allowed are ";
+  const auto problems = ProblemsOf(aText);
+  for (const auto& problem : problems) {
+    const std::size_t at = problem.message_.find(kMark.data());
+    if (at != std::string::npos) {
+      return absl::StrSplit(problem.message_.substr(at + kMark.size()), ", ");
+    }
+  }
+  FAIL("no fields listed: " << Text(problems));
+  return {};
+}
+
 std::size_t
 CountTargets(const config::Config& aConfig, config::TargetKind aKind)
 {
@@ -302,7 +319,7 @@
   for (const auto& [name, engines] : { Expected{ "co-operative.yaml", 20 },
                                        Expected{ "authority.yaml", 12 } }) {
     INFO(name);
-    const std::string text = Example(name);
+    const std::string text = SourceFile("examples/" + name);
     INFO(Text(ProblemsOf(text)));
     CHECK(ProblemsOf(text).empty());
     const auto checked = config::Check(config::Split(text).sections_);
@@ -314,6 +331,29 @@
   }
 }
 
+TEST_CASE("the reference has every field of every section")
+{
+  const std::string page = SourceFile("docs/configuration.md");
+  std::size_t fields = 0;
+  for (const std::string path :
+       { "workspaces: {owner: a, entries: {e: {FIELD: 1}}}",
+         "models: {owner: a, entries: {e: {FIELD: 1}}}",
+         "models: {owner: a, entries: {e: {objective: {FIELD: 1}}}}",
+         "services: {owner: a, entries: {e: {FIELD: 1}}}",
+         "services: {owner: a, entries: {e: {calls: {c: {FIELD: 1}}}}}",
+         "rules: {owner: a, entries: {e: {FIELD: 1}}}",
+         "targets: {owner: a, entries: {e: {FIELD: 1}}}",
+         "stores: {owner: a, entries: {e: {FIELD: 1}}}",
+         "limits: {owner: a, values: {FIELD: 1}}" }) {
+    for (const auto& field : AllowedFields(path)) {
+      INFO(path << " " << field);
+      CHECK(absl::StrContains(page, absl::StrCat("| `", field, "` |")));
+      ++fields;
+    }
+  }
+  CHECK(fields == 46);
+}
+
 TEST_CASE("an empty document has no sections and the default limits")
 {
   CHECK(ProblemsOf("").empty());
