--- a/include/lycheeplank/config_sync.h
+++ b/include/lycheeplank/config_sync.h
@@ -443,6 +443,11 @@
 std::uint64_t
 RevisionOf(const SyncState& aState);
 
+// Returns when a poller or the platform last told its revision; a host that
+// has heard of neither for long can't know which configuration is in force.
+absl::Time
+LastNews(const SyncState& aState);
+
 // Takes one event and returns what has to be done.
 std::vector<Effect>
 Step(SyncState& aState, const Event& aEvent);
--- a/src/cli/config.cc
+++ b/src/cli/config.cc
@@ -132,7 +132,8 @@
       { { "name", section.name_ }, { "text", section.text_ } });
   }
   return Json({ { "base_revision", aBase.revision_ },
-                { "author", aOptions.author_ },
+                { "author",
+                  aOptions.author_.empty() ? "unknown" : aOptions.author_ },
                 { "sections", sections } })
     .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -308,6 +309,28 @@
   aContext.console_.out_ << FormatTable(rows);
 }
 
+// Drops all sections but one.
+core::Result<void>
+KeepOnly(Current& aCurrent, const std::string& aSection)
+{
+  const auto* const chosen = Find(aCurrent.sections_, aSection);
+  if (chosen == nullptr) {
+    return FailWith(
+      { ExitCode::Failed,
+        absl::StrCat("there is no section ", aSection),
+        "Use 'lycheeplank config show --output table' for the names." });
+  }
+  aCurrent.sections_ = { config::Section(*chosen) };
+  Json kept = Json::array();
+  for (const auto& item : aCurrent.answer_.at("sections")) {
+    if (item.at("name") == aSection) {
+      kept.push_back(item);
+    }
+  }
+  aCurrent.answer_["sections"] = std::move(kept);
+  return {};
+}
+
 } // namespace
 
 core::Result<ExitCode>
@@ -333,12 +356,8 @@
 ShowConfig(const Context& aContext, const std::string& aSection)
 {
   BOOST_LEAF_AUTO(current, FetchCurrent(aContext));
-  const auto* const chosen = Find(current.sections_, aSection);
-  if (!aSection.empty() && chosen == nullptr) {
-    return FailWith(
-      { ExitCode::Failed,
-        absl::StrCat("there is no section ", aSection),
-        "Use 'lycheeplank config show --output table' for the names." });
+  if (!aSection.empty()) {
+    BOOST_LEAF_CHECK(KeepOnly(current, aSection));
   }
   switch (aContext.settings_.output_) {
     case Output::Json:
@@ -348,9 +367,6 @@
       PrintSectionTable(aContext, current);
       break;
     case Output::Yaml:
-      if (chosen != nullptr) {
-        current.sections_ = { config::Section(*chosen) };
-      }
       aContext.console_.out_ << FormatBase(current.revision_, current.sections_)
                              << "\n"
                              << config::Join(current.sections_);
--- a/src/config/check.cc
+++ b/src/config/check.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <iterator>
+
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
@@ -109,41 +112,55 @@
   return readers;
 }
 
-} // namespace
-
-Checked
-Check(const std::vector<Section>& aSections)
+// Finds the reader of each section; notes unknown and repeated sections.
+std::vector<const Section*>
+SortSections(const std::vector<Section>& aSections,
+             std::vector<Problem>& aProblems)
 {
-  Checked checked;
-  std::vector<Reader> readers = MakeReaders();
-  std::array<bool, kSections.size()> seen{};
+  std::vector<const Section*> sorted(kSections.size(), nullptr);
   for (const auto& section : aSections) {
     const auto kind = core::ValueOf(kSections, section.name_);
     if (!kind) {
-      checked.problems_.push_back({ section.name_,
-                                    section.line_,
-                                    "",
-                                    absl::StrCat("is no section; allowed are ",
-                                                 core::AllNames(kSections)) });
+      aProblems.push_back({ section.name_,
+                            section.line_,
+                            "",
+                            absl::StrCat("is no section; allowed are ",
+                                         core::AllNames(kSections)) });
       continue;
     }
-    const auto index = static_cast<std::size_t>(*kind);
-    if (seen[index]) {
-      checked.problems_.push_back({ section.name_,
-                                    section.line_,
-                                    "",
-                                    "is given twice; put both into one" });
+    auto& place = sorted[static_cast<std::size_t>(*kind)];
+    if (place != nullptr) {
+      aProblems.push_back({ section.name_,
+                            section.line_,
+                            "",
+                            "is given twice; put both into one" });
       continue;
     }
-    seen[index] = true;
-    readers[index].firstLine_ = section.line_;
-    CheckSection(readers[index], *kind, section, checked.config_);
+    place = &section;
+  }
+  return sorted;
+}
+
+} // namespace
+
+Checked
+Check(const std::vector<Section>& aSections)
+{
+  Checked checked;
+  std::vector<Reader> readers = MakeReaders();
+  const auto sorted = SortSections(aSections, checked.problems_);
+  for (const auto& row : kSections) {
+    const auto index = static_cast<std::size_t>(row.value_);
+    if (const auto* const section = sorted[index]; section != nullptr) {
+      readers[index].firstLine_ = section->line_;
+      CheckSection(readers[index], row.value_, *section, checked.config_);
+    }
   }
   CheckReferences(checked.config_, readers);
   for (auto& reader : readers) {
-    for (auto& problem : reader.problems_) {
-      checked.problems_.push_back(std::move(problem));
-    }
+    std::move(reader.problems_.begin(),
+              reader.problems_.end(),
+              std::back_inserter(checked.problems_));
   }
   BuildIndexes(checked.config_);
   return checked;
--- a/src/config/edit.cc
+++ b/src/config/edit.cc
@@ -291,7 +291,39 @@
   }
 }
 
-// Builds the head that the edit proposes and the chunks that it needs.
+// Puts the new text of a section into a proposal.
+void
+ProposeSection(EditRun& aRun, Head& aProposal, const std::string& aName)
+{
+  auto& entry = EntryOf(aProposal, aName);
+  entry.revision_ = aProposal.revision_;
+  entry.chunks_.clear();
+  const auto* const section = FindMerged(aRun, aName);
+  if (section == nullptr) {
+    return;
+  }
+  entry.owner_ = section->owner_;
+  for (auto& chunk : CutChunks(section->text_)) {
+    entry.chunks_.push_back(core::Sha256Hex(chunk));
+    aRun.chunks_[entry.chunks_.back()] = std::move(chunk);
+  }
+}
+
+void
+AddToHistory(Head& aProposal, const EditRun& aRun, std::int64_t aUnixMs)
+{
+  auto& history = aProposal.history_;
+  history.push_back({ aProposal.revision_,
+                      aRun.changeId_,
+                      aRun.edit_.author_,
+                      aUnixMs,
+                      aRun.changed_ });
+  if (history.size() > kMaxHistory) {
+    history.erase(history.begin());
+  }
+}
+
+// Builds the head that the edit proposes.
 void
 Propose(Context& aContext)
 {
@@ -301,37 +333,25 @@
   proposal.revision_ = run.base_.revision_ + 1;
   run.chunks_.clear();
   for (const auto& name : run.changed_) {
-    auto& entry = EntryOf(proposal, name);
-    entry.revision_ = proposal.revision_;
-    entry.chunks_.clear();
-    const auto* const section = FindMerged(run, name);
-    if (section == nullptr) {
-      continue;
-    }
-    entry.owner_ = section->owner_;
-    for (auto& chunk : CutChunks(section->text_)) {
-      entry.chunks_.push_back(core::Sha256Hex(chunk));
-      run.chunks_[entry.chunks_.back()] = std::move(chunk);
-    }
+    ProposeSection(run, proposal, name);
   }
   Retire(proposal, run.base_, unixMs);
-  proposal.history_.push_back({ proposal.revision_,
-                                run.changeId_,
-                                run.edit_.author_,
-                                unixMs,
-                                run.changed_ });
-  if (proposal.history_.size() > kMaxHistory) {
-    proposal.history_.erase(proposal.history_.begin());
-  }
+  AddToHistory(proposal, run, unixMs);
   run.proposalText_ = FormatHead(proposal);
   run.proposal_ = std::move(proposal);
-  // Chunks that the base names are there; all others are written, also if
-  // they exist, since a clean-up may be about to delete them.
-  const auto present = DigestsOf(run.base_);
-  run.unwritten_.clear();
-  for (const auto& [digest, content] : run.chunks_) {
+}
+
+// Lists the chunks to write. Those that the base names are there; all others
+// are written, also if they exist, since a clean-up may be about to delete
+// them.
+void
+ListUnwritten(EditRun& aRun)
+{
+  const auto present = DigestsOf(aRun.base_);
+  aRun.unwritten_.clear();
+  for (const auto& [digest, content] : aRun.chunks_) {
     if (!present.contains(digest)) {
-      run.unwritten_.insert(digest);
+      aRun.unwritten_.insert(digest);
     }
   }
 }
@@ -514,10 +534,9 @@
              absl::Hours(1) });
     return;
   }
-  run.phase_ = EditPhase::WriteChunks;
-  if (run.unwritten_.empty()) {
-    run.phase_ = EditPhase::WriteHead;
-  }
+  ListUnwritten(run);
+  run.phase_ =
+    run.unwritten_.empty() ? EditPhase::WriteHead : EditPhase::WriteChunks;
 }
 
 void
--- a/src/config/fetch.cc
+++ b/src/config/fetch.cc
@@ -222,7 +222,7 @@
   auto& state = aContext.state_;
   state.pending_.reset();
   state.nextPoll_ = aContext.now_ + state.options_.retryPause_;
-  state.lastNews_ = aContext.now_ - state.options_.pollerSilence_;
+  state.behindSince_ = absl::InfinitePast();
 }
 
 } // namespace
--- a/src/config/sync.cc
+++ b/src/config/sync.cc
@@ -343,6 +343,12 @@
   return aState.inForce_ ? aState.inForce_->head_.revision_ : 0;
 }
 
+absl::Time
+LastNews(const SyncState& aState)
+{
+  return aState.startedAt_ ? aState.lastNews_ : absl::InfinitePast();
+}
+
 DocumentChecked
 RunCheck(const CheckDocument& aOrder)
 {
--- a/test/cli-test.cc
+++ b/test/cli-test.cc
@@ -232,6 +232,9 @@
   CHECK(absl::StrContains(table.out_, "limits   on-call   7"));
   const auto one = RunWith(entry.Address(), "config show --section limits");
   CHECK_FALSE(absl::StrContains(one.out_, "stores:"));
+  const auto asJson =
+    RunWith(entry.Address(), "config show --section limits --output json");
+  CHECK(Json::parse(asJson.out_).at("sections").size() == 1);
   CHECK(RunWith(entry.Address(), "config show --section x").code_ == 1);
 }
 
--- a/test/config-sync-test.cc
+++ b/test/config-sync-test.cc
@@ -205,6 +205,9 @@
 {
   std::vector<config::Section> sections;
   for (const auto& entry : aHead.sections_) {
+    if (entry.chunks_.empty()) {
+      continue;
+    }
     config::Section section{ entry.name_ };
     for (const auto& digest : entry.chunks_) {
       const auto chunk =
@@ -875,6 +878,62 @@
   CheckEnd(world);
 }
 
+TEST_CASE("a change is in force in time also while all pollers are frozen")
+{
+  World world;
+  world.settings_.faults_ = false;
+  Begin(world);
+  RunUntil(world, world.now_ + absl::Seconds(1));
+  AskForEdit(world);
+  RunUntil(world, world.now_ + kInForceBound);
+  CheckEnd(world);
+  for (int poller = 0; poller < world.settings_.pollers_; ++poller) {
+    world.hosts_[poller].frozenUntil_ = world.now_ + absl::Minutes(5);
+  }
+  const std::string text =
+    "limits:\n  owner: on-call\n  values: {max_loading: 77}\n";
+  const config::EditAsked edit{ "late", "late", { { "limits", text, 9 } } };
+  world.edits_["late"].edit_ = edit;
+  DeliverAfter(world, absl::ZeroDuration(), 4, edit);
+  // The host that accepted it is gone before it could tell the others.
+  while (!world.edits_["late"].answered_) {
+    RunUntil(world, world.now_ + absl::Milliseconds(10));
+  }
+  StartHost(world, 4);
+  world.hosts_[4].frozenUntil_ = absl::InfiniteFuture();
+  const auto newest = world.heads_.back().head_.revision_;
+  RunUntil(world, world.now_ + kInForceBound);
+  for (const int host : { 2, 3, 5 }) {
+    CHECK(world.hosts_[host].revision_ == newest);
+  }
+}
+
+TEST_CASE("a removed section is noticed by edits with an older base")
+{
+  World world;
+  world.settings_.faults_ = false;
+  Begin(world);
+  RunUntil(world, world.now_ + absl::Seconds(1));
+  const std::string text =
+    "limits:\n  owner: on-call\n  values: {max_loading: 3}\n";
+  const auto ask = [&](const std::string& aId,
+                       const std::string& aText,
+                       std::uint64_t aBase) -> const EditRecord& {
+    const config::EditAsked edit{ aId, aId, { { "limits", aText, aBase } } };
+    world.edits_[aId].edit_ = edit;
+    DeliverAfter(world, absl::ZeroDuration(), 0, edit);
+    RunUntil(world, world.now_ + absl::Seconds(5));
+    return world.edits_[aId];
+  };
+  CHECK(ask("made", text, 0).revision_ == 1);
+  CHECK(ask("removed", "", 1).revision_ == 2);
+  CHECK(world.hosts_[5].state_.inForce_->sections_.empty());
+  const auto& stale = ask("stale", text, 1);
+  REQUIRE(stale.error_);
+  CHECK(stale.error_->kind_ == core::ErrorKind::ConfigConflict);
+  CHECK(ask("again", text, 2).revision_ == 3);
+}
+
 TEST_CASE("a host alone during an outage serves no configuration")
 {
   World world;
