Let the check build the configuration that is put in force

Before, the control thread copied the whole configuration once it was checked; now the check hands it over with its revision, which a CHECK compares with the head.

--- a/include/lycheeplank/config_sync.h
+++ b/include/lycheeplank/config_sync.h
@@ -165,7 +165,8 @@
 struct DocumentChecked
 {
   std::uint64_t id_ = 0;
-  std::shared_ptr<const Checked> checked_;
+  ConfigPtr config_;
+  std::vector<Problem> problems_;
 };
 
 // This host shall run one pass of the clean-up of old chunks.
@@ -214,6 +215,7 @@
 struct CheckDocument
 {
   std::uint64_t id_ = 0;
+  std::uint64_t revision_ = 0;
   std::vector<Section> sections_;
 };
 
--- a/src/config/edit.cc
+++ b/src/config/edit.cc
@@ -245,7 +245,8 @@
   request.kind_ = RequestKind::EditCheck;
   request.deadline_ = absl::InfiniteFuture();
   const std::uint64_t id = AddRequest(aContext, std::move(request));
-  aContext.effects_.emplace_back(CheckDocument{ id, run.merged_ });
+  aContext.effects_.emplace_back(
+    CheckDocument{ id, run.base_.revision_ + 1, run.merged_ });
 }
 
 // Returns the merged section with a name, or null if it was removed.
@@ -513,13 +514,12 @@
 OnEditChecked(Context& aContext, const DocumentChecked& aChecked)
 {
   auto& run = *aContext.state_.edit_;
-  if (!aChecked.checked_->problems_.empty()) {
+  if (!aChecked.problems_.empty()) {
     Count(aContext, SyncCount::EditsInvalid);
     AnswerEdit answer;
-    answer.problems_ = aChecked.checked_->problems_;
-    answer.error_ =
-      core::Error{ core::ErrorKind::ConfigInvalid,
-                   Describe(aChecked.checked_->problems_.front()) };
+    answer.problems_ = aChecked.problems_;
+    answer.error_ = core::Error{ core::ErrorKind::ConfigInvalid,
+                                 Describe(aChecked.problems_.front()) };
     Answer(aContext, std::move(answer));
     return;
   }
--- a/src/config/fetch.cc
+++ b/src/config/fetch.cc
@@ -154,8 +154,10 @@
   request.kind_ = RequestKind::CheckPending;
   request.deadline_ = absl::InfiniteFuture();
   pending.checkId_ = AddRequest(aContext, std::move(request));
-  aContext.effects_.emplace_back(CheckDocument{
-    pending.checkId_, Assemble(aContext.state_, pending.head_) });
+  aContext.effects_.emplace_back(
+    CheckDocument{ pending.checkId_,
+                   pending.head_.revision_,
+                   Assemble(aContext.state_, pending.head_) });
 }
 
 // Drops the chunks that neither the head in force nor the pending one names.
@@ -183,18 +185,17 @@
 }
 
 void
-PutInForce(Context& aContext, const Checked& aChecked)
+PutInForce(Context& aContext, ConfigPtr aConfig)
 {
   auto& state = aContext.state_;
   auto accepted = std::make_shared<Accepted>();
   accepted->head_ = std::move(state.pending_->head_);
   accepted->headText_ = std::move(state.pending_->text_);
   accepted->sections_ = Assemble(state, accepted->head_);
-  auto config = std::make_shared<Config>(aChecked.config_);
-  config->revision_ = accepted->head_.revision_;
-  accepted->config_ = std::move(config);
+  accepted->config_ = std::move(aConfig);
   state.pending_.reset();
   CHECK_GT(accepted->head_.revision_, RevisionOf(state));
+  CHECK_EQ(accepted->config_->revision_, accepted->head_.revision_);
   CheckDigests(state, accepted->head_);
   state.inForce_ = std::move(accepted);
   DropUnusedChunks(state);
@@ -336,12 +337,12 @@
   if (!state.pending_ || state.pending_->checkId_ != aChecked.id_) {
     return;
   }
-  if (!aChecked.checked_->problems_.empty()) {
+  if (!aChecked.problems_.empty()) {
     // Accepted by a host of another version; stay with what can be read.
     Count(aContext, SyncCount::UnreadableDocuments);
     return;
   }
-  PutInForce(aContext, *aChecked.checked_);
+  PutInForce(aContext, aChecked.config_);
 }
 
 } // namespace lycheeplank::config
--- a/src/config/sync.cc
+++ b/src/config/sync.cc
@@ -352,8 +352,11 @@
 DocumentChecked
 RunCheck(const CheckDocument& aOrder)
 {
+  Checked checked = Check(aOrder.sections_);
+  checked.config_.revision_ = aOrder.revision_;
   return { aOrder.id_,
-           std::make_shared<const Checked>(Check(aOrder.sections_)) };
+           std::make_shared<const Config>(std::move(checked.config_)),
+           std::move(checked.problems_) };
 }
 
 std::vector<Effect>
