--- a/src/claims/shard.h
+++ b/src/claims/shard.h
@@ -80,6 +80,14 @@
   bool writeSent_ = false;
 };
 
+// Failures in a row of one kind of command.
+struct Backoff
+{
+  std::uint32_t failures_ = 0;
+  absl::Time since_ = absl::InfiniteFuture();
+  absl::Time retryAt_ = absl::InfinitePast();
+};
+
 // The latest word of a holder on the attempt that it runs.
 struct Run
 {
@@ -105,7 +113,8 @@
   Index index_;
   // Attempts that a holder is running, by key.
   absl::flat_hash_map<Fingerprint, Run> running_;
-  // Attempts that were answered unavailable, and when.
+  // Attempts that were answered with anything but a grant or a stored answer,
+  // and when.
   absl::flat_hash_map<Fingerprint, absl::Time> refused_;
 
   std::vector<Waiting> asks_;
@@ -118,9 +127,10 @@
   Tail proposal_;
   absl::Time nextWriteAt_ = absl::InfinitePast();
 
-  std::uint32_t failures_ = 0;
-  absl::Time failingSince_ = absl::InfiniteFuture();
-  absl::Time retryAt_ = absl::InfinitePast();
+  // Of reading the register and its segments.
+  Backoff reads_;
+  // Of writing the register; reads may succeed meanwhile.
+  Backoff writes_;
   // Version of a register that names a segment which was not found.
   absl::optional<std::uint64_t> missingAt_;
   bool loadCounted_ = false;
@@ -136,7 +146,10 @@
 struct Context
 {
   State& state_;
+  // Never goes back; for timeouts and intervals.
   absl::Time now_;
+  // May be set back; for the retention.
+  absl::Time wallClock_;
   std::vector<Effect>& effects_;
 };
 
@@ -155,11 +168,13 @@
 std::string
 ObjectPrefix(const Shard& aShard);
 
+// Returns the key of an immutable object.
+std::string
+ObjectKey(const Shard& aShard, absl::string_view aName);
+
 // Returns a name that no other object has or had.
 std::string
-NewObjectName(const Context& aContext,
-              const Shard& aShard,
-              absl::string_view aKind);
+NewObjectName(const Context& aContext, absl::string_view aKind);
 
 // Whether the index contains the whole register as last seen.
 bool
@@ -169,7 +184,7 @@
 void
 Pump(const Context& aContext, Shard& aShard);
 
-// Answers an ask with a refusal that is true for ever.
+// Answers that the attempt was not run and sees to it that it never is.
 void
 Refuse(const Context& aContext, Shard& aShard, const Waiting& aAsk);
 
@@ -177,9 +192,9 @@
 void
 ExpireWaiting(const Context& aContext, Shard& aShard);
 
-// Notes a failed command and when to try again.
-void
-NoteFailure(const Context& aContext, Shard& aShard);
+// Whether a new claim can't be expected to be written in time.
+bool
+IsFailing(const Context& aContext, const Shard& aShard);
 
 void
 OnTailRead(const Context& aContext,
