--- a/test/config-sync-test.cc
+++ b/test/config-sync-test.cc
@@ -863,6 +863,35 @@
   CHECK(world.reads_ <= 110);
 }
 
+TEST_CASE("a long document is fetched from peers for the most part")
+{
+  World world;
+  world.settings_.hosts_ = 10;
+  world.settings_.faults_ = false;
+  Begin(world);
+  RunUntil(world, world.now_ + absl::Seconds(1));
+  std::string text = "limits:\n  owner: on-call\n  values:\n";
+  constexpr std::size_t kBytes = 3UL << 20U;
+  while (text.size() < kBytes) {
+    absl::StrAppend(&text, "    # remark ", world.random_(), "\n");
+  }
+  text += "    max_loading: 3\n";
+  const config::EditAsked edit{ "long", "long", { { "limits", text, 0 } } };
+  world.edits_["long"].edit_ = edit;
+  DeliverAfter(world, absl::ZeroDuration(), 9, edit);
+  RunUntil(world, world.now_ + kInForceBound);
+  CheckEnd(world);
+  const auto chunks = world.heads_.back().head_.sections_[0].chunks_.size();
+  CHECK(chunks > 32);
+  std::uint64_t read = 0;
+  for (const auto& host : world.hosts_) {
+    read += host.state_.counts_[static_cast<std::size_t>(
+      config::SyncCount::PlatformChunkReads)];
+  }
+  // At most the two pollers read it from the platform.
+  CHECK(read <= 2 * chunks);
+}
+
 TEST_CASE("a host that starts during an outage takes its peers' configuration")
 {
   World world;
