--- a/src/config/sync.cc
+++ b/src/config/sync.cc
@@ -343,11 +343,20 @@
   return aState.inForce_ ? aState.inForce_->head_.revision_ : 0;
 }
 
+absl::Time
+LastNews(const SyncState& aState)
+{
+  return aState.startedAt_ ? aState.lastNews_ : absl::InfinitePast();
+}
+
 DocumentChecked
 RunCheck(const CheckDocument& aOrder)
 {
+  Checked checked = Check(aOrder.sections_);
+  checked.config_.revision_ = aOrder.revision_;
   return { aOrder.id_,
-           std::make_shared<const Checked>(Check(aOrder.sections_)) };
+           std::make_shared<const Config>(std::move(checked.config_)),
+           std::move(checked.problems_) };
 }
 
 std::vector<Effect>
