--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -161,7 +161,14 @@
   std::vector<directory::Sighting> sightings_;
 };
 
-// Another host, or an export, has seen blocks whose home is this host.
+// Blocks were exported to a store or freed there.
+struct StoreSighted
+{
+  std::string store_;
+  std::vector<directory::Sighting> sightings_;
+};
+
+// Another host has seen blocks whose home is this host.
 struct BlocksSighted
 {
   directory::HolderId holder_;
@@ -302,6 +309,7 @@
                             CacheReported,
                             StoreReported,
                             StoreInventory,
+                            StoreSighted,
                             BlocksSighted,
                             PlatformReplied,
                             ConfigNews,
--- a/src/adapters/platform.cc
+++ b/src/adapters/platform.cc
@@ -17,6 +17,9 @@
 constexpr int kNotModified = 304;
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
+// First digit of the statuses that blame the caller.
+constexpr int kCallerError = 4;
+constexpr int kStatusClass = 100;
 
 std::string
 KeyPath(const Command& aCommand)
@@ -88,21 +91,26 @@
   }
 }
 
+// Only answers that the service gives before it acts count as refusals; after
+// any other failure the effect may have taken place.
 Outcome
 OutcomeOf(const net::Answer& aAnswer)
 {
   if (!aAnswer.end_.whole_) {
     return aAnswer.end_.neverSent_ ? Outcome::Refused : Outcome::Lost;
   }
-  switch (aAnswer.end_.status_) {
-    case kNotFound:
-      return Outcome::Absent;
-    case kConflict:
-    case kNotModified:
-      return Outcome::Conflict;
-    default:
-      return aAnswer.Ok() ? Outcome::Ok : Outcome::Refused;
+  const int status = aAnswer.end_.status_;
+  if (status == kNotFound) {
+    return Outcome::Absent;
   }
+  if (status == kConflict || status == kNotModified) {
+    return Outcome::Conflict;
+  }
+  if (aAnswer.Ok()) {
+    return Outcome::Ok;
+  }
+  return status / kStatusClass == kCallerError ? Outcome::Refused
+                                               : Outcome::Lost;
 }
 
 platform::Host
--- a/src/entry/admin.cc
+++ b/src/entry/admin.cc
@@ -93,11 +93,11 @@
 
 Admin::Admin(Control& aControl,
              Trace& aTrace,
-             adapters::PlatformClient& aPlatform,
+             Rollouts& aRollouts,
              std::string aKeyDigest)
   : control_(aControl)
   , trace_(aTrace)
-  , platform_(aPlatform)
+  , rollouts_(aRollouts)
   , keyDigest_(std::move(aKeyDigest))
 {
 }
@@ -120,7 +120,7 @@
   if (http.path_ == "/v1/admin/config" && http.method_ == "POST") {
     PostEdit(aExchange);
   } else if (absl::StartsWith(http.path_, kRollouts)) {
-    ServeRollouts(aExchange);
+    rollouts_.Serve(aExchange);
   } else if (get && absl::StartsWith(http.path_, kRequests)) {
     ServeRequest(*aExchange, http.path_.substr(kRequests.size()));
   } else if (get && http.path_ == "/v1/admin/config") {
@@ -209,19 +209,6 @@
   return Dump(body);
 }
 
-std::string
-Admin::Document()
-{
-  json body{ { "revision", 0 }, { "document", "" } };
-  control_.Inspect([&](const reducer::State& aState) {
-    if (const auto& accepted = aState.sync_.inForce_; accepted) {
-      body["revision"] = accepted->head_.revision_;
-      body["document"] = config::Join(accepted->sections_);
-    }
-  });
-  return Dump(body);
-}
-
 std::string
 Admin::Status()
 {
@@ -341,12 +328,4 @@
   ReplyJson(aExchange, 200, Dump(body));
 }
 
-void
-Admin::ServeRollouts(const std::shared_ptr<net::Exchange>& aExchange)
-{
-  ReplyProblem(*aExchange,
-               { ErrorKind::UnknownPath, "rollouts are not served here yet" },
-               "");
-}
-
 } // namespace lycheeplank::entry
--- a/src/entry/admin.h
+++ b/src/entry/admin.h
@@ -8,8 +8,8 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
 
-#include "adapters/platform.h"
 #include "entry/control.h"
+#include "entry/rollouts.h"
 #include "entry/trace.h"
 #include "lycheeplank/net.h"
 
@@ -21,15 +21,13 @@
 public:
   Admin(Control& aControl,
         Trace& aTrace,
-        adapters::PlatformClient& aPlatform,
+        Rollouts& aRollouts,
         std::string aKeyDigest);
 
   // Answers an operator's request; false for a path that is not theirs.
   bool Serve(const std::shared_ptr<net::Exchange>& aExchange);
   // Answers the operator whose edit was settled.
   void Perform(const config::AnswerEdit& aAnswer);
-  // Returns the accepted document for the steward on this host.
-  std::string Document();
 
 private:
   void PostEdit(const std::shared_ptr<net::Exchange>& aExchange);
@@ -40,11 +38,10 @@
   std::string Targets();
   std::string Stores();
   void ServeRequest(net::Exchange& aExchange, const std::string& aId);
-  void ServeRollouts(const std::shared_ptr<net::Exchange>& aExchange);
 
   Control& control_;
   Trace& trace_;
-  adapters::PlatformClient& platform_;
+  Rollouts& rollouts_;
   const std::string keyDigest_;
   absl::Mutex mutex_;
   // Operators whose edits are under way, by the edit's id.
--- a/src/entry/app.cc
+++ b/src/entry/app.cc
@@ -3,7 +3,6 @@
 #include <thread>
 
 #include <absl/strings/str_cat.h>
-#include <absl/strings/strip.h>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
@@ -13,7 +12,9 @@
 #include "entry/control.h"
 #include "entry/poller.h"
 #include "entry/problem.h"
+#include "entry/rollouts.h"
 #include "entry/runner.h"
+#include "entry/steward-link.h"
 #include "entry/trace.h"
 #include "peer/peer.h"
 
@@ -23,6 +24,9 @@
 
 // Hosts that one answer of GET /v1/entries names.
 constexpr std::size_t kEntriesListed = 3;
+// Callers wait until the outcome of a call is recorded, so it hardly waits for
+// a claim to share its write.
+constexpr absl::Duration kOutcomeDelay = absl::Milliseconds(10);
 constexpr absl::Duration kDrainStep = absl::Milliseconds(50);
 // Threads that read from targets go on while control calls wait, so that each
 // has a client of its own.
@@ -38,6 +42,7 @@
   state.seed_ = core::StableHash(aSettings.name_);
   state.sync_.host_ = aSettings.name_;
   state.claims_.settings_.instance_ = core::RandomId();
+  state.claims_.settings_.outcomeDelay_ = kOutcomeDelay;
   membership::HostState self;
   self.name_ = aSettings.name_;
   self.peerAddress_ = aPeerAddress;
@@ -56,7 +61,6 @@
   void Post(reducer::Event aEvent) { control_->Post(std::move(aEvent)); }
   void Serve(const std::shared_ptr<net::Exchange>& aExchange);
   void ServeHealth(net::Exchange& aExchange);
-  void ServeInternal(net::Exchange& aExchange);
   std::string EntriesJson(const std::string& aWorkspace);
   void AddGauges();
 
@@ -69,6 +73,8 @@
   net::Client controlClient_;
   adapters::PlatformClient platform_;
   Runner runner_;
+  Rollouts rollouts_;
+  StewardLink steward_;
   peer::Client peers_;
   std::unique_ptr<peer::Server> peerServer_;
   std::unique_ptr<Control> control_;
@@ -116,7 +122,10 @@
   {
     app_.poller_->FetchInventory(aEffect.target_);
   }
-  void operator()(const reducer::ReportRun&) const {}
+  void operator()(const reducer::ReportRun& aEffect) const
+  {
+    app_.steward_.Perform(aEffect);
+  }
   void operator()(const reducer::SendCommand& aEffect) const
   {
     app_.metrics_.Count("platform_commands_total");
@@ -225,6 +234,8 @@
             metrics_,
             aSettings.tokenSecret_,
             [this](reducer::Event aEvent) { Post(std::move(aEvent)); })
+  , rollouts_(platform_, snapshots_)
+  , steward_(controlClient_, aSettings.stewardUrl_, aSettings.tokenSecret_)
   , peers_([this](reducer::Event aEvent) { Post(std::move(aEvent)); })
 {
   const auto post = [this](reducer::Event aEvent) { Post(std::move(aEvent)); };
@@ -247,7 +258,7 @@
       absl::visit(Performer{ *this }, aEffect);
     });
   admin_ = std::make_unique<Admin>(
-    *control_, trace_, platform_, aSettings.operatorKeyDigest_);
+    *control_, trace_, rollouts_, aSettings.operatorKeyDigest_);
   poller_ = std::make_unique<Poller>(
     controlClient_,
     snapshots_,
@@ -266,6 +277,7 @@
                 } });
   control_->Start();
   poller_->Start();
+  steward_.Start();
 }
 
 void
@@ -277,9 +289,8 @@
       *aExchange, { core::ErrorKind::NotReady, "the host is starting" }, "");
   } else if (path == "/healthz" || path == "/readyz" || path == "/metrics") {
     ServeHealth(*aExchange);
-  } else if (path == "/internal/config") {
-    ServeInternal(*aExchange);
-  } else if (!admin_->Serve(aExchange) && !ServeCaller(*api_, aExchange)) {
+  } else if (!steward_.Serve(*control_, aExchange) &&
+             !admin_->Serve(aExchange) && !ServeCaller(*api_, aExchange)) {
     ReplyProblem(*aExchange, { core::ErrorKind::UnknownPath, path }, "");
   }
 }
@@ -316,22 +327,6 @@
   }
 }
 
-void
-App::Impl::ServeInternal(net::Exchange& aExchange)
-{
-  absl::string_view secret =
-    net::Find(aExchange.request_.headers_, "Authorization");
-  if (!absl::ConsumePrefix(&secret, "Bearer ") ||
-      !core::EqualConstantTime(secret, settings_.tokenSecret_)) {
-    ReplyProblem(aExchange,
-                 { core::ErrorKind::WrongKey,
-                   "this path is for the steward of the same host" },
-                 "");
-    return;
-  }
-  ReplyJson(aExchange, 200, admin_->Document());
-}
-
 std::string
 App::Impl::EntriesJson(const std::string& aWorkspace)
 {
--- a/src/reducer/step.cc
+++ b/src/reducer/step.cc
@@ -54,6 +54,13 @@
   {
     OnStoreInventory(context_, aEvent);
   }
+  void operator()(const StoreSighted& aEvent)
+  {
+    SpreadSightings(context_,
+                    { aEvent.store_, directory::HolderKind::Store },
+                    aEvent.sightings_,
+                    false);
+  }
   void operator()(const BlocksSighted& aEvent)
   {
     if (aEvent.inventory_) {
