--- a/src/steward/main.cc
+++ b/src/steward/main.cc
@@ -67,12 +67,12 @@
   net::Client client(kClientThreads);
   lycheeplank::adapters::PlatformClient platform(
     client, aSettings.platformUrl_, "steward-" + aSettings.name_);
-  const steward::DutyContext context{ aSettings,
-                                      client,
-                                      platform,
-                                      [&control](steward::EventBody aBody) {
-                                        control->Post(std::move(aBody));
-                                      } };
+  const steward::DutyContext context{
+    aSettings,
+    client,
+    platform,
+    [&control](const steward::EventBody& aBody) { control->Post(aBody); }
+  };
   steward::ConfigFollower follower(context);
   control = std::make_unique<steward::Control>(
     rollout::Start(aSettings.name_, {}),
--- /dev/null
+++ b/test/steward-test.py
@@ -0,0 +1,165 @@
+#!/usr/bin/env python3
+"""Runs rollouts with stewards and engines as separate processes."""
+
+import json
+import os
+import signal
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "support"))
+
+import cluster  # noqa: E402
+
+BINARIES = os.path.join(ROOT, "build", "bin")
+MODEL = "wording"
+ENGINES = 10
+MAX_LOADING = 2
+ROLLOUT_TIMEOUT_S = 90
+POLL_S = 0.05
+
+
+class LoadWatch(threading.Thread):
+    """Notes the largest number of engines that load at the same time."""
+
+    def __init__(self, test):
+        super().__init__(daemon=True)
+        self.test = test
+        self.most = 0
+        self.stopped = threading.Event()
+
+    def run(self):
+        while not self.stopped.wait(POLL_S):
+            loading = sum(1 for engine in self.test.engines() if engine["loading"])
+            self.most = max(self.most, loading)
+
+
+class StewardTest(unittest.TestCase):
+    """Each test has a cluster of its own."""
+
+    def setUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        options = cluster.Options(
+            directory=self.folder.name, binaries=BINARIES, entries=3, engines=ENGINES, ignore_fencing=True
+        )
+        self.cluster = cluster.Cluster(options)
+        try:
+            self.cluster.start()
+            self.wait(lambda: len(self.owners()) == 4, 30, "all partitions have owners")
+        except Exception:
+            self.cluster.stop()
+            raise
+
+    def tearDown(self):
+        self.cluster.stop()
+        self.folder.cleanup()
+
+    def platform(self, method, key, body=None):
+        url = self.cluster.description["platform"]["http"] + "/v1/kv?key=" + key
+        return cluster.http(method, url, body)
+
+    def wait(self, condition, seconds, what):
+        limit = time.monotonic() + seconds
+        while not condition():
+            self.assertLess(time.monotonic(), limit, what)
+            time.sleep(POLL_S)
+
+    def owners(self):
+        """Returns the owner's name for each partition that has one."""
+        answers = [self.platform("GET", f"rollout-owners/{index}") for index in range(4)]
+        return [body.split()[0] for status, body in answers if status == 200]
+
+    def engines(self):
+        rows = []
+        for target in self.cluster.description["targets"]:
+            if target["kind"] == "engine":
+                rows.append(json.loads(cluster.http("GET", target["http"] + "/v1/orders")[1]))
+        return rows
+
+    def versions(self):
+        return [engine["weight_version"] for engine in self.engines()]
+
+    def start_rollout(self, version):
+        record = {"model": MODEL, "version": version, "state": "running", "done": 0, "total": 0, "detail": ""}
+        self.assertEqual(self.platform("PUT", "rollouts/" + MODEL, record)[0], 200)
+
+    def record(self):
+        return json.loads(self.platform("GET", "rollouts/" + MODEL)[1])
+
+    def wait_done(self, version):
+        self.wait(lambda: self.record()["state"] != "running", ROLLOUT_TIMEOUT_S, "the rollout ends")
+        self.assertEqual(self.record()["state"], "done", self.record())
+        self.assertEqual(set(self.versions()), {version})
+
+    def steward_of(self, name):
+        return self.cluster.processes["steward-" + name]
+
+    def owning_steward(self):
+        return self.steward_of(self.owners()[0])
+
+    def interrupt_rollout(self, action):
+        """Starts a rollout and acts on all owners once it is under way."""
+        self.start_rollout("v2")
+        self.wait(lambda: "v2" in self.versions(), 30, "the rollout starts")
+        self.assertIn("v1", self.versions())
+        for name in set(self.owners()):
+            action(self.steward_of(name))
+
+    def test_a_rollout_goes_on_after_its_owner_is_killed(self):
+        watch = LoadWatch(self)
+        watch.start()
+        self.interrupt_rollout(lambda process: process.kill())
+        self.assertEqual(self.record()["state"], "running")
+        self.wait_done("v2")
+        watch.stopped.set()
+        watch.join()
+        self.assertLessEqual(watch.most, MAX_LOADING)
+        self.assertGreater(watch.most, 0)
+
+    def test_a_frozen_owner_wakes_up_to_a_new_owner(self):
+        watch = LoadWatch(self)
+        watch.start()
+        frozen = []
+
+        def freeze(process):
+            frozen.append(process)
+            process.send_signal(signal.SIGSTOP)
+
+        try:
+            self.interrupt_rollout(freeze)
+            self.wait_done("v2")
+            self.start_rollout("v3")
+        finally:
+            for process in frozen:
+                process.send_signal(signal.SIGCONT)
+        self.wait_done("v3")
+        time.sleep(2)
+        self.assertEqual(set(self.versions()), {"v3"})
+        watch.stopped.set()
+        watch.join()
+        self.assertLessEqual(watch.most, MAX_LOADING)
+
+    def test_a_steward_that_is_asked_to_stop_hands_over(self):
+        stopped = []
+
+        def stop(process):
+            stopped.append(process)
+            process.terminate()
+
+        self.interrupt_rollout(stop)
+        began = time.monotonic()
+        for process in stopped:
+            self.assertEqual(process.wait(timeout=15), 0)
+        self.wait(lambda: len(self.owners()) == 4, 15, "another steward owns the partitions")
+        print(f"handed over after {time.monotonic() - began:.1f} s")
+        self.wait_done("v2")
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1 and not sys.argv[1].startswith("-"):
+        BINARIES = sys.argv.pop(1)
+    unittest.main(verbosity=2)
