Refuse on the smaller side for as long as a cut lasts

Cause: a cut-off minority forgot the dead hosts after ten minutes and then took itself for the whole. Dead hosts are now kept while too few others are seen, and exactly half of the hosts is too few, since each half of a cut would serve otherwise. Two new tests cover both. A host that starts during an outage of the platform reads the list every 5 s after five attempts.

--- a/include/lycheeplank/membership.h
+++ b/include/lycheeplank/membership.h
@@ -90,9 +90,10 @@
   absl::Duration forgetAfter_ = absl::Minutes(10);
   std::uint32_t listReaders_ = 3;
   absl::Duration listPeriod_ = absl::Seconds(1);
-  // Period of the list reads of a host that is no reader but sees fewer than
-  // minPeerShare_ of the hosts.
+  // Period of the list reads of a host that is no reader but sees too few of
+  // the hosts, or that has found no list after its first attempts.
   absl::Duration isolatedListPeriod_ = absl::Seconds(5);
+  std::uint32_t firstListReads_ = 5;
   // Most news in one message.
   std::uint32_t maxRumours_ = 32;
   // Known states in one message beside the news.
@@ -105,8 +106,8 @@
   absl::Duration pushPeriod_ = absl::Milliseconds(300);
   // A host without platform and peers for so long takes no new work.
   absl::Duration isolationBound_ = absl::Seconds(10);
-  // Without the platform, a host that sees a smaller part of the known hosts
-  // takes no new work.
+  // Without the platform, a host takes new work only if it sees more than this
+  // part of the known hosts.
   double minPeerShare_ = 0.5;
   // Load from which a host is moved back in lists, and at which it returns.
   std::uint32_t overloadedPermille_ = 900;
--- a/src/membership/host-list.cc
+++ b/src/membership/host-list.cc
@@ -137,13 +137,17 @@
   if (aNow < aState.nextListRead_) {
     return;
   }
-  const bool isolated = !HasQuorum(aState);
-  aState.nextListRead_ = aNow + aState.settings_.listPeriod_;
-  if (aState.listRevision_ > 0 && !IsReader(aState)) {
-    if (!isolated) {
-      return;
-    }
-    aState.nextListRead_ = aNow + aState.settings_.isolatedListPeriod_;
+  const auto& settings = aState.settings_;
+  const bool hasList = aState.listRevision_ > 0;
+  const bool reads = hasList
+                       ? IsReader(aState)
+                       : aState.counters_.listReads_ < settings.firstListReads_;
+  aState.nextListRead_ =
+    aNow + (reads ? settings.listPeriod_ : settings.isolatedListPeriod_);
+  if (!reads && hasList && HasQuorum(aState)) {
+    // The readers may change before the longer period has passed.
+    aState.nextListRead_ = aNow + settings.listPeriod_;
+    return;
   }
   ++aState.counters_.listReads_;
   aEffects.push_back(ReadHostList{});
--- a/src/membership/step.cc
+++ b/src/membership/step.cc
@@ -16,7 +16,21 @@
   return aThen != absl::InfinitePast() && aNow - aThen <= aBound;
 }
 
-// Forgets hosts that have been dead or gone for long.
+// Tells whether a host that doesn't come back counts no more. A host that sees
+// too few others keeps the dead ones, or it would take the few for all.
+bool
+IsForgotten(const State& aState,
+            const Member& aMember,
+            bool aHasQuorum,
+            absl::Time aNow)
+{
+  const Status status = aMember.state_.status_;
+  const bool out =
+    status == Status::Leaving || (status == Status::Dead && aHasQuorum);
+  return out && aNow > aMember.since_ + aState.settings_.forgetAfter_;
+}
+
+// Forgets hosts that have been dead or gone for long, and old notes.
 void
 ForgetOld(State& aState, absl::Time aNow)
 {
@@ -25,11 +39,9 @@
   }
   aState.nextForget_ = aNow + kForgetPeriod;
   const std::size_t before = aState.members_.size();
+  const bool hasQuorum = HasQuorum(aState);
   absl::erase_if(aState.members_, [&](const auto& aEntry) {
-    const auto& member = aEntry.second;
-    const bool out = member.state_.status_ == Status::Dead ||
-                     member.state_.status_ == Status::Leaving;
-    return out && aNow > member.since_ + aState.settings_.forgetAfter_;
+    return IsForgotten(aState, aEntry.second, hasQuorum, aNow);
   });
   absl::erase_if(aState.targets_, [&](const auto& aEntry) {
     return aNow > aEntry.second.since_ + kTargetNoteLife;
@@ -176,7 +188,7 @@
     known += status == Status::Leaving ? 0 : 1;
     seen += status == Status::Alive ? 1 : 0;
   }
-  return double(seen) >= aState.settings_.minPeerShare_ * double(known);
+  return double(seen) > aState.settings_.minPeerShare_ * double(known);
 }
 
 State
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -686,6 +686,41 @@
   }
 }
 
+TEST_CASE("a cut region refuses also after the others are long dead to it")
+{
+  Network network(8, Seed(15));
+  network.Run(kSettle);
+  for (const std::size_t cut : { 1U, 5U }) {
+    network.At(cut).group_ = 1;
+    network.At(cut).platformReachable_ = false;
+  }
+  network.Run(absl::Seconds(30));
+  for (int i = 0; i < 100; ++i) {
+    network.Run(absl::Seconds(12));
+    CHECK(!membership::MayServe(network.At(1).state_, network.Now()));
+    CHECK(!membership::MayServe(network.At(5).state_, network.Now()));
+  }
+}
+
+TEST_CASE("neither half of a cut serves without the platform")
+{
+  Network network(8, Seed(16));
+  network.Run(kSettle);
+  network.platformUp_ = false;
+  for (std::size_t i = 0; i < 4; ++i) {
+    network.At(i).group_ = 1;
+  }
+  network.Run(absl::Seconds(40));
+  CHECK(network.Count([&](const SimHost& aHost) {
+    return membership::MayServe(aHost.state_, network.Now());
+  }) == 0);
+  network.platformUp_ = true;
+  network.Run(absl::Seconds(10));
+  CHECK(network.Count([&](const SimHost& aHost) {
+    return membership::MayServe(aHost.state_, network.Now());
+  }) == 8);
+}
+
 TEST_CASE("a paused host blames no other and returns")
 {
   Network network(8, Seed(11));
--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -846,6 +846,32 @@
   }
 }
 
+TEST_CASE("an order that waited in a frozen process is not sent")
+{
+  for (int run = 0; run < 10; ++run) {
+    World world(3, Seed(300) + static_cast<std::uint64_t>(run));
+    world.Run(absl::Seconds(10));
+    world.StartRollout("large", "v1");
+    const auto hasOrder = [&] {
+      const auto* owner = world.OwnerOf("large");
+      return owner != nullptr && !owner->state_.orders_.empty();
+    };
+    while (!hasOrder()) {
+      world.Run(absl::Milliseconds(1));
+    }
+    auto* owner = world.OwnerOf("large");
+    owner->frozen_ = true;
+    world.Run(absl::Seconds(20));
+    world.StartRollout("large", "v2");
+    world.RunUntil(absl::Minutes(2),
+                   [&] { return world.IsDone("large", "v2"); });
+    REQUIRE(world.IsDone("large", "v2"));
+    world.Thaw(*owner);
+    world.Run(absl::Seconds(10));
+    REQUIRE(AllServe(world, "large", "v2"));
+  }
+}
+
 TEST_CASE("a late write takes no slot away from a target that loads")
 {
   for (int run = 0; run < 20; ++run) {
