Write the slots once on taking a partition over, and only then

Cause: a write that gave a slot back could wait in a frozen process and land after the new owner had adopted that slot and ordered its target. The write on entering makes it void; a new test freezes owners at that point. The same write after an own lost reply is dropped: the wish to give a slot back outlives the lost reply, so no order relies on the slot meanwhile.

--- a/include/lycheeplank/rollout.h
+++ b/include/lycheeplank/rollout.h
@@ -209,9 +209,10 @@
 // The slots as the platform has them, and what this steward wants to change.
 struct SlotTable
 {
-  // Nothing that another write might still change relies on it otherwise.
+  // The last reply told what the slots are; no order relies on them else.
   bool fresh_ = false;
-  // A write that may still arrive is made void by another write first.
+  // A new owner writes the slots once before it relies on them, so that a
+  // write of its predecessor that is still on its way finds another version.
   bool barrierNeeded_ = true;
   bool commandPending_ = false;
   std::uint64_t version_ = 0;
--- a/src/rollout/slots.cc
+++ b/src/rollout/slots.cc
@@ -184,7 +184,6 @@
 ReadAgain(SlotTable& aTable, const Settings& aSettings, absl::Time aNow)
 {
   aTable.fresh_ = false;
-  aTable.barrierNeeded_ = true;
   aTable.nextTry_ = aNow + aSettings.retryPeriod_;
 }
 
--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -174,13 +174,14 @@
   std::uint64_t Orders() const { return orders_; }
   absl::Time Now() const { return now_; }
 
-  // The steward that owns a model, if one does.
+  // The running steward that owns a model, if one does.
   SimSteward* OwnerOf(const std::string& aModel)
   {
     for (auto& steward : stewards_) {
       const auto& partition =
         steward->state_.partitions_[rollout::PartitionOf(aModel)];
-      if (steward->up_ && partition.phase_ == rollout::Phase::Owned) {
+      if (steward->up_ && !steward->frozen_ &&
+          partition.phase_ == rollout::Phase::Owned) {
         return steward.get();
       }
     }
@@ -872,6 +873,36 @@
   }
 }
 
+TEST_CASE("a write that waited in a frozen process takes no slot away")
+{
+  for (int run = 0; run < 40; ++run) {
+    World world(3, Seed(400) + static_cast<std::uint64_t>(run));
+    world.slowFactor_ = 6.0;
+    world.Run(absl::Seconds(10));
+    world.StartRollout("large", "v1");
+    const auto givesBack = [&] {
+      const auto* owner = world.OwnerOf("large");
+      return owner != nullptr && !owner->state_.slots_.unwanted_.empty() &&
+             owner->state_.slots_.commandPending_;
+    };
+    while (!givesBack()) {
+      world.Run(absl::Milliseconds(1));
+    }
+    auto* owner = world.OwnerOf("large");
+    owner->frozen_ = true;
+    world.Run(absl::Seconds(5));
+    world.StartRollout("large", "v2");
+    const auto isTakenOver = [&] { return world.OwnerOf("large") != nullptr; };
+    world.RunUntil(absl::Seconds(30), isTakenOver);
+    REQUIRE(isTakenOver());
+    world.Run(absl::Milliseconds(20) * run);
+    world.Thaw(*owner);
+    world.RunUntil(absl::Minutes(5),
+                   [&] { return world.IsDone("large", "v2"); });
+    REQUIRE(world.IsDone("large", "v2"));
+  }
+}
+
 TEST_CASE("a late write takes no slot away from a target that loads")
 {
   for (int run = 0; run < 20; ++run) {
