--- a/src/steward/clock.h
+++ b/src/steward/clock.h
@@ -7,8 +7,8 @@
 
 namespace lycheeplank::steward {
 
-// Returns the time since the machine has started, which no clock adjustment
-// moves and which goes on while the machine is suspended; leases need both.
+// Returns the time since the host has started, which no clock adjustment
+// moves and which goes on while the host is suspended; leases need both.
 inline absl::Time
 BootTime()
 {
--- a/src/steward/duties.h
+++ b/src/steward/duties.h
@@ -26,7 +26,7 @@
 void
 PerformRollout(const DutyContext& aContext, const rollout::Effect& aEffect);
 
-// Follows the configuration of the entry host on the same machine.
+// Follows the configuration of the entry host on the same host.
 class ConfigFollower
 {
 public:
--- a/src/steward/settings.cc
+++ b/src/steward/settings.cc
@@ -49,7 +49,7 @@
     ->required();
   aApp
     .add_option(
-      "--entry", aSettings.entryUrl_, "URL of the entry host on this machine")
+      "--entry", aSettings.entryUrl_, "URL of the entry host on this host")
     ->envname("LYCHEEPLANK_ENTRY")
     ->check(CheckUrl)
     ->required();
--- a/src/steward/settings.h
+++ b/src/steward/settings.h
@@ -12,7 +12,7 @@
   std::string name_;
   std::string dataCentre_;
   std::string platformUrl_;
-  // The entry host on the same machine, which tells the configuration.
+  // The entry host on the same host, which tells the configuration.
   std::string entryUrl_;
   // Shared with the entry hosts.
   std::string tokenSecret_;
