--- a/src/cli/config.cc
+++ b/src/cli/config.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <ostream>
-#include <thread>
 
 #include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
@@ -133,7 +132,8 @@
       { { "name", section.name_ }, { "text", section.text_ } });
   }
   return Json({ { "base_revision", aBase.revision_ },
-                { "author", aOptions.author_ },
+                { "author",
+                  aOptions.author_.empty() ? "unknown" : aOptions.author_ },
                 { "sections", sections } })
     .dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -141,6 +141,8 @@
 // Which hosts have a revision.
 struct Spread
 {
+  // Why it could not be found out; empty if it could.
+  std::string failure_;
   std::size_t live_ = 0;
   std::vector<std::string> lagging_;
   Json hosts_;
@@ -165,15 +167,32 @@
   return spread;
 }
 
+// Fetches the spread; a failure is no reason to give up, since the change is
+// accepted already.
+Spread
+TrySpread(const Context& aContext, std::uint64_t aRevision)
+{
+  const auto failed = [](std::string aReason) {
+    Spread spread;
+    spread.failure_ = std::move(aReason);
+    spread.hosts_ = Json::array();
+    return spread;
+  };
+  return boost::leaf::try_handle_all(
+    [&] { return FetchSpread(aContext, aRevision); },
+    [&](const Failure& aFailure) { return failed(aFailure.message_); },
+    [&] { return failed("an unknown error"); });
+}
+
 bool
 InForce(const Spread& aSpread)
 {
-  return aSpread.live_ > 0 && aSpread.lagging_.empty();
+  return aSpread.failure_.empty() && aSpread.live_ > 0 &&
+         aSpread.lagging_.empty();
 }
 
-// Waits until all live hosts have a revision, or the time is over; the latter
-// is no failure but shows in what is returned.
-core::Result<Spread>
+// Waits until all live hosts have a revision, or the time is over.
+Spread
 AwaitSpread(const Context& aContext,
             std::uint64_t aRevision,
             absl::Duration aWait)
@@ -181,7 +200,7 @@
   const absl::Time deadline = absl::Now() + aWait;
   std::size_t shown = 0;
   while (true) {
-    BOOST_LEAF_AUTO(spread, FetchSpread(aContext, aRevision));
+    Spread spread = TrySpread(aContext, aRevision);
     const std::size_t have = spread.live_ - spread.lagging_.size();
     if (have != shown) {
       aContext.console_.err_ << have << " of " << spread.live_
@@ -210,6 +229,17 @@
   aContext.console_.out_ << "revision " << aRevision << " accepted\n";
 }
 
+// Says which hosts lag, or why that is not known.
+std::string
+Laggards(const Spread& aSpread)
+{
+  if (!aSpread.failure_.empty()) {
+    return absl::StrCat("any host (", aSpread.failure_, ")");
+  }
+  return aSpread.live_ == 0 ? "any host (none is known to live)"
+                            : absl::StrJoin(aSpread.lagging_, ", ");
+}
+
 core::Result<ExitCode>
 AwaitInForce(const Context& aContext,
              std::uint64_t aRevision,
@@ -221,7 +251,7 @@
     PrintApplied(aContext, aRevision, none);
     return ExitCode::Ok;
   }
-  BOOST_LEAF_AUTO(spread, AwaitSpread(aContext, aRevision, aWait));
+  const Spread spread = AwaitSpread(aContext, aRevision, aWait);
   PrintApplied(aContext, aRevision, spread);
   if (InForce(spread)) {
     return ExitCode::Ok;
@@ -230,10 +260,8 @@
     { ExitCode::NotInForce,
       absl::StrCat("revision ",
                    aRevision,
-                   " is accepted but not yet in force on: ",
-                   spread.lagging_.empty()
-                     ? "any host, since none is known to live"
-                     : absl::StrJoin(spread.lagging_, ", ")),
+                   " is accepted, but not known to be in force on: ",
+                   Laggards(spread)),
       "See 'lycheeplank config status'; look at these hosts if it stays so." });
 }
 
@@ -281,6 +309,28 @@
   aContext.console_.out_ << FormatTable(rows);
 }
 
+// Drops all sections but one.
+core::Result<void>
+KeepOnly(Current& aCurrent, const std::string& aSection)
+{
+  const auto* const chosen = Find(aCurrent.sections_, aSection);
+  if (chosen == nullptr) {
+    return FailWith(
+      { ExitCode::Failed,
+        absl::StrCat("there is no section ", aSection),
+        "Use 'lycheeplank config show --output table' for the names." });
+  }
+  aCurrent.sections_ = { config::Section(*chosen) };
+  Json kept = Json::array();
+  for (const auto& item : aCurrent.answer_.at("sections")) {
+    if (item.at("name") == aSection) {
+      kept.push_back(item);
+    }
+  }
+  aCurrent.answer_["sections"] = std::move(kept);
+  return {};
+}
+
 } // namespace
 
 core::Result<ExitCode>
@@ -306,12 +356,8 @@
 ShowConfig(const Context& aContext, const std::string& aSection)
 {
   BOOST_LEAF_AUTO(current, FetchCurrent(aContext));
-  const auto* const chosen = Find(current.sections_, aSection);
-  if (!aSection.empty() && chosen == nullptr) {
-    return FailWith(
-      { ExitCode::Failed,
-        absl::StrCat("there is no section ", aSection),
-        "Use 'lycheeplank config show --output table' for the names." });
+  if (!aSection.empty()) {
+    BOOST_LEAF_CHECK(KeepOnly(current, aSection));
   }
   switch (aContext.settings_.output_) {
     case Output::Json:
@@ -321,9 +367,6 @@
       PrintSectionTable(aContext, current);
       break;
     case Output::Yaml:
-      if (chosen != nullptr) {
-        current.sections_ = { config::Section(*chosen) };
-      }
       aContext.console_.out_ << FormatBase(current.revision_, current.sections_)
                              << "\n"
                              << config::Join(current.sections_);
