--- a/src/load/experiment-command.cc
+++ b/src/load/experiment-command.cc
@@ -29,54 +29,57 @@
              const std::string& aDir,
              config::Policy aPolicy)
 {
-  return RunProgram({ aOptions.script_,
-                      "up",
-                      "--dir",
-                      aDir,
-                      "--entries",
-                      absl::StrCat(aOptions.entries_),
-                      "--engines",
-                      absl::StrCat(aOptions.engines_),
-                      "--services",
-                      absl::StrCat(aOptions.services_),
-                      "--stores",
-                      absl::StrCat(aOptions.stores_),
-                      "--policy",
-                      Text(core::NameOf(config::kPolicies, aPolicy)) });
+  std::vector<std::string> arguments{
+    aOptions.script_, "up",
+    "--dir",          aDir,
+    "--entries",      absl::StrCat(aOptions.entries_),
+    "--engines",      absl::StrCat(aOptions.engines_),
+    "--services",     absl::StrCat(aOptions.services_),
+    "--stores",       absl::StrCat(aOptions.stores_),
+    "--policy",       Text(core::NameOf(config::kPolicies, aPolicy))
+  };
+  arguments.insert(arguments.end(),
+                   aOptions.clusterArguments_.begin(),
+                   aOptions.clusterArguments_.end());
+  return RunProgram(arguments);
 }
 
-core::Result<PolicyResult>
+core::Result<Report>
 RunOnCluster(const ExperimentOptions& aOptions,
+             const TraceOptions& aTrace,
              const std::string& aDir,
-             config::Policy aPolicy)
+             const std::string& aName)
 {
   BOOST_LEAF_AUTO(
     cluster,
     OpenCluster({ aDir + "/cluster.json", aOptions.cluster_.workspaces_ }));
-  const RunResult result = RunTrace(cluster, aOptions.trace_);
-  PolicyResult policy{ aPolicy, MakeReport(result) };
-  const std::string name = Text(core::NameOf(config::kPolicies, aPolicy));
+  const RunResult result = RunTrace(cluster, aTrace);
+  Report report = MakeReport(result);
   BOOST_LEAF_CHECK(
-    WriteFile(aOptions.reportDir_, name + ".json", FormatJson(policy.report_)));
+    WriteFile(aOptions.reportDir_, aName + ".json", FormatJson(report)));
   BOOST_LEAF_CHECK(
-    WriteFile(aOptions.reportDir_, name + ".csv", FormatCsv(result)));
-  LOG(INFO) << "event=policy_done policy=" << name
-            << " ttft_p50_ms=" << policy.report_.firstToken_.p50_
-            << " recomputed_share=" << policy.report_.recomputedShare_
-            << " clean=" << IsClean(policy.report_);
-  return policy;
+    WriteFile(aOptions.reportDir_, aName + ".csv", FormatCsv(result)));
+  LOG(INFO) << "event=policy_done run=" << aName
+            << " ttft_p50_ms=" << report.firstToken_.p50_
+            << " recomputed_share=" << report.recomputedShare_
+            << " clean=" << IsClean(report);
+  return report;
 }
 
-// Runs the trace on a cluster of its own, which is taken down in any case.
-core::Result<PolicyResult>
-RunPolicy(const ExperimentOptions& aOptions, config::Policy aPolicy)
+// Runs a trace on a cluster of its own, which is ended in any case.
+core::Result<Report>
+RunPolicy(const ExperimentOptions& aOptions,
+          const TraceOptions& aTrace,
+          config::Policy aPolicy)
 {
-  const std::string dir = absl::StrCat(
-    aOptions.reportDir_, "/cluster-", core::NameOf(config::kPolicies, aPolicy));
+  const std::string name =
+    absl::StrCat(core::NameOf(config::kPolicies, aPolicy), "-", aTrace.seed_);
+  const std::string dir = absl::StrCat(aOptions.reportDir_, "/cluster-", name);
   BOOST_LEAF_CHECK(StartCluster(aOptions, dir, aPolicy));
-  auto result = RunOnCluster(aOptions, dir, aPolicy);
-  BOOST_LEAF_CHECK(RunProgram({ aOptions.script_, "down", "--dir", dir }));
-  return result;
+  auto report = RunOnCluster(aOptions, aTrace, dir, name);
+  BOOST_LEAF_CHECK(
+    RunProgram({ aOptions.script_, "down", "--now", "--dir", dir }));
+  return report;
 }
 
 core::Result<void>
@@ -87,20 +90,30 @@
   BOOST_LEAF_CHECK(
     WriteFile(dir, "report.md", FormatExperiment(aOptions.trace_, aResults)));
   BOOST_LEAF_CHECK(WriteFile(dir, "policies.csv", FormatPolicyCsv(aResults)));
+  BOOST_LEAF_CHECK(
+    WriteFile(dir, "runs.csv", FormatRunCsv(aOptions.trace_, aResults)));
   BOOST_LEAF_CHECK(WriteFile(dir, "plots.gp", PlotScript()));
   return RunProgram(
     { "gnuplot", "-e", absl::StrCat("cd '", dir, "'"), dir + "/plots.gp" });
 }
 
+// Runs each seed with all policies before the next seed, so that a change of
+// the machine's load meets all policies.
 core::Result<int>
 RunExperiment(const ExperimentOptions& aOptions)
 {
   std::vector<PolicyResult> results;
-  bool clean = true;
   for (const config::Policy policy : aOptions.policies_) {
-    BOOST_LEAF_AUTO(result, RunPolicy(aOptions, policy));
-    clean = clean && IsClean(result.report_);
-    results.push_back(std::move(result));
+    results.push_back({ policy, {} });
+  }
+  bool clean = true;
+  TraceOptions trace = aOptions.trace_;
+  for (std::uint32_t run = 0; run < aOptions.runs_; ++run, ++trace.seed_) {
+    for (PolicyResult& result : results) {
+      BOOST_LEAF_AUTO(report, RunPolicy(aOptions, trace, result.policy_));
+      clean = clean && IsClean(report);
+      result.reports_.push_back(std::move(report));
+    }
   }
   BOOST_LEAF_CHECK(WriteReport(aOptions, results));
   std::fputs(FormatExperiment(aOptions.trace_, results).c_str(), stdout);
@@ -112,8 +125,11 @@
 int
 ExperimentCommand(const ExperimentOptions& aOptions)
 {
+  ExperimentOptions options = aOptions;
+  // The plots are made from within the folder.
+  options.reportDir_ = std::filesystem::absolute(aOptions.reportDir_).string();
   return core::HandleError(
-    [&] { return RunExperiment(aOptions); },
+    [&] { return RunExperiment(options); },
     [](const core::Error& aError) {
       absl::FPrintF(stderr, "lycheeplank-load: %s\n", core::Describe(aError));
       return kExitFailed;
--- a/src/load/experiment-report.cc
+++ b/src/load/experiment-report.cc
@@ -1,5 +1,8 @@
 #include "load/experiment-report.h"
 
+#include <algorithm>
+#include <numeric>
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -9,33 +12,122 @@
 
 constexpr double kBytesPerMegabyte = 1e6;
 
+// A figure over several runs.
+struct Spread
+{
+  double mean_ = 0.0;
+  double least_ = 0.0;
+  double most_ = 0.0;
+};
+
+// The figures that are compared.
+struct Figures
+{
+  Spread p50_;
+  Spread p95_;
+  Spread p99_;
+  Spread recomputedShare_;
+  Spread linkBytes_;
+};
+
+Spread
+SpreadOf(const std::vector<double>& aValues)
+{
+  if (aValues.empty()) {
+    return {};
+  }
+  const auto [least, most] =
+    std::minmax_element(aValues.begin(), aValues.end());
+  return { std::accumulate(aValues.begin(), aValues.end(), 0.0) /
+             static_cast<double>(aValues.size()),
+           *least,
+           *most };
+}
+
+template<typename Read>
+Spread
+SpreadOf(const std::vector<Report>& aReports, Read aRead)
+{
+  std::vector<double> values;
+  values.reserve(aReports.size());
+  for (const Report& report : aReports) {
+    values.push_back(aRead(report));
+  }
+  return SpreadOf(values);
+}
+
+Figures
+FiguresOf(const std::vector<Report>& aReports)
+{
+  const auto over = [&](auto aRead) { return SpreadOf(aReports, aRead); };
+  return {
+    over([](const Report& aEach) { return aEach.firstToken_.p50_; }),
+    over([](const Report& aEach) { return aEach.firstToken_.p95_; }),
+    over([](const Report& aEach) { return aEach.firstToken_.p99_; }),
+    over([](const Report& aEach) { return aEach.recomputedShare_; }),
+    over([](const Report& aEach) {
+      return static_cast<double>(aEach.linkBytes_);
+    }),
+  };
+}
+
+Figures
+BoundOf(const std::vector<Report>& aReports)
+{
+  const auto over = [&](auto aRead) { return SpreadOf(aReports, aRead); };
+  return {
+    over([](const Report& aEach) { return aEach.bound_.firstToken_.p50_; }),
+    over([](const Report& aEach) { return aEach.bound_.firstToken_.p95_; }),
+    over([](const Report& aEach) { return aEach.bound_.firstToken_.p99_; }),
+    over([](const Report& aEach) { return aEach.bound_.recomputedShare_; }),
+    over([](const Report& aEach) {
+      return static_cast<double>(aEach.bound_.linkBytes_);
+    }),
+  };
+}
+
+// Returns "mean" or, where the runs differ, "mean (least to most)".
 std::string
-PolicyRow(const PolicyResult& aResult)
+Format(const Spread& aSpread, int aDigits, double aUnit = 1.0)
 {
-  const Report& report = aResult.report_;
-  return absl::StrFormat(
-    "| %s | %.0f | %.0f | %.0f | %.3f | %.1f | %d / %d |\n",
-    core::NameOf(config::kPolicies, aResult.policy_),
-    report.firstToken_.p50_,
-    report.firstToken_.p95_,
-    report.firstToken_.p99_,
-    report.recomputedShare_,
-    static_cast<double>(report.linkBytes_) / kBytesPerMegabyte,
-    report.answered_,
-    report.requests_);
+  std::string mean =
+    absl::StrFormat("%.*f", aDigits, aSpread.mean_ / aUnit);
+  if (aSpread.least_ == aSpread.most_) {
+    return mean;
+  }
+  return absl::StrFormat("%s (%.*f to %.*f)",
+                         mean,
+                         aDigits,
+                         aSpread.least_ / aUnit,
+                         aDigits,
+                         aSpread.most_ / aUnit);
 }
 
 std::string
-BoundRow(const BoundSummary& aBound)
-{
-  return absl::StrFormat("| clairvoyant bound | %.0f | %.0f | %.0f | %.3f | "
-                         "%.1f | |\n",
-                         aBound.firstToken_.p50_,
-                         aBound.firstToken_.p95_,
-                         aBound.firstToken_.p99_,
-                         aBound.recomputedShare_,
-                         static_cast<double>(aBound.linkBytes_) /
-                           kBytesPerMegabyte);
+Row(absl::string_view aName, const Figures& aFigures, absl::string_view aEnd)
+{
+  return absl::StrFormat("| %s | %s | %s | %s | %s | %s | %s |\n",
+                         aName,
+                         Format(aFigures.p50_, 0),
+                         Format(aFigures.p95_, 0),
+                         Format(aFigures.p99_, 0),
+                         Format(aFigures.recomputedShare_, 3),
+                         Format(aFigures.linkBytes_, 1, kBytesPerMegabyte),
+                         aEnd);
+}
+
+std::string
+PolicyRow(const PolicyResult& aResult)
+{
+  std::size_t answered = 0;
+  std::size_t requests = 0;
+  for (const Report& report : aResult.reports_) {
+    answered += report.answered_;
+    requests += report.requests_;
+  }
+  return Row(core::NameOf(config::kPolicies, aResult.policy_),
+             FiguresOf(aResult.reports_),
+             absl::StrCat(answered, " / ", requests));
 }
 
 // Returns the rows of first tokens by kind of request.
@@ -43,33 +135,54 @@
 TaskRows(const PolicyResult& aResult)
 {
   std::string rows;
-  for (const TaskReport& task : aResult.report_.tasks_) {
-    if (task.firstToken_.count_ == 0) {
+  const auto& tasks = aResult.reports_.front().tasks_;
+  for (std::size_t at = 0; at < tasks.size(); ++at) {
+    if (tasks[at].firstToken_.count_ == 0) {
       continue;
     }
-    rows += absl::StrFormat("| %s | %s | %.0f | %.0f | %.0f |\n",
+    const auto over = [&](double Summary::*aField) {
+      return Format(SpreadOf(aResult.reports_,
+                             [&](const Report& aEach) {
+                               return aEach.tasks_[at].firstToken_.*aField;
+                             }),
+                    0);
+    };
+    rows += absl::StrFormat("| %s | %s | %s | %s | %s |\n",
                             core::NameOf(config::kPolicies, aResult.policy_),
-                            core::NameOf(kTasks, task.task_),
-                            task.firstToken_.p50_,
-                            task.firstToken_.p95_,
-                            task.firstToken_.p99_);
+                            core::NameOf(kTasks, tasks[at].task_),
+                            over(&Summary::p50_),
+                            over(&Summary::p95_),
+                            over(&Summary::p99_));
   }
   return rows;
 }
 
 std::string
-CsvRow(absl::string_view aName,
-       const Summary& aFirstToken,
-       double aRecomputed,
-       std::uint64_t aLinkBytes)
+Introduction(const TraceOptions& aTrace, std::size_t aRuns)
 {
-  return absl::StrFormat("%s,%.2f,%.2f,%.2f,%.4f,%d\n",
+  return absl::StrFormat(
+    "# Policies compared\n\nProfile %s, %.1f requests/s for %.0f s, shortest "
+    "gap %.0f s, seeds %d to %d. Each policy met the same traces, each on a "
+    "fresh cluster. Figures are means over the seeds, with the least and the "
+    "most in brackets.\n\n",
+    core::NameOf(kProfiles, aTrace.profile_),
+    aTrace.requestsPerSecond_,
+    absl::ToDoubleSeconds(aTrace.duration_),
+    absl::ToDoubleSeconds(aTrace.minGap_),
+    aTrace.seed_,
+    aTrace.seed_ + aRuns - 1);
+}
+
+std::string
+CsvRow(absl::string_view aName, const Figures& aFigures)
+{
+  return absl::StrFormat("%s,%.2f,%.2f,%.2f,%.4f,%.0f\n",
                          aName,
-                         aFirstToken.p50_,
-                         aFirstToken.p95_,
-                         aFirstToken.p99_,
-                         aRecomputed,
-                         aLinkBytes);
+                         aFigures.p50_.mean_,
+                         aFigures.p95_.mean_,
+                         aFigures.p99_.mean_,
+                         aFigures.recomputedShare_.mean_,
+                         aFigures.linkBytes_.mean_);
 }
 
 } // namespace
@@ -78,23 +191,14 @@
 FormatExperiment(const TraceOptions& aTrace,
                  const std::vector<PolicyResult>& aResults)
 {
-  std::string text = absl::StrFormat(
-    "# Policies compared\n\nProfile %s, %.1f requests/s for %.0f s, shortest "
-    "gap %.0f s, seed %d. Each policy met the same trace on a fresh "
-    "cluster.\n\n",
-    core::NameOf(kProfiles, aTrace.profile_),
-    aTrace.requestsPerSecond_,
-    absl::ToDoubleSeconds(aTrace.duration_),
-    absl::ToDoubleSeconds(aTrace.minGap_),
-    aTrace.seed_);
+  const auto& first = aResults.front().reports_;
+  std::string text = Introduction(aTrace, first.size());
   text += "| policy | first token p50 ms | p95 ms | p99 ms | recomputed share "
           "| link MB | answered |\n|---|---|---|---|---|---|---|\n";
   for (const PolicyResult& result : aResults) {
     text += PolicyRow(result);
   }
-  if (!aResults.empty()) {
-    text += BoundRow(aResults.front().report_.bound_);
-  }
+  text += Row("clairvoyant bound", BoundOf(first), "");
   text += "\nThe bound knows the future, shares one cache over all engines "
           "and lets no request wait for another.\n\n"
           "![first token](first-token.png)\n\n"
@@ -110,18 +214,25 @@
 std::string
 FormatPolicyCsv(const std::vector<PolicyResult>& aResults)
 {
-  std::string text = "policy,ttft_p50_ms,ttft_p95_ms,ttft_p99_ms,"
-                     "recomputed_share,link_bytes\n";
-  for (const auto& [policy, report] : aResults) {
-    text += CsvRow(core::NameOf(config::kPolicies, policy),
-                   report.firstToken_,
-                   report.recomputedShare_,
-                   report.linkBytes_);
+  std::string text = "policy,p50,p95,p99,recomputed_share,link_bytes\n";
+  for (const auto& [policy, reports] : aResults) {
+    text += CsvRow(core::NameOf(config::kPolicies, policy), FiguresOf(reports));
   }
-  if (!aResults.empty()) {
-    const BoundSummary& bound = aResults.front().report_.bound_;
-    text += CsvRow(
-      "bound", bound.firstToken_, bound.recomputedShare_, bound.linkBytes_);
+  return text + CsvRow("bound", BoundOf(aResults.front().reports_));
+}
+
+std::string
+FormatRunCsv(const TraceOptions& aTrace,
+             const std::vector<PolicyResult>& aResults)
+{
+  std::string text = "policy,seed,p50,p95,p99,recomputed_share,link_bytes\n";
+  for (const auto& [policy, reports] : aResults) {
+    for (std::size_t at = 0; at < reports.size(); ++at) {
+      text += CsvRow(absl::StrCat(core::NameOf(config::kPolicies, policy),
+                                  ",",
+                                  aTrace.seed_ + at),
+                     FiguresOf({ reports[at] }));
+    }
   }
   return text;
 }
--- a/src/load/experiment-report.h
+++ b/src/load/experiment-report.h
@@ -10,22 +10,28 @@
 
 namespace lycheeplank::load {
 
-// What one policy made of the trace.
+// What one policy made of the traces, in the order of their seeds.
 struct PolicyResult
 {
   config::Policy policy_ = config::Policy::Estimate;
-  Report report_;
+  std::vector<Report> reports_;
 };
 
-// Returns report.md.
+// Returns report.md; aTrace holds the first seed.
 std::string
 FormatExperiment(const TraceOptions& aTrace,
                  const std::vector<PolicyResult>& aResults);
 
-// Returns policies.csv, one line a policy and one for the bound.
+// Returns policies.csv: means over the seeds, one line a policy and one for
+// the bound.
 std::string
 FormatPolicyCsv(const std::vector<PolicyResult>& aResults);
 
+// Returns runs.csv, one line a policy and seed.
+std::string
+FormatRunCsv(const TraceOptions& aTrace,
+             const std::vector<PolicyResult>& aResults);
+
 // Returns a script for gnuplot that plots policies.csv into PNG files.
 std::string
 PlotScript();
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -162,6 +162,12 @@
   AddFlag(aApp, "engines", aOptions.engines_, "engines");
   AddFlag(aApp, "services", aOptions.services_, "plain services");
   AddFlag(aApp, "stores", aOptions.stores_, "stores");
+  AddFlag(aApp, "runs", aOptions.runs_, "seeds to run each policy with")
+    ->check(CLI::PositiveNumber);
+  AddFlag(aApp,
+          "cluster-argument",
+          aOptions.clusterArguments_,
+          "argument for the script's 'up', as --cluster-argument=--token-ms=1");
 }
 
 } // namespace
--- a/src/load/options.h
+++ b/src/load/options.h
@@ -76,6 +76,8 @@
   ClusterOptions cluster_;
   TraceOptions trace_;
   std::vector<config::Policy> policies_;
+  // Traces for each policy, with seeds that follow each other.
+  std::uint32_t runs_ = 1;
   std::string reportDir_;
   // The script that starts and ends clusters.
   std::string script_ = "support/local-cluster";
@@ -83,6 +85,8 @@
   std::uint32_t engines_ = 4;
   std::uint32_t services_ = 1;
   std::uint32_t stores_ = 1;
+  // Further arguments of the script's `up`.
+  std::vector<std::string> clusterArguments_;
 };
 
 // Reads the cluster with the workspaces that send requests.
--- a/test/load-test.cc
+++ b/test/load-test.cc
@@ -533,15 +533,21 @@
   Report report;
   report.firstToken_.p50_ = 12.0;
   report.recomputedShare_ = 0.25;
-  const std::vector<PolicyResult> results{ { config::Policy::Estimate, report },
-                                           { config::Policy::Sticky, report } };
+  Report slower = report;
+  slower.firstToken_.p50_ = 14.0;
+  const std::vector<PolicyResult> results{
+    { config::Policy::Estimate, { report, slower } },
+    { config::Policy::Sticky, { report, report } }
+  };
   CHECK(FormatPolicyCsv(results) ==
-        "policy,ttft_p50_ms,ttft_p95_ms,ttft_p99_ms,recomputed_share,"
-        "link_bytes\n"
-        "estimate,12.00,0.00,0.00,0.2500,0\n"
+        "policy,p50,p95,p99,recomputed_share,link_bytes\n"
+        "estimate,13.00,0.00,0.00,0.2500,0\n"
         "sticky,12.00,0.00,0.00,0.2500,0\n"
         "bound,0.00,0.00,0.00,0.0000,0\n");
+  CHECK(absl::StrContains(FormatRunCsv({}, results),
+                          "estimate,2,14.00,0.00,0.00,0.2500,0\n"));
   const std::string text = FormatExperiment({}, results);
-  CHECK(absl::StrContains(text, "| estimate | 12 |"));
+  CHECK(absl::StrContains(text, "| estimate | 13 (12 to 14) |"));
+  CHECK(absl::StrContains(text, "| sticky | 12 |"));
   CHECK(absl::StrContains(text, "| clairvoyant bound |"));
 }
