Pass by an entry host that gave no answer until the next list

After an entry host was killed, each request first tried the dead host and then waited 0.2 s, so that name checks took 206 ms in the median; callers in earnest would remember.

Refused completions now tell how many tokens came before.

--- a/src/load/attempts.cc
+++ b/src/load/attempts.cc
@@ -8,9 +8,10 @@
 namespace {
 
 constexpr std::uint32_t kMaxAttempts = 12;
-constexpr absl::Duration kPause = absl::Milliseconds(200);
+constexpr std::uint32_t kImmediateAttempts = 3;
+constexpr absl::Duration kPause = absl::Milliseconds(300);
 
-// Asks for the entry list and sends to the next host on it.
+// Sends to the first host of the entry list.
 void
 Send(const std::shared_ptr<Attempts>& aAttempts,
      const std::function<void(const std::string&)>& aSend)
@@ -18,10 +19,22 @@
   aAttempts->context_.entries_.Get(
     aAttempts->plan_.arrival_.workspace_,
     [aAttempts, aSend](const EntryBook::Urls& aUrls) {
-      aSend(aUrls[aAttempts->hostsPassed_ % aUrls.size()]);
+      aAttempts->url_ = aUrls.front();
+      aSend(aAttempts->url_);
     });
 }
 
+// Returns how long to wait before the next attempt: not for the first ones, as
+// another host will answer, but once all seem to be gone.
+absl::Duration
+PauseBefore(const Attempts& aAttempts, Next aHow)
+{
+  const bool immediate =
+    aAttempts.count_ == 1 ||
+    (aHow == Next::OtherHost && aAttempts.count_ <= kImmediateAttempts);
+  return immediate ? absl::ZeroDuration() : kPause;
+}
+
 } // namespace
 
 Next
@@ -42,15 +55,14 @@
     Land(*aAttempts, End::Broken);
     return;
   }
-  aAttempts->hostsPassed_ += aHow == Next::OtherHost ? 1 : 0;
-  const bool first = aAttempts->count_ == 1;
-  aAttempts->outcome_.repeats_ += first ? 0 : 1;
-  // A short pause also before another host, so that a failure of all of them
-  // does not use up the attempts at once.
-  const absl::Duration pause =
-    first ? absl::ZeroDuration() : kPause * (aHow == Next::Later ? 2 : 1);
+  aAttempts->outcome_.repeats_ += aAttempts->count_ == 1 ? 0 : 1;
+  if (aHow == Next::OtherHost) {
+    aAttempts->context_.entries_.Demote(aAttempts->plan_.arrival_.workspace_,
+                                        aAttempts->url_);
+  }
   aAttempts->context_.loop_.After(
-    pause, [aAttempts, send = std::move(aSend)] { Send(aAttempts, send); });
+    PauseBefore(*aAttempts, aHow),
+    [aAttempts, send = std::move(aSend)] { Send(aAttempts, send); });
 }
 
 void
--- a/src/load/attempts.h
+++ b/src/load/attempts.h
@@ -20,8 +20,8 @@
   Outcome outcome_;
   absl::Time startedAt_;
   std::uint32_t count_ = 0;
-  // Places in the entry list that were found not to answer.
-  std::uint32_t hostsPassed_ = 0;
+  // The entry host asked last.
+  std::string url_;
 };
 
 // How the caller goes on after a call that gave no answer.
--- a/src/load/completion-flight.cc
+++ b/src/load/completion-flight.cc
@@ -42,9 +42,24 @@
     .dump();
 }
 
+// Notes what has come so far.
+void
+RecordTokens(const FlightPtr& aFlight)
+{
+  Attempts& attempts = *aFlight->attempts_;
+  Completion& completion = aFlight->completion_;
+  attempts.outcome_.tokens_ = completion.tokens_;
+  attempts.outcome_.tokenGaps_ = std::move(completion.tokenGaps_);
+  if (completion.firstTokenAt_) {
+    attempts.outcome_.firstToken_ =
+      *completion.firstTokenAt_ - attempts.startedAt_;
+  }
+}
+
 void
 LandCompletion(const FlightPtr& aFlight)
 {
+  RecordTokens(aFlight);
   const Attempts& attempts = *aFlight->attempts_;
   const bool right =
     IsRight(aFlight->completion_,
@@ -52,15 +67,16 @@
             attempts.context_.model_,
             attempts.context_.weightVersions_,
             TraitsOf(attempts.plan_.arrival_.task_).maxTokens_);
-  Outcome& outcome = aFlight->attempts_->outcome_;
-  outcome.tokens_ = aFlight->completion_.tokens_;
-  outcome.tokenGaps_ = std::move(aFlight->completion_.tokenGaps_);
-  outcome.firstToken_ =
-    aFlight->completion_.firstTokenAt_.value_or(absl::Now()) -
-    attempts.startedAt_;
   Land(*aFlight->attempts_, right ? End::Answered : End::Wrong);
 }
 
+void
+LandProblem(const FlightPtr& aFlight, const Problem& aProblem)
+{
+  RecordTokens(aFlight);
+  LandRefused(*aFlight->attempts_, aProblem);
+}
+
 void
 Send(const FlightPtr& aFlight, const std::string& aUrl);
 
@@ -87,7 +103,7 @@
   } else if (const Next next = NextAfter(problem); next != Next::GiveUp) {
     SendAgain(aFlight, next);
   } else {
-    LandRefused(*aFlight->attempts_, problem);
+    LandProblem(aFlight, problem);
   }
 }
 
@@ -97,7 +113,7 @@
   if (aFlight->completion_.done_) {
     LandCompletion(aFlight);
   } else if (aFlight->completion_.problem_) {
-    LandRefused(*aFlight->attempts_, *aFlight->completion_.problem_);
+    LandProblem(aFlight, *aFlight->completion_.problem_);
   } else if (aEnd.whole_ && aEnd.status_ != kOk) {
     TakeRefusal(aFlight);
   } else if (absl::Now() - aFlight->attempts_->startedAt_ >
--- a/src/load/entry-book.cc
+++ b/src/load/entry-book.cc
@@ -1,5 +1,7 @@
 #include "load/entry-book.h"
 
+#include <algorithm>
+
 #include <absl/strings/str_cat.h>
 #include <absl/time/clock.h>
 #include <nlohmann/json.hpp>
@@ -74,6 +76,17 @@
   Ask(aWorkspace, urls, 0);
 }
 
+void
+EntryBook::Demote(std::uint32_t aWorkspace, const std::string& aUrl)
+{
+  const absl::MutexLock lock(&mutex_);
+  Urls& urls = pages_[aWorkspace].urls_;
+  if (const auto found = std::find(urls.begin(), urls.end(), aUrl);
+      found != urls.end()) {
+    std::rotate(found, found + 1, urls.end());
+  }
+}
+
 void
 EntryBook::Ask(std::uint32_t aWorkspace, const Urls& aHosts, std::size_t aNext)
 {
--- a/src/load/entry-book.h
+++ b/src/load/entry-book.h
@@ -29,6 +29,10 @@
   // all of the cluster.
   void Get(std::uint32_t aWorkspace, const Callback& aCallback);
 
+  // Puts a host that gave no answer behind the others, until the list is asked
+  // for anew.
+  void Demote(std::uint32_t aWorkspace, const std::string& aUrl);
+
 private:
   struct Page
   {
--- a/src/load/experiment-report.cc
+++ b/src/load/experiment-report.cc
@@ -90,8 +90,7 @@
 std::string
 Format(const Spread& aSpread, int aDigits, double aUnit = 1.0)
 {
-  std::string mean =
-    absl::StrFormat("%.*f", aDigits, aSpread.mean_ / aUnit);
+  std::string mean = absl::StrFormat("%.*f", aDigits, aSpread.mean_ / aUnit);
   if (aSpread.least_ == aSpread.most_) {
     return mean;
   }
