--- a/include/lycheeplank/config_sync.h
+++ b/include/lycheeplank/config_sync.h
@@ -165,7 +165,8 @@
 struct DocumentChecked
 {
   std::uint64_t id_ = 0;
-  std::shared_ptr<const Checked> checked_;
+  ConfigPtr config_;
+  std::vector<Problem> problems_;
 };
 
 // This host shall run one pass of the clean-up of old chunks.
@@ -214,6 +215,7 @@
 struct CheckDocument
 {
   std::uint64_t id_ = 0;
+  std::uint64_t revision_ = 0;
   std::vector<Section> sections_;
 };
 
@@ -443,6 +445,11 @@
 std::uint64_t
 RevisionOf(const SyncState& aState);
 
+// Returns when a poller or the platform last told its revision; a host that
+// has heard of neither for long can't know which configuration is in force.
+absl::Time
+LastNews(const SyncState& aState);
+
 // Takes one event and returns what has to be done.
 std::vector<Effect>
 Step(SyncState& aState, const Event& aEvent);
