--- a/include/lycheeplank/placement.h
+++ b/include/lycheeplank/placement.h
@@ -31,7 +31,7 @@
   absl::Duration remaining_ = absl::InfiniteDuration();
   // Digests and other batch work are not interactive.
   bool interactive_ = true;
-  // Breaks ties; round robin reads it as a running number.
+  // Breaks ties; for round robin the host's running number.
   std::uint64_t seed_ = 0;
   // Stable hash of the prompt's first block, for sticky placement.
   std::uint64_t promptHash_ = 0;
@@ -175,11 +175,6 @@
 // How concurrent deciders are kept from all choosing the same target.
 struct Tuning
 {
-  // Random candidates that are looked at beside the holders; 0: all.
-  std::uint32_t choices_ = 0;
-  // Noise on the estimated queue, as a part of the work that can have arrived
-  // unseen since the report.
-  double noiseShare_ = 0.0;
   // Seconds of preference for the first follower over the next one, for each
   // second of the report's age; keeps hosts to different idle targets.
   double rankShare_ = 0.1;
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -26,28 +26,16 @@
   return mixed ^ (mixed >> 31U);
 }
 
-// Returns a uniform number from 0 to 1.
-double
-Uniform(std::uint64_t aSeed, std::uint64_t aNumber)
-{
-  constexpr double kScale = 1.0 / 9007199254740992.0;
-  return static_cast<double>(Mix(aSeed, aNumber) >> 11U) * kScale;
-}
-
 // Returns the seconds by which a candidate is made less attractive, so that
 // hosts whose reports are equally old choose different targets.
 double
-Handicap(const Question& aQuestion,
-         const Candidate& aCandidate,
-         std::uint32_t aIndex,
-         const Tuning& aTuning)
+Handicap(const Candidate& aCandidate, const Tuning& aTuning)
 {
   if (aCandidate.load_.age_ == absl::InfiniteDuration()) {
     return 0.0;
   }
-  const double noise = aTuning.noiseShare_ * Uniform(aQuestion.seed_, aIndex);
-  const double rank = aTuning.rankShare_ * aCandidate.followerRank_;
-  return (noise + rank) * absl::ToDoubleSeconds(aCandidate.load_.age_);
+  return aTuning.rankShare_ * aCandidate.followerRank_ *
+         absl::ToDoubleSeconds(aCandidate.load_.age_);
 }
 
 std::vector<CandidateCost>
@@ -72,24 +60,6 @@
   return costs;
 }
 
-// Whether a candidate is among those that two random choices leave.
-bool
-IsLookedAt(const Question& aQuestion,
-           const std::vector<Candidate>& aCandidates,
-           std::uint32_t aIndex,
-           const Tuning& aTuning)
-{
-  if (aTuning.choices_ == 0 || aCandidates[aIndex].cachedBlocks_ > 0) {
-    return true;
-  }
-  for (std::uint32_t i = 0; i < aTuning.choices_; ++i) {
-    if (Mix(aQuestion.seed_, i) % aCandidates.size() == aIndex) {
-      return true;
-    }
-  }
-  return false;
-}
-
 // Returns the position of the cheapest candidate; one that is surer to meet the
 // deadline goes before the others.
 std::uint32_t
@@ -107,13 +77,9 @@
   };
   Rank best;
   for (std::uint32_t i = 0; i < aCosts.size(); ++i) {
-    if (!IsLookedAt(aQuestion, aCandidates, i, aTuning)) {
-      continue;
-    }
     const Rank rank{ LatenessOf(aQuestion, aCosts[i]),
-                     aCosts[i].cost_ +
-                       aQuestion.objective_.ttftWeight_ *
-                         Handicap(aQuestion, aCandidates[i], i, aTuning),
+                     aCosts[i].cost_ + aQuestion.objective_.ttftWeight_ *
+                                         Handicap(aCandidates[i], aTuning),
                      Mix(aQuestion.seed_, i),
                      i };
     if (std::tie(rank.lateness_, rank.cost_, rank.tie_) <
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -207,6 +207,32 @@
   CHECK(!placement::Choose(question, candidates, { offer })->meetsDeadline_);
 }
 
+TEST_CASE("hosts with equally old reports prefer different idle targets")
+{
+  std::vector<placement::Candidate> candidates{ MakeCandidate("e1"),
+                                                MakeCandidate("e2") };
+  candidates[0].load_.age_ = absl::Seconds(1);
+  candidates[1].load_.age_ = absl::Seconds(1);
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    auto question = MakeQuestion();
+    question.seed_ = seed;
+    candidates[0].followerRank_ = 0;
+    candidates[1].followerRank_ = 1;
+    CHECK(placement::Choose(question, candidates, {})->target_ == "e1");
+    std::swap(candidates[0].followerRank_, candidates[1].followerRank_);
+    CHECK(placement::Choose(question, candidates, {})->target_ == "e2");
+  }
+}
+
+TEST_CASE("a fresh report counts more than the rank of the host")
+{
+  std::vector<placement::Candidate> candidates{ MakeCandidate("e1"),
+                                                MakeCandidate("e2") };
+  candidates[0].load_.queuedPrefillTokens_ = 10000;
+  candidates[1].followerRank_ = 4;
+  CHECK(placement::Choose(MakeQuestion(), candidates, {})->target_ == "e2");
+}
+
 TEST_CASE("own work since the report counts and drains")
 {
   auto busy = MakeCandidate("e1");
