--- /dev/null
+++ b/src/standin/store.cc
@@ -0,0 +1,110 @@
+#include "standin/store.h"
+
+#include <absl/strings/strip.h>
+#include <nlohmann/json.hpp>
+
+namespace lycheeplank::standin {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr absl::string_view kBlockPath = "/v1/blocks/";
+constexpr absl::string_view kPinPath = "/v1/pins/";
+constexpr std::uint64_t kDefaultPinMilliseconds = 10000;
+constexpr std::size_t kListLimit = 1000;
+
+void
+CreatePin(Store& aStore, const ExchangePtr& aExchange)
+{
+  const net::Request& request = aExchange->request_;
+  const BlockAddress address{ QueryText(request, "key"),
+                              QueryNumber(request, "generation", 0) };
+  if (FindBlock(aStore, address) == nullptr) {
+    ReplyError(aExchange, 409, "generation");
+    return;
+  }
+  const std::string pin = core::RandomId();
+  aStore.pins_[pin] = { address.key_, address.generation_ };
+  aStore.context_.loop_.After(
+    absl::Milliseconds(QueryNumber(request, "ttl", kDefaultPinMilliseconds)),
+    [&aStore, pin] { aStore.pins_.erase(pin); });
+  ReplyJson(aExchange, 200, { { "pin", pin } });
+}
+
+void
+ListBlocks(const Store& aStore, const ExchangePtr& aExchange)
+{
+  auto block =
+    aStore.committed_.upper_bound(QueryText(aExchange->request_, "after"));
+  Json blocks = Json::array();
+  for (; block != aStore.committed_.end() && blocks.size() < kListLimit;
+       ++block) {
+    const auto& [key, content] = *block;
+    blocks.push_back(
+      { { "key", key },
+        { "root", content.root_ },
+        { "generation", content.generation_ },
+        { "bytes", content.bytes_ },
+        { "tier", std::string(core::NameOf(kTiers, content.tier_)) } });
+  }
+  const bool more = block != aStore.committed_.end();
+  ReplyJson(
+    aExchange, 200, { { "blocks", std::move(blocks) }, { "more", more } });
+}
+
+void
+ReplyLoad(const Store& aStore, const ExchangePtr& aExchange)
+{
+  const double slowdown = aStore.context_.faults_.slowdown_;
+  ReplyJson(
+    aExchange,
+    200,
+    { { "memory_used", aStore.memoryUsed_ },
+      { "disk_used", aStore.diskUsed_ },
+      { "memory_bytes", aStore.options_.memoryBytes_ },
+      { "disk_bytes", aStore.options_.diskBytes_ },
+      { "link_backlog_bytes", BacklogOf(aStore.link_, slowdown, absl::Now()) },
+      { "link_bytes_per_second", aStore.link_.bytesPerSecond_ / slowdown },
+      { "link_bytes_total", aStore.link_.bytesTotal_ } });
+}
+
+void
+Handle(Store& aStore, const ExchangePtr& aExchange)
+{
+  const net::Request& request = aExchange->request_;
+  absl::string_view rest = request.path_;
+  if (absl::ConsumePrefix(&rest, kBlockPath)) {
+    HandleBlock(aStore, rest, aExchange);
+  } else if (absl::ConsumePrefix(&rest, kPinPath)) {
+    aStore.pins_.erase(std::string(rest));
+    ReplyJson(aExchange, 200, Json::object());
+  } else if (request.path_ == "/v1/pins") {
+    CreatePin(aStore, aExchange);
+  } else if (request.path_ == "/v1/blocks") {
+    ListBlocks(aStore, aExchange);
+  } else if (request.path_ == "/v1/load") {
+    ReplyLoad(aStore, aExchange);
+  } else if (request.path_ == "/executions") {
+    ReplyJson(aExchange, 200, Json::object());
+  } else {
+    ReplyError(aExchange, 404, "unknown path");
+  }
+}
+
+} // namespace
+
+std::unique_ptr<Running>
+StartStore(const StoreOptions& aOptions)
+{
+  auto context = std::make_shared<Context>();
+  auto store = std::make_shared<Store>(Store{ aOptions, *context });
+  store->link_.bytesPerSecond_ = aOptions.linkBytesPerSecond_;
+  store->disk_.bytesPerSecond_ = aOptions.diskBytesPerSecond_;
+  return std::make_unique<Running>(
+    aOptions.common_, context, [store](const ExchangePtr& aExchange) {
+      Handle(*store, aExchange);
+    });
+}
+
+} // namespace lycheeplank::standin
