Tell a fresh view of a shard by events instead of times

A view counted as fresh when it was read at or after the time of the report. Freshness now follows the numbers of the host's own events.

--- a/include/lycheeplank/claims.h
+++ b/include/lycheeplank/claims.h
@@ -275,7 +275,8 @@
   std::uint32_t shard_ = 0;
   // Ticket of an ask or id of a report, where the purpose has one.
   std::uint64_t subject_ = 0;
-  absl::Time sent_;
+  // Number of the event that made it be sent.
+  std::uint64_t event_ = 0;
 };
 
 // An ask or report that came before the number of shards was known.
@@ -300,6 +301,7 @@
   std::uint64_t lastCommand_ = 0;
   std::uint64_t lastObject_ = 0;
   std::uint64_t lastReport_ = 0;
+  std::uint64_t lastEvent_ = 0;
   // Time of the latest event, and how far the clock was set back in all.
   absl::Time wallClock_ = absl::InfinitePast();
   absl::Duration setBack_ = absl::ZeroDuration();
--- a/src/claims/claims.cc
+++ b/src/claims/claims.cc
@@ -95,6 +95,7 @@
   waiting.request_ = core::StableHash(aAsk.requestDigest_);
   waiting.holder_ = aAsk.holder_;
   waiting.since_ = aContext.now_;
+  waiting.event_ = aContext.state_.lastEvent_;
   return waiting;
 }
 
@@ -162,6 +163,7 @@
   recording.id_ = ++aContext.state_.lastReport_;
   recording.ticket_ = aReport.ticket_;
   recording.since_ = aContext.now_;
+  recording.event_ = aContext.state_.lastEvent_;
   auto& record = recording.record_;
   record.kind_ = KindOf(aReport.outcome_);
   record.key_ = KeyFingerprint(aReport.workspace_, aReport.key_);
@@ -452,7 +454,7 @@
 {
   auto& state = aContext.state_;
   aCommand.id_ = ++state.lastCommand_;
-  aFlight.sent_ = aContext.now_;
+  aFlight.event_ = state.lastEvent_;
   if (const auto shard = state.loaded_.find(aFlight.shard_);
       aFlight.purpose_ != Purpose::ReadLayout &&
       aFlight.purpose_ != Purpose::CreateLayout) {
@@ -485,6 +487,7 @@
 Step(State& aState, const Event& aEvent)
 {
   std::vector<Effect> effects;
+  ++aState.lastEvent_;
   AdvanceClock(aState, TimeOf(aState, aEvent));
   const Context context{ aState, aState.now_, aState.wallClock_, effects };
   std::visit([&](const auto& aSpecific) { Handle(context, aSpecific); },
--- a/src/claims/resolve.cc
+++ b/src/claims/resolve.cc
@@ -41,7 +41,7 @@
   const auto* const claim = Find(aShard.index_, record.key_);
   if (claim == nullptr || claim->attempt_ != record.attempt_) {
     // The claim may have been granted by another host a moment ago.
-    if (IsFresh(aShard, aReport.since_)) {
+    if (IsFresh(aShard, aReport.event_)) {
       return ReportState::Contradicted;
     }
     aShard.refresh_ = true;
@@ -128,7 +128,7 @@
            kRepeatAfter);
     return true;
   }
-  if (!IsFresh(aShard, aAsk.since_)) {
+  if (!IsFresh(aShard, aAsk.event_)) {
     aShard.refresh_ = true;
     return false;
   }
@@ -158,7 +158,7 @@
     return false;
   }
   if (claim->request_ != aAsk.request_) {
-    const bool fresh = IsFresh(aShard, aAsk.since_);
+    const bool fresh = IsFresh(aShard, aAsk.event_);
     aShard.refresh_ = aShard.refresh_ || !fresh;
     if (fresh) {
       Answer(aContext, aShard, aAsk, Verdict::Mismatch, Counter::Mismatch);
@@ -178,9 +178,9 @@
 } // namespace
 
 bool
-IsFresh(const Shard& aShard, absl::Time aSince)
+IsFresh(const Shard& aShard, std::uint64_t aEvent)
 {
-  return aShard.viewAsOf_ >= aSince;
+  return aShard.viewEvent_ >= aEvent;
 }
 
 void
@@ -200,6 +200,7 @@
   Recording report;
   report.id_ = ++aContext.state_.lastReport_;
   report.since_ = aContext.now_;
+  report.event_ = aContext.state_.lastEvent_;
   report.record_.kind_ = RecordKind::Withdrawn;
   report.record_.key_ = aAsk.key_;
   report.record_.attempt_ = aAsk.attempt_;
--- a/src/claims/shard.cc
+++ b/src/claims/shard.cc
@@ -116,7 +116,7 @@
              const platform::Reply& aReply)
 {
   if (aShard.known_ && aReply.version_ == aShard.version_) {
-    aShard.viewAsOf_ = std::max(aShard.viewAsOf_, aFlight.sent_);
+    aShard.viewEvent_ = std::max(aShard.viewEvent_, aFlight.event_);
     aShard.refresh_ = false;
     aShard.reads_ = Backoff();
     return;
@@ -131,7 +131,7 @@
   }
   aShard.replacement_ = Replacement();
   Adopt(aShard, aReply.version_, std::move(*tail));
-  aShard.viewAsOf_ = std::max(aShard.viewAsOf_, aFlight.sent_);
+  aShard.viewEvent_ = std::max(aShard.viewEvent_, aFlight.event_);
   aShard.refresh_ = false;
   aShard.reads_ = Backoff();
 }
@@ -274,7 +274,7 @@
   const Tail before = aShard.tail_;
   Adopt(aShard, aReply.version_, std::move(aShard.proposal_));
   aShard.proposal_ = Tail();
-  aShard.viewAsOf_ = std::max(aShard.viewAsOf_, aFlight.sent_);
+  aShard.viewEvent_ = std::max(aShard.viewEvent_, aFlight.event_);
   DeleteReplaced(aContext, aShard, before);
 }
 
--- a/src/claims/shard.h
+++ b/src/claims/shard.h
@@ -23,6 +23,8 @@
   std::uint64_t request_ = 0;
   std::string holder_;
   absl::Time since_;
+  // Number of the event that it came with.
+  std::uint64_t event_ = 0;
   // A write that contains the claim was sent.
   bool sent_ = false;
   // The stored answer is being read.
@@ -41,6 +43,8 @@
   absl::Time ticketSince_;
   Record record_;
   absl::Time since_;
+  // Number of the event that it came with.
+  std::uint64_t event_ = 0;
   // Its large answer is stored, or there is none.
   bool ready_ = true;
   bool writing_ = false;
@@ -104,8 +108,8 @@
   bool known_ = false;
   std::uint64_t version_ = 0;
   Tail tail_;
-  // The view contains all that was written before this time.
-  absl::Time viewAsOf_ = absl::InfinitePast();
+  // The view contains all that was written before the event of this number.
+  std::uint64_t viewEvent_ = 0;
   bool refresh_ = false;
 
   // Everything before this position is in the index.
@@ -215,9 +219,9 @@
 void
 Resolve(const Context& aContext, Shard& aShard);
 
-// Whether the view contains all that was written before a time.
+// Whether the view contains all that was written before an event.
 bool
-IsFresh(const Shard& aShard, absl::Time aSince);
+IsFresh(const Shard& aShard, std::uint64_t aEvent);
 
 // Large answers (answers.cc).
 
--- a/test/claims-sim-test.cc
+++ b/test/claims-sim-test.cc
@@ -24,6 +24,7 @@
 constexpr absl::Duration kTick = absl::Milliseconds(10);
 constexpr absl::Duration kFaultyTime = absl::Seconds(60);
 constexpr absl::Duration kQuietTime = absl::Seconds(30);
+constexpr absl::Duration kShortRetention = absl::Seconds(15);
 constexpr absl::Duration kAnswerTimeout = absl::Milliseconds(1500);
 constexpr absl::Duration kCallTimeout = absl::Seconds(1);
 constexpr int kMaxReportTries = 200;
@@ -46,6 +47,7 @@
   std::size_t key_ = 0;
   std::size_t holder_ = 0;
   std::uint64_t generation_ = 0;
+  absl::Time start_;
   bool decided_ = false;
   // The caller was told that it was not run.
   bool notRun_ = false;
@@ -126,7 +128,7 @@
     settings.idleTimeout_ = absl::Seconds(6);
     settings.clockMargin_ = absl::Seconds(1);
     if (options_.shortRetention_) {
-      settings.retention_ = absl::Seconds(15);
+      settings.retention_ = kShortRetention;
     }
   }
 
@@ -170,6 +172,7 @@
   void Give(std::size_t aHost, const claims::Event& aEvent)
   {
     ++steps_;
+    lastCounter_ = claims::Counter::Granted;
     for (auto& effect : claims::Step(hosts_[aHost].state_, aEvent)) {
       Take(aHost, effect);
     }
@@ -191,11 +194,13 @@
                  std::get_if<claims::Recorded>(&aEffect)) {
       if (const auto found = host.reports_.extract(report->ticket_); found) {
         found.mapped()(report->durable_);
+        lastCounter_ = claims::Counter::Granted;
       } else {
         Violation("a report was answered twice");
       }
     } else {
-      ++counts_[std::get<claims::Count>(aEffect).counter_];
+      lastCounter_ = std::get<claims::Count>(aEffect).counter_;
+      ++counts_[lastCounter_];
     }
   }
 
@@ -250,6 +255,7 @@
     attempt->id_ = absl::StrCat("attempt", attempts_.size());
     attempt->key_ = aKey;
     attempt->holder_ = aHolder;
+    attempt->start_ = time_.now_;
     attempt->generation_ = hosts_[aHolder].generation_;
     const std::size_t home = HomeOf(*attempt);
     const auto generation = hosts_[home].generation_;
@@ -397,6 +403,11 @@
     const auto ticket = ++tickets_;
     hosts_[aHome].reports_[ticket] =
       [this, aAttempt, aIsSettled](bool aDurable) {
+        // Counters come before the answer that they belong to.
+        if (!aDurable && lastCounter_ == claims::Counter::Contradiction &&
+            time_.now_ - aAttempt->start_ < kShortRetention) {
+          Violation(absl::StrCat(aAttempt->id_, " has a dropped report"));
+        }
         if (aDurable) {
           Message(aAttempt->holder_, [aAttempt, aIsSettled] {
             *aIsSettled = true;
@@ -527,6 +538,7 @@
   std::uint64_t doneInTheEnd_ = 0;
   std::uint64_t grantedInTheEnd_ = 0;
   std::map<claims::Counter, int> counts_;
+  claims::Counter lastCounter_ = claims::Counter::Granted;
   std::vector<std::string> violations_;
 };
 
--- a/test/claims-test.cc
+++ b/test/claims-test.cc
@@ -251,6 +251,22 @@
   CHECK(first.counts_[claims::Counter::Conflict] == 1);
 }
 
+TEST_CASE("an outcome is recorded while the clock stands still")
+{
+  FakePlatform store;
+  Bench first(store, "i1");
+  Bench second(store, "i2");
+  // The second host has read the register before the claim was written.
+  second.Ask("warm", "w1");
+  second.CarryAll();
+  CHECK(first.AskAndRun("k", "a1") == Verdict::Granted);
+  const auto ticket = second.Report("k", "a1", AttemptOutcome::Done, kAnswer);
+  second.CarryAll();
+  second.Run(absl::Seconds(1));
+  CHECK(second.recorded_.at(ticket));
+  CHECK(second.counts_[claims::Counter::Contradiction] == 0);
+}
+
 TEST_CASE("a lost reply of a write that took place is settled by reading")
 {
   FakePlatform store;
