--- a/include/lycheeplank/placement.h
+++ b/include/lycheeplank/placement.h
@@ -31,7 +31,7 @@
   absl::Duration remaining_ = absl::InfiniteDuration();
   // Digests and other batch work are not interactive.
   bool interactive_ = true;
-  // Breaks ties; round robin reads it as a running number.
+  // Breaks ties; for round robin the host's running number.
   std::uint64_t seed_ = 0;
   // Stable hash of the prompt's first block, for sticky placement.
   std::uint64_t promptHash_ = 0;
@@ -82,6 +82,8 @@
   double prefillTokensPerSecond_ = 1.0;
   // Mean time for which a run holds one of the target's slots.
   absl::Duration meanDecode_ = absl::ZeroDuration();
+  // Position of this host among the target's followers, from 0 on.
+  std::uint32_t followerRank_ = 0;
   // Leading blocks of the prompt in the target's cache, by the directory.
   std::uint32_t cachedBlocks_ = 0;
   // Cached blocks of other prompts that the run is expected to push out.
@@ -173,11 +175,9 @@
 // How concurrent deciders are kept from all choosing the same target.
 struct Tuning
 {
-  // Random candidates that are looked at beside the holders; 0: all.
-  std::uint32_t choices_ = 0;
-  // Noise on the estimated queue, as a part of the work that can have arrived
-  // unseen since the report.
-  double noiseShare_ = 0.0;
+  // Seconds of preference for the first follower over the next one, for each
+  // second of the report's age; keeps hosts to different idle targets.
+  double rankShare_ = 0.1;
   // Time in which a report loses about two thirds of its value against the
   // mean over all candidates.
   absl::Duration reportMemory_ = absl::Seconds(5);
--- a/src/placement/placement.cc
+++ b/src/placement/placement.cc
@@ -26,26 +26,15 @@
   return mixed ^ (mixed >> 31U);
 }
 
-// Returns a uniform number from 0 to 1.
+// Returns the seconds by which a candidate is made less attractive, so that
+// hosts whose reports are equally old choose different targets.
 double
-Uniform(std::uint64_t aSeed, std::uint64_t aNumber)
+Handicap(const Candidate& aCandidate, const Tuning& aTuning)
 {
-  constexpr double kScale = 1.0 / 9007199254740992.0;
-  return static_cast<double>(Mix(aSeed, aNumber) >> 11U) * kScale;
-}
-
-// Returns the noise that keeps hosts with equally old reports apart.
-double
-Noise(const Question& aQuestion,
-      const Candidate& aCandidate,
-      std::uint32_t aIndex,
-      const Tuning& aTuning)
-{
-  if (aTuning.noiseShare_ <= 0.0 ||
-      aCandidate.load_.age_ == absl::InfiniteDuration()) {
+  if (aCandidate.load_.age_ == absl::InfiniteDuration()) {
     return 0.0;
   }
-  return aTuning.noiseShare_ * Uniform(aQuestion.seed_, aIndex) *
+  return aTuning.rankShare_ * aCandidate.followerRank_ *
          absl::ToDoubleSeconds(aCandidate.load_.age_);
 }
 
@@ -64,32 +53,13 @@
   std::vector<CandidateCost> costs;
   costs.reserve(aCandidates.size());
   for (std::uint32_t i = 0; i < aCandidates.size(); ++i) {
-    const double wait = BlendedWait(waits[i], mean) +
-                        Noise(aQuestion, aCandidates[i], i, aTuning);
+    const double wait = BlendedWait(waits[i], mean);
     costs.push_back(CostOf(aQuestion, aCandidates[i], wait, aOffers));
     costs.back().candidate_ = i;
   }
   return costs;
 }
 
-// Whether a candidate is among those that two random choices leave.
-bool
-IsLookedAt(const Question& aQuestion,
-           const std::vector<Candidate>& aCandidates,
-           std::uint32_t aIndex,
-           const Tuning& aTuning)
-{
-  if (aTuning.choices_ == 0 || aCandidates[aIndex].cachedBlocks_ > 0) {
-    return true;
-  }
-  for (std::uint32_t i = 0; i < aTuning.choices_; ++i) {
-    if (Mix(aQuestion.seed_, i) % aCandidates.size() == aIndex) {
-      return true;
-    }
-  }
-  return false;
-}
-
 // Returns the position of the cheapest candidate; one that is surer to meet the
 // deadline goes before the others.
 std::uint32_t
@@ -107,11 +77,9 @@
   };
   Rank best;
   for (std::uint32_t i = 0; i < aCosts.size(); ++i) {
-    if (!IsLookedAt(aQuestion, aCandidates, i, aTuning)) {
-      continue;
-    }
     const Rank rank{ LatenessOf(aQuestion, aCosts[i]),
-                     aCosts[i].cost_,
+                     aCosts[i].cost_ + aQuestion.objective_.ttftWeight_ *
+                                         Handicap(aCandidates[i], aTuning),
                      Mix(aQuestion.seed_, i),
                      i };
     if (std::tie(rank.lateness_, rank.cost_, rank.tie_) <
