--- /dev/null
+++ b/src/steward/exports.cc
@@ -0,0 +1,355 @@
+#include "steward/exports.h"
+
+#include <pthread.h>
+
+#include <algorithm>
+
+#include <absl/strings/str_cat.h>
+#include <glog/logging.h>
+
+#include "adapters/engine.h"
+#include "adapters/store.h"
+#include "steward/clock.h"
+#include "steward/run-reports.h"
+
+namespace lycheeplank::steward {
+
+namespace {
+
+constexpr absl::Duration kTickPeriod = absl::Milliseconds(100);
+constexpr absl::Duration kTellTimeout = absl::Seconds(5);
+// Events that wait for the control thread; more runs are dropped.
+constexpr std::size_t kMaxWaitingEvents = 4096;
+constexpr int kStatusConflict = 409;
+constexpr int kStatusNotFound = 404;
+constexpr absl::string_view kPlainText = "text/plain";
+
+void
+Reply(net::Exchange& aExchange, int aStatus, std::string aBody)
+{
+  aExchange.Reply(
+    aStatus, { { "Content-Type", std::string(kPlainText) } }, std::move(aBody));
+}
+
+keeper::StoredBlock
+ToKeeper(const adapters::ExportedBlock& aBlock)
+{
+  return { aBlock.key_, {}, aBlock.generation_, aBlock.bytes_ };
+}
+
+keeper::ExportReported
+ReadReport(std::uint64_t aId, const net::Answer& aAnswer)
+{
+  keeper::ExportReported report;
+  report.id_ = aId;
+  const auto state =
+    aAnswer.Ok() ? adapters::ReadExport(aAnswer.body_) : absl::nullopt;
+  if (!state) {
+    // An engine that was restarted doesn't know the export any more.
+    report.status_ = aAnswer.end_.status_ == kStatusNotFound
+                       ? keeper::ExportStatus::Lost
+                       : keeper::ExportStatus::Unreachable;
+    return report;
+  }
+  report.weightVersion_ = state->weightVersion_;
+  report.status_ = state->running_ ? keeper::ExportStatus::Running
+                   : state->done_  ? keeper::ExportStatus::Done
+                                   : keeper::ExportStatus::Failed;
+  std::transform(state->blocks_.begin(),
+                 state->blocks_.end(),
+                 std::back_inserter(report.blocks_),
+                 ToKeeper);
+  return report;
+}
+
+keeper::InventoryRead
+ReadInventory(const std::string& aStore, const net::Answer& aAnswer)
+{
+  keeper::InventoryRead read;
+  read.store_ = aStore;
+  const auto page =
+    aAnswer.Ok() ? adapters::ReadStorePage(aAnswer.body_) : absl::nullopt;
+  if (!page) {
+    return read;
+  }
+  read.reached_ = true;
+  read.more_ = page->more_;
+  for (const auto& block : page->blocks_) {
+    read.blocks_.push_back(
+      { block.key_, block.root_, block.generation_, block.bytes_ });
+  }
+  return read;
+}
+
+keeper::StoreReported
+ReadStoreReport(const std::string& aStore, const net::Answer& aAnswer)
+{
+  keeper::StoreReported report;
+  report.store_ = aStore;
+  const auto load =
+    aAnswer.Ok() ? adapters::ReadStoreLoad(aAnswer.body_) : absl::nullopt;
+  if (load) {
+    report.reached_ = true;
+    report.usedBytes_ = load->memoryUsed_ + load->diskUsed_;
+    report.linkBacklogBytes_ = load->linkBacklogBytes_;
+  }
+  return report;
+}
+
+keeper::FreeResult
+ResultOf(const net::Answer& aAnswer)
+{
+  if (aAnswer.Ok()) {
+    return keeper::FreeResult::Freed;
+  }
+  return aAnswer.end_.status_ == kStatusConflict ? keeper::FreeResult::Pinned
+                                                 : keeper::FreeResult::Failed;
+}
+
+} // namespace
+
+Exports::Exports(const Settings& aSettings, net::Client& aClient)
+  : settings_(aSettings)
+  , client_(aClient)
+  , state_(keeper::Start(aSettings.name_))
+{
+}
+
+Exports::~Exports()
+{
+  {
+    const absl::MutexLock lock(&mutex_);
+    ending_ = true;
+  }
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void
+Exports::Start()
+{
+  thread_ = std::thread([this] { Run(); });
+}
+
+void
+Exports::Follow(const EventBody& aBody)
+{
+  if (const auto* config = std::get_if<rollout::ConfigChanged>(&aBody)) {
+    Post(keeper::ConfigChanged{ config->config_ });
+  } else if (const auto* hosts = std::get_if<rollout::HostsChanged>(&aBody)) {
+    Post(keeper::HostsChanged{ hosts->hosts_ });
+  }
+}
+
+void
+Exports::Serve(const std::shared_ptr<net::Exchange>& aExchange)
+{
+  const auto& request = aExchange->request_;
+  if (request.path_ == "/healthz") {
+    Reply(*aExchange, 200, "ok\n");
+  } else if (request.path_ == "/metrics") {
+    Reply(*aExchange, 200, metrics_.Text());
+  } else if (request.path_ == "/internal/runs" && request.method_ == "POST") {
+    TakeRuns(*aExchange);
+  } else {
+    Reply(*aExchange, kStatusNotFound, "not found\n");
+  }
+}
+
+void
+Exports::TakeRuns(net::Exchange& aExchange)
+{
+  const auto& request = aExchange.request_;
+  const auto expected = absl::StrCat("Bearer ", settings_.tokenSecret_);
+  if (!core::EqualConstantTime(net::Find(request.headers_, "Authorization"),
+                               expected)) {
+    Reply(aExchange, 401, "give the token secret of this host\n");
+    return;
+  }
+  auto runs = request.tooLarge_ ? absl::nullopt : ReadRuns(request.body_);
+  if (!runs) {
+    Reply(aExchange, 400, "malformed runs; see docs/exports.md\n");
+    return;
+  }
+  PostRuns(std::move(*runs));
+  Reply(aExchange, 202, "");
+}
+
+void
+Exports::PostRuns(std::vector<keeper::FinishedRun> aRuns)
+{
+  std::size_t dropped = 0;
+  {
+    const absl::MutexLock lock(&mutex_);
+    const auto room =
+      kMaxWaitingEvents - std::min(kMaxWaitingEvents, events_.size());
+    const auto taken = std::min(room, aRuns.size());
+    dropped = aRuns.size() - taken;
+    aRuns.resize(taken);
+    for (auto& run : aRuns) {
+      events_.emplace_back(keeper::RunFinished{ std::move(run) });
+    }
+  }
+  metrics_.Count("reported_runs_total",
+                 "result",
+                 "taken",
+                 static_cast<double>(aRuns.size()));
+  if (dropped > 0) {
+    metrics_.Count(
+      "reported_runs_total", "result", "dropped", static_cast<double>(dropped));
+  }
+}
+
+void
+Exports::Post(keeper::EventBody aBody)
+{
+  const absl::MutexLock lock(&mutex_);
+  events_.push_back(std::move(aBody));
+}
+
+void
+Exports::Run()
+{
+  pthread_setname_np(pthread_self(), "exports");
+  while (true) {
+    for (const auto& event : TakeEvents()) {
+      Handle(event);
+    }
+    if (const absl::Time now = BootTime(); now >= nextTick_) {
+      nextTick_ = now + kTickPeriod;
+      Handle(keeper::Tick{});
+    }
+    const absl::MutexLock lock(&mutex_);
+    if (ending_) {
+      return;
+    }
+  }
+}
+
+std::vector<keeper::EventBody>
+Exports::TakeEvents()
+{
+  std::vector<keeper::EventBody> events;
+  const absl::MutexLock lock(&mutex_);
+  const auto ready = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+    return !events_.empty() || ending_;
+  };
+  mutex_.AwaitWithTimeout(absl::Condition(&ready), kTickPeriod);
+  std::swap(events, events_);
+  return events;
+}
+
+void
+Exports::Handle(const keeper::EventBody& aBody)
+{
+  for (const auto& effect : keeper::Step(state_, { BootTime(), aBody })) {
+    std::visit([this](const auto& aPart) { Perform(aPart); }, effect);
+  }
+  if (const auto broken = keeper::BrokenInvariant(state_); !broken.empty()) {
+    LOG(FATAL) << "event=invariant_broken part=exports detail=\"" << broken
+               << '"';
+  }
+}
+
+void
+Exports::Perform(const keeper::StartExport& aEffect)
+{
+  client_.Fetch(
+    adapters::StartExport(
+      aEffect.engineUrl_, aEffect.storeUrl_, aEffect.blocks_),
+    [this, id = aEffect.id_](net::Answer&& aAnswer) {
+      const auto name =
+        aAnswer.Ok() ? adapters::ReadExportId(aAnswer.body_) : absl::nullopt;
+      const bool accepted = name && !name->empty();
+      Post(keeper::ExportStarted{ id, accepted, name.value_or("") });
+    });
+}
+
+void
+Exports::Perform(const keeper::AskExport& aEffect)
+{
+  client_.Fetch(adapters::AskExport(aEffect.engineUrl_, aEffect.exportName_),
+                [this, id = aEffect.id_](net::Answer&& aAnswer) {
+                  Post(ReadReport(id, aAnswer));
+                });
+}
+
+void
+Exports::Perform(const keeper::AskStore& aEffect)
+{
+  client_.Fetch(adapters::AskStoreLoad(aEffect.url_),
+                [this, store = aEffect.store_](net::Answer&& aAnswer) {
+                  Post(ReadStoreReport(store, aAnswer));
+                });
+}
+
+void
+Exports::Perform(const keeper::TellSightings& aEffect)
+{
+  net::Call call;
+  call.method_ = "POST";
+  call.url_ = settings_.entryUrl_ + "/internal/sightings";
+  call.headers_ = { { "Authorization",
+                      absl::StrCat("Bearer ", settings_.tokenSecret_) },
+                    { "Content-Type", "application/json" } };
+  call.body_ = WriteSightings(aEffect);
+  call.timeout_ = kTellTimeout;
+  client_.Fetch(std::move(call),
+                [this, count = aEffect.blocks_.size()](net::Answer&& aAnswer) {
+                  const bool told = aAnswer.Ok();
+                  metrics_.Count("told_sightings_total",
+                                 "result",
+                                 told ? "told" : "failed",
+                                 static_cast<double>(count));
+                  if (!told) {
+                    LOG(WARNING) << "event=sightings_not_told status="
+                                 << aAnswer.end_.status_ << " blocks=" << count
+                                 << " error=\"" << aAnswer.end_.error_ << '"';
+                  }
+                });
+}
+
+void
+Exports::Perform(const keeper::FetchInventory& aEffect)
+{
+  const auto after = aEffect.after_ ? core::ToHex(*aEffect.after_) : "";
+  client_.Fetch(adapters::AskStorePage(aEffect.url_, after),
+                [this, store = aEffect.store_](net::Answer&& aAnswer) {
+                  Post(ReadInventory(store, aAnswer));
+                });
+}
+
+void
+Exports::Perform(const keeper::FreeBlock& aEffect)
+{
+  client_.Fetch(
+    adapters::FreeBlock(
+      aEffect.url_, aEffect.block_.key_, aEffect.block_.generation_),
+    [this,
+     store = aEffect.store_,
+     block = aEffect.block_,
+     reason = aEffect.reason_](net::Answer&& aAnswer) {
+      Post(keeper::FreeEnded{ store, block, reason, ResultOf(aAnswer) });
+    });
+}
+
+void
+Exports::Perform(const keeper::Log& aEffect)
+{
+  LOG(INFO) << aEffect.line_;
+}
+
+void
+Exports::Perform(const keeper::Count& aEffect)
+{
+  const auto name = core::NameOf(keeper::kCounters, aEffect.counter_);
+  const auto by = static_cast<double>(aEffect.by_);
+  if (aEffect.result_.empty()) {
+    metrics_.Count(name, by);
+  } else {
+    metrics_.Count(name, "result", aEffect.result_, by);
+  }
+}
+
+} // namespace lycheeplank::steward
--- a/src/steward/main.cc
+++ b/src/steward/main.cc
@@ -7,6 +7,7 @@
 
 #include "lycheeplank/version.h"
 #include "steward/duties.h"
+#include "steward/exports.h"
 
 namespace {
 
@@ -40,15 +41,6 @@
   google::InitGoogleLogging(aProgram);
 }
 
-void
-Serve(const std::shared_ptr<net::Exchange>& aExchange)
-{
-  const bool found = aExchange->request_.path_ == "/healthz";
-  aExchange->Reply(found ? 200 : 404,
-                   { { "Content-Type", "text/plain" } },
-                   found ? "ok\n" : "not found\n");
-}
-
 net::ServerOptions
 ServerOptionsOf(const steward::Settings& aSettings)
 {
@@ -67,10 +59,12 @@
   net::Client client(kClientThreads);
   lycheeplank::adapters::PlatformClient platform(
     client, aSettings.platformUrl_, "steward-" + aSettings.name_);
+  steward::Exports exports(aSettings, client);
   const steward::DutyContext context{ aSettings,
                                       client,
                                       platform,
-                                      [&control](steward::EventBody aBody) {
+                                      [&](steward::EventBody aBody) {
+                                        exports.Follow(aBody);
                                         control->Post(std::move(aBody));
                                       } };
   steward::ConfigFollower follower(context);
@@ -81,8 +75,13 @@
         steward::PerformRollout(context, aEffect);
       },
       [&follower](const rollout::State&) { follower.AskIfDue(); } });
-  const net::Server server(ServerOptionsOf(aSettings), Serve);
+  const net::Server server(
+    ServerOptionsOf(aSettings),
+    [&exports](const std::shared_ptr<net::Exchange>& aExchange) {
+      exports.Serve(aExchange);
+    });
   control->Start();
+  exports.Start();
   std::printf("listening port=%d\n", server.Port());
   std::fflush(stdout);
   LOG(INFO) << "event=started name=" << aSettings.name_
--- /dev/null
+++ b/src/steward/run-reports.cc
@@ -0,0 +1,73 @@
+#include "steward/run-reports.h"
+
+#include <nlohmann/json.hpp>
+
+namespace lycheeplank::steward {
+
+namespace {
+
+using nlohmann::json;
+
+// Throws json::exception if a field is missing or of another type; an invalid
+// key makes the run unreadable.
+absl::optional<keeper::FinishedRun>
+ReadRun(const json& aItem)
+{
+  keeper::FinishedRun run;
+  run.workspace_ = aItem.at("workspace").get<std::string>();
+  run.model_ = aItem.at("model").get<std::string>();
+  run.weightVersion_ = aItem.at("weight_version").get<std::string>();
+  run.target_ = aItem.at("target").get<std::string>();
+  run.reusedBlocks_ = aItem.value("reused_blocks", std::uint32_t{ 0 });
+  for (const auto& item : aItem.at("chain")) {
+    const auto key = core::BlockKeyFromHex(item.get<std::string>());
+    if (!key) {
+      return absl::nullopt;
+    }
+    run.chain_.push_back(*key);
+  }
+  return run;
+}
+
+} // namespace
+
+absl::optional<std::vector<keeper::FinishedRun>>
+ReadRuns(const std::string& aBody)
+{
+  const auto body = json::parse(aBody, nullptr, false);
+  if (!body.is_object()) {
+    return absl::nullopt;
+  }
+  std::vector<keeper::FinishedRun> runs;
+  try {
+    for (const auto& item : body.at("runs")) {
+      auto run = ReadRun(item);
+      if (!run) {
+        return absl::nullopt;
+      }
+      runs.push_back(std::move(*run));
+    }
+  } catch (const json::exception&) {
+    return absl::nullopt;
+  }
+  return runs;
+}
+
+std::string
+WriteSightings(const keeper::TellSightings& aSightings)
+{
+  json sightings = json::array();
+  for (const auto& block : aSightings.blocks_) {
+    sightings.push_back({ { "block", core::ToHex(block.key_) },
+                          { "root", core::ToHex(block.root_) },
+                          { "present", aSightings.present_ },
+                          { "on_disk", false },
+                          { "generation", block.generation_ },
+                          { "bytes", block.bytes_ } });
+  }
+  const json body{ { "holder", aSightings.store_ },
+                   { "sightings", std::move(sightings) } };
+  return body.dump();
+}
+
+} // namespace lycheeplank::steward
