--- a/src/keeper/stores.cc
+++ b/src/keeper/stores.cc
@@ -82,6 +82,16 @@
   std::vector<keeping::WorkspaceUse> uses_;
   // Names of the workspaces; empty where the prompt isn't known.
   std::vector<std::string> names_;
+  absl::flat_hash_map<std::string, std::uint32_t> indexes_;
+};
+
+// What the value of a prompt's blocks depends on; the workspace is empty if
+// the prompt isn't known.
+struct PromptView
+{
+  std::string workspace_;
+  std::string model_;
+  absl::Duration idle_ = absl::ZeroDuration();
 };
 
 // Generations of the oldest and the newest block.
@@ -103,7 +113,8 @@
   return { oldest->generation_, newest->generation_ };
 }
 
-// Blocks of unknown prompts are judged by their age, which generations show.
+// Unknown prompts are judged by the age of their newest block, which its
+// generation shows.
 absl::Duration
 UnknownIdle(const StoredBlock& aBlock, const Generations& aSpan)
 {
@@ -170,35 +181,59 @@
             });
 }
 
+// Returns the position of a workspace in an inventory; adds it if it is new.
+std::uint32_t
+IndexOf(const State& aState,
+        const std::string& aStore,
+        const PromptView& aPrompt,
+        Inventory& aInventory)
+{
+  const auto [index, added] = aInventory.indexes_.try_emplace(
+    aPrompt.workspace_, static_cast<std::uint32_t>(aInventory.uses_.size()));
+  if (added) {
+    aInventory.names_.push_back(aPrompt.workspace_);
+    aInventory.uses_.push_back(
+      MakeUse(aState, aStore, aPrompt.workspace_, aPrompt.model_));
+  }
+  return index->second;
+}
+
+// Returns what is known of the prompt that a block belongs to; aNewest is the
+// prompt's newest block in the store.
+PromptView
+ViewPrompt(const StepContext& aStep,
+           const StoredBlock& aNewest,
+           const Generations& aSpan)
+{
+  const auto& state = aStep.state_;
+  const auto found = state.promptByRoot_.find(aNewest.root_);
+  if (found == state.promptByRoot_.end()) {
+    return { "", AnyModel(*state.config_), UnknownIdle(aNewest, aSpan) };
+  }
+  const auto& prompt = *found->second;
+  return { prompt.workspace_, prompt.model_, aStep.now_ - prompt.lastRun_ };
+}
+
+// Takes the blocks in the order of SortByPrompt.
 Inventory
 MakeInventory(const StepContext& aStep,
               const std::string& aStore,
               const std::vector<StoredBlock>& aBlocks)
 {
-  const auto& state = aStep.state_;
   const auto span = GenerationsOf(aBlocks);
-  absl::flat_hash_map<std::string, std::uint32_t> indexes;
   Inventory inventory;
-  std::uint32_t position = 0;
-  for (std::size_t i = 0; i < aBlocks.size(); ++i) {
-    const auto& block = aBlocks[i];
-    position = i > 0 && aBlocks[i - 1].root_ == block.root_ ? position + 1 : 0;
-    const auto found = state.promptByRoot_.find(block.root_);
-    const bool known = found != state.promptByRoot_.end();
-    const auto workspace = known ? found->second->workspace_ : std::string();
-    const auto [index, added] = indexes.try_emplace(
-      workspace, static_cast<std::uint32_t>(inventory.uses_.size()));
-    if (added) {
-      const auto model =
-        known ? found->second->model_ : AnyModel(*state.config_);
-      inventory.uses_.push_back(MakeUse(state, aStore, workspace, model));
-      inventory.names_.push_back(workspace);
+  for (auto first = aBlocks.begin(); first != aBlocks.end();) {
+    const auto end =
+      std::find_if(first, aBlocks.end(), [&](const StoredBlock& aBlock) {
+        return aBlock.root_ != first->root_;
+      });
+    const auto prompt = ViewPrompt(aStep, *std::prev(end), span);
+    const auto index = IndexOf(aStep.state_, aStore, prompt, inventory);
+    for (std::uint32_t position = 0; first != end; ++first, ++position) {
+      inventory.uses_[index].usedBytes_ += first->bytes_;
+      inventory.blocks_.push_back(
+        { index, position, first->bytes_, prompt.idle_, false });
     }
-    inventory.uses_[index->second].usedBytes_ += block.bytes_;
-    const auto idle =
-      known ? aStep.now_ - found->second->lastRun_ : UnknownIdle(block, span);
-    inventory.blocks_.push_back(
-      { index->second, position, block.bytes_, idle, false });
   }
   return inventory;
 }
--- a/src/steward/main.cc
+++ b/src/steward/main.cc
@@ -63,9 +63,9 @@
   const steward::DutyContext context{ aSettings,
                                       client,
                                       platform,
-                                      [&](steward::EventBody aBody) {
+                                      [&](const steward::EventBody& aBody) {
                                         exports.Follow(aBody);
-                                        control->Post(std::move(aBody));
+                                        control->Post(aBody);
                                       } };
   steward::ConfigFollower follower(context);
   control = std::make_unique<steward::Control>(
--- /dev/null
+++ b/test/exports-test.py
@@ -0,0 +1,156 @@
+#!/usr/bin/env python3
+"""Runs prompts, lets the engine evict them and checks that they are imported."""
+
+import json
+import os
+import sys
+import tempfile
+import unittest
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "support"))
+
+import cluster  # noqa: E402
+
+BINARIES = os.path.join(ROOT, "build", "bin")
+TEXT = "outline of a nursing course, week by week. " * 1000
+BLOCKS = 5
+FILLERS = 8
+
+
+def metric(text, name):
+    """Returns the sum of all values of a counter."""
+    lines = [line for line in text.splitlines() if line.startswith("lycheeplank_" + name)]
+    return sum(float(line.rsplit(" ", 1)[1]) for line in lines)
+
+
+class ExportsTest(unittest.TestCase):
+    """One cluster with one engine and one small store."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = tempfile.TemporaryDirectory()
+        cls.cluster = cluster.Cluster(
+            cluster.Options(
+                directory=cls.folder.name,
+                binaries=BINARIES,
+                entries=2,
+                engines=1,
+                services=1,
+                stores=1,
+                memory_bytes=60_000_000,
+                disk_bytes=40_000_000,
+                # Prompts are dear to compute, so that imports pay.
+                prefill_rate=10000.0,
+            )
+        )
+        try:
+            cls.cluster.start()
+        except Exception:
+            cls.cluster.stop()
+            raise
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.cluster.stop()
+        cls.folder.cleanup()
+
+    def entry(self):
+        return self.cluster.description["entries"][0]
+
+    def engine(self):
+        return next(target for target in self.cluster.description["targets"] if target["kind"] == "engine")
+
+    def steward(self, path, body=None, secret=None):
+        url = f"http://{cluster.LOOPBACK}:{self.entry()['steward_port']}{path}"
+        headers = {"Authorization": "Bearer " + (secret or self.cluster.token_secret)}
+        return cluster.http("POST" if body is not None else "GET", url, body, headers)
+
+    def counter(self, name):
+        return metric(self.steward("/metrics")[1], name)
+
+    def runs(self):
+        return json.loads(cluster.http("GET", self.engine()["http"] + "/executions")[1])["runs"]
+
+    def blocks_in_store(self):
+        store = self.cluster.description["stores"][0]
+        blocks = []
+        after = ""
+        while True:
+            page = json.loads(cluster.http("GET", f"{store['http']}/v1/blocks?after={after}")[1])
+            blocks += page["blocks"]
+            if not page["more"] or not page["blocks"]:
+                return blocks
+            after = page["blocks"][-1]["key"]
+
+    def complete(self, prompt):
+        headers = {"Authorization": "Bearer " + self.cluster.keys["co-operative"]}
+        body = {"model": cluster.MODEL, "prompt": prompt, "max_tokens": 2}
+        status, answer = cluster.http("POST", self.entry()["http"] + "/v1/completions", body, headers, timeout=30)
+        self.assertEqual(status, 200, answer)
+        return self.runs()[-1]
+
+    def report(self, run):
+        """Reports a run to the steward as its entry host does; a second report changes nothing."""
+        item = {
+            "workspace": "co-operative",
+            "model": cluster.MODEL,
+            "weight_version": run["weight_version"],
+            "target": self.engine()["name"],
+            "chain": [block["key"] for block in run["blocks"]],
+            "reused_blocks": run["cached_blocks"] + run["imported_blocks"],
+        }
+        self.assertEqual(self.steward("/internal/runs", {"runs": [item]})[0], 202)
+
+    def test_a_prompt_is_imported_after_its_eviction(self):
+        prompt = "returning " + TEXT
+        run = self.complete(prompt)
+        self.assertEqual(len(run["blocks"]), BLOCKS)
+        self.report(run)
+        keys = {block["key"] for block in run["blocks"]}
+        held = lambda: keys <= {block["key"] for block in self.blocks_in_store()}  # noqa: E731
+        self.cluster.wait_until(held, "the store holds the prompt")
+        self.cluster.wait_until(lambda: self.counter("exported_bytes_total") >= 10_000_000, "the export is counted")
+        for i in range(FILLERS):
+            self.complete(f"filler {i} " + TEXT)
+
+        def is_imported():
+            again = self.complete(prompt)
+            if again["imported_blocks"] > 0:
+                return True
+            for i in range(FILLERS):
+                self.complete(f"filler {i} " + TEXT)
+            return False
+
+        self.cluster.wait_until(is_imported, "the prompt is imported", timeout=60)
+
+    def test_a_full_store_is_freed(self):
+        for i in range(14):
+            self.report(self.complete(f"many {i} " + TEXT))
+            ended = lambda n=i: len(self.blocks_in_store()) * 2_000_000 <= 100_000_000  # noqa: E731
+            self.assertTrue(ended())
+        freed = lambda: sum(  # noqa: E731
+            metric(
+                cluster.http("GET", f"http://{cluster.LOOPBACK}:{entry['steward_port']}/metrics")[1],
+                'evictions_total{result="freed"}',
+            )
+            for entry in self.cluster.description["entries"]
+        )
+        self.cluster.wait_until(lambda: freed() > 0, "blocks are freed", timeout=60)
+        self.cluster.wait_until(
+            lambda: sum(block["bytes"] for block in self.blocks_in_store()) < 95_000_000, "the store has room"
+        )
+
+    def test_reports_without_the_secret_are_refused(self):
+        self.assertEqual(self.steward("/internal/runs", {"runs": []}, secret="wrong")[0], 401)
+        self.assertEqual(self.steward("/internal/runs", {"runs": 7})[0], 400)
+        self.assertEqual(self.steward("/internal/runs", b"{")[0], 400)
+        self.assertEqual(self.steward("/internal/runs", {"runs": [{"workspace": "x"}]})[0], 400)
+        self.assertEqual(self.steward("/internal/runs", {"runs": []})[0], 202)
+        self.assertEqual(self.steward("/healthz")[0], 200)
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1 and not sys.argv[1].startswith("-"):
+        BINARIES = sys.argv.pop(1)
+    unittest.main(verbosity=2)
--- /dev/null
+++ b/test/keeper-test.cc
@@ -0,0 +1,812 @@
+#include "lycheeplank/keeper.h"
+
+#include <algorithm>
+#include <deque>
+#include <random>
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+namespace config = lycheeplank::config;
+namespace core = lycheeplank::core;
+namespace keeper = lycheeplank::keeper;
+
+namespace {
+
+const absl::Time kStart = absl::FromUnixSeconds(1'700'000'000);
+constexpr std::uint64_t kBlockBytes = 2'000'000;
+constexpr std::uint64_t kStoreBytes = 100 * kBlockBytes;
+
+config::ConfigPtr
+MakeConfig()
+{
+  auto made = std::make_shared<config::Config>();
+  made->revision_ = 1;
+  made->workspaces_["co-operative"];
+  made->workspaces_["authority"];
+  made->models_["wording"];
+  for (const auto* name : { "engine-0", "engine-1" }) {
+    auto& target = made->targets_[name];
+    target.url_ = absl::StrCat("http://", name);
+    target.serves_ = "wording";
+  }
+  auto& store = made->stores_["store-0"];
+  store.url_ = "http://store-0";
+  store.memoryBytes_ = kStoreBytes;
+  return made;
+}
+
+std::vector<core::BlockKey>
+Chain(std::uint64_t aPrompt, std::size_t aBlocks)
+{
+  std::vector<core::BlockKey> chain;
+  for (std::size_t i = 0; i < aBlocks; ++i) {
+    chain.push_back({ aPrompt, i });
+  }
+  return chain;
+}
+
+// One steward whose events are made by hand.
+struct Bench
+{
+  keeper::State state_ = keeper::Start("host-a");
+  absl::Time now_ = kStart;
+
+  keeper::Effects Post(keeper::EventBody aBody)
+  {
+    auto effects = keeper::Step(state_, { now_, std::move(aBody) });
+    REQUIRE(keeper::BrokenInvariant(state_).empty());
+    return effects;
+  }
+  keeper::Effects Tick() { return Post(keeper::Tick{}); }
+  keeper::Effects TickAfter(absl::Duration aTime)
+  {
+    now_ += aTime;
+    return Tick();
+  }
+};
+
+template<typename T>
+std::vector<T>
+Of(const keeper::Effects& aEffects)
+{
+  std::vector<T> found;
+  for (const auto& effect : aEffects) {
+    if (const auto* part = std::get_if<T>(&effect)) {
+      found.push_back(*part);
+    }
+  }
+  return found;
+}
+
+// Results of ended exports, in order.
+std::vector<std::string>
+Results(const keeper::Effects& aEffects)
+{
+  std::vector<std::string> results;
+  for (const auto& count : Of<keeper::Count>(aEffects)) {
+    if (count.counter_ == keeper::Counter::Exports) {
+      results.push_back(count.result_);
+    }
+  }
+  return results;
+}
+
+using Names = std::vector<std::string>;
+
+keeper::StoreReported
+Report(std::uint64_t aUsed = 0, std::uint64_t aBacklog = 0)
+{
+  return { "store-0", true, aUsed, aBacklog };
+}
+
+Bench
+Ready()
+{
+  Bench bench;
+  bench.Post(keeper::ConfigChanged{ MakeConfig() });
+  bench.Post(keeper::HostsChanged{ { "host-a" } });
+  bench.Post(Report());
+  return bench;
+}
+
+keeper::RunFinished
+Run(std::uint64_t aPrompt,
+    std::size_t aBlocks,
+    const std::string& aTarget = "engine-0",
+    const std::string& aWorkspace = "co-operative")
+{
+  return { { aWorkspace, "wording", "v1", aTarget, Chain(aPrompt, aBlocks) } };
+}
+
+std::vector<keeper::StoredBlock>
+Committed(const std::vector<core::BlockKey>& aKeys)
+{
+  std::vector<keeper::StoredBlock> blocks;
+  blocks.reserve(aKeys.size());
+  std::uint64_t generation = 0;
+  for (const auto& key : aKeys) {
+    blocks.push_back({ key, {}, ++generation, kBlockBytes });
+  }
+  return blocks;
+}
+
+// Accepts an export and asks for its state, so that a report can follow.
+void
+Accept(Bench& aBench, std::uint64_t aId)
+{
+  aBench.Post(keeper::ExportStarted{ aId, true, "7" });
+  REQUIRE(Of<keeper::AskExport>(aBench.TickAfter(absl::Seconds(1))).size() ==
+          1);
+}
+
+keeper::ExportReported
+Done(std::uint64_t aId, const std::vector<core::BlockKey>& aKeys)
+{
+  return { aId, keeper::ExportStatus::Done, "v1", Committed(aKeys) };
+}
+
+// Runs a prompt and exports it; returns the effects of the last event.
+keeper::Effects
+ExportAll(Bench& aBench, const keeper::RunFinished& aRun)
+{
+  aBench.Post(Report(aBench.state_.stores_.at("store-0").usedBytes_));
+  const auto started = Of<keeper::StartExport>(aBench.Post(aRun));
+  REQUIRE(started.size() == 1);
+  Accept(aBench, started[0].id_);
+  return aBench.Post(Done(started[0].id_, started[0].blocks_));
+}
+
+} // namespace
+
+TEST_CASE("a finished run is exported and announced once it is committed")
+{
+  auto bench = Ready();
+  const auto started = Of<keeper::StartExport>(bench.Post(Run(1, 5)));
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].engineUrl_ == "http://engine-0");
+  CHECK(started[0].storeUrl_ == "http://store-0");
+  CHECK(started[0].blocks_ == Chain(1, 5));
+  Accept(bench, started[0].id_);
+  const auto effects = bench.Post(Done(started[0].id_, started[0].blocks_));
+  const auto told = Of<keeper::TellSightings>(effects);
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].present_);
+  CHECK(told[0].blocks_.size() == 5);
+  CHECK(told[0].blocks_[4].root_ == Chain(1, 1)[0]);
+  CHECK(Results(effects) == Names{ "done" });
+  CHECK(bench.state_.exports_.empty());
+}
+
+TEST_CASE("only blocks that the store doesn't hold are exported")
+{
+  auto bench = Ready();
+  ExportAll(bench, Run(1, 5));
+  CHECK(Of<keeper::StartExport>(bench.Post(Run(1, 5))).empty());
+  CHECK(bench.state_.exports_.empty());
+  auto longer = Run(1, 8);
+  longer.run_.reusedBlocks_ = 5;
+  const auto started = Of<keeper::StartExport>(bench.Post(longer));
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].blocks_ ==
+        std::vector<core::BlockKey>{ { 1, 5 }, { 1, 6 }, { 1, 7 } });
+}
+
+TEST_CASE("blocks that had to be computed again are exported again")
+{
+  auto bench = Ready();
+  ExportAll(bench, Run(1, 5));
+  bench.now_ += absl::Hours(24);
+  bench.Post(Report());
+  auto returned = Run(1, 5);
+  returned.run_.reusedBlocks_ = 3;
+  const auto started = Of<keeper::StartExport>(bench.Post(returned));
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].blocks_ ==
+        std::vector<core::BlockKey>{ { 1, 3 }, { 1, 4 } });
+}
+
+TEST_CASE("a run that is reported twice is exported once")
+{
+  auto bench = Ready();
+  REQUIRE(Of<keeper::StartExport>(bench.Post(Run(1, 5))).size() == 1);
+  CHECK(Of<keeper::StartExport>(bench.Post(Run(1, 5))).empty());
+  CHECK(bench.state_.exports_.size() == 1);
+}
+
+TEST_CASE("late and repeated reports of an export change nothing")
+{
+  auto bench = Ready();
+  const auto started = Of<keeper::StartExport>(bench.Post(Run(1, 5)));
+  const auto id = started.at(0).id_;
+  CHECK(bench.Post(Done(id, Chain(1, 5))).empty());
+  Accept(bench, id);
+  CHECK_FALSE(bench.Post(Done(id, Chain(1, 5))).empty());
+  CHECK(bench.Post(Done(id, Chain(1, 5))).empty());
+  CHECK(bench.Post(keeper::ExportStarted{ id, true, "7" }).empty());
+}
+
+TEST_CASE("an export of another weight version is freed and not announced")
+{
+  auto bench = Ready();
+  const auto id = Of<keeper::StartExport>(bench.Post(Run(1, 5))).at(0).id_;
+  Accept(bench, id);
+  auto report = Done(id, Chain(1, 5));
+  report.weightVersion_ = "v2";
+  const auto effects = bench.Post(report);
+  CHECK(Of<keeper::TellSightings>(effects).empty());
+  CHECK(Results(effects) == Names{ "version_changed" });
+  CHECK(Of<keeper::FreeBlock>(effects).size() == 5);
+  CHECK(bench.state_.exports_.empty());
+  CHECK(bench.state_.held_.empty());
+}
+
+TEST_CASE("a store that dies during an export costs one retry")
+{
+  auto bench = Ready();
+  const auto id = Of<keeper::StartExport>(bench.Post(Run(1, 5))).at(0).id_;
+  Accept(bench, id);
+  auto report = Done(id, Chain(1, 2));
+  report.status_ = keeper::ExportStatus::Failed;
+  const auto first = bench.Post(report);
+  CHECK(Of<keeper::TellSightings>(first).at(0).blocks_.size() == 2);
+  CHECK(Results(first).empty());
+  bench.Post(keeper::StoreReported{ "store-0", false });
+  CHECK(Of<keeper::StartExport>(bench.Tick()).empty());
+  bench.Post(Report());
+  const auto again = Of<keeper::StartExport>(bench.Tick());
+  REQUIRE(again.size() == 1);
+  CHECK(again[0].blocks_.size() == 3);
+  Accept(bench, id);
+  auto failed = Done(id, {});
+  failed.status_ = keeper::ExportStatus::Failed;
+  CHECK(Results(bench.Post(failed)) == Names{ "failed" });
+  CHECK(bench.state_.exports_.empty());
+}
+
+TEST_CASE("a store that refuses all blocks gets no exports for a while")
+{
+  auto bench = Ready();
+  const auto id = Of<keeper::StartExport>(bench.Post(Run(1, 5))).at(0).id_;
+  Accept(bench, id);
+  auto failed = Done(id, {});
+  failed.status_ = keeper::ExportStatus::Failed;
+  bench.Post(failed);
+  bench.Post(Report());
+  CHECK(Of<keeper::StartExport>(bench.Tick()).empty());
+  bench.now_ += absl::Seconds(6);
+  bench.Post(Report());
+  CHECK(Of<keeper::StartExport>(bench.Tick()).size() == 1);
+}
+
+TEST_CASE("an engine that is gone costs one retry")
+{
+  auto bench = Ready();
+  const auto id = Of<keeper::StartExport>(bench.Post(Run(1, 5))).at(0).id_;
+  bench.Post(keeper::ExportStarted{ id, false, "" });
+  CHECK(Of<keeper::StartExport>(bench.Tick()).size() == 1);
+  const auto effects = bench.Post(keeper::ExportStarted{ id, false, "" });
+  CHECK(Results(effects) == Names{ "failed" });
+}
+
+TEST_CASE("an engine that forgot an export is asked to start it again")
+{
+  auto bench = Ready();
+  const auto id = Of<keeper::StartExport>(bench.Post(Run(1, 5))).at(0).id_;
+  Accept(bench, id);
+  bench.Post(keeper::ExportReported{ id, keeper::ExportStatus::Lost });
+  bench.Post(Report());
+  CHECK(Of<keeper::StartExport>(bench.Tick()).size() == 1);
+}
+
+TEST_CASE("an export that never ends is given up after one retry")
+{
+  auto bench = Ready();
+  const auto id = Of<keeper::StartExport>(bench.Post(Run(1, 5))).at(0).id_;
+  Accept(bench, id);
+  bench.now_ += absl::Hours(3);
+  bench.Post(keeper::ExportReported{ id, keeper::ExportStatus::Unreachable });
+  CHECK(bench.state_.exports_.empty());
+}
+
+TEST_CASE("a steward that wakes late drops what engines have evicted")
+{
+  auto bench = Ready();
+  bench.Post(Report(0, kStoreBytes));
+  CHECK(Of<keeper::StartExport>(bench.Post(Run(1, 5))).empty());
+  REQUIRE(bench.state_.exports_.size() == 1);
+  bench.now_ += absl::Hours(5);
+  bench.Post(Report());
+  const auto effects = bench.Tick();
+  CHECK(Of<keeper::StartExport>(effects).empty());
+  CHECK(Results(effects) == Names{ "missed" });
+}
+
+TEST_CASE("a steward that wakes late settles an export that ended meanwhile")
+{
+  auto bench = Ready();
+  const auto id = Of<keeper::StartExport>(bench.Post(Run(1, 5))).at(0).id_;
+  Accept(bench, id);
+  bench.now_ += absl::Hours(5);
+  const auto effects = bench.Post(Done(id, Chain(1, 5)));
+  CHECK(Results(effects) == Names{ "done" });
+}
+
+TEST_CASE("exports wait for a busy link until their latest start")
+{
+  auto bench = Ready();
+  const std::uint64_t backlog = 100'000'000;
+  bench.Post(Report(0, backlog));
+  CHECK(Of<keeper::StartExport>(bench.Post(Run(1, 5))).empty());
+  CHECK(Of<keeper::StartExport>(bench.Tick()).empty());
+  bench.now_ =
+    bench.state_.exports_.begin()->second.latestStart_ - absl::Seconds(1);
+  bench.Post(Report(0, backlog));
+  CHECK(Of<keeper::StartExport>(bench.Tick()).size() == 1);
+}
+
+TEST_CASE("an engine exports one prompt at once, the most valuable first")
+{
+  auto bench = Ready();
+  REQUIRE(Of<keeper::StartExport>(bench.Post(Run(1, 3))).size() == 1);
+  for (std::uint64_t prompt = 2; prompt < 6; ++prompt) {
+    CHECK(Of<keeper::StartExport>(bench.Post(Run(prompt, 3))).empty());
+  }
+  const auto best = std::prev(bench.state_.exports_.end());
+  best->second.valuePerByte_ *= 2.0;
+  Accept(bench, 1);
+  bench.Post(Done(1, Chain(1, 3)));
+  const auto next = Of<keeper::StartExport>(bench.Tick());
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].id_ == best->first);
+}
+
+TEST_CASE("a prompt larger than the engine's cache is not exported")
+{
+  auto bench = Ready();
+  bench.Post(Run(1, 65));
+  CHECK(bench.state_.exports_.empty());
+}
+
+TEST_CASE("an engine is expected to evict sooner when more blocks come in")
+{
+  auto bench = Ready();
+  bench.Post(Run(1, 5));
+  const auto calm = keeper::EngineHold(bench.state_, "engine-0", 5);
+  for (std::uint64_t prompt = 2; prompt < 20; ++prompt) {
+    bench.Post(Run(prompt, 5));
+  }
+  const auto busy = keeper::EngineHold(bench.state_, "engine-0", 5);
+  CHECK(busy < calm / 5);
+  CHECK(keeper::EngineHold(bench.state_, "engine-1", 5) > calm);
+}
+
+TEST_CASE("the gap between two runs of a prompt is learnt")
+{
+  auto bench = Ready();
+  bench.Post(Run(1, 5));
+  bench.now_ += absl::Hours(48);
+  bench.Post(Run(1, 5));
+  const auto& gaps = bench.state_.gaps_.at("co-operative");
+  CHECK(gaps.returned_[17] == Approx(1.0));
+}
+
+TEST_CASE("a prompt that doesn't return for long counts as gone")
+{
+  auto bench = Ready();
+  bench.Post(Run(1, 5));
+  bench.now_ += absl::Hours(24 * 31);
+  bench.Post(Run(2, 5));
+  CHECK(bench.state_.gaps_.at("co-operative").gone_ == Approx(1.0));
+  CHECK(bench.state_.prompts_.size() == 1);
+}
+
+TEST_CASE("runs that name unknown things are ignored")
+{
+  auto bench = Ready();
+  bench.Post(Run(1, 5, "engine-9"));
+  bench.Post(Run(1, 5, "engine-0", "stranger"));
+  bench.Post(Run(1, 0));
+  CHECK(bench.state_.exports_.empty());
+  CHECK(bench.state_.prompts_.empty());
+  Bench blank;
+  blank.Post(Run(1, 5));
+  blank.Tick();
+  CHECK(blank.state_.prompts_.empty());
+}
+
+TEST_CASE("a removed store takes its exports along")
+{
+  auto bench = Ready();
+  REQUIRE(Of<keeper::StartExport>(bench.Post(Run(1, 5))).size() == 1);
+  config::Config changed = *MakeConfig();
+  changed.revision_ = 2;
+  changed.stores_.clear();
+  bench.Post(keeper::ConfigChanged{
+    std::make_shared<const config::Config>(std::move(changed)) });
+  CHECK(Results(bench.Tick()) == Names{ "removed" });
+  CHECK(bench.Post(keeper::ExportStarted{ 1, true, "7" }).empty());
+  bench.Post(keeper::ConfigChanged{ MakeConfig() });
+  CHECK(bench.state_.config_->revision_ == 2);
+}
+
+namespace {
+
+// A store's inventory: aPrompts prompts of five blocks each.
+std::vector<keeper::StoredBlock>
+Inventory(std::uint64_t aPrompts)
+{
+  std::vector<keeper::StoredBlock> blocks;
+  std::uint64_t generation = 0;
+  for (std::uint64_t prompt = 1; prompt <= aPrompts; ++prompt) {
+    for (const auto& key : Chain(prompt, 5)) {
+      blocks.push_back({ key, { prompt, 0 }, ++generation, kBlockBytes });
+    }
+  }
+  return blocks;
+}
+
+} // namespace
+
+TEST_CASE("a full store is freed down to its mark, its oldest prompts first")
+{
+  auto bench = Ready();
+  const auto read =
+    Of<keeper::FetchInventory>(bench.Post(Report(96 * kBlockBytes)));
+  REQUIRE(read.size() == 1);
+  CHECK_FALSE(read[0].after_);
+  bench.Post(keeper::InventoryRead{ "store-0", true, Inventory(19), false });
+  auto frees = Of<keeper::FreeBlock>(bench.Tick());
+  REQUIRE(frees.size() == 6);
+  CHECK(frees[0].block_.root_ == Chain(1, 1)[0]);
+  CHECK(frees[0].block_.key_ == Chain(1, 5)[4]);
+  for (const auto& free : frees) {
+    bench.Post(keeper::FreeEnded{
+      "store-0", free.block_, free.reason_, keeper::FreeResult::Freed });
+  }
+  bench.Tick();
+  const auto& store = bench.state_.stores_.at("store-0");
+  CHECK(store.eviction_.stage_ == keeper::EvictionStage::Idle);
+  CHECK(store.usedBytes_ == 90 * kBlockBytes);
+}
+
+TEST_CASE("pinned blocks are left and freed blocks are announced")
+{
+  auto bench = Ready();
+  bench.Post(Report(96 * kBlockBytes));
+  bench.Post(keeper::InventoryRead{ "store-0", true, Inventory(19), false });
+  const auto frees = Of<keeper::FreeBlock>(bench.Tick());
+  REQUIRE(frees.size() == 6);
+  std::size_t told = 0;
+  for (std::size_t i = 0; i < frees.size(); ++i) {
+    const auto result =
+      i == 0 ? keeper::FreeResult::Pinned : keeper::FreeResult::Freed;
+    const auto effects = bench.Post(keeper::FreeEnded{
+      "store-0", frees[i].block_, frees[i].reason_, result });
+    for (const auto& tell : Of<keeper::TellSightings>(effects)) {
+      CHECK_FALSE(tell.present_);
+      told += tell.blocks_.size();
+    }
+  }
+  CHECK(told == 5);
+}
+
+TEST_CASE("only one of the live hosts frees a store's blocks")
+{
+  const std::vector<std::string> hosts{ "host-a", "host-b", "host-c" };
+  int owners = 0;
+  for (const auto& host : hosts) {
+    Bench bench = Ready();
+    bench.state_.self_ = host;
+    bench.Post(keeper::HostsChanged{ hosts });
+    const auto effects = bench.Post(Report(96 * kBlockBytes));
+    owners += Of<keeper::FetchInventory>(effects).empty() ? 0 : 1;
+  }
+  CHECK(owners == 1);
+}
+
+TEST_CASE("a steward that wakes late drops its plan to free blocks")
+{
+  auto bench = Ready();
+  bench.Post(Report(96 * kBlockBytes));
+  bench.now_ += absl::Hours(1);
+  bench.Tick();
+  const auto effects =
+    bench.Post(keeper::InventoryRead{ "store-0", true, Inventory(19), false });
+  CHECK(effects.empty());
+  CHECK(Of<keeper::FreeBlock>(bench.Tick()).empty());
+}
+
+TEST_CASE("a steward that is no longer the owner stops freeing")
+{
+  auto bench = Ready();
+  bench.Post(Report(96 * kBlockBytes));
+  bench.Post(keeper::InventoryRead{ "store-0", true, Inventory(19), false });
+  bench.Post(keeper::HostsChanged{ { "host-b" } });
+  CHECK(Of<keeper::FreeBlock>(bench.Tick()).empty());
+}
+
+TEST_CASE("an inventory is read page by page")
+{
+  auto bench = Ready();
+  bench.Post(Report(96 * kBlockBytes));
+  auto all = Inventory(19);
+  const std::vector<keeper::StoredBlock> head(all.begin(), all.begin() + 50);
+  const std::vector<keeper::StoredBlock> tail(all.begin() + 50, all.end());
+  const auto next = Of<keeper::FetchInventory>(
+    bench.Post(keeper::InventoryRead{ "store-0", true, head, true }));
+  REQUIRE(next.size() == 1);
+  CHECK(next[0].after_ == head.back().key_);
+  bench.Post(keeper::InventoryRead{ "store-0", true, tail, false });
+  CHECK(Of<keeper::FreeBlock>(bench.Tick()).size() == 6);
+}
+
+TEST_CASE("a store that dies during the reading ends it")
+{
+  auto bench = Ready();
+  bench.Post(Report(96 * kBlockBytes));
+  bench.Post(keeper::InventoryRead{ "store-0", false });
+  CHECK(bench.state_.stores_.at("store-0").eviction_.stage_ ==
+        keeper::EvictionStage::Idle);
+  CHECK(
+    Of<keeper::FetchInventory>(bench.Post(Report(96 * kBlockBytes))).size() ==
+    1);
+}
+
+TEST_CASE("a workspace over its share of a nearly full store is not exported")
+{
+  auto bench = Ready();
+  auto& store = bench.state_.stores_.at("store-0");
+  store.workspaceBytes_["co-operative"] = 60 * kBlockBytes;
+  store.workspaceBytes_["authority"] = 30 * kBlockBytes;
+  bench.Post(Report(92 * kBlockBytes));
+  CHECK(Results(bench.Post(Run(1, 5))) == Names{ "over_share" });
+  const auto other = bench.Post(Run(2, 5, "engine-1", "authority"));
+  CHECK(Of<keeper::StartExport>(other).size() == 1);
+}
+
+namespace {
+
+// An engine's export as a fake engine and store carry it out.
+struct FakeExport
+{
+  keeper::StartExport order_;
+  bool lost_ = false;
+};
+
+// Engines and a store that fail at random, behind one steward.
+struct World
+{
+  explicit World(unsigned aSeed)
+    : random_(aSeed)
+  {
+  }
+
+  bool Chance(double aChance)
+  {
+    return std::uniform_real_distribution<double>(0.0, 1.0)(random_) < aChance;
+  }
+  std::uint64_t Below(std::uint64_t aLimit) { return random_() % aLimit; }
+
+  std::mt19937_64 random_;
+  Bench bench_ = Ready();
+  std::deque<keeper::Effect> todo_;
+  absl::btree_map<std::string, FakeExport> engineExports_;
+  absl::btree_map<core::BlockKey, keeper::StoredBlock> store_;
+  absl::flat_hash_map<core::BlockKey, std::string> workspaceOf_;
+  std::uint64_t lastGeneration_ = 0;
+  std::uint64_t lastExport_ = 0;
+  std::uint64_t announced_ = 0;
+  std::uint64_t freed_ = 0;
+};
+
+std::uint64_t
+UsedBytes(const World& aWorld)
+{
+  return aWorld.store_.size() * kBlockBytes;
+}
+
+void
+Post(World& aWorld, keeper::EventBody aBody)
+{
+  for (auto& effect : aWorld.bench_.Post(std::move(aBody))) {
+    aWorld.todo_.push_back(std::move(effect));
+  }
+}
+
+// An export that starts on a store that is nearly full keeps its workspace
+// within its share as the steward knows it.
+void
+CheckShares(const World& aWorld, const keeper::StartExport& aOrder)
+{
+  const auto& state = aWorld.bench_.state_;
+  const auto& item = state.exports_.at(aOrder.id_);
+  const auto& store = state.stores_.at("store-0");
+  if (store.usedBytes_ < 92 * kBlockBytes) {
+    return;
+  }
+  const auto used = store.workspaceBytes_.find(item.workspace_);
+  const auto bytes = used == store.workspaceBytes_.end() ? 0 : used->second;
+  REQUIRE(bytes + item.bytes_ <=
+          keeper::StoreShare(state, "store-0", item.workspace_));
+}
+
+void
+Carry(World& aWorld, const keeper::StartExport& aOrder)
+{
+  CheckShares(aWorld, aOrder);
+  if (aWorld.Chance(0.1)) {
+    Post(aWorld, keeper::ExportStarted{ aOrder.id_, false, "" });
+    return;
+  }
+  const auto name = absl::StrCat(++aWorld.lastExport_);
+  aWorld.engineExports_[name] = { aOrder, aWorld.Chance(0.1) };
+  Post(aWorld, keeper::ExportStarted{ aOrder.id_, true, name });
+  if (aWorld.Chance(0.1)) {
+    Post(aWorld, keeper::ExportStarted{ aOrder.id_, true, "other" });
+  }
+}
+
+// Commits the blocks of an export as far as chance and room allow.
+keeper::ExportReported
+Finish(World& aWorld, std::uint64_t aId, const keeper::StartExport& aOrder)
+{
+  keeper::ExportReported report;
+  report.id_ = aId;
+  report.status_ = keeper::ExportStatus::Done;
+  report.weightVersion_ = aWorld.Chance(0.1) ? "v2" : "v1";
+  for (const auto& key : aOrder.blocks_) {
+    if (UsedBytes(aWorld) >= kStoreBytes || aWorld.Chance(0.05)) {
+      report.status_ = keeper::ExportStatus::Failed;
+      continue;
+    }
+    const keeper::StoredBlock block{
+      key, { key.high_, 0 }, ++aWorld.lastGeneration_, kBlockBytes
+    };
+    aWorld.store_[key] = block;
+    report.blocks_.push_back(block);
+  }
+  return report;
+}
+
+void
+Carry(World& aWorld, const keeper::AskExport& aAsk)
+{
+  const auto found = aWorld.engineExports_.find(aAsk.exportName_);
+  if (aWorld.Chance(0.2)) {
+    Post(aWorld,
+         keeper::ExportReported{ aAsk.id_, keeper::ExportStatus::Running });
+  } else if (found == aWorld.engineExports_.end() || found->second.lost_) {
+    Post(aWorld,
+         keeper::ExportReported{ aAsk.id_, keeper::ExportStatus::Lost });
+  } else {
+    const auto report = Finish(aWorld, aAsk.id_, found->second.order_);
+    aWorld.engineExports_.erase(found);
+    Post(aWorld, report);
+    Post(aWorld, report);
+  }
+}
+
+void
+Carry(World& aWorld, const keeper::AskStore&)
+{
+  Post(aWorld,
+       keeper::StoreReported{ "store-0",
+                              !aWorld.Chance(0.05),
+                              UsedBytes(aWorld),
+                              aWorld.Below(40'000'000) });
+}
+
+// Blocks are announced only while the store holds that generation.
+void
+Carry(World& aWorld, const keeper::TellSightings& aTell)
+{
+  for (const auto& block : aTell.blocks_) {
+    const auto found = aWorld.store_.find(block.key_);
+    if (aTell.present_) {
+      REQUIRE(found != aWorld.store_.end());
+      REQUIRE(found->second.generation_ == block.generation_);
+      ++aWorld.announced_;
+    } else {
+      REQUIRE((found == aWorld.store_.end() ||
+               found->second.generation_ > block.generation_));
+    }
+  }
+}
+
+void
+Carry(World& aWorld, const keeper::FetchInventory& aFetch)
+{
+  constexpr std::size_t kPage = 40;
+  keeper::InventoryRead read{ "store-0", !aWorld.Chance(0.05) };
+  auto next = aFetch.after_ ? aWorld.store_.upper_bound(*aFetch.after_)
+                            : aWorld.store_.begin();
+  while (next != aWorld.store_.end() && read.blocks_.size() < kPage) {
+    read.blocks_.push_back(next->second);
+    ++next;
+  }
+  read.more_ = next != aWorld.store_.end();
+  Post(aWorld, read);
+}
+
+void
+Carry(World& aWorld, const keeper::FreeBlock& aFree)
+{
+  auto result = keeper::FreeResult::Failed;
+  const auto found = aWorld.store_.find(aFree.block_.key_);
+  if (aWorld.Chance(0.1)) {
+    result = keeper::FreeResult::Pinned;
+  } else if (found != aWorld.store_.end() &&
+             found->second.generation_ == aFree.block_.generation_) {
+    aWorld.store_.erase(found);
+    ++aWorld.freed_;
+    result = keeper::FreeResult::Freed;
+  }
+  Post(aWorld,
+       keeper::FreeEnded{ "store-0", aFree.block_, aFree.reason_, result });
+}
+
+void
+Carry(World&, const keeper::Log&)
+{
+}
+
+void
+Carry(World&, const keeper::Count&)
+{
+}
+
+void
+RunOnce(World& aWorld)
+{
+  const auto prompt = 1 + aWorld.Below(60);
+  const auto* workspace = prompt % 3 == 0 ? "authority" : "co-operative";
+  const auto* target = aWorld.Chance(0.5) ? "engine-0" : "engine-1";
+  Post(aWorld, Run(prompt, 1 + aWorld.Below(8), target, workspace));
+}
+
+void
+Advance(World& aWorld)
+{
+  const bool frozen = aWorld.Chance(0.002);
+  const auto time = frozen ? absl::Hours(2) : absl::Milliseconds(100);
+  aWorld.bench_.now_ += time;
+  if (aWorld.Chance(0.1)) {
+    RunOnce(aWorld);
+  }
+  Post(aWorld, keeper::Tick{});
+  // Effects are carried out late and in order of their age.
+  while (!aWorld.todo_.empty() && !aWorld.Chance(0.05)) {
+    const auto effect = std::move(aWorld.todo_.front());
+    aWorld.todo_.pop_front();
+    std::visit([&](const auto& aPart) { Carry(aWorld, aPart); }, effect);
+  }
+}
+
+} // namespace
+
+TEST_CASE("invariants hold in random runs with failures")
+{
+  for (const unsigned seed : { 1U, 2U, 3U, 4U, 5U, 6U }) {
+    CAPTURE(seed);
+    World world(seed);
+    for (int i = 0; i < 20'000; ++i) {
+      Advance(world);
+      REQUIRE(UsedBytes(world) <= kStoreBytes);
+    }
+    CHECK(world.announced_ > 100);
+    CHECK(world.freed_ > 100);
+  }
+}
+
+TEST_CASE("the state stays bounded when many prompts run")
+{
+  auto bench = Ready();
+  for (std::uint64_t prompt = 0; prompt < 40'000; ++prompt) {
+    keeper::Step(bench.state_, { bench.now_, Run(prompt, 2) });
+    bench.now_ += absl::Milliseconds(10);
+  }
+  REQUIRE(keeper::BrokenInvariant(bench.state_).empty());
+  CHECK(bench.state_.prompts_.size() == keeper::kMaxPrompts);
+}
