--- /dev/null
+++ b/support/faults.py
@@ -0,0 +1,397 @@
+"""Faults for the processes of a local cluster, callers that go on under them, and checks on the records."""
+
+import collections
+import dataclasses
+import http.client
+import json
+import os
+import signal
+import threading
+import time
+import urllib.parse
+
+import cluster
+
+CALL_TIMEOUT_S = 14.0
+READ_TIMEOUT_S = 20.0
+REPEAT_PAUSE_S = 0.1
+FINAL_ANSWER_LIMIT_S = 60.0
+RECORD_TIMEOUT_S = 10.0
+MAX_RESUMES = 20
+CUT = 0
+REFERENCE_SALT = "reference"
+
+
+@dataclasses.dataclass
+class Answer:
+    """One answer to a call; status 0 stands for a connection without an answer."""
+
+    host: str
+    status: int
+    text: str
+    sent_s: float = 0.0
+    body: dict = dataclasses.field(default_factory=dict)
+
+    @property
+    def kind(self):
+        """Returns the kind of a refusal."""
+        return self.body.get("kind", "")
+
+    @property
+    def run(self):
+        """Returns what a refusal says about the request having run."""
+        return self.body.get("run", "")
+
+    def is_final(self):
+        """Tells whether repeating the call can't bring another answer."""
+        if self.status == 200 or self.kind in ("idempotency_key_mismatch", "idempotency_key_expired"):
+            return True
+        return self.kind == "outcome_unknown" and not self.body.get("retry_after_ms")
+
+
+@dataclasses.dataclass
+class Issuance:
+    """All answers that one caller got for one idempotency key."""
+
+    workspace: str
+    key: str
+    answers: list = dataclasses.field(default_factory=list)
+
+    def final(self):
+        """Returns the last answer."""
+        return self.answers[-1] if self.answers else Answer("", CUT, "")
+
+
+@dataclasses.dataclass
+class StreamResult:
+    """What a reader got of one completion; end is done, error, refused or cut."""
+
+    workspace: str
+    prompt: str
+    max_tokens: int
+    text: str = ""
+    end: str = "cut"
+    detail: str = ""
+    last_id: str = ""
+    request_ids: list = dataclasses.field(default_factory=list)
+    resumes: int = 0
+    ended_s: float = 0.0
+
+
+def kill(pid):
+    """Ends a process at once."""
+    os.kill(pid, signal.SIGKILL)
+
+
+def freeze(pid):
+    """Stops a process until it is woken."""
+    os.kill(pid, signal.SIGSTOP)
+
+
+def wake(pid):
+    """Lets a frozen process go on."""
+    os.kill(pid, signal.SIGCONT)
+
+
+def set_fault(url, fault, **fields):
+    """Gives a stand-in a fault order."""
+    status, text = cluster.http("POST", url + "/fault", {"fault": fault, **fields})
+    if status >= 300:
+        raise RuntimeError(f"fault {fault} was refused: {status} {text}")
+
+
+def restart_entry(started, index):
+    """Starts an entry host anew in place of one that ended."""
+    old = started.description["entries"][index]
+    started.processes[old["name"]].wait()
+    row = started.start_entry(
+        old["name"], old["data_centre"], started.description["platform"]["http"], old["steward_port"]
+    )
+    row["steward_pid"] = old["steward_pid"]
+    started.description["entries"][index] = row
+    started.list_host(row)
+    return row
+
+
+def targets(started, kind):
+    """Returns the rows of the targets of a kind."""
+    return [row for row in started.description["targets"] if row["kind"] == kind]
+
+
+def headers_of(started, workspace, **more):
+    """Returns the headers of a caller."""
+    return {"Authorization": "Bearer " + started.keys[workspace], "Content-Type": "application/json", **more}
+
+
+def send_call(started, index, workspace, key, payload, call="issue", timeout=CALL_TIMEOUT_S):
+    """Sends a service call once through one host; returns an Answer."""
+    entry = started.description["entries"][index]
+    sent = time.time()
+    try:
+        status, text = cluster.http(
+            "POST",
+            f"{entry['http']}/v1/services/{cluster.SERVICE}/{call}",
+            payload,
+            headers_of(started, workspace, **{"Idempotency-Key": key}),
+            timeout=timeout,
+        )
+    except (OSError, http.client.HTTPException) as error:
+        return Answer(entry["name"], CUT, str(error), sent)
+    body = json.loads(text) if status != 200 else {}
+    return Answer(entry["name"], status, text, sent, body)
+
+
+def issue(started, workspace, key, payload, first=0, limit_s=FINAL_ANSWER_LIMIT_S, call="issue"):
+    """Repeats a call through one host after another until its answer is final."""
+    done = Issuance(workspace, key)
+    limit = time.monotonic() + limit_s
+    index = first
+    while time.monotonic() < limit:
+        index %= len(started.description["entries"])
+        answer = send_call(started, index, workspace, key, payload, call)
+        done.answers.append(answer)
+        if answer.is_final():
+            break
+        index += 1
+        time.sleep(REPEAT_PAUSE_S)
+    return done
+
+
+class Callers:
+    """Threads that issue keys until they are stopped; each keeps what it was answered."""
+
+    def __init__(self, started, name, count=6, workspaces=("co-operative", "authority"), pause_s=0.01, hosts=None):
+        self.started = started
+        self.name = name
+        self.workspaces = workspaces
+        self.pause_s = pause_s
+        self.hosts = hosts
+        self.issuances = []
+        self.stopping = threading.Event()
+        self.threads = [threading.Thread(target=self._work, args=(i,)) for i in range(count)]
+        for thread in self.threads:
+            thread.start()
+
+    def _work(self, caller):
+        number = 0
+        while not self.stopping.is_set():
+            workspace = self.workspaces[(caller + number) % len(self.workspaces)]
+            key = f"{self.name}-{caller}-{number}"
+            first = caller + number if self.hosts is None else self.hosts[(caller + number) % len(self.hosts)]
+            self.issuances.append(issue(self.started, workspace, key, {"learner": number}, first))
+            number += 1
+            time.sleep(self.pause_s)
+
+    def stop(self):
+        """Waits for the final answers; returns the issuances."""
+        self.stopping.set()
+        for thread in self.threads:
+            thread.join()
+        return self.issuances
+
+
+class StreamReader:
+    """Reads one streamed completion and resumes it at other hosts when its connection is cut."""
+
+    def __init__(self, started, workspace, prompt, max_tokens, index=0, resume=True, deadline_ms=None):
+        self.started = started
+        self.index = index
+        self.resume = resume
+        self.deadline_ms = deadline_ms
+        self.result = StreamResult(workspace, prompt, max_tokens)
+        self.tokens_seen = 0
+        self.begun = threading.Event()
+        self.thread = threading.Thread(target=self._work)
+        self.thread.start()
+
+    def join(self):
+        """Waits for the end; returns the result."""
+        self.thread.join()
+        return self.result
+
+    def wait_tokens(self, count, limit_s=READ_TIMEOUT_S):
+        """Waits until some tokens came; tells whether they did."""
+        limit = time.monotonic() + limit_s
+        while self.tokens_seen < count and time.monotonic() < limit and self.thread.is_alive():
+            time.sleep(0.005)
+        return self.tokens_seen >= count
+
+    def _work(self):
+        result = self.result
+        for _ in range(MAX_RESUMES):
+            result.end, result.detail = self._read_once()
+            retry = result.end == "cut" or (result.end == "refused" and result.last_id and result.detail == "not_ready")
+            if not self.resume or not retry or not result.last_id:
+                break
+            result.resumes += 1
+            self.index += 1
+            time.sleep(REPEAT_PAUSE_S)
+        result.ended_s = time.time()
+
+    def _read_once(self):
+        entry = self.started.description["entries"][self.index % len(self.started.description["entries"])]
+        url = urllib.parse.urlparse(entry["http"])
+        connection = http.client.HTTPConnection(url.hostname, url.port, timeout=READ_TIMEOUT_S)
+        try:
+            return self._exchange(connection)
+        except (OSError, http.client.HTTPException, ValueError) as error:
+            return "cut", str(error)
+        finally:
+            connection.close()
+
+    def _exchange(self, connection):
+        result = self.result
+        headers = headers_of(self.started, result.workspace)
+        if result.last_id:
+            headers["Last-Event-ID"] = result.last_id
+        body = {
+            "model": cluster.MODEL, "prompt": result.prompt, "max_tokens": result.max_tokens, "stream": True
+        }
+        if self.deadline_ms:
+            body["deadline_ms"] = self.deadline_ms
+        connection.request("POST", "/v1/completions", json.dumps(body), headers)
+        response = connection.getresponse()
+        result.request_ids.append(response.headers.get("X-Request-Id", ""))
+        if response.status != 200:
+            return "refused", json.loads(response.read()).get("kind", "")
+        return self._read_events(response)
+
+    def _read_events(self, response):
+        event_id = ""
+        for raw in response:
+            line = raw.decode().rstrip("\r\n")
+            if line.startswith("id: "):
+                event_id = line[4:]
+            elif line == "data: [DONE]":
+                return "done", ""
+            elif line.startswith("data: "):
+                event = json.loads(line[6:])
+                if "error" in event:
+                    return "error", event["error"].get("kind", "")
+                if event_id:
+                    self.result.text += event["choices"][0]["text"]
+                    self.result.last_id = event_id
+                    self.tokens_seen += 1
+                event_id = ""
+        return "cut", "the connection ended"
+
+
+def load_weights(started, name, version, fence, limit_s=RECORD_TIMEOUT_S):
+    """Orders an engine to load a version and waits until it serves it."""
+    url = next(row["http"] for row in started.description["targets"] if row["name"] == name)
+    cluster.http("POST", url + "/v1/orders", {"fence": fence, "order": "load_weights", "version": version})
+    started.wait_until(
+        lambda: json.loads(cluster.http("GET", url + "/v1/orders")[1])["weight_version"] == version,
+        f"{name} serves {version}",
+        limit_s,
+    )
+
+
+def reference_text(url, prompt, max_tokens, run_id):
+    """Asks an engine itself for the text of a prompt; returns version and text."""
+    body = {
+        "model": cluster.MODEL,
+        "prompt": prompt,
+        "max_tokens": max_tokens,
+        "run_id": run_id,
+        "cache_salt": REFERENCE_SALT,
+    }
+    status, text = cluster.http("POST", url + "/v1/completions", body, timeout=READ_TIMEOUT_S)
+    if status != 200:
+        raise RuntimeError(f"no reference text: {status} {text}")
+    events = [json.loads(line[6:]) for line in text.splitlines() if line.startswith("data: {")]
+    version = next(event["weight_version"] for event in events if event.get("event") == "start")
+    return version, "".join(event["text"] for event in events if "index" in event)
+
+
+class Records:
+    """The stand-ins' own records of what they ran; those of killed ones are read before the kill."""
+
+    def __init__(self, started):
+        self.started = started
+        self.kept = collections.defaultdict(list)
+
+    def keep(self, target):
+        """Keeps the record of a frozen or living target that is about to be killed."""
+        self.kept[target["kind"]] += self._read(target)
+
+    @staticmethod
+    def _read(target):
+        text = cluster.http("GET", target["http"] + "/executions", timeout=RECORD_TIMEOUT_S)[1]
+        return json.loads(text)["calls" if target["kind"] == "service" else "runs"]
+
+    def rows(self, kind, gone=()):
+        """Returns all records of a kind of target but those that are gone."""
+        rows = list(self.kept[kind])
+        for target in targets(self.started, kind):
+            if target["name"] not in gone:
+                rows += self._read(target)
+        return rows
+
+
+def request_of(attempt):
+    """Returns the request's id from the id of an attempt."""
+    return attempt.rpartition("-")[0]
+
+
+def check_issuances(issuances, calls, bodies_apart=True):
+    """Returns what in callers' answers disagrees with the services' records."""
+    faults = []
+    by_key = collections.defaultdict(list)
+    for row in calls:
+        by_key[row["key"]].append(row)
+    by_request = {request_of(row["attempt"]): row for row in calls}
+    for key, rows in by_key.items():
+        if len(rows) > 1:
+            faults.append(f"key {key} was executed {len(rows)} times: {rows}")
+    for issuance in issuances:
+        faults += check_answers(issuance, by_key.get(issuance.key, []), by_request)
+    return faults
+
+
+def check_answers(issuance, rows, by_request):
+    """Returns what in the answers for one key disagrees with its records."""
+    faults = []
+    name = f"key {issuance.key}"
+    for answer in issuance.answers:
+        if answer.run == "no" and answer.body.get("request_id") in by_request:
+            faults.append(f"{name}: {answer.host} said not run, but it ran: {answer.text}")
+    said = [answer for answer in issuance.answers if answer.status == 200]
+    if said and not rows:
+        faults.append(f"{name}: answered 200 but never executed")
+    if len({answer.text for answer in said}) > 1:
+        faults.append(f"{name}: two different answers: {[answer.text for answer in said]}")
+    after_success = issuance.answers[issuance.answers.index(said[0]):] if said else []
+    if any(answer.kind == "outcome_unknown" for answer in after_success):
+        faults.append(f"{name}: unknown after an answer was given: {after_success}")
+    if rows and issuance.answers and all(answer.run == "no" for answer in issuance.answers):
+        faults.append(f"{name}: all answers said not run, but {rows}")
+    if not issuance.final().is_final():
+        faults.append(f"{name}: no final answer: {issuance.final()}")
+    # A final unknown is only right where an answer was lost or the call was sent.
+    lost = any(answer.status == CUT for answer in issuance.answers)
+    if issuance.final().kind == "outcome_unknown" and not rows and not lost:
+        faults.append(f"{name}: unknown, though nothing was sent and no answer lost: {issuance.answers}")
+    return faults
+
+
+def check_streams(results, texts):
+    """Returns streams whose text is not that of an undisturbed run; texts maps prompts to sets of texts."""
+    faults = []
+    for result in results:
+        wholes = texts[result.prompt]
+        if result.end == "done" and result.text not in wholes:
+            faults.append(f"stream {result.request_ids}: whole, but {result.text!r} is none of {wholes}")
+        if result.end != "done" and not any(whole.startswith(result.text) for whole in wholes):
+            faults.append(f"stream {result.request_ids}: its part {result.text!r} is no beginning of {wholes}")
+    return faults
+
+
+def check_blocks(runs):
+    """Returns runs that used a block made for another workspace or weight version."""
+    faults = []
+    for run in runs:
+        for block in run["blocks"]:
+            if block["cache_salt"] != run["cache_salt"] or block["weight_version"] != run["weight_version"]:
+                faults.append(f"run {run['run_id']} of {run['cache_salt']}/{run['weight_version']} used {block}")
+    return faults
