--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -17,7 +17,10 @@
 #undef CHECK
 #include <glog/logging.h>
 
+#include "rollout/operators.h"
+
 namespace config = lycheeplank::config;
+namespace core = lycheeplank::core;
 namespace platform = lycheeplank::platform;
 namespace rollout = lycheeplank::rollout;
 
@@ -204,6 +207,23 @@
              : rollout::ReadSlots(found->second.value_)->size();
   }
 
+  // Carries out an operator's command; the given outcomes take the place of
+  // the first ones, after the effect.
+  rollout::Execute OperatorAccess(std::deque<platform::Outcome> aOutcomes)
+  {
+    auto outcomes =
+      std::make_shared<std::deque<platform::Outcome>>(std::move(aOutcomes));
+    return [this, outcomes](const platform::Command& aCommand,
+                            const std::function<void(platform::Reply)>& aOn) {
+      auto reply = Apply(aCommand);
+      if (!outcomes->empty()) {
+        reply.outcome_ = outcomes->front();
+        outcomes->pop_front();
+      }
+      aOn(reply);
+    };
+  }
+
   void Tell(SimSteward& aSteward, decltype(rollout::Event::body_) aBody)
   {
     if (!aSteward.up_) {
@@ -751,6 +771,56 @@
   REQUIRE(world.IsDone("large", "v2"));
 }
 
+TEST_CASE("an operator starts, lists and stops rollouts")
+{
+  World world(3, Seed(9));
+  world.Run(absl::Seconds(10));
+  const auto access = world.OperatorAccess({});
+  std::vector<absl::optional<core::Error>> ends;
+  const auto onDone = [&](absl::optional<core::Error> aError) {
+    ends.push_back(std::move(aError));
+  };
+  rollout::StopRollout(access, "large", onDone);
+  REQUIRE(ends.back()->kind_ == core::ErrorKind::NotFound);
+  rollout::StartRollout(access, "large", "v1", onDone);
+  REQUIRE(!ends.back());
+  world.Run(absl::Seconds(4));
+  rollout::StopRollout(access, "large", onDone);
+  REQUIRE(!ends.back());
+  world.Run(absl::Seconds(30));
+  REQUIRE(world.RecordOf("large").state_ == rollout::RolloutState::Stopped);
+  REQUIRE(!AllServe(world, "large", "v1"));
+  REQUIRE(world.SlotCount() == 0);
+  rollout::StartRollout(access, "medium", "v1", onDone);
+  rollout::Listing listing;
+  rollout::ListRollouts(
+    access, [&](rollout::Listing aListing) { listing = std::move(aListing); });
+  REQUIRE(listing.records_.size() == 2);
+  REQUIRE(listing.records_[0].model_ == "large");
+}
+
+TEST_CASE("a lost reply does not start a rollout twice")
+{
+  World world(3, Seed(10));
+  const auto access = world.OperatorAccess(
+    { platform::Outcome::Absent, platform::Outcome::Lost });
+  int done = 0;
+  rollout::StartRollout(
+    access, "large", "v1", [&](const absl::optional<core::Error>& aError) {
+      REQUIRE(!aError);
+      ++done;
+    });
+  REQUIRE(done == 1);
+  REQUIRE(world.RecordOf("large").version_ == "v1");
+  const auto out = world.OperatorAccess({ platform::Outcome::Lost });
+  rollout::StopRollout(
+    out, "large", [&](const absl::optional<core::Error>& aError) {
+      REQUIRE(aError->kind_ == core::ErrorKind::PlatformUnavailable);
+      ++done;
+    });
+  REQUIRE(done == 2);
+}
+
 TEST_CASE("a target that can't be reached is waited for")
 {
   World world(3, Seed(5));
