--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -26,6 +26,8 @@
 
 namespace {
 
+using EventBody = decltype(rollout::Event::body_);
+
 const absl::Time kStart = absl::FromUnixSeconds(1700000000);
 constexpr absl::Duration kTickPeriod = absl::Milliseconds(100);
 
@@ -224,7 +226,7 @@
     };
   }
 
-  void Tell(SimSteward& aSteward, decltype(rollout::Event::body_) aBody)
+  void Tell(SimSteward& aSteward, const EventBody& aBody)
   {
     if (!aSteward.up_) {
       return;
@@ -330,9 +332,8 @@
   void Do(SimSteward& aSteward, platform::Command& aCommand)
   {
     const std::uint64_t life = aSteward.life_;
-    const platform::Command command = aCommand;
     At(now_ + absl::Milliseconds(50 * Uniform()),
-       [this, &aSteward, life, command] {
+       [this, &aSteward, life, command = aCommand] {
          Act(aSteward, life, [this, &aSteward, life, command] {
            SendToPlatform(aSteward, life, command);
          });
@@ -514,9 +515,8 @@
   void Do(SimSteward& aSteward, rollout::SendOrder& aOrder)
   {
     const std::uint64_t life = aSteward.life_;
-    const rollout::SendOrder order = aOrder;
     At(now_ + absl::Milliseconds(50 * Uniform()),
-       [this, &aSteward, life, order] {
+       [this, &aSteward, life, order = aOrder] {
          Act(aSteward, life, [this, &aSteward, life, order] {
            TransmitOrder(aSteward, life, order);
          });
@@ -525,7 +525,7 @@
 
   void EndOrder(SimSteward& aSteward,
                 std::uint64_t aLife,
-                rollout::OrderEnded aEnd,
+                const rollout::OrderEnded& aEnd,
                 absl::Duration aAfter)
   {
     At(now_ + aAfter, [this, &aSteward, aLife, aEnd] {
