--- a/src/steward/main.cc
+++ b/src/steward/main.cc
@@ -7,6 +7,7 @@
 
 #include "lycheeplank/version.h"
 #include "steward/duties.h"
+#include "steward/metrics.h"
 
 namespace {
 
@@ -41,12 +42,18 @@
 }
 
 void
-Serve(const std::shared_ptr<net::Exchange>& aExchange)
+Serve(net::Exchange& aExchange, const lycheeplank::metrics::Registry& aMetrics)
 {
-  const bool found = aExchange->request_.path_ == "/healthz";
-  aExchange->Reply(found ? 200 : 404,
-                   { { "Content-Type", "text/plain" } },
-                   found ? "ok\n" : "not found\n");
+  const std::string& path = aExchange.request_.path_;
+  if (path == "/healthz") {
+    aExchange.Reply(200, { { "Content-Type", "text/plain" } }, "ok\n");
+  } else if (path == "/metrics") {
+    aExchange.Reply(200,
+                    { { "Content-Type", "text/plain; version=0.0.4" } },
+                    aMetrics.Text());
+  } else {
+    aExchange.Reply(404, { { "Content-Type", "text/plain" } }, "not found\n");
+  }
 }
 
 net::ServerOptions
@@ -74,14 +81,21 @@
     [&control](const steward::EventBody& aBody) { control->Post(aBody); }
   };
   steward::ConfigFollower follower(context);
+  lycheeplank::metrics::Registry metrics;
   control = std::make_unique<steward::Control>(
     rollout::Start(aSettings.name_, {}),
-    steward::ControlHooks{
-      [&context](const rollout::Effect& aEffect) {
-        steward::PerformRollout(context, aEffect);
-      },
-      [&follower](const rollout::State&) { follower.AskIfDue(); } });
-  const net::Server server(ServerOptionsOf(aSettings), Serve);
+    steward::ControlHooks{ [&context](const rollout::Effect& aEffect) {
+                            steward::PerformRollout(context, aEffect);
+                          },
+                           [&follower, &metrics](const rollout::State& aState) {
+                             follower.AskIfDue();
+                             steward::ReportRollouts(aState, metrics);
+                           } });
+  const net::Server server(
+    ServerOptionsOf(aSettings),
+    [&metrics](const std::shared_ptr<net::Exchange>& aExchange) {
+      Serve(*aExchange, metrics);
+    });
   control->Start();
   std::printf("listening port=%d\n", server.Port());
   std::fflush(stdout);
--- a/test/steward-test.py
+++ b/test/steward-test.py
@@ -101,6 +101,16 @@
     def owning_steward(self):
         return self.steward_of(self.owners()[0])
 
+    def owned_partitions(self):
+        """Sums up what the stewards' metrics say that they own."""
+        total = 0
+        for entry in self.cluster.description["entries"]:
+            url = f"http://127.0.0.1:{entry['steward_port']}/metrics"
+            for line in cluster.http("GET", url)[1].splitlines():
+                if line.startswith("lycheeplank_partitions_owned "):
+                    total += int(line.split()[1])
+        return total
+
     def interrupt_rollout(self, action):
         """Starts a rollout and acts on all owners once it is under way."""
         self.start_rollout("v2")
@@ -109,6 +119,9 @@
         for name in set(self.owners()):
             action(self.steward_of(name))
 
+    def test_metrics_tell_who_owns_the_partitions(self):
+        self.wait(lambda: self.owned_partitions() == 4, 10, "the metrics show all partitions")
+
     def test_a_rollout_goes_on_after_its_owner_is_killed(self):
         watch = LoadWatch(self)
         watch.start()
