--- a/src/entry/admin.cc
+++ b/src/entry/admin.cc
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "entry/problem.h"
+#include "entry/rollouts.h"
 
 namespace lycheeplank::entry {
 
@@ -93,11 +94,13 @@
 
 Admin::Admin(Control& aControl,
              Trace& aTrace,
-             Rollouts& aRollouts,
+             adapters::PlatformClient& aPlatform,
+             SnapshotBox& aSnapshots,
              std::string aKeyDigest)
   : control_(aControl)
   , trace_(aTrace)
-  , rollouts_(aRollouts)
+  , platform_(aPlatform)
+  , snapshots_(aSnapshots)
   , keyDigest_(std::move(aKeyDigest))
 {
 }
@@ -120,7 +123,7 @@
   if (http.path_ == "/v1/admin/config" && http.method_ == "POST") {
     PostEdit(aExchange);
   } else if (absl::StartsWith(http.path_, kRollouts)) {
-    rollouts_.Serve(aExchange);
+    ServeRollouts(aExchange, platform_, snapshots_.Get()->config_);
   } else if (get && absl::StartsWith(http.path_, kRequests)) {
     ServeRequest(*aExchange, http.path_.substr(kRequests.size()));
   } else if (get && http.path_ == "/v1/admin/config") {
--- a/src/entry/app.cc
+++ b/src/entry/app.cc
@@ -12,7 +12,6 @@
 #include "entry/control.h"
 #include "entry/poller.h"
 #include "entry/problem.h"
-#include "entry/rollouts.h"
 #include "entry/runner.h"
 #include "entry/steward-link.h"
 #include "entry/trace.h"
@@ -73,7 +72,6 @@
   net::Client controlClient_;
   adapters::PlatformClient platform_;
   Runner runner_;
-  Rollouts rollouts_;
   StewardLink steward_;
   peer::Client peers_;
   std::unique_ptr<peer::Server> peerServer_;
@@ -234,7 +232,6 @@
             metrics_,
             aSettings.tokenSecret_,
             [this](reducer::Event aEvent) { Post(std::move(aEvent)); })
-  , rollouts_(platform_, snapshots_)
   , steward_(controlClient_, aSettings.stewardUrl_, aSettings.tokenSecret_)
   , peers_([this](reducer::Event aEvent) { Post(std::move(aEvent)); })
 {
@@ -258,7 +255,7 @@
       absl::visit(Performer{ *this }, aEffect);
     });
   admin_ = std::make_unique<Admin>(
-    *control_, trace_, rollouts_, aSettings.operatorKeyDigest_);
+    *control_, trace_, platform_, snapshots_, aSettings.operatorKeyDigest_);
   poller_ = std::make_unique<Poller>(
     controlClient_,
     snapshots_,
--- a/src/steward/exports.h
+++ b/src/steward/exports.h
@@ -32,6 +32,8 @@
   void Follow(const EventBody& aBody);
   // Answers the entry host and whoever reads the counters, from any thread.
   void Serve(const std::shared_ptr<net::Exchange>& aExchange);
+  // The counters that Serve shows; other duties add theirs.
+  metrics::Registry& Metrics() { return metrics_; }
 
 private:
   void Run();
--- a/src/steward/main.cc
+++ b/src/steward/main.cc
@@ -8,6 +8,7 @@
 #include "lycheeplank/version.h"
 #include "steward/duties.h"
 #include "steward/exports.h"
+#include "steward/metrics.h"
 
 namespace {
 
@@ -70,11 +71,13 @@
   steward::ConfigFollower follower(context);
   control = std::make_unique<steward::Control>(
     rollout::Start(aSettings.name_, {}),
-    steward::ControlHooks{
-      [&context](const rollout::Effect& aEffect) {
-        steward::PerformRollout(context, aEffect);
-      },
-      [&follower](const rollout::State&) { follower.AskIfDue(); } });
+    steward::ControlHooks{ [&context](const rollout::Effect& aEffect) {
+                            steward::PerformRollout(context, aEffect);
+                          },
+                           [&follower, &exports](const rollout::State& aState) {
+                             follower.AskIfDue();
+                             steward::ReportRollouts(aState, exports.Metrics());
+                           } });
   const net::Server server(
     ServerOptionsOf(aSettings),
     [&exports](const std::shared_ptr<net::Exchange>& aExchange) {
