--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -234,8 +234,7 @@
     Conclude(aAttempt, AttemptResult::BrokenMidway, detail, "");
   } else if (aEnd.neverSent_ && !aAttempt->started_) {
     Conclude(aAttempt, AttemptResult::NeverSent, detail, "");
-  } else if (aEnd.whole_ && aEnd.status_ == kConflict &&
-             !aAttempt->started_) {
+  } else if (aEnd.whole_ && aEnd.status_ == kConflict && !aAttempt->started_) {
     std::string version = ServingVersion(aAttempt->errorBody_);
     const auto result =
       version.empty() ? AttemptResult::Refused : AttemptResult::WrongVersion;
--- /dev/null
+++ b/test/trace/hosts.h
@@ -0,0 +1,208 @@
+#ifndef LYCHEEPLANK_TEST_TRACE_HOSTS_H
+#define LYCHEEPLANK_TEST_TRACE_HOSTS_H
+
+#include "transfers.h"
+
+// Hosts' decisions from what they know.
+namespace lycheeplank::trace {
+
+inline std::vector<placement::Candidate>
+CandidatesOf(const Trace& aTrace,
+             const Host& aHost,
+             const std::vector<directory::Holder>& aHolders)
+{
+  std::vector<placement::Candidate> candidates(aTrace.engines_.size());
+  for (std::uint32_t i = 0; i < candidates.size(); ++i) {
+    const Belief& belief = aHost.engines_[i];
+    auto& candidate = candidates[i];
+    candidate.name_ = aTrace.engineNames_[i];
+    candidate.distance_ = absl::Seconds(kDistanceSeconds);
+    candidate.load_ = belief.report_;
+    candidate.load_.age_ = absl::Seconds(aTrace.now_ - belief.reportedAt_);
+    if (aTrace.rules_.ownWork_) {
+      candidate.own_ = placement::OwnWorkSince(
+        belief.sent_, AsTime(belief.reportedAt_), AsTime(aTrace.now_));
+    }
+    candidate.maxRuns_ = 1U << 20U;
+    candidate.followerRank_ = aHost.ranks_[i];
+    candidate.prefillTokensPerSecond_ = aTrace.shape_->prefillRate_;
+    for (const auto& holder : aHolders) {
+      if (holder.id_.name_ == candidate.name_) {
+        candidate.cachedBlocks_ = holder.leadingBlocks_;
+      }
+    }
+  }
+  return candidates;
+}
+
+inline std::vector<placement::Offer>
+OffersOf(const Trace& aTrace,
+         const Host& aHost,
+         const std::vector<directory::Holder>& aHolders)
+{
+  std::vector<placement::Offer> offers;
+  for (const auto& holder : aHolders) {
+    for (std::uint32_t i = 0; i < aTrace.stores_.size(); ++i) {
+      if (holder.id_.name_ != aTrace.storeNames_[i] ||
+          !aHost.stores_[i].alive_ ||
+          !placement::Usable(aTrace.links_[i], AsTime(aTrace.now_))) {
+        continue;
+      }
+      placement::Offer offer;
+      offer.store_ = aTrace.storeNames_[i];
+      offer.leadingBlocks_ = holder.leadingBlocks_;
+      offer.generations_ = holder.generations_;
+      offer.linkBytesPerSecond_ = aHost.stores_[i].linkRate_;
+      offer.queuedBytes_ = aHost.stores_[i].queuedBytes_;
+      offers.push_back(offer);
+    }
+  }
+  return offers;
+}
+
+inline placement::Question
+QuestionFor(Trace& aTrace, const Host& aHost, const Arrival& aArrival)
+{
+  const auto& prompt = aTrace.shape_->prompts_[aArrival.prompt_];
+  placement::Question question;
+  question.promptTokens_ =
+    std::uint64_t{ prompt.blocks_ } * kBlockTokens + prompt.tailTokens_;
+  question.blocks_ = prompt.blocks_;
+  question.blockTokens_ = kBlockTokens;
+  question.kvBytesPerToken_ = kKvBytesPerToken;
+  question.objective_ = aTrace.shape_->objective_;
+  question.policy_ = aTrace.rules_.policy_;
+  question.interactive_ = aArrival.interactive_;
+  if (!aArrival.interactive_) {
+    question.remaining_ = absl::Seconds(aArrival.deadline_ - aTrace.now_);
+  }
+  question.seed_ = aTrace.rules_.policy_ == config::Policy::RoundRobin
+                     ? aHost.ranks_[0] + aHost.sentRuns_
+                     : aTrace.random_.engine_();
+  question.promptHash_ = core::StableHash(std::to_string(aArrival.prompt_));
+  return question;
+}
+
+// Sends a run on its way, by way of a store's link if there is an import.
+inline void
+Send(Trace& aTrace,
+     std::uint32_t aArrival,
+     std::uint32_t aHost,
+     const placement::Decision& aDecision)
+{
+  const auto& arrival = aTrace.shape_->arrivals_[aArrival];
+  Run run;
+  run.arrival_ = aArrival;
+  run.host_ = aHost;
+  run.engine_ = IndexOf(aDecision.target_);
+  run.expectedTokens_ = aDecision.computedTokens_;
+  const auto index = static_cast<std::uint32_t>(aTrace.runs_.size());
+  Engine& engine = aTrace.engines_[run.engine_];
+  engine.queuedTokens_ += run.expectedTokens_;
+  ++engine.waiting_;
+  ++aTrace.hosts_[aHost].sentRuns_;
+  aTrace.hosts_[aHost].engines_[run.engine_].sent_.push_back(
+    { AsTime(aTrace.now_), run.expectedTokens_ });
+  if (!aDecision.import_) {
+    aTrace.runs_.push_back(run);
+    Schedule(
+      aTrace, aTrace.now_ + kDistanceSeconds, EventKind::ImportEnd, index);
+    return;
+  }
+  const auto& import = *aDecision.import_;
+  run.store_ = IndexOf(import.store_);
+  run.firstImport_ = import.firstBlock_;
+  run.wantedImports_ = import.blocks_;
+  aTrace.runs_.push_back(run);
+  aTrace.hosts_[aHost].stores_[run.store_].queuedBytes_ += import.bytes_;
+  keeping::Transfer transfer;
+  transfer.kind_ = arrival.interactive_
+                     ? keeping::TransferKind::InteractiveImport
+                     : keeping::TransferKind::BatchImport;
+  transfer.bytes_ = import.bytes_;
+  transfer.queuedAt_ = AsTime(aTrace.now_);
+  transfer.latestStart_ = keeping::LatestStart(
+    AsTime(arrival.interactive_ ? aTrace.now_ : arrival.deadline_),
+    absl::Seconds(aDecision.estimate_.ttftSeconds_));
+  Job job;
+  job.run_ = index;
+  AddTransfer(aTrace, run.store_, transfer, std::move(job));
+}
+
+inline void
+Place(Trace& aTrace, std::uint32_t aArrival)
+{
+  const auto& arrival = aTrace.shape_->arrivals_[aArrival];
+  const auto& prompt = aTrace.shape_->prompts_[arrival.prompt_];
+  const auto hostIndex =
+    static_cast<std::uint32_t>(aTrace.random_.engine_() % aTrace.hosts_.size());
+  const Host& host = aTrace.hosts_[hostIndex];
+  const auto holders = directory::Locate(
+    aTrace.directory_, ChainOf(arrival.prompt_, prompt.blocks_));
+  const auto decision = placement::Choose(QuestionFor(aTrace, host, arrival),
+                                          CandidatesOf(aTrace, host, holders),
+                                          OffersOf(aTrace, host, holders),
+                                          aTrace.rules_.tuning_);
+  Send(aTrace, aArrival, hostIndex, *decision);
+}
+
+// Part of the engines that are busy now.
+inline double
+BusyShare(const Trace& aTrace)
+{
+  const auto busy =
+    std::count_if(aTrace.engines_.begin(),
+                  aTrace.engines_.end(),
+                  [](const Engine& aEngine) { return aEngine.busy_; });
+  return static_cast<double>(busy) /
+         static_cast<double>(aTrace.engines_.size());
+}
+
+inline bool
+MayStart(const Trace& aTrace, const Arrival& aArrival)
+{
+  constexpr double kEstimateSeconds = 30.0;
+  return aArrival.interactive_ ||
+         keeping::MayStartBatch(
+           keeping::LatestStart(AsTime(aArrival.deadline_),
+                                absl::Seconds(kEstimateSeconds)),
+           BusyShare(aTrace),
+           0,
+           AsTime(aTrace.now_));
+}
+
+inline void
+OnArrival(Trace& aTrace, std::uint32_t aArrival)
+{
+  const auto& arrival = aTrace.shape_->arrivals_[aArrival];
+  const auto& history = aTrace.history_[arrival.prompt_];
+  if (history.ran_ && !history.gone_) {
+    const auto workspace = aTrace.shape_->prompts_[arrival.prompt_].workspace_;
+    keeping::NoteReturn(aTrace.gaps_[workspace],
+                        absl::Seconds(aTrace.now_ - history.lastRun_),
+                        AsTime(aTrace.now_));
+  }
+  if (MayStart(aTrace, arrival)) {
+    Place(aTrace, aArrival);
+  } else {
+    aTrace.heldBatch_.push_back(aArrival);
+  }
+}
+
+inline void
+StartHeldBatch(Trace& aTrace)
+{
+  std::vector<std::uint32_t> held;
+  held.swap(aTrace.heldBatch_);
+  for (const auto index : held) {
+    if (MayStart(aTrace, aTrace.shape_->arrivals_[index])) {
+      Place(aTrace, index);
+    } else {
+      aTrace.heldBatch_.push_back(index);
+    }
+  }
+}
+
+} // namespace lycheeplank::trace
+
+#endif
--- /dev/null
+++ b/test/trace/stores.h
@@ -0,0 +1,220 @@
+#ifndef LYCHEEPLANK_TEST_TRACE_STORES_H
+#define LYCHEEPLANK_TEST_TRACE_STORES_H
+
+#include "state.h"
+
+// What stores keep and which transfer their links do next.
+namespace lycheeplank::trace {
+
+inline void
+RemoveStored(Trace& aTrace, std::uint32_t aStore, BlockId aBlock)
+{
+  Store& store = aTrace.stores_[aStore];
+  if (store.blocks_.erase(aBlock) == 0) {
+    return;
+  }
+  const auto& prompt = aTrace.shape_->prompts_[PromptOf(aBlock)];
+  store.bytesByWorkspace_[prompt.workspace_] -= kBlockBytes;
+  directory::Apply(
+    aTrace.directory_, StoreId(aTrace, aStore), SightingOf(aBlock, false));
+}
+
+inline std::uint64_t
+UsedBytes(const Store& aStore)
+{
+  return aStore.blocks_.size() * kBlockBytes;
+}
+
+// What an import of a byte of this prompt saves, by the objective.
+inline keeping::ExportQuestion
+ExportQuestionFor(const Trace& aTrace, std::uint32_t aPrompt)
+{
+  const auto& prompt = aTrace.shape_->prompts_[aPrompt];
+  keeping::ExportQuestion question;
+  question.blocks_ = prompt.blocks_;
+  question.blockTokens_ = kBlockTokens;
+  question.kvBytesPerToken_ = kKvBytesPerToken;
+  question.objective_ = aTrace.shape_->objective_;
+  question.prefillTokensPerSecond_ = aTrace.shape_->prefillRate_;
+  question.gaps_ = aTrace.gaps_[prompt.workspace_];
+  question.promptHash_ = core::StableHash(std::to_string(aPrompt));
+  return question;
+}
+
+inline std::vector<keeping::WorkspaceUse>
+WorkspaceUses(const Trace& aTrace, const Store& aStore)
+{
+  const auto& shape = *aTrace.shape_;
+  const auto shares = keeping::ShareBytes(
+    shape.storeBytes_, std::vector<double>(shape.workspaces_, 1.0));
+  const auto question = ExportQuestionFor(aTrace, 0);
+  std::vector<keeping::WorkspaceUse> uses(shape.workspaces_);
+  for (std::uint32_t i = 0; i < shape.workspaces_; ++i) {
+    uses[i].gaps_ = aTrace.gaps_[i];
+    uses[i].usedBytes_ = aStore.bytesByWorkspace_[i];
+    uses[i].shareBytes_ = shares[i];
+    uses[i].savingPerByte_ = keeping::SavingPerByte(question, aStore.rate_);
+  }
+  return uses;
+}
+
+inline std::vector<BlockId>
+StoredIds(const Store& aStore)
+{
+  std::vector<BlockId> ids;
+  for (const auto& [id, block] : aStore.blocks_) {
+    ids.push_back(id);
+  }
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+
+inline keeping::EvictionPlan
+PlanFreeing(const Trace& aTrace,
+            const Store& aStore,
+            const std::vector<BlockId>& aIds,
+            std::uint64_t aBytes)
+{
+  std::vector<keeping::KeptBlock> kept;
+  for (const auto id : aIds) {
+    const double idle = aTrace.now_ - aStore.blocks_.at(id).usedAt_;
+    kept.push_back({ aTrace.shape_->prompts_[PromptOf(id)].workspace_,
+                     PositionOf(id),
+                     kBlockBytes,
+                     absl::Seconds(idle) });
+  }
+  return keeping::PlanEvictions(kept,
+                                WorkspaceUses(aTrace, aStore),
+                                aBytes,
+                                absl::Seconds(kHorizonSeconds));
+}
+
+inline void
+FreePlanned(Trace& aTrace, std::uint32_t aStore, std::uint64_t aBytes)
+{
+  const auto ids = StoredIds(aTrace.stores_[aStore]);
+  const auto plan = PlanFreeing(aTrace, aTrace.stores_[aStore], ids, aBytes);
+  for (const auto index : plan.blocks_) {
+    RemoveStored(aTrace, aStore, ids[index]);
+  }
+}
+
+// Works out anew which value new blocks have to exceed.
+inline void
+UpdateFreedValue(Trace& aTrace, Store& aStore)
+{
+  constexpr double kPart = keeping::kHighWater - keeping::kLowWater;
+  const auto capacity = static_cast<double>(aTrace.shape_->storeBytes_);
+  const auto used = static_cast<double>(UsedBytes(aStore));
+  aStore.freedValue_ = 0.0;
+  if (used >= keeping::kLowWater * capacity) {
+    const auto bytes = static_cast<std::uint64_t>(kPart * capacity);
+    aStore.freedValue_ =
+      PlanFreeing(aTrace, aStore, StoredIds(aStore), bytes).valuePerByte_;
+  }
+}
+
+inline void
+FreeOldest(Trace& aTrace, std::uint32_t aStore, std::uint64_t aBytes)
+{
+  Store& store = aTrace.stores_[aStore];
+  std::vector<std::pair<double, BlockId>> byAge;
+  for (const auto& [id, block] : store.blocks_) {
+    byAge.emplace_back(block.usedAt_, id);
+  }
+  std::sort(byAge.begin(), byAge.end());
+  const auto count =
+    std::min<std::size_t>(byAge.size(), aBytes / kBlockBytes + 1);
+  for (std::size_t i = 0; i < count; ++i) {
+    RemoveStored(aTrace, aStore, byAge[i].second);
+  }
+}
+
+inline void
+AddStored(Trace& aTrace, std::uint32_t aStore, BlockId aBlock)
+{
+  Store& store = aTrace.stores_[aStore];
+  const auto bytes =
+    keeping::BytesToFree(UsedBytes(store), aTrace.shape_->storeBytes_);
+  if (bytes > 0 && aTrace.rules_.keeping_ == Keeping::Planned) {
+    FreePlanned(aTrace, aStore, bytes);
+  } else if (bytes > 0) {
+    FreeOldest(aTrace, aStore, bytes);
+  }
+  const auto& prompt = aTrace.shape_->prompts_[PromptOf(aBlock)];
+  const auto generation = store.nextGeneration_++;
+  if (store.blocks_.emplace(aBlock, StoredBlock{ generation, aTrace.now_ })
+        .second) {
+    store.bytesByWorkspace_[prompt.workspace_] += kBlockBytes;
+  }
+  directory::Apply(aTrace.directory_,
+                   StoreId(aTrace, aStore),
+                   SightingOf(aBlock, true, generation));
+}
+
+inline std::uint64_t&
+QueuedBytesOf(Store& aStore, keeping::TransferKind aKind)
+{
+  return aKind == keeping::TransferKind::Export ? aStore.queuedExportBytes_
+                                                : aStore.queuedImportBytes_;
+}
+
+// Drops waiting exports whose blocks the engine has evicted.
+inline void
+DropLateExports(Trace& aTrace, Store& aStore)
+{
+  for (std::size_t i = aStore.waiting_.size(); i-- > 0;) {
+    const auto offset = static_cast<std::ptrdiff_t>(i);
+    const Job& job = aStore.jobs_[i];
+    if (aStore.waiting_[i].kind_ != keeping::TransferKind::Export ||
+        aTrace.engines_[job.engine_].cache_.contains(job.blocks_.front())) {
+      continue;
+    }
+    aStore.queuedExportBytes_ -= aStore.waiting_[i].bytes_;
+    aStore.waiting_.erase(aStore.waiting_.begin() + offset);
+    aStore.jobs_.erase(aStore.jobs_.begin() + offset);
+  }
+}
+
+inline void
+StartTransfer(Trace& aTrace, std::uint32_t aStore)
+{
+  Store& store = aTrace.stores_[aStore];
+  if (store.busy_) {
+    return;
+  }
+  DropLateExports(aTrace, store);
+  if (store.waiting_.empty()) {
+    return;
+  }
+  const auto next =
+    *keeping::NextTransfer(store.waiting_, store.use_, AsTime(aTrace.now_));
+  const auto offset = static_cast<std::ptrdiff_t>(next);
+  store.current_ = store.waiting_[next];
+  store.currentJob_ = std::move(store.jobs_[next]);
+  store.waiting_.erase(store.waiting_.begin() + offset);
+  store.jobs_.erase(store.jobs_.begin() + offset);
+  store.busy_ = true;
+  store.currentStart_ = aTrace.now_;
+  const double seconds =
+    store.alive_ ? static_cast<double>(store.current_.bytes_) / store.rate_
+                 : kImportTimeoutSeconds;
+  Schedule(aTrace, aTrace.now_ + seconds, EventKind::TransferEnd, aStore);
+}
+
+inline void
+AddTransfer(Trace& aTrace,
+            std::uint32_t aStore,
+            const keeping::Transfer& aTransfer,
+            Job aJob)
+{
+  Store& store = aTrace.stores_[aStore];
+  QueuedBytesOf(store, aTransfer.kind_) += aTransfer.bytes_;
+  store.waiting_.push_back(aTransfer);
+  store.jobs_.push_back(std::move(aJob));
+  StartTransfer(aTrace, aStore);
+}
+
+} // namespace lycheeplank::trace
+
+#endif
