--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <map>
+#include <random>
+#include <set>
 
 #include <catch2/catch.hpp>
 
@@ -297,3 +299,156 @@
   CHECK(directory::SplitByHome({}, hosts).empty());
   CHECK(directory::SplitByHome({}, hosts, true).size() == 4);
 }
+
+namespace {
+
+// The directory as a plain table, to compare with.
+using Model =
+  std::map<std::string, std::set<std::pair<std::size_t, std::size_t>>>;
+
+struct RandomRun
+{
+  std::mt19937_64 random_;
+  directory::State state_;
+  Model model_;
+  std::vector<std::vector<core::BlockKey>> chains_;
+};
+
+std::size_t
+Below(RandomRun& aRun, std::size_t aLimit)
+{
+  return aRun.random_() % aLimit;
+}
+
+directory::HolderId
+AnyHolder(RandomRun& aRun)
+{
+  const auto number = Below(aRun, 8);
+  return number < 6 ? directory::HolderId{ "e" + std::to_string(number),
+                                           directory::HolderKind::Engine }
+                    : directory::HolderId{ "s" + std::to_string(number),
+                                           directory::HolderKind::Store };
+}
+
+void
+ApplyAny(RandomRun& aRun)
+{
+  const auto holder = AnyHolder(aRun);
+  const auto prompt = Below(aRun, aRun.chains_.size());
+  const auto& chain = aRun.chains_[prompt];
+  const auto position = Below(aRun, chain.size());
+  const bool present = Below(aRun, 3) > 0;
+  directory::Apply(aRun.state_, holder, { chain[position], chain[0], present });
+  if (present) {
+    aRun.model_[holder.name_].emplace(prompt, position);
+  } else {
+    aRun.model_[holder.name_].erase({ prompt, position });
+  }
+}
+
+void
+ApplyAnyInventory(RandomRun& aRun)
+{
+  const auto holder = AnyHolder(aRun);
+  auto& known = aRun.model_[holder.name_];
+  known.clear();
+  std::vector<directory::Sighting> sightings;
+  for (std::size_t i = Below(aRun, 20); i > 0; --i) {
+    const auto prompt = Below(aRun, aRun.chains_.size());
+    const auto& chain = aRun.chains_[prompt];
+    const auto position = Below(aRun, chain.size());
+    sightings.push_back({ chain[position], chain[0] });
+    known.emplace(prompt, position);
+  }
+  directory::ApplyInventory(aRun.state_, holder, sightings);
+}
+
+void
+ForgetAny(RandomRun& aRun)
+{
+  const auto prompt = Below(aRun, aRun.chains_.size());
+  directory::Forget(aRun.state_, { aRun.chains_[prompt][0] });
+  for (auto& [name, known] : aRun.model_) {
+    for (std::size_t i = 0; i < aRun.chains_[prompt].size(); ++i) {
+      known.erase({ prompt, i });
+    }
+  }
+}
+
+void
+StepAny(RandomRun& aRun)
+{
+  const auto choice = Below(aRun, 100);
+  if (choice < 90) {
+    ApplyAny(aRun);
+  } else if (choice < 95) {
+    ApplyAnyInventory(aRun);
+  } else if (choice < 98) {
+    ForgetAny(aRun);
+  } else {
+    const auto holder = AnyHolder(aRun);
+    directory::DropHolder(aRun.state_, holder.name_);
+    aRun.model_[holder.name_].clear();
+  }
+}
+
+std::size_t
+LeadingInModel(const RandomRun& aRun,
+               const std::string& aHolder,
+               std::size_t aPrompt)
+{
+  const auto found = aRun.model_.find(aHolder);
+  std::size_t leading = 0;
+  while (found != aRun.model_.end() &&
+         found->second.count({ aPrompt, leading }) > 0) {
+    ++leading;
+  }
+  return leading;
+}
+
+void
+CompareWithModel(const RandomRun& aRun)
+{
+  for (std::size_t prompt = 0; prompt < aRun.chains_.size(); ++prompt) {
+    const auto holders = directory::Locate(aRun.state_, aRun.chains_[prompt]);
+    for (const auto& [name, known] : aRun.model_) {
+      const auto* holder = Find(holders, name);
+      REQUIRE((holder == nullptr ? 0 : holder->leadingBlocks_) ==
+              LeadingInModel(aRun, name, prompt));
+    }
+  }
+}
+
+std::size_t
+CopiesIn(const Model& aModel)
+{
+  std::size_t copies = 0;
+  for (const auto& [name, known] : aModel) {
+    copies += known.size();
+  }
+  return copies;
+}
+
+} // namespace
+
+TEST_CASE("random changes leave what a plain table would know")
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    RandomRun run{ std::mt19937_64(seed) };
+    for (std::uint64_t i = 0; i < 12; ++i) {
+      run.chains_.push_back(ChainOf(i, 1 + i % 6));
+    }
+    for (int step = 0; step < 4000; ++step) {
+      StepAny(run);
+      const auto& state = run.state_;
+      REQUIRE(state.copies_.size_ - state.freeCopies_.size() ==
+              CopiesIn(run.model_));
+      REQUIRE(state.roots_.size() - state.freeRoots_.size() ==
+              state.rootIndex_.size());
+      if (step % 20 == 0) {
+        CompareWithModel(run);
+      }
+    }
+  }
+}
