--- a/test/placement-trace-test.cc
+++ b/test/placement-trace-test.cc
@@ -177,6 +177,16 @@
   PrintAll(trace::MakeAuthority(1), trace::Fault::None);
 }
 
+TEST_CASE("figures with small stores", "[.small]")
+{
+  for (const std::uint64_t bytes : { 3'000'000'000, 7'000'000'000 }) {
+    auto shape = trace::MakeCooperative(1, 4.0);
+    shape.storeBytes_ = bytes;
+    std::printf("store bytes %.0f\n", static_cast<double>(bytes));
+    PrintAll(shape, trace::Fault::None);
+  }
+}
+
 TEST_CASE("figures of each part alone", "[.parts]")
 {
   const std::array<Row, 4> rows{ {
