--- a/include/lycheeplank/claims.h
+++ b/include/lycheeplank/claims.h
@@ -215,7 +215,7 @@
   BackgroundWithdrawal,
   ShardLoaded,
   SegmentWritten,
-  SegmentDeleted,
+  ObjectDeleted,
   // The configured number of shards differs from the stored one.
   LayoutDiffers,
 };
@@ -236,7 +236,7 @@
   { Counter::BackgroundWithdrawal, "background_withdrawal" },
   { Counter::ShardLoaded, "shard_loaded" },
   { Counter::SegmentWritten, "segment_written" },
-  { Counter::SegmentDeleted, "segment_deleted" },
+  { Counter::ObjectDeleted, "object_deleted" },
   { Counter::LayoutDiffers, "layout_differs" },
 } };
 
--- a/src/claims/answers.cc
+++ b/src/claims/answers.cc
@@ -2,14 +2,10 @@
 
 #include <algorithm>
 
-#include <absl/strings/str_cat.h>
-
 namespace lycheeplank::claims {
 
 namespace {
 
-constexpr absl::string_view kAnswerKind = "answer";
-
 Waiting*
 FindAsk(Shard& aShard, std::uint64_t aTicket)
 {
--- a/src/claims/shard.h
+++ b/src/claims/shard.h
@@ -246,7 +246,11 @@
                const Flight& aFlight,
                const platform::Reply& aReply);
 
-// Sealing, merging, dropping and cleaning up of segments (upkeep.cc).
+// First parts of the names of objects.
+inline constexpr absl::string_view kSegmentKind = "segment";
+inline constexpr absl::string_view kAnswerKind = "answer";
+
+// Sealing, merging and dropping of segments (upkeep.cc).
 void
 Maintain(const Context& aContext, Shard& aShard);
 bool
@@ -267,6 +271,16 @@
                  Shard& aShard,
                  const Flight& aFlight,
                  const platform::Reply& aReply);
+
+// Finding and deleting of objects that nothing names (sweep.cc).
+void
+MaintainSweep(const Context& aContext, Shard& aShard);
+void
+DeleteGarbage(const Context& aContext, Shard& aShard);
+void
+Delete(const Context& aContext, const Shard& aShard, const std::string& aName);
+bool
+IsNamed(const Tail& aTail, absl::string_view aName);
 void
 OnListed(const Context& aContext, Shard& aShard, const platform::Reply& aReply);
 
--- /dev/null
+++ b/src/claims/sweep.cc
@@ -0,0 +1,135 @@
+#include "claims/shard.h"
+
+#include <algorithm>
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
+
+namespace lycheeplank::claims {
+
+namespace {
+
+void
+SendList(const Context& aContext, Shard& aShard, std::string aAfter)
+{
+  aShard.sweep_.listing_ = true;
+  platform::Command command;
+  command.operation_ = platform::Operation::List;
+  command.key_ = ObjectPrefix(aShard);
+  command.value_ = std::move(aAfter);
+  Send(aContext, { Purpose::List, aShard.number_ }, std::move(command));
+}
+
+bool
+IsUnnamed(const Shard& aShard, absl::string_view aName)
+{
+  return !IsNamed(aShard.tail_, aName) &&
+         aName != aShard.replacement_.ref_.name_;
+}
+
+// An answer object's name begins with its kind and the time it was made.
+bool
+IsExpiredAnswer(const Context& aContext, absl::string_view aName)
+{
+  const std::vector<absl::string_view> parts = absl::StrSplit(aName, '-');
+  std::int64_t unixMs = 0;
+  const auto& settings = aContext.state_.settings_;
+  return parts.size() > 1 && absl::SimpleAtoi(parts[1], &unixMs) &&
+         absl::FromUnixMillis(unixMs) + 2 * settings.retention_ +
+             settings.clockMargin_ <
+           aContext.wallClock_;
+}
+
+// Sorts the listed objects into those to delete now and after a write.
+void
+FinishList(const Context& aContext, Shard& aShard)
+{
+  auto& sweep = aShard.sweep_;
+  for (const auto& name : sweep.found_) {
+    if (absl::StartsWith(name, kSegmentKind)) {
+      if (IsUnnamed(aShard, name)) {
+        sweep.garbage_.push_back(name);
+      }
+    } else if (IsExpiredAnswer(aContext, name)) {
+      Delete(aContext, aShard, name);
+    }
+  }
+  sweep.found_.clear();
+  sweep.listing_ = false;
+}
+
+} // namespace
+
+bool
+IsNamed(const Tail& aTail, absl::string_view aName)
+{
+  return std::any_of(
+    aTail.segments_.begin(), aTail.segments_.end(), [&](const auto& aSegment) {
+      return aSegment.name_ == aName;
+    });
+}
+
+void
+Delete(const Context& aContext, const Shard& aShard, const std::string& aName)
+{
+  Raise(aContext, Counter::ObjectDeleted);
+  platform::Command command;
+  command.operation_ = platform::Operation::Delete;
+  command.key_ = ObjectKey(aShard, aName);
+  Send(aContext, { Purpose::Delete, aShard.number_ }, std::move(command));
+}
+
+void
+MaintainSweep(const Context& aContext, Shard& aShard)
+{
+  auto& sweep = aShard.sweep_;
+  const absl::Duration interval = aContext.state_.settings_.sweepInterval_;
+  if (sweep.at_ == absl::InfinitePast()) {
+    sweep.at_ = aContext.now_ + interval;
+  }
+  if (!sweep.listing_ && sweep.garbage_.empty() && aContext.now_ >= sweep.at_) {
+    sweep.at_ = aContext.now_ + interval;
+    SendList(aContext, aShard, "");
+  }
+}
+
+void
+OnListed(const Context& aContext, Shard& aShard, const platform::Reply& aReply)
+{
+  auto& sweep = aShard.sweep_;
+  if (aReply.outcome_ != platform::Outcome::Ok || !IsLoaded(aShard)) {
+    sweep.found_.clear();
+    sweep.listing_ = false;
+    return;
+  }
+  for (const auto& entry : aReply.entries_) {
+    sweep.found_.emplace_back(
+      absl::StripPrefix(entry.key_, ObjectPrefix(aShard)));
+  }
+  if (aReply.more_ && !aReply.entries_.empty()) {
+    return SendList(aContext, aShard, aReply.entries_.back().key_);
+  }
+  FinishList(aContext, aShard);
+}
+
+void
+DeleteGarbage(const Context& aContext, Shard& aShard)
+{
+  auto& sweep = aShard.sweep_;
+  if (!sweep.writeSent_) {
+    return;
+  }
+  // Any host that could still name these has to read this register first, and
+  // gives up its unnamed segments then.
+  for (const auto& name : sweep.garbage_) {
+    if (IsUnnamed(aShard, name)) {
+      Delete(aContext, aShard, name);
+    }
+  }
+  sweep.garbage_.clear();
+  sweep.writeSent_ = false;
+}
+
+} // namespace lycheeplank::claims
--- a/src/claims/upkeep.cc
+++ b/src/claims/upkeep.cc
@@ -1,17 +1,10 @@
 #include "claims/shard.h"
 
 #include <algorithm>
-
-#include <absl/strings/numbers.h>
-#include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
-#include <glog/logging.h>
-
 namespace lycheeplank::claims {
 
 namespace {
 
-constexpr absl::string_view kSegmentKind = "segment";
 // Segments of one level differ in size by at most this factor.
 constexpr std::uint32_t kLevelFactor = 4;
 
@@ -150,88 +143,6 @@
     aContext.now_ + aContext.state_.settings_.maxBackoff_;
 }
 
-void
-SendList(const Context& aContext, Shard& aShard, std::string aAfter)
-{
-  aShard.sweep_.listing_ = true;
-  platform::Command command;
-  command.operation_ = platform::Operation::List;
-  command.key_ = ObjectPrefix(aShard);
-  command.value_ = std::move(aAfter);
-  Send(aContext, { Purpose::List, aShard.number_ }, std::move(command));
-}
-
-void
-Delete(const Context& aContext, const Shard& aShard, const std::string& aName)
-{
-  Raise(aContext, Counter::SegmentDeleted);
-  platform::Command command;
-  command.operation_ = platform::Operation::Delete;
-  command.key_ = ObjectKey(aShard, aName);
-  Send(aContext, { Purpose::Delete, aShard.number_ }, std::move(command));
-}
-
-bool
-IsNamed(const Tail& aTail, absl::string_view aName)
-{
-  return std::any_of(
-    aTail.segments_.begin(), aTail.segments_.end(), [&](const auto& aSegment) {
-      return aSegment.name_ == aName;
-    });
-}
-
-bool
-IsUnnamed(const Shard& aShard, absl::string_view aName)
-{
-  return !IsNamed(aShard.tail_, aName) &&
-         aName != aShard.replacement_.ref_.name_;
-}
-
-// An answer object's name begins with its kind and the time it was made.
-bool
-IsExpiredAnswer(const Context& aContext, absl::string_view aName)
-{
-  const std::vector<absl::string_view> parts = absl::StrSplit(aName, '-');
-  std::int64_t unixMs = 0;
-  const auto& settings = aContext.state_.settings_;
-  return parts.size() > 1 && absl::SimpleAtoi(parts[1], &unixMs) &&
-         absl::FromUnixMillis(unixMs) + 2 * settings.retention_ +
-             settings.clockMargin_ <
-           aContext.wallClock_;
-}
-
-// Sorts the listed objects into those to delete now and after a write.
-void
-FinishList(const Context& aContext, Shard& aShard)
-{
-  auto& sweep = aShard.sweep_;
-  for (const auto& name : sweep.found_) {
-    if (absl::StartsWith(name, kSegmentKind)) {
-      if (IsUnnamed(aShard, name)) {
-        sweep.garbage_.push_back(name);
-      }
-    } else if (IsExpiredAnswer(aContext, name)) {
-      Delete(aContext, aShard, name);
-    }
-  }
-  sweep.found_.clear();
-  sweep.listing_ = false;
-}
-
-void
-MaintainSweep(const Context& aContext, Shard& aShard)
-{
-  auto& sweep = aShard.sweep_;
-  const absl::Duration interval = aContext.state_.settings_.sweepInterval_;
-  if (sweep.at_ == absl::InfinitePast()) {
-    sweep.at_ = aContext.now_ + interval;
-  }
-  if (!sweep.listing_ && sweep.garbage_.empty() && aContext.now_ >= sweep.at_) {
-    sweep.at_ = aContext.now_ + interval;
-    SendList(aContext, aShard, "");
-  }
-}
-
 } // namespace
 
 void
@@ -322,19 +233,7 @@
       Delete(aContext, aShard, segment.name_);
     }
   }
-  auto& sweep = aShard.sweep_;
-  if (!sweep.writeSent_) {
-    return;
-  }
-  // Any host that could still name these has to read this register first, and
-  // gives up its unnamed segments then.
-  for (const auto& name : sweep.garbage_) {
-    if (IsUnnamed(aShard, name)) {
-      Delete(aContext, aShard, name);
-    }
-  }
-  sweep.garbage_.clear();
-  sweep.writeSent_ = false;
+  DeleteGarbage(aContext, aShard);
 }
 
 void
@@ -381,22 +280,4 @@
   Pump(aContext, aShard);
 }
 
-void
-OnListed(const Context& aContext, Shard& aShard, const platform::Reply& aReply)
-{
-  auto& sweep = aShard.sweep_;
-  if (aReply.outcome_ != platform::Outcome::Ok || !IsLoaded(aShard)) {
-    sweep.found_.clear();
-    sweep.listing_ = false;
-    return;
-  }
-  for (const auto& entry : aReply.entries_) {
-    sweep.found_.push_back(entry.key_.substr(ObjectPrefix(aShard).size()));
-  }
-  if (aReply.more_ && !aReply.entries_.empty()) {
-    return SendList(aContext, aShard, aReply.entries_.back().key_);
-  }
-  FinishList(aContext, aShard);
-}
-
 } // namespace lycheeplank::claims
