--- a/src/claims/upkeep.cc
+++ b/src/claims/upkeep.cc
@@ -1,6 +1,7 @@
 #include "claims/shard.h"
 
 #include <algorithm>
+
 namespace lycheeplank::claims {
 
 namespace {
