--- a/src/claims/claims.cc
+++ b/src/claims/claims.cc
@@ -14,6 +14,7 @@
 constexpr absl::Duration kMaxEventDisorder = absl::Seconds(1);
 // How long a refused attempt is remembered to check that it isn't granted.
 constexpr absl::Duration kRefusedKept = absl::Minutes(10);
+constexpr absl::Duration kForgetInterval = absl::Minutes(1);
 
 void
 OnShardReply(const Context& aContext,
@@ -85,6 +86,18 @@
   OnShardReply(aContext, shard, flight, aReplied.reply_);
 }
 
+void
+ForgetRefused(const Context& aContext, Shard& aShard)
+{
+  if (aContext.now_ < aShard.forgetAt_) {
+    return;
+  }
+  aShard.forgetAt_ = aContext.now_ + kForgetInterval;
+  absl::erase_if(aShard.refused_, [&](const auto& aEntry) {
+    return aContext.now_ - aEntry.second >= kRefusedKept;
+  });
+}
+
 bool
 IsIdle(const Context& aContext, const Shard& aShard)
 {
@@ -102,9 +115,7 @@
     Pump(aContext, *shard);
     ExpireWaiting(aContext, *shard);
     Maintain(aContext, *shard);
-    absl::erase_if(shard->refused_, [&](const auto& aEntry) {
-      return aContext.now_ - aEntry.second >= kRefusedKept;
-    });
+    ForgetRefused(aContext, *shard);
   }
   auto& loaded = aContext.state_.loaded_;
   for (auto at = loaded.begin(); at != loaded.end();) {
--- a/src/claims/shard.h
+++ b/src/claims/shard.h
@@ -120,6 +120,7 @@
   // Attempts that were answered with anything but a grant or a stored answer,
   // and when.
   absl::flat_hash_map<Fingerprint, absl::Time> refused_;
+  absl::Time forgetAt_ = absl::InfinitePast();
 
   std::vector<Waiting> asks_;
   std::vector<Recording> reports_;
