--- a/include/lycheeplank/claims.h
+++ b/include/lycheeplank/claims.h
@@ -313,6 +313,12 @@
 std::vector<Effect>
 Step(State& aState, const Event& aEvent);
 
+// Returns the error that tells a caller of a verdict other than granted and
+// done. Its run state is about the caller's request, or about the key where an
+// earlier request with it may have run.
+core::Error
+ToError(const Answered& aAnswer);
+
 // Returns the shard of a key among a number of shards.
 std::uint32_t
 ShardOf(absl::string_view aWorkspace,
--- a/test/claims-test.cc
+++ b/test/claims-test.cc
@@ -561,6 +561,20 @@
   }
 }
 
+TEST_CASE("a refusal says not run only where nothing can have run")
+{
+  const auto errorOf = [](Verdict aVerdict) {
+    return claims::ToError({ 1, aVerdict, {}, absl::Seconds(2) });
+  };
+  using lycheeplank::core::RunState;
+  CHECK(errorOf(Verdict::Unavailable).run_ == RunState::No);
+  CHECK(errorOf(Verdict::Unavailable).retryAfter_ == absl::Seconds(2));
+  CHECK(errorOf(Verdict::Mismatch).run_ == RunState::No);
+  CHECK(errorOf(Verdict::InProgress).run_ == RunState::Unknown);
+  CHECK(errorOf(Verdict::Unknown).run_ == RunState::Unknown);
+  CHECK(errorOf(Verdict::Expired).run_ == RunState::Unknown);
+}
+
 TEST_CASE("damaged values are errors and never crash")
 {
   claims::Tail tail;
