--- a/test/claims-test.cc
+++ b/test/claims-test.cc
@@ -190,6 +190,30 @@
   CHECK(host.AskAndRun("k", "a2") == Verdict::Granted);
 }
 
+TEST_CASE("an ask that arrives again after its refusal claims nothing")
+{
+  FakePlatform store;
+  Bench host(store);
+  CHECK(host.AskAndRun("k", "a1") == Verdict::Granted);
+  CHECK(host.AskAndRun("k", "a2") == Verdict::InProgress);
+  CHECK(host.ReportAndRun("k", "a1", AttemptOutcome::Withdrawn));
+  CHECK(host.AskAndRun("k", "a2") == Verdict::Unavailable);
+  CHECK(host.AskAndRun("k", "a3") == Verdict::Granted);
+}
+
+TEST_CASE("a repeat waits for an outcome that is being written")
+{
+  FakePlatform store;
+  Bench host(store);
+  CHECK(host.AskAndRun("k", "a1") == Verdict::Granted);
+  host.Report("k", "a1", AttemptOutcome::Done, kAnswer);
+  const auto repeat = host.Ask("k", "a2");
+  CHECK(host.answers_.count(repeat) == 0);
+  host.Run(host.state_.settings_.outcomeDelay_ / 2);
+  REQUIRE(host.answers_.count(repeat) == 1);
+  CHECK(host.answers_.at(repeat).verdict_ == Verdict::Done);
+}
+
 TEST_CASE("a withdrawal that arrives before its ask voids it")
 {
   FakePlatform store;
