--- a/include/lycheeplank/claims.h
+++ b/include/lycheeplank/claims.h
@@ -336,6 +336,10 @@
   std::uint64_t claims_ = 0;
   // Memory of the index tables.
   std::uint64_t indexBytes_ = 0;
+  // Asks without an answer, and outcomes that are not durable yet; a host that
+  // shuts down should wait for both to reach 0.
+  std::uint64_t waiting_ = 0;
+  std::uint64_t unrecorded_ = 0;
 };
 
 // Returns what the loaded shards hold.
--- a/src/claims/claims.cc
+++ b/src/claims/claims.cc
@@ -221,6 +221,13 @@
     ++usage.shards_;
     usage.claims_ += shard->index_.claims_.size();
     usage.indexBytes_ += MemoryOf(shard->index_);
+    usage.waiting_ += shard->asks_.size();
+    usage.unrecorded_ += shard->reports_.size();
+  }
+  for (const auto& early : aState.early_) {
+    const bool isAsk = std::holds_alternative<Ask>(early.event_);
+    usage.waiting_ += isAsk ? 1 : 0;
+    usage.unrecorded_ += isAsk ? 0 : 1;
   }
   return usage;
 }
--- a/test/claims-test.cc
+++ b/test/claims-test.cc
@@ -201,6 +201,20 @@
   CHECK(host.AskAndRun("k", "a3") == Verdict::Granted);
 }
 
+TEST_CASE("a host knows what it still has to record")
+{
+  FakePlatform store;
+  Bench host(store);
+  host.Ask("k", "a1");
+  CHECK(claims::UsageOf(host.state_).waiting_ == 1);
+  host.Run(absl::Milliseconds(200));
+  CHECK(claims::UsageOf(host.state_).waiting_ == 0);
+  host.Report("k", "a1", AttemptOutcome::Done, kAnswer);
+  CHECK(claims::UsageOf(host.state_).unrecorded_ == 1);
+  host.Run(absl::Seconds(1));
+  CHECK(claims::UsageOf(host.state_).unrecorded_ == 0);
+}
+
 TEST_CASE("a repeat waits for an outcome that is being written")
 {
   FakePlatform store;
