--- a/test/claims-test.cc
+++ b/test/claims-test.cc
@@ -190,6 +190,44 @@
   CHECK(host.AskAndRun("k", "a2") == Verdict::Granted);
 }
 
+TEST_CASE("an ask that arrives again after its refusal claims nothing")
+{
+  FakePlatform store;
+  Bench host(store);
+  CHECK(host.AskAndRun("k", "a1") == Verdict::Granted);
+  CHECK(host.AskAndRun("k", "a2") == Verdict::InProgress);
+  CHECK(host.ReportAndRun("k", "a1", AttemptOutcome::Withdrawn));
+  CHECK(host.AskAndRun("k", "a2") == Verdict::Unavailable);
+  CHECK(host.AskAndRun("k", "a3") == Verdict::Granted);
+}
+
+TEST_CASE("a host knows what it still has to record")
+{
+  FakePlatform store;
+  Bench host(store);
+  host.Ask("k", "a1");
+  CHECK(claims::UsageOf(host.state_).waiting_ == 1);
+  host.Run(absl::Milliseconds(200));
+  CHECK(claims::UsageOf(host.state_).waiting_ == 0);
+  host.Report("k", "a1", AttemptOutcome::Done, kAnswer);
+  CHECK(claims::UsageOf(host.state_).unrecorded_ == 1);
+  host.Run(absl::Seconds(1));
+  CHECK(claims::UsageOf(host.state_).unrecorded_ == 0);
+}
+
+TEST_CASE("a repeat waits for an outcome that is being written")
+{
+  FakePlatform store;
+  Bench host(store);
+  CHECK(host.AskAndRun("k", "a1") == Verdict::Granted);
+  host.Report("k", "a1", AttemptOutcome::Done, kAnswer);
+  const auto repeat = host.Ask("k", "a2");
+  CHECK(host.answers_.count(repeat) == 0);
+  host.Run(host.state_.settings_.outcomeDelay_ / 2);
+  REQUIRE(host.answers_.count(repeat) == 1);
+  CHECK(host.answers_.at(repeat).verdict_ == Verdict::Done);
+}
+
 TEST_CASE("a withdrawal that arrives before its ask voids it")
 {
   FakePlatform store;
@@ -561,6 +599,20 @@
   }
 }
 
+TEST_CASE("a refusal says not run only where nothing can have run")
+{
+  const auto errorOf = [](Verdict aVerdict) {
+    return claims::ToError({ 1, aVerdict, {}, absl::Seconds(2) });
+  };
+  using lycheeplank::core::RunState;
+  CHECK(errorOf(Verdict::Unavailable).run_ == RunState::No);
+  CHECK(errorOf(Verdict::Unavailable).retryAfter_ == absl::Seconds(2));
+  CHECK(errorOf(Verdict::Mismatch).run_ == RunState::No);
+  CHECK(errorOf(Verdict::InProgress).run_ == RunState::Unknown);
+  CHECK(errorOf(Verdict::Unknown).run_ == RunState::Unknown);
+  CHECK(errorOf(Verdict::Expired).run_ == RunState::Unknown);
+}
+
 TEST_CASE("damaged values are errors and never crash")
 {
   claims::Tail tail;
