Cut open streams and watches when a stand-in goes down

Down refused new connections only, so that a broken stream and its resumption could not be tested without killing the engine, which loses the run too. Runs go on now while their streams are cut.

--- a/src/standin/frame.cc
+++ b/src/standin/frame.cc
@@ -1,5 +1,6 @@
 #include "standin/frame.h"
 
+#include <algorithm>
 #include <exception>
 
 #include <absl/strings/numbers.h>
@@ -99,6 +100,32 @@
   return aPath == "/executions" || aPath == "/calls";
 }
 
+// Notes an exchange, and forgets those that are over once there are many.
+void
+Remember(Context& aContext, const ExchangePtr& aExchange)
+{
+  auto& exchanges = aContext.exchanges_;
+  if (exchanges.size() == exchanges.capacity()) {
+    exchanges.erase(
+      std::remove_if(exchanges.begin(),
+                     exchanges.end(),
+                     [](const auto& aEach) { return aEach.expired(); }),
+      exchanges.end());
+  }
+  exchanges.push_back(aExchange);
+}
+
+void
+CutAll(Context& aContext)
+{
+  for (const auto& each : aContext.exchanges_) {
+    if (const ExchangePtr exchange = each.lock()) {
+      exchange->Abort();
+    }
+  }
+  aContext.exchanges_.clear();
+}
+
 void
 ServeFault(Context& aContext, const ExchangePtr& aExchange)
 {
@@ -106,6 +133,9 @@
     ReplyError(aExchange, 400, "unknown fault; use " + core::AllNames(kFaults));
     return;
   }
+  if (aContext.faults_.downUntil_ > absl::Now()) {
+    CutAll(aContext);
+  }
   LOG(INFO) << "event=fault body=" << aExchange->request_.body_;
   ReplyJson(aExchange, 200, nlohmann::json::object());
 }
@@ -144,6 +174,7 @@
   } else if (Take(faults.refuse_, path)) {
     ReplyError(aExchange, faults.refuseStatus_, "refused");
   } else {
+    Remember(aContext, aExchange);
     aHandler(WithFaults(aContext, aExchange));
   }
 }
--- a/src/standin/frame.h
+++ b/src/standin/frame.h
@@ -32,6 +32,8 @@
 struct Context
 {
   Faults faults_;
+  // Exchanges that may still be open.
+  std::vector<std::weak_ptr<net::Exchange>> exchanges_;
   // Last, so that no task outlives what it uses.
   Loop loop_;
 };
--- a/test/standin-test.cc
+++ b/test/standin-test.cc
@@ -548,6 +548,37 @@
   CHECK(TextOf(events) == ExpectedText(prompt, "v1", 20));
 }
 
+TEST_CASE("an engine that goes down cuts its streams, whose runs go on")
+{
+  EngineOptions options = FastEngine();
+  options.tokenTime_ = absl::Milliseconds(10);
+  const auto engine = StartEngine(options);
+  const std::string prompt = Prompt("a");
+  auto cut = std::async(std::launch::async, [&] {
+    return Send(
+      *engine, "POST", "/v1/completions", RunBody("r1", prompt, 40).dump());
+  });
+  REQUIRE(Eventually([&] { return Get(*engine, "/v1/load")["running"] == 1; }));
+  SetFault(*engine, { { "fault", "down" }, { "ms", 50 } });
+  CHECK_FALSE(cut.get().end_.whole_);
+  CHECK(Eventually([&] { return Send(*engine, "GET", "/healthz").Ok(); }));
+  const auto events =
+    EventsOf(Send(*engine, "GET", "/v1/runs/r1/stream?from=0"));
+  CHECK(TextOf(events) == ExpectedText(prompt, "v1", 40));
+}
+
+TEST_CASE("a watch is cut when the platform goes down")
+{
+  const auto platform = StartPlatform({});
+  auto watch = std::async(std::launch::async, [&] {
+    return Send(*platform, "GET", "/v1/watch?key=a&version=0&wait=9000");
+  });
+  REQUIRE(Eventually(
+    [&] { return Get(*platform, "/calls")["by_kind"].contains("watch"); }));
+  SetFault(*platform, { { "fault", "down" }, { "ms", 0 } });
+  CHECK_FALSE(watch.get().end_.whole_);
+}
+
 TEST_CASE("a cancelled run ends early and frees its place")
 {
   EngineOptions options = FastEngine();
