--- a/src/keeper/exports.cc
+++ b/src/keeper/exports.cc
@@ -110,7 +110,7 @@
          store.closedUntil_ <= aStep.now_ &&
          countOf(aBusy.engines_, aExport.target_) < kMaxExportsPerEngine &&
          countOf(aBusy.stores_, aExport.store_) < kMaxExportsPerStore &&
-         IsLinkFree(aStep, aExport);
+         IsLinkFree(aStep, aExport) && !IsOverShare(aStep.state_, aExport);
 }
 
 // Returns why a waiting export can no longer start.
@@ -123,13 +123,14 @@
   if (aExport.stage_ != ExportStage::Waiting) {
     return absl::nullopt;
   }
-  if (aExport.latestStart_ < aStep.now_) {
-    return aExport.attempts_ > 0 ? ExportResult::Failed : ExportResult::Missed;
+  if (aExport.latestStart_ >= aStep.now_) {
+    return absl::nullopt;
   }
-  if (IsOverShare(aStep.state_, aExport)) {
-    return ExportResult::OverShare;
+  if (aExport.attempts_ > 0) {
+    return ExportResult::Failed;
   }
-  return absl::nullopt;
+  return IsOverShare(aStep.state_, aExport) ? ExportResult::OverShare
+                                            : ExportResult::Missed;
 }
 
 void
@@ -186,7 +187,7 @@
   auto busy = CountBusy(state);
   for (const auto id : WaitingByValue(state)) {
     auto& item = state.exports_.at(id);
-    if (MayStart(aStep, busy, item) && !IsOverShare(state, item)) {
+    if (MayStart(aStep, busy, item)) {
       ++busy.engines_[item.target_];
       ++busy.stores_[item.store_];
       Order(aStep, id, item);
--- a/test/exports-test.py
+++ b/test/exports-test.py
@@ -90,6 +90,12 @@
         self.assertEqual(status, 200, answer)
         return self.runs()[-1]
 
+    def chain(self, run):
+        """Returns the keys of all full blocks of a run's prompt, as its end tells them."""
+        _, stream = cluster.http("GET", f"{self.engine()['http']}/v1/runs/{run['run_id']}/stream?from=0")
+        events = [json.loads(line[6:]) for line in stream.splitlines() if line.startswith("data: {")]
+        return events[-1]["blocks"]
+
     def report(self, run):
         """Reports a run to the steward as its entry host does; a second report changes nothing."""
         item = {
@@ -97,7 +103,7 @@
             "model": cluster.MODEL,
             "weight_version": run["weight_version"],
             "target": self.engine()["name"],
-            "chain": [block["key"] for block in run["blocks"]],
+            "chain": self.chain(run),
             "reused_blocks": run["cached_blocks"] + run["imported_blocks"],
         }
         self.assertEqual(self.steward("/internal/runs", {"runs": [item]})[0], 202)
@@ -105,9 +111,9 @@
     def test_a_prompt_is_imported_after_its_eviction(self):
         prompt = "returning " + TEXT
         run = self.complete(prompt)
-        self.assertEqual(len(run["blocks"]), BLOCKS)
+        keys = set(self.chain(run))
+        self.assertEqual(len(keys), BLOCKS)
         self.report(run)
-        keys = {block["key"] for block in run["blocks"]}
         held = lambda: keys <= {block["key"] for block in self.blocks_in_store()}  # noqa: E731
         self.cluster.wait_until(held, "the store holds the prompt")
         self.cluster.wait_until(lambda: self.counter("exported_bytes_total") >= 10_000_000, "the export is counted")
--- a/test/keeper-test.cc
+++ b/test/keeper-test.cc
@@ -561,9 +561,23 @@
   store.workspaceBytes_["co-operative"] = 60 * kBlockBytes;
   store.workspaceBytes_["authority"] = 30 * kBlockBytes;
   bench.Post(Report(92 * kBlockBytes));
-  CHECK(Results(bench.Post(Run(1, 5))) == Names{ "over_share" });
+  CHECK(Of<keeper::StartExport>(bench.Post(Run(1, 5))).empty());
+  const auto latest = bench.state_.exports_.begin()->second.latestStart_;
   const auto other = bench.Post(Run(2, 5, "engine-1", "authority"));
   CHECK(Of<keeper::StartExport>(other).size() == 1);
+  bench.now_ = latest + absl::Milliseconds(1);
+  CHECK(Results(bench.Tick()) == Names{ "over_share" });
+}
+
+TEST_CASE("an export over its workspace's share starts once there is room")
+{
+  auto bench = Ready();
+  bench.state_.stores_.at("store-0").workspaceBytes_["co-operative"] =
+    98 * kBlockBytes;
+  bench.Post(Report(98 * kBlockBytes));
+  CHECK(Of<keeper::StartExport>(bench.Post(Run(1, 5))).empty());
+  bench.Post(Report(89 * kBlockBytes));
+  CHECK(Of<keeper::StartExport>(bench.Tick()).size() == 1);
 }
 
 namespace {
@@ -607,16 +621,8 @@
   return aWorld.store_.size() * kBlockBytes;
 }
 
-void
-Post(World& aWorld, keeper::EventBody aBody)
-{
-  for (auto& effect : aWorld.bench_.Post(std::move(aBody))) {
-    aWorld.todo_.push_back(std::move(effect));
-  }
-}
-
-// An export that starts on a store that is nearly full keeps its workspace
-// within its share as the steward knows it.
+// Exports under way to a store that is nearly full keep their workspace within
+// its share as the steward knows it when it starts one.
 void
 CheckShares(const World& aWorld, const keeper::StartExport& aOrder)
 {
@@ -627,15 +633,28 @@
     return;
   }
   const auto used = store.workspaceBytes_.find(item.workspace_);
-  const auto bytes = used == store.workspaceBytes_.end() ? 0 : used->second;
-  REQUIRE(bytes + item.bytes_ <=
-          keeper::StoreShare(state, "store-0", item.workspace_));
+  auto bytes = used == store.workspaceBytes_.end() ? 0 : used->second;
+  for (const auto& [id, other] : state.exports_) {
+    const bool underWay = other.stage_ != keeper::ExportStage::Waiting;
+    bytes += underWay && other.workspace_ == item.workspace_ ? other.bytes_ : 0;
+  }
+  REQUIRE(bytes <= keeper::StoreShare(state, "store-0", item.workspace_));
+}
+
+void
+Post(World& aWorld, keeper::EventBody aBody)
+{
+  for (auto& effect : aWorld.bench_.Post(std::move(aBody))) {
+    if (const auto* order = std::get_if<keeper::StartExport>(&effect)) {
+      CheckShares(aWorld, *order);
+    }
+    aWorld.todo_.push_back(std::move(effect));
+  }
 }
 
 void
 Carry(World& aWorld, const keeper::StartExport& aOrder)
 {
-  CheckShares(aWorld, aOrder);
   if (aWorld.Chance(0.1)) {
     Post(aWorld, keeper::ExportStarted{ aOrder.id_, false, "" });
     return;
