--- a/include/lycheeplank/keeper.h
+++ b/include/lycheeplank/keeper.h
@@ -270,7 +270,8 @@
   // The engine has probably evicted the blocks.
   Missed,
   VersionChanged,
-  OverShare,
+  // The store had no room until then.
+  NoRoom,
   // A more valuable export took its place.
   Displaced,
   // The store or the target left the configuration.
@@ -283,17 +284,18 @@
   { ExportResult::Failed, "failed" },
   { ExportResult::Missed, "missed" },
   { ExportResult::VersionChanged, "version_changed" },
-  { ExportResult::OverShare, "over_share" },
+  { ExportResult::NoRoom, "no_room" },
   { ExportResult::Displaced, "displaced" },
   { ExportResult::Removed, "removed" },
 } };
 
 // State.
 
-// Where a block was exported to.
+// A block that was exported to a store.
 struct Held
 {
   std::string store_;
+  StoredBlock block_;
   absl::Time since_;
 };
 
@@ -376,8 +378,10 @@
   absl::Time nextAsk_ = absl::InfinitePast();
   std::uint64_t usedBytes_ = 0;
   std::uint64_t linkBacklogBytes_ = 0;
-  // Highest value per byte among the blocks that were freed last.
+  // Value per byte that blocks have to exceed while the store is nearly full:
+  // the highest one among the blocks that would be freed next.
   double freedValuePerByte_ = 0.0;
+  absl::Time valuedAt_ = absl::InfinitePast();
   std::uint32_t failuresInRow_ = 0;
   absl::Time closedUntil_ = absl::InfinitePast();
   // What workspaces use, as far as this host knows.
--- a/src/keeper/exports.cc
+++ b/src/keeper/exports.cc
@@ -46,44 +46,17 @@
          aState.config_->workspaces_.contains(aExport.workspace_);
 }
 
-// Bytes of exports under way to a store.
-struct UnderWay
-{
-  std::uint64_t all_ = 0;
-  std::uint64_t workspace_ = 0;
-};
-
-UnderWay
-BytesUnderWay(const State& aState, const Export& aExport)
-{
-  UnderWay bytes;
-  for (const auto& [id, item] : aState.exports_) {
-    if (item.stage_ == ExportStage::Waiting || item.store_ != aExport.store_) {
-      continue;
-    }
-    bytes.all_ += item.bytes_;
-    bytes.workspace_ += item.workspace_ == aExport.workspace_ ? item.bytes_ : 0;
-  }
-  return bytes;
-}
-
-// Whether an export would take its workspace over its share of a store that
-// is nearly full.
+// Whether a store has room for an export beside those under way.
 bool
-IsOverShare(const State& aState, const Export& aExport)
+HasRoom(const State& aState, const Export& aExport)
 {
-  const auto& store = aState.stores_.at(aExport.store_);
-  const auto capacity =
-    static_cast<double>(CapacityOf(aState.config_->stores_.at(aExport.store_)));
-  const auto underWay = BytesUnderWay(aState, aExport);
-  if (static_cast<double>(store.usedBytes_ + underWay.all_ + aExport.bytes_) <
-      keeping::kLowWater * capacity) {
-    return false;
+  const auto capacity = CapacityOf(aState.config_->stores_.at(aExport.store_));
+  auto used = aState.stores_.at(aExport.store_).usedBytes_ + aExport.bytes_;
+  for (const auto& [id, item] : aState.exports_) {
+    const bool underWay = item.stage_ != ExportStage::Waiting;
+    used += underWay && item.store_ == aExport.store_ ? item.bytes_ : 0;
   }
-  const auto used = store.workspaceBytes_.find(aExport.workspace_);
-  const auto bytes = used == store.workspaceBytes_.end() ? 0 : used->second;
-  return bytes + underWay.workspace_ + aExport.bytes_ >
-         StoreShare(aState, aExport.store_, aExport.workspace_);
+  return used <= capacity;
 }
 
 bool
@@ -110,7 +83,7 @@
          store.closedUntil_ <= aStep.now_ &&
          countOf(aBusy.engines_, aExport.target_) < kMaxExportsPerEngine &&
          countOf(aBusy.stores_, aExport.store_) < kMaxExportsPerStore &&
-         IsLinkFree(aStep, aExport) && !IsOverShare(aStep.state_, aExport);
+         IsLinkFree(aStep, aExport) && HasRoom(aStep.state_, aExport);
 }
 
 // Returns why a waiting export can no longer start.
@@ -129,8 +102,8 @@
   if (aExport.attempts_ > 0) {
     return ExportResult::Failed;
   }
-  return IsOverShare(aStep.state_, aExport) ? ExportResult::OverShare
-                                            : ExportResult::Missed;
+  return HasRoom(aStep.state_, aExport) ? ExportResult::Missed
+                                        : ExportResult::NoRoom;
 }
 
 void
@@ -295,7 +268,7 @@
 {
   std::uint64_t bytes = 0;
   for (const auto& block : aCommitted) {
-    NoteHeld(aStep.state_, block.key_, aExport.store_, aStep.now_);
+    NoteHeld(aStep.state_, block, aExport.store_, aStep.now_);
     bytes += block.bytes_;
   }
   if (const auto store = aStep.state_.stores_.find(aExport.store_);
--- a/src/keeper/parts.h
+++ b/src/keeper/parts.h
@@ -69,7 +69,7 @@
 
 void
 NoteHeld(State& aState,
-         const core::BlockKey& aKey,
+         const StoredBlock& aBlock,
          const std::string& aStore,
          absl::Time aNow);
 
--- a/src/keeper/runs.cc
+++ b/src/keeper/runs.cc
@@ -337,16 +337,16 @@
 
 void
 NoteHeld(State& aState,
-         const core::BlockKey& aKey,
+         const StoredBlock& aBlock,
          const std::string& aStore,
          absl::Time aNow)
 {
   const auto [place, added] =
-    aState.held_.insert_or_assign(aKey, Held{ aStore, aNow });
+    aState.held_.insert_or_assign(aBlock.key_, Held{ aStore, aBlock, aNow });
   if (!added) {
     return;
   }
-  aState.heldOrder_.push_back(aKey);
+  aState.heldOrder_.push_back(aBlock.key_);
   while (aState.heldOrder_.size() > kMaxHeldBlocks) {
     aState.held_.erase(aState.heldOrder_.front());
     aState.heldOrder_.pop_front();
--- a/src/keeper/stores.cc
+++ b/src/keeper/stores.cc
@@ -15,6 +15,7 @@
 constexpr absl::Duration kAskPeriodPerHost = absl::Milliseconds(20);
 // A plan to free blocks that is older is dropped.
 constexpr absl::Duration kMaxPlanAge = absl::Minutes(1);
+constexpr absl::Duration kValuePeriod = absl::Minutes(1);
 // Returns within this time count for a block's value.
 constexpr absl::Duration kHorizon = absl::Hours(24 * 14);
 // Idle time of the oldest block whose prompt this host doesn't know.
@@ -60,12 +61,8 @@
     detail::CapacityOf(aStep.state_.config_->stores_.at(aName));
   const auto bytes = keeping::BytesToFree(aStore.usedBytes_, capacity);
   auto& eviction = aStore.eviction_;
-  if (bytes == 0) {
-    aStore.freedValuePerByte_ = 0.0;
-    return;
-  }
-  if (eviction.stage_ != EvictionStage::Idle || eviction.underWay_ > 0 ||
-      !OwnsStore(aStep.state_, aName)) {
+  if (bytes == 0 || eviction.stage_ != EvictionStage::Idle ||
+      eviction.underWay_ > 0 || !OwnsStore(aStep.state_, aName)) {
     return;
   }
   eviction.stage_ = EvictionStage::Reading;
@@ -272,7 +269,6 @@
   }
   const auto plan = keeping::PlanEvictions(
     inventory.blocks_, inventory.uses_, eviction.bytesToFree_, kHorizon);
-  aStore.freedValuePerByte_ = plan.valuePerByte_;
   for (auto index = plan.blocks_.rbegin(); index != plan.blocks_.rend();
        ++index) {
     eviction.queue_.push_back(eviction.blocks_[*index]);
@@ -332,6 +328,60 @@
   }
 }
 
+// Returns the blocks that this host has put into a store.
+std::vector<StoredBlock>
+HeldIn(const State& aState, const std::string& aStore)
+{
+  std::vector<StoredBlock> blocks;
+  for (const auto& [key, held] : aState.held_) {
+    if (held.store_ == aStore) {
+      blocks.push_back(held.block_);
+    }
+  }
+  return blocks;
+}
+
+std::uint64_t
+BytesOf(const std::vector<StoredBlock>& aBlocks)
+{
+  std::uint64_t bytes = 0;
+  for (const auto& block : aBlocks) {
+    bytes += block.bytes_;
+  }
+  return bytes;
+}
+
+// Works out anew which value blocks have to exceed. The blocks that this host
+// has exported stand for all in the store; their least valuable ones for those
+// that are freed next.
+void
+ValueStore(StepContext& aStep, const std::string& aName, StoreState& aStore)
+{
+  if (aStep.now_ - aStore.valuedAt_ < kValuePeriod) {
+    return;
+  }
+  aStore.valuedAt_ = aStep.now_;
+  aStore.freedValuePerByte_ = 0.0;
+  const auto capacity = static_cast<double>(
+    detail::CapacityOf(aStep.state_.config_->stores_.at(aName)));
+  if (static_cast<double>(aStore.usedBytes_) < keeping::kLowWater * capacity) {
+    return;
+  }
+  auto blocks = HeldIn(aStep.state_, aName);
+  if (blocks.empty()) {
+    return;
+  }
+  SortByPrompt(blocks);
+  auto inventory = MakeInventory(aStep, aName, blocks);
+  const auto bytes = BytesOf(blocks);
+  SetShares(aStep.state_, bytes, inventory);
+  const auto freed = static_cast<std::uint64_t>(
+    (keeping::kHighWater - keeping::kLowWater) * static_cast<double>(bytes));
+  aStore.freedValuePerByte_ =
+    keeping::PlanEvictions(inventory.blocks_, inventory.uses_, freed, kHorizon)
+      .valuePerByte_;
+}
+
 bool
 IsUsed(const State& aState, const std::string& aStore)
 {
@@ -422,6 +472,7 @@
   store.usedBytes_ = aEvent.usedBytes_;
   store.linkBacklogBytes_ = aEvent.linkBacklogBytes_;
   LimitUse(store);
+  ValueStore(aStep, found->first, store);
   BeginEviction(aStep, found->first, store);
 }
 
