--- a/src/steward/main.cc
+++ b/src/steward/main.cc
@@ -66,8 +66,22 @@
   return options;
 }
 
-// Runs all duties until a signal asks to end; returns the exit code.
-int
+// Waits for a signal, gives up what is owned and ends the process.
+[[noreturn]] void
+WaitAndEnd(steward::Control& aControl, const sigset_t& aSignals)
+{
+  int received = 0;
+  sigwait(&aSignals, &received);
+  LOG(INFO) << "event=signal number=" << received;
+  const bool gaveUp = aControl.GiveUp(kGiveUpTimeout);
+  LOG(INFO) << "event=stopped gave_up_leases=" << gaveUp;
+  google::FlushLogFiles(google::INFO);
+  // Calls under way may still refer to objects of the control thread.
+  std::_Exit(gaveUp ? EXIT_SUCCESS : lycheeplank::kExitFailed);
+}
+
+// Runs all duties until a signal asks to end.
+[[noreturn]] void
 Run(const steward::Settings& aSettings, const sigset_t& aSignals)
 {
   std::unique_ptr<steward::Control> control;
@@ -101,14 +115,7 @@
   std::fflush(stdout);
   LOG(INFO) << "event=started name=" << aSettings.name_
             << " port=" << server.Port();
-  int received = 0;
-  sigwait(&aSignals, &received);
-  LOG(INFO) << "event=signal number=" << received;
-  const bool gaveUp = control->GiveUp(kGiveUpTimeout);
-  LOG(INFO) << "event=stopped gave_up_leases=" << gaveUp;
-  google::FlushLogFiles(google::INFO);
-  // Calls under way may still refer to the objects above.
-  std::_Exit(gaveUp ? EXIT_SUCCESS : lycheeplank::kExitFailed);
+  WaitAndEnd(*control, aSignals);
 }
 
 } // namespace
@@ -124,7 +131,7 @@
   StartLog(aArguments[0], settings.logDir_);
   const sigset_t signals = BlockSignals();
   try {
-    return Run(settings, signals);
+    Run(settings, signals);
   } catch (const std::runtime_error& error) {
     std::fprintf(stderr, "lycheeplank-steward: %s\n", error.what());
     return lycheeplank::kExitFailed;
