Connect follower ranks and link rates; retry runs that have shown no token

A run whose engine died before its first token was refused as failed midway, since the head of the stream had gone to the caller; it goes with the first token now. The claims' timers ran only every 50 ms, so an issuance took 113 ms in the median; they run every 5 ms while a caller waits.

--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -183,6 +183,7 @@
   std::string store_;
   bool reached_ = false;
   std::uint64_t linkBacklogBytes_ = 0;
+  double linkBytesPerSecond_ = 0.0;
   std::uint64_t memoryUsed_ = 0;
   std::uint64_t diskUsed_ = 0;
 };
@@ -373,6 +374,12 @@
   std::string target_;
 };
 
+// Fetches all blocks that a store holds.
+struct FetchStoreInventory
+{
+  std::string store_;
+};
+
 // Reports a run whose blocks may be worth keeping in a store.
 struct ReportRun
 {
@@ -510,6 +517,7 @@
                              AskHomes,
                              SendSightings,
                              FetchInventory,
+                             FetchStoreInventory,
                              ReportRun,
                              AnswerCall,
                              AskClaim,
@@ -558,6 +566,8 @@
   // Attempts of this host that are not over.
   std::vector<SentWork> own_;
   directory::EventCursor cursor_;
+  // Position of this host among the target's followers.
+  std::uint32_t followerRank_ = 0;
 };
 
 // What this host knows of one store.
@@ -565,6 +575,8 @@
 {
   bool reached_ = false;
   std::uint64_t linkBacklogBytes_ = 0;
+  // As the store reports it; zero if it doesn't.
+  double linkBytesPerSecond_ = 0.0;
   std::uint64_t memoryUsed_ = 0;
   std::uint64_t diskUsed_ = 0;
   absl::Time asOf_ = absl::InfinitePast();
--- a/src/adapters/store.cc
+++ b/src/adapters/store.cc
@@ -34,6 +34,7 @@
     load.diskUsed_ = aLoad.value("disk_used", std::uint64_t{ 0 });
     load.linkBacklogBytes_ =
       aLoad.value("link_backlog_bytes", std::uint64_t{ 0 });
+    load.linkBytesPerSecond_ = aLoad.value("link_bytes_per_second", 0.0);
     return load;
   });
 }
--- a/src/adapters/store.h
+++ b/src/adapters/store.h
@@ -18,6 +18,8 @@
   std::uint64_t memoryUsed_ = 0;
   std::uint64_t diskUsed_ = 0;
   std::uint64_t linkBacklogBytes_ = 0;
+  // Present rate of the link; zero if the store doesn't say.
+  double linkBytesPerSecond_ = 0.0;
 };
 
 // A committed block of a store.
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -109,7 +109,7 @@
       "outcome_unknown",
       409,
       "It is not known whether the call was run",
-      "Find out from the service itself; it will not be run again under this "
+      "Find out from the service itself; no second run is started under this "
       "key." },
     { Kind::DeadlineExceeded,
       "deadline_exceeded",
--- a/src/entry/app.cc
+++ b/src/entry/app.cc
@@ -120,6 +120,10 @@
   {
     app_.poller_->FetchInventory(aEffect.target_);
   }
+  void operator()(const reducer::FetchStoreInventory& aEffect) const
+  {
+    app_.poller_->FetchStoreInventory(aEffect.store_);
+  }
   void operator()(const reducer::ReportRun& aEffect) const
   {
     app_.steward_.Perform(aEffect);
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -8,6 +8,8 @@
 
 // Longest time between two ticks.
 constexpr absl::Duration kTickInterval = absl::Milliseconds(50);
+// The same while callers wait for a claim or an outcome to be written.
+constexpr absl::Duration kClaimTickInterval = absl::Milliseconds(5);
 
 } // namespace
 
@@ -66,12 +68,18 @@
       Handle(item);
     }
     if (const absl::Time now = absl::Now(); now >= nextTick_) {
-      nextTick_ = now + kTickInterval;
+      nextTick_ = now + TickInterval();
       Handle({ reducer::Tick{} });
     }
   }
 }
 
+absl::Duration
+Control::TickInterval() const
+{
+  return state_.claimTickets_.empty() ? kTickInterval : kClaimTickInterval;
+}
+
 std::vector<Control::Item>
 Control::TakeItems()
 {
@@ -80,7 +88,7 @@
   const auto ready = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
     return !items_.empty() || stopping_;
   };
-  mutex_.AwaitWithTimeout(absl::Condition(&ready), kTickInterval);
+  mutex_.AwaitWithTimeout(absl::Condition(&ready), TickInterval());
   std::swap(items, items_);
   return items;
 }
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -43,6 +43,7 @@
   void Run();
   std::vector<Item> TakeItems();
   void Handle(const Item& aItem);
+  absl::Duration TickInterval() const;
 
   reducer::State state_;
   std::mt19937_64 random_{ std::random_device{}() };
--- a/src/entry/poller.cc
+++ b/src/entry/poller.cc
@@ -227,6 +227,14 @@
                 });
 }
 
+void
+Poller::FetchStoreInventory(const std::string& aStore)
+{
+  // The next step of the poller asks for it.
+  const absl::MutexLock lock(&mutex_);
+  due_[aStore].events_ = absl::InfinitePast();
+}
+
 void
 Poller::PollStores(const config::Config& aConfig, absl::Time aNow)
 {
@@ -278,6 +286,7 @@
                     report.memoryUsed_ = load->memoryUsed_;
                     report.diskUsed_ = load->diskUsed_;
                     report.linkBacklogBytes_ = load->linkBacklogBytes_;
+                    report.linkBytesPerSecond_ = load->linkBytesPerSecond_;
                   }
                   post_(std::move(report));
                 });
--- a/src/entry/poller.h
+++ b/src/entry/poller.h
@@ -36,6 +36,8 @@
   void SetHosts(std::vector<placement::Follower> aHosts);
   // Fetches all blocks that an engine caches.
   void FetchInventory(const std::string& aTarget);
+  // Fetches all blocks that a store holds.
+  void FetchStoreInventory(const std::string& aStore);
 
 private:
   // When each kind of question to one target or store is due.
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -49,8 +49,9 @@
       state_ = RelayState::Broken;
     } else if (read->start_) {
       start_ = *read->start_;
+      // Nothing goes to the caller before the first token, so that the request
+      // can still be tried elsewhere.
       started = start_;
-      Begin();
     } else if (read->token_) {
       PassToken(*read->token_);
     } else if (read->finish_) {
--- a/src/reducer/hosts.cc
+++ b/src/reducer/hosts.cc
@@ -38,6 +38,10 @@
   if (change.rebuild_) {
     for (auto& [name, target] : state.targets_) {
       target.cursor_ = {};
+      aContext.effects_.emplace_back(FetchInventory{ name });
+    }
+    for (const auto& [name, store] : state.stores_) {
+      aContext.effects_.emplace_back(FetchStoreInventory{ name });
     }
   }
 }
@@ -88,6 +92,7 @@
   state.live_ = std::move(followers);
   MoveHomes(aContext, NamesOf(live));
   ChoosePollers(aContext, live);
+  RankFollowers(state);
   for (auto& [key, pool] : state.pools_) {
     UpdateSlots(aContext, pool);
   }
--- a/src/reducer/parts.h
+++ b/src/reducer/parts.h
@@ -73,6 +73,9 @@
                 const directory::HolderId& aHolder,
                 const std::vector<directory::Sighting>& aSightings,
                 bool aInventory);
+// Works out this host's rank among the followers of each target.
+void
+RankFollowers(State& aState);
 // Sets how many runs a pool may have at once.
 void
 UpdateSlots(Context& aContext, Pool& aPool);
--- a/src/reducer/routing.cc
+++ b/src/reducer/routing.cc
@@ -53,6 +53,7 @@
   candidate.maxRuns_ = settings.maxRuns_;
   candidate.prefillTokensPerSecond_ = settings.prefillTokensPerSecond_;
   candidate.meanDecode_ = absl::Seconds(aPool.secondsPerRun_);
+  candidate.followerRank_ = target.followerRank_;
   for (const auto& holder : aHolders) {
     if (holder.id_.kind_ == directory::HolderKind::Engine &&
         holder.id_.name_ == aName) {
@@ -81,7 +82,9 @@
     offer.leadingBlocks_ = holder.leadingBlocks_;
     offer.generations_ = holder.generations_;
     offer.onDisk_ = holder.onDisk_;
-    offer.linkBytesPerSecond_ = settings->second.linkBytesPerSecond_;
+    offer.linkBytesPerSecond_ = store->second.linkBytesPerSecond_ > 0.0
+                                  ? store->second.linkBytesPerSecond_
+                                  : settings->second.linkBytesPerSecond_;
     offer.diskBytesPerSecond_ = settings->second.diskBytesPerSecond_;
     offer.queuedBytes_ =
       store->second.linkBacklogBytes_ + store->second.ownBytes_;
--- a/src/reducer/targets.cc
+++ b/src/reducer/targets.cc
@@ -105,6 +105,27 @@
 
 } // namespace
 
+void
+RankFollowers(State& aState)
+{
+  if (!aState.config_) {
+    return;
+  }
+  const std::size_t count =
+    placement::FollowerCount(aState.live_.size(), aState.targets_.size());
+  for (auto& [name, target] : aState.targets_) {
+    const auto settings = aState.config_->targets_.find(name);
+    if (settings == aState.config_->targets_.end()) {
+      continue;
+    }
+    const auto followers = placement::Followers(
+      name, settings->second.dataCentre_, aState.live_, count);
+    const auto self =
+      std::find(followers.begin(), followers.end(), aState.self_.name_);
+    target.followerRank_ = static_cast<std::uint32_t>(self - followers.begin());
+  }
+}
+
 void
 UpdateSlots(Context& aContext, Pool& aPool)
 {
@@ -218,6 +239,7 @@
     return;
   }
   store.linkBacklogBytes_ = aEvent.linkBacklogBytes_;
+  store.linkBytesPerSecond_ = aEvent.linkBytesPerSecond_;
   store.memoryUsed_ = aEvent.memoryUsed_;
   store.diskUsed_ = aEvent.diskUsed_;
   store.asOf_ = aContext.now_;
@@ -243,6 +265,7 @@
   DropUnknown(state);
   RebuildPools(aContext);
   ConfigureClaims(aContext);
+  RankFollowers(state);
   for (auto& [key, pool] : state.pools_) {
     UpdateSlots(aContext, pool);
   }
