--- a/src/steward/main.cc
+++ b/src/steward/main.cc
@@ -7,6 +7,7 @@
 
 #include "lycheeplank/version.h"
 #include "steward/duties.h"
+#include "steward/exports.h"
 #include "steward/metrics.h"
 
 namespace {
@@ -41,21 +42,6 @@
   google::InitGoogleLogging(aProgram);
 }
 
-void
-Serve(net::Exchange& aExchange, const lycheeplank::metrics::Registry& aMetrics)
-{
-  const std::string& path = aExchange.request_.path_;
-  if (path == "/healthz") {
-    aExchange.Reply(200, { { "Content-Type", "text/plain" } }, "ok\n");
-  } else if (path == "/metrics") {
-    aExchange.Reply(200,
-                    { { "Content-Type", "text/plain; version=0.0.4" } },
-                    aMetrics.Text());
-  } else {
-    aExchange.Reply(404, { { "Content-Type", "text/plain" } }, "not found\n");
-  }
-}
-
 net::ServerOptions
 ServerOptionsOf(const steward::Settings& aSettings)
 {
@@ -88,14 +74,16 @@
   net::Client client(kClientThreads);
   lycheeplank::adapters::PlatformClient platform(
     client, aSettings.platformUrl_, "steward-" + aSettings.name_);
-  const steward::DutyContext context{
-    aSettings,
-    client,
-    platform,
-    [&control](const steward::EventBody& aBody) { control->Post(aBody); }
-  };
-  steward::ConfigFollower follower(context);
   lycheeplank::metrics::Registry metrics;
+  steward::Exports exports(aSettings, client, metrics);
+  const steward::DutyContext context{ aSettings,
+                                      client,
+                                      platform,
+                                      [&](const steward::EventBody& aBody) {
+                                        exports.Follow(aBody);
+                                        control->Post(aBody);
+                                      } };
+  steward::ConfigFollower follower(context);
   control = std::make_unique<steward::Control>(
     rollout::Start(aSettings.name_, {}),
     steward::ControlHooks{ [&context](const rollout::Effect& aEffect) {
@@ -107,10 +95,11 @@
                            } });
   const net::Server server(
     ServerOptionsOf(aSettings),
-    [&metrics](const std::shared_ptr<net::Exchange>& aExchange) {
-      Serve(*aExchange, metrics);
+    [&exports](const std::shared_ptr<net::Exchange>& aExchange) {
+      exports.Serve(aExchange);
     });
   control->Start();
+  exports.Start();
   std::printf("listening port=%d\n", server.Port());
   std::fflush(stdout);
   LOG(INFO) << "event=started name=" << aSettings.name_
