--- a/src/steward/exports.cc
+++ b/src/steward/exports.cc
@@ -108,9 +108,12 @@
 
 } // namespace
 
-Exports::Exports(const Settings& aSettings, net::Client& aClient)
+Exports::Exports(const Settings& aSettings,
+                 net::Client& aClient,
+                 metrics::Registry& aMetrics)
   : settings_(aSettings)
   , client_(aClient)
+  , metrics_(aMetrics)
   , state_(keeper::Start(aSettings.name_))
 {
 }
--- a/src/steward/exports.h
+++ b/src/steward/exports.h
@@ -22,7 +22,9 @@
 class Exports
 {
 public:
-  Exports(const Settings& aSettings, net::Client& aClient);
+  Exports(const Settings& aSettings,
+          net::Client& aClient,
+          metrics::Registry& aMetrics);
   ~Exports();
   Exports(const Exports&) = delete;
   Exports& operator=(const Exports&) = delete;
@@ -32,8 +34,6 @@
   void Follow(const EventBody& aBody);
   // Answers the entry host and whoever reads the counters, from any thread.
   void Serve(const std::shared_ptr<net::Exchange>& aExchange);
-  // The counters that Serve shows; other duties add theirs.
-  metrics::Registry& Metrics() { return metrics_; }
 
 private:
   void Run();
@@ -55,7 +55,7 @@
 
   const Settings& settings_;
   net::Client& client_;
-  metrics::Registry metrics_;
+  metrics::Registry& metrics_;
   keeper::State state_;
   absl::Mutex mutex_;
   std::vector<keeper::EventBody> events_ ABSL_GUARDED_BY(mutex_);
--- a/src/steward/main.cc
+++ b/src/steward/main.cc
@@ -74,7 +74,8 @@
   net::Client client(kClientThreads);
   lycheeplank::adapters::PlatformClient platform(
     client, aSettings.platformUrl_, "steward-" + aSettings.name_);
-  steward::Exports exports(aSettings, client);
+  lycheeplank::metrics::Registry metrics;
+  steward::Exports exports(aSettings, client, metrics);
   const steward::DutyContext context{ aSettings,
                                       client,
                                       platform,
@@ -88,9 +89,9 @@
     steward::ControlHooks{ [&context](const rollout::Effect& aEffect) {
                             steward::PerformRollout(context, aEffect);
                           },
-                           [&follower, &exports](const rollout::State& aState) {
+                           [&follower, &metrics](const rollout::State& aState) {
                              follower.AskIfDue();
-                             steward::ReportRollouts(aState, exports.Metrics());
+                             steward::ReportRollouts(aState, metrics);
                            } });
   const net::Server server(
     ServerOptionsOf(aSettings),
--- a/test/rollout-test.cc
+++ b/test/rollout-test.cc
@@ -791,6 +791,7 @@
   REQUIRE(world.RecordOf("large").state_ == rollout::RolloutState::Stopped);
   REQUIRE(!AllServe(world, "large", "v1"));
   REQUIRE(world.SlotCount() == 0);
+  REQUIRE(world.Loading() == 0);
   rollout::StartRollout(access, "medium", "v1", onDone);
   rollout::Listing listing;
   rollout::ListRollouts(
