Let exports start while a store is below its freeing mark

A store freed to 92% with 8% left took no prompt of 10% and was never freed again: exports waited for room and the store was below its mark.

--- a/src/keeper/exports.cc
+++ b/src/keeper/exports.cc
@@ -46,17 +46,20 @@
          aState.config_->workspaces_.contains(aExport.workspace_);
 }
 
-// Whether a store has room for an export beside those under way.
+// Whether a store is below the mark at which blocks are freed, exports under
+// way included. An export may go beyond it, or stores that are freed down to
+// the low mark would never take a prompt that is longer than what is left; the
+// store refuses the blocks that don't fit, and they go with the retry.
 bool
 HasRoom(const State& aState, const Export& aExport)
 {
   const auto capacity = CapacityOf(aState.config_->stores_.at(aExport.store_));
-  auto used = aState.stores_.at(aExport.store_).usedBytes_ + aExport.bytes_;
+  auto used = aState.stores_.at(aExport.store_).usedBytes_;
   for (const auto& [id, item] : aState.exports_) {
     const bool underWay = item.stage_ != ExportStage::Waiting;
     used += underWay && item.store_ == aExport.store_ ? item.bytes_ : 0;
   }
-  return used <= capacity;
+  return keeping::BytesToFree(used, capacity) == 0;
 }
 
 bool
