--- a/support/faults.py
+++ b/support/faults.py
@@ -144,17 +144,20 @@
     return {"Authorization": "Bearer " + started.keys[workspace], "Content-Type": "application/json", **more}
 
 
-def send_call(started, index, workspace, key, payload, call="issue", timeout=CALL_TIMEOUT_S):
+def send_call(started, index, workspace, key, payload, call="issue", deadline_ms=None):
     """Sends a service call once through one host; returns an Answer."""
     entry = started.description["entries"][index]
+    headers = headers_of(started, workspace, **{"Idempotency-Key": key})
+    if deadline_ms:
+        headers["X-Deadline-Ms"] = str(deadline_ms)
     sent = time.time()
     try:
         status, text = cluster.http(
             "POST",
             f"{entry['http']}/v1/services/{cluster.SERVICE}/{call}",
             payload,
-            headers_of(started, workspace, **{"Idempotency-Key": key}),
-            timeout=timeout,
+            headers,
+            timeout=CALL_TIMEOUT_S,
         )
     except (OSError, http.client.HTTPException) as error:
         return Answer(entry["name"], CUT, str(error), sent, time.time())
@@ -162,14 +165,14 @@
     return Answer(entry["name"], status, text, sent, time.time(), body)
 
 
-def issue(started, workspace, key, payload, first=0, limit_s=FINAL_ANSWER_LIMIT_S, call="issue"):
+def issue(started, workspace, key, payload, first=0, limit_s=FINAL_ANSWER_LIMIT_S, deadline_ms=None):
     """Repeats a call through one host after another until its answer is final."""
     done = Issuance(workspace, key)
     limit = time.monotonic() + limit_s
     index = first
     while time.monotonic() < limit:
         index %= len(started.description["entries"])
-        answer = send_call(started, index, workspace, key, payload, call)
+        answer = send_call(started, index, workspace, key, payload, deadline_ms=deadline_ms)
         done.answers.append(answer)
         if answer.is_final():
             break
@@ -325,6 +328,23 @@
     return version, "".join(event["text"] for event in events if "index" in event)
 
 
+def reference_texts(url, prompts, max_tokens, run_id):
+    """Asks an engine itself for the texts of prompts, all at once; returns (version, text) by prompt."""
+    found = {}
+
+    def ask(number, prompt):
+        found[prompt] = reference_text(url, prompt, max_tokens, f"{run_id}-{number}")
+
+    threads = [threading.Thread(target=ask, args=item) for item in enumerate(prompts)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    if len(found) < len(prompts):
+        raise RuntimeError("an engine gave no reference text")
+    return found
+
+
 class Records:
     """The stand-ins' own records of what they ran; those of killed ones are read before the kill."""
 
