--- a/test/faults-test.py
+++ b/test/faults-test.py
@@ -150,8 +150,7 @@
 
     def test_no_dispatch_after_a_freeze_past_the_deadline(self):
         # A shard whose last write failed refuses at once, so let all have a good one first.
-        for number in range(WARM_UP_KEYS):
-            faults.issue(self.cluster, "authority", f"warm-{SEED}-{number}", {"a": 1}, 2)
+        self.issue_all([f"warm-{SEED}-{number}" for number in range(WARM_UP_KEYS)], 2)
         faults.set_fault(self.platform, "slow", ms=900)
         answers = {}
 
@@ -173,11 +172,26 @@
             thread.join()
         late = [row for row in self.records.rows("service") if row["key"] in keys and row["unix_ms"] > woken_ms]
         self.assertEqual(late, [])
-        repeats = [faults.issue(self.cluster, "authority", key, {"a": 1}, 1) for key in keys]
+        repeats = self.issue_all(keys, 1)
         for issuance in repeats:
             issuance.answers.insert(0, answers[issuance.key])
         self.check_calls(repeats)
 
+    def issue_all(self, keys, index):
+        """Issues keys at once through a host until each has a final answer."""
+        done = []
+        threads = [
+            threading.Thread(
+                target=lambda k=key: done.append(faults.issue(self.cluster, "authority", k, {"a": 1}, index))
+            )
+            for key in keys
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return done
+
     def wait_until_read(self, index, count, answers):
         """Waits until a host has read some calls, answered or not; returns how many are open."""
         limit = time.monotonic() + SETTLE_S * 2
