Read only the targets that a host follows; share what daemons do at start

The poller asked every configured target, 1,200 at the designed size against the 24 that a host follows there; the followed ones are worked out when the hosts or the configuration change. Main of entry and steward had the same two functions, and the client had a version of its own.

--- a/src/cli/program.cc
+++ b/src/cli/program.cc
@@ -10,7 +10,7 @@
 
 #include "cli/commands.h"
 #include "cli/table.h"
-#include "cli/version.h"
+#include "lycheeplank/version.h"
 
 namespace lycheeplank::cli {
 
--- a/src/entry/main.cc
+++ b/src/entry/main.cc
@@ -7,31 +7,7 @@
 
 #include "entry/app.h"
 #include "lycheeplank/version.h"
-
-namespace {
-
-// Blocks the signals that end the process, so that main can wait for them.
-sigset_t
-BlockSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
-
-void
-StartLog(const char* aProgram, const std::string& aFolder)
-{
-  FLAGS_logtostderr = aFolder.empty();
-  FLAGS_log_dir = aFolder;
-  google::InitGoogleLogging(aProgram);
-}
-
-} // namespace
+#include "process/process.h"
 
 int
 main(int aCount, char** aArguments)
@@ -42,8 +18,8 @@
       !result.run_) {
     return result.exitCode_;
   }
-  StartLog(aArguments[0], settings.logDir_);
-  const sigset_t signals = BlockSignals();
+  lycheeplank::process::StartLog(aArguments[0], settings.logDir_);
+  const sigset_t signals = lycheeplank::process::BlockSignals();
   try {
     entry::App app(settings);
     int received = 0;
--- a/src/entry/poller.cc
+++ b/src/entry/poller.cc
@@ -21,7 +21,7 @@
 constexpr absl::Duration kInventoryInterval = absl::Seconds(30);
 // Hosts that read the cache events of one target, so that the loss of one
 // loses no news.
-constexpr std::size_t kFeeders = 2;
+constexpr std::ptrdiff_t kFeeders = 2;
 
 directory::Sighting
 ToSighting(const adapters::CacheEvent& aEvent)
@@ -88,6 +88,7 @@
 {
   const absl::MutexLock lock(&mutex_);
   hosts_ = std::move(aHosts);
+  hostsChanged_ = true;
 }
 
 void
@@ -103,23 +104,54 @@
     }
     const SnapshotPtr snapshot = snapshots_.Get();
     if (snapshot->config_) {
+      UpdateFollowed(snapshot->config_);
       PollTargets(*snapshot->config_, absl::Now());
       PollStores(*snapshot->config_, absl::Now());
     }
   }
 }
 
-bool
-Poller::Feeds(const std::string& aName, const std::string& aDataCentre)
+void
+Poller::UpdateFollowed(const config::ConfigPtr& aConfig)
 {
-  const absl::MutexLock lock(&mutex_);
-  if (hosts_.empty()) {
-    return true;
+  std::vector<placement::Follower> hosts;
+  {
+    const absl::MutexLock lock(&mutex_);
+    if (!hostsChanged_ && aConfig == followedConfig_) {
+      return;
+    }
+    hostsChanged_ = false;
+    hosts = hosts_;
+  }
+  followedConfig_ = aConfig;
+  followed_.clear();
+  fed_.clear();
+  const std::size_t followers =
+    placement::FollowerCount(hosts.size(), aConfig->targets_.size());
+  for (const auto& [name, target] : aConfig->targets_) {
+    Follow(name, target.dataCentre_, followers, hosts);
+  }
+  for (const auto& [name, store] : aConfig->stores_) {
+    Follow(name, store.dataCentre_, followers, hosts);
+  }
+}
+
+void
+Poller::Follow(const std::string& aName,
+               const std::string& aDataCentre,
+               std::size_t aFollowers,
+               const std::vector<placement::Follower>& aHosts)
+{
+  const auto ranked =
+    placement::Followers(aName, aDataCentre, aHosts, aFollowers);
+  const auto self = std::find(ranked.begin(), ranked.end(), self_.name_);
+  if (aHosts.empty() || self != ranked.end()) {
+    followed_.insert(aName);
+  }
+  if (aHosts.empty() ||
+      (self != ranked.end() && self - ranked.begin() < kFeeders)) {
+    fed_.insert(aName);
   }
-  const auto feeders =
-    placement::Followers(aName, aDataCentre, hosts_, kFeeders);
-  return std::find(feeders.begin(), feeders.end(), self_.name_) !=
-         feeders.end();
 }
 
 void
@@ -127,6 +159,9 @@
 {
   const bool busy = isBusy_();
   for (const auto& [name, target] : aConfig.targets_) {
+    if (followed_.count(name) == 0) {
+      continue;
+    }
     bool load = false;
     bool events = false;
     std::uint64_t after = 0;
@@ -148,7 +183,7 @@
     if (load) {
       AskLoad(name, target.url_);
     }
-    if (events && Feeds(name, target.dataCentre_)) {
+    if (events && fed_.count(name) > 0) {
       AskEvents(name, target.url_, after);
     }
   }
@@ -257,7 +292,7 @@
     if (load) {
       AskStore(name, store.url_);
     }
-    if (inventory && Feeds(name, store.dataCentre_)) {
+    if (inventory && fed_.count(name) > 0) {
       {
         const absl::MutexLock lock(&mutex_);
         due_[name].eventsPending_ = true;
--- a/src/entry/poller.h
+++ b/src/entry/poller.h
@@ -8,6 +8,7 @@
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/synchronization/mutex.h>
 
 #include "entry/snapshot.h"
@@ -62,15 +63,28 @@
                const std::string& aUrl,
                const std::string& aAfter,
                std::shared_ptr<reducer::StoreInventory> aInventory);
-  bool Feeds(const std::string& aName, const std::string& aDataCentre);
+  // Works out which targets and stores this host follows, if the hosts or the
+  // configuration have changed.
+  void UpdateFollowed(const config::ConfigPtr& aConfig);
+  // The same, for one of them.
+  void Follow(const std::string& aName,
+              const std::string& aDataCentre,
+              std::size_t aFollowers,
+              const std::vector<placement::Follower>& aHosts);
 
   net::Client& client_;
   SnapshotBox& snapshots_;
   const placement::Follower self_;
   const std::function<void(reducer::Event)> post_;
   const std::function<bool()> isBusy_;
+  // Targets whose load this host reads, and targets and stores whose cached
+  // blocks it reads. Used by the poller's own thread only.
+  absl::btree_set<std::string> followed_;
+  absl::btree_set<std::string> fed_;
+  config::ConfigPtr followedConfig_;
   absl::Mutex mutex_;
   std::vector<placement::Follower> hosts_ ABSL_GUARDED_BY(mutex_);
+  bool hostsChanged_ ABSL_GUARDED_BY(mutex_) = false;
   absl::btree_map<std::string, Due> due_ ABSL_GUARDED_BY(mutex_);
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
   std::thread thread_;
--- /dev/null
+++ b/src/process/process.cc
@@ -0,0 +1,29 @@
+#include "process/process.h"
+
+#include <pthread.h>
+
+#include <glog/logging.h>
+
+namespace lycheeplank::process {
+
+sigset_t
+BlockSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return signals;
+}
+
+void
+StartLog(const char* aProgram, const std::string& aFolder)
+{
+  FLAGS_logtostderr = aFolder.empty();
+  FLAGS_log_dir = aFolder;
+  google::InitGoogleLogging(aProgram);
+}
+
+} // namespace lycheeplank::process
--- a/src/steward/main.cc
+++ b/src/steward/main.cc
@@ -6,6 +6,7 @@
 #include <glog/logging.h>
 
 #include "lycheeplank/version.h"
+#include "process/process.h"
 #include "steward/duties.h"
 #include "steward/exports.h"
 #include "steward/metrics.h"
@@ -21,27 +22,6 @@
 constexpr unsigned kClientThreads = 1;
 constexpr unsigned kServerThreads = 1;
 
-// Blocks the signals that end the process, so that main can wait for them.
-sigset_t
-BlockSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return signals;
-}
-
-void
-StartLog(const char* aProgram, const std::string& aFolder)
-{
-  FLAGS_logtostderr = aFolder.empty();
-  FLAGS_log_dir = aFolder;
-  google::InitGoogleLogging(aProgram);
-}
-
 net::ServerOptions
 ServerOptionsOf(const steward::Settings& aSettings)
 {
@@ -117,8 +97,8 @@
       !result.run_) {
     return result.exitCode_;
   }
-  StartLog(aArguments[0], settings.logDir_);
-  const sigset_t signals = BlockSignals();
+  lycheeplank::process::StartLog(aArguments[0], settings.logDir_);
+  const sigset_t signals = lycheeplank::process::BlockSignals();
   try {
     Run(settings, signals);
   } catch (const std::runtime_error& error) {
