--- a/src/entry/poller.cc
+++ b/src/entry/poller.cc
@@ -14,8 +14,11 @@
 // Time between two load reports of a target.
 constexpr absl::Duration kBusyLoadInterval = absl::Milliseconds(250);
 constexpr absl::Duration kIdleLoadInterval = absl::Seconds(1);
+// Questions for load that a host asks in a second at most, so that its control
+// traffic doesn't grow with the targets that it follows.
+constexpr double kMaxLoadQuestions = 24.0;
 // Time between two questions for cache events.
-constexpr absl::Duration kBusyEventsInterval = absl::Milliseconds(500);
+constexpr absl::Duration kBusyEventsInterval = absl::Seconds(1);
 constexpr absl::Duration kIdleEventsInterval = absl::Seconds(3);
 constexpr absl::Duration kStoreLoadInterval = absl::Seconds(1);
 constexpr absl::Duration kInventoryInterval = absl::Seconds(30);
@@ -158,6 +161,9 @@
 Poller::PollTargets(const config::Config& aConfig, absl::Time aNow)
 {
   const bool busy = isBusy_();
+  const absl::Duration loadInterval = std::max(
+    busy ? kBusyLoadInterval : kIdleLoadInterval,
+    absl::Seconds(static_cast<double>(followed_.size()) / kMaxLoadQuestions));
   for (const auto& [name, target] : aConfig.targets_) {
     if (followed_.count(name) == 0) {
       continue;
@@ -174,7 +180,7 @@
       after = due.sequence_;
       if (load) {
         due.loadPending_ = true;
-        due.load_ = aNow + (busy ? kBusyLoadInterval : kIdleLoadInterval);
+        due.load_ = aNow + loadInterval;
       }
       if (events) {
         due.events_ = aNow + (busy ? kBusyEventsInterval : kIdleEventsInterval);
--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -134,17 +134,23 @@
   net::Call call = adapters::StartRun(aDispatch.url_, order, aTicket->prompt_);
   call.timeout_ = absl::InfiniteDuration();
   call.idleTimeout_ = kStreamIdleTimeout;
+  const net::CallId id = client_.Start(std::move(call), EventsOf(attempt));
+  const absl::MutexLock lock(&aTicket->mutex_);
+  aTicket->callId_ = id;
+}
+
+net::CallEvents
+Runner::EventsOf(const std::shared_ptr<Attempt>& aAttempt)
+{
   net::CallEvents events;
-  events.onStatus_ = [attempt](int aStatus) { attempt->status_ = aStatus; };
-  events.onData_ = [this, attempt](absl::string_view aData) {
-    OnData(attempt, aData);
+  events.onStatus_ = [aAttempt](int aStatus) { aAttempt->status_ = aStatus; };
+  events.onData_ = [this, aAttempt](absl::string_view aData) {
+    OnData(aAttempt, aData);
   };
-  events.onEnd_ = [this, attempt](const net::CallEnd& aEnd) {
-    OnEnd(attempt, aEnd);
+  events.onEnd_ = [this, aAttempt](const net::CallEnd& aEnd) {
+    OnEnd(aAttempt, aEnd);
   };
-  const net::CallId id = client_.Start(std::move(call), std::move(events));
-  const absl::MutexLock lock(&aTicket->mutex_);
-  aTicket->callId_ = id;
+  return events;
 }
 
 void
@@ -203,15 +209,7 @@
     aAttempt->dispatch_.url_, aAttempt->runId_, aAttempt->relay_.NextIndex());
   call.timeout_ = absl::InfiniteDuration();
   call.idleTimeout_ = kStreamIdleTimeout;
-  net::CallEvents events;
-  events.onStatus_ = [aAttempt](int aStatus) { aAttempt->status_ = aStatus; };
-  events.onData_ = [this, aAttempt](absl::string_view aData) {
-    OnData(aAttempt, aData);
-  };
-  events.onEnd_ = [this, aAttempt](const net::CallEnd& aEnd) {
-    OnEnd(aAttempt, aEnd);
-  };
-  ticket.callId_ = client_.Start(std::move(call), std::move(events));
+  ticket.callId_ = client_.Start(std::move(call), EventsOf(aAttempt));
   return true;
 }
 
--- a/src/entry/runner.h
+++ b/src/entry/runner.h
@@ -49,6 +49,8 @@
   void StartCompletion(const reducer::Dispatch& aDispatch,
                        const TicketPtr& aTicket);
   void StartCall(const reducer::Dispatch& aDispatch, const TicketPtr& aTicket);
+  // Returns what happens with the stream of an attempt.
+  net::CallEvents EventsOf(const std::shared_ptr<Attempt>& aAttempt);
   void OnData(const std::shared_ptr<Attempt>& aAttempt,
               absl::string_view aData);
   void OnEnd(const std::shared_ptr<Attempt>& aAttempt,
