Go on with a run's stream after a cut that shows as an error status

When an engine cuts its streams for a moment, the attempts to go on with the run met a connection that was cut behind a status line 500, which counted as the engine's own answer; the callers got target_failed though the run went on. test_engine_connections_lost_midway failed on it since the stand-in's fault 'down' also cuts open streams. Any cut now leads to another try, and the tries are spread over 1.4 s instead of following at once (that alone did not mend it).

--- a/include/lycheeplank/net.h
+++ b/include/lycheeplank/net.h
@@ -118,6 +118,8 @@
   absl::Duration timeout_ = absl::Seconds(30);
   // Time without a byte after which the call fails; zero for none.
   absl::Duration idleTimeout_ = absl::ZeroDuration();
+  // Wait before the call is sent.
+  absl::Duration delay_ = absl::ZeroDuration();
   // Takes a connection of its own. A library resends a request whose reused
   // connection turns out closed, so calls that must not run twice set this.
   bool freshConnection_ = false;
--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -1,5 +1,7 @@
 #include "entry/runner.h"
 
+#include <array>
+
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
@@ -12,8 +14,14 @@
 using reducer::AttemptResult;
 
 constexpr int kConflict = 409;
-// How often one attempt goes on with the stream of its own run.
-constexpr unsigned kMaxContinuations = 2;
+// Waits before one attempt goes on with the stream of its own run; an engine
+// that was away for a moment is reached by a later one.
+constexpr std::array<absl::Duration, 4> kContinuationDelays{
+  absl::ZeroDuration(),
+  absl::Milliseconds(100),
+  absl::Milliseconds(300),
+  absl::Seconds(1)
+};
 // Time without any data after which a stream counts as cut.
 constexpr absl::Duration kStreamIdleTimeout = absl::Seconds(30);
 // Unread data of a caller that is too slow, after which it is cut off.
@@ -193,7 +201,8 @@
 bool
 Runner::TryContinue(const std::shared_ptr<Attempt>& aAttempt)
 {
-  if (!aAttempt->started_ || aAttempt->continuations_ >= kMaxContinuations) {
+  if (!aAttempt->started_ ||
+      aAttempt->continuations_ >= kContinuationDelays.size()) {
     return false;
   }
   Ticket& ticket = *aAttempt->ticket_;
@@ -201,12 +210,13 @@
   if (ticket.attempt_ != aAttempt->dispatch_.attempt_) {
     return false;
   }
-  ++aAttempt->continuations_;
+  const absl::Duration delay = kContinuationDelays[aAttempt->continuations_++];
   metrics_.Count("stream_continuations_total");
   aAttempt->relay_.Restart();
   aAttempt->status_ = 0;
   net::Call call = adapters::ResumeRun(
     aAttempt->dispatch_.url_, aAttempt->runId_, aAttempt->relay_.NextIndex());
+  call.delay_ = delay;
   call.timeout_ = absl::InfiniteDuration();
   call.idleTimeout_ = kStreamIdleTimeout;
   ticket.callId_ = client_.Start(std::move(call), EventsOf(aAttempt));
@@ -221,10 +231,10 @@
     Conclude(aAttempt, AttemptResult::Whole, "", "");
     return;
   }
-  if (aEnd.status_ == 200 || (aAttempt->started_ && aEnd.status_ == 0)) {
-    if (TryContinue(aAttempt)) {
-      return;
-    }
+  // A whole answer with an error status says that the run is not known.
+  const bool cut = !aEnd.whole_ || aEnd.status_ == 200;
+  if (cut && TryContinue(aAttempt)) {
+    return;
   }
   const std::string detail =
     aEnd.error_.empty() ? absl::StrCat("status ", aEnd.status_) : aEnd.error_;
--- a/src/net/client.cc
+++ b/src/net/client.cc
@@ -1,5 +1,6 @@
 #include "lycheeplank/net.h"
 
+#include <map>
 #include <pthread.h>
 #include <thread>
 
@@ -175,7 +176,7 @@
       int running = 0;
       curl_multi_perform(multi_, &running);
       FinishEnded();
-      curl_multi_poll(multi_, nullptr, 0, kPollMilliseconds, nullptr);
+      curl_multi_poll(multi_, nullptr, 0, BeginDue(), nullptr);
     }
   }
 
@@ -190,15 +191,55 @@
       std::swap(orders, orders_);
     }
     for (auto& order : orders) {
-      if (order.start_) {
-        Begin(std::move(order.start_));
-      } else {
+      if (!order.start_) {
         Finish(order.cancel_, CURLE_ABORTED_BY_CALLBACK);
+      } else if (const auto delay = order.start_->call_.delay_;
+                 delay > absl::ZeroDuration()) {
+        delayed_.emplace(absl::Now() + delay, std::move(order.start_));
+      } else {
+        Begin(std::move(order.start_));
       }
     }
     return true;
   }
 
+  // Begins the delayed calls that are due; returns the milliseconds until the
+  // next one, or those of an ordinary wait.
+  int BeginDue()
+  {
+    const absl::Time now = absl::Now();
+    while (!delayed_.empty() && delayed_.begin()->first <= now) {
+      auto node = delayed_.extract(delayed_.begin());
+      Begin(std::move(node.mapped()));
+    }
+    if (delayed_.empty()) {
+      return kPollMilliseconds;
+    }
+    const auto wait =
+      absl::Ceil(delayed_.begin()->first - now, absl::Milliseconds(1));
+    return std::min(kPollMilliseconds,
+                    static_cast<int>(absl::ToInt64Milliseconds(wait)));
+  }
+
+  // Takes a call that is still delayed out of the waiting ones.
+  void DropDelayed(CallId aId)
+  {
+    for (auto it = delayed_.begin(); it != delayed_.end(); ++it) {
+      if (it->second->id_ != aId) {
+        continue;
+      }
+      const std::unique_ptr<Active> active = std::move(it->second);
+      delayed_.erase(it);
+      if (active->events_.onEnd_) {
+        CallEnd end;
+        end.neverSent_ = true;
+        end.error_ = "cancelled before it was sent";
+        active->events_.onEnd_(end);
+      }
+      return;
+    }
+  }
+
   void Begin(std::unique_ptr<Active> aActive)
   {
     if (aActive->call_.bodySource_) {
@@ -228,6 +269,7 @@
   {
     const auto found = active_.find(aId);
     if (found == active_.end()) {
+      DropDelayed(aId);
       return;
     }
     const std::unique_ptr<Active> active = std::move(found->second);
@@ -259,6 +301,7 @@
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
   CallId nextId_ ABSL_GUARDED_BY(mutex_) = 1;
   absl::flat_hash_map<CallId, std::unique_ptr<Active>> active_;
+  std::multimap<absl::Time, std::unique_ptr<Active>> delayed_;
   std::thread thread_;
 };
 
--- a/test/net-test.cc
+++ b/test/net-test.cc
@@ -132,3 +132,28 @@
     CHECK(events[1].data_ == "second");
   }
 }
+
+TEST_CASE("a delayed call can be cancelled before it is sent")
+{
+  std::atomic<int> seen{ 0 };
+  net::Server server({}, [&](const std::shared_ptr<net::Exchange>& aExchange) {
+    ++seen;
+    aExchange->Reply(200, {}, "");
+  });
+  net::Client client;
+  net::Call call{ "GET", UrlOf(server, "/") };
+  call.delay_ = absl::Hours(1);
+  absl::Notification ended;
+  net::CallEnd end;
+  net::CallEvents events;
+  events.onEnd_ = [&](const net::CallEnd& aEnd) {
+    end = aEnd;
+    ended.Notify();
+  };
+  client.Cancel(client.Start(call, events));
+  ended.WaitForNotification();
+  CHECK(end.neverSent_);
+  call.delay_ = absl::Milliseconds(20);
+  CHECK(client.FetchAndWait(call).Ok());
+  CHECK(seen == 1);
+}
