Refuse rollouts of versions that aren't configured; say whose request it was

Found by using the client against a running cluster: 'rollout start wording v9' was accepted and left to the stewards, and 'explain' showed no workspace. Two new tests in cluster-test cover both.

--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEEPLANK_REDUCER_H
 #define LYCHEEPLANK_REDUCER_H
 
+#include <array>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -52,6 +53,11 @@
   ServiceCall,
 };
 
+inline constexpr std::array<core::Named<RequestKind>, 2> kRequestKinds{ {
+  { RequestKind::Completion, "completion" },
+  { RequestKind::ServiceCall, "service_call" },
+} };
+
 // A request that was read and whose workspace may use what it asks for.
 struct NewRequest
 {
@@ -506,6 +512,8 @@
 struct Note
 {
   std::string request_;
+  std::string workspace_;
+  RequestKind kind_ = RequestKind::Completion;
   std::string what_;
   std::string detail_;
 };
--- a/src/entry/admin.cc
+++ b/src/entry/admin.cc
@@ -313,8 +313,8 @@
 void
 Admin::ServeRequest(net::Exchange& aExchange, const std::string& aId)
 {
-  const auto events = trace_.Find(aId);
-  if (events.empty()) {
+  const RequestTrace trace = trace_.Find(aId);
+  if (trace.events_.empty()) {
     ReplyProblem(aExchange,
                  { ErrorKind::NotFound,
                    absl::StrCat("request ", aId, " is not known here"),
@@ -322,8 +322,12 @@
                  "");
     return;
   }
-  json body{ { "id", aId }, { "events", json::array() } };
-  for (const auto& event : events) {
+  json body{ { "id", aId },
+             { "workspace", trace.workspace_ },
+             { "kind",
+               Text(core::NameOf(reducer::kRequestKinds, trace.kind_)) },
+             { "events", json::array() } };
+  for (const auto& event : trace.events_) {
     body["events"].push_back({ { "unix_ms", absl::ToUnixMillis(event.at_) },
                                { "what", event.what_ },
                                { "detail", event.detail_ } });
--- a/src/entry/rollouts.cc
+++ b/src/entry/rollouts.cc
@@ -1,5 +1,7 @@
 #include "entry/rollouts.h"
 
+#include <algorithm>
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/strip.h>
 #include <nlohmann/json.hpp>
@@ -54,6 +56,15 @@
                                                     : std::string();
 }
 
+bool
+HasVersion(const config::Model& aModel, const std::string& aVersion)
+{
+  return std::any_of(
+    aModel.versions_.begin(),
+    aModel.versions_.end(),
+    [&](const config::WeightVersion& aOne) { return aOne.name_ == aVersion; });
+}
+
 void
 Start(const ExchangePtr& aExchange,
       const rollout::Execute& aExecute,
@@ -73,6 +84,16 @@
     ReplyProblem(*aExchange, { ErrorKind::UnknownModel, model }, "");
     return;
   }
+  if (!HasVersion(aConfig->models_.at(model), version)) {
+    ReplyProblem(
+      *aExchange,
+      { ErrorKind::NotFound,
+        absl::StrCat(
+          "model '", model, "' has no weight version '", version, "'"),
+        "Add the version to the section 'models' first." },
+      "");
+    return;
+  }
   rollout::StartRollout(
     aExecute,
     model,
--- a/src/entry/trace.cc
+++ b/src/entry/trace.cc
@@ -13,25 +13,28 @@
 Trace::Add(const reducer::Note& aNote)
 {
   const absl::MutexLock lock(&mutex_);
-  const auto [found, added] = events_.try_emplace(aNote.request_);
+  const auto [found, added] = requests_.try_emplace(aNote.request_);
   if (added) {
     order_.push_back(aNote.request_);
+    found->second.workspace_ = aNote.workspace_;
+    found->second.kind_ = aNote.kind_;
   }
-  if (found->second.size() < kMaxEvents) {
-    found->second.push_back({ absl::Now(), aNote.what_, aNote.detail_ });
+  if (found->second.events_.size() < kMaxEvents) {
+    found->second.events_.push_back(
+      { absl::Now(), aNote.what_, aNote.detail_ });
   }
   if (order_.size() > kMaxRequests) {
-    events_.erase(order_.front());
+    requests_.erase(order_.front());
     order_.pop_front();
   }
 }
 
-std::vector<TraceEvent>
+RequestTrace
 Trace::Find(const std::string& aRequest) const
 {
   const absl::MutexLock lock(&mutex_);
-  const auto found = events_.find(aRequest);
-  return found == events_.end() ? std::vector<TraceEvent>() : found->second;
+  const auto found = requests_.find(aRequest);
+  return found == requests_.end() ? RequestTrace() : found->second;
 }
 
 } // namespace lycheeplank::entry
--- a/src/entry/trace.h
+++ b/src/entry/trace.h
@@ -22,17 +22,25 @@
   std::string detail_;
 };
 
+// All that is remembered of a request.
+struct RequestTrace
+{
+  std::string workspace_;
+  reducer::RequestKind kind_ = reducer::RequestKind::Completion;
+  std::vector<TraceEvent> events_;
+};
+
 // Remembers what was decided about the latest requests, for operators.
 class Trace
 {
 public:
   void Add(const reducer::Note& aNote);
-  // Returns the events of a request; none if it is not remembered.
-  std::vector<TraceEvent> Find(const std::string& aRequest) const;
+  // Returns what is known of a request; without events if it is not remembered.
+  RequestTrace Find(const std::string& aRequest) const;
 
 private:
   mutable absl::Mutex mutex_;
-  absl::flat_hash_map<std::string, std::vector<TraceEvent>> events_
+  absl::flat_hash_map<std::string, RequestTrace> requests_
     ABSL_GUARDED_BY(mutex_);
   // Requests in the order of their first event.
   std::deque<std::string> order_ ABSL_GUARDED_BY(mutex_);
--- a/src/reducer/step.cc
+++ b/src/reducer/step.cc
@@ -180,8 +180,11 @@
         absl::string_view aWhat,
         std::string aDetail)
 {
-  aContext.effects_.emplace_back(
-    Note{ aRequest.name_, std::string(aWhat), std::move(aDetail) });
+  aContext.effects_.emplace_back(Note{ aRequest.name_,
+                                       aRequest.workspace_,
+                                       aRequest.kind_,
+                                       std::string(aWhat),
+                                       std::move(aDetail) });
 }
 
 } // namespace detail
--- a/test/cluster-test.py
+++ b/test/cluster-test.py
@@ -176,6 +176,23 @@
         _, text = cluster.http("GET", self.url() + "/metrics")
         self.assertIn('lycheeplank_refusals_total{kind="unknown_model"}', text)
 
+    def operate(self, method, path, body=None):
+        headers = {"Authorization": "Bearer " + self.cluster.operator_key}
+        return cluster.http(method, self.url() + "/v1/admin/" + path, body, headers)
+
+    def test_a_rollout_needs_a_configured_version(self):
+        self.problem(self.operate("POST", "rollouts", {"model": "wording", "version": "v9"}), 404, "not_found")
+        self.problem(self.operate("POST", "rollouts", {"model": "none", "version": "v1"}), 404, "unknown_model")
+
+    def test_a_request_is_explained_to_operators(self):
+        status, body = self.complete({"model": "wording", "prompt": "explained", "max_tokens": 2})
+        self.assertEqual(status, 200)
+        status, text = self.operate("GET", "requests/" + json.loads(body)["id"])
+        self.assertEqual(status, 200, text)
+        trace = json.loads(text)
+        self.assertEqual((trace["workspace"], trace["kind"]), ("co-operative", "completion"))
+        self.assertEqual([event["what"] for event in trace["events"]], ["placed", "started", "attempt_ended"])
+
     def test_an_edit_is_in_force_on_all_hosts(self):
         before = self.cluster.admin("config")
         rules = [section for section in before["sections"] if section["name"] == "limits"][0]
