--- a/include/lycheeplank/claims.h
+++ b/include/lycheeplank/claims.h
@@ -215,7 +215,7 @@
   BackgroundWithdrawal,
   ShardLoaded,
   SegmentWritten,
-  SegmentDeleted,
+  ObjectDeleted,
   // The configured number of shards differs from the stored one.
   LayoutDiffers,
 };
@@ -236,7 +236,7 @@
   { Counter::BackgroundWithdrawal, "background_withdrawal" },
   { Counter::ShardLoaded, "shard_loaded" },
   { Counter::SegmentWritten, "segment_written" },
-  { Counter::SegmentDeleted, "segment_deleted" },
+  { Counter::ObjectDeleted, "object_deleted" },
   { Counter::LayoutDiffers, "layout_differs" },
 } };
 
@@ -313,6 +313,12 @@
 std::vector<Effect>
 Step(State& aState, const Event& aEvent);
 
+// Returns the error that tells a caller of a verdict other than granted and
+// done. Its run state is about the caller's request, or about the key where an
+// earlier request with it may have run.
+core::Error
+ToError(const Answered& aAnswer);
+
 // Returns the shard of a key among a number of shards.
 std::uint32_t
 ShardOf(absl::string_view aWorkspace,
@@ -330,6 +336,10 @@
   std::uint64_t claims_ = 0;
   // Memory of the index tables.
   std::uint64_t indexBytes_ = 0;
+  // Asks without an answer, and outcomes that are not durable yet; a host that
+  // shuts down should wait for both to reach 0.
+  std::uint64_t waiting_ = 0;
+  std::uint64_t unrecorded_ = 0;
 };
 
 // Returns what the loaded shards hold.
--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEEPLANK_REDUCER_H
 #define LYCHEEPLANK_REDUCER_H
 
+#include <array>
 #include <cstdint>
 #include <set>
 #include <string>
@@ -52,6 +53,11 @@
   ServiceCall,
 };
 
+inline constexpr std::array<core::Named<RequestKind>, 2> kRequestKinds{ {
+  { RequestKind::Completion, "completion" },
+  { RequestKind::ServiceCall, "service_call" },
+} };
+
 // A request that was read and whose workspace may use what it asks for.
 struct NewRequest
 {
@@ -183,6 +189,7 @@
   std::string store_;
   bool reached_ = false;
   std::uint64_t linkBacklogBytes_ = 0;
+  double linkBytesPerSecond_ = 0.0;
   std::uint64_t memoryUsed_ = 0;
   std::uint64_t diskUsed_ = 0;
 };
@@ -373,6 +380,12 @@
   std::string target_;
 };
 
+// Fetches all blocks that a store holds.
+struct FetchStoreInventory
+{
+  std::string store_;
+};
+
 // Reports a run whose blocks may be worth keeping in a store.
 struct ReportRun
 {
@@ -499,6 +512,8 @@
 struct Note
 {
   std::string request_;
+  std::string workspace_;
+  RequestKind kind_ = RequestKind::Completion;
   std::string what_;
   std::string detail_;
 };
@@ -510,6 +525,7 @@
                              AskHomes,
                              SendSightings,
                              FetchInventory,
+                             FetchStoreInventory,
                              ReportRun,
                              AnswerCall,
                              AskClaim,
@@ -558,6 +574,8 @@
   // Attempts of this host that are not over.
   std::vector<SentWork> own_;
   directory::EventCursor cursor_;
+  // Position of this host among the target's followers.
+  std::uint32_t followerRank_ = 0;
 };
 
 // What this host knows of one store.
@@ -565,6 +583,8 @@
 {
   bool reached_ = false;
   std::uint64_t linkBacklogBytes_ = 0;
+  // As the store reports it; zero if it doesn't.
+  double linkBytesPerSecond_ = 0.0;
   std::uint64_t memoryUsed_ = 0;
   std::uint64_t diskUsed_ = 0;
   absl::Time asOf_ = absl::InfinitePast();
--- a/src/entry/admin.h
+++ b/src/entry/admin.h
@@ -8,8 +8,9 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/synchronization/mutex.h>
 
+#include "adapters/platform.h"
 #include "entry/control.h"
-#include "entry/rollouts.h"
+#include "entry/snapshot.h"
 #include "entry/trace.h"
 #include "lycheeplank/net.h"
 
@@ -21,7 +22,8 @@
 public:
   Admin(Control& aControl,
         Trace& aTrace,
-        Rollouts& aRollouts,
+        adapters::PlatformClient& aPlatform,
+        SnapshotBox& aSnapshots,
         std::string aKeyDigest);
 
   // Answers an operator's request; false for a path that is not theirs.
@@ -41,7 +43,8 @@
 
   Control& control_;
   Trace& trace_;
-  Rollouts& rollouts_;
+  adapters::PlatformClient& platform_;
+  SnapshotBox& snapshots_;
   const std::string keyDigest_;
   absl::Mutex mutex_;
   // Operators whose edits are under way, by the edit's id.
--- a/src/entry/poller.cc
+++ b/src/entry/poller.cc
@@ -14,14 +14,17 @@
 // Time between two load reports of a target.
 constexpr absl::Duration kBusyLoadInterval = absl::Milliseconds(250);
 constexpr absl::Duration kIdleLoadInterval = absl::Seconds(1);
+// Questions for load that a host asks in a second at most, so that its control
+// traffic doesn't grow with the targets that it follows.
+constexpr double kMaxLoadQuestions = 24.0;
 // Time between two questions for cache events.
-constexpr absl::Duration kBusyEventsInterval = absl::Milliseconds(500);
+constexpr absl::Duration kBusyEventsInterval = absl::Seconds(1);
 constexpr absl::Duration kIdleEventsInterval = absl::Seconds(3);
 constexpr absl::Duration kStoreLoadInterval = absl::Seconds(1);
 constexpr absl::Duration kInventoryInterval = absl::Seconds(30);
 // Hosts that read the cache events of one target, so that the loss of one
 // loses no news.
-constexpr std::size_t kFeeders = 2;
+constexpr std::ptrdiff_t kFeeders = 2;
 
 directory::Sighting
 ToSighting(const adapters::CacheEvent& aEvent)
@@ -88,6 +91,7 @@
 {
   const absl::MutexLock lock(&mutex_);
   hosts_ = std::move(aHosts);
+  hostsChanged_ = true;
 }
 
 void
@@ -103,30 +107,67 @@
     }
     const SnapshotPtr snapshot = snapshots_.Get();
     if (snapshot->config_) {
+      UpdateFollowed(snapshot->config_);
       PollTargets(*snapshot->config_, absl::Now());
       PollStores(*snapshot->config_, absl::Now());
     }
   }
 }
 
-bool
-Poller::Feeds(const std::string& aName, const std::string& aDataCentre)
+void
+Poller::UpdateFollowed(const config::ConfigPtr& aConfig)
 {
-  const absl::MutexLock lock(&mutex_);
-  if (hosts_.empty()) {
-    return true;
+  std::vector<placement::Follower> hosts;
+  {
+    const absl::MutexLock lock(&mutex_);
+    if (!hostsChanged_ && aConfig == followedConfig_) {
+      return;
+    }
+    hostsChanged_ = false;
+    hosts = hosts_;
+  }
+  followedConfig_ = aConfig;
+  followed_.clear();
+  fed_.clear();
+  const std::size_t followers =
+    placement::FollowerCount(hosts.size(), aConfig->targets_.size());
+  for (const auto& [name, target] : aConfig->targets_) {
+    Follow(name, target.dataCentre_, followers, hosts);
+  }
+  for (const auto& [name, store] : aConfig->stores_) {
+    Follow(name, store.dataCentre_, followers, hosts);
+  }
+}
+
+void
+Poller::Follow(const std::string& aName,
+               const std::string& aDataCentre,
+               std::size_t aFollowers,
+               const std::vector<placement::Follower>& aHosts)
+{
+  const auto ranked =
+    placement::Followers(aName, aDataCentre, aHosts, aFollowers);
+  const auto self = std::find(ranked.begin(), ranked.end(), self_.name_);
+  if (aHosts.empty() || self != ranked.end()) {
+    followed_.insert(aName);
+  }
+  if (aHosts.empty() ||
+      (self != ranked.end() && self - ranked.begin() < kFeeders)) {
+    fed_.insert(aName);
   }
-  const auto feeders =
-    placement::Followers(aName, aDataCentre, hosts_, kFeeders);
-  return std::find(feeders.begin(), feeders.end(), self_.name_) !=
-         feeders.end();
 }
 
 void
 Poller::PollTargets(const config::Config& aConfig, absl::Time aNow)
 {
   const bool busy = isBusy_();
+  const absl::Duration loadInterval = std::max(
+    busy ? kBusyLoadInterval : kIdleLoadInterval,
+    absl::Seconds(static_cast<double>(followed_.size()) / kMaxLoadQuestions));
   for (const auto& [name, target] : aConfig.targets_) {
+    if (followed_.count(name) == 0) {
+      continue;
+    }
     bool load = false;
     bool events = false;
     std::uint64_t after = 0;
@@ -139,7 +180,7 @@
       after = due.sequence_;
       if (load) {
         due.loadPending_ = true;
-        due.load_ = aNow + (busy ? kBusyLoadInterval : kIdleLoadInterval);
+        due.load_ = aNow + loadInterval;
       }
       if (events) {
         due.events_ = aNow + (busy ? kBusyEventsInterval : kIdleEventsInterval);
@@ -148,7 +189,7 @@
     if (load) {
       AskLoad(name, target.url_);
     }
-    if (events && Feeds(name, target.dataCentre_)) {
+    if (events && fed_.count(name) > 0) {
       AskEvents(name, target.url_, after);
     }
   }
@@ -227,6 +268,14 @@
                 });
 }
 
+void
+Poller::FetchStoreInventory(const std::string& aStore)
+{
+  // The next step of the poller asks for it.
+  const absl::MutexLock lock(&mutex_);
+  due_[aStore].events_ = absl::InfinitePast();
+}
+
 void
 Poller::PollStores(const config::Config& aConfig, absl::Time aNow)
 {
@@ -249,7 +298,7 @@
     if (load) {
       AskStore(name, store.url_);
     }
-    if (inventory && Feeds(name, store.dataCentre_)) {
+    if (inventory && fed_.count(name) > 0) {
       {
         const absl::MutexLock lock(&mutex_);
         due_[name].eventsPending_ = true;
@@ -278,6 +327,7 @@
                     report.memoryUsed_ = load->memoryUsed_;
                     report.diskUsed_ = load->diskUsed_;
                     report.linkBacklogBytes_ = load->linkBacklogBytes_;
+                    report.linkBytesPerSecond_ = load->linkBytesPerSecond_;
                   }
                   post_(std::move(report));
                 });
--- a/src/entry/rollouts.cc
+++ b/src/entry/rollouts.cc
@@ -1,12 +1,13 @@
 #include "entry/rollouts.h"
 
-#include <absl/strings/match.h>
+#include <algorithm>
+
 #include <absl/strings/str_cat.h>
-#include <absl/synchronization/mutex.h>
+#include <absl/strings/strip.h>
 #include <nlohmann/json.hpp>
 
 #include "entry/problem.h"
-#include "lycheeplank/rollout.h"
+#include "rollout/operators.h"
 
 namespace lycheeplank::entry {
 
@@ -16,244 +17,124 @@
 using nlohmann::json;
 using ExchangePtr = std::shared_ptr<net::Exchange>;
 
-constexpr absl::string_view kPath = "/v1/admin/rollouts";
-constexpr absl::Duration kComeBackSoon = absl::Seconds(1);
-
-platform::Command
-ReadCommand(const std::string& aModel)
-{
-  platform::Command command;
-  command.operation_ = platform::Operation::Read;
-  command.key_ = rollout::RecordKey(aModel);
-  return command;
-}
-
-platform::Command
-WriteCommand(const rollout::Record& aRecord, std::uint64_t aVersion)
-{
-  platform::Command command;
-  command.operation_ = platform::Operation::Write;
-  command.key_ = rollout::RecordKey(aRecord.model_);
-  command.value_ = rollout::WriteRecord(aRecord);
-  command.expect_ = aVersion;
-  return command;
-}
-
-json
-ToJson(const rollout::Record& aRecord)
-{
-  return { { "model", aRecord.model_ },
-           { "version", aRecord.version_ },
-           { "state",
-             std::string(
-               core::NameOf(rollout::kRolloutStates, aRecord.state_)) },
-           { "done", aRecord.done_ },
-           { "total", aRecord.total_ },
-           { "detail", aRecord.detail_ } };
-}
+constexpr absl::string_view kRolloutsPath = "/v1/admin/rollouts";
 
-bool
-IsUnreached(const platform::Reply& aReply)
+std::string
+Dump(const json& aBody)
 {
-  return aReply.outcome_ == platform::Outcome::Lost ||
-         aReply.outcome_ == platform::Outcome::Refused;
+  return aBody.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-void
-ReplyUnavailable(net::Exchange& aExchange, core::RunState aRun)
+std::string
+ListBody(const rollout::Listing& aListing)
 {
-  ReplyProblem(aExchange,
-               { ErrorKind::PlatformUnavailable,
-                 "the rollout's record could not be reached",
-                 "Look with 'rollout status', then come back.",
-                 aRun,
-                 kComeBackSoon },
-               "");
+  json body{ { "rollouts", json::array() } };
+  for (const auto& record : aListing.records_) {
+    body["rollouts"].push_back(json::parse(rollout::WriteRecord(record)));
+  }
+  return Dump(body);
 }
 
-// Answers the write of a record.
 void
-ReplyWritten(net::Exchange& aExchange,
-             const platform::Reply& aReply,
-             const rollout::Record& aRecord)
+Reply(net::Exchange& aExchange,
+      const absl::optional<core::Error>& aError,
+      const std::string& aBody)
 {
-  if (IsUnreached(aReply)) {
-    ReplyUnavailable(aExchange, core::RunState::Unknown);
-  } else if (aReply.outcome_ != platform::Outcome::Ok) {
-    ReplyProblem(aExchange,
-                 { ErrorKind::ConfigConflict,
-                   "the rollout was changed meanwhile",
-                   "Look with 'rollout status' and try again." },
-                 "");
+  if (aError) {
+    ReplyProblem(aExchange, *aError, "");
   } else {
-    ReplyJson(aExchange, 200, ToJson(aRecord).dump());
-  }
-}
-
-bool
-HasVersion(const config::Config& aConfig,
-           const std::string& aModel,
-           const std::string& aVersion)
-{
-  const auto model = aConfig.models_.find(aModel);
-  if (model == aConfig.models_.end()) {
-    return false;
+    ReplyJson(aExchange, 200, aBody);
   }
-  for (const auto& version : model->second.versions_) {
-    if (version.name_ == aVersion) {
-      return true;
-    }
-  }
-  return false;
 }
 
-// Records of several models, collected as their replies arrive.
-struct Collected
-{
-  absl::Mutex mutex_;
-  json rows_ ABSL_GUARDED_BY(mutex_) = json::array();
-  std::size_t left_ ABSL_GUARDED_BY(mutex_) = 0;
-};
-
-// Adds one reply; answers after the last one.
-void
-Collect(const ExchangePtr& aExchange,
-        Collected& aCollected,
-        const platform::Reply& aReply)
+// Returns a field of the body, or an empty text.
+std::string
+TextOf(const json& aBody, const char* aField)
 {
-  const absl::MutexLock lock(&aCollected.mutex_);
-  if (const auto record = rollout::ReadRecord(aReply.value_); record) {
-    aCollected.rows_.push_back(ToJson(*record));
-  }
-  if (--aCollected.left_ == 0) {
-    ReplyJson(*aExchange, 200, json{ { "rollouts", aCollected.rows_ } }.dump());
-  }
+  const auto found = aBody.find(aField);
+  return found != aBody.end() && found->is_string() ? found->get<std::string>()
+                                                    : std::string();
 }
 
-} // namespace
-
-Rollouts::Rollouts(adapters::PlatformClient& aPlatform, SnapshotBox& aSnapshots)
-  : platform_(aPlatform)
-  , snapshots_(aSnapshots)
+bool
+HasVersion(const config::Model& aModel, const std::string& aVersion)
 {
+  return std::any_of(
+    aModel.versions_.begin(),
+    aModel.versions_.end(),
+    [&](const config::WeightVersion& aOne) { return aOne.name_ == aVersion; });
 }
 
 void
-Rollouts::Serve(const ExchangePtr& aExchange)
+Start(const ExchangePtr& aExchange,
+      const rollout::Execute& aExecute,
+      const config::ConfigPtr& aConfig)
 {
-  const net::Request& http = aExchange->request_;
-  if (http.path_ == kPath && http.method_ == "POST") {
-    Begin(aExchange);
-  } else if (http.path_ == kPath && http.method_ == "GET") {
-    List(aExchange);
-  } else if (http.method_ == "DELETE" && http.path_.size() > kPath.size() + 1) {
-    Stop(aExchange, http.path_.substr(kPath.size() + 1));
-  } else {
-    ReplyProblem(*aExchange, { ErrorKind::UnknownPath, http.path_ }, "");
+  const auto body = json::parse(aExchange->request_.body_, nullptr, false);
+  const std::string model = body.is_object() ? TextOf(body, "model") : "";
+  const std::string version = body.is_object() ? TextOf(body, "version") : "";
+  if (model.empty() || version.empty()) {
+    ReplyProblem(
+      *aExchange,
+      { ErrorKind::MalformedRequest, "the body needs 'model' and 'version'" },
+      "");
+    return;
   }
-}
-
-void
-Rollouts::Begin(const ExchangePtr& aExchange)
-{
-  const json body = json::parse(aExchange->request_.body_, nullptr, false);
-  const bool readable = body.is_object() && body.contains("model") &&
-                        body["model"].is_string() && body.contains("version") &&
-                        body["version"].is_string();
-  const SnapshotPtr snapshot = snapshots_.Get();
-  if (!readable || !snapshot->config_) {
-    ReplyProblem(*aExchange,
-                 { ErrorKind::MalformedRequest,
-                   "the body needs the texts 'model' and 'version'" },
-                 "");
+  if (!aConfig || aConfig->models_.count(model) == 0) {
+    ReplyProblem(*aExchange, { ErrorKind::UnknownModel, model }, "");
     return;
   }
-  rollout::Record record;
-  record.model_ = body["model"].get<std::string>();
-  record.version_ = body["version"].get<std::string>();
-  if (!HasVersion(*snapshot->config_, record.model_, record.version_)) {
+  if (!HasVersion(aConfig->models_.at(model), version)) {
     ReplyProblem(
       *aExchange,
       { ErrorKind::NotFound,
         absl::StrCat(
-          "model '", record.model_, "' with version '", record.version_, "'"),
-        "Add the version to the model's section first." },
+          "model '", model, "' has no weight version '", version, "'"),
+        "Add the version to the section 'models' first." },
       "");
     return;
   }
-  platform_.Execute(
-    ReadCommand(record.model_),
-    [this, exchange = aExchange, record](const platform::Reply& aReply) {
-      if (IsUnreached(aReply)) {
-        ReplyUnavailable(*exchange, core::RunState::No);
-        return;
-      }
-      const auto before = rollout::ReadRecord(aReply.value_);
-      if (before && before->state_ == rollout::RolloutState::Running) {
-        ReplyProblem(
-          *exchange,
-          { ErrorKind::ConfigConflict,
-            absl::StrCat("a rollout of ", before->version_, " is running"),
-            "Wait for its end or stop it first." },
-          "");
-        return;
-      }
-      platform_.Execute(WriteCommand(record, aReply.version_),
-                        [exchange, record](const platform::Reply& aWritten) {
-                          ReplyWritten(*exchange, aWritten, record);
-                        });
+  rollout::StartRollout(
+    aExecute,
+    model,
+    version,
+    [aExchange, model](const absl::optional<core::Error>& aError) {
+      Reply(*aExchange, aError, Dump({ { "rollout", model } }));
     });
 }
 
-void
-Rollouts::List(const ExchangePtr& aExchange)
-{
-  const SnapshotPtr snapshot = snapshots_.Get();
-  if (!snapshot->config_ || snapshot->config_->models_.empty()) {
-    ReplyJson(*aExchange, 200, R"({"rollouts":[]})");
-    return;
-  }
-  auto collected = std::make_shared<Collected>();
-  {
-    const absl::MutexLock lock(&collected->mutex_);
-    collected->left_ = snapshot->config_->models_.size();
-  }
-  for (const auto& [model, settings] : snapshot->config_->models_) {
-    platform_.Execute(
-      ReadCommand(model),
-      [exchange = aExchange, collected](const platform::Reply& aReply) {
-        Collect(exchange, *collected, aReply);
-      });
-  }
-}
+} // namespace
 
 void
-Rollouts::Stop(const ExchangePtr& aExchange, const std::string& aModel)
+ServeRollouts(const ExchangePtr& aExchange,
+              adapters::PlatformClient& aPlatform,
+              const config::ConfigPtr& aConfig)
 {
-  platform_.Execute(
-    ReadCommand(aModel),
-    [this, exchange = aExchange, aModel](const platform::Reply& aReply) {
-      auto record = rollout::ReadRecord(aReply.value_);
-      if (IsUnreached(aReply)) {
-        ReplyUnavailable(*exchange, core::RunState::No);
-        return;
-      }
-      if (!record || record->state_ != rollout::RolloutState::Running) {
-        ReplyProblem(
-          *exchange,
-          { ErrorKind::NotFound,
-            absl::StrCat("no rollout of model '", aModel, "' is running") },
-          "");
-        return;
-      }
-      record->state_ = rollout::RolloutState::Stopped;
-      record->detail_ = "stopped by an operator";
-      platform_.Execute(
-        WriteCommand(*record, aReply.version_),
-        [exchange, stopped = *record](const platform::Reply& aWritten) {
-          ReplyWritten(*exchange, aWritten, stopped);
-        });
+  const auto execute =
+    [&aPlatform](const platform::Command& aCommand,
+                 std::function<void(platform::Reply)> aOnReply) {
+      aPlatform.Execute(aCommand, std::move(aOnReply));
+    };
+  const auto& request = aExchange->request_;
+  absl::string_view rest = request.path_;
+  absl::ConsumePrefix(&rest, kRolloutsPath);
+  const bool named = absl::ConsumePrefix(&rest, "/") && !rest.empty();
+  if (!named && request.method_ == "GET") {
+    rollout::ListRollouts(execute, [aExchange](const rollout::Listing& aList) {
+      Reply(*aExchange, aList.error_, ListBody(aList));
     });
+  } else if (!named && request.method_ == "POST") {
+    Start(aExchange, execute, aConfig);
+  } else if (named && request.method_ == "DELETE") {
+    rollout::StopRollout(
+      execute,
+      std::string(rest),
+      [aExchange](const absl::optional<core::Error>& aError) {
+        Reply(*aExchange, aError, "{}");
+      });
+  } else {
+    ReplyProblem(*aExchange, { ErrorKind::UnknownPath, request.path_ }, "");
+  }
 }
 
 } // namespace lycheeplank::entry
--- /dev/null
+++ b/test/faults-test.py
@@ -0,0 +1,677 @@
+#!/usr/bin/env python3
+"""Kills, freezes and cuts off processes of a cluster and checks the stand-ins' records afterwards."""
+
+import json
+import os
+import random
+import re
+import sys
+import tempfile
+import threading
+import time
+import unittest
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+sys.path.insert(0, os.path.join(ROOT, "support"))
+
+import cluster  # noqa: E402
+import faults  # noqa: E402
+
+BINARIES = os.path.join(ROOT, "build", "bin")
+SEED = int(os.environ.get("LYCHEEPLANK_TEST_SEED", "1"))
+PROMPT = "outline of a nursing course, week by week. " * 400
+WARM_UP_S = 0.3
+# Longer than the timeout of a call and the time until its host counts as lost.
+LONG_FREEZE_S = 13.0
+WARM_UP_KEYS = 32
+SHORT_DEADLINE_MS = 2000
+SHORT_FREEZE_S = 4.0
+SETTLE_S = 1.0
+LONG_OUTAGE_S = 20.0
+CONFIG_LIMIT_S = 15.0
+LEAVE_LIMIT_S = 3.0
+LEAVE_MARGIN_S = 1.0
+EXIT_LIMIT_S = 60.0
+
+
+class FaultCase(unittest.TestCase):
+    """Gives each class a cluster of its own; a host that a test kills is started anew."""
+
+    OPTIONS = {}
+
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = tempfile.TemporaryDirectory()
+        options = cluster.Options(directory=cls.folder.name, binaries=BINARIES, steward=False, **cls.OPTIONS)
+        cls.cluster = cluster.Cluster(options)
+        cls.records = faults.Records(cls.cluster)
+        try:
+            cls.cluster.start()
+        except Exception:
+            cls.cluster.stop()
+            raise
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.cluster.stop()
+        cls.folder.cleanup()
+
+    def setUp(self):
+        self.random = random.Random(f"{SEED} {self.id()}")
+        self.addCleanup(self.heal)
+
+    def heal(self):
+        """Clears all faults, wakes all processes and starts lost hosts anew."""
+        for process in self.cluster.processes.values():
+            if process.poll() is None:
+                faults.wake(process.pid)
+        for row in self.cluster.description["targets"] + [self.cluster.description["platform"]]:
+            if self.cluster.processes[row["name"]].poll() is None:
+                faults.set_fault(row["http"], "none")
+        for index, row in enumerate(self.cluster.description["entries"]):
+            if self.cluster.processes[row["name"]].poll() is not None:
+                faults.restart_entry(self.cluster, index)
+        for index in range(len(self.cluster.description["entries"])):
+            self.cluster.wait_until(lambda i=index: self.cluster.entry_is_ready(i), f"entry {index} is ready")
+
+    def entry(self, index):
+        """Returns the row of an entry host."""
+        return self.cluster.description["entries"][index]
+
+    @property
+    def platform(self):
+        """Returns the URL of the platform."""
+        return self.cluster.description["platform"]["http"]
+
+    def check_calls(self, issuances):
+        """Compares answers with the services' records."""
+        found = faults.check_issuances(issuances, self.records.rows("service"))
+        self.assertEqual(found, [], "\n".join(found))
+
+    def callers(self, **options):
+        """Starts callers under a name of their own."""
+        return faults.Callers(self.cluster, f"{self.id().rpartition('.')[2]}-{SEED}", **options)
+
+
+class AtMostOnceTest(FaultCase):
+    """A call that may not be repeated runs at most once."""
+
+    OPTIONS = {"engines": 1, "stores": 1, "services": 2, "call_ms": 20.0}
+
+    def test_entries_killed_under_load(self):
+        callers = self.callers()
+        for index in (0, 1, 2):
+            time.sleep(WARM_UP_S + self.random.random())
+            faults.kill(self.entry(index)["pid"])
+            time.sleep(self.random.random())
+            faults.restart_entry(self.cluster, index)
+        issuances = callers.stop()
+        self.assertGreater(len(issuances), 20)
+        self.check_calls(issuances)
+
+    def test_entry_killed_between_claim_and_dispatch(self):
+        faults.set_fault(self.platform, "slow", ms=150)
+        callers = self.callers(count=4, hosts=[1])
+        time.sleep(WARM_UP_S + self.random.random())
+        faults.kill(self.entry(1)["pid"])
+        faults.set_fault(self.platform, "none")
+        self.check_calls(callers.stop())
+
+    def test_entry_killed_after_dispatch(self):
+        for row in faults.targets(self.cluster, "service"):
+            faults.set_fault(row["http"], "slow", ms=1500)
+        keys = [f"after-dispatch-{SEED}-{i}" for i in range(6)]
+        results = []
+        threads = [
+            threading.Thread(target=lambda k=key: results.append(faults.issue(self.cluster, "authority", k, {"a": 1})))
+            for key in keys
+        ]
+        for thread in threads:
+            thread.start()
+        # The record shows when all were sent to a service.
+        self.cluster.wait_until(
+            lambda: {row["key"] for row in self.records.rows("service")} >= set(keys), "all calls were sent"
+        )
+        faults.kill(self.entry(0)["pid"])
+        for thread in threads:
+            thread.join()
+        self.check_calls(results)
+        for issuance in results:
+            self.assertEqual(issuance.final().kind, "outcome_unknown", issuance)
+
+    def test_entry_frozen_past_every_timeout(self):
+        callers = self.callers()
+        time.sleep(WARM_UP_S + self.random.random())
+        faults.freeze(self.entry(2)["pid"])
+        time.sleep(LONG_FREEZE_S)
+        faults.wake(self.entry(2)["pid"])
+        time.sleep(SETTLE_S)
+        self.check_calls(callers.stop())
+
+    def test_no_dispatch_after_a_freeze_past_the_deadline(self):
+        # A shard whose last write failed refuses at once, so let all have a good one first.
+        self.issue_all([f"warm-{SEED}-{number}" for number in range(WARM_UP_KEYS)], 2)
+        faults.set_fault(self.platform, "slow", ms=900)
+        answers = {}
+
+        def send(key):
+            answers[key] = faults.send_call(self.cluster, 2, "authority", key, {"a": 1}, deadline_ms=SHORT_DEADLINE_MS)
+
+        keys = [f"frozen-claim-{SEED}-{i}" for i in range(8)]
+        threads = [threading.Thread(target=send, args=(key,)) for key in keys]
+        for thread in threads:
+            thread.start()
+        open_calls = self.wait_until_read(2, len(keys), answers)
+        faults.freeze(self.entry(2)["pid"])
+        self.assertGreater(open_calls, 0, answers)
+        time.sleep(SHORT_FREEZE_S)
+        faults.set_fault(self.platform, "none")
+        woken_ms = time.time() * 1000
+        faults.wake(self.entry(2)["pid"])
+        for thread in threads:
+            thread.join()
+        late = [row for row in self.records.rows("service") if row["key"] in keys and row["unix_ms"] > woken_ms]
+        self.assertEqual(late, [])
+        repeats = self.issue_all(keys, 1)
+        for issuance in repeats:
+            issuance.answers.insert(0, answers[issuance.key])
+        self.check_calls(repeats)
+
+    def issue_all(self, keys, index):
+        """Issues keys at once through a host until each has a final answer."""
+        done = []
+        threads = [
+            threading.Thread(
+                target=lambda k=key: done.append(faults.issue(self.cluster, "authority", k, {"a": 1}, index))
+            )
+            for key in keys
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return done
+
+    def wait_until_read(self, index, count, answers):
+        """Waits until a host has read some calls, answered or not; returns how many are open."""
+        limit = time.monotonic() + SETTLE_S * 2
+        while time.monotonic() < limit:
+            answered = len(answers)
+            open_calls = self.open_requests(index)
+            if answered + open_calls >= count:
+                return open_calls
+        return self.fail(f"the host did not read all calls; it answered {answers}")
+
+    def open_requests(self, index):
+        """Returns how many requests a host has read and not answered."""
+        text = cluster.http("GET", self.entry(index)["http"] + "/metrics")[1]
+        found = re.search(r"^lycheeplank_open_requests (\S+)", text, re.M)
+        return float(found.group(1)) if found else 0
+
+    def test_entries_frozen_briefly_under_load(self):
+        callers = self.callers()
+        for index in (0, 1, 2):
+            time.sleep(self.random.random() * WARM_UP_S)
+            faults.freeze(self.entry(index)["pid"])
+            time.sleep(1.0 + self.random.random())
+            faults.wake(self.entry(index)["pid"])
+        self.check_calls(callers.stop())
+
+    def test_lost_replies_of_claim_writes(self):
+        callers = self.callers()
+        for _ in range(4):
+            faults.set_fault(self.platform, "lose_reply", count=3, match="/v1/kv")
+            time.sleep(0.3 + self.random.random() / 2)
+        self.check_calls(callers.stop())
+
+    def test_platform_down_during_issuances(self):
+        callers = self.callers()
+        time.sleep(WARM_UP_S + self.random.random())
+        faults.set_fault(self.platform, "down", ms=4000)
+        time.sleep(1.5)
+        refused = faults.send_call(self.cluster, 0, "authority", f"down-{SEED}", {"a": 1})
+        self.assertEqual((refused.status, refused.run), (503, "no"), refused)
+        self.assertTrue(refused.body.get("retry_after_ms"), refused)
+        self.check_calls(callers.stop())
+        self.assertNotIn(f"down-{SEED}", {row["key"] for row in self.records.rows("service")})
+
+    def test_one_key_at_three_hosts_at_once(self):
+        results = []
+        threads = [
+            threading.Thread(
+                target=lambda k=n // 3, i=n % 3: results.append(
+                    faults.issue(self.cluster, "co-operative", f"three-{SEED}-{k}", {"a": k}, i)
+                )
+            )
+            for n in range(45)
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        self.check_calls(results)
+        for key in {result.key for result in results}:
+            answers = {result.final().text for result in results if result.key == key}
+            self.assertEqual(len(answers), 1, answers)
+        self.assertTrue(all(result.final().status == 200 for result in results))
+
+    def test_slow_service(self):
+        slow = faults.targets(self.cluster, "service")[0]
+        faults.set_fault(slow["http"], "slow", ms=11_000)
+        callers = self.callers(count=4)
+        time.sleep(WARM_UP_S)
+        self.check_calls(callers.stop())
+
+
+class LostServiceTest(FaultCase):
+    """A service that is lost with calls under way leaves their outcome unknown."""
+
+    OPTIONS = {"engines": 1, "stores": 1, "services": 2}
+
+    def test_service_killed_after_it_was_sent_calls(self):
+        lost = faults.targets(self.cluster, "service")[0]
+        faults.set_fault(lost["http"], "slow", ms=5000)
+        callers = self.callers()
+        self.cluster.wait_until(lambda: len(faults.Records.read(lost)) >= 3, "some calls were sent")
+        # A call may reach the service after its record was read.
+        window = faults.CutWindow(time.time(), float("inf"))
+        self.records.keep(lost)
+        faults.kill(lost["pid"])
+        time.sleep(SETTLE_S)
+        issuances = callers.stop()
+        found = faults.check_issuances(issuances, self.records.rows("service", gone=(lost["name"],)), [window])
+        self.assertEqual(found, [], "\n".join(found))
+        kept = {row["key"] for row in self.records.kept["service"]}
+        for issuance in issuances:
+            if issuance.key in kept:
+                self.assertEqual(issuance.final().kind, "outcome_unknown", issuance)
+
+    def heal(self):
+        """Leaves the lost service dead; the class has no other test."""
+
+
+class StreamCase(FaultCase):
+    """Reads streams of prompts of their own and compares them with undisturbed runs."""
+
+    TOKENS = 100
+
+    def stream(self, name, index=0, workspace="co-operative", **options):
+        """Starts a reader of a prompt of its own."""
+        return faults.StreamReader(
+            self.cluster, workspace, f"{self.id()} {name} {PROMPT}", self.TOKENS, index, **options
+        )
+
+    def check_streams(self, results):
+        """Compares streams with undisturbed runs of their prompts."""
+        url = faults.targets(self.cluster, "engine")[-1]["http"]
+        prompts = [result.prompt for result in results]
+        references = faults.reference_texts(url, prompts, self.TOKENS, f"reference-{self.id()}")
+        texts = {prompt: {text} for prompt, (_, text) in references.items()}
+        found = faults.check_streams(results, texts) + faults.check_blocks(self.records.rows("engine"))
+        self.assertEqual(found, [], "\n".join(found))
+
+class WholeAnswersTest(StreamCase):
+    """Each caller gets its own answer in full, or is told that it is not."""
+
+    OPTIONS = {"engines": 2, "stores": 1, "services": 1, "token_ms": 20.0}
+
+    def test_entry_killed_midway_and_resumed_elsewhere(self):
+        readers = [self.stream(f"killed {i}", 0) for i in range(6)]
+        for reader in readers:
+            self.assertTrue(reader.wait_tokens(5 + self.random.randrange(10)))
+        faults.kill(self.entry(0)["pid"])
+        results = [reader.join() for reader in readers]
+        self.check_streams(results)
+        for result in results:
+            self.assertEqual(result.end, "done", result)
+            self.assertGreater(result.resumes, 0)
+
+    def test_entry_frozen_midway(self):
+        readers = [self.stream(f"frozen {i}", 1) for i in range(4)]
+        for reader in readers:
+            self.assertTrue(reader.wait_tokens(5))
+        faults.freeze(self.entry(1)["pid"])
+        time.sleep(4 + self.random.random())
+        faults.wake(self.entry(1)["pid"])
+        results = [reader.join() for reader in readers]
+        self.check_streams(results)
+        for result in results:
+            self.assertEqual(result.end, "done", result)
+
+    def test_engine_connections_lost_midway(self):
+        readers = [self.stream(f"connection {i}", i) for i in range(4)]
+        for reader in readers:
+            self.assertTrue(reader.wait_tokens(5))
+        before = [list(reader.result.request_ids) for reader in readers]
+        for row in faults.targets(self.cluster, "engine"):
+            faults.set_fault(row["http"], "down", ms=20)
+        results = [reader.join() for reader in readers]
+        self.check_streams(results)
+        for result, ids in zip(results, before):
+            self.assertEqual((result.end, result.request_ids), ("done", ids), result)
+
+
+class LostEngineTest(StreamCase):
+    """An engine that is lost midway ends its streams with an explicit error."""
+
+    OPTIONS = {"engines": 2, "stores": 1, "services": 1, "token_ms": 20.0}
+
+    def test_engine_killed_midway(self):
+        lost = faults.targets(self.cluster, "engine")[0]
+        readers = [self.stream(f"engine {i}", i, resume=False) for i in range(8)]
+        for reader in readers:
+            self.assertTrue(reader.wait_tokens(5))
+        self.records.keep(lost)
+        faults.kill(lost["pid"])
+        results = [reader.join() for reader in readers]
+        on_lost = {faults.request_of(run["run_id"]) for run in self.records.kept["engine"]}
+        self.assertTrue(on_lost)
+        for result in results:
+            expected = "error" if result.request_ids[0] in on_lost else "done"
+            self.assertEqual(result.end, expected, result)
+        url = faults.targets(self.cluster, "engine")[1]["http"]
+        prompts = [result.prompt for result in results]
+        references = faults.reference_texts(url, prompts, self.TOKENS, f"reference-{self.id()}")
+        texts = {prompt: {text} for prompt, (_, text) in references.items()}
+        self.assertEqual(faults.check_streams(results, texts), [])
+
+    def heal(self):
+        """Leaves the lost engine dead; the class has no other test."""
+
+
+class WeightVersionsTest(FaultCase):
+    """No run mixes weight versions, and none uses blocks of another one."""
+
+    OPTIONS = {"engines": 3, "stores": 1, "services": 1, "token_ms": 10.0}
+    TOKENS = 40
+    PROMPTS = 6
+
+    def setUp(self):
+        super().setUp()
+        config = self.cluster.admin("config")
+        text = next(section["text"] for section in config["sections"] if section["name"] == "models")
+        both = text.replace("versions: {v1: 1.0}", "versions: {v1: 0.5, v2: 0.5}")
+        status, body = self.cluster.edit([{"name": "models", "text": both}], config["revision"])
+        self.assertEqual(status, 200, body)
+
+    def test_weights_loaded_while_streams_run_and_start(self):
+        prompts = [f"versions {i} {PROMPT}" for i in range(self.PROMPTS)]
+        engines = faults.targets(self.cluster, "engine")
+        texts = {prompt: set() for prompt in prompts}
+        self.add_references(texts, "v1")
+        stopping = threading.Event()
+        results = []
+        threads = [
+            threading.Thread(target=self.read_until, args=(stopping, prompts, results, i)) for i in range(6)
+        ]
+        for thread in threads:
+            thread.start()
+        fence = 1
+        for version in ("v2", "v1", "v2"):
+            for row in engines:
+                time.sleep(self.random.random() / 2)
+                faults.load_weights(self.cluster, row["name"], version, fence)
+                fence += 1
+        stopping.set()
+        for thread in threads:
+            thread.join()
+        self.add_references(texts, "v2")
+        found = faults.check_streams(results, texts) + faults.check_blocks(self.records.rows("engine"))
+        self.assertEqual(found, [], "\n".join(found))
+        self.assertGreater(sum(result.end == "done" for result in results), self.PROMPTS)
+        runs = self.records.rows("engine")
+        self.assertEqual({run["weight_version"] for run in runs}, {"v1", "v2"})
+        self.assertTrue(any(run["cached_blocks"] for run in runs))
+
+    def add_references(self, texts, version):
+        """Adds the undisturbed text of each prompt under the version that the first engine serves."""
+        url = faults.targets(self.cluster, "engine")[0]["http"]
+        found = faults.reference_texts(url, list(texts), self.TOKENS, f"reference-{version}")
+        for prompt, (served, text) in found.items():
+            self.assertEqual(served, version)
+            texts[prompt].add(text)
+
+    def read_until(self, stopping, prompts, results, caller):
+        """Reads streams until it is told to stop."""
+        number = caller
+        while not stopping.is_set():
+            workspace = cluster.WORKSPACES[number % 2]
+            reader = faults.StreamReader(
+                self.cluster, workspace, prompts[number % len(prompts)], self.TOKENS, number
+            )
+            results.append(reader.join())
+            number += 1
+
+
+class WorkspacesTest(FaultCase):
+    """Equal prompts of two workspaces share no blocks."""
+
+    OPTIONS = {"engines": 1, "stores": 1, "services": 1}
+
+    def test_equal_prompts_share_no_blocks(self):
+        prompt = f"{self.id()} {PROMPT}"
+        for workspace in ("co-operative", "authority", "co-operative", "authority"):
+            result = faults.StreamReader(self.cluster, workspace, prompt, 3).join()
+            self.assertEqual(result.end, "done", result)
+        runs = self.records.rows("engine")
+        self.assertEqual(faults.check_blocks(runs), [])
+        cached = [(run["cache_salt"], run["cached_blocks"] > 0) for run in runs]
+        expected = [("co-operative", False), ("authority", False), ("co-operative", True), ("authority", True)]
+        self.assertEqual(cached, expected)
+
+
+class LeavingTest(FaultCase):
+    """What leaves gets no new work, and cuts off none."""
+
+    OPTIONS = {"engines": 2, "stores": 1, "services": 1, "token_ms": 10.0}
+
+    def test_a_leaving_engine_gets_no_new_runs(self):
+        leaving, staying = faults.targets(self.cluster, "engine")
+        stopping = threading.Event()
+        results = []
+        threads = [threading.Thread(target=self.stream_until, args=(stopping, results, i)) for i in range(4)]
+        for thread in threads:
+            thread.start()
+        time.sleep(SETTLE_S)
+        faults.set_fault(leaving["http"], "leaving")
+        time.sleep(LEAVE_LIMIT_S + LEAVE_MARGIN_S)
+        before = {run["run_id"] for run in faults.Records.read(leaving)}
+        elsewhere = len(faults.Records.read(staying))
+        time.sleep(LEAVE_LIMIT_S)
+        stopping.set()
+        for thread in threads:
+            thread.join()
+        after = {run["run_id"] for run in faults.Records.read(leaving)}
+        self.assertTrue(before)
+        self.assertEqual(after - before, set())
+        self.assertGreater(len(faults.Records.read(staying)), elsewhere)
+        self.assertEqual([result for result in results if result.end != "done"], [])
+
+    def stream_until(self, stopping, results, caller):
+        """Reads short streams until it is told to stop."""
+        number = 0
+        while not stopping.is_set():
+            prompt = f"leaving {caller} {number}"
+            results.append(faults.StreamReader(self.cluster, "authority", prompt, 20, caller + number).join())
+            number += 1
+
+    def test_a_draining_entry_serves_whoever_was_sent_to_it(self):
+        stopping = threading.Event()
+        answers = []
+        streams = []
+        work = [self.call_listed, self.stream_listed]
+        threads = [
+            threading.Thread(target=work[i % 2], args=(stopping, (answers, streams)[i % 2], i)) for i in range(8)
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(SETTLE_S)
+        drained = self.entry(1)
+        process = self.cluster.processes[drained["name"]]
+        process.terminate()
+        try:
+            code = process.wait(EXIT_LIMIT_S)
+        finally:
+            stopping.set()
+            for thread in threads:
+                thread.join()
+        self.assertEqual(code, 0)
+        self.assertGreater(len(answers), 20)
+        self.assertEqual([answer for answer in answers if answer.status != 200], [])
+        self.assertEqual([result for result in streams if result.end != "done" or result.resumes], [])
+        self.assertIn(drained["name"], {answer.host for answer in answers})
+
+    def listed(self, held, caller):
+        """Returns the index of an entry host by a list that is still valid; held keeps list and expiry."""
+        if time.monotonic() >= held.get("until", 0):
+            asked = time.monotonic()
+            url = self.entry((caller % 2) * 2)["http"]
+            headers = faults.headers_of(self.cluster, "authority")
+            status, body = cluster.http("GET", url + "/v1/entries", headers=headers)
+            self.assertEqual(status, 200, body)
+            answer = json.loads(body)
+            held["names"] = [row["name"] for row in answer["entries"]]
+            held["until"] = asked + answer["ttl_ms"] / 1000
+        held["turn"] = held.get("turn", 0) + 1
+        name = held["names"][held["turn"] % len(held["names"])]
+        return int(name.rpartition("-")[2])
+
+    def call_listed(self, stopping, answers, caller):
+        """Issues keys through listed hosts."""
+        held = {}
+        while not stopping.is_set():
+            index = self.listed(held, caller)
+            key = f"drain-{SEED}-{caller}-{held['turn']}"
+            answers.append(faults.send_call(self.cluster, index, "authority", key, {"a": 1}))
+            time.sleep(0.02)
+
+    def stream_listed(self, stopping, streams, caller):
+        """Reads streams through listed hosts."""
+        held = {}
+        while not stopping.is_set():
+            index = self.listed(held, caller)
+            prompt = f"drain {caller} {held['turn']}"
+            streams.append(faults.StreamReader(self.cluster, "authority", prompt, 20, index, resume=False).join())
+
+
+class ConfigurationTest(FaultCase):
+    """An accepted configuration is in force everywhere within seconds and never reverts."""
+
+    OPTIONS = {"engines": 1, "stores": 1, "services": 1}
+
+    def section(self, name, entry=0):
+        """Returns revision of the document and text of a section."""
+        config = self.cluster.admin("config", entry)
+        texts = [row["text"] for row in config["sections"] if row["name"] == name]
+        if not texts:
+            raise RuntimeError(f"host {entry} has no section {name}")
+        return config["revision"], texts[0]
+
+    def wait_everywhere(self, name, part, hosts=(0, 1, 2)):
+        """Waits until a section holds a part on all hosts."""
+        for index in hosts:
+            self.cluster.wait_until(
+                lambda i=index: part in self.section(name, i)[1],
+                f"{part!r} is in force on host {index}",
+                CONFIG_LIMIT_S,
+            )
+
+    def edit_at_once(self, edits):
+        """Sends edits, each (section, text, base, host), at once; returns the statuses in order."""
+        statuses = [0] * len(edits)
+
+        def send(number, edit):
+            name, text, base, host = edit
+            statuses[number] = self.cluster.edit([{"name": name, "text": text}], base, host)[0]
+
+        threads = [threading.Thread(target=send, args=item) for item in enumerate(edits)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return statuses
+
+    @staticmethod
+    def share(text, value):
+        """Returns the limits section with another share of retries."""
+        return re.sub(r"retry_share: [0-9.]+", f"retry_share: {value}", text)
+
+    @staticmethod
+    def timeout(text, value):
+        """Returns the services section with another timeout of the call 'check'."""
+        return re.sub(r"(check: .*timeout: )\w+", rf"\g<1>{value}", text)
+
+    def test_two_operators_race_on_one_section(self):
+        for turn in range(3):
+            base, text = self.section("limits")
+            values = [f"0.{2 + turn}1", f"0.{2 + turn}2"]
+            statuses = self.edit_at_once([("limits", self.share(text, values[i]), base, i + 1) for i in range(2)])
+            self.assertEqual(sorted(statuses), [200, 409])
+            self.wait_everywhere("limits", values[statuses.index(200)])
+
+    def test_two_operators_race_on_two_sections(self):
+        for turn in range(3):
+            base, limits = self.section("limits")
+            services = self.section("services")[1]
+            statuses = self.edit_at_once([
+                ("limits", self.share(limits, f"0.3{turn + 1}"), base, 1),
+                ("services", self.timeout(services, f"{11 + turn}s"), base, 2),
+            ])
+            self.assertEqual(statuses, [200, 200])
+            self.wait_everywhere("limits", f"0.3{turn + 1}")
+            self.wait_everywhere("services", f"{11 + turn}s")
+
+    def test_a_lost_reply_of_the_accepting_write(self):
+        base, text = self.section("limits")
+        faults.set_fault(self.platform, "lose_reply", count=4, match="/v1/kv")
+        status, body = self.cluster.edit([{"name": "limits", "text": self.share(text, "0.41")}], base, 1)
+        self.assertEqual(status, 200, body)
+        self.assertGreater(json.loads(body)["revision"], base)
+        self.wait_everywhere("limits", "0.41")
+
+    def test_a_host_frozen_across_a_change_catches_up(self):
+        base, text = self.section("limits")
+        faults.freeze(self.entry(2)["pid"])
+        status, body = self.cluster.edit([{"name": "limits", "text": self.share(text, "0.51")}], base, 0)
+        self.assertEqual(status, 200, body)
+        time.sleep(2 + self.random.random())
+        faults.wake(self.entry(2)["pid"])
+        self.wait_everywhere("limits", "0.51")
+        seen = [self.section("limits", 2)[0] for _ in range(20)]
+        self.assertEqual(seen, sorted(seen))
+
+    def test_serving_goes_on_while_the_platform_is_down(self):
+        revisions = [self.section("limits", i)[0] for i in range(3)]
+        faults.set_fault(self.platform, "down", ms=0)
+        limit = time.monotonic() + LONG_OUTAGE_S
+        faults.kill(self.entry(2)["pid"])
+        started = faults.restart_entry(self.cluster, 2, list_host=False)
+        number = 0
+        while time.monotonic() < limit:
+            number += 1
+            for index in (0, 1):
+                result = faults.StreamReader(self.cluster, "authority", f"outage {number}", 3, index).join()
+                self.assertEqual(result.end, "done", result)
+                self.assertGreaterEqual(self.section("limits", index)[0], revisions[index])
+            time.sleep(0.2)
+        # Without the host list the new host knows no peer, so it must not serve.
+        status = cluster.http("GET", started["http"] + "/readyz")[0]
+        self.assertEqual(status, 503)
+        faults.set_fault(self.platform, "none")
+        self.cluster.list_host(started)
+        self.wait_everywhere("limits", "retry_share")
+        self.assertGreaterEqual(self.section("limits", 2)[0], max(revisions))
+
+    def test_a_host_that_cannot_read_keys_takes_the_revision_from_peers(self):
+        base, _ = self.section("limits")
+        faults.kill(self.entry(2)["pid"])
+        faults.set_fault(self.platform, "refuse", count=1_000_000, status=503, match="/v1/kv")
+        faults.restart_entry(self.cluster, 2)
+        self.wait_everywhere("limits", "retry_share", hosts=(2,))
+        self.assertEqual(self.section("limits", 2)[0], base)
+
+
+if __name__ == "__main__":
+    if len(sys.argv) > 1 and not sys.argv[1].startswith("-"):
+        BINARIES = sys.argv.pop(1)
+    unittest.main(verbosity=2)
