Let one piece of code count unseen work and end streams with an error

Slots and placement worked out a host's work since a target's report each by itself, and relay and runner wrote the error event that ends a stream twice. Behaviour is unchanged: reducer-test, cluster-test (13 cases) and the test of a killed engine pass, formatter and linter are clean on the files.

--- a/src/entry/problem.cc
+++ b/src/entry/problem.cc
@@ -66,6 +66,16 @@
                   ProblemBody(aError, aRequestId));
 }
 
+void
+EndWithProblem(net::Exchange& aExchange,
+               const core::Error& aError,
+               absl::string_view aRequestId)
+{
+  aExchange.Write(net::FormatSse(
+    "", absl::StrCat(R"({"error":)", ProblemBody(aError, aRequestId), "}")));
+  aExchange.End();
+}
+
 void
 ReplyJson(net::Exchange& aExchange,
           int aStatus,
--- a/src/entry/problem.h
+++ b/src/entry/problem.h
@@ -21,6 +21,12 @@
              const core::Error& aError,
              absl::string_view aRequestId);
 
+// Ends a stream that has begun with an event that carries an error.
+void
+EndWithProblem(net::Exchange& aExchange,
+               const core::Error& aError,
+               absl::string_view aRequestId);
+
 // Answers with a JSON body.
 void
 ReplyJson(net::Exchange& aExchange,
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -135,11 +135,7 @@
 void
 Relay::SendError(const core::Error& aError)
 {
-  exchange_->Write(net::FormatSse(
-    "",
-    absl::StrCat(
-      R"({"error":)", ProblemBody(aError, options_.requestName_), "}")));
-  exchange_->End();
+  EndWithProblem(*exchange_, aError, options_.requestName_);
 }
 
 } // namespace lycheeplank::entry
--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -376,11 +376,7 @@
     ReplyProblem(*ticket->exchange_, aRefuse.error_, ticket->name_);
     return;
   }
-  ticket->exchange_->Write(net::FormatSse(
-    "",
-    absl::StrCat(
-      R"({"error":)", ProblemBody(aRefuse.error_, ticket->name_), "}")));
-  ticket->exchange_->End();
+  EndWithProblem(*ticket->exchange_, aRefuse.error_, ticket->name_);
 }
 
 void
--- a/src/reducer/parts.h
+++ b/src/reducer/parts.h
@@ -50,6 +50,9 @@
 UsableTargets(const Context& aContext,
               const Pool& aPool,
               const RequestState& aRequest);
+// Returns this host's work at a target that the last report can't show.
+placement::OwnWork
+OwnWorkOf(const TargetState& aTarget, absl::Time aNow);
 // Chooses the target and sends the attempt, or refuses the request.
 void
 Place(Context& aContext,
--- a/src/reducer/routing.cc
+++ b/src/reducer/routing.cc
@@ -18,17 +18,6 @@
   return aState.config_->targets_.at(aTarget);
 }
 
-placement::OwnWork
-OwnWorkOf(const TargetState& aTarget, absl::Time aNow)
-{
-  std::vector<placement::SentRun> sent;
-  sent.reserve(aTarget.own_.size());
-  for (const auto& work : aTarget.own_) {
-    sent.push_back(work.run_);
-  }
-  return placement::OwnWorkSince(sent, aTarget.asOf_, aNow);
-}
-
 placement::Candidate
 MakeCandidate(const Context& aContext,
               const Pool& aPool,
@@ -207,6 +196,17 @@
 
 } // namespace
 
+placement::OwnWork
+OwnWorkOf(const TargetState& aTarget, absl::Time aNow)
+{
+  std::vector<placement::SentRun> sent;
+  sent.reserve(aTarget.own_.size());
+  for (const auto& work : aTarget.own_) {
+    sent.push_back(work.run_);
+  }
+  return placement::OwnWorkSince(sent, aTarget.asOf_, aNow);
+}
+
 std::string
 ChooseVersion(const State& aState, const RequestState& aRequest)
 {
--- a/src/reducer/targets.cc
+++ b/src/reducer/targets.cc
@@ -26,11 +26,7 @@
          const config::Target& aSettings,
          absl::Time aNow)
 {
-  std::vector<placement::SentRun> sent;
-  for (const auto& work : aTarget.own_) {
-    sent.push_back(work.run_);
-  }
-  const auto unseen = placement::OwnWorkSince(sent, aTarget.asOf_, aNow);
+  const auto unseen = OwnWorkOf(aTarget, aNow);
   const double limit = aSettings.maxRuns_ * (1.0 + kWaitingShare);
   const double busy = aTarget.running_ + aTarget.waiting_ + unseen.runs_;
   return std::max(0.0, limit - busy);
