Listen for a claim's holder before a repeat is told unknown

Cause: a repeat was told outcome_unknown while the first attempt was running, or right after it had been refused as not run. The home of a claim moves when hosts die or are frozen; the new home reads the open claim from the register, has never heard the holder, and answered unknown at once. The holder spoke only to the home that granted the claim, and recorded a withdrawal through the platform without telling that home.

Ruled out: a second run (the services' records showed none); clocks, since all hosts of the test share one.

Now a home listens for five seconds from the first repeat that meets an open claim, the holder speaks to the home of now too, and a withdrawal goes to the home first. A withdrawal that the home couldn't make durable in time is also recorded by the holder.

A dead holder's key is told unknown five seconds later than before.

--- a/src/claims/requests.cc
+++ b/src/claims/requests.cc
@@ -200,7 +200,7 @@
   const auto* const claim = Find(shard.index_, key);
   if (claim != nullptr && claim->state_ == ClaimState::Open &&
       claim->attempt_ == attempt) {
-    shard.running_.insert_or_assign(key, Run{ attempt, aContext.now_ });
+    shard.running_.insert_or_assign(key, Run{ attempt, aContext.now_, true });
   }
   Pump(aContext, shard);
 }
--- a/src/claims/resolve.cc
+++ b/src/claims/resolve.cc
@@ -98,40 +98,82 @@
   CHECK(!aShard.refused_.contains(aAsk.attempt_))
     << "an attempt that was refused would be granted in claims shard "
     << aShard.number_;
-  const auto [run, isNew] =
-    aShard.running_.try_emplace(aAsk.key_, Run{ aAsk.attempt_, aContext.now_ });
+  const Run granted{ aAsk.attempt_, aContext.now_, true };
+  const auto [run, isNew] = aShard.running_.try_emplace(aAsk.key_, granted);
   CHECK(isNew || run->second.attempt_ == aAsk.attempt_)
     << "two attempts of one key would be granted in claims shard "
     << aShard.number_;
+  run->second = granted;
   Answer(aContext, aShard, aAsk, Verdict::Granted, Counter::Granted);
 }
 
+// Returns what was last heard of the open attempt of a key, or nothing if that
+// was too long ago to count.
+const Run*
+FindFreshRun(const Context& aContext,
+             const Shard& aShard,
+             const Fingerprint& aKey,
+             const Fingerprint& aAttempt)
+{
+  const auto found = aShard.running_.find(aKey);
+  if (found == aShard.running_.end() || found->second.attempt_ != aAttempt) {
+    return nullptr;
+  }
+  const bool fresh = aContext.now_ - found->second.heard_ <
+                     aContext.state_.settings_.runningFresh_;
+  return fresh ? &found->second : nullptr;
+}
+
+// Begins to listen for the holder of an open attempt, which may have been
+// granted by another host; whether that is new.
 bool
-IsRunning(const Context& aContext, const Shard& aShard, const Waiting& aAsk)
+BeginToListen(const Context& aContext,
+              Shard& aShard,
+              const Fingerprint& aKey,
+              const Fingerprint& aAttempt)
+{
+  auto& run = aShard.running_[aKey];
+  if (run.attempt_ == aAttempt) {
+    return false;
+  }
+  run = { aAttempt, aContext.now_, false };
+  return true;
+}
+
+void
+AnswerInProgress(const Context& aContext, Shard& aShard, const Waiting& aAsk)
 {
-  const auto run = aShard.running_.find(aAsk.key_);
-  return run != aShard.running_.end() &&
-         aContext.now_ - run->second.heard_ <
-           aContext.state_.settings_.runningFresh_;
+  Answer(aContext,
+         aShard,
+         aAsk,
+         Verdict::InProgress,
+         Counter::InProgress,
+         kRepeatAfter);
 }
 
 // Answers an ask whose key another attempt has claimed and not finished.
 bool
-AnswerUnfinished(const Context& aContext, Shard& aShard, const Waiting& aAsk)
+AnswerUnfinished(const Context& aContext,
+                 Shard& aShard,
+                 const Waiting& aAsk,
+                 const Claim& aClaim)
 {
-  if (IsRunning(aContext, aShard, aAsk)) {
-    Answer(aContext,
-           aShard,
-           aAsk,
-           Verdict::InProgress,
-           Counter::InProgress,
-           kRepeatAfter);
+  const bool open = aClaim.state_ == ClaimState::Open;
+  const auto* const run =
+    open ? FindFreshRun(aContext, aShard, aAsk.key_, aClaim.attempt_) : nullptr;
+  if (run != nullptr && run->said_) {
+    AnswerInProgress(aContext, aShard, aAsk);
     return true;
   }
   if (!IsFresh(aShard, aAsk.event_)) {
     aShard.refresh_ = true;
     return false;
   }
+  if (run != nullptr ||
+      (open && BeginToListen(aContext, aShard, aAsk.key_, aClaim.attempt_))) {
+    AnswerInProgress(aContext, aShard, aAsk);
+    return true;
+  }
   Answer(aContext, aShard, aAsk, Verdict::Unknown, Counter::Unknown);
   return true;
 }
@@ -172,7 +214,7 @@
     Grant(aContext, aShard, aAsk);
     return true;
   }
-  return AnswerUnfinished(aContext, aShard, aAsk);
+  return AnswerUnfinished(aContext, aShard, aAsk, *claim);
 }
 
 } // namespace
--- a/src/claims/shard.h
+++ b/src/claims/shard.h
@@ -92,11 +92,14 @@
   absl::Time retryAt_ = absl::InfinitePast();
 };
 
-// The latest word of a holder on the attempt that it runs.
+// An attempt that a holder may be running.
 struct Run
 {
   Fingerprint attempt_;
+  // The latest word of its holder, or when a repeat first met its claim here.
   absl::Time heard_;
+  // The holder spoke, at least by asking for the claim.
+  bool said_ = false;
 };
 
 // What one host knows of one shard.
@@ -115,7 +118,7 @@
   // Everything before this position is in the index.
   std::uint64_t applied_ = 0;
   Index index_;
-  // Attempts that a holder is running, by key.
+  // Attempts that a holder may be running, by key.
   absl::flat_hash_map<Fingerprint, Run> running_;
   // Attempts that were answered with anything but a grant or a stored answer,
   // and when.
--- a/src/reducer/calls.cc
+++ b/src/reducer/calls.cc
@@ -297,10 +297,11 @@
 void
 WithdrawCall(Context& aContext, RequestState& aRequest, core::Error aError)
 {
-  const claims::Report report =
-    MakeReport(aContext, aRequest, claims::AttemptOutcome::Withdrawn);
+  // The home has to know at once, so that a repeat there isn't told unknown.
   // The caller need not wait: nothing was sent, whatever is recorded.
-  ReportHere(aContext, report, {});
+  SendReport(aContext,
+             aRequest,
+             MakeReport(aContext, aRequest, claims::AttemptOutcome::Withdrawn));
   Refuse(aContext, aRequest.request_.id_, std::move(aError));
 }
 
@@ -401,6 +402,10 @@
     ReportHere(aContext, aEvent.report_, { aEvent.id_, 0, 0 });
     return;
   }
+  if (!aEvent.durable_) {
+    // The home goes on trying, but it may end before it succeeds.
+    ReportHere(aContext, aEvent.report_, {});
+  }
   TellOutcome(aContext, aEvent.id_);
 }
 
@@ -425,6 +430,13 @@
 {
   State& state = aContext.state_;
   std::vector<SayRunning> due;
+  const auto say = [&](const RequestState& aRequest, std::string aHost) {
+    due.push_back({ std::move(aHost),
+                    { aRequest.request_.workspace_,
+                      aRequest.request_.idempotencyKey_,
+                      aRequest.claimAttempt_,
+                      aContext.now_ } });
+  };
   for (const RequestId id : state.claimed_) {
     RequestState& request = state.requests_.at(id);
     if (request.phase_ != Phase::Running ||
@@ -432,11 +444,13 @@
       continue;
     }
     request.saidRunning_ = aContext.now_;
-    due.push_back({ request.claimHome_,
-                    { request.request_.workspace_,
-                      request.request_.idempotencyKey_,
-                      request.claimAttempt_,
-                      aContext.now_ } });
+    say(request, request.claimHome_);
+    // Repeats go to the home of now, which may be another one.
+    if (std::string home = HomeOf(
+          state, request.request_.workspace_, request.request_.idempotencyKey_);
+        home != request.claimHome_) {
+      say(request, std::move(home));
+    }
   }
   for (auto& message : due) {
     if (message.host_ == state.self_.name_) {
--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 namespace admission = lycheeplank::admission;
+namespace claims = lycheeplank::claims;
 namespace config = lycheeplank::config;
 namespace core = lycheeplank::core;
 namespace membership = lycheeplank::membership;
@@ -371,6 +372,49 @@
   CHECK(refused[0].error_.run_ == core::RunState::No);
 }
 
+TEST_CASE("a call's home hears that it was withdrawn and that it runs")
+{
+  World world;
+  // Every claim has another host as its home.
+  world.state_.live_ = { { "h2", "d1" } };
+  world.Send(reducer::RequestArrived{ world.MakeCall("late") });
+  const auto late = world.Take<reducer::AskClaim>();
+  REQUIRE(late.size() == 1);
+  world.now_ += absl::Seconds(60);
+  world.Send(reducer::Tick{});
+  REQUIRE(world.Take<reducer::Refuse>().size() == 1);
+  const auto withdrawn = world.Take<reducer::ReportOutcome>();
+  REQUIRE(withdrawn.size() == 1);
+  CHECK(withdrawn[0].host_ == "h2");
+  CHECK(withdrawn[0].report_.attempt_ == late[0].claim_.attempt_);
+  CHECK(withdrawn[0].report_.outcome_ == claims::AttemptOutcome::Withdrawn);
+  // The home could not record it in time; this host tries too.
+  world.Send(reducer::ReportAnswered{
+    withdrawn[0].id_, withdrawn[0].report_, true, false });
+  CHECK(claims::UsageOf(world.state_.claims_).unrecorded_ == 1);
+}
+
+TEST_CASE("a call that runs is told to the home of now as well")
+{
+  World world;
+  auto call = world.MakeCall("k");
+  call.deadline_ = world.now_ + absl::Minutes(1);
+  world.Send(reducer::RequestArrived{ call });
+  world.Run(absl::Milliseconds(200));
+  REQUIRE(world.Take<reducer::Dispatch>().size() == 1);
+  // Since the claim was granted its home has moved to this host.
+  world.state_.requests_.at(call.id_).claimHome_ = "h0";
+  world.Run(absl::Seconds(6));
+  const auto said = world.Take<reducer::SayRunning>();
+  REQUIRE_FALSE(said.empty());
+  CHECK(said[0].host_ == "h0");
+  world.Send(reducer::RequestArrived{ world.MakeCall("k") });
+  world.Run(absl::Seconds(1));
+  const auto refused = world.Take<reducer::Refuse>();
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].error_.kind_ == core::ErrorKind::InProgress);
+}
+
 TEST_CASE("without the platform a call is refused soon and did not run")
 {
   World world;
