Read only the changed entries of a configuration

Sections whose text is the same are taken over; of a changed section only the entries whose lines differ are read as YAML. If lines and YAML disagree about the entries, or there is any problem, the whole is read as before.

Ruled out: reading sections only, since most changes are of the workspaces; entries sent in place of sections, which would be a second form of editing.

--- a/include/lycheeplank/config.h
+++ b/include/lycheeplank/config.h
@@ -26,6 +26,9 @@
   double recomputeWeight_ = 0.0;
   // Cost of one megabyte moved over a link.
   double linkWeight_ = 0.0;
+
+  friend bool operator==(const Objective& aLeft,
+                         const Objective& aRight) = default;
 };
 
 // Ways to choose a target; all but the first are baselines to compare with.
@@ -57,6 +60,9 @@
   std::uint32_t maxRunning_ = 64;
   std::uint32_t maxWaiting_ = 256;
   double requestsPerSecond_ = 1000.0;
+
+  friend bool operator==(const Workspace& aLeft,
+                         const Workspace& aRight) = default;
 };
 
 // One version of a model's weights and its part of the new requests.
@@ -64,6 +70,9 @@
 {
   std::string name_;
   double share_ = 1.0;
+
+  friend bool operator==(const WeightVersion& aLeft,
+                         const WeightVersion& aRight) = default;
 };
 
 struct Model
@@ -75,6 +84,8 @@
   std::uint32_t maxTokens_ = 4096;
   Objective objective_;
   Policy policy_ = Policy::Estimate;
+
+  friend bool operator==(const Model& aLeft, const Model& aRight) = default;
 };
 
 // One call of a plain service.
@@ -83,11 +94,16 @@
   // A repeatable call is idempotent; the others need an idempotency key.
   bool repeatable_ = true;
   absl::Duration timeout_ = absl::Seconds(10);
+
+  friend bool operator==(const ServiceCall& aLeft,
+                         const ServiceCall& aRight) = default;
 };
 
 struct Service
 {
   absl::btree_map<std::string, ServiceCall> calls_;
+
+  friend bool operator==(const Service& aLeft, const Service& aRight) = default;
 };
 
 // Allows workspaces to use models and services; what no rule allows is
@@ -99,6 +115,8 @@
   std::vector<std::string> services_;
   // Empty: everywhere.
   std::vector<std::string> dataCentres_;
+
+  friend bool operator==(const Rule& aLeft, const Rule& aRight) = default;
 };
 
 enum class TargetKind
@@ -124,6 +142,8 @@
   std::uint32_t cacheBlocks_ = 64;
   // Refuses orders whose fencing number is older than one it has seen.
   bool honoursFencing_ = true;
+
+  friend bool operator==(const Target& aLeft, const Target& aRight) = default;
 };
 
 struct Store
@@ -136,6 +156,8 @@
   double linkBytesPerSecond_ = 100e6;
   // Rate at which the disk tier can be read.
   double diskBytesPerSecond_ = 50e6;
+
+  friend bool operator==(const Store& aLeft, const Store& aRight) = default;
 };
 
 struct Limits
@@ -155,6 +177,8 @@
   std::uint32_t maxLoading_ = 2;
   // Part of a model's targets that has to keep serving during a rollout.
   double minServingShare_ = 0.5;
+
+  friend bool operator==(const Limits& aLeft, const Limits& aRight) = default;
 };
 
 // A whole accepted document.
@@ -173,6 +197,8 @@
   // Names of the rules that apply to each workspace; "*" holds the rules for
   // all workspaces.
   absl::flat_hash_map<std::string, std::vector<std::string>> rulesByWorkspace_;
+
+  friend bool operator==(const Config& aLeft, const Config& aRight) = default;
 };
 
 using ConfigPtr = std::shared_ptr<const Config>;
@@ -255,6 +281,13 @@
 Checked
 Check(const std::vector<Section>& aSections);
 
+// Does the same as Check, but reads only what differs from sections that were
+// checked before without problems, and takes the rest from their configuration.
+Checked
+CheckChanges(const std::vector<Section>& aSections,
+             const std::vector<Section>& aBefore,
+             const Config& aConfigBefore);
+
 // Returns "section line 3, field: message" for logs and terminals.
 std::string
 Describe(const Problem& aProblem);
--- a/include/lycheeplank/config_sync.h
+++ b/include/lycheeplank/config_sync.h
@@ -217,6 +217,8 @@
   std::uint64_t id_ = 0;
   std::uint64_t revision_ = 0;
   std::vector<Section> sections_;
+  // What the sections are likely to differ little from, or null.
+  AcceptedPtr basis_;
 };
 
 // Put a configuration in force on this host.
--- a/src/config/check.cc
+++ b/src/config/check.cc
@@ -1,9 +1,12 @@
 #include <algorithm>
 #include <iterator>
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <absl/types/optional.h>
 
+#include "config/entries.h"
 #include "config/schema.h"
 #include "config/yaml_events.h"
 
@@ -99,6 +102,139 @@
   ReadSection(aReader, aKind, { path, body.content_ }, aConfig);
 }
 
+// Returns the map of a configuration that holds the entries of a section.
+template<typename Visit>
+void
+VisitEntries(SectionKind aKind, const Visit& aVisit)
+{
+  switch (aKind) {
+    case SectionKind::Workspaces:
+      aVisit(&Config::workspaces_);
+      break;
+    case SectionKind::Models:
+      aVisit(&Config::models_);
+      break;
+    case SectionKind::Services:
+      aVisit(&Config::services_);
+      break;
+    case SectionKind::Rules:
+      aVisit(&Config::rules_);
+      break;
+    case SectionKind::Targets:
+      aVisit(&Config::targets_);
+      break;
+    case SectionKind::Stores:
+      aVisit(&Config::stores_);
+      break;
+    case SectionKind::Limits:
+      // Has values, which are few, in place of entries.
+      break;
+  }
+}
+
+using TextByName = absl::flat_hash_map<absl::string_view, absl::string_view>;
+
+// Returns the texts of a section's entries if they are those of the entries
+// that were read from it, else nothing.
+template<typename Entries>
+absl::optional<TextByName>
+TextsOf(const SectionText& aSection, const Entries& aEntries)
+{
+  TextByName texts;
+  for (const auto& entry : aSection.entries_) {
+    texts.emplace(entry.name_, entry.text_);
+  }
+  const bool same =
+    texts.size() == aSection.entries_.size() &&
+    texts.size() == aEntries.size() &&
+    std::all_of(aEntries.begin(), aEntries.end(), [&](const auto& aEntry) {
+      return texts.contains(aEntry.first);
+    });
+  return same ? absl::make_optional(std::move(texts)) : absl::nullopt;
+}
+
+// A section as it was checked before, and as it is now.
+struct SectionChange
+{
+  SectionKind kind_ = SectionKind::Workspaces;
+  const Section* before_ = nullptr;
+  const Section* after_ = nullptr;
+  const Config& configBefore_;
+};
+
+// Returns the section with only those entries that are new or have changed;
+// aKept is told the names of all others.
+std::string
+ChangedText(const SectionText& aAfter,
+            const TextByName& aBefore,
+            std::vector<std::string>& aKept)
+{
+  std::string text(aAfter.head_);
+  for (const auto& entry : aAfter.entries_) {
+    const auto found = aBefore.find(entry.name_);
+    if (found != aBefore.end() && found->second == entry.text_) {
+      aKept.emplace_back(entry.name_);
+    } else {
+      absl::StrAppend(&text, entry.text_);
+    }
+  }
+  return text;
+}
+
+// Reads the changed entries of a section into aConfig and takes the others
+// over; false if the section has to be read as a whole.
+template<typename Entries>
+bool
+CheckEntries(const SectionChange& aChange,
+             Entries Config::*aMember,
+             Config& aConfig)
+{
+  const auto& known = aChange.configBefore_.*aMember;
+  const auto before = TakeApart(aChange.before_->text_);
+  const auto after = TakeApart(aChange.after_->text_);
+  if (!before || !after) {
+    return false;
+  }
+  const auto texts = TextsOf(*before, known);
+  if (!texts) {
+    return false;
+  }
+  std::vector<std::string> kept;
+  Section changed = *aChange.after_;
+  changed.text_ = ChangedText(*after, *texts, kept);
+  Reader reader;
+  reader.section_ = changed.name_;
+  auto& entries = aConfig.*aMember;
+  CheckSection(reader, aChange.kind_, changed, aConfig);
+  if (!reader.problems_.empty() ||
+      entries.size() + kept.size() != after->entries_.size()) {
+    return false;
+  }
+  for (const auto& name : kept) {
+    entries.insert(*known.find(name));
+  }
+  return TextsOf(*after, entries).has_value();
+}
+
+// Reads one section as far as it has changed; false if that can't be done.
+bool
+CheckChange(const SectionChange& aChange, Config& aConfig)
+{
+  bool done = false;
+  VisitEntries(aChange.kind_, [&](auto aMember) {
+    if (aChange.before_->text_ == aChange.after_->text_) {
+      aConfig.*aMember = aChange.configBefore_.*aMember;
+      done = true;
+      return;
+    }
+    done = CheckEntries(aChange, aMember, aConfig);
+    if (!done) {
+      (aConfig.*aMember).clear();
+    }
+  });
+  return done;
+}
+
 // Returns a reader for each row of kSections.
 std::vector<Reader>
 MakeReaders()
@@ -141,6 +277,17 @@
   return sorted;
 }
 
+// Returns the section of a name, or null.
+const Section*
+FindSection(const std::vector<Section>& aSections, absl::string_view aName)
+{
+  const auto found =
+    std::find_if(aSections.begin(), aSections.end(), [&](const auto& aSection) {
+      return aSection.name_ == aName;
+    });
+  return found == aSections.end() ? nullptr : &*found;
+}
+
 } // namespace
 
 Checked
@@ -166,4 +313,39 @@
   return checked;
 }
 
+Checked
+CheckChanges(const std::vector<Section>& aSections,
+             const std::vector<Section>& aBefore,
+             const Config& aConfigBefore)
+{
+  Checked checked;
+  std::vector<Reader> readers = MakeReaders();
+  const auto sorted = SortSections(aSections, checked.problems_);
+  for (const auto& row : kSections) {
+    const auto index = static_cast<std::size_t>(row.value_);
+    const auto* const after = sorted[index];
+    if (after == nullptr) {
+      continue;
+    }
+    const auto* const before = FindSection(aBefore, row.name_);
+    if (before == nullptr ||
+        !CheckChange({ row.value_, before, after, aConfigBefore },
+                     checked.config_)) {
+      CheckSection(readers[index], row.value_, *after, checked.config_);
+    }
+  }
+  CheckReferences(checked.config_, readers);
+  const bool sound =
+    checked.problems_.empty() &&
+    std::all_of(readers.begin(), readers.end(), [](const Reader& aReader) {
+      return aReader.problems_.empty();
+    });
+  if (!sound) {
+    // Only a reading of the whole knows the line of each problem.
+    return Check(aSections);
+  }
+  BuildIndexes(checked.config_);
+  return checked;
+}
+
 } // namespace lycheeplank::config
--- a/src/config/edit.cc
+++ b/src/config/edit.cc
@@ -245,8 +245,8 @@
   request.kind_ = RequestKind::EditCheck;
   request.deadline_ = absl::InfiniteFuture();
   const std::uint64_t id = AddRequest(aContext, std::move(request));
-  aContext.effects_.emplace_back(
-    CheckDocument{ id, run.base_.revision_ + 1, run.merged_ });
+  aContext.effects_.emplace_back(CheckDocument{
+    id, run.base_.revision_ + 1, run.merged_, aContext.state_.inForce_ });
 }
 
 // Returns the merged section with a name, or null if it was removed.
--- a/src/config/fetch.cc
+++ b/src/config/fetch.cc
@@ -157,7 +157,8 @@
   aContext.effects_.emplace_back(
     CheckDocument{ pending.checkId_,
                    pending.head_.revision_,
-                   Assemble(aContext.state_, pending.head_) });
+                   Assemble(aContext.state_, pending.head_),
+                   aContext.state_.inForce_ });
 }
 
 // Drops the chunks that neither the head in force nor the pending one names.
--- a/src/config/sync.cc
+++ b/src/config/sync.cc
@@ -352,7 +352,10 @@
 DocumentChecked
 RunCheck(const CheckDocument& aOrder)
 {
-  Checked checked = Check(aOrder.sections_);
+  Checked checked = aOrder.basis_ ? CheckChanges(aOrder.sections_,
+                                                 aOrder.basis_->sections_,
+                                                 *aOrder.basis_->config_)
+                                  : Check(aOrder.sections_);
   checked.config_.revision_ = aOrder.revision_;
   return { aOrder.id_,
            std::make_shared<const Config>(std::move(checked.config_)),
--- a/src/steward/config-follower.cc
+++ b/src/steward/config-follower.cc
@@ -44,20 +44,33 @@
   }
 }
 
-// Reads a document that was accepted before.
-config::ConfigPtr
-ReadConfig(const Told& aTold)
+// A document that was read.
+struct Taken
 {
-  const auto document = config::Split(aTold.document_);
-  auto checked = config::Check(document.sections_);
+  std::vector<config::Section> sections_;
+  config::ConfigPtr config_;
+};
+
+// Reads an accepted document that differs little from the one before it.
+absl::optional<Taken>
+ReadDocument(const Told& aTold, const Taken& aBefore)
+{
+  Taken taken;
+  taken.sections_ = config::Split(aTold.document_).sections_;
+  auto checked = aBefore.config_ == nullptr
+                   ? config::Check(taken.sections_)
+                   : config::CheckChanges(
+                       taken.sections_, aBefore.sections_, *aBefore.config_);
   if (!checked.problems_.empty()) {
     LOG(ERROR) << "event=config_unreadable revision=" << aTold.revision_
                << " problem=\"" << config::Describe(checked.problems_[0])
                << '"';
-    return nullptr;
+    return absl::nullopt;
   }
   checked.config_.revision_ = aTold.revision_;
-  return std::make_shared<const config::Config>(std::move(checked.config_));
+  taken.config_ =
+    std::make_shared<const config::Config>(std::move(checked.config_));
+  return taken;
 }
 
 } // namespace
@@ -68,6 +81,7 @@
   absl::Mutex mutex_;
   bool pending_ ABSL_GUARDED_BY(mutex_) = false;
   std::uint64_t revision_ ABSL_GUARDED_BY(mutex_) = 0;
+  Taken taken_ ABSL_GUARDED_BY(mutex_);
   std::function<void(const EventBody&)> post_;
 
   // Takes an answer over; an older revision is never taken.
@@ -86,10 +100,11 @@
     if (told->revision_ <= revision_ || told->document_.empty()) {
       return;
     }
-    if (auto config = ReadConfig(*told); config) {
+    if (auto taken = ReadDocument(*told, taken_); taken) {
+      taken_ = std::move(*taken);
       revision_ = told->revision_;
       LOG(INFO) << "event=config_taken revision=" << revision_;
-      post_(rollout::ConfigChanged{ std::move(config) });
+      post_(rollout::ConfigChanged{ taken_.config_ });
     }
   }
 };
--- a/test/config-test.cc
+++ b/test/config-test.cc
@@ -364,6 +364,88 @@
   CHECK_FALSE(ProblemsOf("hello\n").empty());
 }
 
+namespace {
+
+// Reads a document as a whole and as a change of another; both have to agree.
+void
+CheckBothWays(const std::string& aBefore, const std::string& aAfter)
+{
+  const auto before = config::Split(aBefore);
+  const auto basis = config::Check(before.sections_);
+  REQUIRE(basis.problems_.empty());
+  const auto after = config::Split(aAfter);
+  const auto whole = config::Check(after.sections_);
+  const auto changes =
+    config::CheckChanges(after.sections_, before.sections_, basis.config_);
+  INFO(aAfter);
+  CHECK(Text(changes.problems_) == Text(whole.problems_));
+  if (whole.problems_.empty()) {
+    CHECK(changes.config_ == whole.config_);
+  }
+}
+
+std::string
+Replaced(const std::string& aOld, const std::string& aNew)
+{
+  return absl::StrReplaceAll(kDocument, { { aOld, aNew } });
+}
+
+} // namespace
+
+TEST_CASE("reading only what changed gives what reading all gives")
+{
+  const std::string document(kDocument);
+  CheckBothWays(document, document);
+  // An entry is changed, added, removed, renamed, or loses its section.
+  CheckBothWays(document, Replaced("18000", "19000"));
+  CheckBothWays(
+    document, Replaced("    w1:\n", "    w0:\n      kind: engine\n    w1:\n"));
+  CheckBothWays(document, Replaced("    w1:\n", "    w9:\n"));
+  CheckBothWays(document, Replaced("max_loading: 3", "max_loading: 4"));
+  CheckBothWays(document, Replaced("owner: machines", "owner: others"));
+  CheckBothWays(document, Replaced("\nstores:", "\n\nstores:"));
+  CheckBothWays(document, document.substr(0, document.find("stores:")));
+}
+
+TEST_CASE("a change that lines alone don't tell is read as a whole")
+{
+  const std::string document(kDocument);
+  // A text that goes on over lines, a name given twice, an open bracket, and
+  // an entry in quotation marks.
+  CheckBothWays(document,
+                Replaced("      serves: wording\n",
+                         "      serves: \"wording\n    r7: x\"\n"));
+  CheckBothWays(document, Replaced("    s1:\n", "    s1: {}\n    s1:\n"));
+  CheckBothWays(document, Replaced("    w1:\n", "    w1: {kind: engine\n"));
+  CheckBothWays(document, Replaced("    w1:\n", "    \"w1\":\n"));
+  CheckBothWays(document,
+                Replaced("  entries:\n    w1:", "  entries: &a\n    w1:"));
+  CheckBothWays(Replaced("    w1:\n", "    \"w1\":\n"), document);
+}
+
+TEST_CASE("problems of a change are told with the lines of the whole")
+{
+  const std::string document(kDocument);
+  CheckBothWays(document, Replaced("18000", "a lot"));
+  CheckBothWays(document, Replaced("serves: wording", "serves: nothing"));
+  CheckBothWays(document, Replaced("s1:\n", "s1:\n      colour: red\n"));
+}
+
+TEST_CASE("random changes are read alike both ways")
+{
+  std::mt19937_64 random(7);
+  const std::string document(kDocument);
+  for (int i = 0; i < 300; ++i) {
+    std::string changed = document;
+    const std::size_t at = random() % changed.size();
+    const std::size_t length = random() % 12;
+    const std::string piece =
+      document.substr(random() % document.size(), random() % 12);
+    changed.replace(at, std::min(length, changed.size() - at), piece);
+    CheckBothWays(document, changed);
+  }
+}
+
 TEST_CASE("damaged documents never crash the parser")
 {
   constexpr int kRounds = 400;
