Have the simulation of claims repeat until the answer is final

Cause: since a home listens for a claim's holder, the last question of a run could be answered with in progress, which its check let pass.

Now a repeat comes every two seconds while the answer is in progress, and a key that never gets a final answer is a violation.

--- a/test/claims-sim-test.cc
+++ b/test/claims-sim-test.cc
@@ -497,7 +497,7 @@
       key.last_ = absl::nullopt;
     }
     for (std::size_t i = 0; i < keys_.size(); ++i) {
-      time_.After(Between(0, 5000), [this, i] { Request(i, Draw(kHosts)); });
+      time_.After(Between(0, 5000), [this, i] { RequestUntilFinal(i); });
     }
     time_.RunUntil(time_.now_ + kQuietTime);
     for (const auto& key : keys_) {
@@ -505,6 +505,17 @@
     }
   }
 
+  // Repeats as a caller does that is told to come back.
+  void RequestUntilFinal(std::size_t aKey)
+  {
+    Request(aKey, Draw(kHosts));
+    time_.After(absl::Seconds(2), [this, aKey] {
+      if (keys_[aKey].last_ == Verdict::InProgress) {
+        RequestUntilFinal(aKey);
+      }
+    });
+  }
+
   void CheckKey(const Key& aKey)
   {
     for (const auto& answer : aKey.doneAnswers_) {
@@ -513,7 +524,8 @@
       }
     }
     if (!aKey.last_ || *aKey.last_ == Verdict::Unavailable ||
-        *aKey.last_ == Verdict::Mismatch) {
+        *aKey.last_ == Verdict::Mismatch ||
+        *aKey.last_ == Verdict::InProgress) {
       Violation(absl::StrCat(aKey.name_, " can't be asked for in the end"));
     } else if (*aKey.last_ == Verdict::Granted) {
       ++grantedInTheEnd_;
