--- a/src/config/edit.cc
+++ b/src/config/edit.cc
@@ -1,15 +1,14 @@
 #include <algorithm>
 #include <utility>
 
-#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/strip.h>
 #include <glog/logging.h>
 
+#include "config/proposal.h"
 #include "config/sync_internal.h"
-#include "lycheeplank/core.h"
 
 namespace lycheeplank::config {
 
@@ -159,75 +158,12 @@
   }
 }
 
-// Returns the text of a section of the configuration in force.
-std::string
-TextInForce(const SyncState& aState, const std::string& aName)
-{
-  if (aState.inForce_) {
-    for (const auto& section : aState.inForce_->sections_) {
-      if (section.name_ == aName) {
-        return section.text_;
-      }
-    }
-  }
-  return "";
-}
-
-std::string
-WithLineEnd(std::string aText)
-{
-  if (!aText.empty() && !absl::EndsWith(aText, "\n")) {
-    aText += '\n';
-  }
-  return aText;
-}
-
-void
-ReplaceSection(std::vector<Section>& aSections, Section aSection)
-{
-  aSections.erase(std::remove_if(aSections.begin(),
-                                 aSections.end(),
-                                 [&](const Section& aOther) {
-                                   return aOther.name_ == aSection.name_;
-                                 }),
-                  aSections.end());
-  if (!aSection.text_.empty()) {
-    aSection.owner_ = OwnerOf(aSection);
-    aSections.push_back(std::move(aSection));
-  }
-}
-
-// Applies the edit to the configuration in force; returns the sections that
-// others have changed after the edit's base.
-std::vector<std::string>
-Merge(const SyncState& aState, EditRun& aRun)
-{
-  std::vector<std::string> conflicts;
-  aRun.changed_.clear();
-  aRun.merged_ =
-    aState.inForce_ ? aState.inForce_->sections_ : std::vector<Section>();
-  for (const auto& edit : aRun.edit_.sections_) {
-    const std::string text = WithLineEnd(edit.text_);
-    if (text == TextInForce(aState, edit.name_)) {
-      continue;
-    }
-    const auto* const section = FindSection(aRun.base_, edit.name_);
-    if (section != nullptr && section->revision_ > edit.base_) {
-      conflicts.push_back(
-        absl::StrCat(edit.name_, " (revision ", section->revision_, ")"));
-    }
-    aRun.changed_.push_back(edit.name_);
-    ReplaceSection(aRun.merged_, { edit.name_, "", text });
-  }
-  return conflicts;
-}
-
 // Merges once the head that was read is in force here.
 void
 MergeAndCheck(Context& aContext)
 {
   auto& run = *aContext.state_.edit_;
-  const auto conflicts = Merge(aContext.state_, run);
+  const auto conflicts = Merge(run, aContext.state_.inForce_.get());
   if (!conflicts.empty()) {
     Refuse(aContext,
            SyncCount::EditsConflicting,
@@ -249,114 +185,6 @@
     id, run.base_.revision_ + 1, run.merged_, aContext.state_.inForce_ });
 }
 
-// Returns the merged section with a name, or null if it was removed.
-const Section*
-FindMerged(const EditRun& aRun, const std::string& aName)
-{
-  for (const auto& section : aRun.merged_) {
-    if (section.name_ == aName) {
-      return &section;
-    }
-  }
-  return nullptr;
-}
-
-SectionHead&
-EntryOf(Head& aHead, const std::string& aName)
-{
-  for (auto& section : aHead.sections_) {
-    if (section.name_ == aName) {
-      return section;
-    }
-  }
-  aHead.sections_.push_back({ aName });
-  return aHead.sections_.back();
-}
-
-// Moves chunks between the named and the retired ones.
-void
-Retire(Head& aProposal, const Head& aBase, std::int64_t aUnixMs)
-{
-  const auto named = DigestsOf(aProposal);
-  auto& retired = aProposal.retired_;
-  retired.erase(std::remove_if(retired.begin(),
-                               retired.end(),
-                               [&](const RetiredChunk& aChunk) {
-                                 return named.contains(aChunk.digest_);
-                               }),
-                retired.end());
-  for (const auto& digest : DigestsOf(aBase)) {
-    if (!named.contains(digest)) {
-      retired.push_back({ digest, aUnixMs });
-    }
-  }
-}
-
-// Puts the new text of a section into a proposal.
-void
-ProposeSection(EditRun& aRun, Head& aProposal, const std::string& aName)
-{
-  auto& entry = EntryOf(aProposal, aName);
-  entry.revision_ = aProposal.revision_;
-  entry.chunks_.clear();
-  const auto* const section = FindMerged(aRun, aName);
-  if (section == nullptr) {
-    return;
-  }
-  entry.owner_ = section->owner_;
-  for (auto& chunk : CutChunks(section->text_)) {
-    entry.chunks_.push_back(core::Sha256Hex(chunk));
-    aRun.chunks_[entry.chunks_.back()] = std::move(chunk);
-  }
-}
-
-void
-AddToHistory(Head& aProposal, const EditRun& aRun, std::int64_t aUnixMs)
-{
-  auto& history = aProposal.history_;
-  history.push_back({ aProposal.revision_,
-                      aRun.changeId_,
-                      aRun.edit_.author_,
-                      aUnixMs,
-                      aRun.changed_ });
-  if (history.size() > kMaxHistory) {
-    history.erase(history.begin());
-  }
-}
-
-// Builds the head that the edit proposes.
-void
-Propose(Context& aContext)
-{
-  auto& run = *aContext.state_.edit_;
-  const std::int64_t unixMs = absl::ToUnixMillis(aContext.now_);
-  Head proposal = run.base_;
-  proposal.revision_ = run.base_.revision_ + 1;
-  run.chunks_.clear();
-  for (const auto& name : run.changed_) {
-    ProposeSection(run, proposal, name);
-  }
-  Retire(proposal, run.base_, unixMs);
-  AddToHistory(proposal, run, unixMs);
-  run.proposalText_ = FormatHead(proposal);
-  run.proposal_ = std::move(proposal);
-}
-
-// Lists the chunks to write. Those that the base names are there; all others
-// are written, also if they exist, since a clean-up may be about to delete
-// them.
-void
-ListUnwritten(EditRun& aRun)
-{
-  const auto present = DigestsOf(aRun.base_);
-  aRun.unwritten_.clear();
-  for (const auto& [digest, content] : aRun.chunks_) {
-    if (!present.contains(digest)) {
-      aRun.unwritten_.insert(digest);
-    }
-  }
-}
-
 void
 WriteChunks(Context& aContext)
 {
@@ -523,7 +351,7 @@
     Answer(aContext, std::move(answer));
     return;
   }
-  Propose(aContext);
+  Propose(run, aContext.now_);
   if (run.proposal_.retired_.size() > kMaxRetired) {
     Refuse(aContext,
            SyncCount::EditsUnavailable,
