Don't take a caller with its whole answer for one that is gone

Cause: the end of an answer was written before the control thread heard that the attempt had ended. A caller that left at once could be noted as gone first: the request counted under callers_gone_total, its run was cancelled at the engine and not reported to the directory.

Now the ticket is removed and the end posted before the caller gets it. Whoever removes the ticket gives the final answer, which also keeps a refusal from following a whole answer.

The older case now waits for the end before it compares all events, which it names as before.

--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -274,19 +274,24 @@
     current = ticket.attempt_ == aAttempt->dispatch_.attempt_;
     if (current && aResult == AttemptResult::Whole) {
       ticket.attempt_ = 0;
-      aAttempt->relay_.SendEnd();
     }
   }
-  if (!current) {
+  const bool whole = aResult == AttemptResult::Whole;
+  // Whoever removes the ticket gives the caller the final answer. It is removed
+  // first, since a caller that has its whole answer may leave at once and must
+  // not be taken for one that is gone.
+  if (!current || (whole && !tickets_.Remove(ticket.id_))) {
     metrics_.Count("stale_attempt_ends_total");
     return;
   }
-  if (aResult == AttemptResult::Whole) {
-    tickets_.Remove(ticket.id_);
-    metrics_.Count("completions_total");
-    metrics_.Count("tokens_relayed_total", static_cast<double>(ended.tokens_));
+  if (!whole) {
+    post_(std::move(ended));
+    return;
   }
+  metrics_.Count("completions_total");
+  metrics_.Count("tokens_relayed_total", static_cast<double>(ended.tokens_));
   post_(std::move(ended));
+  aAttempt->relay_.SendEnd();
 }
 
 void
--- a/test/cluster-test.py
+++ b/test/cluster-test.py
@@ -187,12 +187,34 @@
     def test_a_request_is_explained_to_operators(self):
         status, body = self.complete({"model": "wording", "prompt": "explained", "max_tokens": 2})
         self.assertEqual(status, 200)
-        status, text = self.operate("GET", "requests/" + json.loads(body)["id"])
+        name = json.loads(body)["id"]
+        self.how_it_ended(name)
+        status, text = self.operate("GET", "requests/" + name)
         self.assertEqual(status, 200, text)
         trace = json.loads(text)
         self.assertEqual((trace["workspace"], trace["kind"]), ("co-operative", "completion"))
         self.assertEqual([event["what"] for event in trace["events"]], ["placed", "started", "attempt_ended"])
 
+    def test_a_caller_with_its_whole_answer_is_not_gone(self):
+        ended = []
+        for number in range(100):
+            status, body = self.complete({"model": "wording", "prompt": f"whole {number}", "max_tokens": 1})
+            self.assertEqual(status, 200)
+            ended.append(self.how_it_ended(json.loads(body)["id"]))
+        self.assertEqual(ended, ["attempt_ended"] * len(ended))
+
+    def how_it_ended(self, name):
+        """Waits until a request has ended; returns its last event."""
+        events = []
+
+        def has_ended():
+            _, text = self.operate("GET", "requests/" + name)
+            events[:] = [event["what"] for event in json.loads(text)["events"]]
+            return events[-1] in ("attempt_ended", "caller_gone")
+
+        self.cluster.wait_until(has_ended, "the request has ended")
+        return events[-1]
+
     def test_an_edit_is_in_force_on_all_hosts(self):
         before = self.cluster.admin("config")
         rules = [section for section in before["sections"] if section["name"] == "limits"][0]
