Let one piece of code be the daemons' event loops and flags

Cause: the thread that handles events and ticks stood three times (entry host, steward, exports), the flags and their checks twice.

process::EventThread and process::HostSettings serve all.

--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -1,7 +1,5 @@
 #include "entry/control.h"
 
-#include <pthread.h>
-
 namespace lycheeplank::entry {
 
 namespace {
@@ -16,96 +14,58 @@
 Control::Control(reducer::State aState, Perform aPerform)
   : state_(std::move(aState))
   , perform_(std::move(aPerform))
+  , thread_(
+      "control",
+      [this](const Item& aItem) { Handle(aItem); },
+      [this] { return Tick(); })
 {
 }
 
-Control::~Control()
-{
-  {
-    const absl::MutexLock lock(&mutex_);
-    stopping_ = true;
-  }
-  if (thread_.joinable()) {
-    thread_.join();
-  }
-}
-
 void
 Control::Start()
 {
-  thread_ = std::thread([this] { Run(); });
+  thread_.Start();
 }
 
 void
 Control::Post(reducer::Event aEvent)
 {
-  const absl::MutexLock lock(&mutex_);
-  items_.push_back({ std::move(aEvent) });
+  thread_.Post({ std::move(aEvent) });
 }
 
 void
 Control::Inspect(const std::function<void(const reducer::State&)>& aFunction)
 {
-  bool done = false;
-  const absl::MutexLock lock(&mutex_);
-  items_.push_back({ reducer::Tick{}, &aFunction, &done });
-  mutex_.Await(absl::Condition(&done));
+  absl::Notification done;
+  thread_.Post({ reducer::Tick{}, &aFunction, &done });
+  done.WaitForNotification();
 }
 
 void
-Control::Run()
+Control::Handle(const Item& aItem)
 {
-  pthread_setname_np(pthread_self(), "control");
-  while (true) {
-    const std::vector<Item> items = TakeItems();
-    {
-      const absl::MutexLock lock(&mutex_);
-      if (stopping_) {
-        return;
-      }
-    }
-    for (const auto& item : items) {
-      Handle(item);
-    }
-    if (const absl::Time now = absl::Now(); now >= nextTick_) {
-      nextTick_ = now + TickInterval();
-      Handle({ reducer::Tick{} });
-    }
+  if (aItem.inspect_ == nullptr) {
+    Step(aItem.event_);
+    return;
   }
-}
-
-absl::Duration
-Control::TickInterval() const
-{
-  return state_.claimTickets_.empty() ? kTickInterval : kClaimTickInterval;
-}
-
-std::vector<Control::Item>
-Control::TakeItems()
-{
-  std::vector<Item> items;
-  const absl::MutexLock lock(&mutex_);
-  const auto ready = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
-    return !items_.empty() || stopping_;
-  };
-  mutex_.AwaitWithTimeout(absl::Condition(&ready), TickInterval());
-  std::swap(items, items_);
-  return items;
+  (*aItem.inspect_)(state_);
+  aItem.inspected_->Notify();
 }
 
 void
-Control::Handle(const Item& aItem)
+Control::Step(const reducer::Event& aEvent)
 {
-  if (aItem.inspect_ != nullptr) {
-    (*aItem.inspect_)(state_);
-    const absl::MutexLock lock(&mutex_);
-    *aItem.inspected_ = true;
-    return;
-  }
   for (const auto& effect :
-       reducer::Step(state_, { absl::Now(), random_() }, aItem.event_)) {
+       reducer::Step(state_, { absl::Now(), random_() }, aEvent)) {
     perform_(effect);
   }
 }
 
+absl::Duration
+Control::Tick()
+{
+  Step(reducer::Tick{});
+  return state_.claimTickets_.empty() ? kTickInterval : kClaimTickInterval;
+}
+
 } // namespace lycheeplank::entry
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -3,13 +3,11 @@
 
 #include <functional>
 #include <random>
-#include <thread>
-#include <vector>
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
 
 #include "lycheeplank/reducer.h"
+#include "process/event-thread.h"
 
 namespace lycheeplank::entry {
 
@@ -21,9 +19,6 @@
   using Perform = std::function<void(const reducer::Effect&)>;
 
   Control(reducer::State aState, Perform aPerform);
-  ~Control();
-  Control(const Control&) = delete;
-  Control& operator=(const Control&) = delete;
 
   // Starts to take events.
   void Start();
@@ -37,22 +32,17 @@
   {
     reducer::Event event_;
     const std::function<void(const reducer::State&)>* inspect_ = nullptr;
-    bool* inspected_ = nullptr;
+    absl::Notification* inspected_ = nullptr;
   };
 
-  void Run();
-  std::vector<Item> TakeItems();
   void Handle(const Item& aItem);
-  absl::Duration TickInterval() const;
+  void Step(const reducer::Event& aEvent);
+  absl::Duration Tick();
 
   reducer::State state_;
   std::mt19937_64 random_{ std::random_device{}() };
   const Perform perform_;
-  absl::Mutex mutex_;
-  std::vector<Item> items_ ABSL_GUARDED_BY(mutex_);
-  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
-  absl::Time nextTick_ = absl::InfinitePast();
-  std::thread thread_;
+  process::EventThread<Item> thread_;
 };
 
 } // namespace lycheeplank::entry
--- a/src/steward/control.h
+++ b/src/steward/control.h
@@ -2,13 +2,11 @@
 #define LYCHEEPLANK_STEWARD_CONTROL_H
 
 #include <functional>
-#include <thread>
-#include <vector>
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
 
 #include "lycheeplank/rollout.h"
+#include "process/event-thread.h"
 
 namespace lycheeplank::steward {
 
@@ -28,9 +26,6 @@
 {
 public:
   Control(rollout::State aState, ControlHooks aHooks);
-  ~Control();
-  Control(const Control&) = delete;
-  Control& operator=(const Control&) = delete;
 
   void Start();
   // Adds an event, from any thread.
@@ -40,18 +35,13 @@
   bool GiveUp(absl::Duration aTimeout);
 
 private:
-  void Run();
-  std::vector<EventBody> TakeEvents();
   void Handle(const EventBody& aBody);
+  absl::Duration Tick();
 
   rollout::State state_;
   const ControlHooks hooks_;
-  absl::Mutex mutex_;
-  std::vector<EventBody> events_ ABSL_GUARDED_BY(mutex_);
-  bool ending_ ABSL_GUARDED_BY(mutex_) = false;
-  bool gaveUp_ ABSL_GUARDED_BY(mutex_) = false;
-  absl::Time nextTick_ = absl::InfinitePast();
-  std::thread thread_;
+  absl::Notification gaveUp_;
+  process::EventThread<EventBody> thread_;
 };
 
 } // namespace lycheeplank::steward
--- a/src/steward/exports.cc
+++ b/src/steward/exports.cc
@@ -1,7 +1,5 @@
 #include "steward/exports.h"
 
-#include <pthread.h>
-
 #include <algorithm>
 
 #include <absl/strings/str_cat.h>
@@ -115,24 +113,20 @@
   , client_(aClient)
   , metrics_(aMetrics)
   , state_(keeper::Start(aSettings.name_))
+  , thread_(
+      "exports",
+      [this](const keeper::EventBody& aBody) { Handle(aBody); },
+      [this] {
+        Handle(keeper::Tick{});
+        return kTickPeriod;
+      })
 {
 }
 
-Exports::~Exports()
-{
-  {
-    const absl::MutexLock lock(&mutex_);
-    ending_ = true;
-  }
-  if (thread_.joinable()) {
-    thread_.join();
-  }
-}
-
 void
 Exports::Start()
 {
-  thread_ = std::thread([this] { Run(); });
+  thread_.Start();
 }
 
 void
@@ -182,65 +176,28 @@
 void
 Exports::PostRuns(std::vector<keeper::FinishedRun> aRuns)
 {
-  std::size_t dropped = 0;
-  {
-    const absl::MutexLock lock(&mutex_);
-    const auto room =
-      kMaxWaitingEvents - std::min(kMaxWaitingEvents, events_.size());
-    const auto taken = std::min(room, aRuns.size());
-    dropped = aRuns.size() - taken;
-    aRuns.resize(taken);
-    for (auto& run : aRuns) {
-      events_.emplace_back(keeper::RunFinished{ std::move(run) });
-    }
+  std::vector<keeper::EventBody> events;
+  events.reserve(aRuns.size());
+  for (auto& run : aRuns) {
+    events.emplace_back(keeper::RunFinished{ std::move(run) });
   }
-  metrics_.Count("reported_runs_total",
-                 "result",
-                 "taken",
-                 static_cast<double>(aRuns.size()));
-  if (dropped > 0) {
-    metrics_.Count(
-      "reported_runs_total", "result", "dropped", static_cast<double>(dropped));
+  const std::size_t count = events.size();
+  const std::size_t taken =
+    thread_.PostSome(std::move(events), kMaxWaitingEvents);
+  metrics_.Count(
+    "reported_runs_total", "result", "taken", static_cast<double>(taken));
+  if (taken < count) {
+    metrics_.Count("reported_runs_total",
+                   "result",
+                   "dropped",
+                   static_cast<double>(count - taken));
   }
 }
 
 void
 Exports::Post(keeper::EventBody aBody)
 {
-  const absl::MutexLock lock(&mutex_);
-  events_.push_back(std::move(aBody));
-}
-
-void
-Exports::Run()
-{
-  pthread_setname_np(pthread_self(), "exports");
-  while (true) {
-    for (const auto& event : TakeEvents()) {
-      Handle(event);
-    }
-    if (const absl::Time now = BootTime(); now >= nextTick_) {
-      nextTick_ = now + kTickPeriod;
-      Handle(keeper::Tick{});
-    }
-    const absl::MutexLock lock(&mutex_);
-    if (ending_) {
-      return;
-    }
-  }
-}
-
-std::vector<keeper::EventBody>
-Exports::TakeEvents()
-{
-  std::vector<keeper::EventBody> events;
-  const absl::MutexLock lock(&mutex_);
-  const auto ready = [this]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
-    return !events_.empty() || ending_;
-  };
-  mutex_.AwaitWithTimeout(absl::Condition(&ready), kTickPeriod);
-  std::swap(events, events_);
-  return events;
+  thread_.Post(std::move(aBody));
 }
 
 void
--- a/src/steward/exports.h
+++ b/src/steward/exports.h
@@ -2,15 +2,12 @@
 #define LYCHEEPLANK_STEWARD_EXPORTS_H
 
 #include <memory>
-#include <thread>
 #include <vector>
 
-#include <absl/base/thread_annotations.h>
-#include <absl/synchronization/mutex.h>
-
 #include "lycheeplank/keeper.h"
 #include "lycheeplank/metrics.h"
 #include "lycheeplank/net.h"
+#include "process/event-thread.h"
 #include "steward/control.h"
 #include "steward/settings.h"
 
@@ -25,9 +22,6 @@
   Exports(const Settings& aSettings,
           net::Client& aClient,
           metrics::Registry& aMetrics);
-  ~Exports();
-  Exports(const Exports&) = delete;
-  Exports& operator=(const Exports&) = delete;
 
   void Start();
   // Takes over configuration and live hosts from the events of rollouts.
@@ -36,8 +30,6 @@
   void Serve(const std::shared_ptr<net::Exchange>& aExchange);
 
 private:
-  void Run();
-  std::vector<keeper::EventBody> TakeEvents();
   void Handle(const keeper::EventBody& aBody);
   void Post(keeper::EventBody aBody);
   // Adds runs to the events, as many as there is room for.
@@ -57,11 +49,7 @@
   net::Client& client_;
   metrics::Registry& metrics_;
   keeper::State state_;
-  absl::Mutex mutex_;
-  std::vector<keeper::EventBody> events_ ABSL_GUARDED_BY(mutex_);
-  bool ending_ ABSL_GUARDED_BY(mutex_) = false;
-  absl::Time nextTick_ = absl::InfinitePast();
-  std::thread thread_;
+  process::EventThread<keeper::EventBody> thread_;
 };
 
 } // namespace lycheeplank::steward
