Let stand-ins record orders, loads, imports and what happens to blocks

Cause: whether a store was asked for blocks it had lost, whether a block was freed while it was read, how many engines loaded at once and which orders they took could only be sampled from outside, between two polls.

The engine keeps all imports with the reason why one was dropped, all orders and all loads; the store keeps all commits, reads and frees. The load report names the start of the store.

Ruled out: notes only in the logs, which a test would have to parse.

--- a/src/standin/engine-imports.cc
+++ b/src/standin/engine-imports.cc
@@ -52,6 +52,10 @@
 {
   --aRun->importsOpen_;
   const absl::string_view fault = FaultOf(aEngine, *aRun, aBlock, aAnswer);
+  aEngine.imports_.push_back({ aRun->request_.id_,
+                               aBlock.key_,
+                               aBlock.generation_,
+                               std::string(fault) });
   if (!fault.empty()) {
     LOG(INFO) << "event=import_dropped run=" << aRun->request_.id_
               << " block=" << core::ToHex(aBlock.key_) << " reason=" << fault;
--- a/src/standin/engine-orders.cc
+++ b/src/standin/engine-orders.cc
@@ -1,6 +1,7 @@
 #include "standin/engine.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
@@ -20,6 +21,8 @@
 void
 FinishLoading(Engine& aEngine, bool aOk)
 {
+  aEngine.loads_.back().ended_ = absl::Now();
+  aEngine.loads_.back().ok_ = aOk;
   if (aOk) {
     aEngine.weightVersion_ = aEngine.loading_;
     Clear(aEngine.cache_);
@@ -41,6 +44,7 @@
     return;
   }
   aEngine.loading_ = aVersion;
+  aEngine.loads_.push_back({ aVersion, absl::Now() });
   if (aEngine.options_.platformUrl_.empty()) {
     FinishLoading(aEngine, true);
     return;
@@ -68,7 +72,10 @@
     return;
   }
   const auto version = body.at("version").get<std::string>();
-  if (fence < aEngine.highestFence_ && !aEngine.options_.ignoreFencing_) {
+  const bool stale =
+    fence < aEngine.highestFence_ && !aEngine.options_.ignoreFencing_;
+  aEngine.orders_.push_back({ fence, version, !stale });
+  if (stale) {
     ReplyJson(
       aExchange,
       409,
--- a/src/standin/engine.cc
+++ b/src/standin/engine.cc
@@ -166,6 +166,47 @@
            { "token_ms", absl::ToDoubleMilliseconds(options.tokenTime_) } };
 }
 
+Json
+ImportsOf(const Engine& aEngine)
+{
+  Json imports = Json::array();
+  for (const auto& record : aEngine.imports_) {
+    imports.push_back({ { "run_id", record.run_ },
+                        { "key", core::ToHex(record.key_) },
+                        { "generation", record.generation_ },
+                        { "fault", record.fault_ } });
+  }
+  return imports;
+}
+
+Json
+OrdersOf(const Engine& aEngine)
+{
+  Json orders = Json::array();
+  for (const auto& record : aEngine.orders_) {
+    orders.push_back({ { "fence", record.fence_ },
+                       { "version", record.version_ },
+                       { "taken", record.taken_ } });
+  }
+  return orders;
+}
+
+// The end of a load under way is 0.
+Json
+LoadsOf(const Engine& aEngine)
+{
+  Json loads = Json::array();
+  for (const auto& record : aEngine.loads_) {
+    const bool ended = record.ended_ != absl::InfiniteFuture();
+    loads.push_back(
+      { { "version", record.version_ },
+        { "begun_unix_us", absl::ToUnixMicros(record.begun_) },
+        { "ended_unix_us", ended ? absl::ToUnixMicros(record.ended_) : 0 },
+        { "ok", record.ok_ } });
+  }
+  return loads;
+}
+
 void
 ReplyExecutions(const Engine& aEngine, const ExchangePtr& aExchange)
 {
@@ -181,10 +222,13 @@
                      { "imported_blocks", run->importedBlocks_ },
                      { "blocks", UsesOf(*run) } });
   }
-  ReplyJson(
-    aExchange,
-    200,
-    { { "runs", std::move(runs) }, { "settings", SettingsOf(aEngine) } });
+  ReplyJson(aExchange,
+            200,
+            { { "runs", std::move(runs) },
+              { "imports", ImportsOf(aEngine) },
+              { "orders", OrdersOf(aEngine) },
+              { "loads", LoadsOf(aEngine) },
+              { "settings", SettingsOf(aEngine) } });
 }
 
 void
--- a/src/standin/engine.h
+++ b/src/standin/engine.h
@@ -118,6 +118,33 @@
 
 using ExportPtr = std::shared_ptr<Export>;
 
+// One block that a run asked a store for.
+struct ImportRecord
+{
+  std::string run_;
+  core::BlockKey key_;
+  std::uint64_t generation_ = 0;
+  // Why it was dropped; empty if it was not.
+  std::string fault_;
+};
+
+// One order to load a version.
+struct OrderRecord
+{
+  std::uint64_t fence_ = 0;
+  std::string version_;
+  bool taken_ = false;
+};
+
+// One load of a version.
+struct LoadRecord
+{
+  std::string version_;
+  absl::Time begun_;
+  absl::Time ended_ = absl::InfiniteFuture();
+  bool ok_ = false;
+};
+
 // All state of an engine.
 struct Engine
 {
@@ -139,6 +166,10 @@
   std::vector<RunPtr> executions_;
   absl::flat_hash_map<std::string, ExportPtr> exports_;
   std::uint64_t lastExport_ = 0;
+  // All imports, orders and loads so far, in order.
+  std::vector<ImportRecord> imports_;
+  std::vector<OrderRecord> orders_;
+  std::vector<LoadRecord> loads_;
   // Last, so that no callback outlives what it uses.
   net::Client client_{ 1 };
 };
--- a/src/standin/frame.cc
+++ b/src/standin/frame.cc
@@ -97,7 +97,7 @@
 bool
 IsObservation(absl::string_view aPath)
 {
-  return aPath == "/executions" || aPath == "/calls";
+  return aPath == "/executions" || aPath == "/calls" || aPath == "/contents";
 }
 
 // Notes an exchange, and forgets those that are over once there are many.
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -115,6 +115,10 @@
     aApp, "link-rate", aOptions.linkBytesPerSecond_, "bytes/s on the link");
   AddFlag(
     aApp, "disk-rate", aOptions.diskBytesPerSecond_, "bytes/s from the disk");
+  AddFlag(aApp,
+          "contents",
+          aOptions.contents_,
+          "file with what GET /contents gave, to begin with");
 }
 
 // Serves until SIGTERM or SIGINT.
--- a/src/standin/standin.h
+++ b/src/standin/standin.h
@@ -60,6 +60,8 @@
   std::uint64_t diskBytes_ = 8ULL << 30U;
   double linkBytesPerSecond_ = 100e6;
   double diskBytesPerSecond_ = 50e6;
+  // File with what GET /contents gave, to begin with; empty for none.
+  std::string contents_;
 };
 
 std::unique_ptr<Running>
--- a/src/standin/store-blocks.cc
+++ b/src/standin/store-blocks.cc
@@ -14,6 +14,10 @@
 
 constexpr absl::string_view kBegin = "/begin";
 constexpr absl::string_view kCommit = "/commit";
+constexpr int kConflict = 409;
+// Reasons for a conflict.
+constexpr absl::string_view kGeneration = "generation";
+constexpr absl::string_view kPinned = "pinned";
 // Writes that are not committed by then are dropped.
 constexpr absl::Duration kWriteLimit = absl::Seconds(60);
 
@@ -35,6 +39,20 @@
     });
 }
 
+void
+Record(Store& aStore,
+       BlockCall aCall,
+       const BlockAddress& aAddress,
+       std::uint64_t aBytes,
+       absl::string_view aRefusal = "")
+{
+  aStore.records_.push_back({ aCall,
+                              aAddress.key_,
+                              aAddress.generation_,
+                              aBytes,
+                              std::string(aRefusal) });
+}
+
 // Returns the block being written under this generation, if there is one.
 Block*
 FindWrite(Store& aStore, const BlockAddress& aAddress)
@@ -124,7 +142,7 @@
 {
   Block* block = FindWrite(aStore, aAddress);
   if (block == nullptr) {
-    ReplyError(aExchange, 409, "generation");
+    ReplyError(aExchange, kConflict, kGeneration);
     return;
   }
   block->payload_ = aExchange->request_.body_;
@@ -138,7 +156,7 @@
 {
   const Block* block = FindWrite(aStore, aAddress);
   if (block == nullptr) {
-    ReplyError(aExchange, 409, "generation");
+    ReplyError(aExchange, kConflict, kGeneration);
     return;
   }
   const absl::Time end = AddTransfer(aStore.link_,
@@ -180,32 +198,45 @@
   }
   Block* block = FindWrite(aStore, aAddress);
   if (block == nullptr || !IsComplete(*block)) {
-    ReplyError(aExchange, 409, block == nullptr ? "generation" : "checksum");
+    const absl::string_view refusal =
+      block == nullptr ? kGeneration : "checksum";
+    Record(aStore, BlockCall::Commit, aAddress, 0, refusal);
+    ReplyError(aExchange, kConflict, refusal);
     return;
   }
   if (const auto old = aStore.committed_.find(aAddress.key_);
       old != aStore.committed_.end() &&
       IsPinned(aStore, aAddress.key_, old->second.generation_)) {
-    ReplyError(aExchange, 409, "pinned");
+    Record(aStore, BlockCall::Commit, aAddress, 0, kPinned);
+    ReplyError(aExchange, kConflict, kPinned);
     return;
   }
   FreeBlock(aStore, aAddress.key_);
+  Record(aStore, BlockCall::Commit, aAddress, block->bytes_);
   block->lastUse_ = ++aStore.lastUse_;
   aStore.committed_[aAddress.key_] = std::move(*block);
   aStore.writing_.erase(aAddress.generation_);
   ReplyJson(aExchange, 200, Json::object());
 }
 
+// A read under way, with the pin that keeps its block.
+struct BlockRead
+{
+  BlockAddress address_;
+  std::string pin_;
+};
+
 void
-FinishGet(Store& aStore,
-          const BlockAddress& aAddress,
-          const ExchangePtr& aExchange)
+FinishGet(Store& aStore, const BlockRead& aRead, const ExchangePtr& aExchange)
 {
-  const Block* block = FindBlock(aStore, aAddress);
+  aStore.pins_.erase(aRead.pin_);
+  const Block* block = FindBlock(aStore, aRead.address_);
   if (block == nullptr) {
-    ReplyError(aExchange, 409, "generation");
+    Record(aStore, BlockCall::Read, aRead.address_, 0, kGeneration);
+    ReplyError(aExchange, kConflict, kGeneration);
     return;
   }
+  Record(aStore, BlockCall::Read, aRead.address_, block->bytes_);
   aExchange->Reply(200,
                    { { "X-Checksum", block->checksum_ },
                      { "X-Bytes", absl::StrCat(block->bytes_) },
@@ -216,15 +247,14 @@
 // Sends a block over the link.
 void
 SendBlock(Store& aStore,
-          const BlockAddress& aAddress,
+          const BlockRead& aRead,
           std::uint64_t aBytes,
           const ExchangePtr& aExchange)
 {
   const absl::Time end = AddTransfer(
     aStore.link_, aBytes, aStore.context_.faults_.slowdown_, absl::Now());
-  aStore.context_.loop_.At(end, [&aStore, aAddress, aExchange] {
-    FinishGet(aStore, aAddress, aExchange);
-  });
+  aStore.context_.loop_.At(
+    end, [&aStore, aRead, aExchange] { FinishGet(aStore, aRead, aExchange); });
 }
 
 void
@@ -234,21 +264,24 @@
 {
   Block* block = FindBlock(aStore, aAddress);
   if (block == nullptr) {
-    ReplyError(aExchange, 409, "generation");
+    Record(aStore, BlockCall::Read, aAddress, 0, kGeneration);
+    ReplyError(aExchange, kConflict, kGeneration);
     return;
   }
   block->lastUse_ = ++aStore.lastUse_;
+  const BlockRead read{ aAddress, core::RandomId() };
+  aStore.pins_[read.pin_] = { aAddress.key_, aAddress.generation_ };
   if (block->tier_ == Tier::Memory) {
-    SendBlock(aStore, aAddress, block->bytes_, aExchange);
+    SendBlock(aStore, read, block->bytes_, aExchange);
     return;
   }
-  const absl::Time read = AddTransfer(aStore.disk_,
-                                      block->bytes_,
-                                      aStore.context_.faults_.slowdown_,
-                                      absl::Now());
+  const absl::Time inMemory = AddTransfer(aStore.disk_,
+                                          block->bytes_,
+                                          aStore.context_.faults_.slowdown_,
+                                          absl::Now());
   const std::uint64_t bytes = block->bytes_;
-  aStore.context_.loop_.At(read, [&aStore, aAddress, bytes, aExchange] {
-    SendBlock(aStore, aAddress, bytes, aExchange);
+  aStore.context_.loop_.At(inMemory, [&aStore, read, bytes, aExchange] {
+    SendBlock(aStore, read, bytes, aExchange);
   });
 }
 
@@ -257,11 +290,15 @@
             const BlockAddress& aAddress,
             const ExchangePtr& aExchange)
 {
-  if (FindBlock(aStore, aAddress) == nullptr) {
-    ReplyError(aExchange, 409, "generation");
+  const Block* block = FindBlock(aStore, aAddress);
+  if (block == nullptr) {
+    Record(aStore, BlockCall::Free, aAddress, 0, kGeneration);
+    ReplyError(aExchange, kConflict, kGeneration);
   } else if (IsPinned(aStore, aAddress.key_, aAddress.generation_)) {
-    ReplyError(aExchange, 409, "pinned");
+    Record(aStore, BlockCall::Free, aAddress, 0, kPinned);
+    ReplyError(aExchange, kConflict, kPinned);
   } else {
+    Record(aStore, BlockCall::Free, aAddress, block->bytes_);
     FreeBlock(aStore, aAddress.key_);
     ReplyJson(aExchange, 200, Json::object());
   }
@@ -279,6 +316,38 @@
            : &found->second;
 }
 
+nlohmann::json
+ContentsOf(const Store& aStore)
+{
+  Json blocks = Json::array();
+  for (const auto& [key, block] : aStore.committed_) {
+    blocks.push_back({ { "key", key },
+                       { "generation", block.generation_ },
+                       { "bytes", block.bytes_ },
+                       { "checksum", block.checksum_ },
+                       { "root", block.root_ },
+                       { "payload", block.payload_ } });
+  }
+  return { { "blocks", std::move(blocks) } };
+}
+
+void
+ReadContents(Store& aStore, const nlohmann::json& aContents)
+{
+  for (const Json& item : aContents.at("blocks")) {
+    Block block;
+    block.generation_ = item.at("generation").get<std::uint64_t>();
+    block.bytes_ = item.at("bytes").get<std::uint64_t>();
+    block.checksum_ = item.at("checksum").get<std::string>();
+    block.root_ = item.at("root").get<std::string>();
+    block.payload_ = item.at("payload").get<std::string>();
+    // What outlived a restart was on disk.
+    block.tier_ = Tier::Disk;
+    aStore.diskUsed_ += block.bytes_;
+    aStore.committed_[item.at("key").get<std::string>()] = std::move(block);
+  }
+}
+
 void
 HandleBlock(Store& aStore,
             absl::string_view aRest,
--- a/src/standin/store.cc
+++ b/src/standin/store.cc
@@ -1,6 +1,9 @@
 #include "standin/store.h"
 
+#include <fstream>
+
 #include <absl/strings/strip.h>
+#include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
 namespace lycheeplank::standin {
@@ -66,7 +69,36 @@
       { "disk_bytes", aStore.options_.diskBytes_ },
       { "link_backlog_bytes", BacklogOf(aStore.link_, slowdown, absl::Now()) },
       { "link_bytes_per_second", aStore.link_.bytesPerSecond_ / slowdown },
-      { "link_bytes_total", aStore.link_.bytesTotal_ } });
+      { "link_bytes_total", aStore.link_.bytesTotal_ },
+      { "instance", aStore.instance_ } });
+}
+
+void
+ReplyExecutions(const Store& aStore, const ExchangePtr& aExchange)
+{
+  Json blocks = Json::array();
+  for (const auto& record : aStore.records_) {
+    blocks.push_back(
+      { { "call", std::string(core::NameOf(kBlockCalls, record.call_)) },
+        { "key", record.key_ },
+        { "generation", record.generation_ },
+        { "bytes", record.bytes_ },
+        { "refusal", record.refusal_ } });
+  }
+  ReplyJson(aExchange, 200, { { "blocks", std::move(blocks) } });
+}
+
+// Fills a store with the contents that a file holds.
+void
+ReadContentsFile(Store& aStore, const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  const Json contents = Json::parse(file, nullptr, false);
+  if (contents.is_discarded()) {
+    LOG(FATAL) << "event=contents_unreadable path=" << aPath
+               << " remedy=\"give a file that GET /contents has filled\"";
+  }
+  ReadContents(aStore, contents);
 }
 
 void
@@ -86,7 +118,9 @@
   } else if (request.path_ == "/v1/load") {
     ReplyLoad(aStore, aExchange);
   } else if (request.path_ == "/executions") {
-    ReplyJson(aExchange, 200, Json::object());
+    ReplyExecutions(aStore, aExchange);
+  } else if (request.path_ == "/contents") {
+    ReplyJson(aExchange, 200, ContentsOf(aStore));
   } else {
     ReplyError(aExchange, 404, "unknown path");
   }
@@ -101,6 +135,9 @@
   auto store = std::make_shared<Store>(Store{ aOptions, *context });
   store->link_.bytesPerSecond_ = aOptions.linkBytesPerSecond_;
   store->disk_.bytesPerSecond_ = aOptions.diskBytesPerSecond_;
+  if (!aOptions.contents_.empty()) {
+    ReadContentsFile(*store, aOptions.contents_);
+  }
   return std::make_unique<Running>(
     aOptions.common_, context, [store](const ExchangePtr& aExchange) {
       Handle(*store, aExchange);
--- a/test/standin-test.cc
+++ b/test/standin-test.cc
@@ -1,5 +1,7 @@
 #include "standin/standin.h"
 
+#include <filesystem>
+#include <fstream>
 #include <future>
 #include <thread>
 
@@ -960,6 +962,84 @@
   CHECK(Send(*store, "DELETE", BlockPath(kKey, generation)).Ok());
 }
 
+TEST_CASE("a block is not freed while it is read")
+{
+  StoreOptions options;
+  options.linkBytesPerSecond_ = 1'000'000;
+  const auto store = StartStore(options);
+  const auto generation = WriteBlock(*store, kKey, "payload");
+  // The read takes two seconds.
+  Send(*store, "POST", "/fault", R"({"fault":"slow","factor":2000})");
+  auto read = std::async(std::launch::async, [&] {
+    return Send(*store, "GET", BlockPath(kKey, generation));
+  });
+  REQUIRE(Eventually(
+    [&] { return Get(*store, "/v1/load")["link_backlog_bytes"] > 0; }));
+  Send(*store, "DELETE", BlockPath(kKey, generation));
+  CHECK(read.get().body_ == "payload");
+  Send(*store, "DELETE", BlockPath(kKey, generation));
+  const Json blocks = Get(*store, "/executions")["blocks"];
+  REQUIRE(blocks.size() == 4);
+  CHECK(blocks[0]["call"] == "commit");
+  CHECK(blocks[1]["refusal"] == "pinned");
+  CHECK(blocks[2]["call"] == "read");
+  CHECK(blocks[2]["refusal"] == "");
+  CHECK(blocks[3]["call"] == "free");
+  CHECK(blocks[3]["refusal"] == "");
+}
+
+TEST_CASE("a store that was restarted may hold what it held before")
+{
+  const auto store = StartStore({});
+  const auto generation = WriteBlock(*store, kKey, "payload");
+  const auto path = std::filesystem::temp_directory_path() /
+                    ("contents-" + core::RandomId() + ".json");
+  std::ofstream(path) << Get(*store, "/contents").dump();
+  StoreOptions options;
+  options.contents_ = path;
+  const auto again = StartStore(options);
+  std::filesystem::remove(path);
+  CHECK(Send(*again, "GET", BlockPath(kKey, generation)).body_ == "payload");
+  CHECK(Get(*again, "/v1/load")["disk_used"] == 1000);
+  CHECK(Get(*again, "/v1/load")["instance"] !=
+        Get(*store, "/v1/load")["instance"]);
+  CHECK(WriteBlock(*again, kKey, "payload") > generation);
+}
+
+TEST_CASE("an engine tells its orders, loads and imports")
+{
+  const auto engine = StartEngine(FastEngine());
+  const auto order = [&](int aFence, const std::string& aVersion) {
+    Send(*engine,
+         "POST",
+         "/v1/orders",
+         Json({ { "fence", aFence },
+                { "order", "load_weights" },
+                { "version", aVersion } })
+           .dump());
+  };
+  order(2, "v2");
+  order(1, "v3");
+  Json body = RunBody("r1", Prompt("a"));
+  const auto chain =
+    core::BlockChain({ "w1", "wording", "v2", "" }, Prompt("a"), kBlockTokens);
+  body["import"] = { { "store_url", "http://127.0.0.1:1" },
+                     { "blocks", Json::array() } };
+  body["import"]["blocks"].push_back(
+    { { "key", core::ToHex(chain[0]) }, { "generation", 1 } });
+  Complete(*engine, body);
+  const Json record = Get(*engine, "/executions");
+  REQUIRE(record["orders"].size() == 2);
+  CHECK(record["orders"][0]["taken"] == true);
+  CHECK(record["orders"][1]["taken"] == false);
+  REQUIRE(record["loads"].size() == 1);
+  CHECK(record["loads"][0]["version"] == "v2");
+  CHECK(record["loads"][0]["ok"] == true);
+  REQUIRE(record["imports"].size() == 1);
+  CHECK(record["imports"][0]["run_id"] == "r1");
+  CHECK(record["imports"][0]["fault"] == "transfer");
+}
+
 TEST_CASE("a full memory moves blocks to disk, a full disk refuses")
 {
   StoreOptions options;
