Ask stores that were down until they are back

Cause: a steward asks a store for its load only while it has exports for it or frees it, and plans no export to a store that gave no answer the last time. A steward that doesn't own a store and once saw it down therefore never asked it again and never exported to it again.

A store that is down is now asked as often as one that is used.

Ruled out: forgetting after a while that it was down, which would plan exports that only fail.

The new case of keeper-test failed without the change (no question after 20 s on the two hosts that don't own the store), and passes with it.

--- a/src/keeper/parts.h
+++ b/src/keeper/parts.h
@@ -60,6 +60,10 @@
 bool
 IsFresh(const State& aState, const StoreState& aStore, absl::Time aNow);
 
+// Whether a store gave no answer the last time that it was asked.
+bool
+IsDown(const StoreState& aStore);
+
 std::uint64_t
 CapacityOf(const config::Store& aStore);
 
--- a/src/keeper/stores.cc
+++ b/src/keeper/stores.cc
@@ -441,13 +441,22 @@
          aNow - aStore.reportedAt_ <= 2 * StoreAskPeriod(aState);
 }
 
+bool
+IsDown(const StoreState& aStore)
+{
+  return !aStore.reached_ && aStore.reportedAt_ != absl::InfinitePast();
+}
+
 void
 AskStores(StepContext& aStep)
 {
   auto& state = aStep.state_;
   for (auto& [name, store] : state.stores_) {
-    if (aStep.now_ < store.nextAsk_ ||
-        !(IsUsed(state, name) || OwnsStore(state, name))) {
+    // Nothing is planned for a store that is down, so it has to be asked, or
+    // this host would never hear that it is back.
+    const bool wanted =
+      IsUsed(state, name) || OwnsStore(state, name) || IsDown(store);
+    if (aStep.now_ < store.nextAsk_ || !wanted) {
       continue;
     }
     store.nextAsk_ = aStep.now_ + StoreAskPeriod(state);
--- a/test/keeper-test.cc
+++ b/test/keeper-test.cc
@@ -216,6 +216,22 @@
   CHECK(bench.state_.exports_.size() == 1);
 }
 
+TEST_CASE("a store that was down is used again also by hosts that don't own it")
+{
+  const std::vector<std::string> hosts{ "host-a", "host-b", "host-c" };
+  for (const auto& host : hosts) {
+    Bench bench = Ready();
+    bench.state_.self_ = host;
+    bench.Post(keeper::HostsChanged{ hosts });
+    bench.Post(keeper::StoreReported{ "store-0", false });
+    CHECK(Of<keeper::StartExport>(bench.Post(Run(1, 5))).empty());
+    bench.now_ += absl::Seconds(20);
+    REQUIRE(Of<keeper::AskStore>(bench.Tick()).size() == 1);
+    bench.Post(Report());
+    CHECK(Of<keeper::StartExport>(bench.Post(Run(1, 5))).size() == 1);
+  }
+}
+
 TEST_CASE("late and repeated reports of an export change nothing")
 {
   auto bench = Ready();
