Export once what other hosts have exported

Cause: a steward knew only its own exports, so each host through which a prompt returned exported it again, whether the run had reused it or not. And blocks that a store had lost were thought to be held for ten minutes.

With a run the entry host now tells what the directory said at its placement of the stores: leading blocks by store. Those aren't exported again. What a steward exported itself, told five seconds or more before the placement, and the directory doesn't list, is no longer held. Nothing is concluded if no home answered or the import came short.

A block that an import didn't get was taken out of this host's directory only, and this host need not be a home of the prompt. It is now told to the homes with its generation, and a newer copy stays; blocks that the engine had cached meanwhile are no longer taken for missing. CorrectByImport is gone with it; its test case now checks the same through Apply.

Ruled out: a question to the homes or to the store before each export, which are more calls for the same answer.

The new cases of keeper-test and reducer-test failed with the mechanism taken out and pass with it.

Left: two hosts that run a new prompt at the same moment both export it.

--- a/include/lycheeplank/directory.h
+++ b/include/lycheeplank/directory.h
@@ -147,16 +147,9 @@
              const std::vector<core::BlockKey>& aChain,
              std::size_t aCached);
 
-// Records that an import asked a store for the blocks [aFirst, aFirst +
-// generations) and got only the first aImported; copies of a newer generation
-// stay.
-void
-CorrectByImport(State& aState,
-                const HolderId& aStore,
-                const std::vector<core::BlockKey>& aChain,
-                std::size_t aFirst,
-                const std::vector<std::uint64_t>& aGenerations,
-                std::size_t aImported);
+// Returns how many blocks of a holder this host knows.
+std::size_t
+CountBlocks(const State& aState, absl::string_view aName);
 
 // Finds the holders of the blocks of a prompt, given in order. Holders without
 // the first block are left out, unless they are stores with later blocks.
--- a/include/lycheeplank/keeper.h
+++ b/include/lycheeplank/keeper.h
@@ -44,6 +44,13 @@
 // A longer backlog of a store's link makes exports wait for imports.
 inline constexpr absl::Duration kMaxLinkBacklog = absl::Milliseconds(200);
 
+// Leading blocks of a prompt that a store holds, as the directory says.
+struct Holding
+{
+  std::string store_;
+  std::uint32_t blocks_ = 0;
+};
+
 // A run that has ended, with all full blocks of its prompt.
 struct FinishedRun
 {
@@ -54,6 +61,10 @@
   std::vector<core::BlockKey> chain_;
   // Leading blocks that were cached or imported.
   std::uint32_t reusedBlocks_ = 0;
+  // What stores held when the run was placed; nothing if that isn't known.
+  absl::optional<std::vector<Holding>> holdings_;
+  // Time since it was placed.
+  absl::Duration age_ = absl::ZeroDuration();
 };
 
 // A committed block of a store.
--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -147,6 +147,8 @@
   RequestId id_ = 0;
   std::uint32_t attempt_ = 0;
   std::vector<directory::Holder> holders_;
+  // A home has answered.
+  bool known_ = true;
 };
 
 // A batch of an engine's cache events, or its whole inventory.
@@ -192,6 +194,8 @@
   double linkBytesPerSecond_ = 0.0;
   std::uint64_t memoryUsed_ = 0;
   std::uint64_t diskUsed_ = 0;
+  // Differs between two starts of the store; zero if it doesn't say.
+  std::uint64_t instance_ = 0;
 };
 
 // A target's own report, or the failure to get one.
@@ -386,6 +390,13 @@
   std::string store_;
 };
 
+// Leading blocks of a prompt that a store holds, as the directory says.
+struct Holding
+{
+  std::string store_;
+  std::uint32_t blocks_ = 0;
+};
+
 // Reports a run whose blocks may be worth keeping in a store.
 struct ReportRun
 {
@@ -395,6 +406,10 @@
   std::string target_;
   std::vector<core::BlockKey> chain_;
   std::uint32_t reusedBlocks_ = 0;
+  // What stores held when the run was placed; nothing if that isn't known.
+  absl::optional<std::vector<Holding>> holdings_;
+  // Time since it was placed.
+  absl::Duration age_ = absl::ZeroDuration();
 };
 
 // Answers a request with an error; nothing more happens to it.
@@ -588,6 +603,10 @@
   std::uint64_t memoryUsed_ = 0;
   std::uint64_t diskUsed_ = 0;
   absl::Time asOf_ = absl::InfinitePast();
+  // Questions in a row without an answer, and which start of the store has
+  // answered last; zero if it doesn't say.
+  std::uint32_t missed_ = 0;
+  std::uint64_t instance_ = 0;
   // Bytes of imports that this host has ordered since the report.
   std::uint64_t ownBytes_ = 0;
 };
@@ -614,6 +633,8 @@
   std::string weightVersion_;
   // Block keys under the weight version of the attempt.
   std::vector<core::BlockKey> chain_;
+  // What stores hold of it; nothing if no home has said.
+  absl::optional<std::vector<Holding>> holdings_;
   // Store and blocks of the attempt's import.
   absl::optional<placement::Import> import_;
   std::vector<std::string> triedTargets_;
--- a/src/directory/directory.cc
+++ b/src/directory/directory.cc
@@ -23,6 +23,19 @@
   return copy;
 }
 
+// Whether a newer generation of a block is known than the one that was seen to
+// be gone.
+bool
+IsNewer(const State& aState, std::uint16_t aHolder, const Sighting& aGone)
+{
+  const auto block = aState.blocks_.find(ShortKey(aGone.block_));
+  if (aGone.generation_ == 0 || block == aState.blocks_.end()) {
+    return false;
+  }
+  const Copy* copy = FindCopy(aState, block->second, aHolder);
+  return copy != nullptr && copy->generation_ > aGone.generation_;
+}
+
 // Returns the short keys of all blocks of a holder. For a store this looks at
 // all blocks.
 std::vector<std::uint64_t>
@@ -92,7 +105,7 @@
 {
   if (!aSighting.present_) {
     if (const auto holder = FindHolder(aState, aHolder.name_);
-        holder != kNoHolder) {
+        holder != kNoHolder && !IsNewer(aState, holder, aSighting)) {
       RemoveCopy(aState, holder, ShortKey(aSighting.block_));
     }
     return;
@@ -150,32 +163,11 @@
   }
 }
 
-void
-CorrectByImport(State& aState,
-                const HolderId& aStore,
-                const std::vector<core::BlockKey>& aChain,
-                std::size_t aFirst,
-                const std::vector<std::uint64_t>& aGenerations,
-                std::size_t aImported)
+std::size_t
+CountBlocks(const State& aState, absl::string_view aName)
 {
-  const auto holder = FindHolder(aState, aStore.name_);
-  if (holder == kNoHolder) {
-    return;
-  }
-  for (std::size_t i = aImported; i < aGenerations.size(); ++i) {
-    if (aFirst + i >= aChain.size()) {
-      return;
-    }
-    const auto key = ShortKey(aChain[aFirst + i]);
-    const auto block = aState.blocks_.find(key);
-    if (block == aState.blocks_.end()) {
-      continue;
-    }
-    const Copy* copy = FindCopy(aState, block->second, holder);
-    if (copy != nullptr && copy->generation_ <= aGenerations[i]) {
-      RemoveCopy(aState, holder, key);
-    }
-  }
+  const auto holder = FindHolder(aState, aName);
+  return holder == kNoHolder ? 0 : aState.holders_[holder].copies_;
 }
 
 std::vector<Holder>
--- a/src/entry/steward-link.cc
+++ b/src/entry/steward-link.cc
@@ -29,12 +29,21 @@
   for (const auto& block : aRun.chain_) {
     chain.push_back(core::ToHex(block));
   }
-  return { { "workspace", aRun.workspace_ },
-           { "model", aRun.model_ },
-           { "weight_version", aRun.weightVersion_ },
-           { "target", aRun.target_ },
-           { "chain", std::move(chain) },
-           { "reused_blocks", aRun.reusedBlocks_ } };
+  json run{ { "workspace", aRun.workspace_ },
+            { "model", aRun.model_ },
+            { "weight_version", aRun.weightVersion_ },
+            { "target", aRun.target_ },
+            { "chain", std::move(chain) },
+            { "reused_blocks", aRun.reusedBlocks_ },
+            { "age_ms", absl::ToInt64Milliseconds(aRun.age_) } };
+  if (aRun.holdings_) {
+    json& holdings = run["holdings"] = json::array();
+    for (const auto& holding : *aRun.holdings_) {
+      holdings.push_back(
+        { { "store", holding.store_ }, { "blocks", holding.blocks_ } });
+    }
+  }
+  return run;
 }
 
 core::BlockKey
--- a/src/keeper/runs.cc
+++ b/src/keeper/runs.cc
@@ -20,6 +20,8 @@
 constexpr double kHoldMargin = 0.5;
 // A held block that a run had to compute after this is looked on as freed.
 constexpr absl::Duration kHeldTrust = absl::Minutes(10);
+// Time in which all homes hear that a block is in a store.
+constexpr absl::Duration kTellTime = absl::Seconds(5);
 
 using detail::StepContext;
 
@@ -84,6 +86,38 @@
   ForgetPrompts(aStep);
 }
 
+// Returns how many leading blocks of the run's prompt a store holds by the
+// directory.
+std::uint32_t
+HoldingOf(const FinishedRun& aRun, const std::string& aStore)
+{
+  if (!aRun.holdings_) {
+    return 0;
+  }
+  const auto found =
+    std::find_if(aRun.holdings_->begin(),
+                 aRun.holdings_->end(),
+                 [&](const Holding& aEach) { return aEach.store_ == aStore; });
+  return found == aRun.holdings_->end() ? 0 : found->blocks_;
+}
+
+// Blocks that were announced well before the run was placed and that the
+// directory didn't know then are no longer held: they were freed, or their
+// store has lost them.
+void
+DropUnlisted(StepContext& aStep, const FinishedRun& aRun)
+{
+  auto& held = aStep.state_.held_;
+  const auto heard = aStep.now_ - aRun.age_ - kTellTime;
+  for (std::size_t i = 0; aRun.holdings_ && i < aRun.chain_.size(); ++i) {
+    const auto found = held.find(aRun.chain_[i]);
+    if (found != held.end() && found->second.since_ < heard &&
+        i >= HoldingOf(aRun, found->second.store_)) {
+      held.erase(found);
+    }
+  }
+}
+
 // Blocks that the run computed although a store was thought to hold them were
 // probably freed there by its owner.
 void
@@ -101,6 +135,13 @@
 // Blocks of waiting and running exports of a prompt, with their store.
 using PlannedBlocks = absl::flat_hash_map<core::BlockKey, std::string>;
 
+// A run with what this host already does about its prompt.
+struct PlannedRun
+{
+  const FinishedRun& run_;
+  PlannedBlocks planned_;
+};
+
 PlannedBlocks
 PlannedOf(const State& aState, const core::BlockKey& aRoot)
 {
@@ -115,18 +156,38 @@
   return planned;
 }
 
+// Whether a store holds a block of the run's chain or will soon.
 bool
 IsHeld(const State& aState,
-       const PlannedBlocks& aPlanned,
-       const core::BlockKey& aKey,
+       const PlannedRun& aRun,
+       std::size_t aIndex,
        const std::string& aStore)
 {
-  if (const auto held = aState.held_.find(aKey);
+  const auto& key = aRun.run_.chain_[aIndex];
+  if (aIndex < HoldingOf(aRun.run_, aStore)) {
+    return true;
+  }
+  if (const auto held = aState.held_.find(key);
       held != aState.held_.end() && held->second.store_ == aStore) {
     return true;
   }
-  const auto planned = aPlanned.find(aKey);
-  return planned != aPlanned.end() && planned->second == aStore;
+  const auto planned = aRun.planned_.find(key);
+  return planned != aRun.planned_.end() && planned->second == aStore;
+}
+
+// Returns how many leading blocks of the run's prompt a store holds or will
+// soon.
+std::uint32_t
+LeadingHeld(const State& aState,
+            const PlannedRun& aRun,
+            const std::string& aStore)
+{
+  std::uint32_t count = 0;
+  while (count < aRun.run_.chain_.size() &&
+         IsHeld(aState, aRun, count, aStore)) {
+    ++count;
+  }
+  return count;
 }
 
 // Bytes of exports that wait for a store.
@@ -141,26 +202,19 @@
 }
 
 keeping::StoreView
-ViewOf(const State& aState,
-       const std::string& aName,
-       const FinishedRun& aRun,
-       const PlannedBlocks& aPlanned)
+ViewOf(const State& aState, const std::string& aName, const PlannedRun& aRun)
 {
   const auto& store = aState.stores_.at(aName);
   const auto& settings = aState.config_->stores_.at(aName);
-  const auto firstMissing = std::find_if_not(
-    aRun.chain_.begin(), aRun.chain_.end(), [&](const auto& aKey) {
-      return IsHeld(aState, aPlanned, aKey, aName);
-    });
+  const auto& workspace = aRun.run_.workspace_;
   keeping::StoreView view;
   view.name_ = aName;
-  view.heldBlocks_ =
-    static_cast<std::uint32_t>(firstMissing - aRun.chain_.begin());
+  view.heldBlocks_ = LeadingHeld(aState, aRun, aName);
   view.capacityBytes_ = detail::CapacityOf(settings);
   view.usedBytes_ = store.usedBytes_;
-  const auto used = store.workspaceBytes_.find(aRun.workspace_);
+  const auto used = store.workspaceBytes_.find(workspace);
   view.workspaceBytes_ = used == store.workspaceBytes_.end() ? 0 : used->second;
-  view.workspaceShareBytes_ = StoreShare(aState, aName, aRun.workspace_);
+  view.workspaceShareBytes_ = StoreShare(aState, aName, workspace);
   view.linkBytesPerSecond_ = settings.linkBytesPerSecond_;
   view.queuedBytes_ = store.linkBacklogBytes_ + WaitingBytes(aState, aName);
   view.freedValuePerByte_ = store.freedValuePerByte_;
@@ -169,17 +223,13 @@
 
 // Stores that are not known to be down.
 std::vector<keeping::StoreView>
-ViewsOf(const StepContext& aStep,
-        const FinishedRun& aRun,
-        const PlannedBlocks& aPlanned)
+ViewsOf(const StepContext& aStep, const PlannedRun& aRun)
 {
   const auto& state = aStep.state_;
   std::vector<keeping::StoreView> views;
   for (const auto& [name, store] : state.stores_) {
-    const bool down =
-      !store.reached_ && store.reportedAt_ != absl::InfinitePast();
-    if (!down && store.closedUntil_ <= aStep.now_) {
-      views.push_back(ViewOf(state, name, aRun, aPlanned));
+    if (!detail::IsDown(store) && store.closedUntil_ <= aStep.now_) {
+      views.push_back(ViewOf(state, name, aRun));
     }
   }
   return views;
@@ -212,19 +262,19 @@
 
 Export
 MakeExport(const StepContext& aStep,
-           const FinishedRun& aRun,
-           const PlannedBlocks& aPlanned,
+           const PlannedRun& aRun,
            const keeping::Export& aPlan)
 {
+  const auto& run = aRun.run_;
   Export item;
-  item.workspace_ = aRun.workspace_;
-  item.weightVersion_ = aRun.weightVersion_;
-  item.target_ = aRun.target_;
+  item.workspace_ = run.workspace_;
+  item.weightVersion_ = run.weightVersion_;
+  item.target_ = run.target_;
   item.store_ = aPlan.store_;
-  item.root_ = aRun.chain_.front();
+  item.root_ = run.chain_.front();
   for (auto i = aPlan.firstBlock_; i < aPlan.firstBlock_ + aPlan.blocks_; ++i) {
-    if (!IsHeld(aStep.state_, aPlanned, aRun.chain_[i], aPlan.store_)) {
-      item.blocks_.push_back(aRun.chain_[i]);
+    if (!IsHeld(aStep.state_, aRun, i, aPlan.store_)) {
+      item.blocks_.push_back(run.chain_[i]);
     }
   }
   item.bytes_ = aPlan.bytes_ / aPlan.blocks_ * item.blocks_.size();
@@ -244,9 +294,8 @@
   question.gaps_ = state.gaps_[aRun.workspace_];
   question.engineHold_ = EngineHold(state, aRun.target_, question.blocks_);
   question.promptHash_ = aRun.chain_.front().low_;
-  const auto planned = PlannedOf(state, aRun.chain_.front());
-  const auto plan =
-    keeping::PlanExport(question, ViewsOf(aStep, aRun, planned));
+  const PlannedRun planned{ aRun, PlannedOf(state, aRun.chain_.front()) };
+  const auto plan = keeping::PlanExport(question, ViewsOf(aStep, planned));
   if (!plan) {
     return;
   }
@@ -254,7 +303,7 @@
     detail::CountDropped(aStep, ExportResult::Displaced);
     return;
   }
-  state.exports_[++state.lastExport_] = MakeExport(aStep, aRun, planned, *plan);
+  state.exports_[++state.lastExport_] = MakeExport(aStep, planned, *plan);
   detail::DriveExports(aStep);
 }
 
@@ -319,6 +368,7 @@
   NoteInflow(aStep, run);
   NotePrompt(aStep, run);
   DoubtHeld(aStep, run);
+  DropUnlisted(aStep, run);
   PlanExport(aStep, run);
 }
 
--- a/src/peer/client.cc
+++ b/src/peer/client.cc
@@ -195,6 +195,7 @@
                      const LocateRequest& aRequest)
 {
   if (aHomes.empty()) {
+    aEvent.known_ = false;
     post_(std::move(aEvent));
     return;
   }
--- a/src/reducer/parts.h
+++ b/src/reducer/parts.h
@@ -54,6 +54,9 @@
 placement::OwnWork
 OwnWorkOf(const TargetState& aTarget, absl::Time aNow);
 // Chooses the target and sends the attempt, or refuses the request.
+std::vector<Holding>
+HoldingsOf(const std::vector<directory::Holder>& aHolders);
+
 void
 Place(Context& aContext,
       RequestState& aRequest,
--- a/src/reducer/requests.cc
+++ b/src/reducer/requests.cc
@@ -81,6 +81,7 @@
 {
   ++aRequest.attempt_;
   aRequest.import_.reset();
+  aRequest.holdings_.reset();
   aRequest.started_ = absl::InfiniteFuture();
   if (!aRequest.request_.repeatable_) {
     AskForClaim(aContext, aRequest);
@@ -115,8 +116,9 @@
     homes.empty() ||
     std::find(homes.begin(), homes.end(), state.self_.name_) != homes.end();
   if (atHome) {
-    Place(
-      aContext, aRequest, directory::Locate(state.directory_, aRequest.chain_));
+    const auto holders = directory::Locate(state.directory_, aRequest.chain_);
+    aRequest.holdings_ = HoldingsOf(holders);
+    Place(aContext, aRequest, holders);
     return;
   }
   aRequest.phase_ = Phase::Locating;
@@ -243,27 +245,56 @@
                                               aRequest.weightVersion_,
                                               aRequest.target_,
                                               aRequest.chain_,
-                                              aRequest.cachedBlocks_ });
+                                              aRequest.cachedBlocks_,
+                                              aRequest.holdings_,
+                                              aContext.now_ - aRequest.sent_ });
   }
 }
 
+// Tells the homes which blocks of an import a store didn't give, and takes them
+// out of what is known of the request. Blocks that the engine cached meanwhile
+// weren't asked for.
+void
+CorrectStore(Context& aContext,
+             RequestState& aRequest,
+             const AttemptStarted& aEvent)
+{
+  const placement::Import& import = *aRequest.import_;
+  const std::size_t reused = aEvent.cachedBlocks_ + aEvent.importedBlocks_;
+  const std::size_t end = std::min<std::size_t>(
+    import.firstBlock_ + import.generations_.size(), aRequest.chain_.size());
+  std::vector<directory::Sighting> gone;
+  for (std::size_t i = std::max<std::size_t>(reused, import.firstBlock_);
+       i < end;
+       ++i) {
+    directory::Sighting sighting;
+    sighting.block_ = aRequest.chain_[i];
+    sighting.root_ = aRequest.chain_[0];
+    sighting.present_ = false;
+    sighting.generation_ = import.generations_[i - import.firstBlock_];
+    gone.push_back(sighting);
+  }
+  if (gone.empty()) {
+    return;
+  }
+  SpreadSightings(
+    aContext, { import.store_, directory::HolderKind::Store }, gone, false);
+  // Whether later blocks are there isn't known either.
+  aRequest.holdings_.reset();
+}
+
 // Corrects the directory by what a run found.
 void
 CorrectDirectory(Context& aContext,
-                 const RequestState& aRequest,
+                 RequestState& aRequest,
                  const AttemptStarted& aEvent)
 {
   const directory::HolderId engine{ aRequest.target_,
                                     directory::HolderKind::Engine };
   directory::CorrectByRun(
     aContext.state_.directory_, engine, aRequest.chain_, aEvent.cachedBlocks_);
-  if (const auto& import = aRequest.import_; import) {
-    directory::CorrectByImport(aContext.state_.directory_,
-                               { import->store_, directory::HolderKind::Store },
-                               aRequest.chain_,
-                               import->firstBlock_,
-                               import->generations_,
-                               aEvent.importedBlocks_);
+  if (aRequest.import_) {
+    CorrectStore(aContext, aRequest, aEvent);
   }
   // The engine will hold the whole prompt once it is computed.
   std::vector<directory::Sighting> sightings;
@@ -477,6 +508,9 @@
     return;
   }
   found->second.phase_ = Phase::Running;
+  if (aEvent.known_) {
+    found->second.holdings_ = HoldingsOf(aEvent.holders_);
+  }
   Place(aContext, found->second, aEvent.holders_);
 }
 
--- a/src/reducer/routing.cc
+++ b/src/reducer/routing.cc
@@ -264,6 +264,19 @@
   return usable.empty() ? tried : usable;
 }
 
+// Returns what the holders say of stores.
+std::vector<Holding>
+HoldingsOf(const std::vector<directory::Holder>& aHolders)
+{
+  std::vector<Holding> holdings;
+  for (const auto& holder : aHolders) {
+    if (holder.id_.kind_ == directory::HolderKind::Store) {
+      holdings.push_back({ holder.id_.name_, holder.leadingBlocks_ });
+    }
+  }
+  return holdings;
+}
+
 void
 Place(Context& aContext,
       RequestState& aRequest,
--- a/src/steward/run-reports.cc
+++ b/src/steward/run-reports.cc
@@ -8,6 +8,22 @@
 
 using nlohmann::json;
 
+// Reads what stores held; nothing if the entry host didn't know.
+absl::optional<std::vector<keeper::Holding>>
+ReadHoldings(const json& aRun)
+{
+  const auto found = aRun.find("holdings");
+  if (found == aRun.end()) {
+    return absl::nullopt;
+  }
+  std::vector<keeper::Holding> holdings;
+  for (const auto& item : *found) {
+    holdings.push_back({ item.at("store").get<std::string>(),
+                         item.at("blocks").get<std::uint32_t>() });
+  }
+  return holdings;
+}
+
 // Throws json::exception if a field is missing or of another type; an invalid
 // key makes the run unreadable.
 absl::optional<keeper::FinishedRun>
@@ -19,6 +35,8 @@
   run.weightVersion_ = aItem.at("weight_version").get<std::string>();
   run.target_ = aItem.at("target").get<std::string>();
   run.reusedBlocks_ = aItem.value("reused_blocks", std::uint32_t{ 0 });
+  run.holdings_ = ReadHoldings(aItem);
+  run.age_ = absl::Milliseconds(aItem.value("age_ms", std::int64_t{ 0 }));
   for (const auto& item : aItem.at("chain")) {
     const auto key = core::BlockKeyFromHex(item.get<std::string>());
     if (!key) {
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -164,7 +164,9 @@
   directory::State state;
   const auto chain = ChainOf(1, 4);
   See(state, kStore, chain, 0, 4);
-  directory::CorrectByImport(state, kStore, chain, 1, { 11, 12, 12 }, 1);
+  // The store has no block 2 of generation 12 and no block 3 of an older one.
+  directory::Apply(state, kStore, { chain[2], chain[0], false, {}, 12 });
+  directory::Apply(state, kStore, { chain[3], chain[0], false, {}, 12 });
   const auto holders = directory::Locate(state, chain);
   CHECK(holders[0].leadingBlocks_ == 2);
   CHECK(holders[0].blocksAfterGap_ == 1);
--- a/test/keeper-test.cc
+++ b/test/keeper-test.cc
@@ -216,6 +216,48 @@
   CHECK(bench.state_.exports_.size() == 1);
 }
 
+TEST_CASE("blocks that another host has exported are not exported again")
+{
+  auto bench = Ready();
+  auto run = Run(1, 5);
+  run.run_.holdings_ = { { "store-0", 5 } };
+  CHECK(Of<keeper::StartExport>(bench.Post(run)).empty());
+  run.run_.holdings_ = { { "store-0", 3 } };
+  const auto started = Of<keeper::StartExport>(bench.Post(run));
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].blocks_ ==
+        std::vector<core::BlockKey>{ { 1, 3 }, { 1, 4 } });
+}
+
+TEST_CASE("blocks that a store has lost are exported again")
+{
+  auto bench = Ready();
+  ExportAll(bench, Run(1, 5));
+  auto run = Run(1, 5);
+  run.run_.reusedBlocks_ = 5;
+  run.run_.holdings_ = std::vector<keeper::Holding>();
+  // The directory may not have heard of them when this run was placed.
+  bench.now_ += absl::Seconds(20);
+  bench.Post(Report());
+  run.run_.age_ = absl::Seconds(18);
+  CHECK(Of<keeper::StartExport>(bench.Post(run)).empty());
+  run.run_.age_ = absl::Seconds(1);
+  const auto started = Of<keeper::StartExport>(bench.Post(run));
+  REQUIRE(started.size() == 1);
+  CHECK(started[0].blocks_ == Chain(1, 5));
+}
+
+TEST_CASE("a run that doesn't know what stores hold changes nothing")
+{
+  auto bench = Ready();
+  ExportAll(bench, Run(1, 5));
+  bench.now_ += absl::Seconds(20);
+  bench.Post(Report());
+  auto run = Run(1, 5);
+  run.run_.reusedBlocks_ = 5;
+  CHECK(Of<keeper::StartExport>(bench.Post(run)).empty());
+}
+
 TEST_CASE("a store that was down is used again also by hosts that don't own it")
 {
   const std::vector<std::string> hosts{ "host-a", "host-b", "host-c" };
--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -25,7 +25,7 @@
 models:
   owner: models
   entries:
-    wording: {versions: {v1: 1.0}, block_tokens: 100}
+    wording: {versions: {v1: 1.0}, block_tokens: 100, policy: always-import}
 services:
   owner: services
   entries:
@@ -44,6 +44,10 @@
     e2: {kind: engine, url: "http://10.0.0.2:1", data_centre: d1, serves: wording}
     s1: {kind: service, url: "http://10.0.0.3:1", data_centre: d1, serves: registry}
     s2: {kind: service, url: "http://10.0.0.4:1", data_centre: d1, serves: registry}
+stores:
+  owner: machines
+  entries:
+    m1: {url: "http://10.0.0.5:1", data_centre: d1, memory_bytes: 1000000000, disk_bytes: 1000000000, link_bytes_per_second: 1000000000, disk_bytes_per_second: 1000000000}
 )";
 
 const absl::Time kStart = absl::FromUnixSeconds(1'800'000'000);
@@ -254,6 +258,60 @@
   CHECK(world.Take<reducer::ReportRun>().size() == 1);
 }
 
+TEST_CASE("blocks that a store didn't give are taken out of the directory")
+{
+  World world;
+  reducer::StoreReported report;
+  report.store_ = "m1";
+  report.reached_ = true;
+  world.Send(report);
+  const auto request = world.MakeCompletion();
+  const auto chain =
+    core::ChainBlocks({ "nursing", "wording", "v1", "" }, request.contents_);
+  for (const auto& block : chain) {
+    world.Send(reducer::StoreSighted{
+      "m1", { { block, chain[0], true, {}, 5, 100'000 } } });
+  }
+  world.Send(reducer::RequestArrived{ request });
+  const auto sent = world.Take<reducer::Dispatch>();
+  REQUIRE(sent.size() == 1);
+  REQUIRE(sent[0].importKeys_.size() == 2);
+  reducer::AttemptStarted started;
+  started.id_ = request.id_;
+  started.attempt_ = 1;
+  started.weightVersion_ = "v1";
+  started.importedBlocks_ = 1;
+  world.Send(started);
+  CHECK(lycheeplank::directory::CountBlocks(world.state_.directory_, "m1") ==
+        1);
+  world.End(sent[0], reducer::AttemptResult::Whole);
+  const auto told = world.Take<reducer::ReportRun>();
+  REQUIRE(told.size() == 1);
+  // What the store holds isn't known any more.
+  CHECK_FALSE(told[0].holdings_);
+}
+
+TEST_CASE("a run is reported with what stores held when it was placed")
+{
+  World world;
+  const auto request = world.MakeCompletion();
+  const auto chain =
+    core::ChainBlocks({ "nursing", "wording", "v1", "" }, request.contents_);
+  world.Send(reducer::StoreSighted{
+    "m1", { { chain[0], chain[0], true, {}, 5, 100'000 } } });
+  world.Send(reducer::RequestArrived{ request });
+  world.now_ += absl::Seconds(3);
+  world.End(world.Take<reducer::Dispatch>().at(0),
+            reducer::AttemptResult::Whole);
+  const auto told = world.Take<reducer::ReportRun>();
+  REQUIRE(told.size() == 1);
+  REQUIRE(told[0].holdings_);
+  REQUIRE(told[0].holdings_->size() == 1);
+  CHECK(told[0].holdings_->at(0).store_ == "m1");
+  CHECK(told[0].holdings_->at(0).blocks_ == 1);
+  CHECK(told[0].age_ == absl::Seconds(3));
+}
+
 TEST_CASE("a leaving target gets no new work")
 {
   World world;
