Forget what a dead store held and read its list when it is back

Cause: a home kept the blocks of a store that died. A store that came back empty was asked for blocks that it no longer had until its list was read, up to 30 s later; each such run lost its import.

After three questions for its load without an answer a store's blocks are forgotten. Its list is read as soon as it answers again, or when its load report names another start, as it was restarted between two questions. The list of stores for operators shows how many blocks a host knows.

Ruled out: forgetting at the first missed answer, as one slow answer would cost a home all it knows.

The new case of reducer-test failed with forgetting and reading taken out.

--- a/src/adapters/store.cc
+++ b/src/adapters/store.cc
@@ -35,6 +35,7 @@
     load.linkBacklogBytes_ =
       aLoad.value("link_backlog_bytes", std::uint64_t{ 0 });
     load.linkBytesPerSecond_ = aLoad.value("link_bytes_per_second", 0.0);
+    load.instance_ = aLoad.value("instance", std::uint64_t{ 0 });
     return load;
   });
 }
--- a/src/adapters/store.h
+++ b/src/adapters/store.h
@@ -20,6 +20,8 @@
   std::uint64_t linkBacklogBytes_ = 0;
   // Present rate of the link; zero if the store doesn't say.
   double linkBytesPerSecond_ = 0.0;
+  // Differs between two starts of the store; zero if it doesn't say.
+  std::uint64_t instance_ = 0;
 };
 
 // A committed block of a store.
--- a/src/entry/admin.cc
+++ b/src/entry/admin.cc
@@ -304,7 +304,9 @@
           { "status", store.reached_ ? "serving" : "unreachable" },
           { "memory_used", store.memoryUsed_ },
           { "disk_used", store.diskUsed_ },
-          { "link_backlog_bytes", store.linkBacklogBytes_ } });
+          { "link_backlog_bytes", store.linkBacklogBytes_ },
+          { "known_blocks",
+            directory::CountBlocks(aState.directory_, name) } });
     }
   });
   return Dump(body);
--- a/src/entry/poller.cc
+++ b/src/entry/poller.cc
@@ -328,6 +328,7 @@
                     report.diskUsed_ = load->diskUsed_;
                     report.linkBacklogBytes_ = load->linkBacklogBytes_;
                     report.linkBytesPerSecond_ = load->linkBytesPerSecond_;
+                    report.instance_ = load->instance_;
                   }
                   post_(std::move(report));
                 });
--- a/src/reducer/targets.cc
+++ b/src/reducer/targets.cc
@@ -12,6 +12,9 @@
 // Runs that may wait at a target, as a part of those it runs at once, so that
 // it never idles between two reports.
 constexpr double kWaitingShare = 0.25;
+// Questions in a row that a store doesn't answer until what it held is
+// forgotten.
+constexpr std::uint32_t kMissedUntilLost = 3;
 
 RequestKind
 KindOf(const config::Target& aTarget)
@@ -225,15 +228,27 @@
 void
 OnStoreReported(Context& aContext, const StoreReported& aEvent)
 {
-  const auto found = aContext.state_.stores_.find(aEvent.store_);
-  if (found == aContext.state_.stores_.end()) {
+  State& state = aContext.state_;
+  const auto found = state.stores_.find(aEvent.store_);
+  if (found == state.stores_.end()) {
     return;
   }
   StoreState& store = found->second;
   store.reached_ = aEvent.reached_;
   if (!aEvent.reached_) {
+    if (++store.missed_ == kMissedUntilLost) {
+      directory::DropHolder(state.directory_, aEvent.store_);
+    }
     return;
   }
+  // The inventory takes the place of all that was known of the store.
+  const bool restarted =
+    store.instance_ != 0 && store.instance_ != aEvent.instance_;
+  if (restarted || store.missed_ >= kMissedUntilLost) {
+    aContext.effects_.emplace_back(FetchStoreInventory{ aEvent.store_ });
+  }
+  store.missed_ = 0;
+  store.instance_ = aEvent.instance_;
   store.linkBacklogBytes_ = aEvent.linkBacklogBytes_;
   store.linkBytesPerSecond_ = aEvent.linkBytesPerSecond_;
   store.memoryUsed_ = aEvent.memoryUsed_;
--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -258,6 +258,36 @@
   CHECK(world.Take<reducer::ReportRun>().size() == 1);
 }
 
+TEST_CASE("a store that is lost is forgotten and read again when it is back")
+{
+  World world;
+  const auto report = [&](bool aReached, std::uint64_t aInstance) {
+    reducer::StoreReported report;
+    report.store_ = "m1";
+    report.reached_ = aReached;
+    report.instance_ = aInstance;
+    world.Send(report);
+    return world.Take<reducer::FetchStoreInventory>().size();
+  };
+  CHECK(report(true, 7) == 0);
+  world.Send(reducer::StoreSighted{
+    "m1", { { { 1, 2 }, { 1, 2 }, true, {}, 5, 1000 } } });
+  const auto known = [&] {
+    return lycheeplank::directory::CountBlocks(world.state_.directory_, "m1");
+  };
+  REQUIRE(known() == 1);
+  CHECK(report(false, 0) == 0);
+  CHECK(report(false, 0) == 0);
+  CHECK(known() == 1);
+  CHECK(report(false, 0) == 0);
+  CHECK(known() == 0);
+  CHECK(report(false, 0) == 0);
+  CHECK(report(true, 7) == 1);
+  CHECK(report(true, 7) == 0);
+  // Started anew between two questions.
+  CHECK(report(true, 8) == 1);
+}
+
 TEST_CASE("blocks that a store didn't give are taken out of the directory")
 {
   World world;
