Break stores, imports and rollouts of a whole cluster

Cause: not proved so far with whole processes were a store killed on purpose, a block that is freed while it is read, an import that straddles a swap of weights, a full store, and rollouts under a faulty platform.

stores-test.py causes each; its verdicts rest on the stand-ins' records: every answer whole, used blocks of the run's own workspace, version and of a generation that a store has committed, no import from a dead store once all hosts know, no question for blocks that a restarted store never held, at most two engines loading at the same time, no older fencing number taken, all engines at the version asked for.

--- a/support/cluster.py
+++ b/support/cluster.py
@@ -11,6 +11,7 @@
 import time
 import urllib.error
 import urllib.request
+from http.client import HTTPException
 
 LOOPBACK = "127.0.0.1"
 START_TIMEOUT_S = 30.0
@@ -51,6 +52,8 @@
     rate_writes: float = 500.0
     list_lag_ms: float = 500.0
     ignore_fencing: bool = False
+    own_weights: bool = False
+    weights_ms: float = 400.0
     steward: bool = True
 
 
@@ -80,7 +83,7 @@
         """Starts all processes and waits until the entry hosts serve."""
         os.makedirs(self.options.directory, exist_ok=True)
         platform = self._start_platform()
-        targets = self._start_targets(platform["http"])
+        targets = self._start_targets(self._start_weights(platform))
         stores = self._start_stores()
         entries = [self._start_entry(index, platform["http"]) for index in range(self.options.entries)]
         for entry in entries:
@@ -147,6 +150,12 @@
         flags = [f"--rate-writes={options.rate_writes}", f"--list-lag={options.list_lag_ms}"]
         return self._start_standin("platform", "platform", flags)
 
+    def _start_weights(self, platform):
+        """Returns the URL from which engines load weights: the platform's, or that of a service of its own."""
+        if not self.options.own_weights:
+            return platform["http"]
+        return self._start_standin("platform", "weights", [f"--weights-ms={self.options.weights_ms}"])["http"]
+
     def _start_targets(self, platform):
         options = self.options
         engine_flags = [
@@ -171,6 +180,10 @@
         return engines + services
 
     def _start_stores(self):
+        return [self.start_store(f"store-{i}") for i in range(self.options.stores)]
+
+    def start_store(self, name, more_flags=()):
+        """Starts one store; returns its row of cluster.json."""
         options = self.options
         flags = [
             f"--memory-bytes={options.memory_bytes}",
@@ -178,7 +191,7 @@
             f"--link-rate={options.link_rate}",
             f"--disk-rate={options.disk_rate}",
         ]
-        return [self._start_standin("store", f"store-{i}", flags) for i in range(options.stores)]
+        return self._start_standin("store", name, flags + list(more_flags))
 
     def _start_entry(self, index, platform):
         return self.start_entry(f"entry-{index}", f"dc-{index % 4 + 1}", platform)
@@ -360,7 +373,7 @@
             try:
                 if condition():
                     return
-            except (OSError, RuntimeError, ValueError):
+            except (OSError, RuntimeError, ValueError, HTTPException):
                 pass
             time.sleep(POLL_S)
         raise RuntimeError(f"timed out waiting until {what}")
--- a/support/faults.py
+++ b/support/faults.py
@@ -134,6 +134,24 @@
     return row
 
 
+def restart_store(started, row, contents=""):
+    """Starts a store anew on its port in place of one that ended: empty, or with the contents in a file."""
+    started.processes[row["name"]].wait()
+    flags = [f"--port={urllib.parse.urlparse(row['http']).port}"]
+    row.update(started.start_store(row["name"], flags + ([f"--contents={contents}"] if contents else [])))
+
+
+def record(row):
+    """Returns all that a stand-in has recorded."""
+    return json.loads(cluster.http("GET", row["http"] + "/executions", timeout=RECORD_TIMEOUT_S)[1])
+
+
+def metric(url, name):
+    """Returns the sum of all values of a counter; the name may go on with its label."""
+    lines = [line for line in cluster.http("GET", url + "/metrics")[1].splitlines()]
+    return sum(float(line.rsplit(" ", 1)[1]) for line in lines if line.startswith("lycheeplank_" + name))
+
+
 def targets(started, kind):
     """Returns the rows of the targets of a kind."""
     return [row for row in started.description["targets"] if row["kind"] == kind]
@@ -439,3 +457,42 @@
             if block["cache_salt"] != run["cache_salt"] or block["weight_version"] != run["weight_version"]:
                 faults.append(f"run {run['run_id']} of {run['cache_salt']}/{run['weight_version']} used {block}")
     return faults
+
+
+def check_generations(runs, blocks, contents=()):
+    """Returns runs that used an imported block of a generation that no store has committed under its key."""
+    committed = {(row["key"], row["generation"]) for row in blocks if row["call"] == "commit" and not row["refusal"]}
+    committed |= {(row["key"], row["generation"]) for row in contents}
+    faults = []
+    for run in runs:
+        for block in run["blocks"]:
+            if block["generation"] and (block["key"], block["generation"]) not in committed:
+                faults.append(f"run {run['run_id']} used {block}, which no store has committed")
+    return faults
+
+
+def most_loading(records):
+    """Returns the largest number of engines that loaded weights at the same time, by their own records."""
+    changes = []
+    for loads in ([load for load in record["loads"]] for record in records):
+        for load in loads:
+            changes.append((load["begun_unix_us"], 1))
+            if load["ended_unix_us"]:
+                changes.append((load["ended_unix_us"], -1))
+    # An end goes before a beginning of the same moment.
+    loading = most = 0
+    for _, change in sorted(changes):
+        loading += change
+        most = max(most, loading)
+    return most
+
+
+def check_fences(name, orders):
+    """Returns orders that an engine took although it had taken a newer fencing number before."""
+    faults = []
+    highest = 0
+    for order in orders:
+        if order["taken"] and order["fence"] < highest:
+            faults.append(f"{name} took {order} after fencing number {highest}")
+        highest = max(highest, order["fence"] if order["taken"] else 0)
+    return faults
