Count no answered run as given up by its caller

Cause: the end of an answer was sent before its ticket was taken out. A caller that closed its connection as soon as it had the end could be noticed in between; the run then counted as given up. Its success and its tokens were not learnt from, and it was not reported to the steward, so that its prompt was not exported. exports-test and cluster-test failed by it now and then on a busy machine (prompt not in the store; events placed, started, caller_gone).

The ticket is taken out before the end is sent, as for service calls.

Ruled out: lost calls to the steward, whose counters agreed with the reports that were sent.

--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -274,6 +274,8 @@
     current = ticket.attempt_ == aAttempt->dispatch_.attempt_;
     if (current && aResult == AttemptResult::Whole) {
       ticket.attempt_ = 0;
+      // A caller that leaves as soon as it has the end has not given up.
+      tickets_.Remove(ticket.id_);
       aAttempt->relay_.SendEnd();
     }
   }
@@ -282,7 +284,6 @@
     return;
   }
   if (aResult == AttemptResult::Whole) {
-    tickets_.Remove(ticket.id_);
     metrics_.Count("completions_total");
     metrics_.Count("tokens_relayed_total", static_cast<double>(ended.tokens_));
   }
--- a/test/exports-test.py
+++ b/test/exports-test.py
@@ -5,6 +5,7 @@
 import os
 import sys
 import tempfile
+import threading
 import unittest
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
@@ -16,6 +17,8 @@
 TEXT = "outline of a nursing course, week by week. " * 1000
 BLOCKS = 5
 FILLERS = 8
+CALLERS = 8
+SHORT_RUNS = 40
 MEMORY_BYTES = 60_000_000
 DISK_BYTES = 40_000_000
 STORE_BYTES = MEMORY_BYTES + DISK_BYTES
@@ -137,6 +140,19 @@
             lambda: sum(block["bytes"] for block in self.blocks_in_store()) < 0.95 * STORE_BYTES, "the store has room"
         )
 
+    def test_a_caller_that_leaves_with_its_answer_has_not_given_up(self):
+        def ask(caller):
+            for number in range(SHORT_RUNS):
+                self.complete(f"short {caller} {number}")
+
+        callers = [threading.Thread(target=ask, args=(caller,)) for caller in range(CALLERS)]
+        for caller in callers:
+            caller.start()
+        for caller in callers:
+            caller.join()
+        # A run that counts as given up is not reported to the steward.
+        self.assertEqual(metric(cluster.http("GET", self.entry()["http"] + "/metrics")[1], "callers_gone_total"), 0)
+
     def test_reports_without_the_secret_are_refused(self):
         self.assertEqual(self.steward("/internal/runs", {"runs": []}, secret="wrong")[0], 401)
         self.assertEqual(self.steward("/internal/runs", {"runs": 7})[0], 400)
