Count deadlines from a request's arrival and a call's order

A host that woke after SIGSTOP sent calls after their deadline, in two ways.

Cause 1: the deadline began when the request was read; 4 s in the socket's buffer of a frozen host weren't counted. Now it begins with the age of the connection's last data (TCP_INFO). Ruled out: a thread that ticks and notices a gap, since how long after a gap an old request may be read has no bound. test_no_dispatch_after_a_freeze_past_the_deadline sends 8 more calls to the frozen host: before, answered 200 four seconds after they were sent, with a deadline of 2 s; after, all refused as not run, with when to come back.

Cause 2: the time left to a call was set when it was handed to the client, but counted from when a client thread took it. net-test holds that thread: before, the call was sent after its time (2 requests received, expected 1); after, it is reported as never sent.

--- a/include/lycheeplank/net.h
+++ b/include/lycheeplank/net.h
@@ -41,6 +41,9 @@
   std::string body_;
   // The body was over the limit and was dropped.
   bool tooLarge_ = false;
+  // Time from the arrival of its last byte at this host until it was read, as
+  // when the process stood still or was overloaded.
+  absl::Duration waited_ = absl::ZeroDuration();
 };
 
 // One request and the way to answer it, from any thread; the first answer
--- a/src/entry/api.cc
+++ b/src/entry/api.cc
@@ -342,7 +342,8 @@
   auto ticket = std::make_shared<Ticket>();
   ticket->name_ = aName;
   ticket->workspace_ = caller.workspace_;
-  ticket->arrived_ = absl::Now();
+  const absl::Time now = absl::Now();
+  ticket->arrived_ = now - http.waited_;
   ticket->exchange_ = aExchange;
   reducer::NewRequest request;
   request.kind_ = completion ? reducer::RequestKind::Completion
@@ -352,6 +353,13 @@
   } else {
     BOOST_LEAF_CHECK(ReadCall(caller, http, *ticket, request));
   }
+  if (request.deadline_ <= now) {
+    return Fail({ ErrorKind::DeadlineExceeded,
+                  "the deadline passed before this host read the request",
+                  "",
+                  core::RunState::No,
+                  kComeBackSoon });
+  }
   http.body_ = std::string();
   Submit(aContext, ticket, std::move(request));
   return {};
--- a/src/net/client.cc
+++ b/src/net/client.cc
@@ -30,10 +30,34 @@
   curl_slist* headers_ = nullptr;
   Call call_;
   CallEvents events_;
+  // When the whole time allowed is over.
+  absl::Time until_ = absl::InfiniteFuture();
   bool statusTold_ = false;
   std::vector<Field>* answerHeaders_ = nullptr;
 };
 
+// Sets the end of the time allowed, which counts from the order to send.
+void
+SetUntil(Active& aActive)
+{
+  if (aActive.call_.timeout_ != absl::InfiniteDuration()) {
+    aActive.until_ =
+      absl::Now() + aActive.call_.delay_ + aActive.call_.timeout_;
+  }
+}
+
+// Ends a call that was not begun.
+void
+EndUnsent(const Active& aActive, const char* aError)
+{
+  if (aActive.events_.onEnd_) {
+    CallEnd end;
+    end.neverSent_ = true;
+    end.error_ = aError;
+    aActive.events_.onEnd_(end);
+  }
+}
+
 void
 TellStatus(Active& aActive)
 {
@@ -230,12 +254,7 @@
       }
       const std::unique_ptr<Active> active = std::move(it->second);
       delayed_.erase(it);
-      if (active->events_.onEnd_) {
-        CallEnd end;
-        end.neverSent_ = true;
-        end.error_ = "cancelled before it was sent";
-        active->events_.onEnd_(end);
-      }
+      EndUnsent(*active, "cancelled before it was sent");
       return;
     }
   }
@@ -245,6 +264,14 @@
     if (aActive->call_.bodySource_) {
       aActive->call_.body_ = aActive->call_.bodySource_();
     }
+    if (aActive->until_ != absl::InfiniteFuture()) {
+      // This thread may have been busy or stopped since the order.
+      aActive->call_.timeout_ = aActive->until_ - absl::Now();
+      if (aActive->call_.timeout_ <= absl::ZeroDuration()) {
+        EndUnsent(*aActive, "its time passed before it was sent");
+        return;
+      }
+    }
     aActive->easy_ = curl_easy_init();
     SetOptions(*aActive);
     curl_multi_add_handle(multi_, aActive->easy_);
@@ -327,6 +354,7 @@
   active->call_ = std::move(aCall);
   active->events_ = std::move(aEvents);
   const CallId id = active->id_;
+  SetUntil(*active);
   workers_[worker]->Push({ std::move(active), 0 });
   return id;
 }
@@ -351,6 +379,7 @@
       onAnswer(std::move(*answer));
     };
   const CallId id = active->id_;
+  SetUntil(*active);
   workers_[worker]->Push({ std::move(active), 0 });
   return id;
 }
--- a/src/net/server.cc
+++ b/src/net/server.cc
@@ -3,7 +3,9 @@
 #include <arpa/inet.h>
 #include <cstring>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <absl/base/thread_annotations.h>
@@ -263,6 +265,23 @@
   return MHD_YES;
 }
 
+// Returns how long ago the last data of a connection came to this host; zero
+// if the system doesn't tell.
+absl::Duration
+AgeOfData(MHD_Connection* aConnection)
+{
+  const MHD_ConnectionInfo* connection =
+    MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const bool known =
+    connection != nullptr &&
+    getsockopt(connection->connect_fd, IPPROTO_TCP, TCP_INFO, &info, &size) ==
+      0;
+  return known ? absl::Milliseconds(info.tcpi_last_data_recv)
+               : absl::ZeroDuration();
+}
+
 } // namespace
 
 struct Server::Impl
@@ -292,6 +311,7 @@
     }
     if (!context->handled_) {
       context->handled_ = true;
+      context->exchange_->request_.waited_ = AgeOfData(aConnection);
       handler_(context->exchange_);
     }
     return context->exchange_->Continue(context->exchange_);
--- a/support/faults.py
+++ b/support/faults.py
@@ -165,8 +165,26 @@
     return Answer(entry["name"], status, text, sent, time.time(), body)
 
 
-def issue(started, workspace, key, payload, first=0, limit_s=FINAL_ANSWER_LIMIT_S, deadline_ms=None):
-    """Repeats a call through one host after another until its answer is final."""
+def begin_call(started, index, workspace, key, payload, deadline_ms):
+    """Sends a service call; returns its connection, once all its bytes have left, for end_call."""
+    url = urllib.parse.urlparse(started.description["entries"][index]["http"])
+    connection = http.client.HTTPConnection(url.hostname, url.port, timeout=CALL_TIMEOUT_S)
+    headers = headers_of(started, workspace, **{"Idempotency-Key": key, "X-Deadline-Ms": str(deadline_ms)})
+    connection.request("POST", f"/v1/services/{cluster.SERVICE}/issue", json.dumps(payload), headers)
+    return connection
+
+
+def end_call(started, index, connection):
+    """Waits for the answer to a call that was begun; returns an Answer."""
+    response = connection.getresponse()
+    text = response.read().decode()
+    connection.close()
+    body = json.loads(text) if response.status != 200 else {}
+    return Answer(started.description["entries"][index]["name"], response.status, text, body=body)
+
+
+def issue(started, workspace, key, payload, first=0, limit_s=FINAL_ANSWER_LIMIT_S, deadline_ms=None, hosts=None):
+    """Repeats a call through one host after another, of all or of some, until its answer is final."""
     done = Issuance(workspace, key)
     limit = time.monotonic() + limit_s
     index = first
--- a/test/faults-test.py
+++ b/test/faults-test.py
@@ -166,12 +166,22 @@
         self.assertGreater(open_calls, 0, answers)
         time.sleep(SHORT_FREEZE_S)
         faults.set_fault(self.platform, "none")
+        # These come to a host that can't read them.
+        unread = {
+            key: faults.begin_call(self.cluster, 2, "authority", key, {"a": 1}, SHORT_DEADLINE_MS)
+            for key in (f"unread-{SEED}-{i}" for i in range(8))
+        }
         woken_ms = time.time() * 1000
         faults.wake(self.entry(2)["pid"])
+        keys += unread
         for thread in threads:
             thread.join()
         late = [row for row in self.records.rows("service") if row["key"] in keys and row["unix_ms"] > woken_ms]
         self.assertEqual(late, [])
+        for key, connection in unread.items():
+            answers[key] = faults.end_call(self.cluster, 2, connection)
+            self.assertEqual(answers[key].run, "no", answers[key])
+            self.assertTrue(answers[key].body.get("retry_after_ms"), answers[key])
         repeats = self.issue_all(keys, 1)
         for issuance in repeats:
             issuance.answers.insert(0, answers[issuance.key])
--- a/test/net-test.cc
+++ b/test/net-test.cc
@@ -1,10 +1,15 @@
 #include "lycheeplank/net.h"
 
+#include <arpa/inet.h>
+#include <array>
 #include <atomic>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/notification.h>
+#include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
 namespace net = lycheeplank::net;
@@ -17,6 +22,43 @@
   return absl::StrCat("http://127.0.0.1:", aServer.Port(), aPath);
 }
 
+// A plain connection to a server on this machine.
+class Connection
+{
+public:
+  explicit Connection(std::uint16_t aPort)
+    : socket_(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(aPort);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(connect(socket_,
+                    reinterpret_cast<const sockaddr*>(&address),
+                    sizeof(address)) == 0);
+  }
+  ~Connection() { close(socket_); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void Send(const std::string& aText) const
+  {
+    REQUIRE(send(socket_, aText.data(), aText.size(), 0) ==
+            static_cast<ssize_t>(aText.size()));
+  }
+
+  // Reads until the server closes the connection.
+  void ReadAll() const
+  {
+    std::array<char, 1024> buffer{};
+    while (recv(socket_, buffer.data(), buffer.size(), 0) > 0) {
+    }
+  }
+
+private:
+  const int socket_;
+};
+
 } // namespace
 
 TEST_CASE("a whole answer carries status, headers and body")
@@ -157,3 +199,71 @@
   CHECK(client.FetchAndWait(call).Ok());
   CHECK(seen == 1);
 }
+
+TEST_CASE("a call whose time passed in the queue is never sent")
+{
+  std::atomic<int> received{ 0 };
+  net::Server server({}, [&](const std::shared_ptr<net::Exchange>& aExchange) {
+    ++received;
+    aExchange->Reply(200, {}, "");
+  });
+  net::Client client(1);
+  absl::Notification held;
+  absl::Notification release;
+  client.Fetch({ "GET", UrlOf(server, "/") }, [&](net::Answer&&) {
+    held.Notify();
+    release.WaitForNotification();
+  });
+  held.WaitForNotification();
+  absl::Notification done;
+  net::Answer late;
+  net::Call call{ "POST", UrlOf(server, "/"), {}, "x" };
+  call.timeout_ = absl::Milliseconds(20);
+  client.Fetch(call, [&](net::Answer&& aAnswer) {
+    late = std::move(aAnswer);
+    done.Notify();
+  });
+  absl::SleepFor(call.timeout_ * 2);
+  release.Notify();
+  done.WaitForNotification();
+  CHECK_FALSE(late.end_.whole_);
+  CHECK(late.end_.neverSent_);
+  CHECK(received == 1);
+}
+
+TEST_CASE("a request tells how long it waited unread")
+{
+  // On loopback the bytes are at the server once send() returns; the margin
+  // covers the kernel's clock.
+  constexpr absl::Duration kHeld = absl::Milliseconds(500);
+  constexpr absl::Duration kMargin = absl::Milliseconds(100);
+  net::ServerOptions options;
+  options.threads_ = 1;
+  absl::Notification held;
+  absl::Notification release;
+  std::vector<std::pair<absl::Time, absl::Duration>> read;
+  net::Server server(
+    options, [&](const std::shared_ptr<net::Exchange>& aExchange) {
+      read.emplace_back(absl::Now(), aExchange->request_.waited_);
+      if (read.size() == 1) {
+        held.Notify();
+        release.WaitForNotification();
+      }
+      aExchange->Reply(200, {}, "");
+    });
+  const absl::Time begin = absl::Now();
+  Connection first(server.Port());
+  first.Send("GET / HTTP/1.0\r\n\r\n");
+  held.WaitForNotification();
+  // This one comes while the only thread of the server is busy.
+  Connection second(server.Port());
+  second.Send("POST / HTTP/1.0\r\nContent-Length: 1\r\n\r\nx");
+  const absl::Time sent = absl::Now();
+  absl::SleepFor(kHeld);
+  release.Notify();
+  first.ReadAll();
+  second.ReadAll();
+  REQUIRE(read.size() == 2);
+  CHECK(read[0].second <= read[0].first - begin + kMargin);
+  CHECK(read[1].second >= read[1].first - sent - kMargin);
+}
