Stop an entry host at a named moment of a call

Moments are told from effects and events where they are carried out; the reducer knows nothing. StopPointTest kills the host at each, or wakes it past the deadline, with repeats at two hosts meanwhile; the services' record decides.

--- a/src/entry/app.cc
+++ b/src/entry/app.cc
@@ -57,13 +57,19 @@
 {
   explicit Impl(const Settings& aSettings);
 
-  void Post(reducer::Event aEvent) { control_->Post(std::move(aEvent)); }
+  void Post(reducer::Event aEvent)
+  {
+    stopper_.Reach(PointBefore(aEvent));
+    control_->Post(std::move(aEvent));
+  }
+  void Perform(const reducer::Effect& aEffect);
   void Serve(const std::shared_ptr<net::Exchange>& aExchange);
   void ServeHealth(net::Exchange& aExchange);
   std::string EntriesJson(const std::string& aWorkspace);
   void AddGauges();
 
   const Settings settings_;
+  Stopper stopper_;
   metrics::Registry metrics_;
   SnapshotBox snapshots_;
   Tickets tickets_;
@@ -133,7 +139,11 @@
     app_.metrics_.Count("platform_commands_total");
     app_.platform_.Execute(
       aEffect.command_,
-      [&app = app_, module = aEffect.module_](platform::Reply aReply) {
+      [&app = app_, module = aEffect.module_, claim = WritesClaims(aEffect)](
+        platform::Reply aReply) {
+        if (claim) {
+          app.stopper_.Reach(StopPoint::ClaimWritten);
+        }
         app.Post(reducer::PlatformReplied{ module, std::move(aReply) });
       });
   }
@@ -228,6 +238,7 @@
 
 App::Impl::Impl(const Settings& aSettings)
   : settings_(aSettings)
+  , stopper_(aSettings.stopAt_, aSettings.stopAtCount_)
   , targetClient_(aSettings.clientThreads_)
   , controlClient_(kControlClientThreads)
   , platform_(controlClient_, aSettings.platformUrl_, aSettings.name_)
@@ -255,9 +266,7 @@
       aSettings,
       absl::StrCat(aSettings.address_, ":", peerServer_->Port()),
       absl::StrCat("http://", aSettings.address_, ":", server_->Port())),
-    [this](const reducer::Effect& aEffect) {
-      absl::visit(Performer{ *this }, aEffect);
-    });
+    [this](const reducer::Effect& aEffect) { Perform(aEffect); });
   admin_ = std::make_unique<Admin>(
     *control_, trace_, platform_, snapshots_, aSettings.operatorKeyDigest_);
   poller_ = std::make_unique<Poller>(
@@ -281,6 +290,14 @@
   steward_.Start();
 }
 
+void
+App::Impl::Perform(const reducer::Effect& aEffect)
+{
+  stopper_.Reach(PointBefore(aEffect));
+  absl::visit(Performer{ *this }, aEffect);
+  stopper_.Reach(PointAfter(aEffect));
+}
+
 void
 App::Impl::Serve(const std::shared_ptr<net::Exchange>& aExchange)
 {
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -2,6 +2,8 @@
 
 #include <pthread.h>
 
+#include <glog/logging.h>
+
 namespace lycheeplank::entry {
 
 namespace {
@@ -10,6 +12,10 @@
 constexpr absl::Duration kTickInterval = absl::Milliseconds(50);
 // The same while callers wait for a claim or an outcome to be written.
 constexpr absl::Duration kClaimTickInterval = absl::Milliseconds(5);
+// A tick that is later than this means that the process stood still.
+constexpr absl::Duration kPauseBound = absl::Milliseconds(500);
+// Time in which the other threads then hand over what had come by the pause.
+constexpr absl::Duration kCatchUp = absl::Milliseconds(200);
 
 } // namespace
 
@@ -67,11 +73,31 @@
     for (const auto& item : items) {
       Handle(item);
     }
-    if (const absl::Time now = absl::Now(); now >= nextTick_) {
-      nextTick_ = now + TickInterval();
-      Handle({ reducer::Tick{} });
-    }
+    TickIfDue();
+  }
+}
+
+void
+Control::TickIfDue()
+{
+  const absl::Time now = absl::Now();
+  if (now < nextTick_) {
+    return;
+  }
+  const bool paused =
+    nextTick_ != absl::InfinitePast() && now - nextTick_ > kPauseBound;
+  if (paused && !catchingUp_) {
+    // A deadline that passed meanwhile must not turn an answer that is here,
+    // or a call that was not sent, into an unknown outcome.
+    LOG(WARNING) << "event=process_stood_still ms="
+                 << absl::ToInt64Milliseconds(now - nextTick_);
+    catchingUp_ = true;
+    nextTick_ = now + kCatchUp;
+    return;
   }
+  catchingUp_ = false;
+  nextTick_ = now + TickInterval();
+  Handle({ reducer::Tick{} });
 }
 
 absl::Duration
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -44,6 +44,8 @@
   std::vector<Item> TakeItems();
   void Handle(const Item& aItem);
   absl::Duration TickInterval() const;
+  // Tells the reducer that time has passed, if that is due.
+  void TickIfDue();
 
   reducer::State state_;
   std::mt19937_64 random_{ std::random_device{}() };
@@ -52,6 +54,8 @@
   std::vector<Item> items_ ABSL_GUARDED_BY(mutex_);
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
   absl::Time nextTick_ = absl::InfinitePast();
+  // The process stood still; events from before go ahead of the next tick.
+  bool catchingUp_ = false;
   std::thread thread_;
 };
 
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -1,5 +1,7 @@
 #include "entry/settings.h"
 
+#include <map>
+
 #include <CLI/CLI.hpp>
 #include <absl/strings/match.h>
 
@@ -38,6 +40,32 @@
              "'openssl rand -hex 16'";
 }
 
+// Flags that only failure tests use.
+void
+AddTestFlags(CLI::App& aApp, Settings& aSettings)
+{
+  std::map<std::string, StopPoint> points;
+  for (const auto& point : kStopPoints) {
+    points.emplace(point.name_, point.value_);
+  }
+  aApp
+    .add_option("--stop-at",
+                aSettings.stopAt_,
+                "failure tests only: moment of a call with an idempotency key "
+                "at which this process stops itself: " +
+                  core::AllNames(kStopPoints))
+    ->envname("LYCHEEPLANK_STOP_AT")
+    ->transform(CLI::CheckedTransformer(points))
+    ->type_name("POINT");
+  aApp
+    .add_option("--stop-at-count",
+                aSettings.stopAtCount_,
+                "failure tests only: the time at that moment that counts")
+    ->envname("LYCHEEPLANK_STOP_AT_COUNT")
+    ->check(CLI::Range(1, 1000000))
+    ->capture_default_str();
+}
+
 void
 AddFlags(CLI::App& aApp, Settings& aSettings)
 {
@@ -125,6 +153,7 @@
                "lycheeplank-entry");
   app.set_version_flag("--version", kVersion);
   AddFlags(app, aSettings);
+  AddTestFlags(app, aSettings);
   try {
     app.parse(aCount, aArguments);
   } catch (const CLI::ParseError& error) {
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <string>
 
+#include "entry/stop-point.h"
+
 namespace lycheeplank::entry {
 
 // What an entry host is told by flags and environment variables.
@@ -23,6 +25,10 @@
   unsigned httpThreads_ = 2;
   unsigned clientThreads_ = 2;
   std::string logDir_;
+  // For failure tests: where this process stops itself, and at which time that
+  // it gets there.
+  StopPoint stopAt_ = StopPoint::None;
+  std::uint32_t stopAtCount_ = 1;
 };
 
 // What main has to do after the command line was read.
--- a/support/cluster.py
+++ b/support/cluster.py
@@ -183,8 +183,8 @@
     def _start_entry(self, index, platform):
         return self.start_entry(f"entry-{index}", f"dc-{index % 4 + 1}", platform)
 
-    def start_entry(self, name, data_centre, platform, steward_port=None):
-        """Starts one entry host; returns its row of cluster.json."""
+    def start_entry(self, name, data_centre, platform, steward_port=None, environment=None):
+        """Starts one entry host, with more environment variables if given; returns its row of cluster.json."""
         port = steward_port or free_port()
         program = os.path.join(self.options.binaries, "lycheeplank-entry")
         process = self.start_process(
@@ -226,7 +226,7 @@
                 f"--entry={entry['http']}",
                 f"--port={entry['steward_port']}",
             ],
-            {"LYCHEEPLANK_TOKEN_SECRET": self.token_secret},
+            {"LYCHEEPLANK_TOKEN_SECRET": self.token_secret, **(environment or {})},
         )
         return process.pid
 
--- a/support/faults.py
+++ b/support/faults.py
@@ -112,6 +112,11 @@
     set_fault(target["http"], "down", ms=duration_ms)
     return CutWindow(begin, time.time() + duration_ms / 1000)
 
+def is_stopped(pid):
+    """Tells whether a process that this one started stands still after a signal."""
+    return os.waitid(os.P_PID, pid, os.WSTOPPED | os.WNOHANG | os.WNOWAIT) is not None
+
+
 
 def set_fault(url, fault, **fields):
     """Gives a stand-in a fault order."""
@@ -120,12 +125,12 @@
         raise RuntimeError(f"fault {fault} was refused: {status} {text}")
 
 
-def restart_entry(started, index, list_host=True):
-    """Starts an entry host anew in place of one that ended."""
+def restart_entry(started, index, list_host=True, environment=None):
+    """Starts an entry host anew in place of one that ended, with more environment variables if given."""
     old = started.description["entries"][index]
     started.processes[old["name"]].wait()
     row = started.start_entry(
-        old["name"], old["data_centre"], started.description["platform"]["http"], old["steward_port"]
+        old["name"], old["data_centre"], started.description["platform"]["http"], old["steward_port"], environment
     )
     row["steward_pid"] = old["steward_pid"]
     started.description["entries"][index] = row
@@ -193,6 +198,7 @@
         answer = send_call(started, index, workspace, key, payload, deadline_ms=deadline_ms)
         done.answers.append(answer)
         if answer.is_final():
+    hosts = hosts or range(len(started.description["entries"]))
             break
         index += 1
         time.sleep(REPEAT_PAUSE_S)
--- a/test/faults-test.py
+++ b/test/faults-test.py
@@ -27,6 +27,8 @@
 SHORT_DEADLINE_MS = 2000
 SHORT_FREEZE_S = 4.0
 SETTLE_S = 1.0
+# What clocks read at the edges of a wait may differ by.
+MARGIN_MS = 500
 LONG_OUTAGE_S = 20.0
 CONFIG_LIMIT_S = 15.0
 LEAVE_LIMIT_S = 3.0
@@ -164,24 +166,24 @@
         open_calls = self.wait_until_read(2, len(keys), answers)
         faults.freeze(self.entry(2)["pid"])
         self.assertGreater(open_calls, 0, answers)
-        time.sleep(SHORT_FREEZE_S)
-        faults.set_fault(self.platform, "none")
         # These come to a host that can't read them.
         unread = {
             key: faults.begin_call(self.cluster, 2, "authority", key, {"a": 1}, SHORT_DEADLINE_MS)
             for key in (f"unread-{SEED}-{i}" for i in range(8))
         }
+        time.sleep(SHORT_FREEZE_S)
+        faults.set_fault(self.platform, "none")
+        keys += unread
         woken_ms = time.time() * 1000
         faults.wake(self.entry(2)["pid"])
-        keys += unread
         for thread in threads:
             thread.join()
-        late = [row for row in self.records.rows("service") if row["key"] in keys and row["unix_ms"] > woken_ms]
-        self.assertEqual(late, [])
         for key, connection in unread.items():
             answers[key] = faults.end_call(self.cluster, 2, connection)
             self.assertEqual(answers[key].run, "no", answers[key])
             self.assertTrue(answers[key].body.get("retry_after_ms"), answers[key])
+        late = [row for row in self.records.rows("service") if row["key"] in keys and row["unix_ms"] > woken_ms]
+        self.assertEqual(late, [])
         repeats = self.issue_all(keys, 1)
         for issuance in repeats:
             issuance.answers.insert(0, answers[issuance.key])
@@ -273,6 +275,166 @@
         self.check_calls(callers.stop())
 
 
+class StopPointTest(FaultCase):
+    """A call runs at most once, whatever the moment at which its host stops: killed there, or woken much later."""
+
+    OPTIONS = {"engines": 1, "stores": 1, "services": 2, "call_ms": 20.0}
+    OTHERS = (0, 1)
+
+    def setUp(self):
+        super().setUp()
+        # The first claim ever also writes the number of shards; that write is none of the moments.
+        self.assertEqual(faults.send_call(self.cluster, 0, "authority", self.key() + "-first", {"a": 0}).status, 200)
+        self.hits = []
+
+    def key(self):
+        """Returns a key of this test and seed."""
+        return f"{self.id().rpartition('.')[2]}-{SEED}"
+
+    def repeat(self):
+        """Repeats the key at both other hosts at once until the answers are final."""
+        done = []
+        threads = [
+            threading.Thread(
+                target=lambda h=host: done.append(
+                    faults.issue(self.cluster, "authority", self.key(), {"a": 1}, h, hosts=self.OTHERS)
+                )
+            )
+            for host in self.OTHERS
+        ]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        return done
+
+    def repeat_until_done(self):
+        """Repeats a key that did not run until it has; until its withdrawal is recorded, it may be told unknown."""
+        done = faults.Issuance("authority", self.key())
+
+        def is_done():
+            done.answers.append(faults.send_call(self.cluster, 0, "authority", self.key(), {"a": 1}))
+            return done.final().status == 200
+
+        self.cluster.wait_until(is_done, f"a repeat is run: {done}")
+        return done
+
+    def stop_at(self, point):
+        """Sends the key through a host that stops itself at a moment; returns once it has."""
+        faults.kill(self.entry(2)["pid"])
+        faults.restart_entry(self.cluster, 2, environment={"LYCHEEPLANK_STOP_AT": point})
+        self.cluster.wait_until(lambda: self.cluster.entry_is_ready(2), "the host that will stop is ready")
+        self.sent_ms = time.time() * 1000
+        self.caller = threading.Thread(
+            target=lambda: self.hits.append(
+                faults.send_call(self.cluster, 2, "authority", self.key(), {"a": 1}, deadline_ms=SHORT_DEADLINE_MS)
+            )
+        )
+        self.caller.start()
+        pid = self.entry(2)["pid"]
+        self.cluster.wait_until(lambda: faults.is_stopped(pid), f"the host has stopped at {point}")
+
+    def rows(self):
+        """Returns the services' records of the key."""
+        return [row for row in self.records.rows("service") if row["key"] == self.key()]
+
+    def check_all(self, meanwhile, after, window):
+        """Compares all answers for the key with the records and with each other."""
+        first = faults.Issuance("authority", self.key(), self.hits + after[0].answers)
+        issuances = meanwhile + [first] + after[1:]
+        found = faults.check_issuances(issuances, self.records.rows("service"), [window])
+        self.assertEqual(found, [], "\n".join(found))
+        said = {answer.text for issuance in issuances for answer in issuance.answers if answer.status == 200}
+        self.assertLessEqual(len(said), 1, issuances)
+
+    def kill_at(self, point):
+        """Kills a host at a moment; returns the last answers and the record of the key."""
+        self.stop_at(point)
+        window = faults.CutWindow(time.time(), float("inf"))
+        meanwhile = self.repeat()
+        faults.kill(self.entry(2)["pid"])
+        self.caller.join()
+        self.assertEqual(self.hits[0].status, faults.CUT, self.hits)
+        after = self.repeat()
+        self.check_all(meanwhile, after, window)
+        return [issuance.final() for issuance in after], self.rows()
+
+    def wake_at(self, point):
+        """Wakes a host past the deadline of the call at which it stopped; returns answers and record."""
+        self.stop_at(point)
+        stopped = time.time()
+        meanwhile = self.repeat()
+        self.cluster.wait_until(
+            lambda: time.time() * 1000 > self.sent_ms + SHORT_DEADLINE_MS + MARGIN_MS, "the deadline has passed"
+        )
+        woken_ms = time.time() * 1000
+        faults.wake(self.entry(2)["pid"])
+        self.caller.join()
+        late = [row for row in self.rows() if row["unix_ms"] > woken_ms]
+        self.assertEqual(late, [], self.hits)
+        if self.hits[0].run == "no":
+            meanwhile.append(self.repeat_until_done())
+        window = faults.CutWindow(stopped, time.time())
+        after = self.repeat()
+        time.sleep(SETTLE_S)
+        self.check_all(meanwhile, after, window)
+        return [issuance.final() for issuance in after], self.rows()
+
+    def assert_done(self, found):
+        """Asserts that the key was executed and its answer kept."""
+        answers, rows = found
+        self.assertEqual([answer.status for answer in answers], [200, 200], answers)
+        self.assertEqual(len(rows), 1, rows)
+
+    def assert_unknown(self, found, executed):
+        """Asserts that repeats are told unknown, and whether the key was executed."""
+        answers, rows = found
+        self.assertEqual([answer.kind for answer in answers], ["outcome_unknown"] * 2, answers)
+        self.assertEqual(len(rows), executed, rows)
+
+    def test_killed_before_the_claim(self):
+        self.assert_done(self.kill_at("before-claim"))
+
+    def test_killed_once_the_claim_is_written(self):
+        self.assert_unknown(self.kill_at("claim-written"), 0)
+
+    def test_killed_between_claim_and_dispatch(self):
+        self.assert_unknown(self.kill_at("claim-granted"), 0)
+
+    def test_killed_at_dispatch(self):
+        answers, rows = self.kill_at("dispatched")
+        self.assert_unknown((answers, rows), len(rows))
+
+    def test_killed_with_the_answer_in_hand(self):
+        self.assert_unknown(self.kill_at("answered"), 1)
+
+    def test_killed_before_the_answer_is_told(self):
+        self.assert_done(self.kill_at("recorded"))
+
+    def test_woken_before_the_claim(self):
+        self.assert_done(self.wake_at("before-claim"))
+
+    def test_woken_once_the_claim_is_written(self):
+        self.assert_done(self.wake_at("claim-written"))
+
+    def test_woken_between_claim_and_dispatch(self):
+        self.assert_done(self.wake_at("claim-granted"))
+
+    def test_woken_at_dispatch(self):
+        answers, rows = self.wake_at("dispatched")
+        self.assertLessEqual(len(rows), 1, answers)
+
+    def test_woken_with_the_answer_in_hand(self):
+        # The deadline may be noticed before the answer; then all are told unknown for good.
+        answers, rows = self.wake_at("answered")
+        self.assertEqual(len(rows), 1, answers)
+        self.assertEqual(len({answer.status for answer in answers}), 1, answers)
+
+    def test_woken_before_the_answer_is_told(self):
+        self.assert_done(self.wake_at("recorded"))
+        self.assertEqual(self.hits[0].status, 200, self.hits)
+
+
 class LostServiceTest(FaultCase):
     """A service that is lost with calls under way leaves their outcome unknown."""
 
