Look at the clock on the open connection before a call is sent

Cause: the library's timeout counts from when it takes the call up, so a process stopped between the order and that gave it all its time again. The time is now compared just before the request is written (CURLOPT_PREREQFUNCTION).

--- a/src/net/client.cc
+++ b/src/net/client.cc
@@ -97,6 +97,17 @@
   return aSize * aCount;
 }
 
+// Runs on a connection just before the request is sent on it: the library's
+// own clock starts when it takes the call up, which may be long after the order
+// in a process that stood still.
+int
+OnReady(void* aActive, char*, char*, int, int)
+{
+  const auto& active = *static_cast<const Active*>(aActive);
+  return absl::Now() < active.until_ ? CURL_PREREQFUNC_OK
+                                     : CURL_PREREQFUNC_ABORT;
+}
+
 void
 SetOptions(Active& aActive)
 {
@@ -114,6 +125,8 @@
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aActive);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &aActive);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnReady);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aActive);
   curl_easy_setopt(
     easy,
     CURLOPT_CONNECTTIMEOUT_MS,
