Let a host that starts during an outage ask known peers

A probe with list revision 0 says that its sender knows too few, so the protocol stays.

A host that a single peer probed during an outage took the two of them for all and served; now it has to know all hosts.

Ruled out: a message of its own for the list (one more protocol to keep), and keeping the last list in a file (the hosts have no disk).

--- a/include/lycheeplank/membership.h
+++ b/include/lycheeplank/membership.h
@@ -62,6 +62,8 @@
 {
   HostState sender_;
   std::vector<HostState> updates_;
+  // Revision of the platform's list that the sender's view rests on. 0: it
+  // doesn't know all hosts; who does answers it with all of them.
   std::uint64_t listRevision_ = 0;
 };
 
@@ -215,6 +217,12 @@
   absl::btree_map<std::uint64_t, PendingProbe> pending_;
   std::uint64_t nextId_ = 1;
   std::uint64_t listRevision_ = 0;
+  // Revision of the list that the answer of a peer with all hosts rested on.
+  std::uint64_t heardListRevision_ = 0;
+  // Peer addresses asked for all hosts while neither list nor peers told them.
+  std::vector<std::string> seeds_;
+  std::size_t nextSeed_ = 0;
+  absl::Time nextSeedProbe_ = absl::InfinitePast();
   bool listedSelf_ = false;
   bool ownOverloaded_ = false;
   bool pushWanted_ = false;
@@ -382,15 +390,21 @@
 
 // Returns the state of a host that starts now. Its incarnation is the time in
 // milliseconds, so that it is above the one of its predecessor of that name.
+// aSeeds are peer addresses to ask for all hosts if the platform can't be
+// reached; its own one among them is left out.
 State
-Start(const HostState& aSelf, const Settings& aSettings, absl::Time aNow);
+Start(const HostState& aSelf,
+      const Settings& aSettings,
+      absl::Time aNow,
+      const std::vector<std::string>& aSeeds = {});
 
 // Takes one event and returns what has to be done.
 std::vector<Effect>
 Step(State& aState, const Event& aEvent);
 
 // Tells whether this host may take new work. Without the platform it has to
-// see enough peers, since the configuration may change without it.
+// see enough peers, since the configuration may change without it, and to know
+// all hosts, or it would take the few that it knows for enough.
 bool
 MayServe(const State& aState, absl::Time aNow);
 
--- a/src/entry/app.cc
+++ b/src/entry/app.cc
@@ -47,7 +47,7 @@
   self.peerAddress_ = aPeerAddress;
   self.httpAddress_ = aHttpAddress;
   self.dataCentre_ = aSettings.dataCentre_;
-  state.members_ = membership::Start(self, {}, absl::Now());
+  state.members_ = membership::Start(self, {}, absl::Now(), aSettings.peers_);
   return state;
 }
 
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -1,9 +1,11 @@
 #include "entry/settings.h"
 
+#include <limits>
 #include <map>
 
 #include <CLI/CLI.hpp>
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 
 #include "lycheeplank/version.h"
 
@@ -22,6 +24,20 @@
            : "'" + aUrl + "' is not a URL; give one as http://10.0.0.1:2379";
 }
 
+std::string
+CheckPeer(const std::string& aAddress)
+{
+  const auto colon = aAddress.rfind(':');
+  std::uint32_t number = 0;
+  const bool good = colon != std::string::npos && colon > 0 &&
+                    absl::SimpleAtoi(aAddress.substr(colon + 1), &number) &&
+                    number > 0 &&
+                    number <= std::numeric_limits<std::uint16_t>::max();
+  return good ? ""
+              : "'" + aAddress +
+                  "' is not a peer's address; give one as 10.0.0.1:8081";
+}
+
 std::string
 CheckDigest(const std::string& aDigest)
 {
@@ -101,6 +117,14 @@
     ->envname("LYCHEEPLANK_PLATFORM")
     ->check(CheckUrl)
     ->required();
+  aApp
+    .add_option("--peers",
+                aSettings.peers_,
+                "peer addresses of other entry hosts, with commas between "
+                "them, asked for all hosts while the platform is out")
+    ->envname("LYCHEEPLANK_PEERS")
+    ->delimiter(',')
+    ->check(CheckPeer);
   aApp
     .add_option("--steward",
                 aSettings.stewardUrl_,
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "entry/stop-point.h"
 
@@ -17,6 +18,8 @@
   std::uint16_t httpPort_ = 8080;
   std::uint16_t peerPort_ = 8081;
   std::string platformUrl_;
+  // Peer addresses asked for all hosts while the platform can't be reached.
+  std::vector<std::string> peers_;
   // URL of the steward on the same host; empty without one.
   std::string stewardUrl_;
   std::string operatorKeyDigest_;
--- a/src/membership/gossip.cc
+++ b/src/membership/gossip.cc
@@ -305,7 +305,7 @@
 {
   Message message;
   message.sender_ = aState.self_;
-  message.listRevision_ = aState.listRevision_;
+  message.listRevision_ = ViewRevision(aState);
   const auto found = aState.members_.find(aTo);
   if (found != aState.members_.end() &&
       found->second.state_.status_ != Status::Alive) {
@@ -323,12 +323,53 @@
   return message;
 }
 
+std::uint64_t
+ViewRevision(const State& aState)
+{
+  return std::max(aState.listRevision_, aState.heardListRevision_);
+}
+
+Message
+MakeWholeMessage(const State& aState)
+{
+  Message message;
+  message.sender_ = aState.self_;
+  message.listRevision_ = ViewRevision(aState);
+  for (const auto& [name, member] : aState.members_) {
+    message.updates_.push_back(member.state_);
+  }
+  for (const auto& [name, note] : aState.targets_) {
+    message.updates_.push_back(*StateOf(aState, name));
+  }
+  return message;
+}
+
+void
+TakeDeadHosts(State& aState, const Message& aMessage, absl::Time aNow)
+{
+  for (const auto& update : aMessage.updates_) {
+    if (update.status_ != Status::Dead || update.peerAddress_.empty() ||
+        update.name_ == aState.self_.name_ ||
+        aState.members_.count(update.name_) > 0) {
+      continue;
+    }
+    auto& member = aState.members_[update.name_];
+    member.state_ = update;
+    member.since_ = aNow;
+    member.found_ = aNow;
+  }
+}
+
 void
 TakeMessage(State& aState,
             const Message& aMessage,
             absl::Time aNow,
             Effects& aEffects)
 {
+  if (aMessage.sender_.name_ == aState.self_.name_) {
+    // This host's own address is among those that it asks: no contact.
+    return;
+  }
   aState.lastPeer_ = std::max(aState.lastPeer_, aNow);
   TakeHostState(aState, aMessage.sender_, Source::Direct, aNow, aEffects);
   for (const auto& update : aMessage.updates_) {
--- a/src/membership/internal.h
+++ b/src/membership/internal.h
@@ -32,6 +32,20 @@
 Message
 MakeShortMessage(const State& aState, absl::string_view aTo);
 
+// Returns the revision of the platform's list that this host's view rests on,
+// its own reading or that of a peer; 0 if it doesn't know all hosts.
+std::uint64_t
+ViewRevision(const State& aState);
+
+// Returns a message with all known hosts, for one that knows too few.
+Message
+MakeWholeMessage(const State& aState);
+
+// Takes over the hosts that a peer with the whole view counts as dead: they
+// have to be known, or the others would be taken for all.
+void
+TakeDeadHosts(State& aState, const Message& aMessage, absl::Time aNow);
+
 // Takes over what a message says.
 void
 TakeMessage(State& aState,
--- a/src/membership/probe.cc
+++ b/src/membership/probe.cc
@@ -223,6 +223,21 @@
   }
 }
 
+// Asks one seed in turn as long as this host doesn't know all hosts.
+void
+ProbeNextSeed(State& aState, absl::Time aNow, Effects& aEffects)
+{
+  if (aState.seeds_.empty() || ViewRevision(aState) > 0 ||
+      aNow < aState.nextSeedProbe_) {
+    return;
+  }
+  aState.nextSeedProbe_ = aNow + aState.settings_.probePeriod_;
+  SendProbe probe;
+  probe.address_ = aState.seeds_[aState.nextSeed_++ % aState.seeds_.size()];
+  probe.message_ = MakeShortMessage(aState, "");
+  SendTo(aState, std::move(probe), aNow, aEffects);
+}
+
 // Probes one dead host in turn, in case it is back.
 void
 ProbeDead(State& aState, absl::Time aNow, Effects& aEffects)
@@ -320,6 +335,15 @@
            absl::Time aNow,
            Effects& aEffects)
 {
+  // All probes sent until now said that this host knows too few.
+  if (ViewRevision(aState) == 0 && aAnswer.message_.listRevision_ > 0) {
+    aState.heardListRevision_ = aAnswer.message_.listRevision_;
+    TakeDeadHosts(aState, aAnswer.message_, aNow);
+    aEffects.push_back(Log{ absl::StrCat("event=hosts_heard from=",
+                                         aAnswer.message_.sender_.name_,
+                                         " list_revision=",
+                                         aState.heardListRevision_) });
+  }
   TakeMessage(aState, aAnswer.message_, aNow, aEffects);
   const auto found = aState.pending_.find(aAnswer.id_);
   if (found == aState.pending_.end()) {
@@ -403,6 +427,7 @@
 {
   FailOverdue(aState, aNow, aEffects);
   ProbeNextFinger(aState, aNow, aEffects);
+  ProbeNextSeed(aState, aNow, aEffects);
   ProbeDead(aState, aNow, aEffects);
   FollowSuspects(aState, aNow, aEffects);
   PushIfWanted(aState, aNow, aEffects);
--- a/src/membership/step.cc
+++ b/src/membership/step.cc
@@ -97,8 +97,12 @@
    Effects& aEffects)
 {
   TakeMessage(aState, aProbe.message_, aNow, aEffects);
+  const bool knowsTooFew =
+    aProbe.message_.listRevision_ == 0 && ViewRevision(aState) > 0;
   aEffects.push_back(AnswerProbe{
-    aProbe.id_, MakeMessage(aState, aProbe.message_.sender_.name_, aNow) });
+    aProbe.id_,
+    knowsTooFew ? MakeWholeMessage(aState)
+                : MakeMessage(aState, aProbe.message_.sender_.name_, aNow) });
 }
 
 void
@@ -192,7 +196,10 @@
 }
 
 State
-Start(const HostState& aSelf, const Settings& aSettings, absl::Time aNow)
+Start(const HostState& aSelf,
+      const Settings& aSettings,
+      absl::Time aNow,
+      const std::vector<std::string>& aSeeds)
 {
   State state;
   state.settings_ = aSettings;
@@ -201,6 +208,11 @@
   state.lastReconnect_ = aSelf.name_;
   state.self_.incarnation_ =
     static_cast<std::uint64_t>(absl::ToUnixMillis(aNow));
+  for (const auto& seed : aSeeds) {
+    if (seed != aSelf.peerAddress_) {
+      state.seeds_.push_back(seed);
+    }
+  }
   return state;
 }
 
@@ -221,7 +233,8 @@
   if (IsWithin(aState.lastPlatform_, bound, aNow)) {
     return true;
   }
-  return IsWithin(aState.lastPeer_, bound, aNow) && HasQuorum(aState);
+  return ViewRevision(aState) > 0 && IsWithin(aState.lastPeer_, bound, aNow) &&
+         HasQuorum(aState);
 }
 
 bool
--- a/test/faults-test.py
+++ b/test/faults-test.py
@@ -834,6 +834,24 @@
         self.wait_everywhere("limits", "retry_share")
         self.assertGreaterEqual(self.section("limits", 2)[0], max(revisions))
 
+    def test_a_host_that_starts_during_an_outage_serves_through_known_peers(self):
+        base, _ = self.section("limits")
+        faults.set_fault(self.platform, "down", ms=0)
+        faults.kill(self.entry(2)["pid"])
+        peers = ",".join(self.entry(index)["peer"] for index in (0, 1))
+        started = faults.restart_entry(self.cluster, 2, list_host=False, environment={"LYCHEEPLANK_PEERS": peers})
+        self.cluster.wait_until(
+            lambda: cluster.http("GET", started["http"] + "/readyz")[0] == 200, "the host serves without the platform"
+        )
+        self.assertEqual(self.section("limits", 2)[0], base)
+        result = faults.StreamReader(self.cluster, "authority", "known peers", 3, 2).join()
+        self.assertEqual(result.end, "done", result)
+        refused = faults.send_call(self.cluster, 2, "authority", f"peers-{SEED}", {"a": 1})
+        self.assertEqual((refused.status, refused.run), (503, "no"), refused)
+        faults.set_fault(self.platform, "none")
+        self.cluster.list_host(started)
+        self.cluster.wait_until(lambda: self.cluster.entry_is_ready(2), "the host is ready")
+
     def test_a_host_that_cannot_read_keys_takes_the_revision_from_peers(self):
         base, _ = self.section("limits")
         faults.kill(self.entry(2)["pid"])
--- a/test/membership-test.cc
+++ b/test/membership-test.cc
@@ -64,8 +64,15 @@
     }
   }
 
-  void AddHost(const std::string& aName)
+  // aSeeds are names of hosts that it is told of at its start.
+  void AddHost(const std::string& aName,
+               const std::vector<std::string>& aSeeds = {})
   {
+    std::vector<std::string> seeds;
+    seeds.reserve(aSeeds.size());
+    for (const auto& seed : aSeeds) {
+      seeds.push_back(MakeEntry(seed).peerAddress_);
+    }
     const platform::Host entry = MakeEntry(aName);
     SetEntry(entry);
     auto host = std::make_unique<SimHost>();
@@ -73,7 +80,8 @@
     host->state_ = membership::Start(
       { aName, entry.peerAddress_, entry.httpAddress_, entry.dataCentre_ },
       settings_,
-      now_);
+      now_,
+      seeds);
     auto* raw = host.get();
     byAddress_[entry.peerAddress_] = raw;
     hosts_.push_back(std::move(host));
@@ -721,6 +729,83 @@
   }) == 8);
 }
 
+TEST_CASE("a host that starts during an outage learns all hosts from a peer")
+{
+  Network network(8, Seed(17));
+  network.Run(kSettle);
+  network.platformUp_ = false;
+  network.At(3).up_ = false;
+  network.Run(absl::Minutes(1));
+  network.AddHost("host8");
+  // One seed is lost, one is the host itself, one lives.
+  network.AddHost("host9", { "host3", "host9", "host5" });
+  const auto& alone = network.At(8);
+  const auto& seeded = network.At(9);
+  const auto serves = network.RunUntilTrue(absl::Minutes(1), [&] {
+    return membership::MayServe(seeded.state_, network.Now());
+  });
+  CHECK(serves < absl::Seconds(10));
+  network.Run(absl::Minutes(1));
+  CHECK(membership::MayServe(seeded.state_, network.Now()));
+  CHECK(CountLive(seeded) == 8);
+  CHECK(seeded.state_.members_.count("host3") == 1);
+  CHECK(Sees(network.At(0), "host9"));
+  CHECK(!membership::MayServe(alone.state_, network.Now()));
+}
+
+TEST_CASE("a host started on the smaller side of a cut serves nothing")
+{
+  Network network(8, Seed(18));
+  network.Run(kSettle);
+  network.platformUp_ = false;
+  for (std::size_t i = 0; i < 3; ++i) {
+    network.At(i).group_ = 1;
+  }
+  network.Run(absl::Seconds(40));
+  network.AddHost("host8", { "host0", "host1" });
+  network.At(8).group_ = 1;
+  for (int i = 0; i < 100; ++i) {
+    network.Run(absl::Seconds(12));
+    CHECK(!membership::MayServe(network.At(8).state_, network.Now()));
+  }
+  CHECK(network.At(8).state_.members_.size() == 8);
+  for (std::size_t i = 0; i < network.Size(); ++i) {
+    network.At(i).group_ = 0;
+  }
+  network.Run(absl::Seconds(30));
+  CHECK(membership::MayServe(network.At(8).state_, network.Now()));
+}
+
+TEST_CASE("hosts that all start during an outage serve nothing")
+{
+  Network network(0, Seed(19));
+  network.platformUp_ = false;
+  for (const auto* name : { "host0", "host1", "host2" }) {
+    network.AddHost(name, { "host0", "host1", "host2" });
+  }
+  for (int i = 0; i < 60; ++i) {
+    network.Run(absl::Seconds(1));
+    CHECK(network.Count([&](const SimHost& aHost) {
+      return membership::MayServe(aHost.state_, network.Now());
+    }) == 0);
+  }
+  network.platformUp_ = true;
+  network.Run(absl::Seconds(15));
+  CHECK(network.Count([&](const SimHost& aHost) {
+    return membership::MayServe(aHost.state_, network.Now());
+  }) == 3);
+}
+
+TEST_CASE("a host that one peer probes during an outage takes it not for all")
+{
+  const membership::HostState self{ "host0", "10.41.0.0:7001" };
+  membership::State state = membership::Start(self, {}, kStart);
+  membership::Message message;
+  message.sender_ = { "host1", "10.41.0.1:7001" };
+  membership::Step(state, { kStart, membership::ProbeReceived{ 1, message } });
+  CHECK(!membership::MayServe(state, kStart));
+}
+
 TEST_CASE("a paused host blames no other and returns")
 {
   Network network(8, Seed(11));
