--- a/test/faults-test.py
+++ b/test/faults-test.py
@@ -840,9 +840,8 @@
         faults.kill(self.entry(2)["pid"])
         peers = ",".join(self.entry(index)["peer"] for index in (0, 1))
         started = faults.restart_entry(self.cluster, 2, list_host=False, environment={"LYCHEEPLANK_PEERS": peers})
-        self.cluster.wait_until(
-            lambda: cluster.http("GET", started["http"] + "/readyz")[0] == 200, "the host serves without the platform"
-        )
+        # Ready, with all hosts in view and all targets reached.
+        self.cluster.wait_until(lambda: self.cluster.entry_is_ready(2), "the host serves without the platform")
         self.assertEqual(self.section("limits", 2)[0], base)
         result = faults.StreamReader(self.cluster, "authority", "known peers", 3, 2).join()
         self.assertEqual(result.end, "done", result)
