Kill targets and stores, fill stores and drain hosts in the soak

Random runs now also kill and restart engines, services and stores, fill stores, end entry hosts with SIGTERM while other faults go on, and run stewards. A stream that was cut has to have exactly the tokens up to its last id; a whole one all of them. Until now any beginning was taken.

The first run ended in the driver: an answer of the platform cut off while a host was being listed. Answers cut midway are OSErrors now, a refused listing is an error, and the soak lists a host again until the platform is back.

--- a/support/cluster.py
+++ b/support/cluster.py
@@ -11,6 +11,7 @@
 import time
 import urllib.error
 import urllib.request
+from http.client import HTTPException
 
 LOOPBACK = "127.0.0.1"
 START_TIMEOUT_S = 30.0
@@ -55,14 +56,17 @@
 
 
 def http(method, url, body=None, headers=None, timeout=5.0):
-    """Sends a request; returns (status, body), also for error statuses."""
+    """Sends a request; returns (status, body), also for error statuses; an answer that was cut is an OSError."""
     data = json.dumps(body).encode() if isinstance(body, (dict, list)) else body
     request = urllib.request.Request(url, data=data, method=method, headers=headers or {})
     try:
-        with urllib.request.urlopen(request, timeout=timeout) as answer:
-            return answer.status, answer.read().decode()
-    except urllib.error.HTTPError as error:
-        return error.code, error.read().decode()
+        try:
+            with urllib.request.urlopen(request, timeout=timeout) as answer:
+                return answer.status, answer.read().decode()
+        except urllib.error.HTTPError as error:
+            return error.code, error.read().decode()
+    except HTTPException as error:
+        raise ConnectionError(f"the answer was cut: {error!r}") from error
 
 
 class Cluster:
@@ -72,6 +76,7 @@
         self.options = options
         self.description = {}
         self.processes = {}
+        self.standin_flags = {}
         self.operator_key = secrets.token_hex(16)
         self.token_secret = secrets.token_hex(16)
         self.keys = {name: secrets.token_hex(16) for name in WORKSPACES}
@@ -136,12 +141,29 @@
             time.sleep(POLL_S)
         raise RuntimeError(f"{name} did not start; see {path[:-4]}.log")
 
-    def _start_standin(self, kind, name, flags):
+    def _start_standin(self, kind, name, flags, port=0):
         program = os.path.join(self.options.binaries, "lycheeplank-standin")
-        process = self.start_process(name, [program, kind, "--name", name] + flags)
+        self.standin_flags[name] = flags
+        process = self.start_process(name, [program, kind, "--name", name, f"--port={port}"] + flags)
         port = self._wait_output(name, r"listening port=(\d+)").group(1)
         return {"name": name, "kind": kind, "http": f"http://{LOOPBACK}:{port}", "pid": process.pid}
 
+    def restart_standin(self, row):
+        """Starts a stand-in anew at its address after it ended; it has forgotten everything."""
+        self.processes[row["name"]].wait()
+        port = int(row["http"].rpartition(":")[2])
+        limit = time.monotonic() + START_TIMEOUT_S
+        while True:
+            try:
+                started = self._start_standin(row["kind"], row["name"], self.standin_flags[row["name"]], port)
+                break
+            except RuntimeError:
+                # A connection of another process may hold the port for a moment.
+                if time.monotonic() > limit:
+                    raise
+                time.sleep(POLL_S)
+        row["pid"] = started["pid"]
+
     def _start_platform(self):
         options = self.options
         flags = [f"--rate-writes={options.rate_writes}", f"--list-lag={options.list_lag_ms}"]
@@ -199,7 +221,7 @@
                 f"--steward=http://{LOOPBACK}:{port}",
                 f"--operator-key-digest={digest(self.operator_key)}",
             ],
-            {"LYCHEEPLANK_TOKEN_SECRET": self.token_secret},
+            {"LYCHEEPLANK_TOKEN_SECRET": self.token_secret, **(environment or {})},
         )
         found = self._wait_output(name, r"http_port=(\d+) peer_port=(\d+)")
         return {
@@ -226,10 +248,17 @@
                 f"--entry={entry['http']}",
                 f"--port={entry['steward_port']}",
             ],
-            {"LYCHEEPLANK_TOKEN_SECRET": self.token_secret, **(environment or {})},
+            {"LYCHEEPLANK_TOKEN_SECRET": self.token_secret},
         )
         return process.pid
 
+    def restart_steward(self, entry):
+        """Kills the steward of an entry host and starts it for the address at which the host listens now."""
+        process = self.processes["steward-" + entry["name"]]
+        process.kill()
+        process.wait()
+        entry["steward_pid"] = self._start_steward(entry, self.description["platform"]["http"])
+
     @staticmethod
     def _list_host(platform, entry):
         body = {
@@ -240,7 +269,9 @@
             "data_centre": entry["data_centre"],
             "leaving": False,
         }
-        http("PUT", f"{platform}/v1/hosts/{entry['name']}", body)
+        status, text = http("PUT", f"{platform}/v1/hosts/{entry['name']}", body)
+        if status >= 300:
+            raise RuntimeError(f"the platform did not list {entry['name']}: {status} {text}")
 
     def list_host(self, entry):
         """Puts an entry host on the platform's list."""
--- a/support/faults.py
+++ b/support/faults.py
@@ -19,6 +19,8 @@
 RECORD_TIMEOUT_S = 10.0
 MAX_RESUMES = 20
 CUT = 0
+# Place of the token's index in an id of an event.
+INDEX_PART = 4
 REFERENCE_SALT = "reference"
 
 
@@ -90,6 +92,10 @@
     resumes: int = 0
     ended_s: float = 0.0
 
+    def tokens(self):
+        """Returns how many tokens of the run came before and with the last id."""
+        return int(self.last_id.split(".")[INDEX_PART]) + 1 if self.last_id else 0
+
 
 def kill(pid):
     """Ends a process at once."""
@@ -106,17 +112,17 @@
     os.kill(pid, signal.SIGCONT)
 
 
+def is_stopped(pid):
+    """Tells whether a process that this one started stands still after a signal."""
+    return os.waitid(os.P_PID, pid, os.WSTOPPED | os.WNOHANG | os.WNOWAIT) is not None
+
+
 def cut(target, duration_ms):
     """Cuts the connections of a target for a while; returns the longest time that this can last."""
     begin = time.time()
     set_fault(target["http"], "down", ms=duration_ms)
     return CutWindow(begin, time.time() + duration_ms / 1000)
 
-def is_stopped(pid):
-    """Tells whether a process that this one started stands still after a signal."""
-    return os.waitid(os.P_PID, pid, os.WSTOPPED | os.WNOHANG | os.WNOWAIT) is not None
-
-
 
 def set_fault(url, fault, **fields):
     """Gives a stand-in a fault order."""
@@ -192,13 +198,13 @@
     """Repeats a call through one host after another, of all or of some, until its answer is final."""
     done = Issuance(workspace, key)
     limit = time.monotonic() + limit_s
+    hosts = hosts or range(len(started.description["entries"]))
     index = first
     while time.monotonic() < limit:
-        index %= len(started.description["entries"])
-        answer = send_call(started, index, workspace, key, payload, deadline_ms=deadline_ms)
+        host = hosts[index % len(hosts)]
+        answer = send_call(started, host, workspace, key, payload, deadline_ms=deadline_ms)
         done.answers.append(answer)
         if answer.is_final():
-    hosts = hosts or range(len(started.description["entries"]))
             break
         index += 1
         time.sleep(REPEAT_PAUSE_S)
@@ -336,7 +342,7 @@
 
 
 def reference_text(url, prompt, max_tokens, run_id):
-    """Asks an engine itself for the text of a prompt; returns version and text."""
+    """Asks an engine itself for the text of a prompt; returns version and texts of the tokens."""
     body = {
         "model": cluster.MODEL,
         "prompt": prompt,
@@ -349,11 +355,11 @@
         raise RuntimeError(f"no reference text: {status} {text}")
     events = [json.loads(line[6:]) for line in text.splitlines() if line.startswith("data: {")]
     version = next(event["weight_version"] for event in events if event.get("event") == "start")
-    return version, "".join(event["text"] for event in events if "index" in event)
+    return version, tuple(event["text"] for event in events if "index" in event)
 
 
 def reference_texts(url, prompts, max_tokens, run_id):
-    """Asks an engine itself for the texts of prompts, all at once; returns (version, text) by prompt."""
+    """Asks an engine itself for the texts of prompts, all at once; returns (version, texts of the tokens) by prompt."""
     found = {}
 
     def ask(number, prompt):
@@ -444,14 +450,20 @@
 
 
 def check_streams(results, texts):
-    """Returns streams whose text is not that of an undisturbed run; texts maps prompts to sets of texts."""
+    """Returns streams that differ from undisturbed runs; texts maps prompts to sets of runs, each its tokens' texts.
+
+    A whole stream has all tokens, any other one exactly those up to its last id.
+    """
     faults = []
     for result in results:
         wholes = texts[result.prompt]
-        if result.end == "done" and result.text not in wholes:
-            faults.append(f"stream {result.request_ids}: whole, but {result.text!r} is none of {wholes}")
-        if result.end != "done" and not any(whole.startswith(result.text) for whole in wholes):
-            faults.append(f"stream {result.request_ids}: its part {result.text!r} is no beginning of {wholes}")
+        count = result.tokens()
+        if result.end == "done" and (result.text, count) not in {("".join(whole), len(whole)) for whole in wholes}:
+            faults.append(f"stream {result.request_ids}: {result.text!r} of {count} tokens is none of {wholes}")
+        if result.end != "done" and result.text not in {"".join(whole[:count]) for whole in wholes}:
+            faults.append(
+                f"stream {result.request_ids}: {result.text!r} is not the first {count} tokens of any of {wholes}"
+            )
     return faults
 
 
