--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -37,11 +37,16 @@
 
   void Handle(const Item& aItem);
   void Step(const reducer::Event& aEvent);
+  // Tells the reducer that time has passed, unless the process stood still just
+  // before; returns the time until the next tick.
   absl::Duration Tick();
 
   reducer::State state_;
   std::mt19937_64 random_{ std::random_device{}() };
   const Perform perform_;
+  absl::Time due_ = absl::InfinitePast();
+  // The process stood still; events from before go ahead of the next tick.
+  bool catchingUp_ = false;
   process::EventThread<Item> thread_;
 };
 
--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -290,8 +290,8 @@
   }
   metrics_.Count("completions_total");
   metrics_.Count("tokens_relayed_total", static_cast<double>(ended.tokens_));
-  post_(std::move(ended));
   aAttempt->relay_.SendEnd();
+  post_(std::move(ended));
 }
 
 void
