Search for contradicting lock orders only in tests

A profile of a relaying host showed the deadlock detector of the packaged Abseil library: it is built without NDEBUG, so each lock of any thread also takes one global spin lock and sometimes sleeps on it (futex waits in the server's threads).

--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -113,6 +113,11 @@
                 "folder for logs; standard error without it")
     ->envname("LYCHEEPLANK_LOG_DIR")
     ->check(CLI::ExistingDirectory);
+  aApp
+    .add_flag("--check-lock-order",
+              aSettings.checkLockOrder_,
+              "abort on locks taken in contradicting orders; for tests, slow")
+    ->envname("LYCHEEPLANK_CHECK_LOCK_ORDER");
 }
 
 } // namespace
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -23,6 +23,8 @@
   unsigned httpThreads_ = 2;
   unsigned clientThreads_ = 2;
   std::string logDir_;
+  // Costs time at each lock; for tests.
+  bool checkLockOrder_ = false;
 };
 
 // What main has to do after the command line was read.
--- a/src/process/process.cc
+++ b/src/process/process.cc
@@ -2,6 +2,7 @@
 
 #include <pthread.h>
 
+#include <absl/synchronization/mutex.h>
 #include <glog/logging.h>
 
 namespace lycheeplank::process {
@@ -26,4 +27,11 @@
   google::InitGoogleLogging(aProgram);
 }
 
+void
+CheckLockOrder(bool aEnabled)
+{
+  absl::SetMutexDeadlockDetectionMode(
+    aEnabled ? absl::OnDeadlockCycle::kAbort : absl::OnDeadlockCycle::kIgnore);
+}
+
 } // namespace lycheeplank::process
--- a/src/process/process.h
+++ b/src/process/process.h
@@ -16,6 +16,12 @@
 void
 StartLog(const char* aProgram, const std::string& aFolder);
 
+// Switches the search for locks that are taken in contradicting orders. The
+// packaged library has it on, and each lock of any thread then takes one global
+// lock; call it before any thread is started.
+void
+CheckLockOrder(bool aEnabled);
+
 } // namespace lycheeplank::process
 
 #endif
--- a/src/steward/main.cc
+++ b/src/steward/main.cc
@@ -97,6 +97,7 @@
       !result.run_) {
     return result.exitCode_;
   }
+  lycheeplank::process::CheckLockOrder(settings.checkLockOrder_);
   lycheeplank::process::StartLog(aArguments[0], settings.logDir_);
   const sigset_t signals = lycheeplank::process::BlockSignals();
   try {
--- a/src/steward/settings.h
+++ b/src/steward/settings.h
@@ -19,6 +19,8 @@
   std::string address_ = "127.0.0.1";
   std::uint16_t port_ = 8082;
   std::string logDir_;
+  // Costs time at each lock; for tests.
+  bool checkLockOrder_ = false;
 };
 
 // What main has to do after the command line was read.
