Wait for targets' sockets with epoll

Each round of curl_multi_poll handed all open sockets to the kernel, and curl_multi_perform then asked again after each stream whether it was ready. The client's threads now wait with epoll and run only the streams whose socket is ready (curl_multi_socket_action). New calls and cancellations are looked at after at most 32 sockets.

--- a/src/net/client.cc
+++ b/src/net/client.cc
@@ -1,8 +1,16 @@
 #include "lycheeplank/net.h"
 
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <cstring>
 #include <map>
 #include <pthread.h>
+#include <stdexcept>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
 #include <thread>
+#include <unistd.h>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
@@ -19,7 +27,13 @@
 // Size of the library's receive buffer for one call.
 constexpr long kReceiveBufferBytes = 8192;
 constexpr long kIdleConnections = 256;
-constexpr int kPollMilliseconds = 1000;
+// Goes on evenly also when the time of day is set.
+using SteadyClock = std::chrono::steady_clock;
+using SteadyTime = SteadyClock::time_point;
+
+constexpr absl::Duration kLongestWait = absl::Seconds(1);
+// Sockets that are served before new calls and cancellations are looked at.
+constexpr std::size_t kSocketsAtOnce = 32;
 constexpr unsigned kWorkerBits = 8;
 
 // A call under way.
@@ -128,6 +142,90 @@
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aActive.headers_);
 }
 
+// Tells which of many sockets are ready; the cost of waiting doesn't grow with
+// those that aren't.
+class Poller
+{
+public:
+  using Events = std::array<epoll_event, kSocketsAtOnce>;
+
+  Poller()
+    : epoll_(epoll_create1(EPOLL_CLOEXEC))
+    , wake_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
+  {
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.fd = wake_;
+    if (epoll_ < 0 || wake_ < 0 ||
+        epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_, &event) != 0) {
+      throw std::runtime_error(absl::StrCat("can't watch sockets: ",
+                                            std::strerror(errno),
+                                            "; raise the limit of open files"));
+    }
+  }
+
+  ~Poller()
+  {
+    close(wake_);
+    close(epoll_);
+  }
+
+  Poller(const Poller&) = delete;
+  Poller& operator=(const Poller&) = delete;
+
+  // Ends a wait early, from any thread.
+  void Wake() const { eventfd_write(wake_, 1); }
+
+  // Watches a socket for what the library wants of it.
+  void Watch(curl_socket_t aSocket, int aWhat) const
+  {
+    epoll_event event{};
+    event.data.fd = aSocket;
+    if (aWhat == CURL_POLL_REMOVE) {
+      epoll_ctl(epoll_, EPOLL_CTL_DEL, aSocket, &event);
+      return;
+    }
+    event.events = ((aWhat & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) |
+                   ((aWhat & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
+    if (epoll_ctl(epoll_, EPOLL_CTL_MOD, aSocket, &event) != 0) {
+      epoll_ctl(epoll_, EPOLL_CTL_ADD, aSocket, &event);
+    }
+  }
+
+  // Waits until sockets are ready or the time is over; returns how many are
+  // in aEvents.
+  std::size_t Wait(Events& aEvents, absl::Duration aLimit) const
+  {
+    const auto limit = absl::ToInt64Milliseconds(absl::Ceil(
+      std::max(aLimit, absl::ZeroDuration()), absl::Milliseconds(1)));
+    const int ready = epoll_wait(epoll_,
+                                 aEvents.data(),
+                                 static_cast<int>(aEvents.size()),
+                                 static_cast<int>(limit));
+    return static_cast<std::size_t>(std::max(0, ready));
+  }
+
+  // Whether an event is that of Wake, which is then taken back.
+  bool TakeWake(const epoll_event& aEvent) const
+  {
+    eventfd_t count = 0;
+    return aEvent.data.fd == wake_ && eventfd_read(wake_, &count) == 0;
+  }
+
+private:
+  int epoll_;
+  int wake_;
+};
+
+// Returns what a socket is ready for in the library's words.
+int
+ReadyFor(std::uint32_t aEvents)
+{
+  return ((aEvents & (EPOLLIN | EPOLLHUP)) != 0 ? CURL_CSELECT_IN : 0) |
+         ((aEvents & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
+         ((aEvents & EPOLLERR) != 0 ? CURL_CSELECT_ERR : 0);
+}
+
 } // namespace
 
 struct Client::Worker
@@ -143,6 +241,10 @@
     : multi_(curl_multi_init())
   {
     curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kIdleConnections);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &OnSocket);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimer);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
     thread_ = std::thread([this] { Run(); });
   }
 
@@ -152,7 +254,7 @@
       const absl::MutexLock lock(&mutex_);
       stopping_ = true;
     }
-    curl_multi_wakeup(multi_);
+    poller_.Wake();
     thread_.join();
     while (!active_.empty()) {
       Finish(active_.begin()->first, CURLE_ABORTED_BY_CALLBACK);
@@ -166,20 +268,64 @@
       const absl::MutexLock lock(&mutex_);
       orders_.push_back(std::move(aOrder));
     }
-    curl_multi_wakeup(multi_);
+    poller_.Wake();
+  }
+
+  static int OnSocket(CURL*,
+                      curl_socket_t aSocket,
+                      int aWhat,
+                      void* aWorker,
+                      void*)
+  {
+    static_cast<Worker*>(aWorker)->poller_.Watch(aSocket, aWhat);
+    return 0;
+  }
+
+  // Notes when the library wants to be called though no socket is ready.
+  static int OnTimer(CURLM*, long aMilliseconds, void* aWorker)
+  {
+    static_cast<Worker*>(aWorker)->timer_ =
+      aMilliseconds < 0
+        ? SteadyTime::max()
+        : SteadyClock::now() + std::chrono::milliseconds(aMilliseconds);
+    return 0;
   }
 
   void Run()
   {
     pthread_setname_np(pthread_self(), "http-client");
+    Poller::Events events{};
     while (TakeOrders()) {
-      int running = 0;
-      curl_multi_perform(multi_, &running);
+      BeginDue();
+      ServeTimer();
       FinishEnded();
-      curl_multi_poll(multi_, nullptr, 0, BeginDue(), nullptr);
+      const std::size_t ready = poller_.Wait(events, NextWait());
+      for (std::size_t i = 0; i < ready; ++i) {
+        Serve(events[i]);
+      }
     }
   }
 
+  void Serve(const epoll_event& aEvent)
+  {
+    if (poller_.TakeWake(aEvent)) {
+      return;
+    }
+    int running = 0;
+    curl_multi_socket_action(
+      multi_, aEvent.data.fd, ReadyFor(aEvent.events), &running);
+  }
+
+  void ServeTimer()
+  {
+    if (timer_ > SteadyClock::now()) {
+      return;
+    }
+    timer_ = SteadyTime::max();
+    int running = 0;
+    curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
+  }
+
   bool TakeOrders()
   {
     std::vector<Order> orders;
@@ -203,22 +349,27 @@
     return true;
   }
 
-  // Begins the delayed calls that are due; returns the milliseconds until the
-  // next one, or those of an ordinary wait.
-  int BeginDue()
+  // Begins the delayed calls that are due.
+  void BeginDue()
   {
     const absl::Time now = absl::Now();
     while (!delayed_.empty() && delayed_.begin()->first <= now) {
       auto node = delayed_.extract(delayed_.begin());
       Begin(std::move(node.mapped()));
     }
-    if (delayed_.empty()) {
-      return kPollMilliseconds;
+  }
+
+  // Returns the time until a delayed call or the library's timer is due.
+  absl::Duration NextWait() const
+  {
+    absl::Duration wait = kLongestWait;
+    if (timer_ != SteadyTime::max()) {
+      wait = std::min(wait, absl::FromChrono(timer_ - SteadyClock::now()));
+    }
+    if (!delayed_.empty()) {
+      wait = std::min(wait, delayed_.begin()->first - absl::Now());
     }
-    const auto wait =
-      absl::Ceil(delayed_.begin()->first - now, absl::Milliseconds(1));
-    return std::min(kPollMilliseconds,
-                    static_cast<int>(absl::ToInt64Milliseconds(wait)));
+    return wait;
   }
 
   // Takes a call that is still delayed out of the waiting ones.
@@ -295,7 +446,10 @@
     }
   }
 
+  Poller poller_;
   CURLM* multi_;
+  // When the library's own timer is due.
+  SteadyTime timer_ = SteadyTime::max();
   absl::Mutex mutex_;
   std::vector<Order> orders_ ABSL_GUARDED_BY(mutex_);
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
