Read and write ordinary token events without a JSON tree

A token event in the form that engines use, with plain ASCII text, is now read by its fixed parts; any other form still goes to the JSON parser, which judges it as before. Such a text is also quoted without the parser's library. The new tests compare both ways and list broken events that neither may take.

--- a/src/adapters/engine.cc
+++ b/src/adapters/engine.cc
@@ -1,7 +1,11 @@
 #include "adapters/engine.h"
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
 
+#include "adapters/json-text.h"
 #include "adapters/json.h"
 
 namespace lycheeplank::adapters {
@@ -44,6 +48,35 @@
   return start;
 }
 
+// Reads a token in the form that engines write all but a few in; nothing if it
+// has any other, which the JSON parser then has to judge.
+absl::optional<RunToken>
+ReadPlainToken(absl::string_view aData)
+{
+  constexpr absl::string_view kTextField = R"(,"text":")";
+  if (!absl::ConsumePrefix(&aData, R"({"index":)") ||
+      !absl::ConsumeSuffix(&aData, R"("})")) {
+    return absl::nullopt;
+  }
+  const std::size_t end = aData.find(kTextField);
+  if (end == absl::string_view::npos) {
+    return absl::nullopt;
+  }
+  const absl::string_view digits = aData.substr(0, end);
+  const absl::string_view text = aData.substr(end + kTextField.size());
+  RunToken token;
+  // The first test leaves signs, spaces and leading zeros to the parser.
+  const bool isPlain = !digits.empty() && digits.front() >= '1' &&
+                       digits.front() <= '9' &&
+                       absl::SimpleAtoi(digits, &token.index_) &&
+                       absl::ascii_isdigit(digits.back());
+  if (!isPlain || !IsPlainJsonText(text)) {
+    return absl::nullopt;
+  }
+  token.text_ = std::string(text);
+  return token;
+}
+
 RunFinish
 ReadFinish(const json& aBody)
 {
@@ -115,8 +148,13 @@
 }
 
 absl::optional<RunEvent>
-ReadRunEvent(const std::string& aData)
+ReadRunEvent(absl::string_view aData)
 {
+  if (auto token = ReadPlainToken(aData); token) {
+    RunEvent event;
+    event.token_ = *std::move(token);
+    return event;
+  }
   return ReadBody<RunEvent>(
     aData, [](const json& aBody) -> absl::optional<RunEvent> {
       RunEvent event;
--- a/src/adapters/engine.h
+++ b/src/adapters/engine.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include <absl/strings/string_view.h>
 #include <absl/time/time.h>
 #include <absl/types/optional.h>
 
@@ -124,7 +125,7 @@
 
 // Reads one event of a run; nothing if it is not one.
 absl::optional<RunEvent>
-ReadRunEvent(const std::string& aData);
+ReadRunEvent(absl::string_view aData);
 
 // Returns the call that asks for the load.
 net::Call
--- a/src/adapters/json.h
+++ b/src/adapters/json.h
@@ -1,8 +1,7 @@
 #ifndef LYCHEEPLANK_ADAPTERS_JSON_H
 #define LYCHEEPLANK_ADAPTERS_JSON_H
 
-#include <string>
-
+#include <absl/strings/string_view.h>
 #include <absl/types/optional.h>
 #include <nlohmann/json.hpp>
 
@@ -13,9 +12,10 @@
 // Parses a body and reads it; nothing if either fails.
 template<typename T, typename Read>
 absl::optional<T>
-ReadBody(const std::string& aBody, Read aRead)
+ReadBody(absl::string_view aBody, Read aRead)
 {
-  const auto body = nlohmann::json::parse(aBody, nullptr, false);
+  const auto body =
+    nlohmann::json::parse(aBody.begin(), aBody.end(), nullptr, false);
   if (!body.is_object()) {
     return absl::nullopt;
   }
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -3,22 +3,18 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include "adapters/json-text.h"
 #include "entry/problem.h"
 
 namespace lycheeplank::entry {
 
 namespace {
 
+using adapters::QuoteJson;
 using nlohmann::json;
 
 constexpr absl::string_view kDone = "[DONE]";
 
-std::string
-Quote(const std::string& aText)
-{
-  return json(aText).dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 } // namespace
 
 Relay::Relay(RelayOptions aOptions,
@@ -29,9 +25,9 @@
   , signer_(std::move(aSigner))
   , nextIndex_(options_.firstIndex_)
   , chunkHead_(absl::StrCat(R"({"id":)",
-                            Quote(options_.requestName_),
+                            QuoteJson(options_.requestName_),
                             R"(,"object":"text_completion","model":)",
-                            Quote(options_.model_),
+                            QuoteJson(options_.model_),
                             R"(,"choices":[{"index":0,"text":)"))
 {
 }
@@ -102,7 +98,7 @@
   Begin();
   exchange_->Write(net::FormatSse(signer_.TokenAt(aToken.index_),
                                   absl::StrCat(chunkHead_,
-                                               Quote(aToken.text_),
+                                               QuoteJson(aToken.text_),
                                                R"(,"finish_reason":null}]})")));
 }
 
--- a/test/adapters-test.cc
+++ b/test/adapters-test.cc
@@ -1,10 +1,12 @@
 #include "adapters/engine.h"
+#include "adapters/json-text.h"
 #include "adapters/platform.h"
 #include "adapters/store.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/notification.h>
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
 
 namespace adapters = lycheeplank::adapters;
 namespace net = lycheeplank::net;
@@ -71,3 +73,53 @@
   CHECK_FALSE(token->start_);
   CHECK_FALSE(token->finish_);
 }
+
+TEST_CASE("a token's event means the same in the usual form and in any other")
+{
+  const std::vector<std::pair<std::string, std::string>> pairs{
+    { R"({"index":0,"text":"a"})", R"({ "index": 0, "text": "a" })" },
+    { R"({"index":12,"text":" a b"})", R"({"text":" a b","index":12})" },
+    { R"({"index":7,"text":""})", R"({"index":7, "text":""})" },
+    { R"({"index":7,"text":"\"\\\n"})", R"({"index":7, "text":"\"\\\n"})" },
+    { R"({"index":7,"text":"é"})", R"({"index":7,"text":"\u00e9"})" },
+    { R"({"index":18446744073709551615,"text":"a"})",
+      R"({"index":18446744073709551615, "text":"a"})" },
+    { R"({"index":7,"text":"x","text":"y"})",
+      R"({"index":7, "text":"x", "text":"y"})" },
+  };
+  for (const auto& [usual, other] : pairs) {
+    CAPTURE(usual);
+    const auto left = adapters::ReadRunEvent(usual);
+    const auto right = adapters::ReadRunEvent(other);
+    REQUIRE(left);
+    REQUIRE(right);
+    CHECK(left->token_->index_ == right->token_->index_);
+    CHECK(left->token_->text_ == right->token_->text_);
+  }
+}
+
+TEST_CASE("a broken token event is not taken for a token")
+{
+  const std::vector<std::string> broken{
+    R"({"index":1,"text":"a")",        R"({"index":1,"text":"a"}x)",
+    R"({"index":01,"text":"a"})",      R"({"index":+1,"text":"a"})",
+    R"({"index":,"text":"a"})",        R"({"index":1 2,"text":"a"})",
+    R"({"index":1,"text":"a"b"})",     R"({"index":1,"text":"a\"})",
+    R"({"index":1,"text":"a\x"})",     "{\"index\":1,\"text\":\"a\x01\"}",
+    "{\"index\":1,\"text\":\"\xff\"}", R"({"index":"1","text":"a"})",
+    R"({"index":1,"text":5})",         R"({"index":1,"text"})",
+  };
+  for (const std::string& data : broken) {
+    CAPTURE(data);
+    CHECK_FALSE(adapters::ReadRunEvent(data));
+  }
+}
+
+TEST_CASE("a text is quoted so that it is read back unchanged")
+{
+  for (const std::string text : { "", " plain", "\"", "\\", "\n\t\x01", "é" }) {
+    CHECK(nlohmann::json::parse(adapters::QuoteJson(text)) == text);
+  }
+  CHECK(adapters::QuoteJson(" plain") == "\" plain\"");
+  CHECK(adapters::QuoteJson("\xff") == "\"\xEF\xBF\xBD\"");
+}
