Hand over what a read brought at once, and wake the caller once for it

libcurl calls back for each chunk, and an engine sends each token as a chunk. A trace of a busy host showed up to five tokens in one read, each of which locked the caller's connection, woke the server's thread and became a send of its own. The client now hands over all data of one socket's turn (at most 64 KiB), the relay writes all its tokens at once, and the last event and [DONE] go together. What a transfer brought is always handed over before its end.

relay-test is new; its first case failed before (four writes instead of two). net-test now also covers many streams at once, cancelling a stream, a silent stream, and data before the end; these passed before as well.

--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -57,9 +57,24 @@
                                              : RelayState::Broken;
     }
   }
+  SendPending();
   return started;
 }
 
+// All tokens that came together go to the caller together, so that its
+// connection is woken once.
+void
+Relay::SendPending()
+{
+  if (pending_.empty()) {
+    return;
+  }
+  Begin();
+  exchange_->Write(pending_);
+  // An open stream that waits keeps no memory for it.
+  pending_ = std::string();
+}
+
 void
 Relay::Restart()
 {
@@ -95,11 +110,11 @@
     text_ += aToken.text_;
     return;
   }
-  Begin();
-  exchange_->Write(net::FormatSse(signer_.TokenAt(aToken.index_),
-                                  absl::StrCat(chunkHead_,
-                                               QuoteJson(aToken.text_),
-                                               R"(,"finish_reason":null}]})")));
+  absl::StrAppend(&pending_,
+                  net::FormatSse(signer_.TokenAt(aToken.index_),
+                                 absl::StrCat(chunkHead_,
+                                              QuoteJson(aToken.text_),
+                                              R"(,"finish_reason":null}]})")));
 }
 
 void
@@ -123,8 +138,8 @@
     return;
   }
   Begin();
-  exchange_->Write(net::FormatSse("", body.dump()));
-  exchange_->Write(net::FormatSse("", kDone));
+  exchange_->Write(
+    absl::StrCat(net::FormatSse("", body.dump()), net::FormatSse("", kDone)));
   exchange_->End();
 }
 
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -61,6 +61,7 @@
 private:
   void Begin();
   void PassToken(const adapters::RunToken& aToken);
+  void SendPending();
 
   RelayOptions options_;
   std::shared_ptr<net::Exchange> exchange_;
@@ -74,6 +75,8 @@
   // The text so far, of an answer that isn't streamed.
   std::string text_;
   std::string chunkHead_;
+  // Events that are to be written to the caller.
+  std::string pending_;
 };
 
 } // namespace lycheeplank::entry
--- a/src/net/client.cc
+++ b/src/net/client.cc
@@ -11,6 +11,7 @@
 #include <sys/eventfd.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
@@ -27,6 +28,8 @@
 // Size of the library's receive buffer for one call.
 constexpr long kReceiveBufferBytes = 8192;
 constexpr long kIdleConnections = 256;
+// Data of one call that is handed over at once.
+constexpr std::size_t kMaxReceivedBytes = 64UL << 10U;
 // Goes on evenly also when the time of day is set.
 using SteadyClock = std::chrono::steady_clock;
 using SteadyTime = SteadyClock::time_point;
@@ -36,6 +39,16 @@
 constexpr std::size_t kSocketsAtOnce = 32;
 constexpr unsigned kWorkerBits = 8;
 
+struct Active;
+
+// Data of one call that the library hands over in many pieces, one for each
+// chunk, and that the owner takes as a whole.
+struct Received
+{
+  Active* active_ = nullptr;
+  std::string data_;
+};
+
 // A call under way.
 struct Active
 {
@@ -46,6 +59,8 @@
   CallEvents events_;
   bool statusTold_ = false;
   std::vector<Field>* answerHeaders_ = nullptr;
+  // The one of the thread that runs the call.
+  Received* received_ = nullptr;
 };
 
 void
@@ -62,14 +77,29 @@
   }
 }
 
+// Hands over what has been received.
+void
+Deliver(Received& aReceived)
+{
+  const Active* active = std::exchange(aReceived.active_, nullptr);
+  if (active != nullptr && active->events_.onData_) {
+    active->events_.onData_(aReceived.data_);
+  }
+  aReceived.data_.clear();
+}
+
 std::size_t
 OnData(char* aData, std::size_t aSize, std::size_t aCount, void* aActive)
 {
   auto& active = *static_cast<Active*>(aActive);
-  TellStatus(active);
-  if (active.events_.onData_) {
-    active.events_.onData_(absl::string_view(aData, aSize * aCount));
+  Received& received = *active.received_;
+  if (received.active_ != &active ||
+      received.data_.size() > kMaxReceivedBytes) {
+    Deliver(received);
   }
+  TellStatus(active);
+  received.active_ = &active;
+  received.data_.append(aData, aSize * aCount);
   return aSize * aCount;
 }
 
@@ -314,6 +344,7 @@
     int running = 0;
     curl_multi_socket_action(
       multi_, aEvent.data.fd, ReadyFor(aEvent.events), &running);
+    Deliver(received_);
   }
 
   void ServeTimer()
@@ -324,6 +355,7 @@
     timer_ = SteadyTime::max();
     int running = 0;
     curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
+    Deliver(received_);
   }
 
   bool TakeOrders()
@@ -396,6 +428,7 @@
     if (aActive->call_.bodySource_) {
       aActive->call_.body_ = aActive->call_.bodySource_();
     }
+    aActive->received_ = &received_;
     aActive->easy_ = curl_easy_init();
     SetOptions(*aActive);
     curl_multi_add_handle(multi_, aActive->easy_);
@@ -450,6 +483,7 @@
   CURLM* multi_;
   // When the library's own timer is due.
   SteadyTime timer_ = SteadyTime::max();
+  Received received_;
   absl::Mutex mutex_;
   std::vector<Order> orders_ ABSL_GUARDED_BY(mutex_);
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
--- a/test/net-test.cc
+++ b/test/net-test.cc
@@ -4,7 +4,9 @@
 #include <thread>
 
 #include <absl/strings/str_cat.h>
+#include <absl/synchronization/blocking_counter.h>
 #include <absl/synchronization/notification.h>
+#include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
 namespace net = lycheeplank::net;
@@ -157,3 +159,122 @@
   CHECK(client.FetchAndWait(call).Ok());
   CHECK(seen == 1);
 }
+
+TEST_CASE("more streams than are served at once arrive whole and in order")
+{
+  constexpr int kStreams = 200;
+  constexpr int kPieces = 20;
+  net::Server server({}, [](const std::shared_ptr<net::Exchange>& aExchange) {
+    aExchange->BeginStream(200, {});
+    for (int i = 0; i < kPieces; ++i) {
+      aExchange->Write(absl::StrCat(aExchange->request_.path_, ":", i, ";"));
+    }
+    aExchange->End();
+  });
+  net::Client client;
+  std::vector<std::string> bodies(kStreams);
+  std::atomic<int> whole{ 0 };
+  absl::BlockingCounter open(kStreams);
+  for (int at = 0; at < kStreams; ++at) {
+    net::CallEvents events;
+    events.onData_ = [&bodies, at](absl::string_view aData) {
+      bodies[at].append(aData.data(), aData.size());
+    };
+    events.onEnd_ = [&](const net::CallEnd& aEnd) {
+      whole += aEnd.whole_ && aEnd.status_ == 200 ? 1 : 0;
+      open.DecrementCount();
+    };
+    client.Start({ "GET", UrlOf(server, absl::StrCat("/", at)) }, events);
+  }
+  open.Wait();
+  CHECK(whole == kStreams);
+  for (int at = 0; at < kStreams; ++at) {
+    std::string expected;
+    for (int i = 0; i < kPieces; ++i) {
+      absl::StrAppend(&expected, "/", at, ":", i, ";");
+    }
+    CHECK(bodies[at] == expected);
+  }
+}
+
+TEST_CASE("a call's data is handed over before its end")
+{
+  constexpr std::size_t kBytes = 1UL << 20U;
+  net::Server server({}, [&](const std::shared_ptr<net::Exchange>& aExchange) {
+    aExchange->BeginStream(200, {});
+    aExchange->Write(std::string(kBytes, 'x'));
+    aExchange->Abort();
+  });
+  net::Client client;
+  std::size_t received = 0;
+  bool statusFirst = false;
+  absl::Notification ended;
+  net::CallEnd end;
+  std::size_t receivedAtEnd = 0;
+  net::CallEvents events;
+  events.onStatus_ = [&](int aStatus) {
+    statusFirst = aStatus == 200 && received == 0;
+  };
+  events.onData_ = [&](absl::string_view aData) { received += aData.size(); };
+  events.onEnd_ = [&](const net::CallEnd& aEnd) {
+    end = aEnd;
+    receivedAtEnd = received;
+    ended.Notify();
+  };
+  client.Start({ "GET", UrlOf(server, "/") }, events);
+  ended.WaitForNotification();
+  CHECK(statusFirst);
+  CHECK_FALSE(end.whole_);
+  CHECK(receivedAtEnd == kBytes);
+}
+
+TEST_CASE("cancelling a stream closes its connection")
+{
+  absl::Notification closed;
+  std::shared_ptr<net::Exchange> held;
+  net::Server server({}, [&](const std::shared_ptr<net::Exchange>& aExchange) {
+    held = aExchange;
+    aExchange->OnClosed([&] { closed.Notify(); });
+    aExchange->BeginStream(200, {});
+    aExchange->Write("first");
+  });
+  net::Client client;
+  absl::Notification begun;
+  absl::Notification ended;
+  net::CallEnd end;
+  net::CallEvents events;
+  events.onData_ = [&](absl::string_view) { begun.Notify(); };
+  events.onEnd_ = [&](const net::CallEnd& aEnd) {
+    end = aEnd;
+    ended.Notify();
+  };
+  const net::CallId id = client.Start({ "GET", UrlOf(server, "/") }, events);
+  begun.WaitForNotification();
+  client.Cancel(id);
+  ended.WaitForNotification();
+  CHECK_FALSE(end.whole_);
+  CHECK_FALSE(end.neverSent_);
+  // The server learns of it when it writes.
+  while (!closed.HasBeenNotified()) {
+    held->Write("more");
+    absl::SleepFor(absl::Milliseconds(1));
+  }
+}
+
+TEST_CASE("a silent stream fails though nothing happens on any socket")
+{
+  std::shared_ptr<net::Exchange> held;
+  net::Server server({}, [&](const std::shared_ptr<net::Exchange>& aExchange) {
+    held = aExchange;
+    aExchange->BeginStream(200, {});
+    aExchange->Write("first");
+  });
+  net::Client client;
+  net::Call call{ "GET", UrlOf(server, "/") };
+  call.timeout_ = absl::InfiniteDuration();
+  call.idleTimeout_ = absl::Seconds(1);
+  const auto answer = client.FetchAndWait(call);
+  CHECK_FALSE(answer.end_.whole_);
+  CHECK(answer.body_ == "first");
+  held->End();
+}
--- /dev/null
+++ b/test/relay-test.cc
@@ -0,0 +1,169 @@
+#include "entry/relay.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+namespace entry = lycheeplank::entry;
+namespace net = lycheeplank::net;
+namespace resume = lycheeplank::resume;
+
+namespace {
+
+// Keeps what is written to the caller.
+class RecordingExchange final : public net::Exchange
+{
+public:
+  void Reply(int, std::vector<net::Field>, std::string aBody) override
+  {
+    writes_.push_back(std::move(aBody));
+  }
+  void BeginStream(int, std::vector<net::Field>) override { begun_ = true; }
+  bool Write(absl::string_view aData) override
+  {
+    writes_.emplace_back(aData);
+    return true;
+  }
+  void End() override { ended_ = true; }
+  void Abort() override {}
+  void OnClosed(std::function<void()>) override {}
+  std::size_t Backlog() override { return 0; }
+
+  std::vector<std::string> writes_;
+  bool begun_ = false;
+  bool ended_ = false;
+};
+
+struct Stream
+{
+  explicit Stream(bool aStream = true)
+    : relay_({ "request", "wording", aStream, 0 },
+             exchange_,
+             resume::Signer("secret", { "ws", "engine-1", "run", "request" }))
+  {
+  }
+
+  // Returns the texts of all events written so far.
+  std::vector<std::string> Events() const
+  {
+    net::SseParser parser;
+    std::vector<std::string> events;
+    for (const std::string& write : exchange_->writes_) {
+      for (const auto& event : parser.Feed(write)) {
+        events.push_back(event.data_);
+      }
+    }
+    return events;
+  }
+
+  std::shared_ptr<RecordingExchange> exchange_ =
+    std::make_shared<RecordingExchange>();
+  entry::Relay relay_;
+};
+
+std::string
+Token(std::uint64_t aIndex)
+{
+  return net::FormatSse(
+    "", absl::StrCat(R"({"index":)", aIndex, R"(,"text":" t)", aIndex, "\"}"));
+}
+
+std::string
+Finish(std::uint64_t aTokens)
+{
+  return net::FormatSse(
+    "",
+    absl::StrCat(
+      R"({"event":"end","finish_reason":"length","tokens":)", aTokens, "}"));
+}
+
+} // namespace
+
+TEST_CASE("tokens that come together are written together and in order")
+{
+  Stream stream;
+  stream.relay_.Feed(Token(0));
+  stream.relay_.Feed(Token(1) + Token(2) + Token(3));
+  CHECK(stream.exchange_->begun_);
+  REQUIRE(stream.exchange_->writes_.size() == 2);
+  const auto events = stream.Events();
+  REQUIRE(events.size() == 4);
+  for (std::size_t i = 0; i < events.size(); ++i) {
+    CHECK(absl::StrContains(events[i], absl::StrCat("\" t", i, "\"")));
+  }
+}
+
+TEST_CASE("the same events are written wherever the engine's data is cut")
+{
+  const std::string data = Token(0) + Token(1) + Token(2);
+  Stream whole;
+  whole.relay_.Feed(data);
+  for (std::size_t cut = 0; cut <= data.size(); ++cut) {
+    Stream parts;
+    parts.relay_.Feed(data.substr(0, cut));
+    parts.relay_.Feed(data.substr(cut));
+    CHECK(parts.Events() == whole.Events());
+  }
+}
+
+TEST_CASE("a gap breaks the attempt after the tokens before it are written")
+{
+  Stream stream;
+  stream.relay_.Feed(Token(0) + Token(2) + Token(3));
+  CHECK(stream.relay_.State() == entry::RelayState::Broken);
+  CHECK(stream.Events().size() == 1);
+  CHECK_FALSE(stream.exchange_->ended_);
+}
+
+TEST_CASE("an event that can't be read breaks the attempt")
+{
+  Stream stream;
+  stream.relay_.Feed(Token(0) + net::FormatSse("", R"({"index":1,"text":"a)") +
+                     Token(1));
+  CHECK(stream.relay_.State() == entry::RelayState::Broken);
+  CHECK(stream.Events().size() == 1);
+}
+
+TEST_CASE("tokens seen before are not written again after a cut")
+{
+  Stream stream;
+  stream.relay_.Feed(Token(0) + Token(1) + "data: {\"ind");
+  stream.relay_.Restart();
+  stream.relay_.Feed(Token(1) + Token(2));
+  CHECK(stream.relay_.State() == entry::RelayState::Running);
+  CHECK(stream.Events().size() == 3);
+}
+
+TEST_CASE("the end is written only after the engine's own end")
+{
+  Stream stream;
+  stream.relay_.Feed(Token(0) + net::FormatSse("", "[DONE]"));
+  CHECK(stream.relay_.State() == entry::RelayState::Running);
+  CHECK(stream.Events().size() == 1);
+  stream.relay_.Feed(Finish(1));
+  REQUIRE(stream.relay_.State() == entry::RelayState::Finished);
+  CHECK(stream.Events().size() == 1);
+  stream.relay_.SendEnd();
+  const auto events = stream.Events();
+  REQUIRE(events.size() == 3);
+  CHECK(absl::StrContains(events[1], R"("finish_reason":"length")"));
+  CHECK(events[2] == "[DONE]");
+  CHECK(stream.exchange_->ended_);
+}
+
+TEST_CASE("an end before the last token breaks the attempt")
+{
+  Stream stream;
+  stream.relay_.Feed(Token(0) + Finish(2));
+  CHECK(stream.relay_.State() == entry::RelayState::Broken);
+}
+
+TEST_CASE("an answer that isn't streamed is sent as a whole")
+{
+  Stream stream(false);
+  stream.relay_.Feed(Token(0) + Token(1) + Finish(2));
+  CHECK(stream.exchange_->writes_.empty());
+  stream.relay_.SendEnd();
+  REQUIRE(stream.exchange_->writes_.size() == 1);
+  CHECK(absl::StrContains(stream.exchange_->writes_[0], R"(" t0 t1")"));
+}
