--- a/src/process/flags.h
+++ b/src/process/flags.h
@@ -19,6 +19,8 @@
   // same on all hosts.
   std::string tokenSecret_;
   std::string logDir_;
+  // Costs time at each lock; for tests.
+  bool checkLockOrder_ = false;
 };
 
 // Adds the flags of HostSettings.
