Ask holders that a host doesn't follow for their load

Cause: a host places runs only on targets whose reports it has, and at 350 hosts and 1,200 targets it follows 21 to 24. The home of a prompt names its holder, but the holder counted as not reached. Besides, a target that a host had ceased to follow kept its last report for ever, so it got work long after it had begun to leave.

A host still asks at most 24 questions in a second: 10 are kept for holders, 14 for followed targets where it doesn't follow all.

Ruled out: forwarding the run (all tokens pass two hosts, and a second host can die during a stream); asking a follower or the home (as many messages, an older report, one more hop).

Also found: a model that was removed from the configuration while a request waited for the home of its prompt ended the process (btree_map::at); the request is refused now.

--- a/include/lycheeplank/placement.h
+++ b/include/lycheeplank/placement.h
@@ -207,6 +207,17 @@
 // Hosts that follow a target at least, so that the loss of some is harmless.
 inline constexpr std::uint32_t kMinFollowers = 3;
 
+// Questions for load that a host asks in a second at most, so that its control
+// traffic doesn't grow with the targets.
+inline constexpr double kLoadQuestionsPerSecond = 24.0;
+// Those of them that are kept for holders that the host doesn't follow.
+inline constexpr std::size_t kHolderQuestionsPerSecond = 10;
+
+// Returns how many questions in a second a host may ask the targets that it
+// follows, out of all targets.
+double
+FollowedQuestionsPerSecond(std::size_t aFollowed, std::size_t aTargets);
+
 // Returns how many hosts follow each target.
 std::size_t
 FollowerCount(std::size_t aHosts, std::size_t aTargets);
--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <set>
 #include <string>
 #include <utility>
@@ -149,6 +150,13 @@
   std::vector<directory::Holder> holders_;
 };
 
+// All targets that AskLoads named have reported, or their time is over.
+struct LoadsHeard
+{
+  RequestId id_ = 0;
+  std::uint32_t attempt_ = 0;
+};
+
 // A batch of an engine's cache events, or its whole inventory.
 struct CacheReported
 {
@@ -312,6 +320,7 @@
                             AttemptStarted,
                             AttemptEnded,
                             Located,
+                            LoadsHeard,
                             TargetReported,
                             CacheReported,
                             StoreReported,
@@ -365,6 +374,15 @@
   std::vector<core::BlockKey> chain_;
 };
 
+// Asks targets that this host doesn't follow for their load reports, since they
+// hold blocks of the request's prompt.
+struct AskLoads
+{
+  RequestId id_ = 0;
+  std::uint32_t attempt_ = 0;
+  std::vector<std::string> targets_;
+};
+
 // Tells a home what was seen at a holder.
 struct SendSightings
 {
@@ -523,6 +541,7 @@
                              CancelAttempt,
                              Drop,
                              AskHomes,
+                             AskLoads,
                              SendSightings,
                              FetchInventory,
                              FetchStoreInventory,
@@ -574,8 +593,12 @@
   // Attempts of this host that are not over.
   std::vector<SentWork> own_;
   directory::EventCursor cursor_;
+  // This host asks for the target's reports all the time.
+  bool followed_ = false;
   // Position of this host among the target's followers.
   std::uint32_t followerRank_ = 0;
+  // The target did not answer; it is not asked before this time.
+  absl::Time silentUntil_ = absl::InfinitePast();
 };
 
 // What this host knows of one store.
@@ -598,6 +621,8 @@
   Waiting,
   // Has a slot; waits for the home of its prompt.
   Locating,
+  // Has a slot; waits for the load of holders that this host doesn't follow.
+  Asking,
   // Has a slot; waits for the claim on its idempotency key.
   Claiming,
   Running,
@@ -617,6 +642,9 @@
   // Store and blocks of the attempt's import.
   absl::optional<placement::Import> import_;
   std::vector<std::string> triedTargets_;
+  // Holders of its blocks and those whose load was asked for, while it waits.
+  std::vector<directory::Holder> holders_;
+  std::vector<std::string> askedTargets_;
   std::uint32_t cachedBlocks_ = 0;
   absl::Time arrived_;
   absl::Time sent_;
@@ -684,6 +712,8 @@
   directory::State directory_;
   directory::HostSet hosts_;
   std::vector<placement::Follower> live_;
+  // When holders that this host doesn't follow were asked, within a second.
+  std::deque<absl::Time> holderQuestions_;
   membership::State members_;
   // What the traffic threads were told last.
   PublishServing serving_;
--- a/src/entry/admin.cc
+++ b/src/entry/admin.cc
@@ -58,6 +58,9 @@
 std::string
 TargetStatus(const reducer::TargetState& aTarget)
 {
+  if (!aTarget.followed_) {
+    return "not followed";
+  }
   if (!aTarget.reported_) {
     return "unknown";
   }
--- a/src/entry/app.cc
+++ b/src/entry/app.cc
@@ -120,6 +120,10 @@
   {
     app_.poller_->FetchInventory(aEffect.target_);
   }
+  void operator()(const reducer::AskLoads& aEffect) const
+  {
+    app_.poller_->AskLoads(aEffect);
+  }
   void operator()(const reducer::FetchStoreInventory& aEffect) const
   {
     app_.poller_->FetchStoreInventory(aEffect.store_);
--- a/src/entry/poller.cc
+++ b/src/entry/poller.cc
@@ -1,6 +1,7 @@
 #include "entry/poller.h"
 
 #include <algorithm>
+#include <atomic>
 #include <pthread.h>
 
 #include "adapters/engine.h"
@@ -14,9 +15,8 @@
 // Time between two load reports of a target.
 constexpr absl::Duration kBusyLoadInterval = absl::Milliseconds(250);
 constexpr absl::Duration kIdleLoadInterval = absl::Seconds(1);
-// Questions for load that a host asks in a second at most, so that its control
-// traffic doesn't grow with the targets that it follows.
-constexpr double kMaxLoadQuestions = 24.0;
+// Time that a holder has to report its load while a request waits for it.
+constexpr absl::Duration kHolderTimeout = absl::Milliseconds(50);
 // Time between two questions for cache events.
 constexpr absl::Duration kBusyEventsInterval = absl::Seconds(1);
 constexpr absl::Duration kIdleEventsInterval = absl::Seconds(3);
@@ -54,6 +54,24 @@
   return report;
 }
 
+reducer::TargetReported
+ToReport(const std::string& aTarget, const net::Answer& aAnswer)
+{
+  reducer::TargetReported report;
+  report.target_ = aTarget;
+  const auto load = adapters::ReadLoad(aAnswer.body_);
+  report.reached_ = aAnswer.Ok() && load;
+  if (report.reached_) {
+    report.running_ = load->running_;
+    report.waiting_ = load->waiting_;
+    report.queuedPrefillTokens_ = load->queuedPrefillTokens_;
+    report.weightVersion_ = load->weightVersion_;
+    report.leaving_ = load->leaving_;
+    report.age_ = load->age_;
+  }
+  return report;
+}
+
 } // namespace
 
 Poller::Poller(net::Client& aClient,
@@ -163,7 +181,10 @@
   const bool busy = isBusy_();
   const absl::Duration loadInterval = std::max(
     busy ? kBusyLoadInterval : kIdleLoadInterval,
-    absl::Seconds(static_cast<double>(followed_.size()) / kMaxLoadQuestions));
+    absl::Seconds(
+      static_cast<double>(followed_.size()) /
+      placement::FollowedQuestionsPerSecond(
+        followed_.size(), aConfig.targets_.size() + aConfig.stores_.size())));
   for (const auto& [name, target] : aConfig.targets_) {
     if (followed_.count(name) == 0) {
       continue;
@@ -203,22 +224,43 @@
       const absl::MutexLock lock(&mutex_);
       due_[aName].loadPending_ = false;
     }
-    reducer::TargetReported report;
-    report.target_ = aName;
-    const auto load = adapters::ReadLoad(aAnswer.body_);
-    report.reached_ = aAnswer.Ok() && load;
-    if (report.reached_) {
-      report.running_ = load->running_;
-      report.waiting_ = load->waiting_;
-      report.queuedPrefillTokens_ = load->queuedPrefillTokens_;
-      report.weightVersion_ = load->weightVersion_;
-      report.leaving_ = load->leaving_;
-      report.age_ = load->age_;
-    }
-    post_(std::move(report));
+    post_(ToReport(aName, aAnswer));
   });
 }
 
+void
+Poller::AskLoads(const reducer::AskLoads& aAsk)
+{
+  const SnapshotPtr snapshot = snapshots_.Get();
+  const reducer::LoadsHeard heard{ aAsk.id_, aAsk.attempt_ };
+  // The last answer tells that all are there; one is counted for this function,
+  // so that no answer comes before all questions are asked.
+  auto waiting = std::make_shared<std::atomic<std::size_t>>(1);
+  const auto finish = [this, heard, waiting] {
+    if (--*waiting == 0) {
+      post_(heard);
+    }
+  };
+  for (const auto& name : aAsk.targets_) {
+    const auto found = snapshot->config_->targets_.find(name);
+    if (found == snapshot->config_->targets_.end()) {
+      continue;
+    }
+    ++*waiting;
+    net::Call call = adapters::AskLoad(found->second.url_);
+    call.timeout_ = kHolderTimeout;
+    client_.Fetch(std::move(call), [this, name, finish](net::Answer&& aAnswer) {
+      // Silence within so short a time tells nothing of a target.
+      auto report = ToReport(name, aAnswer);
+      if (report.reached_) {
+        post_(std::move(report));
+      }
+      finish();
+    });
+  }
+  finish();
+}
+
 void
 Poller::AskEvents(const std::string& aName,
                   const std::string& aUrl,
--- a/src/peer/client.cc
+++ b/src/peer/client.cc
@@ -219,11 +219,9 @@
 void
 Client::Perform(const reducer::AskHomes& aEffect)
 {
-  LocateRequest request;
-  for (const auto& block : aEffect.chain_) {
-    request.add_blocks(KeyBytes(block));
-  }
-  impl_->Locate(aEffect.homes_, { aEffect.id_, aEffect.attempt_, {} }, request);
+  impl_->Locate(aEffect.homes_,
+                { aEffect.id_, aEffect.attempt_, {} },
+                LocateToWire(aEffect.chain_));
 }
 
 void
--- a/src/peer/convert.cc
+++ b/src/peer/convert.cc
@@ -240,6 +240,26 @@
            absl::InfinitePast() };
 }
 
+LocateRequest
+LocateToWire(const std::vector<core::BlockKey>& aChain)
+{
+  LocateRequest message;
+  for (const auto& block : aChain) {
+    message.add_blocks(KeyBytes(block));
+  }
+  return message;
+}
+
+std::vector<core::BlockKey>
+FromWire(const LocateRequest& aMessage)
+{
+  std::vector<core::BlockKey> chain;
+  for (const auto& block : aMessage.blocks()) {
+    chain.push_back(KeyFromBytes(block));
+  }
+  return chain;
+}
+
 LocateReply
 ToWire(const std::vector<directory::Holder>& aHolders)
 {
--- a/src/peer/convert.h
+++ b/src/peer/convert.h
@@ -30,6 +30,10 @@
 ToWire(const claims::Running& aRunning);
 claims::Running
 FromWire(const ClaimRunningRequest& aMessage);
+LocateRequest
+LocateToWire(const std::vector<core::BlockKey>& aChain);
+std::vector<core::BlockKey>
+FromWire(const LocateRequest& aMessage);
 LocateReply
 ToWire(const std::vector<directory::Holder>& aHolders);
 std::vector<directory::Holder>
--- a/src/peer/server.cc
+++ b/src/peer/server.cc
@@ -102,13 +102,9 @@
                                    LocateReply* aReply) override
   {
     auto* reactor = aContext->DefaultReactor();
-    reducer::PeerLocates event;
-    event.call_ = ++lastCall_;
-    for (const auto& block : aRequest->blocks()) {
-      event.chain_.push_back(KeyFromBytes(block));
-    }
-    locates_.Add(event.call_, reactor, aReply);
-    post_(std::move(event));
+    const reducer::PeerCallId call = ++lastCall_;
+    locates_.Add(call, reactor, aReply);
+    post_(reducer::PeerLocates{ call, FromWire(*aRequest) });
     return reactor;
   }
 
--- a/src/placement/follow.cc
+++ b/src/placement/follow.cc
@@ -14,6 +14,15 @@
 
 } // namespace
 
+double
+FollowedQuestionsPerSecond(std::size_t aFollowed, std::size_t aTargets)
+{
+  return aFollowed >= aTargets
+           ? kLoadQuestionsPerSecond
+           : kLoadQuestionsPerSecond -
+               static_cast<double>(kHolderQuestionsPerSecond);
+}
+
 std::size_t
 FollowerCount(std::size_t aHosts, std::size_t aTargets)
 {
--- a/src/reducer/hosts.cc
+++ b/src/reducer/hosts.cc
@@ -92,7 +92,7 @@
   state.live_ = std::move(followers);
   MoveHomes(aContext, NamesOf(live));
   ChoosePollers(aContext, live);
-  RankFollowers(state);
+  RankFollowers(aContext);
   for (auto& [key, pool] : state.pools_) {
     UpdateSlots(aContext, pool);
   }
--- a/src/reducer/parts.h
+++ b/src/reducer/parts.h
@@ -28,6 +28,8 @@
 OnAttemptEnded(Context& aContext, const AttemptEnded& aEvent);
 void
 OnLocated(Context& aContext, const Located& aEvent);
+void
+OnLoadsHeard(Context& aContext, const LoadsHeard& aEvent);
 // Starts waiting requests of all pools that were marked.
 void
 PumpMarked(Context& aContext);
@@ -44,7 +46,7 @@
 // routing.cc: which target an attempt goes to.
 // Picks the weight version of a new attempt; empty if no target serves one.
 std::string
-ChooseVersion(const State& aState, const RequestState& aRequest);
+ChooseVersion(const Context& aContext, const RequestState& aRequest);
 // Names of a pool's targets that may get an attempt of the request now.
 std::vector<std::string>
 UsableTargets(const Context& aContext,
@@ -59,6 +61,34 @@
       RequestState& aRequest,
       const std::vector<directory::Holder>& aHolders);
 
+// Whether config, health and the platform's list let an attempt of the request
+// go to a target, whatever the target says of itself.
+bool
+IsAllowed(const Context& aContext,
+          const Pool& aPool,
+          const RequestState& aRequest,
+          const std::string& aName);
+// Whether an attempt of the request may go to a target now.
+bool
+IsUsable(const Context& aContext,
+         const Pool& aPool,
+         const RequestState& aRequest,
+         const std::string& aName);
+
+// loads.cc: the load of holders that this host doesn't follow.
+// Whether the last report of a target is recent enough to send work there.
+bool
+IsCurrent(const TargetState& aTarget, absl::Time aNow);
+// Places an attempt; first asks for the load of better holders than those whose
+// reports are at hand.
+void
+AskAndPlace(Context& aContext,
+            RequestState& aRequest,
+            std::vector<directory::Holder> aHolders);
+// Notes which of the asked targets stayed silent.
+void
+NoteSilent(Context& aContext, const RequestState& aRequest);
+
 // targets.cc: what is known of targets, stores and hosts.
 void
 OnTargetReported(Context& aContext, const TargetReported& aEvent);
@@ -76,9 +106,10 @@
                 const directory::HolderId& aHolder,
                 const std::vector<directory::Sighting>& aSightings,
                 bool aInventory);
-// Works out this host's rank among the followers of each target.
+// Works out which targets this host follows, and its rank among the followers
+// of each target.
 void
-RankFollowers(State& aState);
+RankFollowers(Context& aContext);
 // Sets how many runs a pool may have at once.
 void
 UpdateSlots(Context& aContext, Pool& aPool);
--- a/src/reducer/requests.cc
+++ b/src/reducer/requests.cc
@@ -75,6 +75,22 @@
             own.end());
 }
 
+// Refuses a request whose model is no longer configured.
+bool
+RefuseRemoved(Context& aContext, const RequestState& aRequest)
+{
+  if (aContext.state_.config_->models_.count(aRequest.request_.serves_) > 0) {
+    return false;
+  }
+  Refuse(aContext,
+         aRequest.request_.id_,
+         { core::ErrorKind::UnknownModel,
+           absl::StrCat("model ",
+                        aRequest.request_.serves_,
+                        " was removed while the request waited") });
+  return true;
+}
+
 // Gives a request that has a slot its next attempt.
 void
 StartAttempt(Context& aContext, RequestState& aRequest)
@@ -91,16 +107,10 @@
     return;
   }
   State& state = aContext.state_;
-  if (state.config_->models_.count(aRequest.request_.serves_) == 0) {
-    Refuse(aContext,
-           aRequest.request_.id_,
-           { core::ErrorKind::UnknownModel,
-             absl::StrCat("model ",
-                          aRequest.request_.serves_,
-                          " was removed while the request waited") });
+  if (RefuseRemoved(aContext, aRequest)) {
     return;
   }
-  aRequest.weightVersion_ = ChooseVersion(state, aRequest);
+  aRequest.weightVersion_ = ChooseVersion(aContext, aRequest);
   aRequest.chain_ = core::ChainBlocks({ aRequest.request_.workspace_,
                                         aRequest.request_.serves_,
                                         aRequest.weightVersion_,
@@ -115,7 +125,7 @@
     homes.empty() ||
     std::find(homes.begin(), homes.end(), state.self_.name_) != homes.end();
   if (atHome) {
-    Place(
+    AskAndPlace(
       aContext, aRequest, directory::Locate(state.directory_, aRequest.chain_));
     return;
   }
@@ -456,8 +466,10 @@
   Pool& pool = PoolOf(aContext.state_, request.request_);
   if (aEvent.result_ == AttemptResult::WrongVersion) {
     // The target works; only what was known of its version is old.
-    aContext.state_.targets_[request.target_].weightVersion_ =
-      aEvent.weightVersion_;
+    const auto target = aContext.state_.targets_.find(request.target_);
+    if (target != aContext.state_.targets_.end()) {
+      target->second.weightVersion_ = aEvent.weightVersion_;
+    }
   } else if (admission::CountFailure(
                pool.health_, request.target_, aContext.now_)) {
     AddCount(aContext, "targets_put_aside_total", "target", request.target_);
@@ -477,7 +489,26 @@
     return;
   }
   found->second.phase_ = Phase::Running;
-  Place(aContext, found->second, aEvent.holders_);
+  if (!RefuseRemoved(aContext, found->second)) {
+    AskAndPlace(aContext, found->second, aEvent.holders_);
+  }
+}
+
+void
+OnLoadsHeard(Context& aContext, const LoadsHeard& aEvent)
+{
+  const auto found = aContext.state_.requests_.find(aEvent.id_);
+  if (found == aContext.state_.requests_.end() ||
+      found->second.attempt_ != aEvent.attempt_ ||
+      found->second.phase_ != Phase::Asking) {
+    return;
+  }
+  RequestState& request = found->second;
+  request.phase_ = Phase::Running;
+  NoteSilent(aContext, request);
+  if (!RefuseRemoved(aContext, request)) {
+    Place(aContext, request, request.holders_);
+  }
 }
 
 void
--- a/src/reducer/routing.cc
+++ b/src/reducer/routing.cc
@@ -147,33 +147,6 @@
   aContext.effects_.emplace_back(std::move(dispatch));
 }
 
-bool
-IsUsable(const Context& aContext,
-         const Pool& aPool,
-         const RequestState& aRequest,
-         const std::string& aName)
-{
-  const State& state = aContext.state_;
-  const auto found = state.targets_.find(aName);
-  if (found == state.targets_.end()) {
-    return false;
-  }
-  const TargetState& target = found->second;
-  const config::Target& settings = ConfigOf(state, aName);
-  const bool completion = aRequest.request_.kind_ == RequestKind::Completion;
-  if (!target.reached_ || target.leaving_ || target.leavingListed_ ||
-      (completion && target.weightVersion_ != aRequest.weightVersion_)) {
-    return false;
-  }
-  return admission::AvailabilityOf(aPool.health_, aName, aContext.now_) !=
-           admission::Availability::Aside &&
-         config::Allowed(*state.config_,
-                         aRequest.request_.workspace_,
-                         settings.kind_,
-                         settings.serves_,
-                         settings.dataCentre_);
-}
-
 // Refuses a request for which no target is left.
 void
 RefuseUnplaced(Context& aContext, RequestState& aRequest)
@@ -207,15 +180,57 @@
   return placement::OwnWorkSince(sent, aTarget.asOf_, aNow);
 }
 
+bool
+IsAllowed(const Context& aContext,
+          const Pool& aPool,
+          const RequestState& aRequest,
+          const std::string& aName)
+{
+  const State& state = aContext.state_;
+  const auto found = state.targets_.find(aName);
+  if (found == state.targets_.end() || found->second.leavingListed_) {
+    return false;
+  }
+  const config::Target& settings = ConfigOf(state, aName);
+  return admission::AvailabilityOf(aPool.health_, aName, aContext.now_) !=
+           admission::Availability::Aside &&
+         config::Allowed(*state.config_,
+                         aRequest.request_.workspace_,
+                         settings.kind_,
+                         settings.serves_,
+                         settings.dataCentre_);
+}
+
+bool
+IsUsable(const Context& aContext,
+         const Pool& aPool,
+         const RequestState& aRequest,
+         const std::string& aName)
+{
+  const State& state = aContext.state_;
+  const auto found = state.targets_.find(aName);
+  if (found == state.targets_.end()) {
+    return false;
+  }
+  const TargetState& target = found->second;
+  const bool completion = aRequest.request_.kind_ == RequestKind::Completion;
+  if (!IsCurrent(target, aContext.now_) || target.leaving_ ||
+      (completion && target.weightVersion_ != aRequest.weightVersion_)) {
+    return false;
+  }
+  return IsAllowed(aContext, aPool, aRequest, aName);
+}
+
 std::string
-ChooseVersion(const State& aState, const RequestState& aRequest)
+ChooseVersion(const Context& aContext, const RequestState& aRequest)
 {
+  const State& state = aContext.state_;
   const config::Model& model =
-    aState.config_->models_.at(aRequest.request_.serves_);
+    state.config_->models_.at(aRequest.request_.serves_);
   const auto isServed = [&](const std::string& aVersion) {
     return std::any_of(
-      aState.targets_.begin(), aState.targets_.end(), [&](const auto& aTarget) {
-        return aTarget.second.reached_ &&
+      state.targets_.begin(), state.targets_.end(), [&](const auto& aTarget) {
+        return IsCurrent(aTarget.second, aContext.now_) &&
                aTarget.second.weightVersion_ == aVersion;
       });
   };
--- a/src/reducer/step.cc
+++ b/src/reducer/step.cc
@@ -38,6 +38,7 @@
     OnAttemptEnded(context_, aEvent);
   }
   void operator()(const Located& aEvent) { OnLocated(context_, aEvent); }
+  void operator()(const LoadsHeard& aEvent) { OnLoadsHeard(context_, aEvent); }
   void operator()(const TargetReported& aEvent)
   {
     OnTargetReported(context_, aEvent);
--- a/src/reducer/targets.cc
+++ b/src/reducer/targets.cc
@@ -33,9 +33,10 @@
 }
 
 bool
-TakesWork(const TargetState& aTarget)
+TakesWork(const TargetState& aTarget, absl::Time aNow)
 {
-  return aTarget.reached_ && !aTarget.leaving_ && !aTarget.leavingListed_;
+  return IsCurrent(aTarget, aNow) && !aTarget.leaving_ &&
+         !aTarget.leavingListed_;
 }
 
 // Makes one pool for each model and service and lists their targets.
@@ -102,23 +103,27 @@
 } // namespace
 
 void
-RankFollowers(State& aState)
+RankFollowers(Context& aContext)
 {
-  if (!aState.config_) {
+  State& state = aContext.state_;
+  if (!state.config_) {
     return;
   }
   const std::size_t count =
-    placement::FollowerCount(aState.live_.size(), aState.targets_.size());
-  for (auto& [name, target] : aState.targets_) {
-    const auto settings = aState.config_->targets_.find(name);
-    if (settings == aState.config_->targets_.end()) {
+    placement::FollowerCount(state.live_.size(), state.targets_.size());
+  for (auto& [name, target] : state.targets_) {
+    const auto settings = state.config_->targets_.find(name);
+    if (settings == state.config_->targets_.end()) {
       continue;
     }
     const auto followers = placement::Followers(
-      name, settings->second.dataCentre_, aState.live_, count);
+      name, settings->second.dataCentre_, state.live_, count);
     const auto self =
-      std::find(followers.begin(), followers.end(), aState.self_.name_);
+      std::find(followers.begin(), followers.end(), state.self_.name_);
     target.followerRank_ = static_cast<std::uint32_t>(self - followers.begin());
+    // A report from before this host followed the target may be old.
+    target.reached_ = IsCurrent(target, aContext.now_);
+    target.followed_ = state.live_.empty() || self != followers.end();
   }
 }
 
@@ -130,7 +135,7 @@
   bool any = false;
   for (const auto& name : aPool.targets_) {
     const TargetState& target = state.targets_.at(name);
-    if (!TakesWork(target)) {
+    if (!TakesWork(target, aContext.now_)) {
       continue;
     }
     any = true;
@@ -157,8 +162,10 @@
   TargetState& target = found->second;
   target.reached_ = aEvent.reached_;
   if (aEvent.reached_) {
-    if (target.reported_ && target.weightVersion_ != aEvent.weightVersion_) {
-      // Blocks of the version before can't be used by new requests.
+    if (target.followed_ && target.reported_ &&
+        target.weightVersion_ != aEvent.weightVersion_) {
+      // Blocks of the version before can't be used by new requests. Where this
+      // host doesn't follow the target, its blocks may be of the new version.
       directory::DropHolder(state.directory_, aEvent.target_);
       target.cursor_ = {};
     }
@@ -261,7 +268,7 @@
   DropUnknown(state);
   RebuildPools(aContext);
   ConfigureClaims(aContext);
-  RankFollowers(state);
+  RankFollowers(aContext);
   for (auto& [key, pool] : state.pools_) {
     UpdateSlots(aContext, pool);
   }
--- /dev/null
+++ b/test/locations-test.cc
@@ -0,0 +1,400 @@
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+#include "lycheeplank/reducer.h"
+#include "peer/convert.h"
+
+namespace config = lycheeplank::config;
+namespace core = lycheeplank::core;
+namespace directory = lycheeplank::directory;
+namespace peer = lycheeplank::peer;
+namespace placement = lycheeplank::placement;
+namespace reducer = lycheeplank::reducer;
+
+// One entry host of the designed size under a virtual clock: what it learns of
+// the holders of returning prompts, and what that costs in messages and bytes.
+
+namespace {
+
+constexpr std::size_t kHosts = 350;
+constexpr std::size_t kTargets = 1200;
+constexpr std::size_t kModels = 3;
+constexpr std::size_t kDataCentres = 9;
+constexpr std::size_t kBlocks = 20;
+constexpr double kRequestsPerSecond = 5.1;
+constexpr absl::Duration kRunTime = absl::Seconds(2);
+constexpr absl::Duration kReplyTime = absl::Milliseconds(1);
+// Bytes of one question for load and its answer, as measured on loopback.
+constexpr std::uint64_t kLoadQuestionBytes = 311;
+
+const absl::Time kStart = absl::FromUnixSeconds(1'800'000'000);
+
+std::string
+TargetName(std::size_t aIndex)
+{
+  return absl::StrCat("e", aIndex);
+}
+
+std::string
+ModelName(std::size_t aIndex)
+{
+  return absl::StrCat("m", aIndex % kModels);
+}
+
+// Each data centre has targets of each model.
+std::string
+ModelOf(std::size_t aTarget)
+{
+  return ModelName(aTarget / kDataCentres);
+}
+
+std::string
+DataCentreName(std::size_t aIndex)
+{
+  return absl::StrCat("d", aIndex % kDataCentres);
+}
+
+std::string
+MakeDocument()
+{
+  std::string text = "workspaces:\n  owner: desk\n  entries:\n"
+                     "    nursing: {max_running: 100000, max_waiting: 100000, "
+                     "requests_per_second: 1000000}\n"
+                     "models:\n  owner: models\n  entries:\n";
+  for (std::size_t i = 0; i < kModels; ++i) {
+    absl::StrAppend(&text,
+                    "    ",
+                    ModelName(i),
+                    ": {versions: {v1: 1.0}, block_tokens: 2000}\n");
+  }
+  absl::StrAppend(&text,
+                  "rules:\n  owner: desk\n  entries:\n"
+                  "    all: {workspaces: [\"*\"], models: [\"*\"]}\n"
+                  "targets:\n  owner: machines\n  entries:\n");
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    absl::StrAppend(&text,
+                    "    ",
+                    TargetName(i),
+                    ": {kind: engine, url: \"http://10.0.",
+                    i / 250,
+                    ".",
+                    i % 250,
+                    ":1\", data_centre: ",
+                    DataCentreName(i),
+                    ", serves: ",
+                    ModelOf(i),
+                    "}\n");
+  }
+  return text;
+}
+
+config::ConfigPtr
+MakeConfig()
+{
+  const auto document = config::Split(MakeDocument());
+  auto checked = config::Check(document.sections_);
+  REQUIRE(checked.problems_.empty());
+  checked.config_.revision_ = 1;
+  return std::make_shared<const config::Config>(std::move(checked.config_));
+}
+
+// What one host sent and decided.
+struct Figures
+{
+  std::uint32_t runs_ = 0;
+  std::uint32_t refused_ = 0;
+  // Runs that went to the engine that holds all blocks of the prompt.
+  std::uint32_t atHolder_ = 0;
+  // Those of them for which the host follows the engine.
+  std::uint32_t atFollowed_ = 0;
+  std::uint32_t followedQuestions_ = 0;
+  std::uint32_t ownQuestions_ = 0;
+  // Most questions for load within one second.
+  std::uint32_t mostQuestions_ = 0;
+  std::uint32_t locates_ = 0;
+  std::uint64_t locateBytes_ = 0;
+  std::uint32_t reports_ = 0;
+  std::uint64_t reportBytes_ = 0;
+};
+
+// What a trial varies.
+struct Trial
+{
+  // Of this many requests one has a prompt that was never seen.
+  std::uint32_t newOneIn_ = 0;
+  // Holders don't answer questions for load.
+  bool silent_ = false;
+  bool leaving_ = false;
+  std::string version_ = "v1";
+};
+
+// An entry host whose homes, targets and callers are played by the test.
+class Host
+{
+public:
+  explicit Host(Trial aTrial = {})
+    : trial_(std::move(aTrial))
+  {
+    state_.self_ = { "h7", DataCentreName(7) };
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      names.push_back(absl::StrCat("h", i));
+      state_.live_.push_back({ names.back(), DataCentreName(i) });
+    }
+    state_.hosts_ = directory::MakeHostSet(std::move(names));
+    Send(reducer::ConfigInForce{ MakeConfig() });
+    for (const auto& [name, target] : state_.config_->targets_) {
+      if (placement::Followed(name,
+                              target.dataCentre_,
+                              state_.self_.name_,
+                              state_.live_,
+                              kTargets)) {
+        followed_.push_back(name);
+      }
+    }
+    REQUIRE_FALSE(followed_.empty());
+  }
+
+  // Lets prompts return for this long.
+  void Run(absl::Duration aTime)
+  {
+    const absl::Time end = now_ + aTime;
+    std::exponential_distribution<double> gap(kRequestsPerSecond);
+    PollFollowed();
+    At(absl::Seconds(gap(random_)), [this, &gap] { Arrive(gap); });
+    while (!events_.empty() && events_.begin()->first <= end) {
+      const auto next = events_.begin();
+      now_ = next->first;
+      const auto action = std::move(next->second);
+      events_.erase(next);
+      action();
+    }
+    now_ = end;
+  }
+
+  Figures figures_;
+
+private:
+  void At(absl::Duration aDelay, std::function<void()> aAction)
+  {
+    events_.emplace(now_ + aDelay, std::move(aAction));
+  }
+
+  void CountQuestion()
+  {
+    asked_.push_back(now_);
+    while (asked_.front() <= now_ - absl::Seconds(1)) {
+      asked_.erase(asked_.begin());
+    }
+    figures_.mostQuestions_ = std::max(
+      figures_.mostQuestions_, static_cast<std::uint32_t>(asked_.size()));
+  }
+
+  void Report(const std::string& aTarget,
+              bool aLeaving = false,
+              const std::string& aVersion = "v1")
+  {
+    reducer::TargetReported report;
+    report.target_ = aTarget;
+    report.reached_ = true;
+    report.leaving_ = aLeaving;
+    report.weightVersion_ = aVersion;
+    Send(report);
+  }
+
+  bool Follows(const std::string& aTarget) const
+  {
+    return std::find(followed_.begin(), followed_.end(), aTarget) !=
+           followed_.end();
+  }
+
+  // Asks one followed target after the other, as the poller does.
+  void PollFollowed()
+  {
+    const std::string target = followed_[polled_++ % followed_.size()];
+    ++figures_.followedQuestions_;
+    CountQuestion();
+    Report(target);
+    At(QuestionGap(), [this] { PollFollowed(); });
+  }
+
+  absl::Duration QuestionGap() const
+  {
+    return absl::Seconds(
+      1.0 / placement::FollowedQuestionsPerSecond(followed_.size(), kTargets));
+  }
+
+  void Arrive(std::exponential_distribution<double>& aGap)
+  {
+    reducer::NewRequest request;
+    request.id_ = ++lastId_;
+    request.name_ = absl::StrCat("r", request.id_);
+    request.workspace_ = "nursing";
+    const std::size_t holder = random_() % kTargets;
+    request.serves_ = ModelOf(holder);
+    request.promptTokens_ = kBlocks * 2000;
+    request.maxTokens_ = 100;
+    for (std::size_t i = 0; i < kBlocks; ++i) {
+      request.contents_.push_back({ random_(), random_() });
+    }
+    request.deadline_ = now_ + absl::Seconds(30);
+    const bool isNew = trial_.newOneIn_ > 0 && lastId_ % trial_.newOneIn_ == 0;
+    holderOf_[request.id_] = isNew ? "" : TargetName(holder);
+    Send(reducer::RequestArrived{ request });
+    At(absl::Seconds(aGap(random_)), [this, &aGap] { Arrive(aGap); });
+  }
+
+  void Send(const reducer::Event& aEvent)
+  {
+    for (const auto& effect :
+         reducer::Step(state_, { now_, random_() }, aEvent)) {
+      absl::visit([this](const auto& aEffect) { Perform(aEffect); }, effect);
+    }
+  }
+
+  template<typename Other>
+  void Perform(const Other&)
+  {
+  }
+
+  void Perform(const reducer::Refuse&) { ++figures_.refused_; }
+
+  void Perform(const reducer::AskHomes& aEffect)
+  {
+    ++figures_.locates_;
+    figures_.locateBytes_ += peer::LocateToWire(aEffect.chain_).ByteSizeLong();
+    reducer::Located located{ aEffect.id_, aEffect.attempt_, {} };
+    const std::string& holder = holderOf_.at(aEffect.id_);
+    if (!holder.empty()) {
+      located.holders_.push_back({ { holder, directory::HolderKind::Engine },
+                                   static_cast<std::uint32_t>(kBlocks) });
+    }
+    figures_.locateBytes_ += peer::ToWire(located.holders_).ByteSizeLong();
+    At(kReplyTime, [this, located] { Send(located); });
+  }
+
+  void Perform(const reducer::AskLoads& aEffect)
+  {
+    for (const auto& target : aEffect.targets_) {
+      ++figures_.ownQuestions_;
+      CountQuestion();
+      if (!trial_.silent_) {
+        At(kReplyTime, [this, target] {
+          Report(target, trial_.leaving_, trial_.version_);
+        });
+      }
+    }
+    const reducer::LoadsHeard heard{ aEffect.id_, aEffect.attempt_ };
+    At(kReplyTime, [this, heard] { Send(heard); });
+  }
+
+  void Perform(const reducer::SendSightings& aEffect)
+  {
+    ++figures_.reports_;
+    figures_.reportBytes_ +=
+      peer::ToWire(aEffect.holder_, aEffect.sightings_, aEffect.inventory_)
+        .ByteSizeLong();
+  }
+
+  void Perform(const reducer::Dispatch& aEffect)
+  {
+    const std::string holder = holderOf_.at(aEffect.id_);
+    const bool atHolder = holder == aEffect.target_;
+    figures_.runs_ += holder.empty() ? 0 : 1;
+    figures_.atHolder_ += atHolder ? 1 : 0;
+    figures_.atFollowed_ += atHolder && Follows(holder) ? 1 : 0;
+    reducer::AttemptStarted started{ aEffect.id_,
+                                     aEffect.attempt_,
+                                     aEffect.weightVersion_,
+                                     atHolder
+                                       ? static_cast<std::uint32_t>(kBlocks)
+                                       : 0 };
+    At(kReplyTime, [this, started] { Send(started); });
+    reducer::AttemptEnded ended{ aEffect.id_,
+                                 aEffect.attempt_,
+                                 reducer::AttemptResult::Whole };
+    At(kRunTime, [this, ended] { Send(ended); });
+  }
+
+  const Trial trial_;
+  reducer::State state_;
+  absl::Time now_ = kStart;
+  std::mt19937_64 random_{ 1 };
+  std::vector<std::string> followed_;
+  std::size_t polled_ = 0;
+  std::vector<absl::Time> asked_;
+  std::multimap<absl::Time, std::function<void()>> events_;
+  std::map<reducer::RequestId, std::string> holderOf_;
+  reducer::RequestId lastId_ = 0;
+};
+
+void
+Print(const char* aName, const Figures& aFigures, absl::Duration aTime)
+{
+  const double seconds = absl::ToDoubleSeconds(aTime);
+  std::printf(
+    "%s: runs of returning prompts %u, at their holder %u, refused %u; "
+    "questions for load %.2f/s followed, %.2f/s others, at most %u in a "
+    "second, "
+    "%.0f bytes/s; to homes: %.2f questions/s, %.0f bytes each; %.2f "
+    "reports/s, %.0f bytes a run, %.0f bytes/s\n",
+    aName,
+    aFigures.runs_,
+    aFigures.atHolder_,
+    aFigures.refused_,
+    aFigures.followedQuestions_ / seconds,
+    aFigures.ownQuestions_ / seconds,
+    aFigures.mostQuestions_,
+    (aFigures.followedQuestions_ + aFigures.ownQuestions_) *
+      kLoadQuestionBytes / seconds,
+    aFigures.locates_ / seconds,
+    static_cast<double>(aFigures.locateBytes_) /
+      std::max(1U, aFigures.locates_),
+    aFigures.reports_ / seconds,
+    static_cast<double>(aFigures.reportBytes_) / (seconds * kRequestsPerSecond),
+    static_cast<double>(aFigures.reportBytes_) / seconds);
+}
+
+} // namespace
+
+TEST_CASE("returning prompts go to their holders at the designed size")
+{
+  Host host;
+  host.Run(absl::Minutes(5));
+  Print("returning", host.figures_, absl::Minutes(5));
+  CHECK(host.figures_.refused_ == 0);
+  CHECK(host.figures_.atHolder_ >= host.figures_.runs_ * 0.95);
+  CHECK(host.figures_.mostQuestions_ <= 24);
+}
+
+TEST_CASE("holders that don't answer cost no request its answer")
+{
+  Trial trial;
+  trial.silent_ = true;
+  Host host(trial);
+  host.Run(absl::Minutes(1));
+  CHECK(host.figures_.refused_ == 0);
+  CHECK(host.figures_.runs_ > 200);
+  CHECK(host.figures_.mostQuestions_ <= 24);
+}
+
+TEST_CASE("a holder that leaves or has other weights gets no run")
+{
+  Trial trial;
+  trial.leaving_ = GENERATE(true, false);
+  trial.version_ = trial.leaving_ ? "v1" : "v2";
+  Host host(trial);
+  host.Run(absl::Minutes(1));
+  CHECK(host.figures_.refused_ == 0);
+  CHECK(host.figures_.runs_ > 200);
+  // Some holders are targets that the host follows.
+  CHECK(host.figures_.atHolder_ == host.figures_.atFollowed_);
+}
--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -280,6 +280,131 @@
   CHECK(world.Take<reducer::Dispatch>().empty());
 }
 
+namespace {
+
+// Makes another host the only follower of all targets, and the home of all
+// prompts.
+void
+FollowNothing(World& aWorld)
+{
+  for (auto& [name, target] : aWorld.state_.targets_) {
+    target.followed_ = false;
+  }
+  aWorld.state_.hosts_ = lycheeplank::directory::MakeHostSet({ "h2" });
+}
+
+// Lets a request arrive whose prompt is held by e1, and returns the question
+// for the load of e1.
+reducer::AskLoads
+ArriveWithHolder(World& aWorld)
+{
+  aWorld.Send(reducer::RequestArrived{ aWorld.MakeCompletion() });
+  const auto asked = aWorld.Take<reducer::AskHomes>();
+  REQUIRE(asked.size() == 1);
+  aWorld.Send(reducer::Located{
+    asked[0].id_,
+    asked[0].attempt_,
+    { { { "e1", lycheeplank::directory::HolderKind::Engine }, 2 } } });
+  const auto loads = aWorld.Take<reducer::AskLoads>();
+  REQUIRE(loads.size() == 1);
+  CHECK(loads[0].targets_ == std::vector<std::string>{ "e1" });
+  return loads[0];
+}
+
+} // namespace
+
+TEST_CASE("a target that is no longer followed gets no work by an old report")
+{
+  World world;
+  world.Report("e1");
+  world.Report("e2");
+  FollowNothing(world);
+  world.state_.targets_.at("e2").followed_ = true;
+  world.state_.hosts_ = {};
+  world.now_ += absl::Milliseconds(2500);
+  for (int i = 0; i < 20; ++i) {
+    world.Send(reducer::RequestArrived{ world.MakeCompletion() });
+  }
+  const auto sent = world.Take<reducer::Dispatch>();
+  REQUIRE_FALSE(sent.empty());
+  for (const auto& dispatch : sent) {
+    CHECK(dispatch.target_ == "e2");
+  }
+}
+
+TEST_CASE("a holder that isn't followed is asked for its load")
+{
+  World world;
+  FollowNothing(world);
+  world.state_.targets_.at("e2").followed_ = true;
+  world.Report("e2");
+  world.now_ += absl::Seconds(3);
+  const auto asked = ArriveWithHolder(world);
+  CHECK(world.Take<reducer::Dispatch>().empty());
+  SECTION("and gets the run")
+  {
+    world.Report("e1");
+    world.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+    const auto sent = world.Take<reducer::Dispatch>();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].target_ == "e1");
+    // The same news again places nothing.
+    world.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+    CHECK(world.Take<reducer::Dispatch>().empty());
+  }
+  SECTION("and gets none if it leaves")
+  {
+    world.Report("e1", true);
+    world.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+    const auto sent = world.Take<reducer::Dispatch>();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].target_ == "e2");
+  }
+  SECTION("and is not asked again at once if it is silent")
+  {
+    world.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+    CHECK(world.Take<reducer::Dispatch>().at(0).target_ == "e2");
+    world.Send(reducer::RequestArrived{ world.MakeCompletion() });
+    const auto located = world.Take<reducer::AskHomes>();
+    world.Send(reducer::Located{
+      located.at(0).id_,
+      located[0].attempt_,
+      { { { "e1", lycheeplank::directory::HolderKind::Engine }, 2 } } });
+    CHECK(world.Take<reducer::AskLoads>().empty());
+    CHECK(world.Take<reducer::Dispatch>().at(0).target_ == "e2");
+  }
+  SECTION("and the deadline holds while it is asked")
+  {
+    world.now_ += absl::Seconds(31);
+    world.Send(reducer::Tick{});
+    const auto refused = world.Take<reducer::Refuse>();
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].error_.run_ == core::RunState::No);
+    world.Report("e1");
+    world.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+    CHECK(world.Take<reducer::Dispatch>().empty());
+  }
+}
+
+TEST_CASE("a model that goes while its prompt is looked for is refused")
+{
+  World world;
+  world.state_.hosts_ = lycheeplank::directory::MakeHostSet({ "h2" });
+  world.Send(reducer::RequestArrived{ world.MakeCompletion() });
+  const auto asked = world.Take<reducer::AskHomes>();
+  REQUIRE(asked.size() == 1);
+  auto without = std::make_shared<config::Config>(*world.state_.config_);
+  ++without->revision_;
+  without->models_.erase("wording");
+  without->targets_.erase("e1");
+  without->targets_.erase("e2");
+  world.Send(reducer::ConfigInForce{ without });
+  world.Send(reducer::Located{ asked[0].id_, asked[0].attempt_, {} });
+  const auto refused = world.Take<reducer::Refuse>();
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].error_.kind_ == core::ErrorKind::UnknownModel);
+}
+
 TEST_CASE("an attempt that showed no token is tried on another target")
 {
   World world;
