Tell the homes of a prompt only what is new to them

Cause: each run told both homes of its prompt all its blocks, each with the prompt's whole key beside its own, though the home had just said which of them it knew. Cache events, of which two hosts tell two homes, were written the same way; they had not been counted in CAPACITY.

Now a run tells the blocks after those that the directory knew of at its target; one run in 16 tells all, in case that the other home missed some, beside the events and inventories that correct it. On the wire, blocks of which the same is known share one item, the prompt's key is sent when it changes, and blocks go by the low half of their key, by which the directory keeps them. The fields of the messages stay, so the generated code does too.

Also found: a host that is no home of a prompt put its blocks into its own directory, which nobody asked there, and kept the failure of an import to itself in place of telling the homes. A block reported missing under an old generation no longer takes a newer copy away.

--- a/include/lycheeplank/directory.h
+++ b/include/lycheeplank/directory.h
@@ -125,7 +125,8 @@
   std::uint32_t blocksAfterGap_ = 0;
 };
 
-// Records what was seen at a holder.
+// Records what was seen at a holder. A block that was missing under a
+// generation takes no newer copy away.
 void
 Apply(State& aState, const HolderId& aHolder, const Sighting& aSighting);
 
@@ -147,9 +148,15 @@
              const std::vector<core::BlockKey>& aChain,
              std::size_t aCached);
 
-// Records that an import asked a store for the blocks [aFirst, aFirst +
-// generations) and got only the first aImported; copies of a newer generation
-// stay.
+// Returns what it tells of a store that an import asked it for the blocks
+// [aFirst, aFirst + generations) and got only the first aImported.
+std::vector<Sighting>
+MissedByImport(const std::vector<core::BlockKey>& aChain,
+               std::size_t aFirst,
+               const std::vector<std::uint64_t>& aGenerations,
+               std::size_t aImported);
+
+// Records the same; copies of a newer generation stay.
 void
 CorrectByImport(State& aState,
                 const HolderId& aStore,
--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -639,6 +639,8 @@
   std::string weightVersion_;
   // Block keys under the weight version of the attempt.
   std::vector<core::BlockKey> chain_;
+  // Leading blocks that the directory says the attempt's target holds.
+  std::uint32_t knownBlocks_ = 0;
   // Store and blocks of the attempt's import.
   absl::optional<placement::Import> import_;
   std::vector<std::string> triedTargets_;
--- a/src/directory/directory.cc
+++ b/src/directory/directory.cc
@@ -85,16 +85,30 @@
   return aHolders.back();
 }
 
+void
+ApplyMissing(State& aState, const HolderId& aHolder, const Sighting& aSighting)
+{
+  const auto holder = FindHolder(aState, aHolder.name_);
+  const auto key = ShortKey(aSighting.block_);
+  const auto block = aState.blocks_.find(key);
+  if (holder == kNoHolder || block == aState.blocks_.end()) {
+    return;
+  }
+  const Copy* copy = FindCopy(aState, block->second, holder);
+  const bool newer = copy != nullptr && aSighting.generation_ > 0 &&
+                     copy->generation_ > aSighting.generation_;
+  if (!newer) {
+    RemoveCopy(aState, holder, key);
+  }
+}
+
 } // namespace
 
 void
 Apply(State& aState, const HolderId& aHolder, const Sighting& aSighting)
 {
   if (!aSighting.present_) {
-    if (const auto holder = FindHolder(aState, aHolder.name_);
-        holder != kNoHolder) {
-      RemoveCopy(aState, holder, ShortKey(aSighting.block_));
-    }
+    ApplyMissing(aState, aHolder, aSighting);
     return;
   }
   if (const auto holder = AddHolder(aState, aHolder); holder != kNoHolder) {
@@ -150,6 +164,23 @@
   }
 }
 
+std::vector<Sighting>
+MissedByImport(const std::vector<core::BlockKey>& aChain,
+               std::size_t aFirst,
+               const std::vector<std::uint64_t>& aGenerations,
+               std::size_t aImported)
+{
+  std::vector<Sighting> missed;
+  for (std::size_t i = aImported;
+       i < aGenerations.size() && aFirst + i < aChain.size();
+       ++i) {
+    Sighting sighting{ aChain[aFirst + i], aChain.front(), false };
+    sighting.generation_ = aGenerations[i];
+    missed.push_back(sighting);
+  }
+  return missed;
+}
+
 void
 CorrectByImport(State& aState,
                 const HolderId& aStore,
@@ -158,23 +189,9 @@
                 const std::vector<std::uint64_t>& aGenerations,
                 std::size_t aImported)
 {
-  const auto holder = FindHolder(aState, aStore.name_);
-  if (holder == kNoHolder) {
-    return;
-  }
-  for (std::size_t i = aImported; i < aGenerations.size(); ++i) {
-    if (aFirst + i >= aChain.size()) {
-      return;
-    }
-    const auto key = ShortKey(aChain[aFirst + i]);
-    const auto block = aState.blocks_.find(key);
-    if (block == aState.blocks_.end()) {
-      continue;
-    }
-    const Copy* copy = FindCopy(aState, block->second, holder);
-    if (copy != nullptr && copy->generation_ <= aGenerations[i]) {
-      RemoveCopy(aState, holder, key);
-    }
+  for (const auto& missed :
+       MissedByImport(aChain, aFirst, aGenerations, aImported)) {
+    Apply(aState, aStore, missed);
   }
 }
 
--- a/src/peer/convert.cc
+++ b/src/peer/convert.cc
@@ -107,6 +107,51 @@
   return message;
 }
 
+// The directory keeps and finds blocks by the low halves of their keys, so only
+// these are sent.
+void
+AddShortKey(std::string& aKeys, const core::BlockKey& aKey)
+{
+  aKeys.append(reinterpret_cast<const char*>(&aKey.low_), sizeof(aKey.low_));
+}
+
+// Reads keys that AddShortKey wrote; none if the length can't be right.
+std::vector<std::uint64_t>
+ShortKeysOf(const std::string& aKeys)
+{
+  std::vector<std::uint64_t> keys;
+  if (aKeys.size() % sizeof(std::uint64_t) == 0) {
+    keys.resize(aKeys.size() / sizeof(std::uint64_t));
+    std::memcpy(keys.data(), aKeys.data(), aKeys.size());
+  }
+  return keys;
+}
+
+bool
+SameButBlock(const directory::Sighting& aLeft,
+             const directory::Sighting& aRight)
+{
+  return aLeft.root_ == aRight.root_ && aLeft.present_ == aRight.present_ &&
+         aLeft.tier_ == aRight.tier_ &&
+         aLeft.generation_ == aRight.generation_ &&
+         aLeft.bytes_ == aRight.bytes_;
+}
+
+// Writes all but the block; the root only if it is another than before.
+void
+FillSighting(const directory::Sighting* aBefore,
+             const directory::Sighting& aSighting,
+             BlockSighting& aItem)
+{
+  if (aBefore == nullptr || aBefore->root_ != aSighting.root_) {
+    aItem.set_root(KeyBytes(aSighting.root_));
+  }
+  aItem.set_present(aSighting.present_);
+  aItem.set_on_disk(aSighting.tier_ == directory::Tier::Disk);
+  aItem.set_generation(aSighting.generation_);
+  aItem.set_bytes(aSighting.bytes_);
+}
+
 } // namespace
 
 std::string
@@ -244,8 +289,9 @@
 LocateToWire(const std::vector<core::BlockKey>& aChain)
 {
   LocateRequest message;
+  std::string& keys = *message.add_blocks();
   for (const auto& block : aChain) {
-    message.add_blocks(KeyBytes(block));
+    AddShortKey(keys, block);
   }
   return message;
 }
@@ -254,8 +300,10 @@
 FromWire(const LocateRequest& aMessage)
 {
   std::vector<core::BlockKey> chain;
-  for (const auto& block : aMessage.blocks()) {
-    chain.push_back(KeyFromBytes(block));
+  for (const auto& keys : aMessage.blocks()) {
+    for (const auto low : ShortKeysOf(keys)) {
+      chain.push_back({ 0, low });
+    }
   }
   return chain;
 }
@@ -306,14 +354,15 @@
   message.set_holder(aHolder.name_);
   message.set_is_store(aHolder.kind_ == directory::HolderKind::Store);
   message.set_inventory(aInventory);
+  BlockSighting* item = nullptr;
+  const directory::Sighting* before = nullptr;
   for (const auto& sighting : aSightings) {
-    BlockSighting& item = *message.add_sightings();
-    item.set_block(KeyBytes(sighting.block_));
-    item.set_root(KeyBytes(sighting.root_));
-    item.set_present(sighting.present_);
-    item.set_on_disk(sighting.tier_ == directory::Tier::Disk);
-    item.set_generation(sighting.generation_);
-    item.set_bytes(sighting.bytes_);
+    if (before == nullptr || !SameButBlock(*before, sighting)) {
+      item = message.add_sightings();
+      FillSighting(before, sighting, *item);
+    }
+    AddShortKey(*item->mutable_block(), sighting.block_);
+    before = &sighting;
   }
   return message;
 }
@@ -330,15 +379,23 @@
 SightingsFromWire(const ReportBlocksRequest& aMessage)
 {
   std::vector<directory::Sighting> sightings;
-  sightings.reserve(static_cast<std::size_t>(aMessage.sightings_size()));
+  core::BlockKey root;
   for (const auto& item : aMessage.sightings()) {
-    sightings.push_back(
-      { KeyFromBytes(item.block()),
-        KeyFromBytes(item.root()),
-        item.present(),
-        item.on_disk() ? directory::Tier::Disk : directory::Tier::Memory,
-        item.generation(),
-        item.bytes() });
+    if (!item.root().empty()) {
+      root = KeyFromBytes(item.root());
+    }
+    if (root == core::BlockKey()) {
+      continue;
+    }
+    for (const auto low : ShortKeysOf(item.block())) {
+      sightings.push_back(
+        { { root.high_, low },
+          root,
+          item.present(),
+          item.on_disk() ? directory::Tier::Disk : directory::Tier::Memory,
+          item.generation(),
+          item.bytes() });
+    }
   }
   return sightings;
 }
--- a/src/reducer/requests.cc
+++ b/src/reducer/requests.cc
@@ -11,6 +11,8 @@
 
 // Weight of the newest value in moving averages.
 constexpr double kSmoothing = 0.1;
+// Of so many runs one tells the homes of its prompt all blocks.
+constexpr RequestId kWholeReportEvery = 16;
 // Suggested wait where nothing better is known.
 constexpr absl::Duration kDefaultRetryAfter = absl::Seconds(1);
 
@@ -97,6 +99,7 @@
 {
   ++aRequest.attempt_;
   aRequest.import_.reset();
+  aRequest.knownBlocks_ = 0;
   aRequest.started_ = absl::InfiniteFuture();
   if (!aRequest.request_.repeatable_) {
     AskForClaim(aContext, aRequest);
@@ -257,30 +260,35 @@
   }
 }
 
-// Corrects the directory by what a run found.
+// Tells the homes of a prompt what a run found out.
 void
 CorrectDirectory(Context& aContext,
                  const RequestState& aRequest,
                  const AttemptStarted& aEvent)
 {
-  const directory::HolderId engine{ aRequest.target_,
-                                    directory::HolderKind::Engine };
-  directory::CorrectByRun(
-    aContext.state_.directory_, engine, aRequest.chain_, aEvent.cachedBlocks_);
+  const auto& chain = aRequest.chain_;
   if (const auto& import = aRequest.import_; import) {
-    directory::CorrectByImport(aContext.state_.directory_,
-                               { import->store_, directory::HolderKind::Store },
-                               aRequest.chain_,
-                               import->firstBlock_,
-                               import->generations_,
-                               aEvent.importedBlocks_);
-  }
-  // The engine will hold the whole prompt once it is computed.
+    SpreadSightings(aContext,
+                    { import->store_, directory::HolderKind::Store },
+                    directory::MissedByImport(chain,
+                                              import->firstBlock_,
+                                              import->generations_,
+                                              aEvent.importedBlocks_),
+                    false);
+  }
+  // The engine will hold the whole prompt once it is computed. What the home
+  // that was asked knows already is told now and then only, in case that the
+  // other home doesn't know it.
+  const bool whole = aRequest.request_.id_ % kWholeReportEvery == 0;
+  const std::size_t first = whole ? 0 : aRequest.knownBlocks_;
   std::vector<directory::Sighting> sightings;
-  for (const auto& block : aRequest.chain_) {
-    sightings.push_back({ block, aRequest.chain_[0] });
+  for (std::size_t i = first; i < chain.size(); ++i) {
+    sightings.push_back({ chain[i], chain[0] });
   }
-  SpreadSightings(aContext, engine, sightings, false);
+  SpreadSightings(aContext,
+                  { aRequest.target_, directory::HolderKind::Engine },
+                  sightings,
+                  false);
 }
 
 // Ends a request whose deadline has passed after it had got a slot.
--- a/src/reducer/routing.cc
+++ b/src/reducer/routing.cc
@@ -302,6 +302,7 @@
   }
   aRequest.target_ = decision->target_;
   aRequest.import_ = decision->import_;
+  aRequest.knownBlocks_ = decision->cachedBlocks_;
   if (aRequest.import_) {
     state.stores_[aRequest.import_->store_].ownBytes_ +=
       aRequest.import_->bytes_;
--- a/test/directory-test.cc
+++ b/test/directory-test.cc
@@ -100,6 +100,20 @@
   CHECK(state.freeCopies_.size() == state.copies_.size_);
 }
 
+TEST_CASE("a block missing under an old generation keeps its newer copy")
+{
+  directory::State state;
+  const auto chain = ChainOf(1, 1);
+  See(state, kStore, chain, 0, 1);
+  directory::Sighting missing{ chain[0], chain[0], false };
+  missing.generation_ = 9;
+  directory::Apply(state, kStore, missing);
+  CHECK(directory::Locate(state, chain).size() == 1);
+  missing.generation_ = 10;
+  directory::Apply(state, kStore, missing);
+  CHECK(directory::Locate(state, chain).empty());
+}
+
 TEST_CASE("a newer sighting replaces generation and tier")
 {
   directory::State state;
--- a/test/locations-test.cc
+++ b/test/locations-test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
 #include <catch2/catch.hpp>
 
 #include "lycheeplank/reducer.h"
@@ -30,6 +31,7 @@
 constexpr std::size_t kDataCentres = 9;
 constexpr std::size_t kBlocks = 20;
 constexpr double kRequestsPerSecond = 5.1;
+constexpr absl::Duration kTrialTime = absl::Minutes(5);
 constexpr absl::Duration kRunTime = absl::Seconds(2);
 constexpr absl::Duration kReplyTime = absl::Milliseconds(1);
 // Bytes of one question for load and its answer, as measured on loopback.
@@ -121,8 +123,12 @@
   std::uint32_t mostQuestions_ = 0;
   std::uint32_t locates_ = 0;
   std::uint64_t locateBytes_ = 0;
+  // What runs tell the homes of their prompts.
   std::uint32_t reports_ = 0;
   std::uint64_t reportBytes_ = 0;
+  // What cache events of engines tell them.
+  std::uint32_t events_ = 0;
+  std::uint64_t eventBytes_ = 0;
 };
 
 // What a trial varies.
@@ -298,15 +304,19 @@
 
   void Perform(const reducer::SendSightings& aEffect)
   {
-    ++figures_.reports_;
-    figures_.reportBytes_ +=
+    const std::uint64_t bytes =
       peer::ToWire(aEffect.holder_, aEffect.sightings_, aEffect.inventory_)
         .ByteSizeLong();
+    (feeding_ ? figures_.events_ : figures_.reports_) += 1;
+    (feeding_ ? figures_.eventBytes_ : figures_.reportBytes_) += bytes;
   }
 
   void Perform(const reducer::Dispatch& aEffect)
   {
     const std::string holder = holderOf_.at(aEffect.id_);
+    if (holder.empty()) {
+      Feed(aEffect.target_, aEffect.id_);
+    }
     const bool atHolder = holder == aEffect.target_;
     figures_.runs_ += holder.empty() ? 0 : 1;
     figures_.atHolder_ += atHolder ? 1 : 0;
@@ -324,55 +334,122 @@
     At(kRunTime, [this, ended] { Send(ended); });
   }
 
+  // A new prompt takes the place of an old one in the engine's cache, and two
+  // hosts read of it in the engine's events. Over all hosts each has its part
+  // of this, here as if it read twice of the runs that it sent itself.
+  void Feed(const std::string& aTarget, reducer::RequestId aId)
+  {
+    const auto& chain = state_.requests_.at(aId).chain_;
+    reducer::CacheReported report;
+    report.target_ = aTarget;
+    directory::EventCursor& cursor = state_.targets_.at(aTarget).cursor_;
+    cursor.needsInventory_ = false;
+    const core::BlockKey root{ random_(), random_() };
+    for (std::size_t i = 0; i < kBlocks; ++i) {
+      const core::BlockKey freed{ random_(), random_() };
+      report.sightings_.push_back({ i == 0 ? root : freed, root, false });
+    }
+    for (const auto& block : chain) {
+      report.sightings_.push_back({ block, chain[0], true });
+    }
+    report.lastSequence_ = cursor.lastSeq_;
+    At(kRunTime, [this, report] {
+      feeding_ = true;
+      Send(report);
+      Send(report);
+      feeding_ = false;
+    });
+  }
+
   const Trial trial_;
   reducer::State state_;
   absl::Time now_ = kStart;
   std::mt19937_64 random_{ 1 };
   std::vector<std::string> followed_;
   std::size_t polled_ = 0;
+  bool feeding_ = false;
   std::vector<absl::Time> asked_;
   std::multimap<absl::Time, std::function<void()>> events_;
   std::map<reducer::RequestId, std::string> holderOf_;
   reducer::RequestId lastId_ = 0;
 };
 
-void
-Print(const char* aName, const Figures& aFigures, absl::Duration aTime)
+double
+BytesToHomes(const Figures& aFigures)
+{
+  return static_cast<double>(aFigures.locateBytes_ + aFigures.reportBytes_ +
+                             aFigures.eventBytes_);
+}
+
+std::string
+Describe(const Figures& aFigures, absl::Duration aTime)
 {
   const double seconds = absl::ToDoubleSeconds(aTime);
-  std::printf(
-    "%s: runs of returning prompts %u, at their holder %u, refused %u; "
-    "questions for load %.2f/s followed, %.2f/s others, at most %u in a "
-    "second, "
-    "%.0f bytes/s; to homes: %.2f questions/s, %.0f bytes each; %.2f "
-    "reports/s, %.0f bytes a run, %.0f bytes/s\n",
-    aName,
+  const auto rate = [&](std::uint64_t aCount) {
+    return absl::StrFormat("%.1f/s", static_cast<double>(aCount) / seconds);
+  };
+  const std::uint64_t questions =
+    aFigures.followedQuestions_ + aFigures.ownQuestions_;
+  return absl::StrCat(
+    "runs of returning prompts ",
     aFigures.runs_,
+    ", at their holder ",
     aFigures.atHolder_,
+    ", refused ",
     aFigures.refused_,
-    aFigures.followedQuestions_ / seconds,
-    aFigures.ownQuestions_ / seconds,
+    "; questions for load ",
+    rate(questions),
+    " (holders ",
+    rate(aFigures.ownQuestions_),
+    ", most in a second ",
     aFigures.mostQuestions_,
-    (aFigures.followedQuestions_ + aFigures.ownQuestions_) *
-      kLoadQuestionBytes / seconds,
-    aFigures.locates_ / seconds,
-    static_cast<double>(aFigures.locateBytes_) /
-      std::max(1U, aFigures.locates_),
-    aFigures.reports_ / seconds,
-    static_cast<double>(aFigures.reportBytes_) / (seconds * kRequestsPerSecond),
-    static_cast<double>(aFigures.reportBytes_) / seconds);
+    "), bytes ",
+    rate(questions * kLoadQuestionBytes),
+    "; questions to homes ",
+    rate(aFigures.locates_),
+    ", bytes ",
+    rate(aFigures.locateBytes_),
+    "; reports of runs ",
+    rate(aFigures.reports_),
+    ", bytes ",
+    rate(aFigures.reportBytes_),
+    "; of cache events ",
+    rate(aFigures.events_),
+    ", bytes ",
+    rate(aFigures.eventBytes_),
+    "; all bytes to homes ",
+    absl::StrFormat("%.0f/s", BytesToHomes(aFigures) / seconds));
+}
+
+// Plays five minutes with one new prompt out of so many; 0 for none.
+Figures
+PlayShare(std::uint32_t aNewOneIn)
+{
+  Trial trial;
+  trial.newOneIn_ = aNewOneIn;
+  Host host(trial);
+  host.Run(kTrialTime);
+  return host.figures_;
 }
 
 } // namespace
 
+TEST_CASE("figures of prompt locations", "[.figures]")
+{
+  for (const std::uint32_t newOneIn : { 0U, 20U, 5U, 1U }) {
+    std::printf("new one in %u: %s\n",
+                newOneIn,
+                Describe(PlayShare(newOneIn), kTrialTime).c_str());
+  }
+}
+
 TEST_CASE("returning prompts go to their holders at the designed size")
 {
-  Host host;
-  host.Run(absl::Minutes(5));
-  Print("returning", host.figures_, absl::Minutes(5));
-  CHECK(host.figures_.refused_ == 0);
-  CHECK(host.figures_.atHolder_ >= host.figures_.runs_ * 0.95);
-  CHECK(host.figures_.mostQuestions_ <= 24);
+  const Figures figures = PlayShare(0);
+  INFO(Describe(figures, kTrialTime));
+  CHECK(figures.refused_ == 0);
+  CHECK(figures.atHolder_ >= figures.runs_ * 0.95);
+  CHECK(figures.mostQuestions_ <= 24);
 }
 
 TEST_CASE("holders that don't answer cost no request its answer")
@@ -398,3 +475,13 @@
   // Some holders are targets that the host follows.
   CHECK(host.figures_.atHolder_ == host.figures_.atFollowed_);
 }
+
+TEST_CASE("prompt locations fit the limit for control")
+{
+  // The limit less what all else takes; as much is received as sent.
+  constexpr double kLimitBytesPerSecond = (16384 - 10500) / 2.0;
+  const Figures figures = PlayShare(GENERATE(0U, 20U, 5U));
+  INFO(Describe(figures, kTrialTime));
+  CHECK(BytesToHomes(figures) / absl::ToDoubleSeconds(kTrialTime) <=
+        kLimitBytesPerSecond);
+}
--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -386,6 +386,86 @@
   }
 }
 
+namespace {
+
+// Starts a run that finds so many blocks cached.
+void
+Start(World& aWorld, const reducer::Dispatch& aDispatch, std::uint32_t aCached)
+{
+  aWorld.Send(reducer::AttemptStarted{
+    aDispatch.id_, aDispatch.attempt_, "v1", aCached });
+}
+
+// Lets a request arrive whose home says that e1 holds so many of its two
+// blocks; it goes there.
+reducer::Dispatch
+ArriveAtHolder(World& aWorld, std::uint32_t aBlocks)
+{
+  aWorld.Send(reducer::RequestArrived{ aWorld.MakeCompletion() });
+  const auto asked = aWorld.Take<reducer::AskHomes>();
+  REQUIRE(asked.size() == 1);
+  aWorld.Send(reducer::Located{
+    asked[0].id_,
+    asked[0].attempt_,
+    { { { "e1", lycheeplank::directory::HolderKind::Engine }, aBlocks } } });
+  const auto sent = aWorld.Take<reducer::Dispatch>();
+  REQUIRE(sent.size() == 1);
+  REQUIRE(sent[0].target_ == "e1");
+  return sent[0];
+}
+
+} // namespace
+
+TEST_CASE("a run tells the homes of its prompt only what is new to them")
+{
+  World world;
+  world.state_.hosts_ = lycheeplank::directory::MakeHostSet({ "h2", "h3" });
+  Start(world, ArriveAtHolder(world, 2), 2);
+  CHECK(world.Take<reducer::SendSightings>().empty());
+  Start(world, ArriveAtHolder(world, 1), 1);
+  auto told = world.Take<reducer::SendSightings>();
+  REQUIRE(told.size() == 2);
+  CHECK(told[0].host_ != told[1].host_);
+  CHECK(told[0].sightings_.size() == 1);
+  CHECK(told[0].sightings_[0].block_ != told[0].sightings_[0].root_);
+  // What the other home may have missed is told now and then.
+  std::size_t whole = 0;
+  for (int i = 0; i < 32; ++i) {
+    Start(world, ArriveAtHolder(world, 2), 2);
+    for (const auto& report : world.Take<reducer::SendSightings>()) {
+      CHECK(report.sightings_.size() == 2);
+      ++whole;
+    }
+  }
+  CHECK(whole == 4);
+  // This host is no home, so its own directory stays empty.
+  CHECK(world.state_.directory_.blocks_.empty());
+}
+
+TEST_CASE("an import that fails is told to the homes of its prompt")
+{
+  World world;
+  world.state_.hosts_ = lycheeplank::directory::MakeHostSet({ "h2", "h3" });
+  auto dispatch = ArriveAtHolder(world, 1);
+  auto& request = world.state_.requests_.at(dispatch.id_);
+  request.import_.emplace();
+  request.import_->store_ = "store-1";
+  request.import_->firstBlock_ = 1;
+  request.import_->blocks_ = 1;
+  request.import_->generations_ = { 5 };
+  Start(world, dispatch, 1);
+  std::size_t told = 0;
+  for (const auto& report : world.Take<reducer::SendSightings>()) {
+    if (report.holder_.name_ == "store-1") {
+      ++told;
+      REQUIRE(report.sightings_.size() == 1);
+      CHECK_FALSE(report.sightings_[0].present_);
+      CHECK(report.sightings_[0].generation_ == 5);
+    }
+  }
+  CHECK(told == 2);
+}
+
 TEST_CASE("a model that goes while its prompt is looked for is refused")
 {
   World world;
