Ask for any target when a host follows none that can take a request

Cause: at 350 hosts each target is followed by 7 hosts, those of its data centre first. A host that follows no target of a model or service had no slots for it and refused all its requests as no_capacity, however idle the targets were: a model with one engine in another data centre, a service with one target (locations-test, seen failing: 3 of 3 refused; now 0 of 3).

Now such a request gets a slot, and before its attempt the host asks up to three targets of the pool for their load, within the same limit of questions. A call that must not run twice does so before it asks for its claim, so nothing is claimed if there is no target or the deadline passes meanwhile. Following more targets instead was ruled out: with a few dozen services a host would have more targets than it can ask within 3 s.

--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -375,7 +375,7 @@
 };
 
 // Asks targets that this host doesn't follow for their load reports, since they
-// hold blocks of the request's prompt.
+// hold blocks of the request's prompt or since none of its own can take it.
 struct AskLoads
 {
   RequestId id_ = 0;
@@ -621,7 +621,7 @@
   Waiting,
   // Has a slot; waits for the home of its prompt.
   Locating,
-  // Has a slot; waits for the load of holders that this host doesn't follow.
+  // Has a slot; waits for the load of targets that this host doesn't follow.
   Asking,
   // Has a slot; waits for the claim on its idempotency key.
   Claiming,
@@ -647,6 +647,8 @@
   // Holders of its blocks and those whose load was asked for, while it waits.
   std::vector<directory::Holder> holders_;
   std::vector<std::string> askedTargets_;
+  // The attempt begins when these have reported.
+  bool asksForAny_ = false;
   std::uint32_t cachedBlocks_ = 0;
   absl::Time arrived_;
   absl::Time sent_;
@@ -714,8 +716,8 @@
   directory::State directory_;
   directory::HostSet hosts_;
   std::vector<placement::Follower> live_;
-  // When holders that this host doesn't follow were asked, within a second.
-  std::deque<absl::Time> holderQuestions_;
+  // When targets that this host doesn't follow were asked, within a second.
+  std::deque<absl::Time> ownQuestions_;
   membership::State members_;
   // What the traffic threads were told last.
   PublishServing serving_;
--- a/src/reducer/loads.cc
+++ b/src/reducer/loads.cc
@@ -17,6 +17,8 @@
 constexpr absl::Duration kSilence = absl::Seconds(5);
 // Holders that are asked for one attempt at most.
 constexpr std::size_t kAskedHolders = 2;
+// Targets that are asked for one attempt when there is no other.
+constexpr std::size_t kAskedOthers = 3;
 
 // Baselines that choose without regard for cached blocks don't ask.
 bool
@@ -31,7 +33,7 @@
 std::size_t
 TakeQuestions(State& aState, absl::Time aNow, std::size_t aWanted)
 {
-  auto& asked = aState.holderQuestions_;
+  auto& asked = aState.ownQuestions_;
   while (!asked.empty() && asked.front() <= aNow - absl::Seconds(1)) {
     asked.pop_front();
   }
@@ -73,9 +75,8 @@
   if (found == state.targets_.end()) {
     return false;
   }
-  const TargetState& target = found->second;
-  return !target.followed_ && !IsCurrent(target, aContext.now_) &&
-         target.silentUntil_ <= aContext.now_ &&
+  return IsAskable(found->second, aContext.now_) &&
+         !IsCurrent(found->second, aContext.now_) &&
          state.config_->targets_.at(aName).serves_ ==
            aRequest.request_.serves_ &&
          IsAllowed(aContext, aPool, aRequest, aName);
@@ -113,8 +114,79 @@
   return names;
 }
 
+// Asks as many of the targets as the limit allows; false if there is none.
+bool
+Ask(Context& aContext,
+    RequestState& aRequest,
+    std::vector<std::string> aTargets)
+{
+  const std::size_t taken =
+    TakeQuestions(aContext.state_, aContext.now_, aTargets.size());
+  if (taken < aTargets.size()) {
+    AddCount(aContext, "load_questions_total", "result", "over_limit");
+  }
+  if (taken == 0) {
+    return false;
+  }
+  aTargets.resize(taken);
+  AddCount(aContext, "load_questions_total", "result", "asked");
+  AddNote(aContext,
+          aRequest.request_,
+          "asked_loads",
+          absl::StrCat("targets=", absl::StrJoin(aTargets, ",")));
+  aRequest.phase_ = Phase::Asking;
+  aRequest.askedTargets_ = aTargets;
+  aContext.effects_.emplace_back(
+    AskLoads{ aRequest.request_.id_, aRequest.attempt_, std::move(aTargets) });
+  return true;
+}
+
+// Whether some target can take the request by the reports at hand.
+bool
+HasTarget(const Context& aContext,
+          const Pool& aPool,
+          const RequestState& aRequest)
+{
+  return std::any_of(
+    aPool.targets_.begin(), aPool.targets_.end(), [&](const auto& aName) {
+      const TargetState& target = aContext.state_.targets_.at(aName);
+      return IsCurrent(target, aContext.now_) && !target.leaving_ &&
+             IsAllowed(aContext, aPool, aRequest, aName);
+    });
+}
+
+// Returns some targets of a pool that may be asked, those of this host's data
+// centre first, starting at a random place.
+std::vector<std::string>
+SomeToAsk(const Context& aContext,
+          const Pool& aPool,
+          const RequestState& aRequest)
+{
+  const State& state = aContext.state_;
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  const std::size_t count = aPool.targets_.size();
+  for (std::size_t i = 0; i < count && near.size() < kAskedOthers; ++i) {
+    const auto& name = aPool.targets_[(aContext.random_ + i) % count];
+    if (MayBeAsked(aContext, aPool, aRequest, name)) {
+      const auto& place = state.config_->targets_.at(name).dataCentre_;
+      (place == state.self_.dataCentre_ ? near : far).push_back(name);
+    }
+  }
+  near.insert(near.end(), far.begin(), far.end());
+  near.resize(std::min(near.size(), kAskedOthers));
+  return near;
+}
+
 } // namespace
 
+bool
+IsAskable(const TargetState& aTarget, absl::Time aNow)
+{
+  return !aTarget.followed_ && !aTarget.leavingListed_ &&
+         aTarget.silentUntil_ <= aNow;
+}
+
 bool
 IsCurrent(const TargetState& aTarget, absl::Time aNow)
 {
@@ -122,36 +194,31 @@
          (aTarget.followed_ || aNow - aTarget.asOf_ <= kReportLife);
 }
 
+bool
+AskForAny(Context& aContext, RequestState& aRequest)
+{
+  const Pool& pool = PoolOf(aContext.state_, aRequest.request_);
+  if (HasTarget(aContext, pool, aRequest)) {
+    return false;
+  }
+  aRequest.asksForAny_ =
+    Ask(aContext, aRequest, SomeToAsk(aContext, pool, aRequest));
+  return aRequest.asksForAny_;
+}
+
 void
 AskAndPlace(Context& aContext,
             RequestState& aRequest,
             std::vector<directory::Holder> aHolders)
 {
-  State& state = aContext.state_;
-  const Pool& pool = PoolOf(state, aRequest.request_);
-  std::vector<std::string> asked;
-  if (RegardsBlocks(pool.policy_)) {
-    asked = HoldersToAsk(aContext, pool, aRequest, aHolders);
-    const std::size_t taken = TakeQuestions(state, aContext.now_, asked.size());
-    if (taken < asked.size()) {
-      AddCount(aContext, "holder_questions_total", "result", "over_limit");
-    }
-    asked.resize(taken);
-  }
-  if (asked.empty()) {
-    Place(aContext, aRequest, aHolders);
+  const Pool& pool = PoolOf(aContext.state_, aRequest.request_);
+  if (RegardsBlocks(pool.policy_) &&
+      Ask(
+        aContext, aRequest, HoldersToAsk(aContext, pool, aRequest, aHolders))) {
+    aRequest.holders_ = std::move(aHolders);
     return;
   }
-  AddCount(aContext, "holder_questions_total", "result", "asked");
-  AddNote(aContext,
-          aRequest.request_,
-          "asked_holders",
-          absl::StrCat("targets=", absl::StrJoin(asked, ",")));
-  aRequest.phase_ = Phase::Asking;
-  aRequest.holders_ = std::move(aHolders);
-  aRequest.askedTargets_ = asked;
-  aContext.effects_.emplace_back(
-    AskLoads{ aRequest.request_.id_, aRequest.attempt_, std::move(asked) });
+  Place(aContext, aRequest, aHolders);
 }
 
 void
@@ -162,7 +229,7 @@
     if (found != aContext.state_.targets_.end() &&
         !IsCurrent(found->second, aContext.now_)) {
       found->second.silentUntil_ = aContext.now_ + kSilence;
-      AddCount(aContext, "holder_questions_total", "result", "silent");
+      AddCount(aContext, "load_questions_total", "result", "silent");
     }
   }
 }
--- a/src/reducer/parts.h
+++ b/src/reducer/parts.h
@@ -75,7 +75,14 @@
          const RequestState& aRequest,
          const std::string& aName);
 
-// loads.cc: the load of holders that this host doesn't follow.
+// loads.cc: the load of targets that this host doesn't follow.
+// Whether this host may ask a target for its load when a request needs it.
+bool
+IsAskable(const TargetState& aTarget, absl::Time aNow);
+// Asks some targets before an attempt begins, if no report at hand is of one
+// that can take it; false if there is nothing to wait for.
+bool
+AskForAny(Context& aContext, RequestState& aRequest);
 // Whether the last report of a target is recent enough to send work there.
 bool
 IsCurrent(const TargetState& aTarget, absl::Time aNow);
--- a/src/reducer/requests.cc
+++ b/src/reducer/requests.cc
@@ -93,14 +93,10 @@
   return true;
 }
 
-// Gives a request that has a slot its next attempt.
+// Begins an attempt when there may be targets for it.
 void
-StartAttempt(Context& aContext, RequestState& aRequest)
+BeginAttempt(Context& aContext, RequestState& aRequest)
 {
-  ++aRequest.attempt_;
-  aRequest.import_.reset();
-  aRequest.knownBlocks_ = 0;
-  aRequest.started_ = absl::InfiniteFuture();
   if (!aRequest.request_.repeatable_) {
     AskForClaim(aContext, aRequest);
     return;
@@ -137,6 +133,19 @@
     aRequest.request_.id_, aRequest.attempt_, homes, aRequest.chain_ });
 }
 
+// Gives a request that has a slot its next attempt.
+void
+StartAttempt(Context& aContext, RequestState& aRequest)
+{
+  ++aRequest.attempt_;
+  aRequest.import_.reset();
+  aRequest.knownBlocks_ = 0;
+  aRequest.started_ = absl::InfiniteFuture();
+  if (!AskForAny(aContext, aRequest)) {
+    BeginAttempt(aContext, aRequest);
+  }
+}
+
 // Moves a request from the queue to its first attempt.
 void
 StartRequest(Context& aContext, const admission::Request& aAdmitted)
@@ -309,7 +318,8 @@
     aContext.effects_.emplace_back(
       CancelAttempt{ aRequest.request_.id_, aRequest.attempt_ });
   }
-  if (aRequest.request_.repeatable_) {
+  const bool claimed = aRequest.asks_ > 0;
+  if (aRequest.request_.repeatable_ || !claimed) {
     Refuse(aContext, aRequest.request_.id_, std::move(error));
   } else if (sent) {
     GiveUpSentCall(aContext, aRequest, std::move(error));
@@ -512,9 +522,16 @@
     return;
   }
   RequestState& request = found->second;
-  request.phase_ = Phase::Running;
   NoteSilent(aContext, request);
-  if (!RefuseRemoved(aContext, request)) {
+  if (request.request_.deadline_ <= aContext.now_) {
+    // The next tick answers it.
+    return;
+  }
+  request.phase_ = Phase::Running;
+  if (request.asksForAny_) {
+    request.asksForAny_ = false;
+    BeginAttempt(aContext, request);
+  } else if (!RefuseRemoved(aContext, request)) {
     Place(aContext, request, request.holders_);
   }
 }
--- a/src/reducer/targets.cc
+++ b/src/reducer/targets.cc
@@ -135,6 +135,8 @@
   bool any = false;
   for (const auto& name : aPool.targets_) {
     const TargetState& target = state.targets_.at(name);
+    // Targets that can be asked may have room when no other has.
+    any = any || IsAskable(target, aContext.now_);
     if (!TakesWork(target, aContext.now_)) {
       continue;
     }
--- a/test/locations-test.cc
+++ b/test/locations-test.cc
@@ -77,10 +77,15 @@
                     ModelName(i),
                     ": {versions: {v1: 1.0}, block_tokens: 2000}\n");
   }
-  absl::StrAppend(&text,
-                  "rules:\n  owner: desk\n  entries:\n"
-                  "    all: {workspaces: [\"*\"], models: [\"*\"]}\n"
-                  "targets:\n  owner: machines\n  entries:\n");
+  absl::StrAppend(
+    &text,
+    "    rare: {versions: {v1: 1.0}, block_tokens: 2000}\n"
+    "services:\n  owner: services\n  entries:\n"
+    "    registry: {calls: {check: {repeatable: true, timeout: "
+    "5s}}}\n"
+    "rules:\n  owner: desk\n  entries:\n"
+    "    all: {workspaces: [\"*\"], models: [\"*\"], services: [\"*\"]}\n"
+    "targets:\n  owner: machines\n  entries:\n");
   for (std::size_t i = 0; i < kTargets; ++i) {
     absl::StrAppend(&text,
                     "    ",
@@ -95,6 +100,12 @@
                     ModelOf(i),
                     "}\n");
   }
+  // Two that are in one data centre only.
+  absl::StrAppend(&text,
+                  "    rare1: {kind: engine, url: \"http://10.1.0.1:1\", "
+                  "data_centre: d0, serves: rare}\n"
+                  "    desk1: {kind: service, url: \"http://10.1.0.2:1\", "
+                  "data_centre: d0, serves: registry}\n");
   return text;
 }
 
@@ -113,6 +124,7 @@
 {
   std::uint32_t runs_ = 0;
   std::uint32_t refused_ = 0;
+  std::map<std::string, std::uint32_t> dispatches_;
   // Runs that went to the engine that holds all blocks of the prompt.
   std::uint32_t atHolder_ = 0;
   // Those of them for which the host follows the engine.
@@ -162,13 +174,32 @@
                               target.dataCentre_,
                               state_.self_.name_,
                               state_.live_,
-                              kTargets)) {
+                              state_.config_->targets_.size())) {
         followed_.push_back(name);
       }
     }
     REQUIRE_FALSE(followed_.empty());
   }
 
+  // Lets one request for a model or service arrive that nobody holds.
+  void ArriveFor(const std::string& aServes, reducer::RequestKind aKind)
+  {
+    reducer::NewRequest request;
+    request.id_ = ++lastId_;
+    request.name_ = absl::StrCat("r", request.id_);
+    request.workspace_ = "nursing";
+    request.kind_ = aKind;
+    request.serves_ = aServes;
+    request.promptTokens_ = 2000;
+    request.maxTokens_ = 100;
+    if (aKind == reducer::RequestKind::Completion) {
+      request.contents_ = { { 1, 2 } };
+    }
+    request.deadline_ = now_ + absl::Seconds(30);
+    holderOf_[request.id_] = "";
+    Send(reducer::RequestArrived{ request });
+  }
+
   // Lets prompts return for this long.
   void Run(absl::Duration aTime)
   {
@@ -186,6 +217,13 @@
     now_ = end;
   }
 
+  // Whether the host asks for the target's reports all the time.
+  bool Follows(const std::string& aTarget) const
+  {
+    return std::find(followed_.begin(), followed_.end(), aTarget) !=
+           followed_.end();
+  }
+
   Figures figures_;
 
 private:
@@ -216,12 +254,6 @@
     Send(report);
   }
 
-  bool Follows(const std::string& aTarget) const
-  {
-    return std::find(followed_.begin(), followed_.end(), aTarget) !=
-           followed_.end();
-  }
-
   // Asks one followed target after the other, as the poller does.
   void PollFollowed()
   {
@@ -317,6 +349,7 @@
     if (holder.empty()) {
       Feed(aEffect.target_, aEffect.id_);
     }
+    ++figures_.dispatches_[aEffect.target_];
     const bool atHolder = holder == aEffect.target_;
     figures_.runs_ += holder.empty() ? 0 : 1;
     figures_.atHolder_ += atHolder ? 1 : 0;
@@ -340,6 +373,9 @@
   void Feed(const std::string& aTarget, reducer::RequestId aId)
   {
     const auto& chain = state_.requests_.at(aId).chain_;
+    if (chain.size() != kBlocks) {
+      return;
+    }
     reducer::CacheReported report;
     report.target_ = aTarget;
     directory::EventCursor& cursor = state_.targets_.at(aTarget).cursor_;
@@ -485,3 +521,21 @@
   CHECK(BytesToHomes(figures) / absl::ToDoubleSeconds(kTrialTime) <=
         kLimitBytesPerSecond);
 }
+
+TEST_CASE("a host that follows no target of a model or service serves it too")
+{
+  Host host;
+  const bool service = GENERATE(false, true);
+  const std::string target = service ? "desk1" : "rare1";
+  for (const auto* name : { "rare1", "desk1" }) {
+    REQUIRE_FALSE(host.Follows(name));
+  }
+  for (int i = 0; i < 3; ++i) {
+    host.ArriveFor(service ? "registry" : "rare",
+                   service ? reducer::RequestKind::ServiceCall
+                           : reducer::RequestKind::Completion);
+  }
+  host.Run(absl::Seconds(10));
+  CHECK(host.figures_.refused_ == 0);
+  CHECK(host.figures_.dispatches_[target] == 3);
+}
--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -466,6 +466,41 @@
   CHECK(told == 2);
 }
 
+TEST_CASE("a call for which no target is followed asks some before its claim")
+{
+  World world;
+  FollowNothing(world);
+  world.now_ += absl::Seconds(3);
+  auto call = world.MakeCall("k");
+  call.deadline_ = world.now_ + absl::Seconds(5);
+  world.Send(reducer::RequestArrived{ call });
+  const auto asked = world.Take<reducer::AskLoads>();
+  REQUIRE(asked.size() == 1);
+  CHECK(asked[0].targets_.size() == 2);
+  const bool late = GENERATE(false, true);
+  if (late) {
+    // The host was stopped meanwhile.
+    world.now_ += absl::Seconds(6);
+  }
+  world.Report("s1");
+  world.Report("s2", true);
+  world.Send(reducer::LoadsHeard{ asked[0].id_, asked[0].attempt_ });
+  world.Run(absl::Milliseconds(200));
+  const auto sent = world.Take<reducer::Dispatch>();
+  const auto refused = world.Take<reducer::Refuse>();
+  if (late) {
+    CHECK(sent.empty());
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].error_.run_ == core::RunState::No);
+    CHECK(claims::UsageOf(world.state_.claims_).unrecorded_ == 0);
+    return;
+  }
+  CHECK(refused.empty());
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].once_);
+  CHECK(sent[0].target_ == "s1");
+}
+
 TEST_CASE("a model that goes while its prompt is looked for is refused")
 {
   World world;
@@ -670,7 +705,13 @@
 
   void Act()
   {
-    switch (Pick(10)) {
+    switch (Pick(12)) {
+      case 10:
+        Unfollow();
+        return;
+      case 11:
+        AnswerAsked();
+        return;
       case 0:
       case 1:
         Arrive(world_.MakeCompletion());
@@ -694,6 +735,30 @@
     }
   }
 
+  // Hosts that come and go change what this host follows.
+  void Unfollow()
+  {
+    for (auto& [name, target] : world_.state_.targets_) {
+      target.followed_ = Pick(3) != 0;
+    }
+  }
+
+  // Some questions for load are never answered.
+  void AnswerAsked()
+  {
+    for (const auto& asked : asked_) {
+      for (const auto& target : asked.targets_) {
+        if (Pick(2) == 0) {
+          world_.Report(target, Pick(4) == 0);
+        }
+      }
+      if (Pick(4) != 0) {
+        world_.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+      }
+    }
+    asked_.clear();
+  }
+
   void Arrive(const reducer::NewRequest& aRequest)
   {
     finals_[aRequest.id_] = 0;
@@ -736,6 +801,9 @@
         REQUIRE(++sendings_[keys_[dispatch.id_]] <= 1);
       }
     }
+    for (auto& asked : world_.Take<reducer::AskLoads>()) {
+      asked_.push_back(std::move(asked));
+    }
     for (const auto& refused : world_.Take<reducer::Refuse>()) {
       ++finals_[refused.id_];
     }
@@ -747,6 +815,7 @@
   World world_;
   std::mt19937_64 random_;
   std::vector<reducer::Dispatch> open_;
+  std::vector<reducer::AskLoads> asked_;
   std::map<reducer::RequestId, int> finals_;
   std::map<reducer::RequestId, std::string> keys_;
   // Sendings that may have arrived, by idempotency key.
@@ -762,6 +831,6 @@
     chosen == nullptr ? 1 : std::strtoull(chosen, nullptr, 10);
   for (std::uint64_t seed = first; seed < first + 20; ++seed) {
     INFO("repeat with LYCHEEPLANK_SEED=" << seed << " reducer-test");
-    RandomRun(seed).Run(300);
+    RandomRun(seed).Run(450);
   }
 }
