Let a host that drains go on following its targets

Cause: a host that drains isn't in the list of live hosts, so by rank it followed no target. The reports before were as old as the drain.

Now a host ranks itself among the followers as if it were listed. Where no other target is at hand, a question has 500 ms, and a silent target isn't asked for 2 s in place of 5 s.

--- a/include/lycheeplank/placement.h
+++ b/include/lycheeplank/placement.h
@@ -230,6 +230,12 @@
           const std::vector<Follower>& aHosts,
           std::size_t aCount);
 
+// Returns the hosts with the given one among them, unless there are none. A
+// host that has left the lists serves for some time yet, so it goes on
+// following.
+std::vector<Follower>
+WithSelf(std::vector<Follower> aHosts, const Follower& aSelf);
+
 // Whether the host is one of the target's followers.
 bool
 Followed(absl::string_view aTarget,
--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -381,6 +381,8 @@
   RequestId id_ = 0;
   std::uint32_t attempt_ = 0;
   std::vector<std::string> targets_;
+  // Time that they have for their reports.
+  absl::Duration timeout_ = absl::ZeroDuration();
 };
 
 // Tells a home what was seen at a holder.
--- a/src/entry/poller.cc
+++ b/src/entry/poller.cc
@@ -15,8 +15,6 @@
 // Time between two load reports of a target.
 constexpr absl::Duration kBusyLoadInterval = absl::Milliseconds(250);
 constexpr absl::Duration kIdleLoadInterval = absl::Seconds(1);
-// Time that a holder has to report its load while a request waits for it.
-constexpr absl::Duration kHolderTimeout = absl::Milliseconds(50);
 // Time between two questions for cache events.
 constexpr absl::Duration kBusyEventsInterval = absl::Seconds(1);
 constexpr absl::Duration kIdleEventsInterval = absl::Seconds(3);
@@ -108,7 +106,7 @@
 Poller::SetHosts(std::vector<placement::Follower> aHosts)
 {
   const absl::MutexLock lock(&mutex_);
-  hosts_ = std::move(aHosts);
+  hosts_ = placement::WithSelf(std::move(aHosts), self_);
   hostsChanged_ = true;
 }
 
@@ -248,7 +246,7 @@
     }
     ++*waiting;
     net::Call call = adapters::AskLoad(found->second.url_);
-    call.timeout_ = kHolderTimeout;
+    call.timeout_ = aAsk.timeout_;
     client_.Fetch(std::move(call), [this, name, finish](net::Answer&& aAnswer) {
       // Silence within so short a time tells nothing of a target.
       auto report = ToReport(name, aAnswer);
--- a/src/placement/follow.cc
+++ b/src/placement/follow.cc
@@ -56,6 +56,19 @@
   return followers;
 }
 
+std::vector<Follower>
+WithSelf(std::vector<Follower> aHosts, const Follower& aSelf)
+{
+  const bool listed =
+    std::any_of(aHosts.begin(), aHosts.end(), [&](const Follower& aHost) {
+      return aHost.name_ == aSelf.name_;
+    });
+  if (!listed && !aHosts.empty()) {
+    aHosts.push_back(aSelf);
+  }
+  return aHosts;
+}
+
 bool
 Followed(absl::string_view aTarget,
          absl::string_view aDataCentre,
--- a/src/reducer/loads.cc
+++ b/src/reducer/loads.cc
@@ -14,7 +14,11 @@
 // time after which it must get none.
 constexpr absl::Duration kReportLife = absl::Seconds(2);
 // How long a target that did not answer is not asked again.
-constexpr absl::Duration kSilence = absl::Seconds(5);
+constexpr absl::Duration kSilence = absl::Seconds(2);
+// Time that a holder has to report; the request has other targets.
+constexpr absl::Duration kHolderTimeout = absl::Milliseconds(50);
+// The same for targets without which the request would be refused.
+constexpr absl::Duration kOnlyTimeout = absl::Milliseconds(500);
 // Holders that are asked for one attempt at most.
 constexpr std::size_t kAskedHolders = 2;
 // Targets that are asked for one attempt when there is no other.
@@ -118,7 +122,8 @@
 bool
 Ask(Context& aContext,
     RequestState& aRequest,
-    std::vector<std::string> aTargets)
+    std::vector<std::string> aTargets,
+    absl::Duration aTimeout)
 {
   const std::size_t taken =
     TakeQuestions(aContext.state_, aContext.now_, aTargets.size());
@@ -136,8 +141,8 @@
           absl::StrCat("targets=", absl::StrJoin(aTargets, ",")));
   aRequest.phase_ = Phase::Asking;
   aRequest.askedTargets_ = aTargets;
-  aContext.effects_.emplace_back(
-    AskLoads{ aRequest.request_.id_, aRequest.attempt_, std::move(aTargets) });
+  aContext.effects_.emplace_back(AskLoads{
+    aRequest.request_.id_, aRequest.attempt_, std::move(aTargets), aTimeout });
   return true;
 }
 
@@ -202,7 +207,7 @@
     return false;
   }
   aRequest.asksForAny_ =
-    Ask(aContext, aRequest, SomeToAsk(aContext, pool, aRequest));
+    Ask(aContext, aRequest, SomeToAsk(aContext, pool, aRequest), kOnlyTimeout);
   return aRequest.asksForAny_;
 }
 
@@ -213,8 +218,10 @@
 {
   const Pool& pool = PoolOf(aContext.state_, aRequest.request_);
   if (RegardsBlocks(pool.policy_) &&
-      Ask(
-        aContext, aRequest, HoldersToAsk(aContext, pool, aRequest, aHolders))) {
+      Ask(aContext,
+          aRequest,
+          HoldersToAsk(aContext, pool, aRequest, aHolders),
+          kHolderTimeout)) {
     aRequest.holders_ = std::move(aHolders);
     return;
   }
--- a/src/reducer/targets.cc
+++ b/src/reducer/targets.cc
@@ -109,21 +109,22 @@
   if (!state.config_) {
     return;
   }
+  const auto hosts = placement::WithSelf(state.live_, state.self_);
   const std::size_t count =
-    placement::FollowerCount(state.live_.size(), state.targets_.size());
+    placement::FollowerCount(hosts.size(), state.targets_.size());
   for (auto& [name, target] : state.targets_) {
     const auto settings = state.config_->targets_.find(name);
     if (settings == state.config_->targets_.end()) {
       continue;
     }
-    const auto followers = placement::Followers(
-      name, settings->second.dataCentre_, state.live_, count);
+    const auto followers =
+      placement::Followers(name, settings->second.dataCentre_, hosts, count);
     const auto self =
       std::find(followers.begin(), followers.end(), state.self_.name_);
     target.followerRank_ = static_cast<std::uint32_t>(self - followers.begin());
     // A report from before this host followed the target may be old.
     target.reached_ = IsCurrent(target, aContext.now_);
-    target.followed_ = state.live_.empty() || self != followers.end();
+    target.followed_ = hosts.empty() || self != followers.end();
   }
 }
 
--- a/test/locations-test.cc
+++ b/test/locations-test.cc
@@ -150,6 +150,8 @@
   std::uint32_t newOneIn_ = 0;
   // Holders don't answer questions for load.
   bool silent_ = false;
+  // The host has left the lists and serves its last requests.
+  bool draining_ = false;
   bool leaving_ = false;
   std::string version_ = "v1";
 };
@@ -165,7 +167,9 @@
     std::vector<std::string> names;
     for (std::size_t i = 0; i < kHosts; ++i) {
       names.push_back(absl::StrCat("h", i));
-      state_.live_.push_back({ names.back(), DataCentreName(i) });
+      if (!trial_.draining_ || names.back() != state_.self_.name_) {
+        state_.live_.push_back({ names.back(), DataCentreName(i) });
+      }
     }
     state_.hosts_ = directory::MakeHostSet(std::move(names));
     Send(reducer::ConfigInForce{ MakeConfig() });
@@ -173,7 +177,7 @@
       if (placement::Followed(name,
                               target.dataCentre_,
                               state_.self_.name_,
-                              state_.live_,
+                              placement::WithSelf(state_.live_, state_.self_),
                               state_.config_->targets_.size())) {
         followed_.push_back(name);
       }
@@ -224,6 +228,14 @@
            followed_.end();
   }
 
+  std::size_t CountFollowed() const
+  {
+    return static_cast<std::size_t>(std::count_if(
+      state_.targets_.begin(), state_.targets_.end(), [](const auto& aTarget) {
+        return aTarget.second.followed_;
+      }));
+  }
+
   Figures figures_;
 
 private:
@@ -539,3 +551,13 @@
   CHECK(host.figures_.refused_ == 0);
   CHECK(host.figures_.dispatches_[target] == 3);
 }
+
+TEST_CASE("a host that drains goes on following its targets")
+{
+  Trial trial;
+  trial.draining_ = true;
+  const Host draining(trial);
+  const Host listed;
+  CHECK(listed.CountFollowed() > 20);
+  CHECK(draining.CountFollowed() == listed.CountFollowed());
+}
