--- a/include/lycheeplank/placement.h
+++ b/include/lycheeplank/placement.h
@@ -105,27 +105,6 @@
   std::uint64_t queuedBytes_ = 0;
 };
 
-// What this host has learnt of a store's link from its transfers.
-struct LinkView
-{
-  double bytesPerSecond_ = 0.0;
-  std::uint32_t failuresInRow_ = 0;
-  // Imports are not tried before this time.
-  absl::Time closedUntil_ = absl::InfinitePast();
-};
-
-// Takes in a finished transfer, with the time it took after its wait.
-void
-NoteTransfer(LinkView& aLink, std::uint64_t aBytes, absl::Duration aTook);
-
-// Takes in a failed transfer; repeated failures close the link for longer.
-void
-NoteFailure(LinkView& aLink, absl::Time aNow);
-
-// Whether imports may be tried.
-bool
-Usable(const LinkView& aLink, absl::Time aNow);
-
 // Estimated parts of the time to first token.
 struct Estimate
 {
--- a/src/placement/track.cc
+++ b/src/placement/track.cc
@@ -1,20 +1,7 @@
 #include "lycheeplank/placement.h"
 
-#include <algorithm>
-
 namespace lycheeplank::placement {
 
-namespace {
-
-// Part of the newest transfer in the learnt rate of a link.
-constexpr double kNewestShare = 0.3;
-// Transfers shorter than this say little about a rate.
-constexpr absl::Duration kShortestTransfer = absl::Milliseconds(1);
-constexpr absl::Duration kFirstClosure = absl::Seconds(1);
-constexpr absl::Duration kLongestClosure = absl::Seconds(30);
-
-} // namespace
-
 OwnWork
 OwnWorkSince(const std::vector<SentRun>& aSent,
              absl::Time aReportedAt,
@@ -36,33 +23,4 @@
   return own;
 }
 
-void
-NoteTransfer(LinkView& aLink, std::uint64_t aBytes, absl::Duration aTook)
-{
-  aLink.failuresInRow_ = 0;
-  aLink.closedUntil_ = absl::InfinitePast();
-  const double rate = static_cast<double>(aBytes) /
-                      absl::ToDoubleSeconds(std::max(aTook, kShortestTransfer));
-  aLink.bytesPerSecond_ =
-    aLink.bytesPerSecond_ <= 0.0
-      ? rate
-      : (1.0 - kNewestShare) * aLink.bytesPerSecond_ + kNewestShare * rate;
-}
-
-void
-NoteFailure(LinkView& aLink, absl::Time aNow)
-{
-  const absl::Duration closure =
-    std::min(kLongestClosure,
-             kFirstClosure * (1U << std::min(aLink.failuresInRow_, 5U)));
-  ++aLink.failuresInRow_;
-  aLink.closedUntil_ = aNow + closure;
-}
-
-bool
-Usable(const LinkView& aLink, absl::Time aNow)
-{
-  return aNow >= aLink.closedUntil_;
-}
-
 } // namespace lycheeplank::placement
