--- a/test/peer-test.cc
+++ b/test/peer-test.cc
@@ -74,6 +74,7 @@
   CHECK(bytes <= kBlocks * 8 + 16 + kEngine.name_.size() + 16);
   const auto chain = SightingsOf(3, kBlocks, false);
   std::vector<core::BlockKey> keys;
+  keys.reserve(chain.size());
   for (const auto& sighting : chain) {
     keys.push_back(sighting.block_);
   }
@@ -85,6 +86,7 @@
   directory::State state;
   const auto sightings = SightingsOf(3, 4, true);
   std::vector<core::BlockKey> chain;
+  chain.reserve(sightings.size());
   for (const auto& sighting : sightings) {
     chain.push_back(sighting.block_);
   }
