--- a/include/lycheeplank/directory.h
+++ b/include/lycheeplank/directory.h
@@ -125,7 +125,8 @@
   std::uint32_t blocksAfterGap_ = 0;
 };
 
-// Records what was seen at a holder.
+// Records what was seen at a holder. A block that was missing under a
+// generation takes no newer copy away.
 void
 Apply(State& aState, const HolderId& aHolder, const Sighting& aSighting);
 
@@ -151,6 +152,23 @@
 std::size_t
 CountBlocks(const State& aState, absl::string_view aName);
 
+// Returns what it tells of a store that an import asked it for the blocks
+// [aFirst, aFirst + generations) and got only the first aImported.
+std::vector<Sighting>
+MissedByImport(const std::vector<core::BlockKey>& aChain,
+               std::size_t aFirst,
+               const std::vector<std::uint64_t>& aGenerations,
+               std::size_t aImported);
+
+// Records the same; copies of a newer generation stay.
+void
+CorrectByImport(State& aState,
+                const HolderId& aStore,
+                const std::vector<core::BlockKey>& aChain,
+                std::size_t aFirst,
+                const std::vector<std::uint64_t>& aGenerations,
+                std::size_t aImported);
+
 // Finds the holders of the blocks of a prompt, given in order. Holders without
 // the first block are left out, unless they are stores with later blocks.
 std::vector<Holder>
--- a/include/lycheeplank/placement.h
+++ b/include/lycheeplank/placement.h
@@ -105,27 +105,6 @@
   std::uint64_t queuedBytes_ = 0;
 };
 
-// What this host has learnt of a store's link from its transfers.
-struct LinkView
-{
-  double bytesPerSecond_ = 0.0;
-  std::uint32_t failuresInRow_ = 0;
-  // Imports are not tried before this time.
-  absl::Time closedUntil_ = absl::InfinitePast();
-};
-
-// Takes in a finished transfer, with the time it took after its wait.
-void
-NoteTransfer(LinkView& aLink, std::uint64_t aBytes, absl::Duration aTook);
-
-// Takes in a failed transfer; repeated failures close the link for longer.
-void
-NoteFailure(LinkView& aLink, absl::Time aNow);
-
-// Whether imports may be tried.
-bool
-Usable(const LinkView& aLink, absl::Time aNow);
-
 // Estimated parts of the time to first token.
 struct Estimate
 {
@@ -207,6 +186,17 @@
 // Hosts that follow a target at least, so that the loss of some is harmless.
 inline constexpr std::uint32_t kMinFollowers = 3;
 
+// Questions for load that a host asks in a second at most, so that its control
+// traffic doesn't grow with the targets.
+inline constexpr double kLoadQuestionsPerSecond = 24.0;
+// Those of them that are kept for holders that the host doesn't follow.
+inline constexpr std::size_t kHolderQuestionsPerSecond = 10;
+
+// Returns how many questions in a second a host may ask the targets that it
+// follows, out of all targets.
+double
+FollowedQuestionsPerSecond(std::size_t aFollowed, std::size_t aTargets);
+
 // Returns how many hosts follow each target.
 std::size_t
 FollowerCount(std::size_t aHosts, std::size_t aTargets);
@@ -219,6 +209,12 @@
           const std::vector<Follower>& aHosts,
           std::size_t aCount);
 
+// Returns the hosts with the given one among them, unless there are none. A
+// host that has left the lists serves for some time yet, so it goes on
+// following.
+std::vector<Follower>
+WithSelf(std::vector<Follower> aHosts, const Follower& aSelf);
+
 // Whether the host is one of the target's followers.
 bool
 Followed(absl::string_view aTarget,
--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <deque>
 #include <set>
 #include <string>
 #include <utility>
@@ -151,6 +152,13 @@
   bool known_ = true;
 };
 
+// All targets that AskLoads named have reported, or their time is over.
+struct LoadsHeard
+{
+  RequestId id_ = 0;
+  std::uint32_t attempt_ = 0;
+};
+
 // A batch of an engine's cache events, or its whole inventory.
 struct CacheReported
 {
@@ -316,6 +324,7 @@
                             AttemptStarted,
                             AttemptEnded,
                             Located,
+                            LoadsHeard,
                             TargetReported,
                             CacheReported,
                             StoreReported,
@@ -369,6 +378,17 @@
   std::vector<core::BlockKey> chain_;
 };
 
+// Asks targets that this host doesn't follow for their load reports, since they
+// hold blocks of the request's prompt or since none of its own can take it.
+struct AskLoads
+{
+  RequestId id_ = 0;
+  std::uint32_t attempt_ = 0;
+  std::vector<std::string> targets_;
+  // Time that they have for their reports.
+  absl::Duration timeout_ = absl::ZeroDuration();
+};
+
 // Tells a home what was seen at a holder.
 struct SendSightings
 {
@@ -538,6 +558,7 @@
                              CancelAttempt,
                              Drop,
                              AskHomes,
+                             AskLoads,
                              SendSightings,
                              FetchInventory,
                              FetchStoreInventory,
@@ -589,8 +610,12 @@
   // Attempts of this host that are not over.
   std::vector<SentWork> own_;
   directory::EventCursor cursor_;
+  // This host asks for the target's reports all the time.
+  bool followed_ = false;
   // Position of this host among the target's followers.
   std::uint32_t followerRank_ = 0;
+  // The target did not answer; it is not asked before this time.
+  absl::Time silentUntil_ = absl::InfinitePast();
 };
 
 // What this host knows of one store.
@@ -617,6 +642,8 @@
   Waiting,
   // Has a slot; waits for the home of its prompt.
   Locating,
+  // Has a slot; waits for the load of targets that this host doesn't follow.
+  Asking,
   // Has a slot; waits for the claim on its idempotency key.
   Claiming,
   Running,
@@ -635,9 +662,16 @@
   std::vector<core::BlockKey> chain_;
   // What stores hold of it; nothing if no home has said.
   absl::optional<std::vector<Holding>> holdings_;
+  // Leading blocks that the directory says the attempt's target holds.
+  std::uint32_t knownBlocks_ = 0;
   // Store and blocks of the attempt's import.
   absl::optional<placement::Import> import_;
   std::vector<std::string> triedTargets_;
+  // Holders of its blocks and those whose load was asked for, while it waits.
+  std::vector<directory::Holder> holders_;
+  std::vector<std::string> askedTargets_;
+  // The attempt begins when these have reported.
+  bool asksForAny_ = false;
   std::uint32_t cachedBlocks_ = 0;
   absl::Time arrived_;
   absl::Time sent_;
@@ -705,6 +739,8 @@
   directory::State directory_;
   directory::HostSet hosts_;
   std::vector<placement::Follower> live_;
+  // When targets that this host doesn't follow were asked, within a second.
+  std::deque<absl::Time> ownQuestions_;
   membership::State members_;
   // What the traffic threads were told last.
   PublishServing serving_;
--- a/src/directory/directory.cc
+++ b/src/directory/directory.cc
@@ -23,19 +23,6 @@
   return copy;
 }
 
-// Whether a newer generation of a block is known than the one that was seen to
-// be gone.
-bool
-IsNewer(const State& aState, std::uint16_t aHolder, const Sighting& aGone)
-{
-  const auto block = aState.blocks_.find(ShortKey(aGone.block_));
-  if (aGone.generation_ == 0 || block == aState.blocks_.end()) {
-    return false;
-  }
-  const Copy* copy = FindCopy(aState, block->second, aHolder);
-  return copy != nullptr && copy->generation_ > aGone.generation_;
-}
-
 // Returns the short keys of all blocks of a holder. For a store this looks at
 // all blocks.
 std::vector<std::uint64_t>
@@ -98,16 +85,30 @@
   return aHolders.back();
 }
 
+void
+ApplyMissing(State& aState, const HolderId& aHolder, const Sighting& aSighting)
+{
+  const auto holder = FindHolder(aState, aHolder.name_);
+  const auto key = ShortKey(aSighting.block_);
+  const auto block = aState.blocks_.find(key);
+  if (holder == kNoHolder || block == aState.blocks_.end()) {
+    return;
+  }
+  const Copy* copy = FindCopy(aState, block->second, holder);
+  const bool newer = copy != nullptr && aSighting.generation_ > 0 &&
+                     copy->generation_ > aSighting.generation_;
+  if (!newer) {
+    RemoveCopy(aState, holder, key);
+  }
+}
+
 } // namespace
 
 void
 Apply(State& aState, const HolderId& aHolder, const Sighting& aSighting)
 {
   if (!aSighting.present_) {
-    if (const auto holder = FindHolder(aState, aHolder.name_);
-        holder != kNoHolder && !IsNewer(aState, holder, aSighting)) {
-      RemoveCopy(aState, holder, ShortKey(aSighting.block_));
-    }
+    ApplyMissing(aState, aHolder, aSighting);
     return;
   }
   if (const auto holder = AddHolder(aState, aHolder); holder != kNoHolder) {
@@ -170,6 +171,37 @@
   return holder == kNoHolder ? 0 : aState.holders_[holder].copies_;
 }
 
+std::vector<Sighting>
+MissedByImport(const std::vector<core::BlockKey>& aChain,
+               std::size_t aFirst,
+               const std::vector<std::uint64_t>& aGenerations,
+               std::size_t aImported)
+{
+  std::vector<Sighting> missed;
+  for (std::size_t i = aImported;
+       i < aGenerations.size() && aFirst + i < aChain.size();
+       ++i) {
+    Sighting sighting{ aChain[aFirst + i], aChain.front(), false };
+    sighting.generation_ = aGenerations[i];
+    missed.push_back(sighting);
+  }
+  return missed;
+}
+
+void
+CorrectByImport(State& aState,
+                const HolderId& aStore,
+                const std::vector<core::BlockKey>& aChain,
+                std::size_t aFirst,
+                const std::vector<std::uint64_t>& aGenerations,
+                std::size_t aImported)
+{
+  for (const auto& missed :
+       MissedByImport(aChain, aFirst, aGenerations, aImported)) {
+    Apply(aState, aStore, missed);
+  }
+}
+
 std::vector<Holder>
 Locate(const State& aState, const std::vector<core::BlockKey>& aChain)
 {
--- a/src/placement/follow.cc
+++ b/src/placement/follow.cc
@@ -14,6 +14,15 @@
 
 } // namespace
 
+double
+FollowedQuestionsPerSecond(std::size_t aFollowed, std::size_t aTargets)
+{
+  return aFollowed >= aTargets
+           ? kLoadQuestionsPerSecond
+           : kLoadQuestionsPerSecond -
+               static_cast<double>(kHolderQuestionsPerSecond);
+}
+
 std::size_t
 FollowerCount(std::size_t aHosts, std::size_t aTargets)
 {
@@ -47,6 +56,19 @@
   return followers;
 }
 
+std::vector<Follower>
+WithSelf(std::vector<Follower> aHosts, const Follower& aSelf)
+{
+  const bool listed =
+    std::any_of(aHosts.begin(), aHosts.end(), [&](const Follower& aHost) {
+      return aHost.name_ == aSelf.name_;
+    });
+  if (!listed && !aHosts.empty()) {
+    aHosts.push_back(aSelf);
+  }
+  return aHosts;
+}
+
 bool
 Followed(absl::string_view aTarget,
          absl::string_view aDataCentre,
--- a/src/reducer/requests.cc
+++ b/src/reducer/requests.cc
@@ -11,6 +11,8 @@
 
 // Weight of the newest value in moving averages.
 constexpr double kSmoothing = 0.1;
+// Of so many runs one tells the homes of its prompt all blocks.
+constexpr RequestId kWholeReportEvery = 16;
 // Suggested wait where nothing better is known.
 constexpr absl::Duration kDefaultRetryAfter = absl::Seconds(1);
 
@@ -75,14 +77,26 @@
             own.end());
 }
 
-// Gives a request that has a slot its next attempt.
+// Refuses a request whose model is no longer configured.
+bool
+RefuseRemoved(Context& aContext, const RequestState& aRequest)
+{
+  if (aContext.state_.config_->models_.count(aRequest.request_.serves_) > 0) {
+    return false;
+  }
+  Refuse(aContext,
+         aRequest.request_.id_,
+         { core::ErrorKind::UnknownModel,
+           absl::StrCat("model ",
+                        aRequest.request_.serves_,
+                        " was removed while the request waited") });
+  return true;
+}
+
+// Begins an attempt when there may be targets for it.
 void
-StartAttempt(Context& aContext, RequestState& aRequest)
+BeginAttempt(Context& aContext, RequestState& aRequest)
 {
-  ++aRequest.attempt_;
-  aRequest.import_.reset();
-  aRequest.holdings_.reset();
-  aRequest.started_ = absl::InfiniteFuture();
   if (!aRequest.request_.repeatable_) {
     AskForClaim(aContext, aRequest);
     return;
@@ -92,16 +106,10 @@
     return;
   }
   State& state = aContext.state_;
-  if (state.config_->models_.count(aRequest.request_.serves_) == 0) {
-    Refuse(aContext,
-           aRequest.request_.id_,
-           { core::ErrorKind::UnknownModel,
-             absl::StrCat("model ",
-                          aRequest.request_.serves_,
-                          " was removed while the request waited") });
+  if (RefuseRemoved(aContext, aRequest)) {
     return;
   }
-  aRequest.weightVersion_ = ChooseVersion(state, aRequest);
+  aRequest.weightVersion_ = ChooseVersion(aContext, aRequest);
   aRequest.chain_ = core::ChainBlocks({ aRequest.request_.workspace_,
                                         aRequest.request_.serves_,
                                         aRequest.weightVersion_,
@@ -118,7 +126,7 @@
   if (atHome) {
     const auto holders = directory::Locate(state.directory_, aRequest.chain_);
     aRequest.holdings_ = HoldingsOf(holders);
-    Place(aContext, aRequest, holders);
+    AskAndPlace(aContext, aRequest, holders);
     return;
   }
   aRequest.phase_ = Phase::Locating;
@@ -126,6 +134,20 @@
     aRequest.request_.id_, aRequest.attempt_, homes, aRequest.chain_ });
 }
 
+// Gives a request that has a slot its next attempt.
+void
+StartAttempt(Context& aContext, RequestState& aRequest)
+{
+  ++aRequest.attempt_;
+  aRequest.import_.reset();
+  aRequest.knownBlocks_ = 0;
+  aRequest.holdings_.reset();
+  aRequest.started_ = absl::InfiniteFuture();
+  if (!AskForAny(aContext, aRequest)) {
+    BeginAttempt(aContext, aRequest);
+  }
+}
+
 // Moves a request from the queue to its first attempt.
 void
 StartRequest(Context& aContext, const admission::Request& aAdmitted)
@@ -261,19 +283,11 @@
 {
   const placement::Import& import = *aRequest.import_;
   const std::size_t reused = aEvent.cachedBlocks_ + aEvent.importedBlocks_;
-  const std::size_t end = std::min<std::size_t>(
-    import.firstBlock_ + import.generations_.size(), aRequest.chain_.size());
-  std::vector<directory::Sighting> gone;
-  for (std::size_t i = std::max<std::size_t>(reused, import.firstBlock_);
-       i < end;
-       ++i) {
-    directory::Sighting sighting;
-    sighting.block_ = aRequest.chain_[i];
-    sighting.root_ = aRequest.chain_[0];
-    sighting.present_ = false;
-    sighting.generation_ = import.generations_[i - import.firstBlock_];
-    gone.push_back(sighting);
-  }
+  const std::size_t first = import.firstBlock_;
+  const auto gone = directory::MissedByImport(aRequest.chain_,
+                                              first,
+                                              import.generations_,
+                                              std::max(reused, first) - first);
   if (gone.empty()) {
     return;
   }
@@ -283,25 +297,29 @@
   aRequest.holdings_.reset();
 }
 
-// Corrects the directory by what a run found.
+// Tells the homes of a prompt what a run found out.
 void
 CorrectDirectory(Context& aContext,
                  RequestState& aRequest,
                  const AttemptStarted& aEvent)
 {
-  const directory::HolderId engine{ aRequest.target_,
-                                    directory::HolderKind::Engine };
-  directory::CorrectByRun(
-    aContext.state_.directory_, engine, aRequest.chain_, aEvent.cachedBlocks_);
+  const auto& chain = aRequest.chain_;
   if (aRequest.import_) {
     CorrectStore(aContext, aRequest, aEvent);
   }
-  // The engine will hold the whole prompt once it is computed.
+  // The engine will hold the whole prompt once it is computed. What the home
+  // that was asked knows already is told now and then only, in case that the
+  // other home doesn't know it.
+  const bool whole = aRequest.request_.id_ % kWholeReportEvery == 0;
+  const std::size_t first = whole ? 0 : aRequest.knownBlocks_;
   std::vector<directory::Sighting> sightings;
-  for (const auto& block : aRequest.chain_) {
-    sightings.push_back({ block, aRequest.chain_[0] });
+  for (std::size_t i = first; i < chain.size(); ++i) {
+    sightings.push_back({ chain[i], chain[0] });
   }
-  SpreadSightings(aContext, engine, sightings, false);
+  SpreadSightings(aContext,
+                  { aRequest.target_, directory::HolderKind::Engine },
+                  sightings,
+                  false);
 }
 
 // Ends a request whose deadline has passed after it had got a slot.
@@ -322,7 +340,8 @@
     aContext.effects_.emplace_back(
       CancelAttempt{ aRequest.request_.id_, aRequest.attempt_ });
   }
-  if (aRequest.request_.repeatable_) {
+  const bool claimed = aRequest.asks_ > 0;
+  if (aRequest.request_.repeatable_ || !claimed) {
     Refuse(aContext, aRequest.request_.id_, std::move(error));
   } else if (sent) {
     GiveUpSentCall(aContext, aRequest, std::move(error));
@@ -487,8 +506,10 @@
   Pool& pool = PoolOf(aContext.state_, request.request_);
   if (aEvent.result_ == AttemptResult::WrongVersion) {
     // The target works; only what was known of its version is old.
-    aContext.state_.targets_[request.target_].weightVersion_ =
-      aEvent.weightVersion_;
+    const auto target = aContext.state_.targets_.find(request.target_);
+    if (target != aContext.state_.targets_.end()) {
+      target->second.weightVersion_ = aEvent.weightVersion_;
+    }
   } else if (admission::CountFailure(
                pool.health_, request.target_, aContext.now_)) {
     AddCount(aContext, "targets_put_aside_total", "target", request.target_);
@@ -511,7 +532,33 @@
   if (aEvent.known_) {
     found->second.holdings_ = HoldingsOf(aEvent.holders_);
   }
-  Place(aContext, found->second, aEvent.holders_);
+  if (!RefuseRemoved(aContext, found->second)) {
+    AskAndPlace(aContext, found->second, aEvent.holders_);
+  }
+}
+
+void
+OnLoadsHeard(Context& aContext, const LoadsHeard& aEvent)
+{
+  const auto found = aContext.state_.requests_.find(aEvent.id_);
+  if (found == aContext.state_.requests_.end() ||
+      found->second.attempt_ != aEvent.attempt_ ||
+      found->second.phase_ != Phase::Asking) {
+    return;
+  }
+  RequestState& request = found->second;
+  NoteSilent(aContext, request);
+  if (request.request_.deadline_ <= aContext.now_) {
+    // The next tick answers it.
+    return;
+  }
+  request.phase_ = Phase::Running;
+  if (request.asksForAny_) {
+    request.asksForAny_ = false;
+    BeginAttempt(aContext, request);
+  } else if (!RefuseRemoved(aContext, request)) {
+    Place(aContext, request, request.holders_);
+  }
 }
 
 void
--- a/src/reducer/targets.cc
+++ b/src/reducer/targets.cc
@@ -36,9 +36,10 @@
 }
 
 bool
-TakesWork(const TargetState& aTarget)
+TakesWork(const TargetState& aTarget, absl::Time aNow)
 {
-  return aTarget.reached_ && !aTarget.leaving_ && !aTarget.leavingListed_;
+  return IsCurrent(aTarget, aNow) && !aTarget.leaving_ &&
+         !aTarget.leavingListed_;
 }
 
 // Makes one pool for each model and service and lists their targets.
@@ -106,23 +107,28 @@
 } // namespace
 
 void
-RankFollowers(State& aState)
+RankFollowers(Context& aContext)
 {
-  if (!aState.config_) {
+  State& state = aContext.state_;
+  if (!state.config_) {
     return;
   }
+  const auto hosts = placement::WithSelf(state.live_, state.self_);
   const std::size_t count =
-    placement::FollowerCount(aState.live_.size(), aState.targets_.size());
-  for (auto& [name, target] : aState.targets_) {
-    const auto settings = aState.config_->targets_.find(name);
-    if (settings == aState.config_->targets_.end()) {
+    placement::FollowerCount(hosts.size(), state.targets_.size());
+  for (auto& [name, target] : state.targets_) {
+    const auto settings = state.config_->targets_.find(name);
+    if (settings == state.config_->targets_.end()) {
       continue;
     }
-    const auto followers = placement::Followers(
-      name, settings->second.dataCentre_, aState.live_, count);
+    const auto followers =
+      placement::Followers(name, settings->second.dataCentre_, hosts, count);
     const auto self =
-      std::find(followers.begin(), followers.end(), aState.self_.name_);
+      std::find(followers.begin(), followers.end(), state.self_.name_);
     target.followerRank_ = static_cast<std::uint32_t>(self - followers.begin());
+    // A report from before this host followed the target may be old.
+    target.reached_ = IsCurrent(target, aContext.now_);
+    target.followed_ = hosts.empty() || self != followers.end();
   }
 }
 
@@ -134,7 +140,9 @@
   bool any = false;
   for (const auto& name : aPool.targets_) {
     const TargetState& target = state.targets_.at(name);
-    if (!TakesWork(target)) {
+    // Targets that can be asked may have room when no other has.
+    any = any || IsAskable(target, aContext.now_);
+    if (!TakesWork(target, aContext.now_)) {
       continue;
     }
     any = true;
@@ -161,8 +169,10 @@
   TargetState& target = found->second;
   target.reached_ = aEvent.reached_;
   if (aEvent.reached_) {
-    if (target.reported_ && target.weightVersion_ != aEvent.weightVersion_) {
-      // Blocks of the version before can't be used by new requests.
+    if (target.followed_ && target.reported_ &&
+        target.weightVersion_ != aEvent.weightVersion_) {
+      // Blocks of the version before can't be used by new requests. Where this
+      // host doesn't follow the target, its blocks may be of the new version.
       directory::DropHolder(state.directory_, aEvent.target_);
       target.cursor_ = {};
     }
@@ -277,7 +287,7 @@
   DropUnknown(state);
   RebuildPools(aContext);
   ConfigureClaims(aContext);
-  RankFollowers(state);
+  RankFollowers(aContext);
   for (auto& [key, pool] : state.pools_) {
     UpdateSlots(aContext, pool);
   }
--- /dev/null
+++ b/test/locations-test.cc
@@ -0,0 +1,563 @@
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+#include <catch2/catch.hpp>
+
+#include "lycheeplank/reducer.h"
+#include "peer/convert.h"
+
+namespace config = lycheeplank::config;
+namespace core = lycheeplank::core;
+namespace directory = lycheeplank::directory;
+namespace peer = lycheeplank::peer;
+namespace placement = lycheeplank::placement;
+namespace reducer = lycheeplank::reducer;
+
+// One entry host of the designed size under a virtual clock: what it learns of
+// the holders of returning prompts, and what that costs in messages and bytes.
+
+namespace {
+
+constexpr std::size_t kHosts = 350;
+constexpr std::size_t kTargets = 1200;
+constexpr std::size_t kModels = 3;
+constexpr std::size_t kDataCentres = 9;
+constexpr std::size_t kBlocks = 20;
+constexpr double kRequestsPerSecond = 5.1;
+constexpr absl::Duration kTrialTime = absl::Minutes(5);
+constexpr absl::Duration kRunTime = absl::Seconds(2);
+constexpr absl::Duration kReplyTime = absl::Milliseconds(1);
+// Bytes of one question for load and its answer, as measured on loopback.
+constexpr std::uint64_t kLoadQuestionBytes = 311;
+
+const absl::Time kStart = absl::FromUnixSeconds(1'800'000'000);
+
+std::string
+TargetName(std::size_t aIndex)
+{
+  return absl::StrCat("e", aIndex);
+}
+
+std::string
+ModelName(std::size_t aIndex)
+{
+  return absl::StrCat("m", aIndex % kModels);
+}
+
+// Each data centre has targets of each model.
+std::string
+ModelOf(std::size_t aTarget)
+{
+  return ModelName(aTarget / kDataCentres);
+}
+
+std::string
+DataCentreName(std::size_t aIndex)
+{
+  return absl::StrCat("d", aIndex % kDataCentres);
+}
+
+std::string
+MakeDocument()
+{
+  std::string text = "workspaces:\n  owner: desk\n  entries:\n"
+                     "    nursing: {max_running: 100000, max_waiting: 100000, "
+                     "requests_per_second: 1000000}\n"
+                     "models:\n  owner: models\n  entries:\n";
+  for (std::size_t i = 0; i < kModels; ++i) {
+    absl::StrAppend(&text,
+                    "    ",
+                    ModelName(i),
+                    ": {versions: {v1: 1.0}, block_tokens: 2000}\n");
+  }
+  absl::StrAppend(
+    &text,
+    "    rare: {versions: {v1: 1.0}, block_tokens: 2000}\n"
+    "services:\n  owner: services\n  entries:\n"
+    "    registry: {calls: {check: {repeatable: true, timeout: "
+    "5s}}}\n"
+    "rules:\n  owner: desk\n  entries:\n"
+    "    all: {workspaces: [\"*\"], models: [\"*\"], services: [\"*\"]}\n"
+    "targets:\n  owner: machines\n  entries:\n");
+  for (std::size_t i = 0; i < kTargets; ++i) {
+    absl::StrAppend(&text,
+                    "    ",
+                    TargetName(i),
+                    ": {kind: engine, url: \"http://10.0.",
+                    i / 250,
+                    ".",
+                    i % 250,
+                    ":1\", data_centre: ",
+                    DataCentreName(i),
+                    ", serves: ",
+                    ModelOf(i),
+                    "}\n");
+  }
+  // Two that are in one data centre only.
+  absl::StrAppend(&text,
+                  "    rare1: {kind: engine, url: \"http://10.1.0.1:1\", "
+                  "data_centre: d0, serves: rare}\n"
+                  "    desk1: {kind: service, url: \"http://10.1.0.2:1\", "
+                  "data_centre: d0, serves: registry}\n");
+  return text;
+}
+
+config::ConfigPtr
+MakeConfig()
+{
+  const auto document = config::Split(MakeDocument());
+  auto checked = config::Check(document.sections_);
+  REQUIRE(checked.problems_.empty());
+  checked.config_.revision_ = 1;
+  return std::make_shared<const config::Config>(std::move(checked.config_));
+}
+
+// What one host sent and decided.
+struct Figures
+{
+  std::uint32_t runs_ = 0;
+  std::uint32_t refused_ = 0;
+  std::map<std::string, std::uint32_t> dispatches_;
+  // Runs that went to the engine that holds all blocks of the prompt.
+  std::uint32_t atHolder_ = 0;
+  // Those of them for which the host follows the engine.
+  std::uint32_t atFollowed_ = 0;
+  std::uint32_t followedQuestions_ = 0;
+  std::uint32_t ownQuestions_ = 0;
+  // Most questions for load within one second.
+  std::uint32_t mostQuestions_ = 0;
+  std::uint32_t locates_ = 0;
+  std::uint64_t locateBytes_ = 0;
+  // What runs tell the homes of their prompts.
+  std::uint32_t reports_ = 0;
+  std::uint64_t reportBytes_ = 0;
+  // What cache events of engines tell them.
+  std::uint32_t events_ = 0;
+  std::uint64_t eventBytes_ = 0;
+};
+
+// What a trial varies.
+struct Trial
+{
+  // Of this many requests one has a prompt that was never seen.
+  std::uint32_t newOneIn_ = 0;
+  // Holders don't answer questions for load.
+  bool silent_ = false;
+  // The host has left the lists and serves its last requests.
+  bool draining_ = false;
+  bool leaving_ = false;
+  std::string version_ = "v1";
+};
+
+// An entry host whose homes, targets and callers are played by the test.
+class Host
+{
+public:
+  explicit Host(Trial aTrial = {})
+    : trial_(std::move(aTrial))
+  {
+    state_.self_ = { "h7", DataCentreName(7) };
+    std::vector<std::string> names;
+    for (std::size_t i = 0; i < kHosts; ++i) {
+      names.push_back(absl::StrCat("h", i));
+      if (!trial_.draining_ || names.back() != state_.self_.name_) {
+        state_.live_.push_back({ names.back(), DataCentreName(i) });
+      }
+    }
+    state_.hosts_ = directory::MakeHostSet(std::move(names));
+    Send(reducer::ConfigInForce{ MakeConfig() });
+    for (const auto& [name, target] : state_.config_->targets_) {
+      if (placement::Followed(name,
+                              target.dataCentre_,
+                              state_.self_.name_,
+                              placement::WithSelf(state_.live_, state_.self_),
+                              state_.config_->targets_.size())) {
+        followed_.push_back(name);
+      }
+    }
+    REQUIRE_FALSE(followed_.empty());
+  }
+
+  // Lets one request for a model or service arrive that nobody holds.
+  void ArriveFor(const std::string& aServes, reducer::RequestKind aKind)
+  {
+    reducer::NewRequest request;
+    request.id_ = ++lastId_;
+    request.name_ = absl::StrCat("r", request.id_);
+    request.workspace_ = "nursing";
+    request.kind_ = aKind;
+    request.serves_ = aServes;
+    request.promptTokens_ = 2000;
+    request.maxTokens_ = 100;
+    if (aKind == reducer::RequestKind::Completion) {
+      request.contents_ = { { 1, 2 } };
+    }
+    request.deadline_ = now_ + absl::Seconds(30);
+    holderOf_[request.id_] = "";
+    Send(reducer::RequestArrived{ request });
+  }
+
+  // Lets prompts return for this long.
+  void Run(absl::Duration aTime)
+  {
+    const absl::Time end = now_ + aTime;
+    std::exponential_distribution<double> gap(kRequestsPerSecond);
+    PollFollowed();
+    At(absl::Seconds(gap(random_)), [this, &gap] { Arrive(gap); });
+    while (!events_.empty() && events_.begin()->first <= end) {
+      const auto next = events_.begin();
+      now_ = next->first;
+      const auto action = std::move(next->second);
+      events_.erase(next);
+      action();
+    }
+    now_ = end;
+  }
+
+  // Whether the host asks for the target's reports all the time.
+  bool Follows(const std::string& aTarget) const
+  {
+    return std::find(followed_.begin(), followed_.end(), aTarget) !=
+           followed_.end();
+  }
+
+  std::size_t CountFollowed() const
+  {
+    return static_cast<std::size_t>(std::count_if(
+      state_.targets_.begin(), state_.targets_.end(), [](const auto& aTarget) {
+        return aTarget.second.followed_;
+      }));
+  }
+
+  Figures figures_;
+
+private:
+  void At(absl::Duration aDelay, std::function<void()> aAction)
+  {
+    events_.emplace(now_ + aDelay, std::move(aAction));
+  }
+
+  void CountQuestion()
+  {
+    asked_.push_back(now_);
+    while (asked_.front() <= now_ - absl::Seconds(1)) {
+      asked_.erase(asked_.begin());
+    }
+    figures_.mostQuestions_ = std::max(
+      figures_.mostQuestions_, static_cast<std::uint32_t>(asked_.size()));
+  }
+
+  void Report(const std::string& aTarget,
+              bool aLeaving = false,
+              const std::string& aVersion = "v1")
+  {
+    reducer::TargetReported report;
+    report.target_ = aTarget;
+    report.reached_ = true;
+    report.leaving_ = aLeaving;
+    report.weightVersion_ = aVersion;
+    Send(report);
+  }
+
+  // Asks one followed target after the other, as the poller does.
+  void PollFollowed()
+  {
+    const std::string target = followed_[polled_++ % followed_.size()];
+    ++figures_.followedQuestions_;
+    CountQuestion();
+    Report(target);
+    At(QuestionGap(), [this] { PollFollowed(); });
+  }
+
+  absl::Duration QuestionGap() const
+  {
+    return absl::Seconds(
+      1.0 / placement::FollowedQuestionsPerSecond(followed_.size(), kTargets));
+  }
+
+  void Arrive(std::exponential_distribution<double>& aGap)
+  {
+    reducer::NewRequest request;
+    request.id_ = ++lastId_;
+    request.name_ = absl::StrCat("r", request.id_);
+    request.workspace_ = "nursing";
+    const std::size_t holder = random_() % kTargets;
+    request.serves_ = ModelOf(holder);
+    request.promptTokens_ = kBlocks * 2000;
+    request.maxTokens_ = 100;
+    for (std::size_t i = 0; i < kBlocks; ++i) {
+      request.contents_.push_back({ random_(), random_() });
+    }
+    request.deadline_ = now_ + absl::Seconds(30);
+    const bool isNew = trial_.newOneIn_ > 0 && lastId_ % trial_.newOneIn_ == 0;
+    holderOf_[request.id_] = isNew ? "" : TargetName(holder);
+    Send(reducer::RequestArrived{ request });
+    At(absl::Seconds(aGap(random_)), [this, &aGap] { Arrive(aGap); });
+  }
+
+  void Send(const reducer::Event& aEvent)
+  {
+    for (const auto& effect :
+         reducer::Step(state_, { now_, random_() }, aEvent)) {
+      absl::visit([this](const auto& aEffect) { Perform(aEffect); }, effect);
+    }
+  }
+
+  template<typename Other>
+  void Perform(const Other&)
+  {
+  }
+
+  void Perform(const reducer::Refuse&) { ++figures_.refused_; }
+
+  void Perform(const reducer::AskHomes& aEffect)
+  {
+    ++figures_.locates_;
+    figures_.locateBytes_ += peer::LocateToWire(aEffect.chain_).ByteSizeLong();
+    reducer::Located located{ aEffect.id_, aEffect.attempt_, {} };
+    const std::string& holder = holderOf_.at(aEffect.id_);
+    if (!holder.empty()) {
+      located.holders_.push_back({ { holder, directory::HolderKind::Engine },
+                                   static_cast<std::uint32_t>(kBlocks) });
+    }
+    figures_.locateBytes_ += peer::ToWire(located.holders_).ByteSizeLong();
+    At(kReplyTime, [this, located] { Send(located); });
+  }
+
+  void Perform(const reducer::AskLoads& aEffect)
+  {
+    for (const auto& target : aEffect.targets_) {
+      ++figures_.ownQuestions_;
+      CountQuestion();
+      if (!trial_.silent_) {
+        At(kReplyTime, [this, target] {
+          Report(target, trial_.leaving_, trial_.version_);
+        });
+      }
+    }
+    const reducer::LoadsHeard heard{ aEffect.id_, aEffect.attempt_ };
+    At(kReplyTime, [this, heard] { Send(heard); });
+  }
+
+  void Perform(const reducer::SendSightings& aEffect)
+  {
+    const std::uint64_t bytes =
+      peer::ToWire(aEffect.holder_, aEffect.sightings_, aEffect.inventory_)
+        .ByteSizeLong();
+    (feeding_ ? figures_.events_ : figures_.reports_) += 1;
+    (feeding_ ? figures_.eventBytes_ : figures_.reportBytes_) += bytes;
+  }
+
+  void Perform(const reducer::Dispatch& aEffect)
+  {
+    const std::string holder = holderOf_.at(aEffect.id_);
+    if (holder.empty()) {
+      Feed(aEffect.target_, aEffect.id_);
+    }
+    ++figures_.dispatches_[aEffect.target_];
+    const bool atHolder = holder == aEffect.target_;
+    figures_.runs_ += holder.empty() ? 0 : 1;
+    figures_.atHolder_ += atHolder ? 1 : 0;
+    figures_.atFollowed_ += atHolder && Follows(holder) ? 1 : 0;
+    reducer::AttemptStarted started{ aEffect.id_,
+                                     aEffect.attempt_,
+                                     aEffect.weightVersion_,
+                                     atHolder
+                                       ? static_cast<std::uint32_t>(kBlocks)
+                                       : 0 };
+    At(kReplyTime, [this, started] { Send(started); });
+    reducer::AttemptEnded ended{ aEffect.id_,
+                                 aEffect.attempt_,
+                                 reducer::AttemptResult::Whole };
+    At(kRunTime, [this, ended] { Send(ended); });
+  }
+
+  // A new prompt takes the place of an old one in the engine's cache, and two
+  // hosts read of it in the engine's events. Over all hosts each has its part
+  // of this, here as if it read twice of the runs that it sent itself.
+  void Feed(const std::string& aTarget, reducer::RequestId aId)
+  {
+    const auto& chain = state_.requests_.at(aId).chain_;
+    if (chain.size() != kBlocks) {
+      return;
+    }
+    reducer::CacheReported report;
+    report.target_ = aTarget;
+    directory::EventCursor& cursor = state_.targets_.at(aTarget).cursor_;
+    cursor.needsInventory_ = false;
+    const core::BlockKey root{ random_(), random_() };
+    for (std::size_t i = 0; i < kBlocks; ++i) {
+      const core::BlockKey freed{ random_(), random_() };
+      report.sightings_.push_back({ i == 0 ? root : freed, root, false });
+    }
+    for (const auto& block : chain) {
+      report.sightings_.push_back({ block, chain[0], true });
+    }
+    report.lastSequence_ = cursor.lastSeq_;
+    At(kRunTime, [this, report] {
+      feeding_ = true;
+      Send(report);
+      Send(report);
+      feeding_ = false;
+    });
+  }
+
+  const Trial trial_;
+  reducer::State state_;
+  absl::Time now_ = kStart;
+  std::mt19937_64 random_{ 1 };
+  std::vector<std::string> followed_;
+  std::size_t polled_ = 0;
+  bool feeding_ = false;
+  std::vector<absl::Time> asked_;
+  std::multimap<absl::Time, std::function<void()>> events_;
+  std::map<reducer::RequestId, std::string> holderOf_;
+  reducer::RequestId lastId_ = 0;
+};
+
+double
+BytesToHomes(const Figures& aFigures)
+{
+  return static_cast<double>(aFigures.locateBytes_ + aFigures.reportBytes_ +
+                             aFigures.eventBytes_);
+}
+
+std::string
+Describe(const Figures& aFigures, absl::Duration aTime)
+{
+  const double seconds = absl::ToDoubleSeconds(aTime);
+  const auto rate = [&](std::uint64_t aCount) {
+    return absl::StrFormat("%.1f/s", static_cast<double>(aCount) / seconds);
+  };
+  const std::uint64_t questions =
+    aFigures.followedQuestions_ + aFigures.ownQuestions_;
+  return absl::StrCat(
+    "runs of returning prompts ",
+    aFigures.runs_,
+    ", at their holder ",
+    aFigures.atHolder_,
+    ", refused ",
+    aFigures.refused_,
+    "; questions for load ",
+    rate(questions),
+    " (holders ",
+    rate(aFigures.ownQuestions_),
+    ", most in a second ",
+    aFigures.mostQuestions_,
+    "), bytes ",
+    rate(questions * kLoadQuestionBytes),
+    "; questions to homes ",
+    rate(aFigures.locates_),
+    ", bytes ",
+    rate(aFigures.locateBytes_),
+    "; reports of runs ",
+    rate(aFigures.reports_),
+    ", bytes ",
+    rate(aFigures.reportBytes_),
+    "; of cache events ",
+    rate(aFigures.events_),
+    ", bytes ",
+    rate(aFigures.eventBytes_),
+    "; all bytes to homes ",
+    absl::StrFormat("%.0f/s", BytesToHomes(aFigures) / seconds));
+}
+
+// Plays five minutes with one new prompt out of so many; 0 for none.
+Figures
+PlayShare(std::uint32_t aNewOneIn)
+{
+  Trial trial;
+  trial.newOneIn_ = aNewOneIn;
+  Host host(trial);
+  host.Run(kTrialTime);
+  return host.figures_;
+}
+
+} // namespace
+
+TEST_CASE("figures of prompt locations", "[.figures]")
+{
+  for (const std::uint32_t newOneIn : { 0U, 20U, 5U, 1U }) {
+    std::printf("new one in %u: %s\n",
+                newOneIn,
+                Describe(PlayShare(newOneIn), kTrialTime).c_str());
+  }
+}
+
+TEST_CASE("returning prompts go to their holders at the designed size")
+{
+  const Figures figures = PlayShare(0);
+  INFO(Describe(figures, kTrialTime));
+  CHECK(figures.refused_ == 0);
+  CHECK(figures.atHolder_ >= figures.runs_ * 0.95);
+  CHECK(figures.mostQuestions_ <= 24);
+}
+
+TEST_CASE("holders that don't answer cost no request its answer")
+{
+  Trial trial;
+  trial.silent_ = true;
+  Host host(trial);
+  host.Run(absl::Minutes(1));
+  CHECK(host.figures_.refused_ == 0);
+  CHECK(host.figures_.runs_ > 200);
+  CHECK(host.figures_.mostQuestions_ <= 24);
+}
+
+TEST_CASE("a holder that leaves or has other weights gets no run")
+{
+  Trial trial;
+  trial.leaving_ = GENERATE(true, false);
+  trial.version_ = trial.leaving_ ? "v1" : "v2";
+  Host host(trial);
+  host.Run(absl::Minutes(1));
+  CHECK(host.figures_.refused_ == 0);
+  CHECK(host.figures_.runs_ > 200);
+  // Some holders are targets that the host follows.
+  CHECK(host.figures_.atHolder_ == host.figures_.atFollowed_);
+}
+
+TEST_CASE("prompt locations fit the limit for control")
+{
+  // The limit less what all else takes; as much is received as sent.
+  constexpr double kLimitBytesPerSecond = (16384 - 10500) / 2.0;
+  const Figures figures = PlayShare(GENERATE(0U, 20U, 5U));
+  INFO(Describe(figures, kTrialTime));
+  CHECK(BytesToHomes(figures) / absl::ToDoubleSeconds(kTrialTime) <=
+        kLimitBytesPerSecond);
+}
+
+TEST_CASE("a host that follows no target of a model or service serves it too")
+{
+  Host host;
+  const bool service = GENERATE(false, true);
+  const std::string target = service ? "desk1" : "rare1";
+  for (const auto* name : { "rare1", "desk1" }) {
+    REQUIRE_FALSE(host.Follows(name));
+  }
+  for (int i = 0; i < 3; ++i) {
+    host.ArriveFor(service ? "registry" : "rare",
+                   service ? reducer::RequestKind::ServiceCall
+                           : reducer::RequestKind::Completion);
+  }
+  host.Run(absl::Seconds(10));
+  CHECK(host.figures_.refused_ == 0);
+  CHECK(host.figures_.dispatches_[target] == 3);
+}
+
+TEST_CASE("a host that drains goes on following its targets")
+{
+  Trial trial;
+  trial.draining_ = true;
+  const Host draining(trial);
+  const Host listed;
+  CHECK(listed.CountFollowed() > 20);
+  CHECK(draining.CountFollowed() == listed.CountFollowed());
+}
--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -368,6 +368,246 @@
   CHECK(world.Take<reducer::Dispatch>().empty());
 }
 
+namespace {
+
+// Makes another host the only follower of all targets, and the home of all
+// prompts.
+void
+FollowNothing(World& aWorld)
+{
+  for (auto& [name, target] : aWorld.state_.targets_) {
+    target.followed_ = false;
+  }
+  aWorld.state_.hosts_ = lycheeplank::directory::MakeHostSet({ "h2" });
+}
+
+// Lets a request arrive whose prompt is held by e1, and returns the question
+// for the load of e1.
+reducer::AskLoads
+ArriveWithHolder(World& aWorld)
+{
+  aWorld.Send(reducer::RequestArrived{ aWorld.MakeCompletion() });
+  const auto asked = aWorld.Take<reducer::AskHomes>();
+  REQUIRE(asked.size() == 1);
+  aWorld.Send(reducer::Located{
+    asked[0].id_,
+    asked[0].attempt_,
+    { { { "e1", lycheeplank::directory::HolderKind::Engine }, 2 } } });
+  const auto loads = aWorld.Take<reducer::AskLoads>();
+  REQUIRE(loads.size() == 1);
+  CHECK(loads[0].targets_ == std::vector<std::string>{ "e1" });
+  return loads[0];
+}
+
+} // namespace
+
+TEST_CASE("a target that is no longer followed gets no work by an old report")
+{
+  World world;
+  world.Report("e1");
+  world.Report("e2");
+  FollowNothing(world);
+  world.state_.targets_.at("e2").followed_ = true;
+  world.state_.hosts_ = {};
+  world.now_ += absl::Milliseconds(2500);
+  for (int i = 0; i < 20; ++i) {
+    world.Send(reducer::RequestArrived{ world.MakeCompletion() });
+  }
+  const auto sent = world.Take<reducer::Dispatch>();
+  REQUIRE_FALSE(sent.empty());
+  for (const auto& dispatch : sent) {
+    CHECK(dispatch.target_ == "e2");
+  }
+}
+
+TEST_CASE("a holder that isn't followed is asked for its load")
+{
+  World world;
+  FollowNothing(world);
+  world.state_.targets_.at("e2").followed_ = true;
+  world.Report("e2");
+  world.now_ += absl::Seconds(3);
+  const auto asked = ArriveWithHolder(world);
+  CHECK(world.Take<reducer::Dispatch>().empty());
+  SECTION("and gets the run")
+  {
+    world.Report("e1");
+    world.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+    const auto sent = world.Take<reducer::Dispatch>();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].target_ == "e1");
+    // The same news again places nothing.
+    world.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+    CHECK(world.Take<reducer::Dispatch>().empty());
+  }
+  SECTION("and gets none if it leaves")
+  {
+    world.Report("e1", true);
+    world.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+    const auto sent = world.Take<reducer::Dispatch>();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].target_ == "e2");
+  }
+  SECTION("and is not asked again at once if it is silent")
+  {
+    world.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+    CHECK(world.Take<reducer::Dispatch>().at(0).target_ == "e2");
+    world.Send(reducer::RequestArrived{ world.MakeCompletion() });
+    const auto located = world.Take<reducer::AskHomes>();
+    world.Send(reducer::Located{
+      located.at(0).id_,
+      located[0].attempt_,
+      { { { "e1", lycheeplank::directory::HolderKind::Engine }, 2 } } });
+    CHECK(world.Take<reducer::AskLoads>().empty());
+    CHECK(world.Take<reducer::Dispatch>().at(0).target_ == "e2");
+  }
+  SECTION("and the deadline holds while it is asked")
+  {
+    world.now_ += absl::Seconds(31);
+    world.Send(reducer::Tick{});
+    const auto refused = world.Take<reducer::Refuse>();
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].error_.run_ == core::RunState::No);
+    world.Report("e1");
+    world.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+    CHECK(world.Take<reducer::Dispatch>().empty());
+  }
+}
+
+namespace {
+
+// Starts a run that finds so many blocks cached.
+void
+Start(World& aWorld, const reducer::Dispatch& aDispatch, std::uint32_t aCached)
+{
+  aWorld.Send(reducer::AttemptStarted{
+    aDispatch.id_, aDispatch.attempt_, "v1", aCached });
+}
+
+// Lets a request arrive whose home says that e1 holds so many of its two
+// blocks; it goes there.
+reducer::Dispatch
+ArriveAtHolder(World& aWorld, std::uint32_t aBlocks)
+{
+  aWorld.Send(reducer::RequestArrived{ aWorld.MakeCompletion() });
+  const auto asked = aWorld.Take<reducer::AskHomes>();
+  REQUIRE(asked.size() == 1);
+  aWorld.Send(reducer::Located{
+    asked[0].id_,
+    asked[0].attempt_,
+    { { { "e1", lycheeplank::directory::HolderKind::Engine }, aBlocks } } });
+  const auto sent = aWorld.Take<reducer::Dispatch>();
+  REQUIRE(sent.size() == 1);
+  REQUIRE(sent[0].target_ == "e1");
+  return sent[0];
+}
+
+} // namespace
+
+TEST_CASE("a run tells the homes of its prompt only what is new to them")
+{
+  World world;
+  world.state_.hosts_ = lycheeplank::directory::MakeHostSet({ "h2", "h3" });
+  Start(world, ArriveAtHolder(world, 2), 2);
+  CHECK(world.Take<reducer::SendSightings>().empty());
+  Start(world, ArriveAtHolder(world, 1), 1);
+  auto told = world.Take<reducer::SendSightings>();
+  REQUIRE(told.size() == 2);
+  CHECK(told[0].host_ != told[1].host_);
+  CHECK(told[0].sightings_.size() == 1);
+  CHECK(told[0].sightings_[0].block_ != told[0].sightings_[0].root_);
+  // What the other home may have missed is told now and then.
+  std::size_t whole = 0;
+  for (int i = 0; i < 32; ++i) {
+    Start(world, ArriveAtHolder(world, 2), 2);
+    for (const auto& report : world.Take<reducer::SendSightings>()) {
+      CHECK(report.sightings_.size() == 2);
+      ++whole;
+    }
+  }
+  CHECK(whole == 4);
+  // This host is no home, so its own directory stays empty.
+  CHECK(world.state_.directory_.blocks_.empty());
+}
+
+TEST_CASE("an import that fails is told to the homes of its prompt")
+{
+  World world;
+  world.state_.hosts_ = lycheeplank::directory::MakeHostSet({ "h2", "h3" });
+  auto dispatch = ArriveAtHolder(world, 1);
+  auto& request = world.state_.requests_.at(dispatch.id_);
+  request.import_.emplace();
+  request.import_->store_ = "store-1";
+  request.import_->firstBlock_ = 1;
+  request.import_->blocks_ = 1;
+  request.import_->generations_ = { 5 };
+  Start(world, dispatch, 1);
+  std::size_t told = 0;
+  for (const auto& report : world.Take<reducer::SendSightings>()) {
+    if (report.holder_.name_ == "store-1") {
+      ++told;
+      REQUIRE(report.sightings_.size() == 1);
+      CHECK_FALSE(report.sightings_[0].present_);
+      CHECK(report.sightings_[0].generation_ == 5);
+    }
+  }
+  CHECK(told == 2);
+}
+
+TEST_CASE("a call for which no target is followed asks some before its claim")
+{
+  World world;
+  FollowNothing(world);
+  world.now_ += absl::Seconds(3);
+  auto call = world.MakeCall("k");
+  call.deadline_ = world.now_ + absl::Seconds(5);
+  world.Send(reducer::RequestArrived{ call });
+  const auto asked = world.Take<reducer::AskLoads>();
+  REQUIRE(asked.size() == 1);
+  CHECK(asked[0].targets_.size() == 2);
+  const bool late = GENERATE(false, true);
+  if (late) {
+    // The host was stopped meanwhile.
+    world.now_ += absl::Seconds(6);
+  }
+  world.Report("s1");
+  world.Report("s2", true);
+  world.Send(reducer::LoadsHeard{ asked[0].id_, asked[0].attempt_ });
+  world.Run(absl::Milliseconds(200));
+  const auto sent = world.Take<reducer::Dispatch>();
+  const auto refused = world.Take<reducer::Refuse>();
+  if (late) {
+    CHECK(sent.empty());
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].error_.run_ == core::RunState::No);
+    CHECK(claims::UsageOf(world.state_.claims_).unrecorded_ == 0);
+    return;
+  }
+  CHECK(refused.empty());
+  REQUIRE(sent.size() == 1);
+  CHECK(sent[0].once_);
+  CHECK(sent[0].target_ == "s1");
+}
+
+TEST_CASE("a model that goes while its prompt is looked for is refused")
+{
+  World world;
+  world.state_.hosts_ = lycheeplank::directory::MakeHostSet({ "h2" });
+  world.Send(reducer::RequestArrived{ world.MakeCompletion() });
+  const auto asked = world.Take<reducer::AskHomes>();
+  REQUIRE(asked.size() == 1);
+  auto without = std::make_shared<config::Config>(*world.state_.config_);
+  ++without->revision_;
+  without->models_.erase("wording");
+  without->targets_.erase("e1");
+  without->targets_.erase("e2");
+  world.Send(reducer::ConfigInForce{ without });
+  world.Send(reducer::Located{ asked[0].id_, asked[0].attempt_, {} });
+  const auto refused = world.Take<reducer::Refuse>();
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].error_.kind_ == core::ErrorKind::UnknownModel);
+}
+
 TEST_CASE("an attempt that showed no token is tried on another target")
 {
   World world;
@@ -553,7 +793,13 @@
 
   void Act()
   {
-    switch (Pick(10)) {
+    switch (Pick(12)) {
+      case 10:
+        Unfollow();
+        return;
+      case 11:
+        AnswerAsked();
+        return;
       case 0:
       case 1:
         Arrive(world_.MakeCompletion());
@@ -577,6 +823,30 @@
     }
   }
 
+  // Hosts that come and go change what this host follows.
+  void Unfollow()
+  {
+    for (auto& [name, target] : world_.state_.targets_) {
+      target.followed_ = Pick(3) != 0;
+    }
+  }
+
+  // Some questions for load are never answered.
+  void AnswerAsked()
+  {
+    for (const auto& asked : asked_) {
+      for (const auto& target : asked.targets_) {
+        if (Pick(2) == 0) {
+          world_.Report(target, Pick(4) == 0);
+        }
+      }
+      if (Pick(4) != 0) {
+        world_.Send(reducer::LoadsHeard{ asked.id_, asked.attempt_ });
+      }
+    }
+    asked_.clear();
+  }
+
   void Arrive(const reducer::NewRequest& aRequest)
   {
     finals_[aRequest.id_] = 0;
@@ -619,6 +889,9 @@
         REQUIRE(++sendings_[keys_[dispatch.id_]] <= 1);
       }
     }
+    for (auto& asked : world_.Take<reducer::AskLoads>()) {
+      asked_.push_back(std::move(asked));
+    }
     for (const auto& refused : world_.Take<reducer::Refuse>()) {
       ++finals_[refused.id_];
     }
@@ -630,6 +903,7 @@
   World world_;
   std::mt19937_64 random_;
   std::vector<reducer::Dispatch> open_;
+  std::vector<reducer::AskLoads> asked_;
   std::map<reducer::RequestId, int> finals_;
   std::map<reducer::RequestId, std::string> keys_;
   // Sendings that may have arrived, by idempotency key.
@@ -645,6 +919,6 @@
     chosen == nullptr ? 1 : std::strtoull(chosen, nullptr, 10);
   for (std::uint64_t seed = first; seed < first + 20; ++seed) {
     INFO("repeat with LYCHEEPLANK_SEED=" << seed << " reducer-test");
-    RandomRun(seed).Run(300);
+    RandomRun(seed).Run(450);
   }
 }
