Let experiments cause faults and report link use, refusals and the bound

A store that could not be asked was taken to have moved no bytes; it is named as silent now, and a fault that was not confirmed makes a run unclean.

The columns of policies.csv and runs.csv grew by link_use and so did the rows that the test expects; no check was dropped.

--- a/src/load/audit.cc
+++ b/src/load/audit.cc
@@ -112,8 +112,11 @@
     }
   }
   for (std::size_t at = 0; at < aCluster.stores_.size(); ++at) {
-    const std::uint64_t total =
-      LinkBytes(Ask(aClient, aCluster.stores_[at], "/v1/load"));
+    const Json load = Ask(aClient, aCluster.stores_[at], "/v1/load");
+    if (!load.is_object()) {
+      audit.silent_.push_back(aCluster.stores_[at].name_);
+    }
+    const std::uint64_t total = LinkBytes(load);
     const std::uint64_t before = aBaseline.linkBytes_[at];
     audit.linkBytes_ += total >= before ? total - before : total;
   }
@@ -139,6 +142,7 @@
   for (const Member& store : aCluster.stores_) {
     const Json load = Ask(aClient, store, "/v1/load");
     if (load.is_object()) {
+      ++hardware.stores_;
       hardware.linkBytesPerSecond_ =
         load.value("link_bytes_per_second", hardware.linkBytesPerSecond_);
     }
--- a/src/load/audit.h
+++ b/src/load/audit.h
@@ -46,7 +46,9 @@
   std::uint64_t kvBytesPerToken_ = 1000;
   // Over all engines.
   std::uint64_t cacheBlocks_ = 0;
+  // Of each store.
   double linkBytesPerSecond_ = 100e6;
+  std::uint32_t stores_ = 0;
   std::string model_;
 };
 
--- a/src/load/bound.cc
+++ b/src/load/bound.cc
@@ -103,6 +103,7 @@
     std::uint64_t{ aTrace.documents_[arrival.document_].blocks_ } *
     aHardware.blockTokens_;
   BoundStep step;
+  step.at_ = arrival.at_;
   step.task_ = arrival.task_;
   step.promptTokens_ =
     core::CountTokens(PromptOf(aTrace, arrival, aHardware.blockTokens_));
@@ -141,14 +142,16 @@
 }
 
 BoundSummary
-SummariseBound(const std::vector<BoundStep>& aSteps)
+SummariseBound(const std::vector<BoundStep>& aSteps, absl::Duration aWarmUp)
 {
   BoundSummary summary;
   std::vector<double> milliseconds;
   std::uint64_t recomputed = 0;
   std::uint64_t prompts = 0;
   for (const BoundStep& step : aSteps) {
-    milliseconds.push_back(absl::ToDoubleMilliseconds(step.firstToken_));
+    if (step.at_ >= aWarmUp) {
+      milliseconds.push_back(absl::ToDoubleMilliseconds(step.firstToken_));
+    }
     recomputed += step.recomputedTokens_;
     prompts += step.promptTokens_;
     summary.linkBytes_ += step.linkBytes_;
--- a/src/load/bound.h
+++ b/src/load/bound.h
@@ -33,6 +33,8 @@
 // What a completion costs at least.
 struct BoundStep
 {
+  // When the completion arrives.
+  absl::Duration at_;
   Task task_ = Task::Draft;
   Origin origin_ = Origin::New;
   absl::Duration firstToken_;
@@ -47,7 +49,7 @@
 std::vector<BoundStep>
 ClairvoyantBound(const Trace& aTrace, const Hardware& aHardware);
 
-// The bound over a whole trace.
+// The bound over a whole trace; times after the warm-up only.
 struct BoundSummary
 {
   // Milliseconds.
@@ -57,7 +59,8 @@
 };
 
 BoundSummary
-SummariseBound(const std::vector<BoundStep>& aSteps);
+SummariseBound(const std::vector<BoundStep>& aSteps,
+               absl::Duration aWarmUp = absl::ZeroDuration());
 
 } // namespace lycheeplank::load
 
--- a/src/load/experiment-command.cc
+++ b/src/load/experiment-command.cc
@@ -53,7 +53,10 @@
   BOOST_LEAF_AUTO(
     cluster,
     OpenCluster({ aDir + "/cluster.json", aOptions.cluster_.workspaces_ }));
-  const RunResult result = RunTrace(cluster, aTrace);
+  BOOST_LEAF_AUTO(orders,
+                  PlanFault(cluster, aOptions.fault_.kind_, aTrace.seed_));
+  const RunResult result =
+    RunTrace(cluster, aTrace, { aOptions.fault_.at_, std::move(orders) });
   Report report = MakeReport(result);
   BOOST_LEAF_CHECK(
     WriteFile(aOptions.reportDir_, aName + ".json", FormatJson(report)));
@@ -75,6 +78,7 @@
   const std::string name =
     absl::StrCat(core::NameOf(config::kPolicies, aPolicy), "-", aTrace.seed_);
   const std::string dir = absl::StrCat(aOptions.reportDir_, "/cluster-", name);
+  LOG(INFO) << "event=policy_started run=" << name;
   BOOST_LEAF_CHECK(StartCluster(aOptions, dir, aPolicy));
   auto report = RunOnCluster(aOptions, aTrace, dir, name);
   BOOST_LEAF_CHECK(
@@ -88,7 +92,9 @@
 {
   const std::string& dir = aOptions.reportDir_;
   BOOST_LEAF_CHECK(
-    WriteFile(dir, "report.md", FormatExperiment(aOptions.trace_, aResults)));
+    WriteFile(dir,
+              "report.md",
+              FormatExperiment(aOptions.trace_, aOptions.fault_, aResults)));
   BOOST_LEAF_CHECK(WriteFile(dir, "policies.csv", FormatPolicyCsv(aResults)));
   BOOST_LEAF_CHECK(
     WriteFile(dir, "runs.csv", FormatRunCsv(aOptions.trace_, aResults)));
@@ -116,7 +122,9 @@
     }
   }
   BOOST_LEAF_CHECK(WriteReport(aOptions, results));
-  std::fputs(FormatExperiment(aOptions.trace_, results).c_str(), stdout);
+  std::fputs(
+    FormatExperiment(aOptions.trace_, aOptions.fault_, results).c_str(),
+    stdout);
   return clean ? 0 : kExitFailed;
 }
 
--- a/src/load/experiment-report.cc
+++ b/src/load/experiment-report.cc
@@ -5,6 +5,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
 
 namespace lycheeplank::load {
 
@@ -28,6 +29,7 @@
   Spread p99_;
   Spread recomputedShare_;
   Spread linkBytes_;
+  Spread linkUse_;
 };
 
 Spread
@@ -68,6 +70,7 @@
     over([](const Report& aEach) {
       return static_cast<double>(aEach.linkBytes_);
     }),
+    over([](const Report& aEach) { return aEach.linkUse_; }),
   };
 }
 
@@ -83,6 +86,7 @@
     over([](const Report& aEach) {
       return static_cast<double>(aEach.bound_.linkBytes_);
     }),
+    {},
   };
 }
 
@@ -102,16 +106,32 @@
                          aSpread.most_ / aUnit);
 }
 
+// Returns a percentage above the bound.
 std::string
-Row(absl::string_view aName, const Figures& aFigures, absl::string_view aEnd)
+AboveBound(const Figures& aFigures, const Figures& aBound)
 {
-  return absl::StrFormat("| %s | %s | %s | %s | %s | %s | %s |\n",
+  if (aBound.p95_.mean_ <= 0.0) {
+    return "";
+  }
+  return absl::StrFormat(
+    "%+.0f%%", 100.0 * (aFigures.p95_.mean_ / aBound.p95_.mean_ - 1.0));
+}
+
+std::string
+Row(absl::string_view aName,
+    const Figures& aFigures,
+    absl::string_view aAboveBound,
+    absl::string_view aEnd)
+{
+  return absl::StrFormat("| %s | %s | %s | %s | %s | %s | %s | %s | %s |\n",
                          aName,
                          Format(aFigures.p50_, 0),
                          Format(aFigures.p95_, 0),
+                         aAboveBound,
                          Format(aFigures.p99_, 0),
                          Format(aFigures.recomputedShare_, 3),
                          Format(aFigures.linkBytes_, 1, kBytesPerMegabyte),
+                         Format(aFigures.linkUse_, 3),
                          aEnd);
 }
 
@@ -124,11 +144,42 @@
     answered += report.answered_;
     requests += report.requests_;
   }
+  const Figures figures = FiguresOf(aResult.reports_);
   return Row(core::NameOf(config::kPolicies, aResult.policy_),
-             FiguresOf(aResult.reports_),
+             figures,
+             AboveBound(figures, BoundOf(aResult.reports_)),
              absl::StrCat(answered, " / ", requests));
 }
 
+// Returns how the requests ended that weren't answered, and what was repeated.
+std::string
+EndsRow(const PolicyResult& aResult)
+{
+  absl::btree_map<std::string, std::uint32_t> refusals;
+  std::uint64_t wrong = 0;
+  std::uint64_t broken = 0;
+  std::uint64_t repeats = 0;
+  std::uint64_t resumes = 0;
+  for (const Report& report : aResult.reports_) {
+    for (const auto& [kind, count] : report.refusals_) {
+      refusals[kind] += count;
+    }
+    wrong += report.wrong_;
+    broken += report.broken_;
+    repeats += report.repeats_;
+    resumes += report.resumes_;
+  }
+  return absl::StrFormat(
+    "| %s | %s | %d | %d | %d | %d |\n",
+    core::NameOf(config::kPolicies, aResult.policy_),
+    refusals.empty() ? "none"
+                     : absl::StrJoin(refusals, ", ", absl::PairFormatter(" ")),
+    wrong,
+    broken,
+    repeats,
+    resumes);
+}
+
 // Returns the rows of first tokens by kind of request.
 std::string
 TaskRows(const PolicyResult& aResult)
@@ -157,49 +208,68 @@
 }
 
 std::string
-Introduction(const TraceOptions& aTrace, std::size_t aRuns)
+FaultText(const FaultOptions& aFault)
+{
+  return aFault.kind_ == FaultKind::None
+           ? std::string("without a fault")
+           : absl::StrFormat("with the fault %s at %.0f s",
+                             core::NameOf(kFaultKinds, aFault.kind_),
+                             absl::ToDoubleSeconds(aFault.at_));
+}
+
+std::string
+Introduction(const TraceOptions& aTrace,
+             const FaultOptions& aFault,
+             std::size_t aRuns)
 {
   return absl::StrFormat(
     "# Policies compared\n\nProfile %s, %.1f requests/s for %.0f s, shortest "
-    "gap %.0f s, seeds %d to %d. Each policy met the same traces, each on a "
+    "gap %.0f s, warm-up %.0f s, seeds %d to %d, %s. Each policy met the same "
+    "traces, each on "
+    "a "
     "fresh cluster. Figures are means over the seeds, with the least and the "
     "most in brackets.\n\n",
     core::NameOf(kProfiles, aTrace.profile_),
     aTrace.requestsPerSecond_,
     absl::ToDoubleSeconds(aTrace.duration_),
     absl::ToDoubleSeconds(aTrace.minGap_),
+    absl::ToDoubleSeconds(aTrace.warmUp_),
     aTrace.seed_,
-    aTrace.seed_ + aRuns - 1);
+    aTrace.seed_ + aRuns - 1,
+    FaultText(aFault));
 }
 
 std::string
 CsvRow(absl::string_view aName, const Figures& aFigures)
 {
-  return absl::StrFormat("%s,%.2f,%.2f,%.2f,%.4f,%.0f\n",
+  return absl::StrFormat("%s,%.2f,%.2f,%.2f,%.4f,%.0f,%.4f\n",
                          aName,
                          aFigures.p50_.mean_,
                          aFigures.p95_.mean_,
                          aFigures.p99_.mean_,
                          aFigures.recomputedShare_.mean_,
-                         aFigures.linkBytes_.mean_);
+                         aFigures.linkBytes_.mean_,
+                         aFigures.linkUse_.mean_);
 }
 
 } // namespace
 
 std::string
 FormatExperiment(const TraceOptions& aTrace,
+                 const FaultOptions& aFault,
                  const std::vector<PolicyResult>& aResults)
 {
   const auto& first = aResults.front().reports_;
-  std::string text = Introduction(aTrace, first.size());
-  text += "| policy | first token p50 ms | p95 ms | p99 ms | recomputed share "
-          "| link MB | answered |\n|---|---|---|---|---|---|---|\n";
+  std::string text = Introduction(aTrace, aFault, first.size());
+  text += "| policy | first token p50 ms | p95 ms | p95 against the bound "
+          "| p99 ms | recomputed share | link MB | link use | answered |\n"
+          "|---|---|---|---|---|---|---|---|---|\n";
   for (const PolicyResult& result : aResults) {
     text += PolicyRow(result);
   }
-  text += Row("clairvoyant bound", BoundOf(first), "");
+  text += Row("clairvoyant bound", BoundOf(first), "", "");
   text += "\nThe bound knows the future, shares one cache over all engines "
-          "and lets no request wait for another.\n\n"
+          "and lets no request wait for another; it knows of no fault.\n\n"
           "![first token](first-token.png)\n\n"
           "![recomputed share](recomputed.png)\n\n![link use](link.png)\n\n"
           "| policy | request | first token p50 ms | p95 ms | p99 ms "
@@ -207,13 +277,19 @@
   for (const PolicyResult& result : aResults) {
     text += TaskRows(result);
   }
+  text += "\n| policy | refused, by kind | wrong | broken | repeats | resumes "
+          "|\n|---|---|---|---|---|---|\n";
+  for (const PolicyResult& result : aResults) {
+    text += EndsRow(result);
+  }
   return text;
 }
 
 std::string
 FormatPolicyCsv(const std::vector<PolicyResult>& aResults)
 {
-  std::string text = "policy,p50,p95,p99,recomputed_share,link_bytes\n";
+  std::string text =
+    "policy,p50,p95,p99,recomputed_share,link_bytes,link_use\n";
   for (const auto& [policy, reports] : aResults) {
     text += CsvRow(core::NameOf(config::kPolicies, policy), FiguresOf(reports));
   }
@@ -224,7 +300,8 @@
 FormatRunCsv(const TraceOptions& aTrace,
              const std::vector<PolicyResult>& aResults)
 {
-  std::string text = "policy,seed,p50,p95,p99,recomputed_share,link_bytes\n";
+  std::string text =
+    "policy,seed,p50,p95,p99,recomputed_share,link_bytes,link_use\n";
   for (const auto& [policy, reports] : aResults) {
     for (std::size_t at = 0; at < reports.size(); ++at) {
       text += CsvRow(absl::StrCat(core::NameOf(config::kPolicies, policy),
--- a/src/load/experiment-report.h
+++ b/src/load/experiment-report.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "load/fault.h"
 #include "load/report.h"
 #include "load/workload.h"
 #include "lycheeplank/config.h"
@@ -20,6 +21,7 @@
 // Returns report.md; aTrace holds the first seed.
 std::string
 FormatExperiment(const TraceOptions& aTrace,
+                 const FaultOptions& aFault,
                  const std::vector<PolicyResult>& aResults);
 
 // Returns policies.csv: means over the seeds, one line a policy and one for
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -88,6 +88,10 @@
   AddFlag(aApp, "seed", aOptions.seed_, "equal seeds give equal traces");
   AddSeconds(
     aApp, "min-gap", aOptions.minGap_, "shortest seconds until a text returns");
+  AddSeconds(aApp,
+             "warm-up",
+             aOptions.warmUp_,
+             "times of requests before this don't count");
 }
 
 void
@@ -155,6 +159,8 @@
       "policies to compare, separated by commas")
     ->envname(EnvironmentName("policies"))
     ->required();
+  AddChoice(aApp, "fault", kFaultKinds, aOptions.fault_.kind_);
+  AddSeconds(aApp, "fault-at", aOptions.fault_.at_, "time of the fault");
   AddFlag(aApp, "report", aOptions.reportDir_, "folder for result files")
     ->required();
   AddFlag(aApp, "local-cluster", aOptions.script_, "script for clusters");
--- a/src/load/options.h
+++ b/src/load/options.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "load/cluster.h"
+#include "load/fault.h"
 #include "load/workload.h"
 #include "lycheeplank/config.h"
 #include "lycheeplank/core.h"
@@ -76,6 +77,7 @@
   ClusterOptions cluster_;
   TraceOptions trace_;
   std::vector<config::Policy> policies_;
+  FaultOptions fault_;
   // Traces for each policy, with seeds that follow each other.
   std::uint32_t runs_ = 1;
   std::string reportDir_;
--- a/src/load/report-format.cc
+++ b/src/load/report-format.cc
@@ -70,6 +70,7 @@
     Line("recomputed share", absl::StrFormat("%.3f", aReport.recomputedShare_));
   text += Line("imported blocks", absl::StrCat(aReport.importedBlocks_));
   text += Line("link bytes", absl::StrCat(aReport.linkBytes_));
+  text += Line("link use", absl::StrFormat("%.3f", aReport.linkUse_));
   text += Line("recomputed share, bound",
                absl::StrFormat("%.3f", aReport.bound_.recomputedShare_));
   return text;
@@ -155,11 +156,13 @@
                 { "recomputed_share", aReport.recomputedShare_ },
                 { "imported_blocks", aReport.importedBlocks_ },
                 { "link_bytes", aReport.linkBytes_ },
+                { "link_use", aReport.linkUse_ },
                 { "bound",
                   { { "ttft_ms", SummaryJson(aReport.bound_.firstToken_) },
                     { "recomputed_share", aReport.bound_.recomputedShare_ },
                     { "link_bytes", aReport.bound_.linkBytes_ } } },
                 { "silent", aReport.silent_ },
+                { "unconfirmed_faults", aReport.unconfirmed_ },
                 { "clean", IsClean(aReport) } })
     .dump(2);
 }
--- a/src/load/report.cc
+++ b/src/load/report.cc
@@ -81,6 +81,12 @@
   return tokens;
 }
 
+bool
+IsWarm(const Trace& aTrace, std::size_t aIndex)
+{
+  return aTrace.arrivals_[aIndex].at_ >= aTrace.options_.warmUp_;
+}
+
 void
 AddTasks(Report& aReport, const RunResult& aResult)
 {
@@ -88,12 +94,13 @@
   for (const TaskTraits& task : TasksOf(aResult.trace_.options_.profile_)) {
     TaskReport row{ task.task_ };
     Samples samples;
-    for (const Outcome& outcome : aResult.outcomes_) {
+    for (std::size_t at = 0; at < aResult.outcomes_.size(); ++at) {
+      const Outcome& outcome = aResult.outcomes_[at];
       if (outcome.task_ != task.task_) {
         continue;
       }
       ++row.requests_;
-      if (outcome.end_ == End::Answered) {
+      if (outcome.end_ == End::Answered && IsWarm(aResult.trace_, at)) {
         samples.firstToken_.push_back(
           absl::ToDoubleMilliseconds(outcome.firstToken_));
         samples.total_.push_back(absl::ToDoubleMilliseconds(outcome.total_));
@@ -131,6 +138,17 @@
   aReport.startLag_ = Summarise(std::move(lags));
 }
 
+double
+LinkUse(const RunResult& aResult)
+{
+  const Hardware& hardware = aResult.hardware_;
+  const double capacity = hardware.linkBytesPerSecond_ * hardware.stores_ *
+                          absl::ToDoubleSeconds(aResult.took_);
+  return capacity > 0.0
+           ? static_cast<double>(aResult.audit_.linkBytes_) / capacity
+           : 0.0;
+}
+
 void
 AddAudit(Report& aReport, const RunResult& aResult)
 {
@@ -139,6 +157,7 @@
   aReport.computedTokens_ = audit.computedTokens_;
   aReport.importedBlocks_ = audit.importedBlocks_;
   aReport.linkBytes_ = audit.linkBytes_;
+  aReport.linkUse_ = LinkUse(aResult);
   aReport.foreignBlocks_ = audit.foreignBlocks_;
   aReport.staleBlocks_ = audit.staleBlocks_;
   aReport.silent_ = audit.silent_;
@@ -161,6 +180,7 @@
   AddOutcomes(report, aResult);
   AddAudit(report, aResult);
   report.bound_ = aResult.bound_;
+  report.unconfirmed_ = aResult.unconfirmed_;
   return report;
 }
 
@@ -169,7 +189,8 @@
 {
   return aReport.answered_ == aReport.requests_ && aReport.duplicates_ == 0 &&
          aReport.lost_ == 0 && aReport.falseRefusals_ == 0 &&
-         aReport.foreignBlocks_ == 0 && aReport.staleBlocks_ == 0;
+         aReport.foreignBlocks_ == 0 && aReport.staleBlocks_ == 0 &&
+         aReport.unconfirmed_.empty();
 }
 
 } // namespace lycheeplank::load
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -47,10 +47,14 @@
   double recomputedShare_ = 0.0;
   std::uint64_t importedBlocks_ = 0;
   std::uint64_t linkBytes_ = 0;
+  // Part of what all links could have carried during the run.
+  double linkUse_ = 0.0;
   std::uint64_t foreignBlocks_ = 0;
   std::uint64_t staleBlocks_ = 0;
   // Members that could not be asked what they did.
   std::vector<std::string> silent_;
+  // Members that didn't confirm a fault or its end.
+  std::vector<std::string> unconfirmed_;
   Summary startLag_;
   BoundSummary bound_;
 };
--- a/src/load/run.h
+++ b/src/load/run.h
@@ -7,6 +7,7 @@
 #include "load/audit.h"
 #include "load/bound.h"
 #include "load/cluster.h"
+#include "load/fault.h"
 #include "load/outcome.h"
 #include "load/workload.h"
 
@@ -21,11 +22,25 @@
   std::vector<Outcome> outcomes_;
   Audit audit_;
   BoundSummary bound_;
+  // From the start of the trace to the last outcome.
+  absl::Duration took_;
+  // Members that didn't confirm a fault or its end.
+  std::vector<std::string> unconfirmed_;
 };
 
-// Sends the trace's requests at their times and waits for all outcomes.
+// Faults that come with a trace.
+struct FaultPlan
+{
+  absl::Duration at_;
+  std::vector<FaultOrder> orders_;
+};
+
+// Sends the trace's requests at their times and waits for all outcomes. Faults
+// come at their time and end before targets and stores are asked.
 RunResult
-RunTrace(const Cluster& aCluster, const TraceOptions& aOptions);
+RunTrace(const Cluster& aCluster,
+         const TraceOptions& aOptions,
+         const FaultPlan& aFaults = {});
 
 } // namespace lycheeplank::load
 
--- a/src/load/workload.h
+++ b/src/load/workload.h
@@ -81,6 +81,8 @@
   std::uint32_t workspaces_ = 10;
   // Shortest time until a text returns.
   absl::Duration minGap_ = absl::Seconds(10);
+  // Times of requests that arrive before this don't count.
+  absl::Duration warmUp_ = absl::ZeroDuration();
 };
 
 // A long text that several prompts of a workspace begin with.
--- a/test/load-test.cc
+++ b/test/load-test.cc
@@ -191,9 +191,12 @@
   net::Server server_;
 };
 
-// Runs a short trace against a fake entry host and real stand-ins.
+// Runs a short trace against a fake entry host and real stand-ins, of which the
+// given fault may meet some halfway.
 Report
-RunAgainst(Mischief aMischief, Profile aProfile = Profile::CoOperative)
+RunAgainst(Mischief aMischief,
+           Profile aProfile = Profile::CoOperative,
+           FaultKind aFault = FaultKind::None)
 {
   standin::EngineOptions engineOptions;
   engineOptions.blockTokens_ = kBlockTokens;
@@ -207,7 +210,43 @@
   cluster.services_ = { { "s1", Url(service->Port()) } };
   cluster.stores_ = { { "t1", Url(store->Port()) } };
   cluster.workspaces_ = { { "w1", "k1" }, { "w2", "k2" } };
-  return MakeReport(RunTrace(cluster, ShortTrace(aProfile)));
+  const auto orders = PlanFault(cluster, aFault, 1);
+  REQUIRE(orders);
+  return MakeReport(RunTrace(
+    cluster, ShortTrace(aProfile), { absl::Milliseconds(500), *orders }));
+}
+
+// A cluster of members that nobody serves.
+Cluster
+NamesOnly(std::size_t aEngines, std::size_t aStores)
+{
+  Cluster cluster;
+  for (std::size_t at = 0; at < aEngines; ++at) {
+    cluster.engines_.push_back({ absl::StrCat("engine-", at), Url(1) });
+  }
+  for (std::size_t at = 0; at < aStores; ++at) {
+    cluster.stores_.push_back({ absl::StrCat("store-", at), Url(1) });
+  }
+  return cluster;
+}
+
+// Returns "name body" for each order; the kind of the error if there is one.
+std::vector<std::string>
+OrdersFor(const Cluster& aCluster, FaultKind aKind, std::uint64_t aSeed)
+{
+  return core::HandleError(
+    [&]() -> core::Result<std::vector<std::string>> {
+      BOOST_LEAF_AUTO(orders, PlanFault(aCluster, aKind, aSeed));
+      std::vector<std::string> texts;
+      for (const FaultOrder& order : orders) {
+        texts.push_back(absl::StrCat(order.member_.name_, " ", order.body_));
+      }
+      return texts;
+    },
+    [](const core::Error& aError) {
+      return std::vector<std::string>{ std::string(
+        core::TraitsOf(aError.kind_).name_) };
+    });
 }
 
 } // namespace
@@ -366,6 +405,31 @@
   CHECK(summary.linkBytes_ == 0);
 }
 
+TEST_CASE("times before the end of the warm-up don't count")
+{
+  RunResult result;
+  result.trace_ =
+    DraftTrace({ { 0, 0 }, { 1, 1 }, { 2, 0 } }, { { 0, 2 }, { 0, 4 } });
+  result.trace_.options_.warmUp_ = absl::Seconds(1);
+  for (const double milliseconds : { 900.0, 20.0, 10.0 }) {
+    Outcome outcome;
+    outcome.end_ = End::Answered;
+    outcome.firstToken_ = absl::Milliseconds(milliseconds);
+    result.outcomes_.push_back(outcome);
+  }
+  const Report report = MakeReport(result);
+  CHECK(report.answered_ == 3);
+  CHECK(report.firstToken_.count_ == 2);
+  CHECK(report.firstToken_.max_ == 20.0);
+  Hardware hardware;
+  hardware.cacheBlocks_ = 8;
+  const auto steps = ClairvoyantBound(result.trace_, hardware);
+  CHECK(SummariseBound(steps).firstToken_.count_ == 3);
+  const auto warm = SummariseBound(steps, absl::Seconds(2));
+  CHECK(warm.firstToken_.count_ == 1);
+  CHECK(warm.recomputedShare_ == SummariseBound(steps).recomputedShare_);
+}
+
 TEST_CASE("a stream is read across its pieces")
 {
   Completion completion;
@@ -528,11 +592,82 @@
   CHECK(report.refusals_.size() == 1);
 }
 
+TEST_CASE("a fault meets as many members as its name says, by the seed")
+{
+  const Cluster cluster = NamesOnly(8, 2);
+  CHECK(OrdersFor(cluster, FaultKind::None, 1).empty());
+  std::set<std::vector<std::string>> stores;
+  std::set<std::vector<std::string>> engines;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const auto dead = OrdersFor(cluster, FaultKind::StoreDead, seed);
+    REQUIRE(dead.size() == 1);
+    CHECK(absl::EndsWith(dead[0], R"( {"fault":"down"})"));
+    stores.insert(dead);
+    const auto slow = OrdersFor(cluster, FaultKind::SlowLink, seed);
+    REQUIRE(slow.size() == 1);
+    CHECK(absl::StartsWith(slow[0], "store-"));
+    CHECK(absl::EndsWith(slow[0], R"( {"fault":"slow","factor":10})"));
+    const auto gone = OrdersFor(cluster, FaultKind::EnginesGone, seed);
+    REQUIRE(gone.size() == 2);
+    CHECK(absl::StartsWith(gone[0], "engine-"));
+    CHECK(gone[0] < gone[1]);
+    CHECK(gone == OrdersFor(cluster, FaultKind::EnginesGone, seed));
+    engines.insert(gone);
+  }
+  CHECK(stores.size() == 2);
+  CHECK(engines.size() > 2);
+}
+
+TEST_CASE("a cluster that is too small for a fault is refused")
+{
+  const std::vector<std::string> refused{ "config_invalid" };
+  CHECK(OrdersFor(NamesOnly(3, 0), FaultKind::StoreDead, 1) == refused);
+  CHECK(OrdersFor(NamesOnly(3, 0), FaultKind::SlowLink, 1) == refused);
+  CHECK(OrdersFor(NamesOnly(2, 1), FaultKind::EnginesGone, 1) == refused);
+}
+
+TEST_CASE("members are asked after the end of their fault")
+{
+  const Report report =
+    RunAgainst({}, Profile::CoOperative, FaultKind::StoreDead);
+  CHECK(report.unconfirmed_.empty());
+  CHECK(IsClean(report));
+  CHECK(report.silent_.empty());
+}
+
+TEST_CASE("a fault that was not confirmed makes a run unclean")
+{
+  net::Client client;
+  const auto orders = PlanFault(NamesOnly(3, 1), FaultKind::StoreDead, 1);
+  REQUIRE(orders);
+  Report report;
+  CHECK(IsClean(report));
+  report.unconfirmed_ = SendOrders(client, *orders);
+  CHECK(report.unconfirmed_ == std::vector<std::string>{ "store-0" });
+  CHECK_FALSE(IsClean(report));
+}
+
+TEST_CASE("the use of links is their bytes against all that they could carry")
+{
+  RunResult result;
+  result.hardware_.linkBytesPerSecond_ = 100.0;
+  result.hardware_.stores_ = 2;
+  result.took_ = absl::Seconds(10);
+  result.audit_.linkBytes_ = 500;
+  CHECK(MakeReport(result).linkUse_ == Approx(0.25));
+  result.took_ = absl::ZeroDuration();
+  CHECK(MakeReport(result).linkUse_ == 0.0);
+}
+
 TEST_CASE("an experiment's files have a line for each policy and the bound")
 {
   Report report;
   report.firstToken_.p50_ = 12.0;
+  report.firstToken_.p95_ = 30.0;
+  report.bound_.firstToken_.p95_ = 20.0;
   report.recomputedShare_ = 0.25;
+  report.linkUse_ = 0.5;
+  report.refusals_ = { { "no_target", 1 }, { "queue_full", 2 } };
   Report slower = report;
   slower.firstToken_.p50_ = 14.0;
   const std::vector<PolicyResult> results{
@@ -540,14 +675,17 @@
     { config::Policy::Sticky, { report, report } }
   };
   CHECK(FormatPolicyCsv(results) ==
-        "policy,p50,p95,p99,recomputed_share,link_bytes\n"
-        "estimate,13.00,0.00,0.00,0.2500,0\n"
-        "sticky,12.00,0.00,0.00,0.2500,0\n"
-        "bound,0.00,0.00,0.00,0.0000,0\n");
+        "policy,p50,p95,p99,recomputed_share,link_bytes,link_use\n"
+        "estimate,13.00,30.00,0.00,0.2500,0,0.5000\n"
+        "sticky,12.00,30.00,0.00,0.2500,0,0.5000\n"
+        "bound,0.00,20.00,0.00,0.0000,0,0.0000\n");
   CHECK(absl::StrContains(FormatRunCsv({}, results),
-                          "estimate,2,14.00,0.00,0.00,0.2500,0\n"));
-  const std::string text = FormatExperiment({}, results);
-  CHECK(absl::StrContains(text, "| estimate | 13 (12 to 14) |"));
+                          "estimate,2,14.00,30.00,0.00,0.2500,0,0.5000\n"));
+  const FaultOptions fault{ FaultKind::SlowLink, absl::Seconds(7) };
+  const std::string text = FormatExperiment({}, fault, results);
+  CHECK(absl::StrContains(text, "with the fault slow-link at 7 s"));
+  CHECK(absl::StrContains(text, "| estimate | 13 (12 to 14) | 30 | +50% |"));
+  CHECK(absl::StrContains(text, "| estimate | no_target 2, queue_full 4 |"));
   CHECK(absl::StrContains(text, "| sticky | 12 |"));
   CHECK(absl::StrContains(text, "| clairvoyant bound |"));
 }
