--- a/test/trace/hosts.h
+++ b/test/trace/hosts.h
@@ -53,7 +53,9 @@
       offer.leadingBlocks_ = holder.leadingBlocks_;
       offer.generations_ = holder.generations_;
       offer.linkBytesPerSecond_ = aHost.stores_[i].linkRate_;
-      offer.queuedBytes_ = aHost.stores_[i].queuedBytes_;
+      offer.queuedBytes_ = placement::QueuedBytes(aHost.stores_[i].queue_,
+                                                  offer.linkBytesPerSecond_,
+                                                  AsTime(aTrace.now_));
       offers.push_back(offer);
     }
   }
@@ -114,7 +116,9 @@
   run.firstImport_ = import.firstBlock_;
   run.wantedImports_ = import.blocks_;
   aTrace.runs_.push_back(run);
-  aTrace.hosts_[aHost].stores_[run.store_].queuedBytes_ += import.bytes_;
+  StoreBelief& belief = aTrace.hosts_[aHost].stores_[run.store_];
+  placement::NoteImport(
+    belief.queue_, import.bytes_, belief.linkRate_, AsTime(aTrace.now_));
   keeping::Transfer transfer;
   transfer.kind_ = arrival.interactive_
                      ? keeping::TransferKind::InteractiveImport
--- a/test/trace/runner.h
+++ b/test/trace/runner.h
@@ -25,7 +25,8 @@
     belief.sent_.clear();
   }
   for (std::uint32_t i = 0; i < aTrace.stores_.size(); ++i) {
-    host.stores_[i].queuedBytes_ = aTrace.stores_[i].queuedImportBytes_;
+    placement::NoteReport(host.stores_[i].queue_,
+                          aTrace.stores_[i].queuedImportBytes_);
     host.stores_[i].linkRate_ = aTrace.links_[i].bytesPerSecond_;
   }
   StartHeldBatch(aTrace);
--- a/test/trace/state.h
+++ b/test/trace/state.h
@@ -70,7 +70,7 @@
 // What a host believes of one store.
 struct StoreBelief
 {
-  std::uint64_t queuedBytes_ = 0;
+  placement::LinkQueue queue_;
   double linkRate_ = 0.0;
   bool alive_ = true;
 };
