--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -12,6 +12,7 @@
 namespace claims = lycheeplank::claims;
 namespace config = lycheeplank::config;
 namespace core = lycheeplank::core;
+namespace directory = lycheeplank::directory;
 namespace membership = lycheeplank::membership;
 namespace platform = lycheeplank::platform;
 namespace reducer = lycheeplank::reducer;
@@ -44,6 +45,11 @@
     e2: {kind: engine, url: "http://10.0.0.2:1", data_centre: d1, serves: wording}
     s1: {kind: service, url: "http://10.0.0.3:1", data_centre: d1, serves: registry}
     s2: {kind: service, url: "http://10.0.0.4:1", data_centre: d1, serves: registry}
+stores:
+  owner: machines
+  entries:
+    c1: {url: "http://10.0.0.5:1", data_centre: d1, memory_bytes: 1000000000,
+         disk_bytes: 0, link_bytes_per_second: 1000000000, disk_bytes_per_second: 1000000}
 )";
 
 const absl::Time kStart = absl::FromUnixSeconds(1'800'000'000);
@@ -254,6 +260,43 @@
   CHECK(world.Take<reducer::ReportRun>().size() == 1);
 }
 
+TEST_CASE(
+  "an import that takes longer than expected makes the link look busier")
+{
+  World world;
+  reducer::StoreReported report;
+  report.store_ = "c1";
+  report.reached_ = true;
+  report.linkBytesPerSecond_ = 1e9;
+  world.Send(report);
+  const reducer::NewRequest request = world.MakeCompletion();
+  const auto chain =
+    core::ChainBlocks({ "nursing", "wording", "v1", "" }, request.contents_);
+  reducer::StoreInventory inventory{ "c1", {} };
+  for (const core::BlockKey& key : chain) {
+    directory::Sighting sighting{ key, chain[0] };
+    sighting.generation_ = 1;
+    inventory.sightings_.push_back(sighting);
+  }
+  world.Send(inventory);
+  world.Send(reducer::RequestArrived{ request });
+  const auto sent = world.Take<reducer::Dispatch>();
+  REQUIRE(sent.size() == 1);
+  REQUIRE(sent[0].importKeys_ == chain);
+  const auto& queue = world.state_.stores_.at("c1").queue_;
+  CHECK(queue.unseen_ == absl::ZeroDuration());
+  world.Run(absl::Seconds(2));
+  CHECK(lycheeplank::placement::QueuedBytes(queue, 1e9, world.now_) == 0);
+  reducer::AttemptStarted started;
+  started.id_ = sent[0].id_;
+  started.attempt_ = sent[0].attempt_;
+  started.weightVersion_ = "v1";
+  started.importedBlocks_ = 2;
+  world.Send(started);
+  CHECK(queue.unseen_ > absl::Milliseconds(200));
+  CHECK(lycheeplank::placement::QueuedBytes(queue, 1e9, world.now_) > 0);
+}
+
 TEST_CASE("a leaving target gets no new work")
 {
   World world;
