Revert "Learn the wait on a store's link that no report shows"

The test of what an entry host learns goes with it; in its place one holds that an import leaves its link's queue as it is carried, through the reducer, and one in placement-test for the pure function stays.

--- a/include/lycheeplank/placement.h
+++ b/include/lycheeplank/placement.h
@@ -134,8 +134,6 @@
   // When the imports that the host ordered since then would end if the link
   // carried nothing else.
   absl::Time ownUntil_ = absl::InfinitePast();
-  // Wait that imports met beyond what the above explains, as learnt.
-  absl::Duration unseen_ = absl::ZeroDuration();
 };
 
 // Takes in a store's report, which shows all earlier imports.
@@ -149,12 +147,6 @@
            double aBytesPerSecond,
            absl::Time aNow);
 
-// Learns from the time that an import was expected to take and took.
-void
-NoteImportTime(LinkQueue& aQueue,
-               absl::Duration aExpected,
-               absl::Duration aTook);
-
 // Returns the bytes that wait. The host's own imports drain; other traffic is
 // taken to go on as it was reported.
 std::uint64_t
--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -615,8 +615,6 @@
   std::vector<core::BlockKey> chain_;
   // Store and blocks of the attempt's import.
   absl::optional<placement::Import> import_;
-  // What was estimated for the attempt.
-  placement::Estimate estimate_;
   std::vector<std::string> triedTargets_;
   std::uint32_t cachedBlocks_ = 0;
   absl::Time arrived_;
--- a/src/placement/track.cc
+++ b/src/placement/track.cc
@@ -10,10 +10,6 @@
 constexpr double kNewestShare = 0.3;
 // Transfers shorter than this say little about a rate.
 constexpr absl::Duration kShortestTransfer = absl::Milliseconds(1);
-// Part of an import's error that corrects the next estimates.
-constexpr double kCorrection = 0.2;
-// What is left of the learnt wait after a report; lets imports be tried again.
-constexpr double kUnseenKept = 0.9;
 constexpr absl::Duration kFirstClosure = absl::Seconds(1);
 constexpr absl::Duration kLongestClosure = absl::Seconds(30);
 
@@ -74,16 +70,6 @@
 {
   aQueue.reportedBytes_ = aBytes;
   aQueue.ownUntil_ = absl::InfinitePast();
-  aQueue.unseen_ *= kUnseenKept;
-}
-
-void
-NoteImportTime(LinkQueue& aQueue,
-               absl::Duration aExpected,
-               absl::Duration aTook)
-{
-  aQueue.unseen_ = std::max(absl::ZeroDuration(),
-                            aQueue.unseen_ + kCorrection * (aTook - aExpected));
 }
 
 void
@@ -105,9 +91,8 @@
 {
   const double own =
     std::max(0.0, absl::ToDoubleSeconds(aQueue.ownUntil_ - aNow));
-  const double unseen = absl::ToDoubleSeconds(aQueue.unseen_);
   return aQueue.reportedBytes_ +
-         static_cast<std::uint64_t>((own + unseen) * aBytesPerSecond);
+         static_cast<std::uint64_t>(own * aBytesPerSecond);
 }
 
 } // namespace lycheeplank::placement
--- a/src/reducer/requests.cc
+++ b/src/reducer/requests.cc
@@ -399,20 +399,6 @@
   EndRequest(aContext, aId);
 }
 
-// Learns from the time until a run started, if its import was to decide it.
-void
-LearnLinkWait(Context& aContext, const RequestState& aRequest)
-{
-  const placement::Estimate& estimate = aRequest.estimate_;
-  if (!aRequest.import_ || estimate.importSeconds_ < estimate.queueSeconds_) {
-    return;
-  }
-  placement::NoteImportTime(
-    aContext.state_.stores_[aRequest.import_->store_].queue_,
-    absl::Seconds(estimate.importSeconds_),
-    aContext.now_ - aRequest.sent_);
-}
-
 void
 OnAttemptStarted(Context& aContext, const AttemptStarted& aEvent)
 {
@@ -423,7 +409,6 @@
   }
   RequestState& request = found->second;
   request.started_ = aContext.now_;
-  LearnLinkWait(aContext, request);
   request.cachedBlocks_ = aEvent.cachedBlocks_;
   CHECK(request.request_.kind_ != RequestKind::Completion ||
         aEvent.weightVersion_ == request.weightVersion_)
--- a/src/reducer/routing.cc
+++ b/src/reducer/routing.cc
@@ -294,7 +294,6 @@
   }
   aRequest.target_ = decision->target_;
   aRequest.import_ = decision->import_;
-  aRequest.estimate_ = decision->estimate_;
   if (aRequest.import_) {
     const placement::Import& import = *aRequest.import_;
     StoreState& store = state.stores_[import.store_];
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -373,23 +373,3 @@
   placement::NoteReport(queue, 0);
   CHECK(placement::QueuedBytes(queue, kRate, start + absl::Seconds(2)) == 0);
 }
-
-TEST_CASE("the wait that imports met unseen is learnt and forgotten")
-{
-  const absl::Time start = absl::FromUnixSeconds(1'000);
-  constexpr double kRate = 1000.0;
-  placement::LinkQueue queue;
-  const auto wait = [&] { return placement::QueuedBytes(queue, kRate, start); };
-  for (int i = 0; i < 50; ++i) {
-    const auto expected = absl::Seconds(static_cast<double>(wait()) / kRate);
-    placement::NoteImportTime(queue, expected, absl::Seconds(0.5));
-  }
-  CHECK(wait() > 490);
-  CHECK(wait() <= 500);
-  for (int i = 0; i < 50; ++i) {
-    placement::NoteReport(queue, 0);
-  }
-  CHECK(wait() < 10);
-  placement::NoteImportTime(queue, absl::Seconds(5), absl::Seconds(0.5));
-  CHECK(wait() == 0);
-}
--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -260,14 +260,14 @@
   CHECK(world.Take<reducer::ReportRun>().size() == 1);
 }
 
-TEST_CASE(
-  "an import that takes longer than expected makes the link look busier")
+TEST_CASE("an import leaves the queue of its store's link as it is carried")
 {
+  constexpr double kLinkRate = 1e9;
   World world;
   reducer::StoreReported report;
   report.store_ = "c1";
   report.reached_ = true;
-  report.linkBytesPerSecond_ = 1e9;
+  report.linkBytesPerSecond_ = kLinkRate;
   world.Send(report);
   const reducer::NewRequest request = world.MakeCompletion();
   const auto chain =
@@ -283,18 +283,13 @@
   const auto sent = world.Take<reducer::Dispatch>();
   REQUIRE(sent.size() == 1);
   REQUIRE(sent[0].importKeys_ == chain);
-  const auto& queue = world.state_.stores_.at("c1").queue_;
-  CHECK(queue.unseen_ == absl::ZeroDuration());
+  const auto queued = [&] {
+    return lycheeplank::placement::QueuedBytes(
+      world.state_.stores_.at("c1").queue_, kLinkRate, world.now_);
+  };
+  CHECK(queued() > 0);
   world.Run(absl::Seconds(2));
-  CHECK(lycheeplank::placement::QueuedBytes(queue, 1e9, world.now_) == 0);
-  reducer::AttemptStarted started;
-  started.id_ = sent[0].id_;
-  started.attempt_ = sent[0].attempt_;
-  started.weightVersion_ = "v1";
-  started.importedBlocks_ = 2;
-  world.Send(started);
-  CHECK(queue.unseen_ > absl::Milliseconds(200));
-  CHECK(lycheeplank::placement::QueuedBytes(queue, 1e9, world.now_) > 0);
+  CHECK(queued() == 0);
 }
 
 TEST_CASE("a leaving target gets no new work")
