--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -632,8 +632,7 @@
   // answered last; zero if it doesn't say.
   std::uint32_t missed_ = 0;
   std::uint64_t instance_ = 0;
-  // Bytes of imports that this host has ordered since the report.
-  std::uint64_t ownBytes_ = 0;
+  placement::LinkQueue queue_;
 };
 
 // Where a request stands.
--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -12,6 +12,7 @@
 namespace claims = lycheeplank::claims;
 namespace config = lycheeplank::config;
 namespace core = lycheeplank::core;
+namespace directory = lycheeplank::directory;
 namespace membership = lycheeplank::membership;
 namespace platform = lycheeplank::platform;
 namespace reducer = lycheeplank::reducer;
@@ -342,6 +343,38 @@
   CHECK(told[0].age_ == absl::Seconds(3));
 }
 
+TEST_CASE("an import leaves the queue of its store's link as it is carried")
+{
+  constexpr double kLinkRate = 1e9;
+  World world;
+  reducer::StoreReported report;
+  report.store_ = "m1";
+  report.reached_ = true;
+  report.linkBytesPerSecond_ = kLinkRate;
+  world.Send(report);
+  const reducer::NewRequest request = world.MakeCompletion();
+  const auto chain =
+    core::ChainBlocks({ "nursing", "wording", "v1", "" }, request.contents_);
+  reducer::StoreInventory inventory{ "m1", {} };
+  for (const core::BlockKey& key : chain) {
+    directory::Sighting sighting{ key, chain[0] };
+    sighting.generation_ = 1;
+    inventory.sightings_.push_back(sighting);
+  }
+  world.Send(inventory);
+  world.Send(reducer::RequestArrived{ request });
+  const auto sent = world.Take<reducer::Dispatch>();
+  REQUIRE(sent.size() == 1);
+  REQUIRE(sent[0].importKeys_ == chain);
+  const auto queued = [&] {
+    return lycheeplank::placement::QueuedBytes(
+      world.state_.stores_.at("m1").queue_, kLinkRate, world.now_);
+  };
+  CHECK(queued() > 0);
+  world.Run(absl::Seconds(2));
+  CHECK(queued() == 0);
+}
+
 TEST_CASE("a leaving target gets no new work")
 {
   World world;
