--- a/test/entry-settings-test.cc
+++ b/test/entry-settings-test.cc
@@ -8,13 +8,14 @@
 #include "lycheeplank/version.h"
 
 namespace entry = lycheeplank::entry;
+namespace process = lycheeplank::process;
 namespace reducer = lycheeplank::reducer;
 namespace platform = lycheeplank::platform;
 
 namespace {
 
 // Reads the flags that are needed and some more.
-entry::ParseResult
+process::ParseResult
 Read(std::vector<std::string> aMore, entry::Settings& aSettings)
 {
   std::vector<std::string> arguments{
