--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -71,21 +71,20 @@
 Control::Tick()
 {
   const absl::Time now = absl::Now();
-  const bool paused = due_ != absl::InfinitePast() && now - due_ > kPauseBound;
-  if (paused && !catchingUp_) {
+  if (now - tickDue_ > kPauseBound && !catchingUp_) {
     // A deadline that passed meanwhile must not turn an answer that is here,
     // or a call that was not sent, into an unknown outcome.
     LOG(WARNING) << "event=process_stood_still ms="
-                 << absl::ToInt64Milliseconds(now - due_);
+                 << absl::ToInt64Milliseconds(now - tickDue_);
     catchingUp_ = true;
-    due_ = now + kCatchUp;
+    tickDue_ = now + kCatchUp;
     return kCatchUp;
   }
   catchingUp_ = false;
   Step(reducer::Tick{});
   const absl::Duration interval =
     state_.claimTickets_.empty() ? kTickInterval : kClaimTickInterval;
-  due_ = now + interval;
+  tickDue_ = absl::Now() + interval;
   return interval;
 }
 
--- a/src/entry/settings.h
+++ b/src/entry/settings.h
@@ -6,7 +6,6 @@
 #include <vector>
 
 #include "entry/stop-point.h"
-
 #include "process/flags.h"
 
 namespace lycheeplank::entry {
