Split sockets from calls and learning from the way of a request

The watch over sockets is src/net/poller.cc now, what runs teach is src/reducer/learning.cc. A comment of Place stood above HoldingsOf.

--- a/src/net/client.cc
+++ b/src/net/client.cc
@@ -1,16 +1,9 @@
 #include "lycheeplank/net.h"
 
-#include <array>
-#include <cerrno>
 #include <chrono>
-#include <cstring>
 #include <map>
 #include <pthread.h>
-#include <stdexcept>
-#include <sys/epoll.h>
-#include <sys/eventfd.h>
 #include <thread>
-#include <unistd.h>
 #include <utility>
 
 #include <absl/base/thread_annotations.h>
@@ -21,6 +14,8 @@
 #include <absl/synchronization/notification.h>
 #include <curl/curl.h>
 
+#include "net/poller.h"
+
 namespace lycheeplank::net {
 
 namespace {
@@ -35,8 +30,6 @@
 using SteadyTime = SteadyClock::time_point;
 
 constexpr absl::Duration kLongestWait = absl::Seconds(1);
-// Sockets that are served before new calls and cancellations are looked at.
-constexpr std::size_t kSocketsAtOnce = 32;
 constexpr unsigned kWorkerBits = 8;
 
 struct Active;
@@ -209,90 +202,6 @@
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, aActive.headers_);
 }
 
-// Tells which of many sockets are ready; the cost of waiting doesn't grow with
-// those that aren't.
-class Poller
-{
-public:
-  using Events = std::array<epoll_event, kSocketsAtOnce>;
-
-  Poller()
-    : epoll_(epoll_create1(EPOLL_CLOEXEC))
-    , wake_(eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK))
-  {
-    epoll_event event{};
-    event.events = EPOLLIN;
-    event.data.fd = wake_;
-    if (epoll_ < 0 || wake_ < 0 ||
-        epoll_ctl(epoll_, EPOLL_CTL_ADD, wake_, &event) != 0) {
-      throw std::runtime_error(absl::StrCat("can't watch sockets: ",
-                                            std::strerror(errno),
-                                            "; raise the limit of open files"));
-    }
-  }
-
-  ~Poller()
-  {
-    close(wake_);
-    close(epoll_);
-  }
-
-  Poller(const Poller&) = delete;
-  Poller& operator=(const Poller&) = delete;
-
-  // Ends a wait early, from any thread.
-  void Wake() const { eventfd_write(wake_, 1); }
-
-  // Watches a socket for what the library wants of it.
-  void Watch(curl_socket_t aSocket, int aWhat) const
-  {
-    epoll_event event{};
-    event.data.fd = aSocket;
-    if (aWhat == CURL_POLL_REMOVE) {
-      epoll_ctl(epoll_, EPOLL_CTL_DEL, aSocket, &event);
-      return;
-    }
-    event.events = ((aWhat & CURL_POLL_IN) != 0 ? EPOLLIN : 0U) |
-                   ((aWhat & CURL_POLL_OUT) != 0 ? EPOLLOUT : 0U);
-    if (epoll_ctl(epoll_, EPOLL_CTL_MOD, aSocket, &event) != 0) {
-      epoll_ctl(epoll_, EPOLL_CTL_ADD, aSocket, &event);
-    }
-  }
-
-  // Waits until sockets are ready or the time is over; returns how many are
-  // in aEvents.
-  std::size_t Wait(Events& aEvents, absl::Duration aLimit) const
-  {
-    const auto limit = absl::ToInt64Milliseconds(absl::Ceil(
-      std::max(aLimit, absl::ZeroDuration()), absl::Milliseconds(1)));
-    const int ready = epoll_wait(epoll_,
-                                 aEvents.data(),
-                                 static_cast<int>(aEvents.size()),
-                                 static_cast<int>(limit));
-    return static_cast<std::size_t>(std::max(0, ready));
-  }
-
-  // Whether an event is that of Wake, which is then taken back.
-  bool TakeWake(const epoll_event& aEvent) const
-  {
-    eventfd_t count = 0;
-    return aEvent.data.fd == wake_ && eventfd_read(wake_, &count) == 0;
-  }
-
-private:
-  int epoll_;
-  int wake_;
-};
-
-// Returns what a socket is ready for in the library's words.
-int
-ReadyFor(std::uint32_t aEvents)
-{
-  return ((aEvents & (EPOLLIN | EPOLLHUP)) != 0 ? CURL_CSELECT_IN : 0) |
-         ((aEvents & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0) |
-         ((aEvents & EPOLLERR) != 0 ? CURL_CSELECT_ERR : 0);
-}
-
 } // namespace
 
 struct Client::Worker
--- a/src/reducer/parts.h
+++ b/src/reducer/parts.h
@@ -43,6 +43,18 @@
 void
 Refuse(Context& aContext, RequestId aId, core::Error aError);
 
+// learning.cc: what runs teach.
+// Learns from a whole answer, and reports a run whose blocks may be kept.
+void
+CountWhole(Context& aContext,
+           RequestState& aRequest,
+           const AttemptEnded& aEvent);
+// Tells the homes of a prompt what a run found out.
+void
+CorrectDirectory(Context& aContext,
+                 RequestState& aRequest,
+                 const AttemptStarted& aEvent);
+
 // routing.cc: which target an attempt goes to.
 // Picks the weight version of a new attempt; empty if no target serves one.
 std::string
@@ -55,10 +67,10 @@
 // Returns this host's work at a target that the last report can't show.
 placement::OwnWork
 OwnWorkOf(const TargetState& aTarget, absl::Time aNow);
-// Chooses the target and sends the attempt, or refuses the request.
+// Returns what the directory says that stores hold.
 std::vector<Holding>
 HoldingsOf(const std::vector<directory::Holder>& aHolders);
-
+// Chooses the target and sends the attempt, or refuses the request.
 void
 Place(Context& aContext,
       RequestState& aRequest,
--- a/src/reducer/requests.cc
+++ b/src/reducer/requests.cc
@@ -9,19 +9,9 @@
 
 namespace {
 
-// Weight of the newest value in moving averages.
-constexpr double kSmoothing = 0.1;
-// Of so many runs one tells the homes of its prompt all blocks.
-constexpr RequestId kWholeReportEvery = 16;
 // Suggested wait where nothing better is known.
 constexpr absl::Duration kDefaultRetryAfter = absl::Seconds(1);
 
-double
-Smooth(double aAverage, double aValue)
-{
-  return aAverage + kSmoothing * (aValue - aAverage);
-}
-
 // Returns the estimated time that a request holds a slot.
 absl::Duration
 EstimateCost(const Pool& aPool, const NewRequest& aRequest)
@@ -241,87 +231,6 @@
   return true;
 }
 
-// Learns from a whole answer.
-void
-CountWhole(Context& aContext,
-           RequestState& aRequest,
-           const AttemptEnded& aEvent)
-{
-  Pool& pool = PoolOf(aContext.state_, aRequest.request_);
-  admission::CountAnswer(pool.health_, aRequest.target_, aContext.now_);
-  admission::CountSuccess(pool.admission_,
-                          aRequest.request_.workspace_,
-                          aContext.state_.config_->limits_,
-                          aContext.now_);
-  const double seconds = absl::ToDoubleSeconds(aContext.now_ - aRequest.sent_);
-  pool.secondsPerRun_ = Smooth(pool.secondsPerRun_, seconds);
-  if (aEvent.tokens_ > 1 && aRequest.started_ < aContext.now_) {
-    const double decode =
-      absl::ToDoubleSeconds(aContext.now_ - aRequest.started_);
-    pool.secondsPerToken_ = Smooth(
-      pool.secondsPerToken_, decode / static_cast<double>(aEvent.tokens_));
-  }
-  if (!aRequest.chain_.empty()) {
-    aContext.effects_.emplace_back(ReportRun{ aRequest.request_.workspace_,
-                                              aRequest.request_.serves_,
-                                              aRequest.weightVersion_,
-                                              aRequest.target_,
-                                              aRequest.chain_,
-                                              aRequest.cachedBlocks_,
-                                              aRequest.holdings_,
-                                              aContext.now_ - aRequest.sent_ });
-  }
-}
-
-// Tells the homes which blocks of an import a store didn't give, and takes them
-// out of what is known of the request. Blocks that the engine cached meanwhile
-// weren't asked for.
-void
-CorrectStore(Context& aContext,
-             RequestState& aRequest,
-             const AttemptStarted& aEvent)
-{
-  const placement::Import& import = *aRequest.import_;
-  const std::size_t reused = aEvent.cachedBlocks_ + aEvent.importedBlocks_;
-  const std::size_t first = import.firstBlock_;
-  const auto gone = directory::MissedByImport(aRequest.chain_,
-                                              first,
-                                              import.generations_,
-                                              std::max(reused, first) - first);
-  if (gone.empty()) {
-    return;
-  }
-  SpreadSightings(
-    aContext, { import.store_, directory::HolderKind::Store }, gone, false);
-  // Whether later blocks are there isn't known either.
-  aRequest.holdings_.reset();
-}
-
-// Tells the homes of a prompt what a run found out.
-void
-CorrectDirectory(Context& aContext,
-                 RequestState& aRequest,
-                 const AttemptStarted& aEvent)
-{
-  const auto& chain = aRequest.chain_;
-  if (aRequest.import_) {
-    CorrectStore(aContext, aRequest, aEvent);
-  }
-  // The engine will hold the whole prompt once it is computed. What the home
-  // that was asked knows already is told now and then only, in case that the
-  // other home doesn't know it.
-  const bool whole = aRequest.request_.id_ % kWholeReportEvery == 0;
-  const std::size_t first = whole ? 0 : aRequest.knownBlocks_;
-  std::vector<directory::Sighting> sightings;
-  for (std::size_t i = first; i < chain.size(); ++i) {
-    sightings.push_back({ chain[i], chain[0] });
-  }
-  SpreadSightings(aContext,
-                  { aRequest.target_, directory::HolderKind::Engine },
-                  sightings,
-                  false);
-}
-
 // Ends a request whose deadline has passed after it had got a slot.
 void
 ExpireRunning(Context& aContext, RequestState& aRequest)
