--- a/support/cluster.py
+++ b/support/cluster.py
@@ -150,20 +150,22 @@
         port = self._wait_output(name, r"listening port=(\d+)").group(1)
         return {"name": name, "kind": kind, "http": f"http://{LOOPBACK}:{port}", "pid": process.pid}
 
-    def restart_standin(self, row):
+    def restart_standin(self, row, more_flags=()):
         """Starts a stand-in anew at its address after it ended; it has forgotten everything."""
         self.processes[row["name"]].wait()
+        flags = self.standin_flags[row["name"]]
         port = int(row["http"].rpartition(":")[2])
         limit = time.monotonic() + START_TIMEOUT_S
         while True:
             try:
-                started = self._start_standin(row["kind"], row["name"], self.standin_flags[row["name"]], port)
+                started = self._start_standin(row["kind"], row["name"], flags + list(more_flags), port)
                 break
             except RuntimeError:
                 # A connection of another process may hold the port for a moment.
                 if time.monotonic() > limit:
                     raise
                 time.sleep(POLL_S)
+        self.standin_flags[row["name"]] = flags
         row["pid"] = started["pid"]
 
     def _start_platform(self):
@@ -201,10 +203,9 @@
         return engines + services
 
     def _start_stores(self):
-        return [self.start_store(f"store-{i}") for i in range(self.options.stores)]
+        return [self._start_store(f"store-{i}") for i in range(self.options.stores)]
 
-    def start_store(self, name, more_flags=()):
-        """Starts one store; returns its row of cluster.json."""
+    def _start_store(self, name):
         options = self.options
         flags = [
             f"--memory-bytes={options.memory_bytes}",
@@ -212,7 +213,7 @@
             f"--link-rate={options.link_rate}",
             f"--disk-rate={options.disk_rate}",
         ]
-        return self._start_standin("store", name, flags + list(more_flags))
+        return self._start_standin("store", name, flags)
 
     def _start_entry(self, index, platform):
         return self.start_entry(f"entry-{index}", f"dc-{index % 4 + 1}", platform)
--- a/support/faults.py
+++ b/support/faults.py
@@ -147,9 +147,7 @@
 
 def restart_store(started, row, contents=""):
     """Starts a store anew on its port in place of one that ended: empty, or with the contents in a file."""
-    started.processes[row["name"]].wait()
-    flags = [f"--port={urllib.parse.urlparse(row['http']).port}"]
-    row.update(started.start_store(row["name"], flags + ([f"--contents={contents}"] if contents else [])))
+    started.restart_standin(row, [f"--contents={contents}"] if contents else [])
 
 
 def record(row):
