--- a/include/lycheeplank/placement.h
+++ b/include/lycheeplank/placement.h
@@ -105,26 +105,31 @@
   std::uint64_t queuedBytes_ = 0;
 };
 
-// What this host has learnt of a store's link from its transfers.
-struct LinkView
+// What goes before a new import on a store's link, as far as a host knows.
+struct LinkQueue
 {
-  double bytesPerSecond_ = 0.0;
-  std::uint32_t failuresInRow_ = 0;
-  // Imports are not tried before this time.
-  absl::Time closedUntil_ = absl::InfinitePast();
+  // As of the store's report.
+  std::uint64_t reportedBytes_ = 0;
+  // When the imports that the host ordered since then would end if the link
+  // carried nothing else.
+  absl::Time ownUntil_ = absl::InfinitePast();
 };
 
-// Takes in a finished transfer, with the time it took after its wait.
+// Takes in a store's report, which shows all earlier imports.
 void
-NoteTransfer(LinkView& aLink, std::uint64_t aBytes, absl::Duration aTook);
+NoteReport(LinkQueue& aQueue, std::uint64_t aBytes);
 
-// Takes in a failed transfer; repeated failures close the link for longer.
+// Takes in an import that the host orders.
 void
-NoteFailure(LinkView& aLink, absl::Time aNow);
+NoteImport(LinkQueue& aQueue,
+           std::uint64_t aBytes,
+           double aBytesPerSecond,
+           absl::Time aNow);
 
-// Whether imports may be tried.
-bool
-Usable(const LinkView& aLink, absl::Time aNow);
+// Returns the bytes that wait. The host's own imports drain; other traffic is
+// taken to go on as it was reported.
+std::uint64_t
+QueuedBytes(const LinkQueue& aQueue, double aBytesPerSecond, absl::Time aNow);
 
 // Estimated parts of the time to first token.
 struct Estimate
@@ -207,6 +212,17 @@
 // Hosts that follow a target at least, so that the loss of some is harmless.
 inline constexpr std::uint32_t kMinFollowers = 3;
 
+// Questions for load that a host asks in a second at most, so that its control
+// traffic doesn't grow with the targets.
+inline constexpr double kLoadQuestionsPerSecond = 24.0;
+// Those of them that are kept for holders that the host doesn't follow.
+inline constexpr std::size_t kHolderQuestionsPerSecond = 10;
+
+// Returns how many questions in a second a host may ask the targets that it
+// follows, out of all targets.
+double
+FollowedQuestionsPerSecond(std::size_t aFollowed, std::size_t aTargets);
+
 // Returns how many hosts follow each target.
 std::size_t
 FollowerCount(std::size_t aHosts, std::size_t aTargets);
@@ -219,6 +235,12 @@
           const std::vector<Follower>& aHosts,
           std::size_t aCount);
 
+// Returns the hosts with the given one among them, unless there are none. A
+// host that has left the lists serves for some time yet, so it goes on
+// following.
+std::vector<Follower>
+WithSelf(std::vector<Follower> aHosts, const Follower& aSelf);
+
 // Whether the host is one of the target's followers.
 bool
 Followed(absl::string_view aTarget,
--- a/src/entry/admin.cc
+++ b/src/entry/admin.cc
@@ -58,6 +58,9 @@
 std::string
 TargetStatus(const reducer::TargetState& aTarget)
 {
+  if (!aTarget.followed_) {
+    return "not followed";
+  }
   if (!aTarget.reported_) {
     return "unknown";
   }
@@ -304,7 +307,9 @@
           { "status", store.reached_ ? "serving" : "unreachable" },
           { "memory_used", store.memoryUsed_ },
           { "disk_used", store.diskUsed_ },
-          { "link_backlog_bytes", store.linkBacklogBytes_ } });
+          { "link_backlog_bytes", store.linkBacklogBytes_ },
+          { "known_blocks",
+            directory::CountBlocks(aState.directory_, name) } });
     }
   });
   return Dump(body);
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -1,5 +1,7 @@
 #include "entry/control.h"
 
+#include <glog/logging.h>
+
 namespace lycheeplank::entry {
 
 namespace {
@@ -8,6 +10,10 @@
 constexpr absl::Duration kTickInterval = absl::Milliseconds(50);
 // The same while callers wait for a claim or an outcome to be written.
 constexpr absl::Duration kClaimTickInterval = absl::Milliseconds(5);
+// A tick that is later than this means that the process stood still.
+constexpr absl::Duration kPauseBound = absl::Milliseconds(500);
+// Time in which the other threads then hand over what had come by the pause.
+constexpr absl::Duration kCatchUp = absl::Milliseconds(200);
 
 } // namespace
 
@@ -64,8 +70,22 @@
 absl::Duration
 Control::Tick()
 {
+  const absl::Time now = absl::Now();
+  if (now - tickDue_ > kPauseBound && !catchingUp_) {
+    // A deadline that passed meanwhile must not turn an answer that is here,
+    // or a call that was not sent, into an unknown outcome.
+    LOG(WARNING) << "event=process_stood_still ms="
+                 << absl::ToInt64Milliseconds(now - tickDue_);
+    catchingUp_ = true;
+    tickDue_ = now + kCatchUp;
+    return kCatchUp;
+  }
+  catchingUp_ = false;
   Step(reducer::Tick{});
-  return state_.claimTickets_.empty() ? kTickInterval : kClaimTickInterval;
+  const absl::Duration interval =
+    state_.claimTickets_.empty() ? kTickInterval : kClaimTickInterval;
+  tickDue_ = absl::Now() + interval;
+  return interval;
 }
 
 } // namespace lycheeplank::entry
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -37,11 +37,17 @@
 
   void Handle(const Item& aItem);
   void Step(const reducer::Event& aEvent);
+  // Tells the reducer that time has passed, or waits first for events from
+  // before a pause; returns the time until the next tick.
   absl::Duration Tick();
 
   reducer::State state_;
   std::mt19937_64 random_{ std::random_device{}() };
   const Perform perform_;
+  // When the next tick is due.
+  absl::Time tickDue_ = absl::InfiniteFuture();
+  // The process stood still; events from before go ahead of the next tick.
+  bool catchingUp_ = false;
   process::EventThread<Item> thread_;
 };
 
--- a/src/entry/settings.cc
+++ b/src/entry/settings.cc
@@ -1,6 +1,10 @@
 #include "entry/settings.h"
 
+#include <limits>
+#include <map>
+
 #include <CLI/CLI.hpp>
+#include <absl/strings/numbers.h>
 
 namespace lycheeplank::entry {
 
@@ -8,6 +12,20 @@
 
 constexpr std::size_t kDigestDigits = 64;
 
+std::string
+CheckPeer(const std::string& aAddress)
+{
+  const auto colon = aAddress.rfind(':');
+  std::uint32_t number = 0;
+  const bool good = colon != std::string::npos && colon > 0 &&
+                    absl::SimpleAtoi(aAddress.substr(colon + 1), &number) &&
+                    number > 0 &&
+                    number <= std::numeric_limits<std::uint16_t>::max();
+  return good ? ""
+              : "'" + aAddress +
+                  "' is not a peer's address; give one as 10.0.0.1:8081";
+}
+
 std::string
 CheckDigest(const std::string& aDigest)
 {
@@ -17,6 +35,32 @@
              "'lycheeplank key digest'";
 }
 
+// Flags that only failure tests use.
+void
+AddTestFlags(CLI::App& aApp, Settings& aSettings)
+{
+  std::map<std::string, StopPoint> points;
+  for (const auto& point : kStopPoints) {
+    points.emplace(point.name_, point.value_);
+  }
+  aApp
+    .add_option("--stop-at",
+                aSettings.stopAt_,
+                "failure tests only: moment of a call with an idempotency key "
+                "at which this process stops itself: " +
+                  core::AllNames(kStopPoints))
+    ->envname("LYCHEEPLANK_STOP_AT")
+    ->transform(CLI::CheckedTransformer(points))
+    ->type_name("POINT");
+  aApp
+    .add_option("--stop-at-count",
+                aSettings.stopAtCount_,
+                "failure tests only: the time at that moment that counts")
+    ->envname("LYCHEEPLANK_STOP_AT_COUNT")
+    ->check(CLI::Range(1, 1000000))
+    ->capture_default_str();
+}
+
 void
 AddFlags(CLI::App& aApp, Settings& aSettings)
 {
@@ -33,6 +77,14 @@
                 "port for other entry hosts, 0: any free one")
     ->envname("LYCHEEPLANK_PEER_PORT")
     ->capture_default_str();
+  aApp
+    .add_option("--peers",
+                aSettings.peers_,
+                "peer addresses of other entry hosts, with commas between "
+                "them, asked for all hosts while the platform is out")
+    ->envname("LYCHEEPLANK_PEERS")
+    ->delimiter(',')
+    ->check(CheckPeer);
   aApp
     .add_option("--steward",
                 aSettings.stewardUrl_,
@@ -70,6 +122,7 @@
                "streams the answer.",
                "lycheeplank-entry");
   AddFlags(app, aSettings);
+  AddTestFlags(app, aSettings);
   return process::Parse(app, aCount, aArguments);
 }
 
--- a/src/net/client.cc
+++ b/src/net/client.cc
@@ -1,8 +1,10 @@
 #include "lycheeplank/net.h"
 
+#include <chrono>
 #include <map>
 #include <pthread.h>
 #include <thread>
+#include <utility>
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
@@ -12,6 +14,8 @@
 #include <absl/synchronization/notification.h>
 #include <curl/curl.h>
 
+#include "net/poller.h"
+
 namespace lycheeplank::net {
 
 namespace {
@@ -19,9 +23,25 @@
 // Size of the library's receive buffer for one call.
 constexpr long kReceiveBufferBytes = 8192;
 constexpr long kIdleConnections = 256;
-constexpr int kPollMilliseconds = 1000;
+// Data of one call that is handed over at once.
+constexpr std::size_t kMaxReceivedBytes = 64UL << 10U;
+// Goes on evenly also when the time of day is set.
+using SteadyClock = std::chrono::steady_clock;
+using SteadyTime = SteadyClock::time_point;
+
+constexpr absl::Duration kLongestWait = absl::Seconds(1);
 constexpr unsigned kWorkerBits = 8;
 
+struct Active;
+
+// Data of one call that the library hands over in many pieces, one for each
+// chunk, and that the owner takes as a whole.
+struct Received
+{
+  Active* active_ = nullptr;
+  std::string data_;
+};
+
 // A call under way.
 struct Active
 {
@@ -30,10 +50,36 @@
   curl_slist* headers_ = nullptr;
   Call call_;
   CallEvents events_;
+  // When the whole time allowed is over.
+  absl::Time until_ = absl::InfiniteFuture();
   bool statusTold_ = false;
   std::vector<Field>* answerHeaders_ = nullptr;
+  // The one of the thread that runs the call.
+  Received* received_ = nullptr;
 };
 
+// Sets the end of the time allowed, which counts from the order to send.
+void
+SetUntil(Active& aActive)
+{
+  if (aActive.call_.timeout_ != absl::InfiniteDuration()) {
+    aActive.until_ =
+      absl::Now() + aActive.call_.delay_ + aActive.call_.timeout_;
+  }
+}
+
+// Ends a call that was not begun.
+void
+EndUnsent(const Active& aActive, const char* aError)
+{
+  if (aActive.events_.onEnd_) {
+    CallEnd end;
+    end.neverSent_ = true;
+    end.error_ = aError;
+    aActive.events_.onEnd_(end);
+  }
+}
+
 void
 TellStatus(Active& aActive)
 {
@@ -48,14 +94,29 @@
   }
 }
 
+// Hands over what has been received.
+void
+Deliver(Received& aReceived)
+{
+  const Active* active = std::exchange(aReceived.active_, nullptr);
+  if (active != nullptr && active->events_.onData_) {
+    active->events_.onData_(aReceived.data_);
+  }
+  aReceived.data_.clear();
+}
+
 std::size_t
 OnData(char* aData, std::size_t aSize, std::size_t aCount, void* aActive)
 {
   auto& active = *static_cast<Active*>(aActive);
-  TellStatus(active);
-  if (active.events_.onData_) {
-    active.events_.onData_(absl::string_view(aData, aSize * aCount));
+  Received& received = *active.received_;
+  if (received.active_ != &active ||
+      received.data_.size() > kMaxReceivedBytes) {
+    Deliver(received);
   }
+  TellStatus(active);
+  received.active_ = &active;
+  received.data_.append(aData, aSize * aCount);
   return aSize * aCount;
 }
 
@@ -73,6 +134,17 @@
   return aSize * aCount;
 }
 
+// Runs on a connection just before the request is sent on it: the library's
+// own clock starts when it takes the call up, which may be long after the order
+// in a process that stood still.
+int
+OnReady(void* aActive, char*, char*, int, int)
+{
+  const auto& active = *static_cast<const Active*>(aActive);
+  return absl::Now() < active.until_ ? CURL_PREREQFUNC_OK
+                                     : CURL_PREREQFUNC_ABORT;
+}
+
 void
 SetOptions(Active& aActive)
 {
@@ -90,6 +162,8 @@
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aActive);
   curl_easy_setopt(easy, CURLOPT_PRIVATE, &aActive);
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &OnReady);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aActive);
   curl_easy_setopt(
     easy,
     CURLOPT_CONNECTTIMEOUT_MS,
@@ -143,6 +217,10 @@
     : multi_(curl_multi_init())
   {
     curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kIdleConnections);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETFUNCTION, &OnSocket);
+    curl_multi_setopt(multi_, CURLMOPT_SOCKETDATA, this);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERFUNCTION, &OnTimer);
+    curl_multi_setopt(multi_, CURLMOPT_TIMERDATA, this);
     thread_ = std::thread([this] { Run(); });
   }
 
@@ -152,7 +230,7 @@
       const absl::MutexLock lock(&mutex_);
       stopping_ = true;
     }
-    curl_multi_wakeup(multi_);
+    poller_.Wake();
     thread_.join();
     while (!active_.empty()) {
       Finish(active_.begin()->first, CURLE_ABORTED_BY_CALLBACK);
@@ -166,18 +244,64 @@
       const absl::MutexLock lock(&mutex_);
       orders_.push_back(std::move(aOrder));
     }
-    curl_multi_wakeup(multi_);
+    poller_.Wake();
+  }
+
+  static int OnSocket(CURL*,
+                      curl_socket_t aSocket,
+                      int aWhat,
+                      void* aWorker,
+                      void*)
+  {
+    static_cast<Worker*>(aWorker)->poller_.Watch(aSocket, aWhat);
+    return 0;
+  }
+
+  // Notes when the library wants to be called though no socket is ready.
+  static int OnTimer(CURLM*, long aMilliseconds, void* aWorker)
+  {
+    static_cast<Worker*>(aWorker)->timer_ =
+      aMilliseconds < 0
+        ? SteadyTime::max()
+        : SteadyClock::now() + std::chrono::milliseconds(aMilliseconds);
+    return 0;
   }
 
   void Run()
   {
     pthread_setname_np(pthread_self(), "http-client");
+    Poller::Events events{};
     while (TakeOrders()) {
-      int running = 0;
-      curl_multi_perform(multi_, &running);
+      BeginDue();
+      ServeTimer();
       FinishEnded();
-      curl_multi_poll(multi_, nullptr, 0, BeginDue(), nullptr);
+      const std::size_t ready = poller_.Wait(events, NextWait());
+      for (std::size_t i = 0; i < ready; ++i) {
+        Serve(events[i]);
+      }
+    }
+  }
+
+  void Serve(const epoll_event& aEvent)
+  {
+    if (poller_.TakeWake(aEvent)) {
+      return;
     }
+    int running = 0;
+    curl_multi_socket_action(
+      multi_, aEvent.data.fd, ReadyFor(aEvent.events), &running);
+    Deliver(received_);
+  }
+
+  void ServeTimer()
+  {
+    if (timer_ > SteadyClock::now()) {
+      return;
+    }
+    timer_ = SteadyTime::max();
+    int running = 0;
+    curl_multi_socket_action(multi_, CURL_SOCKET_TIMEOUT, 0, &running);
+    Deliver(received_);
   }
 
   bool TakeOrders()
@@ -203,22 +327,27 @@
     return true;
   }
 
-  // Begins the delayed calls that are due; returns the milliseconds until the
-  // next one, or those of an ordinary wait.
-  int BeginDue()
+  // Begins the delayed calls that are due.
+  void BeginDue()
   {
     const absl::Time now = absl::Now();
     while (!delayed_.empty() && delayed_.begin()->first <= now) {
       auto node = delayed_.extract(delayed_.begin());
       Begin(std::move(node.mapped()));
     }
-    if (delayed_.empty()) {
-      return kPollMilliseconds;
+  }
+
+  // Returns the time until a delayed call or the library's timer is due.
+  absl::Duration NextWait() const
+  {
+    absl::Duration wait = kLongestWait;
+    if (timer_ != SteadyTime::max()) {
+      wait = std::min(wait, absl::FromChrono(timer_ - SteadyClock::now()));
+    }
+    if (!delayed_.empty()) {
+      wait = std::min(wait, delayed_.begin()->first - absl::Now());
     }
-    const auto wait =
-      absl::Ceil(delayed_.begin()->first - now, absl::Milliseconds(1));
-    return std::min(kPollMilliseconds,
-                    static_cast<int>(absl::ToInt64Milliseconds(wait)));
+    return wait;
   }
 
   // Takes a call that is still delayed out of the waiting ones.
@@ -230,12 +359,7 @@
       }
       const std::unique_ptr<Active> active = std::move(it->second);
       delayed_.erase(it);
-      if (active->events_.onEnd_) {
-        CallEnd end;
-        end.neverSent_ = true;
-        end.error_ = "cancelled before it was sent";
-        active->events_.onEnd_(end);
-      }
+      EndUnsent(*active, "cancelled before it was sent");
       return;
     }
   }
@@ -245,6 +369,15 @@
     if (aActive->call_.bodySource_) {
       aActive->call_.body_ = aActive->call_.bodySource_();
     }
+    if (aActive->until_ != absl::InfiniteFuture()) {
+      // This thread may have been busy or stopped since the order.
+      aActive->call_.timeout_ = aActive->until_ - absl::Now();
+      if (aActive->call_.timeout_ <= absl::ZeroDuration()) {
+        EndUnsent(*aActive, "its time passed before it was sent");
+        return;
+      }
+    }
+    aActive->received_ = &received_;
     aActive->easy_ = curl_easy_init();
     SetOptions(*aActive);
     curl_multi_add_handle(multi_, aActive->easy_);
@@ -295,7 +428,11 @@
     }
   }
 
+  Poller poller_;
   CURLM* multi_;
+  // When the library's own timer is due.
+  SteadyTime timer_ = SteadyTime::max();
+  Received received_;
   absl::Mutex mutex_;
   std::vector<Order> orders_ ABSL_GUARDED_BY(mutex_);
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
@@ -327,6 +464,7 @@
   active->call_ = std::move(aCall);
   active->events_ = std::move(aEvents);
   const CallId id = active->id_;
+  SetUntil(*active);
   workers_[worker]->Push({ std::move(active), 0 });
   return id;
 }
@@ -351,6 +489,7 @@
       onAnswer(std::move(*answer));
     };
   const CallId id = active->id_;
+  SetUntil(*active);
   workers_[worker]->Push({ std::move(active), 0 });
   return id;
 }
--- a/src/peer/client.cc
+++ b/src/peer/client.cc
@@ -195,6 +195,7 @@
                      const LocateRequest& aRequest)
 {
   if (aHomes.empty()) {
+    aEvent.known_ = false;
     post_(std::move(aEvent));
     return;
   }
@@ -219,11 +220,9 @@
 void
 Client::Perform(const reducer::AskHomes& aEffect)
 {
-  LocateRequest request;
-  for (const auto& block : aEffect.chain_) {
-    request.add_blocks(KeyBytes(block));
-  }
-  impl_->Locate(aEffect.homes_, { aEffect.id_, aEffect.attempt_, {} }, request);
+  impl_->Locate(aEffect.homes_,
+                { aEffect.id_, aEffect.attempt_, {} },
+                LocateToWire(aEffect.chain_));
 }
 
 void
--- a/src/process/flags.cc
+++ b/src/process/flags.cc
@@ -66,6 +66,11 @@
                 "folder for logs; standard error without it")
     ->envname("LYCHEEPLANK_LOG_DIR")
     ->check(CLI::ExistingDirectory);
+  aApp
+    .add_flag("--check-lock-order",
+              aSettings.checkLockOrder_,
+              "abort on locks taken in contradicting orders; for tests, slow")
+    ->envname("LYCHEEPLANK_CHECK_LOCK_ORDER");
 }
 
 ParseResult
--- a/src/reducer/parts.h
+++ b/src/reducer/parts.h
@@ -28,6 +28,8 @@
 OnAttemptEnded(Context& aContext, const AttemptEnded& aEvent);
 void
 OnLocated(Context& aContext, const Located& aEvent);
+void
+OnLoadsHeard(Context& aContext, const LoadsHeard& aEvent);
 // Starts waiting requests of all pools that were marked.
 void
 PumpMarked(Context& aContext);
@@ -41,10 +43,22 @@
 void
 Refuse(Context& aContext, RequestId aId, core::Error aError);
 
+// learning.cc: what runs teach.
+// Learns from a whole answer, and reports a run whose blocks may be kept.
+void
+CountWhole(Context& aContext,
+           RequestState& aRequest,
+           const AttemptEnded& aEvent);
+// Tells the homes of a prompt what a run found out.
+void
+CorrectDirectory(Context& aContext,
+                 RequestState& aRequest,
+                 const AttemptStarted& aEvent);
+
 // routing.cc: which target an attempt goes to.
 // Picks the weight version of a new attempt; empty if no target serves one.
 std::string
-ChooseVersion(const State& aState, const RequestState& aRequest);
+ChooseVersion(const Context& aContext, const RequestState& aRequest);
 // Names of a pool's targets that may get an attempt of the request now.
 std::vector<std::string>
 UsableTargets(const Context& aContext,
@@ -53,12 +67,50 @@
 // Returns this host's work at a target that the last report can't show.
 placement::OwnWork
 OwnWorkOf(const TargetState& aTarget, absl::Time aNow);
+// Returns what the directory says that stores hold.
+std::vector<Holding>
+HoldingsOf(const std::vector<directory::Holder>& aHolders);
 // Chooses the target and sends the attempt, or refuses the request.
 void
 Place(Context& aContext,
       RequestState& aRequest,
       const std::vector<directory::Holder>& aHolders);
 
+// Whether config, health and the platform's list let an attempt of the request
+// go to a target, whatever the target says of itself.
+bool
+IsAllowed(const Context& aContext,
+          const Pool& aPool,
+          const RequestState& aRequest,
+          const std::string& aName);
+// Whether an attempt of the request may go to a target now.
+bool
+IsUsable(const Context& aContext,
+         const Pool& aPool,
+         const RequestState& aRequest,
+         const std::string& aName);
+
+// loads.cc: the load of targets that this host doesn't follow.
+// Whether this host may ask a target for its load when a request needs it.
+bool
+IsAskable(const TargetState& aTarget, absl::Time aNow);
+// Asks some targets before an attempt begins, if no report at hand is of one
+// that can take it; false if there is nothing to wait for.
+bool
+AskForAny(Context& aContext, RequestState& aRequest);
+// Whether the last report of a target is recent enough to send work there.
+bool
+IsCurrent(const TargetState& aTarget, absl::Time aNow);
+// Places an attempt; first asks for the load of better holders than those whose
+// reports are at hand.
+void
+AskAndPlace(Context& aContext,
+            RequestState& aRequest,
+            std::vector<directory::Holder> aHolders);
+// Notes which of the asked targets stayed silent.
+void
+NoteSilent(Context& aContext, const RequestState& aRequest);
+
 // targets.cc: what is known of targets, stores and hosts.
 void
 OnTargetReported(Context& aContext, const TargetReported& aEvent);
@@ -76,9 +128,10 @@
                 const directory::HolderId& aHolder,
                 const std::vector<directory::Sighting>& aSightings,
                 bool aInventory);
-// Works out this host's rank among the followers of each target.
+// Works out which targets this host follows, and its rank among the followers
+// of each target.
 void
-RankFollowers(State& aState);
+RankFollowers(Context& aContext);
 // Sets how many runs a pool may have at once.
 void
 UpdateSlots(Context& aContext, Pool& aPool);
--- a/src/reducer/requests.cc
+++ b/src/reducer/requests.cc
@@ -9,17 +9,9 @@
 
 namespace {
 
-// Weight of the newest value in moving averages.
-constexpr double kSmoothing = 0.1;
 // Suggested wait where nothing better is known.
 constexpr absl::Duration kDefaultRetryAfter = absl::Seconds(1);
 
-double
-Smooth(double aAverage, double aValue)
-{
-  return aAverage + kSmoothing * (aValue - aAverage);
-}
-
 // Returns the estimated time that a request holds a slot.
 absl::Duration
 EstimateCost(const Pool& aPool, const NewRequest& aRequest)
@@ -75,13 +67,26 @@
             own.end());
 }
 
-// Gives a request that has a slot its next attempt.
+// Refuses a request whose model is no longer configured.
+bool
+RefuseRemoved(Context& aContext, const RequestState& aRequest)
+{
+  if (aContext.state_.config_->models_.count(aRequest.request_.serves_) > 0) {
+    return false;
+  }
+  Refuse(aContext,
+         aRequest.request_.id_,
+         { core::ErrorKind::UnknownModel,
+           absl::StrCat("model ",
+                        aRequest.request_.serves_,
+                        " was removed while the request waited") });
+  return true;
+}
+
+// Begins an attempt when there may be targets for it.
 void
-StartAttempt(Context& aContext, RequestState& aRequest)
+BeginAttempt(Context& aContext, RequestState& aRequest)
 {
-  ++aRequest.attempt_;
-  aRequest.import_.reset();
-  aRequest.started_ = absl::InfiniteFuture();
   if (!aRequest.request_.repeatable_) {
     AskForClaim(aContext, aRequest);
     return;
@@ -91,16 +96,10 @@
     return;
   }
   State& state = aContext.state_;
-  if (state.config_->models_.count(aRequest.request_.serves_) == 0) {
-    Refuse(aContext,
-           aRequest.request_.id_,
-           { core::ErrorKind::UnknownModel,
-             absl::StrCat("model ",
-                          aRequest.request_.serves_,
-                          " was removed while the request waited") });
+  if (RefuseRemoved(aContext, aRequest)) {
     return;
   }
-  aRequest.weightVersion_ = ChooseVersion(state, aRequest);
+  aRequest.weightVersion_ = ChooseVersion(aContext, aRequest);
   aRequest.chain_ = core::ChainBlocks({ aRequest.request_.workspace_,
                                         aRequest.request_.serves_,
                                         aRequest.weightVersion_,
@@ -115,8 +114,9 @@
     homes.empty() ||
     std::find(homes.begin(), homes.end(), state.self_.name_) != homes.end();
   if (atHome) {
-    Place(
-      aContext, aRequest, directory::Locate(state.directory_, aRequest.chain_));
+    const auto holders = directory::Locate(state.directory_, aRequest.chain_);
+    aRequest.holdings_ = HoldingsOf(holders);
+    AskAndPlace(aContext, aRequest, holders);
     return;
   }
   aRequest.phase_ = Phase::Locating;
@@ -124,6 +124,20 @@
     aRequest.request_.id_, aRequest.attempt_, homes, aRequest.chain_ });
 }
 
+// Gives a request that has a slot its next attempt.
+void
+StartAttempt(Context& aContext, RequestState& aRequest)
+{
+  ++aRequest.attempt_;
+  aRequest.import_.reset();
+  aRequest.knownBlocks_ = 0;
+  aRequest.holdings_.reset();
+  aRequest.started_ = absl::InfiniteFuture();
+  if (!AskForAny(aContext, aRequest)) {
+    BeginAttempt(aContext, aRequest);
+  }
+}
+
 // Moves a request from the queue to its first attempt.
 void
 StartRequest(Context& aContext, const admission::Request& aAdmitted)
@@ -217,62 +231,6 @@
   return true;
 }
 
-// Learns from a whole answer.
-void
-CountWhole(Context& aContext,
-           RequestState& aRequest,
-           const AttemptEnded& aEvent)
-{
-  Pool& pool = PoolOf(aContext.state_, aRequest.request_);
-  admission::CountAnswer(pool.health_, aRequest.target_, aContext.now_);
-  admission::CountSuccess(pool.admission_,
-                          aRequest.request_.workspace_,
-                          aContext.state_.config_->limits_,
-                          aContext.now_);
-  const double seconds = absl::ToDoubleSeconds(aContext.now_ - aRequest.sent_);
-  pool.secondsPerRun_ = Smooth(pool.secondsPerRun_, seconds);
-  if (aEvent.tokens_ > 1 && aRequest.started_ < aContext.now_) {
-    const double decode =
-      absl::ToDoubleSeconds(aContext.now_ - aRequest.started_);
-    pool.secondsPerToken_ = Smooth(
-      pool.secondsPerToken_, decode / static_cast<double>(aEvent.tokens_));
-  }
-  if (!aRequest.chain_.empty()) {
-    aContext.effects_.emplace_back(ReportRun{ aRequest.request_.workspace_,
-                                              aRequest.request_.serves_,
-                                              aRequest.weightVersion_,
-                                              aRequest.target_,
-                                              aRequest.chain_,
-                                              aRequest.cachedBlocks_ });
-  }
-}
-
-// Corrects the directory by what a run found.
-void
-CorrectDirectory(Context& aContext,
-                 const RequestState& aRequest,
-                 const AttemptStarted& aEvent)
-{
-  const directory::HolderId engine{ aRequest.target_,
-                                    directory::HolderKind::Engine };
-  directory::CorrectByRun(
-    aContext.state_.directory_, engine, aRequest.chain_, aEvent.cachedBlocks_);
-  if (const auto& import = aRequest.import_; import) {
-    directory::CorrectByImport(aContext.state_.directory_,
-                               { import->store_, directory::HolderKind::Store },
-                               aRequest.chain_,
-                               import->firstBlock_,
-                               import->generations_,
-                               aEvent.importedBlocks_);
-  }
-  // The engine will hold the whole prompt once it is computed.
-  std::vector<directory::Sighting> sightings;
-  for (const auto& block : aRequest.chain_) {
-    sightings.push_back({ block, aRequest.chain_[0] });
-  }
-  SpreadSightings(aContext, engine, sightings, false);
-}
-
 // Ends a request whose deadline has passed after it had got a slot.
 void
 ExpireRunning(Context& aContext, RequestState& aRequest)
@@ -291,7 +249,8 @@
     aContext.effects_.emplace_back(
       CancelAttempt{ aRequest.request_.id_, aRequest.attempt_ });
   }
-  if (aRequest.request_.repeatable_) {
+  const bool claimed = aRequest.asks_ > 0;
+  if (aRequest.request_.repeatable_ || !claimed) {
     Refuse(aContext, aRequest.request_.id_, std::move(error));
   } else if (sent) {
     GiveUpSentCall(aContext, aRequest, std::move(error));
@@ -456,8 +415,10 @@
   Pool& pool = PoolOf(aContext.state_, request.request_);
   if (aEvent.result_ == AttemptResult::WrongVersion) {
     // The target works; only what was known of its version is old.
-    aContext.state_.targets_[request.target_].weightVersion_ =
-      aEvent.weightVersion_;
+    const auto target = aContext.state_.targets_.find(request.target_);
+    if (target != aContext.state_.targets_.end()) {
+      target->second.weightVersion_ = aEvent.weightVersion_;
+    }
   } else if (admission::CountFailure(
                pool.health_, request.target_, aContext.now_)) {
     AddCount(aContext, "targets_put_aside_total", "target", request.target_);
@@ -477,7 +438,36 @@
     return;
   }
   found->second.phase_ = Phase::Running;
-  Place(aContext, found->second, aEvent.holders_);
+  if (aEvent.known_) {
+    found->second.holdings_ = HoldingsOf(aEvent.holders_);
+  }
+  if (!RefuseRemoved(aContext, found->second)) {
+    AskAndPlace(aContext, found->second, aEvent.holders_);
+  }
+}
+
+void
+OnLoadsHeard(Context& aContext, const LoadsHeard& aEvent)
+{
+  const auto found = aContext.state_.requests_.find(aEvent.id_);
+  if (found == aContext.state_.requests_.end() ||
+      found->second.attempt_ != aEvent.attempt_ ||
+      found->second.phase_ != Phase::Asking) {
+    return;
+  }
+  RequestState& request = found->second;
+  NoteSilent(aContext, request);
+  if (request.request_.deadline_ <= aContext.now_) {
+    // The next tick answers it.
+    return;
+  }
+  request.phase_ = Phase::Running;
+  if (request.asksForAny_) {
+    request.asksForAny_ = false;
+    BeginAttempt(aContext, request);
+  } else if (!RefuseRemoved(aContext, request)) {
+    Place(aContext, request, request.holders_);
+  }
 }
 
 void
--- a/src/reducer/routing.cc
+++ b/src/reducer/routing.cc
@@ -52,8 +52,17 @@
   return candidate;
 }
 
+double
+LinkRateOf(const config::Store& aSettings, const StoreState& aStore)
+{
+  return aStore.linkBytesPerSecond_ > 0.0 ? aStore.linkBytesPerSecond_
+                                          : aSettings.linkBytesPerSecond_;
+}
+
 std::vector<placement::Offer>
-MakeOffers(const State& aState, const std::vector<directory::Holder>& aHolders)
+MakeOffers(const State& aState,
+           const std::vector<directory::Holder>& aHolders,
+           absl::Time aNow)
 {
   std::vector<placement::Offer> offers;
   for (const auto& holder : aHolders) {
@@ -71,12 +80,10 @@
     offer.leadingBlocks_ = holder.leadingBlocks_;
     offer.generations_ = holder.generations_;
     offer.onDisk_ = holder.onDisk_;
-    offer.linkBytesPerSecond_ = store->second.linkBytesPerSecond_ > 0.0
-                                  ? store->second.linkBytesPerSecond_
-                                  : settings->second.linkBytesPerSecond_;
+    offer.linkBytesPerSecond_ = LinkRateOf(settings->second, store->second);
     offer.diskBytesPerSecond_ = settings->second.diskBytesPerSecond_;
-    offer.queuedBytes_ =
-      store->second.linkBacklogBytes_ + store->second.ownBytes_;
+    offer.queuedBytes_ = placement::QueuedBytes(
+      store->second.queue_, offer.linkBytesPerSecond_, aNow);
     offers.push_back(std::move(offer));
   }
   return offers;
@@ -147,33 +154,6 @@
   aContext.effects_.emplace_back(std::move(dispatch));
 }
 
-bool
-IsUsable(const Context& aContext,
-         const Pool& aPool,
-         const RequestState& aRequest,
-         const std::string& aName)
-{
-  const State& state = aContext.state_;
-  const auto found = state.targets_.find(aName);
-  if (found == state.targets_.end()) {
-    return false;
-  }
-  const TargetState& target = found->second;
-  const config::Target& settings = ConfigOf(state, aName);
-  const bool completion = aRequest.request_.kind_ == RequestKind::Completion;
-  if (!target.reached_ || target.leaving_ || target.leavingListed_ ||
-      (completion && target.weightVersion_ != aRequest.weightVersion_)) {
-    return false;
-  }
-  return admission::AvailabilityOf(aPool.health_, aName, aContext.now_) !=
-           admission::Availability::Aside &&
-         config::Allowed(*state.config_,
-                         aRequest.request_.workspace_,
-                         settings.kind_,
-                         settings.serves_,
-                         settings.dataCentre_);
-}
-
 // Refuses a request for which no target is left.
 void
 RefuseUnplaced(Context& aContext, RequestState& aRequest)
@@ -207,15 +187,57 @@
   return placement::OwnWorkSince(sent, aTarget.asOf_, aNow);
 }
 
+bool
+IsAllowed(const Context& aContext,
+          const Pool& aPool,
+          const RequestState& aRequest,
+          const std::string& aName)
+{
+  const State& state = aContext.state_;
+  const auto found = state.targets_.find(aName);
+  if (found == state.targets_.end() || found->second.leavingListed_) {
+    return false;
+  }
+  const config::Target& settings = ConfigOf(state, aName);
+  return admission::AvailabilityOf(aPool.health_, aName, aContext.now_) !=
+           admission::Availability::Aside &&
+         config::Allowed(*state.config_,
+                         aRequest.request_.workspace_,
+                         settings.kind_,
+                         settings.serves_,
+                         settings.dataCentre_);
+}
+
+bool
+IsUsable(const Context& aContext,
+         const Pool& aPool,
+         const RequestState& aRequest,
+         const std::string& aName)
+{
+  const State& state = aContext.state_;
+  const auto found = state.targets_.find(aName);
+  if (found == state.targets_.end()) {
+    return false;
+  }
+  const TargetState& target = found->second;
+  const bool completion = aRequest.request_.kind_ == RequestKind::Completion;
+  if (!IsCurrent(target, aContext.now_) || target.leaving_ ||
+      (completion && target.weightVersion_ != aRequest.weightVersion_)) {
+    return false;
+  }
+  return IsAllowed(aContext, aPool, aRequest, aName);
+}
+
 std::string
-ChooseVersion(const State& aState, const RequestState& aRequest)
+ChooseVersion(const Context& aContext, const RequestState& aRequest)
 {
+  const State& state = aContext.state_;
   const config::Model& model =
-    aState.config_->models_.at(aRequest.request_.serves_);
+    state.config_->models_.at(aRequest.request_.serves_);
   const auto isServed = [&](const std::string& aVersion) {
     return std::any_of(
-      aState.targets_.begin(), aState.targets_.end(), [&](const auto& aTarget) {
-        return aTarget.second.reached_ &&
+      state.targets_.begin(), state.targets_.end(), [&](const auto& aTarget) {
+        return IsCurrent(aTarget.second, aContext.now_) &&
                aTarget.second.weightVersion_ == aVersion;
       });
   };
@@ -264,6 +286,19 @@
   return usable.empty() ? tried : usable;
 }
 
+// Returns what the holders say of stores.
+std::vector<Holding>
+HoldingsOf(const std::vector<directory::Holder>& aHolders)
+{
+  std::vector<Holding> holdings;
+  for (const auto& holder : aHolders) {
+    if (holder.id_.kind_ == directory::HolderKind::Store) {
+      holdings.push_back({ holder.id_.name_, holder.leadingBlocks_ });
+    }
+  }
+  return holdings;
+}
+
 void
 Place(Context& aContext,
       RequestState& aRequest,
@@ -280,16 +315,22 @@
   const auto decision =
     placement::Choose(MakeQuestion(aContext, pool, aRequest),
                       candidates,
-                      MakeOffers(state, aHolders));
+                      MakeOffers(state, aHolders, aContext.now_));
   if (!decision) {
     RefuseUnplaced(aContext, aRequest);
     return;
   }
   aRequest.target_ = decision->target_;
   aRequest.import_ = decision->import_;
+  aRequest.knownBlocks_ = decision->cachedBlocks_;
   if (aRequest.import_) {
-    state.stores_[aRequest.import_->store_].ownBytes_ +=
-      aRequest.import_->bytes_;
+    const placement::Import& import = *aRequest.import_;
+    StoreState& store = state.stores_[import.store_];
+    placement::NoteImport(
+      store.queue_,
+      import.bytes_,
+      LinkRateOf(state.config_->stores_.at(import.store_), store),
+      aContext.now_);
   }
   AddNote(aContext,
           aRequest.request_,
--- a/src/reducer/targets.cc
+++ b/src/reducer/targets.cc
@@ -12,6 +12,9 @@
 // Runs that may wait at a target, as a part of those it runs at once, so that
 // it never idles between two reports.
 constexpr double kWaitingShare = 0.25;
+// Questions in a row that a store doesn't answer until what it held is
+// forgotten.
+constexpr std::uint32_t kMissedUntilLost = 3;
 
 RequestKind
 KindOf(const config::Target& aTarget)
@@ -33,9 +36,10 @@
 }
 
 bool
-TakesWork(const TargetState& aTarget)
+TakesWork(const TargetState& aTarget, absl::Time aNow)
 {
-  return aTarget.reached_ && !aTarget.leaving_ && !aTarget.leavingListed_;
+  return IsCurrent(aTarget, aNow) && !aTarget.leaving_ &&
+         !aTarget.leavingListed_;
 }
 
 // Makes one pool for each model and service and lists their targets.
@@ -103,23 +107,28 @@
 } // namespace
 
 void
-RankFollowers(State& aState)
+RankFollowers(Context& aContext)
 {
-  if (!aState.config_) {
+  State& state = aContext.state_;
+  if (!state.config_) {
     return;
   }
+  const auto hosts = placement::WithSelf(state.live_, state.self_);
   const std::size_t count =
-    placement::FollowerCount(aState.live_.size(), aState.targets_.size());
-  for (auto& [name, target] : aState.targets_) {
-    const auto settings = aState.config_->targets_.find(name);
-    if (settings == aState.config_->targets_.end()) {
+    placement::FollowerCount(hosts.size(), state.targets_.size());
+  for (auto& [name, target] : state.targets_) {
+    const auto settings = state.config_->targets_.find(name);
+    if (settings == state.config_->targets_.end()) {
       continue;
     }
-    const auto followers = placement::Followers(
-      name, settings->second.dataCentre_, aState.live_, count);
+    const auto followers =
+      placement::Followers(name, settings->second.dataCentre_, hosts, count);
     const auto self =
-      std::find(followers.begin(), followers.end(), aState.self_.name_);
+      std::find(followers.begin(), followers.end(), state.self_.name_);
     target.followerRank_ = static_cast<std::uint32_t>(self - followers.begin());
+    // A report from before this host followed the target may be old.
+    target.reached_ = IsCurrent(target, aContext.now_);
+    target.followed_ = hosts.empty() || self != followers.end();
   }
 }
 
@@ -131,7 +140,9 @@
   bool any = false;
   for (const auto& name : aPool.targets_) {
     const TargetState& target = state.targets_.at(name);
-    if (!TakesWork(target)) {
+    // Targets that can be asked may have room when no other has.
+    any = any || IsAskable(target, aContext.now_);
+    if (!TakesWork(target, aContext.now_)) {
       continue;
     }
     any = true;
@@ -158,8 +169,10 @@
   TargetState& target = found->second;
   target.reached_ = aEvent.reached_;
   if (aEvent.reached_) {
-    if (target.reported_ && target.weightVersion_ != aEvent.weightVersion_) {
-      // Blocks of the version before can't be used by new requests.
+    if (target.followed_ && target.reported_ &&
+        target.weightVersion_ != aEvent.weightVersion_) {
+      // Blocks of the version before can't be used by new requests. Where this
+      // host doesn't follow the target, its blocks may be of the new version.
       directory::DropHolder(state.directory_, aEvent.target_);
       target.cursor_ = {};
     }
@@ -226,21 +239,33 @@
 void
 OnStoreReported(Context& aContext, const StoreReported& aEvent)
 {
-  const auto found = aContext.state_.stores_.find(aEvent.store_);
-  if (found == aContext.state_.stores_.end()) {
+  State& state = aContext.state_;
+  const auto found = state.stores_.find(aEvent.store_);
+  if (found == state.stores_.end()) {
     return;
   }
   StoreState& store = found->second;
   store.reached_ = aEvent.reached_;
   if (!aEvent.reached_) {
+    if (++store.missed_ == kMissedUntilLost) {
+      directory::DropHolder(state.directory_, aEvent.store_);
+    }
     return;
   }
+  // The inventory takes the place of all that was known of the store.
+  const bool restarted =
+    store.instance_ != 0 && store.instance_ != aEvent.instance_;
+  if (restarted || store.missed_ >= kMissedUntilLost) {
+    aContext.effects_.emplace_back(FetchStoreInventory{ aEvent.store_ });
+  }
+  store.missed_ = 0;
+  store.instance_ = aEvent.instance_;
   store.linkBacklogBytes_ = aEvent.linkBacklogBytes_;
   store.linkBytesPerSecond_ = aEvent.linkBytesPerSecond_;
   store.memoryUsed_ = aEvent.memoryUsed_;
   store.diskUsed_ = aEvent.diskUsed_;
   store.asOf_ = aContext.now_;
-  store.ownBytes_ = 0;
+  placement::NoteReport(store.queue_, aEvent.linkBacklogBytes_);
 }
 
 void
@@ -262,7 +287,7 @@
   DropUnknown(state);
   RebuildPools(aContext);
   ConfigureClaims(aContext);
-  RankFollowers(state);
+  RankFollowers(aContext);
   for (auto& [key, pool] : state.pools_) {
     UpdateSlots(aContext, pool);
   }
--- a/support/faults.py
+++ b/support/faults.py
@@ -19,6 +19,8 @@
 RECORD_TIMEOUT_S = 10.0
 MAX_RESUMES = 20
 CUT = 0
+# Place of the token's index in an id of an event.
+INDEX_PART = 4
 REFERENCE_SALT = "reference"
 
 
@@ -90,6 +92,10 @@
     resumes: int = 0
     ended_s: float = 0.0
 
+    def tokens(self):
+        """Returns how many tokens of the run came before and with the last id."""
+        return int(self.last_id.split(".")[INDEX_PART]) + 1 if self.last_id else 0
+
 
 def kill(pid):
     """Ends a process at once."""
@@ -106,6 +112,11 @@
     os.kill(pid, signal.SIGCONT)
 
 
+def is_stopped(pid):
+    """Tells whether a process that this one started stands still after a signal."""
+    return os.waitid(os.P_PID, pid, os.WSTOPPED | os.WNOHANG | os.WNOWAIT) is not None
+
+
 def cut(target, duration_ms):
     """Cuts the connections of a target for a while; returns the longest time that this can last."""
     begin = time.time()
@@ -120,12 +131,12 @@
         raise RuntimeError(f"fault {fault} was refused: {status} {text}")
 
 
-def restart_entry(started, index, list_host=True):
-    """Starts an entry host anew in place of one that ended."""
+def restart_entry(started, index, list_host=True, environment=None):
+    """Starts an entry host anew in place of one that ended, with more environment variables if given."""
     old = started.description["entries"][index]
     started.processes[old["name"]].wait()
     row = started.start_entry(
-        old["name"], old["data_centre"], started.description["platform"]["http"], old["steward_port"]
+        old["name"], old["data_centre"], started.description["platform"]["http"], old["steward_port"], environment
     )
     row["steward_pid"] = old["steward_pid"]
     started.description["entries"][index] = row
@@ -134,6 +145,22 @@
     return row
 
 
+def restart_store(started, row, contents=""):
+    """Starts a store anew on its port in place of one that ended: empty, or with the contents in a file."""
+    started.restart_standin(row, [f"--contents={contents}"] if contents else [])
+
+
+def record(row):
+    """Returns all that a stand-in has recorded."""
+    return json.loads(cluster.http("GET", row["http"] + "/executions", timeout=RECORD_TIMEOUT_S)[1])
+
+
+def metric(url, name):
+    """Returns the sum of all values of a counter; the name may go on with its label."""
+    lines = [line for line in cluster.http("GET", url + "/metrics")[1].splitlines()]
+    return sum(float(line.rsplit(" ", 1)[1]) for line in lines if line.startswith("lycheeplank_" + name))
+
+
 def targets(started, kind):
     """Returns the rows of the targets of a kind."""
     return [row for row in started.description["targets"] if row["kind"] == kind]
@@ -165,14 +192,33 @@
     return Answer(entry["name"], status, text, sent, time.time(), body)
 
 
-def issue(started, workspace, key, payload, first=0, limit_s=FINAL_ANSWER_LIMIT_S, deadline_ms=None):
-    """Repeats a call through one host after another until its answer is final."""
+def begin_call(started, index, workspace, key, payload, deadline_ms):
+    """Sends a service call; returns its connection, once all its bytes have left, for end_call."""
+    url = urllib.parse.urlparse(started.description["entries"][index]["http"])
+    connection = http.client.HTTPConnection(url.hostname, url.port, timeout=CALL_TIMEOUT_S)
+    headers = headers_of(started, workspace, **{"Idempotency-Key": key, "X-Deadline-Ms": str(deadline_ms)})
+    connection.request("POST", f"/v1/services/{cluster.SERVICE}/issue", json.dumps(payload), headers)
+    return connection
+
+
+def end_call(started, index, connection):
+    """Waits for the answer to a call that was begun; returns an Answer."""
+    response = connection.getresponse()
+    text = response.read().decode()
+    connection.close()
+    body = json.loads(text) if response.status != 200 else {}
+    return Answer(started.description["entries"][index]["name"], response.status, text, body=body)
+
+
+def issue(started, workspace, key, payload, first=0, limit_s=FINAL_ANSWER_LIMIT_S, deadline_ms=None, hosts=None):
+    """Repeats a call through one host after another, of all or of some, until its answer is final."""
     done = Issuance(workspace, key)
     limit = time.monotonic() + limit_s
+    hosts = hosts or range(len(started.description["entries"]))
     index = first
     while time.monotonic() < limit:
-        index %= len(started.description["entries"])
-        answer = send_call(started, index, workspace, key, payload, deadline_ms=deadline_ms)
+        host = hosts[index % len(hosts)]
+        answer = send_call(started, host, workspace, key, payload, deadline_ms=deadline_ms)
         done.answers.append(answer)
         if answer.is_final():
             break
@@ -312,7 +358,7 @@
 
 
 def reference_text(url, prompt, max_tokens, run_id):
-    """Asks an engine itself for the text of a prompt; returns version and text."""
+    """Asks an engine itself for the text of a prompt; returns version and texts of the tokens."""
     body = {
         "model": cluster.MODEL,
         "prompt": prompt,
@@ -325,11 +371,11 @@
         raise RuntimeError(f"no reference text: {status} {text}")
     events = [json.loads(line[6:]) for line in text.splitlines() if line.startswith("data: {")]
     version = next(event["weight_version"] for event in events if event.get("event") == "start")
-    return version, "".join(event["text"] for event in events if "index" in event)
+    return version, tuple(event["text"] for event in events if "index" in event)
 
 
 def reference_texts(url, prompts, max_tokens, run_id):
-    """Asks an engine itself for the texts of prompts, all at once; returns (version, text) by prompt."""
+    """Asks an engine itself for the texts of prompts, all at once; returns (version, texts of the tokens) by prompt."""
     found = {}
 
     def ask(number, prompt):
@@ -420,14 +466,20 @@
 
 
 def check_streams(results, texts):
-    """Returns streams whose text is not that of an undisturbed run; texts maps prompts to sets of texts."""
+    """Returns streams that differ from undisturbed runs; texts maps prompts to sets of runs, each its tokens' texts.
+
+    A whole stream has all tokens, any other one exactly those up to its last id.
+    """
     faults = []
     for result in results:
         wholes = texts[result.prompt]
-        if result.end == "done" and result.text not in wholes:
-            faults.append(f"stream {result.request_ids}: whole, but {result.text!r} is none of {wholes}")
-        if result.end != "done" and not any(whole.startswith(result.text) for whole in wholes):
-            faults.append(f"stream {result.request_ids}: its part {result.text!r} is no beginning of {wholes}")
+        count = result.tokens()
+        if result.end == "done" and (result.text, count) not in {("".join(whole), len(whole)) for whole in wholes}:
+            faults.append(f"stream {result.request_ids}: {result.text!r} of {count} tokens is none of {wholes}")
+        if result.end != "done" and result.text not in {"".join(whole[:count]) for whole in wholes}:
+            faults.append(
+                f"stream {result.request_ids}: {result.text!r} is not the first {count} tokens of any of {wholes}"
+            )
     return faults
 
 
@@ -439,3 +491,42 @@
             if block["cache_salt"] != run["cache_salt"] or block["weight_version"] != run["weight_version"]:
                 faults.append(f"run {run['run_id']} of {run['cache_salt']}/{run['weight_version']} used {block}")
     return faults
+
+
+def check_generations(runs, blocks, contents=()):
+    """Returns runs that used an imported block of a generation that no store has committed under its key."""
+    committed = {(row["key"], row["generation"]) for row in blocks if row["call"] == "commit" and not row["refusal"]}
+    committed |= {(row["key"], row["generation"]) for row in contents}
+    faults = []
+    for run in runs:
+        for block in run["blocks"]:
+            if block["generation"] and (block["key"], block["generation"]) not in committed:
+                faults.append(f"run {run['run_id']} used {block}, which no store has committed")
+    return faults
+
+
+def most_loading(records):
+    """Returns the largest number of engines that loaded weights at the same time, by their own records."""
+    changes = []
+    for loads in ([load for load in record["loads"]] for record in records):
+        for load in loads:
+            changes.append((load["begun_unix_us"], 1))
+            if load["ended_unix_us"]:
+                changes.append((load["ended_unix_us"], -1))
+    # An end goes before a beginning of the same moment.
+    loading = most = 0
+    for _, change in sorted(changes):
+        loading += change
+        most = max(most, loading)
+    return most
+
+
+def check_fences(name, orders):
+    """Returns orders that an engine took although it had taken a newer fencing number before."""
+    faults = []
+    highest = 0
+    for order in orders:
+        if order["taken"] and order["fence"] < highest:
+            faults.append(f"{name} took {order} after fencing number {highest}")
+        highest = max(highest, order["fence"] if order["taken"] else 0)
+    return faults
