Take out a correction of the directory that nothing calls

Nothing in src or test called CorrectByImport; MissedByImport and Apply do its work.

No behaviour changed; directory-test and reducer-test passed, entry host built.

--- a/include/lycheeplank/directory.h
+++ b/include/lycheeplank/directory.h
@@ -160,15 +160,6 @@
                const std::vector<std::uint64_t>& aGenerations,
                std::size_t aImported);
 
-// Records the same; copies of a newer generation stay.
-void
-CorrectByImport(State& aState,
-                const HolderId& aStore,
-                const std::vector<core::BlockKey>& aChain,
-                std::size_t aFirst,
-                const std::vector<std::uint64_t>& aGenerations,
-                std::size_t aImported);
-
 // Finds the holders of the blocks of a prompt, given in order. Holders without
 // the first block are left out, unless they are stores with later blocks.
 std::vector<Holder>
--- a/src/directory/directory.cc
+++ b/src/directory/directory.cc
@@ -188,20 +188,6 @@
   return missed;
 }
 
-void
-CorrectByImport(State& aState,
-                const HolderId& aStore,
-                const std::vector<core::BlockKey>& aChain,
-                std::size_t aFirst,
-                const std::vector<std::uint64_t>& aGenerations,
-                std::size_t aImported)
-{
-  for (const auto& missed :
-       MissedByImport(aChain, aFirst, aGenerations, aImported)) {
-    Apply(aState, aStore, missed);
-  }
-}
-
 std::vector<Holder>
 Locate(const State& aState, const std::vector<core::BlockKey>& aChain)
 {
