--- /dev/null
+++ b/include/lycheeplank/attempts.h
@@ -0,0 +1,95 @@
+#ifndef LYCHEEPLANK_ATTEMPTS_H
+#define LYCHEEPLANK_ATTEMPTS_H
+
+#include <array>
+#include <cstdint>
+
+#include <absl/time/time.h>
+
+#include "lycheeplank/catalog.h"
+#include "lycheeplank/core.h"
+
+// What follows after an attempt to have a request answered by a target.
+namespace lycheeplank::attempts {
+
+// How one attempt ended, as far as the request may have been run by it.
+enum class End
+{
+  // No byte of the request left this host.
+  NotSent,
+  // The target says that it has not run the request and won't.
+  NotRun,
+  // The target answered with an error of its own.
+  Error,
+  // No answer, or none that can be used; the request may have been run.
+  Failed,
+  // No answer in the time in which one is usual.
+  Silent,
+  // Some of the answer has reached the caller.
+  CutAnswer,
+};
+
+inline constexpr std::array<core::Named<End>, 6> kEnds{ {
+  { End::NotSent, "not_sent" },
+  { End::NotRun, "not_run" },
+  { End::Error, "error" },
+  { End::Failed, "failed" },
+  { End::Silent, "silent" },
+  { End::CutAnswer, "cut_answer" },
+} };
+
+// A request's history.
+struct History
+{
+  // Requests written to targets, and those of them that may have been run.
+  std::uint32_t sends_ = 0;
+  std::uint32_t runs_ = 0;
+  // Attempts of any kind, connections that failed included.
+  std::uint32_t tries_ = 0;
+};
+
+enum class Step
+{
+  // At another target; takes one second send out of the budget if it was sent.
+  TryAgain,
+  // Answer that it was not run and when to come back.
+  Refuse,
+  // Answer with the target's own error.
+  PassOn,
+  // Answer that it failed.
+  Fail,
+  // Break the answer off.
+  Cut,
+};
+
+inline constexpr std::array<core::Named<Step>, 5> kSteps{ {
+  { Step::TryAgain, "try_again" },
+  { Step::Refuse, "refuse" },
+  { Step::PassOn, "pass_on" },
+  { Step::Fail, "fail" },
+  { Step::Cut, "cut" },
+} };
+
+// Targets that one request is brought to at most, and times that it is written
+// to one; a request that finds so many full finds them all full.
+inline constexpr std::uint32_t kMostTries = 6;
+inline constexpr std::uint32_t kMostSends = 4;
+// Less time than that is not worth another attempt.
+inline constexpr absl::Duration kLeastTime = absl::Milliseconds(30);
+
+// Decides the next step. aBudgetLeft: a second send may be made.
+Step
+After(const catalog::Route& aRoute,
+      const History& aHistory,
+      End aEnd,
+      absl::Duration aTimeLeft,
+      bool aBudgetLeft);
+
+// Returns how long a request waits for the first sign of an answer before it
+// goes to another target; infinite if it can't.
+absl::Duration
+SilenceLimit(const catalog::Route& aRoute, const History& aHistory);
+
+} // namespace lycheeplank::attempts
+
+#endif
--- /dev/null
+++ b/include/lycheeplank/catalog.h
@@ -0,0 +1,147 @@
+#ifndef LYCHEEPLANK_CATALOG_H
+#define LYCHEEPLANK_CATALOG_H
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/string_view.h>
+#include <absl/time/time.h>
+
+#include "lycheeplank/core.h"
+
+// Routes, services and workspaces that an operator has put in force, and the
+// look-ups that each request makes in them.
+namespace lycheeplank::catalog {
+
+// What may be repeated.
+enum class Repeat
+{
+  // May run any number of times.
+  Idempotent,
+  // Runs at most once.
+  Once,
+  // Answers with a stream of events; runs at most once unless it may resume.
+  Stream,
+};
+
+inline constexpr std::array<core::Named<Repeat>, 3> kRepeats{ {
+  { Repeat::Idempotent, "idempotent" },
+  { Repeat::Once, "once" },
+  { Repeat::Stream, "stream" },
+} };
+
+// A service that takes a share of a route's requests.
+struct Share
+{
+  std::string service_;
+  double weight_ = 1.0;
+};
+
+struct Route
+{
+  std::string name_;
+  std::string host_;
+  // Begins and ends with a slash.
+  std::string prefix_;
+  Repeat repeat_ = Repeat::Once;
+  // A cut stream may go on at another target.
+  bool resumable_ = false;
+  // Needs no key.
+  bool isPublic_ = false;
+  std::uint32_t attempts_ = 1;
+  // 0 is the most urgent.
+  std::uint32_t priority_ = 0;
+  absl::Duration timeout_ = absl::Seconds(30);
+  // Time within which an answer is worth most.
+  absl::Duration goal_ = absl::Seconds(1);
+  std::vector<Share> shares_;
+};
+
+// Returns whether a request of the route may run a second time.
+bool
+MayRepeat(const Route& aRoute);
+
+struct Service
+{
+  std::string name_;
+  std::uint32_t maxConnections_ = 64;
+  // Model engines cache prompts and take orders.
+  bool isEngine_ = false;
+  // Engines only: runs in one batch, and names of the models.
+  std::uint32_t slots_ = 0;
+  std::vector<std::string> models_;
+};
+
+// A store of kept prompt cache.
+struct CacheStore
+{
+  std::string name_;
+  std::string address_;
+  std::string dataCentre_;
+  std::uint64_t capacityTokens_ = 0;
+  double linkBitsPerSecond_ = 0.0;
+  absl::Duration setup_ = absl::ZeroDuration();
+  // Calls that wait for events at once.
+  std::uint32_t maxWaiting_ = 1;
+};
+
+struct Workspace
+{
+  std::string name_;
+  // Shares no cached prompt with other workspaces.
+  bool isWalled_ = false;
+  std::vector<std::string> keys_;
+};
+
+// What a caller may send, and how long it may take.
+struct RequestLimits
+{
+  std::uint32_t headerBytes_ = 16U << 10U;
+  std::uint64_t bodyBytes_ = 4U << 20U;
+  absl::Duration headerTimeout_ = absl::Seconds(3);
+  absl::Duration idleTimeout_ = absl::Seconds(15);
+};
+
+struct Catalog
+{
+  std::uint64_t version_ = 0;
+  // Position in the store's history, which only grows.
+  std::uint64_t revision_ = 0;
+  RequestLimits limits_;
+  // By host; the longest prefix first.
+  absl::flat_hash_map<std::string, std::vector<Route>> routes_;
+  absl::flat_hash_map<std::string, Service> services_;
+  std::vector<CacheStore> stores_;
+  std::vector<Workspace> workspaces_;
+  // Position in workspaces_ by key.
+  absl::flat_hash_map<std::string, std::size_t> byKey_;
+};
+
+using CatalogPtr = std::shared_ptr<const Catalog>;
+
+// Sorts routes and fills the look-up tables; a catalog is used only after this.
+void
+BuildIndexes(Catalog& aCatalog);
+
+// Returns the route of a request: of those of the host, the one with the
+// longest prefix of the path. Query and port are ignored; null without one.
+const Route*
+FindRoute(const Catalog& aCatalog,
+          absl::string_view aHost,
+          absl::string_view aTarget);
+
+// Returns the workspace that holds a key, or null.
+const Workspace*
+FindWorkspace(const Catalog& aCatalog, absl::string_view aKey);
+
+// Returns the service for a request: shares are kept by a hash of its id.
+const std::string&
+PickService(const Route& aRoute, absl::string_view aRequestId);
+
+} // namespace lycheeplank::catalog
+
+#endif
--- /dev/null
+++ b/include/lycheeplank/entries.h
@@ -0,0 +1,62 @@
+#ifndef LYCHEEPLANK_ENTRIES_H
+#define LYCHEEPLANK_ENTRIES_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/strings/string_view.h>
+#include <absl/time/time.h>
+#include <absl/types/optional.h>
+
+// The hosts that live, and which of their addresses callers are told to use.
+namespace lycheeplank::entries {
+
+// A host as it describes itself.
+struct HostEntry
+{
+  std::string name_;
+  std::string dataCentre_;
+  std::string callerAddress_;
+  std::string peerAddress_;
+  bool leaving_ = false;
+};
+
+struct HostBelief
+{
+  HostEntry entry_;
+  // Its entry is gone; it is forgotten then unless it comes back.
+  absl::Time vanishesAt_ = absl::InfiniteFuture();
+  // It was seen to fail by this host.
+  absl::Time failedAt_ = absl::InfinitePast();
+};
+
+using Hosts = absl::btree_map<std::string, HostBelief>;
+
+// Returns an entry as JSON, and reads it back; nothing if it is none.
+std::string
+WriteHost(const HostEntry& aEntry);
+absl::optional<HostEntry>
+ReadHost(absl::string_view aText);
+
+// Addresses of a data centre that callers are told at least, so that the loss
+// of one host leaves them another; hosts elsewhere fill the list.
+inline constexpr std::size_t kLeastAddresses = 2;
+// Most addresses of one list.
+inline constexpr std::size_t kMostAddresses = 64;
+
+// Returns the addresses for callers of a data centre: the ready hosts there,
+// filled up from elsewhere. Without any ready host, the leaving ones.
+std::vector<std::string>
+PickAddresses(const Hosts& aHosts,
+              absl::string_view aDataCentre,
+              std::uint64_t aSeed);
+
+// Forgets hosts whose time has come.
+void
+SweepHosts(Hosts& aHosts, absl::Time aNow);
+
+} // namespace lycheeplank::entries
+
+#endif
--- /dev/null
+++ b/include/lycheeplank/fleet.h
@@ -0,0 +1,223 @@
+#ifndef LYCHEEPLANK_FLEET_H
+#define LYCHEEPLANK_FLEET_H
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/string_view.h>
+#include <absl/time/time.h>
+
+#include "lycheeplank/core.h"
+
+// What a host believes of the targets: who they are, how busy, how healthy,
+// and which of them a request should go to.
+namespace lycheeplank::fleet {
+
+enum class TargetState
+{
+  Ready,
+  // Says that it leaves, or has left; gets no new work.
+  Leaving,
+};
+
+// A target as it describes itself.
+struct Target
+{
+  // Differs for each start of a target.
+  std::string id_;
+  std::string service_;
+  std::string address_;
+  std::string dataCentre_;
+  std::uint32_t slots_ = 1;
+  TargetState state_ = TargetState::Ready;
+  // Until when it is slow after its start.
+  absl::Duration warmup_ = absl::ZeroDuration();
+  // Weight version by model.
+  absl::flat_hash_map<std::string, std::uint64_t> weights_;
+  // Orders that it has accepted since its start.
+  std::uint64_t orders_ = 0;
+  // When it started, in milliseconds since 1970; tells two starts with one
+  // name apart.
+  std::int64_t bornMs_ = 0;
+};
+
+// A target's own count of its work, from one of its answers.
+struct Load
+{
+  std::uint32_t running_ = 0;
+  std::uint32_t waiting_ = 0;
+  std::uint32_t slots_ = 0;
+};
+
+// What a host knows of one target.
+struct Member
+{
+  Target target_;
+  std::uint64_t revision_ = 0;
+  // Its entry has vanished while the list could not be relied on; it is used
+  // until then unless the entry comes back.
+  absl::Time vanishesAt_ = absl::InfiniteFuture();
+
+  Load load_;
+  absl::Time loadAt_ = absl::InfinitePast();
+  // This host's own calls that it has not answered.
+  std::uint32_t inFlight_ = 0;
+  // Prompt tokens of own calls without a first event.
+  std::uint64_t promptTokens_ = 0;
+
+  // Moving average of the time to its answers or first events, in seconds,
+  // over what the call was expected to take.
+  double slowness_ = 1.0;
+  // Moving average of failed calls.
+  double failures_ = 0.0;
+  std::uint32_t failuresInRow_ = 0;
+  absl::Time asideUntil_ = absl::InfinitePast();
+  std::uint32_t timesAside_ = 0;
+  // A call that finds out whether it works again.
+  bool probing_ = false;
+  // An order keeps it from starting requests until about then.
+  absl::Time orderedUntil_ = absl::InfinitePast();
+};
+
+using Members = absl::btree_map<std::string, Member>;
+
+// What is asked of a target.
+struct Question
+{
+  absl::string_view service_;
+  absl::string_view dataCentre_;
+  // Empty for plain services.
+  absl::string_view model_;
+  // Prompt tokens that no cache store holds, and those that one does.
+  std::uint64_t computedTokens_ = 0;
+  std::uint64_t readTokens_ = 0;
+  // Names the prompt's last shared part, so that hosts prefer the same target
+  // for it without talking; empty without one.
+  absl::string_view affinity_;
+  // Bytes that cross to the target and back.
+  std::uint64_t bytes_ = 0;
+  // Targets that this request has been at.
+  const std::vector<std::string>* tried_ = nullptr;
+  // Weights that have been named, and how long ago; 0 without a model.
+  std::uint64_t weights_ = 0;
+  absl::Duration weightsAge_ = absl::InfiniteDuration();
+  // From that age on, targets with older weights get no requests.
+  absl::Duration oldWeightsLimit_ = absl::InfiniteDuration();
+  // Spreads equal choices.
+  std::uint64_t seed_ = 0;
+};
+
+// Speed of an engine, for estimates.
+struct EngineSpeed
+{
+  double promptTokensPerSecond_ = 60000.0;
+  double cacheTokensPerSecond_ = 250000.0;
+};
+
+// Requests go to old weights without loss for so long after new ones were
+// named; from then on a target with new weights is worth a wait.
+inline constexpr absl::Duration kOldWeightsFree = absl::Milliseconds(1200);
+// What a request on old weights counts like, as seconds of wait, once that time
+// has passed.
+inline constexpr double kOldWeightsPenalty = 0.25;
+// What a byte over the boundary of a data centre counts like, as seconds of
+// wait.
+inline constexpr double kRemoteByteSeconds = 6e-6;
+// What it counts like when the target doesn't keep the prompt's shared parts.
+inline constexpr double kAffinityShare = 1.0;
+// Targets of a part that are preferred, in the order of its name.
+inline constexpr std::size_t kAffinityTargets = 2;
+// A target's own count is used as long as this.
+inline constexpr absl::Duration kLoadMemory = absl::Milliseconds(500);
+
+// Failures in a row, and share of failures, that put a target aside.
+inline constexpr std::uint32_t kFailuresAside = 3;
+inline constexpr double kFailureShareAside = 0.35;
+// Weight of the newest call in the moving averages.
+inline constexpr double kNewestWeight = 0.1;
+// Time aside after the first time; it doubles up to the longest.
+inline constexpr absl::Duration kAsideFirst = absl::Milliseconds(700);
+inline constexpr absl::Duration kAsideLongest = absl::Seconds(5);
+
+// Why a target was chosen, for the log.
+struct Choice
+{
+  std::string id_;
+  double waitSeconds_ = 0.0;
+  absl::Duration loadAge_ = absl::InfiniteDuration();
+  std::uint32_t candidates_ = 0;
+  // All that could be used were put aside for failures.
+  bool lastResort_ = false;
+};
+
+// Returns the time until a target would start to answer, in seconds.
+double
+EstimateWait(const Member& aMember,
+             const Question& aQuestion,
+             const EngineSpeed& aSpeed,
+             absl::Time aNow);
+
+// Chooses a target; empty id if no target of the service may be used.
+Choice
+Choose(const Members& aMembers,
+       const Question& aQuestion,
+       const EngineSpeed& aSpeed,
+       absl::Time aNow);
+
+// How one call to a target ended, as far as its health is concerned.
+enum class CallResult
+{
+  Answered,
+  // Refused without being run, or answered with an error of its own.
+  Refused,
+  Failed,
+  // The caller left or the deadline came; says nothing.
+  Abandoned,
+};
+
+inline constexpr std::array<core::Named<CallResult>, 4> kCallResults{ {
+  { CallResult::Answered, "answered" },
+  { CallResult::Refused, "refused" },
+  { CallResult::Failed, "failed" },
+  { CallResult::Abandoned, "abandoned" },
+} };
+
+// Notes that a call goes to a target.
+void
+CountSent(Member& aMember, std::uint64_t aPromptTokens, absl::Time aNow);
+
+// Notes the first byte of an answer: the prompt is read by then.
+void
+CountFirstByte(Member& aMember,
+               std::uint64_t aPromptTokens,
+               absl::Duration aTook,
+               double aExpectedSeconds);
+
+// Notes the end of a call; returns true if the target is put aside by it.
+bool
+CountEnd(Member& aMember, CallResult aResult, absl::Time aNow);
+
+// Takes in what a target says of itself. A new start under an old name loses
+// what was known of it.
+void
+TakeTarget(Members& aMembers,
+           Target aTarget,
+           std::uint64_t aRevision,
+           absl::Time aNow);
+
+// Takes out a target whose entry is gone; if the list isn't to be relied on,
+// only at aUntil. Returns false if it isn't known.
+bool
+DropTarget(Members& aMembers, absl::string_view aId, absl::Time aUntil);
+
+// Takes out targets whose time has come; returns their ids.
+std::vector<std::string>
+SweepVanished(Members& aMembers, absl::Time aNow);
+
+} // namespace lycheeplank::fleet
+
+#endif
--- /dev/null
+++ b/include/lycheeplank/kept.h
@@ -0,0 +1,141 @@
+#ifndef LYCHEEPLANK_KEPT_H
+#define LYCHEEPLANK_KEPT_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/string_view.h>
+#include <absl/time/time.h>
+
+#include "lycheeplank/catalog.h"
+
+// Which shared parts of prompts lie in which cache store, where a part is to
+// be read from, and where a part that is read for the first time is kept.
+namespace lycheeplank::kept {
+
+// A part of a prompt that several requests share.
+struct Part
+{
+  std::string id_;
+  std::uint32_t tokens_ = 0;
+};
+
+// One change that a store tells.
+struct Change
+{
+  bool added_ = true;
+  std::string scope_;
+  std::string part_;
+  std::uint32_t tokens_ = 0;
+};
+
+// Whether what is believed of a store may be used.
+enum class Trust
+{
+  // Nothing is known of what it holds.
+  Unknown,
+  // What it holds is known, up to changes on their way.
+  Following,
+  // It answers no more.
+  Lost,
+};
+
+struct StoreState
+{
+  catalog::CacheStore settings_;
+  Trust trust_ = Trust::Unknown;
+  // Changes when the store starts anew, empty.
+  std::uint64_t epoch_ = 0;
+  // Number of the first change that is not known yet.
+  std::uint64_t next_ = 0;
+  // When it last answered, and when its present epoch was first seen.
+  absl::Time heardAt_ = absl::InfinitePast();
+  absl::Time epochSeenAt_ = absl::InfinitePast();
+  // The store's clock less ours.
+  absl::Duration clockAhead_ = absl::ZeroDuration();
+  // Tokens by part and scope.
+  absl::flat_hash_map<std::string, std::uint32_t> parts_;
+  std::uint64_t usedTokens_ = 0;
+};
+
+struct Directory
+{
+  absl::btree_map<std::string, StoreState> stores_;
+};
+
+// A store that started anew is written to only after all hosts that believed
+// in its old content have heard of the start: the longest wait for events of
+// one call, and the same again for a call that was lost.
+inline constexpr absl::Duration kEpochSettle = absl::Seconds(2);
+// What is believed of a store without word from it may be used for so long.
+inline constexpr absl::Duration kTrustWithoutWord = absl::Milliseconds(1500);
+// Part of a store's room that is filled; parts that others save meanwhile
+// need some.
+inline constexpr double kFilledShare = 0.97;
+
+// Sets which stores there are; what is known of the others goes.
+void
+SetStores(Directory& aDirectory,
+          const std::vector<catalog::CacheStore>& aStores);
+
+// Takes in an answer to a question for changes.
+void
+TakeChanges(StoreState& aStore,
+            std::uint64_t aEpoch,
+            std::uint64_t aNext,
+            const std::vector<Change>& aChanges,
+            absl::Time aNow);
+
+// Takes in a whole list of what a store holds.
+void
+TakeList(StoreState& aStore,
+         std::uint64_t aEpoch,
+         std::uint64_t aNext,
+         const std::vector<Change>& aHeld,
+         absl::Time aNow);
+
+// Notes that a store doesn't answer.
+void
+MarkLost(StoreState& aStore);
+
+// Where one part comes from and goes to; empty for nowhere.
+struct PartPlan
+{
+  std::string readFrom_;
+  std::string keepAt_;
+};
+
+struct Plan
+{
+  // One for each part asked for.
+  std::vector<PartPlan> parts_;
+  std::uint64_t readTokens_ = 0;
+  std::uint64_t computedTokens_ = 0;
+};
+
+// Plans the shared parts of one prompt for a target in a data centre. A part
+// is read from a store only if it lies there whole by what the store told.
+Plan
+PlanParts(const Directory& aDirectory,
+          absl::string_view aScope,
+          const std::vector<Part>& aParts,
+          absl::string_view aDataCentre,
+          absl::Time aNow);
+
+// Returns the parts of a store whose scope isn't one of those in use.
+std::vector<Change>
+Unused(const StoreState& aStore, const std::vector<std::string>& aScopes);
+
+// Returns the scope of cached prompts: equal only for requests that may share
+// them.
+std::string
+ScopeOf(const catalog::Workspace* aWorkspace,
+        absl::string_view aModel,
+        std::uint64_t aWeights);
+
+} // namespace lycheeplank::kept
+
+#endif
--- /dev/null
+++ b/include/lycheeplank/replica.h
@@ -0,0 +1,72 @@
+#ifndef LYCHEEPLANK_REPLICA_H
+#define LYCHEEPLANK_REPLICA_H
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/strings/string_view.h>
+#include <absl/time/time.h>
+
+// A host's copy of the key-value service's items, merged by revision, so that
+// it makes no difference whether a change comes from the service or a peer.
+namespace lycheeplank::replica {
+
+// One item as of its last change.
+struct Item
+{
+  std::string key_;
+  std::string value_;
+  // Position of the change in the service's history; grows with each change.
+  std::uint64_t revision_ = 0;
+  // Revision at which the key was created.
+  std::uint64_t created_ = 0;
+  bool deleted_ = false;
+};
+
+struct Known
+{
+  Item item_;
+  absl::Time learnedAt_ = absl::InfinitePast();
+};
+
+struct Replica
+{
+  absl::btree_map<std::string, Known> items_;
+  // Highest revision that was taken in.
+  std::uint64_t newest_ = 0;
+};
+
+// Takes in one change; false if it isn't newer than what is known of its key.
+bool
+Apply(Replica& aReplica, Item aItem, absl::Time aNow);
+
+// Takes in a whole list of a prefix that is not older than aAsOf: known items
+// that it lacks count as deleted at that revision. Returns the items that are
+// news, deletions included.
+std::vector<Item>
+Reconcile(Replica& aReplica,
+          absl::string_view aPrefix,
+          const std::vector<Item>& aItems,
+          std::uint64_t aAsOf,
+          absl::Time aNow);
+
+// Returns the item of a key, or null if it is absent or deleted.
+const Known*
+Find(const Replica& aReplica, absl::string_view aKey);
+
+// Returns all changes after a revision, deletions included.
+std::vector<Item>
+ChangesAfter(const Replica& aReplica, std::uint64_t aRevision);
+
+// Deletions are told to peers for so long, which outlasts any peer's silence.
+inline constexpr absl::Duration kDeletionMemory = absl::Seconds(60);
+
+// Forgets old deletions.
+void
+Sweep(Replica& aReplica, absl::Time aNow);
+
+} // namespace lycheeplank::replica
+
+#endif
--- /dev/null
+++ b/src/fleet/fleet.cc
@@ -0,0 +1,277 @@
+#include "lycheeplank/fleet.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace lycheeplank::fleet {
+
+namespace {
+
+// Time that one more running request adds to each step of a batch, and mean
+// time that a request holds a slot, in seconds.
+constexpr double kSlotSeconds = 0.0005;
+constexpr double kHoldSeconds = 0.3;
+// Time of a call to a plain service, in seconds, until it is known better.
+constexpr double kCallSeconds = 0.03;
+
+bool
+WasTried(const Question& aQuestion, const std::string& aId)
+{
+  return aQuestion.tried_ != nullptr &&
+         std::find(aQuestion.tried_->begin(), aQuestion.tried_->end(), aId) !=
+           aQuestion.tried_->end();
+}
+
+bool
+IsAside(const Member& aMember, absl::Time aNow)
+{
+  if (aMember.asideUntil_ == absl::InfinitePast()) {
+    return false;
+  }
+  // After its time aside, one call at a time finds out whether it works.
+  return aNow < aMember.asideUntil_ || aMember.probing_;
+}
+
+bool
+HasOldWeights(const Member& aMember, const Question& aQuestion)
+{
+  if (aQuestion.weights_ == 0) {
+    return false;
+  }
+  const auto found = aMember.target_.weights_.find(aQuestion.model_);
+  return found == aMember.target_.weights_.end() ||
+         found->second < aQuestion.weights_;
+}
+
+double
+WeightsPenalty(const Member& aMember, const Question& aQuestion)
+{
+  return aQuestion.weightsAge_ > kOldWeightsFree &&
+             HasOldWeights(aMember, aQuestion)
+           ? kOldWeightsPenalty
+           : 0.0;
+}
+
+// Ids of the targets that a part is to be kept at, by rendezvous hashing
+// within the data centre.
+std::vector<absl::string_view>
+AffinityTargets(const std::vector<const Member*>& aUsable,
+                const Question& aQuestion)
+{
+  std::vector<std::pair<std::uint64_t, absl::string_view>> scores;
+  for (const auto* member : aUsable) {
+    if (member->target_.dataCentre_ == aQuestion.dataCentre_) {
+      scores.emplace_back(
+        core::RendezvousScore(aQuestion.affinity_, member->target_.id_),
+        member->target_.id_);
+    }
+  }
+  const auto count = std::min(kAffinityTargets, scores.size());
+  std::partial_sort(scores.begin(),
+                    scores.begin() + static_cast<std::ptrdiff_t>(count),
+                    scores.end(),
+                    std::greater<>());
+  std::vector<absl::string_view> ids;
+  for (std::size_t i = 0; i < count; ++i) {
+    ids.push_back(scores[i].second);
+  }
+  return ids;
+}
+
+} // namespace
+
+double
+EstimateWait(const Member& aMember,
+             const Question& aQuestion,
+             const EngineSpeed& aSpeed,
+             absl::Time aNow)
+{
+  const auto slots = static_cast<double>(std::max(1U, aMember.target_.slots_));
+  double running = aMember.inFlight_;
+  double waiting = 0.0;
+  if (aNow - aMember.loadAt_ < kLoadMemory) {
+    running = std::max<double>(running, aMember.load_.running_);
+    waiting = aMember.load_.waiting_;
+  }
+  const double excess = std::max(0.0, running + waiting + 1.0 - slots);
+  if (aQuestion.model_.empty()) {
+    return aMember.slowness_ * kCallSeconds * (1.0 + excess / slots) +
+           kSlotSeconds * running;
+  }
+  const double prompt =
+    static_cast<double>(aMember.promptTokens_ + aQuestion.computedTokens_) /
+      aSpeed.promptTokensPerSecond_ +
+    static_cast<double>(aQuestion.readTokens_) / aSpeed.cacheTokensPerSecond_;
+  return std::max(0.5, aMember.slowness_) *
+           (prompt + kSlotSeconds * running + 0.02 * waiting) +
+         excess * kHoldSeconds / slots;
+}
+
+Choice
+Choose(const Members& aMembers,
+       const Question& aQuestion,
+       const EngineSpeed& aSpeed,
+       absl::Time aNow)
+{
+  std::vector<const Member*> usable;
+  std::vector<const Member*> aside;
+  for (const auto& [id, member] : aMembers) {
+    if (member.target_.service_ != aQuestion.service_ ||
+        member.target_.state_ != TargetState::Ready ||
+        WasTried(aQuestion, id) ||
+        (aQuestion.weightsAge_ > aQuestion.oldWeightsLimit_ &&
+         HasOldWeights(member, aQuestion))) {
+      continue;
+    }
+    (IsAside(member, aNow) || aNow < member.orderedUntil_ ? aside : usable)
+      .push_back(&member);
+  }
+  Choice choice;
+  choice.candidates_ = static_cast<std::uint32_t>(usable.size());
+  if (usable.empty()) {
+    choice.lastResort_ = true;
+    usable = std::move(aside);
+  }
+  const auto preferred = aQuestion.affinity_.empty()
+                           ? std::vector<absl::string_view>()
+                           : AffinityTargets(usable, aQuestion);
+  double best = std::numeric_limits<double>::max();
+  for (std::size_t i = 0; i < usable.size(); ++i) {
+    const auto& member = *usable[(i + aQuestion.seed_) % usable.size()];
+    const double wait = EstimateWait(member, aQuestion, aSpeed, aNow);
+    double cost = wait + WeightsPenalty(member, aQuestion);
+    if (member.target_.dataCentre_ != aQuestion.dataCentre_) {
+      cost += kRemoteByteSeconds * static_cast<double>(aQuestion.bytes_);
+    }
+    if (member.vanishesAt_ != absl::InfiniteFuture()) {
+      cost += kHoldSeconds;
+    }
+    if (!preferred.empty() &&
+        std::find(preferred.begin(), preferred.end(), member.target_.id_) ==
+          preferred.end()) {
+      cost += kAffinityShare * static_cast<double>(aQuestion.readTokens_) /
+              aSpeed.cacheTokensPerSecond_;
+    }
+    if (cost < best) {
+      best = cost;
+      choice.id_ = member.target_.id_;
+      choice.waitSeconds_ = wait;
+      choice.loadAge_ = aNow - member.loadAt_;
+    }
+  }
+  return choice;
+}
+
+void
+CountSent(Member& aMember, std::uint64_t aPromptTokens, absl::Time aNow)
+{
+  ++aMember.inFlight_;
+  aMember.promptTokens_ += aPromptTokens;
+  if (aMember.asideUntil_ != absl::InfinitePast() &&
+      aNow >= aMember.asideUntil_) {
+    aMember.probing_ = true;
+  }
+}
+
+void
+CountFirstByte(Member& aMember,
+               std::uint64_t aPromptTokens,
+               absl::Duration aTook,
+               double aExpectedSeconds)
+{
+  aMember.promptTokens_ -= std::min(aMember.promptTokens_, aPromptTokens);
+  if (aExpectedSeconds > 0.0) {
+    const double ratio =
+      std::clamp(absl::ToDoubleSeconds(aTook) / aExpectedSeconds, 0.2, 20.0);
+    aMember.slowness_ += kNewestWeight * (ratio - aMember.slowness_);
+  }
+}
+
+bool
+CountEnd(Member& aMember, CallResult aResult, absl::Time aNow)
+{
+  aMember.inFlight_ -= std::min(1U, aMember.inFlight_);
+  const bool wasProbe = std::exchange(aMember.probing_, false);
+  if (aResult == CallResult::Abandoned) {
+    return false;
+  }
+  const bool failed = aResult != CallResult::Answered;
+  aMember.failures_ += kNewestWeight * ((failed ? 1.0 : 0.0) -
+                                        aMember.failures_);
+  if (!failed) {
+    aMember.failuresInRow_ = 0;
+    if (wasProbe) {
+      aMember.asideUntil_ = absl::InfinitePast();
+      aMember.failures_ = 0.0;
+    }
+    if (aMember.failures_ < kNewestWeight) {
+      aMember.timesAside_ = 0;
+    }
+    return false;
+  }
+  ++aMember.failuresInRow_;
+  if (!wasProbe && aMember.failuresInRow_ < kFailuresAside &&
+      aMember.failures_ < kFailureShareAside) {
+    return false;
+  }
+  const auto time = std::min(
+    kAsideLongest, kAsideFirst * (1U << std::min(aMember.timesAside_, 8U)));
+  ++aMember.timesAside_;
+  aMember.asideUntil_ = aNow + time;
+  aMember.failuresInRow_ = 0;
+  return true;
+}
+
+void
+TakeTarget(Members& aMembers,
+           Target aTarget,
+           std::uint64_t aRevision,
+           absl::Time aNow)
+{
+  auto& member = aMembers[aTarget.id_];
+  if (member.revision_ > aRevision) {
+    return;
+  }
+  if (member.target_.bornMs_ != aTarget.bornMs_) {
+    member = Member();
+  }
+  if (member.target_.weights_ != aTarget.weights_) {
+    member.orderedUntil_ = std::min(member.orderedUntil_, aNow);
+  }
+  member.target_ = std::move(aTarget);
+  member.revision_ = aRevision;
+  member.vanishesAt_ = absl::InfiniteFuture();
+}
+
+bool
+DropTarget(Members& aMembers, absl::string_view aId, absl::Time aUntil)
+{
+  const auto found = aMembers.find(std::string(aId));
+  if (found == aMembers.end()) {
+    return false;
+  }
+  if (found->second.target_.state_ == TargetState::Leaving) {
+    aUntil = absl::InfinitePast();
+  }
+  found->second.vanishesAt_ = aUntil;
+  return true;
+}
+
+std::vector<std::string>
+SweepVanished(Members& aMembers, absl::Time aNow)
+{
+  std::vector<std::string> gone;
+  for (auto at = aMembers.begin(); at != aMembers.end();) {
+    if (at->second.vanishesAt_ <= aNow) {
+      gone.push_back(at->first);
+      at = aMembers.erase(at);
+    } else {
+      ++at;
+    }
+  }
+  return gone;
+}
+
+} // namespace lycheeplank::fleet
--- /dev/null
+++ b/src/gateway/app.cc
@@ -0,0 +1,264 @@
+#include "gateway/app.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <memory>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+#include <boost/asio/signal_set.hpp>
+
+#include "gateway/clock.h"
+#include "gateway/exchange.h"
+#include "gateway/follower.h"
+#include "gateway/host.h"
+#include "gateway/presence.h"
+#include "gateway/server-connection.h"
+
+namespace lycheeplank::gateway {
+
+namespace {
+
+// Period of the work that is due now and then.
+constexpr absl::Duration kSweepPeriod = absl::Milliseconds(250);
+// Callers keep a list of addresses up to three times its life.
+constexpr int kListLives = 3;
+// Kept back from the grace time for the end of the process itself.
+constexpr absl::Duration kExitMargin = absl::Milliseconds(700);
+// After the last answer the process waits so long for callers to close.
+constexpr absl::Duration kLastAnswerTime = absl::Milliseconds(200);
+
+class App
+{
+public:
+  App(Loop& aLoop,
+      const Settings& aSettings,
+      const Adapter& aAdapter,
+      Reload aReload)
+    : loop_(aLoop)
+    , host_(aLoop, aSettings, aAdapter, STDOUT_FILENO)
+    , reload_(std::move(aReload))
+    , sweepTimer_(aLoop)
+    , endTimer_(aLoop)
+    , signals_(aLoop, SIGTERM, SIGINT, SIGHUP)
+    , presence_(std::make_shared<Presence>(host_))
+  {
+  }
+
+  void Start()
+  {
+    const auto& settings = host_.settings_;
+    host_.log_.Write(Line("started")
+                       .Text("data_centre", settings.dataCentre_)
+                       .Text("caller_address", settings.callerAddress_)
+                       .Text("store_address", settings.storeAddress_));
+    Listen(settings.callerAddress_, [this](const auto& aCaller) {
+      std::make_shared<Exchange>(host_, aCaller)->Start();
+    });
+    Listen(settings.entriesAddress_,
+           [this](const auto& aCaller) { AnswerLocal(aCaller); });
+    Listen(settings.readyAddress_,
+           [this](const auto& aCaller) { AnswerLocal(aCaller); });
+    if (settings.metricsPort_ != 0) {
+      const auto address =
+        ParseEndpoint(settings.callerAddress_).address().to_string();
+      Listen(absl::StrCat(address, ":", settings.metricsPort_),
+             [this](const auto& aCaller) {
+               aCaller->Reply(200,
+                              { { "Content-Type", "text/plain" } },
+                              host_.metrics_.Text());
+             });
+    }
+    auto prefixes = host_.adapter_.prefixes_();
+    prefixes.emplace_back(kOwnPrefix);
+    for (auto& prefix : prefixes) {
+      followers_.push_back(
+        std::make_shared<Follower>(host_, std::move(prefix)));
+      followers_.back()->Start();
+    }
+    WaitSignal();
+    SweepLater();
+  }
+
+private:
+  void Listen(const std::string& aAddress, Server::Handler aHandler)
+  {
+    servers_.push_back(std::make_unique<Server>(
+      loop_,
+      ParseEndpoint(aAddress),
+      [this] {
+        return host_.catalog_ ? host_.catalog_->limits_
+                              : catalog::RequestLimits();
+      },
+      std::move(aHandler)));
+  }
+
+  void AnswerLocal(const ServerConnectionPtr& aCaller)
+  {
+    switch (host_.adapter_.readLocal_(aCaller->Head())) {
+      case LocalCall::Entries:
+        AnswerEntries(aCaller);
+        return;
+      case LocalCall::Ready:
+        aCaller->Reply(
+          CanServe(host_) && !host_.stopping_ ? 200 : 503, {}, "");
+        return;
+      case LocalCall::None:
+        aCaller->Reply(404, {}, "");
+        return;
+    }
+  }
+
+  void AnswerEntries(const ServerConnectionPtr& aCaller)
+  {
+    const auto addresses = entries::PickAddresses(
+      host_.hosts_,
+      host_.adapter_.entriesDataCentre_(aCaller->Head()),
+      host_.random_());
+    host_.metrics_.Count("address_lists_total");
+    if (addresses.empty()) {
+      aCaller->Reply(503, {}, "");
+      return;
+    }
+    aCaller->Reply(
+      200,
+      { { "Content-Type", "application/json" } },
+      host_.adapter_.writeEntries_(addresses, host_.settings_.listLife_));
+  }
+
+  void SweepLater()
+  {
+    sweepTimer_.Set(kSweepPeriod, [this] {
+      const auto now = Now();
+      Sweep(host_);
+      for (const auto& server : servers_) {
+        server->CheckTimes(now);
+      }
+      if (!present_ && CanServe(host_) && !host_.stopping_) {
+        present_ = true;
+        host_.log_.Write(Line("serving"));
+        presence_->Start();
+      }
+      UpdateGauges();
+      SweepLater();
+    });
+  }
+
+  void UpdateGauges()
+  {
+    auto& metrics = host_.metrics_;
+    metrics.Set("requests_open", static_cast<double>(host_.requestsOpen_));
+    metrics.Set("targets", static_cast<double>(host_.members_.size()));
+    metrics.Set("hosts", static_cast<double>(host_.hosts_.size()));
+    metrics.Set("connections_opened",
+                static_cast<double>(host_.targets_.Opened()));
+    metrics.Set("log_lines_dropped",
+                static_cast<double>(host_.log_.Dropped()));
+  }
+
+  void WaitSignal()
+  {
+    signals_.async_wait(
+      [this](const boost::system::error_code& aError, int aSignal) {
+        if (aError) {
+          return;
+        }
+        if (aSignal == SIGHUP) {
+          TakeSettings();
+        } else {
+          Stop(aSignal);
+        }
+        WaitSignal();
+      });
+  }
+
+  void TakeSettings()
+  {
+    auto settings = reload_();
+    host_.log_.Write(
+      Line("settings_reloaded").Flag("readable", settings.has_value()));
+    if (!settings) {
+      return;
+    }
+    // Addresses stay as they are until the next start.
+    auto& current = host_.settings_;
+    current.resendRatio_ = settings->resendRatio_;
+    current.resendSlack_ = settings->resendSlack_;
+    current.resendWindow_ = settings->resendWindow_;
+    current.weightsTime_ = settings->weightsTime_;
+    current.listLife_ = settings->listLife_;
+    current.graceTime_ = settings->graceTime_;
+  }
+
+  void Stop(int aSignal)
+  {
+    if (std::exchange(host_.stopping_, true)) {
+      return;
+    }
+    stoppedAt_ = Now();
+    host_.log_.Write(Line("stopping")
+                       .Number("signal", aSignal)
+                       .Number("requests_open", host_.requestsOpen_));
+    presence_->Leave();
+    for (const auto& server : servers_) {
+      server->CloseAfterAnswers();
+    }
+    CheckEnd();
+  }
+
+  // Ends once nobody can hold a list with this host any more and all requests
+  // are answered, or when the grace time is nearly over.
+  void CheckEnd()
+  {
+    const auto age = Now() - stoppedAt_;
+    const auto& settings = host_.settings_;
+    const bool late = age > settings.graceTime_ - kExitMargin;
+    const bool forgotten =
+      age > kListLives * settings.listLife_ + kLastAnswerTime;
+    if (late || (forgotten && host_.requestsOpen_ == 0)) {
+      End();
+      return;
+    }
+    endTimer_.Set(kLastAnswerTime, [this] { CheckEnd(); });
+  }
+
+  void End()
+  {
+    host_.log_.Write(Line("stopped")
+                       .Number("requests_open", host_.requestsOpen_)
+                       .Age("after_ms", Now() - stoppedAt_));
+    presence_->End();
+    endTimer_.Set(kLastAnswerTime, [this] { loop_.stop(); });
+  }
+
+  Loop& loop_;
+  Host host_;
+  Reload reload_;
+  Timer sweepTimer_;
+  Timer endTimer_;
+  boost::asio::signal_set signals_;
+  std::shared_ptr<Presence> presence_;
+  std::vector<std::shared_ptr<Follower>> followers_;
+  std::vector<std::unique_ptr<Server>> servers_;
+  absl::Time stoppedAt_ = absl::InfinitePast();
+  bool present_ = false;
+};
+
+} // namespace
+
+int
+Run(const Settings& aSettings, const Adapter& aAdapter, const Reload& aReload)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  // One thread runs the loop.
+  Loop loop(1);
+  App app(loop, aSettings, aAdapter, aReload);
+  app.Start();
+  loop.run();
+  // What is still open ends with the process; nothing has to be written back.
+  std::_Exit(0);
+}
+
+} // namespace lycheeplank::gateway
--- /dev/null
+++ b/src/gateway/exchange.cc
@@ -0,0 +1,682 @@
+#include "gateway/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include "gateway/clock.h"
+
+namespace lycheeplank::gateway {
+
+namespace {
+
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
+constexpr int kBadGateway = 502;
+constexpr int kGatewayTimeout = 504;
+constexpr int kServerError = 500;
+
+// A connection to a target is made in a round trip; a target that takes longer
+// doesn't answer.
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
+// A request that may run once goes only on connections that were in use
+// lately: one that the target closed meanwhile would leave its fate unknown.
+constexpr absl::Duration kOnceIdle = absl::Milliseconds(500);
+// Others find a closed connection out by trying.
+constexpr absl::Duration kRepeatableIdle = absl::Seconds(10);
+// An answer that isn't a stream is held back up to this size until it is
+// whole, so that another target can make up for a cut one.
+constexpr std::size_t kHeldBytes = 256U << 10U;
+// Bytes that wait for a slow caller before its target is held back.
+constexpr std::size_t kMostUnsent = 256U << 10U;
+// Time that reading a prompt from cache stores may take. A normal read takes
+// tens of milliseconds; one that isn't done by then is thrown away.
+constexpr absl::Duration kReadTime = absl::Seconds(1);
+// Answer bytes a token, for the cost of crossing a boundary.
+constexpr std::uint64_t kBytesPerOutputToken = 100;
+// Pauses after which a refused caller finds a place: the time in which one
+// running request ends, and in which a failed target is replaced.
+constexpr absl::Duration kPauseFull = absl::Milliseconds(200);
+constexpr absl::Duration kPauseNoTarget = absl::Milliseconds(500);
+// Requests don't begin on old weights in the last part of the time allowed.
+constexpr absl::Duration kWeightsMargin = absl::Milliseconds(1500);
+
+bool
+IsEventStream(const http::ResponseHead& aHead)
+{
+  const auto* type = http::FindField(aHead.fields_, "content-type");
+  return type != nullptr && absl::StartsWithIgnoreCase(*type,
+                                                       "text/event-stream");
+}
+
+http::Fields
+PassedOn(const http::ResponseHead& aHead)
+{
+  http::Fields fields;
+  for (const auto& field : aHead.fields_) {
+    if (!http::IsHopField(aHead.fields_, field.name_) &&
+        !absl::EqualsIgnoreCase(field.name_, "content-length")) {
+      fields.push_back(field);
+    }
+  }
+  return fields;
+}
+
+} // namespace
+
+Exchange::Exchange(Host& aHost, ServerConnectionPtr aCaller)
+  : host_(aHost)
+  , caller_(std::move(aCaller))
+  , deadlineTimer_(aHost.loop_)
+  , silenceTimer_(aHost.loop_)
+{
+}
+
+absl::Duration
+Exchange::TimeLeft() const
+{
+  return deadline_ - Now();
+}
+
+void
+Exchange::Start()
+{
+  ++host_.requestsOpen_;
+  request_ = host_.adapter_.readCaller_(caller_->Head());
+  catalog_ = host_.catalog_;
+  deadline_ = absl::InfiniteFuture();
+  if (!Check()) {
+    return;
+  }
+  service_ = catalog::PickService(*route_, request_.id_);
+  deadline_ = caller_->ArrivedAt() + route_->timeout_;
+  if (request_.patience_) {
+    deadline_ = std::min(deadline_, caller_->ArrivedAt() + *request_.patience_);
+  }
+  budget::CountRequest(Ledger(), ResendLimits(host_), Now());
+  const auto self = shared_from_this();
+  caller_->OnGone([self] { self->OnGone(); });
+  deadlineTimer_.Set(TimeLeft(), [self] { self->OnDeadline(); });
+  Try();
+}
+
+bool
+Exchange::Check()
+{
+  if (!CanServe(host_)) {
+    Refuse("not_ready", kPauseNoTarget);
+    return false;
+  }
+  if (request_.host_.empty() || caller_->Head().target_.front() != '/') {
+    Answer(kBadRequest, "malformed");
+    return false;
+  }
+  route_ =
+    catalog::FindRoute(*catalog_, request_.host_, caller_->Head().target_);
+  if (route_ == nullptr) {
+    Answer(kNotFound, "no_route");
+    return false;
+  }
+  if (!catalog_->workspaces_.empty()) {
+    workspace_ = catalog::FindWorkspace(*catalog_, request_.key_);
+    if (workspace_ == nullptr && !route_->isPublic_) {
+      Answer(kUnauthorized, "unknown_key");
+      return false;
+    }
+  }
+  return true;
+}
+
+fleet::Choice
+Exchange::ChooseTarget()
+{
+  const auto now = Now();
+  fleet::Question question;
+  question.service_ = service_;
+  question.dataCentre_ = host_.settings_.dataCentre_;
+  question.tried_ = &tried_;
+  question.seed_ = host_.random_();
+  question.bytes_ = caller_->Body().size() +
+                    kBytesPerOutputToken * request_.outputTokens_;
+  std::vector<kept::Part> shared;
+  if (!request_.model_.empty()) {
+    question.model_ = request_.model_;
+    const auto& named = host_.weights_[request_.model_];
+    question.weights_ = named.version_;
+    question.weightsAge_ = now - named.learnedAt_;
+    question.oldWeightsLimit_ = host_.settings_.weightsTime_ - kWeightsMargin;
+    question.computedTokens_ = request_.promptTokens_;
+    if (request_.parts_.size() > 1) {
+      shared.assign(request_.parts_.begin(), request_.parts_.end() - 1);
+      question.affinity_ = shared.back().id_;
+      const auto plan = kept::PlanParts(
+        host_.kept_,
+        kept::ScopeOf(workspace_, request_.model_, named.version_),
+        shared,
+        host_.settings_.dataCentre_,
+        now);
+      question.readTokens_ = plan.readTokens_;
+      question.computedTokens_ -=
+        std::min(question.computedTokens_, plan.readTokens_);
+    }
+  }
+  computedTokens_ = question.computedTokens_;
+  readTokens_ = question.readTokens_;
+  return fleet::Choose(host_.members_, question, fleet::EngineSpeed(), now);
+}
+
+void
+Exchange::Try()
+{
+  choice_ = ChooseTarget();
+  if (choice_.id_.empty()) {
+    if (history_.runs_ > 0) {
+      Answer(kBadGateway, "no_other_target");
+    } else {
+      Refuse("no_target", kPauseNoTarget);
+    }
+    return;
+  }
+  if (absl::Seconds(choice_.waitSeconds_) > TimeLeft() &&
+      history_.runs_ == 0) {
+    Refuse("deadline_unreachable", kPauseFull);
+    return;
+  }
+  ++history_.tries_;
+  ++attempt_;
+  targetId_ = choice_.id_;
+  tried_.push_back(targetId_);
+  auto& member = host_.members_.at(targetId_);
+  fleet::CountSent(member, computedTokens_, Now());
+  headTaken_ = false;
+  const bool once = !catalog::MayRepeat(*route_);
+  if (auto kept =
+        host_.targets_.Take(targetId_, once ? kOnceIdle : kRepeatableIdle)) {
+    Send(std::move(kept));
+    return;
+  }
+  host_.targets_.Connect(
+    targetId_,
+    member.target_.address_,
+    std::min(kConnectTimeout, TimeLeft()),
+    [self = shared_from_this(), attempt = attempt_](ConnectionPtr aConnection) {
+      if (self->ended_ || self->attempt_ != attempt) {
+        if (aConnection) {
+          aConnection->Close();
+        }
+        return;
+      }
+      if (!aConnection) {
+        self->EndAttempt(attempts::End::NotSent);
+        return;
+      }
+      self->Send(std::move(aConnection));
+    });
+}
+
+Attempt
+Exchange::MakeAttempt(const fleet::Member& aMember)
+{
+  const auto now = Now();
+  Attempt attempt;
+  attempt.targetId_ = aMember.target_.id_;
+  attempt.workspace_ = workspace_ == nullptr ? "" : workspace_->name_;
+  attempt.timeLeft_ = TimeLeft();
+  attempt.lastEventId_ = events_.Count() > 0 ? events_.LastId() : "";
+  attemptWeights_ = 0;
+  const auto weights = aMember.target_.weights_.find(request_.model_);
+  if (request_.model_.empty() || weights == aMember.target_.weights_.end()) {
+    return attempt;
+  }
+  attemptWeights_ = weights->second;
+  attempt.weights_ = weights->second;
+  attempt.cacheScope_ =
+    kept::ScopeOf(workspace_, request_.model_, weights->second);
+  if (request_.parts_.size() > 1) {
+    const std::vector<kept::Part> shared(request_.parts_.begin(),
+                                         request_.parts_.end() - 1);
+    const auto plan = kept::PlanParts(host_.kept_,
+                                      attempt.cacheScope_,
+                                      shared,
+                                      aMember.target_.dataCentre_,
+                                      now);
+    attempt.parts_ = plan.parts_;
+    attempt.readUntilMs_ = host_.storesClockMs_(now + kReadTime);
+    computedTokens_ =
+      request_.promptTokens_ -
+      std::min<std::uint64_t>(request_.promptTokens_, plan.readTokens_);
+    readTokens_ = plan.readTokens_;
+  }
+  return attempt;
+}
+
+void
+Exchange::Send(ConnectionPtr aConnection)
+{
+  connection_ = std::move(aConnection);
+  const auto found = host_.members_.find(targetId_);
+  if (found == host_.members_.end() ||
+      found->second.target_.state_ != fleet::TargetState::Ready) {
+    // It left while the connection was made.
+    EndAttempt(attempts::End::NotSent);
+    return;
+  }
+  ++history_.sends_;
+  ++history_.runs_;
+  sentAt_ = Now();
+  firstByteAt_ = absl::InfinitePast();
+  const auto counted = computedTokens_;
+  auto fields = host_.adapter_.targetFields_(caller_->Head(),
+                                             MakeAttempt(found->second));
+  // What was counted when the target was chosen is taken off again later.
+  computedTokens_ = counted;
+  const auto& head = caller_->Head();
+  const auto& body = caller_->Body();
+  if (!body.empty() || http::FindField(head.fields_, "content-length") ||
+      http::FindField(head.fields_, "transfer-encoding")) {
+    fields.push_back({ "Content-Length", absl::StrCat(body.size()) });
+  }
+  std::string bytes =
+    http::WriteRequestHead(head.method_, head.target_, fields);
+  bytes += body;
+  const auto self = shared_from_this();
+  const auto attempt = attempt_;
+  const auto current = [self, attempt] {
+    return !self->ended_ && self->attempt_ == attempt;
+  };
+  connection_->Start(
+    bytes,
+    head.method_ == "HEAD",
+    { [self, current](const http::ResponseHead& aHead) {
+       return current() && self->OnHead(aHead);
+     },
+      [self, current](std::string& aBody) {
+        if (current()) {
+          self->OnBody(aBody);
+        }
+      },
+      [self, current](CallEnd aEnd) {
+        if (current()) {
+          self->OnEnd(aEnd);
+        }
+      } });
+  if (const auto limit = attempts::SilenceLimit(*route_, history_);
+      limit != absl::InfiniteDuration()) {
+    silenceTimer_.Set(limit, [self, current] {
+      if (current()) {
+        self->OnSilence();
+      }
+    });
+  }
+}
+
+bool
+Exchange::OnHead(const http::ResponseHead& aHead)
+{
+  auto answer = host_.adapter_.readAnswer_(aHead);
+  if (!answer.requestId_.empty() && answer.requestId_ != request_.id_) {
+    host_.metrics_.Count("foreign_answers_total");
+    host_.log_.Write(Line("foreign_answer")
+                       .Text("id", request_.id_)
+                       .Text("answer_id", answer.requestId_)
+                       .Text("target", targetId_));
+    return false;
+  }
+  answer_ = std::move(answer);
+  head_ = aHead;
+  headTaken_ = true;
+  silenceTimer_.Cancel();
+  body_.clear();
+  const auto now = Now();
+  const auto found = host_.members_.find(targetId_);
+  if (found != host_.members_.end()) {
+    auto& member = found->second;
+    if (answer_.load_) {
+      member.load_ = *answer_.load_;
+      member.loadAt_ = now;
+    }
+    if (answer_.weights_ && !request_.model_.empty()) {
+      member.target_.weights_[request_.model_] = *answer_.weights_;
+    }
+  }
+  // A stream that goes on at another target keeps its first head.
+  isEvents_ = aHead.status_ / 100 == 2 && IsEventStream(aHead);
+  if (!isEvents_) {
+    firstByteAt_ = now;
+  }
+  return true;
+}
+
+void
+Exchange::OnBody(std::string& aBody)
+{
+  if (isEvents_) {
+    Relay(aBody);
+    return;
+  }
+  body_ += aBody;
+  aBody.clear();
+  if (begun_) {
+    caller_->Write(body_);
+    body_.clear();
+  } else if (body_.size() > kHeldBytes && head_.status_ / 100 == 2) {
+    BeginAnswer();
+    caller_->Write(body_);
+    body_.clear();
+  }
+}
+
+void
+Exchange::BeginAnswer()
+{
+  begun_ = true;
+  caller_->Begin(head_.status_,
+                 head_.reason_,
+                 PassedOn(head_),
+                 isEvents_ ? absl::nullopt : head_.length_);
+  caller_->OnDrained([self = shared_from_this()] {
+    if (self->paused_ && self->connection_) {
+      self->paused_ = false;
+      self->connection_->SetReading(true);
+    }
+  });
+}
+
+void
+Exchange::Relay(std::string& aBody)
+{
+  const auto whole = events_.Take(aBody);
+  if (whole.empty()) {
+    return;
+  }
+  const auto now = Now();
+  if (firstByteAt_ == absl::InfinitePast()) {
+    firstByteAt_ = now;
+    if (const auto found = host_.members_.find(targetId_);
+        found != host_.members_.end()) {
+      fleet::CountFirstByte(
+        found->second, computedTokens_, now - sentAt_, choice_.waitSeconds_);
+    }
+    host_.metrics_.Observe("first_event_seconds", now - sentAt_);
+  }
+  if (!begun_) {
+    BeginAnswer();
+  }
+  caller_->Write(whole);
+  if (caller_->Unsent() > kMostUnsent && connection_ && !paused_) {
+    paused_ = true;
+    connection_->SetReading(false);
+  }
+}
+
+void
+Exchange::OnEnd(CallEnd aEnd)
+{
+  silenceTimer_.Cancel();
+  if (isEvents_ && headTaken_) {
+    FinishStream(aEnd);
+    return;
+  }
+  if (aEnd != CallEnd::Complete) {
+    host_.metrics_.Count(
+      "broken_answers_total", "end", core::NameOf(kCallEnds, aEnd));
+    EndAttempt(begun_ ? attempts::End::CutAnswer : attempts::End::Failed);
+    return;
+  }
+  if (begun_) {
+    LeaveTarget(fleet::CallResult::Answered);
+    caller_->End();
+    Close("served", head_.status_, "whole");
+    return;
+  }
+  if (answer_.notRun_) {
+    --history_.runs_;
+    EndAttempt(attempts::End::NotRun);
+    return;
+  }
+  if (head_.status_ >= kServerError) {
+    EndAttempt(attempts::End::Error);
+    return;
+  }
+  DeliverWhole();
+}
+
+void
+Exchange::DeliverWhole()
+{
+  LeaveTarget(fleet::CallResult::Answered);
+  const auto status = head_.status_;
+  // An answer to HEAD tells the length of a body that it lacks.
+  const auto length =
+    caller_->Head().method_ == "HEAD" && head_.length_ ? *head_.length_
+                                                       : body_.size();
+  caller_->Begin(status, head_.reason_, PassedOn(head_), length);
+  caller_->Write(body_);
+  caller_->End();
+  Close(status / 100 == 2 ? "served" : "target_answer", status, "whole");
+}
+
+void
+Exchange::FinishStream(CallEnd aEnd)
+{
+  if (aEnd != CallEnd::Complete) {
+    host_.metrics_.Count(
+      "broken_answers_total", "end", core::NameOf(kCallEnds, aEnd));
+    events_.Clear();
+    EndAttempt(begun_ ? attempts::End::CutAnswer : attempts::End::Failed);
+    return;
+  }
+  LeaveTarget(fleet::CallResult::Answered);
+  if (!begun_) {
+    BeginAnswer();
+  }
+  caller_->Write(events_.Rest());
+  caller_->End();
+  Close("served", head_.status_, "whole");
+}
+
+void
+Exchange::LeaveTarget(fleet::CallResult aResult)
+{
+  silenceTimer_.Cancel();
+  const auto connection = std::exchange(connection_, nullptr);
+  if (connection) {
+    if (connection->IsBusy()) {
+      connection->Close();
+    } else {
+      host_.targets_.Give(targetId_, connection);
+    }
+  }
+  const auto found = host_.members_.find(targetId_);
+  if (found == host_.members_.end()) {
+    return;
+  }
+  auto& member = found->second;
+  if (firstByteAt_ == absl::InfinitePast() || !isEvents_) {
+    const bool answered = aResult == fleet::CallResult::Answered;
+    fleet::CountFirstByte(member,
+                          computedTokens_,
+                          Now() - sentAt_,
+                          answered ? choice_.waitSeconds_ / member.slowness_
+                                   : 0.0);
+  }
+  if (fleet::CountEnd(member, aResult, Now())) {
+    host_.log_.Write(Line("target_aside")
+                       .Text("target", targetId_)
+                       .Text("id", request_.id_)
+                       .Number("failure_share", member.failures_)
+                       .Age("for_ms", member.asideUntil_ - Now()));
+  }
+}
+
+void
+Exchange::EndAttempt(attempts::End aEnd)
+{
+  fleet::CallResult result = fleet::CallResult::Failed;
+  if (aEnd == attempts::End::NotRun || aEnd == attempts::End::Error) {
+    result = fleet::CallResult::Refused;
+  }
+  // Another target at the address, or other weights, are no failure.
+  if (answer_.isMisdirected_ && headTaken_) {
+    result = fleet::CallResult::Abandoned;
+  }
+  // Some of a plain service's answers are errors on good targets as well.
+  if (aEnd == attempts::End::Error) {
+    result = fleet::CallResult::Abandoned;
+  }
+  host_.log_.Write(
+    Line("attempt_failed")
+      .Text("id", request_.id_)
+      .Text("target", targetId_)
+      .Number("attempt", history_.tries_)
+      .Text("end", core::NameOf(attempts::kEnds, aEnd))
+      .Number("status", headTaken_ ? head_.status_ : 0)
+      .Flag("misdirected", headTaken_ && answer_.isMisdirected_)
+      .Number("weights", attemptWeights_)
+      .Age("took_ms", Now() - sentAt_)
+      .Age("load_age_ms", choice_.loadAge_)
+      .Number("events", events_.Count()));
+  LeaveTarget(result);
+  ++attempt_;
+  Follow(aEnd);
+}
+
+void
+Exchange::Follow(attempts::End aEnd)
+{
+  const auto limits = ResendLimits(host_);
+  const bool left = budget::ResendsLeft(Ledger(), limits, Now()) >= 1.0;
+  const auto step =
+    attempts::After(*route_, history_, aEnd, TimeLeft(), left);
+  switch (step) {
+    case attempts::Step::TryAgain:
+      if (history_.sends_ > 0) {
+        budget::TakeResend(Ledger(), limits, Now());
+      }
+      Try();
+      return;
+    case attempts::Step::PassOn:
+      DeliverWhole();
+      return;
+    case attempts::Step::Refuse:
+      Refuse(left ? "targets_full" : "resends_spent", kPauseFull);
+      return;
+    case attempts::Step::Fail:
+      Answer(kBadGateway, core::NameOf(attempts::kEnds, aEnd));
+      return;
+    case attempts::Step::Cut:
+      caller_->Abort();
+      Close("cut", head_.status_, core::NameOf(attempts::kEnds, aEnd));
+      return;
+  }
+}
+
+void
+Exchange::OnSilence()
+{
+  const auto limits = ResendLimits(host_);
+  if (budget::ResendsLeft(Ledger(), limits, Now()) < 1.0 ||
+      host_.members_.size() < 2) {
+    return;
+  }
+  EndAttempt(attempts::End::Silent);
+}
+
+void
+Exchange::OnDeadline()
+{
+  if (ended_) {
+    return;
+  }
+  ++attempt_;
+  const bool wasTrying = connection_ != nullptr || !targetId_.empty();
+  if (wasTrying) {
+    LeaveTarget(fleet::CallResult::Abandoned);
+  }
+  if (begun_) {
+    caller_->Abort();
+    Close("cut", head_.status_, "deadline");
+  } else if (history_.runs_ == 0) {
+    Refuse("deadline", kPauseFull);
+  } else {
+    Answer(kGatewayTimeout, "deadline");
+  }
+}
+
+void
+Exchange::OnGone()
+{
+  if (ended_) {
+    return;
+  }
+  ++attempt_;
+  if (!targetId_.empty()) {
+    LeaveTarget(fleet::CallResult::Abandoned);
+  }
+  Close("caller_gone", 0, begun_ ? "in_answer" : "before_answer");
+}
+
+void
+Exchange::Refuse(absl::string_view aReason, absl::Duration aRetryAfter)
+{
+  const auto pause = Jitter(host_, aRetryAfter);
+  caller_->Reply(
+    kUnavailable,
+    { { "Retry-After", absl::StrCat(absl::ToDoubleSeconds(pause)) } },
+    "");
+  Close("refused", kUnavailable, aReason);
+}
+
+void
+Exchange::Answer(int aStatus, absl::string_view aReason)
+{
+  caller_->Reply(aStatus, {}, "");
+  Close(aStatus >= kServerError ? "failed" : "denied", aStatus, aReason);
+}
+
+void
+Exchange::Close(absl::string_view aOutcome,
+                int aStatus,
+                absl::string_view aReason)
+{
+  if (std::exchange(ended_, true)) {
+    return;
+  }
+  deadlineTimer_.Cancel();
+  silenceTimer_.Cancel();
+  --host_.requestsOpen_;
+  const auto now = Now();
+  const auto took = now - caller_->ArrivedAt();
+  host_.metrics_.Count("requests_total", "outcome", aOutcome);
+  host_.metrics_.Observe("request_seconds", took);
+  host_.log_.Write(
+    Line("request")
+      .Text("id", request_.id_)
+      .Text("route", route_ == nullptr ? "" : route_->name_)
+      .Text("workspace", workspace_ == nullptr ? "" : workspace_->name_)
+      .Text("outcome", aOutcome)
+      .Text("reason", aReason)
+      .Number("status", aStatus)
+      .Text("target", targetId_)
+      .Number("tries", history_.tries_)
+      .Number("sends", history_.sends_)
+      .Age("took_ms", took)
+      .Age("first_ms",
+           firstByteAt_ == absl::InfinitePast()
+             ? absl::InfiniteDuration()
+             : firstByteAt_ - caller_->ArrivedAt())
+      .Number("wait_estimate_ms", choice_.waitSeconds_ * 1000.0)
+      .Age("load_age_ms", choice_.loadAge_)
+      .Number("candidates", choice_.candidates_)
+      .Number("computed_tokens", computedTokens_)
+      .Number("read_tokens", readTokens_)
+      .Number("weights", attemptWeights_)
+      .Number("catalog", catalog_ ? catalog_->version_ : 0)
+      .Age("catalog_age_ms", now - host_.catalogAt_));
+}
+
+} // namespace lycheeplank::gateway
--- /dev/null
+++ b/src/gateway/exchange.h
@@ -0,0 +1,98 @@
+#ifndef LYCHEEPLANK_SRC_GATEWAY_EXCHANGE_H
+#define LYCHEEPLANK_SRC_GATEWAY_EXCHANGE_H
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <absl/time/time.h>
+
+#include "gateway/events.h"
+#include "gateway/host.h"
+#include "gateway/server-connection.h"
+#include "gateway/timer.h"
+#include "lycheeplank/attempts.h"
+
+namespace lycheeplank::gateway {
+
+// One request of a caller, from its arrival to its final answer.
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+  Exchange(Host& aHost, ServerConnectionPtr aCaller);
+
+  void Start();
+
+private:
+  // Deciding.
+  bool Check();
+  void Try();
+  fleet::Choice ChooseTarget();
+  Attempt MakeAttempt(const fleet::Member& aMember);
+  void Connect(const fleet::Choice& aChoice);
+  void Send(ConnectionPtr aConnection);
+
+  // Answers.
+  bool OnHead(const http::ResponseHead& aHead);
+  void OnBody(std::string& aBody);
+  void OnEnd(CallEnd aEnd);
+  void Relay(std::string& aBody);
+  void BeginAnswer();
+  void FinishStream(CallEnd aEnd);
+  void DeliverWhole();
+
+  // Ends.
+  void EndAttempt(attempts::End aEnd);
+  void LeaveTarget(fleet::CallResult aResult);
+  void Follow(attempts::End aEnd);
+  void Refuse(absl::string_view aReason, absl::Duration aRetryAfter);
+  void Answer(int aStatus, absl::string_view aReason);
+  void OnSilence();
+  void OnDeadline();
+  void OnGone();
+  void Close(absl::string_view aOutcome, int aStatus, absl::string_view aReason);
+
+  absl::Duration TimeLeft() const;
+  absl::Duration RefusalPause(absl::string_view aReason);
+  budget::Ledger& Ledger() { return host_.resends_[service_]; }
+
+  Host& host_;
+  ServerConnectionPtr caller_;
+  CallerRequest request_;
+  // The catalog in force at arrival; routes and workspaces point into it.
+  catalog::CatalogPtr catalog_;
+  const catalog::Route* route_ = nullptr;
+  const catalog::Workspace* workspace_ = nullptr;
+  std::string service_;
+  absl::Time deadline_;
+  Timer deadlineTimer_;
+  Timer silenceTimer_;
+
+  attempts::History history_;
+  std::vector<std::string> tried_;
+  // The attempt under way.
+  std::string targetId_;
+  ConnectionPtr connection_;
+  std::uint64_t attempt_ = 0;
+  absl::Time sentAt_ = absl::InfinitePast();
+  absl::Time firstByteAt_ = absl::InfinitePast();
+  std::uint64_t computedTokens_ = 0;
+  std::uint64_t readTokens_ = 0;
+  fleet::Choice choice_;
+  std::uint64_t attemptWeights_ = 0;
+
+  // The answer under way.
+  http::ResponseHead head_;
+  TargetAnswer answer_;
+  std::string body_;
+  EventSplitter events_;
+  bool headTaken_ = false;
+  bool isEvents_ = false;
+  bool begun_ = false;
+  bool paused_ = false;
+  bool ended_ = false;
+};
+
+} // namespace lycheeplank::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/follower.cc
@@ -0,0 +1,142 @@
+#include "gateway/follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/clock.h"
+
+namespace lycheeplank::gateway {
+
+namespace {
+
+// Longest that one call waits for changes. Each call is charged; a connection
+// that went silent is found out by its probes.
+constexpr absl::Duration kWatchTime = absl::Seconds(10);
+// Pause before the next call, in which changes that come together are
+// gathered; a part of the time that a leaving target may get work.
+constexpr absl::Duration kWatchPause = absl::Milliseconds(60);
+// Pauses after failures: the first, and the longest.
+constexpr absl::Duration kRetryFirst = absl::Milliseconds(60);
+constexpr absl::Duration kRetryLongest = absl::Milliseconds(500);
+constexpr unsigned kMostDoublings = 4;
+
+} // namespace
+
+Follower::Follower(Host& aHost, std::string aPrefix)
+  : host_(aHost)
+  , prefix_(std::move(aPrefix))
+  , timer_(aHost.loop_)
+{
+}
+
+absl::Duration
+Follower::Staleness() const
+{
+  return Now() - freshAt_;
+}
+
+void
+Follower::RetryLater(void (Follower::*aStep)())
+{
+  const auto pause =
+    std::min(kRetryLongest,
+             kRetryFirst * (1U << std::min(failures_, kMostDoublings)));
+  ++failures_;
+  timer_.Set(Jitter(host_, pause),
+             [self = shared_from_this(), aStep] { ((*self).*aStep)(); });
+}
+
+void
+Follower::List()
+{
+  page_.clear();
+  lastKey_.clear();
+  firstRevision_ = 0;
+  askedAt_ = Now();
+  StoreCommand command;
+  command.operation_ = StoreOperation::List;
+  command.key_ = prefix_;
+  CallStore(host_,
+            command,
+            kStoreTimeout,
+            [self = shared_from_this()](StoreReply aReply) {
+              self->OnPage(std::move(aReply));
+            });
+}
+
+void
+Follower::OnPage(StoreReply aReply)
+{
+  if (aReply.outcome_ != StoreOutcome::Ok) {
+    RetryLater(&Follower::List);
+    return;
+  }
+  if (firstRevision_ == 0) {
+    firstRevision_ = aReply.revision_;
+  }
+  if (!aReply.items_.empty()) {
+    lastKey_ = aReply.items_.back().key_;
+  }
+  std::move(
+    aReply.items_.begin(), aReply.items_.end(), std::back_inserter(page_));
+  if (aReply.more_) {
+    StoreCommand command;
+    command.operation_ = StoreOperation::List;
+    command.key_ = prefix_;
+    command.afterKey_ = lastKey_;
+    CallStore(host_,
+              command,
+              kStoreTimeout,
+              [self = shared_from_this()](StoreReply aNext) {
+                self->OnPage(std::move(aNext));
+              });
+    return;
+  }
+  failures_ = 0;
+  listed_ = true;
+  freshAt_ = askedAt_;
+  // Pages are no snapshot: changes made while they were read come again.
+  revision_ = firstRevision_;
+  LearnList(host_, prefix_, page_, firstRevision_);
+  page_.clear();
+  Watch();
+}
+
+void
+Follower::Watch()
+{
+  StoreCommand command;
+  command.operation_ = StoreOperation::Watch;
+  command.key_ = prefix_;
+  command.afterRevision_ = revision_;
+  command.wait_ = kWatchTime;
+  CallStore(host_,
+            command,
+            kWatchTime + kStoreTimeout,
+            [self = shared_from_this()](StoreReply aReply) {
+              self->OnEvents(std::move(aReply));
+            });
+}
+
+void
+Follower::OnEvents(StoreReply aReply)
+{
+  if (aReply.outcome_ == StoreOutcome::Forgotten) {
+    host_.log_.Write(Line("store_history_gone")
+                       .Text("prefix", prefix_)
+                       .Number("revision", revision_));
+    List();
+    return;
+  }
+  if (aReply.outcome_ != StoreOutcome::Ok) {
+    RetryLater(&Follower::Watch);
+    return;
+  }
+  failures_ = 0;
+  revision_ = std::max(revision_, aReply.revision_);
+  freshAt_ = Now();
+  Learn(host_, aReply.items_, "watch");
+  timer_.Set(kWatchPause, [self = shared_from_this()] { self->Watch(); });
+}
+
+} // namespace lycheeplank::gateway
--- /dev/null
+++ b/src/gateway/follower.h
@@ -0,0 +1,48 @@
+#ifndef LYCHEEPLANK_SRC_GATEWAY_FOLLOWER_H
+#define LYCHEEPLANK_SRC_GATEWAY_FOLLOWER_H
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/host.h"
+#include "gateway/timer.h"
+
+namespace lycheeplank::gateway {
+
+// Follows one prefix of the key-value service: reads all of it, then waits for
+// changes; reads all again where its history is gone.
+class Follower : public std::enable_shared_from_this<Follower>
+{
+public:
+  Follower(Host& aHost, std::string aPrefix);
+
+  void Start() { List(); }
+  // The whole prefix has been read once.
+  bool HasListed() const { return listed_; }
+  // Time since it was last known to be up to date.
+  absl::Duration Staleness() const;
+
+private:
+  void List();
+  void Watch();
+  void OnPage(StoreReply aReply);
+  void OnEvents(StoreReply aReply);
+  void RetryLater(void (Follower::*aStep)());
+
+  Host& host_;
+  const std::string prefix_;
+  Timer timer_;
+  std::vector<replica::Item> page_;
+  std::string lastKey_;
+  std::uint64_t firstRevision_ = 0;
+  std::uint64_t revision_ = 0;
+  unsigned failures_ = 0;
+  bool listed_ = false;
+  absl::Time askedAt_ = absl::InfinitePast();
+  absl::Time freshAt_ = absl::InfinitePast();
+};
+
+} // namespace lycheeplank::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/host.cc
@@ -0,0 +1,321 @@
+#include "gateway/host.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/clock.h"
+
+namespace lycheeplank::gateway {
+
+namespace {
+
+// Entries that vanish while the key-value service fails, or within this time
+// after it, may have lapsed although their owners live. Owners that live are
+// back within two seconds, so the entries are believed until shortly before.
+constexpr absl::Duration kLapseTime = absl::Milliseconds(1800);
+// How long after a failure of the service a vanished entry is taken so: its
+// owners may be cut off a little longer than this host.
+constexpr absl::Duration kUnsettledTime = absl::Seconds(3);
+
+absl::Time
+VanishTime(const Host& aHost, absl::Time aNow)
+{
+  const bool unsettled = aNow - aHost.store_.failedAt_ < kUnsettledTime;
+  return unsettled ? aNow + kLapseTime : aNow;
+}
+
+void
+LearnCatalog(Host& aHost,
+             const replica::Item& aItem,
+             absl::string_view aSource,
+             absl::Time aNow)
+{
+  auto read = aItem.deleted_ ? absl::nullopt : aHost.adapter_.readCatalog_(aItem);
+  if (!read) {
+    aHost.log_.Write(Line("catalog_unreadable")
+                       .Number("revision", aItem.revision_)
+                       .Number("bytes", aItem.value_.size())
+                       .Text("source", aSource));
+    return;
+  }
+  if (aHost.catalog_ && aHost.catalog_->version_ > read->version_) {
+    aHost.log_.Write(Line("catalog_older")
+                       .Number("version", read->version_)
+                       .Number("in_force", aHost.catalog_->version_)
+                       .Text("source", aSource));
+    return;
+  }
+  aHost.catalog_ =
+    std::make_shared<const catalog::Catalog>(std::move(*read));
+  aHost.catalogAt_ = aNow;
+  kept::SetStores(aHost.kept_, aHost.catalog_->stores_);
+  aHost.log_.Write(Line("catalog_in_force")
+                     .Number("version", aHost.catalog_->version_)
+                     .Number("revision", aItem.revision_)
+                     .Number("hosts", aHost.catalog_->routes_.size())
+                     .Number("services", aHost.catalog_->services_.size())
+                     .Number("workspaces", aHost.catalog_->workspaces_.size())
+                     .Text("source", aSource));
+}
+
+void
+LearnTarget(Host& aHost,
+            const std::string& aId,
+            const replica::Item& aItem,
+            absl::string_view aSource,
+            absl::Time aNow)
+{
+  if (aItem.deleted_) {
+    const auto until = VanishTime(aHost, aNow);
+    if (fleet::DropTarget(aHost.members_, aId, until)) {
+      aHost.log_.Write(Line("target_vanished")
+                         .Text("target", aId)
+                         .Number("revision", aItem.revision_)
+                         .Age("believed_ms", until - aNow)
+                         .Text("source", aSource));
+    }
+    return;
+  }
+  auto target = aHost.adapter_.readTarget_(aItem);
+  if (!target) {
+    // An entry that can't be read names no target to use.
+    fleet::DropTarget(aHost.members_, aId, aNow);
+    aHost.log_.Write(Line("target_unreadable")
+                       .Text("target", aId)
+                       .Number("revision", aItem.revision_)
+                       .Text("source", aSource));
+    return;
+  }
+  const bool leaving = target->state_ == fleet::TargetState::Leaving;
+  const auto known = aHost.members_.find(aId);
+  if (known == aHost.members_.end() ||
+      known->second.target_.state_ != target->state_ ||
+      known->second.target_.weights_ != target->weights_) {
+    Line line(leaving ? "target_leaving" : "target_ready");
+    line.Text("target", aId)
+      .Text("service", target->service_)
+      .Text("address", target->address_)
+      .Number("revision", aItem.revision_)
+      .Text("source", aSource);
+    for (const auto& [model, version] : target->weights_) {
+      line.Number("weights", version);
+    }
+    aHost.log_.Write(line);
+  }
+  fleet::TakeTarget(
+    aHost.members_, std::move(*target), aItem.revision_, aNow);
+  if (leaving) {
+    aHost.targets_.Drop(aId);
+  }
+}
+
+void
+LearnWeights(Host& aHost,
+             const std::string& aModel,
+             const replica::Item& aItem,
+             absl::string_view aSource,
+             absl::Time aNow)
+{
+  const std::uint64_t version =
+    aItem.deleted_ ? 0 : aHost.adapter_.readWeights_(aItem).value_or(0);
+  auto& named = aHost.weights_[aModel];
+  if (version <= named.version_) {
+    return;
+  }
+  named = { version, aNow };
+  aHost.log_.Write(Line("weights_named")
+                     .Text("model", aModel)
+                     .Number("version", version)
+                     .Number("revision", aItem.revision_)
+                     .Text("source", aSource));
+}
+
+void
+LearnHost(Host& aHost,
+          const std::string& aName,
+          const replica::Item& aItem,
+          absl::string_view aSource,
+          absl::Time aNow)
+{
+  const auto known = aHost.hosts_.find(aName);
+  if (aItem.deleted_) {
+    if (known != aHost.hosts_.end()) {
+      known->second.vanishesAt_ = known->second.entry_.leaving_
+                                    ? aNow
+                                    : VanishTime(aHost, aNow);
+      aHost.log_.Write(
+        Line("host_vanished").Text("name", aName).Text("source", aSource));
+    }
+    return;
+  }
+  const auto entry = entries::ReadHost(aItem.value_);
+  if (!entry) {
+    aHost.log_.Write(
+      Line("host_unreadable").Text("name", aName).Text("source", aSource));
+    return;
+  }
+  if (known == aHost.hosts_.end() ||
+      known->second.entry_.leaving_ != entry->leaving_) {
+    aHost.log_.Write(Line(entry->leaving_ ? "host_leaving" : "host_ready")
+                       .Text("name", aName)
+                       .Text("address", entry->callerAddress_)
+                       .Text("source", aSource));
+  }
+  // A host that came back at another address has another name; one that was
+  // replaced at the same address is the newer entry.
+  aHost.hosts_[aName] = { *entry };
+}
+
+void
+LearnItem(Host& aHost,
+          const replica::Item& aItem,
+          absl::string_view aSource,
+          absl::Time aNow)
+{
+  const absl::string_view key = aItem.key_;
+  if (key.substr(0, kHostPrefix.size()) == kHostPrefix) {
+    LearnHost(aHost,
+              std::string(key.substr(kHostPrefix.size())),
+              aItem,
+              aSource,
+              aNow);
+    return;
+  }
+  const auto [kind, name] = aHost.adapter_.nameOf_(key);
+  switch (kind) {
+    case ItemKind::Catalog:
+      LearnCatalog(aHost, aItem, aSource, aNow);
+      break;
+    case ItemKind::Weights:
+      LearnWeights(aHost, name, aItem, aSource, aNow);
+      break;
+    case ItemKind::Target:
+      LearnTarget(aHost, name, aItem, aSource, aNow);
+      break;
+    case ItemKind::Other:
+      break;
+  }
+}
+
+void
+TellChange(Host& aHost)
+{
+  for (const auto& action : aHost.onChange_) {
+    action();
+  }
+}
+
+void
+NoteStore(Host& aHost, const StoreCommand& aCommand, StoreOutcome aOutcome)
+{
+  auto& health = aHost.store_;
+  const bool failed =
+    aOutcome == StoreOutcome::Lost || aOutcome == StoreOutcome::Refused;
+  (failed ? health.failedAt_ : health.answeredAt_) = Now();
+  if (health.reachable_ != !failed) {
+    health.reachable_ = !failed;
+    aHost.log_.Write(Line(failed ? "store_lost" : "store_back")
+                       .Text("key", aCommand.key_)
+                       .Text("outcome",
+                             core::NameOf(kStoreOutcomes, aOutcome)));
+  }
+  aHost.metrics_.Count("store_calls_total",
+                       "outcome",
+                       core::NameOf(kStoreOutcomes, aOutcome));
+}
+
+} // namespace
+
+absl::Duration
+Jitter(Host& aHost, absl::Duration aDuration)
+{
+  return aDuration * std::uniform_real_distribution<>(0.5, 1.5)(aHost.random_);
+}
+
+bool
+CanServe(const Host& aHost)
+{
+  return aHost.catalog_ != nullptr && !aHost.members_.empty();
+}
+
+budget::Limits
+ResendLimits(const Host& aHost)
+{
+  // Hosts that come up or that this one hasn't heard of yet share as well.
+  constexpr std::uint32_t kHostsUnseen = 1;
+  return { aHost.settings_.resendRatio_,
+           aHost.settings_.resendWindow_,
+           aHost.settings_.resendSlack_,
+           static_cast<std::uint32_t>(aHost.hosts_.size()) + kHostsUnseen };
+}
+
+void
+Learn(Host& aHost,
+      const std::vector<replica::Item>& aItems,
+      absl::string_view aSource)
+{
+  const auto now = Now();
+  bool any = false;
+  for (const auto& item : aItems) {
+    if (replica::Apply(aHost.replica_, item, now)) {
+      LearnItem(aHost, item, aSource, now);
+      any = true;
+    }
+  }
+  if (any) {
+    Sweep(aHost);
+    TellChange(aHost);
+  }
+}
+
+void
+LearnList(Host& aHost,
+          absl::string_view aPrefix,
+          const std::vector<replica::Item>& aItems,
+          std::uint64_t aAsOf)
+{
+  const auto now = Now();
+  const auto news =
+    replica::Reconcile(aHost.replica_, aPrefix, aItems, aAsOf, now);
+  for (const auto& item : news) {
+    LearnItem(aHost, item, "list", now);
+  }
+  if (!news.empty()) {
+    Sweep(aHost);
+    TellChange(aHost);
+  }
+}
+
+void
+CallStore(Host& aHost,
+          const StoreCommand& aCommand,
+          absl::Duration aTimeout,
+          std::function<void(StoreReply)> aOnReply)
+{
+  Fetch(aHost.calls_,
+        aHost.loop_,
+        aHost.settings_.storeAddress_,
+        aHost.adapter_.writeStoreCall_(aCommand),
+        aTimeout,
+        [&aHost, aCommand, onReply = std::move(aOnReply)](
+          const http::Answer& aAnswer) {
+          auto reply = aHost.adapter_.readStoreReply_(aCommand, aAnswer);
+          NoteStore(aHost, aCommand, reply.outcome_);
+          onReply(std::move(reply));
+        });
+}
+
+void
+Sweep(Host& aHost)
+{
+  const auto now = Now();
+  for (const auto& id : fleet::SweepVanished(aHost.members_, now)) {
+    aHost.targets_.Drop(id);
+  }
+  entries::SweepHosts(aHost.hosts_, now);
+  replica::Sweep(aHost.replica_, now);
+  aHost.targets_.Sweep(now);
+  aHost.calls_.Sweep(now);
+}
+
+} // namespace lycheeplank::gateway
--- /dev/null
+++ b/src/gateway/host.h
@@ -0,0 +1,139 @@
+#ifndef LYCHEEPLANK_SRC_GATEWAY_HOST_H
+#define LYCHEEPLANK_SRC_GATEWAY_HOST_H
+
+#include <cstdint>
+#include <functional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include "gateway/adapter.h"
+#include "gateway/log.h"
+#include "gateway/pool.h"
+#include "gateway/settings.h"
+#include "lycheeplank/budget.h"
+#include "lycheeplank/catalog.h"
+#include "lycheeplank/entries.h"
+#include "lycheeplank/fleet.h"
+#include "lycheeplank/kept.h"
+#include "lycheeplank/metrics.h"
+#include "lycheeplank/replica.h"
+
+namespace lycheeplank::gateway {
+
+// Keys that the hosts themselves write to the key-value service.
+inline constexpr absl::string_view kOwnPrefix = "lycheeplank/";
+inline constexpr absl::string_view kHostPrefix = "lycheeplank/hosts/";
+inline constexpr absl::string_view kOwnerKey = "lycheeplank/weights-owner";
+
+// Weights that an operator has named for a model.
+struct NamedWeights
+{
+  std::uint64_t version_ = 0;
+  absl::Time learnedAt_ = absl::InfinitePast();
+};
+
+// How well the key-value service serves this host.
+struct StoreHealth
+{
+  // When it last answered, and when a call last failed.
+  absl::Time answeredAt_ = absl::InfinitePast();
+  absl::Time failedAt_ = absl::InfinitePast();
+  bool reachable_ = false;
+};
+
+// All that one host believes and shares between its parts; used from the one
+// thread of the event loop.
+struct Host
+{
+  Host(Loop& aLoop, Settings aSettings, const Adapter& aAdapter, int aLogHandle)
+    : loop_(aLoop)
+    , settings_(std::move(aSettings))
+    , adapter_(aAdapter)
+    , log_(settings_.name_, aLogHandle)
+    , targets_(aLoop)
+    , calls_(aLoop)
+    , random_(std::random_device{}())
+  {
+  }
+
+  Loop& loop_;
+  Settings settings_;
+  const Adapter& adapter_;
+  Log log_;
+  metrics::Registry metrics_;
+
+  replica::Replica replica_;
+  catalog::CatalogPtr catalog_;
+  absl::Time catalogAt_ = absl::InfinitePast();
+  fleet::Members members_;
+  absl::flat_hash_map<std::string, NamedWeights> weights_;
+  kept::Directory kept_;
+  entries::Hosts hosts_;
+  absl::flat_hash_map<std::string, budget::Ledger> resends_;
+  StoreHealth store_;
+
+  // Connections for requests, by target, and for all other calls, by address.
+  Pool targets_;
+  Pool calls_;
+  std::mt19937_64 random_;
+
+  bool stopping_ = false;
+  std::uint64_t requestsOpen_ = 0;
+  // Translates a moment to the cache stores' clock; 0 while that isn't known.
+  std::function<std::int64_t(absl::Time)> storesClockMs_ = [](absl::Time) {
+    return std::int64_t{ 0 };
+  };
+  // Run when targets, weights or stores of the catalog have changed.
+  std::vector<std::function<void()>> onChange_;
+};
+
+// Returns a fraction of a duration between a half and one and a half, so that
+// hosts don't act at the same moments.
+absl::Duration
+Jitter(Host& aHost, absl::Duration aDuration);
+
+// Returns whether the host knows enough to take requests.
+bool
+CanServe(const Host& aHost);
+
+// Returns the budget for second sends, shared by the hosts that may live.
+budget::Limits
+ResendLimits(const Host& aHost);
+
+// Takes in changes of the key-value service's items, from it or from a peer.
+void
+Learn(Host& aHost,
+      const std::vector<replica::Item>& aItems,
+      absl::string_view aSource);
+
+// Takes in a whole list of a prefix.
+void
+LearnList(Host& aHost,
+          absl::string_view aPrefix,
+          const std::vector<replica::Item>& aItems,
+          std::uint64_t aAsOf);
+
+// Makes a call to the key-value service and notes how it serves.
+void
+CallStore(Host& aHost,
+          const StoreCommand& aCommand,
+          absl::Duration aTimeout,
+          std::function<void(StoreReply)> aOnReply);
+
+// Time after which a call to the key-value service is given up; a slow answer
+// takes some hundred milliseconds.
+inline constexpr absl::Duration kStoreTimeout = absl::Milliseconds(1500);
+
+// Work that is due now and then: connections, entries and beliefs that are
+// over.
+void
+Sweep(Host& aHost);
+
+} // namespace lycheeplank::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/pool.cc
@@ -0,0 +1,233 @@
+#include "gateway/pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "gateway/clock.h"
+#include "gateway/timer.h"
+
+namespace lycheeplank::gateway {
+
+namespace {
+
+// Longest that a call waits for a connection; a data centre away it takes
+// milliseconds.
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
+// A kept connection may have been closed by its peer in this time without
+// notice; calls on it may fail and are repeated by their owners.
+constexpr absl::Duration kLongestIdle = absl::Seconds(30);
+
+struct FetchState
+{
+  explicit FetchState(Loop& aLoop)
+    : timer_(aLoop)
+  {
+  }
+  Timer timer_;
+  ConnectionPtr connection_;
+  http::Answer answer_;
+  std::function<void(http::Answer)> onAnswer_;
+};
+
+void
+FinishFetch(const std::shared_ptr<FetchState>& aState, bool aWhole)
+{
+  if (!aState->onAnswer_) {
+    return;
+  }
+  aState->timer_.Cancel();
+  const auto onAnswer = std::exchange(aState->onAnswer_, nullptr);
+  if (!aWhole) {
+    aState->answer_ = {};
+  }
+  onAnswer(std::move(aState->answer_));
+}
+
+std::string
+WriteCall(const std::string& aAddress, const http::Call& aCall)
+{
+  auto fields = aCall.fields_;
+  fields.insert(fields.begin(), { "Host", aAddress });
+  if (!aCall.body_.empty() || aCall.method_ == "POST") {
+    fields.push_back({ "Content-Length", absl::StrCat(aCall.body_.size()) });
+  }
+  return http::WriteRequestHead(aCall.method_, aCall.target_, fields) +
+         aCall.body_;
+}
+
+void
+StartFetch(Pool& aPool,
+           const std::shared_ptr<FetchState>& aState,
+           const std::string& aAddress,
+           const http::Call& aCall)
+{
+  CallEvents events;
+  events.onHead_ = [aState](const http::ResponseHead& aHead) {
+    aState->answer_.status_ = aHead.status_;
+    aState->answer_.fields_ = aHead.fields_;
+    return true;
+  };
+  events.onBody_ = [aState](std::string& aBody) {
+    aState->answer_.body_ += aBody;
+    aBody.clear();
+  };
+  events.onEnd_ = [aState, &aPool, aAddress](CallEnd aEnd) {
+    const auto connection = std::exchange(aState->connection_, nullptr);
+    if (connection && aEnd == CallEnd::Complete) {
+      aPool.Give(aAddress, connection);
+    }
+    FinishFetch(aState, aEnd == CallEnd::Complete);
+  };
+  aState->connection_->Start(
+    WriteCall(aAddress, aCall), aCall.method_ == "HEAD", std::move(events));
+}
+
+} // namespace
+
+ConnectionPtr
+Pool::Take(const std::string& aPeer, absl::Duration aLongestIdle)
+{
+  const auto found = idle_.find(aPeer);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  const auto now = Now();
+  auto& kept = found->second;
+  while (!kept.empty()) {
+    const auto connection = std::move(kept.back());
+    kept.pop_back();
+    if (connection->IsReusable(now)) {
+      if (connection->IdleFor(now) < aLongestIdle) {
+        return connection;
+      }
+      // The others have been idle for longer still.
+      kept.push_back(connection);
+      return nullptr;
+    }
+    connection->Close();
+  }
+  return nullptr;
+}
+
+void
+Pool::Connect(const std::string& aPeer,
+              const std::string& aAddress,
+              absl::Duration aTimeout,
+              std::function<void(ConnectionPtr)> aOnDone)
+{
+  ++opened_;
+  gateway::Connect(
+    loop_,
+    ParseEndpoint(aAddress),
+    aTimeout,
+    [this, aPeer, onDone = std::move(aOnDone)](std::shared_ptr<Socket> aSocket) {
+      if (!aSocket) {
+        onDone(nullptr);
+        return;
+      }
+      const auto connection =
+        std::make_shared<ClientConnection>(std::move(aSocket));
+      connection->Open([this, aPeer, weak = std::weak_ptr(connection)] {
+        const auto found = idle_.find(aPeer);
+        if (found != idle_.end()) {
+          auto& kept = found->second;
+          kept.erase(std::remove(kept.begin(), kept.end(), weak.lock()),
+                     kept.end());
+        }
+      });
+      onDone(connection);
+    });
+}
+
+void
+Pool::Give(const std::string& aPeer, const ConnectionPtr& aConnection)
+{
+  if (aConnection->IsReusable(Now())) {
+    idle_[aPeer].push_back(aConnection);
+  } else {
+    aConnection->Close();
+  }
+}
+
+void
+Pool::Drop(const std::string& aPeer)
+{
+  const auto found = idle_.find(aPeer);
+  if (found == idle_.end()) {
+    return;
+  }
+  const auto kept = std::move(found->second);
+  idle_.erase(found);
+  for (const auto& connection : kept) {
+    connection->Close();
+  }
+}
+
+void
+Pool::Sweep(absl::Time aNow)
+{
+  for (auto& [peer, kept] : idle_) {
+    const auto over =
+      std::stable_partition(kept.begin(), kept.end(), [aNow](const auto& aOne) {
+        return aOne->IsReusable(aNow);
+      });
+    const std::vector<ConnectionPtr> closing(over, kept.end());
+    kept.erase(over, kept.end());
+    for (const auto& connection : closing) {
+      connection->Close();
+    }
+  }
+  absl::erase_if(idle_,
+                 [](const auto& aEntry) { return aEntry.second.empty(); });
+}
+
+std::size_t
+Pool::Idle() const
+{
+  std::size_t count = 0;
+  for (const auto& [peer, kept] : idle_) {
+    count += kept.size();
+  }
+  return count;
+}
+
+void
+Fetch(Pool& aPool,
+      Loop& aLoop,
+      const std::string& aAddress,
+      const http::Call& aCall,
+      absl::Duration aTimeout,
+      std::function<void(http::Answer)> aOnAnswer)
+{
+  const auto state = std::make_shared<FetchState>(aLoop);
+  state->onAnswer_ = std::move(aOnAnswer);
+  state->timer_.Set(aTimeout, [state] {
+    if (const auto connection = std::exchange(state->connection_, nullptr)) {
+      connection->Close();
+    }
+    FinishFetch(state, false);
+  });
+  state->connection_ = aPool.Take(aAddress, kLongestIdle);
+  if (state->connection_) {
+    StartFetch(aPool, state, aAddress, aCall);
+    return;
+  }
+  aPool.Connect(aAddress,
+                aAddress,
+                std::min(kConnectTimeout, aTimeout),
+                [&aPool, state, aAddress, aCall](ConnectionPtr aConnection) {
+                  if (!aConnection || !state->onAnswer_) {
+                    if (aConnection) {
+                      aConnection->Close();
+                    }
+                    FinishFetch(state, false);
+                    return;
+                  }
+                  state->connection_ = std::move(aConnection);
+                  StartFetch(aPool, state, aAddress, aCall);
+                });
+}
+
+} // namespace lycheeplank::gateway
--- /dev/null
+++ b/src/gateway/presence.cc
@@ -0,0 +1,142 @@
+#include "gateway/presence.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+namespace lycheeplank::gateway {
+
+namespace {
+
+// A host that dies is off the lists after this time; callers that meet it
+// before find another address by themselves.
+constexpr absl::Duration kLeaseLife = absl::Milliseconds(3000);
+// Renewals are cheap, and two may be lost in a row.
+constexpr absl::Duration kKeepPeriod = absl::Milliseconds(800);
+constexpr absl::Duration kRetryPause = absl::Milliseconds(200);
+
+} // namespace
+
+Presence::Presence(Host& aHost)
+  : host_(aHost)
+  , timer_(aHost.loop_)
+{
+}
+
+std::string
+Presence::Value() const
+{
+  const auto& settings = host_.settings_;
+  return entries::WriteHost({ settings.name_,
+                              settings.dataCentre_,
+                              settings.callerAddress_,
+                              settings.peerAddress_,
+                              host_.stopping_ });
+}
+
+void
+Presence::Later(absl::Duration aPause, void (Presence::*aStep)())
+{
+  timer_.Set(aPause,
+             [self = shared_from_this(), aStep] { ((*self).*aStep)(); });
+}
+
+void
+Presence::Start()
+{
+  Grant();
+}
+
+void
+Presence::Grant()
+{
+  StoreCommand command;
+  command.operation_ = StoreOperation::GrantLease;
+  command.wait_ = std::max(kLeaseLife, host_.settings_.leastLease_);
+  CallStore(host_,
+            command,
+            kStoreTimeout,
+            [self = shared_from_this()](const StoreReply& aReply) {
+              if (aReply.outcome_ != StoreOutcome::Ok || aReply.lease_ == 0) {
+                self->Later(Jitter(self->host_, kRetryPause),
+                            &Presence::Grant);
+                return;
+              }
+              self->lease_ = aReply.lease_;
+              self->Write();
+            });
+}
+
+void
+Presence::Write()
+{
+  StoreCommand command;
+  command.operation_ = StoreOperation::Commit;
+  command.key_ = absl::StrCat(kHostPrefix, host_.settings_.name_);
+  command.value_ = Value();
+  command.lease_ = lease_;
+  CallStore(host_,
+            command,
+            kStoreTimeout,
+            [self = shared_from_this()](const StoreReply& aReply) {
+              switch (aReply.outcome_) {
+                case StoreOutcome::Ok:
+                  self->Later(kKeepPeriod, &Presence::Keep);
+                  return;
+                case StoreOutcome::Absent:
+                  self->Grant();
+                  return;
+                default:
+                  self->Later(Jitter(self->host_, kRetryPause),
+                              &Presence::Write);
+              }
+            });
+}
+
+void
+Presence::Keep()
+{
+  StoreCommand command;
+  command.operation_ = StoreOperation::KeepLease;
+  command.lease_ = lease_;
+  CallStore(host_,
+            command,
+            kStoreTimeout,
+            [self = shared_from_this()](const StoreReply& aReply) {
+              switch (aReply.outcome_) {
+                case StoreOutcome::Ok:
+                  self->Later(kKeepPeriod, &Presence::Keep);
+                  return;
+                case StoreOutcome::Absent:
+                  self->host_.log_.Write(Line("own_lease_lapsed"));
+                  self->Grant();
+                  return;
+                default:
+                  self->Later(Jitter(self->host_, kRetryPause),
+                              &Presence::Keep);
+              }
+            });
+}
+
+void
+Presence::Leave()
+{
+  if (lease_ != 0) {
+    Write();
+  }
+}
+
+void
+Presence::End()
+{
+  if (lease_ == 0) {
+    return;
+  }
+  StoreCommand command;
+  command.operation_ = StoreOperation::EndLease;
+  command.lease_ = lease_;
+  CallStore(host_, command, kStoreTimeout, [](const StoreReply&) {});
+}
+
+} // namespace lycheeplank::gateway
--- /dev/null
+++ b/src/gateway/presence.h
@@ -0,0 +1,38 @@
+#ifndef LYCHEEPLANK_SRC_GATEWAY_PRESENCE_H
+#define LYCHEEPLANK_SRC_GATEWAY_PRESENCE_H
+
+#include <memory>
+
+#include "gateway/host.h"
+#include "gateway/timer.h"
+
+namespace lycheeplank::gateway {
+
+// Keeps this host's entry in the key-value service for as long as the process
+// lives, under a lease.
+class Presence : public std::enable_shared_from_this<Presence>
+{
+public:
+  explicit Presence(Host& aHost);
+
+  void Start();
+  // Writes again that this host takes no more callers.
+  void Leave();
+  // Deletes the entry, at the end of the process.
+  void End();
+
+private:
+  void Grant();
+  void Write();
+  void Keep();
+  void Later(absl::Duration aPause, void (Presence::*aStep)());
+  std::string Value() const;
+
+  Host& host_;
+  Timer timer_;
+  std::uint64_t lease_ = 0;
+};
+
+} // namespace lycheeplank::gateway
+
+#endif
--- /dev/null
+++ b/src/gateway/socket.cc
@@ -0,0 +1,343 @@
+#include "gateway/socket.h"
+
+#include <array>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <utility>
+
+#include <absl/strings/numbers.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace lycheeplank::gateway {
+
+namespace {
+
+using boost::system::error_code;
+namespace asio = boost::asio;
+
+// Read at once; larger than the windows of the links.
+constexpr std::size_t kReadBytes = 64U << 10U;
+// Taken from one connection before others have their turn.
+constexpr std::size_t kReadTurnBytes = 256U << 10U;
+// Connections that wait to be accepted.
+constexpr int kBacklog = 1024;
+// A peer that acknowledges nothing for so long is taken for gone; shorter than
+// the times in which leases and leaving targets have to be noticed.
+constexpr unsigned kUserTimeoutMs = 1500;
+// Probes on a silent connection: start, period and number of losses in a row.
+constexpr int kProbeStartSeconds = 1;
+constexpr int kProbePeriodSeconds = 1;
+constexpr int kProbeLosses = 2;
+// A peer has this time to close after the last answer.
+constexpr auto kFinishTime = std::chrono::seconds(1);
+
+void
+SetOption(int aSocket, int aLevel, int aName, int aValue)
+{
+  // A platform that lacks an option leaves the connection without that probe;
+  // the time-outs of each call still hold.
+  (void)setsockopt(aSocket, aLevel, aName, &aValue, sizeof(aValue));
+}
+
+} // namespace
+
+void
+Prepare(Tcp::socket& aSocket)
+{
+  error_code ignored;
+  aSocket.non_blocking(true, ignored);
+  const int handle = aSocket.native_handle();
+  SetOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, kProbeStartSeconds);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, kProbePeriodSeconds);
+  SetOption(handle, IPPROTO_TCP, TCP_KEEPCNT, kProbeLosses);
+  SetOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, kUserTimeoutMs);
+}
+
+Socket::Socket(Tcp::socket aSocket)
+  : socket_(std::move(aSocket))
+  , finishTimer_(socket_.get_executor())
+{
+  Prepare(socket_);
+}
+
+Socket::~Socket() = default;
+
+void
+Socket::Open(SocketEvents aEvents)
+{
+  events_ = std::move(aEvents);
+  WaitRead();
+}
+
+void
+Socket::SetReading(bool aReading)
+{
+  reading_ = aReading;
+  WaitRead();
+}
+
+void
+Socket::WaitRead()
+{
+  if (!isOpen_ || waitsRead_ || !reading_) {
+    return;
+  }
+  waitsRead_ = true;
+  socket_.async_wait(Tcp::socket::wait_read,
+                     [self = shared_from_this()](const error_code& aError) {
+                       self->waitsRead_ = false;
+                       if (self->isOpen_ &&
+                           aError != asio::error::operation_aborted) {
+                         self->Read();
+                       }
+                     });
+}
+
+void
+Socket::Read()
+{
+  if (!reading_) {
+    return;
+  }
+  static thread_local std::array<char, kReadBytes> buffer;
+  error_code error;
+  std::size_t total = 0;
+  while (total < kReadTurnBytes) {
+    const auto count = socket_.read_some(asio::buffer(buffer), error);
+    unread_.append(buffer.data(), count);
+    total += count;
+    if (error || count < buffer.size()) {
+      break;
+    }
+  }
+  const auto self = shared_from_this();
+  if (total > 0 && events_.onData_) {
+    events_.onData_(unread_);
+  }
+  if (error && error != asio::error::would_block && isOpen_) {
+    const auto onClosed = std::move(events_.onClosed_);
+    const auto end =
+      error == asio::error::eof ? PeerEnd::Closed : PeerEnd::Broken;
+    if (onClosed) {
+      onClosed(end);
+    }
+    Close();
+    return;
+  }
+  WaitRead();
+}
+
+void
+Socket::Send(absl::string_view aData)
+{
+  if (!isOpen_ || writeFailed_) {
+    return;
+  }
+  unsent_.append(aData.data(), aData.size());
+  if (!waitsWrite_) {
+    Write();
+  }
+}
+
+void
+Socket::Write()
+{
+  while (!unsent_.empty()) {
+    error_code error;
+    const auto count = socket_.write_some(asio::buffer(unsent_), error);
+    unsent_.erase(0, count);
+    if (error == asio::error::would_block) {
+      WaitWrite();
+      return;
+    }
+    if (error) {
+      // The reading side tells the owner, after what the peer sent before.
+      writeFailed_ = true;
+      unsent_.clear();
+      return;
+    }
+  }
+}
+
+void
+Socket::WaitWrite()
+{
+  waitsWrite_ = true;
+  socket_.async_wait(Tcp::socket::wait_write,
+                     [self = shared_from_this()](const error_code& aError) {
+                       self->waitsWrite_ = false;
+                       if (!self->isOpen_ ||
+                           aError == asio::error::operation_aborted) {
+                         return;
+                       }
+                       self->Write();
+                       self->OnSent();
+                     });
+}
+
+void
+Socket::OnSent()
+{
+  if (!unsent_.empty()) {
+    return;
+  }
+  if (finishing_) {
+    error_code ignored;
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+  } else if (events_.onDrained_) {
+    events_.onDrained_();
+  }
+}
+
+void
+Socket::Close()
+{
+  if (!isOpen_) {
+    return;
+  }
+  isOpen_ = false;
+  finishTimer_.cancel();
+  error_code ignored;
+  socket_.close(ignored);
+  // The handlers may hold the owner of this socket, and one may be running.
+  asio::post(socket_.get_executor(),
+             [events = std::make_shared<SocketEvents>(std::move(events_))] {});
+  events_ = {};
+}
+
+void
+Socket::Finish()
+{
+  if (!isOpen_ || finishing_) {
+    return;
+  }
+  finishing_ = true;
+  events_.onDrained_ = nullptr;
+  events_.onData_ = [](std::string& aData) { aData.clear(); };
+  unread_.clear();
+  reading_ = true;
+  if (unsent_.empty()) {
+    error_code ignored;
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+  }
+  finishTimer_.expires_after(kFinishTime);
+  finishTimer_.async_wait([self = shared_from_this()](const error_code&) {
+    self->Close();
+  });
+  WaitRead();
+}
+
+void
+Socket::Reset()
+{
+  if (isOpen_) {
+    error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    Close();
+  }
+}
+
+void
+Connect(Loop& aLoop,
+        const Tcp::endpoint& aEndpoint,
+        absl::Duration aTimeout,
+        std::function<void(std::shared_ptr<Socket>)> aOnDone)
+{
+  struct State
+  {
+    State(Loop& aOwner)
+      : socket_(aOwner)
+      , timer_(aOwner)
+    {
+    }
+    Tcp::socket socket_;
+    asio::steady_timer timer_;
+    std::function<void(std::shared_ptr<Socket>)> onDone_;
+  };
+  auto state = std::make_shared<State>(aLoop);
+  state->onDone_ = std::move(aOnDone);
+  state->timer_.expires_after(absl::ToChronoNanoseconds(aTimeout));
+  state->timer_.async_wait([state](const error_code& aError) {
+    if (!aError && state->onDone_) {
+      const auto onDone = std::exchange(state->onDone_, nullptr);
+      error_code ignored;
+      state->socket_.close(ignored);
+      onDone(nullptr);
+    }
+  });
+  state->socket_.async_connect(aEndpoint, [state](const error_code& aError) {
+    if (!state->onDone_) {
+      return;
+    }
+    const auto onDone = std::exchange(state->onDone_, nullptr);
+    state->timer_.cancel();
+    onDone(aError ? nullptr
+                  : std::make_shared<Socket>(std::move(state->socket_)));
+  });
+}
+
+Tcp::endpoint
+ParseEndpoint(absl::string_view aText)
+{
+  const auto colon = aText.rfind(':');
+  int port = 0;
+  error_code error;
+  if (colon == absl::string_view::npos ||
+      !absl::SimpleAtoi(aText.substr(colon + 1), &port) || port <= 0 ||
+      port > UINT16_MAX) {
+    return {};
+  }
+  const auto address =
+    asio::ip::make_address(std::string(aText.substr(0, colon)), error);
+  return error ? Tcp::endpoint{}
+               : Tcp::endpoint(address, static_cast<std::uint16_t>(port));
+}
+
+Listener::Listener(Loop& aLoop,
+                   const Tcp::endpoint& aEndpoint,
+                   OnAccept aOnAccept)
+  : loop_(aLoop)
+  , acceptor_(aLoop)
+  , onAccept_(std::move(aOnAccept))
+{
+  acceptor_.open(aEndpoint.protocol());
+  acceptor_.set_option(asio::socket_base::reuse_address(true));
+  acceptor_.bind(aEndpoint);
+  acceptor_.listen(kBacklog);
+  Accept();
+}
+
+std::uint16_t
+Listener::Port() const
+{
+  return acceptor_.local_endpoint().port();
+}
+
+void
+Listener::Stop()
+{
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+void
+Listener::Accept()
+{
+  acceptor_.async_accept([this](const error_code& aError, Tcp::socket aSocket) {
+    if (aError == asio::error::operation_aborted) {
+      return;
+    }
+    if (!aError) {
+      onAccept_(std::make_shared<Socket>(std::move(aSocket)));
+    }
+    if (acceptor_.is_open()) {
+      Accept();
+    }
+  });
+}
+
+} // namespace lycheeplank::gateway
--- /dev/null
+++ b/src/kept/kept.cc
@@ -0,0 +1,230 @@
+#include "lycheeplank/kept.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/strings/str_cat.h>
+
+#include "lycheeplank/core.h"
+
+namespace lycheeplank::kept {
+
+namespace {
+
+// Separates scope and part in the key of a part; neither contains it.
+constexpr char kSeparator = '|';
+
+std::string
+KeyOf(absl::string_view aScope, absl::string_view aPart)
+{
+  return absl::StrCat(aScope, std::string(1, kSeparator), aPart);
+}
+
+bool
+IsUsable(const StoreState& aStore, absl::Time aNow)
+{
+  return aStore.trust_ == Trust::Following &&
+         aNow - aStore.heardAt_ < kTrustWithoutWord;
+}
+
+void
+Clear(StoreState& aStore, std::uint64_t aEpoch, absl::Time aNow)
+{
+  // The first epoch that a host sees may be older than the host.
+  aStore.epochSeenAt_ = aNow;
+  aStore.epoch_ = aEpoch;
+  aStore.parts_.clear();
+  aStore.usedTokens_ = 0;
+}
+
+void
+TakeChange(StoreState& aStore, const Change& aChange)
+{
+  const auto key = KeyOf(aChange.scope_, aChange.part_);
+  const auto found = aStore.parts_.find(key);
+  const std::uint32_t before =
+    found == aStore.parts_.end() ? 0 : found->second;
+  const std::uint32_t after = aChange.added_ ? aChange.tokens_ : 0;
+  aStore.usedTokens_ = aStore.usedTokens_ - before + after;
+  if (after == 0) {
+    aStore.parts_.erase(key);
+  } else {
+    aStore.parts_[key] = after;
+  }
+}
+
+// Position of a store in the order of a part: the lowest is the best. Large
+// stores get their share of the parts (weighted rendezvous hashing).
+double
+RankOf(const StoreState& aStore, absl::string_view aPart)
+{
+  constexpr double kSteps =
+    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  const auto score = core::RendezvousScore(aPart, aStore.settings_.name_);
+  const double share = (static_cast<double>(score) + 1.0) / (kSteps + 2.0);
+  return -std::log(share) /
+         std::max(1.0, static_cast<double>(aStore.settings_.capacityTokens_));
+}
+
+const StoreState*
+BestHolder(const Directory& aDirectory,
+           const std::string& aKey,
+           std::uint32_t aTokens,
+           absl::string_view aDataCentre,
+           absl::Time aNow)
+{
+  const StoreState* best = nullptr;
+  for (const auto& [name, store] : aDirectory.stores_) {
+    const auto found = store.parts_.find(aKey);
+    if (!IsUsable(store, aNow) || found == store.parts_.end() ||
+        found->second < aTokens) {
+      continue;
+    }
+    if (best == nullptr || (store.settings_.dataCentre_ == aDataCentre &&
+                            best->settings_.dataCentre_ != aDataCentre)) {
+      best = &store;
+    }
+  }
+  return best;
+}
+
+const StoreState*
+BestKeeper(const Directory& aDirectory,
+           absl::string_view aPart,
+           std::uint32_t aTokens,
+           absl::Time aNow)
+{
+  const StoreState* best = nullptr;
+  double bestRank = std::numeric_limits<double>::max();
+  for (const auto& [name, store] : aDirectory.stores_) {
+    const double room =
+      kFilledShare * static_cast<double>(store.settings_.capacityTokens_);
+    if (!IsUsable(store, aNow) || aNow - store.epochSeenAt_ < kEpochSettle ||
+        static_cast<double>(store.usedTokens_ + aTokens) > room) {
+      continue;
+    }
+    if (const double rank = RankOf(store, aPart); rank < bestRank) {
+      bestRank = rank;
+      best = &store;
+    }
+  }
+  return best;
+}
+
+} // namespace
+
+void
+SetStores(Directory& aDirectory,
+          const std::vector<catalog::CacheStore>& aStores)
+{
+  absl::flat_hash_set<std::string> names;
+  for (const auto& store : aStores) {
+    names.insert(store.name_);
+    auto& state = aDirectory.stores_[store.name_];
+    if (state.settings_.address_ != store.address_) {
+      state = StoreState();
+    }
+    state.settings_ = store;
+  }
+  for (auto at = aDirectory.stores_.begin(); at != aDirectory.stores_.end();) {
+    at = names.contains(at->first) ? std::next(at)
+                                   : aDirectory.stores_.erase(at);
+  }
+}
+
+void
+TakeChanges(StoreState& aStore,
+            std::uint64_t aEpoch,
+            std::uint64_t aNext,
+            const std::vector<Change>& aChanges,
+            absl::Time aNow)
+{
+  if (aStore.epoch_ != aEpoch) {
+    Clear(aStore, aEpoch, aNow);
+  }
+  for (const auto& change : aChanges) {
+    TakeChange(aStore, change);
+  }
+  aStore.next_ = aNext;
+  aStore.heardAt_ = aNow;
+  aStore.trust_ = Trust::Following;
+}
+
+void
+TakeList(StoreState& aStore,
+         std::uint64_t aEpoch,
+         std::uint64_t aNext,
+         const std::vector<Change>& aHeld,
+         absl::Time aNow)
+{
+  const auto seenAt = aStore.epochSeenAt_;
+  const bool sameEpoch = aStore.epoch_ == aEpoch;
+  Clear(aStore, aEpoch, aNow);
+  if (sameEpoch) {
+    aStore.epochSeenAt_ = seenAt;
+  }
+  TakeChanges(aStore, aEpoch, aNext, aHeld, aNow);
+}
+
+void
+MarkLost(StoreState& aStore)
+{
+  aStore.trust_ = Trust::Lost;
+}
+
+Plan
+PlanParts(const Directory& aDirectory,
+          absl::string_view aScope,
+          const std::vector<Part>& aParts,
+          absl::string_view aDataCentre,
+          absl::Time aNow)
+{
+  Plan plan;
+  for (const auto& part : aParts) {
+    auto& row = plan.parts_.emplace_back();
+    const auto key = KeyOf(aScope, part.id_);
+    if (const auto* holder =
+          BestHolder(aDirectory, key, part.tokens_, aDataCentre, aNow)) {
+      row.readFrom_ = holder->settings_.address_;
+      plan.readTokens_ += part.tokens_;
+      continue;
+    }
+    plan.computedTokens_ += part.tokens_;
+    if (const auto* keeper =
+          BestKeeper(aDirectory, part.id_, part.tokens_, aNow)) {
+      row.keepAt_ = keeper->settings_.address_;
+    }
+  }
+  return plan;
+}
+
+std::vector<Change>
+Unused(const StoreState& aStore, const std::vector<std::string>& aScopes)
+{
+  std::vector<Change> unused;
+  for (const auto& [key, tokens] : aStore.parts_) {
+    const auto at = key.rfind(kSeparator);
+    Change change{ false, key.substr(0, at), key.substr(at + 1), tokens };
+    if (std::find(aScopes.begin(), aScopes.end(), change.scope_) ==
+        aScopes.end()) {
+      unused.push_back(std::move(change));
+    }
+  }
+  return unused;
+}
+
+std::string
+ScopeOf(const catalog::Workspace* aWorkspace,
+        absl::string_view aModel,
+        std::uint64_t aWeights)
+{
+  const std::string wall = aWorkspace != nullptr && aWorkspace->isWalled_
+                             ? absl::StrCat("w.", aWorkspace->name_)
+                             : "shared";
+  return absl::StrCat(wall, ".", aModel, ".", aWeights);
+}
+
+} // namespace lycheeplank::kept
--- /dev/null
+++ b/src/replica/replica.cc
@@ -0,0 +1,87 @@
+#include "lycheeplank/replica.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/container/flat_hash_set.h>
+
+namespace lycheeplank::replica {
+
+bool
+Apply(Replica& aReplica, Item aItem, absl::Time aNow)
+{
+  aReplica.newest_ = std::max(aReplica.newest_, aItem.revision_);
+  auto& known = aReplica.items_[aItem.key_];
+  if (known.item_.revision_ >= aItem.revision_) {
+    return false;
+  }
+  known.item_ = std::move(aItem);
+  known.learnedAt_ = aNow;
+  return true;
+}
+
+std::vector<Item>
+Reconcile(Replica& aReplica,
+          absl::string_view aPrefix,
+          const std::vector<Item>& aItems,
+          std::uint64_t aAsOf,
+          absl::Time aNow)
+{
+  std::vector<Item> news;
+  absl::flat_hash_set<absl::string_view> listed;
+  for (const auto& item : aItems) {
+    listed.insert(item.key_);
+    if (Apply(aReplica, item, aNow)) {
+      news.push_back(item);
+    }
+  }
+  for (auto at = aReplica.items_.lower_bound(std::string(aPrefix));
+       at != aReplica.items_.end() &&
+       absl::string_view(at->first).substr(0, aPrefix.size()) == aPrefix;
+       ++at) {
+    auto& known = at->second;
+    if (!known.item_.deleted_ && known.item_.revision_ <= aAsOf &&
+        !listed.contains(at->first)) {
+      known.item_.deleted_ = true;
+      known.item_.value_.clear();
+      known.item_.revision_ = aAsOf;
+      known.learnedAt_ = aNow;
+      news.push_back(known.item_);
+    }
+  }
+  aReplica.newest_ = std::max(aReplica.newest_, aAsOf);
+  return news;
+}
+
+const Known*
+Find(const Replica& aReplica, absl::string_view aKey)
+{
+  const auto found = aReplica.items_.find(std::string(aKey));
+  return found == aReplica.items_.end() || found->second.item_.deleted_
+           ? nullptr
+           : &found->second;
+}
+
+std::vector<Item>
+ChangesAfter(const Replica& aReplica, std::uint64_t aRevision)
+{
+  std::vector<Item> items;
+  for (const auto& [key, known] : aReplica.items_) {
+    if (known.item_.revision_ > aRevision) {
+      items.push_back(known.item_);
+    }
+  }
+  return items;
+}
+
+void
+Sweep(Replica& aReplica, absl::Time aNow)
+{
+  for (auto at = aReplica.items_.begin(); at != aReplica.items_.end();) {
+    const bool old = at->second.item_.deleted_ &&
+                     aNow - at->second.learnedAt_ > kDeletionMemory;
+    at = old ? aReplica.items_.erase(at) : std::next(at);
+  }
+}
+
+} // namespace lycheeplank::replica
