Follow cache stores, roll out named weights, follow peers while the store is silent

Change: followers of the cache stores with a plan of reads and saves a request; one owner that orders weights with a fence and frees old parts; peers as source during outages; hosts of a data centre tell each other their prompts.

--- a/include/lycheeplank/catalog.h
+++ b/include/lycheeplank/catalog.h
@@ -10,6 +10,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/string_view.h>
 #include <absl/time/time.h>
+#include <absl/types/optional.h>
 
 #include "lycheeplank/core.h"
 
@@ -95,6 +96,8 @@
   // Shares no cached prompt with other workspaces.
   bool isWalled_ = false;
   std::vector<std::string> keys_;
+  // Goes before the route's priority.
+  absl::optional<std::uint32_t> priority_;
 };
 
 // What a caller may send, and how long it may take.
--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -38,8 +38,6 @@
   absl::Duration warmup_ = absl::ZeroDuration();
   // Weight version by model.
   absl::flat_hash_map<std::string, std::uint64_t> weights_;
-  // Orders that it has accepted since its start.
-  std::uint64_t orders_ = 0;
   // When it started, in milliseconds since 1970; tells two starts with one
   // name apart.
   std::int64_t bornMs_ = 0;
@@ -53,6 +51,21 @@
   std::uint32_t slots_ = 0;
 };
 
+// What another host has under way at a target.
+struct PeerLoad
+{
+  std::string target_;
+  std::uint32_t inFlight_ = 0;
+  std::uint64_t promptTokens_ = 0;
+};
+
+struct PeerShare
+{
+  std::uint32_t inFlight_ = 0;
+  std::uint64_t promptTokens_ = 0;
+  absl::Time toldAt_ = absl::InfinitePast();
+};
+
 // What a host knows of one target.
 struct Member
 {
@@ -68,6 +81,8 @@
   std::uint32_t inFlight_ = 0;
   // Prompt tokens of own calls without a first event.
   std::uint64_t promptTokens_ = 0;
+  // What other hosts of the data centre have said of theirs, by host.
+  absl::flat_hash_map<std::string, PeerShare> peers_;
 
   // Moving average of the time to its answers or first events, in seconds,
   // over what the call was expected to take.
@@ -85,6 +100,16 @@
 
 using Members = absl::btree_map<std::string, Member>;
 
+// What a request costs a target with given weights.
+struct PromptCost
+{
+  std::uint64_t weights_ = 0;
+  // Prompt tokens that no cache store holds for these weights, and those that
+  // one does.
+  std::uint64_t computedTokens_ = 0;
+  std::uint64_t readTokens_ = 0;
+};
+
 // What is asked of a target.
 struct Question
 {
@@ -92,9 +117,8 @@
   absl::string_view dataCentre_;
   // Empty for plain services.
   absl::string_view model_;
-  // Prompt tokens that no cache store holds, and those that one does.
-  std::uint64_t computedTokens_ = 0;
-  std::uint64_t readTokens_ = 0;
+  // One for each version of the weights that targets have.
+  std::vector<PromptCost> costs_;
   // Names the prompt's last shared part, so that hosts prefer the same target
   // for it without talking; empty without one.
   absl::string_view affinity_;
@@ -134,6 +158,9 @@
 // A target's own count is used as long as this.
 inline constexpr absl::Duration kLoadMemory = absl::Milliseconds(500);
 
+// What another host has said of its own calls is used as long as this.
+inline constexpr absl::Duration kPeerMemory = absl::Seconds(1);
+
 // Failures in a row, and share of failures, that put a target aside.
 inline constexpr std::uint32_t kFailuresAside = 3;
 inline constexpr double kFailureShareAside = 0.35;
@@ -154,6 +181,16 @@
   bool lastResort_ = false;
 };
 
+// Returns what the request costs a target, by the weights that it has.
+PromptCost
+CostAt(const Member& aMember, const Question& aQuestion);
+
+// Returns the versions of a model's weights that targets of a service have.
+std::vector<std::uint64_t>
+VersionsOf(const Members& aMembers,
+           absl::string_view aService,
+           absl::string_view aModel);
+
 // Returns the time until a target would start to answer, in seconds.
 double
 EstimateWait(const Member& aMember,
@@ -186,6 +223,13 @@
   { CallResult::Abandoned, "abandoned" },
 } };
 
+// Takes in all that another host has under way.
+void
+TakePeerLoads(Members& aMembers,
+              const std::string& aHost,
+              const std::vector<PeerLoad>& aLoads,
+              absl::Time aNow);
+
 // Notes that a call goes to a target.
 void
 CountSent(Member& aMember, std::uint64_t aPromptTokens, absl::Time aNow);
--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -9,6 +9,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/string_view.h>
 #include <absl/time/time.h>
+#include <absl/types/optional.h>
 
 #include "lycheeplank/catalog.h"
 
@@ -54,16 +55,19 @@
   // When it last answered, and when its present epoch was first seen.
   absl::Time heardAt_ = absl::InfinitePast();
   absl::Time epochSeenAt_ = absl::InfinitePast();
-  // The store's clock less ours.
-  absl::Duration clockAhead_ = absl::ZeroDuration();
   // Tokens by part and scope.
   absl::flat_hash_map<std::string, std::uint32_t> parts_;
   std::uint64_t usedTokens_ = 0;
+  // Part of the reads that go to the store; falls while reads from it come too
+  // late, so that those that remain come in time.
+  double readShare_ = 1.0;
 };
 
 struct Directory
 {
   absl::btree_map<std::string, StoreState> stores_;
+  // The stores' and targets' common clock less ours.
+  absl::optional<absl::Duration> clockAhead_;
 };
 
 // A store that started anew is written to only after all hosts that believed
@@ -116,18 +120,37 @@
   std::uint64_t computedTokens_ = 0;
 };
 
+// Steps of a store's share of reads after a late one and one in time.
+inline constexpr double kLateFactor = 0.85;
+inline constexpr double kInTimeStep = 0.04;
+inline constexpr double kLeastReadShare = 0.05;
+
+// Notes whether a read from the store with an address came in time.
+void
+NoteRead(Directory& aDirectory, absl::string_view aAddress, bool aInTime);
+
 // Plans the shared parts of one prompt for a target in a data centre. A part
-// is read from a store only if it lies there whole by what the store told.
+// is read from a store only if it lies there whole by what the store told, and
+// if aDraw, between 0 and 1, lies below the store's share of reads.
 Plan
 PlanParts(const Directory& aDirectory,
           absl::string_view aScope,
           const std::vector<Part>& aParts,
           absl::string_view aDataCentre,
+          double aDraw,
           absl::Time aNow);
 
-// Returns the parts of a store whose scope isn't one of those in use.
+// Returns a moment on the stores' clock in milliseconds; 0 while that is not
+// known.
+std::int64_t
+ClockMs(const Directory& aDirectory, absl::Time aTime);
+
+// Returns the parts of a store that were made by weights of a model that are
+// older than a version.
 std::vector<Change>
-Unused(const StoreState& aStore, const std::vector<std::string>& aScopes);
+MadeByOldWeights(const StoreState& aStore,
+                 absl::string_view aModel,
+                 std::uint64_t aVersion);
 
 // Returns the scope of cached prompts: equal only for requests that may share
 // them.
--- /dev/null
+++ b/include/lycheeplank/weights.h
@@ -0,0 +1,85 @@
+#ifndef LYCHEEPLANK_WEIGHTS_H
+#define LYCHEEPLANK_WEIGHTS_H
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include <absl/container/btree_map.h>
+#include <absl/time/time.h>
+
+#include "lycheeplank/core.h"
+#include "lycheeplank/fleet.h"
+
+// Which targets are told next to load the weights that were named for a model.
+namespace lycheeplank::weights {
+
+// Where one target stands.
+enum class Progress
+{
+  // Nothing was sent.
+  Waiting,
+  // The other hosts have been told; the order follows.
+  Announced,
+  // The order is on its way.
+  Ordering,
+  // It was accepted; the target loads, or lets its runs end before.
+  Loading,
+  // It is not known whether the order was accepted.
+  Unclear,
+};
+
+inline constexpr std::array<core::Named<Progress>, 5> kProgress{ {
+  { Progress::Waiting, "waiting" },
+  { Progress::Announced, "announced" },
+  { Progress::Ordering, "ordering" },
+  { Progress::Loading, "loading" },
+  { Progress::Unclear, "unclear" },
+} };
+
+struct Work
+{
+  Progress progress_ = Progress::Waiting;
+  absl::Time since_ = absl::InfinitePast();
+  // No order before this time.
+  absl::Time notBefore_ = absl::InfinitePast();
+  // Orders that the target had accepted by its last account.
+  absl::optional<std::uint64_t> orders_;
+  std::uint32_t sent_ = 0;
+};
+
+// The targets of one model under the present owner.
+struct Rollout
+{
+  std::uint64_t version_ = 0;
+  absl::btree_map<std::string, Work> targets_;
+};
+
+// Part of a model's targets that are out of service at once for new weights.
+inline constexpr double kShareAtOnce = 0.34;
+// An order without an answer may still be carried out; its target is asked for
+// its account only after this time.
+inline constexpr absl::Duration kUnclearTime = absl::Milliseconds(400);
+
+// Returns the targets that are to be ordered now, least busy first, and counts
+// them as announced. Targets that leave, or have the weights, are passed over.
+std::vector<std::string>
+NextTargets(Rollout& aRollout,
+            const fleet::Members& aMembers,
+            const std::string& aModel,
+            absl::Time aNow);
+
+// Returns the targets whose account is to be read now.
+std::vector<std::string>
+ToRead(const Rollout& aRollout, absl::Time aNow);
+
+// Returns whether all targets of a model that stay have the weights.
+bool
+IsDone(const fleet::Members& aMembers,
+       const std::string& aModel,
+       std::uint64_t aVersion);
+
+} // namespace lycheeplank::weights
+
+#endif
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -82,6 +82,57 @@
 
 } // namespace
 
+PromptCost
+CostAt(const Member& aMember, const Question& aQuestion)
+{
+  const auto weights = aMember.target_.weights_.find(aQuestion.model_);
+  if (weights != aMember.target_.weights_.end()) {
+    for (const auto& cost : aQuestion.costs_) {
+      if (cost.weights_ == weights->second) {
+        return cost;
+      }
+    }
+  }
+  return {};
+}
+
+std::vector<std::uint64_t>
+VersionsOf(const Members& aMembers,
+           absl::string_view aService,
+           absl::string_view aModel)
+{
+  std::vector<std::uint64_t> versions;
+  for (const auto& [id, member] : aMembers) {
+    const auto found = member.target_.weights_.find(aModel);
+    if (member.target_.service_ == aService &&
+        found != member.target_.weights_.end() &&
+        std::find(versions.begin(), versions.end(), found->second) ==
+          versions.end()) {
+      versions.push_back(found->second);
+    }
+  }
+  return versions;
+}
+
+void
+TakePeerLoads(Members& aMembers,
+              const std::string& aHost,
+              const std::vector<PeerLoad>& aLoads,
+              absl::Time aNow)
+{
+  for (auto& [id, member] : aMembers) {
+    member.peers_.erase(aHost);
+  }
+  for (const auto& load : aLoads) {
+    if (const auto found = aMembers.find(load.target_);
+        found != aMembers.end()) {
+      found->second.peers_[aHost] = { load.inFlight_,
+                                      load.promptTokens_,
+                                      aNow };
+    }
+  }
+}
+
 double
 EstimateWait(const Member& aMember,
              const Question& aQuestion,
@@ -91,6 +142,13 @@
   const auto slots = static_cast<double>(std::max(1U, aMember.target_.slots_));
   double running = aMember.inFlight_;
   double waiting = 0.0;
+  std::uint64_t promptTokens = aMember.promptTokens_;
+  for (const auto& [host, share] : aMember.peers_) {
+    if (aNow - share.toldAt_ < kPeerMemory) {
+      running += share.inFlight_;
+      promptTokens += share.promptTokens_;
+    }
+  }
   if (aNow - aMember.loadAt_ < kLoadMemory) {
     running = std::max<double>(running, aMember.load_.running_);
     waiting = aMember.load_.waiting_;
@@ -100,10 +158,11 @@
     return aMember.slowness_ * kCallSeconds * (1.0 + excess / slots) +
            kSlotSeconds * running;
   }
+  const auto cost = CostAt(aMember, aQuestion);
   const double prompt =
-    static_cast<double>(aMember.promptTokens_ + aQuestion.computedTokens_) /
+    static_cast<double>(promptTokens + cost.computedTokens_) /
       aSpeed.promptTokensPerSecond_ +
-    static_cast<double>(aQuestion.readTokens_) / aSpeed.cacheTokensPerSecond_;
+    static_cast<double>(cost.readTokens_) / aSpeed.cacheTokensPerSecond_;
   return std::max(0.5, aMember.slowness_) *
            (prompt + kSlotSeconds * running + 0.02 * waiting) +
          excess * kHoldSeconds / slots;
@@ -151,7 +210,8 @@
     if (!preferred.empty() &&
         std::find(preferred.begin(), preferred.end(), member.target_.id_) ==
           preferred.end()) {
-      cost += kAffinityShare * static_cast<double>(aQuestion.readTokens_) /
+      cost += kAffinityShare *
+              static_cast<double>(CostAt(member, aQuestion).readTokens_) /
               aSpeed.cacheTokensPerSecond_;
     }
     if (cost < best) {
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -42,6 +42,8 @@
   std::string targetId_;
   std::string workspace_;
   absl::Duration timeLeft_;
+  // 0 is the most urgent.
+  std::uint32_t priority_ = 0;
   // Only requests with a model.
   absl::optional<std::uint64_t> weights_;
   std::string cacheScope_;
--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -13,9 +13,13 @@
 #include "gateway/clock.h"
 #include "gateway/exchange.h"
 #include "gateway/follower.h"
+#include "gateway/gossip.h"
 #include "gateway/host.h"
+#include "gateway/owner.h"
+#include "gateway/peers.h"
 #include "gateway/presence.h"
 #include "gateway/server-connection.h"
+#include "gateway/stores.h"
 
 namespace lycheeplank::gateway {
 
@@ -44,6 +48,9 @@
     , endTimer_(aLoop)
     , signals_(aLoop, SIGTERM, SIGINT, SIGHUP)
     , presence_(std::make_shared<Presence>(host_))
+    , owner_(std::make_shared<Owner>(host_))
+    , peerFollower_(std::make_shared<PeerFollower>(host_))
+    , storeFollowers_(host_)
   {
   }
 
@@ -61,9 +68,16 @@
            [this](const auto& aCaller) { AnswerLocal(aCaller); });
     Listen(settings.readyAddress_,
            [this](const auto& aCaller) { AnswerLocal(aCaller); });
+    Listen(settings.peerAddress_,
+           [this](const auto& aCaller) { AnswerPeer(host_, aCaller); });
+    const auto address =
+      ParseEndpoint(settings.callerAddress_).address().to_string();
+    if (settings.gossipPort_ != 0) {
+      gossip_ = std::make_unique<Gossip>(
+        host_, absl::StrCat(address, ":", settings.gossipPort_));
+      host_.onLoad_ = [this] { gossip_->Changed(); };
+    }
     if (settings.metricsPort_ != 0) {
-      const auto address =
-        ParseEndpoint(settings.callerAddress_).address().to_string();
       Listen(absl::StrCat(address, ":", settings.metricsPort_),
              [this](const auto& aCaller) {
                aCaller->Reply(200,
@@ -71,6 +85,9 @@
                               host_.metrics_.Text());
              });
     }
+    host_.onChange_.emplace_back([this] { storeFollowers_.Update(); });
+    host_.onChange_.emplace_back([this] { owner_->OnChange(); });
+    peerFollower_->Start();
     auto prefixes = host_.adapter_.prefixes_();
     prefixes.emplace_back(kOwnPrefix);
     for (auto& prefix : prefixes) {
@@ -140,6 +157,7 @@
         present_ = true;
         host_.log_.Write(Line("serving"));
         presence_->Start();
+        owner_->Start();
       }
       UpdateGauges();
       SweepLater();
@@ -201,7 +219,10 @@
     host_.log_.Write(Line("stopping")
                        .Number("signal", aSignal)
                        .Number("requests_open", host_.requestsOpen_));
+    owner_->Leave();
     presence_->Leave();
+    TellPeers(host_,
+              { { Notice::Kind::HostLeaves, host_.settings_.name_ } });
     for (const auto& server : servers_) {
       server->CloseAfterAnswers();
     }
@@ -240,6 +261,10 @@
   Timer endTimer_;
   boost::asio::signal_set signals_;
   std::shared_ptr<Presence> presence_;
+  std::shared_ptr<Owner> owner_;
+  std::shared_ptr<PeerFollower> peerFollower_;
+  StoreFollowers storeFollowers_;
+  std::unique_ptr<Gossip> gossip_;
   std::vector<std::shared_ptr<Follower>> followers_;
   std::vector<std::unique_ptr<Server>> servers_;
   absl::Time stoppedAt_ = absl::InfinitePast();
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -33,9 +33,9 @@
 constexpr std::size_t kHeldBytes = 256U << 10U;
 // Bytes that wait for a slow caller before its target is held back.
 constexpr std::size_t kMostUnsent = 256U << 10U;
-// Time that reading a prompt from cache stores may take. A normal read takes
-// tens of milliseconds; one that isn't done by then is thrown away.
-constexpr absl::Duration kReadTime = absl::Seconds(1);
+// Part of a route's goal that reading a prompt from cache stores may take. What
+// isn't read by then is thrown away and computed, which still meets the goal.
+constexpr double kReadShareOfGoal = 0.5;
 // Answer bytes a token, for the cost of crossing a boundary.
 constexpr std::uint64_t kBytesPerOutputToken = 100;
 // Pauses after which a refused caller finds a place: the time in which one
@@ -45,6 +45,9 @@
 // Requests don't begin on old weights in the last part of the time allowed.
 constexpr absl::Duration kWeightsMargin = absl::Milliseconds(1500);
 
+// A read counts as late if the first event shows that it took most of its time.
+constexpr double kInTimeShare = 0.8;
+
 bool
 IsEventStream(const http::ResponseHead& aHead)
 {
@@ -86,6 +89,7 @@
 Exchange::Start()
 {
   ++host_.requestsOpen_;
+  arrivedAt_ = caller_->ArrivedAt();
   request_ = host_.adapter_.readCaller_(caller_->Head());
   catalog_ = host_.catalog_;
   deadline_ = absl::InfiniteFuture();
@@ -93,9 +97,10 @@
     return;
   }
   service_ = catalog::PickService(*route_, request_.id_);
-  deadline_ = caller_->ArrivedAt() + route_->timeout_;
+  readDraw_ = std::uniform_real_distribution<>(0.0, 1.0)(host_.random_);
+  deadline_ = arrivedAt_ + route_->timeout_;
   if (request_.patience_) {
-    deadline_ = std::min(deadline_, caller_->ArrivedAt() + *request_.patience_);
+    deadline_ = std::min(deadline_, arrivedAt_ + *request_.patience_);
   }
   budget::CountRequest(Ledger(), ResendLimits(host_), Now());
   const auto self = shared_from_this();
@@ -142,31 +147,53 @@
   question.seed_ = host_.random_();
   question.bytes_ = caller_->Body().size() +
                     kBytesPerOutputToken * request_.outputTokens_;
-  std::vector<kept::Part> shared;
   if (!request_.model_.empty()) {
     question.model_ = request_.model_;
     const auto& named = host_.weights_[request_.model_];
     question.weights_ = named.version_;
     question.weightsAge_ = now - named.learnedAt_;
     question.oldWeightsLimit_ = host_.settings_.weightsTime_ - kWeightsMargin;
-    question.computedTokens_ = request_.promptTokens_;
     if (request_.parts_.size() > 1) {
-      shared.assign(request_.parts_.begin(), request_.parts_.end() - 1);
-      question.affinity_ = shared.back().id_;
-      const auto plan = kept::PlanParts(
-        host_.kept_,
-        kept::ScopeOf(workspace_, request_.model_, named.version_),
-        shared,
-        host_.settings_.dataCentre_,
-        now);
-      question.readTokens_ = plan.readTokens_;
-      question.computedTokens_ -=
-        std::min(question.computedTokens_, plan.readTokens_);
+      question.affinity_ = request_.parts_[request_.parts_.size() - 2].id_;
+    }
+    for (const auto version : fleet::VersionsOf(
+           host_.members_, service_, request_.model_)) {
+      const auto plan = PlanParts(version, host_.settings_.dataCentre_);
+      question.costs_.push_back(
+        { version, ComputedTokens(plan), plan.readTokens_ });
     }
   }
-  computedTokens_ = question.computedTokens_;
-  readTokens_ = question.readTokens_;
-  return fleet::Choose(host_.members_, question, fleet::EngineSpeed(), now);
+  auto choice =
+    fleet::Choose(host_.members_, question, fleet::EngineSpeed(), now);
+  if (!choice.id_.empty()) {
+    const auto cost = fleet::CostAt(host_.members_.at(choice.id_), question);
+    computedTokens_ = cost.computedTokens_;
+    readTokens_ = cost.readTokens_;
+  }
+  return choice;
+}
+
+kept::Plan
+Exchange::PlanParts(std::uint64_t aWeights, absl::string_view aDataCentre)
+{
+  if (request_.parts_.size() < 2) {
+    return {};
+  }
+  const std::vector<kept::Part> shared(request_.parts_.begin(),
+                                       request_.parts_.end() - 1);
+  return kept::PlanParts(host_.kept_,
+                         kept::ScopeOf(workspace_, request_.model_, aWeights),
+                         shared,
+                         aDataCentre,
+                         readDraw_,
+                         Now());
+}
+
+std::uint64_t
+Exchange::ComputedTokens(const kept::Plan& aPlan) const
+{
+  return request_.promptTokens_ -
+         std::min<std::uint64_t>(request_.promptTokens_, aPlan.readTokens_);
 }
 
 void
@@ -192,6 +219,7 @@
   tried_.push_back(targetId_);
   auto& member = host_.members_.at(targetId_);
   fleet::CountSent(member, computedTokens_, Now());
+  host_.onLoad_();
   headTaken_ = false;
   const bool once = !catalog::MayRepeat(*route_);
   if (auto kept =
@@ -226,8 +254,12 @@
   attempt.targetId_ = aMember.target_.id_;
   attempt.workspace_ = workspace_ == nullptr ? "" : workspace_->name_;
   attempt.timeLeft_ = TimeLeft();
+  attempt.priority_ = workspace_ != nullptr && workspace_->priority_
+                        ? *workspace_->priority_
+                        : route_->priority_;
   attempt.lastEventId_ = events_.Count() > 0 ? events_.LastId() : "";
   attemptWeights_ = 0;
+  attemptParts_.clear();
   const auto weights = aMember.target_.weights_.find(request_.model_);
   if (request_.model_.empty() || weights == aMember.target_.weights_.end()) {
     return attempt;
@@ -236,24 +268,35 @@
   attempt.weights_ = weights->second;
   attempt.cacheScope_ =
     kept::ScopeOf(workspace_, request_.model_, weights->second);
-  if (request_.parts_.size() > 1) {
-    const std::vector<kept::Part> shared(request_.parts_.begin(),
-                                         request_.parts_.end() - 1);
-    const auto plan = kept::PlanParts(host_.kept_,
-                                      attempt.cacheScope_,
-                                      shared,
-                                      aMember.target_.dataCentre_,
-                                      now);
-    attempt.parts_ = plan.parts_;
-    attempt.readUntilMs_ = host_.storesClockMs_(now + kReadTime);
-    computedTokens_ =
-      request_.promptTokens_ -
-      std::min<std::uint64_t>(request_.promptTokens_, plan.readTokens_);
-    readTokens_ = plan.readTokens_;
-  }
+  attempt.parts_ =
+    PlanParts(weights->second, aMember.target_.dataCentre_).parts_;
+  attempt.readUntilMs_ = kept::ClockMs(host_.kept_, now + ReadTime());
+  attemptParts_ = attempt.parts_;
   return attempt;
 }
 
+absl::Duration
+Exchange::ReadTime() const
+{
+  return kReadShareOfGoal * route_->goal_;
+}
+
+void
+Exchange::NoteReads(absl::Duration aTook)
+{
+  const bool inTime =
+    aTook - absl::Seconds(choice_.waitSeconds_) < kInTimeShare * ReadTime();
+  std::vector<std::string> noted;
+  for (const auto& part : attemptParts_) {
+    const auto& store = part.readFrom_;
+    if (!store.empty() &&
+        std::find(noted.begin(), noted.end(), store) == noted.end()) {
+      noted.push_back(store);
+      kept::NoteRead(host_.kept_, store, inTime);
+    }
+  }
+}
+
 void
 Exchange::Send(ConnectionPtr aConnection)
 {
@@ -269,11 +312,8 @@
   ++history_.runs_;
   sentAt_ = Now();
   firstByteAt_ = absl::InfinitePast();
-  const auto counted = computedTokens_;
   auto fields = host_.adapter_.targetFields_(caller_->Head(),
                                              MakeAttempt(found->second));
-  // What was counted when the target was chosen is taken off again later.
-  computedTokens_ = counted;
   const auto& head = caller_->Head();
   const auto& body = caller_->Body();
   if (!body.empty() || http::FindField(head.fields_, "content-length") ||
@@ -400,8 +440,10 @@
         found != host_.members_.end()) {
       fleet::CountFirstByte(
         found->second, computedTokens_, now - sentAt_, choice_.waitSeconds_);
+      host_.onLoad_();
     }
     host_.metrics_.Observe("first_event_seconds", now - sentAt_);
+    NoteReads(now - sentAt_);
   }
   if (!begun_) {
     BeginAnswer();
@@ -504,6 +546,7 @@
                           answered ? choice_.waitSeconds_ / member.slowness_
                                    : 0.0);
   }
+  host_.onLoad_();
   if (fleet::CountEnd(member, aResult, Now())) {
     host_.log_.Write(Line("target_aside")
                        .Text("target", targetId_)
@@ -650,7 +693,7 @@
   silenceTimer_.Cancel();
   --host_.requestsOpen_;
   const auto now = Now();
-  const auto took = now - caller_->ArrivedAt();
+  const auto took = now - arrivedAt_;
   host_.metrics_.Count("requests_total", "outcome", aOutcome);
   host_.metrics_.Observe("request_seconds", took);
   host_.log_.Write(
@@ -668,7 +711,7 @@
       .Age("first_ms",
            firstByteAt_ == absl::InfinitePast()
              ? absl::InfiniteDuration()
-             : firstByteAt_ - caller_->ArrivedAt())
+             : firstByteAt_ - arrivedAt_)
       .Number("wait_estimate_ms", choice_.waitSeconds_ * 1000.0)
       .Age("load_age_ms", choice_.loadAge_)
       .Number("candidates", choice_.candidates_)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -28,6 +28,11 @@
   bool Check();
   void Try();
   fleet::Choice ChooseTarget();
+  // What a target with these weights reads from cache stores and keeps there.
+  kept::Plan PlanParts(std::uint64_t aWeights, absl::string_view aDataCentre);
+  std::uint64_t ComputedTokens(const kept::Plan& aPlan) const;
+  absl::Duration ReadTime() const;
+  void NoteReads(absl::Duration aTook);
   Attempt MakeAttempt(const fleet::Member& aMember);
   void Connect(const fleet::Choice& aChoice);
   void Send(ConnectionPtr aConnection);
@@ -64,7 +69,8 @@
   const catalog::Route* route_ = nullptr;
   const catalog::Workspace* workspace_ = nullptr;
   std::string service_;
-  absl::Time deadline_;
+  absl::Time arrivedAt_ = absl::InfinitePast();
+  absl::Time deadline_ = absl::InfiniteFuture();
   Timer deadlineTimer_;
   Timer silenceTimer_;
 
@@ -80,6 +86,9 @@
   std::uint64_t readTokens_ = 0;
   fleet::Choice choice_;
   std::uint64_t attemptWeights_ = 0;
+  std::vector<kept::PartPlan> attemptParts_;
+  // Decides, for all parts and attempts, whether a slow store is read from.
+  double readDraw_ = 0.0;
 
   // The answer under way.
   http::ResponseHead head_;
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -84,10 +84,8 @@
 
   bool stopping_ = false;
   std::uint64_t requestsOpen_ = 0;
-  // Translates a moment to the cache stores' clock; 0 while that isn't known.
-  std::function<std::int64_t(absl::Time)> storesClockMs_ = [](absl::Time) {
-    return std::int64_t{ 0 };
-  };
+  // Runs when this host's calls at targets have changed.
+  std::function<void()> onLoad_ = [] {};
   // Run when targets, weights or stores of the catalog have changed.
   std::vector<std::function<void()>> onChange_;
 };
--- /dev/null
+++ b/src/gateway/owner.cc
@@ -0,0 +1,479 @@
+#include "gateway/owner.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include <absl/strings/str_cat.h>
+
+#include "gateway/clock.h"
+#include "gateway/peers.h"
+
+namespace lycheeplank::gateway {
+
+namespace {
+
+// An owner that dies is replaced after this time.
+constexpr absl::Duration kLeaseLife = absl::Milliseconds(2000);
+constexpr absl::Duration kKeepPeriod = absl::Milliseconds(500);
+constexpr absl::Duration kRetryPause = absl::Milliseconds(150);
+// The right ends this much before the lease: orders on their way, and the time
+// that the platform grants a process that wakes from a freeze (300 ms).
+constexpr absl::Duration kLeaseMargin = absl::Milliseconds(500);
+// Pause between the hosts that might claim the right, so that mostly the first
+// of them does.
+constexpr absl::Duration kClaimStep = absl::Milliseconds(120);
+constexpr absl::Duration kStepPeriod = absl::Milliseconds(100);
+// The other hosts hear of an order before the target does.
+constexpr absl::Duration kAnnounceTime = absl::Milliseconds(30);
+// Hosts keep requests off an ordered target for at most this time, unless they
+// hear that it has loaded.
+constexpr absl::Duration kOrderedTime = absl::Seconds(3);
+constexpr absl::Duration kOrderTimeout = absl::Milliseconds(1000);
+constexpr absl::Duration kAccountTimeout = absl::Milliseconds(500);
+// Accounts are some hundred milliseconds old.
+constexpr absl::Duration kAccountPeriod = absl::Milliseconds(250);
+constexpr absl::Duration kAccountAge = absl::Milliseconds(700);
+constexpr absl::Duration kRefusedPause = absl::Milliseconds(300);
+// Old parts are freed once no read of them can be under way: reads that began
+// before the last target changed have ended or were thrown away.
+constexpr absl::Duration kReadsEnd = absl::Milliseconds(1500);
+constexpr absl::Duration kFreePeriod = absl::Seconds(1);
+constexpr absl::Duration kFreeTimeout = absl::Seconds(1);
+constexpr std::size_t kFreedAtOnce = 400;
+
+} // namespace
+
+Owner::Owner(Host& aHost)
+  : host_(aHost)
+  , claimTimer_(aHost.loop_)
+  , keepTimer_(aHost.loop_)
+  , stepTimer_(aHost.loop_)
+{
+}
+
+void
+Owner::Start()
+{
+  started_ = true;
+  OnChange();
+}
+
+bool
+Owner::IsValid() const
+{
+  return phase_ == Phase::Owning && !host_.stopping_ && Now() < validUntil_;
+}
+
+void
+Owner::OnChange()
+{
+  if (!started_ || host_.stopping_) {
+    return;
+  }
+  const auto* known = replica::Find(host_.replica_, kOwnerKey);
+  if (phase_ == Phase::Claiming && known != nullptr &&
+      known->item_.value_ == value_) {
+    // The answer to the claim was lost; its effect wasn't.
+    TakeOffice(known->item_.created_);
+    return;
+  }
+  if (phase_ == Phase::Waiting && known == nullptr) {
+    ClaimLater();
+  }
+}
+
+void
+Owner::ClaimLater()
+{
+  // Each vacancy has its own order of hosts.
+  std::size_t before = 0;
+  const auto vacancy = absl::StrCat("owner", host_.replica_.newest_ / 64);
+  const auto own = core::RendezvousScore(vacancy, host_.settings_.name_);
+  for (const auto& [name, host] : host_.hosts_) {
+    before += core::RendezvousScore(vacancy, name) > own ? 1 : 0;
+  }
+  claimTimer_.Set(kClaimStep * static_cast<std::int64_t>(before),
+                  [self = shared_from_this()] {
+                    if (self->phase_ == Phase::Waiting &&
+                        !self->host_.stopping_ &&
+                        replica::Find(self->host_.replica_, kOwnerKey) ==
+                          nullptr) {
+                      self->Grant();
+                    }
+                  });
+}
+
+void
+Owner::Grant()
+{
+  phase_ = Phase::Claiming;
+  const auto askedAt = Now();
+  StoreCommand command;
+  command.operation_ = StoreOperation::GrantLease;
+  command.wait_ = std::max(kLeaseLife, host_.settings_.leastLease_);
+  CallStore(host_,
+            command,
+            kStoreTimeout,
+            [self = shared_from_this(), askedAt](const StoreReply& aReply) {
+              if (aReply.outcome_ != StoreOutcome::Ok || aReply.lease_ == 0) {
+                self->Lose("no_lease");
+                return;
+              }
+              self->lease_ = aReply.lease_;
+              self->validUntil_ = askedAt + kLeaseLife - kLeaseMargin;
+              self->Claim();
+            });
+}
+
+void
+Owner::Claim()
+{
+  value_ = absl::StrCat(host_.settings_.name_, "/", host_.random_());
+  StoreCommand command;
+  command.operation_ = StoreOperation::Commit;
+  command.key_ = std::string(kOwnerKey);
+  command.expect_ = 0;
+  command.value_ = value_;
+  command.lease_ = lease_;
+  CallStore(host_,
+            command,
+            kStoreTimeout,
+            [self = shared_from_this()](const StoreReply& aReply) {
+              if (self->phase_ != Phase::Claiming) {
+                return;
+              }
+              if (aReply.outcome_ == StoreOutcome::Ok) {
+                self->TakeOffice(aReply.revision_);
+              } else {
+                self->Lose(core::NameOf(kStoreOutcomes, aReply.outcome_));
+              }
+            });
+}
+
+void
+Owner::TakeOffice(std::uint64_t aFence)
+{
+  phase_ = Phase::Owning;
+  fence_ = aFence;
+  rollouts_.clear();
+  readAt_.clear();
+  doneSince_ = absl::InfiniteFuture();
+  host_.log_.Write(Line("owner_begins").Number("fence", fence_));
+  KeepLater();
+  Step();
+}
+
+void
+Owner::KeepLater()
+{
+  keepTimer_.Set(kKeepPeriod, [self = shared_from_this()] { self->Keep(); });
+}
+
+void
+Owner::Keep()
+{
+  if (phase_ != Phase::Owning) {
+    return;
+  }
+  const auto askedAt = Now();
+  StoreCommand command;
+  command.operation_ = StoreOperation::KeepLease;
+  command.lease_ = lease_;
+  CallStore(host_,
+            command,
+            kStoreTimeout,
+            [self = shared_from_this(), askedAt](const StoreReply& aReply) {
+              if (self->phase_ != Phase::Owning) {
+                return;
+              }
+              if (aReply.outcome_ == StoreOutcome::Ok) {
+                self->validUntil_ = askedAt + kLeaseLife - kLeaseMargin;
+              } else if (aReply.outcome_ == StoreOutcome::Absent) {
+                self->Lose("lease_lapsed");
+                return;
+              }
+              self->KeepLater();
+            });
+}
+
+void
+Owner::Lose(absl::string_view aReason)
+{
+  host_.log_.Write(Line(phase_ == Phase::Owning ? "owner_ends"
+                                                : "owner_claim_failed")
+                     .Text("reason", aReason)
+                     .Number("fence", fence_));
+  phase_ = Phase::Waiting;
+  stepTimer_.Cancel();
+  keepTimer_.Cancel();
+  claimTimer_.Set(Jitter(host_, kRetryPause),
+                  [self = shared_from_this()] { self->OnChange(); });
+}
+
+void
+Owner::Leave()
+{
+  if (phase_ != Phase::Owning) {
+    return;
+  }
+  Lose("stopping");
+  claimTimer_.Cancel();
+  StoreCommand command;
+  command.operation_ = StoreOperation::EndLease;
+  command.lease_ = lease_;
+  CallStore(host_, command, kStoreTimeout, [](const StoreReply&) {});
+}
+
+weights::Work*
+Owner::Find(const std::string& aModel, const std::string& aTarget)
+{
+  const auto rollout = rollouts_.find(aModel);
+  if (rollout == rollouts_.end()) {
+    return nullptr;
+  }
+  const auto work = rollout->second.targets_.find(aTarget);
+  return work == rollout->second.targets_.end() ? nullptr : &work->second;
+}
+
+void
+Owner::Step()
+{
+  if (phase_ != Phase::Owning) {
+    return;
+  }
+  if (IsValid()) {
+    bool done = true;
+    for (const auto& [model, named] : host_.weights_) {
+      auto& rollout = rollouts_[model];
+      rollout.version_ = named.version_;
+      StepModel(model, rollout);
+      done = done && weights::IsDone(host_.members_, model, named.version_);
+    }
+    doneSince_ = done ? std::min(doneSince_, Now()) : absl::InfiniteFuture();
+    FreeOldParts();
+  }
+  stepTimer_.Set(kStepPeriod, [self = shared_from_this()] { self->Step(); });
+}
+
+void
+Owner::StepModel(const std::string& aModel, weights::Rollout& aRollout)
+{
+  const auto now = Now();
+  const auto ids =
+    weights::NextTargets(aRollout, host_.members_, aModel, now);
+  if (!ids.empty()) {
+    std::vector<Notice> notices;
+    for (const auto& id : ids) {
+      notices.push_back(
+        { Notice::Kind::Ordered, id, aModel, aRollout.version_, kOrderedTime });
+    }
+    TellPeers(host_, notices);
+    for (const auto& id : ids) {
+      const auto timer = std::make_shared<Timer>(host_.loop_);
+      timer->Set(kAnnounceTime, [self = shared_from_this(), timer, aModel, id] {
+        self->SendOrder(aModel, id);
+      });
+    }
+  }
+  for (const auto& id : weights::ToRead(aRollout, now)) {
+    if (auto& readAt = readAt_[id]; now - readAt > kAccountPeriod) {
+      readAt = now;
+      ReadAccount(aModel, id);
+    }
+  }
+}
+
+void
+Owner::SendOrder(const std::string& aModel, const std::string& aTarget)
+{
+  const auto member = host_.members_.find(aTarget);
+  auto* work = Find(aModel, aTarget);
+  if (work == nullptr || member == host_.members_.end()) {
+    return;
+  }
+  if (!IsValid()) {
+    work->progress_ = weights::Progress::Waiting;
+    return;
+  }
+  if (!work->orders_) {
+    // The order shall count only if no other one comes before it.
+    work->progress_ = weights::Progress::Unclear;
+    work->since_ = Now() - weights::kUnclearTime;
+    ReadAccount(aModel, aTarget);
+    return;
+  }
+  work->progress_ = weights::Progress::Ordering;
+  ++work->sent_;
+  WeightsOrder order;
+  order.targetId_ = aTarget;
+  order.model_ = aModel;
+  order.weights_ = rollouts_[aModel].version_;
+  order.owner_ = host_.settings_.name_;
+  order.fence_ = fence_;
+  order.expectOrders_ = work->orders_;
+  host_.log_.Write(Line("order")
+                     .Text("target", aTarget)
+                     .Text("model", aModel)
+                     .Number("version", order.weights_)
+                     .Number("fence", fence_)
+                     .Number("expect_orders", *order.expectOrders_)
+                     .Number("running", member->second.load_.running_)
+                     .Age("valid_ms", validUntil_ - Now()));
+  Fetch(host_.calls_,
+        host_.loop_,
+        member->second.target_.address_,
+        host_.adapter_.writeOrder_(order),
+        kOrderTimeout,
+        [self = shared_from_this(), aModel, aTarget](
+          const http::Answer& aAnswer) {
+          self->OnOutcome(
+            aModel, aTarget, self->host_.adapter_.readOrderOutcome_(aAnswer));
+        });
+}
+
+void
+Owner::OnOutcome(const std::string& aModel,
+                 const std::string& aTarget,
+                 OrderOutcome aOutcome)
+{
+  host_.log_.Write(Line("order_outcome")
+                     .Text("target", aTarget)
+                     .Text("outcome", core::NameOf(kOrderOutcomes, aOutcome)));
+  auto* work = Find(aModel, aTarget);
+  if (work == nullptr || phase_ != Phase::Owning) {
+    return;
+  }
+  const auto now = Now();
+  work->since_ = now;
+  switch (aOutcome) {
+    case OrderOutcome::Accepted:
+      work->progress_ = weights::Progress::Loading;
+      return;
+    case OrderOutcome::Done:
+      TellPeers(host_,
+                { { Notice::Kind::Loaded,
+                    aTarget,
+                    aModel,
+                    rollouts_[aModel].version_ } });
+      return;
+    case OrderOutcome::Conflict:
+    case OrderOutcome::Lost:
+      work->progress_ = weights::Progress::Unclear;
+      return;
+    case OrderOutcome::Fenced:
+      Lose("fenced");
+      return;
+    case OrderOutcome::Refused:
+      work->progress_ = weights::Progress::Waiting;
+      work->notBefore_ = now + kRefusedPause;
+      return;
+  }
+}
+
+void
+Owner::ReadAccount(const std::string& aModel, const std::string& aTarget)
+{
+  const auto member = host_.members_.find(aTarget);
+  if (member == host_.members_.end()) {
+    return;
+  }
+  Fetch(host_.calls_,
+        host_.loop_,
+        member->second.target_.address_,
+        host_.adapter_.writeReportCall_(),
+        kAccountTimeout,
+        [self = shared_from_this(), aModel, aTarget](
+          const http::Answer& aAnswer) {
+          if (const auto report = self->host_.adapter_.readReport_(aAnswer)) {
+            self->OnAccount(aModel, aTarget, *report);
+          } else {
+            self->host_.log_.Write(Line("account_lost")
+                                     .Text("target", aTarget)
+                                     .Number("status", aAnswer.status_));
+          }
+        });
+}
+
+void
+Owner::OnAccount(const std::string& aModel,
+                 const std::string& aTarget,
+                 const TargetReport& aReport)
+{
+  auto* work = Find(aModel, aTarget);
+  if (work == nullptr || phase_ != Phase::Owning) {
+    return;
+  }
+  const auto now = Now();
+  const auto version = rollouts_[aModel].version_;
+  const auto loaded = aReport.weights_.find(aModel);
+  if (loaded != aReport.weights_.end() && loaded->second >= version) {
+    TellPeers(host_, { { Notice::Kind::Loaded, aTarget, aModel, version } });
+    return;
+  }
+  if (!work->orders_ && !aReport.isBusy_) {
+    work->orders_ = aReport.orders_;
+    SendOrder(aModel, aTarget);
+    return;
+  }
+  const bool accountIsNew = now - work->since_ > kAccountAge;
+  if (aReport.isBusy_ || !accountIsNew) {
+    if (now - work->since_ > kOrderedTime / 2) {
+      // Its runs take long to end.
+      work->since_ = now;
+      TellPeers(
+        host_,
+        { { Notice::Kind::Ordered, aTarget, aModel, version, kOrderedTime } });
+    }
+    return;
+  }
+  // Neither loading nor loaded: the order was not taken, or was for weights
+  // that are old by now.
+  work->orders_ = aReport.orders_;
+  work->progress_ = weights::Progress::Waiting;
+  work->notBefore_ = now;
+}
+
+void
+Owner::FreeOldParts()
+{
+  const auto now = Now();
+  if (now - doneSince_ < kReadsEnd || now - freedAt_ < kFreePeriod) {
+    return;
+  }
+  freedAt_ = now;
+  for (auto& [name, state] : host_.kept_.stores_) {
+    if (state.trust_ != kept::Trust::Following) {
+      continue;
+    }
+    std::vector<kept::Change> unused;
+    for (const auto& [model, named] : host_.weights_) {
+      auto old = kept::MadeByOldWeights(state, model, named.version_);
+      std::move(old.begin(), old.end(), std::back_inserter(unused));
+    }
+    if (unused.empty()) {
+      continue;
+    }
+    if (unused.size() > kFreedAtOnce) {
+      unused.resize(kFreedAtOnce);
+    }
+    host_.log_.Write(Line("parts_freed")
+                       .Text("store", name)
+                       .Number("parts", unused.size())
+                       .Number("epoch", state.epoch_));
+    Fetch(host_.calls_,
+          host_.loop_,
+          state.settings_.address_,
+          host_.adapter_.writeFreeCall_(state.epoch_, unused),
+          kFreeTimeout,
+          [this, name = name](const http::Answer& aAnswer) {
+            if (aAnswer.status_ / 100 != 2) {
+              host_.log_.Write(Line("parts_not_freed")
+                                 .Text("store", name)
+                                 .Number("status", aAnswer.status_));
+            }
+          });
+  }
+}
+
+} // namespace lycheeplank::gateway
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -21,6 +21,8 @@
   std::string entriesAddress_;
   std::string readyAddress_;
   std::string peerAddress_;
+  // UDP port at which all hosts tell each other their loads; 0 for none.
+  std::uint16_t gossipPort_ = 0;
   // 0 for none.
   std::uint16_t metricsPort_ = 0;
   // Peer addresses of some hosts, which may be down.
--- /dev/null
+++ b/src/gateway/stores.cc
@@ -0,0 +1,173 @@
+#include "gateway/stores.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "gateway/clock.h"
+
+namespace lycheeplank::gateway {
+
+namespace {
+
+// Longest that a store lets a call wait for changes.
+constexpr absl::Duration kWaitTime = absl::Seconds(1);
+// A store that answers nothing for so long after that is lost.
+constexpr absl::Duration kAnswerTime = absl::Milliseconds(400);
+// A list of all that a store holds is large.
+constexpr absl::Duration kListTime = absl::Seconds(1);
+// Changes that come within this time are told in one answer. A part that was
+// just kept is computed again by whoever asks for it meanwhile.
+constexpr absl::Duration kGatherTime = absl::Milliseconds(120);
+constexpr absl::Duration kRetryFirst = absl::Milliseconds(150);
+constexpr unsigned kMostDoublings = 2;
+
+} // namespace
+
+StoreFollower::StoreFollower(Host& aHost, std::string aName)
+  : host_(aHost)
+  , name_(std::move(aName))
+  , timer_(aHost.loop_)
+{
+}
+
+void
+StoreFollower::Stop()
+{
+  stopped_ = true;
+  timer_.Cancel();
+}
+
+kept::StoreState*
+StoreFollower::State()
+{
+  const auto found = host_.kept_.stores_.find(name_);
+  return stopped_ || found == host_.kept_.stores_.end() ? nullptr
+                                                        : &found->second;
+}
+
+void
+StoreFollower::Later(absl::Duration aPause)
+{
+  timer_.Set(aPause, [self = shared_from_this()] { self->Ask(); });
+}
+
+void
+StoreFollower::Ask()
+{
+  const auto* state = State();
+  if (state == nullptr) {
+    return;
+  }
+  Fetch(host_.calls_,
+        host_.loop_,
+        state->settings_.address_,
+        host_.adapter_.writeChangesCall_(state->next_, kWaitTime),
+        kWaitTime + kAnswerTime,
+        [self = shared_from_this()](const http::Answer& aAnswer) {
+          self->OnAnswer(aAnswer, false);
+        });
+}
+
+void
+StoreFollower::AskAll()
+{
+  const auto* state = State();
+  if (state == nullptr) {
+    return;
+  }
+  Fetch(host_.calls_,
+        host_.loop_,
+        state->settings_.address_,
+        host_.adapter_.writeHoldingsCall_(),
+        kListTime,
+        [self = shared_from_this()](const http::Answer& aAnswer) {
+          self->OnAnswer(aAnswer, true);
+        });
+}
+
+void
+StoreFollower::Fail(int aStatus)
+{
+  auto& state = *State();
+  if (state.trust_ != kept::Trust::Lost) {
+    host_.log_.Write(Line("cache_store_lost")
+                       .Text("store", name_)
+                       .Number("status", aStatus)
+                       .Number("parts", state.parts_.size())
+                       .Age("heard_ms", Now() - state.heardAt_));
+  }
+  kept::MarkLost(state);
+  Later(Jitter(host_,
+               kRetryFirst * (1U << std::min(failures_, kMostDoublings))));
+  ++failures_;
+}
+
+void
+StoreFollower::OnAnswer(const http::Answer& aAnswer, bool aWhole)
+{
+  auto* state = State();
+  if (state == nullptr) {
+    return;
+  }
+  const auto changes = host_.adapter_.readChanges_(aAnswer);
+  if (!changes) {
+    Fail(aAnswer.status_);
+    return;
+  }
+  failures_ = 0;
+  const auto now = Now();
+  const bool isNew = state->epoch_ != changes->epoch_;
+  if (isNew || state->trust_ == kept::Trust::Lost) {
+    host_.log_.Write(Line("cache_store_followed")
+                       .Text("store", name_)
+                       .Flag("started_anew", isNew)
+                       .Number("epoch", changes->epoch_)
+                       .Number("changes", changes->changes_.size()));
+  }
+  if (changes->clockMs_) {
+    host_.kept_.clockAhead_ = absl::FromUnixMillis(*changes->clockMs_) - now;
+  }
+  if (aWhole) {
+    kept::TakeList(
+      *state, changes->epoch_, changes->next_, changes->changes_, now);
+    Later(kGatherTime);
+    return;
+  }
+  if (isNew && state->next_ != 0) {
+    // The number asked from belongs to the store's life before.
+    kept::TakeChanges(*state, changes->epoch_, 0, {}, now);
+    Ask();
+    return;
+  }
+  kept::TakeChanges(
+    *state, changes->epoch_, changes->next_, changes->changes_, now);
+  if (changes->gap_) {
+    host_.log_.Write(Line("cache_store_gap").Text("store", name_));
+    AskAll();
+    return;
+  }
+  Later(kGatherTime);
+}
+
+void
+StoreFollowers::Update()
+{
+  for (auto at = followers_.begin(); at != followers_.end();) {
+    if (host_.kept_.stores_.contains(at->first)) {
+      ++at;
+    } else {
+      at->second->Stop();
+      followers_.erase(at++);
+    }
+  }
+  for (const auto& [name, state] : host_.kept_.stores_) {
+    if (!followers_.contains(name)) {
+      const auto follower = std::make_shared<StoreFollower>(host_, name);
+      followers_[name] = follower;
+      follower->Start();
+    }
+  }
+}
+
+} // namespace lycheeplank::gateway
--- /dev/null
+++ b/src/gateway/stores.h
@@ -0,0 +1,56 @@
+#ifndef LYCHEEPLANK_SRC_GATEWAY_STORES_H
+#define LYCHEEPLANK_SRC_GATEWAY_STORES_H
+
+#include <memory>
+#include <string>
+
+#include <absl/container/flat_hash_map.h>
+
+#include "gateway/host.h"
+#include "gateway/timer.h"
+
+namespace lycheeplank::gateway {
+
+// Follows what one cache store holds.
+class StoreFollower : public std::enable_shared_from_this<StoreFollower>
+{
+public:
+  StoreFollower(Host& aHost, std::string aName);
+
+  void Start() { Ask(); }
+  void Stop();
+
+private:
+  void Ask();
+  void AskAll();
+  void OnAnswer(const http::Answer& aAnswer, bool aWhole);
+  void Fail(int aStatus);
+  void Later(absl::Duration aPause);
+  kept::StoreState* State();
+
+  Host& host_;
+  const std::string name_;
+  Timer timer_;
+  unsigned failures_ = 0;
+  bool stopped_ = false;
+};
+
+// Follows each cache store of the catalogue.
+class StoreFollowers
+{
+public:
+  explicit StoreFollowers(Host& aHost)
+    : host_(aHost)
+  {
+  }
+  // Starts and ends followers after a change of the catalogue.
+  void Update();
+
+private:
+  Host& host_;
+  absl::flat_hash_map<std::string, std::shared_ptr<StoreFollower>> followers_;
+};
+
+} // namespace lycheeplank::gateway
+
+#endif
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -6,6 +6,8 @@
 #include <utility>
 
 #include <absl/container/flat_hash_set.h>
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 
 #include "lycheeplank/core.h"
@@ -175,21 +177,46 @@
   aStore.trust_ = Trust::Lost;
 }
 
+void
+NoteRead(Directory& aDirectory, absl::string_view aAddress, bool aInTime)
+{
+  for (auto& [name, store] : aDirectory.stores_) {
+    if (store.settings_.address_ == aAddress) {
+      auto& share = store.readShare_;
+      share = aInTime ? std::min(1.0, share + kInTimeStep)
+                      : std::max(kLeastReadShare, share * kLateFactor);
+    }
+  }
+}
+
 Plan
 PlanParts(const Directory& aDirectory,
           absl::string_view aScope,
           const std::vector<Part>& aParts,
           absl::string_view aDataCentre,
+          double aDraw,
           absl::Time aNow)
 {
   Plan plan;
+  if (!aDirectory.clockAhead_) {
+    // Without the stores' clock no read could be given an end.
+    plan.parts_.resize(aParts.size());
+    for (const auto& part : aParts) {
+      plan.computedTokens_ += part.tokens_;
+    }
+    return plan;
+  }
   for (const auto& part : aParts) {
     auto& row = plan.parts_.emplace_back();
     const auto key = KeyOf(aScope, part.id_);
     if (const auto* holder =
           BestHolder(aDirectory, key, part.tokens_, aDataCentre, aNow)) {
-      row.readFrom_ = holder->settings_.address_;
-      plan.readTokens_ += part.tokens_;
+      if (aDraw < holder->readShare_) {
+        row.readFrom_ = holder->settings_.address_;
+        plan.readTokens_ += part.tokens_;
+      } else {
+        plan.computedTokens_ += part.tokens_;
+      }
       continue;
     }
     plan.computedTokens_ += part.tokens_;
@@ -201,19 +228,35 @@
   return plan;
 }
 
+std::int64_t
+ClockMs(const Directory& aDirectory, absl::Time aTime)
+{
+  return aDirectory.clockAhead_
+           ? absl::ToUnixMillis(aTime + *aDirectory.clockAhead_)
+           : 0;
+}
+
 std::vector<Change>
-Unused(const StoreState& aStore, const std::vector<std::string>& aScopes)
+MadeByOldWeights(const StoreState& aStore,
+                 absl::string_view aModel,
+                 std::uint64_t aVersion)
 {
-  std::vector<Change> unused;
+  std::vector<Change> old;
   for (const auto& [key, tokens] : aStore.parts_) {
     const auto at = key.rfind(kSeparator);
     Change change{ false, key.substr(0, at), key.substr(at + 1), tokens };
-    if (std::find(aScopes.begin(), aScopes.end(), change.scope_) ==
-        aScopes.end()) {
-      unused.push_back(std::move(change));
+    // A scope ends with the model and the version of its weights.
+    const absl::string_view scope = change.scope_;
+    const auto dot = scope.rfind('.');
+    std::uint64_t version = 0;
+    if (dot != absl::string_view::npos &&
+        absl::EndsWith(scope.substr(0, dot), absl::StrCat(".", aModel)) &&
+        absl::SimpleAtoi(scope.substr(dot + 1), &version) &&
+        version < aVersion) {
+      old.push_back(std::move(change));
     }
   }
-  return unused;
+  return old;
 }
 
 std::string
