Place prompts by the targets' memory and let long ones wait at the host

Cause: with a quarter of the engines gone, prompts filled the others' memory and pushed each other out; hosts saw only their own share of a target's load, and the share of reads from all stores fell when only the targets were busy. Change: hosts tell each other the tokens they have under way, placement counts what they hold, long prompts wait at the host for room, newest first once the oldest has missed its goal; a store is slow only by comparison with the others; a cut watch lists again; stopping hosts refuse what they can't end.

--- a/include/lycheeplank/catalog.h
+++ b/include/lycheeplank/catalog.h
@@ -59,6 +59,8 @@
   absl::Duration timeout_ = absl::Seconds(30);
   // Time within which an answer is worth most.
   absl::Duration goal_ = absl::Seconds(1);
+  // Streams: callers leave after so long without an event.
+  absl::Duration longestGap_ = absl::InfiniteDuration();
   std::vector<Share> shares_;
 };
 
@@ -75,6 +77,8 @@
   // Engines only: runs in one batch, and names of the models.
   std::uint32_t slots_ = 0;
   std::vector<std::string> models_;
+  // Tokens that running requests and cached prompts of one engine share.
+  std::uint64_t memoryTokens_ = 0;
 };
 
 // A store of kept prompt cache.
--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -54,15 +54,26 @@
 // What another host has under way at a target.
 struct PeerLoad
 {
-  std::string target_;
+  // Stable hash of the target's id.
+  std::uint32_t target_ = 0;
   std::uint32_t inFlight_ = 0;
-  std::uint64_t promptTokens_ = 0;
+  // Prompt tokens of calls without a first event: those of urgent requests,
+  // which targets read first, and the others.
+  std::uint64_t urgentTokens_ = 0;
+  std::uint64_t otherTokens_ = 0;
+  std::uint64_t heldTokens_ = 0;
 };
 
+// Returns the short name of a target among hosts.
+std::uint32_t
+ShortName(absl::string_view aTarget);
+
 struct PeerShare
 {
   std::uint32_t inFlight_ = 0;
-  std::uint64_t promptTokens_ = 0;
+  std::uint64_t urgentTokens_ = 0;
+  std::uint64_t otherTokens_ = 0;
+  std::uint64_t heldTokens_ = 0;
   absl::Time toldAt_ = absl::InfinitePast();
 };
 
@@ -70,6 +81,7 @@
 struct Member
 {
   Target target_;
+  std::uint32_t shortName_ = 0;
   std::uint64_t revision_ = 0;
   // Its entry has vanished while the list could not be relied on; it is used
   // until then unless the entry comes back.
@@ -80,7 +92,10 @@
   // This host's own calls that it has not answered.
   std::uint32_t inFlight_ = 0;
   // Prompt tokens of own calls without a first event.
-  std::uint64_t promptTokens_ = 0;
+  std::uint64_t urgentTokens_ = 0;
+  std::uint64_t otherTokens_ = 0;
+  // Tokens that own calls hold in its memory, prompts and answers.
+  std::uint64_t heldTokens_ = 0;
   // What other hosts of the data centre have said of theirs, by host.
   absl::flat_hash_map<std::string, PeerShare> peers_;
 
@@ -122,6 +137,13 @@
   // Names the prompt's last shared part, so that hosts prefer the same target
   // for it without talking; empty without one.
   absl::string_view affinity_;
+  // Tokens that it holds in a target's memory while it runs, and that memory; 0
+  // if it isn't known.
+  std::uint64_t heldTokens_ = 0;
+  std::uint64_t memoryTokens_ = 0;
+  // Targets read its prompt before those that aren't urgent, and push such ones
+  // out of their memory for it.
+  bool isUrgent_ = false;
   // Bytes that cross to the target and back.
   std::uint64_t bytes_ = 0;
   // Targets that this request has been at.
@@ -177,6 +199,8 @@
   double waitSeconds_ = 0.0;
   absl::Duration loadAge_ = absl::InfiniteDuration();
   std::uint32_t candidates_ = 0;
+  // It has no memory for the request before others end.
+  bool memoryFull_ = false;
   // All that could be used were put aside for failures.
   bool lastResort_ = false;
 };
@@ -223,27 +247,38 @@
   { CallResult::Abandoned, "abandoned" },
 } };
 
-// Takes in all that another host has under way.
+// Takes in all that another host has under way; what it doesn't name has ended.
 void
 TakePeerLoads(Members& aMembers,
               const std::string& aHost,
               const std::vector<PeerLoad>& aLoads,
               absl::Time aNow);
 
+// What one call brings to a target.
+struct CallSize
+{
+  std::uint64_t promptTokens_ = 0;
+  std::uint64_t heldTokens_ = 0;
+  bool isUrgent_ = false;
+};
+
 // Notes that a call goes to a target.
 void
-CountSent(Member& aMember, std::uint64_t aPromptTokens, absl::Time aNow);
+CountSent(Member& aMember, const CallSize& aSize, absl::Time aNow);
 
 // Notes the first byte of an answer: the prompt is read by then.
 void
 CountFirstByte(Member& aMember,
-               std::uint64_t aPromptTokens,
+               const CallSize& aSize,
                absl::Duration aTook,
                double aExpectedSeconds);
 
 // Notes the end of a call; returns true if the target is put aside by it.
 bool
-CountEnd(Member& aMember, CallResult aResult, absl::Time aNow);
+CountEnd(Member& aMember,
+         const CallSize& aSize,
+         CallResult aResult,
+         absl::Time aNow);
 
 // Takes in what a target says of itself. A new start under an old name loses
 // what was known of it.
--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -58,8 +58,11 @@
   // Tokens by part and scope.
   absl::flat_hash_map<std::string, std::uint32_t> parts_;
   std::uint64_t usedTokens_ = 0;
-  // Part of the reads that go to the store; falls while reads from it come too
-  // late, so that those that remain come in time.
+  // Moving average of how much longer than estimated prompts took that were
+  // read from here, in seconds.
+  double readDelay_ = 0.0;
+  // Part of the reads that go to the store; falls while the store is slower
+  // than the others, so that the reads that remain come in time.
   double readShare_ = 1.0;
 };
 
@@ -120,14 +123,22 @@
   std::uint64_t computedTokens_ = 0;
 };
 
-// Steps of a store's share of reads after a late one and one in time.
-inline constexpr double kLateFactor = 0.85;
-inline constexpr double kInTimeStep = 0.04;
-inline constexpr double kLeastReadShare = 0.05;
-
-// Notes whether a read from the store with an address came in time.
+// Weight of the newest read in a store's delay.
+inline constexpr double kNewestRead = 0.15;
+// A store is slow if its delay is so much above the median of all stores, in
+// seconds. Targets that are busy delay the reads from all stores alike.
+inline constexpr double kSlowDelay = 0.12;
+// Steps of a store's share of reads after a slow one and another one.
+inline constexpr double kSlowFactor = 0.9;
+inline constexpr double kInTimeStep = 0.05;
+inline constexpr double kLeastReadShare = 0.1;
+
+// Notes how much longer than estimated a prompt took that was read from the
+// store with an address.
 void
-NoteRead(Directory& aDirectory, absl::string_view aAddress, bool aInTime);
+NoteRead(Directory& aDirectory,
+         absl::string_view aAddress,
+         absl::Duration aDelay);
 
 // Plans the shared parts of one prompt for a target in a data centre. A part
 // is read from a store only if it lies there whole by what the store told, and
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -13,6 +13,12 @@
 // time that a request holds a slot, in seconds.
 constexpr double kSlotSeconds = 0.0005;
 constexpr double kHoldSeconds = 0.3;
+// Mean time of a run that holds memory, and the part of the memory that
+// requests may fill that aren't urgent; the rest is for urgent ones, which
+// would push the others out.
+constexpr double kRunSeconds = 1.5;
+constexpr double kMemoryUsed = 0.85;
+constexpr double kPushOutSeconds = 0.1;
 // Time of a call to a plain service, in seconds, until it is known better.
 constexpr double kCallSeconds = 0.03;
 
@@ -54,6 +60,27 @@
            : 0.0;
 }
 
+// Time until enough of a target's memory is free.
+double
+MemoryWait(const Member& aMember, const Question& aQuestion, absl::Time aNow)
+{
+  const double share = aQuestion.isUrgent_ ? 1.0 : kMemoryUsed;
+  const double room = share * static_cast<double>(aQuestion.memoryTokens_);
+  std::uint64_t tokens = aMember.heldTokens_ + aQuestion.heldTokens_;
+  for (const auto& [host, peer] : aMember.peers_) {
+    if (aNow - peer.toldAt_ < kPeerMemory) {
+      tokens += peer.heldTokens_;
+    }
+  }
+  const auto held = static_cast<double>(tokens);
+  if (room <= 0.0 || held <= room) {
+    return 0.0;
+  }
+  // Urgent requests don't wait, but what they push out is read again.
+  return aQuestion.isUrgent_ ? kPushOutSeconds
+                             : kRunSeconds * (held - room) / room;
+}
+
 // Ids of the targets that a part is to be kept at, by rendezvous hashing
 // within the data centre.
 std::vector<absl::string_view>
@@ -114,6 +141,12 @@
   return versions;
 }
 
+std::uint32_t
+ShortName(absl::string_view aTarget)
+{
+  return static_cast<std::uint32_t>(core::StableHash(aTarget));
+}
+
 void
 TakePeerLoads(Members& aMembers,
               const std::string& aHost,
@@ -123,12 +156,21 @@
   for (auto& [id, member] : aMembers) {
     member.peers_.erase(aHost);
   }
+  absl::flat_hash_map<std::uint32_t, const PeerLoad*> loads;
   for (const auto& load : aLoads) {
-    if (const auto found = aMembers.find(load.target_);
-        found != aMembers.end()) {
-      found->second.peers_[aHost] = { load.inFlight_,
-                                      load.promptTokens_,
-                                      aNow };
+    loads[load.target_] = &load;
+  }
+  for (auto& [id, member] : aMembers) {
+    if (const auto found = loads.find(member.shortName_);
+        found != loads.end()) {
+      const auto& load = *found->second;
+      member.peers_[aHost] = {
+        load.inFlight_,
+        load.urgentTokens_,
+        load.otherTokens_,
+        load.heldTokens_,
+        aNow,
+      };
     }
   }
 }
@@ -142,11 +184,13 @@
   const auto slots = static_cast<double>(std::max(1U, aMember.target_.slots_));
   double running = aMember.inFlight_;
   double waiting = 0.0;
-  std::uint64_t promptTokens = aMember.promptTokens_;
+  std::uint64_t urgent = aMember.urgentTokens_;
+  std::uint64_t other = aMember.otherTokens_;
   for (const auto& [host, share] : aMember.peers_) {
     if (aNow - share.toldAt_ < kPeerMemory) {
       running += share.inFlight_;
-      promptTokens += share.promptTokens_;
+      urgent += share.urgentTokens_;
+      other += share.otherTokens_;
     }
   }
   if (aNow - aMember.loadAt_ < kLoadMemory) {
@@ -160,12 +204,13 @@
   }
   const auto cost = CostAt(aMember, aQuestion);
   const double prompt =
-    static_cast<double>(promptTokens + cost.computedTokens_) /
+    static_cast<double>(urgent + (aQuestion.isUrgent_ ? 0 : other) +
+                        cost.computedTokens_) /
       aSpeed.promptTokensPerSecond_ +
     static_cast<double>(cost.readTokens_) / aSpeed.cacheTokensPerSecond_;
   return std::max(0.5, aMember.slowness_) *
            (prompt + kSlotSeconds * running + 0.02 * waiting) +
-         excess * kHoldSeconds / slots;
+         excess * kHoldSeconds / slots + MemoryWait(aMember, aQuestion, aNow);
 }
 
 Choice
@@ -218,6 +263,8 @@
       best = cost;
       choice.id_ = member.target_.id_;
       choice.waitSeconds_ = wait;
+      choice.memoryFull_ =
+        !aQuestion.isUrgent_ && MemoryWait(member, aQuestion, aNow) > 0.0;
       choice.loadAge_ = aNow - member.loadAt_;
     }
   }
@@ -225,10 +272,12 @@
 }
 
 void
-CountSent(Member& aMember, std::uint64_t aPromptTokens, absl::Time aNow)
+CountSent(Member& aMember, const CallSize& aSize, absl::Time aNow)
 {
   ++aMember.inFlight_;
-  aMember.promptTokens_ += aPromptTokens;
+  aMember.heldTokens_ += aSize.heldTokens_;
+  (aSize.isUrgent_ ? aMember.urgentTokens_ : aMember.otherTokens_) +=
+    aSize.promptTokens_;
   if (aMember.asideUntil_ != absl::InfinitePast() &&
       aNow >= aMember.asideUntil_) {
     aMember.probing_ = true;
@@ -237,11 +286,13 @@
 
 void
 CountFirstByte(Member& aMember,
-               std::uint64_t aPromptTokens,
+               const CallSize& aSize,
                absl::Duration aTook,
                double aExpectedSeconds)
 {
-  aMember.promptTokens_ -= std::min(aMember.promptTokens_, aPromptTokens);
+  auto& tokens =
+    aSize.isUrgent_ ? aMember.urgentTokens_ : aMember.otherTokens_;
+  tokens -= std::min(tokens, aSize.promptTokens_);
   if (aExpectedSeconds > 0.0) {
     const double ratio =
       std::clamp(absl::ToDoubleSeconds(aTook) / aExpectedSeconds, 0.2, 20.0);
@@ -250,8 +301,12 @@
 }
 
 bool
-CountEnd(Member& aMember, CallResult aResult, absl::Time aNow)
+CountEnd(Member& aMember,
+         const CallSize& aSize,
+         CallResult aResult,
+         absl::Time aNow)
 {
+  aMember.heldTokens_ -= std::min(aMember.heldTokens_, aSize.heldTokens_);
   aMember.inFlight_ -= std::min(1U, aMember.inFlight_);
   const bool wasProbe = std::exchange(aMember.probing_, false);
   if (aResult == CallResult::Abandoned) {
@@ -300,6 +355,7 @@
   if (member.target_.weights_ != aTarget.weights_) {
     member.orderedUntil_ = std::min(member.orderedUntil_, aNow);
   }
+  member.shortName_ = ShortName(aTarget.id_);
   member.target_ = std::move(aTarget);
   member.revision_ = aRevision;
   member.vanishesAt_ = absl::InfiniteFuture();
--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -27,10 +27,12 @@
 
 // Period of the work that is due now and then.
 constexpr absl::Duration kSweepPeriod = absl::Milliseconds(250);
+// Runs end every few milliseconds on busy targets; each look has a cost.
+constexpr absl::Duration kWaitingPeriod = absl::Milliseconds(25);
 // Callers keep a list of addresses up to three times its life.
 constexpr int kListLives = 3;
 // Kept back from the grace time for the end of the process itself.
-constexpr absl::Duration kExitMargin = absl::Milliseconds(700);
+constexpr absl::Duration kExitMargin = absl::Milliseconds(450);
 // After the last answer the process waits so long for callers to close.
 constexpr absl::Duration kLastAnswerTime = absl::Milliseconds(200);
 
@@ -45,6 +47,7 @@
     , host_(aLoop, aSettings, aAdapter, STDOUT_FILENO)
     , reload_(std::move(aReload))
     , sweepTimer_(aLoop)
+    , waitingTimer_(aLoop)
     , endTimer_(aLoop)
     , signals_(aLoop, SIGTERM, SIGINT, SIGHUP)
     , presence_(std::make_shared<Presence>(host_))
@@ -97,6 +100,7 @@
     }
     WaitSignal();
     SweepLater();
+    StartWaitingLater();
   }
 
 private:
@@ -145,6 +149,15 @@
       host_.adapter_.writeEntries_(addresses, host_.settings_.listLife_));
   }
 
+  // Requests wait for memory that other hosts' requests free as well.
+  void StartWaitingLater()
+  {
+    waitingTimer_.Set(kWaitingPeriod, [this] {
+      StartWaiting(host_);
+      StartWaitingLater();
+    });
+  }
+
   void SweepLater()
   {
     sweepTimer_.Set(kSweepPeriod, [this] {
@@ -215,7 +228,7 @@
     if (std::exchange(host_.stopping_, true)) {
       return;
     }
-    stoppedAt_ = Now();
+    host_.stoppedAt_ = Now();
     host_.log_.Write(Line("stopping")
                        .Number("signal", aSignal)
                        .Number("requests_open", host_.requestsOpen_));
@@ -233,7 +246,7 @@
   // are answered, or when the grace time is nearly over.
   void CheckEnd()
   {
-    const auto age = Now() - stoppedAt_;
+    const auto age = Now() - host_.stoppedAt_;
     const auto& settings = host_.settings_;
     const bool late = age > settings.graceTime_ - kExitMargin;
     const bool forgotten =
@@ -249,7 +262,7 @@
   {
     host_.log_.Write(Line("stopped")
                        .Number("requests_open", host_.requestsOpen_)
-                       .Age("after_ms", Now() - stoppedAt_));
+                       .Age("after_ms", Now() - host_.stoppedAt_));
     presence_->End();
     endTimer_.Set(kLastAnswerTime, [this] { loop_.stop(); });
   }
@@ -258,6 +271,7 @@
   Host host_;
   Reload reload_;
   Timer sweepTimer_;
+  Timer waitingTimer_;
   Timer endTimer_;
   boost::asio::signal_set signals_;
   std::shared_ptr<Presence> presence_;
@@ -267,7 +281,6 @@
   std::unique_ptr<Gossip> gossip_;
   std::vector<std::shared_ptr<Follower>> followers_;
   std::vector<std::unique_ptr<Server>> servers_;
-  absl::Time stoppedAt_ = absl::InfinitePast();
   bool present_ = false;
 };
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -42,12 +42,17 @@
 // running request ends, and in which a failed target is replaced.
 constexpr absl::Duration kPauseFull = absl::Milliseconds(200);
 constexpr absl::Duration kPauseNoTarget = absl::Milliseconds(500);
+// A prompt that starts to be read takes about this long to its first event.
+constexpr absl::Duration kStartMargin = absl::Milliseconds(300);
+// A refused caller that another host can serve comes back at once.
+constexpr absl::Duration kPauseElsewhere = absl::Milliseconds(20);
+// After its stop signal a host takes any request for so long: callers may still
+// hold a list that names it. Later ones only if they surely end in time.
+constexpr absl::Duration kStoppingTime = absl::Milliseconds(2900);
+constexpr absl::Duration kStopMargin = absl::Milliseconds(600);
 // Requests don't begin on old weights in the last part of the time allowed.
 constexpr absl::Duration kWeightsMargin = absl::Milliseconds(1500);
 
-// A read counts as late if the first event shows that it took most of its time.
-constexpr double kInTimeShare = 0.8;
-
 bool
 IsEventStream(const http::ResponseHead& aHead)
 {
@@ -126,6 +131,10 @@
     Answer(kNotFound, "no_route");
     return false;
   }
+  if (host_.stopping_ && !EndsBeforeStop()) {
+    Refuse("stopping", kPauseElsewhere);
+    return false;
+  }
   if (!catalog_->workspaces_.empty()) {
     workspace_ = catalog::FindWorkspace(*catalog_, request_.key_);
     if (workspace_ == nullptr && !route_->isPublic_) {
@@ -136,6 +145,14 @@
   return true;
 }
 
+bool
+Exchange::EndsBeforeStop() const
+{
+  const auto age = arrivedAt_ - host_.stoppedAt_;
+  return age < kStoppingTime ||
+         age + route_->timeout_ < host_.settings_.graceTime_ - kStopMargin;
+}
+
 fleet::Choice
 Exchange::ChooseTarget()
 {
@@ -145,6 +162,12 @@
   question.dataCentre_ = host_.settings_.dataCentre_;
   question.tried_ = &tried_;
   question.seed_ = host_.random_();
+  if (const auto service = catalog_->services_.find(service_);
+      service != catalog_->services_.end()) {
+    question.memoryTokens_ = service->second.memoryTokens_;
+  }
+  question.isUrgent_ = IsUrgent();
+  question.heldTokens_ = request_.promptTokens_ + request_.outputTokens_;
   question.bytes_ = caller_->Body().size() +
                     kBytesPerOutputToken * request_.outputTokens_;
   if (!request_.model_.empty()) {
@@ -213,12 +236,23 @@
     Refuse("deadline_unreachable", kPauseFull);
     return;
   }
+  if (choice_.memoryFull_ && history_.tries_ == 0) {
+    Wait();
+    return;
+  }
+  if (waiter_ != 0) {
+    waiting::Start(host_.waiting_, waiter_, Now());
+    host_.waiters_.erase(std::exchange(waiter_, 0));
+  }
   ++history_.tries_;
   ++attempt_;
   targetId_ = choice_.id_;
   tried_.push_back(targetId_);
   auto& member = host_.members_.at(targetId_);
-  fleet::CountSent(member, computedTokens_, Now());
+  size_ = { computedTokens_,
+            request_.promptTokens_ + request_.outputTokens_,
+            IsUrgent() };
+  fleet::CountSent(member, size_, Now());
   host_.onLoad_();
   headTaken_ = false;
   const bool once = !catalog::MayRepeat(*route_);
@@ -246,6 +280,48 @@
     });
 }
 
+std::uint32_t
+Exchange::Priority() const
+{
+  return workspace_ != nullptr && workspace_->priority_
+           ? *workspace_->priority_
+           : route_->priority_;
+}
+
+bool
+Exchange::IsUrgent() const
+{
+  return Priority() == 0;
+}
+
+void
+Exchange::Wait()
+{
+  if (waiter_ != 0) {
+    return;
+  }
+  const auto now = Now();
+  const auto leavesAt =
+    std::min(deadline_, arrivedAt_ + route_->longestGap_) - kStartMargin;
+  const auto id = host_.nextWaiter_++;
+  if (const auto pause = waiting::Add(
+        host_.waiting_,
+        { id, arrivedAt_, arrivedAt_ + route_->goal_ - kStartMargin, leavesAt },
+        now)) {
+    Refuse("queue_full", std::max(*pause, kPauseFull));
+    return;
+  }
+  waiter_ = id;
+  host_.waiters_[id] = [self = shared_from_this()](bool aExpired) {
+    if (aExpired) {
+      self->waiter_ = 0;
+      self->Refuse("waited_too_long", kPauseFull);
+    } else {
+      self->Try();
+    }
+  };
+}
+
 Attempt
 Exchange::MakeAttempt(const fleet::Member& aMember)
 {
@@ -254,9 +330,7 @@
   attempt.targetId_ = aMember.target_.id_;
   attempt.workspace_ = workspace_ == nullptr ? "" : workspace_->name_;
   attempt.timeLeft_ = TimeLeft();
-  attempt.priority_ = workspace_ != nullptr && workspace_->priority_
-                        ? *workspace_->priority_
-                        : route_->priority_;
+  attempt.priority_ = Priority();
   attempt.lastEventId_ = events_.Count() > 0 ? events_.LastId() : "";
   attemptWeights_ = 0;
   attemptParts_.clear();
@@ -284,15 +358,14 @@
 void
 Exchange::NoteReads(absl::Duration aTook)
 {
-  const bool inTime =
-    aTook - absl::Seconds(choice_.waitSeconds_) < kInTimeShare * ReadTime();
+  const auto delay = aTook - absl::Seconds(choice_.waitSeconds_);
   std::vector<std::string> noted;
   for (const auto& part : attemptParts_) {
     const auto& store = part.readFrom_;
     if (!store.empty() &&
         std::find(noted.begin(), noted.end(), store) == noted.end()) {
       noted.push_back(store);
-      kept::NoteRead(host_.kept_, store, inTime);
+      kept::NoteRead(host_.kept_, store, delay);
     }
   }
 }
@@ -439,7 +512,7 @@
     if (const auto found = host_.members_.find(targetId_);
         found != host_.members_.end()) {
       fleet::CountFirstByte(
-        found->second, computedTokens_, now - sentAt_, choice_.waitSeconds_);
+        found->second, size_, now - sentAt_, choice_.waitSeconds_);
       host_.onLoad_();
     }
     host_.metrics_.Observe("first_event_seconds", now - sentAt_);
@@ -541,13 +614,13 @@
   if (firstByteAt_ == absl::InfinitePast() || !isEvents_) {
     const bool answered = aResult == fleet::CallResult::Answered;
     fleet::CountFirstByte(member,
-                          computedTokens_,
+                          size_,
                           Now() - sentAt_,
                           answered ? choice_.waitSeconds_ / member.slowness_
                                    : 0.0);
   }
   host_.onLoad_();
-  if (fleet::CountEnd(member, aResult, Now())) {
+  if (fleet::CountEnd(member, size_, aResult, Now())) {
     host_.log_.Write(Line("target_aside")
                        .Text("target", targetId_)
                        .Text("id", request_.id_)
@@ -691,6 +764,10 @@
   }
   deadlineTimer_.Cancel();
   silenceTimer_.Cancel();
+  if (waiter_ != 0) {
+    waiting::Remove(host_.waiting_, waiter_);
+    host_.waiters_.erase(std::exchange(waiter_, 0));
+  }
   --host_.requestsOpen_;
   const auto now = Now();
   const auto took = now - arrivedAt_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -26,7 +26,13 @@
 private:
   // Deciding.
   bool Check();
+  // Whether a request that arrives at a stopping host can be answered.
+  bool EndsBeforeStop() const;
   void Try();
+  std::uint32_t Priority() const;
+  bool IsUrgent() const;
+  // Waits until a target has memory for it.
+  void Wait();
   fleet::Choice ChooseTarget();
   // What a target with these weights reads from cache stores and keeps there.
   kept::Plan PlanParts(std::uint64_t aWeights, absl::string_view aDataCentre);
@@ -84,6 +90,9 @@
   absl::Time firstByteAt_ = absl::InfinitePast();
   std::uint64_t computedTokens_ = 0;
   std::uint64_t readTokens_ = 0;
+  fleet::CallSize size_;
+  // Its place among the waiting requests; 0 if it doesn't wait.
+  std::uint64_t waiter_ = 0;
   fleet::Choice choice_;
   std::uint64_t attemptWeights_ = 0;
   std::vector<kept::PartPlan> attemptParts_;
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -129,7 +129,9 @@
     return;
   }
   if (aReply.outcome_ != StoreOutcome::Ok) {
-    RetryLater(&Follower::Watch);
+    // Changes may have been missed without a sign: a cut wait may have been deaf
+    // before, and a new one goes on after them.
+    RetryLater(&Follower::List);
     return;
   }
   failures_ = 0;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include <boost/asio/buffer.hpp>
-#include <nlohmann/json.hpp>
 
 #include "gateway/clock.h"
 
@@ -12,61 +11,106 @@
 
 namespace {
 
-using Json = nlohmann::json;
 using Udp = boost::asio::ip::udp;
 
 // Changes within this time are told together; a prompt is read for tens to
 // hundreds of milliseconds.
 constexpr absl::Duration kGatherTime = absl::Milliseconds(10);
-// Messages a second that one host sends at most; with many hosts in a data
-// centre each is told less often.
+// The same for hosts in other data centres, to which bytes are dear.
+constexpr absl::Duration kFarGatherTime = absl::Milliseconds(100);
+// Messages a second that one host sends at most; with many hosts each is told
+// less often.
 constexpr double kMessagesPerSecond = 200.0;
+// Tokens are told in units of this.
+constexpr std::uint64_t kTokenUnit = 64;
+constexpr std::uint64_t kMostUnits = UINT16_MAX;
+// Bytes of one row: short name, calls, urgent, other and held tokens.
+constexpr std::size_t kRowBytes = 11;
+constexpr unsigned kBitsPerByte = 8;
+constexpr std::uint64_t kByteMask = 0xff;
 
 absl::Duration
-PauseFor(std::size_t aPeers)
+PauseFor(absl::Duration aLeast, std::size_t aPeers)
 {
   return std::max(
-    kGatherTime,
-    absl::Seconds(static_cast<double>(aPeers) / kMessagesPerSecond));
+    aLeast, absl::Seconds(static_cast<double>(aPeers) / kMessagesPerSecond));
+}
+
+void
+AppendNumber(std::string& aText, std::uint64_t aNumber, std::size_t aBytes)
+{
+  for (std::size_t i = 0; i < aBytes; ++i) {
+    aText.push_back(
+      static_cast<char>((aNumber >> (kBitsPerByte * i)) & kByteMask));
+  }
+}
+
+std::uint64_t
+TakeNumber(absl::string_view& aText, std::size_t aBytes)
+{
+  std::uint64_t number = 0;
+  for (std::size_t i = 0; i < aBytes; ++i) {
+    const auto byte = static_cast<unsigned char>(aText[i]);
+    number |= std::uint64_t{ byte } << (kBitsPerByte * i);
+  }
+  aText.remove_prefix(aBytes);
+  return number;
+}
+
+std::uint64_t
+Units(std::uint64_t aTokens)
+{
+  return std::min(kMostUnits, (aTokens + kTokenUnit - 1) / kTokenUnit);
 }
 
 } // namespace
 
 std::string
-WriteLoads(absl::string_view aHost, const std::vector<OwnLoad>& aLoads)
+WriteLoads(absl::string_view aHost, const std::vector<fleet::PeerLoad>& aLoads)
 {
-  Json rows = Json::array();
+  std::string text;
+  AppendNumber(text, aHost.size(), 1);
+  text.append(aHost.data(), aHost.size());
   for (const auto& load : aLoads) {
-    rows.push_back(
-      Json::array({ load.target_, load.inFlight_, load.promptTokens_ }));
+    AppendNumber(text, load.target_, 4);
+    AppendNumber(text, std::min<std::uint64_t>(load.inFlight_, kByteMask), 1);
+    AppendNumber(text, Units(load.urgentTokens_), 2);
+    AppendNumber(text, Units(load.otherTokens_), 2);
+    AppendNumber(text, Units(load.heldTokens_), 2);
   }
-  return Json{ { "host", std::string(aHost) }, { "loads", rows } }.dump();
+  return text;
 }
 
 std::string
-ReadLoads(absl::string_view aText, std::vector<OwnLoad>& aLoads)
+ReadLoads(absl::string_view aText, std::vector<fleet::PeerLoad>& aLoads)
 {
-  const auto json = Json::parse(aText.begin(), aText.end(), nullptr, false);
-  if (!json.is_object() || !json.contains("host") ||
-      !json["host"].is_string() || !json.contains("loads") ||
-      !json["loads"].is_array()) {
+  if (aText.empty()) {
     return {};
   }
-  for (const auto& row : json["loads"]) {
-    if (row.is_array() && row.size() == 3 && row[0].is_string() &&
-        row[1].is_number_unsigned() && row[2].is_number_unsigned()) {
-      aLoads.push_back({ row[0].get<std::string>(),
-                         row[1].get<std::uint32_t>(),
-                         row[2].get<std::uint64_t>() });
-    }
+  const auto size = TakeNumber(aText, 1);
+  if (size == 0 || aText.size() < size ||
+      (aText.size() - size) % kRowBytes != 0) {
+    return {};
   }
-  return json["host"].get<std::string>();
+  const std::string host(aText.substr(0, size));
+  aText.remove_prefix(size);
+  while (!aText.empty()) {
+    fleet::PeerLoad load;
+    load.target_ = static_cast<std::uint32_t>(TakeNumber(aText, 4));
+    load.inFlight_ = static_cast<std::uint32_t>(TakeNumber(aText, 1));
+    load.urgentTokens_ = kTokenUnit * TakeNumber(aText, 2);
+    load.otherTokens_ = kTokenUnit * TakeNumber(aText, 2);
+    load.heldTokens_ = kTokenUnit * TakeNumber(aText, 2);
+    aLoads.push_back(load);
+  }
+  return host;
 }
 
 Gossip::Gossip(Host& aHost, const std::string& aAddress)
   : host_(aHost)
   , socket_(aHost.loop_)
-  , timer_(aHost.loop_)
+  , nearTimer_(aHost.loop_)
+  , farTimer_(aHost.loop_)
 {
   const auto address = ParseEndpoint(aAddress);
   socket_.open(Udp::v4());
@@ -85,16 +129,12 @@
       if (aError == boost::asio::error::operation_aborted) {
         return;
       }
-      std::vector<OwnLoad> loads;
-      const auto host =
-        aError ? std::string()
-               : ReadLoads({ buffer_.data(), aSize }, loads);
+      std::vector<fleet::PeerLoad> loads;
+      const auto host = aError
+                          ? std::string()
+                          : ReadLoads({ buffer_.data(), aSize }, loads);
       if (!host.empty() && host != host_.settings_.name_) {
-        std::vector<fleet::PeerLoad> told;
-        for (const auto& load : loads) {
-          told.push_back({ load.target_, load.inFlight_, load.promptTokens_ });
-        }
-        fleet::TakePeerLoads(host_.members_, host, told, Now());
+        fleet::TakePeerLoads(host_.members_, host, loads, Now());
       }
       Receive();
     });
@@ -103,36 +143,44 @@
 void
 Gossip::Changed()
 {
-  if (std::exchange(pending_, true)) {
-    return;
-  }
-  std::size_t peers = 0;
+  std::size_t near = 0;
   for (const auto& [name, host] : host_.hosts_) {
-    peers += host.entry_.dataCentre_ == host_.settings_.dataCentre_ ? 1 : 0;
+    near += host.entry_.dataCentre_ == host_.settings_.dataCentre_ ? 1 : 0;
+  }
+  if (!std::exchange(nearPending_, true)) {
+    nearTimer_.Set(PauseFor(kGatherTime, near), [this] { Send(true); });
+  }
+  if (!std::exchange(farPending_, true)) {
+    farTimer_.Set(PauseFor(kFarGatherTime, host_.hosts_.size() - near),
+                  [this] { Send(false); });
   }
-  timer_.Set(PauseFor(peers), [this] { Send(); });
 }
 
-std::vector<OwnLoad>
+std::vector<fleet::PeerLoad>
 Gossip::Loads() const
 {
-  std::vector<OwnLoad> loads;
+  std::vector<fleet::PeerLoad> loads;
   for (const auto& [id, member] : host_.members_) {
     if (member.inFlight_ > 0) {
-      loads.push_back({ id, member.inFlight_, member.promptTokens_ });
+      loads.push_back({ member.shortName_,
+                        member.inFlight_,
+                        member.urgentTokens_,
+                        member.otherTokens_,
+                        member.heldTokens_ });
     }
   }
   return loads;
 }
 
 void
-Gossip::Send()
+Gossip::Send(bool aNear)
 {
-  pending_ = false;
+  (aNear ? nearPending_ : farPending_) = false;
   const auto text = WriteLoads(host_.settings_.name_, Loads());
   for (const auto& [name, host] : host_.hosts_) {
-    if (name == host_.settings_.name_ ||
-        host.entry_.dataCentre_ != host_.settings_.dataCentre_) {
+    const bool near =
+      host.entry_.dataCentre_ == host_.settings_.dataCentre_;
+    if (name == host_.settings_.name_ || near != aNear) {
       continue;
     }
     const auto to = ParseEndpoint(host.entry_.peerAddress_);
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -13,24 +13,16 @@
 
 namespace lycheeplank::gateway {
 
-// What one host has under way at one target.
-struct OwnLoad
-{
-  std::string target_;
-  std::uint32_t inFlight_ = 0;
-  std::uint64_t promptTokens_ = 0;
-};
-
-// Returns a host's loads as one datagram, and reads it; an empty name if the
-// text is none.
+// Returns a host's loads as one datagram: rows of numbers behind its name, since
+// bytes between data centres are dear. Reads it; an empty name if it is none.
 std::string
-WriteLoads(absl::string_view aHost, const std::vector<OwnLoad>& aLoads);
+WriteLoads(absl::string_view aHost, const std::vector<fleet::PeerLoad>& aLoads);
 std::string
-ReadLoads(absl::string_view aText, std::vector<OwnLoad>& aLoads);
+ReadLoads(absl::string_view aText, std::vector<fleet::PeerLoad>& aLoads);
 
-// Tells the hosts of the same data centre what this one has under way at
-// targets, so that they don't send large prompts to the same one. Lost messages
-// do no harm: the next one tells all again.
+// Tells the other hosts what this one has under way at targets, so that they
+// don't send large prompts to the same ones. Lost messages do no harm: the next
+// one tells all again.
 class Gossip
 {
 public:
@@ -42,15 +34,17 @@
 
 private:
   void Receive();
-  void Send();
-  std::vector<OwnLoad> Loads() const;
+  void Send(bool aNear);
+  std::vector<fleet::PeerLoad> Loads() const;
 
   Host& host_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
   std::array<char, 16U << 10U> buffer_{};
-  Timer timer_;
-  bool pending_ = false;
+  Timer nearTimer_;
+  Timer farTimer_;
+  bool nearPending_ = false;
+  bool farPending_ = false;
 };
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -305,6 +305,26 @@
         });
 }
 
+void
+StartWaiting(Host& aHost)
+{
+  const auto now = Now();
+  for (const auto id : waiting::TakeExpired(aHost.waiting_, now)) {
+    const auto waiter = aHost.waiters_.extract(id);
+    waiter.mapped()(true);
+  }
+  // A request that finds no room goes back into the queue.
+  while (const auto id = waiting::Next(aHost.waiting_, now)) {
+    const auto before = aHost.waiting_.entries_.size();
+    // The action may add to or take from the waiters.
+    const auto waiter = aHost.waiters_.at(*id);
+    waiter(false);
+    if (aHost.waiting_.entries_.size() >= before) {
+      return;
+    }
+  }
+}
+
 void
 Sweep(Host& aHost)
 {
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -22,6 +22,7 @@
 #include "lycheeplank/kept.h"
 #include "lycheeplank/metrics.h"
 #include "lycheeplank/replica.h"
+#include "lycheeplank/waiting.h"
 
 namespace lycheeplank::gateway {
 
@@ -74,6 +75,12 @@
   absl::flat_hash_map<std::string, NamedWeights> weights_;
   kept::Directory kept_;
   entries::Hosts hosts_;
+  // Requests that wait for a target's memory, and how each is tried again or
+  // refused.
+  waiting::Queue waiting_;
+  absl::flat_hash_map<std::uint64_t, std::function<void(bool aExpired)>>
+    waiters_;
+  std::uint64_t nextWaiter_ = 1;
   absl::flat_hash_map<std::string, budget::Ledger> resends_;
   StoreHealth store_;
 
@@ -83,6 +90,7 @@
   std::mt19937_64 random_;
 
   bool stopping_ = false;
+  absl::Time stoppedAt_ = absl::InfinitePast();
   std::uint64_t requestsOpen_ = 0;
   // Runs when this host's calls at targets have changed.
   std::function<void()> onLoad_ = [] {};
@@ -127,6 +135,11 @@
 // takes some hundred milliseconds.
 inline constexpr absl::Duration kStoreTimeout = absl::Milliseconds(1500);
 
+// Starts waiting requests for which there may be room now, and refuses those
+// whose callers are about to leave.
+void
+StartWaiting(Host& aHost);
+
 // Work that is due now and then: connections, entries and beliefs that are
 // over.
 void
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -178,15 +178,30 @@
 }
 
 void
-NoteRead(Directory& aDirectory, absl::string_view aAddress, bool aInTime)
+NoteRead(Directory& aDirectory,
+         absl::string_view aAddress,
+         absl::Duration aDelay)
 {
+  StoreState* read = nullptr;
+  std::vector<double> delays;
   for (auto& [name, store] : aDirectory.stores_) {
     if (store.settings_.address_ == aAddress) {
-      auto& share = store.readShare_;
-      share = aInTime ? std::min(1.0, share + kInTimeStep)
-                      : std::max(kLeastReadShare, share * kLateFactor);
+      read = &store;
+      store.readDelay_ += kNewestRead * (absl::ToDoubleSeconds(aDelay) -
+                                         store.readDelay_);
     }
+    delays.push_back(store.readDelay_);
   }
+  if (read == nullptr) {
+    return;
+  }
+  const auto middle =
+    delays.begin() + static_cast<std::ptrdiff_t>(delays.size() / 2);
+  std::nth_element(delays.begin(), middle, delays.end());
+  auto& share = read->readShare_;
+  share = read->readDelay_ > *middle + kSlowDelay
+            ? std::max(kLeastReadShare, share * kSlowFactor)
+            : std::min(1.0, share + kInTimeStep);
 }
 
 Plan
