--- a/src/attempts/attempts.cc
+++ b/src/attempts/attempts.cc
@@ -6,13 +6,13 @@
 
 namespace {
 
-// An answer that takes as many times the goal is worth a second attempt: by
-// then the first one earns little.
-constexpr double kSilenceGoals = 1.0;
+// An answer that takes as many times the goal is worth a second attempt.
+constexpr double kSilenceGoals = 2.0;
 constexpr absl::Duration kLeastSilence = absl::Milliseconds(200);
 // A stream goes on elsewhere well before its caller would leave it, so that
-// another target has time to read the prompt.
-constexpr double kGapParts = 4.0;
+// another target has time to read the prompt; not sooner, since busy targets
+// pause streams for some hundred milliseconds and more prompts keep them busy.
+constexpr double kGapParts = 2.0;
 
 bool
 MayRunAgain(const catalog::Route& aRoute, const History& aHistory)
@@ -53,7 +53,9 @@
   if (!catalog::MayRepeat(aRoute) || aHistory.runs_ >= aRoute.attempts_) {
     return absl::InfiniteDuration();
   }
-  return std::max(kLeastSilence, kSilenceGoals * aRoute.goal_);
+  return aRoute.repeat_ == catalog::Repeat::Stream
+           ? aRoute.longestGap_ / kGapParts
+           : std::max(kLeastSilence, kSilenceGoals * aRoute.goal_);
 }
 
 absl::Duration
--- a/test/attempts-test.cc
+++ b/test/attempts-test.cc
@@ -96,7 +96,7 @@
 {
   CHECK(attempts::SilenceLimit(MakeRoute(catalog::Repeat::Once, 2), {}) ==
         absl::InfiniteDuration());
-  const auto route = MakeRoute(catalog::Repeat::Idempotent, 2);
+  auto route = MakeRoute(catalog::Repeat::Idempotent, 2);
   CHECK(attempts::SilenceLimit(route, { 1, 1, 1 }) < absl::Seconds(1));
   CHECK(attempts::SilenceLimit(route, { 2, 2, 2 }) ==
         absl::InfiniteDuration());
