Choose targets by what a request loses, not by seconds alone

Cause: seconds of wait were added to costs of bytes and reads, so a short wait counted like a lost goal, and targets in a busy data centre were kept too long; old parts were freed only when the newest weights were everywhere. Change: costs are shares of a request's worth; lateness grows with the square of the wait over the goal; parts of weights that no target has are freed at once.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -153,6 +153,8 @@
   absl::Duration weightsAge_ = absl::InfiniteDuration();
   // From that age on, targets with older weights get no requests.
   absl::Duration oldWeightsLimit_ = absl::InfiniteDuration();
+  // Time until the answer should begin.
+  absl::Duration goal_ = absl::Seconds(1);
   // Spreads equal choices.
   std::uint64_t seed_ = 0;
 };
@@ -162,19 +164,25 @@
 {
   double promptTokensPerSecond_ = 60000.0;
   double cacheTokensPerSecond_ = 250000.0;
+  // From the send to the first event of an idle engine, without the prompt.
+  double startSeconds_ = 0.025;
 };
 
 // Requests go to old weights without loss for so long after new ones were
 // named; from then on a target with new weights is worth a wait.
 inline constexpr absl::Duration kOldWeightsFree = absl::Milliseconds(1200);
-// What a request on old weights counts like, as seconds of wait, once that time
-// has passed.
-inline constexpr double kOldWeightsPenalty = 0.25;
-// What a byte over the boundary of a data centre counts like, as seconds of
-// wait.
-inline constexpr double kRemoteByteSeconds = 6e-6;
-// What it counts like when the target doesn't keep the prompt's shared parts.
-inline constexpr double kAffinityShare = 1.0;
+// The costs of a choice are shares of what a request is worth to its caller.
+// What an answer after the goal loses; the users' sheets give a fifth for it.
+inline constexpr double kLateCost = 0.8;
+// What a request on old weights loses once that time has passed.
+inline constexpr double kOldWeightsCost = 0.2;
+// What a byte over the boundary of a data centre costs, from the users' prices.
+inline constexpr double kRemoteByteCost = 8e-6;
+// What a token costs that comes from a cache store and not from the target's
+// own memory, from the users' prices.
+inline constexpr double kReadTokenCost = 2e-6;
+// Settles choices between targets that would all be late, a second of wait.
+inline constexpr double kWaitCost = 0.05;
 // Targets of a part that are preferred, in the order of its name.
 inline constexpr std::size_t kAffinityTargets = 2;
 // A target's own count is used as long as this.
@@ -197,6 +205,8 @@
 {
   std::string id_;
   double waitSeconds_ = 0.0;
+  // The same for a target of usual speed.
+  double usualSeconds_ = 0.0;
   absl::Duration loadAge_ = absl::InfiniteDuration();
   std::uint32_t candidates_ = 0;
   // It has no memory for the request before others end.
@@ -215,8 +225,16 @@
            absl::string_view aService,
            absl::string_view aModel);
 
-// Returns the time until a target would start to answer, in seconds.
-double
+// Time until a target starts to answer, in seconds.
+struct Estimate
+{
+  // At a target of usual speed, and at this one.
+  double usualSeconds_ = 0.0;
+  double waitSeconds_ = 0.0;
+};
+
+// Returns the time until a target would start to answer.
+Estimate
 EstimateWait(const Member& aMember,
              const Question& aQuestion,
              const EngineSpeed& aSpeed,
@@ -271,7 +289,7 @@
 CountFirstByte(Member& aMember,
                const CallSize& aSize,
                absl::Duration aTook,
-               double aExpectedSeconds);
+               double aUsualSeconds);
 
 // Notes the end of a call; returns true if the target is put aside by it.
 bool
--- a/include/lycheeplank/weights.h
+++ b/include/lycheeplank/weights.h
@@ -74,11 +74,10 @@
 std::vector<std::string>
 ToRead(const Rollout& aRollout, absl::Time aNow);
 
-// Returns whether all targets of a model that stay have the weights.
-bool
-IsDone(const fleet::Members& aMembers,
-       const std::string& aModel,
-       std::uint64_t aVersion);
+// Returns the oldest version of a model's weights that a target has, also one
+// that leaves; 0 if none has the model.
+std::uint64_t
+OldestVersion(const fleet::Members& aMembers, const std::string& aModel);
 
 } // namespace lycheeplank::weights
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -13,6 +13,13 @@
 // time that a request holds a slot, in seconds.
 constexpr double kSlotSeconds = 0.0005;
 constexpr double kHoldSeconds = 0.3;
+// Time for which one request that waits at a target delays another.
+constexpr double kWaitingSeconds = 0.02;
+// A target whose entry has vanished may be gone.
+constexpr double kVanishingCost = 0.3;
+// A target is taken for at least so fast, and at most so slow, as the usual one.
+constexpr double kFastest = 0.4;
+constexpr double kSlowest = 20.0;
 // Mean time of a run that holds memory, and the part of the memory that
 // requests may fill that aren't urgent; the rest is for urgent ones, which
 // would push the others out.
@@ -51,13 +58,35 @@
          found->second < aQuestion.weights_;
 }
 
-double
-WeightsPenalty(const Member& aMember, const Question& aQuestion)
+// Calls and tokens that are under way at a target, as far as is known.
+struct Backlog
+{
+  double running_ = 0.0;
+  double waiting_ = 0.0;
+  std::uint64_t urgentTokens_ = 0;
+  std::uint64_t otherTokens_ = 0;
+};
+
+Backlog
+BacklogOf(const Member& aMember, absl::Time aNow)
 {
-  return aQuestion.weightsAge_ > kOldWeightsFree &&
-             HasOldWeights(aMember, aQuestion)
-           ? kOldWeightsPenalty
-           : 0.0;
+  Backlog backlog;
+  backlog.running_ = aMember.inFlight_;
+  backlog.urgentTokens_ = aMember.urgentTokens_;
+  backlog.otherTokens_ = aMember.otherTokens_;
+  for (const auto& [host, share] : aMember.peers_) {
+    if (aNow - share.toldAt_ < kPeerMemory) {
+      backlog.running_ += share.inFlight_;
+      backlog.urgentTokens_ += share.urgentTokens_;
+      backlog.otherTokens_ += share.otherTokens_;
+    }
+  }
+  if (aNow - aMember.loadAt_ < kLoadMemory) {
+    backlog.running_ =
+      std::max<double>(backlog.running_, aMember.load_.running_);
+    backlog.waiting_ = aMember.load_.waiting_;
+  }
+  return backlog;
 }
 
 // Time until enough of a target's memory is free.
@@ -175,44 +204,69 @@
   }
 }
 
-double
+Estimate
 EstimateWait(const Member& aMember,
              const Question& aQuestion,
              const EngineSpeed& aSpeed,
              absl::Time aNow)
 {
   const auto slots = static_cast<double>(std::max(1U, aMember.target_.slots_));
-  double running = aMember.inFlight_;
-  double waiting = 0.0;
-  std::uint64_t urgent = aMember.urgentTokens_;
-  std::uint64_t other = aMember.otherTokens_;
-  for (const auto& [host, share] : aMember.peers_) {
-    if (aNow - share.toldAt_ < kPeerMemory) {
-      running += share.inFlight_;
-      urgent += share.urgentTokens_;
-      other += share.otherTokens_;
-    }
-  }
-  if (aNow - aMember.loadAt_ < kLoadMemory) {
-    running = std::max<double>(running, aMember.load_.running_);
-    waiting = aMember.load_.waiting_;
-  }
-  const double excess = std::max(0.0, running + waiting + 1.0 - slots);
+  const auto backlog = BacklogOf(aMember, aNow);
+  const double excess =
+    std::max(0.0, backlog.running_ + backlog.waiting_ + 1.0 - slots);
+  Estimate estimate;
   if (aQuestion.model_.empty()) {
-    return aMember.slowness_ * kCallSeconds * (1.0 + excess / slots) +
-           kSlotSeconds * running;
+    estimate.usualSeconds_ =
+      kCallSeconds * (1.0 + excess / slots) + kSlotSeconds * backlog.running_;
+    estimate.waitSeconds_ = aMember.slowness_ * estimate.usualSeconds_;
+    return estimate;
   }
   const auto cost = CostAt(aMember, aQuestion);
-  const double prompt =
-    static_cast<double>(urgent + (aQuestion.isUrgent_ ? 0 : other) +
-                        cost.computedTokens_) /
+  const auto before =
+    backlog.urgentTokens_ + (aQuestion.isUrgent_ ? 0 : backlog.otherTokens_);
+  estimate.usualSeconds_ =
+    aSpeed.startSeconds_ +
+    static_cast<double>(before + cost.computedTokens_) /
       aSpeed.promptTokensPerSecond_ +
-    static_cast<double>(cost.readTokens_) / aSpeed.cacheTokensPerSecond_;
-  return std::max(0.5, aMember.slowness_) *
-           (prompt + kSlotSeconds * running + 0.02 * waiting) +
-         excess * kHoldSeconds / slots + MemoryWait(aMember, aQuestion, aNow);
+    static_cast<double>(cost.readTokens_) / aSpeed.cacheTokensPerSecond_ +
+    kSlotSeconds * backlog.running_ + kWaitingSeconds * backlog.waiting_;
+  estimate.waitSeconds_ = aMember.slowness_ * estimate.usualSeconds_ +
+                          excess * kHoldSeconds / slots +
+                          MemoryWait(aMember, aQuestion, aNow);
+  return estimate;
 }
 
+namespace {
+
+// What a choice loses, as a share of what the request is worth.
+double
+CostOf(const Member& aMember,
+       const Question& aQuestion,
+       const Estimate& aEstimate,
+       bool aKeepsPrompt)
+{
+  const double late = std::min(
+    1.0, aEstimate.waitSeconds_ / absl::ToDoubleSeconds(aQuestion.goal_));
+  double cost = kLateCost * late * late + kWaitCost * aEstimate.waitSeconds_;
+  if (aQuestion.weightsAge_ > kOldWeightsFree &&
+      HasOldWeights(aMember, aQuestion)) {
+    cost += kOldWeightsCost;
+  }
+  if (aMember.target_.dataCentre_ != aQuestion.dataCentre_) {
+    cost += kRemoteByteCost * static_cast<double>(aQuestion.bytes_);
+  }
+  if (aMember.vanishesAt_ != absl::InfiniteFuture()) {
+    cost += kVanishingCost;
+  }
+  if (!aKeepsPrompt) {
+    cost += kReadTokenCost *
+            static_cast<double>(CostAt(aMember, aQuestion).readTokens_);
+  }
+  return cost;
+}
+
+} // namespace
+
 Choice
 Choose(const Members& aMembers,
        const Question& aQuestion,
@@ -244,25 +298,17 @@
   double best = std::numeric_limits<double>::max();
   for (std::size_t i = 0; i < usable.size(); ++i) {
     const auto& member = *usable[(i + aQuestion.seed_) % usable.size()];
-    const double wait = EstimateWait(member, aQuestion, aSpeed, aNow);
-    double cost = wait + WeightsPenalty(member, aQuestion);
-    if (member.target_.dataCentre_ != aQuestion.dataCentre_) {
-      cost += kRemoteByteSeconds * static_cast<double>(aQuestion.bytes_);
-    }
-    if (member.vanishesAt_ != absl::InfiniteFuture()) {
-      cost += kHoldSeconds;
-    }
-    if (!preferred.empty() &&
-        std::find(preferred.begin(), preferred.end(), member.target_.id_) ==
-          preferred.end()) {
-      cost += kAffinityShare *
-              static_cast<double>(CostAt(member, aQuestion).readTokens_) /
-              aSpeed.cacheTokensPerSecond_;
-    }
+    const auto estimate = EstimateWait(member, aQuestion, aSpeed, aNow);
+    const bool keeps =
+      preferred.empty() ||
+      std::find(preferred.begin(), preferred.end(), member.target_.id_) !=
+        preferred.end();
+    const double cost = CostOf(member, aQuestion, estimate, keeps);
     if (cost < best) {
       best = cost;
       choice.id_ = member.target_.id_;
-      choice.waitSeconds_ = wait;
+      choice.waitSeconds_ = estimate.waitSeconds_;
+      choice.usualSeconds_ = estimate.usualSeconds_;
       choice.memoryFull_ =
         !aQuestion.isUrgent_ && MemoryWait(member, aQuestion, aNow) > 0.0;
       choice.loadAge_ = aNow - member.loadAt_;
@@ -288,14 +334,14 @@
 CountFirstByte(Member& aMember,
                const CallSize& aSize,
                absl::Duration aTook,
-               double aExpectedSeconds)
+               double aUsualSeconds)
 {
   auto& tokens =
     aSize.isUrgent_ ? aMember.urgentTokens_ : aMember.otherTokens_;
   tokens -= std::min(tokens, aSize.promptTokens_);
-  if (aExpectedSeconds > 0.0) {
-    const double ratio =
-      std::clamp(absl::ToDoubleSeconds(aTook) / aExpectedSeconds, 0.2, 20.0);
+  if (aUsualSeconds > 0.0) {
+    const double ratio = std::clamp(
+      absl::ToDoubleSeconds(aTook) / aUsualSeconds, kFastest, kSlowest);
     aMember.slowness_ += kNewestWeight * (ratio - aMember.slowness_);
   }
 }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -34,8 +34,8 @@
 // Bytes that wait for a slow caller before its target is held back.
 constexpr std::size_t kMostUnsent = 256U << 10U;
 // Part of a route's goal that reading a prompt from cache stores may take. What
-// isn't read by then is thrown away and computed, which still meets the goal.
-constexpr double kReadShareOfGoal = 0.5;
+// isn't read by then is thrown away and computed, which mostly meets the goal.
+constexpr double kReadShareOfGoal = 0.7;
 // Bytes of the heads of a request and its answer and of a short body.
 constexpr std::uint64_t kCallBytes = 1500;
 // Answer bytes a token, for the cost of crossing a boundary.
@@ -44,6 +44,8 @@
 // running request ends, and in which a failed target is replaced.
 constexpr absl::Duration kPauseFull = absl::Milliseconds(200);
 constexpr absl::Duration kPauseNoTarget = absl::Milliseconds(500);
+// Requests that have missed their goals are placed as if so much were left.
+constexpr absl::Duration kLeastGoal = absl::Milliseconds(100);
 // A prompt that starts to be read takes about this long to its first event.
 constexpr absl::Duration kStartMargin = absl::Milliseconds(300);
 // A refused caller that another host can serve comes back at once.
@@ -168,6 +170,7 @@
       service != catalog_->services_.end()) {
     question.memoryTokens_ = service->second.memoryTokens_;
   }
+  question.goal_ = std::max(kLeastGoal, arrivedAt_ + route_->goal_ - now);
   question.isUrgent_ = IsUrgent();
   question.heldTokens_ = request_.promptTokens_ + request_.outputTokens_;
   question.bytes_ = kCallBytes + caller_->Body().size() +
@@ -529,7 +532,7 @@
     if (const auto found = host_.members_.find(targetId_);
         found != host_.members_.end()) {
       fleet::CountFirstByte(
-        found->second, size_, now - sentAt_, choice_.waitSeconds_);
+        found->second, size_, now - sentAt_, choice_.usualSeconds_);
       host_.onLoad_();
     }
     host_.metrics_.Observe("first_event_seconds", now - sentAt_);
@@ -641,8 +644,7 @@
     fleet::CountFirstByte(member,
                           size_,
                           Now() - sentAt_,
-                          answered ? choice_.waitSeconds_ / member.slowness_
-                                   : 0.0);
+                          answered ? choice_.usualSeconds_ : 0.0);
   }
   host_.onLoad_();
   if (fleet::CountEnd(member, size_, aResult, Now())) {
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -158,7 +158,7 @@
   fence_ = aFence;
   rollouts_.clear();
   readAt_.clear();
-  doneSince_ = absl::InfiniteFuture();
+  oldest_.clear();
   host_.log_.Write(Line("owner_begins").Number("fence", fence_));
   KeepLater();
   Step();
@@ -243,14 +243,11 @@
     return;
   }
   if (IsValid()) {
-    bool done = true;
     for (const auto& [model, named] : host_.weights_) {
       auto& rollout = rollouts_[model];
       rollout.version_ = named.version_;
       StepModel(model, rollout);
-      done = done && weights::IsDone(host_.members_, model, named.version_);
     }
-    doneSince_ = done ? std::min(doneSince_, Now()) : absl::InfiniteFuture();
     FreeOldParts();
   }
   stepTimer_.Set(kStepPeriod, [self = shared_from_this()] { self->Step(); });
@@ -438,7 +435,14 @@
 Owner::FreeOldParts()
 {
   const auto now = Now();
-  if (now - doneSince_ < kReadsEnd || now - freedAt_ < kFreePeriod) {
+  for (const auto& [model, named] : host_.weights_) {
+    auto& oldest = oldest_[model];
+    const auto version = weights::OldestVersion(host_.members_, model);
+    if (oldest.version_ != version) {
+      oldest = { version, now };
+    }
+  }
+  if (now - freedAt_ < kFreePeriod) {
     return;
   }
   freedAt_ = now;
@@ -447,8 +451,11 @@
       continue;
     }
     std::vector<kept::Change> unused;
-    for (const auto& [model, named] : host_.weights_) {
-      auto old = kept::MadeByOldWeights(state, model, named.version_);
+    for (const auto& [model, oldest] : oldest_) {
+      if (now - oldest.since_ < kReadsEnd) {
+        continue;
+      }
+      auto old = kept::MadeByOldWeights(state, model, oldest.version_);
       std::move(old.begin(), old.end(), std::back_inserter(unused));
     }
     if (unused.empty()) {
--- a/src/gateway/owner.h
+++ b/src/gateway/owner.h
@@ -68,7 +68,13 @@
   absl::Time validUntil_ = absl::InfinitePast();
   absl::flat_hash_map<std::string, weights::Rollout> rollouts_;
   absl::flat_hash_map<std::string, absl::Time> readAt_;
-  absl::Time doneSince_ = absl::InfiniteFuture();
+  // Oldest weights that targets have, by model, and since when.
+  struct Oldest
+  {
+    std::uint64_t version_ = 0;
+    absl::Time since_ = absl::InfinitePast();
+  };
+  absl::flat_hash_map<std::string, Oldest> oldest_;
   absl::Time freedAt_ = absl::InfinitePast();
   bool started_ = false;
 };
--- a/src/weights/weights.cc
+++ b/src/weights/weights.cc
@@ -83,15 +83,18 @@
   return ids;
 }
 
-bool
-IsDone(const fleet::Members& aMembers,
-       const std::string& aModel,
-       std::uint64_t aVersion)
+std::uint64_t
+OldestVersion(const fleet::Members& aMembers, const std::string& aModel)
 {
-  return std::none_of(
-    aMembers.begin(), aMembers.end(), [&](const auto& aEntry) {
-      return NeedsWeights(aEntry.second, aModel, aVersion);
-    });
+  std::uint64_t oldest = 0;
+  for (const auto& [id, member] : aMembers) {
+    const auto found = member.target_.weights_.find(aModel);
+    if (found != member.target_.weights_.end()) {
+      oldest =
+        oldest == 0 ? found->second : std::min(oldest, found->second);
+    }
+  }
+  return oldest;
 }
 
 } // namespace lycheeplank::weights
--- a/test/weights-test.cc
+++ b/test/weights-test.cc
@@ -61,8 +61,11 @@
   weights::Rollout rollout;
   rollout.version_ = 2;
   CHECK(weights::NextTargets(rollout, members, "m", kNow).empty());
-  CHECK(weights::IsDone(members, "m", 2));
-  CHECK_FALSE(weights::IsDone(members, "m", 3));
+  // The one that leaves may still run requests on its old weights.
+  CHECK(weights::OldestVersion(members, "m") == 1);
+  members.erase("t0");
+  CHECK(weights::OldestVersion(members, "m") == 2);
+  CHECK(weights::OldestVersion(members, "n") == 0);
 }
 
 TEST_CASE("a target whose order may yet be carried out is read, later")
