--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -134,8 +134,8 @@
 inline constexpr double kLeastReadShare = 0.1;
 
 // Notes how much longer than estimated a prompt took that was read from the
-// store with an address.
-void
+// store with an address; returns the store, or null.
+const StoreState*
 NoteRead(Directory& aDirectory,
          absl::string_view aAddress,
          absl::Duration aDelay);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -374,7 +374,16 @@
     if (!store.empty() &&
         std::find(noted.begin(), noted.end(), store) == noted.end()) {
       noted.push_back(store);
-      kept::NoteRead(host_.kept_, store, delay);
+      const auto* state = kept::NoteRead(host_.kept_, store, delay);
+      if (state != nullptr && state->readShare_ < 1.0 - kept::kInTimeStep) {
+        host_.metrics_.Count("slow_reads_total", "store", state->settings_.name_);
+        host_.log_.Write(Line("cache_store_slow")
+                           .Text("id", request_.id_)
+                           .Text("store", state->settings_.name_)
+                           .Age("delay_ms", delay)
+                           .Number("mean_delay_ms", state->readDelay_ * 1000.0)
+                           .Number("read_share", state->readShare_));
+      }
     }
   }
 }
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -58,8 +58,9 @@
   }
 }
 
-// Position of a store in the order of a part: the lowest is the best. Large
-// stores get their share of the parts (weighted rendezvous hashing).
+// Position of a store in the order of a part: the lowest is the best. Fast
+// links get more parts until their stores are full (weighted rendezvous
+// hashing), and the parts that are asked for often are the first to come.
 double
 RankOf(const StoreState& aStore, absl::string_view aPart)
 {
@@ -68,7 +69,7 @@
   const auto score = core::RendezvousScore(aPart, aStore.settings_.name_);
   const double share = (static_cast<double>(score) + 1.0) / (kSteps + 2.0);
   return -std::log(share) /
-         std::max(1.0, static_cast<double>(aStore.settings_.capacityTokens_));
+         std::max(1.0, aStore.settings_.linkBitsPerSecond_);
 }
 
 const StoreState*
@@ -177,7 +178,7 @@
   aStore.trust_ = Trust::Lost;
 }
 
-void
+const StoreState*
 NoteRead(Directory& aDirectory,
          absl::string_view aAddress,
          absl::Duration aDelay)
@@ -193,7 +194,7 @@
     delays.push_back(store.readDelay_);
   }
   if (read == nullptr) {
-    return;
+    return nullptr;
   }
   const auto middle =
     delays.begin() + static_cast<std::ptrdiff_t>(delays.size() / 2);
@@ -202,6 +203,7 @@
   share = read->readDelay_ > *middle + kSlowDelay
             ? std::max(kLeastReadShare, share * kSlowFactor)
             : std::min(1.0, share + kInTimeStep);
+  return read;
 }
 
 Plan
