--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -199,6 +199,9 @@
 // Time aside after the first time; it doubles up to the longest.
 inline constexpr absl::Duration kAsideFirst = absl::Milliseconds(700);
 inline constexpr absl::Duration kAsideLongest = absl::Seconds(5);
+// A target that was replaced stays aside until its entry is gone, which takes
+// some of its heartbeats.
+inline constexpr absl::Duration kReplacedAside = absl::Seconds(10);
 
 // Why a target was chosen, for the log.
 struct Choice
@@ -254,14 +257,20 @@
   // Refused without being run, or answered with an error of its own.
   Refused,
   Failed,
+  // No connection could be made.
+  Unreachable,
+  // Another target has its address: it is gone.
+  Replaced,
   // The caller left or the deadline came; says nothing.
   Abandoned,
 };
 
-inline constexpr std::array<core::Named<CallResult>, 4> kCallResults{ {
+inline constexpr std::array<core::Named<CallResult>, 6> kCallResults{ {
   { CallResult::Answered, "answered" },
   { CallResult::Refused, "refused" },
   { CallResult::Failed, "failed" },
+  { CallResult::Unreachable, "unreachable" },
+  { CallResult::Replaced, "replaced" },
   { CallResult::Abandoned, "abandoned" },
 } };
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -373,7 +373,11 @@
     return false;
   }
   ++aMember.failuresInRow_;
-  if (!wasProbe && aMember.failuresInRow_ < kFailuresAside &&
+  if (aResult == CallResult::Replaced) {
+    aMember.asideUntil_ = aNow + kReplacedAside;
+    return true;
+  }
+  if (!wasProbe && aResult != CallResult::Unreachable && aMember.failuresInRow_ < kFailuresAside &&
       aMember.failures_ < kFailureShareAside) {
     return false;
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -672,9 +672,15 @@
   if (aEnd == attempts::End::NotRun || aEnd == attempts::End::Error) {
     result = fleet::CallResult::Refused;
   }
-  // Another target at the address, or other weights, are no failure.
+  if (aEnd == attempts::End::NotSent) {
+    result = fleet::CallResult::Unreachable;
+  }
+  // Other weights are no failure; another target at the address is the end of
+  // this one.
   if (answer_.isMisdirected_ && headTaken_) {
-    result = fleet::CallResult::Abandoned;
+    result = !answer_.instance_.empty() && answer_.instance_ != targetId_
+               ? fleet::CallResult::Replaced
+               : fleet::CallResult::Abandoned;
   }
   // Some of a plain service's answers are errors on good targets as well.
   if (aEnd == attempts::End::Error) {
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -134,6 +134,29 @@
   CHECK_FALSE(fleet::Choose(members, question, kSpeed, later).lastResort_);
 }
 
+// The pattern: a third of the targets crash and start again under other names
+// at the same addresses, while their old entries stay for some heartbeats.
+TEST_CASE("a target that was replaced or can't be reached is left at once")
+{
+  for (const auto result :
+       { fleet::CallResult::Replaced, fleet::CallResult::Unreachable }) {
+    auto members = MakeMembers(2);
+    fleet::CountSent(members.at("t0"), MakeSize(), kNow);
+    CHECK(fleet::CountEnd(members.at("t0"), MakeSize(), result, kNow));
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+      auto question = MakeQuestion();
+      question.seed_ = seed;
+      CHECK(fleet::Choose(members, question, kSpeed, kNow).id_ == "t1");
+    }
+  }
+  auto members = MakeMembers(1);
+  auto& member = members.at("t0");
+  fleet::CountSent(member, MakeSize(), kNow);
+  fleet::CountEnd(member, MakeSize(), fleet::CallResult::Replaced, kNow);
+  const auto later = kNow + 2 * fleet::kAsideLongest - absl::Seconds(1);
+  CHECK(fleet::Choose(members, MakeQuestion(), kSpeed, later).lastResort_);
+}
+
 TEST_CASE("old weights are avoided, then left out")
 {
   fleet::Members members;
