--- a/include/lycheeplank/weights.h
+++ b/include/lycheeplank/weights.h
@@ -50,24 +50,14 @@
 };
 
 // The targets of one model under the present owner.
-//
-// New weights make all kept prompts useless at once, and targets that have them
-// compute every prompt again. So a part of the targets changes at once, and the
-// others follow one by one: meanwhile the first ones compute as much as they
-// can, and the others serve what comes beyond that.
 struct Rollout
 {
   std::uint64_t version_ = 0;
-  absl::Time namedAt_ = absl::InfinitePast();
-  // Time after which all targets are to be ordered.
-  absl::Duration spread_ = absl::ZeroDuration();
   absl::btree_map<std::string, Work> targets_;
 };
 
 // Part of a model's targets that are out of service at once for new weights.
 inline constexpr double kShareAtOnce = 0.34;
-// Part of the targets that are ordered as soon as weights are named.
-inline constexpr double kFirstShare = 0.34;
 // An order without an answer may still be carried out; its target is asked for
 // its account only after this time.
 inline constexpr absl::Duration kUnclearTime = absl::Milliseconds(400);
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -24,9 +24,6 @@
 // of them does.
 constexpr absl::Duration kClaimStep = absl::Milliseconds(120);
 constexpr absl::Duration kStepPeriod = absl::Milliseconds(100);
-// Part of the time allowed for new weights over which targets are ordered; the
-// last ones need the rest for their runs to end and to load.
-constexpr double kSpreadShare = 0.3;
 // The other hosts hear of an order before the target does.
 constexpr absl::Duration kAnnounceTime = absl::Milliseconds(30);
 // Hosts keep requests off an ordered target for at most this time, unless they
@@ -249,8 +246,6 @@
     for (const auto& [model, named] : host_.weights_) {
       auto& rollout = rollouts_[model];
       rollout.version_ = named.version_;
-      rollout.namedAt_ = named.learnedAt_;
-      rollout.spread_ = kSpreadShare * host_.settings_.weightsTime_;
       StepModel(model, rollout);
     }
     FreeOldParts();
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -235,7 +235,6 @@
 {
   timer_.Set(Jitter(host_, kAskPeriod), [self = shared_from_this()] {
     if (self->host_.store_.reachable_) {
-      self->following_ = false;
       self->Start();
     } else {
       self->Ask();
@@ -282,8 +281,8 @@
           if (aAnswer.status_ == 200) {
             Learn(self->host_, ReadChangesOfPeer(aAnswer.body_), "peer");
           }
-          if (aAnswer.status_ == 200 &&
-              !std::exchange(self->following_, true)) {
+          if (self->lastPeer_ != peer && aAnswer.status_ == 200) {
+            self->lastPeer_ = peer;
             self->host_.log_.Write(
               Line("following_peer")
                 .Text("peer", peer)
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -76,8 +76,7 @@
 
   Host& host_;
   Timer timer_;
-  // Peers have answered since the key-value service fell silent.
-  bool following_ = false;
+  std::string lastPeer_;
 };
 
 } // namespace lycheeplank::gateway
--- a/src/weights/weights.cc
+++ b/src/weights/weights.cc
@@ -24,18 +24,6 @@
          aMember.target_.weights_.contains(aModel);
 }
 
-// Returns how many targets are to have been ordered by now.
-std::size_t
-DueTargets(const Rollout& aRollout, std::size_t aTotal, absl::Time aNow)
-{
-  const auto age = aNow - aRollout.namedAt_;
-  const double passed =
-    age >= aRollout.spread_ ? 1.0 : absl::FDivDuration(age, aRollout.spread_);
-  const double share = kFirstShare + (1.0 - kFirstShare) * passed;
-  return static_cast<std::size_t>(
-    std::ceil(share * static_cast<double>(aTotal)));
-}
-
 } // namespace
 
 std::vector<std::string>
@@ -46,7 +34,6 @@
 {
   std::size_t total = 0;
   std::size_t busy = 0;
-  std::size_t later = 0;
   std::vector<const fleet::Member*> ready;
   for (const auto& [id, member] : aMembers) {
     total += HasModel(member, aModel) ? 1 : 0;
@@ -59,14 +46,10 @@
       ++busy;
     } else if (aNow >= work.notBefore_) {
       ready.push_back(&member);
-    } else {
-      ++later;
     }
   }
   const auto most = static_cast<std::size_t>(
     std::max(1.0, std::ceil(kShareAtOnce * static_cast<double>(total))));
-  const std::size_t changed = total - ready.size() - busy - later;
-  const std::size_t due = DueTargets(aRollout, total, aNow);
   std::stable_sort(ready.begin(),
                    ready.end(),
                    [](const auto* aLeft, const auto* aRight) {
@@ -75,7 +58,7 @@
                    });
   std::vector<std::string> ids;
   for (const auto* member : ready) {
-    if (busy + ids.size() >= most || changed + busy + ids.size() >= due) {
+    if (busy + ids.size() >= most) {
       break;
     }
     ids.push_back(member->target_.id_);
