--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -235,6 +235,7 @@
 {
   timer_.Set(Jitter(host_, kAskPeriod), [self = shared_from_this()] {
     if (self->host_.store_.reachable_) {
+      self->following_ = false;
       self->Start();
     } else {
       self->Ask();
@@ -281,8 +282,8 @@
           if (aAnswer.status_ == 200) {
             Learn(self->host_, ReadChangesOfPeer(aAnswer.body_), "peer");
           }
-          if (self->lastPeer_ != peer && aAnswer.status_ == 200) {
-            self->lastPeer_ = peer;
+          if (aAnswer.status_ == 200 &&
+              !std::exchange(self->following_, true)) {
             self->host_.log_.Write(
               Line("following_peer")
                 .Text("peer", peer)
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -76,7 +76,8 @@
 
   Host& host_;
   Timer timer_;
-  std::string lastPeer_;
+  // Peers have answered since the key-value service fell silent.
+  bool following_ = false;
 };
 
 } // namespace lycheeplank::gateway
