Wait for memory only when no target has any; judge the queue by its busy times

Cause: after a change of weights long prompts were refused as queue_full while targets answered in 0.2 s: a full target nearby was preferred to a free one elsewhere, and starts that were far apart made the queue look slow.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -234,6 +234,8 @@
   // At a target of usual speed, and at this one.
   double usualSeconds_ = 0.0;
   double waitSeconds_ = 0.0;
+  // It has no memory for the request before others end.
+  bool memoryFull_ = false;
 };
 
 // Returns the time until a target would start to answer.
--- a/include/lycheeplank/waiting.h
+++ b/include/lycheeplank/waiting.h
@@ -34,10 +34,10 @@
   // Moving average of the time between two starts, in seconds.
   double startInterval_ = 0.0;
   absl::Time startedAt_ = absl::InfinitePast();
+  // When the first of those that wait came.
+  absl::Time filledAt_ = absl::InfinitePast();
 };
 
-// A start after so long a pause says nothing of the rate.
-inline constexpr absl::Duration kLongestInterval = absl::Seconds(1);
 inline constexpr double kNewestInterval = 0.2;
 
 // Adds a request, unless so many wait that it could not start before its caller
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -15,6 +15,9 @@
 constexpr double kHoldSeconds = 0.3;
 // Time for which one request that waits at a target delays another.
 constexpr double kWaitingSeconds = 0.02;
+// A target without memory for the request is the choice only if there is no
+// other one, even in another data centre: the request waits for it.
+constexpr double kFullCost = 1.0;
 // A target whose entry has vanished may be gone.
 constexpr double kVanishingCost = 0.3;
 // A target is taken for at least so fast, and at most so slow, as the usual one.
@@ -230,9 +233,10 @@
       aSpeed.promptTokensPerSecond_ +
     static_cast<double>(cost.readTokens_) / aSpeed.cacheTokensPerSecond_ +
     kSlotSeconds * backlog.running_ + kWaitingSeconds * backlog.waiting_;
+  const double memory = MemoryWait(aMember, aQuestion, aNow);
+  estimate.memoryFull_ = !aQuestion.isUrgent_ && memory > 0.0;
   estimate.waitSeconds_ = aMember.slowness_ * estimate.usualSeconds_ +
-                          excess * kHoldSeconds / slots +
-                          MemoryWait(aMember, aQuestion, aNow);
+                          excess * kHoldSeconds / slots + memory;
   return estimate;
 }
 
@@ -255,6 +259,9 @@
   if (aMember.target_.dataCentre_ != aQuestion.dataCentre_) {
     cost += kRemoteByteCost * static_cast<double>(aQuestion.bytes_);
   }
+  if (aEstimate.memoryFull_) {
+    cost += kFullCost;
+  }
   if (aMember.vanishesAt_ != absl::InfiniteFuture()) {
     cost += kVanishingCost;
   }
@@ -309,8 +316,7 @@
       choice.id_ = member.target_.id_;
       choice.waitSeconds_ = estimate.waitSeconds_;
       choice.usualSeconds_ = estimate.usualSeconds_;
-      choice.memoryFull_ =
-        !aQuestion.isUrgent_ && MemoryWait(member, aQuestion, aNow) > 0.0;
+      choice.memoryFull_ = estimate.memoryFull_;
       choice.loadAge_ = aNow - member.loadAt_;
     }
   }
--- a/src/waiting/waiting.cc
+++ b/src/waiting/waiting.cc
@@ -27,6 +27,9 @@
   if (wait > aEntry.leavesAt_ - aNow) {
     return wait - (aEntry.leavesAt_ - aNow) / 2;
   }
+  if (aQueue.entries_.empty()) {
+    aQueue.filledAt_ = aNow;
+  }
   aQueue.entries_.push_back(aEntry);
   return absl::nullopt;
 }
@@ -56,8 +59,10 @@
   if (!Remove(aQueue, aId)) {
     return;
   }
-  const auto interval = aNow - aQueue.startedAt_;
-  if (interval < kLongestInterval) {
+  // Times in which nobody waited say nothing of the rate.
+  const auto since = std::max(aQueue.startedAt_, aQueue.filledAt_);
+  const auto interval = aNow - since;
+  if (since != absl::InfinitePast()) {
     aQueue.startInterval_ +=
       kNewestInterval *
       (absl::ToDoubleSeconds(interval) - aQueue.startInterval_);
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -191,6 +191,19 @@
   CHECK(fleet::Choose(members, question, kSpeed, kNow).id_ == "far");
 }
 
+TEST_CASE("a target elsewhere that has memory goes before a full one nearby")
+{
+  fleet::Members members;
+  AddTarget(members, "near", "a");
+  AddTarget(members, "far", "b");
+  members.at("near").heldTokens_ = 70000;
+  auto question = MakeQuestion();
+  question.bytes_ = 30000;
+  const auto choice = fleet::Choose(members, question, kSpeed, kNow);
+  CHECK(choice.id_ == "far");
+  CHECK_FALSE(choice.memoryFull_);
+}
+
 TEST_CASE("what other hosts have under way counts, until it is old")
 {
   auto members = MakeMembers(2);
--- a/test/waiting-test.cc
+++ b/test/waiting-test.cc
@@ -113,6 +113,21 @@
   CHECK(id == 34);
 }
 
+// The pattern: now and then one request waits for a moment.
+TEST_CASE("starts that are far apart don't make the queue look full")
+{
+  waiting::Queue queue;
+  auto now = kStart;
+  for (std::uint64_t id = 1; id < 50; ++id) {
+    waiting::Add(queue, MakeEntry(id, now), now);
+    waiting::Start(queue, id, now + absl::Milliseconds(20));
+    now += absl::Milliseconds(900);
+  }
+  for (std::uint64_t id = 100; id < 120; ++id) {
+    CHECK_FALSE(waiting::Add(queue, MakeEntry(id, now), now));
+  }
+}
+
 // The pattern that the module answers.
 TEST_CASE("under a 30% overload most starts are in time")
 {
