--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -81,7 +81,7 @@
 inline constexpr absl::Duration kTrustWithoutWord = absl::Milliseconds(1500);
 // Part of a store's room that is filled; parts that others save meanwhile
 // need some.
-inline constexpr double kFilledShare = 0.97;
+inline constexpr double kFilledShare = 0.95;
 
 // Sets which stores there are; what is known of the others goes.
 void
@@ -127,7 +127,7 @@
 inline constexpr double kNewestRead = 0.15;
 // A store is slow if its delay is so much above the median of all stores, in
 // seconds. Targets that are busy delay the reads from all stores alike.
-inline constexpr double kSlowDelay = 0.12;
+inline constexpr double kSlowDelay = 0.3;
 // Steps of a store's share of reads after a slow one and another one.
 inline constexpr double kSlowFactor = 0.9;
 inline constexpr double kInTimeStep = 0.05;
--- a/src/attempts/attempts.cc
+++ b/src/attempts/attempts.cc
@@ -34,8 +34,8 @@
                      aHistory.tries_ < kMostTries &&
                      aHistory.sends_ < kMostSends && aTimeLeft > kLeastTime;
   if (aEnd == End::CutAnswer) {
-    const bool goesOn = aRoute.repeat_ == catalog::Repeat::Stream &&
-                        again && aBudgetLeft;
+    const bool goesOn =
+      aRoute.repeat_ == catalog::Repeat::Stream && again && aBudgetLeft;
     return goesOn ? Step::TryAgain : Step::Cut;
   }
   if (again && (aBudgetLeft || aHistory.sends_ == 0)) {
--- a/src/budget/budget.cc
+++ b/src/budget/budget.cc
@@ -39,8 +39,8 @@
   double requests = 0.0;
   double resends = 0.0;
   for (const auto& part : aLedger.parts_) {
-    if (part.number_ >= 0 && number - part.number_ <=
-                               static_cast<std::int64_t>(kParts)) {
+    if (part.number_ >= 0 &&
+        number - part.number_ <= static_cast<std::int64_t>(kParts)) {
       resends += part.resends_;
       // The oldest part lies outside the window by now or soon.
       requests += number - part.number_ < static_cast<std::int64_t>(kParts)
--- a/src/entries/entries.cc
+++ b/src/entries/entries.cc
@@ -33,12 +33,13 @@
 std::string
 WriteHost(const HostEntry& aEntry)
 {
-  return nlohmann::json{ { "name", aEntry.name_ },
-                         { "data_centre", aEntry.dataCentre_ },
-                         { "caller_address", aEntry.callerAddress_ },
-                         { "peer_address", aEntry.peerAddress_ },
-                         { "leaving", aEntry.leaving_ } }
-    .dump();
+  return nlohmann::json{
+    { "name", aEntry.name_ },
+    { "data_centre", aEntry.dataCentre_ },
+    { "caller_address", aEntry.callerAddress_ },
+    { "peer_address", aEntry.peerAddress_ },
+    { "leaving", aEntry.leaving_ }
+  }.dump();
 }
 
 absl::optional<HostEntry>
@@ -51,9 +52,8 @@
   }
   const auto text = [&json](const char* aName) {
     const auto found = json.find(aName);
-    return found != json.end() && found->is_string()
-             ? found->get<std::string>()
-             : std::string();
+    return found != json.end() && found->is_string() ? found->get<std::string>()
+                                                     : std::string();
   };
   HostEntry entry;
   entry.name_ = text("name");
@@ -83,10 +83,12 @@
     picked = AddressesOf(aHosts, aDataCentre, true, leaving);
     auto others = AddressesOf(aHosts, aDataCentre, false, leaving);
     // Each caller gets others, so that no host elsewhere takes all of them.
-    std::sort(others.begin(), others.end(), [aSeed](const auto& aLeft,
-                                                    const auto& aRight) {
-      return core::StableHash(aLeft, aSeed) < core::StableHash(aRight, aSeed);
-    });
+    std::sort(others.begin(),
+              others.end(),
+              [aSeed](const auto& aLeft, const auto& aRight) {
+                return core::StableHash(aLeft, aSeed) <
+                       core::StableHash(aRight, aSeed);
+              });
     for (auto& address : others) {
       if (picked.size() >= kLeastAddresses) {
         break;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -20,7 +20,8 @@
 constexpr double kFullCost = 1.0;
 // A target whose entry has vanished may be gone.
 constexpr double kVanishingCost = 0.3;
-// A target is taken for at least so fast, and at most so slow, as the usual one.
+// A target is taken for at least so fast, and at most so slow, as the usual
+// one.
 constexpr double kFastest = 0.4;
 constexpr double kSlowest = 20.0;
 // Mean time of a run that holds memory, and the part of the memory that
@@ -197,10 +198,7 @@
         found != loads.end()) {
       const auto& load = *found->second;
       member.peers_[aHost] = {
-        load.inFlight_,
-        load.urgentTokens_,
-        load.otherTokens_,
-        load.heldTokens_,
+        load.inFlight_, load.urgentTokens_, load.otherTokens_, load.heldTokens_,
         aNow,
       };
     }
@@ -342,8 +340,7 @@
                absl::Duration aTook,
                double aUsualSeconds)
 {
-  auto& tokens =
-    aSize.isUrgent_ ? aMember.urgentTokens_ : aMember.otherTokens_;
+  auto& tokens = aSize.isUrgent_ ? aMember.urgentTokens_ : aMember.otherTokens_;
   tokens -= std::min(tokens, aSize.promptTokens_);
   if (aUsualSeconds > 0.0) {
     const double ratio = std::clamp(
@@ -365,8 +362,8 @@
     return false;
   }
   const bool failed = aResult != CallResult::Answered;
-  aMember.failures_ += kNewestWeight * ((failed ? 1.0 : 0.0) -
-                                        aMember.failures_);
+  aMember.failures_ +=
+    kNewestWeight * ((failed ? 1.0 : 0.0) - aMember.failures_);
   if (!failed) {
     aMember.failuresInRow_ = 0;
     if (wasProbe) {
@@ -383,7 +380,8 @@
     aMember.asideUntil_ = aNow + kReplacedAside;
     return true;
   }
-  if (!wasProbe && aResult != CallResult::Unreachable && aMember.failuresInRow_ < kFailuresAside &&
+  if (!wasProbe && aResult != CallResult::Unreachable &&
+      aMember.failuresInRow_ < kFailuresAside &&
       aMember.failures_ < kFailureShareAside) {
     return false;
   }
--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -123,8 +123,7 @@
         AnswerEntries(aCaller);
         return;
       case LocalCall::Ready:
-        aCaller->Reply(
-          CanServe(host_) && !host_.stopping_ ? 200 : 503, {}, "");
+        aCaller->Reply(CanServe(host_) && !host_.stopping_ ? 200 : 503, {}, "");
         return;
       case LocalCall::None:
         aCaller->Reply(404, {}, "");
@@ -134,10 +133,10 @@
 
   void AnswerEntries(const ServerConnectionPtr& aCaller)
   {
-    const auto addresses = entries::PickAddresses(
-      host_.hosts_,
-      host_.adapter_.entriesDataCentre_(aCaller->Head()),
-      host_.random_());
+    const auto addresses =
+      entries::PickAddresses(host_.hosts_,
+                             host_.adapter_.entriesDataCentre_(aCaller->Head()),
+                             host_.random_());
     host_.metrics_.Count("address_lists_total");
     if (addresses.empty()) {
       aCaller->Reply(503, {}, "");
@@ -185,8 +184,7 @@
     metrics.Set("hosts", static_cast<double>(host_.hosts_.size()));
     metrics.Set("connections_opened",
                 static_cast<double>(host_.targets_.Opened()));
-    metrics.Set("log_lines_dropped",
-                static_cast<double>(host_.log_.Dropped()));
+    metrics.Set("log_lines_dropped", static_cast<double>(host_.log_.Dropped()));
   }
 
   void WaitSignal()
@@ -234,8 +232,7 @@
                        .Number("requests_open", host_.requestsOpen_));
     owner_->Leave();
     presence_->Leave();
-    TellPeers(host_,
-              { { Notice::Kind::HostLeaves, host_.settings_.name_ } });
+    TellPeers(host_, { { Notice::Kind::HostLeaves, host_.settings_.name_ } });
     for (const auto& server : servers_) {
       server->CloseAfterAnswers();
     }
--- a/src/gateway/client-connection.cc
+++ b/src/gateway/client-connection.cc
@@ -178,10 +178,10 @@
   }
   const bool complete =
     aEnd == PeerEnd::Closed && !skipping_ && headSeen_ && reader_.Finish();
-  Finish(complete                ? CallEnd::Complete
+  Finish(complete                  ? CallEnd::Complete
          : headSeen_ && !skipping_ ? CallEnd::Cut
-         : anyByte_              ? CallEnd::Garbled
-                                 : CallEnd::NoAnswer);
+         : anyByte_                ? CallEnd::Garbled
+                                   : CallEnd::NoAnswer);
 }
 
 void
--- a/src/gateway/client-connection.h
+++ b/src/gateway/client-connection.h
@@ -9,8 +9,8 @@
 #include <absl/time/time.h>
 
 #include "gateway/socket.h"
-#include "lycheeplank/core.h"
 #include "http/reader.h"
+#include "lycheeplank/core.h"
 
 namespace lycheeplank::gateway {
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -61,8 +61,8 @@
 IsEventStream(const http::ResponseHead& aHead)
 {
   const auto* type = http::FindField(aHead.fields_, "content-type");
-  return type != nullptr && absl::StartsWithIgnoreCase(*type,
-                                                       "text/event-stream");
+  return type != nullptr &&
+         absl::StartsWithIgnoreCase(*type, "text/event-stream");
 }
 
 http::Fields
@@ -184,8 +184,8 @@
     if (request_.parts_.size() > 1) {
       question.affinity_ = request_.parts_[request_.parts_.size() - 2].id_;
     }
-    for (const auto version : fleet::VersionsOf(
-           host_.members_, service_, request_.model_)) {
+    for (const auto version :
+         fleet::VersionsOf(host_.members_, service_, request_.model_)) {
       const auto plan = PlanParts(version, host_.settings_.dataCentre_);
       question.costs_.push_back(
         { version, ComputedTokens(plan), plan.readTokens_ });
@@ -239,8 +239,7 @@
     }
     return;
   }
-  if (absl::Seconds(choice_.waitSeconds_) > TimeLeft() &&
-      history_.runs_ == 0) {
+  if (absl::Seconds(choice_.waitSeconds_) > TimeLeft() && history_.runs_ == 0) {
     Refuse("deadline_unreachable", kPauseFull);
     return;
   }
@@ -292,9 +291,8 @@
 std::uint32_t
 Exchange::Priority() const
 {
-  return workspace_ != nullptr && workspace_->priority_
-           ? *workspace_->priority_
-           : route_->priority_;
+  return workspace_ != nullptr && workspace_->priority_ ? *workspace_->priority_
+                                                        : route_->priority_;
 }
 
 bool
@@ -376,7 +374,8 @@
       noted.push_back(store);
       const auto* state = kept::NoteRead(host_.kept_, store, delay);
       if (state != nullptr && state->readShare_ < 1.0 - kept::kInTimeStep) {
-        host_.metrics_.Count("slow_reads_total", "store", state->settings_.name_);
+        host_.metrics_.Count(
+          "slow_reads_total", "store", state->settings_.name_);
         host_.log_.Write(Line("cache_store_slow")
                            .Text("id", request_.id_)
                            .Text("store", state->settings_.name_)
@@ -403,8 +402,8 @@
   ++history_.runs_;
   sentAt_ = Now();
   firstByteAt_ = absl::InfinitePast();
-  auto fields = host_.adapter_.targetFields_(caller_->Head(),
-                                             MakeAttempt(found->second));
+  auto fields =
+    host_.adapter_.targetFields_(caller_->Head(), MakeAttempt(found->second));
   const auto& head = caller_->Head();
   const auto& body = caller_->Body();
   if (!body.empty() || http::FindField(head.fields_, "content-length") ||
@@ -419,22 +418,21 @@
   const auto current = [self, attempt] {
     return !self->ended_ && self->attempt_ == attempt;
   };
-  connection_->Start(
-    bytes,
-    head.method_ == "HEAD",
-    { [self, current](const http::ResponseHead& aHead) {
-       return current() && self->OnHead(aHead);
-     },
-      [self, current](std::string& aBody) {
-        if (current()) {
-          self->OnBody(aBody);
-        }
-      },
-      [self, current](CallEnd aEnd) {
-        if (current()) {
-          self->OnEnd(aEnd);
-        }
-      } });
+  connection_->Start(bytes,
+                     head.method_ == "HEAD",
+                     { [self, current](const http::ResponseHead& aHead) {
+                        return current() && self->OnHead(aHead);
+                      },
+                       [self, current](std::string& aBody) {
+                         if (current()) {
+                           self->OnBody(aBody);
+                         }
+                       },
+                       [self, current](CallEnd aEnd) {
+                         if (current()) {
+                           self->OnEnd(aEnd);
+                         }
+                       } });
   if (const auto limit = attempts::SilenceLimit(*route_, history_);
       limit != absl::InfiniteDuration()) {
     WatchSilence(limit + absl::Seconds(choice_.waitSeconds_));
@@ -603,9 +601,9 @@
   LeaveTarget(fleet::CallResult::Answered);
   const auto status = head_.status_;
   // An answer to HEAD tells the length of a body that it lacks.
-  const auto length =
-    caller_->Head().method_ == "HEAD" && head_.length_ ? *head_.length_
-                                                       : body_.size();
+  const auto length = caller_->Head().method_ == "HEAD" && head_.length_
+                        ? *head_.length_
+                        : body_.size();
   caller_->Begin(status, head_.reason_, PassedOn(head_), length);
   caller_->Write(body_);
   caller_->End();
@@ -650,10 +648,8 @@
   auto& member = found->second;
   if (firstByteAt_ == absl::InfinitePast() || !isEvents_) {
     const bool answered = aResult == fleet::CallResult::Answered;
-    fleet::CountFirstByte(member,
-                          size_,
-                          Now() - sentAt_,
-                          answered ? choice_.usualSeconds_ : 0.0);
+    fleet::CountFirstByte(
+      member, size_, Now() - sentAt_, answered ? choice_.usualSeconds_ : 0.0);
   }
   host_.onLoad_();
   if (fleet::CountEnd(member, size_, aResult, Now())) {
@@ -686,18 +682,17 @@
   if (aEnd == attempts::End::Error) {
     result = fleet::CallResult::Abandoned;
   }
-  host_.log_.Write(
-    Line("attempt_failed")
-      .Text("id", request_.id_)
-      .Text("target", targetId_)
-      .Number("attempt", history_.tries_)
-      .Text("result", core::NameOf(attempts::kEnds, aEnd))
-      .Number("status", headTaken_ ? head_.status_ : 0)
-      .Flag("misdirected", headTaken_ && answer_.isMisdirected_)
-      .Number("weights", attemptWeights_)
-      .Age("took_ms", Now() - sentAt_)
-      .Age("load_age_ms", choice_.loadAge_)
-      .Number("events", events_.Count()));
+  host_.log_.Write(Line("attempt_failed")
+                     .Text("id", request_.id_)
+                     .Text("target", targetId_)
+                     .Number("attempt", history_.tries_)
+                     .Text("result", core::NameOf(attempts::kEnds, aEnd))
+                     .Number("status", headTaken_ ? head_.status_ : 0)
+                     .Flag("misdirected", headTaken_ && answer_.isMisdirected_)
+                     .Number("weights", attemptWeights_)
+                     .Age("took_ms", Now() - sentAt_)
+                     .Age("load_age_ms", choice_.loadAge_)
+                     .Number("events", events_.Count()));
   LeaveTarget(result);
   ++attempt_;
   // Once some of the answer has left, there is no other one to give.
@@ -709,8 +704,7 @@
 {
   const auto limits = ResendLimits(host_);
   const bool left = budget::ResendsLeft(Ledger(), limits, Now()) >= 1.0;
-  const auto step =
-    attempts::After(*route_, history_, aEnd, TimeLeft(), left);
+  const auto step = attempts::After(*route_, history_, aEnd, TimeLeft(), left);
   switch (step) {
     case attempts::Step::TryAgain:
       if (history_.sends_ > 0) {
@@ -829,9 +823,8 @@
       .Number("sends", history_.sends_)
       .Age("took_ms", took)
       .Age("first_ms",
-           firstByteAt_ == absl::InfinitePast()
-             ? absl::InfiniteDuration()
-             : firstByteAt_ - arrivedAt_)
+           firstByteAt_ == absl::InfinitePast() ? absl::InfiniteDuration()
+                                                : firstByteAt_ - arrivedAt_)
       .Number("wait_estimate_ms", choice_.waitSeconds_ * 1000.0)
       .Age("load_age_ms", choice_.loadAge_)
       .Number("candidates", choice_.candidates_)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -63,7 +63,9 @@
   void OnSilence();
   void OnDeadline();
   void OnGone();
-  void Close(absl::string_view aOutcome, int aStatus, absl::string_view aReason);
+  void Close(absl::string_view aOutcome,
+             int aStatus,
+             absl::string_view aReason);
 
   absl::Duration TimeLeft() const;
   absl::Duration RefusalPause(absl::string_view aReason);
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -38,9 +38,8 @@
 void
 Follower::RetryLater(void (Follower::*aStep)())
 {
-  const auto pause =
-    std::min(kRetryLongest,
-             kRetryFirst * (1U << std::min(failures_, kMostDoublings)));
+  const auto pause = std::min(
+    kRetryLongest, kRetryFirst * (1U << std::min(failures_, kMostDoublings)));
   ++failures_;
   timer_.Set(Jitter(host_, pause),
              [self = shared_from_this(), aStep] { ((*self).*aStep)(); });
@@ -113,13 +112,13 @@
   CallStore(host_,
             command,
             kWatchTime + kStoreTimeout,
-            [self = shared_from_this()](StoreReply aReply) {
-              self->OnEvents(std::move(aReply));
+            [self = shared_from_this()](const StoreReply& aReply) {
+              self->OnEvents(aReply);
             });
 }
 
 void
-Follower::OnEvents(StoreReply aReply)
+Follower::OnEvents(const StoreReply& aReply)
 {
   if (aReply.outcome_ == StoreOutcome::Forgotten) {
     host_.log_.Write(Line("store_history_gone")
@@ -129,8 +128,8 @@
     return;
   }
   if (aReply.outcome_ != StoreOutcome::Ok) {
-    // Changes may have been missed without a sign: a cut wait may have been deaf
-    // before, and a new one goes on after them.
+    // Changes may have been missed without a sign: a cut wait may have been
+    // deaf before, and a new one goes on after them.
     RetryLater(&Follower::List);
     return;
   }
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -27,7 +27,7 @@
   void List();
   void Watch();
   void OnPage(StoreReply aReply);
-  void OnEvents(StoreReply aReply);
+  void OnEvents(const StoreReply& aReply);
   void RetryLater(void (Follower::*aStep)());
 
   Host& host_;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -18,9 +18,10 @@
 constexpr absl::Duration kGatherTime = absl::Milliseconds(10);
 // The same for hosts in other data centres, to which bytes are dear.
 constexpr absl::Duration kFarGatherTime = absl::Milliseconds(100);
-// Messages a second that one host sends at most; with many hosts each is told
-// less often.
-constexpr double kMessagesPerSecond = 200.0;
+// Pause for each host that is told. Beyond a few hosts it grows with their
+// number once more, so that neither sending nor reading messages grows with it.
+constexpr absl::Duration kPausePerHost = absl::Milliseconds(5);
+constexpr double kFewHosts = 8.0;
 // Tokens are told in units of this.
 constexpr std::uint64_t kTokenUnit = 64;
 constexpr std::uint64_t kMostUnits = UINT16_MAX;
@@ -32,8 +33,9 @@
 absl::Duration
 PauseFor(absl::Duration aLeast, std::size_t aPeers)
 {
-  return std::max(
-    aLeast, absl::Seconds(static_cast<double>(aPeers) / kMessagesPerSecond));
+  const auto peers = static_cast<double>(aPeers);
+  return std::max(aLeast,
+                  kPausePerHost * peers * std::max(1.0, peers / kFewHosts));
 }
 
 void
@@ -92,7 +94,7 @@
       (aText.size() - size) % kRowBytes != 0) {
     return {};
   }
-  const std::string host(aText.substr(0, size));
+  std::string host(aText.substr(0, size));
   aText.remove_prefix(size);
   while (!aText.empty()) {
     fleet::PeerLoad load;
@@ -130,9 +132,8 @@
         return;
       }
       std::vector<fleet::PeerLoad> loads;
-      const auto host = aError
-                          ? std::string()
-                          : ReadLoads({ buffer_.data(), aSize }, loads);
+      const auto host =
+        aError ? std::string() : ReadLoads({ buffer_.data(), aSize }, loads);
       if (!host.empty() && host != host_.settings_.name_) {
         fleet::TakePeerLoads(host_.members_, host, loads, Now());
       }
@@ -178,8 +179,7 @@
   (aNear ? nearPending_ : farPending_) = false;
   const auto text = WriteLoads(host_.settings_.name_, Loads());
   for (const auto& [name, host] : host_.hosts_) {
-    const bool near =
-      host.entry_.dataCentre_ == host_.settings_.dataCentre_;
+    const bool near = host.entry_.dataCentre_ == host_.settings_.dataCentre_;
     if (name == host_.settings_.name_ || near != aNear) {
       continue;
     }
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -13,8 +13,9 @@
 
 namespace lycheeplank::gateway {
 
-// Returns a host's loads as one datagram: rows of numbers behind its name, since
-// bytes between data centres are dear. Reads it; an empty name if it is none.
+// Returns a host's loads as one datagram: rows of numbers behind its name,
+// since bytes between data centres are dear. Reads it; an empty name if it is
+// none.
 std::string
 WriteLoads(absl::string_view aHost, const std::vector<fleet::PeerLoad>& aLoads);
 std::string
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -30,7 +30,8 @@
              absl::string_view aSource,
              absl::Time aNow)
 {
-  auto read = aItem.deleted_ ? absl::nullopt : aHost.adapter_.readCatalog_(aItem);
+  auto read =
+    aItem.deleted_ ? absl::nullopt : aHost.adapter_.readCatalog_(aItem);
   if (!read) {
     aHost.log_.Write(Line("catalog_unreadable")
                        .Number("revision", aItem.revision_)
@@ -45,8 +46,7 @@
                        .Text("source", aSource));
     return;
   }
-  aHost.catalog_ =
-    std::make_shared<const catalog::Catalog>(std::move(*read));
+  aHost.catalog_ = std::make_shared<const catalog::Catalog>(std::move(*read));
   aHost.catalogAt_ = aNow;
   kept::SetStores(aHost.kept_, aHost.catalog_->stores_);
   aHost.log_.Write(Line("catalog_in_force")
@@ -102,8 +102,7 @@
     }
     aHost.log_.Write(line);
   }
-  fleet::TakeTarget(
-    aHost.members_, std::move(*target), aItem.revision_, aNow);
+  fleet::TakeTarget(aHost.members_, std::move(*target), aItem.revision_, aNow);
   if (leaving) {
     aHost.targets_.Drop(aId);
   }
@@ -140,9 +139,8 @@
   const auto known = aHost.hosts_.find(aName);
   if (aItem.deleted_) {
     if (known != aHost.hosts_.end()) {
-      known->second.vanishesAt_ = known->second.entry_.leaving_
-                                    ? aNow
-                                    : VanishTime(aHost, aNow);
+      known->second.vanishesAt_ =
+        known->second.entry_.leaving_ ? aNow : VanishTime(aHost, aNow);
       aHost.log_.Write(
         Line("host_vanished").Text("name", aName).Text("source", aSource));
     }
@@ -174,11 +172,8 @@
 {
   const absl::string_view key = aItem.key_;
   if (key.substr(0, kHostPrefix.size()) == kHostPrefix) {
-    LearnHost(aHost,
-              std::string(key.substr(kHostPrefix.size())),
-              aItem,
-              aSource,
-              aNow);
+    LearnHost(
+      aHost, std::string(key.substr(kHostPrefix.size())), aItem, aSource, aNow);
     return;
   }
   const auto [kind, name] = aHost.adapter_.nameOf_(key);
@@ -214,14 +209,13 @@
   (failed ? health.failedAt_ : health.answeredAt_) = Now();
   if (health.reachable_ != !failed) {
     health.reachable_ = !failed;
-    aHost.log_.Write(Line(failed ? "store_lost" : "store_back")
-                       .Text("key", aCommand.key_)
-                       .Text("outcome",
-                             core::NameOf(kStoreOutcomes, aOutcome)));
+    aHost.log_.Write(
+      Line(failed ? "store_lost" : "store_back")
+        .Text("key", aCommand.key_)
+        .Text("outcome", core::NameOf(kStoreOutcomes, aOutcome)));
   }
-  aHost.metrics_.Count("store_calls_total",
-                       "outcome",
-                       core::NameOf(kStoreOutcomes, aOutcome));
+  aHost.metrics_.Count(
+    "store_calls_total", "outcome", core::NameOf(kStoreOutcomes, aOutcome));
 }
 
 } // namespace
--- a/src/gateway/log.cc
+++ b/src/gateway/log.cc
@@ -28,10 +28,10 @@
       aText.push_back('\\');
       aText.push_back(c);
     } else if (static_cast<unsigned char>(c) < ' ') {
-      absl::StrAppend(&aText,
-                      "\\u00",
-                      absl::Hex(static_cast<unsigned char>(c),
-                                absl::kZeroPad2));
+      absl::StrAppend(
+        &aText,
+        "\\u00",
+        absl::Hex(static_cast<unsigned char>(c), absl::kZeroPad2));
     } else {
       aText.push_back(c);
     }
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -93,15 +93,14 @@
   for (const auto& [name, host] : host_.hosts_) {
     before += core::RendezvousScore(vacancy, name) > own ? 1 : 0;
   }
-  claimTimer_.Set(kClaimStep * static_cast<std::int64_t>(before),
-                  [self = shared_from_this()] {
-                    if (self->phase_ == Phase::Waiting &&
-                        !self->host_.stopping_ &&
-                        replica::Find(self->host_.replica_, kOwnerKey) ==
-                          nullptr) {
-                      self->Grant();
-                    }
-                  });
+  claimTimer_.Set(
+    kClaimStep * static_cast<std::int64_t>(before),
+    [self = shared_from_this()] {
+      if (self->phase_ == Phase::Waiting && !self->host_.stopping_ &&
+          replica::Find(self->host_.replica_, kOwnerKey) == nullptr) {
+        self->Grant();
+      }
+    });
 }
 
 void
@@ -200,10 +199,10 @@
 void
 Owner::Lose(absl::string_view aReason)
 {
-  host_.log_.Write(Line(phase_ == Phase::Owning ? "owner_ends"
-                                                : "owner_claim_failed")
-                     .Text("reason", aReason)
-                     .Number("fence", fence_));
+  host_.log_.Write(
+    Line(phase_ == Phase::Owning ? "owner_ends" : "owner_claim_failed")
+      .Text("reason", aReason)
+      .Number("fence", fence_));
   phase_ = Phase::Waiting;
   stepTimer_.Cancel();
   keepTimer_.Cancel();
@@ -257,10 +256,10 @@
 Owner::StepModel(const std::string& aModel, weights::Rollout& aRollout)
 {
   const auto now = Now();
-  const auto ids =
-    weights::NextTargets(aRollout, host_.members_, aModel, now);
+  const auto ids = weights::NextTargets(aRollout, host_.members_, aModel, now);
   if (!ids.empty()) {
     std::vector<Notice> notices;
+    notices.reserve(ids.size());
     for (const auto& id : ids) {
       notices.push_back(
         { Notice::Kind::Ordered, id, aModel, aRollout.version_, kOrderedTime });
@@ -317,16 +316,16 @@
                      .Number("expect_orders", *order.expectOrders_)
                      .Number("running", member->second.load_.running_)
                      .Age("valid_ms", validUntil_ - Now()));
-  Fetch(host_.calls_,
-        host_.loop_,
-        member->second.target_.address_,
-        host_.adapter_.writeOrder_(order),
-        kOrderTimeout,
-        [self = shared_from_this(), aModel, aTarget](
-          const http::Answer& aAnswer) {
-          self->OnOutcome(
-            aModel, aTarget, self->host_.adapter_.readOrderOutcome_(aAnswer));
-        });
+  Fetch(
+    host_.calls_,
+    host_.loop_,
+    member->second.target_.address_,
+    host_.adapter_.writeOrder_(order),
+    kOrderTimeout,
+    [self = shared_from_this(), aModel, aTarget](const http::Answer& aAnswer) {
+      self->OnOutcome(
+        aModel, aTarget, self->host_.adapter_.readOrderOutcome_(aAnswer));
+    });
 }
 
 void
@@ -375,21 +374,21 @@
   if (member == host_.members_.end()) {
     return;
   }
-  Fetch(host_.calls_,
-        host_.loop_,
-        member->second.target_.address_,
-        host_.adapter_.writeReportCall_(),
-        kAccountTimeout,
-        [self = shared_from_this(), aModel, aTarget](
-          const http::Answer& aAnswer) {
-          if (const auto report = self->host_.adapter_.readReport_(aAnswer)) {
-            self->OnAccount(aModel, aTarget, *report);
-          } else {
-            self->host_.log_.Write(Line("account_lost")
-                                     .Text("target", aTarget)
-                                     .Number("status", aAnswer.status_));
-          }
-        });
+  Fetch(
+    host_.calls_,
+    host_.loop_,
+    member->second.target_.address_,
+    host_.adapter_.writeReportCall_(),
+    kAccountTimeout,
+    [self = shared_from_this(), aModel, aTarget](const http::Answer& aAnswer) {
+      if (const auto report = self->host_.adapter_.readReport_(aAnswer)) {
+        self->OnAccount(aModel, aTarget, *report);
+      } else {
+        self->host_.log_.Write(Line("account_lost")
+                                 .Text("target", aTarget)
+                                 .Number("status", aAnswer.status_));
+      }
+    });
 }
 
 void
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -94,12 +94,12 @@
   Json list = Json::array();
   for (const auto& notice : aNotices) {
     const auto kind = core::NameOf(kNoticeKinds, notice.kind_);
-    list.push_back({ { "kind", std::string(kind) },
-                     { "name", notice.name_ },
-                     { "model", notice.model_ },
-                     { "version", notice.version_ },
-                     { "until_ms",
-                       absl::ToInt64Milliseconds(notice.until_) } });
+    list.push_back(
+      { { "kind", std::string(kind) },
+        { "name", notice.name_ },
+        { "model", notice.model_ },
+        { "version", notice.version_ },
+        { "until_ms", absl::ToInt64Milliseconds(notice.until_) } });
   }
   return Json{ { "notices", list } }.dump();
 }
@@ -112,15 +112,13 @@
     if (!json.is_object()) {
       continue;
     }
-    if (const auto kind =
-          core::ValueOf(kNoticeKinds, TextOf(json, "kind"))) {
-      notices.push_back(
-        { *kind,
-          TextOf(json, "name"),
-          TextOf(json, "model"),
-          CountOf(json, "version"),
-          absl::Milliseconds(
-            static_cast<std::int64_t>(CountOf(json, "until_ms"))) });
+    if (const auto kind = core::ValueOf(kNoticeKinds, TextOf(json, "kind"))) {
+      notices.push_back({ *kind,
+                          TextOf(json, "name"),
+                          TextOf(json, "model"),
+                          CountOf(json, "version"),
+                          absl::Milliseconds(static_cast<std::int64_t>(
+                            CountOf(json, "until_ms"))) });
     }
   }
   return notices;
@@ -270,28 +268,27 @@
     Start();
     return;
   }
-  Fetch(host_.calls_,
-        host_.loop_,
-        peer,
-        { "GET",
-          absl::StrCat(kChangesPath, "?after=", host_.replica_.newest_),
-          {},
-          {} },
-        kPeerTimeout,
-        [self = shared_from_this(), peer](const http::Answer& aAnswer) {
-          if (aAnswer.status_ == 200) {
-            Learn(self->host_, ReadChangesOfPeer(aAnswer.body_), "peer");
-          }
-          if (aAnswer.status_ == 200 &&
-              !std::exchange(self->following_, true)) {
-            self->host_.log_.Write(
-              Line("following_peer")
-                .Text("peer", peer)
-                .Age("store_silent_ms",
-                     Now() - self->host_.store_.answeredAt_));
-          }
-          self->Start();
-        });
+  Fetch(
+    host_.calls_,
+    host_.loop_,
+    peer,
+    { "GET",
+      absl::StrCat(kChangesPath, "?after=", host_.replica_.newest_),
+      {},
+      {} },
+    kPeerTimeout,
+    [self = shared_from_this(), peer](const http::Answer& aAnswer) {
+      if (aAnswer.status_ == 200) {
+        Learn(self->host_, ReadChangesOfPeer(aAnswer.body_), "peer");
+      }
+      if (aAnswer.status_ == 200 && !std::exchange(self->following_, true)) {
+        self->host_.log_.Write(
+          Line("following_peer")
+            .Text("peer", peer)
+            .Age("store_silent_ms", Now() - self->host_.store_.answeredAt_));
+      }
+      self->Start();
+    });
 }
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/pool.cc
+++ b/src/gateway/pool.cc
@@ -96,7 +96,7 @@
   const auto now = Now();
   auto& kept = found->second;
   while (!kept.empty()) {
-    const auto connection = std::move(kept.back());
+    auto connection = std::move(kept.back());
     kept.pop_back();
     if (connection->IsReusable(now)) {
       if (connection->IdleFor(now) < aLongestIdle) {
@@ -122,7 +122,8 @@
     loop_,
     ParseEndpoint(aAddress),
     aTimeout,
-    [this, aPeer, onDone = std::move(aOnDone)](std::shared_ptr<Socket> aSocket) {
+    [this, aPeer, onDone = std::move(aOnDone)](
+      std::shared_ptr<Socket> aSocket) {
       if (!aSocket) {
         onDone(nullptr);
         return;
--- a/src/gateway/presence.cc
+++ b/src/gateway/presence.cc
@@ -59,8 +59,7 @@
             kStoreTimeout,
             [self = shared_from_this()](const StoreReply& aReply) {
               if (aReply.outcome_ != StoreOutcome::Ok || aReply.lease_ == 0) {
-                self->Later(Jitter(self->host_, kRetryPause),
-                            &Presence::Grant);
+                self->Later(Jitter(self->host_, kRetryPause), &Presence::Grant);
                 return;
               }
               self->lease_ = aReply.lease_;
--- a/src/gateway/server-connection.cc
+++ b/src/gateway/server-connection.cc
@@ -88,8 +88,7 @@
 void
 ServerConnection::Refuse(http::ReadError aError)
 {
-  const int status = aError == http::ReadError::HeaderTooLarge
-                       ? kHeaderTooLarge
+  const int status = aError == http::ReadError::HeaderTooLarge ? kHeaderTooLarge
                      : aError == http::ReadError::BodyTooLarge ? kBodyTooLarge
                                                                : kBadRequest;
   answering_ = true;
--- a/src/gateway/socket.cc
+++ b/src/gateway/socket.cc
@@ -225,9 +225,8 @@
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
   }
   finishTimer_.expires_after(kFinishTime);
-  finishTimer_.async_wait([self = shared_from_this()](const error_code&) {
-    self->Close();
-  });
+  finishTimer_.async_wait(
+    [self = shared_from_this()](const error_code&) { self->Close(); });
   WaitRead();
 }
 
@@ -300,8 +299,7 @@
 Listener::Listener(Loop& aLoop,
                    const Tcp::endpoint& aEndpoint,
                    OnAccept aOnAccept)
-  : loop_(aLoop)
-  , acceptor_(aLoop)
+  : acceptor_(aLoop)
   , onAccept_(std::move(aOnAccept))
 {
   acceptor_.open(aEndpoint.protocol());
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -109,7 +109,6 @@
 private:
   void Accept();
 
-  Loop& loop_;
   Tcp::acceptor acceptor_;
   OnAccept onAccept_;
 };
--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -98,8 +98,8 @@
                        .Age("heard_ms", Now() - state.heardAt_));
   }
   kept::MarkLost(state);
-  Later(Jitter(host_,
-               kRetryFirst * (1U << std::min(failures_, kMostDoublings))));
+  Later(
+    Jitter(host_, kRetryFirst * (1U << std::min(failures_, kMostDoublings))));
   ++failures_;
 }
 
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -13,9 +13,8 @@
 namespace {
 
 constexpr std::array<absl::string_view, 9> kHopFields{
-  "connection",          "keep-alive",          "proxy-connection",
-  "transfer-encoding",   "te",                  "trailer",
-  "upgrade",             "proxy-authorization", "proxy-authenticate",
+  "connection", "keep-alive", "proxy-connection",    "transfer-encoding",  "te",
+  "trailer",    "upgrade",    "proxy-authorization", "proxy-authenticate",
 };
 
 void
@@ -69,8 +68,8 @@
 std::size_t
 CountFields(const Fields& aFields, absl::string_view aName)
 {
-  return static_cast<std::size_t>(std::count_if(
-    aFields.begin(), aFields.end(), [aName](const Field& aField) {
+  return static_cast<std::size_t>(
+    std::count_if(aFields.begin(), aFields.end(), [aName](const Field& aField) {
       return absl::EqualsIgnoreCase(aField.name_, aName);
     }));
 }
@@ -84,15 +83,14 @@
   if (std::any_of(kHopFields.begin(), kHopFields.end(), isName)) {
     return true;
   }
-  return std::any_of(
-    aFields.begin(), aFields.end(), [&](const Field& aField) {
-      if (!absl::EqualsIgnoreCase(aField.name_, "connection")) {
-        return false;
-      }
-      const std::vector<absl::string_view> names =
-        absl::StrSplit(aField.value_, absl::ByAnyChar(", "));
-      return std::any_of(names.begin(), names.end(), isName);
-    });
+  return std::any_of(aFields.begin(), aFields.end(), [&](const Field& aField) {
+    if (!absl::EqualsIgnoreCase(aField.name_, "connection")) {
+      return false;
+    }
+    const std::vector<absl::string_view> names =
+      absl::StrSplit(aField.value_, absl::ByAnyChar(", "));
+    return std::any_of(names.begin(), names.end(), isName);
+  });
 }
 
 std::string
@@ -139,8 +137,7 @@
   for (const absl::string_view part :
        absl::StrSplit(aTarget.substr(start + 1), '&')) {
     const auto equals = part.find('=');
-    if (part.substr(0, equals) == aName &&
-        equals != absl::string_view::npos) {
+    if (part.substr(0, equals) == aName && equals != absl::string_view::npos) {
       return Decode(part.substr(equals + 1));
     }
   }
--- a/src/http/reader.cc
+++ b/src/http/reader.cc
@@ -100,9 +100,9 @@
       break;
     }
     if (error) {
-      result = error == bh::error::header_limit  ? ReadError::HeaderTooLarge
-               : error == bh::error::body_limit  ? ReadError::BodyTooLarge
-                                                 : ReadError::Malformed;
+      result = error == bh::error::header_limit ? ReadError::HeaderTooLarge
+               : error == bh::error::body_limit ? ReadError::BodyTooLarge
+                                                : ReadError::Malformed;
       break;
     }
     if (taken == 0) {
@@ -118,10 +118,9 @@
 HasUnclearFraming(const Fields& aFields)
 {
   const auto* encoding = FindField(aFields, "transfer-encoding");
-  if (encoding != nullptr &&
-      (!absl::EqualsIgnoreCase(*encoding, "chunked") ||
-       CountFields(aFields, "transfer-encoding") > 1 ||
-       CountFields(aFields, "content-length") > 0)) {
+  if (encoding != nullptr && (!absl::EqualsIgnoreCase(*encoding, "chunked") ||
+                              CountFields(aFields, "transfer-encoding") > 1 ||
+                              CountFields(aFields, "content-length") > 0)) {
     return true;
   }
   return CountFields(aFields, "content-length") > 1 ||
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -47,8 +47,7 @@
 {
   const auto key = KeyOf(aChange.scope_, aChange.part_);
   const auto found = aStore.parts_.find(key);
-  const std::uint32_t before =
-    found == aStore.parts_.end() ? 0 : found->second;
+  const std::uint32_t before = found == aStore.parts_.end() ? 0 : found->second;
   const std::uint32_t after = aChange.added_ ? aChange.tokens_ : 0;
   aStore.usedTokens_ = aStore.usedTokens_ - before + after;
   if (after == 0) {
@@ -68,8 +67,7 @@
     static_cast<double>(std::numeric_limits<std::uint64_t>::max());
   const auto score = core::RendezvousScore(aPart, aStore.settings_.name_);
   const double share = (static_cast<double>(score) + 1.0) / (kSteps + 2.0);
-  return -std::log(share) /
-         std::max(1.0, aStore.settings_.linkBitsPerSecond_);
+  return -std::log(share) / std::max(1.0, aStore.settings_.linkBitsPerSecond_);
 }
 
 const StoreState*
@@ -133,8 +131,8 @@
     state.settings_ = store;
   }
   for (auto at = aDirectory.stores_.begin(); at != aDirectory.stores_.end();) {
-    at = names.contains(at->first) ? std::next(at)
-                                   : aDirectory.stores_.erase(at);
+    at =
+      names.contains(at->first) ? std::next(at) : aDirectory.stores_.erase(at);
   }
 }
 
@@ -188,8 +186,8 @@
   for (auto& [name, store] : aDirectory.stores_) {
     if (store.settings_.address_ == aAddress) {
       read = &store;
-      store.readDelay_ += kNewestRead * (absl::ToDoubleSeconds(aDelay) -
-                                         store.readDelay_);
+      store.readDelay_ +=
+        kNewestRead * (absl::ToDoubleSeconds(aDelay) - store.readDelay_);
     }
     delays.push_back(store.readDelay_);
   }
--- a/src/waiting/waiting.cc
+++ b/src/waiting/waiting.cc
@@ -19,9 +19,8 @@
 absl::optional<absl::Duration>
 Add(Queue& aQueue, const Entry& aEntry, absl::Time aNow)
 {
-  const auto wait =
-    absl::Seconds(aQueue.startInterval_ *
-                  static_cast<double>(aQueue.entries_.size()));
+  const auto wait = absl::Seconds(aQueue.startInterval_ *
+                                  static_cast<double>(aQueue.entries_.size()));
   // The newest may go first, so only a queue that is longer than all its
   // callers' patience is full.
   if (wait > aEntry.leavesAt_ - aNow) {
--- a/src/weights/weights.cc
+++ b/src/weights/weights.cc
@@ -50,12 +50,11 @@
   }
   const auto most = static_cast<std::size_t>(
     std::max(1.0, std::ceil(kShareAtOnce * static_cast<double>(total))));
-  std::stable_sort(ready.begin(),
-                   ready.end(),
-                   [](const auto* aLeft, const auto* aRight) {
-                     return aLeft->load_.running_ + aLeft->inFlight_ <
-                            aRight->load_.running_ + aRight->inFlight_;
-                   });
+  std::stable_sort(
+    ready.begin(), ready.end(), [](const auto* aLeft, const auto* aRight) {
+      return aLeft->load_.running_ + aLeft->inFlight_ <
+             aRight->load_.running_ + aRight->inFlight_;
+    });
   std::vector<std::string> ids;
   for (const auto* member : ready) {
     if (busy + ids.size() >= most) {
@@ -74,8 +73,8 @@
 {
   std::vector<std::string> ids;
   for (const auto& [id, work] : aRollout.targets_) {
-    const bool unclear = work.progress_ == Progress::Unclear &&
-                         aNow - work.since_ > kUnclearTime;
+    const bool unclear =
+      work.progress_ == Progress::Unclear && aNow - work.since_ > kUnclearTime;
     if (work.progress_ == Progress::Loading || unclear) {
       ids.push_back(id);
     }
@@ -90,8 +89,7 @@
   for (const auto& [id, member] : aMembers) {
     const auto found = member.target_.weights_.find(aModel);
     if (found != member.target_.weights_.end()) {
-      oldest =
-        oldest == 0 ? found->second : std::min(oldest, found->second);
+      oldest = oldest == 0 ? found->second : std::min(oldest, found->second);
     }
   }
   return oldest;
