Tell the hosts of a data centre of changes from two of them

Cause: every host watched three prefixes of the key-value service and followed every cache store. Change: two hosts of a data centre, those with the most cores, ask for themselves and tell the others by a numbered feed of rows; the others go back to asking for themselves while no relay answers them.

--- a/include/lycheeplank/entries.h
+++ b/include/lycheeplank/entries.h
@@ -20,6 +20,8 @@
   std::string dataCentre_;
   std::string callerAddress_;
   std::string peerAddress_;
+  // Processor share that the host may use, in cores.
+  double cores_ = 1.0;
   bool leaving_ = false;
 };
 
--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -74,11 +74,11 @@
 };
 
 // A store that started anew is written to only after all hosts that believed
-// in its old content have heard of the start: the longest wait for events of
-// one call, and the same again for a call that was lost.
-inline constexpr absl::Duration kEpochSettle = absl::Seconds(2);
+// in its old content have heard of the start: what is believed without word,
+// and the time of a read that began last.
+inline constexpr absl::Duration kEpochSettle = absl::Seconds(3);
 // What is believed of a store without word from it may be used for so long.
-inline constexpr absl::Duration kTrustWithoutWord = absl::Milliseconds(1500);
+inline constexpr absl::Duration kTrustWithoutWord = absl::Seconds(2);
 // Part of a store's room that is filled; parts that others save meanwhile
 // need some.
 inline constexpr double kFilledShare = 0.95;
@@ -151,6 +151,10 @@
           double aDraw,
           absl::Time aNow);
 
+// Returns all that a store holds.
+std::vector<Change>
+HeldBy(const StoreState& aStore);
+
 // Returns a moment on the stores' clock in milliseconds; 0 while that is not
 // known.
 std::int64_t
--- /dev/null
+++ b/include/lycheeplank/relays.h
@@ -0,0 +1,68 @@
+#ifndef LYCHEEPLANK_RELAYS_H
+#define LYCHEEPLANK_RELAYS_H
+
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <vector>
+
+#include <absl/strings/string_view.h>
+#include <absl/types/optional.h>
+
+#include "lycheeplank/entries.h"
+
+// Which hosts ask the key-value service and the cache stores for changes, and
+// what they tell the other hosts of their data centre, so that neither calls
+// nor connections grow with the number of hosts.
+namespace lycheeplank::relays {
+
+// Hosts of a data centre that ask for themselves: one that the others ask, and
+// one that takes its place.
+inline constexpr std::size_t kRelays = 2;
+
+// Returns the names of the relays of a data centre, best first: those of its
+// ready hosts with the most cores, in an order that all hosts agree on.
+std::vector<std::string>
+RelaysOf(const entries::Hosts& aHosts, absl::string_view aDataCentre);
+
+// Returns whether a host is one of them. A host that isn't on the list yet is
+// one, since nobody could tell it anything.
+bool
+IsRelay(const entries::Hosts& aHosts, const std::string& aHost);
+
+// Rows kept for hosts that have fallen behind; they read all anew beyond that.
+inline constexpr std::size_t kMostRows = 4000;
+// Bytes kept for the same purpose; hosts have 88 MB and more.
+inline constexpr std::size_t kMostBytes = 4U << 20U;
+
+// What a relay has heard, in the order in which it heard it.
+struct Feed
+{
+  // Differs for each start of a feed.
+  std::uint64_t id_ = 0;
+  // Number of the first row that is still kept.
+  std::uint64_t first_ = 1;
+  std::deque<std::string> rows_;
+  std::size_t bytes_ = 0;
+};
+
+// Returns the number that the next row will get.
+std::uint64_t
+NextRow(const Feed& aFeed);
+
+// Starts a feed with an id, empty.
+void
+Restart(Feed& aFeed, std::uint64_t aId);
+
+// Adds a row and drops the oldest beyond the limits.
+void
+AddRow(Feed& aFeed, std::string aRow);
+
+// Returns the rows from a number on, joined by commas; nothing if the number
+// belongs to another feed or some of them are dropped.
+absl::optional<std::string>
+RowsFrom(const Feed& aFeed, std::uint64_t aId, std::uint64_t aFirst);
+
+} // namespace lycheeplank::relays
+
+#endif
--- a/platform/json.h
+++ b/src/core/json.h
@@ -1,20 +1,22 @@
-#ifndef LYCHEEPLANK_PLATFORM_JSON_H
-#define LYCHEEPLANK_PLATFORM_JSON_H
+#ifndef LYCHEEPLANK_SRC_CORE_JSON_H
+#define LYCHEEPLANK_SRC_CORE_JSON_H
 
+#include <cstdint>
 #include <string>
 
+#include <absl/strings/string_view.h>
 #include <nlohmann/json.hpp>
 
-// Reading of fields that may be absent or of another type.
-namespace lycheeplank::platform {
+// Reads JSON fields that may be absent or of another type.
+namespace lycheeplank::json {
 
 using Json = nlohmann::json;
 
 // Parses a text; a discarded value if it is no JSON.
 inline Json
-ParseJson(const std::string& aText)
+ParseJson(absl::string_view aText)
 {
-  return Json::parse(aText, nullptr, false);
+  return Json::parse(aText.begin(), aText.end(), nullptr, false);
 }
 
 inline const Json*
@@ -68,6 +70,6 @@
   return value != nullptr && value->is_array() ? *value : kEmpty;
 }
 
-} // namespace lycheeplank::platform
+} // namespace lycheeplank::json
 
 #endif
--- a/src/entries/entries.cc
+++ b/src/entries/entries.cc
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
+#include "core/json.h"
 #include "lycheeplank/core.h"
 
 namespace lycheeplank::entries {
@@ -33,11 +32,12 @@
 std::string
 WriteHost(const HostEntry& aEntry)
 {
-  return nlohmann::json{
+  return json::Json{
     { "name", aEntry.name_ },
     { "data_centre", aEntry.dataCentre_ },
     { "caller_address", aEntry.callerAddress_ },
     { "peer_address", aEntry.peerAddress_ },
+    { "cores", aEntry.cores_ },
     { "leaving", aEntry.leaving_ }
   }.dump();
 }
@@ -45,24 +45,14 @@
 absl::optional<HostEntry>
 ReadHost(absl::string_view aText)
 {
-  const auto json =
-    nlohmann::json::parse(aText.begin(), aText.end(), nullptr, false);
-  if (!json.is_object()) {
-    return absl::nullopt;
-  }
-  const auto text = [&json](const char* aName) {
-    const auto found = json.find(aName);
-    return found != json.end() && found->is_string() ? found->get<std::string>()
-                                                     : std::string();
-  };
+  const auto parsed = json::ParseJson(aText);
   HostEntry entry;
-  entry.name_ = text("name");
-  entry.dataCentre_ = text("data_centre");
-  entry.callerAddress_ = text("caller_address");
-  entry.peerAddress_ = text("peer_address");
-  const auto leaving = json.find("leaving");
-  entry.leaving_ =
-    leaving != json.end() && leaving->is_boolean() && leaving->get<bool>();
+  entry.name_ = json::TextOf(parsed, "name");
+  entry.dataCentre_ = json::TextOf(parsed, "data_centre");
+  entry.callerAddress_ = json::TextOf(parsed, "caller_address");
+  entry.peerAddress_ = json::TextOf(parsed, "peer_address");
+  entry.leaving_ = json::FlagOf(parsed, "leaving");
+  entry.cores_ = json::NumberOf(parsed, "cores", entry.cores_);
   if (entry.name_.empty() || entry.callerAddress_.empty() ||
       entry.peerAddress_.empty()) {
     return absl::nullopt;
--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -16,6 +16,7 @@
 #include "gateway/gossip.h"
 #include "gateway/host.h"
 #include "gateway/owner.h"
+#include "gateway/peer-follower.h"
 #include "gateway/peers.h"
 #include "gateway/presence.h"
 #include "gateway/server-connection.h"
@@ -52,6 +53,7 @@
     , signals_(aLoop, SIGTERM, SIGINT, SIGHUP)
     , presence_(std::make_shared<Presence>(host_))
     , owner_(std::make_shared<Owner>(host_))
+    , peerServer_(host_)
     , peerFollower_(std::make_shared<PeerFollower>(host_))
     , storeFollowers_(host_)
   {
@@ -72,7 +74,7 @@
     Listen(settings.readyAddress_,
            [this](const auto& aCaller) { AnswerLocal(aCaller); });
     Listen(settings.peerAddress_,
-           [this](const auto& aCaller) { AnswerPeer(host_, aCaller); });
+           [this](const auto& aCaller) { peerServer_.Answer(aCaller); });
     const auto address =
       ParseEndpoint(settings.callerAddress_).address().to_string();
     if (settings.gossipPort_ != 0) {
@@ -90,6 +92,8 @@
     }
     host_.onChange_.emplace_back([this] { storeFollowers_.Update(); });
     host_.onChange_.emplace_back([this] { owner_->OnChange(); });
+    host_.onFeed_ = [this] { peerServer_.Changed(); };
+    host_.onDirect_ = [this] { OnDirect(); };
     peerFollower_->Start();
     auto prefixes = host_.adapter_.prefixes_();
     prefixes.emplace_back(kOwnPrefix);
@@ -116,6 +120,16 @@
       std::move(aHandler)));
   }
 
+  void OnDirect()
+  {
+    if (host_.isDirect_) {
+      for (const auto& follower : followers_) {
+        follower->Resume();
+      }
+    }
+    storeFollowers_.Update();
+  }
+
   void AnswerLocal(const ServerConnectionPtr& aCaller)
   {
     switch (host_.adapter_.readLocal_(aCaller->Head())) {
@@ -273,6 +287,7 @@
   boost::asio::signal_set signals_;
   std::shared_ptr<Presence> presence_;
   std::shared_ptr<Owner> owner_;
+  PeerServer peerServer_;
   std::shared_ptr<PeerFollower> peerFollower_;
   StoreFollowers storeFollowers_;
   std::unique_ptr<Gossip> gossip_;
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -37,9 +37,22 @@
              [self = shared_from_this(), aStep] { ((*self).*aStep)(); });
 }
 
+void
+Follower::Resume()
+{
+  if (std::exchange(resting_, false)) {
+    failures_ = 0;
+    List();
+  }
+}
+
 void
 Follower::List()
 {
+  if (!host_.isDirect_) {
+    resting_ = true;
+    return;
+  }
   page_.clear();
   lastKey_.clear();
   firstRevision_ = 0;
@@ -93,6 +106,10 @@
 void
 Follower::Watch()
 {
+  if (!host_.isDirect_) {
+    resting_ = true;
+    return;
+  }
   StoreCommand command;
   command.operation_ = StoreOperation::Watch;
   command.key_ = prefix_;
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -11,13 +11,16 @@
 namespace lycheeplank::gateway {
 
 // Follows one prefix of the key-value service: reads all of it, then waits for
-// changes; reads all again where its history is gone.
+// changes; reads all again where its history is gone. Rests while the host
+// hears of changes from others.
 class Follower : public std::enable_shared_from_this<Follower>
 {
 public:
   Follower(Host& aHost, std::string aPrefix);
 
   void Start() { List(); }
+  // Goes on after the host has heard of changes from others.
+  void Resume();
 
 private:
   void List();
@@ -34,6 +37,8 @@
   std::uint64_t firstRevision_ = 0;
   std::uint64_t revision_ = 0;
   unsigned failures_ = 0;
+  // Others tell the host of changes.
+  bool resting_ = false;
 };
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "gateway/clock.h"
+#include "gateway/news.h"
 
 namespace lycheeplank::gateway {
 
@@ -251,6 +252,7 @@
   for (const auto& item : aItems) {
     if (replica::Apply(aHost.replica_, item, now)) {
       LearnItem(aHost, item, aSource, now);
+      AddRow(aHost, WriteRow(item));
       any = true;
     }
   }
@@ -271,6 +273,7 @@
     replica::Reconcile(aHost.replica_, aPrefix, aItems, aAsOf, now);
   for (const auto& item : news) {
     LearnItem(aHost, item, "list", now);
+    AddRow(aHost, WriteRow(item));
   }
   if (!news.empty()) {
     Sweep(aHost);
@@ -278,6 +281,27 @@
   }
 }
 
+void
+SetDirect(Host& aHost, bool aIsDirect)
+{
+  if (aHost.isDirect_ == aIsDirect) {
+    return;
+  }
+  aHost.isDirect_ = aIsDirect;
+  relays::Restart(aHost.feed_, aHost.NewFeedId());
+  aHost.log_.Write(Line("source_changed").Flag("direct", aIsDirect));
+  aHost.onDirect_();
+}
+
+void
+AddRow(Host& aHost, std::string aRow)
+{
+  if (aHost.isDirect_) {
+    relays::AddRow(aHost.feed_, std::move(aRow));
+    aHost.onFeed_();
+  }
+}
+
 void
 CallStore(Host& aHost,
           const StoreCommand& aCommand,
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -21,6 +21,7 @@
 #include "lycheeplank/fleet.h"
 #include "lycheeplank/kept.h"
 #include "lycheeplank/metrics.h"
+#include "lycheeplank/relays.h"
 #include "lycheeplank/replica.h"
 #include "lycheeplank/waiting.h"
 
@@ -60,8 +61,12 @@
     , calls_(aLoop)
     , random_(std::random_device{}())
   {
+    relays::Restart(feed_, NewFeedId());
   }
 
+  // Feeds of one host and of others have different ids.
+  std::uint64_t NewFeedId() { return random_() | 1U; }
+
   Loop& loop_;
   Settings settings_;
   const Adapter& adapter_;
@@ -89,6 +94,13 @@
   Pool calls_;
   std::mt19937_64 random_;
 
+  // Asks the key-value service and the cache stores itself, and tells others.
+  bool isDirect_ = true;
+  relays::Feed feed_;
+  // Run when the feed has a new row, and when isDirect_ has changed.
+  std::function<void()> onFeed_ = [] {};
+  std::function<void()> onDirect_ = [] {};
+
   bool stopping_ = false;
   absl::Time stoppedAt_ = absl::InfinitePast();
   std::uint64_t requestsOpen_ = 0;
@@ -124,6 +136,14 @@
           const std::vector<replica::Item>& aItems,
           std::uint64_t aAsOf);
 
+// Sets whether the host asks the key-value service and the cache stores itself.
+void
+SetDirect(Host& aHost, bool aIsDirect);
+
+// Adds a row to the host's feed if others may ask this host for it.
+void
+AddRow(Host& aHost, std::string aRow);
+
 // Makes a call to the key-value service and notes how it serves.
 void
 CallStore(Host& aHost,
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -24,8 +24,6 @@
 // of them does.
 constexpr absl::Duration kClaimStep = absl::Milliseconds(120);
 constexpr absl::Duration kStepPeriod = absl::Milliseconds(100);
-// The other hosts hear of an order before the target does.
-constexpr absl::Duration kAnnounceTime = absl::Milliseconds(30);
 // Hosts keep requests off an ordered target for at most this time, unless they
 // hear that it has loaded.
 constexpr absl::Duration kOrderedTime = absl::Seconds(3);
@@ -267,7 +265,8 @@
     TellPeers(host_, notices);
     for (const auto& id : ids) {
       const auto timer = std::make_shared<Timer>(host_.loop_);
-      timer->Set(kAnnounceTime, [self = shared_from_this(), timer, aModel, id] {
+      // The other hosts hear of an order before the target does.
+      timer->Set(NoticeTime(host_), [self = shared_from_this(), timer, aModel, id] {
         self->SendOrder(aModel, id);
       });
     }
--- /dev/null
+++ b/src/gateway/peer-follower.cc
@@ -0,0 +1,219 @@
+#include "gateway/peer-follower.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+
+#include "gateway/clock.h"
+#include "gateway/peers.h"
+
+namespace lycheeplank::gateway {
+
+namespace {
+
+// Period at which a host looks how it hears of changes. Keys and routes have to
+// be in force within seconds.
+constexpr absl::Duration kLookPeriod = absl::Milliseconds(300);
+// Pause after a relay that was of no use.
+constexpr absl::Duration kRetryPause = absl::Milliseconds(50);
+
+void
+TakeStore(Host& aHost, const StoreNews& aNews, absl::Time aNow)
+{
+  const auto found = aHost.kept_.stores_.find(aNews.store_);
+  if (found == aHost.kept_.stores_.end()) {
+    return;
+  }
+  auto& state = found->second;
+  if (aNews.lost_) {
+    kept::MarkLost(state);
+  } else if (aNews.whole_) {
+    kept::TakeList(state, aNews.epoch_, aNews.next_, aNews.changes_, aNow);
+  } else {
+    kept::TakeChanges(state, aNews.epoch_, aNews.next_, aNews.changes_, aNow);
+  }
+}
+
+void
+TakeSource(Host& aHost, const Source& aSource, absl::Time aNow)
+{
+  if (aSource.clockMs_ != 0) {
+    aHost.kept_.clockAhead_ = absl::FromUnixMillis(aSource.clockMs_) - aNow;
+  }
+  for (auto& [name, state] : aHost.kept_.stores_) {
+    if (const auto heard = aSource.heard_.find(name);
+        heard != aSource.heard_.end()) {
+      state.heardAt_ = aNow - heard->second;
+    }
+  }
+}
+
+} // namespace
+
+PeerFollower::PeerFollower(Host& aHost)
+  : host_(aHost)
+  , timer_(aHost.loop_)
+{
+}
+
+void
+PeerFollower::Start()
+{
+  StepLater(Jitter(host_, kLookPeriod));
+}
+
+void
+PeerFollower::StepLater(absl::Duration aPause)
+{
+  timer_.Set(aPause, [self = shared_from_this()] { self->Step(); });
+}
+
+std::vector<PeerFollower::Peer>
+PeerFollower::Relays() const
+{
+  std::vector<Peer> peers;
+  for (const auto& name :
+       relays::RelaysOf(host_.hosts_, host_.settings_.dataCentre_)) {
+    peers.push_back({ name, host_.hosts_.at(name).entry_.peerAddress_ });
+  }
+  return peers;
+}
+
+PeerFollower::Peer
+PeerFollower::PickAny()
+{
+  std::vector<Peer> peers;
+  for (const auto& [name, host] : host_.hosts_) {
+    if (name != host_.settings_.name_) {
+      peers.push_back({ name, host.entry_.peerAddress_ });
+    }
+  }
+  if (peers.empty()) {
+    for (const auto& seed : host_.settings_.seeds_) {
+      if (seed != host_.settings_.peerAddress_) {
+        peers.push_back({ seed, seed });
+      }
+    }
+  }
+  return peers.empty() ? Peer() : peers[host_.random_() % peers.size()];
+}
+
+void
+PeerFollower::Step()
+{
+  if (!relays::IsRelay(host_.hosts_, host_.settings_.name_)) {
+    const auto peers = Relays();
+    Ask(peers[failures_ % peers.size()]);
+    return;
+  }
+  SetDirect(host_, true);
+  failures_ = 0;
+  if (host_.store_.reachable_) {
+    following_ = false;
+    StepLater(Jitter(host_, kLookPeriod));
+    return;
+  }
+  // The same peer is asked until it fails.
+  if (const auto peer = following_ ? peer_ : PickAny(); !peer.name_.empty()) {
+    Ask(peer);
+  } else {
+    StepLater(Jitter(host_, kLookPeriod));
+  }
+}
+
+void
+PeerFollower::Ask(const Peer& aPeer)
+{
+  if (peer_.name_ != aPeer.name_) {
+    peer_ = aPeer;
+    feed_ = 0;
+    next_ = 0;
+  }
+  Fetch(
+    host_.calls_,
+    host_.loop_,
+    aPeer.address_,
+    { "GET",
+      absl::StrCat(kChangesPath, "?feed=", feed_, "&from=", next_),
+      {},
+      {} },
+    kPollTime + kPeerTimeout,
+    [self = shared_from_this(), aPeer](const http::Answer& aAnswer) {
+      self->OnNews(aPeer, aAnswer);
+    });
+}
+
+void
+PeerFollower::OnNews(const Peer& aPeer, const http::Answer& aAnswer)
+{
+  const auto news =
+    aAnswer.status_ == 200 ? ReadNews(aAnswer.body_) : absl::nullopt;
+  if (!news) {
+    Fail(aPeer, absl::StrCat("status ", aAnswer.status_));
+    return;
+  }
+  const bool isRelay = relays::IsRelay(host_.hosts_, host_.settings_.name_);
+  if (!isRelay && !news->source_.direct_) {
+    Fail(aPeer, "asks others itself");
+    return;
+  }
+  feed_ = news->feed_;
+  next_ = news->next_;
+  Take(*news);
+  if (!isRelay && !news->source_.reachable_ && host_.store_.reachable_) {
+    Fail(aPeer, "has lost the key-value service");
+    return;
+  }
+  failures_ = 0;
+  if (!std::exchange(following_, true)) {
+    host_.log_.Write(
+      Line("following_peer")
+        .Text("peer", aPeer.name_)
+        .Flag("relay", !isRelay)
+        .Age("store_silent_ms", Now() - host_.store_.answeredAt_));
+  }
+  if (isRelay) {
+    StepLater(Jitter(host_, kLookPeriod));
+    return;
+  }
+  SetDirect(host_, false);
+  StepLater(absl::ZeroDuration());
+}
+
+void
+PeerFollower::Take(const News& aNews)
+{
+  const auto now = Now();
+  Learn(host_, aNews.items_, "peer");
+  if (!aNews.notices_.empty()) {
+    TakeNotices(host_, aNews.notices_);
+  }
+  if (host_.isDirect_ &&
+      relays::IsRelay(host_.hosts_, host_.settings_.name_)) {
+    // It hears of the cache stores by itself.
+    return;
+  }
+  for (const auto& store : aNews.stores_) {
+    TakeStore(host_, store, now);
+  }
+  TakeSource(host_, aNews.source_, now);
+}
+
+void
+PeerFollower::Fail(const Peer& aPeer, absl::string_view aReason)
+{
+  ++failures_;
+  if (std::exchange(following_, false)) {
+    host_.log_.Write(
+      Line("peer_lost").Text("peer", aPeer.name_).Text("reason", aReason));
+  }
+  if (failures_ >= std::max<std::size_t>(1, Relays().size())) {
+    SetDirect(host_, true);
+    StepLater(Jitter(host_, kLookPeriod));
+    return;
+  }
+  StepLater(kRetryPause);
+}
+
+} // namespace lycheeplank::gateway
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <utility>
 
+#include <absl/container/btree_set.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
-#include <absl/strings/str_cat.h>
-#include <nlohmann/json.hpp>
+#include <absl/strings/str_join.h>
 
 #include "gateway/clock.h"
 
@@ -14,53 +14,11 @@
 
 namespace {
 
-using Json = nlohmann::json;
-
-constexpr absl::string_view kChangesPath = "/peer/changes";
 constexpr absl::string_view kNoticesPath = "/peer/notices";
-// Hosts answer within milliseconds; a longer silence is a cut.
-constexpr absl::Duration kPeerTimeout = absl::Milliseconds(400);
-// Period at which a host that the key-value service doesn't answer asks its
-// peers; keys and routes have to be in force within seconds.
-constexpr absl::Duration kAskPeriod = absl::Milliseconds(300);
-
-Json
-WriteItem(const replica::Item& aItem)
-{
-  return { { "key", aItem.key_ },
-           { "value", aItem.value_ },
-           { "revision", aItem.revision_ },
-           { "created", aItem.created_ },
-           { "deleted", aItem.deleted_ } };
-}
-
-std::string
-TextOf(const Json& aObject, const char* aName)
-{
-  const auto found = aObject.find(aName);
-  return found != aObject.end() && found->is_string()
-           ? found->get<std::string>()
-           : std::string();
-}
-
-std::uint64_t
-CountOf(const Json& aObject, const char* aName)
-{
-  const auto found = aObject.find(aName);
-  return found != aObject.end() && found->is_number_unsigned()
-           ? found->get<std::uint64_t>()
-           : 0;
-}
-
-Json
-ParseList(const std::string& aText, const char* aName)
-{
-  const auto json = Json::parse(aText, nullptr, false);
-  const auto found = json.is_object() ? json.find(aName) : json.end();
-  return json.is_object() && found != json.end() && found->is_array()
-           ? *found
-           : Json::array();
-}
+// Changes that come within this time are told together.
+constexpr absl::Duration kGatherTime = absl::Milliseconds(30);
+// Time of a notice on its way between two hosts, which is a few milliseconds.
+constexpr absl::Duration kTravelTime = absl::Milliseconds(30);
 
 void
 TakeNotice(Host& aHost, const Notice& aNotice, absl::Time aNow)
@@ -86,101 +44,161 @@
   member.orderedUntil_ = absl::InfinitePast();
 }
 
-} // namespace
+std::vector<std::string>
+DataCentres(const Host& aHost)
+{
+  absl::btree_set<std::string> names;
+  for (const auto& [name, host] : aHost.hosts_) {
+    names.insert(host.entry_.dataCentre_);
+  }
+  return { names.begin(), names.end() };
+}
 
-std::string
-WriteNotices(const std::vector<Notice>& aNotices)
+void
+PublishNotices(Host& aHost, const std::vector<Notice>& aNotices)
 {
-  Json list = Json::array();
   for (const auto& notice : aNotices) {
-    const auto kind = core::NameOf(kNoticeKinds, notice.kind_);
-    list.push_back(
-      { { "kind", std::string(kind) },
-        { "name", notice.name_ },
-        { "model", notice.model_ },
-        { "version", notice.version_ },
-        { "until_ms", absl::ToInt64Milliseconds(notice.until_) } });
+    AddRow(aHost, WriteRow(notice));
   }
-  return Json{ { "notices", list } }.dump();
 }
 
-std::vector<Notice>
-ReadNotices(const std::string& aText)
+std::uint64_t
+NumberIn(absl::string_view aTarget, absl::string_view aName)
 {
-  std::vector<Notice> notices;
-  for (const auto& json : ParseList(aText, "notices")) {
-    if (!json.is_object()) {
-      continue;
-    }
-    if (const auto kind = core::ValueOf(kNoticeKinds, TextOf(json, "kind"))) {
-      notices.push_back({ *kind,
-                          TextOf(json, "name"),
-                          TextOf(json, "model"),
-                          CountOf(json, "version"),
-                          absl::Milliseconds(static_cast<std::int64_t>(
-                            CountOf(json, "until_ms"))) });
-    }
-  }
-  return notices;
+  std::uint64_t number = 0;
+  return absl::SimpleAtoi(http::QueryParameter(aTarget, aName), &number)
+           ? number
+           : 0;
 }
 
+// Returns all that a host knows as rows.
 std::string
-WriteChanges(const std::vector<replica::Item>& aItems, std::uint64_t aNewest)
+AllRows(const Host& aHost)
 {
-  Json list = Json::array();
-  for (const auto& item : aItems) {
-    list.push_back(WriteItem(item));
+  std::vector<std::string> rows;
+  for (const auto& [key, known] : aHost.replica_.items_) {
+    rows.push_back(WriteRow(known.item_));
   }
-  return Json{ { "items", list }, { "newest", aNewest } }.dump(
-    -1, ' ', false, Json::error_handler_t::replace);
+  for (const auto& [name, state] : aHost.kept_.stores_) {
+    if (state.trust_ == kept::Trust::Following) {
+      rows.push_back(WriteRow(
+        { name, false, true, state.epoch_, state.next_, HeldBy(state) }));
+    }
+  }
+  return absl::StrJoin(rows, ",");
 }
 
-std::vector<replica::Item>
-ReadChangesOfPeer(const std::string& aText)
+Source
+SourceOf(const Host& aHost)
 {
-  std::vector<replica::Item> items;
-  for (const auto& json : ParseList(aText, "items")) {
-    if (!json.is_object() || CountOf(json, "revision") == 0) {
-      continue;
+  const auto now = Now();
+  Source source;
+  source.direct_ = aHost.isDirect_ && CanServe(aHost);
+  source.reachable_ = aHost.store_.reachable_;
+  source.clockMs_ = kept::ClockMs(aHost.kept_, now);
+  for (const auto& [name, state] : aHost.kept_.stores_) {
+    if (state.trust_ == kept::Trust::Following) {
+      source.heard_[name] = now - state.heardAt_;
     }
-    replica::Item item;
-    item.key_ = TextOf(json, "key");
-    item.value_ = TextOf(json, "value");
-    item.revision_ = CountOf(json, "revision");
-    item.created_ = CountOf(json, "created");
-    const auto deleted = json.find("deleted");
-    item.deleted_ =
-      deleted != json.end() && deleted->is_boolean() && deleted->get<bool>();
-    items.push_back(std::move(item));
   }
-  return items;
+  return source;
+}
+
+} // namespace
+
+PeerServer::PeerServer(Host& aHost)
+  : host_(aHost)
+  , gatherTimer_(aHost.loop_)
+  , waitTimer_(aHost.loop_)
+{
 }
 
 void
-AnswerPeer(Host& aHost, const ServerConnectionPtr& aCaller)
+PeerServer::Answer(const ServerConnectionPtr& aCaller)
 {
-  const http::Fields json{ { "Content-Type", "application/json" } };
   const auto& head = aCaller->Head();
   if (absl::StartsWith(head.target_, kChangesPath)) {
-    std::uint64_t after = 0;
-    if (!absl::SimpleAtoi(http::QueryParameter(head.target_, "after"),
-                          &after)) {
-      after = 0;
-    }
-    aCaller->Reply(200,
-                   json,
-                   WriteChanges(replica::ChangesAfter(aHost.replica_, after),
-                                aHost.replica_.newest_));
+    AnswerChanges(aCaller);
     return;
   }
   if (head.target_ == kNoticesPath) {
-    TakeNotices(aHost, ReadNotices(aCaller->Body()));
-    aCaller->Reply(200, json, "{}");
+    const auto notices = ReadNotices(aCaller->Body());
+    TakeNotices(host_, notices);
+    PublishNotices(host_, notices);
+    aCaller->Reply(200, { { "Content-Type", "application/json" } }, "{}");
     return;
   }
   aCaller->Reply(404, {}, "");
 }
 
+void
+PeerServer::AnswerChanges(const ServerConnectionPtr& aCaller)
+{
+  const auto& target = aCaller->Head().target_;
+  const auto feed = NumberIn(target, "feed");
+  const auto from = NumberIn(target, "from");
+  const bool waits = feed == host_.feed_.id_ &&
+                     from == relays::NextRow(host_.feed_) && host_.isDirect_ &&
+                     !host_.stopping_;
+  if (!waits) {
+    aCaller->Reply(
+      200, { { "Content-Type", "application/json" } }, NewsFor(feed, from));
+    return;
+  }
+  const auto poll =
+    polls_.insert(polls_.end(), { aCaller, feed, from, Now() + kPollTime });
+  aCaller->OnGone([this, poll] { polls_.erase(poll); });
+  WatchTimes();
+}
+
+std::string
+PeerServer::NewsFor(std::uint64_t aFeed, std::uint64_t aFrom) const
+{
+  auto rows = relays::RowsFrom(host_.feed_, aFeed, aFrom);
+  return WriteNews(host_.feed_.id_,
+                   relays::NextRow(host_.feed_),
+                   SourceOf(host_),
+                   rows ? *rows : AllRows(host_));
+}
+
+void
+PeerServer::Changed()
+{
+  if (!polls_.empty() && !std::exchange(gathering_, true)) {
+    gatherTimer_.Set(kGatherTime, [this] {
+      gathering_ = false;
+      TellWaiting(absl::InfiniteFuture());
+    });
+  }
+}
+
+void
+PeerServer::TellWaiting(absl::Time aAskedBefore)
+{
+  while (!polls_.empty() && polls_.front().until_ <= aAskedBefore) {
+    const auto poll = std::move(polls_.front());
+    polls_.pop_front();
+    // The caller may ask again within the reply, which adds a poll at the end.
+    poll.caller_->OnGone(nullptr);
+    poll.caller_->Reply(200,
+                        { { "Content-Type", "application/json" } },
+                        NewsFor(poll.feed_, poll.from_));
+  }
+}
+
+void
+PeerServer::WatchTimes()
+{
+  if (polls_.empty() || std::exchange(watching_, true)) {
+    return;
+  }
+  waitTimer_.Set(polls_.front().until_ - Now(), [this] {
+    watching_ = false;
+    TellWaiting(Now());
+    WatchTimes();
+  });
+}
+
 void
 TakeNotices(Host& aHost, const std::vector<Notice>& aNotices)
 {
@@ -199,96 +217,38 @@
 TellPeers(Host& aHost, const std::vector<Notice>& aNotices)
 {
   TakeNotices(aHost, aNotices);
+  PublishNotices(aHost, aNotices);
   const http::Call call{ "POST",
                          std::string(kNoticesPath),
                          { { "Content-Type", "application/json" } },
                          WriteNotices(aNotices) };
-  for (const auto& [name, host] : aHost.hosts_) {
-    if (name == aHost.settings_.name_) {
-      continue;
-    }
-    Fetch(aHost.calls_,
-          aHost.loop_,
-          host.entry_.peerAddress_,
-          call,
-          kPeerTimeout,
-          [&aHost, name = name](const http::Answer& aAnswer) {
-            if (aAnswer.status_ != 200) {
-              aHost.log_.Write(Line("notice_lost")
-                                 .Text("peer", name)
-                                 .Number("status", aAnswer.status_));
-            }
-          });
-  }
-}
-
-PeerFollower::PeerFollower(Host& aHost)
-  : host_(aHost)
-  , timer_(aHost.loop_)
-{
-}
-
-void
-PeerFollower::Start()
-{
-  timer_.Set(Jitter(host_, kAskPeriod), [self = shared_from_this()] {
-    if (self->host_.store_.reachable_) {
-      self->following_ = false;
-      self->Start();
-    } else {
-      self->Ask();
-    }
-  });
-}
-
-std::string
-PeerFollower::PickPeer()
-{
-  std::vector<std::string> peers;
-  for (const auto& [name, host] : host_.hosts_) {
-    if (name != host_.settings_.name_) {
-      peers.push_back(host.entry_.peerAddress_);
-    }
-  }
-  if (peers.empty()) {
-    for (const auto& seed : host_.settings_.seeds_) {
-      if (seed != host_.settings_.peerAddress_) {
-        peers.push_back(seed);
+  for (const auto& dataCentre : DataCentres(aHost)) {
+    for (const auto& name : relays::RelaysOf(aHost.hosts_, dataCentre)) {
+      if (name == aHost.settings_.name_) {
+        continue;
       }
+      Fetch(aHost.calls_,
+            aHost.loop_,
+            aHost.hosts_.at(name).entry_.peerAddress_,
+            call,
+            kPeerTimeout,
+            [&aHost, name](const http::Answer& aAnswer) {
+              if (aAnswer.status_ != 200) {
+                aHost.log_.Write(Line("notice_lost")
+                                   .Text("peer", name)
+                                   .Number("status", aAnswer.status_));
+              }
+            });
     }
   }
-  return peers.empty() ? std::string() : peers[host_.random_() % peers.size()];
 }
 
-void
-PeerFollower::Ask()
+absl::Duration
+NoticeTime(const Host& aHost)
 {
-  const auto peer = PickPeer();
-  if (peer.empty()) {
-    Start();
-    return;
-  }
-  Fetch(
-    host_.calls_,
-    host_.loop_,
-    peer,
-    { "GET",
-      absl::StrCat(kChangesPath, "?after=", host_.replica_.newest_),
-      {},
-      {} },
-    kPeerTimeout,
-    [self = shared_from_this(), peer](const http::Answer& aAnswer) {
-      if (aAnswer.status_ == 200) {
-        Learn(self->host_, ReadChangesOfPeer(aAnswer.body_), "peer");
-      }
-      if (aAnswer.status_ == 200 && !std::exchange(self->following_, true)) {
-        self->host_.log_.Write(
-          Line("following_peer")
-            .Text("peer", peer)
-            .Age("store_silent_ms", Now() - self->host_.store_.answeredAt_));
-      }
-      self->Start();
-    });
+  const auto relayed = DataCentres(aHost).size() * relays::kRelays;
+  return aHost.hosts_.size() > relayed ? kTravelTime * 2 + kGatherTime
+                                       : kTravelTime;
 }
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -1,84 +1,70 @@
 #ifndef LYCHEEPLANK_SRC_GATEWAY_PEERS_H
 #define LYCHEEPLANK_SRC_GATEWAY_PEERS_H
 
-#include <memory>
+#include <cstdint>
+#include <list>
 #include <string>
 #include <vector>
 
+#include <absl/strings/string_view.h>
+
 #include "gateway/host.h"
+#include "gateway/news.h"
 #include "gateway/server-connection.h"
 #include "gateway/timer.h"
 
 namespace lycheeplank::gateway {
 
-// What one host tells the others at once, since the key-value service would
-// tell it later or not at all.
-struct Notice
+inline constexpr absl::string_view kChangesPath = "/peer/changes";
+// Longest that a host lets another wait for changes; it also bounds how old the
+// word of a cache store gets on its way.
+inline constexpr absl::Duration kPollTime = absl::Milliseconds(400);
+// Hosts answer within milliseconds; a longer silence is a cut.
+inline constexpr absl::Duration kPeerTimeout = absl::Milliseconds(400);
+
+// Answers the calls of other hosts.
+class PeerServer
 {
-  enum class Kind
-  {
-    // A target starts no requests until about until_.
-    Ordered,
-    // A target has loaded weights.
-    Loaded,
-    // A host takes no more callers.
-    HostLeaves,
-  };
-  Kind kind_ = Kind::Ordered;
-  // Target or host.
-  std::string name_;
-  std::string model_;
-  std::uint64_t version_ = 0;
-  absl::Duration until_ = absl::ZeroDuration();
-};
+public:
+  explicit PeerServer(Host& aHost);
 
-inline constexpr std::array<core::Named<Notice::Kind>, 3> kNoticeKinds{ {
-  { Notice::Kind::Ordered, "ordered" },
-  { Notice::Kind::Loaded, "loaded" },
-  { Notice::Kind::HostLeaves, "host_leaves" },
-} };
+  void Answer(const ServerConnectionPtr& aCaller);
+  // The host's feed has new rows; who waits is told shortly.
+  void Changed();
 
-// Returns notices as JSON, and reads them; what can't be read is left out.
-std::string
-WriteNotices(const std::vector<Notice>& aNotices);
-std::vector<Notice>
-ReadNotices(const std::string& aText);
+private:
+  struct Poll
+  {
+    ServerConnectionPtr caller_;
+    std::uint64_t feed_ = 0;
+    std::uint64_t from_ = 0;
+    absl::Time until_;
+  };
 
-// Returns changes of items as JSON, and reads them.
-std::string
-WriteChanges(const std::vector<replica::Item>& aItems, std::uint64_t aNewest);
-std::vector<replica::Item>
-ReadChangesOfPeer(const std::string& aText);
+  void AnswerChanges(const ServerConnectionPtr& aCaller);
+  void TellWaiting(absl::Time aAskedBefore);
+  void WatchTimes();
+  std::string NewsFor(std::uint64_t aFeed, std::uint64_t aFrom) const;
 
-// Answers a call of another host.
-void
-AnswerPeer(Host& aHost, const ServerConnectionPtr& aCaller);
+  Host& host_;
+  Timer gatherTimer_;
+  Timer waitTimer_;
+  bool gathering_ = false;
+  bool watching_ = false;
+  std::list<Poll> polls_;
+};
 
 // Takes in notices of this host or another one.
 void
 TakeNotices(Host& aHost, const std::vector<Notice>& aNotices);
 
-// Tells notices to all other hosts, and to this one.
+// Tells notices to this host and to the relays, which tell all others.
 void
 TellPeers(Host& aHost, const std::vector<Notice>& aNotices);
 
-// Asks another host for changes while the key-value service doesn't answer
-// this one.
-class PeerFollower : public std::enable_shared_from_this<PeerFollower>
-{
-public:
-  explicit PeerFollower(Host& aHost);
-  void Start();
-
-private:
-  void Ask();
-  std::string PickPeer();
-
-  Host& host_;
-  Timer timer_;
-  // Peers have answered since the key-value service fell silent.
-  bool following_ = false;
-};
+// Time after which all hosts have heard of a notice.
+absl::Duration
+NoticeTime(const Host& aHost);
 
 } // namespace lycheeplank::gateway
 
--- a/src/gateway/presence.cc
+++ b/src/gateway/presence.cc
@@ -32,6 +32,7 @@
                               settings.dataCentre_,
                               settings.callerAddress_,
                               settings.peerAddress_,
+                              settings.cores_,
                               host_.stopping_ });
 }
 
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -28,6 +28,8 @@
   // Peer addresses of some hosts, which may be down.
   std::vector<std::string> seeds_;
   std::string storeAddress_;
+  // Share of a processor that the process may use, in cores.
+  double cores_ = 1.0;
   absl::Duration leastLease_ = absl::Seconds(1);
 
   // Time between SIGTERM and SIGKILL.
--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "gateway/clock.h"
+#include "gateway/news.h"
 
 namespace lycheeplank::gateway {
 
@@ -98,6 +99,7 @@
                        .Age("heard_ms", Now() - state.heardAt_));
   }
   kept::MarkLost(state);
+  AddRow(host_, WriteRow(StoreNews{ name_, true }));
   Later(
     Jitter(host_, kRetryFirst * (1U << std::min(failures_, kMostDoublings))));
   ++failures_;
@@ -131,17 +133,22 @@
   if (aWhole) {
     kept::TakeList(
       *state, changes->epoch_, changes->next_, changes->changes_, now);
+    Tell(*changes, true);
     Later(kGatherTime);
     return;
   }
   if (isNew && state->next_ != 0) {
     // The number asked from belongs to the store's life before.
     kept::TakeChanges(*state, changes->epoch_, 0, {}, now);
+    Tell({ changes->epoch_ }, true);
     Ask();
     return;
   }
   kept::TakeChanges(
     *state, changes->epoch_, changes->next_, changes->changes_, now);
+  if (isNew || !changes->changes_.empty()) {
+    Tell(*changes, false);
+  }
   if (changes->gap_) {
     host_.log_.Write(Line("cache_store_gap").Text("store", name_));
     AskAll();
@@ -150,17 +157,32 @@
   Later(kGatherTime);
 }
 
+void
+StoreFollower::Tell(const StoreChanges& aChanges, bool aWhole)
+{
+  AddRow(host_,
+         WriteRow(StoreNews{ name_,
+                             false,
+                             aWhole,
+                             aChanges.epoch_,
+                             aChanges.next_,
+                             aChanges.changes_ }));
+}
+
 void
 StoreFollowers::Update()
 {
   for (auto at = followers_.begin(); at != followers_.end();) {
-    if (host_.kept_.stores_.contains(at->first)) {
+    if (host_.isDirect_ && host_.kept_.stores_.contains(at->first)) {
       ++at;
     } else {
       at->second->Stop();
       followers_.erase(at++);
     }
   }
+  if (!host_.isDirect_) {
+    return;
+  }
   for (const auto& [name, state] : host_.kept_.stores_) {
     if (!followers_.contains(name)) {
       const auto follower = std::make_shared<StoreFollower>(host_, name);
--- a/src/gateway/stores.h
+++ b/src/gateway/stores.h
@@ -25,6 +25,7 @@
   void AskAll();
   void OnAnswer(const http::Answer& aAnswer, bool aWhole);
   void Fail(int aStatus);
+  void Tell(const StoreChanges& aChanges, bool aWhole);
   void Later(absl::Duration aPause);
   kept::StoreState* State();
 
@@ -43,7 +44,8 @@
     : host_(aHost)
   {
   }
-  // Starts and ends followers after a change of the catalogue.
+  // Starts and ends followers after a change of the catalogue, or of how the
+  // host hears of changes.
   void Update();
 
 private:
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -25,6 +25,13 @@
   return absl::StrCat(aScope, std::string(1, kSeparator), aPart);
 }
 
+Change
+ChangeOf(const std::string& aKey, std::uint32_t aTokens)
+{
+  const auto at = aKey.rfind(kSeparator);
+  return { true, aKey.substr(0, at), aKey.substr(at + 1), aTokens };
+}
+
 bool
 IsUsable(const StoreState& aStore, absl::Time aNow)
 {
@@ -251,6 +258,17 @@
            : 0;
 }
 
+std::vector<Change>
+HeldBy(const StoreState& aStore)
+{
+  std::vector<Change> held;
+  held.reserve(aStore.parts_.size());
+  for (const auto& [key, tokens] : aStore.parts_) {
+    held.push_back(ChangeOf(key, tokens));
+  }
+  return held;
+}
+
 std::vector<Change>
 MadeByOldWeights(const StoreState& aStore,
                  absl::string_view aModel,
@@ -258,8 +276,7 @@
 {
   std::vector<Change> old;
   for (const auto& [key, tokens] : aStore.parts_) {
-    const auto at = key.rfind(kSeparator);
-    Change change{ false, key.substr(0, at), key.substr(at + 1), tokens };
+    auto change = ChangeOf(key, tokens);
     // A scope ends with the model and the version of its weights.
     const absl::string_view scope = change.scope_;
     const auto dot = scope.rfind('.');
--- /dev/null
+++ b/src/relays/relays.cc
@@ -0,0 +1,79 @@
+#include "lycheeplank/relays.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include <absl/strings/str_join.h>
+
+#include "lycheeplank/core.h"
+
+namespace lycheeplank::relays {
+
+std::vector<std::string>
+RelaysOf(const entries::Hosts& aHosts, absl::string_view aDataCentre)
+{
+  std::vector<std::tuple<double, std::uint64_t, std::string>> ranks;
+  for (const auto& [name, host] : aHosts) {
+    const auto& entry = host.entry_;
+    if (entry.dataCentre_ == aDataCentre && !entry.leaving_) {
+      ranks.emplace_back(
+        -entry.cores_, core::RendezvousScore(aDataCentre, name), name);
+    }
+  }
+  std::sort(ranks.begin(), ranks.end());
+  std::vector<std::string> names;
+  for (std::size_t i = 0; i < std::min(kRelays, ranks.size()); ++i) {
+    names.push_back(std::get<2>(ranks[i]));
+  }
+  return names;
+}
+
+bool
+IsRelay(const entries::Hosts& aHosts, const std::string& aHost)
+{
+  const auto own = aHosts.find(aHost);
+  if (own == aHosts.end()) {
+    return true;
+  }
+  const auto relays = RelaysOf(aHosts, own->second.entry_.dataCentre_);
+  return std::find(relays.begin(), relays.end(), aHost) != relays.end();
+}
+
+std::uint64_t
+NextRow(const Feed& aFeed)
+{
+  return aFeed.first_ + aFeed.rows_.size();
+}
+
+void
+Restart(Feed& aFeed, std::uint64_t aId)
+{
+  aFeed = Feed();
+  aFeed.id_ = aId;
+}
+
+void
+AddRow(Feed& aFeed, std::string aRow)
+{
+  aFeed.bytes_ += aRow.size();
+  aFeed.rows_.push_back(std::move(aRow));
+  while (aFeed.rows_.size() > kMostRows || aFeed.bytes_ > kMostBytes) {
+    aFeed.bytes_ -= aFeed.rows_.front().size();
+    aFeed.rows_.pop_front();
+    ++aFeed.first_;
+  }
+}
+
+absl::optional<std::string>
+RowsFrom(const Feed& aFeed, std::uint64_t aId, std::uint64_t aFirst)
+{
+  if (aId != aFeed.id_ || aFirst < aFeed.first_ || aFirst > NextRow(aFeed)) {
+    return absl::nullopt;
+  }
+  const auto from = static_cast<std::ptrdiff_t>(aFirst - aFeed.first_);
+  return absl::StrJoin(
+    aFeed.rows_.begin() + from, aFeed.rows_.end(), ",");
+}
+
+} // namespace lycheeplank::relays
