Collect the loads of a large data centre at one of its hosts; read notices from a living document

Cause: each host told each other its loads, at intervals of up to two seconds at 77 hosts, and the bytes crossed data centres. Notices were read from a JSON value that had already been destroyed, so none arrived through relays. Change: one host of a data centre collects and tells sums on.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -283,6 +283,13 @@
               const std::vector<PeerLoad>& aLoads,
               absl::Time aNow);
 
+// Returns what this host has under way at targets, and the sums of what the
+// named hosts have told.
+std::vector<PeerLoad>
+LoadsOf(const Members& aMembers,
+        const std::vector<std::string>& aHosts,
+        absl::Time aNow);
+
 // What one call brings to a target.
 struct CallSize
 {
--- a/include/lycheeplank/relays.h
+++ b/include/lycheeplank/relays.h
@@ -30,6 +30,14 @@
 bool
 IsRelay(const entries::Hosts& aHosts, const std::string& aHost);
 
+// Returns the data centres that have hosts.
+std::vector<std::string>
+DataCentres(const entries::Hosts& aHosts);
+
+// Returns whether some data centre has hosts that aren't relays.
+bool
+IsLarge(const entries::Hosts& aHosts);
+
 // Rows kept for hosts that have fallen behind; they read all anew beyond that.
 inline constexpr std::size_t kMostRows = 4000;
 // Bytes kept for the same purpose; hosts have 88 MB and more.
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -205,6 +205,35 @@
   }
 }
 
+std::vector<PeerLoad>
+LoadsOf(const Members& aMembers,
+        const std::vector<std::string>& aHosts,
+        absl::Time aNow)
+{
+  std::vector<PeerLoad> loads;
+  for (const auto& [id, member] : aMembers) {
+    PeerLoad load{ member.shortName_,
+                   member.inFlight_,
+                   member.urgentTokens_,
+                   member.otherTokens_,
+                   member.heldTokens_ };
+    for (const auto& host : aHosts) {
+      const auto told = member.peers_.find(host);
+      if (told != member.peers_.end() &&
+          aNow - told->second.toldAt_ < kPeerMemory) {
+        load.inFlight_ += told->second.inFlight_;
+        load.urgentTokens_ += told->second.urgentTokens_;
+        load.otherTokens_ += told->second.otherTokens_;
+        load.heldTokens_ += told->second.heldTokens_;
+      }
+    }
+    if (load.inFlight_ > 0) {
+      loads.push_back(load);
+    }
+  }
+  return loads;
+}
+
 Estimate
 EstimateWait(const Member& aMember,
              const Question& aQuestion,
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -18,10 +18,11 @@
 constexpr absl::Duration kGatherTime = absl::Milliseconds(10);
 // The same for hosts in other data centres, to which bytes are dear.
 constexpr absl::Duration kFarGatherTime = absl::Milliseconds(100);
-// Pause for each host that is told. Beyond a few hosts it grows with their
-// number once more, so that neither sending nor reading messages grows with it.
+// Pause for each host that is told, so that messages don't grow with hosts.
 constexpr absl::Duration kPausePerHost = absl::Milliseconds(5);
-constexpr double kFewHosts = 8.0;
+// Hosts of a large data centre tell their loads to one of them, which tells
+// all of them and the other data centres.
+constexpr absl::Duration kCollectTime = absl::Milliseconds(50);
 // Tokens are told in units of this.
 constexpr std::uint64_t kTokenUnit = 64;
 constexpr std::uint64_t kMostUnits = UINT16_MAX;
@@ -33,9 +34,7 @@
 absl::Duration
 PauseFor(absl::Duration aLeast, std::size_t aPeers)
 {
-  const auto peers = static_cast<double>(aPeers);
-  return std::max(aLeast,
-                  kPausePerHost * peers * std::max(1.0, peers / kFewHosts));
+  return std::max(aLeast, kPausePerHost * static_cast<double>(aPeers));
 }
 
 void
@@ -136,63 +135,133 @@
         aError ? std::string() : ReadLoads({ buffer_.data(), aSize }, loads);
       if (!host.empty() && host != host_.settings_.name_) {
         fleet::TakePeerLoads(host_.members_, host, loads, Now());
+        if (IsCollector()) {
+          Changed();
+        }
       }
       Receive();
     });
 }
 
-void
-Gossip::Changed()
+std::vector<std::string>
+Gossip::Mates() const
 {
-  std::size_t near = 0;
+  std::vector<std::string> names;
   for (const auto& [name, host] : host_.hosts_) {
-    near += host.entry_.dataCentre_ == host_.settings_.dataCentre_ ? 1 : 0;
+    if (host.entry_.dataCentre_ == host_.settings_.dataCentre_ &&
+        name != host_.settings_.name_) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+std::vector<std::string>
+Gossip::Collectors() const
+{
+  std::vector<std::string> names;
+  for (const auto& dataCentre : relays::DataCentres(host_.hosts_)) {
+    const auto relays = relays::RelaysOf(host_.hosts_, dataCentre);
+    if (!relays.empty() && relays.front() != host_.settings_.name_) {
+      names.push_back(relays.front());
+    }
   }
+  return names;
+}
+
+bool
+Gossip::IsCollector() const
+{
+  const auto relays =
+    relays::RelaysOf(host_.hosts_, host_.settings_.dataCentre_);
+  return !relays.empty() && relays.front() == host_.settings_.name_ &&
+         relays::IsLarge(host_.hosts_);
+}
+
+void
+Gossip::Changed()
+{
+  const bool collects = IsCollector();
+  const bool isLarge = relays::IsLarge(host_.hosts_);
   if (!std::exchange(nearPending_, true)) {
-    nearTimer_.Set(PauseFor(kGatherTime, near), [this] { Send(true); });
+    nearTimer_.Set(isLarge && !collects
+                     ? kCollectTime
+                     : PauseFor(kGatherTime, Mates().size()),
+                   [this] { SendNear(); });
   }
-  if (!std::exchange(farPending_, true)) {
-    farTimer_.Set(PauseFor(kFarGatherTime, host_.hosts_.size() - near),
-                  [this] { Send(false); });
+  if ((collects || !isLarge) && !std::exchange(farPending_, true)) {
+    const auto others = isLarge ? Collectors().size() : host_.hosts_.size();
+    farTimer_.Set(PauseFor(kFarGatherTime, others), [this] { SendFar(); });
   }
 }
 
-std::vector<fleet::PeerLoad>
-Gossip::Loads() const
+void
+Gossip::SendNear()
 {
-  std::vector<fleet::PeerLoad> loads;
-  for (const auto& [id, member] : host_.members_) {
-    if (member.inFlight_ > 0) {
-      loads.push_back({ member.shortName_,
-                        member.inFlight_,
-                        member.urgentTokens_,
-                        member.otherTokens_,
-                        member.heldTokens_ });
+  nearPending_ = false;
+  const auto now = Now();
+  const auto mates = Mates();
+  if (!relays::IsLarge(host_.hosts_)) {
+    for (const auto& mate : mates) {
+      Send(mate, fleet::LoadsOf(host_.members_, {}, now));
+    }
+    return;
+  }
+  if (!IsCollector()) {
+    const auto relays =
+      relays::RelaysOf(host_.hosts_, host_.settings_.dataCentre_);
+    if (!relays.empty()) {
+      Send(relays.front(), fleet::LoadsOf(host_.members_, {}, now));
     }
+    return;
+  }
+  // Each host is told what all others have under way.
+  auto senders = mates;
+  for (auto& other : Collectors()) {
+    senders.push_back(std::move(other));
+  }
+  for (const auto& mate : mates) {
+    auto others = senders;
+    others.erase(std::find(others.begin(), others.end(), mate));
+    Send(mate, fleet::LoadsOf(host_.members_, others, now));
   }
-  return loads;
 }
 
 void
-Gossip::Send(bool aNear)
+Gossip::SendFar()
 {
-  (aNear ? nearPending_ : farPending_) = false;
-  const auto text = WriteLoads(host_.settings_.name_, Loads());
-  for (const auto& [name, host] : host_.hosts_) {
-    const bool near = host.entry_.dataCentre_ == host_.settings_.dataCentre_;
-    if (name == host_.settings_.name_ || near != aNear) {
-      continue;
+  farPending_ = false;
+  const auto now = Now();
+  if (relays::IsLarge(host_.hosts_)) {
+    const auto loads = fleet::LoadsOf(host_.members_, Mates(), now);
+    for (const auto& collector : Collectors()) {
+      Send(collector, loads);
     }
-    const auto to = ParseEndpoint(host.entry_.peerAddress_);
-    boost::system::error_code error;
-    socket_.send_to(boost::asio::buffer(text),
-                    { to.address(), host_.settings_.gossipPort_ },
-                    0,
-                    error);
-    if (error) {
-      host_.metrics_.Count("load_messages_unsent_total");
+    return;
+  }
+  const auto loads = fleet::LoadsOf(host_.members_, {}, now);
+  for (const auto& [name, host] : host_.hosts_) {
+    if (host.entry_.dataCentre_ != host_.settings_.dataCentre_) {
+      Send(name, loads);
     }
   }
 }
 
+void
+Gossip::Send(const std::string& aHost,
+             const std::vector<fleet::PeerLoad>& aLoads)
+{
+  const auto text = WriteLoads(host_.settings_.name_, aLoads);
+  const auto to =
+    ParseEndpoint(host_.hosts_.at(aHost).entry_.peerAddress_).address();
+  boost::system::error_code error;
+  socket_.send_to(boost::asio::buffer(text),
+                  { to, host_.settings_.gossipPort_ },
+                  0,
+                  error);
+  if (error) {
+    host_.metrics_.Count("load_messages_unsent_total");
+  }
+}
+
 } // namespace lycheeplank::gateway
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -35,8 +35,15 @@
 
 private:
   void Receive();
-  void Send(bool aNear);
-  std::vector<fleet::PeerLoad> Loads() const;
+  void SendNear();
+  void SendFar();
+  void Send(const std::string& aHost,
+            const std::vector<fleet::PeerLoad>& aLoads);
+  // The other hosts of the data centre, and the collectors of the others.
+  std::vector<std::string> Mates() const;
+  std::vector<std::string> Collectors() const;
+  // Collects the loads of a large data centre.
+  bool IsCollector() const;
 
   Host& host_;
   boost::asio::ip::udp::socket socket_;
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -208,7 +208,8 @@
 ReadNotices(const std::string& aText)
 {
   std::vector<Notice> notices;
-  for (const auto& row : ListOf(ParseJson(aText), "notices")) {
+  const auto json = ParseJson(aText);
+  for (const auto& row : ListOf(json, "notices")) {
     if (auto notice = ReadNotice(row)) {
       notices.push_back(std::move(*notice));
     }
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <absl/container/btree_set.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_join.h>
@@ -44,16 +43,6 @@
   member.orderedUntil_ = absl::InfinitePast();
 }
 
-std::vector<std::string>
-DataCentres(const Host& aHost)
-{
-  absl::btree_set<std::string> names;
-  for (const auto& [name, host] : aHost.hosts_) {
-    names.insert(host.entry_.dataCentre_);
-  }
-  return { names.begin(), names.end() };
-}
-
 void
 PublishNotices(Host& aHost, const std::vector<Notice>& aNotices)
 {
@@ -222,7 +211,7 @@
                          std::string(kNoticesPath),
                          { { "Content-Type", "application/json" } },
                          WriteNotices(aNotices) };
-  for (const auto& dataCentre : DataCentres(aHost)) {
+  for (const auto& dataCentre : relays::DataCentres(aHost.hosts_)) {
     for (const auto& name : relays::RelaysOf(aHost.hosts_, dataCentre)) {
       if (name == aHost.settings_.name_) {
         continue;
@@ -246,8 +235,7 @@
 absl::Duration
 NoticeTime(const Host& aHost)
 {
-  const auto relayed = DataCentres(aHost).size() * relays::kRelays;
-  return aHost.hosts_.size() > relayed ? kTravelTime * 2 + kGatherTime
+  return relays::IsLarge(aHost.hosts_) ? kTravelTime * 2 + kGatherTime
                                        : kTravelTime;
 }
 
--- a/src/relays/relays.cc
+++ b/src/relays/relays.cc
@@ -4,6 +4,8 @@
 #include <tuple>
 #include <utility>
 
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_join.h>
 
 #include "lycheeplank/core.h"
@@ -40,6 +42,28 @@
   return std::find(relays.begin(), relays.end(), aHost) != relays.end();
 }
 
+std::vector<std::string>
+DataCentres(const entries::Hosts& aHosts)
+{
+  absl::btree_set<std::string> names;
+  for (const auto& [name, host] : aHosts) {
+    names.insert(host.entry_.dataCentre_);
+  }
+  return { names.begin(), names.end() };
+}
+
+bool
+IsLarge(const entries::Hosts& aHosts)
+{
+  absl::flat_hash_map<absl::string_view, std::size_t> counts;
+  for (const auto& [name, host] : aHosts) {
+    if (++counts[host.entry_.dataCentre_] > kRelays) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::uint64_t
 NextRow(const Feed& aFeed)
 {
