--- a/include/lycheeplank/relays.h
+++ b/include/lycheeplank/relays.h
@@ -25,8 +25,8 @@
 std::vector<std::string>
 RelaysOf(const entries::Hosts& aHosts, absl::string_view aDataCentre);
 
-// Returns whether a host is one of them. A host that isn't on the list yet is
-// one, since nobody could tell it anything.
+// Returns whether a host is one of them. A host that isn't on the list yet, or
+// whose data centre has none, is one, since nobody could tell it anything.
 bool
 IsRelay(const entries::Hosts& aHosts, const std::string& aHost);
 
--- a/src/relays/relays.cc
+++ b/src/relays/relays.cc
@@ -39,7 +39,8 @@
     return true;
   }
   const auto relays = RelaysOf(aHosts, own->second.entry_.dataCentre_);
-  return std::find(relays.begin(), relays.end(), aHost) != relays.end();
+  return relays.empty() ||
+         std::find(relays.begin(), relays.end(), aHost) != relays.end();
 }
 
 std::vector<std::string>
