Load new weights at a fifth of the targets at once; free old parts sooner

Cause: few targets load at full speed at once, so a third at once only kept more of them out of service; old parts lay in the full stores for 1.5 s after the last read of them could end, and parts whose removal was never told were freed again each second. Change: a fifth at once; freed after the longest read that a route allows and a margin; freed parts are forgotten at once.

--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -155,6 +155,13 @@
 std::vector<Change>
 HeldBy(const StoreState& aStore);
 
+// Takes parts out that a store of that epoch has freed; some of its changes
+// never arrive.
+void
+Forget(StoreState& aStore,
+       std::uint64_t aEpoch,
+       const std::vector<Change>& aParts);
+
 // Returns a moment on the stores' clock in milliseconds; 0 while that is not
 // known.
 std::int64_t
--- a/include/lycheeplank/weights.h
+++ b/include/lycheeplank/weights.h
@@ -57,7 +57,7 @@
 };
 
 // Part of a model's targets that are out of service at once for new weights.
-inline constexpr double kShareAtOnce = 0.34;
+inline constexpr double kShareAtOnce = 0.2;
 // An order without an answer may still be carried out; its target is asked for
 // its account only after this time.
 inline constexpr absl::Duration kUnclearTime = absl::Milliseconds(400);
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -22,9 +22,6 @@
 constexpr absl::Duration kOnceIdle = absl::Milliseconds(500);
 // Others find a closed connection out by trying.
 constexpr absl::Duration kRepeatableIdle = absl::Seconds(10);
-// Part of a route's goal that reading a prompt from cache stores may take. What
-// isn't read by then is thrown away and computed, which mostly meets the goal.
-constexpr double kReadShareOfGoal = 0.7;
 // Bytes of the heads of a request and its answer and of a short body.
 constexpr std::uint64_t kCallBytes = 1500;
 // Answer bytes a token, for the cost of crossing a boundary.
@@ -240,7 +237,7 @@
 absl::Duration
 Exchange::ReadTime() const
 {
-  return kReadShareOfGoal * route_->goal_;
+  return ReadTimeOf(*route_);
 }
 
 void
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -302,6 +302,26 @@
   }
 }
 
+absl::Duration
+ReadTimeOf(const catalog::Route& aRoute)
+{
+  return kReadShareOfGoal * aRoute.goal_;
+}
+
+absl::Duration
+LongestRead(const Host& aHost)
+{
+  absl::Duration longest = absl::ZeroDuration();
+  if (aHost.catalog_) {
+    for (const auto& [host, routes] : aHost.catalog_->routes_) {
+      for (const auto& route : routes) {
+        longest = std::max(longest, ReadTimeOf(route));
+      }
+    }
+  }
+  return longest;
+}
+
 void
 CallStore(Host& aHost,
           const StoreCommand& aCommand,
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -144,6 +144,17 @@
 void
 AddRow(Host& aHost, std::string aRow);
 
+// Part of a route's goal that reading a prompt from cache stores may take. What
+// isn't read by then is thrown away and computed, which mostly meets the goal.
+inline constexpr double kReadShareOfGoal = 0.7;
+
+// Returns how long a request of a route may read from cache stores, and the
+// longest such time of all routes.
+absl::Duration
+ReadTimeOf(const catalog::Route& aRoute);
+absl::Duration
+LongestRead(const Host& aHost);
+
 // Makes a call to the key-value service and notes how it serves.
 void
 CallStore(Host& aHost,
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -33,10 +33,11 @@
 constexpr absl::Duration kAccountPeriod = absl::Milliseconds(250);
 constexpr absl::Duration kAccountAge = absl::Milliseconds(700);
 constexpr absl::Duration kRefusedPause = absl::Milliseconds(300);
-// Old parts are freed once no read of them can be under way: reads that began
-// before the last target changed have ended or were thrown away.
-constexpr absl::Duration kReadsEnd = absl::Milliseconds(1500);
-constexpr absl::Duration kFreePeriod = absl::Seconds(1);
+// Old parts are freed once no read of them can be under way: those that began
+// before the last target changed have ended or were thrown away. The margin
+// covers a request's way to its target and the error of the common clock.
+constexpr absl::Duration kReadMargin = absl::Milliseconds(300);
+constexpr absl::Duration kFreePeriod = absl::Milliseconds(250);
 constexpr absl::Duration kFreeTimeout = absl::Seconds(1);
 constexpr std::size_t kFreedAtOnce = 400;
 
@@ -450,7 +451,7 @@
     }
     std::vector<kept::Change> unused;
     for (const auto& [model, oldest] : oldest_) {
-      if (now - oldest.since_ < kReadsEnd) {
+      if (now - oldest.since_ < LongestRead(host_) + kReadMargin) {
         continue;
       }
       auto old = kept::MadeByOldWeights(state, model, oldest.version_);
@@ -466,19 +467,34 @@
                        .Text("store", name)
                        .Number("parts", unused.size())
                        .Number("epoch", state.epoch_));
-    Fetch(host_.calls_,
-          host_.loop_,
-          state.settings_.address_,
-          host_.adapter_.writeFreeCall_(state.epoch_, unused),
-          kFreeTimeout,
-          [this, name = name](const http::Answer& aAnswer) {
-            if (aAnswer.status_ / 100 != 2) {
-              host_.log_.Write(Line("parts_not_freed")
-                                 .Text("store", name)
-                                 .Number("status", aAnswer.status_));
-            }
-          });
+    Free(name, state, std::move(unused));
   }
 }
 
+void
+Owner::Free(const std::string& aStore,
+            const kept::StoreState& aState,
+            std::vector<kept::Change> aParts)
+{
+  const auto epoch = aState.epoch_;
+  const auto call = host_.adapter_.writeFreeCall_(epoch, aParts);
+  Fetch(host_.calls_,
+        host_.loop_,
+        aState.settings_.address_,
+        call,
+        kFreeTimeout,
+        [self = shared_from_this(), aStore, epoch, parts = std::move(aParts)](
+          const http::Answer& aAnswer) {
+          auto& stores = self->host_.kept_.stores_;
+          if (const auto found = stores.find(aStore);
+              found != stores.end() && aAnswer.status_ / 100 == 2) {
+            kept::Forget(found->second, epoch, parts);
+            return;
+          }
+          self->host_.log_.Write(Line("parts_not_freed")
+                                   .Text("store", aStore)
+                                   .Number("status", aAnswer.status_));
+        });
+}
+
 } // namespace lycheeplank::gateway
--- a/src/gateway/owner.h
+++ b/src/gateway/owner.h
@@ -55,6 +55,9 @@
                  const std::string& aTarget,
                  const TargetReport& aReport);
   void FreeOldParts();
+  void Free(const std::string& aStore,
+            const kept::StoreState& aState,
+            std::vector<kept::Change> aParts);
   weights::Work* Find(const std::string& aModel, const std::string& aTarget);
 
   Host& host_;
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -177,6 +177,19 @@
   TakeChanges(aStore, aEpoch, aNext, aHeld, aNow);
 }
 
+void
+Forget(StoreState& aStore,
+       std::uint64_t aEpoch,
+       const std::vector<Change>& aParts)
+{
+  if (aStore.epoch_ != aEpoch) {
+    return;
+  }
+  for (const auto& part : aParts) {
+    TakeChange(aStore, { false, part.scope_, part.part_, 0 });
+  }
+}
+
 void
 MarkLost(StoreState& aStore)
 {
