--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -303,9 +303,9 @@
 }
 
 absl::Duration
-ReadTimeOf(const catalog::Route& aRoute)
+ReadTimeOf(const catalog::Route& aRoute, absl::Duration aWait)
 {
-  return kReadShareOfGoal * aRoute.goal_;
+  return kReadShareOfGoal * aRoute.goal_ + std::min(aWait, kLongestReadWait);
 }
 
 absl::Duration
@@ -315,7 +315,7 @@
   if (aHost.catalog_) {
     for (const auto& [host, routes] : aHost.catalog_->routes_) {
       for (const auto& route : routes) {
-        longest = std::max(longest, ReadTimeOf(route));
+        longest = std::max(longest, ReadTimeOf(route, kLongestReadWait));
       }
     }
   }
