--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -76,7 +76,7 @@
 // A store that started anew is written to only after all hosts that believed
 // in its old content have heard of the start: what is believed without word,
 // and the time of a read that began last.
-inline constexpr absl::Duration kEpochSettle = absl::Milliseconds(3500);
+inline constexpr absl::Duration kEpochSettle = absl::Seconds(3);
 // What is believed of a store without word from it may be used for so long.
 inline constexpr absl::Duration kTrustWithoutWord = absl::Seconds(2);
 // Part of a store's room that is filled; parts that others save meanwhile
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -237,7 +237,7 @@
 absl::Duration
 Exchange::ReadTime() const
 {
-  return ReadTimeOf(*route_, absl::Seconds(choice_.waitSeconds_));
+  return ReadTimeOf(*route_);
 }
 
 void
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -303,9 +303,9 @@
 }
 
 absl::Duration
-ReadTimeOf(const catalog::Route& aRoute, absl::Duration aWait)
+ReadTimeOf(const catalog::Route& aRoute)
 {
-  return kReadShareOfGoal * aRoute.goal_ + std::min(aWait, kLongestReadWait);
+  return kReadShareOfGoal * aRoute.goal_;
 }
 
 absl::Duration
@@ -315,7 +315,7 @@
   if (aHost.catalog_) {
     for (const auto& [host, routes] : aHost.catalog_->routes_) {
       for (const auto& route : routes) {
-        longest = std::max(longest, ReadTimeOf(route, kLongestReadWait));
+        longest = std::max(longest, ReadTimeOf(route));
       }
     }
   }
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -147,14 +147,11 @@
 // Part of a route's goal that reading a prompt from cache stores may take. What
 // isn't read by then is thrown away and computed, which mostly meets the goal.
 inline constexpr double kReadShareOfGoal = 0.7;
-// Added to it at most for the wait that is expected at the target, since a
-// request that waits so long is late whether it reads or computes.
-inline constexpr absl::Duration kLongestReadWait = absl::Milliseconds(600);
 
-// Returns how long a request of a route may read from cache stores if it waits
-// at its target before, and the longest such time of all routes.
+// Returns how long a request of a route may read from cache stores, and the
+// longest such time of all routes.
 absl::Duration
-ReadTimeOf(const catalog::Route& aRoute, absl::Duration aWait);
+ReadTimeOf(const catalog::Route& aRoute);
 absl::Duration
 LongestRead(const Host& aHost);
 
