Judge cache stores by reads that come too late, and forget it with time

A read that is cut off at 350 ms never looks more than 300 ms late, most stores were slow alike, so that the median showed nothing, and one host of 62 reads from a store less than once a second. Change: the share of late reads, against the best quarter of the stores, sets the share of reads; it is half forgotten in three seconds. Tests first: kept-test names the pattern.

--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -58,12 +58,13 @@
   // Tokens by part and scope.
   absl::flat_hash_map<std::string, std::uint32_t> parts_;
   std::uint64_t usedTokens_ = 0;
-  // Moving average of how much longer than estimated prompts took that were
-  // read from here, in seconds.
-  double readDelay_ = 0.0;
+  // Moving average of the reads that came too late.
+  double lateReads_ = 0.0;
   // Part of the reads that go to the store; falls while the store is slower
   // than the others, so that the reads that remain come in time.
   double readShare_ = 1.0;
+  // When both were last changed by a read.
+  absl::Time readAt_ = absl::InfinitePast();
 };
 
 struct Directory
@@ -123,22 +124,40 @@
   std::uint64_t computedTokens_ = 0;
 };
 
-// Weight of the newest read in a store's delay.
-inline constexpr double kNewestRead = 0.15;
-// A store is slow if its delay is so much above the median of all stores, in
-// seconds. Targets that are busy delay the reads from all stores alike.
-inline constexpr double kSlowDelay = 0.3;
-// Steps of a store's share of reads after a slow one and another one.
-inline constexpr double kSlowFactor = 0.9;
+// A read is late if its prompt took so much of the time for reading longer than
+// the target's own work was expected to take.
+inline constexpr double kLateShare = 0.6;
+// Weight of the newest read in the average. A host of many reads from a store
+// less than once a second.
+inline constexpr double kNewestRead = 0.25;
+// A store is slow if its share of late reads is so much above that of the best
+// quarter of the stores. Targets that are busy delay the reads from all alike.
+inline constexpr double kSlowLateShare = 0.3;
+inline constexpr double kBestQuantile = 0.25;
+// Steps of a store's share of reads after a late one of a slow store and after
+// another one.
+inline constexpr double kSlowFactor = 0.6;
 inline constexpr double kInTimeStep = 0.05;
 inline constexpr double kLeastReadShare = 0.1;
 
+// What is known of a slow store is half forgotten after this time, so that one
+// that few reads of this host go to is read from again. Slow times of stores
+// last some seconds.
+inline constexpr absl::Duration kSlowHalfLife = absl::Seconds(3);
+
+// Returns the part of the reads that go to a store now.
+double
+ReadShareAt(const StoreState& aStore, absl::Time aNow);
+
 // Notes how much longer than estimated a prompt took that was read from the
-// store with an address; returns the store, or null.
+// store with an address, of the time that it had for reading; returns the store,
+// or null.
 const StoreState*
 NoteRead(Directory& aDirectory,
          absl::string_view aAddress,
-         absl::Duration aDelay);
+         absl::Duration aDelay,
+         absl::Duration aReadTime,
+         absl::Time aNow);
 
 // Plans the shared parts of one prompt for a target in a data centre. A part
 // is read from a store only if it lies there whole by what the store told, and
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -128,7 +128,8 @@
     if (!store.empty() &&
         std::find(noted.begin(), noted.end(), store) == noted.end()) {
       noted.push_back(store);
-      const auto* state = kept::NoteRead(host_.kept_, store, delay);
+      const auto* state = kept::NoteRead(
+        host_.kept_, store, delay, ReadTime(), Now());
       if (state != nullptr && state->readShare_ < 1.0 - kept::kInTimeStep) {
         host_.metrics_.Count(
           "slow_reads_total", "store", state->settings_.name_);
@@ -136,7 +137,7 @@
                            .Text("id", request_.id_)
                            .Text("store", state->settings_.name_)
                            .Age("delay_ms", delay)
-                           .Number("mean_delay_ms", state->readDelay_ * 1000.0)
+                           .Number("late_reads", state->lateReads_)
                            .Number("read_share", state->readShare_));
       }
     }
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -32,6 +32,38 @@
   return { true, aKey.substr(0, at), aKey.substr(at + 1), aTokens };
 }
 
+// Part of what was known of a store's slowness that still counts.
+double
+SlowMemory(const StoreState& aStore, absl::Time aNow)
+{
+  return std::exp2(-absl::FDivDuration(aNow - aStore.readAt_, kSlowHalfLife));
+}
+
+void
+FadeSlowness(StoreState& aStore, absl::Time aNow)
+{
+  aStore.readShare_ = ReadShareAt(aStore, aNow);
+  aStore.lateReads_ *= SlowMemory(aStore, aNow);
+  aStore.readAt_ = aNow;
+}
+
+// Share of late reads of the best quarter of the stores that were read from
+// lately.
+double
+LateReadsOfBest(const Directory& aDirectory, absl::Time aNow)
+{
+  std::vector<double> shares;
+  for (const auto& [name, store] : aDirectory.stores_) {
+    if (aNow - store.readAt_ < kSlowHalfLife) {
+      shares.push_back(store.lateReads_ * SlowMemory(store, aNow));
+    }
+  }
+  const auto best = static_cast<std::ptrdiff_t>(
+    kBestQuantile * static_cast<double>(shares.size()));
+  std::nth_element(shares.begin(), shares.begin() + best, shares.end());
+  return shares[static_cast<std::size_t>(best)];
+}
+
 bool
 IsUsable(const StoreState& aStore, absl::Time aNow)
 {
@@ -196,32 +228,40 @@
   aStore.trust_ = Trust::Lost;
 }
 
+double
+ReadShareAt(const StoreState& aStore, absl::Time aNow)
+{
+  return 1.0 - (1.0 - aStore.readShare_) * SlowMemory(aStore, aNow);
+}
+
 const StoreState*
 NoteRead(Directory& aDirectory,
          absl::string_view aAddress,
-         absl::Duration aDelay)
+         absl::Duration aDelay,
+         absl::Duration aReadTime,
+         absl::Time aNow)
 {
-  StoreState* read = nullptr;
-  std::vector<double> delays;
-  for (auto& [name, store] : aDirectory.stores_) {
-    if (store.settings_.address_ == aAddress) {
-      read = &store;
-      store.readDelay_ +=
-        kNewestRead * (absl::ToDoubleSeconds(aDelay) - store.readDelay_);
-    }
-    delays.push_back(store.readDelay_);
-  }
-  if (read == nullptr) {
+  const auto found = std::find_if(
+    aDirectory.stores_.begin(),
+    aDirectory.stores_.end(),
+    [aAddress](const auto& aStore) {
+      return aStore.second.settings_.address_ == aAddress;
+    });
+  if (found == aDirectory.stores_.end()) {
     return nullptr;
   }
-  const auto middle =
-    delays.begin() + static_cast<std::ptrdiff_t>(delays.size() / 2);
-  std::nth_element(delays.begin(), middle, delays.end());
-  auto& share = read->readShare_;
-  share = read->readDelay_ > *middle + kSlowDelay
-            ? std::max(kLeastReadShare, share * kSlowFactor)
-            : std::min(1.0, share + kInTimeStep);
-  return read;
+  auto& store = found->second;
+  FadeSlowness(store, aNow);
+  const bool late = aDelay > kLateShare * aReadTime;
+  store.lateReads_ += kNewestRead * ((late ? 1.0 : 0.0) - store.lateReads_);
+  const double usual = LateReadsOfBest(aDirectory, aNow);
+  auto& share = store.readShare_;
+  if (store.lateReads_ <= usual + kSlowLateShare) {
+    share = std::min(1.0, share + kInTimeStep);
+  } else if (late) {
+    share = std::max(kLeastReadShare, share * kSlowFactor);
+  }
+  return &store;
 }
 
 Plan
@@ -246,7 +286,7 @@
     const auto key = KeyOf(aScope, part.id_);
     if (const auto* holder =
           BestHolder(aDirectory, key, part.tokens_, aDataCentre, aNow)) {
-      if (aDraw < holder->readShare_) {
+      if (aDraw < ReadShareAt(*holder, aNow)) {
         row.readFrom_ = holder->settings_.address_;
         plan.readTokens_ += part.tokens_;
       } else {
--- a/test/kept-test.cc
+++ b/test/kept-test.cc
@@ -160,32 +160,71 @@
   CHECK(kept::MadeByOldWeights(state, "m", 1).empty());
 }
 
+constexpr absl::Duration kReadTime = absl::Milliseconds(560);
+
+void
+Read(kept::Directory& aDirectory,
+     int aStore,
+     absl::Duration aDelay,
+     absl::Time aNow = kSettled)
+{
+  kept::NoteRead(aDirectory,
+                 "10.0.0." + std::to_string(aStore) + ":1",
+                 aDelay,
+                 kReadTime,
+                 aNow);
+}
+
 // The pattern: the links of one store turn slow while others stay as they are.
 TEST_CASE("a store that is slower than the others is read from less")
 {
   auto directory = MakeDirectory();
   for (int i = 0; i < 60; ++i) {
-    kept::NoteRead(directory, "10.0.0.0:1", absl::Milliseconds(500));
-    kept::NoteRead(directory, "10.0.0.1:1", absl::Milliseconds(20));
-    kept::NoteRead(directory, "10.0.0.2:1", absl::Milliseconds(20));
+    Read(directory, 0, absl::Milliseconds(500));
+    Read(directory, 1, absl::Milliseconds(20));
+    Read(directory, 2, absl::Milliseconds(20));
   }
   CHECK(directory.stores_.at("s0").readShare_ < 0.2);
   CHECK(directory.stores_.at("s1").readShare_ == 1.0);
   Tell(directory, "s0", "p2", 8000);
   CHECK(PlanAt(directory, kSettled, 0.5).parts_[1].readFrom_.empty());
   for (int i = 0; i < 60; ++i) {
-    kept::NoteRead(directory, "10.0.0.0:1", absl::Milliseconds(20));
+    Read(directory, 0, absl::Milliseconds(20));
   }
   CHECK(directory.stores_.at("s0").readShare_ == 1.0);
 }
 
+// The pattern: reads that come too late go on filling the link of a store, so
+// that it stays slow, and one of many hosts reads from it once in two seconds.
+// Some stores with faster links stay in time.
+TEST_CASE("a host of few reads leaves slow stores and comes back to them")
+{
+  auto directory = MakeDirectory(8);
+  auto now = kSettled;
+  for (int i = 0; i < 6; ++i) {
+    now += absl::Seconds(2);
+    for (int store = 0; store < 8; ++store) {
+      // All that the short time for reading lets a late read take.
+      Read(directory,
+           store,
+           store < 5 ? absl::Milliseconds(350) : absl::Milliseconds(30),
+           now);
+    }
+  }
+  for (int store = 0; store < 8; ++store) {
+    const auto& state = directory.stores_.at("s" + std::to_string(store));
+    CHECK((kept::ReadShareAt(state, now) < 0.6) == (store < 5));
+    // Without word of it, it is tried again.
+    CHECK(kept::ReadShareAt(state, now + 5 * kept::kSlowHalfLife) > 0.95);
+  }
+}
+
 // The pattern: targets are busy, which delays the reads from all stores alike.
 TEST_CASE("busy targets don't keep prompts from being read")
 {
   auto directory = MakeDirectory();
   for (int i = 0; i < 100; ++i) {
-    kept::NoteRead(
-      directory, "10.0.0." + std::to_string(i % 3) + ":1", absl::Seconds(1));
+    Read(directory, i % 3, absl::Seconds(1));
   }
   for (const auto& [name, state] : directory.stores_) {
     CHECK(state.readShare_ > 0.6);
