Let hosts that start hear from relays before they ask cache stores

Cause: hosts that start together each asked every cache store, which let only some of them, so that most knew nothing of what is kept in the seconds when all targets have lost time.

--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -92,8 +92,9 @@
     }
     host_.onChange_.emplace_back([this] { storeFollowers_.Update(); });
     host_.onChange_.emplace_back([this] { owner_->OnChange(); });
+    host_.onChange_.emplace_back([this] { ServeIfReady(); });
     host_.onFeed_ = [this] { peerServer_.Changed(); };
-    host_.onDirect_ = [this] { OnDirect(); };
+    host_.onRole_ = [this] { OnRole(); };
     peerFollower_->Start();
     auto prefixes = host_.adapter_.prefixes_();
     prefixes.emplace_back(kOwnPrefix);
@@ -120,9 +121,9 @@
       std::move(aHandler)));
   }
 
-  void OnDirect()
+  void OnRole()
   {
-    if (host_.isDirect_) {
+    if (host_.role_ != Role::Told) {
       for (const auto& follower : followers_) {
         follower->Resume();
       }
@@ -162,6 +163,16 @@
       host_.adapter_.writeEntries_(addresses, host_.settings_.listLife_));
   }
 
+  void ServeIfReady()
+  {
+    if (!present_ && CanServe(host_) && !host_.stopping_) {
+      present_ = true;
+      host_.log_.Write(Line("serving"));
+      presence_->Start();
+      owner_->Start();
+    }
+  }
+
   // Requests wait for memory that other hosts' requests free as well.
   void StartWaitingLater()
   {
@@ -179,12 +190,6 @@
       for (const auto& server : servers_) {
         server->CheckTimes(now);
       }
-      if (!present_ && CanServe(host_) && !host_.stopping_) {
-        present_ = true;
-        host_.log_.Write(Line("serving"));
-        presence_->Start();
-        owner_->Start();
-      }
       UpdateGauges();
       SweepLater();
     });
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -49,7 +49,7 @@
 void
 Follower::List()
 {
-  if (!host_.isDirect_) {
+  if (host_.role_ == Role::Told) {
     resting_ = true;
     return;
   }
@@ -106,7 +106,7 @@
 void
 Follower::Watch()
 {
-  if (!host_.isDirect_) {
+  if (host_.role_ == Role::Told) {
     resting_ = true;
     return;
   }
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -282,21 +282,22 @@
 }
 
 void
-SetDirect(Host& aHost, bool aIsDirect)
+SetRole(Host& aHost, Role aRole)
 {
-  if (aHost.isDirect_ == aIsDirect) {
+  if (aHost.role_ == aRole) {
     return;
   }
-  aHost.isDirect_ = aIsDirect;
+  aHost.role_ = aRole;
   relays::Restart(aHost.feed_, aHost.NewFeedId());
-  aHost.log_.Write(Line("source_changed").Flag("direct", aIsDirect));
-  aHost.onDirect_();
+  aHost.log_.Write(
+    Line("role_changed").Text("role", core::NameOf(kRoles, aRole)));
+  aHost.onRole_();
 }
 
 void
 AddRow(Host& aHost, std::string aRow)
 {
-  if (aHost.isDirect_) {
+  if (aHost.role_ == Role::Direct) {
     relays::AddRow(aHost.feed_, std::move(aRow));
     aHost.onFeed_();
   }
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEEPLANK_SRC_GATEWAY_HOST_H
 #define LYCHEEPLANK_SRC_GATEWAY_HOST_H
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <random>
@@ -48,6 +49,24 @@
   bool reachable_ = false;
 };
 
+// How a host hears of changes.
+enum class Role
+{
+  // It asks the key-value service itself and doesn't know yet whether others
+  // will tell it; stores let only a few hosts ask them.
+  Starting,
+  // It asks the key-value service and the cache stores itself and tells others.
+  Direct,
+  // Others tell it.
+  Told,
+};
+
+inline constexpr std::array<core::Named<Role>, 3> kRoles{ {
+  { Role::Starting, "starting" },
+  { Role::Direct, "direct" },
+  { Role::Told, "told" },
+} };
+
 // All that one host believes and shares between its parts; used from the one
 // thread of the event loop.
 struct Host
@@ -94,12 +113,11 @@
   Pool calls_;
   std::mt19937_64 random_;
 
-  // Asks the key-value service and the cache stores itself, and tells others.
-  bool isDirect_ = true;
+  Role role_ = Role::Starting;
   relays::Feed feed_;
-  // Run when the feed has a new row, and when isDirect_ has changed.
+  // Run when the feed has a new row, and when the role has changed.
   std::function<void()> onFeed_ = [] {};
-  std::function<void()> onDirect_ = [] {};
+  std::function<void()> onRole_ = [] {};
 
   bool stopping_ = false;
   absl::Time stoppedAt_ = absl::InfinitePast();
@@ -136,9 +154,8 @@
           const std::vector<replica::Item>& aItems,
           std::uint64_t aAsOf);
 
-// Sets whether the host asks the key-value service and the cache stores itself.
 void
-SetDirect(Host& aHost, bool aIsDirect);
+SetRole(Host& aHost, Role aRole);
 
 // Adds a row to the host's feed if others may ask this host for it.
 void
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -15,6 +15,10 @@
 // Period at which a host looks how it hears of changes. Keys and routes have to
 // be in force within seconds.
 constexpr absl::Duration kLookPeriod = absl::Milliseconds(300);
+// Period of looks while the host starts.
+constexpr absl::Duration kStartPeriod = absl::Milliseconds(20);
+// Hosts that start together are on the list after this time.
+constexpr absl::Duration kSettleTime = absl::Milliseconds(600);
 // Pause after a relay that was of no use.
 constexpr absl::Duration kRetryPause = absl::Milliseconds(50);
 
@@ -60,7 +64,8 @@
 void
 PeerFollower::Start()
 {
-  StepLater(Jitter(host_, kLookPeriod));
+  startedAt_ = Now();
+  StepLater(kStartPeriod);
 }
 
 void
@@ -99,15 +104,35 @@
   return peers.empty() ? Peer() : peers[host_.random_() % peers.size()];
 }
 
+bool
+PeerFollower::IsSettled() const
+{
+  if (host_.role_ != Role::Starting) {
+    return true;
+  }
+  // With the hosts of an earlier time on the list, the relays are known.
+  const auto mates = std::count_if(
+    host_.hosts_.begin(), host_.hosts_.end(), [this](const auto& aHost) {
+      return aHost.second.entry_.dataCentre_ == host_.settings_.dataCentre_;
+    });
+  return (CanServe(host_) &&
+          static_cast<std::size_t>(mates) >= relays::kRelays) ||
+         Now() - startedAt_ > kSettleTime;
+}
+
 void
 PeerFollower::Step()
 {
+  if (!IsSettled()) {
+    StepLater(kStartPeriod);
+    return;
+  }
   if (!relays::IsRelay(host_.hosts_, host_.settings_.name_)) {
     const auto peers = Relays();
     Ask(peers[failures_ % peers.size()]);
     return;
   }
-  SetDirect(host_, true);
+  SetRole(host_, Role::Direct);
   failures_ = 0;
   if (host_.store_.reachable_) {
     following_ = false;
@@ -177,7 +202,7 @@
     StepLater(Jitter(host_, kLookPeriod));
     return;
   }
-  SetDirect(host_, false);
+  SetRole(host_, Role::Told);
   StepLater(absl::ZeroDuration());
 }
 
@@ -189,7 +214,7 @@
   if (!aNews.notices_.empty()) {
     TakeNotices(host_, aNews.notices_);
   }
-  if (host_.isDirect_ &&
+  if (host_.role_ == Role::Direct &&
       relays::IsRelay(host_.hosts_, host_.settings_.name_)) {
     // It hears of the cache stores by itself.
     return;
@@ -209,7 +234,7 @@
       Line("peer_lost").Text("peer", aPeer.name_).Text("reason", aReason));
   }
   if (failures_ >= std::max<std::size_t>(1, Relays().size())) {
-    SetDirect(host_, true);
+    SetRole(host_, Role::Direct);
     StepLater(Jitter(host_, kLookPeriod));
     return;
   }
--- a/src/gateway/peer-follower.h
+++ b/src/gateway/peer-follower.h
@@ -30,6 +30,7 @@
 
   void StepLater(absl::Duration aPause);
   void Step();
+  bool IsSettled() const;
   std::vector<Peer> Relays() const;
   Peer PickAny();
   void Ask(const Peer& aPeer);
@@ -46,6 +47,7 @@
   // Relays in a row that were of no use.
   std::size_t failures_ = 0;
   bool following_ = false;
+  absl::Time startedAt_ = absl::InfinitePast();
 };
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -82,7 +82,7 @@
 {
   const auto now = Now();
   Source source;
-  source.direct_ = aHost.isDirect_ && CanServe(aHost);
+  source.direct_ = aHost.role_ == Role::Direct && CanServe(aHost);
   source.reachable_ = aHost.store_.reachable_;
   source.clockMs_ = kept::ClockMs(aHost.kept_, now);
   for (const auto& [name, state] : aHost.kept_.stores_) {
@@ -127,8 +127,8 @@
   const auto feed = NumberIn(target, "feed");
   const auto from = NumberIn(target, "from");
   const bool waits = feed == host_.feed_.id_ &&
-                     from == relays::NextRow(host_.feed_) && host_.isDirect_ &&
-                     !host_.stopping_;
+                     from == relays::NextRow(host_.feed_) && !host_.stopping_ &&
+                     host_.role_ == Role::Direct;
   if (!waits) {
     aCaller->Reply(
       200, { { "Content-Type", "application/json" } }, NewsFor(feed, from));
