--- /dev/null
+++ b/test/peers-test.cc
@@ -0,0 +1,189 @@
+#include "gateway/peers.h"
+
+#include <catch2/catch.hpp>
+
+#include "gateway/peer-follower.h"
+#include "gateway-world.h"
+
+namespace catalog = lycheeplank::catalog;
+namespace entries = lycheeplank::entries;
+namespace fleet = lycheeplank::fleet;
+namespace gateway = lycheeplank::gateway;
+namespace kept = lycheeplank::kept;
+namespace replica = lycheeplank::replica;
+namespace test = lycheeplank::test;
+
+namespace {
+
+// A host with the address at which others ask it.
+struct PeerHost
+{
+  PeerHost(gateway::Loop& aLoop, const std::string& aName)
+    : adapter_(lycheeplank::platform::MakeAdapter())
+    , host_(aLoop, MakeSettings(aName), adapter_, open("/dev/null", O_WRONLY))
+    , peers_(host_)
+    , follower_(std::make_shared<gateway::PeerFollower>(host_))
+    , server_(
+        aLoop,
+        gateway::Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
+        [] { return catalog::RequestLimits(); },
+        [this](const gateway::ServerConnectionPtr& aCaller) {
+          peers_.Answer(aCaller);
+        })
+  {
+    host_.settings_.peerAddress_ =
+      "127.0.0.1:" + std::to_string(server_.Port());
+    host_.onFeed_ = [this] { peers_.Changed(); };
+    catalog::Catalog empty;
+    host_.catalog_ = std::make_shared<const catalog::Catalog>(empty);
+    fleet::Target target;
+    target.id_ = "t1";
+    target.service_ = "s";
+    fleet::TakeTarget(host_.members_, target, 1, gateway::Now());
+    catalog::CacheStore store;
+    store.name_ = "c1";
+    store.address_ = "127.0.0.1:9";
+    kept::SetStores(host_.kept_, { store });
+    host_.store_.reachable_ = true;
+  }
+
+  static gateway::Settings MakeSettings(const std::string& aName)
+  {
+    gateway::Settings settings;
+    settings.name_ = aName;
+    settings.dataCentre_ = "a";
+    return settings;
+  }
+
+  entries::HostEntry Entry(double aCores) const
+  {
+    return { host_.settings_.name_,        "a",    "127.0.0.1:1",
+             host_.settings_.peerAddress_, aCores, false };
+  }
+
+  gateway::Adapter adapter_;
+  gateway::Host host_;
+  gateway::PeerServer peers_;
+  std::shared_ptr<gateway::PeerFollower> follower_;
+  gateway::Server server_;
+};
+
+// Two relays and a third host of one data centre.
+struct ThreeHosts
+{
+  ThreeHosts()
+    : first_(loop_, "h1")
+    , second_(loop_, "h2")
+    , third_(loop_, "h3")
+  {
+    for (auto* host : { &first_, &second_, &third_ }) {
+      for (const auto* other : { &first_, &second_, &third_ }) {
+        const double cores = other == &third_ ? 0.1 : 0.5;
+        host->host_.hosts_[other->host_.settings_.name_] = { other->Entry(
+          cores) };
+      }
+      host->follower_->Start();
+    }
+  }
+
+  bool RunUntil(const std::function<bool()>& aDone)
+  {
+    const auto end = gateway::Now() + absl::Seconds(20);
+    while (!aDone() && gateway::Now() < end) {
+      loop_.run_for(std::chrono::milliseconds(5));
+    }
+    return aDone();
+  }
+
+  gateway::Loop loop_;
+  PeerHost first_;
+  PeerHost second_;
+  PeerHost third_;
+};
+
+replica::Item
+MakeItem(const std::string& aKey, std::uint64_t aRevision)
+{
+  return { aKey, "v", aRevision, aRevision, false };
+}
+
+} // namespace
+
+TEST_CASE("relays ask for themselves and tell the other hosts")
+{
+  ThreeHosts hosts;
+  auto& third = hosts.third_.host_;
+  REQUIRE(hosts.RunUntil([&] { return third.role_ == gateway::Role::Told; }));
+  CHECK(hosts.first_.host_.role_ == gateway::Role::Direct);
+  CHECK(hosts.second_.host_.role_ == gateway::Role::Direct);
+
+  // Later revisions may be heard of before earlier ones of other prefixes.
+  for (auto* relay : { &hosts.first_, &hosts.second_ }) {
+    gateway::Learn(relay->host_, { MakeItem("x/later", 9) }, "watch");
+  }
+  REQUIRE(hosts.RunUntil([&] {
+    return replica::Find(third.replica_, "x/later") != nullptr;
+  }));
+  for (auto* relay : { &hosts.first_, &hosts.second_ }) {
+    gateway::Learn(relay->host_, { MakeItem("y/earlier", 8) }, "watch");
+    gateway::AddRow(relay->host_,
+                    gateway::WriteRow(gateway::StoreNews{
+                      "c1", false, false, 4, 2, { { true, "s", "p", 64 } } }));
+  }
+  CHECK(hosts.RunUntil([&] {
+    return replica::Find(third.replica_, "y/earlier") != nullptr &&
+           third.kept_.stores_.at("c1").usedTokens_ == 64;
+  }));
+}
+
+TEST_CASE("a notice reaches hosts that relays tell")
+{
+  ThreeHosts hosts;
+  auto& third = hosts.third_.host_;
+  REQUIRE(hosts.RunUntil([&] { return third.role_ == gateway::Role::Told; }));
+  gateway::TellPeers(
+    hosts.first_.host_,
+    { { gateway::Notice::Kind::Ordered, "t1", "m", 2, absl::Seconds(60) } });
+  CHECK(hosts.RunUntil([&] {
+    return third.members_.at("t1").orderedUntil_ > gateway::Now();
+  }));
+}
+
+TEST_CASE("a host asks for itself while no relay answers")
+{
+  ThreeHosts hosts;
+  auto& third = hosts.third_.host_;
+  REQUIRE(hosts.RunUntil([&] { return third.role_ == gateway::Role::Told; }));
+  for (auto* relay : { &hosts.first_, &hosts.second_ }) {
+    relay->server_.StopListening();
+    relay->server_.CloseAfterAnswers();
+  }
+  CHECK(
+    hosts.RunUntil([&] { return third.role_ == gateway::Role::Direct; }));
+}
+
+TEST_CASE("a host whose relays have lost the key-value service asks for itself")
+{
+  ThreeHosts hosts;
+  auto& third = hosts.third_.host_;
+  REQUIRE(hosts.RunUntil([&] { return third.role_ == gateway::Role::Told; }));
+  hosts.first_.host_.store_.reachable_ = false;
+  hosts.second_.host_.store_.reachable_ = false;
+  CHECK(
+    hosts.RunUntil([&] { return third.role_ == gateway::Role::Direct; }));
+  // It is told again once one of them is back.
+  hosts.first_.host_.store_.reachable_ = true;
+  hosts.second_.host_.store_.reachable_ = true;
+  CHECK(hosts.RunUntil([&] { return third.role_ == gateway::Role::Told; }));
+}
+
+TEST_CASE("a host that stops with the last relay goes on by itself")
+{
+  ThreeHosts hosts;
+  auto& third = hosts.third_.host_;
+  for (const auto* name : { "h1", "h2", "h3" }) {
+    third.hosts_.at(name).entry_.leaving_ = true;
+  }
+  CHECK(
+    hosts.RunUntil([&] { return third.role_ == gateway::Role::Direct; }));
+}
