Keep to a share of each target's connections; take out what nothing uses

Cause: the bound on a target's connections was read and not kept. Change: a host has at most its share of calls at one target, and a new connection takes the place of a kept one.

--- a/include/lycheeplank/catalog.h
+++ b/include/lycheeplank/catalog.h
@@ -29,12 +29,6 @@
   Stream,
 };
 
-inline constexpr std::array<core::Named<Repeat>, 3> kRepeats{ {
-  { Repeat::Idempotent, "idempotent" },
-  { Repeat::Once, "once" },
-  { Repeat::Stream, "stream" },
-} };
-
 // A service that takes a share of a route's requests.
 struct Share
 {
@@ -89,9 +83,6 @@
   std::string dataCentre_;
   std::uint64_t capacityTokens_ = 0;
   double linkBitsPerSecond_ = 0.0;
-  absl::Duration setup_ = absl::ZeroDuration();
-  // Calls that wait for events at once.
-  std::uint32_t maxWaiting_ = 1;
 };
 
 struct Workspace
--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -34,8 +34,6 @@
   std::string dataCentre_;
   std::uint32_t slots_ = 1;
   TargetState state_ = TargetState::Ready;
-  // Until when it is slow after its start.
-  absl::Duration warmup_ = absl::ZeroDuration();
   // Weight version by model.
   absl::flat_hash_map<std::string, std::uint64_t> weights_;
   // When it started, in milliseconds since 1970; tells two starts with one
@@ -146,6 +144,8 @@
   bool isUrgent_ = false;
   // Bytes that cross to the target and back.
   std::uint64_t bytes_ = 0;
+  // Calls that this host may have at one target at once; 0 for any number.
+  std::uint32_t mostCalls_ = 0;
   // Targets that this request has been at.
   const std::vector<std::string>* tried_ = nullptr;
   // Weights that have been named, and how long ago; 0 without a model.
@@ -267,15 +267,6 @@
   Abandoned,
 };
 
-inline constexpr std::array<core::Named<CallResult>, 6> kCallResults{ {
-  { CallResult::Answered, "answered" },
-  { CallResult::Refused, "refused" },
-  { CallResult::Failed, "failed" },
-  { CallResult::Unreachable, "unreachable" },
-  { CallResult::Replaced, "replaced" },
-  { CallResult::Abandoned, "abandoned" },
-} };
-
 // Takes in all that another host has under way; what it doesn't name has ended.
 void
 TakePeerLoads(Members& aMembers,
--- a/include/lycheeplank/weights.h
+++ b/include/lycheeplank/weights.h
@@ -30,14 +30,6 @@
   Unclear,
 };
 
-inline constexpr std::array<core::Named<Progress>, 5> kProgress{ {
-  { Progress::Waiting, "waiting" },
-  { Progress::Announced, "announced" },
-  { Progress::Ordering, "ordering" },
-  { Progress::Loading, "loading" },
-  { Progress::Unclear, "unclear" },
-} };
-
 struct Work
 {
   Progress progress_ = Progress::Waiting;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -313,6 +313,8 @@
     if (member.target_.service_ != aQuestion.service_ ||
         member.target_.state_ != TargetState::Ready ||
         WasTried(aQuestion, id) ||
+        (aQuestion.mostCalls_ > 0 &&
+         member.inFlight_ >= aQuestion.mostCalls_) ||
         (aQuestion.weightsAge_ > aQuestion.oldWeightsLimit_ &&
          HasOldWeights(member, aQuestion))) {
       continue;
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -213,8 +213,6 @@
   // Changes before these are lost; the list is needed.
   bool gap_ = false;
   std::vector<kept::Change> changes_;
-  // Parts that are being written, or whose writing broke off.
-  std::vector<kept::Change> unfinished_;
   // The store's clock in milliseconds.
   absl::optional<std::int64_t> clockMs_;
 };
--- a/src/gateway/client-connection.h
+++ b/src/gateway/client-connection.h
@@ -57,7 +57,6 @@
   bool IsReusable(absl::Time aNow) const;
   // Tells how long it has been without a call.
   absl::Duration IdleFor(absl::Time aNow) const { return aNow - idleSince_; }
-  bool WasUsed() const { return calls_ > 1; }
   bool IsBusy() const { return busy_; }
   // Ends the connection; no handler runs after it.
   void Close();
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -47,6 +47,7 @@
   if (const auto service = catalog_->services_.find(service_);
       service != catalog_->services_.end()) {
     question.memoryTokens_ = service->second.memoryTokens_;
+    question.mostCalls_ = ConnectionShare(host_, service->second);
   }
   question.goal_ = std::max(kLeastGoal, arrivedAt_ + route_->goal_ - now);
   question.isUrgent_ = IsUrgent();
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -18,6 +18,9 @@
 // owners may be cut off a little longer than this host.
 constexpr absl::Duration kUnsettledTime = absl::Seconds(3);
 
+// Hosts that come up or that this one hasn't heard of yet share as well.
+constexpr std::uint32_t kHostsUnseen = 1;
+
 absl::Time
 VanishTime(const Host& aHost, absl::Time aNow)
 {
@@ -234,14 +237,19 @@
 budget::Limits
 ResendLimits(const Host& aHost)
 {
-  // Hosts that come up or that this one hasn't heard of yet share as well.
-  constexpr std::uint32_t kHostsUnseen = 1;
   return { aHost.settings_.resendRatio_,
            aHost.settings_.resendWindow_,
            aHost.settings_.resendSlack_,
            static_cast<std::uint32_t>(aHost.hosts_.size()) + kHostsUnseen };
 }
 
+std::uint32_t
+ConnectionShare(const Host& aHost, const catalog::Service& aService)
+{
+  const auto hosts = static_cast<std::uint32_t>(aHost.hosts_.size());
+  return std::max(1U, aService.maxConnections_ / (hosts + kHostsUnseen));
+}
+
 void
 Learn(Host& aHost,
       const std::vector<replica::Item>& aItems,
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -141,6 +141,11 @@
 budget::Limits
 ResendLimits(const Host& aHost);
 
+// Returns how many connections this host may have to one target of a service:
+// its share of what the target allows, by the hosts that may live.
+std::uint32_t
+ConnectionShare(const Host& aHost, const catalog::Service& aService);
+
 // Takes in changes of the key-value service's items, from it or from a peer.
 void
 Learn(Host& aHost,
--- a/src/gateway/pool.cc
+++ b/src/gateway/pool.cc
@@ -118,6 +118,12 @@
               std::function<void(ConnectionPtr)> aOnDone)
 {
   ++opened_;
+  if (const auto kept = idle_.find(aPeer);
+      kept != idle_.end() && !kept->second.empty()) {
+    const auto oldest = kept->second.front();
+    kept->second.erase(kept->second.begin());
+    oldest->Close();
+  }
   gateway::Connect(
     loop_,
     ParseEndpoint(aAddress),
@@ -184,16 +190,6 @@
                  [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
-std::size_t
-Pool::Idle() const
-{
-  std::size_t count = 0;
-  for (const auto& [peer, kept] : idle_) {
-    count += kept.size();
-  }
-  return count;
-}
-
 void
 Fetch(Pool& aPool,
       Loop& aLoop,
--- a/src/gateway/pool.h
+++ b/src/gateway/pool.h
@@ -30,7 +30,9 @@
   // Returns a kept connection that has been idle for less than aLongestIdle,
   // or null.
   ConnectionPtr Take(const std::string& aPeer, absl::Duration aLongestIdle);
-  // Makes a new connection; hands over null if that fails within the time.
+  // Makes a new connection; hands over null if that fails within the time. It
+  // takes the place of one that is kept, so that there are never more than are
+  // used at once.
   void Connect(const std::string& aPeer,
                const std::string& aAddress,
                absl::Duration aTimeout,
@@ -42,7 +44,6 @@
   // Closes connections whose idle time is over.
   void Sweep(absl::Time aNow);
   std::uint64_t Opened() const { return opened_; }
-  std::size_t Idle() const;
 
 private:
   Loop& loop_;
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -292,3 +292,41 @@
   CHECK(member.heldTokens_ == 0);
   CHECK(member.inFlight_ == 0);
 }
+
+// The pattern: a burst of calls at few targets, each of which refuses more
+// connections than it allows.
+TEST_CASE("a host keeps to its share of a target's connections")
+{
+  auto members = MakeMembers(2);
+  auto question = MakeQuestion();
+  question.mostCalls_ = 3;
+  for (int i = 0; i < 6; ++i) {
+    const auto choice = fleet::Choose(members, question, kSpeed, kNow);
+    REQUIRE_FALSE(choice.id_.empty());
+    fleet::CountSent(members.at(choice.id_), MakeSize(), kNow);
+  }
+  CHECK(members.at("t0").inFlight_ == 3);
+  CHECK(members.at("t1").inFlight_ == 3);
+  CHECK(fleet::Choose(members, question, kSpeed, kNow).id_.empty());
+  fleet::CountEnd(
+    members.at("t1"), MakeSize(), fleet::CallResult::Answered, kNow);
+  CHECK(fleet::Choose(members, question, kSpeed, kNow).id_ == "t1");
+}
+
+// The pattern: one host of a data centre sums up what the others have told it.
+TEST_CASE("sums of loads hold own calls and those of named hosts")
+{
+  auto members = MakeMembers(3);
+  const auto name = members.at("t1").shortName_;
+  fleet::CountSent(members.at("t1"), MakeSize(), kNow);
+  fleet::TakePeerLoads(members, "h1", { { name, 2, 10, 20, 30 } }, kNow);
+  fleet::TakePeerLoads(members, "h2", { { name, 1, 1, 1, 1 } }, kNow);
+  const auto loads = fleet::LoadsOf(members, { "h1" }, kNow);
+  REQUIRE(loads.size() == 1);
+  CHECK(loads[0].inFlight_ == 3);
+  CHECK(loads[0].urgentTokens_ == 10);
+  CHECK(loads[0].otherTokens_ == 3020);
+  CHECK(loads[0].heldTokens_ == 12030);
+  const auto later = kNow + fleet::kPeerMemory;
+  CHECK(fleet::LoadsOf(members, { "h1" }, later)[0].inFlight_ == 1);
+}
