Take a read for late only if it came after its time; count room by blocks

Change: late is what began to be answered after the time for reading and half of that time later than expected. Rooms of parts are rounded up to blocks. Filling stores to 88, 92 or 98% instead of 95% was no better.

--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -57,6 +57,7 @@
   absl::Time epochSeenAt_ = absl::InfinitePast();
   // Tokens by part and scope.
   absl::flat_hash_map<std::string, std::uint32_t> parts_;
+  // Tokens of room that its parts take.
   std::uint64_t usedTokens_ = 0;
   // Moving average of the reads that came too late.
   double lateReads_ = 0.0;
@@ -80,6 +81,8 @@
 inline constexpr absl::Duration kEpochSettle = absl::Seconds(3);
 // What is believed of a store without word from it may be used for so long.
 inline constexpr absl::Duration kTrustWithoutWord = absl::Seconds(2);
+// Room goes by blocks of so many tokens (the engines' sheet).
+inline constexpr std::uint64_t kBlockTokens = 16;
 // Part of a store's room that is filled; parts that others save meanwhile
 // need some.
 inline constexpr double kFilledShare = 0.95;
@@ -124,9 +127,13 @@
   std::uint64_t computedTokens_ = 0;
 };
 
-// A read is late if its prompt took so much of the time for reading longer than
-// the target's own work was expected to take.
-inline constexpr double kLateShare = 0.6;
+// A read is late if its prompt began to be answered only after the time for
+// reading, and by so much of that time later than was expected.
+inline constexpr double kLateShare = 0.5;
+bool
+IsLateRead(absl::Duration aTook,
+           absl::Duration aExpected,
+           absl::Duration aReadTime);
 // Weight of the newest read in the average. A host of many reads from a store
 // less than once a second.
 inline constexpr double kNewestRead = 0.25;
@@ -149,14 +156,12 @@
 double
 ReadShareAt(const StoreState& aStore, absl::Time aNow);
 
-// Notes how much longer than estimated a prompt took that was read from the
-// store with an address, of the time that it had for reading; returns the store,
-// or null.
+// Notes whether a prompt came late that was read from the store with an
+// address; returns the store, or null.
 const StoreState*
 NoteRead(Directory& aDirectory,
          absl::string_view aAddress,
-         absl::Duration aDelay,
-         absl::Duration aReadTime,
+         bool aIsLate,
          absl::Time aNow);
 
 // Plans the shared parts of one prompt for a target in a data centre. A part
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -121,22 +121,24 @@
 void
 Exchange::NoteReads(absl::Duration aTook)
 {
-  const auto delay = aTook - absl::Seconds(choice_.waitSeconds_);
+  const auto expected = absl::Seconds(choice_.waitSeconds_);
+  const bool late = kept::IsLateRead(aTook, expected, ReadTime());
   std::vector<std::string> noted;
   for (const auto& part : attemptParts_) {
     const auto& store = part.readFrom_;
     if (!store.empty() &&
         std::find(noted.begin(), noted.end(), store) == noted.end()) {
       noted.push_back(store);
-      const auto* state = kept::NoteRead(
-        host_.kept_, store, delay, ReadTime(), Now());
+      const auto* state = kept::NoteRead(host_.kept_, store, late, Now());
       if (state != nullptr && state->readShare_ < 1.0 - kept::kInTimeStep) {
         host_.metrics_.Count(
           "slow_reads_total", "store", state->settings_.name_);
         host_.log_.Write(Line("cache_store_slow")
                            .Text("id", request_.id_)
                            .Text("store", state->settings_.name_)
-                           .Age("delay_ms", delay)
+                           .Age("took_ms", aTook)
+                           .Age("expected_ms", expected)
+                           .Flag("late", late)
                            .Number("late_reads", state->lateReads_)
                            .Number("read_share", state->readShare_));
       }
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -81,6 +81,13 @@
   aStore.usedTokens_ = 0;
 }
 
+// Room that a part takes, in tokens.
+std::uint64_t
+RoomOf(std::uint32_t aTokens)
+{
+  return (aTokens + kBlockTokens - 1) / kBlockTokens * kBlockTokens;
+}
+
 void
 TakeChange(StoreState& aStore, const Change& aChange)
 {
@@ -88,7 +95,7 @@
   const auto found = aStore.parts_.find(key);
   const std::uint32_t before = found == aStore.parts_.end() ? 0 : found->second;
   const std::uint32_t after = aChange.added_ ? aChange.tokens_ : 0;
-  aStore.usedTokens_ = aStore.usedTokens_ - before + after;
+  aStore.usedTokens_ = aStore.usedTokens_ - RoomOf(before) + RoomOf(after);
   if (after == 0) {
     aStore.parts_.erase(key);
   } else {
@@ -143,7 +150,7 @@
     const double room =
       kFilledShare * static_cast<double>(store.settings_.capacityTokens_);
     if (!IsUsable(store, aNow) || aNow - store.epochSeenAt_ < kEpochSettle ||
-        static_cast<double>(store.usedTokens_ + aTokens) > room) {
+        static_cast<double>(store.usedTokens_ + RoomOf(aTokens)) > room) {
       continue;
     }
     if (const double rank = RankOf(store, aPart); rank < bestRank) {
@@ -228,6 +235,14 @@
   aStore.trust_ = Trust::Lost;
 }
 
+bool
+IsLateRead(absl::Duration aTook,
+           absl::Duration aExpected,
+           absl::Duration aReadTime)
+{
+  return aTook > aReadTime && aTook - aExpected > kLateShare * aReadTime;
+}
+
 double
 ReadShareAt(const StoreState& aStore, absl::Time aNow)
 {
@@ -237,8 +252,7 @@
 const StoreState*
 NoteRead(Directory& aDirectory,
          absl::string_view aAddress,
-         absl::Duration aDelay,
-         absl::Duration aReadTime,
+         bool aIsLate,
          absl::Time aNow)
 {
   const auto found = std::find_if(
@@ -252,13 +266,12 @@
   }
   auto& store = found->second;
   FadeSlowness(store, aNow);
-  const bool late = aDelay > kLateShare * aReadTime;
-  store.lateReads_ += kNewestRead * ((late ? 1.0 : 0.0) - store.lateReads_);
+  store.lateReads_ += kNewestRead * ((aIsLate ? 1.0 : 0.0) - store.lateReads_);
   const double usual = LateReadsOfBest(aDirectory, aNow);
   auto& share = store.readShare_;
   if (store.lateReads_ <= usual + kSlowLateShare) {
     share = std::min(1.0, share + kInTimeStep);
-  } else if (late) {
+  } else if (aIsLate) {
     share = std::max(kLeastReadShare, share * kSlowFactor);
   }
   return &store;
