--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -184,9 +184,8 @@
   const bool collects = IsCollector();
   const bool isLarge = relays::IsLarge(host_.hosts_);
   if (!std::exchange(nearPending_, true)) {
-    nearTimer_.Set(isLarge && !collects
-                     ? kCollectTime
-                     : PauseFor(kGatherTime, Mates().size()),
+    nearTimer_.Set(isLarge && !collects ? kCollectTime
+                                        : PauseFor(kGatherTime, Mates().size()),
                    [this] { SendNear(); });
   }
   if ((collects || !isLarge) && !std::exchange(farPending_, true)) {
@@ -255,10 +254,8 @@
   const auto to =
     ParseEndpoint(host_.hosts_.at(aHost).entry_.peerAddress_).address();
   boost::system::error_code error;
-  socket_.send_to(boost::asio::buffer(text),
-                  { to, host_.settings_.gossipPort_ },
-                  0,
-                  error);
+  socket_.send_to(
+    boost::asio::buffer(text), { to, host_.settings_.gossipPort_ }, 0, error);
   if (error) {
     host_.metrics_.Count("load_messages_unsent_total");
   }
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -33,13 +33,6 @@
 constexpr absl::Duration kAccountPeriod = absl::Milliseconds(250);
 constexpr absl::Duration kAccountAge = absl::Milliseconds(700);
 constexpr absl::Duration kRefusedPause = absl::Milliseconds(300);
-// Old parts are freed once no read of them can be under way: those that began
-// before the last target changed have ended or were thrown away. The margin
-// covers a request's way to its target and the error of the common clock.
-constexpr absl::Duration kReadMargin = absl::Milliseconds(300);
-constexpr absl::Duration kFreePeriod = absl::Milliseconds(250);
-constexpr absl::Duration kFreeTimeout = absl::Seconds(1);
-constexpr std::size_t kFreedAtOnce = 400;
 
 } // namespace
 
@@ -267,9 +260,10 @@
     for (const auto& id : ids) {
       const auto timer = std::make_shared<Timer>(host_.loop_);
       // The other hosts hear of an order before the target does.
-      timer->Set(NoticeTime(host_), [self = shared_from_this(), timer, aModel, id] {
-        self->SendOrder(aModel, id);
-      });
+      timer->Set(NoticeTime(host_),
+                 [self = shared_from_this(), timer, aModel, id] {
+                   self->SendOrder(aModel, id);
+                 });
     }
   }
   for (const auto& id : weights::ToRead(aRollout, now)) {
@@ -430,71 +424,4 @@
   work->notBefore_ = now;
 }
 
-void
-Owner::FreeOldParts()
-{
-  const auto now = Now();
-  for (const auto& [model, named] : host_.weights_) {
-    auto& oldest = oldest_[model];
-    const auto version = weights::OldestVersion(host_.members_, model);
-    if (oldest.version_ != version) {
-      oldest = { version, now };
-    }
-  }
-  if (now - freedAt_ < kFreePeriod) {
-    return;
-  }
-  freedAt_ = now;
-  for (auto& [name, state] : host_.kept_.stores_) {
-    if (state.trust_ != kept::Trust::Following) {
-      continue;
-    }
-    std::vector<kept::Change> unused;
-    for (const auto& [model, oldest] : oldest_) {
-      if (now - oldest.since_ < LongestRead(host_) + kReadMargin) {
-        continue;
-      }
-      auto old = kept::MadeByOldWeights(state, model, oldest.version_);
-      std::move(old.begin(), old.end(), std::back_inserter(unused));
-    }
-    if (unused.empty()) {
-      continue;
-    }
-    if (unused.size() > kFreedAtOnce) {
-      unused.resize(kFreedAtOnce);
-    }
-    host_.log_.Write(Line("parts_freed")
-                       .Text("store", name)
-                       .Number("parts", unused.size())
-                       .Number("epoch", state.epoch_));
-    Free(name, state, std::move(unused));
-  }
-}
-
-void
-Owner::Free(const std::string& aStore,
-            const kept::StoreState& aState,
-            std::vector<kept::Change> aParts)
-{
-  const auto epoch = aState.epoch_;
-  const auto call = host_.adapter_.writeFreeCall_(epoch, aParts);
-  Fetch(host_.calls_,
-        host_.loop_,
-        aState.settings_.address_,
-        call,
-        kFreeTimeout,
-        [self = shared_from_this(), aStore, epoch, parts = std::move(aParts)](
-          const http::Answer& aAnswer) {
-          auto& stores = self->host_.kept_.stores_;
-          if (const auto found = stores.find(aStore);
-              found != stores.end() && aAnswer.status_ / 100 == 2) {
-            kept::Forget(found->second, epoch, parts);
-            return;
-          }
-          self->host_.log_.Write(Line("parts_not_freed")
-                                   .Text("store", aStore)
-                                   .Number("status", aAnswer.status_));
-        });
-}
-
 } // namespace lycheeplank::gateway
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -155,18 +155,17 @@
     feed_ = 0;
     next_ = 0;
   }
-  Fetch(
-    host_.calls_,
-    host_.loop_,
-    aPeer.address_,
-    { "GET",
-      absl::StrCat(kChangesPath, "?feed=", feed_, "&from=", next_),
-      {},
-      {} },
-    kPollTime + kPeerTimeout,
-    [self = shared_from_this(), aPeer](const http::Answer& aAnswer) {
-      self->OnNews(aPeer, aAnswer);
-    });
+  Fetch(host_.calls_,
+        host_.loop_,
+        aPeer.address_,
+        { "GET",
+          absl::StrCat(kChangesPath, "?feed=", feed_, "&from=", next_),
+          {},
+          {} },
+        kPollTime + kPeerTimeout,
+        [self = shared_from_this(), aPeer](const http::Answer& aAnswer) {
+          self->OnNews(aPeer, aAnswer);
+        });
 }
 
 void
--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -173,7 +173,8 @@
 StoreFollowers::Update()
 {
   for (auto at = followers_.begin(); at != followers_.end();) {
-    if (host_.role_ == Role::Direct && host_.kept_.stores_.contains(at->first)) {
+    if (host_.role_ == Role::Direct &&
+        host_.kept_.stores_.contains(at->first)) {
       ++at;
     } else {
       at->second->Stop();
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -255,12 +255,12 @@
          bool aIsLate,
          absl::Time aNow)
 {
-  const auto found = std::find_if(
-    aDirectory.stores_.begin(),
-    aDirectory.stores_.end(),
-    [aAddress](const auto& aStore) {
-      return aStore.second.settings_.address_ == aAddress;
-    });
+  const auto found =
+    std::find_if(aDirectory.stores_.begin(),
+                 aDirectory.stores_.end(),
+                 [aAddress](const auto& aStore) {
+                   return aStore.second.settings_.address_ == aAddress;
+                 });
   if (found == aDirectory.stores_.end()) {
     return nullptr;
   }
--- a/src/relays/relays.cc
+++ b/src/relays/relays.cc
@@ -97,8 +97,7 @@
     return absl::nullopt;
   }
   const auto from = static_cast<std::ptrdiff_t>(aFirst - aFeed.first_);
-  return absl::StrJoin(
-    aFeed.rows_.begin() + from, aFeed.rows_.end(), ",");
+  return absl::StrJoin(aFeed.rows_.begin() + from, aFeed.rows_.end(), ",");
 }
 
 } // namespace lycheeplank::relays
--- a/test/news-test.cc
+++ b/test/news-test.cc
@@ -24,9 +24,9 @@
 MakeNews()
 {
   const replica::Item item{ "a/b", "{\"x\":1}", 17, 3, false };
-  const gateway::StoreNews store{
-    "s1", false, true, 9, 41, { { true, "shared.m.1", "p1", 512 } }
-  };
+  const gateway::StoreNews store{ "s1", false,
+                                  true, 9,
+                                  41,   { { true, "shared.m.1", "p1", 512 } } };
   const gateway::Notice notice{
     gateway::Notice::Kind::Ordered, "t1", "m", 2, absl::Seconds(3)
   };
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -2,8 +2,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "gateway/peer-follower.h"
 #include "gateway-world.h"
+#include "gateway/peer-follower.h"
 
 namespace catalog = lycheeplank::catalog;
 namespace entries = lycheeplank::entries;
@@ -121,9 +121,8 @@
   for (auto* relay : { &hosts.first_, &hosts.second_ }) {
     gateway::Learn(relay->host_, { MakeItem("x/later", 9) }, "watch");
   }
-  REQUIRE(hosts.RunUntil([&] {
-    return replica::Find(third.replica_, "x/later") != nullptr;
-  }));
+  REQUIRE(hosts.RunUntil(
+    [&] { return replica::Find(third.replica_, "x/later") != nullptr; }));
   for (auto* relay : { &hosts.first_, &hosts.second_ }) {
     gateway::Learn(relay->host_, { MakeItem("y/earlier", 8) }, "watch");
     gateway::AddRow(relay->host_,
@@ -144,9 +143,8 @@
   gateway::TellPeers(
     hosts.first_.host_,
     { { gateway::Notice::Kind::Ordered, "t1", "m", 2, absl::Seconds(60) } });
-  CHECK(hosts.RunUntil([&] {
-    return third.members_.at("t1").orderedUntil_ > gateway::Now();
-  }));
+  CHECK(hosts.RunUntil(
+    [&] { return third.members_.at("t1").orderedUntil_ > gateway::Now(); }));
 }
 
 TEST_CASE("a host asks for itself while no relay answers")
@@ -158,8 +156,7 @@
     relay->server_.StopListening();
     relay->server_.CloseAfterAnswers();
   }
-  CHECK(
-    hosts.RunUntil([&] { return third.role_ == gateway::Role::Direct; }));
+  CHECK(hosts.RunUntil([&] { return third.role_ == gateway::Role::Direct; }));
 }
 
 TEST_CASE("a host whose relays have lost the key-value service asks for itself")
@@ -169,8 +166,7 @@
   REQUIRE(hosts.RunUntil([&] { return third.role_ == gateway::Role::Told; }));
   hosts.first_.host_.store_.reachable_ = false;
   hosts.second_.host_.store_.reachable_ = false;
-  CHECK(
-    hosts.RunUntil([&] { return third.role_ == gateway::Role::Direct; }));
+  CHECK(hosts.RunUntil([&] { return third.role_ == gateway::Role::Direct; }));
   // It is told again once one of them is back.
   hosts.first_.host_.store_.reachable_ = true;
   hosts.second_.host_.store_.reachable_ = true;
@@ -184,6 +180,5 @@
   for (const auto* name : { "h1", "h2", "h3" }) {
     third.hosts_.at(name).entry_.leaving_ = true;
   }
-  CHECK(
-    hosts.RunUntil([&] { return third.role_ == gateway::Role::Direct; }));
+  CHECK(hosts.RunUntil([&] { return third.role_ == gateway::Role::Direct; }));
 }
