--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -136,15 +136,15 @@
            absl::Duration aReadTime);
 // Weight of the newest read in the average. A host of many reads from a store
 // less than once a second.
-inline constexpr double kNewestRead = 0.25;
+inline constexpr double kNewestRead = 0.2;
 // A store is slow if its share of late reads is so much above that of the best
 // quarter of the stores. Targets that are busy delay the reads from all alike.
-inline constexpr double kSlowLateShare = 0.3;
+inline constexpr double kSlowLateShare = 0.4;
 inline constexpr double kBestQuantile = 0.25;
 // Steps of a store's share of reads after a late one of a slow store and after
 // another one.
-inline constexpr double kSlowFactor = 0.6;
-inline constexpr double kInTimeStep = 0.05;
+inline constexpr double kSlowFactor = 0.7;
+inline constexpr double kInTimeStep = 0.1;
 inline constexpr double kLeastReadShare = 0.1;
 
 // What is known of a slow store is half forgotten after this time, so that one
