--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -19,14 +19,11 @@
 using json::TextOf;
 
 // Positions in a change of a cache store.
-enum ChangeField : std::uint8_t
-{
-  kAdded,
-  kScope,
-  kPart,
-  kTokens,
-  kChangeFields,
-};
+constexpr std::size_t kAdded = 0;
+constexpr std::size_t kScope = 1;
+constexpr std::size_t kPart = 2;
+constexpr std::size_t kTokens = 3;
+constexpr std::size_t kChangeFields = 4;
 
 std::string
 Dump(const Json& aJson)
