Bring two tests up to what they test

The whole run failed twice in the same two cases: entries-test wrote an entry field by field and lacked the new one (its cores are checked now), weights-test counted a third of nine targets; it counts a fifth of twenty, four as before.

--- a/test/entries-test.cc
+++ b/test/entries-test.cc
@@ -59,11 +59,12 @@
 
 TEST_CASE("a host's entry is read back as it was written")
 {
-  entries::HostEntry entry{ "n", "a", "1.2.3.4:5", "1.2.3.4:6", true };
+  entries::HostEntry entry{ "n", "a", "1.2.3.4:5", "1.2.3.4:6", 0.25, true };
   const auto read = entries::ReadHost(entries::WriteHost(entry));
   REQUIRE(read);
   CHECK(read->callerAddress_ == entry.callerAddress_);
   CHECK(read->peerAddress_ == entry.peerAddress_);
+  CHECK(read->cores_ == 0.25);
   CHECK(read->leaving_);
   CHECK_FALSE(entries::ReadHost("{\"name\":\"n\"}"));
   CHECK_FALSE(entries::ReadHost("[1"));
--- a/test/weights-test.cc
+++ b/test/weights-test.cc
@@ -27,7 +27,7 @@
 
 TEST_CASE("a part of the targets is ordered at once, the least busy first")
 {
-  auto members = MakeMembers(9);
+  auto members = MakeMembers(20);
   for (auto& [id, member] : members) {
     member.inFlight_ = 5;
   }
