--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -258,13 +258,18 @@
     CheckEnd();
   }
 
+  bool IsGraceOver() const
+  {
+    return Now() - host_.stoppedAt_ > host_.settings_.graceTime_ - kExitMargin;
+  }
+
   // Ends once nobody can hold a list with this host any more and all requests
   // are answered, or when the grace time is nearly over.
   void CheckEnd()
   {
     const auto age = Now() - host_.stoppedAt_;
     const auto& settings = host_.settings_;
-    const bool late = age > settings.graceTime_ - kExitMargin;
+    const bool late = IsGraceOver();
     const bool forgotten =
       age > kListLives * settings.listLife_ + kLastAnswerTime;
     if (late || (forgotten && host_.requestsOpen_ == 0)) {
@@ -280,7 +285,14 @@
                        .Number("requests_open", host_.requestsOpen_)
                        .Age("after_ms", Now() - host_.stoppedAt_));
     presence_->End();
-    endTimer_.Set(kLastAnswerTime, [this] { loop_.stop(); });
+    endTimer_.Set(kLastAnswerTime, [this] {
+      // A request may have come since.
+      if (host_.requestsOpen_ > 0 && !IsGraceOver()) {
+        CheckEnd();
+      } else {
+        loop_.stop();
+      }
+    });
   }
 
   Loop& loop_;
