Serve twins of the gateway by one piece of code

What the change had written twice, or in the wrong place: - granting, keeping and ending a lease: Presence and Owner, now gateway/lease; - taking in a list and taking in changes: LearnNews; - asking a cache store for changes or for all: Ask(bool); - sums of what hosts have under way: AddRecent, summed once an estimate instead of twice; - rows for other hosts were written out as JSON at hosts that nobody asks: Publish looks at the role first; - a host's loads worked out the relays of its data centre several times for each request, also while both messages were due already; - a stopping host that took a request in its last moment told its end twice; it tells it once, when it ends; - AllRows walks the replica by ChangesAfter, which nothing else called; - a counter, and two comments, that told of what is gone. Requests are served as before. peers-test calls Publish where it called AddRow; no assertion is changed.

--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -62,6 +62,33 @@
          found->second < aQuestion.weights_;
 }
 
+// Adds what a host has told to a sum if it told it lately.
+template<typename Sum>
+void
+AddRecent(Sum& aSum, const PeerShare& aTold, absl::Time aNow)
+{
+  if (aNow - aTold.toldAt_ < kPeerMemory) {
+    aSum.inFlight_ += aTold.inFlight_;
+    aSum.urgentTokens_ += aTold.urgentTokens_;
+    aSum.otherTokens_ += aTold.otherTokens_;
+    aSum.heldTokens_ += aTold.heldTokens_;
+  }
+}
+
+// What this host and all others have under way at a target.
+PeerShare
+AllShares(const Member& aMember, absl::Time aNow)
+{
+  PeerShare sum{ aMember.inFlight_,
+                 aMember.urgentTokens_,
+                 aMember.otherTokens_,
+                 aMember.heldTokens_ };
+  for (const auto& [host, told] : aMember.peers_) {
+    AddRecent(sum, told, aNow);
+  }
+  return sum;
+}
+
 // Calls and tokens that are under way at a target, as far as is known.
 struct Backlog
 {
@@ -72,19 +99,12 @@
 };
 
 Backlog
-BacklogOf(const Member& aMember, absl::Time aNow)
+BacklogOf(const Member& aMember, const PeerShare& aShares, absl::Time aNow)
 {
   Backlog backlog;
-  backlog.running_ = aMember.inFlight_;
-  backlog.urgentTokens_ = aMember.urgentTokens_;
-  backlog.otherTokens_ = aMember.otherTokens_;
-  for (const auto& [host, share] : aMember.peers_) {
-    if (aNow - share.toldAt_ < kPeerMemory) {
-      backlog.running_ += share.inFlight_;
-      backlog.urgentTokens_ += share.urgentTokens_;
-      backlog.otherTokens_ += share.otherTokens_;
-    }
-  }
+  backlog.running_ = aShares.inFlight_;
+  backlog.urgentTokens_ = aShares.urgentTokens_;
+  backlog.otherTokens_ = aShares.otherTokens_;
   if (aNow - aMember.loadAt_ < kLoadMemory) {
     backlog.running_ =
       std::max<double>(backlog.running_, aMember.load_.running_);
@@ -95,17 +115,12 @@
 
 // Time until enough of a target's memory is free.
 double
-MemoryWait(const Member& aMember, const Question& aQuestion, absl::Time aNow)
+MemoryWait(const PeerShare& aShares, const Question& aQuestion)
 {
   const double share = aQuestion.isUrgent_ ? 1.0 : kMemoryUsed;
   const double room = share * static_cast<double>(aQuestion.memoryTokens_);
-  std::uint64_t tokens = aMember.heldTokens_ + aQuestion.heldTokens_;
-  for (const auto& [host, peer] : aMember.peers_) {
-    if (aNow - peer.toldAt_ < kPeerMemory) {
-      tokens += peer.heldTokens_;
-    }
-  }
-  const auto held = static_cast<double>(tokens);
+  const auto held =
+    static_cast<double>(aShares.heldTokens_ + aQuestion.heldTokens_);
   if (room <= 0.0 || held <= room) {
     return 0.0;
   }
@@ -219,12 +234,8 @@
                    member.heldTokens_ };
     for (const auto& host : aHosts) {
       const auto told = member.peers_.find(host);
-      if (told != member.peers_.end() &&
-          aNow - told->second.toldAt_ < kPeerMemory) {
-        load.inFlight_ += told->second.inFlight_;
-        load.urgentTokens_ += told->second.urgentTokens_;
-        load.otherTokens_ += told->second.otherTokens_;
-        load.heldTokens_ += told->second.heldTokens_;
+      if (told != member.peers_.end()) {
+        AddRecent(load, told->second, aNow);
       }
     }
     if (load.inFlight_ > 0) {
@@ -241,7 +252,8 @@
              absl::Time aNow)
 {
   const auto slots = static_cast<double>(std::max(1U, aMember.target_.slots_));
-  const auto backlog = BacklogOf(aMember, aNow);
+  const auto shares = AllShares(aMember, aNow);
+  const auto backlog = BacklogOf(aMember, shares, aNow);
   const double excess =
     std::max(0.0, backlog.running_ + backlog.waiting_ + 1.0 - slots);
   Estimate estimate;
@@ -260,7 +272,7 @@
       aSpeed.promptTokensPerSecond_ +
     static_cast<double>(cost.readTokens_) / aSpeed.cacheTokensPerSecond_ +
     kSlotSeconds * backlog.running_ + kWaitingSeconds * backlog.waiting_;
-  const double memory = MemoryWait(aMember, aQuestion, aNow);
+  const double memory = MemoryWait(shares, aQuestion);
   estimate.memoryFull_ = !aQuestion.isUrgent_ && memory > 0.0;
   estimate.waitSeconds_ = aMember.slowness_ * estimate.usualSeconds_ +
                           excess * kHoldSeconds / slots + memory;
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -161,7 +161,7 @@
   std::string name_;
 };
 
-// An order that makes a target load weights; runs go on to their end first.
+// An order that makes a target load weights; what runs goes on meanwhile.
 struct WeightsOrder
 {
   std::string targetId_;
--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -264,19 +264,25 @@
   }
 
   // Ends once nobody can hold a list with this host any more and all requests
-  // are answered, or when the grace time is nearly over.
+  // are answered, those of the last moment too, or when the grace time is
+  // nearly over.
   void CheckEnd()
   {
-    const auto age = Now() - host_.stoppedAt_;
-    const auto& settings = host_.settings_;
-    const bool late = IsGraceOver();
+    const bool over = IsGraceOver();
     const bool forgotten =
-      age > kListLives * settings.listLife_ + kLastAnswerTime;
-    if (late || (forgotten && host_.requestsOpen_ == 0)) {
-      End();
-      return;
+      Now() - host_.stoppedAt_ >
+      kListLives * host_.settings_.listLife_ + kLastAnswerTime;
+    const bool mayEnd = over || (forgotten && host_.requestsOpen_ == 0);
+    if (mayEnd && !std::exchange(gone_, true)) {
+      presence_->End();
     }
-    endTimer_.Set(kLastAnswerTime, [this] { CheckEnd(); });
+    endTimer_.Set(kLastAnswerTime, [this, over, mayEnd] {
+      if (over || (mayEnd && host_.requestsOpen_ == 0)) {
+        End();
+      } else {
+        CheckEnd();
+      }
+    });
   }
 
   void End()
@@ -284,15 +290,7 @@
     host_.log_.Write(Line("stopped")
                        .Number("requests_open", host_.requestsOpen_)
                        .Age("after_ms", Now() - host_.stoppedAt_));
-    presence_->End();
-    endTimer_.Set(kLastAnswerTime, [this] {
-      // A request may have come since.
-      if (host_.requestsOpen_ > 0 && !IsGraceOver()) {
-        CheckEnd();
-      } else {
-        loop_.stop();
-      }
-    });
+    loop_.stop();
   }
 
   Loop& loop_;
@@ -311,6 +309,8 @@
   std::vector<std::shared_ptr<Follower>> followers_;
   std::vector<std::unique_ptr<Server>> servers_;
   bool present_ = false;
+  // Its entry has been taken off the list of hosts.
+  bool gone_ = false;
 };
 
 } // namespace
--- a/src/gateway/client-connection.cc
+++ b/src/gateway/client-connection.cc
@@ -73,7 +73,6 @@
   headSeen_ = false;
   skipping_ = false;
   anyByte_ = false;
-  ++calls_;
   socket_->Send(aBytes);
 }
 
--- a/src/gateway/client-connection.h
+++ b/src/gateway/client-connection.h
@@ -82,7 +82,6 @@
   bool skipping_ = false;
   bool spoiled_ = false;
   bool anyByte_ = false;
-  std::uint64_t calls_ = 0;
   absl::Time idleSince_ = absl::InfinitePast();
   absl::Duration idleLimit_;
 };
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -135,7 +135,7 @@
         aError ? std::string() : ReadLoads({ buffer_.data(), aSize }, loads);
       if (!host.empty() && host != host_.settings_.name_) {
         fleet::TakePeerLoads(host_.members_, host, loads, Now());
-        if (IsCollector()) {
+        if (!(nearPending_ && farPending_) && IsCollector()) {
           Changed();
         }
       }
@@ -172,17 +172,23 @@
 bool
 Gossip::IsCollector() const
 {
+  if (!relays::IsLarge(host_.hosts_)) {
+    return false;
+  }
   const auto relays =
     relays::RelaysOf(host_.hosts_, host_.settings_.dataCentre_);
-  return !relays.empty() && relays.front() == host_.settings_.name_ &&
-         relays::IsLarge(host_.hosts_);
+  return !relays.empty() && relays.front() == host_.settings_.name_;
 }
 
 void
 Gossip::Changed()
 {
-  const bool collects = IsCollector();
+  // Runs several times a request; mostly both are set already.
+  if (nearPending_ && farPending_) {
+    return;
+  }
   const bool isLarge = relays::IsLarge(host_.hosts_);
+  const bool collects = isLarge && IsCollector();
   if (!std::exchange(nearPending_, true)) {
     nearTimer_.Set(isLarge && !collects ? kCollectTime
                                         : PauseFor(kGatherTime, Mates().size()),
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include "gateway/clock.h"
-#include "gateway/news.h"
 
 namespace lycheeplank::gateway {
 
@@ -202,6 +201,23 @@
   }
 }
 
+// Takes in items that are newer than what was known.
+void
+LearnNews(Host& aHost,
+          const std::vector<replica::Item>& aNews,
+          absl::string_view aSource,
+          absl::Time aNow)
+{
+  for (const auto& item : aNews) {
+    LearnItem(aHost, item, aSource, aNow);
+    Publish(aHost, item);
+  }
+  if (!aNews.empty()) {
+    Sweep(aHost);
+    TellChange(aHost);
+  }
+}
+
 void
 NoteStore(Host& aHost, const StoreCommand& aCommand, StoreOutcome aOutcome)
 {
@@ -256,18 +272,13 @@
       absl::string_view aSource)
 {
   const auto now = Now();
-  bool any = false;
+  std::vector<replica::Item> news;
   for (const auto& item : aItems) {
     if (replica::Apply(aHost.replica_, item, now)) {
-      LearnItem(aHost, item, aSource, now);
-      AddRow(aHost, WriteRow(item));
-      any = true;
+      news.push_back(item);
     }
   }
-  if (any) {
-    Sweep(aHost);
-    TellChange(aHost);
-  }
+  LearnNews(aHost, news, aSource, now);
 }
 
 void
@@ -277,16 +288,10 @@
           std::uint64_t aAsOf)
 {
   const auto now = Now();
-  const auto news =
-    replica::Reconcile(aHost.replica_, aPrefix, aItems, aAsOf, now);
-  for (const auto& item : news) {
-    LearnItem(aHost, item, "list", now);
-    AddRow(aHost, WriteRow(item));
-  }
-  if (!news.empty()) {
-    Sweep(aHost);
-    TellChange(aHost);
-  }
+  LearnNews(aHost,
+            replica::Reconcile(aHost.replica_, aPrefix, aItems, aAsOf, now),
+            "list",
+            now);
 }
 
 void
@@ -302,15 +307,6 @@
   aHost.onRole_();
 }
 
-void
-AddRow(Host& aHost, std::string aRow)
-{
-  if (aHost.role_ == Role::Direct) {
-    relays::AddRow(aHost.feed_, std::move(aRow));
-    aHost.onFeed_();
-  }
-}
-
 absl::Duration
 ReadTimeOf(const catalog::Route& aRoute)
 {
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -14,6 +14,7 @@
 
 #include "gateway/adapter.h"
 #include "gateway/log.h"
+#include "gateway/news.h"
 #include "gateway/pool.h"
 #include "gateway/settings.h"
 #include "lycheeplank/budget.h"
@@ -162,9 +163,17 @@
 void
 SetRole(Host& aHost, Role aRole);
 
-// Adds a row to the host's feed if others may ask this host for it.
+// Tells the hosts that ask this one, if it is one that others ask. aNews: an
+// item, news of a cache store, or a notice.
+template<typename Row>
 void
-AddRow(Host& aHost, std::string aRow);
+Publish(Host& aHost, const Row& aNews)
+{
+  if (aHost.role_ == Role::Direct) {
+    relays::AddRow(aHost.feed_, WriteRow(aNews));
+    aHost.onFeed_();
+  }
+}
 
 // Part of a route's goal that reading a prompt from cache stores may take. What
 // isn't read by then is thrown away and computed, which mostly meets the goal.
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -7,6 +7,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "gateway/clock.h"
+#include "gateway/lease.h"
 #include "gateway/peers.h"
 
 namespace lycheeplank::gateway {
@@ -100,21 +101,17 @@
 {
   phase_ = Phase::Claiming;
   const auto askedAt = Now();
-  StoreCommand command;
-  command.operation_ = StoreOperation::GrantLease;
-  command.wait_ = std::max(kLeaseLife, host_.settings_.leastLease_);
-  CallStore(host_,
-            command,
-            kStoreTimeout,
-            [self = shared_from_this(), askedAt](const StoreReply& aReply) {
-              if (aReply.outcome_ != StoreOutcome::Ok || aReply.lease_ == 0) {
-                self->Lose("no_lease");
-                return;
-              }
-              self->lease_ = aReply.lease_;
-              self->validUntil_ = askedAt + kLeaseLife - kLeaseMargin;
-              self->Claim();
-            });
+  GrantLease(host_,
+             kLeaseLife,
+             [self = shared_from_this(), askedAt](std::uint64_t aLease) {
+               if (aLease == 0) {
+                 self->Lose("no_lease");
+                 return;
+               }
+               self->lease_ = aLease;
+               self->validUntil_ = askedAt + kLeaseLife - kLeaseMargin;
+               self->Claim();
+             });
 }
 
 void
@@ -168,24 +165,19 @@
     return;
   }
   const auto askedAt = Now();
-  StoreCommand command;
-  command.operation_ = StoreOperation::KeepLease;
-  command.lease_ = lease_;
-  CallStore(host_,
-            command,
-            kStoreTimeout,
-            [self = shared_from_this(), askedAt](const StoreReply& aReply) {
-              if (self->phase_ != Phase::Owning) {
-                return;
-              }
-              if (aReply.outcome_ == StoreOutcome::Ok) {
-                self->validUntil_ = askedAt + kLeaseLife - kLeaseMargin;
-              } else if (aReply.outcome_ == StoreOutcome::Absent) {
-                self->Lose("lease_lapsed");
-                return;
-              }
-              self->KeepLater();
-            });
+  KeepLease(
+    host_, lease_, [self = shared_from_this(), askedAt](StoreOutcome aOutcome) {
+      if (self->phase_ != Phase::Owning) {
+        return;
+      }
+      if (aOutcome == StoreOutcome::Ok) {
+        self->validUntil_ = askedAt + kLeaseLife - kLeaseMargin;
+      } else if (aOutcome == StoreOutcome::Absent) {
+        self->Lose("lease_lapsed");
+        return;
+      }
+      self->KeepLater();
+    });
 }
 
 void
@@ -210,10 +202,7 @@
   }
   Lose("stopping");
   claimTimer_.Cancel();
-  StoreCommand command;
-  command.operation_ = StoreOperation::EndLease;
-  command.lease_ = lease_;
-  CallStore(host_, command, kStoreTimeout, [](const StoreReply&) {});
+  EndLease(host_, lease_);
 }
 
 weights::Work*
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -74,6 +74,12 @@
   timer_.Set(aPause, [self = shared_from_this()] { self->Step(); });
 }
 
+bool
+PeerFollower::IsRelay() const
+{
+  return relays::IsRelay(host_.hosts_, host_.settings_.name_);
+}
+
 std::vector<PeerFollower::Peer>
 PeerFollower::Relays() const
 {
@@ -127,7 +133,7 @@
     StepLater(kStartPeriod);
     return;
   }
-  if (!relays::IsRelay(host_.hosts_, host_.settings_.name_)) {
+  if (!IsRelay()) {
     const auto peers = Relays();
     Ask(peers[failures_ % peers.size()]);
     return;
@@ -177,7 +183,7 @@
     Fail(aPeer, absl::StrCat("status ", aAnswer.status_));
     return;
   }
-  const bool isRelay = relays::IsRelay(host_.hosts_, host_.settings_.name_);
+  const bool isRelay = IsRelay();
   if (!isRelay && !news->source_.direct_) {
     Fail(aPeer, "asks others itself");
     return;
@@ -213,8 +219,7 @@
   if (!aNews.notices_.empty()) {
     TakeNotices(host_, aNews.notices_);
   }
-  if (host_.role_ == Role::Direct &&
-      relays::IsRelay(host_.hosts_, host_.settings_.name_)) {
+  if (host_.role_ == Role::Direct && IsRelay()) {
     // It hears of the cache stores by itself.
     return;
   }
--- a/src/gateway/peer-follower.h
+++ b/src/gateway/peer-follower.h
@@ -31,6 +31,7 @@
   void StepLater(absl::Duration aPause);
   void Step();
   bool IsSettled() const;
+  bool IsRelay() const;
   std::vector<Peer> Relays() const;
   Peer PickAny();
   void Ask(const Peer& aPeer);
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -47,7 +47,7 @@
 PublishNotices(Host& aHost, const std::vector<Notice>& aNotices)
 {
   for (const auto& notice : aNotices) {
-    AddRow(aHost, WriteRow(notice));
+    Publish(aHost, notice);
   }
 }
 
@@ -65,8 +65,8 @@
 AllRows(const Host& aHost)
 {
   std::vector<std::string> rows;
-  for (const auto& [key, known] : aHost.replica_.items_) {
-    rows.push_back(WriteRow(known.item_));
+  for (const auto& item : replica::ChangesAfter(aHost.replica_, 0)) {
+    rows.push_back(WriteRow(item));
   }
   for (const auto& [name, state] : aHost.kept_.stores_) {
     if (state.trust_ == kept::Trust::Following) {
@@ -93,6 +93,12 @@
   return source;
 }
 
+void
+ReplyJson(const ServerConnectionPtr& aCaller, const std::string& aBody)
+{
+  aCaller->Reply(200, { { "Content-Type", "application/json" } }, aBody);
+}
+
 } // namespace
 
 PeerServer::PeerServer(Host& aHost)
@@ -114,7 +120,7 @@
     const auto notices = ReadNotices(aCaller->Body());
     TakeNotices(host_, notices);
     PublishNotices(host_, notices);
-    aCaller->Reply(200, { { "Content-Type", "application/json" } }, "{}");
+    ReplyJson(aCaller, "{}");
     return;
   }
   aCaller->Reply(404, {}, "");
@@ -130,8 +136,7 @@
                      from == relays::NextRow(host_.feed_) && !host_.stopping_ &&
                      host_.role_ == Role::Direct;
   if (!waits) {
-    aCaller->Reply(
-      200, { { "Content-Type", "application/json" } }, NewsFor(feed, from));
+    ReplyJson(aCaller, NewsFor(feed, from));
     return;
   }
   const auto poll =
@@ -169,9 +174,7 @@
     polls_.pop_front();
     // The caller may ask again within the reply, which adds a poll at the end.
     poll.caller_->OnGone(nullptr);
-    poll.caller_->Reply(200,
-                        { { "Content-Type", "application/json" } },
-                        NewsFor(poll.feed_, poll.from_));
+    ReplyJson(poll.caller_, NewsFor(poll.feed_, poll.from_));
   }
 }
 
--- a/src/gateway/presence.cc
+++ b/src/gateway/presence.cc
@@ -1,10 +1,11 @@
 #include "gateway/presence.h"
 
-#include <algorithm>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
 
+#include "gateway/lease.h"
+
 namespace lycheeplank::gateway {
 
 namespace {
@@ -68,20 +69,15 @@
 void
 Presence::Grant()
 {
-  StoreCommand command;
-  command.operation_ = StoreOperation::GrantLease;
-  command.wait_ = std::max(kLeaseLife, host_.settings_.leastLease_);
-  CallStore(host_,
-            command,
-            kStoreTimeout,
-            [self = shared_from_this()](const StoreReply& aReply) {
-              if (aReply.outcome_ != StoreOutcome::Ok || aReply.lease_ == 0) {
-                self->Later(Jitter(self->host_, kRetryPause), &Presence::Grant);
-                return;
-              }
-              self->lease_ = aReply.lease_;
-              self->Write();
-            });
+  GrantLease(
+    host_, kLeaseLife, [self = shared_from_this()](std::uint64_t aLease) {
+      if (aLease == 0) {
+        self->Later(Jitter(self->host_, kRetryPause), &Presence::Grant);
+        return;
+      }
+      self->lease_ = aLease;
+      self->Write();
+    });
 }
 
 void
@@ -103,15 +99,9 @@
 void
 Presence::Keep()
 {
-  StoreCommand command;
-  command.operation_ = StoreOperation::KeepLease;
-  command.lease_ = lease_;
-  CallStore(host_,
-            command,
-            kStoreTimeout,
-            [self = shared_from_this()](const StoreReply& aReply) {
-              self->GoOn(aReply.outcome_, &Presence::Keep);
-            });
+  KeepLease(host_, lease_, [self = shared_from_this()](StoreOutcome aOutcome) {
+    self->GoOn(aOutcome, &Presence::Keep);
+  });
 }
 
 void
@@ -125,13 +115,9 @@
 void
 Presence::End()
 {
-  if (lease_ == 0) {
-    return;
+  if (lease_ != 0) {
+    EndLease(host_, lease_);
   }
-  StoreCommand command;
-  command.operation_ = StoreOperation::EndLease;
-  command.lease_ = lease_;
-  CallStore(host_, command, kStoreTimeout, [](const StoreReply&) {});
 }
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -5,7 +5,6 @@
 #include <vector>
 
 #include "gateway/clock.h"
-#include "gateway/news.h"
 
 namespace lycheeplank::gateway {
 
@@ -50,40 +49,25 @@
 void
 StoreFollower::Later(absl::Duration aPause)
 {
-  timer_.Set(aPause, [self = shared_from_this()] { self->Ask(); });
+  timer_.Set(aPause, [self = shared_from_this()] { self->Ask(false); });
 }
 
 void
-StoreFollower::Ask()
+StoreFollower::Ask(bool aWhole)
 {
   const auto* state = State();
   if (state == nullptr) {
     return;
   }
+  const auto& adapter = host_.adapter_;
   Fetch(host_.calls_,
         host_.loop_,
         state->settings_.address_,
-        host_.adapter_.writeChangesCall_(state->next_, kWaitTime),
-        kWaitTime + kAnswerTime,
-        [self = shared_from_this()](const http::Answer& aAnswer) {
-          self->OnAnswer(aAnswer, false);
-        });
-}
-
-void
-StoreFollower::AskAll()
-{
-  const auto* state = State();
-  if (state == nullptr) {
-    return;
-  }
-  Fetch(host_.calls_,
-        host_.loop_,
-        state->settings_.address_,
-        host_.adapter_.writeHoldingsCall_(),
-        kListTime,
-        [self = shared_from_this()](const http::Answer& aAnswer) {
-          self->OnAnswer(aAnswer, true);
+        aWhole ? adapter.writeHoldingsCall_()
+               : adapter.writeChangesCall_(state->next_, kWaitTime),
+        aWhole ? kListTime : kWaitTime + kAnswerTime,
+        [self = shared_from_this(), aWhole](const http::Answer& aAnswer) {
+          self->OnAnswer(aAnswer, aWhole);
         });
 }
 
@@ -99,7 +83,7 @@
                        .Age("heard_ms", Now() - state.heardAt_));
   }
   kept::MarkLost(state);
-  AddRow(host_, WriteRow(StoreNews{ name_, true }));
+  Publish(host_, StoreNews{ name_, true });
   Later(
     Jitter(host_, kRetryFirst * (1U << std::min(failures_, kMostDoublings))));
   ++failures_;
@@ -141,7 +125,7 @@
     // The number asked from belongs to the store's life before.
     kept::TakeChanges(*state, changes->epoch_, 0, {}, now);
     Tell({ changes->epoch_ }, true);
-    Ask();
+    Ask(false);
     return;
   }
   kept::TakeChanges(
@@ -151,7 +135,7 @@
   }
   if (changes->gap_) {
     host_.log_.Write(Line("cache_store_gap").Text("store", name_));
-    AskAll();
+    Ask(true);
     return;
   }
   Later(kGatherTime);
@@ -160,13 +144,13 @@
 void
 StoreFollower::Tell(const StoreChanges& aChanges, bool aWhole)
 {
-  AddRow(host_,
-         WriteRow(StoreNews{ name_,
-                             false,
-                             aWhole,
-                             aChanges.epoch_,
-                             aChanges.next_,
-                             aChanges.changes_ }));
+  Publish(host_,
+          StoreNews{ name_,
+                     false,
+                     aWhole,
+                     aChanges.epoch_,
+                     aChanges.next_,
+                     aChanges.changes_ });
 }
 
 void
--- a/src/gateway/stores.h
+++ b/src/gateway/stores.h
@@ -17,12 +17,12 @@
 public:
   StoreFollower(Host& aHost, std::string aName);
 
-  void Start() { Ask(); }
+  void Start() { Ask(false); }
   void Stop();
 
 private:
-  void Ask();
-  void AskAll();
+  // Asks for changes, or for all that the store holds.
+  void Ask(bool aWhole);
   void OnAnswer(const http::Answer& aAnswer, bool aWhole);
   void Fail(int aStatus);
   void Tell(const StoreChanges& aChanges, bool aWhole);
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -125,9 +125,9 @@
     [&] { return replica::Find(third.replica_, "x/later") != nullptr; }));
   for (auto* relay : { &hosts.first_, &hosts.second_ }) {
     gateway::Learn(relay->host_, { MakeItem("y/earlier", 8) }, "watch");
-    gateway::AddRow(relay->host_,
-                    gateway::WriteRow(gateway::StoreNews{
-                      "c1", false, false, 4, 2, { { true, "s", "p", 64 } } }));
+    gateway::Publish(relay->host_,
+                     gateway::StoreNews{
+                       "c1", false, false, 4, 2, { { true, "s", "p", 64 } } });
   }
   CHECK(hosts.RunUntil([&] {
     return replica::Find(third.replica_, "y/earlier") != nullptr &&
