Leave old weights in time, and hear what targets say of themselves

Cause (weights): one time was kept for a model, so a second version put off when the first was due; and a request could wait at its target past the limit.

Change: each version is due by its own time; hosts that start take the age of a naming from their peers, or half of the time allowed; a target with old weights is chosen only where the request begins in time, and a request that hasn't begun there shortly before the limit is taken back.

Change (targets): a target's word in an answer that it leaves, or that it wants no requests for a time, holds for that start of it, outlasts a lapse of its entry, and goes to other hosts unless its entry tells them first. A closed target is no last resort; when all are closed, callers are told when the first one opens. It is no failure of the target and doesn't concern other hosts.

--- a/include/lycheeplank/attempts.h
+++ b/include/lycheeplank/attempts.h
@@ -25,16 +25,19 @@
   Failed,
   // No answer in the time in which one is usual.
   Silent,
+  // It hadn't begun when the target's weights became too old.
+  Outdated,
   // Some of the answer has reached the caller.
   CutAnswer,
 };
 
-inline constexpr std::array<core::Named<End>, 6> kEnds{ {
+inline constexpr std::array<core::Named<End>, 7> kEnds{ {
   { End::NotSent, "not_sent" },
   { End::NotRun, "not_run" },
   { End::Error, "error" },
   { End::Failed, "failed" },
   { End::Silent, "silent" },
+  { End::Outdated, "outdated" },
   { End::CutAnswer, "cut_answer" },
 } };
 
--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -107,20 +107,29 @@
   std::uint32_t timesAside_ = 0;
   // A call that finds out whether it works again.
   bool probing_ = false;
+  // It has asked this host for no requests until then.
+  absl::Time closedUntil_ = absl::InfinitePast();
   // An order keeps it from starting requests until about then.
   absl::Time orderedUntil_ = absl::InfinitePast();
 };
 
 using Members = absl::btree_map<std::string, Member>;
 
-// What a request costs a target with given weights.
+// What a request meets at a target with given weights.
 struct PromptCost
 {
   std::uint64_t weights_ = 0;
+  // How long ago newer weights were named; zero for the newest.
+  absl::Duration outdatedFor_ = absl::ZeroDuration();
   // Prompt tokens that no cache store holds for these weights, and those that
   // one does.
   std::uint64_t computedTokens_ = 0;
   std::uint64_t readTokens_ = 0;
+  // Tokens that move between the target and cache stores, and those of them
+  // whose stores lie in one data centre that has most.
+  std::uint64_t movedTokens_ = 0;
+  std::string storeDataCentre_;
+  std::uint64_t tokensThere_ = 0;
 };
 
 // What is asked of a target.
@@ -148,10 +157,8 @@
   std::uint32_t mostCalls_ = 0;
   // Targets that this request has been at.
   const std::vector<std::string>* tried_ = nullptr;
-  // Weights that have been named, and how long ago; 0 without a model.
-  std::uint64_t weights_ = 0;
-  absl::Duration weightsAge_ = absl::InfiniteDuration();
-  // From that age on, targets with older weights get no requests.
+  // Requests have to begin on old weights within so long after newer ones were
+  // named.
   absl::Duration oldWeightsLimit_ = absl::InfiniteDuration();
   // Time until the answer should begin.
   absl::Duration goal_ = absl::Seconds(1);
@@ -216,6 +223,8 @@
   bool memoryFull_ = false;
   // All that could be used were put aside for failures.
   bool lastResort_ = false;
+  // When the first target opens that has asked for no requests.
+  absl::Time opensAt_ = absl::InfiniteFuture();
 };
 
 // Returns what the request costs a target, by the weights that it has.
--- a/include/lycheeplank/replica.h
+++ b/include/lycheeplank/replica.h
@@ -23,6 +23,8 @@
   // Revision at which the key was created.
   std::uint64_t created_ = 0;
   bool deleted_ = false;
+  // How long before the host that tells of the change had heard of it.
+  absl::Duration age_ = absl::ZeroDuration();
 };
 
 struct Known
@@ -56,9 +58,9 @@
 const Known*
 Find(const Replica& aReplica, absl::string_view aKey);
 
-// Returns all changes after a revision, deletions included.
+// Returns all changes after a revision with their ages, deletions included.
 std::vector<Item>
-ChangesAfter(const Replica& aReplica, std::uint64_t aRevision);
+ChangesAfter(const Replica& aReplica, std::uint64_t aRevision, absl::Time aNow);
 
 // Deletions are told to peers for so long, which outlasts any peer's silence.
 inline constexpr absl::Duration kDeletionMemory = absl::Seconds(60);
--- a/include/lycheeplank/weights.h
+++ b/include/lycheeplank/weights.h
@@ -12,9 +12,34 @@
 #include "lycheeplank/core.h"
 #include "lycheeplank/fleet.h"
 
-// Which targets are told next to load the weights that were named for a model.
+// Which weights were named for a model and since when, and which targets are
+// told next to load them.
 namespace lycheeplank::weights {
 
+// A version of a model's weights, and when it was named as far as a host knows.
+struct Naming
+{
+  std::uint64_t version_ = 0;
+  absl::Time namedAt_ = absl::InfinitePast();
+};
+
+// All versions that were named, oldest first. Each is due by its own time: one
+// that is named later doesn't put off the ones before it.
+using Namings = std::vector<Naming>;
+
+// Notes a version; false if it isn't newer than those that are known.
+bool
+Name(Namings& aNamings, std::uint64_t aVersion, absl::Time aNamedAt);
+
+// Returns the newest version; 0 if none was named.
+std::uint64_t
+NewestOf(const Namings& aNamings);
+
+// Returns when the first version was named that is newer than the one that a
+// target has; infinite future if that one is the newest.
+absl::Time
+OutdatedSince(const Namings& aNamings, std::uint64_t aVersion);
+
 // Where one target stands.
 enum class Progress
 {
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -30,6 +30,8 @@
 constexpr double kRunSeconds = 1.5;
 constexpr double kMemoryUsed = 0.85;
 constexpr double kPushOutSeconds = 0.1;
+// A request may wait for so many times its estimate.
+constexpr double kWaitDoubt = 2.0;
 // Time of a call to a plain service, in seconds, until it is known better.
 constexpr double kCallSeconds = 0.03;
 
@@ -51,15 +53,16 @@
   return aNow < aMember.asideUntil_ || aMember.probing_;
 }
 
+// Returns whether a request that begins after some time would begin on weights
+// that are outdated for longer than is allowed.
 bool
-HasOldWeights(const Member& aMember, const Question& aQuestion)
+BeginsTooLate(const PromptCost& aCost,
+              const Question& aQuestion,
+              double aWaitSeconds)
 {
-  if (aQuestion.weights_ == 0) {
-    return false;
-  }
-  const auto found = aMember.target_.weights_.find(aQuestion.model_);
-  return found == aMember.target_.weights_.end() ||
-         found->second < aQuestion.weights_;
+  return aCost.outdatedFor_ > absl::ZeroDuration() &&
+         aCost.outdatedFor_ + absl::Seconds(kWaitDoubt * aWaitSeconds) >
+           aQuestion.oldWeightsLimit_;
 }
 
 // Adds what a host has told to a sum if it told it lately.
@@ -168,7 +171,10 @@
       }
     }
   }
-  return {};
+  // It doesn't say that it has the model.
+  PromptCost unknown;
+  unknown.outdatedFor_ = absl::InfiniteDuration();
+  return unknown;
 }
 
 std::vector<std::uint64_t>
@@ -291,8 +297,7 @@
   const double late = std::min(
     1.0, aEstimate.waitSeconds_ / absl::ToDoubleSeconds(aQuestion.goal_));
   double cost = kLateCost * late * late + kWaitCost * aEstimate.waitSeconds_;
-  if (aQuestion.weightsAge_ > kOldWeightsFree &&
-      HasOldWeights(aMember, aQuestion)) {
+  if (CostAt(aMember, aQuestion).outdatedFor_ > kOldWeightsFree) {
     cost += kOldWeightsCost;
   }
   if (aMember.target_.dataCentre_ != aQuestion.dataCentre_) {
@@ -321,20 +326,23 @@
 {
   std::vector<const Member*> usable;
   std::vector<const Member*> aside;
+  Choice choice;
   for (const auto& [id, member] : aMembers) {
     if (member.target_.service_ != aQuestion.service_ ||
         member.target_.state_ != TargetState::Ready ||
         WasTried(aQuestion, id) ||
         (aQuestion.mostCalls_ > 0 &&
          member.inFlight_ >= aQuestion.mostCalls_) ||
-        (aQuestion.weightsAge_ > aQuestion.oldWeightsLimit_ &&
-         HasOldWeights(member, aQuestion))) {
+        BeginsTooLate(CostAt(member, aQuestion), aQuestion, 0.0)) {
+      continue;
+    }
+    if (aNow < member.closedUntil_) {
+      choice.opensAt_ = std::min(choice.opensAt_, member.closedUntil_);
       continue;
     }
     (IsAside(member, aNow) || aNow < member.orderedUntil_ ? aside : usable)
       .push_back(&member);
   }
-  Choice choice;
   choice.candidates_ = static_cast<std::uint32_t>(usable.size());
   if (usable.empty()) {
     choice.lastResort_ = true;
@@ -347,6 +355,10 @@
   for (std::size_t i = 0; i < usable.size(); ++i) {
     const auto& member = *usable[(i + aQuestion.seed_) % usable.size()];
     const auto estimate = EstimateWait(member, aQuestion, aSpeed, aNow);
+    if (BeginsTooLate(
+          CostAt(member, aQuestion), aQuestion, estimate.waitSeconds_)) {
+      continue;
+    }
     const bool keeps =
       preferred.empty() ||
       std::find(preferred.begin(), preferred.end(), member.target_.id_) !=
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -65,6 +65,10 @@
   bool notRun_ = false;
   // Another target has the address, or the target has other weights.
   bool isMisdirected_ = false;
+  // The target leaves; nothing new is to go there.
+  bool isLeaving_ = false;
+  // The target wants no requests from this host for so long.
+  absl::optional<absl::Duration> closedFor_;
   absl::optional<fleet::Load> load_;
   absl::optional<std::uint64_t> weights_;
   std::string instance_;
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -6,6 +6,7 @@
 #include <absl/strings/match.h>
 
 #include "gateway/clock.h"
+#include "gateway/peers.h"
 
 // The part of an exchange that passes a target's answer on.
 namespace lycheeplank::gateway {
@@ -70,6 +71,7 @@
       member.target_.weights_[request_.model_] = *answer_.weights_;
     }
   }
+  NoteTarget();
   // A stream that goes on at another target keeps its first head.
   isEvents_ = aHead.status_ / 100 == 2 && IsEventStream(aHead);
   if (!isEvents_) {
@@ -78,6 +80,34 @@
   return true;
 }
 
+void
+Exchange::NoteTarget()
+{
+  const auto now = Now();
+  if (answer_.closedFor_) {
+    statements::NoteClosed(host_.statements_,
+                           host_.members_,
+                           targetId_,
+                           targetBornMs_,
+                           *answer_.closedFor_,
+                           now);
+    host_.log_.Write(Line("target_closed")
+                       .Text("target", targetId_)
+                       .Text("id", request_.id_)
+                       .Age("for_ms", *answer_.closedFor_));
+  }
+  if (answer_.isLeaving_ &&
+      statements::NoteLeaving(
+        host_.statements_, host_.members_, targetId_, targetBornMs_, now)) {
+    host_.log_.Write(Line("target_leaving")
+                       .Text("target", targetId_)
+                       .Text("id", request_.id_)
+                       .Text("source", "answer"));
+    host_.targets_.Drop(targetId_);
+    TellTargetLeaves(host_, targetId_, targetBornMs_);
+  }
+}
+
 void
 Exchange::OnBody(std::string& aBody)
 {
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -30,8 +30,11 @@
 constexpr absl::Duration kLeastGoal = absl::Milliseconds(100);
 // A prompt that starts to be read takes about this long to its first event.
 constexpr absl::Duration kStartMargin = absl::Milliseconds(300);
-// Requests don't begin on old weights in the last part of the time allowed.
+// Requests aren't sent to old weights in the last part of the time allowed.
 constexpr absl::Duration kWeightsMargin = absl::Milliseconds(1500);
+// A request that still waits at a target with old weights is taken back so much
+// before the time is over: its way there, and that of its first event.
+constexpr absl::Duration kBeginMargin = absl::Milliseconds(200);
 
 } // namespace
 
@@ -56,10 +59,10 @@
                     kBytesPerOutputToken * request_.outputTokens_;
   if (!request_.model_.empty()) {
     question.model_ = request_.model_;
-    const auto& named = host_.weights_[request_.model_];
-    question.weights_ = named.version_;
-    question.weightsAge_ = now - named.learnedAt_;
-    question.oldWeightsLimit_ = host_.settings_.weightsTime_ - kWeightsMargin;
+    const auto& namings = host_.weights_[request_.model_];
+    if (!namings.empty()) {
+      question.oldWeightsLimit_ = host_.settings_.weightsTime_ - kWeightsMargin;
+    }
     if (request_.parts_.size() > 1) {
       question.affinity_ = request_.parts_[request_.parts_.size() - 2].id_;
     }
@@ -67,7 +70,11 @@
          fleet::VersionsOf(host_.members_, service_, request_.model_)) {
       const auto plan = PlanParts(version, host_.settings_.dataCentre_);
       question.costs_.push_back(
-        { version, ComputedTokens(plan), plan.readTokens_ });
+        { version,
+          std::max(absl::ZeroDuration(),
+                   now - weights::OutdatedSince(namings, version)),
+          ComputedTokens(plan),
+          plan.readTokens_ });
     }
   }
   auto choice =
@@ -113,6 +120,9 @@
       Close("cut", head_.status_, "no_other_target");
     } else if (history_.runs_ > 0) {
       Answer(kBadGateway, "no_other_target");
+    } else if (choice_.opensAt_ != absl::InfiniteFuture()) {
+      Refuse("targets_closed",
+             std::max(kPauseNoTarget, choice_.opensAt_ - Now()));
     } else {
       Refuse("no_target", kPauseNoTarget);
     }
@@ -252,6 +262,7 @@
     EndAttempt(attempts::End::NotSent);
     return;
   }
+  targetBornMs_ = found->second.target_.bornMs_;
   ++history_.sends_;
   ++history_.runs_;
   sentAt_ = Now();
@@ -287,6 +298,7 @@
                            self->OnEnd(aEnd);
                          }
                        } });
+  WatchWeights();
   if (const auto limit = attempts::SilenceLimit(*route_, history_);
       limit != absl::InfiniteDuration()) {
     WatchSilence(limit + absl::Seconds(choice_.waitSeconds_));
@@ -303,10 +315,32 @@
   });
 }
 
+void
+Exchange::WatchWeights()
+{
+  const auto namings = host_.weights_.find(request_.model_);
+  if (attemptWeights_ == 0 || namings == host_.weights_.end()) {
+    return;
+  }
+  const auto since = weights::OutdatedSince(namings->second, attemptWeights_);
+  if (since == absl::InfiniteFuture()) {
+    return;
+  }
+  const auto limit = since + host_.settings_.weightsTime_ - kBeginMargin;
+  weightsTimer_.Set(limit - Now(),
+                    [self = shared_from_this(), attempt = attempt_] {
+                      if (!self->ended_ && self->attempt_ == attempt &&
+                          self->firstByteAt_ == absl::InfinitePast()) {
+                        self->EndAttempt(attempts::End::Outdated);
+                      }
+                    });
+}
+
 void
 Exchange::LeaveTarget(fleet::CallResult aResult)
 {
   silenceTimer_.Cancel();
+  weightsTimer_.Cancel();
   const auto connection = std::exchange(connection_, nullptr);
   if (connection) {
     if (connection->IsBusy()) {
@@ -352,8 +386,10 @@
                ? fleet::CallResult::Replaced
                : fleet::CallResult::Abandoned;
   }
-  // Some of a plain service's answers are errors on good targets as well.
-  if (aEnd == attempts::End::Error) {
+  // Some of a plain service's answers are errors on good targets as well, and
+  // a target that asks to be left alone works.
+  if (aEnd == attempts::End::Error || aEnd == attempts::End::Outdated ||
+      (headTaken_ && answer_.closedFor_.has_value())) {
     result = fleet::CallResult::Abandoned;
   }
   host_.log_.Write(Line("attempt_failed")
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -31,6 +31,7 @@
   , caller_(std::move(aCaller))
   , deadlineTimer_(aHost.loop_)
   , silenceTimer_(aHost.loop_)
+  , weightsTimer_(aHost.loop_)
 {
 }
 
@@ -165,6 +166,7 @@
   }
   deadlineTimer_.Cancel();
   silenceTimer_.Cancel();
+  weightsTimer_.Cancel();
   if (waiter_ != 0) {
     waiting::Remove(host_.waiting_, waiter_);
     host_.waiters_.erase(std::exchange(waiter_, 0));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -47,6 +47,8 @@
   std::uint64_t ComputedTokens(const kept::Plan& aPlan) const;
   absl::Duration ReadTime() const;
   void NoteReads(absl::Duration aTook);
+  // Takes in what the target says of itself in an answer.
+  void NoteTarget();
   Attempt MakeAttempt(const fleet::Member& aMember);
   void Connect(const fleet::Choice& aChoice);
   void Send(ConnectionPtr aConnection);
@@ -69,6 +71,9 @@
   // Gives the target up if nothing comes for so long.
   void WatchSilence(absl::Duration aLimit);
   void OnSilence();
+  // Takes the request back from a target with old weights if it doesn't begin
+  // there in time.
+  void WatchWeights();
   void OnDeadline();
   void OnGone();
   void Close(absl::string_view aOutcome,
@@ -91,11 +96,14 @@
   absl::Time deadline_ = absl::InfiniteFuture();
   Timer deadlineTimer_;
   Timer silenceTimer_;
+  Timer weightsTimer_;
 
   attempts::History history_;
   std::vector<std::string> tried_;
   // The attempt under way.
   std::string targetId_;
+  // The start of the target that the request went to.
+  std::int64_t targetBornMs_ = 0;
   ConnectionPtr connection_;
   std::uint64_t attempt_ = 0;
   absl::Time sentAt_ = absl::InfinitePast();
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -17,6 +17,12 @@
 // owners may be cut off a little longer than this host.
 constexpr absl::Duration kUnsettledTime = absl::Seconds(3);
 
+// How a host hears of items when it reads all of a prefix.
+constexpr absl::string_view kListSource = "list";
+// Weights that a starting host finds named are taken for named this share of
+// the time before in which targets have to be left.
+constexpr double kUnknownAgeShare = 0.5;
+
 // Hosts that come up or that this one hasn't heard of yet share as well.
 constexpr std::uint32_t kHostsUnseen = 1;
 
@@ -69,6 +75,7 @@
             absl::Time aNow)
 {
   if (aItem.deleted_) {
+    statements::MarkCommon(aHost.statements_, aId);
     const auto until = VanishTime(aHost, aNow);
     if (fleet::DropTarget(aHost.members_, aId, until)) {
       aHost.log_.Write(Line("target_vanished")
@@ -107,6 +114,11 @@
   }
   fleet::TakeTarget(aHost.members_, std::move(*target), aItem.revision_, aNow);
   if (leaving) {
+    statements::MarkCommon(aHost.statements_, aId);
+  }
+  auto& member = aHost.members_.at(aId);
+  statements::Apply(aHost.statements_, member);
+  if (member.target_.state_ == fleet::TargetState::Leaving) {
     aHost.targets_.Drop(aId);
   }
 }
@@ -120,14 +132,19 @@
 {
   const std::uint64_t version =
     aItem.deleted_ ? 0 : aHost.adapter_.readWeights_(aItem).value_or(0);
-  auto& named = aHost.weights_[aModel];
-  if (version <= named.version_) {
+  auto& namings = aHost.weights_[aModel];
+  // The service doesn't tell when an item was written that a starting host
+  // finds there.
+  const auto age = namings.empty() && aSource == kListSource
+                     ? kUnknownAgeShare * aHost.settings_.weightsTime_
+                     : aItem.age_;
+  if (!weights::Name(namings, version, aNow - age)) {
     return;
   }
-  named = { version, aNow };
   aHost.log_.Write(Line("weights_named")
                      .Text("model", aModel)
                      .Number("version", version)
+                     .Age("age_ms", age)
                      .Number("revision", aItem.revision_)
                      .Text("source", aSource));
 }
@@ -290,7 +307,7 @@
   const auto now = Now();
   LearnNews(aHost,
             replica::Reconcile(aHost.replica_, aPrefix, aItems, aAsOf, now),
-            "list",
+            kListSource,
             now);
 }
 
@@ -373,6 +390,7 @@
   for (const auto& id : fleet::SweepVanished(aHost.members_, now)) {
     aHost.targets_.Drop(id);
   }
+  statements::Sweep(aHost.statements_, now);
   entries::SweepHosts(aHost.hosts_, now);
   replica::Sweep(aHost.replica_, now);
   aHost.targets_.Sweep(now);
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -25,7 +25,9 @@
 #include "lycheeplank/metrics.h"
 #include "lycheeplank/relays.h"
 #include "lycheeplank/replica.h"
+#include "lycheeplank/statements.h"
 #include "lycheeplank/waiting.h"
+#include "lycheeplank/weights.h"
 
 namespace lycheeplank::gateway {
 
@@ -34,13 +36,6 @@
 inline constexpr absl::string_view kHostPrefix = "lycheeplank/hosts/";
 inline constexpr absl::string_view kOwnerKey = "lycheeplank/weights-owner";
 
-// Weights that an operator has named for a model.
-struct NamedWeights
-{
-  std::uint64_t version_ = 0;
-  absl::Time learnedAt_ = absl::InfinitePast();
-};
-
 // How well the key-value service serves this host.
 struct StoreHealth
 {
@@ -97,7 +92,8 @@
   catalog::CatalogPtr catalog_;
   absl::Time catalogAt_ = absl::InfinitePast();
   fleet::Members members_;
-  absl::flat_hash_map<std::string, NamedWeights> weights_;
+  statements::Statements statements_;
+  absl::flat_hash_map<std::string, weights::Namings> weights_;
   kept::Directory kept_;
   entries::Hosts hosts_;
   // Requests that wait for a target's memory, and how each is tried again or
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -40,6 +40,8 @@
   item.revision_ = CountOf(aJson, "revision");
   item.created_ = CountOf(aJson, "created");
   item.deleted_ = FlagOf(aJson, "deleted");
+  item.age_ =
+    absl::Milliseconds(static_cast<std::int64_t>(CountOf(aJson, "age_ms")));
   return item;
 }
 
@@ -86,7 +88,8 @@
                  TextOf(aJson, "name"),
                  TextOf(aJson, "model"),
                  CountOf(aJson, "version"),
-                 absl::Milliseconds(until) };
+                 absl::Milliseconds(until),
+                 static_cast<std::int64_t>(CountOf(aJson, "born_ms")) };
 }
 
 void
@@ -113,7 +116,8 @@
                 { "value", aItem.value_ },
                 { "revision", aItem.revision_ },
                 { "created", aItem.created_ },
-                { "deleted", aItem.deleted_ } });
+                { "deleted", aItem.deleted_ },
+                { "age_ms", absl::ToInt64Milliseconds(aItem.age_) } });
 }
 
 std::string
@@ -140,7 +144,8 @@
                 { "name", aNotice.name_ },
                 { "model", aNotice.model_ },
                 { "version", aNotice.version_ },
-                { "until_ms", absl::ToInt64Milliseconds(aNotice.until_) } });
+                { "until_ms", absl::ToInt64Milliseconds(aNotice.until_) },
+                { "born_ms", aNotice.bornMs_ } });
 }
 
 std::string
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -29,6 +29,8 @@
     Loaded,
     // A host takes no more callers.
     HostLeaves,
+    // A target has said in an answer that it leaves.
+    TargetLeaves,
   };
   Kind kind_ = Kind::Ordered;
   // Target or host.
@@ -36,12 +38,15 @@
   std::string model_;
   std::uint64_t version_ = 0;
   absl::Duration until_ = absl::ZeroDuration();
+  // Start of the target that leaves, in milliseconds since 1970.
+  std::int64_t bornMs_ = 0;
 };
 
-inline constexpr std::array<core::Named<Notice::Kind>, 3> kNoticeKinds{ {
+inline constexpr std::array<core::Named<Notice::Kind>, 4> kNoticeKinds{ {
   { Notice::Kind::Ordered, "ordered" },
   { Notice::Kind::Loaded, "loaded" },
   { Notice::Kind::HostLeaves, "host_leaves" },
+  { Notice::Kind::TargetLeaves, "target_leaves" },
 } };
 
 // What a cache store has told a relay.
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -223,9 +223,9 @@
     return;
   }
   if (IsValid()) {
-    for (const auto& [model, named] : host_.weights_) {
+    for (const auto& [model, namings] : host_.weights_) {
       auto& rollout = rollouts_[model];
-      rollout.version_ = named.version_;
+      rollout.version_ = weights::NewestOf(namings);
       StepModel(model, rollout);
     }
     FreeOldParts();
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -8,6 +8,7 @@
 #include <absl/strings/str_join.h>
 
 #include "gateway/clock.h"
+#include "gateway/timer.h"
 
 namespace lycheeplank::gateway {
 
@@ -16,6 +17,9 @@
 constexpr absl::string_view kNoticesPath = "/peer/notices";
 // Changes that come within this time are told together.
 constexpr absl::Duration kGatherTime = absl::Milliseconds(30);
+// Time in which the key-value service and the relays tell all hosts of an
+// entry that has changed.
+constexpr absl::Duration kEntryTime = absl::Milliseconds(300);
 // Time of a notice on its way between two hosts, which is a few milliseconds.
 constexpr absl::Duration kTravelTime = absl::Milliseconds(30);
 
@@ -29,6 +33,13 @@
     }
     return;
   }
+  if (aNotice.kind_ == Notice::Kind::TargetLeaves) {
+    statements::NoteLeaving(
+      aHost.statements_, aHost.members_, aNotice.name_, aNotice.bornMs_, aNow);
+    statements::MarkCommon(aHost.statements_, aNotice.name_);
+    aHost.targets_.Drop(aNotice.name_);
+    return;
+  }
   const auto found = aHost.members_.find(aNotice.name_);
   if (found == aHost.members_.end()) {
     return;
@@ -65,7 +76,7 @@
 AllRows(const Host& aHost)
 {
   std::vector<std::string> rows;
-  for (const auto& item : replica::ChangesAfter(aHost.replica_, 0)) {
+  for (const auto& item : replica::ChangesAfter(aHost.replica_, 0, Now())) {
     rows.push_back(WriteRow(item));
   }
   for (const auto& [name, state] : aHost.kept_.stores_) {
@@ -235,6 +246,24 @@
   }
 }
 
+void
+TellTargetLeaves(Host& aHost, const std::string& aTarget, std::int64_t aBornMs)
+{
+  const auto timer = std::make_shared<Timer>(aHost.loop_);
+  timer->Set(Jitter(aHost, kEntryTime), [&aHost, timer, aTarget, aBornMs] {
+    if (!statements::IsToBeTold(aHost.statements_, aTarget, aBornMs)) {
+      return;
+    }
+    TellPeers(aHost,
+              { { Notice::Kind::TargetLeaves,
+                  aTarget,
+                  {},
+                  0,
+                  absl::ZeroDuration(),
+                  aBornMs } });
+  });
+}
+
 absl::Duration
 NoticeTime(const Host& aHost)
 {
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -62,6 +62,11 @@
 void
 TellPeers(Host& aHost, const std::vector<Notice>& aNotices);
 
+// Tells the other hosts that a target leaves, unless the key-value service has
+// told this host by then: mostly it tells all of them at the same time.
+void
+TellTargetLeaves(Host& aHost, const std::string& aTarget, std::int64_t aBornMs);
+
 // Time after which all hosts have heard of a notice.
 absl::Duration
 NoticeTime(const Host& aHost);
--- a/src/replica/replica.cc
+++ b/src/replica/replica.cc
@@ -15,8 +15,8 @@
   if (known.item_.revision_ >= aItem.revision_) {
     return false;
   }
+  known.learnedAt_ = aNow - aItem.age_;
   known.item_ = std::move(aItem);
-  known.learnedAt_ = aNow;
   return true;
 }
 
@@ -63,12 +63,13 @@
 }
 
 std::vector<Item>
-ChangesAfter(const Replica& aReplica, std::uint64_t aRevision)
+ChangesAfter(const Replica& aReplica, std::uint64_t aRevision, absl::Time aNow)
 {
   std::vector<Item> items;
   for (const auto& [key, known] : aReplica.items_) {
     if (known.item_.revision_ > aRevision) {
       items.push_back(known.item_);
+      items.back().age_ = aNow - known.learnedAt_;
     }
   }
   return items;
--- a/src/weights/weights.cc
+++ b/src/weights/weights.cc
@@ -26,6 +26,35 @@
 
 } // namespace
 
+bool
+Name(Namings& aNamings, std::uint64_t aVersion, absl::Time aNamedAt)
+{
+  if (aVersion <= NewestOf(aNamings)) {
+    return false;
+  }
+  aNamings.push_back({ aVersion, aNamedAt });
+  return true;
+}
+
+std::uint64_t
+NewestOf(const Namings& aNamings)
+{
+  return aNamings.empty() ? 0 : aNamings.back().version_;
+}
+
+absl::Time
+OutdatedSince(const Namings& aNamings, std::uint64_t aVersion)
+{
+  const auto newer =
+    std::upper_bound(aNamings.begin(),
+                     aNamings.end(),
+                     aVersion,
+                     [](std::uint64_t aKnown, const Naming& aNaming) {
+                       return aKnown < aNaming.version_;
+                     });
+  return newer == aNamings.end() ? absl::InfiniteFuture() : newer->namedAt_;
+}
+
 std::vector<std::string>
 NextTargets(Rollout& aRollout,
             const fleet::Members& aMembers,
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -44,7 +44,8 @@
   question.service_ = "s";
   question.dataCentre_ = "a";
   question.model_ = "m";
-  question.costs_ = { { 1, 3000, 9000 }, { 2, 12000, 0 } };
+  question.costs_ = { { 1, absl::ZeroDuration(), 3000, 9000 },
+                      { 2, absl::ZeroDuration(), 12000, 0 } };
   question.heldTokens_ = 12000;
   question.memoryTokens_ = 94000;
   return question;
@@ -162,20 +163,34 @@
   AddTarget(members, "old", "a", 1);
   AddTarget(members, "new", "a", 2);
   auto question = MakeQuestion();
-  question.weights_ = 2;
-  question.weightsAge_ = absl::ZeroDuration();
+  auto& outdatedFor = question.costs_[0].outdatedFor_;
   question.oldWeightsLimit_ = absl::Seconds(6);
   // At first the old one still has the prompt.
   CHECK(fleet::Choose(members, question, kSpeed, kNow).id_ == "old");
-  question.weightsAge_ = absl::Seconds(2);
+  outdatedFor = absl::Seconds(2);
   CHECK(fleet::Choose(members, question, kSpeed, kNow).id_ == "new");
   const std::vector<std::string> tried{ "new" };
   question.tried_ = &tried;
   CHECK(fleet::Choose(members, question, kSpeed, kNow).id_ == "old");
-  question.weightsAge_ = absl::Seconds(7);
+  outdatedFor = absl::Seconds(7);
   CHECK(fleet::Choose(members, question, kSpeed, kNow).id_.empty());
 }
 
+TEST_CASE("a target with old weights gets no request that would begin too late")
+{
+  fleet::Members members;
+  AddTarget(members, "old", "a", 1);
+  auto question = MakeQuestion();
+  question.costs_[0].outdatedFor_ = absl::Milliseconds(5500);
+  question.oldWeightsLimit_ = absl::Seconds(6);
+  CHECK(fleet::Choose(members, question, kSpeed, kNow).id_ == "old");
+  // About a second of prompts waits there.
+  fleet::CountSent(members.at("old"), { 60000, 60000, false }, kNow);
+  CHECK(fleet::Choose(members, question, kSpeed, kNow).id_.empty());
+  question.costs_[0].outdatedFor_ = absl::Seconds(1);
+  CHECK(fleet::Choose(members, question, kSpeed, kNow).id_ == "old");
+}
+
 TEST_CASE("a target nearby wins unless it makes the request wait longer")
 {
   fleet::Members members;
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -418,3 +418,71 @@
   world.AddTarget(Sends(Events("id: 2\ndata: b\n\n", true)));
   CHECK(Has(world.Ask(World::Request("/resume/")), "id: 2\ndata: b\n\n"));
 }
+
+TEST_CASE("a target that says in an answer that it leaves gets nothing more")
+{
+  World world;
+  auto& target = world.AddTarget(
+    Sends(WholeAnswer("done", "200 OK", "Server-Leaving: 1\r\n")));
+  auto& other = world.AddTarget(Sends(WholeAnswer("other")));
+  CHECK(Has(world.Ask(World::Request("/again/")), "done"));
+  CHECK(Has(world.Ask(World::Request("/again/")), "other"));
+  CHECK(Has(world.Ask(World::Request("/once/")), "other"));
+  CHECK(target.requests_ == 1);
+  CHECK(other.requests_ == 2);
+}
+
+TEST_CASE("a target that asks to be left alone gets nothing for so long")
+{
+  World world;
+  auto& target = world.AddTarget(Sends(WholeAnswer(
+    "", "503 Service Unavailable", "X-Not-Run: 1\r\nRetry-After: 0.4\r\n")));
+  auto& other = world.AddTarget(Sends(WholeAnswer("other")));
+  CHECK(Has(world.Ask(World::Request("/once/")), "other"));
+  CHECK(Has(world.Ask(World::Request("/once/")), "other"));
+  CHECK(Has(world.Ask(World::Request("/again/")), "other"));
+  CHECK(target.requests_ == 1);
+  CHECK(other.requests_ == 3);
+  world.RunFor(std::chrono::milliseconds(450));
+  CHECK(Has(world.Ask(World::Request("/again/")), "other"));
+  CHECK(target.requests_ == 2);
+}
+
+TEST_CASE("when all targets ask to be left alone, callers are told until when")
+{
+  World world;
+  auto& target = world.AddTarget(Sends(WholeAnswer(
+    "", "503 Service Unavailable", "X-Not-Run: 1\r\nRetry-After: 30\r\n")));
+  CHECK(Has(world.Ask(World::Request("/again/")), "HTTP/1.1 503"));
+  const auto answer = world.Ask(World::Request("/again/"));
+  CHECK(Has(answer, "HTTP/1.1 503"));
+  const auto field = answer.find("Retry-After: ");
+  REQUIRE(field != std::string::npos);
+  CHECK(std::stod(answer.substr(field + 13)) >= 15.0);
+  CHECK(target.requests_ == 1);
+}
+
+TEST_CASE("a request that waits at old weights is taken back in time")
+{
+  World world;
+  for (auto& route : world.catalog_.routes_["h"]) {
+    route.timeout_ = absl::Seconds(5);
+    route.longestGap_ = absl::Seconds(20);
+  }
+  world.Publish();
+  world.host_.settings_.weightsTime_ = absl::Seconds(2);
+  auto& silent = world.AddTarget([](auto&, const auto&) {});
+  world.host_.members_.at("t1").target_.weights_["m"] = 1;
+  auto& namings = world.host_.weights_["m"];
+  lycheeplank::weights::Name(namings, 1, absl::InfinitePast());
+  const auto namedAt = gateway::Now();
+  lycheeplank::weights::Name(namings, 2, namedAt);
+  const auto caller = world.Call(World::Request("/resume/", "X-Model: m\r\n"));
+  REQUIRE(world.RunUntil([&] { return silent.requests_ == 1; }));
+  auto& other = world.AddTarget(Sends(Events("id: 1\ndata: a\n\n", true)));
+  world.host_.members_.at("t2").target_.weights_["m"] = 2;
+  CHECK(world.RunUntil([&] { return other.requests_ == 1; }));
+  CHECK(gateway::Now() < namedAt + absl::Seconds(2));
+  CHECK(gateway::Now() > namedAt + absl::Seconds(1));
+  CHECK(silent.closed_ == 1);
+}
--- a/test/owner-test.cc
+++ b/test/owner-test.cc
@@ -242,7 +242,8 @@
   void Name(std::uint64_t aVersion)
   {
     for (auto* one : { &first_, &second_ }) {
-      one->host_.weights_["m"] = { aVersion, gateway::Now() };
+      lycheeplank::weights::Name(
+        one->host_.weights_["m"], aVersion, gateway::Now());
     }
   }
 
--- a/test/replica-test.cc
+++ b/test/replica-test.cc
@@ -89,8 +89,20 @@
   replica::Replica copy;
   replica::Apply(copy, MakeItem("a", 3, "x"), kNow);
   replica::Apply(copy, MakeItem("a", 5, "", true), kNow);
-  CHECK(replica::ChangesAfter(copy, 4).size() == 1);
-  CHECK(replica::ChangesAfter(copy, 5).empty());
+  CHECK(replica::ChangesAfter(copy, 4, kNow).size() == 1);
+  CHECK(replica::ChangesAfter(copy, 5, kNow).empty());
   replica::Sweep(copy, kNow + replica::kDeletionMemory + absl::Seconds(1));
-  CHECK(replica::ChangesAfter(copy, 0).empty());
+  CHECK(replica::ChangesAfter(copy, 0, kNow).empty());
+}
+
+TEST_CASE("what another host tells keeps its age")
+{
+  replica::Replica copy;
+  auto item = MakeItem("a", 3, "v");
+  item.age_ = absl::Seconds(5);
+  CHECK(replica::Apply(copy, item, kNow));
+  CHECK(replica::Find(copy, "a")->learnedAt_ == kNow - absl::Seconds(5));
+  const auto told = replica::ChangesAfter(copy, 0, kNow + absl::Seconds(1));
+  REQUIRE(told.size() == 1);
+  CHECK(told.front().age_ == absl::Seconds(6));
 }
--- a/test/weights-test.cc
+++ b/test/weights-test.cc
@@ -93,3 +93,18 @@
   rollout.version_ = 3;
   CHECK(weights::NextTargets(rollout, members, "m", kNow).size() == 1);
 }
+
+TEST_CASE("a newer version doesn't put off when older weights are left")
+{
+  weights::Namings namings;
+  CHECK(weights::NewestOf(namings) == 0);
+  CHECK(weights::OutdatedSince(namings, 1) == absl::InfiniteFuture());
+  CHECK(weights::Name(namings, 1, absl::InfinitePast()));
+  CHECK(weights::Name(namings, 2, kNow));
+  CHECK(weights::Name(namings, 4, kNow + absl::Seconds(3)));
+  CHECK_FALSE(weights::Name(namings, 3, kNow + absl::Seconds(4)));
+  CHECK(weights::NewestOf(namings) == 4);
+  CHECK(weights::OutdatedSince(namings, 1) == kNow);
+  CHECK(weights::OutdatedSince(namings, 2) == kNow + absl::Seconds(3));
+  CHECK(weights::OutdatedSince(namings, 4) == absl::InfiniteFuture());
+}
