Cut calls to the key-value service; bound who follows cache stores; send long prompts to their stores

Change: one list and one watch of all keys; hosts ask relays of other data centres before they ask for themselves; one relay of each data centre follows the stores where two would be too many; only relays claim the owner's right; renewals at 1.2 s, pauses after failures grow; positions in several feeds are kept. A prompt's stores pull it to their data centre; hosts tell each other how reads from stores went.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -188,6 +188,9 @@
 // What a token costs that comes from a cache store and not from the target's
 // own memory, from the users' prices.
 inline constexpr double kReadTokenCost = 2e-6;
+// What a token costs that moves between a target and a store in another data
+// centre: it holds the store's link twice as long, and these links bind.
+inline constexpr double kRemoteTokenCost = 2e-5;
 // Settles choices between targets that would all be late, a second of wait.
 inline constexpr double kWaitCost = 0.05;
 // Targets of a part that are preferred, in the order of its name.
--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -66,6 +66,8 @@
   double readShare_ = 1.0;
   // When both were last changed by a read.
   absl::Time readAt_ = absl::InfinitePast();
+  // When the share of reads last changed by what other hosts tell.
+  absl::Time steppedAt_ = absl::InfinitePast();
 };
 
 struct Directory
@@ -125,6 +127,11 @@
   std::vector<PartPlan> parts_;
   std::uint64_t readTokens_ = 0;
   std::uint64_t computedTokens_ = 0;
+  // Tokens that move between the target and stores, and the data centre of the
+  // stores that have most of them.
+  std::uint64_t movedTokens_ = 0;
+  std::string storeDataCentre_;
+  std::uint64_t tokensThere_ = 0;
 };
 
 // A read is late if its prompt began to be answered only after the time for
@@ -164,6 +171,40 @@
          bool aIsLate,
          absl::Time aNow);
 
+// Reads from one store that hosts tell each other. The pattern: one of many
+// stores turns slow, and each of some hundred hosts reads from it so seldom
+// that none finds out by itself before it has passed.
+struct ReadCount
+{
+  std::uint32_t reads_ = 0;
+  std::uint32_t late_ = 0;
+};
+
+// By short name of the store, see ShortName.
+using ReadCounts = absl::flat_hash_map<std::uint32_t, ReadCount>;
+
+// Returns the short name of a store among hosts.
+std::uint32_t
+ShortName(absl::string_view aStore);
+
+// Adds one read from the store with an address.
+void
+CountRead(ReadCounts& aCounts,
+          const Directory& aDirectory,
+          absl::string_view aAddress,
+          bool aIsLate);
+
+void
+AddCounts(ReadCounts& aSum, const ReadCounts& aCounts);
+
+// Shares of reads change by what others tell once in this time: word of the
+// change has to come back first.
+inline constexpr absl::Duration kStepPeriod = absl::Milliseconds(250);
+
+// Takes in what other hosts have counted.
+void
+TakeCounts(Directory& aDirectory, const ReadCounts& aCounts, absl::Time aNow);
+
 // Plans the shared parts of one prompt for a target in a data centre. A part
 // is read from a store only if it lies there whole by what the store told, and
 // if aDraw, between 0 and 1, lies below the store's share of reads.
--- a/include/lycheeplank/relays.h
+++ b/include/lycheeplank/relays.h
@@ -30,6 +30,39 @@
 bool
 IsRelay(const entries::Hosts& aHosts, const std::string& aHost);
 
+// Hosts that one host asks for changes at most before it asks for itself; each
+// that doesn't answer takes most of a second.
+inline constexpr std::size_t kMostSources = 4;
+
+// Returns the hosts that a host asks for changes, best first: the relays of its
+// data centre, then the first relays of others, in an order of its own so that
+// the hosts of a data centre without relays spread over them.
+std::vector<std::string>
+SourcesOf(const entries::Hosts& aHosts,
+          absl::string_view aDataCentre,
+          const std::string& aHost);
+
+// Hosts that follow one cache store at most while all relays live. The stores
+// answer twelve at once; what is left is for hosts that no relay reaches.
+inline constexpr std::size_t kStoreFollowers = 8;
+
+// Returns whether a host is one of those that follow the cache stores: all
+// relays, or where these are too many, the first one of each data centre. A
+// data centre without relays has nobody else to do it.
+bool
+FollowsStores(const entries::Hosts& aHosts,
+              absl::string_view aDataCentre,
+              const std::string& aHost);
+
+// Returns how many hosts go before a host in claiming a vacant right that one
+// host holds; nothing if others are to claim it. Only relays do, which know of
+// changes first; each vacancy, told apart by the newest revision, has an order of
+// its own.
+absl::optional<std::size_t>
+ClaimTurn(const entries::Hosts& aHosts,
+          const std::string& aHost,
+          std::uint64_t aNewest);
+
 // Returns the data centres that have hosts.
 std::vector<std::string>
 DataCentres(const entries::Hosts& aHosts);
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEEPLANK_SRC_GATEWAY_ADAPTER_H
 #define LYCHEEPLANK_SRC_GATEWAY_ADAPTER_H
 
+#include <array>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -97,6 +98,15 @@
   EndLease,
 };
 
+inline constexpr std::array<core::Named<StoreOperation>, 6> kStoreOperations{ {
+  { StoreOperation::List, "list" },
+  { StoreOperation::Watch, "watch" },
+  { StoreOperation::Commit, "commit" },
+  { StoreOperation::GrantLease, "grant_lease" },
+  { StoreOperation::KeepLease, "keep_lease" },
+  { StoreOperation::EndLease, "end_lease" },
+} };
+
 struct StoreCommand
 {
   StoreOperation operation_ = StoreOperation::List;
@@ -240,7 +250,8 @@
   StoreReply (*readStoreReply_)(const StoreCommand& aCommand,
                                 const http::Answer& aAnswer);
   ItemName (*nameOf_)(absl::string_view aKey);
-  // Prefixes of the store that hosts follow.
+  // Prefixes of the store that hosts follow; the hosts' own keys lie under
+  // them.
   std::vector<std::string> (*prefixes_)();
   absl::optional<catalog::Catalog> (*readCatalog_)(const replica::Item& aItem);
   absl::optional<fleet::Target> (*readTarget_)(const replica::Item& aItem);
--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -30,6 +30,8 @@
 constexpr absl::Duration kSweepPeriod = absl::Milliseconds(250);
 // Runs end every few milliseconds on busy targets; each look has a cost.
 constexpr absl::Duration kWaitingPeriod = absl::Milliseconds(25);
+// Period of the account of what the host has cost.
+constexpr absl::Duration kUsagePeriod = absl::Seconds(10);
 // Callers keep a list of addresses up to three times its life.
 constexpr int kListLives = 3;
 // Kept back from the grace time for the end of the process itself.
@@ -97,7 +99,6 @@
     host_.onRole_ = [this] { OnRole(); };
     peerFollower_->Start();
     auto prefixes = host_.adapter_.prefixes_();
-    prefixes.emplace_back(kOwnPrefix);
     for (auto& prefix : prefixes) {
       followers_.push_back(
         std::make_shared<Follower>(host_, std::move(prefix)));
@@ -191,10 +192,29 @@
         server->CheckTimes(now);
       }
       UpdateGauges();
+      LogUsage(now);
       SweepLater();
     });
   }
 
+  // What the host has cost so far, for the operator's account.
+  void LogUsage(absl::Time aNow)
+  {
+    if (aNow - usageAt_ < kUsagePeriod) {
+      return;
+    }
+    usageAt_ = aNow;
+    Line line("usage");
+    for (const auto& [operation, name] : kStoreOperations) {
+      line.Number(absl::StrCat("store_", name),
+                  host_.store_.calls_.at(static_cast<std::size_t>(operation)));
+    }
+    line.Number("connections_opened", host_.targets_.Opened())
+      .Number("calls_opened", host_.calls_.Opened())
+      .Text("role", core::NameOf(kRoles, host_.role_));
+    host_.log_.Write(line);
+  }
+
   void UpdateGauges()
   {
     auto& metrics = host_.metrics_;
@@ -308,6 +328,7 @@
   std::unique_ptr<Gossip> gossip_;
   std::vector<std::shared_ptr<Follower>> followers_;
   std::vector<std::unique_ptr<Server>> servers_;
+  absl::Time usageAt_ = Now();
   bool present_ = false;
   // Its entry has been taken off the list of hosts.
   bool gone_ = false;
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -159,6 +159,7 @@
     if (!store.empty() &&
         std::find(noted.begin(), noted.end(), store) == noted.end()) {
       noted.push_back(store);
+      kept::CountRead(host_.readCounts_, host_.kept_, store, late);
       const auto* state = kept::NoteRead(host_.kept_, store, late, Now());
       if (state != nullptr && state->readShare_ < 1.0 - kept::kInTimeStep) {
         host_.metrics_.Count(
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -74,7 +74,10 @@
           std::max(absl::ZeroDuration(),
                    now - weights::OutdatedSince(namings, version)),
           ComputedTokens(plan),
-          plan.readTokens_ });
+          plan.readTokens_,
+          plan.movedTokens_,
+          plan.storeDataCentre_,
+          plan.tokensThere_ });
     }
   }
   auto choice =
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -26,8 +26,12 @@
 // Tokens are told in units of this.
 constexpr std::uint64_t kTokenUnit = 64;
 constexpr std::uint64_t kMostUnits = UINT16_MAX;
-// Bytes of one row: short name, calls, urgent, other and held tokens.
-constexpr std::size_t kRowBytes = 11;
+// Bytes of the number of loads; of one of them: short name, calls, urgent,
+// other and held tokens; of the reads from one store: short name, all, late
+// ones.
+constexpr std::size_t kCountBytes = 2;
+constexpr std::size_t kLoadBytes = 11;
+constexpr std::size_t kReadBytes = 8;
 constexpr unsigned kBitsPerByte = 8;
 constexpr std::uint64_t kByteMask = 0xff;
 
@@ -67,44 +71,61 @@
 } // namespace
 
 std::string
-WriteLoads(absl::string_view aHost, const std::vector<fleet::PeerLoad>& aLoads)
+WriteMessage(const LoadMessage& aMessage)
 {
   std::string text;
-  AppendNumber(text, aHost.size(), 1);
-  text.append(aHost.data(), aHost.size());
-  for (const auto& load : aLoads) {
+  AppendNumber(text, aMessage.host_.size(), 1);
+  text.append(aMessage.host_);
+  AppendNumber(text, aMessage.loads_.size(), 2);
+  for (const auto& load : aMessage.loads_) {
     AppendNumber(text, load.target_, 4);
     AppendNumber(text, std::min<std::uint64_t>(load.inFlight_, kByteMask), 1);
     AppendNumber(text, Units(load.urgentTokens_), 2);
     AppendNumber(text, Units(load.otherTokens_), 2);
     AppendNumber(text, Units(load.heldTokens_), 2);
   }
+  for (const auto& [store, count] : aMessage.reads_) {
+    AppendNumber(text, store, 4);
+    AppendNumber(text, std::min(kMostUnits, std::uint64_t{ count.reads_ }), 2);
+    AppendNumber(text, std::min(kMostUnits, std::uint64_t{ count.late_ }), 2);
+  }
   return text;
 }
 
-std::string
-ReadLoads(absl::string_view aText, std::vector<fleet::PeerLoad>& aLoads)
+LoadMessage
+ReadMessage(absl::string_view aText)
 {
   if (aText.empty()) {
     return {};
   }
   const auto size = TakeNumber(aText, 1);
-  if (size == 0 || aText.size() < size ||
-      (aText.size() - size) % kRowBytes != 0) {
+  if (size == 0 || aText.size() < size + kCountBytes) {
     return {};
   }
-  std::string host(aText.substr(0, size));
+  LoadMessage message;
+  message.host_ = std::string(aText.substr(0, size));
   aText.remove_prefix(size);
-  while (!aText.empty()) {
+  const auto count = TakeNumber(aText, kCountBytes);
+  if (aText.size() < count * kLoadBytes ||
+      (aText.size() - count * kLoadBytes) % kReadBytes != 0) {
+    return {};
+  }
+  for (std::uint64_t i = 0; i < count; ++i) {
     fleet::PeerLoad load;
     load.target_ = static_cast<std::uint32_t>(TakeNumber(aText, 4));
     load.inFlight_ = static_cast<std::uint32_t>(TakeNumber(aText, 1));
     load.urgentTokens_ = kTokenUnit * TakeNumber(aText, 2);
     load.otherTokens_ = kTokenUnit * TakeNumber(aText, 2);
     load.heldTokens_ = kTokenUnit * TakeNumber(aText, 2);
-    aLoads.push_back(load);
+    message.loads_.push_back(load);
   }
-  return host;
+  while (!aText.empty()) {
+    const auto store = static_cast<std::uint32_t>(TakeNumber(aText, 4));
+    auto& reads = message.reads_[store];
+    reads.reads_ = static_cast<std::uint32_t>(TakeNumber(aText, 2));
+    reads.late_ = static_cast<std::uint32_t>(TakeNumber(aText, 2));
+  }
+  return message;
 }
 
 Gossip::Gossip(Host& aHost, const std::string& aAddress)
@@ -130,19 +151,42 @@
       if (aError == boost::asio::error::operation_aborted) {
         return;
       }
-      std::vector<fleet::PeerLoad> loads;
-      const auto host =
-        aError ? std::string() : ReadLoads({ buffer_.data(), aSize }, loads);
-      if (!host.empty() && host != host_.settings_.name_) {
-        fleet::TakePeerLoads(host_.members_, host, loads, Now());
-        if (!(nearPending_ && farPending_) && IsCollector()) {
-          Changed();
-        }
+      if (!aError) {
+        Take(ReadMessage({ buffer_.data(), aSize }));
       }
       Receive();
     });
 }
 
+void
+Gossip::Take(const LoadMessage& aMessage)
+{
+  if (aMessage.host_.empty() || aMessage.host_ == host_.settings_.name_) {
+    return;
+  }
+  const auto now = Now();
+  fleet::TakePeerLoads(host_.members_, aMessage.host_, aMessage.loads_, now);
+  kept::TakeCounts(host_.kept_, aMessage.reads_, now);
+  if (!IsCollector()) {
+    return;
+  }
+  kept::AddCounts(nearReads_, aMessage.reads_);
+  if (const auto sender = host_.hosts_.find(aMessage.host_);
+      sender != host_.hosts_.end() &&
+      sender->second.entry_.dataCentre_ == host_.settings_.dataCentre_) {
+    kept::AddCounts(farReads_, aMessage.reads_);
+  }
+  Changed();
+}
+
+void
+Gossip::GatherReads()
+{
+  kept::AddCounts(nearReads_, host_.readCounts_);
+  kept::AddCounts(farReads_, host_.readCounts_);
+  host_.readCounts_.clear();
+}
+
 std::vector<std::string>
 Gossip::Mates() const
 {
@@ -204,19 +248,23 @@
 Gossip::SendNear()
 {
   nearPending_ = false;
+  GatherReads();
+  const auto reads = std::exchange(nearReads_, {});
   const auto now = Now();
   const auto mates = Mates();
   if (!relays::IsLarge(host_.hosts_)) {
     for (const auto& mate : mates) {
-      Send(mate, fleet::LoadsOf(host_.members_, {}, now));
+      Send(mate, fleet::LoadsOf(host_.members_, {}, now), reads);
     }
     return;
   }
   if (!IsCollector()) {
+    // The collector tells the other data centres.
+    farReads_.clear();
     const auto relays =
       relays::RelaysOf(host_.hosts_, host_.settings_.dataCentre_);
     if (!relays.empty()) {
-      Send(relays.front(), fleet::LoadsOf(host_.members_, {}, now));
+      Send(relays.front(), fleet::LoadsOf(host_.members_, {}, now), reads);
     }
     return;
   }
@@ -228,7 +276,7 @@
   for (const auto& mate : mates) {
     auto others = senders;
     others.erase(std::find(others.begin(), others.end(), mate));
-    Send(mate, fleet::LoadsOf(host_.members_, others, now));
+    Send(mate, fleet::LoadsOf(host_.members_, others, now), reads);
   }
 }
 
@@ -236,27 +284,31 @@
 Gossip::SendFar()
 {
   farPending_ = false;
+  GatherReads();
+  const auto reads = std::exchange(farReads_, {});
   const auto now = Now();
   if (relays::IsLarge(host_.hosts_)) {
     const auto loads = fleet::LoadsOf(host_.members_, Mates(), now);
     for (const auto& collector : Collectors()) {
-      Send(collector, loads);
+      Send(collector, loads, reads);
     }
     return;
   }
   const auto loads = fleet::LoadsOf(host_.members_, {}, now);
   for (const auto& [name, host] : host_.hosts_) {
     if (host.entry_.dataCentre_ != host_.settings_.dataCentre_) {
-      Send(name, loads);
+      Send(name, loads, reads);
     }
   }
 }
 
 void
 Gossip::Send(const std::string& aHost,
-             const std::vector<fleet::PeerLoad>& aLoads)
+             std::vector<fleet::PeerLoad> aLoads,
+             const kept::ReadCounts& aReads)
 {
-  const auto text = WriteLoads(host_.settings_.name_, aLoads);
+  const auto text =
+    WriteMessage({ host_.settings_.name_, std::move(aLoads), aReads });
   const auto to =
     ParseEndpoint(host_.hosts_.at(aHost).entry_.peerAddress_).address();
   boost::system::error_code error;
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -13,17 +13,27 @@
 
 namespace lycheeplank::gateway {
 
-// Returns a host's loads as one datagram: rows of numbers behind its name,
-// since bytes between data centres are dear. Reads it; an empty name if it is
-// none.
-std::string
-WriteLoads(absl::string_view aHost, const std::vector<fleet::PeerLoad>& aLoads);
+// What one host tells another in a datagram.
+struct LoadMessage
+{
+  std::string host_;
+  // What is under way at targets now.
+  std::vector<fleet::PeerLoad> loads_;
+  // Reads from cache stores since the message before.
+  kept::ReadCounts reads_;
+};
+
+// Returns a message as bytes: rows of numbers behind the name, since bytes
+// between data centres are dear. Reads it; an empty name if it is none.
 std::string
-ReadLoads(absl::string_view aText, std::vector<fleet::PeerLoad>& aLoads);
+WriteMessage(const LoadMessage& aMessage);
+LoadMessage
+ReadMessage(absl::string_view aText);
 
 // Tells the other hosts what this one has under way at targets, so that they
-// don't send large prompts to the same ones. Lost messages do no harm: the next
-// one tells all again.
+// don't send large prompts to the same ones, and how its reads from cache
+// stores went. Lost messages do little harm: the next one tells all loads
+// again.
 class Gossip
 {
 public:
@@ -35,10 +45,14 @@
 
 private:
   void Receive();
+  void Take(const LoadMessage& aMessage);
+  // Moves what this host has counted since to the sums that are told.
+  void GatherReads();
   void SendNear();
   void SendFar();
   void Send(const std::string& aHost,
-            const std::vector<fleet::PeerLoad>& aLoads);
+            std::vector<fleet::PeerLoad> aLoads,
+            const kept::ReadCounts& aReads);
   // The other hosts of the data centre, and the collectors of the others.
   std::vector<std::string> Mates() const;
   std::vector<std::string> Collectors() const;
@@ -51,6 +65,9 @@
   std::array<char, 16U << 10U> buffer_{};
   Timer nearTimer_;
   Timer farTimer_;
+  // Reads that the hosts of the data centre, and the others, are to be told.
+  kept::ReadCounts nearReads_;
+  kept::ReadCounts farReads_;
   bool nearPending_ = false;
   bool farPending_ = false;
 };
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -251,6 +251,10 @@
   }
   aHost.metrics_.Count(
     "store_calls_total", "outcome", core::NameOf(kStoreOutcomes, aOutcome));
+  aHost.metrics_.Count("store_operations_total",
+                       "operation",
+                       core::NameOf(kStoreOperations, aCommand.operation_));
+  ++health.calls_.at(static_cast<std::size_t>(aCommand.operation_));
 }
 
 } // namespace
@@ -312,15 +316,19 @@
 }
 
 void
-SetRole(Host& aHost, Role aRole)
+SetRole(Host& aHost, Role aRole, bool aFollowsStores)
 {
-  if (aHost.role_ == aRole) {
+  if (aHost.role_ == aRole && aHost.followsStores_ == aFollowsStores) {
     return;
   }
+  if (aHost.role_ != aRole) {
+    relays::Restart(aHost.feed_, aHost.NewFeedId());
+  }
   aHost.role_ = aRole;
-  relays::Restart(aHost.feed_, aHost.NewFeedId());
-  aHost.log_.Write(
-    Line("role_changed").Text("role", core::NameOf(kRoles, aRole)));
+  aHost.followsStores_ = aFollowsStores;
+  aHost.log_.Write(Line("role_changed")
+                     .Text("role", core::NameOf(kRoles, aRole))
+                     .Flag("follows_stores", aFollowsStores));
   aHost.onRole_();
 }
 
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -32,7 +32,6 @@
 namespace lycheeplank::gateway {
 
 // Keys that the hosts themselves write to the key-value service.
-inline constexpr absl::string_view kOwnPrefix = "lycheeplank/";
 inline constexpr absl::string_view kHostPrefix = "lycheeplank/hosts/";
 inline constexpr absl::string_view kOwnerKey = "lycheeplank/weights-owner";
 
@@ -43,6 +42,8 @@
   absl::Time answeredAt_ = absl::InfinitePast();
   absl::Time failedAt_ = absl::InfinitePast();
   bool reachable_ = false;
+  // Calls made, by operation.
+  std::array<std::uint64_t, kStoreOperations.size()> calls_{};
 };
 
 // How a host hears of changes.
@@ -95,6 +96,8 @@
   statements::Statements statements_;
   absl::flat_hash_map<std::string, weights::Namings> weights_;
   kept::Directory kept_;
+  // Reads from cache stores that the other hosts haven't been told yet.
+  kept::ReadCounts readCounts_;
   entries::Hosts hosts_;
   // Requests that wait for a target's memory, and how each is tried again or
   // refused.
@@ -111,6 +114,9 @@
   std::mt19937_64 random_;
 
   Role role_ = Role::Starting;
+  // Follows the cache stores itself; otherwise another host tells what they
+  // hold.
+  bool followsStores_ = false;
   relays::Feed feed_;
   // Run when the feed has a new row, and when the role has changed.
   std::function<void()> onFeed_ = [] {};
@@ -156,8 +162,9 @@
           const std::vector<replica::Item>& aItems,
           std::uint64_t aAsOf);
 
+// Sets how the host hears of changes, and whether it follows the cache stores.
 void
-SetRole(Host& aHost, Role aRole);
+SetRole(Host& aHost, Role aRole, bool aFollowsStores);
 
 // Tells the hosts that ask this one, if it is one that others ask. aNews: an
 // item, news of a cache store, or a notice.
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -24,6 +24,8 @@
 // Pause between the hosts that might claim the right, so that mostly the first
 // of them does.
 constexpr absl::Duration kClaimStep = absl::Milliseconds(120);
+// A host that isn't one of those that claim looks again after this time.
+constexpr absl::Duration kLookPause = absl::Milliseconds(500);
 constexpr absl::Duration kStepPeriod = absl::Milliseconds(100);
 // Hosts keep requests off an ordered target for at most this time, unless they
 // hear that it has loaded.
@@ -79,15 +81,15 @@
 void
 Owner::ClaimLater()
 {
-  // Each vacancy has its own order of hosts.
-  std::size_t before = 0;
-  const auto vacancy = absl::StrCat("owner", host_.replica_.newest_ / 64);
-  const auto own = core::RendezvousScore(vacancy, host_.settings_.name_);
-  for (const auto& [name, host] : host_.hosts_) {
-    before += core::RendezvousScore(vacancy, name) > own ? 1 : 0;
+  const auto turn = relays::ClaimTurn(
+    host_.hosts_, host_.settings_.name_, host_.replica_.newest_);
+  if (!turn) {
+    claimTimer_.Set(Jitter(host_, kLookPause),
+                    [self = shared_from_this()] { self->OnChange(); });
+    return;
   }
   claimTimer_.Set(
-    kClaimStep * static_cast<std::int64_t>(before),
+    kClaimStep * static_cast<std::int64_t>(*turn),
     [self = shared_from_this()] {
       if (self->phase_ == Phase::Waiting && !self->host_.stopping_ &&
           replica::Find(self->host_.replica_, kOwnerKey) == nullptr) {
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -19,6 +19,12 @@
 constexpr absl::Duration kStartPeriod = absl::Milliseconds(20);
 // Hosts that start together are on the list after this time.
 constexpr absl::Duration kSettleTime = absl::Milliseconds(600);
+// A host that could serve, but isn't told anything, asks for itself after this
+// time.
+constexpr absl::Duration kStartTime = absl::Seconds(3);
+// A host that follows another source than its best one tries that one again
+// after this time.
+constexpr absl::Duration kReturnTime = absl::Seconds(3);
 // Pause after a relay that was of no use.
 constexpr absl::Duration kRetryPause = absl::Milliseconds(50);
 
@@ -80,13 +86,26 @@
   return relays::IsRelay(host_.hosts_, host_.settings_.name_);
 }
 
+bool
+PeerFollower::FollowsStores() const
+{
+  return relays::FollowsStores(
+    host_.hosts_, host_.settings_.dataCentre_, host_.settings_.name_);
+}
+
+PeerFollower::Peer
+PeerFollower::PeerOf(const std::string& aName) const
+{
+  return { aName, host_.hosts_.at(aName).entry_.peerAddress_ };
+}
+
 std::vector<PeerFollower::Peer>
-PeerFollower::Relays() const
+PeerFollower::Sources() const
 {
   std::vector<Peer> peers;
-  for (const auto& name :
-       relays::RelaysOf(host_.hosts_, host_.settings_.dataCentre_)) {
-    peers.push_back({ name, host_.hosts_.at(name).entry_.peerAddress_ });
+  for (const auto& name : relays::SourcesOf(
+         host_.hosts_, host_.settings_.dataCentre_, host_.settings_.name_)) {
+    peers.push_back(PeerOf(name));
   }
   return peers;
 }
@@ -111,19 +130,30 @@
 }
 
 bool
-PeerFollower::IsSettled() const
+PeerFollower::IsSettled()
 {
-  if (host_.role_ != Role::Starting) {
+  const auto now = Now();
+  if (host_.role_ != Role::Starting ||
+      (!host_.store_.reachable_ && now - startedAt_ > kSettleTime)) {
+    return true;
+  }
+  if (!CanServe(host_)) {
+    servesSince_ = absl::InfiniteFuture();
+    return false;
+  }
+  servesSince_ = std::min(servesSince_, now);
+  const bool isListed = host_.hosts_.contains(host_.settings_.name_);
+  listedSince_ =
+    isListed ? std::min(listedSince_, now) : absl::InfiniteFuture();
+  if (now - listedSince_ > kSettleTime || now - servesSince_ > kStartTime) {
     return true;
   }
-  // With the hosts of an earlier time on the list, the relays are known.
+  // Relays that were there before this host are the ones to ask.
   const auto mates = std::count_if(
     host_.hosts_.begin(), host_.hosts_.end(), [this](const auto& aHost) {
       return aHost.second.entry_.dataCentre_ == host_.settings_.dataCentre_;
     });
-  return (CanServe(host_) &&
-          static_cast<std::size_t>(mates) >= relays::kRelays) ||
-         Now() - startedAt_ > kSettleTime;
+  return !isListed && static_cast<std::size_t>(mates) >= relays::kRelays;
 }
 
 void
@@ -133,18 +163,38 @@
     StepLater(kStartPeriod);
     return;
   }
-  if (!IsRelay()) {
-    const auto peers = Relays();
-    Ask(peers[failures_ % peers.size()]);
+  if (IsRelay()) {
+    StepAsRelay();
     return;
   }
-  SetRole(host_, Role::Direct);
-  failures_ = 0;
-  if (host_.store_.reachable_) {
+  const auto peers = Sources();
+  const auto now = Now();
+  if (failures_ > 0 && now - triedBestAt_ > kReturnTime) {
+    failures_ = 0;
+  }
+  if (failures_ == 0) {
+    triedBestAt_ = now;
+  }
+  Ask(peers[failures_ % peers.size()]);
+}
+
+void
+PeerFollower::StepAsRelay()
+{
+  if (host_.store_.reachable_ && FollowsStores()) {
+    SetRole(host_, Role::Direct, true);
+    failures_ = 0;
     following_ = false;
     StepLater(Jitter(host_, kLookPeriod));
     return;
   }
+  if (host_.store_.reachable_ || !following_) {
+    SetRole(host_, Role::Direct, FollowsStores() || failures_ > 0);
+  }
+  if (host_.store_.reachable_) {
+    Ask(Sources().front());
+    return;
+  }
   // The same peer is asked until it fails.
   if (const auto peer = following_ ? peer_ : PickAny(); !peer.name_.empty()) {
     Ask(peer);
@@ -156,16 +206,14 @@
 void
 PeerFollower::Ask(const Peer& aPeer)
 {
-  if (peer_.name_ != aPeer.name_) {
-    peer_ = aPeer;
-    feed_ = 0;
-    next_ = 0;
-  }
+  peer_ = aPeer;
+  const auto& position = positions_[aPeer.name_];
   Fetch(host_.calls_,
         host_.loop_,
         aPeer.address_,
         { "GET",
-          absl::StrCat(kChangesPath, "?feed=", feed_, "&from=", next_),
+          absl::StrCat(
+            kChangesPath, "?feed=", position.feed_, "&from=", position.next_),
           {},
           {} },
         kPollTime + kPeerTimeout,
@@ -188,14 +236,15 @@
     Fail(aPeer, "asks others itself");
     return;
   }
-  feed_ = news->feed_;
-  next_ = news->next_;
+  positions_[aPeer.name_] = { news->feed_, news->next_ };
   Take(*news);
   if (!isRelay && !news->source_.reachable_ && host_.store_.reachable_) {
     Fail(aPeer, "has lost the key-value service");
     return;
   }
-  failures_ = 0;
+  if (isRelay) {
+    failures_ = 0;
+  }
   if (!std::exchange(following_, true)) {
     host_.log_.Write(
       Line("following_peer")
@@ -204,10 +253,15 @@
         .Age("store_silent_ms", Now() - host_.store_.answeredAt_));
   }
   if (isRelay) {
-    StepLater(Jitter(host_, kLookPeriod));
+    const bool isToldOfStores = host_.store_.reachable_ && !FollowsStores();
+    if (isToldOfStores) {
+      SetRole(host_, Role::Direct, false);
+    }
+    StepLater(isToldOfStores ? absl::ZeroDuration()
+                             : Jitter(host_, kLookPeriod));
     return;
   }
-  SetRole(host_, Role::Told);
+  SetRole(host_, Role::Told, false);
   StepLater(absl::ZeroDuration());
 }
 
@@ -219,12 +273,12 @@
   if (!aNews.notices_.empty()) {
     TakeNotices(host_, aNews.notices_);
   }
-  if (host_.role_ == Role::Direct && IsRelay()) {
-    // It hears of the cache stores by itself.
+  if (host_.followsStores_) {
     return;
   }
   for (const auto& store : aNews.stores_) {
     TakeStore(host_, store, now);
+    Publish(host_, store);
   }
   TakeSource(host_, aNews.source_, now);
 }
@@ -237,8 +291,15 @@
     host_.log_.Write(
       Line("peer_lost").Text("peer", aPeer.name_).Text("reason", aReason));
   }
-  if (failures_ >= std::max<std::size_t>(1, Relays().size())) {
-    SetRole(host_, Role::Direct);
+  const auto sources = Sources().size();
+  if (host_.role_ == Role::Starting && host_.store_.reachable_ &&
+      Now() - servesSince_ < kStartTime) {
+    // The relays are starting as well.
+    StepLater(Jitter(host_, kLookPeriod));
+    return;
+  }
+  if (IsRelay() || failures_ % std::max<std::size_t>(1, sources) == 0) {
+    SetRole(host_, Role::Direct, true);
     StepLater(Jitter(host_, kLookPeriod));
     return;
   }
--- a/src/gateway/peer-follower.h
+++ b/src/gateway/peer-follower.h
@@ -6,15 +6,19 @@
 #include <string>
 #include <vector>
 
+#include <absl/container/flat_hash_map.h>
+
 #include "gateway/host.h"
 #include "gateway/news.h"
 #include "gateway/timer.h"
 
 namespace lycheeplank::gateway {
 
-// Decides how this host hears of changes: from the relays of its data centre,
-// or, if it is one or none of them answers, by asking for itself. A host that
-// asks for itself asks any peer while the key-value service doesn't answer it.
+// Decides how this host hears of changes: from the relays of its data centre or
+// of others, or, if it is one or none of them answers, by asking for itself. A
+// relay that doesn't follow the cache stores hears of them from the first relay
+// of its data centre. A host that asks for itself asks any peer while the
+// key-value service doesn't answer it.
 class PeerFollower : public std::enable_shared_from_this<PeerFollower>
 {
 public:
@@ -30,9 +34,12 @@
 
   void StepLater(absl::Duration aPause);
   void Step();
-  bool IsSettled() const;
+  bool IsSettled();
   bool IsRelay() const;
-  std::vector<Peer> Relays() const;
+  bool FollowsStores() const;
+  Peer PeerOf(const std::string& aName) const;
+  std::vector<Peer> Sources() const;
+  void StepAsRelay();
   Peer PickAny();
   void Ask(const Peer& aPeer);
   void OnNews(const Peer& aPeer, const http::Answer& aAnswer);
@@ -41,14 +48,25 @@
 
   Host& host_;
   Timer timer_;
-  // The peer that is asked, and where its feed goes on.
+  // Where a peer's feed goes on.
+  struct Position
+  {
+    std::uint64_t feed_ = 0;
+    std::uint64_t next_ = 0;
+  };
+  // The peer that is asked, and the positions in the feeds of all that were, so
+  // that going back to one doesn't transfer all that it knows again.
   Peer peer_;
-  std::uint64_t feed_ = 0;
-  std::uint64_t next_ = 0;
-  // Relays in a row that were of no use.
+  absl::flat_hash_map<std::string, Position> positions_;
+  // Sources in a row that were of no use, and when the best one was last tried
+  // while another one is followed.
   std::size_t failures_ = 0;
+  absl::Time triedBestAt_ = absl::InfinitePast();
   bool following_ = false;
   absl::Time startedAt_ = absl::InfinitePast();
+  // Since when the starting host could serve, and is on the list of hosts.
+  absl::Time servesSince_ = absl::InfiniteFuture();
+  absl::Time listedSince_ = absl::InfiniteFuture();
 };
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/presence.cc
+++ b/src/gateway/presence.cc
@@ -1,5 +1,6 @@
 #include "gateway/presence.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <absl/strings/str_cat.h>
@@ -12,10 +13,13 @@
 
 // A host that dies is off the lists after this time; callers that meet it
 // before find another address by themselves.
-constexpr absl::Duration kLeaseLife = absl::Milliseconds(3000);
-// Renewals are cheap, and two may be lost in a row.
-constexpr absl::Duration kKeepPeriod = absl::Milliseconds(800);
-constexpr absl::Duration kRetryPause = absl::Milliseconds(200);
+constexpr absl::Duration kLeaseLife = absl::Milliseconds(4000);
+// Two renewals in a row may be lost.
+constexpr absl::Duration kKeepPeriod = absl::Milliseconds(1200);
+// Pauses after failures: the first, and the longest. Each call is charged.
+constexpr absl::Duration kRetryFirst = absl::Milliseconds(200);
+constexpr absl::Duration kRetryLongest = absl::Milliseconds(1600);
+constexpr unsigned kMostDoublings = 3;
 
 } // namespace
 
@@ -49,6 +53,7 @@
 {
   switch (aOutcome) {
     case StoreOutcome::Ok:
+      failures_ = 0;
       Later(kKeepPeriod, &Presence::Keep);
       return;
     case StoreOutcome::Absent:
@@ -56,10 +61,19 @@
       Grant();
       return;
     default:
-      Later(Jitter(host_, kRetryPause), aAgain);
+      RetryLater(aAgain);
   }
 }
 
+void
+Presence::RetryLater(void (Presence::*aStep)())
+{
+  const auto pause = std::min(
+    kRetryLongest, kRetryFirst * (1U << std::min(failures_, kMostDoublings)));
+  ++failures_;
+  Later(Jitter(host_, pause), aStep);
+}
+
 void
 Presence::Start()
 {
@@ -72,7 +86,7 @@
   GrantLease(
     host_, kLeaseLife, [self = shared_from_this()](std::uint64_t aLease) {
       if (aLease == 0) {
-        self->Later(Jitter(self->host_, kRetryPause), &Presence::Grant);
+        self->RetryLater(&Presence::Grant);
         return;
       }
       self->lease_ = aLease;
--- a/src/gateway/presence.h
+++ b/src/gateway/presence.h
@@ -28,11 +28,13 @@
   void Later(absl::Duration aPause, void (Presence::*aStep)());
   // Renews the lease after its period, or does a failed step again.
   void GoOn(StoreOutcome aOutcome, void (Presence::*aAgain)());
+  void RetryLater(void (Presence::*aStep)());
   std::string Value() const;
 
   Host& host_;
   Timer timer_;
   std::uint64_t lease_ = 0;
+  unsigned failures_ = 0;
 };
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -20,6 +20,10 @@
 // just kept is computed again by whoever asks for it meanwhile.
 constexpr absl::Duration kGatherTime = absl::Milliseconds(120);
 constexpr absl::Duration kRetryFirst = absl::Milliseconds(150);
+// A store that other hosts follow already lets no more hosts wait; more calls
+// would only take the others' places.
+constexpr int kTooMany = 429;
+constexpr absl::Duration kCrowdedPause = absl::Seconds(2);
 constexpr unsigned kMostDoublings = 2;
 
 } // namespace
@@ -84,8 +88,8 @@
   }
   kept::MarkLost(state);
   Publish(host_, StoreNews{ name_, true });
-  Later(
-    Jitter(host_, kRetryFirst * (1U << std::min(failures_, kMostDoublings))));
+  const auto first = aStatus == kTooMany ? kCrowdedPause : kRetryFirst;
+  Later(Jitter(host_, first * (1U << std::min(failures_, kMostDoublings))));
   ++failures_;
 }
 
@@ -107,6 +111,7 @@
   if (isNew || state->trust_ == kept::Trust::Lost) {
     host_.log_.Write(Line("cache_store_followed")
                        .Text("store", name_)
+                       .Text("data_centre", state->settings_.dataCentre_)
                        .Flag("started_anew", isNew)
                        .Number("epoch", changes->epoch_)
                        .Number("changes", changes->changes_.size()));
@@ -157,15 +162,14 @@
 StoreFollowers::Update()
 {
   for (auto at = followers_.begin(); at != followers_.end();) {
-    if (host_.role_ == Role::Direct &&
-        host_.kept_.stores_.contains(at->first)) {
+    if (host_.followsStores_ && host_.kept_.stores_.contains(at->first)) {
       ++at;
     } else {
       at->second->Stop();
       followers_.erase(at++);
     }
   }
-  if (host_.role_ != Role::Direct) {
+  if (!host_.followsStores_) {
     return;
   }
   for (const auto& [name, state] : host_.kept_.stores_) {
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -64,6 +64,34 @@
   return shares[static_cast<std::size_t>(best)];
 }
 
+// Changes a store's share of reads after a read that was late or in time.
+void
+StepReadShare(const Directory& aDirectory,
+              StoreState& aStore,
+              bool aIsLate,
+              absl::Time aNow)
+{
+  const double usual = LateReadsOfBest(aDirectory, aNow);
+  auto& share = aStore.readShare_;
+  if (aStore.lateReads_ <= usual + kSlowLateShare) {
+    share = std::min(1.0, share + kInTimeStep);
+  } else if (aIsLate) {
+    share = std::max(kLeastReadShare, share * kSlowFactor);
+  }
+}
+
+const StoreState*
+FindByAddress(const Directory& aDirectory, absl::string_view aAddress)
+{
+  const auto found =
+    std::find_if(aDirectory.stores_.begin(),
+                 aDirectory.stores_.end(),
+                 [aAddress](const auto& aStore) {
+                   return aStore.second.settings_.address_ == aAddress;
+                 });
+  return found == aDirectory.stores_.end() ? nullptr : &found->second;
+}
+
 bool
 IsUsable(const StoreState& aStore, absl::Time aNow)
 {
@@ -255,28 +283,67 @@
          bool aIsLate,
          absl::Time aNow)
 {
-  const auto found =
-    std::find_if(aDirectory.stores_.begin(),
-                 aDirectory.stores_.end(),
-                 [aAddress](const auto& aStore) {
-                   return aStore.second.settings_.address_ == aAddress;
-                 });
-  if (found == aDirectory.stores_.end()) {
+  const auto* found = FindByAddress(aDirectory, aAddress);
+  if (found == nullptr) {
     return nullptr;
   }
-  auto& store = found->second;
+  auto& store = aDirectory.stores_.at(found->settings_.name_);
   FadeSlowness(store, aNow);
   store.lateReads_ += kNewestRead * ((aIsLate ? 1.0 : 0.0) - store.lateReads_);
-  const double usual = LateReadsOfBest(aDirectory, aNow);
-  auto& share = store.readShare_;
-  if (store.lateReads_ <= usual + kSlowLateShare) {
-    share = std::min(1.0, share + kInTimeStep);
-  } else if (aIsLate) {
-    share = std::max(kLeastReadShare, share * kSlowFactor);
-  }
+  StepReadShare(aDirectory, store, aIsLate, aNow);
   return &store;
 }
 
+std::uint32_t
+ShortName(absl::string_view aStore)
+{
+  return static_cast<std::uint32_t>(core::StableHash(aStore));
+}
+
+void
+CountRead(ReadCounts& aCounts,
+          const Directory& aDirectory,
+          absl::string_view aAddress,
+          bool aIsLate)
+{
+  if (const auto* store = FindByAddress(aDirectory, aAddress)) {
+    auto& count = aCounts[ShortName(store->settings_.name_)];
+    ++count.reads_;
+    count.late_ += aIsLate ? 1 : 0;
+  }
+}
+
+void
+AddCounts(ReadCounts& aSum, const ReadCounts& aCounts)
+{
+  for (const auto& [store, count] : aCounts) {
+    auto& sum = aSum[store];
+    sum.reads_ += count.reads_;
+    sum.late_ += count.late_;
+  }
+}
+
+void
+TakeCounts(Directory& aDirectory, const ReadCounts& aCounts, absl::Time aNow)
+{
+  for (auto& [name, store] : aDirectory.stores_) {
+    const auto found = aCounts.find(ShortName(name));
+    if (found == aCounts.end() || found->second.reads_ == 0) {
+      continue;
+    }
+    const auto [reads, late] = found->second;
+    FadeSlowness(store, aNow);
+    const double lateShare =
+      static_cast<double>(late) / static_cast<double>(reads);
+    const double weight = 1.0 - std::pow(1.0 - kNewestRead, reads);
+    store.lateReads_ += weight * (lateShare - store.lateReads_);
+    if (aNow - store.steppedAt_ >= kStepPeriod) {
+      store.steppedAt_ = aNow;
+      StepReadShare(aDirectory, store, late > 0, aNow);
+    }
+  }
+}
+
 Plan
 PlanParts(const Directory& aDirectory,
           absl::string_view aScope,
@@ -294,6 +361,7 @@
     }
     return plan;
   }
+  absl::flat_hash_map<std::string, std::uint64_t> moved;
   for (const auto& part : aParts) {
     auto& row = plan.parts_.emplace_back();
     const auto key = KeyOf(aScope, part.id_);
@@ -302,6 +370,7 @@
       if (aDraw < ReadShareAt(*holder, aNow)) {
         row.readFrom_ = holder->settings_.address_;
         plan.readTokens_ += part.tokens_;
+        moved[holder->settings_.dataCentre_] += part.tokens_;
       } else {
         plan.computedTokens_ += part.tokens_;
       }
@@ -311,6 +380,14 @@
     if (const auto* keeper =
           BestKeeper(aDirectory, part.id_, part.tokens_, aNow)) {
       row.keepAt_ = keeper->settings_.address_;
+      moved[keeper->settings_.dataCentre_] += part.tokens_;
+    }
+  }
+  for (const auto& [dataCentre, tokens] : moved) {
+    plan.movedTokens_ += tokens;
+    if (tokens > plan.tokensThere_) {
+      plan.storeDataCentre_ = dataCentre;
+      plan.tokensThere_ = tokens;
     }
   }
   return plan;
--- a/src/relays/relays.cc
+++ b/src/relays/relays.cc
@@ -6,12 +6,20 @@
 
 #include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
 #include "lycheeplank/core.h"
 
 namespace lycheeplank::relays {
 
+namespace {
+
+// Hosts whose newest revisions differ by less mostly agree on an order.
+constexpr std::uint64_t kRevisionsPerOrder = 64;
+
+} // namespace
+
 std::vector<std::string>
 RelaysOf(const entries::Hosts& aHosts, absl::string_view aDataCentre)
 {
@@ -43,6 +51,62 @@
          std::find(relays.begin(), relays.end(), aHost) != relays.end();
 }
 
+std::vector<std::string>
+SourcesOf(const entries::Hosts& aHosts,
+          absl::string_view aDataCentre,
+          const std::string& aHost)
+{
+  auto sources = RelaysOf(aHosts, aDataCentre);
+  std::vector<std::pair<std::uint64_t, std::string>> others;
+  for (const auto& dataCentre : DataCentres(aHosts)) {
+    if (const auto relays = RelaysOf(aHosts, dataCentre);
+        dataCentre != aDataCentre && !relays.empty()) {
+      others.emplace_back(core::RendezvousScore(aHost, relays.front()),
+                          relays.front());
+    }
+  }
+  std::sort(others.rbegin(), others.rend());
+  for (auto& [score, name] : others) {
+    sources.push_back(std::move(name));
+  }
+  sources.erase(std::remove(sources.begin(), sources.end(), aHost),
+                sources.end());
+  sources.resize(std::min(sources.size(), kMostSources));
+  return sources;
+}
+
+bool
+FollowsStores(const entries::Hosts& aHosts,
+              absl::string_view aDataCentre,
+              const std::string& aHost)
+{
+  const auto relays = RelaysOf(aHosts, aDataCentre);
+  if (relays.empty() || relays.front() == aHost) {
+    return true;
+  }
+  return DataCentres(aHosts).size() * kRelays <= kStoreFollowers &&
+         std::find(relays.begin(), relays.end(), aHost) != relays.end();
+}
+
+absl::optional<std::size_t>
+ClaimTurn(const entries::Hosts& aHosts,
+          const std::string& aHost,
+          std::uint64_t aNewest)
+{
+  if (!aHosts.contains(aHost) || !IsRelay(aHosts, aHost)) {
+    return absl::nullopt;
+  }
+  const auto vacancy = absl::StrCat("owner", aNewest / kRevisionsPerOrder);
+  const auto own = core::RendezvousScore(vacancy, aHost);
+  std::size_t turn = 0;
+  for (const auto& dataCentre : DataCentres(aHosts)) {
+    for (const auto& name : RelaysOf(aHosts, dataCentre)) {
+      turn += core::RendezvousScore(vacancy, name) > own ? 1 : 0;
+    }
+  }
+  return turn;
+}
+
 std::vector<std::string>
 DataCentres(const entries::Hosts& aHosts)
 {
--- a/test/kept-test.cc
+++ b/test/kept-test.cc
@@ -257,3 +257,16 @@
   CHECK(counts["10.0.0.1:1"] > 1350);
   CHECK(counts["10.0.0.1:1"] < 1650);
 }
+
+TEST_CASE("a plan tells where most of its tokens lie or will lie")
+{
+  auto directory = MakeDirectory();
+  const auto unkept = PlanAt(directory, kSettled);
+  CHECK(unkept.movedTokens_ == 8512);
+  CHECK(unkept.tokensThere_ >= 8000);
+  Tell(directory, "s1", "p2", 8000);
+  const auto plan = PlanAt(directory, kSettled);
+  CHECK(plan.movedTokens_ == 8512);
+  CHECK(plan.storeDataCentre_ == "b");
+  CHECK(plan.tokensThere_ >= 8000);
+}
--- a/test/owner-test.cc
+++ b/test/owner-test.cc
@@ -178,6 +178,9 @@
                         { { true, "shared.m.1", "old", 64 },
                           { true, "shared.m.2", "new", 64 } },
                         gateway::Now());
+      for (const auto* name : { "h1", "h2" }) {
+        host.hosts_[name] = { { name, "a", "10.0.0.1:1", "10.0.0.1:2" } };
+      }
       one->owner_->Start();
     }
   }
--- a/test/relays-test.cc
+++ b/test/relays-test.cc
@@ -57,6 +57,57 @@
   CHECK(relays::IsRelay(hosts, "h99"));
 }
 
+TEST_CASE("a host asks the relays of its data centre, then those of others")
+{
+  const auto hosts = MakeHosts(12);
+  const auto own = relays::RelaysOf(hosts, "a");
+  const auto others = relays::RelaysOf(hosts, "b");
+  const std::vector<std::string> expected{ own[0], own[1], others[0] };
+  CHECK(relays::SourcesOf(hosts, "a", "h0") == expected);
+  // Nobody asks itself.
+  const std::vector<std::string> ofRelay{ own[1], others[0] };
+  CHECK(relays::SourcesOf(hosts, "a", own[0]) == ofRelay);
+  // A data centre without relays has those of others.
+  CHECK(relays::SourcesOf(hosts, "c", "h99").size() == 2);
+}
+
+TEST_CASE("stores are followed by as many hosts as they let wait")
+{
+  for (const int dataCentres : { 1, 3, 4, 6, 9 }) {
+    auto hosts = MakeHosts(60);
+    int number = 0;
+    for (auto& [name, host] : hosts) {
+      host.entry_.dataCentre_ = "d" + std::to_string(number++ % dataCentres);
+    }
+    std::size_t followers = 0;
+    for (const auto& [name, host] : hosts) {
+      const auto& home = host.entry_.dataCentre_;
+      followers += relays::FollowsStores(hosts, home, name) ? 1 : 0;
+    }
+    CHECK(followers <=
+          std::max<std::size_t>(relays::kStoreFollowers, dataCentres));
+    CHECK(followers >= static_cast<std::size_t>(dataCentres));
+  }
+  // Without relays there is nobody else to do it.
+  CHECK(relays::FollowsStores({}, "a", "h0"));
+}
+
+TEST_CASE("few hosts claim a vacant right, each in a turn of its own")
+{
+  const auto hosts = MakeHosts(60);
+  std::vector<std::size_t> turns;
+  for (const auto& [name, host] : hosts) {
+    if (const auto turn = relays::ClaimTurn(hosts, name, 700)) {
+      turns.push_back(*turn);
+    }
+  }
+  std::sort(turns.begin(), turns.end());
+  CHECK(turns == std::vector<std::size_t>{ 0, 1, 2, 3 });
+  // A host that isn't on the list yet waits for those that are.
+  CHECK_FALSE(relays::ClaimTurn(hosts, "h99", 700));
+  CHECK_FALSE(relays::ClaimTurn({}, "h0", 700));
+}
+
 TEST_CASE("a feed gives what comes after a row, or nothing")
 {
   relays::Feed feed;
