Choose among targets drawn by chance in large fleets; meet where a part is computed

Parts asked for again before a store held them were computed once a host.

Change: large fleets look at three targets near, two far and those that keep the prompt; an unkept part pulls to the first of these. Waiting costs 0.2 a second. fleet/choose.cc holds the choice; its test is the load of 50 hosts with the same old news.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -130,6 +130,9 @@
   std::uint64_t movedTokens_ = 0;
   std::string storeDataCentre_;
   std::uint64_t tokensThere_ = 0;
+  // Shared tokens that no store holds, though other hosts may have asked for
+  // them just now.
+  std::uint64_t unkeptTokens_ = 0;
 };
 
 // What is asked of a target.
@@ -164,8 +167,18 @@
   absl::Duration goal_ = absl::Seconds(1);
   // Spreads equal choices.
   std::uint64_t seed_ = 0;
+  // Looks only at some targets drawn by chance. The pattern: many hosts that
+  // hear of loads some hundred milliseconds late would all send to the target
+  // that was the least busy one.
+  bool samples_ = false;
 };
 
+// Targets drawn in the own data centre and elsewhere, beside those that keep
+// the prompt. Two and more drawn by chance keep the longest queue short; more
+// would make hosts with the same old news choose alike.
+inline constexpr std::size_t kNearSamples = 3;
+inline constexpr std::size_t kFarSamples = 2;
+
 // Speed of an engine, for estimates.
 struct EngineSpeed
 {
@@ -191,8 +204,11 @@
 // What a token costs that moves between a target and a store in another data
 // centre: it holds the store's link twice as long, and these links bind.
 inline constexpr double kRemoteTokenCost = 2e-5;
-// Settles choices between targets that would all be late, a second of wait.
-inline constexpr double kWaitCost = 0.05;
+// What a shared token costs that no store holds, away from the target where
+// others that ask for it meet: some of them have it computed at this moment.
+inline constexpr double kUnkeptTokenCost = 1.5e-5;
+// A second of wait, beside its own lateness: what waits delays those behind it.
+inline constexpr double kWaitCost = 0.2;
 // Targets of a part that are preferred, in the order of its name.
 inline constexpr std::size_t kAffinityTargets = 2;
 // A target's own count is used as long as this.
@@ -231,7 +247,7 @@
 };
 
 // Returns what the request costs a target, by the weights that it has.
-PromptCost
+const PromptCost&
 CostAt(const Member& aMember, const Question& aQuestion);
 
 // Returns the versions of a model's weights that targets of a service have.
--- a/include/lycheeplank/relays.h
+++ b/include/lycheeplank/relays.h
@@ -56,8 +56,8 @@
 
 // Returns how many hosts go before a host in claiming a vacant right that one
 // host holds; nothing if others are to claim it. Only relays do, which know of
-// changes first; each vacancy, told apart by the newest revision, has an order of
-// its own.
+// changes first; each vacancy, told apart by the newest revision, has an order
+// of its own.
 absl::optional<std::size_t>
 ClaimTurn(const entries::Hosts& aHosts,
           const std::string& aHost,
--- /dev/null
+++ b/src/fleet/shares.h
@@ -0,0 +1,23 @@
+#ifndef LYCHEEPLANK_SRC_FLEET_SHARES_H
+#define LYCHEEPLANK_SRC_FLEET_SHARES_H
+
+#include "lycheeplank/fleet.h"
+
+namespace lycheeplank::fleet::detail {
+
+// Adds what a host has told to a sum if it told it lately.
+template<typename Sum>
+void
+AddRecent(Sum& aSum, const PeerShare& aTold, absl::Time aNow)
+{
+  if (aNow - aTold.toldAt_ < kPeerMemory) {
+    aSum.inFlight_ += aTold.inFlight_;
+    aSum.urgentTokens_ += aTold.urgentTokens_;
+    aSum.otherTokens_ += aTold.otherTokens_;
+    aSum.heldTokens_ += aTold.heldTokens_;
+  }
+}
+
+} // namespace lycheeplank::fleet::detail
+
+#endif
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -47,6 +47,7 @@
   question.dataCentre_ = host_.settings_.dataCentre_;
   question.tried_ = &tried_;
   question.seed_ = host_.random_();
+  question.samples_ = relays::IsLarge(host_.hosts_);
   if (const auto service = catalog_->services_.find(service_);
       service != catalog_->services_.end()) {
     question.memoryTokens_ = service->second.memoryTokens_;
@@ -77,7 +78,8 @@
           plan.readTokens_,
           plan.movedTokens_,
           plan.storeDataCentre_,
-          plan.tokensThere_ });
+          plan.tokensThere_,
+          plan.computedTokens_ });
     }
   }
   auto choice =
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -89,8 +89,7 @@
     return;
   }
   claimTimer_.Set(
-    kClaimStep * static_cast<std::int64_t>(*turn),
-    [self = shared_from_this()] {
+    kClaimStep * static_cast<std::int64_t>(*turn), [self = shared_from_this()] {
       if (self->phase_ == Phase::Waiting && !self->host_.stopping_ &&
           replica::Find(self->host_.replica_, kOwnerKey) == nullptr) {
         self->Grant();
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -371,3 +371,47 @@
   cost.tokensThere_ = 300;
   CHECK(fleet::Choose(members, question, kSpeed, kNow).id_ == "near");
 }
+
+TEST_CASE("hosts with the same old news don't send to the same target")
+{
+  // Each of 50 hosts sends six requests before it hears of the others'.
+  for (const bool samples : { false, true }) {
+    std::map<std::string, int> counts;
+    std::mt19937_64 random(7);
+    auto members = MakeMembers(27);
+    fleet::CountSent(members.at("t0"), MakeSize(), kNow);
+    for (auto& [id, member] : members) {
+      member.slowness_ = id == "t3" ? 0.8 : 1.0;
+    }
+    for (int request = 0; request < 300; ++request) {
+      auto question = MakeQuestion();
+      question.samples_ = samples;
+      question.seed_ = random();
+      ++counts[fleet::Choose(members, question, kSpeed, kNow).id_];
+    }
+    int most = 0;
+    for (const auto& [id, count] : counts) {
+      most = std::max(most, count);
+    }
+    // Evenly spread it would be 11; a few times that is short for a queue.
+    CHECK((most <= 4 * 300 / 27) == samples);
+  }
+}
+
+TEST_CASE("requests for a part that is being computed meet at one target")
+{
+  const auto members = MakeMembers(27);
+  std::map<std::string, int> counts;
+  std::mt19937_64 random(8);
+  for (int request = 0; request < 100; ++request) {
+    auto question = MakeQuestion();
+    question.samples_ = true;
+    question.seed_ = random();
+    question.affinity_ = "p";
+    question.costs_.resize(1);
+    question.costs_[0].readTokens_ = 0;
+    question.costs_[0].unkeptTokens_ = 8000;
+    ++counts[fleet::Choose(members, question, kSpeed, kNow).id_];
+  }
+  CHECK(counts.size() == 1);
+}
