One relay in each data centre where two would crowd the cache stores; calmer start

Cause: a relay with nothing else to do called the key-value service some three times a second, and each starting host watched it all of the time until it knew its relays.

Change: fleets of more than four data centres have one relay in each; those of others stand in. A starting host lists, waits 0.7 s, looks once more and knows its relays. Relays gather changes for 0.2 s. Leases of 5 s, renewed at 1.6 s.

--- a/include/lycheeplank/relays.h
+++ b/include/lycheeplank/relays.h
@@ -19,6 +19,11 @@
 // Hosts of a data centre that ask for themselves: one that the others ask, and
 // one that takes its place.
 inline constexpr std::size_t kRelays = 2;
+// Relays of all data centres together, from which on each has only one: they
+// all follow each cache store, which lets twelve hosts wait, and some places
+// are for hosts that no relay reaches. The relays of other data centres then
+// take the place of one that fails.
+inline constexpr std::size_t kMostRelays = 8;
 
 // Returns the names of the relays of a data centre, best first: those of its
 // ready hosts with the most cores, in an order that all hosts agree on.
@@ -42,18 +47,6 @@
           absl::string_view aDataCentre,
           const std::string& aHost);
 
-// Hosts that follow one cache store at most while all relays live. The stores
-// answer twelve at once; what is left is for hosts that no relay reaches.
-inline constexpr std::size_t kStoreFollowers = 8;
-
-// Returns whether a host is one of those that follow the cache stores: all
-// relays, or where these are too many, the first one of each data centre. A
-// data centre without relays has nobody else to do it.
-bool
-FollowsStores(const entries::Hosts& aHosts,
-              absl::string_view aDataCentre,
-              const std::string& aHost);
-
 // Returns how many hosts go before a host in claiming a vacant right that one
 // host holds; nothing if others are to claim it. Only relays do, which know of
 // changes first; each vacancy, told apart by the newest revision, has an order
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -12,10 +12,10 @@
 constexpr absl::Duration kWatchTime = absl::Seconds(10);
 // Pause before the next call, in which changes that come together are
 // gathered; a part of the time that a leaving target may get work.
-constexpr absl::Duration kWatchPause = absl::Milliseconds(120);
-// The same while the host starts: other hosts start as well, and it needs only
-// their list.
-constexpr absl::Duration kStartPause = absl::Milliseconds(400);
+constexpr absl::Duration kWatchPause = absl::Milliseconds(200);
+// Pause of a starting host after its list: hosts that start together are
+// registered then, and each call is charged.
+constexpr absl::Duration kStartPause = absl::Milliseconds(700);
 // Pauses after failures: the first, and the longest.
 constexpr absl::Duration kRetryFirst = absl::Milliseconds(60);
 constexpr absl::Duration kRetryLongest = absl::Milliseconds(500);
@@ -103,7 +103,11 @@
   revision_ = firstRevision_;
   LearnList(host_, prefix_, page_, firstRevision_);
   page_.clear();
-  Watch();
+  if (host_.role_ == Role::Starting && CanServe(host_)) {
+    timer_.Set(kStartPause, [self = shared_from_this()] { self->Watch(); });
+  } else {
+    Watch();
+  }
 }
 
 void
@@ -145,8 +149,7 @@
   failures_ = 0;
   revision_ = std::max(revision_, aReply.revision_);
   Learn(host_, aReply.items_, "watch");
-  timer_.Set(host_.role_ == Role::Starting ? kStartPause : kWatchPause,
-             [self = shared_from_this()] { self->Watch(); });
+  timer_.Set(kWatchPause, [self = shared_from_this()] { self->Watch(); });
 }
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -316,19 +316,15 @@
 }
 
 void
-SetRole(Host& aHost, Role aRole, bool aFollowsStores)
+SetRole(Host& aHost, Role aRole)
 {
-  if (aHost.role_ == aRole && aHost.followsStores_ == aFollowsStores) {
+  if (aHost.role_ == aRole) {
     return;
   }
-  if (aHost.role_ != aRole) {
-    relays::Restart(aHost.feed_, aHost.NewFeedId());
-  }
   aHost.role_ = aRole;
-  aHost.followsStores_ = aFollowsStores;
-  aHost.log_.Write(Line("role_changed")
-                     .Text("role", core::NameOf(kRoles, aRole))
-                     .Flag("follows_stores", aFollowsStores));
+  relays::Restart(aHost.feed_, aHost.NewFeedId());
+  aHost.log_.Write(
+    Line("role_changed").Text("role", core::NameOf(kRoles, aRole)));
   aHost.onRole_();
 }
 
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -114,9 +114,6 @@
   std::mt19937_64 random_;
 
   Role role_ = Role::Starting;
-  // Follows the cache stores itself; otherwise another host tells what they
-  // hold.
-  bool followsStores_ = false;
   relays::Feed feed_;
   // Run when the feed has a new row, and when the role has changed.
   std::function<void()> onFeed_ = [] {};
@@ -162,9 +159,8 @@
           const std::vector<replica::Item>& aItems,
           std::uint64_t aAsOf);
 
-// Sets how the host hears of changes, and whether it follows the cache stores.
 void
-SetRole(Host& aHost, Role aRole, bool aFollowsStores);
+SetRole(Host& aHost, Role aRole);
 
 // Tells the hosts that ask this one, if it is one that others ask. aNews: an
 // item, news of a cache store, or a notice.
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -17,8 +17,11 @@
 constexpr absl::Duration kLookPeriod = absl::Milliseconds(300);
 // Period of looks while the host starts.
 constexpr absl::Duration kStartPeriod = absl::Milliseconds(20);
-// Hosts that start together are on the list after this time.
+// A starting host that the key-value service doesn't answer asks its peers
+// after this time.
 constexpr absl::Duration kSettleTime = absl::Milliseconds(600);
+// The look at which a host sees itself shows those that started with it.
+constexpr absl::Duration kListedTime = absl::Milliseconds(50);
 // A host that could serve, but isn't told anything, asks for itself after this
 // time.
 constexpr absl::Duration kStartTime = absl::Seconds(3);
@@ -86,13 +89,6 @@
   return relays::IsRelay(host_.hosts_, host_.settings_.name_);
 }
 
-bool
-PeerFollower::FollowsStores() const
-{
-  return relays::FollowsStores(
-    host_.hosts_, host_.settings_.dataCentre_, host_.settings_.name_);
-}
-
 PeerFollower::Peer
 PeerFollower::PeerOf(const std::string& aName) const
 {
@@ -145,7 +141,7 @@
   const bool isListed = host_.hosts_.contains(host_.settings_.name_);
   listedSince_ =
     isListed ? std::min(listedSince_, now) : absl::InfiniteFuture();
-  if (now - listedSince_ > kSettleTime || now - servesSince_ > kStartTime) {
+  if (now - listedSince_ > kListedTime || now - servesSince_ > kStartTime) {
     return true;
   }
   // Relays that were there before this host are the ones to ask.
@@ -181,20 +177,13 @@
 void
 PeerFollower::StepAsRelay()
 {
-  if (host_.store_.reachable_ && FollowsStores()) {
-    SetRole(host_, Role::Direct, true);
-    failures_ = 0;
+  SetRole(host_, Role::Direct);
+  failures_ = 0;
+  if (host_.store_.reachable_) {
     following_ = false;
     StepLater(Jitter(host_, kLookPeriod));
     return;
   }
-  if (host_.store_.reachable_ || !following_) {
-    SetRole(host_, Role::Direct, FollowsStores() || failures_ > 0);
-  }
-  if (host_.store_.reachable_) {
-    Ask(Sources().front());
-    return;
-  }
   // The same peer is asked until it fails.
   if (const auto peer = following_ ? peer_ : PickAny(); !peer.name_.empty()) {
     Ask(peer);
@@ -242,9 +231,6 @@
     Fail(aPeer, "has lost the key-value service");
     return;
   }
-  if (isRelay) {
-    failures_ = 0;
-  }
   if (!std::exchange(following_, true)) {
     host_.log_.Write(
       Line("following_peer")
@@ -253,15 +239,10 @@
         .Age("store_silent_ms", Now() - host_.store_.answeredAt_));
   }
   if (isRelay) {
-    const bool isToldOfStores = host_.store_.reachable_ && !FollowsStores();
-    if (isToldOfStores) {
-      SetRole(host_, Role::Direct, false);
-    }
-    StepLater(isToldOfStores ? absl::ZeroDuration()
-                             : Jitter(host_, kLookPeriod));
+    StepLater(Jitter(host_, kLookPeriod));
     return;
   }
-  SetRole(host_, Role::Told, false);
+  SetRole(host_, Role::Told);
   StepLater(absl::ZeroDuration());
 }
 
@@ -273,12 +254,12 @@
   if (!aNews.notices_.empty()) {
     TakeNotices(host_, aNews.notices_);
   }
-  if (host_.followsStores_) {
+  if (host_.role_ == Role::Direct && IsRelay()) {
+    // It hears of the cache stores by itself.
     return;
   }
   for (const auto& store : aNews.stores_) {
     TakeStore(host_, store, now);
-    Publish(host_, store);
   }
   TakeSource(host_, aNews.source_, now);
 }
@@ -299,7 +280,7 @@
     return;
   }
   if (IsRelay() || failures_ % std::max<std::size_t>(1, sources) == 0) {
-    SetRole(host_, Role::Direct, true);
+    SetRole(host_, Role::Direct);
     StepLater(Jitter(host_, kLookPeriod));
     return;
   }
--- a/src/gateway/peer-follower.h
+++ b/src/gateway/peer-follower.h
@@ -16,9 +16,8 @@
 
 // Decides how this host hears of changes: from the relays of its data centre or
 // of others, or, if it is one or none of them answers, by asking for itself. A
-// relay that doesn't follow the cache stores hears of them from the first relay
-// of its data centre. A host that asks for itself asks any peer while the
-// key-value service doesn't answer it.
+// host that asks for itself asks any peer while the key-value service doesn't
+// answer it.
 class PeerFollower : public std::enable_shared_from_this<PeerFollower>
 {
 public:
@@ -36,7 +35,6 @@
   void Step();
   bool IsSettled();
   bool IsRelay() const;
-  bool FollowsStores() const;
   Peer PeerOf(const std::string& aName) const;
   std::vector<Peer> Sources() const;
   void StepAsRelay();
--- a/src/gateway/presence.cc
+++ b/src/gateway/presence.cc
@@ -13,9 +13,9 @@
 
 // A host that dies is off the lists after this time; callers that meet it
 // before find another address by themselves.
-constexpr absl::Duration kLeaseLife = absl::Milliseconds(4000);
+constexpr absl::Duration kLeaseLife = absl::Milliseconds(5000);
 // Two renewals in a row may be lost.
-constexpr absl::Duration kKeepPeriod = absl::Milliseconds(1200);
+constexpr absl::Duration kKeepPeriod = absl::Milliseconds(1600);
 // Pauses after failures: the first, and the longest. Each call is charged.
 constexpr absl::Duration kRetryFirst = absl::Milliseconds(200);
 constexpr absl::Duration kRetryLongest = absl::Milliseconds(1600);
--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -162,14 +162,15 @@
 StoreFollowers::Update()
 {
   for (auto at = followers_.begin(); at != followers_.end();) {
-    if (host_.followsStores_ && host_.kept_.stores_.contains(at->first)) {
+    if (host_.role_ == Role::Direct &&
+        host_.kept_.stores_.contains(at->first)) {
       ++at;
     } else {
       at->second->Stop();
       followers_.erase(at++);
     }
   }
-  if (!host_.followsStores_) {
+  if (host_.role_ != Role::Direct) {
     return;
   }
   for (const auto& [name, state] : host_.kept_.stores_) {
--- a/src/relays/relays.cc
+++ b/src/relays/relays.cc
@@ -32,8 +32,10 @@
     }
   }
   std::sort(ranks.begin(), ranks.end());
+  const std::size_t count =
+    DataCentres(aHosts).size() * kRelays <= kMostRelays ? kRelays : 1;
   std::vector<std::string> names;
-  for (std::size_t i = 0; i < std::min(kRelays, ranks.size()); ++i) {
+  for (std::size_t i = 0; i < std::min(count, ranks.size()); ++i) {
     names.push_back(std::get<2>(ranks[i]));
   }
   return names;
@@ -75,19 +77,6 @@
   return sources;
 }
 
-bool
-FollowsStores(const entries::Hosts& aHosts,
-              absl::string_view aDataCentre,
-              const std::string& aHost)
-{
-  const auto relays = RelaysOf(aHosts, aDataCentre);
-  if (relays.empty() || relays.front() == aHost) {
-    return true;
-  }
-  return DataCentres(aHosts).size() * kRelays <= kStoreFollowers &&
-         std::find(relays.begin(), relays.end(), aHost) != relays.end();
-}
-
 absl::optional<std::size_t>
 ClaimTurn(const entries::Hosts& aHosts,
           const std::string& aHost,
