Tell other hosts which targets can't be reached

Change: hosts tell it with their loads. Two reports put a target aside at all hosts, for a time that differs by host, so that few try it again first; a request that may run again leaves a target that is down at once. Connections get 200 ms.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -107,6 +107,11 @@
   std::uint32_t timesAside_ = 0;
   // A call that finds out whether it works again.
   bool probing_ = false;
+  // Reports of other hosts that it can't be reached, the last of them, and when
+  // it last answered this host.
+  std::uint32_t downReports_ = 0;
+  absl::Time downToldAt_ = absl::InfinitePast();
+  absl::Time answeredAt_ = absl::InfinitePast();
   // It has asked this host for no requests until then.
   absl::Time closedUntil_ = absl::InfinitePast();
   // An order keeps it from starting requests until about then.
@@ -295,6 +300,33 @@
   Abandoned,
 };
 
+// Reports that targets can't be reached, by short name. The pattern: a quarter
+// of the targets falls silent, and each of some hundred hosts would try each of
+// them in turn.
+using DownReports = absl::flat_hash_map<std::uint32_t, std::uint32_t>;
+
+// Reports within this time that put a target aside at hosts that haven't tried
+// it: two, since one host may be cut off itself.
+inline constexpr absl::Duration kDownMemory = absl::Milliseconds(1500);
+inline constexpr std::uint32_t kDownWitnesses = 2;
+// A target that has answered this host so lately is not believed to be down.
+inline constexpr absl::Duration kAnswerMemory = absl::Milliseconds(300);
+// Time aside by reports, times one to kDownSpread by chance, so that few hosts
+// find out first whether it works again, and tell the others if not.
+inline constexpr absl::Duration kDownAside = absl::Milliseconds(1500);
+inline constexpr double kDownSpread = 4.0;
+
+// Takes in reports of other hosts; returns the targets that are put aside.
+std::vector<std::string>
+TakeDownReports(Members& aMembers,
+                const DownReports& aReports,
+                std::uint64_t aSeed,
+                absl::Time aNow);
+
+// Returns whether a target is put aside for failures now.
+bool
+IsAside(const Member& aMember, absl::Time aNow);
+
 // Takes in all that another host has under way; what it doesn't name has ended.
 void
 TakePeerLoads(Members& aMembers,
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -42,16 +42,6 @@
            aQuestion.tried_->end();
 }
 
-bool
-IsAside(const Member& aMember, absl::Time aNow)
-{
-  if (aMember.asideUntil_ == absl::InfinitePast()) {
-    return false;
-  }
-  // After its time aside, one call at a time finds out whether it works.
-  return aNow < aMember.asideUntil_ || aMember.probing_;
-}
-
 // Returns whether a request that begins after some time would begin on weights
 // that are outdated for longer than is allowed.
 bool
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -1,6 +1,7 @@
 #include "lycheeplank/fleet.h"
 
 #include <algorithm>
+#include <random>
 #include <utility>
 
 #include "fleet/shares.h"
@@ -16,6 +17,47 @@
 
 } // namespace
 
+bool
+IsAside(const Member& aMember, absl::Time aNow)
+{
+  if (aMember.asideUntil_ == absl::InfinitePast()) {
+    return false;
+  }
+  // After its time aside, one call at a time finds out whether it works.
+  return aNow < aMember.asideUntil_ || aMember.probing_;
+}
+
+std::vector<std::string>
+TakeDownReports(Members& aMembers,
+                const DownReports& aReports,
+                std::uint64_t aSeed,
+                absl::Time aNow)
+{
+  std::vector<std::string> aside;
+  std::minstd_rand random(static_cast<std::uint32_t>(aSeed));
+  std::uniform_real_distribution<> spread(1.0, kDownSpread);
+  for (auto& [id, member] : aMembers) {
+    const auto found = aReports.find(member.shortName_);
+    if (found == aReports.end()) {
+      continue;
+    }
+    if (aNow - member.downToldAt_ > kDownMemory) {
+      member.downReports_ = 0;
+    }
+    member.downReports_ += found->second;
+    member.downToldAt_ = aNow;
+    if (member.downReports_ < kDownWitnesses ||
+        aNow - member.answeredAt_ < kAnswerMemory) {
+      continue;
+    }
+    member.downReports_ = 0;
+    member.asideUntil_ =
+      std::max(member.asideUntil_, aNow + kDownAside * spread(random));
+    aside.push_back(id);
+  }
+  return aside;
+}
+
 std::vector<std::uint64_t>
 VersionsOf(const Members& aMembers,
            absl::string_view aService,
@@ -131,6 +173,9 @@
     return false;
   }
   const bool failed = aResult != CallResult::Answered;
+  if (!failed) {
+    aMember.answeredAt_ = aNow;
+  }
   aMember.failures_ +=
     kNewestWeight * ((failed ? 1.0 : 0.0) - aMember.failures_);
   if (!failed) {
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -16,12 +16,14 @@
 
 // A connection to a target is made in a round trip; a target that takes longer
 // doesn't answer.
-constexpr absl::Duration kConnectTimeout = absl::Milliseconds(300);
+constexpr absl::Duration kConnectTimeout = absl::Milliseconds(200);
 // A request that may run once goes only on connections that were in use
 // lately: one that the target closed meanwhile would leave its fate unknown.
 constexpr absl::Duration kOnceIdle = absl::Milliseconds(500);
 // Others find a closed connection out by trying.
 constexpr absl::Duration kRepeatableIdle = absl::Seconds(10);
+// Period of looks whether the target that a request waits for is down.
+constexpr absl::Duration kDownCheck = absl::Milliseconds(250);
 // Bytes of the heads of a request and its answer and of a short body.
 constexpr std::uint64_t kCallBytes = 1500;
 // Answer bytes a token, for the cost of crossing a boundary.
@@ -313,11 +315,27 @@
 void
 Exchange::WatchSilence(absl::Duration aLimit)
 {
-  silenceTimer_.Set(aLimit, [self = shared_from_this(), attempt = attempt_] {
-    if (!self->ended_ && self->attempt_ == attempt) {
-      self->OnSilence();
-    }
-  });
+  // A target that others have found to be down isn't waited for to the end.
+  const auto step = std::min(aLimit, kDownCheck);
+  silenceTimer_.Set(
+    step,
+    [self = shared_from_this(), attempt = attempt_, rest = aLimit - step] {
+      if (self->ended_ || self->attempt_ != attempt) {
+        return;
+      }
+      if (rest <= absl::ZeroDuration() || self->IsTargetDown()) {
+        self->OnSilence();
+      } else {
+        self->WatchSilence(rest);
+      }
+    });
+}
+
+bool
+Exchange::IsTargetDown() const
+{
+  const auto found = host_.members_.find(targetId_);
+  return found == host_.members_.end() || Now() < found->second.asideUntil_;
 }
 
 void
@@ -364,6 +382,9 @@
     fleet::CountFirstByte(
       member, size_, Now() - sentAt_, answered ? choice_.usualSeconds_ : 0.0);
   }
+  if (aResult == fleet::CallResult::Unreachable) {
+    ++host_.downReports_[member.shortName_];
+  }
   host_.onLoad_();
   if (fleet::CountEnd(member, size_, aResult, Now())) {
     host_.log_.Write(Line("target_aside")
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -70,6 +70,7 @@
   void Answer(int aStatus, absl::string_view aReason);
   // Gives the target up if nothing comes for so long.
   void WatchSilence(absl::Duration aLimit);
+  bool IsTargetDown() const;
   void OnSilence();
   // Takes the request back from a target with old weights if it doesn't begin
   // there in time.
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -26,12 +26,13 @@
 // Tokens are told in units of this.
 constexpr std::uint64_t kTokenUnit = 64;
 constexpr std::uint64_t kMostUnits = UINT16_MAX;
-// Bytes of the number of loads; of one of them: short name, calls, urgent,
-// other and held tokens; of the reads from one store: short name, all, late
-// ones.
+// Bytes of a number of rows; of a load: short name, calls, urgent, other and
+// held tokens; of the reads from one store: short name, all, late ones; of a
+// target that couldn't be reached: short name, reports.
 constexpr std::size_t kCountBytes = 2;
 constexpr std::size_t kLoadBytes = 11;
 constexpr std::size_t kReadBytes = 8;
+constexpr std::size_t kDownBytes = 5;
 constexpr unsigned kBitsPerByte = 8;
 constexpr std::uint64_t kByteMask = 0xff;
 
@@ -62,6 +63,18 @@
   return number;
 }
 
+// Takes a number of rows; nothing if the text is too short for them.
+absl::optional<std::uint64_t>
+TakeCount(absl::string_view& aText, std::size_t aRowBytes)
+{
+  if (aText.size() < kCountBytes) {
+    return absl::nullopt;
+  }
+  const auto count = TakeNumber(aText, kCountBytes);
+  return aText.size() < count * aRowBytes ? absl::nullopt
+                                          : absl::make_optional(count);
+}
+
 std::uint64_t
 Units(std::uint64_t aTokens)
 {
@@ -76,7 +89,7 @@
   std::string text;
   AppendNumber(text, aMessage.host_.size(), 1);
   text.append(aMessage.host_);
-  AppendNumber(text, aMessage.loads_.size(), 2);
+  AppendNumber(text, aMessage.loads_.size(), kCountBytes);
   for (const auto& load : aMessage.loads_) {
     AppendNumber(text, load.target_, 4);
     AppendNumber(text, std::min<std::uint64_t>(load.inFlight_, kByteMask), 1);
@@ -84,11 +97,16 @@
     AppendNumber(text, Units(load.otherTokens_), 2);
     AppendNumber(text, Units(load.heldTokens_), 2);
   }
+  AppendNumber(text, aMessage.reads_.size(), kCountBytes);
   for (const auto& [store, count] : aMessage.reads_) {
     AppendNumber(text, store, 4);
     AppendNumber(text, std::min(kMostUnits, std::uint64_t{ count.reads_ }), 2);
     AppendNumber(text, std::min(kMostUnits, std::uint64_t{ count.late_ }), 2);
   }
+  for (const auto& [target, reports] : aMessage.down_) {
+    AppendNumber(text, target, 4);
+    AppendNumber(text, std::min<std::uint64_t>(reports, kByteMask), 1);
+  }
   return text;
 }
 
@@ -99,18 +117,17 @@
     return {};
   }
   const auto size = TakeNumber(aText, 1);
-  if (size == 0 || aText.size() < size + kCountBytes) {
+  if (size == 0 || aText.size() < size) {
     return {};
   }
   LoadMessage message;
   message.host_ = std::string(aText.substr(0, size));
   aText.remove_prefix(size);
-  const auto count = TakeNumber(aText, kCountBytes);
-  if (aText.size() < count * kLoadBytes ||
-      (aText.size() - count * kLoadBytes) % kReadBytes != 0) {
+  const auto loads = TakeCount(aText, kLoadBytes);
+  if (!loads) {
     return {};
   }
-  for (std::uint64_t i = 0; i < count; ++i) {
+  for (std::uint64_t i = 0; i < *loads; ++i) {
     fleet::PeerLoad load;
     load.target_ = static_cast<std::uint32_t>(TakeNumber(aText, 4));
     load.inFlight_ = static_cast<std::uint32_t>(TakeNumber(aText, 1));
@@ -119,11 +136,19 @@
     load.heldTokens_ = kTokenUnit * TakeNumber(aText, 2);
     message.loads_.push_back(load);
   }
-  while (!aText.empty()) {
+  const auto reads = TakeCount(aText, kReadBytes);
+  if (!reads || (aText.size() - *reads * kReadBytes) % kDownBytes != 0) {
+    return {};
+  }
+  for (std::uint64_t i = 0; i < *reads; ++i) {
     const auto store = static_cast<std::uint32_t>(TakeNumber(aText, 4));
-    auto& reads = message.reads_[store];
-    reads.reads_ = static_cast<std::uint32_t>(TakeNumber(aText, 2));
-    reads.late_ = static_cast<std::uint32_t>(TakeNumber(aText, 2));
+    auto& count = message.reads_[store];
+    count.reads_ = static_cast<std::uint32_t>(TakeNumber(aText, 2));
+    count.late_ = static_cast<std::uint32_t>(TakeNumber(aText, 2));
+  }
+  while (!aText.empty()) {
+    const auto target = static_cast<std::uint32_t>(TakeNumber(aText, 4));
+    message.down_[target] = static_cast<std::uint32_t>(TakeNumber(aText, 1));
   }
   return message;
 }
@@ -167,24 +192,43 @@
   const auto now = Now();
   fleet::TakePeerLoads(host_.members_, aMessage.host_, aMessage.loads_, now);
   kept::TakeCounts(host_.kept_, aMessage.reads_, now);
+  for (const auto& id : fleet::TakeDownReports(
+         host_.members_, aMessage.down_, host_.random_(), now)) {
+    host_.log_.Write(Line("target_aside")
+                       .Text("target", id)
+                       .Text("source", aMessage.host_)
+                       .Age("for_ms", host_.members_.at(id).asideUntil_ - now));
+  }
   if (!IsCollector()) {
     return;
   }
-  kept::AddCounts(nearReads_, aMessage.reads_);
+  Add(near_, aMessage.reads_, aMessage.down_);
   if (const auto sender = host_.hosts_.find(aMessage.host_);
       sender != host_.hosts_.end() &&
       sender->second.entry_.dataCentre_ == host_.settings_.dataCentre_) {
-    kept::AddCounts(farReads_, aMessage.reads_);
+    Add(far_, aMessage.reads_, aMessage.down_);
   }
   Changed();
 }
 
 void
-Gossip::GatherReads()
+Gossip::Add(Experience& aSum,
+            const kept::ReadCounts& aReads,
+            const fleet::DownReports& aDown)
+{
+  kept::AddCounts(aSum.reads_, aReads);
+  for (const auto& [target, reports] : aDown) {
+    aSum.down_[target] += reports;
+  }
+}
+
+void
+Gossip::Gather()
 {
-  kept::AddCounts(nearReads_, host_.readCounts_);
-  kept::AddCounts(farReads_, host_.readCounts_);
+  Add(near_, host_.readCounts_, host_.downReports_);
+  Add(far_, host_.readCounts_, host_.downReports_);
   host_.readCounts_.clear();
+  host_.downReports_.clear();
 }
 
 std::vector<std::string>
@@ -248,23 +292,23 @@
 Gossip::SendNear()
 {
   nearPending_ = false;
-  GatherReads();
-  const auto reads = std::exchange(nearReads_, {});
+  Gather();
+  const auto told = std::exchange(near_, {});
   const auto now = Now();
   const auto mates = Mates();
   if (!relays::IsLarge(host_.hosts_)) {
     for (const auto& mate : mates) {
-      Send(mate, fleet::LoadsOf(host_.members_, {}, now), reads);
+      Send(mate, fleet::LoadsOf(host_.members_, {}, now), told);
     }
     return;
   }
   if (!IsCollector()) {
     // The collector tells the other data centres.
-    farReads_.clear();
+    far_ = {};
     const auto relays =
       relays::RelaysOf(host_.hosts_, host_.settings_.dataCentre_);
     if (!relays.empty()) {
-      Send(relays.front(), fleet::LoadsOf(host_.members_, {}, now), reads);
+      Send(relays.front(), fleet::LoadsOf(host_.members_, {}, now), told);
     }
     return;
   }
@@ -276,7 +320,7 @@
   for (const auto& mate : mates) {
     auto others = senders;
     others.erase(std::find(others.begin(), others.end(), mate));
-    Send(mate, fleet::LoadsOf(host_.members_, others, now), reads);
+    Send(mate, fleet::LoadsOf(host_.members_, others, now), told);
   }
 }
 
@@ -284,20 +328,20 @@
 Gossip::SendFar()
 {
   farPending_ = false;
-  GatherReads();
-  const auto reads = std::exchange(farReads_, {});
+  Gather();
+  const auto told = std::exchange(far_, {});
   const auto now = Now();
   if (relays::IsLarge(host_.hosts_)) {
     const auto loads = fleet::LoadsOf(host_.members_, Mates(), now);
     for (const auto& collector : Collectors()) {
-      Send(collector, loads, reads);
+      Send(collector, loads, told);
     }
     return;
   }
   const auto loads = fleet::LoadsOf(host_.members_, {}, now);
   for (const auto& [name, host] : host_.hosts_) {
     if (host.entry_.dataCentre_ != host_.settings_.dataCentre_) {
-      Send(name, loads, reads);
+      Send(name, loads, told);
     }
   }
 }
@@ -305,10 +349,12 @@
 void
 Gossip::Send(const std::string& aHost,
              std::vector<fleet::PeerLoad> aLoads,
-             const kept::ReadCounts& aReads)
+             const Experience& aExperience)
 {
-  const auto text =
-    WriteMessage({ host_.settings_.name_, std::move(aLoads), aReads });
+  const auto text = WriteMessage({ host_.settings_.name_,
+                                   std::move(aLoads),
+                                   aExperience.reads_,
+                                   aExperience.down_ });
   const auto to =
     ParseEndpoint(host_.hosts_.at(aHost).entry_.peerAddress_).address();
   boost::system::error_code error;
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -21,6 +21,15 @@
   std::vector<fleet::PeerLoad> loads_;
   // Reads from cache stores since the message before.
   kept::ReadCounts reads_;
+  // Targets that couldn't be reached since then.
+  fleet::DownReports down_;
+};
+
+// What one host tells others once only.
+struct Experience
+{
+  kept::ReadCounts reads_;
+  fleet::DownReports down_;
 };
 
 // Returns a message as bytes: rows of numbers behind the name, since bytes
@@ -31,9 +40,9 @@
 ReadMessage(absl::string_view aText);
 
 // Tells the other hosts what this one has under way at targets, so that they
-// don't send large prompts to the same ones, and how its reads from cache
-// stores went. Lost messages do little harm: the next one tells all loads
-// again.
+// don't send large prompts to the same ones, how its reads from cache stores
+// went, and which targets it couldn't reach. Lost messages do little harm: the
+// next one tells all loads again.
 class Gossip
 {
 public:
@@ -47,12 +56,15 @@
   void Receive();
   void Take(const LoadMessage& aMessage);
   // Moves what this host has counted since to the sums that are told.
-  void GatherReads();
+  void Gather();
+  void Add(Experience& aSum,
+           const kept::ReadCounts& aReads,
+           const fleet::DownReports& aDown);
   void SendNear();
   void SendFar();
   void Send(const std::string& aHost,
             std::vector<fleet::PeerLoad> aLoads,
-            const kept::ReadCounts& aReads);
+            const Experience& aExperience);
   // The other hosts of the data centre, and the collectors of the others.
   std::vector<std::string> Mates() const;
   std::vector<std::string> Collectors() const;
@@ -65,9 +77,9 @@
   std::array<char, 16U << 10U> buffer_{};
   Timer nearTimer_;
   Timer farTimer_;
-  // Reads that the hosts of the data centre, and the others, are to be told.
-  kept::ReadCounts nearReads_;
-  kept::ReadCounts farReads_;
+  // What the hosts of the data centre, and the others, are to be told.
+  Experience near_;
+  Experience far_;
   bool nearPending_ = false;
   bool farPending_ = false;
 };
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -98,6 +98,8 @@
   kept::Directory kept_;
   // Reads from cache stores that the other hosts haven't been told yet.
   kept::ReadCounts readCounts_;
+  // Targets that this host couldn't reach, likewise.
+  fleet::DownReports downReports_;
   entries::Hosts hosts_;
   // Requests that wait for a target's memory, and how each is tried again or
   // refused.
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -415,3 +415,43 @@
   }
   CHECK(counts.size() == 1);
 }
+
+TEST_CASE(
+  "a target that two hosts can't reach is left by all, and tried by few")
+{
+  auto members = MakeMembers(3);
+  const auto name = members.at("t1").shortName_;
+  CHECK(fleet::TakeDownReports(members, { { name, 1 } }, 1, kNow).empty());
+  // A late second one isn't about the same moment.
+  const auto late = kNow + fleet::kDownMemory + absl::Milliseconds(1);
+  CHECK(fleet::TakeDownReports(members, { { name, 1 } }, 1, late).empty());
+  const auto aside = fleet::TakeDownReports(members, { { name, 1 } }, 1, late);
+  CHECK(aside == std::vector<std::string>{ "t1" });
+  CHECK(fleet::IsAside(members.at("t1"), late));
+
+  // 300 hosts hear of it: within the time in which one finds out and tells the
+  // others, few have it back.
+  int back = 0;
+  for (std::uint64_t seed = 1; seed <= 300; ++seed) {
+    auto others = MakeMembers(3);
+    fleet::TakeDownReports(others, { { name, 2 } }, seed * 7919, kNow);
+    const auto& member = others.at("t1");
+    CHECK(fleet::IsAside(member, kNow + fleet::kDownAside));
+    const auto soon = kNow + fleet::kDownAside + absl::Milliseconds(450);
+    back += fleet::IsAside(member, soon) ? 0 : 1;
+  }
+  CHECK(back > 0);
+  CHECK(back < 60);
+}
+
+TEST_CASE("a target that answers this host isn't down because others say so")
+{
+  auto members = MakeMembers(1);
+  auto& member = members.at("t0");
+  fleet::CountSent(member, MakeSize(), kNow);
+  fleet::CountEnd(member, MakeSize(), fleet::CallResult::Answered, kNow);
+  CHECK(
+    fleet::TakeDownReports(
+      members, { { member.shortName_, 5 } }, 1, kNow + absl::Milliseconds(9))
+      .empty());
+}
