--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -130,11 +130,6 @@
   // one does.
   std::uint64_t computedTokens_ = 0;
   std::uint64_t readTokens_ = 0;
-  // Tokens that move between the target and cache stores, and those of them
-  // whose stores lie in one data centre that has most.
-  std::uint64_t movedTokens_ = 0;
-  std::string storeDataCentre_;
-  std::uint64_t tokensThere_ = 0;
   // Shared tokens that no store holds, though other hosts may have asked for
   // them just now.
   std::uint64_t unkeptTokens_ = 0;
@@ -206,9 +201,6 @@
 // What a token costs that comes from a cache store and not from the target's
 // own memory, from the users' prices.
 inline constexpr double kReadTokenCost = 2e-6;
-// What a token costs that moves between a target and a store in another data
-// centre: it holds the store's link twice as long, and these links bind.
-inline constexpr double kRemoteTokenCost = 2e-5;
 // What a shared token costs that no store holds, away from the target where
 // others that ask for it meet: some of them have it computed at this moment.
 inline constexpr double kUnkeptTokenCost = 1.5e-5;
--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -127,11 +127,6 @@
   std::vector<PartPlan> parts_;
   std::uint64_t readTokens_ = 0;
   std::uint64_t computedTokens_ = 0;
-  // Tokens that move between the target and stores, and the data centre of the
-  // stores that have most of them.
-  std::uint64_t movedTokens_ = 0;
-  std::string storeDataCentre_;
-  std::uint64_t tokensThere_ = 0;
 };
 
 // A read is late if its prompt began to be answered only after the time for
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -108,40 +108,15 @@
                              : kRunSeconds * (held - room) / room;
 }
 
-// The data centre whose targets are to keep a prompt: that of its stores, if it
-// has any, so that requests from everywhere meet there.
-absl::string_view
-PromptDataCentre(const Question& aQuestion)
-{
-  const PromptCost* newest = nullptr;
-  for (const auto& cost : aQuestion.costs_) {
-    if (newest == nullptr || cost.weights_ > newest->weights_) {
-      newest = &cost;
-    }
-  }
-  return newest == nullptr || newest->storeDataCentre_.empty()
-           ? aQuestion.dataCentre_
-           : newest->storeDataCentre_;
-}
-
-// Tokens that move between a target and stores in other data centres.
-std::uint64_t
-RemoteTokens(const Member& aMember, const PromptCost& aCost)
-{
-  const bool isNear = aMember.target_.dataCentre_ == aCost.storeDataCentre_;
-  return aCost.movedTokens_ - (isNear ? aCost.tokensThere_ : 0);
-}
-
 // Ids of the targets that a part is to be kept at, by rendezvous hashing
-// within a data centre.
+// within the data centre.
 std::vector<absl::string_view>
 AffinityTargets(const std::vector<const Member*>& aUsable,
                 const Question& aQuestion)
 {
-  const auto dataCentre = PromptDataCentre(aQuestion);
   std::vector<std::pair<std::uint64_t, absl::string_view>> scores;
   for (const auto* member : aUsable) {
-    if (member->target_.dataCentre_ == dataCentre) {
+    if (member->target_.dataCentre_ == aQuestion.dataCentre_) {
       scores.emplace_back(
         core::RendezvousScore(aQuestion.affinity_, member->target_.id_),
         member->target_.id_);
@@ -244,10 +219,7 @@
     aSpeed.startSeconds_ +
     static_cast<double>(before + cost.computedTokens_) /
       aSpeed.promptTokensPerSecond_ +
-    static_cast<double>(
-      cost.readTokens_ +
-      std::min(cost.readTokens_, RemoteTokens(aMember, cost))) /
-      aSpeed.cacheTokensPerSecond_ +
+    static_cast<double>(cost.readTokens_) / aSpeed.cacheTokensPerSecond_ +
     kSlotSeconds * backlog.running_ + kWaitingSeconds * backlog.waiting_;
   const double memory = MemoryWait(shares, aQuestion);
   estimate.memoryFull_ = !aQuestion.isUrgent_ && memory > 0.0;
@@ -285,9 +257,7 @@
   return cost +
          aDistance *
            (kReadTokenCost * static_cast<double>(prompt.readTokens_) +
-            kUnkeptTokenCost * static_cast<double>(prompt.unkeptTokens_) +
-            kRemoteTokenCost *
-              static_cast<double>(RemoteTokens(aMember, prompt)));
+            kUnkeptTokenCost * static_cast<double>(prompt.unkeptTokens_));
 }
 
 } // namespace
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -78,9 +78,6 @@
                    now - weights::OutdatedSince(namings, version)),
           ComputedTokens(plan),
           plan.readTokens_,
-          plan.movedTokens_,
-          plan.storeDataCentre_,
-          plan.tokensThere_,
           plan.computedTokens_ });
     }
   }
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -18,6 +18,8 @@
 constexpr absl::Duration kGatherTime = absl::Milliseconds(10);
 // The same for hosts in other data centres, to which bytes are dear.
 constexpr absl::Duration kFarGatherTime = absl::Milliseconds(100);
+// The same for the sum of a large data centre, which changes less by a request.
+constexpr absl::Duration kFarCollectTime = absl::Milliseconds(250);
 // Pause for each host that is told, so that messages don't grow with hosts.
 constexpr absl::Duration kPausePerHost = absl::Milliseconds(5);
 // Hosts of a large data centre tell their loads to one of them, which tells
@@ -283,8 +285,9 @@
                    [this] { SendNear(); });
   }
   if ((collects || !isLarge) && !std::exchange(farPending_, true)) {
-    const auto others = isLarge ? Collectors().size() : host_.hosts_.size();
-    farTimer_.Set(PauseFor(kFarGatherTime, others), [this] { SendFar(); });
+    farTimer_.Set(isLarge ? kFarCollectTime
+                          : PauseFor(kFarGatherTime, host_.hosts_.size()),
+                  [this] { SendFar(); });
   }
 }
 
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -361,7 +361,6 @@
     }
     return plan;
   }
-  absl::flat_hash_map<std::string, std::uint64_t> moved;
   for (const auto& part : aParts) {
     auto& row = plan.parts_.emplace_back();
     const auto key = KeyOf(aScope, part.id_);
@@ -370,7 +369,6 @@
       if (aDraw < ReadShareAt(*holder, aNow)) {
         row.readFrom_ = holder->settings_.address_;
         plan.readTokens_ += part.tokens_;
-        moved[holder->settings_.dataCentre_] += part.tokens_;
       } else {
         plan.computedTokens_ += part.tokens_;
       }
@@ -380,14 +378,6 @@
     if (const auto* keeper =
           BestKeeper(aDirectory, part.id_, part.tokens_, aNow)) {
       row.keepAt_ = keeper->settings_.address_;
-      moved[keeper->settings_.dataCentre_] += part.tokens_;
-    }
-  }
-  for (const auto& [dataCentre, tokens] : moved) {
-    plan.movedTokens_ += tokens;
-    if (tokens > plan.tokensThere_) {
-      plan.storeDataCentre_ = dataCentre;
-      plan.tokensThere_ = tokens;
     }
   }
   return plan;
