--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -59,6 +59,25 @@
                        aJson[kTokens].get<std::uint32_t>() };
 }
 
+// Reads the parts of one scope: names and tokens by turns.
+void
+ReadHeld(const std::string& aScope,
+         const Json& aParts,
+         std::vector<kept::Change>& aHeld)
+{
+  if (!aParts.is_array()) {
+    return;
+  }
+  for (std::size_t i = 0; i + 1 < aParts.size(); i += 2) {
+    if (aParts[i].is_string() && aParts[i + 1].is_number_unsigned()) {
+      aHeld.push_back({ true,
+                        aScope,
+                        aParts[i].get<std::string>(),
+                        aParts[i + 1].get<std::uint32_t>() });
+    }
+  }
+}
+
 StoreNews
 ReadStore(const Json& aJson)
 {
@@ -73,6 +92,12 @@
       news.changes_.push_back(std::move(*change));
     }
   }
+  if (const auto* held = json::Member(aJson, "held");
+      held != nullptr && held->is_object()) {
+    for (const auto& [scope, parts] : held->items()) {
+      ReadHeld(scope, parts, news.changes_);
+    }
+  }
   return news;
 }
 
@@ -124,15 +149,25 @@
 WriteRow(const StoreNews& aNews)
 {
   Json changes = Json::array();
+  // All that a store holds is some thousand parts of a few scopes; hosts that
+  // start together each get it from one relay.
+  Json held = Json::object();
   for (const auto& change : aNews.changes_) {
-    changes.push_back(Json::array(
-      { change.added_, change.scope_, change.part_, change.tokens_ }));
+    if (aNews.whole_) {
+      auto& parts = held[change.scope_];
+      parts.push_back(change.part_);
+      parts.push_back(change.tokens_);
+    } else {
+      changes.push_back(Json::array(
+        { change.added_, change.scope_, change.part_, change.tokens_ }));
+    }
   }
   return Dump({ { "store", aNews.store_ },
                 { "lost", aNews.lost_ },
                 { "whole", aNews.whole_ },
                 { "epoch", aNews.epoch_ },
                 { "next", aNews.next_ },
+                { "held", std::move(held) },
                 { "changes", std::move(changes) } });
 }
 
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -17,6 +17,9 @@
 constexpr absl::string_view kNoticesPath = "/peer/notices";
 // Changes that come within this time are told together.
 constexpr absl::Duration kGatherTime = absl::Milliseconds(30);
+// Hosts that start within this time get the same snapshot: building it takes
+// some ten milliseconds at a relay, and what came since follows as rows.
+constexpr absl::Duration kSnapshotLife = absl::Milliseconds(400);
 // Time in which the key-value service and the relays tell all hosts of an
 // entry that has changed.
 constexpr absl::Duration kEntryTime = absl::Milliseconds(300);
@@ -157,13 +160,28 @@
 }
 
 std::string
-PeerServer::NewsFor(std::uint64_t aFeed, std::uint64_t aFrom) const
+PeerServer::NewsFor(std::uint64_t aFeed, std::uint64_t aFrom)
 {
-  auto rows = relays::RowsFrom(host_.feed_, aFeed, aFrom);
-  return WriteNews(host_.feed_.id_,
-                   relays::NextRow(host_.feed_),
-                   SourceOf(host_),
-                   rows ? *rows : AllRows(host_));
+  const auto source = SourceOf(host_);
+  if (const auto rows = relays::RowsFrom(host_.feed_, aFeed, aFrom)) {
+    return WriteNews(
+      host_.feed_.id_, relays::NextRow(host_.feed_), source, *rows);
+  }
+  RefreshSnapshot();
+  return WriteNews(snapshot_.feed_, snapshot_.next_, source, snapshot_.rows_);
+}
+
+void
+PeerServer::RefreshSnapshot()
+{
+  const auto now = Now();
+  if (now - snapshot_.builtAt_ < kSnapshotLife &&
+      relays::RowsFrom(host_.feed_, snapshot_.feed_, snapshot_.next_)) {
+    return;
+  }
+  snapshot_ = {
+    host_.feed_.id_, relays::NextRow(host_.feed_), AllRows(host_), now
+  };
 }
 
 void
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -44,7 +44,9 @@
   void AnswerChanges(const ServerConnectionPtr& aCaller);
   void TellWaiting(absl::Time aAskedBefore);
   void WatchTimes();
-  std::string NewsFor(std::uint64_t aFeed, std::uint64_t aFrom) const;
+  std::string NewsFor(std::uint64_t aFeed, std::uint64_t aFrom);
+  // Builds the snapshot anew unless it is recent and its feed goes on from it.
+  void RefreshSnapshot();
 
   Host& host_;
   Timer gatherTimer_;
@@ -52,6 +54,15 @@
   bool gathering_ = false;
   bool watching_ = false;
   std::list<Poll> polls_;
+  // All that the host knew when the feed had come to a row, as rows.
+  struct Snapshot
+  {
+    std::uint64_t feed_ = 0;
+    std::uint64_t next_ = 0;
+    std::string rows_;
+    absl::Time builtAt_ = absl::InfinitePast();
+  };
+  Snapshot snapshot_;
 };
 
 // Takes in notices of this host or another one.
--- a/test/news-test.cc
+++ b/test/news-test.cc
@@ -1,5 +1,6 @@
 #include "gateway/news.h"
 
+#include <map>
 #include <random>
 
 #include <catch2/catch.hpp>
@@ -122,3 +123,26 @@
     }
   }
 }
+
+TEST_CASE("all that a store holds is told by scope, and read back")
+{
+  gateway::StoreNews store{ "c1", false, true, 4, 9, {} };
+  store.changes_ = { { true, "shared.m.1", "p1", 512 },
+                     { true, "w.x.m.1", "p1", 300 },
+                     { true, "shared.m.1", "p2", 8000 } };
+  const auto row = gateway::WriteRow(store);
+  // A scope is written once, whatever the number of its parts.
+  CHECK(row.find("shared.m.1") == row.rfind("shared.m.1"));
+  const auto news = gateway::ReadNews(gateway::WriteNews(7, 1, {}, row));
+  REQUIRE(news);
+  REQUIRE(news->stores_.size() == 1);
+  std::map<std::string, std::uint32_t> held;
+  for (const auto& part : news->stores_[0].changes_) {
+    CHECK(part.added_);
+    held[part.scope_ + "|" + part.part_] = part.tokens_;
+  }
+  const std::map<std::string, std::uint32_t> expected{
+    { "shared.m.1|p1", 512 }, { "shared.m.1|p2", 8000 }, { "w.x.m.1|p1", 300 }
+  };
+  CHECK(held == expected);
+}
