Leave a request's target only for reports that it is down

Found on the last read: a target put aside for refusals, or whose entry was gone while it still served, counted as down, and streams under way left it. The new test covers both sides; it was not run on the code before.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -107,10 +107,11 @@
   std::uint32_t timesAside_ = 0;
   // A call that finds out whether it works again.
   bool probing_ = false;
-  // Reports of other hosts that it can't be reached, the last of them, and when
-  // it last answered this host.
+  // Reports of other hosts that it can't be reached, the last of them, until
+  // when it is believed, and when the target last answered this host.
   std::uint32_t downReports_ = 0;
   absl::Time downToldAt_ = absl::InfinitePast();
+  absl::Time downUntil_ = absl::InfinitePast();
   absl::Time answeredAt_ = absl::InfinitePast();
   // It has asked this host for no requests until then.
   absl::Time closedUntil_ = absl::InfinitePast();
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -51,8 +51,8 @@
       continue;
     }
     member.downReports_ = 0;
-    member.asideUntil_ =
-      std::max(member.asideUntil_, aNow + kDownAside * spread(random));
+    member.downUntil_ = aNow + kDownAside * spread(random);
+    member.asideUntil_ = std::max(member.asideUntil_, member.downUntil_);
     aside.push_back(id);
   }
   return aside;
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -332,7 +332,7 @@
 Exchange::IsTargetDown() const
 {
   const auto found = host_.members_.find(targetId_);
-  return found == host_.members_.end() || Now() < found->second.asideUntil_;
+  return found != host_.members_.end() && Now() < found->second.downUntil_;
 }
 
 void
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -28,6 +28,8 @@
 // A host that follows another source than its best one tries that one again
 // after this time.
 constexpr absl::Duration kReturnTime = absl::Seconds(3);
+// Feeds whose positions are kept; hosts that are replaced leave theirs behind.
+constexpr std::size_t kMostPositions = 32;
 // Pause after a relay that was of no use.
 constexpr absl::Duration kRetryPause = absl::Milliseconds(50);
 
@@ -196,6 +198,9 @@
 PeerFollower::Ask(const Peer& aPeer)
 {
   peer_ = aPeer;
+  if (positions_.size() > kMostPositions) {
+    positions_.clear();
+  }
   const auto& position = positions_[aPeer.name_];
   Fetch(host_.calls_,
         host_.loop_,
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -486,3 +486,25 @@
   CHECK(gateway::Now() > namedAt + absl::Seconds(1));
   CHECK(silent.closed_ == 1);
 }
+
+TEST_CASE("what may run again leaves a target that others can't reach")
+{
+  World world;
+  for (auto& route : world.catalog_.routes_["h"]) {
+    route.timeout_ = absl::Seconds(20);
+    route.longestGap_ = absl::Seconds(20);
+  }
+  world.Publish();
+  auto& silent = world.AddTarget([](auto&, const auto&) {});
+  auto& other = world.AddTarget(Sends(Events("id: 1\ndata: a\n\n", true)));
+  const auto caller = world.Call(World::Request("/resume/"));
+  REQUIRE(world.RunUntil([&] { return silent.requests_ == 1; }));
+  auto& member = world.host_.members_.at("t1");
+  // Aside for failures of other requests, it may still answer this one.
+  member.asideUntil_ = gateway::Now() + absl::Seconds(9);
+  world.RunFor(std::chrono::milliseconds(600));
+  CHECK(other.requests_ == 0);
+  lycheeplank::fleet::TakeDownReports(
+    world.host_.members_, { { member.shortName_, 2 } }, 1, gateway::Now());
+  CHECK(world.RunUntil([&] { return other.requests_ == 1; }));
+}
