List again once the key-value service is back, if a watch is from before

A watch that was made during the outage may never be answered, while renewals are, so the host takes the service for reachable and waits up to 11.5 s.

Change: when the service answers again, a follower gives up a call from before and lists.

--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -95,6 +95,11 @@
     host_.onChange_.emplace_back([this] { storeFollowers_.Update(); });
     host_.onChange_.emplace_back([this] { owner_->OnChange(); });
     host_.onChange_.emplace_back([this] { ServeIfReady(); });
+    host_.onStoreBack_ = [this](absl::Time aBackAt) {
+      for (const auto& follower : followers_) {
+        follower->Renew(aBackAt);
+      }
+    };
     host_.onFeed_ = [this] { peerServer_.Changed(); };
     host_.onRole_ = [this] { OnRole(); };
     peerFollower_->Start();
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/clock.h"
+
 namespace lycheeplank::gateway {
 
 namespace {
@@ -49,6 +51,34 @@
   }
 }
 
+void
+Follower::Renew(absl::Time aBackAt)
+{
+  if (call_ != 0 && calledAt_ < aBackAt) {
+    failures_ = 0;
+    List();
+  }
+}
+
+void
+Follower::Call(const StoreCommand& aCommand,
+               absl::Duration aTimeout,
+               void (Follower::*aOnReply)(StoreReply))
+{
+  call_ = ++lastCall_;
+  calledAt_ = Now();
+  CallStore(
+    host_,
+    aCommand,
+    aTimeout,
+    [self = shared_from_this(), call = call_, aOnReply](StoreReply aReply) {
+      if (self->call_ == call) {
+        self->call_ = 0;
+        ((*self).*aOnReply)(std::move(aReply));
+      }
+    });
+}
+
 void
 Follower::List()
 {
@@ -62,12 +92,7 @@
   StoreCommand command;
   command.operation_ = StoreOperation::List;
   command.key_ = prefix_;
-  CallStore(host_,
-            command,
-            kStoreTimeout,
-            [self = shared_from_this()](StoreReply aReply) {
-              self->OnPage(std::move(aReply));
-            });
+  Call(command, kStoreTimeout, &Follower::OnPage);
 }
 
 void
@@ -90,12 +115,7 @@
     command.operation_ = StoreOperation::List;
     command.key_ = prefix_;
     command.afterKey_ = lastKey_;
-    CallStore(host_,
-              command,
-              kStoreTimeout,
-              [self = shared_from_this()](StoreReply aNext) {
-                self->OnPage(std::move(aNext));
-              });
+    Call(command, kStoreTimeout, &Follower::OnPage);
     return;
   }
   failures_ = 0;
@@ -122,16 +142,11 @@
   command.key_ = prefix_;
   command.afterRevision_ = revision_;
   command.wait_ = kWatchTime;
-  CallStore(host_,
-            command,
-            kWatchTime + kStoreTimeout,
-            [self = shared_from_this()](const StoreReply& aReply) {
-              self->OnEvents(aReply);
-            });
+  Call(command, kWatchTime + kStoreTimeout, &Follower::OnEvents);
 }
 
 void
-Follower::OnEvents(const StoreReply& aReply)
+Follower::OnEvents(StoreReply aReply)
 {
   if (aReply.outcome_ == StoreOutcome::Forgotten) {
     host_.log_.Write(Line("store_history_gone")
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -21,12 +21,19 @@
   void Start() { List(); }
   // Goes on after the host has heard of changes from others.
   void Resume();
+  // Gives up a call that was made before the service was back: its answer may
+  // never come, while other calls are answered.
+  void Renew(absl::Time aBackAt);
 
 private:
   void List();
   void Watch();
+  // Makes a call; only the answer to the last one counts.
+  void Call(const StoreCommand& aCommand,
+            absl::Duration aTimeout,
+            void (Follower::*aOnReply)(StoreReply));
   void OnPage(StoreReply aReply);
-  void OnEvents(const StoreReply& aReply);
+  void OnEvents(StoreReply aReply);
   void RetryLater(void (Follower::*aStep)());
 
   Host& host_;
@@ -37,6 +44,10 @@
   std::uint64_t firstRevision_ = 0;
   std::uint64_t revision_ = 0;
   unsigned failures_ = 0;
+  // The call under way: its number, and when it was made; 0 without one.
+  std::uint64_t call_ = 0;
+  std::uint64_t lastCall_ = 0;
+  absl::Time calledAt_ = absl::InfinitePast();
   // Others tell the host of changes.
   bool resting_ = false;
 };
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include "gateway/clock.h"
 
 namespace lycheeplank::gateway {
@@ -248,6 +250,12 @@
       Line(failed ? "store_lost" : "store_back")
         .Text("key", aCommand.key_)
         .Text("outcome", core::NameOf(kStoreOutcomes, aOutcome)));
+    if (!failed && health.failedAt_ != absl::InfinitePast()) {
+      // The call that found it out goes on first.
+      boost::asio::post(aHost.loop_, [&aHost, backAt = health.answeredAt_] {
+        aHost.onStoreBack_(backAt);
+      });
+    }
   }
   aHost.metrics_.Count(
     "store_calls_total", "outcome", core::NameOf(kStoreOutcomes, aOutcome));
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -117,6 +117,8 @@
 
   Role role_ = Role::Starting;
   relays::Feed feed_;
+  // Runs when the key-value service answers again after it didn't.
+  std::function<void(absl::Time)> onStoreBack_ = [](absl::Time) {};
   // Run when the feed has a new row, and when the role has changed.
   std::function<void()> onFeed_ = [] {};
   std::function<void()> onRole_ = [] {};
