--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -63,20 +63,20 @@
 void
 Follower::Call(const StoreCommand& aCommand,
                absl::Duration aTimeout,
-               void (Follower::*aOnReply)(StoreReply))
+               void (Follower::*aOnReply)(const StoreReply&))
 {
   call_ = ++lastCall_;
   calledAt_ = Now();
-  CallStore(
-    host_,
-    aCommand,
-    aTimeout,
-    [self = shared_from_this(), call = call_, aOnReply](StoreReply aReply) {
-      if (self->call_ == call) {
-        self->call_ = 0;
-        ((*self).*aOnReply)(std::move(aReply));
-      }
-    });
+  CallStore(host_,
+            aCommand,
+            aTimeout,
+            [self = shared_from_this(), call = call_, aOnReply](
+              const StoreReply& aReply) {
+              if (self->call_ == call) {
+                self->call_ = 0;
+                ((*self).*aOnReply)(aReply);
+              }
+            });
 }
 
 void
@@ -96,7 +96,7 @@
 }
 
 void
-Follower::OnPage(StoreReply aReply)
+Follower::OnPage(const StoreReply& aReply)
 {
   if (aReply.outcome_ != StoreOutcome::Ok) {
     RetryLater(&Follower::List);
@@ -108,8 +108,7 @@
   if (!aReply.items_.empty()) {
     lastKey_ = aReply.items_.back().key_;
   }
-  std::move(
-    aReply.items_.begin(), aReply.items_.end(), std::back_inserter(page_));
+  page_.insert(page_.end(), aReply.items_.begin(), aReply.items_.end());
   if (aReply.more_) {
     StoreCommand command;
     command.operation_ = StoreOperation::List;
@@ -146,7 +145,7 @@
 }
 
 void
-Follower::OnEvents(StoreReply aReply)
+Follower::OnEvents(const StoreReply& aReply)
 {
   if (aReply.outcome_ == StoreOutcome::Forgotten) {
     host_.log_.Write(Line("store_history_gone")
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -31,9 +31,9 @@
   // Makes a call; only the answer to the last one counts.
   void Call(const StoreCommand& aCommand,
             absl::Duration aTimeout,
-            void (Follower::*aOnReply)(StoreReply));
-  void OnPage(StoreReply aReply);
-  void OnEvents(StoreReply aReply);
+            void (Follower::*aOnReply)(const StoreReply&));
+  void OnPage(const StoreReply& aReply);
+  void OnEvents(const StoreReply& aReply);
   void RetryLater(void (Follower::*aStep)());
 
   Host& host_;
