Keep the silence limit where no second send is left; spare collectors work

Found on the last read: a target that others report down, met while the budget was spent, ended the watch for silence for good; it goes on now. A collector worked out whether it is one for each datagram; mostly that isn't needed. One look-up of a prompt's cost in a choice. Tests of fleet, exchange, gossip and peers pass.

--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -241,7 +241,8 @@
   const double late = std::min(
     1.0, aEstimate.waitSeconds_ / absl::ToDoubleSeconds(aQuestion.goal_));
   double cost = kLateCost * late * late + kWaitCost * aEstimate.waitSeconds_;
-  if (CostAt(aMember, aQuestion).outdatedFor_ > kOldWeightsFree) {
+  const auto& prompt = CostAt(aMember, aQuestion);
+  if (prompt.outdatedFor_ > kOldWeightsFree) {
     cost += kOldWeightsCost;
   }
   if (aMember.target_.dataCentre_ != aQuestion.dataCentre_) {
@@ -253,17 +254,12 @@
   if (aMember.vanishesAt_ != absl::InfiniteFuture()) {
     cost += kVanishingCost;
   }
-  const auto& prompt = CostAt(aMember, aQuestion);
   return cost +
          aDistance *
            (kReadTokenCost * static_cast<double>(prompt.readTokens_) +
             kUnkeptTokenCost * static_cast<double>(prompt.unkeptTokens_));
 }
 
-} // namespace
-
-namespace {
-
 // Takes the best of some targets; false if none of them can be used.
 bool
 TakeBest(Choice& aChoice,
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -320,11 +320,14 @@
       if (self->ended_ || self->attempt_ != attempt) {
         return;
       }
-      if (rest <= absl::ZeroDuration() || self->IsTargetDown()) {
-        self->OnSilence();
-      } else {
+      const bool isOver = rest <= absl::ZeroDuration();
+      if (!isOver) {
+        // Goes on where no second send is left now.
         self->WatchSilence(rest);
       }
+      if (isOver || self->IsTargetDown()) {
+        self->OnSilence();
+      }
     });
 }
 
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -201,7 +201,10 @@
                        .Text("source", aMessage.host_)
                        .Age("for_ms", host_.members_.at(id).asideUntil_ - now));
   }
-  if (!IsCollector()) {
+  // Mostly a message has loads alone, and both timers are set already.
+  const bool hasExperience =
+    !aMessage.reads_.empty() || !aMessage.down_.empty();
+  if ((!hasExperience && nearPending_ && farPending_) || !IsCollector()) {
     return;
   }
   Add(near_, aMessage.reads_, aMessage.down_);
