--- a/include/lycheeplank/core.h
+++ b/include/lycheeplank/core.h
@@ -2,6 +2,7 @@
 #define LYCHEEPLANK_CORE_H
 
 #include <array>
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -64,6 +65,18 @@
   return names;
 }
 
+// A moment in the history of a key-value service. A service that comes back
+// from a copy of its data starts a new era and gives out revisions again.
+struct Position
+{
+  // 0 for a service that doesn't count its eras.
+  std::uint64_t era_ = 0;
+  std::uint64_t revision_ = 0;
+
+  friend bool operator==(const Position&, const Position&) = default;
+  friend auto operator<=>(const Position&, const Position&) = default;
+};
+
 // Whether a request was executed, as far as the answer can say.
 enum class RunState
 {
--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -80,7 +80,8 @@
 {
   Target target_;
   std::uint32_t shortName_ = 0;
-  std::uint64_t revision_ = 0;
+  // Where in the service's history its entry was last changed.
+  core::Position position_;
   // Its entry has vanished while the list could not be relied on; it is used
   // until then unless the entry comes back.
   absl::Time vanishesAt_ = absl::InfiniteFuture();
@@ -361,11 +362,12 @@
          absl::Time aNow);
 
 // Takes in what a target says of itself. A new start under an old name loses
-// what was known of it.
+// what was known of it. The first entry of a new era may be older than what is
+// known: an earlier start, or a state and weights that the same start has left.
 void
 TakeTarget(Members& aMembers,
            Target aTarget,
-           std::uint64_t aRevision,
+           const core::Position& aPosition,
            absl::Time aNow);
 
 // Takes out a target whose entry is gone; if the list isn't to be relied on,
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -15,6 +15,20 @@
 constexpr double kFastest = 0.4;
 constexpr double kSlowest = 20.0;
 
+// Keeps what one start of a target never goes back from: that it leaves, and
+// newer weights.
+void
+KeepProgress(Target& aTarget, const Target& aKnown)
+{
+  if (aKnown.state_ == TargetState::Leaving) {
+    aTarget.state_ = TargetState::Leaving;
+  }
+  for (const auto& [model, version] : aKnown.weights_) {
+    auto& told = aTarget.weights_[model];
+    told = std::max(told, version);
+  }
+}
+
 } // namespace
 
 bool
@@ -210,13 +224,21 @@
 void
 TakeTarget(Members& aMembers,
            Target aTarget,
-           std::uint64_t aRevision,
+           const core::Position& aPosition,
            absl::Time aNow)
 {
   auto& member = aMembers[aTarget.id_];
-  if (member.revision_ > aRevision) {
+  if (member.position_ > aPosition) {
     return;
   }
+  if (member.position_ != core::Position() &&
+      member.position_.era_ < aPosition.era_) {
+    if (aTarget.bornMs_ < member.target_.bornMs_) {
+      aTarget = member.target_;
+    } else if (aTarget.bornMs_ == member.target_.bornMs_) {
+      KeepProgress(aTarget, member.target_);
+    }
+  }
   if (member.target_.bornMs_ != aTarget.bornMs_) {
     member = Member();
   }
@@ -225,7 +247,7 @@
   }
   member.shortName_ = ShortName(aTarget.id_);
   member.target_ = std::move(aTarget);
-  member.revision_ = aRevision;
+  member.position_ = aPosition;
   member.vanishesAt_ = absl::InfiniteFuture();
 }
 
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -156,6 +156,9 @@
   // Revision as of which the reply holds, or of the commit.
   std::uint64_t revision_ = 0;
   std::uint64_t lease_ = 0;
+  // Era of the store, which grows when it comes back from a copy of its data;
+  // nothing if the store doesn't tell.
+  absl::optional<std::uint64_t> era_;
 };
 
 // What an item of the store tells.
--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -100,6 +100,7 @@
         follower->Renew(aBackAt);
       }
     };
+    host_.onEra_ = [this] { OnEra(); };
     host_.onFeed_ = [this] { peerServer_.Changed(); };
     host_.onRole_ = [this] { OnRole(); };
     peerFollower_->Start();
@@ -137,6 +138,15 @@
     storeFollowers_.Update();
   }
 
+  void OnEra()
+  {
+    owner_->OnEra();
+    presence_->Renew();
+    for (const auto& follower : followers_) {
+      follower->Restart();
+    }
+  }
+
   void AnswerLocal(const ServerConnectionPtr& aCaller)
   {
     switch (host_.adapter_.readLocal_(aCaller->Head())) {
@@ -183,6 +193,7 @@
   void StartWaitingLater()
   {
     waitingTimer_.Set(kWaitingPeriod, [this] {
+      NoteTurn(host_.pulse_, Now());
       StartWaiting(host_);
       StartWaitingLater();
     });
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -51,6 +51,15 @@
   }
 }
 
+void
+Follower::Restart()
+{
+  if (!resting_) {
+    failures_ = 0;
+    List();
+  }
+}
+
 void
 Follower::Renew(absl::Time aBackAt)
 {
@@ -88,7 +97,7 @@
   }
   page_.clear();
   lastKey_.clear();
-  firstRevision_ = 0;
+  listedFrom_ = absl::nullopt;
   StoreCommand command;
   command.operation_ = StoreOperation::List;
   command.key_ = prefix_;
@@ -102,8 +111,9 @@
     RetryLater(&Follower::List);
     return;
   }
-  if (firstRevision_ == 0) {
-    firstRevision_ = aReply.revision_;
+  if (!listedFrom_) {
+    listedFrom_ = { aReply.era_.value_or(0), aReply.revision_ };
+    listedAt_ = calledAt_;
   }
   if (!aReply.items_.empty()) {
     lastKey_ = aReply.items_.back().key_;
@@ -119,8 +129,9 @@
   }
   failures_ = 0;
   // Pages are no snapshot: changes made while they were read come again.
-  revision_ = firstRevision_;
-  LearnList(host_, prefix_, page_, firstRevision_);
+  revision_ = listedFrom_->revision_;
+  LearnList(host_, prefix_, page_, *listedFrom_, knownUntil_);
+  knownUntil_ = listedAt_;
   page_.clear();
   if (host_.role_ == Role::Starting && CanServe(host_)) {
     timer_.Set(kStartPause, [self = shared_from_this()] { self->Watch(); });
@@ -162,7 +173,9 @@
   }
   failures_ = 0;
   revision_ = std::max(revision_, aReply.revision_);
-  Learn(host_, aReply.items_, "watch");
+  const auto heardSince = HeardSince(host_.pulse_, calledAt_, Now());
+  knownUntil_ = heardSince;
+  Learn(host_, aReply.items_, "watch", heardSince);
   timer_.Set(kWatchPause, [self = shared_from_this()] { self->Watch(); });
 }
 
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -21,6 +21,8 @@
   void Start() { List(); }
   // Goes on after the host has heard of changes from others.
   void Resume();
+  // Reads all again: the service has come back from a copy of its data.
+  void Restart();
   // Gives up a call that was made before the service was back: its answer may
   // never come, while other calls are answered.
   void Renew(absl::Time aBackAt);
@@ -41,8 +43,11 @@
   Timer timer_;
   std::vector<replica::Item> page_;
   std::string lastKey_;
-  std::uint64_t firstRevision_ = 0;
+  absl::optional<core::Position> listedFrom_;
   std::uint64_t revision_ = 0;
+  absl::Time listedAt_ = absl::InfinitePast();
+  // When the last call was made that told all that had changed.
+  absl::Time knownUntil_ = absl::InfinitePast();
   unsigned failures_ = 0;
   // The call under way: its number, and when it was made; 0 without one.
   std::uint64_t call_ = 0;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -192,7 +192,10 @@
     return;
   }
   const auto now = Now();
-  fleet::TakePeerLoads(host_.members_, aMessage.host_, aMessage.loads_, now);
+  fleet::TakePeerLoads(host_.members_,
+                       aMessage.host_,
+                       aMessage.loads_,
+                       HeardSince(host_.pulse_, absl::InfinitePast(), now));
   kept::TakeCounts(host_.kept_, aMessage.reads_, now);
   for (const auto& id : fleet::TakeDownReports(
          host_.members_, aMessage.down_, host_.random_(), now)) {
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -21,8 +21,8 @@
 
 // How a host hears of items when it reads all of a prefix.
 constexpr absl::string_view kListSource = "list";
-// Weights that a starting host finds named are taken for named this share of
-// the time before in which targets have to be left.
+// Weights that a list shows are taken for named when all was last known, but at
+// most this share of the time before in which targets have to be left.
 constexpr double kUnknownAgeShare = 0.5;
 
 // Hosts that come up or that this one hasn't heard of yet share as well.
@@ -31,7 +31,11 @@
 absl::Time
 VanishTime(const Host& aHost, absl::Time aNow)
 {
-  const bool unsettled = aNow - aHost.store_.failedAt_ < kUnsettledTime;
+  // A copy lacks entries that were written since; their owners write them
+  // again.
+  const auto& store = aHost.store_;
+  const bool unsettled =
+    aNow - std::max(store.failedAt_, store.eraSeenAt_) < kUnsettledTime;
   return unsettled ? aNow + kLapseTime : aNow;
 }
 
@@ -114,7 +118,8 @@
     }
     aHost.log_.Write(line);
   }
-  fleet::TakeTarget(aHost.members_, std::move(*target), aItem.revision_, aNow);
+  fleet::TakeTarget(
+    aHost.members_, std::move(*target), replica::PositionOf(aItem), aNow);
   if (leaving) {
     statements::MarkCommon(aHost.statements_, aId);
   }
@@ -130,23 +135,19 @@
              const std::string& aModel,
              const replica::Item& aItem,
              absl::string_view aSource,
-             absl::Time aNow)
+             absl::Time aHeardSince)
 {
   const std::uint64_t version =
     aItem.deleted_ ? 0 : aHost.adapter_.readWeights_(aItem).value_or(0);
   auto& namings = aHost.weights_[aModel];
-  // The service doesn't tell when an item was written that a starting host
-  // finds there.
-  const auto age = namings.empty() && aSource == kListSource
-                     ? kUnknownAgeShare * aHost.settings_.weightsTime_
-                     : aItem.age_;
-  if (!weights::Name(namings, version, aNow - age)) {
+  const auto namedAt = aHeardSince - aItem.age_;
+  if (!weights::Name(namings, version, namedAt)) {
     return;
   }
   aHost.log_.Write(Line("weights_named")
                      .Text("model", aModel)
                      .Number("version", version)
-                     .Age("age_ms", age)
+                     .Age("age_ms", Now() - namedAt)
                      .Number("revision", aItem.revision_)
                      .Text("source", aSource));
 }
@@ -188,24 +189,25 @@
 LearnItem(Host& aHost,
           const replica::Item& aItem,
           absl::string_view aSource,
-          absl::Time aNow)
+          absl::Time aHeardSince)
 {
+  const auto now = Now();
   const absl::string_view key = aItem.key_;
   if (key.substr(0, kHostPrefix.size()) == kHostPrefix) {
     LearnHost(
-      aHost, std::string(key.substr(kHostPrefix.size())), aItem, aSource, aNow);
+      aHost, std::string(key.substr(kHostPrefix.size())), aItem, aSource, now);
     return;
   }
   const auto [kind, name] = aHost.adapter_.nameOf_(key);
   switch (kind) {
     case ItemKind::Catalog:
-      LearnCatalog(aHost, aItem, aSource, aNow);
+      LearnCatalog(aHost, aItem, aSource, now);
       break;
     case ItemKind::Weights:
-      LearnWeights(aHost, name, aItem, aSource, aNow);
+      LearnWeights(aHost, name, aItem, aSource, aHeardSince);
       break;
     case ItemKind::Target:
-      LearnTarget(aHost, name, aItem, aSource, aNow);
+      LearnTarget(aHost, name, aItem, aSource, now);
       break;
     case ItemKind::Other:
       break;
@@ -225,10 +227,12 @@
 LearnNews(Host& aHost,
           const std::vector<replica::Item>& aNews,
           absl::string_view aSource,
-          absl::Time aNow)
+          absl::Time aHeardSince)
 {
-  for (const auto& item : aNews) {
-    LearnItem(aHost, item, aSource, aNow);
+  const auto heardBefore = Now() - aHeardSince;
+  for (auto item : aNews) {
+    LearnItem(aHost, item, aSource, aHeardSince);
+    item.age_ += heardBefore;
     Publish(aHost, item);
   }
   if (!aNews.empty()) {
@@ -237,6 +241,29 @@
   }
 }
 
+// Takes in the era that a reply tells. A reply from an era that is over says
+// nothing of the present one.
+void
+TakeEra(Host& aHost, const StoreCommand& aCommand, StoreReply& aReply)
+{
+  if (!aReply.era_) {
+    return;
+  }
+  if (aHost.store_.era_ && *aReply.era_ < *aHost.store_.era_) {
+    aHost.metrics_.Count("store_replies_of_old_era_total");
+    aHost.log_.Write(Line("store_reply_of_old_era")
+                       .Text("key", aCommand.key_)
+                       .Number("era", *aReply.era_)
+                       .Number("present", *aHost.store_.era_));
+    aReply = StoreReply();
+    return;
+  }
+  for (auto& item : aReply.items_) {
+    item.era_ = *aReply.era_;
+  }
+  NoteEra(aHost, *aReply.era_, "service");
+}
+
 void
 NoteStore(Host& aHost, const StoreCommand& aCommand, StoreOutcome aOutcome)
 {
@@ -298,29 +325,57 @@
 void
 Learn(Host& aHost,
       const std::vector<replica::Item>& aItems,
-      absl::string_view aSource)
+      absl::string_view aSource,
+      absl::Time aHeardSince)
 {
-  const auto now = Now();
   std::vector<replica::Item> news;
   for (const auto& item : aItems) {
-    if (replica::Apply(aHost.replica_, item, now)) {
+    if (replica::Apply(aHost.replica_, item, aHeardSince)) {
       news.push_back(item);
     }
   }
-  LearnNews(aHost, news, aSource, now);
+  LearnNews(aHost, news, aSource, aHeardSince);
 }
 
 void
 LearnList(Host& aHost,
           absl::string_view aPrefix,
           const std::vector<replica::Item>& aItems,
-          std::uint64_t aAsOf)
+          const core::Position& aAsOf,
+          absl::Time aKnownUntil)
 {
-  const auto now = Now();
-  LearnNews(aHost,
-            replica::Reconcile(aHost.replica_, aPrefix, aItems, aAsOf, now),
-            kListSource,
-            now);
+  const auto heardSince = std::max(
+    aKnownUntil, Now() - kUnknownAgeShare * aHost.settings_.weightsTime_);
+  LearnNews(
+    aHost,
+    replica::Reconcile(aHost.replica_, aPrefix, aItems, aAsOf, heardSince),
+    kListSource,
+    heardSince);
+}
+
+void
+NoteEra(Host& aHost, std::uint64_t aEra, absl::string_view aSource)
+{
+  auto& store = aHost.store_;
+  if (store.era_ && *store.era_ >= aEra) {
+    return;
+  }
+  // A host that has heard nothing yet has nothing to give up.
+  const bool isReturn = store.era_ || store.answeredAt_ != absl::InfinitePast();
+  aHost.log_.Write(Line("store_era")
+                     .Number("old", store.era_.value_or(0))
+                     .Number("new", aEra)
+                     .Flag("returned", isReturn)
+                     .Number("items_kept", aHost.replica_.items_.size())
+                     .Number("revision", aHost.replica_.newest_.revision_)
+                     .Text("source", aSource));
+  aHost.metrics_.Count("store_eras_total");
+  store.era_ = aEra;
+  store.eraSeenAt_ = Now();
+  replica::BeginEra(aHost.replica_, aEra);
+  if (isReturn) {
+    aHost.onEra_();
+  }
 }
 
 void
@@ -370,6 +425,7 @@
         [&aHost, aCommand, onReply = std::move(aOnReply)](
           const http::Answer& aAnswer) {
           auto reply = aHost.adapter_.readStoreReply_(aCommand, aAnswer);
+          TakeEra(aHost, aCommand, reply);
           NoteStore(aHost, aCommand, reply.outcome_);
           onReply(std::move(reply));
         });
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -16,6 +16,7 @@
 #include "gateway/log.h"
 #include "gateway/news.h"
 #include "gateway/pool.h"
+#include "gateway/pulse.h"
 #include "gateway/settings.h"
 #include "lycheeplank/budget.h"
 #include "lycheeplank/catalog.h"
@@ -42,6 +43,9 @@
   absl::Time answeredAt_ = absl::InfinitePast();
   absl::Time failedAt_ = absl::InfinitePast();
   bool reachable_ = false;
+  // Its era, and when this host first heard of it; nothing if it hasn't told.
+  absl::optional<std::uint64_t> era_;
+  absl::Time eraSeenAt_ = absl::InfinitePast();
   // Calls made, by operation.
   std::array<std::uint64_t, kStoreOperations.size()> calls_{};
 };
@@ -113,10 +117,13 @@
   // Connections for requests, by target, and for all other calls, by address.
   Pool targets_;
   Pool calls_;
+  Pulse pulse_;
   std::mt19937_64 random_;
 
   Role role_ = Role::Starting;
   relays::Feed feed_;
+  // Runs when the key-value service has come back from a copy of its data.
+  std::function<void()> onEra_ = [] {};
   // Runs when the key-value service answers again after it didn't.
   std::function<void(absl::Time)> onStoreBack_ = [](absl::Time) {};
   // Run when the feed has a new row, and when the role has changed.
@@ -151,17 +158,27 @@
 ConnectionShare(const Host& aHost, const catalog::Service& aService);
 
 // Takes in changes of the key-value service's items, from it or from a peer.
+// aHeardSince: earliest moment at which they may have been told, see
+// HeardSince.
 void
 Learn(Host& aHost,
       const std::vector<replica::Item>& aItems,
-      absl::string_view aSource);
+      absl::string_view aSource,
+      absl::Time aHeardSince);
 
-// Takes in a whole list of a prefix.
+// Takes in a whole list of a prefix. aKnownUntil: when the host last knew all
+// of the prefix; what is new was written since.
 void
 LearnList(Host& aHost,
           absl::string_view aPrefix,
           const std::vector<replica::Item>& aItems,
-          std::uint64_t aAsOf);
+          const core::Position& aAsOf,
+          absl::Time aKnownUntil);
+
+// Takes in the era of the key-value service; older ones than the known one are
+// passed over. Leases and revisions of the era before are void from then on.
+void
+NoteEra(Host& aHost, std::uint64_t aEra, absl::string_view aSource);
 
 void
 SetRole(Host& aHost, Role aRole);
--- a/src/gateway/news.cc
+++ b/src/gateway/news.cc
@@ -40,6 +40,7 @@
   item.revision_ = CountOf(aJson, "revision");
   item.created_ = CountOf(aJson, "created");
   item.deleted_ = FlagOf(aJson, "deleted");
+  item.era_ = CountOf(aJson, "era");
   item.age_ =
     absl::Milliseconds(static_cast<std::int64_t>(CountOf(aJson, "age_ms")));
   return item;
@@ -139,6 +140,7 @@
 {
   return Dump({ { "key", aItem.key_ },
                 { "value", aItem.value_ },
+                { "era", aItem.era_ },
                 { "revision", aItem.revision_ },
                 { "created", aItem.created_ },
                 { "deleted", aItem.deleted_ },
@@ -197,6 +199,7 @@
                      { "next", aNext },
                      { "direct", aSource.direct_ },
                      { "reachable", aSource.reachable_ },
+                     { "era", aSource.era_ },
                      { "clock_ms", aSource.clockMs_ },
                      { "heard_ms", std::move(heard) } });
   text.pop_back();
@@ -215,6 +218,7 @@
   news.next_ = CountOf(json, "next");
   news.source_.direct_ = FlagOf(json, "direct");
   news.source_.reachable_ = FlagOf(json, "reachable");
+  news.source_.era_ = CountOf(json, "era");
   news.source_.clockMs_ = static_cast<std::int64_t>(CountOf(json, "clock_ms"));
   if (const auto* heard = json::Member(json, "heard_ms");
       heard != nullptr && heard->is_object()) {
--- a/src/gateway/news.h
+++ b/src/gateway/news.h
@@ -69,6 +69,8 @@
   bool direct_ = false;
   // The key-value service answers it.
   bool reachable_ = false;
+  // Era of the key-value service as far as it knows.
+  std::uint64_t era_ = 0;
   // The cache stores' clock in milliseconds; 0 if it isn't known.
   std::int64_t clockMs_ = 0;
   // Time since each cache store was heard.
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -36,6 +36,15 @@
 constexpr absl::Duration kAccountPeriod = absl::Milliseconds(250);
 constexpr absl::Duration kAccountAge = absl::Milliseconds(700);
 constexpr absl::Duration kRefusedPause = absl::Milliseconds(300);
+// A fence holds the era above the revision, so that it grows with both. Forty
+// bits of revisions last for years at the service's rate of writes.
+constexpr unsigned kRevisionBits = 40;
+
+std::uint64_t
+FenceOf(const core::Position& aClaimedAt)
+{
+  return (aClaimedAt.era_ << kRevisionBits) | aClaimedAt.revision_;
+}
 
 } // namespace
 
@@ -57,7 +66,16 @@
 bool
 Owner::IsValid() const
 {
-  return phase_ == Phase::Owning && !host_.stopping_ && Now() < validUntil_;
+  const auto now = Now();
+  return phase_ == Phase::Owning && !host_.stopping_ && now < validUntil_ &&
+         now >= OrdersFrom();
+}
+
+absl::Time
+Owner::OrdersFrom() const
+{
+  // The owner of the era before renewed its lease before the service was away.
+  return host_.store_.eraSeenAt_ + kLeaseLife;
 }
 
 void
@@ -70,7 +88,7 @@
   if (phase_ == Phase::Claiming && known != nullptr &&
       known->item_.value_ == value_) {
     // The answer to the claim was lost; its effect wasn't.
-    TakeOffice(known->item_.created_);
+    TakeOffice({ known->item_.era_, known->item_.created_ });
     return;
   }
   if (phase_ == Phase::Waiting && known == nullptr) {
@@ -82,7 +100,7 @@
 Owner::ClaimLater()
 {
   const auto turn = relays::ClaimTurn(
-    host_.hosts_, host_.settings_.name_, host_.replica_.newest_);
+    host_.hosts_, host_.settings_.name_, host_.replica_.newest_.revision_);
   if (!turn) {
     claimTimer_.Set(Jitter(host_, kLookPause),
                     [self = shared_from_this()] { self->OnChange(); });
@@ -102,9 +120,13 @@
 {
   phase_ = Phase::Claiming;
   const auto askedAt = Now();
+  const auto claim = ++claim_;
   GrantLease(host_,
              kLeaseLife,
-             [self = shared_from_this(), askedAt](std::uint64_t aLease) {
+             [self = shared_from_this(), askedAt, claim](std::uint64_t aLease) {
+               if (self->claim_ != claim) {
+                 return;
+               }
                if (aLease == 0) {
                  self->Lose("no_lease");
                  return;
@@ -125,30 +147,35 @@
   command.expect_ = 0;
   command.value_ = value_;
   command.lease_ = lease_;
-  CallStore(host_,
-            command,
-            kStoreTimeout,
-            [self = shared_from_this()](const StoreReply& aReply) {
-              if (self->phase_ != Phase::Claiming) {
-                return;
-              }
-              if (aReply.outcome_ == StoreOutcome::Ok) {
-                self->TakeOffice(aReply.revision_);
-              } else {
-                self->Lose(core::NameOf(kStoreOutcomes, aReply.outcome_));
-              }
-            });
+  CallStore(
+    host_,
+    command,
+    kStoreTimeout,
+    [self = shared_from_this(), claim = claim_](const StoreReply& aReply) {
+      if (self->phase_ != Phase::Claiming || self->claim_ != claim) {
+        return;
+      }
+      if (aReply.outcome_ == StoreOutcome::Ok) {
+        self->TakeOffice({ aReply.era_.value_or(0), aReply.revision_ });
+      } else {
+        self->Lose(core::NameOf(kStoreOutcomes, aReply.outcome_));
+      }
+    });
 }
 
 void
-Owner::TakeOffice(std::uint64_t aFence)
+Owner::TakeOffice(const core::Position& aClaimedAt)
 {
   phase_ = Phase::Owning;
-  fence_ = aFence;
+  fence_ = FenceOf(aClaimedAt);
   rollouts_.clear();
   readAt_.clear();
   oldest_.clear();
-  host_.log_.Write(Line("owner_begins").Number("fence", fence_));
+  host_.log_.Write(Line("owner_begins")
+                     .Number("fence", fence_)
+                     .Number("era", aClaimedAt.era_)
+                     .Number("revision", aClaimedAt.revision_)
+                     .Age("orders_in_ms", OrdersFrom() - Now()));
   KeepLater();
   Step();
 }
@@ -166,19 +193,21 @@
     return;
   }
   const auto askedAt = Now();
-  KeepLease(
-    host_, lease_, [self = shared_from_this(), askedAt](StoreOutcome aOutcome) {
-      if (self->phase_ != Phase::Owning) {
-        return;
-      }
-      if (aOutcome == StoreOutcome::Ok) {
-        self->validUntil_ = askedAt + kLeaseLife - kLeaseMargin;
-      } else if (aOutcome == StoreOutcome::Absent) {
-        self->Lose("lease_lapsed");
-        return;
-      }
-      self->KeepLater();
-    });
+  KeepLease(host_,
+            lease_,
+            [self = shared_from_this(), askedAt, claim = claim_](
+              StoreOutcome aOutcome) {
+              if (self->phase_ != Phase::Owning || self->claim_ != claim) {
+                return;
+              }
+              if (aOutcome == StoreOutcome::Ok) {
+                self->validUntil_ = askedAt + kLeaseLife - kLeaseMargin;
+              } else if (aOutcome == StoreOutcome::Absent) {
+                self->Lose("lease_lapsed");
+                return;
+              }
+              self->KeepLater();
+            });
 }
 
 void
@@ -189,12 +218,21 @@
       .Text("reason", aReason)
       .Number("fence", fence_));
   phase_ = Phase::Waiting;
+  ++claim_;
   stepTimer_.Cancel();
   keepTimer_.Cancel();
   claimTimer_.Set(Jitter(host_, kRetryPause),
                   [self = shared_from_this()] { self->OnChange(); });
 }
 
+void
+Owner::OnEra()
+{
+  if (phase_ != Phase::Waiting) {
+    Lose("new_era");
+  }
+}
+
 void
 Owner::Leave()
 {
--- a/src/gateway/owner.h
+++ b/src/gateway/owner.h
@@ -22,6 +22,8 @@
   void Start();
   // Looks whether the owner has gone, or whether there is something to do.
   void OnChange();
+  // Gives up a right of an era of the key-value service that is over.
+  void OnEra();
   // Gives the right back.
   void Leave();
 
@@ -37,11 +39,13 @@
   void ClaimLater();
   void Grant();
   void Claim();
-  void TakeOffice(std::uint64_t aFence);
+  void TakeOffice(const core::Position& aClaimedAt);
   void Keep();
   void KeepLater();
   void Lose(absl::string_view aReason);
   bool IsValid() const;
+  // When no order of an owner of the era before can follow any more.
+  absl::Time OrdersFrom() const;
 
   // Using it.
   void Step();
@@ -65,6 +69,8 @@
   Timer keepTimer_;
   Timer stepTimer_;
   Phase phase_ = Phase::Waiting;
+  // Differs for each claim; answers to calls for others don't count.
+  std::uint64_t claim_ = 0;
   std::uint64_t lease_ = 0;
   std::uint64_t fence_ = 0;
   std::string value_;
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -34,7 +34,7 @@
 constexpr absl::Duration kRetryPause = absl::Milliseconds(50);
 
 void
-TakeStore(Host& aHost, const StoreNews& aNews, absl::Time aNow)
+TakeStore(Host& aHost, const StoreNews& aNews, absl::Time aHeardSince)
 {
   const auto found = aHost.kept_.stores_.find(aNews.store_);
   if (found == aHost.kept_.stores_.end()) {
@@ -44,22 +44,26 @@
   if (aNews.lost_) {
     kept::MarkLost(state);
   } else if (aNews.whole_) {
-    kept::TakeList(state, aNews.epoch_, aNews.next_, aNews.changes_, aNow);
+    kept::TakeList(
+      state, aNews.epoch_, aNews.next_, aNews.changes_, aHeardSince);
   } else {
-    kept::TakeChanges(state, aNews.epoch_, aNews.next_, aNews.changes_, aNow);
+    kept::TakeChanges(
+      state, aNews.epoch_, aNews.next_, aNews.changes_, aHeardSince);
   }
 }
 
 void
-TakeSource(Host& aHost, const Source& aSource, absl::Time aNow)
+TakeSource(Host& aHost, const Source& aSource, absl::Time aHeardSince)
 {
   if (aSource.clockMs_ != 0) {
-    aHost.kept_.clockAhead_ = absl::FromUnixMillis(aSource.clockMs_) - aNow;
+    // Counted from now, the clock may be taken for slow, which ends reads too
+    // early and never too late.
+    aHost.kept_.clockAhead_ = absl::FromUnixMillis(aSource.clockMs_) - Now();
   }
   for (auto& [name, state] : aHost.kept_.stores_) {
     if (const auto heard = aSource.heard_.find(name);
         heard != aSource.heard_.end()) {
-      state.heardAt_ = aNow - heard->second;
+      state.heardAt_ = aHeardSince - heard->second;
     }
   }
 }
@@ -202,22 +206,24 @@
     positions_.clear();
   }
   const auto& position = positions_[aPeer.name_];
-  Fetch(host_.calls_,
-        host_.loop_,
-        aPeer.address_,
-        { "GET",
-          absl::StrCat(
-            kChangesPath, "?feed=", position.feed_, "&from=", position.next_),
-          {},
-          {} },
-        kPollTime + kPeerTimeout,
-        [self = shared_from_this(), aPeer](const http::Answer& aAnswer) {
-          self->OnNews(aPeer, aAnswer);
-        });
+  Fetch(
+    host_.calls_,
+    host_.loop_,
+    aPeer.address_,
+    { "GET",
+      absl::StrCat(
+        kChangesPath, "?feed=", position.feed_, "&from=", position.next_),
+      {},
+      {} },
+    kPollTime + kPeerTimeout,
+    [self = shared_from_this(), aPeer, askedAt = Now()](
+      const http::Answer& aAnswer) { self->OnNews(aPeer, aAnswer, askedAt); });
 }
 
 void
-PeerFollower::OnNews(const Peer& aPeer, const http::Answer& aAnswer)
+PeerFollower::OnNews(const Peer& aPeer,
+                     const http::Answer& aAnswer,
+                     absl::Time aAskedAt)
 {
   const auto news =
     aAnswer.status_ == 200 ? ReadNews(aAnswer.body_) : absl::nullopt;
@@ -231,7 +237,7 @@
     return;
   }
   positions_[aPeer.name_] = { news->feed_, news->next_ };
-  Take(*news);
+  Take(*news, HeardSince(host_.pulse_, aAskedAt, Now()));
   if (!isRelay && !news->source_.reachable_ && host_.store_.reachable_) {
     Fail(aPeer, "has lost the key-value service");
     return;
@@ -252,10 +258,12 @@
 }
 
 void
-PeerFollower::Take(const News& aNews)
+PeerFollower::Take(const News& aNews, absl::Time aHeardSince)
 {
-  const auto now = Now();
-  Learn(host_, aNews.items_, "peer");
+  if (aNews.source_.era_ != 0) {
+    NoteEra(host_, aNews.source_.era_, "peer");
+  }
+  Learn(host_, aNews.items_, "peer", aHeardSince);
   if (!aNews.notices_.empty()) {
     TakeNotices(host_, aNews.notices_);
   }
@@ -264,9 +272,9 @@
     return;
   }
   for (const auto& store : aNews.stores_) {
-    TakeStore(host_, store, now);
+    TakeStore(host_, store, aHeardSince);
   }
-  TakeSource(host_, aNews.source_, now);
+  TakeSource(host_, aNews.source_, aHeardSince);
 }
 
 void
--- a/src/gateway/peer-follower.h
+++ b/src/gateway/peer-follower.h
@@ -40,8 +40,10 @@
   void StepAsRelay();
   Peer PickAny();
   void Ask(const Peer& aPeer);
-  void OnNews(const Peer& aPeer, const http::Answer& aAnswer);
-  void Take(const News& aNews);
+  void OnNews(const Peer& aPeer,
+              const http::Answer& aAnswer,
+              absl::Time aAskedAt);
+  void Take(const News& aNews, absl::Time aHeardSince);
   void Fail(const Peer& aPeer, absl::string_view aReason);
 
   Host& host_;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -79,7 +79,7 @@
 AllRows(const Host& aHost)
 {
   std::vector<std::string> rows;
-  for (const auto& item : replica::ChangesAfter(aHost.replica_, 0, Now())) {
+  for (const auto& item : replica::ChangesAfter(aHost.replica_, {}, Now())) {
     rows.push_back(WriteRow(item));
   }
   for (const auto& [name, state] : aHost.kept_.stores_) {
@@ -98,6 +98,7 @@
   Source source;
   source.direct_ = aHost.role_ == Role::Direct && CanServe(aHost);
   source.reachable_ = aHost.store_.reachable_;
+  source.era_ = aHost.store_.era_.value_or(0);
   source.clockMs_ = kept::ClockMs(aHost.kept_, now);
   for (const auto& [name, state] : aHost.kept_.stores_) {
     if (state.trust_ == kept::Trust::Following) {
--- a/src/gateway/presence.cc
+++ b/src/gateway/presence.cc
@@ -20,6 +20,10 @@
 constexpr absl::Duration kRetryFirst = absl::Milliseconds(200);
 constexpr absl::Duration kRetryLongest = absl::Milliseconds(1600);
 constexpr unsigned kMostDoublings = 3;
+// All hosts write their entries again after a return of the service, spread
+// over about this time so that they keep to its rates. Entries that lack are
+// believed for longer.
+constexpr absl::Duration kRenewSpread = absl::Milliseconds(250);
 
 } // namespace
 
@@ -80,11 +84,27 @@
   Grant();
 }
 
+void
+Presence::Renew()
+{
+  if (term_ == 0) {
+    return;
+  }
+  ++term_;
+  lease_ = 0;
+  failures_ = 0;
+  Later(Jitter(host_, kRenewSpread), &Presence::Grant);
+}
+
 void
 Presence::Grant()
 {
+  const auto term = ++term_;
   GrantLease(
-    host_, kLeaseLife, [self = shared_from_this()](std::uint64_t aLease) {
+    host_, kLeaseLife, [self = shared_from_this(), term](std::uint64_t aLease) {
+      if (self->term_ != term) {
+        return;
+      }
       if (aLease == 0) {
         self->RetryLater(&Presence::Grant);
         return;
@@ -102,20 +122,27 @@
   command.key_ = absl::StrCat(kHostPrefix, host_.settings_.name_);
   command.value_ = Value();
   command.lease_ = lease_;
-  CallStore(host_,
-            command,
-            kStoreTimeout,
-            [self = shared_from_this()](const StoreReply& aReply) {
-              self->GoOn(aReply.outcome_, &Presence::Write);
-            });
+  CallStore(
+    host_,
+    command,
+    kStoreTimeout,
+    [self = shared_from_this(), term = term_](const StoreReply& aReply) {
+      if (self->term_ == term) {
+        self->GoOn(aReply.outcome_, &Presence::Write);
+      }
+    });
 }
 
 void
 Presence::Keep()
 {
-  KeepLease(host_, lease_, [self = shared_from_this()](StoreOutcome aOutcome) {
-    self->GoOn(aOutcome, &Presence::Keep);
-  });
+  KeepLease(host_,
+            lease_,
+            [self = shared_from_this(), term = term_](StoreOutcome aOutcome) {
+              if (self->term_ == term) {
+                self->GoOn(aOutcome, &Presence::Keep);
+              }
+            });
 }
 
 void
--- a/src/gateway/presence.h
+++ b/src/gateway/presence.h
@@ -18,6 +18,9 @@
   void Start();
   // Writes again that this host takes no more callers.
   void Leave();
+  // Writes the entry again under a new lease: the service has come back from a
+  // copy of its data, where the old lease may be another host's.
+  void Renew();
   // Deletes the entry, at the end of the process.
   void End();
 
@@ -34,6 +37,9 @@
   Host& host_;
   Timer timer_;
   std::uint64_t lease_ = 0;
+  // Differs for each lease that is asked for; answers to calls for others don't
+  // count.
+  std::uint64_t term_ = 0;
   unsigned failures_ = 0;
 };
 
--- /dev/null
+++ b/src/gateway/pulse.cc
@@ -0,0 +1,28 @@
+#include "gateway/pulse.h"
+
+#include <algorithm>
+
+namespace lycheeplank::gateway {
+
+void
+NoteTurn(Pulse& aPulse, absl::Time aNow)
+{
+  if (aPulse.lastTurn_ != absl::InfinitePast() &&
+      aNow - aPulse.lastTurn_ > kLongestTurn) {
+    aPulse.gapFrom_ = aPulse.lastTurn_;
+    aPulse.gapUntil_ = aNow;
+  }
+  aPulse.lastTurn_ = aNow;
+}
+
+absl::Time
+HeardSince(const Pulse& aPulse, absl::Time aAskedAt, absl::Time aNow)
+{
+  const bool catchesUp = aNow - aPulse.gapUntil_ < kCatchUpTime;
+  const auto since =
+    std::max(aAskedAt, catchesUp ? aPulse.gapFrom_ : aPulse.lastTurn_);
+  // Nothing tells of a message that came unasked before the first turn.
+  return since == absl::InfinitePast() ? aNow : std::min(aNow, since);
+}
+
+} // namespace lycheeplank::gateway
--- /dev/null
+++ b/src/gateway/pulse.h
@@ -0,0 +1,37 @@
+#ifndef LYCHEEPLANK_SRC_GATEWAY_PULSE_H
+#define LYCHEEPLANK_SRC_GATEWAY_PULSE_H
+
+#include <absl/time/time.h>
+
+// How old what a host hears may be. A process that is stopped, or a machine
+// that stands still, finds messages on its sockets that were written at any
+// moment of the gap; they aren't news of the moment at which they are read.
+namespace lycheeplank::gateway {
+
+// Turns of the event loop, noted now and then.
+struct Pulse
+{
+  absl::Time lastTurn_ = absl::InfinitePast();
+  // The last gap: the turn before it, and the one that found it.
+  absl::Time gapFrom_ = absl::InfinitePast();
+  absl::Time gapUntil_ = absl::InfinitePast();
+};
+
+// Turns that lie further apart than this have a gap between them; the loop
+// notes one each 25 ms.
+inline constexpr absl::Duration kLongestTurn = absl::Milliseconds(150);
+// What lay on the sockets at the end of a gap is read within this time.
+inline constexpr absl::Duration kCatchUpTime = absl::Milliseconds(300);
+
+void
+NoteTurn(Pulse& aPulse, absl::Time aNow);
+
+// Returns the earliest moment at which a message may have been written that is
+// read now. aAskedAt: when it was asked for; infinite past for what comes
+// unasked.
+absl::Time
+HeardSince(const Pulse& aPulse, absl::Time aAskedAt, absl::Time aNow);
+
+} // namespace lycheeplank::gateway
+
+#endif
--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -70,8 +70,9 @@
         aWhole ? adapter.writeHoldingsCall_()
                : adapter.writeChangesCall_(state->next_, kWaitTime),
         aWhole ? kListTime : kWaitTime + kAnswerTime,
-        [self = shared_from_this(), aWhole](const http::Answer& aAnswer) {
-          self->OnAnswer(aAnswer, aWhole);
+        [self = shared_from_this(), aWhole, askedAt = Now()](
+          const http::Answer& aAnswer) {
+          self->OnAnswer(aAnswer, aWhole, askedAt);
         });
 }
 
@@ -94,7 +95,9 @@
 }
 
 void
-StoreFollower::OnAnswer(const http::Answer& aAnswer, bool aWhole)
+StoreFollower::OnAnswer(const http::Answer& aAnswer,
+                        bool aWhole,
+                        absl::Time aAskedAt)
 {
   auto* state = State();
   if (state == nullptr) {
@@ -106,7 +109,7 @@
     return;
   }
   failures_ = 0;
-  const auto now = Now();
+  const auto heardSince = HeardSince(host_.pulse_, aAskedAt, Now());
   const bool isNew = state->epoch_ != changes->epoch_;
   if (isNew || state->trust_ == kept::Trust::Lost) {
     host_.log_.Write(Line("cache_store_followed")
@@ -117,24 +120,24 @@
                        .Number("changes", changes->changes_.size()));
   }
   if (changes->clockMs_) {
-    host_.kept_.clockAhead_ = absl::FromUnixMillis(*changes->clockMs_) - now;
+    host_.kept_.clockAhead_ = absl::FromUnixMillis(*changes->clockMs_) - Now();
   }
   if (aWhole) {
     kept::TakeList(
-      *state, changes->epoch_, changes->next_, changes->changes_, now);
+      *state, changes->epoch_, changes->next_, changes->changes_, heardSince);
     Tell(*changes, true);
     Later(kGatherTime);
     return;
   }
   if (isNew && state->next_ != 0) {
     // The number asked from belongs to the store's life before.
-    kept::TakeChanges(*state, changes->epoch_, 0, {}, now);
+    kept::TakeChanges(*state, changes->epoch_, 0, {}, heardSince);
     Tell({ changes->epoch_ }, true);
     Ask(false);
     return;
   }
   kept::TakeChanges(
-    *state, changes->epoch_, changes->next_, changes->changes_, now);
+    *state, changes->epoch_, changes->next_, changes->changes_, heardSince);
   if (isNew || !changes->changes_.empty()) {
     Tell(*changes, false);
   }
--- a/src/gateway/stores.h
+++ b/src/gateway/stores.h
@@ -23,7 +23,7 @@
 private:
   // Asks for changes, or for all that the store holds.
   void Ask(bool aWhole);
-  void OnAnswer(const http::Answer& aAnswer, bool aWhole);
+  void OnAnswer(const http::Answer& aAnswer, bool aWhole, absl::Time aAskedAt);
   void Fail(int aStatus);
   void Tell(const StoreChanges& aChanges, bool aWhole);
   void Later(absl::Duration aPause);
--- a/src/replica/replica.cc
+++ b/src/replica/replica.cc
@@ -7,12 +7,21 @@
 
 namespace lycheeplank::replica {
 
+void
+BeginEra(Replica& aReplica, std::uint64_t aEra)
+{
+  aReplica.newest_ = std::max(aReplica.newest_, core::Position{ aEra, 0 });
+}
+
 bool
 Apply(Replica& aReplica, Item aItem, absl::Time aNow)
 {
-  aReplica.newest_ = std::max(aReplica.newest_, aItem.revision_);
+  if (aItem.era_ < aReplica.newest_.era_) {
+    return false;
+  }
+  aReplica.newest_ = std::max(aReplica.newest_, PositionOf(aItem));
   auto& known = aReplica.items_[aItem.key_];
-  if (known.item_.revision_ >= aItem.revision_) {
+  if (PositionOf(known.item_) >= PositionOf(aItem)) {
     return false;
   }
   known.learnedAt_ = aNow - aItem.age_;
@@ -24,10 +33,13 @@
 Reconcile(Replica& aReplica,
           absl::string_view aPrefix,
           const std::vector<Item>& aItems,
-          std::uint64_t aAsOf,
+          const core::Position& aAsOf,
           absl::Time aNow)
 {
   std::vector<Item> news;
+  if (aAsOf.era_ < aReplica.newest_.era_) {
+    return news;
+  }
   absl::flat_hash_set<absl::string_view> listed;
   for (const auto& item : aItems) {
     listed.insert(item.key_);
@@ -40,11 +52,12 @@
        absl::string_view(at->first).substr(0, aPrefix.size()) == aPrefix;
        ++at) {
     auto& known = at->second;
-    if (!known.item_.deleted_ && known.item_.revision_ <= aAsOf &&
+    if (!known.item_.deleted_ && PositionOf(known.item_) <= aAsOf &&
         !listed.contains(at->first)) {
       known.item_.deleted_ = true;
       known.item_.value_.clear();
-      known.item_.revision_ = aAsOf;
+      known.item_.era_ = aAsOf.era_;
+      known.item_.revision_ = aAsOf.revision_;
       known.learnedAt_ = aNow;
       news.push_back(known.item_);
     }
@@ -63,11 +76,13 @@
 }
 
 std::vector<Item>
-ChangesAfter(const Replica& aReplica, std::uint64_t aRevision, absl::Time aNow)
+ChangesAfter(const Replica& aReplica,
+             const core::Position& aPosition,
+             absl::Time aNow)
 {
   std::vector<Item> items;
   for (const auto& [key, known] : aReplica.items_) {
-    if (known.item_.revision_ > aRevision) {
+    if (PositionOf(known.item_) > aPosition) {
       items.push_back(known.item_);
       items.back().age_ = aNow - known.learnedAt_;
     }
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -24,7 +24,7 @@
   target.dataCentre_ = aDataCentre;
   target.slots_ = 64;
   target.weights_["m"] = aWeights;
-  fleet::TakeTarget(aMembers, target, 1, kNow);
+  fleet::TakeTarget(aMembers, target, { 0, 1 }, kNow);
 }
 
 fleet::Members
@@ -70,7 +70,7 @@
   auto members = MakeMembers(2);
   auto leaving = members.at("t0").target_;
   leaving.state_ = fleet::TargetState::Leaving;
-  fleet::TakeTarget(members, leaving, 2, kNow);
+  fleet::TakeTarget(members, leaving, { 0, 2 }, kNow);
   for (std::uint64_t seed = 0; seed < 20; ++seed) {
     auto question = MakeQuestion();
     question.seed_ = seed;
@@ -83,9 +83,9 @@
   auto members = MakeMembers(1);
   auto target = members.at("t0").target_;
   target.state_ = fleet::TargetState::Leaving;
-  fleet::TakeTarget(members, target, 5, kNow);
+  fleet::TakeTarget(members, target, { 0, 5 }, kNow);
   target.state_ = fleet::TargetState::Ready;
-  fleet::TakeTarget(members, target, 4, kNow);
+  fleet::TakeTarget(members, target, { 0, 4 }, kNow);
   CHECK(members.at("t0").target_.state_ == fleet::TargetState::Leaving);
 }
 
@@ -95,7 +95,7 @@
   members.at("t0").failures_ = 0.9;
   auto target = members.at("t0").target_;
   target.bornMs_ = 77;
-  fleet::TakeTarget(members, target, 2, kNow);
+  fleet::TakeTarget(members, target, { 0, 2 }, kNow);
   CHECK(members.at("t0").failures_ == 0.0);
 }
 
@@ -429,3 +429,57 @@
       members, { { member.shortName_, 5 } }, 1, kNow + absl::Milliseconds(9))
       .empty());
 }
+
+namespace {
+
+// What is known of one target after an entry of the first era and one of the
+// second.
+fleet::Target
+AfterReturn(const fleet::Target& aBefore, const fleet::Target& aCopy)
+{
+  fleet::Members members;
+  fleet::TakeTarget(members, aBefore, { 1, 90 }, kNow);
+  fleet::TakeTarget(members, aCopy, { 2, 10 }, kNow);
+  return members.at(aBefore.id_).target_;
+}
+
+fleet::Target
+MakeStart(std::int64_t aBornMs,
+          fleet::TargetState aState,
+          std::uint64_t aWeights)
+{
+  fleet::Target target;
+  target.id_ = "t";
+  target.bornMs_ = aBornMs;
+  target.state_ = aState;
+  target.weights_["m"] = aWeights;
+  return target;
+}
+
+} // namespace
+
+TEST_CASE("a copy of the service doesn't bring a leaving target back")
+{
+  using State = fleet::TargetState;
+  const auto known = MakeStart(5, State::Leaving, 3);
+  auto after = AfterReturn(known, MakeStart(5, State::Ready, 2));
+  CHECK(after.state_ == State::Leaving);
+  CHECK(after.weights_.at("m") == 3);
+  // An earlier start is gone, a later one is news.
+  after = AfterReturn(known, MakeStart(4, State::Ready, 2));
+  CHECK(after.bornMs_ == 5);
+  CHECK(after.state_ == State::Leaving);
+  after = AfterReturn(known, MakeStart(6, State::Ready, 2));
+  CHECK(after.state_ == State::Ready);
+  CHECK(after.weights_.at("m") == 2);
+}
+
+TEST_CASE("within an era the later entry of a target holds")
+{
+  fleet::Members members;
+  fleet::TakeTarget(
+    members, MakeStart(5, fleet::TargetState::Leaving, 3), { 2, 10 }, kNow);
+  fleet::TakeTarget(
+    members, MakeStart(5, fleet::TargetState::Ready, 3), { 2, 11 }, kNow);
+  CHECK(members.at("t").target_.state_ == fleet::TargetState::Ready);
+}
--- a/test/follower-test.cc
+++ b/test/follower-test.cc
@@ -1,5 +1,7 @@
 #include "gateway/follower.h"
 
+#include <absl/strings/escaping.h>
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 #include "gateway-world.h"
@@ -25,6 +27,7 @@
     host_.onStoreBack_ = [this](absl::Time aBackAt) {
       follower_->Renew(aBackAt);
     };
+    host_.onEra_ = [this] { follower_->Restart(); };
     follower_->Start();
   }
 
@@ -34,7 +37,7 @@
     const auto call = std::exchange(aSelf.received_, {});
     if (call.find("/-/kv-range") != std::string::npos) {
       ++lists_;
-      Send(aSocket, "200 OK", R"({"items":[],"has-more":false,"as-of":5})");
+      Send(aSocket, "200 OK", list_);
     } else if (call.find("/-/kv-watch") != std::string::npos) {
       // Never answered.
       ++watches_;
@@ -43,11 +46,11 @@
     }
   }
 
-  static void Send(const std::shared_ptr<gateway::Socket>& aSocket,
-                   const std::string& aStatus,
-                   const std::string& aBody)
+  void Send(const std::shared_ptr<gateway::Socket>& aSocket,
+            const std::string& aStatus,
+            const std::string& aBody) const
   {
-    aSocket->Send("HTTP/1.1 " + aStatus + "\r\nContent-Length: " +
+    aSocket->Send("HTTP/1.1 " + aStatus + era_ + "\r\nContent-Length: " +
                   std::to_string(aBody.size()) + "\r\n\r\n" + aBody);
   }
 
@@ -77,6 +80,9 @@
   }
 
   gateway::Loop loop_{ 1 };
+  std::string list_ = R"({"items":[],"has-more":false,"as-of":5})";
+  // Header line of the service's era, or nothing.
+  std::string era_;
   int lists_ = 0;
   int watches_ = 0;
   bool fails_ = false;
@@ -86,6 +92,45 @@
   std::shared_ptr<gateway::Follower> follower_;
 };
 
+std::string
+ListOf(const std::string& aItems, int aAsOf)
+{
+  return absl::StrCat(
+    "{\"items\":[", aItems, "],\"has-more\":false,\"as-of\":", aAsOf, "}");
+}
+
+std::string
+ItemText(const std::string& aKey, const std::string& aValue, int aRevision)
+{
+  return absl::StrCat("{\"key\":\"",
+                      aKey,
+                      "\",\"value\":\"",
+                      absl::Base64Escape(aValue),
+                      "\",\"revision\":",
+                      aRevision,
+                      ",\"created\":1}");
+}
+
+std::string
+TargetText(const std::string& aState)
+{
+  return absl::StrCat(R"({"service":"s","address":"1.2.3.4:5","state":")",
+                      aState,
+                      R"(","born":7})");
+}
+
+// A configuration whose one workspace has a key.
+std::string
+CatalogText(int aVersion, const std::string& aKey)
+{
+  return absl::StrCat("{\"version\":",
+                      aVersion,
+                      R"(,"routes":[],"services":[],"tenants":[{"name":"w",)",
+                      R"("api-keys":[")",
+                      aKey,
+                      "\"]}]}");
+}
+
 } // namespace
 
 TEST_CASE("a watch from before an outage is given up when others are answered")
@@ -101,3 +146,77 @@
   following.MakeCall(false);
   CHECK(following.lists_ == 2);
 }
+
+TEST_CASE("after a return from a copy all is read again, and nothing goes back")
+{
+  FollowingHost following;
+  auto& host = following.host_;
+  following.era_ = "\r\nStore-Era: 3";
+  following.list_ =
+    ListOf(ItemText("op/config", CatalogText(8, "new"), 80) + "," +
+             ItemText("servers/t1", TargetText("draining"), 81) + "," +
+             ItemText("servers/t2", TargetText("ready"), 82),
+           90);
+  REQUIRE(following.RunUntil([&] { return following.watches_ == 1; }));
+  REQUIRE(host.catalog_->version_ == 8);
+  REQUIRE(host.members_.size() == 2);
+
+  // The copy is from before the key was revoked, t1 left and t2 came.
+  following.era_ = "\r\nStore-Era: 4";
+  following.list_ =
+    ListOf(ItemText("op/config", CatalogText(7, "old"), 40) + "," +
+             ItemText("servers/t1", TargetText("ready"), 41),
+           50);
+  following.MakeCall(false);
+  REQUIRE(following.RunUntil([&] { return following.watches_ == 2; }));
+  CHECK(following.lists_ == 2);
+  CHECK(host.catalog_->version_ == 8);
+  CHECK(lycheeplank::catalog::FindWorkspace(*host.catalog_, "old") == nullptr);
+  CHECK(host.members_.at("t1").target_.state_ ==
+        lycheeplank::fleet::TargetState::Leaving);
+  // t2 has its time to write its entry again.
+  REQUIRE(host.members_.count("t2") == 1);
+  const auto believed = host.members_.at("t2").vanishesAt_ - gateway::Now();
+  CHECK(believed > absl::Seconds(1));
+  CHECK(believed < absl::Seconds(2));
+
+  // What is written anew counts, though its revision is lower than before.
+  gateway::Learn(host,
+                 { [] {
+                   lycheeplank::replica::Item item{ "op/config",
+                                                    CatalogText(9, "newer"),
+                                                    51 };
+                   item.era_ = 4;
+                   return item;
+                 }() },
+                 "watch",
+                 gateway::Now());
+  CHECK(host.catalog_->version_ == 9);
+}
+
+TEST_CASE("a reply of an era that is over says nothing")
+{
+  FollowingHost following;
+  auto& host = following.host_;
+  following.era_ = "\r\nStore-Era: 3";
+  REQUIRE(following.RunUntil([&] { return following.watches_ == 1; }));
+  // Another host tells of the return before the service does.
+  gateway::NoteEra(host, 4, "peer");
+  following.list_ = ListOf(ItemText("servers/t1", TargetText("ready"), 99), 99);
+  following.RunUntil([&] { return following.lists_ > 2; });
+  CHECK(host.members_.empty());
+  following.era_ = "\r\nStore-Era: 4";
+  CHECK(following.RunUntil([&] { return host.members_.size() == 1; }));
+}
+
+TEST_CASE("the first era that a host hears of changes nothing")
+{
+  FollowingHost following;
+  following.era_ = "\r\nStore-Era: 0";
+  REQUIRE(following.RunUntil([&] { return following.watches_ == 1; }));
+  CHECK(following.lists_ == 1);
+  // The next one does, though it is the first above zero.
+  following.era_ = "\r\nStore-Era: 1";
+  following.MakeCall(false);
+  CHECK(following.RunUntil([&] { return following.lists_ == 2; }));
+}
--- a/test/gateway-bench.cc
+++ b/test/gateway-bench.cc
@@ -87,7 +87,8 @@
     other.service_ = "s";
     other.address_ = target.Address();
     other.dataCentre_ = "b";
-    fleet::TakeTarget(world.host_.members_, other, 1, absl::InfinitePast());
+    fleet::TakeTarget(
+      world.host_.members_, other, { 0, 1 }, absl::InfinitePast());
   }
   const auto address =
     throughHost
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -348,7 +348,7 @@
   // Nothing listens on the lowest port.
   target.address_ = "127.0.0.1:1";
   lycheeplank::fleet::TakeTarget(
-    world.host_.members_, target, 2, gateway::Now());
+    world.host_.members_, target, { 0, 2 }, gateway::Now());
   CHECK(Has(world.Ask(World::Request("/once/")), "\r\n\r\nsecond"));
   CHECK(first.requests_ == 0);
 }
@@ -360,7 +360,7 @@
   auto target = world.host_.members_.at("t1").target_;
   target.state_ = lycheeplank::fleet::TargetState::Leaving;
   lycheeplank::fleet::TakeTarget(
-    world.host_.members_, target, 2, gateway::Now());
+    world.host_.members_, target, { 0, 2 }, gateway::Now());
   const auto answer = world.Ask(World::Request("/once/"));
   CHECK(Has(answer, "HTTP/1.1 503"));
   CHECK(Has(answer, "Retry-After: 0."));
--- a/test/gateway-world.h
+++ b/test/gateway-world.h
@@ -156,7 +156,7 @@
     target.service_ = "s";
     target.address_ = targets_.back()->Address();
     target.dataCentre_ = targets_.size() == 1 ? "a" : "b";
-    fleet::TakeTarget(host_.members_, target, 1, absl::InfinitePast());
+    fleet::TakeTarget(host_.members_, target, { 0, 1 }, absl::InfinitePast());
     host_.members_.at(target.id_).slowness_ =
       static_cast<double>(targets_.size());
     return *targets_.back();
--- a/test/news-test.cc
+++ b/test/news-test.cc
@@ -16,6 +16,7 @@
 {
   gateway::Source source;
   source.direct_ = true;
+  source.era_ = 4;
   source.clockMs_ = 1700000000123;
   source.heard_["s1"] = absl::Milliseconds(250);
   return source;
@@ -24,7 +25,8 @@
 std::string
 MakeNews()
 {
-  const replica::Item item{ "a/b", "{\"x\":1}", 17, 3, false };
+  replica::Item item{ "a/b", "{\"x\":1}", 17, 3, false };
+  item.era_ = 4;
   const gateway::StoreNews store{ "s1", false,
                                   true, 9,
                                   41,   { { true, "shared.m.1", "p1", 512 } } };
@@ -55,6 +57,8 @@
   CHECK(news->items_[0].key_ == "a/b");
   CHECK(news->items_[0].value_ == "{\"x\":1}");
   CHECK(news->items_[0].revision_ == 17);
+  CHECK(news->items_[0].era_ == 4);
+  CHECK(news->source_.era_ == 4);
   REQUIRE(news->stores_.size() == 1);
   CHECK(news->stores_[0].whole_);
   CHECK(news->stores_[0].epoch_ == 9);
--- a/test/owner-test.cc
+++ b/test/owner-test.cc
@@ -4,6 +4,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
+#include <absl/strings/strip.h>
 #include <catch2/catch.hpp>
 
 #include "gateway-world.h"
@@ -68,6 +69,12 @@
       reply.outcome_ = core::ValueOf(gateway::kStoreOutcomes, words[0]).value();
       reply.revision_ = NumberAt(words, 1);
       reply.lease_ = NumberAt(words, 1);
+      // The era follows behind a sign.
+      std::uint64_t era = 0;
+      if (absl::SimpleAtoi(absl::StripPrefix(words.back(), "@"), &era) &&
+          words.back().front() == '@') {
+        reply.era_ = era;
+      }
     }
     return reply;
   };
@@ -139,7 +146,9 @@
     , store_(loop_,
              [this](auto& aSelf, const auto& aSocket) {
                if (!storeSilent_) {
-                 aSocket->Send(TextAnswer(AnswerStore(LastCall(aSelf))));
+                 const auto answer = AnswerStore(LastCall(aSelf));
+                 aSocket->Send(TextAnswer(
+                   era_ == 0 ? answer : absl::StrCat(answer, " @", era_)));
                }
              })
     , target_(loop_,
@@ -167,7 +176,7 @@
       target.service_ = "s";
       target.address_ = target_.Address();
       target.weights_["m"] = 1;
-      fleet::TakeTarget(host.members_, target, 1, gateway::Now());
+      fleet::TakeTarget(host.members_, target, { 0, 1 }, gateway::Now());
       catalog::CacheStore cacheStore;
       cacheStore.name_ = "c1";
       cacheStore.address_ = cacheStore_.Address();
@@ -181,10 +190,21 @@
       for (const auto* name : { "h1", "h2" }) {
         host.hosts_[name] = { { name, "a", "10.0.0.1:1", "10.0.0.1:2" } };
       }
+      one->host_.onEra_ = [one] { one->owner_->OnEra(); };
       one->owner_->Start();
     }
   }
 
+  // The service comes back from a copy in which nobody has the right; leases
+  // are numbered as before.
+  void ReturnFromCopy()
+  {
+    ++era_;
+    revision_ = 5;
+    holder_ = 0;
+    lastLease_ = 0;
+  }
+
   std::string AnswerStore(const std::vector<std::string>& aCall)
   {
     if (aCall[0] == "grant") {
@@ -222,14 +242,12 @@
   void Tell(bool aDeleted)
   {
     ++revision_;
+    replica::Item item{
+      std::string(gateway::kOwnerKey), "x", revision_, revision_, aDeleted
+    };
+    item.era_ = era_;
     for (auto* one : { &first_, &second_ }) {
-      gateway::Learn(one->host_,
-                     { { std::string(gateway::kOwnerKey),
-                         "x",
-                         revision_,
-                         revision_,
-                         aDeleted } },
-                     "watch");
+      gateway::Learn(one->host_, { item }, "watch", gateway::Now());
     }
     for (auto* one : { &first_, &second_ }) {
       one->owner_->OnChange();
@@ -265,6 +283,8 @@
   gateway::Adapter adapter_;
   bool storeSilent_ = false;
   bool takesOrders_ = true;
+  // 0 for a service that doesn't count them.
+  std::uint64_t era_ = 0;
   std::uint64_t revision_ = 10;
   std::uint64_t holder_ = 0;
   std::uint64_t lastLease_ = 0;
@@ -346,3 +366,49 @@
   owners.RunUntil([] { return false; }, absl::Milliseconds(700));
   CHECK(owners.freed_.size() == 1);
 }
+
+TEST_CASE("an owner gives up its right when the service returns from a copy")
+{
+  Owners owners;
+  owners.era_ = 1;
+  REQUIRE(owners.RunUntil([&] { return owners.holder_ != 0; }));
+  // Orders wait until no order of an owner that isn't known can follow.
+  owners.Name(2);
+  REQUIRE(owners.RunUntil([&] { return !owners.fences_.empty(); }));
+  REQUIRE(owners.RunUntil([&] { return owners.weights_ == 2; }));
+  const auto before = owners.fences_.back();
+
+  owners.ReturnFromCopy();
+  // The owner hears of it with its next renewal, and the key is absent.
+  REQUIRE(owners.RunUntil([&] {
+    return owners.first_.host_.store_.era_ == 2 ||
+           owners.second_.host_.store_.era_ == 2;
+  }));
+  const auto returnedAt = gateway::Now();
+  owners.Tell(true);
+  owners.Name(3);
+  REQUIRE(owners.RunUntil([&] { return owners.weights_ == 3; }));
+  // Another host may have renewed the old right shortly before the return.
+  CHECK(gateway::Now() - returnedAt > absl::Milliseconds(1500));
+  CHECK(owners.fences_.back() > before);
+  CHECK(owners.fences_.size() == 2);
+}
+
+TEST_CASE("a renewal in a later era doesn't prolong the right")
+{
+  Owners owners;
+  owners.era_ = 1;
+  REQUIRE(owners.RunUntil([&] { return owners.holder_ != 0; }));
+  const auto lease = owners.holder_;
+  owners.RunUntil([] { return false; }, absl::Milliseconds(2200));
+  // The lease's number belongs to another host by now; renewals go on.
+  owners.ReturnFromCopy();
+  owners.holder_ = lease;
+  REQUIRE(owners.RunUntil([&] {
+    return owners.first_.host_.store_.era_ == 2 ||
+           owners.second_.host_.store_.era_ == 2;
+  }));
+  owners.Name(2);
+  owners.RunUntil([] { return false; }, absl::Seconds(3));
+  CHECK(owners.fences_.empty());
+}
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -39,7 +39,7 @@
     fleet::Target target;
     target.id_ = "t1";
     target.service_ = "s";
-    fleet::TakeTarget(host_.members_, target, 1, gateway::Now());
+    fleet::TakeTarget(host_.members_, target, { 0, 1 }, gateway::Now());
     catalog::CacheStore store;
     store.name_ = "c1";
     store.address_ = "127.0.0.1:9";
@@ -119,12 +119,14 @@
 
   // Later revisions may be heard of before earlier ones of other prefixes.
   for (auto* relay : { &hosts.first_, &hosts.second_ }) {
-    gateway::Learn(relay->host_, { MakeItem("x/later", 9) }, "watch");
+    gateway::Learn(
+      relay->host_, { MakeItem("x/later", 9) }, "watch", gateway::Now());
   }
   REQUIRE(hosts.RunUntil(
     [&] { return replica::Find(third.replica_, "x/later") != nullptr; }));
   for (auto* relay : { &hosts.first_, &hosts.second_ }) {
-    gateway::Learn(relay->host_, { MakeItem("y/earlier", 8) }, "watch");
+    gateway::Learn(
+      relay->host_, { MakeItem("y/earlier", 8) }, "watch", gateway::Now());
     gateway::Publish(relay->host_,
                      gateway::StoreNews{
                        "c1", false, false, 4, 2, { { true, "s", "p", 64 } } });
--- a/test/replica-test.cc
+++ b/test/replica-test.cc
@@ -48,7 +48,7 @@
   replica::Apply(copy, MakeItem("p/b", 9, "x"), kNow);
   replica::Apply(copy, MakeItem("q/c", 2, "x"), kNow);
   const auto news =
-    replica::Reconcile(copy, "p/", { MakeItem("p/d", 4, "x") }, 5, kNow);
+    replica::Reconcile(copy, "p/", { MakeItem("p/d", 4, "x") }, { 0, 5 }, kNow);
   CHECK(news.size() == 2);
   CHECK(replica::Find(copy, "p/a") == nullptr);
   CHECK(replica::Find(copy, "p/b") != nullptr);
@@ -89,10 +89,10 @@
   replica::Replica copy;
   replica::Apply(copy, MakeItem("a", 3, "x"), kNow);
   replica::Apply(copy, MakeItem("a", 5, "", true), kNow);
-  CHECK(replica::ChangesAfter(copy, 4, kNow).size() == 1);
-  CHECK(replica::ChangesAfter(copy, 5, kNow).empty());
+  CHECK(replica::ChangesAfter(copy, { 0, 4 }, kNow).size() == 1);
+  CHECK(replica::ChangesAfter(copy, { 0, 5 }, kNow).empty());
   replica::Sweep(copy, kNow + replica::kDeletionMemory + absl::Seconds(1));
-  CHECK(replica::ChangesAfter(copy, 0, kNow).empty());
+  CHECK(replica::ChangesAfter(copy, { 0, 0 }, kNow).empty());
 }
 
 TEST_CASE("what another host tells keeps its age")
@@ -102,7 +102,62 @@
   item.age_ = absl::Seconds(5);
   CHECK(replica::Apply(copy, item, kNow));
   CHECK(replica::Find(copy, "a")->learnedAt_ == kNow - absl::Seconds(5));
-  const auto told = replica::ChangesAfter(copy, 0, kNow + absl::Seconds(1));
+  const auto told =
+    replica::ChangesAfter(copy, { 0, 0 }, kNow + absl::Seconds(1));
   REQUIRE(told.size() == 1);
   CHECK(told.front().age_ == absl::Seconds(6));
 }
+
+namespace {
+
+replica::Item
+MakeItemOf(std::uint64_t aEra,
+           const std::string& aKey,
+           std::uint64_t aRevision,
+           const std::string& aValue)
+{
+  auto item = MakeItem(aKey, aRevision, aValue);
+  item.era_ = aEra;
+  return item;
+}
+
+} // namespace
+
+TEST_CASE("a change of a later era replaces one of a higher revision")
+{
+  replica::Replica copy;
+  replica::Apply(copy, MakeItemOf(1, "a", 90, "before"), kNow);
+  CHECK(replica::Apply(copy, MakeItemOf(2, "a", 12, "after"), kNow));
+  CHECK(replica::Find(copy, "a")->item_.value_ == "after");
+  CHECK_FALSE(replica::Apply(copy, MakeItemOf(1, "a", 91, "late"), kNow));
+  CHECK(replica::Find(copy, "a")->item_.value_ == "after");
+}
+
+TEST_CASE("nothing of an era that is over is taken in, what is known stays")
+{
+  replica::Replica copy;
+  replica::Apply(copy, MakeItemOf(1, "a", 90, "x"), kNow);
+  replica::BeginEra(copy, 2);
+  CHECK(replica::Find(copy, "a") != nullptr);
+  CHECK_FALSE(replica::Apply(copy, MakeItemOf(1, "b", 91, "x"), kNow));
+  CHECK(replica::Find(copy, "b") == nullptr);
+  CHECK(replica::Reconcile(
+          copy, "", { MakeItemOf(1, "b", 91, "x") }, { 1, 95 }, kNow)
+          .empty());
+  CHECK(replica::Find(copy, "a") != nullptr);
+}
+
+TEST_CASE("a list of a later era deletes what it lacks, whatever its revision")
+{
+  replica::Replica copy;
+  replica::Apply(copy, MakeItemOf(1, "a", 90, "x"), kNow);
+  replica::Apply(copy, MakeItemOf(1, "b", 91, "x"), kNow);
+  const auto news = replica::Reconcile(
+    copy, "", { MakeItemOf(2, "a", 10, "x") }, { 2, 20 }, kNow);
+  CHECK(news.size() == 2);
+  CHECK(replica::Find(copy, "a") != nullptr);
+  CHECK(replica::Find(copy, "b") == nullptr);
+  // Written again by its owner.
+  CHECK(replica::Apply(copy, MakeItemOf(2, "b", 21, "x"), kNow));
+  CHECK(replica::Find(copy, "b") != nullptr);
+}
--- a/test/statements-test.cc
+++ b/test/statements-test.cc
@@ -22,7 +22,7 @@
     target.id_ = "t";
     target.service_ = "s";
     target.bornMs_ = aBornMs;
-    fleet::TakeTarget(members_, target, aRevision, kNow);
+    fleet::TakeTarget(members_, target, { 0, aRevision }, kNow);
     statements::Apply(statements_, members_.at("t"));
   }
 
--- a/test/weights-test.cc
+++ b/test/weights-test.cc
@@ -18,7 +18,7 @@
     target.id_ = "t" + std::to_string(i);
     target.service_ = "s";
     target.weights_["m"] = 1;
-    fleet::TakeTarget(members, target, 1, kNow);
+    fleet::TakeTarget(members, target, { 0, 1 }, kNow);
   }
   return members;
 }
