Admit long prompts by the memory that their runs take; let short ones pass

Changes: a run counts with its prompt and 0.4 of its output limit, of 0.95 of the memory (0.85 of prompt and limit before); small requests may start before the others; while requests wait, each host expects the others to have sent a target 0.7 of what it has sent itself within 120 ms; a part that no store holds pulls more to where others compute it (1e-4 a token); changes that lack by their numbers are found by a list, each 2 s at most; calls that may run once go on connections idle for up to 2 s (0.5 s).

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -95,6 +95,10 @@
   std::uint64_t otherTokens_ = 0;
   // Tokens that own calls hold in its memory, prompts and answers.
   std::uint64_t heldTokens_ = 0;
+  // Of these, what was sent lately, and when the first of it was: the other
+  // hosts' calls of that time aren't known yet.
+  std::uint64_t newTokens_ = 0;
+  absl::Time newSince_ = absl::InfinitePast();
   // What other hosts of the data centre have said of theirs, by host.
   absl::flat_hash_map<std::string, PeerShare> peers_;
 
@@ -153,6 +157,10 @@
   // if it isn't known.
   std::uint64_t heldTokens_ = 0;
   std::uint64_t memoryTokens_ = 0;
+  // Hosts whose requests wait for memory as this host's do; 0 if none waits.
+  // The pattern: a target comes back or has room again, and all hosts that see
+  // it send what waits there at once, several times what it can hold.
+  std::size_t hostsWaiting_ = 0;
   // Targets read its prompt before those that aren't urgent, and push such ones
   // out of their memory for it.
   bool isUrgent_ = false;
@@ -205,7 +213,15 @@
 inline constexpr double kReadTokenCost = 2e-6;
 // What a shared token costs that no store holds, away from the target where
 // others that ask for it meet: some of them have it computed at this moment.
-inline constexpr double kUnkeptTokenCost = 1.5e-5;
+inline constexpr double kUnkeptTokenCost = 1e-4;
+// What a run holds of the memory for its answer on average, as part of the most
+// that it may take: its memory grows evenly, and few answers are the longest.
+inline constexpr double kOutputHeld = 0.4;
+// Time in which another host's call to a target becomes known.
+inline constexpr absl::Duration kUnheardTime = absl::Milliseconds(120);
+// While requests wait, each other host is expected to have sent a target this
+// part of what this host has sent within that time.
+inline constexpr double kSentAlike = 0.7;
 // A second of wait, beside its own lateness: what waits delays those behind it.
 inline constexpr double kWaitCost = 0.2;
 // Targets of a part that are preferred, in the order of its name.
@@ -236,6 +252,11 @@
   // The same for a target of usual speed.
   double usualSeconds_ = 0.0;
   absl::Duration loadAge_ = absl::InfiniteDuration();
+  // Work believed to be at the target: prompt tokens that it reads first,
+  // tokens in its memory, and running calls.
+  std::uint64_t backlogTokens_ = 0;
+  std::uint64_t heldTokens_ = 0;
+  double running_ = 0.0;
   std::uint32_t candidates_ = 0;
   // It has no memory for the request before others end.
   bool memoryFull_ = false;
@@ -261,6 +282,10 @@
   // At a target of usual speed, and at this one.
   double usualSeconds_ = 0.0;
   double waitSeconds_ = 0.0;
+  // Work believed to be there, see Choice.
+  std::uint64_t backlogTokens_ = 0;
+  std::uint64_t heldTokens_ = 0;
+  double running_ = 0.0;
   // It has no memory for the request before others end.
   bool memoryFull_ = false;
 };
--- a/include/lycheeplank/waiting.h
+++ b/include/lycheeplank/waiting.h
@@ -15,6 +15,10 @@
 // each other out, which costs their prompts again. First come, first served,
 // all of them would be late; so while the oldest has missed its goal, the
 // newest goes first, and the old ones take what is left.
+//
+// Another pattern: short prompts come between the long ones. A short one fits
+// into what is left of a target's memory when a long one doesn't, delays the
+// long ones little, and is worth no less; so the short ones don't wait behind.
 namespace lycheeplank::waiting {
 
 struct Entry
@@ -25,6 +29,8 @@
   absl::Time goalAt_;
   // After that the caller won't wait any more.
   absl::Time leavesAt_;
+  // It takes little memory.
+  bool isSmall_ = false;
 };
 
 struct Queue
@@ -39,6 +45,9 @@
 };
 
 inline constexpr double kNewestInterval = 0.2;
+// Part of a target's memory up to which a request is small; tens of them take
+// the room of a few long prompts.
+inline constexpr double kSmallShare = 1.0 / 32.0;
 
 // Adds a request, unless so many wait that it could not start before its caller
 // leaves; then it returns when a place is expected instead.
@@ -49,6 +58,11 @@
 absl::optional<std::uint64_t>
 Next(const Queue& aQueue, absl::Time aNow);
 
+// Returns the small requests, which may start before the others, in the order
+// of their arrival.
+std::vector<std::uint64_t>
+SmallOnes(const Queue& aQueue);
+
 // Takes out a request that starts.
 void
 Start(Queue& aQueue, std::uint64_t aId, absl::Time aNow);
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -27,7 +27,7 @@
 // requests may fill that aren't urgent; the rest is for urgent ones, which
 // would push the others out.
 constexpr double kRunSeconds = 1.5;
-constexpr double kMemoryUsed = 0.85;
+constexpr double kMemoryUsed = 0.95;
 constexpr double kPushOutSeconds = 0.1;
 // A request may wait for so many times its estimate.
 constexpr double kWaitDoubt = 2.0;
@@ -92,6 +92,18 @@
   return backlog;
 }
 
+// Tokens in a target's memory that other hosts have sent but not told yet.
+std::uint64_t
+UnheardTokens(const Member& aMember, const Question& aQuestion, absl::Time aNow)
+{
+  if (aNow - aMember.newSince_ > kUnheardTime) {
+    return 0;
+  }
+  const auto sent = static_cast<double>(aMember.newTokens_);
+  return static_cast<std::uint64_t>(
+    kSentAlike * static_cast<double>(aQuestion.hostsWaiting_) * sent);
+}
+
 // Time until enough of a target's memory is free.
 double
 MemoryWait(const PeerShare& aShares, const Question& aQuestion)
@@ -206,6 +218,7 @@
   const double excess =
     std::max(0.0, backlog.running_ + backlog.waiting_ + 1.0 - slots);
   Estimate estimate;
+  estimate.running_ = backlog.running_;
   if (aQuestion.model_.empty()) {
     estimate.usualSeconds_ =
       kCallSeconds * (1.0 + excess / slots) + kSlotSeconds * backlog.running_;
@@ -215,13 +228,17 @@
   const auto& cost = CostAt(aMember, aQuestion);
   const auto before =
     backlog.urgentTokens_ + (aQuestion.isUrgent_ ? 0 : backlog.otherTokens_);
+  estimate.backlogTokens_ = before;
+  estimate.heldTokens_ = shares.heldTokens_;
   estimate.usualSeconds_ =
     aSpeed.startSeconds_ +
     static_cast<double>(before + cost.computedTokens_) /
       aSpeed.promptTokensPerSecond_ +
     static_cast<double>(cost.readTokens_) / aSpeed.cacheTokensPerSecond_ +
     kSlotSeconds * backlog.running_ + kWaitingSeconds * backlog.waiting_;
-  const double memory = MemoryWait(shares, aQuestion);
+  auto expected = shares;
+  expected.heldTokens_ += UnheardTokens(aMember, aQuestion, aNow);
+  const double memory = MemoryWait(expected, aQuestion);
   estimate.memoryFull_ = !aQuestion.isUrgent_ && memory > 0.0;
   estimate.waitSeconds_ = aMember.slowness_ * estimate.usualSeconds_ +
                           excess * kHoldSeconds / slots + memory;
@@ -286,6 +303,9 @@
       aChoice.usualSeconds_ = estimate.usualSeconds_;
       aChoice.memoryFull_ = estimate.memoryFull_;
       aChoice.loadAge_ = aNow - member.loadAt_;
+      aChoice.backlogTokens_ = estimate.backlogTokens_;
+      aChoice.heldTokens_ = estimate.heldTokens_;
+      aChoice.running_ = estimate.running_;
     }
   }
   return !aChoice.id_.empty();
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -151,6 +151,11 @@
 {
   ++aMember.inFlight_;
   aMember.heldTokens_ += aSize.heldTokens_;
+  if (aNow - aMember.newSince_ > kUnheardTime) {
+    aMember.newTokens_ = 0;
+    aMember.newSince_ = aNow;
+  }
+  aMember.newTokens_ += aSize.heldTokens_;
   (aSize.isUrgent_ ? aMember.urgentTokens_ : aMember.otherTokens_) +=
     aSize.promptTokens_;
   if (aMember.asideUntil_ != absl::InfinitePast() &&
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -229,6 +229,9 @@
   std::uint64_t next_ = 0;
   // Changes before these are lost; the list is needed.
   bool gap_ = false;
+  // Changes told, readable or not; fewer than lie between the number asked from
+  // and next_ if some never come.
+  std::uint64_t told_ = 0;
   std::vector<kept::Change> changes_;
   // The store's clock in milliseconds.
   absl::optional<std::int64_t> clockMs_;
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -19,7 +19,9 @@
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(200);
 // A request that may run once goes only on connections that were in use
 // lately: one that the target closed meanwhile would leave its fate unknown.
-constexpr absl::Duration kOnceIdle = absl::Milliseconds(500);
+// Servers mostly keep idle connections for five seconds and more, and a new one
+// costs its target some of its time.
+constexpr absl::Duration kOnceIdle = absl::Seconds(2);
 // Others find a closed connection out by trying.
 constexpr absl::Duration kRepeatableIdle = absl::Seconds(10);
 // Period of looks whether the target that a request waits for is down.
@@ -57,7 +59,9 @@
   }
   question.goal_ = std::max(kLeastGoal, arrivedAt_ + route_->goal_ - now);
   question.isUrgent_ = IsUrgent();
-  question.heldTokens_ = request_.promptTokens_ + request_.outputTokens_;
+  question.heldTokens_ = HeldTokens();
+  question.hostsWaiting_ =
+    host_.waiting_.entries_.empty() ? 0 : host_.hosts_.size();
   question.bytes_ = kCallBytes + caller_->Body().size() +
                     kBytesPerOutputToken * request_.outputTokens_;
   if (!request_.model_.empty()) {
@@ -149,9 +153,7 @@
   targetId_ = choice_.id_;
   tried_.push_back(targetId_);
   auto& member = host_.members_.at(targetId_);
-  size_ = { computedTokens_,
-            request_.promptTokens_ + request_.outputTokens_,
-            IsUrgent() };
+  size_ = { computedTokens_, HeldTokens(), IsUrgent() };
   fleet::CountSent(member, size_, Now());
   host_.onLoad_();
   headTaken_ = false;
@@ -181,6 +183,14 @@
     });
 }
 
+std::uint64_t
+Exchange::HeldTokens() const
+{
+  const auto output =
+    fleet::kOutputHeld * static_cast<double>(request_.outputTokens_);
+  return request_.promptTokens_ + static_cast<std::uint64_t>(output);
+}
+
 std::uint32_t
 Exchange::Priority() const
 {
@@ -194,6 +204,16 @@
   return Priority() == 0;
 }
 
+bool
+Exchange::IsSmall() const
+{
+  const auto service = catalog_->services_.find(service_);
+  return service != catalog_->services_.end() &&
+         static_cast<double>(HeldTokens()) <=
+           waiting::kSmallShare *
+             static_cast<double>(service->second.memoryTokens_);
+}
+
 void
 Exchange::Wait()
 {
@@ -204,10 +224,14 @@
   const auto leavesAt =
     std::min(deadline_, arrivedAt_ + route_->longestGap_) - kStartMargin;
   const auto id = host_.nextWaiter_++;
-  if (const auto pause = waiting::Add(
-        host_.waiting_,
-        { id, arrivedAt_, arrivedAt_ + route_->goal_ - kStartMargin, leavesAt },
-        now)) {
+  if (const auto pause =
+        waiting::Add(host_.waiting_,
+                     { id,
+                       arrivedAt_,
+                       arrivedAt_ + route_->goal_ - kStartMargin,
+                       leavesAt,
+                       IsSmall() },
+                     now)) {
     Refuse("queue_full", std::max(*pause, kPauseFull));
     return;
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -193,7 +193,13 @@
       .Age("first_ms",
            firstByteAt_ == absl::InfinitePast() ? absl::InfiniteDuration()
                                                 : firstByteAt_ - arrivedAt_)
+      .Age("sent_ms",
+           sentAt_ == absl::InfinitePast() ? absl::InfiniteDuration()
+                                           : sentAt_ - arrivedAt_)
       .Number("wait_estimate_ms", choice_.waitSeconds_ * 1000.0)
+      .Number("backlog_tokens", choice_.backlogTokens_)
+      .Number("held_tokens", choice_.heldTokens_)
+      .Number("running", choice_.running_)
       .Age("load_age_ms", choice_.loadAge_)
       .Number("candidates", choice_.candidates_)
       .Number("computed_tokens", computedTokens_)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -39,6 +39,10 @@
   void Try();
   std::uint32_t Priority() const;
   bool IsUrgent() const;
+  // Tokens that its run holds in a target's memory on average, and whether
+  // that is little.
+  std::uint64_t HeldTokens() const;
+  bool IsSmall() const;
   // Waits until a target has memory for it.
   void Wait();
   fleet::Choice ChooseTarget();
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -439,6 +439,13 @@
     const auto waiter = aHost.waiters_.extract(id);
     waiter.mapped()(true);
   }
+  for (const auto id : waiting::SmallOnes(aHost.waiting_)) {
+    if (const auto waiter = aHost.waiters_.find(id);
+        waiter != aHost.waiters_.end()) {
+      const auto start = waiter->second;
+      start(false);
+    }
+  }
   // A request that finds no room goes back into the queue.
   while (const auto id = waiting::Next(aHost.waiting_, now)) {
     const auto before = aHost.waiting_.entries_.size();
--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -19,6 +19,9 @@
 // Changes that come within this time are told in one answer. A part that was
 // just kept is computed again by whoever asks for it meanwhile.
 constexpr absl::Duration kGatherTime = absl::Milliseconds(120);
+// Least time between two lists that are read for a few changes that never came:
+// a list holds its store up, a part that isn't known is computed again.
+constexpr absl::Duration kListPause = absl::Seconds(2);
 constexpr absl::Duration kRetryFirst = absl::Milliseconds(150);
 // A store that other hosts follow already lets no more hosts wait; more calls
 // would only take the others' places.
@@ -76,6 +79,16 @@
         });
 }
 
+bool
+StoreFollower::IsListDue(const StoreChanges& aChanges, std::uint64_t aFrom)
+{
+  if (aFrom != 0 && aChanges.next_ > aFrom + aChanges.told_) {
+    missed_ += aChanges.next_ - aFrom - aChanges.told_;
+  }
+  const auto now = Now();
+  return aChanges.gap_ || (missed_ > 0 && now - listedAt_ > kListPause);
+}
+
 void
 StoreFollower::Fail(int aStatus)
 {
@@ -136,13 +149,19 @@
     Ask(false);
     return;
   }
+  const auto from = isNew ? 0 : state->next_;
   kept::TakeChanges(
     *state, changes->epoch_, changes->next_, changes->changes_, heardSince);
   if (isNew || !changes->changes_.empty()) {
     Tell(*changes, false);
   }
-  if (changes->gap_) {
-    host_.log_.Write(Line("cache_store_gap").Text("store", name_));
+  if (IsListDue(*changes, from)) {
+    host_.log_.Write(Line("cache_store_gap")
+                       .Text("store", name_)
+                       .Number("missed", missed_)
+                       .Flag("lost", changes->gap_));
+    missed_ = 0;
+    listedAt_ = Now();
     Ask(true);
     return;
   }
--- a/src/gateway/stores.h
+++ b/src/gateway/stores.h
@@ -28,10 +28,15 @@
   void Tell(const StoreChanges& aChanges, bool aWhole);
   void Later(absl::Duration aPause);
   kept::StoreState* State();
+  // Counts changes that never come; true if it is time to read the whole list.
+  bool IsListDue(const StoreChanges& aChanges, std::uint64_t aFrom);
 
   Host& host_;
   const std::string name_;
   Timer timer_;
+  // Changes that never came since the last list, and when that was read.
+  std::uint64_t missed_ = 0;
+  absl::Time listedAt_ = absl::InfinitePast();
   unsigned failures_ = 0;
   bool stopped_ = false;
 };
--- a/src/waiting/waiting.cc
+++ b/src/waiting/waiting.cc
@@ -52,6 +52,18 @@
   return aQueue.entries_.back().id_;
 }
 
+std::vector<std::uint64_t>
+SmallOnes(const Queue& aQueue)
+{
+  std::vector<std::uint64_t> ids;
+  for (const auto& entry : aQueue.entries_) {
+    if (entry.isSmall_) {
+      ids.push_back(entry.id_);
+    }
+  }
+  return ids;
+}
+
 void
 Start(Queue& aQueue, std::uint64_t aId, absl::Time aNow)
 {
--- /dev/null
+++ b/test/gateway-stores-test.cc
@@ -0,0 +1,125 @@
+#include "gateway/stores.h"
+
+#include <absl/strings/str_cat.h>
+#include <catch2/catch.hpp>
+
+#include "gateway-world.h"
+
+namespace catalog = lycheeplank::catalog;
+namespace gateway = lycheeplank::gateway;
+namespace kept = lycheeplank::kept;
+namespace test = lycheeplank::test;
+
+namespace {
+
+// A host that follows one cache store, which tells its changes as they come but
+// for some that it never tells.
+struct FollowedStore
+{
+  FollowedStore()
+    : store_(loop_,
+             [this](test::FakeTarget& aSelf, const auto& aSocket) {
+               const auto call = std::exchange(aSelf.received_, {});
+               const bool isList = call.find("/-/kv-list") != std::string::npos;
+               lists_ += isList ? 1 : 0;
+               const auto body = isList ? List() : Changes();
+               aSocket->Send(absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ",
+                                          body.size(),
+                                          "\r\n\r\n",
+                                          body));
+             })
+    , adapter_(lycheeplank::platform::MakeAdapter())
+    , host_(loop_, gateway::Settings(), adapter_, open("/dev/null", O_WRONLY))
+    , follower_(std::make_shared<gateway::StoreFollower>(host_, "c1"))
+  {
+    catalog::CacheStore store;
+    store.name_ = "c1";
+    store.address_ = store_.Address();
+    kept::SetStores(host_.kept_, { store });
+    follower_->Start();
+  }
+
+  // Two changes with the numbers from and after next_, or the first alone.
+  std::string Changes()
+  {
+    const auto from = next_;
+    next_ += changes_;
+    const auto row = [](std::uint64_t aNumber) {
+      return absl::StrCat(
+        "[", aNumber, R"(,"+","shared.m.1","p)", aNumber, R"(",512,"m"])");
+    };
+    std::string rows;
+    for (auto number = from; number < next_; ++number) {
+      if (number != untold_) {
+        absl::StrAppend(&rows, rows.empty() ? "" : ",", row(number));
+      }
+    }
+    changes_ = 0;
+    return absl::StrCat("{\"boot-epoch\":7,\"next\":",
+                        next_,
+                        ",\"lost\":false,\"events\":[",
+                        rows,
+                        "]}");
+  }
+
+  std::string List() const
+  {
+    std::string rows;
+    for (std::uint64_t number = 1; number < next_; ++number) {
+      absl::StrAppend(&rows,
+                      rows.empty() ? "" : ",",
+                      R"(["shared.m.1","p)",
+                      number,
+                      R"(",512,"m"])");
+    }
+    return absl::StrCat(
+      "{\"boot-epoch\":7,\"next\":", next_, ",\"held\":[", rows, "]}");
+  }
+
+  std::size_t Known() const
+  {
+    return host_.kept_.stores_.at("c1").parts_.size();
+  }
+
+  bool RunUntil(const std::function<bool()>& aHolds)
+  {
+    const auto end = gateway::Now() + absl::Seconds(5);
+    while (!aHolds() && gateway::Now() < end) {
+      loop_.restart();
+      loop_.run_for(std::chrono::milliseconds(5));
+    }
+    return aHolds();
+  }
+
+  gateway::Loop loop_{ 1 };
+  std::uint64_t next_ = 1;
+  std::uint64_t changes_ = 0;
+  std::uint64_t untold_ = 0;
+  int lists_ = 0;
+  test::FakeTarget store_;
+  gateway::Adapter adapter_;
+  gateway::Host host_;
+  std::shared_ptr<gateway::StoreFollower> follower_;
+};
+
+} // namespace
+
+TEST_CASE("a change of a cache store that is never told is found by its number")
+{
+  FollowedStore followed;
+  followed.changes_ = 2;
+  REQUIRE(followed.RunUntil([&] { return followed.Known() == 2; }));
+  CHECK(followed.lists_ == 0);
+  // The third of four changes is never told.
+  followed.untold_ = 3;
+  followed.changes_ = 2;
+  REQUIRE(followed.RunUntil([&] { return followed.Known() == 4; }));
+  CHECK(followed.lists_ == 1);
+  // The next one that lacks waits, since lists hold the store up.
+  followed.untold_ = 5;
+  followed.changes_ = 2;
+  REQUIRE(followed.RunUntil([&] { return followed.Known() == 5; }));
+  CHECK(followed.lists_ == 1);
+  CHECK(followed.RunUntil([&] { return followed.Known() == 6; }));
+  CHECK(followed.lists_ == 2);
+}
--- a/test/waiting-test.cc
+++ b/test/waiting-test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <random>
 
 #include <catch2/catch.hpp>
@@ -142,3 +143,90 @@
   CHECK(policy > 0.6);
   CHECK(policy > firstCome + 0.2);
 }
+
+TEST_CASE("small requests may start before the others, oldest first")
+{
+  waiting::Queue queue;
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    auto entry = MakeEntry(id, kStart);
+    entry.isSmall_ = id % 2 == 0;
+    waiting::Add(queue, entry, kStart);
+  }
+  CHECK(waiting::SmallOnes(queue) == std::vector<std::uint64_t>{ 2, 4 });
+  CHECK(waiting::Next(queue, kStart) == 1U);
+}
+
+namespace {
+
+// Short and long prompts share one target's memory, which the long ones alone
+// would fill. Returns the mean wait of the short ones, in seconds; those that
+// aren't started count with all of their patience.
+double
+MeanWaitOfShort(unsigned aSeed, bool aShortPass)
+{
+  constexpr double kMemory = 130.0;
+  constexpr double kShort = 1.0;
+  constexpr absl::Duration kRun = absl::Milliseconds(2500);
+  constexpr absl::Duration kStep = absl::Milliseconds(25);
+  std::mt19937 random(aSeed);
+  std::exponential_distribution<> gap(1.0);
+  std::uniform_real_distribution<> longSize(5.0, 25.0);
+  std::bernoulli_distribution isShort(0.6);
+  waiting::Queue queue;
+  std::map<std::uint64_t, double> sizes;
+  std::map<std::uint64_t, absl::Time> arrivals;
+  std::multimap<absl::Time, double> running;
+  double held = 0.0;
+  double waited = 0.0;
+  int shorts = 0;
+  std::uint64_t id = 0;
+  auto next = kStart;
+  const auto end = kStart + absl::Seconds(20);
+  for (auto now = kStart; now < end; now += kStep) {
+    while (!running.empty() && running.begin()->first <= now) {
+      held -= running.begin()->second;
+      running.erase(running.begin());
+    }
+    for (; next <= now; next += gap(random) * absl::Milliseconds(90)) {
+      const bool small = isShort(random);
+      auto entry = MakeEntry(++id, next);
+      entry.isSmall_ = small && aShortPass;
+      sizes[id] = small ? kShort : longSize(random);
+      arrivals[id] = next;
+      shorts += small ? 1 : 0;
+      if (waiting::Add(queue, entry, now) && small) {
+        waited += absl::ToDoubleSeconds(kPatience);
+      }
+    }
+    for (const auto expired : waiting::TakeExpired(queue, now)) {
+      waited += sizes[expired] == kShort ? absl::ToDoubleSeconds(kPatience) : 0;
+    }
+    const auto start = [&](std::uint64_t aId) {
+      if (held + sizes[aId] > kMemory) {
+        return false;
+      }
+      held += sizes[aId];
+      running.emplace(now + kRun, sizes[aId]);
+      waited +=
+        sizes[aId] == kShort ? absl::ToDoubleSeconds(now - arrivals[aId]) : 0.0;
+      waiting::Start(queue, aId, now);
+      return true;
+    };
+    for (const auto small : waiting::SmallOnes(queue)) {
+      start(small);
+    }
+    for (auto first = waiting::Next(queue, now); first && start(*first);
+         first = waiting::Next(queue, now)) {
+    }
+  }
+  return waited / shorts;
+}
+
+} // namespace
+
+TEST_CASE("short prompts don't wait behind long ones that fill the memory")
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    CHECK(MeanWaitOfShort(seed, true) < 0.2 * MeanWaitOfShort(seed, false));
+  }
+}
