--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -68,6 +68,11 @@
                        .Text("data_centre", settings.dataCentre_)
                        .Text("caller_address", settings.callerAddress_)
                        .Text("store_address", settings.storeAddress_));
+    for (const auto& [mechanism, name] : mechanisms::kMechanisms) {
+      if (!Uses(host_, mechanism)) {
+        host_.log_.Write(Line("mechanism_off").Text("mechanism", name));
+      }
+    }
     Listen(settings.callerAddress_, [this](const auto& aCaller) {
       std::make_shared<Exchange>(host_, aCaller)->Start();
     });
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -278,7 +278,8 @@
   PassToCaller(whole);
   silenceTimer_.Cancel();
   if (const auto limit = attempts::GapLimit(*route_, history_);
-      limit != absl::InfiniteDuration()) {
+      limit != absl::InfiniteDuration() &&
+      Uses(host_, mechanisms::Mechanism::GapLimit)) {
     WatchSilence(limit);
   }
 }
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -12,6 +12,8 @@
 
 namespace {
 
+using mechanisms::Mechanism;
+
 constexpr int kBadGateway = 502;
 
 // A connection to a target is made in a round trip; a target that takes longer
@@ -51,7 +53,8 @@
   question.dataCentre_ = host_.settings_.dataCentre_;
   question.tried_ = &tried_;
   question.seed_ = host_.random_();
-  question.samples_ = relays::IsLarge(host_.hosts_);
+  question.samples_ =
+    Uses(host_, Mechanism::Sampling) && relays::IsLarge(host_.hosts_);
   if (const auto service = catalog_->services_.find(service_);
       service != catalog_->services_.end()) {
     question.memoryTokens_ = service->second.memoryTokens_;
@@ -60,8 +63,9 @@
   question.goal_ = std::max(kLeastGoal, arrivedAt_ + route_->goal_ - now);
   question.isUrgent_ = IsUrgent();
   question.heldTokens_ = HeldTokens();
-  question.hostsWaiting_ =
-    host_.waiting_.entries_.empty() ? 0 : host_.hosts_.size();
+  if (Uses(host_, Mechanism::SentAlike) && !host_.waiting_.entries_.empty()) {
+    question.hostsWaiting_ = host_.hosts_.size();
+  }
   question.bytes_ = kCallBytes + caller_->Body().size() +
                     kBytesPerOutputToken * request_.outputTokens_;
   if (!request_.model_.empty()) {
@@ -70,7 +74,7 @@
     if (!namings.empty()) {
       question.oldWeightsLimit_ = host_.settings_.weightsTime_ - kWeightsMargin;
     }
-    if (request_.parts_.size() > 1) {
+    if (request_.parts_.size() > 1 && Uses(host_, Mechanism::Meeting)) {
       question.affinity_ = request_.parts_[request_.parts_.size() - 2].id_;
     }
     for (const auto version :
@@ -98,7 +102,7 @@
 kept::Plan
 Exchange::PlanParts(std::uint64_t aWeights, absl::string_view aDataCentre)
 {
-  if (request_.parts_.size() < 2) {
+  if (request_.parts_.size() < 2 || !Uses(host_, Mechanism::CacheStores)) {
     return {};
   }
   const std::vector<kept::Part> shared(request_.parts_.begin(),
@@ -107,7 +111,7 @@
                          kept::ScopeOf(workspace_, request_.model_, aWeights),
                          shared,
                          aDataCentre,
-                         readDraw_,
+                         Uses(host_, Mechanism::SlowStores) ? readDraw_ : 0.0,
                          Now());
 }
 
@@ -140,7 +144,8 @@
     Refuse("deadline_unreachable", kPauseFull);
     return;
   }
-  if (choice_.memoryFull_ && history_.tries_ == 0) {
+  if (choice_.memoryFull_ && history_.tries_ == 0 &&
+      Uses(host_, Mechanism::WaitForMemory)) {
     Wait();
     return;
   }
@@ -160,7 +165,7 @@
   isEvents_ = false;
   const bool once = !catalog::MayRepeat(*route_);
   if (auto kept =
-        host_.targets_.Take(targetId_, once ? kOnceIdle : kRepeatableIdle)) {
+        host_.targets_.Take(targetId_, once ? OnceIdle() : kRepeatableIdle)) {
     Send(std::move(kept));
     return;
   }
@@ -183,11 +188,18 @@
     });
 }
 
+absl::Duration
+Exchange::OnceIdle() const
+{
+  return Uses(host_, Mechanism::OnceReuse) ? kOnceIdle : absl::ZeroDuration();
+}
+
 std::uint64_t
 Exchange::HeldTokens() const
 {
-  const auto output =
-    fleet::kOutputHeld * static_cast<double>(request_.outputTokens_);
+  const double share =
+    Uses(host_, Mechanism::OutputShare) ? fleet::kOutputHeld : 1.0;
+  const auto output = share * static_cast<double>(request_.outputTokens_);
   return request_.promptTokens_ + static_cast<std::uint64_t>(output);
 }
 
@@ -208,7 +220,8 @@
 Exchange::IsSmall() const
 {
   const auto service = catalog_->services_.find(service_);
-  return service != catalog_->services_.end() &&
+  return Uses(host_, Mechanism::SmallFirst) &&
+         service != catalog_->services_.end() &&
          static_cast<double>(HeldTokens()) <=
            waiting::kSmallShare *
              static_cast<double>(service->second.memoryTokens_);
@@ -329,7 +342,8 @@
                        } });
   WatchWeights();
   if (const auto limit = attempts::SilenceLimit(*route_, history_);
-      limit != absl::InfiniteDuration()) {
+      limit != absl::InfiniteDuration() &&
+      Uses(host_, Mechanism::SilenceLimit)) {
     WatchSilence(limit + absl::Seconds(choice_.waitSeconds_));
   }
 }
@@ -394,7 +408,8 @@
 Exchange::WatchWeights()
 {
   const auto namings = host_.weights_.find(request_.model_);
-  if (attemptWeights_ == 0 || namings == host_.weights_.end()) {
+  if (attemptWeights_ == 0 || namings == host_.weights_.end() ||
+      !Uses(host_, Mechanism::TakeBack)) {
     return;
   }
   const auto since = weights::OutdatedSince(namings->second, attemptWeights_);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -39,6 +39,9 @@
   void Try();
   std::uint32_t Priority() const;
   bool IsUrgent() const;
+  // How long a connection may have been idle that a call goes on which may run
+  // once.
+  absl::Duration OnceIdle() const;
   // Tokens that its run holds in a target's memory on average, and whether
   // that is little.
   std::uint64_t HeldTokens() const;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -192,13 +192,18 @@
     return;
   }
   const auto now = Now();
-  fleet::TakePeerLoads(host_.members_,
-                       aMessage.host_,
-                       aMessage.loads_,
-                       HeardSince(host_.pulse_, absl::InfinitePast(), now));
+  if (Uses(host_, mechanisms::Mechanism::Loads)) {
+    fleet::TakePeerLoads(host_.members_,
+                         aMessage.host_,
+                         aMessage.loads_,
+                         HeardSince(host_.pulse_, absl::InfinitePast(), now));
+  }
   kept::TakeCounts(host_.kept_, aMessage.reads_, now);
-  for (const auto& id : fleet::TakeDownReports(
-         host_.members_, aMessage.down_, host_.random_(), now)) {
+  const auto down = Uses(host_, mechanisms::Mechanism::DownReports)
+                      ? aMessage.down_
+                      : fleet::DownReports();
+  for (const auto& id :
+       fleet::TakeDownReports(host_.members_, down, host_.random_(), now)) {
     host_.log_.Write(Line("target_aside")
                        .Text("target", id)
                        .Text("source", aMessage.host_)
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -23,6 +23,7 @@
 #include "lycheeplank/entries.h"
 #include "lycheeplank/fleet.h"
 #include "lycheeplank/kept.h"
+#include "lycheeplank/mechanisms.h"
 #include "lycheeplank/metrics.h"
 #include "lycheeplank/relays.h"
 #include "lycheeplank/replica.h"
@@ -146,6 +147,13 @@
 absl::Duration
 Jitter(Host& aHost, absl::Duration aDuration);
 
+// Returns whether a mechanism is in use; experiments switch some off.
+inline bool
+Uses(const Host& aHost, mechanisms::Mechanism aMechanism)
+{
+  return mechanisms::IsOn(aHost.settings_.switches_, aMechanism);
+}
+
 // Returns whether the host knows enough to take requests.
 bool
 CanServe(const Host& aHost);
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -7,6 +7,8 @@
 
 #include <absl/time/time.h>
 
+#include "lycheeplank/mechanisms.h"
+
 namespace lycheeplank::gateway {
 
 // What a host is told about itself and its surroundings. Addresses are
@@ -23,6 +25,8 @@
   std::string peerAddress_;
   // UDP port at which all hosts tell each other their loads; 0 for none.
   std::uint16_t gossipPort_ = 0;
+  // Mechanisms that an experiment switches off.
+  mechanisms::Switches switches_;
   // 0 for none.
   std::uint16_t metricsPort_ = 0;
   // Peer addresses of some hosts, which may be down.
--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -86,6 +86,9 @@
     missed_ += aChanges.next_ - aFrom - aChanges.told_;
   }
   const auto now = Now();
+  if (!Uses(host_, mechanisms::Mechanism::MissedChanges)) {
+    return aChanges.gap_;
+  }
   return aChanges.gap_ || (missed_ > 0 && now - listedAt_ > kListPause);
 }
 
