Leave room for calls that aren't heard of yet; tell only what a list changes

Change: the room that is left follows from what this host sends, the number of hosts and targets and the delay of news; a list is told by what it changes, and read the less often the longer it is; small waiting requests are tried until one doesn't fit.

--- a/include/lycheeplank/core.h
+++ b/include/lycheeplank/core.h
@@ -2,7 +2,6 @@
 #define LYCHEEPLANK_CORE_H
 
 #include <array>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -74,7 +73,23 @@
   std::uint64_t revision_ = 0;
 
   friend bool operator==(const Position&, const Position&) = default;
-  friend auto operator<=>(const Position&, const Position&) = default;
+  friend bool operator<(const Position& aLeft, const Position& aRight)
+  {
+    return aLeft.era_ != aRight.era_ ? aLeft.era_ < aRight.era_
+                                     : aLeft.revision_ < aRight.revision_;
+  }
+  friend bool operator>(const Position& aLeft, const Position& aRight)
+  {
+    return aRight < aLeft;
+  }
+  friend bool operator<=(const Position& aLeft, const Position& aRight)
+  {
+    return !(aRight < aLeft);
+  }
+  friend bool operator>=(const Position& aLeft, const Position& aRight)
+  {
+    return !(aLeft < aRight);
+  }
 };
 
 // Whether a request was executed, as far as the answer can say.
--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -161,6 +161,9 @@
   // The pattern: a target comes back or has room again, and all hosts that see
   // it send what waits there at once, several times what it can hold.
   std::size_t hostsWaiting_ = 0;
+  // Tokens that other hosts have likely sent to each target and not told yet,
+  // see UnheardTokens.
+  double unheardTokens_ = 0.0;
   // Targets read its prompt before those that aren't urgent, and push such ones
   // out of their memory for it.
   bool isUrgent_ = false;
@@ -360,6 +363,32 @@
         const std::vector<std::string>& aHosts,
         absl::Time aNow);
 
+// What this host sends to the targets of a service.
+struct Outflow
+{
+  // Moving averages: tokens held by the calls of a second, and by one call.
+  double tokensPerSecond_ = 0.0;
+  double tokensPerCall_ = 0.0;
+  absl::Time sentAt_ = absl::InfinitePast();
+};
+
+// Time over which the rate of an outflow is averaged.
+inline constexpr absl::Duration kOutflowTime = absl::Seconds(2);
+
+void
+NoteSent(Outflow& aOutflow, std::uint64_t aHeldTokens, absl::Time aNow);
+
+// Returns the tokens that other hosts have likely sent to a target and not told
+// yet, if they send as this one does: the mean, and a standard deviation of it.
+// The pattern: in a large fleet news of loads are some hundred milliseconds
+// old, and hosts that trust them fill each target's memory beyond what it has.
+double
+UnheardTokens(const Outflow& aOutflow,
+              std::size_t aHosts,
+              std::size_t aTargets,
+              absl::Duration aNewsDelay,
+              absl::Time aNow);
+
 // What one call brings to a target.
 struct CallSize
 {
--- a/include/lycheeplank/kept.h
+++ b/include/lycheeplank/kept.h
@@ -110,6 +110,11 @@
          const std::vector<Change>& aHeld,
          absl::Time aNow);
 
+// Returns the changes that lead from what is known of a store to all that it
+// holds.
+std::vector<Change>
+Difference(const StoreState& aStore, const std::vector<Change>& aHeld);
+
 // Notes that a store doesn't answer.
 void
 MarkLost(StoreState& aStore);
--- a/include/lycheeplank/mechanisms.h
+++ b/include/lycheeplank/mechanisms.h
@@ -20,6 +20,8 @@
   SmallFirst,
   // Other hosts are expected to send as this one does while requests wait.
   SentAlike,
+  // Room is left for what other hosts have sent and not told yet.
+  UnheardMargin,
   // Large fleets choose among targets drawn by chance.
   Sampling,
   // Requests for a part that no store holds meet at its target.
@@ -44,11 +46,12 @@
   OnceReuse,
 };
 
-inline constexpr std::array<core::Named<Mechanism>, 15> kMechanisms{ {
+inline constexpr std::array<core::Named<Mechanism>, 16> kMechanisms{ {
   { Mechanism::WaitForMemory, "wait-for-memory" },
   { Mechanism::OutputShare, "output-share" },
   { Mechanism::SmallFirst, "small-first" },
   { Mechanism::SentAlike, "sent-alike" },
+  { Mechanism::UnheardMargin, "unheard-margin" },
   { Mechanism::Sampling, "sampling" },
   { Mechanism::Meeting, "meeting" },
   { Mechanism::CacheStores, "cache-stores" },
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -23,12 +23,11 @@
 constexpr double kFullCost = 1.0;
 // A target whose entry has vanished may be gone.
 constexpr double kVanishingCost = 0.3;
-// Mean time of a run that holds memory, and the part of the memory that
-// requests may fill that aren't urgent; the rest is for urgent ones, which
-// would push the others out.
+// Mean time of a run that holds memory.
 constexpr double kRunSeconds = 1.5;
-constexpr double kMemoryUsed = 0.95;
 constexpr double kPushOutSeconds = 0.1;
+// Part of a target's memory that is used at least, whatever others may send.
+constexpr double kLeastRoom = 0.5;
 // A request may wait for so many times its estimate.
 constexpr double kWaitDoubt = 2.0;
 // Time of a call to a plain service, in seconds, until it is known better.
@@ -92,9 +91,12 @@
   return backlog;
 }
 
-// Tokens in a target's memory that other hosts have sent but not told yet.
+// Tokens that other hosts are expected to have sent to this target in answer to
+// what made this host send to it.
 std::uint64_t
-UnheardTokens(const Member& aMember, const Question& aQuestion, absl::Time aNow)
+SentAlikeTokens(const Member& aMember,
+                const Question& aQuestion,
+                absl::Time aNow)
 {
   if (aNow - aMember.newSince_ > kUnheardTime) {
     return 0;
@@ -108,11 +110,18 @@
 double
 MemoryWait(const PeerShare& aShares, const Question& aQuestion)
 {
-  const double share = aQuestion.isUrgent_ ? 1.0 : kMemoryUsed;
-  const double room = share * static_cast<double>(aQuestion.memoryTokens_);
+  if (aQuestion.memoryTokens_ == 0) {
+    return 0.0;
+  }
+  // Others leave room for what isn't known, which would push them out.
+  const auto memory = static_cast<double>(aQuestion.memoryTokens_);
+  const double room =
+    aQuestion.isUrgent_
+      ? memory
+      : std::max(kLeastRoom * memory, memory - aQuestion.unheardTokens_);
   const auto held =
     static_cast<double>(aShares.heldTokens_ + aQuestion.heldTokens_);
-  if (room <= 0.0 || held <= room) {
+  if (held <= room) {
     return 0.0;
   }
   // Urgent requests don't wait, but what they push out is read again.
@@ -237,7 +246,7 @@
     static_cast<double>(cost.readTokens_) / aSpeed.cacheTokensPerSecond_ +
     kSlotSeconds * backlog.running_ + kWaitingSeconds * backlog.waiting_;
   auto expected = shares;
-  expected.heldTokens_ += UnheardTokens(aMember, aQuestion, aNow);
+  expected.heldTokens_ += SentAlikeTokens(aMember, aQuestion, aNow);
   const double memory = MemoryWait(expected, aQuestion);
   estimate.memoryFull_ = !aQuestion.isUrgent_ && memory > 0.0;
   estimate.waitSeconds_ = aMember.slowness_ * estimate.usualSeconds_ +
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -1,6 +1,7 @@
 #include "lycheeplank/fleet.h"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <utility>
 
@@ -15,6 +16,14 @@
 constexpr double kFastest = 0.4;
 constexpr double kSlowest = 20.0;
 
+// Rate of an outflow, which fades while nothing is sent.
+double
+RateAt(const Outflow& aOutflow, absl::Time aNow)
+{
+  return aOutflow.tokensPerSecond_ *
+         std::exp(-absl::FDivDuration(aNow - aOutflow.sentAt_, kOutflowTime));
+}
+
 // Keeps what one start of a target never goes back from: that it leaves, and
 // newer weights.
 void
@@ -146,6 +155,33 @@
   return loads;
 }
 
+void
+NoteSent(Outflow& aOutflow, std::uint64_t aHeldTokens, absl::Time aNow)
+{
+  const auto tokens = static_cast<double>(aHeldTokens);
+  aOutflow.tokensPerSecond_ =
+    RateAt(aOutflow, aNow) + tokens / absl::ToDoubleSeconds(kOutflowTime);
+  aOutflow.tokensPerCall_ += kNewestWeight * (tokens - aOutflow.tokensPerCall_);
+  aOutflow.sentAt_ = aNow;
+}
+
+double
+UnheardTokens(const Outflow& aOutflow,
+              std::size_t aHosts,
+              std::size_t aTargets,
+              absl::Duration aNewsDelay,
+              absl::Time aNow)
+{
+  if (aHosts < 2 || aTargets == 0) {
+    return 0.0;
+  }
+  const double mean = RateAt(aOutflow, aNow) * static_cast<double>(aHosts - 1) /
+                      static_cast<double>(aTargets) *
+                      absl::ToDoubleSeconds(aNewsDelay);
+  // Calls come by chance, each with its tokens.
+  return mean + std::sqrt(mean * aOutflow.tokensPerCall_);
+}
+
 void
 CountSent(Member& aMember, const CallSize& aSize, absl::Time aNow)
 {
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -30,6 +30,11 @@
 constexpr absl::Duration kDownCheck = absl::Milliseconds(250);
 // Bytes of the heads of a request and its answer and of a short body.
 constexpr std::uint64_t kCallBytes = 1500;
+// Age of what is heard of other hosts' loads, from the periods at which they
+// are told (gossip): near and far in a small fleet, by way of collectors in a
+// large one.
+constexpr absl::Duration kNewsDelay = absl::Milliseconds(100);
+constexpr absl::Duration kLargeNewsDelay = absl::Milliseconds(300);
 // Answer bytes a token, for the cost of crossing a boundary.
 constexpr std::uint64_t kBytesPerOutputToken = 100;
 // Requests that have missed their goals are placed as if so much were left.
@@ -63,6 +68,7 @@
   question.goal_ = std::max(kLeastGoal, arrivedAt_ + route_->goal_ - now);
   question.isUrgent_ = IsUrgent();
   question.heldTokens_ = HeldTokens();
+  question.unheardTokens_ = UnheardTokens(now);
   if (Uses(host_, Mechanism::SentAlike) && !host_.waiting_.entries_.empty()) {
     question.hostsWaiting_ = host_.hosts_.size();
   }
@@ -99,6 +105,26 @@
   return choice;
 }
 
+double
+Exchange::UnheardTokens(absl::Time aNow) const
+{
+  const auto found = host_.outflows_.find(service_);
+  if (found == host_.outflows_.end() ||
+      !Uses(host_, Mechanism::UnheardMargin)) {
+    return 0.0;
+  }
+  const auto targets = std::count_if(
+    host_.members_.begin(), host_.members_.end(), [this](const auto& aMember) {
+      return aMember.second.target_.service_ == service_;
+    });
+  return fleet::UnheardTokens(found->second,
+                              host_.hosts_.size(),
+                              static_cast<std::size_t>(targets),
+                              relays::IsLarge(host_.hosts_) ? kLargeNewsDelay
+                                                            : kNewsDelay,
+                              aNow);
+}
+
 kept::Plan
 Exchange::PlanParts(std::uint64_t aWeights, absl::string_view aDataCentre)
 {
@@ -160,6 +186,7 @@
   auto& member = host_.members_.at(targetId_);
   size_ = { computedTokens_, HeldTokens(), IsUrgent() };
   fleet::CountSent(member, size_, Now());
+  fleet::NoteSent(host_.outflows_[service_], size_.heldTokens_, Now());
   host_.onLoad_();
   headTaken_ = false;
   isEvents_ = false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -49,6 +49,7 @@
   // Waits until a target has memory for it.
   void Wait();
   fleet::Choice ChooseTarget();
+  double UnheardTokens(absl::Time aNow) const;
   // What a target with these weights reads from cache stores and keeps there.
   kept::Plan PlanParts(std::uint64_t aWeights, absl::string_view aDataCentre);
   std::uint64_t ComputedTokens(const kept::Plan& aPlan) const;
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -292,6 +292,17 @@
   ++health.calls_.at(static_cast<std::size_t>(aCommand.operation_));
 }
 
+// Lets a waiting request look for a target again; false if it goes on waiting.
+bool
+TryToStart(Host& aHost, std::uint64_t aWaiter)
+{
+  const auto before = aHost.waiting_.entries_.size();
+  // The action may add to or take from the waiters.
+  const auto start = aHost.waiters_.at(aWaiter);
+  start(false);
+  return aHost.waiting_.entries_.size() < before;
+}
+
 } // namespace
 
 absl::Duration
@@ -440,19 +451,14 @@
     waiter.mapped()(true);
   }
   for (const auto id : waiting::SmallOnes(aHost.waiting_)) {
-    if (const auto waiter = aHost.waiters_.find(id);
-        waiter != aHost.waiters_.end()) {
-      const auto start = waiter->second;
-      start(false);
+    if (!TryToStart(aHost, id)) {
+      // The others are small as well.
+      break;
     }
   }
   // A request that finds no room goes back into the queue.
   while (const auto id = waiting::Next(aHost.waiting_, now)) {
-    const auto before = aHost.waiting_.entries_.size();
-    // The action may add to or take from the waiters.
-    const auto waiter = aHost.waiters_.at(*id);
-    waiter(false);
-    if (aHost.waiting_.entries_.size() >= before) {
+    if (!TryToStart(aHost, *id)) {
       return;
     }
   }
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -114,6 +114,8 @@
   std::uint64_t nextWaiter_ = 1;
   absl::flat_hash_map<std::string, budget::Ledger> resends_;
   StoreHealth store_;
+  // What this host sends, by service.
+  absl::flat_hash_map<std::string, fleet::Outflow> outflows_;
   // Bytes of answers that are held back until they are whole.
   std::size_t heldBytes_ = 0;
 
--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -22,6 +22,9 @@
 // Least time between two lists that are read for a few changes that never came:
 // a list holds its store up, a part that isn't known is computed again.
 constexpr absl::Duration kListPause = absl::Seconds(2);
+// The same for each part of the list, some thirty bytes: so much that lists
+// take a small part of a host's link.
+constexpr absl::Duration kListPausePerPart = absl::Milliseconds(5);
 constexpr absl::Duration kRetryFirst = absl::Milliseconds(150);
 // A store that other hosts follow already lets no more hosts wait; more calls
 // would only take the others' places.
@@ -85,11 +88,12 @@
   if (aFrom != 0 && aChanges.next_ > aFrom + aChanges.told_) {
     missed_ += aChanges.next_ - aFrom - aChanges.told_;
   }
-  const auto now = Now();
   if (!Uses(host_, mechanisms::Mechanism::MissedChanges)) {
     return aChanges.gap_;
   }
-  return aChanges.gap_ || (missed_ > 0 && now - listedAt_ > kListPause);
+  const auto parts = static_cast<double>(State()->parts_.size());
+  const auto pause = std::max(kListPause, kListPausePerPart * parts);
+  return aChanges.gap_ || (missed_ > 0 && Now() - listedAt_ > pause);
 }
 
 void
@@ -138,6 +142,16 @@
   if (changes->clockMs_) {
     host_.kept_.clockAhead_ = absl::FromUnixMillis(*changes->clockMs_) - Now();
   }
+  if (aWhole && !isNew && state->trust_ == kept::Trust::Following) {
+    // The other hosts know most of it.
+    auto news = *changes;
+    news.changes_ = kept::Difference(*state, changes->changes_);
+    kept::TakeChanges(
+      *state, news.epoch_, news.next_, news.changes_, heardSince);
+    Tell(news, false);
+    Later(kGatherTime);
+    return;
+  }
   if (aWhole) {
     kept::TakeList(
       *state, changes->epoch_, changes->next_, changes->changes_, heardSince);
--- a/src/kept/kept.cc
+++ b/src/kept/kept.cc
@@ -244,6 +244,29 @@
   TakeChanges(aStore, aEpoch, aNext, aHeld, aNow);
 }
 
+std::vector<Change>
+Difference(const StoreState& aStore, const std::vector<Change>& aHeld)
+{
+  std::vector<Change> changes;
+  absl::flat_hash_set<std::string> held;
+  for (const auto& part : aHeld) {
+    const auto key = KeyOf(part.scope_, part.part_);
+    const auto known = aStore.parts_.find(key);
+    if (known == aStore.parts_.end() || known->second != part.tokens_) {
+      changes.push_back(part);
+    }
+    held.insert(key);
+  }
+  for (const auto& [key, tokens] : aStore.parts_) {
+    if (!held.contains(key)) {
+      auto change = ChangeOf(key, 0);
+      change.added_ = false;
+      changes.push_back(std::move(change));
+    }
+  }
+  return changes;
+}
+
 void
 Forget(StoreState& aStore,
        std::uint64_t aEpoch,
--- a/test/kept-test.cc
+++ b/test/kept-test.cc
@@ -295,3 +295,23 @@
   CHECK(counts.at(kept::ShortName("s1")).reads_ == 2);
   CHECK(counts.at(kept::ShortName("s1")).late_ == 1);
 }
+
+TEST_CASE("the difference to a list brings what is known to what is held")
+{
+  kept::StoreState store;
+  kept::TakeChanges(store,
+                    7,
+                    4,
+                    { { true, "shared.m.1", "a", 512 },
+                      { true, "shared.m.1", "b", 512 },
+                      { true, "shared.m.1", "c", 512 } },
+                    absl::FromUnixSeconds(1000));
+  const std::vector<kept::Change> held{ { true, "shared.m.1", "a", 512 },
+                                        { true, "shared.m.1", "b", 640 },
+                                        { true, "shared.m.1", "d", 512 } };
+  const auto changes = kept::Difference(store, held);
+  CHECK(changes.size() == 3);
+  kept::TakeChanges(store, 7, 9, changes, absl::FromUnixSeconds(1000));
+  CHECK(kept::Difference(store, held).empty());
+  CHECK(store.parts_.size() == 3);
+}
