Relays find out within 1.3 s that the key-value service is silent

Change: a relay renews its lease each 0.6 s and gives a renewal up after 0.7 s; it answers waiting hosts at once when the service is lost or back.

--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -277,6 +277,8 @@
       Line(failed ? "store_lost" : "store_back")
         .Text("key", aCommand.key_)
         .Text("outcome", core::NameOf(kStoreOutcomes, aOutcome)));
+    // The hosts that this one tells look for another one at once.
+    aHost.onFeed_();
     if (!failed && health.failedAt_ != absl::InfinitePast()) {
       // The call that found it out goes on first.
       boost::asio::post(aHost.loop_, [&aHost, backAt = health.answeredAt_] {
--- a/src/gateway/lease.cc
+++ b/src/gateway/lease.cc
@@ -24,6 +24,7 @@
 void
 KeepLease(Host& aHost,
           std::uint64_t aLease,
+          absl::Duration aTimeout,
           std::function<void(StoreOutcome)> aOnOutcome)
 {
   StoreCommand command;
@@ -31,7 +32,7 @@
   command.lease_ = aLease;
   CallStore(aHost,
             command,
-            kStoreTimeout,
+            aTimeout,
             [onOutcome = std::move(aOnOutcome)](const StoreReply& aReply) {
               onOutcome(aReply.outcome_);
             });
--- a/src/gateway/lease.h
+++ b/src/gateway/lease.h
@@ -16,10 +16,11 @@
            absl::Duration aLife,
            std::function<void(std::uint64_t)> aOnLease);
 
-// Renews a lease.
+// Renews a lease, or gives the call up after a time.
 void
 KeepLease(Host& aHost,
           std::uint64_t aLease,
+          absl::Duration aTimeout,
           std::function<void(StoreOutcome)> aOnOutcome);
 
 // Ends a lease; if the call is lost, the lease lapses.
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -195,6 +195,7 @@
   const auto askedAt = Now();
   KeepLease(host_,
             lease_,
+            kStoreTimeout,
             [self = shared_from_this(), askedAt, claim = claim_](
               StoreOutcome aOutcome) {
               if (self->phase_ != Phase::Owning || self->claim_ != claim) {
--- a/src/gateway/presence.cc
+++ b/src/gateway/presence.cc
@@ -16,6 +16,12 @@
 constexpr absl::Duration kLeaseLife = absl::Milliseconds(5000);
 // Two renewals in a row may be lost.
 constexpr absl::Duration kKeepPeriod = absl::Milliseconds(1600);
+// A relay finds out by its renewals that the service is silent: its watch may
+// wait for ten seconds, and a configuration has to be in force within two.
+// Renewals cost a tenth of a read.
+constexpr absl::Duration kRelayKeepPeriod = absl::Milliseconds(600);
+// A service that is slow answers within some hundred milliseconds.
+constexpr absl::Duration kKeepTimeout = absl::Milliseconds(700);
 // Pauses after failures: the first, and the longest. Each call is charged.
 constexpr absl::Duration kRetryFirst = absl::Milliseconds(200);
 constexpr absl::Duration kRetryLongest = absl::Milliseconds(1600);
@@ -58,7 +64,8 @@
   switch (aOutcome) {
     case StoreOutcome::Ok:
       failures_ = 0;
-      Later(kKeepPeriod, &Presence::Keep);
+      Later(host_.role_ == Role::Direct ? kRelayKeepPeriod : kKeepPeriod,
+            &Presence::Keep);
       return;
     case StoreOutcome::Absent:
       host_.log_.Write(Line("own_lease_lapsed"));
@@ -138,6 +145,7 @@
 {
   KeepLease(host_,
             lease_,
+            kKeepTimeout,
             [self = shared_from_this(), term = term_](StoreOutcome aOutcome) {
               if (self->term_ == term) {
                 self->GoOn(aOutcome, &Presence::Keep);
--- a/test/presence-test.cc
+++ b/test/presence-test.cc
@@ -16,6 +16,9 @@
     : store_(loop_,
              [this](test::FakeTarget& aSelf, const auto& aSocket) {
                const auto call = std::exchange(aSelf.received_, {});
+               if (silent_) {
+                 return;
+               }
                grants_ += Has(call, "/-/kv-lease ") ? 1 : 0;
                writes_ += Has(call, "/-/kv-txn ") ? 1 : 0;
                // Any lease can be renewed: its number may be another host's.
@@ -52,6 +55,7 @@
 
   gateway::Loop loop_{ 1 };
   std::uint64_t era_ = 1;
+  bool silent_ = false;
   int grants_ = 0;
   int writes_ = 0;
   int keeps_ = 0;
@@ -83,3 +87,19 @@
   CHECK(present.grants_ == 2);
   CHECK(present.keeps_ == 1);
 }
+
+TEST_CASE("a relay finds out in time that the service has fallen silent")
+{
+  PresentHost present;
+  present.host_.role_ = gateway::Role::Direct;
+  REQUIRE(present.RunUntil([&] { return present.keeps_ == 1; }));
+  bool told = false;
+  present.host_.onFeed_ = [&told] { told = true; };
+  present.silent_ = true;
+  const auto silentAt = gateway::Now();
+  REQUIRE(present.RunUntil([&] { return !present.host_.store_.reachable_; }));
+  // What is accepted meanwhile has to be in force within two seconds, and the
+  // hosts that the relay tells have to find another one.
+  CHECK(gateway::Now() - silentAt < absl::Milliseconds(1500));
+  CHECK(told);
+}
