--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -30,10 +30,8 @@
 constexpr absl::Duration kDownCheck = absl::Milliseconds(250);
 // Bytes of the heads of a request and its answer and of a short body.
 constexpr std::uint64_t kCallBytes = 1500;
-// Age of what is heard of other hosts' loads, from the periods at which they
-// are told (gossip): near and far in a small fleet, by way of collectors in a
-// large one.
-constexpr absl::Duration kNewsDelay = absl::Milliseconds(100);
+// Age of what is heard of other hosts' loads in a large fleet, where they go by
+// way of collectors, from the periods at which they are told (gossip).
 constexpr absl::Duration kLargeNewsDelay = absl::Milliseconds(300);
 // Answer bytes a token, for the cost of crossing a boundary.
 constexpr std::uint64_t kBytesPerOutputToken = 100;
@@ -109,7 +107,8 @@
 Exchange::UnheardTokens(absl::Time aNow) const
 {
   const auto found = host_.outflows_.find(service_);
-  if (found == host_.outflows_.end() ||
+  // Small fleets hear of each other's calls within some ten milliseconds.
+  if (found == host_.outflows_.end() || !relays::IsLarge(host_.hosts_) ||
       !Uses(host_, Mechanism::UnheardMargin)) {
     return 0.0;
   }
@@ -120,8 +119,7 @@
   return fleet::UnheardTokens(found->second,
                               host_.hosts_.size(),
                               static_cast<std::size_t>(targets),
-                              relays::IsLarge(host_.hosts_) ? kLargeNewsDelay
-                                                            : kNewsDelay,
+                              kLargeNewsDelay,
                               aNow);
 }
 
