--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -142,7 +142,8 @@
   if (changes->clockMs_) {
     host_.kept_.clockAhead_ = absl::FromUnixMillis(*changes->clockMs_) - Now();
   }
-  if (aWhole && !isNew && state->trust_ == kept::Trust::Following) {
+  if (aWhole && !isNew && !afterGap_ &&
+      state->trust_ == kept::Trust::Following) {
     // The other hosts know most of it.
     auto news = *changes;
     news.changes_ = kept::Difference(*state, changes->changes_);
@@ -179,6 +180,7 @@
                        .Flag("lost", changes->gap_));
     missed_ = 0;
     listedAt_ = Now();
+    afterGap_ = changes->gap_;
     Ask(true);
     return;
   }
--- a/src/gateway/stores.h
+++ b/src/gateway/stores.h
@@ -36,6 +36,9 @@
   Timer timer_;
   // Changes that never came since the last list, and when that was read.
   std::uint64_t missed_ = 0;
+  // The list under way is read since the store has lost changes, so that it is
+  // told whole.
+  bool afterGap_ = false;
   absl::Time listedAt_ = absl::InfinitePast();
   unsigned failures_ = 0;
   bool stopped_ = false;
