--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -10,6 +10,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/string_view.h>
 #include <absl/time/time.h>
+#include <absl/types/optional.h>
 
 #include "lycheeplank/core.h"
 
@@ -125,6 +126,9 @@
   absl::Time answeredAt_ = absl::InfinitePast();
   // The target has asked this host to send no requests until this time.
   absl::Time closedUntil_ = absl::InfinitePast();
+  // Limit of its requests per second from all hosts together, as named in its
+  // latest answer to this host.
+  absl::optional<double> requestsPerSecond_;
   // A load of new weights keeps the target from starting requests until about
   // this time.
   absl::Time weightLoadUntil_ = absl::InfinitePast();
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -73,6 +73,9 @@
   bool isLeaving_ = false;
   // The target accepts no requests from this host for this time.
   absl::optional<absl::Duration> closedFor_;
+  // Limit of the requests per second that the target takes from all hosts
+  // together; no value while it names none.
+  absl::optional<double> requestsPerSecond_;
   absl::optional<fleet::Load> load_;
   absl::optional<std::uint64_t> weights_;
   std::string instance_;
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -77,6 +77,7 @@
     }
   }
   ApplyTargetState();
+  ApplyTargetLimit();
   // A stream that continues at another target keeps the head that the caller
   // has received.
   isEvents_ = aHead.status_ / 100 == 2 && IsEventStream(aHead);
@@ -124,6 +125,26 @@
   }
 }
 
+void
+Exchange::ApplyTargetLimit()
+{
+  const auto found = host_.members_.find(targetId_);
+  if (!answer_.isStamped_ || answer_.isMisdirected_ ||
+      found == host_.members_.end() ||
+      found->second.requestsPerSecond_ == answer_.requestsPerSecond_) {
+    return;
+  }
+  found->second.requestsPerSecond_ = answer_.requestsPerSecond_;
+  host_.metrics_.Count("target_limit_changes_total");
+  host_.log_.Write(
+    Line("target_limit")
+      .Text("target", targetId_)
+      .Text("id", request_.id_)
+      .Flag("limited", answer_.requestsPerSecond_.has_value())
+      .Number("per_second", answer_.requestsPerSecond_.value_or(0.0))
+      .Text("source", "answer"));
+}
+
 void
 Exchange::OnBody(std::string& aBody)
 {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -62,6 +62,9 @@
   void RecordCacheReads(absl::Duration aTook);
   // Records that the target reports itself closed or leaving in its answer.
   void ApplyTargetState();
+  // Records the limit of requests that the target names in its answer, or that
+  // it names none.
+  void ApplyTargetLimit();
   Attempt MakeAttempt(const fleet::Member& aMember);
   void Connect(const fleet::Choice& aChoice);
   void Send(ConnectionPtr aConnection);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -165,6 +165,21 @@
   CHECK_FALSE(platform::ReadAnswer(head).notRun_);
 }
 
+TEST_CASE("a target's limit is decoded, and other text is none")
+{
+  const auto limitOf = [](const std::string& aText) {
+    http::ResponseHead head;
+    head.status_ = 200;
+    head.fields_ = { { "Server-Limit", aText } };
+    return platform::ReadAnswer(head).requestsPerSecond_;
+  };
+  CHECK(limitOf("1.7") == 1.7);
+  CHECK(limitOf("0") == 0.0);
+  for (const auto* text : { "", "-1", "nan", "inf", "2/s", "1,7" }) {
+    CHECK_FALSE(limitOf(text).has_value());
+  }
+}
+
 TEST_CASE("the catalogue is decoded")
 {
   const auto read = platform::ReadCatalog(MakeItem("op/config", R"({
