Keep the limits that targets name, by permits from one host per target

What callers saw: a target in need that named a limit of its requests a second got several times as many, since no host read the limit.

Cause: the limit is a bound on the sum over all hosts, and nothing in the gateway kept it, neither alone nor together. A share for each host would not have helped: at 300 hosts, one request of each at once is 17 times a limit of 2 a second in 4 s. So one host per target, the issuer, keeps a token bucket, and the others ask it for a permit before each request, whatever its reason: first and second sends, resumed streams, waiting requests, the owner's reports. The issuer follows from the host list and its announcements; a new one begins with an empty bucket, so a hand-over adds no requests. Hosts tell each other at once that a limit begins or ends. A request for which no other target is left is refused at once, with the time of the next permit that no other refused caller was told.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -126,9 +126,11 @@
   absl::Time answeredAt_ = absl::InfinitePast();
   // The target has asked this host to send no requests until this time.
   absl::Time closedUntil_ = absl::InfinitePast();
-  // Limit of its requests per second from all hosts together, as named in its
-  // latest answer to this host.
+  // Limit of its requests per second from all hosts together; requests need a
+  // permit while there is one.
   absl::optional<double> requestsPerSecond_;
+  // No permit will be issued before this time.
+  absl::Time noPermitUntil_ = absl::InfinitePast();
   // A load of new weights keeps the target from starting requests until about
   // this time.
   absl::Time weightLoadUntil_ = absl::InfinitePast();
@@ -181,6 +183,10 @@
   std::uint64_t bytes_ = 0;
   // Limit of this host's concurrent calls to one target; 0 for no limit.
   std::uint32_t maxCalls_ = 0;
+  // The only target to consider; empty for all.
+  absl::string_view onlyTarget_;
+  // Considers no targets whose requests need a permit.
+  bool avoidsLimited_ = false;
   // Targets that this request has been sent to.
   const std::vector<std::string>* tried_ = nullptr;
   // Requests must start on old weights within this time after newer ones were
@@ -283,6 +289,9 @@
   // The earliest time at which a target that has asked for no requests accepts
   // them again.
   absl::Time backoffEndsAt_ = absl::InfiniteFuture();
+  // The target for which a permit can be issued first, if that is why a target
+  // wasn't considered.
+  std::string nextPermitTarget_;
 };
 
 // Returns the cost of the prompt at the weights that the target has.
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -329,6 +329,25 @@
 
 } // namespace
 
+namespace {
+
+// Returns whether a target may get the request, apart from its present state.
+bool
+IsEligible(const std::string& aId,
+           const Member& aMember,
+           const RequestSpec& aRequest)
+{
+  return aMember.target_.service_ == aRequest.service_ &&
+         aMember.target_.state_ == TargetState::Ready &&
+         (aRequest.onlyTarget_.empty() || aRequest.onlyTarget_ == aId) &&
+         !(aRequest.avoidsLimited_ && aMember.requestsPerSecond_) &&
+         !WasTried(aRequest, aId) &&
+         (aRequest.maxCalls_ == 0 || aMember.inFlight_ < aRequest.maxCalls_) &&
+         !StartsTooLate(PromptCostAt(aMember, aRequest), aRequest, 0.0);
+}
+
+} // namespace
+
 Choice
 ChooseTarget(const Members& aMembers,
              const RequestSpec& aRequest,
@@ -338,11 +357,9 @@
   std::vector<const Member*> usable;
   std::vector<const Member*> quarantined;
   Choice choice;
+  auto nextPermit = absl::InfiniteFuture();
   for (const auto& [id, member] : aMembers) {
-    if (member.target_.service_ != aRequest.service_ ||
-        member.target_.state_ != TargetState::Ready || WasTried(aRequest, id) ||
-        (aRequest.maxCalls_ > 0 && member.inFlight_ >= aRequest.maxCalls_) ||
-        StartsTooLate(PromptCostAt(member, aRequest), aRequest, 0.0)) {
+    if (!IsEligible(id, member, aRequest)) {
       continue;
     }
     if (aNow < member.closedUntil_) {
@@ -350,6 +367,13 @@
         std::min(choice.backoffEndsAt_, member.closedUntil_);
       continue;
     }
+    if (aNow < member.noPermitUntil_ && aRequest.onlyTarget_.empty()) {
+      if (member.noPermitUntil_ < nextPermit) {
+        nextPermit = member.noPermitUntil_;
+        choice.nextPermitTarget_ = id;
+      }
+      continue;
+    }
     (IsQuarantined(member, aNow) || aNow < member.weightLoadUntil_ ? quarantined
                                                                    : usable)
       .push_back(&member);
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -8,6 +8,7 @@
 
 #include "gateway/clock.h"
 #include "gateway/peers.h"
+#include "gateway/permits.h"
 
 // The part of Exchange that forwards a target's answer to the caller.
 namespace lycheeplank::gateway {
@@ -128,21 +129,10 @@
 void
 Exchange::ApplyTargetLimit()
 {
-  const auto found = host_.members_.find(targetId_);
-  if (!answer_.isStamped_ || answer_.isMisdirected_ ||
-      found == host_.members_.end() ||
-      found->second.requestsPerSecond_ == answer_.requestsPerSecond_) {
-    return;
+  if (answer_.isStamped_ && !answer_.isMisdirected_) {
+    NoteTargetLimit(
+      host_, targetId_, answer_.requestsPerSecond_, sentAt_, request_.id_);
   }
-  found->second.requestsPerSecond_ = answer_.requestsPerSecond_;
-  host_.metrics_.Count("target_limit_changes_total");
-  host_.log_.Write(
-    Line("target_limit")
-      .Text("target", targetId_)
-      .Text("id", request_.id_)
-      .Flag("limited", answer_.requestsPerSecond_.has_value())
-      .Number("per_second", answer_.requestsPerSecond_.value_or(0.0))
-      .Text("source", "answer"));
 }
 
 void
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "gateway/clock.h"
+#include "gateway/permits.h"
 
 // The part of Exchange that chooses targets and sends the request to them.
 namespace lycheeplank::gateway {
@@ -46,13 +47,15 @@
 } // namespace
 
 fleet::Choice
-Exchange::ChooseTarget()
+Exchange::ChooseTarget(bool aAvoidsLimited)
 {
   const auto now = Now();
   fleet::RequestSpec question;
   question.service_ = service_;
   question.dataCentre_ = host_.settings_.dataCentre_;
   question.tried_ = &tried_;
+  question.onlyTarget_ = permittedTarget_;
+  question.avoidsLimited_ = aAvoidsLimited;
   question.seed_ = host_.random_();
   question.useSampling_ =
     Uses(host_, Mechanism::Sampling) && relays::IsLargeDeployment(host_.hosts_);
@@ -153,30 +156,37 @@
 void
 Exchange::TryNextTarget()
 {
+  if (isAskingForPermit_) {
+    return;
+  }
   choice_ = ChooseTarget();
+  if (choice_.id_.empty() && !permittedTarget_.empty()) {
+    // The target has become unusable since the permit was asked for.
+    permittedTarget_.clear();
+    choice_ = ChooseTarget();
+  }
+  if (choice_.id_.empty() && !choice_.nextPermitTarget_.empty()) {
+    AskForPermit(choice_.nextPermitTarget_, true);
+    return;
+  }
   if (choice_.id_.empty()) {
-    if (answerBegun_) {
-      caller_->Abort();
-      Close("cut", head_.status_, "no_other_target");
-    } else if (history_.runs_ > 0) {
-      Answer(kBadGateway, "no_other_target");
-    } else if (choice_.backoffEndsAt_ != absl::InfiniteFuture()) {
-      Refuse("targets_closed",
-             std::max(kRetryAfterNoTarget, choice_.backoffEndsAt_ - Now()));
-    } else {
-      Refuse("no_target", kRetryAfterNoTarget);
-    }
+    EndWithoutTarget();
     return;
   }
   if (absl::Seconds(choice_.waitSeconds_) > TimeLeft() && history_.runs_ == 0) {
     Refuse("deadline_unreachable", kRetryAfterFull);
     return;
   }
-  if (choice_.memoryFull_ && history_.tries_ == 0 &&
+  if (choice_.memoryFull_ && history_.tries_ == 0 && permittedTarget_.empty() &&
       Uses(host_, Mechanism::WaitForMemory)) {
     Enqueue();
     return;
   }
+  if (permittedTarget_.empty() && NeedsPermit(host_, choice_.id_)) {
+    AskForPermit(choice_.id_, false);
+    return;
+  }
+  permittedTarget_.clear();
   if (waiterId_ != 0) {
     request_queue::StartRequest(host_.waiting_, waiterId_, Now());
     host_.waiters_.erase(std::exchange(waiterId_, 0));
@@ -187,6 +197,7 @@
   tried_.push_back(targetId_);
   auto& member = host_.members_.at(targetId_);
   size_ = { computedTokens_, HeldTokens(), IsUrgent() };
+  holdsTarget_ = true;
   fleet::RecordCallStart(member, size_, Now());
   fleet::RecordSend(host_.sendRates_[service_], size_.heldTokens_, Now());
   host_.onLoad_();
@@ -218,6 +229,50 @@
     });
 }
 
+void
+Exchange::EndWithoutTarget()
+{
+  if (answerBegun_) {
+    caller_->Abort();
+    Close("cut", head_.status_, "no_other_target");
+  } else if (history_.runs_ > 0) {
+    Answer(kBadGateway, "no_other_target");
+  } else if (choice_.backoffEndsAt_ != absl::InfiniteFuture()) {
+    Refuse("targets_closed",
+           std::max(kRetryAfterNoTarget, choice_.backoffEndsAt_ - Now()));
+  } else {
+    Refuse("no_target", kRetryAfterNoTarget);
+  }
+}
+
+void
+Exchange::AskForPermit(const std::string& aTarget, bool aIsLastChoice)
+{
+  isAskingForPermit_ = true;
+  ++permitAsks_;
+  AskPermit(host_,
+            aTarget,
+            aIsLastChoice,
+            [self = shared_from_this(), aTarget, aIsLastChoice](
+              const target_limits::Permit& aPermit) {
+              self->isAskingForPermit_ = false;
+              if (self->ended_) {
+                return;
+              }
+              if (target_limits::MaySend(aPermit)) {
+                self->permittedTarget_ = aTarget;
+              } else if (aIsLastChoice && NeedsPermit(self->host_, aTarget)) {
+                if (self->answerBegun_ || self->history_.runs_ > 0) {
+                  self->EndWithoutTarget();
+                } else {
+                  self->RefuseUntil("target_limits", aPermit.retryAfter_);
+                }
+                return;
+              }
+              self->TryNextTarget();
+            });
+}
+
 absl::Duration
 Exchange::NonRepeatableIdle() const
 {
@@ -385,6 +440,9 @@
 {
   silenceTimer_.Cancel();
   weightsTimer_.Cancel();
+  if (!std::exchange(holdsTarget_, false)) {
+    return;
+  }
   const auto connection = std::exchange(connection_, nullptr);
   if (connection) {
     if (connection->IsBusy()) {
--- a/src/gateway/exchange-watch.cc
+++ b/src/gateway/exchange-watch.cc
@@ -66,7 +66,8 @@
   // ChooseTarget overwrites them.
   const auto computed = computedTokens_;
   const auto read = readTokens_;
-  const bool found = !ChooseTarget().id_.empty();
+  // A permit might be denied when the attempt has been given up already.
+  const bool found = !ChooseTarget(true).id_.empty();
   computedTokens_ = computed;
   readTokens_ = read;
   return found;
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -144,10 +144,15 @@
 void
 Exchange::Refuse(absl::string_view aReason, absl::Duration aRetryAfter)
 {
-  const auto pause = Jitter(host_, aRetryAfter);
+  RefuseUntil(aReason, Jitter(host_, aRetryAfter));
+}
+
+void
+Exchange::RefuseUntil(absl::string_view aReason, absl::Duration aRetryAfter)
+{
   caller_->Reply(
     kUnavailable,
-    { { "Retry-After", absl::StrCat(absl::ToDoubleSeconds(pause)) } },
+    { { "Retry-After", absl::StrCat(absl::ToDoubleSeconds(aRetryAfter)) } },
     "");
   Close("refused", kUnavailable, aReason);
 }
@@ -192,6 +197,7 @@
       .Text("target", targetId_)
       .Number("tries", history_.tries_)
       .Number("sends", history_.sends_)
+      .Number("permit_asks", permitAsks_)
       .Age("took_ms", took)
       .Age("first_ms",
            firstByteAt_ == absl::InfinitePast() ? absl::InfiniteDuration()
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -51,7 +51,13 @@
   bool IsSmall() const;
   // Queues the request until a target has memory for it.
   void Enqueue();
-  fleet::Choice ChooseTarget();
+  // aAvoidsLimited: considers no targets whose requests need a permit.
+  fleet::Choice ChooseTarget(bool aAvoidsLimited = false);
+  // Asks for a permit and goes on with the decision. aIsLastChoice: no target
+  // is left that needs none, so a denial refuses the request.
+  void AskForPermit(const std::string& aTarget, bool aIsLastChoice);
+  // Ends the request because no target may get it.
+  void EndWithoutTarget();
   double UnreportedTokens(absl::Time aNow) const;
   // Plans which parts of the prompt a target with these weights reads from
   // cache stores and which it saves there.
@@ -89,7 +95,9 @@
   void EndAttempt(retry::AttemptEnd aEnd);
   void ReleaseTarget(fleet::CallResult aResult);
   void TakeNextStep(retry::AttemptEnd aEnd);
+  // Refuses the request with aRetryAfter plus jitter, or exactly that time.
   void Refuse(absl::string_view aReason, absl::Duration aRetryAfter);
+  void RefuseUntil(absl::string_view aReason, absl::Duration aRetryAfter);
   void Answer(int aStatus, absl::string_view aReason);
   // Starts the timer that ends the attempt if the target makes no progress
   // within the limit.
@@ -144,6 +152,13 @@
   fleet::CallSize size_;
   // Id of its entry in the waiting queue; 0 if it isn't queued.
   std::uint64_t waiterId_ = 0;
+  // Target for which the request has a permit; empty without one.
+  std::string permittedTarget_;
+  bool isAskingForPermit_ = false;
+  // A call is recorded at the current target.
+  bool holdsTarget_ = false;
+  // Number of permits that the request has asked for.
+  std::uint32_t permitAsks_ = 0;
   fleet::Choice choice_;
   std::uint64_t attemptWeights_ = 0;
   std::vector<cache_index::PartPlan> attemptParts_;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 
 #include "gateway/clock.h"
+#include "gateway/permits.h"
 
 namespace lycheeplank::gateway {
 
@@ -163,11 +164,17 @@
   , socket_(aHost.loop_)
   , localTimer_(aHost.loop_)
   , remoteTimer_(aHost.loop_)
+  , limitsTimer_(aHost.loop_)
 {
   const auto address = ParseEndpoint(aAddress);
   socket_.open(Udp::v4());
   socket_.bind({ address.address(), address.port() });
   socket_.non_blocking(true);
+  host_.sendDatagram_ = [this](const std::string& aTo,
+                               const std::string& aText) {
+    SendText(aTo, aText);
+  };
+  ScheduleTick();
   Receive();
 }
 
@@ -182,12 +189,33 @@
         return;
       }
       if (!aError) {
-        OnMessage(ReadMessage({ buffer_.data(), aSize }));
+        OnDatagram({ buffer_.data(), aSize });
       }
       Receive();
     });
 }
 
+void
+Gossip::OnDatagram(absl::string_view aText)
+{
+  // Messages about limits begin with a byte that is no host name's length.
+  const auto message = ReadMessage(aText);
+  if (message.host_.empty()) {
+    ReceiveLimitMessage(host_, aText);
+  } else {
+    OnMessage(message);
+  }
+}
+
+void
+Gossip::ScheduleTick()
+{
+  limitsTimer_.Set(target_limits::kTickPeriod, [this] {
+    TickLimits(host_);
+    ScheduleTick();
+  });
+}
+
 void
 Gossip::OnMessage(const LoadMessage& aMessage)
 {
@@ -374,15 +402,24 @@
              std::vector<fleet::PeerLoad> aLoads,
              const Observations& aObservations)
 {
-  const auto text = WriteMessage({ host_.settings_.name_,
-                                   std::move(aLoads),
-                                   aObservations.reads_,
-                                   aObservations.down_ });
-  const auto to =
-    ParseEndpoint(host_.hosts_.at(aHost).entry_.peerAddress_).address();
+  SendText(aHost,
+           WriteMessage({ host_.settings_.name_,
+                          std::move(aLoads),
+                          aObservations.reads_,
+                          aObservations.down_ }));
+}
+
+void
+Gossip::SendText(const std::string& aHost, const std::string& aText)
+{
+  const auto found = host_.hosts_.find(aHost);
+  if (found == host_.hosts_.end()) {
+    return;
+  }
+  const auto to = ParseEndpoint(found->second.entry_.peerAddress_).address();
   boost::system::error_code error;
   socket_.send_to(
-    boost::asio::buffer(text), { to, host_.settings_.gossipPort_ }, 0, error);
+    boost::asio::buffer(aText), { to, host_.settings_.gossipPort_ }, 0, error);
   if (error) {
     host_.metrics_.Count("load_messages_unsent_total");
   }
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -45,6 +45,7 @@
 // load at each target, so that hosts don't send large prompts to the same ones,
 // the results of its reads from cache stores, and the targets that it couldn't
 // reach. A lost message does little harm, as the next one has all loads again.
+// Carries the messages about limits of targets as well, see permits.
 class Gossip
 {
 public:
@@ -57,7 +58,10 @@
 
 private:
   void Receive();
+  void OnDatagram(absl::string_view aText);
   void OnMessage(const LoadMessage& aMessage);
+  void SendText(const std::string& aHost, const std::string& aText);
+  void ScheduleTick();
   // Adds this host's new observations to those that wait to be sent.
   void CollectObservations();
   void Add(Observations& aSum,
@@ -82,6 +86,7 @@
   std::array<char, 16U << 10U> buffer_{};
   Timer localTimer_;
   Timer remoteTimer_;
+  Timer limitsTimer_;
   // Observations that wait to be sent to this data centre and to the others.
   Observations localObservations_;
   Observations remoteObservations_;
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -127,6 +127,7 @@
   }
   auto& member = aHost.members_.at(aId);
   availability::Apply(aHost.availability_, member);
+  target_limits::Apply(aHost.limits_, member);
   if (member.target_.state_ == fleet::TargetState::Leaving) {
     aHost.targetPool_.Drop(aId);
   }
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <random>
 #include <string>
 #include <vector>
@@ -29,6 +30,7 @@
 #include "lycheeplank/replica.h"
 #include "lycheeplank/request_queue.h"
 #include "lycheeplank/retry_budget.h"
+#include "lycheeplank/target_limits.h"
 #include "lycheeplank/weights.h"
 
 namespace lycheeplank::gateway {
@@ -72,6 +74,17 @@
   { Role::Relayed, "told" },
 } };
 
+class Timer;
+
+// A request for a permit that the issuer hasn't answered.
+struct PendingAsk
+{
+  std::string target_;
+  absl::Time askedAt_;
+  std::function<void(const target_limits::Permit&)> onPermit_;
+  std::shared_ptr<Timer> timer_;
+};
+
 // State that the parts of one host share. Used only from the thread of the
 // event loop.
 struct Host
@@ -86,6 +99,7 @@
     , random_(std::random_device{}())
   {
     relays::Restart(feed_, NewFeedId());
+    limits_.self_ = settings_.name_;
   }
 
   // Returns a random id that is not 0, so that no two feeds of any hosts have
@@ -117,6 +131,12 @@
     waiters_;
   std::uint64_t nextWaiter_ = 1;
   absl::flat_hash_map<std::string, retry_budget::Ledger> resendBudgets_;
+  target_limits::State limits_;
+  // By number of the ask.
+  absl::flat_hash_map<std::uint64_t, PendingAsk> permitAsks_;
+  // Sends a datagram to another host.
+  std::function<void(const std::string& aHost, const std::string& aText)>
+    sendDatagram_ = [](const std::string&, const std::string&) {};
   StoreHealth store_;
   // Recent sends of this host, by service.
   absl::flat_hash_map<std::string, fleet::SendRate> sendRates_;
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -9,6 +9,7 @@
 #include "gateway/clock.h"
 #include "gateway/lease.h"
 #include "gateway/peers.h"
+#include "gateway/permits.h"
 
 namespace lycheeplank::gateway {
 
@@ -403,6 +404,24 @@
 
 void
 Owner::FetchReport(const std::string& aModel, const std::string& aTarget)
+{
+  if (NeedsPermit(host_, aTarget)) {
+    AskPermit(host_,
+              aTarget,
+              false,
+              [self = shared_from_this(), aModel, aTarget](
+                const target_limits::Permit& aPermit) {
+                if (target_limits::MaySend(aPermit)) {
+                  self->CallForReport(aModel, aTarget);
+                }
+              });
+    return;
+  }
+  CallForReport(aModel, aTarget);
+}
+
+void
+Owner::CallForReport(const std::string& aModel, const std::string& aTarget)
 {
   const auto member = host_.members_.find(aTarget);
   if (member == host_.members_.end()) {
--- a/src/gateway/owner.h
+++ b/src/gateway/owner.h
@@ -58,7 +58,10 @@
   void OnOrderOutcome(const std::string& aModel,
                       const std::string& aTarget,
                       OrderOutcome aOutcome);
+  // Fetches a target's report, once a permit is issued if its requests need
+  // one.
   void FetchReport(const std::string& aModel, const std::string& aTarget);
+  void CallForReport(const std::string& aModel, const std::string& aTarget);
   void OnReport(const std::string& aModel,
                 const std::string& aTarget,
                 const TargetReport& aReport);
--- /dev/null
+++ b/test/target-limits-test.cc
@@ -0,0 +1,264 @@
+#include "lycheeplank/target_limits.h"
+
+#include <catch2/catch.hpp>
+
+#include "limits-sim.h"
+
+using lycheeplank::test::LimitsSim;
+namespace limits = lycheeplank::target_limits;
+namespace fleet = lycheeplank::fleet;
+
+namespace {
+
+// The platform's rule: window, and time that hosts have from the first naming.
+constexpr absl::Duration kWindow = absl::Seconds(4);
+constexpr absl::Duration kContact = absl::Seconds(3);
+
+// Returns the largest number of requests in a window of a limit of one request
+// a second more than is allowed, as a share of what is allowed; 1 is the bound.
+// Leaves out requests of hosts that were frozen or restarted.
+double
+MostUsed(LimitsSim& aSim,
+         std::size_t aTarget,
+         absl::Time aFrom,
+         absl::Time aTo,
+         double aPerSecond)
+{
+  const auto& all = aSim.TargetAt(aTarget).arrivals_;
+  std::vector<absl::Time> counted;
+  for (const auto& arrival : all) {
+    if (arrival.at_ >= aFrom && arrival.at_ < aTo &&
+        !aSim.IsDisturbed(arrival.host_, arrival.at_, kContact)) {
+      counted.push_back(arrival.at_);
+    }
+  }
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < counted.size(); ++last) {
+    while (counted[last] - counted[first] >= kWindow) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return static_cast<double>(most) /
+         (1.5 * aPerSecond * absl::ToDoubleSeconds(kWindow) + 5.0);
+}
+
+std::size_t
+CountBetween(LimitsSim& aSim,
+             std::size_t aTarget,
+             absl::Time aFrom,
+             absl::Time aTo)
+{
+  const auto& all = aSim.TargetAt(aTarget).arrivals_;
+  return static_cast<std::size_t>(
+    std::count_if(all.begin(), all.end(), [&](const auto& aArrival) {
+      return aArrival.at_ >= aFrom && aArrival.at_ < aTo;
+    }));
+}
+
+LimitsSim::Options
+SizeOf(std::size_t aHosts)
+{
+  LimitsSim::Options options;
+  options.hosts_ = aHosts;
+  options.seed_ = aHosts;
+  return options;
+}
+
+fleet::Member
+MakeMember()
+{
+  fleet::Member member;
+  member.target_.id_ = "t";
+  member.target_.bornMs_ = 7;
+  return member;
+}
+
+} // namespace
+
+// Guards against a limit that each host keeps alone.
+TEST_CASE("all hosts together keep a limit, and use most of it")
+{
+  const auto hosts = GENERATE(std::size_t{ 8 }, 77, 300);
+  const auto perSecond = GENERATE(0.3, 1.7, 20.0);
+  LimitsSim sim(SizeOf(hosts));
+  const auto start = sim.Now();
+  sim.TargetAt(0).perSecond_ = perSecond;
+  const auto end = start + absl::Seconds(23);
+  sim.RunUntil(end);
+  INFO(hosts << " hosts, " << perSecond << " a second");
+  const auto from = start + kContact;
+  CHECK(MostUsed(sim, 0, from, end, perSecond) <= 1.0);
+  CHECK(static_cast<double>(CountBetween(sim, 0, from, end)) >=
+        0.7 * perSecond * absl::ToDoubleSeconds(end - from) - 1.0);
+  CHECK(sim.Refused() > 0);
+}
+
+TEST_CASE("several limited targets, lost messages, freezes, restarts and hosts "
+          "that leave")
+{
+  const auto hosts = GENERATE(std::size_t{ 8 }, 77, 300);
+  const auto seed = GENERATE(std::uint64_t{ 1 }, 2, 3);
+  auto options = SizeOf(hosts);
+  options.seed_ = seed;
+  options.targets_ = 3;
+  options.lostShare_ = 0.1;
+  LimitsSim sim(options);
+  const auto start = sim.Now();
+  for (std::size_t i = 0; i < 3; ++i) {
+    sim.TargetAt(i).perSecond_ = 2.0;
+  }
+  // Each of these hits the host that issues the permits.
+  sim.At(start + absl::Seconds(5),
+         [&] { sim.Freeze(sim.Issuer(0), absl::Seconds(4)); });
+  sim.At(start + absl::Seconds(8), [&] { sim.Restart(sim.Issuer(1)); });
+  sim.At(start + absl::Seconds(11), [&] {
+    const auto leaving = sim.Issuer(2);
+    sim.SetLeaving(leaving, true);
+    sim.At(sim.Now() + absl::Seconds(3),
+           [&sim, leaving] { sim.SetLeaving(leaving, false); });
+  });
+  sim.At(start + absl::Seconds(16), [&] {
+    for (std::size_t i = 0; i < hosts; i += 2) {
+      sim.Restart(i);
+    }
+  });
+  const auto end = start + absl::Seconds(24);
+  sim.RunUntil(end);
+  INFO(hosts << " hosts, seed " << seed);
+  const auto from = start + kContact;
+  for (std::size_t i = 0; i < 3; ++i) {
+    CHECK(MostUsed(sim, i, from, end, 2.0) <= 1.0);
+    CHECK(static_cast<double>(CountBetween(sim, i, from, end)) >=
+          0.5 * 2.0 * absl::ToDoubleSeconds(end - from));
+  }
+}
+
+TEST_CASE("a limit that changes is followed, and one that ends is lifted")
+{
+  const auto hosts = GENERATE(std::size_t{ 8 }, 77, 300);
+  LimitsSim sim(SizeOf(hosts));
+  const auto start = sim.Now();
+  const auto at = [start](int aSeconds) {
+    return start + absl::Seconds(aSeconds);
+  };
+  sim.TargetAt(0).perSecond_ = 8.0;
+  sim.At(at(10), [&] { sim.TargetAt(0).perSecond_ = 2.0; });
+  sim.At(at(20), [&] { sim.TargetAt(0).perSecond_ = absl::nullopt; });
+  sim.RunUntil(at(30));
+  INFO(hosts << " hosts");
+  CHECK(MostUsed(sim, 0, at(3), at(10), 8.0) <= 1.0);
+  CHECK(MostUsed(sim, 0, at(11), at(20), 2.0) <= 1.0);
+  CHECK(CountBetween(sim, 0, at(11), at(20)) >= 12);
+  // A hundred requests a second come from the callers.
+  CHECK(CountBetween(sim, 0, at(25), at(30)) >= 300);
+}
+
+TEST_CASE("an answer without a limit ends it only if it was asked for later")
+{
+  limits::State state;
+  auto member = MakeMember();
+  const auto now = absl::FromUnixSeconds(100);
+  CHECK(limits::Note(state, member, 2.0, now, now) == limits::Change::Named);
+  CHECK(member.requestsPerSecond_ == 2.0);
+  // Asked for before, or just after, the answer that named it.
+  CHECK(limits::Note(state, member, absl::nullopt, now, now) ==
+        limits::Change::None);
+  CHECK(limits::Note(state,
+                     member,
+                     absl::nullopt,
+                     now + limits::kEndMargin / 2,
+                     now + absl::Seconds(1)) == limits::Change::None);
+  CHECK(member.requestsPerSecond_ == 2.0);
+  CHECK(limits::Note(state,
+                     member,
+                     absl::nullopt,
+                     now + limits::kEndMargin,
+                     now + absl::Seconds(1)) == limits::Change::Ended);
+  CHECK_FALSE(member.requestsPerSecond_.has_value());
+  // A late message with the old naming doesn't bring it back.
+  CHECK(limits::Note(state, member, 2.0, now, now + absl::Seconds(2)) ==
+        limits::Change::None);
+}
+
+TEST_CASE("a new start of a target has no limit")
+{
+  limits::State state;
+  auto member = MakeMember();
+  const auto now = absl::FromUnixSeconds(100);
+  limits::Note(state, member, 2.0, now, now);
+  member.target_.bornMs_ = 8;
+  limits::Apply(state, member);
+  CHECK_FALSE(member.requestsPerSecond_.has_value());
+}
+
+TEST_CASE("refused callers are told different times, each with a permit")
+{
+  limits::State state;
+  state.self_ = "h";
+  auto member = MakeMember();
+  fleet::Members members{ { "t", member } };
+  const auto now = absl::FromUnixSeconds(100);
+  limits::Note(state, members.at("t"), 2.0, now, now);
+  limits::Tick(state, {}, members, now);
+  absl::Duration before = absl::ZeroDuration();
+  for (int i = 0; i < 30; ++i) {
+    const auto permit = limits::Issue(state, "t", true, now);
+    CHECK(permit.verdict_ == limits::Verdict::Denied);
+    CHECK(permit.nextPermit_ == absl::Milliseconds(500));
+    CHECK(permit.retryAfter_ >=
+          std::min(before + absl::Milliseconds(500), limits::kMaxRetryAfter));
+    before = permit.retryAfter_;
+  }
+  CHECK(
+    limits::Issue(state, "t", true, now + absl::Milliseconds(500)).verdict_ ==
+    limits::Verdict::Granted);
+}
+
+TEST_CASE("a target that names a limit of 0 is still asked now and then")
+{
+  limits::State state;
+  state.self_ = "h";
+  fleet::Members members{ { "t", MakeMember() } };
+  const auto now = absl::FromUnixSeconds(100);
+  limits::Note(state, members.at("t"), 0.0, now, now);
+  limits::Tick(state, {}, members, now);
+  CHECK(limits::Issue(state, "t", false, now).verdict_ ==
+        limits::Verdict::Denied);
+  CHECK(limits::Issue(state, "t", false, now + absl::Seconds(10)).verdict_ ==
+        limits::Verdict::Granted);
+}
+
+TEST_CASE("messages are read back as they were written, and others ignored")
+{
+  limits::Message message;
+  message.kind_ = limits::MessageKind::Reply;
+  message.sender_ = "h1";
+  message.dataCentre_ = "a";
+  message.ask_ = 0xfedcba9876543210U;
+  message.isLastChoice_ = true;
+  message.permit_ = { limits::Verdict::Denied,
+                      absl::Milliseconds(40),
+                      absl::Milliseconds(70) };
+  message.limits_ = { { "t1", 7, 1.7, absl::Milliseconds(30) },
+                      { "t2", 8, absl::nullopt, absl::Seconds(2) } };
+  const auto text = limits::WriteMessage(message);
+  const auto read = limits::ReadMessage(text);
+  REQUIRE(read);
+  CHECK(read->kind_ == message.kind_);
+  CHECK(read->sender_ == "h1");
+  CHECK(read->dataCentre_ == "a");
+  CHECK(read->ask_ == message.ask_);
+  CHECK(read->isLastChoice_);
+  CHECK(read->permit_.verdict_ == limits::Verdict::Denied);
+  CHECK(read->permit_.retryAfter_ == absl::Milliseconds(70));
+  REQUIRE(read->limits_.size() == 2);
+  CHECK(read->limits_[0].perSecond_ == 1.7);
+  CHECK(read->limits_[0].startedAtMs_ == 7);
+  CHECK_FALSE(read->limits_[1].perSecond_.has_value());
+  CHECK(read->limits_[1].age_ == absl::Seconds(2));
+  for (std::size_t size = 0; size < text.size(); ++size) {
+    CHECK_FALSE(limits::ReadMessage(text.substr(0, size)));
+  }
+}
