--- a/src/gateway/permits.cc
+++ b/src/gateway/permits.cc
@@ -124,6 +124,7 @@
     "permit_asks_total",
     "verdict",
     core::NameOf(target_limits::kVerdicts, aPermit.verdict_));
+  aHost.metrics_.Observe("permit_ask_seconds", Now() - aAsk.askedAt_);
   if (const auto member = aHost.members_.find(aAsk.target_);
       member != aHost.members_.end()) {
     member->second.noPermitUntil_ = Now() + aPermit.nextPermit_;
--- a/test/admission-test.cc
+++ b/test/admission-test.cc
@@ -703,3 +703,25 @@
   INFO(hosts << " hosts");
   CHECK(hosts * quota.maxRunning_ <= workspace.maxRunning_);
 }
+
+// Guards against a bucket of at least one request for each host, whose sum
+// exceeds a second's worth when there are more hosts than that.
+TEST_CASE("hosts keep a workspace's rate in total")
+{
+  const auto hosts = GENERATE(8U, 77U, 300U);
+  config::Workspace workspace;
+  workspace.requestsPerSecond_ = 10.0;
+  const auto quota = admission::QuotaOf(workspace, hosts);
+  unsigned admitted = 0;
+  for (unsigned i = 0; i < hosts; ++i) {
+    admission::State state;
+    state.slots_ = 1;
+    admission::Request request;
+    request.workspace_ = "w";
+    const auto decision =
+      admission::Admit(state, request, quota, absl::FromUnixSeconds(1000));
+    admitted += decision.verdict_ == admission::Verdict::Queued ? 1 : 0;
+  }
+  INFO(hosts << " hosts");
+  CHECK(admitted <= 10);
+}
