Keep limits named in refusals without a stamp; log asks that nobody answers

A target in need may name its limit in a refusal, which has no stamp; only its absence needs one to count as the end of the limit. Asks for a permit without a reply, and datagrams that can't be read, are log lines now.

--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -129,7 +129,10 @@
 void
 Exchange::ApplyTargetLimit()
 {
-  if (answer_.isStamped_ && !answer_.isMisdirected_) {
+  // Without a stamp, a proxy may have answered, which doesn't know the limit.
+  const bool isFromTarget =
+    !answer_.isMisdirected_ || answer_.instance_ == targetId_;
+  if (isFromTarget && (answer_.requestsPerSecond_ || answer_.isStamped_)) {
     NoteTargetLimit(
       host_, targetId_, answer_.requestsPerSecond_, sentAt_, request_.id_);
   }
--- a/src/gateway/permits.cc
+++ b/src/gateway/permits.cc
@@ -22,6 +22,10 @@
 // after a freeze of this host. Round trips between data centres take a few
 // milliseconds.
 constexpr absl::Duration kAskTimeout = absl::Milliseconds(80);
+// The decision on an ask that nobody has answered in time.
+constexpr Permit kUnanswered{ Verdict::NoIssuer,
+                              target_limits::kNoIssuerPause,
+                              target_limits::kNoIssuerPause };
 // Statements per datagram, so that it fits into one packet.
 constexpr std::size_t kMaxStatements = 10;
 
@@ -125,6 +129,11 @@
     "verdict",
     core::NameOf(target_limits::kVerdicts, aPermit.verdict_));
   aHost.metrics_.Observe("permit_ask_seconds", Now() - aAsk.askedAt_);
+  if (aPermit.verdict_ == Verdict::NoIssuer) {
+    aHost.log_.Write(Line("permit_unanswered")
+                       .Text("target", aAsk.target_)
+                       .Age("took_ms", Now() - aAsk.askedAt_));
+  }
   if (const auto member = aHost.members_.find(aAsk.target_);
       member != aHost.members_.end()) {
     member->second.noPermitUntil_ = Now() + aPermit.nextPermit_;
@@ -140,8 +149,7 @@
     return;
   }
   const bool isLate = Now() - ask.mapped().askedAt_ > kAskTimeout;
-  FinishAsk(
-    aHost, ask.mapped(), isLate ? Permit{ Verdict::NoIssuer } : aReply.permit_);
+  FinishAsk(aHost, ask.mapped(), isLate ? kUnanswered : aReply.permit_);
 }
 
 void
@@ -164,11 +172,7 @@
   timer->Set(kAskTimeout, [&aHost, id = message.ask_] {
     auto ask = aHost.permitAsks_.extract(id);
     if (!ask.empty()) {
-      FinishAsk(aHost,
-                ask.mapped(),
-                { Verdict::NoIssuer,
-                  target_limits::kNoIssuerPause,
-                  target_limits::kNoIssuerPause });
+      FinishAsk(aHost, ask.mapped(), kUnanswered);
     }
   });
   aHost.sendDatagram_(aIssuer, target_limits::WriteMessage(message));
@@ -241,7 +245,11 @@
 ReceiveLimitMessage(Host& aHost, absl::string_view aText)
 {
   const auto message = target_limits::ReadMessage(aText);
-  if (!message || message->sender_ == aHost.settings_.name_) {
+  if (!message) {
+    aHost.log_.Write(Line("message_unreadable").Number("bytes", aText.size()));
+    return;
+  }
+  if (message->sender_ == aHost.settings_.name_) {
     return;
   }
   ApplyStatements(aHost, *message);
--- a/test/gateway-limits-test.cc
+++ b/test/gateway-limits-test.cc
@@ -161,6 +161,19 @@
   CHECK(absl::StartsWith(world.Ask(World::Request("/once/")), "HTTP/1.1 200"));
 }
 
+TEST_CASE("a limit in a refusal holds as well")
+{
+  World world;
+  auto& target = world.AddTarget(lycheeplank::test::Sends(
+    "HTTP/1.1 503 Full\r\nX-Request-Id: r1\r\nX-Not-Run: 1\r\n"
+    "Server-Limit: 0.1\r\nContent-Length: 0\r\n\r\n"));
+  for (int i = 0; i < 10; ++i) {
+    CHECK(
+      absl::StartsWith(world.Ask(World::Request("/once/")), "HTTP/1.1 503"));
+  }
+  CHECK(target.requests_ == 1);
+}
+
 // Guards against second sends that pass a limit by.
 TEST_CASE("a second send needs a permit")
 {
