--- a/test/target-limits-test.cc
+++ b/test/target-limits-test.cc
@@ -16,9 +16,9 @@
 constexpr absl::Duration kWindow = absl::Seconds(4);
 constexpr absl::Duration kContact = absl::Seconds(3);
 
-// Returns the largest number of requests in a window of a limit of one request
-// a second more than is allowed, as a share of what is allowed; 1 is the bound.
-// Leaves out requests of hosts that were frozen or restarted.
+// Returns the largest number of requests in any window as a share of what the
+// rule allows at that limit; 1 is the bound. Leaves out requests of hosts that
+// were frozen or restarted.
 double
 MostUsed(LimitsSim& aSim,
          std::size_t aTarget,
