--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 
 #include "gateway/clock.h"
 #include "gateway/permits.h"
@@ -44,6 +45,16 @@
 // the weights must be out of use.
 constexpr absl::Duration kWeightsMargin = absl::Milliseconds(1500);
 
+// Returns the ids of a prompt's parts, for the log.
+std::string
+PartIds(const std::vector<cache_index::Part>& aParts)
+{
+  return absl::StrJoin(
+    aParts, ",", [](std::string* aText, const cache_index::Part& aPart) {
+      aText->append(aPart.id_);
+    });
+}
+
 } // namespace
 
 fleet::Choice
@@ -509,7 +520,8 @@
       .Number("weights", attemptWeights_)
       .Age("took_ms", Now() - sentAt_)
       .Age("load_age_ms", choice_.loadAge_)
-      .Number("events", events_.Count()));
+      .Number("events", events_.Count())
+      .Text("parts", PartIds(request_.parts_)));
   ReleaseTarget(result);
   ++attemptNumber_;
   // A stream that continues at another target begins there with a whole event.
