--- a/test/gateway-world.h
+++ b/test/gateway-world.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <fcntl.h>
@@ -43,6 +44,14 @@
     return "127.0.0.1:" + std::to_string(listener_.Port());
   }
 
+  // Resets all connections, as a process that crashes does.
+  void Crash()
+  {
+    for (const auto& socket : std::exchange(open_, {})) {
+      socket->Reset();
+    }
+  }
+
   // All bytes received on any connection.
   std::string received_;
   int connections_ = 0;
--- a/test/host-group.h
+++ b/test/host-group.h
@@ -69,8 +69,22 @@
     return *targets_.back();
   }
 
+  // Gives a target a new start, as all hosts learn from its entry.
+  void RestartTarget(std::size_t aTarget)
+  {
+    for (const auto& node : nodes_) {
+      auto target =
+        node->host_.members_.at(absl::StrCat("t", aTarget + 1)).target_;
+      ++target.bornMs_;
+      fleet::UpdateTarget(node->host_.members_,
+                          target,
+                          { 0, static_cast<std::uint64_t>(target.bornMs_) + 1 },
+                          gateway::Now());
+    }
+  }
+
   // Sends one request to a host; its answer is added to answers_.
-  void Call(std::size_t aHost)
+  void Call(std::size_t aHost, const std::string& aFields = "")
   {
     const auto answer = std::make_shared<std::string>();
     gateway::Connect(
@@ -78,7 +92,7 @@
       gateway::Tcp::endpoint(boost::asio::ip::make_address(IpOf(aHost)),
                              nodes_.at(aHost)->server_.Port()),
       absl::Seconds(5),
-      [this, answer](std::shared_ptr<gateway::Socket> aSocket) {
+      [this, answer, aFields](std::shared_ptr<gateway::Socket> aSocket) {
         if (!aSocket) {
           answers_.emplace_back("not connected");
           return;
@@ -94,7 +108,7 @@
                        },
                         [](gateway::PeerEnd) {},
                         {} });
-        aSocket->Send(World::Request("/again/x"));
+        aSocket->Send(World::Request("/again/x", aFields));
       });
   }
 
@@ -105,6 +119,7 @@
   }
 
   std::size_t Size() const { return nodes_.size(); }
+  gateway::Host& HostAt(std::size_t aHost) { return nodes_.at(aHost)->host_; }
 
   gateway::Loop loop_{ 1 };
   // Heads of the answers to all callers so far.
