Block parts of prompts that crash targets, on evidence that hosts share

Callers saw streams broken off and 502, because targets crashed one after the other: requests that share one part of their prompts crash each target which begins to answer them, and hosts sent every one of them. Each host saw few of the crashes and none remembered what the lost requests had in common.

Hosts now tell each other which waiting requests were lost with a target (poison_parts). A part that was lost in three crashes at distinct moments, under different requests and hosts, and with which no answer has begun since, blocks its requests on all hosts, together with the parts that all of them had in common. A block is narrowed or ended by an answer that begins, and told to starting hosts.

--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -77,6 +77,7 @@
       member.target_.weights_[request_.model_] = *answer_.weights_;
     }
   }
+  NoteBytes(host_, Evidence());
   ApplyTargetState();
   ApplyTargetLimit();
   // A stream that continues at another target keeps the head that the caller
@@ -281,9 +282,11 @@
     }
     return;
   }
+  NoteBytes(host_, Evidence());
   const auto now = Now();
   if (firstByteAt_ == absl::InfinitePast()) {
     firstByteAt_ = now;
+    NoteBegin(host_, Evidence());
     if (const auto found = host_.members_.find(targetId_);
         found != host_.members_.end()) {
       fleet::RecordFirstByte(
@@ -309,6 +312,10 @@
 Exchange::OnEnd(CallEnd aEnd)
 {
   silenceTimer_.Cancel();
+  if ((aEnd == CallEnd::NoAnswer || aEnd == CallEnd::Cut) &&
+      firstByteAt_ == absl::InfinitePast()) {
+    NoteLoss(host_, Evidence());
+  }
   if (isEvents_ && headAccepted_) {
     FinishStream(aEnd);
     return;
@@ -345,8 +352,11 @@
 void
 Exchange::DeliverBuffered()
 {
-  ReleaseTarget(fleet::CallResult::Answered);
   const auto status = head_.status_;
+  if (status / 100 == 2) {
+    NoteBegin(host_, Evidence());
+  }
+  ReleaseTarget(fleet::CallResult::Answered);
   // The answer to a HEAD request states the length of a body that isn't sent.
   const auto length = caller_->Head().method_ == "HEAD" && head_.length_
                         ? *head_.length_
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -170,6 +170,10 @@
   if (isAskingForPermit_) {
     return;
   }
+  if (IsBlocked(host_, sharedParts_)) {
+    EndBlocked();
+    return;
+  }
   choice_ = ChooseTarget();
   if (choice_.id_.empty() && !permittedTarget_.empty()) {
     // The target has become unusable since the permit was asked for.
@@ -256,6 +260,37 @@
   }
 }
 
+void
+Exchange::EndBlocked()
+{
+  if (answerBegun_) {
+    caller_->Abort();
+    Close("cut", head_.status_, "part_blocked");
+  } else if (history_.runs_ > 0) {
+    Answer(kBadGateway, "part_blocked");
+  } else {
+    Refuse("part_blocked", poison_parts::kRetryAfter);
+  }
+}
+
+void
+Exchange::WithdrawIfBlocked()
+{
+  if (ended_ || firstByteAt_ != absl::InfinitePast() ||
+      !IsBlocked(host_, sharedParts_)) {
+    return;
+  }
+  ReleaseTarget(fleet::CallResult::Abandoned);
+  ++attemptNumber_;
+  EndBlocked();
+}
+
+SentRequest
+Exchange::Evidence() const
+{
+  return { targetId_, targetBornMs_, request_.id_, sharedParts_, sentAt_ };
+}
+
 void
 Exchange::AskForPermit(const std::string& aTarget, bool aIsLastChoice)
 {
@@ -401,6 +436,13 @@
     EndAttempt(retry::AttemptEnd::NotSent);
     return;
   }
+  if (IsBlocked(host_, sharedParts_)) {
+    // The block came while the connection was made.
+    ReleaseTarget(fleet::CallResult::Abandoned);
+    ++attemptNumber_;
+    EndBlocked();
+    return;
+  }
   targetBornMs_ = found->second.target_.bornMs_;
   ++history_.sends_;
   ++history_.runs_;
@@ -438,6 +480,9 @@
                            self->OnEnd(aEnd);
                          }
                        } });
+  if (!sharedParts_.empty()) {
+    host_.onBlock_[this] = [self] { self->WithdrawIfBlocked(); };
+  }
   StartWeightsTimer();
   if (const auto limit = retry::SilenceLimit(*route_, history_);
       limit != absl::InfiniteDuration() &&
@@ -451,6 +496,7 @@
 {
   silenceTimer_.Cancel();
   weightsTimer_.Cancel();
+  host_.onBlock_.erase(this);
   if (!std::exchange(holdsTarget_, false)) {
     return;
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -56,6 +56,7 @@
     return;
   }
   service_ = catalog::PickService(*route_, request_.id_);
+  sharedParts_ = SharedParts(request_);
   readDraw_ = std::uniform_real_distribution<>(0.0, 1.0)(host_.random_);
   deadline_ = arrivedAt_ + route_->timeout_;
   if (request_.callerTimeout_) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -9,6 +9,7 @@
 
 #include "gateway/events.h"
 #include "gateway/host.h"
+#include "gateway/part-blocks.h"
 #include "gateway/server-connection.h"
 #include "gateway/timer.h"
 #include "lycheeplank/retry.h"
@@ -56,6 +57,12 @@
   // Asks for a permit and goes on with the decision. aIsLastChoice: no target
   // is left that needs none, so a denial refuses the request.
   void AskForPermit(const std::string& aTarget, bool aIsLastChoice);
+  // Ends the request because its parts crash targets.
+  void EndBlocked();
+  // Withdraws the request from its target if its parts have been blocked and
+  // its answer hasn't begun.
+  void WithdrawIfBlocked();
+  SentRequest Evidence() const;
   // Ends the request because no target may get it.
   void EndWithoutTarget();
   double UnreportedTokens(absl::Time aNow) const;
@@ -130,6 +137,7 @@
   const catalog::Route* route_ = nullptr;
   const catalog::Workspace* workspace_ = nullptr;
   std::string service_;
+  poison_parts::Parts sharedParts_;
   absl::Time arrivedAt_ = absl::InfinitePast();
   absl::Time deadline_ = absl::InfiniteFuture();
   Timer deadlineTimer_;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 
 #include "gateway/clock.h"
+#include "gateway/part-blocks.h"
 #include "gateway/permits.h"
 
 namespace lycheeplank::gateway {
@@ -165,6 +166,7 @@
   , localTimer_(aHost.loop_)
   , remoteTimer_(aHost.loop_)
   , limitsTimer_(aHost.loop_)
+  , blocksTimer_(aHost.loop_)
 {
   const auto address = ParseEndpoint(aAddress);
   socket_.open(Udp::v4());
@@ -175,6 +177,7 @@
     SendText(aTo, aText);
   };
   ScheduleTick();
+  ScheduleBlockTick();
   Receive();
 }
 
@@ -198,7 +201,12 @@
 void
 Gossip::OnDatagram(absl::string_view aText)
 {
-  // Messages about limits begin with a byte that is no host name's length.
+  // The other kinds of messages begin with a byte that is no host name's
+  // length.
+  if (poison_parts::IsMessage(aText)) {
+    ReceiveBlockMessage(host_, aText);
+    return;
+  }
   const auto message = ReadMessage(aText);
   if (message.host_.empty()) {
     ReceiveLimitMessage(host_, aText);
@@ -216,6 +224,15 @@
   });
 }
 
+void
+Gossip::ScheduleBlockTick()
+{
+  blocksTimer_.Set(poison_parts::kTickPeriod, [this] {
+    TickBlocks(host_);
+    ScheduleBlockTick();
+  });
+}
+
 void
 Gossip::OnMessage(const LoadMessage& aMessage)
 {
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -45,7 +45,8 @@
 // load at each target, so that hosts don't send large prompts to the same ones,
 // the results of its reads from cache stores, and the targets that it couldn't
 // reach. A lost message does little harm, as the next one has all loads again.
-// Carries the messages about limits of targets as well, see permits.
+// Carries the messages about limits of targets and about parts that crash
+// targets as well, see permits and part-blocks.
 class Gossip
 {
 public:
@@ -62,6 +63,7 @@
   void OnMessage(const LoadMessage& aMessage);
   void SendText(const std::string& aHost, const std::string& aText);
   void ScheduleTick();
+  void ScheduleBlockTick();
   // Adds this host's new observations to those that wait to be sent.
   void CollectObservations();
   void Add(Observations& aSum,
@@ -87,6 +89,7 @@
   Timer localTimer_;
   Timer remoteTimer_;
   Timer limitsTimer_;
+  Timer blocksTimer_;
   // Observations that wait to be sent to this data centre and to the others.
   Observations localObservations_;
   Observations remoteObservations_;
--- /dev/null
+++ b/src/gateway/part-blocks.cc
@@ -0,0 +1,167 @@
+#include "gateway/part-blocks.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include "gateway/clock.h"
+
+namespace lycheeplank::gateway {
+
+namespace {
+
+using poison_parts::BlockChange;
+using poison_parts::Change;
+
+// Sends a message to a random other host.
+void
+SendToAny(Host& aHost, const poison_parts::Message& aMessage)
+{
+  if (aHost.hosts_.size() < 2) {
+    return;
+  }
+  auto host = aHost.hosts_.begin();
+  std::advance(host, aHost.random_() % aHost.hosts_.size());
+  if (host->first == aHost.settings_.name_) {
+    host =
+      host == aHost.hosts_.begin() ? std::next(host) : aHost.hosts_.begin();
+  }
+  aHost.sendDatagram_(host->first, poison_parts::WriteMessage(aMessage, Now()));
+}
+
+void
+ApplyChanges(Host& aHost,
+             const std::vector<BlockChange>& aChanges,
+             absl::string_view aSource)
+{
+  bool isBlocking = false;
+  for (const auto& [change, block] : aChanges) {
+    isBlocking = isBlocking || change != Change::Ended;
+    aHost.metrics_.Count("part_block_changes_total",
+                         "change",
+                         core::NameOf(poison_parts::kChanges, change));
+    aHost.log_.Write(
+      Line("part_block")
+        .Text("change", core::NameOf(poison_parts::kChanges, change))
+        .Text("parts", absl::StrJoin(block.parts_, ","))
+        .Number("crashes", block.crashes_)
+        .Age("first_crash_age_ms", Now() - block.firstCrashAt_)
+        .Age("last_crash_age_ms", Now() - block.lastCrashAt_)
+        .Text("source", aSource));
+  }
+  if (!isBlocking) {
+    return;
+  }
+  // A request that ends removes its entry.
+  const auto waiting = aHost.onBlock_;
+  for (const auto& [request, check] : waiting) {
+    check();
+  }
+}
+
+} // namespace
+
+poison_parts::Parts
+SharedParts(const CallerRequest& aRequest)
+{
+  poison_parts::Parts parts;
+  const auto shared =
+    std::min(aRequest.parts_.size(), poison_parts::kMaxParts + 1);
+  for (std::size_t i = 0; i + 1 < shared; ++i) {
+    parts.push_back(absl::StrCat(aRequest.model_, "/", aRequest.parts_[i].id_));
+  }
+  std::sort(parts.begin(), parts.end());
+  parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
+  return parts;
+}
+
+void
+NoteLoss(Host& aHost, const SentRequest& aRequest)
+{
+  const auto now = Now();
+  const auto member = aHost.members_.find(aRequest.target_);
+  // A target that leaves ends its connections, and a host that has been frozen
+  // can't tell when they were lost.
+  if (aRequest.parts_.empty() || member == aHost.members_.end() ||
+      member->second.target_.state_ != fleet::TargetState::Ready ||
+      IsCatchingUp(aHost.stallDetector_, now)) {
+    return;
+  }
+  poison_parts::RecordLoss(aHost.poisonParts_,
+                           { aRequest.target_, aRequest.targetBornMs_ },
+                           core::StableHash(aRequest.id_),
+                           aRequest.parts_,
+                           now);
+}
+
+void
+NoteBegin(Host& aHost, const SentRequest& aRequest)
+{
+  poison_parts::RecordBegin(
+    aHost.poisonParts_,
+    aRequest.parts_,
+    EarliestSendTime(aHost.stallDetector_, aRequest.sentAt_, Now()));
+}
+
+void
+NoteBytes(Host& aHost, const SentRequest& aRequest)
+{
+  poison_parts::RecordBytes(
+    aHost.poisonParts_,
+    aRequest.target_,
+    aRequest.targetBornMs_,
+    EarliestSendTime(aHost.stallDetector_, aRequest.sentAt_, Now()));
+}
+
+bool
+IsBlocked(const Host& aHost, const poison_parts::Parts& aParts)
+{
+  return !aHost.poisonParts_.blocks_.empty() &&
+         poison_parts::FindBlock(aHost.poisonParts_, aParts, Now()) != nullptr;
+}
+
+void
+ReceiveBlockMessage(Host& aHost, absl::string_view aText)
+{
+  const auto now = Now();
+  const auto message = poison_parts::ReadMessage(
+    aText, EarliestSendTime(aHost.stallDetector_, absl::InfinitePast(), now));
+  if (!message) {
+    aHost.log_.Write(Line("message_unreadable").Number("bytes", aText.size()));
+    return;
+  }
+  if (message->sender_ == aHost.settings_.name_) {
+    return;
+  }
+  const auto step = poison_parts::Receive(aHost.poisonParts_, *message, now);
+  if (step.reply_) {
+    aHost.sendDatagram_(message->sender_,
+                        poison_parts::WriteMessage(*step.reply_, now));
+  }
+  ApplyChanges(aHost, step.changes_, message->sender_);
+}
+
+void
+TickBlocks(Host& aHost)
+{
+  auto& state = aHost.poisonParts_;
+  state.hosts_ = std::max<std::size_t>(1, aHost.hosts_.size());
+  const auto step = poison_parts::Tick(state, Now());
+  if (step.toAll_) {
+    const auto text = poison_parts::WriteMessage(*step.toAll_, Now());
+    for (const auto& [name, host] : aHost.hosts_) {
+      if (name != aHost.settings_.name_) {
+        aHost.sendDatagram_(name, text);
+      }
+    }
+  }
+  if (step.toAny_) {
+    SendToAny(aHost, *step.toAny_);
+  }
+  ApplyChanges(aHost, step.changes_, "evidence");
+}
+
+} // namespace lycheeplank::gateway
--- /dev/null
+++ b/src/gateway/part-blocks.h
@@ -0,0 +1,54 @@
+#ifndef LYCHEEPLANK_SRC_GATEWAY_PART_BLOCKS_H
+#define LYCHEEPLANK_SRC_GATEWAY_PART_BLOCKS_H
+
+#include <string>
+
+#include <absl/strings/string_view.h>
+#include <absl/time/time.h>
+
+#include "gateway/host.h"
+
+// Collects the evidence about parts of prompts that crash targets and exchanges
+// it with the other hosts, see poison_parts.
+namespace lycheeplank::gateway {
+
+// A request at a target, as evidence.
+struct SentRequest
+{
+  std::string target_;
+  std::int64_t targetBornMs_ = 0;
+  absl::string_view id_;
+  const poison_parts::Parts& parts_;
+  absl::Time sentAt_;
+};
+
+// Returns the parts of a prompt that other requests may share. Ids of parts are
+// valid for one model.
+poison_parts::Parts
+SharedParts(const CallerRequest& aRequest);
+
+// Record that a request's connection was lost before its answer began, that its
+// answer has begun, and that the target has sent bytes.
+void
+NoteLoss(Host& aHost, const SentRequest& aRequest);
+void
+NoteBegin(Host& aHost, const SentRequest& aRequest);
+void
+NoteBytes(Host& aHost, const SentRequest& aRequest);
+
+// Returns whether requests with these parts are blocked.
+bool
+IsBlocked(const Host& aHost, const poison_parts::Parts& aParts);
+
+// Handles a datagram of another host.
+void
+ReceiveBlockMessage(Host& aHost, absl::string_view aText);
+
+// Evaluates the evidence and sends what is new. Call it every
+// poison_parts::kTickPeriod.
+void
+TickBlocks(Host& aHost);
+
+} // namespace lycheeplank::gateway
+
+#endif
--- /dev/null
+++ b/src/poison_parts/evidence.h
@@ -0,0 +1,26 @@
+#ifndef LYCHEEPLANK_SRC_POISON_PARTS_EVIDENCE_H
+#define LYCHEEPLANK_SRC_POISON_PARTS_EVIDENCE_H
+
+#include "lycheeplank/poison_parts.h"
+
+// The conclusions from crashes.
+namespace lycheeplank::poison_parts {
+
+// Returns the last time at which an answer to a request with the part began;
+// infinite past if none is known.
+absl::Time
+LastBegin(const State& aState, const std::string& aPart);
+
+// Returns blocks for the crashes that no known block explains. A block has all
+// parts that the lost requests have in common and with which no answer has
+// begun since, because any of them may be the cause.
+std::vector<Block>
+FindPoison(const State& aState, absl::Time aNow);
+
+// Returns when the next crash can be evaluated.
+absl::Time
+NextEvaluation(const State& aState, absl::Time aNow);
+
+} // namespace lycheeplank::poison_parts
+
+#endif
--- /dev/null
+++ b/src/poison_parts/poison_parts.cc
@@ -0,0 +1,405 @@
+#include "lycheeplank/poison_parts.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <absl/strings/str_join.h>
+
+#include "poison_parts/evidence.h"
+
+namespace lycheeplank::poison_parts {
+
+namespace {
+
+// Losses at one start further apart than this don't belong to the same crash:
+// the target survived the first ones.
+constexpr absl::Duration kCrashTime = absl::Seconds(1);
+
+std::string
+KeyOf(const Parts& aParts)
+{
+  return absl::StrJoin(aParts, ",");
+}
+
+bool
+Contains(const Parts& aParts, const Parts& aSome)
+{
+  return std::includes(
+    aParts.begin(), aParts.end(), aSome.begin(), aSome.end());
+}
+
+// Returns whether bytes of the start were seen after a loss there.
+bool
+IsRefuted(const State& aState, const Start& aStart, absl::Time aLostAt)
+{
+  const auto found = aState.sightings_.find(aStart.target_);
+  return found != aState.sightings_.end() && found->second.start_ == aStart &&
+         found->second.at_ > aLostAt + kLateBytesTime;
+}
+
+void
+Suspect(State& aState, const Parts& aParts, absl::Time aLostAt)
+{
+  for (const auto& part : aParts) {
+    auto& suspicion = aState.suspects_[part];
+    suspicion.lostAt_ = std::max(suspicion.lostAt_, aLostAt);
+    // The other hosts may not know that answers with this part begin.
+    if (suspicion.toldBeginAt_ < LastBegin(aState, part) &&
+        suspicion.toldBeginAt_ <= suspicion.lostAt_) {
+      aState.newBegins_[part] = kRepeats;
+    }
+  }
+}
+
+// Returns whether the loss is new.
+bool
+AddLoss(State& aState, const Loss& aLoss, absl::Time aNow)
+{
+  if (aLoss.parts_.empty() || aNow - aLoss.at_ > kEvidenceTime ||
+      IsRefuted(aState, aLoss.start_, aLoss.at_)) {
+    return false;
+  }
+  auto crash = std::find_if(
+    aState.crashes_.begin(), aState.crashes_.end(), [&](const auto& aCrash) {
+      return aCrash.start_ == aLoss.start_;
+    });
+  if (crash == aState.crashes_.end()) {
+    if (aState.crashes_.size() >= kMaxCrashes) {
+      aState.crashes_.erase(aState.crashes_.begin());
+    }
+    aState.crashes_.push_back({ aLoss.start_, aLoss.at_, {} });
+    crash = aState.crashes_.end() - 1;
+  } else if (aLoss.at_ - crash->at_ > kCrashTime) {
+    *crash = { aLoss.start_, aLoss.at_, {} };
+  }
+  const bool isKnown = std::any_of(
+    crash->losses_.begin(), crash->losses_.end(), [&](const auto& aOther) {
+      return aOther.request_ == aLoss.request_;
+    });
+  if (isKnown || crash->losses_.size() >= kMaxLossesPerCrash) {
+    return false;
+  }
+  crash->at_ = std::min(crash->at_, aLoss.at_);
+  crash->losses_.push_back(aLoss);
+  aState.evaluateAt_ = std::min(aState.evaluateAt_, crash->at_ + kSettleTime);
+  Suspect(aState, aLoss.parts_, aLoss.at_);
+  return true;
+}
+
+void
+AddBegin(State& aState, const std::string& aPart, absl::Time aAt)
+{
+  auto& at = aState.begins_[aPart];
+  at = std::max(at, aAt);
+  if (aState.begins_.size() > kMaxSoundParts) {
+    aState.olderBegins_ = std::exchange(aState.begins_, {});
+  }
+}
+
+// Returns whether the sighting refutes a crash.
+bool
+AddSighting(State& aState, const Start& aStart, absl::Time aAt)
+{
+  const auto crash =
+    std::find_if(aState.crashes_.begin(),
+                 aState.crashes_.end(),
+                 [&](const auto& aCrash) { return aCrash.start_ == aStart; });
+  if (crash == aState.crashes_.end() || aAt <= crash->at_ + kLateBytesTime) {
+    return false;
+  }
+  aState.sightings_[aStart.target_] = { aStart, aAt };
+  aState.crashes_.erase(crash);
+  return true;
+}
+
+// Adds a block unless it follows from a known one, and removes those that
+// follow from it. Returns whether it is new.
+bool
+AddBlock(State& aState, const Block& aBlock)
+{
+  for (auto& known : aState.blocks_) {
+    if (Contains(aBlock.parts_, known.parts_)) {
+      known.lastCrashAt_ = std::max(known.lastCrashAt_, aBlock.lastCrashAt_);
+      known.crashes_ = std::max(known.crashes_, aBlock.crashes_);
+      return false;
+    }
+  }
+  aState.blocks_.erase(std::remove_if(aState.blocks_.begin(),
+                                      aState.blocks_.end(),
+                                      [&](const auto& aKnown) {
+                                        return Contains(aKnown.parts_,
+                                                        aBlock.parts_);
+                                      }),
+                       aState.blocks_.end());
+  if (aState.blocks_.size() >= kMaxBlocks) {
+    aState.blocks_.erase(
+      std::min_element(aState.blocks_.begin(),
+                       aState.blocks_.end(),
+                       [](const auto& aLeft, const auto& aRight) {
+                         return aLeft.lastCrashAt_ < aRight.lastCrashAt_;
+                       }));
+  }
+  aState.blocks_.push_back(aBlock);
+  Suspect(aState, aBlock.parts_, aBlock.lastCrashAt_);
+  return true;
+}
+
+// Removes parts from blocks that have proved sound, and ends blocks.
+void
+ReviewBlocks(State& aState, absl::Time aNow, std::vector<BlockChange>& aChanges)
+{
+  for (auto& block : std::exchange(aState.blocks_, {})) {
+    auto narrowed = block;
+    auto& parts = narrowed.parts_;
+    parts.erase(std::remove_if(parts.begin(),
+                               parts.end(),
+                               [&](const std::string& aPart) {
+                                 return LastBegin(aState, aPart) >
+                                        block.firstCrashAt_;
+                               }),
+                parts.end());
+    if (parts.empty() || aNow - block.lastCrashAt_ > kBlockTime) {
+      aChanges.push_back({ Change::Ended, std::move(block) });
+      continue;
+    }
+    if (parts.size() < block.parts_.size()) {
+      aChanges.push_back({ Change::Narrowed, narrowed });
+    }
+    AddBlock(aState, narrowed);
+  }
+}
+
+void
+DropOld(State& aState, absl::Time aNow)
+{
+  const auto oldest = aNow - kEvidenceTime;
+  aState.crashes_.erase(
+    std::remove_if(aState.crashes_.begin(),
+                   aState.crashes_.end(),
+                   [&](const auto& aCrash) { return aCrash.at_ < oldest; }),
+    aState.crashes_.end());
+  absl::erase_if(aState.sightings_, [&](const auto& aEntry) {
+    return aEntry.second.at_ < oldest;
+  });
+  absl::erase_if(aState.suspects_, [&](const auto& aEntry) {
+    return aEntry.second.lostAt_ < oldest &&
+           std::none_of(aState.blocks_.begin(),
+                        aState.blocks_.end(),
+                        [&](const auto& aBlock) {
+                          return Contains(aBlock.parts_, { aEntry.first });
+                        });
+  });
+}
+
+// Moves the news of one kind that are due into a message.
+template<typename Find>
+void
+TakeNews(absl::flat_hash_map<std::string, int>& aNews, const Find& aFind)
+{
+  std::size_t taken = 0;
+  for (auto item = aNews.begin(); item != aNews.end() && taken < kMaxItems;) {
+    const auto current = item++;
+    ++taken;
+    if (!aFind(current->first) || --current->second <= 0) {
+      aNews.erase(current);
+    }
+  }
+}
+
+Message
+TakeMessage(State& aState)
+{
+  Message message;
+  message.sender_ = aState.self_;
+  for (auto& news : aState.newLosses_) {
+    if (message.losses_.size() == kMaxItems) {
+      break;
+    }
+    message.losses_.push_back(news.loss_);
+    --news.repeats_;
+  }
+  auto& losses = aState.newLosses_;
+  losses.erase(
+    std::remove_if(losses.begin(),
+                   losses.end(),
+                   [](const auto& aNews) { return aNews.repeats_ <= 0; }),
+    losses.end());
+  TakeNews(aState.newBegins_, [&](const std::string& aPart) {
+    const auto at = LastBegin(aState, aPart);
+    message.begins_.push_back({ aPart, at });
+    if (const auto found = aState.suspects_.find(aPart);
+        found != aState.suspects_.end()) {
+      found->second.toldBeginAt_ = std::max(found->second.toldBeginAt_, at);
+    }
+    return true;
+  });
+  TakeNews(aState.newSightings_, [&](const std::string& aTarget) {
+    const auto found = aState.sightings_.find(aTarget);
+    if (found == aState.sightings_.end()) {
+      return false;
+    }
+    message.sightings_.push_back(found->second);
+    return true;
+  });
+  TakeNews(aState.newBlocks_, [&](const std::string& aKey) {
+    const auto found = std::find_if(
+      aState.blocks_.begin(), aState.blocks_.end(), [&](const auto& aBlock) {
+        return KeyOf(aBlock.parts_) == aKey;
+      });
+    if (found == aState.blocks_.end()) {
+      return false;
+    }
+    message.blocks_.push_back(*found);
+    return true;
+  });
+  return message;
+}
+
+Message
+AllBlocks(const State& aState)
+{
+  Message message;
+  message.sender_ = aState.self_;
+  message.blocks_ = aState.blocks_;
+  return message;
+}
+
+} // namespace
+
+absl::Time
+LastBegin(const State& aState, const std::string& aPart)
+{
+  auto last = absl::InfinitePast();
+  for (const auto* begins : { &aState.begins_, &aState.olderBegins_ }) {
+    if (const auto found = begins->find(aPart); found != begins->end()) {
+      last = std::max(last, found->second);
+    }
+  }
+  return last;
+}
+
+void
+RecordLoss(State& aState,
+           const Start& aStart,
+           std::uint64_t aRequest,
+           const Parts& aParts,
+           absl::Time aNow)
+{
+  const Loss loss{ aStart, aRequest, aState.self_, aParts, aNow };
+  if (AddLoss(aState, loss, aNow) &&
+      aState.newLosses_.size() < kMaxCrashes * kMaxLossesPerCrash) {
+    aState.newLosses_.push_back({ loss, kRepeats });
+  }
+}
+
+void
+RecordBegin(State& aState, const Parts& aParts, absl::Time aSentAt)
+{
+  for (const auto& part : aParts) {
+    AddBegin(aState, part, aSentAt);
+    if (aState.suspects_.empty()) {
+      continue;
+    }
+    const auto found = aState.suspects_.find(part);
+    if (found != aState.suspects_.end() && found->second.lostAt_ < aSentAt &&
+        found->second.toldBeginAt_ <= found->second.lostAt_) {
+      aState.newBegins_.emplace(part, kRepeats);
+    }
+  }
+}
+
+void
+RecordBytes(State& aState,
+            absl::string_view aTarget,
+            std::int64_t aStartedAtMs,
+            absl::Time aSentAt)
+{
+  if (aState.crashes_.empty()) {
+    return;
+  }
+  const Start start{ std::string(aTarget), aStartedAtMs };
+  if (AddSighting(aState, start, aSentAt)) {
+    aState.newSightings_[start.target_] = kRepeats;
+  }
+}
+
+const Block*
+FindBlock(const State& aState, const Parts& aParts, absl::Time aNow)
+{
+  for (const auto& block : aState.blocks_) {
+    if (Contains(aParts, block.parts_) &&
+        aNow - block.lastCrashAt_ <= kBlockTime) {
+      return &block;
+    }
+  }
+  return nullptr;
+}
+
+Step
+Tick(State& aState, absl::Time aNow)
+{
+  Step step;
+  DropOld(aState, aNow);
+  ReviewBlocks(aState, aNow, step.changes_);
+  if (aNow >= aState.evaluateAt_) {
+    for (const auto& block : FindPoison(aState, aNow)) {
+      if (AddBlock(aState, block)) {
+        aState.newBlocks_[KeyOf(block.parts_)] = kRepeats;
+        step.changes_.push_back({ Change::Blocked, block });
+      }
+    }
+    aState.evaluateAt_ = NextEvaluation(aState, aNow);
+  }
+  auto message = TakeMessage(aState);
+  if (!message.losses_.empty() || !message.begins_.empty() ||
+      !message.sightings_.empty() || !message.blocks_.empty()) {
+    step.toAll_ = std::move(message);
+  }
+  if (aState.hosts_ < 2) {
+    return step;
+  }
+  const bool isAsking = aState.ticks_ < kAskingTicks;
+  if (isAsking ||
+      (!aState.blocks_.empty() && aState.ticks_ % kBlockTicks == 0)) {
+    step.toAny_ = AllBlocks(aState);
+    step.toAny_->asksForBlocks_ = isAsking;
+  }
+  ++aState.ticks_;
+  return step;
+}
+
+Step
+Receive(State& aState, const Message& aMessage, absl::Time aNow)
+{
+  Step step;
+  for (const auto& [part, at] : aMessage.begins_) {
+    AddBegin(aState, part, at);
+    if (const auto found = aState.suspects_.find(part);
+        found != aState.suspects_.end()) {
+      auto& told = found->second.toldBeginAt_;
+      told = std::max(told, at);
+      if (told > found->second.lostAt_) {
+        aState.newBegins_.erase(part);
+      }
+    }
+  }
+  for (const auto& [start, at] : aMessage.sightings_) {
+    AddSighting(aState, start, at);
+    aState.newSightings_.erase(start.target_);
+  }
+  for (const auto& loss : aMessage.losses_) {
+    AddLoss(aState, loss, aNow);
+  }
+  for (const auto& block : aMessage.blocks_) {
+    if (AddBlock(aState, block)) {
+      step.changes_.push_back({ Change::Blocked, block });
+    }
+  }
+  ReviewBlocks(aState, aNow, step.changes_);
+  if (aMessage.asksForBlocks_ && !aState.blocks_.empty()) {
+    step.reply_ = AllBlocks(aState);
+  }
+  return step;
+}
+
+} // namespace lycheeplank::poison_parts
--- a/test/gateway-poison-test.cc
+++ b/test/gateway-poison-test.cc
@@ -1,4 +1,7 @@
+#include <utility>
+
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_replace.h>
 #include <catch2/catch.hpp>
 
 #include "host-group.h"
@@ -8,6 +11,7 @@
 using lycheeplank::test::FakeTarget;
 using lycheeplank::test::HostGroup;
 using lycheeplank::test::WholeAnswer;
+using lycheeplank::test::World;
 namespace gateway = lycheeplank::gateway;
 
 namespace {
@@ -21,6 +25,19 @@
 // One request in so many has the part that crashes targets.
 constexpr std::size_t kPoisonPeriod = 12;
 
+// Field with the id of a request, and as World::Request writes it.
+const std::string kIdField = "X-Request-Id: ";
+const std::string kAnyId = kIdField + "r1";
+
+std::string
+RequestWith(std::size_t aId, const std::string& aParts)
+{
+  return absl::StrReplaceAll(
+    World::Request("/again/x",
+                   absl::StrCat("X-Prompt-Prefix: ", aParts, "\r\n")),
+    { { kAnyId, absl::StrCat(kIdField, "id", aId) } });
+}
+
 // Targets that crash when they begin to answer a request with a part whose id
 // begins with "bad"; counts the arrivals of such requests.
 class PoisonedGroup
@@ -50,8 +67,9 @@
               : absl::StrCat("good", number % 7);
       group_.Call(
         number * 5 % group_.Size(),
-        absl::StrCat(
-          "X-Prompt-Prefix: first:100,", second, ":50,own", number, ":10\r\n"));
+        RequestWith(
+          number,
+          absl::StrCat("first:100,", second, ":50,own", number, ":10")));
       group_.RunFor(std::chrono::milliseconds(10));
     }
   }
@@ -75,10 +93,12 @@
                  FakeTarget& aTarget,
                  const std::shared_ptr<gateway::Socket>& aOut)
   {
-    const bool isBad = absl::StrContains(aTarget.received_, ",bad");
-    aTarget.received_.clear();
-    if (!isBad) {
-      aOut->Send(WholeAnswer("x"));
+    const auto request = std::exchange(aTarget.received_, {});
+    if (!absl::StrContains(request, ",bad")) {
+      const auto id = request.find(kIdField);
+      aOut->Send(absl::StrReplaceAll(
+        WholeAnswer("x"),
+        { { kAnyId, request.substr(id, request.find('\r', id) - id) } }));
       return;
     }
     badArrivals_.push_back(gateway::Now());
@@ -116,3 +136,103 @@
     (poisoned.requests_ - sent) * (kPoisonPeriod - 1) / kPoisonPeriod;
   CHECK(poisoned.ServedSince(answered) + 10 >= sound);
 }
+
+// Guards against a host that starts after a part was blocked and sends it to
+// targets once more.
+TEST_CASE("a starting host learns which parts are blocked")
+{
+  PoisonedGroup poisoned(8);
+  poisoned.SendSteadily(absl::Seconds(2), 1);
+  const auto before = poisoned.badArrivals_.size();
+  auto& host = poisoned.group_.HostAt(3);
+  host.poisonParts_ = {};
+  host.poisonParts_.self_ = host.settings_.name_;
+  poisoned.group_.RunFor(std::chrono::milliseconds(500));
+  for (std::size_t i = 0; i < 5; ++i) {
+    poisoned.group_.Call(3, RequestWith(90000 + i, "first:100,bad0:50,own:10"));
+  }
+  poisoned.group_.RunFor(std::chrono::milliseconds(200));
+  CHECK(poisoned.badArrivals_.size() == before);
+}
+
+// Guards against blocks of parts that sound requests share when targets crash
+// for other causes.
+TEST_CASE("crashes of other causes block no part")
+{
+  PoisonedGroup poisoned(8);
+  for (std::size_t i = 0; i < 30; ++i) {
+    poisoned.SendSteadily(absl::Milliseconds(100), 0);
+    poisoned.group_.targets_[i % kTargets]->Crash();
+    poisoned.group_.RestartTarget(i % kTargets);
+  }
+  poisoned.group_.RunFor(std::chrono::milliseconds(500));
+  for (std::size_t i = 0; i < poisoned.group_.Size(); ++i) {
+    CHECK(poisoned.group_.HostAt(i).poisonParts_.blocks_.empty());
+  }
+}
+
+namespace {
+
+// A host that knows a block of the parts "first" and "bad".
+void
+AddBlock(gateway::Host& aHost)
+{
+  lycheeplank::poison_parts::Message message;
+  message.sender_ = "other";
+  message.blocks_.push_back(
+    { { "/bad", "/first" }, 3, gateway::Now(), gateway::Now() });
+  gateway::ReceiveBlockMessage(
+    aHost, lycheeplank::poison_parts::WriteMessage(message, gateway::Now()));
+}
+
+const std::string kBadParts = "X-Prompt-Prefix: first:9,bad:9,own:9\r\n";
+
+} // namespace
+
+TEST_CASE("a blocked request is refused and reaches no target")
+{
+  World world;
+  auto& target = world.AddTarget(lycheeplank::test::Sends(WholeAnswer("x")));
+  AddBlock(world.host_);
+  const auto refusal = world.Ask(World::Request("/again/", kBadParts));
+  CHECK(absl::StartsWith(refusal, "HTTP/1.1 503"));
+  CHECK(absl::StrContains(refusal, "Retry-After: "));
+  CHECK(target.requests_ == 0);
+  const auto sound =
+    World::Request("/again/", "X-Prompt-Prefix: first:9,good:9,bad:9\r\n");
+  CHECK(absl::StartsWith(world.Ask(sound), "HTTP/1.1 200"));
+}
+
+// Guards against a second send of a request whose parts were blocked while it
+// waited, and against a false statement that it hasn't run.
+TEST_CASE("a block withdraws requests that wait at a target")
+{
+  World world;
+  auto& target = world.AddTarget(
+    [](FakeTarget&, const std::shared_ptr<gateway::Socket>&) {});
+  auto& other = world.AddTarget(lycheeplank::test::Sends(WholeAnswer("x")));
+  world.caller_ = world.Call(World::Request("/again/", kBadParts));
+  REQUIRE(world.RunUntil([&] { return target.requests_ == 1; }));
+  AddBlock(world.host_);
+  REQUIRE(world.RunUntil([&] { return world.IsWhole(); }));
+  CHECK(absl::StartsWith(world.answer_, "HTTP/1.1 502"));
+  CHECK(world.RunUntil([&] { return target.closed_ == 1; }));
+  CHECK(other.requests_ == 0);
+  for (const auto& [id, member] : world.host_.members_) {
+    CHECK(member.inFlight_ == 0);
+  }
+}
+
+TEST_CASE("an answer with the parts of a block ends it")
+{
+  World world;
+  world.AddTarget(lycheeplank::test::Sends(WholeAnswer("x")));
+  AddBlock(world.host_);
+  world.Ask(World::Request("/again/", "X-Prompt-Prefix: bad:9,own:9\r\n"));
+  gateway::TickBlocks(world.host_);
+  REQUIRE(world.host_.poisonParts_.blocks_.size() == 1);
+  CHECK(world.host_.poisonParts_.blocks_.front().parts_ ==
+        lycheeplank::poison_parts::Parts{ "/first" });
+  world.Ask(World::Request("/again/", "X-Prompt-Prefix: first:9,own:9\r\n"));
+  CHECK(world.host_.poisonParts_.blocks_.size() == 1);
+}
--- a/test/host-group.h
+++ b/test/host-group.h
@@ -84,7 +84,8 @@
   }
 
   // Sends one request to a host; its answer is added to answers_.
-  void Call(std::size_t aHost, const std::string& aFields = "")
+  void Call(std::size_t aHost,
+            const std::string& aRequest = World::Request("/again/x"))
   {
     const auto answer = std::make_shared<std::string>();
     gateway::Connect(
@@ -92,7 +93,7 @@
       gateway::Tcp::endpoint(boost::asio::ip::make_address(IpOf(aHost)),
                              nodes_.at(aHost)->server_.Port()),
       absl::Seconds(5),
-      [this, answer, aFields](std::shared_ptr<gateway::Socket> aSocket) {
+      [this, answer, aRequest](std::shared_ptr<gateway::Socket> aSocket) {
         if (!aSocket) {
           answers_.emplace_back("not connected");
           return;
@@ -108,7 +109,7 @@
                        },
                         [](gateway::PeerEnd) {},
                         {} });
-        aSocket->Send(World::Request("/again/x", aFields));
+        aSocket->Send(aRequest);
       });
   }
 
@@ -122,6 +123,7 @@
   gateway::Host& HostAt(std::size_t aHost) { return nodes_.at(aHost)->host_; }
 
   gateway::Loop loop_{ 1 };
+  std::vector<std::unique_ptr<FakeTarget>> targets_;
   // Heads of the answers to all callers so far.
   std::vector<std::string> answers_;
 
@@ -187,7 +189,6 @@
 
   gateway::Adapter adapter_;
   catalog::CatalogPtr catalog_;
-  std::vector<std::unique_ptr<FakeTarget>> targets_;
   std::vector<std::unique_ptr<Node>> nodes_;
   std::vector<std::shared_ptr<gateway::Socket>> callers_;
 };
