--- a/test/poison-sim.h
+++ b/test/poison-sim.h
@@ -36,6 +36,12 @@
     // a lower rank more often.
     int companion_ = 20;
     double lostShare_ = 0.0;
+    // Longest time until an answer begins.
+    double beginMs_ = 250.0;
+    // Share of requests whose second part is one of a few thousand.
+    double rareShare_ = 0.0;
+    // Most sends of a request.
+    int attempts_ = 2;
     std::uint64_t seed_ = 1;
   };
   struct BadSend
@@ -63,6 +69,8 @@
   std::size_t Begun() const { return begun_; }
   // Sound requests that a block refused, and their parts.
   std::size_t Wronged() const { return wronged_; }
+  // Messages that hosts have sent each other.
+  std::size_t Messages() const { return posted_; }
   // Returns the times at which each part has crashed targets.
   const std::vector<absl::Time>& CrashesOf(std::size_t aPart)
   {
@@ -190,7 +198,7 @@
 
   // A host that was frozen can't tell for so long when connections were lost.
   static constexpr absl::Duration kCatchUpTime = absl::Milliseconds(300);
-  static constexpr int kMaxAttempts = 2;
+  static constexpr int kRareParts = 4000;
 
   static std::string NameOf(std::size_t aHost)
   {
@@ -265,7 +273,11 @@
 
   void Post(std::size_t aFrom, std::size_t aTo, const poison::Message& aMessage)
   {
-    if (aFrom == aTo || Draw() < options_.lostShare_) {
+    if (aFrom == aTo) {
+      return;
+    }
+    ++posted_;
+    if (Draw() < options_.lostShare_) {
       return;
     }
     // Hosts have their own clocks, so times are sent as ages. Copying the
@@ -308,6 +320,9 @@
     const auto rank = static_cast<int>(200.0 * Draw() * Draw() * Draw());
     parts = { absl::StrCat("first", random_() % 4),
               absl::StrCat("second", rank) };
+    if (options_.rareShare_ > 0.0 && Draw() < options_.rareShare_) {
+      parts[1] = absl::StrCat("rare", random_() % kRareParts);
+    }
     if (Draw() < options_.poisonShare_) {
       call->bad_ = random_() % options_.poisonParts_;
       // The part comes with frequent and with rare sound ones.
@@ -348,7 +363,8 @@
       badSends_.push_back({ now_, aCall->host_, *aCall->bad_ });
     }
     target.calls_[aCall->id_] = aCall;
-    After(Uniform(20.0, 250.0), [this, aCall] { BeginAnswer(aCall); });
+    After(Uniform(20.0, options_.beginMs_),
+          [this, aCall] { BeginAnswer(aCall); });
   }
 
   bool IsCurrent(const Call& aCall) const
@@ -428,7 +444,7 @@
                            aCall->parts_,
                            now_);
       }
-      if (!aCall->hasBegun_ && aCall->attempt_ < kMaxAttempts) {
+      if (!aCall->hasBegun_ && aCall->attempt_ < options_.attempts_) {
         ++aCall->attempt_;
         Send(aCall);
       }
@@ -448,6 +464,7 @@
   std::vector<BadSend> badSends_;
   std::map<std::size_t, std::vector<absl::Time>> crashesOf_;
   std::size_t messages_ = 0;
+  std::size_t posted_ = 0;
   std::size_t begun_ = 0;
   std::size_t wronged_ = 0;
 };
