Weigh crashes against the answers that begin, and bound what hosts tell

Blocks of one part began and ended again and again, since a host that knew of a later answer ended the block without a word to the host that had told it, and each lost request went to all hosts three times with all its parts.

Hosts now count begun and lost requests by route and tell the counts with their losses. A block needs losses that a sound part would have with a chance of one in 20,000. A host that is told a refuted block replies with the answer that refutes it; parts with which answers have just begun aren't told as suspects; evidence of 180 ms goes into one message. Parts are only evaluated that were lost three times since an answer with them began.

A part is no longer blamed alone while few other parts may be the causes: each of those is blocked together with it, so sound requests with either still begin and decide.

--- a/include/lycheeplank/poison_parts.h
+++ b/include/lycheeplank/poison_parts.h
@@ -19,8 +19,9 @@
 // evidence, because each of them sees few of the crashes.
 //
 // Evidence against a part: a target's process is lost while requests with the
-// part wait there for the begin of their answers. Evidence for it: an answer to
-// a request with the part begins.
+// part wait there for the begin of their answers. It counts the more, the fewer
+// of the other requests are lost. Evidence for a part: an answer to a request
+// with it begins.
 namespace lycheeplank::poison_parts {
 
 // Sorted ids of parts.
@@ -40,6 +41,16 @@
   }
 };
 
+// Answers of one group of comparable requests that have begun, and requests
+// that were lost before. Both decay with kTrafficTime.
+struct Traffic
+{
+  double begun_ = 0.0;
+  double lost_ = 0.0;
+  absl::Time at_ = absl::InfinitePast();
+};
+using TrafficByGroup = absl::btree_map<std::string, Traffic>;
+
 // A request that was lost before its answer began.
 struct Loss
 {
@@ -48,8 +59,11 @@
   std::uint64_t request_ = 0;
   // Host that sent the request.
   std::string host_;
+  // Without parts with which answers have just begun at that host.
   Parts parts_;
   absl::Time at_ = absl::InfinitePast();
+  // Group of comparable requests, for example those of one route.
+  std::string group_;
 };
 
 // Parts whose requests are blocked if they have all of them.
@@ -61,6 +75,8 @@
   std::uint64_t crashes_ = 0;
   absl::Time firstCrashAt_ = absl::InfinitePast();
   absl::Time lastCrashAt_ = absl::InfinitePast();
+  // Negative logarithm of the chance of these losses if the parts were sound.
+  double surprise_ = 0.0;
 };
 
 // The last time at which an answer to a request with a part began.
@@ -88,6 +104,8 @@
   std::vector<Begin> begins_;
   std::vector<Sighting> sightings_;
   std::vector<Block> blocks_;
+  // Traffic of the sender.
+  TrafficByGroup traffic_;
 };
 
 // Encodes a message that is sent at aNow. ReadMessage returns nothing if the
@@ -109,6 +127,8 @@
   // Time of the first loss.
   absl::Time at_ = absl::InfinitePast();
   std::vector<Loss> losses_;
+  // Traffic of all hosts when the crash was first evaluated.
+  absl::optional<TrafficByGroup> traffic_;
 };
 
 // What one host knows.
@@ -126,16 +146,30 @@
   // dropped when the newer one is full.
   absl::flat_hash_map<std::string, absl::Time> begins_;
   absl::flat_hash_map<std::string, absl::Time> olderBegins_;
-  // Parts of lost requests and of blocks, with the time of the last loss, and
-  // the last begin that all hosts were told of.
   struct Suspicion
   {
     absl::Time lostAt_ = absl::InfinitePast();
+    // Lost requests since an answer began, as far as this host knows.
+    std::size_t losses_ = 0;
+    // The last begin that all hosts were told of, and the moments of crashes
+    // since: their number and the first and the last of them.
     absl::Time toldBeginAt_ = absl::InfinitePast();
+    std::size_t moments_ = 0;
+    absl::Time firstMomentAt_ = absl::InfinitePast();
+    absl::Time lastMomentAt_ = absl::InfinitePast();
   };
+  // Parts of lost requests and of blocks.
   absl::btree_map<std::string, Suspicion> suspects_;
   // When the evidence has to be evaluated next.
   absl::Time evaluateAt_ = absl::InfiniteFuture();
+  // Traffic of this host and the last reports of the others.
+  TrafficByGroup ownTraffic_;
+  absl::flat_hash_map<std::string, TrafficByGroup> peerTraffic_;
+  // This host has lost requests since it last told its traffic.
+  bool hasNewLosses_ = false;
+  absl::Time trafficToldAt_ = absl::InfinitePast();
+  // Time of the last message to all hosts.
+  absl::Time toldAt_ = absl::InfinitePast();
 
   // News for the other hosts, with the number of messages that will still
   // contain each.
@@ -156,10 +190,30 @@
 inline constexpr std::size_t kMinMomentsAfterSuccess = 6;
 // The moments of the former at which no known block explains the crash.
 inline constexpr std::size_t kMinUnexplained = 2;
+// Surprise that a block needs: the chance that this many requests with a sound
+// part are lost in a row is one in a million. What one moment can contribute is
+// bounded, so that no block rests on fewer than three.
+inline constexpr double kMinSurprise = 10.0;
+inline constexpr double kMaxSurprisePerMoment = 4.605;
+// Causes that would have to coincide if a part was sound that is lost only with
+// other parts which might be the cause.
+inline constexpr std::size_t kMinCauses = 4;
+// Traffic counts half as much after 0.7 of this time.
+inline constexpr absl::Duration kTrafficTime = absl::Seconds(10);
+// Evidence that comes within this time goes into one message.
+inline constexpr absl::Duration kTellPeriod = absl::Milliseconds(180);
+// A host that loses requests tells its traffic this often.
+inline constexpr absl::Duration kTrafficPeriod = absl::Seconds(1);
+// A part with which an answer has begun this long ago at a host isn't suspected
+// by that host.
+inline constexpr absl::Duration kProvenTime = absl::Seconds(2);
+// Moments after which the other hosts are told that answers with a part begin.
+// Must be less than kMinMoments.
+inline constexpr std::size_t kTellMoments = 2;
 // Crashes within this time count as one moment: when many targets are lost
 // together, a part that waits at several of them has no chance to begin in
 // between.
-inline constexpr absl::Duration kMomentTime = absl::Milliseconds(200);
+inline constexpr absl::Duration kMomentTime = absl::Milliseconds(100);
 // Different requests, and hosts that sent them if there are several hosts, that
 // must have been lost. One host may lose its requests because it is cut off.
 inline constexpr std::size_t kMinRequests = 2;
@@ -191,9 +245,13 @@
 inline constexpr std::size_t kMaxBlocks = 32;
 inline constexpr std::size_t kMaxSuspects = 4096;
 // Items of one kind per message, so that it fits into one packet or few.
-inline constexpr std::size_t kMaxItems = 40;
+inline constexpr std::size_t kMaxItems = 16;
+inline constexpr std::size_t kMaxGroups = 16;
+// Losses that wait to be told.
+inline constexpr std::size_t kMaxNewLosses = 64;
 // Number of messages that contain each item, so that some may be lost.
 inline constexpr int kRepeats = 3;
+inline constexpr int kLossRepeats = 2;
 
 // Records that a request of this host was lost before its answer began.
 void
@@ -201,12 +259,16 @@
            const Start& aStart,
            std::uint64_t aRequest,
            const Parts& aParts,
-           absl::Time aNow);
+           absl::Time aNow,
+           const std::string& aGroup = {});
 
 // Records that an answer to a request with these parts has begun, and bytes of
 // a target. aSentAt: the earliest time at which the target may have sent them.
 void
-RecordBegin(State& aState, const Parts& aParts, absl::Time aSentAt);
+RecordBegin(State& aState,
+            const Parts& aParts,
+            absl::Time aSentAt,
+            const std::string& aGroup = {});
 void
 RecordBytes(State& aState,
             absl::string_view aTarget,
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -288,7 +288,8 @@
 SentRequest
 Exchange::Evidence() const
 {
-  return { targetId_, targetBornMs_, request_.id_, sharedParts_, sentAt_ };
+  return { targetId_,    targetBornMs_, request_.id_,
+           sharedParts_, sentAt_,       route_->name_ };
 }
 
 void
--- a/src/gateway/part-blocks.cc
+++ b/src/gateway/part-blocks.cc
@@ -50,6 +50,7 @@
         .Number("crashes", block.crashes_)
         .Age("first_crash_age_ms", Now() - block.firstCrashAt_)
         .Age("last_crash_age_ms", Now() - block.lastCrashAt_)
+        .Number("surprise", block.surprise_)
         .Text("source", aSource));
   }
   if (!isBlocking) {
@@ -94,7 +95,8 @@
                            { aRequest.target_, aRequest.targetBornMs_ },
                            core::StableHash(aRequest.id_),
                            aRequest.parts_,
-                           now);
+                           now,
+                           aRequest.route_);
 }
 
 void
@@ -103,7 +105,8 @@
   poison_parts::RecordBegin(
     aHost.poisonParts_,
     aRequest.parts_,
-    EarliestSendTime(aHost.stallDetector_, aRequest.sentAt_, Now()));
+    EarliestSendTime(aHost.stallDetector_, aRequest.sentAt_, Now()),
+    aRequest.route_);
 }
 
 void
--- a/src/gateway/part-blocks.h
+++ b/src/gateway/part-blocks.h
@@ -20,6 +20,8 @@
   absl::string_view id_;
   const poison_parts::Parts& parts_;
   absl::Time sentAt_;
+  // Requests of one route are comparable.
+  const std::string& route_;
 };
 
 // Returns the parts of a prompt that other requests may share. Ids of parts are
--- a/src/poison_parts/evidence.cc
+++ b/src/poison_parts/evidence.cc
@@ -1,9 +1,12 @@
 #include "poison_parts/evidence.h"
 
 #include <algorithm>
+#include <cmath>
 #include <set>
 #include <tuple>
 
+#include "poison_parts/traffic.h"
+
 namespace lycheeplank::poison_parts {
 
 namespace {
@@ -16,12 +19,13 @@
 };
 
 // Lost requests by part.
-using Cases = absl::flat_hash_map<std::string, std::vector<Case>>;
+using Cases = absl::btree_map<std::string, std::vector<Case>>;
 
 // The evidence against one part.
 struct Suspect
 {
   std::string part_;
+  // In the order of their crashes.
   std::vector<Case> cases_;
   std::size_t moments_ = 0;
   // An answer with the part has begun before.
@@ -42,6 +46,12 @@
   return std::binary_search(aParts.begin(), aParts.end(), aPart);
 }
 
+bool
+HasBegun(const State& aState, const std::string& aPart)
+{
+  return LastBegin(aState, aPart) != absl::InfinitePast();
+}
+
 bool
 FallsUnder(const Loss& aLoss, const Block& aBlock)
 {
@@ -69,11 +79,10 @@
 {
   auto explanation = Explanation::None;
   for (const auto& block : aBlocks) {
-    if (Has(block.parts_, aPart)) {
-      continue;
-    }
     if (FallsUnder(*aCase.loss_, block)) {
-      explanation = Explanation::SameRequest;
+      if (!Has(block.parts_, aPart)) {
+        explanation = Explanation::SameRequest;
+      }
       continue;
     }
     if (std::any_of(
@@ -86,22 +95,52 @@
   return explanation;
 }
 
-std::size_t
-CountMoments(const std::vector<Case>& aCases)
+// Returns the first case of each moment.
+std::vector<Case>
+FirstOfMoments(const std::vector<Case>& aCases)
 {
-  std::set<absl::Time> times;
+  std::vector<Case> first;
   for (const auto& entry : aCases) {
-    times.insert(entry.crash_->at_);
+    if (first.empty() ||
+        entry.crash_->at_ - first.back().crash_->at_ >= kMomentTime) {
+      first.push_back(entry);
+    }
   }
-  std::size_t moments = 0;
-  auto counted = absl::InfinitePast();
-  for (const auto at : times) {
-    if (at - counted >= kMomentTime) {
-      ++moments;
-      counted = at;
+  return first;
+}
+
+std::size_t
+CountMoments(const std::vector<Case>& aCases)
+{
+  return FirstOfMoments(aCases).size();
+}
+
+// Returns the negative logarithm of the chance that requests with a sound part
+// are lost at all these moments. Of the other requests of their group, lost and
+// begun ones, so many were lost at that time.
+double
+SurpriseOf(const std::vector<Case>& aCases)
+{
+  double surprise = 0.0;
+  for (const auto& entry : FirstOfMoments(aCases)) {
+    const auto& crash = *entry.crash_;
+    const auto& group = entry.loss_->group_;
+    const auto found = crash.traffic_->find(group);
+    if (found == crash.traffic_->end()) {
+      continue;
+    }
+    const auto& traffic = found->second;
+    double lost = traffic.lost_;
+    for (const auto& own : aCases) {
+      if (own.loss_->at_ <= traffic.at_ && own.loss_->group_ == group) {
+        lost -= DecayedWeight(own.loss_->at_, traffic.at_);
+      }
     }
+    lost = std::max(0.0, lost);
+    const double chance = (lost + 1.0) / (lost + traffic.begun_ + 2.0);
+    surprise += std::min(kMaxSurprisePerMoment, -std::log(chance));
   }
-  return moments;
+  return surprise;
 }
 
 bool
@@ -117,25 +156,59 @@
          hosts.size() >= std::min(kMinHosts, aState.hosts_);
 }
 
+// Returns whether the cases prove that a part crashes targets. aUnexplained:
+// those that no known block explains.
+bool
+IsProven(const State& aState,
+         const Suspect& aSuspect,
+         const std::vector<Case>& aUnexplained)
+{
+  const bool hasMoments =
+    aSuspect.hasBegun_ ? CountMoments(aUnexplained) >= kMinMomentsAfterSuccess
+                       : aSuspect.moments_ >= kMinMoments &&
+                           CountMoments(aUnexplained) >= kMinUnexplained;
+  return hasMoments && HasEnoughSources(aState, aSuspect.cases_) &&
+         SurpriseOf(aSuspect.cases_) >= kMinSurprise;
+}
+
+// Returns the lost requests of the parts that were lost often enough since an
+// answer with them began.
 Cases
-CollectCases(const State& aState, absl::Time aNow)
+CollectCases(const State& aState)
 {
   Cases cases;
+  for (const auto& [part, suspicion] : aState.suspects_) {
+    if (suspicion.losses_ >= kMinMoments) {
+      cases[part];
+    }
+  }
+  if (cases.empty()) {
+    return cases;
+  }
   for (const auto& crash : aState.crashes_) {
-    if (aNow - crash.at_ < kSettleTime) {
+    if (!crash.traffic_) {
       continue;
     }
     for (const auto& loss : crash.losses_) {
       for (const auto& part : loss.parts_) {
-        cases[part].push_back({ &crash, &loss });
+        if (const auto found = cases.find(part);
+            found != cases.end() && crash.at_ > LastBegin(aState, part)) {
+          found->second.push_back({ &crash, &loss });
+        }
       }
     }
   }
+  for (auto& [part, list] : cases) {
+    std::stable_sort(
+      list.begin(), list.end(), [](const Case& aLeft, const Case& aRight) {
+        return aLeft.crash_->at_ < aRight.crash_->at_;
+      });
+  }
   return cases;
 }
 
-// Returns the part with the most unexplained crashes if they suffice for a
-// block.
+// Returns the part with the most crashes that blocks don't explain by another
+// request if they prove that it is the cause.
 absl::optional<Suspect>
 FindSuspect(const State& aState,
             const Cases& aCases,
@@ -147,13 +220,11 @@
     if (all.size() < kMinMoments || aIgnored.count(part) != 0) {
       continue;
     }
-    const auto lastBegin = LastBegin(aState, part);
-    Suspect suspect{ part, {}, 0, false };
+    Suspect suspect{ part, {}, 0, HasBegun(aState, part) };
     std::vector<Case> unexplained;
     for (const auto& entry : all) {
       const auto explanation = Explain(entry, part, aBlocks);
-      if (entry.crash_->at_ <= lastBegin ||
-          explanation == Explanation::OtherRequest) {
+      if (explanation == Explanation::OtherRequest) {
         continue;
       }
       suspect.cases_.push_back(entry);
@@ -161,14 +232,9 @@
         unexplained.push_back(entry);
       }
     }
-    suspect.hasBegun_ = lastBegin != absl::InfinitePast();
     suspect.moments_ = CountMoments(suspect.cases_);
-    const bool isProven =
-      suspect.hasBegun_ ? CountMoments(unexplained) >= kMinMomentsAfterSuccess
-                        : suspect.moments_ >= kMinMoments &&
-                            CountMoments(unexplained) >= kMinUnexplained;
-    if (isProven && (!worst || IsWorse(suspect, *worst)) &&
-        HasEnoughSources(aState, suspect.cases_)) {
+    if ((!worst || IsWorse(suspect, *worst)) &&
+        IsProven(aState, suspect, unexplained)) {
       worst = std::move(suspect);
     }
   }
@@ -179,58 +245,129 @@
 // aMayBeCause holds.
 template<typename MayBeCause>
 Parts
-CommonParts(const Suspect& aSuspect, const MayBeCause& aMayBeCause)
+CommonParts(const std::vector<Case>& aCases, const MayBeCause& aMayBeCause)
 {
   Parts common;
-  for (const auto& part : aSuspect.cases_.front().loss_->parts_) {
-    if (aMayBeCause(part) && std::all_of(aSuspect.cases_.begin(),
-                                         aSuspect.cases_.end(),
-                                         [&](const Case& aCase) {
-                                           return Has(aCase.loss_->parts_,
-                                                      part);
-                                         })) {
+  for (const auto& part : aCases.front().loss_->parts_) {
+    if (aMayBeCause(part) &&
+        std::all_of(aCases.begin(), aCases.end(), [&](const Case& aCase) {
+          return Has(aCase.loss_->parts_, part);
+        })) {
       common.push_back(part);
     }
   }
   return common;
 }
 
+// Returns a block of all parts that the lost requests have in common and that
+// may be the cause.
 Block
-MakeBlock(const State& aState, const Suspect& aSuspect)
+MakeBlock(const State& aState, const std::vector<Case>& aCases)
 {
   Block block;
   std::set<const Crash*> crashes;
-  block.firstCrashAt_ = absl::InfiniteFuture();
-  for (const auto& entry : aSuspect.cases_) {
+  for (const auto& entry : aCases) {
     crashes.insert(entry.crash_);
-    block.firstCrashAt_ = std::min(block.firstCrashAt_, entry.crash_->at_);
-    block.lastCrashAt_ = std::max(block.lastCrashAt_, entry.crash_->at_);
   }
   block.crashes_ = crashes.size();
-  block.parts_ = CommonParts(aSuspect, [&](const std::string& aPart) {
-    return LastBegin(aState, aPart) == absl::InfinitePast();
-  });
+  block.firstCrashAt_ = aCases.front().crash_->at_;
+  block.lastCrashAt_ = aCases.back().crash_->at_;
+  block.surprise_ = SurpriseOf(aCases);
+  block.parts_ = CommonParts(
+    aCases, [&](const std::string& aPart) { return !HasBegun(aState, aPart); });
   if (block.parts_.empty()) {
-    block.parts_ = CommonParts(aSuspect, [&](const std::string& aPart) {
+    block.parts_ = CommonParts(aCases, [&](const std::string& aPart) {
       return LastBegin(aState, aPart) <= block.firstCrashAt_;
     });
   }
   return block;
 }
 
+// The cases of a suspect, split by other parts that may be the cause instead.
+struct Alternatives
+{
+  // Cases without such a part.
+  std::vector<Case> without_;
+  // The others, each with the most frequent of its parts.
+  std::vector<std::vector<Case>> groups_;
+};
+
+Alternatives
+FindAlternatives(const State& aState,
+                 const Suspect& aSuspect,
+                 const Parts& aCommon)
+{
+  Alternatives alternatives;
+  auto left = aSuspect.cases_;
+  while (!left.empty()) {
+    absl::btree_map<std::string, std::vector<Case>> byPart;
+    for (const auto& entry : left) {
+      for (const auto& part : entry.loss_->parts_) {
+        if (part != aSuspect.part_ && !Has(aCommon, part) &&
+            !HasBegun(aState, part)) {
+          byPart[part].push_back(entry);
+        }
+      }
+    }
+    if (byPart.empty()) {
+      alternatives.without_ = std::move(left);
+      return alternatives;
+    }
+    const auto& most = *std::max_element(
+      byPart.begin(), byPart.end(), [](const auto& aLeft, const auto& aRight) {
+        return aLeft.second.size() < aRight.second.size();
+      });
+    left.erase(std::remove_if(left.begin(),
+                              left.end(),
+                              [&](const Case& aCase) {
+                                return Has(aCase.loss_->parts_, most.first);
+                              }),
+               left.end());
+    alternatives.groups_.push_back(most.second);
+  }
+  return alternatives;
+}
+
+// Returns the blocks for a proven suspect. If few other parts could be the
+// causes of its crashes as well, each of them is blocked together with the
+// suspect only: sound requests with either of them can still begin, which
+// decides between them.
+std::vector<Block>
+MakeBlocks(const State& aState, const Suspect& aSuspect)
+{
+  auto block = MakeBlock(aState, aSuspect.cases_);
+  if (block.parts_.empty()) {
+    return {};
+  }
+  const auto alternatives = FindAlternatives(aState, aSuspect, block.parts_);
+  const auto without = CountMoments(alternatives.without_);
+  if (aSuspect.hasBegun_ || alternatives.groups_.empty() ||
+      without >= kMinUnexplained ||
+      alternatives.groups_.size() + without >= kMinCauses) {
+    return { std::move(block) };
+  }
+  std::vector<Block> blocks;
+  for (const auto& cases : alternatives.groups_) {
+    const Suspect suspect{ aSuspect.part_, cases, CountMoments(cases), false };
+    if (IsProven(aState, suspect, cases)) {
+      blocks.push_back(MakeBlock(aState, cases));
+    }
+  }
+  return blocks;
+}
+
 } // namespace
 
 std::vector<Block>
-FindPoison(const State& aState, absl::Time aNow)
+FindPoison(const State& aState)
 {
-  const auto cases = CollectCases(aState, aNow);
+  const auto cases = CollectCases(aState);
   auto blocks = aState.blocks_;
   std::vector<Block> found;
   std::set<std::string> done;
   while (const auto suspect = FindSuspect(aState, cases, blocks, done)) {
     done.insert(suspect->part_);
-    auto block = MakeBlock(aState, *suspect);
-    if (!block.parts_.empty()) {
+    for (auto& block : MakeBlocks(aState, *suspect)) {
       blocks.push_back(block);
       found.push_back(std::move(block));
     }
@@ -238,13 +375,27 @@
   return found;
 }
 
+void
+RecordTraffic(State& aState, absl::Time aNow)
+{
+  absl::optional<TrafficByGroup> total;
+  for (auto& crash : aState.crashes_) {
+    if (!crash.traffic_ && aNow - crash.at_ >= kSettleTime) {
+      if (!total) {
+        total = TotalTraffic(aState, aNow);
+      }
+      crash.traffic_ = *total;
+    }
+  }
+}
+
 absl::Time
-NextEvaluation(const State& aState, absl::Time aNow)
+NextEvaluation(const State& aState)
 {
   auto next = absl::InfiniteFuture();
   for (const auto& crash : aState.crashes_) {
-    if (const auto at = crash.at_ + kSettleTime; at > aNow) {
-      next = std::min(next, at);
+    if (!crash.traffic_) {
+      next = std::min(next, crash.at_ + kSettleTime);
     }
   }
   return next;
--- a/src/poison_parts/evidence.h
+++ b/src/poison_parts/evidence.h
@@ -16,11 +16,15 @@
 // begun, because any of them may be the cause; without such parts, those with
 // which no answer has begun since the first crash.
 std::vector<Block>
-FindPoison(const State& aState, absl::Time aNow);
+FindPoison(const State& aState);
+
+// Notes the traffic at the crashes that are old enough to be evaluated.
+void
+RecordTraffic(State& aState, absl::Time aNow);
 
 // Returns when the next crash can be evaluated.
 absl::Time
-NextEvaluation(const State& aState, absl::Time aNow);
+NextEvaluation(const State& aState);
 
 } // namespace lycheeplank::poison_parts
 
--- a/src/poison_parts/messages.cc
+++ b/src/poison_parts/messages.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "core/json.h"
 #include "lycheeplank/poison_parts.h"
 
@@ -54,6 +56,7 @@
 {
   auto row = WriteStart(aLoss.start_);
   row["request"] = aLoss.request_;
+  row["group"] = aLoss.group_;
   row["parts"] = aLoss.parts_;
   row["age_ms"] = aClock.Write(aLoss.at_);
   return row;
@@ -65,7 +68,8 @@
   return { { "parts", aBlock.parts_ },
            { "crashes", aBlock.crashes_ },
            { "first_age_ms", aClock.Write(aBlock.firstCrashAt_) },
-           { "last_age_ms", aClock.Write(aBlock.lastCrashAt_) } };
+           { "last_age_ms", aClock.Write(aBlock.lastCrashAt_) },
+           { "surprise", aBlock.surprise_ } };
 }
 
 } // namespace
@@ -93,10 +97,18 @@
   for (const auto& block : aMessage.blocks_) {
     blocks.push_back(WriteBlock(block, clock));
   }
+  auto traffic = json::Json::array();
+  for (const auto& [group, counts] : aMessage.traffic_) {
+    traffic.push_back({ { "group", group },
+                        { "begun", counts.begun_ },
+                        { "lost", counts.lost_ },
+                        { "age_ms", clock.Write(counts.at_) } });
+  }
   const json::Json body{
     { "host", aMessage.sender_ },          { "asks", aMessage.asksForBlocks_ },
     { "losses", std::move(losses) },       { "begins", std::move(begins) },
-    { "sightings", std::move(sightings) }, { "blocks", std::move(blocks) }
+    { "sightings", std::move(sightings) }, { "blocks", std::move(blocks) },
+    { "traffic", std::move(traffic) }
   };
   return std::string(kMarker) +
          body.dump(-1, ' ', false, json::Json::error_handler_t::replace);
@@ -127,7 +139,8 @@
                                 json::CountOf(row, "request"),
                                 message.sender_,
                                 ReadParts(row),
-                                clock.Read(row, "age_ms") });
+                                clock.Read(row, "age_ms"),
+                                json::TextOf(row, "group") });
   }
   for (const auto& row : json::ListOf(body, "begins")) {
     message.begins_.push_back(
@@ -140,11 +153,21 @@
     Block block{ ReadParts(row),
                  json::CountOf(row, "crashes"),
                  clock.Read(row, "first_age_ms"),
-                 clock.Read(row, "last_age_ms") };
+                 clock.Read(row, "last_age_ms"),
+                 json::NumberOf(row, "surprise") };
     if (!block.parts_.empty()) {
       message.blocks_.push_back(std::move(block));
     }
   }
+  for (const auto& row : json::ListOf(body, "traffic")) {
+    if (message.traffic_.size() < kMaxGroups) {
+      message.traffic_[json::TextOf(row, "group")] = {
+        std::max(0.0, json::NumberOf(row, "begun")),
+        std::max(0.0, json::NumberOf(row, "lost")),
+        clock.Read(row, "age_ms")
+      };
+    }
+  }
   return message;
 }
 
--- a/src/poison_parts/poison_parts.cc
+++ b/src/poison_parts/poison_parts.cc
@@ -7,6 +7,7 @@
 #include <absl/strings/str_join.h>
 
 #include "poison_parts/evidence.h"
+#include "poison_parts/traffic.h"
 
 namespace lycheeplank::poison_parts {
 
@@ -38,6 +39,38 @@
          found->second.at_ > aLostAt + kLateBytesTime;
 }
 
+// Queues the last begin of a suspected part for the other hosts if they don't
+// know that it stands between crashes.
+void
+TellBeginIfNeeded(State& aState,
+                  const std::string& aPart,
+                  const State::Suspicion& aSuspicion)
+{
+  if (aSuspicion.moments_ >= kTellMoments &&
+      LastBegin(aState, aPart) > aSuspicion.firstMomentAt_) {
+    aState.newBegins_.emplace(aPart, kRepeats);
+  }
+}
+
+// Takes back what an answer that has begun refutes. aIsTold: all hosts know.
+void
+Clear(State::Suspicion& aSuspicion, absl::Time aBeganAt, bool aIsTold)
+{
+  if (aBeganAt > aSuspicion.lostAt_) {
+    aSuspicion.losses_ = 0;
+  }
+  if (!aIsTold) {
+    return;
+  }
+  aSuspicion.toldBeginAt_ = std::max(aSuspicion.toldBeginAt_, aBeganAt);
+  if (aSuspicion.toldBeginAt_ >= aSuspicion.lastMomentAt_) {
+    aSuspicion.moments_ = 0;
+  } else if (aSuspicion.toldBeginAt_ >= aSuspicion.firstMomentAt_) {
+    aSuspicion.moments_ = 1;
+    aSuspicion.firstMomentAt_ = aSuspicion.lastMomentAt_;
+  }
+}
+
 void
 Suspect(State& aState, const Parts& aParts, absl::Time aLostAt)
 {
@@ -48,11 +81,23 @@
     }
     auto& suspicion = aState.suspects_[part];
     suspicion.lostAt_ = std::max(suspicion.lostAt_, aLostAt);
-    // The other hosts may not know that answers with this part begin.
-    if (suspicion.toldBeginAt_ < LastBegin(aState, part) &&
-        suspicion.toldBeginAt_ <= suspicion.lostAt_) {
-      aState.newBegins_[part] = kRepeats;
+    if (LastBegin(aState, part) < aLostAt) {
+      ++suspicion.losses_;
+    }
+    if (aLostAt <= suspicion.toldBeginAt_) {
+      continue;
     }
+    if (suspicion.moments_ == 0 ||
+        absl::AbsDuration(aLostAt - suspicion.lastMomentAt_) >= kMomentTime) {
+      suspicion.firstMomentAt_ =
+        suspicion.moments_ == 0 ? aLostAt
+                                : std::min(suspicion.firstMomentAt_, aLostAt);
+      suspicion.lastMomentAt_ = suspicion.moments_ == 0
+                                  ? aLostAt
+                                  : std::max(suspicion.lastMomentAt_, aLostAt);
+      ++suspicion.moments_;
+    }
+    TellBeginIfNeeded(aState, part, suspicion);
   }
 }
 
@@ -149,20 +194,28 @@
   return true;
 }
 
+// Returns a block without the parts that have proved sound.
+Block
+Narrow(const State& aState, Block aBlock)
+{
+  auto& parts = aBlock.parts_;
+  parts.erase(std::remove_if(parts.begin(),
+                             parts.end(),
+                             [&](const std::string& aPart) {
+                               return LastBegin(aState, aPart) >
+                                      aBlock.firstCrashAt_;
+                             }),
+              parts.end());
+  return aBlock;
+}
+
 // Removes parts from blocks that have proved sound, and ends blocks.
 void
 ReviewBlocks(State& aState, absl::Time aNow, std::vector<BlockChange>& aChanges)
 {
   for (auto& block : std::exchange(aState.blocks_, {})) {
-    auto narrowed = block;
-    auto& parts = narrowed.parts_;
-    parts.erase(std::remove_if(parts.begin(),
-                               parts.end(),
-                               [&](const std::string& aPart) {
-                                 return LastBegin(aState, aPart) >
-                                        block.firstCrashAt_;
-                               }),
-                parts.end());
+    const auto narrowed = Narrow(aState, block);
+    const auto& parts = narrowed.parts_;
     if (parts.empty() || aNow - block.lastCrashAt_ > kBlockTime) {
       aChanges.push_back({ Change::Ended, std::move(block) });
       continue;
@@ -178,6 +231,7 @@
 DropOld(State& aState, absl::Time aNow)
 {
   const auto oldest = aNow - kEvidenceTime;
+  DropOldTraffic(aState, aNow);
   aState.crashes_.erase(
     std::remove_if(aState.crashes_.begin(),
                    aState.crashes_.end(),
@@ -216,7 +270,7 @@
 }
 
 Message
-TakeMessage(State& aState)
+TakeMessage(State& aState, absl::Time aNow)
 {
   Message message;
   message.sender_ = aState.self_;
@@ -238,7 +292,7 @@
     message.begins_.push_back({ aPart, at });
     if (const auto found = aState.suspects_.find(aPart);
         found != aState.suspects_.end()) {
-      found->second.toldBeginAt_ = std::max(found->second.toldBeginAt_, at);
+      Clear(found->second, at, true);
     }
     return true;
   });
@@ -261,9 +315,51 @@
     message.blocks_.push_back(*found);
     return true;
   });
+  if (!message.losses_.empty() ||
+      (aState.hasNewLosses_ &&
+       aNow - aState.trafficToldAt_ >= kTrafficPeriod)) {
+    message.traffic_ = aState.ownTraffic_;
+    aState.trafficToldAt_ = aNow;
+    aState.hasNewLosses_ = false;
+  }
   return message;
 }
 
+bool
+HasNews(const Message& aMessage)
+{
+  return !aMessage.losses_.empty() || !aMessage.begins_.empty() ||
+         !aMessage.sightings_.empty() || !aMessage.blocks_.empty() ||
+         !aMessage.traffic_.empty();
+}
+
+// Returns the parts without those with which answers have just begun. They
+// can't be the cause, and others needn't hear of them.
+Parts
+UnprovenParts(const State& aState, const Parts& aParts, absl::Time aNow)
+{
+  Parts unproven;
+  std::copy_if(aParts.begin(),
+               aParts.end(),
+               std::back_inserter(unproven),
+               [&](const std::string& aPart) {
+                 return aNow - LastBegin(aState, aPart) > kProvenTime;
+               });
+  return unproven;
+}
+
+// Adds the begins that refute parts of another host's block.
+void
+AddRefutation(const State& aState, const Block& aBlock, Message& aReply)
+{
+  for (const auto& part : aBlock.parts_) {
+    if (const auto at = LastBegin(aState, part);
+        at > aBlock.firstCrashAt_ && aReply.begins_.size() < kMaxItems) {
+      aReply.begins_.push_back({ part, at });
+    }
+  }
+}
+
 // Returns a message with all blocks, and what is known in favour of suspected
 // parts.
 Message
@@ -300,27 +396,38 @@
            const Start& aStart,
            std::uint64_t aRequest,
            const Parts& aParts,
-           absl::Time aNow)
+           absl::Time aNow,
+           const std::string& aGroup)
 {
-  const Loss loss{ aStart, aRequest, aState.self_, aParts, aNow };
-  if (AddLoss(aState, loss, aNow) &&
-      aState.newLosses_.size() < kMaxCrashes * kMaxLossesPerCrash) {
-    aState.newLosses_.push_back({ loss, kRepeats });
+  CountLoss(aState.ownTraffic_, aGroup, aNow);
+  aState.hasNewLosses_ = true;
+  const Loss loss{ aStart,       aRequest,
+                   aState.self_, UnprovenParts(aState, aParts, aNow),
+                   aNow,         aGroup };
+  if (AddLoss(aState, loss, aNow) && aState.newLosses_.size() < kMaxNewLosses) {
+    aState.newLosses_.push_back({ loss, kLossRepeats });
   }
 }
 
 void
-RecordBegin(State& aState, const Parts& aParts, absl::Time aSentAt)
+RecordBegin(State& aState,
+            const Parts& aParts,
+            absl::Time aSentAt,
+            const std::string& aGroup)
 {
+  if (aParts.empty()) {
+    return;
+  }
+  CountBegin(aState.ownTraffic_, aGroup, aSentAt);
   for (const auto& part : aParts) {
     AddBegin(aState, part, aSentAt);
     if (aState.suspects_.empty()) {
       continue;
     }
-    const auto found = aState.suspects_.find(part);
-    if (found != aState.suspects_.end() && found->second.lostAt_ < aSentAt &&
-        found->second.toldBeginAt_ <= found->second.lostAt_) {
-      aState.newBegins_.emplace(part, kRepeats);
+    if (const auto found = aState.suspects_.find(part);
+        found != aState.suspects_.end()) {
+      Clear(found->second, aSentAt, false);
+      TellBeginIfNeeded(aState, part, found->second);
     }
   }
 }
@@ -360,18 +467,21 @@
   ReviewBlocks(aState, aNow, step.changes_);
   const bool isStarting = aState.hosts_ > 1 && aState.ticks_ < kAskingTicks;
   if (aNow >= aState.evaluateAt_ && !isStarting) {
-    for (const auto& block : FindPoison(aState, aNow)) {
+    RecordTraffic(aState, aNow);
+    for (const auto& block : FindPoison(aState)) {
       if (AddBlock(aState, block)) {
         aState.newBlocks_[KeyOf(block.parts_)] = kRepeats;
         step.changes_.push_back({ Change::Blocked, block });
       }
     }
-    aState.evaluateAt_ = NextEvaluation(aState, aNow);
+    aState.evaluateAt_ = NextEvaluation(aState);
   }
-  auto message = TakeMessage(aState);
-  if (!message.losses_.empty() || !message.begins_.empty() ||
-      !message.sightings_.empty() || !message.blocks_.empty()) {
-    step.toAll_ = std::move(message);
+  if (!aState.newBlocks_.empty() || aNow - aState.toldAt_ >= kTellPeriod) {
+    auto message = TakeMessage(aState, aNow);
+    if (HasNews(message)) {
+      step.toAll_ = std::move(message);
+      aState.toldAt_ = aNow;
+    }
   }
   if (aState.hosts_ < 2) {
     return step;
@@ -389,13 +499,13 @@
 Receive(State& aState, const Message& aMessage, absl::Time aNow)
 {
   Step step;
+  SetPeerTraffic(aState, aMessage);
   for (const auto& [part, at] : aMessage.begins_) {
     AddBegin(aState, part, at);
     if (const auto found = aState.suspects_.find(part);
         found != aState.suspects_.end()) {
-      auto& told = found->second.toldBeginAt_;
-      told = std::max(told, at);
-      if (told > found->second.lostAt_) {
+      Clear(found->second, at, true);
+      if (found->second.moments_ < kTellMoments) {
         aState.newBegins_.erase(part);
       }
     }
@@ -407,15 +517,21 @@
   for (const auto& loss : aMessage.losses_) {
     AddLoss(aState, loss, aNow);
   }
+  Message reply;
   for (const auto& block : aMessage.blocks_) {
-    if (AddBlock(aState, block)) {
-      step.changes_.push_back({ Change::Blocked, block });
+    const auto narrowed = Narrow(aState, block);
+    AddRefutation(aState, block, reply);
+    if (!narrowed.parts_.empty() && AddBlock(aState, narrowed)) {
+      step.changes_.push_back({ Change::Blocked, narrowed });
     }
   }
   ReviewBlocks(aState, aNow, step.changes_);
   if (aMessage.asksForBlocks_ &&
       !(aState.blocks_.empty() && aState.suspects_.empty())) {
     step.reply_ = AllBlocks(aState);
+  } else if (!reply.begins_.empty()) {
+    reply.sender_ = aState.self_;
+    step.reply_ = std::move(reply);
   }
   return step;
 }
--- /dev/null
+++ b/src/poison_parts/traffic.h
@@ -0,0 +1,36 @@
+#ifndef LYCHEEPLANK_SRC_POISON_PARTS_TRAFFIC_H
+#define LYCHEEPLANK_SRC_POISON_PARTS_TRAFFIC_H
+
+#include <string>
+
+#include "lycheeplank/poison_parts.h"
+
+// Counts of begun answers and lost requests, which tell how likely a sound
+// request is lost.
+namespace lycheeplank::poison_parts {
+
+// Returns what is left at aNow of a weight of one at aThen.
+double
+DecayedWeight(absl::Time aThen, absl::Time aNow);
+
+// Count an answer that has begun, and a request that was lost before.
+void
+CountBegin(TrafficByGroup& aTraffic, const std::string& aGroup, absl::Time aAt);
+void
+CountLoss(TrafficByGroup& aTraffic, const std::string& aGroup, absl::Time aAt);
+
+// Returns the traffic of this host and all others.
+TrafficByGroup
+TotalTraffic(const State& aState, absl::Time aNow);
+
+// Records another host's report.
+void
+SetPeerTraffic(State& aState, const Message& aMessage);
+
+// Forgets reports that hardly count any more.
+void
+DropOldTraffic(State& aState, absl::Time aNow);
+
+} // namespace lycheeplank::poison_parts
+
+#endif
--- a/test/poison-sim.h
+++ b/test/poison-sim.h
@@ -76,6 +76,10 @@
   {
     return crashesOf_[aPart];
   }
+  const poison::State& StateOf(std::size_t aHost) const
+  {
+    return hosts_[aHost].state_;
+  }
   std::size_t BlocksAt(std::size_t aHost) const
   {
     return hosts_[aHost].state_.blocks_.size();
