Slow a rollout whose orders crash the targets

A version that no target survives would have crashed a fifth of a model's targets at a time, again after each restart, until a newer one is published. The cause is that of the parts: an order harms whoever carries it out, while health is kept of targets only.

After losses of ordered targets at three moments with no target that has loaded the version, one target is ordered at a time, 5 s after the last loss; the first success ends that. A target that is lost or restarted leaves no progress behind: the table kept an entry for each of them.

--- a/include/lycheeplank/poison_parts.h
+++ b/include/lycheeplank/poison_parts.h
@@ -190,8 +190,8 @@
 inline constexpr std::size_t kMinMomentsAfterSuccess = 6;
 // The moments of the former at which no known block explains the crash.
 inline constexpr std::size_t kMinUnexplained = 2;
-// Surprise that a block needs: the chance that this many requests with a sound
-// part are lost in a row is one in a million. What one moment can contribute is
+// Surprise that a block needs: the chance that so many requests with a sound
+// part are lost in a row is one in 20,000. What one moment can contribute is
 // bounded, so that no block rests on fewer than three.
 inline constexpr double kMinSurprise = 10.0;
 inline constexpr double kMaxSurprisePerMoment = 4.605;
--- a/include/lycheeplank/weights.h
+++ b/include/lycheeplank/weights.h
@@ -68,6 +68,8 @@
   // Number of orders that the target had accepted by its last status report.
   absl::optional<std::uint64_t> orders_;
   std::uint32_t sent_ = 0;
+  // Start of the target's process that is ordered, in milliseconds since 1970.
+  std::int64_t bornMs_ = 0;
 };
 
 // The targets of one model's update, under the current owner.
@@ -75,11 +77,23 @@
 {
   std::uint64_t version_ = 0;
   absl::btree_map<std::string, TargetProgress> targets_;
+  // Moments at which ordered targets were lost before any target had loaded the
+  // version, the last of them, and the version that they count for.
+  std::size_t lossMoments_ = 0;
+  absl::Time lastLossAt_ = absl::InfinitePast();
+  std::uint64_t countedVersion_ = 0;
 };
 
 // Maximum share of a model's targets that are out of service for new weights at
 // the same time.
 inline constexpr double kMaxConcurrentShare = 0.2;
+// After losses at so many moments without a success, the version itself may
+// crash the targets: one target is ordered at a time, this long after the last
+// loss.
+inline constexpr std::size_t kMaxLossMoments = 3;
+inline constexpr absl::Duration kSlowedPause = absl::Seconds(5);
+// Targets that are lost within this time count as lost together.
+inline constexpr absl::Duration kLossMomentTime = absl::Milliseconds(200);
 // An order without an answer may still be carried out, so the target's status
 // is read only after this time.
 inline constexpr absl::Duration kConfirmDelay = absl::Milliseconds(400);
@@ -92,6 +106,10 @@
             const std::string& aModel,
             absl::Time aNow);
 
+// Returns whether the version is suspected to crash the targets that load it.
+bool
+IsSlowed(const Rollout& aRollout);
+
 // Returns the targets whose status is to be read now.
 std::vector<std::string>
 TargetsToPoll(const Rollout& aRollout, absl::Time aNow);
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -284,7 +284,16 @@
 Owner::AdvanceRollout(const std::string& aModel, weights::Rollout& aRollout)
 {
   const auto now = Now();
+  const bool wasSlowed = weights::IsSlowed(aRollout);
   const auto ids = weights::NextTargets(aRollout, host_.members_, aModel, now);
+  if (const bool isSlowed = weights::IsSlowed(aRollout);
+      isSlowed != wasSlowed) {
+    host_.log_.Write(Line(isSlowed ? "rollout_slowed" : "rollout_resumed")
+                       .Text("model", aModel)
+                       .Number("version", aRollout.version_)
+                       .Number("loss_moments", aRollout.lossMoments_)
+                       .Age("last_loss_age_ms", now - aRollout.lastLossAt_));
+  }
   if (!ids.empty()) {
     std::vector<Notice> notices;
     notices.reserve(ids.size());
--- a/src/weights/weights.cc
+++ b/src/weights/weights.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace lycheeplank::weights {
 
@@ -24,8 +25,71 @@
          aMember.target_.weights_.contains(aModel);
 }
 
+// Returns whether a target was lost while it was ordered to load weights.
+bool
+IsLost(const TargetProgress& aWork, const fleet::Member* aMember)
+{
+  const bool isOrdered = aWork.sent_ > 0 &&
+                         aWork.progress_ != Progress::Waiting &&
+                         aWork.progress_ != Progress::Announced;
+  return isOrdered &&
+         (aMember == nullptr || aMember->target_.bornMs_ != aWork.bornMs_);
+}
+
+// Counts the targets that were lost while they were ordered, and forgets those
+// that are gone.
+void
+CountLosses(Rollout& aRollout,
+            const fleet::Members& aMembers,
+            const std::string& aModel,
+            absl::Time aNow)
+{
+  if (aRollout.countedVersion_ != aRollout.version_) {
+    aRollout.countedVersion_ = aRollout.version_;
+    aRollout.lossMoments_ = 0;
+  }
+  auto& targets = aRollout.targets_;
+  for (auto item = targets.begin(); item != targets.end();) {
+    const auto found = aMembers.find(item->first);
+    const auto* member = found == aMembers.end() ? nullptr : &found->second;
+    const bool isLost = IsLost(item->second, member);
+    if (isLost && (aRollout.lossMoments_ == 0 ||
+                   aNow - aRollout.lastLossAt_ >= kLossMomentTime)) {
+      ++aRollout.lossMoments_;
+      aRollout.lastLossAt_ = aNow;
+    }
+    item = isLost || member == nullptr ? targets.erase(item) : std::next(item);
+  }
+  const bool hasSucceeded =
+    std::any_of(aMembers.begin(), aMembers.end(), [&](const auto& aEntry) {
+      const auto& loaded = aEntry.second.target_.weights_;
+      const auto found = loaded.find(aModel);
+      return found != loaded.end() && found->second >= aRollout.version_;
+    });
+  if (hasSucceeded) {
+    aRollout.lossMoments_ = 0;
+  }
+}
+
+// Returns how many targets may be out of service for new weights.
+std::size_t
+MostAtOnce(const Rollout& aRollout, std::size_t aTargets, absl::Time aNow)
+{
+  if (IsSlowed(aRollout)) {
+    return aNow - aRollout.lastLossAt_ >= kSlowedPause ? 1 : 0;
+  }
+  return static_cast<std::size_t>(std::max(
+    1.0, std::ceil(kMaxConcurrentShare * static_cast<double>(aTargets))));
+}
+
 } // namespace
 
+bool
+IsSlowed(const Rollout& aRollout)
+{
+  return aRollout.lossMoments_ >= kMaxLossMoments;
+}
+
 bool
 AddVersion(PublishedVersions& aVersions,
            std::uint64_t aVersion,
@@ -64,6 +128,7 @@
             const std::string& aModel,
             absl::Time aNow)
 {
+  CountLosses(aRollout, aMembers, aModel, aNow);
   std::size_t total = 0;
   std::size_t busy = 0;
   std::vector<const fleet::Member*> ready;
@@ -80,8 +145,7 @@
       ready.push_back(&member);
     }
   }
-  const auto most = static_cast<std::size_t>(
-    std::max(1.0, std::ceil(kMaxConcurrentShare * static_cast<double>(total))));
+  const auto most = MostAtOnce(aRollout, total, aNow);
   std::stable_sort(
     ready.begin(), ready.end(), [](const auto* aLeft, const auto* aRight) {
       return aLeft->load_.running_ + aLeft->inFlight_ <
@@ -96,6 +160,7 @@
     auto& work = aRollout.targets_[member->target_.id_];
     work.progress_ = Progress::Announced;
     work.since_ = aNow;
+    work.bornMs_ = member->target_.bornMs_;
   }
   return ids;
 }
--- a/test/weights-test.cc
+++ b/test/weights-test.cc
@@ -109,3 +109,74 @@
   CHECK(weights::OutdatedSince(versions, 2) == kNow + absl::Seconds(3));
   CHECK(weights::OutdatedSince(versions, 4) == absl::InfiniteFuture());
 }
+
+namespace {
+
+// Orders targets and loses each of them, which then comes back as another
+// target, until no more are ordered. Returns the number of orders in aTime.
+std::size_t
+OrderAndLose(weights::Rollout& aRollout,
+             fleet::Members& aMembers,
+             absl::Duration aTime)
+{
+  std::size_t orders = 0;
+  for (auto now = kNow; now < kNow + aTime; now += absl::Milliseconds(300)) {
+    for (const auto& id : weights::NextTargets(aRollout, aMembers, "m", now)) {
+      ++orders;
+      aRollout.targets_.at(id).progress_ = weights::Progress::Loading;
+      aRollout.targets_.at(id).sent_ = 1;
+      auto target = aMembers.at(id).target_;
+      aMembers.erase(id);
+      target.id_ = "again" + std::to_string(orders);
+      fleet::UpdateTarget(aMembers, target, { 0, 1 }, now);
+    }
+  }
+  return orders;
+}
+
+} // namespace
+
+// Guards against a rollout that crashes each target it orders to load, one
+// after the other, without end.
+TEST_CASE("a version that no target survives is ordered rarely")
+{
+  auto members = MakeMembers(20);
+  weights::Rollout rollout;
+  rollout.version_ = 2;
+  constexpr std::size_t kMaxOrders = 15;
+  CHECK(OrderAndLose(rollout, members, absl::Seconds(12)) <= kMaxOrders);
+  CHECK(weights::IsSlowed(rollout));
+  // Targets that are gone leave nothing behind.
+  CHECK(rollout.targets_.size() <= members.size());
+
+  members.begin()->second.target_.weights_["m"] = 2;
+  const auto later = kNow + absl::Seconds(30);
+  CHECK(weights::NextTargets(rollout, members, "m", later).size() == 4);
+  CHECK_FALSE(weights::IsSlowed(rollout));
+}
+
+TEST_CASE("a newer version isn't slowed by the losses of an older one")
+{
+  auto members = MakeMembers(20);
+  weights::Rollout rollout;
+  rollout.version_ = 2;
+  OrderAndLose(rollout, members, absl::Seconds(12));
+  rollout.version_ = 3;
+  const auto later = kNow + absl::Seconds(13);
+  CHECK(weights::NextTargets(rollout, members, "m", later).size() == 4);
+}
+
+// Guards against a rollout that many targets lost at once slow down.
+TEST_CASE("targets that are lost together don't slow a rollout")
+{
+  auto members = MakeMembers(20);
+  weights::Rollout rollout;
+  rollout.version_ = 2;
+  for (const auto& id : weights::NextTargets(rollout, members, "m", kNow)) {
+    rollout.targets_.at(id).progress_ = weights::Progress::Loading;
+    rollout.targets_.at(id).sent_ = 1;
+    members.erase(id);
+  }
+  const auto next = kNow + absl::Milliseconds(100);
+  CHECK(weights::NextTargets(rollout, members, "m", next).size() == 4);
+}
