Let lost requests wait until their suspected parts are judged

A request that was lost with its target was sent to the next one at once, so each request with a part that crashes targets cost up to two of them, the second one often right before the part was blocked.

The log says so (resend_delayed).

The test of a starting host waits for delayed requests of other hosts before it counts; what it demands of the starting host is unchanged.

--- a/include/lycheeplank/poison_parts.h
+++ b/include/lycheeplank/poison_parts.h
@@ -279,6 +279,12 @@
 const Block*
 FindBlock(const State& aState, const Parts& aParts, absl::Time aNow);
 
+// Returns how long a lost request with these parts should wait before it is
+// sent again: until the crashes of a part that may be their cause are
+// evaluated.
+absl::Duration
+ResendDelay(const State& aState, const Parts& aParts, absl::Time aNow);
+
 enum class Change
 {
   // Requests with the parts are blocked from now on.
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -164,7 +164,7 @@
       if (history_.sends_ > 0) {
         retry_budget::TakeResend(Ledger(), limits, Now());
       }
-      TryNextTarget();
+      SendAgain(aEnd);
       return;
     case retry::NextStep::PassOn:
       DeliverBuffered();
@@ -182,4 +182,26 @@
   }
 }
 
+void
+Exchange::SendAgain(retry::AttemptEnd aEnd)
+{
+  // The request may have crashed the target. Its parts are judged soon, and
+  // waiting for that may save the next target.
+  const auto delay =
+    aEnd == retry::AttemptEnd::Failed
+      ? std::min(ResendDelay(host_, sharedParts_), TimeLeft() / 2)
+      : absl::ZeroDuration();
+  if (delay <= absl::ZeroDuration()) {
+    TryNextTarget();
+    return;
+  }
+  host_.log_.Write(
+    Line("resend_delayed").Text("id", request_.id_).Age("for_ms", delay));
+  resendTimer_.Set(delay, [self = shared_from_this()] {
+    if (!self->ended_) {
+      self->TryNextTarget();
+    }
+  });
+}
+
 } // namespace lycheeplank::gateway
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -35,6 +35,7 @@
   , deadlineTimer_(aHost.loop_)
   , silenceTimer_(aHost.loop_)
   , weightsTimer_(aHost.loop_)
+  , resendTimer_(aHost.loop_)
 {
 }
 
@@ -176,6 +177,7 @@
   deadlineTimer_.Cancel();
   silenceTimer_.Cancel();
   weightsTimer_.Cancel();
+  resendTimer_.Cancel();
   if (waiterId_ != 0) {
     request_queue::RemoveRequest(host_.waiting_, waiterId_);
     host_.waiters_.erase(std::exchange(waiterId_, 0));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -102,6 +102,8 @@
   void EndAttempt(retry::AttemptEnd aEnd);
   void ReleaseTarget(fleet::CallResult aResult);
   void TakeNextStep(retry::AttemptEnd aEnd);
+  // Sends the request to another target, later if its parts are suspected.
+  void SendAgain(retry::AttemptEnd aEnd);
   // Refuses the request with aRetryAfter plus jitter, or exactly that time.
   void Refuse(absl::string_view aReason, absl::Duration aRetryAfter);
   void RefuseUntil(absl::string_view aReason, absl::Duration aRetryAfter);
@@ -143,6 +145,7 @@
   Timer deadlineTimer_;
   Timer silenceTimer_;
   Timer weightsTimer_;
+  Timer resendTimer_;
 
   retry::History history_;
   std::vector<std::string> tried_;
--- a/src/gateway/part-blocks.cc
+++ b/src/gateway/part-blocks.cc
@@ -126,6 +126,12 @@
          poison_parts::FindBlock(aHost.poisonParts_, aParts, Now()) != nullptr;
 }
 
+absl::Duration
+ResendDelay(const Host& aHost, const poison_parts::Parts& aParts)
+{
+  return poison_parts::ResendDelay(aHost.poisonParts_, aParts, Now());
+}
+
 void
 ReceiveBlockMessage(Host& aHost, absl::string_view aText)
 {
--- a/src/gateway/part-blocks.h
+++ b/src/gateway/part-blocks.h
@@ -42,6 +42,11 @@
 bool
 IsBlocked(const Host& aHost, const poison_parts::Parts& aParts);
 
+// Returns how long a lost request with these parts should wait before it is
+// sent again.
+absl::Duration
+ResendDelay(const Host& aHost, const poison_parts::Parts& aParts);
+
 // Handles a datagram of another host.
 void
 ReceiveBlockMessage(Host& aHost, absl::string_view aText);
--- a/src/poison_parts/poison_parts.cc
+++ b/src/poison_parts/poison_parts.cc
@@ -459,6 +459,24 @@
   return nullptr;
 }
 
+absl::Duration
+ResendDelay(const State& aState, const Parts& aParts, absl::Time aNow)
+{
+  auto delay = absl::ZeroDuration();
+  for (const auto& part : aParts) {
+    const auto found = aState.suspects_.find(part);
+    if (found == aState.suspects_.end() ||
+        found->second.moments_ < kTellMoments ||
+        LastBegin(aState, part) != absl::InfinitePast()) {
+      continue;
+    }
+    const auto evaluated =
+      found->second.lostAt_ + kSettleTime + kTellPeriod + kTickPeriod;
+    delay = std::max(delay, evaluated - aNow);
+  }
+  return delay;
+}
+
 Step
 Tick(State& aState, absl::Time aNow)
 {
--- a/test/gateway-poison-test.cc
+++ b/test/gateway-poison-test.cc
@@ -143,6 +143,8 @@
 {
   PoisonedGroup poisoned(8);
   poisoned.SendSteadily(absl::Seconds(2), 1);
+  // Lost requests that wait for a verdict are sent again or withdrawn.
+  poisoned.group_.RunFor(std::chrono::milliseconds(700));
   const auto before = poisoned.badArrivals_.size();
   auto& host = poisoned.group_.HostAt(3);
   host.poisonParts_ = {};
@@ -306,3 +308,39 @@
   poisoned.SendSteadily(absl::Seconds(2), 1);
   CHECK(poisoned.badArrivals_.size() <= before + kAllowedSends);
 }
+
+// Guards against a second send of a lost request right before its parts are
+// blocked.
+TEST_CASE("a lost request waits until its suspected parts are judged")
+{
+  const auto isBlocked = GENERATE(false, true);
+  World world;
+  auto& first = world.AddTarget(
+    [](FakeTarget& aTarget, const std::shared_ptr<gateway::Socket>&) {
+      aTarget.Crash();
+    });
+  auto& second = world.AddTarget(
+    [](FakeTarget& aTarget, const std::shared_ptr<gateway::Socket>&) {
+      aTarget.Crash();
+    });
+  auto& state = world.host_.poisonParts_;
+  for (int i = 1; i <= 2; ++i) {
+    lycheeplank::poison_parts::RecordLoss(state,
+                                          { "gone", i },
+                                          static_cast<std::uint64_t>(i),
+                                          { "/bad", "/first" },
+                                          gateway::Now() -
+                                            absl::Milliseconds(500 * i));
+  }
+  world.caller_ = world.Call(World::Request("/again/", kBadParts));
+  const auto sends = [&] { return first.requests_ + second.requests_; };
+  REQUIRE(world.RunUntil([&] { return sends() == 1; }));
+  world.RunFor(std::chrono::milliseconds(300));
+  CHECK(sends() == 1);
+  if (isBlocked) {
+    AddBlock(world.host_);
+  }
+  REQUIRE(world.RunUntil([&] { return world.IsWhole(); }));
+  CHECK(sends() == (isBlocked ? 1 : 2));
+  CHECK(absl::StartsWith(world.answer_, "HTTP/1.1 502"));
+}
