--- a/src/poison_parts/poison_parts.cc
+++ b/src/poison_parts/poison_parts.cc
@@ -39,15 +39,26 @@
          found->second.at_ > aLostAt + kLateBytesTime;
 }
 
-// Queues the last begin of a suspected part for the other hosts if they don't
-// know that it stands between crashes.
+// Returns whether the other hosts need to know the last begin of a suspected
+// part: it stands between crashes, or they know of none.
+bool
+IsBeginNeeded(const State& aState,
+              const std::string& aPart,
+              const State::Suspicion& aSuspicion)
+{
+  const auto last = LastBegin(aState, aPart);
+  return aSuspicion.moments_ >= kTellMoments &&
+         last > aSuspicion.toldBeginAt_ &&
+         (last > aSuspicion.firstMomentAt_ ||
+          aSuspicion.toldBeginAt_ == absl::InfinitePast());
+}
+
 void
 TellBeginIfNeeded(State& aState,
                   const std::string& aPart,
                   const State::Suspicion& aSuspicion)
 {
-  if (aSuspicion.moments_ >= kTellMoments &&
-      LastBegin(aState, aPart) > aSuspicion.firstMomentAt_) {
+  if (IsBeginNeeded(aState, aPart, aSuspicion)) {
     aState.newBegins_.emplace(aPart, kRepeats);
   }
 }
@@ -523,7 +534,7 @@
     if (const auto found = aState.suspects_.find(part);
         found != aState.suspects_.end()) {
       Clear(found->second, at, true);
-      if (found->second.moments_ < kTellMoments) {
+      if (!IsBeginNeeded(aState, part, found->second)) {
         aState.newBegins_.erase(part);
       }
     }
--- a/test/poison-parts-test.cc
+++ b/test/poison-parts-test.cc
@@ -373,6 +373,27 @@
   CHECK(state.blocks_.size() == (lost == 0 ? 1 : 0));
 }
 
+// Guards against a frequent part that is taken for one with which no answer has
+// ever begun, because the host that judges hasn't seen the answers before.
+TEST_CASE("hosts are told of answers with a suspected part before its crashes")
+{
+  poison::State state;
+  state.self_ = "a";
+  state.hosts_ = 2;
+  poison::RecordBegin(state, { "x" }, kStart);
+  for (int i = 1; i <= 2; ++i) {
+    poison::Message message;
+    message.sender_ = "b";
+    message.losses_.push_back(
+      { { "t", i }, 7, "b", { "x" }, kStart + i * kEvaluated });
+    poison::Receive(state, message, message.losses_.front().at_);
+  }
+  const auto step = poison::Tick(state, kStart + 3 * kEvaluated);
+  REQUIRE(step.toAll_);
+  REQUIRE(step.toAll_->begins_.size() == 1);
+  CHECK(step.toAll_->begins_.front().part_ == "x");
+}
+
 // Guards against blocks that end at hosts which know better and are told again
 // and again by a host which doesn't.
 TEST_CASE("a host that tells a refuted block is told of the answer")
