--- a/src/poison_parts/evidence.cc
+++ b/src/poison_parts/evidence.cc
@@ -123,6 +123,8 @@
 SurpriseOf(const std::vector<Case>& aCases)
 {
   double surprise = 0.0;
+  TrafficByGroup own;
+  auto next = aCases.begin();
   for (const auto& entry : FirstOfMoments(aCases)) {
     const auto& crash = *entry.crash_;
     const auto& group = entry.loss_->group_;
@@ -131,13 +133,14 @@
       continue;
     }
     const auto& traffic = found->second;
-    double lost = traffic.lost_;
-    for (const auto& own : aCases) {
-      if (own.loss_->at_ <= traffic.at_ && own.loss_->group_ == group) {
-        lost -= DecayedWeight(own.loss_->at_, traffic.at_);
-      }
+    for (; next != aCases.end() && next->loss_->at_ <= traffic.at_; ++next) {
+      CountLoss(own, next->loss_->group_, next->loss_->at_);
     }
-    lost = std::max(0.0, lost);
+    const auto& ownInGroup = own[group];
+    const double lost =
+      std::max(0.0,
+               traffic.lost_ -
+                 ownInGroup.lost_ * DecayedWeight(ownInGroup.at_, traffic.at_));
     const double chance = (lost + 1.0) / (lost + traffic.begun_ + 2.0);
     surprise += std::min(kMaxSurprisePerMoment, -std::log(chance));
   }
