Evaluate only parts with new crashes, and their last losses

In a total outage, with 16 lost requests a crash and ten crashes a second, one evaluation of the evidence took 42 ms of wall time on a busy machine, and there are ten a second: more than small hosts have.

--- a/include/lycheeplank/poison_parts.h
+++ b/include/lycheeplank/poison_parts.h
@@ -240,6 +240,8 @@
 // Bounds of a host's memory; the oldest evidence is dropped first.
 inline constexpr std::size_t kMaxCrashes = 256;
 inline constexpr std::size_t kMaxLossesPerCrash = 16;
+// The last lost requests of a part that are evaluated.
+inline constexpr std::size_t kMaxCases = 64;
 inline constexpr std::size_t kMaxParts = 16;
 inline constexpr std::size_t kMaxSoundParts = 4096;
 inline constexpr std::size_t kMaxBlocks = 32;
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -16,8 +16,6 @@
 
 using mechanisms::Mechanism;
 
-constexpr int kBadGateway = 502;
-
 // Connecting takes one round trip; a target that takes longer counts as
 // unreachable.
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(200);
--- a/src/poison_parts/evidence.cc
+++ b/src/poison_parts/evidence.cc
@@ -175,29 +175,36 @@
          SurpriseOf(aSuspect.cases_) >= kMinSurprise;
 }
 
-// Returns the lost requests of the parts that were lost often enough since an
-// answer with them began.
+// Returns the last lost requests of those parts that were lost often enough
+// since an answer with them began.
 Cases
-CollectCases(const State& aState)
+CollectCases(const State& aState, const PartSet& aParts)
 {
-  Cases cases;
-  for (const auto& [part, suspicion] : aState.suspects_) {
-    if (suspicion.losses_ >= kMinMoments) {
-      cases[part];
+  absl::flat_hash_map<std::string, absl::Time> lastBegins;
+  for (const auto& part : aParts) {
+    if (const auto found = aState.suspects_.find(part);
+        found != aState.suspects_.end() &&
+        found->second.losses_ >= kMinMoments) {
+      lastBegins[part] = LastBegin(aState, part);
     }
   }
-  if (cases.empty()) {
+  Cases cases;
+  if (lastBegins.empty()) {
     return cases;
   }
-  for (const auto& crash : aState.crashes_) {
-    if (!crash.traffic_) {
+  const auto& crashes = aState.crashes_;
+  for (auto crash = crashes.rbegin(); crash != crashes.rend(); ++crash) {
+    if (!crash->traffic_) {
       continue;
     }
-    for (const auto& loss : crash.losses_) {
+    for (const auto& loss : crash->losses_) {
       for (const auto& part : loss.parts_) {
-        if (const auto found = cases.find(part);
-            found != cases.end() && crash.at_ > LastBegin(aState, part)) {
-          found->second.push_back({ &crash, &loss });
+        const auto found = lastBegins.find(part);
+        if (found == lastBegins.end() || crash->at_ <= found->second) {
+          continue;
+        }
+        if (auto& list = cases[part]; list.size() < kMaxCases) {
+          list.push_back({ &*crash, &loss });
         }
       }
     }
@@ -388,9 +395,9 @@
 } // namespace
 
 std::vector<Block>
-FindPoison(const State& aState)
+FindPoison(const State& aState, const PartSet& aParts)
 {
-  const auto cases = CollectCases(aState);
+  const auto cases = CollectCases(aState, aParts);
   auto blocks = aState.blocks_;
   std::vector<Block> found;
   std::set<std::string> done;
@@ -404,9 +411,10 @@
   return found;
 }
 
-void
+PartSet
 RecordTraffic(State& aState, absl::Time aNow)
 {
+  PartSet parts;
   absl::optional<TrafficByGroup> total;
   for (auto& crash : aState.crashes_) {
     if (!crash.traffic_ && aNow - crash.at_ >= kSettleTime) {
@@ -414,8 +422,12 @@
         total = TotalTraffic(aState, aNow);
       }
       crash.traffic_ = *total;
+      for (const auto& loss : crash.losses_) {
+        parts.insert(loss.parts_.begin(), loss.parts_.end());
+      }
     }
   }
+  return parts;
 }
 
 absl::Time
--- a/src/poison_parts/evidence.h
+++ b/src/poison_parts/evidence.h
@@ -1,6 +1,10 @@
 #ifndef LYCHEEPLANK_SRC_POISON_PARTS_EVIDENCE_H
 #define LYCHEEPLANK_SRC_POISON_PARTS_EVIDENCE_H
 
+#include <string>
+
+#include <absl/container/flat_hash_set.h>
+
 #include "lycheeplank/poison_parts.h"
 
 // The conclusions from crashes.
@@ -11,15 +15,19 @@
 absl::Time
 LastBegin(const State& aState, const std::string& aPart);
 
-// Returns blocks for the crashes that no known block explains. A block has all
+using PartSet = absl::flat_hash_set<std::string>;
+
+// Returns blocks for the crashes that lost requests with any of these parts and
+// that no known block explains. A block has all
 // parts that the lost requests have in common and with which no answer has
 // begun, because any of them may be the cause; without such parts, those with
 // which no answer has begun since the first crash.
 std::vector<Block>
-FindPoison(const State& aState);
+FindPoison(const State& aState, const PartSet& aParts);
 
-// Notes the traffic at the crashes that are old enough to be evaluated.
-void
+// Notes the traffic at the crashes that have become old enough to be evaluated,
+// and returns the parts of the requests that were lost there.
+PartSet
 RecordTraffic(State& aState, absl::Time aNow);
 
 // Returns when the next crash can be evaluated.
--- a/src/poison_parts/poison_parts.cc
+++ b/src/poison_parts/poison_parts.cc
@@ -496,8 +496,8 @@
   ReviewBlocks(aState, aNow, step.changes_);
   const bool isStarting = aState.hosts_ > 1 && aState.ticks_ < kAskingTicks;
   if (aNow >= aState.evaluateAt_ && !isStarting) {
-    RecordTraffic(aState, aNow);
-    for (const auto& block : FindPoison(aState)) {
+    const auto parts = RecordTraffic(aState, aNow);
+    for (const auto& block : FindPoison(aState, parts)) {
       if (AddBlock(aState, block)) {
         aState.newBlocks_[KeyOf(block.parts_)] = kRepeats;
         step.changes_.push_back({ Change::Blocked, block });
