Name requests by a fingerprint of their contents in the log

Incident, requests that crash targets: no log line told whether the requests that were lost with several targets were attempts at one request. The fingerprint is the same for all of them, whatever their ids.

--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -143,7 +143,8 @@
       .Age("took_ms", Now() - sentAt_)
       .Age("load_age_ms", choice_.loadAge_)
       .Number("events", events_.Count())
-      .Text("parts", PartIds(request_.parts_)));
+      .Text("parts", PartIds(request_.parts_))
+      .Text("fingerprint", fingerprint_));
   ReleaseTarget(result);
   ++attemptNumber_;
   // A stream that continues at another target begins there with a whole event.
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -140,6 +140,9 @@
   const catalog::Workspace* workspace_ = nullptr;
   std::string service_;
   poison_parts::Parts sharedParts_;
+  // Hash of what all attempts of the caller have in common; empty if the
+  // request isn't valid.
+  std::string fingerprint_;
   absl::Time arrivedAt_ = absl::InfinitePast();
   absl::Time deadline_ = absl::InfiniteFuture();
   Timer deadlineTimer_;
--- a/src/gateway/part-blocks.cc
+++ b/src/gateway/part-blocks.cc
@@ -6,6 +6,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <xxhash.h>
 
 #include "gateway/clock.h"
 
@@ -65,6 +66,34 @@
 
 } // namespace
 
+std::string
+FingerprintOf(const CallerRequest& aRequest,
+              const http::RequestHead& aHead,
+              absl::string_view aBody,
+              absl::string_view aCaller)
+{
+  std::string text;
+  // Lengths keep apart fields whose texts together are the same.
+  const auto add = [&](absl::string_view aField) {
+    absl::StrAppend(&text, aField.size(), ":", aField);
+  };
+  for (const absl::string_view field :
+       { aCaller,
+         absl::string_view(aHead.method_),
+         absl::string_view(aRequest.host_),
+         absl::string_view(aHead.target_),
+         absl::string_view(aRequest.model_) }) {
+    add(field);
+  }
+  for (const auto& part : aRequest.parts_) {
+    add(part.id_);
+  }
+  add(aBody);
+  const auto hash = XXH3_128bits(text.data(), text.size());
+  return absl::StrCat(absl::Hex(hash.high64, absl::kZeroPad16),
+                      absl::Hex(hash.low64, absl::kZeroPad16));
+}
+
 poison_parts::Parts
 SharedParts(const CallerRequest& aRequest)
 {
--- a/src/gateway/part-blocks.h
+++ b/src/gateway/part-blocks.h
@@ -24,6 +24,15 @@
   const std::string& route_;
 };
 
+// Returns a hash of all that a target gets to know of a request except its id
+// and its time limit: requests with the same hash are attempts of one request.
+// aCaller: the workspace, or the key if there are no workspaces.
+std::string
+FingerprintOf(const CallerRequest& aRequest,
+              const http::RequestHead& aHead,
+              absl::string_view aBody,
+              absl::string_view aCaller);
+
 // Returns the parts of a prompt that other requests may share. Ids of parts are
 // valid for one model.
 poison_parts::Parts
--- a/test/gateway-poison-test.cc
+++ b/test/gateway-poison-test.cc
@@ -19,11 +19,14 @@
 // Crashes after which the platform's rule applies, the time that hosts have
 // from the last of them, and the requests that it allows from then on.
 constexpr std::size_t kFreeCrashes = 5;
+constexpr std::size_t kFreeCrashesOfRequest = 3;
 constexpr absl::Duration kContact = absl::Seconds(3);
 constexpr std::size_t kAllowedSends = 3;
 constexpr std::size_t kTargets = 12;
-// One request in so many has the part that crashes targets.
+// One request in so many crashes targets.
 constexpr std::size_t kPoisonPeriod = 12;
+// Body of a request that crashes targets whatever its parts are.
+const std::string kDeadlyBody = "deadly";
 
 // Field with the id of a request, and as World::Request writes it.
 const std::string kIdField = "X-Request-Id: ";
@@ -38,8 +41,18 @@
     { { kAnyId, absl::StrCat(kIdField, "id", aId) } });
 }
 
+// Returns an attempt of a caller at a request without parts.
+std::string
+AttemptWith(std::size_t aId, const std::string& aBody)
+{
+  return absl::StrReplaceAll(
+    World::Request("/again/x", "", aBody),
+    { { kAnyId, absl::StrCat(kIdField, "id", aId) } });
+}
+
 // Targets that crash when they begin to answer a request with a part whose id
-// begins with "bad"; counts the arrivals of such requests.
+// begins with "bad", or with the deadly body; counts the arrivals of such
+// requests.
 class PoisonedGroup
 {
 public:
@@ -62,6 +75,12 @@
     while (gateway::Now() < end) {
       const auto number = requests_++;
       const bool isBad = aBadParts > 0 && number % kPoisonPeriod == 0;
+      if (isBad && sendsDeadlyBody_) {
+        group_.Call(number * 5 % group_.Size(),
+                    AttemptWith(number, kDeadlyBody));
+        group_.RunFor(std::chrono::milliseconds(10));
+        continue;
+      }
       const auto second =
         isBad ? absl::StrCat("bad", number / kPoisonPeriod % aBadParts)
               : absl::StrCat("good", number % 7);
@@ -84,7 +103,25 @@
       }));
   }
 
+  // Returns the end of the time that hosts have after so many crashes, or after
+  // the last one so far.
+  absl::Time LimitFrom(std::size_t aFreeCrashes) const
+  {
+    return badArrivals_[std::min(aFreeCrashes, badArrivals_.size()) - 1] +
+           kContact;
+  }
+
+  std::size_t ArrivalsAfter(absl::Time aTime) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(badArrivals_.begin(),
+                    badArrivals_.end(),
+                    [&](absl::Time aAt) { return aAt > aTime; }));
+  }
+
   HostGroup group_;
+  // The bad requests are attempts at one request with the deadly body.
+  bool sendsDeadlyBody_ = false;
   std::vector<absl::Time> badArrivals_;
   std::size_t requests_ = 0;
 
@@ -94,7 +131,8 @@
                  const std::shared_ptr<gateway::Socket>& aOut)
   {
     const auto request = std::exchange(aTarget.received_, {});
-    if (!absl::StrContains(request, ",bad")) {
+    if (!absl::StrContains(request, ",bad") &&
+        !absl::EndsWith(request, kDeadlyBody)) {
       const auto id = request.find(kIdField);
       aOut->Send(absl::StrReplaceAll(
         WholeAnswer("x"),
@@ -117,26 +155,40 @@
   PoisonedGroup poisoned(hosts);
   poisoned.SendSteadily(absl::Seconds(4), 1);
   REQUIRE(poisoned.badArrivals_.size() > 0);
-  const auto limitFrom =
-    poisoned
-      .badArrivals_[std::min(kFreeCrashes, poisoned.badArrivals_.size()) - 1] +
-    kContact;
+  const auto limitFrom = poisoned.LimitFrom(kFreeCrashes);
   const auto answered = poisoned.group_.answers_.size();
   const auto sent = poisoned.requests_;
   poisoned.SendSteadily(absl::Seconds(3), 1);
   poisoned.group_.RunFor(std::chrono::milliseconds(300));
-  const auto late =
-    std::count_if(poisoned.badArrivals_.begin(),
-                  poisoned.badArrivals_.end(),
-                  [&](absl::Time aAt) { return aAt > limitFrom; });
   INFO(hosts << " hosts, " << poisoned.badArrivals_.size() << " arrivals");
-  CHECK(static_cast<std::size_t>(late) <= kAllowedSends);
+  CHECK(poisoned.ArrivalsAfter(limitFrom) <= kAllowedSends);
   // Sound requests share the first part and are all served.
   const auto sound =
     (poisoned.requests_ - sent) * (kPoisonPeriod - 1) / kPoisonPeriod;
   CHECK(poisoned.ServedSince(answered) + 10 >= sound);
 }
 
+// Guards against hosts that send a request which crashes targets without end,
+// because its caller gives each attempt a new id.
+TEST_CASE("hosts stop sending a request that crashes targets")
+{
+  const auto hosts = GENERATE(std::size_t{ 8 }, 77, 300);
+  PoisonedGroup poisoned(hosts);
+  poisoned.sendsDeadlyBody_ = true;
+  poisoned.SendSteadily(absl::Seconds(4), 1);
+  REQUIRE(poisoned.badArrivals_.size() > 0);
+  const auto limitFrom = poisoned.LimitFrom(kFreeCrashesOfRequest);
+  const auto answered = poisoned.group_.answers_.size();
+  const auto sent = poisoned.requests_;
+  poisoned.SendSteadily(absl::Seconds(3), 1);
+  poisoned.group_.RunFor(std::chrono::milliseconds(300));
+  INFO(hosts << " hosts, " << poisoned.badArrivals_.size() << " arrivals");
+  CHECK(poisoned.ArrivalsAfter(limitFrom) <= kAllowedSends);
+  const auto sound =
+    (poisoned.requests_ - sent) * (kPoisonPeriod - 1) / kPoisonPeriod;
+  CHECK(poisoned.ServedSince(answered) + 10 >= sound);
+}
+
 // Guards against a host that starts after a part was blocked and sends it to
 // targets once more.
 TEST_CASE("a starting host learns which parts are blocked")
