--- a/include/lycheeplank/poison_parts.h
+++ b/include/lycheeplank/poison.h
@@ -1,5 +1,5 @@
-#ifndef LYCHEEPLANK_POISON_PARTS_H
-#define LYCHEEPLANK_POISON_PARTS_H
+#ifndef LYCHEEPLANK_POISON_H
+#define LYCHEEPLANK_POISON_H
 
 #include <array>
 #include <cstdint>
@@ -14,18 +14,18 @@
 
 #include "lycheeplank/core.h"
 
-// Finds parts of prompts that crash each target which begins to answer a
+// Finds traits of prompts that crash each target which begins to answer a
 // request with them, and blocks such requests on all hosts. Hosts share their
 // evidence, because each of them sees few of the crashes.
 //
-// Evidence against a part: a target's process is lost while requests with the
-// part wait there for the begin of their answers. It counts the more, the fewer
-// of the other requests are lost. Evidence for a part: an answer to a request
-// with it begins.
-namespace lycheeplank::poison_parts {
+// Evidence against a trait: a target's process is lost while requests with the
+// trait wait there for the begin of their answers. It counts the more, the
+// fewer of the other requests are lost. Evidence for a trait: an answer to a
+// request with it begins.
+namespace lycheeplank::poison {
 
-// Sorted ids of parts.
-using Parts = std::vector<std::string>;
+// Sorted ids of traits.
+using Traits = std::vector<std::string>;
 
 // One start of a target.
 struct Start
@@ -59,30 +59,30 @@
   std::uint64_t request_ = 0;
   // Host that sent the request.
   std::string host_;
-  // Without parts with which answers have just begun at that host.
-  Parts parts_;
+  // Without traits with which answers have just begun at that host.
+  Traits traits_;
   absl::Time at_ = absl::InfinitePast();
   // Group of comparable requests, for example those of one route.
   std::string group_;
 };
 
-// Parts whose requests are blocked if they have all of them.
+// Traits whose requests are blocked if they have all of them.
 struct Block
 {
-  Parts parts_;
+  Traits traits_;
   // Number of crashes that led to the block, and times of the first and the
   // last of them.
   std::uint64_t crashes_ = 0;
   absl::Time firstCrashAt_ = absl::InfinitePast();
   absl::Time lastCrashAt_ = absl::InfinitePast();
-  // Negative logarithm of the chance of these losses if the parts were sound.
+  // Negative logarithm of the chance of these losses if the traits were sound.
   double surprise_ = 0.0;
 };
 
-// The last time at which an answer to a request with a part began.
+// The last time at which an answer to a request with a trait began.
 struct Begin
 {
-  std::string part_;
+  std::string trait_;
   absl::Time at_ = absl::InfinitePast();
 };
 
@@ -142,8 +142,8 @@
   std::vector<Block> blocks_;
   // Last bytes of the starts at which requests were lost, by target.
   absl::flat_hash_map<std::string, Sighting> sightings_;
-  // Times at which answers began, by part, in two generations; the older one is
-  // dropped when the newer one is full.
+  // Times at which answers began, by trait, in two generations; the older one
+  // is dropped when the newer one is full.
   absl::flat_hash_map<std::string, absl::Time> begins_;
   absl::flat_hash_map<std::string, absl::Time> olderBegins_;
   struct Suspicion
@@ -158,7 +158,7 @@
     absl::Time firstMomentAt_ = absl::InfinitePast();
     absl::Time lastMomentAt_ = absl::InfinitePast();
   };
-  // Parts of lost requests and of blocks.
+  // Traits of lost requests and of blocks.
   absl::btree_map<std::string, Suspicion> suspects_;
   // When the evidence has to be evaluated next.
   absl::Time evaluateAt_ = absl::InfiniteFuture();
@@ -184,19 +184,19 @@
   absl::btree_map<std::string, int> newBlocks_;
 };
 
-// Crashes of distinct moments that block parts with which no answer has begun
+// Crashes of distinct moments that block traits with which no answer has begun
 // before, and such with which one has.
 inline constexpr std::size_t kMinMoments = 3;
 inline constexpr std::size_t kMinMomentsAfterSuccess = 6;
 // The moments of the former at which no known block explains the crash.
 inline constexpr std::size_t kMinUnexplained = 2;
 // Surprise that a block needs: the chance that so many requests with a sound
-// part are lost in a row is one in 20,000. What one moment can contribute is
+// trait are lost in a row is one in 20,000. What one moment can contribute is
 // bounded, so that no block rests on fewer than three.
 inline constexpr double kMinSurprise = 10.0;
 inline constexpr double kMaxSurprisePerMoment = 4.605;
-// Causes that would have to coincide if a part was sound that is lost only with
-// other parts which might be the cause.
+// Causes that would have to coincide if a trait was sound that is lost only
+// with other traits which might be the cause.
 inline constexpr std::size_t kMinCauses = 4;
 // Traffic counts half as much after 0.7 of this time.
 inline constexpr absl::Duration kTrafficTime = absl::Seconds(10);
@@ -204,14 +204,14 @@
 inline constexpr absl::Duration kTellPeriod = absl::Milliseconds(180);
 // A host that loses requests tells its traffic this often.
 inline constexpr absl::Duration kTrafficPeriod = absl::Seconds(1);
-// A part with which an answer has begun this long ago at a host isn't suspected
-// by that host.
+// A trait with which an answer has begun this long ago at a host isn't
+// suspected by that host.
 inline constexpr absl::Duration kProvenTime = absl::Seconds(2);
-// Moments after which the other hosts are told that answers with a part begin.
+// Moments after which the other hosts are told that answers with a trait begin.
 // Must be less than kMinMoments.
 inline constexpr std::size_t kTellMoments = 2;
 // Crashes within this time count as one moment: when many targets are lost
-// together, a part that waits at several of them has no chance to begin in
+// together, a trait that waits at several of them has no chance to begin in
 // between.
 inline constexpr absl::Duration kMomentTime = absl::Milliseconds(100);
 // Different requests, and hosts that sent them if there are several hosts, that
@@ -223,8 +223,8 @@
 inline constexpr absl::Duration kSettleTime = absl::Milliseconds(250);
 // Bytes of a target may arrive this long after its connections were reset.
 inline constexpr absl::Duration kLateBytesTime = absl::Milliseconds(50);
-// A block ends this long after the last crash under its parts. Each trial of
-// the parts would cost a target, so there are none before.
+// A block ends this long after the last crash under its traits. Each trial of
+// the traits would cost a target, so there are none before.
 inline constexpr absl::Duration kBlockTime = absl::Minutes(10);
 inline constexpr absl::Duration kEvidenceTime = absl::Minutes(1);
 inline constexpr absl::Duration kTickPeriod = absl::Milliseconds(100);
@@ -240,10 +240,10 @@
 // Bounds of a host's memory; the oldest evidence is dropped first.
 inline constexpr std::size_t kMaxCrashes = 256;
 inline constexpr std::size_t kMaxLossesPerCrash = 16;
-// The last lost requests of a part that are evaluated.
+// The last lost requests of a trait that are evaluated.
 inline constexpr std::size_t kMaxCases = 64;
-inline constexpr std::size_t kMaxParts = 16;
-inline constexpr std::size_t kMaxSoundParts = 4096;
+inline constexpr std::size_t kMaxTraits = 16;
+inline constexpr std::size_t kMaxSoundTraits = 4096;
 inline constexpr std::size_t kMaxBlocks = 32;
 inline constexpr std::size_t kMaxSuspects = 4096;
 // Items of one kind per message, so that it fits into one packet or few.
@@ -260,15 +260,15 @@
 RecordLoss(State& aState,
            const Start& aStart,
            std::uint64_t aRequest,
-           const Parts& aParts,
+           const Traits& aTraits,
            absl::Time aNow,
            const std::string& aGroup = {});
 
-// Records that an answer to a request with these parts has begun, and bytes of
+// Records that an answer to a request with these traits has begun, and bytes of
 // a target. aSentAt: the earliest time at which the target may have sent them.
 void
 RecordBegin(State& aState,
-            const Parts& aParts,
+            const Traits& aTraits,
             absl::Time aSentAt,
             const std::string& aGroup = {});
 void
@@ -277,24 +277,24 @@
             std::int64_t aStartedAtMs,
             absl::Time aSentAt);
 
-// Returns the block that a request with these parts falls under, or nullptr.
+// Returns the block that a request with these traits falls under, or nullptr.
 const Block*
-FindBlock(const State& aState, const Parts& aParts, absl::Time aNow);
+FindBlock(const State& aState, const Traits& aTraits, absl::Time aNow);
 
-// Returns how long a lost request with these parts should wait before it is
-// sent again: until the crashes of a part that may be their cause are
+// Returns how long a lost request with these traits should wait before it is
+// sent again: until the crashes of a trait that may be their cause are
 // evaluated.
 absl::Duration
-ResendDelay(const State& aState, const Parts& aParts, absl::Time aNow);
+ResendDelay(const State& aState, const Traits& aTraits, absl::Time aNow);
 
 enum class Change
 {
-  // Requests with the parts are blocked from now on.
+  // Requests with the traits are blocked from now on.
   Blocked,
-  // Fewer parts than before are needed for a block, because the others proved
+  // Fewer traits than before are needed for a block, because the others proved
   // sound.
   Narrowed,
-  // An answer with the parts has begun, or the time is over.
+  // An answer with the traits has begun, or the time is over.
   Ended,
 };
 
@@ -328,6 +328,6 @@
 Step
 Receive(State& aState, const Message& aMessage, absl::Time aNow);
 
-} // namespace lycheeplank::poison_parts
+} // namespace lycheeplank::poison
 
 #endif
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -51,7 +51,7 @@
   } else if (history_.runs_ > 0) {
     Answer(kBadGateway, "part_blocked");
   } else {
-    Refuse("part_blocked", poison_parts::kRetryAfter);
+    Refuse("part_blocked", poison::kRetryAfter);
   }
 }
 
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -58,11 +58,11 @@
   }
   service_ = catalog::PickService(*route_, request_.id_);
   sharedParts_ = SharedParts(request_);
-  fingerprint_ = FingerprintOf(request_,
-                               caller_->Head(),
-                               caller_->Body(),
-                               workspace_ == nullptr ? request_.key_
-                                                     : workspace_->name_);
+  fingerprint_ =
+    FingerprintOf(request_,
+                  caller_->Head(),
+                  caller_->Body(),
+                  workspace_ == nullptr ? request_.key_ : workspace_->name_);
   readDraw_ = std::uniform_real_distribution<>(0.0, 1.0)(host_.random_);
   deadline_ = arrivedAt_ + route_->timeout_;
   if (request_.callerTimeout_) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -9,7 +9,7 @@
 
 #include "gateway/events.h"
 #include "gateway/host.h"
-#include "gateway/part-blocks.h"
+#include "gateway/poison-blocks.h"
 #include "gateway/server-connection.h"
 #include "gateway/timer.h"
 #include "lycheeplank/retry.h"
@@ -139,7 +139,7 @@
   const catalog::Route* route_ = nullptr;
   const catalog::Workspace* workspace_ = nullptr;
   std::string service_;
-  poison_parts::Parts sharedParts_;
+  poison::Traits sharedParts_;
   // Hash of what all attempts of the caller have in common; empty if the
   // request isn't valid.
   std::string fingerprint_;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -6,8 +6,8 @@
 #include <boost/asio/buffer.hpp>
 
 #include "gateway/clock.h"
-#include "gateway/part-blocks.h"
 #include "gateway/permits.h"
+#include "gateway/poison-blocks.h"
 
 namespace lycheeplank::gateway {
 
@@ -203,7 +203,7 @@
 {
   // The other kinds of messages begin with a byte that is no host name's
   // length.
-  if (poison_parts::IsMessage(aText)) {
+  if (poison::IsMessage(aText)) {
     ReceiveBlockMessage(host_, aText);
     return;
   }
@@ -227,7 +227,7 @@
 void
 Gossip::ScheduleBlockTick()
 {
-  blocksTimer_.Set(poison_parts::kTickPeriod, [this] {
+  blocksTimer_.Set(poison::kTickPeriod, [this] {
     TickBlocks(host_);
     ScheduleBlockTick();
   });
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -26,7 +26,7 @@
 #include "lycheeplank/fleet.h"
 #include "lycheeplank/mechanisms.h"
 #include "lycheeplank/metrics.h"
-#include "lycheeplank/poison_parts.h"
+#include "lycheeplank/poison.h"
 #include "lycheeplank/relays.h"
 #include "lycheeplank/replica.h"
 #include "lycheeplank/request_queue.h"
@@ -101,7 +101,7 @@
   {
     relays::Restart(feed_, NewFeedId());
     limits_.self_ = settings_.name_;
-    poisonParts_.self_ = settings_.name_;
+    poison_.self_ = settings_.name_;
   }
 
   // Returns a random id that is not 0, so that no two feeds of any hosts have
@@ -136,7 +136,7 @@
   target_limits::State limits_;
   // By number of the ask.
   absl::flat_hash_map<std::uint64_t, PendingAsk> permitAsks_;
-  poison_parts::State poisonParts_;
+  poison::State poison_;
   // Requests that wait at targets for the begin of their answers, with
   // callbacks that withdraw them if their parts are blocked.
   absl::flat_hash_map<const void*, std::function<void()>> onBlock_;
--- a/src/gateway/part-blocks.cc
+++ b/src/gateway/poison-blocks.cc
@@ -1,4 +1,4 @@
-#include "gateway/part-blocks.h"
+#include "gateway/poison-blocks.h"
 
 #include <algorithm>
 #include <iterator>
@@ -14,12 +14,12 @@
 
 namespace {
 
-using poison_parts::BlockChange;
-using poison_parts::Change;
+using poison::BlockChange;
+using poison::Change;
 
 // Sends a message to a random other host.
 void
-SendToAny(Host& aHost, const poison_parts::Message& aMessage)
+SendToAny(Host& aHost, const poison::Message& aMessage)
 {
   if (aHost.hosts_.size() < 2) {
     return;
@@ -30,7 +30,7 @@
     host =
       host == aHost.hosts_.begin() ? std::next(host) : aHost.hosts_.begin();
   }
-  aHost.sendDatagram_(host->first, poison_parts::WriteMessage(aMessage, Now()));
+  aHost.sendDatagram_(host->first, poison::WriteMessage(aMessage, Now()));
 }
 
 void
@@ -43,16 +43,15 @@
     isBlocking = isBlocking || change != Change::Ended;
     aHost.metrics_.Count("part_block_changes_total",
                          "change",
-                         core::NameOf(poison_parts::kChanges, change));
-    aHost.log_.Write(
-      Line("part_block")
-        .Text("change", core::NameOf(poison_parts::kChanges, change))
-        .Text("parts", absl::StrJoin(block.parts_, ","))
-        .Number("crashes", block.crashes_)
-        .Age("first_crash_age_ms", Now() - block.firstCrashAt_)
-        .Age("last_crash_age_ms", Now() - block.lastCrashAt_)
-        .Number("surprise", block.surprise_)
-        .Text("source", aSource));
+                         core::NameOf(poison::kChanges, change));
+    aHost.log_.Write(Line("part_block")
+                       .Text("change", core::NameOf(poison::kChanges, change))
+                       .Text("parts", absl::StrJoin(block.traits_, ","))
+                       .Number("crashes", block.crashes_)
+                       .Age("first_crash_age_ms", Now() - block.firstCrashAt_)
+                       .Age("last_crash_age_ms", Now() - block.lastCrashAt_)
+                       .Number("surprise", block.surprise_)
+                       .Text("source", aSource));
   }
   if (!isBlocking) {
     return;
@@ -77,12 +76,11 @@
   const auto add = [&](absl::string_view aField) {
     absl::StrAppend(&text, aField.size(), ":", aField);
   };
-  for (const absl::string_view field :
-       { aCaller,
-         absl::string_view(aHead.method_),
-         absl::string_view(aRequest.host_),
-         absl::string_view(aHead.target_),
-         absl::string_view(aRequest.model_) }) {
+  for (const absl::string_view field : { aCaller,
+                                         absl::string_view(aHead.method_),
+                                         absl::string_view(aRequest.host_),
+                                         absl::string_view(aHead.target_),
+                                         absl::string_view(aRequest.model_) }) {
     add(field);
   }
   for (const auto& part : aRequest.parts_) {
@@ -94,12 +92,11 @@
                       absl::Hex(hash.low64, absl::kZeroPad16));
 }
 
-poison_parts::Parts
+poison::Traits
 SharedParts(const CallerRequest& aRequest)
 {
-  poison_parts::Parts parts;
-  const auto shared =
-    std::min(aRequest.parts_.size(), poison_parts::kMaxParts + 1);
+  poison::Traits parts;
+  const auto shared = std::min(aRequest.parts_.size(), poison::kMaxTraits + 1);
   for (std::size_t i = 0; i + 1 < shared; ++i) {
     parts.push_back(absl::StrCat(aRequest.model_, "/", aRequest.parts_[i].id_));
   }
@@ -115,25 +112,25 @@
   const auto member = aHost.members_.find(aRequest.target_);
   // A target that leaves ends its connections, and a host that has been frozen
   // can't tell when they were lost.
-  if (aRequest.parts_.empty() || member == aHost.members_.end() ||
+  if (aRequest.traits_.empty() || member == aHost.members_.end() ||
       member->second.target_.state_ != fleet::TargetState::Ready ||
       IsCatchingUp(aHost.stallDetector_, now)) {
     return;
   }
-  poison_parts::RecordLoss(aHost.poisonParts_,
-                           { aRequest.target_, aRequest.targetBornMs_ },
-                           core::StableHash(aRequest.id_),
-                           aRequest.parts_,
-                           now,
-                           aRequest.route_);
+  poison::RecordLoss(aHost.poison_,
+                     { aRequest.target_, aRequest.targetBornMs_ },
+                     core::StableHash(aRequest.id_),
+                     aRequest.traits_,
+                     now,
+                     aRequest.route_);
 }
 
 void
 NoteBegin(Host& aHost, const SentRequest& aRequest)
 {
-  poison_parts::RecordBegin(
-    aHost.poisonParts_,
-    aRequest.parts_,
+  poison::RecordBegin(
+    aHost.poison_,
+    aRequest.traits_,
     EarliestSendTime(aHost.stallDetector_, aRequest.sentAt_, Now()),
     aRequest.route_);
 }
@@ -141,31 +138,31 @@
 void
 NoteBytes(Host& aHost, const SentRequest& aRequest)
 {
-  poison_parts::RecordBytes(
-    aHost.poisonParts_,
+  poison::RecordBytes(
+    aHost.poison_,
     aRequest.target_,
     aRequest.targetBornMs_,
     EarliestSendTime(aHost.stallDetector_, aRequest.sentAt_, Now()));
 }
 
 bool
-IsBlocked(const Host& aHost, const poison_parts::Parts& aParts)
+IsBlocked(const Host& aHost, const poison::Traits& aTraits)
 {
-  return !aHost.poisonParts_.blocks_.empty() &&
-         poison_parts::FindBlock(aHost.poisonParts_, aParts, Now()) != nullptr;
+  return !aHost.poison_.blocks_.empty() &&
+         poison::FindBlock(aHost.poison_, aTraits, Now()) != nullptr;
 }
 
 absl::Duration
-ResendDelay(const Host& aHost, const poison_parts::Parts& aParts)
+ResendDelay(const Host& aHost, const poison::Traits& aTraits)
 {
-  return poison_parts::ResendDelay(aHost.poisonParts_, aParts, Now());
+  return poison::ResendDelay(aHost.poison_, aTraits, Now());
 }
 
 void
 ReceiveBlockMessage(Host& aHost, absl::string_view aText)
 {
   const auto now = Now();
-  const auto message = poison_parts::ReadMessage(
+  const auto message = poison::ReadMessage(
     aText, EarliestSendTime(aHost.stallDetector_, absl::InfinitePast(), now));
   if (!message) {
     aHost.log_.Write(Line("message_unreadable").Number("bytes", aText.size()));
@@ -174,10 +171,10 @@
   if (message->sender_ == aHost.settings_.name_) {
     return;
   }
-  const auto step = poison_parts::Receive(aHost.poisonParts_, *message, now);
+  const auto step = poison::Receive(aHost.poison_, *message, now);
   if (step.reply_) {
     aHost.sendDatagram_(message->sender_,
-                        poison_parts::WriteMessage(*step.reply_, now));
+                        poison::WriteMessage(*step.reply_, now));
   }
   ApplyChanges(aHost, step.changes_, message->sender_);
 }
@@ -185,11 +182,11 @@
 void
 TickBlocks(Host& aHost)
 {
-  auto& state = aHost.poisonParts_;
+  auto& state = aHost.poison_;
   state.hosts_ = std::max<std::size_t>(1, aHost.hosts_.size());
-  const auto step = poison_parts::Tick(state, Now());
+  const auto step = poison::Tick(state, Now());
   if (step.toAll_) {
-    const auto text = poison_parts::WriteMessage(*step.toAll_, Now());
+    const auto text = poison::WriteMessage(*step.toAll_, Now());
     for (const auto& [name, host] : aHost.hosts_) {
       if (name != aHost.settings_.name_) {
         aHost.sendDatagram_(name, text);
--- a/src/gateway/part-blocks.h
+++ b/src/gateway/poison-blocks.h
@@ -1,5 +1,5 @@
-#ifndef LYCHEEPLANK_SRC_GATEWAY_PART_BLOCKS_H
-#define LYCHEEPLANK_SRC_GATEWAY_PART_BLOCKS_H
+#ifndef LYCHEEPLANK_SRC_GATEWAY_POISON_BLOCKS_H
+#define LYCHEEPLANK_SRC_GATEWAY_POISON_BLOCKS_H
 
 #include <string>
 
@@ -9,7 +9,7 @@
 #include "gateway/host.h"
 
 // Collects the evidence about parts of prompts that crash targets and exchanges
-// it with the other hosts, see poison_parts.
+// it with the other hosts, see poison.
 namespace lycheeplank::gateway {
 
 // A request at a target, as evidence.
@@ -18,7 +18,7 @@
   std::string target_;
   std::int64_t targetBornMs_ = 0;
   absl::string_view id_;
-  const poison_parts::Parts& parts_;
+  const poison::Traits& traits_;
   absl::Time sentAt_;
   // Requests of one route are comparable.
   const std::string& route_;
@@ -35,7 +35,7 @@
 
 // Returns the parts of a prompt that other requests may share. Ids of parts are
 // valid for one model.
-poison_parts::Parts
+poison::Traits
 SharedParts(const CallerRequest& aRequest);
 
 // Record that a request's connection was lost before its answer began, that its
@@ -49,19 +49,19 @@
 
 // Returns whether requests with these parts are blocked.
 bool
-IsBlocked(const Host& aHost, const poison_parts::Parts& aParts);
+IsBlocked(const Host& aHost, const poison::Traits& aTraits);
 
 // Returns how long a lost request with these parts should wait before it is
 // sent again.
 absl::Duration
-ResendDelay(const Host& aHost, const poison_parts::Parts& aParts);
+ResendDelay(const Host& aHost, const poison::Traits& aTraits);
 
 // Handles a datagram of another host.
 void
 ReceiveBlockMessage(Host& aHost, absl::string_view aText);
 
 // Evaluates the evidence and sends what is new. Call it every
-// poison_parts::kTickPeriod.
+// poison::kTickPeriod.
 void
 TickBlocks(Host& aHost);
 
--- a/src/poison_parts/evidence.cc
+++ b/src/poison/evidence.cc
@@ -1,4 +1,4 @@
-#include "poison_parts/evidence.h"
+#include "poison/evidence.h"
 
 #include <algorithm>
 #include <cmath>
@@ -6,9 +6,9 @@
 #include <set>
 #include <tuple>
 
-#include "poison_parts/traffic.h"
+#include "poison/traffic.h"
 
-namespace lycheeplank::poison_parts {
+namespace lycheeplank::poison {
 
 namespace {
 
@@ -19,69 +19,69 @@
   const Loss* loss_ = nullptr;
 };
 
-// Lost requests by part.
+// Lost requests by trait.
 using Cases = absl::btree_map<std::string, std::vector<Case>>;
 
-// The evidence against one part.
+// The evidence against one trait.
 struct Suspect
 {
-  std::string part_;
+  std::string trait_;
   // In the order of their crashes.
   std::vector<Case> cases_;
   std::size_t moments_ = 0;
-  // An answer with the part has begun before.
+  // An answer with the trait has begun before.
   bool hasBegun_ = false;
 };
 
-// A part with which an answer has begun before is the less likely cause.
+// A trait with which an answer has begun before is the less likely cause.
 bool
 IsWorse(const Suspect& aLeft, const Suspect& aRight)
 {
-  return std::tie(aRight.hasBegun_, aLeft.moments_, aRight.part_) >
-         std::tie(aLeft.hasBegun_, aRight.moments_, aLeft.part_);
+  return std::tie(aRight.hasBegun_, aLeft.moments_, aRight.trait_) >
+         std::tie(aLeft.hasBegun_, aRight.moments_, aLeft.trait_);
 }
 
 bool
-Has(const Parts& aParts, const std::string& aPart)
+Has(const Traits& aTraits, const std::string& aTrait)
 {
-  return std::binary_search(aParts.begin(), aParts.end(), aPart);
+  return std::binary_search(aTraits.begin(), aTraits.end(), aTrait);
 }
 
 bool
-HasBegun(const State& aState, const std::string& aPart)
+HasBegun(const State& aState, const std::string& aTrait)
 {
-  return LastBegin(aState, aPart) != absl::InfinitePast();
+  return LastBegin(aState, aTrait) != absl::InfinitePast();
 }
 
 bool
 FallsUnder(const Loss& aLoss, const Block& aBlock)
 {
-  return std::includes(aLoss.parts_.begin(),
-                       aLoss.parts_.end(),
-                       aBlock.parts_.begin(),
-                       aBlock.parts_.end());
+  return std::includes(aLoss.traits_.begin(),
+                       aLoss.traits_.end(),
+                       aBlock.traits_.begin(),
+                       aBlock.traits_.end());
 }
 
-// How the known blocks explain that a request with a part was lost.
+// How the known blocks explain that a request with a trait was lost.
 enum class Explanation
 {
   None,
-  // The request falls under a block without the part, so either may be the
+  // The request falls under a block without the trait, so either may be the
   // cause.
   SameRequest,
-  // Another request of the crash does, so the part is only a bystander.
+  // Another request of the crash does, so the trait is only a bystander.
   OtherRequest,
 };
 
 Explanation
 Explain(const Case& aCase,
-        const std::string& aPart,
+        const std::string& aTrait,
         const std::vector<Block>& aBlocks)
 {
   auto explanation = Explanation::None;
   for (const auto& block : aBlocks) {
     if (FallsUnder(*aCase.loss_, block)) {
-      if (!Has(block.parts_, aPart)) {
+      if (!Has(block.traits_, aTrait)) {
         explanation = Explanation::SameRequest;
       }
       continue;
@@ -116,7 +116,7 @@
   return FirstOfMoments(aCases).size();
 }
 
-// Returns the negative logarithm of the chance that requests with a sound part
+// Returns the negative logarithm of the chance that requests with a sound trait
 // are lost at all these moments. Of the other requests of their group, lost and
 // begun ones, so many were lost at that time.
 double
@@ -160,7 +160,7 @@
          hosts.size() >= std::min(kMinHosts, aState.hosts_);
 }
 
-// Returns whether the cases prove that a part crashes targets. aUnexplained:
+// Returns whether the cases prove that a trait crashes targets. aUnexplained:
 // those that no known block explains.
 bool
 IsProven(const State& aState,
@@ -175,17 +175,17 @@
          SurpriseOf(aSuspect.cases_) >= kMinSurprise;
 }
 
-// Returns the last lost requests of those parts that were lost often enough
+// Returns the last lost requests of those traits that were lost often enough
 // since an answer with them began.
 Cases
-CollectCases(const State& aState, const PartSet& aParts)
+CollectCases(const State& aState, const TraitSet& aTraits)
 {
   absl::flat_hash_map<std::string, absl::Time> lastBegins;
-  for (const auto& part : aParts) {
-    if (const auto found = aState.suspects_.find(part);
+  for (const auto& trait : aTraits) {
+    if (const auto found = aState.suspects_.find(trait);
         found != aState.suspects_.end() &&
         found->second.losses_ >= kMinMoments) {
-      lastBegins[part] = LastBegin(aState, part);
+      lastBegins[trait] = LastBegin(aState, trait);
     }
   }
   Cases cases;
@@ -198,18 +198,18 @@
       continue;
     }
     for (const auto& loss : crash->losses_) {
-      for (const auto& part : loss.parts_) {
-        const auto found = lastBegins.find(part);
+      for (const auto& trait : loss.traits_) {
+        const auto found = lastBegins.find(trait);
         if (found == lastBegins.end() || crash->at_ <= found->second) {
           continue;
         }
-        if (auto& list = cases[part]; list.size() < kMaxCases) {
+        if (auto& list = cases[trait]; list.size() < kMaxCases) {
           list.push_back({ &*crash, &loss });
         }
       }
     }
   }
-  for (auto& [part, list] : cases) {
+  for (auto& [trait, list] : cases) {
     std::stable_sort(
       list.begin(), list.end(), [](const Case& aLeft, const Case& aRight) {
         return aLeft.crash_->at_ < aRight.crash_->at_;
@@ -218,7 +218,7 @@
   return cases;
 }
 
-// Returns the part with the most crashes that blocks don't explain by another
+// Returns the trait with the most crashes that blocks don't explain by another
 // request if they prove that it is the cause.
 absl::optional<Suspect>
 FindSuspect(const State& aState,
@@ -227,14 +227,14 @@
             const std::set<std::string>& aIgnored)
 {
   absl::optional<Suspect> worst;
-  for (const auto& [part, all] : aCases) {
-    if (all.size() < kMinMoments || aIgnored.count(part) != 0) {
+  for (const auto& [trait, all] : aCases) {
+    if (all.size() < kMinMoments || aIgnored.count(trait) != 0) {
       continue;
     }
-    Suspect suspect{ part, {}, 0, HasBegun(aState, part) };
+    Suspect suspect{ trait, {}, 0, HasBegun(aState, trait) };
     std::vector<Case> unexplained;
     for (const auto& entry : all) {
-      const auto explanation = Explain(entry, part, aBlocks);
+      const auto explanation = Explain(entry, trait, aBlocks);
       if (explanation == Explanation::OtherRequest) {
         continue;
       }
@@ -252,25 +252,25 @@
   return worst;
 }
 
-// Returns the parts that all lost requests have in common and for which
+// Returns the traits that all lost requests have in common and for which
 // aMayBeCause holds.
 template<typename MayBeCause>
-Parts
-CommonParts(const std::vector<Case>& aCases, const MayBeCause& aMayBeCause)
+Traits
+CommonTraits(const std::vector<Case>& aCases, const MayBeCause& aMayBeCause)
 {
-  Parts common;
-  for (const auto& part : aCases.front().loss_->parts_) {
-    if (aMayBeCause(part) &&
+  Traits common;
+  for (const auto& trait : aCases.front().loss_->traits_) {
+    if (aMayBeCause(trait) &&
         std::all_of(aCases.begin(), aCases.end(), [&](const Case& aCase) {
-          return Has(aCase.loss_->parts_, part);
+          return Has(aCase.loss_->traits_, trait);
         })) {
-      common.push_back(part);
+      common.push_back(trait);
     }
   }
   return common;
 }
 
-// Returns a block of all parts that the lost requests have in common and that
+// Returns a block of all traits that the lost requests have in common and that
 // may be the cause.
 Block
 MakeBlock(const State& aState, const std::vector<Case>& aCases)
@@ -284,59 +284,61 @@
   block.firstCrashAt_ = aCases.front().crash_->at_;
   block.lastCrashAt_ = aCases.back().crash_->at_;
   block.surprise_ = SurpriseOf(aCases);
-  block.parts_ = CommonParts(
-    aCases, [&](const std::string& aPart) { return !HasBegun(aState, aPart); });
-  if (block.parts_.empty()) {
-    block.parts_ = CommonParts(aCases, [&](const std::string& aPart) {
-      return LastBegin(aState, aPart) <= block.firstCrashAt_;
+  block.traits_ = CommonTraits(aCases, [&](const std::string& aTrait) {
+    return !HasBegun(aState, aTrait);
+  });
+  if (block.traits_.empty()) {
+    block.traits_ = CommonTraits(aCases, [&](const std::string& aTrait) {
+      return LastBegin(aState, aTrait) <= block.firstCrashAt_;
     });
   }
   return block;
 }
 
-// The cases of a suspect, split by other parts that may be the cause instead.
+// The cases of a suspect, split by other traits that may be the cause instead.
 struct Alternatives
 {
-  // Cases without such a part, in the request or another one of the crash.
+  // Cases without such a trait, in the request or another one of the crash.
   std::vector<Case> without_;
-  // The others, each with the most frequent of its parts.
+  // The others, each with the most frequent of its traits.
   std::vector<std::vector<Case>> groups_;
 };
 
-// Returns whether another request of the crash has a part without those of
+// Returns whether another request of the crash has a trait without those of
 // aCommon that may well be the cause.
 bool
-IsBesideSuspect(const State& aState, const Case& aCase, const Parts& aCommon)
+IsBesideSuspect(const State& aState, const Case& aCase, const Traits& aCommon)
 {
-  const auto isSuspected = [&](const std::string& aPart) {
-    const auto found = aState.suspects_.find(aPart);
-    return !Has(aCommon, aPart) && !HasBegun(aState, aPart) &&
+  const auto isSuspected = [&](const std::string& aTrait) {
+    const auto found = aState.suspects_.find(aTrait);
+    return !Has(aCommon, aTrait) && !HasBegun(aState, aTrait) &&
            found != aState.suspects_.end() &&
            found->second.losses_ >= kMinMoments;
   };
-  return std::any_of(
-    aCase.crash_->losses_.begin(),
-    aCase.crash_->losses_.end(),
-    [&](const Loss& aLoss) {
-      return &aLoss != aCase.loss_ &&
-             std::any_of(aLoss.parts_.begin(), aLoss.parts_.end(), isSuspected);
-    });
+  return std::any_of(aCase.crash_->losses_.begin(),
+                     aCase.crash_->losses_.end(),
+                     [&](const Loss& aLoss) {
+                       return &aLoss != aCase.loss_ &&
+                              std::any_of(aLoss.traits_.begin(),
+                                          aLoss.traits_.end(),
+                                          isSuspected);
+                     });
 }
 
 Alternatives
 FindAlternatives(const State& aState,
                  const Suspect& aSuspect,
-                 const Parts& aCommon)
+                 const Traits& aCommon)
 {
   Alternatives alternatives;
   auto left = aSuspect.cases_;
   while (!left.empty()) {
     absl::btree_map<std::string, std::vector<Case>> byPart;
     for (const auto& entry : left) {
-      for (const auto& part : entry.loss_->parts_) {
-        if (part != aSuspect.part_ && !Has(aCommon, part) &&
-            !HasBegun(aState, part)) {
-          byPart[part].push_back(entry);
+      for (const auto& trait : entry.loss_->traits_) {
+        if (trait != aSuspect.trait_ && !Has(aCommon, trait) &&
+            !HasBegun(aState, trait)) {
+          byPart[trait].push_back(entry);
         }
       }
     }
@@ -356,7 +358,7 @@
     left.erase(std::remove_if(left.begin(),
                               left.end(),
                               [&](const Case& aCase) {
-                                return Has(aCase.loss_->parts_, most.first);
+                                return Has(aCase.loss_->traits_, most.first);
                               }),
                left.end());
     alternatives.groups_.push_back(most.second);
@@ -364,7 +366,7 @@
   return alternatives;
 }
 
-// Returns the blocks for a proven suspect. If few other parts could be the
+// Returns the blocks for a proven suspect. If few other traits could be the
 // causes of its crashes as well, each of them is blocked together with the
 // suspect only: sound requests with either of them can still begin, which
 // decides between them.
@@ -372,10 +374,10 @@
 MakeBlocks(const State& aState, const Suspect& aSuspect)
 {
   auto block = MakeBlock(aState, aSuspect.cases_);
-  if (block.parts_.empty()) {
+  if (block.traits_.empty()) {
     return {};
   }
-  const auto alternatives = FindAlternatives(aState, aSuspect, block.parts_);
+  const auto alternatives = FindAlternatives(aState, aSuspect, block.traits_);
   const auto without = CountMoments(alternatives.without_);
   if (aSuspect.hasBegun_ || alternatives.groups_.empty() ||
       without >= kMinUnexplained ||
@@ -384,7 +386,7 @@
   }
   std::vector<Block> blocks;
   for (const auto& cases : alternatives.groups_) {
-    const Suspect suspect{ aSuspect.part_, cases, CountMoments(cases), false };
+    const Suspect suspect{ aSuspect.trait_, cases, CountMoments(cases), false };
     if (IsProven(aState, suspect, cases)) {
       blocks.push_back(MakeBlock(aState, cases));
     }
@@ -395,14 +397,14 @@
 } // namespace
 
 std::vector<Block>
-FindPoison(const State& aState, const PartSet& aParts)
+FindPoison(const State& aState, const TraitSet& aTraits)
 {
-  const auto cases = CollectCases(aState, aParts);
+  const auto cases = CollectCases(aState, aTraits);
   auto blocks = aState.blocks_;
   std::vector<Block> found;
   std::set<std::string> done;
   while (const auto suspect = FindSuspect(aState, cases, blocks, done)) {
-    done.insert(suspect->part_);
+    done.insert(suspect->trait_);
     for (auto& block : MakeBlocks(aState, *suspect)) {
       blocks.push_back(block);
       found.push_back(std::move(block));
@@ -411,10 +413,10 @@
   return found;
 }
 
-PartSet
+TraitSet
 RecordTraffic(State& aState, absl::Time aNow)
 {
-  PartSet parts;
+  TraitSet traits;
   absl::optional<TrafficByGroup> total;
   for (auto& crash : aState.crashes_) {
     if (!crash.traffic_ && aNow - crash.at_ >= kSettleTime) {
@@ -423,11 +425,11 @@
       }
       crash.traffic_ = *total;
       for (const auto& loss : crash.losses_) {
-        parts.insert(loss.parts_.begin(), loss.parts_.end());
+        traits.insert(loss.traits_.begin(), loss.traits_.end());
       }
     }
   }
-  return parts;
+  return traits;
 }
 
 absl::Time
@@ -442,4 +444,4 @@
   return next;
 }
 
-} // namespace lycheeplank::poison_parts
+} // namespace lycheeplank::poison
--- a/src/poison_parts/messages.cc
+++ b/src/poison/messages.cc
@@ -1,11 +1,11 @@
 #include <algorithm>
 
 #include "core/json.h"
-#include "lycheeplank/poison_parts.h"
+#include "lycheeplank/poison.h"
 
 // The wire format of the messages between hosts: JSON after two bytes with
 // which no other datagram begins.
-namespace lycheeplank::poison_parts {
+namespace lycheeplank::poison {
 
 namespace {
 
@@ -39,16 +39,16 @@
            static_cast<std::int64_t>(json::NumberOf(aRow, "started")) };
 }
 
-Parts
-ReadParts(const json::Json& aRow)
+Traits
+ReadTraits(const json::Json& aRow)
 {
-  Parts parts;
+  Traits traits;
   for (const auto& part : json::ListOf(aRow, "parts")) {
-    if (part.is_string() && parts.size() < kMaxParts) {
-      parts.push_back(part.get<std::string>());
+    if (part.is_string() && traits.size() < kMaxTraits) {
+      traits.push_back(part.get<std::string>());
     }
   }
-  return parts;
+  return traits;
 }
 
 json::Json
@@ -57,7 +57,7 @@
   auto row = WriteStart(aLoss.start_);
   row["request"] = aLoss.request_;
   row["group"] = aLoss.group_;
-  row["parts"] = aLoss.parts_;
+  row["parts"] = aLoss.traits_;
   row["age_ms"] = aClock.Write(aLoss.at_);
   return row;
 }
@@ -65,7 +65,7 @@
 json::Json
 WriteBlock(const Block& aBlock, const Clock& aClock)
 {
-  return { { "parts", aBlock.parts_ },
+  return { { "parts", aBlock.traits_ },
            { "crashes", aBlock.crashes_ },
            { "first_age_ms", aClock.Write(aBlock.firstCrashAt_) },
            { "last_age_ms", aClock.Write(aBlock.lastCrashAt_) },
@@ -85,7 +85,7 @@
   auto begins = json::Json::array();
   for (const auto& begin : aMessage.begins_) {
     begins.push_back(
-      { { "part", begin.part_ }, { "age_ms", clock.Write(begin.at_) } });
+      { { "part", begin.trait_ }, { "age_ms", clock.Write(begin.at_) } });
   }
   auto sightings = json::Json::array();
   for (const auto& sighting : aMessage.sightings_) {
@@ -138,7 +138,7 @@
     message.losses_.push_back({ ReadStart(row),
                                 json::CountOf(row, "request"),
                                 message.sender_,
-                                ReadParts(row),
+                                ReadTraits(row),
                                 clock.Read(row, "age_ms"),
                                 json::TextOf(row, "group") });
   }
@@ -150,12 +150,12 @@
     message.sightings_.push_back({ ReadStart(row), clock.Read(row, "age_ms") });
   }
   for (const auto& row : json::ListOf(body, "blocks")) {
-    Block block{ ReadParts(row),
+    Block block{ ReadTraits(row),
                  json::CountOf(row, "crashes"),
                  clock.Read(row, "first_age_ms"),
                  clock.Read(row, "last_age_ms"),
                  json::NumberOf(row, "surprise") };
-    if (!block.parts_.empty()) {
+    if (!block.traits_.empty()) {
       message.blocks_.push_back(std::move(block));
     }
   }
@@ -171,4 +171,4 @@
   return message;
 }
 
-} // namespace lycheeplank::poison_parts
+} // namespace lycheeplank::poison
--- a/src/poison_parts/poison_parts.cc
+++ b/src/poison/poison.cc
@@ -1,4 +1,4 @@
-#include "lycheeplank/poison_parts.h"
+#include "lycheeplank/poison.h"
 
 #include <algorithm>
 #include <iterator>
@@ -6,10 +6,10 @@
 
 #include <absl/strings/str_join.h>
 
-#include "poison_parts/evidence.h"
-#include "poison_parts/traffic.h"
+#include "poison/evidence.h"
+#include "poison/traffic.h"
 
-namespace lycheeplank::poison_parts {
+namespace lycheeplank::poison {
 
 namespace {
 
@@ -18,16 +18,16 @@
 constexpr absl::Duration kCrashTime = absl::Seconds(1);
 
 std::string
-KeyOf(const Parts& aParts)
+KeyOf(const Traits& aTraits)
 {
-  return absl::StrJoin(aParts, ",");
+  return absl::StrJoin(aTraits, ",");
 }
 
 bool
-Contains(const Parts& aParts, const Parts& aSome)
+Contains(const Traits& aTraits, const Traits& aSome)
 {
   return std::includes(
-    aParts.begin(), aParts.end(), aSome.begin(), aSome.end());
+    aTraits.begin(), aTraits.end(), aSome.begin(), aSome.end());
 }
 
 // Returns whether bytes of the start were seen after a loss there.
@@ -40,13 +40,13 @@
 }
 
 // Returns whether the other hosts need to know the last begin of a suspected
-// part: it stands between crashes, or they know of none.
+// trait: it stands between crashes, or they know of none.
 bool
 IsBeginNeeded(const State& aState,
-              const std::string& aPart,
+              const std::string& aTrait,
               const State::Suspicion& aSuspicion)
 {
-  const auto last = LastBegin(aState, aPart);
+  const auto last = LastBegin(aState, aTrait);
   return aSuspicion.moments_ >= kTellMoments &&
          last > aSuspicion.toldBeginAt_ &&
          (last > aSuspicion.firstMomentAt_ ||
@@ -55,11 +55,11 @@
 
 void
 TellBeginIfNeeded(State& aState,
-                  const std::string& aPart,
+                  const std::string& aTrait,
                   const State::Suspicion& aSuspicion)
 {
-  if (IsBeginNeeded(aState, aPart, aSuspicion)) {
-    aState.newBegins_.emplace(aPart, kRepeats);
+  if (IsBeginNeeded(aState, aTrait, aSuspicion)) {
+    aState.newBegins_.emplace(aTrait, kRepeats);
   }
 }
 
@@ -83,16 +83,16 @@
 }
 
 void
-Suspect(State& aState, const Parts& aParts, absl::Time aLostAt)
+Suspect(State& aState, const Traits& aTraits, absl::Time aLostAt)
 {
-  for (const auto& part : aParts) {
+  for (const auto& trait : aTraits) {
     if (aState.suspects_.size() >= kMaxSuspects &&
-        !aState.suspects_.contains(part)) {
+        !aState.suspects_.contains(trait)) {
       continue;
     }
-    auto& suspicion = aState.suspects_[part];
+    auto& suspicion = aState.suspects_[trait];
     suspicion.lostAt_ = std::max(suspicion.lostAt_, aLostAt);
-    if (LastBegin(aState, part) < aLostAt) {
+    if (LastBegin(aState, trait) < aLostAt) {
       ++suspicion.losses_;
     }
     if (aLostAt <= suspicion.toldBeginAt_) {
@@ -108,7 +108,7 @@
                                   : std::max(suspicion.lastMomentAt_, aLostAt);
       ++suspicion.moments_;
     }
-    TellBeginIfNeeded(aState, part, suspicion);
+    TellBeginIfNeeded(aState, trait, suspicion);
   }
 }
 
@@ -116,7 +116,7 @@
 bool
 AddLoss(State& aState, const Loss& aLoss, absl::Time aNow)
 {
-  if (aLoss.parts_.empty() || aNow - aLoss.at_ > kEvidenceTime ||
+  if (aLoss.traits_.empty() || aNow - aLoss.at_ > kEvidenceTime ||
       IsRefuted(aState, aLoss.start_, aLoss.at_)) {
     return false;
   }
@@ -143,16 +143,16 @@
   crash->at_ = std::min(crash->at_, aLoss.at_);
   crash->losses_.push_back(aLoss);
   aState.evaluateAt_ = std::min(aState.evaluateAt_, crash->at_ + kSettleTime);
-  Suspect(aState, aLoss.parts_, aLoss.at_);
+  Suspect(aState, aLoss.traits_, aLoss.at_);
   return true;
 }
 
 void
-AddBegin(State& aState, const std::string& aPart, absl::Time aAt)
+AddBegin(State& aState, const std::string& aTrait, absl::Time aAt)
 {
-  auto& at = aState.begins_[aPart];
+  auto& at = aState.begins_[aTrait];
   at = std::max(at, aAt);
-  if (aState.begins_.size() > kMaxSoundParts) {
+  if (aState.begins_.size() > kMaxSoundTraits) {
     aState.olderBegins_ = std::exchange(aState.begins_, {});
   }
 }
@@ -179,7 +179,7 @@
 AddBlock(State& aState, const Block& aBlock)
 {
   for (auto& known : aState.blocks_) {
-    if (Contains(aBlock.parts_, known.parts_)) {
+    if (Contains(aBlock.traits_, known.traits_)) {
       known.lastCrashAt_ = std::max(known.lastCrashAt_, aBlock.lastCrashAt_);
       known.crashes_ = std::max(known.crashes_, aBlock.crashes_);
       return false;
@@ -188,8 +188,8 @@
   aState.blocks_.erase(std::remove_if(aState.blocks_.begin(),
                                       aState.blocks_.end(),
                                       [&](const auto& aKnown) {
-                                        return Contains(aKnown.parts_,
-                                                        aBlock.parts_);
+                                        return Contains(aKnown.traits_,
+                                                        aBlock.traits_);
                                       }),
                        aState.blocks_.end());
   if (aState.blocks_.size() >= kMaxBlocks) {
@@ -201,37 +201,37 @@
                        }));
   }
   aState.blocks_.push_back(aBlock);
-  Suspect(aState, aBlock.parts_, aBlock.lastCrashAt_);
+  Suspect(aState, aBlock.traits_, aBlock.lastCrashAt_);
   return true;
 }
 
-// Returns a block without the parts that have proved sound.
+// Returns a block without the traits that have proved sound.
 Block
 Narrow(const State& aState, Block aBlock)
 {
-  auto& parts = aBlock.parts_;
-  parts.erase(std::remove_if(parts.begin(),
-                             parts.end(),
-                             [&](const std::string& aPart) {
-                               return LastBegin(aState, aPart) >
-                                      aBlock.firstCrashAt_;
-                             }),
-              parts.end());
+  auto& traits = aBlock.traits_;
+  traits.erase(std::remove_if(traits.begin(),
+                              traits.end(),
+                              [&](const std::string& aTrait) {
+                                return LastBegin(aState, aTrait) >
+                                       aBlock.firstCrashAt_;
+                              }),
+               traits.end());
   return aBlock;
 }
 
-// Removes parts from blocks that have proved sound, and ends blocks.
+// Removes traits from blocks that have proved sound, and ends blocks.
 void
 ReviewBlocks(State& aState, absl::Time aNow, std::vector<BlockChange>& aChanges)
 {
   for (auto& block : std::exchange(aState.blocks_, {})) {
     const auto narrowed = Narrow(aState, block);
-    const auto& parts = narrowed.parts_;
-    if (parts.empty() || aNow - block.lastCrashAt_ > kBlockTime) {
+    const auto& traits = narrowed.traits_;
+    if (traits.empty() || aNow - block.lastCrashAt_ > kBlockTime) {
       aChanges.push_back({ Change::Ended, std::move(block) });
       continue;
     }
-    if (parts.size() < block.parts_.size()) {
+    if (traits.size() < block.traits_.size()) {
       aChanges.push_back({ Change::Narrowed, narrowed });
     }
     AddBlock(aState, narrowed);
@@ -251,10 +251,10 @@
   absl::erase_if(aState.sightings_, [&](const auto& aEntry) {
     return aEntry.second.at_ < oldest;
   });
-  const auto isBlocked = [&](const std::string& aPart) {
+  const auto isBlocked = [&](const std::string& aTrait) {
     return std::any_of(
       aState.blocks_.begin(), aState.blocks_.end(), [&](const auto& aBlock) {
-        return Contains(aBlock.parts_, { aPart });
+        return Contains(aBlock.traits_, { aTrait });
       });
   };
   auto& suspects = aState.suspects_;
@@ -298,10 +298,10 @@
                    losses.end(),
                    [](const auto& aNews) { return aNews.repeats_ <= 0; }),
     losses.end());
-  TakeNews(aState.newBegins_, [&](const std::string& aPart) {
-    const auto at = LastBegin(aState, aPart);
-    message.begins_.push_back({ aPart, at });
-    if (const auto found = aState.suspects_.find(aPart);
+  TakeNews(aState.newBegins_, [&](const std::string& aTrait) {
+    const auto at = LastBegin(aState, aTrait);
+    message.begins_.push_back({ aTrait, at });
+    if (const auto found = aState.suspects_.find(aTrait);
         found != aState.suspects_.end()) {
       Clear(found->second, at, true);
     }
@@ -318,7 +318,7 @@
   TakeNews(aState.newBlocks_, [&](const std::string& aKey) {
     const auto found = std::find_if(
       aState.blocks_.begin(), aState.blocks_.end(), [&](const auto& aBlock) {
-        return KeyOf(aBlock.parts_) == aKey;
+        return KeyOf(aBlock.traits_) == aKey;
       });
     if (found == aState.blocks_.end()) {
       return false;
@@ -344,45 +344,45 @@
          !aMessage.traffic_.empty();
 }
 
-// Returns the parts without those with which answers have just begun. They
+// Returns the traits without those with which answers have just begun. They
 // can't be the cause, and others needn't hear of them.
-Parts
-UnprovenParts(const State& aState, const Parts& aParts, absl::Time aNow)
+Traits
+UnprovenTraits(const State& aState, const Traits& aTraits, absl::Time aNow)
 {
-  Parts unproven;
-  std::copy_if(aParts.begin(),
-               aParts.end(),
+  Traits unproven;
+  std::copy_if(aTraits.begin(),
+               aTraits.end(),
                std::back_inserter(unproven),
-               [&](const std::string& aPart) {
-                 return aNow - LastBegin(aState, aPart) > kProvenTime;
+               [&](const std::string& aTrait) {
+                 return aNow - LastBegin(aState, aTrait) > kProvenTime;
                });
   return unproven;
 }
 
-// Adds the begins that refute parts of another host's block.
+// Adds the begins that refute traits of another host's block.
 void
 AddRefutation(const State& aState, const Block& aBlock, Message& aReply)
 {
-  for (const auto& part : aBlock.parts_) {
-    if (const auto at = LastBegin(aState, part);
+  for (const auto& trait : aBlock.traits_) {
+    if (const auto at = LastBegin(aState, trait);
         at > aBlock.firstCrashAt_ && aReply.begins_.size() < kMaxItems) {
-      aReply.begins_.push_back({ part, at });
+      aReply.begins_.push_back({ trait, at });
     }
   }
 }
 
 // Returns a message with all blocks, and what is known in favour of suspected
-// parts.
+// traits.
 Message
 AllBlocks(const State& aState)
 {
   Message message;
   message.sender_ = aState.self_;
   message.blocks_ = aState.blocks_;
-  for (const auto& [part, suspicion] : aState.suspects_) {
-    const auto at = LastBegin(aState, part);
+  for (const auto& [trait, suspicion] : aState.suspects_) {
+    const auto at = LastBegin(aState, trait);
     if (at != absl::InfinitePast() && message.begins_.size() < kMaxItems) {
-      message.begins_.push_back({ part, at });
+      message.begins_.push_back({ trait, at });
     }
   }
   return message;
@@ -391,11 +391,11 @@
 } // namespace
 
 absl::Time
-LastBegin(const State& aState, const std::string& aPart)
+LastBegin(const State& aState, const std::string& aTrait)
 {
   auto last = absl::InfinitePast();
   for (const auto* begins : { &aState.begins_, &aState.olderBegins_ }) {
-    if (const auto found = begins->find(aPart); found != begins->end()) {
+    if (const auto found = begins->find(aTrait); found != begins->end()) {
       last = std::max(last, found->second);
     }
   }
@@ -406,14 +406,14 @@
 RecordLoss(State& aState,
            const Start& aStart,
            std::uint64_t aRequest,
-           const Parts& aParts,
+           const Traits& aTraits,
            absl::Time aNow,
            const std::string& aGroup)
 {
   CountLoss(aState.ownTraffic_, aGroup, aNow);
   aState.hasNewLosses_ = true;
   const Loss loss{ aStart,       aRequest,
-                   aState.self_, UnprovenParts(aState, aParts, aNow),
+                   aState.self_, UnprovenTraits(aState, aTraits, aNow),
                    aNow,         aGroup };
   if (AddLoss(aState, loss, aNow) && aState.newLosses_.size() < kMaxNewLosses) {
     aState.newLosses_.push_back({ loss, kLossRepeats });
@@ -422,23 +422,23 @@
 
 void
 RecordBegin(State& aState,
-            const Parts& aParts,
+            const Traits& aTraits,
             absl::Time aSentAt,
             const std::string& aGroup)
 {
-  if (aParts.empty()) {
+  if (aTraits.empty()) {
     return;
   }
   CountBegin(aState.ownTraffic_, aGroup, aSentAt);
-  for (const auto& part : aParts) {
-    AddBegin(aState, part, aSentAt);
+  for (const auto& trait : aTraits) {
+    AddBegin(aState, trait, aSentAt);
     if (aState.suspects_.empty()) {
       continue;
     }
-    if (const auto found = aState.suspects_.find(part);
+    if (const auto found = aState.suspects_.find(trait);
         found != aState.suspects_.end()) {
       Clear(found->second, aSentAt, false);
-      TellBeginIfNeeded(aState, part, found->second);
+      TellBeginIfNeeded(aState, trait, found->second);
     }
   }
 }
@@ -459,10 +459,10 @@
 }
 
 const Block*
-FindBlock(const State& aState, const Parts& aParts, absl::Time aNow)
+FindBlock(const State& aState, const Traits& aTraits, absl::Time aNow)
 {
   for (const auto& block : aState.blocks_) {
-    if (Contains(aParts, block.parts_) &&
+    if (Contains(aTraits, block.traits_) &&
         aNow - block.lastCrashAt_ <= kBlockTime) {
       return &block;
     }
@@ -471,14 +471,14 @@
 }
 
 absl::Duration
-ResendDelay(const State& aState, const Parts& aParts, absl::Time aNow)
+ResendDelay(const State& aState, const Traits& aTraits, absl::Time aNow)
 {
   auto delay = absl::ZeroDuration();
-  for (const auto& part : aParts) {
-    const auto found = aState.suspects_.find(part);
+  for (const auto& trait : aTraits) {
+    const auto found = aState.suspects_.find(trait);
     if (found == aState.suspects_.end() ||
         found->second.moments_ < kTellMoments ||
-        LastBegin(aState, part) != absl::InfinitePast()) {
+        LastBegin(aState, trait) != absl::InfinitePast()) {
       continue;
     }
     const auto evaluated =
@@ -496,10 +496,10 @@
   ReviewBlocks(aState, aNow, step.changes_);
   const bool isStarting = aState.hosts_ > 1 && aState.ticks_ < kAskingTicks;
   if (aNow >= aState.evaluateAt_ && !isStarting) {
-    const auto parts = RecordTraffic(aState, aNow);
-    for (const auto& block : FindPoison(aState, parts)) {
+    const auto traits = RecordTraffic(aState, aNow);
+    for (const auto& block : FindPoison(aState, traits)) {
       if (AddBlock(aState, block)) {
-        aState.newBlocks_[KeyOf(block.parts_)] = kRepeats;
+        aState.newBlocks_[KeyOf(block.traits_)] = kRepeats;
         step.changes_.push_back({ Change::Blocked, block });
       }
     }
@@ -529,13 +529,13 @@
 {
   Step step;
   SetPeerTraffic(aState, aMessage);
-  for (const auto& [part, at] : aMessage.begins_) {
-    AddBegin(aState, part, at);
-    if (const auto found = aState.suspects_.find(part);
+  for (const auto& [trait, at] : aMessage.begins_) {
+    AddBegin(aState, trait, at);
+    if (const auto found = aState.suspects_.find(trait);
         found != aState.suspects_.end()) {
       Clear(found->second, at, true);
-      if (!IsBeginNeeded(aState, part, found->second)) {
-        aState.newBegins_.erase(part);
+      if (!IsBeginNeeded(aState, trait, found->second)) {
+        aState.newBegins_.erase(trait);
       }
     }
   }
@@ -550,7 +550,7 @@
   for (const auto& block : aMessage.blocks_) {
     const auto narrowed = Narrow(aState, block);
     AddRefutation(aState, block, reply);
-    if (!narrowed.parts_.empty() && AddBlock(aState, narrowed)) {
+    if (!narrowed.traits_.empty() && AddBlock(aState, narrowed)) {
       step.changes_.push_back({ Change::Blocked, narrowed });
     }
   }
@@ -565,4 +565,4 @@
   return step;
 }
 
-} // namespace lycheeplank::poison_parts
+} // namespace lycheeplank::poison
--- a/src/poison_parts/traffic.cc
+++ b/src/poison/traffic.cc
@@ -1,9 +1,9 @@
-#include "poison_parts/traffic.h"
+#include "poison/traffic.h"
 
 #include <algorithm>
 #include <cmath>
 
-namespace lycheeplank::poison_parts {
+namespace lycheeplank::poison {
 
 namespace {
 
@@ -92,4 +92,4 @@
   });
 }
 
-} // namespace lycheeplank::poison_parts
+} // namespace lycheeplank::poison
--- a/src/poison_parts/traffic.h
+++ b/src/poison/traffic.h
@@ -1,13 +1,13 @@
-#ifndef LYCHEEPLANK_SRC_POISON_PARTS_TRAFFIC_H
-#define LYCHEEPLANK_SRC_POISON_PARTS_TRAFFIC_H
+#ifndef LYCHEEPLANK_SRC_POISON_TRAFFIC_H
+#define LYCHEEPLANK_SRC_POISON_TRAFFIC_H
 
 #include <string>
 
-#include "lycheeplank/poison_parts.h"
+#include "lycheeplank/poison.h"
 
 // Counts of begun answers and lost requests, which tell how likely a sound
 // request is lost.
-namespace lycheeplank::poison_parts {
+namespace lycheeplank::poison {
 
 // Returns what is left at aNow of a weight of one at aThen.
 double
@@ -31,6 +31,6 @@
 void
 DropOldTraffic(State& aState, absl::Time aNow);
 
-} // namespace lycheeplank::poison_parts
+} // namespace lycheeplank::poison
 
 #endif
--- a/test/gateway-poison-test.cc
+++ b/test/gateway-poison-test.cc
@@ -45,9 +45,8 @@
 std::string
 AttemptWith(std::size_t aId, const std::string& aBody)
 {
-  return absl::StrReplaceAll(
-    World::Request("/again/x", "", aBody),
-    { { kAnyId, absl::StrCat(kIdField, "id", aId) } });
+  return absl::StrReplaceAll(World::Request("/again/x", "", aBody),
+                             { { kAnyId, absl::StrCat(kIdField, "id", aId) } });
 }
 
 // Targets that crash when they begin to answer a request with a part whose id
@@ -113,10 +112,10 @@
 
   std::size_t ArrivalsAfter(absl::Time aTime) const
   {
-    return static_cast<std::size_t>(
-      std::count_if(badArrivals_.begin(),
-                    badArrivals_.end(),
-                    [&](absl::Time aAt) { return aAt > aTime; }));
+    return static_cast<std::size_t>(std::count_if(
+      badArrivals_.begin(), badArrivals_.end(), [&](absl::Time aAt) {
+        return aAt > aTime;
+      }));
   }
 
   HostGroup group_;
@@ -199,8 +198,8 @@
   poisoned.group_.RunFor(std::chrono::milliseconds(700));
   const auto before = poisoned.badArrivals_.size();
   auto& host = poisoned.group_.HostAt(3);
-  host.poisonParts_ = {};
-  host.poisonParts_.self_ = host.settings_.name_;
+  host.poison_ = {};
+  host.poison_.self_ = host.settings_.name_;
   poisoned.group_.RunFor(std::chrono::milliseconds(500));
   for (std::size_t i = 0; i < 5; ++i) {
     poisoned.group_.Call(3, RequestWith(90000 + i, "first:100,bad0:50,own:10"));
@@ -221,7 +220,7 @@
   }
   poisoned.group_.RunFor(std::chrono::milliseconds(500));
   for (std::size_t i = 0; i < poisoned.group_.Size(); ++i) {
-    CHECK(poisoned.group_.HostAt(i).poisonParts_.blocks_.empty());
+    CHECK(poisoned.group_.HostAt(i).poison_.blocks_.empty());
   }
 }
 
@@ -231,12 +230,12 @@
 void
 AddBlock(gateway::Host& aHost)
 {
-  lycheeplank::poison_parts::Message message;
+  lycheeplank::poison::Message message;
   message.sender_ = "other";
   message.blocks_.push_back(
     { { "/bad", "/first" }, 3, gateway::Now(), gateway::Now() });
   gateway::ReceiveBlockMessage(
-    aHost, lycheeplank::poison_parts::WriteMessage(message, gateway::Now()));
+    aHost, lycheeplank::poison::WriteMessage(message, gateway::Now()));
 }
 
 const std::string kBadParts = "X-Prompt-Prefix: first:9,bad:9,own:9\r\n";
@@ -284,11 +283,11 @@
   AddBlock(world.host_);
   world.Ask(World::Request("/again/", "X-Prompt-Prefix: bad:9,own:9\r\n"));
   gateway::TickBlocks(world.host_);
-  REQUIRE(world.host_.poisonParts_.blocks_.size() == 1);
-  CHECK(world.host_.poisonParts_.blocks_.front().parts_ ==
-        lycheeplank::poison_parts::Parts{ "/first" });
+  REQUIRE(world.host_.poison_.blocks_.size() == 1);
+  CHECK(world.host_.poison_.blocks_.front().traits_ ==
+        lycheeplank::poison::Traits{ "/first" });
   world.Ask(World::Request("/again/", "X-Prompt-Prefix: first:9,own:9\r\n"));
-  CHECK(world.host_.poisonParts_.blocks_.size() == 1);
+  CHECK(world.host_.poison_.blocks_.size() == 1);
 }
 
 // Guards against a stream that is resumed although its parts were blocked after
@@ -339,7 +338,7 @@
   }
   group.RunFor(std::chrono::milliseconds(400));
   for (std::size_t i = 0; i < group.Size(); ++i) {
-    const bool hasEvidence = !group.HostAt(i).poisonParts_.crashes_.empty();
+    const bool hasEvidence = !group.HostAt(i).poison_.crashes_.empty();
     CHECK(hasEvidence == (state == lycheeplank::fleet::TargetState::Ready));
   }
 }
@@ -375,14 +374,14 @@
     [](FakeTarget& aTarget, const std::shared_ptr<gateway::Socket>&) {
       aTarget.Crash();
     });
-  auto& state = world.host_.poisonParts_;
+  auto& state = world.host_.poison_;
   for (int i = 1; i <= 2; ++i) {
-    lycheeplank::poison_parts::RecordLoss(state,
-                                          { "gone", i },
-                                          static_cast<std::uint64_t>(i),
-                                          { "/bad", "/first" },
-                                          gateway::Now() -
-                                            absl::Milliseconds(500 * i));
+    lycheeplank::poison::RecordLoss(state,
+                                    { "gone", i },
+                                    static_cast<std::uint64_t>(i),
+                                    { "/bad", "/first" },
+                                    gateway::Now() -
+                                      absl::Milliseconds(500 * i));
   }
   world.caller_ = world.Call(World::Request("/again/", kBadParts));
   const auto sends = [&] { return first.requests_ + second.requests_; };
--- a/test/poison-sim.h
+++ b/test/poison-sim.h
@@ -11,15 +11,13 @@
 
 #include <absl/strings/str_cat.h>
 
-#include "lycheeplank/poison_parts.h"
+#include "lycheeplank/poison.h"
 
 // Simulates hosts that find and block parts of prompts which crash targets, in
 // virtual time, with lost and delayed messages, freezes, restarts, hosts that
 // are cut off, and targets that crash for other causes, fall silent or leave.
 namespace lycheeplank::test {
 
-namespace poison = poison_parts;
-
 class PoisonSim
 {
 public:
@@ -170,7 +168,7 @@
     std::size_t target_ = 0;
     std::int64_t targetStart_ = 0;
     std::uint64_t id_ = 0;
-    poison::Parts parts_;
+    poison::Traits parts_;
     // Index of the part that crashes targets.
     absl::optional<std::size_t> bad_;
     int attempt_ = 1;
--- a/test/poison-parts-test.cc
+++ b/test/poison-test.cc
@@ -1,4 +1,4 @@
-#include "lycheeplank/poison_parts.h"
+#include "lycheeplank/poison.h"
 
 #include <cstdlib>
 
@@ -7,7 +7,7 @@
 #include "poison-sim.h"
 
 using lycheeplank::test::PoisonSim;
-namespace poison = lycheeplank::poison_parts;
+namespace poison = lycheeplank::poison;
 
 namespace {
 
@@ -254,7 +254,7 @@
 // A host of two, long after its start, that has lost three requests of both
 // hosts with the parts.
 poison::State
-WithCrashes(const poison::Parts& aParts)
+WithCrashes(const poison::Traits& aParts)
 {
   poison::State state;
   state.self_ = "a";
@@ -283,7 +283,7 @@
   auto state = WithCrashes({ "x", "y" });
   const auto step = poison::Tick(state, kStart + kEvaluated);
   REQUIRE(step.changes_.size() == 1);
-  CHECK(step.changes_.front().block_.parts_ == poison::Parts{ "x", "y" });
+  CHECK(step.changes_.front().block_.traits_ == poison::Traits{ "x", "y" });
   CHECK(poison::FindBlock(state, { "x", "y", "z" }, kStart + kEvaluated));
   CHECK_FALSE(poison::FindBlock(state, { "x", "z" }, kStart + kEvaluated));
 }
@@ -294,7 +294,7 @@
 // another one has sent, and evaluates it.
 void
 CrashOnceMore(poison::State& aState,
-              const poison::Parts& aParts,
+              const poison::Traits& aParts,
               std::uint64_t aNumber)
 {
   const auto at = kStart + kEvaluated + absl::Seconds(1.0 * aNumber);
@@ -309,12 +309,12 @@
   poison::Tick(aState, at + poison::kSettleTime);
 }
 
-std::vector<poison::Parts>
+std::vector<poison::Traits>
 BlockedParts(const poison::State& aState)
 {
-  std::vector<poison::Parts> parts;
+  std::vector<poison::Traits> parts;
   for (const auto& block : aState.blocks_) {
-    parts.push_back(block.parts_);
+    parts.push_back(block.traits_);
   }
   std::sort(parts.begin(), parts.end());
   return parts;
@@ -329,7 +329,7 @@
   poison::Tick(state, kStart + kEvaluated);
   CrashOnceMore(state, { "x", "z" }, 1);
   CrashOnceMore(state, { "x", "z" }, 2);
-  CHECK(BlockedParts(state) == std::vector<poison::Parts>{ { "x" } });
+  CHECK(BlockedParts(state) == std::vector<poison::Traits>{ { "x" } });
 }
 
 TEST_CASE("a part is blocked alone if too many others would be the causes")
@@ -338,9 +338,9 @@
   poison::Tick(state, kStart + kEvaluated);
   CrashOnceMore(state, { "u", "x" }, 1);
   CrashOnceMore(state, { "v", "x" }, 2);
-  CHECK(BlockedParts(state) == std::vector<poison::Parts>{ { "x", "y" } });
+  CHECK(BlockedParts(state) == std::vector<poison::Traits>{ { "x", "y" } });
   CrashOnceMore(state, { "w", "x" }, 3);
-  CHECK(BlockedParts(state) == std::vector<poison::Parts>{ { "x" } });
+  CHECK(BlockedParts(state) == std::vector<poison::Traits>{ { "x" } });
 }
 
 // Guards against a sound part that is blocked because several parts that crash
@@ -352,13 +352,13 @@
   for (std::uint64_t i = 1; i <= poison::kMinMoments; ++i) {
     CrashOnceMore(state, { "x", "z" }, i);
   }
-  const std::vector<poison::Parts> both{ { "x", "y" }, { "x", "z" } };
+  const std::vector<poison::Traits> both{ { "x", "y" }, { "x", "z" } };
   REQUIRE(BlockedParts(state) == both);
   const auto now = kStart + absl::Seconds(10);
   CHECK_FALSE(poison::FindBlock(state, { "x" }, now));
   poison::RecordBegin(state, { "x" }, now);
   poison::Tick(state, now);
-  const std::vector<poison::Parts> causes{ { "y" }, { "z" } };
+  const std::vector<poison::Traits> causes{ { "y" }, { "z" } };
   CHECK(BlockedParts(state) == causes);
 }
 
@@ -391,7 +391,7 @@
   const auto step = poison::Tick(state, kStart + 3 * kEvaluated);
   REQUIRE(step.toAll_);
   REQUIRE(step.toAll_->begins_.size() == 1);
-  CHECK(step.toAll_->begins_.front().part_ == "x");
+  CHECK(step.toAll_->begins_.front().trait_ == "x");
 }
 
 // Guards against blocks that end at hosts which know better and are told again
@@ -466,7 +466,7 @@
   poison::State state;
   state.self_ = "a";
   for (std::uint64_t i = 0; i < 20000; ++i) {
-    const poison::Parts parts{ absl::StrCat("p", i) };
+    const poison::Traits parts{ absl::StrCat("p", i) };
     poison::RecordLoss(
       state, { absl::StrCat("t", i % 500), 7 }, i, parts, kStart);
     poison::RecordBegin(state, parts, kStart - absl::Seconds(1));
@@ -475,7 +475,7 @@
   CHECK(state.newLosses_.size() <=
         poison::kMaxCrashes * poison::kMaxLossesPerCrash);
   CHECK(state.begins_.size() + state.olderBegins_.size() <=
-        2 * poison::kMaxSoundParts + 2);
+        2 * poison::kMaxSoundTraits + 2);
   CHECK(state.suspects_.size() <= poison::kMaxSuspects);
 }
 
@@ -497,7 +497,7 @@
   CHECK(read->losses_.front().start_ == poison::Start{ "t", 7 });
   CHECK(read->losses_.front().host_ == "a");
   CHECK(read->losses_.front().at_ == kStart + absl::Milliseconds(5));
-  CHECK(read->begins_.front().part_ == "x");
+  CHECK(read->begins_.front().trait_ == "x");
   CHECK(read->sightings_.front().start_.target_ == "t");
   CHECK(read->blocks_.front().crashes_ == 3);
   for (std::size_t i = 0; i < text.size(); ++i) {
