Recognize requests that crash targets, whatever their ids

Evidence is now on traits: parts, and a fingerprint of the contents that all attempts share; one set of rules, with a table of what differs. New attempts at a request that was lost wait until the crashes are evaluated, and are tried at growing intervals while nothing is proved. Losses after a quiet time are told at once; repeats wait, so that messages stay within their bound. If only one host has lost the requests, its own traffic decides. Counts of hosts that told none are estimated, and a route with little traffic borrows from the service's other routes.

--- a/include/lycheeplank/poison.h
+++ b/include/lycheeplank/poison.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <string>
 #include <vector>
 
@@ -14,7 +15,7 @@
 
 #include "lycheeplank/core.h"
 
-// Finds traits of prompts that crash each target which begins to answer a
+// Finds traits of requests that crash each target which begins to answer a
 // request with them, and blocks such requests on all hosts. Hosts share their
 // evidence, because each of them sees few of the crashes.
 //
@@ -24,9 +25,26 @@
 // request with it begins.
 namespace lycheeplank::poison {
 
+// What requests can have in common.
+enum class TraitKind
+{
+  // A part of a prompt, which different requests share.
+  Part,
+  // The contents of a request, which all attempts at it share.
+  Request,
+};
+
 // Sorted ids of traits.
 using Traits = std::vector<std::string>;
 
+// Returns the id of the trait that all attempts at one request share.
+// aFingerprint: hash of the request's contents.
+std::string
+RequestTrait(absl::string_view aFingerprint);
+
+TraitKind
+KindOf(absl::string_view aTrait);
+
 // One start of a target.
 struct Start
 {
@@ -62,10 +80,14 @@
   // Without traits with which answers have just begun at that host.
   Traits traits_;
   absl::Time at_ = absl::InfinitePast();
-  // Group of comparable requests, for example those of one route.
+  // Group of comparable requests, see GroupOf.
   std::string group_;
 };
 
+// Returns the group of a service's requests of one route.
+std::string
+GroupOf(absl::string_view aService, absl::string_view aRoute);
+
 // Traits whose requests are blocked if they have all of them.
 struct Block
 {
@@ -127,8 +149,19 @@
   // Time of the first loss.
   absl::Time at_ = absl::InfinitePast();
   std::vector<Loss> losses_;
-  // Traffic of all hosts when the crash was first evaluated.
+  // When the crash was first evaluated, the traffic of all hosts then, and that
+  // of each host which lost requests.
+  absl::Time evaluatedAt_ = absl::InfinitePast();
   absl::optional<TrafficByGroup> traffic_;
+  absl::btree_map<std::string, TrafficByGroup> trafficByHost_;
+};
+
+// Times at which answers with traits of one kind last began, in two
+// generations; the older one is dropped when the newer one is full.
+struct BeginTimes
+{
+  absl::flat_hash_map<std::string, absl::Time> newer_;
+  absl::flat_hash_map<std::string, absl::Time> older_;
 };
 
 // What one host knows.
@@ -142,10 +175,9 @@
   std::vector<Block> blocks_;
   // Last bytes of the starts at which requests were lost, by target.
   absl::flat_hash_map<std::string, Sighting> sightings_;
-  // Times at which answers began, by trait, in two generations; the older one
-  // is dropped when the newer one is full.
-  absl::flat_hash_map<std::string, absl::Time> begins_;
-  absl::flat_hash_map<std::string, absl::Time> olderBegins_;
+  // By kind: fingerprints are far more numerous than parts and would displace
+  // them.
+  absl::btree_map<TraitKind, BeginTimes> begins_;
   struct Suspicion
   {
     absl::Time lostAt_ = absl::InfinitePast();
@@ -202,6 +234,12 @@
 inline constexpr absl::Duration kTrafficTime = absl::Seconds(10);
 // Evidence that comes within this time goes into one message.
 inline constexpr absl::Duration kTellPeriod = absl::Milliseconds(180);
+// Evidence that has been told is repeated after this time at the latest.
+inline constexpr absl::Duration kRepeatPeriod = absl::Milliseconds(380);
+// Losses after this time without messages are told without waiting for others.
+inline constexpr absl::Duration kQuietTime = absl::Seconds(1);
+// A host finds all requests that it has lost in one crash within this time.
+inline constexpr absl::Duration kLossTime = absl::Milliseconds(5);
 // A host that loses requests tells its traffic this often.
 inline constexpr absl::Duration kTrafficPeriod = absl::Seconds(1);
 // A trait with which an answer has begun this long ago at a host isn't
@@ -214,10 +252,35 @@
 // together, a trait that waits at several of them has no chance to begin in
 // between.
 inline constexpr absl::Duration kMomentTime = absl::Milliseconds(100);
-// Different requests, and hosts that sent them if there are several hosts, that
-// must have been lost. One host may lose its requests because it is cut off.
-inline constexpr std::size_t kMinRequests = 2;
-inline constexpr std::size_t kMinHosts = 2;
+// What differs between the kinds of traits.
+struct KindLimits
+{
+  TraitKind kind_ = TraitKind::Part;
+  // Different requests, and hosts that sent them if there are several hosts,
+  // that must have been lost. One host may lose its requests because it is cut
+  // off, so its own traffic decides if it is the only one.
+  std::size_t minRequests_ = 1;
+  std::size_t minHosts_ = 1;
+  // Losses that make it the likely cause of a crash in which requests without
+  // it are lost.
+  std::size_t suspectLosses_ = 1;
+  // Moments of crashes after which requests with the trait wait until the
+  // crashes are evaluated, before their first send and after they have been
+  // lost themselves, and after which they wait longer and longer.
+  std::size_t waitMoments_ = 1;
+  std::size_t resendMoments_ = 1;
+  std::size_t backoffMoments_ = 1;
+};
+
+inline constexpr std::size_t kNever = std::numeric_limits<std::size_t>::max();
+inline constexpr std::array<KindLimits, 2> kKindLimits{ {
+  // One request may crash targets whatever its parts are.
+  { TraitKind::Part, 2, 2, kMinMoments, kNever, 2, kNever },
+  { TraitKind::Request, 1, 1, 2, 1, 2, 3 },
+} };
+// First time of the exponential backoff, and its longest.
+inline constexpr absl::Duration kMinBackoff = absl::Seconds(2);
+inline constexpr absl::Duration kMaxBackoff = absl::Seconds(30);
 // Evidence is used when it is this old, so that contrary evidence of other
 // hosts has arrived.
 inline constexpr absl::Duration kSettleTime = absl::Milliseconds(250);
@@ -228,6 +291,9 @@
 inline constexpr absl::Duration kBlockTime = absl::Minutes(10);
 inline constexpr absl::Duration kEvidenceTime = absl::Minutes(1);
 inline constexpr absl::Duration kTickPeriod = absl::Milliseconds(100);
+// Crashes are evaluated within this time on all hosts.
+inline const absl::Duration kEvaluationTime =
+  kSettleTime + kTellPeriod + kTickPeriod;
 // Ticks after the start in which a host asks for blocks, each time another
 // host, and draws no conclusions of its own, because it doesn't know which
 // answers began before its start; and ticks after which each host sends its
@@ -239,10 +305,10 @@
 inline constexpr absl::Duration kRetryAfter = absl::Seconds(30);
 // Bounds of a host's memory; the oldest evidence is dropped first.
 inline constexpr std::size_t kMaxCrashes = 256;
-inline constexpr std::size_t kMaxLossesPerCrash = 16;
+inline constexpr std::size_t kMaxLossesPerCrash = 32;
 // The last lost requests of a trait that are evaluated.
 inline constexpr std::size_t kMaxCases = 64;
-inline constexpr std::size_t kMaxTraits = 16;
+inline constexpr std::size_t kMaxTraits = 17;
 inline constexpr std::size_t kMaxSoundTraits = 4096;
 inline constexpr std::size_t kMaxBlocks = 32;
 inline constexpr std::size_t kMaxSuspects = 4096;
@@ -281,11 +347,22 @@
 const Block*
 FindBlock(const State& aState, const Traits& aTraits, absl::Time aNow);
 
-// Returns how long a lost request with these traits should wait before it is
-// sent again: until the crashes of a trait that may be their cause are
-// evaluated.
-absl::Duration
-ResendDelay(const State& aState, const Traits& aTraits, absl::Time aNow);
+struct Delay
+{
+  absl::Duration time_ = absl::ZeroDuration();
+  // Many crashes have proved nothing yet, so the request is tried again only
+  // after longer and longer times, and refused meanwhile.
+  bool isBackoff_ = false;
+};
+
+// Returns how long a request with these traits must not be sent: until the
+// crashes of a trait that may be their cause are evaluated, or until it may be
+// tried again. aIsResend: the request itself has been lost.
+Delay
+SendDelay(const State& aState,
+          const Traits& aTraits,
+          bool aIsResend,
+          absl::Time aNow);
 
 enum class Change
 {
@@ -320,6 +397,11 @@
   absl::optional<Message> reply_;
 };
 
+// Returns a message to all other hosts with new losses unless the last one was
+// sent within kQuietTime. Call it kLossTime after a loss.
+absl::optional<Message>
+TellLosses(State& aState, absl::Time aNow);
+
 // Evaluates the evidence. Call it every kTickPeriod.
 Step
 Tick(State& aState, absl::Time aNow);
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -169,6 +169,9 @@
       AbandonOversized("error", body_.size());
       return;
     }
+    if (head_.status_ / 100 == 2) {
+      NoteBegin(host_, Evidence());
+    }
     BeginAnswer();
     silenceTimer_.Cancel();
     WriteToCaller(body_);
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -158,8 +158,7 @@
   if (isAskingForPermit_) {
     return;
   }
-  if (IsBlocked(host_, sharedParts_)) {
-    EndBlocked();
+  if (EndIfBlocked() || WaitIfSuspected()) {
     return;
   }
   choice_ = ChooseTarget();
@@ -235,8 +234,8 @@
 SentRequest
 Exchange::Evidence() const
 {
-  return { targetId_,    targetBornMs_, request_.id_,
-           sharedParts_, sentAt_,       route_->name_ };
+  return { targetId_, targetBornMs_, request_.id_, traits_,
+           sentAt_,   service_,      route_->name_ };
 }
 
 void
@@ -384,11 +383,11 @@
     EndAttempt(retry::AttemptEnd::NotSent);
     return;
   }
-  if (IsBlocked(host_, sharedParts_)) {
+  if (FindBlock(host_, traits_) != nullptr) {
     // The block came while the connection was made.
     ReleaseTarget(fleet::CallResult::Abandoned);
     ++attemptNumber_;
-    EndBlocked();
+    EndIfBlocked();
     return;
   }
   targetBornMs_ = found->second.target_.bornMs_;
@@ -428,9 +427,7 @@
                            self->OnEnd(aEnd);
                          }
                        } });
-  if (!sharedParts_.empty()) {
-    host_.onBlock_[this] = [self] { self->WithdrawIfBlocked(); };
-  }
+  host_.onBlock_[this] = [self] { self->WithdrawIfBlocked(); };
   StartWeightsTimer();
   if (const auto limit = retry::SilenceLimit(*route_, history_);
       limit != absl::InfiniteDuration() &&
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -27,44 +27,87 @@
 } // namespace
 
 void
-Exchange::EndWithoutTarget()
+Exchange::EndUnsent(absl::string_view aReason,
+                    absl::string_view aRefusal,
+                    absl::Duration aRetryAfter)
 {
   if (answerBegun_) {
     caller_->Abort();
-    Close("cut", head_.status_, "no_other_target");
+    Close("cut", head_.status_, aReason);
   } else if (history_.runs_ > 0) {
-    Answer(kBadGateway, "no_other_target");
-  } else if (choice_.backoffEndsAt_ != absl::InfiniteFuture()) {
-    Refuse("targets_closed",
-           std::max(kRetryAfterNoTarget, choice_.backoffEndsAt_ - Now()));
+    Answer(kBadGateway, aReason);
   } else {
-    Refuse("no_target", kRetryAfterNoTarget);
+    Refuse(aRefusal, aRetryAfter);
   }
 }
 
 void
-Exchange::EndBlocked()
+Exchange::EndWithoutTarget()
 {
-  if (answerBegun_) {
-    caller_->Abort();
-    Close("cut", head_.status_, "part_blocked");
-  } else if (history_.runs_ > 0) {
-    Answer(kBadGateway, "part_blocked");
-  } else {
-    Refuse("part_blocked", poison::kRetryAfter);
+  const bool areClosed = choice_.backoffEndsAt_ != absl::InfiniteFuture();
+  EndUnsent("no_other_target",
+            areClosed ? "targets_closed" : "no_target",
+            areClosed
+              ? std::max(kRetryAfterNoTarget, choice_.backoffEndsAt_ - Now())
+              : kRetryAfterNoTarget);
+}
+
+bool
+Exchange::EndIfBlocked()
+{
+  const auto* block = FindBlock(host_, traits_);
+  if (block == nullptr) {
+    return false;
+  }
+  const bool isRequest = std::any_of(
+    block->traits_.begin(), block->traits_.end(), [](const auto& aTrait) {
+      return poison::KindOf(aTrait) == poison::TraitKind::Request;
+    });
+  const auto reason = isRequest ? "request_blocked" : "part_blocked";
+  EndUnsent(reason, reason, poison::kRetryAfter);
+  return true;
+}
+
+bool
+Exchange::WaitIfSuspected()
+{
+  const auto delay = SendDelay(host_, traits_, history_.runs_ > 0);
+  if (delay.time_ <= absl::ZeroDuration()) {
+    return false;
+  }
+  if (delay.isBackoff_) {
+    EndUnsent("request_suspected", "request_suspected", delay.time_);
+    return true;
+  }
+  const auto now = Now();
+  if (waitEndsAt_ == absl::InfiniteFuture()) {
+    waitEndsAt_ = now + TimeLeft() / 2;
   }
+  const auto wait = std::min(delay.time_, waitEndsAt_ - now);
+  if (wait <= absl::ZeroDuration()) {
+    return false;
+  }
+  host_.log_.Write(Line(history_.runs_ > 0 ? "resend_delayed" : "send_delayed")
+                     .Text("id", request_.id_)
+                     .Age("for_ms", wait));
+  waitTimer_.Set(wait, [self = shared_from_this()] {
+    if (!self->ended_) {
+      self->TryNextTarget();
+    }
+  });
+  return true;
 }
 
 void
 Exchange::WithdrawIfBlocked()
 {
   if (ended_ || firstByteAt_ != absl::InfinitePast() ||
-      !IsBlocked(host_, sharedParts_)) {
+      FindBlock(host_, traits_) == nullptr) {
     return;
   }
   ReleaseTarget(fleet::CallResult::Abandoned);
   ++attemptNumber_;
-  EndBlocked();
+  EndIfBlocked();
 }
 
 void
@@ -165,7 +208,7 @@
       if (history_.sends_ > 0) {
         retry_budget::TakeResend(Ledger(), limits, Now());
       }
-      SendAgain(aEnd);
+      TryNextTarget();
       return;
     case retry::NextStep::PassOn:
       DeliverBuffered();
@@ -183,26 +226,4 @@
   }
 }
 
-void
-Exchange::SendAgain(retry::AttemptEnd aEnd)
-{
-  // The request may have crashed the target. Its parts are judged soon, and
-  // waiting for that may save the next target.
-  const auto delay =
-    aEnd == retry::AttemptEnd::Failed
-      ? std::min(ResendDelay(host_, sharedParts_), TimeLeft() / 2)
-      : absl::ZeroDuration();
-  if (delay <= absl::ZeroDuration()) {
-    TryNextTarget();
-    return;
-  }
-  host_.log_.Write(
-    Line("resend_delayed").Text("id", request_.id_).Age("for_ms", delay));
-  resendTimer_.Set(delay, [self = shared_from_this()] {
-    if (!self->ended_) {
-      self->TryNextTarget();
-    }
-  });
-}
-
 } // namespace lycheeplank::gateway
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -35,7 +35,7 @@
   , deadlineTimer_(aHost.loop_)
   , silenceTimer_(aHost.loop_)
   , weightsTimer_(aHost.loop_)
-  , resendTimer_(aHost.loop_)
+  , waitTimer_(aHost.loop_)
 {
 }
 
@@ -57,12 +57,12 @@
     return;
   }
   service_ = catalog::PickService(*route_, request_.id_);
-  sharedParts_ = SharedParts(request_);
   fingerprint_ =
     FingerprintOf(request_,
                   caller_->Head(),
                   caller_->Body(),
                   workspace_ == nullptr ? request_.key_ : workspace_->name_);
+  traits_ = TraitsOf(request_, fingerprint_);
   readDraw_ = std::uniform_real_distribution<>(0.0, 1.0)(host_.random_);
   deadline_ = arrivedAt_ + route_->timeout_;
   if (request_.callerTimeout_) {
@@ -182,7 +182,7 @@
   deadlineTimer_.Cancel();
   silenceTimer_.Cancel();
   weightsTimer_.Cancel();
-  resendTimer_.Cancel();
+  waitTimer_.Cancel();
   if (waiterId_ != 0) {
     request_queue::RemoveRequest(host_.waiting_, waiterId_);
     host_.waiters_.erase(std::exchange(waiterId_, 0));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -57,14 +57,22 @@
   // Asks for a permit and goes on with the decision. aIsLastChoice: no target
   // is left that needs none, so a denial refuses the request.
   void AskForPermit(const std::string& aTarget, bool aIsLastChoice);
-  // Ends the request because its parts crash targets.
-  void EndBlocked();
-  // Withdraws the request from its target if its parts have been blocked and
-  // its answer hasn't begun.
+  // Ends the request if it is known to crash targets; returns whether it is.
+  bool EndIfBlocked();
+  // Lets the request wait, or refuses it, if it may be the cause of crashes
+  // that haven't been evaluated; returns whether it must not be sent now.
+  bool WaitIfSuspected();
+  // Withdraws the request from its target if it has been blocked and its answer
+  // hasn't begun.
   void WithdrawIfBlocked();
   SentRequest Evidence() const;
   // Ends the request because no target may get it.
   void EndWithoutTarget();
+  // Ends the request because it may not be sent: cuts an answer that has begun,
+  // reports aReason if the request may have run, and refuses it otherwise.
+  void EndUnsent(absl::string_view aReason,
+                 absl::string_view aRefusal,
+                 absl::Duration aRetryAfter);
   double UnreportedTokens(absl::Time aNow) const;
   // Plans which parts of the prompt a target with these weights reads from
   // cache stores and which it saves there.
@@ -102,8 +110,6 @@
   void EndAttempt(retry::AttemptEnd aEnd);
   void ReleaseTarget(fleet::CallResult aResult);
   void TakeNextStep(retry::AttemptEnd aEnd);
-  // Sends the request to another target, later if its parts are suspected.
-  void SendAgain(retry::AttemptEnd aEnd);
   // Refuses the request with aRetryAfter plus jitter, or exactly that time.
   void Refuse(absl::string_view aReason, absl::Duration aRetryAfter);
   void RefuseUntil(absl::string_view aReason, absl::Duration aRetryAfter);
@@ -139,16 +145,16 @@
   const catalog::Route* route_ = nullptr;
   const catalog::Workspace* workspace_ = nullptr;
   std::string service_;
-  poison::Traits sharedParts_;
   // Hash of what all attempts of the caller have in common; empty if the
   // request isn't valid.
   std::string fingerprint_;
+  poison::Traits traits_;
   absl::Time arrivedAt_ = absl::InfinitePast();
   absl::Time deadline_ = absl::InfiniteFuture();
   Timer deadlineTimer_;
   Timer silenceTimer_;
   Timer weightsTimer_;
-  Timer resendTimer_;
+  Timer waitTimer_;
 
   retry::History history_;
   std::vector<std::string> tried_;
@@ -164,6 +170,9 @@
   std::uint64_t computedTokens_ = 0;
   std::uint64_t readTokens_ = 0;
   fleet::CallSize size_;
+  // Until when the request may wait for the evaluation of crashes; set when it
+  // first waits.
+  absl::Time waitEndsAt_ = absl::InfiniteFuture();
   // Id of its entry in the waiting queue; 0 if it isn't queued.
   std::uint64_t waiterId_ = 0;
   // Target for which the request has a permit; empty without one.
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -167,6 +167,7 @@
   , remoteTimer_(aHost.loop_)
   , limitsTimer_(aHost.loop_)
   , blocksTimer_(aHost.loop_)
+  , lossesTimer_(aHost.loop_)
 {
   const auto address = ParseEndpoint(aAddress);
   socket_.open(Udp::v4());
@@ -176,6 +177,7 @@
                                const std::string& aText) {
     SendText(aTo, aText);
   };
+  host_.onLoss_ = [this] { ScheduleLosses(); };
   ScheduleTick();
   ScheduleBlockTick();
   Receive();
@@ -233,6 +235,18 @@
   });
 }
 
+void
+Gossip::ScheduleLosses()
+{
+  if (std::exchange(areLossesDue_, true)) {
+    return;
+  }
+  lossesTimer_.Set(poison::kLossTime, [this] {
+    areLossesDue_ = false;
+    TellLosses(host_);
+  });
+}
+
 void
 Gossip::OnMessage(const LoadMessage& aMessage)
 {
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -46,7 +46,7 @@
 // the results of its reads from cache stores, and the targets that it couldn't
 // reach. A lost message does little harm, as the next one has all loads again.
 // Carries the messages about limits of targets and about parts that crash
-// targets as well, see permits and part-blocks.
+// targets as well, see permits and poison-blocks.
 class Gossip
 {
 public:
@@ -64,6 +64,8 @@
   void SendText(const std::string& aHost, const std::string& aText);
   void ScheduleTick();
   void ScheduleBlockTick();
+  // Tells the other hosts soon that requests were lost.
+  void ScheduleLosses();
   // Adds this host's new observations to those that wait to be sent.
   void CollectObservations();
   void Add(Observations& aSum,
@@ -90,6 +92,8 @@
   Timer remoteTimer_;
   Timer limitsTimer_;
   Timer blocksTimer_;
+  Timer lossesTimer_;
+  bool areLossesDue_ = false;
   // Observations that wait to be sent to this data centre and to the others.
   Observations localObservations_;
   Observations remoteObservations_;
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -138,8 +138,10 @@
   absl::flat_hash_map<std::uint64_t, PendingAsk> permitAsks_;
   poison::State poison_;
   // Requests that wait at targets for the begin of their answers, with
-  // callbacks that withdraw them if their parts are blocked.
+  // callbacks that withdraw them if they are blocked.
   absl::flat_hash_map<const void*, std::function<void()>> onBlock_;
+  // Runs when a request was lost before its answer began.
+  std::function<void()> onLoss_ = [] {};
   // Sends a datagram to another host.
   std::function<void(const std::string& aHost, const std::string& aText)>
     sendDatagram_ = [](const std::string&, const std::string&) {};
--- a/src/gateway/poison-blocks.cc
+++ b/src/gateway/poison-blocks.cc
@@ -17,6 +17,17 @@
 using poison::BlockChange;
 using poison::Change;
 
+void
+SendToAll(Host& aHost, const poison::Message& aMessage)
+{
+  const auto text = poison::WriteMessage(aMessage, Now());
+  for (const auto& [name, host] : aHost.hosts_) {
+    if (name != aHost.settings_.name_) {
+      aHost.sendDatagram_(name, text);
+    }
+  }
+}
+
 // Sends a message to a random other host.
 void
 SendToAny(Host& aHost, const poison::Message& aMessage)
@@ -93,16 +104,17 @@
 }
 
 poison::Traits
-SharedParts(const CallerRequest& aRequest)
+TraitsOf(const CallerRequest& aRequest, absl::string_view aFingerprint)
 {
-  poison::Traits parts;
-  const auto shared = std::min(aRequest.parts_.size(), poison::kMaxTraits + 1);
+  poison::Traits traits{ poison::RequestTrait(aFingerprint) };
+  const auto shared = std::min(aRequest.parts_.size(), poison::kMaxTraits);
   for (std::size_t i = 0; i + 1 < shared; ++i) {
-    parts.push_back(absl::StrCat(aRequest.model_, "/", aRequest.parts_[i].id_));
+    traits.push_back(
+      absl::StrCat(aRequest.model_, "/", aRequest.parts_[i].id_));
   }
-  std::sort(parts.begin(), parts.end());
-  parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
-  return parts;
+  std::sort(traits.begin(), traits.end());
+  traits.erase(std::unique(traits.begin(), traits.end()), traits.end());
+  return traits;
 }
 
 void
@@ -112,7 +124,7 @@
   const auto member = aHost.members_.find(aRequest.target_);
   // A target that leaves ends its connections, and a host that has been frozen
   // can't tell when they were lost.
-  if (aRequest.traits_.empty() || member == aHost.members_.end() ||
+  if (member == aHost.members_.end() ||
       member->second.target_.state_ != fleet::TargetState::Ready ||
       IsCatchingUp(aHost.stallDetector_, now)) {
     return;
@@ -122,7 +134,8 @@
                      core::StableHash(aRequest.id_),
                      aRequest.traits_,
                      now,
-                     aRequest.route_);
+                     poison::GroupOf(aRequest.service_, aRequest.route_));
+  aHost.onLoss_();
 }
 
 void
@@ -132,7 +145,7 @@
     aHost.poison_,
     aRequest.traits_,
     EarliestSendTime(aHost.stallDetector_, aRequest.sentAt_, Now()),
-    aRequest.route_);
+    poison::GroupOf(aRequest.service_, aRequest.route_));
 }
 
 void
@@ -145,17 +158,28 @@
     EarliestSendTime(aHost.stallDetector_, aRequest.sentAt_, Now()));
 }
 
-bool
-IsBlocked(const Host& aHost, const poison::Traits& aTraits)
+const poison::Block*
+FindBlock(const Host& aHost, const poison::Traits& aTraits)
 {
-  return !aHost.poison_.blocks_.empty() &&
-         poison::FindBlock(aHost.poison_, aTraits, Now()) != nullptr;
+  return aHost.poison_.blocks_.empty()
+           ? nullptr
+           : poison::FindBlock(aHost.poison_, aTraits, Now());
 }
 
-absl::Duration
-ResendDelay(const Host& aHost, const poison::Traits& aTraits)
+poison::Delay
+SendDelay(const Host& aHost, const poison::Traits& aTraits, bool aIsResend)
 {
-  return poison::ResendDelay(aHost.poison_, aTraits, Now());
+  return aHost.poison_.suspects_.empty()
+           ? poison::Delay()
+           : poison::SendDelay(aHost.poison_, aTraits, aIsResend, Now());
+}
+
+void
+TellLosses(Host& aHost)
+{
+  if (const auto message = poison::TellLosses(aHost.poison_, Now())) {
+    SendToAll(aHost, *message);
+  }
 }
 
 void
@@ -186,12 +210,7 @@
   state.hosts_ = std::max<std::size_t>(1, aHost.hosts_.size());
   const auto step = poison::Tick(state, Now());
   if (step.toAll_) {
-    const auto text = poison::WriteMessage(*step.toAll_, Now());
-    for (const auto& [name, host] : aHost.hosts_) {
-      if (name != aHost.settings_.name_) {
-        aHost.sendDatagram_(name, text);
-      }
-    }
+    SendToAll(aHost, *step.toAll_);
   }
   if (step.toAny_) {
     SendToAny(aHost, *step.toAny_);
--- a/src/poison/evidence.cc
+++ b/src/poison/evidence.cc
@@ -118,46 +118,65 @@
 
 // Returns the negative logarithm of the chance that requests with a sound trait
 // are lost at all these moments. Of the other requests of their group, lost and
-// begun ones, so many were lost at that time.
+// begun ones, so many were lost at that time. aTrafficOf: returns the traffic
+// at a case, or nullptr.
+template<typename TrafficOf>
 double
-SurpriseOf(const std::vector<Case>& aCases)
+SurpriseOf(const std::vector<Case>& aCases, const TrafficOf& aTrafficOf)
 {
   double surprise = 0.0;
   TrafficByGroup own;
   auto next = aCases.begin();
   for (const auto& entry : FirstOfMoments(aCases)) {
-    const auto& crash = *entry.crash_;
-    const auto& group = entry.loss_->group_;
-    const auto found = crash.traffic_->find(group);
-    if (found == crash.traffic_->end()) {
+    const TrafficByGroup* traffic = aTrafficOf(entry);
+    if (traffic == nullptr) {
       continue;
     }
-    const auto& traffic = found->second;
-    for (; next != aCases.end() && next->loss_->at_ <= traffic.at_; ++next) {
+    const auto& group = entry.loss_->group_;
+    const auto at = entry.crash_->evaluatedAt_;
+    for (; next != aCases.end() && next->loss_->at_ <= at; ++next) {
       CountLoss(own, next->loss_->group_, next->loss_->at_);
     }
-    const auto& ownInGroup = own[group];
-    const double lost =
-      std::max(0.0,
-               traffic.lost_ -
-                 ownInGroup.lost_ * DecayedWeight(ownInGroup.at_, traffic.at_));
-    const double chance = (lost + 1.0) / (lost + traffic.begun_ + 2.0);
-    surprise += std::min(kMaxSurprisePerMoment, -std::log(chance));
+    surprise += std::min(kMaxSurprisePerMoment,
+                         -std::log(LossShare(*traffic, own, group, at)));
   }
   return surprise;
 }
 
+// Returns the surprise, judged by the traffic of the only host that has lost
+// the requests if there is only one.
+double
+SurpriseOf(const std::vector<Case>& aCases)
+{
+  const double surprise = SurpriseOf(
+    aCases, [](const Case& aCase) { return &*aCase.crash_->traffic_; });
+  const auto& host = aCases.front().loss_->host_;
+  const bool isOneHost =
+    std::all_of(aCases.begin(), aCases.end(), [&](const Case& aCase) {
+      return aCase.loss_->host_ == host;
+    });
+  if (!isOneHost) {
+    return surprise;
+  }
+  return std::min(surprise, SurpriseOf(aCases, [&](const Case& aCase) {
+                    const auto& byHost = aCase.crash_->trafficByHost_;
+                    const auto found = byHost.find(host);
+                    return found == byHost.end() ? nullptr : &found->second;
+                  }));
+}
+
 bool
-HasEnoughSources(const State& aState, const std::vector<Case>& aCases)
+HasEnoughSources(const State& aState, const Suspect& aSuspect)
 {
   std::set<std::uint64_t> requests;
   std::set<std::string> hosts;
-  for (const auto& entry : aCases) {
+  for (const auto& entry : aSuspect.cases_) {
     requests.insert(entry.loss_->request_);
     hosts.insert(entry.loss_->host_);
   }
-  return requests.size() >= kMinRequests &&
-         hosts.size() >= std::min(kMinHosts, aState.hosts_);
+  const auto& limits = LimitsOf(aSuspect.trait_);
+  return requests.size() >= limits.minRequests_ &&
+         hosts.size() >= std::min(limits.minHosts_, aState.hosts_);
 }
 
 // Returns whether the cases prove that a trait crashes targets. aUnexplained:
@@ -171,7 +190,7 @@
     aSuspect.hasBegun_ ? CountMoments(aUnexplained) >= kMinMomentsAfterSuccess
                        : aSuspect.moments_ >= kMinMoments &&
                            CountMoments(aUnexplained) >= kMinUnexplained;
-  return hasMoments && HasEnoughSources(aState, aSuspect.cases_) &&
+  return hasMoments && HasEnoughSources(aState, aSuspect) &&
          SurpriseOf(aSuspect.cases_) >= kMinSurprise;
 }
 
@@ -313,7 +332,7 @@
     const auto found = aState.suspects_.find(aTrait);
     return !Has(aCommon, aTrait) && !HasBegun(aState, aTrait) &&
            found != aState.suspects_.end() &&
-           found->second.losses_ >= kMinMoments;
+           found->second.losses_ >= LimitsOf(aTrait).suspectLosses_;
   };
   return std::any_of(aCase.crash_->losses_.begin(),
                      aCase.crash_->losses_.end(),
@@ -325,6 +344,24 @@
                      });
 }
 
+// Returns whether a trait may be the cause of these cases instead of another
+// one that they have in common. Each request has its own fingerprint, so a lost
+// request says nothing against it unless its caller's next attempt is lost,
+// too.
+bool
+IsAlternative(const State& aState,
+              const std::string& aTrait,
+              const std::vector<Case>& aCases)
+{
+  if (HasBegun(aState, aTrait)) {
+    return false;
+  }
+  return KindOf(aTrait) != TraitKind::Request ||
+         std::any_of(aCases.begin(), aCases.end(), [&](const Case& aCase) {
+           return aCase.loss_->request_ != aCases.front().loss_->request_;
+         });
+}
+
 Alternatives
 FindAlternatives(const State& aState,
                  const Suspect& aSuspect,
@@ -333,16 +370,18 @@
   Alternatives alternatives;
   auto left = aSuspect.cases_;
   while (!left.empty()) {
-    absl::btree_map<std::string, std::vector<Case>> byPart;
+    absl::btree_map<std::string, std::vector<Case>> byTrait;
     for (const auto& entry : left) {
       for (const auto& trait : entry.loss_->traits_) {
-        if (trait != aSuspect.trait_ && !Has(aCommon, trait) &&
-            !HasBegun(aState, trait)) {
-          byPart[trait].push_back(entry);
+        if (trait != aSuspect.trait_ && !Has(aCommon, trait)) {
+          byTrait[trait].push_back(entry);
         }
       }
     }
-    if (byPart.empty()) {
+    absl::erase_if(byTrait, [&](const auto& aEntry) {
+      return !IsAlternative(aState, aEntry.first, aEntry.second);
+    });
+    if (byTrait.empty()) {
       std::copy_if(left.begin(),
                    left.end(),
                    std::back_inserter(alternatives.without_),
@@ -351,10 +390,12 @@
                    });
       return alternatives;
     }
-    const auto& most = *std::max_element(
-      byPart.begin(), byPart.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second.size() < aRight.second.size();
-      });
+    const auto& most =
+      *std::max_element(byTrait.begin(),
+                        byTrait.end(),
+                        [](const auto& aLeft, const auto& aRight) {
+                          return aLeft.second.size() < aRight.second.size();
+                        });
     left.erase(std::remove_if(left.begin(),
                               left.end(),
                               [&](const Case& aCase) {
@@ -423,7 +464,11 @@
       if (!total) {
         total = TotalTraffic(aState, aNow);
       }
+      crash.evaluatedAt_ = aNow;
       crash.traffic_ = *total;
+      for (const auto& loss : crash.losses_) {
+        crash.trafficByHost_[loss.host_] = TrafficOf(aState, loss.host_);
+      }
       for (const auto& loss : crash.losses_) {
         traits.insert(loss.traits_.begin(), loss.traits_.end());
       }
--- a/src/poison/evidence.h
+++ b/src/poison/evidence.h
@@ -15,6 +15,10 @@
 absl::Time
 LastBegin(const State& aState, const std::string& aTrait);
 
+// Returns the limits of a trait's kind.
+const KindLimits&
+LimitsOf(absl::string_view aTrait);
+
 using TraitSet = absl::flat_hash_set<std::string>;
 
 // Returns blocks for the crashes that lost requests with any of these traits
--- a/src/poison/poison.cc
+++ b/src/poison/poison.cc
@@ -1,9 +1,12 @@
 #include "lycheeplank/poison.h"
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
 #include "poison/evidence.h"
@@ -16,6 +19,34 @@
 // Losses at one start further apart than this don't belong to the same crash:
 // the target survived the first ones.
 constexpr absl::Duration kCrashTime = absl::Seconds(1);
+// Ids of requests begin with this.
+constexpr absl::string_view kRequestMark = "#";
+
+// Returns how long requests with a trait aren't sent after so many moments of
+// crashes.
+absl::Duration
+WaitAfter(const KindLimits& aLimits, std::size_t aMoments)
+{
+  if (aMoments < aLimits.backoffMoments_) {
+    return kEvaluationTime;
+  }
+  const auto doublings =
+    static_cast<double>(aMoments - aLimits.backoffMoments_);
+  return std::min(kMaxBackoff, kMinBackoff * std::exp2(doublings));
+}
+
+// Returns a number in [0, 1) that differs between hosts, so that they don't all
+// send a request again at the same moment.
+double
+OffsetOf(const State& aState, const std::string& aTrait)
+{
+  if (KindOf(aTrait) != TraitKind::Request) {
+    return 0.0;
+  }
+  return std::ldexp(
+    static_cast<double>(core::RendezvousScore(aTrait, aState.self_) >> 11U),
+    -53);
+}
 
 std::string
 KeyOf(const Traits& aTraits)
@@ -150,10 +181,12 @@
 void
 AddBegin(State& aState, const std::string& aTrait, absl::Time aAt)
 {
-  auto& at = aState.begins_[aTrait];
+  auto& begins = aState.begins_[KindOf(aTrait)];
+  auto& at =
+    begins.newer_.try_emplace(aTrait, absl::InfinitePast()).first->second;
   at = std::max(at, aAt);
-  if (aState.begins_.size() > kMaxSoundTraits) {
-    aState.olderBegins_ = std::exchange(aState.begins_, {});
+  if (begins.newer_.size() > kMaxSoundTraits) {
+    begins.older_ = std::exchange(begins.newer_, {});
   }
 }
 
@@ -344,6 +377,24 @@
          !aMessage.traffic_.empty();
 }
 
+// Returns whether there are news that no message has contained yet.
+bool
+HasFreshNews(const State& aState)
+{
+  const auto isFresh = [](const auto& aNews) {
+    return aNews.second == kRepeats;
+  };
+  return !aState.newBlocks_.empty() ||
+         std::any_of(
+           aState.newLosses_.begin(),
+           aState.newLosses_.end(),
+           [](const auto& aNews) { return aNews.repeats_ == kLossRepeats; }) ||
+         std::any_of(
+           aState.newBegins_.begin(), aState.newBegins_.end(), isFresh) ||
+         std::any_of(
+           aState.newSightings_.begin(), aState.newSightings_.end(), isFresh);
+}
+
 // Returns the traits without those with which answers have just begun. They
 // can't be the cause, and others needn't hear of them.
 Traits
@@ -359,6 +410,15 @@
   return unproven;
 }
 
+bool
+HasParts(const Loss& aLoss)
+{
+  return std::any_of(
+    aLoss.traits_.begin(), aLoss.traits_.end(), [](const auto& aTrait) {
+      return KindOf(aTrait) == TraitKind::Part;
+    });
+}
+
 // Adds the begins that refute traits of another host's block.
 void
 AddRefutation(const State& aState, const Block& aBlock, Message& aReply)
@@ -390,12 +450,42 @@
 
 } // namespace
 
+std::string
+RequestTrait(absl::string_view aFingerprint)
+{
+  return absl::StrCat(kRequestMark, aFingerprint);
+}
+
+TraitKind
+KindOf(absl::string_view aTrait)
+{
+  // Ids of parts begin with a model, a caller's text, and a slash.
+  return absl::StartsWith(aTrait, kRequestMark) &&
+             !absl::StrContains(aTrait, '/')
+           ? TraitKind::Request
+           : TraitKind::Part;
+}
+
+const KindLimits&
+LimitsOf(absl::string_view aTrait)
+{
+  return *std::find_if(kKindLimits.begin(),
+                       kKindLimits.end(),
+                       [kind = KindOf(aTrait)](const KindLimits& aLimits) {
+                         return aLimits.kind_ == kind;
+                       });
+}
+
 absl::Time
 LastBegin(const State& aState, const std::string& aTrait)
 {
   auto last = absl::InfinitePast();
-  for (const auto* begins : { &aState.begins_, &aState.olderBegins_ }) {
-    if (const auto found = begins->find(aTrait); found != begins->end()) {
+  const auto begins = aState.begins_.find(KindOf(aTrait));
+  if (begins == aState.begins_.end()) {
+    return last;
+  }
+  for (const auto* times : { &begins->second.newer_, &begins->second.older_ }) {
+    if (const auto found = times->find(aTrait); found != times->end()) {
       last = std::max(last, found->second);
     }
   }
@@ -415,7 +505,10 @@
   const Loss loss{ aStart,       aRequest,
                    aState.self_, UnprovenTraits(aState, aTraits, aNow),
                    aNow,         aGroup };
-  if (AddLoss(aState, loss, aNow) && aState.newLosses_.size() < kMaxNewLosses) {
+  // A host that loses very many requests, for example because it is cut off,
+  // tells first what others may know of as well.
+  const auto limit = HasParts(loss) ? kMaxNewLosses : kMaxItems;
+  if (AddLoss(aState, loss, aNow) && aState.newLosses_.size() < limit) {
     aState.newLosses_.push_back({ loss, kLossRepeats });
   }
 }
@@ -470,24 +563,45 @@
   return nullptr;
 }
 
-absl::Duration
-ResendDelay(const State& aState, const Traits& aTraits, absl::Time aNow)
+Delay
+SendDelay(const State& aState,
+          const Traits& aTraits,
+          bool aIsResend,
+          absl::Time aNow)
 {
-  auto delay = absl::ZeroDuration();
+  Delay delay;
   for (const auto& trait : aTraits) {
     const auto found = aState.suspects_.find(trait);
     if (found == aState.suspects_.end() ||
-        found->second.moments_ < kTellMoments ||
         LastBegin(aState, trait) != absl::InfinitePast()) {
       continue;
     }
-    const auto evaluated =
-      found->second.lostAt_ + kSettleTime + kTellPeriod + kTickPeriod;
-    delay = std::max(delay, evaluated - aNow);
+    const auto& suspicion = found->second;
+    const auto& limits = LimitsOf(trait);
+    if (suspicion.moments_ <
+        (aIsResend ? limits.resendMoments_ : limits.waitMoments_)) {
+      continue;
+    }
+    const auto wait =
+      WaitAfter(limits, suspicion.moments_) * (1.0 + OffsetOf(aState, trait));
+    const auto left = suspicion.lostAt_ + wait - aNow;
+    if (left > delay.time_) {
+      delay = { left, suspicion.moments_ >= limits.backoffMoments_ };
+    }
   }
   return delay;
 }
 
+absl::optional<Message>
+TellLosses(State& aState, absl::Time aNow)
+{
+  if (aState.newLosses_.empty() || aNow - aState.toldAt_ < kQuietTime) {
+    return absl::nullopt;
+  }
+  aState.toldAt_ = aNow;
+  return TakeMessage(aState, aNow);
+}
+
 Step
 Tick(State& aState, absl::Time aNow)
 {
@@ -505,7 +619,8 @@
     }
     aState.evaluateAt_ = NextEvaluation(aState);
   }
-  if (!aState.newBlocks_.empty() || aNow - aState.toldAt_ >= kTellPeriod) {
+  const auto period = HasFreshNews(aState) ? kTellPeriod : kRepeatPeriod;
+  if (!aState.newBlocks_.empty() || aNow - aState.toldAt_ >= period) {
     auto message = TakeMessage(aState, aNow);
     if (HasNews(message)) {
       step.toAll_ = std::move(message);
--- a/src/poison/traffic.h
+++ b/src/poison/traffic.h
@@ -19,10 +19,23 @@
 void
 CountLoss(TrafficByGroup& aTraffic, const std::string& aGroup, absl::Time aAt);
 
-// Returns the traffic of this host and all others.
+// Returns the traffic of all hosts, as far as it is known and estimated.
 TrafficByGroup
 TotalTraffic(const State& aState, absl::Time aNow);
 
+// Returns the last known traffic of a host.
+TrafficByGroup
+TrafficOf(const State& aState, const std::string& aHost);
+
+// Returns the share of a group's requests that are lost, without those counted
+// in aOwn. If the group has few requests, the share of the other groups of the
+// service counts.
+double
+LossShare(const TrafficByGroup& aTraffic,
+          const TrafficByGroup& aOwn,
+          const std::string& aGroup,
+          absl::Time aNow);
+
 // Records another host's report.
 void
 SetPeerTraffic(State& aState, const Message& aMessage);
--- a/test/poison-sim.h
+++ b/test/poison-sim.h
@@ -30,6 +30,12 @@
     // parts.
     double poisonShare_ = 0.05;
     std::size_t poisonParts_ = 1;
+    // Share of attempts at requests that crash targets whatever their parts
+    // are, and number of such requests.
+    double deadlyShare_ = 0.0;
+    std::size_t deadlyRequests_ = 1;
+    // New attempts of a caller at a sound request that was lost.
+    int callerRetries_ = 0;
     // Rank of the second part that mostly comes with them; sound requests have
     // a lower rank more often.
     int companion_ = 20;
@@ -67,6 +73,8 @@
   std::size_t Begun() const { return begun_; }
   // Sound requests that a block refused, and their parts.
   std::size_t Wronged() const { return wronged_; }
+  // Sound requests that were refused until crashes are evaluated.
+  std::size_t Postponed() const { return postponed_; }
   // Messages that hosts have sent each other.
   std::size_t Messages() const { return posted_; }
   // Returns the times at which each part has crashed targets.
@@ -100,6 +108,7 @@
   }
 
   void SetPoisonShare(double aShare) { options_.poisonShare_ = aShare; }
+  void SetDeadlyShare(double aShare) { options_.deadlyShare_ = aShare; }
 
   void Freeze(std::size_t aHost, absl::Duration aTime)
   {
@@ -169,11 +178,15 @@
     std::int64_t targetStart_ = 0;
     std::uint64_t id_ = 0;
     poison::Traits parts_;
-    // Index of the part that crashes targets.
+    // Index of the part that crashes targets, or of the request, counted from
+    // the number of such parts.
     absl::optional<std::size_t> bad_;
+    int callerRetries_ = 0;
     int attempt_ = 1;
     bool hasBegun_ = false;
     bool isOver_ = false;
+    // Time for which it has waited for the evaluation of crashes.
+    absl::Duration waited_ = absl::ZeroDuration();
   };
   using CallPtr = std::shared_ptr<Call>;
   struct Target
@@ -200,6 +213,8 @@
 
   // A host that was frozen can't tell for so long when connections were lost.
   static constexpr absl::Duration kCatchUpTime = absl::Milliseconds(300);
+  // Requests wait no longer than this for the evaluation of crashes.
+  static constexpr absl::Duration kMaxWait = absl::Seconds(1);
   static constexpr int kRareParts = 4000;
 
   static std::string NameOf(std::size_t aHost)
@@ -262,9 +277,7 @@
       const auto step = poison::Tick(hosts_[aHost].state_, now_);
       Report(aHost, step);
       if (step.toAll_) {
-        for (std::size_t i = 0; i < hosts_.size(); ++i) {
-          Post(aHost, i, *step.toAll_);
-        }
+        PostToAll(aHost, *step.toAll_);
       }
       if (step.toAny_) {
         Post(aHost, random_() % hosts_.size(), *step.toAny_);
@@ -273,6 +286,13 @@
     });
   }
 
+  void PostToAll(std::size_t aFrom, const poison::Message& aMessage)
+  {
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+      Post(aFrom, i, aMessage);
+    }
+  }
+
   void Post(std::size_t aFrom, std::size_t aTo, const poison::Message& aMessage)
   {
     if (aFrom == aTo) {
@@ -333,10 +353,37 @@
                              Draw() < 0.8 ? options_.companion_ : rank),
                 absl::StrCat("bad", *call->bad_) };
     }
+    // Sound requests share the parts of deadly ones, and deadly ones come from
+    // hosts at random.
+    auto contents = absl::StrCat(call->id_);
+    if (options_.deadlyShare_ > 0.0 && Draw() < options_.deadlyShare_) {
+      const auto number = random_() % options_.deadlyRequests_;
+      call->bad_ = options_.poisonParts_ + number;
+      parts = { absl::StrCat("first", number % 4),
+                absl::StrCat("second", 3 * number) };
+      contents = absl::StrCat("deadly", number);
+    }
+    call->callerRetries_ = options_.callerRetries_;
+    parts.push_back(poison::RequestTrait(contents));
     std::sort(parts.begin(), parts.end());
     RunOn(call->host_, [this, call] { Send(call); });
   }
 
+  // The caller sends a sound request again, as a new one, to any host.
+  void RetryOfCaller(const Call& aCall)
+  {
+    if (aCall.bad_ || aCall.callerRetries_ == 0) {
+      return;
+    }
+    auto call = std::make_shared<Call>();
+    call->host_ = random_() % hosts_.size();
+    call->id_ = random_();
+    call->parts_ = aCall.parts_;
+    call->callerRetries_ = aCall.callerRetries_ - 1;
+    After(Uniform(100.0, 600.0),
+          [this, call] { RunOn(call->host_, [this, call] { Send(call); }); });
+  }
+
   void Send(const CallPtr& aCall)
   {
     auto& host = hosts_[aCall->host_];
@@ -344,6 +391,22 @@
       wronged_ += aCall->bad_ ? 0 : 1;
       return;
     }
+    if (aCall->waited_ < kMaxWait) {
+      const auto delay = poison::SendDelay(
+        host.state_, aCall->parts_, aCall->attempt_ > 1, now_);
+      if (delay.isBackoff_) {
+        postponed_ += aCall->bad_ ? 0 : 1;
+        RetryOfCaller(*aCall);
+        return;
+      }
+      if (delay.time_ > absl::ZeroDuration()) {
+        aCall->waited_ += delay.time_;
+        After(delay.time_, [this, aCall] {
+          RunOn(aCall->host_, [this, aCall] { Send(aCall); });
+        });
+        return;
+      }
+    }
     aCall->hostStart_ = host.start_;
     std::size_t index = random_() % targets_.size();
     for (int i = 0; i < 5 && now_ < targets_[index].downUntil_; ++i) {
@@ -445,13 +508,24 @@
                            aCall->id_,
                            aCall->parts_,
                            now_);
+        After(poison::kLossTime, [this, aCall, start = host.start_] {
+          RunOn(aCall->host_, [this, aCall, start] {
+            auto& current = hosts_[aCall->host_];
+            const auto message = poison::TellLosses(current.state_, now_);
+            if (message && current.start_ == start) {
+              PostToAll(aCall->host_, *message);
+            }
+          });
+        });
+      }
+      if (aCall->hasBegun_) {
+        return;
       }
-      if (!aCall->hasBegun_ && aCall->attempt_ < options_.attempts_) {
+      if (aCall->attempt_ < options_.attempts_) {
         ++aCall->attempt_;
-        After(poison::ResendDelay(host.state_, aCall->parts_, now_),
-              [this, aCall] {
-                RunOn(aCall->host_, [this, aCall] { Send(aCall); });
-              });
+        RunOn(aCall->host_, [this, aCall] { Send(aCall); });
+      } else {
+        RetryOfCaller(*aCall);
       }
     });
   }
@@ -472,6 +546,7 @@
   std::size_t posted_ = 0;
   std::size_t begun_ = 0;
   std::size_t wronged_ = 0;
+  std::size_t postponed_ = 0;
 };
 
 } // namespace lycheeplank::test
--- a/test/poison-test.cc
+++ b/test/poison-test.cc
@@ -14,6 +14,7 @@
 // The platform's rule: crashes after which it applies, time that hosts have
 // from then on, and sends that it allows.
 constexpr std::size_t kFreeCrashes = 5;
+constexpr std::size_t kFreeCrashesOfRequest = 3;
 constexpr absl::Duration kContact = absl::Seconds(3);
 constexpr std::size_t kAllowedSends = 3;
 // Time before parts begin to crash targets.
@@ -34,15 +35,17 @@
   return aHosts < 300 ? 3 : 1;
 }
 
-// Returns the sends of a part that the rule counts.
+// Returns the sends of a part, or of a request, that the rule counts.
 std::size_t
-CountedSends(PoisonSim& aSim, std::size_t aPart)
+CountedSends(PoisonSim& aSim,
+             std::size_t aPart,
+             std::size_t aFreeCrashes = kFreeCrashes)
 {
   const auto& crashes = aSim.CrashesOf(aPart);
-  if (crashes.size() < kFreeCrashes) {
+  if (crashes.size() < aFreeCrashes) {
     return 0;
   }
-  const auto from = crashes[kFreeCrashes - 1] + kContact;
+  const auto from = crashes[aFreeCrashes - 1] + kContact;
   const auto& sends = aSim.BadSends();
   return static_cast<std::size_t>(
     std::count_if(sends.begin(), sends.end(), [&](const auto& aSend) {
@@ -100,6 +103,30 @@
   CHECK(sim.BlocksAt(0) == 1);
 }
 
+// Guards against hosts that each see few crashes of a request and send its
+// caller's new attempts without end.
+TEST_CASE("all hosts together stop sending a request that crashes targets")
+{
+  const auto hosts = GENERATE(std::size_t{ 8 }, 77, 300);
+  const auto lost = GENERATE(0.0, 0.2);
+  auto options = SizeOf(hosts, hosts);
+  options.poisonShare_ = 0.0;
+  options.callerRetries_ = 2;
+  options.lostShare_ = lost;
+  PoisonSim sim(options);
+  sim.RunFor(kQuietTime);
+  sim.SetDeadlyShare(0.02);
+  sim.RunFor(absl::Seconds(20));
+  const auto& crashes = sim.CrashesOf(options.poisonParts_);
+  INFO(hosts << " hosts, " << lost << " of messages lost, " << crashes.size()
+             << " crashes");
+  REQUIRE(crashes.size() >= kFreeCrashesOfRequest);
+  CHECK(CountedSends(sim, options.poisonParts_, kFreeCrashesOfRequest) <=
+        kAllowedSends);
+  CHECK(sim.Wronged() == 0);
+  CHECK(sim.Postponed() == 0);
+}
+
 namespace {
 
 // Plays three parts that crash targets beside crashes of other causes, frozen,
@@ -111,8 +138,10 @@
   const auto hosts = aOptions.hosts_;
   PoisonSim sim(aOptions);
   sim.SetPoisonShare(0.0);
+  sim.SetDeadlyShare(0.0);
   sim.RunFor(kQuietTime);
   sim.SetPoisonShare(aOptions.poisonShare_);
+  sim.SetDeadlyShare(aOptions.deadlyShare_);
   ScheduleCrashes(sim,
                   aOptions.targets_,
                   absl::Milliseconds(300),
@@ -136,6 +165,14 @@
     INFO("part " << part << ", " << sim.CrashesOf(part).size() << " crashes");
     CHECK(CountedSends(sim, part) <= kAllowedSends);
   }
+  const auto requests =
+    aOptions.deadlyShare_ > 0.0 ? aOptions.deadlyRequests_ : 0;
+  for (std::size_t i = 0; i < requests; ++i) {
+    const auto request = aOptions.poisonParts_ + i;
+    INFO("request " << i << ", " << sim.CrashesOf(request).size()
+                    << " crashes");
+    CHECK(CountedSends(sim, request, kFreeCrashesOfRequest) <= kAllowedSends);
+  }
   CHECK(sim.Wronged() == 0);
 }
 
@@ -161,6 +198,23 @@
   }
 }
 
+// Guards against hosts that recognize one request, but not several beside parts
+// that crash targets and other faults, and against blame of sound requests with
+// the same parts.
+TEST_CASE("several requests are found beside parts and other faults")
+{
+  const auto hosts = GENERATE(std::size_t{ 8 }, 77, 300);
+  const auto parts = GENERATE(0.0, 0.04);
+  for (int seed = 1; seed <= SeedCount(hosts); ++seed) {
+    auto options = ThreePartsAt(hosts, seed);
+    options.poisonShare_ = parts;
+    options.deadlyShare_ = 0.03;
+    options.deadlyRequests_ = 3;
+    options.callerRetries_ = 2;
+    CheckBesideFaults(options);
+  }
+}
+
 // Guards against a sound part that is taken for the cause, because it comes
 // with several parts that crash targets and hardly ever without them.
 TEST_CASE("several parts are found in the company of a rare sound part")
@@ -474,8 +528,10 @@
   CHECK(state.crashes_.size() <= poison::kMaxCrashes);
   CHECK(state.newLosses_.size() <=
         poison::kMaxCrashes * poison::kMaxLossesPerCrash);
-  CHECK(state.begins_.size() + state.olderBegins_.size() <=
-        2 * poison::kMaxSoundTraits + 2);
+  for (const auto& [kind, begins] : state.begins_) {
+    CHECK(begins.newer_.size() + begins.older_.size() <=
+          2 * poison::kMaxSoundTraits + 2);
+  }
   CHECK(state.suspects_.size() <= poison::kMaxSuspects);
 }
 
