--- a/src/core/json.h
+++ b/src/core/json.h
@@ -12,10 +12,41 @@
 
 using Json = nlohmann::json;
 
-// Parses a text; returns a discarded value if it is not JSON.
+// Arrays and objects within each other; copying a value takes stack for each.
+inline constexpr int kMaxDepth = 64;
+
+// Returns whether a text nests arrays and objects deeper than kMaxDepth. Other
+// texts than JSON may yield either.
+inline bool
+IsTooDeep(absl::string_view aText)
+{
+  int depth = 0;
+  bool isInString = false;
+  for (std::size_t i = 0; i < aText.size(); ++i) {
+    const char c = aText[i];
+    if (isInString) {
+      i += c == '\\' ? 1 : 0;
+      isInString = c != '"';
+    } else if (c == '"') {
+      isInString = true;
+    } else if (c == '[' || c == '{') {
+      if (++depth > kMaxDepth) {
+        return true;
+      }
+    } else if (c == ']' || c == '}') {
+      --depth;
+    }
+  }
+  return false;
+}
+
+// Parses a text; returns a discarded value if it is not JSON or too deep.
 inline Json
 ParseJson(absl::string_view aText)
 {
+  if (IsTooDeep(aText)) {
+    return Json(Json::value_t::discarded);
+  }
   return Json::parse(aText.begin(), aText.end(), nullptr, false);
 }
 
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -1,6 +1,7 @@
 #include "platform/adapter.h"
 
 #include <algorithm>
+#include <limits>
 
 #include <catch2/catch.hpp>
 
@@ -234,6 +235,48 @@
     "state": "resting"})"));
 }
 
+// Guards against an odd entry of another writer that ends the hosts which read
+// it, or that they take for a target.
+TEST_CASE("entries that are deeply nested or out of range yield no target")
+{
+  const auto read = [](const std::string& aAddress,
+                       const std::string& aFields) {
+    return platform::ReadTarget(
+      MakeItem("servers/i-1",
+               R"({"service": "s", "state": "ready", "address": ")" + aAddress +
+                 "\"" + aFields + "}"));
+  };
+  const std::string address = "10.0.0.1:1";
+  REQUIRE(read(address, ""));
+  for (const std::string port :
+       { "", ":", ":0", ":-1", ":65536", ":1e3", ":x" }) {
+    INFO(port);
+    CHECK_FALSE(read("10.0.0.1" + port, ""));
+  }
+  CHECK_FALSE(read("10.0.0.1.5:1", ""));
+  for (const std::string born : { "1e300", "-1e300", "1e400", "-1" }) {
+    INFO(born);
+    CHECK_FALSE(read(address, ", \"born\": " + born));
+  }
+  const auto target = read(address, ", \"batch-size\": 4294967296");
+  REQUIRE(target);
+  CHECK(target->slots_ == std::numeric_limits<std::uint32_t>::max());
+  constexpr std::size_t kDepth = 200000;
+  for (const std::string open : { "[", "{\"a\":" }) {
+    std::string nested;
+    for (std::size_t i = 0; i < kDepth; ++i) {
+      nested += open;
+    }
+    const std::string close(kDepth, open == "[" ? ']' : '}');
+    const auto value = nested + "1" + close;
+    CHECK_FALSE(read(address, ", \"models\": " + value));
+    CHECK_FALSE(platform::ReadTarget(MakeItem("servers/i-1", value)));
+    CHECK_FALSE(platform::ReadWeights(MakeItem("weights/m", nested)));
+    CHECK_FALSE(platform::ReadCatalog(
+      MakeItem("catalog", R"({"version": 1, "limits": )" + value + "}")));
+  }
+}
+
 TEST_CASE("changes of cache stores are decoded")
 {
   http::Answer answer;
