--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -121,7 +121,10 @@
   }
   const auto connection = std::exchange(connection_, nullptr);
   if (connection) {
-    if (connection->IsBusy()) {
+    // A second copy of an answer without an id would be taken for the answer to
+    // the next request there.
+    const bool hasNoId = headAccepted_ && answer_.requestId_.empty();
+    if (connection->IsBusy() || hasNoId) {
       connection->Close();
     } else {
       host_.targetPool_.Return(targetId_, connection);
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -211,6 +211,30 @@
   CHECK(target.connections_ == 2);
 }
 
+// Guards against a target that writes an earlier refusal once more on a kept
+// connection: the next request there would be called not run although it runs.
+TEST_CASE("a connection isn't used again after a refusal")
+{
+  const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\n"
+                              "X-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  World world;
+  std::shared_ptr<gateway::Socket> refused;
+  auto& target = world.AddTarget(
+    [&](FakeTarget&, const std::shared_ptr<gateway::Socket>& aSocket) {
+      if (!refused || aSocket == refused) {
+        refused = aSocket;
+        aSocket->Send(refusal);
+      } else {
+        refused->Send(refusal);
+        aSocket->Send(WholeAnswer("done"));
+      }
+    });
+  CHECK(Has(world.Ask(World::Request("/once/")), "HTTP/1.1 503"));
+  CHECK(Has(world.Ask(World::Request("/once/")), "\r\n\r\ndone"));
+  CHECK(target.requests_ == 2);
+  CHECK(target.connections_ == 2);
+}
+
 TEST_CASE("surplus bytes after an answer are dropped")
 {
   World world;
