Test that errors behind a begun stream reach no caller

It doesn't happen here: the test, with four kinds of answers with and without a length, passed at once.

--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -416,6 +416,32 @@
   CHECK(lonely.answerClosed_);
 }
 
+// Guards against the text of an error, or its head, in the middle of a stream,
+// and against a stream that ends as if it were complete behind an error.
+TEST_CASE(
+  "an error of the target that should continue a stream isn't forwarded")
+{
+  const std::string status = GENERATE("500 Internal Server Error",
+                                      "503 Service Unavailable",
+                                      "404 Not Found",
+                                      "200 OK");
+  const bool hasLength = GENERATE(true, false);
+  auto error = WholeAnswer("error: boom\n\n", status);
+  if (!hasLength) {
+    const auto length = error.find("Content-Length");
+    error.erase(length, error.find("\r\n", length) + 2 - length);
+  }
+  World world;
+  world.AddTarget(Sends(Events("id: 1\ndata: a\n\nid: 2\nda", false), true));
+  world.AddTarget(Sends(error, true));
+  const auto answer = world.Ask(World::Request("/resume/"));
+  CHECK(Has(answer, "id: 1\ndata: a\n\n"));
+  CHECK_FALSE(Has(answer, "boom"));
+  CHECK(answer.find("HTTP/1.1") == answer.rfind("HTTP/1.1"));
+  CHECK_FALSE(Has(answer, "\r\n0\r\n\r\n"));
+  CHECK(world.answerClosed_);
+}
+
 TEST_CASE("a stream that can't continue at any target is cut")
 {
   World world;
