--- a/src/poison/poison.cc
+++ b/src/poison/poison.cc
@@ -5,11 +5,8 @@
 #include <iterator>
 #include <utility>
 
-#include <absl/strings/match.h>
-#include <absl/strings/str_cat.h>
-#include <absl/strings/str_join.h>
-
 #include "poison/evidence.h"
+#include "poison/news.h"
 #include "poison/traffic.h"
 
 namespace lycheeplank::poison {
@@ -19,8 +16,6 @@
 // Losses at one start further apart than this don't belong to the same crash:
 // the target survived the first ones.
 constexpr absl::Duration kCrashTime = absl::Seconds(1);
-// Ids of requests begin with this.
-constexpr absl::string_view kRequestMark = "#";
 
 // Returns how long requests with a trait aren't sent after so many moments of
 // crashes.
@@ -48,12 +43,6 @@
     -53);
 }
 
-std::string
-KeyOf(const Traits& aTraits)
-{
-  return absl::StrJoin(aTraits, ",");
-}
-
 bool
 Contains(const Traits& aTraits, const Traits& aSome)
 {
@@ -94,25 +83,6 @@
   }
 }
 
-// Takes back what an answer that has begun refutes. aIsTold: all hosts know.
-void
-Clear(State::Suspicion& aSuspicion, absl::Time aBeganAt, bool aIsTold)
-{
-  if (aBeganAt > aSuspicion.lostAt_) {
-    aSuspicion.losses_ = 0;
-  }
-  if (!aIsTold) {
-    return;
-  }
-  aSuspicion.toldBeginAt_ = std::max(aSuspicion.toldBeginAt_, aBeganAt);
-  if (aSuspicion.toldBeginAt_ >= aSuspicion.lastMomentAt_) {
-    aSuspicion.moments_ = 0;
-  } else if (aSuspicion.toldBeginAt_ >= aSuspicion.firstMomentAt_) {
-    aSuspicion.moments_ = 1;
-    aSuspicion.firstMomentAt_ = aSuspicion.lastMomentAt_;
-  }
-}
-
 void
 Suspect(State& aState, const Traits& aTraits, absl::Time aLostAt)
 {
@@ -297,102 +267,13 @@
   }
 }
 
-// Moves the news of one kind that are due into a message.
-template<typename Find>
-void
-TakeNews(absl::btree_map<std::string, int>& aNews, const Find& aFind)
-{
-  std::size_t taken = 0;
-  for (auto item = aNews.begin(); item != aNews.end() && taken < kMaxItems;) {
-    ++taken;
-    if (!aFind(item->first) || --item->second <= 0) {
-      item = aNews.erase(item);
-    } else {
-      ++item;
-    }
-  }
-}
-
-Message
-TakeMessage(State& aState, absl::Time aNow)
-{
-  Message message;
-  message.sender_ = aState.self_;
-  for (auto& news : aState.newLosses_) {
-    if (message.losses_.size() == kMaxItems) {
-      break;
-    }
-    message.losses_.push_back(news.loss_);
-    --news.repeats_;
-  }
-  auto& losses = aState.newLosses_;
-  losses.erase(
-    std::remove_if(losses.begin(),
-                   losses.end(),
-                   [](const auto& aNews) { return aNews.repeats_ <= 0; }),
-    losses.end());
-  TakeNews(aState.newBegins_, [&](const std::string& aTrait) {
-    const auto at = LastBegin(aState, aTrait);
-    message.begins_.push_back({ aTrait, at });
-    if (const auto found = aState.suspects_.find(aTrait);
-        found != aState.suspects_.end()) {
-      Clear(found->second, at, true);
-    }
-    return true;
-  });
-  TakeNews(aState.newSightings_, [&](const std::string& aTarget) {
-    const auto found = aState.sightings_.find(aTarget);
-    if (found == aState.sightings_.end()) {
-      return false;
-    }
-    message.sightings_.push_back(found->second);
-    return true;
-  });
-  TakeNews(aState.newBlocks_, [&](const std::string& aKey) {
-    const auto found = std::find_if(
-      aState.blocks_.begin(), aState.blocks_.end(), [&](const auto& aBlock) {
-        return KeyOf(aBlock.traits_) == aKey;
-      });
-    if (found == aState.blocks_.end()) {
-      return false;
-    }
-    message.blocks_.push_back(*found);
-    return true;
-  });
-  if (!message.losses_.empty() ||
-      (aState.hasNewLosses_ &&
-       aNow - aState.trafficToldAt_ >= kTrafficPeriod)) {
-    message.traffic_ = aState.ownTraffic_;
-    aState.trafficToldAt_ = aNow;
-    aState.hasNewLosses_ = false;
-  }
-  return message;
-}
-
 bool
-HasNews(const Message& aMessage)
-{
-  return !aMessage.losses_.empty() || !aMessage.begins_.empty() ||
-         !aMessage.sightings_.empty() || !aMessage.blocks_.empty() ||
-         !aMessage.traffic_.empty();
-}
-
-// Returns whether there are news that no message has contained yet.
-bool
-HasFreshNews(const State& aState)
+HasParts(const Loss& aLoss)
 {
-  const auto isFresh = [](const auto& aNews) {
-    return aNews.second == kRepeats;
-  };
-  return !aState.newBlocks_.empty() ||
-         std::any_of(
-           aState.newLosses_.begin(),
-           aState.newLosses_.end(),
-           [](const auto& aNews) { return aNews.repeats_ == kLossRepeats; }) ||
-         std::any_of(
-           aState.newBegins_.begin(), aState.newBegins_.end(), isFresh) ||
-         std::any_of(
-           aState.newSightings_.begin(), aState.newSightings_.end(), isFresh);
+  return std::any_of(
+    aLoss.traits_.begin(), aLoss.traits_.end(), [](const auto& aTrait) {
+      return KindOf(aTrait) == TraitKind::Part;
+    });
 }
 
 // Returns the traits without those with which answers have just begun. They
@@ -410,72 +291,8 @@
   return unproven;
 }
 
-bool
-HasParts(const Loss& aLoss)
-{
-  return std::any_of(
-    aLoss.traits_.begin(), aLoss.traits_.end(), [](const auto& aTrait) {
-      return KindOf(aTrait) == TraitKind::Part;
-    });
-}
-
-// Adds the begins that refute traits of another host's block.
-void
-AddRefutation(const State& aState, const Block& aBlock, Message& aReply)
-{
-  for (const auto& trait : aBlock.traits_) {
-    if (const auto at = LastBegin(aState, trait);
-        at > aBlock.firstCrashAt_ && aReply.begins_.size() < kMaxItems) {
-      aReply.begins_.push_back({ trait, at });
-    }
-  }
-}
-
-// Returns a message with all blocks, and what is known in favour of suspected
-// traits.
-Message
-AllBlocks(const State& aState)
-{
-  Message message;
-  message.sender_ = aState.self_;
-  message.blocks_ = aState.blocks_;
-  for (const auto& [trait, suspicion] : aState.suspects_) {
-    const auto at = LastBegin(aState, trait);
-    if (at != absl::InfinitePast() && message.begins_.size() < kMaxItems) {
-      message.begins_.push_back({ trait, at });
-    }
-  }
-  return message;
-}
-
 } // namespace
 
-std::string
-RequestTrait(absl::string_view aFingerprint)
-{
-  return absl::StrCat(kRequestMark, aFingerprint);
-}
-
-TraitKind
-KindOf(absl::string_view aTrait)
-{
-  // Ids of parts begin with a model, a caller's text, and a slash.
-  return absl::StartsWith(aTrait, kRequestMark) &&
-             !absl::StrContains(aTrait, '/')
-           ? TraitKind::Request
-           : TraitKind::Part;
-}
-
-const KindLimits&
-LimitsOf(absl::string_view aTrait)
-{
-  return *std::find_if(kKindLimits.begin(),
-                       kKindLimits.end(),
-                       [kind = KindOf(aTrait)](const KindLimits& aLimits) {
-                         return aLimits.kind_ == kind;
-                       });
-}
-
 absl::Time
 LastBegin(const State& aState, const std::string& aTrait)
 {
@@ -592,16 +409,6 @@
   return delay;
 }
 
-absl::optional<Message>
-TellLosses(State& aState, absl::Time aNow)
-{
-  if (aState.newLosses_.empty() || aNow - aState.toldAt_ < kQuietTime) {
-    return absl::nullopt;
-  }
-  aState.toldAt_ = aNow;
-  return TakeMessage(aState, aNow);
-}
-
 Step
 Tick(State& aState, absl::Time aNow)
 {
@@ -619,14 +426,7 @@
     }
     aState.evaluateAt_ = NextEvaluation(aState);
   }
-  const auto period = HasFreshNews(aState) ? kTellPeriod : kRepeatPeriod;
-  if (!aState.newBlocks_.empty() || aNow - aState.toldAt_ >= period) {
-    auto message = TakeMessage(aState, aNow);
-    if (HasNews(message)) {
-      step.toAll_ = std::move(message);
-      aState.toldAt_ = aNow;
-    }
-  }
+  step.toAll_ = TakeDueNews(aState, aNow);
   if (aState.hosts_ < 2) {
     return step;
   }
