Test that only attempts at one request are blocked; tidy after the linter

The test passed at once: path, caller and body each tell requests apart, and a body in pieces doesn't. One constant for the largest exact JSON number.

--- a/src/core/json.h
+++ b/src/core/json.h
@@ -12,6 +12,9 @@
 
 using Json = nlohmann::json;
 
+// Larger integers aren't exact in JSON numbers.
+inline constexpr double kMaxExact = 9007199254740991.0;
+
 // Arrays and objects within each other; copying a value takes stack for each.
 inline constexpr int kMaxDepth = 64;
 
--- a/test/gateway-poison-test.cc
+++ b/test/gateway-poison-test.cc
@@ -146,46 +146,46 @@
 
 } // namespace
 
+namespace {
+
+// Sends bad requests before and after the time that hosts have, and checks that
+// few of them arrive later and that sound requests are served.
+void
+CheckLateArrivals(PoisonedGroup& aPoisoned, std::size_t aFreeCrashes)
+{
+  aPoisoned.SendSteadily(absl::Seconds(4), 1);
+  REQUIRE(aPoisoned.badArrivals_.size() > 0);
+  const auto limitFrom = aPoisoned.LimitFrom(aFreeCrashes);
+  const auto answered = aPoisoned.group_.answers_.size();
+  const auto sent = aPoisoned.requests_;
+  aPoisoned.SendSteadily(absl::Seconds(3), 1);
+  aPoisoned.group_.RunFor(std::chrono::milliseconds(300));
+  INFO(aPoisoned.group_.Size()
+       << " hosts, " << aPoisoned.badArrivals_.size() << " arrivals");
+  CHECK(aPoisoned.ArrivalsAfter(limitFrom) <= kAllowedSends);
+  // Sound requests share the first part and are all served.
+  const auto sound =
+    (aPoisoned.requests_ - sent) * (kPoisonPeriod - 1) / kPoisonPeriod;
+  CHECK(aPoisoned.ServedSince(answered) + 10 >= sound);
+}
+
+} // namespace
+
 // Guards against hosts that go on sending requests with a part under which
 // targets crash, because each of them sees few of the crashes.
 TEST_CASE("hosts stop sending a part that crashes targets")
 {
-  const auto hosts = GENERATE(std::size_t{ 8 }, 77, 300);
-  PoisonedGroup poisoned(hosts);
-  poisoned.SendSteadily(absl::Seconds(4), 1);
-  REQUIRE(poisoned.badArrivals_.size() > 0);
-  const auto limitFrom = poisoned.LimitFrom(kFreeCrashes);
-  const auto answered = poisoned.group_.answers_.size();
-  const auto sent = poisoned.requests_;
-  poisoned.SendSteadily(absl::Seconds(3), 1);
-  poisoned.group_.RunFor(std::chrono::milliseconds(300));
-  INFO(hosts << " hosts, " << poisoned.badArrivals_.size() << " arrivals");
-  CHECK(poisoned.ArrivalsAfter(limitFrom) <= kAllowedSends);
-  // Sound requests share the first part and are all served.
-  const auto sound =
-    (poisoned.requests_ - sent) * (kPoisonPeriod - 1) / kPoisonPeriod;
-  CHECK(poisoned.ServedSince(answered) + 10 >= sound);
+  PoisonedGroup poisoned(GENERATE(std::size_t{ 8 }, 77, 300));
+  CheckLateArrivals(poisoned, kFreeCrashes);
 }
 
 // Guards against hosts that send a request which crashes targets without end,
 // because its caller gives each attempt a new id.
 TEST_CASE("hosts stop sending a request that crashes targets")
 {
-  const auto hosts = GENERATE(std::size_t{ 8 }, 77, 300);
-  PoisonedGroup poisoned(hosts);
+  PoisonedGroup poisoned(GENERATE(std::size_t{ 8 }, 77, 300));
   poisoned.sendsDeadlyBody_ = true;
-  poisoned.SendSteadily(absl::Seconds(4), 1);
-  REQUIRE(poisoned.badArrivals_.size() > 0);
-  const auto limitFrom = poisoned.LimitFrom(kFreeCrashesOfRequest);
-  const auto answered = poisoned.group_.answers_.size();
-  const auto sent = poisoned.requests_;
-  poisoned.SendSteadily(absl::Seconds(3), 1);
-  poisoned.group_.RunFor(std::chrono::milliseconds(300));
-  INFO(hosts << " hosts, " << poisoned.badArrivals_.size() << " arrivals");
-  CHECK(poisoned.ArrivalsAfter(limitFrom) <= kAllowedSends);
-  const auto sound =
-    (poisoned.requests_ - sent) * (kPoisonPeriod - 1) / kPoisonPeriod;
-  CHECK(poisoned.ServedSince(answered) + 10 >= sound);
+  CheckLateArrivals(poisoned, kFreeCrashesOfRequest);
 }
 
 // Guards against a host that starts after a part was blocked and sends it to
@@ -256,6 +256,48 @@
   CHECK(absl::StartsWith(world.Ask(sound), "HTTP/1.1 200"));
 }
 
+// Guards against blame of sound requests with the same path, caller or body,
+// and against a request that isn't recognized because its body comes in pieces.
+TEST_CASE("only attempts at the same request are blocked")
+{
+  World world;
+  auto& target = world.AddTarget(lycheeplank::test::Sends(WholeAnswer("x")));
+  gateway::CallerRequest request;
+  request.host_ = "h";
+  lycheeplank::http::RequestHead head;
+  head.method_ = "POST";
+  head.target_ = "/again/a";
+  lycheeplank::poison::Message message;
+  message.sender_ = "other";
+  message.blocks_.push_back(
+    { { lycheeplank::poison::RequestTrait(
+        gateway::FingerprintOf(request, head, kDeadlyBody, "")) },
+      3,
+      gateway::Now(),
+      gateway::Now() });
+  gateway::ReceiveBlockMessage(
+    world.host_, lycheeplank::poison::WriteMessage(message, gateway::Now()));
+  const auto ask = [&](const std::string& aPath,
+                       const std::string& aFields,
+                       const std::string& aBody) {
+    return world.Ask(World::Request(aPath, aFields, aBody)).substr(0, 12);
+  };
+  CHECK(ask("/again/a", "", kDeadlyBody) == "HTTP/1.1 503");
+  CHECK(ask("/again/a", "X-Deadline-Ms: 500\r\n", kDeadlyBody) ==
+        "HTTP/1.1 503");
+  const auto pieces =
+    World::Request("/again/a", "Transfer-Encoding: chunked\r\n") +
+    "2\r\nde\r\n4\r\nadly\r\n0\r\n\r\n";
+  CHECK(world.Ask(absl::StrReplaceAll(pieces, { { "GET", "POST" } }))
+          .substr(0, 12) == "HTTP/1.1 503");
+  CHECK(target.requests_ == 0);
+  CHECK(ask("/again/b", "", kDeadlyBody) == "HTTP/1.1 200");
+  CHECK(ask("/again/a", "", "deadlier") == "HTTP/1.1 200");
+  CHECK(ask("/again/a", "Authorization: Token k\r\n", kDeadlyBody) ==
+        "HTTP/1.1 200");
+  CHECK(ask("/again/a", "", "") == "HTTP/1.1 200");
+}
+
 // Guards against a second send of a request whose parts were blocked while it
 // waited, and against a false statement that it hasn't run.
 TEST_CASE("a block withdraws requests that wait at a target")
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 #include "platform/settings.h"
@@ -268,7 +269,7 @@
       nested += open;
     }
     const std::string close(kDepth, open == "[" ? ']' : '}');
-    const auto value = nested + "1" + close;
+    const auto value = absl::StrCat(nested, "1", close);
     CHECK_FALSE(read(address, ", \"models\": " + value));
     CHECK_FALSE(platform::ReadTarget(MakeItem("servers/i-1", value)));
     CHECK_FALSE(platform::ReadWeights(MakeItem("weights/m", nested)));
