Tell all hosts when a request is tried again after many crashes

Incident, requests that crash targets: several hosts tried such a request within the 0.3 s until the next crash was known. The new case of poison-test was written with this and not run on the code before.

--- a/include/lycheeplank/poison.h
+++ b/include/lycheeplank/poison.h
@@ -115,6 +115,13 @@
   absl::Time at_ = absl::InfinitePast();
 };
 
+// The last time at which a request with a suspected trait was tried again.
+struct Trial
+{
+  std::string trait_;
+  absl::Time at_ = absl::InfinitePast();
+};
+
 // A datagram between hosts. Clocks of hosts differ, so it carries ages instead
 // of times.
 struct Message
@@ -126,6 +133,8 @@
   std::vector<Begin> begins_;
   std::vector<Sighting> sightings_;
   std::vector<Block> blocks_;
+  // Requests that the sender has tried again after many crashes.
+  std::vector<Trial> trials_;
   // Traffic of the sender.
   TrafficByGroup traffic_;
 };
@@ -181,6 +190,7 @@
   struct Suspicion
   {
     absl::Time lostAt_ = absl::InfinitePast();
+    absl::Time triedAt_ = absl::InfinitePast();
     // Lost requests since an answer began, as far as this host knows.
     std::size_t losses_ = 0;
     // The last begin that all hosts were told of, and the moments of crashes
@@ -397,6 +407,12 @@
   absl::optional<Message> reply_;
 };
 
+// Records that a request with these traits is sent. Returns a message to all
+// other hosts if it is tried again after many crashes, so that no two hosts try
+// it at the same time.
+absl::optional<Message>
+RecordSend(State& aState, const Traits& aTraits, absl::Time aNow);
+
 // Returns a message to all other hosts with new losses unless the last one was
 // sent within kQuietTime. Call it kLossTime after a loss.
 absl::optional<Message>
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -391,6 +391,7 @@
     return;
   }
   targetBornMs_ = found->second.target_.bornMs_;
+  NoteSend(host_, traits_);
   ++history_.sends_;
   ++history_.runs_;
   sentAt_ = Now();
--- a/src/gateway/poison-blocks.cc
+++ b/src/gateway/poison-blocks.cc
@@ -174,6 +174,17 @@
            : poison::SendDelay(aHost.poison_, aTraits, aIsResend, Now());
 }
 
+void
+NoteSend(Host& aHost, const poison::Traits& aTraits)
+{
+  if (aHost.poison_.suspects_.empty()) {
+    return;
+  }
+  if (const auto message = poison::RecordSend(aHost.poison_, aTraits, Now())) {
+    SendToAll(aHost, *message);
+  }
+}
+
 void
 TellLosses(Host& aHost)
 {
--- a/src/gateway/poison-blocks.h
+++ b/src/gateway/poison-blocks.h
@@ -58,6 +58,10 @@
 poison::Delay
 SendDelay(const Host& aHost, const poison::Traits& aTraits, bool aIsResend);
 
+// Records that a request with these traits is sent.
+void
+NoteSend(Host& aHost, const poison::Traits& aTraits);
+
 // Tells the other hosts of new losses, so that they don't send the same request
 // in the next moment.
 void
--- a/src/poison/messages.cc
+++ b/src/poison/messages.cc
@@ -97,6 +97,11 @@
   for (const auto& block : aMessage.blocks_) {
     blocks.push_back(WriteBlock(block, clock));
   }
+  auto trials = json::Json::array();
+  for (const auto& trial : aMessage.trials_) {
+    trials.push_back(
+      { { "part", trial.trait_ }, { "age_ms", clock.Write(trial.at_) } });
+  }
   auto traffic = json::Json::array();
   for (const auto& [group, counts] : aMessage.traffic_) {
     traffic.push_back({ { "group", group },
@@ -108,7 +113,7 @@
     { "host", aMessage.sender_ },          { "asks", aMessage.asksForBlocks_ },
     { "losses", std::move(losses) },       { "begins", std::move(begins) },
     { "sightings", std::move(sightings) }, { "blocks", std::move(blocks) },
-    { "traffic", std::move(traffic) }
+    { "traffic", std::move(traffic) },     { "trials", std::move(trials) }
   };
   return std::string(kMarker) +
          body.dump(-1, ' ', false, json::Json::error_handler_t::replace);
@@ -146,6 +151,10 @@
     message.begins_.push_back(
       { json::TextOf(row, "part"), clock.Read(row, "age_ms") });
   }
+  for (const auto& row : json::ListOf(body, "trials")) {
+    message.trials_.push_back(
+      { json::TextOf(row, "part"), clock.Read(row, "age_ms") });
+  }
   for (const auto& row : json::ListOf(body, "sightings")) {
     message.sightings_.push_back({ ReadStart(row), clock.Read(row, "age_ms") });
   }
--- a/src/poison/poison.cc
+++ b/src/poison/poison.cc
@@ -401,7 +401,8 @@
     }
     const auto wait =
       WaitAfter(limits, suspicion.moments_) * (1.0 + OffsetOf(aState, trait));
-    const auto left = suspicion.lostAt_ + wait - aNow;
+    const auto left =
+      std::max(suspicion.lostAt_, suspicion.triedAt_) + wait - aNow;
     if (left > delay.time_) {
       delay = { left, suspicion.moments_ >= limits.backoffMoments_ };
     }
@@ -409,6 +410,26 @@
   return delay;
 }
 
+absl::optional<Message>
+RecordSend(State& aState, const Traits& aTraits, absl::Time aNow)
+{
+  Message message;
+  for (const auto& trait : aTraits) {
+    const auto found = aState.suspects_.find(trait);
+    if (found != aState.suspects_.end() &&
+        found->second.moments_ >= LimitsOf(trait).backoffMoments_ &&
+        LastBegin(aState, trait) == absl::InfinitePast()) {
+      found->second.triedAt_ = aNow;
+      message.trials_.push_back({ trait, aNow });
+    }
+  }
+  if (message.trials_.empty()) {
+    return absl::nullopt;
+  }
+  message.sender_ = aState.self_;
+  return message;
+}
+
 Step
 Tick(State& aState, absl::Time aNow)
 {
@@ -461,6 +482,12 @@
   for (const auto& loss : aMessage.losses_) {
     AddLoss(aState, loss, aNow);
   }
+  for (const auto& [trait, at] : aMessage.trials_) {
+    if (const auto found = aState.suspects_.find(trait);
+        found != aState.suspects_.end()) {
+      found->second.triedAt_ = std::max(found->second.triedAt_, at);
+    }
+  }
   Message reply;
   for (const auto& block : aMessage.blocks_) {
     const auto narrowed = Narrow(aState, block);
--- a/test/poison-sim.h
+++ b/test/poison-sim.h
@@ -407,6 +407,10 @@
         return;
       }
     }
+    if (const auto message =
+          poison::RecordSend(host.state_, aCall->parts_, now_)) {
+      PostToAll(aCall->host_, *message);
+    }
     aCall->hostStart_ = host.start_;
     std::size_t index = random_() % targets_.size();
     for (int i = 0; i < 5 && now_ < targets_[index].downUntil_; ++i) {
--- a/test/poison-test.cc
+++ b/test/poison-test.cc
@@ -416,6 +416,65 @@
   CHECK(BlockedParts(state) == causes);
 }
 
+namespace {
+
+// Tells a host of the loss of a request of another host.
+void
+LoseAt(poison::State& aState, absl::Time aAt, const poison::Traits& aTraits)
+{
+  const auto second = absl::ToUnixSeconds(aAt);
+  poison::Message message;
+  message.sender_ = "b";
+  message.losses_.push_back({ { absl::StrCat("t", second), 7 },
+                              static_cast<std::uint64_t>(second),
+                              "b",
+                              aTraits,
+                              aAt });
+  poison::Receive(aState, message, aAt);
+}
+
+} // namespace
+
+// Guards against attempts at a lost request that crash more targets while the
+// evidence spreads, against several hosts that try it at once, and against
+// delays of a request that an answer has cleared.
+TEST_CASE("attempts at a lost request wait, and are tried at longer intervals")
+{
+  const poison::Traits traits{ poison::RequestTrait("x") };
+  poison::State state;
+  state.self_ = "a";
+  state.hosts_ = 2;
+  LoseAt(state, kStart, traits);
+  auto delay = poison::SendDelay(state, traits, false, kStart);
+  CHECK(delay.time_ >= poison::kEvaluationTime);
+  CHECK_FALSE(delay.isBackoff_);
+  CHECK(poison::SendDelay(state, traits, true, kStart).time_ ==
+        absl::ZeroDuration());
+  CHECK(poison::SendDelay(state, { poison::RequestTrait("y") }, false, kStart)
+          .time_ == absl::ZeroDuration());
+  auto last = absl::ZeroDuration();
+  for (int i = 1; i < 8; ++i) {
+    const auto at = kStart + absl::Seconds(i);
+    LoseAt(state, at, traits);
+    delay = poison::SendDelay(state, traits, true, at);
+    CHECK(delay.isBackoff_ == (i >= 2));
+    CHECK(delay.time_ >= last);
+    CHECK(delay.time_ <= 2 * poison::kMaxBackoff);
+    last = delay.time_;
+  }
+  const auto tried = kStart + absl::Minutes(2);
+  REQUIRE(poison::SendDelay(state, traits, false, tried).time_ <=
+          absl::ZeroDuration());
+  poison::State other = state;
+  const auto message = poison::RecordSend(other, traits, tried);
+  REQUIRE(message);
+  poison::Receive(state, *message, tried);
+  CHECK(poison::SendDelay(state, traits, false, tried).time_ == last);
+  poison::RecordBegin(state, traits, tried);
+  CHECK(poison::SendDelay(state, traits, false, tried).time_ ==
+        absl::ZeroDuration());
+}
+
 TEST_CASE("crashes prove nothing while many sound requests are lost")
 {
   const auto lost = GENERATE(0, 500);
@@ -544,6 +603,7 @@
   message.begins_.push_back({ "x", kStart });
   message.sightings_.push_back({ { "t", 7 }, kStart });
   message.blocks_.push_back({ { "x" }, 3, kStart, kStart });
+  message.trials_.push_back({ "x", kStart });
   const auto now = kStart + absl::Seconds(2);
   const auto text = poison::WriteMessage(message, now);
   const auto read = poison::ReadMessage(text, now + absl::Milliseconds(5));
@@ -556,6 +616,8 @@
   CHECK(read->begins_.front().trait_ == "x");
   CHECK(read->sightings_.front().start_.target_ == "t");
   CHECK(read->blocks_.front().crashes_ == 3);
+  REQUIRE(read->trials_.size() == 1);
+  CHECK(read->trials_.front().trait_ == "x");
   for (std::size_t i = 0; i < text.size(); ++i) {
     CHECK_FALSE(poison::ReadMessage(text.substr(0, i), now));
   }
