--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 import world as lib  # noqa: E402
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-BODY_BYTES = 1_000_000
+BODY_BYTES = 3_000_000
 TIMEOUT_MS = 10000
 PARTS = 400
 
