--- a/review/1/case.py
+++ b/review/1/case.py
@@ -12,6 +12,8 @@
 import world as lib  # noqa: E402
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 TIMEOUT_MS = 15000
 MEMORY_TOKENS = 10000
 SERVERS = ("i-1", "i-2", "i-3", "i-4")
@@ -100,7 +102,7 @@
     # All memory is in use, so this one waits at the gateway.
     send("00000000000000a3")
     time.sleep(0.6)
-    if lib.trouble():
+    if TROUBLE:
         world.servers[first]["process"].send_signal(signal.SIGKILL)
         world.note(f"server {first} is killed")
     for thread in threads:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,6 +11,8 @@
 import world as lib  # noqa: E402
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 BODY_BYTES = 3_000_000
 TIMEOUT_MS = 10000
 PARTS = 400
@@ -47,7 +49,7 @@
         requester.sendall(lib.request_head("POST", "/boye613/2f", request, fields, BODY_BYTES))
         requester.sendall(b"y" * BODY_BYTES)
         world.note(f"the requester has sent {request} with {BODY_BYTES} bytes of body")
-        if lib.trouble():
+        if TROUBLE:
             end = time.monotonic() + 5
             while not (begun := [name for name, line in world.runs() if "bytes of its answer are sent" in line]):
                 if time.monotonic() > end:
@@ -60,7 +62,7 @@
     whole = b"".join(f"part {number} of the answer to {request}\n".encode() for number in range(PARTS))
     world.note(f"the requester gets: {answer}")
     world.note(f"the server's whole body has {len(whole)} bytes; the requester has {len(answer.body)} of them")
-    if not lib.trouble() and (answer.status != 200 or answer.body != whole):
+    if not TROUBLE and (answer.status != 200 or answer.body != whole):
         raise lib.CannotRun("without the disruption the answer isn't whole either")
     # MIXED: a success with a body that isn't the server's whole body, which looks complete.
     return answer.status // 100 == 2 and answer.complete and answer.body != whole
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,6 +12,8 @@
 import world as lib  # noqa: E402
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
+# TROUBLE=0 leaves the disruption out.
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 TIMEOUT_MS = 15000
 GOAL_MS = 2000
 MEMORY_TOKENS = 10000
@@ -85,7 +87,7 @@
         time.sleep(0.05)
     time.sleep(0.3)
     stopped = time.monotonic()
-    if lib.trouble():
+    if TROUBLE:
         gateway["process"].send_signal(signal.SIGTERM)
         world.note(f"{gateway['name']} gets SIGTERM")
     # Requesters that still hold the machine's address (three times ttl-s of 0.9 s).
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,4 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-cd "$(dirname "$0")" && exec timeout -k 5 110 python3 case.py
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+# With TROUBLE=0 the case runs without the disruption.
+cd "$(dirname "$0")" && exec env TROUBLE="${TROUBLE:-1}" timeout -k 5 110 python3 case.py
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -29,11 +29,6 @@
     """The case couldn't be set up, which says nothing about the rule."""
 
 
-def trouble():
-    """Returns whether the run includes the disruption."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 def free_address():
     """Returns a loopback address of its own for one machine."""
     return f"127.{random.randint(16, 250)}.{random.randint(1, 250)}.{random.randint(2, 250)}"
