Send a request once whatever it waited for

A request that waited for memory and was suspected of crashes had two reasons to be tried again: its place in the queue and the timer of the suspicion. When the suspicion ended first, the queue sent it, and the timer stayed set and sent it again. The first connection and its counts were never released.

A new decision now cancels the timer of the wait that it replaces, and there is no decision while a target or the permits' issuer owes an answer.

--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -155,7 +155,10 @@
 void
 Exchange::TryNextTarget()
 {
-  if (isAskingForPermit_) {
+  // This decision replaces the one that a wait was to make.
+  waitTimer_.Cancel();
+  // An answer that is due, of the permits' issuer or of a target, decides.
+  if (isAskingForPermit_ || holdsTarget_) {
     return;
   }
   if (EndIfBlocked() || WaitIfSuspected()) {
--- a/test/gateway-poison-test.cc
+++ b/test/gateway-poison-test.cc
@@ -437,3 +437,69 @@
   CHECK(sends() == (isBlocked ? 1 : 2));
   CHECK(absl::StartsWith(world.answer_, "HTTP/1.1 502"));
 }
+
+// Guards against a second run of a request whose wait for the evaluation of
+// crashes ends when the request has already been sent from the memory queue.
+TEST_CASE("a suspected request that waits for memory is sent once")
+{
+  World world;
+  auto& route =
+    world.AddRoute("/long/", lycheeplank::catalog::RepeatPolicy::Once, 1);
+  route.timeout_ = absl::Seconds(4);
+  route.maxGap_ = absl::Seconds(4);
+  route.priority_ = 1;
+  world.catalog_.services_["s"].memoryTokens_ = 100;
+  world.Publish();
+  std::vector<std::shared_ptr<gateway::Socket>> running;
+  const auto run = [&](FakeTarget&,
+                       const std::shared_ptr<gateway::Socket>& aSocket) {
+    running.push_back(aSocket);
+  };
+  auto& first = world.AddTarget(run);
+  auto& second = world.AddTarget(run);
+  for (auto& [id, member] : world.host_.members_) {
+    member.target_.weights_["m"] = 1;
+  }
+  const auto sends = [&] { return first.requests_ + second.requests_; };
+  const auto ask = [](const std::string& aId) {
+    return absl::StrReplaceAll(
+      World::Request("/long/", "X-Model: m\r\nX-Token-Count: 60,0\r\n", "x"),
+      { { kAnyId, kIdField + aId } });
+  };
+  const auto others = { world.Call(ask("r2")), world.Call(ask("r3")) };
+  REQUIRE(world.RunUntil([&] { return sends() == 2; }));
+  world.caller_ = world.Call(ask("r1"));
+  REQUIRE(
+    world.RunUntil([&] { return world.host_.waiting_.entries_.size() == 1; }));
+
+  gateway::CallerRequest request;
+  request.host_ = "h";
+  request.model_ = "m";
+  lycheeplank::http::RequestHead head;
+  head.method_ = "POST";
+  head.target_ = "/long/";
+  const lycheeplank::poison::Traits traits{ lycheeplank::poison::RequestTrait(
+    gateway::FingerprintOf(request, head, "x", "")) };
+  lycheeplank::poison::RecordLoss(
+    world.host_.poison_, { "gone", 1 }, 1, traits, gateway::Now());
+  gateway::StartWaitingRequests(world.host_);
+  const auto delay = gateway::SendDelay(world.host_, traits, false);
+  REQUIRE(delay.time_ > absl::ZeroDuration());
+  REQUIRE(sends() == 2);
+  // The suspicion ends, and a target has memory for the request.
+  lycheeplank::poison::RecordBegin(
+    world.host_.poison_, traits, gateway::Now() + absl::Seconds(1));
+  running.front()->Send(absl::StrReplaceAll(
+    WholeAnswer("x"), { { kAnyId, kIdField + std::string("r2") } }));
+  REQUIRE(world.RunUntil([&] {
+    gateway::StartWaitingRequests(world.host_);
+    return sends() == 3;
+  }));
+  world.RunFor(
+    absl::ToChronoMilliseconds(delay.time_ + absl::Milliseconds(200)));
+  CHECK(sends() == 3);
+  running.back()->Send(WholeAnswer("done"));
+  REQUIRE(
+    world.RunUntil([&] { return absl::StrContains(world.answer_, "done"); }));
+  CHECK(others.size() == 2);
+}
