Take an answer whose connection failed for a broken one

The target answered without a length while it still read the body, and crashed.

Cause: the host still had bytes to send, so its socket waited for reading and writing, and the write came first. Linux reports a reset or a timeout once: the write got it, and the read that followed ended as after an orderly close, which completes an answer without a length.

After a failed write no end of the connection counts as orderly. All client connections, to targets, peers and the key-value service, pass this place. An answer whose whole connection was closed before a write failed counts as broken too, since the host can't tell the two apart.

--- a/src/gateway/socket.cc
+++ b/src/gateway/socket.cc
@@ -122,8 +122,11 @@
   }
   if (error && error != asio::error::would_block && isOpen_) {
     const auto onClosed = std::move(events_.onClosed_);
-    const auto end =
-      error == asio::error::eof ? PeerEnd::Closed : PeerEnd::Broken;
+    // The kernel reports a reset or a timeout only once. After a write has
+    // failed with it, reads end as after an orderly close.
+    const auto end = error == asio::error::eof && !writeFailed_
+                       ? PeerEnd::Closed
+                       : PeerEnd::Broken;
     if (onClosed) {
       onClosed(end);
     }
--- a/test/gateway-trouble-test.cc
+++ b/test/gateway-trouble-test.cc
@@ -266,6 +266,33 @@
   CHECK(second.requests_ == 0);
 }
 
+// Guards against half an answer that arrives as a whole one: the kernel reports
+// the reset to the write of the request's body, and to no read.
+TEST_CASE("an answer without a length whose connection is reset is incomplete")
+{
+  // More than the kernel buffers for a target that doesn't read.
+  constexpr std::size_t kBodyBytes = 24U << 20U;
+  const auto half =
+    GENERATE(kHead + "\r\nhalf", kStreamHead + "\r\n" + Event(1));
+  World world;
+  world.catalog_.limits_.bodyBytes_ = kBodyBytes;
+  for (auto& route : world.catalog_.routes_["h"]) {
+    route.timeout_ = absl::Seconds(4);
+  }
+  world.Publish();
+  gateway::Timer timer(world.loop_);
+  auto& target = world.AddTarget([&](FakeTarget&, const auto& aSocket) {
+    aSocket->SetReading(false);
+    aSocket->Send(half);
+    timer.Set(absl::Milliseconds(200), [aSocket] { aSocket->Reset(); });
+  });
+  const auto answer =
+    world.Ask(World::Request("/stream/", "", std::string(kBodyBytes, 'y')));
+  CHECK(target.requests_ == 1);
+  CHECK_FALSE(answer.empty());
+  CHECK_FALSE((Has(answer, "HTTP/1.1 200") && world.IsWhole()));
+}
+
 TEST_CASE("a stream whose connection closes within an event is incomplete")
 {
   World world;
