Give each request an answer before a stopping host exits

Cause: the host decided by a request's arrival whether there was time for it, and nothing ended what was still open at the exit of the process. A request that waited for memory, a permit or the evaluation of crashes, or whose body came late, was sent at any later time or not at all.

The decision is now taken when a request is to be sent, again while it waits, and by its own deadline; the caller is refused at once and can go to another host. Before the exit all open requests are ended: refused if they haven't run, 504 if they may have, begun answers cut. A begun answer that ends with its connection (HTTP/1.0 callers) is reset; the exit itself closed it in an orderly way, and it looked whole.

--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -240,7 +240,8 @@
   void UpdateGauges()
   {
     auto& metrics = host_.metrics_;
-    metrics.Set("requests_open", static_cast<double>(host_.requestsOpen_));
+    metrics.Set("requests_open",
+                static_cast<double>(host_.openRequests_.size()));
     metrics.Set("targets", static_cast<double>(host_.members_.size()));
     metrics.Set("hosts", static_cast<double>(host_.hosts_.size()));
     metrics.Set("connections_opened",
@@ -293,7 +294,7 @@
     host_.stoppedAt_ = Now();
     host_.log_.Write(Line("stopping")
                        .Number("signal", aSignal)
-                       .Number("requests_open", host_.requestsOpen_));
+                       .Number("requests_open", host_.openRequests_.size()));
     owner_->Resign();
     registration_->MarkLeaving();
     BroadcastNotices(host_,
@@ -311,19 +312,23 @@
 
   // Ends the process when no caller can hold an address list with this host any
   // more and all requests are answered, including late ones, or when the grace
-  // time is nearly over.
+  // time is nearly over. Each request gets a final answer before.
   void CheckEnd()
   {
+    RefuseLateRequests(host_);
     const bool over = IsGraceOver();
+    if (over) {
+      EndRequests(host_);
+    }
     const bool forgotten =
       Now() - host_.stoppedAt_ >
       kMaxListLifetimes * host_.settings_.listLife_ + kLastAnswerTime;
-    const bool mayEnd = over || (forgotten && host_.requestsOpen_ == 0);
+    const bool mayEnd = over || (forgotten && host_.openRequests_.empty());
     if (mayEnd && !std::exchange(isWithdrawn_, true)) {
       registration_->Unregister();
     }
     endTimer_.Set(kLastAnswerTime, [this, over, mayEnd] {
-      if (over || (mayEnd && host_.requestsOpen_ == 0)) {
+      if (over || (mayEnd && host_.openRequests_.empty())) {
         End();
       } else {
         CheckEnd();
@@ -334,7 +339,7 @@
   void End()
   {
     host_.log_.Write(Line("stopped")
-                       .Number("requests_open", host_.requestsOpen_)
+                       .Number("requests_open", host_.openRequests_.size())
                        .Age("after_ms", Now() - host_.stoppedAt_));
     loop_.stop();
   }
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -161,6 +161,10 @@
   if (isAskingForPermit_ || holdsTarget_) {
     return;
   }
+  RefuseIfTooLate();
+  if (ended_) {
+    return;
+  }
   if (EndIfBlocked() || WaitIfSuspected()) {
     return;
   }
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -17,16 +17,6 @@
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 
-// Retry-After of a stopping host, before jitter: short, because another host
-// can serve the caller at once.
-constexpr absl::Duration kRetryAfterStopping = absl::Milliseconds(20);
-// For this time after the stop signal a host accepts any request, because
-// callers may still hold an address list that contains it. Afterwards it
-// accepts only requests whose route timeout ends kStopMargin before the end of
-// the grace time.
-constexpr absl::Duration kStoppingTime = absl::Milliseconds(2900);
-constexpr absl::Duration kStopMargin = absl::Milliseconds(600);
-
 } // namespace
 
 Exchange::Exchange(Host& aHost, ServerConnectionPtr aCaller)
@@ -48,7 +38,7 @@
 void
 Exchange::Start()
 {
-  ++host_.requestsOpen_;
+  host_.openRequests_.insert(this);
   arrivedAt_ = caller_->ArrivedAt();
   request_ = host_.adapter_.readCaller_(caller_->Head());
   catalog_ = host_.catalog_;
@@ -92,10 +82,6 @@
     Answer(kNotFound, "no_route");
     return false;
   }
-  if (host_.stopping_ && !EndsBeforeStop()) {
-    Refuse("stopping", kRetryAfterStopping);
-    return false;
-  }
   if (!catalog_->workspaces_.empty()) {
     workspace_ = catalog::FindWorkspace(*catalog_, request_.key_);
     if (workspace_ == nullptr && !route_->isPublic_) {
@@ -106,32 +92,28 @@
   return true;
 }
 
-bool
-Exchange::EndsBeforeStop() const
+void
+Exchange::OnDeadline()
 {
-  const auto age = arrivedAt_ - host_.stoppedAt_;
-  return age < kStoppingTime ||
-         age + route_->timeout_ < host_.settings_.graceTime_ - kStopMargin;
+  if (!ended_) {
+    GiveUp("deadline", kRetryAfterFull);
+  }
 }
 
 void
-Exchange::OnDeadline()
+Exchange::GiveUp(absl::string_view aReason, absl::Duration aRetryAfter)
 {
-  if (ended_) {
-    return;
-  }
   ++attemptNumber_;
-  const bool wasTrying = connection_ != nullptr || !targetId_.empty();
-  if (wasTrying) {
+  if (!targetId_.empty()) {
     ReleaseTarget(fleet::CallResult::Abandoned);
   }
   if (answerBegun_) {
     caller_->Abort();
-    Close("cut", head_.status_, "deadline");
+    Close("cut", head_.status_, aReason);
   } else if (history_.runs_ == 0) {
-    Refuse("deadline", kRetryAfterFull);
+    Refuse(aReason, aRetryAfter);
   } else {
-    Answer(kGatewayTimeout, "deadline");
+    Answer(kGatewayTimeout, aReason);
   }
 }
 
@@ -189,7 +171,7 @@
   }
   body_.clear();
   UpdateBufferedBytes();
-  --host_.requestsOpen_;
+  host_.openRequests_.erase(this);
   const auto now = Now();
   const auto took = now - arrivedAt_;
   host_.metrics_.Count("requests_total", "outcome", aOutcome);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -32,14 +32,20 @@
   Exchange(Host& aHost, ServerConnectionPtr aCaller);
 
   void Start();
+  // Refuses the request if it waits to be sent and the stopping host has no
+  // time for its answer.
+  void RefuseIfTooLate();
+  // Ends the request because the host exits.
+  void EndForExit();
 
 private:
   // Validation and placement.
 
   // Answers or refuses a request that can't be served; returns whether it can.
   bool Validate();
-  // Returns whether the stopping host has time to answer this request.
-  bool EndsBeforeStop() const;
+  // Returns whether the host stops and has no time for the answer if the
+  // request is sent now.
+  bool IsTooLate() const;
   void TryNextTarget();
   std::uint32_t Priority() const;
   bool IsUrgent() const;
@@ -128,6 +134,8 @@
   // weights if the answer doesn't begin in time.
   void StartWeightsTimer();
   void OnDeadline();
+  // Ends the request, whatever it waits for.
+  void GiveUp(absl::string_view aReason, absl::Duration aRetryAfter);
   void OnGone();
   void Close(absl::string_view aOutcome,
              int aStatus,
@@ -205,6 +213,16 @@
   bool ended_ = false;
 };
 
+// Refuses the waiting requests for whose answers a stopping host has no time;
+// call it periodically.
+void
+RefuseLateRequests(Host& aHost);
+
+// Ends all open requests because the host exits: refuses those that haven't
+// run, reports a timeout for those that may have, and cuts begun answers.
+void
+EndRequests(Host& aHost);
+
 } // namespace lycheeplank::gateway
 
 #endif
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -11,6 +11,7 @@
 
 #include <absl/container/btree_map.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
 #include "gateway/adapter.h"
@@ -75,6 +76,7 @@
   { Role::Relayed, "told" },
 } };
 
+class Exchange;
 class Timer;
 
 // A request for a permit that the issuer hasn't answered.
@@ -172,7 +174,8 @@
 
   bool stopping_ = false;
   absl::Time stoppedAt_ = absl::InfinitePast();
-  std::uint64_t requestsOpen_ = 0;
+  // Requests without a final answer.
+  absl::flat_hash_set<Exchange*> openRequests_;
   // Runs when this host's open calls at targets have changed.
   std::function<void()> onLoad_ = [] {};
   // Run when items of the key-value service have changed: the catalog, targets,
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -281,7 +281,7 @@
   const auto start = gateway::Now();
   REQUIRE(world.RunUntil([&] { return target.closed_ == 1; }));
   CHECK(gateway::Now() - start < absl::Milliseconds(500));
-  CHECK(world.host_.requestsOpen_ == 0);
+  CHECK(world.host_.openRequests_.empty());
 }
 
 TEST_CASE("the final answer is sent at the route's timeout")
--- a/test/gateway-world.h
+++ b/test/gateway-world.h
@@ -224,7 +224,10 @@
                     answer_ += aData;
                     aData.clear();
                   },
-                   [this](gateway::PeerEnd) { answerClosed_ = true; },
+                   [this](gateway::PeerEnd aEnd) {
+                     answerClosed_ = true;
+                     onCallerEnd_(aEnd);
+                   },
                    {} });
     caller->Send(aBytes);
     return caller;
@@ -275,6 +278,7 @@
   std::shared_ptr<gateway::Socket> caller_;
   std::string answer_;
   bool answerClosed_ = false;
+  std::function<void(gateway::PeerEnd)> onCallerEnd_ = [](gateway::PeerEnd) {};
 
 private:
   static gateway::Settings MakeSettings()
