End a target's part of a stream at the first invalid event

Callers got events that no run had made, and streams that ended as complete although events were missing (ORDER on the users' machines).

Cause: the host took events apart only to find their ends. It passed on any event, also without an id, with an empty one or with one that leaps, and then left out all sound events below the number that had leapt. Beyond the reported ones these were wrong: ids that aren't plain numbers, two ids, an id without data, blocks that are no events, a missing event, garbage before the first event or without its end, and streams without any event.

On stream routes the next number is due now, counted from the caller's last event. The first event that isn't it ends the target's part: the stream goes on at another target where its route allows, and is cut otherwise. Events that were complete before it, or before an endless one, are forwarded first. A stream without events, or with an unfinished one, isn't whole, whatever its framing. An event whose number went back is left out as before.

--- a/src/gateway/events.cc
+++ b/src/gateway/events.cc
@@ -4,6 +4,7 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
 
@@ -35,19 +36,66 @@
          absl::StrContains(aEvent, "\ndata");
 }
 
-absl::optional<std::string>
-IdOf(absl::string_view aEvent)
+bool
+IsComment(absl::string_view aEvent)
+{
+  for (const absl::string_view line : absl::StrSplit(aEvent, '\n')) {
+    if (!absl::StripAsciiWhitespace(line).empty() &&
+        !absl::StartsWith(line, ":")) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::vector<absl::string_view>
+IdsOf(absl::string_view aEvent)
 {
+  std::vector<absl::string_view> ids;
   for (absl::string_view line : absl::StrSplit(aEvent, '\n')) {
     if (absl::ConsumePrefix(&line, "id:")) {
-      return std::string(absl::StripAsciiWhitespace(line));
+      ids.push_back(absl::StripAsciiWhitespace(line));
     }
   }
-  return absl::nullopt;
+  return ids;
+}
+
+// Returns the number that an id consists of in its shortest form.
+absl::optional<std::uint64_t>
+NumberOf(absl::string_view aId)
+{
+  std::uint64_t number = 0;
+  return absl::SimpleAtoi(aId, &number) && absl::StrCat(number) == aId
+           ? absl::make_optional(number)
+           : absl::nullopt;
 }
 
 } // namespace
 
+void
+EventSplitter::ExpectNumbers(absl::string_view aLastId)
+{
+  isNumbered_ = true;
+  lastNumber_ = aLastId.empty() ? 0 : NumberOf(aLastId);
+}
+
+EventSplitter::Step
+EventSplitter::Check(absl::string_view aEvent,
+                     const std::vector<absl::string_view>& aIds) const
+{
+  if (IsComment(aEvent)) {
+    return Step::Forward;
+  }
+  const auto number = aIds.empty() ? absl::nullopt : NumberOf(aIds.front());
+  if (number && lastNumber_ && *number <= *lastNumber_) {
+    return Step::LeaveOut;
+  }
+  const bool isNext = number && (!lastNumber_ || *number == *lastNumber_ + 1);
+  return !isNumbered_ || (isNext && aIds.size() == 1 && HasData(aEvent))
+           ? Step::Forward
+           : Step::Stop;
+}
+
 std::string
 EventSplitter::Take(std::string& aData)
 {
@@ -57,19 +105,22 @@
   for (auto end = EndOfEvent(rest_, searched_); end != std::string::npos;
        end = EndOfEvent(rest_, 0)) {
     const auto event = rest_.substr(0, end);
+    const auto ids = IdsOf(event);
+    const auto step = Check(event, ids);
+    if (step == Step::Stop) {
+      isInvalid_ = true;
+      return whole;
+    }
     rest_.erase(0, end);
     searched_ = 0;
-    std::uint64_t number = 0;
-    const auto id = IdOf(event);
-    const bool isNumber = id && absl::SimpleAtoi(*id, &number);
-    if (isNumber && lastNumber_ && number <= *lastNumber_) {
+    if (step == Step::LeaveOut) {
       continue;
     }
-    if (isNumber) {
-      lastNumber_ = number;
-    }
-    if (id) {
-      lastId_ = *id;
+    if (!ids.empty()) {
+      lastId_ = std::string(ids.front());
+      if (const auto number = NumberOf(lastId_)) {
+        lastNumber_ = number;
+      }
     }
     ++count_;
     dataCount_ += HasData(event) ? 1 : 0;
@@ -84,6 +135,7 @@
 {
   rest_.clear();
   searched_ = 0;
+  isInvalid_ = false;
 }
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include <absl/strings/string_view.h>
 #include <absl/types/optional.h>
@@ -19,10 +20,19 @@
 class EventSplitter
 {
 public:
+  // From now on each event must have data and, as its only id, the number that
+  // follows the last one. aLastId: id before the first event; empty if the
+  // stream starts with event 1. Any first number is taken if it isn't a number.
+  void ExpectNumbers(absl::string_view aLastId);
+  bool IsNumbered() const { return isNumbered_; }
   // Consumes aData and returns the events that are complete, byte for byte.
   // Leaves out events whose numeric id isn't above the last one: a stream that
-  // continues at another target may repeat events that the caller has.
+  // continues at another target may repeat events that the caller has. Stops at
+  // the first invalid event.
   std::string Take(std::string& aData);
+  // Returns whether an event of a numbered stream is invalid; the caller must
+  // stop then.
+  bool IsInvalid() const { return isInvalid_; }
   // Bytes of the event that isn't complete yet.
   const std::string& Rest() const { return rest_; }
   // Returns whether an event exceeds kMaxEventBytes; the caller must stop then.
@@ -35,6 +45,17 @@
   std::uint64_t DataCount() const { return dataCount_; }
 
 private:
+  // What to do with an event.
+  enum class Step
+  {
+    Forward,
+    LeaveOut,
+    Stop,
+  };
+
+  Step Check(absl::string_view aEvent,
+             const std::vector<absl::string_view>& aIds) const;
+
   std::string rest_;
   // Length of the prefix of rest_ in which no event ends.
   std::size_t searched_ = 0;
@@ -42,6 +63,8 @@
   absl::optional<std::uint64_t> lastNumber_;
   std::uint64_t count_ = 0;
   std::uint64_t dataCount_ = 0;
+  bool isNumbered_ = false;
+  bool isInvalid_ = false;
 };
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -186,6 +186,19 @@
   }
 }
 
+void
+Exchange::AbandonInvalid()
+{
+  host_.metrics_.Count("broken_answers_total", "end", "invalid_event");
+  host_.log_.Write(Line("invalid_event")
+                     .Text("id", request_.id_)
+                     .Text("target", targetId_)
+                     .Text("last_event", events_.LastId())
+                     .Number("bytes", events_.Rest().size()));
+  EndAttempt(answerBegun_ ? retry::AttemptEnd::CutAnswer
+                          : retry::AttemptEnd::Failed);
+}
+
 void
 Exchange::UpdateBufferedBytes()
 {
@@ -271,17 +284,23 @@
 {
   const auto dataBefore = events_.DataCount();
   const auto whole = events_.Take(aBody);
-  if (events_.IsOverlong()) {
-    AbandonOversized("event", events_.Rest().size());
-    return;
+  if (!whole.empty()) {
+    WriteEvents(whole, events_.DataCount() > dataBefore);
   }
-  if (whole.empty()) {
-    return;
+  if (events_.IsInvalid()) {
+    AbandonInvalid();
+  } else if (events_.IsOverlong()) {
+    AbandonOversized("event", events_.Rest().size());
   }
-  if (events_.DataCount() == dataBefore) {
+}
+
+void
+Exchange::WriteEvents(absl::string_view aEvents, bool aHaveData)
+{
+  if (!aHaveData) {
     // Comments only keep the connection open; they aren't progress.
     if (answerBegun_) {
-      WriteToCaller(whole);
+      WriteToCaller(aEvents);
     }
     return;
   }
@@ -302,7 +321,7 @@
   if (!answerBegun_) {
     BeginAnswer();
   }
-  WriteToCaller(whole);
+  WriteToCaller(aEvents);
   silenceTimer_.Cancel();
   if (const auto limit = retry::GapLimit(*route_, history_);
       limit != absl::InfiniteDuration() &&
@@ -370,15 +389,26 @@
   Close(status / 100 == 2 ? "served" : "target_answer", status, "whole");
 }
 
-void
-Exchange::FinishStream(CallEnd aEnd)
+bool
+Exchange::IsPartialStream() const
 {
   // Without a length or chunks, a stream that is cut looks complete unless it
   // ends within an event or before the first one.
   const bool isFramed = head_.length_.has_value() || head_.isChunked_;
-  const bool isPartial =
-    !isFramed && (events_.Count() == 0 ||
-                  !absl::StripAsciiWhitespace(events_.Rest()).empty());
+  if (isFramed && !events_.IsNumbered()) {
+    return false;
+  }
+  // A stream that the caller continues may have no more events.
+  const bool mayBeEmpty = isFramed && (!request_.lastEventId_.empty() ||
+                                       caller_->Head().method_ == "HEAD");
+  return (events_.DataCount() == 0 && !mayBeEmpty) ||
+         !absl::StripAsciiWhitespace(events_.Rest()).empty();
+}
+
+void
+Exchange::FinishStream(CallEnd aEnd)
+{
+  const bool isPartial = IsPartialStream();
   if (aEnd != CallEnd::Complete || isPartial) {
     host_.metrics_.Count("broken_answers_total",
                          "end",
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -53,6 +53,9 @@
                   caller_->Body(),
                   workspace_ == nullptr ? request_.key_ : workspace_->name_);
   traits_ = TraitsOf(request_, fingerprint_);
+  if (route_->repeatPolicy_ == catalog::RepeatPolicy::Stream) {
+    events_.ExpectNumbers(request_.lastEventId_);
+  }
   readDraw_ = std::uniform_real_distribution<>(0.0, 1.0)(host_.random_);
   deadline_ = arrivedAt_ + route_->timeout_;
   if (request_.callerTimeout_) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -101,6 +101,8 @@
   void OnBody(std::string& aBody);
   void OnEnd(CallEnd aEnd);
   void ForwardEvents(std::string& aBody);
+  // Forwards whole events. aHaveData: they aren't only comments.
+  void WriteEvents(absl::string_view aEvents, bool aHaveData);
   // Writes bytes of an answer that has begun to the caller; stops reading from
   // the target while the caller is slow.
   void WriteToCaller(absl::string_view aBytes);
@@ -108,7 +110,13 @@
   void UpdateBufferedBytes();
   // Fails the attempt because a part of its answer exceeds its size limit.
   void AbandonOversized(absl::string_view aPart, std::size_t aBytes);
+  // Fails the attempt because the target sent an event that can't belong to the
+  // stream. The events before it have been forwarded.
+  void AbandonInvalid();
   void BeginAnswer();
+  // Returns whether a stream that has ended regularly lacks events or the end
+  // of one.
+  bool IsPartialStream() const;
   void FinishStream(CallEnd aEnd);
   void DeliverBuffered();
 
--- a/test/gateway-events-test.cc
+++ b/test/gateway-events-test.cc
@@ -85,3 +85,43 @@
     CHECK(passed == text);
   }
 }
+
+// Guards against bytes that no run made and against missing events, which the
+// events after a leap became.
+TEST_CASE("a numbered stream stops at the first invalid event")
+{
+  const std::string invalid = GENERATE("data: x\n\n",
+                                       "id: \ndata: x\n\n",
+                                       "id: 4\ndata: x\n\n",
+                                       "id: x3\ndata: x\n\n",
+                                       "id: +3\ndata: x\n\n",
+                                       "id: 03\ndata: x\n\n",
+                                       "id: 3\nid: 9\ndata: x\n\n",
+                                       "id: 3\n\n",
+                                       "noise\n\n");
+  const std::string sound = "id: 1\ndata: a\n\n: note\n\nid: 2\ndata: b\n\n";
+  gateway::EventSplitter splitter;
+  splitter.ExpectNumbers("");
+  CHECK(TakeAll(splitter, sound + invalid + "id: 3\ndata: c\n\n") == sound);
+  CHECK(splitter.IsInvalid());
+  CHECK(splitter.LastId() == "2");
+  splitter.Clear();
+  CHECK(TakeAll(splitter, "id: 3\ndata: c\n\n") == "id: 3\ndata: c\n\n");
+  CHECK_FALSE(splitter.IsInvalid());
+}
+
+TEST_CASE("a numbered stream begins after the last event that the caller has")
+{
+  gateway::EventSplitter splitter;
+  splitter.ExpectNumbers("7");
+  CHECK(TakeAll(splitter, "id: 7\ndata: a\n\nid: 8\ndata: b\n\n") ==
+        "id: 8\ndata: b\n\n");
+  gateway::EventSplitter leaping;
+  leaping.ExpectNumbers("7");
+  CHECK(TakeAll(leaping, "id: 9\ndata: c\n\n").empty());
+  CHECK(leaping.IsInvalid());
+  gateway::EventSplitter unknown;
+  unknown.ExpectNumbers("x");
+  CHECK(TakeAll(unknown, "id: 9\ndata: c\n\nid: 10\ndata: d\n\n") ==
+        "id: 9\ndata: c\n\nid: 10\ndata: d\n\n");
+}
--- a/test/gateway-trouble-test.cc
+++ b/test/gateway-trouble-test.cc
@@ -293,6 +293,72 @@
   CHECK_FALSE((Has(answer, "HTTP/1.1 200") && world.IsWhole()));
 }
 
+// Guards against garbage in a stream, and against a stream that ends as
+// complete although events are missing.
+TEST_CASE("an invalid event ends the target's part of a stream")
+{
+  const std::string bad = GENERATE("data: garbage\n\n",
+                                   "id: \ndata: garbage\n\n",
+                                   "id: 99\ndata: garbage\n\n",
+                                   "garbage\n\n",
+                                   // Ends within an event.
+                                   "garbage");
+  const bool isFirst = GENERATE(true, false);
+  const auto sound = isFirst ? std::string() : Event(1) + Event(2);
+  const auto rest = bad == "garbage" ? "" : isFirst ? Event(1) : Event(3);
+  World world;
+  world.AddTarget(Sends(Stream(sound + bad + rest)));
+  SECTION("one that may run once is cut or fails")
+  {
+    const auto answer = world.Ask(World::Request("/stream/"));
+    CHECK_FALSE(Has(answer, "garbage"));
+    CHECK(Has(answer, isFirst ? "HTTP/1.1 502" : "data: x"));
+    CHECK(world.IsWhole() == isFirst);
+  }
+  SECTION("one that may be continued continues after the last valid event")
+  {
+    auto& second = world.AddTarget(
+      Sends(Stream((isFirst ? Event(1) + Event(2) : "") + Event(3))));
+    const auto answer = world.Ask(World::Request("/resume/"));
+    CHECK(Has(answer, Stream(Event(1) + Event(2) + Event(3)).substr(0, 17)));
+    CHECK_FALSE(Has(answer, "garbage"));
+    for (int id = 1; id <= 3; ++id) {
+      CHECK(Has(answer, Event(id)));
+    }
+    CHECK(world.IsWhole());
+    CHECK(Has(second.received_, "Last-Event-Id: 2") == !isFirst);
+  }
+}
+
+// Guards against a stream without its events.
+TEST_CASE("a stream that ends before its first event fails")
+{
+  World world;
+  world.AddTarget(Sends(Stream(": note\n\n")));
+  CHECK(Has(world.Ask(World::Request("/stream/")), "HTTP/1.1 502"));
+  const auto answer =
+    world.Ask(World::Request("/stream/", "Last-Event-Id: 5\r\n"));
+  CHECK(Has(answer, "HTTP/1.1 200"));
+}
+
+// Guards against the loss of events that arrive together with the start of an
+// endless one.
+TEST_CASE("events before an endless one are forwarded")
+{
+  World world;
+  world.AddTarget(
+    Repeats(world,
+            kStreamHead + "\r\n" + Event(1) + Event(2) +
+              "data: " + std::string(gateway::kMaxEventBytes + 1, 'z'),
+            "z"));
+  world.AddTarget(Sends(Stream(Event(3))));
+  const auto answer = world.Ask(World::Request("/resume/"));
+  for (int id = 1; id <= 3; ++id) {
+    CHECK(Has(answer, Event(id)));
+  }
+  CHECK(world.IsWhole());
+}
+
 TEST_CASE("a stream whose connection closes within an event is incomplete")
 {
   World world;
