Take an answer that ends within its head for a broken one

The new case of gateway-trouble-test closes after each byte of four heads and passed at once.

A call is now complete only if the head of its final answer was: its empty line has been seen, and not that of an interim answer.

--- a/src/net/client.cc
+++ b/src/net/client.cc
@@ -8,8 +8,9 @@
 
 #include <absl/base/thread_annotations.h>
 #include <absl/container/flat_hash_map.h>
+#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/strip.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/synchronization/notification.h>
 #include <curl/curl.h>
@@ -55,6 +56,7 @@
   // Infinite if the call has no timeout.
   absl::Time deadline_ = absl::InfiniteFuture();
   bool statusReported_ = false;
+  bool isHeadComplete_ = false;
   std::vector<Field>* answerHeaders_ = nullptr;
   // The buffer of the worker that runs the call.
   ReceiveBuffer* receiveBuffer_ = nullptr;
@@ -124,11 +126,26 @@
   return aSize * aCount;
 }
 
+// Records whether the head of the final answer is complete. libcurl reports a
+// call as successful if its connection closes within the head.
+void
+RecordHeadEnd(ActiveCall& aActive, absl::string_view aLine)
+{
+  if (absl::StartsWith(aLine, "HTTP/")) {
+    aActive.isHeadComplete_ = false;
+  } else if (absl::StripAsciiWhitespace(aLine).empty()) {
+    long status = 0;
+    curl_easy_getinfo(aActive.easy_, CURLINFO_RESPONSE_CODE, &status);
+    aActive.isHeadComplete_ = status / 100 != 1;
+  }
+}
+
 std::size_t
 OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aActive)
 {
   auto& active = *static_cast<ActiveCall*>(aActive);
   const absl::string_view line(aData, aSize * aCount);
+  RecordHeadEnd(active, line);
   if (const auto colon = line.find(':');
       active.answerHeaders_ != nullptr && colon != absl::string_view::npos) {
     active.answerHeaders_->push_back(
@@ -418,14 +435,16 @@
     const std::unique_ptr<ActiveCall> active = std::move(found->second);
     activeCalls_.erase(found);
     CallEnd end;
-    end.completed_ = aCode == CURLE_OK;
+    end.completed_ = aCode == CURLE_OK && active->isHeadComplete_;
     long status = 0;
     long sent = 0;
     curl_easy_getinfo(active->easy_, CURLINFO_RESPONSE_CODE, &status);
     curl_easy_getinfo(active->easy_, CURLINFO_REQUEST_SIZE, &sent);
     end.status_ = static_cast<int>(status);
     end.neverSent_ = sent == 0;
-    end.error_ = end.completed_ ? "" : curl_easy_strerror(aCode);
+    end.error_ = end.completed_      ? ""
+                 : aCode == CURLE_OK ? "connection closed within the head"
+                                     : curl_easy_strerror(aCode);
     if (end.completed_) {
       ReportStatus(*active);
     }
--- a/test/gateway-trouble-test.cc
+++ b/test/gateway-trouble-test.cc
@@ -266,6 +266,30 @@
   CHECK(second.requests_ == 0);
 }
 
+// Guards against an answer with an empty or short body that looks whole.
+TEST_CASE("an answer whose connection closes within its head fails")
+{
+  const std::string head =
+    GENERATE(kHead + "Content-Length: 12\r\n\r\n",
+             kHead + "\r\n",
+             kStreamHead + kChunked,
+             "HTTP/1.1 100 Continue\r\n\r\n" + kHead + "\r\n");
+  World world;
+  std::size_t length = 0;
+  world.AddTarget(
+    [&](FakeTarget& aTarget, const std::shared_ptr<gateway::Socket>& aSocket) {
+      Sends(head.substr(0, length), true)(aTarget, aSocket);
+    });
+  for (length = 1; length < head.size(); ++length) {
+    const auto path =
+      head.find("event-stream") == std::string::npos ? "/once/" : "/stream/";
+    // Otherwise the failures would take the only target out of use.
+    world.host_.members_.at("t1").failureShare_ = 0.0;
+    world.host_.members_.at("t1").quarantinedUntil_ = absl::InfinitePast();
+    CHECK(Has(world.Ask(World::Request(path)), "HTTP/1.1 502"));
+  }
+}
+
 // Guards against half an answer that arrives as a whole one: the kernel reports
 // the reset to the write of the request's body, and to no read.
 TEST_CASE("an answer without a length whose connection is reset is incomplete")
--- a/test/net-test.cc
+++ b/test/net-test.cc
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <array>
 #include <atomic>
+#include <future>
 #include <sys/socket.h>
 #include <thread>
 #include <unistd.h>
@@ -60,6 +61,50 @@
   const int socket_;
 };
 
+// A server that sends a text and closes the connection.
+class CutServer
+{
+public:
+  CutServer()
+    : socket_(socket(AF_INET, SOCK_STREAM, 0))
+  {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    REQUIRE(bind(socket_,
+                 reinterpret_cast<const sockaddr*>(&address),
+                 sizeof(address)) == 0);
+    REQUIRE(listen(socket_, 1) == 0);
+  }
+  ~CutServer() { close(socket_); }
+  CutServer(const CutServer&) = delete;
+  CutServer& operator=(const CutServer&) = delete;
+
+  std::uint16_t Port() const
+  {
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    REQUIRE(
+      getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    return ntohs(address.sin_port);
+  }
+
+  // Accepts a connection, reads a request and answers it.
+  void Answer(const std::string& aText) const
+  {
+    const int peer = accept(socket_, nullptr, nullptr);
+    REQUIRE(peer >= 0);
+    std::array<char, 1024> buffer{};
+    REQUIRE(recv(peer, buffer.data(), buffer.size(), 0) > 0);
+    REQUIRE(send(peer, aText.data(), aText.size(), 0) ==
+            static_cast<ssize_t>(aText.size()));
+    close(peer);
+  }
+
+private:
+  const int socket_;
+};
+
 } // namespace
 
 TEST_CASE("a fetched answer carries status, headers and body")
@@ -160,6 +205,25 @@
   held->Reply(200, {}, "late");
 }
 
+// Guards against an empty answer in place of one that was cut.
+TEST_CASE("a call whose connection closes within the answer's head fails")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                           "Content-Length: 12\r\n\r\n";
+  const std::string interim = GENERATE("", "HTTP/1.1 100 Continue\r\n\r\n");
+  const CutServer server;
+  net::Client client;
+  for (const std::size_t length : { 1, 9, 15, 17, 30, 43, 60, 62 }) {
+    CAPTURE(length);
+    auto answer = std::async(std::launch::async, [&] {
+      return client.FetchAndWait(
+        { "GET", absl::StrCat("http://127.0.0.1:", server.Port(), "/") });
+    });
+    server.Answer(interim + head.substr(0, length));
+    CHECK_FALSE(answer.get().end_.completed_);
+  }
+}
+
 TEST_CASE("server-sent events split at any byte are parsed")
 {
   const std::string text =
