--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -186,19 +186,6 @@
   }
 }
 
-void
-Exchange::AbandonInvalid()
-{
-  host_.metrics_.Count("broken_answers_total", "end", "invalid_event");
-  host_.log_.Write(Line("invalid_event")
-                     .Text("id", request_.id_)
-                     .Text("target", targetId_)
-                     .Text("last_event", events_.LastId())
-                     .Number("bytes", events_.Rest().size()));
-  EndAttempt(answerBegun_ ? retry::AttemptEnd::CutAnswer
-                          : retry::AttemptEnd::Failed);
-}
-
 void
 Exchange::UpdateBufferedBytes()
 {
@@ -222,6 +209,19 @@
   EndAttempt(retry::AttemptEnd::Failed);
 }
 
+void
+Exchange::AbandonInvalid()
+{
+  host_.metrics_.Count("broken_answers_total", "end", "invalid_event");
+  host_.log_.Write(Line("invalid_event")
+                     .Text("id", request_.id_)
+                     .Text("target", targetId_)
+                     .Text("last_event", events_.LastId())
+                     .Number("bytes", events_.Rest().size()));
+  EndAttempt(answerBegun_ ? retry::AttemptEnd::CutAnswer
+                          : retry::AttemptEnd::Failed);
+}
+
 void
 Exchange::WriteToCaller(absl::string_view aBytes)
 {
