--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -47,6 +47,7 @@
              absl::string_view aSource,
              absl::Time aNow)
 {
+  const auto readFrom = Now();
   auto read =
     aItem.deleted_ ? absl::nullopt : aHost.adapter_.readCatalog_(aItem);
   if (!read) {
@@ -72,6 +73,8 @@
                      .Number("hosts", aHost.catalog_->routes_.size())
                      .Number("services", aHost.catalog_->services_.size())
                      .Number("workspaces", aHost.catalog_->workspaces_.size())
+                     .Number("bytes", aItem.value_.size())
+                     .Age("read_ms", Now() - readFrom)
                      .Text("source", aSource));
 }
 
@@ -271,7 +274,8 @@
 void
 RecordStoreCall(Host& aHost,
                 const StoreCommand& aCommand,
-                StoreOutcome aOutcome)
+                StoreOutcome aOutcome,
+                const http::Answer& aAnswer)
 {
   auto& health = aHost.store_;
   const bool failed =
@@ -281,6 +285,7 @@
     health.reachable_ = !failed;
     aHost.log_.Write(
       Line(failed ? "store_lost" : "store_back")
+        .Text("operation", core::NameOf(kStoreOperations, aCommand.operation_))
         .Text("key", aCommand.key_)
         .Text("outcome", core::NameOf(kStoreOutcomes, aOutcome)));
     // Hosts that follow this one switch to another relay at once.
@@ -292,6 +297,16 @@
       });
     }
   }
+  if (failed && aAnswer.received_ > 0) {
+    aHost.log_.Write(
+      Line("store_call_cut")
+        .Text("operation", core::NameOf(kStoreOperations, aCommand.operation_))
+        .Text("key", aCommand.key_)
+        .Number("received", aAnswer.received_)
+        .Age("transfer_ms", aAnswer.transferTime_));
+  }
+  aHost.metrics_.Count("store_received_bytes_total",
+                       static_cast<double>(aAnswer.received_));
   aHost.metrics_.Count(
     "store_calls_total", "outcome", core::NameOf(kStoreOutcomes, aOutcome));
   aHost.metrics_.Count("store_operations_total",
@@ -446,7 +461,7 @@
           const http::Answer& aAnswer) {
           auto reply = aHost.adapter_.readStoreReply_(aCommand, aAnswer);
           CheckReplyEra(aHost, aCommand, reply);
-          RecordStoreCall(aHost, aCommand, reply.outcome_);
+          RecordStoreCall(aHost, aCommand, reply.outcome_, aAnswer);
           onReply(std::move(reply));
         });
 }
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -238,18 +238,21 @@
   const auto update =
     aAnswer.status_ == 200 ? ReadPeerUpdate(aAnswer.body_) : absl::nullopt;
   if (!update) {
-    OnFailure(aPeer, absl::StrCat("status ", aAnswer.status_));
+    OnFailure(aPeer, absl::StrCat("status ", aAnswer.status_), aAnswer);
     return;
   }
+  host_.metrics_.Count("peer_update_bytes_total",
+                       static_cast<double>(aAnswer.received_));
+  host_.metrics_.Observe("peer_update_seconds", aAnswer.transferTime_);
   const bool isRelay = IsRelay();
   if (!isRelay && !update->sender_.isDirect_) {
-    OnFailure(aPeer, "peer polls other hosts itself");
+    OnFailure(aPeer, "peer polls other hosts itself", aAnswer);
     return;
   }
   positions_[aPeer.name_] = { update->feed_, update->next_ };
   ApplyUpdate(*update, EarliestSendTime(host_.stallDetector_, aAskedAt, Now()));
   if (!isRelay && !update->sender_.storeReachable_ && host_.store_.reachable_) {
-    OnFailure(aPeer, "peer can't reach the key-value service");
+    OnFailure(aPeer, "peer can't reach the key-value service", aAnswer);
     return;
   }
   if (!std::exchange(following_, true)) {
@@ -288,12 +291,18 @@
 }
 
 void
-PeerFollower::OnFailure(const Peer& aPeer, absl::string_view aReason)
+PeerFollower::OnFailure(const Peer& aPeer,
+                        absl::string_view aReason,
+                        const http::Answer& aAnswer)
 {
   ++failures_;
-  if (std::exchange(following_, false)) {
-    host_.log_.Write(
-      Line("peer_lost").Text("peer", aPeer.name_).Text("reason", aReason));
+  // Further failures are logged only if a transfer was cut.
+  if (std::exchange(following_, false) || aAnswer.received_ > 0) {
+    host_.log_.Write(Line("peer_lost")
+                       .Text("peer", aPeer.name_)
+                       .Text("reason", aReason)
+                       .Number("received", aAnswer.received_)
+                       .Age("transfer_ms", aAnswer.transferTime_));
   }
   const auto sources = Sources().size();
   if (host_.role_ == Role::Starting && host_.store_.reachable_ &&
--- a/src/gateway/peer-follower.h
+++ b/src/gateway/peer-follower.h
@@ -51,7 +51,9 @@
                 const http::Answer& aAnswer,
                 absl::Time aAskedAt);
   void ApplyUpdate(const PeerUpdate& aUpdate, absl::Time aSentSince);
-  void OnFailure(const Peer& aPeer, absl::string_view aReason);
+  void OnFailure(const Peer& aPeer,
+                 absl::string_view aReason,
+                 const http::Answer& aAnswer);
 
   Host& host_;
   Timer timer_;
--- a/src/gateway/pool.cc
+++ b/src/gateway/pool.cc
@@ -31,6 +31,7 @@
   Timer timer_;
   ConnectionPtr connection_;
   http::Answer answer_;
+  absl::Time headAt_ = absl::InfiniteFuture();
   std::function<void(http::Answer)> onAnswer_;
 };
 
@@ -42,10 +43,15 @@
   }
   aState->timer_.Cancel();
   const auto onAnswer = std::exchange(aState->onAnswer_, nullptr);
+  auto& answer = aState->answer_;
   if (!aIsComplete) {
-    aState->answer_ = {};
+    const auto received = answer.received_;
+    answer = {};
+    answer.received_ = received;
   }
-  onAnswer(std::move(aState->answer_));
+  answer.transferTime_ =
+    std::max(absl::ZeroDuration(), Now() - aState->headAt_);
+  onAnswer(std::move(answer));
 }
 
 std::string
@@ -68,11 +74,13 @@
 {
   CallEvents events;
   events.onHead_ = [aState](const http::ResponseHead& aHead) {
+    aState->headAt_ = Now();
     aState->answer_.status_ = aHead.status_;
     aState->answer_.fields_ = aHead.fields_;
     return true;
   };
   events.onBody_ = [aState, &aPool](std::string& aBody) {
+    aState->answer_.received_ += aBody.size();
     aState->answer_.body_ += aBody;
     aBody.clear();
     if (aState->answer_.body_.size() > kMaxAnswerBytes) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <absl/strings/string_view.h>
+#include <absl/time/time.h>
 #include <absl/types/optional.h>
 
 // The heads of HTTP/1.1 messages as data, and functions that write them.
@@ -71,6 +72,10 @@
   int status_ = 0;
   Fields fields_;
   std::string body_;
+  // Received bytes of the body, and the time from the answer's head to its end;
+  // also set for an incomplete answer.
+  std::size_t received_ = 0;
+  absl::Duration transferTime_ = absl::ZeroDuration();
 };
 
 // Returns "METHOD target HTTP/1.1" with the fields and the empty line.
