--- a/test/follower-test.cc
+++ b/test/follower-test.cc
@@ -37,6 +37,11 @@
     const auto call = std::exchange(aSelf.received_, {});
     if (call.find("/-/kv-range") != std::string::npos) {
       ++lists_;
+      lastList_ = call.substr(0, call.find('\r'));
+      if (onList_) {
+        onList_(aSocket);
+        return;
+      }
       Send(aSocket, "200 OK", list_);
     } else if (call.find("/-/kv-watch") != std::string::npos) {
       // Watches are never answered.
@@ -83,6 +88,10 @@
   std::string list_ = R"({"items":[],"has-more":false,"as-of":5})";
   // Header line with the service's era, or empty.
   std::string era_;
+  // Answers lists instead of list_, if set.
+  std::function<void(const std::shared_ptr<gateway::Socket>&)> onList_;
+  // Request line of the last list.
+  std::string lastList_;
   int lists_ = 0;
   int watches_ = 0;
   bool fails_ = false;
@@ -147,6 +156,56 @@
   CHECK(following.lists_ == 2);
 }
 
+// Guards against hosts that list again and again and keep an old configuration:
+// a list takes longer the more routes there are and the slower the link is.
+TEST_CASE("a list that arrives slowly is received whole")
+{
+  FollowingHost following;
+  const auto list = ListOf(
+    ItemText("op/config", CatalogText(8, std::string(300000, 'k')), 80), 90);
+  following.onList_ = [&](const auto& aSocket) {
+    test::SendSlowly(following.loop_,
+                     aSocket,
+                     "HTTP/1.1 200 OK\r\nContent-Length: " +
+                       std::to_string(list.size()) + "\r\n\r\n" + list,
+                     25,
+                     absl::Milliseconds(100));
+  };
+  REQUIRE(following.RunUntil([&] { return following.watches_ == 1; }));
+  CHECK(following.lists_ == 1);
+  CHECK(following.host_.catalog_->version_ == 8);
+}
+
+// Guards against lists that never end because each failure starts them anew.
+TEST_CASE("a list goes on at the page that failed")
+{
+  FollowingHost following;
+  int failures = 0;
+  following.onList_ = [&](const auto& aSocket) {
+    if (following.lists_ == 1) {
+      following.Send(
+        aSocket,
+        "200 OK",
+        absl::StrCat("{\"items\":[",
+                     ItemText("op/config", CatalogText(8, "key"), 80),
+                     "],\"has-more\":true,\"as-of\":90}"));
+    } else if (failures < 2) {
+      ++failures;
+      aSocket->Reset();
+    } else {
+      following.Send(
+        aSocket,
+        "200 OK",
+        ListOf(ItemText("servers/t1", TargetText("ready"), 82), 91));
+    }
+  };
+  REQUIRE(following.RunUntil([&] { return following.watches_ == 1; }));
+  CHECK(following.lists_ == 4);
+  REQUIRE(following.lastList_.find("after=op/config") != std::string::npos);
+  CHECK(following.host_.catalog_->version_ == 8);
+  CHECK(following.host_.members_.size() == 1);
+}
+
 TEST_CASE("after a restore all items are listed again and no state is reverted")
 {
   FollowingHost following;
--- a/test/gateway-world.h
+++ b/test/gateway-world.h
@@ -16,6 +16,7 @@
 #include "gateway/exchange.h"
 #include "gateway/host.h"
 #include "gateway/server-connection.h"
+#include "gateway/timer.h"
 #include "http/message.h"
 #include "platform/adapter.h"
 
@@ -98,6 +99,28 @@
   };
 }
 
+// Sends a text in equal parts, one each aPause, as a slow link delivers it.
+// Ends early if the connection is closed.
+inline void
+SendSlowly(gateway::Loop& aLoop,
+           const std::shared_ptr<gateway::Socket>& aSocket,
+           const std::string& aText,
+           std::size_t aParts,
+           absl::Duration aPause)
+{
+  const auto timer = std::make_shared<gateway::Timer>(aLoop);
+  const auto size = aText.size() / aParts + 1;
+  const auto step = std::make_shared<std::function<void(std::size_t)>>();
+  *step = [=, weak = std::weak_ptr(step)](std::size_t aFrom) {
+    aSocket->Send(absl::string_view(aText).substr(aFrom, size));
+    const auto next = aFrom + size;
+    if (next < aText.size() && aSocket->IsOpen()) {
+      timer->Set(aPause, [self = weak.lock(), next] { (*self)(next); });
+    }
+  };
+  (*step)(0);
+}
+
 // Returns a complete answer with the request id that World::Request uses.
 inline std::string
 WholeAnswer(const std::string& aBody,
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -1,5 +1,7 @@
 #include "gateway/peers.h"
 
+#include <random>
+
 #include <catch2/catch.hpp>
 
 #include "gateway-world.h"
@@ -191,3 +193,46 @@
   }
   CHECK(hosts.RunUntil([&] { return third.role_ == gateway::Role::Direct; }));
 }
+
+// Guards against hosts that lose their relay and keep an old configuration: an
+// update takes longer the more routes there are and the slower the link is.
+TEST_CASE("an update that arrives slowly is received whole")
+{
+  gateway::Loop loop;
+  auto item = MakeItem("x/large", 9);
+  // Incompressible, so that the update stays large however it is encoded.
+  std::mt19937 random(7);
+  for (int i = 0; i < 200000; ++i) {
+    item.value_.push_back(static_cast<char>('!' + random() % 90));
+  }
+  gateway::SenderStatus sender;
+  sender.isDirect_ = true;
+  sender.storeReachable_ = true;
+  const auto update =
+    gateway::WritePeerUpdate(5, 12, sender, gateway::WriteRow(item));
+  test::FakeTarget relay(loop, [&](auto&, const auto& aSocket) {
+    test::SendSlowly(loop,
+                     aSocket,
+                     "HTTP/1.1 200 OK\r\nContent-Length: " +
+                       std::to_string(update.size()) + "\r\n\r\n" + update,
+                     20,
+                     absl::Milliseconds(100));
+  });
+  PeerHost polling(loop, "h3");
+  auto& host = polling.host_;
+  host.hosts_["h3"] = { polling.Entry(0.1) };
+  for (const auto* name : { "h1", "h2" }) {
+    host.hosts_[name] = { polling.Entry(0.5) };
+    host.hosts_[name].entry_.name_ = name;
+    host.hosts_[name].entry_.peerAddress_ = relay.Address();
+  }
+  polling.follower_->Start();
+  const auto end = gateway::Now() + absl::Seconds(10);
+  while (replica::Find(host.replica_, "x/large") == nullptr &&
+         gateway::Now() < end) {
+    loop.run_for(std::chrono::milliseconds(5));
+  }
+  REQUIRE(replica::Find(host.replica_, "x/large") != nullptr);
+  CHECK(host.role_ == gateway::Role::Relayed);
+  CHECK(relay.requests_ <= 2);
+}
