Let a transfer that makes progress take as long as its size needs

Cause: calls had a constant time in all, 0.8 s for a poll of a relay and 1.5 s for one of the key-value service, and the size of an answer grows with the configuration. Hosts with a link of 10 Mbit/s couldn't receive 2,800 routes in that time. They lost each relay after 0.8 s, followed the service themselves, and listed all of it anew every 1.5 s.

The timeout holds for the beginning of an answer now. A transfer goes on while bytes arrive, and fails when none do for a second or when it is slower than 64 KiB/s on average. All calls to peers, the service and cache stores pass this place. A list goes on at the page that failed, and a call whose answer is arriving isn't abandoned when another call shows that the service is back. An abandoned call's connection is closed; it went on and used the link.

--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -66,9 +66,13 @@
 void
 Follower::RetryStaleCall(absl::Time aBackAt)
 {
-  if (currentCall_ != 0 && calledAt_ < aBackAt) {
+  if (currentCall_ != 0 && calledAt_ < aBackAt && !call_.IsReceiving()) {
     failures_ = 0;
-    List();
+    if (listPosition_) {
+      ListPage();
+    } else {
+      List();
+    }
   }
 }
 
@@ -77,33 +81,41 @@
                absl::Duration aTimeout,
                void (Follower::*aOnReply)(const StoreReply&))
 {
+  call_.Cancel();
   currentCall_ = ++lastCall_;
   calledAt_ = Now();
-  CallStore(host_,
-            aCommand,
-            aTimeout,
-            [self = shared_from_this(), call = currentCall_, aOnReply](
-              const StoreReply& aReply) {
-              if (self->currentCall_ == call) {
-                self->currentCall_ = 0;
-                ((*self).*aOnReply)(aReply);
-              }
-            });
+  call_ = CallStore(host_,
+                    aCommand,
+                    aTimeout,
+                    [self = shared_from_this(), call = currentCall_, aOnReply](
+                      const StoreReply& aReply) {
+                      if (self->currentCall_ == call) {
+                        self->currentCall_ = 0;
+                        ((*self).*aOnReply)(aReply);
+                      }
+                    });
 }
 
 void
 Follower::List()
+{
+  page_.clear();
+  lastKey_.clear();
+  listPosition_ = absl::nullopt;
+  ListPage();
+}
+
+void
+Follower::ListPage()
 {
   if (host_.role_ == Role::Relayed) {
     paused_ = true;
     return;
   }
-  page_.clear();
-  lastKey_.clear();
-  listPosition_ = absl::nullopt;
   StoreCommand command;
   command.operation_ = StoreOperation::List;
   command.key_ = prefix_;
+  command.afterKey_ = lastKey_;
   Call(command, kStoreCallTimeout, &Follower::OnPage);
 }
 
@@ -111,7 +123,7 @@
 Follower::OnPage(const StoreReply& aReply)
 {
   if (aReply.outcome_ != StoreOutcome::Ok) {
-    RetryLater(&Follower::List);
+    RetryLater(&Follower::ListPage);
     return;
   }
   if (!listPosition_) {
@@ -123,11 +135,7 @@
   }
   page_.insert(page_.end(), aReply.items_.begin(), aReply.items_.end());
   if (aReply.more_) {
-    StoreCommand command;
-    command.operation_ = StoreOperation::List;
-    command.key_ = prefix_;
-    command.afterKey_ = lastKey_;
-    Call(command, kStoreCallTimeout, &Follower::OnPage);
+    ListPage();
     return;
   }
   failures_ = 0;
@@ -136,6 +144,7 @@
   revision_ = listPosition_->revision_;
   ApplyList(host_, prefix_, page_, *listPosition_, completeAsOf_);
   completeAsOf_ = listedAt_;
+  listPosition_ = absl::nullopt;
   page_.clear();
   if (host_.role_ == Role::Starting && CanServe(host_)) {
     timer_.Set(kStartPause, [self = shared_from_this()] { self->Watch(); });
--- a/src/gateway/follower.h
+++ b/src/gateway/follower.h
@@ -25,14 +25,17 @@
   // nothing while the follower is paused.
   void Restart();
   // Abandons a call that was made before aBackAt, the time at which the service
-  // answered again, and lists all items. Such a call may never be answered,
-  // although later calls are.
+  // answered again, and lists all items, or goes on with the list. Such a call
+  // may never be answered, although later calls are. A call whose answer has
+  // begun to arrive goes on.
   void RetryStaleCall(absl::Time aBackAt);
 
 private:
   void List();
+  // Requests the next page of the current list.
+  void ListPage();
   void Watch();
-  // Makes a call and ignores the replies to all earlier calls.
+  // Makes a call and cancels the one in progress.
   void Call(const StoreCommand& aCommand,
             absl::Duration aTimeout,
             void (Follower::*aOnReply)(const StoreReply&));
@@ -46,7 +49,7 @@
   // Items of the pages that the current list has returned so far.
   std::vector<replica::Item> page_;
   std::string lastKey_;
-  // Position of the current list's first page.
+  // Position of the current list's first page; nothing between lists.
   absl::optional<core::Position> listPosition_;
   // Revision after which the next watch starts.
   std::uint64_t revision_ = 0;
@@ -54,6 +57,7 @@
   // The host knows all changes that were made before this time.
   absl::Time completeAsOf_ = absl::InfinitePast();
   unsigned failures_ = 0;
+  PendingFetch call_;
   // Number of the call in progress, 0 if there is none; number of the last call
   // made, and when it was made.
   std::uint64_t currentCall_ = 0;
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -446,24 +446,24 @@
   return longest;
 }
 
-void
+PendingFetch
 CallStore(Host& aHost,
           const StoreCommand& aCommand,
           absl::Duration aTimeout,
           std::function<void(StoreReply)> aOnReply)
 {
-  Fetch(aHost.callPool_,
-        aHost.loop_,
-        aHost.settings_.storeAddress_,
-        aHost.adapter_.writeStoreCall_(aCommand),
-        aTimeout,
-        [&aHost, aCommand, onReply = std::move(aOnReply)](
-          const http::Answer& aAnswer) {
-          auto reply = aHost.adapter_.readStoreReply_(aCommand, aAnswer);
-          CheckReplyEra(aHost, aCommand, reply);
-          RecordStoreCall(aHost, aCommand, reply.outcome_, aAnswer);
-          onReply(std::move(reply));
-        });
+  return Fetch(aHost.callPool_,
+               aHost.loop_,
+               aHost.settings_.storeAddress_,
+               aHost.adapter_.writeStoreCall_(aCommand),
+               aTimeout,
+               [&aHost, aCommand, onReply = std::move(aOnReply)](
+                 const http::Answer& aAnswer) {
+                 auto reply = aHost.adapter_.readStoreReply_(aCommand, aAnswer);
+                 CheckReplyEra(aHost, aCommand, reply);
+                 RecordStoreCall(aHost, aCommand, reply.outcome_, aAnswer);
+                 onReply(std::move(reply));
+               });
 }
 
 void
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -261,7 +261,7 @@
 LongestReadTime(const Host& aHost);
 
 // Calls the key-value service and records the outcome in Host::store_.
-void
+PendingFetch
 CallStore(Host& aHost,
           const StoreCommand& aCommand,
           absl::Duration aTimeout,
--- a/src/gateway/pool.cc
+++ b/src/gateway/pool.cc
@@ -22,6 +22,15 @@
 // megabyte; a relay's snapshot or a cache store's list is somewhat larger.
 constexpr std::size_t kMaxAnswerBytes = 16U << 20U;
 
+// A transfer that makes progress may take longer than its call's timeout: its
+// size grows with the number of routes and targets, and links differ. It fails
+// if nothing arrives for kStallTimeout, or if it is slower than
+// kMinBytesPerSecond.
+constexpr absl::Duration kStallTimeout = absl::Seconds(1);
+constexpr double kMinBytesPerSecond = 64U << 10U;
+
+} // namespace
+
 struct FetchState
 {
   explicit FetchState(Loop& aLoop)
@@ -31,10 +40,15 @@
   Timer timer_;
   ConnectionPtr connection_;
   http::Answer answer_;
+  // Time by which the answer has to begin.
+  absl::Time deadline_;
   absl::Time headAt_ = absl::InfiniteFuture();
+  absl::Time receivedAt_ = absl::InfinitePast();
   std::function<void(http::Answer)> onAnswer_;
 };
 
+namespace {
+
 void
 FinishFetch(const std::shared_ptr<FetchState>& aState, bool aIsComplete)
 {
@@ -54,6 +68,37 @@
   onAnswer(std::move(answer));
 }
 
+// Returns the time at which the call fails unless more of its answer arrives.
+absl::Time
+DeadlineOf(const FetchState& aState)
+{
+  const auto received = static_cast<double>(aState.answer_.received_);
+  const auto slowest =
+    aState.deadline_ + absl::Seconds(received / kMinBytesPerSecond);
+  return std::max(aState.deadline_,
+                  std::min(aState.receivedAt_ + kStallTimeout, slowest));
+}
+
+void
+AbandonFetch(const std::shared_ptr<FetchState>& aState)
+{
+  if (const auto connection = std::exchange(aState->connection_, nullptr)) {
+    connection->Close();
+  }
+  FinishFetch(aState, false);
+}
+
+void
+CheckDeadline(const std::shared_ptr<FetchState>& aState)
+{
+  if (const auto left = DeadlineOf(*aState) - Now();
+      left > absl::ZeroDuration()) {
+    aState->timer_.Set(left, [aState] { CheckDeadline(aState); });
+  } else {
+    AbandonFetch(aState);
+  }
+}
+
 std::string
 WriteCall(const std::string& aAddress, const http::Call& aCall)
 {
@@ -81,14 +126,12 @@
   };
   events.onBody_ = [aState, &aPool](std::string& aBody) {
     aState->answer_.received_ += aBody.size();
+    aState->receivedAt_ = Now();
     aState->answer_.body_ += aBody;
     aBody.clear();
     if (aState->answer_.body_.size() > kMaxAnswerBytes) {
       aPool.CountOversized();
-      if (const auto endless = std::exchange(aState->connection_, nullptr)) {
-        endless->Close();
-      }
-      FinishFetch(aState, false);
+      AbandonFetch(aState);
     }
   };
   events.onEnd_ = [aState, &aPool, aAddress](CallEnd aEnd) {
@@ -208,7 +251,24 @@
                  [](const auto& aEntry) { return aEntry.second.empty(); });
 }
 
+bool
+PendingFetch::IsReceiving() const
+{
+  const auto state = state_.lock();
+  return state && state->onAnswer_ && state->answer_.received_ > 0;
+}
+
 void
+PendingFetch::Cancel()
+{
+  if (const auto state = state_.lock()) {
+    state->onAnswer_ = nullptr;
+    state->timer_.Cancel();
+    AbandonFetch(state);
+  }
+}
+
+PendingFetch
 Fetch(Pool& aPool,
       Loop& aLoop,
       const std::string& aAddress,
@@ -218,16 +278,12 @@
 {
   const auto state = std::make_shared<FetchState>(aLoop);
   state->onAnswer_ = std::move(aOnAnswer);
-  state->timer_.Set(aTimeout, [state] {
-    if (const auto connection = std::exchange(state->connection_, nullptr)) {
-      connection->Close();
-    }
-    FinishFetch(state, false);
-  });
+  state->deadline_ = Now() + aTimeout;
+  CheckDeadline(state);
   state->connection_ = aPool.Take(aAddress, kMaxIdle);
   if (state->connection_) {
     StartFetch(aPool, state, aAddress, aCall);
-    return;
+    return PendingFetch(state);
   }
   aPool.Connect(aAddress,
                 aAddress,
@@ -243,6 +299,7 @@
                   state->connection_ = std::move(aConnection);
                   StartFetch(aPool, state, aAddress, aCall);
                 });
+  return PendingFetch(state);
 }
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/pool.h
+++ b/src/gateway/pool.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <absl/container/flat_hash_map.h>
@@ -56,9 +57,31 @@
   std::uint64_t oversized_ = 0;
 };
 
+struct FetchState;
+
+// A call that Fetch has started.
+class PendingFetch
+{
+public:
+  PendingFetch() = default;
+  explicit PendingFetch(std::weak_ptr<FetchState> aState)
+    : state_(std::move(aState))
+  {
+  }
+
+  // Returns whether a part of the answer's body has arrived, but not all.
+  bool IsReceiving() const;
+  // Closes the call's connection; its answer isn't passed on.
+  void Cancel();
+
+private:
+  std::weak_ptr<FetchState> state_;
+};
+
 // Makes a call on a pooled or a new connection and passes on the answer; its
-// status is 0 if none arrives in time. Calls are never sent twice.
-void
+// status is 0 if none begins within aTimeout, or if its transfer stalls. Calls
+// are never sent twice.
+PendingFetch
 Fetch(Pool& aPool,
       Loop& aLoop,
       const std::string& aAddress,
