Send a large configuration compressed, and only its newest version

A relay sends each change to all hosts of its data centre. Half a megabyte to a dozen hosts takes seconds on a link of 10 Mbit/s, and a version that was superseded on the way was sent and read as well, before the newer one.

Values from 4 KiB on are compressed once, when the row is made, with zlib. A newer configuration empties the rows of earlier ones in the feed, and only the newest of several that arrive together is read. Weights and targets keep all rows: each named version is due by its own time, and a target's announcement to leave holds after its entry is gone. Hosts of an earlier release can't read compressed rows; a relay answers them 404, so they follow the service themselves.

--- a/include/lycheeplank/relays.h
+++ b/include/lycheeplank/relays.h
@@ -73,6 +73,14 @@
 // Maximum size of the backlog; hosts have 88 MB of memory or more.
 inline constexpr std::size_t kMaxBytes = 4U << 20U;
 
+struct Row
+{
+  // Empty for a row that a newer one has replaced.
+  std::string text_;
+  // A later row with the same key replaces this one; empty if none does.
+  std::string key_;
+};
+
 // The changes that a relay has received, in that order, each as a row.
 struct Feed
 {
@@ -80,7 +88,7 @@
   std::uint64_t id_ = 0;
   // Number of the oldest row in the backlog.
   std::uint64_t first_ = 1;
-  std::deque<std::string> rows_;
+  std::deque<Row> rows_;
   std::size_t bytes_ = 0;
 };
 
@@ -93,8 +101,9 @@
 Restart(Feed& aFeed, std::uint64_t aId);
 
 // Adds a row and drops the oldest rows while the backlog exceeds its limits.
+// Empties the earlier rows with the same key, unless it is empty.
 void
-AddRow(Feed& aFeed, std::string aRow);
+AddRow(Feed& aFeed, std::string aText, absl::string_view aKey = {});
 
 // Returns the rows from number aFirst on, joined by commas; nothing if aId is
 // not the feed's id or some of the rows were dropped.
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -228,6 +228,15 @@
   }
 }
 
+// Returns whether an item replaces all earlier ones with its key. Weights and
+// targets don't: each named version is due by its own time, and a target that
+// has announced to leave stays out of use when its entry is gone.
+bool
+ReplacesEarlier(const Host& aHost, const replica::Item& aItem)
+{
+  return aHost.adapter_.parseKey_(aItem.key_).kind_ == ItemKind::Catalog;
+}
+
 // Applies items that are newer than the known ones, relays them and runs
 // Host::onChange_.
 void
@@ -237,10 +246,18 @@
               absl::Time aHeardSince)
 {
   const auto age = Now() - aHeardSince;
-  for (auto item : aNewItems) {
+  for (auto at = aNewItems.begin(); at != aNewItems.end(); ++at) {
+    const bool replaces = ReplacesEarlier(aHost, *at);
+    if (replaces &&
+        std::any_of(at + 1, aNewItems.end(), [&at](const auto& aLater) {
+          return aLater.key_ == at->key_;
+        })) {
+      continue;
+    }
+    auto item = *at;
     ApplyItem(aHost, item, aSource, aHeardSince);
     item.age_ += age;
-    Publish(aHost, item);
+    Publish(aHost, item, replaces ? item.key_ : absl::string_view());
   }
   if (!aNewItems.empty()) {
     Sweep(aHost);
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -237,13 +237,13 @@
 SetRole(Host& aHost, Role aRole);
 
 // Appends a row to this host's feed if it relays changes to others. aNews: an
-// item, an update of a cache store, or a notice.
-template<typename Row>
+// item, an update of a cache store, or a notice. aKey: see relays::AddRow.
+template<typename News>
 void
-Publish(Host& aHost, const Row& aNews)
+Publish(Host& aHost, const News& aNews, absl::string_view aKey = {})
 {
   if (aHost.role_ == Role::Direct) {
-    relays::AddRow(aHost.feed_, WriteRow(aNews));
+    relays::AddRow(aHost.feed_, WriteRow(aNews), aKey);
     aHost.onFeed_();
   }
 }
--- a/src/gateway/peer-updates.cc
+++ b/src/gateway/peer-updates.cc
@@ -2,9 +2,11 @@
 
 #include <utility>
 
+#include <absl/strings/escaping.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
+#include "core/compress.h"
 #include "core/json.h"
 
 namespace lycheeplank::gateway {
@@ -25,18 +27,42 @@
 constexpr std::size_t kTokens = 3;
 constexpr std::size_t kChangeFields = 4;
 
+// A relay sends each value to dozens of hosts, so large ones, mostly
+// configurations, are compressed.
+constexpr std::size_t kCompressBytes = 4096;
+constexpr std::size_t kMaxValueBytes = 16U << 20U;
+
 std::string
 DumpJson(const Json& aJson)
 {
   return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
-replica::Item
+absl::optional<std::string>
+ReadValue(const Json& aJson)
+{
+  const auto* compressed = json::Member(aJson, "value_deflate");
+  if (compressed == nullptr) {
+    return TextOf(aJson, "value");
+  }
+  std::string data;
+  if (!compressed->is_string() ||
+      !absl::Base64Unescape(compressed->get_ref<const std::string&>(), &data)) {
+    return absl::nullopt;
+  }
+  return core::Decompress(data, kMaxValueBytes);
+}
+
+absl::optional<replica::Item>
 ReadItem(const Json& aJson)
 {
+  auto value = ReadValue(aJson);
+  if (!value) {
+    return absl::nullopt;
+  }
   replica::Item item;
   item.key_ = TextOf(aJson, "key");
-  item.value_ = TextOf(aJson, "value");
+  item.value_ = std::move(*value);
   item.revision_ = CountOf(aJson, "revision");
   item.created_ = CountOf(aJson, "created");
   item.deleted_ = FlagOf(aJson, "deleted");
@@ -126,7 +152,9 @@
     return;
   }
   if (aJson.contains("key") && CountOf(aJson, "revision") != 0) {
-    aUpdate.items_.push_back(ReadItem(aJson));
+    if (auto item = ReadItem(aJson)) {
+      aUpdate.items_.push_back(std::move(*item));
+    }
   } else if (aJson.contains("store")) {
     aUpdate.stores_.push_back(ReadStoreUpdate(aJson));
   } else if (auto notice = ReadNotice(aJson)) {
@@ -139,8 +167,11 @@
 std::string
 WriteRow(const replica::Item& aItem)
 {
+  const bool isLarge = aItem.value_.size() >= kCompressBytes;
+  auto value = isLarge ? Json(absl::Base64Escape(core::Compress(aItem.value_)))
+                       : Json(aItem.value_);
   return DumpJson({ { "key", aItem.key_ },
-                    { "value", aItem.value_ },
+                    { isLarge ? "value_deflate" : "value", std::move(value) },
                     { "era", aItem.era_ },
                     { "revision", aItem.revision_ },
                     { "created", aItem.created_ },
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -149,6 +149,12 @@
 PeerServer::AnswerChanges(const ServerConnectionPtr& aCaller)
 {
   const auto& target = aCaller->Head().target_;
+  if (QueryNumber(target, "compressed") == 0) {
+    // The caller's release can't read compressed rows. It follows the
+    // key-value service itself until it is replaced.
+    aCaller->Reply(404, {}, "");
+    return;
+  }
   const auto feed = QueryNumber(target, "feed");
   const auto from = QueryNumber(target, "from");
   const bool waits = feed == host_.feed_.id_ &&
--- a/src/relays/relays.cc
+++ b/src/relays/relays.cc
@@ -135,12 +135,20 @@
 }
 
 void
-AddRow(Feed& aFeed, std::string aRow)
+AddRow(Feed& aFeed, std::string aText, absl::string_view aKey)
 {
-  aFeed.bytes_ += aRow.size();
-  aFeed.rows_.push_back(std::move(aRow));
+  if (!aKey.empty()) {
+    for (auto& row : aFeed.rows_) {
+      if (row.key_ == aKey) {
+        aFeed.bytes_ -= row.text_.size();
+        row = {};
+      }
+    }
+  }
+  aFeed.bytes_ += aText.size();
+  aFeed.rows_.push_back({ std::move(aText), std::string(aKey) });
   while (aFeed.rows_.size() > kMaxRows || aFeed.bytes_ > kMaxBytes) {
-    aFeed.bytes_ -= aFeed.rows_.front().size();
+    aFeed.bytes_ -= aFeed.rows_.front().text_.size();
     aFeed.rows_.pop_front();
     ++aFeed.first_;
   }
@@ -152,8 +160,16 @@
   if (aId != aFeed.id_ || aFirst < aFeed.first_ || aFirst > NextRow(aFeed)) {
     return absl::nullopt;
   }
-  const auto from = static_cast<std::ptrdiff_t>(aFirst - aFeed.first_);
-  return absl::StrJoin(aFeed.rows_.begin() + from, aFeed.rows_.end(), ",");
+  std::vector<absl::string_view> texts;
+  for (auto at = aFeed.rows_.begin() +
+                 static_cast<std::ptrdiff_t>(aFirst - aFeed.first_);
+       at != aFeed.rows_.end();
+       ++at) {
+    if (!at->text_.empty()) {
+      texts.emplace_back(at->text_);
+    }
+  }
+  return absl::StrJoin(texts, ",");
 }
 
 } // namespace lycheeplank::relays
--- a/test/follower-test.cc
+++ b/test/follower-test.cc
@@ -206,6 +206,34 @@
   CHECK(following.host_.members_.size() == 1);
 }
 
+// Guards against hosts that read each superseded configuration before the
+// newest one.
+TEST_CASE("only the newest of several configurations is read")
+{
+  FollowingHost following;
+  auto& host = following.host_;
+  gateway::SetRole(host, gateway::Role::Direct);
+  gateway::ApplyItems(host,
+                      { { "op/config", "unreadable", 80, 1 },
+                        { "servers/t1", TargetText("ready"), 81, 81 },
+                        { "op/config", CatalogText(9, "key"), 82, 1 } },
+                      "watch",
+                      gateway::Now());
+  CHECK(host.catalog_->version_ == 9);
+  CHECK(host.feed_.rows_.size() == 2);
+  // The same over several answers.
+  gateway::ApplyItems(host,
+                      { { "op/config", CatalogText(10, "key"), 83, 1 } },
+                      "watch",
+                      gateway::Now());
+  CHECK(host.catalog_->version_ == 10);
+  const auto rows =
+    lycheeplank::relays::RowsFrom(host.feed_, host.feed_.id_, 1);
+  REQUIRE(rows);
+  CHECK(rows->find("\"revision\":82") == std::string::npos);
+  CHECK(rows->find("\"revision\":83") != std::string::npos);
+}
+
 TEST_CASE("after a restore all items are listed again and no state is reverted")
 {
   FollowingHost following;
--- a/test/peer-updates-test.cc
+++ b/test/peer-updates-test.cc
@@ -151,3 +151,35 @@
   };
   CHECK(held == expected);
 }
+
+// Guards against relays whose links are too slow for the configuration: they
+// send it to all hosts of their data centre.
+TEST_CASE("a large value is compressed")
+{
+  replica::Item item{ "a/b", {}, 17, 3, false };
+  for (int i = 0; i < 1400; ++i) {
+    item.value_ += R"({"name":"r-)" + std::to_string(i * 7919) +
+                   R"(","host":"h.example","prefix":"/x/","attempts":2})";
+  }
+  const auto row = gateway::WriteRow(item);
+  CHECK(row.size() < item.value_.size() / 4);
+  const auto update =
+    gateway::ReadPeerUpdate(gateway::WritePeerUpdate(5, 12, MakeSender(), row));
+  REQUIRE(update);
+  REQUIRE(update->items_.size() == 1);
+  CHECK(update->items_[0].value_ == item.value_);
+}
+
+TEST_CASE("a row whose value can't be decompressed is skipped")
+{
+  for (const auto* value : { "7", R"("%")", R"("eJwL")" }) {
+    const auto update = gateway::ReadPeerUpdate(gateway::WritePeerUpdate(
+      5,
+      12,
+      MakeSender(),
+      std::string(R"({"key":"a","revision":4,"value_deflate":)") + value +
+        "}"));
+    REQUIRE(update);
+    CHECK(update->items_.empty());
+  }
+}
--- a/test/relays-test.cc
+++ b/test/relays-test.cc
@@ -137,3 +137,18 @@
   CHECK(feed.bytes_ <= relays::kMaxBytes);
   CHECK(relays::NextRow(feed) == relays::kMaxRows + 12);
 }
+
+// Guards against hosts that receive each superseded configuration before the
+// newest one.
+TEST_CASE("a row that a newer one with its key has replaced isn't returned")
+{
+  relays::Feed feed;
+  relays::Restart(feed, 7);
+  relays::AddRow(feed, "old", "k");
+  relays::AddRow(feed, "other");
+  relays::AddRow(feed, "new", "k");
+  CHECK(relays::RowsFrom(feed, 7, 1) == std::string("other,new"));
+  CHECK(relays::RowsFrom(feed, 7, 2) == std::string("other,new"));
+  CHECK(relays::NextRow(feed) == 4);
+  CHECK(feed.bytes_ == 8);
+}
