End a target's stream of comments, and its interim answers, at their limits at once

Cause: the search for the end of an event read all bytes that had arrived, for each event, and each event moved the rest; a read of 256 KiB has 87,000 comments. Each byte is read once now. Comments had no limit as long as a stream's silence wasn't over: what comes without data counts against the limit of one event, also events that are left out. The limit of interim answers was only checked once all that had arrived were read.

Calls for reports, orders and notices, and those to cache stores, could each keep 16 MiB of an endless answer; they keep 256 KiB and 4 MiB now.

"endless events without data are reported as overlong" and "endless comments are abandoned, and the stream continues elsewhere" are new and use the new limit; that the interim answers take less time is by reading, no test shows it.

--- a/src/gateway/client-connection.cc
+++ b/src/gateway/client-connection.cc
@@ -157,6 +157,10 @@
         return;
       }
       if (interim) {
+        if (ExceedsLimits(aData)) {
+          Finish(CallEnd::Garbled);
+          return;
+        }
         continue;
       }
     }
--- a/src/gateway/events.cc
+++ b/src/gateway/events.cc
@@ -16,17 +16,22 @@
 constexpr std::size_t kEndBytes = 4;
 
 // Returns the position after the first complete event, or npos. aFrom: position
-// before which no end sequence begins.
+// before which no end sequence begins. Reads each byte once, since a target may
+// send very short events without end.
 std::size_t
 EndOfEvent(absl::string_view aText, std::size_t aFrom)
 {
-  const auto plain = aText.find("\n\n", aFrom);
-  const auto withReturns = aText.find("\r\n\r\n", aFrom);
-  if (plain == absl::string_view::npos &&
-      withReturns == absl::string_view::npos) {
-    return absl::string_view::npos;
+  for (auto at = aText.find('\n', aFrom); at != absl::string_view::npos;
+       at = aText.find('\n', at + 1)) {
+    const auto next = aText.substr(at + 1, 2);
+    if (absl::StartsWith(next, "\n")) {
+      return at + 2;
+    }
+    if (next == "\r\n" && at > 0 && aText[at - 1] == '\r') {
+      return at + 3;
+    }
   }
-  return plain < withReturns ? plain + 2 : withReturns + 4;
+  return absl::string_view::npos;
 }
 
 bool
@@ -102,17 +107,20 @@
   rest_ += aData;
   aData.clear();
   std::string whole;
-  for (auto end = EndOfEvent(rest_, searched_); end != std::string::npos;
-       end = EndOfEvent(rest_, 0)) {
-    const auto event = rest_.substr(0, end);
+  std::size_t begin = 0;
+  for (auto end = EndOfEvent(rest_, searched_);
+       end != std::string::npos && idleBytes_ <= kMaxEventBytes;
+       end = EndOfEvent(rest_, begin)) {
+    const auto event = absl::string_view(rest_).substr(begin, end - begin);
     const auto ids = IdsOf(event);
     const auto step = Check(event, ids);
     if (step == Step::Stop) {
       isInvalid_ = true;
-      return whole;
+      break;
     }
-    rest_.erase(0, end);
-    searched_ = 0;
+    begin = end;
+    const bool hasData = HasData(event) && step == Step::Forward;
+    idleBytes_ = hasData ? 0 : idleBytes_ + event.size();
     if (step == Step::LeaveOut) {
       continue;
     }
@@ -123,9 +131,10 @@
       }
     }
     ++count_;
-    dataCount_ += HasData(event) ? 1 : 0;
-    whole += event;
+    dataCount_ += hasData ? 1 : 0;
+    whole.append(event.data(), event.size());
   }
+  rest_.erase(0, begin);
   searched_ = rest_.size() < kEndBytes ? 0 : rest_.size() - kEndBytes + 1;
   return whole;
 }
@@ -135,6 +144,7 @@
 {
   rest_.clear();
   searched_ = 0;
+  idleBytes_ = 0;
   isInvalid_ = false;
 }
 
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEEPLANK_SRC_GATEWAY_EVENTS_H
 #define LYCHEEPLANK_SRC_GATEWAY_EVENTS_H
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -35,8 +36,13 @@
   bool IsInvalid() const { return isInvalid_; }
   // Bytes of the event that isn't complete yet.
   const std::string& Rest() const { return rest_; }
-  // Returns whether an event exceeds kMaxEventBytes; the caller must stop then.
-  bool IsOverlong() const { return rest_.size() > kMaxEventBytes; }
+  // Returns whether an event, or all that came since the last event with data,
+  // exceeds kMaxEventBytes; the caller must stop then.
+  bool IsOverlong() const
+  {
+    return std::max(rest_.size(), idleBytes_) > kMaxEventBytes;
+  }
+  std::size_t UnusedBytes() const { return rest_.size() + idleBytes_; }
   void Clear();
   const std::string& LastId() const { return lastId_; }
   std::uint64_t Count() const { return count_; }
@@ -59,6 +65,8 @@
   std::string rest_;
   // Length of the prefix of rest_ in which no event ends.
   std::size_t searched_ = 0;
+  // Bytes of comments and left out events since the last event with data.
+  std::size_t idleBytes_ = 0;
   std::string lastId_;
   absl::optional<std::uint64_t> lastNumber_;
   std::uint64_t count_ = 0;
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -290,7 +290,7 @@
   if (events_.IsInvalid()) {
     AbandonInvalid();
   } else if (events_.IsOverlong()) {
-    AbandonOversized("event", events_.Rest().size());
+    AbandonOversized("event", events_.UnusedBytes());
   }
 }
 
--- a/src/gateway/owner-parts.cc
+++ b/src/gateway/owner-parts.cc
@@ -72,7 +72,8 @@
                  std::vector<cache_index::Change> aParts)
 {
   const auto epoch = aState.epoch_;
-  const auto call = host_.adapter_.writeFreeCall_(epoch, aParts);
+  auto call = host_.adapter_.writeFreeCall_(epoch, aParts);
+  call.maxAnswerBytes_ = kMaxShortAnswerBytes;
   Fetch(host_.callPool_,
         host_.loop_,
         aState.settings_.address_,
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -360,11 +360,13 @@
                      .Number("expect_orders", *order.expectOrders_)
                      .Number("running", member->second.load_.running_)
                      .Age("valid_ms", validUntil_ - Now()));
+  auto call = host_.adapter_.writeOrder_(order);
+  call.maxAnswerBytes_ = kMaxShortAnswerBytes;
   Fetch(
     host_.callPool_,
     host_.loop_,
     member->second.target_.address_,
-    host_.adapter_.writeOrder_(order),
+    call,
     kOrderTimeout,
     [self = shared_from_this(), aModel, aTarget](const http::Answer& aAnswer) {
       self->OnOrderOutcome(
@@ -436,11 +438,13 @@
   if (member == host_.members_.end()) {
     return;
   }
+  auto call = host_.adapter_.writeReportCall_();
+  call.maxAnswerBytes_ = kMaxShortAnswerBytes;
   Fetch(
     host_.callPool_,
     host_.loop_,
     member->second.target_.address_,
-    host_.adapter_.writeReportCall_(),
+    call,
     kReportTimeout,
     [self = shared_from_this(), aModel, aTarget](const http::Answer& aAnswer) {
       if (const auto report = self->host_.adapter_.readReport_(aAnswer)) {
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -254,7 +254,8 @@
   const http::Call call{ "POST",
                          std::string(kNoticesPath),
                          { { "Content-Type", "application/json" } },
-                         WriteNotices(aNotices) };
+                         WriteNotices(aNotices),
+                         kMaxShortAnswerBytes };
   for (const auto& dataCentre : relays::DataCentres(aHost.hosts_)) {
     for (const auto& name : relays::RelaysOf(aHost.hosts_, dataCentre)) {
       if (name == aHost.settings_.name_) {
--- a/src/gateway/pool.cc
+++ b/src/gateway/pool.cc
@@ -18,10 +18,6 @@
 // it may then fail, and its owner repeats it.
 constexpr absl::Duration kMaxIdle = absl::Seconds(30);
 
-// Size limit of one answer. A page of the key-value service has about a
-// megabyte; a relay's snapshot or a cache store's list is somewhat larger.
-constexpr std::size_t kMaxAnswerBytes = 16U << 20U;
-
 // A transfer that makes progress may take longer than its call's timeout: its
 // size grows with the number of routes and targets, and links differ. It fails
 // if nothing arrives for kStallTimeout, or if it is slower than
@@ -124,16 +120,17 @@
     aState->answer_.fields_ = aHead.fields_;
     return true;
   };
-  events.onBody_ = [aState, &aPool](std::string& aBody) {
-    aState->answer_.received_ += aBody.size();
-    aState->receivedAt_ = Now();
-    aState->answer_.body_ += aBody;
-    aBody.clear();
-    if (aState->answer_.body_.size() > kMaxAnswerBytes) {
-      aPool.CountOversized();
-      AbandonFetch(aState);
-    }
-  };
+  events.onBody_ =
+    [aState, &aPool, limit = aCall.maxAnswerBytes_](std::string& aBody) {
+      aState->answer_.received_ += aBody.size();
+      aState->receivedAt_ = Now();
+      aState->answer_.body_ += aBody;
+      aBody.clear();
+      if (aState->answer_.body_.size() > limit) {
+        aPool.CountOversized();
+        AbandonFetch(aState);
+      }
+    };
   events.onEnd_ = [aState, &aPool, aAddress](CallEnd aEnd) {
     const auto connection = std::exchange(aState->connection_, nullptr);
     if (connection && aEnd == CallEnd::Complete) {
--- a/src/gateway/pool.h
+++ b/src/gateway/pool.h
@@ -57,6 +57,10 @@
   std::uint64_t oversized_ = 0;
 };
 
+// Limit of an answer's body for calls to targets and of short answers. Targets
+// are many, and all of them may fail at the same time.
+inline constexpr std::size_t kMaxShortAnswerBytes = 256U << 10U;
+
 struct FetchState;
 
 // A call that Fetch has started.
--- a/src/gateway/stores.cc
+++ b/src/gateway/stores.cc
@@ -27,6 +27,9 @@
 // The same per part of the list, some thirty bytes, so that lists use a small
 // part of a host's link.
 constexpr absl::Duration kListPausePerPart = absl::Milliseconds(5);
+// Limit of a list or of changes. Some dozen stores are followed, and all of
+// them may fail at the same time.
+constexpr std::size_t kMaxStoreAnswerBytes = 4U << 20U;
 constexpr absl::Duration kRetryFirst = absl::Milliseconds(150);
 // Status of a store that rejects the call because enough other hosts follow it;
 // more calls would only displace them.
@@ -72,11 +75,13 @@
     return;
   }
   const auto& adapter = host_.adapter_;
+  auto call = aWhole ? adapter.writeHoldingsCall_()
+                     : adapter.writeChangesCall_(state->next_, kPollTimeout);
+  call.maxAnswerBytes_ = kMaxStoreAnswerBytes;
   Fetch(host_.callPool_,
         host_.loop_,
         state->settings_.address_,
-        aWhole ? adapter.writeHoldingsCall_()
-               : adapter.writeChangesCall_(state->next_, kPollTimeout),
+        call,
         aWhole ? kListTimeout : kPollTimeout + kPollAnswerMargin,
         [self = shared_from_this(), aWhole, askedAt = Now()](
           const http::Answer& aAnswer) {
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -56,6 +56,10 @@
   bool isChunked_ = false;
 };
 
+// Default limit of an answer's body. A page of the key-value service has about
+// a megabyte; a relay's snapshot or a cache store's list is somewhat larger.
+inline constexpr std::size_t kMaxAnswerBytes = 16U << 20U;
+
 // A complete request to send, without the fields that frame it.
 struct Call
 {
@@ -63,6 +67,8 @@
   std::string target_;
   Fields fields_;
   std::string body_;
+  // Limit of the answer's body.
+  std::size_t maxAnswerBytes_ = kMaxAnswerBytes;
 };
 
 // A complete answer.
--- a/test/gateway-events-test.cc
+++ b/test/gateway-events-test.cc
@@ -1,5 +1,6 @@
 #include "gateway/events.h"
 
+#include <array>
 #include <random>
 
 #include <absl/strings/str_cat.h>
@@ -66,6 +67,41 @@
   }
 }
 
+// Guards against targets that take all of a host's time with comments.
+TEST_CASE("endless events without data are reported as overlong")
+{
+  std::array<std::string, 3> pieces;
+  for (int i = 0; i < 1000; ++i) {
+    pieces[0] += ":\n\n";
+    pieces[1] += "\r\n\r\n";
+    pieces[2] += "id: 1\ndata: x\n\n";
+  }
+  for (const auto& piece : pieces) {
+    gateway::EventSplitter splitter;
+    splitter.ExpectNumbers("");
+    TakeAll(splitter, "id: 1\ndata: x\n\n");
+    std::size_t taken = 0;
+    while (!splitter.IsOverlong()) {
+      TakeAll(splitter, piece);
+      taken += piece.size();
+      REQUIRE(taken <= gateway::kMaxEventBytes + piece.size());
+    }
+    splitter.Clear();
+    CHECK_FALSE(splitter.IsOverlong());
+  }
+}
+
+TEST_CASE("events that arrive together may exceed the limit of one event")
+{
+  gateway::EventSplitter splitter;
+  std::string events;
+  for (int i = 0; events.size() < 3 * gateway::kMaxEventBytes; ++i) {
+    events += absl::StrCat("id: ", i, "\ndata: x\n\n");
+  }
+  CHECK(TakeAll(splitter, events) == events);
+  CHECK_FALSE(splitter.IsOverlong());
+}
+
 TEST_CASE("comments and blank events aren't counted as data")
 {
   gateway::EventSplitter splitter;
--- a/test/gateway-trouble-test.cc
+++ b/test/gateway-trouble-test.cc
@@ -190,6 +190,23 @@
   CHECK(Has(answer, "\r\n0\r\n\r\n"));
 }
 
+TEST_CASE("endless comments are abandoned, and the stream continues elsewhere")
+{
+  std::string comments;
+  for (int i = 0; i < 20000; ++i) {
+    comments += ":\n\n";
+  }
+  World world;
+  world.AddTarget(
+    Repeats(world, kStreamHead + kChunked + Chunk(Event(1)), Chunk(comments)));
+  world.AddTarget(Sends(Stream(Event(2))));
+  const auto answer = world.Ask(World::Request("/resume/"));
+  CHECK(Has(answer, "id: 2\n"));
+  CHECK(Has(answer, "\r\n0\r\n\r\n"));
+  CHECK(world.host_.metrics_.CounterValue("endless_answers_total", "event") ==
+        1.0);
+}
+
 TEST_CASE("a stream's head doesn't count as progress")
 {
   World world;
