--- a/test/gateway-events-test.cc
+++ b/test/gateway-events-test.cc
@@ -138,7 +138,8 @@
   const std::string sound = "id: 1\ndata: a\n\n: note\n\nid: 2\ndata: b\n\n";
   gateway::EventSplitter splitter;
   splitter.ExpectNumbers("");
-  CHECK(TakeAll(splitter, sound + invalid + "id: 3\ndata: c\n\n") == sound);
+  CHECK(TakeAll(splitter, sound + invalid + "id: 3\ndata: c\n\n") ==
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
   CHECK(splitter.IsInvalid());
   CHECK(splitter.LastId() == "2");
   splitter.Clear();
@@ -146,6 +147,69 @@
   CHECK_FALSE(splitter.IsInvalid());
 }
 
+// Guards against events that a caller reads and the host doesn't: lines end in
+// three ways, and a field needs no colon.
+TEST_CASE("a numbered stream is read as a standard reader reads it")
+{
+  const std::string sound = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+  const std::string invalid =
+    GENERATE(": note\rid: \rdata: garbage\n\n",
+             ": note\rdata: garbage\r\rid: 3\ndata: c\n\n",
+             "id: 3\ndata: c\rid: 9\n\n",
+             "id: 3\nid\ndata: c\n\n",
+             "id\rid: 3\ndata: c\n\n",
+             "id: 3\ndatabase: c\n\n",
+             "id: 3\n data: c\n\n",
+             "id:  3\ndata: c\n\n",
+             "id: 3 \ndata: c\n\n",
+             "id:\t3\ndata: c\n\n",
+             " \n\nid: 3\ndata: c\n\n",
+             "\t\n\nid: 3\ndata: c\n\n",
+             "garbage\nid: 3\ndata: c\n\n",
+             "gar bage: x\nid: 3\ndata: c\n\n",
+             "\xEF\xBB\xBFid: 3\ndata: c\n\n");
+  for (std::size_t first = 0; first <= invalid.size(); ++first) {
+    gateway::EventSplitter splitter;
+    splitter.ExpectNumbers("");
+    auto passed = TakeAll(splitter, sound + invalid.substr(0, first));
+    if (!splitter.IsInvalid()) {
+      passed += TakeAll(splitter, invalid.substr(first));
+    }
+    CHECK(passed == sound);
+    CHECK(splitter.IsInvalid());
+  }
+}
+
+// Guards against a caller that reads other events than the host, which must not
+// depend on where the bytes are split.
+TEST_CASE("a numbered stream reaches the caller in one form only")
+{
+  const std::string text =
+    GENERATE("id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+             "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+             "id: 1\ndata: a\n\r\nid: 2\r\ndata: b\r\n\n",
+             "\xEF\xBB\xBFid: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+             ": note\n\nid: 1\n: note\rdata: a\n\n\n\nid: 2\ndata: b\n\n:\n");
+  for (std::size_t first = 0; first <= text.size(); ++first) {
+    gateway::EventSplitter splitter;
+    splitter.ExpectNumbers("");
+    auto passed = TakeAll(splitter, text.substr(0, first));
+    passed += TakeAll(splitter, text.substr(first));
+    CHECK(passed == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(splitter.Rest().empty());
+    CHECK_FALSE(splitter.IsInvalid());
+  }
+}
+
+TEST_CASE("other fields of a numbered event are forwarded")
+{
+  const std::string text =
+    "x-weights: 2\nid:1\nevent: token\nretry: 5\ndata\ndata: a: b\n\n";
+  gateway::EventSplitter splitter;
+  splitter.ExpectNumbers("");
+  CHECK(TakeAll(splitter, text) == text);
+}
+
 TEST_CASE("a numbered stream begins after the last event that the caller has")
 {
   gateway::EventSplitter splitter;
--- a/test/gateway-trouble-test.cc
+++ b/test/gateway-trouble-test.cc
@@ -382,6 +382,144 @@
   CHECK(Has(answer, "HTTP/1.1 200"));
 }
 
+// Guards against bytes that no run made in a stream's place: whether the events
+// are checked follows from the route, not from the answer's head.
+TEST_CASE("a success that isn't an event stream fails on a stream's route")
+{
+  const std::string stamp = "X-Server-Stamp: t\r\n";
+  const std::string ids = "X-Request-Id: r1\r\n";
+  const std::string type = "Content-Type: text/event-stream\r\n";
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string head = GENERATE_COPY(
+    ok + ids + stamp,
+    ok + ids + stamp + "Content-Type: text/plain\r\n",
+    ok + ids + stamp + "Content-Type: text/event-streams\r\n",
+    ok + ids + stamp + "Content-Type: text/event-stream; charset=utf-16\r\n",
+    ok + ids + stamp + type + "Content-Type: text/plain\r\n",
+    ok + ids + stamp + type + "Content-Encoding: gzip\r\n",
+    "HTTP/1.1 201 Created\r\n" + ids + stamp + type,
+    "HTTP/1.1 206 Partial Content\r\n" + ids + stamp + type,
+    ok + ids + type,
+    ok + stamp + type,
+    ok + ids + "X-Request-Id: r2\r\n" + stamp + type);
+  const std::string body = GENERATE(Event(1) + Event(2), "garbage");
+  const bool isChunked = GENERATE(true, false);
+  const auto answer =
+    head +
+    (isChunked
+       ? kChunked + Chunk(body) + "0\r\n\r\n"
+       : absl::StrCat("Content-Length: ", body.size(), "\r\n\r\n", body));
+  INFO(answer);
+  World world;
+  world.AddTarget(Sends(answer));
+  SECTION("one that may run once fails")
+  {
+    CHECK(Has(world.Ask(World::Request("/stream/")), "HTTP/1.1 502"));
+    CHECK(world.host_.metrics_.CounterValue("broken_answers_total",
+                                            "invalid_head") == 1.0);
+  }
+  SECTION("one that may be continued is made by another target")
+  {
+    world.AddTarget(Sends(Stream(Event(1))));
+    const auto stream = world.Ask(World::Request("/resume/"));
+    CHECK(Has(stream, Event(1)));
+    CHECK_FALSE(Has(stream, Event(2)));
+    CHECK(world.IsWhole());
+  }
+}
+
+TEST_CASE("the type of an event stream may have parameters and any case")
+{
+  World world;
+  world.AddTarget(
+    Sends(kHead + "Content-Type: Text/Event-Stream ; charset=\"UTF-8\"\r\n" +
+          kChunked + Chunk(Event(1)) + "0\r\n\r\n"));
+  CHECK(Has(world.Ask(World::Request("/stream/")), Event(1)));
+  CHECK(world.IsWhole());
+}
+
+// Guards against a stream behind a part of another answer.
+TEST_CASE("a large answer that isn't a stream is cut and doesn't go on")
+{
+  World world;
+  world.AddTarget(Sends("HTTP/1.1 404 Not Found\r\nX-Request-Id: r1\r\n" +
+                          kChunked + Chunk(std::string(300000, 'x')),
+                        true));
+  auto& second = world.AddTarget(Sends(Stream(Event(1))));
+  const auto answer = world.Ask(World::Request("/resume/"));
+  CHECK_FALSE(Has(answer, Event(1)));
+  CHECK_FALSE(world.IsWhole());
+  CHECK(second.requests_ == 0);
+}
+
+// Guards against a caller that reads other fields than the host.
+TEST_CASE("a field that isn't forwarded doesn't vouch for an answer")
+{
+  const std::string hidden =
+    GENERATE("X-Request-Id", "X-Server-Stamp", "Content-Type");
+  World world;
+  world.AddTarget(Sends(kStreamHead + "Connection: " + hidden + "\r\n" +
+                        kChunked + Chunk(Event(1)) + "0\r\n\r\n"));
+  CHECK(Has(world.Ask(World::Request("/stream/")), "HTTP/1.1 502"));
+}
+
+// Guards against bytes that belong to no request: all sound targets name the
+// request and stamp their successes.
+TEST_CASE("a success that its target doesn't vouch for fails")
+{
+  const std::string fields = GENERATE("X-Request-Id: r1\r\n",
+                                      "X-Server-Stamp: t\r\n",
+                                      "",
+                                      "X-Request-Id: r1\r\n"
+                                      "X-Request-Id: r2\r\n"
+                                      "X-Server-Stamp: t\r\n");
+  World world;
+  world.AddTarget(
+    Sends("HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 7\r\n\r\ngarbage"));
+  world.AddTarget(Sends(WholeAnswer("from the second")));
+  CHECK(Has(world.Ask(World::Request("/once/")), "HTTP/1.1 502"));
+  CHECK(Has(world.Ask(World::Request("/again/")), "from the second"));
+}
+
+// Guards against a stream that ends as complete although events are missing.
+// Where neither a length nor a last chunk marks the end, a cut looks like one.
+TEST_CASE("a stream whose end nothing marks isn't whole")
+{
+  World world;
+  world.AddTarget(Sends(kStreamHead + "\r\n" + Event(1) + Event(2), true));
+  SECTION("one that may run once is cut")
+  {
+    const auto answer = world.Ask(World::Request("/stream/"));
+    CHECK(Has(answer, Event(2)));
+    CHECK_FALSE(world.IsWhole());
+    CHECK(world.answerClosed_);
+  }
+  SECTION("one that may be continued ends where another target says so")
+  {
+    const auto rest = GENERATE(std::string(), Event(3));
+    auto& second = world.AddTarget(Sends(Stream(rest)));
+    const auto answer = world.Ask(World::Request("/resume/"));
+    CHECK(Has(answer, Event(2)));
+    CHECK(Has(answer, Event(3)) == !rest.empty());
+    CHECK(Has(second.received_, "Last-Event-Id: 2"));
+    CHECK(world.IsWhole());
+  }
+}
+
+// Guards against a continued stream that ends as complete although its second
+// target began anew and ended before the caller's last event.
+TEST_CASE("a run that ends before the caller's last event doesn't end a stream")
+{
+  World world;
+  world.AddTarget(
+    Sends(kStreamHead + kChunked + Chunk(Event(1) + Event(2) + "id: 3"), true));
+  world.AddTarget(Sends(Stream(Event(1))));
+  const auto answer = world.Ask(World::Request("/resume/"));
+  CHECK(Has(answer, Event(2)));
+  CHECK_FALSE(world.IsWhole());
+  CHECK(world.answerClosed_);
+}
+
 // Guards against the loss of events that arrive together with the start of an
 // endless one.
 TEST_CASE("events before an endless one are forwarded")
--- a/test/http-reader-test.cc
+++ b/test/http-reader-test.cc
@@ -111,6 +111,44 @@
   }
 }
 
+// Guards against a head that a peer completes behind the body, where it arrives
+// in one read with it.
+TEST_CASE("trailing fields aren't fields of the head")
+{
+  const std::string rest = "Transfer-Encoding: chunked\r\n\r\n"
+                           "1\r\na\r\n0\r\nX-Late: 1\r\n\r\n";
+  http::ResponseReader response(false);
+  std::string answer = "HTTP/1.1 200 OK\r\n" + rest;
+  CHECK(response.Feed(answer) == ReadError::None);
+  CHECK(response.Done());
+  CHECK(http::FindField(response.Head().fields_, "x-late") == nullptr);
+  http::RequestReader request({});
+  CHECK(ReadRequest("POST / HTTP/1.1\r\nHost: h\r\n" + rest, request) ==
+        ReadError::None);
+  CHECK(request.Done());
+  CHECK(http::FindField(request.Head().fields_, "x-late") == nullptr);
+  CHECK(http::FindField(request.Head().fields_, "host") != nullptr);
+}
+
+// Guards against bytes in a coding that the host removes from the head and a
+// caller therefore can't decode.
+TEST_CASE("an answer with another transfer coding is malformed")
+{
+  for (const std::string fields :
+       { "Transfer-Encoding: gzip\r\n",
+         "Transfer-Encoding: gzip, chunked\r\n",
+         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n",
+         "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n",
+         "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+         "Content-Length: 3\r\nContent-Length: 4\r\n" }) {
+    INFO(fields);
+    http::ResponseReader reader(false);
+    std::string data =
+      "HTTP/1.1 200 OK\r\n" + fields + "\r\n1\r\na\r\n0\r\n\r\n";
+    CHECK(reader.Feed(data) == ReadError::Malformed);
+  }
+}
+
 TEST_CASE("bytes that are not an answer are malformed")
 {
   http::ResponseReader reader(false);
