Read only the head's fields of a message, and only bodies whose framing is clear

A caller could get an answer whose id, stamp or type stood in the trailer: when a chunked message arrives in one read, the parser has read the trailer before the head was taken, and its fields counted as the head's. And an answer with "Transfer-Encoding: gzip, chunked" lost its coding on the way, since the field isn't forwarded; one with gzip alone counted as a body without framing.

Fields behind the head are ignored now. An answer with another transfer coding than chunked, with a length beside it, or with two lengths is malformed, as requests were before. "trailing fields aren't fields of the head" and "an answer with another transfer coding is malformed" failed before and pass.

--- a/src/http/reader.cc
+++ b/src/http/reader.cc
@@ -61,7 +61,10 @@
                      string_view aValue,
                      error_code&) override
   {
-    fields_.push_back({ Text(aName), Text(aValue) });
+    // Fields in the trailer aren't fields of the head.
+    if (!this->is_header_done()) {
+      fields_.push_back({ Text(aName), Text(aValue) });
+    }
   }
   void on_header_impl(error_code&) override {}
   void on_body_init_impl(const boost::optional<std::uint64_t>&,
@@ -113,7 +116,7 @@
   return result;
 }
 
-// Returns whether another reader could frame the request differently.
+// Returns whether another reader could frame the message differently.
 bool
 HasUnclearFraming(const Fields& aFields)
 {
@@ -123,8 +126,7 @@
                               CountFields(aFields, "content-length") > 0)) {
     return true;
   }
-  return CountFields(aFields, "content-length") > 1 ||
-         CountFields(aFields, "host") > 1;
+  return CountFields(aFields, "content-length") > 1;
 }
 
 } // namespace
@@ -162,7 +164,8 @@
     head.fields_ = std::move(parser.fields_);
     head.version_ = parser.version_;
     head.keepAlive_ = parser.keep_alive();
-    if (HasUnclearFraming(head.fields_)) {
+    if (HasUnclearFraming(head.fields_) ||
+        CountFields(head.fields_, "host") > 1) {
       return ReadError::Malformed;
     }
   }
@@ -232,6 +235,11 @@
   auto& parser = impl_->parser_;
   const auto error = FeedParser(parser, aData);
   if (parser.is_header_done() && !impl_->headTaken_) {
+    // The body is unknown as well then.
+    if (HasUnclearFraming(parser.fields_)) {
+      parser.body_.clear();
+      return ReadError::Malformed;
+    }
     impl_->headTaken_ = true;
     auto& head = impl_->head_;
     head.status_ = parser.status_;
