Read a numbered stream as its callers read it, and forward what was read

Callers got events without an id, and an id that went back to nothing, in streams whose events had been checked: the host ended lines only with LF, so that a CR hid an event in a comment or in data; it took "id" without a colon for no id, "database:" for data, and white space around a number for none. A caller that follows the standard of server-sent events reads otherwise.

Lines end with LF, CRLF or CR now, in any split of the bytes, and fields are read as the standard defines. An event with a line that names no field ends the target's part. A numbered stream is forwarded in one form, with LF and without comments: a caller can't read anything but what was checked. Streams of other routes pass byte for byte as before.

The cases of gateway-events-test failed before and pass, at each split in two.

--- a/src/gateway/events.cc
+++ b/src/gateway/events.cc
@@ -1,69 +1,26 @@
 #include "gateway/events.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
+#include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
-#include <absl/strings/str_split.h>
 #include <absl/strings/strip.h>
 
 namespace lycheeplank::gateway {
 
 namespace {
 
-// Length of the longest sequence that ends an event.
-constexpr std::size_t kEndBytes = 4;
+constexpr absl::string_view kByteOrderMark = "\xEF\xBB\xBF";
 
-// Returns the position after the first complete event, or npos. aFrom: position
-// before which no end sequence begins. Reads each byte once, since a target may
-// send very short events without end.
-std::size_t
-EndOfEvent(absl::string_view aText, std::size_t aFrom)
-{
-  for (auto at = aText.find('\n', aFrom); at != absl::string_view::npos;
-       at = aText.find('\n', at + 1)) {
-    const auto next = aText.substr(at + 1, 2);
-    if (absl::StartsWith(next, "\n")) {
-      return at + 2;
-    }
-    if (next == "\r\n" && at > 0 && aText[at - 1] == '\r') {
-      return at + 3;
-    }
-  }
-  return absl::string_view::npos;
-}
-
-bool
-HasData(absl::string_view aEvent)
-{
-  return absl::StartsWith(aEvent, "data") ||
-         absl::StrContains(aEvent, "\ndata");
-}
-
-bool
-IsComment(absl::string_view aEvent)
-{
-  for (const absl::string_view line : absl::StrSplit(aEvent, '\n')) {
-    if (!absl::StripAsciiWhitespace(line).empty() &&
-        !absl::StartsWith(line, ":")) {
-      return false;
-    }
-  }
-  return true;
-}
-
-std::vector<absl::string_view>
-IdsOf(absl::string_view aEvent)
-{
-  std::vector<absl::string_view> ids;
-  for (absl::string_view line : absl::StrSplit(aEvent, '\n')) {
-    if (absl::ConsumePrefix(&line, "id:")) {
-      ids.push_back(absl::StripAsciiWhitespace(line));
-    }
-  }
-  return ids;
-}
+// Fields that a line without a colon may name.
+constexpr std::array<absl::string_view, 4> kStandardFields{ "data",
+                                                            "event",
+                                                            "id",
+                                                            "retry" };
 
 // Returns the number that an id consists of in its shortest form.
 absl::optional<std::uint64_t>
@@ -75,6 +32,20 @@
            : absl::nullopt;
 }
 
+// Returns whether a line names a field. Standard readers ignore other lines,
+// but a sound target sends none.
+bool
+IsFieldLine(absl::string_view aName, bool aHasColon)
+{
+  if (!aHasColon) {
+    return std::find(kStandardFields.begin(), kStandardFields.end(), aName) !=
+           kStandardFields.end();
+  }
+  return std::all_of(aName.begin(), aName.end(), [](unsigned char aByte) {
+    return absl::ascii_isalnum(aByte) || aByte == '-' || aByte == '_';
+  });
+}
+
 } // namespace
 
 void
@@ -85,67 +56,136 @@
 }
 
 EventSplitter::Step
-EventSplitter::Check(absl::string_view aEvent,
-                     const std::vector<absl::string_view>& aIds) const
+EventSplitter::Check() const
 {
-  if (IsComment(aEvent)) {
-    return Step::Forward;
+  if (isNumbered_ &&
+      (event_.ids_ != 1 || !event_.number_ || event_.isMalformed_)) {
+    return Step::Stop;
   }
-  const auto number = aIds.empty() ? absl::nullopt : NumberOf(aIds.front());
-  if (number && lastNumber_ && *number <= *lastNumber_) {
+  if (event_.number_ && lastNumber_ && event_.number_ <= lastNumber_) {
     return Step::LeaveOut;
   }
-  const bool isNext = number && (!lastNumber_ || *number == *lastNumber_ + 1);
-  return !isNumbered_ || (isNext && aIds.size() == 1 && HasData(aEvent))
-           ? Step::Forward
-           : Step::Stop;
+  const bool isNext =
+    !lastNumber_ || event_.number_.value_or(0) == *lastNumber_ + 1;
+  return !isNumbered_ || (isNext && event_.hasData_) ? Step::Forward
+                                                     : Step::Stop;
+}
+
+void
+EventSplitter::AddLine(absl::string_view aLine, absl::string_view aEnd)
+{
+  if (!isNumbered_) {
+    absl::StrAppend(&event_.text_, aLine, aEnd);
+  }
+  if (std::exchange(isFirstLine_, false)) {
+    absl::ConsumePrefix(&aLine, kByteOrderMark);
+  }
+  if (aLine.empty() || absl::StartsWith(aLine, ":")) {
+    idleBytes_ += isNumbered_ ? aLine.size() + aEnd.size() : 0;
+    return;
+  }
+  if (isNumbered_) {
+    absl::StrAppend(&event_.text_, aLine, "\n");
+  }
+  event_.hasFields_ = true;
+  const auto colon = aLine.find(':');
+  const auto name = aLine.substr(0, colon);
+  event_.isMalformed_ |= !IsFieldLine(name, colon != absl::string_view::npos);
+  if (name == "data") {
+    event_.hasData_ = true;
+  } else if (name == "id") {
+    auto value = colon == absl::string_view::npos ? absl::string_view()
+                                                  : aLine.substr(colon + 1);
+    absl::ConsumePrefix(&value, " ");
+    event_.id_ = std::string(value);
+    event_.number_ = NumberOf(value);
+    ++event_.ids_;
+  }
+}
+
+void
+EventSplitter::EndEvent(std::string& aWhole)
+{
+  const bool isComment = !event_.hasFields_;
+  if (isComment && isNumbered_) {
+    return;
+  }
+  const auto step = isComment ? Step::Forward : Check();
+  if (step == Step::Stop) {
+    isInvalid_ = true;
+    return;
+  }
+  const auto event = std::exchange(event_, {});
+  const bool hasData = event.hasData_ && step == Step::Forward;
+  idleBytes_ = hasData ? 0 : idleBytes_ + event.text_.size();
+  leftOut_ = step == Step::LeaveOut ? event.number_ : absl::nullopt;
+  if (leftOut_) {
+    return;
+  }
+  if (event.ids_ > 0) {
+    lastId_ = event.id_;
+    if (event.number_) {
+      lastNumber_ = event.number_;
+    }
+  }
+  ++count_;
+  dataCount_ += hasData ? 1 : 0;
+  absl::StrAppend(&aWhole, event.text_, isNumbered_ ? "\n" : "");
 }
 
 std::string
 EventSplitter::Take(std::string& aData)
 {
-  rest_ += aData;
-  aData.clear();
   std::string whole;
-  std::size_t begin = 0;
-  for (auto end = EndOfEvent(rest_, searched_);
-       end != std::string::npos && idleBytes_ <= kMaxEventBytes;
-       end = EndOfEvent(rest_, begin)) {
-    const auto event = absl::string_view(rest_).substr(begin, end - begin);
-    const auto ids = IdsOf(event);
-    const auto step = Check(event, ids);
-    if (step == Step::Stop) {
-      isInvalid_ = true;
+  absl::string_view rest = aData;
+  while (!rest.empty() && !isInvalid_ && idleBytes_ <= kMaxEventBytes) {
+    if (std::exchange(mayEndWithLineFeed_, false) &&
+        absl::ConsumePrefix(&rest, "\n")) {
+      // A pair that was split between two reads: the line has ended already,
+      // and perhaps its event.
+      if (!isNumbered_ && (!event_.text_.empty() || !leftOut_)) {
+        (event_.text_.empty() ? whole : event_.text_) += '\n';
+      }
+      continue;
+    }
+    const auto size = rest.find_first_of("\r\n");
+    if (size == absl::string_view::npos) {
+      absl::StrAppend(&line_, rest);
       break;
     }
-    begin = end;
-    const bool hasData = HasData(event) && step == Step::Forward;
-    idleBytes_ = hasData ? 0 : idleBytes_ + event.size();
-    if (step == Step::LeaveOut) {
-      continue;
+    const bool isReturn = rest[size] == '\r';
+    const bool isPair =
+      isReturn && size + 1 < rest.size() && rest[size + 1] == '\n';
+    const auto end = rest.substr(size, isPair ? 2 : 1);
+    mayEndWithLineFeed_ = isReturn && !isPair;
+    auto line = rest.substr(0, size);
+    const auto begun = std::exchange(line_, {});
+    std::string joined;
+    if (!begun.empty()) {
+      joined = absl::StrCat(begun, line);
+      line = joined;
     }
-    if (!ids.empty()) {
-      lastId_ = std::string(ids.front());
-      if (const auto number = NumberOf(lastId_)) {
-        lastNumber_ = number;
-      }
+    rest.remove_prefix(size + end.size());
+    const bool isBlank = line.empty();
+    AddLine(line, end);
+    if (isBlank) {
+      EndEvent(whole);
     }
-    ++count_;
-    dataCount_ += hasData ? 1 : 0;
-    whole.append(event.data(), event.size());
   }
-  rest_.erase(0, begin);
-  searched_ = rest_.size() < kEndBytes ? 0 : rest_.size() - kEndBytes + 1;
+  aData.clear();
   return whole;
 }
 
 void
 EventSplitter::Clear()
 {
-  rest_.clear();
-  searched_ = 0;
+  line_.clear();
+  event_ = {};
+  mayEndWithLineFeed_ = false;
+  isFirstLine_ = true;
   idleBytes_ = 0;
   isInvalid_ = false;
+  leftOut_.reset();
 }
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -5,7 +5,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
-#include <vector>
 
 #include <absl/strings/string_view.h>
 #include <absl/types/optional.h>
@@ -18,31 +17,44 @@
 
 // Splits a stream of server-sent events at the ends of events, so that only
 // whole events are forwarded and a cut stream can continue after the last one.
+// Lines end with LF, CRLF or CR, and fields are read as the standard of
+// server-sent events defines.
 class EventSplitter
 {
 public:
   // From now on each event must have data and, as its only id, the number that
-  // follows the last one. aLastId: id before the first event; empty if the
-  // stream starts with event 1. Any first number is taken if it isn't a number.
+  // follows the last one. Events are returned with LF as the end of lines and
+  // without comments, so that each reader reads what was checked. aLastId: id
+  // before the first event; empty if the stream starts with event 1. Any first
+  // number is taken if it isn't a number.
   void ExpectNumbers(absl::string_view aLastId);
   bool IsNumbered() const { return isNumbered_; }
-  // Consumes aData and returns the events that are complete, byte for byte.
-  // Leaves out events whose numeric id isn't above the last one: a stream that
-  // continues at another target may repeat events that the caller has. Stops at
-  // the first invalid event.
+  // Consumes aData and returns the events that are complete, byte for byte
+  // unless they are numbered. Leaves out events whose numeric id isn't above
+  // the last one: a stream that continues at another target may repeat events
+  // that the caller has. Stops at the first invalid event.
   std::string Take(std::string& aData);
   // Returns whether an event of a numbered stream is invalid; the caller must
   // stop then.
   bool IsInvalid() const { return isInvalid_; }
   // Bytes of the event that isn't complete yet.
-  const std::string& Rest() const { return rest_; }
+  std::string Rest() const { return event_.text_ + line_; }
   // Returns whether an event, or all that came since the last event with data,
   // exceeds kMaxEventBytes; the caller must stop then.
-  bool IsOverlong() const
+  bool IsOverlong() const { return UnusedBytes() > kMaxEventBytes; }
+  // Bytes of the event that isn't complete yet, or of all that came since the
+  // last event with data if these are more.
+  std::size_t UnusedBytes() const
   {
-    return std::max(rest_.size(), idleBytes_) > kMaxEventBytes;
+    return std::max(event_.text_.size() + line_.size(), idleBytes_);
   }
-  std::size_t UnusedBytes() const { return rest_.size() + idleBytes_; }
+  // Returns whether the target's events end before the last event that the
+  // caller has, so that they can't be the whole rest of the stream.
+  bool EndsBeforeLast() const
+  {
+    return leftOut_ && lastNumber_ && *leftOut_ < *lastNumber_;
+  }
+  // Begins with the events of another target.
   void Clear();
   const std::string& LastId() const { return lastId_; }
   std::uint64_t Count() const { return count_; }
@@ -59,12 +71,31 @@
     Stop,
   };
 
-  Step Check(absl::string_view aEvent,
-             const std::vector<absl::string_view>& aIds) const;
+  // The lines of an event so far.
+  struct Event
+  {
+    std::string text_;
+    // The last id, and the number that it consists of.
+    std::string id_;
+    absl::optional<std::uint64_t> number_;
+    std::size_t ids_ = 0;
+    bool hasFields_ = false;
+    bool hasData_ = false;
+    bool isMalformed_ = false;
+  };
+
+  // Adds a line without its end; aEnd: the bytes of the end.
+  void AddLine(absl::string_view aLine, absl::string_view aEnd);
+  // Ends the event and appends it to aWhole if it is to be forwarded.
+  void EndEvent(std::string& aWhole);
+  Step Check() const;
 
-  std::string rest_;
-  // Length of the prefix of rest_ in which no event ends.
-  std::size_t searched_ = 0;
+  // The line and the event that aren't complete yet.
+  std::string line_;
+  Event event_;
+  // The last line ended with CR: LF would belong to its end.
+  bool mayEndWithLineFeed_ = false;
+  bool isFirstLine_ = true;
   // Bytes of comments and left out events since the last event with data.
   std::size_t idleBytes_ = 0;
   std::string lastId_;
@@ -73,6 +104,8 @@
   std::uint64_t dataCount_ = 0;
   bool isNumbered_ = false;
   bool isInvalid_ = false;
+  // Number of the last event if it was left out.
+  absl::optional<std::uint64_t> leftOut_;
 };
 
 } // namespace lycheeplank::gateway
