Cut a large answer that isn't a stream instead of going on at another target

On a route whose streams may resume, an answer over 256 KiB that was no stream was forwarded, and when it broke off, the next target's answer followed it in the same body. Only a stream goes on now, after its last event. "a large answer that isn't a stream is cut and doesn't go on" fails without the change.

--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -204,8 +204,12 @@
 {
   const auto limits = ResendLimits(host_);
   const bool left = retry_budget::ResendsLeft(Ledger(), limits, Now()) >= 1.0;
+  // Only a stream can go on with the answer of another target.
+  const bool isOtherBegun = answerBegun_ && events_.Count() == 0;
   const auto step =
-    retry::DecideNextStep(*route_, history_, aEnd, TimeLeft(), left);
+    isOtherBegun
+      ? retry::NextStep::Cut
+      : retry::DecideNextStep(*route_, history_, aEnd, TimeLeft(), left);
   switch (step) {
     case retry::NextStep::TryAgain:
       if (history_.sends_ > 0) {
