Let the route decide what a successful answer has to be, not its head

On a stream's route callers got bytes that no run made in place of events, and ends before the last event, and no host wrote a line about them. The host took an answer for a stream if its head said text/event-stream: any other 2xx (no type, two types, another status) was passed on whole, unchecked and unlogged. The id of the request and the stamp counted only where they were present, and also where "Connection" named them, so that the caller never saw them.

A success must name the request as its only one, bear a stamp and not deny the run; on a stream's route it must be a 200 with one type, that of event streams in UTF-8, and no coding of its bytes. All of it is read from the fields that are forwarded. Else the attempt fails (invalid_head in the log), and another target makes the answer where the route allows. The request's line has the framing of its answer and its number of events.

--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -63,6 +63,8 @@
 struct TargetAnswer
 {
   std::string requestId_;
+  // The head names several requests, or has several stamps.
+  bool isAmbiguous_ = false;
   // The answer comes from a target and not from a proxy in front of it.
   bool isStamped_ = false;
   // The target has not run the request and will not run it.
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include <absl/strings/ascii.h>
-#include <absl/strings/match.h>
 
+#include "gateway/answer-head.h"
 #include "gateway/clock.h"
 #include "gateway/peers.h"
 #include "gateway/permits.h"
@@ -25,33 +25,15 @@
 // target.
 constexpr std::size_t kMaxUnsentBytes = 256U << 10U;
 
-bool
-IsEventStream(const http::ResponseHead& aHead)
-{
-  const auto* type = http::FindField(aHead.fields_, "content-type");
-  return type != nullptr &&
-         absl::StartsWithIgnoreCase(*type, "text/event-stream");
-}
-
-http::Fields
-ForwardedFields(const http::ResponseHead& aHead)
-{
-  http::Fields fields;
-  for (const auto& field : aHead.fields_) {
-    if (!http::IsHopField(aHead.fields_, field.name_) &&
-        !absl::EqualsIgnoreCase(field.name_, "content-length")) {
-      fields.push_back(field);
-    }
-  }
-  return fields;
-}
-
 } // namespace
 
 bool
 Exchange::OnHead(const http::ResponseHead& aHead)
 {
-  auto answer = host_.adapter_.readAnswer_(aHead);
+  // Only fields that reach the caller count.
+  auto head = aHead;
+  head.fields_ = ForwardedFields(aHead);
+  auto answer = host_.adapter_.readAnswer_(head);
   if (!answer.requestId_.empty() && answer.requestId_ != request_.id_) {
     host_.metrics_.Count("foreign_answers_total");
     host_.log_.Write(Line("foreign_answer")
@@ -61,10 +43,16 @@
     return false;
   }
   answer_ = std::move(answer);
-  head_ = aHead;
+  head_ = std::move(head);
   headAccepted_ = true;
   body_.clear();
   UpdateBufferedBytes();
+  if (const auto fault = FaultOf(head_, answer_, request_.id_, *route_);
+      fault != HeadFault::None) {
+    NoteBytes(host_, Evidence());
+    AbandonHead(fault);
+    return true;
+  }
   const auto now = Now();
   const auto found = host_.members_.find(targetId_);
   if (found != host_.members_.end()) {
@@ -82,13 +70,13 @@
   ApplyTargetLimit();
   // A stream that continues at another target keeps the head that the caller
   // has received.
-  isEvents_ = aHead.status_ / 100 == 2 && IsEventStream(aHead);
+  isEvents_ = IsSuccess(head_.status_) && IsEventStream(head_);
   if (!isEvents_) {
     firstByteAt_ = now;
     // The head of an event stream doesn't count as progress; its first event
     // does.
     const auto length = std::min<std::uint64_t>(
-      kMaxBufferedBytes, aHead.length_.value_or(std::uint64_t{ 0 }));
+      kMaxBufferedBytes, head_.length_.value_or(std::uint64_t{ 0 }));
     silenceTimer_.Cancel();
     if (const auto limit = retry::BodyTimeLimit(*route_, history_, length);
         limit != absl::InfiniteDuration() && !answerBegun_) {
@@ -169,7 +157,7 @@
       AbandonOversized("error", body_.size());
       return;
     }
-    if (head_.status_ / 100 == 2) {
+    if (IsSuccess(head_.status_)) {
       NoteBegin(host_, Evidence());
     }
     BeginAnswer();
@@ -209,15 +197,36 @@
   EndAttempt(retry::AttemptEnd::Failed);
 }
 
+void
+Exchange::AbandonHead(HeadFault aFault)
+{
+  const auto* type = http::FindField(head_.fields_, "content-type");
+  host_.log_.Write(Line("invalid_head")
+                     .Text("id", request_.id_)
+                     .Text("target", targetId_)
+                     .Text("fault", core::NameOf(kHeadFaults, aFault))
+                     .Number("status", head_.status_)
+                     .Text("type", type == nullptr ? "" : *type)
+                     .Text("answer_id", answer_.requestId_)
+                     .Flag("stamped", answer_.isStamped_));
+  EndBroken("invalid_head");
+}
+
 void
 Exchange::AbandonInvalid()
 {
-  host_.metrics_.Count("broken_answers_total", "end", "invalid_event");
   host_.log_.Write(Line("invalid_event")
                      .Text("id", request_.id_)
                      .Text("target", targetId_)
                      .Text("last_event", events_.LastId())
                      .Number("bytes", events_.Rest().size()));
+  EndBroken("invalid_event");
+}
+
+void
+Exchange::EndBroken(absl::string_view aEnd)
+{
+  host_.metrics_.Count("broken_answers_total", "end", aEnd);
   EndAttempt(answerBegun_ ? retry::AttemptEnd::CutAnswer
                           : retry::AttemptEnd::Failed);
 }
@@ -238,7 +247,7 @@
   answerBegun_ = true;
   caller_->Begin(head_.status_,
                  head_.reason_,
-                 ForwardedFields(head_),
+                 head_.fields_,
                  isEvents_ ? absl::nullopt : head_.length_);
   caller_->OnDrained([self = shared_from_this()] {
     if (self->readingPaused_ && self->connection_) {
@@ -343,10 +352,7 @@
     return;
   }
   if (aEnd != CallEnd::Complete) {
-    host_.metrics_.Count(
-      "broken_answers_total", "end", core::NameOf(kCallEnds, aEnd));
-    EndAttempt(answerBegun_ ? retry::AttemptEnd::CutAnswer
-                            : retry::AttemptEnd::Failed);
+    EndBroken(core::NameOf(kCallEnds, aEnd));
     return;
   }
   if (answer_.notRun_) {
@@ -375,7 +381,7 @@
 Exchange::DeliverBuffered()
 {
   const auto status = head_.status_;
-  if (status / 100 == 2) {
+  if (IsSuccess(status)) {
     NoteBegin(host_, Evidence());
   }
   ReleaseTarget(fleet::CallResult::Answered);
@@ -383,10 +389,10 @@
   const auto length = caller_->Head().method_ == "HEAD" && head_.length_
                         ? *head_.length_
                         : body_.size();
-  caller_->Begin(status, head_.reason_, ForwardedFields(head_), length);
+  caller_->Begin(status, head_.reason_, head_.fields_, length);
   caller_->Write(body_);
   caller_->End();
-  Close(status / 100 == 2 ? "served" : "target_answer", status, "whole");
+  Close(IsSuccess(status) ? "served" : "target_answer", status, "whole");
 }
 
 bool
@@ -410,12 +416,7 @@
 {
   const bool isPartial = IsPartialStream();
   if (aEnd != CallEnd::Complete || isPartial) {
-    host_.metrics_.Count("broken_answers_total",
-                         "end",
-                         isPartial ? "partial_event"
-                                   : core::NameOf(kCallEnds, aEnd));
-    EndAttempt(answerBegun_ ? retry::AttemptEnd::CutAnswer
-                            : retry::AttemptEnd::Failed);
+    EndBroken(isPartial ? "partial_event" : core::NameOf(kCallEnds, aEnd));
     return;
   }
   ReleaseTarget(fleet::CallResult::Answered);
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -188,6 +188,8 @@
       .Text("reason", aReason)
       .Number("status", aStatus)
       .Text("target", targetId_)
+      .Text("framing", headAccepted_ ? FramingOf(head_) : "")
+      .Number("events", events_.Count())
       .Text("fingerprint", fingerprint_)
       .Number("tries", history_.tries_)
       .Number("sends", history_.sends_)
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -7,6 +7,7 @@
 
 #include <absl/time/time.h>
 
+#include "gateway/answer-head.h"
 #include "gateway/events.h"
 #include "gateway/host.h"
 #include "gateway/poison-blocks.h"
@@ -113,6 +114,10 @@
   // Fails the attempt because the target sent an event that can't belong to the
   // stream. The events before it have been forwarded.
   void AbandonInvalid();
+  // Fails the attempt because the head of its answer is none of the request.
+  void AbandonHead(HeadFault aFault);
+  // Counts a broken answer by its end and fails the attempt.
+  void EndBroken(absl::string_view aEnd);
   void BeginAnswer();
   // Returns whether a stream that has ended regularly lacks events or the end
   // of one.
