End a stream as complete only where its target marks the end

Callers got streams that ended as complete before their last event. Without a length and chunks, the close of the connection ended a stream, as it ends one whose target died between two events. And a target that began a continued stream anew and ended before the caller's last event ended it as complete.

A numbered stream needs a marked end now, after the last event that the caller has. Without it the attempt ends as a cut one: the stream goes on at another target, which says whether more follows, or is cut. broken_stream in the log tells how a stream ended.

--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -395,35 +395,51 @@
   Close(IsSuccess(status) ? "served" : "target_answer", status, "whole");
 }
 
-bool
-Exchange::IsPartialStream() const
+StreamFault
+Exchange::FaultOfStream() const
 {
-  // Without a length or chunks, a stream that is cut looks complete unless it
-  // ends within an event or before the first one.
   const bool isFramed = head_.length_.has_value() || head_.isChunked_;
   if (isFramed && !events_.IsNumbered()) {
-    return false;
+    return StreamFault::None;
   }
   // A stream that the caller continues may have no more events.
   const bool mayBeEmpty = isFramed && (!request_.lastEventId_.empty() ||
                                        caller_->Head().method_ == "HEAD");
-  return (events_.DataCount() == 0 && !mayBeEmpty) ||
-         !absl::StripAsciiWhitespace(events_.Rest()).empty();
+  if (events_.DataCount() == 0 && !mayBeEmpty) {
+    return StreamFault::NoEvents;
+  }
+  return !absl::StripAsciiWhitespace(events_.Rest()).empty()
+           ? StreamFault::PartialEvent
+         : events_.IsNumbered() && !isFramed ? StreamFault::NoEnd
+         : events_.EndsBeforeLast()          ? StreamFault::EarlyEnd
+                                             : StreamFault::None;
 }
 
 void
 Exchange::FinishStream(CallEnd aEnd)
 {
-  const bool isPartial = IsPartialStream();
-  if (aEnd != CallEnd::Complete || isPartial) {
-    EndBroken(isPartial ? "partial_event" : core::NameOf(kCallEnds, aEnd));
+  const auto fault = FaultOfStream();
+  if (aEnd != CallEnd::Complete || fault != StreamFault::None) {
+    const auto end = aEnd != CallEnd::Complete
+                       ? core::NameOf(kCallEnds, aEnd)
+                       : core::NameOf(kStreamFaults, fault);
+    host_.log_.Write(Line("broken_stream")
+                       .Text("id", request_.id_)
+                       .Text("target", targetId_)
+                       .Text("end", end)
+                       .Text("framing", FramingOf(head_))
+                       .Text("last_event", events_.LastId())
+                       .Number("bytes", events_.Rest().size()));
+    EndBroken(end);
     return;
   }
   ReleaseTarget(fleet::CallResult::Answered);
   if (!answerBegun_) {
     BeginAnswer();
   }
-  caller_->Write(events_.Rest());
+  if (!events_.IsNumbered()) {
+    caller_->Write(events_.Rest());
+  }
   caller_->End();
   Close("served", head_.status_, "whole");
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEEPLANK_SRC_GATEWAY_EXCHANGE_H
 #define LYCHEEPLANK_SRC_GATEWAY_EXCHANGE_H
 
+#include <array>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,6 +26,27 @@
 // Lowest HTTP status that reports a server error.
 inline constexpr int kServerError = 500;
 
+// Why a stream that has ended regularly can't be shown to be whole.
+enum class StreamFault
+{
+  None,
+  // It ends within an event.
+  PartialEvent,
+  // Its end is only the close of the connection, as that of a cut stream.
+  NoEnd,
+  NoEvents,
+  // It repeats events and ends before the last one that the caller has.
+  EarlyEnd,
+};
+
+inline constexpr std::array<core::Named<StreamFault>, 5> kStreamFaults{ {
+  { StreamFault::None, "none" },
+  { StreamFault::PartialEvent, "partial_event" },
+  { StreamFault::NoEnd, "no_end" },
+  { StreamFault::NoEvents, "no_events" },
+  { StreamFault::EarlyEnd, "early_end" },
+} };
+
 // Handles one request of a caller from its arrival to its final answer. Keeps
 // itself alive through the callbacks that it registers.
 class Exchange : public std::enable_shared_from_this<Exchange>
@@ -119,9 +141,8 @@
   // Counts a broken answer by its end and fails the attempt.
   void EndBroken(absl::string_view aEnd);
   void BeginAnswer();
-  // Returns whether a stream that has ended regularly lacks events or the end
-  // of one.
-  bool IsPartialStream() const;
+  // Returns why a stream that has ended regularly can't be shown to be whole.
+  StreamFault FaultOfStream() const;
   void FinishStream(CallEnd aEnd);
   void DeliverBuffered();
 
