Don't end a cut stream on an empty rest; tell how each answer was broken

Callers got a stream that ended as complete after a cut: the target that should continue it answered with a sound head and no event. That the run had no more events can't be told from an answer that lost them, and is rare: the cut must have come between the last event and the end. Such a rest is a broken answer now; the caller may still ask for the rest itself and be told that it is empty. An empty stamp is none.

--- a/src/gateway/events.cc
+++ b/src/gateway/events.cc
@@ -118,6 +118,7 @@
   const auto event = std::exchange(event_, {});
   const bool hasData = event.hasData_ && step == Step::Forward;
   idleBytes_ = hasData ? 0 : idleBytes_ + event.text_.size();
+  targetCount_ += event.hasData_ ? 1 : 0;
   leftOut_ = step == Step::LeaveOut ? event.number_ : absl::nullopt;
   if (leftOut_) {
     return;
@@ -186,6 +187,7 @@
   idleBytes_ = 0;
   isInvalid_ = false;
   leftOut_.reset();
+  targetCount_ = 0;
 }
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -56,6 +56,8 @@
   }
   // Begins with the events of another target.
   void Clear();
+  // Number of events with data of this target, those left out included.
+  std::uint64_t TargetCount() const { return targetCount_; }
   const std::string& LastId() const { return lastId_; }
   std::uint64_t Count() const { return count_; }
   // Number of returned events with data. Comments only keep a connection open
@@ -102,6 +104,7 @@
   absl::optional<std::uint64_t> lastNumber_;
   std::uint64_t count_ = 0;
   std::uint64_t dataCount_ = 0;
+  std::uint64_t targetCount_ = 0;
   bool isNumbered_ = false;
   bool isInvalid_ = false;
   // Number of the last event if it was left out.
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -227,6 +227,7 @@
 Exchange::EndBroken(absl::string_view aEnd)
 {
   host_.metrics_.Count("broken_answers_total", "end", aEnd);
+  brokenEnd_ = aEnd;
   EndAttempt(answerBegun_ ? retry::AttemptEnd::CutAnswer
                           : retry::AttemptEnd::Failed);
 }
@@ -402,10 +403,13 @@
   if (isFramed && !events_.IsNumbered()) {
     return StreamFault::None;
   }
-  // A stream that the caller continues may have no more events.
-  const bool mayBeEmpty = isFramed && (!request_.lastEventId_.empty() ||
-                                       caller_->Head().method_ == "HEAD");
-  if (events_.DataCount() == 0 && !mayBeEmpty) {
+  // A stream that the caller continues may have no more events. One that was
+  // cut here ends with an event of its run: an empty rest can't be told from an
+  // answer without its events.
+  const bool mayBeEmpty =
+    isFramed && !answerBegun_ &&
+    (!request_.lastEventId_.empty() || caller_->Head().method_ == "HEAD");
+  if (events_.TargetCount() == 0 && !mayBeEmpty) {
     return StreamFault::NoEvents;
   }
   return !absl::StripAsciiWhitespace(events_.Rest()).empty()
@@ -418,19 +422,12 @@
 void
 Exchange::FinishStream(CallEnd aEnd)
 {
-  const auto fault = FaultOfStream();
-  if (aEnd != CallEnd::Complete || fault != StreamFault::None) {
-    const auto end = aEnd != CallEnd::Complete
-                       ? core::NameOf(kCallEnds, aEnd)
-                       : core::NameOf(kStreamFaults, fault);
-    host_.log_.Write(Line("broken_stream")
-                       .Text("id", request_.id_)
-                       .Text("target", targetId_)
-                       .Text("end", end)
-                       .Text("framing", FramingOf(head_))
-                       .Text("last_event", events_.LastId())
-                       .Number("bytes", events_.Rest().size()));
-    EndBroken(end);
+  if (aEnd != CallEnd::Complete) {
+    EndBroken(core::NameOf(kCallEnds, aEnd));
+    return;
+  }
+  if (const auto fault = FaultOfStream(); fault != StreamFault::None) {
+    EndBroken(core::NameOf(kStreamFaults, fault));
     return;
   }
   ReleaseTarget(fleet::CallResult::Answered);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -240,6 +240,8 @@
   // Bytes received since the silence timer was last started.
   std::size_t bytesSinceProgress_ = 0;
   EventSplitter events_;
+  // How the answer was broken, as it is counted; empty if it wasn't.
+  absl::string_view brokenEnd_;
   bool headAccepted_ = false;
   bool isEvents_ = false;
   bool answerBegun_ = false;
--- a/test/gateway-trouble-test.cc
+++ b/test/gateway-trouble-test.cc
@@ -469,6 +469,8 @@
 {
   const std::string fields = GENERATE("X-Request-Id: r1\r\n",
                                       "X-Server-Stamp: t\r\n",
+                                      "X-Request-Id: r1\r\n"
+                                      "X-Server-Stamp:\r\n",
                                       "",
                                       "X-Request-Id: r1\r\n"
                                       "X-Request-Id: r2\r\n"
@@ -494,18 +496,32 @@
     CHECK_FALSE(world.IsWhole());
     CHECK(world.answerClosed_);
   }
-  SECTION("one that may be continued ends where another target says so")
+  SECTION("one that may be continued goes on at another target")
   {
-    const auto rest = GENERATE(std::string(), Event(3));
-    auto& second = world.AddTarget(Sends(Stream(rest)));
+    auto& second = world.AddTarget(Sends(Stream(Event(3))));
     const auto answer = world.Ask(World::Request("/resume/"));
     CHECK(Has(answer, Event(2)));
-    CHECK(Has(answer, Event(3)) == !rest.empty());
+    CHECK(Has(answer, Event(3)));
     CHECK(Has(second.received_, "Last-Event-Id: 2"));
     CHECK(world.IsWhole());
   }
 }
 
+// Guards against a cut stream that ends as complete because the target that
+// should continue it sends nothing.
+TEST_CASE("an empty rest of a cut stream doesn't end it")
+{
+  const auto rest = GENERATE(std::string(), ": note\n\n");
+  World world;
+  world.AddTarget(
+    Sends(kStreamHead + kChunked + Chunk(Event(1) + Event(2) + "id: 3"), true));
+  world.AddTarget(Sends(Stream(rest)));
+  const auto answer = world.Ask(World::Request("/resume/"));
+  CHECK(Has(answer, Event(2)));
+  CHECK_FALSE(world.IsWhole());
+  CHECK(world.answerClosed_);
+}
+
 // Guards against a continued stream that ends as complete although its second
 // target began anew and ended before the caller's last event.
 TEST_CASE("a run that ends before the caller's last event doesn't end a stream")
