Take the end and the fields of an answer's head as libcurl does

What callers saw: in operation nothing. By test, a call whose answer ended behind a head's line of spaces was reported as complete, with a 200 and an empty body. Fields of an interim answer came before those of the final one, and fields of a trailer were added to the head, so that a content type or the version of the platform's value could come from either.

Cause: the check for an empty line looked for a line without anything but spaces. libcurl ends a head only at a line that begins with a line break; it takes spaces for a part of the field before. It hands over the lines of all heads and of the trailer, and all were recorded.

`net-test` "a call whose connection closes after a line of spaces fails" (three of three heads) and "an answer's fields are those of its own head" failed before.

--- a/src/net/client.cc
+++ b/src/net/client.cc
@@ -126,17 +126,17 @@
   return aSize * aCount;
 }
 
-// Records whether the head of the final answer is complete. libcurl reports a
-// call as successful if its connection closes within the head.
+// Handles the end of a head, which is that of the final answer or of an interim
+// one. libcurl reports a call as successful if its connection closes before the
+// end of the final head.
 void
-RecordHeadEnd(ActiveCall& aActive, absl::string_view aLine)
+EndHead(ActiveCall& aActive)
 {
-  if (absl::StartsWith(aLine, "HTTP/")) {
-    aActive.isHeadComplete_ = false;
-  } else if (absl::StripAsciiWhitespace(aLine).empty()) {
-    long status = 0;
-    curl_easy_getinfo(aActive.easy_, CURLINFO_RESPONSE_CODE, &status);
-    aActive.isHeadComplete_ = status / 100 != 1;
+  long status = 0;
+  curl_easy_getinfo(aActive.easy_, CURLINFO_RESPONSE_CODE, &status);
+  aActive.isHeadComplete_ = status / 100 != 1;
+  if (!aActive.isHeadComplete_ && aActive.answerHeaders_ != nullptr) {
+    aActive.answerHeaders_->clear();
   }
 }
 
@@ -145,14 +145,22 @@
 {
   auto& active = *static_cast<ActiveCall*>(aActive);
   const absl::string_view line(aData, aSize * aCount);
-  RecordHeadEnd(active, line);
-  if (const auto colon = line.find(':');
-      active.answerHeaders_ != nullptr && colon != absl::string_view::npos) {
+  if (active.isHeadComplete_) {
+    // A field of the trailer.
+    return line.size();
+  }
+  // To libcurl, a line that begins with a line break ends the head. A line of
+  // spaces continues the field before it.
+  if (absl::StartsWith(line, "\r") || absl::StartsWith(line, "\n")) {
+    EndHead(active);
+  } else if (const auto colon = line.find(':');
+             active.answerHeaders_ != nullptr &&
+             colon != absl::string_view::npos) {
     active.answerHeaders_->push_back(
       { std::string(line.substr(0, colon)),
         std::string(absl::StripAsciiWhitespace(line.substr(colon + 1))) });
   }
-  return aSize * aCount;
+  return line.size();
 }
 
 // Checks the deadline just before a request is sent on a connection. libcurl's
--- a/test/net-test.cc
+++ b/test/net-test.cc
@@ -224,6 +224,41 @@
   }
 }
 
+// libcurl takes a line of spaces for a part of the field before it.
+TEST_CASE("a call whose connection closes after a line of spaces fails")
+{
+  const CutServer server;
+  net::Client client;
+  for (const char* rest : { " \r\n", "\t\n", " \t \r\nX-B: c" }) {
+    CAPTURE(rest);
+    auto answer = std::async(std::launch::async, [&] {
+      return client.FetchAndWait(
+        { "GET", absl::StrCat("http://127.0.0.1:", server.Port(), "/") });
+    });
+    server.Answer(absl::StrCat("HTTP/1.1 200 OK\r\nX-A: b\r\n", rest));
+    CHECK_FALSE(answer.get().end_.completed_);
+  }
+}
+
+TEST_CASE("an answer's fields are those of its own head")
+{
+  const CutServer server;
+  net::Client client;
+  auto fetched = std::async(std::launch::async, [&] {
+    return client.FetchAndWait(
+      { "GET", absl::StrCat("http://127.0.0.1:", server.Port(), "/") });
+  });
+  server.Answer("HTTP/1.1 103 Early Hints\r\nX-Version: 1\r\n\r\n"
+                "HTTP/1.1 200 OK\r\nX-Version: 2\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n"
+                "4\r\nbody\r\n0\r\nX-Version: 3\r\nX-Late: 4\r\n\r\n");
+  const auto answer = fetched.get();
+  CHECK(answer.Ok());
+  CHECK(answer.body_ == "body");
+  CHECK(net::FindField(answer.headers_, "X-Version") == "2");
+  CHECK_FALSE(net::HasField(answer.headers_, "X-Late"));
+}
+
 TEST_CASE("server-sent events split at any byte are parsed")
 {
   const std::string text =
