Reject events of a run that lack an index, a count or a version

What callers saw: in operation nothing. By test, an engine's end event without its count, as the first event, became a 200 with an empty text that ended as complete, and a token without an index was passed on as the first one.

Cause: a field that was absent counted as 0, and 0 is what the relay expects when nothing has arrived: the sender chose whether the check of the order and of the count applied. Negative numbers, fractions and flags were converted.

`adapters-test` "a run event that lacks what its place in the run depends on is rejected" and `relay-test` "an end event without the number of tokens breaks the attempt" and "a token without an index breaks the attempt" failed before.

--- a/src/adapters/engine.cc
+++ b/src/adapters/engine.cc
@@ -37,11 +37,24 @@
   return call;
 }
 
+// Reads a count that others are compared with. Returns nothing if the field is
+// absent or negative, or is a fraction or a flag, which the parser would
+// convert.
+absl::optional<std::uint64_t>
+ReadCount(const json& aBody, const char* aName)
+{
+  const auto count = aBody.find(aName);
+  if (count == aBody.end() || !count->is_number_unsigned()) {
+    return absl::nullopt;
+  }
+  return count->get<std::uint64_t>();
+}
+
 RunStart
 ReadStart(const json& aBody)
 {
   RunStart start;
-  start.weightVersion_ = aBody.value("weight_version", "");
+  start.weightVersion_ = aBody.at("weight_version").get<std::string>();
   start.promptTokens_ = aBody.value("prompt_tokens", std::uint64_t{ 0 });
   start.cachedBlocks_ = aBody.value("cached_blocks", 0U);
   start.importedBlocks_ = aBody.value("imported_blocks", 0U);
@@ -79,12 +92,16 @@
   return token;
 }
 
-RunFinish
+absl::optional<RunFinish>
 ReadFinish(const json& aBody)
 {
+  const auto tokens = ReadCount(aBody, "tokens");
+  if (!tokens) {
+    return absl::nullopt;
+  }
   RunFinish finish;
-  finish.reason_ = aBody.value("finish_reason", "");
-  finish.tokens_ = aBody.value("tokens", std::uint64_t{ 0 });
+  finish.reason_ = aBody.at("finish_reason").get<std::string>();
+  finish.tokens_ = *tokens;
   finish.weightVersion_ = aBody.value("weight_version", "");
   for (const auto& item : aBody.value("blocks", json::array())) {
     if (const auto key = core::BlockKeyFromHex(item.get<std::string>()); key) {
@@ -162,8 +179,11 @@
     aData, [](const json& aBody) -> absl::optional<RunEvent> {
       RunEvent event;
       if (const auto text = aBody.find("text"); text != aBody.end()) {
-        event.token_ = RunToken{ aBody.value("index", std::uint64_t{ 0 }),
-                                 text->get<std::string>() };
+        const auto index = ReadCount(aBody, "index");
+        if (!index) {
+          return absl::nullopt;
+        }
+        event.token_ = RunToken{ *index, text->get<std::string>() };
         return event;
       }
       const std::string name = aBody.value("event", "");
@@ -171,10 +191,9 @@
         event.start_ = ReadStart(aBody);
       } else if (name == "end") {
         event.finish_ = ReadFinish(aBody);
-      } else {
-        return absl::nullopt;
       }
-      return event;
+      return event.start_ || event.finish_ ? absl::make_optional(event)
+                                           : absl::nullopt;
     });
 }
 
--- a/test/adapters-test.cc
+++ b/test/adapters-test.cc
@@ -115,6 +115,27 @@
   }
 }
 
+TEST_CASE(
+  "a run event that lacks what its place in the run depends on is rejected")
+{
+  const std::vector<std::string> broken{
+    R"({"text":"a"})",
+    R"({"index":-1,"text":"a"})",
+    R"({"index":1.5,"text":"a"})",
+    R"({"index":true,"text":"a"})",
+    R"({"event":"end"})",
+    R"({"event":"end","finish_reason":"length"})",
+    R"({"event":"end","finish_reason":"length","tokens":-1})",
+    R"({"event":"end","finish_reason":"length","tokens":2.9})",
+    R"({"event":"end","tokens":2})",
+    R"({"event":"start","prompt_tokens":3})",
+  };
+  for (const std::string& data : broken) {
+    CAPTURE(data);
+    CHECK_FALSE(adapters::ReadRunEvent(data));
+  }
+}
+
 TEST_CASE("a quoted text is parsed back unchanged")
 {
   for (const std::string text : { "", " plain", "\"", "\\", "\n\t\x01", "é" }) {
--- a/test/relay-test.cc
+++ b/test/relay-test.cc
@@ -169,3 +169,21 @@
   REQUIRE(stream.exchange_->writes_.size() == 1);
   CHECK(absl::StrContains(stream.exchange_->writes_[0], R"(" t0 t1")"));
 }
+
+// Guards against an empty answer in place of one whose tokens are unknown.
+TEST_CASE("an end event without the number of tokens breaks the attempt")
+{
+  const bool isStreamed = GENERATE(true, false);
+  RelayFixture stream(isStreamed);
+  stream.relay_.Feed(
+    net::FormatSse("", R"({"event":"end","finish_reason":"stop"})"));
+  CHECK(stream.relay_.State() == entry::RelayState::Broken);
+}
+
+TEST_CASE("a token without an index breaks the attempt")
+{
+  RelayFixture stream;
+  stream.relay_.Feed(net::FormatSse("", R"({"text":"a"})"));
+  CHECK(stream.relay_.State() == entry::RelayState::Broken);
+  CHECK(stream.Events().empty());
+}
