Break an attempt whose run is under another weight version than ordered

What callers saw: in operation nothing. By test, a stream whose start event named another weight version, that began anew under another one, or that had no start event at all was relayed as a whole answer.

Cause: the version was compared only by the control thread, only if a start event came and only with the first one, while the relay had already sent the tokens. Besides, that comparison is a CHECK: the event of an engine would have ended the host.

The relay now compares each start event with the order, and takes no event before the first one. Resumed runs have no start event and are relayed as before.

`runner-test` "a run under another weight version breaks the attempt" (three of three starts) and "a second start under another weight version breaks the attempt" failed before.

--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -41,7 +41,7 @@
       continue;
     }
     const auto read = adapters::ReadRunEvent(event.data_);
-    if (!read) {
+    if (!read || !IsOfOrderedVersion(*read)) {
       state_ = RelayState::Broken;
     } else if (read->start_) {
       start_ = *read->start_;
@@ -62,6 +62,14 @@
   return started;
 }
 
+bool
+Relay::IsOfOrderedVersion(const adapters::RunEvent& aEvent) const
+{
+  const adapters::RunStart& start = aEvent.start_ ? *aEvent.start_ : start_;
+  return !options_.weightVersion_ ||
+         start.weightVersion_ == *options_.weightVersion_;
+}
+
 // Writes all tokens that arrived together in one go, so that the caller's
 // connection is woken only once.
 void
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -22,6 +22,9 @@
   bool stream_ = true;
   // Index of the first token to relay; the caller already has those before.
   std::uint64_t firstIndex_ = 0;
+  // Weight version that the run was ordered under. Absent if it isn't known, as
+  // of a run that is resumed.
+  absl::optional<std::string> weightVersion_;
 };
 
 // State of a relay after the data fed to it so far.
@@ -30,7 +33,8 @@
   Running,
   // The engine has reported the end of the run, and no token is missing.
   Finished,
-  // The data is unreadable, or tokens are missing.
+  // The data is unreadable, tokens are missing, or the run is under another
+  // weight version than the ordered one.
   Broken,
 };
 
@@ -66,6 +70,9 @@
 private:
   // Begins the response if it is streamed and hasn't begun.
   void EnsureStreamBegun();
+  // Returns whether an event is of a run under the ordered weight version. An
+  // event before the run's start isn't.
+  bool IsOfOrderedVersion(const adapters::RunEvent& aEvent) const;
   void RelayToken(const adapters::RunToken& aToken);
   void SendPending();
 
--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -139,7 +139,8 @@
              Relay({ aOpenRequest->publicId_,
                      aOpenRequest->modelOrService_,
                      aOpenRequest->stream_,
-                     0 },
+                     0,
+                     aDispatch.weightVersion_ },
                    aOpenRequest->exchange_,
                    resume::Signer(secret_,
                                   { aOpenRequest->workspace_,
@@ -441,10 +442,10 @@
     Relay relay_;
     int status_ = 0;
   };
-  auto resumed = std::make_shared<Resumed>(
-    Resumed{ Relay({ aPosition.requestId_, aModel, true, aPosition.index_ + 1 },
-                   aExchange,
-                   resume::Signer(secret_, aPosition)) });
+  auto resumed = std::make_shared<Resumed>(Resumed{ Relay(
+    { aPosition.requestId_, aModel, true, aPosition.index_ + 1, absl::nullopt },
+    aExchange,
+    resume::Signer(secret_, aPosition)) });
   metrics_.Count("stream_resumes_total");
   net::Call call =
     adapters::ResumeRun(aTargetUrl, aPosition.runId_, aPosition.index_ + 1);
