Take an engine's refusal with an unreadable reason for a refusal

What callers saw: in operation nothing. By test, the entry host ended, and with it all its answers, when an engine refused a run with 409 and a JSON body whose `error` or `serving` wasn't a text.

Cause: the field was read by a function that throws if the type differs, on a thread that handles no exceptions. All other answers of engines are read within a handler.

`runner-test` "an engine's refusal with an unreadable reason is a refusal" ended by SIGABRT before.

--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -3,8 +3,8 @@
 #include <array>
 
 #include <absl/strings/str_cat.h>
-#include <nlohmann/json.hpp>
 
+#include "core/json.h"
 #include "entry/problem.h"
 
 namespace lycheeplank::entry {
@@ -33,9 +33,9 @@
 std::string
 ReadServingVersion(const std::string& aBody)
 {
-  const auto body = nlohmann::json::parse(aBody, nullptr, false);
-  return body.is_object() && body.value("error", "") == "weight_version"
-           ? body.value("serving", "")
+  const auto body = json::ParseJson(aBody);
+  return json::TextOf(body, "error") == "weight_version"
+           ? json::TextOf(body, "serving")
            : "";
 }
 
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -133,3 +133,15 @@
   CHECK(outcome.ended_.result_ == reducer::AttemptResult::Broken);
   CHECK(outcome.written_.empty());
 }
+
+TEST_CASE("an engine's refusal with an unreadable reason is a refusal")
+{
+  for (const char* body : { R"({"error":{"code":1}})",
+                            R"({"error":"weight_version","serving":2})",
+                            R"({"error":7})",
+                            "{" }) {
+    CAPTURE(body);
+    const auto outcome = RunOnEngine(409, body);
+    CHECK(outcome.ended_.result_ == reducer::AttemptResult::Refused);
+  }
+}
