Fail a call if the length of its answer is in doubt

What callers saw: in operation nothing. By test, calls whose answers named two lengths, a length that is no number or out of range, or a length or a chunked encoding with a space before the colon were reported as complete, with a part of the body, or with the sizes of the chunks in it.

Cause: libcurl 7.88 reads a length up to the first character that isn't a digit, takes the last of several, ignores one that is out of range, and takes a name with a space before the colon for an unknown one. Then it reads until the connection closes, or less than was sent, and reports success.

`net-test` "a call fails if the length of its answer is in doubt" failed before for each of nine heads (17 of 18 calls were reported as complete). Equal lengths count as one, as before.

--- a/src/net/client.cc
+++ b/src/net/client.cc
@@ -1,5 +1,6 @@
 #include "lycheeplank/net.h"
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <pthread.h>
@@ -10,9 +11,11 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/strings/ascii.h>
 #include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/mutex.h>
 #include <absl/synchronization/notification.h>
+#include <absl/types/optional.h>
 #include <curl/curl.h>
 
 #include "net/poller.h"
@@ -57,6 +60,9 @@
   absl::Time deadline_ = absl::InfiniteFuture();
   bool statusReported_ = false;
   bool isHeadComplete_ = false;
+  // Value of the field in the head that is being received.
+  absl::optional<std::int64_t> contentLength_;
+  bool isLengthClear_ = true;
   std::vector<Field>* answerHeaders_ = nullptr;
   // The buffer of the worker that runs the call.
   ReceiveBuffer* receiveBuffer_ = nullptr;
@@ -135,11 +141,40 @@
   long status = 0;
   curl_easy_getinfo(aActive.easy_, CURLINFO_RESPONSE_CODE, &status);
   aActive.isHeadComplete_ = status / 100 != 1;
+  aActive.contentLength_.reset();
   if (!aActive.isHeadComplete_ && aActive.answerHeaders_ != nullptr) {
     aActive.answerHeaders_->clear();
   }
 }
 
+// Returns whether a field leaves the answer's length clear. libcurl reads a
+// length up to the first character that isn't a digit, takes the last of
+// several, ignores one that is out of range, and takes a name with a space
+// before the colon for an unknown one.
+bool
+LeavesLengthClear(ActiveCall& aActive, const Field& aField)
+{
+  const auto name = absl::StripTrailingAsciiWhitespace(aField.name_);
+  const bool isLength = absl::EqualsIgnoreCase(name, "Content-Length");
+  if (!isLength && !absl::EqualsIgnoreCase(name, "Transfer-Encoding")) {
+    return true;
+  }
+  if (name.size() != aField.name_.size()) {
+    return false;
+  }
+  if (!isLength) {
+    return true;
+  }
+  std::int64_t length = 0;
+  if (!std::all_of(
+        aField.value_.begin(), aField.value_.end(), absl::ascii_isdigit) ||
+      !absl::SimpleAtoi(aField.value_, &length)) {
+    return false;
+  }
+  const auto before = std::exchange(aActive.contentLength_, length);
+  return before.value_or(length) == length;
+}
+
 std::size_t
 OnHeader(char* aData, std::size_t aSize, std::size_t aCount, void* aActive)
 {
@@ -153,12 +188,22 @@
   // spaces continues the field before it.
   if (absl::StartsWith(line, "\r") || absl::StartsWith(line, "\n")) {
     EndHead(active);
-  } else if (const auto colon = line.find(':');
-             active.answerHeaders_ != nullptr &&
-             colon != absl::string_view::npos) {
-    active.answerHeaders_->push_back(
-      { std::string(line.substr(0, colon)),
-        std::string(absl::StripAsciiWhitespace(line.substr(colon + 1))) });
+    return line.size();
+  }
+  const auto colon = line.find(':');
+  if (colon == absl::string_view::npos) {
+    return line.size();
+  }
+  Field field{ std::string(line.substr(0, colon)),
+               std::string(
+                 absl::StripAsciiWhitespace(line.substr(colon + 1))) };
+  active.isLengthClear_ = LeavesLengthClear(active, field);
+  if (!active.isLengthClear_) {
+    // Ends the call.
+    return 0;
+  }
+  if (active.answerHeaders_ != nullptr) {
+    active.answerHeaders_->push_back(std::move(field));
   }
   return line.size();
 }
@@ -450,9 +495,10 @@
     curl_easy_getinfo(active->easy_, CURLINFO_REQUEST_SIZE, &sent);
     end.status_ = static_cast<int>(status);
     end.neverSent_ = sent == 0;
-    end.error_ = end.completed_      ? ""
-                 : aCode == CURLE_OK ? "connection closed within the head"
-                                     : curl_easy_strerror(aCode);
+    end.error_ = end.completed_            ? ""
+                 : !active->isLengthClear_ ? "the answer's length is in doubt"
+                 : aCode == CURLE_OK       ? "connection closed within the head"
+                                           : curl_easy_strerror(aCode);
     if (end.completed_) {
       ReportStatus(*active);
     }
--- a/test/net-test.cc
+++ b/test/net-test.cc
@@ -240,6 +240,44 @@
   }
 }
 
+// Guards against a part of an answer, or its chunks, in place of the whole.
+TEST_CASE("a call fails if the length of its answer is in doubt")
+{
+  const CutServer server;
+  net::Client client;
+  const auto fetch = [&](const std::string& aFields, const std::string& aBody) {
+    auto answer = std::async(std::launch::async, [&] {
+      return client.FetchAndWait(
+        { "GET", absl::StrCat("http://127.0.0.1:", server.Port(), "/") });
+    });
+    server.Answer(absl::StrCat("HTTP/1.1 200 OK\r\n", aFields, "\r\n", aBody));
+    return answer.get();
+  };
+  for (const char* fields : { "Content-Length: 10\r\nContent-Length: 4\r\n",
+                              "Content-Length: 10, 4\r\n",
+                              "Content-Length: 4 10\r\n",
+                              "Content-Length: 4x\r\n",
+                              "Content-Length: 0x4\r\n",
+                              "Content-Length: 99999999999999999999999\r\n",
+                              "Content-Length : 10\r\n",
+                              "content-length\t: 10\r\n",
+                              "Transfer-Encoding : chunked\r\n" }) {
+    CAPTURE(fields);
+    for (const char* body : { "4\r\nbody\r\n0\r\n\r\n", "body" }) {
+      const auto answer = fetch(fields, body);
+      CHECK_FALSE(answer.end_.completed_);
+      CHECK(answer.body_.empty());
+    }
+  }
+  const std::string length = "Content-Length: 4\r\n";
+  for (const std::string& fields : { length, length + length }) {
+    CAPTURE(fields);
+    const auto answer = fetch(fields, "body");
+    CHECK(answer.Ok());
+    CHECK(answer.body_ == "body");
+  }
+}
+
 TEST_CASE("an answer's fields are those of its own head")
 {
   const CutServer server;
