Take a refused order with an unreadable reason for a refused one

What callers saw: in operation nothing. By test, the function that tells a stale fence from other refusals threw when an engine answered an order with 409 and a JSON body whose `error` wasn't a text. It is called on a thread that handles no exceptions, so the program that sent the order would have ended.

Cause: as with refused runs, the field was read by a function that throws if the type differs.

`adapters-test` "a refused order with an unreadable reason isn't a stale fence" failed before.

--- a/src/adapters/orders.cc
+++ b/src/adapters/orders.cc
@@ -1,6 +1,7 @@
 #include "adapters/orders.h"
 
 #include "adapters/json.h"
+#include "core/json.h"
 
 namespace lycheeplank::adapters {
 
@@ -49,8 +50,8 @@
   if (aAnswer.end_.status_ != kConflict) {
     return false;
   }
-  const auto body = json::parse(aAnswer.body_, nullptr, false);
-  return body.is_object() && body.value("error", "") == "stale_fence";
+  const auto body = lycheeplank::json::ParseJson(aAnswer.body_);
+  return lycheeplank::json::TextOf(body, "error") == "stale_fence";
 }
 
 net::Call
--- a/test/adapters-test.cc
+++ b/test/adapters-test.cc
@@ -1,5 +1,6 @@
 #include "adapters/engine.h"
 #include "adapters/json-text.h"
+#include "adapters/orders.h"
 #include "adapters/platform.h"
 #include "adapters/store.h"
 
@@ -136,6 +137,21 @@
   }
 }
 
+TEST_CASE("a refused order with an unreadable reason isn't a stale fence")
+{
+  net::Answer answer;
+  answer.end_.completed_ = true;
+  answer.end_.status_ = 409;
+  for (const char* body :
+       { R"({"error":{"code":1}})", R"({"error":7})", "{" }) {
+    CAPTURE(body);
+    answer.body_ = body;
+    CHECK_FALSE(adapters::IsStaleFence(answer));
+  }
+  answer.body_ = R"({"error":"stale_fence"})";
+  CHECK(adapters::IsStaleFence(answer));
+}
+
 TEST_CASE("a quoted text is parsed back unchanged")
 {
   for (const std::string text : { "", " plain", "\"", "\\", "\n\t\x01", "é" }) {
