Reject answers of engines, stores and the platform that are deeply nested

What callers saw: in operation nothing. By test, an engine's event, cache events or a store's list with 200,000 arrays within each other ended the process, and with it all answers of a host.

Cause: copying a value takes stack for each level. The gateway's reader of JSON rejects such texts; the readers of the other programs used the parser directly. They now use the gateway's.

`adapters-test` "answers that are deeply nested are rejected" ended by SIGSEGV before.

--- a/src/adapters/json.h
+++ b/src/adapters/json.h
@@ -5,18 +5,18 @@
 #include <absl/types/optional.h>
 #include <nlohmann/json.hpp>
 
+#include "core/json.h"
 #include "lycheeplank/core.h"
 
 namespace lycheeplank::adapters::detail {
 
 // Parses a body and converts it by aRead; returns nothing if the body is not a
-// JSON object or a field has the wrong type.
+// JSON object, is too deeply nested, or a field has the wrong type.
 template<typename T, typename Read>
 absl::optional<T>
 ReadBody(absl::string_view aBody, Read aRead)
 {
-  const auto body =
-    nlohmann::json::parse(aBody.begin(), aBody.end(), nullptr, false);
+  const auto body = json::ParseJson(aBody);
   if (!body.is_object()) {
     return absl::nullopt;
   }
--- a/src/adapters/platform.cc
+++ b/src/adapters/platform.cc
@@ -4,6 +4,8 @@
 #include <absl/strings/str_cat.h>
 #include <nlohmann/json.hpp>
 
+#include "core/json.h"
+
 namespace lycheeplank::adapters {
 
 namespace {
@@ -131,7 +133,7 @@
 bool
 ReadBody(Operation aOperation, const std::string& aBody, Reply& aReply)
 {
-  const auto body = nlohmann::json::parse(aBody, nullptr, false);
+  const auto body = json::ParseJson(aBody);
   if (!body.is_object()) {
     return false;
   }
--- a/test/adapters-test.cc
+++ b/test/adapters-test.cc
@@ -15,19 +15,19 @@
 
 namespace {
 
-// Returns the outcome of a write to a service that answers with status aStatus.
+// Returns the outcome of a command to a service that answers with status
+// aStatus and body aBody.
 platform::Outcome
-OutcomeOfWrite(int aStatus)
+OutcomeOf(platform::Operation aOperation, int aStatus, const std::string& aBody)
 {
-  net::Server server(
-    {}, [aStatus](const std::shared_ptr<net::Exchange>& aExchange) {
-      aExchange->Reply(aStatus, { { "X-Version", "7" } }, "value");
-    });
+  net::Server server({}, [&](const std::shared_ptr<net::Exchange>& aExchange) {
+    aExchange->Reply(aStatus, { { "X-Version", "7" } }, aBody);
+  });
   net::Client client;
   adapters::PlatformClient service(
     client, absl::StrCat("http://127.0.0.1:", server.Port()), "test");
   platform::Command command;
-  command.operation_ = platform::Operation::Write;
+  command.operation_ = aOperation;
   command.key_ = "k";
   command.expect_ = 1;
   platform::Reply reply;
@@ -40,6 +40,20 @@
   return reply.outcome_;
 }
 
+platform::Outcome
+OutcomeOfWrite(int aStatus)
+{
+  return OutcomeOf(platform::Operation::Write, aStatus, "value");
+}
+
+// Returns arrays within each other.
+std::string
+NestedArrays()
+{
+  constexpr std::size_t kDepth = 200'000;
+  return std::string(kDepth, '[') + std::string(kDepth, ']');
+}
+
 } // namespace
 
 TEST_CASE("a write is Refused only if the service did not execute it")
@@ -137,6 +151,23 @@
   }
 }
 
+TEST_CASE("answers that are deeply nested are rejected")
+{
+  const std::string nested = NestedArrays();
+  CHECK_FALSE(adapters::ReadRunEvent(absl::StrCat(
+    R"({"event":"end","finish_reason":"stop","tokens":0,"blocks":)",
+    nested,
+    "}")));
+  CHECK_FALSE(
+    adapters::ReadCacheEvents(absl::StrCat(R"({"events":)", nested, "}")));
+  CHECK_FALSE(
+    adapters::ReadStorePage(absl::StrCat(R"({"blocks":)", nested, "}")));
+  CHECK(OutcomeOf(platform::Operation::List,
+                  200,
+                  absl::StrCat(R"({"entries":)", nested, "}")) ==
+        platform::Outcome::Lost);
+}
+
 TEST_CASE("a refused order with an unreadable reason isn't a stale fence")
 {
   net::Answer answer;
