Take a list of the platform without its items for a lost one

What callers saw: in operation nothing. By test, an answer of the platform without its list of hosts or entries, or without the revision or the sign that more follows, counted as a whole and empty list. An empty list of hosts with a newer revision makes each host that was listed a leaving one, this one too.

Cause: fields that were absent counted as empty, so the sender chose whether the list was whole. The protocol has them in each answer.

`adapters-test` "a list of the platform without its items is lost" failed before for all nine answers.

--- a/src/adapters/platform.cc
+++ b/src/adapters/platform.cc
@@ -128,8 +128,9 @@
   return host;
 }
 
-// Parses the JSON body of the reply to a List, GrantLease or ListHosts command;
-// returns false if it is malformed.
+// Parses the JSON body of the reply to a List, GrantLease or ListHosts command.
+// Returns false or throws nlohmann::json::exception if it is malformed. A list
+// that is absent isn't an empty one.
 bool
 ReadBody(Operation aOperation, const std::string& aBody, Reply& aReply)
 {
@@ -141,15 +142,20 @@
     aReply.lease_ = body.value("lease", "");
     return !aReply.lease_.empty();
   }
-  if (aOperation == Operation::ListHosts) {
-    aReply.version_ = body.value("revision", std::uint64_t{ 0 });
-    for (const auto& item : body.value("hosts", nlohmann::json::array())) {
+  const bool isHosts = aOperation == Operation::ListHosts;
+  const auto& list = body.at(isHosts ? "hosts" : "entries");
+  if (!list.is_array()) {
+    return false;
+  }
+  if (isHosts) {
+    aReply.version_ = body.at("revision").get<std::uint64_t>();
+    for (const auto& item : list) {
       aReply.hosts_.push_back(ReadHost(item));
     }
     return true;
   }
-  aReply.more_ = body.value("more", false);
-  for (const auto& item : body.value("entries", nlohmann::json::array())) {
+  aReply.more_ = body.at("more").get<bool>();
+  for (const auto& item : list) {
     aReply.entries_.push_back(
       { item.value("key", ""), item.value("version", std::uint64_t{ 0 }) });
   }
--- a/test/adapters-test.cc
+++ b/test/adapters-test.cc
@@ -168,6 +168,35 @@
         platform::Outcome::Lost);
 }
 
+// Guards against an empty list in place of one that is missing.
+TEST_CASE("a list of the platform without its items is lost")
+{
+  using platform::Operation;
+  using platform::Outcome;
+  const auto outcome = [](Operation aOperation, const std::string& aBody) {
+    return OutcomeOf(aOperation, 200, aBody);
+  };
+  CHECK(outcome(Operation::ListHosts, R"({"revision":9,"hosts":[]})") ==
+        Outcome::Ok);
+  CHECK(outcome(Operation::List, R"({"entries":[],"more":false})") ==
+        Outcome::Ok);
+  for (const char* body : { "{}",
+                            R"({"revision":9})",
+                            R"({"revision":9,"hosts":{}})",
+                            R"({"revision":9,"hosts":null})",
+                            R"({"hosts":[]})" }) {
+    CAPTURE(body);
+    CHECK(outcome(Operation::ListHosts, body) == Outcome::Lost);
+  }
+  for (const char* body : { "{}",
+                            R"({"more":false})",
+                            R"({"entries":[]})",
+                            R"({"entries":{},"more":false})" }) {
+    CAPTURE(body);
+    CHECK(outcome(Operation::List, body) == Outcome::Lost);
+  }
+}
+
 TEST_CASE("a refused order with an unreadable reason isn't a stale fence")
 {
   net::Answer answer;
