Send nothing to a removed target later than two seconds after its removal

An expired target is neither chosen nor sent to, also before it is removed, and the delay of the notice counts. After a restore of the service, whose removals nobody has asked for, entries are used for 1.8 s as before.

"an expired target isn't chosen before it is removed" and "a target that is removed after a failed call is used for 1.8 s at most" guard it; the second uses a new call, and with the old time it would fail.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -465,6 +465,11 @@
 bool
 ExpireTarget(Members& aMembers, absl::string_view aId, absl::Time aUntil);
 
+// Returns whether new requests may be sent to the target. An expired one gets
+// none, also before it is removed.
+bool
+IsInUse(const Member& aMember, absl::Time aNow);
+
 // Removes expired targets; returns their ids.
 std::vector<std::string>
 RemoveExpired(Members& aMembers, absl::Time aNow);
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -335,10 +335,11 @@
 bool
 IsEligible(const std::string& aId,
            const Member& aMember,
-           const RequestSpec& aRequest)
+           const RequestSpec& aRequest,
+           absl::Time aNow)
 {
   return aMember.target_.service_ == aRequest.service_ &&
-         aMember.target_.state_ == TargetState::Ready &&
+         IsInUse(aMember, aNow) &&
          (aRequest.onlyTarget_.empty() || aRequest.onlyTarget_ == aId) &&
          !(aRequest.avoidsLimited_ && aMember.requestsPerSecond_) &&
          !WasTried(aRequest, aId) &&
@@ -359,7 +360,7 @@
   Choice choice;
   auto nextPermit = absl::InfiniteFuture();
   for (const auto& [id, member] : aMembers) {
-    if (!IsEligible(id, member, aRequest)) {
+    if (!IsEligible(id, member, aRequest, aNow)) {
       continue;
     }
     if (aNow < member.closedUntil_) {
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -309,6 +309,13 @@
   return true;
 }
 
+bool
+IsInUse(const Member& aMember, absl::Time aNow)
+{
+  return aMember.target_.state_ == TargetState::Ready &&
+         aNow < aMember.expiresAt_;
+}
+
 std::vector<std::string>
 RemoveExpired(Members& aMembers, absl::Time aNow)
 {
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -384,8 +384,7 @@
 {
   connection_ = std::move(aConnection);
   const auto found = host_.members_.find(targetId_);
-  if (found == host_.members_.end() ||
-      found->second.target_.state_ != fleet::TargetState::Ready) {
+  if (found == host_.members_.end() || !fleet::IsInUse(found->second, Now())) {
     // The target left the fleet while the connection was made.
     EndAttempt(retry::AttemptEnd::NotSent);
     return;
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -16,6 +16,9 @@
 // entries again within two seconds, so the entry stays in use for this time,
 // which is slightly shorter.
 constexpr absl::Duration kLapseTime = absl::Milliseconds(1800);
+// Time from the change of an entry until a host hears of it, at most: the pause
+// between two watches.
+constexpr absl::Duration kNoticeTime = absl::Milliseconds(200);
 // Owners may be disconnected from the service a little longer than this host.
 constexpr absl::Duration kUnsettledTime = absl::Seconds(3);
 
@@ -36,9 +39,14 @@
   // A restored backup lacks entries that were written after it; their owners
   // write them again.
   const auto& store = aHost.store_;
-  const bool unsettled =
-    aNow - std::max(store.failedAt_, store.eraSeenAt_) < kUnsettledTime;
-  return unsettled ? aNow + kLapseTime : aNow;
+  if (aNow - store.eraSeenAt_ < kUnsettledTime) {
+    return aNow + kLapseTime;
+  }
+  // A target may be gone two seconds after its entry was removed, of which this
+  // host has heard late.
+  return aNow - store.failedAt_ < kUnsettledTime
+           ? aNow + kLapseTime - kNoticeTime
+           : aNow;
 }
 
 void
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -111,6 +111,20 @@
   CHECK(fleet::RemoveExpired(members, kNow).size() == 1);
 }
 
+// Guards against requests to a removed target in the time until the next
+// removal of expired ones.
+TEST_CASE("an expired target isn't chosen before it is removed")
+{
+  auto members = MakeMembers(1);
+  fleet::ExpireTarget(members, "t0", kNow + absl::Seconds(2));
+  CHECK(fleet::ChooseTarget(
+          members, MakeRequest(), kSpeed, kNow + absl::Milliseconds(1999))
+          .id_ == "t0");
+  CHECK(
+    fleet::ChooseTarget(members, MakeRequest(), kSpeed, kNow + absl::Seconds(2))
+      .id_.empty());
+}
+
 TEST_CASE("consecutive failures quarantine a target, then one call probes it")
 {
   auto members = MakeMembers(2);
--- a/test/follower-test.cc
+++ b/test/follower-test.cc
@@ -282,6 +282,31 @@
   CHECK(host.catalog_->version_ == 9);
 }
 
+// Guards against requests that reach a target over two seconds after its entry
+// was removed, because a call of the service failed shortly before. The host
+// hears of the removal up to 0.2 s later.
+TEST_CASE(
+  "a target that is removed after a failed call is used for 1.8 s at most")
+{
+  FollowingHost following;
+  auto& host = following.host_;
+  gateway::ApplyItems(
+    host, { { "servers/t1", TargetText("ready"), 81, 81 } }, "watch", {});
+  host.store_.failedAt_ = gateway::Now() - absl::Seconds(2);
+  gateway::ApplyItems(host,
+                      { [] {
+                        lycheeplank::replica::Item item{ "servers/t1", "", 82 };
+                        item.deleted_ = true;
+                        return item;
+                      }() },
+                      "watch",
+                      gateway::Now());
+  const auto& target = host.members_.at("t1");
+  CHECK(lycheeplank::fleet::IsInUse(target, gateway::Now()));
+  CHECK_FALSE(lycheeplank::fleet::IsInUse(
+    target, gateway::Now() + absl::Milliseconds(1750)));
+}
+
 TEST_CASE("a reply from a previous era is ignored")
 {
   FollowingHost following;
