Fail a coded success on all routes

A success with a Content-Encoding reached callers on routes without streams. The field is forwarded and looked at also where Connection names it: it describes the body, which is forwarded.

--- a/src/gateway/answer-head.cc
+++ b/src/gateway/answer-head.cc
@@ -72,14 +72,15 @@
   if (aAnswer.notRun_) {
     return HeadFault::NotRun;
   }
+  if (http::FindField(aHead.fields_, "content-encoding") != nullptr) {
+    return HeadFault::Coding;
+  }
   if (aRoute.repeatPolicy_ != catalog::RepeatPolicy::Stream) {
     return HeadFault::None;
   }
   return aHead.status_ != kOk    ? HeadFault::Status
          : !IsEventStream(aHead) ? HeadFault::Type
-         : http::FindField(aHead.fields_, "content-encoding") != nullptr
-           ? HeadFault::Coding
-           : HeadFault::None;
+                                 : HeadFault::None;
 }
 
 absl::string_view
@@ -97,6 +98,12 @@
   };
   fields.erase(std::remove_if(fields.begin(), fields.end(), isLength),
                fields.end());
+  // This field describes the body, which is forwarded.
+  if (const auto* coding = http::FindField(aHead.fields_, "content-encoding");
+      coding != nullptr &&
+      http::FindField(fields, "content-encoding") == nullptr) {
+    fields.push_back({ "Content-Encoding", *coding });
+  }
   return fields;
 }
 
--- a/src/gateway/answer-head.h
+++ b/src/gateway/answer-head.h
@@ -23,11 +23,12 @@
   Stamp,
   // The target states that it hasn't run the request.
   NotRun,
-  // On a route of streams: a status other than 200, a type other than an event
-  // stream in UTF-8, or a coding of its bytes.
+  // The bytes are coded, which no caller has asked for.
+  Coding,
+  // On a route of streams: a status other than 200, or a type other than that
+  // of event streams in UTF-8.
   Status,
   Type,
-  Coding,
 };
 
 inline constexpr std::array<core::Named<HeadFault>, 7> kHeadFaults{ {
@@ -35,16 +36,17 @@
   { HeadFault::RequestId, "request_id" },
   { HeadFault::Stamp, "stamp" },
   { HeadFault::NotRun, "not_run" },
+  { HeadFault::Coding, "coding" },
   { HeadFault::Status, "status" },
   { HeadFault::Type, "type" },
-  { HeadFault::Coding, "coding" },
 } };
 
 // Returns whether the status is one of success.
 bool
 IsSuccess(int aStatus);
 
-// Returns whether the head has exactly one type, that of event streams.
+// Returns whether the head has exactly one type, that of event streams, in no
+// other encoding of text than UTF-8.
 bool
 IsEventStream(const http::ResponseHead& aHead);
 
