--- a/src/gateway/events.cc
+++ b/src/gateway/events.cc
@@ -177,9 +177,20 @@
   return whole;
 }
 
+bool
+EventSplitter::IsWithinEvent() const
+{
+  return event_.hasFields_ || !(absl::StripAsciiWhitespace(line_).empty() ||
+                                absl::StartsWith(line_, ":"));
+}
+
 void
 EventSplitter::Clear()
 {
+  if (isNumbered_ && !isInvalid_ && !event_.isMalformed_ && event_.ids_ == 1 &&
+      event_.number_ && lastNumber_ && *event_.number_ == *lastNumber_ + 1) {
+    begunNumber_ = *event_.number_;
+  }
   line_.clear();
   event_ = {};
   mayEndWithLineFeed_ = false;
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -39,6 +39,8 @@
   bool IsInvalid() const { return isInvalid_; }
   // Bytes of the event that isn't complete yet.
   std::string Rest() const { return event_.text_ + line_; }
+  // Returns whether an event, or a line of one, has begun and isn't complete.
+  bool IsWithinEvent() const;
   // Returns whether an event, or all that came since the last event with data,
   // exceeds kMaxEventBytes; the caller must stop then.
   bool IsOverlong() const { return UnusedBytes() > kMaxEventBytes; }
@@ -49,10 +51,12 @@
     return std::max(event_.text_.size() + line_.size(), idleBytes_);
   }
   // Returns whether the target's events end before the last event that the
-  // caller has, so that they can't be the whole rest of the stream.
+  // caller has or that an earlier target began, so that they can't be the whole
+  // rest of the stream.
   bool EndsBeforeLast() const
   {
-    return leftOut_ && lastNumber_ && *leftOut_ < *lastNumber_;
+    return lastNumber_ && ((leftOut_ && *leftOut_ < *lastNumber_) ||
+                           begunNumber_ > *lastNumber_);
   }
   // Begins with the events of another target.
   void Clear();
@@ -109,6 +113,8 @@
   bool isInvalid_ = false;
   // Number of the last event if it was left out.
   absl::optional<std::uint64_t> leftOut_;
+  // Number of an event that an earlier target began and didn't end.
+  std::uint64_t begunNumber_ = 0;
 };
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <absl/strings/ascii.h>
-
 #include "gateway/answer-head.h"
 #include "gateway/clock.h"
 #include "gateway/peers.h"
@@ -135,7 +133,7 @@
     return;
   }
   bytesSinceProgress_ += aBody.size();
-  if (answerBegun_ && events_.Count() > 0) {
+  if (IsStreamBegun()) {
     // The target that should continue a stream answers with something else.
     aBody.clear();
     if (bytesSinceProgress_ > kMaxBufferedBytes) {
@@ -361,7 +359,7 @@
     EndAttempt(retry::AttemptEnd::NotRun);
     return;
   }
-  if (answerBegun_ && events_.Count() > 0) {
+  if (IsStreamBegun()) {
     EndAttempt(retry::AttemptEnd::Error);
     return;
   }
@@ -406,17 +404,20 @@
   // A stream that the caller continues may have no more events. One that was
   // cut here ends with an event of its run: an empty rest can't be told from an
   // answer without its events.
-  const bool mayBeEmpty =
-    isFramed && !answerBegun_ &&
-    (!request_.lastEventId_.empty() || caller_->Head().method_ == "HEAD");
+  const bool isContinued =
+    !request_.lastEventId_.empty() && request_.lastEventId_ != "0";
+  const bool mayBeEmpty = isFramed && !answerBegun_ &&
+                          (isContinued || caller_->Head().method_ == "HEAD");
   if (events_.TargetCount() == 0 && !mayBeEmpty) {
     return StreamFault::NoEvents;
   }
-  return !absl::StripAsciiWhitespace(events_.Rest()).empty()
-           ? StreamFault::PartialEvent
-         : events_.IsNumbered() && !isFramed ? StreamFault::NoEnd
-         : events_.EndsBeforeLast()          ? StreamFault::EarlyEnd
-                                             : StreamFault::None;
+  if (events_.IsWithinEvent()) {
+    return StreamFault::PartialEvent;
+  }
+  if (events_.IsNumbered() && !isFramed) {
+    return StreamFault::NoEnd;
+  }
+  return events_.EndsBeforeLast() ? StreamFault::EarlyEnd : StreamFault::None;
 }
 
 void
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -207,11 +207,10 @@
   const auto limits = ResendLimits(host_);
   const bool left = retry_budget::ResendsLeft(Ledger(), limits, Now()) >= 1.0;
   // Only a stream can go on with the answer of another target.
-  const bool isOtherBegun = answerBegun_ && events_.Count() == 0;
+  const bool mayGoOn = !answerBegun_ || IsStreamBegun();
   const auto step =
-    isOtherBegun
-      ? retry::NextStep::Cut
-      : retry::DecideNextStep(*route_, history_, aEnd, TimeLeft(), left);
+    mayGoOn ? retry::DecideNextStep(*route_, history_, aEnd, TimeLeft(), left)
+            : retry::NextStep::Cut;
   switch (step) {
     case retry::NextStep::TryAgain:
       if (history_.sends_ > 0) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -141,6 +141,8 @@
   // Counts a broken answer by its end and fails the attempt.
   void EndBroken(absl::string_view aEnd);
   void BeginAnswer();
+  // Returns whether the caller has received events.
+  bool IsStreamBegun() const { return answerBegun_ && events_.DataCount() > 0; }
   // Returns why a stream that has ended regularly can't be shown to be whole.
   StreamFault FaultOfStream() const;
   void FinishStream(CallEnd aEnd);
--- a/test/gateway-trouble-test.cc
+++ b/test/gateway-trouble-test.cc
@@ -376,7 +376,8 @@
 {
   World world;
   world.AddTarget(Sends(Stream(": note\n\n")));
-  CHECK(Has(world.Ask(World::Request("/stream/")), "HTTP/1.1 502"));
+  const auto before = GENERATE("", "Last-Event-Id: 0\r\n");
+  CHECK(Has(world.Ask(World::Request("/stream/", before)), "HTTP/1.1 502"));
   const auto answer =
     world.Ask(World::Request("/stream/", "Last-Event-Id: 5\r\n"));
   CHECK(Has(answer, "HTTP/1.1 200"));
@@ -428,6 +429,14 @@
   }
 }
 
+TEST_CASE("a comment that isn't complete doesn't spoil the end of a stream")
+{
+  World world;
+  world.AddTarget(Sends(Stream(Event(1) + ": bye")));
+  CHECK_FALSE(Has(world.Ask(World::Request("/stream/")), "bye"));
+  CHECK(world.IsWhole());
+}
+
 TEST_CASE("the type of an event stream may have parameters and any case")
 {
   World world;
@@ -452,6 +461,42 @@
   CHECK(second.requests_ == 0);
 }
 
+// Guards against the loss of a sound answer behind a stream of comments.
+TEST_CASE("a large answer is whole although another target sent comments")
+{
+  World world;
+  world.AddTarget(Sends(kStreamHead + kChunked + Chunk(": c\n\n"), true));
+  world.AddTarget(Sends(WholeAnswer(std::string(3000000, 'x'))));
+  world.Ask(World::Request("/again/"));
+  CHECK(world.IsWhole());
+}
+
+// Guards against a stream that goes on with another answer.
+TEST_CASE("an answer that isn't a stream doesn't go on with one")
+{
+  World world;
+  world.AddTarget(
+    Sends(kStreamHead + kChunked + Chunk(Event(1) + Event(2)), true));
+  world.AddTarget(Sends(kHead + kChunked + Chunk(Event(3)) + "0\r\n\r\n"));
+  const auto answer = world.Ask(World::Request("/resume/"));
+  CHECK(Has(answer, Event(2)));
+  CHECK_FALSE(Has(answer, Event(3)));
+  CHECK_FALSE(world.IsWhole());
+}
+
+TEST_CASE("an HTTP/1.0 caller sees the cut of a stream")
+{
+  World world;
+  world.AddTarget(Sends(kStreamHead + "\r\n" + Event(1) + Event(2), true));
+  auto end = gateway::PeerEnd::Closed;
+  world.onCallerEnd_ = [&](gateway::PeerEnd aEnd) { end = aEnd; };
+  auto request = World::Request("/stream/");
+  request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+  const auto caller = world.Call(request);
+  CHECK(world.RunUntil([&] { return world.answerClosed_; }));
+  CHECK(end == gateway::PeerEnd::Broken);
+}
+
 // Guards against a caller that reads other fields than the host.
 TEST_CASE("a field that isn't forwarded doesn't vouch for an answer")
 {
@@ -474,7 +519,11 @@
                                       "",
                                       "X-Request-Id: r1\r\n"
                                       "X-Request-Id: r2\r\n"
-                                      "X-Server-Stamp: t\r\n");
+                                      "X-Server-Stamp: t\r\n",
+                                      "X-Request-Id: r1\r\n"
+                                      "X-Server-Stamp: t\r\n"
+                                      "Content-Encoding: gzip\r\n"
+                                      "Connection: Content-Encoding\r\n");
   World world;
   world.AddTarget(
     Sends("HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 7\r\n\r\ngarbage"));
@@ -522,6 +571,25 @@
   CHECK(world.answerClosed_);
 }
 
+// Guards against a stream that ends as complete before an event that its first
+// target has begun.
+TEST_CASE("a stream doesn't end before an event that was begun")
+{
+  const auto rest = GENERATE(std::string(), Event(1) + Event(2));
+  World world;
+  world.AddTarget(Sends(
+    kStreamHead + kChunked + Chunk(Event(1) + Event(2) + "id: 3\nda"), true));
+  world.AddTarget(Sends(Stream(rest)));
+  CHECK(Has(world.Ask(World::Request("/resume/")), Event(2)));
+  CHECK_FALSE(world.IsWhole());
+  // The same for a caller that continues the stream and gets nothing new.
+  World continued;
+  continued.AddTarget(Sends(kStreamHead + kChunked + Chunk("id: 3\nda"), true));
+  continued.AddTarget(Sends(Stream("")));
+  CHECK(Has(continued.Ask(World::Request("/resume/", "Last-Event-Id: 2\r\n")),
+            "HTTP/1.1 502"));
+}
+
 // Guards against a continued stream that ends as complete although its second
 // target began anew and ended before the caller's last event.
 TEST_CASE("a run that ends before the caller's last event doesn't end a stream")
