--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -63,7 +63,8 @@
 struct TargetAnswer
 {
   std::string requestId_;
-  // The head names several requests, or has several stamps.
+  // The head has several request ids or several stamps, of which readers take
+  // different ones.
   bool isAmbiguous_ = false;
   // The answer comes from a target and not from a proxy in front of it.
   bool isStamped_ = false;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -35,7 +35,8 @@
   // Its end is only the close of the connection, as that of a cut stream.
   NoEnd,
   NoEvents,
-  // It repeats events and ends before the last one that the caller has.
+  // It ends before an event that the caller has, or that an earlier target
+  // began.
   EarlyEnd,
 };
 
