Collect a line of a stream in one place

EventSplitter::Take moved the begun line out and joined it with the rest in a second string, for each line. It appends to the member and clears it. No change of behaviour: gateway-events-test (1,790 assertions, at each split) and gateway-trouble-test pass unchanged.

--- a/src/gateway/events.cc
+++ b/src/gateway/events.cc
@@ -159,16 +159,11 @@
       isReturn && size + 1 < rest.size() && rest[size + 1] == '\n';
     const auto end = rest.substr(size, isPair ? 2 : 1);
     mayEndWithLineFeed_ = isReturn && !isPair;
-    auto line = rest.substr(0, size);
-    const auto begun = std::exchange(line_, {});
-    std::string joined;
-    if (!begun.empty()) {
-      joined = absl::StrCat(begun, line);
-      line = joined;
-    }
+    absl::StrAppend(&line_, rest.substr(0, size));
     rest.remove_prefix(size + end.size());
-    const bool isBlank = line.empty();
-    AddLine(line, end);
+    const bool isBlank = line_.empty();
+    AddLine(line_, end);
+    line_.clear();
     if (isBlank) {
       EndEvent(whole);
     }
