--- a/test/poison-rare-test.cc
+++ b/test/poison-rare-test.cc
@@ -2,8 +2,8 @@
 
 #include "poison-sim.h"
 
-// One case of poison-test in a program of its own, since its
-// simulated days take long.
+// One case of poison-test in a program of its own, since its simulated days
+// take long.
 
 using lycheeplank::test::PoisonSim;
 using lycheeplank::test::ScheduleCrashes;
