Log what parts are freed for, and each read of kept parts

A freed part could not be told from the log: which targets were counted with which weights and starts, by which bound of reads and configuration. Nor did a read have a line with its store, scope, end and the weights its target was believed to have. No change of behaviour.

--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -60,7 +60,18 @@
       member.loadReportedAt_ = now;
     }
     if (answer_.weights_ && !request_.model_.empty()) {
-      member.target_.weights_[request_.model_] = *answer_.weights_;
+      auto& version = member.target_.weights_[request_.model_];
+      if (version != *answer_.weights_) {
+        host_.log_.Write(Line("target_weights")
+                           .Text("target", targetId_)
+                           .Text("instance", answer_.instance_)
+                           .Text("model", request_.model_)
+                           .Number("before", version)
+                           .Number("version", *answer_.weights_)
+                           .Text("id", request_.id_)
+                           .Text("source", "answer"));
+      }
+      version = *answer_.weights_;
     }
   }
   NoteBytes(host_, Evidence());
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -43,6 +43,21 @@
 // the weights must be out of use.
 constexpr absl::Duration kWeightsMargin = absl::Milliseconds(1500);
 
+// Returns the stores that parts are read from, for the log.
+std::string
+StoresOf(const std::vector<cache_index::PartPlan>& aParts)
+{
+  std::vector<absl::string_view> stores;
+  for (const auto& part : aParts) {
+    if (!part.readFrom_.empty() &&
+        std::find(stores.begin(), stores.end(), part.readFrom_) ==
+          stores.end()) {
+      stores.push_back(part.readFrom_);
+    }
+  }
+  return absl::StrJoin(stores, ",");
+}
+
 } // namespace
 
 fleet::Choice
@@ -370,6 +385,21 @@
   attempt.readUntilMs_ =
     cache_index::StoreClockMs(host_.cacheIndex_, now + ReadTime());
   attemptParts_ = attempt.parts_;
+  if (const auto stores = StoresOf(attempt.parts_); !stores.empty()) {
+    host_.log_.Write(
+      Line("cache_read")
+        .Text("id", request_.id_)
+        .Text("target", targetId_)
+        .Number("born_ms", aMember.target_.bornMs_)
+        .Text("stores", stores)
+        .Text("scope", attempt.cacheScope_)
+        .Number("until_ms", attempt.readUntilMs_)
+        .Age("for_ms", ReadTime())
+        .Number("weights", weights->second)
+        .Number("newest",
+                weights::NewestVersion(host_.weights_[request_.model_]))
+        .Number("catalog", catalog_->version_));
+  }
   return attempt;
 }
 
--- a/src/gateway/owner-parts.cc
+++ b/src/gateway/owner-parts.cc
@@ -1,8 +1,12 @@
 #include "gateway/owner.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
 #include "gateway/clock.h"
 
 // The part of Owner that frees parts of prompts which cache stores hold for old
@@ -22,6 +26,46 @@
 constexpr absl::Duration kFreeTimeout = absl::Seconds(1);
 // Maximum number of parts in one call, which then has some tens of kilobytes.
 constexpr std::size_t kMaxPartsPerCall = 400;
+// Maximum number of targets or scopes in one line of the log.
+constexpr std::size_t kMaxLogged = 64;
+
+// Returns the targets that have a model, the oldest weights first, as
+// id@start=version.
+std::string
+TargetsOf(const fleet::Members& aMembers, const std::string& aModel)
+{
+  std::vector<std::pair<std::uint64_t, const fleet::Target*>> targets;
+  for (const auto& [id, member] : aMembers) {
+    const auto found = member.target_.weights_.find(aModel);
+    if (found != member.target_.weights_.end()) {
+      targets.emplace_back(found->second, &member.target_);
+    }
+  }
+  std::stable_sort(
+    targets.begin(), targets.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.first < aRight.first;
+    });
+  targets.resize(std::min(targets.size(), kMaxLogged));
+  return absl::StrJoin(
+    targets, ",", [](std::string* aText, const auto& aTarget) {
+      const auto& [version, target] = aTarget;
+      absl::StrAppend(aText, target->id_, "@", target->bornMs_, "=", version);
+    });
+}
+
+// Returns the distinct scopes of parts.
+std::string
+ScopesOf(const std::vector<cache_index::Change>& aParts)
+{
+  std::vector<absl::string_view> scopes;
+  for (const auto& part : aParts) {
+    if (std::find(scopes.begin(), scopes.end(), part.scope_) == scopes.end()) {
+      scopes.push_back(part.scope_);
+    }
+  }
+  scopes.resize(std::min(scopes.size(), kMaxLogged));
+  return absl::StrJoin(scopes, ",");
+}
 
 } // namespace
 
@@ -33,6 +77,13 @@
     auto& oldest = oldestWeights_[model];
     const auto version = weights::OldestVersion(host_.members_, model);
     if (oldest.version_ != version) {
+      host_.log_.Write(
+        Line("oldest_weights")
+          .Text("model", model)
+          .Number("before", oldest.version_)
+          .Number("version", version)
+          .Number("newest", weights::NewestVersion(published))
+          .Text("targets", TargetsOf(host_.members_, model)));
       oldest = { version, now };
     }
   }
@@ -61,7 +112,11 @@
     host_.log_.Write(Line("parts_freed")
                        .Text("store", name)
                        .Number("parts", unused.size())
-                       .Number("epoch", state.epoch_));
+                       .Number("epoch", state.epoch_)
+                       .Text("scopes", ScopesOf(unused))
+                       .Age("read_time_ms", LongestReadTime(host_))
+                       .Number("catalog", host_.catalog_->version_)
+                       .Number("fence", fence_));
     FreeParts(name, state, std::move(unused));
   }
 }
