--- a/src/gateway/owner-parts.cc
+++ b/src/gateway/owner-parts.cc
@@ -77,13 +77,12 @@
     auto& oldest = oldestWeights_[model];
     const auto version = weights::OldestVersion(host_.members_, model);
     if (oldest.version_ != version) {
-      host_.log_.Write(
-        Line("oldest_weights")
-          .Text("model", model)
-          .Number("before", oldest.version_)
-          .Number("version", version)
-          .Number("newest", weights::NewestVersion(published))
-          .Text("targets", TargetsOf(host_.members_, model)));
+      host_.log_.Write(Line("oldest_weights")
+                         .Text("model", model)
+                         .Number("before", oldest.version_)
+                         .Number("version", version)
+                         .Number("newest", weights::NewestVersion(published))
+                         .Text("targets", TargetsOf(host_.members_, model)));
       oldest = { version, now };
     }
   }
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -9,6 +9,7 @@
 using lycheeplank::test::Sends;
 using lycheeplank::test::WholeAnswer;
 using lycheeplank::test::World;
+namespace cache_index = lycheeplank::cache_index;
 namespace gateway = lycheeplank::gateway;
 
 namespace {
@@ -19,6 +20,34 @@
   return aText.find(aPart) != std::string::npos;
 }
 
+// Lets a cache store hold the shared part of PromptRequest for the first
+// version of the weights, which the target has.
+void
+ReadPartsAt(World& aWorld, const std::string& aTarget)
+{
+  auto& host = aWorld.host_;
+  host.members_.at(aTarget).target_.weights_["m"] = 1;
+  lycheeplank::weights::AddVersion(host.weights_["m"], 1, absl::InfinitePast());
+  lycheeplank::catalog::CacheStore store;
+  store.name_ = "c1";
+  store.address_ = "10.0.0.1:1";
+  cache_index::SetStores(host.cacheIndex_, { store });
+  host.cacheIndex_.clockOffset_ = absl::ZeroDuration();
+  cache_index::ApplyChanges(host.cacheIndex_.stores_.at("c1"),
+                            5,
+                            1,
+                            { { true, "shared.m.1", "a1", 64 } },
+                            gateway::Now());
+}
+
+std::string
+PromptRequest()
+{
+  return World::Request("/stream/x",
+                        "X-Model: m\r\nX-Token-Count: 100,5\r\n"
+                        "X-Prompt-Prefix: a1:64,b2:36\r\n");
+}
+
 } // namespace
 
 TEST_CASE("a request and its answer pass unchanged")
@@ -531,6 +560,40 @@
   CHECK(silent.closed_ == 1);
 }
 
+// Guards against parts that are freed while a host whose configuration has
+// longer goals reads them: its reads must end within a time that all hosts
+// know.
+TEST_CASE("the end of a read is bounded whatever the route's goal")
+{
+  World world;
+  for (auto& route : world.catalog_.routes_["h"]) {
+    route.goal_ = absl::Seconds(20);
+    route.timeout_ = absl::Seconds(20);
+  }
+  world.Publish();
+  auto& target = world.AddTarget(Sends(Events("id: 1\ndata: a\n\n", true)));
+  ReadPartsAt(world, "t1");
+  const auto sentAt = absl::ToUnixMillis(gateway::Now());
+  CHECK(Has(world.Ask(PromptRequest()), "HTTP/1.1 200"));
+  const auto field = target.received_.find("X-Kv-Until: ");
+  REQUIRE(field != std::string::npos);
+  CHECK(std::stoll(target.received_.substr(field + 12)) <= sentAt + 1000);
+}
+
+// Guards against a target that counts as having new weights because another
+// process answers at its address.
+TEST_CASE("the weights of another target at the address don't count")
+{
+  World world;
+  world.AddTarget(Sends(WholeAnswer("",
+                                    "421 Misdirected Request",
+                                    "X-Instance-Id: t9\r\n"
+                                    "X-Weight-Versions: 2\r\n")));
+  ReadPartsAt(world, "t1");
+  world.Ask(PromptRequest());
+  CHECK(world.host_.members_.at("t1").target_.weights_.at("m") == 1);
+}
+
 TEST_CASE("a repeatable request leaves a target that other hosts report down")
 {
   World world;
--- a/test/owner-test.cc
+++ b/test/owner-test.cc
@@ -58,7 +58,9 @@
       case Operation::EndLease:
         return MakeCall({ "end", absl::StrCat(aCommand.lease_) });
       default:
-        return MakeCall({ "commit", absl::StrCat(aCommand.lease_) });
+        return MakeCall({ "commit",
+                          absl::StrCat(aCommand.lease_),
+                          aCommand.value_.value_or("") });
     }
   };
   adapter.readStoreReply_ = [](const gateway::StoreCommand&,
@@ -85,6 +87,9 @@
                       absl::StrCat(*aOrder.expectOrders_) });
   };
   adapter.readOrderOutcome_ = [](const http::Answer& aAnswer) {
+    if (aAnswer.body_ == "holds") {
+      return gateway::OrderOutcome::Done;
+    }
     return aAnswer.status_ == 200 ? gateway::OrderOutcome::Accepted
                                   : gateway::OrderOutcome::Lost;
   };
@@ -153,7 +158,13 @@
              })
     , target_(loop_,
               [this](auto& aSelf, const auto& aSocket) {
-                aSocket->Send(TextAnswer(AnswerTarget(LastCall(aSelf))));
+                const auto call = LastCall(aSelf);
+                const auto answer = TextAnswer(AnswerTarget(call));
+                if (repliesLate_ && call[0] == "order") {
+                  lateReplies_.emplace_back(aSocket, answer);
+                } else {
+                  aSocket->Send(answer);
+                }
               })
     , cacheStore_(loop_,
                   [this](auto& aSelf, const auto& aSocket) {
@@ -218,6 +229,7 @@
         return "conflict";
       }
       ownerLease_ = lease;
+      ownerName_ = aCall.at(2);
       PublishOwnerKey(false);
       return absl::StrCat("ok ", revision_);
     }
@@ -235,7 +247,7 @@
       if (acceptsOrders_) {
         weights_ = NumberAt(aCall, 2);
       }
-      return "ok";
+      return holdsOrders_ ? "holds" : "ok";
     }
     return absl::StrCat(fences_.size(), " ", weights_);
   }
@@ -270,6 +282,12 @@
     }
   }
 
+  // The host that claimed ownership last.
+  gateway::Host& OwnerHost()
+  {
+    return ownerName_ == "h1" ? first_.host_ : second_.host_;
+  }
+
   bool RunUntil(const std::function<bool()>& aCondition,
                 absl::Duration aTimeout = absl::Seconds(20))
   {
@@ -285,10 +303,17 @@
   gateway::Adapter adapter_;
   bool storeSilent_ = false;
   bool acceptsOrders_ = true;
+  // The target says of each order that it already holds.
+  bool holdsOrders_ = false;
+  // The target's replies to orders are held back.
+  bool repliesLate_ = false;
+  std::vector<std::pair<std::shared_ptr<gateway::Socket>, std::string>>
+    lateReplies_;
   // 0 if the service doesn't report eras.
   std::uint64_t era_ = 0;
   std::uint64_t revision_ = 10;
   std::uint64_t ownerLease_ = 0;
+  std::string ownerName_;
   std::uint64_t lastLease_ = 0;
   std::uint64_t weights_ = 1;
   std::vector<std::uint64_t> fences_;
@@ -369,6 +394,66 @@
   CHECK(owners.freedParts_.size() == 1);
 }
 
+// Guards against parts that are freed while a target that checked the end of a
+// read and then fell silent goes on reading them.
+TEST_CASE("old parts outlive reads by targets that fall silent")
+{
+  constexpr auto kSilence = absl::Milliseconds(1300);
+  Owners owners;
+  owners.SetNewestVersion(2);
+  REQUIRE(owners.RunUntil([&] { return owners.weights_ == 2; }));
+  const auto loadedAt = gateway::Now();
+  REQUIRE(owners.RunUntil([&] { return !owners.freedParts_.empty(); }));
+  CHECK(
+    gateway::Now() - loadedAt >=
+    gateway::ReadTimeOf(owners.first_.host_.catalog_->routes_.at("h").front()) +
+      kSilence);
+}
+
+// Guards against parts that are freed while hosts other than the owner still
+// use a target whose entry has lapsed.
+TEST_CASE("old parts outlive a target's entry while other hosts may use it")
+{
+  Owners owners;
+  for (auto* candidate : { &owners.first_, &owners.second_ }) {
+    auto lapsed = candidate->host_.members_.at("t1").target_;
+    lapsed.id_ = "t2";
+    fleet::UpdateTarget(
+      candidate->host_.members_, lapsed, { 0, 1 }, gateway::Now());
+  }
+  REQUIRE(owners.RunUntil([&] { return owners.ownerLease_ != 0; }));
+  auto& owner = owners.OwnerHost();
+  fleet::ExpireTarget(owner.members_, "t2", gateway::Now());
+  gateway::Sweep(owner);
+  owners.SetNewestVersion(2);
+  REQUIRE(owners.RunUntil([&] { return owners.weights_ == 2; }));
+  owners.RunUntil([&] { return !owners.freedParts_.empty(); },
+                  absl::Seconds(4));
+  CHECK(owners.freedParts_.empty());
+}
+
+// Guards against a target that counts as having weights which were named while
+// its reply to an order for earlier ones was under way.
+TEST_CASE("an order that already holds proves only the weights it names")
+{
+  Owners owners;
+  owners.acceptsOrders_ = false;
+  owners.holdsOrders_ = true;
+  owners.repliesLate_ = true;
+  owners.SetNewestVersion(2);
+  REQUIRE(owners.RunUntil([&] { return !owners.lateReplies_.empty(); }));
+  owners.SetNewestVersion(3);
+  owners.RunUntil([] { return false; }, absl::Milliseconds(200));
+  for (const auto& [socket, reply] : owners.lateReplies_) {
+    socket->Send(reply);
+  }
+  const auto believed = [&owners] {
+    return owners.OwnerHost().members_.at("t1").target_.weights_.at("m");
+  };
+  REQUIRE(owners.RunUntil([&] { return believed() != 1; }));
+  CHECK(believed() == 2);
+}
+
 TEST_CASE("an owner steps down when the service is restored from a backup")
 {
   Owners owners;
