Take a target's word that an order holds for the weights the order names

Cause: OrderOutcome::Done counted as the version that was newest when the reply arrived. With a silent target that is up to a second after the order, and a newer version may be published meanwhile: all hosts then believed weights that the target doesn't have, and the owner freed parts that it still reads. The version now travels with the order, and the target is ordered again if a newer one was published.

--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -362,25 +362,29 @@
                      .Age("valid_ms", validUntil_ - Now()));
   auto call = host_.adapter_.writeOrder_(order);
   call.maxAnswerBytes_ = kMaxShortAnswerBytes;
-  Fetch(
-    host_.callPool_,
-    host_.loop_,
-    member->second.target_.address_,
-    call,
-    kOrderTimeout,
-    [self = shared_from_this(), aModel, aTarget](const http::Answer& aAnswer) {
-      self->OnOrderOutcome(
-        aModel, aTarget, self->host_.adapter_.readOrderOutcome_(aAnswer));
-    });
+  Fetch(host_.callPool_,
+        host_.loop_,
+        member->second.target_.address_,
+        call,
+        kOrderTimeout,
+        [self = shared_from_this(), aModel, aTarget, version = order.weights_](
+          const http::Answer& aAnswer) {
+          self->OnOrderOutcome(aModel,
+                               aTarget,
+                               version,
+                               self->host_.adapter_.readOrderOutcome_(aAnswer));
+        });
 }
 
 void
 Owner::OnOrderOutcome(const std::string& aModel,
                       const std::string& aTarget,
+                      std::uint64_t aVersion,
                       OrderOutcome aOutcome)
 {
   host_.log_.Write(Line("order_outcome")
                      .Text("target", aTarget)
+                     .Number("version", aVersion)
                      .Text("outcome", core::NameOf(kOrderOutcomes, aOutcome)));
   auto* work = FindWork(aModel, aTarget);
   if (work == nullptr || phase_ != Phase::Owning) {
@@ -393,11 +397,10 @@
       work->progress_ = weights::Progress::Loading;
       return;
     case OrderOutcome::Done:
-      BroadcastNotices(host_,
-                       { { Notice::Kind::WeightsLoaded,
-                           aTarget,
-                           aModel,
-                           rollouts_[aModel].version_ } });
+      BroadcastNotices(
+        host_, { { Notice::Kind::WeightsLoaded, aTarget, aModel, aVersion } });
+      // A newer version may have been published meanwhile.
+      work->progress_ = weights::Progress::Waiting;
       return;
     case OrderOutcome::Conflict:
     case OrderOutcome::Lost:
--- a/src/gateway/owner.h
+++ b/src/gateway/owner.h
@@ -55,8 +55,10 @@
   void Step();
   void AdvanceRollout(const std::string& aModel, weights::Rollout& aRollout);
   void SendOrder(const std::string& aModel, const std::string& aTarget);
+  // aVersion: the one that the order named.
   void OnOrderOutcome(const std::string& aModel,
                       const std::string& aTarget,
+                      std::uint64_t aVersion,
                       OrderOutcome aOutcome);
   // Fetches a target's report, once a permit is issued if its requests need
   // one.
