Ignore the weights that another target at the address reports

Cause: a 421 bears the weights of whoever sent it. A process that had taken over the address thereby told the host, and through it the owner of the weights, that the target had loaded new ones. Evidence: gateway-exchange-test "the weights of another target at the address don't count" failed before (believed 2, had 1). The answer counts only if it comes from the target, as for its limits.

--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -59,7 +59,7 @@
       member.load_ = *answer_.load_;
       member.loadReportedAt_ = now;
     }
-    if (answer_.weights_ && !request_.model_.empty()) {
+    if (answer_.weights_ && !request_.model_.empty() && IsFromTarget()) {
       auto& version = member.target_.weights_[request_.model_];
       if (version != *answer_.weights_) {
         host_.log_.Write(Line("target_weights")
@@ -96,6 +96,12 @@
   return true;
 }
 
+bool
+Exchange::IsFromTarget() const
+{
+  return !answer_.isMisdirected_ || answer_.instance_ == targetId_;
+}
+
 void
 Exchange::ApplyTargetState()
 {
@@ -128,9 +134,7 @@
 Exchange::ApplyTargetLimit()
 {
   // Without a stamp, a proxy may have answered, which doesn't know the limit.
-  const bool isFromTarget =
-    !answer_.isMisdirected_ || answer_.instance_ == targetId_;
-  if (isFromTarget && (answer_.requestsPerSecond_ || answer_.isStamped_)) {
+  if (IsFromTarget() && (answer_.requestsPerSecond_ || answer_.isStamped_)) {
     NoteTargetLimit(
       host_, targetId_, answer_.requestsPerSecond_, sentAt_, request_.id_);
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -111,6 +111,9 @@
   std::uint64_t ComputedTokens(const cache_index::Plan& aPlan) const;
   absl::Duration ReadTime() const;
   void RecordCacheReads(absl::Duration aTook);
+  // Returns whether the target itself has answered, not another one at its
+  // address.
+  bool IsFromTarget() const;
   // Records that the target reports itself closed or leaving in its answer.
   void ApplyTargetState();
   // Records the limit of requests that the target names in its answer, or that
