Free parts of old weights only when no host can read them

Callers saw (users' record, real processes): a target fetched kept parts from a store after a host had freed them there. Cause: a free can't be undone, but its time rested on one host's view: the weights of the targets that it listed, the goals of its own configuration, and 300 ms for all else. Why it works: each host ends its reads by a time that follows from what it knows itself (0.7 s at most, and 8 s after it last knew the weights to be the newest), in the stores' clock. Parts are freed 9.8 s after newer weights were learned of, when no such read can be in progress whoever reads, or 2.5 s after the last target had them, if the owner knows all targets that any host may use: vanished ones count, a host that has just listed them relies on time alone, and a target that is listed later reads no old parts. The call that frees has a time limit at the store. part-use-test plays hosts, targets and the service with cuts, freezes, restarts and silences. Tests changed: AddVersion takes a struct, OldestVersion moved, the bound in "old parts are freed once no read of them can be in progress" is longer.

--- a/include/lycheeplank/cache_index.h
+++ b/include/lycheeplank/cache_index.h
@@ -210,6 +210,9 @@
 void
 ApplyPeerReadCounts(Index& aIndex, const ReadCounts& aCounts, absl::Time aNow);
 
+// A draw with which no part is read.
+inline constexpr double kReadNone = 1.0;
+
 // Plans the shared parts of one prompt for a target in a data centre. A part is
 // read from a store only if the store has reported it complete, and if aDraw, a
 // random number between 0 and 1, is below the store's read share.
--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -85,6 +85,8 @@
   // Position in the key-value service's history of the last change of its
   // entry.
   core::Position position_;
+  // When this host first listed the target.
+  absl::Time listedAt_ = absl::InfinitePast();
   // Set when the entry disappears from a list that may be incomplete. The
   // target is used until this time and removed then, unless its entry returns.
   absl::Time expiresAt_ = absl::InfiniteFuture();
@@ -470,8 +472,8 @@
 bool
 IsInUse(const Member& aMember, absl::Time aNow);
 
-// Removes expired targets; returns their ids.
-std::vector<std::string>
+// Removes expired targets and returns them.
+std::vector<Target>
 RemoveExpired(Members& aMembers, absl::Time aNow);
 
 } // namespace lycheeplank::fleet
--- a/include/lycheeplank/weights.h
+++ b/include/lycheeplank/weights.h
@@ -16,12 +16,16 @@
 // that are ordered next to load them.
 namespace lycheeplank::weights {
 
-// A version of a model's weights, and the time at which it was published as far
-// as this host knows.
+// A published version of a model's weights.
 struct PublishedVersion
 {
   std::uint64_t version_ = 0;
+  // When it was published, estimated from what this host knows.
   absl::Time publishedAt_ = absl::InfinitePast();
+  // When this host learned of it, and a time at which it wasn't published yet:
+  // this host's items were complete then, and it wasn't among them.
+  absl::Time learnedAt_ = absl::InfiniteFuture();
+  absl::Time absentAt_ = absl::InfinitePast();
 };
 
 // All published versions, oldest first. Each version has its own deadline; a
@@ -30,14 +34,17 @@
 
 // Adds a version; returns false if it is not newer than the known ones.
 bool
-AddVersion(PublishedVersions& aVersions,
-           std::uint64_t aVersion,
-           absl::Time aPublishedAt);
+AddVersion(PublishedVersions& aVersions, const PublishedVersion& aVersion);
 
 // Returns the newest version; 0 if none was published.
 std::uint64_t
 NewestVersion(const PublishedVersions& aVersions);
 
+// Returns the first version that is newer than a target's version; null if that
+// version is the newest.
+const PublishedVersion*
+FindNewer(const PublishedVersions& aVersions, std::uint64_t aVersion);
+
 // Returns the publication time of the first version that is newer than a
 // target's version; infinite future if that version is the newest.
 absl::Time
@@ -114,11 +121,6 @@
 std::vector<std::string>
 TargetsToPoll(const Rollout& aRollout, absl::Time aNow);
 
-// Returns the oldest version of a model's weights among the targets, leaving
-// ones included; 0 if none has the model.
-std::uint64_t
-OldestVersion(const fleet::Members& aMembers, const std::string& aModel);
-
 } // namespace lycheeplank::weights
 
 #endif
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -289,6 +289,9 @@
   if (member.target_.weights_ != aTarget.weights_) {
     member.weightLoadUntil_ = std::min(member.weightLoadUntil_, aNow);
   }
+  if (member.position_ == core::Position()) {
+    member.listedAt_ = aNow;
+  }
   member.idHash_ = IdHash(aTarget.id_);
   member.target_ = std::move(aTarget);
   member.position_ = aPosition;
@@ -316,13 +319,13 @@
          aNow < aMember.expiresAt_;
 }
 
-std::vector<std::string>
+std::vector<Target>
 RemoveExpired(Members& aMembers, absl::Time aNow)
 {
-  std::vector<std::string> gone;
+  std::vector<Target> gone;
   for (auto at = aMembers.begin(); at != aMembers.end();) {
     if (at->second.expiresAt_ <= aNow) {
-      gone.push_back(at->first);
+      gone.push_back(std::move(at->second.target_));
       at = aMembers.erase(at);
     } else {
       ++at;
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -281,8 +281,10 @@
   http::Call (*writeChangesCall_)(std::uint64_t aSince, absl::Duration aWait);
   http::Call (*writeHoldingsCall_)();
   absl::optional<StoreChanges> (*readChanges_)(const http::Answer& aAnswer);
+  // aUntilMs: the store rejects the call if it arrives later by its clock.
   http::Call (*writeFreeCall_)(std::uint64_t aEpoch,
-                               const std::vector<cache_index::Change>& aParts);
+                               const std::vector<cache_index::Change>& aParts,
+                               std::int64_t aUntilMs);
 };
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -100,7 +100,8 @@
     }
     for (const auto version :
          fleet::WeightVersions(host_.members_, service_, request_.model_)) {
-      const auto plan = PlanCacheReads(version, host_.settings_.dataCentre_);
+      const auto plan = PlanCacheReads(
+        version, host_.settings_.dataCentre_, absl::InfinitePast());
       question.costs_.push_back(
         { version,
           std::max(absl::ZeroDuration(),
@@ -144,20 +145,27 @@
 }
 
 cache_index::Plan
-Exchange::PlanCacheReads(std::uint64_t aWeights, absl::string_view aDataCentre)
+Exchange::PlanCacheReads(std::uint64_t aWeights,
+                         absl::string_view aDataCentre,
+                         absl::Time aListedAt)
 {
   if (request_.parts_.size() < 2 || !Uses(host_, Mechanism::CacheStores)) {
     return {};
   }
   const std::vector<cache_index::Part> shared(request_.parts_.begin(),
                                               request_.parts_.end() - 1);
+  const auto now = Now();
+  double draw = Uses(host_, Mechanism::SlowStores) ? readDraw_ : 0.0;
+  if (ReadEnd(aWeights, aListedAt) <= now) {
+    draw = cache_index::kReadNone;
+  }
   return cache_index::PlanParts(
     host_.cacheIndex_,
     cache_index::ScopeOf(workspace_, request_.model_, aWeights),
     shared,
     aDataCentre,
-    Uses(host_, Mechanism::SlowStores) ? readDraw_ : 0.0,
-    Now());
+    draw,
+    now);
 }
 
 std::uint64_t
@@ -380,10 +388,12 @@
   attempt.weights_ = weights->second;
   attempt.cacheScope_ =
     cache_index::ScopeOf(workspace_, request_.model_, weights->second);
-  attempt.parts_ =
-    PlanCacheReads(weights->second, aMember.target_.dataCentre_).parts_;
-  attempt.readUntilMs_ =
-    cache_index::StoreClockMs(host_.cacheIndex_, now + ReadTime());
+  attempt.parts_ = PlanCacheReads(weights->second,
+                                  aMember.target_.dataCentre_,
+                                  aMember.listedAt_)
+                     .parts_;
+  const auto readEnd = ReadEnd(weights->second, aMember.listedAt_);
+  attempt.readUntilMs_ = cache_index::StoreClockMs(host_.cacheIndex_, readEnd);
   attemptParts_ = attempt.parts_;
   if (const auto stores = StoresOf(attempt.parts_); !stores.empty()) {
     host_.log_.Write(
@@ -394,7 +404,8 @@
         .Text("stores", stores)
         .Text("scope", attempt.cacheScope_)
         .Number("until_ms", attempt.readUntilMs_)
-        .Age("for_ms", ReadTime())
+        .Age("for_ms", readEnd - now)
+        .Age("items_age_ms", now - host_.itemsCompleteAt_)
         .Number("weights", weights->second)
         .Number("newest",
                 weights::NewestVersion(host_.weights_[request_.model_]))
@@ -409,6 +420,16 @@
   return ReadTimeOf(*route_);
 }
 
+absl::Time
+Exchange::ReadEnd(std::uint64_t aWeights, absl::Time aListedAt)
+{
+  const auto latest = part_use::LatestReadEnd(host_.weights_[request_.model_],
+                                              aWeights,
+                                              aListedAt,
+                                              host_.itemsCompleteAt_);
+  return std::min(Now() + ReadTime(), latest);
+}
+
 void
 Exchange::Send(ConnectionPtr aConnection)
 {
--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -9,9 +9,10 @@
 
 namespace {
 
-// Longest time that one watch call waits for changes. It is long because each
-// call is charged; TCP keep-alive probes detect a dead connection sooner.
-constexpr absl::Duration kWatchTimeout = absl::Seconds(10);
+// Longest time that one watch call waits for changes. Each call is charged, but
+// reads from cache stores need items of a limited age, see
+// part_use::kMaxReadAge.
+constexpr absl::Duration kWatchTimeout = absl::Seconds(3);
 // Pause before the next watch call, so that one call returns changes that are
 // made in quick succession. It prolongs the time in which a leaving target may
 // still get requests.
@@ -144,6 +145,7 @@
   revision_ = listPosition_->revision_;
   ApplyList(host_, prefix_, page_, *listPosition_, completeAsOf_);
   completeAsOf_ = listedAt_;
+  NotePrefixComplete(host_, prefix_, listedAt_, History::Gap);
   listPosition_ = absl::nullopt;
   page_.clear();
   if (host_.role_ == Role::Starting && CanServe(host_)) {
@@ -191,6 +193,14 @@
     EarliestSendTime(host_.stallDetector_, calledAt_, Now());
   completeAsOf_ = sentSince;
   ApplyItems(host_, aReply.items_, "watch", sentSince);
+  // The reply may have been long under way. It is no older than its call, and
+  // one without changes was written at the end of the wait.
+  const bool hasWaited =
+    aReply.items_.empty() && Now() - calledAt_ >= kWatchTimeout;
+  NotePrefixComplete(host_,
+                     prefix_,
+                     hasWaited ? calledAt_ + kWatchTimeout : calledAt_,
+                     History::Whole);
   timer_.Set(kWatchPause, [self = shared_from_this()] { self->Watch(); });
 }
 
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -155,13 +155,15 @@
     aItem.deleted_ ? 0 : aHost.adapter_.readWeights_(aItem).value_or(0);
   auto& published = aHost.weights_[aModel];
   const auto namedAt = aHeardSince - aItem.age_;
-  if (!weights::AddVersion(published, version, namedAt)) {
+  if (!weights::AddVersion(
+        published, { version, namedAt, Now(), aHost.itemsCompleteAt_ })) {
     return;
   }
   aHost.log_.Write(Line("weights_named")
                      .Text("model", aModel)
                      .Number("version", version)
                      .Age("age_ms", Now() - namedAt)
+                     .Age("absent_age_ms", Now() - aHost.itemsCompleteAt_)
                      .Number("revision", aItem.revision_)
                      .Text("source", aSource));
 }
@@ -413,6 +415,35 @@
     heardSince);
 }
 
+void
+NoteItemsComplete(Host& aHost, absl::Time aAt, History aHistory)
+{
+  auto& knownSince = aHost.readers_.knownSince_;
+  if (aHistory == History::Gap || knownSince == absl::InfiniteFuture()) {
+    knownSince = Now();
+  }
+  aHost.itemsCompleteAt_ = std::max(aHost.itemsCompleteAt_, aAt);
+}
+
+void
+NotePrefixComplete(Host& aHost,
+                   const std::string& aPrefix,
+                   absl::Time aAt,
+                   History aHistory)
+{
+  auto& complete = aHost.prefixesCompleteAt_;
+  complete[aPrefix] = aAt;
+  auto earliest = absl::InfiniteFuture();
+  for (const auto& prefix : aHost.adapter_.prefixes_()) {
+    const auto found = complete.find(prefix);
+    if (found == complete.end()) {
+      return;
+    }
+    earliest = std::min(earliest, found->second);
+  }
+  NoteItemsComplete(aHost, earliest, aHistory);
+}
+
 void
 UpdateEra(Host& aHost, std::uint64_t aEra, absl::string_view aSource)
 {
@@ -454,21 +485,7 @@
 absl::Duration
 ReadTimeOf(const catalog::Route& aRoute)
 {
-  return kReadShareOfGoal * aRoute.goal_;
-}
-
-absl::Duration
-LongestReadTime(const Host& aHost)
-{
-  absl::Duration longest = absl::ZeroDuration();
-  if (aHost.catalog_) {
-    for (const auto& [host, routes] : aHost.catalog_->routes_) {
-      for (const auto& route : routes) {
-        longest = std::max(longest, ReadTimeOf(route));
-      }
-    }
-  }
-  return longest;
+  return std::min(kReadShareOfGoal * aRoute.goal_, part_use::kMaxReadTime);
 }
 
 PendingFetch
@@ -517,9 +534,11 @@
 Sweep(Host& aHost)
 {
   const auto now = Now();
-  for (const auto& id : fleet::RemoveExpired(aHost.members_, now)) {
-    aHost.targetPool_.Drop(id);
+  for (auto& target : fleet::RemoveExpired(aHost.members_, now)) {
+    aHost.targetPool_.Drop(target.id_);
+    part_use::NoteVanished(aHost.readers_, std::move(target), now);
   }
+  part_use::Sweep(aHost.readers_, aHost.members_, now);
   availability::Sweep(aHost.availability_, now);
   entry_hosts::RemoveExpiredHosts(aHost.hosts_, now);
   replica::RemoveOldTombstones(aHost.replica_, now);
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -27,6 +27,7 @@
 #include "lycheeplank/fleet.h"
 #include "lycheeplank/mechanisms.h"
 #include "lycheeplank/metrics.h"
+#include "lycheeplank/part_use.h"
 #include "lycheeplank/poison.h"
 #include "lycheeplank/relays.h"
 #include "lycheeplank/replica.h"
@@ -122,6 +123,11 @@
   fleet::Members members_;
   availability::Records availability_;
   absl::flat_hash_map<std::string, weights::PublishedVersions> weights_;
+  part_use::Readers readers_;
+  // This host has all items of the key-value service that were written before
+  // itemsCompleteAt_, and those of each prefix that it follows itself.
+  absl::Time itemsCompleteAt_ = absl::InfinitePast();
+  absl::flat_hash_map<std::string, absl::Time> prefixesCompleteAt_;
   cache_index::Index cacheIndex_;
   // Reads from cache stores that haven't been reported to the other hosts yet.
   cache_index::ReadCounts readCounts_;
@@ -228,6 +234,24 @@
           const core::Position& aAsOf,
           absl::Time aKnownUntil);
 
+// Whether a message told all changes, or only what is left of them: a target
+// may have been listed and have vanished in between.
+enum class History
+{
+  Whole,
+  Gap,
+};
+
+// Record that the host has all items, or all of one prefix, that were written
+// before a time.
+void
+NoteItemsComplete(Host& aHost, absl::Time aAt, History aHistory);
+void
+NotePrefixComplete(Host& aHost,
+                   const std::string& aPrefix,
+                   absl::Time aAt,
+                   History aHistory);
+
 // Records the era of the key-value service; ignores eras that aren't newer than
 // the known one. A new era invalidates leases and revisions of earlier ones.
 void
@@ -253,12 +277,9 @@
 // the goal.
 inline constexpr double kReadShareOfGoal = 0.7;
 
-// Return how long a request of a route may read from cache stores, and the
-// longest such time of all routes.
+// Returns how long a request of a route may read from cache stores.
 absl::Duration
 ReadTimeOf(const catalog::Route& aRoute);
-absl::Duration
-LongestReadTime(const Host& aHost);
 
 // Calls the key-value service and records the outcome in Host::store_.
 PendingFetch
--- a/src/gateway/owner-parts.cc
+++ b/src/gateway/owner-parts.cc
@@ -15,11 +15,6 @@
 
 namespace {
 
-// Old parts are freed once no read of them can be in progress: reads that began
-// before the last target loaded new weights have ended or were discarded. The
-// margin covers a request's transit time to its target and the error of the
-// stores' clock.
-constexpr absl::Duration kReadMargin = absl::Milliseconds(300);
 // Period of checks for old parts, one every few steps of the owner.
 constexpr absl::Duration kFreePeriod = absl::Milliseconds(250);
 // Stores answer within milliseconds. The next check repeats a failed call.
@@ -29,17 +24,28 @@
 // Maximum number of targets or scopes in one line of the log.
 constexpr std::size_t kMaxLogged = 64;
 
-// Returns the targets that have a model, the oldest weights first, as
-// id@start=version.
+// Returns the targets that may read parts of a model, the oldest weights first,
+// as id@start=version, with the time in milliseconds since they vanished.
 std::string
-TargetsOf(const fleet::Members& aMembers, const std::string& aModel)
+ReadersOf(const Host& aHost, const std::string& aModel, absl::Time aNow)
 {
-  std::vector<std::pair<std::uint64_t, const fleet::Target*>> targets;
-  for (const auto& [id, member] : aMembers) {
-    const auto found = member.target_.weights_.find(aModel);
-    if (found != member.target_.weights_.end()) {
-      targets.emplace_back(found->second, &member.target_);
+  std::vector<std::pair<std::uint64_t, std::string>> targets;
+  const auto add = [&](const fleet::Target& aTarget, const auto&... aSuffix) {
+    const auto found = aTarget.weights_.find(aModel);
+    if (found != aTarget.weights_.end()) {
+      targets.emplace_back(
+        found->second,
+        absl::StrCat(
+          aTarget.id_, "@", aTarget.bornMs_, "=", found->second, aSuffix...));
     }
+  };
+  for (const auto& [id, member] : aHost.members_) {
+    add(member.target_);
+  }
+  for (const auto& [id, vanished] : aHost.readers_.vanished_) {
+    add(vanished.target_,
+        "-",
+        absl::ToInt64Milliseconds(aNow - vanished.vanishedAt_));
   }
   std::stable_sort(
     targets.begin(), targets.end(), [](const auto& aLeft, const auto& aRight) {
@@ -48,8 +54,7 @@
   targets.resize(std::min(targets.size(), kMaxLogged));
   return absl::StrJoin(
     targets, ",", [](std::string* aText, const auto& aTarget) {
-      const auto& [version, target] = aTarget;
-      absl::StrAppend(aText, target->id_, "@", target->bornMs_, "=", version);
+      aText->append(aTarget.second);
     });
 }
 
@@ -70,53 +75,72 @@
 } // namespace
 
 void
-Owner::FreeOldParts()
+Owner::UpdateOldestWeights(absl::Time aNow)
 {
-  const auto now = Now();
   for (const auto& [model, published] : host_.weights_) {
-    auto& oldest = oldestWeights_[model];
-    const auto version = weights::OldestVersion(host_.members_, model);
-    if (oldest.version_ != version) {
+    auto& rises = oldestWeights_[model];
+    const auto before = rises.empty() ? 0 : rises.back().version_;
+    const auto oldest =
+      part_use::OldestVersion(host_.members_, host_.readers_, model);
+    part_use::RecordOldest(rises, oldest, aNow);
+    if (before != oldest) {
       host_.log_.Write(Line("oldest_weights")
                          .Text("model", model)
-                         .Number("before", oldest.version_)
-                         .Number("version", version)
+                         .Number("before", before)
+                         .Number("version", oldest)
                          .Number("newest", weights::NewestVersion(published))
-                         .Text("targets", TargetsOf(host_.members_, model)));
-      oldest = { version, now };
+                         .Age("known_ms", aNow - host_.readers_.knownSince_)
+                         .Text("targets", ReadersOf(host_, model, aNow)));
     }
   }
-  if (now - partsFreedAt_ < kFreePeriod) {
+}
+
+void
+Owner::FreeOldParts()
+{
+  const auto now = Now();
+  UpdateOldestWeights(now);
+  // Without the stores' clock, the calls can't be given a time limit.
+  if (now - partsFreedAt_ < kFreePeriod || !host_.cacheIndex_.clockOffset_) {
     return;
   }
   partsFreedAt_ = now;
-  for (auto& [name, state] : host_.cacheIndex_.stores_) {
+  for (const auto& [model, rises] : oldestWeights_) {
+    const auto unused = part_use::FindUnused(
+      rises, host_.weights_.at(model), host_.readers_, now);
+    if (unused.proof_ != part_use::Proof::None) {
+      FreeOldParts(model, unused);
+    }
+  }
+}
+
+void
+Owner::FreeOldParts(const std::string& aModel, const part_use::Unused& aUnused)
+{
+  for (const auto& [name, state] : host_.cacheIndex_.stores_) {
     if (state.syncState_ != cache_index::SyncState::Synced) {
       continue;
     }
-    std::vector<cache_index::Change> unused;
-    for (const auto& [model, oldest] : oldestWeights_) {
-      if (now - oldest.since_ < LongestReadTime(host_) + kReadMargin) {
-        continue;
-      }
-      auto old = cache_index::PartsOfOldWeights(state, model, oldest.version_);
-      std::move(old.begin(), old.end(), std::back_inserter(unused));
-    }
-    if (unused.empty()) {
+    auto parts = cache_index::PartsOfOldWeights(state, aModel, aUnused.below_);
+    if (parts.empty()) {
       continue;
     }
-    if (unused.size() > kMaxPartsPerCall) {
-      unused.resize(kMaxPartsPerCall);
+    if (parts.size() > kMaxPartsPerCall) {
+      parts.resize(kMaxPartsPerCall);
     }
-    host_.log_.Write(Line("parts_freed")
-                       .Text("store", name)
-                       .Number("parts", unused.size())
-                       .Number("epoch", state.epoch_)
-                       .Text("scopes", ScopesOf(unused))
-                       .Age("read_time_ms", LongestReadTime(host_))
-                       .Number("catalog", host_.catalog_->version_)
-                       .Number("fence", fence_));
-    FreeParts(name, state, std::move(unused));
+    host_.log_.Write(
+      Line("parts_freed")
+        .Text("store", name)
+        .Number("parts", parts.size())
+        .Number("epoch", state.epoch_)
+        .Text("scopes", ScopesOf(parts))
+        .Text("model", aModel)
+        .Number("below", aUnused.below_)
+        .Text("proof", core::NameOf(part_use::kProofs, aUnused.proof_))
+        .Age("since_ms", Now() - aUnused.since_)
+        .Number("catalog", host_.catalog_->version_)
+        .Number("fence", fence_));
+    FreeParts(name, state, std::move(parts));
   }
 }
 
@@ -126,7 +150,9 @@
                  std::vector<cache_index::Change> aParts)
 {
   const auto epoch = aState.epoch_;
-  auto call = host_.adapter_.writeFreeCall_(epoch, aParts);
+  const auto until = std::min(Now() + kFreeTimeout, validUntil_);
+  auto call = host_.adapter_.writeFreeCall_(
+    epoch, aParts, cache_index::StoreClockMs(host_.cacheIndex_, until));
   call.maxAnswerBytes_ = kMaxShortAnswerBytes;
   Fetch(host_.callPool_,
         host_.loop_,
--- a/src/gateway/owner.h
+++ b/src/gateway/owner.h
@@ -8,6 +8,7 @@
 
 #include "gateway/host.h"
 #include "gateway/timer.h"
+#include "lycheeplank/part_use.h"
 #include "lycheeplank/weights.h"
 
 namespace lycheeplank::gateway {
@@ -67,8 +68,10 @@
   void OnReport(const std::string& aModel,
                 const std::string& aTarget,
                 const TargetReport& aReport);
-  // Frees parts that were computed with weights that no target has any more.
+  // Frees parts that were computed with old weights, once no host reads them.
   void FreeOldParts();
+  void UpdateOldestWeights(absl::Time aNow);
+  void FreeOldParts(const std::string& aModel, const part_use::Unused& aUnused);
   void FreeParts(const std::string& aStore,
                  const cache_index::StoreState& aState,
                  std::vector<cache_index::Change> aParts);
@@ -92,15 +95,8 @@
   absl::Time validUntil_ = absl::InfinitePast();
   absl::flat_hash_map<std::string, weights::Rollout> rollouts_;
   absl::flat_hash_map<std::string, absl::Time> reportFetchedAt_;
-  // Oldest version of a model's weights that a target has, and since when it is
-  // the oldest.
-  struct OldestWeights
-  {
-    std::uint64_t version_ = 0;
-    absl::Time since_ = absl::InfinitePast();
-  };
   // By model.
-  absl::flat_hash_map<std::string, OldestWeights> oldestWeights_;
+  absl::flat_hash_map<std::string, part_use::Rises> oldestWeights_;
   absl::Time partsFreedAt_ = absl::InfinitePast();
   bool started_ = false;
 };
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -253,8 +253,11 @@
     OnFailure(aPeer, "peer polls other hosts itself", aAnswer);
     return;
   }
-  positions_[aPeer.name_] = { update->feed_, update->next_ };
-  ApplyUpdate(*update, EarliestSendTime(host_.stallDetector_, aAskedAt, Now()));
+  auto& position = positions_[aPeer.name_];
+  const auto history =
+    position.feed_ == update->feed_ ? History::Whole : History::Gap;
+  position = { update->feed_, update->next_ };
+  ApplyUpdate(*update, aAskedAt, history);
   if (!isRelay && !update->sender_.storeReachable_ && host_.store_.reachable_) {
     OnFailure(aPeer, "peer can't reach the key-value service", aAnswer);
     return;
@@ -275,12 +278,19 @@
 }
 
 void
-PeerFollower::ApplyUpdate(const PeerUpdate& aUpdate, absl::Time aSentSince)
+PeerFollower::ApplyUpdate(const PeerUpdate& aUpdate,
+                          absl::Time aAskedAt,
+                          History aHistory)
 {
+  const auto sentSince =
+    EarliestSendTime(host_.stallDetector_, aAskedAt, Now());
   if (aUpdate.sender_.era_ != 0) {
     UpdateEra(host_, aUpdate.sender_.era_, "peer");
   }
-  ApplyItems(host_, aUpdate.items_, "peer", aSentSince);
+  ApplyItems(host_, aUpdate.items_, "peer", sentSince);
+  if (aUpdate.sender_.itemsAge_ != absl::InfiniteDuration()) {
+    NoteItemsComplete(host_, aAskedAt - aUpdate.sender_.itemsAge_, aHistory);
+  }
   if (!aUpdate.notices_.empty()) {
     ApplyNotices(host_, aUpdate.notices_);
   }
@@ -289,9 +299,9 @@
     return;
   }
   for (const auto& store : aUpdate.stores_) {
-    ApplyStoreUpdate(host_, store, aSentSince);
+    ApplyStoreUpdate(host_, store, sentSince);
   }
-  ApplySenderStatus(host_, aUpdate.sender_, aSentSince);
+  ApplySenderStatus(host_, aUpdate.sender_, sentSince);
 }
 
 void
--- a/src/gateway/peer-follower.h
+++ b/src/gateway/peer-follower.h
@@ -50,7 +50,11 @@
   void OnUpdate(const Peer& aPeer,
                 const http::Answer& aAnswer,
                 absl::Time aAskedAt);
-  void ApplyUpdate(const PeerUpdate& aUpdate, absl::Time aSentSince);
+  // aAskedAt: when the update was asked for. aHistory: whether it tells all
+  // changes since the last one.
+  void ApplyUpdate(const PeerUpdate& aUpdate,
+                   absl::Time aAskedAt,
+                   History aHistory);
   void OnFailure(const Peer& aPeer,
                  absl::string_view aReason,
                  const http::Answer& aAnswer);
--- a/src/gateway/peer-updates.cc
+++ b/src/gateway/peer-updates.cc
@@ -228,13 +228,18 @@
   for (const auto& [store, age] : aSender.cacheStoreAges_) {
     heard[store] = absl::ToInt64Milliseconds(age);
   }
-  auto text = DumpJson({ { "feed", aFeed },
-                         { "next", aNext },
-                         { "direct", aSender.isDirect_ },
-                         { "reachable", aSender.storeReachable_ },
-                         { "era", aSender.era_ },
-                         { "clock_ms", aSender.clockMs_ },
-                         { "heard_ms", std::move(heard) } });
+  Json head{ { "feed", aFeed },
+             { "next", aNext },
+             { "direct", aSender.isDirect_ },
+             { "reachable", aSender.storeReachable_ },
+             { "era", aSender.era_ },
+             { "clock_ms", aSender.clockMs_ },
+             { "heard_ms", std::move(heard) } };
+  if (aSender.itemsAge_ != absl::InfiniteDuration()) {
+    head["items_age_ms"] = absl::ToInt64Milliseconds(
+      absl::Ceil(aSender.itemsAge_, absl::Milliseconds(1)));
+  }
+  auto text = DumpJson(head);
   text.pop_back();
   return absl::StrCat(text, ",\"rows\":[", aRows, "]}");
 }
@@ -254,6 +259,10 @@
   update.sender_.era_ = CountOf(json, "era");
   update.sender_.clockMs_ =
     static_cast<std::int64_t>(CountOf(json, "clock_ms"));
+  if (const auto* age = json::Member(json, "items_age_ms");
+      age != nullptr && age->is_number_unsigned()) {
+    update.sender_.itemsAge_ = absl::Milliseconds(age->get<std::int64_t>());
+  }
   if (const auto* heard = json::Member(json, "heard_ms");
       heard != nullptr && heard->is_object()) {
     for (const auto& [store, age] : heard->items()) {
--- a/src/gateway/peer-updates.h
+++ b/src/gateway/peer-updates.h
@@ -74,6 +74,8 @@
   bool storeReachable_ = false;
   // Latest era of the key-value service that the sender knows.
   std::uint64_t era_ = 0;
+  // Time since the sender's items were last known to be complete.
+  absl::Duration itemsAge_ = absl::InfiniteDuration();
   // The cache stores' clock in milliseconds; 0 if the sender doesn't know it.
   std::int64_t clockMs_ = 0;
   // Time since each cache store's last answer.
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -103,6 +103,7 @@
   status.isDirect_ = aHost.role_ == Role::Direct && CanServe(aHost);
   status.storeReachable_ = aHost.store_.reachable_;
   status.era_ = aHost.store_.era_.value_or(0);
+  status.itemsAge_ = now - aHost.itemsCompleteAt_;
   status.clockMs_ = cache_index::StoreClockMs(aHost.cacheIndex_, now);
   for (const auto& [name, state] : aHost.cacheIndex_.stores_) {
     if (state.syncState_ == cache_index::SyncState::Synced) {
@@ -173,12 +174,17 @@
 std::string
 PeerServer::UpdateFor(std::uint64_t aFeed, std::uint64_t aFrom)
 {
-  const auto status = StatusOf(host_);
+  auto status = StatusOf(host_);
   if (const auto rows = relays::RowsFrom(host_.feed_, aFeed, aFrom)) {
     return WritePeerUpdate(
       host_.feed_.id_, relays::NextRow(host_.feed_), status, *rows);
   }
   RefreshSnapshot();
+  const auto now = Now();
+  status.itemsAge_ = now - snapshot_.itemsCompleteAt_;
+  for (auto& [store, age] : status.cacheStoreAges_) {
+    age += now - snapshot_.builtAt_;
+  }
   return WritePeerUpdate(
     snapshot_.feed_, snapshot_.next_, status, snapshot_.rows_);
 }
@@ -191,9 +197,11 @@
       relays::RowsFrom(host_.feed_, snapshot_.feed_, snapshot_.next_)) {
     return;
   }
-  snapshot_ = {
-    host_.feed_.id_, relays::NextRow(host_.feed_), SnapshotRows(host_), now
-  };
+  snapshot_ = { host_.feed_.id_,
+                relays::NextRow(host_.feed_),
+                SnapshotRows(host_),
+                now,
+                host_.itemsCompleteAt_ };
 }
 
 void
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -70,6 +70,8 @@
     std::uint64_t next_ = 0;
     std::string rows_;
     absl::Time builtAt_ = absl::InfinitePast();
+    // Host::itemsCompleteAt_ when it was built.
+    absl::Time itemsCompleteAt_ = absl::InfinitePast();
   };
   Snapshot snapshot_;
 };
--- a/src/weights/weights.cc
+++ b/src/weights/weights.cc
@@ -91,14 +91,12 @@
 }
 
 bool
-AddVersion(PublishedVersions& aVersions,
-           std::uint64_t aVersion,
-           absl::Time aPublishedAt)
+AddVersion(PublishedVersions& aVersions, const PublishedVersion& aVersion)
 {
-  if (aVersion <= NewestVersion(aVersions)) {
+  if (aVersion.version_ <= NewestVersion(aVersions)) {
     return false;
   }
-  aVersions.push_back({ aVersion, aPublishedAt });
+  aVersions.push_back(aVersion);
   return true;
 }
 
@@ -108,8 +106,8 @@
   return aVersions.empty() ? 0 : aVersions.back().version_;
 }
 
-absl::Time
-OutdatedSince(const PublishedVersions& aVersions, std::uint64_t aVersion)
+const PublishedVersion*
+FindNewer(const PublishedVersions& aVersions, std::uint64_t aVersion)
 {
   const auto newer = std::upper_bound(
     aVersions.begin(),
@@ -118,8 +116,14 @@
     [](std::uint64_t aKnown, const PublishedVersion& aPublished) {
       return aKnown < aPublished.version_;
     });
-  return newer == aVersions.end() ? absl::InfiniteFuture()
-                                  : newer->publishedAt_;
+  return newer == aVersions.end() ? nullptr : &*newer;
+}
+
+absl::Time
+OutdatedSince(const PublishedVersions& aVersions, std::uint64_t aVersion)
+{
+  const auto* newer = FindNewer(aVersions, aVersion);
+  return newer == nullptr ? absl::InfiniteFuture() : newer->publishedAt_;
 }
 
 std::vector<std::string>
@@ -179,17 +183,4 @@
   return ids;
 }
 
-std::uint64_t
-OldestVersion(const fleet::Members& aMembers, const std::string& aModel)
-{
-  std::uint64_t oldest = 0;
-  for (const auto& [id, member] : aMembers) {
-    const auto found = member.target_.weights_.find(aModel);
-    if (found != member.target_.weights_.end()) {
-      oldest = oldest == 0 ? found->second : std::min(oldest, found->second);
-    }
-  }
-  return oldest;
-}
-
 } // namespace lycheeplank::weights
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -27,7 +27,8 @@
 {
   auto& host = aWorld.host_;
   host.members_.at(aTarget).target_.weights_["m"] = 1;
-  lycheeplank::weights::AddVersion(host.weights_["m"], 1, absl::InfinitePast());
+  lycheeplank::weights::AddVersion(host.weights_["m"], { 1 });
+  host.itemsCompleteAt_ = gateway::Now();
   lycheeplank::catalog::CacheStore store;
   store.name_ = "c1";
   store.address_ = "10.0.0.1:1";
@@ -547,9 +548,9 @@
   auto& silent = world.AddTarget([](auto&, const auto&) {});
   world.host_.members_.at("t1").target_.weights_["m"] = 1;
   auto& published = world.host_.weights_["m"];
-  lycheeplank::weights::AddVersion(published, 1, absl::InfinitePast());
+  lycheeplank::weights::AddVersion(published, { 1 });
   const auto namedAt = gateway::Now();
-  lycheeplank::weights::AddVersion(published, 2, namedAt);
+  lycheeplank::weights::AddVersion(published, { 2, namedAt });
   const auto caller = world.Call(World::Request("/resume/", "X-Model: m\r\n"));
   REQUIRE(world.RunUntil([&] { return silent.requests_ == 1; }));
   auto& other = world.AddTarget(Sends(Events("id: 1\ndata: a\n\n", true)));
@@ -580,6 +581,40 @@
   CHECK(std::stoll(target.received_.substr(field + 12)) <= sentAt + 1000);
 }
 
+// Guards against parts that are freed while a host that is cut off, and hasn't
+// heard of newer weights, reads them.
+TEST_CASE("a host whose items are old reads no parts")
+{
+  World world;
+  auto& target = world.AddTarget(Sends(Events("id: 1\ndata: a\n\n", true)));
+  ReadPartsAt(world, "t1");
+  world.host_.itemsCompleteAt_ =
+    gateway::Now() - lycheeplank::part_use::kMaxReadAge;
+  CHECK(Has(world.Ask(PromptRequest()), "HTTP/1.1 200"));
+  CHECK_FALSE(Has(target.received_, "X-Kv-Fetch"));
+  // The parts are still known to be kept, so they aren't saved again.
+  CHECK_FALSE(Has(target.received_, "X-Kv-Save"));
+}
+
+// Guards against parts that are freed while a target reads them which the owner
+// of the weights can't know: it was listed after newer weights were published.
+TEST_CASE("a target that is listed late reads no parts of old weights")
+{
+  World world;
+  auto& target = world.AddTarget(Sends(Events("id: 1\ndata: a\n\n", true)));
+  ReadPartsAt(world, "t1");
+  auto& host = world.host_;
+  const auto now = gateway::Now();
+  lycheeplank::weights::AddVersion(host.weights_["m"],
+                                   { 2, now, now, host.itemsCompleteAt_ });
+  CHECK(Has(world.Ask(PromptRequest()), "HTTP/1.1 200"));
+  CHECK(Has(target.received_, "X-Kv-Fetch"));
+  target.received_.clear();
+  host.members_.at("t1").listedAt_ = now + absl::Milliseconds(1);
+  CHECK(Has(world.Ask(PromptRequest()), "HTTP/1.1 200"));
+  CHECK_FALSE(Has(target.received_, "X-Kv-Fetch"));
+}
+
 // Guards against a target that counts as having new weights because another
 // process answers at its address.
 TEST_CASE("the weights of another target at the address don't count")
--- a/test/owner-test.cc
+++ b/test/owner-test.cc
@@ -16,6 +16,7 @@
 namespace gateway = lycheeplank::gateway;
 namespace http = lycheeplank::http;
 namespace cache_index = lycheeplank::cache_index;
+namespace part_use = lycheeplank::part_use;
 namespace replica = lycheeplank::replica;
 namespace test = lycheeplank::test;
 
@@ -105,8 +106,9 @@
     return report;
   };
   adapter.writeFreeCall_ = [](std::uint64_t,
-                              const std::vector<cache_index::Change>& aParts) {
-    return MakeCall({ "free", aParts.front().part_ });
+                              const std::vector<cache_index::Change>& aParts,
+                              std::int64_t aUntilMs) {
+    return MakeCall({ "free", aParts.front().part_, absl::StrCat(aUntilMs) });
   };
   return adapter;
 }
@@ -168,7 +170,9 @@
               })
     , cacheStore_(loop_,
                   [this](auto& aSelf, const auto& aSocket) {
-                    freedParts_.push_back(LastCall(aSelf).at(1));
+                    const auto call = LastCall(aSelf);
+                    freedParts_.push_back(call.at(1));
+                    freeUntilMs_ = NumberAt(call, 2);
                     aSocket->Send(TextAnswer("ok"));
                   })
     , first_(loop_, adapter_, "h1")
@@ -198,6 +202,10 @@
                                 { { true, "shared.m.1", "old", 64 },
                                   { true, "shared.m.2", "new", 64 } },
                                 gateway::Now());
+      host.cacheIndex_.clockOffset_ = absl::ZeroDuration();
+      // The hosts have known all targets for long.
+      host.readers_.knownSince_ = absl::InfinitePast();
+      host.itemsCompleteAt_ = gateway::Now();
       for (const auto* name : { "h1", "h2" }) {
         host.hosts_[name] = { { name, "a", "10.0.0.1:1", "10.0.0.1:2" } };
       }
@@ -277,8 +285,10 @@
   void SetNewestVersion(std::uint64_t aVersion)
   {
     for (auto* candidate : { &first_, &second_ }) {
+      auto& host = candidate->host_;
       lycheeplank::weights::AddVersion(
-        candidate->host_.weights_["m"], aVersion, gateway::Now());
+        host.weights_["m"],
+        { aVersion, gateway::Now(), gateway::Now(), host.itemsCompleteAt_ });
     }
   }
 
@@ -318,6 +328,7 @@
   std::uint64_t weights_ = 1;
   std::vector<std::uint64_t> fences_;
   std::vector<std::string> freedParts_;
+  std::uint64_t freeUntilMs_ = 0;
   test::FakeTarget store_;
   test::FakeTarget target_;
   test::FakeTarget cacheStore_;
@@ -386,8 +397,11 @@
   REQUIRE(owners.RunUntil([&] { return owners.weights_ == 2; }));
   const auto changedAt = gateway::Now();
   REQUIRE(owners.RunUntil([&] { return !owners.freedParts_.empty(); }));
-  CHECK(gateway::Now() - changedAt >=
-        gateway::LongestReadTime(owners.first_.host_));
+  CHECK(gateway::Now() - changedAt >= part_use::kTargetReadTime);
+  // A call that arrives late has no effect.
+  CHECK(owners.freeUntilMs_ > 0);
+  CHECK(static_cast<std::int64_t>(owners.freeUntilMs_) <=
+        absl::ToUnixMillis(gateway::Now() + absl::Seconds(1)));
   CHECK(owners.freedParts_ == std::vector<std::string>{ "old" });
   // The part isn't freed twice.
   owners.RunUntil([] { return false; }, absl::Milliseconds(700));
--- a/test/weights-test.cc
+++ b/test/weights-test.cc
@@ -2,7 +2,10 @@
 
 #include <catch2/catch.hpp>
 
+#include "lycheeplank/part_use.h"
+
 namespace fleet = lycheeplank::fleet;
+namespace part_use = lycheeplank::part_use;
 namespace weights = lycheeplank::weights;
 
 namespace {
@@ -62,10 +65,10 @@
   rollout.version_ = 2;
   CHECK(weights::NextTargets(rollout, members, "m", kNow).empty());
   // The leaving target may still run requests on its old weights.
-  CHECK(weights::OldestVersion(members, "m") == 1);
+  CHECK(part_use::OldestVersion(members, {}, "m") == 1);
   members.erase("t0");
-  CHECK(weights::OldestVersion(members, "m") == 2);
-  CHECK(weights::OldestVersion(members, "n") == 0);
+  CHECK(part_use::OldestVersion(members, {}, "m") == 2);
+  CHECK(part_use::OldestVersion(members, {}, "n") == 0);
 }
 
 TEST_CASE(
@@ -100,10 +103,10 @@
   weights::PublishedVersions versions;
   CHECK(weights::NewestVersion(versions) == 0);
   CHECK(weights::OutdatedSince(versions, 1) == absl::InfiniteFuture());
-  CHECK(weights::AddVersion(versions, 1, absl::InfinitePast()));
-  CHECK(weights::AddVersion(versions, 2, kNow));
-  CHECK(weights::AddVersion(versions, 4, kNow + absl::Seconds(3)));
-  CHECK_FALSE(weights::AddVersion(versions, 3, kNow + absl::Seconds(4)));
+  CHECK(weights::AddVersion(versions, { 1 }));
+  CHECK(weights::AddVersion(versions, { 2, kNow }));
+  CHECK(weights::AddVersion(versions, { 4, kNow + absl::Seconds(3) }));
+  CHECK_FALSE(weights::AddVersion(versions, { 3, kNow + absl::Seconds(4) }));
   CHECK(weights::NewestVersion(versions) == 4);
   CHECK(weights::OutdatedSince(versions, 1) == kNow);
   CHECK(weights::OutdatedSince(versions, 2) == kNow + absl::Seconds(3));
