Write to a restarted cache store only when silent targets read it no more

Cause: a host writes to a store that has restarted 3 s after it saw the new start, when other hosts have stopped to use the old contents and their reads have ended. A target that checked the end of its read and fell silent goes on later, and could take a part that is being written. Evidence: cache-index-test "a restarted store isn't written to while silent targets may read it" failed before (3 s, 4 s asked). The time now follows from the maximum age of contents and the end of reads (4.5 s).

--- a/include/lycheeplank/cache_index.h
+++ b/include/lycheeplank/cache_index.h
@@ -80,13 +80,22 @@
   absl::optional<absl::Duration> clockOffset_;
 };
 
-// A restarted store is written to only after this time, when no host reads its
-// old contents any more: it covers kMaxStateAge and the duration of a read that
-// started last.
-inline constexpr absl::Duration kEpochSettleTime = absl::Seconds(3);
 // Maximum time since a store's last answer in which its indexed contents are
 // used.
 inline constexpr absl::Duration kMaxStateAge = absl::Seconds(2);
+// Maximum time of a read, whatever the goal of the request's route.
+inline constexpr absl::Duration kMaxReadTime = absl::Milliseconds(700);
+// A target checks the end of a read, and may be silent this long afterwards
+// before it goes on.
+inline constexpr absl::Duration kMaxSilence = absl::Milliseconds(1500);
+// Covers the error of the stores' clock and the transit of calls.
+inline constexpr absl::Duration kClockMargin = absl::Milliseconds(300);
+// Time after the start of a read in which it ends.
+inline const absl::Duration kReadEndTime =
+  kMaxReadTime + kMaxSilence + kClockMargin;
+// A restarted store is written to only after this time, when no target reads
+// its old contents any more.
+inline const absl::Duration kEpochSettleTime = kMaxStateAge + kReadEndTime;
 // Block size in tokens by which stores allocate (from the engines' sheet).
 inline constexpr std::uint64_t kBlockTokens = 16;
 // Maximum share of a store's capacity that is filled; parts that other hosts
--- a/include/lycheeplank/part_use.h
+++ b/include/lycheeplank/part_use.h
@@ -9,6 +9,7 @@
 #include <absl/container/btree_map.h>
 #include <absl/time/time.h>
 
+#include "lycheeplank/cache_index.h"
 #include "lycheeplank/core.h"
 #include "lycheeplank/fleet.h"
 #include "lycheeplank/weights.h"
@@ -20,27 +21,15 @@
 // are freed after the latest of these times.
 namespace lycheeplank::part_use {
 
-// Maximum time of a read, whatever the goal of the request's route.
-inline constexpr absl::Duration kMaxReadTime = absl::Milliseconds(700);
 // Reads of parts end this long after the host last knew their weights to be the
 // newest ones, so a host that is cut off stops reading. Longer than the age
 // that the items of a host reach in operation, and than short outages of the
 // key-value service.
 inline constexpr absl::Duration kMaxReadAge = absl::Seconds(8);
-// A target checks the end of a read, and may be silent this long afterwards
-// before it goes on.
-inline constexpr absl::Duration kMaxSilence = absl::Milliseconds(1500);
-// Covers the error of the stores' clock and the transit of the call that frees.
-inline constexpr absl::Duration kClockMargin = absl::Milliseconds(300);
-
-// Reads of a version's parts have ended this long after the last target loaded
-// newer weights.
-inline const absl::Duration kTargetReadTime =
-  kMaxReadTime + kMaxSilence + kClockMargin;
 // Reads of a version's parts have ended this long after newer weights were
 // published, also those by hosts and targets that this host doesn't know.
 inline const absl::Duration kUnknownReadTime =
-  kMaxReadAge + kMaxSilence + kClockMargin;
+  kMaxReadAge + cache_index::kMaxSilence + cache_index::kClockMargin;
 
 // Returns the latest end of a read of parts of a version, infinite past if the
 // target may not read them. aListedAt: when the host first listed the target,
@@ -119,7 +108,7 @@
 {
   std::uint64_t below_ = 0;
   Proof proof_ = Proof::None;
-  // When the targets had the version, or when the host learned of it.
+  // When all targets had the version, or when the host learned of it.
   absl::Time since_ = absl::InfinitePast();
 };
 
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -485,7 +485,7 @@
 absl::Duration
 ReadTimeOf(const catalog::Route& aRoute)
 {
-  return std::min(kReadShareOfGoal * aRoute.goal_, part_use::kMaxReadTime);
+  return std::min(kReadShareOfGoal * aRoute.goal_, cache_index::kMaxReadTime);
 }
 
 PendingFetch
--- a/src/part_use/part_use.cc
+++ b/src/part_use/part_use.cc
@@ -91,7 +91,7 @@
   Unused unused;
   if (aNow - aReaders.knownSince_ >= kUnknownReadTime) {
     for (const auto& rise : aRises) {
-      if (aNow - rise.at_ >= kTargetReadTime) {
+      if (aNow - rise.at_ >= cache_index::kReadEndTime) {
         unused = { rise.version_, Proof::Targets, rise.at_ };
       }
     }
--- a/test/cache-index-test.cc
+++ b/test/cache-index-test.cc
@@ -58,6 +58,20 @@
 
 } // namespace
 
+// Guards against a target that checked the end of a read, fell silent, and
+// reads a part that is being written to the store which has restarted
+// meanwhile.
+TEST_CASE("a restarted store isn't written to while silent targets may read it")
+{
+  constexpr auto kSilence = absl::Milliseconds(1300);
+  auto index = MakeIndex(1);
+  auto& state = index.stores_.at("s0");
+  cache_index::ApplyChanges(state, 8, 1, {}, kSettled);
+  state.lastAnswerAt_ =
+    kSettled + cache_index::kMaxStateAge + absl::Milliseconds(700) + kSilence;
+  CHECK(PlanAt(index, state.lastAnswerAt_).parts_[0].storeAt_.empty());
+}
+
 TEST_CASE("a part that no store holds is computed and stored at one store")
 {
   const auto index = MakeIndex();
--- a/test/owner-test.cc
+++ b/test/owner-test.cc
@@ -16,7 +16,6 @@
 namespace gateway = lycheeplank::gateway;
 namespace http = lycheeplank::http;
 namespace cache_index = lycheeplank::cache_index;
-namespace part_use = lycheeplank::part_use;
 namespace replica = lycheeplank::replica;
 namespace test = lycheeplank::test;
 
@@ -397,7 +396,7 @@
   REQUIRE(owners.RunUntil([&] { return owners.weights_ == 2; }));
   const auto changedAt = gateway::Now();
   REQUIRE(owners.RunUntil([&] { return !owners.freedParts_.empty(); }));
-  CHECK(gateway::Now() - changedAt >= part_use::kTargetReadTime);
+  CHECK(gateway::Now() - changedAt >= cache_index::kReadEndTime);
   // A call that arrives late has no effect.
   CHECK(owners.freeUntilMs_ > 0);
   CHECK(static_cast<std::int64_t>(owners.freeUntilMs_) <=
--- a/test/part-use-test.cc
+++ b/test/part-use-test.cc
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+namespace cache_index = lycheeplank::cache_index;
 namespace fleet = lycheeplank::fleet;
 namespace part_use = lycheeplank::part_use;
 namespace weights = lycheeplank::weights;
@@ -54,7 +55,7 @@
   part_use::Rises rises;
   part_use::RecordOldest(rises, 1, kNow);
   part_use::RecordOldest(rises, 2, kNow + absl::Seconds(1));
-  const auto freedAt = kNow + absl::Seconds(1) + part_use::kTargetReadTime;
+  const auto freedAt = kNow + absl::Seconds(1) + cache_index::kReadEndTime;
   CHECK(
     part_use::FindUnused(rises, versions, readers, freedAt - kInstant).below_ ==
     1);
@@ -279,7 +280,7 @@
         target->target_.weights_.at("m") != version) {
       return;
     }
-    auto end = std::min(now_ + part_use::kMaxReadTime, latest);
+    auto end = std::min(now_ + cache_index::kMaxReadTime, latest);
     ++reads_;
     oldReads_ += version < newest_ ? 1 : 0;
     if (Chance(0.2)) {
