Let hosts behind a relay know the targets only since the relay does

A relay that lists the service anew may have missed targets that came and went. The hosts that poll it took their own history for whole, and one of them, as the owner of the weights, could free parts that such a target reads.

--- a/src/gateway/follower.cc
+++ b/src/gateway/follower.cc
@@ -145,7 +145,7 @@
   revision_ = listPosition_->revision_;
   ApplyList(host_, prefix_, page_, *listPosition_, completeAsOf_);
   completeAsOf_ = listedAt_;
-  NotePrefixComplete(host_, prefix_, listedAt_, History::Gap);
+  NotePrefixComplete(host_, prefix_, listedAt_, Now());
   listPosition_ = absl::nullopt;
   page_.clear();
   if (host_.role_ == Role::Starting && CanServe(host_)) {
@@ -200,7 +200,7 @@
   NotePrefixComplete(host_,
                      prefix_,
                      hasWaited ? calledAt_ + kWatchTimeout : calledAt_,
-                     History::Whole);
+                     absl::InfinitePast());
   timer_.Set(kWatchPause, [self = shared_from_this()] { self->Watch(); });
 }
 
--- a/src/gateway/host-registration.cc
+++ b/src/gateway/host-registration.cc
@@ -17,7 +17,7 @@
 // The lease survives the loss of two renewals in a row.
 constexpr absl::Duration kKeepAlivePeriod = absl::Milliseconds(1600);
 // A relay detects by its renewals that the service doesn't answer: its watch
-// may wait for ten seconds, but a configuration has to take effect within two.
+// may wait for seconds, but a configuration has to take effect within two.
 // A renewal costs a tenth of a read.
 constexpr absl::Duration kRelayKeepAlivePeriod = absl::Milliseconds(600);
 // Even a slow service answers within some hundred milliseconds.
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -416,12 +416,12 @@
 }
 
 void
-NoteItemsComplete(Host& aHost, absl::Time aAt, History aHistory)
+NoteItemsComplete(Host& aHost, absl::Time aAt, absl::Time aKnownSince)
 {
   auto& knownSince = aHost.readers_.knownSince_;
-  if (aHistory == History::Gap || knownSince == absl::InfiniteFuture()) {
-    knownSince = Now();
-  }
+  knownSince = knownSince == absl::InfiniteFuture()
+                 ? Now()
+                 : std::max(knownSince, aKnownSince);
   aHost.itemsCompleteAt_ = std::max(aHost.itemsCompleteAt_, aAt);
 }
 
@@ -429,7 +429,7 @@
 NotePrefixComplete(Host& aHost,
                    const std::string& aPrefix,
                    absl::Time aAt,
-                   History aHistory)
+                   absl::Time aKnownSince)
 {
   auto& complete = aHost.prefixesCompleteAt_;
   complete[aPrefix] = aAt;
@@ -441,7 +441,7 @@
     }
     earliest = std::min(earliest, found->second);
   }
-  NoteItemsComplete(aHost, earliest, aHistory);
+  NoteItemsComplete(aHost, earliest, aKnownSince);
 }
 
 void
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -234,23 +234,16 @@
           const core::Position& aAsOf,
           absl::Time aKnownUntil);
 
-// Whether a message told all changes, or only what is left of them: a target
-// may have been listed and have vanished in between.
-enum class History
-{
-  Whole,
-  Gap,
-};
-
 // Record that the host has all items, or all of one prefix, that were written
-// before a time.
+// before aAt. aKnownSince: see part_use::Readers; after a list it is the
+// present time, since targets may have been listed and have vanished before.
 void
-NoteItemsComplete(Host& aHost, absl::Time aAt, History aHistory);
+NoteItemsComplete(Host& aHost, absl::Time aAt, absl::Time aKnownSince);
 void
 NotePrefixComplete(Host& aHost,
                    const std::string& aPrefix,
                    absl::Time aAt,
-                   History aHistory);
+                   absl::Time aKnownSince);
 
 // Records the era of the key-value service; ignores eras that aren't newer than
 // the known one. A new era invalidates leases and revisions of earlier ones.
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -253,11 +253,8 @@
     OnFailure(aPeer, "peer polls other hosts itself", aAnswer);
     return;
   }
-  auto& position = positions_[aPeer.name_];
-  const auto history =
-    position.feed_ == update->feed_ ? History::Whole : History::Gap;
-  position = { update->feed_, update->next_ };
-  ApplyUpdate(*update, aAskedAt, history);
+  positions_[aPeer.name_] = { update->feed_, update->next_ };
+  ApplyUpdate(*update, aAskedAt);
   if (!isRelay && !update->sender_.storeReachable_ && host_.store_.reachable_) {
     OnFailure(aPeer, "peer can't reach the key-value service", aAnswer);
     return;
@@ -278,18 +275,18 @@
 }
 
 void
-PeerFollower::ApplyUpdate(const PeerUpdate& aUpdate,
-                          absl::Time aAskedAt,
-                          History aHistory)
+PeerFollower::ApplyUpdate(const PeerUpdate& aUpdate, absl::Time aAskedAt)
 {
-  const auto sentSince =
-    EarliestSendTime(host_.stallDetector_, aAskedAt, Now());
+  const auto now = Now();
+  const auto sentSince = EarliestSendTime(host_.stallDetector_, aAskedAt, now);
   if (aUpdate.sender_.era_ != 0) {
     UpdateEra(host_, aUpdate.sender_.era_, "peer");
   }
   ApplyItems(host_, aUpdate.items_, "peer", sentSince);
   if (aUpdate.sender_.itemsAge_ != absl::InfiniteDuration()) {
-    NoteItemsComplete(host_, aAskedAt - aUpdate.sender_.itemsAge_, aHistory);
+    NoteItemsComplete(host_,
+                      aAskedAt - aUpdate.sender_.itemsAge_,
+                      now - aUpdate.sender_.knownTime_);
   }
   if (!aUpdate.notices_.empty()) {
     ApplyNotices(host_, aUpdate.notices_);
--- a/src/gateway/peer-follower.h
+++ b/src/gateway/peer-follower.h
@@ -50,11 +50,8 @@
   void OnUpdate(const Peer& aPeer,
                 const http::Answer& aAnswer,
                 absl::Time aAskedAt);
-  // aAskedAt: when the update was asked for. aHistory: whether it tells all
-  // changes since the last one.
-  void ApplyUpdate(const PeerUpdate& aUpdate,
-                   absl::Time aAskedAt,
-                   History aHistory);
+  // aAskedAt: when the update was asked for.
+  void ApplyUpdate(const PeerUpdate& aUpdate, absl::Time aAskedAt);
   void OnFailure(const Peer& aPeer,
                  absl::string_view aReason,
                  const http::Answer& aAnswer);
--- a/src/gateway/peer-updates.cc
+++ b/src/gateway/peer-updates.cc
@@ -239,6 +239,9 @@
     head["items_age_ms"] = absl::ToInt64Milliseconds(
       absl::Ceil(aSender.itemsAge_, absl::Milliseconds(1)));
   }
+  if (aSender.knownTime_ > absl::ZeroDuration()) {
+    head["known_ms"] = absl::ToInt64Milliseconds(aSender.knownTime_);
+  }
   auto text = DumpJson(head);
   text.pop_back();
   return absl::StrCat(text, ",\"rows\":[", aRows, "]}");
@@ -263,6 +266,10 @@
       age != nullptr && age->is_number_unsigned()) {
     update.sender_.itemsAge_ = absl::Milliseconds(age->get<std::int64_t>());
   }
+  if (const auto* known = json::Member(json, "known_ms");
+      known != nullptr && known->is_number_unsigned()) {
+    update.sender_.knownTime_ = absl::Milliseconds(known->get<std::int64_t>());
+  }
   if (const auto* heard = json::Member(json, "heard_ms");
       heard != nullptr && heard->is_object()) {
     for (const auto& [store, age] : heard->items()) {
--- a/src/gateway/peer-updates.h
+++ b/src/gateway/peer-updates.h
@@ -74,8 +74,11 @@
   bool storeReachable_ = false;
   // Latest era of the key-value service that the sender knows.
   std::uint64_t era_ = 0;
-  // Time since the sender's items were last known to be complete.
+  // Time since the sender's items were last known to be complete, and time for
+  // which the receiver knows all targets then, see part_use::Readers; zero if
+  // the update is a snapshot, which doesn't tell the targets that vanished.
   absl::Duration itemsAge_ = absl::InfiniteDuration();
+  absl::Duration knownTime_ = absl::ZeroDuration();
   // The cache stores' clock in milliseconds; 0 if the sender doesn't know it.
   std::int64_t clockMs_ = 0;
   // Time since each cache store's last answer.
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -104,6 +104,8 @@
   status.storeReachable_ = aHost.store_.reachable_;
   status.era_ = aHost.store_.era_.value_or(0);
   status.itemsAge_ = now - aHost.itemsCompleteAt_;
+  status.knownTime_ =
+    std::max(absl::ZeroDuration(), now - aHost.readers_.knownSince_);
   status.clockMs_ = cache_index::StoreClockMs(aHost.cacheIndex_, now);
   for (const auto& [name, state] : aHost.cacheIndex_.stores_) {
     if (state.syncState_ == cache_index::SyncState::Synced) {
@@ -182,6 +184,7 @@
   RefreshSnapshot();
   const auto now = Now();
   status.itemsAge_ = now - snapshot_.itemsCompleteAt_;
+  status.knownTime_ = absl::ZeroDuration();
   for (auto& [store, age] : status.cacheStoreAges_) {
     age += now - snapshot_.builtAt_;
   }
--- a/test/peer-updates-test.cc
+++ b/test/peer-updates-test.cc
@@ -18,6 +18,7 @@
   sender.isDirect_ = true;
   sender.era_ = 4;
   sender.itemsAge_ = absl::Milliseconds(700);
+  sender.knownTime_ = absl::Seconds(30);
   sender.clockMs_ = 1700000000123;
   sender.cacheStoreAges_["s1"] = absl::Milliseconds(250);
   return sender;
@@ -53,6 +54,7 @@
   CHECK(update->sender_.isDirect_);
   CHECK_FALSE(update->sender_.storeReachable_);
   CHECK(update->sender_.itemsAge_ == absl::Milliseconds(700));
+  CHECK(update->sender_.knownTime_ == absl::Seconds(30));
   CHECK(update->sender_.clockMs_ == 1700000000123);
   CHECK(update->sender_.cacheStoreAges_.at("s1") == absl::Milliseconds(250));
   REQUIRE(update->items_.size() == 1);
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -140,6 +140,34 @@
   }));
 }
 
+// Guards against a host behind a relay that reads parts of old weights because
+// it takes the relay's items for newer than they are.
+TEST_CASE("a host's items are no more complete than those of its relay")
+{
+  ThreeHosts hosts;
+  auto& third = hosts.third_.host_;
+  const auto complete = gateway::Now() - absl::Seconds(3);
+  for (auto* relay : { &hosts.first_, &hosts.second_ }) {
+    relay->host_.itemsCompleteAt_ = complete;
+    relay->host_.readers_.knownSince_ = complete;
+  }
+  REQUIRE(hosts.RunUntil(
+    [&] { return third.itemsCompleteAt_ != absl::InfinitePast(); }));
+  CHECK(third.itemsCompleteAt_ <= complete);
+  // The first update is a snapshot, which doesn't tell the targets that have
+  // vanished.
+  const auto knownSince = third.readers_.knownSince_;
+  CHECK(knownSince > complete);
+  // The relay missed changes, and so did the hosts that poll it.
+  const auto relisted = gateway::Now() + absl::Milliseconds(10);
+  for (auto* relay : { &hosts.first_, &hosts.second_ }) {
+    relay->host_.readers_.knownSince_ = relisted;
+    relay->host_.itemsCompleteAt_ = gateway::Now();
+  }
+  REQUIRE(hosts.RunUntil([&] { return third.itemsCompleteAt_ > complete; }));
+  CHECK(third.readers_.knownSince_ > knownSince);
+}
+
 TEST_CASE("a notice reaches hosts that poll a relay")
 {
   ThreeHosts hosts;
