Ignore the report of another process at a target's address

Cause: a report is called by address, and whoever answered proved weights for the target that the owner had in mind. A report that names another start is ignored.

--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -226,6 +226,8 @@
 // State that a target reports, some hundred milliseconds old.
 struct TargetReport
 {
+  // Start of the process, in milliseconds since 1970; 0 if not reported.
+  std::int64_t bornMs_ = 0;
   bool isBusy_ = false;
   std::uint64_t orders_ = 0;
   absl::flat_hash_map<std::string, std::uint64_t> weights_;
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -469,6 +469,14 @@
   if (work == nullptr || phase_ != Phase::Owning) {
     return;
   }
+  if (aReport.bornMs_ != 0 && aReport.bornMs_ != work->bornMs_) {
+    // Another process has the address, or the target has started again.
+    host_.log_.Write(Line("account_foreign")
+                       .Text("target", aTarget)
+                       .Number("born_ms", aReport.bornMs_)
+                       .Number("expected_ms", work->bornMs_));
+    return;
+  }
   const auto now = Now();
   const auto version = rollouts_[aModel].version_;
   const auto loaded = aReport.weights_.find(aModel);
