Ignore another target at the address that leaves

Cause: a 421 bears the word of whoever sent it. A process that had taken over the address and was leaving made the host take the expected target for leaving, and tell all hosts so. Nothing takes that back for a start of a target, so one that runs at another address would get no request as long as it lives. Evidence: gateway-exchange-test "another target at the address doesn't make a target leave" failed before (leaving, ready asked) and passes now, with the other 42 cases of that program. Why it works: the announcement counts only if it comes from the target, as do its weights and limits. The other process's answer still puts the target aside for a while. A pause that a target asks for comes with 503 only, never with 421.

--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -118,7 +118,7 @@
                        .Text("id", request_.id_)
                        .Age("for_ms", *answer_.closedFor_));
   }
-  if (answer_.isLeaving_ &&
+  if (answer_.isLeaving_ && IsFromTarget() &&
       availability::NoteLeaving(
         host_.availability_, host_.members_, targetId_, targetBornMs_, now)) {
     host_.log_.Write(Line("target_leaving")
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -629,6 +629,22 @@
   CHECK(world.host_.members_.at("t1").target_.weights_.at("m") == 1);
 }
 
+// Guards against a target that no host uses any more because another process
+// answers at its address and leaves.
+TEST_CASE("another target at the address doesn't make a target leave")
+{
+  World world;
+  const std::string fields = "X-Instance-Id: t9\r\nServer-Leaving: 1\r\n";
+  world.AddTarget(Sends(WholeAnswer("", "421 Misdirected Request", fields)));
+  world.AddTarget(Sends(WholeAnswer("ok")));
+  world.host_.members_.at("t2").quarantinedUntil_ =
+    gateway::Now() + absl::Seconds(9);
+  world.Ask(World::Request("/resume/"));
+  const auto& member = world.host_.members_.at("t1");
+  CHECK(gateway::Now() < member.quarantinedUntil_);
+  CHECK(member.target_.state_ == lycheeplank::fleet::TargetState::Ready);
+}
+
 TEST_CASE("a repeatable request leaves a target that other hosts report down")
 {
   World world;
