Take no earlier start of a target for the present one's weights

Cause: a late answer to an order, a report's call or a request, and a notice of the owner, counted for whichever process of the target was listed when they arrived. Weights of one start are never taken back by news, so a restarted target counted as having new weights at all hosts: its requests were refused with 421 and sent again, and it wasn't ordered to load them. Evidence: owner-test "a late reply of an earlier start proves nothing of the present one" (believed 2, had 1; no second order in 5 s), peers-test "a notice counts for the start of the target that it names only" (believed 3, told 2) and gateway-exchange-test "the weights of an earlier start of the target don't count" (believed 2, had 1) failed before and pass now. Why it works: each of them bears the start that it is about, and counts only if the host lists that start. A frozen host that handles an entry before an older answer, and one that lags, ignore what they can't place; an answer of the target or the next order tells them. Notices without a start, from hosts of an earlier release, count as before.

--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -53,7 +53,8 @@
   }
   const auto now = Now();
   const auto found = host_.members_.find(targetId_);
-  if (found != host_.members_.end()) {
+  if (found != host_.members_.end() &&
+      found->second.target_.bornMs_ == targetBornMs_) {
     auto& member = found->second;
     if (answer_.load_) {
       member.load_ = *answer_.load_;
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -50,6 +50,39 @@
   return (aClaimedAt.era_ << kRevisionBits) | aClaimedAt.revision_;
 }
 
+// Returns the start time of a target's present process; nothing if it isn't
+// listed.
+absl::optional<std::int64_t>
+StartOf(const Host& aHost, const std::string& aTarget)
+{
+  const auto found = aHost.members_.find(aTarget);
+  return found == aHost.members_.end()
+           ? absl::nullopt
+           : absl::make_optional(found->second.target_.bornMs_);
+}
+
+// Tells all hosts of the present processes of targets.
+void
+Tell(Host& aHost,
+     Notice::Kind aKind,
+     const std::vector<std::string>& aTargets,
+     const std::string& aModel,
+     std::uint64_t aVersion)
+{
+  const auto pause =
+    aKind == Notice::Kind::LoadOrdered ? kOrderPause : absl::ZeroDuration();
+  std::vector<Notice> notices;
+  notices.reserve(aTargets.size());
+  for (const auto& target : aTargets) {
+    if (const auto start = StartOf(aHost, target)) {
+      notices.push_back({ aKind, target, aModel, aVersion, pause, *start });
+    }
+  }
+  if (!notices.empty()) {
+    BroadcastNotices(aHost, notices);
+  }
+}
+
 } // namespace
 
 Owner::Owner(Host& aHost)
@@ -295,16 +328,7 @@
                        .Age("last_loss_age_ms", now - aRollout.lastLossAt_));
   }
   if (!ids.empty()) {
-    std::vector<Notice> notices;
-    notices.reserve(ids.size());
-    for (const auto& id : ids) {
-      notices.push_back({ Notice::Kind::LoadOrdered,
-                          id,
-                          aModel,
-                          aRollout.version_,
-                          kOrderPause });
-    }
-    BroadcastNotices(host_, notices);
+    Tell(host_, Notice::Kind::LoadOrdered, ids, aModel, aRollout.version_);
     for (const auto& id : ids) {
       const auto timer = std::make_shared<Timer>(host_.loop_);
       // The other hosts receive the notice before the target gets the order.
@@ -360,19 +384,43 @@
                      .Number("expect_orders", *order.expectOrders_)
                      .Number("running", member->second.load_.running_)
                      .Age("valid_ms", validUntil_ - Now()));
-  auto call = host_.adapter_.writeOrder_(order);
-  call.maxAnswerBytes_ = kMaxShortAnswerBytes;
+  CallTarget(
+    member->second.target_,
+    host_.adapter_.writeOrder_(order),
+    kOrderTimeout,
+    [self = shared_from_this(), aModel, aTarget, version = order.weights_](
+      const http::Answer& aAnswer) {
+      self->OnOrderOutcome(aModel,
+                           aTarget,
+                           version,
+                           self->host_.adapter_.readOrderOutcome_(aAnswer));
+    });
+}
+
+void
+Owner::CallTarget(const fleet::Target& aTarget,
+                  http::Call aCall,
+                  absl::Duration aTimeout,
+                  std::function<void(const http::Answer&)> aOnAnswer)
+{
+  aCall.maxAnswerBytes_ = kMaxShortAnswerBytes;
   Fetch(host_.callPool_,
         host_.loop_,
-        member->second.target_.address_,
-        call,
-        kOrderTimeout,
-        [self = shared_from_this(), aModel, aTarget, version = order.weights_](
-          const http::Answer& aAnswer) {
-          self->OnOrderOutcome(aModel,
-                               aTarget,
-                               version,
-                               self->host_.adapter_.readOrderOutcome_(aAnswer));
+        aTarget.address_,
+        aCall,
+        aTimeout,
+        [self = shared_from_this(),
+         id = aTarget.id_,
+         startedAtMs = aTarget.bornMs_,
+         onAnswer = std::move(aOnAnswer)](const http::Answer& aAnswer) {
+          // Work at a target that isn't listed at the moment goes on.
+          if (StartOf(self->host_, id).value_or(startedAtMs) == startedAtMs) {
+            onAnswer(aAnswer);
+            return;
+          }
+          self->host_.log_.Write(Line("answer_of_earlier_start")
+                                   .Text("target", id)
+                                   .Number("started_ms", startedAtMs));
         });
 }
 
@@ -397,8 +445,7 @@
       work->progress_ = weights::Progress::Loading;
       return;
     case OrderOutcome::Done:
-      BroadcastNotices(
-        host_, { { Notice::Kind::WeightsLoaded, aTarget, aModel, aVersion } });
+      Tell(host_, Notice::Kind::WeightsLoaded, { aTarget }, aModel, aVersion);
       // A newer version may have been published meanwhile.
       work->progress_ = weights::Progress::Waiting;
       return;
@@ -441,13 +488,9 @@
   if (member == host_.members_.end()) {
     return;
   }
-  auto call = host_.adapter_.writeReportCall_();
-  call.maxAnswerBytes_ = kMaxShortAnswerBytes;
-  Fetch(
-    host_.callPool_,
-    host_.loop_,
-    member->second.target_.address_,
-    call,
+  CallTarget(
+    member->second.target_,
+    host_.adapter_.writeReportCall_(),
     kReportTimeout,
     [self = shared_from_this(), aModel, aTarget](const http::Answer& aAnswer) {
       if (const auto report = self->host_.adapter_.readReport_(aAnswer)) {
@@ -473,8 +516,7 @@
   const auto version = rollouts_[aModel].version_;
   const auto loaded = aReport.weights_.find(aModel);
   if (loaded != aReport.weights_.end() && loaded->second >= version) {
-    BroadcastNotices(
-      host_, { { Notice::Kind::WeightsLoaded, aTarget, aModel, version } });
+    Tell(host_, Notice::Kind::WeightsLoaded, { aTarget }, aModel, version);
     return;
   }
   if (!work->orders_ && !aReport.isBusy_) {
@@ -487,12 +529,7 @@
     if (now - work->since_ > kOrderPause / 2) {
       // The target's requests take long to finish, so its pause is prolonged.
       work->since_ = now;
-      BroadcastNotices(host_,
-                       { { Notice::Kind::LoadOrdered,
-                           aTarget,
-                           aModel,
-                           version,
-                           kOrderPause } });
+      Tell(host_, Notice::Kind::LoadOrdered, { aTarget }, aModel, version);
     }
     return;
   }
--- a/src/gateway/owner.h
+++ b/src/gateway/owner.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEEPLANK_SRC_GATEWAY_OWNER_H
 #define LYCHEEPLANK_SRC_GATEWAY_OWNER_H
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -56,6 +57,12 @@
   void Step();
   void AdvanceRollout(const std::string& aModel, weights::Rollout& aRollout);
   void SendOrder(const std::string& aModel, const std::string& aTarget);
+  // Calls a target. Its answer is ignored if the target has started again
+  // meanwhile.
+  void CallTarget(const fleet::Target& aTarget,
+                  http::Call aCall,
+                  absl::Duration aTimeout,
+                  std::function<void(const http::Answer&)> aOnAnswer);
   // aVersion: the one that the order named.
   void OnOrderOutcome(const std::string& aModel,
                       const std::string& aTarget,
--- a/src/gateway/peer-updates.h
+++ b/src/gateway/peer-updates.h
@@ -40,8 +40,7 @@
   std::string model_;
   std::uint64_t version_ = 0;
   absl::Duration pause_ = absl::ZeroDuration();
-  // TargetLeaving: start time of the target's process, in milliseconds since
-  // 1970.
+  // Start time of the target's process, in milliseconds since 1970.
   std::int64_t startedAtMs_ = 0;
 };
 
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -48,7 +48,10 @@
     return;
   }
   const auto found = aHost.members_.find(aNotice.name_);
-  if (found == aHost.members_.end()) {
+  // Hosts of an earlier release name no start.
+  if (found == aHost.members_.end() ||
+      (aNotice.startedAtMs_ != 0 &&
+       aNotice.startedAtMs_ != found->second.target_.bornMs_)) {
     return;
   }
   auto& member = found->second;
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -629,6 +629,28 @@
   CHECK(world.host_.members_.at("t1").target_.weights_.at("m") == 1);
 }
 
+// Guards against a restarted target that counts as having new weights because
+// its earlier process answers late.
+TEST_CASE("the weights of an earlier start of the target don't count")
+{
+  World world;
+  auto& members = world.host_.members_;
+  world.AddTarget([&members](auto&, const auto& aSocket) {
+    auto target = members.at("t1").target_;
+    target.bornMs_ += 7;
+    lycheeplank::fleet::UpdateTarget(
+      members, target, { 0, 1000 }, gateway::Now());
+    aSocket->Send(WholeAnswer("",
+                              "421 Misdirected Request",
+                              "X-Instance-Id: t1\r\n"
+                              "X-Weight-Versions: 2\r\n"));
+  });
+  ReadPartsAt(world, "t1");
+  world.Ask(PromptRequest());
+  CHECK(members.at("t1").target_.bornMs_ >= 7);
+  CHECK(members.at("t1").target_.weights_.at("m") == 1);
+}
+
 // Guards against a target that no host uses any more because another process
 // answers at its address and leaves.
 TEST_CASE("another target at the address doesn't make a target leave")
--- a/test/owner-test.cc
+++ b/test/owner-test.cc
@@ -467,6 +467,34 @@
   CHECK(believed() == 2);
 }
 
+// Guards against a restarted target that counts as having new weights, and
+// isn't ordered to load them, because its earlier process answers late.
+TEST_CASE("a late reply of an earlier start proves nothing of the present one")
+{
+  Owners owners;
+  owners.acceptsOrders_ = false;
+  owners.holdsOrders_ = true;
+  owners.repliesLate_ = true;
+  owners.SetNewestVersion(2);
+  REQUIRE(owners.RunUntil([&] { return !owners.lateReplies_.empty(); }));
+  for (auto* candidate : { &owners.first_, &owners.second_ }) {
+    auto& members = candidate->host_.members_;
+    auto target = members.at("t1").target_;
+    target.bornMs_ = 7;
+    fleet::UpdateTarget(members, target, { 0, 2 }, gateway::Now());
+  }
+  for (const auto& [socket, reply] : owners.lateReplies_) {
+    socket->Send(reply);
+  }
+  // The second order goes to the present start.
+  const auto believed = [&owners] {
+    return owners.OwnerHost().members_.at("t1").target_.weights_.at("m");
+  };
+  CHECK(owners.RunUntil([&] { return owners.lateReplies_.size() == 2; },
+                        absl::Seconds(5)));
+  CHECK(believed() == 1);
+}
+
 TEST_CASE("an owner steps down when the service is restored from a backup")
 {
   Owners owners;
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -156,6 +156,29 @@
     [&] { return third.members_.at("t1").weightLoadUntil_ > gateway::Now(); }));
 }
 
+// Guards against a restarted target that other hosts take for the process whose
+// weights the owner read.
+TEST_CASE("a notice counts for the start of the target that it names only")
+{
+  ThreeHosts hosts;
+  auto& third = hosts.third_.host_;
+  REQUIRE(
+    hosts.RunUntil([&] { return third.role_ == gateway::Role::Relayed; }));
+  auto& target = third.members_.at("t1").target_;
+  target.bornMs_ = 8;
+  const auto loaded = [](std::uint64_t aVersion, std::int64_t aStartedAtMs) {
+    return gateway::Notice{ gateway::Notice::Kind::WeightsLoaded,
+                            "t1",
+                            "m",
+                            aVersion,
+                            absl::ZeroDuration(),
+                            aStartedAtMs };
+  };
+  gateway::BroadcastNotices(hosts.first_.host_, { loaded(3, 7), loaded(2, 8) });
+  REQUIRE(hosts.RunUntil([&] { return target.weights_["m"] >= 2; }));
+  CHECK(target.weights_["m"] == 2);
+}
+
 TEST_CASE("a host becomes direct while no relay answers")
 {
   ThreeHosts hosts;
