--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -53,7 +53,8 @@
   }
   const auto now = Now();
   const auto found = host_.members_.find(targetId_);
-  if (found != host_.members_.end()) {
+  if (found != host_.members_.end() &&
+      found->second.target_.bornMs_ == targetBornMs_) {
     auto& member = found->second;
     if (answer_.load_) {
       member.load_ = *answer_.load_;
@@ -118,7 +119,7 @@
                        .Text("id", request_.id_)
                        .Age("for_ms", *answer_.closedFor_));
   }
-  if (answer_.isLeaving_ &&
+  if (answer_.isLeaving_ && IsFromTarget() &&
       availability::NoteLeaving(
         host_.availability_, host_.members_, targetId_, targetBornMs_, now)) {
     host_.log_.Write(Line("target_leaving")
