Ignore a notice that an earlier start of a host leaves

Cause: a notice marks a host as leaving by its name, and nothing takes it back but a new entry. A host that handles the notice after the entry of the next start, as each poll of a relay does with both, named the restarted host to no caller and took it for no relay. Evidence: peers-test "a notice of an earlier start doesn't make a host leave" failed before (leaving) and passes. The notice bears the revision of the entry that it is about, and a newer entry wins.

--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -297,8 +297,7 @@
                        .Number("requests_open", host_.openRequests_.size()));
     owner_->Resign();
     registration_->MarkLeaving();
-    BroadcastNotices(host_,
-                     { { Notice::Kind::HostLeaving, host_.settings_.name_ } });
+    BroadcastHostLeaving(host_);
     for (const auto& server : servers_) {
       server->CloseAfterAnswers();
     }
--- a/src/gateway/peer-updates.h
+++ b/src/gateway/peer-updates.h
@@ -38,6 +38,8 @@
   // Id of the target, or name of the host.
   std::string name_;
   std::string model_;
+  // Version of the weights. HostLeaving: revision of the host's entry that the
+  // notice is about; 0 if it isn't known.
   std::uint64_t version_ = 0;
   absl::Duration pause_ = absl::ZeroDuration();
   // Start time of the target's process, in milliseconds since 1970.
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -27,12 +27,25 @@
 // few milliseconds.
 constexpr absl::Duration kNoticeTransitTime = absl::Milliseconds(30);
 
+// Returns the revision of a host's entry; 0 if it isn't known.
+std::uint64_t
+HostRevision(const Host& aHost, const std::string& aName)
+{
+  const auto* entry =
+    replica::Find(aHost.replica_, absl::StrCat(kHostPrefix, aName));
+  return entry == nullptr ? 0 : entry->item_.revision_;
+}
+
 void
 ApplyNotice(Host& aHost, const Notice& aNotice, absl::Time aNow)
 {
   if (aNotice.kind_ == Notice::Kind::HostLeaving) {
     const auto host = aHost.hosts_.find(aNotice.name_);
-    if (host != aHost.hosts_.end()) {
+    // Hosts of an earlier release name no revision.
+    const bool isCurrent =
+      aNotice.version_ == 0 ||
+      HostRevision(aHost, aNotice.name_) <= aNotice.version_;
+    if (host != aHost.hosts_.end() && isCurrent) {
       host->second.entry_.leaving_ = true;
     }
     return;
@@ -291,6 +304,15 @@
   }
 }
 
+void
+BroadcastHostLeaving(Host& aHost)
+{
+  const auto& name = aHost.settings_.name_;
+  BroadcastNotices(
+    aHost,
+    { { Notice::Kind::HostLeaving, name, {}, HostRevision(aHost, name) } });
+}
+
 void
 BroadcastTargetLeaving(Host& aHost,
                        const std::string& aTarget,
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -85,6 +85,10 @@
 void
 BroadcastNotices(Host& aHost, const std::vector<Notice>& aNotices);
 
+// Sends a notice that this host leaves.
+void
+BroadcastHostLeaving(Host& aHost);
+
 // Sends a notice that a target leaves, after a delay and only if this host
 // hasn't learned it from the key-value service by then. The service usually
 // informs all hosts at the same time, which makes the notice needless.
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -2,6 +2,7 @@
 
 #include <random>
 
+#include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
 #include "gateway-world.h"
@@ -207,6 +208,32 @@
   CHECK(target.weights_["m"] == 2);
 }
 
+// Guards against a host that has started again and counts as leaving, because
+// a notice of its earlier process is handled after its new entry.
+TEST_CASE("a notice of an earlier start doesn't make a host leave")
+{
+  ThreeHosts hosts;
+  auto& third = hosts.third_.host_;
+  REQUIRE(
+    hosts.RunUntil([&] { return third.role_ == gateway::Role::Relayed; }));
+  replica::Item entry{ absl::StrCat(gateway::kHostPrefix, "h2"),
+                       entry_hosts::WriteHost(hosts.second_.Entry(0.5)),
+                       9,
+                       9,
+                       false };
+  // One update has both, and its items are applied first.
+  for (auto* relay : { &hosts.first_, &hosts.second_ }) {
+    gateway::Notice notice{ gateway::Notice::Kind::HostLeaving, "h2" };
+    notice.version_ = 5;
+    gateway::Publish(relay->host_, notice);
+    gateway::ApplyItems(relay->host_, { entry }, "watch", gateway::Now());
+    gateway::Publish(relay->host_, MakeItem("x/last", 10));
+  }
+  REQUIRE(hosts.RunUntil(
+    [&] { return replica::Find(third.replica_, "x/last") != nullptr; }));
+  CHECK_FALSE(third.hosts_.at("h2").entry_.leaving_);
+}
+
 TEST_CASE("a host becomes direct while no relay answers")
 {
   ThreeHosts hosts;
