Don't prolong the wait of a suspected request by copies under way

What callers would see: equal requests to a service that has no other traffic are refused as request_suspected for up to a minute after its targets have returned from an outage of about a second. It happens at hosts that have no earlier answers in memory, for example because they have just started.

Cause: the wait between attempts at a suspected request doubled at each new moment of crashes. Copies that had been sent before the first loss and were lost one after the other, at targets that fell silent and then lost their connections, counted like attempts that were lost after a wait.

Evidence: the new test failed before: eight copies lost within 1.05 s led to a wait of 32 s, of 4 s allowed.

Why it works: a copy under way is lost soon after the wait was set, an attempt only after it. So only losses after half of the wait double it; the other half allows for clocks and for ages in messages. A request that crashes targets is lost after each wait, so it still waits 2 s, 4 s, 8 s to 30 s.

--- a/include/lycheeplank/poison.h
+++ b/include/lycheeplank/poison.h
@@ -199,6 +199,10 @@
     std::size_t moments_ = 0;
     absl::Time firstMomentAt_ = absl::InfinitePast();
     absl::Time lastMomentAt_ = absl::InfinitePast();
+    // How often the wait between attempts has doubled, and the time of the loss
+    // that set it.
+    int doublings_ = 0;
+    absl::Time waitSetAt_ = absl::InfinitePast();
   };
   // Traits of lost requests and of blocks.
   absl::btree_map<std::string, Suspicion> suspects_;
--- a/src/poison/poison.cc
+++ b/src/poison/poison.cc
@@ -16,18 +16,39 @@
 // Losses at one start further apart than this don't belong to the same crash:
 // the target survived the first ones.
 constexpr absl::Duration kCrashTime = absl::Seconds(1);
+// A request that is lost after this share of a wait counts as one that was sent
+// after it: hosts' clocks and the ages in messages aren't exact.
+constexpr double kMinWaited = 0.5;
 
-// Returns how long requests with a trait aren't sent after so many moments of
-// crashes.
+// Returns how long requests with a suspected trait aren't sent.
 absl::Duration
-WaitAfter(const KindLimits& aLimits, std::size_t aMoments)
+WaitOf(const KindLimits& aLimits, const State::Suspicion& aSuspicion)
 {
-  if (aMoments < aLimits.backoffMoments_) {
+  if (aSuspicion.moments_ < aLimits.backoffMoments_) {
     return kEvaluationTime;
   }
-  const auto doublings =
-    static_cast<double>(aMoments - aLimits.backoffMoments_);
-  return std::min(kMaxBackoff, kMinBackoff * std::exp2(doublings));
+  return std::min(kMaxBackoff, kMinBackoff * std::exp2(aSuspicion.doublings_));
+}
+
+// Doubles the wait after a loss at a new moment of crashes, unless the lost
+// request was sent before the wait began.
+void
+LengthenWait(const KindLimits& aLimits,
+             State::Suspicion& aSuspicion,
+             absl::Time aLostAt)
+{
+  if (aSuspicion.moments_ < aLimits.backoffMoments_) {
+    return;
+  }
+  if (aSuspicion.moments_ == aLimits.backoffMoments_) {
+    aSuspicion.doublings_ = 0;
+    aSuspicion.waitSetAt_ = aLostAt;
+  } else if (const auto wait = WaitOf(aLimits, aSuspicion);
+             wait < kMaxBackoff &&
+             aLostAt - aSuspicion.waitSetAt_ >= kMinWaited * wait) {
+    ++aSuspicion.doublings_;
+    aSuspicion.waitSetAt_ = aLostAt;
+  }
 }
 
 // Returns a number in [0, 1) that differs between hosts, so that they don't all
@@ -108,6 +129,7 @@
                                   ? aLostAt
                                   : std::max(suspicion.lastMomentAt_, aLostAt);
       ++suspicion.moments_;
+      LengthenWait(LimitsOf(trait), suspicion, aLostAt);
     }
     TellBeginIfNeeded(aState, trait, suspicion);
   }
@@ -400,7 +422,7 @@
       continue;
     }
     const auto wait =
-      WaitAfter(limits, suspicion.moments_) * (1.0 + OffsetOf(aState, trait));
+      WaitOf(limits, suspicion) * (1.0 + OffsetOf(aState, trait));
     const auto left =
       std::max(suspicion.lostAt_, suspicion.triedAt_) + wait - aNow;
     if (left > delay.time_) {
--- a/test/poison-test.cc
+++ b/test/poison-test.cc
@@ -371,6 +371,36 @@
         absl::ZeroDuration());
 }
 
+// Guards against equal requests that are refused for up to a minute after an
+// outage of a second, because copies that were sent before the first loss are
+// lost one after the other.
+TEST_CASE("losses of copies that were under way don't prolong the wait")
+{
+  const poison::Traits traits{ poison::RequestTrait("x") };
+  poison::State state;
+  state.self_ = "a";
+  state.hosts_ = 2;
+  absl::Time at;
+  for (int i = 0; i < 8; ++i) {
+    at = kStart + i * absl::Milliseconds(150);
+    poison::RecordLoss(state, { absl::StrCat("t", i), 7 }, i, traits, at);
+  }
+  const auto first = poison::SendDelay(state, traits, false, at);
+  CHECK(first.isBackoff_);
+  CHECK(first.time_ >= poison::kMinBackoff);
+  CHECK(first.time_ <= 2 * poison::kMinBackoff);
+  // Each loss of an attempt after the wait doubles it.
+  auto wait = first.time_;
+  for (int i = 8; i < 11; ++i) {
+    at += wait;
+    poison::RecordSend(state, traits, at);
+    poison::RecordLoss(state, { absl::StrCat("t", i), 7 }, i, traits, at);
+    const auto next = poison::SendDelay(state, traits, false, at);
+    CHECK(absl::FDivDuration(next.time_, wait) == Approx(2.0));
+    wait = next.time_;
+  }
+}
+
 TEST_CASE("crashes prove nothing while many sound requests are lost")
 {
   const auto lost = GENERATE(0, 500);
