Compute the end of a read once for each attempt

MakeAttempt computed it for the plan and again for the request, a moment later. It is computed once now and the plan takes it, so plan and request agree. No other change of behaviour. Checked: formatter, linter of all files, all C++ test programs but poison-shared-test, poison-rare-test and claims-sim-test; the listed cases of admission-test and gateway-limits-test fail as before. The Python suites weren't run on it.

--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -100,8 +100,9 @@
     }
     for (const auto version :
          fleet::WeightVersions(host_.members_, service_, request_.model_)) {
-      const auto plan = PlanCacheReads(
-        version, host_.settings_.dataCentre_, absl::InfinitePast());
+      const auto plan = PlanCacheReads(version,
+                                       host_.settings_.dataCentre_,
+                                       ReadEnd(version, absl::InfinitePast()));
       question.costs_.push_back(
         { version,
           std::max(absl::ZeroDuration(),
@@ -147,7 +148,7 @@
 cache_index::Plan
 Exchange::PlanCacheReads(std::uint64_t aWeights,
                          absl::string_view aDataCentre,
-                         absl::Time aListedAt)
+                         absl::Time aReadEnd)
 {
   if (request_.parts_.size() < 2 || !Uses(host_, Mechanism::CacheStores)) {
     return {};
@@ -155,7 +156,7 @@
   const std::vector<cache_index::Part> shared(request_.parts_.begin(),
                                               request_.parts_.end() - 1);
   const auto now = Now();
-  const bool mayRead = now < ReadEnd(aWeights, aListedAt);
+  const bool mayRead = now < aReadEnd;
   double draw = Uses(host_, Mechanism::SlowStores) ? readDraw_ : 0.0;
   if (!mayRead) {
     draw = cache_index::kReadNone;
@@ -397,11 +398,10 @@
   attempt.weights_ = weights->second;
   attempt.cacheScope_ =
     cache_index::ScopeOf(workspace_, request_.model_, weights->second);
-  attempt.parts_ = PlanCacheReads(weights->second,
-                                  aMember.target_.dataCentre_,
-                                  aMember.firstListedAt_)
-                     .parts_;
   const auto readEnd = ReadEnd(weights->second, aMember.firstListedAt_);
+  attempt.parts_ =
+    PlanCacheReads(weights->second, aMember.target_.dataCentre_, readEnd)
+      .parts_;
   attempt.readUntilMs_ = cache_index::StoreClockMs(host_.cacheIndex_, readEnd);
   attemptParts_ = attempt.parts_;
   if (const auto stores = StoresOf(attempt.parts_); !stores.empty()) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -106,13 +106,14 @@
   double UnreportedTokens(absl::Time aNow) const;
   // Plans which parts of the prompt a target with these weights reads from
   // cache stores and which it saves there.
-  // aListedAt: see part_use::LatestReadEnd.
+  // aReadEnd: see ReadEnd.
   cache_index::Plan PlanCacheReads(std::uint64_t aWeights,
                                    absl::string_view aDataCentre,
-                                   absl::Time aListedAt);
+                                   absl::Time aReadEnd);
   std::uint64_t ComputedTokens(const cache_index::Plan& aPlan) const;
   absl::Duration ReadTime() const;
-  // Returns when reads that the request starts now must have ended.
+  // Returns when reads that the request starts now must have ended. aListedAt:
+  // see part_use::LatestReadEnd.
   absl::Time ReadEnd(std::uint64_t aWeights, absl::Time aListedAt);
   void RecordCacheReads(absl::Duration aTook);
   // Returns whether the target itself has answered, not another one at its
