--- a/test/owner-test.cc
+++ b/test/owner-test.cc
@@ -298,6 +298,31 @@
     return ownerName_ == "h1" ? first_.host_ : second_.host_;
   }
 
+  // Lets the target reply to an order that its version already holds, without
+  // having loaded it, and holds the reply back.
+  void HoldReplyToOrder()
+  {
+    acceptsOrders_ = false;
+    holdsOrders_ = true;
+    repliesLate_ = true;
+    SetNewestVersion(2);
+    REQUIRE(RunUntil([this] { return !lateReplies_.empty(); }));
+  }
+
+  void SendHeldReplies()
+  {
+    for (const auto& [socket, reply] : lateReplies_) {
+      socket->Send(reply);
+    }
+  }
+
+  // Returns the version of the weights that the owner believes the target to
+  // have.
+  std::uint64_t BelievedWeights()
+  {
+    return OwnerHost().members_.at("t1").target_.weights_.at("m");
+  }
+
   bool RunUntil(const std::function<bool()>& aCondition,
                 absl::Duration aTimeout = absl::Seconds(20))
   {
@@ -453,21 +478,12 @@
 TEST_CASE("an order that already holds proves only the weights it names")
 {
   Owners owners;
-  owners.acceptsOrders_ = false;
-  owners.holdsOrders_ = true;
-  owners.repliesLate_ = true;
-  owners.SetNewestVersion(2);
-  REQUIRE(owners.RunUntil([&] { return !owners.lateReplies_.empty(); }));
+  owners.HoldReplyToOrder();
   owners.SetNewestVersion(3);
   owners.RunUntil([] { return false; }, absl::Milliseconds(200));
-  for (const auto& [socket, reply] : owners.lateReplies_) {
-    socket->Send(reply);
-  }
-  const auto believed = [&owners] {
-    return owners.OwnerHost().members_.at("t1").target_.weights_.at("m");
-  };
-  REQUIRE(owners.RunUntil([&] { return believed() != 1; }));
-  CHECK(believed() == 2);
+  owners.SendHeldReplies();
+  REQUIRE(owners.RunUntil([&] { return owners.BelievedWeights() != 1; }));
+  CHECK(owners.BelievedWeights() == 2);
 }
 
 // Guards against parts that are freed while a target reads them whose entry,
@@ -518,27 +534,18 @@
 TEST_CASE("a late reply of an earlier start proves nothing of the present one")
 {
   Owners owners;
-  owners.acceptsOrders_ = false;
-  owners.holdsOrders_ = true;
-  owners.repliesLate_ = true;
-  owners.SetNewestVersion(2);
-  REQUIRE(owners.RunUntil([&] { return !owners.lateReplies_.empty(); }));
+  owners.HoldReplyToOrder();
   for (auto* candidate : { &owners.first_, &owners.second_ }) {
     auto& members = candidate->host_.members_;
     auto target = members.at("t1").target_;
     target.bornMs_ = 7;
     fleet::UpdateTarget(members, target, { 0, 2 }, gateway::Now());
   }
-  for (const auto& [socket, reply] : owners.lateReplies_) {
-    socket->Send(reply);
-  }
+  owners.SendHeldReplies();
   // The second order goes to the present start.
-  const auto believed = [&owners] {
-    return owners.OwnerHost().members_.at("t1").target_.weights_.at("m");
-  };
   CHECK(owners.RunUntil([&] { return owners.lateReplies_.size() == 2; },
                         absl::Seconds(5)));
-  CHECK(believed() == 1);
+  CHECK(owners.BelievedWeights() == 1);
 }
 
 TEST_CASE("an owner steps down when the service is restored from a backup")
