Take a stream that ends with its connection for whole unless its target died

Callers saw each stream without a length and chunks cut, or run again at a second target whose rest was empty, and its sound targets were set aside.

Such a close says nothing by itself; the state of the target's process does. Only evidence of death breaks the stream. A target that leaves may refuse connections. An empty rest for a caller that continues a stream is whole in this form as in the others.

--- a/src/gateway/answer-head.cc
+++ b/src/gateway/answer-head.cc
@@ -83,6 +83,12 @@
                                  : HeadFault::None;
 }
 
+bool
+EndsWithConnection(const http::ResponseHead& aHead)
+{
+  return !aHead.length_ && !aHead.isChunked_;
+}
+
 absl::string_view
 FramingOf(const http::ResponseHead& aHead)
 {
--- a/src/gateway/answer-head.h
+++ b/src/gateway/answer-head.h
@@ -59,8 +59,12 @@
         absl::string_view aRequestId,
         const catalog::Route& aRoute);
 
+// Returns whether only the close of the connection ends the body.
+bool
+EndsWithConnection(const http::ResponseHead& aHead);
+
 // Returns how the end of the body is marked: "length", "chunks", or
-// "connection" if only the close of the connection shows it.
+// "connection" if it ends with its connection.
 absl::string_view
 FramingOf(const http::ResponseHead& aHead);
 
--- a/src/gateway/client-connection.h
+++ b/src/gateway/client-connection.h
@@ -62,6 +62,9 @@
   // Returns the time since the last call ended.
   absl::Duration IdleFor(absl::Time aNow) const { return aNow - idleSince_; }
   bool IsBusy() const { return busy_; }
+  // Returns whether the connection is open as far as the host can notice: while
+  // it doesn't read, it isn't told of an end.
+  bool IsSeenOpen() const { return socket_->IsOpen() && socket_->IsReading(); }
   // Closes the connection; no handler runs afterwards.
   void Close();
   // Stops or resumes reading, for backpressure on the peer.
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -358,9 +358,11 @@
 Exchange::OnEnd(CallEnd aEnd)
 {
   silenceTimer_.Cancel();
-  if ((aEnd == CallEnd::NoAnswer || aEnd == CallEnd::Cut) &&
-      firstByteAt_ == absl::InfinitePast()) {
-    NoteLoss(host_, Evidence());
+  if (aEnd == CallEnd::NoAnswer || aEnd == CallEnd::Cut) {
+    host_.targetPool_.RecordLoss(targetId_, Now());
+    if (firstByteAt_ == absl::InfinitePast()) {
+      NoteLoss(host_, Evidence());
+    }
   }
   if (isEvents_ && headAccepted_) {
     FinishStream(aEnd);
@@ -410,52 +412,4 @@
   Close(IsSuccess(status) ? "served" : "target_answer", status, "whole");
 }
 
-StreamFault
-Exchange::FaultOfStream() const
-{
-  const bool isFramed = head_.length_.has_value() || head_.isChunked_;
-  if (isFramed && !events_.IsNumbered()) {
-    return StreamFault::None;
-  }
-  // A stream that the caller continues may have no more events. One that was
-  // cut here ends with an event of its run: an empty rest can't be told from an
-  // answer without its events.
-  const bool isContinued =
-    !request_.lastEventId_.empty() && request_.lastEventId_ != "0";
-  const bool mayBeEmpty = isFramed && !answerBegun_ &&
-                          (isContinued || caller_->Head().method_ == "HEAD");
-  if (events_.TargetCount() == 0 && !mayBeEmpty) {
-    return StreamFault::NoEvents;
-  }
-  if (events_.IsWithinEvent()) {
-    return StreamFault::PartialEvent;
-  }
-  if (events_.IsNumbered() && !isFramed) {
-    return StreamFault::NoEnd;
-  }
-  return events_.EndsBeforeLast() ? StreamFault::EarlyEnd : StreamFault::None;
-}
-
-void
-Exchange::FinishStream(CallEnd aEnd)
-{
-  if (aEnd != CallEnd::Complete) {
-    EndBroken(core::NameOf(kCallEnds, aEnd));
-    return;
-  }
-  if (const auto fault = FaultOfStream(); fault != StreamFault::None) {
-    EndBroken(core::NameOf(kStreamFaults, fault));
-    return;
-  }
-  ReleaseTarget(fleet::CallResult::Answered);
-  if (!answerBegun_) {
-    BeginAnswer();
-  }
-  if (!events_.IsNumbered()) {
-    caller_->Write(events_.Rest());
-  }
-  caller_->End();
-  Close("served", head_.status_, "whole");
-}
-
 } // namespace lycheeplank::gateway
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -101,7 +101,7 @@
 void
 Exchange::WithdrawIfBlocked()
 {
-  if (ended_ || firstByteAt_ != absl::InfinitePast() ||
+  if (ended_ || isEndChecked_ || firstByteAt_ != absl::InfinitePast() ||
       FindBlock(host_, traits_) == nullptr) {
     return;
   }
@@ -195,6 +195,7 @@
       .Text("fingerprint", fingerprint_));
   ReleaseTarget(result);
   ++attemptNumber_;
+  isEndChecked_ = false;
   // A stream that continues at another target begins there with a whole event.
   events_.Clear();
   // Once part of the answer has been sent, it can't be replaced by another one.
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -26,6 +26,7 @@
   , silenceTimer_(aHost.loop_)
   , weightsTimer_(aHost.loop_)
   , waitTimer_(aHost.loop_)
+  , endTimer_(aHost.loop_)
 {
 }
 
@@ -106,6 +107,11 @@
 void
 Exchange::GiveUp(absl::string_view aReason, absl::Duration aRetryAfter)
 {
+  if (isEndChecked_) {
+    // Nothing shows so far that the target has died.
+    EndStream();
+    return;
+  }
   ++attemptNumber_;
   if (!targetId_.empty()) {
     ReleaseTarget(fleet::CallResult::Abandoned);
@@ -168,6 +174,7 @@
   silenceTimer_.Cancel();
   weightsTimer_.Cancel();
   waitTimer_.Cancel();
+  endTimer_.Cancel();
   if (waiterId_ != 0) {
     request_queue::RemoveRequest(host_.waiting_, waiterId_);
     host_.waiters_.erase(std::exchange(waiterId_, 0));
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -32,8 +32,8 @@
   None,
   // It ends within an event.
   PartialEvent,
-  // Its end is only the close of the connection, as that of a cut stream.
-  NoEnd,
+  // It ends with its connection, and its target died at that time.
+  TargetDied,
   NoEvents,
   // It ends before an event that the caller has, or that an earlier target
   // began.
@@ -43,7 +43,7 @@
 inline constexpr std::array<core::Named<StreamFault>, 5> kStreamFaults{ {
   { StreamFault::None, "none" },
   { StreamFault::PartialEvent, "partial_event" },
-  { StreamFault::NoEnd, "no_end" },
+  { StreamFault::TargetDied, "target_died" },
   { StreamFault::NoEvents, "no_events" },
   { StreamFault::EarlyEnd, "early_end" },
 } };
@@ -152,9 +152,16 @@
   void BeginAnswer();
   // Returns whether the caller has received events.
   bool IsStreamBegun() const { return answerBegun_ && events_.DataCount() > 0; }
-  // Returns why a stream that has ended regularly can't be shown to be whole.
+  // Returns why the events of a stream that has ended regularly can't be all.
   StreamFault FaultOfStream() const;
   void FinishStream(CallEnd aEnd);
+  // Ends the stream, or fails the attempt, when it is known whether the target
+  // ended the answer or died.
+  void CheckStreamEnd();
+  void JudgeStreamEnd(std::uint64_t aAttempt,
+                      absl::Time aEndedAt,
+                      absl::optional<ConnectEnd> aConnect);
+  void EndStream();
   void DeliverBuffered();
 
   // Ends of attempts and of the exchange.
@@ -208,6 +215,7 @@
   Timer silenceTimer_;
   Timer weightsTimer_;
   Timer waitTimer_;
+  Timer endTimer_;
 
   retry::History history_;
   std::vector<std::string> tried_;
@@ -256,6 +264,8 @@
   bool headAccepted_ = false;
   bool isEvents_ = false;
   bool answerBegun_ = false;
+  // All bytes of a stream have arrived, and its end is being checked.
+  bool isEndChecked_ = false;
   bool readingPaused_ = false;
   bool ended_ = false;
 };
--- a/src/gateway/pool.cc
+++ b/src/gateway/pool.cc
@@ -186,26 +186,73 @@
     loop_,
     ParseEndpoint(aAddress),
     aTimeout,
-    [this, aPeer, onDone = std::move(aOnDone)](
-      std::shared_ptr<Socket> aSocket) {
-      if (!aSocket) {
-        onDone(nullptr);
-        return;
-      }
-      const auto connection =
-        std::make_shared<ClientConnection>(std::move(aSocket));
-      connection->Open([this, aPeer, weak = std::weak_ptr(connection)] {
-        const auto found = idle_.find(aPeer);
-        if (found != idle_.end()) {
-          auto& kept = found->second;
-          kept.erase(std::remove(kept.begin(), kept.end(), weak.lock()),
-                     kept.end());
-        }
-      });
-      onDone(connection);
+    [this, aPeer, onDone = std::move(aOnDone)](std::shared_ptr<Socket> aSocket,
+                                               ConnectEnd) {
+      onDone(aSocket ? Adopt(aPeer, std::move(aSocket)) : nullptr);
     });
 }
 
+ConnectionPtr
+Pool::Adopt(const std::string& aPeer, std::shared_ptr<Socket> aSocket)
+{
+  const auto connection =
+    std::make_shared<ClientConnection>(std::move(aSocket));
+  connection->Open([this, aPeer, weak = std::weak_ptr(connection)] {
+    const auto found = idle_.find(aPeer);
+    if (found != idle_.end()) {
+      auto& kept = found->second;
+      kept.erase(std::remove(kept.begin(), kept.end(), weak.lock()),
+                 kept.end());
+    }
+  });
+  all_[aPeer].push_back(connection);
+  return connection;
+}
+
+void
+Pool::OpenSpare(const std::string& aPeer,
+                const std::string& aAddress,
+                absl::Duration aTimeout,
+                std::function<void(ConnectEnd)> aOnDone)
+{
+  ++opened_;
+  gateway::Connect(loop_,
+                   ParseEndpoint(aAddress),
+                   aTimeout,
+                   [this, aPeer, onDone = std::move(aOnDone)](
+                     std::shared_ptr<Socket> aSocket, ConnectEnd aEnd) {
+                     if (aSocket) {
+                       Return(aPeer, Adopt(aPeer, std::move(aSocket)));
+                     }
+                     onDone(aEnd);
+                   });
+}
+
+void
+Pool::RecordLoss(const std::string& aPeer, absl::Time aNow)
+{
+  losses_[aPeer] = aNow;
+}
+
+absl::Time
+Pool::LastLoss(const std::string& aPeer) const
+{
+  const auto found = losses_.find(aPeer);
+  return found == losses_.end() ? absl::InfinitePast() : found->second;
+}
+
+bool
+Pool::IsConnected(const std::string& aPeer) const
+{
+  const auto found = all_.find(aPeer);
+  return found != all_.end() &&
+         std::any_of(
+           found->second.begin(), found->second.end(), [](const auto& aOne) {
+             const auto connection = aOne.lock();
+             return connection && connection->IsSeenOpen();
+           });
+}
+
 void
 Pool::Return(const std::string& aPeer, const ConnectionPtr& aConnection)
 {
@@ -246,6 +293,17 @@
   }
   absl::erase_if(idle_,
                  [](const auto& aEntry) { return aEntry.second.empty(); });
+  for (auto& [peer, known] : all_) {
+    known.erase(std::remove_if(known.begin(),
+                               known.end(),
+                               [](const auto& aOne) { return aOne.expired(); }),
+                known.end());
+  }
+  absl::erase_if(all_,
+                 [](const auto& aEntry) { return aEntry.second.empty(); });
+  absl::erase_if(losses_, [aNow](const auto& aEntry) {
+    return aNow - aEntry.second > kLossMemory;
+  });
 }
 
 bool
--- a/src/gateway/pool.h
+++ b/src/gateway/pool.h
@@ -18,6 +18,9 @@
 
 using ConnectionPtr = std::shared_ptr<ClientConnection>;
 
+// How long Pool::LastLoss remembers a loss.
+inline constexpr absl::Duration kLossMemory = absl::Seconds(1);
+
 // A pool of idle connections to targets, stores and peers. The owner chooses
 // the name of each peer.
 class Pool
@@ -43,6 +46,17 @@
   void Return(const std::string& aPeer, const ConnectionPtr& aConnection);
   // Closes all pooled connections to a peer.
   void Drop(const std::string& aPeer);
+  // Opens a connection for the next call to a peer and tells how that ended.
+  void OpenSpare(const std::string& aPeer,
+                 const std::string& aAddress,
+                 absl::Duration aTimeout,
+                 std::function<void(ConnectEnd)> aOnDone);
+  // Records that a peer has closed a connection within a call.
+  void RecordLoss(const std::string& aPeer, absl::Time aNow);
+  // Returns when a peer last closed a connection within a call.
+  absl::Time LastLoss(const std::string& aPeer) const;
+  // Returns whether a connection to a peer, pooled or in a call, is open.
+  bool IsConnected(const std::string& aPeer) const;
   // Closes connections that have exceeded their idle limit.
   void Sweep(absl::Time aNow);
   std::uint64_t Opened() const { return opened_; }
@@ -51,8 +65,15 @@
   std::uint64_t Oversized() const { return oversized_; }
 
 private:
+  ConnectionPtr Adopt(const std::string& aPeer,
+                      std::shared_ptr<Socket> aSocket);
+
   Loop& loop_;
   absl::flat_hash_map<std::string, std::vector<ConnectionPtr>> idle_;
+  // All connections, pooled or in a call, by peer.
+  absl::flat_hash_map<std::string, std::vector<std::weak_ptr<ClientConnection>>>
+    all_;
+  absl::flat_hash_map<std::string, absl::Time> losses_;
   std::uint64_t opened_ = 0;
   std::uint64_t oversized_ = 0;
 };
--- a/src/gateway/socket.cc
+++ b/src/gateway/socket.cc
@@ -251,7 +251,7 @@
 Connect(Loop& aLoop,
         const Tcp::endpoint& aEndpoint,
         absl::Duration aTimeout,
-        std::function<void(std::shared_ptr<Socket>)> aOnDone)
+        std::function<void(std::shared_ptr<Socket>, ConnectEnd)> aOnDone)
 {
   struct State
   {
@@ -262,7 +262,7 @@
     }
     Tcp::socket socket_;
     asio::steady_timer timer_;
-    std::function<void(std::shared_ptr<Socket>)> onDone_;
+    std::function<void(std::shared_ptr<Socket>, ConnectEnd)> onDone_;
   };
   auto state = std::make_shared<State>(aLoop);
   state->onDone_ = std::move(aOnDone);
@@ -272,7 +272,7 @@
       const auto onDone = std::exchange(state->onDone_, nullptr);
       error_code ignored;
       state->socket_.close(ignored);
-      onDone(nullptr);
+      onDone(nullptr, ConnectEnd::Failed);
     }
   });
   state->socket_.async_connect(aEndpoint, [state](const error_code& aError) {
@@ -281,8 +281,14 @@
     }
     const auto onDone = std::exchange(state->onDone_, nullptr);
     state->timer_.cancel();
-    onDone(aError ? nullptr
-                  : std::make_shared<Socket>(std::move(state->socket_)));
+    if (aError) {
+      onDone(nullptr,
+             aError == asio::error::connection_refused ? ConnectEnd::Refused
+                                                       : ConnectEnd::Failed);
+      return;
+    }
+    onDone(std::make_shared<Socket>(std::move(state->socket_)),
+           ConnectEnd::Connected);
   });
 }
 
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -51,6 +51,7 @@
   std::size_t Unsent() const { return unsent_.size(); }
   // Stops or resumes reading, for backpressure on the peer.
   void SetReading(bool aReading);
+  bool IsReading() const { return reading_; }
   std::string& Unread() { return unread_; }
   void Close();
   // Sends the remaining bytes, then closes the sending side, and closes the
@@ -87,12 +88,22 @@
 void
 Prepare(Tcp::socket& aSocket);
 
+// How an attempt to connect ended.
+enum class ConnectEnd
+{
+  Connected,
+  // Nobody listens at the address.
+  Refused,
+  // It timed out or failed otherwise.
+  Failed,
+};
+
 // Connects to an endpoint; passes null to aOnDone if that fails or times out.
 void
 Connect(Loop& aLoop,
         const Tcp::endpoint& aEndpoint,
         absl::Duration aTimeout,
-        std::function<void(std::shared_ptr<Socket>)> aOnDone);
+        std::function<void(std::shared_ptr<Socket>, ConnectEnd)> aOnDone);
 
 // Parses "IP:PORT"; returns an endpoint with port 0 if the text is invalid.
 Tcp::endpoint
