Take ids that leap for sound where a service numbers its events so

Callers of a service whose ids increase by more than one got a 502 or a cut stream for each request, and its targets were set aside: only consecutive ids counted. Consecutive ones were demanded because a number that leaps hides a missing or a garbage event.

Each host learns by service whether ids are consecutive. Where they are, a leap is a fault as before; where they leap, it isn't, but then a number that goes back is. While nothing is known, an event that leaps is held back until a higher number or the end of the stream follows. Ids may begin with 0.

--- a/src/gateway/events.cc
+++ b/src/gateway/events.cc
@@ -49,26 +49,52 @@
 } // namespace
 
 void
-EventSplitter::ExpectNumbers(absl::string_view aLastId)
+EventSplitter::ExpectNumbers(absl::string_view aLastId, const EventIds* aIds)
 {
   isNumbered_ = true;
-  lastNumber_ = aLastId.empty() ? 0 : NumberOf(aLastId);
+  ids_ = aIds;
+  lastNumber_ = NumberOf(aLastId);
+  dueNumber_ = aLastId.empty() ? 1 : lastNumber_;
+  if (lastNumber_) {
+    ++*dueNumber_;
+  }
 }
 
 EventSplitter::Step
-EventSplitter::Check() const
+EventSplitter::CheckNumber(std::uint64_t aNumber) const
 {
-  if (isNumbered_ &&
-      (event_.ids_ != 1 || !event_.number_ || event_.isMalformed_)) {
+  if (held_) {
+    return aNumber > *held_->number_ ? Step::Forward : Step::Stop;
+  }
+  if (lastNumber_ && aNumber <= *lastNumber_) {
+    // After a leap, a number that goes back shows that the leap wasn't sound.
+    return hasLeapt_ ? Step::Stop : Step::LeaveOut;
+  }
+  if (!event_.hasData_) {
     return Step::Stop;
   }
-  if (event_.number_ && lastNumber_ && event_.number_ <= lastNumber_) {
-    return Step::LeaveOut;
+  if (!dueNumber_ || aNumber == *dueNumber_) {
+    return Step::Forward;
   }
-  const bool isNext =
-    !lastNumber_ || event_.number_.value_or(0) == *lastNumber_ + 1;
-  return !isNumbered_ || (isNext && event_.hasData_) ? Step::Forward
-                                                     : Step::Stop;
+  const auto pattern =
+    ids_ == nullptr ? IdPattern::Consecutive : ids_->pattern_;
+  if (pattern == IdPattern::Unknown) {
+    return hasLeapt_ ? Step::Forward : Step::HoldBack;
+  }
+  return pattern == IdPattern::Leaping ? Step::Forward : Step::Stop;
+}
+
+EventSplitter::Step
+EventSplitter::Check() const
+{
+  if (isNumbered_) {
+    return event_.ids_ == 1 && event_.number_ && !event_.isMalformed_
+             ? CheckNumber(*event_.number_)
+             : Step::Stop;
+  }
+  return event_.number_ && lastNumber_ && event_.number_ <= lastNumber_
+           ? Step::LeaveOut
+           : Step::Forward;
 }
 
 void
@@ -111,27 +137,59 @@
     return;
   }
   const auto step = isComment ? Step::Forward : Check();
+  const bool isLeap = isNumbered_ && dueNumber_ && event_.number_ &&
+                      *event_.number_ > *dueNumber_;
   if (step == Step::Stop) {
+    // The leap itself may be the service's way to number events.
+    hasLeapt_ = hasLeapt_ || (isLeap && !held_ && event_.hasData_);
     isInvalid_ = true;
     return;
   }
   const auto event = std::exchange(event_, {});
-  const bool hasData = event.hasData_ && step == Step::Forward;
-  idleBytes_ = hasData ? 0 : idleBytes_ + event.text_.size();
+  const bool isForwarded = step == Step::Forward;
+  idleBytes_ =
+    event.hasData_ && isForwarded ? 0 : idleBytes_ + event.text_.size();
   targetCount_ += event.hasData_ ? 1 : 0;
   leftOut_ = step == Step::LeaveOut ? event.number_ : absl::nullopt;
-  if (leftOut_) {
+  if (step == Step::HoldBack) {
+    held_ = event;
+  }
+  if (!isForwarded) {
     return;
   }
-  if (event.ids_ > 0) {
-    lastId_ = event.id_;
-    if (event.number_) {
-      lastNumber_ = event.number_;
+  if (held_) {
+    Forward(*std::exchange(held_, absl::nullopt), aWhole);
+    hasLeapt_ = true;
+  } else if (dueNumber_ && event.number_ && !isComment) {
+    hasLeapt_ = hasLeapt_ || event.number_ != dueNumber_;
+    consecutive_ += targetCount_ > 1 && event.number_ == dueNumber_ ? 1 : 0;
+  }
+  Forward(event, aWhole);
+}
+
+void
+EventSplitter::Forward(const Event& aEvent, std::string& aWhole)
+{
+  if (aEvent.ids_ > 0) {
+    lastId_ = aEvent.id_;
+    if (aEvent.number_) {
+      lastNumber_ = aEvent.number_;
+      dueNumber_ = *aEvent.number_ + 1;
     }
   }
   ++count_;
-  dataCount_ += hasData ? 1 : 0;
-  absl::StrAppend(&aWhole, event.text_, isNumbered_ ? "\n" : "");
+  dataCount_ += aEvent.hasData_ ? 1 : 0;
+  absl::StrAppend(&aWhole, aEvent.text_, isNumbered_ ? "\n" : "");
+}
+
+std::string
+EventSplitter::ReleaseHeld()
+{
+  std::string whole;
+  if (held_) {
+    Forward(*std::exchange(held_, absl::nullopt), whole);
+  }
+  return whole;
 }
 
 std::string
@@ -183,7 +241,7 @@
 EventSplitter::Clear()
 {
   if (isNumbered_ && !isInvalid_ && !event_.isMalformed_ && event_.ids_ == 1 &&
-      event_.number_ && lastNumber_ && *event_.number_ == *lastNumber_ + 1) {
+      event_.number_ && event_.number_ == dueNumber_) {
     begunNumber_ = *event_.number_;
   }
   line_.clear();
@@ -193,6 +251,9 @@
   idleBytes_ = 0;
   isInvalid_ = false;
   leftOut_.reset();
+  held_.reset();
+  hasLeapt_ = false;
+  consecutive_ = 0;
   targetCount_ = 0;
 }
 
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -9,6 +9,8 @@
 #include <absl/strings/string_view.h>
 #include <absl/types/optional.h>
 
+#include "gateway/event-ids.h"
+
 namespace lycheeplank::gateway {
 
 // Size limit of one event. Targets' events have some tens of bytes per token,
@@ -22,12 +24,15 @@
 class EventSplitter
 {
 public:
-  // From now on each event must have data and, as its only id, the number that
-  // follows the last one. Events are returned with LF as the end of lines and
-  // without comments, so that each reader reads what was checked. aLastId: id
-  // before the first event; empty if the stream starts with event 1. Any first
-  // number is taken if it isn't a number.
-  void ExpectNumbers(absl::string_view aLastId);
+  // From now on each event must have data and, as its only id, a number above
+  // the last one. Events are returned with LF as the end of lines and without
+  // comments, so that each reader reads what was checked. aLastId: id before
+  // the first event; empty at the start of a stream. Any first number is taken
+  // if it isn't a number. aIds: how the service's ids follow each other, which
+  // must outlive this object; consecutive ones, from 1, without it. While that
+  // isn't known, an event whose number leaps is held back until a higher one
+  // follows.
+  void ExpectNumbers(absl::string_view aLastId, const EventIds* aIds = nullptr);
   bool IsNumbered() const { return isNumbered_; }
   // Consumes aData and returns the events that are complete, byte for byte
   // unless they are numbered. Leaves out events whose numeric id isn't above
@@ -58,6 +63,16 @@
     return lastNumber_ && ((leftOut_ && *leftOut_ < *lastNumber_) ||
                            begunNumber_ > *lastNumber_);
   }
+  // Returns the event that is held back, if there is one, because the stream
+  // has ended and none follows.
+  std::string ReleaseHeld();
+  // How the ids of this target's events follow each other.
+  IdPattern SeenPattern() const
+  {
+    return hasLeapt_          ? IdPattern::Leaping
+           : consecutive_ > 0 ? IdPattern::Consecutive
+                              : IdPattern::Unknown;
+  }
   // Begins with the events of another target.
   void Clear();
   // Number of events with data of this target, those left out included.
@@ -74,6 +89,7 @@
   {
     Forward,
     LeaveOut,
+    HoldBack,
     Stop,
   };
 
@@ -95,6 +111,9 @@
   // Ends the event and appends it to aWhole if it is to be forwarded.
   void EndEvent(std::string& aWhole);
   Step Check() const;
+  Step CheckNumber(std::uint64_t aNumber) const;
+  // Counts an event that is to be forwarded and appends it to aWhole.
+  void Forward(const Event& aEvent, std::string& aWhole);
 
   // The line and the event that aren't complete yet.
   std::string line_;
@@ -106,6 +125,13 @@
   std::size_t idleBytes_ = 0;
   std::string lastId_;
   absl::optional<std::uint64_t> lastNumber_;
+  // The number after the last one; no value if any may follow.
+  absl::optional<std::uint64_t> dueNumber_;
+  const EventIds* ids_ = nullptr;
+  absl::optional<Event> held_;
+  // This target's numbers have leapt, and how often they haven't.
+  bool hasLeapt_ = false;
+  std::uint64_t consecutive_ = 0;
   std::uint64_t count_ = 0;
   std::uint64_t dataCount_ = 0;
   std::uint64_t targetCount_ = 0;
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -196,6 +196,7 @@
   ReleaseTarget(result);
   ++attemptNumber_;
   isEndChecked_ = false;
+  RecordEventIds();
   // A stream that continues at another target begins there with a whole event.
   events_.Clear();
   // Once part of the answer has been sent, it can't be replaced by another one.
--- a/src/gateway/exchange-stream-end.cc
+++ b/src/gateway/exchange-stream-end.cc
@@ -117,6 +117,10 @@
 void
 Exchange::EndStream()
 {
+  if (const auto held = events_.ReleaseHeld(); !held.empty()) {
+    WriteEvents(held, true);
+  }
+  RecordEventIds();
   ReleaseTarget(fleet::CallResult::Answered);
   if (!answerBegun_) {
     BeginAnswer();
@@ -128,4 +132,24 @@
   Close("served", head_.status_, "whole");
 }
 
+void
+Exchange::RecordEventIds()
+{
+  if (!isEvents_ || !events_.IsNumbered()) {
+    return;
+  }
+  auto& ids = host_.eventIds_[service_];
+  const auto seen = events_.SeenPattern();
+  if (const auto before = ids.pattern_; RecordIds(ids, seen)) {
+    host_.log_.Write(
+      Line("event_ids")
+        .Text("service", service_)
+        .Text("id", request_.id_)
+        .Text("target", targetId_)
+        .Text("seen", core::NameOf(kIdPatterns, seen))
+        .Text("before", core::NameOf(kIdPatterns, before))
+        .Text("pattern", core::NameOf(kIdPatterns, ids.pattern_)));
+  }
+}
+
 } // namespace lycheeplank::gateway
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -55,7 +55,7 @@
                   workspace_ == nullptr ? request_.key_ : workspace_->name_);
   traits_ = TraitsOf(request_, fingerprint_);
   if (route_->repeatPolicy_ == catalog::RepeatPolicy::Stream) {
-    events_.ExpectNumbers(request_.lastEventId_);
+    events_.ExpectNumbers(request_.lastEventId_, &host_.eventIds_[service_]);
   }
   readDraw_ = std::uniform_real_distribution<>(0.0, 1.0)(host_.random_);
   deadline_ = arrivedAt_ + route_->timeout_;
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -162,6 +162,8 @@
                       absl::Time aEndedAt,
                       absl::optional<ConnectEnd> aConnect);
   void EndStream();
+  // Learns how the ids of the service's events follow each other.
+  void RecordEventIds();
   void DeliverBuffered();
 
   // Ends of attempts and of the exchange.
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
@@ -15,6 +16,7 @@
 #include <absl/time/time.h>
 
 #include "gateway/adapter.h"
+#include "gateway/event-ids.h"
 #include "gateway/log.h"
 #include "gateway/peer-updates.h"
 #include "gateway/pool.h"
@@ -156,6 +158,8 @@
   StoreHealth store_;
   // Recent sends of this host, by service.
   absl::flat_hash_map<std::string, fleet::SendRate> sendRates_;
+  // By service. Open streams refer to the entries, which therefore stay.
+  std::map<std::string, EventIds> eventIds_;
   // Bytes of answers that are buffered until they are complete.
   std::size_t bufferedBytes_ = 0;
 
--- a/test/gateway-events-test.cc
+++ b/test/gateway-events-test.cc
@@ -225,3 +225,73 @@
   CHECK(TakeAll(unknown, "id: 9\ndata: c\n\nid: 10\ndata: d\n\n") ==
         "id: 9\ndata: c\n\nid: 10\ndata: d\n\n");
 }
+
+// Guards against sound streams that are taken for broken ones because their ids
+// leap.
+TEST_CASE("ids of sound streams may leap")
+{
+  const std::string first = GENERATE("0", "1", "10");
+  const auto text = absl::StrCat(
+    "id: ", first, "\ndata: a\n\nid: 20\ndata: b\n\nid: 35\ndata: c\n\n");
+  gateway::EventIds ids;
+  for (int stream = 0; stream < 3; ++stream) {
+    gateway::EventSplitter splitter;
+    splitter.ExpectNumbers("", &ids);
+    CHECK(TakeAll(splitter, text) == text);
+    CHECK_FALSE(splitter.IsInvalid());
+    CHECK(splitter.SeenPattern() == gateway::IdPattern::Leaping);
+    RecordIds(ids, splitter.SeenPattern());
+  }
+  CHECK(ids.pattern_ == gateway::IdPattern::Leaping);
+}
+
+TEST_CASE("an event that leaps waits for the next one while nothing is known")
+{
+  const gateway::EventIds ids;
+  gateway::EventSplitter splitter;
+  splitter.ExpectNumbers("", &ids);
+  CHECK(TakeAll(splitter, "id: 1\ndata: a\n\nid: 9\ndata: b\n\n") ==
+        "id: 1\ndata: a\n\n");
+  SECTION("the end of the stream releases it")
+  {
+    CHECK(splitter.ReleaseHeld() == "id: 9\ndata: b\n\n");
+    CHECK(splitter.LastId() == "9");
+    CHECK(splitter.ReleaseHeld().empty());
+  }
+  SECTION("a number that goes back shows that it is garbage")
+  {
+    CHECK(TakeAll(splitter, "id: 2\ndata: c\n\n").empty());
+    CHECK(splitter.IsInvalid());
+    splitter.Clear();
+    CHECK(splitter.ReleaseHeld().empty());
+    CHECK(TakeAll(splitter, "id: 2\ndata: c\n\n") == "id: 2\ndata: c\n\n");
+  }
+}
+
+// Guards against garbage among events whose ids leap.
+TEST_CASE("a number that goes back after a leap ends the target's part")
+{
+  const gateway::EventIds ids{ gateway::IdPattern::Leaping, 0 };
+  gateway::EventSplitter splitter;
+  splitter.ExpectNumbers("", &ids);
+  TakeAll(splitter, "id: 3\ndata: a\n\nid: 99\ndata: b\n\n");
+  CHECK(TakeAll(splitter, "id: 6\ndata: c\n\n").empty());
+  CHECK(splitter.IsInvalid());
+}
+
+TEST_CASE("few streams that oppose a service's pattern don't change it")
+{
+  using gateway::IdPattern;
+  gateway::EventIds ids;
+  CHECK_FALSE(RecordIds(ids, IdPattern::Unknown));
+  CHECK(RecordIds(ids, IdPattern::Consecutive));
+  for (std::uint32_t i = 1; i < gateway::kOpposedStreams; ++i) {
+    CHECK_FALSE(RecordIds(ids, IdPattern::Leaping));
+  }
+  CHECK_FALSE(RecordIds(ids, IdPattern::Consecutive));
+  for (std::uint32_t i = 1; i < gateway::kOpposedStreams; ++i) {
+    CHECK_FALSE(RecordIds(ids, IdPattern::Leaping));
+  }
+  CHECK(RecordIds(ids, IdPattern::Leaping));
+  CHECK(ids.pattern_ == IdPattern::Unknown);
+}
--- a/test/gateway-trouble-test.cc
+++ b/test/gateway-trouble-test.cc
@@ -371,6 +371,40 @@
   }
 }
 
+// Guards against sound streams that are cut because their ids leap.
+TEST_CASE("streams whose ids leap are whole")
+{
+  const int first = GENERATE(0, 4);
+  World world;
+  auto& target =
+    world.AddTarget(Sends(Stream(Event(first) + Event(7) + Event(20))));
+  for (int requests = 1; requests <= 3; ++requests) {
+    const auto answer = world.Ask(World::Request("/stream/"));
+    CHECK(Has(answer, Event(first)));
+    CHECK(Has(answer, Event(7)));
+    CHECK(Has(answer, Event(20)));
+    CHECK(world.IsWhole());
+    CHECK(target.requests_ == requests);
+  }
+  CHECK(world.host_.members_.at("t1").failureShare_ == 0.0);
+}
+
+// Guards against a stream that lacks events on a service whose ids are
+// consecutive.
+TEST_CASE("a leap among consecutive ids is a fault")
+{
+  World world;
+  int streams = 0;
+  world.AddTarget([&](FakeTarget&, const auto& aSocket) {
+    aSocket->Send(++streams == 1 ? Stream(Event(1) + Event(2))
+                                 : Stream(Event(1) + Event(3) + Event(4)));
+  });
+  world.Ask(World::Request("/stream/"));
+  CHECK(world.IsWhole());
+  world.Ask(World::Request("/stream/"));
+  CHECK_FALSE(world.IsWhole());
+}
+
 // Guards against a stream without its events.
 TEST_CASE("a stream that ends before its first event fails")
 {
