Take a single leap of ids for a missing event while nothing is known

A higher number after a leap confirmed it.

Now another leap has to follow, and a leap before the end counts only if no two numbers before were consecutive. The new case fails without the change.

--- a/src/gateway/events.cc
+++ b/src/gateway/events.cc
@@ -64,7 +64,9 @@
 EventSplitter::CheckNumber(std::uint64_t aNumber) const
 {
   if (held_) {
-    return aNumber > *held_->number_ ? Step::Forward : Step::Stop;
+    // A single leap is rather a missing event than the service's way.
+    const auto least = *held_->number_ + (HoldsLeap() ? 1 : 0);
+    return aNumber > least ? Step::Forward : Step::Stop;
   }
   if (lastNumber_ && aNumber <= *lastNumber_) {
     // After a leap, a number that goes back shows that the leap wasn't sound.
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -30,7 +30,7 @@
   // the first event; empty at the start of a stream. Any first number is taken
   // if it isn't a number. aIds: how the service's ids follow each other, which
   // must outlive this object; consecutive ones, from 1, without it. While that
-  // isn't known, an event whose number leaps is held back until a higher one
+  // isn't known, an event whose number leaps is held back until another leap
   // follows.
   void ExpectNumbers(absl::string_view aLastId, const EventIds* aIds = nullptr);
   bool IsNumbered() const { return isNumbered_; }
@@ -63,6 +63,9 @@
     return lastNumber_ && ((leftOut_ && *leftOut_ < *lastNumber_) ||
                            begunNumber_ > *lastNumber_);
   }
+  // Returns whether events before the one that is held back are missing, as far
+  // as the other numbers tell.
+  bool LacksEvents() const { return HoldsLeap() && consecutive_ > 0; }
   // Returns the event that is held back, if there is one, because the stream
   // has ended and none follows.
   std::string ReleaseHeld();
@@ -112,6 +115,8 @@
   void EndEvent(std::string& aWhole);
   Step Check() const;
   Step CheckNumber(std::uint64_t aNumber) const;
+  // Returns whether the event that is held back isn't one before the due one.
+  bool HoldsLeap() const { return held_ && held_->number_ > dueNumber_; }
   // Counts an event that is to be forwarded and appends it to aWhole.
   void Forward(const Event& aEvent, std::string& aWhole);
 
--- a/src/gateway/exchange-stream-end.cc
+++ b/src/gateway/exchange-stream-end.cc
@@ -34,6 +34,9 @@
   if (events_.IsWithinEvent()) {
     return StreamFault::PartialEvent;
   }
+  if (events_.LacksEvents()) {
+    return StreamFault::MissingEvent;
+  }
   return events_.EndsBeforeLast() ? StreamFault::EarlyEnd : StreamFault::None;
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -38,14 +38,17 @@
   // It ends before an event that the caller has, or that an earlier target
   // began.
   EarlyEnd,
+  // Its last number leaps, though the others don't.
+  MissingEvent,
 };
 
-inline constexpr std::array<core::Named<StreamFault>, 5> kStreamFaults{ {
+inline constexpr std::array<core::Named<StreamFault>, 6> kStreamFaults{ {
   { StreamFault::None, "none" },
   { StreamFault::PartialEvent, "partial_event" },
   { StreamFault::TargetDied, "target_died" },
   { StreamFault::NoEvents, "no_events" },
   { StreamFault::EarlyEnd, "early_end" },
+  { StreamFault::MissingEvent, "missing_event" },
 } };
 
 // Handles one request of a caller from its arrival to its final answer. Keeps
--- a/test/gateway-events-test.cc
+++ b/test/gateway-events-test.cc
@@ -258,9 +258,10 @@
     CHECK(splitter.LastId() == "9");
     CHECK(splitter.ReleaseHeld().empty());
   }
-  SECTION("a number that goes back shows that it is garbage")
+  SECTION("a number that goes back, or doesn't leap, shows a fault")
   {
-    CHECK(TakeAll(splitter, "id: 2\ndata: c\n\n").empty());
+    const std::string next = GENERATE("2", "9", "10");
+    CHECK(TakeAll(splitter, "id: " + next + "\ndata: c\n\n").empty());
     CHECK(splitter.IsInvalid());
     splitter.Clear();
     CHECK(splitter.ReleaseHeld().empty());
--- a/test/gateway-trouble-test.cc
+++ b/test/gateway-trouble-test.cc
@@ -405,6 +405,17 @@
   CHECK_FALSE(world.IsWhole());
 }
 
+// Guards against a stream that lacks an event before its host knows how the
+// service numbers them.
+TEST_CASE("a single leap is a fault while nothing is known")
+{
+  World world;
+  world.AddTarget(Sends(Stream(
+    GENERATE(Event(1) + Event(3) + Event(4), Event(1) + Event(2) + Event(4)))));
+  CHECK(Has(world.Ask(World::Request("/stream/")), Event(1)));
+  CHECK_FALSE(world.IsWhole());
+}
+
 // Guards against a stream without its events.
 TEST_CASE("a stream that ends before its first event fails")
 {
