Send slow callers the rest of their last answers while a host stops

Callers on slow links got their answers cut one second after the host had handed over their last bytes, or at its exit, although their targets had answered whole: Socket::Finish closed the socket after a second whether or not bytes waited, and a stopping host counted a request as done once its answer was in its own memory.

The second counts from the last byte that the kernel takes now; before, a socket is closed after 20 s without a write. A stopping host exits only when no answer waits for its caller, or at the end of the grace time; answers_unsent in its last line tells which.

--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -1,5 +1,6 @@
 #include "gateway/app.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <memory>
@@ -309,6 +310,19 @@
     return Now() - host_.stoppedAt_ > host_.settings_.graceTime_ - kExitMargin;
   }
 
+  bool HasUnsentAnswers() const
+  {
+    return std::any_of(servers_.begin(), servers_.end(), [](const auto& aOne) {
+      return aOne->HasUnsent();
+    });
+  }
+
+  // Returns whether a request has no final answer, or a caller not all of it.
+  bool IsAnswering() const
+  {
+    return !host_.openRequests_.empty() || HasUnsentAnswers();
+  }
+
   // Ends the process when no caller can hold an address list with this host any
   // more and all requests are answered, including late ones, or when the grace
   // time is nearly over. Each request gets a final answer before.
@@ -322,12 +336,12 @@
     const bool forgotten =
       Now() - host_.stoppedAt_ >
       kMaxListLifetimes * host_.settings_.listLife_ + kLastAnswerTime;
-    const bool mayEnd = over || (forgotten && host_.openRequests_.empty());
+    const bool mayEnd = over || (forgotten && !IsAnswering());
     if (mayEnd && !std::exchange(isWithdrawn_, true)) {
       registration_->Unregister();
     }
     endTimer_.Set(kLastAnswerTime, [this, over, mayEnd] {
-      if (over || (mayEnd && host_.openRequests_.empty())) {
+      if (over || (mayEnd && !IsAnswering())) {
         End();
       } else {
         CheckEnd();
@@ -339,6 +353,7 @@
   {
     host_.log_.Write(Line("stopped")
                        .Number("requests_open", host_.openRequests_.size())
+                       .Flag("answers_unsent", HasUnsentAnswers())
                        .Age("after_ms", Now() - host_.stoppedAt_));
     loop_.stop();
   }
--- a/src/gateway/server-connection.cc
+++ b/src/gateway/server-connection.cc
@@ -1,5 +1,6 @@
 #include "gateway/server-connection.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -30,6 +31,13 @@
   return aStatus == 204 || aStatus == 304 || aStatus / 100 == 1;
 }
 
+bool
+IsSending(const std::weak_ptr<Socket>& aSocket)
+{
+  const auto socket = aSocket.lock();
+  return socket && socket->IsOpen() && socket->Unsent() > 0;
+}
+
 } // namespace
 
 ServerConnection::ServerConnection(Server& aServer,
@@ -190,6 +198,9 @@
   onDrained_ = nullptr;
   if (!KeepsAlive()) {
     socket_->Finish();
+    if (socket_->Unsent() > 0) {
+      server_.finishing_.push_back(socket_);
+    }
     server_.connections_.erase(self);
     return;
   }
@@ -251,6 +262,15 @@
 {
 }
 
+bool
+Server::HasUnsent() const
+{
+  return std::any_of(finishing_.begin(), finishing_.end(), IsSending) ||
+         std::any_of(connections_.begin(),
+                     connections_.end(),
+                     [](const auto& aOne) { return aOne->Unsent() > 0; });
+}
+
 void
 Server::CheckTimeouts(absl::Time aNow)
 {
@@ -259,6 +279,11 @@
   for (const auto& connection : open) {
     connection->CheckTimeouts(aNow);
   }
+  finishing_.erase(
+    std::remove_if(finishing_.begin(),
+                   finishing_.end(),
+                   [](const auto& aOne) { return !IsSending(aOne); }),
+    finishing_.end());
 }
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/server-connection.h
+++ b/src/gateway/server-connection.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
@@ -96,6 +97,8 @@
   void StopListening() { listener_.Stop(); }
   void CheckTimeouts(absl::Time aNow);
   std::size_t Open() const { return connections_.size(); }
+  // Returns whether bytes of answers wait for slow callers.
+  bool HasUnsent() const;
 
 private:
   friend class ServerConnection;
@@ -103,6 +106,8 @@
   std::function<catalog::RequestLimits()> limits_;
   Handler handler_;
   absl::flat_hash_set<ServerConnectionPtr> connections_;
+  // Sockets that send the rest of their last answers.
+  std::vector<std::weak_ptr<Socket>> finishing_;
   bool closing_ = false;
   Listener listener_;
 };
--- a/src/gateway/socket.cc
+++ b/src/gateway/socket.cc
@@ -34,6 +34,9 @@
 constexpr int kProbeLosses = 2;
 // Time in which a peer must close its side after the last answer.
 constexpr auto kFinishTime = std::chrono::seconds(1);
+// Longest time between two writes of a last answer. The kernel takes more only
+// when a good part of its buffer, which may have megabytes, is free.
+constexpr auto kMaxWriteStall = std::chrono::seconds(20);
 
 void
 SetOption(int aSocket, int aLevel, int aName, int aValue)
@@ -188,13 +191,14 @@
 void
 Socket::OnSent()
 {
+  if (finishing_) {
+    ContinueFinish();
+    return;
+  }
   if (!unsent_.empty()) {
     return;
   }
-  if (finishing_) {
-    error_code ignored;
-    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-  } else if (events_.onDrained_) {
+  if (events_.onDrained_) {
     events_.onDrained_();
   }
 }
@@ -227,14 +231,24 @@
   events_.onData_ = [](std::string& aData) { aData.clear(); };
   unread_.clear();
   reading_ = true;
+  ContinueFinish();
+  WaitRead();
+}
+
+void
+Socket::ContinueFinish()
+{
   if (unsent_.empty()) {
     error_code ignored;
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
   }
-  finishTimer_.expires_after(kFinishTime);
+  finishTimer_.expires_after(unsent_.empty() ? kFinishTime : kMaxWriteStall);
   finishTimer_.async_wait(
-    [self = shared_from_this()](const error_code&) { self->Close(); });
-  WaitRead();
+    [self = shared_from_this()](const error_code& aError) {
+      if (aError != asio::error::operation_aborted) {
+        self->Close();
+      }
+    });
 }
 
 void
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -54,10 +54,11 @@
   bool IsReading() const { return reading_; }
   std::string& Unread() { return unread_; }
   void Close();
-  // Sends the remaining bytes, then closes the sending side, and closes the
-  // socket when the peer has closed its side or after kFinishTime. Reads and
-  // drops incoming bytes meanwhile, since unread ones would make the kernel
-  // reset the connection and the last answer could be lost.
+  // Sends the remaining bytes, for as long as the peer takes some of them
+  // within kMaxWriteStall. Then closes the sending side, and closes the socket
+  // when the peer has closed its side or after kFinishTime. Reads and drops
+  // incoming bytes meanwhile, since unread ones would make the kernel reset the
+  // connection and the last answer could be lost.
   void Finish();
   // Closes the connection with a TCP reset.
   void Reset();
@@ -69,6 +70,9 @@
   void Read();
   void Write();
   void OnSent();
+  // Closes the sending side if all bytes are sent, and starts the timer that
+  // closes the socket.
+  void ContinueFinish();
 
   Tcp::socket socket_;
   SocketEvents events_;
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -143,6 +143,29 @@
   CHECK(world.RunUntil([&] { return world.targets_[0]->closed_ == 1; }));
 }
 
+// Guards against a process that exits while slow callers wait for the rest of
+// their answers.
+TEST_CASE("a stopping host knows of answers that slow callers haven't taken")
+{
+  World world;
+  // More than the kernel takes at once.
+  const std::string body(4U << 20U, 'x');
+  world.AddTarget(Sends(WholeAnswer(body)));
+  world.server_.CloseAfterAnswers();
+  const auto caller = world.Call(World::Request("/once/"));
+  bool wasUnsent = false;
+  while (!world.answerClosed_ && !world.IsWhole()) {
+    caller->SetReading(false);
+    world.RunFor(std::chrono::milliseconds(100));
+    wasUnsent |= world.host_.openRequests_.empty() && world.server_.HasUnsent();
+    caller->SetReading(true);
+    world.RunFor(std::chrono::milliseconds(1));
+  }
+  CHECK(wasUnsent);
+  CHECK(world.IsWhole());
+  CHECK_FALSE(world.server_.HasUnsent());
+}
+
 // Guards against a waiting request without an answer at the exit.
 TEST_CASE("a host that exits refuses a request that waits to be sent")
 {
