Close a caller's connection only after an answer that announces it

Callers whose stream had begun before their host was told to stop got its end, sent their next request on the same connection and got no answer: the host closed the connection although the head, sent before the stop, hadn't announced it. Now the next answer announces the close.

Real hosts (3), two of them stopped and started again, 24 callers that heed "Connection: close", 16 s: before 20 of 541 requests met a close without an answer (none had been passed on), now none of 535. The new case fails without the change.

--- a/src/gateway/server-connection.cc
+++ b/src/gateway/server-connection.cc
@@ -158,7 +158,8 @@
   } else {
     endsWithConnection_ = true;
   }
-  if (!KeepsAlive()) {
+  announcedClose_ = !KeepsAlive();
+  if (announcedClose_) {
     aFields.push_back({ "Connection", "close" });
   } else if (head.version_ == kHttp10) {
     aFields.push_back({ "Connection", "keep-alive" });
@@ -196,7 +197,8 @@
   const auto self = shared_from_this();
   onGone_ = nullptr;
   onDrained_ = nullptr;
-  if (!KeepsAlive()) {
+  // A caller that wasn't told may be sending its next request.
+  if (announcedClose_) {
     socket_->Finish();
     if (socket_->Unsent() > 0) {
       server_.finishing_.push_back(socket_);
--- a/src/gateway/server-connection.h
+++ b/src/gateway/server-connection.h
@@ -74,6 +74,8 @@
   bool expectHandled_ = false;
   bool chunked_ = false;
   bool endsWithConnection_ = false;
+  // The head of the answer has told the caller that the connection closes.
+  bool announcedClose_ = false;
 };
 
 using ServerConnectionPtr = std::shared_ptr<ServerConnection>;
--- a/test/gateway-stop-test.cc
+++ b/test/gateway-stop-test.cc
@@ -143,6 +143,30 @@
   CHECK(world.RunUntil([&] { return world.targets_[0]->closed_ == 1; }));
 }
 
+// Guards against requests that cross the close of a connection whose last
+// answer didn't announce it, because it had begun before the stop.
+TEST_CASE("a stopping host announces the close of a connection")
+{
+  World world;
+  std::shared_ptr<gateway::Socket> stream;
+  world.AddTarget([&](auto& aTarget, const auto& aSocket) {
+    stream = aSocket;
+    aSocket->Send(aTarget.requests_ == 1 ? Events("id: 1\ndata: a\n\n", false)
+                                         : WholeAnswer("second"));
+  });
+  const auto caller = world.Call(World::Request("/stream/"));
+  REQUIRE(world.RunUntil(
+    [&] { return absl::StrContains(world.answer_, "data: a"); }));
+  world.server_.CloseAfterAnswers();
+  stream->Send("0\r\n\r\n");
+  REQUIRE(world.RunUntil([&] { return world.IsWhole(); }));
+  world.answer_.clear();
+  caller->Send(World::Request("/once/"));
+  REQUIRE(world.RunUntil([&] { return world.answerClosed_; }));
+  CHECK(absl::StrContains(world.answer_, "second"));
+  CHECK(absl::StrContains(world.answer_, "Connection: close"));
+}
+
 // Guards against a process that exits while slow callers wait for the rest of
 // their answers.
 TEST_CASE("a stopping host knows of answers that slow callers haven't taken")
