Let callers pause while they read an answer

A caller that read nothing for 3 s got a reset instead of the rest of its answer. The kernel applies TCP_USER_TIMEOUT, set to 1.5 s, also to a peer that acknowledges all probes but keeps its window closed. That time is for peers that may have died; callers' connections get 20 s, the longest time in which a slow caller takes nothing.

A real host with an answer of 6 MB and a caller that pauses for 3 s: before, 122,126 bytes and a reset; now all. The new case of gateway-exchange-test fails without the change. Connections to targets, the key-value service and other hosts keep 1.5 s.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -40,6 +40,7 @@
 Exchange::Start()
 {
   host_.openRequests_.insert(this);
+  caller_->AllowPauses();
   arrivedAt_ = caller_->ArrivedAt();
   request_ = host_.adapter_.readCaller_(caller_->Head());
   catalog_ = host_.catalog_;
--- a/src/gateway/server-connection.h
+++ b/src/gateway/server-connection.h
@@ -50,6 +50,7 @@
     onDrained_ = std::move(aAction);
   }
   std::size_t Unsent() const { return socket_->Unsent(); }
+  void AllowPauses() { socket_->AllowPauses(); }
   bool IsAnswering() const { return answering_; }
 
   // Enforces the timeouts of idle connections and of requests being read.
--- a/src/gateway/socket.cc
+++ b/src/gateway/socket.cc
@@ -25,7 +25,8 @@
 constexpr int kBacklog = 1024;
 // TCP_USER_TIMEOUT: a peer that acknowledges nothing for this time counts as
 // gone. Shorter than the times in which the loss of leases and the leaving of
-// targets must be detected.
+// targets must be detected. The kernel also applies it to a peer whose window
+// stays closed because it doesn't read.
 constexpr unsigned kUserTimeoutMs = 1500;
 // TCP keep-alive probes: idle time before the first, interval, and number of
 // lost probes after which the connection fails.
@@ -34,8 +35,8 @@
 constexpr int kProbeLosses = 2;
 // Time in which a peer must close its side after the last answer.
 constexpr auto kFinishTime = std::chrono::seconds(1);
-// Longest time between two writes of a last answer. The kernel takes more only
-// when a good part of its buffer, which may have megabytes, is free.
+// Longest time in which a slow peer takes nothing. The kernel takes more bytes
+// only when a good part of its buffer, which may have megabytes, is free.
 constexpr auto kMaxWriteStall = std::chrono::seconds(20);
 
 void
@@ -78,6 +79,18 @@
   WaitRead();
 }
 
+void
+Socket::AllowPauses()
+{
+  if (!std::exchange(allowsPauses_, true) && isOpen_) {
+    SetOption(
+      socket_.native_handle(),
+      IPPROTO_TCP,
+      TCP_USER_TIMEOUT,
+      static_cast<int>(std::chrono::milliseconds(kMaxWriteStall).count()));
+  }
+}
+
 void
 Socket::SetReading(bool aReading)
 {
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -49,6 +49,8 @@
   void Open(SocketEvents aEvents);
   void Send(absl::string_view aData);
   std::size_t Unsent() const { return unsent_.size(); }
+  // Lets the peer take nothing for up to kMaxWriteStall.
+  void AllowPauses();
   // Stops or resumes reading, for backpressure on the peer.
   void SetReading(bool aReading);
   bool IsReading() const { return reading_; }
@@ -84,6 +86,7 @@
   bool writePending_ = false;
   bool writeFailed_ = false;
   bool finishing_ = false;
+  bool allowsPauses_ = false;
   boost::asio::steady_timer finishTimer_;
 };
 
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -690,3 +690,20 @@
     world.host_.members_, { { member.idHash_, 2 } }, 1, gateway::Now());
   CHECK(world.RunUntil([&] { return other.requests_ == 1; }));
 }
+
+// Guards against answers that the kernel cuts because their callers read
+// nothing for seconds.
+TEST_CASE("a caller may pause while it reads an answer")
+{
+  World world;
+  world.AddRoute("/long/", lycheeplank::catalog::RepeatPolicy::Once, 1)
+    .timeout_ = absl::Minutes(1);
+  world.Publish();
+  const std::string body(4U << 20U, 'x');
+  world.AddTarget(Sends(WholeAnswer(body)));
+  const auto caller = world.Call(World::Request("/long/"));
+  caller->SetReading(false);
+  world.RunFor(std::chrono::seconds(4));
+  caller->SetReading(true);
+  CHECK(world.RunUntil([&] { return world.IsWhole(); }));
+}
