Don't confirm the highest number of an event by a lower one

While nothing is known of a service's ids, the number after the highest possible one wrapped around to 0, so that garbage with that number was confirmed by any event after it. Found by reading; the new case fails without the change.

--- a/src/gateway/events.cc
+++ b/src/gateway/events.cc
@@ -65,8 +65,10 @@
 {
   if (held_) {
     // A single leap is rather a missing event than the service's way.
-    const auto least = *held_->number_ + (HoldsLeap() ? 1 : 0);
-    return aNumber > least ? Step::Forward : Step::Stop;
+    const auto before = *held_->number_;
+    return aNumber > before && (!HoldsLeap() || aNumber - before > 1)
+             ? Step::Forward
+             : Step::Stop;
   }
   if (lastNumber_ && aNumber <= *lastNumber_) {
     // After a leap, a number that goes back shows that the leap wasn't sound.
--- a/test/gateway-events-test.cc
+++ b/test/gateway-events-test.cc
@@ -269,6 +269,18 @@
   }
 }
 
+// Guards against garbage whose number is so high that the next one has none.
+TEST_CASE("the highest number isn't confirmed by a lower one")
+{
+  const gateway::EventIds ids;
+  gateway::EventSplitter splitter;
+  splitter.ExpectNumbers("", &ids);
+  CHECK(
+    TakeAll(splitter, "id: 18446744073709551615\ndata: x\n\nid: 1\ndata: a\n\n")
+      .empty());
+  CHECK(splitter.IsInvalid());
+}
+
 // Guards against garbage among events whose ids leap.
 TEST_CASE("a number that goes back after a leap ends the target's part")
 {
