--- a/src/gateway/pool.cc
+++ b/src/gateway/pool.cc
@@ -195,8 +195,7 @@
 ConnectionPtr
 Pool::Adopt(const std::string& aPeer, std::shared_ptr<Socket> aSocket)
 {
-  const auto connection =
-    std::make_shared<ClientConnection>(std::move(aSocket));
+  auto connection = std::make_shared<ClientConnection>(std::move(aSocket));
   connection->Open([this, aPeer, weak = std::weak_ptr(connection)] {
     const auto found = idle_.find(aPeer);
     if (found != idle_.end()) {
