Leave out blocks of a stream that only set up its reader

Callers got a cut stream, or a 502, if its target sent "retry: 1000" as a block of its own: an event without an id counted as garbage. By the standard of event streams such a block is no event, and readers ignore it. It is left out now; other blocks without an id still count as garbage. The new case of gateway-events-test fails without the change.

--- a/src/gateway/events.cc
+++ b/src/gateway/events.cc
@@ -121,6 +121,7 @@
   const auto colon = aLine.find(':');
   const auto name = aLine.substr(0, colon);
   event_.isMalformed_ |= !IsFieldLine(name, colon != absl::string_view::npos);
+  event_.hasContent_ |= name != "retry" && name != "event";
   if (name == "data") {
     event_.hasData_ = true;
   } else if (name == "id") {
@@ -137,7 +138,10 @@
 EventSplitter::EndEvent(std::string& aWhole)
 {
   const bool isComment = !event_.hasFields_;
-  if (isComment && isNumbered_) {
+  if (isNumbered_ && !event_.hasContent_) {
+    // By the standard this is no event, and readers ignore it.
+    idleBytes_ += event_.text_.size();
+    event_ = {};
     return;
   }
   const auto step = isComment ? Step::Forward : Check();
--- a/src/gateway/events.h
+++ b/src/gateway/events.h
@@ -107,6 +107,8 @@
     bool hasFields_ = false;
     bool hasData_ = false;
     bool isMalformed_ = false;
+    // It has fields other than those that only set up a reader.
+    bool hasContent_ = false;
   };
 
   // Adds a line without its end; aEnd: the bytes of the end.
--- a/test/gateway-events-test.cc
+++ b/test/gateway-events-test.cc
@@ -201,6 +201,26 @@
   }
 }
 
+// Guards against sound streams that are cut because they set up their readers.
+TEST_CASE("a block that is no event doesn't end a numbered stream")
+{
+  const std::string block =
+    GENERATE("retry: 1000\n\n", "event: ping\n\n", "event\nretry: 5\n\n");
+  gateway::EventSplitter splitter;
+  splitter.ExpectNumbers("");
+  CHECK(TakeAll(splitter,
+                block + "id: 1\ndata: a\n\n" + block + "id: 2\ndata: b\n\n" +
+                  block) == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  CHECK_FALSE(splitter.IsInvalid());
+  CHECK_FALSE(splitter.IsWithinEvent());
+  std::string text;
+  while (!splitter.IsOverlong() && text.size() < 2 * gateway::kMaxEventBytes) {
+    text += block;
+    TakeAll(splitter, block);
+  }
+  CHECK(splitter.IsOverlong());
+}
+
 TEST_CASE("other fields of a numbered event are forwarded")
 {
   const std::string text =
