--- a/test/socket-test.cc
+++ b/test/socket-test.cc
@@ -46,17 +46,21 @@
                      [&](gateway::PeerEnd) { isClosed = true; },
                      {} });
     });
-  std::size_t unsent = 0;
-  for (std::size_t reads = 0; !isClosed; ++reads) {
-    const bool isSlow = reads < kSlowReads;
-    loop.restart();
-    loop.run_for(milliseconds(isSlow ? 100 : 1));
-    if (reads == kSlowReads) {
-      unsent = sender->Unsent();
-    }
+  const auto readAgain = [&] {
     if (reader && !isClosed) {
       reader->SetReading(true);
     }
+  };
+  for (std::size_t reads = 0; reads < kSlowReads; ++reads) {
+    loop.restart();
+    loop.run_for(milliseconds(100));
+    readAgain();
+  }
+  const auto unsent = sender->Unsent();
+  while (!isClosed) {
+    loop.restart();
+    loop.run_for(milliseconds(1));
+    readAgain();
   }
   CHECK(unsent > 0);
   CHECK(received == kBytes);
