Open pooled and spare connections in one place

Pool::Connect and Pool::OpenSpare had the same steps; both call Pool::Open now. An include and a condition that nothing needed are gone: an event with a number has fields, so it is no comment. Behaviour as before.

--- a/src/gateway/events.cc
+++ b/src/gateway/events.cc
@@ -168,7 +168,7 @@
   if (held_) {
     Forward(*std::exchange(held_, absl::nullopt), aWhole);
     hasLeapt_ = true;
-  } else if (dueNumber_ && event.number_ && !isComment) {
+  } else if (dueNumber_ && event.number_) {
     hasLeapt_ = hasLeapt_ || event.number_ != dueNumber_;
     consecutive_ += targetCount_ > 1 && event.number_ == dueNumber_ ? 1 : 0;
   }
--- a/src/gateway/exchange-stream-end.cc
+++ b/src/gateway/exchange-stream-end.cc
@@ -1,7 +1,5 @@
 #include "gateway/exchange.h"
 
-#include <algorithm>
-
 #include "gateway/clock.h"
 #include "gateway/stream-end.h"
 
--- a/src/gateway/pool.cc
+++ b/src/gateway/pool.cc
@@ -175,20 +175,52 @@
               absl::Duration aTimeout,
               std::function<void(ConnectionPtr)> aOnDone)
 {
-  ++opened_;
   if (const auto kept = idle_.find(aPeer);
       kept != idle_.end() && !kept->second.empty()) {
     const auto oldest = kept->second.front();
     kept->second.erase(kept->second.begin());
     oldest->Close();
   }
+  Open(aPeer,
+       aAddress,
+       aTimeout,
+       [onDone = std::move(aOnDone)](ConnectionPtr aConnection, ConnectEnd) {
+         onDone(std::move(aConnection));
+       });
+}
+
+void
+Pool::OpenSpare(const std::string& aPeer,
+                const std::string& aAddress,
+                absl::Duration aTimeout,
+                std::function<void(ConnectEnd)> aOnDone)
+{
+  Open(aPeer,
+       aAddress,
+       aTimeout,
+       [this, aPeer, onDone = std::move(aOnDone)](
+         const ConnectionPtr& aConnection, ConnectEnd aEnd) {
+         if (aConnection) {
+           Return(aPeer, aConnection);
+         }
+         onDone(aEnd);
+       });
+}
+
+void
+Pool::Open(const std::string& aPeer,
+           const std::string& aAddress,
+           absl::Duration aTimeout,
+           std::function<void(ConnectionPtr, ConnectEnd)> aOnDone)
+{
+  ++opened_;
   gateway::Connect(
     loop_,
     ParseEndpoint(aAddress),
     aTimeout,
     [this, aPeer, onDone = std::move(aOnDone)](std::shared_ptr<Socket> aSocket,
-                                               ConnectEnd) {
-      onDone(aSocket ? Adopt(aPeer, std::move(aSocket)) : nullptr);
+                                               ConnectEnd aEnd) {
+      onDone(aSocket ? Adopt(aPeer, std::move(aSocket)) : nullptr, aEnd);
     });
 }
 
@@ -208,25 +240,6 @@
   return connection;
 }
 
-void
-Pool::OpenSpare(const std::string& aPeer,
-                const std::string& aAddress,
-                absl::Duration aTimeout,
-                std::function<void(ConnectEnd)> aOnDone)
-{
-  ++opened_;
-  gateway::Connect(loop_,
-                   ParseEndpoint(aAddress),
-                   aTimeout,
-                   [this, aPeer, onDone = std::move(aOnDone)](
-                     std::shared_ptr<Socket> aSocket, ConnectEnd aEnd) {
-                     if (aSocket) {
-                       Return(aPeer, Adopt(aPeer, std::move(aSocket)));
-                     }
-                     onDone(aEnd);
-                   });
-}
-
 void
 Pool::RecordLoss(const std::string& aPeer, absl::Time aNow)
 {
--- a/src/gateway/pool.h
+++ b/src/gateway/pool.h
@@ -65,6 +65,10 @@
   std::uint64_t Oversized() const { return oversized_; }
 
 private:
+  void Open(const std::string& aPeer,
+            const std::string& aAddress,
+            absl::Duration aTimeout,
+            std::function<void(ConnectionPtr, ConnectEnd)> aOnDone);
   ConnectionPtr Adopt(const std::string& aPeer,
                       std::shared_ptr<Socket> aSocket);
 
