Keep requests away from evacuated data centres

The operator's items op/evacuate/ZONE exclude the targets of a data centre from every choice: first and further attempts, resumed and waiting requests, and permits. A request whose connection was being made when the evacuation began goes to another target. If all targets of a service are evacuated, hosts refuse at once with targets_evacuated. An evacuation that a restored service lacks stays in force as long as a target's entry does.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -140,6 +140,21 @@
 
 using Members = absl::btree_map<std::string, Member>;
 
+// Data centres whose targets get no requests, with the time at which that ends;
+// it doesn't end before the entry is removed here.
+using Evacuations = absl::flat_hash_map<std::string, absl::Time>;
+
+// Returns whether a target is in an evacuated data centre.
+inline bool
+IsEvacuated(const Evacuations& aEvacuations, const Member& aMember)
+{
+  return aEvacuations.contains(aMember.target_.dataCentre_);
+}
+
+// Removes the evacuations that have ended and returns their data centres.
+std::vector<std::string>
+RemoveEndedEvacuations(Evacuations& aEvacuations, absl::Time aNow);
+
 // The cost of a prompt at targets with one version of the weights.
 struct PromptCost
 {
@@ -189,6 +204,9 @@
   absl::string_view onlyTarget_;
   // Considers no targets whose requests need a permit.
   bool avoidsLimited_ = false;
+  // Targets in these data centres are not considered, also as a last resort;
+  // null if none is evacuated.
+  const Evacuations* evacuations_ = nullptr;
   // Targets that this request has been sent to.
   const std::vector<std::string>* tried_ = nullptr;
   // Requests must start on old weights within this time after newer ones were
@@ -294,6 +312,9 @@
   // The target for which a permit can be issued first, if that is why a target
   // wasn't considered.
   std::string nextPermitTarget_;
+  // The service has targets in use, and all of them are in evacuated data
+  // centres.
+  bool allEvacuated_ = false;
 };
 
 // Returns the cost of the prompt at the weights that the target has.
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -331,6 +331,33 @@
 
 namespace {
 
+// Returns whether a target is in an evacuated data centre.
+bool
+IsEvacuatedFor(const RequestSpec& aRequest, const Member& aMember)
+{
+  return aRequest.evacuations_ != nullptr &&
+         IsEvacuated(*aRequest.evacuations_, aMember);
+}
+
+// Returns whether the targets of the service that are in use are all in
+// evacuated data centres, and there is one.
+bool
+AreAllEvacuated(const Members& aMembers,
+                const RequestSpec& aRequest,
+                absl::Time aNow)
+{
+  bool isAnyEvacuated = false;
+  for (const auto& [id, member] : aMembers) {
+    if (member.target_.service_ == aRequest.service_ && IsInUse(member, aNow)) {
+      if (!IsEvacuatedFor(aRequest, member)) {
+        return false;
+      }
+      isAnyEvacuated = true;
+    }
+  }
+  return isAnyEvacuated;
+}
+
 // Returns whether a target may get the request, apart from its present state.
 bool
 IsEligible(const std::string& aId,
@@ -339,7 +366,7 @@
            absl::Time aNow)
 {
   return aMember.target_.service_ == aRequest.service_ &&
-         IsInUse(aMember, aNow) &&
+         IsInUse(aMember, aNow) && !IsEvacuatedFor(aRequest, aMember) &&
          (aRequest.onlyTarget_.empty() || aRequest.onlyTarget_ == aId) &&
          !(aRequest.avoidsLimited_ && aMember.requestsPerSecond_) &&
          !WasTried(aRequest, aId) &&
@@ -396,6 +423,9 @@
                   aNow)) {
     ChooseBest(choice, usable, preferred, aRequest, aSpeed, aNow);
   }
+  if (choice.id_.empty() && aRequest.evacuations_ != nullptr) {
+    choice.allEvacuated_ = AreAllEvacuated(aMembers, aRequest, aNow);
+  }
   return choice;
 }
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -50,6 +50,20 @@
   return aNow < aMember.quarantinedUntil_ || aMember.probing_;
 }
 
+std::vector<std::string>
+RemoveEndedEvacuations(Evacuations& aEvacuations, absl::Time aNow)
+{
+  std::vector<std::string> ended;
+  absl::erase_if(aEvacuations, [&](const auto& aEvacuation) {
+    if (aEvacuation.second <= aNow) {
+      ended.push_back(aEvacuation.first);
+      return true;
+    }
+    return false;
+  });
+  return ended;
+}
+
 std::vector<std::string>
 ApplyDownReports(Members& aMembers,
                  const DownReports& aReports,
--- a/src/gateway/adapter.h
+++ b/src/gateway/adapter.h
@@ -178,12 +178,15 @@
   Catalog,
   Weights,
   Target,
+  // Targets of a data centre get no requests while the item exists, whatever
+  // its value.
+  Evacuation,
 };
 
 struct ItemName
 {
   ItemKind kind_ = ItemKind::Other;
-  // Id of a target, or model of weights.
+  // Id of a target, model of weights, or evacuated data centre.
   std::string name_;
 };
 
--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -244,6 +244,8 @@
     metrics.Set("requests_open",
                 static_cast<double>(host_.openRequests_.size()));
     metrics.Set("targets", static_cast<double>(host_.members_.size()));
+    metrics.Set("evacuated_data_centres",
+                static_cast<double>(host_.evacuations_.size()));
     metrics.Set("hosts", static_cast<double>(host_.hosts_.size()));
     metrics.Set("connections_opened",
                 static_cast<double>(host_.targetPool_.Opened()));
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -70,6 +70,7 @@
   question.tried_ = &tried_;
   question.onlyTarget_ = permittedTarget_;
   question.avoidsLimited_ = aAvoidsLimited;
+  question.evacuations_ = &host_.evacuations_;
   question.seed_ = host_.random_();
   question.useSampling_ =
     Uses(host_, Mechanism::Sampling) && relays::IsLargeDeployment(host_.hosts_);
@@ -449,6 +450,15 @@
     EndAttempt(retry::AttemptEnd::NotSent);
     return;
   }
+  if (fleet::IsEvacuated(host_.evacuations_, found->second)) {
+    // The evacuation began while the connection was made. It says nothing about
+    // the target's health.
+    host_.metrics_.Count("sends_stopped_by_evacuation_total");
+    ReleaseTarget(fleet::CallResult::Abandoned);
+    ++attemptNumber_;
+    TryNextTarget();
+    return;
+  }
   if (FindBlock(host_, traits_) != nullptr) {
     // The block came while the connection was made.
     ReleaseTarget(fleet::CallResult::Abandoned);
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -44,6 +44,10 @@
 void
 Exchange::EndWithoutTarget()
 {
+  if (choice_.allEvacuated_) {
+    EndUnsent("targets_evacuated", "targets_evacuated", kRetryAfterEvacuated);
+    return;
+  }
   const bool areClosed = choice_.backoffEndsAt_ != absl::InfiniteFuture();
   EndUnsent("no_other_target",
             areClosed ? "targets_closed" : "no_target",
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -22,6 +22,9 @@
 // request ends and frees a place, and in which a failed target is replaced.
 inline constexpr absl::Duration kRetryAfterFull = absl::Milliseconds(200);
 inline constexpr absl::Duration kRetryAfterNoTarget = absl::Milliseconds(500);
+// Retry-After of requests whose targets are all evacuated. An operator ends an
+// evacuation after minutes, so a sooner retry is refused again.
+inline constexpr absl::Duration kRetryAfterEvacuated = absl::Seconds(2);
 
 // Lowest HTTP status that reports a server error.
 inline constexpr int kServerError = 500;
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -49,6 +49,16 @@
            : aNow;
 }
 
+// Ends the evacuations whose time is over.
+void
+EndEvacuations(Host& aHost, absl::Time aNow)
+{
+  for (const auto& dataCentre :
+       fleet::RemoveEndedEvacuations(aHost.evacuations_, aNow)) {
+    aHost.log_.Write(Line("evacuation_ended").Text("data_centre", dataCentre));
+  }
+}
+
 void
 ApplyCatalog(Host& aHost,
              const replica::Item& aItem,
@@ -215,6 +225,54 @@
   aHost.hosts_[aName] = { *entry };
 }
 
+void
+ApplyEvacuation(Host& aHost,
+                const std::string& aDataCentre,
+                const replica::Item& aItem,
+                absl::string_view aSource,
+                absl::Time aNow)
+{
+  const auto isIn = [&](const fleet::Member& aMember) {
+    return aMember.target_.dataCentre_ == aDataCentre;
+  };
+  const auto targets =
+    std::count_if(aHost.members_.begin(),
+                  aHost.members_.end(),
+                  [&](const auto& aEntry) { return isIn(aEntry.second); });
+  if (aItem.deleted_) {
+    const auto known = aHost.evacuations_.find(aDataCentre);
+    if (known == aHost.evacuations_.end()) {
+      return;
+    }
+    // A restored backup may lack an evacuation that is written again.
+    known->second = RemovalTime(aHost, aNow);
+    aHost.log_.Write(Line("evacuation_removed")
+                       .Text("data_centre", aDataCentre)
+                       .Number("revision", aItem.revision_)
+                       .Age("believed_ms", known->second - aNow)
+                       .Text("source", aSource));
+    EndEvacuations(aHost, aNow);
+    return;
+  }
+  const bool isNew = !aHost.evacuations_.contains(aDataCentre);
+  aHost.evacuations_[aDataCentre] = absl::InfiniteFuture();
+  if (!isNew) {
+    return;
+  }
+  aHost.metrics_.Count("evacuations_total");
+  aHost.log_.Write(Line("evacuation_begun")
+                     .Text("data_centre", aDataCentre)
+                     .Number("targets", targets)
+                     .Number("revision", aItem.revision_)
+                     .Text("source", aSource));
+  // Idle connections would only use up the targets' connection limits.
+  for (const auto& [id, member] : aHost.members_) {
+    if (isIn(member)) {
+      aHost.targetPool_.Drop(id);
+    }
+  }
+}
+
 void
 ApplyItem(Host& aHost,
           const replica::Item& aItem,
@@ -239,6 +297,9 @@
     case ItemKind::Target:
       ApplyTarget(aHost, name, aItem, aSource, now);
       break;
+    case ItemKind::Evacuation:
+      ApplyEvacuation(aHost, name, aItem, aSource, now);
+      break;
     case ItemKind::Other:
       break;
   }
@@ -551,6 +612,7 @@
 Sweep(Host& aHost)
 {
   const auto now = Now();
+  EndEvacuations(aHost, now);
   for (auto& target : fleet::RemoveExpired(aHost.members_, now)) {
     aHost.targetPool_.Drop(target.id_);
     part_use::NoteVanished(aHost.readers_, std::move(target), now);
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -123,6 +123,8 @@
   catalog::CatalogPtr catalog_;
   absl::Time catalogAt_ = absl::InfinitePast();
   fleet::Members members_;
+  // Data centres that the operator has evacuated.
+  fleet::Evacuations evacuations_;
   availability::Records availability_;
   absl::flat_hash_map<std::string, weights::PublishedVersions> weights_;
   part_use::Readers readers_;
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -111,6 +111,48 @@
   CHECK(fleet::RemoveExpired(members, kNow).size() == 1);
 }
 
+// Guards against requests to an evacuated data centre when nothing else is
+// left: as a last resort, by a permit, or because it is the nearest.
+TEST_CASE("targets of an evacuated data centre get no requests")
+{
+  fleet::Members members;
+  AddTarget(members, "near", "a");
+  AddTarget(members, "far", "b");
+  fleet::Evacuations evacuations{ { "a", absl::InfiniteFuture() } };
+  auto request = MakeRequest();
+  request.evacuations_ = &evacuations;
+  for (std::uint64_t seed = 0; seed < 20; ++seed) {
+    request.seed_ = seed;
+    CHECK(fleet::ChooseTarget(members, request, kSpeed, kNow).id_ == "far");
+  }
+  request.onlyTarget_ = "near";
+  CHECK(fleet::ChooseTarget(members, request, kSpeed, kNow).id_.empty());
+  CHECK_FALSE(
+    fleet::ChooseTarget(members, request, kSpeed, kNow).allEvacuated_);
+  request.onlyTarget_ = "";
+  members.at("far").closedUntil_ = absl::InfiniteFuture();
+  CHECK(fleet::ChooseTarget(members, request, kSpeed, kNow).id_.empty());
+  members.at("near").quarantinedUntil_ = absl::InfiniteFuture();
+  evacuations["b"] = absl::InfiniteFuture();
+  const auto choice = fleet::ChooseTarget(members, request, kSpeed, kNow);
+  CHECK(choice.id_.empty());
+  CHECK(choice.allEvacuated_);
+}
+
+// Guards against an evacuation that ends before it is removed, so that its end
+// is not noticed.
+TEST_CASE("an evacuation holds until it is removed after its end")
+{
+  auto members = MakeMembers(1);
+  fleet::Evacuations evacuations{ { "a", kNow + absl::Seconds(2) } };
+  CHECK(fleet::RemoveEndedEvacuations(evacuations, kNow).empty());
+  CHECK(fleet::IsEvacuated(evacuations, members.at("t0")));
+  const auto ended =
+    fleet::RemoveEndedEvacuations(evacuations, kNow + absl::Seconds(2));
+  CHECK(ended == std::vector<std::string>{ "a" });
+  CHECK_FALSE(fleet::IsEvacuated(evacuations, members.at("t0")));
+}
+
 // Guards against requests to a removed target in the time until the next
 // removal of expired ones.
 TEST_CASE("an expired target isn't chosen before it is removed")
--- a/test/follower-test.cc
+++ b/test/follower-test.cc
@@ -282,6 +282,34 @@
   CHECK(host.catalog_->version_ == 9);
 }
 
+// Guards against requests to an evacuated data centre after the service was
+// restored from a backup that is older than the evacuation.
+TEST_CASE("an evacuation that a restored service lacks stays in force a while")
+{
+  FollowingHost following;
+  auto& host = following.host_;
+  following.era_ = "\r\nStore-Era: 3";
+  following.list_ = ListOf(ItemText("op/evacuate/a", "{}", 80) + "," +
+                             ItemText("servers/t1", TargetText("ready"), 81),
+                           90);
+  REQUIRE(following.RunUntil([&] { return following.watches_ == 1; }));
+  CHECK(host.evacuations_.at("a") == absl::InfiniteFuture());
+
+  following.era_ = "\r\nStore-Era: 4";
+  following.list_ = ListOf(ItemText("servers/t1", TargetText("ready"), 41), 50);
+  following.MakeCall(false);
+  REQUIRE(following.RunUntil([&] { return following.watches_ == 2; }));
+  REQUIRE(host.evacuations_.contains("a"));
+  const auto keptFor = host.evacuations_.at("a") - gateway::Now();
+  CHECK(keptFor > absl::Seconds(1));
+  CHECK(keptFor < absl::Seconds(2));
+
+  lycheeplank::replica::Item item{ "op/evacuate/a", "{}", 51 };
+  item.era_ = 4;
+  gateway::ApplyItems(host, { item }, "watch", gateway::Now());
+  CHECK(host.evacuations_.at("a") == absl::InfiniteFuture());
+}
+
 // Guards against requests that reach a target over two seconds after its entry
 // was removed, because a call of the service failed shortly before. The host
 // hears of the removal up to 0.2 s later.
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -400,6 +400,72 @@
   CHECK(first.requests_ == 0);
 }
 
+namespace {
+
+// Writes or deletes the item that evacuates a data centre.
+void
+SetEvacuated(World& aWorld,
+             const std::string& aDataCentre,
+             std::uint64_t aRevision,
+             bool aIsEvacuated = true)
+{
+  lycheeplank::replica::Item item{ "op/evacuate/" + aDataCentre,
+                                   "{}",
+                                   aRevision };
+  item.deleted_ = !aIsEvacuated;
+  gateway::ApplyItems(aWorld.host_, { item }, "watch", gateway::Now());
+}
+
+} // namespace
+
+TEST_CASE("an evacuated data centre gets no requests until the order is gone")
+{
+  World world;
+  auto& first = world.AddTarget(Sends(WholeAnswer("first")));
+  auto& second = world.AddTarget(Sends(WholeAnswer("second")));
+  CHECK(Has(world.Ask(World::Request("/once/")), "\r\n\r\nfirst"));
+  SetEvacuated(world, "a", 5);
+  CHECK(Has(world.Ask(World::Request("/once/")), "\r\n\r\nsecond"));
+  SetEvacuated(world, "b", 6);
+  const auto answer = world.Ask(World::Request("/once/"));
+  CHECK(Has(answer, "HTTP/1.1 503"));
+  CHECK(Has(answer, "Retry-After: "));
+  SetEvacuated(world, "a", 7, false);
+  CHECK(Has(world.Ask(World::Request("/once/")), "\r\n\r\nfirst"));
+  CHECK(first.requests_ == 2);
+  CHECK(second.requests_ == 1);
+}
+
+// Guards against a request that was being connected, or that returns after a
+// failed attempt, when the evacuation begins.
+TEST_CASE("an evacuation holds for connecting, repeated and resumed requests")
+{
+  World world;
+  auto& first = world.AddTarget(
+    [&world](FakeTarget&, const std::shared_ptr<gateway::Socket>& aSocket) {
+      SetEvacuated(world, "b", 5);
+      aSocket->Send(Events("id: 1\ndata: a\n\n", false));
+      aSocket->Reset();
+    });
+  auto& second = world.AddTarget(Sends(WholeAnswer("second")));
+  const auto cut = world.Ask(World::Request("/resume/"));
+  CHECK(Has(cut, "id: 1\ndata: a\n\n"));
+  CHECK(second.requests_ == 0);
+  SetEvacuated(world, "b", 6, false);
+
+  // The evacuation begins after the target was chosen.
+  world.host_.members_.at("t1").closedUntil_ = absl::InfiniteFuture();
+  world.host_.onLoad_ = [&] { SetEvacuated(world, "b", 7); };
+  CHECK(Has(world.Ask(World::Request("/again/")), "HTTP/1.1 503"));
+  CHECK(second.requests_ == 0);
+  CHECK(world.host_.downReports_.empty());
+  CHECK(first.requests_ == 1);
+  for (const auto& [id, member] : world.host_.members_) {
+    CHECK(member.inFlight_ == 0);
+    CHECK(member.failureShare_ < 0.2);
+  }
+}
+
 TEST_CASE("without targets callers get a Retry-After")
 {
   World world;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -216,6 +216,16 @@
   CHECK(read->limits_.idleTimeout_ == absl::Milliseconds(400));
 }
 
+TEST_CASE("keys name evacuated data centres")
+{
+  const auto item = platform::ItemNameOf("op/evacuate/zone-1");
+  CHECK(item.kind_ == gateway::ItemKind::Evacuation);
+  CHECK(item.name_ == "zone-1");
+  CHECK(platform::ItemNameOf("op/evacuate/").kind_ == gateway::ItemKind::Other);
+  CHECK(platform::ItemNameOf("op/evacuated/a").kind_ ==
+        gateway::ItemKind::Other);
+}
+
 TEST_CASE("entries that can't be parsed yield no target")
 {
   const auto read = [](const std::string& aValue) {
