Share relays' answers between hosts and send configurations first

A relay wrote each answer once for each host that polled it, uncompressed, relayed entries of targets in which only the counter of writes had changed, and put a configuration behind all rows before it.

- Polls are answered at the end of a batch, also those that arrive during it.
All polls at the same position share one compressed text, which their sockets send without copies.
Hosts of an earlier release, which name no `urgent` position, get plain text and all rows in their order.
- A configuration is sent at once in an answer of its own, once.
- An entry of a target that says the same as the newest row isn't relayed.
A newer state of a target replaces earlier rows, except rows of a leaving target, of another start or with other models.
- An answer has at most 256 KB of rows, so that a slow reader holds little and a configuration waits for little.
- Replaced rows are found by an index instead of a scan of the backlog.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -40,6 +40,8 @@
   // Start time in milliseconds since 1970; distinguishes two starts under the
   // same id.
   std::int64_t bornMs_ = 0;
+
+  bool operator==(const Target&) const = default;
 };
 
 // The load that a target reports in its answers.
--- a/include/lycheeplank/relays.h
+++ b/include/lycheeplank/relays.h
@@ -4,8 +4,11 @@
 #include <cstdint>
 #include <deque>
 #include <string>
+#include <tuple>
 #include <vector>
 
+#include <absl/container/btree_set.h>
+#include <absl/container/flat_hash_map.h>
 #include <absl/strings/string_view.h>
 #include <absl/types/optional.h>
 
@@ -72,6 +75,18 @@
 inline constexpr std::size_t kMaxRows = 4000;
 // Maximum size of the backlog; hosts have 88 MB of memory or more.
 inline constexpr std::size_t kMaxBytes = 4U << 20U;
+// Size of an answer's rows beyond which the following rows are left to the next
+// answer. An urgent row waits at most for the transfer of one answer, and a
+// slow reader holds at most one in memory. Compressed, it is some 30 KB, which
+// a link of 10 Mbit/s carries within one batch time.
+inline constexpr std::size_t kMaxPortionBytes = 256U << 10U;
+
+enum class Urgency
+{
+  Normal,
+  // The row is sent before other rows, in an answer of its own.
+  Urgent,
+};
 
 struct Row
 {
@@ -79,6 +94,7 @@
   std::string text_;
   // A later row with the same key replaces this one; empty if none does.
   std::string key_;
+  Urgency urgency_ = Urgency::Normal;
 };
 
 // The changes that a relay has received, in that order, each as a row.
@@ -90,6 +106,10 @@
   std::uint64_t first_ = 1;
   std::deque<Row> rows_;
   std::size_t bytes_ = 0;
+  // Numbers of the newest rows by key, and of the urgent rows in the backlog
+  // that no newer ones have replaced.
+  absl::flat_hash_map<std::string, std::uint64_t> newest_;
+  absl::btree_set<std::uint64_t> urgent_;
 };
 
 // Returns the number of the next row to be added.
@@ -103,12 +123,50 @@
 // Adds a row and drops the oldest rows while the backlog exceeds its limits.
 // Empties the earlier rows with the same key, unless it is empty.
 void
-AddRow(Feed& aFeed, std::string aText, absl::string_view aKey = {});
+AddRow(Feed& aFeed,
+       std::string aText,
+       absl::string_view aKey = {},
+       Urgency aUrgency = Urgency::Normal);
 
-// Returns the rows from number aFirst on, joined by commas; nothing if aId is
-// not the feed's id or some of the rows were dropped.
-absl::optional<std::string>
-RowsFrom(const Feed& aFeed, std::uint64_t aId, std::uint64_t aFirst);
+// What a polling host has received of a feed.
+struct Position
+{
+  // Id of the feed, and the number of the first row that the host lacks.
+  std::uint64_t feed_ = 0;
+  std::uint64_t next_ = 0;
+  // The host has all urgent rows before this number. No value: the host is of
+  // an earlier release and gets all rows in their order.
+  absl::optional<std::uint64_t> urgent_;
+
+  bool operator<(const Position& aOther) const
+  {
+    return std::tie(feed_, next_, urgent_) <
+           std::tie(aOther.feed_, aOther.next_, aOther.urgent_);
+  }
+};
+
+// The rows of one answer, joined by commas, and the position after them.
+struct Portion
+{
+  std::string rows_;
+  Position position_;
+};
+
+// Returns the rows that a host at a position gets next: the urgent ones that it
+// lacks, else rows in their order, up to kMaxPortionBytes or a single larger
+// row. Returns nothing if the position's feed isn't this one or some of the
+// rows were dropped; the host needs a snapshot then.
+absl::optional<Portion>
+PortionFor(const Feed& aFeed, const Position& aPosition);
+
+// Returns whether the feed has all rows after a position.
+bool
+IsKnown(const Feed& aFeed, const Position& aPosition);
+
+// Returns whether a host at a position lacks rows of the feed, or needs a
+// snapshot.
+bool
+IsBehind(const Feed& aFeed, const Position& aPosition);
 
 } // namespace lycheeplank::relays
 
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <absl/container/btree_set.h>
 #include <boost/asio/post.hpp>
 
 #include "gateway/clock.h"
@@ -252,13 +253,74 @@
   }
 }
 
-// Returns whether an item replaces all earlier ones with its key. Weights and
-// targets don't: each named version is due by its own time, and a target that
-// has announced to leave stays out of use when its entry is gone.
+// Returns the key under which a newer row of an item replaces earlier ones;
+// empty if it replaces none. Each named version of weights is due by its own
+// time. Of a target's entries only the newest state matters, except that a
+// target that has announced to leave stays out of use when its entry is gone,
+// and that a target that names another model may still read parts of the
+// models before: rows of a leaving target, of another start or with other
+// models are kept.
+std::string
+RowKeyOf(const Host& aHost, const replica::Item& aItem, ItemKind aKind)
+{
+  if (aKind == ItemKind::Catalog) {
+    return aItem.key_;
+  }
+  const auto target = aKind == ItemKind::Target && !aItem.deleted_
+                        ? aHost.adapter_.readTarget_(aItem)
+                        : absl::nullopt;
+  if (!target || target->state_ == fleet::TargetState::Leaving) {
+    return {};
+  }
+  auto key = absl::StrCat(aItem.key_, " ", target->bornMs_);
+  absl::btree_set<absl::string_view> models;
+  for (const auto& [model, version] : target->weights_) {
+    models.insert(model);
+  }
+  for (const auto model : models) {
+    absl::StrAppend(&key, " ", model);
+  }
+  return key;
+}
+
+// Returns whether the newest row of a target's entry says the same as an item,
+// so that the item needn't be relayed. Targets rewrite their entries about once
+// a second and change only a counter. Updates the record of relayed entries.
 bool
-ReplacesEarlier(const Host& aHost, const replica::Item& aItem)
+IsRelayed(Host& aHost, const replica::Item& aItem)
 {
-  return aHost.adapter_.parseKey_(aItem.key_).kind_ == ItemKind::Catalog;
+  auto& relayed = aHost.relayedTargets_;
+  if (relayed.feed_ != aHost.feed_.id_) {
+    relayed = { aHost.feed_.id_, {} };
+  }
+  auto target =
+    aItem.deleted_ ? absl::nullopt : aHost.adapter_.readTarget_(aItem);
+  if (!target) {
+    relayed.targets_.erase(aItem.key_);
+    return false;
+  }
+  auto& entry = relayed.targets_[aItem.key_];
+  if (entry.era_ == aItem.era_ && entry.target_ == *target) {
+    return true;
+  }
+  entry = { aItem.era_, std::move(*target) };
+  return false;
+}
+
+// Relays a changed item unless the hosts that poll this one know it.
+void
+RelayItem(Host& aHost, const replica::Item& aItem)
+{
+  const auto kind = aHost.adapter_.parseKey_(aItem.key_).kind_;
+  if (aHost.role_ != Role::Direct ||
+      (kind == ItemKind::Target && IsRelayed(aHost, aItem))) {
+    return;
+  }
+  Publish(aHost,
+          aItem,
+          RowKeyOf(aHost, aItem, kind),
+          kind == ItemKind::Catalog ? relays::Urgency::Urgent
+                                    : relays::Urgency::Normal);
 }
 
 // Applies items that are newer than the known ones, relays them and runs
@@ -271,8 +333,9 @@
 {
   const auto age = Now() - aHeardSince;
   for (auto at = aNewItems.begin(); at != aNewItems.end(); ++at) {
-    const bool replaces = ReplacesEarlier(aHost, *at);
-    if (replaces &&
+    const bool isCatalog =
+      aHost.adapter_.parseKey_(at->key_).kind_ == ItemKind::Catalog;
+    if (isCatalog &&
         std::any_of(at + 1, aNewItems.end(), [&at](const auto& aLater) {
           return aLater.key_ == at->key_;
         })) {
@@ -281,7 +344,7 @@
     auto item = *at;
     ApplyItem(aHost, item, aSource, aHeardSince);
     item.age_ += age;
-    Publish(aHost, item, replaces ? item.key_ : absl::string_view());
+    RelayItem(aHost, item);
   }
   if (!aNewItems.empty()) {
     Sweep(aHost);
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -91,6 +91,19 @@
   std::shared_ptr<Timer> timer_;
 };
 
+// What the newest rows of the feed say of targets, by key of the entry.
+struct RelayedTargets
+{
+  struct Entry
+  {
+    std::uint64_t era_ = 0;
+    fleet::Target target_;
+  };
+  // Id of the feed.
+  std::uint64_t feed_ = 0;
+  absl::flat_hash_map<std::string, Entry> targets_;
+};
+
 // State that the parts of one host share. Used only from the thread of the
 // event loop.
 struct Host
@@ -172,6 +185,7 @@
 
   Role role_ = Role::Starting;
   relays::Feed feed_;
+  RelayedTargets relayedTargets_;
   // Runs when the key-value service has been restored from a backup.
   std::function<void()> onNewEra_ = [] {};
   // Runs when the key-value service answers again after failed calls; the
@@ -258,13 +272,17 @@
 SetRole(Host& aHost, Role aRole);
 
 // Appends a row to this host's feed if it relays changes to others. aNews: an
-// item, an update of a cache store, or a notice. aKey: see relays::AddRow.
+// item, an update of a cache store, or a notice. aKey, aUrgency: see
+// relays::AddRow.
 template<typename News>
 void
-Publish(Host& aHost, const News& aNews, absl::string_view aKey = {})
+Publish(Host& aHost,
+        const News& aNews,
+        absl::string_view aKey = {},
+        relays::Urgency aUrgency = relays::Urgency::Normal)
 {
   if (aHost.role_ == Role::Direct) {
-    relays::AddRow(aHost.feed_, WriteRow(aNews), aKey);
+    relays::AddRow(aHost.feed_, WriteRow(aNews), aKey, aUrgency);
     aHost.onFeed_();
   }
 }
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -7,6 +7,7 @@
 
 #include "gateway/clock.h"
 #include "gateway/peers.h"
+#include "lycheeplank/relay_polls.h"
 
 namespace lycheeplank::gateway {
 
@@ -224,10 +225,11 @@
                        position.feed_,
                        "&from=",
                        position.next_,
-                       "&compressed=1"),
+                       "&compressed=1&urgent=",
+                       position.urgent_),
           {},
           {} },
-        kPollTime + kPeerTimeout,
+        relays::kPollTime + kPeerTimeout,
         [self = shared_from_this(), aPeer, askedAt = Now()](
           const http::Answer& aAnswer) {
           self->OnUpdate(aPeer, aAnswer, askedAt);
@@ -239,8 +241,9 @@
                        const http::Answer& aAnswer,
                        absl::Time aAskedAt)
 {
-  const auto update =
-    aAnswer.status_ == 200 ? ReadPeerUpdate(aAnswer.body_) : absl::nullopt;
+  const auto update = aAnswer.status_ == 200
+                        ? ReadPackedPeerUpdate(aAnswer.body_)
+                        : absl::nullopt;
   if (!update) {
     OnFailure(aPeer, absl::StrCat("status ", aAnswer.status_), aAnswer);
     return;
@@ -253,7 +256,7 @@
     OnFailure(aPeer, "peer polls other hosts itself", aAnswer);
     return;
   }
-  positions_[aPeer.name_] = { update->feed_, update->next_ };
+  positions_[aPeer.name_] = { update->feed_, update->next_, update->urgent_ };
   ApplyUpdate(*update, aAskedAt);
   if (!isRelay && !update->sender_.storeReachable_ && host_.store_.reachable_) {
     OnFailure(aPeer, "peer can't reach the key-value service", aAnswer);
--- a/src/gateway/peer-follower.h
+++ b/src/gateway/peer-follower.h
@@ -63,6 +63,7 @@
   {
     std::uint64_t feed_ = 0;
     std::uint64_t next_ = 0;
+    std::uint64_t urgent_ = 0;
   };
   // The peer that is polled, and the positions in the feeds of all peers polled
   // so far, so that switching back to one doesn't transfer a snapshot again.
--- a/src/gateway/peer-updates.cc
+++ b/src/gateway/peer-updates.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include <absl/strings/escaping.h>
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
@@ -31,6 +32,8 @@
 // configurations, are compressed.
 constexpr std::size_t kCompressBytes = 4096;
 constexpr std::size_t kMaxValueBytes = 16U << 20U;
+// Limit of a decompressed update. A snapshot of 3,000 targets has 1.3 MB.
+constexpr std::size_t kMaxUpdateBytes = 32U << 20U;
 
 std::string
 DumpJson(const Json& aJson)
@@ -222,7 +225,8 @@
 WritePeerUpdate(std::uint64_t aFeed,
                 std::uint64_t aNext,
                 const SenderStatus& aSender,
-                const std::string& aRows)
+                const std::string& aRows,
+                std::uint64_t aUrgent)
 {
   Json heard = Json::object();
   for (const auto& [store, age] : aSender.cacheStoreAges_) {
@@ -230,6 +234,7 @@
   }
   Json head{ { "feed", aFeed },
              { "next", aNext },
+             { "urgent", aUrgent },
              { "direct", aSender.isDirect_ },
              { "reachable", aSender.storeReachable_ },
              { "era", aSender.era_ },
@@ -257,6 +262,7 @@
   PeerUpdate update;
   update.feed_ = CountOf(json, "feed");
   update.next_ = CountOf(json, "next");
+  update.urgent_ = CountOf(json, "urgent");
   update.sender_.isDirect_ = FlagOf(json, "direct");
   update.sender_.storeReachable_ = FlagOf(json, "reachable");
   update.sender_.era_ = CountOf(json, "era");
@@ -285,6 +291,17 @@
   return update;
 }
 
+absl::optional<PeerUpdate>
+ReadPackedPeerUpdate(const std::string& aText)
+{
+  // Only text that isn't compressed begins with a brace.
+  if (absl::StartsWith(aText, "{")) {
+    return ReadPeerUpdate(aText);
+  }
+  const auto text = core::Decompress(aText, kMaxUpdateBytes);
+  return text ? ReadPeerUpdate(*text) : absl::nullopt;
+}
+
 std::string
 WriteNotices(const std::vector<Notice>& aNotices)
 {
--- a/src/gateway/peer-updates.h
+++ b/src/gateway/peer-updates.h
@@ -92,6 +92,9 @@
   // Id of the sender's feed, and the number of the row to poll for next.
   std::uint64_t feed_ = 0;
   std::uint64_t next_ = 0;
+  // The receiver has all urgent rows before this number; 0 from hosts of an
+  // earlier release.
+  std::uint64_t urgent_ = 0;
   SenderStatus sender_;
   std::vector<replica::Item> items_;
   std::vector<StoreUpdate> stores_;
@@ -106,18 +109,24 @@
 std::string
 WriteRow(const Notice& aNotice);
 
-// Returns an update as JSON. aRows has its rows, joined by commas.
+// Returns an update as JSON. aRows has its rows, joined by commas. aUrgent: see
+// PeerUpdate::urgent_.
 std::string
 WritePeerUpdate(std::uint64_t aFeed,
                 std::uint64_t aNext,
                 const SenderStatus& aSender,
-                const std::string& aRows);
+                const std::string& aRows,
+                std::uint64_t aUrgent = 0);
 
 // Parses an update; returns nothing if the text isn't one. Skips rows that
 // can't be parsed.
 absl::optional<PeerUpdate>
 ReadPeerUpdate(const std::string& aText);
 
+// Decompresses an update, if it is compressed, and parses it.
+absl::optional<PeerUpdate>
+ReadPackedPeerUpdate(const std::string& aText);
+
 // Returns notices as JSON.
 std::string
 WriteNotices(const std::vector<Notice>& aNotices);
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -7,6 +7,7 @@
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_join.h>
 
+#include "core/compress.h"
 #include "gateway/clock.h"
 #include "gateway/timer.h"
 
@@ -15,11 +16,11 @@
 namespace {
 
 constexpr absl::string_view kNoticesPath = "/peer/notices";
-// Changes within this time are sent in one answer.
-constexpr absl::Duration kBatchTime = absl::Milliseconds(30);
 // Hosts that start within this time get the same snapshot and the later changes
 // as rows. Building a snapshot takes a relay some ten milliseconds.
 constexpr absl::Duration kSnapshotLife = absl::Milliseconds(400);
+// Answers from this size on are compressed.
+constexpr std::size_t kCompressBytes = 1024;
 // Time in which the key-value service and the relays pass a changed entry on to
 // all hosts.
 constexpr absl::Duration kEntryPropagationTime = absl::Milliseconds(300);
@@ -137,12 +138,28 @@
   aCaller->Reply(200, { { "Content-Type", "application/json" } }, aBody);
 }
 
+// Sends a shared answer; null: the caller is sent to its next source.
+void
+Send(const ServerConnectionPtr& aCaller,
+     std::shared_ptr<const std::string> aAnswer)
+{
+  if (!aAnswer) {
+    aCaller->Reply(503, {}, "");
+    return;
+  }
+  const bool isPacked = !absl::StartsWith(*aAnswer, "{");
+  http::Fields fields{ { "Content-Type", "application/json" } };
+  if (isPacked) {
+    fields.push_back({ "Content-Encoding", "deflate" });
+  }
+  aCaller->ReplyShared(200, std::move(fields), std::move(aAnswer));
+}
+
 } // namespace
 
 PeerServer::PeerServer(Host& aHost)
   : host_(aHost)
-  , batchTimer_(aHost.loop_)
-  , pollTimer_(aHost.loop_)
+  , timer_(aHost.loop_)
 {
 }
 
@@ -174,89 +191,120 @@
     aCaller->Reply(404, {}, "");
     return;
   }
-  const auto feed = QueryNumber(target, "feed");
-  const auto from = QueryNumber(target, "from");
-  const bool waits = feed == host_.feed_.id_ &&
-                     from == relays::NextRow(host_.feed_) && !host_.stopping_ &&
-                     host_.role_ == Role::Direct;
-  if (!waits) {
-    ReplyJson(aCaller, UpdateFor(feed, from));
+  relays::Position position{ QueryNumber(target, "feed"),
+                             QueryNumber(target, "from"),
+                             absl::nullopt };
+  if (!http::QueryParameter(target, "urgent").empty()) {
+    position.urgent_ = QueryNumber(target, "urgent");
+  }
+  if (host_.stopping_ || host_.role_ != Role::Direct) {
+    Send(aCaller, AnswerFor(position));
     return;
   }
-  const auto poll =
-    polls_.insert(polls_.end(), { aCaller, feed, from, Now() + kPollTime });
-  aCaller->OnGone([this, poll] { polls_.erase(poll); });
-  SetPollTimer();
+  const auto poll = relays::AddPoll(polls_, host_.feed_, position, Now());
+  callers_[poll] = aCaller;
+  aCaller->OnGone([this, poll] {
+    relays::RemovePoll(polls_, poll);
+    callers_.erase(poll);
+  });
+  AnswerPolls();
 }
 
-std::string
-PeerServer::UpdateFor(std::uint64_t aFeed, std::uint64_t aFrom)
+PeerServer::Text
+PeerServer::AnswerFor(const relays::Position& aPosition)
 {
-  auto status = StatusOf(host_);
-  if (const auto rows = relays::RowsFrom(host_.feed_, aFeed, aFrom)) {
-    return WritePeerUpdate(
-      host_.feed_.id_, relays::NextRow(host_.feed_), status, *rows);
+  if (relays::HeldBytes(held_) > relays::kMaxHeldBytes) {
+    host_.metrics_.Count("peer_answers_refused_total");
+    return nullptr;
   }
-  RefreshSnapshot();
+  const auto portion = relays::PortionFor(host_.feed_, aPosition);
+  return portion ? Pack(portion->position_, StatusOf(host_), portion->rows_)
+                 : SnapshotFor(aPosition);
+}
+
+PeerServer::Text
+PeerServer::SnapshotFor(const relays::Position& aPosition)
+{
+  auto& snapshot = aPosition.urgent_ ? packed_ : plain_;
   const auto now = Now();
-  status.itemsAge_ = now - snapshot_.itemsCompleteAt_;
+  if (now - snapshot.builtAt_ < kSnapshotLife &&
+      relays::IsKnown(host_.feed_, snapshot.position_)) {
+    return snapshot.answer_;
+  }
+  // Hosts that get the answer later must not take the state for newer.
+  auto status = StatusOf(host_);
+  status.itemsAge_ += kSnapshotLife;
   status.knownTime_ = absl::ZeroDuration();
   for (auto& [store, age] : status.cacheStoreAges_) {
-    age += now - snapshot_.builtAt_;
+    age += kSnapshotLife;
   }
-  return WritePeerUpdate(
-    snapshot_.feed_, snapshot_.next_, status, snapshot_.rows_);
+  const auto next = relays::NextRow(host_.feed_);
+  snapshot.position_ = { host_.feed_.id_, next, absl::nullopt };
+  if (aPosition.urgent_) {
+    snapshot.position_.urgent_ = next;
+  }
+  snapshot.builtAt_ = now;
+  snapshot.answer_ = Pack(snapshot.position_, status, SnapshotRows(host_));
+  return snapshot.answer_;
 }
 
-void
-PeerServer::RefreshSnapshot()
+PeerServer::Text
+PeerServer::Pack(const relays::Position& aPosition,
+                 const SenderStatus& aStatus,
+                 const std::string& aRows)
 {
-  const auto now = Now();
-  if (now - snapshot_.builtAt_ < kSnapshotLife &&
-      relays::RowsFrom(host_.feed_, snapshot_.feed_, snapshot_.next_)) {
-    return;
+  auto text = WritePeerUpdate(aPosition.feed_,
+                              aPosition.next_,
+                              aStatus,
+                              aRows,
+                              aPosition.urgent_.value_or(0));
+  if (aPosition.urgent_ && text.size() >= kCompressBytes) {
+    text = core::Compress(text);
   }
-  snapshot_ = { host_.feed_.id_,
-                relays::NextRow(host_.feed_),
-                SnapshotRows(host_),
-                now,
-                host_.itemsCompleteAt_ };
+  auto answer = std::make_shared<const std::string>(std::move(text));
+  held_.answers_.emplace_back(answer);
+  return answer;
 }
 
 void
 PeerServer::OnNewRows()
 {
-  if (!polls_.empty() && !std::exchange(batchPending_, true)) {
-    batchTimer_.Set(kBatchTime, [this] {
-      batchPending_ = false;
-      AnswerPolls(absl::InfiniteFuture());
-    });
-  }
+  const bool changed =
+    std::exchange(storeReachable_, host_.store_.reachable_) !=
+    host_.store_.reachable_;
+  relays::StartBatch(polls_, Now(), changed);
+  SetTimer();
 }
 
 void
-PeerServer::AnswerPolls(absl::Time aDeadline)
+PeerServer::AnswerPolls()
 {
-  while (!polls_.empty() && polls_.front().deadline_ <= aDeadline) {
-    const auto poll = std::move(polls_.front());
-    polls_.pop_front();
-    // The caller may poll again during the reply, which appends to polls_.
-    poll.caller_->OnGone(nullptr);
-    ReplyJson(poll.caller_, UpdateFor(poll.feed_, poll.from_));
+  // Callers may poll again during a reply.
+  if (std::exchange(isAnswering_, true)) {
+    return;
+  }
+  for (const auto& group : relays::TakeDuePolls(polls_, host_.feed_, Now())) {
+    const auto answer = AnswerFor(group.position_);
+    for (const auto poll : group.polls_) {
+      const auto caller = callers_.extract(poll);
+      if (!caller.empty()) {
+        caller.mapped()->OnGone(nullptr);
+        Send(caller.mapped(), answer);
+      }
+    }
   }
+  isAnswering_ = false;
+  SetTimer();
 }
 
 void
-PeerServer::SetPollTimer()
+PeerServer::SetTimer()
 {
-  if (polls_.empty() || std::exchange(pollTimerSet_, true)) {
-    return;
+  const auto due = relays::NextDueTime(polls_, host_.feed_);
+  if (due != absl::InfiniteFuture()) {
+    timer_.Set(std::max(absl::ZeroDuration(), due - Now()),
+               [this] { AnswerPolls(); });
   }
-  pollTimer_.Set(polls_.front().deadline_ - Now(), [this] {
-    pollTimerSet_ = false;
-    AnswerPolls(Now());
-    SetPollTimer();
-  });
 }
 
 void
@@ -339,7 +387,7 @@
 NoticePropagationTime(const Host& aHost)
 {
   return relays::IsLargeDeployment(aHost.hosts_)
-           ? kNoticeTransitTime * 2 + kBatchTime
+           ? kNoticeTransitTime * 2 + relays::kBatchTime * 2
            : kNoticeTransitTime;
 }
 
--- a/src/gateway/peers.h
+++ b/src/gateway/peers.h
@@ -2,23 +2,22 @@
 #define LYCHEEPLANK_SRC_GATEWAY_PEERS_H
 
 #include <cstdint>
-#include <list>
+#include <memory>
 #include <string>
 #include <vector>
 
+#include <absl/container/flat_hash_map.h>
 #include <absl/strings/string_view.h>
 
 #include "gateway/host.h"
 #include "gateway/peer-updates.h"
 #include "gateway/server-connection.h"
 #include "gateway/timer.h"
+#include "lycheeplank/relay_polls.h"
 
 namespace lycheeplank::gateway {
 
 inline constexpr absl::string_view kChangesPath = "/peer/changes";
-// Longest time that a host holds a peer's poll for changes. It also bounds the
-// delay after which a peer receives the time of a cache store's last answer.
-inline constexpr absl::Duration kPollTime = absl::Milliseconds(400);
 // Hosts answer within milliseconds, so a call that takes longer has failed.
 inline constexpr absl::Duration kPeerTimeout = absl::Milliseconds(400);
 
@@ -34,46 +33,44 @@
   void OnNewRows();
 
 private:
-  // A poll for changes that waits for an answer.
-  struct Poll
+  using Text = std::shared_ptr<const std::string>;
+
+  // The host's complete state as an answer that hosts share for some time.
+  struct Snapshot
   {
-    ServerConnectionPtr caller_;
-    // Feed and number of the row that the caller expects next.
-    std::uint64_t feed_ = 0;
-    std::uint64_t from_ = 0;
-    absl::Time deadline_;
+    // Position in the feed after the snapshot.
+    relays::Position position_;
+    absl::Time builtAt_ = absl::InfinitePast();
+    Text answer_;
   };
 
   void AnswerChanges(const ServerConnectionPtr& aCaller);
-  // Answers all polls whose deadline is not after aDeadline.
-  void AnswerPolls(absl::Time aDeadline);
-  // Sets the timer to the earliest deadline of a poll.
-  void SetPollTimer();
-  // Returns an update with the rows of a feed from a number on, or with a
-  // snapshot if the host no longer has these rows.
-  std::string UpdateFor(std::uint64_t aFeed, std::uint64_t aFrom);
-  // Rebuilds the snapshot if it is old or the feed no longer has the row after
-  // it.
-  void RefreshSnapshot();
+  // Answers the polls that are due and sets the timer to the next ones.
+  void AnswerPolls();
+  void SetTimer();
+  // Returns an answer with the rows after a position, or with a snapshot if the
+  // host no longer has these rows; null if slow readers hold too many answers.
+  Text AnswerFor(const relays::Position& aPosition);
+  // Returns the snapshot's answer; builds another one if it is old or the feed
+  // no longer has the row after it.
+  Text SnapshotFor(const relays::Position& aPosition);
+  // Writes an answer, compressed unless its readers are of an earlier release.
+  Text Pack(const relays::Position& aPosition,
+            const SenderStatus& aStatus,
+            const std::string& aRows);
 
   Host& host_;
-  Timer batchTimer_;
-  Timer pollTimer_;
-  bool batchPending_ = false;
-  bool pollTimerSet_ = false;
-  std::list<Poll> polls_;
-  // The host's complete state as rows.
-  struct Snapshot
-  {
-    std::uint64_t feed_ = 0;
-    // Number of the feed's first row that the snapshot doesn't include.
-    std::uint64_t next_ = 0;
-    std::string rows_;
-    absl::Time builtAt_ = absl::InfinitePast();
-    // Host::itemsCompleteAt_ when it was built.
-    absl::Time itemsCompleteAt_ = absl::InfinitePast();
-  };
-  Snapshot snapshot_;
+  Timer timer_;
+  relays::Polls polls_;
+  // Callers of the waiting polls, by number.
+  absl::flat_hash_map<std::uint64_t, ServerConnectionPtr> callers_;
+  bool isAnswering_ = false;
+  relays::HeldAnswers held_;
+  // For hosts that read compressed answers, and for those that don't.
+  Snapshot packed_;
+  Snapshot plain_;
+  // What was last reported of the key-value service.
+  bool storeReachable_ = false;
 };
 
 // Applies notices of this host or a peer to this host's state.
@@ -97,7 +94,8 @@
                        const std::string& aTarget,
                        std::int64_t aStartedAtMs);
 
-// Returns the time after which all hosts have received a notice.
+// Returns the time after which all hosts have received a notice. A host whose
+// poll arrives just after a batch waits for the next one.
 absl::Duration
 NoticePropagationTime(const Host& aHost);
 
--- a/src/gateway/server-connection.cc
+++ b/src/gateway/server-connection.cc
@@ -139,6 +139,18 @@
   End();
 }
 
+void
+ServerConnection::ReplyShared(int aStatus,
+                              http::Fields aFields,
+                              std::shared_ptr<const std::string> aBody)
+{
+  Begin(aStatus, http::ReasonOf(aStatus), std::move(aFields), aBody->size());
+  if (reader_.Head().method_ != "HEAD") {
+    socket_->SendShared(std::move(aBody));
+  }
+  End();
+}
+
 void
 ServerConnection::Begin(int aStatus,
                         absl::string_view aReason,
--- a/src/gateway/server-connection.h
+++ b/src/gateway/server-connection.h
@@ -32,6 +32,10 @@
 
   // Sends a complete answer.
   void Reply(int aStatus, http::Fields aFields, absl::string_view aBody);
+  // The same with a body that answers to other callers share.
+  void ReplyShared(int aStatus,
+                   http::Fields aFields,
+                   std::shared_ptr<const std::string> aBody);
   // Starts an answer whose body follows. Without a length the body is sent in
   // chunks, or up to the end of the connection if the caller uses HTTP/1.0.
   void Begin(int aStatus,
--- a/src/gateway/socket.cc
+++ b/src/gateway/socket.cc
@@ -158,31 +158,70 @@
   if (!isOpen_ || writeFailed_) {
     return;
   }
+  CopyShared();
   unsent_.append(aData.data(), aData.size());
   if (!writePending_) {
     Write();
   }
 }
 
+void
+Socket::SendShared(std::shared_ptr<const std::string> aText)
+{
+  if (!isOpen_ || writeFailed_) {
+    return;
+  }
+  CopyShared();
+  shared_ = std::move(aText);
+  sharedSent_ = 0;
+  if (!writePending_) {
+    Write();
+  }
+}
+
+void
+Socket::CopyShared()
+{
+  if (shared_) {
+    unsent_.append(*shared_, sharedSent_);
+    shared_ = nullptr;
+  }
+}
+
 void
 Socket::Write()
 {
-  while (!unsent_.empty()) {
-    error_code error;
+  while (Unsent() > 0 && WriteSome()) {
+  }
+  if (shared_ && sharedSent_ == shared_->size()) {
+    shared_ = nullptr;
+  }
+}
+
+bool
+Socket::WriteSome()
+{
+  error_code error;
+  if (!unsent_.empty()) {
     const auto count = socket_.write_some(asio::buffer(unsent_), error);
     unsent_.erase(0, count);
-    if (error == asio::error::would_block) {
-      WaitWrite();
-      return;
-    }
-    if (error) {
-      // The reading side reports the failure, after the bytes that the peer
-      // sent earlier.
-      writeFailed_ = true;
-      unsent_.clear();
-      return;
-    }
+  } else {
+    sharedSent_ +=
+      socket_.write_some(asio::buffer(*shared_) + sharedSent_, error);
   }
+  if (error == asio::error::would_block) {
+    WaitWrite();
+    return false;
+  }
+  if (error) {
+    // The reading side reports the failure, after the bytes that the peer sent
+    // earlier.
+    writeFailed_ = true;
+    unsent_.clear();
+    shared_ = nullptr;
+    return false;
+  }
+  return true;
 }
 
 void
@@ -208,7 +247,7 @@
     ContinueFinish();
     return;
   }
-  if (!unsent_.empty()) {
+  if (Unsent() > 0) {
     return;
   }
   if (events_.onDrained_) {
@@ -251,11 +290,11 @@
 void
 Socket::ContinueFinish()
 {
-  if (unsent_.empty()) {
+  if (Unsent() == 0) {
     error_code ignored;
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
   }
-  finishTimer_.expires_after(unsent_.empty() ? kFinishTime : kMaxWriteStall);
+  finishTimer_.expires_after(Unsent() == 0 ? kFinishTime : kMaxWriteStall);
   finishTimer_.async_wait(
     [self = shared_from_this()](const error_code& aError) {
       if (aError != asio::error::operation_aborted) {
--- a/src/gateway/socket.h
+++ b/src/gateway/socket.h
@@ -48,7 +48,12 @@
   // Sets the handlers and starts reading.
   void Open(SocketEvents aEvents);
   void Send(absl::string_view aData);
-  std::size_t Unsent() const { return unsent_.size(); }
+  // Sends a text that other sockets send as well, without a copy of its own.
+  void SendShared(std::shared_ptr<const std::string> aText);
+  std::size_t Unsent() const
+  {
+    return unsent_.size() + (shared_ ? shared_->size() - sharedSent_ : 0);
+  }
   // Lets the peer take nothing for up to kMaxWriteStall.
   void AllowPauses();
   // Stops or resumes reading, for backpressure on the peer.
@@ -71,6 +76,10 @@
   void WaitWrite();
   void Read();
   void Write();
+  // Writes some unsent bytes to the kernel; returns false if it takes no more.
+  bool WriteSome();
+  // Copies the rest of the shared text to the end of unsent_.
+  void CopyShared();
   void OnSent();
   // Closes the sending side if all bytes are sent, and starts the timer that
   // closes the socket.
@@ -80,6 +89,9 @@
   SocketEvents events_;
   std::string unread_;
   std::string unsent_;
+  // Text that follows unsent_, and how much of it is sent.
+  std::shared_ptr<const std::string> shared_;
+  std::size_t sharedSent_ = 0;
   bool isOpen_ = true;
   bool reading_ = true;
   bool readPending_ = false;
--- a/src/relays/relays.cc
+++ b/src/relays/relays.cc
@@ -4,8 +4,6 @@
 #include <tuple>
 #include <utility>
 
-#include <absl/container/btree_set.h>
-#include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
@@ -19,6 +17,31 @@
 // same order of claims.
 constexpr std::uint64_t kRevisionsPerOrder = 64;
 
+const Row&
+RowAt(const Feed& aFeed, std::uint64_t aNumber)
+{
+  return aFeed.rows_[aNumber - aFeed.first_];
+}
+
+// Empties a row of a feed.
+void
+Remove(Feed& aFeed, Row& aRow, std::uint64_t aNumber)
+{
+  aFeed.bytes_ -= aRow.text_.size();
+  aFeed.urgent_.erase(aNumber);
+  aRow = {};
+}
+
+// Returns whether a host lacks a row that isn't before its position.
+bool
+IsDue(const Feed& aFeed, const Position& aPosition, std::uint64_t aNumber)
+{
+  const auto& row = RowAt(aFeed, aNumber);
+  const bool isReceived = row.urgency_ == Urgency::Urgent &&
+                          aPosition.urgent_ && aNumber < *aPosition.urgent_;
+  return !row.text_.empty() && !isReceived;
+}
+
 } // namespace
 
 std::vector<std::string>
@@ -135,41 +158,89 @@
 }
 
 void
-AddRow(Feed& aFeed, std::string aText, absl::string_view aKey)
+AddRow(Feed& aFeed, std::string aText, absl::string_view aKey, Urgency aUrgency)
 {
+  const auto number = NextRow(aFeed);
   if (!aKey.empty()) {
-    for (auto& row : aFeed.rows_) {
-      if (row.key_ == aKey) {
-        aFeed.bytes_ -= row.text_.size();
-        row = {};
-      }
+    auto [newest, isNew] = aFeed.newest_.try_emplace(aKey, number);
+    if (!isNew) {
+      Remove(aFeed, aFeed.rows_[newest->second - aFeed.first_], newest->second);
+      newest->second = number;
     }
   }
+  if (aUrgency == Urgency::Urgent) {
+    aFeed.urgent_.insert(number);
+  }
   aFeed.bytes_ += aText.size();
-  aFeed.rows_.push_back({ std::move(aText), std::string(aKey) });
+  aFeed.rows_.push_back({ std::move(aText), std::string(aKey), aUrgency });
   while (aFeed.rows_.size() > kMaxRows || aFeed.bytes_ > kMaxBytes) {
-    aFeed.bytes_ -= aFeed.rows_.front().text_.size();
+    auto& row = aFeed.rows_.front();
+    if (!row.key_.empty()) {
+      aFeed.newest_.erase(row.key_);
+    }
+    Remove(aFeed, row, aFeed.first_);
     aFeed.rows_.pop_front();
     ++aFeed.first_;
   }
 }
 
-absl::optional<std::string>
-RowsFrom(const Feed& aFeed, std::uint64_t aId, std::uint64_t aFirst)
+absl::optional<Portion>
+PortionFor(const Feed& aFeed, const Position& aPosition)
 {
-  if (aId != aFeed.id_ || aFirst < aFeed.first_ || aFirst > NextRow(aFeed)) {
+  const auto& [id, next, urgent] = aPosition;
+  if (!IsKnown(aFeed, aPosition)) {
     return absl::nullopt;
   }
+  Portion portion{ {}, aPosition };
   std::vector<absl::string_view> texts;
-  for (auto at = aFeed.rows_.begin() +
-                 static_cast<std::ptrdiff_t>(aFirst - aFeed.first_);
-       at != aFeed.rows_.end();
-       ++at) {
-    if (!at->text_.empty()) {
-      texts.emplace_back(at->text_);
+  if (urgent) {
+    portion.position_.urgent_ = std::max(*urgent, NextRow(aFeed));
+    for (auto at = aFeed.urgent_.lower_bound(std::max(next, *urgent));
+         at != aFeed.urgent_.end();
+         ++at) {
+      texts.emplace_back(RowAt(aFeed, *at).text_);
+    }
+    if (!texts.empty()) {
+      portion.rows_ = absl::StrJoin(texts, ",");
+      return portion;
     }
   }
-  return absl::StrJoin(texts, ",");
+  std::size_t bytes = 0;
+  auto& number = portion.position_.next_;
+  for (; number < NextRow(aFeed); ++number) {
+    if (!IsDue(aFeed, aPosition, number)) {
+      continue;
+    }
+    const auto& text = RowAt(aFeed, number).text_;
+    if (bytes > 0 && bytes + text.size() > kMaxPortionBytes) {
+      break;
+    }
+    bytes += text.size();
+    texts.emplace_back(text);
+  }
+  portion.rows_ = absl::StrJoin(texts, ",");
+  return portion;
+}
+
+bool
+IsKnown(const Feed& aFeed, const Position& aPosition)
+{
+  return aPosition.feed_ == aFeed.id_ && aPosition.next_ >= aFeed.first_ &&
+         aPosition.next_ <= NextRow(aFeed);
+}
+
+bool
+IsBehind(const Feed& aFeed, const Position& aPosition)
+{
+  if (!IsKnown(aFeed, aPosition)) {
+    return true;
+  }
+  for (auto number = aPosition.next_; number < NextRow(aFeed); ++number) {
+    if (IsDue(aFeed, aPosition, number)) {
+      return true;
+    }
+  }
+  return false;
 }
 
 } // namespace lycheeplank::relays
--- a/test/follower-test.cc
+++ b/test/follower-test.cc
@@ -7,6 +7,7 @@
 #include "gateway-world.h"
 
 namespace gateway = lycheeplank::gateway;
+namespace replica = lycheeplank::replica;
 namespace test = lycheeplank::test;
 
 namespace {
@@ -227,11 +228,82 @@
                       "watch",
                       gateway::Now());
   CHECK(host.catalog_->version_ == 10);
-  const auto rows =
-    lycheeplank::relays::RowsFrom(host.feed_, host.feed_.id_, 1);
-  REQUIRE(rows);
-  CHECK(rows->find("\"revision\":82") == std::string::npos);
-  CHECK(rows->find("\"revision\":83") != std::string::npos);
+  const auto portion =
+    lycheeplank::relays::PortionFor(host.feed_, { host.feed_.id_, 1, {} });
+  REQUIRE(portion);
+  CHECK(portion->rows_.find("\"revision\":82") == std::string::npos);
+  CHECK(portion->rows_.find("\"revision\":83") != std::string::npos);
+}
+
+// Guards against relays whose links carry little more than counters: each
+// target rewrites its entry about once a second.
+TEST_CASE("an entry in which only its counter has changed isn't relayed")
+{
+  FollowingHost following;
+  auto& host = following.host_;
+  gateway::SetRole(host, gateway::Role::Direct);
+  std::uint64_t revision = 80;
+  const auto apply = [&](const std::string& aState, int aSequence) {
+    auto text = TargetText(aState);
+    text.insert(text.size() - 1, ",\"sequence\":" + std::to_string(aSequence));
+    gateway::ApplyItems(host,
+                        { { "servers/t1", text, ++revision, 80 } },
+                        "watch",
+                        gateway::Now());
+    return host.feed_.rows_.size();
+  };
+  CHECK(apply("ready", 1) == 1);
+  CHECK(apply("ready", 2) == 1);
+  CHECK(replica::Find(host.replica_, "servers/t1")->item_.revision_ ==
+        revision);
+  CHECK(apply("draining", 3) == 2);
+  // The entry vanishes and is written again.
+  gateway::ApplyItems(host,
+                      { { "servers/t1", "", ++revision, 80, true } },
+                      "watch",
+                      gateway::Now());
+  CHECK(host.feed_.rows_.size() == 3);
+  CHECK(apply("draining", 4) == 4);
+  // An entry of a new era is relayed, whatever it says.
+  gateway::UpdateEra(host, 5, "service");
+  replica::Item item{ "servers/t1", TargetText("draining"), 2, 2 };
+  item.era_ = 5;
+  gateway::ApplyItems(host, { item }, "watch", gateway::Now());
+  CHECK(host.feed_.rows_.size() == 5);
+}
+
+// Guards against the loss of an announcement: a target that has announced to
+// leave stays out of use when its entry is gone or is written again.
+TEST_CASE("a newer state of a target replaces earlier ones, but no leaving")
+{
+  FollowingHost following;
+  auto& host = following.host_;
+  gateway::SetRole(host, gateway::Role::Direct);
+  const auto rowsOf = [&] {
+    const auto portion =
+      lycheeplank::relays::PortionFor(host.feed_, { host.feed_.id_, 1, {} });
+    return portion ? portion->rows_ : std::string();
+  };
+  const auto apply = [&](std::string aText, std::uint64_t aRevision) {
+    gateway::ApplyItems(host,
+                        { { "servers/t1", std::move(aText), aRevision, 80 } },
+                        "watch",
+                        gateway::Now());
+  };
+  const auto withSlots = [](const std::string& aState, int aSlots) {
+    auto text = TargetText(aState);
+    text.insert(text.size() - 1, ",\"batch-size\":" + std::to_string(aSlots));
+    return text;
+  };
+  apply(withSlots("ready", 3), 81);
+  apply(withSlots("ready", 4), 82);
+  CHECK(rowsOf().find("\"revision\":81") == std::string::npos);
+  CHECK(rowsOf().find("\"revision\":82") != std::string::npos);
+  apply(withSlots("draining", 4), 83);
+  apply(withSlots("ready", 5), 84);
+  CHECK(rowsOf().find("\"revision\":82") == std::string::npos);
+  CHECK(rowsOf().find("\"revision\":83") != std::string::npos);
+  CHECK(rowsOf().find("\"revision\":84") != std::string::npos);
 }
 
 TEST_CASE("after a restore all items are listed again and no state is reverted")
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -12,6 +12,7 @@
 namespace entry_hosts = lycheeplank::entry_hosts;
 namespace fleet = lycheeplank::fleet;
 namespace gateway = lycheeplank::gateway;
+namespace http = lycheeplank::http;
 namespace cache_index = lycheeplank::cache_index;
 namespace replica = lycheeplank::replica;
 namespace test = lycheeplank::test;
@@ -314,3 +315,59 @@
   CHECK(host.role_ == gateway::Role::Relayed);
   CHECK(relay.requests_ <= 2);
 }
+
+// Guards against hosts of an earlier release that can't read the answers of a
+// relay during an update of all hosts.
+TEST_CASE("a poll without an urgent position gets all rows as plain text")
+{
+  ThreeHosts hosts;
+  auto& relay = hosts.first_.host_;
+  REQUIRE(hosts.RunUntil([&] { return relay.role_ == gateway::Role::Direct; }));
+  auto large = MakeItem("x/large", 20);
+  for (int i = 0; i < 500; ++i) {
+    large.value_ += "text ";
+  }
+  const auto first = lycheeplank::relays::NextRow(relay.feed_);
+  gateway::ApplyItems(relay, { large }, "watch", gateway::Now());
+  gateway::Publish(
+    relay, MakeItem("x/config", 21), "k", lycheeplank::relays::Urgency::Urgent);
+  const auto poll = [&](const std::string& aMore) {
+    http::Answer answer;
+    gateway::Fetch(hosts.second_.host_.callPool_,
+                   hosts.loop_,
+                   relay.settings_.peerAddress_,
+                   { "GET",
+                     absl::StrCat(gateway::kChangesPath,
+                                  "?feed=",
+                                  relay.feed_.id_,
+                                  "&from=",
+                                  first,
+                                  "&compressed=1",
+                                  aMore),
+                     {},
+                     {} },
+                   absl::Seconds(2),
+                   [&](const http::Answer& aAnswer) { answer = aAnswer; });
+    hosts.RunUntil([&] { return answer.status_ != 0; });
+    return answer;
+  };
+  const auto plain = gateway::ReadPeerUpdate(poll("").body_);
+  REQUIRE(plain);
+  REQUIRE(plain->items_.size() == 2);
+  CHECK(plain->items_[0].value_ == large.value_);
+  // A host of this release gets the urgent row first, then the rest.
+  const auto urgent = gateway::ReadPackedPeerUpdate(poll("&urgent=0").body_);
+  REQUIRE(urgent);
+  REQUIRE(urgent->items_.size() == 1);
+  CHECK(urgent->items_[0].key_ == "x/config");
+  CHECK(urgent->next_ == first);
+  const auto answer = poll(absl::StrCat("&urgent=", urgent->urgent_));
+  const auto* encoding = http::FindField(answer.fields_, "content-encoding");
+  REQUIRE(encoding != nullptr);
+  CHECK(*encoding == "deflate");
+  const auto rest = gateway::ReadPackedPeerUpdate(answer.body_);
+  REQUIRE(rest);
+  REQUIRE(rest->items_.size() == 1);
+  CHECK(rest->items_[0].key_ == "x/large");
+  CHECK(rest->next_ == first + 2);
+}
--- a/test/relays-test.cc
+++ b/test/relays-test.cc
@@ -27,6 +27,14 @@
   return hosts;
 }
 
+// Returns the rows that a host of an earlier release gets from a number on.
+absl::optional<std::string>
+RowsFrom(const relays::Feed& aFeed, std::uint64_t aId, std::uint64_t aFirst)
+{
+  const auto portion = relays::PortionFor(aFeed, { aId, aFirst, {} });
+  return portion ? absl::make_optional(portion->rows_) : absl::nullopt;
+}
+
 } // namespace
 
 TEST_CASE("the hosts with the most cores of a data centre are its relays")
@@ -111,16 +119,16 @@
 {
   relays::Feed feed;
   relays::Restart(feed, 7);
-  CHECK(relays::RowsFrom(feed, 7, 1) == std::string());
+  CHECK(RowsFrom(feed, 7, 1) == std::string());
   relays::AddRow(feed, "1");
   relays::AddRow(feed, "2");
-  CHECK(relays::RowsFrom(feed, 7, 1) == std::string("1,2"));
-  CHECK(relays::RowsFrom(feed, 7, 2) == std::string("2"));
-  CHECK(relays::RowsFrom(feed, 7, 3) == std::string());
-  CHECK_FALSE(relays::RowsFrom(feed, 7, 4));
-  CHECK_FALSE(relays::RowsFrom(feed, 8, 1));
+  CHECK(RowsFrom(feed, 7, 1) == std::string("1,2"));
+  CHECK(RowsFrom(feed, 7, 2) == std::string("2"));
+  CHECK(RowsFrom(feed, 7, 3) == std::string());
+  CHECK_FALSE(RowsFrom(feed, 7, 4));
+  CHECK_FALSE(RowsFrom(feed, 8, 1));
   relays::Restart(feed, 9);
-  CHECK_FALSE(relays::RowsFrom(feed, 7, 2));
+  CHECK_FALSE(RowsFrom(feed, 7, 2));
 }
 
 TEST_CASE("a feed keeps a bounded number of rows and bytes")
@@ -131,8 +139,8 @@
     relays::AddRow(feed, "x");
   }
   CHECK(feed.rows_.size() == relays::kMaxRows);
-  CHECK_FALSE(relays::RowsFrom(feed, 7, 10));
-  CHECK(relays::RowsFrom(feed, 7, 11));
+  CHECK_FALSE(RowsFrom(feed, 7, 10));
+  CHECK(RowsFrom(feed, 7, 11));
   relays::AddRow(feed, std::string(relays::kMaxBytes, 'y'));
   CHECK(feed.bytes_ <= relays::kMaxBytes);
   CHECK(relays::NextRow(feed) == relays::kMaxRows + 12);
@@ -147,8 +155,54 @@
   relays::AddRow(feed, "old", "k");
   relays::AddRow(feed, "other");
   relays::AddRow(feed, "new", "k");
-  CHECK(relays::RowsFrom(feed, 7, 1) == std::string("other,new"));
-  CHECK(relays::RowsFrom(feed, 7, 2) == std::string("other,new"));
+  CHECK(RowsFrom(feed, 7, 1) == std::string("other,new"));
+  CHECK(RowsFrom(feed, 7, 2) == std::string("other,new"));
   CHECK(relays::NextRow(feed) == 4);
   CHECK(feed.bytes_ == 8);
 }
+
+// Guards against a new configuration that waits behind loads and cached parts.
+TEST_CASE("an urgent row is sent first, alone and once")
+{
+  relays::Feed feed;
+  relays::Restart(feed, 7);
+  relays::AddRow(feed, "1");
+  relays::AddRow(feed, "config", "k", relays::Urgency::Urgent);
+  relays::AddRow(feed, "2");
+  const auto first = relays::PortionFor(feed, { 7, 1, 1 });
+  REQUIRE(first);
+  CHECK(first->rows_ == "config");
+  CHECK(first->position_.next_ == 1);
+  CHECK(relays::IsBehind(feed, first->position_));
+  const auto second = relays::PortionFor(feed, first->position_);
+  REQUIRE(second);
+  CHECK(second->rows_ == "1,2");
+  CHECK(second->position_.next_ == 4);
+  CHECK_FALSE(relays::IsBehind(feed, second->position_));
+  // A host of an earlier release gets it in its order.
+  CHECK(RowsFrom(feed, 7, 1) == std::string("1,config,2"));
+}
+
+// Guards against slow hosts that each hold a backlog of megabytes, and against
+// a configuration that waits for the transfer of one.
+TEST_CASE("an answer has a bounded part of the backlog")
+{
+  relays::Feed feed;
+  relays::Restart(feed, 7);
+  const std::string row(relays::kMaxPortionBytes / 4, 'x');
+  for (int i = 0; i < 6; ++i) {
+    relays::AddRow(feed, row);
+  }
+  relays::AddRow(feed, std::string(relays::kMaxPortionBytes * 2, 'y'));
+  const auto first = relays::PortionFor(feed, { 7, 1, 1 });
+  REQUIRE(first);
+  CHECK(first->position_.next_ == 5);
+  const auto second = relays::PortionFor(feed, first->position_);
+  REQUIRE(second);
+  CHECK(second->position_.next_ == 7);
+  // A larger row is sent whole.
+  const auto third = relays::PortionFor(feed, second->position_);
+  REQUIRE(third);
+  CHECK(third->position_.next_ == 8);
+  CHECK(third->rows_.size() == relays::kMaxPortionBytes * 2);
+}
--- a/test/socket-test.cc
+++ b/test/socket-test.cc
@@ -1,8 +1,10 @@
 #include "gateway/socket.h"
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <boost/asio/ip/address.hpp>
 #include <catch2/catch.hpp>
@@ -66,3 +68,70 @@
   CHECK(received == kBytes);
   CHECK_FALSE(sender->IsOpen());
 }
+
+// Guards against answers to slow hosts of which parts are lost, sent twice or
+// sent out of order, since several sockets send one text.
+TEST_CASE("a shared text is sent whole and in order to slow peers")
+{
+  using std::chrono::milliseconds;
+  gateway::Loop loop{ 1 };
+  std::string body;
+  while (body.size() < (16U << 20U)) {
+    body += std::to_string(body.size());
+  }
+  auto shared = std::make_shared<const std::string>(body);
+  std::vector<std::shared_ptr<gateway::Socket>> senders;
+  gateway::Listener listener(
+    loop,
+    gateway::Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
+    [&](std::shared_ptr<gateway::Socket> aSocket) {
+      aSocket->Open({});
+      aSocket->Send("head");
+      aSocket->SendShared(shared);
+      // One text follows while the shared one is being sent.
+      if (senders.empty()) {
+        aSocket->Send("tail");
+      }
+      senders.push_back(std::move(aSocket));
+    });
+  std::vector<std::shared_ptr<gateway::Socket>> readers;
+  std::vector<std::string> received(2);
+  for (auto& text : received) {
+    gateway::Connect(
+      loop,
+      gateway::Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                             listener.Port()),
+      absl::Seconds(5),
+      [&](std::shared_ptr<gateway::Socket> aSocket, gateway::ConnectEnd) {
+        readers.push_back(aSocket);
+        aSocket->Open({ [&text](std::string& aData) {
+                         text += aData;
+                         aData.clear();
+                       },
+                        {},
+                        {} });
+        aSocket->SetReading(false);
+      });
+  }
+  loop.run_for(milliseconds(100));
+  REQUIRE(senders.size() == 2);
+  CHECK(senders[1]->Unsent() > 0);
+  // The second socket has no copy; the first one's rest was copied.
+  CHECK(shared.use_count() == 2);
+  for (const auto& reader : readers) {
+    reader->SetReading(true);
+  }
+  const auto isDone = [&] {
+    return senders[0]->Unsent() == 0 && senders[1]->Unsent() == 0 &&
+           received[0].size() + received[1].size() >= 2 * body.size() + 12;
+  };
+  for (int i = 0; i < 2000 && !isDone(); ++i) {
+    loop.restart();
+    loop.run_for(milliseconds(5));
+  }
+  const std::vector<std::string> expected{ "head" + body,
+                                           "head" + body + "tail" };
+  std::sort(received.begin(), received.end());
+  CHECK((received == expected));
+  CHECK(shared.use_count() == 1);
+}
