Forward changes through other hosts in large data centres

In a data centre with more than 32 hosts besides its relays, the hosts with the most cores after these (the square root of their number) are forwarders: they poll a relay and serve the other hosts, each of which polls one forwarder, chosen by rendezvous hashing. A forwarder that fails, or that is of an earlier release, is replaced by the relay. Data centres with up to 34 hosts are served as before.

--- a/include/lycheeplank/relays.h
+++ b/include/lycheeplank/relays.h
@@ -39,14 +39,36 @@
 bool
 IsRelay(const entry_hosts::Hosts& aHosts, const std::string& aHost);
 
-// Maximum number of sources that a host tries before it follows the key-value
+// Maximum number of relays that a host tries before it follows the key-value
 // service itself. Each source that doesn't answer takes almost a second.
 inline constexpr std::size_t kMaxSources = 4;
 
-// Returns the hosts that a host polls for changes, best first: the relays of
-// its data centre, then the first relay of each other data centre. The order of
-// the latter differs by host, so that the hosts of a data centre without relays
-// spread over them.
+// Number of hosts that a relay serves itself. A data centre with more of them
+// has forwarders: the relay serves these and they serve the others, so that no
+// host serves more than about the square root of their number.
+inline constexpr std::size_t kMaxServedHosts = 32;
+
+// Returns the forwarders of a data centre, those with the most cores after its
+// relays; none if the relay serves all hosts itself.
+std::vector<std::string>
+ForwardersOf(const entry_hosts::Hosts& aHosts, absl::string_view aDataCentre);
+
+// Returns whether a host forwards changes from the relays of its data centre to
+// other hosts.
+bool
+IsForwarder(const entry_hosts::Hosts& aHosts, const std::string& aHost);
+
+// Returns the forwarder that serves a host; empty if a relay does. A change of
+// one forwarder moves only the hosts that it serves.
+std::string
+ForwarderOf(const entry_hosts::Hosts& aHosts,
+            absl::string_view aDataCentre,
+            const std::string& aHost);
+
+// Returns the hosts that a host polls for changes, best first: its forwarder if
+// it has one, the relays of its data centre, then the first relay of each other
+// data centre. The order of the latter differs by host, so that the hosts of a
+// data centre without relays spread over them.
 std::vector<std::string>
 SourcesOf(const entry_hosts::Hosts& aHosts,
           absl::string_view aDataCentre,
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -312,7 +312,7 @@
 RelayItem(Host& aHost, const replica::Item& aItem)
 {
   const auto kind = aHost.adapter_.parseKey_(aItem.key_).kind_;
-  if (aHost.role_ != Role::Direct ||
+  if (!PassesOn(aHost) ||
       (kind == ItemKind::Target && IsRelayed(aHost, aItem))) {
     return;
   }
@@ -556,12 +556,25 @@
     return;
   }
   aHost.role_ = aRole;
+  aHost.forwards_ = false;
   relays::Restart(aHost.feed_, aHost.NewFeedId());
   aHost.log_.Write(
     Line("role_changed").Text("role", core::NameOf(kRoles, aRole)));
   aHost.onRole_();
 }
 
+void
+SetForwards(Host& aHost, bool aForwards)
+{
+  if (aHost.forwards_ == aForwards) {
+    return;
+  }
+  aHost.forwards_ = aForwards;
+  // The feed lacks what the host has received meanwhile.
+  relays::Restart(aHost.feed_, aHost.NewFeedId());
+  aHost.log_.Write(Line("forwarding_changed").Flag("forwards", aForwards));
+}
+
 absl::Duration
 ReadTimeOf(const catalog::Route& aRoute)
 {
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -184,6 +184,10 @@
   std::mt19937_64 random_;
 
   Role role_ = Role::Starting;
+  // A relayed host passes what it receives on to others, see
+  // relays::ForwardersOf; the key-value service answers its source.
+  bool forwards_ = false;
+  bool sourceReachesStore_ = false;
   relays::Feed feed_;
   RelayedTargets relayedTargets_;
   // Runs when the key-value service has been restored from a backup.
@@ -271,8 +275,19 @@
 void
 SetRole(Host& aHost, Role aRole);
 
-// Appends a row to this host's feed if it relays changes to others. aNews: an
-// item, an update of a cache store, or a notice. aKey, aUrgency: see
+// Starts or ends the forwarding of changes.
+void
+SetForwards(Host& aHost, bool aForwards);
+
+// Returns whether a host passes changes on to others.
+inline bool
+PassesOn(const Host& aHost)
+{
+  return aHost.role_ == Role::Direct || aHost.forwards_;
+}
+
+// Appends a row to this host's feed if it passes changes on to others. aNews:
+// an item, an update of a cache store, or a notice. aKey, aUrgency: see
 // relays::AddRow.
 template<typename News>
 void
@@ -281,7 +296,7 @@
         absl::string_view aKey = {},
         relays::Urgency aUrgency = relays::Urgency::Normal)
 {
-  if (aHost.role_ == Role::Direct) {
+  if (PassesOn(aHost)) {
     relays::AddRow(aHost.feed_, WriteRow(aNews), aKey, aUrgency);
     aHost.onFeed_();
   }
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -33,6 +33,10 @@
 // Maximum number of feed positions that are kept. Positions of hosts that were
 // replaced would otherwise accumulate.
 constexpr std::size_t kMaxPositions = 32;
+// Time after which a host tries its forwarder again that doesn't forward yet,
+// and one of an earlier release, which answers with all that it knows.
+constexpr absl::Duration kForwarderRetryTime = absl::Seconds(1);
+constexpr absl::Duration kOldForwarderRetryTime = absl::Seconds(30);
 // Pause after a source has failed.
 constexpr absl::Duration kRetryPause = absl::Milliseconds(50);
 
@@ -107,13 +111,26 @@
   return { aName, host_.hosts_.at(aName).entry_.peerAddress_ };
 }
 
+std::string
+PeerFollower::Forwarder() const
+{
+  return Now() < forwarderRefusedUntil_
+           ? std::string()
+           : relays::ForwarderOf(host_.hosts_,
+                                 host_.settings_.dataCentre_,
+                                 host_.settings_.name_);
+}
+
 std::vector<PeerFollower::Peer>
 PeerFollower::Sources() const
 {
   std::vector<Peer> peers;
   for (const auto& name : relays::SourcesOf(
          host_.hosts_, host_.settings_.dataCentre_, host_.settings_.name_)) {
-    peers.push_back(PeerOf(name));
+    if (Now() >= forwarderRefusedUntil_ ||
+        !relays::IsForwarder(host_.hosts_, name)) {
+      peers.push_back(PeerOf(name));
+    }
   }
   return peers;
 }
@@ -226,7 +243,8 @@
                        "&from=",
                        position.next_,
                        "&compressed=1&urgent=",
-                       position.urgent_),
+                       position.urgent_,
+                       aPeer.name_ == Forwarder() ? "&forwarded=1" : ""),
           {},
           {} },
         relays::kPollTime + kPeerTimeout,
@@ -252,10 +270,22 @@
                        static_cast<double>(aAnswer.received_));
   host_.metrics_.Observe("peer_update_seconds", aAnswer.transferTime_);
   const bool isRelay = IsRelay();
-  if (!isRelay && !update->sender_.isDirect_) {
+  const bool isForwarder = aPeer.name_ == Forwarder();
+  const bool forwards = update->sender_.forwards_.value_or(false);
+  if (isForwarder && !update->sender_.isDirect_ && !forwards) {
+    OnForwarderRefusal(update->sender_.forwards_.has_value());
+    return;
+  }
+  if (!isRelay && !update->sender_.isDirect_ && !(isForwarder && forwards)) {
     OnFailure(aPeer, "peer polls other hosts itself", aAnswer);
     return;
   }
+  // Rows of the update are passed on if the host forwards already.
+  if (host_.role_ == Role::Relayed) {
+    SetForwards(host_,
+                update->sender_.isDirect_ &&
+                  relays::IsForwarder(host_.hosts_, host_.settings_.name_));
+  }
   positions_[aPeer.name_] = { update->feed_, update->next_, update->urgent_ };
   ApplyUpdate(*update, aAskedAt);
   if (!isRelay && !update->sender_.storeReachable_ && host_.store_.reachable_) {
@@ -274,6 +304,27 @@
     return;
   }
   SetRole(host_, Role::Relayed);
+  if (std::exchange(host_.sourceReachesStore_,
+                    update->sender_.storeReachable_) !=
+      update->sender_.storeReachable_) {
+    host_.onFeed_();
+  }
+  ScheduleStep(absl::ZeroDuration());
+}
+
+void
+PeerFollower::OnForwarderRefusal(bool aIsCurrent)
+{
+  if (aIsCurrent && host_.role_ == Role::Starting && host_.store_.reachable_ &&
+      Now() - servesSince_ < kStartTimeout) {
+    // The forwarder is starting as well. If all hosts asked the relay instead,
+    // their snapshots would occupy its link for seconds.
+    ScheduleStep(Jitter(host_, kRetryPause));
+    return;
+  }
+  forwarderRefusedUntil_ =
+    Now() +
+    Jitter(host_, aIsCurrent ? kForwarderRetryTime : kOldForwarderRetryTime);
   ScheduleStep(absl::ZeroDuration());
 }
 
@@ -294,12 +345,20 @@
   if (!aUpdate.notices_.empty()) {
     ApplyNotices(host_, aUpdate.notices_);
   }
+  if (host_.forwards_) {
+    for (const auto& notice : aUpdate.notices_) {
+      Publish(host_, notice);
+    }
+  }
   if (host_.role_ == Role::Direct && IsRelay()) {
     // A relay follows the cache stores itself.
     return;
   }
   for (const auto& store : aUpdate.stores_) {
     ApplyStoreUpdate(host_, store, sentSince);
+    if (host_.forwards_) {
+      Publish(host_, store);
+    }
   }
   ApplySenderStatus(host_, aUpdate.sender_, sentSince);
 }
--- a/src/gateway/peer-follower.h
+++ b/src/gateway/peer-follower.h
@@ -15,7 +15,8 @@
 namespace lycheeplank::gateway {
 
 // Chooses from where this host gets changes, and polls peers for them. A host
-// polls the relays of its data centre, then relays of other data centres. It
+// polls its forwarder in a large data centre, the relays of its data centre,
+// then relays of other data centres. It
 // follows the key-value service and the cache stores itself if it is a relay or
 // if no relay answers. A relay polls any peer while the key-value service
 // doesn't answer it.
@@ -40,7 +41,10 @@
   bool CanChooseSource();
   bool IsRelay() const;
   Peer PeerOf(const std::string& aName) const;
-  // Returns the relays that this host may poll, best first.
+  // Returns the forwarder that serves this host; empty if a relay does or if
+  // the forwarder has refused a poll.
+  std::string Forwarder() const;
+  // Returns the hosts that this host may poll, best first.
   std::vector<Peer> Sources() const;
   void StepAsRelay();
   // Returns a random known host or, if none is known, a random seed from the
@@ -50,6 +54,9 @@
   void OnUpdate(const Peer& aPeer,
                 const http::Answer& aAnswer,
                 absl::Time aAskedAt);
+  // Polls a forwarder that doesn't forward later, and a relay until then.
+  // aIsCurrent: it is of a release that can forward.
+  void OnForwarderRefusal(bool aIsCurrent);
   // aAskedAt: when the update was asked for.
   void ApplyUpdate(const PeerUpdate& aUpdate, absl::Time aAskedAt);
   void OnFailure(const Peer& aPeer,
@@ -73,6 +80,7 @@
   std::size_t failures_ = 0;
   absl::Time bestTriedAt_ = absl::InfinitePast();
   bool following_ = false;
+  absl::Time forwarderRefusedUntil_ = absl::InfinitePast();
   absl::Time startedAt_ = absl::InfinitePast();
   // Since when the starting host could serve requests, and since when it has
   // been on its own list of hosts.
--- a/src/gateway/peer-updates.h
+++ b/src/gateway/peer-updates.h
@@ -71,7 +71,10 @@
 {
   // The sender follows the key-value service and the cache stores itself.
   bool isDirect_ = false;
-  // The key-value service answers the sender.
+  // The sender forwards the changes of a relay that does; no value if it is of
+  // an earlier release.
+  absl::optional<bool> forwards_;
+  // The key-value service answers the sender, or the relay behind it.
   bool storeReachable_ = false;
   // Latest era of the key-value service that the sender knows.
   std::uint64_t era_ = 0;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -112,13 +112,22 @@
   return absl::StrJoin(rows, ",");
 }
 
+// Returns whether the key-value service answers this host, or the relay whose
+// changes it forwards.
+bool
+ReachesStore(const Host& aHost)
+{
+  return aHost.forwards_ ? aHost.sourceReachesStore_ : aHost.store_.reachable_;
+}
+
 SenderStatus
 StatusOf(const Host& aHost)
 {
   const auto now = Now();
   SenderStatus status;
   status.isDirect_ = aHost.role_ == Role::Direct && CanServe(aHost);
-  status.storeReachable_ = aHost.store_.reachable_;
+  status.forwards_ = aHost.forwards_ && CanServe(aHost);
+  status.storeReachable_ = ReachesStore(aHost);
   status.era_ = aHost.store_.era_.value_or(0);
   status.itemsAge_ = now - aHost.itemsCompleteAt_;
   status.knownTime_ =
@@ -197,7 +206,12 @@
   if (!http::QueryParameter(target, "urgent").empty()) {
     position.urgent_ = QueryNumber(target, "urgent");
   }
-  if (host_.stopping_ || host_.role_ != Role::Direct) {
+  if (!PassesOn(host_) && QueryNumber(target, "forwarded") != 0) {
+    // The caller wants to follow this host and isn't served with its state.
+    Send(aCaller, Pack(position, StatusOf(host_), {}));
+    return;
+  }
+  if (host_.stopping_ || !PassesOn(host_)) {
     Send(aCaller, AnswerFor(position));
     return;
   }
@@ -270,8 +284,7 @@
 PeerServer::OnNewRows()
 {
   const bool changed =
-    std::exchange(storeReachable_, host_.store_.reachable_) !=
-    host_.store_.reachable_;
+    std::exchange(storeReachable_, ReachesStore(host_)) != ReachesStore(host_);
   relays::StartBatch(polls_, Now(), changed);
   SetTimer();
 }
@@ -386,9 +399,17 @@
 absl::Duration
 NoticePropagationTime(const Host& aHost)
 {
-  return relays::IsLargeDeployment(aHost.hosts_)
-           ? kNoticeTransitTime * 2 + relays::kBatchTime * 2
-           : kNoticeTransitTime;
+  if (!relays::IsLargeDeployment(aHost.hosts_)) {
+    return kNoticeTransitTime;
+  }
+  const auto dataCentres = relays::DataCentres(aHost.hosts_);
+  const bool isForwarded = std::any_of(
+    dataCentres.begin(), dataCentres.end(), [&aHost](const auto& aName) {
+      return !relays::ForwardersOf(aHost.hosts_, aName).empty();
+    });
+  const double hops = isForwarded ? 2.0 : 1.0;
+  return kNoticeTransitTime +
+         hops * (kNoticeTransitTime + relays::kBatchTime * 2);
 }
 
 } // namespace lycheeplank::gateway
--- a/src/relays/relays.cc
+++ b/src/relays/relays.cc
@@ -1,6 +1,7 @@
 #include "lycheeplank/relays.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -17,6 +18,47 @@
 // same order of claims.
 constexpr std::uint64_t kRevisionsPerOrder = 64;
 
+// Returns the number of relays of each data centre.
+std::size_t
+CountRelays(const entry_hosts::Hosts& aHosts)
+{
+  absl::btree_set<absl::string_view> dataCentres;
+  for (const auto& [name, host] : aHosts) {
+    dataCentres.insert(host.entry_.dataCentre_);
+  }
+  return dataCentres.size() * kRelaysPerDataCentre <= kMaxRelays
+           ? kRelaysPerDataCentre
+           : 1;
+}
+
+// Returns up to aCount hosts of a data centre after the first aSkipped, in the
+// order in which all hosts choose relays and forwarders: those with the most
+// cores first, without leaving ones.
+std::vector<std::string>
+Ranked(const entry_hosts::Hosts& aHosts,
+       absl::string_view aDataCentre,
+       std::size_t aSkipped,
+       std::size_t aCount)
+{
+  std::vector<std::tuple<double, std::uint64_t, absl::string_view>> ranks;
+  for (const auto& [name, host] : aHosts) {
+    const auto& entry = host.entry_;
+    if (entry.dataCentre_ == aDataCentre && !entry.leaving_) {
+      ranks.emplace_back(
+        -entry.cores_, core::RendezvousScore(aDataCentre, name), name);
+    }
+  }
+  const auto end = std::min(aSkipped + aCount, ranks.size());
+  std::partial_sort(ranks.begin(),
+                    ranks.begin() + static_cast<std::ptrdiff_t>(end),
+                    ranks.end());
+  std::vector<std::string> names;
+  for (std::size_t i = aSkipped; i < end; ++i) {
+    names.emplace_back(std::get<2>(ranks[i]));
+  }
+  return names;
+}
+
 const Row&
 RowAt(const Feed& aFeed, std::uint64_t aNumber)
 {
@@ -47,24 +89,50 @@
 std::vector<std::string>
 RelaysOf(const entry_hosts::Hosts& aHosts, absl::string_view aDataCentre)
 {
-  std::vector<std::tuple<double, std::uint64_t, std::string>> ranks;
+  return Ranked(aHosts, aDataCentre, 0, CountRelays(aHosts));
+}
+
+std::vector<std::string>
+ForwardersOf(const entry_hosts::Hosts& aHosts, absl::string_view aDataCentre)
+{
+  std::size_t hosts = 0;
   for (const auto& [name, host] : aHosts) {
-    const auto& entry = host.entry_;
-    if (entry.dataCentre_ == aDataCentre && !entry.leaving_) {
-      ranks.emplace_back(
-        -entry.cores_, core::RendezvousScore(aDataCentre, name), name);
-    }
+    hosts += host.entry_.dataCentre_ == aDataCentre ? 1 : 0;
   }
-  std::sort(ranks.begin(), ranks.end());
-  const std::size_t count =
-    DataCentres(aHosts).size() * kRelaysPerDataCentre <= kMaxRelays
-      ? kRelaysPerDataCentre
-      : 1;
-  std::vector<std::string> names;
-  for (std::size_t i = 0; i < std::min(count, ranks.size()); ++i) {
-    names.push_back(std::get<2>(ranks[i]));
+  const auto relays = CountRelays(aHosts);
+  if (hosts <= relays + kMaxServedHosts) {
+    return {};
   }
-  return names;
+  const auto count = static_cast<std::size_t>(
+    std::ceil(std::sqrt(static_cast<double>(hosts - relays))));
+  return Ranked(aHosts, aDataCentre, relays, count);
+}
+
+bool
+IsForwarder(const entry_hosts::Hosts& aHosts, const std::string& aHost)
+{
+  const auto own = aHosts.find(aHost);
+  if (own == aHosts.end()) {
+    return false;
+  }
+  const auto forwarders = ForwardersOf(aHosts, own->second.entry_.dataCentre_);
+  return std::find(forwarders.begin(), forwarders.end(), aHost) !=
+         forwarders.end();
+}
+
+std::string
+ForwarderOf(const entry_hosts::Hosts& aHosts,
+            absl::string_view aDataCentre,
+            const std::string& aHost)
+{
+  std::pair<std::uint64_t, std::string> best;
+  for (auto& name : ForwardersOf(aHosts, aDataCentre)) {
+    if (name == aHost) {
+      return {};
+    }
+    best = std::max(best, { core::RendezvousScore(aHost, name), name });
+  }
+  return best.second;
 }
 
 bool
@@ -85,6 +153,8 @@
           const std::string& aHost)
 {
   auto sources = RelaysOf(aHosts, aDataCentre);
+  const bool isRelay =
+    std::find(sources.begin(), sources.end(), aHost) != sources.end();
   std::vector<std::pair<std::uint64_t, std::string>> others;
   for (const auto& dataCentre : DataCentres(aHosts)) {
     if (const auto relays = RelaysOf(aHosts, dataCentre);
@@ -100,6 +170,10 @@
   sources.erase(std::remove(sources.begin(), sources.end(), aHost),
                 sources.end());
   sources.resize(std::min(sources.size(), kMaxSources));
+  if (auto forwarder = ForwarderOf(aHosts, aDataCentre, aHost);
+      !isRelay && !forwarder.empty()) {
+    sources.insert(sources.begin(), std::move(forwarder));
+  }
   return sources;
 }
 
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -2,6 +2,7 @@
 
 #include <random>
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
@@ -14,6 +15,7 @@
 namespace gateway = lycheeplank::gateway;
 namespace http = lycheeplank::http;
 namespace cache_index = lycheeplank::cache_index;
+namespace relays = lycheeplank::relays;
 namespace replica = lycheeplank::replica;
 namespace test = lycheeplank::test;
 
@@ -32,6 +34,7 @@
         gateway::Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
         [] { return catalog::RequestLimits(); },
         [this](const gateway::ServerConnectionPtr& aCaller) {
+          forwarded_ += absl::StrContains(aCaller->Head().target_, "forwarded");
           peers_.Answer(aCaller);
         })
   {
@@ -70,6 +73,8 @@
   gateway::PeerServer peers_;
   std::shared_ptr<gateway::PeerFollower> follower_;
   gateway::Server server_;
+  // Number of polls by hosts whose forwarder this one is.
+  int forwarded_ = 0;
 };
 
 // Two relays and a third host in one data centre.
@@ -371,3 +376,104 @@
   CHECK(rest->items_[0].key_ == "x/large");
   CHECK(rest->next_ == first + 2);
 }
+
+namespace {
+
+// Two relays, a forwarder and a host that it serves, in a data centre with more
+// hosts than a relay serves. The other hosts don't run.
+struct LargeDataCentre : ThreeHosts
+{
+  LargeDataCentre()
+  {
+    entry_hosts::Hosts list;
+    const auto add = [&list](entry_hosts::HostEntry aEntry) {
+      const auto name = aEntry.name_;
+      list[name] = { std::move(aEntry) };
+    };
+    add(first_.Entry(0.5));
+    add(second_.Entry(0.5));
+    add(third_.Entry(0.3));
+    for (std::size_t i = 0; i < relays::kMaxServedHosts + 4; ++i) {
+      auto entry = third_.Entry(0.1);
+      entry.name_ = absl::StrCat("absent", i);
+      entry.peerAddress_ = "127.0.0.1:1";
+      add(entry);
+    }
+    std::string name;
+    for (int i = 0; name.empty(); ++i) {
+      const auto candidate = absl::StrCat("leaf", i);
+      if (relays::ForwarderOf(list, "a", candidate) == "h3") {
+        name = candidate;
+      }
+    }
+    leaf_ = std::make_unique<PeerHost>(loop_, name);
+    auto entry = leaf_->Entry(0.05);
+    add(entry);
+    for (auto* host : { &first_, &second_, &third_, leaf_.get() }) {
+      host->host_.hosts_ = list;
+    }
+    leaf_->follower_->Start();
+  }
+
+  std::unique_ptr<PeerHost> leaf_;
+};
+
+} // namespace
+
+// Guards against a relay whose link or processor can't serve all hosts of its
+// data centre.
+TEST_CASE("a forwarder passes on what a relay says, and is replaced")
+{
+  LargeDataCentre hosts;
+  auto& leaf = hosts.leaf_->host_;
+  auto& forwarder = hosts.third_.host_;
+  REQUIRE(hosts.RunUntil([&] {
+    return leaf.role_ == gateway::Role::Relayed && forwarder.forwards_ &&
+           hosts.third_.forwarded_ > 3;
+  }));
+  const auto publish = [&](const std::string& aKey, std::uint64_t aRevision) {
+    for (auto* relay : { &hosts.first_, &hosts.second_ }) {
+      if (relay->host_.role_ == gateway::Role::Direct) {
+        gateway::ApplyItems(
+          relay->host_, { MakeItem(aKey, aRevision) }, "watch", gateway::Now());
+        gateway::Publish(
+          relay->host_,
+          gateway::StoreUpdate{
+            "c1", false, false, 4, 2, { { true, "s", "p", 64 } } });
+      }
+    }
+  };
+  publish("x/one", 9);
+  gateway::BroadcastNotices(hosts.first_.host_,
+                            { { gateway::Notice::Kind::LoadOrdered,
+                                "t1",
+                                "m",
+                                2,
+                                absl::Seconds(60) } });
+  CHECK(hosts.RunUntil([&] {
+    return replica::Find(leaf.replica_, "x/one") != nullptr &&
+           leaf.cacheIndex_.stores_.at("c1").usedTokens_ == 64 &&
+           leaf.members_.at("t1").weightLoadUntil_ > gateway::Now();
+  }));
+  CHECK(relays::NextRow(forwarder.feed_) > 1);
+  // The relay serves the host when the forwarder is gone.
+  hosts.third_.server_.StopListening();
+  hosts.third_.server_.CloseAfterAnswers();
+  publish("x/two", 10);
+  CHECK(hosts.RunUntil(
+    [&] { return replica::Find(leaf.replica_, "x/two") != nullptr; }));
+  CHECK(leaf.role_ == gateway::Role::Relayed);
+}
+
+// Guards against hosts that wait for a forwarder of an earlier release, or for
+// one that follows the key-value service itself.
+TEST_CASE("a host polls a relay while its forwarder doesn't forward")
+{
+  LargeDataCentre hosts;
+  auto& leaf = hosts.leaf_->host_;
+  // The forwarder takes itself for a host that another one serves.
+  hosts.third_.host_.hosts_.at("h3").entry_.cores_ = 0.01;
+  REQUIRE(hosts.RunUntil([&] { return leaf.role_ == gateway::Role::Relayed; }));
+  CHECK(hosts.third_.forwarded_ > 0);
+  CHECK_FALSE(hosts.third_.host_.forwards_);
+}
--- a/test/relays-test.cc
+++ b/test/relays-test.cc
@@ -1,6 +1,7 @@
 #include "lycheeplank/relays.h"
 
 #include <algorithm>
+#include <map>
 
 #include <catch2/catch.hpp>
 
@@ -206,3 +207,49 @@
   CHECK(third->position_.next_ == 8);
   CHECK(third->rows_.size() == relays::kMaxPortionBytes * 2);
 }
+
+// Guards against a host that serves many others: of 100 hosts in a data centre
+// a relay served 98.
+TEST_CASE("no host serves more than some others in a large data centre")
+{
+  for (const int count : { 8, 52, 78, 300 }) {
+    const auto hosts = MakeHosts(count);
+    std::map<std::string, std::size_t> served;
+    for (const auto& [name, host] : hosts) {
+      const auto sources =
+        relays::SourcesOf(hosts, host.entry_.dataCentre_, name);
+      if (!relays::IsRelay(hosts, name)) {
+        ++served[sources.front()];
+        // Further sources are relays.
+        CHECK(relays::IsRelay(hosts, sources[1]));
+      }
+    }
+    std::size_t most = 0;
+    for (const auto& [name, number] : served) {
+      most = std::max(most, number);
+    }
+    INFO(count << " hosts");
+    CHECK(most <= relays::kMaxServedHosts);
+    // Smaller data centres have no forwarders.
+    CHECK(relays::ForwardersOf(hosts, "a").empty() == (count <= 68));
+  }
+}
+
+// Guards against hosts that all get another forwarder when one of them leaves.
+TEST_CASE("a forwarder that leaves moves only the hosts that it serves")
+{
+  auto hosts = MakeHosts(200);
+  std::map<std::string, std::string> before;
+  for (const auto& [name, host] : hosts) {
+    before[name] = relays::ForwarderOf(hosts, "a", name);
+  }
+  const auto leaving = relays::ForwardersOf(hosts, "a").front();
+  hosts.at(leaving).entry_.leaving_ = true;
+  std::size_t moved = 0;
+  for (const auto& [name, host] : hosts) {
+    const auto now = relays::ForwarderOf(hosts, "a", name);
+    moved += now != before[name] && before[name] != leaving ? 1 : 0;
+  }
+  // Some move to the host that became a forwarder instead.
+  CHECK(moved < 30);
+}
