--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -91,6 +91,19 @@
   std::shared_ptr<Timer> timer_;
 };
 
+// What the newest rows of the feed say of targets, by key of the entry.
+struct RelayedTargets
+{
+  struct Entry
+  {
+    std::uint64_t era_ = 0;
+    fleet::Target target_;
+  };
+  // Id of the feed.
+  std::uint64_t feed_ = 0;
+  absl::flat_hash_map<std::string, Entry> targets_;
+};
+
 // State that the parts of one host share. Used only from the thread of the
 // event loop.
 struct Host
@@ -173,7 +186,12 @@
   std::mt19937_64 random_;
 
   Role role_ = Role::Starting;
+  // A relayed host passes what it receives on to others, see
+  // relays::ForwardersOf; the key-value service answers its source.
+  bool forwards_ = false;
+  bool sourceReachesStore_ = false;
   relays::Feed feed_;
+  RelayedTargets relayedTargets_;
   // Runs when the key-value service has been restored from a backup.
   std::function<void()> onNewEra_ = [] {};
   // Runs when the key-value service answers again after failed calls; the
@@ -259,14 +277,29 @@
 void
 SetRole(Host& aHost, Role aRole);
 
-// Appends a row to this host's feed if it relays changes to others. aNews: an
-// item, an update of a cache store, or a notice. aKey: see relays::AddRow.
+// Starts or ends the forwarding of changes.
+void
+SetForwards(Host& aHost, bool aForwards);
+
+// Returns whether a host passes changes on to others.
+inline bool
+PassesOn(const Host& aHost)
+{
+  return aHost.role_ == Role::Direct || aHost.forwards_;
+}
+
+// Appends a row to this host's feed if it passes changes on to others. aNews:
+// an item, an update of a cache store, or a notice. aKey, aUrgency: see
+// relays::AddRow.
 template<typename News>
 void
-Publish(Host& aHost, const News& aNews, absl::string_view aKey = {})
+Publish(Host& aHost,
+        const News& aNews,
+        absl::string_view aKey = {},
+        relays::Urgency aUrgency = relays::Urgency::Normal)
 {
-  if (aHost.role_ == Role::Direct) {
-    relays::AddRow(aHost.feed_, WriteRow(aNews), aKey);
+  if (PassesOn(aHost)) {
+    relays::AddRow(aHost.feed_, WriteRow(aNews), aKey, aUrgency);
     aHost.onFeed_();
   }
 }
--- a/src/relays/relays.cc
+++ b/src/relays/relays.cc
@@ -1,11 +1,10 @@
 #include "lycheeplank/relays.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
-#include <absl/container/btree_set.h>
-#include <absl/container/flat_hash_map.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 
@@ -19,12 +18,29 @@
 // same order of claims.
 constexpr std::uint64_t kRevisionsPerOrder = 64;
 
-} // namespace
+// Returns the number of relays of each data centre.
+std::size_t
+CountRelays(const entry_hosts::Hosts& aHosts)
+{
+  absl::btree_set<absl::string_view> dataCentres;
+  for (const auto& [name, host] : aHosts) {
+    dataCentres.insert(host.entry_.dataCentre_);
+  }
+  return dataCentres.size() * kRelaysPerDataCentre <= kMaxRelays
+           ? kRelaysPerDataCentre
+           : 1;
+}
 
+// Returns up to aCount hosts of a data centre after the first aSkipped, in the
+// order in which all hosts choose relays and forwarders: those with the most
+// cores first, without leaving ones.
 std::vector<std::string>
-RelaysOf(const entry_hosts::Hosts& aHosts, absl::string_view aDataCentre)
+Ranked(const entry_hosts::Hosts& aHosts,
+       absl::string_view aDataCentre,
+       std::size_t aSkipped,
+       std::size_t aCount)
 {
-  std::vector<std::tuple<double, std::uint64_t, std::string>> ranks;
+  std::vector<std::tuple<double, std::uint64_t, absl::string_view>> ranks;
   for (const auto& [name, host] : aHosts) {
     const auto& entry = host.entry_;
     if (entry.dataCentre_ == aDataCentre && !entry.leaving_) {
@@ -32,18 +48,93 @@
         -entry.cores_, core::RendezvousScore(aDataCentre, name), name);
     }
   }
-  std::sort(ranks.begin(), ranks.end());
-  const std::size_t count =
-    DataCentres(aHosts).size() * kRelaysPerDataCentre <= kMaxRelays
-      ? kRelaysPerDataCentre
-      : 1;
+  const auto end = std::min(aSkipped + aCount, ranks.size());
+  std::partial_sort(ranks.begin(),
+                    ranks.begin() + static_cast<std::ptrdiff_t>(end),
+                    ranks.end());
   std::vector<std::string> names;
-  for (std::size_t i = 0; i < std::min(count, ranks.size()); ++i) {
-    names.push_back(std::get<2>(ranks[i]));
+  for (std::size_t i = aSkipped; i < end; ++i) {
+    names.emplace_back(std::get<2>(ranks[i]));
   }
   return names;
 }
 
+const Row&
+RowAt(const Feed& aFeed, std::uint64_t aNumber)
+{
+  return aFeed.rows_[aNumber - aFeed.first_];
+}
+
+// Empties a row of a feed.
+void
+Remove(Feed& aFeed, Row& aRow, std::uint64_t aNumber)
+{
+  aFeed.bytes_ -= aRow.text_.size();
+  aFeed.urgent_.erase(aNumber);
+  aRow = {};
+}
+
+// Returns whether a host lacks a row that isn't before its position.
+bool
+IsDue(const Feed& aFeed, const Position& aPosition, std::uint64_t aNumber)
+{
+  const auto& row = RowAt(aFeed, aNumber);
+  const bool isReceived = row.urgency_ == Urgency::Urgent &&
+                          aPosition.urgent_ && aNumber < *aPosition.urgent_;
+  return !row.text_.empty() && !isReceived;
+}
+
+} // namespace
+
+std::vector<std::string>
+RelaysOf(const entry_hosts::Hosts& aHosts, absl::string_view aDataCentre)
+{
+  return Ranked(aHosts, aDataCentre, 0, CountRelays(aHosts));
+}
+
+std::vector<std::string>
+ForwardersOf(const entry_hosts::Hosts& aHosts, absl::string_view aDataCentre)
+{
+  std::size_t hosts = 0;
+  for (const auto& [name, host] : aHosts) {
+    hosts += host.entry_.dataCentre_ == aDataCentre ? 1 : 0;
+  }
+  const auto relays = CountRelays(aHosts);
+  if (hosts <= relays + kMaxServedHosts) {
+    return {};
+  }
+  const auto count = static_cast<std::size_t>(
+    std::ceil(std::sqrt(static_cast<double>(hosts - relays))));
+  return Ranked(aHosts, aDataCentre, relays, count);
+}
+
+bool
+IsForwarder(const entry_hosts::Hosts& aHosts, const std::string& aHost)
+{
+  const auto own = aHosts.find(aHost);
+  if (own == aHosts.end()) {
+    return false;
+  }
+  const auto forwarders = ForwardersOf(aHosts, own->second.entry_.dataCentre_);
+  return std::find(forwarders.begin(), forwarders.end(), aHost) !=
+         forwarders.end();
+}
+
+std::string
+ForwarderOf(const entry_hosts::Hosts& aHosts,
+            absl::string_view aDataCentre,
+            const std::string& aHost)
+{
+  std::pair<std::uint64_t, std::string> best;
+  for (auto& name : ForwardersOf(aHosts, aDataCentre)) {
+    if (name == aHost) {
+      return {};
+    }
+    best = std::max(best, { core::RendezvousScore(aHost, name), name });
+  }
+  return best.second;
+}
+
 bool
 IsRelay(const entry_hosts::Hosts& aHosts, const std::string& aHost)
 {
@@ -62,6 +153,8 @@
           const std::string& aHost)
 {
   auto sources = RelaysOf(aHosts, aDataCentre);
+  const bool isRelay =
+    std::find(sources.begin(), sources.end(), aHost) != sources.end();
   std::vector<std::pair<std::uint64_t, std::string>> others;
   for (const auto& dataCentre : DataCentres(aHosts)) {
     if (const auto relays = RelaysOf(aHosts, dataCentre);
@@ -77,6 +170,10 @@
   sources.erase(std::remove(sources.begin(), sources.end(), aHost),
                 sources.end());
   sources.resize(std::min(sources.size(), kMaxSources));
+  if (auto forwarder = ForwarderOf(aHosts, aDataCentre, aHost);
+      !isRelay && !forwarder.empty()) {
+    sources.insert(sources.begin(), std::move(forwarder));
+  }
   return sources;
 }
 
@@ -135,41 +232,89 @@
 }
 
 void
-AddRow(Feed& aFeed, std::string aText, absl::string_view aKey)
+AddRow(Feed& aFeed, std::string aText, absl::string_view aKey, Urgency aUrgency)
 {
+  const auto number = NextRow(aFeed);
   if (!aKey.empty()) {
-    for (auto& row : aFeed.rows_) {
-      if (row.key_ == aKey) {
-        aFeed.bytes_ -= row.text_.size();
-        row = {};
-      }
+    auto [newest, isNew] = aFeed.newest_.try_emplace(aKey, number);
+    if (!isNew) {
+      Remove(aFeed, aFeed.rows_[newest->second - aFeed.first_], newest->second);
+      newest->second = number;
     }
   }
+  if (aUrgency == Urgency::Urgent) {
+    aFeed.urgent_.insert(number);
+  }
   aFeed.bytes_ += aText.size();
-  aFeed.rows_.push_back({ std::move(aText), std::string(aKey) });
+  aFeed.rows_.push_back({ std::move(aText), std::string(aKey), aUrgency });
   while (aFeed.rows_.size() > kMaxRows || aFeed.bytes_ > kMaxBytes) {
-    aFeed.bytes_ -= aFeed.rows_.front().text_.size();
+    auto& row = aFeed.rows_.front();
+    if (!row.key_.empty()) {
+      aFeed.newest_.erase(row.key_);
+    }
+    Remove(aFeed, row, aFeed.first_);
     aFeed.rows_.pop_front();
     ++aFeed.first_;
   }
 }
 
-absl::optional<std::string>
-RowsFrom(const Feed& aFeed, std::uint64_t aId, std::uint64_t aFirst)
+absl::optional<Portion>
+PortionFor(const Feed& aFeed, const Position& aPosition)
 {
-  if (aId != aFeed.id_ || aFirst < aFeed.first_ || aFirst > NextRow(aFeed)) {
+  const auto& [id, next, urgent] = aPosition;
+  if (!IsKnown(aFeed, aPosition)) {
     return absl::nullopt;
   }
+  Portion portion{ {}, aPosition };
   std::vector<absl::string_view> texts;
-  for (auto at = aFeed.rows_.begin() +
-                 static_cast<std::ptrdiff_t>(aFirst - aFeed.first_);
-       at != aFeed.rows_.end();
-       ++at) {
-    if (!at->text_.empty()) {
-      texts.emplace_back(at->text_);
+  if (urgent) {
+    portion.position_.urgent_ = std::max(*urgent, NextRow(aFeed));
+    for (auto at = aFeed.urgent_.lower_bound(std::max(next, *urgent));
+         at != aFeed.urgent_.end();
+         ++at) {
+      texts.emplace_back(RowAt(aFeed, *at).text_);
+    }
+    if (!texts.empty()) {
+      portion.rows_ = absl::StrJoin(texts, ",");
+      return portion;
+    }
+  }
+  std::size_t bytes = 0;
+  auto& number = portion.position_.next_;
+  for (; number < NextRow(aFeed); ++number) {
+    if (!IsDue(aFeed, aPosition, number)) {
+      continue;
+    }
+    const auto& text = RowAt(aFeed, number).text_;
+    if (bytes > 0 && bytes + text.size() > kMaxPortionBytes) {
+      break;
+    }
+    bytes += text.size();
+    texts.emplace_back(text);
+  }
+  portion.rows_ = absl::StrJoin(texts, ",");
+  return portion;
+}
+
+bool
+IsKnown(const Feed& aFeed, const Position& aPosition)
+{
+  return aPosition.feed_ == aFeed.id_ && aPosition.next_ >= aFeed.first_ &&
+         aPosition.next_ <= NextRow(aFeed);
+}
+
+bool
+IsBehind(const Feed& aFeed, const Position& aPosition)
+{
+  if (!IsKnown(aFeed, aPosition)) {
+    return true;
+  }
+  for (auto number = aPosition.next_; number < NextRow(aFeed); ++number) {
+    if (IsDue(aFeed, aPosition, number)) {
+      return true;
     }
   }
-  return absl::StrJoin(texts, ",");
+  return false;
 }
 
 } // namespace lycheeplank::relays
--- a/test/relays-test.cc
+++ b/test/relays-test.cc
@@ -1,6 +1,7 @@
 #include "lycheeplank/relays.h"
 
 #include <algorithm>
+#include <map>
 
 #include <catch2/catch.hpp>
 
@@ -27,6 +28,14 @@
   return hosts;
 }
 
+// Returns the rows that a host of an earlier release gets from a number on.
+absl::optional<std::string>
+RowsFrom(const relays::Feed& aFeed, std::uint64_t aId, std::uint64_t aFirst)
+{
+  const auto portion = relays::PortionFor(aFeed, { aId, aFirst, {} });
+  return portion ? absl::make_optional(portion->rows_) : absl::nullopt;
+}
+
 } // namespace
 
 TEST_CASE("the hosts with the most cores of a data centre are its relays")
@@ -111,16 +120,16 @@
 {
   relays::Feed feed;
   relays::Restart(feed, 7);
-  CHECK(relays::RowsFrom(feed, 7, 1) == std::string());
+  CHECK(RowsFrom(feed, 7, 1) == std::string());
   relays::AddRow(feed, "1");
   relays::AddRow(feed, "2");
-  CHECK(relays::RowsFrom(feed, 7, 1) == std::string("1,2"));
-  CHECK(relays::RowsFrom(feed, 7, 2) == std::string("2"));
-  CHECK(relays::RowsFrom(feed, 7, 3) == std::string());
-  CHECK_FALSE(relays::RowsFrom(feed, 7, 4));
-  CHECK_FALSE(relays::RowsFrom(feed, 8, 1));
+  CHECK(RowsFrom(feed, 7, 1) == std::string("1,2"));
+  CHECK(RowsFrom(feed, 7, 2) == std::string("2"));
+  CHECK(RowsFrom(feed, 7, 3) == std::string());
+  CHECK_FALSE(RowsFrom(feed, 7, 4));
+  CHECK_FALSE(RowsFrom(feed, 8, 1));
   relays::Restart(feed, 9);
-  CHECK_FALSE(relays::RowsFrom(feed, 7, 2));
+  CHECK_FALSE(RowsFrom(feed, 7, 2));
 }
 
 TEST_CASE("a feed keeps a bounded number of rows and bytes")
@@ -131,8 +140,8 @@
     relays::AddRow(feed, "x");
   }
   CHECK(feed.rows_.size() == relays::kMaxRows);
-  CHECK_FALSE(relays::RowsFrom(feed, 7, 10));
-  CHECK(relays::RowsFrom(feed, 7, 11));
+  CHECK_FALSE(RowsFrom(feed, 7, 10));
+  CHECK(RowsFrom(feed, 7, 11));
   relays::AddRow(feed, std::string(relays::kMaxBytes, 'y'));
   CHECK(feed.bytes_ <= relays::kMaxBytes);
   CHECK(relays::NextRow(feed) == relays::kMaxRows + 12);
@@ -147,8 +156,100 @@
   relays::AddRow(feed, "old", "k");
   relays::AddRow(feed, "other");
   relays::AddRow(feed, "new", "k");
-  CHECK(relays::RowsFrom(feed, 7, 1) == std::string("other,new"));
-  CHECK(relays::RowsFrom(feed, 7, 2) == std::string("other,new"));
+  CHECK(RowsFrom(feed, 7, 1) == std::string("other,new"));
+  CHECK(RowsFrom(feed, 7, 2) == std::string("other,new"));
   CHECK(relays::NextRow(feed) == 4);
   CHECK(feed.bytes_ == 8);
 }
+
+// Guards against a new configuration that waits behind loads and cached parts.
+TEST_CASE("an urgent row is sent first, alone and once")
+{
+  relays::Feed feed;
+  relays::Restart(feed, 7);
+  relays::AddRow(feed, "1");
+  relays::AddRow(feed, "config", "k", relays::Urgency::Urgent);
+  relays::AddRow(feed, "2");
+  const auto first = relays::PortionFor(feed, { 7, 1, 1 });
+  REQUIRE(first);
+  CHECK(first->rows_ == "config");
+  CHECK(first->position_.next_ == 1);
+  CHECK(relays::IsBehind(feed, first->position_));
+  const auto second = relays::PortionFor(feed, first->position_);
+  REQUIRE(second);
+  CHECK(second->rows_ == "1,2");
+  CHECK(second->position_.next_ == 4);
+  CHECK_FALSE(relays::IsBehind(feed, second->position_));
+  // A host of an earlier release gets it in its order.
+  CHECK(RowsFrom(feed, 7, 1) == std::string("1,config,2"));
+}
+
+// Guards against slow hosts that each hold a backlog of megabytes, and against
+// a configuration that waits for the transfer of one.
+TEST_CASE("an answer has a bounded part of the backlog")
+{
+  relays::Feed feed;
+  relays::Restart(feed, 7);
+  const std::string row(relays::kMaxPortionBytes / 4, 'x');
+  for (int i = 0; i < 6; ++i) {
+    relays::AddRow(feed, row);
+  }
+  relays::AddRow(feed, std::string(relays::kMaxPortionBytes * 2, 'y'));
+  const auto first = relays::PortionFor(feed, { 7, 1, 1 });
+  REQUIRE(first);
+  CHECK(first->position_.next_ == 5);
+  const auto second = relays::PortionFor(feed, first->position_);
+  REQUIRE(second);
+  CHECK(second->position_.next_ == 7);
+  // A larger row is sent whole.
+  const auto third = relays::PortionFor(feed, second->position_);
+  REQUIRE(third);
+  CHECK(third->position_.next_ == 8);
+  CHECK(third->rows_.size() == relays::kMaxPortionBytes * 2);
+}
+
+// Guards against a host that serves many others: of 100 hosts in a data centre
+// a relay served 98.
+TEST_CASE("no host serves more than some others in a large data centre")
+{
+  for (const int count : { 8, 52, 78, 300 }) {
+    const auto hosts = MakeHosts(count);
+    std::map<std::string, std::size_t> served;
+    for (const auto& [name, host] : hosts) {
+      const auto sources =
+        relays::SourcesOf(hosts, host.entry_.dataCentre_, name);
+      if (!relays::IsRelay(hosts, name)) {
+        ++served[sources.front()];
+        // Further sources are relays.
+        CHECK(relays::IsRelay(hosts, sources[1]));
+      }
+    }
+    std::size_t most = 0;
+    for (const auto& [name, number] : served) {
+      most = std::max(most, number);
+    }
+    INFO(count << " hosts");
+    CHECK(most <= relays::kMaxServedHosts);
+    // Smaller data centres have no forwarders.
+    CHECK(relays::ForwardersOf(hosts, "a").empty() == (count <= 68));
+  }
+}
+
+// Guards against hosts that all get another forwarder when one of them leaves.
+TEST_CASE("a forwarder that leaves moves only the hosts that it serves")
+{
+  auto hosts = MakeHosts(200);
+  std::map<std::string, std::string> before;
+  for (const auto& [name, host] : hosts) {
+    before[name] = relays::ForwarderOf(hosts, "a", name);
+  }
+  const auto leaving = relays::ForwardersOf(hosts, "a").front();
+  hosts.at(leaving).entry_.leaving_ = true;
+  std::size_t moved = 0;
+  for (const auto& [name, host] : hosts) {
+    const auto now = relays::ForwarderOf(hosts, "a", name);
+    moved += now != before[name] && before[name] != leaving ? 1 : 0;
+  }
+  // Some move to the host that became a forwarder instead.
+  CHECK(moved < 30);
+}
