Use the fourth load figure, a target's momentary slowness

A load header with four figures was ignored, so hosts knew no loads of these targets. The estimate uses the reported slowness while it is recent and moves to the average of the reports as it ages; the measured ratio is normalised by the figure of the same answer. Targets that report three figures are estimated as before.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -48,6 +48,9 @@
   std::uint32_t running_ = 0;
   std::uint32_t waiting_ = 0;
   std::uint32_t slots_ = 0;
+  // How long work takes at this moment, 1 as usual; only of targets that report
+  // it.
+  absl::optional<double> slowness_;
 };
 
 // Calls of another host to a target that have not ended, as sent between hosts.
@@ -110,8 +113,11 @@
   absl::flat_hash_map<std::string, PeerUsage> peers_;
 
   // Moving average of the ratio of measured to expected time until an answer or
-  // a first event.
+  // a first event. The expected time includes the slowness that the target
+  // reports.
   double slowness_ = 1.0;
+  // Moving average of the slowness that the target reports.
+  double usualSlowness_ = 1.0;
   // Moving average of the share of failed calls.
   double failureShare_ = 0.0;
   std::uint32_t consecutiveFailures_ = 0;
@@ -255,6 +261,11 @@
 // Maximum age at which a target's reported load is used.
 inline constexpr absl::Duration kMaxLoadAge = absl::Milliseconds(500);
 
+// Time in which a target's reported slowness loses most of its weight against
+// the average. The figure changes many times a second, so one of this age says
+// little about the moment at which a new request starts.
+inline constexpr absl::Duration kSlownessDecay = absl::Milliseconds(200);
+
 // Maximum age at which the reported load of another host is used.
 inline constexpr absl::Duration kMaxPeerLoadAge = absl::Seconds(1);
 
@@ -321,6 +332,12 @@
   bool memoryFull_ = false;
 };
 
+// Returns how many times as long as at an average target work is expected to
+// take: the reported slowness if it is recent, and the more of the averages the
+// older it is.
+double
+ExpectedSlowness(const Member& aMember, absl::Time aNow);
+
 // Returns the estimated time until a target would start to answer.
 Estimate
 EstimateWait(const Member& aMember,
@@ -438,12 +455,20 @@
 void
 RecordCallStart(Member& aMember, const CallSize& aSize, absl::Time aNow);
 
+// Records a load that the target reported at aReportedAt; ignores it if a newer
+// one is known. Returns whether it was recorded.
+bool
+RecordLoad(Member& aMember, const Load& aLoad, absl::Time aReportedAt);
+
 // Records the first byte of an answer; the target has read the prompt by then.
+// aReportedSlowness: the slowness in the head of the answer. It explains its
+// part of the measured time, which therefore isn't added to the average.
 void
 RecordFirstByte(Member& aMember,
                 const CallSize& aSize,
                 absl::Duration aTook,
-                double aNominalSeconds);
+                double aNominalSeconds,
+                double aReportedSlowness = 1.0);
 
 // Records the end of a call; returns true if it quarantines the target.
 bool
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -1,6 +1,7 @@
 #include "lycheeplank/fleet.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <random>
 #include <utility>
@@ -221,6 +222,20 @@
   return kUnknown;
 }
 
+double
+ExpectedSlowness(const Member& aMember, absl::Time aNow)
+{
+  if (!aMember.load_.slowness_) {
+    return aMember.slowness_;
+  }
+  const auto age =
+    std::max(absl::ZeroDuration(), aNow - aMember.loadReportedAt_);
+  const double recent = std::exp(-absl::FDivDuration(age, kSlownessDecay));
+  const double usual = aMember.usualSlowness_;
+  return aMember.slowness_ *
+         (usual + recent * (*aMember.load_.slowness_ - usual));
+}
+
 Estimate
 EstimateWait(const Member& aMember,
              const RequestSpec& aRequest,
@@ -232,12 +247,13 @@
   const auto backlog = BacklogOf(aMember, shares, aNow);
   const double excess =
     std::max(0.0, backlog.running_ + backlog.waiting_ + 1.0 - slots);
+  const double slowness = ExpectedSlowness(aMember, aNow);
   Estimate estimate;
   estimate.running_ = backlog.running_;
   if (aRequest.model_.empty()) {
     estimate.nominalSeconds_ =
       kCallSeconds * (1.0 + excess / slots) + kSlotSeconds * backlog.running_;
-    estimate.waitSeconds_ = aMember.slowness_ * estimate.nominalSeconds_;
+    estimate.waitSeconds_ = slowness * estimate.nominalSeconds_;
     return estimate;
   }
   const auto& cost = PromptCostAt(aMember, aRequest);
@@ -255,7 +271,7 @@
   expected.heldTokens_ += SimilarSendTokens(aMember, aRequest, aNow);
   const double memory = MemoryWait(expected, aRequest);
   estimate.memoryFull_ = !aRequest.isUrgent_ && memory > 0.0;
-  estimate.waitSeconds_ = aMember.slowness_ * estimate.nominalSeconds_ +
+  estimate.waitSeconds_ = slowness * estimate.nominalSeconds_ +
                           excess * kMeanSlotSeconds / slots + memory;
   return estimate;
 }
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -200,19 +200,35 @@
   }
 }
 
+bool
+RecordLoad(Member& aMember, const Load& aLoad, absl::Time aReportedAt)
+{
+  if (aReportedAt < aMember.loadReportedAt_) {
+    return false;
+  }
+  aMember.load_ = aLoad;
+  aMember.loadReportedAt_ = aReportedAt;
+  if (aLoad.slowness_) {
+    aMember.usualSlowness_ +=
+      kCallAverageWeight * (*aLoad.slowness_ - aMember.usualSlowness_);
+  }
+  return true;
+}
+
 void
 RecordFirstByte(Member& aMember,
                 const CallSize& aSize,
                 absl::Duration aTook,
-                double aNominalSeconds)
+                double aNominalSeconds,
+                double aReportedSlowness)
 {
   auto& tokens = aSize.isUrgent_ ? aMember.urgentTokens_ : aMember.otherTokens_;
   tokens -= std::min(tokens, aSize.promptTokens_);
   if (aNominalSeconds > 0.0) {
-    const double ratio =
-      std::clamp(absl::ToDoubleSeconds(aTook) / aNominalSeconds,
-                 kMinSlowness,
-                 kMaxSlowness);
+    const double ratio = std::clamp(absl::ToDoubleSeconds(aTook) /
+                                      (aNominalSeconds * aReportedSlowness),
+                                    kMinSlowness,
+                                    kMaxSlowness);
     aMember.slowness_ += kCallAverageWeight * (ratio - aMember.slowness_);
   }
 }
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -57,8 +57,7 @@
       found->second.target_.bornMs_ == targetBornMs_) {
     auto& member = found->second;
     if (answer_.load_) {
-      member.load_ = *answer_.load_;
-      member.loadReportedAt_ = now;
+      fleet::RecordLoad(member, *answer_.load_, now);
     }
     if (answer_.weights_ && !request_.model_.empty() && IsFromTarget()) {
       auto& version = member.target_.weights_[request_.model_];
@@ -103,6 +102,12 @@
   return !answer_.isMisdirected_ || answer_.instance_ == targetId_;
 }
 
+double
+Exchange::ReportedSlowness() const
+{
+  return answer_.load_ ? answer_.load_->slowness_.value_or(1.0) : 1.0;
+}
+
 void
 Exchange::ApplyTargetState()
 {
@@ -335,8 +340,11 @@
     NoteBegin(host_, Evidence());
     if (const auto found = host_.members_.find(targetId_);
         found != host_.members_.end()) {
-      fleet::RecordFirstByte(
-        found->second, size_, now - sentAt_, choice_.nominalSeconds_);
+      fleet::RecordFirstByte(found->second,
+                             size_,
+                             now - sentAt_,
+                             choice_.nominalSeconds_,
+                             ReportedSlowness());
       host_.onLoad_();
     }
     host_.metrics_.Observe("first_event_seconds", now - sentAt_);
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -137,8 +137,11 @@
   auto& member = found->second;
   if (firstByteAt_ == absl::InfinitePast() || !isEvents_) {
     const bool answered = aResult == fleet::CallResult::Answered;
-    fleet::RecordFirstByte(
-      member, size_, Now() - sentAt_, answered ? choice_.nominalSeconds_ : 0.0);
+    fleet::RecordFirstByte(member,
+                           size_,
+                           Now() - sentAt_,
+                           answered ? choice_.nominalSeconds_ : 0.0,
+                           ReportedSlowness());
   }
   if (aResult == fleet::CallResult::Unreachable) {
     ++host_.downReports_[member.idHash_];
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -122,6 +122,9 @@
   // Returns whether the target itself has answered, not another one at its
   // address.
   bool IsFromTarget() const;
+  // Returns the slowness in the head of the target's answer; 1 if it names
+  // none.
+  double ReportedSlowness() const;
   // Records that the target reports itself closed or leaving in its answer.
   void ApplyTargetState();
   // Records the limit of requests that the target names in its answer, or that
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -325,6 +325,60 @@
   CHECK(member.inFlight_ == 0);
 }
 
+// Guards against estimates that ignore that a target is slow at this moment, or
+// that believe an old figure.
+TEST_CASE("a reported slowness counts the less the older it is")
+{
+  auto members = MakeMembers(1);
+  auto& member = members.at("t0");
+  member.slowness_ = 1.2;
+  CHECK(fleet::ExpectedSlowness(member, kNow) == 1.2);
+  // Targets that report three figures are estimated by the average alone.
+  CHECK(fleet::RecordLoad(member, { 3, 0, 64 }, kNow));
+  CHECK(fleet::ExpectedSlowness(member, kNow) == 1.2);
+  for (int i = 0; i < 100; ++i) {
+    const double slowness = i % 2 == 0 ? 1.0 : 2.0;
+    fleet::RecordLoad(member, { 3, 0, 64, slowness }, kNow);
+  }
+  CHECK(member.usualSlowness_ == Approx(1.5).margin(0.05));
+  fleet::RecordLoad(member, { 3, 0, 64, 3.0 }, kNow);
+  const auto usual = 1.2 * member.usualSlowness_;
+  double before = fleet::ExpectedSlowness(member, kNow);
+  CHECK(before == Approx(1.2 * 3.0));
+  for (int ms = 50; ms <= 2000; ms += 50) {
+    const auto now =
+      fleet::ExpectedSlowness(member, kNow + absl::Milliseconds(ms));
+    CHECK(now < before);
+    CHECK(now > usual);
+    before = now;
+  }
+  CHECK(before == Approx(usual).epsilon(0.01));
+  // An older figure doesn't replace a newer one.
+  CHECK_FALSE(
+    fleet::RecordLoad(member, { 9, 0, 64, 1.0 }, kNow - absl::Milliseconds(1)));
+  CHECK(member.load_.running_ == 3);
+  const auto waitAt = [&](absl::Time aAt) {
+    return fleet::EstimateWait(member, MakeRequest(), kSpeed, aAt).waitSeconds_;
+  };
+  CHECK(waitAt(kNow) > 1.5 * waitAt(kNow + absl::Seconds(2)));
+}
+
+// Guards against a slowness that is counted twice: reported by the target, and
+// measured because of it.
+TEST_CASE("a reported slowness doesn't change the measured average")
+{
+  auto members = MakeMembers(1);
+  auto& member = members.at("t0");
+  for (int i = 0; i < 50; ++i) {
+    const double slowness = i % 2 == 0 ? 1.0 : 4.0;
+    fleet::RecordLoad(member, { 3, 0, 64, slowness }, kNow);
+    fleet::RecordFirstByte(
+      member, MakeSize(), absl::Seconds(0.1 * slowness), 0.1, slowness);
+  }
+  CHECK(member.slowness_ == Approx(1.0));
+  CHECK(member.usualSlowness_ == Approx(2.5).margin(0.2));
+}
+
 // Guards against refused connections: a burst of calls to few targets, each of
 // which refuses connections over its limit.
 TEST_CASE("a host does not exceed its share of a target's connections")
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -167,6 +167,37 @@
   CHECK_FALSE(platform::ReadAnswer(head).notRun_);
 }
 
+// Guards against hosts that know no loads of targets that report a fourth
+// figure, and against estimates from a figure that is an error.
+TEST_CASE("the load of a target has three figures or four")
+{
+  const auto loadOf = [](const std::string& aText) {
+    http::ResponseHead head;
+    head.status_ = 200;
+    head.fields_ = { { "X-Server-Load", aText } };
+    return platform::ReadAnswer(head).load_;
+  };
+  REQUIRE(loadOf("3,2,8"));
+  CHECK_FALSE(loadOf("3,2,8")->slowness_);
+  REQUIRE(loadOf("3,2,8,250"));
+  CHECK(loadOf("3,2,8,250")->running_ == 3);
+  CHECK(loadOf("3,2,8,250")->waiting_ == 2);
+  CHECK(loadOf("3,2,8,250")->slots_ == 8);
+  CHECK(loadOf("3,2,8,250")->slowness_ == 2.5);
+  CHECK(loadOf("3,2,8,97.5")->slowness_ == 0.975);
+  for (const std::string wrong :
+       { "0", "-5", "0.5", "5001", "nan", "inf", "", "x" }) {
+    INFO(wrong);
+    const auto load = loadOf("3,2,8," + wrong);
+    REQUIRE(load);
+    CHECK(load->running_ == 3);
+    CHECK_FALSE(load->slowness_);
+  }
+  CHECK_FALSE(loadOf("3,2"));
+  CHECK_FALSE(loadOf("3,2,8,100,1"));
+  CHECK_FALSE(loadOf("3,2,x,100"));
+}
+
 TEST_CASE("a target's limit is decoded, and other text is none")
 {
   const auto limitOf = [](const std::string& aText) {
