Tell other hosts the newest loads that targets report

A host sees few answers of one target, so its figure of a target's momentary slowness is mostly old. Hosts send the loads of their answers to the collector of the data centre, which passes on the newest. They have a message of their own, because a reader of an earlier release takes anything after the rows of a load message for unreachable targets; it drops the new kind.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -66,6 +66,16 @@
   std::uint64_t heldTokens_ = 0;
 };
 
+// The newest load that a target has reported to any host, as sent between
+// hosts.
+struct ReportedLoad
+{
+  // Stable hash of the target's id.
+  std::uint32_t target_ = 0;
+  Load load_;
+  absl::Duration age_;
+};
+
 // Returns the hash of a target's id that identifies it in messages between
 // hosts.
 std::uint32_t
@@ -96,6 +106,10 @@
 
   Load load_;
   absl::Time loadReportedAt_ = absl::InfinitePast();
+  // When this host received the load, and whether it came in an answer to this
+  // host rather than from another host.
+  absl::Time loadReceivedAt_ = absl::InfinitePast();
+  bool isOwnLoad_ = false;
   // Calls of this host that have not ended.
   std::uint32_t inFlight_ = 0;
   // Prompt tokens of this host's calls without a first event.
@@ -455,11 +469,52 @@
 void
 RecordCallStart(Member& aMember, const CallSize& aSize, absl::Time aNow);
 
-// Records a load that the target reported at aReportedAt; ignores it if a newer
-// one is known. Returns whether it was recorded.
+// Records a load that the target reported to this host at aReportedAt; ignores
+// it if a newer one is known. Returns whether it was recorded.
 bool
 RecordLoad(Member& aMember, const Load& aLoad, absl::Time aReportedAt);
 
+// Ids of targets by IdHash.
+using TargetIds = absl::flat_hash_map<std::uint32_t, std::string>;
+
+TargetIds
+IdsByHash(const Members& aMembers);
+
+// Records loads that other hosts have received from targets. A collector gets
+// more than a thousand such messages a second with a few loads each, so the
+// targets are looked up in aIds. aSentAt: when the ages were true.
+void
+ApplyReportedLoads(Members& aMembers,
+                   const TargetIds& aIds,
+                   const std::vector<ReportedLoad>& aLoads,
+                   absl::Time aSentAt,
+                   absl::Time aNow);
+
+// Which reported loads a host sends to others.
+struct ReportedLoadQuery
+{
+  // Loads that were received later than this.
+  absl::Time since_ = absl::InfinitePast();
+  // Only loads that came in answers to this host.
+  bool isOwnOnly_ = false;
+  // Loads of this data centre's targets come first; with isNearOnly_, no others
+  // are sent.
+  absl::string_view dataCentre_;
+  bool isNearOnly_ = false;
+};
+
+// Maximum number of reported loads in one message, which fits into a packet.
+// Without the limit, the collector of a data centre of 75 hosts and 750 targets
+// would send each of them the loads of all targets some times a second.
+inline constexpr std::size_t kMaxReportedLoads = 128;
+
+// Returns the newest reported loads for a message, of targets that report their
+// slowness.
+std::vector<ReportedLoad>
+NewestReportedLoads(const Members& aMembers,
+                    const ReportedLoadQuery& aQuery,
+                    absl::Time aNow);
+
 // Records the first byte of an answer; the target has read the prompt by then.
 // aReportedSlowness: the slowness in the head of the answer. It explains its
 // part of the measured time, which therefore isn't added to the average.
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -208,6 +208,8 @@
   }
   aMember.load_ = aLoad;
   aMember.loadReportedAt_ = aReportedAt;
+  aMember.loadReceivedAt_ = aReportedAt;
+  aMember.isOwnLoad_ = true;
   if (aLoad.slowness_) {
     aMember.usualSlowness_ +=
       kCallAverageWeight * (*aLoad.slowness_ - aMember.usualSlowness_);
@@ -215,6 +217,69 @@
   return true;
 }
 
+TargetIds
+IdsByHash(const Members& aMembers)
+{
+  TargetIds ids;
+  for (const auto& [id, member] : aMembers) {
+    ids[member.idHash_] = id;
+  }
+  return ids;
+}
+
+void
+ApplyReportedLoads(Members& aMembers,
+                   const TargetIds& aIds,
+                   const std::vector<ReportedLoad>& aLoads,
+                   absl::Time aSentAt,
+                   absl::Time aNow)
+{
+  for (const auto& load : aLoads) {
+    const auto id = aIds.find(load.target_);
+    const auto found =
+      id == aIds.end() ? aMembers.end() : aMembers.find(id->second);
+    if (found == aMembers.end()) {
+      continue;
+    }
+    auto& member = found->second;
+    const auto reportedAt = aSentAt - load.age_;
+    // An earlier report may be of an earlier start of the target.
+    if (reportedAt > member.firstListedAt_ &&
+        RecordLoad(member, load.load_, reportedAt)) {
+      member.loadReceivedAt_ = aNow;
+      member.isOwnLoad_ = false;
+    }
+  }
+}
+
+std::vector<ReportedLoad>
+NewestReportedLoads(const Members& aMembers,
+                    const ReportedLoadQuery& aQuery,
+                    absl::Time aNow)
+{
+  std::vector<ReportedLoad> near;
+  std::vector<ReportedLoad> far;
+  for (const auto& [id, member] : aMembers) {
+    const auto age = aNow - member.loadReportedAt_;
+    const bool isNear = member.target_.dataCentre_ == aQuery.dataCentre_;
+    if (member.load_.slowness_ && age < kMaxLoadAge &&
+        member.loadReceivedAt_ > aQuery.since_ &&
+        (member.isOwnLoad_ || !aQuery.isOwnOnly_) &&
+        (isNear || !aQuery.isNearOnly_)) {
+      (isNear ? near : far).push_back({ member.idHash_, member.load_, age });
+    }
+  }
+  const auto isNewer = [](const ReportedLoad& aLeft,
+                          const ReportedLoad& aRight) {
+    return aLeft.age_ < aRight.age_;
+  };
+  std::sort(near.begin(), near.end(), isNewer);
+  std::sort(far.begin(), far.end(), isNewer);
+  near.insert(near.end(), far.begin(), far.end());
+  near.resize(std::min(near.size(), kMaxReportedLoads));
+  return near;
+}
+
 void
 RecordFirstByte(Member& aMember,
                 const CallSize& aSize,
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -1,8 +1,10 @@
 #include "gateway/gossip.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
+#include <absl/strings/strip.h>
 #include <boost/asio/buffer.hpp>
 
 #include "gateway/clock.h"
@@ -40,6 +42,18 @@
 constexpr std::size_t kLoadBytes = 11;
 constexpr std::size_t kReadBytes = 8;
 constexpr std::size_t kDownBytes = 5;
+// Marks a message of reported loads. Earlier releases take the first byte for
+// an empty host name and drop the message.
+constexpr absl::string_view kReportMarker("\0l", 2);
+// Bytes of a reported load (short name, running and waiting requests, slowness
+// in percent, age), and the unit of the age, in which a byte holds more than
+// fleet::kMaxLoadAge.
+constexpr std::size_t kReportBytes = 9;
+constexpr absl::Duration kAgeUnit = absl::Milliseconds(4);
+constexpr double kPercent = 100.0;
+// Age at which the list of targets' short names is rebuilt; the reported loads
+// of a new target are dropped until then.
+constexpr absl::Duration kTargetIdsAge = absl::Milliseconds(500);
 constexpr unsigned kBitsPerByte = 8;
 constexpr std::uint64_t kByteMask = 0xff;
 
@@ -90,6 +104,74 @@
 
 } // namespace
 
+BatchTimes
+BatchTimesOf(bool aIsLarge,
+             bool aCollects,
+             std::size_t aPeers,
+             std::size_t aHosts)
+{
+  return { aIsLarge && !aCollects ? kToCollectorBatchTime
+                                  : BatchTimeFor(kLocalBatchTime, aPeers),
+           aIsLarge ? kCollectorRemoteBatchTime
+                    : BatchTimeFor(kRemoteBatchTime, aHosts) };
+}
+
+std::string
+WriteReports(const ReportMessage& aMessage)
+{
+  std::string text(kReportMarker);
+  AppendNumber(text, aMessage.host_.size(), 1);
+  text.append(aMessage.host_);
+  for (const auto& [target, load, age] : aMessage.loads_) {
+    const auto percent =
+      std::clamp(std::round(kPercent * load.slowness_.value_or(1.0)),
+                 1.0,
+                 static_cast<double>(kMaxUnits));
+    // Rounded up, so that a report that comes back to the host that received it
+    // from the target doesn't look newer.
+    const auto units =
+      std::clamp<std::int64_t>(absl::Ceil(age, kAgeUnit) / kAgeUnit,
+                               0,
+                               static_cast<std::int64_t>(kByteMask));
+    AppendNumber(text, target, 4);
+    AppendNumber(text, std::min<std::uint64_t>(load.running_, kByteMask), 1);
+    AppendNumber(text, std::min<std::uint64_t>(load.waiting_, kByteMask), 1);
+    AppendNumber(text, static_cast<std::uint64_t>(percent), 2);
+    AppendNumber(text, static_cast<std::uint64_t>(units), 1);
+  }
+  return text;
+}
+
+absl::optional<ReportMessage>
+ReadReports(absl::string_view aText)
+{
+  if (!absl::ConsumePrefix(&aText, kReportMarker) || aText.empty()) {
+    return absl::nullopt;
+  }
+  const auto size = ReadNumber(aText, 1);
+  if (size == 0 || aText.size() < size ||
+      (aText.size() - size) % kReportBytes != 0) {
+    return absl::nullopt;
+  }
+  ReportMessage message;
+  message.host_ = std::string(aText.substr(0, size));
+  aText.remove_prefix(size);
+  while (!aText.empty()) {
+    fleet::ReportedLoad load;
+    load.target_ = static_cast<std::uint32_t>(ReadNumber(aText, 4));
+    load.load_.running_ = static_cast<std::uint32_t>(ReadNumber(aText, 1));
+    load.load_.waiting_ = static_cast<std::uint32_t>(ReadNumber(aText, 1));
+    const auto percent = ReadNumber(aText, 2);
+    if (percent == 0) {
+      return absl::nullopt;
+    }
+    load.load_.slowness_ = static_cast<double>(percent) / kPercent;
+    load.age_ = kAgeUnit * static_cast<double>(ReadNumber(aText, 1));
+    message.loads_.push_back(load);
+  }
+  return message;
+}
+
 std::string
 WriteMessage(const LoadMessage& aMessage)
 {
@@ -209,6 +291,10 @@
     ReceiveBlockMessage(host_, aText);
     return;
   }
+  if (const auto reports = ReadReports(aText)) {
+    ApplyReports(*reports);
+    return;
+  }
   const auto message = ReadMessage(aText);
   if (message.host_.empty()) {
     ReceiveLimitMessage(host_, aText);
@@ -217,6 +303,26 @@
   }
 }
 
+void
+Gossip::ApplyReports(const ReportMessage& aMessage)
+{
+  if (aMessage.host_ == host_.settings_.name_ ||
+      !Uses(host_, mechanisms::Mechanism::LoadReports)) {
+    return;
+  }
+  const auto now = Now();
+  if (now - targetIdsAt_ > kTargetIdsAge) {
+    targetIds_ = fleet::IdsByHash(host_.members_);
+    targetIdsAt_ = now;
+  }
+  fleet::ApplyReportedLoads(
+    host_.members_,
+    targetIds_,
+    aMessage.loads_,
+    EarliestSendTime(host_.stallDetector_, absl::InfinitePast(), now),
+    now);
+}
+
 void
 Gossip::ScheduleTick()
 {
@@ -355,17 +461,13 @@
   }
   const bool isLarge = relays::IsLargeDeployment(host_.hosts_);
   const bool collects = isLarge && IsCollector();
+  const auto times =
+    BatchTimesOf(isLarge, collects, LocalPeers().size(), host_.hosts_.size());
   if (!std::exchange(localSendPending_, true)) {
-    localTimer_.Set(isLarge && !collects
-                      ? kToCollectorBatchTime
-                      : BatchTimeFor(kLocalBatchTime, LocalPeers().size()),
-                    [this] { SendLocal(); });
+    localTimer_.Set(times.local_, [this] { SendLocal(); });
   }
   if ((collects || !isLarge) && !std::exchange(remoteSendPending_, true)) {
-    remoteTimer_.Set(isLarge
-                       ? kCollectorRemoteBatchTime
-                       : BatchTimeFor(kRemoteBatchTime, host_.hosts_.size()),
-                     [this] { SendRemote(); });
+    remoteTimer_.Set(times.remote_, [this] { SendRemote(); });
   }
 }
 
@@ -381,6 +483,7 @@
     for (const auto& peer : peers) {
       Send(peer, fleet::SumLoads(host_.members_, {}, now), observations);
     }
+    SendReports(peers, { {}, true, {}, false }, localReportsAt_);
     return;
   }
   if (!IsCollector()) {
@@ -391,6 +494,7 @@
     if (!relays.empty()) {
       Send(
         relays.front(), fleet::SumLoads(host_.members_, {}, now), observations);
+      SendReports({ relays.front() }, { {}, true, {}, false }, localReportsAt_);
     }
     return;
   }
@@ -404,6 +508,7 @@
     others.erase(std::find(others.begin(), others.end(), peer));
     Send(peer, fleet::SumLoads(host_.members_, others, now), observations);
   }
+  SendReports(peers, {}, localReportsAt_);
 }
 
 void
@@ -418,14 +523,37 @@
     for (const auto& collector : OtherCollectors()) {
       Send(collector, loads, observations);
     }
+    // The other collectors know more of the targets near them.
+    SendReports(OtherCollectors(), { {}, false, {}, true }, remoteReportsAt_);
     return;
   }
   const auto loads = fleet::SumLoads(host_.members_, {}, now);
+  std::vector<std::string> others;
   for (const auto& [name, host] : host_.hosts_) {
     if (host.entry_.dataCentre_ != host_.settings_.dataCentre_) {
       Send(name, loads, observations);
+      others.push_back(name);
     }
   }
+  SendReports(others, { {}, true, {}, false }, remoteReportsAt_);
+}
+
+void
+Gossip::SendReports(const std::vector<std::string>& aHosts,
+                    fleet::ReportedLoadQuery aQuery,
+                    absl::Time& aSentAt)
+{
+  const auto now = Now();
+  aQuery.since_ = std::exchange(aSentAt, now);
+  aQuery.dataCentre_ = host_.settings_.dataCentre_;
+  auto loads = fleet::NewestReportedLoads(host_.members_, aQuery, now);
+  if (loads.empty() || !Uses(host_, mechanisms::Mechanism::LoadReports)) {
+    return;
+  }
+  const auto text = WriteReports({ host_.settings_.name_, std::move(loads) });
+  for (const auto& host : aHosts) {
+    SendText(host, text);
+  }
 }
 
 void
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -41,6 +41,36 @@
 LoadMessage
 ReadMessage(absl::string_view aText);
 
+// The newest loads that targets have reported in their answers. They have a
+// message of their own, which hosts of earlier releases ignore.
+struct ReportMessage
+{
+  std::string host_;
+  std::vector<fleet::ReportedLoad> loads_;
+};
+
+std::string
+WriteReports(const ReportMessage& aMessage);
+
+// Decodes a message; no value if the text is of another kind or damaged.
+absl::optional<ReportMessage>
+ReadReports(absl::string_view aText);
+
+// How long changes are collected before they are sent within the data centre
+// and to the others.
+struct BatchTimes
+{
+  absl::Duration local_;
+  absl::Duration remote_;
+};
+
+// aPeers: other hosts in the data centre; aHosts: hosts in all of them.
+BatchTimes
+BatchTimesOf(bool aIsLarge,
+             bool aCollects,
+             std::size_t aPeers,
+             std::size_t aHosts);
+
 // Exchanges loads and observations with the other hosts over UDP: this host's
 // load at each target, so that hosts don't send large prompts to the same ones,
 // the results of its reads from cache stores, and the targets that it couldn't
@@ -61,6 +91,12 @@
   void Receive();
   void OnDatagram(absl::string_view aText);
   void OnMessage(const LoadMessage& aMessage);
+  // Sends the reported loads that are new to the receivers. aSentAt: when such
+  // a message was last sent to them.
+  void SendReports(const std::vector<std::string>& aHosts,
+                   fleet::ReportedLoadQuery aQuery,
+                   absl::Time& aSentAt);
+  void ApplyReports(const ReportMessage& aMessage);
   void SendText(const std::string& aHost, const std::string& aText);
   void ScheduleTick();
   void ScheduleBlockTick();
@@ -97,6 +133,12 @@
   // Observations that wait to be sent to this data centre and to the others.
   Observations localObservations_;
   Observations remoteObservations_;
+  // When reported loads were last sent within the data centre and to others.
+  absl::Time localReportsAt_ = absl::InfinitePast();
+  absl::Time remoteReportsAt_ = absl::InfinitePast();
+  // Rebuilt from time to time.
+  fleet::TargetIds targetIds_;
+  absl::Time targetIdsAt_ = absl::InfinitePast();
   bool localSendPending_ = false;
   bool remoteSendPending_ = false;
 };
--- a/test/gossip-test.cc
+++ b/test/gossip-test.cc
@@ -2,8 +2,15 @@
 
 #include <random>
 
+#include <absl/strings/str_cat.h>
+
 #include <catch2/catch.hpp>
 
+#include "host-group.h"
+#include "lycheeplank/poison.h"
+#include "lycheeplank/target_limits.h"
+
+namespace fleet = lycheeplank::fleet;
 namespace gateway = lycheeplank::gateway;
 
 namespace {
@@ -52,3 +59,225 @@
     CHECK(read.loads_.size() < 100);
   }
 }
+
+namespace {
+
+const absl::Time kNow = absl::FromUnixSeconds(1000);
+// Headers of IP and UDP.
+constexpr std::size_t kPacketBytes = 28;
+
+fleet::Members
+MakeMembers(std::size_t aTargets, std::size_t aDataCentres)
+{
+  fleet::Members members;
+  for (std::size_t i = 0; i < aTargets; ++i) {
+    fleet::Target target;
+    target.id_ = absl::StrCat("target-", i);
+    target.service_ = "s";
+    target.dataCentre_ = absl::StrCat("dc", i % aDataCentres);
+    fleet::UpdateTarget(members, target, { 0, 1 }, absl::InfinitePast());
+  }
+  return members;
+}
+
+} // namespace
+
+TEST_CASE("reported loads are read back as they were written")
+{
+  const gateway::ReportMessage message{
+    "h1",
+    { { 7, { 3, 2, 0, 2.5 }, absl::Milliseconds(41) },
+      { 9, { 900, 0, 0, 0.97 }, absl::ZeroDuration() } }
+  };
+  const auto text = gateway::WriteReports(message);
+  const auto read = gateway::ReadReports(text);
+  REQUIRE(read);
+  CHECK(read->host_ == "h1");
+  REQUIRE(read->loads_.size() == 2);
+  CHECK(read->loads_[0].target_ == 7);
+  CHECK(read->loads_[0].load_.running_ == 3);
+  CHECK(read->loads_[0].load_.waiting_ == 2);
+  CHECK(read->loads_[0].load_.slowness_ == 2.5);
+  CHECK(read->loads_[0].age_ == absl::Milliseconds(44));
+  CHECK(read->loads_[1].load_.running_ == 255);
+  CHECK(read->loads_[1].load_.slowness_ == 0.97);
+  for (std::size_t size = 0; size < text.size(); ++size) {
+    const auto cut = gateway::ReadReports(text.substr(0, size));
+    CHECK((!cut || cut->loads_.size() < 2));
+  }
+}
+
+// Guards against hosts of an earlier release that take reported loads for
+// another kind of message while releases are mixed, and the other way round.
+TEST_CASE("other messages and reported loads aren't taken for each other")
+{
+  gateway::ReportMessage message{ "h1", {} };
+  for (std::uint32_t i = 0; i < fleet::kMaxReportedLoads; ++i) {
+    message.loads_.push_back({ i, { i, 0, 0, 1.0 }, absl::ZeroDuration() });
+  }
+  const auto text = gateway::WriteReports(message);
+  CHECK(gateway::ReadMessage(text).host_.empty());
+  CHECK_FALSE(lycheeplank::poison::IsMessage(text));
+  CHECK_FALSE(lycheeplank::target_limits::ReadMessage(text));
+  CHECK_FALSE(gateway::ReadReports(gateway::WriteMessage(MakeMessage())));
+  CHECK_FALSE(
+    gateway::ReadReports(lycheeplank::target_limits::WriteMessage({})));
+}
+
+// Guards against estimates from a stale load, or from one of an earlier start
+// of the target, and against hosts that send each other the same loads forever.
+TEST_CASE("only newer reported loads are applied and passed on")
+{
+  auto sender = MakeMembers(4, 2);
+  auto receiver = sender;
+  fleet::RecordLoad(sender.at("target-0"), { 5, 1, 8, 3.0 }, kNow);
+  fleet::RecordLoad(sender.at("target-1"), { 4, 0, 8, 1.0 }, kNow);
+  // Three figures aren't shared.
+  fleet::RecordLoad(sender.at("target-2"), { 6, 0, 8 }, kNow);
+  const auto later = kNow + absl::Milliseconds(20);
+  fleet::ReportedLoadQuery query;
+  query.isOwnOnly_ = true;
+  query.dataCentre_ = "dc1";
+  auto loads = fleet::NewestReportedLoads(sender, query, later);
+  REQUIRE(loads.size() == 2);
+  CHECK(loads[0].target_ == fleet::IdHash("target-1"));
+  CHECK(loads[0].age_ == absl::Milliseconds(20));
+  query.isNearOnly_ = true;
+  CHECK(fleet::NewestReportedLoads(sender, query, later).size() == 1);
+  query.since_ = later;
+  CHECK(fleet::NewestReportedLoads(sender, query, later).empty());
+
+  fleet::RecordLoad(
+    receiver.at("target-1"), { 2, 0, 8, 1.5 }, kNow + absl::Milliseconds(5));
+  fleet::ApplyReportedLoads(
+    receiver, fleet::IdsByHash(receiver), loads, later, later);
+  CHECK(receiver.at("target-0").load_.slowness_ == 3.0);
+  CHECK(receiver.at("target-0").loadReportedAt_ == kNow);
+  CHECK(receiver.at("target-1").load_.running_ == 2);
+  // Loads of other hosts aren't sent as this host's own.
+  loads = fleet::NewestReportedLoads(
+    receiver, { absl::InfinitePast(), true, "dc1", false }, later);
+  REQUIRE(loads.size() == 1);
+  CHECK(loads[0].target_ == fleet::IdHash("target-1"));
+  CHECK(fleet::NewestReportedLoads(receiver, {}, later).size() == 2);
+
+  receiver.at("target-3").firstListedAt_ = later;
+  fleet::ApplyReportedLoads(
+    receiver,
+    fleet::IdsByHash(receiver),
+    { { fleet::IdHash("target-3"), { 9, 9, 0, 9.0 }, absl::Milliseconds(1) } },
+    later,
+    later);
+  CHECK_FALSE(receiver.at("target-3").load_.slowness_);
+}
+
+// Guards against reported loads that take the link of a small host (10 Mbit/s)
+// in a large deployment. Load: answers spread evenly over targets, all targets
+// busy, one collector for each data centre.
+TEST_CASE("reported loads take few bytes at 8, 78 and 300 hosts")
+{
+  struct Deployment
+  {
+    std::size_t hosts_;
+    std::size_t dataCentres_;
+    std::size_t targets_;
+    double answersPerSecond_;
+  };
+  constexpr double kSeconds = 10.0;
+  constexpr double kSmallLink = 10e6 / 8.0;
+  for (const auto& deployment :
+       std::vector<Deployment>{ { 8, 3, 60, 617.0 },
+                                { 78, 3, 75, 1305.0 },
+                                { 300, 4, 3000, 5000.0 } }) {
+    auto members = MakeMembers(deployment.targets_, deployment.dataCentres_);
+    for (auto& [id, member] : members) {
+      member.inFlight_ = 1;
+    }
+    const auto peers = deployment.hosts_ / deployment.dataCentres_ - 1;
+    const auto times =
+      gateway::BatchTimesOf(true, true, peers, deployment.hosts_);
+    const auto loads =
+      gateway::WriteMessage(
+        { "host-000", fleet::SumLoads(members, {}, kNow), {}, {} })
+        .size() +
+      kPacketBytes;
+    std::mt19937_64 random(5);
+    const double gap = static_cast<double>(deployment.dataCentres_) /
+                       deployment.answersPerSecond_;
+    double answerAt = 0.0;
+    std::size_t toPeer = 0;
+    std::size_t largest = 0;
+    int batches = 0;
+    auto sentAt = kNow;
+    for (auto now = kNow; now < kNow + absl::Seconds(kSeconds);
+         now += times.local_, ++batches) {
+      // The collector receives the loads of the answers to its data centre's
+      // hosts, which come from its targets.
+      for (; kNow + absl::Seconds(answerAt) < now; answerAt += gap) {
+        const auto target =
+          deployment.dataCentres_ *
+          (random() % (deployment.targets_ / deployment.dataCentres_));
+        fleet::RecordLoad(members.at(absl::StrCat("target-", target)),
+                          { 9, 0, 8, 1.4 },
+                          kNow + absl::Seconds(answerAt));
+      }
+      const auto bytes = gateway::WriteReports(
+                           { "host-000",
+                             fleet::NewestReportedLoads(
+                               members, { sentAt, false, "dc0", false }, now) })
+                           .size();
+      sentAt = now;
+      largest = std::max(largest, bytes);
+      toPeer += bytes + kPacketBytes;
+    }
+    const double received = static_cast<double>(toPeer) / kSeconds;
+    // Other collectors get at most one full message each quarter of a second.
+    const double sent = received * static_cast<double>(peers) +
+                        static_cast<double>((deployment.dataCentres_ - 1) *
+                                            (largest + kPacketBytes)) /
+                          absl::ToDoubleSeconds(times.remote_);
+    const double loadBytes =
+      static_cast<double>(loads * peers) * batches / kSeconds;
+    // Another host sends its own answers' loads to the collector only.
+    const double own = deployment.answersPerSecond_ /
+                         static_cast<double>(deployment.hosts_) * 9.0 +
+                       (11.0 + kPacketBytes) / 0.05;
+    INFO(deployment.hosts_ << " hosts: collector sends " << sent
+                           << " bytes/s beside " << loadBytes
+                           << " of loads; another host receives " << received
+                           << " and sends " << own);
+    // One packet.
+    CHECK(largest < 1400);
+    CHECK(sent < 0.25 * kSmallLink);
+    CHECK(sent < 0.5 * loadBytes);
+    CHECK(received < 0.02 * kSmallLink);
+    CHECK(own < 0.01 * kSmallLink);
+  }
+}
+
+// Guards against hosts that know nothing of the momentary slowness of targets
+// to which they sent no request lately.
+TEST_CASE("a load in an answer to one host reaches the others")
+{
+  lycheeplank::test::HostGroup group(9);
+  group.AddTarget([](auto&, const auto& aSocket) {
+    aSocket->Send(lycheeplank::test::WholeAnswer(
+      "x", "200 OK", "X-Server-Load: 3,1,8,250\r\n"));
+  });
+  group.Call(3);
+  const auto knows = [&group] {
+    for (std::size_t i = 0; i < group.Size(); ++i) {
+      if (group.HostAt(i).members_.at("t1").load_.slowness_ != 2.5) {
+        return false;
+      }
+    }
+    return true;
+  };
+  for (int i = 0; i < 60 && !knows(); ++i) {
+    group.RunFor(std::chrono::milliseconds(50));
+  }
+  CHECK(knows());
+  CHECK(group.HostAt(3).members_.at("t1").isOwnLoad_);
+  CHECK_FALSE(group.HostAt(4).members_.at("t1").isOwnLoad_);
+  CHECK(group.HostAt(4).members_.at("t1").load_.waiting_ == 1);
+}
