--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -123,7 +123,8 @@
   Host& host_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
-  std::array<char, 16U << 10U> buffer_{};
+  // Holds the largest datagram; the loads of 3,000 targets take 33 kB.
+  std::array<char, 64U << 10U> buffer_{};
   Timer localTimer_;
   Timer remoteTimer_;
   Timer limitsTimer_;
--- a/test/gossip-test.cc
+++ b/test/gossip-test.cc
@@ -281,3 +281,27 @@
   CHECK_FALSE(group.HostAt(4).members_.at("t1").isOwnLoad_);
   CHECK(group.HostAt(4).members_.at("t1").load_.waiting_ == 1);
 }
+
+// Guards against hosts that know no loads of others in a large deployment: the
+// loads of 3,000 busy targets take 33 kB.
+TEST_CASE("a message with the loads of 3,000 targets is received whole")
+{
+  lycheeplank::test::HostGroup group(9);
+  group.AddTarget([](auto&, const auto& aSocket) {
+    aSocket->Send(lycheeplank::test::WholeAnswer("x", "200 OK", ""));
+  });
+  auto others = MakeMembers(3000, 3);
+  for (std::size_t i = 0; i < group.Size(); ++i) {
+    auto& members = group.HostAt(i).members_;
+    members.insert(others.begin(), others.end());
+  }
+  for (auto& [id, member] : group.HostAt(3).members_) {
+    member.inFlight_ = 1;
+  }
+  group.Call(3);
+  const auto& far = group.HostAt(4).members_.at("target-2999");
+  for (int i = 0; i < 60 && far.peers_.empty(); ++i) {
+    group.RunFor(std::chrono::milliseconds(50));
+  }
+  CHECK_FALSE(far.peers_.empty());
+}
