--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -366,6 +366,26 @@
              const EngineSpeed& aSpeed,
              absl::Time aNow);
 
+// The eligible targets of a data centre that can start an answer within a goal.
+struct DataCentreTargets
+{
+  std::string dataCentre_;
+  std::size_t targets_ = 0;
+  // Mean slots and slowness of these targets.
+  double slots_ = 0.0;
+  double slowness_ = 1.0;
+  // Some target of the data centre reports its slowness.
+  bool reportsSlowness_ = false;
+};
+
+// Returns the targets that may get the request, by data centre, without those
+// that take more than aMaxSlowness times as long as an average one.
+std::vector<DataCentreTargets>
+TargetsByDataCentre(const Members& aMembers,
+                    const RequestSpec& aRequest,
+                    double aMaxSlowness,
+                    absl::Time aNow);
+
 // The result of one call to a target, as far as it concerns the target's
 // health.
 enum class CallResult
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -365,6 +365,39 @@
 
 } // namespace
 
+std::vector<DataCentreTargets>
+TargetsByDataCentre(const Members& aMembers,
+                    const RequestSpec& aRequest,
+                    double aMaxSlowness,
+                    absl::Time aNow)
+{
+  absl::btree_map<absl::string_view, DataCentreTargets> sums;
+  for (const auto& [id, member] : aMembers) {
+    if (member.target_.service_ != aRequest.service_) {
+      continue;
+    }
+    auto& sum = sums[member.target_.dataCentre_];
+    sum.dataCentre_ = member.target_.dataCentre_;
+    sum.reportsSlowness_ =
+      sum.reportsSlowness_ || member.load_.slowness_.has_value();
+    const double slowness = member.slowness_ * member.usualSlowness_;
+    if (!IsEligible(id, member, aRequest, aNow) ||
+        IsQuarantined(member, aNow) || aNow < member.closedUntil_ ||
+        aNow < member.noPermitUntil_ || slowness > aMaxSlowness) {
+      continue;
+    }
+    ++sum.targets_;
+    const double weight = 1.0 / static_cast<double>(sum.targets_);
+    sum.slots_ += weight * (member.target_.slots_ - sum.slots_);
+    sum.slowness_ += weight * (slowness - sum.slowness_);
+  }
+  std::vector<DataCentreTargets> all;
+  for (auto& [name, sum] : sums) {
+    all.push_back(std::move(sum));
+  }
+  return all;
+}
+
 Choice
 ChooseTarget(const Members& aMembers,
              const RequestSpec& aRequest,
