--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -50,6 +50,9 @@
   std::uint32_t running_ = 0;
   std::uint32_t waiting_ = 0;
   std::uint32_t slots_ = 0;
+  // How long work takes at this moment, 1 as usual; only of targets that report
+  // it.
+  absl::optional<double> slowness_;
 };
 
 // Calls of another host to a target that have not ended, as sent between hosts.
@@ -65,6 +68,16 @@
   std::uint64_t heldTokens_ = 0;
 };
 
+// The newest load that a target has reported to any host, as sent between
+// hosts.
+struct ReportedLoad
+{
+  // Stable hash of the target's id.
+  std::uint32_t target_ = 0;
+  Load load_;
+  absl::Duration age_;
+};
+
 // Returns the hash of a target's id that identifies it in messages between
 // hosts.
 std::uint32_t
@@ -95,6 +108,10 @@
 
   Load load_;
   absl::Time loadReportedAt_ = absl::InfinitePast();
+  // When this host received the load, and whether it came in an answer to this
+  // host rather than from another host.
+  absl::Time loadReceivedAt_ = absl::InfinitePast();
+  bool isOwnLoad_ = false;
   // Calls of this host that have not ended.
   std::uint32_t inFlight_ = 0;
   // Prompt tokens of this host's calls without a first event.
@@ -112,8 +129,11 @@
   absl::flat_hash_map<std::string, PeerUsage> peers_;
 
   // Moving average of the ratio of measured to expected time until an answer or
-  // a first event.
+  // a first event. The expected time includes the slowness that the target
+  // reports.
   double slowness_ = 1.0;
+  // Moving average of the slowness that the target reports.
+  double usualSlowness_ = 1.0;
   // Moving average of the share of failed calls.
   double failureShare_ = 0.0;
   std::uint32_t consecutiveFailures_ = 0;
@@ -275,6 +295,11 @@
 // Maximum age at which a target's reported load is used.
 inline constexpr absl::Duration kMaxLoadAge = absl::Milliseconds(500);
 
+// Time in which a target's reported slowness loses most of its weight against
+// the average. The figure changes many times a second, so one of this age says
+// little about the moment at which a new request starts.
+inline constexpr absl::Duration kSlownessDecay = absl::Milliseconds(200);
+
 // Maximum age at which the reported load of another host is used.
 inline constexpr absl::Duration kMaxPeerLoadAge = absl::Seconds(1);
 
@@ -344,6 +369,12 @@
   bool memoryFull_ = false;
 };
 
+// Returns how many times as long as at an average target work is expected to
+// take: the reported slowness if it is recent, and the more of the averages the
+// older it is.
+double
+ExpectedSlowness(const Member& aMember, absl::Time aNow);
+
 // Returns the estimated time until a target would start to answer.
 Estimate
 EstimateWait(const Member& aMember,
@@ -358,6 +389,26 @@
              const EngineSpeed& aSpeed,
              absl::Time aNow);
 
+// The eligible targets of a data centre that can start an answer within a goal.
+struct DataCentreTargets
+{
+  std::string dataCentre_;
+  std::size_t targets_ = 0;
+  // Mean slots and slowness of these targets.
+  double slots_ = 0.0;
+  double slowness_ = 1.0;
+  // Some target of the data centre reports its slowness.
+  bool reportsSlowness_ = false;
+};
+
+// Returns the targets that may get the request, by data centre, without those
+// that take more than aMaxSlowness times as long as an average one.
+std::vector<DataCentreTargets>
+TargetsByDataCentre(const Members& aMembers,
+                    const RequestSpec& aRequest,
+                    double aMaxSlowness,
+                    absl::Time aNow);
+
 // The result of one call to a target, as far as it concerns the target's
 // health.
 enum class CallResult
@@ -461,12 +512,61 @@
 void
 RecordCallStart(Member& aMember, const CallSize& aSize, absl::Time aNow);
 
+// Records a load that the target reported to this host at aReportedAt; ignores
+// it if a newer one is known. Returns whether it was recorded.
+bool
+RecordLoad(Member& aMember, const Load& aLoad, absl::Time aReportedAt);
+
+// Ids of targets by IdHash.
+using TargetIds = absl::flat_hash_map<std::uint32_t, std::string>;
+
+TargetIds
+IdsByHash(const Members& aMembers);
+
+// Records loads that other hosts have received from targets. A collector gets
+// more than a thousand such messages a second with a few loads each, so the
+// targets are looked up in aIds. aSentAt: when the ages were true.
+void
+ApplyReportedLoads(Members& aMembers,
+                   const TargetIds& aIds,
+                   const std::vector<ReportedLoad>& aLoads,
+                   absl::Time aSentAt,
+                   absl::Time aNow);
+
+// Which reported loads a host sends to others.
+struct ReportedLoadQuery
+{
+  // Loads that were received later than this.
+  absl::Time since_ = absl::InfinitePast();
+  // Only loads that came in answers to this host.
+  bool isOwnOnly_ = false;
+  // Loads of this data centre's targets come first; with isNearOnly_, no others
+  // are sent.
+  absl::string_view dataCentre_;
+  bool isNearOnly_ = false;
+};
+
+// Maximum number of reported loads in one message, which fits into a packet.
+// Without the limit, the collector of a data centre of 75 hosts and 750 targets
+// would send each of them the loads of all targets some times a second.
+inline constexpr std::size_t kMaxReportedLoads = 128;
+
+// Returns the newest reported loads for a message, of targets that report their
+// slowness.
+std::vector<ReportedLoad>
+NewestReportedLoads(const Members& aMembers,
+                    const ReportedLoadQuery& aQuery,
+                    absl::Time aNow);
+
 // Records the first byte of an answer; the target has read the prompt by then.
+// aReportedSlowness: the slowness in the head of the answer. It explains its
+// part of the measured time, which therefore isn't added to the average.
 void
 RecordFirstByte(Member& aMember,
                 const CallSize& aSize,
                 absl::Duration aTook,
-                double aNominalSeconds);
+                double aNominalSeconds,
+                double aReportedSlowness = 1.0);
 
 // Records the end of a call; returns true if it quarantines the target.
 bool
