Order waiting requests by priority and fairly by workspace

With the policy in the settings, requests that can meet their goals start first, the most urgent before the others and the workspaces of one priority in turn; late ones follow, the newest first. A small request passes only requests that aren't more urgent. A request that arrives waits behind those that go before it, and one whose expected start is after its caller leaves is refused at that moment.

--- a/include/lycheeplank/request_queue.h
+++ b/include/lycheeplank/request_queue.h
@@ -2,8 +2,11 @@
 #define LYCHEEPLANK_REQUEST_QUEUE_H
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 #include <absl/types/optional.h>
 
@@ -18,6 +21,9 @@
 // Short prompts may pass long ones. A short prompt fits into free memory that
 // is too small for a long one, delays the long ones little, and is worth as
 // much.
+// Deployments with priority scheduling use StartOrder instead: the most urgent
+// requests go first, the workspaces of one priority in turn, and a short prompt
+// passes only requests that aren't more urgent.
 namespace lycheeplank::request_queue {
 
 struct QueuedRequest
@@ -30,6 +36,34 @@
   absl::Time callerLeavesAt_;
   // The request needs little memory.
   bool isSmall_ = false;
+  // The remaining fields are used by StartOrder only.
+  std::string service_;
+  std::string workspace_;
+  // 0 is the most urgent.
+  std::uint32_t priority_ = 0;
+  // Tokens that the request holds in a target's memory.
+  std::uint64_t tokens_ = 0;
+};
+
+// The state of start-time fair queueing among the workspaces of one service and
+// priority, in tokens.
+struct Turns
+{
+  // Start tag of the request that started last.
+  double virtualTime_ = 0.0;
+  // Finish tag of the last request by workspace.
+  absl::flat_hash_map<std::string, double> finish_;
+};
+
+// The rate at which requests of a service start while others of it wait: sums
+// of tokens and of time that decay with kThroughputWindow.
+struct Throughput
+{
+  double tokens_ = 0.0;
+  double seconds_ = 0.0;
+  // Time up to which the sums are complete, and time of the last start.
+  absl::Time countedTo_ = absl::InfinitePast();
+  absl::Time startedAt_ = absl::InfinitePast();
 };
 
 struct Queue
@@ -41,6 +75,9 @@
   absl::Time startedAt_ = absl::InfinitePast();
   // Time at which the queue last became non-empty.
   absl::Time nonEmptySince_ = absl::InfinitePast();
+  // By service, and by service and priority.
+  absl::flat_hash_map<std::string, Throughput> throughputs_;
+  absl::btree_map<std::pair<std::string, std::uint32_t>, Turns> turns_;
 };
 
 inline constexpr double kIntervalAverageWeight = 0.2;
@@ -48,6 +85,13 @@
 // small requests take the memory of a few long prompts.
 inline constexpr double kSmallRequestShare = 1.0 / 32.0;
 
+// Averaging time of a throughput, the shortest time with waiting requests from
+// which it is known, and the time without a start after which it is forgotten:
+// targets may have come or gone meanwhile.
+inline constexpr absl::Duration kThroughputWindow = absl::Seconds(2);
+inline constexpr absl::Duration kMinThroughputTime = absl::Milliseconds(300);
+inline constexpr absl::Duration kThroughputLife = absl::Seconds(5);
+
 // Adds a request. If so many wait that it could not start before its caller
 // leaves, returns instead the time until a place is expected.
 absl::optional<absl::Duration>
@@ -75,6 +119,58 @@
 std::vector<std::uint64_t>
 RemoveExpired(Queue& aQueue, absl::Time aNow);
 
+// Adds a request without an estimate of its start.
+void
+AddRequest(Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow);
+
+// Records the start of a request that hasn't waited, which counts for the
+// throughput and for its workspace.
+void
+RecordStart(Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow);
+
+// Returns the waiting requests in the order in which they are to start: first
+// those that can still meet their goals, by priority, and then the late ones,
+// by priority. Within one priority the workspaces take turns by tokens. Within
+// one workspace the oldest goes first, and of the late ones the newest.
+std::vector<QueuedRequest>
+StartOrder(const Queue& aQueue, absl::Time aNow);
+
+// The requests of one service that found no room in one pass over the queue.
+struct Blocked
+{
+  // The most urgent of them.
+  std::uint32_t priority_ = 0;
+  bool includesSmall_ = false;
+};
+
+// By service.
+using Pass = absl::flat_hash_map<std::string, Blocked>;
+
+// Returns whether a request may use room that the requests before it could not:
+// a small one may, unless one of them is more urgent or small itself.
+bool
+MayPass(const Pass& aPass, const QueuedRequest& aRequest);
+
+void
+RecordBlocked(Pass& aPass, const QueuedRequest& aRequest);
+
+// Returns whether a request that arrives has to wait behind others that go
+// before it.
+bool
+MustWait(const Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow);
+
+// Returns the expected time until a request starts that is in the queue or
+// would be added; zero while the throughput of its service is not known.
+absl::Duration
+ExpectedWait(const Queue& aQueue,
+             const QueuedRequest& aRequest,
+             absl::Time aNow);
+
+// Removes and returns the requests that are expected to start only after their
+// callers have left.
+std::vector<std::uint64_t>
+RemoveHopeless(Queue& aQueue, absl::Time aNow);
+
 } // namespace lycheeplank::request_queue
 
 #endif
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -201,6 +201,12 @@
   if (EndIfBlocked() || WaitIfSuspected()) {
     return;
   }
+  const bool mayWait =
+    history_.tries_ == 0 && Uses(host_, Mechanism::WaitForMemory);
+  if (mayWait && permittedTarget_.empty() && MustWait()) {
+    Enqueue();
+    return;
+  }
   choice_ = ChooseTarget();
   if (choice_.id_.empty() && !permittedTarget_.empty()) {
     // The target has become unusable since the permit was asked for.
@@ -219,8 +225,7 @@
     Refuse("deadline_unreachable", kRetryAfterFull);
     return;
   }
-  if (choice_.memoryFull_ && history_.tries_ == 0 && permittedTarget_.empty() &&
-      Uses(host_, Mechanism::WaitForMemory)) {
+  if (choice_.memoryFull_ && mayWait && permittedTarget_.empty()) {
     Enqueue();
     return;
   }
@@ -232,6 +237,8 @@
   if (waiterId_ != 0) {
     request_queue::StartRequest(host_.waiting_, waiterId_, Now());
     host_.waiters_.erase(std::exchange(waiterId_, 0));
+  } else if (host_.settings_.priorityScheduling_) {
+    request_queue::RecordStart(host_.waiting_, QueueEntry(), Now());
   }
   ++history_.tries_;
   ++attemptNumber_;
@@ -346,6 +353,30 @@
              static_cast<double>(service->second.memoryTokens_);
 }
 
+request_queue::QueuedRequest
+Exchange::QueueEntry() const
+{
+  return { waiterId_,
+           arrivedAt_,
+           arrivedAt_ + route_->goal_ - kStartMargin,
+           std::min(deadline_, arrivedAt_ + route_->maxGap_) - kStartMargin,
+           IsSmall(),
+           service_,
+           workspace_ == nullptr ? "" : workspace_->name_,
+           Priority(),
+           HeldTokens() };
+}
+
+bool
+Exchange::MustWait() const
+{
+  const auto service = catalog_->services_.find(service_);
+  return host_.settings_.priorityScheduling_ && waiterId_ == 0 &&
+         service != catalog_->services_.end() &&
+         service->second.memoryTokens_ > 0 &&
+         request_queue::MustWait(host_.waiting_, QueueEntry(), Now());
+}
+
 void
 Exchange::Enqueue()
 {
@@ -353,28 +384,30 @@
     return;
   }
   const auto now = Now();
-  const auto leavesAt =
-    std::min(deadline_, arrivedAt_ + route_->maxGap_) - kStartMargin;
-  const auto id = host_.nextWaiter_++;
-  if (const auto pause =
-        request_queue::Enqueue(host_.waiting_,
-                               { id,
-                                 arrivedAt_,
-                                 arrivedAt_ + route_->goal_ - kStartMargin,
-                                 leavesAt,
-                                 IsSmall() },
-                               now)) {
+  auto entry = QueueEntry();
+  entry.id_ = host_.nextWaiter_++;
+  if (host_.settings_.priorityScheduling_) {
+    if (now + request_queue::ExpectedWait(host_.waiting_, entry, now) >
+        entry.callerLeavesAt_) {
+      Refuse("queue_full", kRetryAfterFull);
+      return;
+    }
+    request_queue::AddRequest(host_.waiting_, entry, now);
+  } else if (const auto pause =
+               request_queue::Enqueue(host_.waiting_, entry, now)) {
     Refuse("queue_full", std::max(*pause, kRetryAfterFull));
     return;
   }
-  waiterId_ = id;
-  host_.waiters_[id] = [self = shared_from_this()](bool aExpired) {
-    if (aExpired) {
-      self->waiterId_ = 0;
-      self->Refuse("waited_too_long", kRetryAfterFull);
-    } else {
+  waiterId_ = entry.id_;
+  host_.waiters_[entry.id_] = [self = shared_from_this()](WaiterCall aCall) {
+    if (aCall == WaiterCall::MayStart) {
       self->TryNextTarget();
+      return;
     }
+    self->waiterId_ = 0;
+    self->Refuse(aCall == WaiterCall::Expired ? "waited_too_long"
+                                              : "expected_too_late",
+                 kRetryAfterFull);
   };
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -85,6 +85,10 @@
   bool IsSmall() const;
   // Queues the request until a target has memory for it.
   void Enqueue();
+  // Returns its entry in the waiting queue.
+  request_queue::QueuedRequest QueueEntry() const;
+  // Returns whether it has arrived while others wait that go before it.
+  bool MustWait() const;
   // aAvoidsLimited: considers no targets whose requests need a permit.
   fleet::Choice ChooseTarget(bool aAvoidsLimited = false);
   // Asks for a permit and goes on with the decision. aIsLastChoice: no target
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -364,10 +364,35 @@
   const auto before = aHost.waiting_.entries_.size();
   // A copy, since the callback may add or remove waiters.
   const auto start = aHost.waiters_.at(aWaiter);
-  start(false);
+  start(WaiterCall::MayStart);
   return aHost.waiting_.entries_.size() < before;
 }
 
+// Tells a request that it has been removed from the queue.
+void
+EndWaiter(Host& aHost, std::uint64_t aWaiter, WaiterCall aCall)
+{
+  const auto waiter = aHost.waiters_.extract(aWaiter);
+  waiter.mapped()(aCall);
+}
+
+// Starts waiting requests in the order of their priorities.
+void
+StartByPriority(Host& aHost, absl::Time aNow)
+{
+  for (const auto id : request_queue::RemoveHopeless(aHost.waiting_, aNow)) {
+    EndWaiter(aHost, id, WaiterCall::Hopeless);
+  }
+  request_queue::Pass pass;
+  for (const auto& request : request_queue::StartOrder(aHost.waiting_, aNow)) {
+    if (aHost.waiters_.contains(request.id_) &&
+        request_queue::MayPass(pass, request) &&
+        !TryToStart(aHost, request.id_)) {
+      request_queue::RecordBlocked(pass, request);
+    }
+  }
+}
+
 } // namespace
 
 absl::Duration
@@ -530,8 +555,11 @@
 {
   const auto now = Now();
   for (const auto id : request_queue::RemoveExpired(aHost.waiting_, now)) {
-    const auto waiter = aHost.waiters_.extract(id);
-    waiter.mapped()(true);
+    EndWaiter(aHost, id, WaiterCall::Expired);
+  }
+  if (aHost.settings_.priorityScheduling_) {
+    StartByPriority(aHost, now);
+    return;
   }
   for (const auto id : request_queue::SmallRequests(aHost.waiting_)) {
     if (!TryToStart(aHost, id)) {
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -91,6 +91,17 @@
   std::shared_ptr<Timer> timer_;
 };
 
+// What a waiting request is told.
+enum class WaiterCall
+{
+  // A target may have room.
+  MayStart,
+  // The caller no longer waits, or would leave before the expected start; the
+  // request has been removed from the queue.
+  Expired,
+  Hopeless,
+};
+
 // State that the parts of one host share. Used only from the thread of the
 // event loop.
 struct Host
@@ -137,10 +148,9 @@
   fleet::DownReports downReports_;
   entry_hosts::Hosts hosts_;
   // Requests that wait for memory at a target. waiters_ holds, by id, a
-  // callback that tries to start the request or, with aExpired, refuses it.
+  // callback that tries to start the request or refuses it.
   request_queue::Queue waiting_;
-  absl::flat_hash_map<std::uint64_t, std::function<void(bool aExpired)>>
-    waiters_;
+  absl::flat_hash_map<std::uint64_t, std::function<void(WaiterCall)>> waiters_;
   std::uint64_t nextWaiter_ = 1;
   absl::flat_hash_map<std::string, retry_budget::Ledger> resendBudgets_;
   target_limits::State limits_;
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -47,6 +47,9 @@
   // Time after the announcement of new weights from which targets must not run
   // old ones.
   absl::Duration weightsTime_ = absl::Seconds(8);
+  // Waiting requests start by priority and fairly by workspace, and less urgent
+  // ones leave memory at targets to more urgent ones.
+  bool priorityScheduling_ = false;
 };
 
 } // namespace lycheeplank::gateway
--- a/src/request_queue/request_queue.cc
+++ b/src/request_queue/request_queue.cc
@@ -1,6 +1,11 @@
 #include "lycheeplank/request_queue.h"
 
 #include <algorithm>
+#include <cmath>
+#include <deque>
+#include <set>
+#include <tuple>
+#include <utility>
 
 namespace lycheeplank::request_queue {
 
@@ -15,6 +20,145 @@
     [aId](const QueuedRequest& aRequest) { return aRequest.id_ == aId; });
 }
 
+bool
+IsLate(const QueuedRequest& aRequest, absl::Time aNow)
+{
+  return aRequest.goalAt_ <= aNow;
+}
+
+// Returns whether requests of a service wait.
+bool
+HasRequests(const Queue& aQueue, const std::string& aService)
+{
+  return std::any_of(aQueue.entries_.begin(),
+                     aQueue.entries_.end(),
+                     [&aService](const QueuedRequest& aRequest) {
+                       return aRequest.service_ == aService;
+                     });
+}
+
+// Adds the time until aNow, in which requests of the service waited.
+void
+CountTime(Throughput& aThroughput, absl::Time aNow)
+{
+  if (aThroughput.countedTo_ == absl::InfinitePast()) {
+    return;
+  }
+  const auto time =
+    std::max(absl::ZeroDuration(), aNow - aThroughput.countedTo_);
+  const double decay = std::exp(-absl::FDivDuration(time, kThroughputWindow));
+  aThroughput.tokens_ *= decay;
+  aThroughput.seconds_ =
+    aThroughput.seconds_ * decay +
+    absl::ToDoubleSeconds(kThroughputWindow) * (1.0 - decay);
+  aThroughput.countedTo_ = aNow;
+}
+
+// Returns the tokens that start each second; no value if that is not known.
+absl::optional<double>
+TokensPerSecond(const Queue& aQueue,
+                const std::string& aService,
+                absl::Time aNow)
+{
+  const auto found = aQueue.throughputs_.find(aService);
+  if (found == aQueue.throughputs_.end()) {
+    return absl::nullopt;
+  }
+  auto throughput = found->second;
+  CountTime(throughput, aNow);
+  if (throughput.seconds_ < absl::ToDoubleSeconds(kMinThroughputTime)) {
+    return absl::nullopt;
+  }
+  return throughput.tokens_ / throughput.seconds_;
+}
+
+// Returns the start tag of a workspace's next request.
+double
+StartTag(const Turns& aTurns, const std::string& aWorkspace)
+{
+  const auto found = aTurns.finish_.find(aWorkspace);
+  return found == aTurns.finish_.end()
+           ? aTurns.virtualTime_
+           : std::max(aTurns.virtualTime_, found->second);
+}
+
+// Charges a start to its workspace.
+void
+TakeTurn(Turns& aTurns, const QueuedRequest& aRequest)
+{
+  const double tag = StartTag(aTurns, aRequest.workspace_);
+  aTurns.virtualTime_ = std::max(aTurns.virtualTime_, tag);
+  aTurns.finish_[aRequest.workspace_] =
+    tag + static_cast<double>(aRequest.tokens_);
+}
+
+using RequestPointers = std::vector<const QueuedRequest*>;
+
+// Appends requests of one service and priority so that their workspaces take
+// turns; those of one workspace keep their order.
+void
+AppendInTurns(RequestPointers& aOrder,
+              const RequestPointers& aRequests,
+              const Turns& aTurns)
+{
+  absl::flat_hash_map<std::string, std::deque<const QueuedRequest*>> waiting;
+  for (const auto* request : aRequests) {
+    waiting[request->workspace_].push_back(request);
+  }
+  // Workspaces by start tag and by the arrival of their first request.
+  std::set<std::tuple<double, absl::Time, std::string>> turns;
+  for (const auto& [workspace, requests] : waiting) {
+    turns.emplace(
+      StartTag(aTurns, workspace), requests.front()->arrivedAt_, workspace);
+  }
+  while (!turns.empty()) {
+    const auto [tag, arrivedAt, workspace] = *turns.begin();
+    turns.erase(turns.begin());
+    auto& requests = waiting[workspace];
+    aOrder.push_back(requests.front());
+    const auto finish = tag + static_cast<double>(requests.front()->tokens_);
+    requests.pop_front();
+    if (!requests.empty()) {
+      turns.emplace(finish, requests.front()->arrivedAt_, workspace);
+    }
+  }
+}
+
+// Returns requests in the order of StartOrder.
+RequestPointers
+Order(const Queue& aQueue, const RequestPointers& aRequests, absl::Time aNow)
+{
+  // By lateness, priority and service.
+  absl::btree_map<std::tuple<bool, std::uint32_t, std::string>, RequestPointers>
+    groups;
+  for (const auto* request : aRequests) {
+    groups[{ IsLate(*request, aNow), request->priority_, request->service_ }]
+      .push_back(request);
+  }
+  RequestPointers order;
+  for (auto& [key, requests] : groups) {
+    const auto& [isLate, priority, service] = key;
+    if (isLate) {
+      std::reverse(requests.begin(), requests.end());
+    }
+    static const Turns kNoTurns;
+    const auto turns = aQueue.turns_.find({ service, priority });
+    AppendInTurns(
+      order, requests, turns == aQueue.turns_.end() ? kNoTurns : turns->second);
+  }
+  return order;
+}
+
+RequestPointers
+PointersTo(const Queue& aQueue)
+{
+  RequestPointers pointers;
+  for (const auto& entry : aQueue.entries_) {
+    pointers.push_back(&entry);
+  }
+  return pointers;
+}
+
 } // namespace
 
 absl::optional<absl::Duration>
@@ -27,10 +171,7 @@
   if (wait > aRequest.callerLeavesAt_ - aNow) {
     return wait - (aRequest.callerLeavesAt_ - aNow) / 2;
   }
-  if (aQueue.entries_.empty()) {
-    aQueue.nonEmptySince_ = aNow;
-  }
-  aQueue.entries_.push_back(aRequest);
+  AddRequest(aQueue, aRequest, aNow);
   return absl::nullopt;
 }
 
@@ -68,9 +209,12 @@
 void
 StartRequest(Queue& aQueue, std::uint64_t aId, absl::Time aNow)
 {
-  if (!RemoveRequest(aQueue, aId)) {
+  const auto found = FindRequest(aQueue, aId);
+  if (found == aQueue.entries_.end()) {
     return;
   }
+  RecordStart(aQueue, *found, aNow);
+  aQueue.entries_.erase(found);
   // Times with an empty queue do not count for the start rate.
   const auto since = std::max(aQueue.startedAt_, aQueue.nonEmptySince_);
   const auto interval = aNow - since;
@@ -112,4 +256,132 @@
   return expired;
 }
 
+void
+AddRequest(Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow)
+{
+  if (aQueue.entries_.empty()) {
+    aQueue.nonEmptySince_ = aNow;
+  }
+  if (!HasRequests(aQueue, aRequest.service_)) {
+    auto& throughput = aQueue.throughputs_[aRequest.service_];
+    if (aNow - throughput.startedAt_ > kThroughputLife) {
+      throughput = Throughput();
+    }
+    throughput.countedTo_ = aNow;
+    // A new contest for room begins.
+    const auto begin = aQueue.turns_.lower_bound({ aRequest.service_, 0 });
+    auto end = begin;
+    while (end != aQueue.turns_.end() &&
+           end->first.first == aRequest.service_) {
+      ++end;
+    }
+    aQueue.turns_.erase(begin, end);
+  }
+  aQueue.entries_.push_back(aRequest);
+}
+
+void
+RecordStart(Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow)
+{
+  if (!HasRequests(aQueue, aRequest.service_)) {
+    return;
+  }
+  auto& throughput = aQueue.throughputs_[aRequest.service_];
+  CountTime(throughput, aNow);
+  throughput.tokens_ += static_cast<double>(aRequest.tokens_);
+  throughput.startedAt_ = aNow;
+  TakeTurn(aQueue.turns_[{ aRequest.service_, aRequest.priority_ }], aRequest);
+}
+
+std::vector<QueuedRequest>
+StartOrder(const Queue& aQueue, absl::Time aNow)
+{
+  std::vector<QueuedRequest> order;
+  for (const auto* request : Order(aQueue, PointersTo(aQueue), aNow)) {
+    order.push_back(*request);
+  }
+  return order;
+}
+
+bool
+MayPass(const Pass& aPass, const QueuedRequest& aRequest)
+{
+  const auto found = aPass.find(aRequest.service_);
+  return found == aPass.end() ||
+         (aRequest.isSmall_ && !found->second.includesSmall_ &&
+          aRequest.priority_ <= found->second.priority_);
+}
+
+void
+RecordBlocked(Pass& aPass, const QueuedRequest& aRequest)
+{
+  const auto [at, isFirst] =
+    aPass.try_emplace(aRequest.service_, Blocked{ aRequest.priority_ });
+  at->second.priority_ = std::min(at->second.priority_, aRequest.priority_);
+  at->second.includesSmall_ |= aRequest.isSmall_;
+}
+
+bool
+MustWait(const Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow)
+{
+  const bool isLate = IsLate(aRequest, aNow);
+  Pass pass;
+  for (const auto& entry : aQueue.entries_) {
+    const bool entryIsLate = IsLate(entry, aNow);
+    const bool goesFirst =
+      entryIsLate == isLate ? entry.priority_ <= aRequest.priority_ : isLate;
+    if (entry.service_ == aRequest.service_ && goesFirst) {
+      RecordBlocked(pass, entry);
+    }
+  }
+  return !MayPass(pass, aRequest);
+}
+
+absl::Duration
+ExpectedWait(const Queue& aQueue,
+             const QueuedRequest& aRequest,
+             absl::Time aNow)
+{
+  const auto rate = TokensPerSecond(aQueue, aRequest.service_, aNow);
+  if (!rate) {
+    return absl::ZeroDuration();
+  }
+  RequestPointers requests;
+  for (const auto& entry : aQueue.entries_) {
+    if (entry.service_ == aRequest.service_ && entry.id_ != aRequest.id_) {
+      requests.push_back(&entry);
+    }
+  }
+  requests.push_back(&aRequest);
+  double ahead = 0.0;
+  for (const auto* request : Order(aQueue, requests, aNow)) {
+    if (request == &aRequest) {
+      break;
+    }
+    ahead += static_cast<double>(request->tokens_);
+  }
+  return ahead > 0.0 ? absl::Seconds(ahead / *rate) : absl::ZeroDuration();
+}
+
+std::vector<std::uint64_t>
+RemoveHopeless(Queue& aQueue, absl::Time aNow)
+{
+  std::vector<std::uint64_t> hopeless;
+  absl::flat_hash_map<std::string, double> ahead;
+  for (const auto* request : Order(aQueue, PointersTo(aQueue), aNow)) {
+    auto& tokens = ahead[request->service_];
+    const auto rate = TokensPerSecond(aQueue, request->service_, aNow);
+    if (rate && tokens > 0.0 &&
+        aNow + absl::Seconds(tokens / *rate) > request->callerLeavesAt_) {
+      hopeless.push_back(request->id_);
+    } else {
+      tokens += static_cast<double>(request->tokens_);
+    }
+  }
+  for (const auto id : hopeless) {
+    RemoveRequest(aQueue, id);
+  }
+  return hopeless;
+}
+
 } // namespace lycheeplank::request_queue
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -70,6 +70,25 @@
   CHECK(ErrorOf(broken).find("settings: ") == 0);
 }
 
+// Guards against scheduling by priority in a deployment that doesn't ask for
+// it.
+TEST_CASE("a policy of the settings enables scheduling by priority")
+{
+  const auto isOn = [](const std::string& aPolicies) {
+    return core::HandleError(
+      [&]() -> core::Result<bool> {
+        BOOST_LEAF_AUTO(settings,
+                        platform::ParseSettings(kSettings + aPolicies));
+        return settings.priorityScheduling_;
+      },
+      [](const core::Error&) { return false; });
+  };
+  CHECK_FALSE(isOn(""));
+  CHECK_FALSE(isOn("policies: pressure\n"));
+  CHECK_FALSE(isOn("policies: [other, {pressure: 1}]\n"));
+  CHECK(isOn("policies: [other, pressure]\n"));
+}
+
 TEST_CASE("a caller's request is decoded")
 {
   http::RequestHead head;
--- a/test/request-queue-test.cc
+++ b/test/request-queue-test.cc
@@ -236,3 +236,136 @@
     CHECK(MeanWaitOfShort(seed, true) < 0.2 * MeanWaitOfShort(seed, false));
   }
 }
+
+namespace {
+
+// Returns a request of priority scheduling.
+request_queue::QueuedRequest
+MakeUrgent(std::uint64_t aId,
+           std::uint32_t aPriority,
+           const std::string& aWorkspace,
+           absl::Time aArrivedAt = kStart,
+           bool aIsSmall = false)
+{
+  auto request = MakeQueued(aId, aArrivedAt);
+  request.isSmall_ = aIsSmall;
+  request.workspace_ = aWorkspace;
+  request.priority_ = aPriority;
+  request.tokens_ = aIsSmall ? 100 : 1000;
+  return request;
+}
+
+std::vector<std::uint64_t>
+IdsInOrder(const request_queue::Queue& aQueue, absl::Time aNow)
+{
+  std::vector<std::uint64_t> ids;
+  for (const auto& request : request_queue::StartOrder(aQueue, aNow)) {
+    ids.push_back(request.id_);
+  }
+  return ids;
+}
+
+} // namespace
+
+// Guards against less urgent requests and late ones that start first.
+TEST_CASE("the most urgent requests start first, late ones last, newest first")
+{
+  request_queue::Queue queue;
+  const auto now = kStart + kGoal + absl::Milliseconds(1);
+  const std::vector<request_queue::QueuedRequest> requests{
+    MakeUrgent(1, 0, "a"),      MakeUrgent(2, 0, "a"),
+    MakeUrgent(3, 2, "a", now), MakeUrgent(4, 0, "a", now),
+    MakeUrgent(5, 1, "a", now),
+  };
+  for (const auto& request : requests) {
+    request_queue::AddRequest(queue, request, now);
+  }
+  CHECK(IdsInOrder(queue, now) == std::vector<std::uint64_t>{ 4, 5, 3, 2, 1 });
+}
+
+// Guards against a workspace that floods the queue and delays all others.
+TEST_CASE("workspaces of one priority start in turn")
+{
+  request_queue::Queue queue;
+  for (std::uint64_t id = 1; id <= 20; ++id) {
+    request_queue::AddRequest(queue, MakeUrgent(id, 0, "flood"), kStart);
+  }
+  request_queue::StartRequest(queue, 1, kStart);
+  const auto later = kStart + absl::Milliseconds(1);
+  request_queue::AddRequest(queue, MakeUrgent(21, 0, "b", later), later);
+  request_queue::AddRequest(queue, MakeUrgent(22, 0, "b", later), later);
+  auto order = IdsInOrder(queue, kStart);
+  order.resize(4);
+  CHECK(order == std::vector<std::uint64_t>{ 21, 2, 22, 3 });
+  // What workspaces had before they shared the queue doesn't count.
+  while (!queue.entries_.empty()) {
+    request_queue::StartRequest(queue, queue.entries_.front().id_, kStart);
+  }
+  request_queue::AddRequest(queue, MakeUrgent(30, 0, "flood"), kStart);
+  request_queue::AddRequest(queue, MakeUrgent(31, 0, "b", later), later);
+  CHECK(IdsInOrder(queue, kStart) == std::vector<std::uint64_t>{ 30, 31 });
+}
+
+// Guards against less urgent small requests that use up the room for which a
+// more urgent long one waits.
+TEST_CASE("a small request passes only requests that aren't more urgent")
+{
+  request_queue::Pass pass;
+  const auto small = [](std::uint32_t aPriority) {
+    return MakeUrgent(9, aPriority, "a", kStart, true);
+  };
+  CHECK(request_queue::MayPass(pass, small(2)));
+  request_queue::RecordBlocked(pass, MakeUrgent(1, 1, "a"));
+  CHECK_FALSE(request_queue::MayPass(pass, small(2)));
+  CHECK_FALSE(request_queue::MayPass(pass, MakeUrgent(2, 0, "a")));
+  CHECK(request_queue::MayPass(pass, small(1)));
+  CHECK(request_queue::MayPass(pass, small(0)));
+  auto other = small(2);
+  other.service_ = std::string("t");
+  CHECK(request_queue::MayPass(pass, other));
+  request_queue::RecordBlocked(pass, small(1));
+  CHECK_FALSE(request_queue::MayPass(pass, small(0)));
+}
+
+// Guards against requests that arrive and take the room for which others wait.
+TEST_CASE("a request that arrives waits behind those that go first")
+{
+  request_queue::Queue queue;
+  CHECK_FALSE(request_queue::MustWait(queue, MakeUrgent(9, 1, "a"), kStart));
+  request_queue::AddRequest(queue, MakeUrgent(1, 1, "a"), kStart);
+  CHECK(request_queue::MustWait(queue, MakeUrgent(9, 1, "b"), kStart));
+  CHECK(request_queue::MustWait(queue, MakeUrgent(9, 2, "b"), kStart));
+  CHECK_FALSE(request_queue::MustWait(queue, MakeUrgent(9, 0, "b"), kStart));
+  const auto late = kStart + kGoal;
+  CHECK_FALSE(
+    request_queue::MustWait(queue, MakeUrgent(9, 2, "b", late), late));
+}
+
+// Guards against requests that wait in vain until their deadline.
+TEST_CASE("requests that become hopeless are removed at that moment")
+{
+  request_queue::Queue queue;
+  for (std::uint64_t id = 1; id <= 40; ++id) {
+    request_queue::AddRequest(queue, MakeUrgent(id, 0, "a"), kStart);
+  }
+  CHECK(request_queue::RemoveHopeless(queue, kStart).empty());
+  // Ten requests start each second, so that callers of 32 places wait. In this
+  // time others could pass none.
+  auto now = kStart;
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    now += absl::Milliseconds(100);
+    request_queue::StartRequest(queue, id, now);
+  }
+  const auto wait =
+    request_queue::ExpectedWait(queue, MakeUrgent(50, 0, "b"), now);
+  CHECK(wait < absl::Milliseconds(200));
+  CHECK(request_queue::ExpectedWait(queue, MakeUrgent(50, 1, "b"), now) >
+        absl::Seconds(3));
+  const auto hopeless = request_queue::RemoveHopeless(queue, now);
+  CHECK(hopeless.size() == 7);
+  CHECK(hopeless.back() == 40);
+  // While nothing starts, the remaining ones become hopeless, too.
+  now += absl::Seconds(1);
+  const auto left = queue.entries_.size();
+  CHECK(request_queue::RemoveHopeless(queue, now).size() > left / 2);
+}
