Leave memory at targets to more urgent requests

With priority scheduling a less urgent request leaves room for the more urgent ones that arrive within 300 ms by this host's recent rate, for the largest that waits here, and at most half of the memory. Urgent requests wait at a target that is full of requests as urgent instead of evicting them; what less urgent ones hold counts as room that the target frees by eviction. Small requests pass others only beyond that reserve.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -181,6 +181,14 @@
   // Targets read the prompts of urgent requests first and evict requests that
   // are not urgent to make room for them.
   bool isUrgent_ = false;
+  // Waits for memory by priority: also an urgent request waits at a target
+  // whose memory is full of requests that are as urgent.
+  bool waitsByPriority_ = false;
+  // Tokens per target that it leaves to more urgent requests, see
+  // EstimateReserve, and the share of a target's held tokens that belongs to
+  // less urgent ones, which the target evicts first.
+  double reservedTokens_ = 0.0;
+  double yieldingShare_ = 0.0;
   // Bytes sent to the target and back.
   std::uint64_t bytes_ = 0;
   // Limit of this host's concurrent calls to one target; 0 for no limit.
@@ -426,6 +434,45 @@
                          absl::Duration aReportDelay,
                          absl::Time aNow);
 
+// The requests of one service at this host by priority; 0 is the most urgent.
+struct PriorityLoads
+{
+  // Requests that arrived, also those that wait or were refused.
+  absl::btree_map<std::uint32_t, SendRate> arrivals_;
+  // Shares of the recent sends in held tokens, as a moving average.
+  absl::btree_map<std::uint32_t, double> sentTokens_;
+};
+
+// Time for whose arrivals of more urgent requests a less urgent one leaves
+// room: a full target frees room for a long prompt in about 200 ms, and loads
+// are reported up to 300 ms late.
+inline constexpr absl::Duration kReserveTime = absl::Milliseconds(300);
+
+void
+RecordArrival(PriorityLoads& aLoads,
+              std::uint32_t aPriority,
+              std::uint64_t aHeldTokens,
+              absl::Time aNow);
+
+void
+RecordPrioritySend(PriorityLoads& aLoads,
+                   std::uint32_t aPriority,
+                   std::uint64_t aHeldTokens);
+
+// Returns an estimate of the tokens of more urgent requests that all hosts send
+// to a target within kReserveTime, if they receive as many as this host.
+double
+EstimateReserve(const PriorityLoads& aLoads,
+                std::uint32_t aPriority,
+                std::size_t aHosts,
+                std::size_t aTargets,
+                absl::Time aNow);
+
+// Returns the share of less urgent requests among the tokens that targets hold,
+// if other hosts send the same mix as this one.
+double
+YieldingShare(const PriorityLoads& aLoads, std::uint32_t aPriority);
+
 // The size of one call.
 struct CallSize
 {
--- a/include/lycheeplank/request_queue.h
+++ b/include/lycheeplank/request_queue.h
@@ -23,7 +23,7 @@
 // much.
 // Deployments with priority scheduling use StartOrder instead: the most urgent
 // requests go first, the workspaces of one priority in turn, and a short prompt
-// passes only requests that aren't more urgent.
+// passes more urgent ones only where room is left for them.
 namespace lycheeplank::request_queue {
 
 struct QueuedRequest
@@ -138,16 +138,16 @@
 // The requests of one service that found no room in one pass over the queue.
 struct Blocked
 {
-  // The most urgent of them.
-  std::uint32_t priority_ = 0;
-  bool includesSmall_ = false;
+  // Lowest priority number of the small ones; no value without one.
+  absl::optional<std::uint32_t> smallPriority_;
 };
 
 // By service.
 using Pass = absl::flat_hash_map<std::string, Blocked>;
 
 // Returns whether a request may use room that the requests before it could not:
-// a small one may, unless one of them is more urgent or small itself.
+// a small one may, unless a small one before it is as urgent. It leaves room
+// for those that go before it, see LargestBefore.
 bool
 MayPass(const Pass& aPass, const QueuedRequest& aRequest);
 
@@ -159,6 +159,14 @@
 bool
 MustWait(const Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow);
 
+// Returns the tokens of the largest waiting request of the same service that
+// can still meet its goal and for which a request leaves room: it is more
+// urgent, or the request itself is late. 0 if there is none.
+std::uint64_t
+LargestBefore(const Queue& aQueue,
+              const QueuedRequest& aRequest,
+              absl::Time aNow);
+
 // Returns the expected time until a request starts that is in the queue or
 // would be added; zero while the throughput of its service is not known.
 absl::Duration
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -109,12 +109,46 @@
     kSimilarSendShare * static_cast<double>(aRequest.hostsWaiting_) * sent);
 }
 
-// Returns the time in seconds until enough of a target's memory is free.
-double
+// The wait for memory at a target, in seconds.
+struct MemoryState
+{
+  double waitSeconds_ = 0.0;
+  // The request should not be sent before other runs end.
+  bool isFull_ = false;
+};
+
+// Returns the wait of a request whose target evicts less urgent requests for
+// it.
+MemoryState
+WaitByPriority(const PeerUsage& aUsage, const RequestSpec& aRequest)
+{
+  const auto memory = static_cast<double>(aRequest.memoryTokens_);
+  const auto own = static_cast<double>(aRequest.heldTokens_);
+  const auto held = static_cast<double>(aUsage.heldTokens_);
+  const double firmShare = 1.0 - aRequest.yieldingShare_;
+  const double room = std::max(kMinUsableShare * memory,
+                               memory - firmShare * aRequest.unreportedTokens_ -
+                                 aRequest.reservedTokens_);
+  // An empty target takes any request.
+  if (held + own <= room || held == 0.0) {
+    return {};
+  }
+  const double excess = firmShare * held + own - room;
+  return excess <= 0.0 ? MemoryState{ kEvictionSeconds, false }
+                       : MemoryState{ std::max(kEvictionSeconds,
+                                               kMeanRunSeconds * excess / room),
+                                      true };
+}
+
+// Returns the time until enough of a target's memory is free.
+MemoryState
 MemoryWait(const PeerUsage& aUsage, const RequestSpec& aRequest)
 {
   if (aRequest.memoryTokens_ == 0) {
-    return 0.0;
+    return {};
+  }
+  if (aRequest.waitsByPriority_) {
+    return WaitByPriority(aUsage, aRequest);
   }
   // Requests that are not urgent leave room for unreported calls, which would
   // evict them.
@@ -126,12 +160,13 @@
   const auto held =
     static_cast<double>(aUsage.heldTokens_ + aRequest.heldTokens_);
   if (held <= room) {
-    return 0.0;
+    return {};
   }
   // Urgent requests do not wait, but the prompts that they evict are read
   // again.
-  return aRequest.isUrgent_ ? kEvictionSeconds
-                            : kMeanRunSeconds * (held - room) / room;
+  return aRequest.isUrgent_
+           ? MemoryState{ kEvictionSeconds, false }
+           : MemoryState{ kMeanRunSeconds * (held - room) / room, true };
 }
 
 // Returns the ids of the preferred targets of a part, by rendezvous hashing
@@ -253,10 +288,11 @@
     kSlotSeconds * backlog.running_ + kWaitingSeconds * backlog.waiting_;
   auto expected = shares;
   expected.heldTokens_ += SimilarSendTokens(aMember, aRequest, aNow);
-  const double memory = MemoryWait(expected, aRequest);
-  estimate.memoryFull_ = !aRequest.isUrgent_ && memory > 0.0;
+  const auto memory = MemoryWait(expected, aRequest);
+  estimate.memoryFull_ = memory.isFull_;
   estimate.waitSeconds_ = aMember.slowness_ * estimate.nominalSeconds_ +
-                          excess * kMeanSlotSeconds / slots + memory;
+                          excess * kMeanSlotSeconds / slots +
+                          memory.waitSeconds_;
   return estimate;
 }
 
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -83,6 +83,9 @@
   question.isUrgent_ = IsUrgent();
   question.heldTokens_ = HeldTokens();
   question.unreportedTokens_ = UnreportedTokens(now);
+  if (WaitsByPriority()) {
+    SetReserve(question, now);
+  }
   if (Uses(host_, Mechanism::SimilarSends) &&
       !host_.waiting_.entries_.empty()) {
     question.hostsWaiting_ = host_.hosts_.size();
@@ -134,17 +137,22 @@
       !Uses(host_, Mechanism::UnreportedMargin)) {
     return 0.0;
   }
-  const auto targets = std::count_if(
-    host_.members_.begin(), host_.members_.end(), [this](const auto& aMember) {
-      return aMember.second.target_.service_ == service_;
-    });
   return fleet::EstimateUnreportedTokens(found->second,
                                          host_.hosts_.size(),
-                                         static_cast<std::size_t>(targets),
+                                         CountTargets(),
                                          kLargeFleetLoadDelay,
                                          aNow);
 }
 
+std::size_t
+Exchange::CountTargets() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    host_.members_.begin(), host_.members_.end(), [this](const auto& aMember) {
+      return aMember.second.target_.service_ == service_;
+    }));
+}
+
 cache_index::Plan
 Exchange::PlanCacheReads(std::uint64_t aWeights,
                          absl::string_view aDataCentre,
@@ -249,6 +257,10 @@
   holdsTarget_ = true;
   fleet::RecordCallStart(member, size_, Now());
   fleet::RecordSend(host_.sendRates_[service_], size_.heldTokens_, Now());
+  if (WaitsByPriority()) {
+    fleet::RecordPrioritySend(
+      host_.priorityLoads_[service_], Priority(), size_.heldTokens_);
+  }
   host_.onLoad_();
   headAccepted_ = false;
   isEvents_ = false;
@@ -369,12 +381,35 @@
 
 bool
 Exchange::MustWait() const
+{
+  return waiterId_ == 0 && WaitsByPriority() &&
+         request_queue::MustWait(host_.waiting_, QueueEntry(), Now());
+}
+
+bool
+Exchange::WaitsByPriority() const
 {
   const auto service = catalog_->services_.find(service_);
-  return host_.settings_.priorityScheduling_ && waiterId_ == 0 &&
+  return host_.settings_.priorityScheduling_ &&
          service != catalog_->services_.end() &&
-         service->second.memoryTokens_ > 0 &&
-         request_queue::MustWait(host_.waiting_, QueueEntry(), Now());
+         service->second.memoryTokens_ > 0;
+}
+
+void
+Exchange::SetReserve(fleet::RequestSpec& aSpec, absl::Time aNow) const
+{
+  aSpec.waitsByPriority_ = true;
+  const auto priority = Priority();
+  if (const auto found = host_.priorityLoads_.find(service_);
+      found != host_.priorityLoads_.end()) {
+    aSpec.reservedTokens_ = fleet::EstimateReserve(
+      found->second, priority, host_.hosts_.size(), CountTargets(), aNow);
+    aSpec.yieldingShare_ = fleet::YieldingShare(found->second, priority);
+  }
+  aSpec.reservedTokens_ =
+    std::max(aSpec.reservedTokens_,
+             static_cast<double>(request_queue::LargestBefore(
+               host_.waiting_, QueueEntry(), aNow)));
 }
 
 void
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -67,6 +67,10 @@
   const auto self = shared_from_this();
   caller_->OnGone([self] { self->OnGone(); });
   deadlineTimer_.Set(TimeLeft(), [self] { self->OnDeadline(); });
+  if (WaitsByPriority()) {
+    fleet::RecordArrival(
+      host_.priorityLoads_[service_], Priority(), HeldTokens(), arrivedAt_);
+  }
   TryNextTarget();
 }
 
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -89,6 +89,11 @@
   request_queue::QueuedRequest QueueEntry() const;
   // Returns whether it has arrived while others wait that go before it.
   bool MustWait() const;
+  // Returns whether it waits for memory by priority.
+  bool WaitsByPriority() const;
+  // Sets the memory that the request leaves to more urgent ones and may take
+  // from less urgent ones.
+  void SetReserve(fleet::RequestSpec& aSpec, absl::Time aNow) const;
   // aAvoidsLimited: considers no targets whose requests need a permit.
   fleet::Choice ChooseTarget(bool aAvoidsLimited = false);
   // Asks for a permit and goes on with the decision. aIsLastChoice: no target
@@ -111,6 +116,8 @@
                  absl::string_view aRefusal,
                  absl::Duration aRetryAfter);
   double UnreportedTokens(absl::Time aNow) const;
+  // Returns the number of targets of the service.
+  std::size_t CountTargets() const;
   // Plans which parts of the prompt a target with these weights reads from
   // cache stores and which it saves there.
   // aReadEnd: see ReadEnd.
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -168,6 +168,8 @@
   StoreHealth store_;
   // Recent sends of this host, by service.
   absl::flat_hash_map<std::string, fleet::SendRate> sendRates_;
+  // With priority scheduling, the requests of services that have memory.
+  absl::flat_hash_map<std::string, fleet::PriorityLoads> priorityLoads_;
   // By service. Open streams refer to the entries, which therefore stay.
   std::map<std::string, EventIds> eventIds_;
   // Bytes of answers that are buffered until they are complete.
--- a/src/request_queue/request_queue.cc
+++ b/src/request_queue/request_queue.cc
@@ -307,18 +307,37 @@
 MayPass(const Pass& aPass, const QueuedRequest& aRequest)
 {
   const auto found = aPass.find(aRequest.service_);
-  return found == aPass.end() ||
-         (aRequest.isSmall_ && !found->second.includesSmall_ &&
-          aRequest.priority_ <= found->second.priority_);
+  if (found == aPass.end()) {
+    return true;
+  }
+  const auto& blocked = found->second.smallPriority_;
+  return aRequest.isSmall_ && (!blocked || aRequest.priority_ < *blocked);
 }
 
 void
 RecordBlocked(Pass& aPass, const QueuedRequest& aRequest)
 {
-  const auto [at, isFirst] =
-    aPass.try_emplace(aRequest.service_, Blocked{ aRequest.priority_ });
-  at->second.priority_ = std::min(at->second.priority_, aRequest.priority_);
-  at->second.includesSmall_ |= aRequest.isSmall_;
+  auto& blocked = aPass[aRequest.service_].smallPriority_;
+  if (aRequest.isSmall_) {
+    blocked =
+      std::min(aRequest.priority_, blocked.value_or(aRequest.priority_));
+  }
+}
+
+std::uint64_t
+LargestBefore(const Queue& aQueue,
+              const QueuedRequest& aRequest,
+              absl::Time aNow)
+{
+  const bool isLate = IsLate(aRequest, aNow);
+  std::uint64_t largest = 0;
+  for (const auto& entry : aQueue.entries_) {
+    if (entry.service_ == aRequest.service_ && !IsLate(entry, aNow) &&
+        (isLate || entry.priority_ < aRequest.priority_)) {
+      largest = std::max(largest, entry.tokens_);
+    }
+  }
+  return largest;
 }
 
 bool
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -677,3 +677,79 @@
   CHECK(fleet::EstimateUnreportedTokens(
           outflow, 9, 9, delay, now + absl::Seconds(20)) < 0.05 * nine);
 }
+
+// Guards against urgent requests that are sent to a full target and evict each
+// other.
+TEST_CASE("with priorities, a request waits for memory of requests as urgent")
+{
+  auto members = MakeMembers(1);
+  auto request = MakeRequest();
+  request.isUrgent_ = true;
+  request.waitsByPriority_ = true;
+  const auto isFull = [&] {
+    return fleet::ChooseTarget(members, request, kSpeed, kNow).memoryFull_;
+  };
+  request.heldTokens_ = 2 * request.memoryTokens_;
+  CHECK_FALSE(isFull());
+  request.heldTokens_ = 12000;
+  for (int i = 0; i < 7; ++i) {
+    CHECK_FALSE(isFull());
+    fleet::RecordCallStart(members.at("t0"), MakeSize(), kNow);
+  }
+  CHECK(isFull());
+  request.yieldingShare_ = 0.3;
+  CHECK_FALSE(isFull());
+  request.reservedTokens_ = 30000;
+  CHECK(isFull());
+}
+
+// Guards against less urgent requests that take the memory which more urgent
+// ones need until room returns, and against a reserve that starves them.
+TEST_CASE("less urgent requests leave at most half of the memory")
+{
+  for (const std::size_t hosts : { 8, 78, 300 }) {
+    const auto targets = hosts;
+    fleet::PriorityLoads loads;
+    // Each host receives a quarter of a target's memory in a second.
+    auto now = kNow;
+    for (int i = 0; i < 40; ++i) {
+      now += absl::Milliseconds(100);
+      fleet::RecordArrival(loads, 0, 2350, now);
+    }
+    const double reserve =
+      fleet::EstimateReserve(loads, 1, hosts, targets, now);
+    INFO(hosts << " hosts, reserve " << reserve);
+    CHECK(reserve > 2350 * 3);
+    CHECK(reserve < 2350 * 6);
+    CHECK(fleet::EstimateReserve(loads, 0, hosts, targets, now) == 0.0);
+    auto members = MakeMembers(1);
+    auto request = MakeRequest();
+    request.waitsByPriority_ = true;
+    request.reservedTokens_ = 100.0 * reserve;
+    for (int i = 0; i < 3; ++i) {
+      const auto choice = fleet::ChooseTarget(members, request, kSpeed, now);
+      CHECK_FALSE(choice.memoryFull_);
+      fleet::RecordCallStart(members.at("t0"), MakeSize(), now);
+    }
+    CHECK(fleet::ChooseTarget(members, request, kSpeed, now).memoryFull_);
+  }
+}
+
+// Guards against a wrong share of the tokens that a target evicts first.
+TEST_CASE("the share of less urgent requests follows the recent sends")
+{
+  fleet::PriorityLoads loads;
+  CHECK(fleet::YieldingShare(loads, 0) == 0.0);
+  for (int i = 0; i < 200; ++i) {
+    fleet::RecordPrioritySend(loads, 0, 12000);
+    for (int j = 0; j < 5; ++j) {
+      fleet::RecordPrioritySend(loads, 2, 2400);
+    }
+  }
+  CHECK(fleet::YieldingShare(loads, 0) == Approx(0.5).margin(0.1));
+  CHECK(fleet::YieldingShare(loads, 2) == 0.0);
+  for (int i = 0; i < 200; ++i) {
+    fleet::RecordPrioritySend(loads, 0, 12000);
+  }
+  CHECK(fleet::YieldingShare(loads, 0) < 0.01);
+}
