Decide in one module which requests wait and which are refused

The expected wait of a request counts the tokens before it and what more urgent requests take that arrive meanwhile; its value, less when late, decides whether it waits. Retry-After spreads the callers over the time until there is room, at most a third of their remaining time, the most urgent and the workspaces with the fewest starts first. The throughput estimate includes one more start, since a small host starts few requests in a second.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -422,6 +422,10 @@
 void
 RecordSend(SendRate& aRate, std::uint64_t aHeldTokens, absl::Time aNow);
 
+// Returns the tokens sent each second; the rate decays while nothing is sent.
+double
+TokensPerSecond(const SendRate& aRate, absl::Time aNow);
+
 // Returns an estimate of the tokens that other hosts have sent to a target and
 // not reported yet: the mean plus one standard deviation, under the assumption
 // that all hosts send at this host's rate. In a large fleet, loads are reported
@@ -468,6 +472,13 @@
                 std::size_t aTargets,
                 absl::Time aNow);
 
+// Returns the tokens of requests that arrive each second and are more urgent
+// than aPriority.
+double
+MoreUrgentPerSecond(const PriorityLoads& aLoads,
+                    std::uint32_t aPriority,
+                    absl::Time aNow);
+
 // Returns the share of less urgent requests among the tokens that targets hold,
 // if other hosts send the same mix as this one.
 double
--- a/include/lycheeplank/request_queue.h
+++ b/include/lycheeplank/request_queue.h
@@ -51,8 +51,10 @@
 {
   // Start tag of the request that started last.
   double virtualTime_ = 0.0;
-  // Finish tag of the last request by workspace.
+  // Finish tag of the last request, and all tokens that have started, by
+  // workspace.
   absl::flat_hash_map<std::string, double> finish_;
+  absl::flat_hash_map<std::string, double> started_;
 };
 
 // The rate at which requests of a service start while others of it wait: sums
@@ -89,7 +91,7 @@
 // which it is known, and the time without a start after which it is forgotten:
 // targets may have come or gone meanwhile.
 inline constexpr absl::Duration kThroughputWindow = absl::Seconds(2);
-inline constexpr absl::Duration kMinThroughputTime = absl::Milliseconds(300);
+inline constexpr absl::Duration kMinThroughputTime = absl::Milliseconds(500);
 inline constexpr absl::Duration kThroughputLife = absl::Seconds(5);
 
 // Adds a request. If so many wait that it could not start before its caller
@@ -167,17 +169,28 @@
               const QueuedRequest& aRequest,
               absl::Time aNow);
 
-// Returns the expected time until a request starts that is in the queue or
-// would be added; zero while the throughput of its service is not known.
-absl::Duration
-ExpectedWait(const Queue& aQueue,
+// Returns the tokens of a service that start each second while requests of it
+// wait; no value if that is not known. A few starts vary by chance, so the
+// estimate includes one more start of aTokens.
+absl::optional<double>
+TokensPerSecond(const Queue& aQueue,
+                const std::string& aService,
+                std::uint64_t aTokens,
+                absl::Time aNow);
+
+// Returns the tokens that start before a request, which may be in the queue or
+// not.
+std::uint64_t
+TokensBefore(const Queue& aQueue,
              const QueuedRequest& aRequest,
              absl::Time aNow);
 
-// Removes and returns the requests that are expected to start only after their
-// callers have left.
-std::vector<std::uint64_t>
-RemoveHopeless(Queue& aQueue, absl::Time aNow);
+// Returns the share of a workspace in the starts of its service and priority
+// while requests waited, as a multiple of an equal share: 0 if none of its
+// requests has started, 1 if it has had as much as the others, also if nothing
+// has started.
+double
+WorkspaceShare(const Queue& aQueue, const QueuedRequest& aRequest);
 
 } // namespace lycheeplank::request_queue
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -15,14 +15,6 @@
 constexpr double kMinSlowness = 0.4;
 constexpr double kMaxSlowness = 20.0;
 
-// Returns the send rate, which decays while nothing is sent.
-double
-DecayedRate(const SendRate& aRate, absl::Time aNow)
-{
-  return aRate.tokensPerSecond_ *
-         std::exp(-absl::FDivDuration(aNow - aRate.sentAt_, kSendRateWindow));
-}
-
 // Keeps the state that one start of a target never reverts: leaving, and newer
 // weights.
 void
@@ -155,12 +147,19 @@
   return loads;
 }
 
+double
+TokensPerSecond(const SendRate& aRate, absl::Time aNow)
+{
+  return aRate.tokensPerSecond_ *
+         std::exp(-absl::FDivDuration(aNow - aRate.sentAt_, kSendRateWindow));
+}
+
 void
 RecordSend(SendRate& aRate, std::uint64_t aHeldTokens, absl::Time aNow)
 {
   const auto tokens = static_cast<double>(aHeldTokens);
-  aRate.tokensPerSecond_ =
-    DecayedRate(aRate, aNow) + tokens / absl::ToDoubleSeconds(kSendRateWindow);
+  aRate.tokensPerSecond_ = TokensPerSecond(aRate, aNow) +
+                           tokens / absl::ToDoubleSeconds(kSendRateWindow);
   aRate.tokensPerCall_ += kCallAverageWeight * (tokens - aRate.tokensPerCall_);
   aRate.sentAt_ = aNow;
 }
@@ -176,7 +175,7 @@
     return 0.0;
   }
   const double mean =
-    DecayedRate(aRate, aNow) * static_cast<double>(aHosts - 1) /
+    TokensPerSecond(aRate, aNow) * static_cast<double>(aHosts - 1) /
     static_cast<double>(aTargets) * absl::ToDoubleSeconds(aReportDelay);
   // Calls arrive at random, so the count varies as in a Poisson process.
   return mean + std::sqrt(mean * aRate.tokensPerCall_);
--- a/src/fleet/priorities.cc
+++ b/src/fleet/priorities.cc
@@ -54,6 +54,18 @@
   return tokens;
 }
 
+double
+MoreUrgentPerSecond(const PriorityLoads& aLoads,
+                    std::uint32_t aPriority,
+                    absl::Time aNow)
+{
+  double tokens = 0.0;
+  for (const auto& [priority, rate] : aLoads.arrivals_) {
+    tokens += priority < aPriority ? TokensPerSecond(rate, aNow) : 0.0;
+  }
+  return tokens;
+}
+
 double
 YieldingShare(const PriorityLoads& aLoads, std::uint32_t aPriority)
 {
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -421,10 +421,10 @@
   const auto now = Now();
   auto entry = QueueEntry();
   entry.id_ = host_.nextWaiter_++;
-  if (host_.settings_.priorityScheduling_) {
-    if (now + request_queue::ExpectedWait(host_.waiting_, entry, now) >
-        entry.callerLeavesAt_) {
-      Refuse("queue_full", kRetryAfterFull);
+  if (WaitsByPriority()) {
+    const auto decision = overload::Decide(Assess());
+    if (decision.action_ == overload::Action::Refuse) {
+      RefuseOverload(decision.reason_);
       return;
     }
     request_queue::AddRequest(host_.waiting_, entry, now);
@@ -440,12 +440,38 @@
       return;
     }
     self->waiterId_ = 0;
-    self->Refuse(aCall == WaiterCall::Expired ? "waited_too_long"
-                                              : "expected_too_late",
-                 kRetryAfterFull);
+    const auto reason = aCall == WaiterCall::Expired
+                          ? overload::Reason::WaitedTooLong
+                          : overload::Reason::ExpectedTooLate;
+    if (self->WaitsByPriority()) {
+      self->RefuseOverload(reason);
+    } else {
+      self->Refuse(core::NameOf(overload::kReasons, reason), kRetryAfterFull);
+    }
   };
 }
 
+overload::Situation
+Exchange::Assess()
+{
+  auto situation = overload::Assess(
+    host_.waiting_, host_.priorityLoads_[service_], QueueEntry(), Now());
+  situation.draw_ = std::uniform_real_distribution<>(0.0, 1.0)(host_.random_);
+  return situation;
+}
+
+void
+Exchange::RefuseOverload(overload::Reason aReason)
+{
+  if (choice_.id_.empty()) {
+    // For the log: what is known of the targets' loads.
+    choice_ = ChooseTarget();
+  }
+  refusal_ = Assess();
+  RefuseUntil(core::NameOf(overload::kReasons, aReason),
+              overload::RetryAfter(*refusal_));
+}
+
 Attempt
 Exchange::MakeAttempt(const fleet::Member& aMember)
 {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -89,6 +89,10 @@
   request_queue::QueuedRequest QueueEntry() const;
   // Returns whether it has arrived while others wait that go before it.
   bool MustWait() const;
+  // Returns what decides whether it waits.
+  overload::Situation Assess();
+  // Refuses it by the rules of priority scheduling.
+  void RefuseOverload(overload::Reason aReason);
   // Returns whether it waits for memory by priority.
   bool WaitsByPriority() const;
   // Sets the memory that the request leaves to more urgent ones and may take
@@ -254,6 +258,9 @@
   std::uint64_t waiterId_ = 0;
   // Target for which the request has a permit; empty without one.
   std::string permittedTarget_;
+  // What decided that the request is refused; no value without priority
+  // scheduling.
+  absl::optional<overload::Situation> refusal_;
   bool isAskingForPermit_ = false;
   // A call is recorded at the current target.
   bool holdsTarget_ = false;
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -380,7 +380,8 @@
 void
 StartByPriority(Host& aHost, absl::Time aNow)
 {
-  for (const auto id : request_queue::RemoveHopeless(aHost.waiting_, aNow)) {
+  for (const auto id :
+       overload::RemoveHopeless(aHost.waiting_, aHost.priorityLoads_, aNow)) {
     EndWaiter(aHost, id, WaiterCall::Hopeless);
   }
   request_queue::Pass pass;
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -29,6 +29,7 @@
 #include "lycheeplank/fleet.h"
 #include "lycheeplank/mechanisms.h"
 #include "lycheeplank/metrics.h"
+#include "lycheeplank/overload.h"
 #include "lycheeplank/part_use.h"
 #include "lycheeplank/poison.h"
 #include "lycheeplank/relays.h"
@@ -169,7 +170,7 @@
   // Recent sends of this host, by service.
   absl::flat_hash_map<std::string, fleet::SendRate> sendRates_;
   // With priority scheduling, the requests of services that have memory.
-  absl::flat_hash_map<std::string, fleet::PriorityLoads> priorityLoads_;
+  overload::Loads priorityLoads_;
   // By service. Open streams refer to the entries, which therefore stay.
   std::map<std::string, EventIds> eventIds_;
   // Bytes of answers that are buffered until they are complete.
--- a/src/request_queue/request_queue.cc
+++ b/src/request_queue/request_queue.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <deque>
+#include <numeric>
 #include <set>
 #include <tuple>
 #include <utility>
@@ -54,24 +55,6 @@
   aThroughput.countedTo_ = aNow;
 }
 
-// Returns the tokens that start each second; no value if that is not known.
-absl::optional<double>
-TokensPerSecond(const Queue& aQueue,
-                const std::string& aService,
-                absl::Time aNow)
-{
-  const auto found = aQueue.throughputs_.find(aService);
-  if (found == aQueue.throughputs_.end()) {
-    return absl::nullopt;
-  }
-  auto throughput = found->second;
-  CountTime(throughput, aNow);
-  if (throughput.seconds_ < absl::ToDoubleSeconds(kMinThroughputTime)) {
-    return absl::nullopt;
-  }
-  return throughput.tokens_ / throughput.seconds_;
-}
-
 // Returns the start tag of a workspace's next request.
 double
 StartTag(const Turns& aTurns, const std::string& aWorkspace)
@@ -90,6 +73,7 @@
   aTurns.virtualTime_ = std::max(aTurns.virtualTime_, tag);
   aTurns.finish_[aRequest.workspace_] =
     tag + static_cast<double>(aRequest.tokens_);
+  aTurns.started_[aRequest.workspace_] += static_cast<double>(aRequest.tokens_);
 }
 
 using RequestPointers = std::vector<const QueuedRequest*>;
@@ -356,15 +340,30 @@
   return !MayPass(pass, aRequest);
 }
 
-absl::Duration
-ExpectedWait(const Queue& aQueue,
+absl::optional<double>
+TokensPerSecond(const Queue& aQueue,
+                const std::string& aService,
+                std::uint64_t aTokens,
+                absl::Time aNow)
+{
+  const auto found = aQueue.throughputs_.find(aService);
+  if (found == aQueue.throughputs_.end()) {
+    return absl::nullopt;
+  }
+  auto throughput = found->second;
+  CountTime(throughput, aNow);
+  if (throughput.seconds_ < absl::ToDoubleSeconds(kMinThroughputTime)) {
+    return absl::nullopt;
+  }
+  return (throughput.tokens_ + static_cast<double>(aTokens)) /
+         throughput.seconds_;
+}
+
+std::uint64_t
+TokensBefore(const Queue& aQueue,
              const QueuedRequest& aRequest,
              absl::Time aNow)
 {
-  const auto rate = TokensPerSecond(aQueue, aRequest.service_, aNow);
-  if (!rate) {
-    return absl::ZeroDuration();
-  }
   RequestPointers requests;
   for (const auto& entry : aQueue.entries_) {
     if (entry.service_ == aRequest.service_ && entry.id_ != aRequest.id_) {
@@ -372,35 +371,36 @@
     }
   }
   requests.push_back(&aRequest);
-  double ahead = 0.0;
+  std::uint64_t tokens = 0;
   for (const auto* request : Order(aQueue, requests, aNow)) {
     if (request == &aRequest) {
       break;
     }
-    ahead += static_cast<double>(request->tokens_);
+    tokens += request->tokens_;
   }
-  return ahead > 0.0 ? absl::Seconds(ahead / *rate) : absl::ZeroDuration();
+  return tokens;
 }
 
-std::vector<std::uint64_t>
-RemoveHopeless(Queue& aQueue, absl::Time aNow)
+double
+WorkspaceShare(const Queue& aQueue, const QueuedRequest& aRequest)
 {
-  std::vector<std::uint64_t> hopeless;
-  absl::flat_hash_map<std::string, double> ahead;
-  for (const auto* request : Order(aQueue, PointersTo(aQueue), aNow)) {
-    auto& tokens = ahead[request->service_];
-    const auto rate = TokensPerSecond(aQueue, request->service_, aNow);
-    if (rate && tokens > 0.0 &&
-        aNow + absl::Seconds(tokens / *rate) > request->callerLeavesAt_) {
-      hopeless.push_back(request->id_);
-    } else {
-      tokens += static_cast<double>(request->tokens_);
-    }
+  const auto turns =
+    aQueue.turns_.find({ aRequest.service_, aRequest.priority_ });
+  if (turns == aQueue.turns_.end()) {
+    return 1.0;
   }
-  for (const auto id : hopeless) {
-    RemoveRequest(aQueue, id);
+  const auto& started = turns->second.started_;
+  const double all = std::accumulate(
+    started.begin(), started.end(), 0.0, [](double aSum, const auto& aEntry) {
+      return aSum + aEntry.second;
+    });
+  const auto own = started.find(aRequest.workspace_);
+  if (all <= 0.0) {
+    return 1.0;
   }
-  return hopeless;
+  return own == started.end()
+           ? 0.0
+           : own->second * static_cast<double>(started.size()) / all;
 }
 
 } // namespace lycheeplank::request_queue
