--- a/include/lycheeplank/request_queue.h
+++ b/include/lycheeplank/request_queue.h
@@ -2,8 +2,11 @@
 #define LYCHEEPLANK_REQUEST_QUEUE_H
 
 #include <cstdint>
+#include <string>
 #include <vector>
 
+#include <absl/container/btree_map.h>
+#include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 #include <absl/types/optional.h>
 
@@ -18,6 +21,9 @@
 // Short prompts may pass long ones. A short prompt fits into free memory that
 // is too small for a long one, delays the long ones little, and is worth as
 // much.
+// Deployments with priority scheduling use StartOrder instead: the most urgent
+// requests go first, the workspaces of one priority in turn, and a short prompt
+// passes more urgent ones only where room is left for them.
 namespace lycheeplank::request_queue {
 
 struct QueuedRequest
@@ -30,6 +36,36 @@
   absl::Time callerLeavesAt_;
   // The request needs little memory.
   bool isSmall_ = false;
+  // The remaining fields are used by StartOrder only.
+  std::string service_;
+  std::string workspace_;
+  // 0 is the most urgent.
+  std::uint32_t priority_ = 0;
+  // Tokens that the request holds in a target's memory.
+  std::uint64_t tokens_ = 0;
+};
+
+// The state of start-time fair queueing among the workspaces of one service and
+// priority, in tokens.
+struct Turns
+{
+  // Start tag of the request that started last.
+  double virtualTime_ = 0.0;
+  // Finish tag of the last request, and all tokens that have started, by
+  // workspace.
+  absl::flat_hash_map<std::string, double> finish_;
+  absl::flat_hash_map<std::string, double> started_;
+};
+
+// The rate at which requests of a service start while others of it wait: sums
+// of tokens and of time that decay with kThroughputWindow.
+struct Throughput
+{
+  double tokens_ = 0.0;
+  double seconds_ = 0.0;
+  // Time up to which the sums are complete, and time of the last start.
+  absl::Time countedTo_ = absl::InfinitePast();
+  absl::Time startedAt_ = absl::InfinitePast();
 };
 
 struct Queue
@@ -41,6 +77,9 @@
   absl::Time startedAt_ = absl::InfinitePast();
   // Time at which the queue last became non-empty.
   absl::Time nonEmptySince_ = absl::InfinitePast();
+  // By service, and by service and priority.
+  absl::flat_hash_map<std::string, Throughput> throughputs_;
+  absl::btree_map<std::pair<std::string, std::uint32_t>, Turns> turns_;
 };
 
 inline constexpr double kIntervalAverageWeight = 0.2;
@@ -48,6 +87,13 @@
 // small requests take the memory of a few long prompts.
 inline constexpr double kSmallRequestShare = 1.0 / 32.0;
 
+// Averaging time of a throughput, the shortest time with waiting requests from
+// which it is known, and the time without a start after which it is forgotten:
+// targets may have come or gone meanwhile.
+inline constexpr absl::Duration kThroughputWindow = absl::Seconds(2);
+inline constexpr absl::Duration kMinThroughputTime = absl::Milliseconds(500);
+inline constexpr absl::Duration kThroughputLife = absl::Seconds(5);
+
 // Adds a request. If so many wait that it could not start before its caller
 // leaves, returns instead the time until a place is expected.
 absl::optional<absl::Duration>
@@ -75,6 +121,77 @@
 std::vector<std::uint64_t>
 RemoveExpired(Queue& aQueue, absl::Time aNow);
 
+// Adds a request without an estimate of its start.
+void
+AddRequest(Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow);
+
+// Records the start of a request that hasn't waited, which counts for the
+// throughput and for its workspace.
+void
+RecordStart(Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow);
+
+// Returns the waiting requests in the order in which they are to start: first
+// those that can still meet their goals, by priority, and then the late ones,
+// by priority. Within one priority the workspaces take turns by tokens. Within
+// one workspace the oldest goes first, and of the late ones the newest.
+std::vector<QueuedRequest>
+StartOrder(const Queue& aQueue, absl::Time aNow);
+
+// The requests of one service that found no room in one pass over the queue.
+struct Blocked
+{
+  // Lowest priority number of the small ones; no value without one.
+  absl::optional<std::uint32_t> smallPriority_;
+};
+
+// By service.
+using Pass = absl::flat_hash_map<std::string, Blocked>;
+
+// Returns whether a request may use room that the requests before it could not:
+// a small one may, unless a small one before it is as urgent. It leaves room
+// for those that go before it, see LargestBefore.
+bool
+MayPass(const Pass& aPass, const QueuedRequest& aRequest);
+
+void
+RecordBlocked(Pass& aPass, const QueuedRequest& aRequest);
+
+// Returns whether a request that arrives has to wait behind others that go
+// before it.
+bool
+MustWait(const Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow);
+
+// Returns the tokens of the largest waiting request of the same service that
+// can still meet its goal and for which a request leaves room: it is more
+// urgent, or the request itself is late. 0 if there is none.
+std::uint64_t
+LargestBefore(const Queue& aQueue,
+              const QueuedRequest& aRequest,
+              absl::Time aNow);
+
+// Returns the tokens of a service that start each second while requests of it
+// wait; no value if that is not known. A few starts vary by chance, so the
+// estimate includes one more start of aTokens.
+absl::optional<double>
+TokensPerSecond(const Queue& aQueue,
+                const std::string& aService,
+                std::uint64_t aTokens,
+                absl::Time aNow);
+
+// Returns the tokens that start before a request, which may be in the queue or
+// not.
+std::uint64_t
+TokensBefore(const Queue& aQueue,
+             const QueuedRequest& aRequest,
+             absl::Time aNow);
+
+// Returns the share of a workspace in the starts of its service and priority
+// while requests waited, as a multiple of an equal share: 0 if none of its
+// requests has started, 1 if it has had as much as the others, also if nothing
+// has started.
+double
+WorkspaceShare(const Queue& aQueue, const QueuedRequest& aRequest);
+
 } // namespace lycheeplank::request_queue
 
 #endif
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -84,6 +84,9 @@
   question.isUrgent_ = IsUrgent();
   question.heldTokens_ = HeldTokens();
   question.unreportedTokens_ = UnreportedTokens(now);
+  if (WaitsByPriority()) {
+    SetReserve(question, now);
+  }
   if (Uses(host_, Mechanism::SimilarSends) &&
       !host_.waiting_.entries_.empty()) {
     question.hostsWaiting_ = host_.hosts_.size();
@@ -135,17 +138,22 @@
       !Uses(host_, Mechanism::UnreportedMargin)) {
     return 0.0;
   }
-  const auto targets = std::count_if(
-    host_.members_.begin(), host_.members_.end(), [this](const auto& aMember) {
-      return aMember.second.target_.service_ == service_;
-    });
   return fleet::EstimateUnreportedTokens(found->second,
                                          host_.hosts_.size(),
-                                         static_cast<std::size_t>(targets),
+                                         CountTargets(),
                                          kLargeFleetLoadDelay,
                                          aNow);
 }
 
+std::size_t
+Exchange::CountTargets() const
+{
+  return static_cast<std::size_t>(std::count_if(
+    host_.members_.begin(), host_.members_.end(), [this](const auto& aMember) {
+      return aMember.second.target_.service_ == service_;
+    }));
+}
+
 cache_index::Plan
 Exchange::PlanCacheReads(std::uint64_t aWeights,
                          absl::string_view aDataCentre,
@@ -202,6 +210,12 @@
   if (EndIfBlocked() || WaitIfSuspected()) {
     return;
   }
+  const bool mayWait =
+    history_.tries_ == 0 && Uses(host_, Mechanism::WaitForMemory);
+  if (mayWait && permittedTarget_.empty() && MustWait()) {
+    Enqueue();
+    return;
+  }
   choice_ = ChooseTarget();
   if (choice_.id_.empty() && !permittedTarget_.empty()) {
     // The target has become unusable since the permit was asked for.
@@ -220,8 +234,7 @@
     Refuse("deadline_unreachable", kRetryAfterFull);
     return;
   }
-  if (choice_.memoryFull_ && history_.tries_ == 0 && permittedTarget_.empty() &&
-      Uses(host_, Mechanism::WaitForMemory)) {
+  if (choice_.memoryFull_ && mayWait && permittedTarget_.empty()) {
     Enqueue();
     return;
   }
@@ -233,6 +246,8 @@
   if (waiterId_ != 0) {
     request_queue::StartRequest(host_.waiting_, waiterId_, Now());
     host_.waiters_.erase(std::exchange(waiterId_, 0));
+  } else if (host_.settings_.priorityScheduling_) {
+    request_queue::RecordStart(host_.waiting_, QueueEntry(), Now());
   }
   ++history_.tries_;
   ++attemptNumber_;
@@ -243,6 +258,10 @@
   holdsTarget_ = true;
   fleet::RecordCallStart(member, size_, Now());
   fleet::RecordSend(host_.sendRates_[service_], size_.heldTokens_, Now());
+  if (WaitsByPriority()) {
+    fleet::RecordPrioritySend(
+      host_.priorityLoads_[service_], Priority(), size_.heldTokens_);
+  }
   host_.onLoad_();
   headAccepted_ = false;
   isEvents_ = false;
@@ -347,6 +366,53 @@
              static_cast<double>(service->second.memoryTokens_);
 }
 
+request_queue::QueuedRequest
+Exchange::QueueEntry() const
+{
+  return { waiterId_,
+           arrivedAt_,
+           arrivedAt_ + route_->goal_ - kStartMargin,
+           std::min(deadline_, arrivedAt_ + route_->maxGap_) - kStartMargin,
+           IsSmall(),
+           service_,
+           workspace_ == nullptr ? "" : workspace_->name_,
+           Priority(),
+           HeldTokens() };
+}
+
+bool
+Exchange::MustWait() const
+{
+  return waiterId_ == 0 && WaitsByPriority() &&
+         request_queue::MustWait(host_.waiting_, QueueEntry(), Now());
+}
+
+bool
+Exchange::WaitsByPriority() const
+{
+  const auto service = catalog_->services_.find(service_);
+  return host_.settings_.priorityScheduling_ &&
+         service != catalog_->services_.end() &&
+         service->second.memoryTokens_ > 0;
+}
+
+void
+Exchange::SetReserve(fleet::RequestSpec& aSpec, absl::Time aNow) const
+{
+  aSpec.waitsByPriority_ = true;
+  const auto priority = Priority();
+  if (const auto found = host_.priorityLoads_.find(service_);
+      found != host_.priorityLoads_.end()) {
+    aSpec.reservedTokens_ = fleet::EstimateReserve(
+      found->second, priority, host_.hosts_.size(), CountTargets(), aNow);
+    aSpec.yieldingShare_ = fleet::YieldingShare(found->second, priority);
+  }
+  aSpec.reservedTokens_ =
+    std::max(aSpec.reservedTokens_,
+             static_cast<double>(request_queue::LargestBefore(
+               host_.waiting_, QueueEntry(), aNow)));
+}
+
 void
 Exchange::Enqueue()
 {
@@ -354,31 +420,59 @@
     return;
   }
   const auto now = Now();
-  const auto leavesAt =
-    std::min(deadline_, arrivedAt_ + route_->maxGap_) - kStartMargin;
-  const auto id = host_.nextWaiter_++;
-  if (const auto pause =
-        request_queue::Enqueue(host_.waiting_,
-                               { id,
-                                 arrivedAt_,
-                                 arrivedAt_ + route_->goal_ - kStartMargin,
-                                 leavesAt,
-                                 IsSmall() },
-                               now)) {
+  auto entry = QueueEntry();
+  entry.id_ = host_.nextWaiter_++;
+  if (WaitsByPriority()) {
+    const auto decision = overload::Decide(Assess());
+    if (decision.action_ == overload::Action::Refuse) {
+      RefuseOverload(decision.reason_);
+      return;
+    }
+    request_queue::AddRequest(host_.waiting_, entry, now);
+  } else if (const auto pause =
+               request_queue::Enqueue(host_.waiting_, entry, now)) {
     Refuse("queue_full", std::max(*pause, kRetryAfterFull));
     return;
   }
-  waiterId_ = id;
-  host_.waiters_[id] = [self = shared_from_this()](bool aExpired) {
-    if (aExpired) {
-      self->waiterId_ = 0;
-      self->Refuse("waited_too_long", kRetryAfterFull);
-    } else {
+  waiterId_ = entry.id_;
+  host_.waiters_[entry.id_] = [self = shared_from_this()](WaiterCall aCall) {
+    if (aCall == WaiterCall::MayStart) {
       self->TryNextTarget();
+      return;
+    }
+    self->waiterId_ = 0;
+    const auto reason = aCall == WaiterCall::Expired
+                          ? overload::Reason::WaitedTooLong
+                          : overload::Reason::ExpectedTooLate;
+    if (self->WaitsByPriority()) {
+      self->RefuseOverload(reason);
+    } else {
+      self->Refuse(core::NameOf(overload::kReasons, reason), kRetryAfterFull);
     }
   };
 }
 
+overload::Situation
+Exchange::Assess()
+{
+  auto situation = overload::Assess(
+    host_.waiting_, host_.priorityLoads_[service_], QueueEntry(), Now());
+  situation.draw_ = std::uniform_real_distribution<>(0.0, 1.0)(host_.random_);
+  return situation;
+}
+
+void
+Exchange::RefuseOverload(overload::Reason aReason)
+{
+  if (choice_.id_.empty()) {
+    // For the log: what is known of the targets' loads.
+    choice_ = ChooseTarget();
+  }
+  refusal_ = Assess();
+  RefuseUntil(core::NameOf(overload::kReasons, aReason),
+              overload::RetryAfter(*refusal_));
+}
+
 Attempt
 Exchange::MakeAttempt(const fleet::Member& aMember)
 {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -88,6 +88,19 @@
   bool IsSmall() const;
   // Queues the request until a target has memory for it.
   void Enqueue();
+  // Returns its entry in the waiting queue.
+  request_queue::QueuedRequest QueueEntry() const;
+  // Returns whether it has arrived while others wait that go before it.
+  bool MustWait() const;
+  // Returns what decides whether it waits.
+  overload::Situation Assess();
+  // Refuses it by the rules of priority scheduling.
+  void RefuseOverload(overload::Reason aReason);
+  // Returns whether it waits for memory by priority.
+  bool WaitsByPriority() const;
+  // Sets the memory that the request leaves to more urgent ones and may take
+  // from less urgent ones.
+  void SetReserve(fleet::RequestSpec& aSpec, absl::Time aNow) const;
   // aAvoidsLimited: considers no targets whose requests need a permit.
   fleet::Choice ChooseTarget(bool aAvoidsLimited = false);
   // Asks for a permit and goes on with the decision. aIsLastChoice: no target
@@ -110,6 +123,8 @@
                  absl::string_view aRefusal,
                  absl::Duration aRetryAfter);
   double UnreportedTokens(absl::Time aNow) const;
+  // Returns the number of targets of the service.
+  std::size_t CountTargets() const;
   // Plans which parts of the prompt a target with these weights reads from
   // cache stores and which it saves there.
   // aReadEnd: see ReadEnd.
@@ -249,6 +264,9 @@
   std::uint64_t waiterId_ = 0;
   // Target for which the request has a permit; empty without one.
   std::string permittedTarget_;
+  // What decided that the request is refused; no value without priority
+  // scheduling.
+  absl::optional<overload::Situation> refusal_;
   bool isAskingForPermit_ = false;
   // A call is recorded at the current target.
   bool holdsTarget_ = false;
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -29,6 +29,7 @@
 #include "lycheeplank/fleet.h"
 #include "lycheeplank/mechanisms.h"
 #include "lycheeplank/metrics.h"
+#include "lycheeplank/overload.h"
 #include "lycheeplank/part_use.h"
 #include "lycheeplank/poison.h"
 #include "lycheeplank/relays.h"
@@ -104,6 +105,17 @@
   absl::flat_hash_map<std::string, Entry> targets_;
 };
 
+// What a waiting request is told.
+enum class WaiterCall
+{
+  // A target may have room.
+  MayStart,
+  // The caller no longer waits, or would leave before the expected start; the
+  // request has been removed from the queue.
+  Expired,
+  Hopeless,
+};
+
 // State that the parts of one host share. Used only from the thread of the
 // event loop.
 struct Host
@@ -152,10 +164,9 @@
   fleet::DownReports downReports_;
   entry_hosts::Hosts hosts_;
   // Requests that wait for memory at a target. waiters_ holds, by id, a
-  // callback that tries to start the request or, with aExpired, refuses it.
+  // callback that tries to start the request or refuses it.
   request_queue::Queue waiting_;
-  absl::flat_hash_map<std::uint64_t, std::function<void(bool aExpired)>>
-    waiters_;
+  absl::flat_hash_map<std::uint64_t, std::function<void(WaiterCall)>> waiters_;
   std::uint64_t nextWaiter_ = 1;
   absl::flat_hash_map<std::string, retry_budget::Ledger> resendBudgets_;
   target_limits::State limits_;
@@ -173,6 +184,8 @@
   StoreHealth store_;
   // Recent sends of this host, by service.
   absl::flat_hash_map<std::string, fleet::SendRate> sendRates_;
+  // With priority scheduling, the requests of services that have memory.
+  overload::Loads priorityLoads_;
   // By service. Open streams refer to the entries, which therefore stay.
   std::map<std::string, EventIds> eventIds_;
   // Bytes of answers that are buffered until they are complete.
