Keep the order of a workspace's routes at targets

A workspace's priority replaced that of its routes, so its short prompts with a goal of 400 ms waited at targets behind its long ones. Routes' priorities now order the requests of equal priority, and hosts whose targets report their momentary slowness schedule by priority, too.

--- a/include/lycheeplank/catalog.h
+++ b/include/lycheeplank/catalog.h
@@ -119,6 +119,8 @@
   std::vector<Workspace> workspaces_;
   // Index into workspaces_ by key.
   absl::flat_hash_map<std::string, std::size_t> workspaceByKey_;
+  // Distinct priorities of the routes to a service, ascending.
+  absl::flat_hash_map<std::string, std::vector<std::uint32_t>> priorities_;
 };
 
 using CatalogPtr = std::shared_ptr<const Catalog>;
@@ -139,6 +141,16 @@
 const Workspace*
 FindWorkspace(const Catalog& aCatalog, absl::string_view aKey);
 
+// Returns the priority of a request among all requests of its service, 0 for
+// the most urgent: by the workspace's priority, or by the route's if the
+// workspace has none, and by the routes' priorities where these are equal. So a
+// workspace's priority doesn't remove the order among its own requests.
+std::uint32_t
+CombinedPriority(const Catalog& aCatalog,
+                 const Route& aRoute,
+                 const Workspace* aWorkspace,
+                 const std::string& aService);
+
 // Returns the service for a request. A hash of the request's id implements the
 // weights of the route's services.
 const std::string&
--- a/src/catalog/catalog.cc
+++ b/src/catalog/catalog.cc
@@ -40,6 +40,19 @@
                        return aLeft.prefix_.size() > aRight.prefix_.size();
                      });
   }
+  aCatalog.priorities_.clear();
+  for (const auto& [host, routes] : aCatalog.routes_) {
+    for (const auto& route : routes) {
+      for (const auto& share : route.shares_) {
+        aCatalog.priorities_[share.service_].push_back(route.priority_);
+      }
+    }
+  }
+  for (auto& [service, priorities] : aCatalog.priorities_) {
+    std::sort(priorities.begin(), priorities.end());
+    priorities.erase(std::unique(priorities.begin(), priorities.end()),
+                     priorities.end());
+  }
   aCatalog.workspaceByKey_.clear();
   for (std::size_t i = 0; i < aCatalog.workspaces_.size(); ++i) {
     for (const auto& key : aCatalog.workspaces_[i].keys_) {
@@ -75,6 +88,26 @@
            : &aCatalog.workspaces_[found->second];
 }
 
+std::uint32_t
+CombinedPriority(const Catalog& aCatalog,
+                 const Route& aRoute,
+                 const Workspace* aWorkspace,
+                 const std::string& aService)
+{
+  const auto first = aWorkspace != nullptr
+                       ? aWorkspace->priority_.value_or(aRoute.priority_)
+                       : aRoute.priority_;
+  const auto found = aCatalog.priorities_.find(aService);
+  if (found == aCatalog.priorities_.end()) {
+    return first;
+  }
+  const auto& priorities = found->second;
+  const auto second = static_cast<std::uint32_t>(
+    std::lower_bound(priorities.begin(), priorities.end(), aRoute.priority_) -
+    priorities.begin());
+  return first * static_cast<std::uint32_t>(priorities.size()) + second;
+}
+
 const std::string&
 PickService(const Route& aRoute, absl::string_view aRequestId)
 {
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -58,6 +58,7 @@
     auto& member = found->second;
     if (answer_.load_) {
       fleet::RecordLoad(member, *answer_.load_, now);
+      host_.haveTargetsSlowness_ |= answer_.load_->slowness_.has_value();
     }
     if (answer_.weights_ && !request_.model_.empty() && IsFromTarget()) {
       auto& version = member.target_.weights_[request_.model_];
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -246,7 +246,7 @@
   if (waiterId_ != 0) {
     request_queue::StartRequest(host_.waiting_, waiterId_, Now());
     host_.waiters_.erase(std::exchange(waiterId_, 0));
-  } else if (host_.settings_.priorityScheduling_) {
+  } else if (SchedulesByPriority(host_)) {
     request_queue::RecordStart(host_.waiting_, QueueEntry(), Now());
   }
   ++history_.tries_;
@@ -345,6 +345,9 @@
 std::uint32_t
 Exchange::Priority() const
 {
+  if (WaitsByPriority()) {
+    return catalog::CombinedPriority(*catalog_, *route_, workspace_, service_);
+  }
   return workspace_ != nullptr && workspace_->priority_ ? *workspace_->priority_
                                                         : route_->priority_;
 }
@@ -391,8 +394,7 @@
 Exchange::WaitsByPriority() const
 {
   const auto service = catalog_->services_.find(service_);
-  return host_.settings_.priorityScheduling_ &&
-         service != catalog_->services_.end() &&
+  return SchedulesByPriority(host_) && service != catalog_->services_.end() &&
          service->second.memoryTokens_ > 0;
 }
 
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -315,6 +315,7 @@
     targetIds_ = fleet::IdsByHash(host_.members_);
     targetIdsAt_ = now;
   }
+  host_.haveTargetsSlowness_ |= !aMessage.loads_.empty();
   fleet::ApplyReportedLoads(
     host_.members_,
     targetIds_,
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -695,7 +695,7 @@
   for (const auto id : request_queue::RemoveExpired(aHost.waiting_, now)) {
     EndWaiter(aHost, id, WaiterCall::Expired);
   }
-  if (aHost.settings_.priorityScheduling_) {
+  if (SchedulesByPriority(aHost)) {
     StartByPriority(aHost, now);
     return;
   }
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -148,6 +148,8 @@
   catalog::CatalogPtr catalog_;
   absl::Time catalogAt_ = absl::InfinitePast();
   fleet::Members members_;
+  // Some target has reported its momentary slowness.
+  bool haveTargetsSlowness_ = false;
   // Data centres that the operator has evacuated.
   fleet::Evacuations evacuations_;
   availability::Records availability_;
@@ -238,6 +240,15 @@
   return mechanisms::IsOn(aHost.settings_.switches_, aMechanism);
 }
 
+// Returns whether waiting requests start by priority: if the settings ask for
+// it, or if targets share their machines with others, so that their throughput
+// changes from moment to moment and room is scarce at times.
+inline bool
+SchedulesByPriority(const Host& aHost)
+{
+  return aHost.settings_.priorityScheduling_ || aHost.haveTargetsSlowness_;
+}
+
 // Returns whether the host has a catalog and at least one target, so that it
 // can accept requests.
 bool
--- a/test/catalog-test.cc
+++ b/test/catalog-test.cc
@@ -80,3 +80,36 @@
   route.resumable_ = true;
   CHECK(catalog::MayRepeat(route));
 }
+
+// Guards against a workspace's priority that makes its long prompts as urgent
+// as its short ones, so that the short ones wait behind them.
+TEST_CASE("a workspace's priority keeps the order among its routes")
+{
+  catalog::Catalog catalogue;
+  catalog::Route shortPrompts;
+  shortPrompts.priority_ = 0;
+  shortPrompts.shares_ = { { "models", 1.0 } };
+  catalog::Route longPrompts = shortPrompts;
+  longPrompts.priority_ = 1;
+  catalog::Route calls;
+  calls.priority_ = 2;
+  calls.shares_ = { { "desk", 1.0 } };
+  catalogue.routes_["host"] = { shortPrompts, longPrompts, calls };
+  catalog::BuildIndexes(catalogue);
+  catalog::Workspace first;
+  first.priority_ = 0;
+  catalog::Workspace second;
+  second.priority_ = 1;
+  const auto priority = [&](const catalog::Route& aRoute,
+                            const catalog::Workspace* aWorkspace) {
+    return catalog::CombinedPriority(
+      catalogue, aRoute, aWorkspace, aRoute.shares_.front().service_);
+  };
+  CHECK(priority(shortPrompts, &first) == 0);
+  CHECK(priority(longPrompts, &first) == 1);
+  CHECK(priority(shortPrompts, &second) == 2);
+  CHECK(priority(longPrompts, &second) == 3);
+  CHECK(priority(shortPrompts, nullptr) == 0);
+  CHECK(priority(longPrompts, nullptr) == 3);
+  CHECK(priority(calls, nullptr) == 2);
+}
