--- a/test/gateway-priority-test.cc
+++ b/test/gateway-priority-test.cc
@@ -66,7 +66,7 @@
     return world.target_.requests_ == 2;
   }));
   REQUIRE(world.host_.waiting_.entries_.size() == 1);
-  CHECK(world.host_.waiting_.entries_.front().priority_ == 1);
+  CHECK(world.host_.waiting_.entries_.front().priority_ == 3);
 }
 
 // Guards the other deployments: an urgent request is sent at once.
--- a/test/socket-test.cc
+++ b/test/socket-test.cc
@@ -102,7 +102,8 @@
       gateway::Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
                              listener.Port()),
       absl::Seconds(5),
-      [&](std::shared_ptr<gateway::Socket> aSocket, gateway::ConnectEnd) {
+      [&](const std::shared_ptr<gateway::Socket>& aSocket,
+          gateway::ConnectEnd) {
         readers.push_back(aSocket);
         aSocket->Open({ [&text](std::string& aData) {
                          text += aData;
