Limit the requests to cold targets by permits

A service's cold-s and warmup-per-s say how long its targets are cold and what they may get then. Hosts take a target for cold by its entry (warmup-ms, or a new start without that field), after an evacuation of its data centre, and when it can't be reached. The record of target_limits has a warm-up limit with an expiry beside the named limit; the lower one applies.

Services without cold-s are as before.

--- a/include/lycheeplank/catalog.h
+++ b/include/lycheeplank/catalog.h
@@ -75,6 +75,10 @@
   // Memory of one engine in tokens, shared by running requests and cached
   // prompts.
   std::uint64_t memoryTokens_ = 0;
+  // Time after a start in which a target is cold, zero if it never is, and the
+  // requests per second that a cold target may get from all hosts together.
+  absl::Duration coldFor_ = absl::ZeroDuration();
+  double warmupPerSecond_ = 0.0;
 };
 
 // A store for the KV cache of shared prompt parts.
--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -40,6 +40,9 @@
   // Start time in milliseconds since 1970; distinguishes two starts under the
   // same id.
   std::int64_t bornMs_ = 0;
+  // Time for which the target was still cold when it wrote the entry; no value
+  // if the entry doesn't say.
+  absl::optional<absl::Duration> warmup_;
 };
 
 // The load that a target reports in its answers.
@@ -131,6 +134,8 @@
   // Limit of its requests per second from all hosts together; requests need a
   // permit while there is one.
   absl::optional<double> requestsPerSecond_;
+  // The limit holds because the target is cold.
+  bool isCold_ = false;
   // No permit will be issued before this time.
   absl::Time noPermitUntil_ = absl::InfinitePast();
   // A load of new weights keeps the target from starting requests until about
--- a/include/lycheeplank/target_limits.h
+++ b/include/lycheeplank/target_limits.h
@@ -19,6 +19,10 @@
 // host per target, its issuer, keeps a token bucket; the others ask it for a
 // permit before each request. A share of the limit for each host would not do:
 // with hundreds of hosts, one request of each is already too many.
+//
+// A cold target has a limit in the same way, which ends by itself. Hosts learn
+// that a target is cold from its entry, from the end of an evacuation or from
+// evidence of a crash, and don't tell each other its rate or end.
 namespace lycheeplank::target_limits {
 
 // What a host says of a target's limit.
@@ -32,6 +36,10 @@
   // Time since the answer that named the limit, or since the request was sent
   // whose answer named none.
   absl::Duration age_ = absl::ZeroDuration();
+  // In asks: the sender's limit holds because the target is cold, and the
+  // revision of the target's entry that the sender has.
+  bool isCold_ = false;
+  std::uint64_t entryRevision_ = 0;
 };
 
 enum class MessageKind
@@ -113,6 +121,10 @@
   std::string dataCentre_;
   absl::optional<double> perSecond_;
   absl::Time statedAt_ = absl::InfinitePast();
+  // Limit while the target is cold, and the time at which it ends. If the
+  // target names a limit as well, the lower one applies.
+  absl::optional<double> warmupPerSecond_;
+  absl::Time warmupUntil_ = absl::InfinitePast();
 
   // This host issues the permits.
   bool issues_ = false;
@@ -120,6 +132,9 @@
   absl::Time refilledAt_ = absl::InfinitePast();
   // Latest time at which a refused caller was told to retry.
   absl::Time bookedUntil_ = absl::InfinitePast();
+  // Cold targets: hosts that were denied a permit and told when to ask again,
+  // in units of permits.
+  double denied_ = 0.0;
   absl::Time announcedAt_ = absl::InfinitePast();
 
   // The best-placed host that recently announced that it issues the permits.
@@ -163,6 +178,12 @@
 inline constexpr absl::Duration kMaxRetryAfter = absl::Seconds(10);
 // Time until the next ask if there is no issuer.
 inline constexpr absl::Duration kNoIssuerPause = absl::Milliseconds(100);
+// Hosts that were denied a permit for a cold target ask again after pauses that
+// make this many of them ask per permit. When many targets return at once, all
+// hosts want all of them, and asks would use up the processors of small hosts.
+// More than one asks because some have no request by then.
+inline constexpr double kColdAsksPerPermit = 2.0;
+inline constexpr absl::Duration kMaxColdPause = absl::Seconds(4);
 // Records without a limit, or of unknown targets, are kept for this long.
 inline constexpr absl::Duration kRetention = absl::Minutes(1);
 
@@ -191,6 +212,16 @@
      absl::Time aAt,
      absl::Time aNow);
 
+// Records that a target is cold until a time, and updates its member. Never
+// shortens the time, since evidence may be older than what is known. Returns
+// whether the target wasn't cold before.
+bool
+NoteCold(State& aState,
+         fleet::Member& aMember,
+         double aPerSecond,
+         absl::Time aUntil,
+         absl::Time aNow);
+
 // Sets the limit of a member after it was updated from the target's entry.
 void
 Apply(const State& aState, fleet::Member& aMember);
@@ -204,12 +235,13 @@
            absl::string_view aDataCentre,
            absl::Time aNow);
 
-// Starts or stops issuing permits, and returns the targets whose permits this
-// host has to announce now. Call it every kTickPeriod.
+// Ends the limits of targets that aren't cold any more, starts or stops issuing
+// permits, and returns the targets whose permits this host has to announce now.
+// Call it every kTickPeriod.
 std::vector<std::string>
 Tick(State& aState,
      const entry_hosts::Hosts& aHosts,
-     const fleet::Members& aMembers,
+     fleet::Members& aMembers,
      absl::Time aNow);
 
 // Returns the targets whose permits this host issues.
@@ -231,6 +263,20 @@
       bool aIsLastChoice,
       absl::Time aNow);
 
+// Answers another host's ask for a permit. If the sender takes the target for
+// cold and this host doesn't, this host's knowledge decides only if its entry
+// of the target isn't older.
+Permit
+IssueFor(State& aState,
+         const fleet::Members& aMembers,
+         const Statement& aAsk,
+         bool aIsLastChoice,
+         absl::Time aNow);
+
+// Returns the statement that goes with an ask for a permit.
+Statement
+AskOf(const State& aState, const fleet::Member& aMember, absl::Time aNow);
+
 // Returns the statement of a target's limit; nothing if no limit is known.
 absl::optional<Statement>
 StatementOf(const State& aState, const std::string& aTarget, absl::Time aNow);
--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -246,6 +246,11 @@
     metrics.Set("targets", static_cast<double>(host_.members_.size()));
     metrics.Set("evacuated_data_centres",
                 static_cast<double>(host_.evacuations_.size()));
+    metrics.Set("targets_cold",
+                static_cast<double>(std::count_if(
+                  host_.members_.begin(),
+                  host_.members_.end(),
+                  [](const auto& aEntry) { return aEntry.second.isCold_; })));
     metrics.Set("hosts", static_cast<double>(host_.hosts_.size()));
     metrics.Set("connections_opened",
                 static_cast<double>(host_.targetPool_.Opened()));
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -43,6 +43,11 @@
 // the weights must be out of use.
 constexpr absl::Duration kWeightsMargin = absl::Milliseconds(1500);
 
+// A request that was denied this many permits for cold targets goes to a target
+// that isn't cold if there is one. When many cold targets return at once, each
+// further ask is likely to be denied as well and delays the request.
+constexpr std::uint32_t kMaxColdAsks = 3;
+
 // Returns the stores that parts are read from, for the log.
 std::string
 StoresOf(const std::vector<cache_index::PartPlan>& aParts)
@@ -203,6 +208,12 @@
     return;
   }
   choice_ = ChooseTarget();
+  if (permittedTarget_.empty() && coldAsks_ >= kMaxColdAsks &&
+      !choice_.id_.empty() && host_.members_.at(choice_.id_).isCold_) {
+    if (auto other = ChooseTarget(true); !other.id_.empty()) {
+      choice_ = std::move(other);
+    }
+  }
   if (choice_.id_.empty() && !permittedTarget_.empty()) {
     // The target has become unusable since the permit was asked for.
     permittedTarget_.clear();
@@ -284,6 +295,7 @@
 {
   isAskingForPermit_ = true;
   ++permitAsks_;
+  coldAsks_ += host_.members_.at(aTarget).isCold_ ? 1 : 0;
   AskPermit(host_,
             aTarget,
             aIsLastChoice,
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -6,6 +6,7 @@
 #include <absl/strings/str_join.h>
 
 #include "gateway/clock.h"
+#include "gateway/warmup.h"
 
 // The part of Exchange that ends attempts and decides what follows.
 namespace lycheeplank::gateway {
@@ -146,6 +147,8 @@
   }
   if (aResult == fleet::CallResult::Unreachable) {
     ++host_.downReports_[member.idHash_];
+    NoteTargetCold(
+      host_, targetId_, absl::InfiniteDuration(), ColdEvidence::Unreachable);
   }
   host_.onLoad_();
   if (fleet::RecordCallEnd(member, size_, aResult, Now())) {
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -251,6 +251,8 @@
   bool holdsTarget_ = false;
   // Number of permits that the request has asked for.
   std::uint32_t permitAsks_ = 0;
+  // Number of these for targets that are cold.
+  std::uint32_t coldAsks_ = 0;
   fleet::Choice choice_;
   std::uint64_t attemptWeights_ = 0;
   std::vector<cache_index::PartPlan> attemptParts_;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -8,6 +8,7 @@
 #include "gateway/clock.h"
 #include "gateway/permits.h"
 #include "gateway/poison-blocks.h"
+#include "gateway/warmup.h"
 
 namespace lycheeplank::gateway {
 
@@ -272,6 +273,8 @@
         .Text("target", id)
         .Text("source", aMessage.host_)
         .Age("for_ms", host_.members_.at(id).quarantinedUntil_ - now));
+    NoteTargetCold(
+      host_, id, absl::InfiniteDuration(), ColdEvidence::Unreachable);
   }
   // Most messages have only loads and arrive while both timers are set.
   const bool hasObservations =
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/post.hpp>
 
 #include "gateway/clock.h"
+#include "gateway/warmup.h"
 
 namespace lycheeplank::gateway {
 
@@ -56,6 +57,7 @@
   for (const auto& dataCentre :
        fleet::RemoveEndedEvacuations(aHost.evacuations_, aNow)) {
     aHost.log_.Write(Line("evacuation_ended").Text("data_centre", dataCentre));
+    NoteEvacuationEnd(aHost, dataCentre);
   }
 }
 
@@ -82,6 +84,7 @@
                        .Text("source", aSource));
     return;
   }
+  const bool isFirst = aHost.catalog_ == nullptr;
   aHost.catalog_ = std::make_shared<const catalog::Catalog>(std::move(*read));
   aHost.catalogAt_ = aNow;
   cache_index::SetStores(aHost.cacheIndex_, aHost.catalog_->stores_);
@@ -94,6 +97,12 @@
                      .Number("bytes", aItem.value_.size())
                      .Age("read_ms", Now() - readFrom)
                      .Text("source", aSource));
+  if (isFirst) {
+    // Entries that came before the catalog, which says what is ever cold.
+    for (const auto& [id, member] : aHost.members_) {
+      NoteEntryWarmup(aHost, id, false);
+    }
+  }
 }
 
 // Returns whether a target names all models that another one does.
@@ -155,6 +164,10 @@
       !NamesAllModels(*target, known->second.target_)) {
     part_use::NoteVanished(aHost.readers_, known->second.target_, aNow);
   }
+  // Until this host has all entries, one that it doesn't know is no new start.
+  const bool isNewStart = known == aHost.members_.end()
+                            ? aHost.itemsCompleteAt_ != absl::InfinitePast()
+                            : known->second.target_.bornMs_ < target->bornMs_;
   fleet::UpdateTarget(
     aHost.members_, std::move(*target), replica::PositionOf(aItem), aNow);
   if (leaving) {
@@ -163,6 +176,7 @@
   auto& member = aHost.members_.at(aId);
   availability::Apply(aHost.availability_, member);
   target_limits::Apply(aHost.limits_, member);
+  NoteEntryWarmup(aHost, aId, isNewStart);
   if (member.target_.state_ == fleet::TargetState::Leaving) {
     aHost.targetPool_.Drop(aId);
   }
--- a/src/gateway/permits.cc
+++ b/src/gateway/permits.cc
@@ -104,18 +104,27 @@
     return;
   }
   const auto now = Now();
-  const auto& target = aAsk.limits_.front().target_;
+  const auto& ask = aAsk.limits_.front();
+  const auto& target = ask.target_;
   auto reply = MakeMessage(aHost, MessageKind::Reply);
   reply.ask_ = aAsk.ask_;
-  reply.permit_ =
-    target_limits::Issue(aHost.limits_, target, aAsk.isLastChoice_, now);
+  const auto member = aHost.members_.find(target);
+  if (ask.isCold_ && member != aHost.members_.end() &&
+      fleet::IsEvacuated(aHost.evacuations_, member->second)) {
+    // This host hasn't heard of the end of the evacuation, after which the
+    // target is cold.
+    reply.permit_ = kUnanswered;
+  } else {
+    reply.permit_ = target_limits::IssueFor(
+      aHost.limits_, aHost.members_, ask, aAsk.isLastChoice_, now);
+  }
   aHost.metrics_.Count(
     "permits_issued_total",
     "verdict",
     core::NameOf(target_limits::kVerdicts, reply.permit_.verdict_));
   if (const auto statement =
         target_limits::StatementOf(aHost.limits_, target, now);
-      statement && !statement->perSecond_) {
+      statement && reply.permit_.verdict_ == Verdict::Unlimited) {
     reply.limits_.push_back(*statement);
   }
   aHost.sendDatagram_(aAsk.sender_, target_limits::WriteMessage(reply));
@@ -163,8 +172,12 @@
   auto message = MakeMessage(aHost, MessageKind::Ask);
   message.ask_ = aHost.random_();
   message.isLastChoice_ = aIsLastChoice;
-  if (const auto statement =
-        target_limits::StatementOf(aHost.limits_, aTarget, now)) {
+  if (const auto member = aHost.members_.find(aTarget);
+      member != aHost.members_.end()) {
+    message.limits_.push_back(
+      target_limits::AskOf(aHost.limits_, member->second, now));
+  } else if (const auto statement =
+               target_limits::StatementOf(aHost.limits_, aTarget, now)) {
     message.limits_.push_back(*statement);
   }
   const auto timer = std::make_shared<Timer>(aHost.loop_);
--- a/src/target_limits/messages.cc
+++ b/src/target_limits/messages.cc
@@ -18,6 +18,10 @@
   if (aStatement.perSecond_) {
     row["per_second"] = *aStatement.perSecond_;
   }
+  if (aStatement.isCold_) {
+    row["cold"] = true;
+    row["entry"] = aStatement.entryRevision_;
+  }
   return row;
 }
 
@@ -33,6 +37,8 @@
       perSecond >= 0.0) {
     statement.perSecond_ = perSecond;
   }
+  statement.isCold_ = json::FlagOf(aRow, "cold");
+  statement.entryRevision_ = json::CountOf(aRow, "entry");
   return statement;
 }
 
--- a/src/target_limits/target_limits.cc
+++ b/src/target_limits/target_limits.cc
@@ -8,10 +8,28 @@
 
 namespace {
 
+// Age of a statement of a record whose target never named a limit.
+constexpr absl::Duration kNeverStated = absl::Hours(24 * 365);
+
+bool
+IsCold(const Record& aRecord)
+{
+  return aRecord.warmupPerSecond_ &&
+         (!aRecord.perSecond_ ||
+          *aRecord.warmupPerSecond_ < *aRecord.perSecond_);
+}
+
+// Returns the limit that applies.
+absl::optional<double>
+LimitOf(const Record& aRecord)
+{
+  return IsCold(aRecord) ? aRecord.warmupPerSecond_ : aRecord.perSecond_;
+}
+
 double
 RateOf(const Record& aRecord)
 {
-  return std::max(kMinPerSecond, aRecord.perSecond_.value_or(0.0));
+  return std::max(kMinPerSecond, LimitOf(aRecord).value_or(0.0));
 }
 
 void
@@ -23,6 +41,8 @@
   const double most = 1.0 + rate * absl::ToDoubleSeconds(kBurstTime);
   aRecord.tokens_ =
     std::min(most, aRecord.tokens_ + rate * absl::ToDoubleSeconds(passed));
+  aRecord.denied_ =
+    std::max(0.0, aRecord.denied_ - rate * absl::ToDoubleSeconds(passed));
   aRecord.refilledAt_ = aNow;
 }
 
@@ -88,6 +108,19 @@
              kSuccessionStep * static_cast<std::int64_t>(preceding - 1);
 }
 
+// Resets a record for a start of a target. A cold target stays cold, since the
+// evidence may be of this start, and keeps its issuer and used permits.
+void
+ResetForStart(Record& aRecord, const fleet::Target& aTarget)
+{
+  if (!aRecord.warmupPerSecond_) {
+    aRecord = Record();
+  }
+  aRecord.startedAtMs_ = aTarget.bornMs_;
+  aRecord.perSecond_ = absl::nullopt;
+  aRecord.statedAt_ = absl::InfinitePast();
+}
+
 } // namespace
 
 Change
@@ -111,21 +144,21 @@
   }
   auto& record = aState.records_[target.id_];
   if (!isKnown) {
-    record = Record();
-    record.startedAtMs_ = target.bornMs_;
+    ResetForStart(record, target);
   }
   record.dataCentre_ = target.dataCentre_;
   if (record.issues_) {
     Refill(record, aNow);
   }
+  const bool wasLimited = LimitOf(record).has_value();
   const auto before = std::exchange(record.perSecond_, aPerSecond);
   record.statedAt_ = aAt;
   if (!aPerSecond) {
-    record.issues_ = false;
+    record.issues_ = record.issues_ && LimitOf(record);
     Apply(aState, aMember);
     return Change::Ended;
   }
-  if (!before) {
+  if (!wasLimited) {
     record.silentSince_ = aNow;
   }
   Apply(aState, aMember);
@@ -134,15 +167,51 @@
                                 : Change::None;
 }
 
+bool
+NoteCold(State& aState,
+         fleet::Member& aMember,
+         double aPerSecond,
+         absl::Time aUntil,
+         absl::Time aNow)
+{
+  if (aUntil <= aNow) {
+    return false;
+  }
+  const auto& target = aMember.target_;
+  const bool isKnown = aState.records_.contains(target.id_);
+  auto& record = aState.records_[target.id_];
+  const bool wasCold = record.warmupPerSecond_.has_value();
+  if (!isKnown || record.startedAtMs_ < target.bornMs_) {
+    ResetForStart(record, target);
+  }
+  record.dataCentre_ = target.dataCentre_;
+  if (record.issues_) {
+    Refill(record, aNow);
+  }
+  if (!LimitOf(record)) {
+    record.silentSince_ = aNow;
+  }
+  record.warmupPerSecond_ = aPerSecond;
+  record.warmupUntil_ = std::max(record.warmupUntil_, aUntil);
+  Apply(aState, aMember);
+  return !wasCold;
+}
+
 void
 Apply(const State& aState, fleet::Member& aMember)
 {
   const auto found = aState.records_.find(aMember.target_.id_);
-  if (found == aState.records_.end() ||
-      found->second.startedAtMs_ != aMember.target_.bornMs_) {
-    aMember.requestsPerSecond_ = absl::nullopt;
-  } else {
-    aMember.requestsPerSecond_ = found->second.perSecond_;
+  aMember.requestsPerSecond_ = absl::nullopt;
+  aMember.isCold_ = false;
+  if (found != aState.records_.end()) {
+    const auto& record = found->second;
+    if (record.startedAtMs_ == aMember.target_.bornMs_) {
+      aMember.requestsPerSecond_ = LimitOf(record);
+      aMember.isCold_ = IsCold(record);
+    } else if (record.warmupPerSecond_) {
+      aMember.requestsPerSecond_ = record.warmupPerSecond_;
+      aMember.isCold_ = true;
+    }
   }
   if (!aMember.requestsPerSecond_) {
     aMember.noPermitUntil_ = absl::InfinitePast();
@@ -187,19 +256,31 @@
 std::vector<std::string>
 Tick(State& aState,
      const entry_hosts::Hosts& aHosts,
-     const fleet::Members& aMembers,
+     fleet::Members& aMembers,
      absl::Time aNow)
 {
+  for (auto& [target, record] : aState.records_) {
+    if (record.warmupPerSecond_ && record.warmupUntil_ <= aNow) {
+      Refill(record, aNow);
+      record.warmupPerSecond_ = absl::nullopt;
+      record.issues_ = record.issues_ && LimitOf(record);
+      if (const auto member = aMembers.find(target); member != aMembers.end()) {
+        Apply(aState, member->second);
+      }
+    }
+  }
   // Announcements that arrived while this host was frozen are still unread.
   const bool wasFrozen = aNow - aState.tickedAt_ > kMaxTickGap;
   aState.tickedAt_ = aNow;
   absl::erase_if(aState.records_, [&](const auto& aEntry) {
-    return aNow - aEntry.second.statedAt_ > kRetention &&
-           (!aEntry.second.perSecond_ || !aMembers.contains(aEntry.first));
+    const auto& record = aEntry.second;
+    return aNow - std::max(record.statedAt_, record.warmupUntil_) >
+             kRetention &&
+           (!LimitOf(record) || !aMembers.contains(aEntry.first));
   });
   std::vector<std::string> announced;
   for (auto& [target, record] : aState.records_) {
-    if (!record.perSecond_) {
+    if (!LimitOf(record)) {
       continue;
     }
     if (wasFrozen) {
@@ -209,6 +290,7 @@
     if (issues && !record.issues_) {
       // The issuer before may have used up all of the limit until now.
       record.tokens_ = 0.0;
+      record.denied_ = 0.0;
       record.refilledAt_ = aNow;
       record.bookedUntil_ = aNow;
       record.announcedAt_ = absl::InfinitePast();
@@ -267,7 +349,7 @@
     return { Verdict::NoIssuer, kNoIssuerPause, kNoIssuerPause };
   }
   auto& record = found->second;
-  if (!record.perSecond_) {
+  if (!LimitOf(record)) {
     return { Verdict::Unlimited };
   }
   if (!record.issues_) {
@@ -280,13 +362,59 @@
   }
   const auto interval = absl::Seconds(1.0 / RateOf(record));
   const auto next = (1.0 - record.tokens_) * interval;
+  auto pause = next;
+  if (IsCold(record)) {
+    pause = std::min(next + record.denied_ * interval,
+                     std::max(kMaxColdPause, interval));
+    record.denied_ += 1.0 / kColdAsksPerPermit;
+  }
   if (!aIsLastChoice) {
-    return { Verdict::Denied, next, next };
+    return { Verdict::Denied, pause, next };
   }
   record.bookedUntil_ =
     std::min(aNow + kMaxRetryAfter,
              std::max(record.bookedUntil_ + interval, aNow + next));
-  return { Verdict::Denied, next, std::max(next, record.bookedUntil_ - aNow) };
+  return { Verdict::Denied, pause, std::max(next, record.bookedUntil_ - aNow) };
+}
+
+Permit
+IssueFor(State& aState,
+         const fleet::Members& aMembers,
+         const Statement& aAsk,
+         bool aIsLastChoice,
+         absl::Time aNow)
+{
+  const auto found = aState.records_.find(aAsk.target_);
+  const bool isLimited =
+    found != aState.records_.end() && LimitOf(found->second).has_value();
+  if (!aAsk.isCold_ || isLimited) {
+    return Issue(aState, aAsk.target_, aIsLastChoice, aNow);
+  }
+  const auto member = aMembers.find(aAsk.target_);
+  if (member == aMembers.end() ||
+      member->second.target_.bornMs_ < aAsk.startedAtMs_ ||
+      member->second.position_.revision_ < aAsk.entryRevision_) {
+    return { Verdict::NoIssuer, kNoIssuerPause, kNoIssuerPause };
+  }
+  return { Verdict::Unlimited };
+}
+
+Statement
+AskOf(const State& aState, const fleet::Member& aMember, absl::Time aNow)
+{
+  Statement unstated;
+  unstated.target_ = aMember.target_.id_;
+  unstated.startedAtMs_ = aMember.target_.bornMs_;
+  unstated.age_ = kNeverStated;
+  auto ask = StatementOf(aState, unstated.target_, aNow).value_or(unstated);
+  if (aMember.isCold_) {
+    if (ask.startedAtMs_ != unstated.startedAtMs_) {
+      ask = unstated;
+    }
+    ask.isCold_ = true;
+    ask.entryRevision_ = aMember.position_.revision_;
+  }
+  return ask;
 }
 
 absl::optional<Statement>
@@ -297,10 +425,12 @@
     return absl::nullopt;
   }
   const auto& record = found->second;
-  return Statement{ aTarget,
-                    record.startedAtMs_,
-                    record.perSecond_,
-                    std::max(absl::ZeroDuration(), aNow - record.statedAt_) };
+  return Statement{
+    aTarget,
+    record.startedAtMs_,
+    record.perSecond_,
+    std::clamp(aNow - record.statedAt_, absl::ZeroDuration(), kNeverStated)
+  };
 }
 
 } // namespace lycheeplank::target_limits
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -466,6 +466,103 @@
   }
 }
 
+namespace {
+
+// Writes the entry of the first target.
+void
+WriteEntry(World& aWorld,
+           std::uint64_t aRevision,
+           std::int64_t aBornMs,
+           const std::string& aFields = "")
+{
+  const lycheeplank::replica::Item item{
+    "servers/t1",
+    R"({"service":"s","zone":"a","state":"ready","address":")" +
+      aWorld.targets_.front()->Address() + R"(","born":)" +
+      std::to_string(aBornMs) + aFields + "}",
+    aRevision
+  };
+  gateway::ApplyItems(aWorld.host_, { item }, "watch", gateway::Now());
+}
+
+// Makes the targets of the service cold for a time after a start.
+void
+SetColdFor(World& aWorld, absl::Duration aTime)
+{
+  auto& service = aWorld.catalog_.services_["s"];
+  service.name_ = "s";
+  service.coldFor_ = aTime;
+  service.warmupPerSecond_ = 2.0;
+  aWorld.Publish();
+}
+
+int
+CountServed(World& aWorld, int aRequests)
+{
+  int served = 0;
+  for (int i = 0; i < aRequests; ++i) {
+    served += Has(aWorld.Ask(World::Request("/once/")), "HTTP/1.1 200") ? 1 : 0;
+  }
+  return served;
+}
+
+} // namespace
+
+// Guards against a crash of a cold target by requests without permits, whatever
+// shows that it is cold.
+TEST_CASE("a target's start, its entry, a crash or an evacuation make it cold")
+{
+  World world;
+  auto& target = world.AddTarget(Sends(WholeAnswer("done")));
+  SetColdFor(world, absl::Milliseconds(900));
+  const auto& member = world.host_.members_.at("t1");
+  CHECK(CountServed(world, 5) == 5);
+  SECTION("entry")
+  {
+    WriteEntry(world, 2, 0, R"(,"warmup-ms":900)");
+  }
+  SECTION("new start")
+  {
+    WriteEntry(world, 2, 7);
+  }
+  SECTION("evacuation")
+  {
+    SetEvacuated(world, "a", 2);
+    CHECK(CountServed(world, 1) == 0);
+    SetEvacuated(world, "a", 3, false);
+  }
+  SECTION("refused connection")
+  {
+    world.host_.targetPool_.Drop("t1");
+    target.StopListening();
+    CHECK(CountServed(world, 1) == 0);
+    CHECK(member.isCold_);
+    return;
+  }
+  CHECK(member.isCold_);
+  CHECK(CountServed(world, 5) == 0);
+  world.RunFor(std::chrono::milliseconds(1000));
+  lycheeplank::target_limits::Tick(world.host_.limits_,
+                                   world.host_.hosts_,
+                                   world.host_.members_,
+                                   gateway::Now());
+  CHECK_FALSE(member.isCold_);
+  CHECK(CountServed(world, 5) == 5);
+}
+
+// Guards against limits in deployments whose targets are never cold.
+TEST_CASE("targets of services without a cold time are never cold")
+{
+  World world;
+  world.AddTarget(Sends(WholeAnswer("done")));
+  WriteEntry(world, 2, 7, R"(,"warmup-ms":900)");
+  SetEvacuated(world, "a", 3);
+  SetEvacuated(world, "a", 4, false);
+  CHECK_FALSE(world.host_.members_.at("t1").isCold_);
+  CHECK(CountServed(world, 5) == 5);
+  CHECK(world.host_.limits_.records_.empty());
+}
+
 TEST_CASE("without targets callers get a Retry-After")
 {
   World world;
--- a/test/limits-sim.h
+++ b/test/limits-sim.h
@@ -29,6 +29,10 @@
     double requestsPerSecond_ = 100.0;
     double lostShare_ = 0.0;
     std::uint64_t seed_ = 1;
+    // Requests prefer cold targets to others, as empty ones are preferred, and
+    // go to another target if they are denied a permit. Otherwise each request
+    // has one target.
+    bool prefersCold_ = false;
   };
   struct Arrival
   {
@@ -94,6 +98,54 @@
     Disturb(aHost, now_ + aTime);
   }
 
+  // Lets a target crash. The hosts find out within 0.3 s, and again when they
+  // try it later; each time they take it for cold for aColdFor.
+  void Crash(std::size_t aTarget, double aPerSecond, absl::Duration aColdFor)
+  {
+    for (std::size_t host = 0; host < hosts_.size(); ++host) {
+      for (const double after : { 0.0, 1.5 }) {
+        At(now_ + Between(after, after + 0.3),
+           [this, host, aTarget, aPerSecond, aColdFor] {
+             RunOn(host, [this, host, aTarget, aPerSecond, aColdFor] {
+               hosts_[host].down_.insert(aTarget);
+               NoteCold(host, aTarget, aPerSecond, aColdFor);
+             });
+           });
+      }
+    }
+  }
+
+  // Lets a target return under the same id, cold for aColdFor. The hosts use
+  // its old entry again at some time within two seconds, and hear of its new
+  // one within 2.5 s.
+  void Return(std::size_t aTarget, double aPerSecond, absl::Duration aColdFor)
+  {
+    const auto born = ++born_;
+    for (std::size_t host = 0; host < hosts_.size(); ++host) {
+      At(now_ + Between(0.0, 2.0),
+         [this, host, aTarget] { hosts_[host].down_.erase(aTarget); });
+      const auto heardAfter = Between(0.0, 2.5);
+      At(now_ + heardAfter,
+         [this, host, aTarget, aPerSecond, born, left = aColdFor - heardAfter] {
+           RunOn(host, [this, host, aTarget, aPerSecond, born, left] {
+             auto& to = hosts_[host];
+             to.down_.erase(aTarget);
+             auto target = to.members_.at(IdOf(aTarget)).target_;
+             target.bornMs_ = born;
+             fleet::UpdateTarget(to.members_,
+                                 target,
+                                 { 0, static_cast<std::uint64_t>(1 + born) },
+                                 now_);
+             limits::Apply(to.state_, to.members_.at(target.id_));
+             NoteCold(host, aTarget, aPerSecond, left);
+           });
+         });
+    }
+  }
+
+  // Number of asks that hosts have sent to others.
+  std::size_t Asks() const { return asks_; }
+
   // Restarts a host; it loses its state.
   void Restart(std::size_t aHost)
   {
@@ -125,12 +177,16 @@
     std::size_t target_ = 0;
     absl::Time at_;
     bool isLastChoice_ = false;
+    // Targets that have denied the request a permit.
+    std::set<std::size_t> denied_;
   };
   struct SimHost
   {
     limits::State state_;
     fleet::Members members_;
     std::map<std::uint64_t, Ask> asks_;
+    // Targets that the host takes for crashed.
+    std::set<std::size_t> down_;
     absl::Time frozenUntil_ = absl::InfinitePast();
     std::uint64_t start_ = 0;
   };
@@ -165,6 +221,49 @@
       std::uniform_real_distribution<>(1.0, 6.0)(random_));
   }
 
+  absl::Duration Between(double aLeast, double aMost)
+  {
+    return absl::Seconds(
+      std::uniform_real_distribution<>(aLeast, aMost)(random_));
+  }
+
+  void NoteCold(std::size_t aHost,
+                std::size_t aTarget,
+                double aPerSecond,
+                absl::Duration aFor)
+  {
+    auto& host = hosts_[aHost];
+    limits::NoteCold(host.state_,
+                     host.members_.at(IdOf(aTarget)),
+                     aPerSecond,
+                     now_ + aFor,
+                     now_);
+    Tick(aHost);
+  }
+
+  // Sends a request to a cold target if one grants it a permit, else to another
+  // one.
+  void RequestAny(std::size_t aHost, const std::set<std::size_t>& aDenied)
+  {
+    const auto& host = hosts_[aHost];
+    std::vector<std::size_t> cold;
+    std::vector<std::size_t> others;
+    for (std::size_t i = 0; i < targets_.size(); ++i) {
+      const auto& member = host.members_.at(IdOf(i));
+      if (host.down_.count(i) == 0 && aDenied.count(i) == 0 &&
+          now_ >= member.noPermitUntil_) {
+        (member.isCold_ ? cold : others).push_back(i);
+      }
+    }
+    if (!cold.empty() && aDenied.size() < kMaxColdAsks) {
+      Request(aHost, cold[random_() % cold.size()], aDenied);
+    } else if (!others.empty()) {
+      Request(aHost, others[random_() % others.size()], aDenied);
+    } else {
+      ++refused_;
+    }
+  }
+
   void Start(std::size_t aHost)
   {
     auto& host = hosts_[aHost];
@@ -210,7 +309,11 @@
       const std::size_t host = random_() % hosts_.size();
       const std::size_t target = random_() % targets_.size();
       if (now_ >= hosts_[host].frozenUntil_) {
-        Request(host, target);
+        if (options_.prefersCold_) {
+          RequestAny(host, {});
+        } else {
+          Request(host, target, {});
+        }
       }
       ScheduleRequest();
     });
@@ -253,7 +356,9 @@
     }
   }
 
-  void Request(std::size_t aHost, std::size_t aTarget)
+  void Request(std::size_t aHost,
+               std::size_t aTarget,
+               const std::set<std::size_t>& aDenied)
   {
     auto& host = hosts_[aHost];
     const auto id = IdOf(aTarget);
@@ -268,33 +373,41 @@
     }
     const auto issuer = limits::IssuerOf(host.state_, list_, id, now_);
     if (issuer == NameOf(aHost)) {
-      Decide(aHost, aTarget, limits::Issue(host.state_, id, true, now_));
+      Decide(aHost,
+             { aTarget, now_, IsLast(), aDenied },
+             limits::Issue(host.state_, id, IsLast(), now_));
       return;
     }
     limits::Message message;
     message.kind_ = limits::MessageKind::Ask;
     message.ask_ = random_();
-    message.isLastChoice_ = true;
-    message.limits_.push_back(*limits::StatementOf(host.state_, id, now_));
-    host.asks_[message.ask_] = { aTarget, now_ };
+    message.isLastChoice_ = IsLast();
+    message.limits_.push_back(limits::AskOf(host.state_, member, now_));
+    host.asks_[message.ask_] = { aTarget, now_, IsLast(), aDenied };
+    ++asks_;
     Post(aHost, issuer, message);
     At(now_ + kAskTimeout, [this, aHost, ask = message.ask_] {
       RunOn(aHost, [this, aHost, ask] {
         if (const auto node = hosts_[aHost].asks_.extract(ask)) {
-          Decide(aHost, node.mapped().target_, {});
+          Decide(aHost, node.mapped(), kUnanswered);
         }
       });
     });
   }
 
-  void Decide(std::size_t aHost,
-              std::size_t aTarget,
-              const limits::Permit& aPermit)
+  // A request that may go to other targets is not refused.
+  bool IsLast() const { return !options_.prefersCold_; }
+
+  void Decide(std::size_t aHost, const Ask& aAsk, const limits::Permit& aPermit)
   {
-    hosts_[aHost].members_.at(IdOf(aTarget)).noPermitUntil_ =
+    hosts_[aHost].members_.at(IdOf(aAsk.target_)).noPermitUntil_ =
       now_ + aPermit.nextPermit_;
     if (limits::MaySend(aPermit)) {
-      Send(aHost, aTarget);
+      Send(aHost, aAsk.target_);
+    } else if (options_.prefersCold_) {
+      auto denied = aAsk.denied_;
+      denied.insert(aAsk.target_);
+      RequestAny(aHost, denied);
     } else {
       ++refused_;
     }
@@ -369,9 +482,7 @@
     if (aMessage.kind_ == limits::MessageKind::Reply) {
       if (const auto node = host.asks_.extract(aMessage.ask_)) {
         const bool late = now_ - node.mapped().at_ > kAskTimeout;
-        Decide(aHost,
-               node.mapped().target_,
-               late ? limits::Permit() : aMessage.permit_);
+        Decide(aHost, node.mapped(), late ? kUnanswered : aMessage.permit_);
       }
       return;
     }
@@ -380,13 +491,21 @@
       limits::Message reply;
       reply.kind_ = limits::MessageKind::Reply;
       reply.ask_ = aMessage.ask_;
-      reply.permit_ = limits::Issue(
-        host.state_, aMessage.limits_.front().target_, true, now_);
+      reply.permit_ = limits::IssueFor(host.state_,
+                                       host.members_,
+                                       aMessage.limits_.front(),
+                                       aMessage.isLastChoice_,
+                                       now_);
       Post(aHost, aMessage.sender_, reply);
     }
   }
 
   static constexpr absl::Duration kAskTimeout = absl::Milliseconds(80);
+  static constexpr limits::Permit kUnanswered{ limits::Verdict::NoIssuer,
+                                               limits::kNoIssuerPause,
+                                               limits::kNoIssuerPause };
+  // As in the gateway.
+  static constexpr std::size_t kMaxColdAsks = 3;
 
   Options options_;
   std::mt19937_64 random_;
@@ -397,6 +516,8 @@
   entry_hosts::Hosts list_;
   std::vector<Disturbance> disturbances_;
   std::size_t refused_ = 0;
+  std::size_t asks_ = 0;
+  std::int64_t born_ = 0;
 };
 
 } // namespace lycheeplank::test
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -197,7 +197,7 @@
     "services": [
       {"name": "s", "max-conns": 370, "backend": {"batch-size": 64,
        "kv-capacity": 94229, "models": [{"name": "m"}]}},
-      {"name": "t"},
+      {"name": "t", "cold-s": 8, "warmup-per-s": 14},
       {"name": "c", "kv-store-addr": "10.0.0.1:1", "zone": "a",
        "kv-capacity": 1000, "net-mbps": 10, "max-inflight": 12}],
     "tenants": [{"name": "w", "api-keys": ["k"], "dedicated": true}]})"));
@@ -210,6 +210,9 @@
   CHECK(catalog::FindRoute(*read, "h", "/b/x")->shares_[0].service_ == "t");
   CHECK(read->services_.at("s").memoryTokens_ == 94229);
   CHECK_FALSE(read->services_.at("t").isEngine_);
+  CHECK(read->services_.at("t").coldFor_ == absl::Seconds(8));
+  CHECK(read->services_.at("t").warmupPerSecond_ == 14.0);
+  CHECK(read->services_.at("s").coldFor_ == absl::ZeroDuration());
   REQUIRE(read->stores_.size() == 1);
   CHECK(read->stores_[0].capacityTokens_ == 1000);
   CHECK(catalog::FindWorkspace(*read, "k")->isIsolated_);
@@ -233,11 +236,12 @@
   };
   const auto whole = read(R"({"service": "s", "address": "10.0.0.1:1",
     "zone": "a", "state": "ready", "born": 1700000000000, "sequence": 4,
-    "models": [{"name": "m", "version": 2}]})");
+    "warmup-ms": 2500, "models": [{"name": "m", "version": 2}]})");
   REQUIRE(whole);
   CHECK(whole->id_ == "i-1");
   CHECK(whole->weights_.at("m") == 2);
   CHECK(whole->bornMs_ == 1700000000000);
+  CHECK(whole->warmup_ == absl::Milliseconds(2500));
   CHECK_FALSE(read("\xff\xfe"));
   CHECK_FALSE(read("[]"));
   CHECK_FALSE(read(R"({"service": 5, "address": "10.0.0.1:1",
--- a/test/target-limits-test.cc
+++ b/test/target-limits-test.cc
@@ -241,6 +241,166 @@
         limits::Verdict::Granted);
 }
 
+namespace {
+
+constexpr double kWarmupPerSecond = 14.0;
+constexpr absl::Duration kColdFor = absl::Seconds(10);
+constexpr std::size_t kColdTargets = 20;
+
+// Returns the largest number of requests that a target got in any second of a
+// time.
+std::size_t
+MostInSecond(LimitsSim& aSim,
+             std::size_t aTarget,
+             absl::Time aFrom,
+             absl::Time aTo)
+{
+  const auto& all = aSim.TargetAt(aTarget).arrivals_;
+  std::size_t most = 0;
+  std::size_t first = 0;
+  for (std::size_t last = 0; last < all.size(); ++last) {
+    if (all[last].at_ < aFrom || all[last].at_ >= aTo) {
+      first = last + 1;
+      continue;
+    }
+    while (all[last].at_ - all[first].at_ >= absl::Seconds(1)) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+} // namespace
+
+// Guards against a crash of the targets that return at once and that all hosts
+// prefer because they are empty. The load: 1,000 requests a second at 60
+// targets, of which a third crashes and returns after 3 s, cold for 10 s. In
+// other variants datagrams are lost, and the issuers of two targets freeze.
+TEST_CASE("all hosts together warm up the targets that return at once")
+{
+  const auto hosts = GENERATE(std::size_t{ 8 }, 78, 300);
+  const auto isTroubled = GENERATE(false, true);
+  const auto seed = GENERATE(range(1, SeedCount() - 1));
+  auto options = SizeOf(hosts);
+  options.seed_ = static_cast<std::uint64_t>(seed);
+  options.targets_ = 60;
+  options.requestsPerSecond_ = 1000.0;
+  options.prefersCold_ = true;
+  options.lostShare_ = isTroubled ? 0.1 : 0.0;
+  LimitsSim sim(options);
+  const auto crash = sim.Now() + absl::Seconds(2);
+  const auto back = crash + absl::Seconds(3);
+  sim.At(crash, [&] {
+    for (std::size_t i = 0; i < kColdTargets; ++i) {
+      sim.Crash(i, kWarmupPerSecond, kColdFor);
+    }
+  });
+  sim.At(back, [&] {
+    for (std::size_t i = 0; i < kColdTargets; ++i) {
+      sim.Return(i, kWarmupPerSecond, kColdFor);
+    }
+  });
+  std::size_t asksAtReturn = 0;
+  sim.At(back, [&] { asksAtReturn = sim.Asks(); });
+  if (isTroubled) {
+    for (const std::size_t target : { 0, 1 }) {
+      sim.At(back + absl::Seconds(4), [&sim, target] {
+        sim.Freeze(sim.Issuer(target), absl::Seconds(3));
+      });
+    }
+  }
+  const auto end = back + kColdFor;
+  sim.RunUntil(end);
+  INFO(hosts << " hosts, seed " << seed << (isTroubled ? ", troubled" : ""));
+  double arrived = 0.0;
+  for (std::size_t i = 0; i < kColdTargets; ++i) {
+    INFO("target " << i);
+    CHECK(static_cast<double>(MostInSecond(sim, i, back, end)) <=
+          1.5 * kWarmupPerSecond + 5.0);
+    arrived += static_cast<double>(CountBetween(sim, i, back, end));
+  }
+  const auto seconds = absl::ToDoubleSeconds(kColdFor);
+  CHECK(arrived >=
+        0.6 * kWarmupPerSecond * seconds * static_cast<double>(kColdTargets));
+  // Guards against an end of the pauses between asks: all requests together
+  // would ask 3,000 times a second.
+  const auto asks = static_cast<double>(sim.Asks() - asksAtReturn);
+  CHECK(asks <= 2.4 * options.requestsPerSecond_ * seconds);
+}
+
+TEST_CASE("a cold target's limit ends by itself, and the lower limit applies")
+{
+  limits::State state;
+  state.self_ = "h";
+  fleet::Members members{ { "t", MakeMember() } };
+  auto& member = members.at("t");
+  const auto now = absl::FromUnixSeconds(100);
+  const auto until = now + absl::Seconds(10);
+  CHECK(limits::NoteCold(state, member, 14.0, until, now));
+  // Earlier evidence doesn't shorten the time.
+  CHECK_FALSE(
+    limits::NoteCold(state, member, 14.0, now + absl::Seconds(1), now));
+  CHECK(member.requestsPerSecond_ == 14.0);
+  CHECK(member.isCold_);
+  limits::Note(state, member, 2.0, now, now);
+  CHECK(member.requestsPerSecond_ == 2.0);
+  CHECK_FALSE(member.isCold_);
+  limits::Note(state, member, 20.0, now, now);
+  CHECK(member.requestsPerSecond_ == 14.0);
+  // A new start is cold as well: the evidence may be of it.
+  member.target_.bornMs_ = 8;
+  limits::Apply(state, member);
+  CHECK(member.requestsPerSecond_ == 14.0);
+  limits::Note(state, member, 20.0, now, now);
+  limits::Tick(state, {}, members, until - absl::Milliseconds(1));
+  CHECK(member.requestsPerSecond_ == 14.0);
+  limits::Tick(state, {}, members, until);
+  CHECK(member.requestsPerSecond_ == 20.0);
+  limits::Note(state, member, absl::nullopt, until, until);
+  CHECK_FALSE(member.requestsPerSecond_.has_value());
+}
+
+// Guards against an issuer that doesn't know yet that a target is cold and lets
+// all hosts send, and against one that stops them when it knows better.
+TEST_CASE("an issuer that takes a target for warm answers by the newer entry")
+{
+  const auto now = absl::FromUnixSeconds(100);
+  limits::State asker;
+  fleet::Members theirs{ { "t", MakeMember() } };
+  theirs.at("t").position_ = { 0, 5 };
+  limits::NoteCold(asker, theirs.at("t"), 14.0, now + absl::Seconds(9), now);
+  limits::Message message;
+  message.kind_ = limits::MessageKind::Ask;
+  message.limits_ = { limits::AskOf(asker, theirs.at("t"), now) };
+  const auto read = limits::ReadMessage(limits::WriteMessage(message));
+  REQUIRE(read);
+  REQUIRE(read->limits_.size() == 1);
+  const auto& ask = read->limits_.front();
+  CHECK(ask.isCold_);
+
+  limits::State issuer;
+  fleet::Members members{ { "t", MakeMember() } };
+  auto& member = members.at("t");
+  const auto verdict = [&] {
+    return limits::IssueFor(issuer, members, ask, false, now).verdict_;
+  };
+  member.position_ = { 0, 4 };
+  CHECK(verdict() == limits::Verdict::NoIssuer);
+  member.position_ = { 0, 5 };
+  CHECK(verdict() == limits::Verdict::Unlimited);
+  member.target_.bornMs_ = 6;
+  CHECK(verdict() == limits::Verdict::NoIssuer);
+  // The ask doesn't end a limit that the target has named.
+  member.target_.bornMs_ = 7;
+  limits::Note(issuer, member, 2.0, now, now);
+  CHECK(limits::Note(issuer,
+                     member,
+                     ask.perSecond_,
+                     now + absl::Seconds(5) - ask.age_,
+                     now + absl::Seconds(5)) == limits::Change::None);
+}
+
 TEST_CASE("messages are read back as they were written, and others ignored")
 {
   limits::Message message;
