Send the surplus of a data centre's requests to others

Hosts share the demand of their callers in the message of reported loads, the collectors their sums. Each host computes the share that leaves and draws for each request; a request that leaves is placed as one of the other data centre. Active for services with targets in several data centres that report their slowness; the mechanism spillover switches it off. Counts requests that leave by reason and shows the share of each service.

--- a/include/lycheeplank/mechanisms.h
+++ b/include/lycheeplank/mechanisms.h
@@ -46,9 +46,11 @@
   RecallOutdated,
   // Calls that may run only once use connections that were idle for a while.
   ReuseForOnce,
+  // The surplus of a data centre's requests goes to other data centres.
+  Spillover,
 };
 
-inline constexpr std::array<core::Named<Mechanism>, 16> kMechanisms{ {
+inline constexpr std::array<core::Named<Mechanism>, 17> kMechanisms{ {
   { Mechanism::WaitForMemory, "wait-for-memory" },
   { Mechanism::OutputShare, "output-share" },
   { Mechanism::SmallFirst, "small-first" },
@@ -65,6 +67,7 @@
   { Mechanism::GapLimit, "gap-limit" },
   { Mechanism::RecallOutdated, "take-back" },
   { Mechanism::ReuseForOnce, "once-reuse" },
+  { Mechanism::Spillover, "spillover" },
 } };
 
 // Which mechanisms are switched off; none in normal use.
--- a/include/lycheeplank/metrics.h
+++ b/include/lycheeplank/metrics.h
@@ -28,6 +28,11 @@
   void Count(absl::string_view aName, double aBy = 1.0);
   // Sets a gauge.
   void Set(absl::string_view aName, double aValue);
+  // Sets a gauge with a label.
+  void Set(absl::string_view aName,
+           absl::string_view aLabel,
+           absl::string_view aLabelValue,
+           double aValue);
   // Adds one duration to a histogram in seconds.
   void Observe(absl::string_view aName, absl::Duration aDuration);
 
--- a/include/lycheeplank/spillover.h
+++ b/include/lycheeplank/spillover.h
@@ -7,8 +7,10 @@
 #include <utility>
 #include <vector>
 
+#include <absl/container/btree_map.h>
 #include <absl/strings/string_view.h>
 #include <absl/time/time.h>
+#include <absl/types/optional.h>
 
 #include "lycheeplank/core.h"
 
@@ -28,6 +30,43 @@
   double tokens_ = 0.0;
 };
 
+// The demand of a data centre for a service, as sent between hosts, with stable
+// hashes of the names: a host's own part, or the total of the data centre.
+struct DemandRow
+{
+  std::uint32_t dataCentre_ = 0;
+  std::uint32_t service_ = 0;
+  bool isTotal_ = false;
+  Demand demand_;
+};
+
+// The rows that each host has last sent, by host, and those of this host.
+struct DemandReport
+{
+  std::vector<DemandRow> rows_;
+  absl::Time reportedAt_ = absl::InfinitePast();
+};
+
+using DemandReports = absl::btree_map<std::string, DemandReport>;
+
+// Age at which a reported demand isn't used any more.
+inline constexpr absl::Duration kMaxDemandAge = absl::Seconds(1);
+
+std::uint32_t
+NameHash(absl::string_view aName);
+
+// Returns the demand of a data centre: its newest total, or the sum of the
+// parts if nobody has sent a total. No value without recent rows.
+absl::optional<Demand>
+TotalOf(const DemandReports& aReports,
+        std::uint32_t aDataCentre,
+        std::uint32_t aService,
+        absl::Time aNow);
+
+// Returns the totals of all data centres that have reported.
+std::vector<DemandRow>
+TotalRows(const DemandReports& aReports, absl::Time aNow);
+
 // A data centre as far as one service is concerned.
 struct DataCentre
 {
@@ -105,8 +144,6 @@
 inline constexpr double kMinShare = 0.005;
 // Change of the share that is logged.
 inline constexpr double kLoggedChange = 0.1;
-// Age at which the demand of a data centre isn't used any more.
-inline constexpr absl::Duration kMaxDemandAge = absl::Seconds(1);
 
 // The decision for one service at the hosts of one data centre.
 struct State
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -7,6 +7,7 @@
 #include <absl/strings/str_join.h>
 
 #include "gateway/clock.h"
+#include "gateway/demand.h"
 #include "gateway/permits.h"
 
 // The part of Exchange that chooses targets and sends the request to them.
@@ -66,7 +67,7 @@
   const auto now = Now();
   fleet::RequestSpec question;
   question.service_ = service_;
-  question.dataCentre_ = host_.settings_.dataCentre_;
+  question.dataCentre_ = PreferredDataCentre(host_, service_, awayDraw_);
   question.tried_ = &tried_;
   question.onlyTarget_ = permittedTarget_;
   question.avoidsLimited_ = aAvoidsLimited;
@@ -100,9 +101,8 @@
     }
     for (const auto version :
          fleet::WeightVersions(host_.members_, service_, request_.model_)) {
-      const auto plan = PlanCacheReads(version,
-                                       host_.settings_.dataCentre_,
-                                       ReadEnd(version, absl::InfinitePast()));
+      const auto plan = PlanCacheReads(
+        version, question.dataCentre_, ReadEnd(version, absl::InfinitePast()));
       question.costs_.push_back(
         { version,
           std::max(absl::ZeroDuration(),
@@ -238,6 +238,9 @@
   targetId_ = choice_.id_;
   tried_.push_back(targetId_);
   auto& member = host_.members_.at(targetId_);
+  if (member.target_.dataCentre_ != host_.settings_.dataCentre_) {
+    CountSentAway(member.target_.dataCentre_);
+  }
   size_ = { computedTokens_, HeldTokens(), IsUrgent() };
   holdsTarget_ = true;
   fleet::RecordCallStart(member, size_, Now());
@@ -271,6 +274,19 @@
     });
 }
 
+void
+Exchange::CountSentAway(absl::string_view aDataCentre)
+{
+  const bool isSurplus =
+    PreferredDataCentre(host_, service_, awayDraw_) == aDataCentre;
+  host_.metrics_.Count(
+    "requests_sent_away_total",
+    "reason",
+    isSurplus
+      ? core::NameOf(spillover::kReasons, host_.spillover_.at(service_).reason_)
+      : absl::string_view("cost"));
+}
+
 SentRequest
 Exchange::Evidence() const
 {
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -59,6 +59,7 @@
     events_.ExpectNumbers(request_.lastEventId_, &host_.eventIds_[service_]);
   }
   readDraw_ = std::uniform_real_distribution<>(0.0, 1.0)(host_.random_);
+  awayDraw_ = std::uniform_real_distribution<>(0.0, 1.0)(host_.random_);
   deadline_ = arrivedAt_ + route_->timeout_;
   if (request_.callerTimeout_) {
     deadline_ = std::min(deadline_, arrivedAt_ + *request_.callerTimeout_);
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -65,6 +65,12 @@
   // Ends the request because the host exits.
   void EndForExit();
 
+  // Returns the service that the request uses; empty before it is known.
+  const std::string& Service() const { return service_; }
+  // Returns the average number of KV cache tokens that the request occupies at
+  // a target while it runs.
+  std::uint64_t HeldTokens() const;
+
 private:
   // Validation and placement.
 
@@ -79,9 +85,7 @@
   // Returns the longest idle time of a connection that may be reused for a
   // request which must not run twice.
   absl::Duration NonRepeatableIdle() const;
-  // Return the average number of KV cache tokens that the request occupies at a
-  // target while it runs, and whether that is a small share of its memory.
-  std::uint64_t HeldTokens() const;
+  // Returns whether the request occupies a small share of a target's memory.
   bool IsSmall() const;
   // Queues the request until a target has memory for it.
   void Enqueue();
@@ -99,6 +103,8 @@
   // hasn't begun.
   void WithdrawIfBlocked();
   SentRequest Evidence() const;
+  // Counts a request that is sent to another data centre by the reason.
+  void CountSentAway(absl::string_view aDataCentre);
   // Ends the request because no target may get it.
   void EndWithoutTarget();
   // Ends the request because it may not be sent: cuts an answer that has begun,
@@ -257,6 +263,9 @@
   // Random number in [0, 1) that decides, for all parts and attempts alike,
   // whether the request reads from a slow cache store.
   double readDraw_ = 0.0;
+  // Random number in [0, 1) that decides whether the request is part of the
+  // surplus that leaves the data centre.
+  double awayDraw_ = 0.0;
 
   // The current answer.
   http::ResponseHead head_;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/buffer.hpp>
 
 #include "gateway/clock.h"
+#include "gateway/demand.h"
 #include "gateway/permits.h"
 #include "gateway/poison-blocks.h"
 
@@ -47,8 +48,10 @@
 constexpr absl::string_view kReportMarker("\0l", 2);
 // Bytes of a reported load (short name, running and waiting requests, slowness
 // in percent, age), and the unit of the age, in which a byte holds more than
-// fleet::kMaxLoadAge.
+// fleet::kMaxLoadAge. Bytes of a demand (data centre, service, whether it is a
+// total, calls, tokens).
 constexpr std::size_t kReportBytes = 9;
+constexpr std::size_t kDemandBytes = 16;
 constexpr absl::Duration kAgeUnit = absl::Milliseconds(4);
 constexpr double kPercent = 100.0;
 // Age at which the list of targets' short names is rebuilt; the reported loads
@@ -122,6 +125,20 @@
   std::string text(kReportMarker);
   AppendNumber(text, aMessage.host_.size(), 1);
   text.append(aMessage.host_);
+  const auto demands =
+    std::min<std::size_t>(aMessage.demands_.size(), kByteMask);
+  AppendNumber(text, demands, 1);
+  for (std::size_t i = 0; i < demands; ++i) {
+    const auto& [dataCentre, service, isTotal, demand] = aMessage.demands_[i];
+    AppendNumber(text, dataCentre, 4);
+    AppendNumber(text, service, 4);
+    AppendNumber(text, isTotal ? 1 : 0, 1);
+    AppendNumber(text, static_cast<std::uint64_t>(demand.calls_), 3);
+    AppendNumber(text,
+                 static_cast<std::uint64_t>(demand.tokens_ /
+                                            static_cast<double>(kTokenUnit)),
+                 4);
+  }
   for (const auto& [target, load, age] : aMessage.loads_) {
     const auto percent =
       std::clamp(std::round(kPercent * load.slowness_.value_or(1.0)),
@@ -149,13 +166,27 @@
     return absl::nullopt;
   }
   const auto size = ReadNumber(aText, 1);
-  if (size == 0 || aText.size() < size ||
-      (aText.size() - size) % kReportBytes != 0) {
+  if (size == 0 || aText.size() <= size) {
     return absl::nullopt;
   }
   ReportMessage message;
   message.host_ = std::string(aText.substr(0, size));
   aText.remove_prefix(size);
+  const auto demands = ReadNumber(aText, 1);
+  if (aText.size() < demands * kDemandBytes ||
+      (aText.size() - demands * kDemandBytes) % kReportBytes != 0) {
+    return absl::nullopt;
+  }
+  for (std::uint64_t i = 0; i < demands; ++i) {
+    spillover::DemandRow row;
+    row.dataCentre_ = static_cast<std::uint32_t>(ReadNumber(aText, 4));
+    row.service_ = static_cast<std::uint32_t>(ReadNumber(aText, 4));
+    row.isTotal_ = ReadNumber(aText, 1) != 0;
+    row.demand_.calls_ = static_cast<double>(ReadNumber(aText, 3));
+    row.demand_.tokens_ =
+      static_cast<double>(kTokenUnit * ReadNumber(aText, 4));
+    message.demands_.push_back(row);
+  }
   while (!aText.empty()) {
     fleet::ReportedLoad load;
     load.target_ = static_cast<std::uint32_t>(ReadNumber(aText, 4));
@@ -249,6 +280,7 @@
   , remoteTimer_(aHost.loop_)
   , limitsTimer_(aHost.loop_)
   , blocksTimer_(aHost.loop_)
+  , demandTimer_(aHost.loop_)
   , lossesTimer_(aHost.loop_)
 {
   const auto address = ParseEndpoint(aAddress);
@@ -262,6 +294,7 @@
   host_.onLoss_ = [this] { ScheduleLosses(); };
   ScheduleTick();
   ScheduleBlockTick();
+  ScheduleDemandTick();
   Receive();
 }
 
@@ -311,16 +344,17 @@
     return;
   }
   const auto now = Now();
+  const auto sentAt =
+    EarliestSendTime(host_.stallDetector_, absl::InfinitePast(), now);
+  if (!aMessage.demands_.empty()) {
+    host_.demands_[aMessage.host_] = { aMessage.demands_, sentAt };
+  }
   if (now - targetIdsAt_ > kTargetIdsAge) {
     targetIds_ = fleet::IdsByHash(host_.members_);
     targetIdsAt_ = now;
   }
   fleet::ApplyReportedLoads(
-    host_.members_,
-    targetIds_,
-    aMessage.loads_,
-    EarliestSendTime(host_.stallDetector_, absl::InfinitePast(), now),
-    now);
+    host_.members_, targetIds_, aMessage.loads_, sentAt, now);
 }
 
 void
@@ -341,6 +375,20 @@
   });
 }
 
+void
+Gossip::ScheduleDemandTick()
+{
+  demandTimer_.Set(kDemandPeriod, [this] {
+    UpdateSpillover(host_);
+    if (SharesDemands(host_)) {
+      // Hosts without requests report as well, else the others wouldn't know
+      // that their data centre has room.
+      ScheduleSend();
+    }
+    ScheduleDemandTick();
+  });
+}
+
 void
 Gossip::ScheduleLosses()
 {
@@ -483,7 +531,7 @@
     for (const auto& peer : peers) {
       Send(peer, fleet::SumLoads(host_.members_, {}, now), observations);
     }
-    SendReports(peers, { {}, true, {}, false }, localReportsAt_);
+    SendReports(peers, { {}, true, {}, false }, OwnDemand(), localReports_);
     return;
   }
   if (!IsCollector()) {
@@ -494,7 +542,10 @@
     if (!relays.empty()) {
       Send(
         relays.front(), fleet::SumLoads(host_.members_, {}, now), observations);
-      SendReports({ relays.front() }, { {}, true, {}, false }, localReportsAt_);
+      SendReports({ relays.front() },
+                  { {}, true, {}, false },
+                  OwnDemand(),
+                  localReports_);
     }
     return;
   }
@@ -508,7 +559,7 @@
     others.erase(std::find(others.begin(), others.end(), peer));
     Send(peer, fleet::SumLoads(host_.members_, others, now), observations);
   }
-  SendReports(peers, {}, localReportsAt_);
+  SendReports(peers, {}, TotalDemands(false), localReports_);
 }
 
 void
@@ -524,7 +575,10 @@
       Send(collector, loads, observations);
     }
     // The other collectors know more of the targets near them.
-    SendReports(OtherCollectors(), { {}, false, {}, true }, remoteReportsAt_);
+    SendReports(OtherCollectors(),
+                { {}, false, {}, true },
+                TotalDemands(true),
+                remoteReports_);
     return;
   }
   const auto loads = fleet::SumLoads(host_.members_, {}, now);
@@ -535,22 +589,54 @@
       others.push_back(name);
     }
   }
-  SendReports(others, { {}, true, {}, false }, remoteReportsAt_);
+  SendReports(others, { {}, true, {}, false }, OwnDemand(), remoteReports_);
+}
+
+std::vector<spillover::DemandRow>
+Gossip::OwnDemand() const
+{
+  const auto own = host_.demands_.find(host_.settings_.name_);
+  return own == host_.demands_.end() ? std::vector<spillover::DemandRow>()
+                                     : own->second.rows_;
+}
+
+std::vector<spillover::DemandRow>
+Gossip::TotalDemands(bool aIsOwnOnly) const
+{
+  auto rows = spillover::TotalRows(host_.demands_, Now());
+  const auto own = spillover::NameHash(host_.settings_.dataCentre_);
+  rows.erase(std::remove_if(rows.begin(),
+                            rows.end(),
+                            [&](const auto& aRow) {
+                              return aIsOwnOnly && aRow.dataCentre_ != own;
+                            }),
+             rows.end());
+  return rows;
 }
 
 void
 Gossip::SendReports(const std::vector<std::string>& aHosts,
                     fleet::ReportedLoadQuery aQuery,
-                    absl::Time& aSentAt)
+                    std::vector<spillover::DemandRow> aDemands,
+                    ReportTimes& aTimes)
 {
+  if (!Uses(host_, mechanisms::Mechanism::LoadReports)) {
+    return;
+  }
   const auto now = Now();
-  aQuery.since_ = std::exchange(aSentAt, now);
+  aQuery.since_ = std::exchange(aTimes.loadsAt_, now);
   aQuery.dataCentre_ = host_.settings_.dataCentre_;
   auto loads = fleet::NewestReportedLoads(host_.members_, aQuery, now);
-  if (loads.empty() || !Uses(host_, mechanisms::Mechanism::LoadReports)) {
+  if (now - aTimes.demandsAt_ < kDemandPeriod) {
+    aDemands.clear();
+  } else {
+    aTimes.demandsAt_ = now;
+  }
+  if (loads.empty() && aDemands.empty()) {
     return;
   }
-  const auto text = WriteReports({ host_.settings_.name_, std::move(loads) });
+  const auto text = WriteReports(
+    { host_.settings_.name_, std::move(aDemands), std::move(loads) });
   for (const auto& host : aHosts) {
     SendText(host, text);
   }
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -41,11 +41,13 @@
 LoadMessage
 ReadMessage(absl::string_view aText);
 
-// The newest loads that targets have reported in their answers. They have a
-// message of their own, which hosts of earlier releases ignore.
+// The newest loads that targets have reported in their answers, and the demands
+// of data centres. They have a message of their own, which hosts of earlier
+// releases ignore.
 struct ReportMessage
 {
   std::string host_;
+  std::vector<spillover::DemandRow> demands_;
   std::vector<fleet::ReportedLoad> loads_;
 };
 
@@ -91,15 +93,26 @@
   void Receive();
   void OnDatagram(absl::string_view aText);
   void OnMessage(const LoadMessage& aMessage);
-  // Sends the reported loads that are new to the receivers. aSentAt: when such
-  // a message was last sent to them.
+  // When reported loads and demands were last sent to some hosts.
+  struct ReportTimes
+  {
+    absl::Time loadsAt_ = absl::InfinitePast();
+    absl::Time demandsAt_ = absl::InfinitePast();
+  };
+  // Sends the reported loads that are new to the receivers, and demands.
   void SendReports(const std::vector<std::string>& aHosts,
                    fleet::ReportedLoadQuery aQuery,
-                   absl::Time& aSentAt);
+                   std::vector<spillover::DemandRow> aDemands,
+                   ReportTimes& aTimes);
+  // Returns this host's part of the demand.
+  std::vector<spillover::DemandRow> OwnDemand() const;
+  // Returns the total demands of all data centres, or of this one only.
+  std::vector<spillover::DemandRow> TotalDemands(bool aIsOwnOnly) const;
   void ApplyReports(const ReportMessage& aMessage);
   void SendText(const std::string& aHost, const std::string& aText);
   void ScheduleTick();
   void ScheduleBlockTick();
+  void ScheduleDemandTick();
   // Tells the other hosts soon that requests were lost.
   void ScheduleLosses();
   // Adds this host's new observations to those that wait to be sent.
@@ -129,14 +142,14 @@
   Timer remoteTimer_;
   Timer limitsTimer_;
   Timer blocksTimer_;
+  Timer demandTimer_;
   Timer lossesTimer_;
   bool areLossesDue_ = false;
   // Observations that wait to be sent to this data centre and to the others.
   Observations localObservations_;
   Observations remoteObservations_;
-  // When reported loads were last sent within the data centre and to others.
-  absl::Time localReportsAt_ = absl::InfinitePast();
-  absl::Time remoteReportsAt_ = absl::InfinitePast();
+  ReportTimes localReports_;
+  ReportTimes remoteReports_;
   // Rebuilt from time to time.
   fleet::TargetIds targetIds_;
   absl::Time targetIdsAt_ = absl::InfinitePast();
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -35,6 +35,7 @@
 #include "lycheeplank/replica.h"
 #include "lycheeplank/request_queue.h"
 #include "lycheeplank/retry_budget.h"
+#include "lycheeplank/spillover.h"
 #include "lycheeplank/target_limits.h"
 #include "lycheeplank/weights.h"
 
@@ -158,6 +159,13 @@
   StoreHealth store_;
   // Recent sends of this host, by service.
   absl::flat_hash_map<std::string, fleet::SendRate> sendRates_;
+  // Demands of the data centres, and by service the decision which share of the
+  // requests to send to other ones. spilloverTimes_ follows from the catalog
+  // timesOf_.
+  spillover::DemandReports demands_;
+  absl::btree_map<std::string, spillover::State> spillover_;
+  absl::btree_map<std::string, spillover::Times> spilloverTimes_;
+  catalog::CatalogPtr timesOf_;
   // By service. Open streams refer to the entries, which therefore stay.
   std::map<std::string, EventIds> eventIds_;
   // Bytes of answers that are buffered until they are complete.
--- a/src/metrics/metrics.cc
+++ b/src/metrics/metrics.cc
@@ -43,6 +43,26 @@
   }
 };
 
+// Appends counters or gauges; aType is the name of their kind.
+void
+AppendValues(std::string& aText,
+             const absl::btree_map<CounterKey, double>& aValues,
+             absl::string_view aType)
+{
+  const std::string* previous = nullptr;
+  for (const auto& [key, value] : aValues) {
+    if (previous == nullptr || *previous != key.name_) {
+      absl::StrAppend(&aText, "# TYPE ", kPrefix, key.name_, " ", aType, "\n");
+    }
+    previous = &key.name_;
+    absl::StrAppend(&aText, kPrefix, key.name_);
+    if (!key.label_.empty()) {
+      absl::StrAppend(&aText, "{", key.label_, "=\"", key.value_, "\"}");
+    }
+    absl::StrAppend(&aText, " ", value, "\n");
+  }
+}
+
 void
 AppendHistogram(std::string& aText,
                 const std::string& aName,
@@ -68,7 +88,7 @@
 {
   mutable absl::Mutex mutex_;
   absl::btree_map<CounterKey, double> counters_;
-  absl::btree_map<std::string, double> gauges_;
+  absl::btree_map<CounterKey, double> gauges_;
   absl::btree_map<std::string, Durations> durations_;
 };
 
@@ -100,7 +120,19 @@
 Registry::Set(absl::string_view aName, double aValue)
 {
   const absl::MutexLock lock(&impl_->mutex_);
-  impl_->gauges_[std::string(aName)] = aValue;
+  impl_->gauges_[{ std::string(aName), {}, {} }] = aValue;
+}
+
+void
+Registry::Set(absl::string_view aName,
+              absl::string_view aLabel,
+              absl::string_view aLabelValue,
+              double aValue)
+{
+  const absl::MutexLock lock(&impl_->mutex_);
+  impl_->gauges_[{
+    std::string(aName), std::string(aLabel), std::string(aLabelValue) }] =
+    aValue;
 }
 
 void
@@ -131,22 +163,8 @@
 {
   const absl::MutexLock lock(&impl_->mutex_);
   std::string text;
-  const std::string* previous = nullptr;
-  for (const auto& [key, value] : impl_->counters_) {
-    if (previous == nullptr || *previous != key.name_) {
-      absl::StrAppend(&text, "# TYPE ", kPrefix, key.name_, " counter\n");
-    }
-    previous = &key.name_;
-    absl::StrAppend(&text, kPrefix, key.name_);
-    if (!key.label_.empty()) {
-      absl::StrAppend(&text, "{", key.label_, "=\"", key.value_, "\"}");
-    }
-    absl::StrAppend(&text, " ", value, "\n");
-  }
-  for (const auto& [name, value] : impl_->gauges_) {
-    absl::StrAppend(&text, "# TYPE ", kPrefix, name, " gauge\n");
-    absl::StrAppend(&text, kPrefix, name, " ", value, "\n");
-  }
+  AppendValues(text, impl_->counters_, "counter");
+  AppendValues(text, impl_->gauges_, "gauge");
   for (const auto& [name, durations] : impl_->durations_) {
     AppendHistogram(text, name, durations);
   }
--- a/src/spillover/spillover.cc
+++ b/src/spillover/spillover.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <limits>
 
+#include <absl/container/btree_set.h>
+
 namespace lycheeplank::spillover {
 
 namespace {
@@ -100,6 +102,60 @@
 
 } // namespace
 
+std::uint32_t
+NameHash(absl::string_view aName)
+{
+  return static_cast<std::uint32_t>(core::StableHash(aName));
+}
+
+absl::optional<Demand>
+TotalOf(const DemandReports& aReports,
+        std::uint32_t aDataCentre,
+        std::uint32_t aService,
+        absl::Time aNow)
+{
+  absl::optional<Demand> total;
+  absl::optional<Demand> sum;
+  auto totalAt = absl::InfinitePast();
+  for (const auto& [host, report] : aReports) {
+    if (aNow - report.reportedAt_ > kMaxDemandAge) {
+      continue;
+    }
+    for (const auto& row : report.rows_) {
+      if (row.dataCentre_ != aDataCentre || row.service_ != aService) {
+        continue;
+      }
+      if (!row.isTotal_) {
+        sum = sum.value_or(Demand());
+        sum->calls_ += row.demand_.calls_;
+        sum->tokens_ += row.demand_.tokens_;
+      } else if (report.reportedAt_ > totalAt) {
+        total = row.demand_;
+        totalAt = report.reportedAt_;
+      }
+    }
+  }
+  return total ? total : sum;
+}
+
+std::vector<DemandRow>
+TotalRows(const DemandReports& aReports, absl::Time aNow)
+{
+  absl::btree_set<std::pair<std::uint32_t, std::uint32_t>> keys;
+  for (const auto& [host, report] : aReports) {
+    for (const auto& row : report.rows_) {
+      keys.emplace(row.dataCentre_, row.service_);
+    }
+  }
+  std::vector<DemandRow> rows;
+  for (const auto& [dataCentre, service] : keys) {
+    if (const auto total = TotalOf(aReports, dataCentre, service, aNow)) {
+      rows.push_back({ dataCentre, service, true, *total });
+    }
+  }
+  return rows;
+}
+
 double
 NeedOf(const Demand& aDemand, double aSlots, double aMemoryTokens)
 {
--- a/test/gossip-test.cc
+++ b/test/gossip-test.cc
@@ -1,11 +1,13 @@
 #include "gateway/gossip.h"
 
+#include <cmath>
 #include <random>
 
 #include <absl/strings/str_cat.h>
 
 #include <catch2/catch.hpp>
 
+#include "gateway/demand.h"
 #include "host-group.h"
 #include "lycheeplank/poison.h"
 #include "lycheeplank/target_limits.h"
@@ -86,6 +88,7 @@
 {
   const gateway::ReportMessage message{
     "h1",
+    { { 11, 12, true, { 700.0, 64e6 } }, { 13, 12, false, { 0.0, 0.0 } } },
     { { 7, { 3, 2, 0, 2.5 }, absl::Milliseconds(41) },
       { 9, { 900, 0, 0, 0.97 }, absl::ZeroDuration() } }
   };
@@ -93,6 +96,13 @@
   const auto read = gateway::ReadReports(text);
   REQUIRE(read);
   CHECK(read->host_ == "h1");
+  REQUIRE(read->demands_.size() == 2);
+  CHECK(read->demands_[0].dataCentre_ == 11);
+  CHECK(read->demands_[0].service_ == 12);
+  CHECK(read->demands_[0].isTotal_);
+  CHECK(read->demands_[0].demand_.calls_ == 700.0);
+  CHECK(read->demands_[0].demand_.tokens_ == 64e6);
+  CHECK_FALSE(read->demands_[1].isTotal_);
   REQUIRE(read->loads_.size() == 2);
   CHECK(read->loads_[0].target_ == 7);
   CHECK(read->loads_[0].load_.running_ == 3);
@@ -111,7 +121,7 @@
 // another kind of message while releases are mixed, and the other way round.
 TEST_CASE("other messages and reported loads aren't taken for each other")
 {
-  gateway::ReportMessage message{ "h1", {} };
+  gateway::ReportMessage message{ "h1", {}, {} };
   for (std::uint32_t i = 0; i < fleet::kMaxReportedLoads; ++i) {
     message.loads_.push_back({ i, { i, 0, 0, 1.0 }, absl::ZeroDuration() });
   }
@@ -201,6 +211,8 @@
         { "host-000", fleet::SumLoads(members, {}, kNow), {}, {} })
         .size() +
       kPacketBytes;
+    const std::vector<lycheeplank::spillover::DemandRow> demands(
+      3 * deployment.dataCentres_);
     std::mt19937_64 random(5);
     const double gap = static_cast<double>(deployment.dataCentres_) /
                        deployment.answersPerSecond_;
@@ -223,6 +235,7 @@
       }
       const auto bytes = gateway::WriteReports(
                            { "host-000",
+                             demands,
                              fleet::NewestReportedLoads(
                                members, { sentAt, false, "dc0", false }, now) })
                            .size();
@@ -238,10 +251,11 @@
                           absl::ToDoubleSeconds(times.remote_);
     const double loadBytes =
       static_cast<double>(loads * peers) * batches / kSeconds;
-    // Another host sends its own answers' loads to the collector only.
+    // Another host sends its own answers' loads to the collector only, and
+    // five times a second its demand for three services.
     const double own = deployment.answersPerSecond_ /
                          static_cast<double>(deployment.hosts_) * 9.0 +
-                       (11.0 + kPacketBytes) / 0.05;
+                       (12.0 + kPacketBytes) / 0.05 + 5.0 * 3.0 * 16.0;
     INFO(deployment.hosts_ << " hosts: collector sends " << sent
                            << " bytes/s beside " << loadBytes
                            << " of loads; another host receives " << received
@@ -305,3 +319,44 @@
   }
   CHECK_FALSE(far.peers_.empty());
 }
+
+// Guards against hosts that decide differently from the same demand, and
+// against hosts without callers whose room nobody knows.
+TEST_CASE("hosts compute the same share of requests that leave")
+{
+  lycheeplank::test::HostGroup group(9);
+  // Targets that don't answer.
+  group.AddTarget([](auto&, const auto&) {});
+  group.AddTarget([](auto&, const auto&) {});
+  const auto now = gateway::Now();
+  for (std::size_t i = 0; i < group.Size(); ++i) {
+    auto& members = group.HostAt(i).members_;
+    members.at("t2").target_.dataCentre_ = "dc1";
+    fleet::RecordLoad(members.at("t1"), { 0, 0, 1, 1.0 }, now);
+  }
+  for (int i = 0; i < 2; ++i) {
+    for (const std::size_t host : { 0, 3, 6 }) {
+      group.Call(host);
+    }
+  }
+  const auto shareAt = [&group](std::size_t aHost) {
+    const auto& states = group.HostAt(aHost).spillover_;
+    const auto found = states.find("s");
+    return found == states.end() ? -1.0 : found->second.share_;
+  };
+  // Six calls take six targets; one of two is elsewhere.
+  const auto agree = [&] {
+    return shareAt(0) > 0.1 && std::abs(shareAt(0) - shareAt(3)) < 0.02 &&
+           std::abs(shareAt(0) - shareAt(6)) < 0.02;
+  };
+  for (int i = 0; i < 50 && !agree(); ++i) {
+    group.RunFor(std::chrono::milliseconds(50));
+  }
+  INFO(shareAt(0) << " " << shareAt(3) << " " << shareAt(6));
+  CHECK(agree());
+  CHECK(shareAt(0) < 0.2);
+  CHECK(shareAt(1) == 0.0);
+  CHECK(shareAt(2) == 0.0);
+  CHECK(gateway::PreferredDataCentre(group.HostAt(0), "s", 0.01) == "dc1");
+  CHECK(gateway::PreferredDataCentre(group.HostAt(0), "s", 0.9) == "dc0");
+}
--- a/test/spillover-test.cc
+++ b/test/spillover-test.cc
@@ -51,6 +51,29 @@
   CHECK(spillover::NeedOf({ 12.0, 470000.0 }, 6.0, 0.0) == 2.0);
 }
 
+// Guards against a demand that is counted twice, as a part and in the total, or
+// that is believed after its host has ended.
+TEST_CASE("the total of a demand replaces its parts while it is recent")
+{
+  const auto a = spillover::NameHash("a");
+  const auto service = spillover::NameHash("s");
+  spillover::DemandReports reports;
+  CHECK_FALSE(spillover::TotalOf(reports, a, service, kNow));
+  reports["h1"] = { { { a, service, false, { 3.0, 300.0 } } }, kNow };
+  reports["h2"] = { { { a, service, false, { 5.0, 500.0 } },
+                      { a, service + 1, false, { 50.0, 0.0 } } },
+                    kNow + absl::Milliseconds(900) };
+  const auto later = kNow + absl::Milliseconds(950);
+  CHECK(spillover::TotalOf(reports, a, service, later)->calls_ == 8.0);
+  CHECK(spillover::TotalRows(reports, later).size() == 2);
+  CHECK(spillover::TotalRows(reports, later)[0].isTotal_);
+  reports["collector"] = { { { a, service, true, { 9.0, 900.0 } } }, kNow };
+  CHECK(spillover::TotalOf(reports, a, service, later)->tokens_ == 900.0);
+  const auto end = kNow + absl::Milliseconds(1100);
+  CHECK(spillover::TotalOf(reports, a, service, end)->calls_ == 5.0);
+  CHECK_FALSE(spillover::TotalOf(reports, a, service, kNow + absl::Seconds(2)));
+}
+
 // Guards against requests that leave while the near targets suffice, and
 // against more of them than the surplus.
 TEST_CASE("only the surplus leaves, divided by room")
