--- a/test/gossip-test.cc
+++ b/test/gossip-test.cc
@@ -360,3 +360,30 @@
   CHECK(gateway::PreferredDataCentre(group.HostAt(0), "s", 0.01) == "dc1");
   CHECK(gateway::PreferredDataCentre(group.HostAt(0), "s", 0.9) == "dc0");
 }
+
+// Guards against a changed behaviour of deployments whose targets report three
+// figures: no demands, no shares, and no shared loads.
+TEST_CASE("hosts share nothing new if targets report three figures")
+{
+  lycheeplank::test::HostGroup group(9);
+  for (int i = 0; i < 2; ++i) {
+    group.AddTarget([](auto&, const auto& aSocket) {
+      aSocket->Send(lycheeplank::test::WholeAnswer(
+        "x", "200 OK", "X-Server-Load: 9,9,1\r\n"));
+    });
+  }
+  for (std::size_t i = 0; i < group.Size(); ++i) {
+    group.HostAt(i).members_.at("t2").target_.dataCentre_ = "dc1";
+  }
+  group.Call(3);
+  group.RunFor(std::chrono::milliseconds(1200));
+  REQUIRE(group.answers_.size() == 1);
+  for (std::size_t i = 0; i < group.Size(); ++i) {
+    const auto& host = group.HostAt(i);
+    CHECK(host.spillover_.empty());
+    CHECK(host.demands_.size() == 1);
+    if (i != 3) {
+      CHECK(host.members_.at("t1").load_.running_ == 0);
+    }
+  }
+}
