--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -36,6 +36,7 @@
 #include "lycheeplank/replica.h"
 #include "lycheeplank/request_queue.h"
 #include "lycheeplank/retry_budget.h"
+#include "lycheeplank/spillover.h"
 #include "lycheeplank/target_limits.h"
 #include "lycheeplank/weights.h"
 
@@ -188,6 +189,13 @@
   absl::flat_hash_map<std::string, fleet::SendRate> sendRates_;
   // With priority scheduling, the requests of services that have memory.
   overload::Loads priorityLoads_;
+  // Demands of the data centres, and by service the decision which share of the
+  // requests to send to other ones. spilloverTimes_ follows from the catalog
+  // timesOf_.
+  spillover::DemandReports demands_;
+  absl::btree_map<std::string, spillover::State> spillover_;
+  absl::btree_map<std::string, spillover::Times> spilloverTimes_;
+  catalog::CatalogPtr timesOf_;
   // By service. Open streams refer to the entries, which therefore stay.
   std::map<std::string, EventIds> eventIds_;
   // Bytes of answers that are buffered until they are complete.
