Bound the trailers and chunk headers of a body

The parser takes a trailer and the header of a chunk only as a whole, so that an unfinished one stayed in the connection's buffer and was scanned again with each read. Unparsed bytes behind the head are now limited: a trailer counts toward the limit of the head, and the extensions of all chunks have 16 KiB. The memory of a body no longer grows past its length or its limit.

--- a/src/http/reader.cc
+++ b/src/http/reader.cc
@@ -1,5 +1,6 @@
 #include "http/reader.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <absl/strings/match.h>
@@ -17,6 +18,10 @@
 
 // Maximum size of an answer's head, the longest that any target sends.
 constexpr std::uint32_t kAnswerHeaderBytes = 64U << 10U;
+// Bytes of a line of the head beside its name and value.
+constexpr std::size_t kLineBytes = 4;
+// Size up to which a body grows as strings do.
+constexpr std::size_t kSmallBodyBytes = 64U << 10U;
 
 std::string
 Text(string_view aText)
@@ -35,14 +40,24 @@
   int version_ = 11;
   Fields fields_;
   std::string body_;
+  // Limit of headBytes_: basic_parser's own limit holds only for bytes that it
+  // gets in one call.
+  std::size_t maxHeadBytes_ = 0;
+  // Limit of the body of a request.
+  std::uint64_t maxBodyBytes_ = 0;
+  // Bytes of the start line and of the fields of the head and the trailer.
+  std::size_t headBytes_ = 0;
+  // Bytes of the extensions of all chunks.
+  std::size_t extensionBytes_ = 0;
 
 private:
   void on_request_impl(bh::verb,
                        string_view aMethod,
                        string_view aTarget,
                        int aVersion,
-                       error_code&) override
+                       error_code& aError) override
   {
+    CountHead(aMethod.size() + aTarget.size(), aError);
     method_ = Text(aMethod);
     target_ = Text(aTarget);
     version_ = aVersion;
@@ -59,8 +74,9 @@
   void on_field_impl(bh::field,
                      string_view aName,
                      string_view aValue,
-                     error_code&) override
+                     error_code& aError) override
   {
+    CountHead(aName.size() + aValue.size(), aError);
     // Fields in the trailer aren't fields of the head.
     if (!this->is_header_done()) {
       fields_.push_back({ Text(aName), Text(aValue) });
@@ -73,26 +89,72 @@
   }
   std::size_t on_body_impl(string_view aData, error_code&) override
   {
-    body_.append(aData.data(), aData.size());
+    Append(aData);
     return aData.size();
   }
-  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+  void on_chunk_header_impl(std::uint64_t,
+                            string_view aExtensions,
+                            error_code& aError) override
+  {
+    extensionBytes_ += aExtensions.size();
+    if (extensionBytes_ > kMaxExtensionBytes) {
+      aError = bh::error::header_limit;
+    }
+  }
   std::size_t on_chunk_body_impl(std::uint64_t,
                                  string_view aData,
                                  error_code&) override
   {
-    body_.append(aData.data(), aData.size());
+    Append(aData);
     return aData.size();
   }
   void on_finish_impl(error_code&) override {}
+
+  void CountHead(std::size_t aBytes, error_code& aError)
+  {
+    headBytes_ += aBytes + kLineBytes;
+    if (headBytes_ > maxHeadBytes_) {
+      aError = bh::error::header_limit;
+    }
+  }
+
+  // Appends to the body. That of a request gets the memory for its stated
+  // length at once, or twice the memory up to its limit, when it isn't small; a
+  // string itself would exceed both.
+  void Append(string_view aData)
+  {
+    const std::uint64_t needed = body_.size() + aData.size();
+    if (IsRequest && needed > body_.capacity() && needed > kSmallBodyBytes) {
+      const std::uint64_t length = this->content_length().value_or(2 * needed);
+      std::string grown;
+      grown.reserve(std::max(needed, std::min(length, maxBodyBytes_)));
+      grown.append(body_);
+      body_ = std::move(grown);
+    }
+    body_.append(aData.data(), aData.size());
+  }
 };
 
+// Returns whether the bytes start with the header of the last chunk, which the
+// trailer follows.
+bool
+StartsTrailer(string_view aText)
+{
+  if (aText.substr(0, 2) == "\r\n") {
+    aText.remove_prefix(2);
+  }
+  const auto end = aText.find_first_not_of('0');
+  return end != 0 && end != string_view::npos &&
+         (aText[end] == ';' || aText[end] == '\r');
+}
+
 template<bool IsRequest>
 ReadError
 FeedParser(Parser<IsRequest>& aParser, std::string& aData)
 {
   std::size_t used = 0;
   ReadError result = ReadError::None;
+  bool waits = false;
   while (used < aData.size() && !aParser.is_done()) {
     error_code error;
     const auto taken = aParser.put(
@@ -100,6 +162,7 @@
       error);
     used += taken;
     if (error == bh::error::need_more) {
+      waits = true;
       break;
     }
     if (error) {
@@ -113,6 +176,14 @@
     }
   }
   aData.erase(0, used);
+  // The parser takes the header of a chunk, and the last one with the trailer,
+  // only as a whole.
+  if (waits && aParser.is_header_done()) {
+    const auto limit = StartsTrailer(aData)
+                         ? aParser.maxHeadBytes_ - aParser.headBytes_
+                         : kMaxExtensionBytes;
+    return aData.size() > limit ? ReadError::HeaderTooLarge : result;
+  }
   return result;
 }
 
@@ -144,6 +215,8 @@
   impl_->parser_.eager(true);
   impl_->parser_.header_limit(aLimits.headerBytes_);
   impl_->parser_.body_limit(aLimits.bodyBytes_);
+  impl_->parser_.maxHeadBytes_ = aLimits.headerBytes_;
+  impl_->parser_.maxBodyBytes_ = aLimits.bodyBytes_;
 }
 
 RequestReader::~RequestReader() = default;
@@ -202,6 +275,13 @@
   return impl_->head_;
 }
 
+absl::optional<std::uint64_t>
+RequestReader::BodyLength() const
+{
+  const auto length = impl_->parser_.content_length();
+  return length ? absl::make_optional(*length) : absl::nullopt;
+}
+
 std::string&
 RequestReader::Body()
 {
@@ -222,6 +302,7 @@
   impl_->parser_.skip(aNoBody);
   impl_->parser_.header_limit(kAnswerHeaderBytes);
   impl_->parser_.body_limit(boost::none);
+  impl_->parser_.maxHeadBytes_ = kAnswerHeaderBytes;
 }
 
 ResponseReader::~ResponseReader() = default;
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include <absl/strings/string_view.h>
+#include <absl/types/optional.h>
 
 #include "http/message.h"
 
@@ -22,8 +23,14 @@
   BodyTooLarge,
 };
 
+// Limit of the extensions of all chunks of a body together, and of a line with
+// the size of a chunk. Bodies whose chunks of 64 KiB are signed have 100 bytes
+// a chunk.
+inline constexpr std::size_t kMaxExtensionBytes = 16U << 10U;
+
 struct ReadLimits
 {
+  // Limit of the fields of the head and the trailer together.
   std::uint32_t headerBytes_ = 64U << 10U;
   std::uint64_t bodyBytes_ = std::uint64_t{ 1 } << 40U;
 };
@@ -46,6 +53,9 @@
   bool Done() const;
   RequestHead& Head();
   const RequestHead& Head() const;
+  // Returns the length of the body that the head states; no value if the body
+  // comes in chunks.
+  absl::optional<std::uint64_t> BodyLength() const;
   std::string& Body();
 
 private:
--- a/test/http-reader-test.cc
+++ b/test/http-reader-test.cc
@@ -85,6 +85,115 @@
                     std::string(128, 'x') + "\r\n") == ReadError::BodyTooLarge);
 }
 
+// Guards against a head that grows without a bound because each read ends at
+// the end of a line.
+TEST_CASE("a head that arrives line by line has the same limit")
+{
+  http::RequestReader reader({ 1000, 100 });
+  std::string data = "GET / HTTP/1.1\r\nHost: h\r\n";
+  auto error = reader.Feed(data);
+  int lines = 0;
+  while (error == ReadError::None && lines < 100) {
+    data += "X-Line: 0123456789\r\n";
+    error = reader.Feed(data);
+    ++lines;
+  }
+  CHECK(error == ReadError::HeaderTooLarge);
+  CHECK(lines > 30);
+  CHECK(lines < 60);
+}
+
+// Guards against a process that runs out of memory by bytes after or between
+// the chunks of a body, which belong to no field and no body.
+TEST_CASE("the parts of a chunked body that aren't data have limits")
+{
+  const std::string start = "POST / HTTP/1.1\r\nHost: h\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n";
+  struct Case
+  {
+    std::string start_;
+    std::string repeated_;
+    // Bytes of the part that a reader takes at least, that wait unparsed at
+    // most, and that it takes at most.
+    std::size_t least_;
+    std::size_t most_;
+    std::size_t mostTaken_;
+  };
+  const auto test =
+    GENERATE(Case{ "0\r\n", "X-Trailer: 0123456789\r\n", 800, 1000, 1100 },
+             Case{ "0\r\nX-Trailer: ", "t", 800, 1000, 1100 },
+             Case{ "0;", "n=0123456789;", 800, 1000, 1100 },
+             Case{ "1;", "n=0123456789;", 4000, 20000, 20000 },
+             Case{ "", "1;n=0123456789\r\n.\r\n", 100, 20000, 30000 },
+             Case{ "", "00000000000", 0, 20000, 20000 });
+  const std::size_t step = GENERATE(1, 64, 100000);
+  INFO(test.start_ << test.repeated_ << " in pieces of " << step);
+  http::RequestReader reader({ 1000, 1000000 });
+  std::string part = test.start_;
+  while (part.size() < 100000) {
+    part += test.repeated_;
+  }
+  std::string data = start;
+  REQUIRE(reader.Feed(data) == ReadError::None);
+  std::size_t at = 0;
+  auto error = ReadError::None;
+  while (error == ReadError::None && at < part.size()) {
+    data += part.substr(at, step);
+    at += step;
+    error = reader.Feed(data);
+    if (error == ReadError::None) {
+      // What isn't parsed yet stays in the owner's memory.
+      CHECK(data.size() <= test.most_);
+    }
+  }
+  CHECK(error != ReadError::None);
+  CHECK(error != ReadError::BodyTooLarge);
+  CHECK(at >= test.least_);
+  CHECK(at <= std::max(step, test.mostTaken_));
+  CHECK_FALSE(reader.Done());
+}
+
+TEST_CASE("trailers and chunk extensions within the limits are accepted")
+{
+  const std::string signature(90, 's');
+  std::string text = "POST / HTTP/1.1\r\nHost: h\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n";
+  for (int i = 0; i < 100; ++i) {
+    text += "4;signature=" + signature + "\r\nbody\r\n";
+  }
+  text += "0\r\nX-Checksum: " + std::string(700, '1') + "\r\n\r\n";
+  for (const std::size_t step : { std::size_t{ 1 }, text.size() }) {
+    http::RequestReader reader({ 1000, 1000 });
+    std::string data;
+    for (std::size_t at = 0; at < text.size(); at += step) {
+      data += text.substr(at, step);
+      REQUIRE(reader.Feed(data) == ReadError::None);
+    }
+    CHECK(reader.Done());
+    CHECK(reader.Body().size() == 400);
+  }
+}
+
+// Guards against twice the memory of a body, which strings that grow by
+// doubling take.
+TEST_CASE("the memory of a body doesn't exceed its size or limit by much")
+{
+  constexpr std::size_t kLimit = 1000000;
+  const bool isChunked = GENERATE(false, true);
+  http::RequestReader reader({ 1000, kLimit });
+  std::string data = "POST / HTTP/1.1\r\nHost: h\r\n";
+  data += isChunked ? "Transfer-Encoding: chunked\r\n\r\nF4240\r\n"
+                    : "Content-Length: 1000000\r\n\r\n";
+  REQUIRE(reader.Feed(data) == ReadError::None);
+  CHECK(reader.BodyLength().has_value() != isChunked);
+  for (std::size_t at = 0; at < kLimit; at += 1000) {
+    data.assign(1000, 'b');
+    REQUIRE(reader.Feed(data) == ReadError::None);
+    CHECK(reader.Body().capacity() <= kLimit);
+  }
+  CHECK(reader.Body().size() == kLimit);
+}
+
 TEST_CASE("an answer without a length ends with its connection")
 {
   http::ResponseReader reader(false);
