Keep a host within its memory and descriptors whatever its callers do

The settings file limits the process (memory-mb, max-fds). A module of pure functions, body_budget, derives parts of the memory from it and decides which requests get memory for their bodies, which wait unread, and which are ended: those that make the least progress first, with 408; 503 with Retry-After for a body that found no memory in 5 s. CallerGuard applies the decisions to the connections of all servers of the process, closes the least useful idle connections, and disconnects the slowest readers.

Pipelined requests are answered in turns of the loop instead of recursively, no more than 16 KiB of them are read ahead, and a connection with unread answers is neither read from nor kept. Large bodies are sent to targets without a copy, and the buffer of a socket is no longer moved with each write.

--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <malloc.h>
 #include <memory>
 #include <unistd.h>
 #include <utility>
@@ -11,6 +12,7 @@
 #include <absl/strings/str_cat.h>
 #include <boost/asio/signal_set.hpp>
 
+#include "gateway/caller-guard.h"
 #include "gateway/clock.h"
 #include "gateway/exchange.h"
 #include "gateway/follower.h"
@@ -38,6 +40,13 @@
 constexpr int kMaxListLifetimes = 3;
 // Part of the grace time that is reserved for the exit of the process.
 constexpr absl::Duration kExitMargin = absl::Milliseconds(450);
+// Connections that the other servers of the process may have when callers have
+// all that they may have; a part of the reserved descriptors.
+constexpr std::uint64_t kExtraConnections = 100;
+// Size from which the allocator returns freed memory to the system at once.
+// Its own threshold rises to the size of the largest freed body, and then
+// freed bodies stay in a fragmented heap.
+constexpr int kDirectAllocationBytes = 128 << 10;
 // Time after the last answer in which callers can close their connections.
 constexpr absl::Duration kLastAnswerTime = absl::Milliseconds(200);
 
@@ -50,6 +59,7 @@
       Reload aReload)
     : loop_(aLoop)
     , host_(aLoop, aSettings, aAdapter, STDOUT_FILENO)
+    , guard_(host_)
     , reload_(std::move(aReload))
     , sweepTimer_(aLoop)
     , waitingTimer_(aLoop)
@@ -75,9 +85,12 @@
         host_.log_.Write(Line("mechanism_off").Text("mechanism", name));
       }
     }
-    Listen(settings.callerAddress_, [this](const auto& aCaller) {
-      std::make_shared<Exchange>(host_, aCaller)->Start();
-    });
+    Listen(
+      settings.callerAddress_,
+      [this](const auto& aCaller) {
+        std::make_shared<Exchange>(host_, aCaller)->Start();
+      },
+      0);
     Listen(settings.entriesAddress_,
            [this](const auto& aCaller) { AnswerLocal(aCaller); });
     Listen(settings.readyAddress_,
@@ -123,7 +136,9 @@
   }
 
 private:
-  void Listen(const std::string& aAddress, Server::Handler aHandler)
+  void Listen(const std::string& aAddress,
+              Server::Handler aHandler,
+              std::uint64_t aExtraConnections = kExtraConnections)
   {
     servers_.push_back(std::make_unique<Server>(
       loop_,
@@ -132,7 +147,9 @@
         return host_.catalog_ ? host_.catalog_->limits_
                               : catalog::RequestLimits();
       },
-      std::move(aHandler)));
+      std::move(aHandler),
+      &guard_,
+      aExtraConnections));
   }
 
   void OnRole()
@@ -202,6 +219,7 @@
     waitingTimer_.Set(kWaitingInterval, [this] {
       RecordIteration(host_.stallDetector_, Now());
       StartWaitingRequests(host_);
+      guard_.Update(Now());
       ScheduleWaiting();
     });
   }
@@ -214,6 +232,7 @@
       for (const auto& server : servers_) {
         server->CheckTimeouts(now);
       }
+      guard_.Report(now);
       UpdateGauges();
       LogUsage(now);
       ScheduleSweep();
@@ -360,6 +379,7 @@
 
   Loop& loop_;
   Host host_;
+  CallerGuard guard_;
   Reload reload_;
   Timer sweepTimer_;
   Timer waitingTimer_;
@@ -385,6 +405,7 @@
 Run(const Settings& aSettings, const Adapter& aAdapter, const Reload& aReload)
 {
   std::signal(SIGPIPE, SIG_IGN);
+  (void)mallopt(M_MMAP_THRESHOLD, kDirectAllocationBytes);
   // One thread runs the loop.
   Loop loop(1);
   App app(loop, aSettings, aAdapter, aReload);
--- a/src/gateway/client-connection.cc
+++ b/src/gateway/client-connection.cc
@@ -74,7 +74,8 @@
 void
 ClientConnection::Start(absl::string_view aBytes,
                         bool aHasNoBody,
-                        CallEvents aEvents)
+                        CallEvents aEvents,
+                        std::shared_ptr<const std::string> aBody)
 {
   events_ = std::move(aEvents);
   hasNoBody_ = aHasNoBody;
@@ -87,6 +88,9 @@
   foreignAnswers_ = 0;
   foreignBytes_ = 0;
   socket_->Send(aBytes);
+  if (aBody) {
+    socket_->SendShared(std::move(aBody));
+  }
 }
 
 bool
--- a/src/gateway/client-connection.h
+++ b/src/gateway/client-connection.h
@@ -55,8 +55,12 @@
   // Starts reading. aOnLost runs once if the connection closes or the peer
   // sends bytes while no call is in progress.
   void Open(std::function<void()> aOnLost);
-  // Sends a request. aNoBody: the answer has no body, whatever its head states.
-  void Start(absl::string_view aBytes, bool aHasNoBody, CallEvents aEvents);
+  // Sends a request, and after it the bytes of aBody if it isn't null.
+  // aHasNoBody: the answer has no body, whatever its head states.
+  void Start(absl::string_view aBytes,
+             bool aHasNoBody,
+             CallEvents aEvents,
+             std::shared_ptr<const std::string> aBody = nullptr);
   // Returns whether a new call may use this connection at aNow.
   bool IsReusable(absl::Time aNow) const;
   // Returns the time since the last call ended.
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -22,6 +22,8 @@
 // Bytes that may wait for a slow caller before the host stops reading from the
 // target.
 constexpr std::size_t kMaxUnsentBytes = 256U << 10U;
+// The same limit while half of the memory for such bytes is used.
+constexpr std::size_t kMaxUnsentBytesWhenFull = 32U << 10U;
 
 } // namespace
 
@@ -166,7 +168,9 @@
   aBody.clear();
   UpdateBufferedBytes();
   if (body_.size() > kMaxBufferedBytes ||
-      host_.bufferedBytes_ > kMaxTotalBufferedBytes) {
+      host_.bufferedBytes_ >
+        std::min<std::uint64_t>(kMaxTotalBufferedBytes,
+                                host_.memory_.answerBytes_)) {
     if (head_.status_ >= kServerError || answer_.notRun_) {
       AbandonOversized("error", body_.size());
       return;
@@ -250,7 +254,10 @@
 Exchange::WriteToCaller(absl::string_view aBytes)
 {
   caller_->Write(aBytes);
-  if (caller_->Unsent() > kMaxUnsentBytes && connection_ && !readingPaused_) {
+  const bool isFull =
+    TotalsOfSockets().unsentBytes_ > host_.memory_.unsentBytes_ / 2;
+  const auto limit = isFull ? kMaxUnsentBytesWhenFull : kMaxUnsentBytes;
+  if (caller_->Unsent() > limit && connection_ && !readingPaused_) {
     readingPaused_ = true;
     connection_->SetReading(false);
   }
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -27,6 +27,9 @@
 // Requests that may be repeated are sent again if the target has closed the
 // connection.
 constexpr absl::Duration kRepeatableIdle = absl::Seconds(10);
+// Bodies up to this size are copied behind the head, so that one write sends
+// both. Larger ones are sent from where they are.
+constexpr std::size_t kMaxCopiedBytes = 16U << 10U;
 // Estimated bytes of the heads of a request and its answer and of a short body.
 constexpr std::uint64_t kCallBytes = 1500;
 // Age of other hosts' load reports in a large fleet, where gossip passes
@@ -473,7 +476,10 @@
   }
   std::string bytes =
     http::WriteRequestHead(head.method_, head.target_, fields);
-  bytes += body;
+  const bool isLarge = body.size() > kMaxCopiedBytes;
+  if (!isLarge) {
+    bytes += body;
+  }
   const auto self = shared_from_this();
   const auto attempt = attemptNumber_;
   const auto current = [self, attempt] {
@@ -493,7 +499,8 @@
                          if (current()) {
                            self->OnEnd(aEnd);
                          }
-                       } });
+                       } },
+                     isLarge ? caller_->SharedBody() : nullptr);
   host_.onBlock_[this] = [self] { self->WithdrawIfBlocked(); };
   StartWeightsTimer();
   if (const auto limit = retry::SilenceLimit(*route_, history_);
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -23,6 +23,7 @@
 #include "gateway/settings.h"
 #include "gateway/stall-detector.h"
 #include "lycheeplank/availability.h"
+#include "lycheeplank/body_budget.h"
 #include "lycheeplank/cache_index.h"
 #include "lycheeplank/catalog.h"
 #include "lycheeplank/entry_hosts.h"
@@ -98,6 +99,8 @@
   Host(Loop& aLoop, Settings aSettings, const Adapter& aAdapter, int aLogHandle)
     : loop_(aLoop)
     , settings_(std::move(aSettings))
+    , memory_(body_budget::MemoryOf(settings_.memoryBytes_,
+                                    settings_.maxDescriptors_))
     , adapter_(aAdapter)
     , log_(settings_.name_, aLogHandle)
     , targetPool_(aLoop)
@@ -115,6 +118,7 @@
 
   Loop& loop_;
   Settings settings_;
+  const body_budget::Memory memory_;
   const Adapter& adapter_;
   Log log_;
   metrics::Registry metrics_;
--- a/src/gateway/server-connection.cc
+++ b/src/gateway/server-connection.cc
@@ -6,7 +6,9 @@
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
+#include <boost/asio/post.hpp>
 
+#include "gateway/caller-guard.h"
 #include "gateway/clock.h"
 
 namespace lycheeplank::gateway {
@@ -15,7 +17,18 @@
 
 // Limit of bytes of pipelined requests that are read while one is answered.
 // Once it is exceeded, the host stops reading.
-constexpr std::size_t kMaxReadAheadBytes = 64U << 10U;
+constexpr std::size_t kMaxReadAheadBytes = 16U << 10U;
+// Limits of one read, of a request without reserved memory and of others.
+constexpr std::size_t kFirstReadBytes = 16U << 10U;
+constexpr std::size_t kBodyReadBytes = 64U << 10U;
+// Memory of a request that isn't counted; most requests have less.
+constexpr std::size_t kUncountedBytes = 4U << 10U;
+// Unsent bytes of answers from which the next request isn't read.
+constexpr std::size_t kMaxUnsentAnswers = 16U << 10U;
+// Time in which a caller that sends further requests must take some bytes of
+// its answers, and the one for others, whose link may pause.
+constexpr absl::Duration kPipelineTimeout = absl::Seconds(5);
+constexpr absl::Duration kAnswerTimeout = absl::Seconds(20);
 // Timeout of a request with its body. Callers on slow links send the largest
 // bodies in some seconds.
 constexpr absl::Duration kBodyTimeout = absl::Seconds(20);
@@ -23,6 +36,7 @@
 constexpr int kHeaderTooLarge = 431;
 constexpr int kBodyTooLarge = 413;
 constexpr int kBadRequest = 400;
+constexpr int kUnavailable = 503;
 constexpr int kHttp10 = 10;
 
 bool
@@ -47,6 +61,19 @@
   , reader_({ aServer.limits_().headerBytes_, aServer.limits_().bodyBytes_ })
   , idleSince_(Now())
 {
+  socket_->SetMaxRead(kFirstReadBytes);
+  if (server_.guard_ != nullptr) {
+    address_ = socket_->PeerAddress();
+    id_ = server_.guard_->Add(this, address_);
+  }
+}
+
+void
+ServerConnection::Deregister()
+{
+  if (server_.guard_ != nullptr && id_ != 0) {
+    server_.guard_->Remove(std::exchange(id_, 0), address_);
+  }
 }
 
 void
@@ -59,6 +86,9 @@
                     if (self->onDrained_) {
                       self->onDrained_();
                     }
+                    if (std::exchange(self->isBlocked_, false)) {
+                      self->Continue();
+                    }
                   } });
 }
 
@@ -66,20 +96,28 @@
 ServerConnection::OnData()
 {
   auto& data = socket_->Unread();
-  if (answering_) {
+  if (answering_ || isBlocked_ || waits_) {
     if (data.size() > kMaxReadAheadBytes) {
       socket_->SetReading(false);
     }
     return;
   }
+  if (data.empty()) {
+    return;
+  }
   if (arrivedAt_ == absl::InfinitePast()) {
     arrivedAt_ = Now();
   }
+  const auto arrived = data.size() - std::min(leftover_, data.size());
   const auto error = reader_.Feed(data);
+  leftover_ = data.size();
   if (error != http::ReadError::None) {
     Refuse(error);
     return;
   }
+  if (!reader_.Done() && !HasMemory(arrived)) {
+    return;
+  }
   if (reader_.HeadDone() && !reader_.Done() && !expectHandled_) {
     const auto* expect = http::FindField(reader_.Head().fields_, "expect");
     if (expect != nullptr && absl::EqualsIgnoreCase(*expect, "100-continue")) {
@@ -89,16 +127,171 @@
   }
   if (reader_.Done()) {
     answering_ = true;
+    KeepBody();
     server_.handler_(shared_from_this());
+  } else {
+    socket_->SetReading(!waits_);
+  }
+}
+
+void
+ServerConnection::KeepBody()
+{
+  auto& body = reader_.Body();
+  if (body.capacity() > kUncountedBytes &&
+      body.capacity() > body.size() + body.size() / 4) {
+    body.shrink_to_fit();
+  }
+  const auto held = body.capacity();
+  body_ = std::make_shared<const std::string>(std::move(body));
+  if (server_.guard_ == nullptr) {
+    return;
+  }
+  auto& budget = server_.guard_->Budget();
+  if (held > kUncountedBytes) {
+    isRecorded_ = true;
+    body_budget::RecordHeld(budget, id_, address_, held, 0, Now());
+  }
+  if (isRecorded_) {
+    body_budget::Complete(budget, id_, held);
+  }
+}
+
+std::uint64_t
+ServerConnection::NeededMemory() const
+{
+  const auto held = socket_->Unread().capacity() + reader_.Body().capacity();
+  if (!reader_.HeadDone()) {
+    return held;
+  }
+  if (const auto length = reader_.BodyLength()) {
+    return std::max<std::uint64_t>(held, *length);
+  }
+  // The next read may double the memory of a body in chunks.
+  return 2 * held + kBodyReadBytes <= body_budget::kSmallBytes ? 2 * held
+         : 2 * held <= body_budget::kSmallBytes
+           ? body_budget::kSmallBytes
+           : std::max<std::uint64_t>(held, server_.limits_().bodyBytes_);
+}
+
+bool
+ServerConnection::HasMemory(std::size_t aRead)
+{
+  if (server_.guard_ == nullptr) {
+    return true;
+  }
+  const auto held = socket_->Unread().capacity() + reader_.Body().capacity();
+  const auto needed = NeededMemory();
+  if (!isRecorded_ && needed <= kUncountedBytes) {
+    return true;
+  }
+  auto& budget = server_.guard_->Budget();
+  const auto now = Now();
+  isRecorded_ = true;
+  body_budget::RecordHeld(budget, id_, address_, held, aRead, now);
+  if (needed <= std::max(granted_, body_budget::kUnreservedBytes)) {
+    return true;
+  }
+  asked_ = needed;
+  switch (body_budget::Reserve(budget, id_, needed, now)) {
+    case body_budget::Answer::Granted:
+      OnMemory();
+      return true;
+    case body_budget::Answer::Waits:
+      waits_ = true;
+      return true;
+    case body_budget::Answer::TooLarge:
+      EndUnread(body_budget::Reason::TooLarge);
+      return false;
   }
+  return true;
+}
+
+void
+ServerConnection::OnMemory()
+{
+  granted_ = asked_;
+  grantedAt_ = Now();
+  socket_->SetMaxRead(kBodyReadBytes);
+  if (std::exchange(waits_, false)) {
+    socket_->SetReading(true);
+  }
+}
+
+void
+ServerConnection::ReleaseMemory()
+{
+  if (std::exchange(isRecorded_, false)) {
+    body_budget::Release(server_.guard_->Budget(), id_);
+  }
+  granted_ = 0;
+  asked_ = 0;
+  waits_ = false;
+  socket_->SetMaxRead(kFirstReadBytes);
+}
+
+bool
+ServerConnection::IsOfCaller() const
+{
+  return server_.extra_ == 0;
+}
+
+bool
+ServerConnection::IsIdle() const
+{
+  return !answering_ && !isBlocked_ && arrivedAt_ == absl::InfinitePast() &&
+         socket_->Unsent() == 0 && socket_->Unread().empty();
+}
+
+bool
+ServerConnection::IsReadingRequest() const
+{
+  return !answering_ && !isBlocked_ && arrivedAt_ != absl::InfinitePast();
+}
+
+void
+ServerConnection::Note(body_budget::Reason aReason)
+{
+  if (server_.guard_ != nullptr) {
+    server_.guard_->Note(aReason, address_);
+  }
+}
+
+void
+ServerConnection::EndUnread(body_budget::Reason aReason)
+{
+  if (!IsReadingRequest()) {
+    return;
+  }
+  Note(aReason);
+  answering_ = true;
+  reader_.Head().keepAlive_ = false;
+  const bool lacksMemory = aReason == body_budget::Reason::NoMemory ||
+                           aReason == body_budget::Reason::TooLarge;
+  Reply(lacksMemory ? kUnavailable : kRequestTimeout,
+        { { "Retry-After", server_.guard_->RetryAfter() } },
+        "");
+}
+
+void
+ServerConnection::Disconnect(body_budget::Reason aReason)
+{
+  const auto self = shared_from_this();
+  Note(aReason);
+  socket_->Reset();
+  OnClosed();
 }
 
 void
 ServerConnection::Refuse(http::ReadError aError)
 {
-  const int status = aError == http::ReadError::HeaderTooLarge ? kHeaderTooLarge
-                     : aError == http::ReadError::BodyTooLarge ? kBodyTooLarge
-                                                               : kBadRequest;
+  const auto [status, reason] =
+    aError == http::ReadError::HeaderTooLarge
+      ? std::make_pair(kHeaderTooLarge, body_budget::Reason::HeadTooLarge)
+    : aError == http::ReadError::BodyTooLarge
+      ? std::make_pair(kBodyTooLarge, body_budget::Reason::BodyTooLarge)
+      : std::make_pair(kBadRequest, body_budget::Reason::Malformed);
+  Note(reason);
   answering_ = true;
   // The start of the next request can't be determined.
   reader_.Head().keepAlive_ = false;
@@ -120,6 +313,8 @@
   onGone_ = nullptr;
   onDrained_ = nullptr;
   socket_->Close();
+  ReleaseMemory();
+  Deregister();
   server_.connections_.erase(shared_from_this());
 }
 
@@ -202,19 +397,49 @@
     socket_->Finish();
     if (socket_->Unsent() > 0) {
       server_.finishing_.push_back(socket_);
+      if (server_.guard_ != nullptr) {
+        server_.guard_->AddFinishing(socket_);
+      }
     }
+    ReleaseMemory();
+    Deregister();
     server_.connections_.erase(self);
     return;
   }
+  ReleaseMemory();
   const auto limits = server_.limits_();
   reader_ = http::RequestReader({ limits.headerBytes_, limits.bodyBytes_ });
+  body_ = std::make_shared<std::string>();
+  leftover_ = 0;
   answering_ = false;
   expectHandled_ = false;
   arrivedAt_ = absl::InfinitePast();
   idleSince_ = Now();
-  socket_->SetReading(true);
-  if (!socket_->Unread().empty()) {
-    OnData();
+  if (socket_->Unsent() > kMaxUnsentAnswers) {
+    isBlocked_ = true;
+    socket_->SetReading(false);
+    return;
+  }
+  Continue();
+}
+
+void
+ServerConnection::Continue()
+{
+  if (socket_->Unread().empty()) {
+    socket_->SetReading(true);
+    return;
+  }
+  // Other connections take turns with the requests of this one, of which no
+  // more are read meanwhile.
+  socket_->SetReading(false);
+  if (!std::exchange(continues_, true)) {
+    boost::asio::post(server_.loop_, [self = shared_from_this()] {
+      self->continues_ = false;
+      if (self->socket_->IsOpen()) {
+        self->OnData();
+      }
+    });
   }
 }
 
@@ -234,6 +459,14 @@
   if (answering_) {
     return;
   }
+  if (isBlocked_) {
+    const auto limit =
+      socket_->Unread().empty() ? kAnswerTimeout : kPipelineTimeout;
+    if (aNow - std::max(socket_->SentAt(), idleSince_) > limit) {
+      Disconnect(body_budget::Reason::UnreadAnswers);
+    }
+    return;
+  }
   const auto limits = server_.limits_();
   if (arrivedAt_ == absl::InfinitePast()) {
     if (aNow - idleSince_ > limits.idleTimeout_) {
@@ -242,7 +475,8 @@
     return;
   }
   const auto limit = reader_.HeadDone() ? kBodyTimeout : limits.headerTimeout_;
-  if (aNow - arrivedAt_ > limit) {
+  if (aNow - std::max(arrivedAt_, grantedAt_) > limit) {
+    Note(body_budget::Reason::Timeout);
     answering_ = true;
     reader_.Head().keepAlive_ = false;
     Reply(kRequestTimeout, {}, "");
@@ -252,10 +486,21 @@
 Server::Server(Loop& aLoop,
                const Tcp::endpoint& aEndpoint,
                std::function<catalog::RequestLimits()> aLimits,
-               Handler aHandler)
-  : limits_(std::move(aLimits))
+               Handler aHandler,
+               CallerGuard* aGuard,
+               std::uint64_t aExtra)
+  : loop_(aLoop)
+  , limits_(std::move(aLimits))
+  , guard_(aGuard)
+  , extra_(aExtra)
   , handler_(std::move(aHandler))
   , listener_(aLoop, aEndpoint, [this](std::shared_ptr<Socket> aSocket) {
+    if (guard_ != nullptr && !guard_->MayAccept(extra_, Now())) {
+      guard_->Note(body_budget::Reason::TooManyConnections,
+                   aSocket->PeerAddress());
+      aSocket->Close();
+      return;
+    }
     const auto connection =
       std::make_shared<ServerConnection>(*this, std::move(aSocket));
     connections_.insert(connection);
@@ -264,6 +509,14 @@
 {
 }
 
+Server::~Server()
+{
+  // Handlers that the loop still has may outlast the guard.
+  for (const auto& connection : connections_) {
+    connection->Deregister();
+  }
+}
+
 bool
 Server::HasUnsent() const
 {
--- a/src/gateway/settings.h
+++ b/src/gateway/settings.h
@@ -33,6 +33,9 @@
   std::string storeAddress_;
   // Processor time that the process may use, in cores.
   double cores_ = 1.0;
+  // Limits of the process's memory and descriptors; 0 if it has none.
+  std::uint64_t memoryBytes_ = 0;
+  std::uint64_t maxDescriptors_ = 0;
   absl::Duration leastLease_ = absl::Seconds(1);
 
   // Time between SIGTERM and SIGKILL.
--- a/src/gateway/socket.cc
+++ b/src/gateway/socket.cc
@@ -1,5 +1,6 @@
 #include "gateway/socket.h"
 
+#include <algorithm>
 #include <array>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -10,6 +11,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "gateway/clock.h"
+
 namespace lycheeplank::gateway {
 
 namespace {
@@ -21,6 +24,15 @@
 constexpr std::size_t kReadBufferBytes = 64U << 10U;
 // Limit of bytes read from one connection before others are served.
 constexpr std::size_t kMaxReadBytes = 256U << 10U;
+// Memory of an empty buffer that a connection keeps for its next bytes.
+constexpr std::size_t kMaxKeptBytes = 4U << 10U;
+// Sent bytes at the front of a buffer from which they are removed, if they are
+// half of it. Removing them with each write would take time quadratic in the
+// size of the buffer.
+constexpr std::size_t kMaxSentBytes = 64U << 10U;
+// Pause after an error of accept, such as a lack of descriptors, which would
+// otherwise be reported again at once.
+constexpr auto kAcceptPause = std::chrono::milliseconds(50);
 // Limit of connections that wait to be accepted.
 constexpr int kBacklog = 1024;
 // TCP_USER_TIMEOUT: a peer that acknowledges nothing for this time counts as
@@ -47,8 +59,23 @@
   (void)setsockopt(aSocket, aLevel, aName, &aValue, sizeof(aValue));
 }
 
+void
+FreeIfEmpty(std::string& aBuffer)
+{
+  if (aBuffer.empty() && aBuffer.capacity() > kMaxKeptBytes) {
+    std::string().swap(aBuffer);
+  }
+}
+
 } // namespace
 
+SocketTotals&
+TotalsOfSockets()
+{
+  static thread_local SocketTotals totals;
+  return totals;
+}
+
 void
 Prepare(Tcp::socket& aSocket)
 {
@@ -65,12 +92,27 @@
 
 Socket::Socket(Tcp::socket aSocket)
   : socket_(std::move(aSocket))
+  , maxRead_(kMaxReadBytes)
   , finishTimer_(socket_.get_executor())
 {
   Prepare(socket_);
+  ++TotalsOfSockets().open_;
+}
+
+Socket::~Socket()
+{
+  auto& totals = TotalsOfSockets();
+  totals.open_ -= isOpen_ ? 1 : 0;
+  totals.unsentBytes_ -= countedUnsent_;
 }
 
-Socket::~Socket() = default;
+std::string
+Socket::PeerAddress() const
+{
+  error_code error;
+  const auto peer = socket_.remote_endpoint(error);
+  return error ? std::string() : peer.address().to_string();
+}
 
 void
 Socket::Open(SocketEvents aEvents)
@@ -124,11 +166,14 @@
   static thread_local std::array<char, kReadBufferBytes> buffer;
   error_code error;
   std::size_t total = 0;
-  while (total < kMaxReadBytes) {
-    const auto count = socket_.read_some(asio::buffer(buffer), error);
+  const auto limit = maxRead_;
+  while (total < limit) {
+    const auto wanted = std::min(buffer.size(), limit - total);
+    const auto count =
+      socket_.read_some(asio::buffer(buffer.data(), wanted), error);
     unread_.append(buffer.data(), count);
     total += count;
-    if (error || count < buffer.size()) {
+    if (error || count < wanted) {
       break;
     }
   }
@@ -136,6 +181,7 @@
   if (total > 0 && events_.onData_) {
     events_.onData_(unread_);
   }
+  FreeIfEmpty(unread_);
   if (error && error != asio::error::would_block && isOpen_) {
     const auto onClosed = std::move(events_.onClosed_);
     // The kernel reports a reset or a timeout only once. After a write has
@@ -158,31 +204,121 @@
   if (!isOpen_ || writeFailed_) {
     return;
   }
+  if (shared_) {
+    unsent_.append(*shared_, sharedFrom_);
+    shared_.reset();
+  }
+  if (Unsent() == 0 && !writePending_) {
+    aData.remove_prefix(WriteSome(aData, {}));
+    if (writeFailed_) {
+      return;
+    }
+  }
   unsent_.append(aData.data(), aData.size());
+  UpdateUnsent();
+  if (!aData.empty() && !writePending_) {
+    WaitWrite();
+  }
+}
+
+void
+Socket::SendShared(std::shared_ptr<const std::string> aData)
+{
+  if (!isOpen_ || writeFailed_) {
+    return;
+  }
+  if (shared_) {
+    Send(*aData);
+    return;
+  }
+  shared_ = std::move(aData);
+  sharedFrom_ = 0;
   if (!writePending_) {
     Write();
   }
 }
 
-void
-Socket::Write()
+std::size_t
+Socket::WriteSome(absl::string_view aFirst, absl::string_view aSecond)
 {
-  while (!unsent_.empty()) {
+  std::size_t total = 0;
+  isBlocked_ = false;
+  while (!aFirst.empty() || !aSecond.empty()) {
+    const std::array<asio::const_buffer, 2> buffers{
+      asio::const_buffer(aFirst.data(), aFirst.size()),
+      asio::const_buffer(aSecond.data(), aSecond.size())
+    };
     error_code error;
-    const auto count = socket_.write_some(asio::buffer(unsent_), error);
-    unsent_.erase(0, count);
+    const auto count = socket_.write_some(buffers, error);
+    total += count;
+    const auto fromFirst = std::min(count, aFirst.size());
+    aFirst.remove_prefix(fromFirst);
+    aSecond.remove_prefix(count - fromFirst);
     if (error == asio::error::would_block) {
-      WaitWrite();
-      return;
+      isBlocked_ = true;
+      break;
     }
     if (error) {
       // The reading side reports the failure, after the bytes that the peer
       // sent earlier.
       writeFailed_ = true;
       unsent_.clear();
-      return;
+      unsentFrom_ = 0;
+      shared_.reset();
+      UpdateUnsent();
+      break;
     }
   }
+  if (total > 0) {
+    sentAt_ = Now();
+    sentSince_ += total;
+  }
+  return total;
+}
+
+void
+Socket::UpdateUnsent()
+{
+  if (unsentFrom_ == unsent_.size()) {
+    unsent_.clear();
+    unsentFrom_ = 0;
+    FreeIfEmpty(unsent_);
+  } else if (unsentFrom_ > kMaxSentBytes && 2 * unsentFrom_ > unsent_.size()) {
+    unsent_.erase(0, unsentFrom_);
+    unsentFrom_ = 0;
+  }
+  if (Unsent() == 0) {
+    waitingSince_ = absl::InfinitePast();
+  } else if (waitingSince_ == absl::InfinitePast()) {
+    waitingSince_ = Now();
+    sentSince_ = 0;
+  }
+  auto& total = TotalsOfSockets().unsentBytes_;
+  total -= countedUnsent_;
+  countedUnsent_ = unsent_.empty() ? 0 : unsent_.capacity();
+  total += countedUnsent_;
+}
+
+void
+Socket::Write()
+{
+  const auto first = absl::string_view(unsent_).substr(unsentFrom_);
+  const auto second =
+    shared_ ? absl::string_view(*shared_).substr(sharedFrom_) : "";
+  const auto sent = WriteSome(first, second);
+  if (writeFailed_) {
+    return;
+  }
+  const auto fromFirst = std::min(sent, first.size());
+  unsentFrom_ += fromFirst;
+  sharedFrom_ += sent - fromFirst;
+  if (shared_ && sharedFrom_ == shared_->size()) {
+    shared_.reset();
+  }
+  UpdateUnsent();
+  if (isBlocked_) {
+    WaitWrite();
+  }
 }
 
 void
@@ -208,7 +344,7 @@
     ContinueFinish();
     return;
   }
-  if (!unsent_.empty()) {
+  if (Unsent() > 0) {
     return;
   }
   if (events_.onDrained_) {
@@ -223,6 +359,11 @@
     return;
   }
   isOpen_ = false;
+  --TotalsOfSockets().open_;
+  unsent_.clear();
+  unsentFrom_ = 0;
+  shared_.reset();
+  UpdateUnsent();
   finishTimer_.cancel();
   error_code ignored;
   socket_.close(ignored);
@@ -251,11 +392,12 @@
 void
 Socket::ContinueFinish()
 {
-  if (unsent_.empty()) {
+  const bool isSent = Unsent() == 0;
+  if (isSent) {
     error_code ignored;
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
   }
-  finishTimer_.expires_after(unsent_.empty() ? kFinishTime : kMaxWriteStall);
+  finishTimer_.expires_after(isSent ? kFinishTime : kMaxWriteStall);
   finishTimer_.async_wait(
     [self = shared_from_this()](const error_code& aError) {
       if (aError != asio::error::operation_aborted) {
@@ -340,6 +482,7 @@
                    const Tcp::endpoint& aEndpoint,
                    OnAccept aOnAccept)
   : acceptor_(aLoop)
+  , pause_(aLoop)
   , onAccept_(std::move(aOnAccept))
 {
   acceptor_.open(aEndpoint.protocol());
@@ -369,13 +512,26 @@
     if (aError == asio::error::operation_aborted) {
       return;
     }
-    if (!aError) {
-      onAccept_(std::make_shared<Socket>(std::move(aSocket)));
+    if (aError) {
+      AcceptLater();
+      return;
     }
+    onAccept_(std::make_shared<Socket>(std::move(aSocket)));
     if (acceptor_.is_open()) {
       Accept();
     }
   });
 }
 
+void
+Listener::AcceptLater()
+{
+  pause_.expires_after(kAcceptPause);
+  pause_.async_wait([this](const error_code& aError) {
+    if (!aError && acceptor_.is_open()) {
+      Accept();
+    }
+  });
+}
+
 } // namespace lycheeplank::gateway
--- a/src/http/reader.cc
+++ b/src/http/reader.cc
@@ -288,6 +288,12 @@
   return impl_->parser_.body_;
 }
 
+const std::string&
+RequestReader::Body() const
+{
+  return impl_->parser_.body_;
+}
+
 struct ResponseReader::Impl
 {
   Parser<false> parser_;
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -57,6 +57,7 @@
   // comes in chunks.
   absl::optional<std::uint64_t> BodyLength() const;
   std::string& Body();
+  const std::string& Body() const;
 
 private:
   struct Impl;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -70,6 +70,25 @@
   CHECK(ErrorOf(broken).find("settings: ") == 0);
 }
 
+TEST_CASE("the limits of the process are read from the settings")
+{
+  const auto read = [](const std::string& aText) {
+    return core::HandleError(
+      [&]() -> core::Result<gateway::Settings> {
+        return platform::ParseSettings(aText);
+      },
+      [](const core::Error&) { return gateway::Settings(); });
+  };
+  auto settings = read(kSettings);
+  CHECK(settings.memoryBytes_ == 0);
+  CHECK(settings.maxDescriptors_ == 0);
+  settings = read(std::string(kSettings) +
+                  "limits: {cpu-share: 0.5, memory-mb: 110, max-fds: 4100}\n");
+  CHECK(settings.cores_ == 0.5);
+  CHECK(settings.memoryBytes_ == 110000000);
+  CHECK(settings.maxDescriptors_ == 4100);
+}
+
 TEST_CASE("a caller's request is decoded")
 {
   http::RequestHead head;
--- a/test/socket-test.cc
+++ b/test/socket-test.cc
@@ -66,3 +66,82 @@
   CHECK(received == kBytes);
   CHECK_FALSE(sender->IsOpen());
 }
+
+// Guards against lost or reordered bytes when some are copied and others are
+// sent from where their owner keeps them, and against memory that the totals
+// miss.
+TEST_CASE("shared and copied bytes arrive in order")
+{
+  using std::chrono::milliseconds;
+  constexpr std::size_t kSharedBytes = 16U << 20U;
+  constexpr std::size_t kPieces = 200;
+  constexpr std::size_t kPieceBytes = 10000;
+  gateway::Loop loop{ 1 };
+  const auto before = gateway::TotalsOfSockets();
+  std::string expected;
+  std::string received;
+  std::size_t copied = 0;
+  {
+    std::shared_ptr<gateway::Socket> sender;
+    std::shared_ptr<gateway::Socket> reader;
+    gateway::Listener listener(
+      loop,
+      gateway::Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0),
+      [&](std::shared_ptr<gateway::Socket> aSocket) {
+        sender = std::move(aSocket);
+        sender->Open({});
+      });
+    gateway::Connect(
+      loop,
+      gateway::Tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                             listener.Port()),
+      absl::Seconds(5),
+      [&](std::shared_ptr<gateway::Socket> aSocket, gateway::ConnectEnd) {
+        reader = std::move(aSocket);
+      });
+    while (!sender || !reader) {
+      loop.restart();
+      loop.run_for(milliseconds(1));
+    }
+    const auto send = [&](char aFill, std::size_t aBytes, bool aShares) {
+      const auto data = std::make_shared<std::string>(aBytes, aFill);
+      expected += *data;
+      if (aShares) {
+        sender->SendShared(data);
+      } else {
+        sender->Send(*data);
+      }
+    };
+    send('a', 100, false);
+    send('b', kSharedBytes, true);
+    CHECK(sender->Unsent() > 0);
+    // The peer reads nothing, yet no copy of the shared bytes is made.
+    CHECK(gateway::TotalsOfSockets().unsentBytes_ == before.unsentBytes_);
+    send('c', 100, false);
+    copied = gateway::TotalsOfSockets().unsentBytes_ - before.unsentBytes_;
+    CHECK(copied >= sender->Unsent());
+    for (std::size_t piece = 0; piece < kPieces; ++piece) {
+      send(static_cast<char>('d' + piece % 10), kPieceBytes, piece % 3 == 0);
+    }
+    reader->Open({ [&](std::string& aData) {
+                    received += aData;
+                    aData.clear();
+                  },
+                   {},
+                   {} });
+    for (int turn = 0; turn < 5000 && received.size() < expected.size();
+         ++turn) {
+      loop.restart();
+      loop.run_for(milliseconds(1));
+    }
+    CHECK(received.size() == expected.size());
+    CHECK((received == expected));
+    CHECK(sender->Unsent() == 0);
+    CHECK(gateway::TotalsOfSockets().unsentBytes_ == before.unsentBytes_);
+    sender->Send(std::string(kSharedBytes, 'x'));
+    sender->Close();
+    reader->Close();
+  }
+  CHECK(gateway::TotalsOfSockets().unsentBytes_ == before.unsentBytes_);
+  CHECK(gateway::TotalsOfSockets().open_ == before.open_);
+}
