--- a/test/caller-guard-test.cc
+++ b/test/caller-guard-test.cc
@@ -48,7 +48,11 @@
           if (holds_) {
             held_.push_back(aCaller);
           } else {
-            aCaller->Reply(200, {}, absl::StrCat(aCaller->Body().size()));
+            aCaller->Reply(200,
+                           {},
+                           answerBytes_ > 0
+                             ? std::string(answerBytes_, 'a')
+                             : absl::StrCat(aCaller->Body().size()));
           }
         },
         &guard_)
@@ -105,6 +109,7 @@
   gateway::CallerGuard guard_;
   std::vector<gateway::ServerConnectionPtr> held_;
   bool holds_ = false;
+  std::size_t answerBytes_ = 0;
   int requests_ = 0;
   gateway::Server server_;
 
@@ -305,3 +310,39 @@
   }
   world.held_.clear();
 }
+
+// Guards against a process that runs out of memory by answers that wait for
+// slow callers, also on connections that close after their answers.
+TEST_CASE("the slowest readers are disconnected when answers wait")
+{
+  const bool closes = GENERATE(false, true);
+  const std::string request =
+    closes ? "GET / HTTP/1.0\r\n\r\n" : "GET / HTTP/1.1\r\n\r\n";
+  // Open connections of earlier tests are included in the totals.
+  const auto before = gateway::TotalsOfSockets().unsentBytes_;
+  const auto unsent = [before] {
+    return gateway::TotalsOfSockets().unsentBytes_ - before;
+  };
+  Guarded world(110);
+  const auto limit = world.host_.memory_.unsentBytes_;
+  world.answerBytes_ = 12 * kMiB;
+  std::vector<std::unique_ptr<Caller>> callers;
+  callers.reserve(8);
+  std::size_t most = 0;
+  for (int i = 0; i < 8; ++i) {
+    callers.push_back(world.Call(""));
+    callers.back()->socket_->SetReading(false);
+    callers.back()->socket_->Send(request);
+    world.RunUntil([&] { return world.requests_ > i; });
+    world.guard_.Update(gateway::Now());
+    most = std::max(most, unsent());
+  }
+  CHECK(world.Ended("slow_reader") > 0);
+  // One answer of the test may exceed the limit before the next update.
+  CHECK(most <= limit + 12 * kMiB);
+  world.guard_.Update(gateway::Now());
+  CHECK(unsent() <= limit);
+  // One that reads gets its answer whole.
+  const auto good = world.Call(request);
+  CHECK(world.RunUntil([&] { return good->answer_.size() > 12 * kMiB; }));
+}
