--- a/src/gateway/demand.cc
+++ b/src/gateway/demand.cc
@@ -158,6 +158,7 @@
     fleet::RequestSpec question;
     question.service_ = service;
     question.dataCentre_ = aHost.settings_.dataCentre_;
+    question.evacuations_ = &aHost.evacuations_;
     auto targets =
       fleet::TargetsByDataCentre(aHost.members_,
                                  question,
