Tell the other hosts at once of crashed targets

Evidence of one host is enough: a refused connection, tried when a call is lost or can't be connected, or two calls lost within 50 ms. It counts once another target of the data centre has sent something 10 ms later, so a host that is cut off tells nothing. A target that sends to a host stays in use there, or comes back into use. Only for targets of services with cold-s.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -129,6 +129,10 @@
   absl::Time downReportedAt_ = absl::InfinitePast();
   absl::Time downUntil_ = absl::InfinitePast();
   absl::Time answeredAt_ = absl::InfinitePast();
+  // Time of the last part of an answer to this host, and the end of a
+  // quarantine by a notice of a crash.
+  absl::Time heardAt_ = absl::InfinitePast();
+  absl::Time noticeUntil_ = absl::InfinitePast();
   // The target has asked this host to send no requests until this time.
   absl::Time closedUntil_ = absl::InfinitePast();
   // Limit of its requests per second from all hosts together; requests need a
--- a/include/lycheeplank/target_limits.h
+++ b/include/lycheeplank/target_limits.h
@@ -51,13 +51,16 @@
   // Asks the issuer for a permit.
   Ask,
   Reply,
+  // Targets have crashed. Their limits don't matter; see crash_evidence.
+  Crash,
 };
 
-inline constexpr std::array<core::Named<MessageKind>, 4> kMessageKinds{ {
+inline constexpr std::array<core::Named<MessageKind>, 5> kMessageKinds{ {
   { MessageKind::Statement, "statement" },
   { MessageKind::Announcement, "announcement" },
   { MessageKind::Ask, "ask" },
   { MessageKind::Reply, "reply" },
+  { MessageKind::Crash, "crash" },
 } };
 
 enum class Verdict
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -5,6 +5,7 @@
 
 #include "gateway/answer-head.h"
 #include "gateway/clock.h"
+#include "gateway/crash-notices.h"
 #include "gateway/peers.h"
 #include "gateway/permits.h"
 
@@ -76,6 +77,7 @@
     }
   }
   NoteBytes(host_, Evidence());
+  NoteTargetBytes(host_, targetId_, targetBornMs_);
   ApplyTargetState();
   ApplyTargetLimit();
   // A stream that continues at another target keeps the head that the caller
@@ -329,6 +331,7 @@
     return;
   }
   NoteBytes(host_, Evidence());
+  NoteTargetBytes(host_, targetId_, targetBornMs_);
   const auto now = Now();
   if (firstByteAt_ == absl::InfinitePast()) {
     firstByteAt_ = now;
@@ -360,6 +363,7 @@
   silenceTimer_.Cancel();
   if (aEnd == CallEnd::NoAnswer || aEnd == CallEnd::Cut) {
     host_.targetPool_.RecordLoss(targetId_, Now());
+    NoteTargetLoss(host_, targetId_);
     if (firstByteAt_ == absl::InfinitePast()) {
       NoteLoss(host_, Evidence());
     }
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -6,6 +6,7 @@
 #include <absl/strings/str_join.h>
 
 #include "gateway/clock.h"
+#include "gateway/crash-notices.h"
 #include "gateway/warmup.h"
 
 // The part of Exchange that ends attempts and decides what follows.
@@ -149,6 +150,7 @@
     ++host_.downReports_[member.idHash_];
     NoteTargetCold(
       host_, targetId_, absl::InfiniteDuration(), ColdEvidence::Unreachable);
+    NoteTargetLoss(host_, targetId_);
   }
   host_.onLoad_();
   if (fleet::RecordCallEnd(member, size_, aResult, Now())) {
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -25,6 +25,7 @@
 #include "lycheeplank/availability.h"
 #include "lycheeplank/cache_index.h"
 #include "lycheeplank/catalog.h"
+#include "lycheeplank/crash_evidence.h"
 #include "lycheeplank/entry_hosts.h"
 #include "lycheeplank/fleet.h"
 #include "lycheeplank/mechanisms.h"
@@ -146,6 +147,7 @@
   std::uint64_t nextWaiter_ = 1;
   absl::flat_hash_map<std::string, retry_budget::Ledger> resendBudgets_;
   target_limits::State limits_;
+  crash_evidence::State crashes_;
   // By number of the ask.
   absl::flat_hash_map<std::uint64_t, PendingAsk> permitAsks_;
   poison::State poison_;
--- a/src/gateway/permits.cc
+++ b/src/gateway/permits.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gateway/clock.h"
+#include "gateway/crash-notices.h"
 #include "gateway/timer.h"
 
 namespace lycheeplank::gateway {
@@ -265,9 +266,14 @@
   if (message->sender_ == aHost.settings_.name_) {
     return;
   }
+  if (message->kind_ == MessageKind::Crash) {
+    ApplyCrashNotice(aHost, *message);
+    return;
+  }
   ApplyStatements(aHost, *message);
   switch (message->kind_) {
     case MessageKind::Statement:
+    case MessageKind::Crash:
       break;
     case MessageKind::Announcement:
       for (const auto& statement : message->limits_) {
@@ -290,6 +296,24 @@
   TickLimits(aHost);
 }
 
+void
+SendCrashNotice(Host& aHost, const std::vector<std::string>& aTargets)
+{
+  for (std::size_t first = 0; first < aTargets.size();
+       first += kMaxStatements) {
+    auto message = MakeMessage(aHost, MessageKind::Crash);
+    const auto end = std::min(first + kMaxStatements, aTargets.size());
+    for (std::size_t i = first; i < end; ++i) {
+      const auto& target = aHost.members_.at(aTargets[i]).target_;
+      Statement row;
+      row.target_ = target.id_;
+      row.startedAtMs_ = target.bornMs_;
+      message.limits_.push_back(std::move(row));
+    }
+    Broadcast(aHost, message);
+  }
+}
+
 void
 TickLimits(Host& aHost)
 {
--- a/src/gateway/permits.h
+++ b/src/gateway/permits.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include <absl/strings/string_view.h>
 #include <absl/time/time.h>
@@ -41,6 +42,10 @@
 void
 ReceiveLimitMessage(Host& aHost, absl::string_view aText);
 
+// Tells the other hosts that targets, which must be members, have crashed.
+void
+SendCrashNotice(Host& aHost, const std::vector<std::string>& aTargets);
+
 // Starts or stops issuing permits and announces it. Call it every
 // target_limits::kTickPeriod.
 void
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "gateway-world.h"
+#include "gateway/permits.h"
 
 using lycheeplank::test::Events;
 using lycheeplank::test::FakeTarget;
@@ -550,6 +551,55 @@
   CHECK(CountServed(world, 5) == 5);
 }
 
+// Guards against crashes that the other hosts find out one by one.
+TEST_CASE("a crash is told to the other hosts once another target answers")
+{
+  World world;
+  auto& first = world.AddTarget(
+    [](FakeTarget& aSelf, const std::shared_ptr<gateway::Socket>&) {
+      aSelf.StopListening();
+      aSelf.Crash();
+    });
+  world.AddTarget(Sends(WholeAnswer("second")));
+  world.host_.members_.at("t2").target_.dataCentre_ = "a";
+  world.host_.hosts_["m"] = { { "m", "a", "", "", 1.0, false } };
+  std::vector<std::string> sent;
+  world.host_.sendDatagram_ = [&](const std::string&,
+                                  const std::string& aText) {
+    sent.push_back(aText);
+  };
+  const auto isCold = GENERATE(true, false);
+  SetColdFor(world, isCold ? absl::Seconds(5) : absl::ZeroDuration());
+  world.Ask(World::Request("/again/"));
+  CHECK(first.requests_ == 1);
+  world.RunFor(std::chrono::milliseconds(50));
+  world.Ask(World::Request("/again/"));
+  const auto isNotice = [](const std::string& aText) {
+    const auto message = lycheeplank::target_limits::ReadMessage(aText);
+    return message &&
+           message->kind_ == lycheeplank::target_limits::MessageKind::Crash;
+  };
+  const auto notice = std::find_if(sent.begin(), sent.end(), isNotice);
+  CHECK((notice != sent.end()) == isCold);
+  CHECK(world.host_.members_.at("t1").isCold_ == isCold);
+  if (!isCold) {
+    return;
+  }
+
+  // The other host.
+  World other;
+  auto& sound = other.AddTarget(Sends(WholeAnswer("done")));
+  SetColdFor(other, absl::Seconds(5));
+  auto message = *lycheeplank::target_limits::ReadMessage(*notice);
+  message.sender_ = "m";
+  const auto text = lycheeplank::target_limits::WriteMessage(message);
+  const auto& member = other.host_.members_.at("t1");
+  gateway::ReceiveLimitMessage(other.host_, text);
+  CHECK(lycheeplank::fleet::IsQuarantined(member, gateway::Now()));
+  CHECK(member.isCold_);
+  CHECK(sound.requests_ == 0);
+}
+
 // Guards against limits in deployments whose targets are never cold.
 TEST_CASE("targets of services without a cold time are never cold")
 {
