--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -158,7 +158,8 @@
 {
   return static_cast<std::size_t>(std::count_if(
     host_.members_.begin(), host_.members_.end(), [this](const auto& aMember) {
-      return aMember.second.target_.service_ == service_;
+      return aMember.second.target_.service_ == service_ &&
+             !fleet::IsEvacuated(host_.evacuations_, aMember.second);
     }));
 }
 
