--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -189,6 +189,9 @@
   // less urgent ones, which the target evicts first.
   double reservedTokens_ = 0.0;
   double yieldingShare_ = 0.0;
+  // Share of the memory of all targets of the service that is held, see
+  // HeldShare.
+  double heldShare_ = 1.0;
   // Bytes sent to the target and back.
   std::uint64_t bytes_ = 0;
   // Limit of this host's concurrent calls to one target; 0 for no limit.
@@ -336,6 +339,14 @@
              const EngineSpeed& aSpeed,
              absl::Time aNow);
 
+// Returns the share of the memory of a service's usable targets that requests
+// hold.
+double
+HeldShare(const Members& aMembers,
+          absl::string_view aService,
+          std::uint64_t aMemoryTokens,
+          absl::Time aNow);
+
 // Chooses a target; the id is empty if no target of the service may be used.
 Choice
 ChooseTarget(const Members& aMembers,
@@ -445,6 +456,9 @@
   absl::btree_map<std::uint32_t, SendRate> arrivals_;
   // Shares of the recent sends in held tokens, as a moving average.
   absl::btree_map<std::uint32_t, double> sentTokens_;
+  // The last result of HeldShare and its time.
+  double heldShare_ = 0.0;
+  absl::Time heldShareAt_ = absl::InfinitePast();
 };
 
 // Time for whose arrivals of more urgent requests a less urgent one leaves
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -30,6 +30,12 @@
 // Minimum share of a target's memory that is used, whatever other hosts may
 // have sent.
 constexpr double kMinUsableShare = 0.5;
+// Urgent requests wait only if requests as urgent hold more than this share of
+// the memory of all targets. Below it some target has less urgent ones to
+// evict, and which one that is isn't known: loads are late and tell totals. In
+// simulations, urgent requests that waited below it missed their goals more
+// often than those that were sent.
+constexpr double kUrgentWaitShare = 0.9;
 // A wait may be this many times as long as its estimate.
 constexpr double kWaitSafetyFactor = 2.0;
 // Assumed duration of a call to a plain service, in seconds, before
@@ -125,19 +131,25 @@
   const auto memory = static_cast<double>(aRequest.memoryTokens_);
   const auto own = static_cast<double>(aRequest.heldTokens_);
   const auto held = static_cast<double>(aUsage.heldTokens_);
-  const double firmShare = 1.0 - aRequest.yieldingShare_;
+  // Targets start urgent requests first, so these need no room for unreported
+  // ones.
+  const double unreported =
+    aRequest.isUrgent_ ? 0.0 : aRequest.unreportedTokens_;
   const double room = std::max(kMinUsableShare * memory,
-                               memory - firmShare * aRequest.unreportedTokens_ -
-                                 aRequest.reservedTokens_);
+                               memory - unreported - aRequest.reservedTokens_);
   // An empty target takes any request.
   if (held + own <= room || held == 0.0) {
     return {};
   }
+  const double firmShare = 1.0 - aRequest.yieldingShare_;
   const double excess = firmShare * held + own - room;
-  return excess <= 0.0 ? MemoryState{ kEvictionSeconds, false }
-                       : MemoryState{ std::max(kEvictionSeconds,
-                                               kMeanRunSeconds * excess / room),
-                                      true };
+  const bool yields = aRequest.isUrgent_ && aRequest.yieldingShare_ > 0.0 &&
+                      firmShare * aRequest.heldShare_ < kUrgentWaitShare;
+  return excess <= 0.0 || yields
+           ? MemoryState{ kEvictionSeconds, false }
+           : MemoryState{
+               std::max(kEvictionSeconds, kMeanRunSeconds * excess / room), true
+             };
 }
 
 // Returns the time until enough of a target's memory is free.
@@ -296,6 +308,24 @@
   return estimate;
 }
 
+double
+HeldShare(const Members& aMembers,
+          absl::string_view aService,
+          std::uint64_t aMemoryTokens,
+          absl::Time aNow)
+{
+  double held = 0.0;
+  double memory = 0.0;
+  for (const auto& [id, member] : aMembers) {
+    if (member.target_.service_ == aService && IsInUse(member, aNow) &&
+        !IsQuarantined(member, aNow)) {
+      held += static_cast<double>(TotalUsage(member, aNow).heldTokens_);
+      memory += static_cast<double>(aMemoryTokens);
+    }
+  }
+  return memory > 0.0 ? held / memory : 0.0;
+}
+
 namespace {
 
 // Returns the cost of a choice as a share of the value of the request.
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -37,6 +37,9 @@
 // Requests that have missed their goals are placed as if this much time were
 // left.
 constexpr absl::Duration kMinRemainingGoal = absl::Milliseconds(100);
+// Age from which the held share of the targets' memory is computed again: the
+// time between two tries of the waiting requests.
+constexpr absl::Duration kHeldShareAge = absl::Milliseconds(20);
 // Estimated time from the start of prompt processing to the first event.
 constexpr absl::Duration kStartMargin = absl::Milliseconds(300);
 // Requests aren't sent to targets with outdated weights within this time before
@@ -396,18 +399,21 @@
 }
 
 void
-Exchange::SetReserve(fleet::RequestSpec& aSpec, absl::Time aNow) const
+Exchange::SetReserve(fleet::RequestSpec& aSpec, absl::Time aNow)
 {
-  aSpec.waitsByPriority_ = true;
   const auto priority = Priority();
-  if (const auto found = host_.priorityLoads_.find(service_);
-      found != host_.priorityLoads_.end()) {
-    aSpec.reservedTokens_ = fleet::EstimateReserve(
-      found->second, priority, host_.hosts_.size(), CountTargets(), aNow);
-    aSpec.yieldingShare_ = fleet::YieldingShare(found->second, priority);
+  auto& loads = host_.priorityLoads_[service_];
+  if (aNow - loads.heldShareAt_ > kHeldShareAge) {
+    loads.heldShare_ =
+      fleet::HeldShare(host_.members_, service_, aSpec.memoryTokens_, aNow);
+    loads.heldShareAt_ = aNow;
   }
+  aSpec.waitsByPriority_ = true;
+  aSpec.heldShare_ = loads.heldShare_;
+  aSpec.yieldingShare_ = fleet::YieldingShare(loads, priority);
   aSpec.reservedTokens_ =
-    std::max(aSpec.reservedTokens_,
+    std::max(fleet::EstimateReserve(
+               loads, priority, host_.hosts_.size(), CountTargets(), aNow),
              static_cast<double>(request_queue::LargestBefore(
                host_.waiting_, QueueEntry(), aNow)));
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -97,7 +97,7 @@
   bool WaitsByPriority() const;
   // Sets the memory that the request leaves to more urgent ones and may take
   // from less urgent ones.
-  void SetReserve(fleet::RequestSpec& aSpec, absl::Time aNow) const;
+  void SetReserve(fleet::RequestSpec& aSpec, absl::Time aNow);
   // aAvoidsLimited: considers no targets whose requests need a permit.
   fleet::Choice ChooseTarget(bool aAvoidsLimited = false);
   // Asks for a permit and goes on with the decision. aIsLastChoice: no target
--- a/src/request_queue/request_queue.cc
+++ b/src/request_queue/request_queue.cc
@@ -121,10 +121,10 @@
   }
   RequestPointers order;
   for (auto& [key, requests] : groups) {
-    const auto& [isLate, priority, service] = key;
-    if (isLate) {
-      std::reverse(requests.begin(), requests.end());
-    }
+    const auto priority = std::get<1>(key);
+    const auto& service = std::get<2>(key);
+    // Newest first.
+    std::reverse(requests.begin(), requests.end());
     static const Turns kNoTurns;
     const auto turns = aQueue.turns_.find({ service, priority });
     AppendInTurns(
@@ -133,6 +133,21 @@
   return order;
 }
 
+// Returns the waiting requests of a request's service and itself, in the order
+// of StartOrder.
+RequestPointers
+OrderWith(const Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow)
+{
+  RequestPointers requests;
+  for (const auto& entry : aQueue.entries_) {
+    if (entry.service_ == aRequest.service_ && entry.id_ != aRequest.id_) {
+      requests.push_back(&entry);
+    }
+  }
+  requests.push_back(&aRequest);
+  return Order(aQueue, requests, aNow);
+}
+
 RequestPointers
 PointersTo(const Queue& aQueue)
 {
@@ -327,15 +342,12 @@
 bool
 MustWait(const Queue& aQueue, const QueuedRequest& aRequest, absl::Time aNow)
 {
-  const bool isLate = IsLate(aRequest, aNow);
   Pass pass;
-  for (const auto& entry : aQueue.entries_) {
-    const bool entryIsLate = IsLate(entry, aNow);
-    const bool goesFirst =
-      entryIsLate == isLate ? entry.priority_ <= aRequest.priority_ : isLate;
-    if (entry.service_ == aRequest.service_ && goesFirst) {
-      RecordBlocked(pass, entry);
+  for (const auto* request : OrderWith(aQueue, aRequest, aNow)) {
+    if (request == &aRequest) {
+      break;
     }
+    RecordBlocked(pass, *request);
   }
   return !MayPass(pass, aRequest);
 }
@@ -364,15 +376,8 @@
              const QueuedRequest& aRequest,
              absl::Time aNow)
 {
-  RequestPointers requests;
-  for (const auto& entry : aQueue.entries_) {
-    if (entry.service_ == aRequest.service_ && entry.id_ != aRequest.id_) {
-      requests.push_back(&entry);
-    }
-  }
-  requests.push_back(&aRequest);
   std::uint64_t tokens = 0;
-  for (const auto* request : Order(aQueue, requests, aNow)) {
+  for (const auto* request : OrderWith(aQueue, aRequest, aNow)) {
     if (request == &aRequest) {
       break;
     }
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -698,9 +698,18 @@
   }
   CHECK(isFull());
   request.yieldingShare_ = 0.3;
+  request.heldShare_ = 1.4;
   CHECK_FALSE(isFull());
   request.reservedTokens_ = 30000;
   CHECK(isFull());
+  // Other targets have less urgent requests to evict.
+  request.heldShare_ = 0.8;
+  CHECK_FALSE(isFull());
+  request.isUrgent_ = false;
+  CHECK(isFull());
+  CHECK(fleet::HeldShare(members, "s", 94000, kNow) ==
+        Approx(7 * 12000.0 / 94000));
+  CHECK(fleet::HeldShare(members, "other", 94000, kNow) == 0.0);
 }
 
 // Guards against less urgent requests that take the memory which more urgent
