--- a/src/request_queue/request_queue.cc
+++ b/src/request_queue/request_queue.cc
@@ -144,7 +144,13 @@
       requests.push_back(&entry);
     }
   }
-  requests.push_back(&aRequest);
+  const auto later = std::find_if(
+    requests.begin(), requests.end(), [&aRequest](const auto* aOther) {
+      return aOther->arrivedAt_ > aRequest.arrivedAt_ ||
+             (aOther->arrivedAt_ == aRequest.arrivedAt_ && aRequest.id_ != 0 &&
+              aOther->id_ > aRequest.id_);
+    });
+  requests.insert(later, &aRequest);
   return Order(aQueue, requests, aNow);
 }
 
