--- a/src/gateway/caller-guard.cc
+++ b/src/gateway/caller-guard.cc
@@ -73,7 +73,11 @@
   if (!isFull || CloseLeastUseful(aNow)) {
     return true;
   }
-  return connections_.size() < host_.memory_.connections_ + aExtra;
+  const bool hasDescriptors =
+    descriptors == 0 ||
+    TotalsOfSockets().open_ + kLastDescriptors / 2 < descriptors;
+  return hasDescriptors &&
+         connections_.size() < host_.memory_.connections_ + aExtra;
 }
 
 bool
--- a/src/gateway/client-connection.cc
+++ b/src/gateway/client-connection.cc
@@ -27,6 +27,8 @@
 constexpr unsigned kMaxForeignAnswers = 4;
 constexpr std::size_t kMaxForeignBytes = 1U << 20U;
 
+// Memory that a connection keeps for the next bytes of an answer.
+constexpr std::size_t kMaxKeptBytes = 16U << 10U;
 // Lowest status of an answer that reports no success.
 constexpr int kRedirect = 300;
 
@@ -177,6 +179,10 @@
     } else if (!reader_.Body().empty() && events_.onBody_) {
       events_.onBody_(reader_.Body());
     }
+    if (auto& body = reader_.Body();
+        body.empty() && body.capacity() > kMaxKeptBytes) {
+      std::string().swap(body);
+    }
     if (!busy_) {
       return;
     }
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -195,8 +195,13 @@
 void
 Exchange::UpdateBufferedBytes()
 {
-  host_.bufferedBytes_ += body_.size();
-  host_.bufferedBytes_ -= std::exchange(bufferedBytes_, body_.size());
+  if (body_.empty()) {
+    // Otherwise the string keeps its memory until the end of a long answer.
+    std::string().swap(body_);
+  }
+  const auto held = body_.empty() ? 0 : body_.capacity();
+  host_.bufferedBytes_ += held;
+  host_.bufferedBytes_ -= std::exchange(bufferedBytes_, held);
 }
 
 void
--- a/src/gateway/server-connection.cc
+++ b/src/gateway/server-connection.cc
@@ -157,21 +157,28 @@
   }
 }
 
+std::uint64_t
+ServerConnection::HeldMemory() const
+{
+  // Behind the head, a read is freed as soon as it has been parsed.
+  return reader_.Body().capacity() +
+         (reader_.HeadDone() ? leftover_ : socket_->Unread().capacity());
+}
+
 std::uint64_t
 ServerConnection::NeededMemory() const
 {
-  const auto held = socket_->Unread().capacity() + reader_.Body().capacity();
+  const auto held = HeldMemory();
   if (!reader_.HeadDone()) {
     return held;
   }
   if (const auto length = reader_.BodyLength()) {
-    return std::max<std::uint64_t>(held, *length);
+    return std::max(held, *length);
   }
-  // The next read may double the memory of a body in chunks.
-  return 2 * held + kBodyReadBytes <= body_budget::kSmallBytes ? 2 * held
-         : 2 * held <= body_budget::kSmallBytes
+  // The next bytes may double the memory of a body in chunks.
+  return 2 * held <= body_budget::kSmallBytes
            ? body_budget::kSmallBytes
-           : std::max<std::uint64_t>(held, server_.limits_().bodyBytes_);
+           : std::max(held, server_.limits_().bodyBytes_);
 }
 
 bool
@@ -180,7 +187,7 @@
   if (server_.guard_ == nullptr) {
     return true;
   }
-  const auto held = socket_->Unread().capacity() + reader_.Body().capacity();
+  const auto held = HeldMemory();
   const auto needed = NeededMemory();
   if (!isRecorded_ && needed <= kUncountedBytes) {
     return true;
@@ -212,7 +219,8 @@
 {
   granted_ = asked_;
   grantedAt_ = Now();
-  socket_->SetMaxRead(kBodyReadBytes);
+  socket_->SetMaxRead(granted_ > body_budget::kSmallBytes ? kBodyReadBytes
+                                                          : kFirstReadBytes);
   if (std::exchange(waits_, false)) {
     socket_->SetReading(true);
   }
--- a/src/gateway/server-connection.h
+++ b/src/gateway/server-connection.h
@@ -86,6 +86,8 @@
   // bytes; stops reading or refuses it if it hasn't. aRead: bytes that have
   // arrived.
   bool HasMemory(std::size_t aRead);
+  // Returns the memory of the request that is being read.
+  std::uint64_t HeldMemory() const;
   // Returns the memory that the request may need until it has been read.
   std::uint64_t NeededMemory() const;
   void KeepBody();
--- a/src/http/reader.cc
+++ b/src/http/reader.cc
@@ -23,7 +23,8 @@
 constexpr int kGreatestStatus = 599;
 // Bytes of a line of the head beside its name and value.
 constexpr std::size_t kLineBytes = 4;
-// Size up to which a body grows as strings do.
+// Size up to which a body grows as strings do, or gets its memory at once if
+// its whole length is within it.
 constexpr std::size_t kSmallBodyBytes = 64U << 10U;
 
 std::string
@@ -125,13 +126,14 @@
   }
 
   // Appends to the body. That of a request gets the memory for its stated
-  // length at once, or twice the memory up to its limit, when it isn't small; a
-  // string itself would exceed both.
+  // length at once, or twice the memory up to its limit, when more than a small
+  // part of it is there; a string itself would exceed both.
   void Append(string_view aData)
   {
     const std::uint64_t needed = body_.size() + aData.size();
-    if (IsRequest && needed > body_.capacity() && needed > kSmallBodyBytes) {
-      const std::uint64_t length = this->content_length().value_or(2 * needed);
+    const std::uint64_t length = this->content_length().value_or(2 * needed);
+    if (IsRequest && needed > body_.capacity() &&
+        (needed > kSmallBodyBytes || length <= kSmallBodyBytes)) {
       std::string grown;
       grown.reserve(std::max(needed, std::min(length, maxBodyBytes_)));
       grown.append(body_);
