--- a/include/lycheeplank/body_budget.h
+++ b/include/lycheeplank/body_budget.h
@@ -179,9 +179,12 @@
 
 // Grants memory to waiting requests, those of the addresses that hold least
 // first, and ends requests: those that have waited too long, and those that
-// make the least progress if memory is missing.
+// make the least progress if memory is missing. aReadSince: since when the host
+// has read without a pause; a pause says nothing about the callers.
 Decision
-Decide(Budget& aBudget, absl::Time aNow);
+Decide(Budget& aBudget,
+       absl::Time aNow,
+       absl::Time aReadSince = absl::InfinitePast());
 
 // A connection with bytes that its peer hasn't taken.
 struct Reader
--- a/src/body_budget/body_budget.cc
+++ b/src/body_budget/body_budget.cc
@@ -135,13 +135,15 @@
                  std::uint64_t aBytes,
                  bool aAll,
                  absl::Time aNow,
+                 absl::Time aReadSince,
                  Decision& aDecision)
 {
   std::vector<std::tuple<double, std::uint64_t, std::uint64_t>> order;
   for (const auto& [id, request] : aBudget.requests_) {
     const auto recent = RecentBytes(request, aNow);
-    const bool isStalled = request.wanted_ == 0 && recent < kMinRecentBytes &&
-                           aNow - request.admittedAt_ >= kProgressTime;
+    const bool isStalled =
+      request.wanted_ == 0 && recent < kMinRecentBytes &&
+      aNow - std::max(request.admittedAt_, aReadSince) >= kProgressTime;
     if (!request.isComplete_ && request.held_ > 0 && (aAll || isStalled)) {
       order.emplace_back(recent, id, request.held_);
     }
@@ -247,7 +249,7 @@
 }
 
 Decision
-Decide(Budget& aBudget, absl::Time aNow)
+Decide(Budget& aBudget, absl::Time aNow, absl::Time aReadSince)
 {
   Decision decision;
   std::uint64_t missing = 0;
@@ -265,10 +267,14 @@
     }
   }
   if (aBudget.used_ > aBudget.bytes_) {
-    EndLeastProgress(
-      aBudget, aBudget.used_ - aBudget.bytes_, true, aNow, decision);
+    EndLeastProgress(aBudget,
+                     aBudget.used_ - aBudget.bytes_,
+                     true,
+                     aNow,
+                     aReadSince,
+                     decision);
   } else if (missing > 0) {
-    EndLeastProgress(aBudget, missing, false, aNow, decision);
+    EndLeastProgress(aBudget, missing, false, aNow, aReadSince, decision);
   }
   return decision;
 }
--- a/src/gateway/caller-guard.cc
+++ b/src/gateway/caller-guard.cc
@@ -131,8 +131,11 @@
 void
 CallerGuard::Update(absl::Time aNow)
 {
+  if (aNow - std::exchange(updatedAt_, aNow) > body_budget::kProgressTime) {
+    readSince_ = aNow;
+  }
   if (budget_.waiting_ > 0 || budget_.used_ > budget_.bytes_) {
-    const auto decision = body_budget::Decide(budget_, aNow);
+    const auto decision = body_budget::Decide(budget_, aNow, readSince_);
     const auto find = [this](std::uint64_t aId) {
       const auto found = connections_.find(aId);
       return found == connections_.end() ? nullptr : found->second;
--- a/src/gateway/caller-guard.h
+++ b/src/gateway/caller-guard.h
@@ -55,6 +55,9 @@
   Host& host_;
   body_budget::Budget budget_;
   std::uint64_t nextId_ = 1;
+  absl::Time updatedAt_ = absl::InfinitePast();
+  // When the event loop last went on after a pause.
+  absl::Time readSince_ = absl::InfinitePast();
   absl::flat_hash_map<std::uint64_t, ServerConnection*> connections_;
   absl::flat_hash_map<std::string, std::uint64_t> ofAddress_;
   absl::flat_hash_map<std::uint64_t, std::weak_ptr<Socket>> finishing_;
--- a/test/body-budget-test.cc
+++ b/test/body-budget-test.cc
@@ -211,6 +211,17 @@
   CheckSums(budget);
 }
 
+// Guards against bodies that look stalled because the host stood still.
+TEST_CASE("no body is ended for lack of progress after a pause of the host")
+{
+  auto budget = BudgetOf(110);
+  Fill(budget, kStart);
+  const auto now = kStart + absl::Seconds(3);
+  CHECK(bb::Decide(budget, now, now).ended_.empty());
+  CHECK(bb::Decide(budget, now + absl::Milliseconds(499), now).ended_.empty());
+  CHECK(bb::Decide(budget, now + bb::kProgressTime, now).ended_.size() == 1);
+}
+
 TEST_CASE("of several bodies the one with the least progress is ended")
 {
   auto budget = BudgetOf(110);
