--- a/test/gateway-limits-test.cc
+++ b/test/gateway-limits-test.cc
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
 
+#include "gateway/warmup.h"
 #include "host-group.h"
 
 // Tests the limits on requests per second that targets name for all hosts
@@ -132,6 +133,60 @@
 
 } // namespace
 
+// Guards against hosts that send a cold target more requests in total than it
+// takes, or that refuse requests which other targets can serve. The load: one
+// request of each host at once, and 100 a second.
+TEST_CASE("hosts keep a cold target's limit in total, and refuse no request")
+{
+  const auto hosts = GENERATE(std::size_t{ 8 }, 78);
+  constexpr double kPerSecond = 14.0;
+  HostGroup group(hosts);
+  Arrivals arrivals;
+  group.AddTarget(
+    [&](FakeTarget&, const std::shared_ptr<gateway::Socket>& aSocket) {
+      arrivals.push_back(gateway::Now());
+      aSocket->Send(WholeAnswer("x"));
+    });
+  auto& warm = group.AddTarget(lycheeplank::test::Sends(WholeAnswer("x")));
+  for (std::size_t i = 0; i < hosts; ++i) {
+    auto& host = group.HostAt(i);
+    auto catalog = *host.catalog_;
+    auto& service = catalog.services_["s"];
+    service.name_ = "s";
+    service.maxConnections_ = 10000;
+    service.coldFor_ = absl::Seconds(20);
+    service.warmupPerSecond_ = kPerSecond;
+    lycheeplank::catalog::BuildIndexes(catalog);
+    host.catalog_ =
+      std::make_shared<const lycheeplank::catalog::Catalog>(catalog);
+    // All hosts prefer the cold target.
+    host.members_.at("t1").slowness_ = 0.01;
+    gateway::NoteTargetCold(
+      host, "t1", absl::Seconds(20), gateway::ColdEvidence::Entry);
+  }
+  SendSteadily(group, absl::Seconds(4));
+  group.RunFor(std::chrono::milliseconds(500));
+  INFO(hosts << " hosts");
+  std::size_t most = 0;
+  for (auto first = arrivals.begin(); first != arrivals.end(); ++first) {
+    most =
+      std::max(most,
+               static_cast<std::size_t>(std::find_if(first,
+                                                     arrivals.end(),
+                                                     [&](absl::Time aTime) {
+                                                       return aTime - *first >=
+                                                              absl::Seconds(1);
+                                                     }) -
+                                        first));
+  }
+  CHECK(static_cast<double>(most) <= 1.5 * kPerSecond + 5.0);
+  CHECK(arrivals.size() >= 14);
+  CHECK(warm.requests_ > 0);
+  for (const auto& answer : group.answers_) {
+    CHECK(absl::StartsWith(answer, "HTTP/1.1 200"));
+  }
+}
+
 TEST_CASE("requests go to targets without a limit, and none is refused")
 {
   World world;
