--- a/src/gateway/caller-guard.cc
+++ b/src/gateway/caller-guard.cc
@@ -66,20 +66,33 @@
 CallerGuard::MayAccept(std::uint64_t aExtra, absl::Time aNow)
 {
   const auto descriptors = host_.settings_.maxDescriptors_;
-  const bool isFull =
-    connections_.size() >= host_.memory_.connections_ ||
-    (descriptors > 0 &&
-     TotalsOfSockets().open_ + kLastDescriptors >= descriptors);
+  const auto lacks = [descriptors](std::uint64_t aReserve) {
+    return descriptors > 0 && TotalsOfSockets().open_ + aReserve >= descriptors;
+  };
+  if (lacks(kLastDescriptors)) {
+    CloseOldestFinished();
+  }
+  const bool isFull = connections_.size() >= host_.memory_.connections_ ||
+                      lacks(kLastDescriptors);
   if (!isFull || CloseLeastUseful(aNow)) {
     return true;
   }
-  const bool hasDescriptors =
-    descriptors == 0 ||
-    TotalsOfSockets().open_ + kLastDescriptors / 2 < descriptors;
-  return hasDescriptors &&
+  return !lacks(kLastDescriptors / 2) &&
          connections_.size() < host_.memory_.connections_ + aExtra;
 }
 
+void
+CallerGuard::CloseOldestFinished()
+{
+  for (const auto& [id, weak] : finishing_) {
+    const auto socket = weak.lock();
+    if (socket && socket->IsOpen() && socket->Unsent() == 0) {
+      socket->Close();
+      return;
+    }
+  }
+}
+
 bool
 CallerGuard::CloseLeastUseful(absl::Time aNow)
 {
@@ -199,7 +212,7 @@
 void
 CallerGuard::Report(absl::Time aNow)
 {
-  absl::erase_if(finishing_, [](const auto& aEntry) {
+  std::erase_if(finishing_, [](const auto& aEntry) {
     const auto socket = aEntry.second.lock();
     return !socket || !socket->IsOpen();
   });
--- a/src/gateway/caller-guard.h
+++ b/src/gateway/caller-guard.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -28,7 +29,8 @@
   // before it is destroyed.
   std::uint64_t Add(ServerConnection* aConnection, const std::string& aAddress);
   void Remove(std::uint64_t aId, const std::string& aAddress);
-  // Registers a socket that sends the rest of its last answer.
+  // Registers a socket that sends the rest of its last answer and waits for its
+  // peer to close.
   void AddFinishing(const std::shared_ptr<Socket>& aSocket);
 
   // Returns whether a server may take one more connection; may close another
@@ -50,6 +52,8 @@
 
 private:
   void DisconnectSlowReaders(absl::Time aNow);
+  // Closes the socket that has waited longest for its peer to close.
+  void CloseOldestFinished();
   bool CloseLeastUseful(absl::Time aNow);
 
   Host& host_;
@@ -60,7 +64,8 @@
   absl::Time readSince_ = absl::InfinitePast();
   absl::flat_hash_map<std::uint64_t, ServerConnection*> connections_;
   absl::flat_hash_map<std::string, std::uint64_t> ofAddress_;
-  absl::flat_hash_map<std::uint64_t, std::weak_ptr<Socket>> finishing_;
+  // In the order in which their answers ended.
+  std::map<std::uint64_t, std::weak_ptr<Socket>> finishing_;
   struct Count
   {
     std::uint64_t count_ = 0;
--- a/src/gateway/server-connection.cc
+++ b/src/gateway/server-connection.cc
@@ -405,9 +405,9 @@
     socket_->Finish();
     if (socket_->Unsent() > 0) {
       server_.finishing_.push_back(socket_);
-      if (server_.guard_ != nullptr) {
-        server_.guard_->AddFinishing(socket_);
-      }
+    }
+    if (server_.guard_ != nullptr) {
+      server_.guard_->AddFinishing(socket_);
     }
     ReleaseMemory();
     Deregister();
@@ -519,9 +519,11 @@
 
 Server::~Server()
 {
-  // Handlers that the loop still has may outlast the guard.
-  for (const auto& connection : connections_) {
-    connection->Deregister();
+  // Sockets own their connections until they are closed.
+  const std::vector<ServerConnectionPtr> open(connections_.begin(),
+                                              connections_.end());
+  for (const auto& connection : open) {
+    connection->Close();
   }
 }
 
--- a/test/caller-guard-test.cc
+++ b/test/caller-guard-test.cc
@@ -291,6 +291,28 @@
   CHECK(HasStatus(*caller, "200"));
 }
 
+// Guards against descriptors that connections keep which have their last answer
+// and don't close, while idle callers lose theirs.
+TEST_CASE("connections with their last answer give way before idle ones")
+{
+  const auto open = gateway::TotalsOfSockets().open_;
+  Guarded world(0, 230 + open);
+  const auto idle = world.Call("");
+  std::vector<std::unique_ptr<Caller>> callers;
+  callers.reserve(150);
+  // The sockets of both sides are in this process.
+  while (callers.size() < 150) {
+    callers.push_back(world.Call("GET / HTTP/1.1\r\nBad Field\r\n\r\n"));
+    world.RunUntil([&] { return !callers.back()->answer_.empty(); });
+    CHECK(HasStatus(*callers.back(), "400"));
+    // The peer doesn't notice the end of the connection.
+    callers.back()->socket_->SetReading(false);
+  }
+  CHECK(world.Ended("idle_connection") == 0);
+  CHECK_FALSE(idle->closed_);
+  CHECK(gateway::TotalsOfSockets().open_ - open < 230);
+}
+
 // Guards against running requests that are ended for new connections.
 TEST_CASE("no connection with a running request is closed for a new one")
 {
