Log and count what decided a refusal

With priority scheduling the request line of a refused request has its priority, its workspace's share, the expected wait and the Retry-After; counters exist by reason, priority and data centre.

--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -16,6 +16,7 @@
 constexpr int kBadRequest = 400;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+constexpr absl::string_view kRefused = "refused";
 
 } // namespace
 
@@ -153,11 +154,12 @@
 void
 Exchange::RefuseUntil(absl::string_view aReason, absl::Duration aRetryAfter)
 {
+  retryAfter_ = aRetryAfter;
   caller_->Reply(
     kUnavailable,
     { { "Retry-After", absl::StrCat(absl::ToDoubleSeconds(aRetryAfter)) } },
     "");
-  Close("refused", kUnavailable, aReason);
+  Close(kRefused, kUnavailable, aReason);
 }
 
 void
@@ -191,39 +193,62 @@
   const auto took = now - arrivedAt_;
   host_.metrics_.Count("requests_total", "outcome", aOutcome);
   host_.metrics_.Observe("request_seconds", took);
-  host_.log_.Write(
-    Line("request")
-      .Text("id", request_.id_)
-      .Text("route", route_ == nullptr ? "" : route_->name_)
-      .Text("workspace", workspace_ == nullptr ? "" : workspace_->name_)
-      .Text("outcome", aOutcome)
-      .Text("reason", aReason)
-      .Number("status", aStatus)
-      .Text("target", targetId_)
-      .Text("framing", headAccepted_ ? FramingOf(head_) : "")
-      .Number("events", events_.Count())
-      .Text("fingerprint", fingerprint_)
-      .Number("tries", history_.tries_)
-      .Number("sends", history_.sends_)
-      .Number("permit_asks", permitAsks_)
-      .Age("took_ms", took)
-      .Age("first_ms",
-           firstByteAt_ == absl::InfinitePast() ? absl::InfiniteDuration()
-                                                : firstByteAt_ - arrivedAt_)
-      .Age("sent_ms",
-           sentAt_ == absl::InfinitePast() ? absl::InfiniteDuration()
-                                           : sentAt_ - arrivedAt_)
-      .Number("wait_estimate_ms", choice_.waitSeconds_ * 1000.0)
-      .Number("backlog_tokens", choice_.backlogTokens_)
-      .Number("held_tokens", choice_.heldTokens_)
-      .Number("running", choice_.running_)
-      .Age("load_age_ms", choice_.loadAge_)
-      .Number("candidates", choice_.candidates_)
-      .Number("computed_tokens", computedTokens_)
-      .Number("read_tokens", readTokens_)
-      .Number("weights", attemptWeights_)
-      .Number("catalog", catalog_ ? catalog_->version_ : 0)
-      .Age("catalog_age_ms", now - host_.catalogAt_));
+  Line line("request");
+  line.Text("id", request_.id_)
+    .Text("route", route_ == nullptr ? "" : route_->name_)
+    .Text("workspace", workspace_ == nullptr ? "" : workspace_->name_)
+    .Text("outcome", aOutcome)
+    .Text("reason", aReason)
+    .Number("status", aStatus)
+    .Text("target", targetId_)
+    .Text("framing", headAccepted_ ? FramingOf(head_) : "")
+    .Number("events", events_.Count())
+    .Text("fingerprint", fingerprint_)
+    .Number("tries", history_.tries_)
+    .Number("sends", history_.sends_)
+    .Number("permit_asks", permitAsks_)
+    .Age("took_ms", took)
+    .Age("first_ms",
+         firstByteAt_ == absl::InfinitePast() ? absl::InfiniteDuration()
+                                              : firstByteAt_ - arrivedAt_)
+    .Age("sent_ms",
+         sentAt_ == absl::InfinitePast() ? absl::InfiniteDuration()
+                                         : sentAt_ - arrivedAt_)
+    .Number("wait_estimate_ms", choice_.waitSeconds_ * 1000.0)
+    .Number("backlog_tokens", choice_.backlogTokens_)
+    .Number("held_tokens", choice_.heldTokens_)
+    .Number("running", choice_.running_)
+    .Age("load_age_ms", choice_.loadAge_)
+    .Number("candidates", choice_.candidates_)
+    .Number("computed_tokens", computedTokens_)
+    .Number("read_tokens", readTokens_)
+    .Number("weights", attemptWeights_)
+    .Number("catalog", catalog_ ? catalog_->version_ : 0)
+    .Age("catalog_age_ms", now - host_.catalogAt_);
+  if (aOutcome == kRefused && host_.settings_.priorityScheduling_ &&
+      route_ != nullptr) {
+    CountRefusal(aReason, line);
+  }
+  host_.log_.Write(line);
+}
+
+void
+Exchange::CountRefusal(absl::string_view aReason, Line& aLine)
+{
+  const auto situation = refusal_ ? *refusal_ : Assess();
+  host_.metrics_.Count("refusals_total", "reason", aReason);
+  host_.metrics_.Count("refusals_by_priority_total",
+                       "priority",
+                       absl::StrCat(situation.priority_));
+  host_.metrics_.Count("refusals_by_data_centre_total",
+                       "data_centre",
+                       host_.settings_.dataCentre_);
+  aLine.Number("priority", situation.priority_)
+    .Number("workspace_share", situation.workspaceShare_)
+    .Age("expected_wait_ms", situation.expectedWait_)
+    .Age("goal_left_ms", situation.goalLeft_)
+    .Age("retry_after_ms", retryAfter_)
+    .Number("queued", host_.waiting_.entries_.size());
 }
 
 } // namespace lycheeplank::gateway
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -213,6 +213,9 @@
              int aStatus,
              absl::string_view aReason);
 
+  // Counts a refusal and adds what decided it to the request's log line.
+  void CountRefusal(absl::string_view aReason, Line& aLine);
+
   absl::Duration TimeLeft() const;
   absl::Duration RefusalPause(absl::string_view aReason);
   retry_budget::Ledger& Ledger() { return host_.resendBudgets_[service_]; }
@@ -261,6 +264,7 @@
   // What decided that the request is refused; no value without priority
   // scheduling.
   absl::optional<overload::Situation> refusal_;
+  absl::Duration retryAfter_ = absl::ZeroDuration();
   bool isAskingForPermit_ = false;
   // A call is recorded at the current target.
   bool holdsTarget_ = false;
--- a/test/gateway-priority-test.cc
+++ b/test/gateway-priority-test.cc
@@ -80,3 +80,25 @@
   CHECK(world.target_.requests_ == 2);
   CHECK(world.host_.waiting_.entries_.size() == 1);
 }
+
+// Guards against refusals without a trace of what decided them, and against
+// callers that are sent away without a time to come back.
+TEST_CASE("a request that becomes hopeless is refused and counted")
+{
+  PriorityWorld world;
+  world.Arrive("/p0/");
+  world.Arrive("/p1/");
+  world.Arrive("/p1/");
+  // The throughput is known, and nothing has started for long.
+  auto& throughput = world.host_.waiting_.throughputs_["s"];
+  throughput.seconds_ = 1e6;
+  gateway::StartWaitingRequests(world.host_);
+  CHECK(world.host_.waiting_.entries_.size() == 1);
+  REQUIRE(world.RunUntil([&] { return world.IsWhole(); }));
+  CHECK(absl::StartsWith(world.answer_, "HTTP/1.1 503"));
+  CHECK(absl::StrContains(world.answer_, "Retry-After: "));
+  const auto& metrics = world.host_.metrics_;
+  CHECK(metrics.CounterValue("refusals_total", "expected_too_late") == 1.0);
+  CHECK(metrics.CounterValue("refusals_by_priority_total", "1") == 1.0);
+  CHECK(metrics.CounterValue("refusals_by_data_centre_total", "a") == 1.0);
+}
