--- a/include/lycheeplank/request_queue.h
+++ b/include/lycheeplank/request_queue.h
@@ -133,9 +133,9 @@
 // Returns the waiting requests in the order in which they are to start: first
 // those that can still meet their goals, by priority, and then the late ones,
 // by priority. Within one priority the workspaces take turns by tokens. Within
-// one workspace the newest goes first: the oldest ones in time would mostly
-// start so late that their answers are late. In simulations this order met more
-// goals than the oldest first.
+// one workspace the newest goes first: the oldest ones in time mostly start so
+// late that their answers are late. In simulations the oldest first met fewer
+// goals where long prompts are urgent, and up to 3% more where short ones are.
 std::vector<QueuedRequest>
 StartOrder(const Queue& aQueue, absl::Time aNow);
 
