Record arrivals at the present time

A request whose body arrives slowly was recorded with the time of its begin, before later ones, which multiplied the rate of arrivals. A rate no longer grows when it is read or recorded at an earlier time than its last send.

--- a/include/lycheeplank/request_queue.h
+++ b/include/lycheeplank/request_queue.h
@@ -135,7 +135,7 @@
 // by priority. Within one priority the workspaces take turns by tokens. Within
 // one workspace the newest goes first: the oldest ones in time mostly start so
 // late that their answers are late. In simulations the oldest first met fewer
-// goals where long prompts are urgent, and up to 3% more where short ones are.
+// goals where long prompts are urgent, and up to 2% more where short ones are.
 std::vector<QueuedRequest>
 StartOrder(const Queue& aQueue, absl::Time aNow);
 
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -151,7 +151,9 @@
 TokensPerSecond(const SendRate& aRate, absl::Time aNow)
 {
   return aRate.tokensPerSecond_ *
-         std::exp(-absl::FDivDuration(aNow - aRate.sentAt_, kSendRateWindow));
+         std::exp(-absl::FDivDuration(
+           std::max(absl::ZeroDuration(), aNow - aRate.sentAt_),
+           kSendRateWindow));
 }
 
 void
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -70,7 +70,7 @@
   deadlineTimer_.Set(TimeLeft(), [self] { self->OnDeadline(); });
   if (WaitsByPriority()) {
     fleet::RecordArrival(
-      host_.priorityLoads_[service_], Priority(), HeldTokens(), arrivedAt_);
+      host_.priorityLoads_[service_], Priority(), HeldTokens(), Now());
   }
   TryNextTarget();
 }
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -744,6 +744,18 @@
   }
 }
 
+// Guards against a rate that grows without bound when a slow request is
+// recorded with an earlier time than others.
+TEST_CASE(
+  "arrivals out of order don't raise the rate by more than their tokens")
+{
+  fleet::PriorityLoads loads;
+  fleet::RecordArrival(loads, 0, 1000, kNow);
+  fleet::RecordArrival(loads, 0, 1000, kNow - absl::Seconds(10));
+  CHECK(fleet::MoreUrgentPerSecond(loads, 1, kNow - absl::Seconds(10)) <=
+        1000.0);
+}
+
 // Guards against a wrong share of the tokens that a target evicts first.
 TEST_CASE("the share of less urgent requests follows the recent sends")
 {
