Notice a disconnect during the answer to a pipelined request

After a request that arrived together with the one before it, the host no longer read from the caller, so it went on working for callers that had left. Found in review; the test fails without the change.

--- a/src/gateway/server-connection.cc
+++ b/src/gateway/server-connection.cc
@@ -128,6 +128,8 @@
   if (reader_.Done()) {
     answering_ = true;
     KeepBody();
+    // Reading shows whether the caller disconnects during the answer.
+    socket_->SetReading(data.size() <= kMaxReadAheadBytes);
     server_.handler_(shared_from_this());
   } else {
     socket_->SetReading(!waits_);
--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -343,6 +343,28 @@
   CHECK(target.connections_ == 2);
 }
 
+// Guards against work for a caller that has left: the host must go on reading
+// while it answers a request that arrived together with the one before it.
+TEST_CASE("a disconnect is noticed during the answer to a pipelined request")
+{
+  World world;
+  int requests = 0;
+  auto& target = world.AddTarget([&requests](auto&, const auto& aSocket) {
+    if (++requests == 1) {
+      aSocket->Send(WholeAnswer("first"));
+    }
+  });
+  const auto caller =
+    world.Call(World::Request("/again/") + World::Request("/stream/"));
+  REQUIRE(world.RunUntil([&] { return requests == 2; }));
+  CHECK(target.closed_ == 0);
+  caller->Close();
+  REQUIRE(world.RunUntil([&] { return target.closed_ == 1; }));
+  // Not the route's timeout, which closes the connection as well.
+  CHECK(world.host_.metrics_.CounterValue("requests_total", "caller_gone") ==
+        1.0);
+}
+
 TEST_CASE("the target's connection is closed when the caller disconnects")
 {
   World world;
