Sum loads through forwarders in large data centres

The collector of a data centre with 100 hosts sent each of them the loads of up to 3,002 targets, 33 KB, twice a second: 6.6 MB of the 7.8 MB a second that the busiest host sent. Summing them took 3,002 x 101 look-ups for each of 100 messages. Messages of more than 16 KB didn't fit the receive buffer and were lost.

- Hosts send their loads to their forwarder, which sends its sum to the collector and each of its hosts the sum of all others.
A host collects from at most 32 hosts, about ten in a data centre with 100.
- A host's messages to local peers keep to 600 kB/s unless the batch time would exceed 350 ms, since loads count as unknown after a second.
- The buffer takes a whole datagram.
- Entries of hosts say whether a host can forward.
Hosts of an earlier release can't, and a relay serves them and collects their loads itself.

--- a/include/lycheeplank/entry_hosts.h
+++ b/include/lycheeplank/entry_hosts.h
@@ -23,6 +23,9 @@
   // Number of processor cores that the host may use.
   double cores_ = 1.0;
   bool leaving_ = false;
+  // The host can forward changes and loads to others, see relays::ForwardersOf;
+  // hosts of an earlier release can't.
+  bool canForward_ = true;
 };
 
 struct HostState
--- a/include/lycheeplank/relays.h
+++ b/include/lycheeplank/relays.h
@@ -49,7 +49,8 @@
 inline constexpr std::size_t kMaxServedHosts = 32;
 
 // Returns the forwarders of a data centre, those with the most cores after its
-// relays; none if the relay serves all hosts itself.
+// relays among the hosts that can forward; none if the relay serves all hosts
+// itself.
 std::vector<std::string>
 ForwardersOf(const entry_hosts::Hosts& aHosts, absl::string_view aDataCentre);
 
@@ -58,13 +59,28 @@
 bool
 IsForwarder(const entry_hosts::Hosts& aHosts, const std::string& aHost);
 
-// Returns the forwarder that serves a host; empty if a relay does. A change of
-// one forwarder moves only the hosts that it serves.
+// Returns the forwarder that serves a host; empty if a relay does, or if the
+// host is a relay, a forwarder or of an earlier release. A change of one
+// forwarder moves only the hosts that it serves.
 std::string
 ForwarderOf(const entry_hosts::Hosts& aHosts,
             absl::string_view aDataCentre,
             const std::string& aHost);
 
+// Returns the host that collects the loads of a host and sends it those of the
+// others: its forwarder or else the first relay of its data centre; empty for
+// that relay itself.
+std::string
+CollectorOf(const entry_hosts::Hosts& aHosts,
+            absl::string_view aDataCentre,
+            const std::string& aHost);
+
+// Returns the hosts of a data centre whose loads a host collects.
+std::vector<std::string>
+CollectedBy(const entry_hosts::Hosts& aHosts,
+            absl::string_view aDataCentre,
+            const std::string& aHost);
+
 // Returns the hosts that a host polls for changes, best first: its forwarder if
 // it has one, the relays of its data centre, then the first relay of each other
 // data centre. The order of the latter differs by host, so that the hosts of a
--- a/src/entry_hosts/entry_hosts.cc
+++ b/src/entry_hosts/entry_hosts.cc
@@ -39,7 +39,8 @@
     { "caller_address", aEntry.callerAddress_ },
     { "peer_address", aEntry.peerAddress_ },
     { "cores", aEntry.cores_ },
-    { "leaving", aEntry.leaving_ }
+    { "leaving", aEntry.leaving_ },
+    { "can_forward", aEntry.canForward_ }
   }.dump();
 }
 
@@ -53,6 +54,7 @@
   entry.callerAddress_ = json::TextOf(parsed, "caller_address");
   entry.peerAddress_ = json::TextOf(parsed, "peer_address");
   entry.leaving_ = json::FlagOf(parsed, "leaving");
+  entry.canForward_ = json::FlagOf(parsed, "can_forward");
   entry.cores_ = json::NumberOf(parsed, "cores", entry.cores_);
   if (entry.name_.empty() || entry.callerAddress_.empty() ||
       entry.peerAddress_.empty()) {
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -112,9 +112,6 @@
              const std::vector<PeerLoad>& aLoads,
              absl::Time aNow)
 {
-  for (auto& [id, member] : aMembers) {
-    member.peers_.erase(aHost);
-  }
   absl::flat_hash_map<std::uint32_t, const PeerLoad*> loads;
   for (const auto& load : aLoads) {
     loads[load.target_] = &load;
@@ -126,6 +123,8 @@
         load.inFlight_, load.urgentTokens_, load.otherTokens_, load.heldTokens_,
         aNow,
       };
+    } else {
+      member.peers_.erase(aHost);
     }
   }
 }
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -30,6 +30,11 @@
 // host, the collector, gets all loads and sends them to the other hosts of the
 // data centre and to the other data centres.
 constexpr absl::Duration kToCollectorBatchTime = absl::Milliseconds(50);
+// Rate of a host's messages to local peers, half of a link of 10 Mbit/s, and
+// the longest batch time that keeps to it: loads pass two hosts with this
+// delay, and count as unknown after a second.
+constexpr double kLoadBytesPerSecond = 600e3;
+constexpr absl::Duration kMaxLocalBatchTime = absl::Milliseconds(350);
 // Messages count tokens in units of this many.
 constexpr std::uint64_t kTokenUnit = 64;
 constexpr std::uint64_t kMaxUnits = UINT16_MAX;
@@ -90,6 +95,15 @@
 
 } // namespace
 
+absl::Duration
+LocalBatchTime(std::size_t aPeers, std::size_t aBytes)
+{
+  const auto bytes = static_cast<double>(aPeers * aBytes);
+  return std::max(
+    BatchTimeFor(kLocalBatchTime, aPeers),
+    std::min(kMaxLocalBatchTime, absl::Seconds(bytes / kLoadBytesPerSecond)));
+}
+
 std::string
 WriteMessage(const LoadMessage& aMessage)
 {
@@ -277,7 +291,19 @@
   const bool hasObservations =
     !aMessage.reads_.empty() || !aMessage.down_.empty();
   if ((!hasObservations && localSendPending_ && remoteSendPending_) ||
-      !IsCollector()) {
+      (!IsCollector() && !IsForwarder())) {
+    return;
+  }
+  if (!IsCollector()) {
+    // A forwarder: what its local peers observe returns from the collector.
+    const bool isFromAbove =
+      relays::CollectorOf(host_.hosts_,
+                          host_.settings_.dataCentre_,
+                          host_.settings_.name_) == aMessage.host_;
+    Add(isFromAbove ? localObservations_ : remoteObservations_,
+        aMessage.reads_,
+        aMessage.down_);
+    ScheduleSend();
     return;
   }
   Add(localObservations_, aMessage.reads_, aMessage.down_);
@@ -303,7 +329,10 @@
 void
 Gossip::CollectObservations()
 {
-  Add(localObservations_, host_.readCounts_, host_.downReports_);
+  if (!IsForwarder()) {
+    // A forwarder's own observations return from the collector as well.
+    Add(localObservations_, host_.readCounts_, host_.downReports_);
+  }
   Add(remoteObservations_, host_.readCounts_, host_.downReports_);
   host_.readCounts_.clear();
   host_.downReports_.clear();
@@ -312,6 +341,10 @@
 std::vector<std::string>
 Gossip::LocalPeers() const
 {
+  if (relays::IsLargeDeployment(host_.hosts_)) {
+    return relays::CollectedBy(
+      host_.hosts_, host_.settings_.dataCentre_, host_.settings_.name_);
+  }
   std::vector<std::string> names;
   for (const auto& [name, host] : host_.hosts_) {
     if (host.entry_.dataCentre_ == host_.settings_.dataCentre_ &&
@@ -346,6 +379,13 @@
   return !relays.empty() && relays.front() == host_.settings_.name_;
 }
 
+bool
+Gossip::IsForwarder() const
+{
+  return relays::IsLargeDeployment(host_.hosts_) &&
+         relays::IsForwarder(host_.hosts_, host_.settings_.name_);
+}
+
 void
 Gossip::ScheduleSend()
 {
@@ -355,14 +395,17 @@
   }
   const bool isLarge = relays::IsLargeDeployment(host_.hosts_);
   const bool collects = isLarge && IsCollector();
+  const bool forwards = isLarge && !collects && IsForwarder();
   if (!std::exchange(localSendPending_, true)) {
-    localTimer_.Set(isLarge && !collects
+    localTimer_.Set(isLarge && !collects && !forwards
                       ? kToCollectorBatchTime
-                      : BatchTimeFor(kLocalBatchTime, LocalPeers().size()),
+                      : LocalBatchTime(LocalPeers().size(), localBytes_),
                     [this] { SendLocal(); });
   }
-  if ((collects || !isLarge) && !std::exchange(remoteSendPending_, true)) {
-    remoteTimer_.Set(isLarge
+  if ((collects || forwards || !isLarge) &&
+      !std::exchange(remoteSendPending_, true)) {
+    remoteTimer_.Set(forwards ? kToCollectorBatchTime
+                     : isLarge
                        ? kCollectorRemoteBatchTime
                        : BatchTimeFor(kRemoteBatchTime, host_.hosts_.size()),
                      [this] { SendRemote(); });
@@ -383,26 +426,28 @@
     }
     return;
   }
-  if (!IsCollector()) {
-    // The collector sends this host's observations to the other data centres.
-    remoteObservations_ = {};
-    const auto relays =
-      relays::RelaysOf(host_.hosts_, host_.settings_.dataCentre_);
-    if (!relays.empty()) {
-      Send(
-        relays.front(), fleet::SumLoads(host_.members_, {}, now), observations);
+  auto senders = peers;
+  if (IsCollector()) {
+    for (auto& other : OtherCollectors()) {
+      senders.push_back(std::move(other));
     }
-    return;
+  } else {
+    const auto collector = relays::CollectorOf(
+      host_.hosts_, host_.settings_.dataCentre_, host_.settings_.name_);
+    if (!IsForwarder()) {
+      // The collector sends this host's observations to the other data centres.
+      remoteObservations_ = {};
+      Send(collector, fleet::SumLoads(host_.members_, {}, now), observations);
+      return;
+    }
+    senders.push_back(collector);
   }
   // Each host gets the loads of all other hosts.
-  auto senders = peers;
-  for (auto& other : OtherCollectors()) {
-    senders.push_back(std::move(other));
-  }
   for (const auto& peer : peers) {
     auto others = senders;
     others.erase(std::find(others.begin(), others.end(), peer));
-    Send(peer, fleet::SumLoads(host_.members_, others, now), observations);
+    localBytes_ =
+      Send(peer, fleet::SumLoads(host_.members_, others, now), observations);
   }
 }
 
@@ -415,6 +460,13 @@
   const auto now = Now();
   if (relays::IsLargeDeployment(host_.hosts_)) {
     const auto loads = fleet::SumLoads(host_.members_, LocalPeers(), now);
+    if (!IsCollector()) {
+      Send(relays::CollectorOf(
+             host_.hosts_, host_.settings_.dataCentre_, host_.settings_.name_),
+           loads,
+           observations);
+      return;
+    }
     for (const auto& collector : OtherCollectors()) {
       Send(collector, loads, observations);
     }
@@ -428,16 +480,17 @@
   }
 }
 
-void
+std::size_t
 Gossip::Send(const std::string& aHost,
              std::vector<fleet::PeerLoad> aLoads,
              const Observations& aObservations)
 {
-  SendText(aHost,
-           WriteMessage({ host_.settings_.name_,
-                          std::move(aLoads),
-                          aObservations.reads_,
-                          aObservations.down_ }));
+  const auto text = WriteMessage({ host_.settings_.name_,
+                                   std::move(aLoads),
+                                   aObservations.reads_,
+                                   aObservations.down_ });
+  SendText(aHost, text);
+  return text.size();
 }
 
 void
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -41,6 +41,11 @@
 LoadMessage
 ReadMessage(absl::string_view aText);
 
+// Returns the batch time of messages to local peers, of which the last one had
+// aBytes.
+absl::Duration
+LocalBatchTime(std::size_t aPeers, std::size_t aBytes);
+
 // Exchanges loads and observations with the other hosts over UDP: this host's
 // load at each target, so that hosts don't send large prompts to the same ones,
 // the results of its reads from cache stores, and the targets that it couldn't
@@ -73,30 +78,38 @@
            const fleet::DownReports& aDown);
   void SendLocal();
   void SendRemote();
-  void Send(const std::string& aHost,
-            std::vector<fleet::PeerLoad> aLoads,
-            const Observations& aObservations);
-  // Returns the other hosts of this data centre.
+  // Returns the size of the message.
+  std::size_t Send(const std::string& aHost,
+                   std::vector<fleet::PeerLoad> aLoads,
+                   const Observations& aObservations);
+  // Returns the hosts of this data centre to which this one sends loads: all
+  // others or, in a large deployment, those whose loads it collects.
   std::vector<std::string> LocalPeers() const;
   // Returns the collectors of all data centres except this host.
   std::vector<std::string> OtherCollectors() const;
   // Returns whether this host collects the loads of its data centre. Only large
   // deployments have collectors.
   bool IsCollector() const;
+  // Returns whether this host collects loads of some hosts for the collector.
+  bool IsForwarder() const;
 
   Host& host_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
-  std::array<char, 16U << 10U> buffer_{};
+  // A message with the loads of 3,000 targets has 33 KB.
+  std::array<char, 64U << 10U> buffer_{};
   Timer localTimer_;
   Timer remoteTimer_;
   Timer limitsTimer_;
   Timer blocksTimer_;
   Timer lossesTimer_;
   bool areLossesDue_ = false;
-  // Observations that wait to be sent to this data centre and to the others.
+  // Observations that wait to be sent to the local peers and to the others: the
+  // other data centres or, from a forwarder, the collector.
   Observations localObservations_;
   Observations remoteObservations_;
+  // Size of the last message to a local peer.
+  std::size_t localBytes_ = 0;
   bool localSendPending_ = false;
   bool remoteSendPending_ = false;
 };
--- a/src/gateway/peer-follower.cc
+++ b/src/gateway/peer-follower.cc
@@ -33,10 +33,8 @@
 // Maximum number of feed positions that are kept. Positions of hosts that were
 // replaced would otherwise accumulate.
 constexpr std::size_t kMaxPositions = 32;
-// Time after which a host tries its forwarder again that doesn't forward yet,
-// and one of an earlier release, which answers with all that it knows.
+// Time after which a host tries its forwarder again that doesn't forward yet.
 constexpr absl::Duration kForwarderRetryTime = absl::Seconds(1);
-constexpr absl::Duration kOldForwarderRetryTime = absl::Seconds(30);
 // Pause after a source has failed.
 constexpr absl::Duration kRetryPause = absl::Milliseconds(50);
 
@@ -271,9 +269,9 @@
   host_.metrics_.Observe("peer_update_seconds", aAnswer.transferTime_);
   const bool isRelay = IsRelay();
   const bool isForwarder = aPeer.name_ == Forwarder();
-  const bool forwards = update->sender_.forwards_.value_or(false);
+  const bool forwards = update->sender_.forwards_;
   if (isForwarder && !update->sender_.isDirect_ && !forwards) {
-    OnForwarderRefusal(update->sender_.forwards_.has_value());
+    OnForwarderRefusal();
     return;
   }
   if (!isRelay && !update->sender_.isDirect_ && !(isForwarder && forwards)) {
@@ -313,18 +311,16 @@
 }
 
 void
-PeerFollower::OnForwarderRefusal(bool aIsCurrent)
+PeerFollower::OnForwarderRefusal()
 {
-  if (aIsCurrent && host_.role_ == Role::Starting && host_.store_.reachable_ &&
+  if (host_.role_ == Role::Starting && host_.store_.reachable_ &&
       Now() - servesSince_ < kStartTimeout) {
     // The forwarder is starting as well. If all hosts asked the relay instead,
     // their snapshots would occupy its link for seconds.
     ScheduleStep(Jitter(host_, kRetryPause));
     return;
   }
-  forwarderRefusedUntil_ =
-    Now() +
-    Jitter(host_, aIsCurrent ? kForwarderRetryTime : kOldForwarderRetryTime);
+  forwarderRefusedUntil_ = Now() + Jitter(host_, kForwarderRetryTime);
   ScheduleStep(absl::ZeroDuration());
 }
 
--- a/src/gateway/peer-follower.h
+++ b/src/gateway/peer-follower.h
@@ -55,8 +55,7 @@
                 const http::Answer& aAnswer,
                 absl::Time aAskedAt);
   // Polls a forwarder that doesn't forward later, and a relay until then.
-  // aIsCurrent: it is of a release that can forward.
-  void OnForwarderRefusal(bool aIsCurrent);
+  void OnForwarderRefusal();
   // aAskedAt: when the update was asked for.
   void ApplyUpdate(const PeerUpdate& aUpdate, absl::Time aAskedAt);
   void OnFailure(const Peer& aPeer,
--- a/src/gateway/peer-updates.cc
+++ b/src/gateway/peer-updates.cc
@@ -236,7 +236,7 @@
              { "next", aNext },
              { "urgent", aUrgent },
              { "direct", aSender.isDirect_ },
-             { "forwards", aSender.forwards_.value_or(false) },
+             { "forwards", aSender.forwards_ },
              { "reachable", aSender.storeReachable_ },
              { "era", aSender.era_ },
              { "clock_ms", aSender.clockMs_ },
@@ -265,9 +265,7 @@
   update.next_ = CountOf(json, "next");
   update.urgent_ = CountOf(json, "urgent");
   update.sender_.isDirect_ = FlagOf(json, "direct");
-  if (json.contains("forwards")) {
-    update.sender_.forwards_ = FlagOf(json, "forwards");
-  }
+  update.sender_.forwards_ = FlagOf(json, "forwards");
   update.sender_.storeReachable_ = FlagOf(json, "reachable");
   update.sender_.era_ = CountOf(json, "era");
   update.sender_.clockMs_ =
--- a/src/gateway/peer-updates.h
+++ b/src/gateway/peer-updates.h
@@ -71,9 +71,8 @@
 {
   // The sender follows the key-value service and the cache stores itself.
   bool isDirect_ = false;
-  // The sender forwards the changes of a relay that does; no value if it is of
-  // an earlier release.
-  absl::optional<bool> forwards_;
+  // The sender forwards the changes of a relay that does.
+  bool forwards_ = false;
   // The key-value service answers the sender, or the relay behind it.
   bool storeReachable_ = false;
   // Latest era of the key-value service that the sender knows.
--- a/src/relays/relays.cc
+++ b/src/relays/relays.cc
@@ -31,13 +31,12 @@
            : 1;
 }
 
-// Returns up to aCount hosts of a data centre after the first aSkipped, in the
-// order in which all hosts choose relays and forwarders: those with the most
-// cores first, without leaving ones.
+// Returns up to aCount hosts of a data centre in the order in which all hosts
+// choose relays and forwarders: those with the most cores first, without
+// leaving ones.
 std::vector<std::string>
 Ranked(const entry_hosts::Hosts& aHosts,
        absl::string_view aDataCentre,
-       std::size_t aSkipped,
        std::size_t aCount)
 {
   std::vector<std::tuple<double, std::uint64_t, absl::string_view>> ranks;
@@ -48,17 +47,41 @@
         -entry.cores_, core::RendezvousScore(aDataCentre, name), name);
     }
   }
-  const auto end = std::min(aSkipped + aCount, ranks.size());
+  const auto end = std::min(aCount, ranks.size());
   std::partial_sort(ranks.begin(),
                     ranks.begin() + static_cast<std::ptrdiff_t>(end),
                     ranks.end());
   std::vector<std::string> names;
-  for (std::size_t i = aSkipped; i < end; ++i) {
+  for (std::size_t i = 0; i < end; ++i) {
     names.emplace_back(std::get<2>(ranks[i]));
   }
   return names;
 }
 
+bool
+Contains(const std::vector<std::string>& aNames, const std::string& aName)
+{
+  return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+}
+
+// Returns the forwarder of a host that isn't a relay.
+std::string
+Pick(const std::vector<std::string>& aForwarders,
+     const entry_hosts::Hosts& aHosts,
+     const std::string& aHost)
+{
+  const auto own = aHosts.find(aHost);
+  const bool isEarlier = own != aHosts.end() && !own->second.entry_.canForward_;
+  if (isEarlier || Contains(aForwarders, aHost)) {
+    return {};
+  }
+  std::pair<std::uint64_t, std::string> best;
+  for (const auto& name : aForwarders) {
+    best = std::max(best, { core::RendezvousScore(aHost, name), name });
+  }
+  return best.second;
+}
+
 const Row&
 RowAt(const Feed& aFeed, std::uint64_t aNumber)
 {
@@ -89,7 +112,7 @@
 std::vector<std::string>
 RelaysOf(const entry_hosts::Hosts& aHosts, absl::string_view aDataCentre)
 {
-  return Ranked(aHosts, aDataCentre, 0, CountRelays(aHosts));
+  return Ranked(aHosts, aDataCentre, CountRelays(aHosts));
 }
 
 std::vector<std::string>
@@ -105,7 +128,15 @@
   }
   const auto count = static_cast<std::size_t>(
     std::ceil(std::sqrt(static_cast<double>(hosts - relays))));
-  return Ranked(aHosts, aDataCentre, relays, count);
+  std::vector<std::string> forwarders;
+  const auto ranked = Ranked(aHosts, aDataCentre, hosts);
+  for (std::size_t i = relays; i < ranked.size() && forwarders.size() < count;
+       ++i) {
+    if (aHosts.at(ranked[i]).entry_.canForward_) {
+      forwarders.push_back(ranked[i]);
+    }
+  }
+  return forwarders;
 }
 
 bool
@@ -115,9 +146,7 @@
   if (own == aHosts.end()) {
     return false;
   }
-  const auto forwarders = ForwardersOf(aHosts, own->second.entry_.dataCentre_);
-  return std::find(forwarders.begin(), forwarders.end(), aHost) !=
-         forwarders.end();
+  return Contains(ForwardersOf(aHosts, own->second.entry_.dataCentre_), aHost);
 }
 
 std::string
@@ -125,14 +154,45 @@
             absl::string_view aDataCentre,
             const std::string& aHost)
 {
-  std::pair<std::uint64_t, std::string> best;
-  for (auto& name : ForwardersOf(aHosts, aDataCentre)) {
-    if (name == aHost) {
-      return {};
+  const auto relays = RelaysOf(aHosts, aDataCentre);
+  return Contains(relays, aHost)
+           ? std::string()
+           : Pick(ForwardersOf(aHosts, aDataCentre), aHosts, aHost);
+}
+
+std::string
+CollectorOf(const entry_hosts::Hosts& aHosts,
+            absl::string_view aDataCentre,
+            const std::string& aHost)
+{
+  const auto relays = RelaysOf(aHosts, aDataCentre);
+  if (relays.empty() || relays.front() == aHost) {
+    return {};
+  }
+  auto forwarder = ForwarderOf(aHosts, aDataCentre, aHost);
+  return forwarder.empty() ? relays.front() : forwarder;
+}
+
+std::vector<std::string>
+CollectedBy(const entry_hosts::Hosts& aHosts,
+            absl::string_view aDataCentre,
+            const std::string& aHost)
+{
+  const auto relays = RelaysOf(aHosts, aDataCentre);
+  const auto forwarders = ForwardersOf(aHosts, aDataCentre);
+  std::vector<std::string> names;
+  for (const auto& [name, host] : aHosts) {
+    if (relays.empty() || host.entry_.dataCentre_ != aDataCentre ||
+        name == relays.front()) {
+      continue;
+    }
+    const auto forwarder =
+      Contains(relays, name) ? std::string() : Pick(forwarders, aHosts, name);
+    if (aHost == (forwarder.empty() ? relays.front() : forwarder)) {
+      names.push_back(name);
     }
-    best = std::max(best, { core::RendezvousScore(aHost, name), name });
   }
-  return best.second;
+  return names;
 }
 
 bool
@@ -153,8 +213,6 @@
           const std::string& aHost)
 {
   auto sources = RelaysOf(aHosts, aDataCentre);
-  const bool isRelay =
-    std::find(sources.begin(), sources.end(), aHost) != sources.end();
   std::vector<std::pair<std::uint64_t, std::string>> others;
   for (const auto& dataCentre : DataCentres(aHosts)) {
     if (const auto relays = RelaysOf(aHosts, dataCentre);
@@ -171,7 +229,7 @@
                 sources.end());
   sources.resize(std::min(sources.size(), kMaxSources));
   if (auto forwarder = ForwarderOf(aHosts, aDataCentre, aHost);
-      !isRelay && !forwarder.empty()) {
+      !forwarder.empty()) {
     sources.insert(sources.begin(), std::move(forwarder));
   }
   return sources;
--- a/test/entry-hosts-test.cc
+++ b/test/entry-hosts-test.cc
@@ -68,6 +68,12 @@
   CHECK(read->peerAddress_ == entry.peerAddress_);
   CHECK(read->cores_ == 0.25);
   CHECK(read->leaving_);
+  CHECK(read->canForward_);
+  // Hosts of an earlier release can't forward.
+  const auto earlier = entry_hosts::ReadHost(
+    R"({"name":"n","caller_address":"1.2.3.4:5","peer_address":"1.2.3.4:6"})");
+  REQUIRE(earlier);
+  CHECK_FALSE(earlier->canForward_);
   CHECK_FALSE(entry_hosts::ReadHost("{\"name\":\"n\"}"));
   CHECK_FALSE(entry_hosts::ReadHost("[1"));
 }
--- a/test/relays-test.cc
+++ b/test/relays-test.cc
@@ -253,3 +253,36 @@
   // Some move to the host that became a forwarder instead.
   CHECK(moved < 30);
 }
+
+// Guards against hosts that get no changes or loads while a release is
+// installed on one host after the other.
+TEST_CASE("hosts of an earlier release are served by a relay and don't forward")
+{
+  auto hosts = MakeHosts(200);
+  int number = 0;
+  for (auto& [name, host] : hosts) {
+    host.entry_.canForward_ = ++number % 3 == 0;
+  }
+  const auto relay = relays::RelaysOf(hosts, "a").front();
+  for (const auto& name : relays::ForwardersOf(hosts, "a")) {
+    CHECK(hosts.at(name).entry_.canForward_);
+  }
+  std::size_t collected = 0;
+  for (const auto& [name, host] : hosts) {
+    if (host.entry_.dataCentre_ != "a") {
+      continue;
+    }
+    const auto by = relays::CollectorOf(hosts, "a", name);
+    if (!host.entry_.canForward_ && name != relay) {
+      CHECK(by == relay);
+      CHECK(relays::ForwarderOf(hosts, "a", name).empty());
+    }
+    // Both sides agree on who collects whose loads.
+    const auto names = relays::CollectedBy(hosts, "a", name);
+    for (const auto& below : names) {
+      CHECK(relays::CollectorOf(hosts, "a", below) == name);
+    }
+    collected += names.size();
+  }
+  CHECK(collected == 99);
+}
