Explain where a request would go without sending it

`lycheeplank route` and `/peer/route` on a host's peer address list the decision, the candidates with their estimates and why other targets are left out.

- fleet::ExplainChoice uses the same exclusions, estimates and costs as ChooseTarget; kExclusions is the table of reasons.
ChooseTarget asks ExclusionOf instead of IsEligible and four further conditions, in the same order.
- An explanation asks for no permit, draws no random numbers and has no keys.
The client doesn't send the operators' key to gateway hosts.
- Blocks, the queue's order and the retry budget aren't explained.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -298,6 +298,45 @@
   std::string nextPermitTarget_;
 };
 
+// Why a target of the service isn't considered for a request.
+enum class Exclusion
+{
+  None,
+  // It leaves or its entry is gone.
+  NotInUse,
+  // Another target was asked for.
+  NotNamed,
+  // Its requests need a permit, which this request doesn't ask for.
+  Limited,
+  // The request was sent to it before.
+  Tried,
+  // This host's connections to it are all in use.
+  Connections,
+  // Its weights are, or will be, outdated for too long, or aren't known.
+  OldWeights,
+  // It has asked for no requests for some time.
+  Closed,
+  // No permit for it will be issued for some time.
+  NoPermit,
+  // The following are used if there is no other target.
+  Quarantined,
+  LoadingWeights,
+};
+
+inline constexpr std::array<core::Named<Exclusion>, 11> kExclusions{ {
+  { Exclusion::None, "" },
+  { Exclusion::NotInUse, "not_in_use" },
+  { Exclusion::NotNamed, "not_named" },
+  { Exclusion::Limited, "limited" },
+  { Exclusion::Tried, "tried" },
+  { Exclusion::Connections, "connections" },
+  { Exclusion::OldWeights, "old_weights" },
+  { Exclusion::Closed, "closed" },
+  { Exclusion::NoPermit, "no_permit" },
+  { Exclusion::Quarantined, "quarantined" },
+  { Exclusion::LoadingWeights, "loading_weights" },
+} };
+
 // Returns the cost of the prompt at the weights that the target has.
 const PromptCost&
 PromptCostAt(const Member& aMember, const RequestSpec& aRequest);
@@ -337,6 +376,33 @@
              const EngineSpeed& aSpeed,
              absl::Time aNow);
 
+// A target of the requested service as a choice sees it.
+struct Candidate
+{
+  std::string id_;
+  std::string dataCentre_;
+  Exclusion exclusion_ = Exclusion::None;
+  Estimate estimate_;
+  // The cost by which targets are compared; the lowest one is chosen.
+  double cost_ = 0.0;
+  double slowness_ = 1.0;
+};
+
+struct Explanation
+{
+  Choice choice_;
+  // All targets of the service, those that are considered first, by cost.
+  std::vector<Candidate> candidates_;
+};
+
+// Returns the choice of ChooseTarget with all targets that it compares or
+// leaves out. With sampling the choice is one of several possible ones.
+Explanation
+ExplainChoice(const Members& aMembers,
+              const RequestSpec& aRequest,
+              const EngineSpeed& aSpeed,
+              absl::Time aNow);
+
 // The result of one call to a target, as far as it concerns the target's
 // health.
 enum class CallResult
--- a/src/cli/cluster_commands.cc
+++ b/src/cli/cluster_commands.cc
@@ -234,4 +234,68 @@
   return ExitCode::Ok;
 }
 
+core::Result<ExitCode>
+ShowRoute(const Context& aContext, const RouteOptions& aOptions)
+{
+  const std::string path = absl::StrCat(
+    "/peer/route?host=",
+    net::UrlEscape(aOptions.host_),
+    "&path=",
+    net::UrlEscape(aOptions.path_),
+    "&model=",
+    net::UrlEscape(aOptions.model_),
+    "&workspace=",
+    net::UrlEscape(aOptions.workspace_),
+    "&parts=",
+    net::UrlEscape(aOptions.parts_),
+    absl::StrCat(
+      "&prompt=", aOptions.promptTokens_, "&output=", aOptions.outputTokens_));
+  // A gateway host has no use for the operators' key.
+  auto settings = aContext.settings_;
+  settings.operatorKey_.clear();
+  const Context keyless{ settings, aContext.console_, aContext.client_ };
+  BOOST_LEAF_AUTO(answer, CallApi(keyless, { "GET", path }));
+  if (aContext.settings_.output_ == OutputFormat::Json) {
+    PrintJson(aContext, answer);
+    return ExitCode::Ok;
+  }
+  const Json decision = answer.value("decision", Json::object());
+  aContext.console_.out_ << FormatTable(
+    { { "HOST",
+        "ROUTE",
+        "SERVICE",
+        "PRIORITY",
+        "OUTCOME",
+        "TARGET",
+        "REASON",
+        "STATUS",
+        "RETRY AFTER MS" },
+      { FieldText(answer, "host"),
+        FieldText(answer, "route"),
+        FieldText(answer, "service"),
+        FieldText(answer, "priority"),
+        FieldText(decision, "outcome"),
+        FieldText(decision, "target"),
+        FieldText(decision, "reason"),
+        FieldText(decision, "status"),
+        FieldText(decision, "retry_after_ms") } });
+  const Json candidates = answer.value("candidates", Json::array());
+  if (!candidates.empty()) {
+    aContext.console_.out_ << "\n";
+    PrintTable(aContext,
+               candidates,
+               { { "TARGET", "target" },
+                 { "DATA CENTRE", "data_centre" },
+                 { "EXCLUDED", "excluded" },
+                 { "COST", "cost" },
+                 { "WAIT MS", "wait_ms" },
+                 { "BACKLOG TOKENS", "backlog_tokens" },
+                 { "HELD TOKENS", "held_tokens" },
+                 { "MEMORY FULL", "memory_full" },
+                 { "RUNNING", "running" },
+                 { "SLOWNESS", "slowness" } });
+  }
+  return ExitCode::Ok;
+}
+
 } // namespace lycheeplank::cli
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -1,6 +1,7 @@
 #ifndef LYCHEEPLANK_SRC_CLI_COMMANDS_H
 #define LYCHEEPLANK_SRC_CLI_COMMANDS_H
 
+#include <cstdint>
 #include <string>
 
 #include <absl/time/time.h>
@@ -83,6 +84,25 @@
 // Prints a request's workspace, kind, number of events and last event.
 core::Result<ExitCode>
 ShowRequest(const Context& aContext, const std::string& aId);
+// The arguments of ShowRoute.
+struct RouteOptions
+{
+  // Host name and path of the request.
+  std::string host_;
+  std::string path_;
+  std::string model_;
+  std::string workspace_;
+  // Parts of the prompt, ID:TOKENS each, separated by commas.
+  std::string parts_;
+  std::uint32_t promptTokens_ = 0;
+  std::uint32_t outputTokens_ = 0;
+};
+
+// Prints where a gateway host would send a request now, and why, without
+// sending it. The addresses of the entries are peer addresses of hosts.
+core::Result<ExitCode>
+ShowRoute(const Context& aContext, const RouteOptions& aOptions);
+
 // Prints the recorded events and decisions of a request in order.
 core::Result<ExitCode>
 ExplainRequest(const Context& aContext, const std::string& aId);
--- a/src/cli/program.cc
+++ b/src/cli/program.cc
@@ -36,6 +36,8 @@
   bool force_ = false;
   // The selected command.
   Command command_;
+  RouteOptions route_;
+  CLI::App* routeCommand_ = nullptr;
   // The command calls no entry host.
   bool isLocal_ = false;
 };
@@ -299,6 +301,36 @@
     ->required();
 }
 
+void
+AddRouteCommand(CommandLine& aCommandLine)
+{
+  auto& route = aCommandLine.route_;
+  auto* const command = AddCommand(
+    aCommandLine,
+    aCommandLine.app_,
+    "route",
+    "Explain where a gateway host would send a request now, without sending "
+    "it; --entries names peer addresses of hosts",
+    [&aCommandLine](const Context& aContext) {
+      return ShowRoute(aContext, aCommandLine.route_);
+    });
+  aCommandLine.routeCommand_ = command;
+  command->add_option("HOST", route.host_, "Host name of the request")
+    ->required();
+  command->add_option("PATH", route.path_, "Path of the request")->required();
+  command->add_option("--model", route.model_, "Name of the model");
+  command->add_option(
+    "--workspace", route.workspace_, "Workspace of the caller's key");
+  command->add_option(
+    "--parts",
+    route.parts_,
+    "Parts of the prompt in order, ID:TOKENS, separated by commas");
+  command->add_option(
+    "--prompt-tokens", route.promptTokens_, "Tokens of the prompt");
+  command->add_option(
+    "--output-tokens", route.outputTokens_, "Maximum tokens of the answer");
+}
+
 void
 AddCommands(CommandLine& aCommandLine)
 {
@@ -309,6 +341,7 @@
   AddCommand(aCommandLine, app, "stores", "List the cache stores", ShowStores);
   AddRolloutCommands(aCommandLine);
   AddRequestCommands(aCommandLine);
+  AddRouteCommand(aCommandLine);
   AddLocalCommand(
     aCommandLine,
     *AddGroup(app, "key", "Work with caller keys"),
@@ -353,7 +386,9 @@
                       "no entry hosts are given",
                       "Set LYCHEEPLANK_ENTRIES or --entries." });
   }
-  if (aCommandLine.settings_.operatorKey_.empty()) {
+  // Gateway hosts take no operators' key on their peer addresses.
+  if (aCommandLine.settings_.operatorKey_.empty() &&
+      !aCommandLine.routeCommand_->parsed()) {
     return FailWith({ ExitCode::Usage,
                       "no operator key is given",
                       "Set LYCHEEPLANK_OPERATOR_KEY." });
--- a/src/fleet/choose.cc
+++ b/src/fleet/choose.cc
@@ -331,20 +331,51 @@
 
 namespace {
 
-// Returns whether a target may get the request, apart from its present state.
+// Returns why a target of the service can't get the request, or can get it only
+// if there is no other one.
+Exclusion
+ExclusionOf(const std::string& aId,
+            const Member& aMember,
+            const RequestSpec& aRequest,
+            absl::Time aNow)
+{
+  if (!IsInUse(aMember, aNow)) {
+    return Exclusion::NotInUse;
+  }
+  if (!aRequest.onlyTarget_.empty() && aRequest.onlyTarget_ != aId) {
+    return Exclusion::NotNamed;
+  }
+  if (aRequest.avoidsLimited_ && aMember.requestsPerSecond_) {
+    return Exclusion::Limited;
+  }
+  if (WasTried(aRequest, aId)) {
+    return Exclusion::Tried;
+  }
+  if (aRequest.maxCalls_ != 0 && aMember.inFlight_ >= aRequest.maxCalls_) {
+    return Exclusion::Connections;
+  }
+  if (StartsTooLate(PromptCostAt(aMember, aRequest), aRequest, 0.0)) {
+    return Exclusion::OldWeights;
+  }
+  if (aNow < aMember.closedUntil_) {
+    return Exclusion::Closed;
+  }
+  if (aNow < aMember.noPermitUntil_ && aRequest.onlyTarget_.empty()) {
+    return Exclusion::NoPermit;
+  }
+  if (IsQuarantined(aMember, aNow)) {
+    return Exclusion::Quarantined;
+  }
+  return aNow < aMember.weightLoadUntil_ ? Exclusion::LoadingWeights
+                                         : Exclusion::None;
+}
+
+// Returns whether a target is used if there is no other one.
 bool
-IsEligible(const std::string& aId,
-           const Member& aMember,
-           const RequestSpec& aRequest,
-           absl::Time aNow)
+IsLastResort(Exclusion aExclusion)
 {
-  return aMember.target_.service_ == aRequest.service_ &&
-         IsInUse(aMember, aNow) &&
-         (aRequest.onlyTarget_.empty() || aRequest.onlyTarget_ == aId) &&
-         !(aRequest.avoidsLimited_ && aMember.requestsPerSecond_) &&
-         !WasTried(aRequest, aId) &&
-         (aRequest.maxCalls_ == 0 || aMember.inFlight_ < aRequest.maxCalls_) &&
-         !StartsTooLate(PromptCostAt(aMember, aRequest), aRequest, 0.0);
+  return aExclusion == Exclusion::Quarantined ||
+         aExclusion == Exclusion::LoadingWeights;
 }
 
 } // namespace
@@ -360,24 +391,23 @@
   Choice choice;
   auto nextPermit = absl::InfiniteFuture();
   for (const auto& [id, member] : aMembers) {
-    if (!IsEligible(id, member, aRequest, aNow)) {
+    if (member.target_.service_ != aRequest.service_) {
       continue;
     }
-    if (aNow < member.closedUntil_) {
+    const auto exclusion = ExclusionOf(id, member, aRequest, aNow);
+    if (exclusion == Exclusion::Closed) {
       choice.backoffEndsAt_ =
         std::min(choice.backoffEndsAt_, member.closedUntil_);
-      continue;
-    }
-    if (aNow < member.noPermitUntil_ && aRequest.onlyTarget_.empty()) {
+    } else if (exclusion == Exclusion::NoPermit) {
       if (member.noPermitUntil_ < nextPermit) {
         nextPermit = member.noPermitUntil_;
         choice.nextPermitTarget_ = id;
       }
-      continue;
+    } else if (IsLastResort(exclusion)) {
+      quarantined.push_back(&member);
+    } else if (exclusion == Exclusion::None) {
+      usable.push_back(&member);
     }
-    (IsQuarantined(member, aNow) || aNow < member.weightLoadUntil_ ? quarantined
-                                                                   : usable)
-      .push_back(&member);
   }
   choice.candidates_ = static_cast<std::uint32_t>(usable.size());
   if (usable.empty()) {
@@ -399,4 +429,58 @@
   return choice;
 }
 
+Explanation
+ExplainChoice(const Members& aMembers,
+              const RequestSpec& aRequest,
+              const EngineSpeed& aSpeed,
+              absl::Time aNow)
+{
+  Explanation explanation;
+  explanation.choice_ = ChooseTarget(aMembers, aRequest, aSpeed, aNow);
+  const bool isLastResort = explanation.choice_.lastResort_;
+  std::vector<std::pair<Candidate, const Member*>> found;
+  std::vector<const Member*> usable;
+  for (const auto& [id, member] : aMembers) {
+    if (member.target_.service_ != aRequest.service_) {
+      continue;
+    }
+    const auto exclusion = ExclusionOf(id, member, aRequest, aNow);
+    if (isLastResort ? IsLastResort(exclusion) : exclusion == Exclusion::None) {
+      usable.push_back(&member);
+    }
+    found.push_back({ { id,
+                        member.target_.dataCentre_,
+                        exclusion,
+                        EstimateWait(member, aRequest, aSpeed, aNow),
+                        0.0,
+                        member.slowness_ },
+                      &member });
+  }
+  const auto preferred = aRequest.affinity_.empty()
+                           ? std::vector<absl::string_view>()
+                           : AffinityTargets(usable, aRequest);
+  for (auto& [candidate, member] : found) {
+    candidate.cost_ = ChoiceCost(*member,
+                                 aRequest,
+                                 candidate.estimate_,
+                                 AffinityDistance(*member, preferred));
+    // ChooseBest leaves these out because of their wait.
+    if (candidate.exclusion_ == Exclusion::None &&
+        StartsTooLate(PromptCostAt(*member, aRequest),
+                      aRequest,
+                      candidate.estimate_.waitSeconds_)) {
+      candidate.exclusion_ = Exclusion::OldWeights;
+    }
+    explanation.candidates_.push_back(std::move(candidate));
+  }
+  std::stable_sort(
+    explanation.candidates_.begin(),
+    explanation.candidates_.end(),
+    [](const auto& aOne, const auto& aOther) {
+      return std::make_pair(aOne.exclusion_ != Exclusion::None, aOne.cost_) <
+             std::make_pair(aOther.exclusion_ != Exclusion::None, aOther.cost_);
+    });
+  return explanation;
+}
+
 } // namespace lycheeplank::fleet
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -58,46 +58,100 @@
   return absl::StrJoin(stores, ",");
 }
 
+// Returns the tokens that other hosts have likely sent to each target of a
+// service and not reported yet.
+double
+UnreportedTokens(const Host& aHost, absl::string_view aService, absl::Time aNow)
+{
+  const auto found = aHost.sendRates_.find(std::string(aService));
+  // In small fleets hosts receive each other's loads within some ten
+  // milliseconds.
+  if (found == aHost.sendRates_.end() ||
+      !relays::IsLargeDeployment(aHost.hosts_) ||
+      !Uses(aHost, Mechanism::UnreportedMargin)) {
+    return 0.0;
+  }
+  const auto targets =
+    std::count_if(aHost.members_.begin(),
+                  aHost.members_.end(),
+                  [aService](const auto& aMember) {
+                    return aMember.second.target_.service_ == aService;
+                  });
+  return fleet::EstimateUnreportedTokens(found->second,
+                                         aHost.hosts_.size(),
+                                         static_cast<std::size_t>(targets),
+                                         kLargeFleetLoadDelay,
+                                         aNow);
+}
+
+std::uint64_t
+HeldTokensOf(const Host& aHost, const CallerRequest& aRequest)
+{
+  const double share =
+    Uses(aHost, Mechanism::OutputShare) ? fleet::kMeanOutputShare : 1.0;
+  const auto output = share * static_cast<double>(aRequest.outputTokens_);
+  return aRequest.promptTokens_ + static_cast<std::uint64_t>(output);
+}
+
 } // namespace
 
+fleet::RequestSpec
+DescribePlacement(const Host& aHost,
+                  const PlacementInput& aInput,
+                  absl::Time aNow)
+{
+  fleet::RequestSpec question;
+  question.service_ = aInput.service_;
+  question.dataCentre_ = aHost.settings_.dataCentre_;
+  question.useSampling_ =
+    Uses(aHost, Mechanism::Sampling) && relays::IsLargeDeployment(aHost.hosts_);
+  if (const auto service = aInput.catalog_.services_.find(aInput.service_);
+      service != aInput.catalog_.services_.end()) {
+    question.memoryTokens_ = service->second.memoryTokens_;
+    question.maxCalls_ = ConnectionShare(aHost, service->second);
+  }
+  question.goal_ = std::max(kMinRemainingGoal, aInput.goalLeft_);
+  question.isUrgent_ = aInput.isUrgent_;
+  question.heldTokens_ = HeldTokensOf(aHost, aInput.request_);
+  question.unreportedTokens_ = UnreportedTokens(aHost, aInput.service_, aNow);
+  if (Uses(aHost, Mechanism::SimilarSends) &&
+      !aHost.waiting_.entries_.empty()) {
+    question.hostsWaiting_ = aHost.hosts_.size();
+  }
+  const auto& request = aInput.request_;
+  question.bytes_ = kCallBytes + aInput.bodyBytes_ +
+                    kBytesPerOutputToken * request.outputTokens_;
+  if (!request.model_.empty()) {
+    question.model_ = request.model_;
+    const auto published = aHost.weights_.find(request.model_);
+    if (published != aHost.weights_.end() && !published->second.empty()) {
+      question.oldWeightsLimit_ = aHost.settings_.weightsTime_ - kWeightsMargin;
+    }
+    if (request.parts_.size() > 1 && Uses(aHost, Mechanism::Affinity)) {
+      question.affinity_ = request.parts_[request.parts_.size() - 2].id_;
+    }
+  }
+  return question;
+}
+
 fleet::Choice
 Exchange::ChooseTarget(bool aAvoidsLimited)
 {
   const auto now = Now();
-  fleet::RequestSpec question;
-  question.service_ = service_;
-  question.dataCentre_ = host_.settings_.dataCentre_;
+  auto question = DescribePlacement(host_,
+                                    { *catalog_,
+                                      service_,
+                                      request_,
+                                      caller_->Body().size(),
+                                      arrivedAt_ + route_->goal_ - now,
+                                      IsUrgent() },
+                                    now);
   question.tried_ = &tried_;
   question.onlyTarget_ = permittedTarget_;
   question.avoidsLimited_ = aAvoidsLimited;
   question.seed_ = host_.random_();
-  question.useSampling_ =
-    Uses(host_, Mechanism::Sampling) && relays::IsLargeDeployment(host_.hosts_);
-  if (const auto service = catalog_->services_.find(service_);
-      service != catalog_->services_.end()) {
-    question.memoryTokens_ = service->second.memoryTokens_;
-    question.maxCalls_ = ConnectionShare(host_, service->second);
-  }
-  question.goal_ =
-    std::max(kMinRemainingGoal, arrivedAt_ + route_->goal_ - now);
-  question.isUrgent_ = IsUrgent();
-  question.heldTokens_ = HeldTokens();
-  question.unreportedTokens_ = UnreportedTokens(now);
-  if (Uses(host_, Mechanism::SimilarSends) &&
-      !host_.waiting_.entries_.empty()) {
-    question.hostsWaiting_ = host_.hosts_.size();
-  }
-  question.bytes_ = kCallBytes + caller_->Body().size() +
-                    kBytesPerOutputToken * request_.outputTokens_;
   if (!request_.model_.empty()) {
-    question.model_ = request_.model_;
     const auto& published = host_.weights_[request_.model_];
-    if (!published.empty()) {
-      question.oldWeightsLimit_ = host_.settings_.weightsTime_ - kWeightsMargin;
-    }
-    if (request_.parts_.size() > 1 && Uses(host_, Mechanism::Affinity)) {
-      question.affinity_ = request_.parts_[request_.parts_.size() - 2].id_;
-    }
     for (const auto version :
          fleet::WeightVersions(host_.members_, service_, request_.model_)) {
       const auto plan = PlanCacheReads(version,
@@ -123,28 +177,6 @@
   return choice;
 }
 
-double
-Exchange::UnreportedTokens(absl::Time aNow) const
-{
-  const auto found = host_.sendRates_.find(service_);
-  // In small fleets hosts receive each other's loads within some ten
-  // milliseconds.
-  if (found == host_.sendRates_.end() ||
-      !relays::IsLargeDeployment(host_.hosts_) ||
-      !Uses(host_, Mechanism::UnreportedMargin)) {
-    return 0.0;
-  }
-  const auto targets = std::count_if(
-    host_.members_.begin(), host_.members_.end(), [this](const auto& aMember) {
-      return aMember.second.target_.service_ == service_;
-    });
-  return fleet::EstimateUnreportedTokens(found->second,
-                                         host_.hosts_.size(),
-                                         static_cast<std::size_t>(targets),
-                                         kLargeFleetLoadDelay,
-                                         aNow);
-}
-
 cache_index::Plan
 Exchange::PlanCacheReads(std::uint64_t aWeights,
                          absl::string_view aDataCentre,
@@ -316,10 +348,7 @@
 std::uint64_t
 Exchange::HeldTokens() const
 {
-  const double share =
-    Uses(host_, Mechanism::OutputShare) ? fleet::kMeanOutputShare : 1.0;
-  const auto output = share * static_cast<double>(request_.outputTokens_);
-  return request_.promptTokens_ + static_cast<std::uint64_t>(output);
+  return HeldTokensOf(host_, request_);
 }
 
 std::uint32_t
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -51,6 +51,25 @@
   { StreamFault::MissingEvent, "missing_event" },
 } };
 
+// What decides the placement of a request, apart from the costs of its prompt.
+struct PlacementInput
+{
+  const catalog::Catalog& catalog_;
+  const std::string& service_;
+  const CallerRequest& request_;
+  std::size_t bodyBytes_ = 0;
+  // Time until the request's goal, negative after it.
+  absl::Duration goalLeft_;
+  bool isUrgent_ = false;
+};
+
+// Returns the properties of a request that has been sent to no target, without
+// the costs of its prompt. They refer to the input's texts.
+fleet::RequestSpec
+DescribePlacement(const Host& aHost,
+                  const PlacementInput& aInput,
+                  absl::Time aNow);
+
 // Handles one request of a caller from its arrival to its final answer. Keeps
 // itself alive through the callbacks that it registers.
 class Exchange : public std::enable_shared_from_this<Exchange>
@@ -106,7 +125,6 @@
   void EndUnsent(absl::string_view aReason,
                  absl::string_view aRefusal,
                  absl::Duration aRetryAfter);
-  double UnreportedTokens(absl::Time aNow) const;
   // Plans which parts of the prompt a target with these weights reads from
   // cache stores and which it saves there.
   // aReadEnd: see ReadEnd.
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -9,6 +9,7 @@
 
 #include "core/compress.h"
 #include "gateway/clock.h"
+#include "gateway/route.h"
 #include "gateway/timer.h"
 
 namespace lycheeplank::gateway {
@@ -180,6 +181,15 @@
     AnswerChanges(aCaller);
     return;
   }
+  if (absl::StartsWith(head.target_, kRoutePath)) {
+    const auto question = ReadRouteQuestion(head.target_);
+    if (!question) {
+      aCaller->Reply(400, {}, "");
+      return;
+    }
+    ReplyJson(aCaller, ExplainRoute(host_, *question, Now()));
+    return;
+  }
   if (head.target_ == kNoticesPath) {
     const auto notices = ReadNotices(aCaller->Body());
     ApplyNotices(host_, notices);
--- a/test/cli-test.cc
+++ b/test/cli-test.cc
@@ -496,3 +496,46 @@
   }
   CHECK(absl::StrContains(cli::DiffLines(left, right), "-l4999\n+r0\n"));
 }
+
+TEST_CASE("route prints the decision and the candidates of a gateway host")
+{
+  std::mutex mutex;
+  std::string path;
+  std::string key = "none";
+  const auto body =
+    Json({ { "host", "h1" },
+           { "route", "r" },
+           { "service", "s" },
+           { "priority", 1 },
+           { "decision",
+             { { "outcome", "reject" },
+               { "target", "" },
+               { "reason", "targets_closed" },
+               { "status", 503 },
+               { "retry_after_ms", 700 } } },
+           { "candidates",
+             { { { "target", "t1" }, { "excluded", "closed" } } } } })
+      .dump();
+  net::Server host(net::ServerOptions(), [&](const auto& aExchange) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    path = aExchange->request_.path_;
+    key = std::string(
+      net::FindField(aExchange->request_.headers_, "Authorization"));
+    aExchange->Reply(200, {}, body);
+  });
+  const auto address = absl::StrCat("127.0.0.1:", host.Port());
+  const auto result = RunClient(
+    address, "route chat.example /chat/x --model m --prompt-tokens 3000");
+  INFO(result.err_);
+  CHECK(result.code_ == 0);
+  CHECK(absl::StrContains(result.out_, "targets_closed"));
+  CHECK(absl::StrContains(result.out_, "700"));
+  CHECK(absl::StrContains(result.out_, "t1"));
+  CHECK(absl::StrContains(path, "/peer/route"));
+  // The operators' key isn't sent to gateway hosts.
+  CHECK_FALSE(absl::StrContains(key, kOperatorKey));
+  const auto json =
+    RunClient(address, "route chat.example /chat/x --output json");
+  CHECK(Json::parse(json.out_).at("decision").at("status") == 503);
+  CHECK(RunClient(address, "route chat.example").code_ == 2);
+}
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -677,3 +677,72 @@
   CHECK(fleet::EstimateUnreportedTokens(
           outflow, 9, 9, delay, now + absl::Seconds(20)) < 0.05 * nine);
 }
+
+// Guards against an explanation that names another target, or another reason,
+// than the decision for a request.
+TEST_CASE("an explanation lists all targets with the reasons of the choice")
+{
+  auto members = MakeMembers(6);
+  AddTarget(members, "far", "b");
+  fleet::Target other;
+  other.id_ = "other";
+  other.service_ = "x";
+  fleet::UpdateTarget(members, other, { 0, 1 }, kNow);
+  auto leaving = members.at("t0").target_;
+  leaving.state_ = fleet::TargetState::Leaving;
+  fleet::UpdateTarget(members, leaving, { 0, 2 }, kNow);
+  members.at("t1").closedUntil_ = kNow + absl::Seconds(1);
+  members.at("t2").noPermitUntil_ = kNow + absl::Seconds(1);
+  members.at("t3").quarantinedUntil_ = kNow + absl::Seconds(1);
+  members.at("t4").weightLoadUntil_ = kNow + absl::Seconds(1);
+  members.at("far").inFlight_ = 9;
+  auto request = MakeRequest();
+  request.maxCalls_ = 9;
+  const auto explanation = fleet::ExplainChoice(members, request, kSpeed, kNow);
+  std::map<std::string, std::string> reasons;
+  for (const auto& candidate : explanation.candidates_) {
+    reasons[candidate.id_] = std::string(
+      lycheeplank::core::NameOf(fleet::kExclusions, candidate.exclusion_));
+  }
+  const std::map<std::string, std::string> expected{ { "far", "connections" },
+                                                     { "t0", "not_in_use" },
+                                                     { "t1", "closed" },
+                                                     { "t2", "no_permit" },
+                                                     { "t3", "quarantined" },
+                                                     { "t4",
+                                                       "loading_weights" },
+                                                     { "t5", "" } };
+  CHECK(reasons == expected);
+  CHECK(explanation.choice_.id_ == "t5");
+  CHECK(explanation.candidates_.front().id_ == "t5");
+  CHECK(explanation.choice_.backoffEndsAt_ == kNow + absl::Seconds(1));
+  CHECK(explanation.choice_.nextPermitTarget_ == "t2");
+}
+
+// Guards against candidates whose order contradicts the choice.
+TEST_CASE("the first candidate of an explanation is the chosen target")
+{
+  std::mt19937_64 random(11);
+  for (int round = 0; round < 200; ++round) {
+    auto members = MakeMembers(8);
+    AddTarget(members, "far", "b");
+    for (auto& [id, member] : members) {
+      member.otherTokens_ = random() % 60000;
+      member.heldTokens_ = random() % 90000;
+      member.slowness_ = 1.0 + static_cast<double>(random() % 100) / 50.0;
+      if (random() % 4 == 0) {
+        member.quarantinedUntil_ = kNow + absl::Seconds(1);
+      }
+    }
+    auto request = MakeRequest();
+    request.seed_ = random();
+    const auto chosen = fleet::ChooseTarget(members, request, kSpeed, kNow);
+    const auto explanation =
+      fleet::ExplainChoice(members, request, kSpeed, kNow);
+    CHECK(explanation.choice_.id_ == chosen.id_);
+    if (!chosen.lastResort_) {
+      CHECK(explanation.candidates_.front().id_ == chosen.id_);
+    }
+    CHECK(explanation.candidates_.size() == members.size());
+  }
+}
--- a/test/gossip-test.cc
+++ b/test/gossip-test.cc
@@ -69,8 +69,9 @@
   CHECK(10 * kBytes / absl::ToDoubleSeconds(large) < 1.0e6);
   CHECK(2 * large + absl::Milliseconds(100) < fleet::kMaxPeerLoadAge);
   // Smaller deployments send as often as before.
-  CHECK(gateway::LocalBatchTime(25, 82 * 11) == absl::Milliseconds(125));
-  CHECK(gateway::LocalBatchTime(2, 82 * 11) == absl::Milliseconds(10));
+  constexpr std::size_t kSmallBytes = 902;
+  CHECK(gateway::LocalBatchTime(25, kSmallBytes) == absl::Milliseconds(125));
+  CHECK(gateway::LocalBatchTime(2, kSmallBytes) == absl::Milliseconds(10));
 }
 
 // Guards against loads that are lost or counted twice on their way through
--- a/test/relay-fanout-test.cc
+++ b/test/relay-fanout-test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cstdint>
 #include <cstdlib>
 #include <functional>
 #include <iostream>
@@ -61,7 +62,7 @@
                       R"(:8000","zone":"dc)",
                       aTarget % kDataCentres,
                       R"(","state":"ready","batch-size":64,"born":)",
-                      1790000000000 + aTarget * 7919,
+                      1790000000000 + std::int64_t{ aTarget } * 7919,
                       R"(,"models":[{"name":"m","version":3}],"sequence":)",
                       aSequence,
                       "}");
