Hold polls for 200 ms in data centres with forwarders

Answers without rows renew the ages of items and of stores' contents. Over two hosts with 400 ms each, contents of quiet stores could count as older than 2 s, and hosts behind a forwarder would have stopped using cached parts in quiet times. Tests of the batches and deadlines of polls.

--- a/include/lycheeplank/relay_polls.h
+++ b/include/lycheeplank/relay_polls.h
@@ -19,6 +19,9 @@
 // Longest time that a host holds a peer's poll for changes. It also bounds the
 // delay after which a peer receives the time of a cache store's last answer.
 inline constexpr absl::Duration kPollTime = absl::Milliseconds(400);
+// The same in a data centre with forwarders. The times add up over two hosts,
+// and contents of stores that were confirmed too long ago aren't used.
+inline constexpr absl::Duration kForwardedPollTime = absl::Milliseconds(200);
 // Changes within this time are sent in one answer, which all hosts that wait
 // share. Polls that arrive meanwhile wait for its end as well: a relay that
 // answered them at once would serialize and send each row for each host.
@@ -39,12 +42,18 @@
   // By number of the poll, which increases with its arrival.
   absl::btree_map<std::uint64_t, Poll> waiting_;
   std::uint64_t next_ = 1;
+  // Longest time that a poll waits.
+  absl::Duration pollTime_ = kPollTime;
   // End of the current batch.
   absl::Time batchAt_ = absl::InfiniteFuture();
   // The current batch answers all polls, also those that lack no rows.
   bool answersAll_ = false;
 };
 
+// Returns the longest time that hosts of a data centre hold polls.
+absl::Duration
+PollTimeOf(const entry_hosts::Hosts& aHosts, absl::string_view aDataCentre);
+
 // Adds a poll and returns its number.
 std::uint64_t
 AddPoll(Polls& aPolls,
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -225,6 +225,8 @@
     Send(aCaller, AnswerFor(position));
     return;
   }
+  polls_.pollTime_ =
+    relays::PollTimeOf(host_.hosts_, host_.settings_.dataCentre_);
   const auto poll = relays::AddPoll(polls_, host_.feed_, position, Now());
   callers_[poll] = aCaller;
   aCaller->OnGone([this, poll] {
--- a/src/relays/polls.cc
+++ b/src/relays/polls.cc
@@ -33,6 +33,13 @@
 
 } // namespace
 
+absl::Duration
+PollTimeOf(const entry_hosts::Hosts& aHosts, absl::string_view aDataCentre)
+{
+  return ForwardersOf(aHosts, aDataCentre).empty() ? kPollTime
+                                                   : kForwardedPollTime;
+}
+
 std::uint64_t
 AddPoll(Polls& aPolls,
         const Feed& aFeed,
@@ -43,7 +50,7 @@
     StartBatch(aPolls, aNow, false);
   }
   const auto number = aPolls.next_++;
-  aPolls.waiting_[number] = { aPosition, aNow + kPollTime };
+  aPolls.waiting_[number] = { aPosition, aNow + aPolls.pollTime_ };
   return number;
 }
 
--- a/test/relays-test.cc
+++ b/test/relays-test.cc
@@ -5,6 +5,9 @@
 
 #include <catch2/catch.hpp>
 
+#include "lycheeplank/cache_index.h"
+#include "lycheeplank/relay_polls.h"
+
 namespace entry_hosts = lycheeplank::entry_hosts;
 namespace relays = lycheeplank::relays;
 
@@ -286,3 +289,73 @@
   }
   CHECK(collected == 99);
 }
+
+// Guards against hosts behind a forwarder that don't use cached parts in quiet
+// times: contents that were confirmed too long ago aren't used.
+TEST_CASE("what a host knows of quiet cache stores stays recent enough")
+{
+  // A store answers a relay's poll after a second, and the relay polls again
+  // after at most 120 ms.
+  const auto atRelay = absl::Milliseconds(1120);
+  for (const int count : { 8, 60, 300 }) {
+    const auto hosts = MakeHosts(count);
+    const int hops = relays::ForwardersOf(hosts, "a").empty() ? 1 : 2;
+    // An answer is as old as its poll, and counts until the next answer.
+    const auto age = atRelay + 2 * hops * relays::PollTimeOf(hosts, "a");
+    INFO(count << " hosts");
+    CHECK(age < lycheeplank::cache_index::kMaxStateAge);
+  }
+}
+
+// Guards against a relay that answers each poll by itself while rows arrive, so
+// that it serializes and sends each row for each host.
+TEST_CASE("polls that arrive during a batch share its answer")
+{
+  relays::Feed feed;
+  relays::Restart(feed, 7);
+  relays::Polls polls;
+  const auto now = absl::FromUnixSeconds(1000);
+  const auto first = relays::AddPoll(polls, feed, { 7, 1, 1 }, now);
+  CHECK(relays::TakeDuePolls(polls, feed, now).empty());
+  relays::AddRow(feed, "a");
+  relays::StartBatch(polls, now, false);
+  const auto second =
+    relays::AddPoll(polls, feed, { 7, 1, 1 }, now + absl::Milliseconds(10));
+  // It has the row already.
+  const auto third =
+    relays::AddPoll(polls, feed, { 7, 2, 2 }, now + absl::Milliseconds(10));
+  CHECK(
+    relays::TakeDuePolls(polls, feed, now + absl::Milliseconds(10)).empty());
+  CHECK(relays::NextDueTime(polls, feed) == now + relays::kBatchTime);
+  const auto due = relays::TakeDuePolls(polls, feed, now + relays::kBatchTime);
+  REQUIRE(due.size() == 1);
+  CHECK(due[0].polls_ == std::vector<std::uint64_t>{ first, second });
+  // An urgent row doesn't wait for a batch.
+  relays::AddRow(feed, "config", "k", relays::Urgency::Urgent);
+  CHECK(relays::NextDueTime(polls, feed) == absl::InfinitePast());
+  const auto urgent =
+    relays::TakeDuePolls(polls, feed, now + relays::kBatchTime);
+  REQUIRE(urgent.size() == 1);
+  CHECK(urgent[0].polls_ == std::vector<std::uint64_t>{ third });
+}
+
+// Guards against hosts that don't learn that their relay has lost the key-value
+// service, and against polls that are never answered.
+TEST_CASE("all polls are answered at a change of the sources and in time")
+{
+  relays::Feed feed;
+  relays::Restart(feed, 7);
+  relays::Polls polls;
+  const auto now = absl::FromUnixSeconds(1000);
+  relays::AddPoll(polls, feed, { 7, 1, 1 }, now);
+  relays::StartBatch(polls, now, true);
+  CHECK(relays::TakeDuePolls(polls, feed, now + relays::kBatchTime).size() ==
+        1);
+  const auto gone = relays::AddPoll(polls, feed, { 7, 1, 1 }, now);
+  relays::AddPoll(polls, feed, { 7, 1, 1 }, now);
+  relays::RemovePoll(polls, gone);
+  CHECK(relays::NextDueTime(polls, feed) == now + relays::kPollTime);
+  const auto due = relays::TakeDuePolls(polls, feed, now + relays::kPollTime);
+  REQUIRE(due.size() == 1);
+  CHECK(due[0].polls_.size() == 1);
+}
