--- a/include/lycheeplank/relays.h
+++ b/include/lycheeplank/relays.h
@@ -70,6 +70,8 @@
 // Returns the host that collects the loads of a host and sends it those of the
 // others: its forwarder or else the first relay of its data centre; empty for
 // that relay itself.
+// A relay of an earlier release sends loads to all hosts itself, so it collects
+// all of them.
 std::string
 CollectorOf(const entry_hosts::Hosts& aHosts,
             absl::string_view aDataCentre,
--- a/src/relays/relays.cc
+++ b/src/relays/relays.cc
@@ -169,6 +169,9 @@
   if (relays.empty() || relays.front() == aHost) {
     return {};
   }
+  if (!aHosts.at(relays.front()).entry_.canForward_) {
+    return relays.front();
+  }
   auto forwarder = ForwarderOf(aHosts, aDataCentre, aHost);
   return forwarder.empty() ? relays.front() : forwarder;
 }
@@ -179,7 +182,10 @@
             const std::string& aHost)
 {
   const auto relays = RelaysOf(aHosts, aDataCentre);
-  const auto forwarders = ForwardersOf(aHosts, aDataCentre);
+  std::vector<std::string> forwarders;
+  if (!relays.empty() && aHosts.at(relays.front()).entry_.canForward_) {
+    forwarders = ForwardersOf(aHosts, aDataCentre);
+  }
   std::vector<std::string> names;
   for (const auto& [name, host] : aHosts) {
     if (relays.empty() || host.entry_.dataCentre_ != aDataCentre ||
--- a/test/relays-test.cc
+++ b/test/relays-test.cc
@@ -267,6 +267,7 @@
     host.entry_.canForward_ = ++number % 3 == 0;
   }
   const auto relay = relays::RelaysOf(hosts, "a").front();
+  hosts.at(relay).entry_.canForward_ = true;
   for (const auto& name : relays::ForwardersOf(hosts, "a")) {
     CHECK(hosts.at(name).entry_.canForward_);
   }
@@ -288,6 +289,15 @@
     collected += names.size();
   }
   CHECK(collected == 99);
+  // A relay of an earlier release sends loads to all hosts. Those that a
+  // forwarder sends as well would be counted twice.
+  hosts.at(relay).entry_.canForward_ = false;
+  CHECK(relays::CollectedBy(hosts, "a", relay).size() == 99);
+  for (const auto& [name, host] : hosts) {
+    if (host.entry_.dataCentre_ == "a" && name != relay) {
+      CHECK(relays::CollectorOf(hosts, "a", name) == relay);
+    }
+  }
 }
 
 // Guards against hosts behind a forwarder that don't use cached parts in quiet
