Merge forwarders for loads and the explanation of placements

Reported loads and demands take the way of the loads. A forwarder sends its collector the loads that came in answers to it and to its hosts, and the sum of their demands as one part; it passes on only totals that it has received, since its own sum isn't that of the data centre. Loads that came from the collector aren't sent back. BatchTimesOf takes the host's role and the bytes of the last messages, reported loads included, so that these keep to the rate of local messages as well.

A target of an evacuated data centre is excluded with the reason "evacuated", and TargetsByDataCentre uses the same exclusions as the choice of a target. The description of a placement includes evacuations, the preferred data centre and priority scheduling, for requests and explanations alike. An explanation is that of a request that isn't part of a surplus which leaves, and leaves out what waiting requests need; its candidates have the slowness of the estimate.

--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -115,6 +115,8 @@
   // host rather than from another host.
   absl::Time loadReceivedAt_ = absl::InfinitePast();
   bool isOwnLoad_ = false;
+  // The load came from a host whose loads this one collects.
+  bool isCollectedLoad_ = false;
   // Calls of this host that have not ended.
   std::uint32_t inFlight_ = 0;
   // Prompt tokens of this host's calls without a first event.
@@ -364,6 +366,48 @@
   bool allEvacuated_ = false;
 };
 
+// Why a target of the service isn't considered for a request.
+enum class Exclusion
+{
+  None,
+  // It leaves or its entry is gone.
+  NotInUse,
+  // Its data centre is evacuated.
+  Evacuated,
+  // Another target was asked for.
+  NotNamed,
+  // Its requests need a permit, which this request doesn't ask for.
+  Limited,
+  // The request was sent to it before.
+  Tried,
+  // This host's connections to it are all in use.
+  Connections,
+  // Its weights are, or will be, outdated for too long, or aren't known.
+  OldWeights,
+  // It has asked for no requests for some time.
+  Closed,
+  // No permit for it will be issued for some time.
+  NoPermit,
+  // The following are used if there is no other target.
+  Quarantined,
+  LoadingWeights,
+};
+
+inline constexpr std::array<core::Named<Exclusion>, 12> kExclusions{ {
+  { Exclusion::None, "" },
+  { Exclusion::NotInUse, "not_in_use" },
+  { Exclusion::Evacuated, "evacuated" },
+  { Exclusion::NotNamed, "not_named" },
+  { Exclusion::Limited, "limited" },
+  { Exclusion::Tried, "tried" },
+  { Exclusion::Connections, "connections" },
+  { Exclusion::OldWeights, "old_weights" },
+  { Exclusion::Closed, "closed" },
+  { Exclusion::NoPermit, "no_permit" },
+  { Exclusion::Quarantined, "quarantined" },
+  { Exclusion::LoadingWeights, "loading_weights" },
+} };
+
 // Returns the cost of the prompt at the weights that the target has.
 const PromptCost&
 PromptCostAt(const Member& aMember, const RequestSpec& aRequest);
@@ -437,6 +481,33 @@
                     double aMaxSlowness,
                     absl::Time aNow);
 
+// A target of the requested service as a choice sees it.
+struct Candidate
+{
+  std::string id_;
+  std::string dataCentre_;
+  Exclusion exclusion_ = Exclusion::None;
+  Estimate estimate_;
+  // The cost by which targets are compared; the lowest one is chosen.
+  double cost_ = 0.0;
+  double slowness_ = 1.0;
+};
+
+struct Explanation
+{
+  Choice choice_;
+  // All targets of the service, those that are considered first, by cost.
+  std::vector<Candidate> candidates_;
+};
+
+// Returns the choice of ChooseTarget with all targets that it compares or
+// leaves out. With sampling the choice is one of several possible ones.
+Explanation
+ExplainChoice(const Members& aMembers,
+              const RequestSpec& aRequest,
+              const EngineSpeed& aSpeed,
+              absl::Time aNow);
+
 // The result of one call to a target, as far as it concerns the target's
 // health.
 enum class CallResult
@@ -607,24 +678,28 @@
 // Records loads that other hosts have received from targets. A collector gets
 // more than a thousand such messages a second with a few loads each, so the
 // targets are looked up in aIds. aSentAt: when the ages were true.
+// aIsCollected: they come from a host whose loads this one collects.
 void
 ApplyReportedLoads(Members& aMembers,
                    const TargetIds& aIds,
                    const std::vector<ReportedLoad>& aLoads,
                    absl::Time aSentAt,
-                   absl::Time aNow);
+                   absl::Time aNow,
+                   bool aIsCollected = false);
 
 // Which reported loads a host sends to others.
 struct ReportedLoadQuery
 {
   // Loads that were received later than this.
   absl::Time since_ = absl::InfinitePast();
-  // Only loads that came in answers to this host.
+  // Only loads that came in answers to this host, and with includesCollected_
+  // also those from hosts whose loads it collects.
   bool isOwnOnly_ = false;
   // Loads of this data centre's targets come first; with isNearOnly_, no others
   // are sent.
   absl::string_view dataCentre_;
   bool isNearOnly_ = false;
+  bool includesCollected_ = false;
 };
 
 // Maximum number of reported loads in one message, which fits into a packet.
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -70,50 +70,168 @@
   return absl::StrJoin(stores, ",");
 }
 
+// Returns the number of targets of a service without those of evacuated data
+// centres.
+std::size_t
+CountTargets(const Host& aHost, absl::string_view aService)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aHost.members_.begin(),
+    aHost.members_.end(),
+    [&aHost, aService](const auto& aMember) {
+      return aMember.second.target_.service_ == aService &&
+             !fleet::IsEvacuated(aHost.evacuations_, aMember.second);
+    }));
+}
+
+// Returns the tokens that other hosts have likely sent to each target of a
+// service and not reported yet.
+double
+UnreportedTokens(const Host& aHost, absl::string_view aService, absl::Time aNow)
+{
+  const auto found = aHost.sendRates_.find(std::string(aService));
+  // In small fleets hosts receive each other's loads within some ten
+  // milliseconds.
+  if (found == aHost.sendRates_.end() ||
+      !relays::IsLargeDeployment(aHost.hosts_) ||
+      !Uses(aHost, Mechanism::UnreportedMargin)) {
+    return 0.0;
+  }
+  return fleet::EstimateUnreportedTokens(found->second,
+                                         aHost.hosts_.size(),
+                                         CountTargets(aHost, aService),
+                                         kLargeFleetLoadDelay,
+                                         aNow);
+}
+
+std::uint64_t
+HeldTokensOf(const Host& aHost, const CallerRequest& aRequest)
+{
+  const double share =
+    Uses(aHost, Mechanism::OutputShare) ? fleet::kMeanOutputShare : 1.0;
+  const auto output = share * static_cast<double>(aRequest.outputTokens_);
+  return aRequest.promptTokens_ + static_cast<std::uint64_t>(output);
+}
+
+// Sets the memory that a request leaves to more urgent ones which are yet to
+// arrive, and may take from less urgent ones.
+void
+SetReserve(const Host& aHost,
+           const PlacementInput& aInput,
+           fleet::RequestSpec& aSpec,
+           absl::Time aNow)
+{
+  static const fleet::PriorityLoads kNone;
+  const auto found = aHost.priorityLoads_.find(aInput.service_);
+  const auto& loads =
+    found == aHost.priorityLoads_.end() ? kNone : found->second;
+  aSpec.waitsByPriority_ = true;
+  aSpec.heldShare_ =
+    aNow - loads.heldShareAt_ > kHeldShareAge
+      ? fleet::HeldShare(
+          aHost.members_, aInput.service_, aSpec.memoryTokens_, aNow)
+      : loads.heldShare_;
+  aSpec.yieldingShare_ = fleet::YieldingShare(loads, aInput.priority_);
+  aSpec.reservedTokens_ =
+    fleet::EstimateReserve(loads,
+                           aInput.priority_,
+                           aHost.hosts_.size(),
+                           CountTargets(aHost, aInput.service_),
+                           aNow);
+}
+
 } // namespace
 
+bool
+WaitsByPriority(const Host& aHost,
+                const catalog::Catalog& aCatalog,
+                const std::string& aService)
+{
+  const auto service = aCatalog.services_.find(aService);
+  return SchedulesByPriority(aHost) && service != aCatalog.services_.end() &&
+         service->second.memoryTokens_ > 0;
+}
+
+std::uint32_t
+PriorityOf(const Host& aHost,
+           const catalog::Catalog& aCatalog,
+           const catalog::Route& aRoute,
+           const catalog::Workspace* aWorkspace,
+           const std::string& aService)
+{
+  if (WaitsByPriority(aHost, aCatalog, aService)) {
+    return catalog::CombinedPriority(aCatalog, aRoute, aWorkspace, aService);
+  }
+  return aWorkspace != nullptr && aWorkspace->priority_ ? *aWorkspace->priority_
+                                                        : aRoute.priority_;
+}
+
+fleet::RequestSpec
+DescribePlacement(const Host& aHost,
+                  const PlacementInput& aInput,
+                  absl::Time aNow)
+{
+  fleet::RequestSpec question;
+  question.service_ = aInput.service_;
+  question.dataCentre_ =
+    PreferredDataCentre(aHost, aInput.service_, aInput.awayDraw_);
+  question.evacuations_ = &aHost.evacuations_;
+  question.useSampling_ =
+    Uses(aHost, Mechanism::Sampling) && relays::IsLargeDeployment(aHost.hosts_);
+  if (const auto service = aInput.catalog_.services_.find(aInput.service_);
+      service != aInput.catalog_.services_.end()) {
+    question.memoryTokens_ = service->second.memoryTokens_;
+    question.maxCalls_ = ConnectionShare(aHost, service->second);
+  }
+  question.goal_ = std::max(kMinRemainingGoal, aInput.goalLeft_);
+  question.isUrgent_ = aInput.priority_ == 0;
+  question.heldTokens_ = HeldTokensOf(aHost, aInput.request_);
+  question.unreportedTokens_ = UnreportedTokens(aHost, aInput.service_, aNow);
+  if (WaitsByPriority(aHost, aInput.catalog_, aInput.service_)) {
+    SetReserve(aHost, aInput, question, aNow);
+  }
+  if (Uses(aHost, Mechanism::SimilarSends) &&
+      !aHost.waiting_.entries_.empty()) {
+    question.hostsWaiting_ = aHost.hosts_.size();
+  }
+  const auto& request = aInput.request_;
+  question.bytes_ = kCallBytes + aInput.bodyBytes_ +
+                    kBytesPerOutputToken * request.outputTokens_;
+  if (!request.model_.empty()) {
+    question.model_ = request.model_;
+    const auto published = aHost.weights_.find(request.model_);
+    if (published != aHost.weights_.end() && !published->second.empty()) {
+      question.oldWeightsLimit_ = aHost.settings_.weightsTime_ - kWeightsMargin;
+    }
+    if (request.parts_.size() > 1 && Uses(aHost, Mechanism::Affinity)) {
+      question.affinity_ = request.parts_[request.parts_.size() - 2].id_;
+    }
+  }
+  return question;
+}
+
 fleet::Choice
 Exchange::ChooseTarget(bool aAvoidsLimited)
 {
   const auto now = Now();
-  fleet::RequestSpec question;
-  question.service_ = service_;
-  question.dataCentre_ = PreferredDataCentre(host_, service_, awayDraw_);
+  auto question = DescribePlacement(host_,
+                                    { *catalog_,
+                                      service_,
+                                      request_,
+                                      caller_->Body().size(),
+                                      arrivedAt_ + route_->goal_ - now,
+                                      Priority(),
+                                      awayDraw_ },
+                                    now);
   question.tried_ = &tried_;
   question.onlyTarget_ = permittedTarget_;
   question.avoidsLimited_ = aAvoidsLimited;
-  question.evacuations_ = &host_.evacuations_;
   question.seed_ = host_.random_();
-  question.useSampling_ =
-    Uses(host_, Mechanism::Sampling) && relays::IsLargeDeployment(host_.hosts_);
-  if (const auto service = catalog_->services_.find(service_);
-      service != catalog_->services_.end()) {
-    question.memoryTokens_ = service->second.memoryTokens_;
-    question.maxCalls_ = ConnectionShare(host_, service->second);
-  }
-  question.goal_ =
-    std::max(kMinRemainingGoal, arrivedAt_ + route_->goal_ - now);
-  question.isUrgent_ = IsUrgent();
-  question.heldTokens_ = HeldTokens();
-  question.unreportedTokens_ = UnreportedTokens(now);
   if (WaitsByPriority()) {
-    SetReserve(question, now);
-  }
-  if (Uses(host_, Mechanism::SimilarSends) &&
-      !host_.waiting_.entries_.empty()) {
-    question.hostsWaiting_ = host_.hosts_.size();
+    ReserveForQueue(question, now);
   }
-  question.bytes_ = kCallBytes + caller_->Body().size() +
-                    kBytesPerOutputToken * request_.outputTokens_;
   if (!request_.model_.empty()) {
-    question.model_ = request_.model_;
     const auto& published = host_.weights_[request_.model_];
-    if (!published.empty()) {
-      question.oldWeightsLimit_ = host_.settings_.weightsTime_ - kWeightsMargin;
-    }
-    if (request_.parts_.size() > 1 && Uses(host_, Mechanism::Affinity)) {
-      question.affinity_ = request_.parts_[request_.parts_.size() - 2].id_;
-    }
     for (const auto version :
          fleet::WeightVersions(host_.members_, service_, request_.model_)) {
       const auto plan = PlanCacheReads(
@@ -138,34 +256,6 @@
   return choice;
 }
 
-double
-Exchange::UnreportedTokens(absl::Time aNow) const
-{
-  const auto found = host_.sendRates_.find(service_);
-  // In small fleets hosts receive each other's loads within some ten
-  // milliseconds.
-  if (found == host_.sendRates_.end() ||
-      !relays::IsLargeDeployment(host_.hosts_) ||
-      !Uses(host_, Mechanism::UnreportedMargin)) {
-    return 0.0;
-  }
-  return fleet::EstimateUnreportedTokens(found->second,
-                                         host_.hosts_.size(),
-                                         CountTargets(),
-                                         kLargeFleetLoadDelay,
-                                         aNow);
-}
-
-std::size_t
-Exchange::CountTargets() const
-{
-  return static_cast<std::size_t>(std::count_if(
-    host_.members_.begin(), host_.members_.end(), [this](const auto& aMember) {
-      return aMember.second.target_.service_ == service_ &&
-             !fleet::IsEvacuated(host_.evacuations_, aMember.second);
-    }));
-}
-
 cache_index::Plan
 Exchange::PlanCacheReads(std::uint64_t aWeights,
                          absl::string_view aDataCentre,
@@ -371,20 +461,13 @@
 std::uint64_t
 Exchange::HeldTokens() const
 {
-  const double share =
-    Uses(host_, Mechanism::OutputShare) ? fleet::kMeanOutputShare : 1.0;
-  const auto output = share * static_cast<double>(request_.outputTokens_);
-  return request_.promptTokens_ + static_cast<std::uint64_t>(output);
+  return HeldTokensOf(host_, request_);
 }
 
 std::uint32_t
 Exchange::Priority() const
 {
-  if (WaitsByPriority()) {
-    return catalog::CombinedPriority(*catalog_, *route_, workspace_, service_);
-  }
-  return workspace_ != nullptr && workspace_->priority_ ? *workspace_->priority_
-                                                        : route_->priority_;
+  return PriorityOf(host_, *catalog_, *route_, workspace_, service_);
 }
 
 bool
@@ -428,27 +511,19 @@
 bool
 Exchange::WaitsByPriority() const
 {
-  const auto service = catalog_->services_.find(service_);
-  return SchedulesByPriority(host_) && service != catalog_->services_.end() &&
-         service->second.memoryTokens_ > 0;
+  return gateway::WaitsByPriority(host_, *catalog_, service_);
 }
 
 void
-Exchange::SetReserve(fleet::RequestSpec& aSpec, absl::Time aNow)
+Exchange::ReserveForQueue(fleet::RequestSpec& aSpec, absl::Time aNow)
 {
-  const auto priority = Priority();
   auto& loads = host_.priorityLoads_[service_];
   if (aNow - loads.heldShareAt_ > kHeldShareAge) {
-    loads.heldShare_ =
-      fleet::HeldShare(host_.members_, service_, aSpec.memoryTokens_, aNow);
+    loads.heldShare_ = aSpec.heldShare_;
     loads.heldShareAt_ = aNow;
   }
-  aSpec.waitsByPriority_ = true;
-  aSpec.heldShare_ = loads.heldShare_;
-  aSpec.yieldingShare_ = fleet::YieldingShare(loads, priority);
   aSpec.reservedTokens_ =
-    std::max(fleet::EstimateReserve(
-               loads, priority, host_.hosts_.size(), CountTargets(), aNow),
+    std::max(aSpec.reservedTokens_,
              static_cast<double>(request_queue::LargestBefore(
                host_.waiting_, QueueEntry(), aNow)));
 }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -54,6 +54,44 @@
   { StreamFault::MissingEvent, "missing_event" },
 } };
 
+// What decides the placement of a request, apart from the costs of its prompt.
+struct PlacementInput
+{
+  const catalog::Catalog& catalog_;
+  const std::string& service_;
+  const CallerRequest& request_;
+  std::size_t bodyBytes_ = 0;
+  // Time until the request's goal, negative after it.
+  absl::Duration goalLeft_;
+  // See PriorityOf.
+  std::uint32_t priority_ = 0;
+  // Decides whether the request prefers another data centre, see
+  // PreferredDataCentre; none does with 1.
+  double awayDraw_ = 1.0;
+};
+
+// Returns whether requests of a service wait for memory by priority.
+bool
+WaitsByPriority(const Host& aHost,
+                const catalog::Catalog& aCatalog,
+                const std::string& aService);
+
+// Returns the priority of a request, 0 for urgent ones.
+std::uint32_t
+PriorityOf(const Host& aHost,
+           const catalog::Catalog& aCatalog,
+           const catalog::Route& aRoute,
+           const catalog::Workspace* aWorkspace,
+           const std::string& aService);
+
+// Returns the properties of a request that has been sent to no target, without
+// the costs of its prompt and the needs of requests that wait before it. They
+// refer to the input's texts and to the host's state.
+fleet::RequestSpec
+DescribePlacement(const Host& aHost,
+                  const PlacementInput& aInput,
+                  absl::Time aNow);
+
 // Handles one request of a caller from its arrival to its final answer. Keeps
 // itself alive through the callbacks that it registers.
 class Exchange : public std::enable_shared_from_this<Exchange>
@@ -102,9 +140,10 @@
   void RefuseOverload(overload::Reason aReason);
   // Returns whether it waits for memory by priority.
   bool WaitsByPriority() const;
-  // Sets the memory that the request leaves to more urgent ones and may take
-  // from less urgent ones.
-  void SetReserve(fleet::RequestSpec& aSpec, absl::Time aNow);
+  // Raises the memory that the request leaves to more urgent ones to what the
+  // waiting ones before it need, and keeps the held share that the placement
+  // was described with.
+  void ReserveForQueue(fleet::RequestSpec& aSpec, absl::Time aNow);
   // aAvoidsLimited: considers no targets whose requests need a permit.
   fleet::Choice ChooseTarget(bool aAvoidsLimited = false);
   // Asks for a permit and goes on with the decision. aIsLastChoice: no target
@@ -128,9 +167,6 @@
   void EndUnsent(absl::string_view aReason,
                  absl::string_view aRefusal,
                  absl::Duration aRetryAfter);
-  double UnreportedTokens(absl::Time aNow) const;
-  // Returns the number of targets of the service.
-  std::size_t CountTargets() const;
   // Plans which parts of the prompt a target with these weights reads from
   // cache stores and which it saves there.
   // aReadEnd: see ReadEnd.
--- a/test/gossip-test.cc
+++ b/test/gossip-test.cc
@@ -15,6 +15,8 @@
 
 namespace fleet = lycheeplank::fleet;
 namespace gateway = lycheeplank::gateway;
+namespace relays = lycheeplank::relays;
+namespace test = lycheeplank::test;
 
 namespace {
 
@@ -165,6 +167,16 @@
   CHECK(receiver.at("target-0").load_.slowness_ == 3.0);
   CHECK(receiver.at("target-0").loadReportedAt_ == kNow);
   CHECK(receiver.at("target-1").load_.running_ == 2);
+  // A forwarder tells its collector what its hosts have received, and not what
+  // came from the collector.
+  auto forwarder = MakeMembers(4, 2);
+  const auto ids = fleet::IdsByHash(forwarder);
+  fleet::ApplyReportedLoads(forwarder, ids, { loads[0] }, later, later, true);
+  fleet::ApplyReportedLoads(forwarder, ids, { loads[1] }, later, later, false);
+  const auto collected = fleet::NewestReportedLoads(
+    forwarder, { absl::InfinitePast(), true, "dc1", false, true }, later);
+  REQUIRE(collected.size() == 1);
+  CHECK(collected[0].target_ == loads[0].target_);
   // Loads of other hosts aren't sent as this host's own.
   loads = fleet::NewestReportedLoads(
     receiver, { absl::InfinitePast(), true, "dc1", false }, later);
@@ -205,13 +217,13 @@
       member.inFlight_ = 1;
     }
     const auto peers = deployment.hosts_ / deployment.dataCentres_ - 1;
-    const auto times =
-      gateway::BatchTimesOf(true, true, peers, deployment.hosts_);
     const auto loads =
       gateway::WriteMessage(
         { "host-000", fleet::SumLoads(members, {}, kNow), {}, {} })
         .size() +
       kPacketBytes;
+    const auto times = gateway::BatchTimesOf(
+      gateway::GossipRole::Collector, peers, loads, deployment.hosts_);
     const std::vector<lycheeplank::spillover::DemandRow> demands(
       3 * deployment.dataCentres_);
     std::mt19937_64 random(5);
@@ -270,11 +282,38 @@
   }
 }
 
+// Guards against reported loads that take the link of a forwarder beside the
+// loads, or that delay these so much that they count as unknown.
+TEST_CASE("a forwarder's reported loads take few bytes")
+{
+  constexpr double kSmallLink = 10e6 / 8.0;
+  constexpr std::size_t kPeers = 10;
+  gateway::ReportMessage message{ "host-000", {}, {} };
+  message.demands_.resize(12);
+  message.loads_.resize(fleet::kMaxReportedLoads);
+  const auto reports = gateway::WriteReports(message).size() + kPacketBytes;
+  for (const std::size_t targets : { 75, 300, 3000 }) {
+    const auto loads = targets * 11;
+    const auto times = gateway::BatchTimesOf(
+      gateway::GossipRole::Forwarder, kPeers, loads + reports, 300);
+    const auto toPeers = absl::ToDoubleSeconds(times.local_);
+    const double sent = kPeers * reports / toPeers +
+                        reports / absl::ToDoubleSeconds(times.remote_);
+    INFO(targets << " targets: " << sent << " bytes/s beside "
+                 << kPeers * loads / toPeers);
+    CHECK(sent < 0.25 * kSmallLink);
+    CHECK(sent + kPeers * loads / toPeers < kSmallLink);
+    CHECK(2 * times.local_ + 2 * times.remote_ < fleet::kMaxPeerLoadAge);
+  }
+}
+
 // Guards against hosts that know nothing of the momentary slowness of targets
 // to which they sent no request lately.
 TEST_CASE("a load in an answer to one host reaches the others")
 {
-  lycheeplank::test::HostGroup group(9);
+  // Data centres of 40 hosts have forwarders.
+  lycheeplank::test::HostGroup group(
+    GENERATE(std::size_t{ 9 }, std::size_t{ 120 }));
   group.AddTarget([](auto&, const auto& aSocket) {
     aSocket->Send(lycheeplank::test::WholeAnswer(
       "x", "200 OK", "X-Server-Load: 3,1,8,250\r\n"));
@@ -325,8 +364,9 @@
 // against hosts without callers whose room nobody knows.
 TEST_CASE("hosts compute the same share of requests that leave")
 {
-  // Six hosts are without collectors.
-  const auto hosts = GENERATE(std::size_t{ 6 }, std::size_t{ 9 });
+  // Six hosts are without collectors; data centres of 40 have forwarders.
+  const auto hosts =
+    GENERATE(std::size_t{ 6 }, std::size_t{ 9 }, std::size_t{ 120 });
   lycheeplank::test::HostGroup group(hosts);
   // Targets that don't answer.
   group.AddTarget([](auto&, const auto&) {});
@@ -432,3 +472,53 @@
   CHECK(host.metrics_.CounterValue("requests_sent_away_total", "surplus") ==
         5.0);
 }
+
+// Guards against a collector that sends its data centre more than a link of 10
+// Mbit/s carries: 100 messages of 33 KB twice a second. Loads pass two hosts,
+// and count as unknown after a second.
+TEST_CASE("a host's messages to many peers keep to a rate and an age")
+{
+  constexpr std::size_t kLoads = 3002;
+  constexpr std::size_t kBytes = kLoads * 11;
+  const auto large = gateway::LocalBatchTime(10, kBytes);
+  CHECK(10 * kBytes / absl::ToDoubleSeconds(large) < 1.0e6);
+  CHECK(2 * large + absl::Milliseconds(100) < fleet::kMaxPeerLoadAge);
+  // Smaller deployments send as often as before.
+  constexpr std::size_t kSmallBytes = 902;
+  CHECK(gateway::LocalBatchTime(25, kSmallBytes) == absl::Milliseconds(125));
+  CHECK(gateway::LocalBatchTime(2, kSmallBytes) == absl::Milliseconds(10));
+}
+
+// Guards against loads that are lost or counted twice on their way through
+// collectors and forwarders.
+TEST_CASE("each host learns the sum of all loads in a large deployment")
+{
+  // 40 hosts in each of three data centres.
+  test::HostGroup group(120);
+  group.AddTarget([](auto&, const auto&) {});
+  const auto& list = group.HostAt(0).hosts_;
+  REQUIRE_FALSE(relays::ForwardersOf(list, "dc0").empty());
+  std::uint32_t sum = 0;
+  for (std::size_t i = 0; i < group.Size(); ++i) {
+    // Some hosts have no load.
+    const auto calls = static_cast<std::uint32_t>(i % 3);
+    group.HostAt(i).members_.at("t1").inFlight_ = calls;
+    sum += calls;
+  }
+  for (int round = 0; round < 20; ++round) {
+    for (std::size_t i = 0; i < group.Size(); ++i) {
+      group.HostAt(i).onLoad_();
+    }
+    group.RunFor(std::chrono::milliseconds(100));
+  }
+  std::size_t wrong = 0;
+  for (std::size_t i = 0; i < group.Size(); ++i) {
+    const auto& member = group.HostAt(i).members_.at("t1");
+    auto known = member.inFlight_;
+    for (const auto& [peer, usage] : member.peers_) {
+      known += usage.inFlight_;
+    }
+    wrong += known == sum ? 0 : 1;
+  }
+  CHECK(wrong == 0);
+}
--- a/test/spillover-test.cc
+++ b/test/spillover-test.cc
@@ -74,6 +74,37 @@
   CHECK_FALSE(spillover::TotalOf(reports, a, service, kNow + absl::Seconds(2)));
 }
 
+// Guards against a forwarder that passes the demand of its own hosts on as that
+// of the data centre, and against one that reports the total, or other hosts,
+// as its hosts' part.
+TEST_CASE("a forwarder tells received totals and the sum of its hosts' parts")
+{
+  const auto a = spillover::NameHash("a");
+  const auto service = spillover::NameHash("s");
+  spillover::DemandReports reports;
+  reports["h1"] = { { { a, service, false, { 3.0, 300.0 } } }, kNow };
+  reports["h2"] = { { { a, service, false, { 5.0, 500.0 } } }, kNow };
+  reports["h3"] = { { { a, service, false, { 7.0, 700.0 } } }, kNow };
+  CHECK(spillover::ReceivedTotals(reports, kNow).empty());
+  reports["collector"] = { { { a, service, true, { 90.0, 9.0 } },
+                             { a + 1, service, true, { 4.0, 4.0 } } },
+                           kNow };
+  const auto totals = spillover::ReceivedTotals(reports, kNow);
+  REQUIRE(totals.size() == 2);
+  CHECK(totals[0].isTotal_);
+  CHECK(totals[0].demand_.calls_ + totals[1].demand_.calls_ == 94.0);
+  const std::vector<std::string> hosts{ "h1", "h2", "h4", "collector" };
+  const auto parts = spillover::SumParts(reports, hosts, kNow);
+  REQUIRE(parts.size() == 1);
+  CHECK_FALSE(parts[0].isTotal_);
+  CHECK(parts[0].dataCentre_ == a);
+  CHECK(parts[0].demand_.calls_ == 8.0);
+  CHECK(parts[0].demand_.tokens_ == 800.0);
+  const auto end = kNow + absl::Seconds(2);
+  CHECK(spillover::ReceivedTotals(reports, end).empty());
+  CHECK(spillover::SumParts(reports, hosts, end).empty());
+}
+
 // Guards against requests that leave while the near targets suffice, and
 // against more of them than the surplus.
 TEST_CASE("only the surplus leaves, divided by room")
