--- a/include/lycheeplank/spillover.h
+++ b/include/lycheeplank/spillover.h
@@ -67,6 +67,17 @@
 std::vector<DemandRow>
 TotalRows(const DemandReports& aReports, absl::Time aNow);
 
+// Returns the newest total of each data centre that a host has sent, for hosts
+// that pass totals on; unlike TotalRows it never takes a sum of parts for one.
+std::vector<DemandRow>
+ReceivedTotals(const DemandReports& aReports, absl::Time aNow);
+
+// Returns the sums of the parts that some hosts have sent, as one part.
+std::vector<DemandRow>
+SumParts(const DemandReports& aReports,
+         const std::vector<std::string>& aHosts,
+         absl::Time aNow);
+
 // A data centre as far as one service is concerned.
 struct DataCentre
 {
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -118,9 +118,6 @@
              const std::vector<PeerLoad>& aLoads,
              absl::Time aNow)
 {
-  for (auto& [id, member] : aMembers) {
-    member.peers_.erase(aHost);
-  }
   absl::flat_hash_map<std::uint32_t, const PeerLoad*> loads;
   for (const auto& load : aLoads) {
     loads[load.target_] = &load;
@@ -132,6 +129,8 @@
         load.inFlight_, load.urgentTokens_, load.otherTokens_, load.heldTokens_,
         aNow,
       };
+    } else {
+      member.peers_.erase(aHost);
     }
   }
 }
@@ -225,6 +224,7 @@
   aMember.loadReportedAt_ = aReportedAt;
   aMember.loadReceivedAt_ = aReportedAt;
   aMember.isOwnLoad_ = true;
+  aMember.isCollectedLoad_ = false;
   if (aLoad.slowness_) {
     aMember.usualSlowness_ +=
       kCallAverageWeight * (*aLoad.slowness_ - aMember.usualSlowness_);
@@ -247,7 +247,8 @@
                    const TargetIds& aIds,
                    const std::vector<ReportedLoad>& aLoads,
                    absl::Time aSentAt,
-                   absl::Time aNow)
+                   absl::Time aNow,
+                   bool aIsCollected)
 {
   for (const auto& load : aLoads) {
     const auto id = aIds.find(load.target_);
@@ -263,6 +264,7 @@
         RecordLoad(member, load.load_, reportedAt)) {
       member.loadReceivedAt_ = aNow;
       member.isOwnLoad_ = false;
+      member.isCollectedLoad_ = aIsCollected;
     }
   }
 }
@@ -277,9 +279,11 @@
   for (const auto& [id, member] : aMembers) {
     const auto age = aNow - member.loadReportedAt_;
     const bool isNear = member.target_.dataCentre_ == aQuery.dataCentre_;
+    const bool isIncluded =
+      !aQuery.isOwnOnly_ || member.isOwnLoad_ ||
+      (aQuery.includesCollected_ && member.isCollectedLoad_);
     if (member.load_.slowness_ && age < kMaxLoadAge &&
-        member.loadReceivedAt_ > aQuery.since_ &&
-        (member.isOwnLoad_ || !aQuery.isOwnOnly_) &&
+        member.loadReceivedAt_ > aQuery.since_ && isIncluded &&
         (isNear || !aQuery.isNearOnly_)) {
       (isNear ? near : far).push_back({ member.idHash_, member.load_, age });
     }
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -34,6 +34,11 @@
 // host, the collector, gets all loads and sends them to the other hosts of the
 // data centre and to the other data centres.
 constexpr absl::Duration kToCollectorBatchTime = absl::Milliseconds(50);
+// Rate of a host's messages to local peers, half of a link of 10 Mbit/s, and
+// the longest batch time that keeps to it: loads pass two hosts with this
+// delay, and count as unknown after a second.
+constexpr double kLoadBytesPerSecond = 600e3;
+constexpr absl::Duration kMaxLocalBatchTime = absl::Milliseconds(350);
 // Messages count tokens in units of this many.
 constexpr std::uint64_t kTokenUnit = 64;
 constexpr std::uint64_t kMaxUnits = UINT16_MAX;
@@ -108,16 +113,33 @@
 
 } // namespace
 
+absl::Duration
+LocalBatchTime(std::size_t aPeers, std::size_t aBytes)
+{
+  const auto bytes = static_cast<double>(aPeers * aBytes);
+  return std::max(
+    BatchTimeFor(kLocalBatchTime, aPeers),
+    std::min(kMaxLocalBatchTime, absl::Seconds(bytes / kLoadBytesPerSecond)));
+}
+
 BatchTimes
-BatchTimesOf(bool aIsLarge,
-             bool aCollects,
+BatchTimesOf(GossipRole aRole,
              std::size_t aPeers,
+             std::size_t aBytes,
              std::size_t aHosts)
 {
-  return { aIsLarge && !aCollects ? kToCollectorBatchTime
-                                  : BatchTimeFor(kLocalBatchTime, aPeers),
-           aIsLarge ? kCollectorRemoteBatchTime
-                    : BatchTimeFor(kRemoteBatchTime, aHosts) };
+  switch (aRole) {
+    case GossipRole::Sender:
+      return { kToCollectorBatchTime, absl::InfiniteDuration() };
+    case GossipRole::Forwarder:
+      return { LocalBatchTime(aPeers, aBytes), kToCollectorBatchTime };
+    case GossipRole::Collector:
+      return { LocalBatchTime(aPeers, aBytes), kCollectorRemoteBatchTime };
+    case GossipRole::Equal:
+      break;
+  }
+  return { LocalBatchTime(aPeers, aBytes),
+           BatchTimeFor(kRemoteBatchTime, aHosts) };
 }
 
 std::string
@@ -355,8 +377,12 @@
     targetIdsAt_ = now;
   }
   host_.haveTargetsSlowness_ |= !aMessage.loads_.empty();
-  fleet::ApplyReportedLoads(
-    host_.members_, targetIds_, aMessage.loads_, sentAt, now);
+  fleet::ApplyReportedLoads(host_.members_,
+                            targetIds_,
+                            aMessage.loads_,
+                            sentAt,
+                            now,
+                            aMessage.host_ != collector_);
 }
 
 void
@@ -435,7 +461,19 @@
   const bool hasObservations =
     !aMessage.reads_.empty() || !aMessage.down_.empty();
   if ((!hasObservations && localSendPending_ && remoteSendPending_) ||
-      !IsCollector()) {
+      (!IsCollector() && !IsForwarder())) {
+    return;
+  }
+  if (!IsCollector()) {
+    // A forwarder: what its local peers observe returns from the collector.
+    const bool isFromAbove =
+      relays::CollectorOf(host_.hosts_,
+                          host_.settings_.dataCentre_,
+                          host_.settings_.name_) == aMessage.host_;
+    Add(isFromAbove ? localObservations_ : remoteObservations_,
+        aMessage.reads_,
+        aMessage.down_);
+    ScheduleSend();
     return;
   }
   Add(localObservations_, aMessage.reads_, aMessage.down_);
@@ -461,7 +499,10 @@
 void
 Gossip::CollectObservations()
 {
-  Add(localObservations_, host_.readCounts_, host_.downReports_);
+  if (!IsForwarder()) {
+    // A forwarder's own observations return from the collector as well.
+    Add(localObservations_, host_.readCounts_, host_.downReports_);
+  }
   Add(remoteObservations_, host_.readCounts_, host_.downReports_);
   host_.readCounts_.clear();
   host_.downReports_.clear();
@@ -470,6 +511,10 @@
 std::vector<std::string>
 Gossip::LocalPeers() const
 {
+  if (relays::IsLargeDeployment(host_.hosts_)) {
+    return relays::CollectedBy(
+      host_.hosts_, host_.settings_.dataCentre_, host_.settings_.name_);
+  }
   std::vector<std::string> names;
   for (const auto& [name, host] : host_.hosts_) {
     if (host.entry_.dataCentre_ == host_.settings_.dataCentre_ &&
@@ -504,6 +549,25 @@
   return !relays.empty() && relays.front() == host_.settings_.name_;
 }
 
+bool
+Gossip::IsForwarder() const
+{
+  return relays::IsLargeDeployment(host_.hosts_) &&
+         relays::IsForwarder(host_.hosts_, host_.settings_.name_);
+}
+
+GossipRole
+Gossip::Role() const
+{
+  if (!relays::IsLargeDeployment(host_.hosts_)) {
+    return GossipRole::Equal;
+  }
+  if (IsCollector()) {
+    return GossipRole::Collector;
+  }
+  return IsForwarder() ? GossipRole::Forwarder : GossipRole::Sender;
+}
+
 void
 Gossip::ScheduleSend()
 {
@@ -511,14 +575,18 @@
   if (localSendPending_ && remoteSendPending_) {
     return;
   }
-  const bool isLarge = relays::IsLargeDeployment(host_.hosts_);
-  const bool collects = isLarge && IsCollector();
+  const auto role = Role();
+  const bool isSender = role == GossipRole::Sender;
+  if (localSendPending_ && isSender) {
+    return;
+  }
+  const auto peers = isSender ? 0 : LocalPeers().size();
   const auto times =
-    BatchTimesOf(isLarge, collects, LocalPeers().size(), host_.hosts_.size());
+    BatchTimesOf(role, peers, localBytes_, host_.hosts_.size());
   if (!std::exchange(localSendPending_, true)) {
     localTimer_.Set(times.local_, [this] { SendLocal(); });
   }
-  if ((collects || !isLarge) && !std::exchange(remoteSendPending_, true)) {
+  if (!isSender && !std::exchange(remoteSendPending_, true)) {
     remoteTimer_.Set(times.remote_, [this] { SendRemote(); });
   }
 }
@@ -533,37 +601,46 @@
   const auto peers = LocalPeers();
   if (!relays::IsLargeDeployment(host_.hosts_)) {
     for (const auto& peer : peers) {
-      Send(peer, fleet::SumLoads(host_.members_, {}, now), observations);
+      localBytes_ =
+        Send(peer, fleet::SumLoads(host_.members_, {}, now), observations);
     }
-    SendReports(peers, { {}, true, {}, false }, OwnDemand(), localReports_);
+    localBytes_ +=
+      SendReports(peers, { {}, true, {}, false }, OwnDemand(), localReports_);
     return;
   }
-  if (!IsCollector()) {
-    // The collector sends this host's observations to the other data centres.
-    remoteObservations_ = {};
-    const auto relays =
-      relays::RelaysOf(host_.hosts_, host_.settings_.dataCentre_);
-    if (!relays.empty()) {
-      Send(
-        relays.front(), fleet::SumLoads(host_.members_, {}, now), observations);
-      SendReports({ relays.front() },
-                  { {}, true, {}, false },
-                  OwnDemand(),
-                  localReports_);
+  auto senders = peers;
+  const bool collects = IsCollector();
+  if (collects) {
+    for (auto& other : OtherCollectors()) {
+      senders.push_back(std::move(other));
     }
-    return;
+  } else {
+    collector_ = relays::CollectorOf(
+      host_.hosts_, host_.settings_.dataCentre_, host_.settings_.name_);
+    if (!IsForwarder()) {
+      // The collector sends this host's observations to the other data centres.
+      remoteObservations_ = {};
+      Send(collector_, fleet::SumLoads(host_.members_, {}, now), observations);
+      SendReports(
+        { collector_ }, { {}, true, {}, false }, OwnDemand(), localReports_);
+      return;
+    }
+    senders.push_back(collector_);
   }
   // Each host gets the loads of all other hosts.
-  auto senders = peers;
-  for (auto& other : OtherCollectors()) {
-    senders.push_back(std::move(other));
-  }
   for (const auto& peer : peers) {
     auto others = senders;
     others.erase(std::find(others.begin(), others.end(), peer));
-    Send(peer, fleet::SumLoads(host_.members_, others, now), observations);
+    localBytes_ =
+      Send(peer, fleet::SumLoads(host_.members_, others, now), observations);
   }
-  SendReports(peers, {}, TotalDemands(false), localReports_);
+  // Only the collector knows the demand of the whole data centre.
+  localBytes_ +=
+    SendReports(peers,
+                {},
+                collects ? TotalDemands(false)
+                         : spillover::ReceivedTotals(host_.demands_, now),
+                localReports_);
 }
 
 void
@@ -575,6 +652,17 @@
   const auto now = Now();
   if (relays::IsLargeDeployment(host_.hosts_)) {
     const auto loads = fleet::SumLoads(host_.members_, LocalPeers(), now);
+    if (!IsCollector()) {
+      collector_ = relays::CollectorOf(
+        host_.hosts_, host_.settings_.dataCentre_, host_.settings_.name_);
+      Send(collector_, loads, observations);
+      // Without what came from the collector.
+      SendReports({ collector_ },
+                  { {}, true, {}, false, true },
+                  CollectedDemands(),
+                  remoteReports_);
+      return;
+    }
     for (const auto& collector : OtherCollectors()) {
       Send(collector, loads, observations);
     }
@@ -618,14 +706,22 @@
   return rows;
 }
 
-void
+std::vector<spillover::DemandRow>
+Gossip::CollectedDemands() const
+{
+  auto hosts = LocalPeers();
+  hosts.push_back(host_.settings_.name_);
+  return spillover::SumParts(host_.demands_, hosts, Now());
+}
+
+std::size_t
 Gossip::SendReports(const std::vector<std::string>& aHosts,
                     fleet::ReportedLoadQuery aQuery,
                     std::vector<spillover::DemandRow> aDemands,
                     ReportTimes& aTimes)
 {
   if (!Uses(host_, mechanisms::Mechanism::LoadReports)) {
-    return;
+    return 0;
   }
   const auto now = Now();
   aQuery.since_ = std::exchange(aTimes.loadsAt_, now);
@@ -637,25 +733,27 @@
     aTimes.demandsAt_ = now;
   }
   if (loads.empty() && aDemands.empty()) {
-    return;
+    return 0;
   }
   const auto text = WriteReports(
     { host_.settings_.name_, std::move(aDemands), std::move(loads) });
   for (const auto& host : aHosts) {
     SendText(host, text);
   }
+  return text.size();
 }
 
-void
+std::size_t
 Gossip::Send(const std::string& aHost,
              std::vector<fleet::PeerLoad> aLoads,
              const Observations& aObservations)
 {
-  SendText(aHost,
-           WriteMessage({ host_.settings_.name_,
-                          std::move(aLoads),
-                          aObservations.reads_,
-                          aObservations.down_ }));
+  const auto text = WriteMessage({ host_.settings_.name_,
+                                   std::move(aLoads),
+                                   aObservations.reads_,
+                                   aObservations.down_ });
+  SendText(aHost, text);
+  return text.size();
 }
 
 void
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -58,19 +58,37 @@
 absl::optional<ReportMessage>
 ReadReports(absl::string_view aText);
 
-// How long changes are collected before they are sent within the data centre
-// and to the others.
+// Returns the batch time of messages to local peers, of which the last one had
+// aBytes.
+absl::Duration
+LocalBatchTime(std::size_t aPeers, std::size_t aBytes);
+
+// How long changes are collected before they are sent to local peers, and to
+// other data centres or, by a forwarder, to its collector. A host that only
+// sends to its collector does so in the local time.
 struct BatchTimes
 {
   absl::Duration local_;
   absl::Duration remote_;
 };
 
-// aPeers: other hosts in the data centre; aHosts: hosts in all of them.
+// A host's part in the exchange of loads.
+enum class GossipRole
+{
+  // It sends to all others; there are no collectors.
+  Equal,
+  // It sends to the host that collects its loads.
+  Sender,
+  Forwarder,
+  Collector,
+};
+
+// aPeers: the local peers to which the host sends; aBytes: of the last messages
+// to one of them; aHosts: hosts in all data centres.
 BatchTimes
-BatchTimesOf(bool aIsLarge,
-             bool aCollects,
+BatchTimesOf(GossipRole aRole,
              std::size_t aPeers,
+             std::size_t aBytes,
              std::size_t aHosts);
 
 // Exchanges loads and observations with the other hosts over UDP: this host's
@@ -100,14 +118,17 @@
     absl::Time demandsAt_ = absl::InfinitePast();
   };
   // Sends the reported loads that are new to the receivers, and demands.
-  void SendReports(const std::vector<std::string>& aHosts,
-                   fleet::ReportedLoadQuery aQuery,
-                   std::vector<spillover::DemandRow> aDemands,
-                   ReportTimes& aTimes);
+  // Returns the size of the message, 0 if there is none.
+  std::size_t SendReports(const std::vector<std::string>& aHosts,
+                          fleet::ReportedLoadQuery aQuery,
+                          std::vector<spillover::DemandRow> aDemands,
+                          ReportTimes& aTimes);
   // Returns this host's part of the demand.
   std::vector<spillover::DemandRow> OwnDemand() const;
   // Returns the total demands of all data centres, or of this one only.
   std::vector<spillover::DemandRow> TotalDemands(bool aIsOwnOnly) const;
+  // Returns the demand of this host and of those whose loads it collects.
+  std::vector<spillover::DemandRow> CollectedDemands() const;
   void ApplyReports(const ReportMessage& aMessage);
   void SendText(const std::string& aHost, const std::string& aText);
   void ScheduleTick();
@@ -122,21 +143,27 @@
            const fleet::DownReports& aDown);
   void SendLocal();
   void SendRemote();
-  void Send(const std::string& aHost,
-            std::vector<fleet::PeerLoad> aLoads,
-            const Observations& aObservations);
-  // Returns the other hosts of this data centre.
+  // Returns the size of the message.
+  std::size_t Send(const std::string& aHost,
+                   std::vector<fleet::PeerLoad> aLoads,
+                   const Observations& aObservations);
+  // Returns the hosts of this data centre to which this one sends loads: all
+  // others or, in a large deployment, those whose loads it collects.
   std::vector<std::string> LocalPeers() const;
   // Returns the collectors of all data centres except this host.
   std::vector<std::string> OtherCollectors() const;
   // Returns whether this host collects the loads of its data centre. Only large
   // deployments have collectors.
   bool IsCollector() const;
+  // Returns whether this host collects loads of some hosts for the collector.
+  bool IsForwarder() const;
+  GossipRole Role() const;
 
   Host& host_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
-  // Holds the largest datagram; the loads of 3,000 targets take 33 kB.
+  // Holds the largest datagram; a message with the loads of 3,000 targets has
+  // 33 kB.
   std::array<char, 64U << 10U> buffer_{};
   Timer localTimer_;
   Timer remoteTimer_;
@@ -145,7 +172,8 @@
   Timer demandTimer_;
   Timer lossesTimer_;
   bool areLossesDue_ = false;
-  // Observations that wait to be sent to this data centre and to the others.
+  // Observations that wait to be sent to the local peers and to the others: the
+  // other data centres or, from a forwarder, the collector.
   Observations localObservations_;
   Observations remoteObservations_;
   ReportTimes localReports_;
@@ -153,6 +181,10 @@
   // Rebuilt from time to time.
   fleet::TargetIds targetIds_;
   absl::Time targetIdsAt_ = absl::InfinitePast();
+  // Host that collected this one's loads when they were last sent.
+  std::string collector_;
+  // Size of the last messages to a local peer.
+  std::size_t localBytes_ = 0;
   bool localSendPending_ = false;
   bool remoteSendPending_ = false;
 };
--- a/src/spillover/spillover.cc
+++ b/src/spillover/spillover.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 
+#include <absl/container/btree_map.h>
 #include <absl/container/btree_set.h>
 
 namespace lycheeplank::spillover {
@@ -156,6 +158,48 @@
   return rows;
 }
 
+std::vector<DemandRow>
+ReceivedTotals(const DemandReports& aReports, absl::Time aNow)
+{
+  DemandReports totals;
+  for (const auto& [host, report] : aReports) {
+    auto& rows = totals[host].rows_;
+    std::copy_if(report.rows_.begin(),
+                 report.rows_.end(),
+                 std::back_inserter(rows),
+                 [](const auto& aRow) { return aRow.isTotal_; });
+    totals[host].reportedAt_ = report.reportedAt_;
+  }
+  return TotalRows(totals, aNow);
+}
+
+std::vector<DemandRow>
+SumParts(const DemandReports& aReports,
+         const std::vector<std::string>& aHosts,
+         absl::Time aNow)
+{
+  absl::btree_map<std::pair<std::uint32_t, std::uint32_t>, Demand> sums;
+  for (const auto& host : aHosts) {
+    const auto report = aReports.find(host);
+    if (report == aReports.end() ||
+        aNow - report->second.reportedAt_ > kMaxDemandAge) {
+      continue;
+    }
+    for (const auto& row : report->second.rows_) {
+      if (!row.isTotal_) {
+        auto& sum = sums[{ row.dataCentre_, row.service_ }];
+        sum.calls_ += row.demand_.calls_;
+        sum.tokens_ += row.demand_.tokens_;
+      }
+    }
+  }
+  std::vector<DemandRow> rows;
+  for (const auto& [key, sum] : sums) {
+    rows.push_back({ key.first, key.second, false, sum });
+  }
+  return rows;
+}
+
 double
 NeedOf(const Demand& aDemand, double aSlots, double aMemoryTokens)
 {
