--- a/include/lycheeplank/spillover.h
+++ b/include/lycheeplank/spillover.h
@@ -30,6 +30,27 @@
   double tokens_ = 0.0;
 };
 
+// Requests of one service that a host has refused lately. They count as demand:
+// where a full data centre refuses at once, few requests run or wait there.
+struct RefusedDemand
+{
+  // Decays with the time for which a request would have run.
+  Demand demand_;
+  absl::Time updatedAt_ = absl::InfinitePast();
+};
+
+// Returns the demand that refused requests would have at this moment. aRun: see
+// Times.
+Demand
+RefusedAt(const RefusedDemand& aRefused, absl::Duration aRun, absl::Time aNow);
+
+// Adds a request that would have held aTokens.
+void
+AddRefused(RefusedDemand& aRefused,
+           double aTokens,
+           absl::Duration aRun,
+           absl::Time aNow);
+
 // The demand of a data centre for a service, as sent between hosts, with stable
 // hashes of the names: a host's own part, or the total of the data centre.
 struct DemandRow
--- a/src/gateway/demand.cc
+++ b/src/gateway/demand.cc
@@ -64,6 +64,17 @@
       found->second.tokens_ += static_cast<double>(request->HeldTokens());
     }
   }
+  for (auto& [service, demand] : demands) {
+    const auto refused = aHost.refusedDemands_.find(service);
+    const auto times = aHost.spilloverTimes_.find(service);
+    if (refused != aHost.refusedDemands_.end() &&
+        times != aHost.spilloverTimes_.end()) {
+      const auto lost =
+        spillover::RefusedAt(refused->second, times->second.run_, Now());
+      demand.calls_ += lost.calls_;
+      demand.tokens_ += lost.tokens_;
+    }
+  }
   std::vector<spillover::DemandRow> rows;
   for (const auto& [service, demand] : demands) {
     rows.push_back({ spillover::NameHash(aHost.settings_.dataCentre_),
@@ -74,15 +85,18 @@
   return rows;
 }
 
-// Returns whether the targets of a service report their slowness and are in
-// several data centres.
+// Returns whether the targets of a service are in several data centres and room
+// is scarce at times: the settings ask for scheduling by priority, or targets
+// report their slowness.
 bool
-IsApplicable(const std::vector<fleet::DataCentreTargets>& aTargets)
+IsApplicable(const Host& aHost,
+             const std::vector<fleet::DataCentreTargets>& aTargets)
 {
   return aTargets.size() > 1 &&
-         std::any_of(aTargets.begin(), aTargets.end(), [](const auto& aOne) {
-           return aOne.reportsSlowness_;
-         });
+         (aHost.settings_.priorityScheduling_ ||
+          std::any_of(aTargets.begin(), aTargets.end(), [](const auto& aOne) {
+            return aOne.reportsSlowness_;
+          }));
 }
 
 std::vector<spillover::DataCentre>
@@ -170,7 +184,7 @@
           })) {
       targets.push_back({ std::string(question.dataCentre_) });
     }
-    if (!IsApplicable(targets)) {
+    if (!IsApplicable(aHost, targets)) {
       if (const auto found = aHost.spillover_.find(service);
           found != aHost.spillover_.end()) {
         if (spillover::Reset(found->second, Reason::Inactive)) {
@@ -193,6 +207,17 @@
   }
 }
 
+void
+CountRefusedDemand(Host& aHost, const std::string& aService, double aTokens)
+{
+  if (const auto times = aHost.spilloverTimes_.find(aService);
+      times != aHost.spilloverTimes_.end() &&
+      aHost.spillover_.contains(aService)) {
+    spillover::AddRefused(
+      aHost.refusedDemands_[aService], aTokens, times->second.run_, Now());
+  }
+}
+
 bool
 SharesDemands(const Host& aHost)
 {
--- a/src/gateway/demand.h
+++ b/src/gateway/demand.h
@@ -20,6 +20,10 @@
 void
 UpdateSpillover(Host& aHost);
 
+// Counts a refused request that would have held aTokens as demand.
+void
+CountRefusedDemand(Host& aHost, const std::string& aService, double aTokens);
+
 // Returns whether any service may send requests away, so that the demands of
 // all data centres are needed.
 bool
--- a/src/gateway/exchange.cc
+++ b/src/gateway/exchange.cc
@@ -6,6 +6,7 @@
 #include <absl/strings/str_cat.h>
 
 #include "gateway/clock.h"
+#include "gateway/demand.h"
 
 namespace lycheeplank::gateway {
 
@@ -156,6 +157,9 @@
 Exchange::RefuseUntil(absl::string_view aReason, absl::Duration aRetryAfter)
 {
   retryAfter_ = aRetryAfter;
+  if (!service_.empty()) {
+    CountRefusedDemand(host_, service_, static_cast<double>(HeldTokens()));
+  }
   caller_->Reply(
     kUnavailable,
     { { "Retry-After", absl::StrCat(absl::ToDoubleSeconds(aRetryAfter)) } },
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -201,6 +201,8 @@
   spillover::DemandReports demands_;
   absl::btree_map<std::string, spillover::State> spillover_;
   absl::btree_map<std::string, spillover::Times> spilloverTimes_;
+  // By service.
+  absl::flat_hash_map<std::string, spillover::RefusedDemand> refusedDemands_;
   catalog::CatalogPtr timesOf_;
   // By service. Open streams refer to the entries, which therefore stay.
   std::map<std::string, EventIds> eventIds_;
--- a/src/spillover/spillover.cc
+++ b/src/spillover/spillover.cc
@@ -110,6 +110,26 @@
   return static_cast<std::uint32_t>(core::StableHash(aName));
 }
 
+Demand
+RefusedAt(const RefusedDemand& aRefused, absl::Duration aRun, absl::Time aNow)
+{
+  const auto age = std::max(absl::ZeroDuration(), aNow - aRefused.updatedAt_);
+  const double left = std::exp(-absl::FDivDuration(age, aRun));
+  return { left * aRefused.demand_.calls_, left * aRefused.demand_.tokens_ };
+}
+
+void
+AddRefused(RefusedDemand& aRefused,
+           double aTokens,
+           absl::Duration aRun,
+           absl::Time aNow)
+{
+  aRefused.demand_ = RefusedAt(aRefused, aRun, aNow);
+  aRefused.demand_.calls_ += 1.0;
+  aRefused.demand_.tokens_ += aTokens;
+  aRefused.updatedAt_ = aNow;
+}
+
 absl::optional<Demand>
 TotalOf(const DemandReports& aReports,
         std::uint32_t aDataCentre,
--- a/test/gossip-test.cc
+++ b/test/gossip-test.cc
@@ -433,6 +433,32 @@
   }
 }
 
+// Guards against a data centre without room that keeps its callers although the
+// settings ask for scheduling by priority, whatever figures targets report.
+TEST_CASE("the settings enable the decision which requests leave")
+{
+  lycheeplank::test::HostGroup group(6);
+  for (int i = 0; i < 2; ++i) {
+    group.AddTarget([](auto&, const auto& aSocket) {
+      aSocket->Send(lycheeplank::test::WholeAnswer(
+        "x", "200 OK", "X-Server-Load: 9,9,1\r\n"));
+    });
+  }
+  for (std::size_t i = 0; i < group.Size(); ++i) {
+    auto& host = group.HostAt(i);
+    host.members_.at("t2").target_.dataCentre_ = "dc1";
+    host.settings_.priorityScheduling_ = true;
+  }
+  auto& host = group.HostAt(0);
+  for (int i = 0; i < 100 && host.spillover_.empty(); ++i) {
+    group.RunFor(std::chrono::milliseconds(50));
+  }
+  REQUIRE(host.spillover_.contains("s"));
+  gateway::CountRefusedDemand(host, "s", 0.0);
+  REQUIRE(host.refusedDemands_.contains("s"));
+  CHECK(host.refusedDemands_.at("s").demand_.calls_ == 1.0);
+}
+
 // Guards against a share that is decided but not applied to requests.
 TEST_CASE("requests of the share go to targets of the other data centre")
 {
--- a/test/spillover-test.cc
+++ b/test/spillover-test.cc
@@ -51,6 +51,26 @@
   CHECK(spillover::NeedOf({ 12.0, 470000.0 }, 6.0, 0.0) == 2.0);
 }
 
+// Guards against a full data centre that keeps its callers: where requests are
+// refused at once, few of them run or wait there.
+TEST_CASE("refused requests count as demand for the time of a run")
+{
+  const auto times = MakeTimes();
+  spillover::RefusedDemand refused;
+  // 100 requests a second of 2,400 tokens.
+  auto now = kNow;
+  for (int i = 0; i < 1000; ++i, now += absl::Milliseconds(10)) {
+    spillover::AddRefused(refused, 2400.0, times.run_, now);
+  }
+  const auto demand = spillover::RefusedAt(refused, times.run_, now);
+  CHECK(demand.calls_ == Approx(150.0).epsilon(0.02));
+  CHECK(demand.tokens_ == Approx(150.0 * 2400.0).epsilon(0.02));
+  const auto later =
+    spillover::RefusedAt(refused, times.run_, now + 5 * times.run_);
+  CHECK(later.calls_ < 2.0);
+  CHECK(spillover::RefusedAt({}, times.run_, now).calls_ == 0.0);
+}
+
 // Guards against a demand that is counted twice, as a part and in the total, or
 // that is believed after its host has ended.
 TEST_CASE("the total of a demand replaces its parts while it is recent")
