--- a/review/8/case.py
+++ b/review/8/case.py
@@ -10,7 +10,7 @@
 import world as w  # noqa: E402
 
 HOST = "register.example"
-SERVERS, REQUESTERS, REQUESTS = 4, 24, 600
+SERVERS, REQUESTERS, REQUESTS = 7, 42, 1000
 WORK_S = 0.06
 GREY_SHARE = 0.4  # x of srv_grey
 CONFIG = {
