review: a crashed server that is back at once ends streams early (case 9)

Case 9 shows that rule ORDER breaks when a server crashes and a supervisor that holds its listening socket starts it again at once: streams without a length that ran there reach their requesters with a regular end after about a quarter of their pieces. The stand-ins take a listening socket.

Command: review/9/run.sh, after the deploy file's build and review/build-2.sh.

--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -135,7 +135,8 @@
 
 async def serve(address, handle):
     """Serves handle(request, writer) -> bytes, or None if the handler has
-    written all itself and the connection is to end."""
+    written all itself and the connection is to end. An address "fd:N" names a
+    listening socket that the process has inherited."""
 
     async def on_connection(reader, writer):
         try:
@@ -154,6 +155,10 @@
             writer.close()
 
     host, port = address.rsplit(":", 1)
+    if host == "fd":
+        return await asyncio.start_server(
+            on_connection, sock=socket.socket(fileno=int(port)),
+            limit=MAX_HEAD)
     return await asyncio.start_server(on_connection, host, int(port),
                                       limit=MAX_HEAD)
 
