REFUSED: don't pass on a target's 408, 429 or 503 that doesn't state "not run"

Cause: an answer without the statement "not run" counted as a run, so the request wasn't sent again, but its status was passed on like any other error of a target. 408 and 429 went the same way as complete answers, and from their first bytes when they exceeded the buffer.

Change: such an answer ends its attempt as unproven_refusal. The request goes to another target if it may run again, and gets 502 otherwise, which promises nothing. Counted by status in unproven_refusals_total.

--- a/include/lycheeplank/core.h
+++ b/include/lycheeplank/core.h
@@ -158,6 +158,11 @@
 const std::vector<ErrorTraits>&
 AllErrorKinds();
 
+// Returns whether an answer with this HTTP status promises the caller that its
+// request has not run and will not run, so that the caller may send it again.
+bool
+PromisesNotRun(int aStatus);
+
 // An error with a remedy in its message.
 struct Error
 {
--- a/include/lycheeplank/retry.h
+++ b/include/lycheeplank/retry.h
@@ -22,6 +22,9 @@
   NotRun,
   // The target answered with an error of its own.
   Error,
+  // The target answered with a status that promises that the request has not
+  // run, but doesn't state so; the request may have been run.
+  UnprovenRefusal,
   // No answer or an unusable one; the request may have been run.
   Failed,
   // No answer within the usual time.
@@ -32,10 +35,11 @@
   CutAnswer,
 };
 
-inline constexpr std::array<core::Named<AttemptEnd>, 7> kAttemptEnds{ {
+inline constexpr std::array<core::Named<AttemptEnd>, 8> kAttemptEnds{ {
   { AttemptEnd::NotSent, "not_sent" },
   { AttemptEnd::NotRun, "not_run" },
   { AttemptEnd::Error, "error" },
+  { AttemptEnd::UnprovenRefusal, "unproven_refusal" },
   { AttemptEnd::Failed, "failed" },
   { AttemptEnd::Silent, "silent" },
   { AttemptEnd::Outdated, "outdated" },
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -187,6 +187,20 @@
   return AllErrorKinds()[static_cast<std::size_t>(aKind)];
 }
 
+bool
+PromisesNotRun(int aStatus)
+{
+  switch (aStatus) {
+    case 408: // Request Timeout
+    case 421: // Misdirected Request
+    case 429: // Too Many Requests
+    case 503: // Service Unavailable
+      return true;
+    default:
+      return false;
+  }
+}
+
 std::string
 Describe(const Error& aError)
 {
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <absl/strings/str_cat.h>
+
 #include "gateway/answer-head.h"
 #include "gateway/clock.h"
 #include "gateway/crash-notices.h"
@@ -179,7 +181,7 @@
       host_.bufferedBytes_ >
         std::min<std::uint64_t>(kMaxTotalBufferedBytes,
                                 host_.memory_.answerBytes_)) {
-    if (head_.status_ >= kServerError || answer_.notRun_) {
+    if (IsBufferedToEnd()) {
       AbandonOversized("error", body_.size());
       return;
     }
@@ -200,6 +202,19 @@
   }
 }
 
+bool
+Exchange::IsUnprovenRefusal() const
+{
+  return core::PromisesNotRun(head_.status_) && !answer_.notRun_;
+}
+
+bool
+Exchange::IsBufferedToEnd() const
+{
+  return head_.status_ >= kServerError || answer_.notRun_ ||
+         IsUnprovenRefusal();
+}
+
 void
 Exchange::UpdateBufferedBytes()
 {
@@ -412,6 +427,12 @@
     Close("served", head_.status_, "whole");
     return;
   }
+  if (IsUnprovenRefusal()) {
+    host_.metrics_.Count(
+      "unproven_refusals_total", "status", absl::StrCat(head_.status_));
+    EndAttempt(retry::AttemptEnd::UnprovenRefusal);
+    return;
+  }
   if (head_.status_ >= kServerError) {
     EndAttempt(retry::AttemptEnd::Error);
     return;
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -185,7 +185,9 @@
   // Neither of these is evidence against the target: services also answer with
   // errors when the target is healthy, and a target that asks for a pause
   // works.
-  if (aEnd == retry::AttemptEnd::Error || aEnd == retry::AttemptEnd::Outdated ||
+  if (aEnd == retry::AttemptEnd::Error ||
+      aEnd == retry::AttemptEnd::UnprovenRefusal ||
+      aEnd == retry::AttemptEnd::Outdated ||
       (headAccepted_ && answer_.closedFor_.has_value())) {
     result = fleet::CallResult::Abandoned;
   }
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -216,6 +216,12 @@
   // Counts a broken answer by its end and fails the attempt.
   void EndBroken(absl::string_view aEnd);
   void BeginAnswer();
+  // Returns whether the target refuses the request without stating that it
+  // hasn't run it. Its status would promise that to the caller.
+  bool IsUnprovenRefusal() const;
+  // Returns whether the body of the answer is only delivered as a whole, if at
+  // all.
+  bool IsBufferedToEnd() const;
   // Returns whether the caller has received events.
   bool IsStreamBegun() const { return answerBegun_ && events_.DataCount() > 0; }
   // Returns why the events of a stream that has ended regularly can't be all.
--- a/test/core-test.cc
+++ b/test/core-test.cc
@@ -64,6 +64,16 @@
   }
 }
 
+TEST_CASE("four statuses promise that a request has not run")
+{
+  for (int status = 100; status < 600; ++status) {
+    const bool expected =
+      status == 408 || status == 421 || status == 429 || status == 503;
+    CAPTURE(status);
+    CHECK(core::PromisesNotRun(status) == expected);
+  }
+}
+
 TEST_CASE("an error is returned through a result")
 {
   const auto fails = []() -> core::Result<int> {
--- a/test/retry-test.cc
+++ b/test/retry-test.cc
@@ -29,8 +29,10 @@
 TEST_CASE("a request that may run once is not sent again after a possible run")
 {
   const auto route = MakeRoute(catalog::RepeatPolicy::Once, 3);
-  for (const auto end :
-       { AttemptEnd::Failed, AttemptEnd::Silent, AttemptEnd::Error }) {
+  for (const auto end : { AttemptEnd::Failed,
+                          AttemptEnd::Silent,
+                          AttemptEnd::Error,
+                          AttemptEnd::UnprovenRefusal }) {
     const auto step =
       retry::DecideNextStep(route, { 1, 1, 1 }, end, kPlenty, true);
     CHECK(step != NextStep::TryAgain);
@@ -72,6 +74,23 @@
         NextStep::PassOn);
 }
 
+// Guards against callers that take a target's status for the promise that their
+// request hasn't run.
+TEST_CASE("an unproven refusal is never passed on")
+{
+  const auto next = [](const catalog::Route& aRoute, std::uint32_t aRuns) {
+    return retry::DecideNextStep(aRoute,
+                                 { aRuns, aRuns, aRuns },
+                                 AttemptEnd::UnprovenRefusal,
+                                 kPlenty,
+                                 true);
+  };
+  CHECK(next(MakeRoute(catalog::RepeatPolicy::Once, 3), 1) == NextStep::Fail);
+  const auto route = MakeRoute(catalog::RepeatPolicy::Idempotent, 2);
+  CHECK(next(route, 1) == NextStep::TryAgain);
+  CHECK(next(route, 2) == NextStep::Fail);
+}
+
 TEST_CASE("a cut stream continues only on a resumable route")
 {
   CHECK(retry::DecideNextStep(MakeRoute(catalog::RepeatPolicy::Stream, 2, true),
