REFUSED in the own interface: 429, 503 and run "no" only if nothing has run

A service's 408, 421 and 429 reached callers as its answer, where 429 means that a request wasn't started; a claimed call recorded them. no_target (503, "not started") was sent for requests whose earlier attempt may have run. run was "no" for runs that an engine ended with any error, and for requests whose model was removed after a failed attempt.

Change: core::IsPassedOn decides which answers of a service reach the caller; others count as a possible run. A request remembers that an attempt may have run (mayHaveRun_), which decides kind and run of its refusal. Only the documented refusals of an engine, 409 and 503 with the error "leaving", count as not run.

Three cases of reducer-test and two of runner-test failed before.

--- a/include/lycheeplank/core.h
+++ b/include/lycheeplank/core.h
@@ -163,6 +163,12 @@
 bool
 PromisesNotRun(int aStatus);
 
+// Returns whether the answer of a plain service with this HTTP status is passed
+// on to the caller. Server errors aren't, and neither are statuses that the
+// caller would take for the promise of this system.
+bool
+IsPassedOn(int aStatus);
+
 // An error with a remedy in its message.
 struct Error
 {
--- a/include/lycheeplank/reducer.h
+++ b/include/lycheeplank/reducer.h
@@ -692,6 +692,8 @@
   absl::optional<placement::Import> import_;
   // Targets of earlier attempts, which failed.
   std::vector<std::string> triedTargets_;
+  // An earlier attempt may have run.
+  bool mayHaveRun_ = false;
   // While load queries are open: the holders of its blocks and the queried
   // targets.
   std::vector<directory::Holder> holders_;
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -18,6 +18,8 @@
 
 // Ends each field of a scope, so that "ab"+"c" and "a"+"bc" differ.
 constexpr char kPartEnd = '\0';
+// Lowest HTTP status that reports a server error.
+constexpr int kServerError = 500;
 
 std::string
 ToHexDigits(const unsigned char* aBytes, std::size_t aSize)
@@ -201,6 +203,12 @@
   }
 }
 
+bool
+IsPassedOn(int aStatus)
+{
+  return aStatus < kServerError && !PromisesNotRun(aStatus);
+}
+
 std::string
 Describe(const Error& aError)
 {
--- a/src/entry/runner.cc
+++ b/src/entry/runner.cc
@@ -14,6 +14,9 @@
 using reducer::AttemptResult;
 
 constexpr int kHttpConflict = 409;
+constexpr int kHttpUnavailable = 503;
+// Error of an engine that refuses runs because it leaves.
+constexpr absl::string_view kLeavingCode = "leaving";
 // Delays before each reconnection to the run of an attempt whose stream was
 // cut. The later ones reach an engine that was unreachable for a moment.
 constexpr std::array<absl::Duration, 4> kContinuationDelays{
@@ -39,6 +42,14 @@
            : "";
 }
 
+// Returns whether a target refused the run because it leaves. No other error of
+// a target shows that it hasn't run.
+bool
+IsLeaving(const std::string& aBody)
+{
+  return json::TextOf(json::ParseJson(aBody), "error") == kLeavingCode;
+}
+
 adapters::RunParameters
 MakeRunOrder(const reducer::Dispatch& aDispatch,
              const OpenRequest& aOpenRequest)
@@ -260,7 +271,8 @@
     const auto result =
       version.empty() ? AttemptResult::Refused : AttemptResult::WrongVersion;
     EndAttempt(aAttempt, result, detail, std::move(version));
-  } else if (aEnd.completed_ && aEnd.status_ != 200 && !aAttempt->started_) {
+  } else if (aEnd.completed_ && aEnd.status_ == kHttpUnavailable &&
+             IsLeaving(aAttempt->errorBody_) && !aAttempt->started_) {
     EndAttempt(aAttempt, AttemptResult::Refused, detail, "");
   } else {
     EndAttempt(aAttempt, AttemptResult::Broken, detail, "");
@@ -347,8 +359,7 @@
     ended.id_ = aOpenRequest->id_;
     ended.attempt_ = aDispatch.attempt_;
     ended.detail_ = aAnswer.end_.error_;
-    constexpr int kServerError = 500;
-    if (aAnswer.end_.completed_ && aAnswer.end_.status_ < kServerError) {
+    if (aAnswer.end_.completed_ && core::IsPassedOn(aAnswer.end_.status_)) {
       ended.result_ = AttemptResult::Completed;
       AnswerCall(aOpenRequest,
                  aAnswer.end_.status_,
@@ -357,6 +368,9 @@
     } else {
       ended.result_ = aAnswer.end_.neverSent_ ? AttemptResult::NeverSent
                                               : AttemptResult::Broken;
+      if (aAnswer.end_.completed_) {
+        ended.detail_ = absl::StrCat("status ", aAnswer.end_.status_);
+      }
     }
     post_(std::move(ended));
   };
--- a/src/reducer/claimed-calls.cc
+++ b/src/reducer/claimed-calls.cc
@@ -384,8 +384,8 @@
     RetryOnOtherTarget(aContext, request, aEvent);
     return;
   }
-  constexpr std::uint32_t kServerError = 500;
-  if (aEvent.complete_ && aEvent.answer_.status_ < kServerError) {
+  const auto status = static_cast<int>(aEvent.answer_.status_);
+  if (aEvent.complete_ && core::IsPassedOn(status)) {
     Pool& pool = PoolOf(aContext.state_, request.request_);
     admission::RecordAnswer(pool.health_, request.target_, aContext.now_);
     admission::RecordSuccess(pool.admission_,
@@ -396,14 +396,15 @@
     RecordOutcome(aContext, request, claims::AttemptOutcome::Done);
     return;
   }
-  AbandonSentCall(aContext,
-                  request,
-                  { core::ErrorKind::OutcomeUnknown,
-                    absl::StrCat("target ",
-                                 request.target_,
-                                 " gave no usable answer",
-                                 aEvent.detail_.empty() ? "" : ": ",
-                                 aEvent.detail_) });
+  AbandonSentCall(
+    aContext,
+    request,
+    { core::ErrorKind::OutcomeUnknown,
+      absl::StrCat("target ",
+                   request.target_,
+                   " gave no usable answer: ",
+                   aEvent.detail_.empty() ? absl::StrCat("status ", status)
+                                          : aEvent.detail_) });
 }
 
 void
--- a/src/reducer/internal.h
+++ b/src/reducer/internal.h
@@ -40,6 +40,9 @@
 // Removes a request that has its final answer and frees its slot.
 void
 EndRequest(Context& aContext, RequestId aId);
+// Returns whether the attempts before the current one may have run.
+core::RunState
+RunStateOf(const RequestState& aRequest);
 // Ends a request with an error.
 void
 Refuse(Context& aContext, RequestId aId, core::Error aError);
--- a/src/reducer/requests.cc
+++ b/src/reducer/requests.cc
@@ -82,7 +82,9 @@
          { core::ErrorKind::UnknownModel,
            absl::StrCat("model ",
                         aRequest.request_.modelOrService_,
-                        " was removed while the request waited") });
+                        " was removed while the request waited"),
+           "",
+           RunStateOf(aRequest) });
   return true;
 }
 
@@ -184,7 +186,6 @@
 core::Error
 FailureError(const RequestState& aRequest, const AttemptEnded& aEvent)
 {
-  const bool notRun = CannotHaveRun(aEvent.result_) && aRequest.attempt_ == 1;
   return { core::ErrorKind::TargetFailed,
            absl::StrCat("target ",
                         aRequest.target_,
@@ -193,7 +194,8 @@
                         aEvent.detail_.empty() ? "" : ", ",
                         aEvent.detail_),
            "",
-           notRun ? core::RunState::No : core::RunState::Unknown,
+           CannotHaveRun(aEvent.result_) ? RunStateOf(aRequest)
+                                         : core::RunState::Unknown,
            kDefaultRetryAfter };
 }
 
@@ -235,6 +237,7 @@
   aContext.state_.deadlines_.insert(
     { aRequest.request_.deadline_, aRequest.request_.id_ });
   aRequest.triedTargets_.push_back(aRequest.target_);
+  aRequest.mayHaveRun_ |= !CannotHaveRun(aEvent.result_);
   StartAttempt(aContext, aRequest);
   return true;
 }
@@ -247,8 +250,7 @@
   core::Error error{ core::ErrorKind::DeadlineExceeded,
                      "the deadline passed before the answer was complete",
                      "",
-                     sent || aRequest.attempt_ > 1 ? core::RunState::Unknown
-                                                   : core::RunState::No,
+                     sent ? core::RunState::Unknown : RunStateOf(aRequest),
                      kDefaultRetryAfter };
   if (aRequest.phase_ == Phase::Recording) {
     return;
@@ -508,6 +510,12 @@
   }
 }
 
+core::RunState
+RunStateOf(const RequestState& aRequest)
+{
+  return aRequest.mayHaveRun_ ? core::RunState::Unknown : core::RunState::No;
+}
+
 void
 Refuse(Context& aContext, RequestId aId, core::Error aError)
 {
--- a/src/reducer/routing.cc
+++ b/src/reducer/routing.cc
@@ -170,12 +170,13 @@
 RefuseWithoutTarget(Context& aContext, RequestState& aRequest)
 {
   const bool once = !aRequest.request_.repeatable_;
-  core::Error error{ core::ErrorKind::NoTarget,
+  // NoTarget promises that the request wasn't started.
+  core::Error error{ aRequest.mayHaveRun_ ? core::ErrorKind::TargetFailed
+                                          : core::ErrorKind::NoTarget,
                      absl::StrCat("no usable target for ",
                                   aRequest.request_.modelOrService_),
                      "",
-                     once || aRequest.attempt_ == 1 ? core::RunState::No
-                                                    : core::RunState::Unknown,
+                     RunStateOf(aRequest),
                      kDefaultRetryAfter };
   if (once) {
     // Earlier attempts were never sent; otherwise the call would not have been
--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -214,14 +214,15 @@
 
   void EndClaimedCall(const reducer::Dispatch& aDispatch,
                       bool aComplete,
-                      bool aNeverSent = false)
+                      bool aNeverSent = false,
+                      std::uint32_t aStatus = 200)
   {
     reducer::ClaimedCallEnded answer;
     answer.id_ = aDispatch.id_;
     answer.attempt_ = aDispatch.attempt_;
     answer.complete_ = aComplete;
     answer.neverSent_ = aNeverSent;
-    answer.answer_ = { 200, "application/json", "{}" };
+    answer.answer_ = { aStatus, "application/json", "{}" };
     Handle(answer);
   }
 
@@ -662,6 +663,48 @@
   CHECK(world.state_.requests_.size() == 1);
 }
 
+// Guards against callers that take a request for one that wasn't started
+// although its first attempt may have run.
+TEST_CASE("a request that may have run isn't refused as not started")
+{
+  const auto result = GENERATE(reducer::AttemptResult::Broken,
+                               reducer::AttemptResult::Refused,
+                               reducer::AttemptResult::NeverSent);
+  World world;
+  world.Handle(reducer::RequestArrived{ world.MakeCompletion() });
+  const auto first = world.Take<reducer::Dispatch>();
+  REQUIRE(first.size() == 1);
+  world.Report("e1", true);
+  world.Report("e2", true);
+  world.EndAttempt(first[0], result);
+  const auto refused = world.Take<reducer::Refuse>();
+  REQUIRE(refused.size() == 1);
+  const bool mayHaveRun = result == reducer::AttemptResult::Broken;
+  const auto& error = refused[0].error_;
+  CHECK(error.kind_ == (mayHaveRun ? core::ErrorKind::TargetFailed
+                                   : core::ErrorKind::NoTarget));
+  CHECK(error.run_ ==
+        (mayHaveRun ? core::RunState::Unknown : core::RunState::No));
+}
+
+// Guards against "not run" for a request whose model is removed after an
+// attempt that may have run.
+TEST_CASE("the removal of a model doesn't undo an attempt that may have run")
+{
+  World world;
+  world.Handle(reducer::RequestArrived{ world.MakeCompletion() });
+  const auto first = world.Take<reducer::Dispatch>();
+  REQUIRE(first.size() == 1);
+  auto without = std::make_shared<config::Config>(*world.state_.config_);
+  ++without->revision_;
+  without->models_.erase("wording");
+  world.Handle(reducer::ConfigInForce{ without });
+  world.EndAttempt(first[0], reducer::AttemptResult::Broken);
+  const auto refused = world.Take<reducer::Refuse>();
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].error_.run_ == core::RunState::Unknown);
+}
+
 TEST_CASE("an answer that broke midway is not retried")
 {
   World world;
@@ -715,6 +758,40 @@
   CHECK(world.Take<reducer::Dispatch>().empty());
 }
 
+// Guards against a caller, or a later one with the same key, that takes the
+// answer of a target which has run the call for a refusal.
+TEST_CASE("a target's refusal of a claimed call has an unknown outcome")
+{
+  const std::uint32_t status = GENERATE(408, 421, 429, 503);
+  World world;
+  world.Handle(reducer::RequestArrived{ world.MakeCall("k") });
+  world.Run(absl::Milliseconds(200));
+  const auto sent = world.Take<reducer::Dispatch>();
+  REQUIRE(sent.size() == 1);
+  world.EndClaimedCall(sent[0], true, false, status);
+  world.Run(absl::Seconds(1));
+  CHECK(world.Take<reducer::AnswerCall>().empty());
+  const auto refused = world.Take<reducer::Refuse>();
+  REQUIRE(refused.size() == 1);
+  CHECK(refused[0].error_.kind_ == core::ErrorKind::OutcomeUnknown);
+  CHECK(refused[0].error_.run_ == core::RunState::Unknown);
+}
+
+TEST_CASE("other answers of a target to a claimed call are recorded")
+{
+  const std::uint32_t status = GENERATE(200, 404, 409, 425);
+  World world;
+  world.Handle(reducer::RequestArrived{ world.MakeCall("k") });
+  world.Run(absl::Milliseconds(200));
+  const auto sent = world.Take<reducer::Dispatch>();
+  REQUIRE(sent.size() == 1);
+  world.EndClaimedCall(sent[0], true, false, status);
+  world.Run(absl::Seconds(1));
+  const auto answers = world.Take<reducer::AnswerCall>();
+  REQUIRE(answers.size() == 1);
+  CHECK(answers[0].answer_.status_ == status);
+}
+
 TEST_CASE(
   "a call that was never sent may go to another target under the same claim")
 {
@@ -912,12 +989,18 @@
       const bool neverSent = Pick(4) == 0;
       if (neverSent) {
         --sends_[keys_[dispatch.id_]];
+        --possibleRuns_[dispatch.id_];
       }
       world_.EndClaimedCall(dispatch, !neverSent && Pick(3) != 0, neverSent);
       return;
     }
     const auto result =
       reducer::kAttemptResults[Pick(reducer::kAttemptResults.size())].value_;
+    if (result == reducer::AttemptResult::NeverSent ||
+        result == reducer::AttemptResult::Refused ||
+        result == reducer::AttemptResult::WrongVersion) {
+      --possibleRuns_[dispatch.id_];
+    }
     const bool current =
       world_.state_.requests_.count(dispatch.id_) > 0 &&
       world_.state_.requests_.at(dispatch.id_).attempt_ == dispatch.attempt_;
@@ -931,6 +1014,7 @@
   {
     for (const auto& dispatch : world_.Take<reducer::Dispatch>()) {
       dispatched_.push_back(dispatch);
+      ++possibleRuns_[dispatch.id_];
       if (dispatch.sendOnce_) {
         REQUIRE(++sends_[keys_[dispatch.id_]] <= 1);
       }
@@ -940,12 +1024,26 @@
     }
     for (const auto& refused : world_.Take<reducer::Refuse>()) {
       ++finalAnswers_[refused.id_];
+      CheckRefusal(refused);
     }
     for (const auto& answer : world_.Take<reducer::AnswerCall>()) {
       ++finalAnswers_[answer.id_];
     }
   }
 
+  // A refusal that tells the caller that the request hasn't run is true.
+  void CheckRefusal(const reducer::Refuse& aRefusal)
+  {
+    const auto& error = aRefusal.error_;
+    const bool promises =
+      error.run_ == core::RunState::No ||
+      core::PromisesNotRun(core::TraitsOf(error.kind_).httpStatus_);
+    if (promises) {
+      INFO(core::Describe(error));
+      REQUIRE(possibleRuns_[aRefusal.id_] == 0);
+    }
+  }
+
   World world_;
   std::mt19937_64 random_;
   std::vector<reducer::Dispatch> dispatched_;
@@ -954,6 +1052,8 @@
   std::map<reducer::RequestId, std::string> keys_;
   // Number of sends that may have arrived, by idempotency key.
   std::map<std::string, int> sends_;
+  // Number of attempts that may have run.
+  std::map<reducer::RequestId, int> possibleRuns_;
 };
 
 } // namespace
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -1,7 +1,10 @@
 #include "entry/runner.h"
 
+#include <utility>
+
 #include <absl/strings/str_cat.h>
 #include <absl/synchronization/notification.h>
+#include <absl/time/clock.h>
 #include <catch2/catch.hpp>
 
 namespace entry = lycheeplank::entry;
@@ -84,6 +87,60 @@
   return outcome;
 }
 
+// An exchange that keeps its status.
+class RecordedExchange final : public net::Exchange
+{
+public:
+  void Reply(int aStatus, std::vector<net::Field>, std::string) override
+  {
+    status_ = aStatus;
+  }
+  void BeginStream(int, std::vector<net::Field>) override {}
+  bool Write(absl::string_view) override { return true; }
+  void End() override {}
+  void Abort() override {}
+  void OnClosed(std::function<void()>) override {}
+  std::size_t Backlog() override { return 0; }
+
+  // 0 without an answer.
+  int status_ = 0;
+};
+
+// Sends a repeatable call to a service that gives one answer to all calls.
+// Returns the result of the attempt and the status that the caller got.
+std::pair<reducer::AttemptResult, int>
+CallService(int aStatus)
+{
+  net::Server service({}, [&](const std::shared_ptr<net::Exchange>& aExchange) {
+    aExchange->Reply(aStatus, {}, "{}");
+  });
+  lycheeplank::metrics::Registry metrics;
+  entry::OpenRequests openRequests;
+  reducer::AttemptEnded ended;
+  absl::Notification done;
+  net::Client client;
+  entry::Runner runner(
+    client, openRequests, metrics, "secret", [&](reducer::Event aEvent) {
+      ended = absl::get<reducer::AttemptEnded>(aEvent);
+      done.Notify();
+    });
+  const auto exchange = std::make_shared<RecordedExchange>();
+  auto openRequest = std::make_shared<entry::OpenRequest>();
+  openRequest->publicId_ = "request";
+  openRequest->modelOrService_ = "registry";
+  openRequest->callName_ = "check";
+  openRequest->exchange_ = exchange;
+  openRequests.Add(openRequest);
+  reducer::Dispatch dispatch;
+  dispatch.id_ = openRequest->id_;
+  dispatch.attempt_ = 1;
+  dispatch.url_ = absl::StrCat("http://127.0.0.1:", service.Port());
+  dispatch.deadline_ = absl::Now() + absl::Seconds(30);
+  runner.Perform(dispatch);
+  done.WaitForNotification();
+  return { ended.result_, exchange->status_ };
+}
+
 std::string
 StartEvent(const std::string& aWeightVersion)
 {
@@ -145,3 +202,36 @@
     CHECK(outcome.ended_.result_ == reducer::AttemptResult::Refused);
   }
 }
+
+// Guards against "not run" for runs of engines that fail after their start.
+TEST_CASE("only an engine that leaves refuses a run with a server error")
+{
+  const std::string leaving = R"({"error":"leaving"})";
+  CHECK(RunOnEngine(503, leaving).ended_.result_ ==
+        reducer::AttemptResult::Refused);
+  for (const int status : { 408, 421, 429, 500, 502, 504 }) {
+    CAPTURE(status);
+    CHECK(RunOnEngine(status, leaving).ended_.result_ ==
+          reducer::AttemptResult::Broken);
+  }
+  CHECK(RunOnEngine(503, "{}").ended_.result_ ==
+        reducer::AttemptResult::Broken);
+}
+
+// Guards against callers that take the status of a target which has run their
+// call for a refusal of the host.
+TEST_CASE("a service's refusal isn't passed on to the caller")
+{
+  for (const int status : { 408, 421, 429, 503 }) {
+    CAPTURE(status);
+    const auto [result, answered] = CallService(status);
+    CHECK(result == reducer::AttemptResult::Broken);
+    CHECK(answered == 0);
+  }
+  for (const int status : { 200, 404, 409, 425 }) {
+    CAPTURE(status);
+    const auto [result, answered] = CallService(status);
+    CHECK(result == reducer::AttemptResult::Completed);
+    CHECK(answered == status);
+  }
+}
