DENIED: a request has the limits of its arrival, not of its connection's rest

Nobody tries again after these.

Cause: a connection made the reader of its next request when it opened and when an answer ended, with the limits of that moment.

Evidence: on 24 of 24 kept connections denied 48 KiB three seconds after the limit was raised to 256 KiB; a new connection took it.

Change: the limits are read when the first bytes of a request arrive and hold until it has been read, for its sizes, the timeout of its head and the memory reserved for a body in chunks.

Two of four cases of server-connection-test failed before.

--- a/src/gateway/server-connection.cc
+++ b/src/gateway/server-connection.cc
@@ -58,7 +58,6 @@
                                    std::shared_ptr<Socket> aSocket)
   : server_(aServer)
   , socket_(std::move(aSocket))
-  , reader_({ aServer.limits_().headerBytes_, aServer.limits_().bodyBytes_ })
   , idleSince_(Now())
 {
   socket_->SetMaxRead(kFirstReadBytes);
@@ -106,7 +105,7 @@
     return;
   }
   if (arrivedAt_ == absl::InfinitePast()) {
-    arrivedAt_ = Now();
+    BeginRequest();
   }
   const auto arrived = data.size() - std::min(leftover_, data.size());
   const auto error = reader_.Feed(data);
@@ -136,6 +135,16 @@
   }
 }
 
+void
+ServerConnection::BeginRequest()
+{
+  arrivedAt_ = Now();
+  // The limits may have changed since the connection opened or the last answer
+  // ended.
+  limits_ = server_.limits_();
+  reader_.SetLimits({ limits_.headerBytes_, limits_.bodyBytes_ });
+}
+
 void
 ServerConnection::KeepBody()
 {
@@ -180,7 +189,7 @@
   // The next bytes may double the memory of a body in chunks.
   return 2 * held <= body_budget::kSmallBytes
            ? body_budget::kSmallBytes
-           : std::max(held, server_.limits_().bodyBytes_);
+           : std::max(held, limits_.bodyBytes_);
 }
 
 bool
@@ -429,8 +438,7 @@
     return;
   }
   ReleaseMemory();
-  const auto limits = server_.limits_();
-  reader_ = http::RequestReader({ limits.headerBytes_, limits.bodyBytes_ });
+  reader_ = http::RequestReader(http::ReadLimits());
   body_ = std::make_shared<std::string>();
   leftover_ = 0;
   answering_ = false;
@@ -489,14 +497,13 @@
     }
     return;
   }
-  const auto limits = server_.limits_();
   if (arrivedAt_ == absl::InfinitePast()) {
-    if (aNow - idleSince_ > limits.idleTimeout_) {
+    if (aNow - idleSince_ > server_.limits_().idleTimeout_) {
       Close();
     }
     return;
   }
-  const auto limit = reader_.HeadDone() ? kBodyTimeout : limits.headerTimeout_;
+  const auto limit = reader_.HeadDone() ? kBodyTimeout : limits_.headerTimeout_;
   if (aNow - std::max(arrivedAt_, grantedAt_) > limit) {
     Note(body_budget::Reason::Timeout);
     answering_ = true;
--- a/src/gateway/server-connection.h
+++ b/src/gateway/server-connection.h
@@ -83,6 +83,8 @@
 
 private:
   void OnData();
+  // Records the arrival of a request and the limits that hold for it.
+  void BeginRequest();
   void OnClosed();
   void Refuse(http::ReadError aError);
   void Note(body_budget::Reason aReason);
@@ -103,7 +105,9 @@
 
   Server& server_;
   std::shared_ptr<Socket> socket_;
-  http::RequestReader reader_;
+  http::RequestReader reader_{ http::ReadLimits() };
+  // Limits of the request that is being read.
+  catalog::RequestLimits limits_;
   std::string address_;
   // Id at the guard; 0 without one.
   std::uint64_t id_ = 0;
@@ -141,8 +145,9 @@
 public:
   using Handler = std::function<void(const ServerConnectionPtr&)>;
 
-  // aLimits is called for each request, since the limits may change. aGuard may
-  // be null; aExtra: see CallerGuard::MayAccept.
+  // aLimits is called when the first bytes of a request arrive, and for the
+  // timeout of idle connections. aGuard may be null; aExtra: see
+  // CallerGuard::MayAccept.
   Server(Loop& aLoop,
          const Tcp::endpoint& aEndpoint,
          std::function<catalog::RequestLimits()> aLimits,
--- a/src/http/reader.cc
+++ b/src/http/reader.cc
@@ -221,10 +221,7 @@
   : impl_(std::make_unique<Impl>())
 {
   impl_->parser_.eager(true);
-  impl_->parser_.header_limit(aLimits.headerBytes_);
-  impl_->parser_.body_limit(aLimits.bodyBytes_);
-  impl_->parser_.maxHeadBytes_ = aLimits.headerBytes_;
-  impl_->parser_.maxBodyBytes_ = aLimits.bodyBytes_;
+  SetLimits(aLimits);
 }
 
 RequestReader::~RequestReader() = default;
@@ -232,6 +229,16 @@
 RequestReader&
 RequestReader::operator=(RequestReader&&) noexcept = default;
 
+void
+RequestReader::SetLimits(const ReadLimits& aLimits)
+{
+  auto& parser = impl_->parser_;
+  parser.header_limit(aLimits.headerBytes_);
+  parser.body_limit(aLimits.bodyBytes_);
+  parser.maxHeadBytes_ = aLimits.headerBytes_;
+  parser.maxBodyBytes_ = aLimits.bodyBytes_;
+}
+
 ReadError
 RequestReader::Feed(std::string& aData)
 {
--- a/src/http/reader.h
+++ b/src/http/reader.h
@@ -44,6 +44,8 @@
   RequestReader(RequestReader&&) noexcept;
   RequestReader& operator=(RequestReader&&) noexcept;
 
+  // Replaces the limits; only before the first call of Feed.
+  void SetLimits(const ReadLimits& aLimits);
   // Consumes the bytes of the message from the front of aData and leaves the
   // rest.
   ReadError Feed(std::string& aData);
