--- a/test/reducer-test.cc
+++ b/test/reducer-test.cc
@@ -758,18 +758,29 @@
   CHECK(world.Take<reducer::Dispatch>().empty());
 }
 
+namespace {
+
+// Sends a call under a claim and answers it with a status.
+void
+AnswerClaimedCall(World& aWorld, std::uint32_t aStatus)
+{
+  aWorld.Handle(reducer::RequestArrived{ aWorld.MakeCall("k") });
+  aWorld.Run(absl::Milliseconds(200));
+  const auto sent = aWorld.Take<reducer::Dispatch>();
+  REQUIRE(sent.size() == 1);
+  aWorld.EndClaimedCall(sent[0], true, false, aStatus);
+  aWorld.Run(absl::Seconds(1));
+}
+
+} // namespace
+
 // Guards against a caller, or a later one with the same key, that takes the
 // answer of a target which has run the call for a refusal.
 TEST_CASE("a target's refusal of a claimed call has an unknown outcome")
 {
   const std::uint32_t status = GENERATE(408, 421, 429, 503);
   World world;
-  world.Handle(reducer::RequestArrived{ world.MakeCall("k") });
-  world.Run(absl::Milliseconds(200));
-  const auto sent = world.Take<reducer::Dispatch>();
-  REQUIRE(sent.size() == 1);
-  world.EndClaimedCall(sent[0], true, false, status);
-  world.Run(absl::Seconds(1));
+  AnswerClaimedCall(world, status);
   CHECK(world.Take<reducer::AnswerCall>().empty());
   const auto refused = world.Take<reducer::Refuse>();
   REQUIRE(refused.size() == 1);
@@ -781,12 +792,7 @@
 {
   const std::uint32_t status = GENERATE(200, 404, 409, 425);
   World world;
-  world.Handle(reducer::RequestArrived{ world.MakeCall("k") });
-  world.Run(absl::Milliseconds(200));
-  const auto sent = world.Take<reducer::Dispatch>();
-  REQUIRE(sent.size() == 1);
-  world.EndClaimedCall(sent[0], true, false, status);
-  world.Run(absl::Seconds(1));
+  AnswerClaimedCall(world, status);
   const auto answers = world.Take<reducer::AnswerCall>();
   REQUIRE(answers.size() == 1);
   CHECK(answers[0].answer_.status_ == status);
