--- a/test/gateway-exchange-test.cc
+++ b/test/gateway-exchange-test.cc
@@ -7,6 +7,7 @@
 
 using lycheeplank::test::Events;
 using lycheeplank::test::FakeTarget;
+using lycheeplank::test::Has;
 using lycheeplank::test::Sends;
 using lycheeplank::test::WholeAnswer;
 using lycheeplank::test::World;
@@ -15,12 +16,6 @@
 
 namespace {
 
-bool
-Has(const std::string& aText, const std::string& aPart)
-{
-  return aText.find(aPart) != std::string::npos;
-}
-
 // Lets a cache store hold the shared part of PromptRequest for the first
 // version of the weights, which the target has.
 void
--- a/test/gateway-refusals-test.cc
+++ b/test/gateway-refusals-test.cc
@@ -8,6 +8,7 @@
 #include "gateway-world.h"
 
 using lycheeplank::test::FakeTarget;
+using lycheeplank::test::Has;
 using lycheeplank::test::Sends;
 using lycheeplank::test::WholeAnswer;
 using lycheeplank::test::World;
@@ -24,12 +25,6 @@
 
 const std::string kText = "refused-by-target";
 
-bool
-Has(const std::string& aText, const std::string& aPart)
-{
-  return aText.find(aPart) != std::string::npos;
-}
-
 // Returns a body of the size that begins with kText.
 std::string
 BodyOf(std::size_t aSize)
--- a/test/gateway-trouble-test.cc
+++ b/test/gateway-trouble-test.cc
@@ -8,6 +8,7 @@
 // that are cut. Other callers of the same host must still be served.
 
 using lycheeplank::test::FakeTarget;
+using lycheeplank::test::Has;
 using lycheeplank::test::Sends;
 using lycheeplank::test::WholeAnswer;
 using lycheeplank::test::World;
@@ -20,12 +21,6 @@
 const std::string kStreamHead = kHead + "Content-Type: text/event-stream\r\n";
 const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
 
-bool
-Has(const std::string& aText, const std::string& aPart)
-{
-  return aText.find(aPart) != std::string::npos;
-}
-
 std::string
 Chunk(const std::string& aText)
 {
--- a/test/gateway-world.h
+++ b/test/gateway-world.h
@@ -23,6 +23,12 @@
 // Runs a host with its callers and targets on loopback in one thread.
 namespace lycheeplank::test {
 
+inline bool
+Has(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
 // A target whose answers the test defines.
 class FakeTarget
 {
--- a/test/runner-test.cc
+++ b/test/runner-test.cc
@@ -13,11 +13,14 @@
 
 namespace {
 
-// An exchange whose answer nobody reads.
-class IgnoredExchange final : public net::Exchange
+// An exchange that records its status and what is written to its stream.
+class RecordedExchange final : public net::Exchange
 {
 public:
-  void Reply(int, std::vector<net::Field>, std::string) override {}
+  void Reply(int aStatus, std::vector<net::Field>, std::string) override
+  {
+    status_ = aStatus;
+  }
   void BeginStream(int, std::vector<net::Field>) override {}
   bool Write(absl::string_view aData) override
   {
@@ -29,6 +32,8 @@
   void OnClosed(std::function<void()>) override {}
   std::size_t Backlog() override { return 0; }
 
+  // 0 without an answer.
+  int status_ = 0;
   std::string written_;
 };
 
@@ -66,7 +71,7 @@
         done.Notify();
       }
     });
-  const auto exchange = std::make_shared<IgnoredExchange>();
+  const auto exchange = std::make_shared<RecordedExchange>();
   auto openRequest = std::make_shared<entry::OpenRequest>();
   openRequest->publicId_ = "request";
   openRequest->workspace_ = "ws";
@@ -87,25 +92,6 @@
   return outcome;
 }
 
-// An exchange that keeps its status.
-class RecordedExchange final : public net::Exchange
-{
-public:
-  void Reply(int aStatus, std::vector<net::Field>, std::string) override
-  {
-    status_ = aStatus;
-  }
-  void BeginStream(int, std::vector<net::Field>) override {}
-  bool Write(absl::string_view) override { return true; }
-  void End() override {}
-  void Abort() override {}
-  void OnClosed(std::function<void()>) override {}
-  std::size_t Backlog() override { return 0; }
-
-  // 0 without an answer.
-  int status_ = 0;
-};
-
 // Sends a repeatable call to a service that gives one answer to all calls.
 // Returns the result of the attempt and the status that the caller got.
 std::pair<reducer::AttemptResult, int>
--- a/test/server-connection-test.cc
+++ b/test/server-connection-test.cc
@@ -9,18 +9,13 @@
 
 #include "gateway-world.h"
 
+using lycheeplank::test::Has;
 using lycheeplank::test::Sends;
 using lycheeplank::test::WholeAnswer;
 using lycheeplank::test::World;
 
 namespace {
 
-bool
-Has(const std::string& aText, const std::string& aPart)
-{
-  return aText.find(aPart) != std::string::npos;
-}
-
 void
 SetLimits(World& aWorld, std::uint32_t aHeaderBytes, std::uint64_t aBodyBytes)
 {
