review: entries of another writer stop the rollout of weights for good

Three entries of a service that no configuration names take all places of the rollout, which then orders no server; from 4.5 s after the ack on no request for the model servers is served.

--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -384,6 +384,7 @@
         self.fence = 0
         self.busy = False
         self.orders = []
+        self.runs = []
 
     def models(self):
         return [{"name": self.model, "version": self.version, "adapters": []}]
@@ -403,7 +404,25 @@
             status = self.take_order(request)
             writer.write(answer_bytes(status, b""))
         else:
-            writer.write(answer_bytes(503, b"", [("X-Not-Run", "1")]))
+            await self.run(request, writer)
+
+    async def run(self, request, writer):
+        """Streams three events; rejects requests of others and other weights."""
+        named = request.field("X-Expect-Version")
+        if self.misdirected(request) or (named and int(named) != self.version):
+            writer.write(answer_bytes(421, b"", [("X-Not-Run", "1")]))
+            return
+        self.runs.append((now(), request.field("X-Request-Id"), self.version))
+        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        for name, value in self.stamp(request):
+            head += f"{name}: {value}\r\n"
+        head += f"X-Weight-Versions: {self.version}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        writer.write(head.encode())
+        for number in (1, 2, 3):
+            await asyncio.sleep(0.02)
+            event = f"id: {number}\ndata: {'y' * 60}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        writer.write(b"0\r\n\r\n")
 
     def take_order(self, request):
         order = json.loads(request.body)
@@ -671,6 +690,20 @@
     return await exchange(address, head.encode(), **more)
 
 
+async def ask_stream(world, gateway):
+    """Sends one request for a stream; returns status and body."""
+    rid = request_id()
+    status, _, body = await exchange(gateway.front, (
+        "POST /kafi500/2f HTTP/1.1\r\nHost: nylo40.example\r\n"
+        f"X-Request-Id: {rid}\r\nX-Model: {world.model}\r\nX-Token-Count: 1460,8\r\n"
+        "X-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\n"
+        "X-Deadline-Ms: 15000\r\nConnection: close\r\n"
+        f"Authorization: Token {world.key}\r\nContent-Length: 4\r\n\r\nbody").encode())
+    world.record.add(f"request {rid} to {gateway.name}: {status}, "
+                     f"{'whole' if body is not None else 'not whole'}")
+    return status, body
+
+
 def request_id():
     return f"{random.getrandbits(64):016x}"
 
