review: model servers that start again stop the rollout of weights for good

Case 13, rule VERSION. A server that the rollout chose while it was down, and that starts again under its id, is never ordered again and holds its place. Three rounds of crashes of three in 12 servers end the rollout, and with it all service by these servers.

Command: review/13/run.sh, five times with and five times with TROUBLE=0. The servers are drawn at random in each run.

--- /dev/null
+++ b/review/14/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+exec python3 "$(dirname "$0")/case.py"
--- a/review/lib-3/world.py
+++ b/review/lib-3/world.py
@@ -315,6 +315,8 @@
         self.address = f"{world.network.address()}:8300"
         self.state = "ready"
         self.writes = 0
+        self.writers = set()
+        self.down = False
 
     def entry(self):
         self.writes += 1
@@ -332,7 +334,24 @@
         self.listener = await asyncio.start_server(self._serve, host, int(port))
         self.register()
 
+    async def crash(self):
+        """Ends at once: connections are cut, new ones are refused."""
+        self.world.record.add(f"{self.id} crashes")
+        self.down = True
+        self.listener.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def restart(self):
+        """Starts again under the same id; what it counted is gone."""
+        self.down = False
+        self.born = int(time.time() * 1000)
+        self.writes = 0
+        await self.start()
+        self.world.record.add(f"{self.id} starts again, born {self.born}")
+
     async def _serve(self, reader, writer):
+        self.writers.add(writer)
         try:
             while True:
                 request = await read_request(reader)
@@ -341,6 +360,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, ValueError, asyncio.CancelledError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     def stamp(self, request):
@@ -456,6 +476,12 @@
             return 409
         return 202
 
+    async def restart(self):
+        self.sequence = 0
+        self.fence = 0
+        self.busy = False
+        await super().restart()
+
     async def load(self, version):
         await asyncio.sleep(self.LOAD_S)
         self.version = version
@@ -621,7 +647,7 @@
         while True:
             await asyncio.sleep(1.2)
             for server in self.servers:
-                if f"servers/{server.id}" in self.store.items:
+                if f"servers/{server.id}" in self.store.items and not server.down:
                     server.register()
 
     async def until_ready(self, limit=15.0):
