Rollout: drop the record of a process that has ended, whatever its state

Cause: records of the rollout are kept by the target's id, and one was dropped with its process only if an order had been sent. One whose report was being asked for stayed, held the new process to the start of the old one, ignored its reports and kept one of the places, a fifth of the targets.

Change: a record is of one process and is dropped in every state when another one is listed. The timer of an announcement orders nothing at a later record. A target that gives no answer for 2 s loses its place, is asked each second, and comes after others; hosts that paused for an order that wasn't sent are told to go on. New log lines rollout_target_silent and rollout_target_answers.

--- a/include/lycheeplank/weights.h
+++ b/include/lycheeplank/weights.h
@@ -64,18 +64,38 @@
   Loading,
   // It is not known whether the target accepted the order.
   Unconfirmed,
+  // The target has stopped answering. It holds none of the places of those
+  // ordered at the same time; its next report makes it wait again.
+  Silent,
 };
 
+inline constexpr std::array<core::Named<Progress>, 6> kProgresses{ {
+  { Progress::Waiting, "waiting" },
+  { Progress::Announced, "announced" },
+  { Progress::Ordering, "ordering" },
+  { Progress::Loading, "loading" },
+  { Progress::Unconfirmed, "unconfirmed" },
+  { Progress::Silent, "silent" },
+} };
+
+// The update of one process of a target. Another process under the same id
+// begins anew.
 struct TargetProgress
 {
   Progress progress_ = Progress::Waiting;
   absl::Time since_ = absl::InfinitePast();
+  // Last time at which the process was announced or gave an answer, and the
+  // last call for its report.
+  absl::Time heardAt_ = absl::InfinitePast();
+  absl::Time polledAt_ = absl::InfinitePast();
+  // Orders and reports that led to nothing. Targets with fewer come first.
+  std::uint32_t failures_ = 0;
   // Earliest time of the next order.
   absl::Time notBefore_ = absl::InfinitePast();
   // Number of orders that the target had accepted by its last status report.
   absl::optional<std::uint64_t> orders_;
   std::uint32_t sent_ = 0;
-  // Start of the target's process that is ordered, in milliseconds since 1970.
+  // Start of the process, in milliseconds since 1970.
   std::int64_t bornMs_ = 0;
 };
 
@@ -104,9 +124,41 @@
 // An order without an answer may still be carried out, so the target's status
 // is read only after this time.
 inline constexpr absl::Duration kConfirmDelay = absl::Milliseconds(400);
+// Periods at which the reports of targets are read that hold a place, and of
+// silent ones.
+inline constexpr absl::Duration kReportPeriod = absl::Milliseconds(250);
+inline constexpr absl::Duration kSilentReportPeriod = absl::Seconds(1);
+// A target that gives no answer for this time loses its place. Sound targets
+// may pause for about a second.
+inline constexpr absl::Duration kMaxSilence = absl::Seconds(2);
+
+// A target that has lost its place.
+struct Released
+{
+  std::string target_;
+  Progress progress_ = Progress::Waiting;
+  absl::Duration silence_;
+  // An order may have been accepted.
+  bool isOrdered_ = false;
+};
+
+// Takes the places from the targets that have been silent for kMaxSilence, so
+// that those which can't be reached or confirmed don't keep others waiting.
+std::vector<Released>
+ReleaseSilent(Rollout& aRollout, absl::Time aNow);
+
+// Records an answer of a target's process. Returns whether it was silent; it
+// waits for an order then.
+bool
+NoteAnswer(TargetProgress& aWork, absl::Time aNow);
+
+// Returns whether a report decides what is done next with a target.
+bool
+AwaitsReport(const TargetProgress& aWork);
 
 // Returns the targets to order now, least busy first, and marks them as
-// announced. Skips targets that leave or have the weights.
+// announced. Skips targets that leave or have the weights. Forgets what is
+// known of earlier processes.
 std::vector<std::string>
 NextTargets(Rollout& aRollout,
             const fleet::Members& aMembers,
@@ -117,9 +169,10 @@
 bool
 IsSlowed(const Rollout& aRollout);
 
-// Returns the targets whose status is to be read now.
+// Returns the targets whose reports are to be read now, and records that they
+// are.
 std::vector<std::string>
-TargetsToPoll(const Rollout& aRollout, absl::Time aNow);
+TargetsToPoll(Rollout& aRollout, absl::Time aNow);
 
 } // namespace lycheeplank::weights
 
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -546,6 +546,15 @@
   return aHost.catalog_ != nullptr && !aHost.members_.empty();
 }
 
+absl::optional<std::int64_t>
+StartOf(const Host& aHost, const std::string& aTarget)
+{
+  const auto found = aHost.members_.find(aTarget);
+  return found == aHost.members_.end()
+           ? absl::nullopt
+           : absl::make_optional(found->second.target_.bornMs_);
+}
+
 retry_budget::Limits
 ResendLimits(const Host& aHost)
 {
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -270,6 +270,11 @@
 bool
 CanServe(const Host& aHost);
 
+// Returns the start time of a target's present process, in milliseconds since
+// 1970; nothing if the target isn't listed.
+absl::optional<std::int64_t>
+StartOf(const Host& aHost, const std::string& aTarget);
+
 // Returns the limits of the retry budget, which is divided among the known
 // hosts and kUnknownHosts more.
 retry_budget::Limits
--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -34,9 +34,7 @@
 constexpr absl::Duration kOrderPause = absl::Seconds(3);
 constexpr absl::Duration kOrderTimeout = absl::Milliseconds(1000);
 constexpr absl::Duration kReportTimeout = absl::Milliseconds(500);
-// Period at which a target's report is fetched, and the age that a report may
-// have; reports are some hundred milliseconds old.
-constexpr absl::Duration kReportPeriod = absl::Milliseconds(250);
+// Age that a report may have; reports are some hundred milliseconds old.
 constexpr absl::Duration kMaxReportAge = absl::Milliseconds(700);
 constexpr absl::Duration kRefusedOrderPause = absl::Milliseconds(300);
 // Low bits of a fencing token, which hold the revision; the era is above them,
@@ -50,32 +48,21 @@
   return (aClaimedAt.era_ << kRevisionBits) | aClaimedAt.revision_;
 }
 
-// Returns the start time of a target's present process; nothing if it isn't
-// listed.
-absl::optional<std::int64_t>
-StartOf(const Host& aHost, const std::string& aTarget)
-{
-  const auto found = aHost.members_.find(aTarget);
-  return found == aHost.members_.end()
-           ? absl::nullopt
-           : absl::make_optional(found->second.target_.bornMs_);
-}
-
-// Tells all hosts of the present processes of targets.
+// Tells all hosts of the present processes of targets. aPause: how long they
+// send no requests there.
 void
 Tell(Host& aHost,
      Notice::Kind aKind,
      const std::vector<std::string>& aTargets,
      const std::string& aModel,
-     std::uint64_t aVersion)
+     std::uint64_t aVersion,
+     absl::Duration aPause)
 {
-  const auto pause =
-    aKind == Notice::Kind::LoadOrdered ? kOrderPause : absl::ZeroDuration();
   std::vector<Notice> notices;
   notices.reserve(aTargets.size());
   for (const auto& target : aTargets) {
     if (const auto start = StartOf(aHost, target)) {
-      notices.push_back({ aKind, target, aModel, aVersion, pause, *start });
+      notices.push_back({ aKind, target, aModel, aVersion, aPause, *start });
     }
   }
   if (!notices.empty()) {
@@ -83,6 +70,30 @@
   }
 }
 
+void
+TellLoadOrdered(Host& aHost,
+                const std::vector<std::string>& aTargets,
+                const std::string& aModel,
+                std::uint64_t aVersion,
+                absl::Duration aPause = kOrderPause)
+{
+  Tell(aHost, Notice::Kind::LoadOrdered, aTargets, aModel, aVersion, aPause);
+}
+
+void
+TellLoaded(Host& aHost,
+           const std::string& aTarget,
+           const std::string& aModel,
+           std::uint64_t aVersion)
+{
+  Tell(aHost,
+       Notice::Kind::WeightsLoaded,
+       { aTarget },
+       aModel,
+       aVersion,
+       absl::ZeroDuration());
+}
+
 } // namespace
 
 Owner::Owner(Host& aHost)
@@ -208,7 +219,6 @@
   phase_ = Phase::Owning;
   fence_ = FenceOf(aClaimedAt);
   rollouts_.clear();
-  reportFetchedAt_.clear();
   oldestWeights_.clear();
   host_.log_.Write(Line("owner_begins")
                      .Number("fence", fence_)
@@ -317,6 +327,7 @@
 Owner::AdvanceRollout(const std::string& aModel, weights::Rollout& aRollout)
 {
   const auto now = Now();
+  ReleaseSilent(aModel, aRollout);
   const bool wasSlowed = weights::IsSlowed(aRollout);
   const auto ids = weights::NextTargets(aRollout, host_.members_, aModel, now);
   if (const bool isSlowed = weights::IsSlowed(aRollout);
@@ -328,23 +339,58 @@
                        .Age("last_loss_age_ms", now - aRollout.lastLossAt_));
   }
   if (!ids.empty()) {
-    Tell(host_, Notice::Kind::LoadOrdered, ids, aModel, aRollout.version_);
+    TellLoadOrdered(host_, ids, aModel, aRollout.version_);
     for (const auto& id : ids) {
       const auto timer = std::make_shared<Timer>(host_.loop_);
       // The other hosts receive the notice before the target gets the order.
       timer->Set(NoticePropagationTime(host_),
-                 [self = shared_from_this(), timer, aModel, id] {
-                   self->SendOrder(aModel, id);
+                 [self = shared_from_this(), timer, aModel, id, now] {
+                   self->OnAnnounced(aModel, id, now);
                  });
     }
   }
   for (const auto& id : weights::TargetsToPoll(aRollout, now)) {
-    if (auto& fetchedAt = reportFetchedAt_[id];
-        now - fetchedAt > kReportPeriod) {
-      fetchedAt = now;
-      FetchReport(aModel, id);
+    FetchReport(aModel, id);
+  }
+}
+
+void
+Owner::ReleaseSilent(const std::string& aModel, weights::Rollout& aRollout)
+{
+  std::vector<std::string> unordered;
+  for (const auto& released : weights::ReleaseSilent(aRollout, Now())) {
+    const auto& id = released.target_;
+    host_.metrics_.Count("rollout_silent_targets_total");
+    host_.log_.Write(
+      Line("rollout_target_silent")
+        .Text("target", id)
+        .Text("model", aModel)
+        .Number("version", aRollout.version_)
+        .Text("progress",
+              core::NameOf(weights::kProgresses, released.progress_))
+        .Flag("ordered", released.isOrdered_)
+        .Number("started_ms", aRollout.targets_.at(id).bornMs_)
+        .Age("silence_ms", released.silence_));
+    if (!released.isOrdered_) {
+      unordered.push_back(id);
     }
   }
+  // Other hosts may reach them.
+  TellLoadOrdered(
+    host_, unordered, aModel, aRollout.version_, absl::ZeroDuration());
+}
+
+void
+Owner::OnAnnounced(const std::string& aModel,
+                   const std::string& aTarget,
+                   absl::Time aAnnouncedAt)
+{
+  const auto* work = FindWork(aModel, aTarget);
+  // The target may have started again and been announced once more.
+  if (work != nullptr && work->progress_ == weights::Progress::Announced &&
+      work->since_ == aAnnouncedAt) {
+    SendOrder(aModel, aTarget);
+  }
 }
 
 void
@@ -352,22 +398,28 @@
 {
   const auto member = host_.members_.find(aTarget);
   auto* work = FindWork(aModel, aTarget);
-  if (work == nullptr || member == host_.members_.end()) {
+  if (work == nullptr) {
     return;
   }
-  if (!CanSendOrders()) {
+  // The entry may have vanished, and another process may have written it since.
+  const bool isPresent = member != host_.members_.end() &&
+                         member->second.target_.bornMs_ == work->bornMs_;
+  if (!isPresent || !CanSendOrders()) {
     work->progress_ = weights::Progress::Waiting;
     return;
   }
+  const auto now = Now();
   if (!work->orders_) {
     // An order is conditional on the number of orders that the target has
     // accepted, which its report shows.
     work->progress_ = weights::Progress::Unconfirmed;
-    work->since_ = Now() - weights::kConfirmDelay;
+    work->since_ = now - weights::kConfirmDelay;
+    work->polledAt_ = now;
     FetchReport(aModel, aTarget);
     return;
   }
   work->progress_ = weights::Progress::Ordering;
+  work->since_ = now;
   ++work->sent_;
   WeightsOrder order;
   order.targetId_ = aTarget;
@@ -383,7 +435,7 @@
                      .Number("fence", fence_)
                      .Number("expect_orders", *order.expectOrders_)
                      .Number("running", member->second.load_.running_)
-                     .Age("valid_ms", validUntil_ - Now()));
+                     .Age("valid_ms", validUntil_ - now));
   CallTarget(
     member->second.target_,
     host_.adapter_.writeOrder_(order),
@@ -440,18 +492,22 @@
   }
   const auto now = Now();
   work->since_ = now;
+  if (aOutcome != OrderOutcome::Lost) {
+    weights::NoteAnswer(*work, now);
+  }
   switch (aOutcome) {
     case OrderOutcome::Accepted:
       work->progress_ = weights::Progress::Loading;
       return;
     case OrderOutcome::Done:
-      Tell(host_, Notice::Kind::WeightsLoaded, { aTarget }, aModel, aVersion);
+      TellLoaded(host_, aTarget, aModel, aVersion);
       // A newer version may have been published meanwhile.
       work->progress_ = weights::Progress::Waiting;
       return;
     case OrderOutcome::Conflict:
     case OrderOutcome::Lost:
       work->progress_ = weights::Progress::Unconfirmed;
+      ++work->failures_;
       return;
     case OrderOutcome::Fenced:
       StepDown("fenced");
@@ -459,6 +515,7 @@
     case OrderOutcome::Refused:
       work->progress_ = weights::Progress::Waiting;
       work->notBefore_ = now + kRefusedOrderPause;
+      ++work->failures_;
       return;
   }
 }
@@ -521,10 +578,26 @@
     return;
   }
   const auto now = Now();
+  const bool wasSilent = weights::NoteAnswer(*work, now);
   const auto version = rollouts_[aModel].version_;
   const auto loaded = aReport.weights_.find(aModel);
   if (loaded != aReport.weights_.end() && loaded->second >= version) {
-    Tell(host_, Notice::Kind::WeightsLoaded, { aTarget }, aModel, version);
+    TellLoaded(host_, aTarget, aModel, version);
+    return;
+  }
+  if (wasSilent) {
+    host_.log_.Write(Line("rollout_target_answers")
+                       .Text("target", aTarget)
+                       .Text("model", aModel)
+                       .Number("version", version)
+                       .Flag("busy", aReport.isBusy_));
+    work->orders_ = aReport.orders_;
+    if (aReport.isBusy_) {
+      work->progress_ = weights::Progress::Loading;
+    }
+    return;
+  }
+  if (!weights::AwaitsReport(*work)) {
     return;
   }
   if (!work->orders_ && !aReport.isBusy_) {
@@ -537,7 +610,7 @@
     if (now - work->since_ > kOrderPause / 2) {
       // The target's requests take long to finish, so its pause is prolonged.
       work->since_ = now;
-      Tell(host_, Notice::Kind::LoadOrdered, { aTarget }, aModel, version);
+      TellLoadOrdered(host_, { aTarget }, aModel, version);
     }
     return;
   }
--- a/src/gateway/owner.h
+++ b/src/gateway/owner.h
@@ -56,6 +56,12 @@
   // Work of the owner: rollouts, and freeing of old parts.
   void Step();
   void AdvanceRollout(const std::string& aModel, weights::Rollout& aRollout);
+  // Frees the places of targets that have stopped answering.
+  void ReleaseSilent(const std::string& aModel, weights::Rollout& aRollout);
+  // Sends the order after the notice of aAnnouncedAt has reached all hosts.
+  void OnAnnounced(const std::string& aModel,
+                   const std::string& aTarget,
+                   absl::Time aAnnouncedAt);
   void SendOrder(const std::string& aModel, const std::string& aTarget);
   // Calls a target. Its answer is ignored if the target has started again
   // meanwhile.
@@ -101,7 +107,6 @@
   // End of the ownership unless the lease is renewed.
   absl::Time validUntil_ = absl::InfinitePast();
   absl::flat_hash_map<std::string, weights::Rollout> rollouts_;
-  absl::flat_hash_map<std::string, absl::Time> reportFetchedAt_;
   // By model.
   absl::flat_hash_map<std::string, part_use::Rises> oldestWeights_;
   absl::Time partsFreedAt_ = absl::InfinitePast();
--- a/src/weights/weights.cc
+++ b/src/weights/weights.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <tuple>
+#include <utility>
 
 namespace lycheeplank::weights {
 
@@ -25,21 +27,34 @@
          aMember.target_.weights_.contains(aModel);
 }
 
-// Returns whether a target was lost while it was ordered to load weights.
+// Returns whether a target holds one of the places of those that are out of
+// service for new weights at the same time.
 bool
-IsLost(const TargetProgress& aWork, const fleet::Member* aMember)
+HoldsPlace(const TargetProgress& aWork)
 {
-  const bool isOrdered = aWork.sent_ > 0 &&
-                         aWork.progress_ != Progress::Waiting &&
-                         aWork.progress_ != Progress::Announced;
-  return isOrdered &&
-         (aMember == nullptr || aMember->target_.bornMs_ != aWork.bornMs_);
+  return aWork.progress_ != Progress::Waiting &&
+         aWork.progress_ != Progress::Silent;
 }
 
-// Counts the targets that were lost while they were ordered, and forgets those
-// that are gone.
+// Returns whether a target may be carrying out an order.
+bool
+IsOrdered(const TargetProgress& aWork)
+{
+  return aWork.sent_ > 0 && aWork.progress_ != Progress::Waiting &&
+         aWork.progress_ != Progress::Announced;
+}
+
+// Returns whether the process that a record is about has ended.
+bool
+HasEnded(const TargetProgress& aWork, const fleet::Member* aMember)
+{
+  return aMember == nullptr || aMember->target_.bornMs_ != aWork.bornMs_;
+}
+
+// Forgets the processes that have ended, in every state of their update, and
+// counts those that may have ended because of an order.
 void
-CountLosses(Rollout& aRollout,
+ForgetEnded(Rollout& aRollout,
             const fleet::Members& aMembers,
             const std::string& aModel,
             absl::Time aNow)
@@ -52,13 +67,14 @@
   for (auto item = targets.begin(); item != targets.end();) {
     const auto found = aMembers.find(item->first);
     const auto* member = found == aMembers.end() ? nullptr : &found->second;
-    const bool isLost = IsLost(item->second, member);
+    const bool hasEnded = HasEnded(item->second, member);
+    const bool isLost = hasEnded && IsOrdered(item->second);
     if (isLost && (aRollout.lossMoments_ == 0 ||
                    aNow - aRollout.lastLossAt_ >= kLossMomentTime)) {
       ++aRollout.lossMoments_;
       aRollout.lastLossAt_ = aNow;
     }
-    item = isLost || member == nullptr ? targets.erase(item) : std::next(item);
+    item = hasEnded ? targets.erase(item) : std::next(item);
   }
   const bool hasSucceeded =
     std::any_of(aMembers.begin(), aMembers.end(), [&](const auto& aEntry) {
@@ -132,51 +148,97 @@
             const std::string& aModel,
             absl::Time aNow)
 {
-  CountLosses(aRollout, aMembers, aModel, aNow);
+  ForgetEnded(aRollout, aMembers, aModel, aNow);
   std::size_t total = 0;
-  std::size_t busy = 0;
-  std::vector<const fleet::Member*> ready;
   for (const auto& [id, member] : aMembers) {
     total += HasModel(member, aModel) ? 1 : 0;
-    if (!NeedsWeights(member, aModel, aRollout.version_)) {
+    if (NeedsWeights(member, aModel, aRollout.version_)) {
+      aRollout.targets_[id].bornMs_ = member.target_.bornMs_;
+    } else {
       aRollout.targets_.erase(id);
-      continue;
     }
-    const auto& work = aRollout.targets_[id];
-    if (work.progress_ != Progress::Waiting) {
+  }
+  std::size_t busy = 0;
+  std::vector<std::pair<const fleet::Member*, TargetProgress*>> ready;
+  for (auto& [id, work] : aRollout.targets_) {
+    if (HoldsPlace(work)) {
       ++busy;
-    } else if (aNow >= work.notBefore_) {
-      ready.push_back(&member);
+    } else if (work.progress_ == Progress::Waiting && aNow >= work.notBefore_) {
+      ready.emplace_back(&aMembers.at(id), &work);
     }
   }
   const auto most = MostAtOnce(aRollout, total, aNow);
+  const auto rank = [aNow](const auto& aEntry) {
+    const auto& [member, work] = aEntry;
+    return std::make_tuple(work->failures_,
+                           fleet::IsQuarantined(*member, aNow),
+                           member->load_.running_ + member->inFlight_);
+  };
   std::stable_sort(
-    ready.begin(), ready.end(), [](const auto* aLeft, const auto* aRight) {
-      return aLeft->load_.running_ + aLeft->inFlight_ <
-             aRight->load_.running_ + aRight->inFlight_;
+    ready.begin(), ready.end(), [&](const auto& aLeft, const auto& aRight) {
+      return rank(aLeft) < rank(aRight);
     });
   std::vector<std::string> ids;
-  for (const auto* member : ready) {
+  for (const auto& [member, work] : ready) {
     if (busy + ids.size() >= most) {
       break;
     }
     ids.push_back(member->target_.id_);
-    auto& work = aRollout.targets_[member->target_.id_];
-    work.progress_ = Progress::Announced;
-    work.since_ = aNow;
-    work.bornMs_ = member->target_.bornMs_;
+    work->progress_ = Progress::Announced;
+    work->since_ = aNow;
+    work->heardAt_ = aNow;
   }
   return ids;
 }
 
+std::vector<Released>
+ReleaseSilent(Rollout& aRollout, absl::Time aNow)
+{
+  std::vector<Released> released;
+  for (auto& [id, work] : aRollout.targets_) {
+    const auto silence = aNow - work.heardAt_;
+    if (!HoldsPlace(work) || silence < kMaxSilence) {
+      continue;
+    }
+    released.push_back({ id, work.progress_, silence, IsOrdered(work) });
+    work.progress_ = Progress::Silent;
+    work.since_ = aNow;
+    ++work.failures_;
+  }
+  return released;
+}
+
+bool
+NoteAnswer(TargetProgress& aWork, absl::Time aNow)
+{
+  aWork.heardAt_ = aNow;
+  if (aWork.progress_ != Progress::Silent) {
+    return false;
+  }
+  aWork.progress_ = Progress::Waiting;
+  aWork.since_ = aNow;
+  return true;
+}
+
+bool
+AwaitsReport(const TargetProgress& aWork)
+{
+  return aWork.progress_ == Progress::Loading ||
+         aWork.progress_ == Progress::Unconfirmed;
+}
+
 std::vector<std::string>
-TargetsToPoll(const Rollout& aRollout, absl::Time aNow)
+TargetsToPoll(Rollout& aRollout, absl::Time aNow)
 {
   std::vector<std::string> ids;
-  for (const auto& [id, work] : aRollout.targets_) {
-    const bool unconfirmed = work.progress_ == Progress::Unconfirmed &&
-                             aNow - work.since_ > kConfirmDelay;
-    if (work.progress_ == Progress::Loading || unconfirmed) {
+  for (auto& [id, work] : aRollout.targets_) {
+    const bool isSilent = work.progress_ == Progress::Silent;
+    const bool isTooEarly = work.progress_ == Progress::Unconfirmed &&
+                            aNow - work.since_ <= kConfirmDelay;
+    const auto period = isSilent ? kSilentReportPeriod : kReportPeriod;
+    if ((isSilent || AwaitsReport(work)) && !isTooEarly &&
+        aNow - work.polledAt_ > period) {
+      work.polledAt_ = aNow;
       ids.push_back(id);
     }
   }
--- a/test/owner-test.cc
+++ b/test/owner-test.cc
@@ -161,6 +161,11 @@
     , target_(loop_,
               [this](auto& aSelf, const auto& aSocket) {
                 const auto call = LastCall(aSelf);
+                if (isDown_) {
+                  aSocket->Reset();
+                  ++callsWhileDown_;
+                  return;
+                }
                 const auto answer = TextAnswer(AnswerTarget(call));
                 if (repliesLate_ && call[0] == "order") {
                   lateReplies_.emplace_back(aSocket, answer);
@@ -323,6 +328,17 @@
     return OwnerHost().members_.at("t1").target_.weights_.at("m");
   }
 
+  // Lists the target as a process with another start.
+  void Restart(std::int64_t aStartedAtMs)
+  {
+    for (auto* candidate : { &first_, &second_ }) {
+      auto& members = candidate->host_.members_;
+      auto target = members.at("t1").target_;
+      target.bornMs_ = aStartedAtMs;
+      fleet::UpdateTarget(members, target, { 0, 2 }, gateway::Now());
+    }
+  }
+
   bool RunUntil(const std::function<bool()>& aCondition,
                 absl::Duration aTimeout = absl::Seconds(20))
   {
@@ -340,6 +356,9 @@
   bool acceptsOrders_ = true;
   // The target says of each order that it already holds.
   bool holdsOrders_ = false;
+  // The target resets all connections.
+  bool isDown_ = false;
+  int callsWhileDown_ = 0;
   // The target's replies to orders are held back.
   bool repliesLate_ = false;
   std::vector<std::pair<std::shared_ptr<gateway::Socket>, std::string>>
@@ -535,12 +554,7 @@
 {
   Owners owners;
   owners.HoldReplyToOrder();
-  for (auto* candidate : { &owners.first_, &owners.second_ }) {
-    auto& members = candidate->host_.members_;
-    auto target = members.at("t1").target_;
-    target.bornMs_ = 7;
-    fleet::UpdateTarget(members, target, { 0, 2 }, gateway::Now());
-  }
+  owners.Restart(7);
   owners.SendHeldReplies();
   // The second order goes to the present start.
   CHECK(owners.RunUntil([&] { return owners.lateReplies_.size() == 2; },
@@ -548,6 +562,41 @@
   CHECK(owners.BelievedWeights() == 1);
 }
 
+// Guards against a target that never gets an order since it was announced while
+// it was down.
+TEST_CASE("a target that starts again while its report is read is ordered")
+{
+  Owners owners;
+  owners.isDown_ = true;
+  owners.SetNewestVersion(2);
+  REQUIRE(owners.RunUntil([&] { return owners.callsWhileDown_ > 0; }));
+  owners.isDown_ = false;
+  owners.reportBornMs_ = 7;
+  owners.Restart(7);
+  CHECK(
+    owners.RunUntil([&] { return owners.weights_ == 2; }, absl::Seconds(5)));
+}
+
+// Guards against a target that nobody reaches and that keeps the others from
+// being ordered.
+TEST_CASE("a target that can't be reached doesn't hold up a rollout")
+{
+  Owners owners;
+  for (auto* candidate : { &owners.first_, &owners.second_ }) {
+    auto& members = candidate->host_.members_;
+    auto unreachable = members.at("t1").target_;
+    unreachable.id_ = "t0";
+    unreachable.address_ = "127.0.0.1:1";
+    fleet::UpdateTarget(members, unreachable, { 0, 1 }, gateway::Now());
+  }
+  owners.SetNewestVersion(2);
+  CHECK(
+    owners.RunUntil([&] { return owners.weights_ == 2; }, absl::Seconds(8)));
+  // It isn't kept from requests of hosts that may reach it.
+  CHECK(owners.OwnerHost().members_.at("t0").weightLoadUntil_ <=
+        gateway::Now());
+}
+
 TEST_CASE("an owner steps down when the service is restored from a backup")
 {
   Owners owners;
--- a/test/weights-test.cc
+++ b/test/weights-test.cc
@@ -183,3 +183,111 @@
   const auto next = kNow + absl::Milliseconds(100);
   CHECK(weights::NextTargets(rollout, members, "m", next).size() == 4);
 }
+
+// Guards against a target that holds a place for good since its process ended
+// before it got the order.
+TEST_CASE("a target that starts again is ordered anew in every state")
+{
+  using weights::Progress;
+  const auto progress = GENERATE(Progress::Waiting,
+                                 Progress::Announced,
+                                 Progress::Ordering,
+                                 Progress::Loading,
+                                 Progress::Unconfirmed);
+  const auto sent = GENERATE(0U, 1U);
+  auto members = MakeMembers(1);
+  weights::Rollout rollout;
+  rollout.version_ = 2;
+  const std::vector<std::string> expected{ "t0" };
+  REQUIRE(weights::NextTargets(rollout, members, "m", kNow) == expected);
+  auto& work = rollout.targets_.at("t0");
+  work.progress_ = progress;
+  work.orders_ = 4;
+  work.sent_ = sent;
+  work.notBefore_ = kNow + absl::Minutes(1);
+  auto restarted = members.at("t0").target_;
+  restarted.bornMs_ = 7;
+  fleet::UpdateTarget(members, restarted, { 0, 2 }, kNow);
+  CHECK(weights::NextTargets(rollout, members, "m", kNow) == expected);
+  const auto& anew = rollout.targets_.at("t0");
+  CHECK(anew.bornMs_ == 7);
+  CHECK(anew.sent_ == 0);
+  CHECK_FALSE(anew.orders_);
+}
+
+// Guards against a crash that slows a rollout although the target had no order.
+TEST_CASE("a target that ends before it was ordered isn't lost to the version")
+{
+  auto members = MakeMembers(1);
+  weights::Rollout rollout;
+  rollout.version_ = 2;
+  for (std::int64_t start = 1; start < 6; ++start) {
+    const auto now = kNow + absl::Seconds(start);
+    REQUIRE(weights::NextTargets(rollout, members, "m", now).size() == 1);
+    rollout.targets_.at("t0").progress_ = weights::Progress::Unconfirmed;
+    auto restarted = members.at("t0").target_;
+    restarted.bornMs_ = start;
+    fleet::UpdateTarget(
+      members, restarted, { 0, 1 + static_cast<std::uint64_t>(start) }, now);
+  }
+  CHECK_FALSE(weights::IsSlowed(rollout));
+}
+
+// Guards against targets that can't be reached or confirmed and keep all others
+// from being ordered.
+TEST_CASE("a silent target makes room for others and comes after them")
+{
+  auto members = MakeMembers(3);
+  weights::Rollout rollout;
+  rollout.version_ = 2;
+  const std::vector<std::string> first{ "t0" };
+  REQUIRE(weights::NextTargets(rollout, members, "m", kNow) == first);
+  auto& work = rollout.targets_.at("t0");
+  work.progress_ = weights::Progress::Unconfirmed;
+  auto now = kNow + weights::kMaxSilence - absl::Milliseconds(1);
+  CHECK(weights::ReleaseSilent(rollout, now).empty());
+  now = kNow + weights::kMaxSilence;
+  const auto released = weights::ReleaseSilent(rollout, now);
+  REQUIRE(released.size() == 1);
+  CHECK(released[0].target_ == "t0");
+  CHECK_FALSE(released[0].isOrdered_);
+  CHECK(weights::NextTargets(rollout, members, "m", now) ==
+        std::vector<std::string>{ "t1" });
+  // Its report is read rarely.
+  CHECK(weights::TargetsToPoll(rollout, now) == first);
+  CHECK(weights::TargetsToPoll(rollout, now + absl::Milliseconds(900)).empty());
+  CHECK(weights::TargetsToPoll(rollout, now + absl::Milliseconds(1100)) ==
+        first);
+  CHECK(weights::NoteAnswer(work, now));
+  members.at("t1").target_.weights_["m"] = 2;
+  CHECK(weights::NextTargets(rollout, members, "m", now) ==
+        std::vector<std::string>{ "t2" });
+  members.at("t2").target_.weights_["m"] = 2;
+  CHECK(weights::NextTargets(rollout, members, "m", now) == first);
+}
+
+// Guards against a target that loses its place while it loads for long.
+TEST_CASE("a target that answers keeps its place")
+{
+  auto members = MakeMembers(3);
+  weights::Rollout rollout;
+  rollout.version_ = 2;
+  weights::NextTargets(rollout, members, "m", kNow);
+  auto& work = rollout.targets_.at("t0");
+  work.progress_ = weights::Progress::Loading;
+  work.sent_ = 1;
+  auto now = kNow;
+  for (int i = 0; i < 10; ++i) {
+    now += absl::Seconds(1);
+    CHECK_FALSE(weights::NoteAnswer(work, now));
+    CHECK(weights::ReleaseSilent(rollout, now).empty());
+    CHECK(weights::NextTargets(rollout, members, "m", now).empty());
+  }
+  // An order may still be carried out, so the process counts as lost if it
+  // ends.
+  now += weights::kMaxSilence;
+  REQUIRE(weights::ReleaseSilent(rollout, now).size() == 1);
+  members.erase("t0");
+  weights::NextTargets(rollout, members, "m", now);
+  CHECK(rollout.lossMoments_ == 1);
+}
