Targets: nothing learned of a process is held against its successor

Kept by the target's id, and so outliving its process:

- a call under way: its end took a running call and its tokens from the new process, and its failure counted against it, set it aside, and was told to other hosts as a target that is down;
- pooled connections, and those returned after the new process was listed;
- other hosts' reports of loads and of targets that are down;
- evidence of a crash, which could set the new process aside on all hosts, and supported notices about it;
- the answer to an ask for a permit;
- the end of a stream, judged by connections to the new process;
- the mark that all hosts know that a target leaves.

Each is now of one process: calls and asks remember its start, the hash in messages between hosts covers it, and a new start (log line target_restarted) drops pooled connections and evidence.

--- a/include/lycheeplank/availability.h
+++ b/include/lycheeplank/availability.h
@@ -58,9 +58,12 @@
            absl::Duration aDuration,
            absl::Time aNow);
 
-// Records that the target's entry or another host reports that it leaves.
+// Records that the target's entry or another host reports that a start of the
+// target leaves.
 void
-MarkKnownToAll(Records& aRecords, const std::string& aTarget);
+MarkKnownToAll(Records& aRecords,
+               const std::string& aTarget,
+               std::int64_t aStartedAtMs);
 
 // Returns whether the other hosts need a notice that a target leaves.
 bool
--- a/include/lycheeplank/crash_evidence.h
+++ b/include/lycheeplank/crash_evidence.h
@@ -58,6 +58,10 @@
 void
 RecordRefusal(State& aState, const fleet::Target& aTarget, absl::Time aNow);
 
+// Drops the evidence against a target that has started again.
+void
+Forget(State& aState, const std::string& aTarget);
+
 // Records that a target has sent something. Returns the ids of the targets
 // whose crash is proven by that; each is returned once.
 std::vector<std::string>
--- a/include/lycheeplank/fleet.h
+++ b/include/lycheeplank/fleet.h
@@ -61,7 +61,7 @@
 // Calls of another host to a target that have not ended, as sent between hosts.
 struct PeerLoad
 {
-  // Stable hash of the target's id.
+  // See IdHash.
   std::uint32_t target_ = 0;
   std::uint32_t inFlight_ = 0;
   // Prompt tokens of calls without a first event: of urgent requests, which
@@ -75,16 +75,17 @@
 // hosts.
 struct ReportedLoad
 {
-  // Stable hash of the target's id.
+  // See IdHash.
   std::uint32_t target_ = 0;
   Load load_;
   absl::Duration age_;
 };
 
-// Returns the hash of a target's id that identifies it in messages between
-// hosts.
+// Returns the hash that identifies a process of a target in messages between
+// hosts, so that what they say of one process isn't taken for its successor's.
+// aStartedAtMs: see Target::bornMs_.
 std::uint32_t
-IdHash(absl::string_view aTarget);
+IdHash(absl::string_view aTarget, std::int64_t aStartedAtMs = 0);
 
 struct PeerUsage
 {
--- a/src/availability/availability.cc
+++ b/src/availability/availability.cc
@@ -70,9 +70,12 @@
 }
 
 void
-MarkKnownToAll(Records& aRecords, const std::string& aTarget)
+MarkKnownToAll(Records& aRecords,
+               const std::string& aTarget,
+               std::int64_t aStartedAtMs)
 {
-  if (const auto found = aRecords.find(aTarget); found != aRecords.end()) {
+  if (const auto found = aRecords.find(aTarget);
+      found != aRecords.end() && found->second.startedAtMs_ == aStartedAtMs) {
     found->second.isKnownToAll_ = true;
   }
 }
--- a/src/crash_evidence/crash_evidence.cc
+++ b/src/crash_evidence/crash_evidence.cc
@@ -40,6 +40,12 @@
   return isFirst;
 }
 
+void
+Forget(State& aState, const std::string& aTarget)
+{
+  aState.suspects_.erase(aTarget);
+}
+
 void
 RecordRefusal(State& aState, const fleet::Target& aTarget, absl::Time aNow)
 {
@@ -94,7 +100,13 @@
 {
   // What the target has sent since would have ended the suspicion. The other
   // host has told it to all.
-  const bool isSuspect = aState.suspects_.erase(aMember.target_.id_) > 0;
+  const auto suspect = aState.suspects_.find(aMember.target_.id_);
+  const bool isSuspect =
+    suspect != aState.suspects_.end() &&
+    suspect->second.startedAtMs_ == aMember.target_.bornMs_;
+  if (isSuspect) {
+    aState.suspects_.erase(suspect);
+  }
   if (!isSuspect && aNow - std::max(aMember.answeredAt_, aMember.heardAt_) <
                       fleet::kRecentAnswerAge) {
     return false;
--- a/src/fleet/fleet.cc
+++ b/src/fleet/fleet.cc
@@ -107,9 +107,10 @@
 }
 
 std::uint32_t
-IdHash(absl::string_view aTarget)
+IdHash(absl::string_view aTarget, std::int64_t aStartedAtMs)
 {
-  return static_cast<std::uint32_t>(core::StableHash(aTarget));
+  return static_cast<std::uint32_t>(
+    core::StableHash(aTarget, static_cast<std::uint64_t>(aStartedAtMs)));
 }
 
 void
@@ -392,7 +393,7 @@
   if (member.position_ == core::Position()) {
     member.firstListedAt_ = aNow;
   }
-  member.idHash_ = IdHash(aTarget.id_);
+  member.idHash_ = IdHash(aTarget.id_, aTarget.bornMs_);
   member.target_ = std::move(aTarget);
   member.position_ = aPosition;
   member.expiresAt_ = absl::InfiniteFuture();
--- a/src/gateway/crash-notices.cc
+++ b/src/gateway/crash-notices.cc
@@ -50,7 +50,9 @@
   }
   aHost.targetPool_.OpenSpare(
     aTarget, target.address_, kCheckTimeout, [&aHost, target](ConnectEnd aEnd) {
-      if (aEnd == ConnectEnd::Refused) {
+      const auto listed = aHost.members_.find(target.id_);
+      if (aEnd == ConnectEnd::Refused && listed != aHost.members_.end() &&
+          listed->second.target_.bornMs_ == target.bornMs_) {
         crash_evidence::RecordRefusal(aHost.crashes_, target, Now());
       }
     });
--- a/src/gateway/exchange-answer.cc
+++ b/src/gateway/exchange-answer.cc
@@ -57,16 +57,13 @@
     return true;
   }
   const auto now = Now();
-  const auto found = host_.members_.find(targetId_);
-  if (found != host_.members_.end() &&
-      found->second.target_.bornMs_ == targetBornMs_) {
-    auto& member = found->second;
+  if (auto* member = CalledMember()) {
     if (answer_.load_) {
-      fleet::RecordLoad(member, *answer_.load_, now);
+      fleet::RecordLoad(*member, *answer_.load_, now);
       host_.haveTargetsSlowness_ |= answer_.load_->slowness_.has_value();
     }
     if (answer_.weights_ && !request_.model_.empty() && IsFromTarget()) {
-      auto& version = member.target_.weights_[request_.model_];
+      auto& version = member->target_.weights_[request_.model_];
       if (version != *answer_.weights_) {
         host_.log_.Write(Line("target_weights")
                            .Text("target", targetId_)
@@ -147,7 +144,8 @@
 Exchange::ApplyTargetLimit()
 {
   // Without a stamp, a proxy may have answered, which doesn't know the limit.
-  if (IsFromTarget() && (answer_.requestsPerSecond_ || answer_.isStamped_)) {
+  if (IsFromTarget() && CalledMember() != nullptr &&
+      (answer_.requestsPerSecond_ || answer_.isStamped_)) {
     NoteTargetLimit(
       host_, targetId_, answer_.requestsPerSecond_, sentAt_, request_.id_);
   }
@@ -369,9 +367,8 @@
   if (firstByteAt_ == absl::InfinitePast()) {
     firstByteAt_ = now;
     NoteBegin(host_, Evidence());
-    if (const auto found = host_.members_.find(targetId_);
-        found != host_.members_.end()) {
-      fleet::RecordFirstByte(found->second,
+    if (auto* member = CalledMember()) {
+      fleet::RecordFirstByte(*member,
                              size_,
                              now - sentAt_,
                              choice_.nominalSeconds_,
--- a/src/gateway/exchange-attempt.cc
+++ b/src/gateway/exchange-attempt.cc
@@ -362,6 +362,7 @@
   targetId_ = choice_.id_;
   tried_.push_back(targetId_);
   auto& member = host_.members_.at(targetId_);
+  targetBornMs_ = member.target_.bornMs_;
   if (member.target_.dataCentre_ != host_.settings_.dataCentre_) {
     CountSentAway(member.target_.dataCentre_);
   }
@@ -654,8 +655,10 @@
 {
   connection_ = std::move(aConnection);
   const auto found = host_.members_.find(targetId_);
-  if (found == host_.members_.end() || !fleet::IsInUse(found->second, Now())) {
-    // The target left the fleet while the connection was made.
+  if (found == host_.members_.end() ||
+      found->second.target_.bornMs_ != targetBornMs_ ||
+      !fleet::IsInUse(found->second, Now())) {
+    // The target left the fleet or started again while the connection was made.
     EndAttempt(retry::AttemptEnd::NotSent);
     return;
   }
@@ -675,7 +678,6 @@
     EndIfBlocked();
     return;
   }
-  targetBornMs_ = found->second.target_.bornMs_;
   NoteSend(host_, traits_);
   ++history_.sends_;
   ++history_.runs_;
--- a/src/gateway/exchange-end.cc
+++ b/src/gateway/exchange-end.cc
@@ -126,45 +126,60 @@
     return;
   }
   const auto connection = std::exchange(connection_, nullptr);
+  auto* member = CalledMember();
   if (connection) {
     // A second copy of an answer without an id would be taken for the answer to
     // the next request there.
     const bool hasNoId = headAccepted_ && answer_.requestId_.empty();
-    if (connection->IsBusy() || hasNoId) {
+    if (connection->IsBusy() || hasNoId || member == nullptr) {
       connection->Close();
     } else {
       host_.targetPool_.Return(targetId_, connection);
     }
   }
-  const auto found = host_.members_.find(targetId_);
-  if (found == host_.members_.end()) {
+  if (member == nullptr) {
     return;
   }
-  auto& member = found->second;
   if (firstByteAt_ == absl::InfinitePast() || !isEvents_) {
     const bool answered = aResult == fleet::CallResult::Answered;
-    fleet::RecordFirstByte(member,
+    fleet::RecordFirstByte(*member,
                            size_,
                            Now() - sentAt_,
                            answered ? choice_.nominalSeconds_ : 0.0,
                            ReportedSlowness());
   }
   if (aResult == fleet::CallResult::Unreachable) {
-    ++host_.downReports_[member.idHash_];
+    ++host_.downReports_[member->idHash_];
     NoteTargetCold(
       host_, targetId_, absl::InfiniteDuration(), ColdEvidence::Unreachable);
     NoteTargetLoss(host_, targetId_);
   }
   host_.onLoad_();
-  if (fleet::RecordCallEnd(member, size_, aResult, Now())) {
+  if (fleet::RecordCallEnd(*member, size_, aResult, Now())) {
     host_.log_.Write(Line("target_aside")
                        .Text("target", targetId_)
                        .Text("id", request_.id_)
-                       .Number("failure_share", member.failureShare_)
-                       .Age("for_ms", member.quarantinedUntil_ - Now()));
+                       .Number("failure_share", member->failureShare_)
+                       .Age("for_ms", member->quarantinedUntil_ - Now()));
   }
 }
 
+fleet::Member*
+Exchange::CalledMember() const
+{
+  const auto found = host_.members_.find(targetId_);
+  return found == host_.members_.end() || HasTargetRestarted() ? nullptr
+                                                               : &found->second;
+}
+
+bool
+Exchange::HasTargetRestarted() const
+{
+  const auto found = host_.members_.find(targetId_);
+  return found != host_.members_.end() &&
+         found->second.target_.bornMs_ != targetBornMs_;
+}
+
 void
 Exchange::EndAttempt(retry::AttemptEnd aEnd)
 {
--- a/src/gateway/exchange-stream-end.cc
+++ b/src/gateway/exchange-stream-end.cc
@@ -87,10 +87,13 @@
     found->second.target_.state_ == fleet::TargetState::Ready &&
     found->second.expiresAt_ == absl::InfiniteFuture();
   EndEvidence evidence;
-  evidence.isConnected_ = pool.IsConnected(targetId_);
+  // Connections to another process under the same id prove nothing.
+  const bool hasRestarted = HasTargetRestarted();
+  evidence.isConnected_ = !hasRestarted && pool.IsConnected(targetId_);
   // A host that has been frozen can't tell when calls were lost.
-  evidence.hasLostCall_ = pool.LastLoss(targetId_) >= aEndedAt - kSettleTime &&
-                          !IsCatchingUp(host_.stallDetector_, Now());
+  evidence.hasLostCall_ =
+    hasRestarted || (pool.LastLoss(targetId_) >= aEndedAt - kSettleTime &&
+                     !IsCatchingUp(host_.stallDetector_, Now()));
   evidence.isListed_ = isListed;
   evidence.connect_ = aConnect;
   const auto verdict = JudgeEnd(evidence);
--- a/src/gateway/exchange-watch.cc
+++ b/src/gateway/exchange-watch.cc
@@ -76,8 +76,9 @@
 bool
 Exchange::IsTargetDown() const
 {
-  const auto found = host_.members_.find(targetId_);
-  return found != host_.members_.end() && Now() < found->second.downUntil_;
+  const auto* member = CalledMember();
+  return HasTargetRestarted() ||
+         (member != nullptr && Now() < member->downUntil_);
 }
 
 void
--- a/src/gateway/exchange.h
+++ b/src/gateway/exchange.h
@@ -241,6 +241,11 @@
   // Ends of attempts and of the exchange.
   void EndAttempt(retry::AttemptEnd aEnd);
   void ReleaseTarget(fleet::CallResult aResult);
+  // Returns the target of the present attempt; null if it isn't listed or has
+  // started again since.
+  fleet::Member* CalledMember() const;
+  // Returns whether the target has started again since the attempt began.
+  bool HasTargetRestarted() const;
   void TakeNextStep(retry::AttemptEnd aEnd);
   // Refuses the request with aRetryAfter plus jitter, or exactly that time.
   void Refuse(absl::string_view aReason, absl::Duration aRetryAfter);
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -116,6 +116,26 @@
     });
 }
 
+// Drops what is tied to the earlier process of a target that has started again,
+// besides its state as a member.
+void
+NoteRestart(Host& aHost,
+            std::int64_t aEarlierStartMs,
+            const fleet::Target& aTarget,
+            const replica::Item& aItem,
+            absl::string_view aSource)
+{
+  aHost.log_.Write(Line("target_restarted")
+                     .Text("target", aTarget.id_)
+                     .Number("started_ms", aTarget.bornMs_)
+                     .Number("before_ms", aEarlierStartMs)
+                     .Number("revision", aItem.revision_)
+                     .Text("source", aSource));
+  aHost.metrics_.Count("targets_restarted_total");
+  aHost.targetPool_.Drop(aTarget.id_);
+  crash_evidence::Forget(aHost.crashes_, aTarget.id_);
+}
+
 void
 ApplyTarget(Host& aHost,
             const std::string& aId,
@@ -124,7 +144,8 @@
             absl::Time aNow)
 {
   if (aItem.deleted_) {
-    availability::MarkKnownToAll(aHost.availability_, aId);
+    availability::MarkKnownToAll(
+      aHost.availability_, aId, StartOf(aHost, aId).value_or(0));
     const auto until = RemovalTime(aHost, aNow);
     if (fleet::ExpireTarget(aHost.members_, aId, until)) {
       aHost.log_.Write(Line("target_vanished")
@@ -169,12 +190,17 @@
   const bool isNewStart = known == aHost.members_.end()
                             ? aHost.itemsCompleteAt_ != absl::InfinitePast()
                             : known->second.target_.bornMs_ < target->bornMs_;
+  const auto earlierStart = StartOf(aHost, aId);
   fleet::UpdateTarget(
     aHost.members_, std::move(*target), replica::PositionOf(aItem), aNow);
+  auto& member = aHost.members_.at(aId);
+  if (earlierStart && *earlierStart != member.target_.bornMs_) {
+    NoteRestart(aHost, *earlierStart, member.target_, aItem, aSource);
+  }
   if (leaving) {
-    availability::MarkKnownToAll(aHost.availability_, aId);
+    availability::MarkKnownToAll(
+      aHost.availability_, aId, member.target_.bornMs_);
   }
-  auto& member = aHost.members_.at(aId);
   availability::Apply(aHost.availability_, member);
   target_limits::Apply(aHost.limits_, member);
   NoteEntryWarmup(aHost, aId, isNewStart);
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -90,6 +90,8 @@
 struct PendingAsk
 {
   std::string target_;
+  // Start of the target's process; no value if the target isn't listed.
+  absl::optional<std::int64_t> startedAtMs_;
   absl::Time askedAt_;
   std::function<void(const target_limits::Permit&)> onPermit_;
   std::shared_ptr<Timer> timer_;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -58,8 +58,11 @@
                               aNotice.name_,
                               aNotice.startedAtMs_,
                               aNow);
-    availability::MarkKnownToAll(aHost.availability_, aNotice.name_);
-    aHost.targetPool_.Drop(aNotice.name_);
+    availability::MarkKnownToAll(
+      aHost.availability_, aNotice.name_, aNotice.startedAtMs_);
+    if (StartOf(aHost, aNotice.name_) == aNotice.startedAtMs_) {
+      aHost.targetPool_.Drop(aNotice.name_);
+    }
     return;
   }
   const auto found = aHost.members_.find(aNotice.name_);
--- a/src/gateway/permits.cc
+++ b/src/gateway/permits.cc
@@ -144,8 +144,10 @@
                        .Text("target", aAsk.target_)
                        .Age("took_ms", Now() - aAsk.askedAt_));
   }
+  // The time holds for the limit of the process that was asked about.
   if (const auto member = aHost.members_.find(aAsk.target_);
-      member != aHost.members_.end()) {
+      member != aHost.members_.end() &&
+      member->second.target_.bornMs_ == aAsk.startedAtMs_) {
     member->second.noPermitUntil_ = Now() + aPermit.nextPermit_;
   }
   aAsk.onPermit_(aPermit);
@@ -182,7 +184,9 @@
     message.limits_.push_back(*statement);
   }
   const auto timer = std::make_shared<Timer>(aHost.loop_);
-  aHost.permitAsks_[message.ask_] = { aTarget, now, aOnPermit, timer };
+  aHost.permitAsks_[message.ask_] = {
+    aTarget, StartOf(aHost, aTarget), now, aOnPermit, timer
+  };
   timer->Set(kAskTimeout, [&aHost, id = message.ask_] {
     auto ask = aHost.permitAsks_.extract(id);
     if (!ask.empty()) {
@@ -213,7 +217,7 @@
     target_limits::IssuerOf(aHost.limits_, aHost.hosts_, aTarget, now);
   if (issuer.empty() || issuer == aHost.settings_.name_) {
     FinishAsk(aHost,
-              { aTarget, now, aOnPermit, nullptr },
+              { aTarget, StartOf(aHost, aTarget), now, aOnPermit, nullptr },
               target_limits::Issue(aHost.limits_, aTarget, aIsLastChoice, now));
     return;
   }
--- a/test/availability-test.cc
+++ b/test/availability-test.cc
@@ -141,7 +141,10 @@
   CHECK(availability::NeedsBroadcast(fixture.records_, "t", kStartedAtMs));
   CHECK_FALSE(
     availability::NeedsBroadcast(fixture.records_, "t", kStartedAtMs + 1));
-  availability::MarkKnownToAll(fixture.records_, "t");
+  // What is known of an earlier start says nothing of this one.
+  availability::MarkKnownToAll(fixture.records_, "t", kStartedAtMs - 1);
+  CHECK(availability::NeedsBroadcast(fixture.records_, "t", kStartedAtMs));
+  availability::MarkKnownToAll(fixture.records_, "t", kStartedAtMs);
   CHECK_FALSE(
     availability::NeedsBroadcast(fixture.records_, "t", kStartedAtMs));
 }
--- a/test/crash-evidence-test.cc
+++ b/test/crash-evidence-test.cc
@@ -276,6 +276,20 @@
   CHECK(fleet::IsQuarantined(member, After(30)));
 }
 
+// Guards against a notice that sets a sound target aside because its earlier
+// process has lost a call.
+TEST_CASE("a call lost by an earlier start doesn't support a notice")
+{
+  crash::State state;
+  fleet::Member member;
+  member.target_ = MakeTarget("t");
+  crash::RecordLoss(state, member.target_, kNow);
+  ++member.target_.bornMs_;
+  crash::NoteAlive(member, After(10));
+  CHECK_FALSE(crash::ApplyNotice(state, member, 1, After(20)));
+  CHECK_FALSE(fleet::IsQuarantined(member, After(30)));
+}
+
 // Guards against hosts that find out one by one, each with requests of its own.
 // The load: 60 targets with 20 streams each, and 15 requests a second of each
 // host; 20 targets crash at once.
--- a/test/fleet-test.cc
+++ b/test/fleet-test.cc
@@ -940,3 +940,22 @@
     CHECK(explanation.candidates_.size() == members.size());
   }
 }
+
+// Guards against a target that is set aside right after it started again
+// because hosts couldn't reach its earlier process.
+TEST_CASE(
+  "what hosts say of an earlier process isn't taken for the present one")
+{
+  auto members = MakeMembers(2);
+  const auto earlier = members.at("t0").idHash_;
+  auto restarted = members.at("t0").target_;
+  restarted.bornMs_ = 1700000000000;
+  fleet::UpdateTarget(members, restarted, { 0, 2 }, kNow);
+  const auto present = members.at("t0").idHash_;
+  const fleet::PeerLoad load{ earlier, 5, 0, 30000, 90000 };
+  fleet::SetPeerLoads(members, "h1", { load }, kNow);
+  CHECK(fleet::SumLoads(members, { "h1" }, kNow).empty());
+  CHECK(fleet::ApplyDownReports(members, { { earlier, 5 } }, 1, kNow).empty());
+  CHECK(fleet::ApplyDownReports(members, { { present, 5 } }, 1, kNow) ==
+        std::vector<std::string>{ "t0" });
+}
