Entries of targets: one rule says which name a target, where they are read

Cause: each reader of listed entries decided for itself whether one names a target to use. The choice for a request asked for the service; the rollout, its share of the targets, the oldest weights in use, the check whether the host can serve and the counts didn't. Missing fields and fields of another type were taken for defaults.

Change: gateway/target-entries decides once. An entry names a target if it has all fields that the platform lists, each of its type, and the catalog in force has its service; others aren't listed. They are judged again by each catalog. Rows that can't be read take one place in the feed.

--- a/src/core/json.h
+++ b/src/core/json.h
@@ -1,10 +1,12 @@
 #ifndef LYCHEEPLANK_SRC_CORE_JSON_H
 #define LYCHEEPLANK_SRC_CORE_JSON_H
 
+#include <cmath>
 #include <cstdint>
 #include <string>
 
 #include <absl/strings/string_view.h>
+#include <absl/types/optional.h>
 #include <nlohmann/json.hpp>
 
 // Readers of JSON fields that may be absent or of another type.
@@ -88,6 +90,17 @@
            : aDefault;
 }
 
+// Returns a whole number from 0 to kMaxExact, however it is written; nothing if
+// the field is absent or something else.
+inline absl::optional<std::uint64_t>
+WholeOf(const Json& aObject, const char* aName)
+{
+  const auto number = NumberOf(aObject, aName, -1.0);
+  return number >= 0.0 && number <= kMaxExact && std::floor(number) == number
+           ? absl::make_optional(static_cast<std::uint64_t>(number))
+           : absl::nullopt;
+}
+
 inline bool
 FlagOf(const Json& aObject, const char* aName)
 {
--- a/src/gateway/app.cc
+++ b/src/gateway/app.cc
@@ -263,6 +263,8 @@
     metrics.Set("requests_open",
                 static_cast<double>(host_.openRequests_.size()));
     metrics.Set("targets", static_cast<double>(host_.members_.size()));
+    metrics.Set("unused_entries",
+                static_cast<double>(host_.unusedEntries_.size()));
     metrics.Set("evacuated_data_centres",
                 static_cast<double>(host_.evacuations_.size()));
     metrics.Set("targets_cold",
--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include "gateway/clock.h"
+#include "gateway/target-entries.h"
 #include "gateway/warmup.h"
 
 namespace lycheeplank::gateway {
@@ -35,22 +36,6 @@
 // yet visible to this host.
 constexpr std::uint32_t kUnknownHosts = 1;
 
-absl::Time
-RemovalTime(const Host& aHost, absl::Time aNow)
-{
-  // A restored backup lacks entries that were written after it; their owners
-  // write them again.
-  const auto& store = aHost.store_;
-  if (aNow - store.eraSeenAt_ < kUnsettledTime) {
-    return aNow + kLapseTime;
-  }
-  // A target may be gone two seconds after its entry was removed, of which this
-  // host has heard late.
-  return aNow - store.failedAt_ < kUnsettledTime
-           ? aNow + kLapseTime - kNoticeTime
-           : aNow;
-}
-
 // Ends the evacuations whose time is over.
 void
 EndEvacuations(Host& aHost, absl::Time aNow)
@@ -85,7 +70,6 @@
                        .Text("source", aSource));
     return;
   }
-  const bool isFirst = aHost.catalog_ == nullptr;
   aHost.catalog_ = std::make_shared<const catalog::Catalog>(std::move(*read));
   aHost.catalogAt_ = aNow;
   cache_index::SetStores(aHost.cacheIndex_, aHost.catalog_->stores_);
@@ -98,115 +82,7 @@
                      .Number("bytes", aItem.value_.size())
                      .Age("read_ms", Now() - readFrom)
                      .Text("source", aSource));
-  if (isFirst) {
-    // Entries that came before the catalog, which says what is ever cold.
-    for (const auto& [id, member] : aHost.members_) {
-      NoteEntryWarmup(aHost, id, false);
-    }
-  }
-}
-
-// Returns whether a target names all models that another one does.
-bool
-NamesAllModels(const fleet::Target& aTarget, const fleet::Target& aOther)
-{
-  return std::all_of(
-    aOther.weights_.begin(), aOther.weights_.end(), [&](const auto& aLoaded) {
-      return aTarget.weights_.contains(aLoaded.first);
-    });
-}
-
-// Drops what is tied to the earlier process of a target that has started again,
-// besides its state as a member.
-void
-NoteRestart(Host& aHost,
-            std::int64_t aEarlierStartMs,
-            const fleet::Target& aTarget,
-            const replica::Item& aItem,
-            absl::string_view aSource)
-{
-  aHost.log_.Write(Line("target_restarted")
-                     .Text("target", aTarget.id_)
-                     .Number("started_ms", aTarget.bornMs_)
-                     .Number("before_ms", aEarlierStartMs)
-                     .Number("revision", aItem.revision_)
-                     .Text("source", aSource));
-  aHost.metrics_.Count("targets_restarted_total");
-  aHost.targetPool_.Drop(aTarget.id_);
-  crash_evidence::Forget(aHost.crashes_, aTarget.id_);
-}
-
-void
-ApplyTarget(Host& aHost,
-            const std::string& aId,
-            const replica::Item& aItem,
-            absl::string_view aSource,
-            absl::Time aNow)
-{
-  if (aItem.deleted_) {
-    availability::MarkKnownToAll(
-      aHost.availability_, aId, StartOf(aHost, aId).value_or(0));
-    const auto until = RemovalTime(aHost, aNow);
-    if (fleet::ExpireTarget(aHost.members_, aId, until)) {
-      aHost.log_.Write(Line("target_vanished")
-                         .Text("target", aId)
-                         .Number("revision", aItem.revision_)
-                         .Age("believed_ms", until - aNow)
-                         .Text("source", aSource));
-    }
-    return;
-  }
-  auto target = aHost.adapter_.readTarget_(aItem);
-  if (!target) {
-    // A target whose entry can't be read is not used.
-    fleet::ExpireTarget(aHost.members_, aId, aNow);
-    aHost.log_.Write(Line("target_unreadable")
-                       .Text("target", aId)
-                       .Number("revision", aItem.revision_)
-                       .Text("source", aSource));
-    return;
-  }
-  const bool leaving = target->state_ == fleet::TargetState::Leaving;
-  const auto known = aHost.members_.find(aId);
-  if (known == aHost.members_.end() ||
-      known->second.target_.state_ != target->state_ ||
-      known->second.target_.weights_ != target->weights_) {
-    Line line(leaving ? "target_leaving" : "target_ready");
-    line.Text("target", aId)
-      .Text("service", target->service_)
-      .Text("address", target->address_)
-      .Number("revision", aItem.revision_)
-      .Text("source", aSource);
-    for (const auto& [model, version] : target->weights_) {
-      line.Number("weights", version);
-    }
-    aHost.log_.Write(line);
-  }
-  if (known != aHost.members_.end() &&
-      !NamesAllModels(*target, known->second.target_)) {
-    part_use::NoteVanished(aHost.readers_, known->second.target_, aNow);
-  }
-  // Until this host has all entries, one that it doesn't know is no new start.
-  const bool isNewStart = known == aHost.members_.end()
-                            ? aHost.itemsCompleteAt_ != absl::InfinitePast()
-                            : known->second.target_.bornMs_ < target->bornMs_;
-  const auto earlierStart = StartOf(aHost, aId);
-  fleet::UpdateTarget(
-    aHost.members_, std::move(*target), replica::PositionOf(aItem), aNow);
-  auto& member = aHost.members_.at(aId);
-  if (earlierStart && *earlierStart != member.target_.bornMs_) {
-    NoteRestart(aHost, *earlierStart, member.target_, aItem, aSource);
-  }
-  if (leaving) {
-    availability::MarkKnownToAll(
-      aHost.availability_, aId, member.target_.bornMs_);
-  }
-  availability::Apply(aHost.availability_, member);
-  target_limits::Apply(aHost.limits_, member);
-  NoteEntryWarmup(aHost, aId, isNewStart);
-  if (member.target_.state_ == fleet::TargetState::Leaving) {
-    aHost.targetPool_.Drop(aId);
-  }
+  ReapplyTargets(aHost, aNow);
 }
 
 void
@@ -360,17 +236,21 @@
 // target that has announced to leave stays out of use when its entry is gone,
 // and that a target that names another model may still read parts of the
 // models before: rows of a leaving target, of another start or with other
-// models are kept.
+// models are kept. Unreadable rows replace only each other.
 std::string
 RowKeyOf(const Host& aHost, const replica::Item& aItem, ItemKind aKind)
 {
   if (aKind == ItemKind::Catalog) {
     return aItem.key_;
   }
-  const auto target = aKind == ItemKind::Target && !aItem.deleted_
-                        ? aHost.adapter_.readTarget_(aItem)
-                        : absl::nullopt;
-  if (!target || target->state_ == fleet::TargetState::Leaving) {
+  if (aKind != ItemKind::Target || aItem.deleted_) {
+    return {};
+  }
+  const auto target = aHost.adapter_.readTarget_(aItem);
+  if (!target) {
+    return absl::StrCat(aItem.key_, " unreadable");
+  }
+  if (target->state_ == fleet::TargetState::Leaving) {
     return {};
   }
   auto key = absl::StrCat(aItem.key_, " ", target->bornMs_);
@@ -394,17 +274,17 @@
   if (relayed.feed_ != aHost.feed_.id_) {
     relayed = { aHost.feed_.id_, {} };
   }
-  auto target =
-    aItem.deleted_ ? absl::nullopt : aHost.adapter_.readTarget_(aItem);
-  if (!target) {
+  if (aItem.deleted_) {
     relayed.targets_.erase(aItem.key_);
     return false;
   }
-  auto& entry = relayed.targets_[aItem.key_];
-  if (entry.era_ == aItem.era_ && entry.target_ == *target) {
+  auto target = aHost.adapter_.readTarget_(aItem);
+  const auto [entry, isNew] = relayed.targets_.try_emplace(aItem.key_);
+  auto& known = entry->second;
+  if (!isNew && known.era_ == aItem.era_ && known.target_ == target) {
     return true;
   }
-  entry = { aItem.era_, std::move(*target) };
+  known = { aItem.era_, std::move(target) };
   return false;
 }
 
@@ -572,6 +452,22 @@
   return aHost.catalog_ != nullptr && !aHost.members_.empty();
 }
 
+absl::Time
+RemovalTime(const Host& aHost, absl::Time aNow)
+{
+  // A restored backup lacks entries that were written after it; their owners
+  // write them again.
+  const auto& store = aHost.store_;
+  if (aNow - store.eraSeenAt_ < kUnsettledTime) {
+    return aNow + kLapseTime;
+  }
+  // A target may be gone two seconds after its entry was removed, of which this
+  // host has heard late.
+  return aNow - store.failedAt_ < kUnsettledTime
+           ? aNow + kLapseTime - kNoticeTime
+           : aNow;
+}
+
 absl::optional<std::int64_t>
 StartOf(const Host& aHost, const std::string& aTarget)
 {
--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -48,6 +48,24 @@
 inline constexpr absl::string_view kHostPrefix = "lycheeplank/hosts/";
 inline constexpr absl::string_view kOwnerKey = "lycheeplank/weights-owner";
 
+// Why an entry names no target to use.
+enum class EntryFault
+{
+  // A field is missing, of another type or of an unknown value, as another
+  // writer leaves it.
+  Unreadable,
+  // There is no catalog to judge it by.
+  NoCatalog,
+  // The catalog has no such service.
+  UnknownService,
+};
+
+inline constexpr std::array<core::Named<EntryFault>, 3> kEntryFaults{ {
+  { EntryFault::Unreadable, "unreadable" },
+  { EntryFault::NoCatalog, "no_catalog" },
+  { EntryFault::UnknownService, "unknown_service" },
+} };
+
 // State of the key-value service as this host observes it.
 struct StoreHealth
 {
@@ -103,7 +121,8 @@
   struct Entry
   {
     std::uint64_t era_ = 0;
-    fleet::Target target_;
+    // No value: the entry can't be read.
+    absl::optional<fleet::Target> target_;
   };
   // Id of the feed.
   std::uint64_t feed_ = 0;
@@ -155,7 +174,9 @@
   replica::Replica replica_;
   catalog::CatalogPtr catalog_;
   absl::Time catalogAt_ = absl::InfinitePast();
+  // Targets that may be used, and by id why other entries name none.
   fleet::Members members_;
+  absl::btree_map<std::string, EntryFault> unusedEntries_;
   // Some target has reported its momentary slowness.
   bool haveTargetsSlowness_ = false;
   // Data centres that the operator has evacuated.
@@ -272,6 +293,11 @@
 bool
 CanServe(const Host& aHost);
 
+// Returns how long an entry is believed that has vanished from the key-value
+// service: its owner may be alive and write it again.
+absl::Time
+RemovalTime(const Host& aHost, absl::Time aNow);
+
 // Returns the start time of a target's present process, in milliseconds since
 // 1970; nothing if the target isn't listed.
 absl::optional<std::int64_t>
--- a/test/caller-limits-test.py
+++ b/test/caller-limits-test.py
@@ -344,8 +344,11 @@
                 "service": "plain",
                 "address": f"127.0.0.1:{target_port}",
                 "zone": "z1",
+                "version": "1",
                 "state": "ready",
                 "batch-size": 300,
+                "warmup-ms": 0,
+                "sequence": 1,
                 "born": 1,
             },
         )
--- a/test/gateway-world.h
+++ b/test/gateway-world.h
@@ -204,6 +204,13 @@
     return routes.back();
   }
 
+  // Adds the service of the targets to the catalog, as entries of targets need.
+  void AddService()
+  {
+    catalog_.services_["s"].name_ = "s";
+    Publish();
+  }
+
   void Publish()
   {
     catalog::BuildIndexes(catalog_);
