Entries of hosts: taken only if they name their host and usable addresses

It is now logged as host_unreadable, and what was known of the host stays. target-entries-test "an entry of a host that names none takes no place" guards it; with the check taken out it fails.

--- a/src/gateway/host.cc
+++ b/src/gateway/host.cc
@@ -7,6 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include "gateway/clock.h"
+#include "gateway/socket.h"
 #include "gateway/target-entries.h"
 #include "gateway/warmup.h"
 
@@ -109,6 +110,16 @@
                      .Text("source", aSource));
 }
 
+// Returns whether an entry is that of the host of its key, with addresses that
+// others can connect to.
+bool
+NamesHost(const entry_hosts::HostEntry& aEntry, const std::string& aName)
+{
+  return aEntry.name_ == aName &&
+         ParseEndpoint(aEntry.callerAddress_).port() != 0 &&
+         ParseEndpoint(aEntry.peerAddress_).port() != 0;
+}
+
 void
 ApplyHost(Host& aHost,
           const std::string& aName,
@@ -127,7 +138,7 @@
     return;
   }
   const auto entry = entry_hosts::ReadHost(aItem.value_);
-  if (!entry) {
+  if (!entry || !NamesHost(*entry, aName)) {
     aHost.log_.Write(
       Line("host_unreadable").Text("name", aName).Text("source", aSource));
     return;
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -318,6 +318,7 @@
 ReadEntry(const std::map<std::string, std::string>& aFields)
 {
   std::vector<std::string> fields;
+  fields.reserve(aFields.size());
   for (const auto& [name, value] : aFields) {
     fields.push_back(absl::StrCat("\"", name, "\": ", value));
   }
--- a/test/target-entries-test.cc
+++ b/test/target-entries-test.cc
@@ -211,3 +211,35 @@
   world.Remove("a-1");
   CHECK(lycheeplank::relays::NextRow(feed) - before == 4);
 }
+
+// Guards against a host that is chosen as a relay, or named to callers,
+// although its entry is another writer's.
+TEST_CASE("an entry of a host that names none takes no place")
+{
+  EntryWorld world;
+  auto& host = world.host_;
+  const auto write = [&](const std::string& aName,
+                         const std::string& aCallers,
+                         const std::string& aPeers) {
+    static std::uint64_t revision = 5000;
+    ++revision;
+    const auto entry = lycheeplank::entry_hosts::WriteHost(
+      { aName, "a", aCallers, aPeers, 1.0 });
+    gateway::ApplyItems(host,
+                        { { absl::StrCat(gateway::kHostPrefix, "h1"),
+                            entry,
+                            revision,
+                            revision } },
+                        "watch",
+                        gateway::Now());
+  };
+  write("h2", "10.0.0.1:1", "10.0.0.1:2");
+  write("h1", "nowhere", "10.0.0.1:2");
+  write("h1", "10.0.0.1:1", "10.0.0.1:99999");
+  CHECK(host.hosts_.empty());
+  write("h1", "10.0.0.1:1", "10.0.0.1:2");
+  REQUIRE(host.hosts_.size() == 1);
+  // The host itself goes on.
+  write("h1", "10.0.0.1:1", "nowhere");
+  CHECK(host.hosts_.at("h1").entry_.peerAddress_ == "10.0.0.1:2");
+}
