--- a/src/gateway/host.h
+++ b/src/gateway/host.h
@@ -293,8 +293,8 @@
 bool
 CanServe(const Host& aHost);
 
-// Returns how long an entry is believed that has vanished from the key-value
-// service: its owner may be alive and write it again.
+// Returns the time until which an entry is believed that has vanished from the
+// key-value service now: its owner may be alive and write it again.
 absl::Time
 RemovalTime(const Host& aHost, absl::Time aNow);
 
--- a/src/gateway/target-entries.cc
+++ b/src/gateway/target-entries.cc
@@ -73,8 +73,8 @@
     });
 }
 
-// Drops what is tied to the earlier process of a target that has started again,
-// besides its state as a member.
+// Drops the pooled connections to the earlier process of a target that has
+// started again, and the evidence that it has crashed.
 void
 NoteRestart(Host& aHost,
             std::int64_t aEarlierStartMs,
--- a/src/weights/weights.cc
+++ b/src/weights/weights.cc
@@ -168,6 +168,7 @@
     }
   }
   const auto most = MostAtOnce(aRollout, total, aNow);
+  // Targets that orders have failed at, or that can't be reached, come last.
   const auto rank = [aNow](const auto& aEntry) {
     const auto& [member, work] = aEntry;
     return std::make_tuple(work->failures_,
