Rollout: a target whose orders have no effect comes after the others

A target that accepts each order, and whose report then shows neither a load nor the weights, went back to waiting without a mark. With the least load, or the first id, it was chosen again at once, and as many of them as there are places kept all others from being ordered.

It now counts as a failure like a refused or lost order, so that targets with fewer come first. owner-test "a target whose orders have no effect doesn't hold up a rollout" failed before (the other target had no weights after 8 s) and passes.

--- a/src/gateway/owner.cc
+++ b/src/gateway/owner.cc
@@ -619,6 +619,7 @@
   work->orders_ = aReport.orders_;
   work->progress_ = weights::Progress::Waiting;
   work->notBefore_ = now;
+  ++work->failures_;
 }
 
 } // namespace lycheeplank::gateway
--- a/test/owner-test.cc
+++ b/test/owner-test.cc
@@ -625,6 +625,30 @@
         gateway::Now());
 }
 
+// Guards against a target that accepts each order, never carries one out, and
+// is ordered again and again while the others wait.
+TEST_CASE("a target whose orders have no effect doesn't hold up a rollout")
+{
+  Owners owners;
+  int orders = 0;
+  test::FakeTarget idle(owners.loop_, [&](auto& aSelf, const auto& aSocket) {
+    const bool isOrder = LastCall(aSelf)[0] == "order";
+    orders += isOrder ? 1 : 0;
+    aSocket->Send(TextAnswer(isOrder ? "ok" : "0 1 0"));
+  });
+  for (auto* candidate : { &owners.first_, &owners.second_ }) {
+    auto& members = candidate->host_.members_;
+    auto target = members.at("t1").target_;
+    target.id_ = "t0";
+    target.address_ = idle.Address();
+    fleet::UpdateTarget(members, target, { 0, 1 }, gateway::Now());
+  }
+  owners.SetNewestVersion(2);
+  CHECK(
+    owners.RunUntil([&] { return owners.weights_ == 2; }, absl::Seconds(8)));
+  CHECK(orders >= 1);
+}
+
 TEST_CASE("an owner steps down when the service is restored from a backup")
 {
   Owners owners;
